Add the design page, core types, rules and configuration versions

Cause: the repository was empty. Change: design page with requirements and the ways weighed; clock, messages, codec, findings; rules grammar and compiler; acceptance and publishing of configuration versions; platform port with an in-memory stand-in; build files. Conclusion: the interfaces are fixed, the parts can be built side by side.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+VENV := .venv
+PYTHON := $(VENV)/bin/python
+STAMP := $(VENV)/.installed
+
+.PHONY: demo test lint format bench clean
+
+$(STAMP): requirements.txt pyproject.toml
+	test -x $(PYTHON) || python3 -m venv $(VENV)
+	$(PYTHON) -m pip install -q -r requirements.txt
+	$(PYTHON) -m pip install -q --no-deps --no-build-isolation -e .
+	touch $(STAMP)
+
+demo: $(STAMP)
+	$(PYTHON) -W ignore::DeprecationWarning -m standins.demo
+
+test: $(STAMP)
+	$(PYTHON) -m pytest
+
+lint: $(STAMP)
+	$(PYTHON) -m black --check -q almondshore standins bench test
+	$(PYTHON) -m ruff check -q --no-cache almondshore standins bench test
+
+format: $(STAMP)
+	$(PYTHON) -m black -q almondshore standins bench test
+	$(PYTHON) -m ruff check -q --no-cache --fix almondshore standins bench test
+
+bench: $(STAMP)
+	$(PYTHON) -W ignore::DeprecationWarning -m bench.main
+
+clean:
+	rm -rf $(VENV)
--- /dev/null
+++ b/almondshore/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration distribution for a service mesh."""
--- /dev/null
+++ b/almondshore/core/__init__.py
@@ -0,0 +1,1 @@
+"""Clock, messages, codec, findings and errors shared by all packages."""
--- /dev/null
+++ b/almondshore/core/clock.py
@@ -0,0 +1,55 @@
+"""Clocks: the system clock, and one that tests advance by hand."""
+
+import time
+from abc import ABC, abstractmethod
+from datetime import UTC, datetime, timedelta
+
+
+class Clock(ABC):
+    """Source of the current time, passed to every component that needs it."""
+
+    @abstractmethod
+    def now(self) -> datetime:
+        """Return the current time as an aware datetime in UTC."""
+
+    @abstractmethod
+    def monotonic(self) -> timedelta:
+        """Return the time since an arbitrary origin; it never decreases."""
+
+
+class SystemClock(Clock):
+    """The clock of the operating system."""
+
+    def now(self) -> datetime:
+        """Return the current time as an aware datetime in UTC."""
+        return datetime.now(UTC)
+
+    def monotonic(self) -> timedelta:
+        """Return the time since an arbitrary origin; it never decreases."""
+        return timedelta(seconds=time.monotonic())
+
+
+class ManualClock(Clock):
+    """A clock that moves only when it is told to."""
+
+    def __init__(self, *, start: datetime = datetime(2026, 1, 1, tzinfo=UTC)):
+        self.start = start
+        self.elapsed = timedelta()
+
+    def now(self) -> datetime:
+        """Return the start time plus the time advanced."""
+        return self.start + self.elapsed
+
+    def monotonic(self) -> timedelta:
+        """Return the time advanced since the clock was made."""
+        return self.elapsed
+
+    def advance(self, step: timedelta) -> None:
+        """Move the clock forward.
+
+        :param step: time to add; must not be negative
+        :raises ValueError: if the step is negative
+        """
+        if step < timedelta():
+            raise ValueError(f"a clock cannot move back by {-step}")
+        self.elapsed += step
--- /dev/null
+++ b/almondshore/core/messages.py
@@ -0,0 +1,280 @@
+"""Messages between nodes.
+
+Delivery is at most once and unordered. Every exchange is repaired by a later heartbeat, so a
+receiver never relies on having seen an earlier message.
+"""
+
+from datetime import datetime
+from enum import IntEnum
+from typing import NamedTuple
+
+
+class TargetState(IntEnum):
+    """State of a target; at one incarnation a higher value replaces a lower one."""
+
+    UP = 0
+    LEAVING = 1
+    DEAD = 2
+
+
+class TargetRecord(NamedTuple):
+    """What the node beside a target says about it.
+
+    :ivar target: identity of the target, unique in the fleet
+    :ivar node: identity of the node beside it, which owns the record
+    :ivar incarnation: raised by the owner on each change; the higher one is newer
+    :ivar address: ``ip:port`` of the owner's hop 2 listener, which other nodes send requests to
+    :ivar slots: requests the target runs at the same time
+    """
+
+    target: str
+    node: str
+    service: str
+    version: str
+    address: str
+    zone: str
+    slots: int
+    incarnation: int
+    state: TargetState
+
+
+class RelayEntry(NamedTuple):
+    """A relay of an availability zone and the epoch of its lease."""
+
+    zone: str
+    slot: int
+    address: str
+    epoch: int
+
+
+class Heartbeat(NamedTuple):
+    """Sent by a node to its relay, and by relays to each other.
+
+    :ivar config_version: version in force, 0 if none
+    :ivar config_digest: digest of the version in force
+    :ivar directory_digests: digest of the sender's directory for each availability zone
+    :ivar moves_digest: digest of the vetoes and move steps the sender knows
+    """
+
+    node: str
+    incarnation: int
+    config_version: int
+    config_digest: bytes
+    directory_digests: dict[str, int]
+    moves_digest: int
+    ready: bool
+
+
+class HeartbeatAck(NamedTuple):
+    """Answer of a relay to a heartbeat; carries what the node needs to notice missed pushes."""
+
+    relays: list[RelayEntry]
+    config_version: int
+    config_digest: bytes
+    directory_digests: dict[str, int]
+    moves_digest: int
+
+
+class Busy(NamedTuple):
+    """Answer of an overloaded relay: try again after the delay in seconds."""
+
+    retry_after: float
+
+
+class ConfigDelta(NamedTuple):
+    """The difference between two configuration versions.
+
+    :ivar parts: changed parts by name; None removes a part
+    """
+
+    version: int
+    digest: bytes
+    base_version: int
+    base_digest: bytes
+    parts: dict[str, bytes | None]
+
+
+class ConfigRequest(NamedTuple):
+    """Asks a peer for a newer configuration than the one held."""
+
+    version: int
+    digest: bytes
+
+
+class ConfigSnapshot(NamedTuple):
+    """A whole configuration version."""
+
+    version: int
+    digest: bytes
+    parts: dict[str, bytes]
+
+
+class Announce(NamedTuple):
+    """The records of the sender's own targets."""
+
+    records: list[TargetRecord]
+
+
+class DirectoryDelta(NamedTuple):
+    """Changed target records."""
+
+    records: list[TargetRecord]
+
+
+class DirectoryRequest(NamedTuple):
+    """Asks a peer for the records of availability zones whose digest differs."""
+
+    digests: dict[str, int]
+
+
+class DirectorySnapshot(NamedTuple):
+    """All records of some availability zones."""
+
+    records: list[TargetRecord]
+
+
+class PeerProbe(NamedTuple):
+    """A relay's request that the receiver probe a suspect, or the probe itself.
+
+    :ivar suspect: identity of the node that missed heartbeats
+    :ivar address: address of the suspect
+    :ivar asker: address of the relay that wants the answer
+    """
+
+    probe_id: int
+    suspect: str
+    address: str
+    asker: str
+
+
+class PeerProbeReply(NamedTuple):
+    """Result of a probe.
+
+    :ivar reachable: whether the suspect answered the prober
+    :ivar incarnation: the suspect's incarnation if it answered, else 0
+    """
+
+    probe_id: int
+    suspect: str
+    reachable: bool
+    incarnation: int
+
+
+class RelayQuery(NamedTuple):
+    """Asks a peer for the relays of an availability zone."""
+
+    zone: str
+
+
+class RelayList(NamedTuple):
+    """Known relays."""
+
+    relays: list[RelayEntry]
+
+
+class EvidenceRow(NamedTuple):
+    """Request counts of one service, version and route over one window.
+
+    :ivar latency_buckets: counts by bucket of ``moves.evidence.BUCKET_BOUNDS_MS``
+    """
+
+    service: str
+    version: str
+    route: str
+    requests: int
+    errors: int
+    latency_buckets: list[int]
+
+
+class Evidence(NamedTuple):
+    """Request evidence of one reporting window.
+
+    :ivar window: index of the reporting window since the epoch, one second each
+    :ivar sources: nodes summed up in the rows
+    """
+
+    window: int
+    sources: int
+    rows: list[EvidenceRow]
+
+
+class Veto(NamedTuple):
+    """Bars a version of a service; once added it is never removed by another message.
+
+    :ivar config_version: configuration version in force at the origin; an ``allow`` rule that
+        came with a later configuration version overrides the veto
+    """
+
+    service: str
+    version: str
+    config_version: int
+    reason: str
+    origin: str
+    at: datetime
+
+
+class MoveStep(NamedTuple):
+    """A step of a move, ordered by epoch and then by step."""
+
+    service: str
+    move_id: str
+    epoch: int
+    step: int
+
+
+class MovesRequest(NamedTuple):
+    """Asks a peer for its vetoes and move steps."""
+
+    digest: int
+
+
+class MovesSnapshot(NamedTuple):
+    """All vetoes and the newest step of each move that the sender knows."""
+
+    vetoes: list[Veto]
+    steps: list[MoveStep]
+
+
+Message = (
+    Heartbeat
+    | HeartbeatAck
+    | Busy
+    | ConfigDelta
+    | ConfigRequest
+    | ConfigSnapshot
+    | Announce
+    | DirectoryDelta
+    | DirectoryRequest
+    | DirectorySnapshot
+    | PeerProbe
+    | PeerProbeReply
+    | RelayQuery
+    | RelayList
+    | Evidence
+    | Veto
+    | MoveStep
+    | MovesRequest
+    | MovesSnapshot
+)
+
+
+class Send(NamedTuple):
+    """A message that a state machine wants sent.
+
+    :ivar to: address of the receiving node, ``ip:port``
+    """
+
+    to: str
+    message: Message
+
+
+class Envelope(NamedTuple):
+    """A message as it travels.
+
+    :ivar sender: address of the sending node, ``ip:port``
+    :ivar zone: availability zone of the sender
+    """
+
+    sender: str
+    zone: str
+    message: Message
--- /dev/null
+++ b/almondshore/core/rendezvous.py
@@ -0,0 +1,31 @@
+"""Rendezvous hashing: a stable choice among members that moves few keys on a change."""
+
+from collections.abc import Iterable
+
+import xxhash
+
+
+def rank(key: str, members: Iterable[str]) -> list[str]:
+    """Order members by preference for a key.
+
+    Removing a member leaves the relative order of the others unchanged, so only the keys of the
+    removed member move.
+
+    :param key: the key to place
+    :param members: member names
+    :returns: all members, most preferred first
+    """
+    return sorted(
+        members,
+        key=lambda member: (xxhash.xxh3_64_intdigest(f"{key}\0{member}"), member),
+        reverse=True,
+    )
+
+
+def choose(key: str, members: Iterable[str]) -> str | None:
+    """Return the most preferred member for a key, or None if there are no members."""
+    return max(
+        members,
+        key=lambda member: (xxhash.xxh3_64_intdigest(f"{key}\0{member}"), member),
+        default=None,
+    )
--- /dev/null
+++ b/almondshore/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The almondshored process: settings, logs, metrics and wiring."""
--- /dev/null
+++ b/almondshore/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Admission, tenant limits and adaptive concurrency."""
--- /dev/null
+++ b/almondshore/membership/__init__.py
@@ -0,0 +1,1 @@
+"""The directory of targets and the detection of failed nodes."""
--- /dev/null
+++ b/almondshore/moves/__init__.py
@@ -0,0 +1,1 @@
+"""Moves of traffic between target versions."""
--- /dev/null
+++ b/almondshore/net/__init__.py
@@ -0,0 +1,1 @@
+"""Transport of control messages between nodes."""
--- /dev/null
+++ b/almondshore/proxy/__init__.py
@@ -0,0 +1,1 @@
+"""The two proxy hops of a request."""
--- /dev/null
+++ b/almondshore/relay/__init__.py
@@ -0,0 +1,1 @@
+"""Relays that pass configuration and membership on within an availability zone."""
--- /dev/null
+++ b/almondshore/retries/__init__.py
@@ -0,0 +1,1 @@
+"""Outcomes, retries, at-most-once execution and crash quarantine."""
--- /dev/null
+++ b/almondshore/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of route and target for a request."""
--- /dev/null
+++ b/almondshore/rules/__init__.py
@@ -0,0 +1,1 @@
+"""The rules language: parsing, checking and compiling an operator's rules file."""
--- /dev/null
+++ b/almondshore/rules/model.py
@@ -0,0 +1,150 @@
+"""Typed rules as an operator writes them, and the parts they are compiled to."""
+
+from datetime import datetime, timedelta
+from enum import StrEnum
+from typing import NamedTuple, TypedDict
+
+
+class RequestClass(StrEnum):
+    """Priority class of a route's requests."""
+
+    URGENT = "urgent"
+    INTERNAL = "internal"
+    ROUTINE = "routine"
+
+
+class Preference(StrEnum):
+    """What a move favours when evidence is scarce."""
+
+    DEADLINE = "deadline"
+    SAFETY = "safety"
+
+
+class MoveState(StrEnum):
+    """State of a move as a configuration version records it."""
+
+    ACTIVE = "active"
+    DONE = "done"
+    REVERTED = "reverted"
+
+
+class Place(NamedTuple):
+    """Where a rule stands and who asked for it."""
+
+    line: int
+    requester: str
+    reason: str
+
+
+class ServiceRule(NamedTuple):
+    """A service and the version that serves it outside of moves."""
+
+    name: str
+    version: str
+    place: Place
+
+
+class RouteRule(NamedTuple):
+    """A route of requests to a service.
+
+    :ivar path: exact path, or a prefix that ends in ``*``
+    :ivar once: whether requests of the route are not idempotent
+    """
+
+    methods: tuple[str, ...]
+    path: str
+    service: str
+    request_class: RequestClass
+    once: bool
+    timeout: timedelta
+    place: Place
+
+
+class TenantRule(NamedTuple):
+    """The request limit of a tenant.
+
+    :ivar rate: requests a second
+    :ivar burst: requests that may come at once
+    """
+
+    name: str
+    rate: float
+    burst: int
+    place: Place
+
+
+class MoveRule(NamedTuple):
+    """A move of a service's traffic to a version.
+
+    :ivar deadline: time by which the move is complete, UTC
+    """
+
+    service: str
+    version: str
+    deadline: datetime
+    prefer: Preference
+    place: Place
+
+
+class AllowRule(NamedTuple):
+    """An operator's override of the veto of a version."""
+
+    service: str
+    version: str
+    place: Place
+
+
+class RuleSet(NamedTuple):
+    """All rules of one file, in the order of the file."""
+
+    services: tuple[ServiceRule, ...] = ()
+    routes: tuple[RouteRule, ...] = ()
+    tenants: tuple[TenantRule, ...] = ()
+    moves: tuple[MoveRule, ...] = ()
+    allows: tuple[AllowRule, ...] = ()
+
+
+class RoutePart(TypedDict):
+    """A compiled route; ``timeout_ms`` in milliseconds."""
+
+    methods: list[str]
+    path: str
+    request_class: str
+    once: bool
+    timeout_ms: int
+
+
+class MovePart(TypedDict):
+    """A compiled move; ``started`` and ``deadline`` in ISO 8601, UTC."""
+
+    move_id: str
+    from_version: str
+    to_version: str
+    started: str
+    deadline: str
+    prefer: str
+    state: str
+    reason: str
+
+
+class ServicePart(TypedDict):
+    """Everything a node needs to route to one service.
+
+    ``version`` is the version that serves outside of a move; it is already the new version once
+    a move is done. ``allowed`` maps each version with an override to the configuration version
+    that introduced it.
+    """
+
+    name: str
+    version: str
+    routes: list[RoutePart]
+    move: MovePart | None
+    allowed: dict[str, int]
+
+
+class TenantPart(TypedDict):
+    """The compiled limit of a tenant."""
+
+    name: str
+    rate: float
+    burst: int
--- /dev/null
+++ b/almondshore/ui/__init__.py
@@ -0,0 +1,1 @@
+"""The almondshore command-line tool."""
--- /dev/null
+++ b/almondshore/ui/commands/__init__.py
@@ -0,0 +1,1 @@
+"""One module for each command of the command-line tool."""
--- /dev/null
+++ b/almondshore/versions/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration versions: acceptance, distribution and publishing."""
--- /dev/null
+++ b/almondshore/versions/publish.py
@@ -0,0 +1,188 @@
+"""Publishing of configuration versions through conditional updates in the platform."""
+
+import hashlib
+import zlib
+from collections.abc import Mapping
+from datetime import datetime
+from typing import NamedTuple
+
+import msgspec
+from returns.pipeline import is_successful
+from returns.result import Failure, Result, Success
+
+from almondshore.platform.port import (
+    Conflict,
+    NotFound,
+    Platform,
+    PlatformError,
+    StoredObject,
+)
+from almondshore.versions.config import DIGEST_BYTES, diff_parts, digest_parts
+
+HEAD_KEY = "config/head"
+INLINE_DELTA_BYTES = 256 * 1024
+
+
+class Head(NamedTuple):
+    """Content of ``config/head``.
+
+    :ivar changes: changed parts since ``base_version``; None if too large to inline
+    """
+
+    version: int
+    digest: bytes
+    base_version: int
+    base_digest: bytes
+    author: str
+    changes: dict[str, bytes | None] | None
+
+
+class VersionRecord(NamedTuple):
+    """Content of ``config/version/<n>``."""
+
+    version: int
+    rules_digest: str
+    author: str
+    reason: str
+    at: datetime
+    parts_key: str
+
+
+class Published(NamedTuple):
+    """A version that the platform accepted."""
+
+    version: int
+    digest: bytes
+
+
+class Current(NamedTuple):
+    """The head as read, with its revision for a conditional update; revision 0 if absent."""
+
+    head: Head
+    revision: int
+
+
+EMPTY_HEAD = Head(0, digest_parts({}), 0, digest_parts({}), "", {})
+
+
+class Publisher:
+    """Reads and writes configuration versions in the platform."""
+
+    def __init__(self, *, platform: Platform):
+        self.platform = platform
+
+    def current(self) -> Result[Current, PlatformError]:
+        """Read the head; an empty head with revision 0 if nothing was published yet."""
+        result = self.platform.get(HEAD_KEY)
+        if is_successful(result):
+            stored = result.unwrap()
+            return Success(
+                Current(msgspec.msgpack.decode(stored.value, type=Head), stored.revision)
+            )
+        if isinstance(result.failure(), NotFound):
+            return Success(Current(EMPTY_HEAD, 0))
+        return result
+
+    def parts(self, version: int) -> Result[dict[str, bytes], PlatformError]:
+        """Read all parts of a version."""
+        if version == 0:
+            return Success({})
+        return self.record(version).bind(
+            lambda record: self.platform.get(record.parts_key).map(
+                lambda stored: _unpack(stored.value)
+            )
+        )
+
+    def record(self, version: int) -> Result[VersionRecord, PlatformError]:
+        """Read the record of a version."""
+        return self.platform.get(version_key(version)).map(
+            lambda stored: msgspec.msgpack.decode(stored.value, type=VersionRecord)
+        )
+
+    def rules_text(self, version: int) -> Result[bytes, PlatformError]:
+        """Read the rules file that a version was compiled from."""
+        return self.record(version).bind(
+            lambda record: self.platform.get(f"config/rules/{record.rules_digest}").map(
+                lambda stored: zlib.decompress(stored.value)
+            )
+        )
+
+    def publish(
+        self,
+        *,
+        base: Current,
+        base_parts: Mapping[str, bytes],
+        parts: Mapping[str, bytes],
+        rules: bytes,
+        author: str,
+        reason: str,
+        at: datetime,
+    ) -> Result[Published, PlatformError]:
+        """Publish the successor of a version.
+
+        The same call with the same arguments is safe to repeat: the write id follows from the
+        content, so that a write whose answer was lost is recognised as done.
+
+        :returns: ``Conflict`` if another version was published since ``base`` was read
+        """
+        version = base.head.version + 1
+        digest = digest_parts(parts)
+        rules_digest = hashlib.blake2b(rules, digest_size=DIGEST_BYTES).hexdigest()
+        write_id = f"{version}-{digest.hex()}-{rules_digest}-{author}"
+        parts_key = f"config/parts/{digest.hex()}"
+        record = VersionRecord(version, rules_digest, author, reason, at, parts_key)
+        changes = diff_parts(base_parts, parts)
+        head = Head(version, digest, base.head.version, base.head.digest, author, _inline(changes))
+        return (
+            self._create_shared(f"config/rules/{rules_digest}", zlib.compress(rules))
+            .bind(lambda _: self._create_shared(parts_key, _pack(parts)))
+            .bind(lambda _: self._write_record(record, write_id))
+            .bind(
+                lambda _: self.platform.update(
+                    HEAD_KEY, msgspec.msgpack.encode(head), base.revision, write_id
+                )
+            )
+            .map(lambda _: Published(version, digest))
+        )
+
+    def _create_shared(self, key: str, value: bytes) -> Result[None, PlatformError]:
+        """Create a content-addressed object; one that exists already has the same content."""
+        result = self.platform.create(key, value, key)
+        if is_successful(result) or isinstance(result.failure(), Conflict):
+            return Success(None)
+        return Failure(result.failure())
+
+    def _write_record(
+        self, record: VersionRecord, write_id: str
+    ) -> Result[StoredObject, PlatformError]:
+        """Write the record of a version that is not yet the head.
+
+        A record left behind by a publisher that lost the race for the head, or died before it
+        updated the head, is replaced.
+        """
+        key, value = version_key(record.version), msgspec.msgpack.encode(record)
+        result = self.platform.create(key, value, write_id)
+        if is_successful(result) or not isinstance(result.failure(), Conflict):
+            return result
+        current = result.failure().current
+        if current is None:
+            return result
+        return self.platform.update(key, value, current.revision, write_id)
+
+
+def version_key(version: int) -> str:
+    """Return the key of a version's record; keys sort by version."""
+    return f"config/version/{version:012d}"
+
+
+def _pack(parts: Mapping[str, bytes]) -> bytes:
+    return zlib.compress(msgspec.msgpack.encode(dict(parts)))
+
+
+def _unpack(data: bytes) -> dict[str, bytes]:
+    return msgspec.msgpack.decode(zlib.decompress(data), type=dict[str, bytes])
+
+
+def _inline(changes: dict[str, bytes | None]) -> dict[str, bytes | None] | None:
+    size = sum(len(name) + len(data or b"") for name, data in changes.items())
+    return changes if size <= INLINE_DELTA_BYTES else None
--- /dev/null
+++ b/almondshore/versions/state.py
@@ -0,0 +1,103 @@
+"""Acceptance of configuration versions by a node."""
+
+from collections.abc import Iterable, Mapping
+from typing import NamedTuple
+
+from almondshore.core.messages import ConfigDelta, ConfigSnapshot
+from almondshore.versions.config import (
+    EMPTY,
+    Configuration,
+    apply_changes,
+    check_part,
+    make_configuration,
+)
+
+
+class Accepted(NamedTuple):
+    """The version is now in force."""
+
+    configuration: Configuration
+
+
+class Refused(NamedTuple):
+    """The version was refused whole; the previous one stays in force."""
+
+    version: int
+    reason: str
+
+
+class AlreadyHeld(NamedTuple):
+    """The version, or a newer one, is already in force."""
+
+    version: int
+
+
+class SnapshotNeeded(NamedTuple):
+    """The delta does not build on the version in force; a snapshot is needed."""
+
+    version: int
+
+
+Verdict = Accepted | Refused | AlreadyHeld | SnapshotNeeded
+
+
+class ConfigState:
+    """The configuration in force and the rules by which a newer one replaces it.
+
+    Versions only go up. A version is checked whole and then takes force by one assignment.
+    """
+
+    def __init__(self) -> None:
+        self.current = EMPTY
+
+    def offer_delta(self, delta: ConfigDelta) -> Verdict:
+        """Apply a delta if it builds on the version in force and its result is valid."""
+        known = self._compare(delta.version, delta.digest)
+        if known is not None:
+            return known
+        base = (delta.base_version, delta.base_digest)
+        if base != (self.current.version, self.current.digest):
+            return SnapshotNeeded(delta.version)
+        changed = [(name, data) for name, data in delta.parts.items() if data is not None]
+        parts = apply_changes(self.current.parts, delta.parts)
+        return self._replace(delta.version, delta.digest, parts, changed)
+
+    def offer_snapshot(self, snapshot: ConfigSnapshot) -> Verdict:
+        """Take a whole version if it is newer than the one in force and valid."""
+        known = self._compare(snapshot.version, snapshot.digest)
+        if known is not None:
+            return known
+        return self._replace(
+            snapshot.version, snapshot.digest, snapshot.parts, snapshot.parts.items()
+        )
+
+    def snapshot(self) -> ConfigSnapshot:
+        """Return the version in force as a message."""
+        current = self.current
+        return ConfigSnapshot(current.version, current.digest, dict(current.parts))
+
+    def _compare(self, version: int, digest: bytes) -> Verdict | None:
+        if version < self.current.version:
+            return AlreadyHeld(self.current.version)
+        if version == self.current.version:
+            if digest == self.current.digest:
+                return AlreadyHeld(version)
+            return Refused(version, "another configuration is in force under the same version")
+        return None
+
+    def _replace(
+        self,
+        version: int,
+        digest: bytes,
+        parts: Mapping[str, bytes],
+        changed: Iterable[tuple[str, bytes]],
+    ) -> Verdict:
+        for name, data in changed:
+            problem = check_part(name, data)
+            if problem is not None:
+                return Refused(version, problem)
+        candidate = make_configuration(version, parts)
+        if candidate.digest != digest:
+            return Refused(version, "the digest does not match the parts")
+        self.current = candidate
+        return Accepted(candidate)
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks of almondshore."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform and for targets, used in demos and tests."""
--- /dev/null
+++ b/standins/object_store.py
@@ -0,0 +1,99 @@
+"""The object store behind the platform stand-in, with switchable faults."""
+
+from collections import deque
+from enum import StrEnum
+from typing import NamedTuple
+
+from almondshore.core.clock import Clock
+from almondshore.platform.port import MAX_VALUE_BYTES, StoredObject
+
+READS_PER_SECOND = 2000
+WRITES_PER_SECOND = 400
+
+
+class Fault(StrEnum):
+    """Fault that the stand-in shows to its callers."""
+
+    NONE = "none"
+    DOWN = "down"
+    SLOW = "slow"
+    LOSE_ANSWERS = "lose-answers"
+
+
+class Status(NamedTuple):
+    """Result of a call: an HTTP status code and the object concerned, if any."""
+
+    code: int
+    object: StoredObject | None
+
+
+class ObjectStore:
+    """Objects with revisions, conditional writes, a change log, rate limits and call counts."""
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        reads_per_second: int = READS_PER_SECOND,
+        writes_per_second: int = WRITES_PER_SECOND,
+    ):
+        self.clock = clock
+        self.objects: dict[str, StoredObject] = {}
+        self.changed_at: dict[str, int] = {}
+        self.position = 0
+        self.fault = Fault.NONE
+        self.counts = {"read": 0, "write": 0, "refused": 0}
+        self.limits = {"read": reads_per_second, "write": writes_per_second}
+        self.recent: dict[str, deque] = {"read": deque(), "write": deque()}
+
+    def admit(self, kind: str) -> bool:
+        """Count a call and return whether the rate limit admits it.
+
+        :param kind: ``read`` or ``write``
+        """
+        now = self.clock.monotonic().total_seconds()
+        recent = self.recent[kind]
+        while recent and recent[0] <= now - 1:
+            recent.popleft()
+        if len(recent) >= self.limits[kind]:
+            self.counts["refused"] += 1
+            return False
+        recent.append(now)
+        self.counts[kind] += 1
+        return True
+
+    def get(self, key: str) -> Status:
+        """Read an object: 200 or 404."""
+        stored = self.objects.get(key)
+        return Status(200 if stored else 404, stored)
+
+    def put(self, key: str, value: bytes, revision: int, write_id: str) -> Status:
+        """Write an object if its revision is the given one; 0 means that it must not exist.
+
+        :returns: 200, 409 with the object in the way, or 413
+        """
+        if len(value) > MAX_VALUE_BYTES:
+            return Status(413, None)
+        stored = self.objects.get(key)
+        if stored is not None and stored.write_id == write_id:
+            return Status(200, stored)
+        if revision != (stored.revision if stored else 0):
+            return Status(409, stored)
+        self.position += 1
+        stored = StoredObject(key, value, revision + 1, write_id)
+        self.objects[key] = stored
+        self.changed_at[key] = self.position
+        return Status(200, stored)
+
+    def list(self, prefix: str) -> list[StoredObject]:
+        """Return the objects under a prefix, ordered by key."""
+        return [self.objects[key] for key in sorted(self.objects) if key.startswith(prefix)]
+
+    def changes(self, prefix: str, after: int) -> list[StoredObject]:
+        """Return the objects under a prefix that changed after a position, oldest first."""
+        keys = [
+            key
+            for key, position in self.changed_at.items()
+            if position > after and key.startswith(prefix)
+        ]
+        return [self.objects[key] for key in sorted(keys, key=self.changed_at.__getitem__)]
--- /dev/null
+++ b/test/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of almondshore; the modules mirror those of the package."""
--- /dev/null
+++ b/test/versions/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of configuration versions."""
