--- /dev/null
+++ b/almondshore/proxy/pool.py
@@ -0,0 +1,142 @@
+"""HTTP connections from one hop to the next."""
+
+import time
+from collections.abc import Callable, Iterable
+from datetime import timedelta
+from enum import Enum
+from typing import NamedTuple
+
+import urllib3
+from urllib3.exceptions import (
+    ConnectTimeoutError,
+    HTTPError,
+    IncompleteRead,
+    NewConnectionError,
+    ReadTimeoutError,
+)
+
+from almondshore.proxy.headers import Headers
+
+READ_CHUNK_BYTES = 64 * 1024
+
+
+class FailureKind(Enum):
+    """How an exchange with the next hop failed."""
+
+    NOT_SENT = "not-sent"
+    TIMEOUT = "timeout"
+    CUT = "cut"
+    TOO_LARGE = "too-large"
+
+
+class Reply(NamedTuple):
+    """A whole response of the next hop."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+class ExchangeFailure(NamedTuple):
+    """A failed exchange.
+
+    :ivar kind: ``NOT_SENT`` is only used if no byte of the request was sent
+    :ivar responded: whether the next hop had begun to respond, hence had run the request
+    """
+
+    kind: FailureKind
+    responded: bool
+    detail: str
+
+
+class HopPool:
+    """Keeps connections to the next hops and exchanges whole requests and responses.
+
+    A connection goes back to the pool only after its response was read to the end, so that a
+    later request never sees bytes of an earlier response.
+    """
+
+    def __init__(
+        self,
+        *,
+        max_hosts: int,
+        connections_per_host: int,
+        connect_timeout: timedelta,
+        max_response_bytes: int,
+    ):
+        self.connect_timeout = connect_timeout
+        self.max_response_bytes = max_response_bytes
+        self.manager = urllib3.PoolManager(
+            num_pools=max_hosts, maxsize=connections_per_host, block=False, retries=False
+        )
+
+    def exchange(
+        self,
+        address: str,
+        method: str,
+        path: str,
+        headers: Iterable[tuple[str, str]],
+        body: bytes,
+        timeout: timedelta,
+    ) -> Reply | ExchangeFailure:
+        """Send a request and read its whole response within the timeout.
+
+        :param address: ``ip:port`` of the next hop
+        :param path: path with query, as it is sent
+        """
+        seconds = timeout.total_seconds()
+        give_up_at = time.monotonic() + seconds
+        try:
+            host, _, port = address.rpartition(":")
+            response = self.manager.connection_from_host(host, int(port)).urlopen(
+                method,
+                path,
+                body=body,
+                headers=urllib3.HTTPHeaderDict(headers),
+                timeout=urllib3.Timeout(
+                    connect=min(self.connect_timeout.total_seconds(), seconds), total=seconds
+                ),
+                retries=False,
+                redirect=False,
+                preload_content=False,
+                decode_content=False,
+                assert_same_host=False,
+            )
+        except (NewConnectionError, ConnectTimeoutError) as error:
+            return ExchangeFailure(FailureKind.NOT_SENT, False, str(error))
+        except ReadTimeoutError as error:
+            return ExchangeFailure(FailureKind.TIMEOUT, False, str(error))
+        except (HTTPError, OSError) as error:
+            return ExchangeFailure(FailureKind.CUT, False, str(error))
+        return self._read(response, lambda: time.monotonic() > give_up_at)
+
+    def _read(
+        self, response: urllib3.BaseHTTPResponse, expired: Callable[[], bool]
+    ) -> Reply | ExchangeFailure:
+        chunks: list[bytes] = []
+        size = 0
+        failure = None
+        try:
+            for chunk in response.stream(READ_CHUNK_BYTES, decode_content=False):
+                chunks.append(chunk)
+                size += len(chunk)
+                if size > self.max_response_bytes:
+                    detail = f"the response has more than {self.max_response_bytes} bytes"
+                    failure = ExchangeFailure(FailureKind.TOO_LARGE, True, detail)
+                    break
+                if expired():
+                    failure = ExchangeFailure(FailureKind.TIMEOUT, True, "deadline passed")
+                    break
+        except ReadTimeoutError as error:
+            failure = ExchangeFailure(FailureKind.TIMEOUT, True, str(error))
+        except (IncompleteRead, HTTPError, OSError) as error:
+            failure = ExchangeFailure(FailureKind.CUT, True, str(error))
+        if failure is not None:
+            response.close()
+            return failure
+        response.release_conn()
+        return Reply(response.status, list(response.headers.items()), b"".join(chunks))
+
+    def close(self) -> None:
+        """Close all connections."""
+        self.manager.clear()
