--- a/almondshore/ui/__init__.py
+++ b/almondshore/ui/__init__.py
@@ -1,1 +1,1 @@
-"""The almondshore command-line tool."""
+"""The command-line tool of operators."""
--- a/almondshore/ui/commands/__init__.py
+++ b/almondshore/ui/commands/__init__.py
@@ -1,1 +1,1 @@
-"""One module for each command of the command-line tool."""
+"""The commands of the tool, one module each."""
--- /dev/null
+++ b/almondshore/ui/context.py
@@ -0,0 +1,67 @@
+"""What commands need from outside: the clock, the platform and the output streams."""
+
+import sys
+import time
+from collections.abc import Callable
+from datetime import timedelta
+from typing import TextIO
+
+from almondshore.core.clock import Clock, SystemClock
+from almondshore.core.errors import UserError
+from almondshore.platform.port import Platform
+
+PLATFORM_VARIABLE = "ALMONDSHORE_PLATFORM"
+
+
+class UsageError(UserError):
+    """The command line is not valid; the tool exits with 2."""
+
+
+def sleep(duration: timedelta) -> None:
+    """Wait on the system clock."""
+    time.sleep(duration.total_seconds())
+
+
+def connect(url: str, clock: Clock) -> Platform:
+    """Return the client of the platform at a URL."""
+    # Imported late: commands that read only files start without the HTTP client.
+    from almondshore.platform.http import HttpPlatform
+
+    return HttpPlatform(url=url, clock=clock)
+
+
+class Context:
+    """The surroundings of one run of the tool.
+
+    :ivar url: URL of the platform; empty if none was given
+    :ivar wait: waits for a duration; tests advance a manual clock instead
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock | None = None,
+        out: TextIO | None = None,
+        err: TextIO | None = None,
+        wait: Callable[[timedelta], None] = sleep,
+        connect: Callable[[str, Clock], Platform] = connect,
+    ):
+        self.clock = clock or SystemClock()
+        self.out = out or sys.stdout
+        self.err = err or sys.stderr
+        self.wait = wait
+        self.connect = connect
+        self.url = ""
+
+    def platform(self) -> Platform:
+        """Return a client of the platform.
+
+        :raises UsageError: if no URL was given
+        """
+        if not self.url:
+            raise UsageError(f"no platform given; use --platform URL or set {PLATFORM_VARIABLE}")
+        return self.connect(self.url, self.clock)
+
+    def line(self, text: str) -> None:
+        """Print a line of output."""
+        print(text, file=self.out, flush=True)
--- /dev/null
+++ b/test/ui/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the command-line tool."""
