--- /dev/null
+++ b/almondshore/daemon/logs.py
@@ -0,0 +1,62 @@
+"""Structured logging: one key=value line for each event."""
+
+import json
+import re
+import sys
+from datetime import UTC
+from typing import TextIO
+
+from loguru import logger
+
+MAX_VALUE_CHARS = 2000
+_PLAIN = re.compile(r"[A-Za-z0-9_.:/@+,%*\[\]-]+")
+_KEY = re.compile(r"[a-z][a-z0-9_]*")
+
+
+def setup_logs(*, level: str = "INFO", stream: TextIO | None = None) -> None:
+    """Send log events to a stream, by default to standard error.
+
+    :param level: lowest level written, a loguru level name
+    """
+    logger.remove()
+    logger.add(
+        stream if stream is not None else sys.stderr,
+        level=level,
+        format=_format_record,
+        colorize=False,
+        backtrace=False,
+        diagnose=False,
+    )
+
+
+def log_event(event: str, *, level: str = "INFO", **fields: object) -> None:
+    """Log an event with its fields.
+
+    :param event: name of the event in snake case
+    :param fields: values by key; written with ``str`` and quoted where needed
+    """
+    logger.log(level, "{}", format_event(event, fields))
+
+
+def format_event(event: str, fields: dict[str, object]) -> str:
+    """Return ``event=... key=value ...`` on one line."""
+    pairs = [("event", event), *fields.items()]
+    return " ".join(f"{_format_key(key)}={format_value(value)}" for key, value in pairs)
+
+
+def format_value(value: object) -> str:
+    """Return a value as plain text if it is simple, else as an ASCII JSON string."""
+    text = str(value)
+    if len(text) > MAX_VALUE_CHARS:
+        text = text[:MAX_VALUE_CHARS] + "...[cut]"
+    return text if _PLAIN.fullmatch(text) else json.dumps(text, ensure_ascii=True)
+
+
+def _format_key(key: str) -> str:
+    return key if _KEY.fullmatch(key) else re.sub(r"[^a-z0-9_]", "_", key.lower())
+
+
+def _format_record(record: dict) -> str:
+    at = record["time"].astimezone(UTC).isoformat(timespec="milliseconds")
+    record["extra"]["line"] = f"time={at} level={record['level'].name} {record['message']}"
+    return "{extra[line]}\n"
--- /dev/null
+++ b/almondshore/net/nng.py
@@ -0,0 +1,194 @@
+"""Transport of control messages over pynng Push and Pull sockets."""
+
+from collections import Counter, OrderedDict
+from collections.abc import Callable
+from datetime import timedelta
+
+import eventlet
+import eventlet.hubs
+import pynng
+
+from almondshore.core.clock import Clock
+from almondshore.core.codec import MAX_MESSAGE_BYTES, decode, encode
+from almondshore.core.errors import CodecError
+from almondshore.core.messages import Envelope, Send
+from almondshore.daemon.logs import log_event
+from almondshore.net.transport import Transport
+
+SEND_BUFFER_MESSAGES = 64
+RECEIVE_BUFFER_MESSAGES = 128
+RECONNECT_MIN_MS = 100
+RECONNECT_MAX_MS = 5000
+MAX_PEERS = 1024
+IDLE_TIMEOUT = timedelta(seconds=60)
+# A peer used within this time is not evicted when the table is full: evicting peers in use would
+# reconnect on every send.
+EVICTION_AGE = timedelta(seconds=10)
+# Messages handled before other greenlets get a turn.
+RECEIVE_BATCH = 64
+
+_threads_limited = False
+
+
+def limit_threads() -> None:
+    """Cut nng's thread pools to their minimum; has an effect before the first socket only."""
+    global _threads_limited
+    if _threads_limited:
+        return
+    for parameter, count in (
+        (pynng.lib.NNG_INIT_NUM_TASK_THREADS, 2),
+        (pynng.lib.NNG_INIT_MAX_TASK_THREADS, 2),
+        (pynng.lib.NNG_INIT_MAX_EXPIRE_THREADS, 1),
+        (pynng.lib.NNG_INIT_MAX_POLLER_THREADS, 1),
+        (pynng.lib.NNG_INIT_NUM_RESOLVER_THREADS, 1),
+    ):
+        pynng.lib.nng_init_set_parameter(parameter, count)
+    _threads_limited = True
+
+
+class TransportClosedError(Exception):
+    """Ends the receiving greenlet when the transport is closed."""
+
+
+class Peer:
+    """A push socket to one peer and the time of its last use."""
+
+    def __init__(self, *, address: str, used_at: timedelta):
+        self.socket = pynng.Push0(
+            send_buffer_size=SEND_BUFFER_MESSAGES,
+            reconnect_time_min=RECONNECT_MIN_MS,
+            reconnect_time_max=RECONNECT_MAX_MS,
+        )
+        self.used_at = used_at
+        self.socket.dial(f"tcp://{address}", block=False)
+
+
+class NngTransport(Transport):
+    """Sends by one Push socket for each peer and receives by one Pull listener.
+
+    :param listen: ``ip:port`` to receive on; also the sender address of outgoing messages
+    :ivar counts: events since the start, by name
+    """
+
+    def __init__(
+        self,
+        *,
+        listen: str,
+        zone: str,
+        clock: Clock,
+        max_peers: int = MAX_PEERS,
+        idle_timeout: timedelta = IDLE_TIMEOUT,
+    ):
+        limit_threads()
+        self.address = listen
+        self.zone = zone
+        self.clock = clock
+        self.max_peers = max_peers
+        self.idle_timeout = idle_timeout
+        self.peers: OrderedDict[str, Peer] = OrderedDict()
+        self.counts: Counter[str] = Counter()
+        self.closed = False
+        self.receiver: eventlet.greenlet.greenlet | None = None
+        self.socket = pynng.Pull0(
+            recv_max_size=MAX_MESSAGE_BYTES, recv_buffer_size=RECEIVE_BUFFER_MESSAGES
+        )
+        self.socket.listen(f"tcp://{listen}")
+
+    def send(self, item: Send) -> bool:
+        """Hand a message to the peer's socket without waiting.
+
+        :returns: False if the message was dropped
+        """
+        try:
+            data = encode(Envelope(self.address, self.zone, item.message))
+            peer = self._peer(item.to)
+            if peer is None:
+                return self._dropped("no_peer_slot", item.to)
+            peer.socket.send(data, block=False)
+        except pynng.TryAgain:
+            return self._dropped("buffer_full", item.to)
+        except CodecError as error:
+            return self._dropped("not_encodable", item.to, str(error))
+        except pynng.NNGException as error:
+            return self._dropped("send_failed", item.to, str(error))
+        self.counts["sent"] += 1
+        return True
+
+    def receive_forever(self, handler: Callable[[Envelope], None]) -> None:
+        """Call the handler for each message received until the transport is closed."""
+        self.receiver = eventlet.getcurrent()
+        try:
+            while not self.closed:
+                self._receive_batch(handler)
+        except (TransportClosedError, pynng.Closed):
+            pass
+        finally:
+            self.receiver = None
+
+    def close(self) -> None:
+        """Release all sockets and end ``receive_forever``."""
+        if self.closed:
+            return
+        self.closed = True
+        receiver = self.receiver
+        if receiver is not None and receiver is not eventlet.getcurrent():
+            eventlet.kill(receiver, TransportClosedError())
+        for peer in self.peers.values():
+            peer.socket.close()
+        self.peers.clear()
+        self.socket.close()
+
+    def _receive_batch(self, handler: Callable[[Envelope], None]) -> None:
+        """Handle the messages at hand, at most a batch, then wait or yield."""
+        for _ in range(RECEIVE_BATCH):
+            try:
+                data = self.socket.recv(block=False)
+            except pynng.TryAgain:
+                eventlet.hubs.trampoline(self.socket.recv_fd, read=True)
+                return
+            self._handle(data, handler)
+        eventlet.sleep(0)
+
+    def _handle(self, data: bytes, handler: Callable[[Envelope], None]) -> None:
+        try:
+            envelope = decode(data)
+        except CodecError as error:
+            self.counts["malformed"] += 1
+            log_event("message_malformed", level="WARNING", size=len(data), error=error)
+            return
+        self.counts["received"] += 1
+        handler(envelope)
+
+    def _peer(self, address: str) -> Peer | None:
+        """Return the socket to a peer, opening it if there is room in the table."""
+        now = self.clock.monotonic()
+        self._close_idle(now)
+        peer = self.peers.get(address)
+        if peer is None:
+            if len(self.peers) >= self.max_peers and not self._close_oldest(now, EVICTION_AGE):
+                return None
+            peer = self.peers[address] = Peer(address=address, used_at=now)
+        peer.used_at = now
+        self.peers.move_to_end(address)
+        return peer
+
+    def _close_idle(self, now: timedelta) -> None:
+        while self._close_oldest(now, self.idle_timeout):
+            pass
+
+    def _close_oldest(self, now: timedelta, age: timedelta) -> bool:
+        """Close the peer unused for the longest time if that time has reached the age."""
+        if not self.peers:
+            return False
+        address, peer = next(iter(self.peers.items()))
+        if now - peer.used_at < age:
+            return False
+        del self.peers[address]
+        peer.socket.close()
+        self.counts["peers_closed"] += 1
+        return True
+
+    def _dropped(self, reason: str, to: str, error: str = "") -> bool:
+        self.counts[f"dropped_{reason}"] += 1
+        log_event("message_dropped", level="DEBUG", reason=reason, to=to, error=error)
+        return False
--- /dev/null
+++ b/almondshore/platform/http.py
@@ -0,0 +1,205 @@
+"""Client of the platform's object API over HTTP."""
+
+from collections.abc import Callable
+from datetime import timedelta
+from typing import TypeVar
+from urllib.parse import quote, urlencode
+
+import msgspec
+import urllib3
+from returns.pipeline import is_successful
+from returns.result import Failure, Result, Success
+
+from almondshore.core.clock import Clock
+from almondshore.platform.budget import CallBudget, CallKind
+from almondshore.platform.port import (
+    MAX_VALUE_BYTES,
+    Conflict,
+    NotFound,
+    Platform,
+    PlatformError,
+    RateLimited,
+    StoredObject,
+    TooLarge,
+    Unavailable,
+    WatchResult,
+)
+from almondshore.platform.wire import (
+    ListAnswer,
+    ObjectAnswer,
+    PutRequest,
+    WatchAnswer,
+    from_document,
+)
+
+MAX_ANSWER_BYTES = 32 * 1024 * 1024
+READ_CHUNK_BYTES = 64 * 1024
+POOL_CONNECTIONS = 8
+DEFAULT_RETRY_AFTER = timedelta(seconds=1)
+MAX_RETRY_AFTER = timedelta(minutes=5)
+JSON_HEADERS = {"content-type": "application/json"}
+
+T = TypeVar("T")
+
+
+class Answer(msgspec.Struct, frozen=True):
+    """An HTTP answer that was read whole."""
+
+    status: int
+    retry_after: str | None
+    body: bytes
+
+
+class HttpPlatform(Platform):
+    """Platform client over urllib3; no exception leaves it.
+
+    :param url: base address of the platform, ``http://ip:port``
+    :param timeout: bound of each call, and of the slack that a watch has beyond its own timeout
+    :param budget: call budget; a call over budget is not sent
+    """
+
+    def __init__(
+        self,
+        *,
+        url: str,
+        clock: Clock,
+        timeout: timedelta,
+        budget: CallBudget | None = None,
+    ):
+        self.url = url.rstrip("/")
+        self.clock = clock
+        self.timeout = timeout
+        self.budget = budget
+        self.pool = urllib3.PoolManager(maxsize=POOL_CONNECTIONS, block=False, retries=False)
+
+    def get(self, key: str) -> Result[StoredObject, PlatformError]:
+        """Read one object."""
+        result = self._call(CallKind.READ, "GET", _object_path(key), self.timeout)
+        return result.bind(lambda answer: _object_result(key, 0, answer))
+
+    def create(self, key: str, value: bytes, write_id: str) -> Result[StoredObject, PlatformError]:
+        """Create an object that must not exist."""
+        return self.update(key, value, 0, write_id)
+
+    def update(
+        self, key: str, value: bytes, revision: int, write_id: str
+    ) -> Result[StoredObject, PlatformError]:
+        """Replace an object if its revision is the given one."""
+        if len(value) > MAX_VALUE_BYTES:
+            return Failure(TooLarge(len(value)))
+        query = urlencode({"revision": revision, "write_id": write_id})
+        path = f"{_object_path(key)}?{query}"
+        body = msgspec.json.encode(PutRequest(value=value))
+        result = self._call(CallKind.WRITE, "PUT", path, self.timeout, body)
+        return result.bind(lambda answer: _object_result(key, len(value), answer))
+
+    def list(self, prefix: str) -> Result[list[StoredObject], PlatformError]:
+        """Read all objects under a prefix."""
+        path = f"/v1/list?{urlencode({'prefix': prefix})}"
+        result = self._call(CallKind.READ, "GET", path, self.timeout)
+        return result.bind(lambda answer: _parsed(answer, ListAnswer, _to_list))
+
+    def watch(
+        self, prefix: str, after: int, timeout: timedelta
+    ) -> Result[WatchResult, PlatformError]:
+        """Wait for changes under a prefix."""
+        wait_ms = max(0, round(timeout / timedelta(milliseconds=1)))
+        query = urlencode({"prefix": prefix, "after": after, "timeout_ms": wait_ms})
+        result = self._call(CallKind.READ, "GET", f"/v1/watch?{query}", self.timeout + timeout)
+        return result.bind(lambda answer: _parsed(answer, WatchAnswer, _to_watch))
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        self.pool.clear()
+
+    def _call(
+        self, kind: CallKind, method: str, path: str, timeout: timedelta, body: bytes | None = None
+    ) -> Result[Answer, PlatformError]:
+        if self.budget is not None:
+            taken = self.budget.take(kind)
+            if not is_successful(taken):
+                return taken
+        try:
+            return Success(self._exchange(method, path, timeout, body))
+        except (urllib3.exceptions.HTTPError, OSError, ValueError) as error:
+            return Failure(Unavailable(f"{type(error).__name__}: {error}"))
+
+    def _exchange(self, method: str, path: str, timeout: timedelta, body: bytes | None) -> Answer:
+        """Send a request and read the answer within the deadline."""
+        deadline = self.clock.monotonic() + timeout
+        response = self.pool.request(
+            method,
+            self.url + path,
+            body=body,
+            headers=JSON_HEADERS if body is not None else None,
+            timeout=urllib3.Timeout(
+                connect=self.timeout.total_seconds(), read=timeout.total_seconds()
+            ),
+            retries=False,
+            redirect=False,
+            preload_content=False,
+        )
+        try:
+            content = self._read_body(response, deadline)
+        except BaseException:
+            response.close()
+            raise
+        response.release_conn()
+        return Answer(response.status, response.headers.get("retry-after"), content)
+
+    def _read_body(self, response: urllib3.BaseHTTPResponse, deadline: timedelta) -> bytes:
+        """Read the body in chunks, so that neither a slow nor an endless one holds the caller."""
+        content = bytearray()
+        while chunk := response.read1(READ_CHUNK_BYTES):
+            content += chunk
+            if len(content) > MAX_ANSWER_BYTES:
+                raise ValueError(f"the answer exceeds {MAX_ANSWER_BYTES} bytes")
+            if self.clock.monotonic() > deadline:
+                raise TimeoutError("the answer was not complete within the timeout")
+        return bytes(content)
+
+
+def _object_path(key: str) -> str:
+    return f"/v1/objects/{quote(key, safe='')}"
+
+
+def _object_result(key: str, size: int, answer: Answer) -> Result[StoredObject, PlatformError]:
+    """Convert the answer to a read or write of one object."""
+    if answer.status == 404:
+        return Failure(NotFound(key))
+    if answer.status == 413:
+        return Failure(TooLarge(size))
+    if answer.status == 409:
+        return _parsed(answer, ObjectAnswer, lambda found: found["object"], accept=409).bind(
+            lambda found: Failure(Conflict(key, from_document(found) if found else None))
+        )
+    return _parsed(answer, ObjectAnswer, lambda found: from_document(found["object"]))
+
+
+def _parsed(
+    answer: Answer, kind: type, convert: Callable[..., T], accept: int = 200
+) -> Result[T, PlatformError]:
+    """Decode a JSON answer with the accepted status; any other status is an error."""
+    if answer.status == 429:
+        return Failure(RateLimited(_retry_after(answer.retry_after)))
+    if answer.status != accept:
+        return Failure(Unavailable(f"status {answer.status}"))
+    try:
+        return Success(convert(msgspec.json.decode(answer.body, type=kind)))
+    except (msgspec.MsgspecError, TypeError) as error:
+        return Failure(Unavailable(f"malformed answer: {error}"))
+
+
+def _retry_after(text: str | None) -> timedelta:
+    """Parse a Retry-After header in seconds; other forms give the default."""
+    if text is None or not text.isascii() or not text.isdigit() or len(text) > 9:
+        return DEFAULT_RETRY_AFTER
+    return min(timedelta(seconds=int(text)), MAX_RETRY_AFTER)
+
+
+def _to_list(found: ListAnswer) -> list[StoredObject]:
+    return [from_document(document) for document in found["objects"]]
+
+
+def _to_watch(found: WatchAnswer) -> WatchResult:
+    return WatchResult(found["position"], [from_document(item) for item in found["objects"]])
--- a/standins/object_store.py
+++ b/standins/object_store.py
@@ -85,10 +85,6 @@
         self.changed_at[key] = self.position
         return Status(200, stored)
 
-    def list(self, prefix: str) -> list[StoredObject]:
-        """Return the objects under a prefix, ordered by key."""
-        return [self.objects[key] for key in sorted(self.objects) if key.startswith(prefix)]
-
     def changes(self, prefix: str, after: int) -> list[StoredObject]:
         """Return the objects under a prefix that changed after a position, oldest first."""
         keys = [
@@ -97,3 +93,7 @@
             if position > after and key.startswith(prefix)
         ]
         return [self.objects[key] for key in sorted(keys, key=self.changed_at.__getitem__)]
+
+    def list(self, prefix: str) -> list[StoredObject]:
+        """Return the objects under a prefix, ordered by key."""
+        return [self.objects[key] for key in sorted(self.objects) if key.startswith(prefix)]
--- /dev/null
+++ b/test/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the platform package."""
