--- /dev/null
+++ b/almondshore/daemon/settings.py
@@ -0,0 +1,228 @@
+"""Settings of almondshored: a YAML file over the shipped defaults, checked key by key."""
+
+from datetime import timedelta
+from importlib.resources import files
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import yaml
+
+from almondshore.core.errors import InvalidInputError
+from almondshore.core.findings import FindingList
+from almondshore.daemon.fields import (
+    Field,
+    FieldError,
+    address,
+    addresses,
+    choice,
+    http_url,
+    identifier,
+    integer,
+    milliseconds,
+)
+from almondshore.daemon.yaml_places import add_finding, read_nodes
+
+DEFAULTS_NAME = "config_default.yaml"
+LOG_LEVELS = ("TRACE", "DEBUG", "INFO", "WARNING", "ERROR")
+
+
+class Listen(NamedTuple):
+    """Listening addresses, ``ip:port``.
+
+    :ivar caller: HTTP for callers on this host (hop 1)
+    :ivar peer: HTTP for other nodes (hop 2)
+    :ivar control: control messages of other nodes
+    :ivar admin: health, metrics, status and announcements
+    """
+
+    caller: str
+    peer: str
+    control: str
+    admin: str
+
+
+class PlatformSettings(NamedTuple):
+    """Where the platform is and how long a call may take."""
+
+    url: str
+    timeout: timedelta
+
+
+class RelaySettings(NamedTuple):
+    """Sizing of relays and their backlogs.
+
+    :ivar nodes_per_slot: nodes of an availability zone for each relay slot
+    :ivar backlog_deltas: deltas kept for a subscriber before it is sent a snapshot
+    """
+
+    nodes_per_slot: int
+    lease_ttl: timedelta
+    lease_renew: timedelta
+    backlog_deltas: int
+    backlog_bytes: int
+    snapshots_per_second: int
+
+
+class LimitSettings(NamedTuple):
+    """Bounds on requests and tables.
+
+    :ivar queue_length: requests that wait for the slots of a target
+    :ivar tenants: tenants with a limit and a metric of their own
+    """
+
+    queue_length: int
+    max_body_bytes: int
+    max_header_bytes: int
+    tenants: int
+
+
+class LogSettings(NamedTuple):
+    """Logging."""
+
+    level: str
+
+
+class Settings(NamedTuple):
+    """All settings of one node."""
+
+    node: str
+    zone: str
+    listen: Listen
+    platform: PlatformSettings
+    peers: tuple[str, ...]
+    relay: RelaySettings
+    heartbeat: timedelta
+    limits: LimitSettings
+    drain_timeout: timedelta
+    log: LogSettings
+
+
+FIELDS: dict[str, Field] = {
+    "node": identifier(),
+    "zone": identifier(),
+    "listen.caller": address(any_interface=True),
+    "listen.peer": address(),
+    "listen.control": address(),
+    "listen.admin": address(any_interface=True),
+    "platform.url": http_url(),
+    "platform.timeout_ms": milliseconds(10, 60_000),
+    "peers": addresses(),
+    "heartbeat_ms": milliseconds(100, 60_000),
+    "relay.nodes_per_slot": integer(1, 10_000),
+    "relay.lease_ttl_ms": milliseconds(1000, 600_000),
+    "relay.lease_renew_ms": milliseconds(100, 300_000),
+    "relay.backlog_deltas": integer(1, 10_000),
+    "relay.backlog_bytes": integer(1024, 64 * 1024 * 1024),
+    "relay.snapshots_per_second": integer(1, 10_000),
+    "limits.queue_length": integer(1, 100_000),
+    "limits.max_body_bytes": integer(1024, 1024 * 1024 * 1024),
+    "limits.max_header_bytes": integer(1024, 1024 * 1024),
+    "limits.tenants": integer(1, 100_000),
+    "drain_timeout_ms": milliseconds(0, 3_600_000),
+    "log.level": choice(LOG_LEVELS),
+}
+
+
+def load_settings(path: str | Path) -> Settings:
+    """Read a settings file over the defaults.
+
+    :raises InvalidInputError: with all findings, if anything in the file is wrong
+    """
+    name = str(path)
+    findings = FindingList(file=name)
+    try:
+        data = Path(path).read_bytes()
+    except OSError as error:
+        findings.add(line=0, column=0, code="unreadable", message=str(error.strerror or error))
+        raise InvalidInputError(findings.sorted()) from error
+    return parse_settings(data, name=name)
+
+
+def parse_settings(data: bytes, *, name: str) -> Settings:
+    """Parse settings given as YAML over the defaults.
+
+    :param name: file name shown in findings
+    :raises InvalidInputError: with all findings, if anything is wrong
+    """
+    shipped = FindingList(file=DEFAULTS_NAME)
+    default_data = files("almondshore.daemon").joinpath(DEFAULTS_NAME).read_bytes()
+    values = _convert(read_nodes(default_data, FIELDS, shipped), shipped)
+    findings = FindingList(file=name)
+    nodes = read_nodes(data, FIELDS, findings)
+    defaults = {key: value for key, value in values.items() if key not in nodes}
+    values = defaults | _convert(nodes, findings)
+    if not any(item.code == "syntax" for item in findings.items):
+        _check_missing({*values, *nodes}, findings)
+    _check_listen(values, nodes, findings)
+    _check_lease(values, nodes, findings)
+    if shipped or findings:
+        raise InvalidInputError(shipped.sorted() + findings.sorted())
+    return _build(values)
+
+
+def _convert(nodes: dict[str, yaml.Node], findings: FindingList) -> dict[str, Any]:
+    """Return the valid values by key; each invalid one becomes a finding."""
+    values: dict[str, Any] = {}
+    for key, node in nodes.items():
+        try:
+            values[key] = FIELDS[key](node)
+        except FieldError as error:
+            add_finding(findings, error.node, error.code, f"{key}: {error.message}")
+    return values
+
+
+def _check_missing(known: set[str], findings: FindingList) -> None:
+    for key in FIELDS:
+        if key not in known:
+            message = f"{key} has no default and must be set"
+            findings.add(line=0, column=0, code="missing", message=message)
+
+
+def _check_listen(
+    values: dict[str, Any], nodes: dict[str, yaml.Node], findings: FindingList
+) -> None:
+    """Find listeners that share an address."""
+    owners: dict[str, str] = {}
+    for key in ("listen.caller", "listen.peer", "listen.control", "listen.admin"):
+        other = owners.setdefault(values[key], key) if key in values else key
+        if other != key:
+            node = nodes.get(key) or nodes[other]
+            message = f"{key} and {other} are both {values[key]}"
+            add_finding(findings, node, "address-in-use", message)
+
+
+def _check_lease(
+    values: dict[str, Any], nodes: dict[str, yaml.Node], findings: FindingList
+) -> None:
+    """Find a renewal interval that lets a lease expire after one lost renewal."""
+    ttl, renew = values.get("relay.lease_ttl_ms"), values.get("relay.lease_renew_ms")
+    if ttl is not None and renew is not None and 2 * renew > ttl:
+        node = nodes.get("relay.lease_renew_ms") or nodes["relay.lease_ttl_ms"]
+        message = "relay.lease_renew_ms must be at most half of relay.lease_ttl_ms"
+        add_finding(findings, node, "out-of-range", message)
+
+
+def _build(values: dict[str, Any]) -> Settings:
+    """Assemble checked values."""
+
+    def section(prefix: str) -> dict[str, Any]:
+        """Return the values under a prefix by field name, without the unit of durations."""
+        return {
+            key.removeprefix(prefix).removesuffix("_ms"): value
+            for key, value in values.items()
+            if key.startswith(prefix)
+        }
+
+    listen = Listen(**section("listen."))
+    return Settings(
+        node=values["node"],
+        zone=values["zone"],
+        listen=listen,
+        platform=PlatformSettings(**section("platform.")),
+        peers=tuple(peer for peer in values["peers"] if peer != listen.control),
+        relay=RelaySettings(**section("relay.")),
+        heartbeat=values["heartbeat_ms"],
+        limits=LimitSettings(**section("limits.")),
+        drain_timeout=values["drain_timeout_ms"],
+        log=LogSettings(**section("log.")),
+    )
