Add the two proxy hops

Cause: a request has to travel from a caller to a target on another host. Change: hop 1 routes, limits and retries; hop 2 admits to slots and hands over; each failure carries a true outcome, combined over all attempts.

--- /dev/null
+++ b/almondshore/proxy/caller.py
@@ -0,0 +1,312 @@
+"""Hop 1: routes the requests of callers to targets on other hosts."""
+
+import uuid
+from collections.abc import Callable, Iterable, Mapping
+from datetime import timedelta
+from typing import NamedTuple
+
+import eventlet
+import xxhash
+
+from almondshore.core.clock import Clock
+from almondshore.core.messages import TargetRecord
+from almondshore.limits.tenants import Limited, TenantLimits
+from almondshore.proxy import headers as names
+from almondshore.proxy.headers import Headers, Problem, first, forwardable, parse_load
+from almondshore.proxy.pool import ExchangeFailure, FailureKind, HopPool, Reply
+from almondshore.proxy.wsgi import (
+    Request,
+    StartResponse,
+    read_request,
+    respond,
+    respond_failure,
+)
+from almondshore.retries.crash import CrashGuard, fingerprint
+from almondshore.retries.outcome import Failure, Outcome, Reason, make_failure
+from almondshore.retries.policy import Attempt, Retry, RetryPolicy
+from almondshore.routing.choice import ResultKind, TargetChooser, TargetResult
+from almondshore.routing.table import Match, RouteTable
+from almondshore.rules.model import RequestClass
+
+# Time for the response of hop 2 to travel back after the deadline that hop 2 enforces.
+HOP_MARGIN = timedelta(milliseconds=50)
+NO_TENANT = "-"
+
+
+class RoutingView(NamedTuple):
+    """What a node routes by; replaced as a whole.
+
+    :ivar weights: share of each version by service
+    """
+
+    ready: bool
+    table: RouteTable
+    weights: Mapping[str, Mapping[str, float]]
+
+
+class Call(NamedTuple):
+    """A request on its way.
+
+    :ivar outermost: whether no other hop 1 handled the call before
+    """
+
+    request_id: str
+    request: Request
+    match: Match
+    tenant: str
+    request_class: RequestClass
+    deadline: timedelta
+    outermost: bool
+    fingerprint: int
+
+
+class Finished(NamedTuple):
+    """A call that has ended, for metrics and logs."""
+
+    service: str
+    tenant: str
+    request_class: str
+    outcome: str
+    status: int
+    latency: timedelta
+
+
+class CallerApp:
+    """WSGI application of hop 1.
+
+    :ivar trusted: whether the deadline and attempt headers of callers are taken over; only the
+        listener for the targets on the same host is trusted
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        view: Callable[[], RoutingView],
+        chooser: TargetChooser,
+        tenants: TenantLimits,
+        policy: RetryPolicy,
+        crash_guard: CrashGuard,
+        pool: HopPool,
+        max_body_bytes: int,
+        trusted: bool = False,
+        on_finished: Callable[[Finished], None] = lambda finished: None,
+    ):
+        self.clock = clock
+        self.view = view
+        self.chooser = chooser
+        self.tenants = tenants
+        self.policy = policy
+        self.crash_guard = crash_guard
+        self.pool = pool
+        self.max_body_bytes = max_body_bytes
+        self.trusted = trusted
+        self.on_finished = on_finished
+        self.active = 0
+
+    def __call__(self, environ: dict, start_response: StartResponse) -> Iterable[bytes]:
+        """Answer a request of a caller."""
+        self.active += 1
+        started = self.clock.monotonic()
+        try:
+            return self._answer(environ, start_response, started)
+        finally:
+            self.active -= 1
+
+    def _answer(
+        self, environ: dict, start_response: StartResponse, started: timedelta
+    ) -> Iterable[bytes]:
+        request_id = uuid.uuid4().hex
+        request = read_request(environ, self.max_body_bytes)
+        if isinstance(request, Problem):
+            failure = make_failure(Reason.BAD_REQUEST, request.message)
+            close = [("connection", "close")]
+            return respond_failure(start_response, failure, request_id, close, request.status)
+        call = self._admit(request_id, request, started)
+        result = call if isinstance(call, Failure) else self._send(call)
+        self._finish(call, request, result, started)
+        if isinstance(result, Failure):
+            return respond_failure(start_response, result, request_id)
+        headers = forwardable(result.headers)
+        headers += [(name, first(result.headers, name)) for name in (names.OUTCOME, names.VERSION)]
+        headers.append((names.REQUEST_ID, request_id))
+        return respond(start_response, result.status, headers, result.body)
+
+    def _admit(self, request_id: str, request: Request, started: timedelta) -> Call | Failure:
+        """Check everything that can be decided without a target."""
+        view = self.view()
+        if not view.ready:
+            return make_failure(Reason.NOT_READY, "no configuration is in effect yet")
+        match = view.table.match(request.method, request.path)
+        if match is None:
+            return make_failure(Reason.NO_ROUTE, "no route matches the method and path")
+        tenant = first(request.headers, names.TENANT) or NO_TENANT
+        if not self.trusted:
+            limited = self.tenants.check(tenant)
+            if isinstance(limited, Limited):
+                reason = Reason(limited.reason.value)
+                return make_failure(reason, retry_after=limited.retry_after)
+        identity = fingerprint(
+            request.method,
+            request.raw_path,
+            tenant,
+            xxhash.xxh3_128_digest(request.body),
+        )
+        suspected = self.crash_guard.check(identity)
+        if suspected is not None:
+            return make_failure(Reason.CRASH_SUSPECTED, retry_after=suspected.retry_after)
+        return Call(
+            request_id,
+            request,
+            match,
+            tenant,
+            self._class(match),
+            self._deadline(request, match, started),
+            not (self.trusted and first(request.headers, names.ATTEMPT)),
+            identity,
+        )
+
+    def _class(self, match: Match) -> RequestClass:
+        """Return the class of a call; those between services are at least internal."""
+        request_class = RequestClass(match.route["request_class"])
+        if self.trusted and request_class is RequestClass.ROUTINE:
+            return RequestClass.INTERNAL
+        return request_class
+
+    def _deadline(self, request: Request, match: Match, started: timedelta) -> timedelta:
+        left = timedelta(milliseconds=match.route["timeout_ms"])
+        given = first(request.headers, names.DEADLINE_MS)
+        if self.trusted and given.isascii() and given.isdecimal():
+            left = min(left, timedelta(milliseconds=int(given)))
+        return started + left
+
+    def _send(self, call: Call) -> Reply | Failure:
+        """Send a call to targets until one responds or no retry is allowed."""
+        if call.outermost:
+            self.policy.first(call.match.service)
+        tried: list[str] = []
+        failure: Failure | None = None
+        while True:
+            target = self._choose(call, tried)
+            if target is None:
+                return failure or make_failure(Reason.NO_TARGET, "no target takes the request")
+            tried.append(target.target)
+            result = self._attempt(call, target, len(tried) - 1)
+            if isinstance(result, Reply):
+                return result
+            failure = _combine(failure, result)
+            delay = self._retry_delay(call, result, len(tried) - 1)
+            if delay is None:
+                return failure
+            eventlet.sleep(delay.total_seconds())
+
+    def _retry_delay(self, call: Call, failure: Failure, retries: int) -> timedelta | None:
+        """Return the delay before the next attempt, or None if there is none."""
+        idempotent = not call.match.route["once"]
+        attempt = Attempt(
+            call.match.service, failure, retries, idempotent, call.outermost, call.deadline
+        )
+        decision = self.policy.decide(attempt)
+        return decision.delay if isinstance(decision, Retry) else None
+
+    def _choose(self, call: Call, tried: list[str]) -> TargetRecord | None:
+        service = call.match.service
+        return self.chooser.choose(service, self.view().weights.get(service, {}), tried)
+
+    def _attempt(self, call: Call, target: TargetRecord, attempt: int) -> Reply | Failure:
+        """Send a call to one target and take in what the exchange says about it."""
+        left = call.deadline - self.clock.monotonic()
+        if left <= timedelta():
+            return make_failure(Reason.DEADLINE_PASSED)
+        self.chooser.started(target.target)
+        exchanged = self.pool.exchange(
+            target.address,
+            call.request.method,
+            call.request.raw_path,
+            self._headers(call, target, left, attempt),
+            call.request.body,
+            left + HOP_MARGIN,
+        )
+        result = self._interpret(call, exchanged)
+        self.chooser.finished(target.target, _target_result(exchanged, result))
+        return result
+
+    def _headers(self, call: Call, target: TargetRecord, left: timedelta, attempt: int) -> Headers:
+        route = call.match.route
+        return forwardable(call.request.headers) + names.internal_headers(
+            {
+                names.REQUEST_ID: f"{call.request_id}-{attempt}",
+                names.TARGET: target.target,
+                names.CLASS: call.request_class.value,
+                names.DEADLINE_MS: int(left / timedelta(milliseconds=1)),
+                names.ATTEMPT: attempt,
+                names.ROUTE: f"{','.join(route['methods'])} {route['path']}",
+                names.ONCE: 1 if route["once"] else None,
+            }
+        )
+
+    def _interpret(self, call: Call, exchanged: Reply | ExchangeFailure) -> Reply | Failure:
+        """Turn the exchange with hop 2 into a response or a failure with its true outcome."""
+        if isinstance(exchanged, ExchangeFailure):
+            if exchanged.kind is FailureKind.NOT_SENT:
+                return make_failure(Reason.HOP_UNREACHABLE, exchanged.detail)
+            if exchanged.kind is FailureKind.TIMEOUT and not exchanged.responded:
+                return make_failure(Reason.TARGET_TIMEOUT, exchanged.detail)
+            if exchanged.responded:
+                return make_failure(Reason.TRUNCATED, exchanged.detail, outcome=Outcome.UNKNOWN)
+            return make_failure(Reason.HOP_LOST, exchanged.detail)
+        received = first(exchanged.headers, names.REQUEST_ID)
+        if received.rpartition("-")[0] != call.request_id:
+            return make_failure(Reason.MISMATCHED, "the response belongs to another request")
+        reason = first(exchanged.headers, names.REASON)
+        if not reason:
+            return exchanged
+        try:
+            outcome = Outcome(first(exchanged.headers, names.OUTCOME))
+            return make_failure(Reason(reason), outcome=outcome)
+        except ValueError:
+            return make_failure(Reason.MISMATCHED, "the response of hop 2 is malformed")
+
+    def _finish(
+        self,
+        call: Call | Failure,
+        request: Request,
+        result: Reply | Failure,
+        started: timedelta,
+    ) -> None:
+        admitted = isinstance(call, Call)
+        outcome = result.outcome.value if isinstance(result, Failure) else Outcome.RUN.value
+        self.on_finished(
+            Finished(
+                call.match.service if admitted else "-",
+                call.tenant if admitted else first(request.headers, names.TENANT) or NO_TENANT,
+                call.request_class.value if admitted else RequestClass.ROUTINE.value,
+                outcome,
+                result.status,
+                self.clock.monotonic() - started,
+            )
+        )
+
+
+def _target_result(exchanged: Reply | ExchangeFailure, result: Reply | Failure) -> TargetResult:
+    if isinstance(exchanged, ExchangeFailure):
+        return TargetResult(ResultKind.FAILED)
+    load = parse_load(first(exchanged.headers, names.LOAD))
+    busy, queued = (load.running, load.queued) if load else (None, None)
+    if isinstance(result, Reply):
+        kind = ResultKind.OK if result.status < 500 else ResultKind.FAILED
+    elif result.outcome is Outcome.NOT_RUN and result.reason is not Reason.TARGET_UNREACHABLE:
+        kind = ResultKind.REFUSED
+    else:
+        kind = ResultKind.FAILED
+    return TargetResult(kind, busy, queued)
+
+
+def _combine(earlier: Failure | None, latest: Failure) -> Failure:
+    """Return the latest failure with the outcome of all attempts.
+
+    A request that may have run at an earlier attempt is not ``not-run`` because the last one was.
+    """
+    if earlier is None or latest.outcome is not Outcome.NOT_RUN:
+        return latest
+    return latest._replace(outcome=earlier.outcome)
--- /dev/null
+++ b/almondshore/proxy/target.py
@@ -0,0 +1,182 @@
+"""Hop 2: admits requests to the targets beside this node and hands them over."""
+
+from collections.abc import Callable, Iterable, Mapping
+from datetime import timedelta
+from typing import NamedTuple
+
+from almondshore.core.clock import Clock
+from almondshore.limits.admission import RefusalReason, Refused, SlotRequest
+from almondshore.proxy import headers as names
+from almondshore.proxy.gate import SlotGate
+from almondshore.proxy.headers import Headers, Problem, first, format_load, forwardable
+from almondshore.proxy.pool import ExchangeFailure, FailureKind, HopPool, Reply
+from almondshore.proxy.wsgi import (
+    Request,
+    StartResponse,
+    read_request,
+    respond,
+    respond_failure,
+)
+from almondshore.retries.outcome import Failure, Outcome, Reason, make_failure
+from almondshore.rules.model import RequestClass
+
+REFUSALS = {
+    RefusalReason.OVERLOADED: Reason.OVERLOADED,
+    RefusalReason.DEADLINE: Reason.DEADLINE_PASSED,
+    RefusalReason.DRAINING: Reason.DRAINING,
+    RefusalReason.DUPLICATE: Reason.DUPLICATE_ID,
+}
+
+
+class Endpoint(NamedTuple):
+    """A target beside this node.
+
+    :ivar address: address of the target itself, which only this node uses
+    """
+
+    target: str
+    service: str
+    version: str
+    address: str
+    gate: SlotGate
+
+
+class Hop(NamedTuple):
+    """What hop 1 says about a request."""
+
+    request_id: str
+    target: str
+    request_class: RequestClass
+    deadline: timedelta
+    attempt: str
+    route: str
+
+
+class RunResult(NamedTuple):
+    """What a hand-over to a target says about its version.
+
+    :ivar ok: whether the target responded with a whole response below status 500
+    :ivar latency: time from the hand-over to the end of the response
+    """
+
+    service: str
+    version: str
+    route: str
+    ok: bool
+    latency: timedelta
+
+
+class TargetApp:
+    """WSGI application of hop 2.
+
+    Only this hop hands requests to a target, so it alone knows whether one was handed over.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        endpoints: Mapping[str, Endpoint],
+        pool: HopPool,
+        max_body_bytes: int,
+        on_run: Callable[[RunResult], None] = lambda result: None,
+    ):
+        self.clock = clock
+        self.endpoints = endpoints
+        self.pool = pool
+        self.max_body_bytes = max_body_bytes
+        self.on_run = on_run
+
+    def __call__(self, environ: dict, start_response: StartResponse) -> Iterable[bytes]:
+        """Answer a request of hop 1."""
+        request = read_request(environ, self.max_body_bytes)
+        if isinstance(request, Problem):
+            failure = make_failure(Reason.BAD_REQUEST, request.message)
+            close = [("connection", "close")]
+            return respond_failure(start_response, failure, "", close, request.status)
+        hop = self._read_hop(request.headers)
+        if hop is None:
+            failure = make_failure(Reason.BAD_REQUEST, "internal headers are missing or malformed")
+            return respond_failure(start_response, failure, "")
+        endpoint = self.endpoints.get(hop.target)
+        if endpoint is None:
+            failure = make_failure(Reason.TARGET_UNREACHABLE, "the target is not on this host")
+            return respond_failure(start_response, failure, hop.request_id)
+        result = self._run(endpoint, hop, request)
+        reported = [
+            (names.LOAD, format_load(endpoint.gate.load())),
+            (names.VERSION, endpoint.version),
+        ]
+        if isinstance(result, Failure):
+            return respond_failure(start_response, result, hop.request_id, reported)
+        headers = forwardable(result.headers)
+        headers += [(names.OUTCOME, Outcome.RUN.value), (names.REQUEST_ID, hop.request_id)]
+        return respond(start_response, result.status, headers + reported, result.body)
+
+    def _read_hop(self, headers: Headers) -> Hop | None:
+        request_id, target = first(headers, names.REQUEST_ID), first(headers, names.TARGET)
+        left = first(headers, names.DEADLINE_MS)
+        try:
+            request_class = RequestClass(first(headers, names.CLASS))
+        except ValueError:
+            return None
+        if not (request_id and target and left.isascii() and left.isdecimal()):
+            return None
+        deadline = self.clock.monotonic() + timedelta(milliseconds=int(left))
+        attempt, route = first(headers, names.ATTEMPT), first(headers, names.ROUTE)
+        return Hop(request_id, target, request_class, deadline, attempt, route)
+
+    def _run(self, endpoint: Endpoint, hop: Hop, request: Request) -> Reply | Failure:
+        slot = SlotRequest(hop.request_id, hop.request_class, hop.deadline, hop.route)
+        refused = endpoint.gate.enter(slot)
+        if isinstance(refused, Refused):
+            return make_failure(REFUSALS[refused.reason], retry_after=refused.retry_after)
+        try:
+            return self._hand_over(endpoint, hop, request)
+        finally:
+            endpoint.gate.leave(hop.request_id)
+
+    def _hand_over(self, endpoint: Endpoint, hop: Hop, request: Request) -> Reply | Failure:
+        started = self.clock.monotonic()
+        left = hop.deadline - started
+        if left <= timedelta():
+            return make_failure(Reason.DEADLINE_PASSED)
+        result = self.pool.exchange(
+            endpoint.address,
+            request.method,
+            request.raw_path,
+            self._headers(hop, request, left),
+            request.body,
+            left,
+        )
+        if isinstance(result, ExchangeFailure):
+            failure = _exchange_failure(result)
+            if failure.reason is not Reason.TARGET_UNREACHABLE:
+                self._report(endpoint, hop, started, ok=False)
+            return failure
+        if first(result.headers, names.OUTCOME) == Outcome.NOT_RUN.value:
+            return make_failure(Reason.OVERLOADED, "the target refused the request")
+        self._report(endpoint, hop, started, ok=result.status < 500)
+        return result
+
+    def _headers(self, hop: Hop, request: Request, left: timedelta) -> Headers:
+        """Return the headers for the target, which passes the internal ones on to inner calls."""
+        return forwardable(request.headers) + [
+            (names.REQUEST_ID, hop.request_id),
+            (names.DEADLINE_MS, str(int(left / timedelta(milliseconds=1)))),
+            (names.ATTEMPT, hop.attempt or "0"),
+        ]
+
+    def _report(self, endpoint: Endpoint, hop: Hop, started: timedelta, ok: bool) -> None:
+        latency = self.clock.monotonic() - started
+        self.on_run(RunResult(endpoint.service, endpoint.version, hop.route, ok, latency))
+
+
+def _exchange_failure(result: ExchangeFailure) -> Failure:
+    if result.kind is FailureKind.NOT_SENT:
+        return make_failure(Reason.TARGET_UNREACHABLE, result.detail)
+    if result.responded:
+        return make_failure(Reason.TRUNCATED, result.detail)
+    if result.kind is FailureKind.TIMEOUT:
+        return make_failure(Reason.TARGET_TIMEOUT, result.detail)
+    return make_failure(Reason.TARGET_LOST, result.detail)
--- /dev/null
+++ b/almondshore/proxy/wsgi.py
@@ -0,0 +1,145 @@
+"""Reading of requests and writing of responses for the WSGI applications of both hops."""
+
+from collections.abc import Callable, Iterable
+from datetime import timedelta
+from typing import NamedTuple
+
+import eventlet
+import msgspec
+
+from almondshore.proxy import headers as names
+from almondshore.proxy.headers import Headers, Problem, check_request, too_large
+from almondshore.retries.outcome import Failure, failure_body
+
+READ_CHUNK_BYTES = 64 * 1024
+# Limits the whole body, so that a caller that sends a byte now and then is not served for ever.
+BODY_TIMEOUT = timedelta(seconds=30)
+# Longest advice to wait, in seconds, that fits the granularity of Retry-After.
+MIN_RETRY_AFTER_SECONDS = 1
+
+STATUS_TEXTS = {
+    200: "OK",
+    202: "Accepted",
+    204: "No Content",
+    400: "Bad Request",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    408: "Request Timeout",
+    409: "Conflict",
+    413: "Content Too Large",
+    422: "Unprocessable Content",
+    429: "Too Many Requests",
+    431: "Request Header Fields Too Large",
+    500: "Internal Server Error",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
+
+StartResponse = Callable[[str, Headers], object]
+
+
+class Request(NamedTuple):
+    """A whole request as received.
+
+    :ivar path: decoded path without the query
+    :ivar raw_path: path as received, with the query
+    """
+
+    method: str
+    path: str
+    raw_path: str
+    headers: Headers
+    body: bytes
+
+
+def read_request(environ: dict, max_body_bytes: int) -> Request | Problem:
+    """Read a request whole and check its form."""
+    headers = list(environ["headers_raw"])
+    problem = check_request(headers, max_body_bytes) or check_path(environ["RAW_PATH_INFO"])
+    if problem is not None:
+        return problem
+    body = _read_body(environ, max_body_bytes)
+    if isinstance(body, Problem):
+        return body
+    query = environ.get("QUERY_STRING")
+    raw_path = environ["RAW_PATH_INFO"]
+    return Request(
+        environ["REQUEST_METHOD"],
+        environ["PATH_INFO"],
+        f"{raw_path}?{query}" if query else raw_path,
+        headers,
+        body,
+    )
+
+
+def check_path(raw_path: str) -> Problem | None:
+    """Refuse paths that two servers could resolve to different resources."""
+    lowered = raw_path.lower()
+    if not raw_path.startswith("/"):
+        return Problem(400, "bad-path", "the path does not start with '/'")
+    if "%2f" in lowered or "%5c" in lowered or "%00" in lowered or "\\" in raw_path:
+        return Problem(400, "bad-path", "the path contains an encoded separator or NUL")
+    segments = lowered.replace("%2e", ".").split("/")
+    if "." in segments or ".." in segments:
+        return Problem(400, "bad-path", "the path contains a dot segment")
+    return None
+
+
+def _read_body(environ: dict, max_body_bytes: int) -> bytes | Problem:
+    expected = environ.get("CONTENT_LENGTH")
+    chunks: list[bytes] = []
+    size = 0
+    try:
+        with eventlet.Timeout(BODY_TIMEOUT.total_seconds()):
+            while chunk := environ["wsgi.input"].read(READ_CHUNK_BYTES):
+                chunks.append(chunk)
+                size += len(chunk)
+                if size > max_body_bytes:
+                    return too_large(max_body_bytes)
+    except eventlet.Timeout:
+        return Problem(408, "body-timeout", "the body was not received in time")
+    except OSError:
+        return Problem(400, "body-truncated", "the connection ended within the body")
+    if expected is not None and size != int(expected):
+        return Problem(400, "body-truncated", "the connection ended within the body")
+    return b"".join(chunks)
+
+
+def respond(
+    start_response: StartResponse, status: int, headers: Headers, body: bytes
+) -> Iterable[bytes]:
+    """Send a whole response."""
+    text = STATUS_TEXTS.get(status, "Status")
+    start_response(f"{status} {text}", [*headers, ("content-length", str(len(body)))])
+    return [body]
+
+
+def respond_json(
+    start_response: StartResponse, status: int, document: object, headers: Headers = ()
+) -> Iterable[bytes]:
+    """Send a JSON document."""
+    body = msgspec.json.encode(document)
+    return respond(start_response, status, [("content-type", "application/json"), *headers], body)
+
+
+def respond_failure(
+    start_response: StartResponse,
+    failure: Failure,
+    request_id: str,
+    headers: Headers = (),
+    status: int | None = None,
+) -> Iterable[bytes]:
+    """Send a failure with its outcome, its reason and the advice when to come back."""
+    items = [
+        (names.OUTCOME, failure.outcome.value),
+        (names.REASON, failure.reason.value),
+        (names.REQUEST_ID, request_id),
+        *headers,
+    ]
+    if failure.retry_after is not None:
+        seconds = max(MIN_RETRY_AFTER_SECONDS, round(failure.retry_after.total_seconds()))
+        items.append(("retry-after", str(seconds)))
+    return respond_json(
+        start_response, status or failure.status, failure_body(failure, request_id), items
+    )
