Add fields and messages for configuration and relay repair

Cause: 41 zone digests in each heartbeat cost about 740 bytes, and a starting node could not tell a peer that is starting too from one that is current. Conclusion: existing constructors keep working.

--- a/almondshore/core/messages.py
+++ b/almondshore/core/messages.py
@@ -8,6 +8,8 @@
 from enum import IntEnum
 from typing import NamedTuple
 
+ALL_ZONES = "*"
+
 
 class TargetState(IntEnum):
     """State of a target; at one incarnation a higher value replaces a lower one."""
@@ -25,6 +27,7 @@
     :ivar incarnation: raised by the owner on each change; the higher one is newer
     :ivar address: ``ip:port`` of the owner's hop 2 listener, which other nodes send requests to
     :ivar slots: requests the target runs at the same time
+    :ivar control: ``ip:port`` at which the owner takes control messages, for probes
     """
 
     target: str
@@ -36,6 +39,7 @@
     slots: int
     incarnation: int
     state: TargetState
+    control: str = ""
 
 
 class RelayEntry(NamedTuple):
@@ -52,8 +56,10 @@
 
     :ivar config_version: version in force, 0 if none
     :ivar config_digest: digest of the version in force
-    :ivar directory_digests: digest of the sender's directory for each availability zone
+    :ivar directory_digests: digest of the sender's whole directory under ``ALL_ZONES``; digests
+        by zone travel only in ``DirectoryRequest``, since 41 of them would fill the heartbeat
     :ivar moves_digest: digest of the vetoes and move steps the sender knows
+    :ivar relays_digest: digest of the relays the sender knows
     """
 
     node: str
@@ -63,22 +69,34 @@
     directory_digests: dict[str, int]
     moves_digest: int
     ready: bool
+    relays_digest: int = 0
 
 
 class HeartbeatAck(NamedTuple):
-    """Answer of a relay to a heartbeat; carries what the node needs to notice missed pushes."""
+    """Answer of a relay to a heartbeat; carries what the node needs to notice missed pushes.
+
+    :ivar relays: relays of the node's zone; empty if the node's ``relays_digest`` is current
+    :ivar ready: whether the relay itself has learnt the newest configuration
+    :ivar confirmed: whether the platform lately showed the relay nothing newer
+    """
 
     relays: list[RelayEntry]
     config_version: int
     config_digest: bytes
     directory_digests: dict[str, int]
     moves_digest: int
+    ready: bool = True
+    confirmed: bool = False
 
 
 class Busy(NamedTuple):
-    """Answer of an overloaded relay: try again after the delay in seconds."""
+    """Answer of an overloaded node: try again after the delay in seconds.
+
+    :ivar refused: kind of the message that was refused
+    """
 
     retry_after: float
+    refused: str = "Heartbeat"
 
 
 class ConfigDelta(NamedTuple):
@@ -95,10 +113,14 @@
 
 
 class ConfigRequest(NamedTuple):
-    """Asks a peer for a newer configuration than the one held."""
+    """Asks a peer for a newer configuration than the one held.
+
+    :ivar status_only: ask only for a ``ConfigStatus``, to compare several peers cheaply
+    """
 
     version: int
     digest: bytes
+    status_only: bool = False
 
 
 class ConfigSnapshot(NamedTuple):
@@ -109,6 +131,19 @@
     parts: dict[str, bytes]
 
 
+class ConfigStatus(NamedTuple):
+    """Answer to a ``ConfigRequest`` when the sender holds nothing newer.
+
+    :ivar ready: whether the sender itself has learnt the newest configuration
+    :ivar confirmed: whether the platform lately showed the sender nothing newer
+    """
+
+    version: int
+    digest: bytes
+    ready: bool
+    confirmed: bool = False
+
+
 class Announce(NamedTuple):
     """The records of the sender's own targets."""
 
@@ -172,6 +207,29 @@
     relays: list[RelayEntry]
 
 
+class RelaySync(NamedTuple):
+    """What a relay holds, sent to another relay for anti-entropy.
+
+    :ivar relays_digest: digest of all relays that the sender knows
+    :ivar wants_answer: whether the receiver sends its own ``RelaySync`` back
+    """
+
+    config_version: int
+    config_digest: bytes
+    directory_digest: int
+    moves_digest: int
+    relays_digest: int
+    ready: bool
+    wants_answer: bool
+
+
+class RelayInvite(NamedTuple):
+    """A relay's request that the receiver take a vacant relay slot of its zone."""
+
+    zone: str
+    slot: int
+
+
 class EvidenceRow(NamedTuple):
     """Request counts of one service, version and route over one window.
 
@@ -242,6 +300,7 @@
     | ConfigDelta
     | ConfigRequest
     | ConfigSnapshot
+    | ConfigStatus
     | Announce
     | DirectoryDelta
     | DirectoryRequest
@@ -250,6 +309,8 @@
     | PeerProbeReply
     | RelayQuery
     | RelayList
+    | RelayInvite
+    | RelaySync
     | Evidence
     | Veto
     | MoveStep
