Add ConfigSync with a bounded history of changes

Cause: a node needs repair of lost pushes and must not serve before it has learnt the newest version.

--- /dev/null
+++ b/almondshore/versions/history.py
@@ -0,0 +1,63 @@
+"""Bounded history of configuration changes, from which late nodes are brought up to date."""
+
+from collections import deque
+from typing import NamedTuple
+
+from almondshore.core.messages import ConfigDelta
+from almondshore.versions.config import Configuration, diff_parts
+
+MAX_DELTAS = 64
+MAX_BYTES = 256 * 1024
+
+
+class Step(NamedTuple):
+    """One change from a configuration to its successor; ``size`` in bytes."""
+
+    delta: ConfigDelta
+    size: int
+
+
+class DeltaHistory:
+    """The latest changes, as a chain that ends at the configuration in force.
+
+    Every subscriber's backlog is the part of the chain after the version it holds. At the bound
+    the oldest changes are dropped, and a subscriber that is further behind needs a snapshot.
+    """
+
+    def __init__(self, *, max_deltas: int = MAX_DELTAS, max_bytes: int = MAX_BYTES):
+        self.max_deltas = max_deltas
+        self.max_bytes = max_bytes
+        self.steps: deque[Step] = deque()
+        self.size = 0
+
+    def append(self, old: Configuration, new: Configuration) -> None:
+        """Record that one configuration replaced another."""
+        changes = diff_parts(old.parts, new.parts)
+        delta = ConfigDelta(new.version, new.digest, old.version, old.digest, changes)
+        if self.steps and self.steps[-1].delta.version != old.version:
+            self.steps.clear()
+            self.size = 0
+        self.steps.append(Step(delta, delta_size(delta)))
+        self.size += self.steps[-1].size
+        while self.steps and (len(self.steps) > self.max_deltas or self.size > self.max_bytes):
+            self.size -= self.steps.popleft().size
+
+    def since(self, version: int, digest: bytes) -> ConfigDelta | None:
+        """Return one delta from a held configuration to the newest, None if out of reach."""
+        chain: list[ConfigDelta] = []
+        for step in reversed(self.steps):
+            chain.append(step.delta)
+            if step.delta.base_version <= version:
+                break
+        if not chain or (chain[-1].base_version, chain[-1].base_digest) != (version, digest):
+            return None
+        changes: dict[str, bytes | None] = {}
+        for delta in reversed(chain):
+            changes.update(delta.parts)
+        newest = chain[0]
+        return ConfigDelta(newest.version, newest.digest, version, digest, changes)
+
+
+def delta_size(delta: ConfigDelta) -> int:
+    """Return the approximate size of a delta in bytes."""
+    return sum(len(name) + len(data or b"") for name, data in delta.parts.items())
--- /dev/null
+++ b/almondshore/versions/sync.py
@@ -0,0 +1,217 @@
+"""Repair of a node's configuration by what heartbeats and peers show."""
+
+import random
+from collections import OrderedDict
+from collections.abc import Callable, Sequence
+from datetime import timedelta
+from typing import NamedTuple
+
+from almondshore.core.backoff import full_jitter
+from almondshore.core.clock import Clock
+from almondshore.core.messages import (
+    Busy,
+    ConfigDelta,
+    ConfigRequest,
+    ConfigSnapshot,
+    ConfigStatus,
+    Heartbeat,
+    HeartbeatAck,
+    Message,
+    RelaySync,
+    Send,
+)
+from almondshore.relay.admission import SnapshotAdmission
+from almondshore.versions.history import DeltaHistory
+from almondshore.versions.state import (
+    Accepted,
+    ConfigState,
+    Refused,
+    SnapshotNeeded,
+    Verdict,
+)
+
+PLATFORM = "platform"
+START_BOUND = timedelta(seconds=10)
+REQUEST_TIMEOUT = timedelta(seconds=2)
+PEERS_NEEDED = 3
+# Longer than the time-out of a watch of the head, which confirms the version when it returns.
+CONFIRMATION_AGE = timedelta(seconds=45)
+MAX_PEERS_SHOWN = 64
+MAX_REFUSED = 64
+
+
+class Shown(NamedTuple):
+    """The version that a peer or the platform said it holds.
+
+    :ivar ready: whether the peer itself has learnt the newest version
+    :ivar confirmed: whether the peer has this from the platform
+    """
+
+    version: int
+    digest: bytes
+    ready: bool
+    confirmed: bool
+
+
+class ConfigSync:
+    """Holds a ``ConfigState`` and asks peers for what it misses.
+
+    At most one request is outstanding. Tables are bounded: the oldest entry leaves.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        rng: random.Random,
+        peers: Callable[[], Sequence[str]] = list,
+        state: ConfigState | None = None,
+        admission: SnapshotAdmission | None = None,
+        history: DeltaHistory | None = None,
+        start_bound: timedelta = START_BOUND,
+        request_timeout: timedelta = REQUEST_TIMEOUT,
+        peers_needed: int = PEERS_NEEDED,
+    ):
+        self.clock = clock
+        self.rng = rng
+        self.peers = peers
+        self.state = state or ConfigState()
+        self.admission = admission or SnapshotAdmission(clock=clock, rng=rng)
+        self.history = history or DeltaHistory()
+        self.start_bound = start_bound
+        self.request_timeout = request_timeout
+        self.peers_needed = peers_needed
+        self.started = clock.monotonic()
+        self.shown: OrderedDict[str, Shown] = OrderedDict()
+        self.refused: OrderedDict[tuple[int, bytes], str] = OrderedDict()
+        self.attempt = 0
+        self.next_request = clock.monotonic()
+        self.next_query = clock.monotonic()
+        self.is_ready = False
+        self.confirmed_at: timedelta | None = None
+
+    @property
+    def ready(self) -> bool:
+        """Whether the newest version that peers or the platform show is in force.
+
+        Once true it stays true.
+        """
+        if not self.is_ready:
+            self.is_ready = self._learnt_newest()
+        return self.is_ready
+
+    def handle(self, message: Message, sender: str) -> list[Send]:
+        """React to a message about configuration; ignore all others."""
+        match message:
+            case ConfigDelta() | ConfigSnapshot():
+                return self._offered(message, sender)
+            case ConfigRequest():
+                return [Send(sender, self.answer(message))]
+            case ConfigStatus():
+                shown = Shown(*message)
+                return self.observe(shown, sender)
+            case Heartbeat() | HeartbeatAck() | RelaySync():
+                confirmed = isinstance(message, HeartbeatAck) and message.confirmed
+                version, digest = message.config_version, message.config_digest
+                return self.observe(Shown(version, digest, message.ready, confirmed), sender)
+            case Busy(retry_after, "ConfigRequest"):
+                delay = timedelta(seconds=retry_after) + full_jitter(self.rng, 0)
+                self.next_request = max(self.next_request, self.clock.monotonic() + delay)
+        return []
+
+    def offer(self, message: ConfigDelta | ConfigSnapshot) -> Verdict:
+        """Offer a version to the state and remember the change or the refusal."""
+        before = self.state.current
+        if isinstance(message, ConfigDelta):
+            verdict = self.state.offer_delta(message)
+        else:
+            verdict = self.state.offer_snapshot(message)
+        if isinstance(verdict, Accepted):
+            self.history.append(before, verdict.configuration)
+            self.attempt = 0
+            self.next_request = self.clock.monotonic()
+        elif isinstance(verdict, Refused):
+            self.refused[(message.version, message.digest)] = verdict.reason
+            while len(self.refused) > MAX_REFUSED:
+                self.refused.popitem(last=False)
+        return verdict
+
+    def platform_shows(self, version: int, digest: bytes) -> None:
+        """Note the version that the platform shows now."""
+        self.confirmed_at = self.clock.monotonic()
+        self.observe(Shown(version, digest, True, True), PLATFORM)
+
+    @property
+    def confirmed(self) -> bool:
+        """Whether the platform lately showed nothing newer than the version in force."""
+        if self.confirmed_at is None:
+            return False
+        return self.clock.monotonic() - self.confirmed_at < CONFIRMATION_AGE
+
+    def observe(self, shown: Shown, sender: str) -> list[Send]:
+        """Note the version that a peer shows; ask for it if it is newer."""
+        self.shown[sender] = shown
+        self.shown.move_to_end(sender)
+        while len(self.shown) > MAX_PEERS_SHOWN:
+            self.shown.popitem(last=False)
+        if sender == PLATFORM or not shown.ready or not self._misses(shown):
+            return []
+        return self._ask(sender)
+
+    def answer(self, request: ConfigRequest) -> Message:
+        """Return a delta, a snapshot, the status if nothing is newer, or ``Busy``."""
+        current = self.state.current
+        if request.status_only or not self.ready or current.version <= request.version:
+            return ConfigStatus(current.version, current.digest, self.ready, self.confirmed)
+        delta = self.history.since(request.version, request.digest)
+        if delta is not None:
+            return delta
+        retry_after = self.admission.admit()
+        if retry_after is not None:
+            return Busy(retry_after.total_seconds(), "ConfigRequest")
+        return self.state.snapshot()
+
+    def tick(self) -> list[Send]:
+        """Ask for a missing version; while starting, ask peers which one they hold."""
+        missed = [peer for peer, shown in self.shown.items() if self._misses(shown)]
+        missed = [peer for peer in missed if peer != PLATFORM and self.shown[peer].ready]
+        sends = self._ask(self.rng.choice(missed)) if missed else []
+        if self.ready or self.clock.monotonic() < self.next_query:
+            return sends
+        self.next_query = self.clock.monotonic() + self.request_timeout
+        peers = list(self.peers())
+        asked = self.rng.sample(peers, min(self.peers_needed, len(peers)))
+        query = self._request()._replace(status_only=True)
+        return sends + [Send(peer, query) for peer in asked]
+
+    def _offered(self, message: ConfigDelta | ConfigSnapshot, sender: str) -> list[Send]:
+        verdict = self.offer(message)
+        sends = self.observe(Shown(message.version, message.digest, True, False), sender)
+        if isinstance(verdict, SnapshotNeeded) and not sends:
+            return self._ask(sender)
+        return sends
+
+    def _misses(self, shown: Shown) -> bool:
+        newer = shown.version > self.state.current.version
+        return newer and (shown.version, shown.digest) not in self.refused
+
+    def _ask(self, peer: str) -> list[Send]:
+        if self.clock.monotonic() < self.next_request:
+            return []
+        delay = self.request_timeout + full_jitter(self.rng, self.attempt)
+        self.attempt += 1
+        self.next_request = self.clock.monotonic() + delay
+        return [Send(peer, self._request())]
+
+    def _request(self) -> ConfigRequest:
+        return ConfigRequest(self.state.current.version, self.state.current.digest)
+
+    def _learnt_newest(self) -> bool:
+        ready = {peer: shown for peer, shown in self.shown.items() if shown.ready}
+        if not ready or any(self._misses(shown) for shown in ready.values()):
+            return False
+        if any(shown.confirmed for shown in ready.values()):
+            return True
+        needed = min(self.peers_needed, max(1, len(self.peers())))
+        overdue = self.clock.monotonic() - self.started >= self.start_bound
+        return len(ready) >= needed or overdue
