Add the directory of targets, local targets and the failure detector

Cause: nodes need to know the targets of the fleet without a list of them. Change: merge by incarnation and state, digests by zone, tombstones for two hours, a detector that is confirmed by other nodes and holds the known set when too many become suspect, and probing on behalf of relays.

--- /dev/null
+++ b/almondshore/membership/detector.py
@@ -0,0 +1,169 @@
+"""Detection of dead nodes by a relay, from missed heartbeats and confirmed by other nodes."""
+
+import random
+from collections import deque
+from collections.abc import Collection
+from datetime import timedelta
+from typing import NamedTuple
+
+from almondshore.core.clock import Clock
+from almondshore.core.messages import Message, PeerProbe, PeerProbeReply, Send
+
+
+class DetectorLimits(NamedTuple):
+    """Limits of the failure detector.
+
+    :ivar suspect_after: three missed heartbeats
+    :ivar probe_timeout: after it, a suspect that is neither confirmed nor cleared is probed anew
+    :ivar hold_share: share of the tracked nodes that may become suspect within ``hold_window``;
+        beyond it the observer or the network is the likelier fault
+    :ivar hold_min_suspects: one of two or three nodes may fail without causing a hold
+    :ivar pause: a gap between two ticks that shows that this observer was paused
+    """
+
+    suspect_after: timedelta = timedelta(seconds=6)
+    probe_timeout: timedelta = timedelta(seconds=3)
+    helpers: int = 3
+    confirmations: int = 2
+    hold_share: float = 0.3
+    hold_min_suspects: int = 3
+    hold_window: timedelta = timedelta(seconds=10)
+    pause: timedelta = timedelta(seconds=2)
+    max_nodes: int = 1024
+
+
+class Tracked(NamedTuple):
+    """A node whose heartbeats this relay expects."""
+
+    address: str
+    incarnation: int
+    heard: timedelta
+
+
+class Suspicion(NamedTuple):
+    """An open suspicion: its probe, and which helpers answered that the node is unreachable."""
+
+    probe_id: int
+    asked: tuple[str, ...]
+    since: timedelta
+    unreachable: frozenset[str]
+
+
+class FailureDetector:
+    """Finds the dead among the nodes that heartbeat to this relay.
+
+    At ``max_nodes`` a further node is not tracked; the relay refuses subscribers before that.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        rng: random.Random,
+        address: str,
+        limits: DetectorLimits | None = None,
+    ):
+        self.clock = clock
+        self.rng = rng
+        self.address = address
+        self.limits = limits or DetectorLimits()
+        self.nodes: dict[str, Tracked] = {}
+        self.suspects: dict[str, Suspicion] = {}
+        self.became_suspect: deque[timedelta] = deque()
+        self.held_until = timedelta()
+        self.dead: list[str] = []
+        self.next_probe_id = rng.getrandbits(32)
+        self.last_tick = clock.monotonic()
+
+    @property
+    def holding(self) -> bool:
+        """Whether no node is declared dead, because too many became suspect at once."""
+        return self.clock.monotonic() < self.held_until
+
+    def heard(self, node: str, address: str, incarnation: int) -> None:
+        """Note a heartbeat of a node."""
+        if node not in self.nodes and len(self.nodes) >= self.limits.max_nodes:
+            return
+        self.nodes[node] = Tracked(address, incarnation, self.clock.monotonic())
+        self.suspects.pop(node, None)
+
+    def expect(self, node: str, address: str) -> None:
+        """Track a node that was not heard yet, as if it had been heard now."""
+        if node not in self.nodes:
+            self.heard(node, address, 0)
+
+    def forget(self, node: str) -> None:
+        """Stop tracking a node that went to another relay or left."""
+        self.nodes.pop(node, None)
+        self.suspects.pop(node, None)
+
+    def handle(self, message: Message, sender: str) -> list[Send]:
+        """React to the answers of helpers."""
+        if not isinstance(message, PeerProbeReply):
+            return []
+        suspicion = self.suspects.get(message.suspect)
+        if suspicion is None or message.probe_id != suspicion.probe_id:
+            return []
+        if sender not in suspicion.asked:
+            return []
+        if message.reachable:
+            self.forget(message.suspect)
+            return []
+        unreachable = suspicion.unreachable | {sender}
+        self.suspects[message.suspect] = suspicion._replace(unreachable=unreachable)
+        self._declare(message.suspect)
+        return []
+
+    def tick(self, helpers: Collection[str] = ()) -> list[Send]:
+        """Suspect silent nodes and ask helpers to probe them.
+
+        :param helpers: addresses of other nodes, own zone first
+        """
+        now = self.clock.monotonic()
+        gap, self.last_tick = now - self.last_tick, now
+        if gap > self.limits.pause:
+            self._restart(now)
+            return []
+        silent = [n for n, t in self.nodes.items() if now - t.heard >= self.limits.suspect_after]
+        new = [node for node in silent if node not in self.suspects]
+        self._hold_if_too_many(len(new), now)
+        stale = [n for n, s in self.suspects.items() if now - s.since >= self.limits.probe_timeout]
+        return [send for node in new + stale for send in self._probe(node, helpers, now)]
+
+    def take_dead(self) -> list[str]:
+        """Return the nodes declared dead since the last call."""
+        dead, self.dead = self.dead, []
+        return dead
+
+    def _restart(self, now: timedelta) -> None:
+        """Give every node its full time again after a pause of this observer."""
+        self.suspects.clear()
+        self.nodes = {node: tracked._replace(heard=now) for node, tracked in self.nodes.items()}
+
+    def _hold_if_too_many(self, new: int, now: timedelta) -> None:
+        self.became_suspect.extend([now] * new)
+        while self.became_suspect and now - self.became_suspect[0] > self.limits.hold_window:
+            self.became_suspect.popleft()
+        recent = len(self.became_suspect)
+        if recent < self.limits.hold_min_suspects:
+            return
+        if recent > self.limits.hold_share * len(self.nodes):
+            self.held_until = now + self.limits.hold_window
+
+    def _probe(self, node: str, helpers: Collection[str], now: timedelta) -> list[Send]:
+        address = self.nodes[node].address
+        others = [helper for helper in helpers if helper not in (address, self.address)]
+        asked = others[: self.limits.helpers]
+        self.next_probe_id += 1
+        suspicion = Suspicion(self.next_probe_id, tuple(asked), now, frozenset())
+        self.suspects[node] = suspicion
+        probe = PeerProbe(suspicion.probe_id, node, address, self.address)
+        return [Send(helper, probe) for helper in asked]
+
+    def _declare(self, node: str) -> None:
+        suspicion = self.suspects[node]
+        enough = min(self.limits.confirmations, len(suspicion.asked))
+        if self.holding or len(suspicion.unreachable) < enough:
+            return
+        self.forget(node)
+        self.dead.append(node)
--- /dev/null
+++ b/almondshore/membership/directory.py
@@ -0,0 +1,137 @@
+"""Replica of the target records of the fleet."""
+
+from collections import defaultdict
+from collections.abc import Iterable, Mapping
+from datetime import timedelta
+
+from almondshore.core.clock import Clock
+from almondshore.core.messages import ALL_ZONES, TargetRecord, TargetState
+from almondshore.membership.record import declared_dead, is_newer, record_hash
+
+MAX_RECORDS = 65_536
+# Longer than a partition of an hour, so that a record from the other side cannot revive a target
+# whose death was seen here.
+TOMBSTONE_RETENTION = timedelta(hours=2)
+
+
+class Directory:
+    """Target records, merged by incarnation and state.
+
+    Dead records are kept as tombstones and left out of the digests. At ``max_records`` a record
+    of an unknown target is not taken and ``refused`` is raised.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        max_records: int = MAX_RECORDS,
+        tombstone_retention: timedelta = TOMBSTONE_RETENTION,
+    ):
+        self.clock = clock
+        self.max_records = max_records
+        self.tombstone_retention = tombstone_retention
+        self.records: dict[str, TargetRecord] = {}
+        self.dead_since: dict[str, timedelta] = {}
+        self.zones: defaultdict[str, set[str]] = defaultdict(set)
+        self.nodes: defaultdict[str, set[str]] = defaultdict(set)
+        self.services: defaultdict[str, defaultdict[str, set[str]]] = defaultdict(
+            lambda: defaultdict(set)
+        )
+        self.zone_digests: defaultdict[str, int] = defaultdict(int)
+        self.refused = 0
+
+    def merge(self, records: Iterable[TargetRecord]) -> list[TargetRecord]:
+        """Take the records that are newer than the known ones.
+
+        :returns: the records taken, to be passed on
+        """
+        return [record for record in records if self._take(record)]
+
+    def digests(self) -> dict[str, int]:
+        """Return the digest of each zone that has live records."""
+        return {zone: digest for zone, digest in self.zone_digests.items() if digest}
+
+    def digest(self) -> dict[str, int]:
+        """Return the digest of the whole directory, as a heartbeat carries it."""
+        total = 0
+        for digest in self.zone_digests.values():
+            total ^= digest
+        return {ALL_ZONES: total}
+
+    def differing(self, digests: Mapping[str, int]) -> list[str]:
+        """Return the zones whose digest differs from the given ones."""
+        own = self.digests()
+        return sorted(
+            zone for zone in own.keys() | digests.keys() if own.get(zone) != digests.get(zone)
+        )
+
+    def of_zone(self, zone: str) -> list[TargetRecord]:
+        """Return all records of a zone, tombstones included."""
+        return [self.records[target] for target in sorted(self.zones.get(zone, ()))]
+
+    def of_node(self, node: str) -> list[TargetRecord]:
+        """Return the records that a node owns."""
+        return [self.records[target] for target in sorted(self.nodes.get(node, ()))]
+
+    def lookup(self, service: str, version: str) -> list[TargetRecord]:
+        """Return the targets of a service's version that take new work."""
+        targets = self.services.get(service, {}).get(version, ())
+        records = (self.records[target] for target in sorted(targets))
+        return [record for record in records if record.state is TargetState.UP]
+
+    def versions(self, service: str) -> set[str]:
+        """Return the versions of a service with at least one target that takes new work."""
+        return {v for v in self.services.get(service, ()) if self.lookup(service, v)}
+
+    def declare_dead(self, node: str) -> list[TargetRecord]:
+        """Mark all records of a node dead.
+
+        :returns: the records changed
+        """
+        return self.merge([declared_dead(record) for record in self.of_node(node)])
+
+    def expire(self) -> None:
+        """Drop tombstones past their retention."""
+        limit = self.clock.monotonic() - self.tombstone_retention
+        for target in [t for t, since in self.dead_since.items() if since <= limit]:
+            self._remove(target)
+
+    def _take(self, record: TargetRecord) -> bool:
+        known = self.records.get(record.target)
+        if not is_newer(record, known):
+            return False
+        if known is None and len(self.records) >= self.max_records:
+            self.refused += 1
+            return False
+        if known is not None:
+            self._remove(record.target)
+        self._insert(record)
+        return True
+
+    def _insert(self, record: TargetRecord) -> None:
+        target = record.target
+        self.records[target] = record
+        self.zones[record.zone].add(target)
+        self.nodes[record.node].add(target)
+        if record.state is TargetState.DEAD:
+            self.dead_since[target] = self.clock.monotonic()
+        else:
+            self.services[record.service][record.version].add(target)
+            self.zone_digests[record.zone] ^= record_hash(record)
+
+    def _remove(self, target: str) -> None:
+        record = self.records.pop(target)
+        _discard(self.zones, record.zone, target)
+        _discard(self.nodes, record.node, target)
+        if self.dead_since.pop(target, None) is None:
+            _discard(self.services[record.service], record.version, target)
+            if not self.services[record.service]:
+                del self.services[record.service]
+            self.zone_digests[record.zone] ^= record_hash(record)
+
+
+def _discard(index: dict[str, set[str]], key: str, target: str) -> None:
+    index[key].discard(target)
+    if not index[key]:
+        del index[key]
--- /dev/null
+++ b/almondshore/membership/local.py
@@ -0,0 +1,144 @@
+"""The targets beside this node, whose records this node owns."""
+
+from datetime import timedelta
+from typing import NamedTuple
+
+from almondshore.core.clock import Clock
+from almondshore.core.messages import TargetRecord, TargetState
+
+ANNOUNCE_TIMEOUT = timedelta(seconds=6)
+MAX_TARGETS = 64
+
+
+class LocalTarget(NamedTuple):
+    """The record of a target and when it last announced itself."""
+
+    record: TargetRecord
+    seen: timedelta
+
+
+class LocalTargets:
+    """Targets that announce themselves to this node.
+
+    The first incarnation of a record is the time in milliseconds, so that a restarted node
+    continues above the records of its predecessor. At ``max_targets`` a new target is refused.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        node: str,
+        zone: str,
+        address: str,
+        control: str,
+        announce_timeout: timedelta = ANNOUNCE_TIMEOUT,
+        max_targets: int = MAX_TARGETS,
+    ):
+        self.clock = clock
+        self.node = node
+        self.zone = zone
+        self.address = address
+        self.control = control
+        self.announce_timeout = announce_timeout
+        self.max_targets = max_targets
+        self.targets: dict[str, LocalTarget] = {}
+
+    def announce(
+        self, *, target: str, service: str, version: str, slots: int, draining: bool = False
+    ) -> list[TargetRecord]:
+        """Take a target's announcement.
+
+        A target that is leaving stays so under the same version; it comes back only after it was
+        withdrawn.
+
+        :returns: the changed record, to be sent to the relay; empty if nothing changed or the
+            table of targets is full
+        """
+        state = TargetState.LEAVING if draining else TargetState.UP
+        known = self.targets.get(target)
+        if known is None and len(self.targets) >= self.max_targets:
+            return []
+        record = TargetRecord(
+            target=target,
+            node=self.node,
+            service=service,
+            version=version,
+            address=self.address,
+            zone=self.zone,
+            slots=slots,
+            incarnation=0,
+            state=state,
+            control=self.control,
+        )
+        left = known is not None and known.record.state is TargetState.LEAVING
+        if left and known.record.version == version:
+            record = record._replace(state=TargetState.LEAVING)
+        return self._store(record)
+
+    def drain(self, target: str) -> list[TargetRecord]:
+        """Mark a target as leaving; it gets no new work."""
+        known = self.targets.get(target)
+        if known is None:
+            return []
+        return self._store(known.record._replace(state=TargetState.LEAVING))
+
+    def drain_all(self) -> list[TargetRecord]:
+        """Mark every target as leaving, when the node itself shuts down."""
+        return [record for target in list(self.targets) for record in self.drain(target)]
+
+    def withdraw(self, target: str) -> list[TargetRecord]:
+        """Remove a target that has ended.
+
+        :returns: its record, declared dead
+        """
+        known = self.targets.pop(target, None)
+        if known is None:
+            return []
+        return [self._raised(known.record, TargetState.DEAD)]
+
+    def correct(self, record: TargetRecord) -> list[TargetRecord]:
+        """Answer a record about a target of this node that others hold.
+
+        :returns: this node's record with a higher incarnation if the other one contradicts it;
+            a record of a target that is not here is declared dead
+        """
+        if record.node != self.node:
+            return []
+        known = self.targets.get(record.target)
+        if known is None:
+            if record.state is TargetState.DEAD:
+                return []
+            return [self._raised(record, TargetState.DEAD)]
+        if record == known.record or record.incarnation < known.record.incarnation:
+            return []
+        raised = known.record._replace(incarnation=record.incarnation + 1)
+        self.targets[record.target] = known._replace(record=raised)
+        return [raised]
+
+    def tick(self) -> list[TargetRecord]:
+        """Withdraw the targets that stopped announcing themselves."""
+        limit = self.clock.monotonic() - self.announce_timeout
+        expired = [name for name, target in self.targets.items() if target.seen < limit]
+        return [record for name in expired for record in self.withdraw(name)]
+
+    def records(self) -> list[TargetRecord]:
+        """Return the records of all targets beside this node."""
+        return [target.record for target in self.targets.values()]
+
+    def _store(self, record: TargetRecord) -> list[TargetRecord]:
+        known = self.targets.get(record.target)
+        now = self.clock.monotonic()
+        if known is not None:
+            record = record._replace(incarnation=known.record.incarnation)
+            if record == known.record:
+                self.targets[record.target] = known._replace(seen=now)
+                return []
+        raised = self._raised(record, record.state)
+        self.targets[record.target] = LocalTarget(raised, now)
+        return [raised]
+
+    def _raised(self, record: TargetRecord, state: TargetState) -> TargetRecord:
+        milliseconds = int(self.clock.now().timestamp() * 1000)
+        incarnation = max(record.incarnation + 1, milliseconds)
+        return record._replace(incarnation=incarnation, state=state)
