--- /dev/null
+++ b/almondshore/relay/candidacy.py
@@ -0,0 +1,56 @@
+"""When an ordinary node tries to become a relay."""
+
+import math
+import random
+from datetime import timedelta
+
+from almondshore.core.clock import Clock
+
+# With these two figures one node in 170 tries within the first 2 s and the others hear of its
+# success; in a zone of four nodes the first try comes after about 7 s.
+WINDOW = timedelta(seconds=9)
+DOUBLING = timedelta(seconds=1)
+
+
+class Candidacy:
+    """Delays the attempt to take a relay slot, so that few nodes of a zone try at once.
+
+    The delay has an exponentially rising density (feedback suppression): the more nodes wait,
+    the earlier the first of them tries, and the number of tries before the others hear of it
+    hardly depends on how many they are.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        rng: random.Random,
+        window: timedelta = WINDOW,
+        doubling: timedelta = DOUBLING,
+    ):
+        self.clock = clock
+        self.rng = rng
+        self.window = window
+        self.doubling = doubling
+        self.due: timedelta | None = None
+
+    def should_try(self, connected: bool) -> bool:
+        """Return whether to try now; call it on each tick.
+
+        :param connected: whether a relay of the own zone answers this node
+        """
+        now = self.clock.monotonic()
+        if connected:
+            self.due = None
+            return False
+        if self.due is None:
+            self.due = now + self._delay()
+            return False
+        if now < self.due:
+            return False
+        self.due = now + self._delay()
+        return True
+
+    def _delay(self) -> timedelta:
+        doublings = self.window / self.doubling
+        return self.doubling * math.log2(1 + self.rng.random() * (2**doublings - 1))
--- /dev/null
+++ b/almondshore/relay/control.py
@@ -0,0 +1,236 @@
+"""The control side of one node: configuration, directory, relay selection and relay role."""
+
+import random
+from collections.abc import Callable, Sequence
+from typing import NamedTuple
+
+from almondshore.core.clock import Clock
+from almondshore.core.messages import (
+    ALL_ZONES,
+    Announce,
+    Busy,
+    Heartbeat,
+    Message,
+    RelayInvite,
+    Send,
+    TargetRecord,
+)
+from almondshore.membership.detector import DetectorLimits, FailureDetector
+from almondshore.membership.directory import Directory
+from almondshore.membership.local import LocalTargets
+from almondshore.membership.prober import Prober
+from almondshore.membership.sync import DirectorySync
+from almondshore.platform.port import Platform
+from almondshore.relay.candidacy import Candidacy
+from almondshore.relay.duty import NODES_PER_SLOT, RelayDuty
+from almondshore.relay.fanout import Relay, RelayLimits
+from almondshore.relay.selection import RelaySelection, SelectionLimits
+from almondshore.relay.source import ConfigSource
+from almondshore.relay.table import RelayTable
+from almondshore.versions.publish import Publisher
+from almondshore.versions.sync import ConfigSync
+
+NOT_A_RELAY_SECONDS = 10.0
+
+
+class Identity(NamedTuple):
+    """Who a node is.
+
+    :ivar incarnation: higher after each restart of the node
+    :ivar control: ``ip:port`` at which it takes control messages
+    :ivar address: ``ip:port`` of its hop 2 listener
+    """
+
+    node: str
+    incarnation: int
+    zone: str
+    control: str
+    address: str
+
+
+class ControlLimits(NamedTuple):
+    """Limits of the joined state machines."""
+
+    selection: SelectionLimits = SelectionLimits()
+    detector: DetectorLimits = DetectorLimits()
+    relay: RelayLimits = RelayLimits()
+    nodes_per_slot: int = NODES_PER_SLOT
+
+
+class ControlNode:
+    """Joins the state machines of one node.
+
+    ``handle`` and ``tick`` never wait. ``platform_step`` and ``watch_step`` make blocking platform
+    calls and are run apart from each other.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        rng: random.Random,
+        identity: Identity,
+        platform: Platform,
+        seeds: Sequence[str] = (),
+        moves_digest: Callable[[], int] = lambda: 0,
+        limits: ControlLimits | None = None,
+    ):
+        self.clock = clock
+        self.rng = rng
+        self.identity = identity
+        self.platform = platform
+        self.seeds = [seed for seed in seeds if seed != identity.control]
+        self.moves_digest = moves_digest
+        self.limits = limits or ControlLimits()
+        self.relay: Relay | None = None
+        self.source: ConfigSource | None = None
+        self._make_membership()
+        self._make_relay_client()
+
+    def handle(self, message: Message, sender: str) -> list[Send]:
+        """React to a message."""
+        if isinstance(message, RelayInvite):
+            self.duty.invite(message)
+            return []
+        if self.relay is not None:
+            sends = self.relay.handle(message, sender)
+        elif isinstance(message, Heartbeat):
+            return [Send(sender, Busy(NOT_A_RELAY_SECONDS, "Heartbeat"))]
+        else:
+            sends = []
+        for machine in self._machines(message):
+            sends += machine.handle(message, sender)
+        return sends
+
+    def tick(self) -> list[Send]:
+        """Do what is due."""
+        self._take_role()
+        sends = self.config.tick() + self.membership.tick() + self.prober.tick()
+        sends += self.selection.tick()
+        if self.relay is not None:
+            sends += self.relay.tick()
+        return sends
+
+    def platform_step(self) -> list[Send]:
+        """Take, renew and review relay leases; waits for the platform."""
+        return self.duty.step(in_zone=self.selection.in_zone)
+
+    def watch_step(self) -> None:
+        """Watch the head of the configuration if this node is a relay; waits for the platform."""
+        if self.source is not None:
+            self.source.poll()
+
+    def announce(self, records: list[TargetRecord]) -> list[Send]:
+        """Make changes of the own targets known."""
+        if not records:
+            return []
+        if self.relay is not None:
+            return self.relay.handle(Announce(records), self.identity.control)
+        self.directory.merge(records)
+        relay = self.selection.relay
+        return [Send(relay, Announce(records))] if relay else []
+
+    def heartbeat(self) -> Heartbeat:
+        """Return the heartbeat that tells what this node holds now."""
+        current = self.config.state.current
+        return Heartbeat(
+            node=self.identity.node,
+            incarnation=self.identity.incarnation,
+            config_version=current.version,
+            config_digest=current.digest,
+            directory_digests={ALL_ZONES: self.directory.digest()[ALL_ZONES]},
+            moves_digest=self.moves_digest(),
+            ready=self.config.ready,
+            relays_digest=self.table.digest(self.identity.zone),
+        )
+
+    def peers(self) -> list[str]:
+        """Return addresses of peers to learn the configuration from."""
+        known = dict.fromkeys([*self.seeds, *self.table.addresses(self.identity.zone)])
+        return [peer for peer in known if peer != self.identity.control]
+
+    def nodes_in_zone(self) -> int:
+        """Return the number of nodes of the own zone that the directory knows."""
+        return len({record.node for record in self.directory.of_zone(self.identity.zone)})
+
+    def candidates(self) -> list[str]:
+        """Return addresses of nodes of the own zone that could become relays."""
+        records = self.directory.of_zone(self.identity.zone)
+        own = {record.control for record in records if record.control}
+        if self.relay is not None:
+            own = {subscriber.address for subscriber in self.relay.subscribers}
+        return sorted(own - {self.identity.control}) or self.seeds
+
+    def _machines(self, message: Message):
+        """Return the machines of an ordinary node that a message concerns."""
+        own = (self.config, self.membership, self.prober, self.selection)
+        if self.relay is None:
+            return own
+        answered = {"Heartbeat", "ConfigRequest", "RelayQuery", "RelaySync"}
+        return () if type(message).__name__ in answered else own
+
+    def _take_role(self) -> None:
+        """Start or stop acting as a relay, as the lease says."""
+        if self.duty.is_relay and self.relay is None:
+            self._start_relay()
+        elif not self.duty.is_relay and self.relay is not None:
+            self.relay = self.source = None
+
+    def _make_membership(self) -> None:
+        clock, who = self.clock, self.identity
+        self.config = ConfigSync(clock=clock, rng=self.rng, peers=self.peers)
+        self.directory = Directory(clock=clock)
+        self.local = LocalTargets(
+            clock=clock, node=who.node, zone=who.zone, address=who.address, control=who.control
+        )
+        self.membership = DirectorySync(
+            clock=clock, directory=self.directory, local=self.local, announce=self.announce
+        )
+        self.prober = Prober(clock=clock, node=who.node, incarnation=who.incarnation)
+
+    def _make_relay_client(self) -> None:
+        clock, rng, who = self.clock, self.rng, self.identity
+        self.table = RelayTable()
+        self.selection = RelaySelection(
+            clock=clock,
+            rng=rng,
+            node=who.node,
+            zone=who.zone,
+            address=who.control,
+            table=self.table,
+            heartbeat=self.heartbeat,
+            seeds=self.seeds,
+            limits=self.limits.selection,
+        )
+        self.duty = RelayDuty(
+            clock=clock,
+            rng=rng,
+            platform=self.platform,
+            address=who.control,
+            zone=who.zone,
+            table=self.table,
+            candidacy=Candidacy(clock=clock, rng=rng),
+            nodes_in_zone=self.nodes_in_zone,
+            candidates=self.candidates,
+            nodes_per_slot=self.limits.nodes_per_slot,
+        )
+
+    def _start_relay(self) -> None:
+        clock, rng, who = self.clock, self.rng, self.identity
+        detector = FailureDetector(
+            clock=clock, rng=rng, address=who.control, limits=self.limits.detector
+        )
+        self.relay = Relay(
+            clock=clock,
+            rng=rng,
+            address=who.control,
+            zone=who.zone,
+            sync=self.config,
+            directory=self.directory,
+            detector=detector,
+            table=self.table,
+            moves_digest=self.moves_digest,
+            limits=self.limits.relay,
+        )
+        publisher = Publisher(platform=self.platform)
+        self.source = ConfigSource(clock=clock, rng=rng, publisher=publisher, sync=self.config)
--- /dev/null
+++ b/almondshore/relay/fanout.py
@@ -0,0 +1,264 @@
+"""The relay: passes configuration and directory changes to its subscribers and other relays."""
+
+import random
+from collections.abc import Callable
+from datetime import timedelta
+from typing import NamedTuple
+
+from almondshore.core.clock import Clock
+from almondshore.core.messages import (
+    ALL_ZONES,
+    Announce,
+    Busy,
+    ConfigRequest,
+    DirectoryDelta,
+    DirectoryRequest,
+    DirectorySnapshot,
+    Heartbeat,
+    HeartbeatAck,
+    Message,
+    RelayList,
+    RelayQuery,
+    RelaySync,
+    Send,
+    TargetRecord,
+    TargetState,
+)
+from almondshore.core.rendezvous import choose
+from almondshore.membership.detector import FailureDetector
+from almondshore.membership.directory import Directory
+from almondshore.relay.admission import SnapshotAdmission
+from almondshore.relay.subscribers import Subscriber, Subscribers
+from almondshore.relay.table import RelayTable
+from almondshore.versions.sync import ConfigSync
+
+
+class RelayLimits(NamedTuple):
+    """Limits of a relay.
+
+    :ivar push_fanout: random relays that a new configuration version is passed to
+    :ivar adopt_interval: how often the relay looks for nodes of its share that no longer
+        heartbeat to any relay
+    :ivar max_changes: directory changes that wait to be passed on; beyond it all are dropped
+        and the digests in the heartbeats repair the rest
+    :ivar records_per_message: bound of one directory delta
+    """
+
+    anti_entropy_interval: timedelta = timedelta(seconds=10)
+    push_fanout: int = 3
+    adopt_interval: timedelta = timedelta(seconds=30)
+    max_changes: int = 16_384
+    records_per_message: int = 512
+
+
+class Relay:
+    """Serves the nodes that heartbeat to it and keeps in step with the other relays."""
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        rng: random.Random,
+        address: str,
+        zone: str,
+        sync: ConfigSync,
+        directory: Directory,
+        detector: FailureDetector,
+        table: RelayTable,
+        subscribers: Subscribers | None = None,
+        admission: SnapshotAdmission | None = None,
+        moves_digest: Callable[[], int] = lambda: 0,
+        limits: RelayLimits | None = None,
+    ):
+        self.clock = clock
+        self.rng = rng
+        self.address = address
+        self.zone = zone
+        self.sync = sync
+        self.directory = directory
+        self.detector = detector
+        self.table = table
+        self.subscribers = subscribers or Subscribers(clock=clock)
+        self.admission = admission or sync.admission
+        self.moves_digest = moves_digest
+        self.limits = limits or RelayLimits()
+        self.pushed_version = 0
+        self.changes: list[TargetRecord] = []
+        self.own_changes: list[TargetRecord] = []
+        self.dropped_changes = 0
+        interval = self.limits.anti_entropy_interval
+        self.next_anti_entropy = clock.monotonic() + interval * rng.random()
+        self.next_adoption = clock.monotonic() + self.limits.adopt_interval
+
+    def handle(self, message: Message, sender: str) -> list[Send]:
+        """React to a message from a node or another relay."""
+        match message:
+            case Heartbeat():
+                return self._heartbeat(message, sender)
+            case Announce(records):
+                self._changed(self.directory.merge(records), own=True)
+            case DirectoryDelta(records) | DirectorySnapshot(records):
+                self._changed(self.directory.merge(records), own=False)
+            case DirectoryRequest():
+                return self._directory_request(message, sender)
+            case ConfigRequest():
+                return [Send(sender, self.sync.answer(message))]
+            case RelaySync():
+                return self._relay_sync(message, sender)
+            case RelayQuery(zone):
+                return [Send(sender, RelayList(self.table.of_zone(zone)))]
+            case RelayList(relays):
+                self.table.merge(relays)
+        return self.detector.handle(message, sender)
+
+    def tick(self) -> list[Send]:
+        """Pass on what changed and watch over the subscribers."""
+        self.subscribers.expire()
+        sends = self.detector.tick(self._helpers())
+        for node in self.detector.take_dead():
+            self._changed(self.directory.declare_dead(node), own=True)
+        sends += self._flush_changes()
+        sends += self._push_config()
+        now = self.clock.monotonic()
+        if now >= self.next_anti_entropy:
+            self.next_anti_entropy = now + self.limits.anti_entropy_interval
+            sends += self._anti_entropy()
+        if now >= self.next_adoption:
+            self.next_adoption = now + self.limits.adopt_interval
+            self._adopt()
+        return sends
+
+    def broadcast(self, message: Message) -> list[Send]:
+        """Address a message to all subscribers and all other relays."""
+        return self.to_subscribers(message) + self.to_relays(message)
+
+    def to_subscribers(self, message: Message) -> list[Send]:
+        """Address a message to all subscribers."""
+        return [Send(subscriber.address, message) for subscriber in self.subscribers]
+
+    def to_relays(self, message: Message) -> list[Send]:
+        """Address a message to all other relays."""
+        return [Send(relay, message) for relay in self._other_relays()]
+
+    def _heartbeat(self, heartbeat: Heartbeat, sender: str) -> list[Send]:
+        subscriber = self.subscribers.heard(sender, heartbeat)
+        if subscriber is None:
+            return [Send(sender, Busy(self.rng.uniform(1, 5), "Heartbeat"))]
+        self.detector.heard(heartbeat.node, sender, heartbeat.incarnation)
+        sends = self.sync.handle(heartbeat, sender)
+        current = self.sync.state.current
+        known = heartbeat.relays_digest == self.table.digest(self.zone)
+        ack = HeartbeatAck(
+            relays=[] if known else self.table.of_zone(self.zone),
+            config_version=current.version,
+            config_digest=current.digest,
+            directory_digests=self.directory.digest(),
+            moves_digest=self.moves_digest(),
+            ready=self.sync.ready,
+            confirmed=self.sync.confirmed,
+        )
+        return [*sends, Send(sender, ack), *self._catch_up(subscriber)]
+
+    def _catch_up(self, subscriber: Subscriber) -> list[Send]:
+        """Send a subscriber the changes since its version, or a snapshot beyond the backlog."""
+        current = self.sync.state.current
+        if not self.sync.ready or not self.subscribers.due(subscriber, current.version):
+            return []
+        message = self.sync.answer(ConfigRequest(subscriber.version, subscriber.digest))
+        if isinstance(message, Busy):
+            return []
+        self.subscribers.sent(subscriber.address, current.version)
+        return [Send(subscriber.address, message)]
+
+    def _push_config(self) -> list[Send]:
+        current = self.sync.state.current
+        if current.version == self.pushed_version or not self.sync.ready:
+            return []
+        self.pushed_version = current.version
+        sends = [send for s in self.subscribers for send in self._catch_up(s)]
+        if self.sync.history.steps:
+            delta = self.sync.history.steps[-1].delta
+            relays = self._other_relays()
+            chosen = self.rng.sample(relays, min(self.limits.push_fanout, len(relays)))
+            sends += [Send(relay, delta) for relay in chosen]
+        return sends
+
+    def _directory_request(self, request: DirectoryRequest, sender: str) -> list[Send]:
+        zones = self.directory.differing(request.digests)
+        if not zones:
+            return []
+        retry_after = self.admission.admit()
+        if retry_after is not None:
+            return [Send(sender, Busy(retry_after.total_seconds(), "DirectoryRequest"))]
+        return [Send(sender, DirectorySnapshot(self.directory.of_zone(zone))) for zone in zones]
+
+    def _changed(self, records: list[TargetRecord], *, own: bool) -> None:
+        self.changes += records
+        if own:
+            self.own_changes += records
+        if len(self.changes) > self.limits.max_changes:
+            self.dropped_changes += len(self.changes)
+            self.changes, self.own_changes = [], []
+
+    def _flush_changes(self) -> list[Send]:
+        """Send the directory changes since the last tick."""
+        changes, own = self.changes, self.own_changes
+        self.changes, self.own_changes = [], []
+        size = self.limits.records_per_message
+        sends = []
+        for start in range(0, len(changes), size):
+            sends += self.to_subscribers(DirectoryDelta(changes[start : start + size]))
+        for start in range(0, len(own), size):
+            sends += self.to_relays(DirectoryDelta(own[start : start + size]))
+        return sends
+
+    def _anti_entropy(self) -> list[Send]:
+        relays = self._other_relays()
+        if not relays:
+            return []
+        return [Send(self.rng.choice(relays), self._summary(wants_answer=True))]
+
+    def _summary(self, *, wants_answer: bool) -> RelaySync:
+        current = self.sync.state.current
+        return RelaySync(
+            config_version=current.version,
+            config_digest=current.digest,
+            directory_digest=self.directory.digest()[ALL_ZONES],
+            moves_digest=self.moves_digest(),
+            relays_digest=self.table.digest_all(),
+            ready=self.sync.ready,
+            wants_answer=wants_answer,
+        )
+
+    def _relay_sync(self, message: RelaySync, sender: str) -> list[Send]:
+        sends = self.sync.handle(message, sender)
+        if message.directory_digest != self.directory.digest()[ALL_ZONES]:
+            sends.append(Send(sender, DirectoryRequest(self.directory.digests())))
+        if message.relays_digest != self.table.digest_all():
+            sends.append(Send(sender, RelayList(self.table.all())))
+        if message.wants_answer:
+            sends.append(Send(sender, self._summary(wants_answer=False)))
+        return sends
+
+    def _adopt(self) -> None:
+        """Expect heartbeats of the nodes that are this relay's share of the zone.
+
+        Covers nodes that failed together with the relay they used: no other relay heard them.
+        """
+        relays = self.table.addresses(self.zone)
+        for record in self.directory.of_zone(self.zone):
+            if record.state is TargetState.DEAD or not record.control:
+                continue
+            if record.control != self.address and choose(record.node, relays) == self.address:
+                self.detector.expect(record.node, record.control)
+
+    def _helpers(self) -> list[str]:
+        """Return addresses of nodes that can probe a suspect, own subscribers first."""
+        own = [s.address for s in self.subscribers if s.node not in self.detector.suspects]
+        others = self._other_relays()
+        self.rng.shuffle(own)
+        self.rng.shuffle(others)
+        return own + others
+
+    def _other_relays(self) -> list[str]:
+        return [relay for relay in self.table.addresses() if relay != self.address]
--- /dev/null
+++ b/almondshore/relay/lease.py
@@ -0,0 +1,172 @@
+"""Leases in the platform, with an epoch that grows with each new holder."""
+
+from datetime import datetime, timedelta
+from typing import NamedTuple
+
+import msgspec
+from returns.pipeline import is_successful
+from returns.result import Result
+
+from almondshore.core.clock import Clock
+from almondshore.platform.port import (
+    Conflict,
+    NotFound,
+    Platform,
+    PlatformError,
+    StoredObject,
+    Unavailable,
+)
+
+RELAY_LEASE_PREFIX = "lease/relay/"
+TTL = timedelta(seconds=15)
+# Tolerated difference between the clocks of two hosts.
+CLOCK_SKEW = timedelta(seconds=2)
+
+
+class LeaseRecord(NamedTuple):
+    """Content of a lease's object."""
+
+    holder: str
+    epoch: int
+    expires: datetime
+
+
+class Held(NamedTuple):
+    """This process holds the lease."""
+
+    epoch: int
+
+
+class HeldElsewhere(NamedTuple):
+    """Another process holds the lease, or takes it at this moment."""
+
+    record: LeaseRecord | None
+
+
+class Unknown(NamedTuple):
+    """The platform gave no answer; an earlier hold is valid until it expires."""
+
+    error: PlatformError
+
+
+LeaseAnswer = Held | HeldElsewhere | Unknown
+
+
+class Lease:
+    """One lease that this process wants to hold.
+
+    A holder that was paused past the lease is harmless: its next write conflicts, and receivers
+    refuse what carries its lower epoch. A lease counts as expired once its time has passed by
+    the wall clock, or its object has not changed for a whole ``ttl`` by the own monotonic clock.
+    """
+
+    def __init__(
+        self,
+        *,
+        platform: Platform,
+        key: str,
+        holder: str,
+        clock: Clock,
+        ttl: timedelta = TTL,
+        clock_skew: timedelta = CLOCK_SKEW,
+    ):
+        self.platform = platform
+        self.key = key
+        self.holder = holder
+        self.clock = clock
+        self.ttl = ttl
+        self.clock_skew = clock_skew
+        self.epoch = 0
+        self.revision = 0
+        self.writes = 0
+        self.valid_until = timedelta()
+        self.pending_write: str | None = None
+        self.pending_sent = timedelta()
+        self.observed_revision = 0
+        self.observed_at = timedelta()
+
+    @property
+    def held(self) -> bool:
+        """Whether this process holds the lease by its own clock."""
+        return self.epoch > 0 and self.clock.monotonic() < self.valid_until
+
+    def acquire_or_renew(self) -> LeaseAnswer:
+        """Renew the lease if it is held, else take it if it is free or expired.
+
+        Takes one platform call for a renewal and two for an acquisition.
+        """
+        if self.epoch and self.pending_write is None:
+            return self._write(self.epoch, self.revision)
+        result = self.platform.get(self.key)
+        if is_successful(result):
+            return self._decide(result.unwrap())
+        if isinstance(result.failure(), NotFound):
+            return self._write(1, 0)
+        return Unknown(result.failure())
+
+    def release(self) -> None:
+        """End the hold, so that another process can take the lease at once."""
+        if self.epoch:
+            self._put(self.epoch, self.revision, timedelta())
+        self._forget()
+
+    def _decide(self, stored: StoredObject) -> LeaseAnswer:
+        record = decode_lease(stored)
+        if self.pending_write is not None and stored.write_id == self.pending_write:
+            return self._confirm(record.epoch, stored.revision)
+        if self.epoch and (record.holder, record.epoch) == (self.holder, self.epoch):
+            return self._write(self.epoch, stored.revision)
+        self._forget()
+        if self._expired(stored, record):
+            return self._write(record.epoch + 1, stored.revision)
+        return HeldElsewhere(record)
+
+    def _confirm(self, epoch: int, revision: int) -> Held:
+        """Take note of a write that took effect; the hold counts from before it was sent."""
+        self.epoch, self.revision, self.pending_write = epoch, revision, None
+        self.valid_until = self.pending_sent + self.ttl
+        return Held(epoch)
+
+    def _expired(self, stored: StoredObject, record: LeaseRecord) -> bool:
+        now = self.clock.monotonic()
+        if stored.revision != self.observed_revision:
+            self.observed_revision, self.observed_at = stored.revision, now
+        if now - self.observed_at >= self.ttl:
+            return True
+        return record.holder == self.holder or self.clock.now() > record.expires + self.clock_skew
+
+    def _write(self, epoch: int, revision: int) -> LeaseAnswer:
+        result = self._put(epoch, revision, self.ttl)
+        if is_successful(result):
+            return self._confirm(epoch, result.unwrap().revision)
+        error = result.failure()
+        if not isinstance(error, Unavailable):
+            self.pending_write = None
+        if isinstance(error, Conflict):
+            self._forget()
+            return HeldElsewhere(decode_lease(error.current) if error.current else None)
+        return Unknown(error)
+
+    def _put(
+        self, epoch: int, revision: int, ttl: timedelta
+    ) -> Result[StoredObject, PlatformError]:
+        self.writes += 1
+        self.pending_sent = self.clock.monotonic()
+        self.pending_write = f"{self.holder}/{epoch}/{self.writes}"
+        record = LeaseRecord(self.holder, epoch, self.clock.now() + ttl)
+        value = msgspec.msgpack.encode(record)
+        return self.platform.update(self.key, value, revision, self.pending_write)
+
+    def _forget(self) -> None:
+        self.epoch, self.revision, self.pending_write = 0, 0, None
+        self.valid_until = timedelta()
+
+
+def decode_lease(stored: StoredObject) -> LeaseRecord:
+    """Decode a lease's object."""
+    return msgspec.msgpack.decode(stored.value, type=LeaseRecord)
+
+
+def relay_lease_key(zone: str, slot: int) -> str:
+    """Return the key of the lease of a zone's relay slot."""
+    return f"{RELAY_LEASE_PREFIX}{zone}/{slot}"
--- /dev/null
+++ b/almondshore/relay/source.py
@@ -0,0 +1,106 @@
+"""Reading of configuration versions from the platform."""
+
+import random
+from datetime import timedelta
+
+import msgspec
+from returns.pipeline import is_successful
+
+from almondshore.core.backoff import full_jitter
+from almondshore.core.clock import Clock
+from almondshore.core.messages import ConfigDelta, ConfigSnapshot
+from almondshore.platform.port import BudgetExceeded, PlatformError, RateLimited, StoredObject
+from almondshore.versions.config import EMPTY
+from almondshore.versions.publish import HEAD_KEY, Head, Publisher
+from almondshore.versions.sync import ConfigSync
+
+WATCH_TIMEOUT = timedelta(seconds=30)
+# Shortest time between two watches; bounds the calls when versions follow each other closely.
+WATCH_INTERVAL = timedelta(seconds=1)
+
+
+class ConfigSource:
+    """Watches ``config/head`` and offers new versions to a ``ConfigSync``.
+
+    :ivar delay: time to wait before the next ``poll``
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        rng: random.Random,
+        publisher: Publisher,
+        sync: ConfigSync,
+        watch_timeout: timedelta = WATCH_TIMEOUT,
+        watch_interval: timedelta = WATCH_INTERVAL,
+    ):
+        self.clock = clock
+        self.rng = rng
+        self.publisher = publisher
+        self.sync = sync
+        self.watch_timeout = watch_timeout
+        self.watch_interval = watch_interval
+        self.position = 0
+        self.failures = 0
+        self.delay = timedelta()
+        self.head: Head | None = None
+        self.pending: Head | None = None
+
+    def poll(self) -> None:
+        """Watch once and take what is new; may wait for ``watch_timeout``.
+
+        Takes one platform call, and two more if a new version does not build on the held one.
+        """
+        if self.pending is not None and not self._take(self.pending):
+            return
+        result = self.publisher.platform.watch(HEAD_KEY, self.position, self.watch_timeout)
+        if not is_successful(result):
+            self._failed(result.failure())
+            return
+        watched = result.unwrap()
+        self.position = watched.position
+        self.failures = 0
+        self.delay = self.watch_interval
+        heads = [stored for stored in watched.objects if stored.key == HEAD_KEY]
+        if heads:
+            self._take(_decode_head(heads[-1]))
+        elif self.head is None:
+            self.sync.platform_shows(0, EMPTY.digest)
+        else:
+            self.sync.platform_shows(self.head.version, self.head.digest)
+
+    def _take(self, head: Head) -> bool:
+        """Offer a version; keep it pending if its parts cannot be read now."""
+        self.pending = None
+        self.head = head
+        self.sync.platform_shows(head.version, head.digest)
+        current = self.sync.state.current
+        if head.version <= current.version:
+            return True
+        if head.changes is not None and head.base_digest == current.digest:
+            self.sync.offer(_delta(head))
+            return True
+        parts = self.publisher.parts(head.version)
+        if not is_successful(parts):
+            self.pending = head
+            self._failed(parts.failure())
+            return False
+        self.sync.offer(ConfigSnapshot(head.version, head.digest, parts.unwrap()))
+        return True
+
+    def _failed(self, error: PlatformError) -> None:
+        """Read the head anew after a failure, so that nothing between is missed."""
+        self.position = 0
+        self.delay = full_jitter(self.rng, self.failures)
+        self.failures += 1
+        if isinstance(error, RateLimited | BudgetExceeded):
+            self.delay += error.retry_after
+
+
+def _decode_head(stored: StoredObject) -> Head:
+    return msgspec.msgpack.decode(stored.value, type=Head)
+
+
+def _delta(head: Head) -> ConfigDelta:
+    return ConfigDelta(head.version, head.digest, head.base_version, head.base_digest, head.changes)
--- /dev/null
+++ b/almondshore/relay/subscribers.py
@@ -0,0 +1,95 @@
+"""Nodes that heartbeat to a relay, and what each of them holds."""
+
+from collections.abc import Iterator
+from datetime import timedelta
+from typing import NamedTuple
+
+from almondshore.core.clock import Clock
+from almondshore.core.messages import Heartbeat
+
+# Twice the share of a relay, so that the survivors can serve a zone that lost half its relays.
+MAX_SUBSCRIBERS = 512
+SUBSCRIBER_TIMEOUT = timedelta(seconds=10)
+RESEND_BASE = timedelta(seconds=2)
+RESEND_CAP = timedelta(seconds=60)
+
+
+class Subscriber(NamedTuple):
+    """A node that heartbeats to this relay.
+
+    :ivar version: configuration version it said it holds
+    :ivar sent: configuration version last sent to it
+    :ivar resend_at: time from which the same version may be sent again
+    """
+
+    address: str
+    node: str
+    version: int
+    digest: bytes
+    ready: bool
+    heard: timedelta
+    sent: int = 0
+    tries: int = 0
+    resend_at: timedelta = timedelta()
+
+
+class Subscribers:
+    """Bounded table of subscribers; at ``max_subscribers`` a new one is refused."""
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        max_subscribers: int = MAX_SUBSCRIBERS,
+        timeout: timedelta = SUBSCRIBER_TIMEOUT,
+    ):
+        self.clock = clock
+        self.max_subscribers = max_subscribers
+        self.timeout = timeout
+        self.items: dict[str, Subscriber] = {}
+
+    def __len__(self) -> int:
+        return len(self.items)
+
+    def __iter__(self) -> Iterator[Subscriber]:
+        return iter(list(self.items.values()))
+
+    def heard(self, address: str, heartbeat: Heartbeat) -> Subscriber | None:
+        """Note a heartbeat.
+
+        :returns: the subscriber, or None if the table is full
+        """
+        known = self.items.get(address)
+        if known is None and len(self.items) >= self.max_subscribers:
+            return None
+        base = known or Subscriber(address, heartbeat.node, 0, b"", False, timedelta())
+        subscriber = base._replace(
+            node=heartbeat.node,
+            version=heartbeat.config_version,
+            digest=heartbeat.config_digest,
+            ready=heartbeat.ready,
+            heard=self.clock.monotonic(),
+        )
+        self.items[address] = subscriber
+        return subscriber
+
+    def due(self, subscriber: Subscriber, version: int) -> bool:
+        """Return whether a subscriber is behind and may be sent a version now."""
+        if subscriber.version >= version:
+            return False
+        return subscriber.sent < version or self.clock.monotonic() >= subscriber.resend_at
+
+    def sent(self, address: str, version: int) -> None:
+        """Note that a version was sent; the same one is repeated with growing delays."""
+        subscriber = self.items[address]
+        tries = subscriber.tries + 1 if subscriber.sent == version else 0
+        delay = min(RESEND_CAP, RESEND_BASE * 2 ** min(tries, 8))
+        self.items[address] = subscriber._replace(
+            sent=version, tries=tries, resend_at=self.clock.monotonic() + delay
+        )
+
+    def expire(self) -> None:
+        """Drop the subscribers that stopped their heartbeats."""
+        limit = self.clock.monotonic() - self.timeout
+        for address in [a for a, s in self.items.items() if s.heard < limit]:
+            del self.items[address]
