Encode names before hashing in rendezvous

Cause: xxhash 4 hashes bytes only; rank and choose raised TypeError for any key, so no owner or relay could be selected. Change: encode the joined key and member name.

--- a/almondshore/core/rendezvous.py
+++ b/almondshore/core/rendezvous.py
@@ -17,7 +17,7 @@
     """
     return sorted(
         members,
-        key=lambda member: (xxhash.xxh3_64_intdigest(f"{key}\0{member}"), member),
+        key=lambda member: (xxhash.xxh3_64_intdigest(f"{key}\0{member}".encode()), member),
         reverse=True,
     )
 
@@ -26,6 +26,6 @@
     """Return the most preferred member for a key, or None if there are no members."""
     return max(
         members,
-        key=lambda member: (xxhash.xxh3_64_intdigest(f"{key}\0{member}"), member),
+        key=lambda member: (xxhash.xxh3_64_intdigest(f"{key}\0{member}".encode()), member),
         default=None,
     )
