Add the decision logic of the request path

Cause: the proxy hops need routes, targets, slots, limits and retry decisions. Conclusion: the hops can be written against these interfaces.

--- /dev/null
+++ b/almondshore/limits/tenants.py
@@ -0,0 +1,147 @@
+"""Request limits by tenant, with a bounded table of identities."""
+
+import heapq
+from collections.abc import Iterable
+from datetime import timedelta
+from enum import StrEnum
+from typing import NamedTuple
+
+import xxhash
+
+from almondshore.core.clock import Clock
+from almondshore.rules.model import TenantPart
+
+CAPACITY = 10_000
+DEFAULT_RATE = 100.0
+DEFAULT_BURST = 200
+# Names come from callers; longer ones are kept as a hash, so that an entry has a bounded size.
+MAX_NAME_CHARS = 64
+MAX_EVICTION_STEPS = 32
+
+
+class LimitReason(StrEnum):
+    """Why a tenant's request was refused."""
+
+    TENANT_LIMITED = "tenant-limited"
+    TABLE_FULL = "tenant-table-full"
+
+
+class Allowed(NamedTuple):
+    """The request is within its tenant's limit."""
+
+
+class Limited(NamedTuple):
+    """The request is over its tenant's limit, or its tenant cannot be tracked."""
+
+    retry_after: timedelta
+    reason: LimitReason
+
+
+class _Bucket:
+    """A token bucket; times in seconds."""
+
+    __slots__ = ("rate", "burst", "tokens", "updated")
+
+    def __init__(self, rate: float, burst: float, now_s: float):
+        self.rate = rate
+        self.burst = burst
+        self.tokens = burst
+        self.updated = now_s
+
+    def take(self, now_s: float) -> float:
+        """Take a token; return 0, or the seconds until one is there."""
+        self.tokens = min(self.burst, self.tokens + (now_s - self.updated) * self.rate)
+        self.updated = now_s
+        if self.tokens >= 1.0:
+            self.tokens -= 1.0
+            return 0.0
+        return (1.0 - self.tokens) / self.rate
+
+    def full_at(self) -> float:
+        """Return the time at which the bucket is at capacity again if it is left alone."""
+        return self.updated + (self.burst - self.tokens) / self.rate
+
+
+class TenantLimits:
+    """Token buckets by tenant.
+
+    Configured tenants have buckets of their own, as many as the configuration names. Identities
+    that callers make up share a bounded table. A bucket at capacity equals a new one, so evicting
+    it loses nothing; when no bucket is at capacity, only new identities are refused.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        capacity: int = CAPACITY,
+        default_rate: float = DEFAULT_RATE,
+        default_burst: int = DEFAULT_BURST,
+    ):
+        """Create an empty table.
+
+        :param capacity: identities outside the configuration that are tracked
+        :param default_rate: requests a second for each of them
+        :param default_burst: requests that may come at once from each of them
+        """
+        self.clock = clock
+        self.capacity = capacity
+        self.default_rate = default_rate
+        self.default_burst = default_burst
+        self.configured: dict[str, _Bucket] = {}
+        self.others: dict[str, _Bucket] = {}
+        # One entry for each key of ``others``: a lower bound of the time it is at capacity.
+        self.by_full_at: list[tuple[float, str]] = []
+
+    def configure(self, parts: Iterable[TenantPart]) -> None:
+        """Set the configured tenants; a tenant whose limit is unchanged keeps its bucket."""
+        now_s = self.clock.monotonic().total_seconds()
+        configured = {}
+        for part in parts:
+            bucket = self.configured.get(part["name"])
+            if bucket is None or (bucket.rate, bucket.burst) != (part["rate"], part["burst"]):
+                bucket = _Bucket(part["rate"], float(part["burst"]), now_s)
+            configured[part["name"]] = bucket
+        self.configured = configured
+
+    def take(self, tenant: str) -> Allowed | Limited:
+        """Count a request of a tenant.
+
+        :param tenant: name as the caller gives it; the empty name is a tenant like others
+        """
+        now_s = self.clock.monotonic().total_seconds()
+        bucket = self.configured.get(tenant) or self._other(tenant, now_s)
+        if bucket is None:
+            wait_s = max(1.0, self.by_full_at[0][0] - now_s) if self.by_full_at else 1.0
+            return Limited(timedelta(seconds=wait_s), LimitReason.TABLE_FULL)
+        wait_s = bucket.take(now_s)
+        if wait_s:
+            return Limited(timedelta(seconds=wait_s), LimitReason.TENANT_LIMITED)
+        return Allowed()
+
+    def _other(self, tenant: str, now_s: float) -> _Bucket | None:
+        key = tenant
+        if len(tenant) > MAX_NAME_CHARS:
+            key = f"#{xxhash.xxh3_128_hexdigest(tenant.encode(errors='replace'))}"
+        bucket = self.others.get(key)
+        if bucket is not None:
+            return bucket
+        if len(self.others) >= self.capacity and not self._evict(now_s):
+            return None
+        bucket = self.others[key] = _Bucket(self.default_rate, float(self.default_burst), now_s)
+        heapq.heappush(self.by_full_at, (now_s, key))
+        return bucket
+
+    def _evict(self, now_s: float) -> bool:
+        """Evict one bucket at capacity; the number of steps is bounded."""
+        for _ in range(MAX_EVICTION_STEPS):
+            bound, key = self.by_full_at[0]
+            if bound > now_s:
+                return False
+            full_at = self.others[key].full_at()
+            if full_at <= now_s:
+                heapq.heappop(self.by_full_at)
+                del self.others[key]
+                return True
+            heapq.heapreplace(self.by_full_at, (full_at, key))
+        return False
--- /dev/null
+++ b/almondshore/routing/choice.py
@@ -0,0 +1,234 @@
+"""Choice of the target that runs a request."""
+
+import random
+from collections.abc import Callable, Collection, Iterable, Mapping
+from datetime import timedelta
+
+from almondshore.core.clock import Clock
+from almondshore.core.messages import TargetRecord, TargetState
+from almondshore.routing.load import ResultKind, TargetLoad, TargetResult, Tier
+from almondshore.routing.outlier import OutlierEjector
+
+SPILLOVER_UTILISATION = 0.8
+RAMP = timedelta(seconds=10)
+RAMP_START = 0.1
+SAMPLE_ATTEMPTS = 4
+
+__all__ = ["ResultKind", "TargetChooser", "TargetResult"]
+
+
+class TargetChooser:
+    """Chooses targets by power of two random choices, nearest availability zone first.
+
+    The version is picked first, by weight; the target then within the version, so that the share
+    of a move does not depend on the number or the load of its targets.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        rng: random.Random,
+        zone: str,
+        ejector: OutlierEjector,
+        distance: Callable[[str], int] | None = None,
+        spillover: float = SPILLOVER_UTILISATION,
+        ramp: timedelta = RAMP,
+    ):
+        """Create a chooser without targets.
+
+        :param zone: own availability zone
+        :param distance: maps a zone to its distance, 0 for the own one; by default all others
+            are equally far
+        """
+        self.clock = clock
+        self.rng = rng
+        self.zone = zone
+        self.ejector = ejector
+        self.distance = distance or (lambda other: int(other != zone))
+        self.spillover = spillover
+        self.ramp_s = ramp.total_seconds()
+        self.loads: dict[str, TargetLoad] = {}
+        self.services: dict[str, dict[str, list[Tier]]] = {}
+        self.members: dict[str, set[str]] = {}
+
+    def update(self, service: str, records: Iterable[TargetRecord]) -> None:
+        """Set the targets of a service; only those that are up are chosen."""
+        now_s = self.clock.monotonic().total_seconds()
+        up = [record for record in records if record.state is TargetState.UP]
+        first = service not in self.services
+        for target in self.members.get(service, set()) - {record.target for record in up}:
+            self._unlist(target)
+        versions: dict[str, dict[int, Tier]] = {}
+        for record in up:
+            # Targets that were there before this node need no ramp.
+            load = self._load(record, float("-inf") if first else now_s)
+            distance = self.distance(record.zone)
+            tiers = versions.setdefault(record.version, {})
+            tiers.setdefault(distance, Tier(distance)).loads.append(load)
+        self._set_groups(service, versions)
+        if not up:
+            self.services.pop(service, None)
+            self.members.pop(service, None)
+            return
+        self.members[service] = {record.target for record in up}
+        self.services[service] = {
+            version: [tiers[distance] for distance in sorted(tiers)]
+            for version, tiers in versions.items()
+        }
+
+    def choose(
+        self, service: str, weights: Mapping[str, float], exclude: Collection[str] = ()
+    ) -> TargetRecord | None:
+        """Return a target for a request, or None if there is none.
+
+        :param weights: share of each version; versions without targets are ignored
+        :param exclude: targets that were tried already
+        """
+        versions = self.services.get(service)
+        if versions is None:
+            return None
+        present = [(name, weight) for name, weight in weights.items() if weight > 0]
+        present = [(name, weight) for name, weight in present if name in versions]
+        if not present:
+            return None
+        now_s = self.clock.monotonic().total_seconds()
+        picked = self._pick_version(present)
+        load = self._pick_target(versions[picked], exclude, now_s)
+        if load is None:
+            load = self._pick_fallback(picked, present, versions, exclude, now_s)
+        return load.record if load is not None else None
+
+    def started(self, target: str) -> None:
+        """Count a request that is being sent to a target."""
+        load = self.loads.get(target)
+        if load is not None:
+            load.own += 1
+
+    def finished(self, target: str, result: TargetResult) -> None:
+        """Count the end of a request and take in what it says about the target."""
+        load = self.loads.get(target)
+        if load is None:
+            return
+        load.own = max(0, load.own - 1)
+        load.report(result, self.clock.monotonic().total_seconds())
+        if result.kind in (ResultKind.OK, ResultKind.FAILED):
+            self.ejector.record(target, result.kind is ResultKind.OK)
+        if not load.listed and load.own == 0:
+            del self.loads[target]
+
+    def _load(self, record: TargetRecord, cold_since_s: float) -> TargetLoad:
+        load = self.loads.get(record.target)
+        if load is None:
+            load = self.loads[record.target] = TargetLoad(record, cold_since_s)
+        elif not load.listed:
+            load.listed = True
+            load.cold_since_s = cold_since_s
+        load.record = record
+        return load
+
+    def _unlist(self, target: str) -> None:
+        load = self.loads[target]
+        load.listed = False
+        if load.own == 0:
+            del self.loads[target]
+
+    def _set_groups(self, service: str, versions: Mapping[str, Mapping[int, Tier]]) -> None:
+        for version in self.services.get(service, {}).keys() - versions.keys():
+            self.ejector.set_group(f"{service}\0{version}", ())
+        for version, tiers in versions.items():
+            names = (load.record.target for tier in tiers.values() for load in tier.loads)
+            self.ejector.set_group(f"{service}\0{version}", names)
+
+    def _pick_version(self, present: list[tuple[str, float]]) -> str:
+        if len(present) == 1:
+            return present[0][0]
+        point = self.rng.random() * sum(weight for _, weight in present)
+        for name, weight in present:
+            point -= weight
+            if point < 0:
+                return name
+        return present[-1][0]
+
+    def _pick_fallback(
+        self,
+        picked: str,
+        present: list[tuple[str, float]],
+        versions: Mapping[str, list[Tier]],
+        exclude: Collection[str],
+        now_s: float,
+    ) -> TargetLoad | None:
+        """Pick from a version with at least the weight of the picked one.
+
+        A version with a smaller share never takes over, so that the loss of the old version's
+        targets does not put all requests on one that is still on trial.
+        """
+        weight = dict(present)[picked]
+        others = [pair for pair in present if pair[0] != picked and pair[1] >= weight]
+        for name, _ in sorted(others, key=lambda pair: -pair[1]):
+            load = self._pick_target(versions[name], exclude, now_s)
+            if load is not None:
+                return load
+        return None
+
+    def _pick_target(
+        self, tiers: list[Tier], exclude: Collection[str], now_s: float
+    ) -> TargetLoad | None:
+        best: TargetLoad | None = None
+        best_use = 0.0
+        for tier in tiers:
+            tier.refresh(now_s)
+            load = self._pick_in_tier(tier, exclude, now_s)
+            if load is None:
+                continue
+            use = load.utilisation(now_s, tier.mean)
+            if best is None or use < best_use:
+                best, best_use = load, use
+            if tier.use < self.spillover:
+                break
+        return best
+
+    def _pick_in_tier(
+        self, tier: Tier, exclude: Collection[str], now_s: float
+    ) -> TargetLoad | None:
+        first = self._sample(tier, exclude, now_s)
+        if first is None or len(tier.loads) == 1:
+            return first
+        second = self._sample(tier, exclude, now_s)
+        if second is None or second is first:
+            return first
+        return self._better(first, second, tier, now_s)
+
+    def _sample(self, tier: Tier, exclude: Collection[str], now_s: float) -> TargetLoad | None:
+        loads = tier.loads
+        size = len(loads)
+        for _ in range(SAMPLE_ATTEMPTS):
+            load = loads[int(self.rng.random() * size)]
+            if self._eligible(load, exclude, now_s):
+                return load
+        eligible = [load for load in loads if self._eligible(load, exclude, now_s)]
+        return self.rng.choice(eligible) if eligible else None
+
+    def _eligible(self, load: TargetLoad, exclude: Collection[str], now_s: float) -> bool:
+        target = load.record.target
+        return target not in exclude and not self.ejector.is_ejected(target, now_s)
+
+    def _better(
+        self, first: TargetLoad, second: TargetLoad, tier: Tier, now_s: float
+    ) -> TargetLoad:
+        first_ramp, second_ramp = self._ramp(first, now_s), self._ramp(second, now_s)
+        if first_ramp != second_ramp:
+            cold, warm = (first, second) if first_ramp < second_ramp else (second, first)
+            if self.rng.random() >= min(first_ramp, second_ramp):
+                return warm
+            floor = tier.mean
+            cold_use = max(cold.utilisation(now_s, tier.mean), floor)
+            return cold if cold_use <= warm.utilisation(now_s, tier.mean) else warm
+        first_use = first.utilisation(now_s, tier.mean)
+        return second if second.utilisation(now_s, tier.mean) < first_use else first
+
+    def _ramp(self, load: TargetLoad, now_s: float) -> float:
+        age = now_s - load.cold_since_s
+        if age >= self.ramp_s:
+            return 1.0
+        return RAMP_START + (1.0 - RAMP_START) * age / self.ramp_s
--- /dev/null
+++ b/test/routing/test_table.py
@@ -0,0 +1,63 @@
+"""Tests of the match of requests to routes."""
+
+from testtools import TestCase
+
+from almondshore.routing.table import RouteTable
+
+
+def route(path, *methods):
+    return {
+        "methods": list(methods or ("GET",)),
+        "path": path,
+        "request_class": "routine",
+        "once": False,
+        "timeout_ms": 1000,
+    }
+
+
+def service(name, *routes):
+    return {"name": name, "version": "v1", "routes": list(routes), "move": None, "allowed": {}}
+
+
+class RouteTableTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.table = RouteTable(
+            [
+                service("fault-desk", route("/schedule/faults"), route("/schedule/f*")),
+                service("counter-app", route("/schedule/*"), route("/push/*", "POST", "PUT")),
+            ]
+        )
+
+    def matched(self, method, path):
+        found = self.table.match(method, path)
+        return (found.service, found.route["path"]) if found else None
+
+    def test_exact_path_beats_the_longest_prefix(self):
+        """Guards against a wide prefix route taking over a path with a route of its own."""
+        self.assertEqual(
+            ("fault-desk", "/schedule/faults"), self.matched("GET", "/schedule/faults")
+        )
+
+    def test_longest_prefix_wins(self):
+        """Guards against an answer that depends on the order of the rules."""
+        self.assertEqual(("fault-desk", "/schedule/f*"), self.matched("GET", "/schedule/f1"))
+        self.assertEqual(("counter-app", "/schedule/*"), self.matched("GET", "/schedule/1"))
+
+    def test_route_of_another_method_does_not_match(self):
+        """Guards against a push route answering reads."""
+        self.assertIsNone(self.matched("GET", "/push/1"))
+        self.assertEqual(("counter-app", "/push/*"), self.matched("PUT", "/push/1"))
+
+    def test_all_nodes_agree_on_a_path_claimed_twice(self):
+        """Guards against two nodes sending the same path to different services."""
+        parts = [service("b", route("/x")), service("a", route("/x"))]
+        found = {RouteTable(order).match("GET", "/x").service for order in (parts, parts[::-1])}
+        self.assertEqual({"a"}, found)
+
+    def test_look_up_does_not_grow_with_the_number_of_routes(self):
+        """Guards against a linear scan over the 13,000 routes of the scale target."""
+        parts = [service(f"s{n}", *(route(f"/s{n}/r{r}/*") for r in range(5))) for n in range(2600)]
+        table = RouteTable(parts)
+        self.assertEqual("s2599", table.match("GET", "/s2599/r4/x").service)
+        self.assertTrue(len(table.lengths) < 20)
