--- a/almondshore/core/messages.py
+++ b/almondshore/core/messages.py
@@ -175,7 +175,11 @@
 class EvidenceRow(NamedTuple):
     """Request counts of one service, version and route over one window.
 
-    :ivar latency_buckets: counts by bucket of ``moves.evidence.BUCKET_BOUNDS_MS``
+    :ivar errors: complete responses with a server error
+    :ivar latency_buckets: counts by bucket of ``moves.evidence.BUCKET_BOUNDS_MS``; the sum is
+        below ``requests`` when some came from a target in its slow start
+    :ivar broken: responses that broke off because the target closed the connection or died
+    :ivar refused: requests refused by overload; they are not part of ``requests``
     """
 
     service: str
@@ -184,6 +188,8 @@
     requests: int
     errors: int
     latency_buckets: list[int]
+    broken: int = 0
+    refused: int = 0
 
 
 class Evidence(NamedTuple):
--- /dev/null
+++ b/almondshore/moves/state.py
@@ -0,0 +1,154 @@
+"""What a node knows of moves: vetoes and the newest step of each move."""
+
+from collections.abc import Iterable, Mapping
+
+import msgspec
+import xxhash
+
+from almondshore.core.messages import MovesSnapshot, MoveStep, Veto
+from almondshore.moves.plan import FINAL_STEP, SHARES
+from almondshore.rules.model import MoveState, ServicePart
+
+MAX_VETOES = 4096
+MAX_STEPS = 4096
+
+Key = tuple[str, str]
+
+
+class MoveTable:
+    """Vetoes and move steps, merged from messages in any order and any number of copies.
+
+    For each version of a service the veto issued under the newest configuration is kept, since
+    it overrides at least as much as any older one. For each move the highest epoch is kept, and
+    the highest step that was accepted: a message of an older epoch is refused, one of a newer
+    epoch never lowers the step.
+
+    :ivar synced: whether a snapshot of a peer was merged since the start; a node that is not
+        synced does not know the present shares and should not report that it is ready
+    """
+
+    def __init__(self, *, max_vetoes: int = MAX_VETOES, max_steps: int = MAX_STEPS):
+        self.max_vetoes = max_vetoes
+        self.max_steps = max_steps
+        self.vetoes: dict[Key, Veto] = {}
+        self.steps: dict[Key, MoveStep] = {}
+        self.services: set[str] = set()
+        self.active: set[Key] = set()
+        self.synced = False
+        self._digest: int | None = None
+
+    def set_configuration(self, parts: Iterable[ServicePart]) -> None:
+        """Tell the table which services and moves the configuration in effect contains.
+
+        The digest covers these only, and they are the last to be evicted.
+        """
+        parts = list(parts)
+        self.services = {part["name"] for part in parts}
+        self.active = {
+            (part["name"], part["move"]["move_id"])
+            for part in parts
+            if part["move"] and part["move"]["state"] == MoveState.ACTIVE.value
+        }
+        self._digest = None
+
+    def apply_step(self, step: MoveStep) -> bool:
+        """Take a step unless a newer one is known; return whether anything changed."""
+        if not 0 <= step.step <= FINAL_STEP:
+            return False
+        key = (step.service, step.move_id)
+        known = self.steps.get(key)
+        if known is not None:
+            if step.epoch < known.epoch:
+                return False
+            step = step._replace(step=max(step.step, known.step))
+            if step == known:
+                return False
+        self.steps[key] = step
+        self._digest = None
+        _evict(self.steps, self.max_steps, keep=self.active)
+        return key in self.steps
+
+    def add_veto(self, veto: Veto) -> bool:
+        """Add a veto; return whether anything changed."""
+        key = (veto.service, veto.version)
+        known = self.vetoes.get(key)
+        if known is not None and _order(veto) <= _order(known):
+            return False
+        self.vetoes[key] = veto
+        self._digest = None
+        keep = {found for found in self.vetoes if found[0] in self.services}
+        _evict(self.vetoes, self.max_vetoes, keep=keep)
+        return key in self.vetoes
+
+    def merge(self, snapshot: MovesSnapshot) -> bool:
+        """Merge a peer's snapshot; return whether anything changed."""
+        self.synced = True
+        changed = [self.add_veto(veto) for veto in snapshot.vetoes]
+        changed += [self.apply_step(step) for step in snapshot.steps]
+        return any(changed)
+
+    def snapshot(self) -> MovesSnapshot:
+        """Return all vetoes and steps as a message."""
+        return MovesSnapshot(list(self.vetoes.values()), list(self.steps.values()))
+
+    def digest(self) -> int:
+        """Return a digest of what concerns the configuration in effect, equal on equal content."""
+        if self._digest is None:
+            vetoes = sorted(v for v in self.vetoes.values() if v.service in self.services)
+            steps = sorted(self.steps[key] for key in self.active if key in self.steps)
+            data = msgspec.msgpack.encode((vetoes, steps))
+            self._digest = xxhash.xxh3_64_intdigest(data) if vetoes or steps else 0
+        return self._digest
+
+    def step(self, part: ServicePart) -> MoveStep | None:
+        """Return the newest step of a service's move, or None if none is known."""
+        move = part["move"]
+        return self.steps.get((part["name"], move["move_id"])) if move else None
+
+    def veto(self, part: ServicePart, version: str) -> Veto | None:
+        """Return the veto in effect on a version of a service, or None.
+
+        An ``allow`` rule overrides the vetoes issued under configuration versions older than
+        the one that introduced it.
+        """
+        veto = self.vetoes.get((part["name"], version))
+        if veto is None or veto.config_version < part["allowed"].get(version, 0):
+            return None
+        return veto
+
+    def weights(self, part: ServicePart) -> dict[str, float]:
+        """Return the share of requests for each version of a service; the shares add up to 1.
+
+        Versions with no share are left out. A configuration that reports the move done or
+        reverted overrides its steps; a veto overrides both.
+        """
+        move = part["move"]
+        if move is None:
+            return {part["version"]: 1.0}
+        if move["state"] == MoveState.REVERTED.value:
+            return {move["from_version"]: 1.0}
+        if self.veto(part, move["to_version"]) is not None:
+            return {move["from_version"]: 1.0}
+        share = self.share(part)
+        weights = {move["from_version"]: 1.0 - share, move["to_version"]: share}
+        return {version: weight for version, weight in weights.items() if weight > 0}
+
+    def share(self, part: ServicePart) -> float:
+        """Return the share of the new version that the steps call for, vetoes aside."""
+        move = part["move"]
+        if move is None or move["state"] == MoveState.REVERTED.value:
+            return 0.0
+        if move["state"] == MoveState.DONE.value:
+            return 1.0
+        known = self.step(part)
+        return SHARES[known.step] if known else 0.0
+
+
+def _order(veto: Veto) -> tuple:
+    return (veto.config_version, veto.at, veto.origin, veto.reason)
+
+
+def _evict(entries: dict, limit: int, *, keep: set[Key] | Mapping) -> None:
+    """Remove the oldest entries above the limit, those to keep last."""
+    while len(entries) > limit:
+        entries.pop(next((key for key in entries if key not in keep), next(iter(entries))))
--- /dev/null
+++ b/almondshore/moves/verdict.py
@@ -0,0 +1,247 @@
+"""Verdict on a version: comparison of its requests with those of the old version."""
+
+import math
+from collections import defaultdict
+from collections.abc import Iterable
+from enum import StrEnum
+from typing import NamedTuple
+
+from almondshore.core.messages import EvidenceRow
+from almondshore.moves.controls import ControlGuard
+from almondshore.moves.eprocess import Alternative, EProcess, baseline_ratio, concurrent_ratio
+from almondshore.moves.evidence import BUCKETS
+
+# Probability that a good version is condemned in a move, over all tests and all windows.
+FALSE_POSITIVE_RATE = 0.001
+COORDINATOR_SHARE = 0.8
+LOCAL_SHARE = 0.2
+
+ALL_ROUTES = "all routes"
+MAX_ROUTES = 64
+
+# A target runs about 10 requests; its death breaks all of them, so each counts for a tenth.
+BROKEN_UNIT = 0.1
+SLOW_QUANTILE = 0.95
+# Rates of the old version below this are not told apart from it when no old requests run.
+MIN_BASELINE_RATE = 0.002
+MIN_BASELINE_REQUESTS = 300
+# With less than this share of the requests on the old version its past rate is used instead.
+MIN_OLD_SHARE = 0.02
+REFUSED_SHARE = 0.01
+
+
+class Kind(StrEnum):
+    """What a test counts."""
+
+    ERRORS = "errors"
+    BROKEN = "broken responses"
+    SLOW = "slow responses"
+
+
+ALTERNATIVES = {
+    Kind.ERRORS: Alternative(tolerance=1.5, ratios=(4, 15, 100)),
+    Kind.BROKEN: Alternative(tolerance=1.5, ratios=(4, 15, 100)),
+    Kind.SLOW: Alternative(tolerance=3.0, ratios=(6, 12)),
+}
+
+
+class Condemned(NamedTuple):
+    """The new version is worse than the old one.
+
+    :ivar evidence: counts and test value, for the operator
+    """
+
+    kind: Kind
+    route: str
+    window: int
+    evidence: str
+
+
+class Tally:
+    """Counts of one version on one route so far."""
+
+    def __init__(self) -> None:
+        self.requests = 0
+        self.errors = 0
+        self.broken = 0
+        self.buckets = [0] * BUCKETS
+
+    def add(self, row: EvidenceRow) -> None:
+        """Add the counts of a window."""
+        self.requests += row.requests
+        self.errors += row.errors
+        self.broken += row.broken
+        self.buckets = list(map(int.__add__, self.buckets, row.latency_buckets))
+
+
+class MoveVerdict:
+    """Tests one new version against the old one, on each route and on all routes together.
+
+    Half of the false positive rate goes to the test over all routes, half is split over the
+    routes, and each half over the kinds.
+    """
+
+    def __init__(self, *, service: str, old: str, new: str, routes: int, alpha: float):
+        self.service = service
+        self.old = old
+        self.new = new
+        share = alpha / 2 / len(Kind)
+        self.thresholds = {
+            True: -math.log(share),
+            False: -math.log(share / max(routes, 1)),
+        }
+        self.routes = max(routes, 1)
+        self.processes: dict[tuple[Kind, str], EProcess] = {}
+        self.tallies: dict[tuple[str, str], Tally] = defaultdict(Tally)
+        self.controls = ControlGuard()
+        self.condemned: Condemned | None = None
+
+    def observe(self, window: int, rows: Iterable[EvidenceRow], *, warm: bool = True) -> None:
+        """Take in a window.
+
+        :param warm: whether latencies count; while a version is new its caches are cold
+        """
+        rows = list(rows)
+        others = [row for row in rows if row.service != self.service]
+        inflation = self.controls.observe(others)
+        pairs = self._pair(rows)
+        totals: dict[Kind, list[float]] = {}
+        for route, (new, old) in sorted(pairs.items()):
+            for kind in Kind:
+                if kind is Kind.SLOW and not warm:
+                    continue
+                ratios = self._ratios(kind, route, new, old, inflation)
+                if ratios is not None:
+                    self._update(kind, route, ratios)
+                    known = totals.get(kind, [0.0] * len(ratios))
+                    totals[kind] = list(map(float.__add__, known, ratios))
+        for kind, ratios in totals.items():
+            self._update(kind, ALL_ROUTES, ratios)
+        for route, (new, old) in pairs.items():
+            self.tallies[self.new, route].add(new)
+            self.tallies[self.old, route].add(old)
+        self._judge(window)
+
+    def requests(self) -> dict[str, tuple[int, int]]:
+        """Return the requests on the new and on the old version so far, by route."""
+        routes = {route for _, route in self.tallies}
+        return {
+            route: (
+                self.tallies[self.new, route].requests,
+                self.tallies[self.old, route].requests,
+            )
+            for route in routes
+        }
+
+    def _pair(self, rows: list[EvidenceRow]) -> dict[str, tuple[EvidenceRow, EvidenceRow]]:
+        found = {(r.version, r.route): r for r in rows if r.service == self.service}
+        routes = {route for version, route in found if version in (self.new, self.old)}
+        known = {route for _, route in self.tallies}
+        room = max(MAX_ROUTES - len(known), 0)
+        chosen = (routes & known) | set(sorted(routes - known)[:room])
+        return {
+            route: tuple(
+                found.get((version, route))
+                or EvidenceRow(self.service, version, route, 0, 0, [0] * BUCKETS)
+                for version in (self.new, self.old)
+            )
+            for route in chosen
+        }
+
+    def _ratios(
+        self, kind: Kind, route: str, new: EvidenceRow, old: EvidenceRow, inflation: dict
+    ) -> list[float] | None:
+        """Return the log likelihood ratios of a window, or None if it says nothing."""
+        past = self.tallies[self.old, route]
+        limit = _slow_bucket(past.buckets) if kind is Kind.SLOW else 0
+        if limit is None:
+            return None
+        events, total = _count(kind, new, limit)
+        old_events, old_total = _count(kind, old, limit)
+        if not total:
+            return None
+        if old_total >= MIN_OLD_SHARE * (total + old_total):
+            return concurrent_ratio(
+                ALTERNATIVES[kind],
+                new=events,
+                old=old_events,
+                new_total=total,
+                old_total=old_total,
+            )
+        if new.refused > REFUSED_SHARE * new.requests and kind is Kind.SLOW:
+            return None
+        rate = _past_rate(kind, past, limit)
+        if rate is None:
+            return None
+        rate *= inflation[kind is Kind.SLOW]
+        return baseline_ratio(ALTERNATIVES[kind], new=events, new_total=total, rate=rate)
+
+    def _update(self, kind: Kind, route: str, ratios: list[float]) -> None:
+        key = (kind, route)
+        if key not in self.processes:
+            self.processes[key] = EProcess(alternatives=len(ratios))
+        self.processes[key].update(ratios)
+
+    def _judge(self, window: int) -> None:
+        if self.condemned is not None:
+            return
+        worst = None
+        for (kind, route), process in self.processes.items():
+            value = process.log_value()
+            threshold = self.thresholds[route == ALL_ROUTES]
+            if value >= threshold and (worst is None or value - threshold > worst[0]):
+                worst = (value - threshold, kind, route, value)
+        if worst is not None:
+            _, kind, route, value = worst
+            self.condemned = Condemned(kind, route, window, self._describe(kind, route, value))
+
+    def _describe(self, kind: Kind, route: str, value: float) -> str:
+        counts = []
+        for version in (self.new, self.old):
+            tallies = [
+                tally
+                for (found, on), tally in self.tallies.items()
+                if found == version and route in (on, ALL_ROUTES)
+            ]
+            bad = {
+                Kind.ERRORS: sum(tally.errors for tally in tallies),
+                Kind.BROKEN: sum(tally.broken for tally in tallies),
+                Kind.SLOW: None,
+            }[kind]
+            total = sum(tally.requests for tally in tallies)
+            counts.append(f"{version} {'' if bad is None else f'{bad} of '}{total}")
+        return f"{kind} on {route}: {', '.join(counts)} requests, e-value {math.exp(value):.3g}"
+
+
+def _count(kind: Kind, row: EvidenceRow, slow_bucket: int) -> tuple[float, int]:
+    if kind is Kind.ERRORS:
+        return row.errors, row.requests
+    if kind is Kind.BROKEN:
+        return row.broken * BROKEN_UNIT, row.requests
+    return sum(row.latency_buckets[slow_bucket:]), sum(row.latency_buckets)
+
+
+def _slow_bucket(buckets: list[int]) -> int | None:
+    """Return the first bucket above the quantile that separates slow responses."""
+    total = sum(buckets)
+    if total < MIN_BASELINE_REQUESTS:
+        return None
+    seen = 0
+    for index, count in enumerate(buckets[:-1]):
+        seen += count
+        if seen >= SLOW_QUANTILE * total:
+            return index + 1
+    return None
+
+
+def _past_rate(kind: Kind, past: Tally, slow_bucket: int) -> float | None:
+    """Return an upper estimate of the old version's rate, or None if too little was seen."""
+    if past.requests < MIN_BASELINE_REQUESTS:
+        return None
+    if kind is Kind.SLOW:
+        count, total = sum(past.buckets[slow_bucket:]), sum(past.buckets)
+    elif kind is Kind.BROKEN:
+        count, total = past.broken * BROKEN_UNIT, past.requests
+    else:
+        count, total = past.errors, past.requests
+    return max((count + 2 * math.sqrt(count + 1)) / total, MIN_BASELINE_RATE)
--- /dev/null
+++ b/test/moves/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of moves between target versions."""
--- /dev/null
+++ b/test/moves/helpers.py
@@ -0,0 +1,111 @@
+"""Builders shared by the tests of moves."""
+
+import random
+from datetime import UTC, datetime, timedelta
+
+from returns.result import Failure, Success
+
+from almondshore.core.clock import ManualClock
+from almondshore.core.messages import Evidence, EvidenceRow
+from almondshore.moves.coordinator import Fleet, MoveCoordinator
+from almondshore.moves.evidence import BUCKETS, window_of
+from almondshore.moves.outcome import OutcomePublisher
+from almondshore.moves.state import MoveTable
+from almondshore.platform.port import Unavailable
+from almondshore.rules.model import MovePart, ServicePart
+from standins.memory_platform import MemoryPlatform
+from standins.object_store import Fault, ObjectStore
+
+START = datetime(2026, 1, 1, tzinfo=UTC)
+SERVICE = "counter-app"
+ROUTES = ("GET /schedule/*", "POST /push/*")
+FLEET = Fleet(new_slots=40, old_slots=40)
+
+
+def make_part(*, seconds=300, prefer="deadline", state="active", allowed=None, move_id="m1"):
+    deadline = START + timedelta(seconds=seconds)
+    move = MovePart(
+        move_id=move_id,
+        from_version="v1",
+        to_version="v2",
+        started=START.isoformat(),
+        deadline=deadline.isoformat(),
+        prefer=prefer,
+        state=state,
+        reason="",
+    )
+    route = {"methods": ["GET"], "request_class": "routine", "once": False, "timeout_ms": 2000}
+    routes = [{**route, "path": path} for path in ROUTES]
+    version = "v2" if state == "done" else "v1"
+    return ServicePart(
+        name=SERVICE, version=version, routes=routes, move=move, allowed=allowed or {}
+    )
+
+
+def row(version, requests, errors=0, *, route=ROUTES[0], service=SERVICE, broken=0, bucket=6):
+    buckets = [0] * BUCKETS
+    buckets[bucket] = requests - broken
+    return EvidenceRow(service, version, route, requests, errors, buckets, broken)
+
+
+class FakePublisher(OutcomePublisher):
+    """Keeps what was published; refuses while the platform is down."""
+
+    def __init__(self, store):
+        self.store = store
+        self.published = []
+
+    def publish(self, service, move_id, state, reason):
+        if self.store.fault is Fault.DOWN:
+            return Failure(Unavailable("down"))
+        self.published.append((move_id, state))
+        return Success(len(self.published))
+
+
+class World:
+    """A platform and coordinators that share a clock; evidence is fed by hand."""
+
+    def __init__(self, **part):
+        self.clock = ManualClock(start=START)
+        self.store = ObjectStore(clock=self.clock)
+        self.publisher = FakePublisher(self.store)
+        self.part = make_part(**part)
+        self.fleet = FLEET
+        self.rates = {"v1": 0.0, "v2": 0.0}
+        self.requests = 200
+        self.messages = []
+
+    def coordinator(self, epoch, table=None):
+        return MoveCoordinator(
+            clock=self.clock,
+            rng=random.Random(epoch),
+            platform=MemoryPlatform(store=self.store),
+            publisher=self.publisher,
+            table=table or MoveTable(),
+            node=f"n{epoch}",
+            epoch=epoch,
+            part=self.part,
+            config_version=7,
+        )
+
+    def rows(self, share):
+        rows = []
+        for route in ROUTES:
+            for version, part in (("v1", 1 - share), ("v2", share)):
+                count = round(self.requests * part)
+                errors = round(count * self.rates[version])
+                rows.append(row(version, count, errors, route=route))
+        return rows
+
+    def run(self, coordinator, seconds, extra=()):
+        """Advance second by second, feeding evidence that follows the coordinator's table."""
+        sent = []
+        for _ in range(seconds):
+            share = coordinator.table.weights(self.part).get("v2", 0.0)
+            window = window_of(self.clock.now())
+            self.clock.advance(timedelta(seconds=1))
+            evidence = Evidence(window, 1, [*self.rows(share), *extra])
+            coordinator.add_evidence(evidence, "relay")
+            sent += coordinator.tick(self.fleet)
+        self.messages += sent
+        return sent
