--- a/almondshore/rules/check.py
+++ b/almondshore/rules/check.py
@@ -1,51 +1,146 @@
 """Check a rules file as a whole."""
 
+import codecs
+import re
+from collections.abc import Callable, Collection, Hashable, Iterable
 from datetime import datetime
+from urllib.parse import unquote
 
-from almondshore.core.findings import FindingList
+from almondshore.core.findings import Finding, FindingList
 from almondshore.platform.port import MAX_VALUE_BYTES
-from almondshore.rules.grammar import parse
-from almondshore.rules.model import RuleSet
+from almondshore.rules.compile import move_id
+from almondshore.rules.grammar import Parsed, parse
+from almondshore.rules.model import MoveRule, RouteRule, Rule, RuleSet
 
+# More findings do not help an operator, and a file of another kind would give one for each line.
+MAX_FINDINGS = 100
+ESCAPE = re.compile(r"%[0-9A-Fa-f]{2}")
+UNRESERVED = re.compile(r"[A-Za-z0-9._~-]\Z")
 
-def check_rules(data: bytes, *, now: datetime, findings: FindingList) -> RuleSet:
+
+def check_rules(
+    data: bytes, *, now: datetime, findings: FindingList, held: Collection[str] = ()
+) -> RuleSet:
     """Decode, parse and check the content of a rules file.
 
     :param data: content of the file, UTF-8, at most ``MAX_VALUE_BYTES``
-    :param now: current time
-    :param findings: receives all findings; if there are any, the result must not be used
+    :param now: current time; the deadline of a new move must lie after it
+    :param findings: receives the findings, at most ``MAX_FINDINGS`` and one that says so; if there
+        are any, the result must not be used
+    :param held: identities of the moves in force, whose deadline may have passed
     """
     if len(data) > MAX_VALUE_BYTES:
-        findings.add(
-            line=0,
-            column=0,
-            code="file-too-large",
-            message=f"the file has {len(data)} bytes; at most {MAX_VALUE_BYTES} are accepted",
-        )
+        message = f"the file has {len(data)} bytes; at most {MAX_VALUE_BYTES} are accepted"
+        findings.add(line=0, column=0, code="file-too-large", message=message)
         return RuleSet()
-    try:
-        text = data.decode("utf-8-sig")
-    except UnicodeDecodeError as error:
-        before = data[: error.start]
-        findings.add(
-            line=before.count(b"\n") + 1,
-            column=error.start - (before.rfind(b"\n") + 1) + 1,
-            code="bad-encoding",
-            message="the file is not valid UTF-8",
-        )
+    if data.startswith((codecs.BOM_UTF16_LE, codecs.BOM_UTF16_BE)):
+        message = "the file is UTF-16; save it as UTF-8"
+        findings.add(line=1, column=1, code="bad-encoding", message=message)
         return RuleSet()
-    rules = parse(text, now=now, findings=findings)
-    _check_references(rules, findings)
-    return rules
+    collected = FindingList(file=findings.file)
+    parsed = parse(data, findings=collected, limit=MAX_FINDINGS)
+    if parsed.complete:
+        _check_together(parsed, now, held, collected)
+    for finding in _bounded(collected.sorted(), parsed.complete):
+        findings.add(**{key: value for key, value in finding._asdict().items() if key != "file"})
+    return parsed.rules
+
+
+def _bounded(items: list[Finding], complete: bool) -> list[Finding]:
+    if len(items) <= MAX_FINDINGS and complete:
+        return items
+    last = items[min(len(items), MAX_FINDINGS) - 1]
+    message = f"only the first {MAX_FINDINGS} findings are reported"
+    return [*items[:MAX_FINDINGS], last._replace(code="too-many-findings", message=message)]
 
 
-def _check_references(rules: RuleSet, findings: FindingList) -> None:
-    known = {service.name for service in rules.services}
+def _check_together(
+    parsed: Parsed, now: datetime, held: Collection[str], findings: FindingList
+) -> None:
+    rules = parsed.rules
+    _check_services(parsed, findings)
+    _check_unique(rules.services, lambda rule: rule.name, "service", findings)
+    _check_unique(rules.tenants, lambda rule: rule.name, "tenant", findings)
+    _check_unique(rules.moves, lambda rule: rule.service, "move", findings)
+    _check_unique(rules.allows, lambda rule: (rule.service, rule.version), "allow", findings)
+    _check_routes(rules.routes, findings)
+    _check_moves(rules, now, held, findings)
+
+
+def _check_services(parsed: Parsed, findings: FindingList) -> None:
+    rules, skipped = parsed.rules, parsed.skipped
+    known = {rule.name for rule in rules.services} | skipped["service"]
     for rule in (*rules.routes, *rules.moves, *rules.allows):
         if rule.service not in known:
-            findings.add(
-                line=rule.place.line,
-                column=0,
-                code="unknown-service",
-                message=f"service '{rule.service}' is not defined",
-            )
+            message = f"service '{rule.service}' is not defined"
+            _add(findings, rule, rule.place.columns.name, "unknown-service", message)
+    routed = {rule.service for rule in rules.routes} | skipped["route"]
+    for rule in rules.services:
+        if rule.name not in routed:
+            message = f"no route leads to service '{rule.name}'"
+            _add(findings, rule, rule.place.columns.name, "service-without-route", message)
+
+
+def _check_unique(
+    rules: Iterable[Rule], key: Callable[[Rule], Hashable], kind: str, findings: FindingList
+) -> None:
+    first: dict[Hashable, Rule] = {}
+    for rule in rules:
+        other = first.setdefault(key(rule), rule)
+        if other is not rule:
+            message = f"line {other.place.line} has the same {kind}"
+            _add(findings, rule, rule.place.columns.name, f"duplicate-{kind}", message)
+
+
+def _check_routes(routes: Iterable[RouteRule], findings: FindingList) -> None:
+    first: dict[tuple[str, str], RouteRule] = {}
+    for rule in routes:
+        keys = [(method, canonical_path(rule.path)) for method in rule.methods]
+        other = next((first[key] for key in keys if key in first), None)
+        for key in keys:
+            first.setdefault(key, rule)
+        if other is None:
+            continue
+        if _effect(other) == _effect(rule):
+            code, message = "duplicate-route", f"line {other.place.line} has the same route"
+        else:
+            code = "conflicting-route"
+            message = f"line {other.place.line} routes the same path and method to "
+            message += f"'{other.service}'" if other.service != rule.service else "it differently"
+        _add(findings, rule, rule.place.columns.path, code, message)
+
+
+def _check_moves(
+    rules: RuleSet, now: datetime, held: Collection[str], findings: FindingList
+) -> None:
+    serving = {rule.name: rule.version for rule in rules.services}
+    for rule in rules.moves:
+        if serving.get(rule.service) == rule.version:
+            message = f"version '{rule.version}' already serves '{rule.service}'"
+            _add(findings, rule, rule.place.columns.version, "move-to-serving-version", message)
+        if rule.deadline <= now and move_id(rule) not in held:
+            message = f"the deadline {_utc(rule)} has passed"
+            _add(findings, rule, rule.place.columns.deadline, "deadline-past", message)
+
+
+def _effect(route: RouteRule) -> tuple:
+    """Return what a route does, regardless of how it is written."""
+    return (set(route.methods), canonical_path(route.path), *route[2:-1])
+
+
+def canonical_path(path: str) -> str:
+    """Return the path with equivalent percent escapes written in one way (RFC 3986, 6.2.2)."""
+
+    def replace(match: re.Match) -> str:
+        char = unquote(match.group(), errors="replace")
+        return char if UNRESERVED.match(char) else match.group().upper()
+
+    return ESCAPE.sub(replace, path)
+
+
+def _utc(rule: MoveRule) -> str:
+    return rule.deadline.strftime("%Y-%m-%d %H:%M UTC")
+
+
+def _add(findings: FindingList, rule: Rule, column: int, code: str, message: str) -> None:
+    findings.add(line=rule.place.line, column=column, code=code, message=message)
--- a/almondshore/rules/grammar.py
+++ b/almondshore/rules/grammar.py
@@ -1,183 +1,132 @@
-"""Parse the text of a rules file into typed rules, collecting findings with their place."""
+"""Parse the lines of a rules file into typed rules, collecting findings with their place."""
 
-import re
-from collections.abc import Callable
-from datetime import datetime, timedelta
+from collections.abc import Callable, Mapping
+from datetime import timedelta
+from difflib import get_close_matches
 from typing import NamedTuple
 
 from almondshore.core.findings import FindingList
-from almondshore.rules import times
+from almondshore.rules.lines import read_lines
 from almondshore.rules.model import (
     AllowRule,
+    Columns,
     MoveRule,
     Place,
     Preference,
     RequestClass,
     RouteRule,
+    Rule,
     RuleSet,
     ServiceRule,
     TenantRule,
 )
+from almondshore.rules.values import (
+    take_burst,
+    take_choice,
+    take_deadline,
+    take_duration,
+    take_methods,
+    take_path,
+    take_rate,
+)
+from almondshore.rules.words import Fault, LineError, Words, quoted
 
-NAME = re.compile(r"[a-z0-9][a-z0-9._-]{0,62}\Z")
-PATH = re.compile(r"/[A-Za-z0-9/._~%-]*\*?\Z")
-RATE = re.compile(r"(\d+(?:\.\d+)?)/s\Z")
-DURATION = re.compile(r"(\d+)(ms|s|m)\Z")
-DURATION_UNITS = {"ms": "milliseconds", "s": "seconds", "m": "minutes"}
-METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
 DEFAULT_TIMEOUT = timedelta(seconds=2)
 
 
-class Word(NamedTuple):
-    """A word of a line and its column, counted from 1."""
-
-    text: str
-    column: int
-
-
-class LineError(Exception):
-    """A line could not be parsed; carries the column, code and message of the finding."""
-
-    def __init__(self, column: int, code: str, message: str):
-        super().__init__(message)
-        self.column = column
-        self.code = code
-
-
-class Words:
-    """Reads the words of one line from left to right."""
-
-    def __init__(self, text: str):
-        self.items = [Word(m.group(), m.start() + 1) for m in re.finditer(r"\S+", text)]
-        self.end_column = len(text.rstrip()) + 1
-        self.index = 0
-
-    def more(self) -> bool:
-        """Return whether words are left."""
-        return self.index < len(self.items)
+class Parsed(NamedTuple):
+    """The rules of a file.
 
-    def take(self, what: str) -> Word:
-        """Return the next word.
-
-        :param what: what is expected, for the error message
-        """
-        if not self.more():
-            raise LineError(self.end_column, "missing-word", f"expected {what}")
-        self.index += 1
-        return self.items[self.index - 1]
-
-    def expect(self, keyword: str) -> None:
-        """Take the next word, which must be the keyword."""
-        word = self.take(f"'{keyword}'")
-        if word.text != keyword:
-            raise LineError(
-                word.column, "unexpected-word", f"expected '{keyword}', found '{word.text}'"
-            )
-
-    def name(self, what: str) -> str:
-        """Take the next word, which must be a name."""
-        word = self.take(what)
-        if not NAME.match(word.text):
-            raise LineError(word.column, "bad-name", f"'{word.text}' is not a valid {what}")
-        return word.text
+    :ivar skipped: by keyword, all words of the lines left out of the rules because of findings;
+        checks of references use them to not report consequences of those findings
+    :ivar complete: whether all lines were read
+    """
 
-    def finish(self) -> None:
-        """Check that no word is left."""
-        if self.more():
-            word = self.items[self.index]
-            raise LineError(word.column, "unexpected-word", f"unexpected '{word.text}'")
+    rules: RuleSet
+    skipped: Mapping[str, frozenset[str]]
+    complete: bool
 
 
-def _service(words: Words, place: Place, now: datetime) -> ServiceRule:
+def _service(words: Words, place: Place) -> ServiceRule:
     name = words.name("service name")
+    if not words.more() or words.next_is("version") and words.index + 1 == len(words.items):
+        raise LineError(
+            words.end_column, "missing-version", "expected 'version NAME': a service needs one"
+        )
     words.expect("version")
-    return ServiceRule(name, words.name("version name"), place)
+    version = words.name("version name")
+    columns = Columns(name=name.column, version=version.column)
+    return ServiceRule(name.text, version.text, place._replace(columns=columns))
 
 
-def _route(words: Words, place: Place, now: datetime) -> RouteRule:
-    methods = _methods(words.take("methods such as GET or GET,HEAD"))
-    path = words.take("a path")
-    if not PATH.match(path.text):
-        raise LineError(path.column, "bad-path", f"'{path.text}' is not a valid path")
+def _route(words: Words, place: Place) -> RouteRule:
+    methods, path = take_methods(words), take_path(words)
+    if not words.next_is("to") or words.index + 1 == len(words.items):
+        raise LineError(
+            words.column(), "missing-service", "expected 'to SERVICE': a route needs a service"
+        )
     words.expect("to")
     service = words.name("service name")
-    request_class, once, timeout = RequestClass.ROUTINE, False, DEFAULT_TIMEOUT
+    options = {"class": RequestClass.ROUTINE, "once": False, "timeout": DEFAULT_TIMEOUT}
+    seen: set[str] = set()
     while words.more():
         option = words.take("an option")
-        if option.text == "class":
-            request_class = _choice(words.take("a class"), RequestClass)
-        elif option.text == "once":
-            once = True
-        elif option.text == "timeout":
-            timeout = _duration(words.take("a duration such as 500ms or 2s"))
-        else:
-            raise LineError(option.column, "unknown-option", f"unknown option '{option.text}'")
-    return RouteRule(methods, path.text, service, request_class, once, timeout, place)
-
-
-def _tenant(words: Words, place: Place, now: datetime) -> TenantRule:
+        if option.text not in options:
+            message = f"{quoted(option.text)} is not one of {', '.join(options)}"
+            raise LineError(option.column, "unknown-option", message)
+        if option.text in seen:
+            words.report(option, "duplicate-option", f"'{option.text}' is given twice")
+        seen.add(option.text)
+        options[option.text] = _OPTIONS[option.text](words)
+    place = place._replace(columns=Columns(name=service.column, path=path.column))
+    return RouteRule(
+        methods,
+        path.text,
+        service.text,
+        options["class"],
+        options["once"],
+        options["timeout"],
+        place,
+    )
+
+
+_OPTIONS: dict[str, Callable] = {
+    "class": lambda words: take_choice(words, "a class", RequestClass),
+    "once": lambda words: True,
+    "timeout": take_duration,
+}
+
+
+def _tenant(words: Words, place: Place) -> TenantRule:
     name = words.name("tenant name")
     words.expect("limit")
-    rate = words.take("a rate such as 50/s")
-    match = RATE.match(rate.text)
-    if not match or float(match.group(1)) <= 0:
-        raise LineError(rate.column, "bad-rate", f"'{rate.text}' is not a rate such as 50/s")
+    rate = take_rate(words)
     words.expect("burst")
-    burst = words.take("a number of requests")
-    if not burst.text.isdecimal() or int(burst.text) < 1:
-        raise LineError(burst.column, "bad-number", f"'{burst.text}' is not a positive number")
-    return TenantRule(name, float(match.group(1)), int(burst.text), place)
+    burst = take_burst(words)
+    return TenantRule(name.text, rate, burst, place._replace(columns=Columns(name=name.column)))
 
 
-def _move(words: Words, place: Place, now: datetime) -> MoveRule:
+def _move(words: Words, place: Place) -> MoveRule:
     service = words.name("service name")
     words.expect("to")
     version = words.name("version name")
     words.expect("by")
-    day, time, zone = (words.take(what) for what in ("a date", "a time", "a time zone"))
-    try:
-        deadline = times.to_utc(day.text, time.text, zone.text)
-    except times.LocalTimeError as error:
-        raise LineError(day.column, error.code, str(error)) from error
+    deadline, column = take_deadline(words)
     prefer = Preference.DEADLINE
     if words.more():
         words.expect("prefer")
-        prefer = _choice(words.take("a preference"), Preference)
-    if deadline <= now:
-        raise LineError(day.column, "deadline-past", f"the deadline {deadline} has passed")
-    return MoveRule(service, version, deadline, prefer, place)
-
-
-def _allow(words: Words, place: Place, now: datetime) -> AllowRule:
-    return AllowRule(words.name("service name"), words.name("version name"), place)
-
+        prefer = take_choice(words, "a preference", Preference)
+    columns = Columns(name=service.column, version=version.column, deadline=column)
+    return MoveRule(service.text, version.text, deadline, prefer, place._replace(columns=columns))
 
-def _methods(word: Word) -> tuple[str, ...]:
-    methods = tuple(word.text.split(","))
-    for method in methods:
-        if method not in METHODS:
-            raise LineError(word.column, "bad-method", f"'{method}' is not a known method")
-    return methods
 
+def _allow(words: Words, place: Place) -> AllowRule:
+    service, version = words.name("service name"), words.name("version name")
+    columns = Columns(name=service.column, version=version.column)
+    return AllowRule(service.text, version.text, place._replace(columns=columns))
 
-def _duration(word: Word) -> timedelta:
-    match = DURATION.match(word.text)
-    if not match or int(match.group(1)) == 0:
-        raise LineError(word.column, "bad-duration", f"'{word.text}' is not a duration")
-    return timedelta(**{DURATION_UNITS[match.group(2)]: int(match.group(1))})
 
-
-def _choice(word: Word, kind: type):
-    try:
-        return kind(word.text)
-    except ValueError:
-        names = ", ".join(item.value for item in kind)
-        raise LineError(
-            word.column, "unknown-value", f"'{word.text}' is not one of {names}"
-        ) from None
-
-
-PARSERS: dict[str, Callable] = {
+PARSERS: dict[str, Callable[[Words, Place], Rule]] = {
     "service": _service,
     "route": _route,
     "tenant": _tenant,
@@ -186,46 +135,62 @@
 }
 
 
-def parse(text: str, *, now: datetime, findings: FindingList) -> RuleSet:
-    """Parse the text of a rules file.
+def parse(data: bytes, *, findings: FindingList, limit: int | None = None) -> Parsed:
+    """Parse the content of a rules file.
 
-    Lines with findings are left out of the result, which must not be used if there are any.
+    Lines with findings are left out of the rules, except for lines that lack only the requester.
 
-    :param now: current time; a deadline must lie after it
     :param findings: receives the findings of all lines
+    :param limit: number of findings after which reading stops; None for no limit
     """
-    rules: dict[str, list] = {keyword: [] for keyword in PARSERS}
-    for number, line in enumerate(text.splitlines(), 1):
-        body, mark, comment = line.partition("#")
-        if not body.strip():
+    rules: dict[str, list[Rule]] = {keyword: [] for keyword in PARSERS}
+    skipped: dict[str, set[str]] = {keyword: set() for keyword in PARSERS}
+    complete = True
+    for line in read_lines(data, findings=findings):
+        if limit is not None and len(findings.items) >= limit:
+            complete = False
+            break
+        body, mark, comment = line.text.partition("#")
+        words = Words(body)
+        if not words.items:
             continue
-        try:
-            place = _place(number, len(body.rstrip()) + 1, comment if mark else "")
-            keyword, rule = _rule(Words(body), place, now)
-        except LineError as error:
-            findings.add(line=number, column=error.column, code=error.code, message=str(error))
-        else:
+        place, faults = _place(line.number, words.end_column, comment if mark else "")
+        keyword, rule, rule_faults = _rule(words, place)
+        if line.valid:
+            for fault in (*rule_faults, *faults):
+                findings.add(line=line.number, **fault._asdict())
+        if rule is not None and line.valid and not rule_faults:
             rules[keyword].append(rule)
-    return RuleSet(
-        services=tuple(rules["service"]),
-        routes=tuple(rules["route"]),
-        tenants=tuple(rules["tenant"]),
-        moves=tuple(rules["move"]),
-        allows=tuple(rules["allow"]),
+        elif keyword in skipped:
+            skipped[keyword].update(word.text for word in words.items)
+    return Parsed(
+        RuleSet(*(tuple(items) for items in rules.values())),
+        {keyword: frozenset(items) for keyword, items in skipped.items()},
+        complete,
     )
 
 
-def _place(number: int, column: int, comment: str) -> Place:
-    requester, _, reason = comment.partition(":")
-    if not requester.strip():
-        raise LineError(column, "missing-requester", "expected '# requester: reason'")
-    return Place(number, requester.strip(), reason.strip())
-
-
-def _rule(words: Words, place: Place, now: datetime) -> tuple[str, NamedTuple]:
-    keyword = words.take("a rule")
-    if keyword.text not in PARSERS:
-        raise LineError(keyword.column, "unknown-rule", f"unknown rule '{keyword.text}'")
-    rule = PARSERS[keyword.text](words, place, now)
-    words.finish()
-    return keyword.text, rule
+def _place(number: int, column: int, comment: str) -> tuple[Place, list[Fault]]:
+    requester, colon, reason = (item.strip() for item in comment.partition(":"))
+    faults = []
+    if not requester or not colon:
+        faults.append(Fault(column, "missing-requester", "expected '# requester: reason'"))
+    elif not reason:
+        faults.append(Fault(column, "missing-reason", f"expected a reason after '{requester}:'"))
+    return Place(number, requester, reason), faults
+
+
+def _rule(words: Words, place: Place) -> tuple[str, Rule | None, list[Fault]]:
+    """Parse a rule; return its keyword, or the one most likely meant, the rule and the faults."""
+    word = words.take("a rule")
+    if word.text not in PARSERS:
+        meant = get_close_matches(word.text.lower()[:20], PARSERS, 1)
+        hint = f"; did you mean '{meant[0]}'?" if meant else ""
+        message = f"{quoted(word.text)} is not one of {', '.join(PARSERS)}{hint}"
+        return (meant or [""])[0], None, [Fault(word.column, "unknown-rule", message)]
+    try:
+        rule = PARSERS[word.text](words, place)
+        words.finish()
+    except LineError as error:
+        return word.text, None, [*words.faults, error.fault]
+    return word.text, rule, words.faults
--- a/almondshore/rules/model.py
+++ b/almondshore/rules/model.py
@@ -28,12 +28,22 @@
     REVERTED = "reverted"
 
 
+class Columns(NamedTuple):
+    """Columns, counted in characters from 1, of words of a rule; 0 for a word it does not have."""
+
+    name: int = 0
+    version: int = 0
+    path: int = 0
+    deadline: int = 0
+
+
 class Place(NamedTuple):
     """Where a rule stands and who asked for it."""
 
     line: int
     requester: str
     reason: str
+    columns: Columns = Columns()
 
 
 class ServiceRule(NamedTuple):
@@ -94,8 +104,11 @@
     place: Place
 
 
+Rule = ServiceRule | RouteRule | TenantRule | MoveRule | AllowRule
+
+
 class RuleSet(NamedTuple):
-    """All rules of one file, in the order of the file."""
+    """All rules of one file, each kind in the order of the file."""
 
     services: tuple[ServiceRule, ...] = ()
     routes: tuple[RouteRule, ...] = ()
