Store version records from the head, so that no race replaces one

A publisher whose base was outdated found the record of the version that had won the race, took it for one left behind, and replaced it before its own update of the head was refused. The version in force then had the loser's author, rules and parts: history, diff and the next apply would have read the wrong content. No conditional update of the record can prevent this, because whether it may be replaced depends on another object, the head. The head now contains the record of its version, and the publisher of the successor copies it to config/version/<n>; racing publishers store the same content, and no record is ever replaced. history reads records by number instead of listing all of them.

--- a/almondshore/ui/commands/history.py
+++ b/almondshore/ui/commands/history.py
@@ -2,13 +2,12 @@
 
 from typing import Annotated
 
-import msgspec
 from cyclopts import Parameter
 
 from almondshore.ui.context import Context
 from almondshore.ui.output import print_json, print_table
 from almondshore.ui.platform_errors import require
-from almondshore.versions.publish import Publisher, VersionRecord
+from almondshore.versions.publish import Publisher
 
 DEFAULT_LIMIT = 20
 
@@ -24,12 +23,10 @@
     :param limit: greatest number of versions to list
     :param json: print the versions as JSON
     """
-    platform = context.platform()
-    head = require(Publisher(platform=platform).current()).head
-    stored = require(platform.list("config/version/"))
-    records = [msgspec.msgpack.decode(item.value, type=VersionRecord) for item in stored]
-    # A record above the head belongs to a version that was never published.
-    records = [record for record in records if record.version <= head.version][::-1][:limit]
+    publisher = Publisher(platform=context.platform())
+    newest = require(publisher.current()).head.version
+    versions = range(newest, max(newest - limit, 0), -1)
+    records = [require(publisher.record(version)) for version in versions]
     if json:
         print_json(context.out, {"versions": [record._asdict() for record in records]})
         return 0
--- a/almondshore/ui/context.py
+++ b/almondshore/ui/context.py
@@ -10,6 +10,8 @@
 from almondshore.core.errors import UserError
 from almondshore.platform.port import Platform
 
+# The platform responds in milliseconds; a call without an answer for this long will get none.
+CALL_TIMEOUT = timedelta(seconds=3)
 PLATFORM_VARIABLE = "ALMONDSHORE_PLATFORM"
 
 
@@ -27,7 +29,7 @@
     # Imported late: commands that read only files start without the HTTP client.
     from almondshore.platform.http import HttpPlatform
 
-    return HttpPlatform(url=url, clock=clock)
+    return HttpPlatform(url=url, clock=clock, timeout=CALL_TIMEOUT)
 
 
 class Context:
--- a/almondshore/versions/publish.py
+++ b/almondshore/versions/publish.py
@@ -15,7 +15,6 @@
     NotFound,
     Platform,
     PlatformError,
-    StoredObject,
 )
 from almondshore.versions.config import DIGEST_BYTES, diff_parts, digest_parts
 
@@ -23,10 +22,22 @@
 INLINE_DELTA_BYTES = 256 * 1024
 
 
+class VersionRecord(NamedTuple):
+    """Who published a version, and where its rules and parts are."""
+
+    version: int
+    rules_digest: str
+    author: str
+    reason: str
+    at: datetime
+    parts_key: str
+
+
 class Head(NamedTuple):
     """Content of ``config/head``.
 
     :ivar changes: changed parts since ``base_version``; None if too large to inline
+    :ivar record: record of the version, which its successor copies to ``config/version/<n>``
     """
 
     version: int
@@ -35,17 +46,7 @@
     base_digest: bytes
     author: str
     changes: dict[str, bytes | None] | None
-
-
-class VersionRecord(NamedTuple):
-    """Content of ``config/version/<n>``."""
-
-    version: int
-    rules_digest: str
-    author: str
-    reason: str
-    at: datetime
-    parts_key: str
+    record: VersionRecord | None = None
 
 
 class Published(NamedTuple):
@@ -94,10 +95,8 @@
         )
 
     def record(self, version: int) -> Result[VersionRecord, PlatformError]:
-        """Read the record of a version."""
-        return self.platform.get(version_key(version)).map(
-            lambda stored: msgspec.msgpack.decode(stored.value, type=VersionRecord)
-        )
+        """Read the record of a version: from the head, or as its successor stored it."""
+        return self.current().bind(lambda current: self._record(current.head, version))
 
     def rules_text(self, version: int) -> Result[bytes, PlatformError]:
         """Read the rules file that a version was compiled from."""
@@ -132,11 +131,19 @@
         parts_key = f"config/parts/{digest.hex()}"
         record = VersionRecord(version, rules_digest, author, reason, at, parts_key)
         changes = diff_parts(base_parts, parts)
-        head = Head(version, digest, base.head.version, base.head.digest, author, _inline(changes))
+        head = Head(
+            version,
+            digest,
+            base.head.version,
+            base.head.digest,
+            author,
+            _inline(changes),
+            record,
+        )
         return (
             self._create_shared(f"config/rules/{rules_digest}", zlib.compress(rules))
             .bind(lambda _: self._create_shared(parts_key, _pack(parts)))
-            .bind(lambda _: self._write_record(record, write_id))
+            .bind(lambda _: self._store_record(base.head))
             .bind(
                 lambda _: self.platform.update(
                     HEAD_KEY, msgspec.msgpack.encode(head), base.revision, write_id
@@ -146,28 +153,28 @@
         )
 
     def _create_shared(self, key: str, value: bytes) -> Result[None, PlatformError]:
-        """Create a content-addressed object; one that exists already has the same content."""
+        """Create an object whose key determines its content; one that exists is the same."""
         result = self.platform.create(key, value, key)
         if is_successful(result) or isinstance(result.failure(), Conflict):
             return Success(None)
         return Failure(result.failure())
 
-    def _write_record(
-        self, record: VersionRecord, write_id: str
-    ) -> Result[StoredObject, PlatformError]:
-        """Write the record of a version that is not yet the head.
+    def _record(self, head: Head, version: int) -> Result[VersionRecord, PlatformError]:
+        if head.record is not None and head.version == version:
+            return Success(head.record)
+        return self.platform.get(version_key(version)).map(
+            lambda stored: msgspec.msgpack.decode(stored.value, type=VersionRecord)
+        )
+
+    def _store_record(self, head: Head) -> Result[None, PlatformError]:
+        """Store the record of a head before it is replaced.
 
-        A record left behind by a publisher that lost the race for the head, or died before it
-        updated the head, is replaced.
+        Only what was the head is ever stored under a version's key, so publishers that race for
+        the next version cannot store different records, and no record is replaced.
         """
-        key, value = version_key(record.version), msgspec.msgpack.encode(record)
-        result = self.platform.create(key, value, write_id)
-        if is_successful(result) or not isinstance(result.failure(), Conflict):
-            return result
-        current = result.failure().current
-        if current is None:
-            return result
-        return self.platform.update(key, value, current.revision, write_id)
+        if head.record is None:
+            return Success(None)
+        return self._create_shared(version_key(head.version), msgspec.msgpack.encode(head.record))
 
 
 def version_key(version: int) -> str:
