--- /dev/null
+++ b/almondshore/daemon/journal.py
@@ -0,0 +1,65 @@
+"""Log events and gauges for what changes at a node."""
+
+from almondshore.daemon.logs import log_event
+from almondshore.daemon.metrics import Metrics
+from almondshore.daemon.node import Node
+
+
+class Journal:
+    """Compares the node with its last observed state and logs the differences."""
+
+    def __init__(self, *, node: Node, metrics: Metrics):
+        self.node = node
+        self.metrics = metrics
+        self.version = 0
+        self.is_relay = False
+        self.ready = False
+        self.refused = 0
+        self.moves: dict[str, tuple[str, int]] = {}
+
+    def observe(self) -> None:
+        """Log what has changed since the last call."""
+        self._observe_config()
+        self._observe_role()
+        self._observe_moves()
+
+    def _observe_config(self) -> None:
+        config = self.node.control.config
+        version = config.state.current.version
+        if version != self.version:
+            log_event("config_accepted", version=version, previous=self.version)
+            self.version = version
+            self.metrics.gauge(
+                "almondshore_config_version", "Configuration version in effect", version
+            )
+        if len(config.refused) > self.refused:
+            (refused, _), reason = next(reversed(config.refused.items()))
+            log_event("config_refused", level="ERROR", version=refused, reason=reason)
+        self.refused = len(config.refused)
+        if config.ready != self.ready:
+            self.ready = config.ready
+            log_event("node_ready", node=self.node.identity.node, version=version)
+
+    def _observe_role(self) -> None:
+        is_relay = self.node.control.relay is not None
+        if is_relay != self.is_relay:
+            self.is_relay = is_relay
+            event = "relay_started" if is_relay else "relay_ended"
+            log_event(event, node=self.node.identity.node, zone=self.node.identity.zone)
+
+    def _observe_moves(self) -> None:
+        """Log each step and each end of a move once."""
+        for service, report in self.node.moves.reports.items():
+            seen = (report.status.value, report.step)
+            if self.moves.get(service) == seen:
+                continue
+            self.moves[service] = seen
+            log_event(
+                f"move_{report.status.value.replace(' ', '_')}",
+                service=service,
+                move=report.move_id,
+                step=report.step,
+                reason=report.reason,
+                route=report.route,
+                evidence=report.evidence,
+            )
--- /dev/null
+++ b/almondshore/daemon/main.py
@@ -0,0 +1,59 @@
+"""The almondshored process."""
+
+import eventlet
+
+eventlet.monkey_patch()
+
+import os  # noqa: E402
+import signal  # noqa: E402
+import sys  # noqa: E402
+from pathlib import Path  # noqa: E402
+
+import cyclopts  # noqa: E402
+
+from almondshore.core.errors import InvalidInputError  # noqa: E402
+from almondshore.daemon.logs import log_event, setup_logs  # noqa: E402
+from almondshore.daemon.process import NodeProcess  # noqa: E402
+from almondshore.daemon.settings import load_settings  # noqa: E402
+
+EXIT_WRONG_USAGE = 2
+
+app = cyclopts.App(name="almondshored", help="The almondshore node for one target host.")
+
+
+@app.default
+def main(*, settings: Path) -> None:
+    """Run a node until it is told to end.
+
+    SIGTERM drains the node, a second one ends it at once.
+
+    :param settings: YAML settings file
+    """
+    try:
+        loaded = load_settings(settings)
+    except InvalidInputError as error:
+        sys.stderr.write(f"{error}\n")
+        sys.exit(EXIT_WRONG_USAGE)
+    setup_logs(level=loaded.log.level)
+    process = NodeProcess(settings=loaded)
+
+    def terminate(*_: object) -> None:
+        if process.draining:
+            log_event("node_ended", node=loaded.node, reason="second signal")
+            os._exit(1)
+        eventlet.spawn(process.drain)
+
+    signal.signal(signal.SIGTERM, terminate)
+    signal.signal(signal.SIGINT, terminate)
+    process.run()
+    # The hub may still hold greenlets that wait on sockets; all requests have been answered.
+    os._exit(0)
+
+
+def run() -> None:
+    """Run the daemon's command line."""
+    app()
+
+
+if __name__ == "__main__":
+    run()
--- /dev/null
+++ b/almondshore/daemon/process.py
@@ -0,0 +1,268 @@
+"""Adapters around a node: sockets, green threads, logs and metrics."""
+
+import random
+from collections.abc import Callable
+from datetime import timedelta
+
+import eventlet
+import eventlet.wsgi
+from eventlet.event import Event
+
+from almondshore.core.clock import SystemClock
+from almondshore.core.messages import Envelope, Send
+from almondshore.daemon.admin import AdminApp, Announcement
+from almondshore.daemon.journal import Journal
+from almondshore.daemon.logs import log_event
+from almondshore.daemon.metrics import Metrics
+from almondshore.daemon.node import Node
+from almondshore.daemon.settings import Settings
+from almondshore.daemon.status import StatusWriter
+from almondshore.limits.admission import SlotQueue
+from almondshore.net.nng import NngTransport
+from almondshore.platform.http import HttpPlatform
+from almondshore.proxy.caller import CallerApp, Finished
+from almondshore.proxy.gate import SlotGate
+from almondshore.proxy.pool import HopPool
+from almondshore.proxy.target import Endpoint, TargetApp
+from almondshore.relay.control import ControlLimits, Identity
+
+TICK_SECONDS = 0.1
+PLATFORM_STEP_SECONDS = 0.5
+DRAIN_POLL_SECONDS = 0.05
+# Nodes elsewhere stop sending work within this time of the announcement that targets leave.
+LEAVE_NOTICE = timedelta(seconds=3)
+CONNECT_TIMEOUT = timedelta(seconds=1)
+SOCKET_TIMEOUT_SECONDS = 60
+MAX_CONNECTIONS = 4096
+MAX_HOSTS = 1024
+CONNECTIONS_PER_HOST = 100
+
+
+class NodeProcess:
+    """One node with its sockets."""
+
+    def __init__(self, *, settings: Settings):
+        self.settings = settings
+        self.clock = SystemClock()
+        self.metrics = Metrics(
+            max_tenants=settings.limits.tenants,
+            constant={"node": settings.node, "zone": settings.zone},
+        )
+        self.platform = HttpPlatform(
+            url=settings.platform.url, clock=self.clock, timeout=settings.platform.timeout
+        )
+        self.node = self._make_node()
+        self.transport = NngTransport(
+            listen=settings.listen.control, zone=settings.zone, clock=self.clock
+        )
+        self.status = StatusWriter(clock=self.clock, platform=self.platform, node=self.node)
+        self.journal = Journal(node=self.node, metrics=self.metrics)
+        self.pool = HopPool(
+            max_hosts=MAX_HOSTS,
+            connections_per_host=CONNECTIONS_PER_HOST,
+            connect_timeout=CONNECT_TIMEOUT,
+            max_response_bytes=settings.limits.max_body_bytes,
+        )
+        self.endpoints: dict[str, Endpoint] = {}
+        self.callers = [self._make_caller(trusted) for trusted in (False, True)]
+        self.target_app = TargetApp(
+            clock=self.clock,
+            endpoints=self.endpoints,
+            pool=self.pool,
+            max_body_bytes=settings.limits.max_body_bytes,
+            on_run=self.node.moves.record,
+        )
+        self.draining = False
+        self.ended = Event()
+
+    def run(self) -> None:
+        """Serve until the node has been drained."""
+        listen = self.settings.listen
+        admin = AdminApp(
+            clock=self.clock,
+            node=self.node,
+            metrics=self.metrics,
+            announce=self.announce,
+            withdraw=self.withdraw,
+            drain=lambda: eventlet.spawn(self.drain),
+            is_draining=lambda: self.draining,
+        )
+        self._serve(listen.admin, admin)
+        self._serve(listen.peer, self.target_app)
+        self._serve(listen.caller, self.callers[0])
+        self._serve(listen.internal, self.callers[1])
+        eventlet.spawn(self.transport.receive_forever, self._received)
+        self._repeat(self._tick, TICK_SECONDS)
+        self._repeat(self._platform_step, PLATFORM_STEP_SECONDS)
+        self._repeat(self._coordinate, PLATFORM_STEP_SECONDS)
+        self._repeat(self.node.watch_step, lambda: self._watch_delay())
+        log_event("node_started", node=self.settings.node, zone=self.settings.zone)
+        self.ended.wait()
+
+    def announce(self, announcement: Announcement) -> bool:
+        """Take the announcement of a target on this host.
+
+        :returns: False if there is no room for it
+        """
+        local = self.node.control.local
+        leaving = announcement.state == "leaving" or self.draining
+        records = local.announce(
+            target=announcement.target,
+            service=announcement.service,
+            version=announcement.version,
+            slots=announcement.slots,
+            draining=leaving,
+        )
+        if announcement.target not in local.targets:
+            return False
+        self._set_endpoint(announcement)
+        if leaving:
+            self.endpoints[announcement.target].gate.drain()
+        self._send_all(self.node.control.announce(records))
+        return True
+
+    def withdraw(self, target: str) -> None:
+        """Remove a target that has ended."""
+        self._send_all(self.node.control.announce(self.node.control.local.withdraw(target)))
+        self.endpoints.pop(target, None)
+
+    def drain(self) -> None:
+        """Refuse new work, let the work in progress finish, and end."""
+        if self.draining:
+            return
+        self.draining = True
+        log_event("node_draining", node=self.settings.node)
+        started = self.clock.monotonic()
+        self._send_all(self.node.control.announce(self.node.control.local.drain_all()))
+        while self.clock.monotonic() - started < self.settings.drain_timeout:
+            eventlet.sleep(DRAIN_POLL_SECONDS)
+            # The gates stay open until every node knows, so that nothing on its way is refused.
+            if self.clock.monotonic() - started < LEAVE_NOTICE:
+                continue
+            for endpoint in self.endpoints.values():
+                endpoint.gate.drain()
+            if self._is_idle():
+                break
+        self.node.control.duty.release()
+        self.node.moves.release()
+        log_event("node_ended", node=self.settings.node, idle=self._is_idle())
+        self.ended.send()
+
+    def _is_idle(self) -> bool:
+        gates = all(endpoint.gate.queue.is_idle() for endpoint in self.endpoints.values())
+        return gates and not any(caller.active for caller in self.callers)
+
+    def _make_node(self) -> Node:
+        listen = self.settings.listen
+        started_ms = int(self.clock.now().timestamp() * 1000)
+        identity = Identity(
+            self.settings.node, started_ms, self.settings.zone, listen.control, listen.peer
+        )
+        return Node(
+            clock=self.clock,
+            rng=random.Random(),
+            identity=identity,
+            platform=self.platform,
+            seeds=self.settings.peers,
+            limits=ControlLimits(nodes_per_slot=self.settings.relay.nodes_per_slot),
+            max_tenants=self.settings.limits.tenants,
+        )
+
+    def _make_caller(self, trusted: bool) -> CallerApp:
+        return CallerApp(
+            clock=self.clock,
+            routes=self.node.current_routes,
+            chooser=self.node.chooser,
+            tenants=self.node.tenants,
+            policy=self.node.policy,
+            crash_guard=self.node.crash_guard,
+            pool=self.pool,
+            max_body_bytes=self.settings.limits.max_body_bytes,
+            trusted=trusted,
+            on_finished=self._finished,
+        )
+
+    def _set_endpoint(self, announcement: Announcement) -> None:
+        known = self.endpoints.get(announcement.target)
+        if known is not None and known.version == announcement.version:
+            return
+        queue = SlotQueue(
+            clock=self.clock,
+            slots=announcement.slots,
+            queue_limit=self.settings.limits.queue_length,
+        )
+        self.endpoints[announcement.target] = Endpoint(
+            announcement.target,
+            announcement.service,
+            announcement.version,
+            announcement.address,
+            SlotGate(queue=queue),
+        )
+
+    def _serve(self, address: str, app: Callable) -> None:
+        host, _, port = address.rpartition(":")
+        listener = eventlet.listen((host, int(port)))
+        eventlet.spawn(
+            eventlet.wsgi.server,
+            listener,
+            app,
+            log_output=False,
+            max_size=MAX_CONNECTIONS,
+            socket_timeout=SOCKET_TIMEOUT_SECONDS,
+        )
+
+    def _repeat(self, action: Callable[[], None], pause: float | Callable[[], float]) -> None:
+        """Run an action again and again; an error is logged and does not end the loop."""
+
+        def loop() -> None:
+            while True:
+                try:
+                    action()
+                except Exception as error:
+                    log_event("loop_failed", level="ERROR", action=action, error=repr(error))
+                    self.metrics.count("almondshore_loop_failures_total", "Errors in loops")
+                eventlet.sleep(pause() if callable(pause) else pause)
+
+        eventlet.spawn(loop)
+
+    def _watch_delay(self) -> float:
+        source = self.node.control.source
+        return source.delay.total_seconds() if source is not None else PLATFORM_STEP_SECONDS
+
+    def _received(self, envelope: Envelope) -> None:
+        try:
+            self._send_all(self.node.handle(envelope.message, envelope.sender))
+        except Exception as error:
+            kind = type(envelope.message).__name__
+            log_event("message_failed", level="ERROR", kind=kind, error=repr(error))
+            self.metrics.count("almondshore_message_failures_total", "Messages that failed")
+
+    def _tick(self) -> None:
+        self._send_all(self.node.tick())
+        for endpoint in list(self.endpoints.values()):
+            endpoint.gate.expire()
+        for target in self.endpoints.keys() - self.node.control.local.targets.keys():
+            del self.endpoints[target]
+        self.journal.observe()
+
+    def _platform_step(self) -> None:
+        self._send_all(self.node.platform_step())
+        self.status.step()
+
+    def _coordinate(self) -> None:
+        self._send_all(self.node.coordinate())
+
+    def _send_all(self, sends: list[Send]) -> None:
+        for item in sends:
+            if item.to == self.settings.listen.control:
+                self._send_all(self.node.handle(item.message, item.to))
+            else:
+                self.transport.send(item)
+
+    def _finished(self, finished: Finished) -> None:
+        self.metrics.observe_request(
+            tenant=finished.tenant,
+            request_class=finished.request_class,
+            outcome=finished.outcome,
+            latency=finished.latency,
+        )
--- /dev/null
+++ b/almondshore/daemon/routes.py
@@ -0,0 +1,76 @@
+"""Routes of a node: kept in step with the configuration, the directory and the moves."""
+
+from almondshore.limits.tenants import TenantLimits
+from almondshore.moves.state import MoveTable
+from almondshore.proxy.caller import Routes
+from almondshore.retries.budget import RetryBudget
+from almondshore.routing.choice import TargetChooser
+from almondshore.routing.table import RouteTable
+from almondshore.rules.model import ServicePart
+from almondshore.versions.view import RoutingView, ViewBuilder
+
+NO_ROUTES = Routes(False, RouteTable([]), {})
+
+
+class RouteKeeper:
+    """Builds the routes anew when the view or the shares of a move have changed.
+
+    A route is only active while its service has known targets, and a share names only versions
+    with known targets, so no route points at something this node does not know.
+    """
+
+    def __init__(
+        self,
+        *,
+        builder: ViewBuilder,
+        moves: MoveTable,
+        chooser: TargetChooser,
+        tenants: TenantLimits,
+        budget: RetryBudget,
+    ):
+        self.builder = builder
+        self.moves = moves
+        self.chooser = chooser
+        self.tenants = tenants
+        self.budget = budget
+        self.view: RoutingView = builder.current
+        self.moves_seen: tuple[int, int] = (0, 0)
+        self.current = NO_ROUTES
+
+    def refresh(self, *, ready: bool) -> None:
+        """Bring the routes up to date.
+
+        :param ready: whether the node has learnt the newest configuration
+        """
+        view = self.builder.view()
+        changed = view is not self.view
+        if changed:
+            self._take_view(view)
+        moves_seen = (len(self.moves.vetoes), self.moves.digest())
+        if changed or moves_seen != self.moves_seen or ready != self.current.ready:
+            self.moves_seen = moves_seen
+            self.current = self.current._replace(
+                ready=ready,
+                weights={
+                    name: view.split(name, self.moves.weights(part))
+                    for name, part in view.services.items()
+                },
+            )
+
+    def parts(self) -> list[ServicePart]:
+        """Return all service parts of the configuration in effect."""
+        return list(self.builder.services.values())
+
+    def _take_view(self, view: RoutingView) -> None:
+        old, self.view = self.view, view
+        if old.version != view.version:
+            self.moves.set_configuration(self.parts())
+            self.tenants.configure(view.tenants.values())
+            self.budget.keep(set(self.builder.services))
+        if old.services != view.services:
+            self.current = self.current._replace(table=RouteTable(view.services.values()))
+        for name in old.targets.keys() | view.targets.keys():
+            targets = view.targets.get(name, {})
+            if targets != old.targets.get(name, {}):
+                records = [record for found in targets.values() for record in found]
+                self.chooser.update(name, records)
--- /dev/null
+++ b/almondshore/daemon/status.py
@@ -0,0 +1,156 @@
+"""The status of a node and, on a relay, of its availability zone."""
+
+from datetime import datetime, timedelta
+
+from returns.pipeline import is_successful
+
+from almondshore.core.clock import Clock
+from almondshore.core.messages import TargetRecord
+from almondshore.daemon.node import Node
+from almondshore.moves.plan import FINAL_STEP, SHARES, plan_of
+from almondshore.platform.port import Conflict, Platform
+from almondshore.rules.model import MoveState, ServicePart
+from almondshore.versions.status import (
+    MoveStatus,
+    NodeStatus,
+    TargetStatus,
+    ZoneStatus,
+    encode_status,
+    status_key,
+)
+
+# Keeps the writes of a zone far below the 2 a second that it may make in steady state.
+MIN_WRITE_INTERVAL = timedelta(seconds=5)
+# A status is written again without a change, so that readers can tell that it is alive.
+MAX_WRITE_INTERVAL = timedelta(seconds=60)
+
+
+def node_status(node: Node) -> NodeStatus:
+    """Return the status of a node itself."""
+    identity = node.identity
+    return NodeStatus(
+        node=identity.node,
+        address=identity.control,
+        config_version=node.control.config.state.current.version,
+        ready=node.ready,
+        targets=[_target_status(record) for record in node.control.local.records()],
+    )
+
+
+def move_statuses(node: Node, now: datetime) -> list[MoveStatus]:
+    """Return the state of all moves in the configuration in effect."""
+    parts = [part for part in node.routes.parts() if part["move"]]
+    return [_move_status(node, part, now) for part in parts]
+
+
+def zone_status(node: Node, now: datetime) -> ZoneStatus:
+    """Return the status of the zone as its relay sees it."""
+    nodes = {node.identity.node: node_status(node)}
+    by_node: dict[str, list[TargetRecord]] = {}
+    for record in node.control.directory.of_zone(node.identity.zone):
+        by_node.setdefault(record.node, []).append(record)
+    for item in node.control.relay.subscribers:
+        nodes[item.node] = NodeStatus(
+            node=item.node,
+            address=item.address,
+            config_version=item.version,
+            ready=item.ready,
+            targets=[_target_status(record) for record in by_node.get(item.node, [])],
+        )
+    versions: dict[str, int] = {}
+    for entry in nodes.values():
+        key = str(entry["config_version"])
+        versions[key] = versions.get(key, 0) + 1
+    return ZoneStatus(
+        zone=node.identity.zone,
+        at=now.isoformat(),
+        versions=versions,
+        nodes=[nodes[name] for name in sorted(nodes)],
+        moves=move_statuses(node, now),
+    )
+
+
+def _target_status(record: TargetRecord) -> TargetStatus:
+    return TargetStatus(
+        target=record.target,
+        service=record.service,
+        version=record.version,
+        state=record.state.name.lower(),
+    )
+
+
+def _move_status(node: Node, part: ServicePart, now: datetime) -> MoveStatus:
+    move = part["move"]
+    known = node.table.step(part)
+    step = known.step if known is not None else 0
+    state, reason = move["state"], move["reason"]
+    veto = node.table.veto(part, move["to_version"])
+    if veto is not None:
+        state, reason = MoveState.REVERTED.value, veto.reason
+    active = state == MoveState.ACTIVE.value
+    return MoveStatus(
+        service=part["name"],
+        move_id=move["move_id"],
+        from_version=move["from_version"],
+        to_version=move["to_version"],
+        step_percent=_percent(state, step),
+        state=state,
+        reason=reason,
+        deadline=move["deadline"],
+        at_risk=active and step < FINAL_STEP and plan_of(move).is_late(step, now),
+    )
+
+
+def _percent(state: str, step: int) -> int:
+    if state == MoveState.DONE.value:
+        return 100
+    if state == MoveState.REVERTED.value:
+        return 0
+    return round(SHARES[step] * 100)
+
+
+class StatusWriter:
+    """Writes the status of a zone to the platform when it has changed."""
+
+    def __init__(self, *, clock: Clock, platform: Platform, node: Node):
+        self.clock = clock
+        self.platform = platform
+        self.node = node
+        self.written: ZoneStatus | None = None
+        self.revision = 0
+        self.writes = 0
+        self.next_write = clock.monotonic()
+        self.next_repeat = clock.monotonic()
+
+    def step(self) -> None:
+        """Write the status if this node is the zone's first relay and it is due."""
+        now = self.clock.monotonic()
+        if now < self.next_write or not self._is_first_relay():
+            return
+        status = zone_status(self.node, self.clock.now())
+        if self._same(status) and now < self.next_repeat:
+            return
+        self.next_write = now + MIN_WRITE_INTERVAL
+        if self._write(status):
+            self.written = status
+            self.next_repeat = now + MAX_WRITE_INTERVAL
+
+    def _is_first_relay(self) -> bool:
+        duty = self.node.control.duty
+        return self.node.control.relay is not None and duty.slot == 0
+
+    def _same(self, status: ZoneStatus) -> bool:
+        return self.written is not None and {**self.written, "at": ""} == {**status, "at": ""}
+
+    def _write(self, status: ZoneStatus) -> bool:
+        key = status_key(status["zone"])
+        self.writes += 1
+        write_id = f"{self.node.identity.node}-{self.node.identity.incarnation}-{self.writes}"
+        result = self.platform.update(key, encode_status(status), self.revision, write_id)
+        if is_successful(result):
+            self.revision = result.unwrap().revision
+            return True
+        error = result.failure()
+        if isinstance(error, Conflict) and error.current is not None:
+            self.revision = error.current.revision
+        return False
--- a/almondshore/proxy/caller.py
+++ b/almondshore/proxy/caller.py
@@ -33,7 +33,7 @@
 NO_TENANT = "-"
 
 
-class RoutingView(NamedTuple):
+class Routes(NamedTuple):
     """What a node routes by; replaced as a whole.
 
     :ivar weights: share of each version by service
@@ -82,7 +82,7 @@
         self,
         *,
         clock: Clock,
-        view: Callable[[], RoutingView],
+        routes: Callable[[], Routes],
         chooser: TargetChooser,
         tenants: TenantLimits,
         policy: RetryPolicy,
@@ -93,7 +93,7 @@
         on_finished: Callable[[Finished], None] = lambda finished: None,
     ):
         self.clock = clock
-        self.view = view
+        self.routes = routes
         self.chooser = chooser
         self.tenants = tenants
         self.policy = policy
@@ -134,15 +134,15 @@
 
     def _admit(self, request_id: str, request: Request, started: timedelta) -> Call | Failure:
         """Check everything that can be decided without a target."""
-        view = self.view()
-        if not view.ready:
+        routes = self.routes()
+        if not routes.ready:
             return make_failure(Reason.NOT_READY, "no configuration is in effect yet")
-        match = view.table.match(request.method, request.path)
+        match = routes.table.match(request.method, request.path)
         if match is None:
             return make_failure(Reason.NO_ROUTE, "no route matches the method and path")
         tenant = first(request.headers, names.TENANT) or NO_TENANT
         if not self.trusted:
-            limited = self.tenants.check(tenant)
+            limited = self.tenants.take(tenant)
             if isinstance(limited, Limited):
                 reason = Reason(limited.reason.value)
                 return make_failure(reason, retry_after=limited.retry_after)
@@ -211,7 +211,7 @@
 
     def _choose(self, call: Call, tried: list[str]) -> TargetRecord | None:
         service = call.match.service
-        return self.chooser.choose(service, self.view().weights.get(service, {}), tried)
+        return self.chooser.choose(service, self.routes().weights.get(service, {}), tried)
 
     def _attempt(self, call: Call, target: TargetRecord, attempt: int) -> Reply | Failure:
         """Send a call to one target and take in what the exchange says about it."""
--- a/almondshore/proxy/target.py
+++ b/almondshore/proxy/target.py
@@ -57,6 +57,7 @@
 
     :ivar ok: whether the target responded with a whole response below status 500
     :ivar latency: time from the hand-over to the end of the response
+    :ivar broken: whether the target closed the connection before a whole response
     """
 
     service: str
@@ -64,6 +65,7 @@
     route: str
     ok: bool
     latency: timedelta
+    broken: bool = False
 
 
 class TargetApp:
@@ -152,7 +154,8 @@
         if isinstance(result, ExchangeFailure):
             failure = _exchange_failure(result)
             if failure.reason is not Reason.TARGET_UNREACHABLE:
-                self._report(endpoint, hop, started, ok=False)
+                broken = result.kind is FailureKind.CUT
+                self._report(endpoint, hop, started, ok=False, broken=broken)
             return failure
         if first(result.headers, names.OUTCOME) == Outcome.NOT_RUN.value:
             return make_failure(Reason.OVERLOADED, "the target refused the request")
@@ -167,9 +170,11 @@
             (names.ATTEMPT, hop.attempt or "0"),
         ]
 
-    def _report(self, endpoint: Endpoint, hop: Hop, started: timedelta, ok: bool) -> None:
+    def _report(
+        self, endpoint: Endpoint, hop: Hop, started: timedelta, *, ok: bool, broken: bool = False
+    ) -> None:
         latency = self.clock.monotonic() - started
-        self.on_run(RunResult(endpoint.service, endpoint.version, hop.route, ok, latency))
+        self.on_run(RunResult(endpoint.service, endpoint.version, hop.route, ok, latency, broken))
 
 
 def _exchange_failure(result: ExchangeFailure) -> Failure:
