--- a/almondshore/core/messages.py
+++ b/almondshore/core/messages.py
@@ -43,7 +43,10 @@
 
 
 class RelayEntry(NamedTuple):
-    """A relay of an availability zone and the epoch of its lease."""
+    """A relay of an availability zone and the epoch of its lease.
+
+    An empty address says that the holder of this epoch is gone and the slot is vacant.
+    """
 
     zone: str
     slot: int
--- a/almondshore/membership/detector.py
+++ b/almondshore/membership/detector.py
@@ -77,8 +77,8 @@
 
     @property
     def holding(self) -> bool:
-        """Whether no node is declared dead, because too many became suspect at once."""
-        return self.clock.monotonic() < self.held_until
+        """Whether no node is declared dead, because too many are or became suspect at once."""
+        return self.clock.monotonic() < self.held_until or self._too_many(len(self.suspects))
 
     def heard(self, node: str, address: str, incarnation: int) -> None:
         """Note a heartbeat of a node."""
@@ -144,12 +144,13 @@
         self.became_suspect.extend([now] * new)
         while self.became_suspect and now - self.became_suspect[0] > self.limits.hold_window:
             self.became_suspect.popleft()
-        recent = len(self.became_suspect)
-        if recent < self.limits.hold_min_suspects:
-            return
-        if recent > self.limits.hold_share * len(self.nodes):
+        if self._too_many(len(self.became_suspect)):
             self.held_until = now + self.limits.hold_window
 
+    def _too_many(self, suspects: int) -> bool:
+        enough = suspects >= self.limits.hold_min_suspects
+        return enough and suspects > self.limits.hold_share * len(self.nodes)
+
     def _probe(self, node: str, helpers: Collection[str], now: timedelta) -> list[Send]:
         address = self.nodes[node].address
         others = [helper for helper in helpers if helper not in (address, self.address)]
--- a/almondshore/membership/directory.py
+++ b/almondshore/membership/directory.py
@@ -17,8 +17,9 @@
 class Directory:
     """Target records, merged by incarnation and state.
 
-    Dead records are kept as tombstones and left out of the digests. At ``max_records`` a record
-    of an unknown target is not taken and ``refused`` is raised.
+    ``revision`` grows with every change. Dead records are kept as tombstones and left out of the
+    digests. At ``max_records`` a record of an unknown target is not taken and ``refused`` is
+    raised.
     """
 
     def __init__(
@@ -39,6 +40,8 @@
             lambda: defaultdict(set)
         )
         self.zone_digests: defaultdict[str, int] = defaultdict(int)
+        self.cached: dict[tuple[str, str], tuple[TargetRecord, ...]] = {}
+        self.revision = 0
         self.refused = 0
 
     def merge(self, records: Iterable[TargetRecord]) -> list[TargetRecord]:
@@ -74,15 +77,18 @@
         """Return the records that a node owns."""
         return [self.records[target] for target in sorted(self.nodes.get(node, ()))]
 
-    def lookup(self, service: str, version: str) -> list[TargetRecord]:
-        """Return the targets of a service's version that take new work."""
-        targets = self.services.get(service, {}).get(version, ())
-        records = (self.records[target] for target in sorted(targets))
-        return [record for record in records if record.state is TargetState.UP]
+    def lookup(self, service: str, version: str) -> tuple[TargetRecord, ...]:
+        """Return the targets of a service's version that take new work, ordered by name."""
+        found = self.cached.get((service, version))
+        if found is None:
+            targets = self.services.get(service, {}).get(version, ())
+            found = tuple(self.records[target] for target in sorted(targets))
+            self.cached[service, version] = found
+        return found
 
     def versions(self, service: str) -> set[str]:
         """Return the versions of a service with at least one target that takes new work."""
-        return {v for v in self.services.get(service, ()) if self.lookup(service, v)}
+        return set(self.services.get(service, ()))
 
     def declare_dead(self, node: str) -> list[TargetRecord]:
         """Mark all records of a node dead.
@@ -94,6 +100,8 @@
     def expire(self) -> None:
         """Drop tombstones past their retention."""
         limit = self.clock.monotonic() - self.tombstone_retention
+        if len(self.cached) > MAX_RECORDS:
+            self.cached.clear()
         for target in [t for t, since in self.dead_since.items() if since <= limit]:
             self._remove(target)
 
@@ -107,6 +115,7 @@
         if known is not None:
             self._remove(record.target)
         self._insert(record)
+        self.revision += 1
         return True
 
     def _insert(self, record: TargetRecord) -> None:
@@ -116,19 +125,24 @@
         self.nodes[record.node].add(target)
         if record.state is TargetState.DEAD:
             self.dead_since[target] = self.clock.monotonic()
-        else:
+            return
+        self.zone_digests[record.zone] ^= record_hash(record)
+        if record.state is TargetState.UP:
             self.services[record.service][record.version].add(target)
-            self.zone_digests[record.zone] ^= record_hash(record)
+            self.cached.pop((record.service, record.version), None)
 
     def _remove(self, target: str) -> None:
         record = self.records.pop(target)
         _discard(self.zones, record.zone, target)
         _discard(self.nodes, record.node, target)
-        if self.dead_since.pop(target, None) is None:
+        if self.dead_since.pop(target, None) is not None:
+            return
+        self.zone_digests[record.zone] ^= record_hash(record)
+        if record.state is TargetState.UP:
             _discard(self.services[record.service], record.version, target)
             if not self.services[record.service]:
                 del self.services[record.service]
-            self.zone_digests[record.zone] ^= record_hash(record)
+            self.cached.pop((record.service, record.version), None)
 
 
 def _discard(index: dict[str, set[str]], key: str, target: str) -> None:
--- a/almondshore/membership/local.py
+++ b/almondshore/membership/local.py
@@ -43,6 +43,7 @@
         self.announce_timeout = announce_timeout
         self.max_targets = max_targets
         self.targets: dict[str, LocalTarget] = {}
+        self.started = clock.monotonic()
 
     def announce(
         self, *, target: str, service: str, version: str, slots: int, draining: bool = False
@@ -101,13 +102,15 @@
         """Answer a record about a target of this node that others hold.
 
         :returns: this node's record with a higher incarnation if the other one contradicts it;
-            a record of a target that is not here is declared dead
+            a record of a target that is not here is declared dead, once the targets had time to
+            announce themselves to a restarted node
         """
         if record.node != self.node:
             return []
         known = self.targets.get(record.target)
         if known is None:
-            if record.state is TargetState.DEAD:
+            starting = self.clock.monotonic() - self.started < self.announce_timeout
+            if starting or record.state is TargetState.DEAD:
                 return []
             return [self._raised(record, TargetState.DEAD)]
         if record == known.record or record.incarnation < known.record.incarnation:
--- a/almondshore/membership/sync.py
+++ b/almondshore/membership/sync.py
@@ -18,16 +18,23 @@
 )
 from almondshore.membership.directory import Directory
 from almondshore.membership.local import LocalTargets
+from almondshore.membership.record import is_newer
 
 REQUEST_INTERVAL = timedelta(seconds=4)
+# Three heartbeats; a difference that lasts longer is no change under way.
+DIFFERENCE_TOLERATED = timedelta(seconds=6)
+ANNOUNCE_INTERVAL = timedelta(seconds=1)
 EXPIRE_INTERVAL = timedelta(minutes=1)
 
 
 class DirectorySync:
     """Keeps an ordinary node's directory and its own records in step with its relay.
 
-    A difference is repaired when two acknowledgements in a row show the same digest and it is
-    not the own one, so that changes under way cause no requests.
+    A changed record of an own target is announced again until the relay passes it back. Records
+    of a zone are asked for when the digest of the relay differs twice in a row without change,
+    or for ``DIFFERENCE_TOLERATED``, so that changes under way cause no requests.
+
+    :ivar pass_on: takes the changes of the own targets if this node is a relay itself
     """
 
     def __init__(
@@ -36,16 +43,20 @@
         clock: Clock,
         directory: Directory,
         local: LocalTargets,
-        announce: Callable[[list[TargetRecord]], list[Send]],
+        pass_on: Callable[[list[TargetRecord]], None] | None = None,
         request_interval: timedelta = REQUEST_INTERVAL,
     ):
         self.clock = clock
         self.directory = directory
         self.local = local
-        self.announce = announce
+        self.pass_on = pass_on
         self.request_interval = request_interval
         self.relay: str | None = None
+        self.complete = False
         self.differing: int | None = None
+        self.differing_since = timedelta()
+        self.unconfirmed: dict[str, TargetRecord] = {}
+        self.next_announce = clock.monotonic()
         self.next_request = clock.monotonic()
         self.next_expiry = clock.monotonic() + EXPIRE_INTERVAL
 
@@ -61,30 +72,68 @@
                 self.next_request = max(self.next_request, self.clock.monotonic() + delay)
         return []
 
+    def changed(self, records: list[TargetRecord]) -> list[Send]:
+        """Take changes of the own targets and announce them to the relay."""
+        if not records:
+            return []
+        self.directory.merge(records)
+        if self.pass_on is not None:
+            self.pass_on(records)
+            return []
+        self.unconfirmed.update({record.target: record for record in records})
+        return self._announce()
+
     def tick(self) -> list[Send]:
-        """Withdraw silent targets and drop old tombstones."""
-        if self.clock.monotonic() >= self.next_expiry:
-            self.next_expiry = self.clock.monotonic() + EXPIRE_INTERVAL
+        """Withdraw silent targets, repeat announcements and drop old tombstones."""
+        now = self.clock.monotonic()
+        if now >= self.next_expiry:
+            self.next_expiry = now + EXPIRE_INTERVAL
             self.directory.expire()
-        return self.announce(self.local.tick())
+        orphans = self._corrections(self.directory.of_node(self.local.node))
+        sends = self.changed(self.local.tick() + orphans)
+        if self.unconfirmed and now >= self.next_announce and not sends:
+            return self._announce()
+        return sends
+
+    def _announce(self) -> list[Send]:
+        self.next_announce = self.clock.monotonic() + ANNOUNCE_INTERVAL
+        if self.relay is None or not self.unconfirmed:
+            return []
+        return [Send(self.relay, Announce(list(self.unconfirmed.values())))]
 
     def _merge(self, records: list[TargetRecord]) -> list[Send]:
         self.directory.merge(records)
-        corrected = [raised for record in records for raised in self.local.correct(record)]
-        return self.announce(corrected)
+        for record in records:
+            own = self.unconfirmed.get(record.target)
+            if own is not None and not is_newer(own, record):
+                del self.unconfirmed[record.target]
+        return self.changed(self._corrections(records))
+
+    def _corrections(self, records: list[TargetRecord]) -> list[TargetRecord]:
+        return [corrected for record in records for corrected in self.local.correct(record)]
 
     def _compare(self, digest: int, sender: str) -> list[Send]:
         new_relay, self.relay = sender != self.relay, sender
-        sends: list[Send] = []
-        if new_relay and self.local.targets:
-            sends.append(Send(sender, Announce(self.local.records())))
         if digest == self.directory.digest()[ALL_ZONES]:
-            self.differing = None
-            return sends
+            self.complete, self.differing = True, None
+            self.unconfirmed.clear()
+            return []
+        sends: list[Send] = []
+        if new_relay:
+            self.unconfirmed.update({r.target: r for r in self.local.records()})
+            sends = self._announce()
+        return sends + self._ask_if_due(digest, sender)
+
+    def _ask_if_due(self, digest: int, sender: str) -> list[Send]:
+        """Ask for the records of differing zones if the difference is no change under way."""
+        now = self.clock.monotonic()
+        if self.differing is None:
+            self.differing_since = now
         repeated, self.differing = digest == self.differing, digest
-        if not (repeated or new_relay) or self.clock.monotonic() < self.next_request:
-            return sends
-        self.next_request = self.clock.monotonic() + self.request_interval
-        if self.local.targets and not new_relay:
-            sends.append(Send(sender, Announce(self.local.records())))
-        return [*sends, Send(sender, DirectoryRequest(self.directory.digests()))]
+        lasting = now - self.differing_since >= DIFFERENCE_TOLERATED
+        if now < self.next_request or (self.complete and not repeated and not lasting):
+            return []
+        self.next_request = now + self.request_interval
+        if repeated:
+            self.unconfirmed.update({r.target: r for r in self.local.records()})
+        return [Send(sender, DirectoryRequest(self.directory.digests()))]
--- a/almondshore/relay/control.py
+++ b/almondshore/relay/control.py
@@ -7,7 +7,6 @@
 from almondshore.core.clock import Clock
 from almondshore.core.messages import (
     ALL_ZONES,
-    Announce,
     Busy,
     Heartbeat,
     Message,
@@ -122,13 +121,7 @@
 
     def announce(self, records: list[TargetRecord]) -> list[Send]:
         """Make changes of the own targets known."""
-        if not records:
-            return []
-        if self.relay is not None:
-            return self.relay.handle(Announce(records), self.identity.control)
-        self.directory.merge(records)
-        relay = self.selection.relay
-        return [Send(relay, Announce(records))] if relay else []
+        return self.membership.changed(records)
 
     def heartbeat(self) -> Heartbeat:
         """Return the heartbeat that tells what this node holds now."""
@@ -174,7 +167,7 @@
         if self.duty.is_relay and self.relay is None:
             self._start_relay()
         elif not self.duty.is_relay and self.relay is not None:
-            self.relay = self.source = None
+            self.relay = self.source = self.membership.pass_on = None
 
     def _make_membership(self) -> None:
         clock, who = self.clock, self.identity
@@ -183,9 +176,7 @@
         self.local = LocalTargets(
             clock=clock, node=who.node, zone=who.zone, address=who.address, control=who.control
         )
-        self.membership = DirectorySync(
-            clock=clock, directory=self.directory, local=self.local, announce=self.announce
-        )
+        self.membership = DirectorySync(clock=clock, directory=self.directory, local=self.local)
         self.prober = Prober(clock=clock, node=who.node, incarnation=who.incarnation)
 
     def _make_relay_client(self) -> None:
@@ -232,5 +223,6 @@
             moves_digest=self.moves_digest,
             limits=self.limits.relay,
         )
+        self.membership.pass_on = self.relay.own_records_changed
         publisher = Publisher(platform=self.platform)
         self.source = ConfigSource(clock=clock, rng=rng, publisher=publisher, sync=self.config)
--- a/almondshore/relay/duty.py
+++ b/almondshore/relay/duty.py
@@ -9,30 +9,32 @@
 from almondshore.core.backoff import full_jitter
 from almondshore.core.clock import Clock
 from almondshore.core.messages import RelayEntry, RelayInvite, RelayList, Send
-from almondshore.core.rendezvous import choose
-from almondshore.platform.port import Platform, StoredObject
+from almondshore.platform.port import Platform
 from almondshore.relay.candidacy import Candidacy
 from almondshore.relay.lease import (
     RELAY_LEASE_PREFIX,
-    TTL,
     Held,
     HeldElsewhere,
     Lease,
-    decode_lease,
+    LeaseAnswer,
     relay_lease_key,
 )
-from almondshore.relay.table import RelayTable
+from almondshore.relay.review import LeaseReview
+from almondshore.relay.table import RelayTable, vacancy
 
 RENEW_INTERVAL = timedelta(seconds=5)
 LIST_INTERVAL = timedelta(seconds=10)
 LIST_ALL_INTERVAL = timedelta(seconds=60)
 NODES_PER_SLOT = 250
 TWO_SLOTS_FROM = 20
+# A slot is given up only if the zone would need one less with a tenth more nodes, so that a
+# zone at the border does not gain and lose a relay again and again.
+SURPLUS_MARGIN = 1.1
 
 
-def slots_needed(nodes: int, nodes_per_slot: int = NODES_PER_SLOT) -> int:
+def slots_needed(nodes: float, nodes_per_slot: int = NODES_PER_SLOT) -> int:
     """Return how many relays a zone with that many nodes needs."""
-    return max(-(-nodes // nodes_per_slot), 2 if nodes >= TWO_SLOTS_FROM else 1)
+    return max(-int(-nodes // nodes_per_slot), 2 if nodes >= TWO_SLOTS_FROM else 1)
 
 
 class RelayDuty:
@@ -66,13 +68,11 @@
         self.nodes_in_zone = nodes_in_zone
         self.candidates = candidates
         self.nodes_per_slot = nodes_per_slot
+        self.review = LeaseReview(clock=clock, table=table)
         self.lease: Lease | None = None
         self.slot = -1
         self.invited: int | None = None
-        self.next_renewal = clock.monotonic()
-        self.next_list = clock.monotonic()
-        self.next_list_all = clock.monotonic()
-        self.observed: dict[str, tuple[int, timedelta]] = {}
+        self.next_renewal = self.next_list = self.next_list_all = clock.monotonic()
 
     @property
     def is_relay(self) -> bool:
@@ -96,18 +96,26 @@
         now = self.clock.monotonic()
         if self.lease is None:
             return self._try_to_become_relay(in_zone)
+        sends: list[Send] = []
         if now >= self.next_renewal:
             self.next_renewal = now + RENEW_INTERVAL * self.rng.uniform(0.9, 1)
-            self._renew()
+            sends = self._renew()
         if self.lease is not None and now >= self.next_list:
-            return self._review(now)
-        return []
+            sends += self._review(now)
+        return sends
 
-    def release(self) -> None:
-        """Give the slot up on shutdown."""
-        if self.lease is not None:
-            self.lease.release()
-            self.lease = None
+    def release(self) -> list[Send]:
+        """Give the slot up, on shutdown or because the zone has too many.
+
+        :returns: messages that tell the other relays and nodes
+        """
+        if self.lease is None:
+            return []
+        lease, self.lease = self.lease, None
+        gone = vacancy(self.zone, self.slot, lease.epoch)
+        lease.release()
+        self.table.merge([gone])
+        return self._tell(gone)
 
     def _try_to_become_relay(self, in_zone: bool) -> list[Send]:
         slot, self.invited = self.invited, None
@@ -118,75 +126,76 @@
         key = relay_lease_key(self.zone, slot)
         lease = Lease(platform=self.platform, key=key, holder=self.address, clock=self.clock)
         answer = lease.acquire_or_renew()
-        if isinstance(answer, HeldElsewhere) and answer.record is not None:
-            entry = RelayEntry(self.zone, slot, answer.record.holder, answer.record.epoch)
-            self.table.merge([entry])
+        self._note_holder(slot, answer)
         if not isinstance(answer, Held):
             return []
         self.lease, self.slot = lease, slot
         now = self.clock.monotonic()
         self.next_renewal = now + RENEW_INTERVAL
         self.next_list = self.next_list_all = now
-        return self._announce(answer.epoch)
-
-    def _announce(self, epoch: int) -> list[Send]:
-        """Make this relay known to the other relays and to some nodes of the zone."""
-        entry = RelayEntry(self.zone, self.slot, self.address, epoch)
-        self.table.merge([entry])
-        known = [*self.table.addresses(), *self.candidates()]
-        peers = [peer for peer in dict.fromkeys(known) if peer != self.address]
-        return [Send(peer, RelayList([entry])) for peer in peers]
+        return self._tell(self._own_entry(answer.epoch))
 
-    def _renew(self) -> None:
-        answer = self.lease.acquire_or_renew()
+    def _renew(self) -> list[Send]:
+        """Renew the lease; under a higher epoch if others took this relay for gone."""
+        lapsed = self.table.is_vacant(self.zone, self.slot, self.lease.epoch)
+        answer = self.lease.restart() if lapsed else self.lease.acquire_or_renew()
+        self._note_holder(self.slot, answer)
         if isinstance(answer, HeldElsewhere):
-            if answer.record is not None:
-                record = answer.record
-                self.table.merge([RelayEntry(self.zone, self.slot, record.holder, record.epoch)])
             self.lease = None
+        elif isinstance(answer, Held) and lapsed:
+            return self._tell(self._own_entry(answer.epoch))
+        return []
+
+    def _note_holder(self, slot: int, answer: LeaseAnswer) -> None:
+        if isinstance(answer, HeldElsewhere) and answer.record is not None:
+            record = answer.record
+            self.table.merge([RelayEntry(self.zone, slot, record.holder, record.epoch)])
         elif isinstance(answer, Held):
-            self.table.merge([RelayEntry(self.zone, self.slot, self.address, answer.epoch)])
+            self.table.merge([RelayEntry(self.zone, slot, self.address, answer.epoch)])
+
+    def _own_entry(self, epoch: int) -> RelayEntry:
+        return RelayEntry(self.zone, self.slot, self.address, epoch)
+
+    def _tell(self, entry: RelayEntry) -> list[Send]:
+        """Tell an entry to the other relays and to the nodes of the zone."""
+        known = [*self.table.addresses(), *self.candidates()]
+        peers = [peer for peer in dict.fromkeys(known) if peer != self.address]
+        return [Send(peer, RelayList([entry])) for peer in peers]
 
     def _review(self, now: timedelta) -> list[Send]:
-        """Read the leases of the zone, now and then of all zones, and invite for vacant slots."""
+        """Read the leases of the zone, now and then of all zones, and adjust the slots."""
         everything = now >= self.next_list_all
         self.next_list = now + LIST_INTERVAL * self.rng.uniform(0.9, 1.1)
         prefix = RELAY_LEASE_PREFIX if everything else f"{RELAY_LEASE_PREFIX}{self.zone}/"
         result = self.platform.list(prefix)
         if not is_successful(result):
-            self.next_list = now + LIST_INTERVAL / 2 + full_jitter(self.rng, 4)
+            self.review.failed()
+            self.next_list += full_jitter(self.rng, 4)
             return []
+        known = set(self.table.addresses())
+        live = self.review.take(result.unwrap())
+        sends: list[Send] = []
         if everything:
             self.next_list_all = now + LIST_ALL_INTERVAL * self.rng.uniform(0.9, 1.1)
-        live = self._take_leases(result.unwrap(), now)
-        return self._invite_for_vacant(live)
-
-    def _take_leases(self, leases: list[StoredObject], now: timedelta) -> set[int]:
-        """Merge the relays that the leases show; return the live slots of the own zone."""
-        live = set()
-        for stored in leases:
-            zone, _, slot = stored.key.removeprefix(RELAY_LEASE_PREFIX).rpartition("/")
-            record = decode_lease(stored)
-            if self.observed.get(stored.key, (0, now))[0] != stored.revision:
-                self.observed[stored.key] = (stored.revision, now)
-            if now - self.observed[stored.key][1] >= TTL:
-                continue
-            self.table.merge([RelayEntry(zone, int(slot), record.holder, record.epoch)])
-            if zone == self.zone:
-                live.add(int(slot))
-        return live
-
-    def _invite_for_vacant(self, live: set[int]) -> list[Send]:
+            new = set(self.table.addresses()) - known - {self.address}
+            own = RelayList([self._own_entry(self.lease.epoch)])
+            sends = [Send(relay, own) for relay in sorted(new)]
+        return sends + self._adjust({entry.slot for entry in live if entry.zone == self.zone})
+
+    def _adjust(self, live: set[int]) -> list[Send]:
+        """Give up a surplus slot; as the holder of the lowest slot, invite for vacant ones."""
+        nodes = self.nodes_in_zone()
+        if self.slot >= slots_needed(nodes * SURPLUS_MARGIN, self.nodes_per_slot):
+            return self.release()
         if not live or self.slot != min(live):
             return []
-        needed = slots_needed(self.nodes_in_zone(), self.nodes_per_slot)
-        vacant = [slot for slot in range(needed) if slot not in live]
+        needed = slots_needed(nodes, self.nodes_per_slot)
         relays = set(self.table.addresses(self.zone))
         sends = []
-        for slot in vacant:
+        for slot in set(range(needed)) - live:
             free = [peer for peer in self.candidates() if peer not in relays]
-            chosen = choose(f"{self.zone}/{slot}", free)
-            if chosen is not None:
+            if free:
+                chosen = self.rng.choice(free)
                 relays.add(chosen)
                 sends.append(Send(chosen, RelayInvite(self.zone, slot)))
         return sends
--- a/almondshore/relay/fanout.py
+++ b/almondshore/relay/fanout.py
@@ -95,8 +95,8 @@
         match message:
             case Heartbeat():
                 return self._heartbeat(message, sender)
-            case Announce(records):
-                self._changed(self.directory.merge(records), own=True)
+            case Announce():
+                return self._announced(message, sender)
             case DirectoryDelta(records) | DirectorySnapshot(records):
                 self._changed(self.directory.merge(records), own=False)
             case DirectoryRequest():
@@ -128,6 +128,10 @@
             self._adopt()
         return sends
 
+    def own_records_changed(self, records: list[TargetRecord]) -> None:
+        """Pass on records that the directory already holds."""
+        self._changed(records, own=True)
+
     def broadcast(self, message: Message) -> list[Send]:
         """Address a message to all subscribers and all other relays."""
         return self.to_subscribers(message) + self.to_relays(message)
@@ -192,6 +196,14 @@
             return [Send(sender, Busy(retry_after.total_seconds(), "DirectoryRequest"))]
         return [Send(sender, DirectorySnapshot(self.directory.of_zone(zone))) for zone in zones]
 
+    def _announced(self, message: Announce, sender: str) -> list[Send]:
+        """Take a node's own records; answer with those that are known as they are, or newer."""
+        changed = self.directory.merge(message.records)
+        self._changed(changed, own=True)
+        known = [self.directory.records.get(record.target) for record in message.records]
+        settled = [record for record in known if record is not None and record not in changed]
+        return [Send(sender, DirectoryDelta(settled))] if settled else []
+
     def _changed(self, records: list[TargetRecord], *, own: bool) -> None:
         self.changes += records
         if own:
--- a/almondshore/relay/lease.py
+++ b/almondshore/relay/lease.py
@@ -104,6 +104,12 @@
             return self._write(1, 0)
         return Unknown(result.failure())
 
+    def restart(self) -> LeaseAnswer:
+        """Take the held lease anew under a higher epoch."""
+        if not self.epoch or self.pending_write is not None:
+            return self.acquire_or_renew()
+        return self._write(self.epoch + 1, self.revision)
+
     def release(self) -> None:
         """End the hold, so that another process can take the lease at once."""
         if self.epoch:
--- /dev/null
+++ b/almondshore/relay/review.py
@@ -0,0 +1,66 @@
+"""Review of the relay leases that the platform holds."""
+
+from collections.abc import Iterable
+from datetime import timedelta
+from typing import NamedTuple
+
+from almondshore.core.clock import Clock
+from almondshore.core.messages import RelayEntry
+from almondshore.platform.port import StoredObject
+from almondshore.relay.lease import RELAY_LEASE_PREFIX, TTL, decode_lease
+from almondshore.relay.table import RelayTable, vacancy
+
+
+class Observed(NamedTuple):
+    """A revision of a lease and since when it was seen unchanged."""
+
+    revision: int
+    since: timedelta
+
+
+class LeaseReview:
+    """Tells live leases from expired ones and brings the relay table up to date.
+
+    A lease counts as expired when its object did not change for a whole ``ttl`` by the own
+    monotonic clock, while the platform answered. After an outage all leases are old; the
+    observations start anew, so that their holders have time to renew them.
+    """
+
+    def __init__(self, *, clock: Clock, table: RelayTable, ttl: timedelta = TTL):
+        self.clock = clock
+        self.table = table
+        self.ttl = ttl
+        self.observed: dict[str, Observed] = {}
+
+    def failed(self) -> None:
+        """Note that the leases could not be read."""
+        self.observed.clear()
+
+    def take(self, leases: Iterable[StoredObject]) -> list[RelayEntry]:
+        """Merge what the leases show into the table.
+
+        :returns: the live leases
+        """
+        live = []
+        for stored in leases:
+            entry = _entry(stored)
+            if self._expired(stored):
+                self.table.merge([vacancy(entry.zone, entry.slot, entry.epoch)])
+            else:
+                self.table.merge([entry])
+                live.append(entry)
+        return live
+
+    def _expired(self, stored: StoredObject) -> bool:
+        now = self.clock.monotonic()
+        known = self.observed.get(stored.key)
+        if known is None or known.revision != stored.revision:
+            self.observed[stored.key] = Observed(stored.revision, now)
+            return False
+        return now - known.since >= self.ttl
+
+
+def _entry(stored: StoredObject) -> RelayEntry:
+    zone, _, slot = stored.key.removeprefix(RELAY_LEASE_PREFIX).rpartition("/")
+    record = decode_lease(stored)
+    return RelayEntry(zone, int(slot), record.holder, record.epoch)
--- a/almondshore/relay/selection.py
+++ b/almondshore/relay/selection.py
@@ -19,13 +19,17 @@
 from almondshore.core.rendezvous import rank
 from almondshore.relay.table import RelayTable
 
+# Relays of other zones told to a node whose zone has none.
+MAX_FOREIGN_RELAYS = 8
+
 
 class SelectionLimits(NamedTuple):
     """Limits of the relay selection.
 
     :ivar max_missed: unanswered heartbeats after which the node fails over
     :ivar avoid: time for which a relay that did not answer is passed over
-    :ivar return_interval: time after which a node tries its preferred relay again
+    :ivar return_interval: time after which a node goes back to its preferred relay; a node that
+        uses a relay of another zone looks for one of its own at each heartbeat
     """
 
     heartbeat_interval: timedelta = timedelta(seconds=2)
@@ -105,7 +109,7 @@
         if self.relay is not None and self.missed >= self.limits.max_missed:
             self._fail_over(self.limits.avoid)
             return []
-        if now >= self.next_return:
+        if now >= self.next_return or not self.in_zone:
             self.next_return = now + self.limits.return_interval
             self._select(now)
         if self.relay is None and not self._select(now):
@@ -158,4 +162,4 @@
 
     def _list(self, zone: str) -> RelayList:
         """Return the relays of a zone; without any, a few of other zones."""
-        return RelayList(self.table.of_zone(zone) or self.table.all()[:8])
+        return RelayList(self.table.of_zone(zone) or self.table.all()[:MAX_FOREIGN_RELAYS])
--- a/almondshore/relay/table.py
+++ b/almondshore/relay/table.py
@@ -12,7 +12,9 @@
 class RelayTable:
     """The newest known holder of each relay slot.
 
-    For one slot the higher epoch wins. At ``max_relays`` unknown slots are not taken.
+    For one slot the higher epoch wins; at one epoch a vacancy (an entry without an address) wins,
+    so that a relay that has gone is not brought back by late messages. At ``max_relays`` unknown
+    slots are not taken.
     """
 
     def __init__(self, *, max_relays: int = MAX_RELAYS):
@@ -30,23 +32,28 @@
             known = self.entries.get(key)
             if known is None and len(self.entries) >= self.max_relays:
                 continue
-            if known is None or (entry.epoch, entry.address) > (known.epoch, known.address):
+            if known is None or _order_key(entry) > _order_key(known):
                 self.entries[key] = entry
                 changed = True
         return changed
 
     def of_zone(self, zone: str) -> list[RelayEntry]:
-        """Return the relays of a zone, ordered by slot."""
+        """Return the entries of a zone, vacancies included, ordered by slot."""
         return sorted(entry for entry in self.entries.values() if entry.zone == zone)
 
     def all(self) -> list[RelayEntry]:
-        """Return all relays, ordered by zone and slot."""
+        """Return all entries, vacancies included, ordered by zone and slot."""
         return sorted(self.entries.values())
 
     def addresses(self, zone: str | None = None) -> list[str]:
         """Return the distinct addresses of the relays, of one zone if given."""
         entries = self.all() if zone is None else self.of_zone(zone)
-        return list(dict.fromkeys(entry.address for entry in entries))
+        return list(dict.fromkeys(entry.address for entry in entries if entry.address))
+
+    def is_vacant(self, zone: str, slot: int, epoch: int) -> bool:
+        """Return whether a slot is known to be vacant since that epoch or a later one."""
+        known = self.entries.get((zone, slot))
+        return known is not None and known.epoch >= epoch and not known.address
 
     def digest(self, zone: str) -> int:
         """Return a digest of a zone's relays; 0 if there are none."""
@@ -57,6 +64,15 @@
         return _digest(self.all())
 
 
+def vacancy(zone: str, slot: int, epoch: int) -> RelayEntry:
+    """Return the entry which says that the holder of an epoch is gone."""
+    return RelayEntry(zone, slot, "", epoch)
+
+
+def _order_key(entry: RelayEntry) -> tuple[int, bool, str]:
+    return (entry.epoch, not entry.address, entry.address)
+
+
 def _digest(entries: list[RelayEntry]) -> int:
     if not entries:
         return 0
--- a/almondshore/versions/history.py
+++ b/almondshore/versions/history.py
@@ -29,9 +29,11 @@
         self.max_bytes = max_bytes
         self.steps: deque[Step] = deque()
         self.size = 0
+        self.cached: dict[tuple[int, bytes], ConfigDelta | None] = {}
 
     def append(self, old: Configuration, new: Configuration) -> None:
         """Record that one configuration replaced another."""
+        self.cached.clear()
         changes = diff_parts(old.parts, new.parts)
         delta = ConfigDelta(new.version, new.digest, old.version, old.digest, changes)
         if self.steps and self.steps[-1].delta.version != old.version:
@@ -43,7 +45,18 @@
             self.size -= self.steps.popleft().size
 
     def since(self, version: int, digest: bytes) -> ConfigDelta | None:
-        """Return one delta from a held configuration to the newest, None if out of reach."""
+        """Return one delta from a held configuration to the newest, None if out of reach.
+
+        Callers with the same base get the same object, so that it can be encoded once.
+        """
+        key = (version, digest)
+        if key not in self.cached:
+            if len(self.cached) >= self.max_deltas:
+                self.cached.clear()
+            self.cached[key] = self._combined(version, digest)
+        return self.cached[key]
+
+    def _combined(self, version: int, digest: bytes) -> ConfigDelta | None:
         chain: list[ConfigDelta] = []
         for step in reversed(self.steps):
             chain.append(step.delta)
--- a/almondshore/versions/state.py
+++ b/almondshore/versions/state.py
@@ -20,10 +20,15 @@
 
 
 class Refused(NamedTuple):
-    """The version was refused whole; the previous one stays in force."""
+    """The version was refused whole; the previous one stays in force.
+
+    :ivar final: whether the version itself is bad, so that every copy of it is refused; False
+        if only this message may be damaged
+    """
 
     version: int
     reason: str
+    final: bool
 
 
 class AlreadyHeld(NamedTuple):
@@ -82,7 +87,9 @@
         if version == self.current.version:
             if digest == self.current.digest:
                 return AlreadyHeld(version)
-            return Refused(version, "another configuration is in force under the same version")
+            return Refused(
+                version, "another configuration is in force under the same version", True
+            )
         return None
 
     def _replace(
@@ -92,12 +99,12 @@
         parts: Mapping[str, bytes],
         changed: Iterable[tuple[str, bytes]],
     ) -> Verdict:
+        candidate = make_configuration(version, parts)
+        if candidate.digest != digest:
+            return Refused(version, "the digest does not match the parts", False)
         for name, data in changed:
             problem = check_part(name, data)
             if problem is not None:
-                return Refused(version, problem)
-        candidate = make_configuration(version, parts)
-        if candidate.digest != digest:
-            return Refused(version, "the digest does not match the parts")
+                return Refused(version, problem, True)
         self.current = candidate
         return Accepted(candidate)
--- a/almondshore/versions/sync.py
+++ b/almondshore/versions/sync.py
@@ -33,6 +33,8 @@
 PLATFORM = "platform"
 START_BOUND = timedelta(seconds=10)
 REQUEST_TIMEOUT = timedelta(seconds=2)
+# A relay repeats a push that was lost after one heartbeat interval.
+ASK_AFTER = timedelta(seconds=3)
 PEERS_NEEDED = 3
 # Longer than the time-out of a watch of the head, which confirms the version when it returns.
 CONFIRMATION_AGE = timedelta(seconds=45)
@@ -70,6 +72,7 @@
         history: DeltaHistory | None = None,
         start_bound: timedelta = START_BOUND,
         request_timeout: timedelta = REQUEST_TIMEOUT,
+        ask_after: timedelta = ASK_AFTER,
         peers_needed: int = PEERS_NEEDED,
     ):
         self.clock = clock
@@ -80,14 +83,18 @@
         self.history = history or DeltaHistory()
         self.start_bound = start_bound
         self.request_timeout = request_timeout
+        self.ask_after = ask_after
         self.peers_needed = peers_needed
         self.started = clock.monotonic()
         self.shown: OrderedDict[str, Shown] = OrderedDict()
         self.refused: OrderedDict[tuple[int, bytes], str] = OrderedDict()
+        self.refusals = 0
+        self.last_refusal: Refused | None = None
         self.attempt = 0
         self.next_request = clock.monotonic()
         self.next_query = clock.monotonic()
         self.is_ready = False
+        self.missing_since: timedelta | None = None
         self.confirmed_at: timedelta | None = None
 
     @property
@@ -108,12 +115,9 @@
             case ConfigRequest():
                 return [Send(sender, self.answer(message))]
             case ConfigStatus():
-                shown = Shown(*message)
-                return self.observe(shown, sender)
+                return self.observe(Shown(*message), sender)
             case Heartbeat() | HeartbeatAck() | RelaySync():
-                confirmed = isinstance(message, HeartbeatAck) and message.confirmed
-                version, digest = message.config_version, message.config_digest
-                return self.observe(Shown(version, digest, message.ready, confirmed), sender)
+                return self._summary(message, sender)
             case Busy(retry_after, "ConfigRequest"):
                 delay = timedelta(seconds=retry_after) + full_jitter(self.rng, 0)
                 self.next_request = max(self.next_request, self.clock.monotonic() + delay)
@@ -130,12 +134,21 @@
             self.history.append(before, verdict.configuration)
             self.attempt = 0
             self.next_request = self.clock.monotonic()
+            self.missing_since = None
         elif isinstance(verdict, Refused):
-            self.refused[(message.version, message.digest)] = verdict.reason
-            while len(self.refused) > MAX_REFUSED:
-                self.refused.popitem(last=False)
+            self._note_refusal(message, verdict)
         return verdict
 
+    def _note_refusal(self, message: ConfigDelta | ConfigSnapshot, verdict: Refused) -> None:
+        """Remember a bad version, so that it is not asked for again; a damaged copy is."""
+        self.refusals += 1
+        self.last_refusal = verdict
+        if not verdict.final:
+            return
+        self.refused[(message.version, message.digest)] = verdict.reason
+        while len(self.refused) > MAX_REFUSED:
+            self.refused.popitem(last=False)
+
     def platform_shows(self, version: int, digest: bytes) -> None:
         """Note the version that the platform shows now."""
         self.confirmed_at = self.clock.monotonic()
@@ -150,10 +163,7 @@
 
     def observe(self, shown: Shown, sender: str) -> list[Send]:
         """Note the version that a peer shows; ask for it if it is newer."""
-        self.shown[sender] = shown
-        self.shown.move_to_end(sender)
-        while len(self.shown) > MAX_PEERS_SHOWN:
-            self.shown.popitem(last=False)
+        self._note(shown, sender)
         if sender == PLATFORM or not shown.ready or not self._misses(shown):
             return []
         return self._ask(sender)
@@ -173,9 +183,7 @@
 
     def tick(self) -> list[Send]:
         """Ask for a missing version; while starting, ask peers which one they hold."""
-        missed = [peer for peer, shown in self.shown.items() if self._misses(shown)]
-        missed = [peer for peer in missed if peer != PLATFORM and self.shown[peer].ready]
-        sends = self._ask(self.rng.choice(missed)) if missed else []
+        sends = self._ask_for_missing()
         if self.ready or self.clock.monotonic() < self.next_query:
             return sends
         self.next_query = self.clock.monotonic() + self.request_timeout
@@ -184,6 +192,19 @@
         query = self._request()._replace(status_only=True)
         return sends + [Send(peer, query) for peer in asked]
 
+    def _ask_for_missing(self) -> list[Send]:
+        missed = [peer for peer, shown in self.shown.items() if self._misses(shown)]
+        missed = [peer for peer in missed if peer != PLATFORM and self.shown[peer].ready]
+        now = self.clock.monotonic()
+        if not missed:
+            self.missing_since = None
+            return []
+        if self.missing_since is None:
+            self.missing_since = now
+        if self.ready and now - self.missing_since < self.ask_after:
+            return []
+        return self._ask(self.rng.choice(missed))
+
     def _offered(self, message: ConfigDelta | ConfigSnapshot, sender: str) -> list[Send]:
         verdict = self.offer(message)
         sends = self.observe(Shown(message.version, message.digest, True, False), sender)
@@ -191,6 +212,25 @@
             return self._ask(sender)
         return sends
 
+    def _note(self, shown: Shown, sender: str) -> None:
+        self.shown[sender] = shown
+        self.shown.move_to_end(sender)
+        while len(self.shown) > MAX_PEERS_SHOWN:
+            self.shown.popitem(last=False)
+
+    def _summary(self, message: Heartbeat | HeartbeatAck | RelaySync, sender: str) -> list[Send]:
+        """Note the version in a summary.
+
+        A relay sends what a heartbeat shows to be missing by itself; ``tick`` asks only if that
+        does not come. A node that is starting, or another relay, asks at once.
+        """
+        confirmed = isinstance(message, HeartbeatAck) and message.confirmed
+        shown = Shown(message.config_version, message.config_digest, message.ready, confirmed)
+        if isinstance(message, RelaySync) or not self.ready:
+            return self.observe(shown, sender)
+        self._note(shown, sender)
+        return []
+
     def _misses(self, shown: Shown) -> bool:
         newer = shown.version > self.state.current.version
         return newer and (shown.version, shown.digest) not in self.refused
--- a/bench/pump.py
+++ b/bench/pump.py
@@ -2,6 +2,7 @@
 
 import heapq
 import random
+import weakref
 from collections import Counter
 from collections.abc import Iterable
 from datetime import timedelta
@@ -10,8 +11,9 @@
 from almondshore.core.codec import encode
 from almondshore.core.messages import Envelope, Send
 from almondshore.relay.control import ControlLimits, ControlNode, Identity
+from almondshore.versions.publish import HEAD_KEY
 from standins.memory_platform import MemoryPlatform
-from standins.object_store import ObjectStore
+from standins.object_store import Fault, ObjectStore
 
 STEP = timedelta(milliseconds=200)
 DELAY = timedelta(milliseconds=1)
@@ -40,6 +42,7 @@
         self.received_bytes: Counter[str] = Counter()
         self.kind_bytes: Counter[str] = Counter()
         self.kind_counts: Counter[str] = Counter()
+        self.watch_started: weakref.WeakKeyDictionary = weakref.WeakKeyDictionary()
         self.sizes: dict[int, tuple[object, int]] = {}
 
     def add(
@@ -91,7 +94,7 @@
         for address, node in list(self.nodes.items()):
             if address not in self.paused:
                 self.send(address, node.platform_step())
-                node.watch_step()
+                self._watch(node)
                 self.send(address, node.tick())
         end = self.clock.monotonic() + STEP
         while self.queue and self.queue[0][0] <= end:
@@ -100,6 +103,20 @@
             self._deliver(sender, send)
         self.clock.advance(end - self.clock.monotonic())
 
+    def _watch(self, node: ControlNode) -> None:
+        """Run a node's watch when it would return: on a change, after its time-out or delay."""
+        source = node.source
+        if source is None:
+            return
+        now = self.clock.monotonic()
+        started = self.watch_started.get(source, now - source.delay)
+        changed = self.store.changed_at.get(HEAD_KEY, 0) > source.position
+        waiting = source.position > 0 and not changed and self.store.fault is Fault.NONE
+        if now - started < (source.watch_timeout if waiting else source.delay):
+            return
+        self.watch_started[source] = now
+        source.poll()
+
     def _deliver(self, sender: str, send: Send) -> None:
         node = self.nodes.get(send.to)
         if node is None or send.to in self.paused or self._is_cut(sender, node):
