--- a/almondshore/rules/check.py
+++ b/almondshore/rules/check.py
@@ -41,6 +41,9 @@
     parsed = parse(data, findings=collected, limit=MAX_FINDINGS)
     if parsed.complete:
         _check_together(parsed, now, held, collected)
+    if parsed.complete and not collected and not any(parsed.rules):
+        message = "the file has no rules; applying it would remove every service"
+        collected.add(line=0, column=0, code="no-rules", message=message)
     for finding in _bounded(collected.sorted(), parsed.complete):
         findings.add(**{key: value for key, value in finding._asdict().items() if key != "file"})
     return parsed.rules
--- a/test/rules/test_check.py
+++ b/test/rules/test_check.py
@@ -200,4 +200,4 @@
     def test_whole_file(self):
         self.assertEqual([(0, 0, "file-too-large")], check(b"#" * (1024 * 1024 + 1))[1])
         self.assertEqual([(1, 1, "bad-encoding")], check(BASE.encode("utf-16"))[1])
-        self.assertEqual([], check(b"")[1])
+        self.assertEqual([(0, 0, "no-rules")], check(b"# Anna: later\n")[1])
