Complete the tool: safe apply, diff, nodes, moves and drain

The thin apply gave up on the first conflict without saying what changed, took the own version for a conflict when the response was lost and another version followed, undid later versions when it was repeated, and refused every change after the deadline of a kept move. It now recognises its own version by rules digest and time, goes on over versions that only the coordinator of moves published, refuses changes of others with lines, author and requester, and accepts deadlines of moves in force. Errors of the platform, malformed objects and closed pipes end in one line.

--- a/almondshore/ui/applying.py
+++ b/almondshore/ui/applying.py
@@ -1,88 +1,183 @@
 """Publishing of a rules file on top of the version in force."""
 
-from collections.abc import Callable
-from datetime import timedelta
+import hashlib
+from collections.abc import Callable, Mapping
+from datetime import datetime, timedelta
 from typing import NamedTuple
 
 from returns.pipeline import is_successful
 from returns.result import Result
 
 from almondshore.core.clock import Clock
-from almondshore.core.errors import UserError
+from almondshore.core.errors import InvalidInputError, UserError
+from almondshore.core.findings import FindingList
 from almondshore.platform.port import Conflict, Platform, Unavailable
+from almondshore.rules.check import check_rules
 from almondshore.rules.compile import SERVICE_PREFIX, compile_rules, decode_service
-from almondshore.rules.model import RuleSet
-from almondshore.ui.platform_errors import require
-from almondshore.versions.publish import Publisher
+from almondshore.rules.diff import RuleChange, diff_rules
+from almondshore.rules.model import RuleSet, ServicePart
+from almondshore.rules.transition import check_transition, moves_in_force
+from almondshore.ui.changes import MAX_VERSIONS, ChangeLog, published_rules
+from almondshore.ui.platform_errors import PlatformFailedError, describe, require
+from almondshore.ui.retrying import Retrier
+from almondshore.versions.config import DIGEST_BYTES
+from almondshore.versions.publish import Current, Publisher
 
-ATTEMPTS = 4
-FIRST_RETRY_DELAY = timedelta(milliseconds=200)
+# The coordinator of moves publishes versions too, with the same rules. Each of them costs one
+# more round; more than a few in one command point to a fault.
+MAX_ROUNDS = 5
 
 
 class ConflictError(UserError):
-    """Another operator published a version in between."""
+    """Another operator changed the rules in between."""
+
+
+class Change(NamedTuple):
+    """A rules file to publish.
+
+    :ivar base: version that the file was edited from; None if not known
+    """
+
+    file: str
+    data: bytes
+    author: str
+    reason: str
+    base: int | None
 
 
 class Outcome(NamedTuple):
-    """The version that holds the rules, and whether this call created it."""
+    """The version that holds the rules.
+
+    :ivar created: whether this call published it
+    :ivar changes: changed rules since its predecessor, if this call published it
+    """
 
     version: int
     created: bool
+    changes: list[RuleChange]
 
 
 class Applier:
-    """Publishes rules; a repeat with the same rules changes nothing."""
+    """Publishes rules files; nothing is merged, and a repeat changes nothing."""
 
     def __init__(self, *, platform: Platform, clock: Clock, wait: Callable[[timedelta], None]):
         self.publisher = Publisher(platform=platform)
         self.clock = clock
-        self.wait = wait
+        self.retry = Retrier(wait=wait)
+        self.log = ChangeLog(publisher=self.publisher, retry=self.retry)
 
-    def apply(
-        self, *, data: bytes, rules: RuleSet, author: str, reason: str, base: int | None
-    ) -> Outcome:
+    def apply(self, change: Change) -> Outcome:
         """Publish rules as the successor of the head.
 
-        :param base: version that the rules were edited from; None for the head
-        :raises ConflictError: if another operator changed the rules since
+        :raises ConflictError: if another operator changed the rules since the base
+        :raises InvalidInputError: if the rules have findings
         :raises UserError: if the platform fails
         """
-        current = require(self._retry(self.publisher.current))
+        digest = hashlib.blake2b(change.data, digest_size=DIGEST_BYTES).hexdigest()
+        base: int | None = change.base
+        for _ in range(MAX_ROUNDS):
+            current = require(self.retry(self.publisher.current))
+            version = current.head.version
+            if version and self.log.record(version).rules_digest == digest:
+                return Outcome(version, False, [])
+            if base is None:
+                self._refuse_repeat_of_older(digest, version)
+                base = version
+            self._refuse_changed_rules(base, version)
+            outcome = self._publish(change, current, digest)
+            if outcome is not None:
+                return outcome
+        raise ConflictError("other versions are being published at the same time; try again later")
+
+    def _refuse_repeat_of_older(self, digest: str, newest: int) -> None:
+        """Refuse rules that an earlier version held.
+
+        An apply that is repeated after a lost response would otherwise undo what others published
+        on top of it.
+        """
+        for version in range(newest - 1, max(newest - MAX_VERSIONS, 0), -1):
+            record = self.log.record(version)
+            if record.rules_digest == digest:
+                raise ConflictError(
+                    f"these rules are version {version} by {record.author}, which later versions "
+                    f"replaced; to return to them use --base {newest}\n"
+                    + self.log.describe(version, newest)
+                )
+
+    def _refuse_changed_rules(self, base: int, newest: int) -> None:
+        """Refuse if the newest version has other rules than the base."""
+        if base == newest:
+            return
+        if base > newest:
+            raise ConflictError(f"version {base} does not exist; the newest is version {newest}")
+        if base and self.log.record(base).rules_digest == self.log.record(newest).rules_digest:
+            return
+        raise ConflictError(
+            f"the rules were changed after version {base}; nothing was published\n"
+            f"{self.log.describe(base, newest)}\n"
+            f"take over these changes and apply again with --base {newest}"
+        )
+
+    def _publish(self, change: Change, current: Current, digest: str) -> Outcome | None:
+        """Publish on top of a version; return None if another version came first."""
         version = current.head.version
-        if version and data == require(self._retry(lambda: self.publisher.rules_text(version))):
-            return Outcome(version, created=False)
-        if base is not None and base != version:
-            raise ConflictError(f"version {version} by {current.head.author} is newer than {base}")
-        base_parts = require(self._retry(lambda: self.publisher.parts(version)))
+        parts = require(self.retry(lambda: self.publisher.parts(version)))
+        previous = service_parts(parts)
         now = self.clock.now()
-        previous = {
-            name.removeprefix(SERVICE_PREFIX): decode_service(part)
-            for name, part in base_parts.items()
-            if name.startswith(SERVICE_PREFIX)
-        }
-        parts = compile_rules(rules, version=version + 1, now=now, previous=previous)
-        result = self._retry(
+        rules = check_change(change, now=now, previous=previous)
+        result = self.retry(
             lambda: self.publisher.publish(
                 base=current,
-                base_parts=base_parts,
-                parts=parts,
-                rules=data,
-                author=author,
-                reason=reason,
+                base_parts=parts,
+                parts=compile_rules(rules, version=version + 1, now=now, previous=previous),
+                rules=change.data,
+                author=change.author,
+                reason=change.reason,
                 at=now,
             )
         )
-        if not is_successful(result) and isinstance(result.failure(), Conflict):
-            raise ConflictError("another operator published a version at the same time")
-        return Outcome(require(result).version, created=True)
-
-    def _retry(self, call: Callable[[], Result]) -> Result:
-        """Repeat a call while the platform does not answer, a bounded number of times."""
-        delay = FIRST_RETRY_DELAY
-        for _ in range(ATTEMPTS - 1):
-            result = call()
-            if is_successful(result) or not isinstance(result.failure(), Unavailable):
-                return result
-            self.wait(delay)
-            delay *= 2
-        return call()
+        if self._published(result, version + 1, digest, now):
+            changes = diff_rules(published_rules(self.log.text(version)), rules)
+            return Outcome(version + 1, True, changes)
+        return None
+
+    def _published(self, result: Result, version: int, digest: str, at: datetime) -> bool:
+        """Return whether the version is the one just written, and not that of another."""
+        if is_successful(result):
+            return True
+        match result.failure():
+            case Conflict():
+                # The response to the first attempt may have been lost, and another version may
+                # have replaced this one before the next attempt.
+                record = self.log.record(version)
+                return (record.rules_digest, record.at) == (digest, at)
+            case Unavailable() as error:
+                raise PlatformFailedError(
+                    f"{describe(error)}; it is not known whether version {version} was published; "
+                    "the same command can safely be repeated"
+                )
+        raise PlatformFailedError(describe(result.failure()))
+
+
+def service_parts(parts: Mapping[str, bytes]) -> dict[str, ServicePart]:
+    """Decode the service parts of a configuration, by service name."""
+    return {
+        name.removeprefix(SERVICE_PREFIX): decode_service(part)
+        for name, part in parts.items()
+        if name.startswith(SERVICE_PREFIX)
+    }
+
+
+def check_change(change: Change, *, now: datetime, previous: Mapping[str, ServicePart]) -> RuleSet:
+    """Check a rules file against the configuration it replaces.
+
+    :raises InvalidInputError: if there are findings
+    """
+    findings = FindingList(file=change.file)
+    held = moves_in_force(previous)
+    rules = check_rules(change.data, now=now, findings=findings, held=held)
+    if not findings:
+        check_transition(rules, previous=previous, findings=findings)
+    if findings:
+        raise InvalidInputError(findings.sorted())
+    return rules
--- /dev/null
+++ b/almondshore/ui/commands/drain.py
@@ -0,0 +1,42 @@
+"""The ``drain`` command."""
+
+from typing import Annotated
+
+import urllib3
+from cyclopts import Parameter
+from urllib3.exceptions import HTTPError, LocationParseError
+from urllib3.util import parse_url
+
+from almondshore.core.errors import UserError
+from almondshore.ui.context import CALL_TIMEOUT, Context, UsageError
+from almondshore.ui.output import printable
+
+DRAIN_PATH = "/almondshore/v1/drain"
+MAX_SHOWN_CHARS = 200
+
+
+def drain(node: str, *, context: Annotated[Context, Parameter(parse=False)]) -> int:
+    """Start the drain of a node: its targets get no new work, requests in flight finish.
+
+    :param node: URL of the node's admin address, such as http://10.0.0.1:7070
+    """
+    try:
+        url = parse_url(node)
+    except LocationParseError as error:
+        raise UsageError(f"'{node}' is not a URL") from error
+    if url.scheme not in ("http", "https") or not url.host:
+        raise UsageError(f"'{node}' is not a URL such as http://10.0.0.1:7070")
+    timeout = urllib3.Timeout(CALL_TIMEOUT.total_seconds())
+    try:
+        with urllib3.PoolManager() as pool:
+            # Not repeated: the operator sees the failure and may repeat the command, which is safe.
+            response = pool.request(
+                "POST", f"{node.rstrip('/')}{DRAIN_PATH}", timeout=timeout, retries=False
+            )
+    except HTTPError as error:
+        raise UserError(f"the node at {node} does not answer: {error}") from error
+    if not 200 <= response.status < 300:
+        body = printable(response.data.decode(errors="replace")[:MAX_SHOWN_CHARS])
+        raise UserError(f"the node at {node} refused with status {response.status}: {body}")
+    context.line(f"the node at {node} is draining")
+    return 0
--- /dev/null
+++ b/almondshore/ui/commands/moves.py
@@ -0,0 +1,71 @@
+"""The ``moves`` command."""
+
+from typing import Annotated, Any
+
+from cyclopts import Parameter
+
+from almondshore.ui.context import Context
+from almondshore.ui.output import print_json, print_table
+from almondshore.ui.zones import read_zones
+from almondshore.versions.status import ZoneStatus
+
+HEADER = ("service", "from", "to", "state", "step", "deadline", "at risk", "zones", "reason")
+
+
+def moves(*, json: bool = False, context: Annotated[Context, Parameter(parse=False)]) -> int:
+    """List the moves with their step, deadline and state.
+
+    :param json: print the moves as JSON
+    """
+    found = merge_moves(read_zones(context.platform()))
+    if json:
+        print_json(context.out, {"moves": found})
+        return 0
+    rows = [
+        (
+            move["service"],
+            move["from_version"],
+            move["to_version"],
+            ", ".join(move["states"]),
+            _range(move["steps_percent"]),
+            move["deadline"],
+            "yes" if move["at_risk"] else "no",
+            len(move["zones"]),
+            move["reason"],
+        )
+        for move in found
+    ]
+    print_table(context.out, HEADER, rows)
+    return 0
+
+
+def merge_moves(zones: list[ZoneStatus]) -> list[dict[str, Any]]:
+    """Merge what the zones report into one entry for each move.
+
+    Zones learn of steps at different times; states and steps that differ are all kept.
+    """
+    merged: dict[tuple[str, str], dict[str, Any]] = {}
+    for zone in zones:
+        for move in zone["moves"]:
+            entry = merged.setdefault(
+                (move["service"], move["move_id"]),
+                {
+                    **{key: move[key] for key in ("service", "move_id")},
+                    **{key: move[key] for key in ("from_version", "to_version", "deadline")},
+                    "states": [],
+                    "steps_percent": [],
+                    "at_risk": False,
+                    "reason": "",
+                    "zones": [],
+                },
+            )
+            entry["states"] = sorted({*entry["states"], move["state"]})
+            entry["steps_percent"] = sorted({*entry["steps_percent"], move["step_percent"]})
+            entry["at_risk"] = entry["at_risk"] or move["at_risk"]
+            entry["reason"] = entry["reason"] or move["reason"]
+            entry["zones"].append(zone["zone"])
+    return [merged[key] for key in sorted(merged)]
+
+
+def _range(steps: list[int]) -> str:
+    return f"{steps[0]}%" if len(steps) == 1 else f"{steps[0]}% to {steps[-1]}%"
--- a/almondshore/ui/commands/status.py
+++ b/almondshore/ui/commands/status.py
@@ -5,8 +5,9 @@
 from cyclopts import Parameter
 
 from almondshore.ui.context import Context
-from almondshore.ui.output import print_json, print_table
+from almondshore.ui.output import print_json, print_table, printable
 from almondshore.ui.platform_errors import require
+from almondshore.ui.waiting import describe_versions
 from almondshore.ui.zones import read_zones
 from almondshore.versions.publish import Publisher
 
@@ -22,15 +23,10 @@
     if json:
         print_json(context.out, {"version": head.version, "author": head.author, "zones": zones})
         return 0
-    context.line(f"published version: {head.version}" + (f" by {head.author}" * bool(head.author)))
+    author = f" by {printable(head.author)}" if head.author else ""
+    context.line(f"published version: {head.version}{author}")
     rows = [
-        (zone["zone"], zone["at"], len(zone["nodes"]), _versions(zone["versions"]))
-        for zone in zones
+        (zone["zone"], zone["at"], len(zone["nodes"]), describe_versions(zone)) for zone in zones
     ]
     print_table(context.out, ("zone", "at", "nodes", "versions in effect"), rows)
     return 0
-
-
-def _versions(versions: dict[str, int]) -> str:
-    newest_first = sorted(versions.items(), key=lambda item: -int(item[0]))
-    return ", ".join(f"{version} on {count} nodes" for version, count in newest_first)
--- a/almondshore/ui/files.py
+++ b/almondshore/ui/files.py
@@ -1,12 +1,13 @@
-"""Reading and checking of rules files for commands."""
+"""Reading of rules files for commands."""
 
 from pathlib import Path
 
 from almondshore.core.errors import InvalidInputError
 from almondshore.core.findings import FindingList
-from almondshore.rules.check import check_rules
+from almondshore.rules.check import MAX_FINDINGS
+from almondshore.rules.grammar import parse
 from almondshore.rules.model import RuleSet
-from almondshore.ui.context import Context, UsageError
+from almondshore.ui.context import UsageError
 
 
 def read_file(path: Path) -> bytes:
@@ -16,17 +17,18 @@
     """
     try:
         return path.read_bytes()
-    except OSError as error:
-        raise UsageError(f"cannot read {path}: {error.strerror}") from error
+    except (OSError, ValueError) as error:
+        raise UsageError(f"cannot read {path}: {error}") from error
 
 
-def checked(data: bytes, *, file: str, context: Context) -> RuleSet:
-    """Check the content of a rules file.
+def parse_file(path: Path) -> RuleSet:
+    """Read and parse a rules file, without the checks that compare its rules.
 
-    :raises InvalidInputError: if there are findings
+    :raises UsageError: if the file cannot be read
+    :raises InvalidInputError: if a line cannot be parsed
     """
-    findings = FindingList(file=file)
-    rules = check_rules(data, now=context.clock.now(), findings=findings)
+    findings = FindingList(file=str(path))
+    rules = parse(read_file(path), findings=findings, limit=MAX_FINDINGS).rules
     if findings:
         raise InvalidInputError(findings.sorted())
     return rules
--- a/almondshore/ui/main.py
+++ b/almondshore/ui/main.py
@@ -1,24 +1,34 @@
 """Entry point of the ``almondshore`` tool."""
 
+import io
+import os
+import sys
+import zlib
 from collections.abc import Sequence
 from typing import Annotated
 
+import msgspec
 from cyclopts import App, CycloptsError, Parameter
 
 from almondshore import ui
-from almondshore.core.errors import UserError
-from almondshore.ui.commands import apply, check, history, status
+from almondshore.core.errors import InvalidInputError, UserError
+from almondshore.ui.commands import apply, check, diff, drain, history, moves, nodes, status
 from almondshore.ui.context import PLATFORM_VARIABLE, Context, UsageError
 
 EXIT_DONE = 0
 EXIT_REFUSED = 1
 EXIT_USAGE = 2
+EXIT_INTERRUPTED = 130
 
 COMMANDS = {
     "check": check.check,
     "apply": apply.apply,
+    "diff": diff.diff,
     "history": history.history,
     "status": status.status,
+    "nodes": nodes.nodes,
+    "moves": moves.moves,
+    "drain": drain.drain,
 }
 
 
@@ -55,13 +65,33 @@
     :param tokens: arguments; those of the process by default
     :returns: exit code: 0 done, 1 findings or refused change, 2 wrong usage
     """
-    context = context or Context()
+    if context is None:
+        for stream in (sys.stdout, sys.stderr):
+            # Names may hold characters that the operator's terminal encoding lacks.
+            if isinstance(stream, io.TextIOWrapper):
+                stream.reconfigure(errors="backslashreplace")
+        context = Context()
     app = build_app(context)
     try:
         return app.meta(tokens, exit_on_error=False, print_error=False)
     except (CycloptsError, UsageError) as error:
-        print(f"almondshore: {error}", file=context.err)
+        _print_error(context, str(error))
         return EXIT_USAGE
+    except InvalidInputError as error:
+        print(error, file=context.err)
+        _print_error(context, f"refused with {len(error.findings)} findings")
     except UserError as error:
-        print(f"almondshore: {error}", file=context.err)
-        return EXIT_REFUSED
+        _print_error(context, str(error))
+    except (msgspec.MsgspecError, zlib.error) as error:
+        _print_error(context, f"an object of the platform is malformed: {error}")
+    except BrokenPipeError:
+        # The reader of the output has gone. Python would report it once more when it exits.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+    except KeyboardInterrupt:
+        return EXIT_INTERRUPTED
+    return EXIT_REFUSED
+
+
+def _print_error(context: Context, message: str) -> None:
+    first, *rest = message.strip().splitlines()
+    print(f"almondshore: {first}", *rest, sep="\n", file=context.err)
--- a/almondshore/ui/waiting.py
+++ b/almondshore/ui/waiting.py
@@ -1,39 +1,75 @@
 """Waiting until a version is in effect in every zone."""
 
+from collections.abc import Callable
 from datetime import timedelta
 
+from almondshore.core.errors import UserError
 from almondshore.ui.context import Context
 from almondshore.ui.zones import read_zones
 from almondshore.versions.status import ZoneStatus
 
-POLL_INTERVAL = timedelta(milliseconds=500)
+# A zone writes its status at most every 5 s.
+POLL_INTERVAL = timedelta(seconds=1)
 
 
-def wait_until_in_effect(version: int, *, timeout: timedelta, context: Context) -> bool:
-    """Poll the status of all zones until each node has the version, or a newer one, in effect.
+class Waiter:
+    """Polls the status of the zones.
 
-    :returns: whether that was so before the timeout
+    :ivar show: prints a line of progress
     """
-    platform = context.platform()
-    deadline = context.clock.monotonic() + timeout
-    shown = ""
-    while True:
-        zones = read_zones(platform)
-        waiting = [zone["zone"] for zone in zones if not reached(zone, version)]
-        progress = (
-            f"version {version} is in effect in {len(zones) - len(waiting)}/{len(zones)} zones"
-        )
-        if progress != shown:
-            context.line(progress)
-            shown = progress
-        if zones and not waiting:
-            return True
-        if context.clock.monotonic() >= deadline:
-            context.line(f"not in effect in time in: {', '.join(waiting) or 'any zone'}")
-            return False
-        context.wait(POLL_INTERVAL)
+
+    def __init__(self, *, context: Context, show: Callable[[str], None]):
+        self.clock = context.clock
+        self.wait = context.wait
+        self.platform = context.platform()
+        self.show = show
+        self.shown = ""
+
+    def wait_for(self, version: int, *, timeout: timedelta) -> bool:
+        """Wait until each node has the version, or a newer one, in effect.
+
+        An outage of the platform does not end the wait.
+
+        :returns: whether that was so before the timeout
+        """
+        deadline = self.clock.monotonic() + timeout
+        while True:
+            late = self._poll(version)
+            if late == []:
+                return True
+            left = deadline - self.clock.monotonic()
+            if left <= timedelta():
+                break
+            self.wait(min(left, POLL_INTERVAL))
+        self._show(f"version {version} is not in effect in time")
+        for zone in late or ():
+            self._show(f"  {zone['zone']}: {describe_versions(zone)} (reported {zone['at']})")
+        return False
+
+    def _poll(self, version: int) -> list[ZoneStatus] | None:
+        """Return the zones without the version; None if no zone is known."""
+        try:
+            zones = read_zones(self.platform)
+        except UserError as error:
+            self._show(str(error))
+            return None
+        late = [zone for zone in zones if not reached(zone, version)]
+        done = len(zones) - len(late)
+        self._show(f"version {version} is in effect in {done} of {len(zones)} zones")
+        return late if zones else None
+
+    def _show(self, line: str) -> None:
+        if line != self.shown:
+            self.show(line)
+            self.shown = line
 
 
 def reached(zone: ZoneStatus, version: int) -> bool:
     """Return whether every node of the zone has the version or a newer one in effect."""
     return bool(zone["versions"]) and all(int(held) >= version for held in zone["versions"])
+
+
+def describe_versions(zone: ZoneStatus) -> str:
+    """Return the versions in effect in a zone with their node counts, newest first."""
+    versions = sorted(zone["versions"].items(), key=lambda item: -int(item[0]))
+    return ", ".join(f"{version} on {count} nodes" for version, count in versions) or "none"
--- a/test/ui/tooltest.py
+++ b/test/ui/tooltest.py
@@ -5,11 +5,14 @@
 from datetime import UTC, datetime
 from pathlib import Path
 
+from returns.result import Failure
 from testtools import TestCase
 
 from almondshore.core.clock import ManualClock
+from almondshore.platform.port import Unavailable
 from almondshore.ui.context import Context
 from almondshore.ui.main import run
+from almondshore.versions.status import ZoneStatus, encode_status
 from standins.memory_platform import MemoryPlatform
 from standins.object_store import ObjectStore
 
@@ -21,6 +24,29 @@
 """
 
 
+class ScriptedPlatform(MemoryPlatform):
+    """A platform that fails chosen writes and lets others act before them.
+
+    :ivar lost: numbers, from 1, of the writes that take effect without an answer
+    :ivar down: numbers of the writes that do not take effect
+    :ivar before: actions by the number of the write that they precede
+    """
+
+    def __init__(self, *, store):
+        super().__init__(store=store)
+        self.writes = 0
+        self.lost, self.down, self.before = set(), set(), {}
+
+    def update(self, key, value, revision, write_id):
+        self.writes += 1
+        number = self.writes
+        self.before.pop(number, lambda: None)()
+        if number in self.down:
+            return Failure(Unavailable("connection refused"))
+        result = super().update(key, value, revision, write_id)
+        return Failure(Unavailable("timed out")) if number in self.lost else result
+
+
 class ToolTest(TestCase):
     """Runs commands against ``self.store`` on a manual clock."""
 
@@ -38,15 +64,29 @@
         path.write_bytes(text.encode())
         return str(path)
 
-    def run_tool(self, *tokens, url="memory:"):
+    def run_tool(self, *tokens, url="memory:", platform=None, wait=None):
         """Return the exit code, the output and the errors of a command."""
         context = Context(
             clock=self.clock,
             out=io.StringIO(),
             err=io.StringIO(),
-            wait=self.clock.advance,
-            connect=lambda url, clock: self.platform,
+            wait=wait or self.clock.advance,
+            connect=lambda url, clock: platform or self.platform,
         )
         options = ("--platform", url) if url else ()
         code = run((*options, *tokens), context=context)
         return code, context.out.getvalue(), context.err.getvalue()
+
+    def apply(self, text=RULES, author="Livia", *options, platform=None):
+        file = self.file(text, f"{author}.txt")
+        return self.run_tool("apply", file, "--author", author, *options, platform=platform)
+
+    def report(self, zone, versions, nodes=(), moves=()):
+        """Store the status of a zone."""
+        status = ZoneStatus(
+            zone=zone, at="t", versions=versions, nodes=list(nodes), moves=list(moves)
+        )
+        key = f"status/{zone}"
+        held = self.store.objects.get(key)
+        revision = held.revision if held else 0
+        self.store.put(key, encode_status(status), revision, f"{zone}{revision}")
