--- a/almondshore/ui/main.py
+++ b/almondshore/ui/main.py
@@ -95,3 +95,7 @@
 def _print_error(context: Context, message: str) -> None:
     first, *rest = message.strip().splitlines()
     print(f"almondshore: {first}", *rest, sep="\n", file=context.err)
+
+
+if __name__ == "__main__":
+    sys.exit(run())
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -17,7 +17,7 @@
 
 STOP_TIMEOUT = timedelta(seconds=10)
 POLL_INTERVAL_SECONDS = 0.05
-PYTHON = [sys.executable, "-W", "ignore::DeprecationWarning"]
+PYTHON = [sys.executable, "-W", "ignore"]
 
 
 class NodeAddresses(NamedTuple):
@@ -128,7 +128,7 @@
         process = self._start(
             name,
             *("-m", "standins.target_server", "--listen", address),
-            *("--announce", f"http://{node.addresses.admin}", "--target", name),
+            *("--announce", f"http://{node.addresses.admin}", "--name", name),
             *("--service", service, "--version", version, *options),
         )
         return TargetProcess(name, address, process)
