--- a/almondshore/relay/source.py
+++ b/almondshore/relay/source.py
@@ -45,15 +45,13 @@
         self.failures = 0
         self.delay = timedelta()
         self.head: Head | None = None
-        self.pending: Head | None = None
 
     def poll(self) -> None:
         """Watch once and take what is new; may wait for ``watch_timeout``.
 
-        Takes one platform call, and two more if a new version does not build on the held one.
+        Takes one platform call, and one more if a new version does not build on the held one.
+        Of several versions published between two watches only the newest is read.
         """
-        if self.pending is not None and not self._take(self.pending):
-            return
         result = self.publisher.platform.watch(HEAD_KEY, self.position, self.watch_timeout)
         if not is_successful(result):
             self._failed(result.failure())
@@ -70,24 +68,21 @@
         else:
             self.sync.platform_shows(self.head.version, self.head.digest)
 
-    def _take(self, head: Head) -> bool:
-        """Offer a version; keep it pending if its parts cannot be read now."""
-        self.pending = None
+    def _take(self, head: Head) -> None:
+        """Offer a version; if its parts cannot be read now, the next watch returns it again."""
         self.head = head
         self.sync.platform_shows(head.version, head.digest)
         current = self.sync.state.current
         if head.version <= current.version:
-            return True
+            return
         if head.changes is not None and head.base_digest == current.digest:
             self.sync.offer(_delta(head))
-            return True
-        parts = self.publisher.parts(head.version)
+            return
+        parts = self.publisher.parts_of(head)
         if not is_successful(parts):
-            self.pending = head
             self._failed(parts.failure())
-            return False
+            return
         self.sync.offer(ConfigSnapshot(head.version, head.digest, parts.unwrap()))
-        return True
 
     def _failed(self, error: PlatformError) -> None:
         """Read the head anew after a failure, so that nothing between is missed."""
--- a/almondshore/versions/publish.py
+++ b/almondshore/versions/publish.py
@@ -88,11 +88,11 @@
         """Read all parts of a version."""
         if version == 0:
             return Success({})
-        return self.record(version).bind(
-            lambda record: self.platform.get(record.parts_key).map(
-                lambda stored: _unpack(stored.value)
-            )
-        )
+        return self.record(version).bind(lambda record: self._parts(record.parts_key))
+
+    def parts_of(self, head: Head) -> Result[dict[str, bytes], PlatformError]:
+        """Read all parts of the version that a head names, by one call."""
+        return self._parts(_parts_key(head.digest)) if head.version else Success({})
 
     def record(self, version: int) -> Result[VersionRecord, PlatformError]:
         """Read the record of a version: from the head, or as its successor stored it."""
@@ -128,7 +128,7 @@
         digest = digest_parts(parts)
         rules_digest = hashlib.blake2b(rules, digest_size=DIGEST_BYTES).hexdigest()
         write_id = f"{version}-{digest.hex()}-{rules_digest}-{author}"
-        parts_key = f"config/parts/{digest.hex()}"
+        parts_key = _parts_key(digest)
         record = VersionRecord(version, rules_digest, author, reason, at, parts_key)
         changes = diff_parts(base_parts, parts)
         head = Head(
@@ -152,6 +152,9 @@
             .map(lambda _: Published(version, digest))
         )
 
+    def _parts(self, key: str) -> Result[dict[str, bytes], PlatformError]:
+        return self.platform.get(key).map(lambda stored: _unpack(stored.value))
+
     def _create_shared(self, key: str, value: bytes) -> Result[None, PlatformError]:
         """Create an object whose key determines its content; one that exists is the same."""
         result = self.platform.create(key, value, key)
@@ -182,6 +185,10 @@
     return f"config/version/{version:012d}"
 
 
+def _parts_key(digest: bytes) -> str:
+    return f"config/parts/{digest.hex()}"
+
+
 def _pack(parts: Mapping[str, bytes]) -> bytes:
     return zlib.compress(msgspec.msgpack.encode(dict(parts)))
 
--- a/test/versions/test_state.py
+++ b/test/versions/test_state.py
@@ -2,10 +2,7 @@
 
 from testtools import TestCase
 
-from almondshore.core.messages import ConfigDelta, ConfigSnapshot
-from almondshore.rules.compile import encode_part
-from almondshore.rules.model import ServicePart
-from almondshore.versions.config import EMPTY, make_configuration
+from almondshore.versions.config import EMPTY
 from almondshore.versions.state import (
     Accepted,
     AlreadyHeld,
@@ -13,22 +10,7 @@
     Refused,
     SnapshotNeeded,
 )
-
-
-def service_part(name, version="v1"):
-    part = ServicePart(name=name, version=version, routes=[], move=None, allowed={})
-    return {f"service/{name}": encode_part(part)}
-
-
-def snapshot(version, parts):
-    configuration = make_configuration(version, parts)
-    return ConfigSnapshot(version, configuration.digest, dict(parts))
-
-
-def delta(base, version, changes):
-    parts = {**base.parts, **changes}
-    digest = make_configuration(version, parts).digest
-    return ConfigDelta(version, digest, base.version, base.digest, changes)
+from test.versions.parts import delta, service_part, snapshot
 
 
 class ConfigStateTest(TestCase):
@@ -59,12 +41,18 @@
         parts = {**service_part("fault-desk"), "service/bad": b"\xc1"}
         verdict = self.state.offer_snapshot(snapshot(6, parts))
         self.assertIsInstance(verdict, Refused)
+        self.assertTrue(verdict.final)
         self.assertEqual({"service/counter-app"}, set(self.state.current.parts))
 
     def test_wrong_digest_refuses_the_version(self):
-        """Guards against parts that were damaged or mixed up on the way."""
+        """Guards against parts that were damaged or mixed up on the way.
+
+        Another copy of the same version may be whole, so the refusal is not final.
+        """
         bad = snapshot(6, service_part("fault-desk"))._replace(digest=b"x" * 16)
-        self.assertIsInstance(self.state.offer_snapshot(bad), Refused)
+        verdict = self.state.offer_snapshot(bad)
+        self.assertIsInstance(verdict, Refused)
+        self.assertFalse(verdict.final)
 
     def test_same_version_with_another_digest_is_refused(self):
         """Guards against two different configurations under one version number."""
--- /dev/null
+++ b/test/versions/test_sync.py
@@ -0,0 +1,212 @@
+"""Tests of the repair of a node's configuration."""
+
+import random
+from datetime import timedelta
+
+from hypothesis import given, seed, settings
+from hypothesis import strategies as st
+from testtools import TestCase
+
+from almondshore.core.clock import ManualClock
+from almondshore.core.messages import (
+    Busy,
+    ConfigRequest,
+    ConfigSnapshot,
+    ConfigStatus,
+    HeartbeatAck,
+    Send,
+)
+from almondshore.relay.admission import SnapshotAdmission
+from almondshore.versions.history import DeltaHistory
+from almondshore.versions.sync import MAX_PEERS_SHOWN, ConfigSync, Shown
+from test.versions.parts import between, chain, service_part, snapshot, whole
+
+CHAIN = chain(12)
+BAD = snapshot(3, {"service/bad": b"\xc1"})
+
+
+def make_sync(clock, peers=("a", "b", "c", "d")):
+    return ConfigSync(clock=clock, rng=random.Random(1), peers=lambda: list(peers))
+
+
+def status(version, *, ready=True, confirmed=False):
+    return ConfigStatus(version, CHAIN[version].digest, ready, confirmed)
+
+
+def ack(version):
+    return HeartbeatAck([], version, CHAIN[version].digest, {}, 0)
+
+
+class ReadyTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.clock = ManualClock()
+        self.sync = make_sync(self.clock)
+
+    def test_waits_for_the_newest_of_three_peers(self):
+        """Guards against serving an old version because one old peer answered first."""
+        self.assertEqual(3, len({send.to for send in self.sync.tick()}))
+        self.sync.handle(status(2), "a")
+        self.sync.handle(whole(CHAIN[2]), "a")
+        self.assertFalse(self.sync.ready)
+        asked = self.sync.handle(status(5), "b")
+        self.assertEqual([Send("b", ConfigRequest(2, CHAIN[2].digest))], asked)
+        self.sync.handle(status(2), "c")
+        self.assertFalse(self.sync.ready)
+        self.sync.handle(whole(CHAIN[5]), "b")
+        self.assertTrue(self.sync.ready)
+
+    def test_peers_that_start_themselves_do_not_count(self):
+        """Guards against a herd whose members confirm to each other that nothing exists."""
+        for peer in "abcd":
+            self.sync.handle(status(0, ready=False), peer)
+        self.clock.advance(timedelta(seconds=60))
+        self.assertFalse(self.sync.ready)
+
+    def test_one_confirmed_answer_is_enough(self):
+        """Guards against waiting the full bound although a relay knows the platform's head."""
+        self.sync.handle(status(0, confirmed=True), "a")
+        self.assertTrue(self.sync.ready)
+
+    def test_takes_what_is_known_at_the_bound(self):
+        """Guards against a start that waits for dead peers without end."""
+        self.sync.handle(status(1), "a")
+        self.sync.handle(whole(CHAIN[1]), "a")
+        self.clock.advance(timedelta(seconds=9))
+        self.assertFalse(self.sync.ready)
+        self.clock.advance(timedelta(seconds=1))
+        self.assertTrue(self.sync.ready)
+
+    def test_a_bad_newest_version_does_not_block_the_start(self):
+        """Guards against a bad version on the platform keeping restarted nodes out of service."""
+        self.sync.platform_shows(BAD.version, BAD.digest)
+        self.sync.offer(BAD)
+        self.sync.handle(status(2), "a")
+        self.assertFalse(self.sync.ready)
+        self.sync.handle(whole(CHAIN[2]), "a")
+        self.assertTrue(self.sync.ready)
+        self.assertEqual(2, self.sync.state.current.version)
+
+
+class RepairTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.clock = ManualClock()
+        self.sync = make_sync(self.clock)
+        self.sync.handle(status(0, confirmed=True), "a")
+        self.assertTrue(self.sync.ready)
+
+    def after(self, seconds):
+        self.clock.advance(timedelta(seconds=seconds))
+        return self.sync.tick()
+
+    def test_a_lost_push_is_asked_for(self):
+        """Guards against a node that stays behind after a lost delta."""
+        self.assertEqual([], self.sync.handle(ack(1), "relay"))
+        self.assertEqual([], self.sync.tick())
+        self.assertEqual([Send("relay", ConfigRequest(0, CHAIN[0].digest))], self.after(4))
+
+    def test_a_delta_on_another_base_leads_to_a_request(self):
+        """Guards against waiting for a delta that can never fit."""
+        sends = self.sync.handle(between(CHAIN[4], CHAIN[5]), "relay")
+        self.assertEqual([Send("relay", ConfigRequest(0, CHAIN[0].digest))], sends)
+
+    def test_busy_delays_the_next_request(self):
+        """Guards against hammering an overloaded relay."""
+        self.sync.handle(between(CHAIN[4], CHAIN[5]), "relay")
+        self.sync.handle(Busy(20.0, "ConfigRequest"), "relay")
+        self.after(4)
+        self.assertEqual([], self.after(15))
+        self.assertEqual(1, len(self.after(2)))
+
+    def test_a_bad_version_is_asked_for_once_and_a_damaged_copy_again(self):
+        """Guards against endless transfers of a bad version, and against giving up a good one."""
+        damaged = whole(CHAIN[3])._replace(parts=service_part("other"))
+        self.assertEqual(1, len(self.sync.handle(damaged, "relay")))
+        self.assertEqual({}, dict(self.sync.refused))
+        self.sync.handle(BAD, "relay")
+        self.sync.shown.clear()
+        self.sync.handle(HeartbeatAck([], BAD.version, BAD.digest, {}, 0), "relay")
+        self.assertEqual([], self.after(60))
+        self.assertEqual(0, self.sync.state.current.version)
+
+    def test_tables_are_bounded(self):
+        """Guards against memory that grows with the number of peers and bad versions."""
+        for number in range(500):
+            self.sync.handle(status(0), f"peer-{number}")
+            self.sync.offer(snapshot(1 + number, {"service/bad": b"\xc1" * (1 + number)}))
+        self.assertEqual(MAX_PEERS_SHOWN, len(self.sync.shown))
+        self.assertEqual(64, len(self.sync.refused))
+
+
+class AnswerTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.clock = ManualClock()
+        self.sync = make_sync(self.clock)
+        self.sync.admission = SnapshotAdmission(clock=self.clock, rng=random.Random(1), rate=2)
+        self.sync.handle(status(0, confirmed=True), "a")
+        self.assertTrue(self.sync.ready)
+        for old, new in zip(CHAIN, CHAIN[1:], strict=False):
+            self.sync.offer(between(old, new))
+
+    def ask(self, version, digest):
+        return self.sync.answer(ConfigRequest(version, digest))
+
+    def test_a_late_node_gets_one_delta(self):
+        """Guards against snapshots where the backlog still reaches."""
+        combined = self.ask(5, CHAIN[5].digest)
+        other = make_sync(self.clock)
+        other.offer(whole(CHAIN[5]))
+        other.offer(combined)
+        self.assertEqual(CHAIN[12], other.state.current)
+
+    def test_beyond_the_backlog_snapshots_are_admitted_in_turn(self):
+        """Guards against a backlog without bound and against a storm of snapshots."""
+        self.sync.history = DeltaHistory(max_deltas=4)
+        for old, new in zip(CHAIN, CHAIN[1:], strict=False):
+            self.sync.history.append(old, new)
+        self.assertEqual(4, len(self.sync.history.steps))
+        answers = [self.ask(1, CHAIN[1].digest) for _ in range(3)]
+        self.assertIsInstance(answers[0], ConfigSnapshot)
+        self.assertIsInstance(answers[1], ConfigSnapshot)
+        self.assertIsInstance(answers[2], Busy)
+
+    def test_a_starting_node_gives_no_configuration(self):
+        """Guards against spreading an old version from a node that has not learnt the newest."""
+        starting = make_sync(self.clock)
+        starting.offer(whole(CHAIN[2]))
+        answer = starting.answer(ConfigRequest(0, CHAIN[0].digest))
+        self.assertEqual(status(2, ready=False), answer)
+
+
+class DisorderTest(TestCase):
+    @seed(20261204)
+    @settings(max_examples=300, deadline=None, database=None)
+    @given(st.data())
+    def test_versions_only_go_up_and_are_whole(self, data):
+        """Guards I1 and I3 under reordered, doubled, dropped and damaged messages."""
+        clock = ManualClock()
+        sync = make_sync(clock)
+        highest = 0
+        for _ in range(data.draw(st.integers(1, 25))):
+            sync.handle(data.draw(st.sampled_from(disordered_messages())), "peer")
+            clock.advance(timedelta(milliseconds=data.draw(st.integers(0, 3000))))
+            sync.tick()
+            current = sync.state.current
+            self.assertGreaterEqual(current.version, highest)
+            self.assertEqual(CHAIN[current.version], current)
+            highest = current.version
+        self.assertLessEqual(len(sync.history.steps), sync.history.max_deltas)
+        sync.observe(Shown(12, CHAIN[12].digest, True, False), "peer")
+        sync.handle(whole(CHAIN[12]), "peer")
+        self.assertEqual(CHAIN[12], sync.state.current)
+
+
+def disordered_messages():
+    pairs = [(i, j) for i in range(12) for j in range(i + 1, min(i + 4, 13))]
+    deltas = [between(CHAIN[i], CHAIN[j]) for i, j in pairs]
+    bad_part = {"service/service-1": b"\xc1"}
+    mixed = deltas[0]._replace(parts={**deltas[0].parts, **bad_part})
+    part_bad = snapshot(9, {**CHAIN[9].parts, **bad_part})
+    return [*deltas, *(whole(c) for c in CHAIN[1:]), mixed, part_bad, status(7), ack(11)]
