Recognise a lost response of a publication by reading the object again

Each write of a publication was repeated with its write id when no response came. While the platform loses the response to every write, that never ends: the trial with the stand-in's fault 'lose-answers' stopped at the first write after four attempts. Before: apply fails while all responses are lost; after: it publishes with 4 writes, one each. 59 tests of rules, ui and versions pass.

--- a/almondshore/versions/publish.py
+++ b/almondshore/versions/publish.py
@@ -15,6 +15,7 @@
     NotFound,
     Platform,
     PlatformError,
+    Unavailable,
 )
 from almondshore.versions.config import DIGEST_BYTES, diff_parts, digest_parts
 
@@ -144,21 +145,32 @@
             self._create_shared(f"config/rules/{rules_digest}", zlib.compress(rules))
             .bind(lambda _: self._create_shared(parts_key, _pack(parts)))
             .bind(lambda _: self._store_record(base.head))
-            .bind(
-                lambda _: self.platform.update(
-                    HEAD_KEY, msgspec.msgpack.encode(head), base.revision, write_id
-                )
-            )
+            .bind(lambda _: self._write_head(head, base.revision, write_id))
             .map(lambda _: Published(version, digest))
         )
 
+    def _write_head(self, head: Head, revision: int, write_id: str) -> Result[None, PlatformError]:
+        result = self.platform.update(HEAD_KEY, msgspec.msgpack.encode(head), revision, write_id)
+        if not is_successful(result) and self._took_effect(result.failure(), HEAD_KEY, write_id):
+            return Success(None)
+        return result.map(lambda _: None)
+
     def _create_shared(self, key: str, value: bytes) -> Result[None, PlatformError]:
         """Create an object whose key determines its content; one that exists is the same."""
         result = self.platform.create(key, value, key)
         if is_successful(result) or isinstance(result.failure(), Conflict):
             return Success(None)
+        if self._took_effect(result.failure(), key, key):
+            return Success(None)
         return Failure(result.failure())
 
+    def _took_effect(self, error: PlatformError, key: str, write_id: str) -> bool:
+        """Return whether a write took effect although its response was lost."""
+        if not isinstance(error, Unavailable):
+            return False
+        result = self.platform.get(key)
+        return is_successful(result) and result.unwrap().write_id == write_id
+
     def _record(self, head: Head, version: int) -> Result[VersionRecord, PlatformError]:
         if head.record is not None and head.version == version:
             return Success(head.record)
