--- a/almondshore/rules/transition.py
+++ b/almondshore/rules/transition.py
@@ -1,10 +1,11 @@
 """Check rules against the configuration that they replace."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 from almondshore.core.findings import FindingList
+from almondshore.core.messages import Veto
 from almondshore.rules.compile import move_id
-from almondshore.rules.model import MoveState, RuleSet, ServicePart
+from almondshore.rules.model import MoveRule, MoveState, RuleSet, ServicePart
 
 
 def moves_in_force(previous: Mapping[str, ServicePart]) -> frozenset[str]:
@@ -36,3 +37,44 @@
                 message=f"version '{move['to_version']}' serves '{rule.name}' since its move; "
                 f"write 'service {rule.name} version {move['to_version']}'",
             )
+
+
+def new_moves(rules: RuleSet, *, previous: Mapping[str, ServicePart]) -> list[MoveRule]:
+    """Return the moves that the configuration in force does not hold."""
+    held = moves_in_force(previous)
+    return [rule for rule in rules.moves if move_id(rule) not in held]
+
+
+def check_vetoes(
+    rules: RuleSet,
+    *,
+    vetoes: Iterable[Veto],
+    previous: Mapping[str, ServicePart],
+    findings: FindingList,
+) -> None:
+    """Check that no new move is to a vetoed version without an override.
+
+    An override acts on vetoes issued under versions older than the one that introduced it.
+
+    :param vetoes: recorded vetoes of the versions that new moves are to
+    """
+    by_version = {(veto.service, veto.version): veto for veto in vetoes}
+    allows = {(rule.service, rule.version) for rule in rules.allows}
+    for rule in new_moves(rules, previous=previous):
+        key = (rule.service, rule.version)
+        veto = by_version.get(key)
+        if veto is None:
+            continue
+        part = previous.get(rule.service)
+        introduced = part["allowed"].get(rule.version) if part else None
+        if key in allows and (introduced is None or veto.config_version < introduced):
+            continue
+        hint = f"use a new version name or add 'allow {rule.service} {rule.version}'"
+        if key in allows:
+            hint = "the allow rule is older; remove it in one version and add it in the next"
+        findings.add(
+            line=rule.place.line,
+            column=rule.place.columns.version,
+            code="vetoed-version",
+            message=f"version '{rule.version}' was vetoed ({veto.reason}); {hint}",
+        )
--- a/almondshore/ui/applying.py
+++ b/almondshore/ui/applying.py
@@ -1,7 +1,7 @@
 """Publishing of a rules file on top of the version in force."""
 
 import hashlib
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from datetime import datetime, timedelta
 from typing import NamedTuple
 
@@ -11,12 +11,19 @@
 from almondshore.core.clock import Clock
 from almondshore.core.errors import InvalidInputError, UserError
 from almondshore.core.findings import FindingList
-from almondshore.platform.port import Conflict, Platform, Unavailable
+from almondshore.core.messages import Veto
+from almondshore.moves.veto import decode_veto, veto_key
+from almondshore.platform.port import Conflict, NotFound, Platform, Unavailable
 from almondshore.rules.check import check_rules
 from almondshore.rules.compile import SERVICE_PREFIX, compile_rules, decode_service
 from almondshore.rules.diff import RuleChange, diff_rules
-from almondshore.rules.model import RuleSet, ServicePart
-from almondshore.rules.transition import check_transition, moves_in_force
+from almondshore.rules.model import MoveRule, RuleSet, ServicePart
+from almondshore.rules.transition import (
+    check_transition,
+    check_vetoes,
+    moves_in_force,
+    new_moves,
+)
 from almondshore.ui.changes import MAX_VERSIONS, ChangeLog, published_rules
 from almondshore.ui.platform_errors import PlatformFailedError, describe, require
 from almondshore.ui.retrying import Retrier
@@ -124,7 +131,8 @@
         parts = require(self.retry(lambda: self.publisher.parts(version)))
         previous = service_parts(parts)
         now = self.clock.now()
-        rules = check_change(change, now=now, previous=previous)
+        rules = self._accepted(change, now, previous)
+        changes = diff_rules(published_rules(self.log.text(version)), rules)
         result = self.retry(
             lambda: self.publisher.publish(
                 base=current,
@@ -137,26 +145,55 @@
             )
         )
         if self._published(result, version + 1, digest, now):
-            changes = diff_rules(published_rules(self.log.text(version)), rules)
             return Outcome(version + 1, True, changes)
         return None
 
+    def _accepted(
+        self, change: Change, now: datetime, previous: Mapping[str, ServicePart]
+    ) -> RuleSet:
+        """Check a rules file against the configuration it replaces.
+
+        :raises InvalidInputError: if there are findings
+        """
+        findings = FindingList(file=change.file)
+        held = moves_in_force(previous)
+        rules = check_rules(change.data, now=now, findings=findings, held=held)
+        if not findings:
+            check_transition(rules, previous=previous, findings=findings)
+            vetoes = self._vetoes(new_moves(rules, previous=previous))
+            check_vetoes(rules, vetoes=vetoes, previous=previous, findings=findings)
+        if findings:
+            raise InvalidInputError(findings.sorted())
+        return rules
+
+    def _vetoes(self, moves: Iterable[MoveRule]) -> list[Veto]:
+        """Read the recorded vetoes of the versions that moves are to."""
+        vetoes = []
+        for rule in moves:
+            key = veto_key(rule.service, rule.version)
+            result = self.retry(lambda key=key: self.publisher.platform.get(key))
+            if is_successful(result) or not isinstance(result.failure(), NotFound):
+                vetoes.append(decode_veto(require(result).value))
+        return vetoes
+
     def _published(self, result: Result, version: int, digest: str, at: datetime) -> bool:
         """Return whether the version is the one just written, and not that of another."""
         if is_successful(result):
             return True
-        match result.failure():
-            case Conflict():
-                # The response to the first attempt may have been lost, and another version may
-                # have replaced this one before the next attempt.
-                record = self.log.record(version)
-                return (record.rules_digest, record.at) == (digest, at)
-            case Unavailable() as error:
-                raise PlatformFailedError(
-                    f"{describe(error)}; it is not known whether version {version} was published; "
-                    "the same command can safely be repeated"
-                )
-        raise PlatformFailedError(describe(result.failure()))
+        error = result.failure()
+        if isinstance(error, Conflict):
+            # The response to the first attempt may have been lost, and another version may have
+            # replaced this one before the next attempt.
+            found = self.retry(lambda: self.publisher.record(version))
+            if is_successful(found):
+                return (found.unwrap().rules_digest, found.unwrap().at) == (digest, at)
+            error = found.failure()
+        if isinstance(error, Unavailable):
+            raise PlatformFailedError(
+                f"{describe(error)}; it is not known whether version {version} was published; "
+                "the same command can safely be repeated"
+            )
+        raise PlatformFailedError(describe(error))
 
 
 def service_parts(parts: Mapping[str, bytes]) -> dict[str, ServicePart]:
@@ -166,18 +203,3 @@
         for name, part in parts.items()
         if name.startswith(SERVICE_PREFIX)
     }
-
-
-def check_change(change: Change, *, now: datetime, previous: Mapping[str, ServicePart]) -> RuleSet:
-    """Check a rules file against the configuration it replaces.
-
-    :raises InvalidInputError: if there are findings
-    """
-    findings = FindingList(file=change.file)
-    held = moves_in_force(previous)
-    rules = check_rules(change.data, now=now, findings=findings, held=held)
-    if not findings:
-        check_transition(rules, previous=previous, findings=findings)
-    if findings:
-        raise InvalidInputError(findings.sorted())
-    return rules
--- a/almondshore/ui/waiting.py
+++ b/almondshore/ui/waiting.py
@@ -5,7 +5,7 @@
 
 from almondshore.core.errors import UserError
 from almondshore.ui.context import Context
-from almondshore.ui.zones import read_zones
+from almondshore.ui.zones import read_zones, zones_with_relays
 from almondshore.versions.status import ZoneStatus
 
 # A zone writes its status at most every 5 s.
@@ -42,21 +42,27 @@
                 break
             self.wait(min(left, POLL_INTERVAL))
         self._show(f"version {version} is not in effect in time")
-        for zone in late or ():
-            self._show(f"  {zone['zone']}: {describe_versions(zone)} (reported {zone['at']})")
+        for line in late or ():
+            self._show(f"  {line}")
         return False
 
-    def _poll(self, version: int) -> list[ZoneStatus] | None:
-        """Return the zones without the version; None if no zone is known."""
+    def _poll(self, version: int) -> list[str] | None:
+        """Return a description of each zone without the version; None if no zone is known."""
         try:
             zones = read_zones(self.platform)
+            silent = zones_with_relays(self.platform) - {zone["zone"] for zone in zones}
         except UserError as error:
             self._show(str(error))
             return None
-        late = [zone for zone in zones if not reached(zone, version)]
-        done = len(zones) - len(late)
-        self._show(f"version {version} is in effect in {done} of {len(zones)} zones")
-        return late if zones else None
+        late = [
+            f"{zone['zone']}: {describe_versions(zone)} (reported {zone['at']})"
+            for zone in zones
+            if not reached(zone, version)
+        ]
+        late += [f"{zone}: no status reported" for zone in sorted(silent)]
+        count = len(zones) + len(silent)
+        self._show(f"version {version} is in effect in {count - len(late)} of {count} zones")
+        return late if count else None
 
     def _show(self, line: str) -> None:
         if line != self.shown:
--- a/almondshore/ui/zones.py
+++ b/almondshore/ui/zones.py
@@ -4,6 +4,7 @@
 
 from almondshore.core.errors import UserError
 from almondshore.platform.port import Platform
+from almondshore.relay.lease import RELAY_LEASE_PREFIX
 from almondshore.ui.platform_errors import require
 from almondshore.versions.status import STATUS_PREFIX, ZoneStatus, decode_status
 
@@ -20,3 +21,12 @@
         except msgspec.MsgspecError as error:
             raise UserError(f"the object '{stored.key}' is malformed: {error}") from error
     return zones
+
+
+def zones_with_relays(platform: Platform) -> set[str]:
+    """Return the zones whose relays have taken a lease, whether or not they reported a status.
+
+    :raises UserError: if the platform fails
+    """
+    leases = require(platform.list(RELAY_LEASE_PREFIX))
+    return {stored.key.removeprefix(RELAY_LEASE_PREFIX).partition("/")[0] for stored in leases}
--- a/test/ui/test_apply.py
+++ b/test/ui/test_apply.py
@@ -3,6 +3,8 @@
 import json
 from datetime import timedelta
 
+from almondshore.core.messages import Veto
+from almondshore.moves.veto import encode_veto, veto_key
 from almondshore.rules.compile import decode_service, encode_part
 from almondshore.versions.publish import Publisher
 from standins.object_store import Fault
@@ -174,6 +176,20 @@
         self.clock.advance(timedelta(days=30))
         self.assertIn("deadline-past", self.apply(MOVE)[2])
 
+    def test_move_to_a_vetoed_version(self):
+        """Guards against starting a move that would be reverted at once."""
+        self.apply()
+        veto = Veto("counter-app", "v2", 1, "errors", "n1", START)
+        self.store.put(veto_key(*veto[:2]), encode_veto(veto), 0, "w")
+        self.assertIn("Livia.txt:4:21: vetoed-version", self.apply(MOVE)[2])
+        allow = "allow counter-app v2  # Livia: fixed outside\n"
+        self.assertEqual(0, self.apply(MOVE + allow)[0])
+        newer = veto._replace(config_version=2)
+        self.store.put(veto_key(*veto[:2]), encode_veto(newer), 1, "w2")
+        again = MOVE.replace("12-08", "12-09")
+        self.assertIn("the allow rule is older", self.apply(again + allow)[2])
+        self.assertEqual(0, self.apply(MOVE.replace("50/s", "60/s") + allow)[0])
+
     def test_wait_until_in_effect(self):
         """Guards against reporting a version as in effect before every zone has it."""
         steps = [
@@ -190,7 +206,7 @@
                 steps.pop(0)()
 
         self.report("a", {"0": 2})
-        self.report("b", {})
+        self.store.put("lease/relay/b/0", b"", 0, "w")
         tokens = ("apply", self.file(), "--author", "Livia", "--wait", "10")
         code, out, _ = self.run_tool(*tokens, wait=wait)
         self.assertEqual((0, []), (code, steps))
