--- a/almondshore/core/messages.py
+++ b/almondshore/core/messages.py
@@ -63,6 +63,7 @@
         by zone travel only in ``DirectoryRequest``, since 41 of them would fill the heartbeat
     :ivar moves_digest: digest of the vetoes and move steps the sender knows
     :ivar relays_digest: digest of the relays the sender knows
+    :ivar zone: availability zone of the sender, which may be served by a relay of another zone
     """
 
     node: str
@@ -73,6 +74,7 @@
     moves_digest: int
     ready: bool
     relays_digest: int = 0
+    zone: str = ""
 
 
 class HeartbeatAck(NamedTuple):
--- a/almondshore/relay/subscribers.py
+++ b/almondshore/relay/subscribers.py
@@ -24,6 +24,7 @@
 
     address: str
     node: str
+    zone: str
     version: int
     digest: bytes
     ready: bool
@@ -62,7 +63,9 @@
         known = self.items.get(address)
         if known is None and len(self.items) >= self.max_subscribers:
             return None
-        base = known or Subscriber(address, heartbeat.node, 0, b"", False, timedelta())
+        base = known or Subscriber(
+            address, heartbeat.node, heartbeat.zone, 0, b"", False, timedelta()
+        )
         subscriber = base._replace(
             node=heartbeat.node,
             version=heartbeat.config_version,
