Harden the platform client and its budget, add retries

Cause: an answer for another key or prefix was taken as one's own, a rate refusal did not slow the client down, and nothing repeated a call that got no answer.

Change: answers are checked against the key or prefix asked for; a rate refusal holds the bucket until the time the platform gives and keeps one saved token; RetryingPlatform repeats unanswered and rate-refused calls with full jitter, within a number and a total time, and with the same write id. The budget is taken by CallBudget.call for each attempt.

--- a/almondshore/platform/budget.py
+++ b/almondshore/platform/budget.py
@@ -1,21 +1,25 @@
 """Client-side budget of platform calls."""
 
+from collections.abc import Callable
 from datetime import timedelta
 from enum import StrEnum
-from typing import NamedTuple
+from typing import NamedTuple, TypeVar
 
 from returns.pipeline import is_successful
-from returns.result import Failure, Result, Success
+from returns.result import Failure, Result
 
 from almondshore.core.clock import Clock
 from almondshore.platform.port import (
     BudgetExceeded,
     Platform,
     PlatformError,
+    RateLimited,
     StoredObject,
     WatchResult,
 )
 
+T = TypeVar("T")
+
 
 class CallKind(StrEnum):
     """Kind of a platform call; a watch is a read."""
@@ -27,7 +31,7 @@
 class Rate(NamedTuple):
     """Limit of a token bucket.
 
-    :ivar per_second: tokens added each second
+    :ivar per_second: tokens added each second, more than 0
     :ivar burst: most tokens held, and the tokens held at first
     """
 
@@ -36,7 +40,10 @@
 
 
 class TokenBucket:
-    """A token bucket on the given clock."""
+    """A token bucket on the given clock.
+
+    :ivar filled_at: time up to which tokens were added; in the future while the bucket is held
+    """
 
     def __init__(self, *, clock: Clock, rate: Rate):
         self.clock = clock
@@ -47,9 +54,11 @@
     def take(self) -> timedelta | None:
         """Take one token.
 
-        :returns: None if a token was taken, else the time until one is there
+        :returns: None if a token was taken, else the time until one may be there
         """
         now = self.clock.monotonic()
+        if now < self.filled_at:
+            return self.filled_at - now
         added = (now - self.filled_at).total_seconds() * self.rate.per_second
         self.tokens = min(self.rate.burst, self.tokens + added)
         self.filled_at = now
@@ -58,6 +67,14 @@
             return None
         return timedelta(seconds=(1 - self.tokens) / self.rate.per_second)
 
+    def hold(self, duration: timedelta) -> None:
+        """Refuse tokens for a duration, and drop those saved up but one.
+
+        Otherwise every client would send its saved burst at the end of the hold.
+        """
+        self.filled_at = max(self.filled_at, self.clock.monotonic() + duration)
+        self.tokens = min(self.tokens, 1.0)
+
 
 class CallBudget:
     """Token buckets for the reads and the writes of one process."""
@@ -68,10 +85,17 @@
             CallKind.WRITE: TokenBucket(clock=clock, rate=writes),
         }
 
-    def take(self, kind: CallKind) -> Result[None, BudgetExceeded]:
-        """Take a token for one call."""
+    def call(
+        self, kind: CallKind, action: Callable[[], Result[T, PlatformError]]
+    ) -> Result[T, PlatformError]:
+        """Make a call if a token is left; a rate refusal holds further calls of the kind."""
         wait = self.buckets[kind].take()
-        return Success(None) if wait is None else Failure(BudgetExceeded(wait))
+        if wait is not None:
+            return Failure(BudgetExceeded(wait))
+        result = action()
+        if not is_successful(result) and isinstance(result.failure(), RateLimited):
+            self.buckets[kind].hold(result.failure().retry_after)
+        return result
 
 
 class BudgetedPlatform(Platform):
@@ -83,31 +107,26 @@
 
     def get(self, key: str) -> Result[StoredObject, PlatformError]:
         """Read one object."""
-        taken = self.budget.take(CallKind.READ)
-        return self.inner.get(key) if is_successful(taken) else taken
+        return self.budget.call(CallKind.READ, lambda: self.inner.get(key))
 
     def create(self, key: str, value: bytes, write_id: str) -> Result[StoredObject, PlatformError]:
         """Create an object that must not exist."""
-        taken = self.budget.take(CallKind.WRITE)
-        return self.inner.create(key, value, write_id) if is_successful(taken) else taken
+        return self.budget.call(CallKind.WRITE, lambda: self.inner.create(key, value, write_id))
 
     def update(
         self, key: str, value: bytes, revision: int, write_id: str
     ) -> Result[StoredObject, PlatformError]:
         """Replace an object if its revision is the given one."""
-        taken = self.budget.take(CallKind.WRITE)
-        if not is_successful(taken):
-            return taken
-        return self.inner.update(key, value, revision, write_id)
+        return self.budget.call(
+            CallKind.WRITE, lambda: self.inner.update(key, value, revision, write_id)
+        )
 
     def list(self, prefix: str) -> Result[list[StoredObject], PlatformError]:
         """Read all objects under a prefix."""
-        taken = self.budget.take(CallKind.READ)
-        return self.inner.list(prefix) if is_successful(taken) else taken
+        return self.budget.call(CallKind.READ, lambda: self.inner.list(prefix))
 
     def watch(
         self, prefix: str, after: int, timeout: timedelta
     ) -> Result[WatchResult, PlatformError]:
         """Wait for changes under a prefix."""
-        taken = self.budget.take(CallKind.READ)
-        return self.inner.watch(prefix, after, timeout) if is_successful(taken) else taken
+        return self.budget.call(CallKind.READ, lambda: self.inner.watch(prefix, after, timeout))
--- a/almondshore/platform/http.py
+++ b/almondshore/platform/http.py
@@ -7,7 +7,6 @@
 
 import msgspec
 import urllib3
-from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
 from almondshore.core.clock import Clock
@@ -27,6 +26,7 @@
 from almondshore.platform.wire import (
     ListAnswer,
     ObjectAnswer,
+    ObjectDocument,
     PutRequest,
     WatchAnswer,
     from_document,
@@ -56,6 +56,7 @@
     :param url: base address of the platform, ``http://ip:port``
     :param timeout: bound of each call, and of the slack that a watch has beyond its own timeout
     :param budget: call budget; a call over budget is not sent
+    :param pool: connection pool, by default one of its own
     """
 
     def __init__(
@@ -65,17 +66,22 @@
         clock: Clock,
         timeout: timedelta,
         budget: CallBudget | None = None,
+        pool: urllib3.PoolManager | None = None,
     ):
         self.url = url.rstrip("/")
         self.clock = clock
         self.timeout = timeout
         self.budget = budget
-        self.pool = urllib3.PoolManager(maxsize=POOL_CONNECTIONS, block=False, retries=False)
+        self.pool = pool or urllib3.PoolManager(maxsize=POOL_CONNECTIONS, retries=False)
 
     def get(self, key: str) -> Result[StoredObject, PlatformError]:
         """Read one object."""
-        result = self._call(CallKind.READ, "GET", _object_path(key), self.timeout)
-        return result.bind(lambda answer: _object_result(key, 0, answer))
+
+        def read() -> Result[StoredObject, PlatformError]:
+            answer = self._exchange("GET", _object_path(key), self.timeout)
+            return answer.bind(lambda found: _object_result(key, 0, found))
+
+        return self._budgeted(CallKind.READ, read)
 
     def create(self, key: str, value: bytes, write_id: str) -> Result[StoredObject, PlatformError]:
         """Create an object that must not exist."""
@@ -90,62 +96,85 @@
         query = urlencode({"revision": revision, "write_id": write_id})
         path = f"{_object_path(key)}?{query}"
         body = msgspec.json.encode(PutRequest(value=value))
-        result = self._call(CallKind.WRITE, "PUT", path, self.timeout, body)
-        return result.bind(lambda answer: _object_result(key, len(value), answer))
+
+        def write() -> Result[StoredObject, PlatformError]:
+            answer = self._exchange("PUT", path, self.timeout, body)
+            return answer.bind(lambda found: _object_result(key, len(value), found))
+
+        return self._budgeted(CallKind.WRITE, write)
 
     def list(self, prefix: str) -> Result[list[StoredObject], PlatformError]:
         """Read all objects under a prefix."""
         path = f"/v1/list?{urlencode({'prefix': prefix})}"
-        result = self._call(CallKind.READ, "GET", path, self.timeout)
-        return result.bind(lambda answer: _parsed(answer, ListAnswer, _to_list))
+
+        def convert(found: ListAnswer) -> list[StoredObject]:
+            return _to_objects(prefix, found["objects"])
+
+        def read() -> Result[list[StoredObject], PlatformError]:
+            answer = self._exchange("GET", path, self.timeout)
+            return answer.bind(lambda found: _parsed(found, ListAnswer, convert))
+
+        return self._budgeted(CallKind.READ, read)
 
     def watch(
         self, prefix: str, after: int, timeout: timedelta
     ) -> Result[WatchResult, PlatformError]:
-        """Wait for changes under a prefix."""
+        """Wait for changes under a prefix.
+
+        A connection that dies silently ends the call at its timeout plus the client's own.
+        """
         wait_ms = max(0, round(timeout / timedelta(milliseconds=1)))
         query = urlencode({"prefix": prefix, "after": after, "timeout_ms": wait_ms})
-        result = self._call(CallKind.READ, "GET", f"/v1/watch?{query}", self.timeout + timeout)
-        return result.bind(lambda answer: _parsed(answer, WatchAnswer, _to_watch))
+
+        def read() -> Result[WatchResult, PlatformError]:
+            answer = self._exchange("GET", f"/v1/watch?{query}", self.timeout + timeout)
+            return answer.bind(
+                lambda found: _parsed(found, WatchAnswer, lambda item: _to_watch(prefix, item))
+            )
+
+        return self._budgeted(CallKind.READ, read)
 
     def close(self) -> None:
         """Close the idle connections."""
         self.pool.clear()
 
-    def _call(
-        self, kind: CallKind, method: str, path: str, timeout: timedelta, body: bytes | None = None
+    def _budgeted(
+        self, kind: CallKind, action: Callable[[], Result[T, PlatformError]]
+    ) -> Result[T, PlatformError]:
+        return action() if self.budget is None else self.budget.call(kind, action)
+
+    def _exchange(
+        self, method: str, path: str, timeout: timedelta, body: bytes | None = None
     ) -> Result[Answer, PlatformError]:
-        if self.budget is not None:
-            taken = self.budget.take(kind)
-            if not is_successful(taken):
-                return taken
+        """Send a request and read the whole answer within the timeout."""
+        deadline = self.clock.monotonic() + timeout
         try:
-            return Success(self._exchange(method, path, timeout, body))
+            response = self.pool.request(
+                method,
+                self.url + path,
+                body=body,
+                headers=JSON_HEADERS if body is not None else None,
+                timeout=urllib3.Timeout(
+                    connect=self.timeout.total_seconds(), read=timeout.total_seconds()
+                ),
+                retries=False,
+                redirect=False,
+                preload_content=False,
+            )
+            content = self._read_whole(response, deadline)
         except (urllib3.exceptions.HTTPError, OSError, ValueError) as error:
             return Failure(Unavailable(f"{type(error).__name__}: {error}"))
+        return Success(Answer(response.status, response.headers.get("retry-after"), content))
 
-    def _exchange(self, method: str, path: str, timeout: timedelta, body: bytes | None) -> Answer:
-        """Send a request and read the answer within the deadline."""
-        deadline = self.clock.monotonic() + timeout
-        response = self.pool.request(
-            method,
-            self.url + path,
-            body=body,
-            headers=JSON_HEADERS if body is not None else None,
-            timeout=urllib3.Timeout(
-                connect=self.timeout.total_seconds(), read=timeout.total_seconds()
-            ),
-            retries=False,
-            redirect=False,
-            preload_content=False,
-        )
+    def _read_whole(self, response: urllib3.BaseHTTPResponse, deadline: timedelta) -> bytes:
+        """Read the body; a connection whose answer was not read whole is not used again."""
         try:
             content = self._read_body(response, deadline)
         except BaseException:
             response.close()
             raise
         response.release_conn()
-        return Answer(response.status, response.headers.get("retry-after"), content)
+        return content
 
     def _read_body(self, response: urllib3.BaseHTTPResponse, deadline: timedelta) -> bytes:
         """Read the body in chunks, so that neither a slow nor an endless one holds the caller."""
@@ -170,10 +199,10 @@
     if answer.status == 413:
         return Failure(TooLarge(size))
     if answer.status == 409:
-        return _parsed(answer, ObjectAnswer, lambda found: found["object"], accept=409).bind(
-            lambda found: Failure(Conflict(key, from_document(found) if found else None))
+        return _parsed(answer, ObjectAnswer, lambda found: _to_conflict(key, found), 409).bind(
+            Failure
         )
-    return _parsed(answer, ObjectAnswer, lambda found: from_document(found["object"]))
+    return _parsed(answer, ObjectAnswer, lambda found: _to_object(key, found))
 
 
 def _parsed(
@@ -186,7 +215,7 @@
         return Failure(Unavailable(f"status {answer.status}"))
     try:
         return Success(convert(msgspec.json.decode(answer.body, type=kind)))
-    except (msgspec.MsgspecError, TypeError) as error:
+    except (msgspec.MsgspecError, TypeError, ValueError) as error:
         return Failure(Unavailable(f"malformed answer: {error}"))
 
 
@@ -197,9 +226,28 @@
     return min(timedelta(seconds=int(text)), MAX_RETRY_AFTER)
 
 
-def _to_list(found: ListAnswer) -> list[StoredObject]:
-    return [from_document(document) for document in found["objects"]]
+def _to_object(key: str, found: ObjectAnswer) -> StoredObject:
+    """Convert an answer that must show an object.
+
+    The key is checked, since a crossed answer would otherwise pass for another object's value.
+    """
+    stored = from_document(found["object"])
+    if stored.key != key:
+        raise ValueError(f"answer for another key, {stored.key[:100]!r}")
+    return stored
+
+
+def _to_conflict(key: str, found: ObjectAnswer) -> Conflict:
+    return Conflict(key, _to_object(key, found) if found["object"] else None)
+
+
+def _to_objects(prefix: str, documents: list[ObjectDocument]) -> list[StoredObject]:
+    """Convert objects that must all be under the prefix."""
+    objects = [from_document(document) for document in documents]
+    if not all(stored.key.startswith(prefix) for stored in objects):
+        raise ValueError("answer for another prefix")
+    return objects
 
 
-def _to_watch(found: WatchAnswer) -> WatchResult:
-    return WatchResult(found["position"], [from_document(item) for item in found["objects"]])
+def _to_watch(prefix: str, found: WatchAnswer) -> WatchResult:
+    return WatchResult(found["position"], _to_objects(prefix, found["objects"]))
--- a/standins/load.py
+++ b/standins/load.py
@@ -6,7 +6,8 @@
 
 import eventlet
 
-eventlet.monkey_patch()
+if __name__ == "__main__":
+    eventlet.monkey_patch()
 
 import random  # noqa: E402
 import sys  # noqa: E402
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -168,6 +168,13 @@
     return host.strip("[]"), int(port)
 
 
+def print_address(event: str, listener: socket.socket) -> None:
+    """Print the address of a listener, whose port the system may have chosen."""
+    host, port = listener.getsockname()[:2]
+    sys.stdout.write(f"event={event} address={host}:{port}\n")
+    sys.stdout.flush()
+
+
 def main(*, listen: str = "127.0.0.1:7300", slow_ms: int = 1500) -> None:
     """Serve the platform stand-in.
 
@@ -181,8 +188,7 @@
         slow_delay=timedelta(milliseconds=slow_ms),
     )
     listener = eventlet.listen(split_address(listen))
-    sys.stdout.write(f"event=platform_listening address={listen}\n")
-    sys.stdout.flush()
+    print_address("platform_listening", listener)
     serve(listener, app)
 
 
--- a/standins/target_server.py
+++ b/standins/target_server.py
@@ -2,13 +2,14 @@
 
 import eventlet
 
-eventlet.monkey_patch()
+if __name__ == "__main__":
+    eventlet.monkey_patch()
 
 import os  # noqa: E402
 import random  # noqa: E402
 import signal  # noqa: E402
-import sys  # noqa: E402
 from collections import Counter  # noqa: E402
+from collections.abc import Iterator  # noqa: E402
 from datetime import timedelta  # noqa: E402
 from typing import NamedTuple  # noqa: E402
 
@@ -18,7 +19,7 @@
 import urllib3  # noqa: E402
 
 from almondshore.core.clock import Clock, SystemClock  # noqa: E402
-from standins.platform_server import split_address  # noqa: E402
+from standins.platform_server import print_address, split_address  # noqa: E402
 
 ANNOUNCE_INTERVAL = timedelta(seconds=2)
 ANNOUNCE_TIMEOUT = timedelta(seconds=1)
@@ -65,16 +66,29 @@
 
     def __call__(self, environ, start_response):
         """Answer one request."""
+        self.active += 1
+        try:
+            status, document = self._document(environ)
+        except BaseException:
+            self.active -= 1
+            raise
+        body = msgspec.json.encode(document)
+        headers = [("content-type", "application/json"), ("content-length", str(len(body)))]
+        start_response(STATUS_LINES[status], headers)
+        return self._finish(body)
+
+    def _document(self, environ) -> tuple[int, dict]:
+        """Return the status and document for a request."""
         if environ["PATH_INFO"] == "/runs":
-            status, document = 200, {"runs": self.runs, "by_key": dict(self.runs_by_key)}
-        else:
-            self.active += 1
-            try:
-                status, document = self._run(environ)
-            finally:
-                self.active -= 1
-        start_response(STATUS_LINES[status], [("content-type", "application/json")])
-        return [msgspec.json.encode(document)]
+            return 200, {"runs": self.runs, "by_key": dict(self.runs_by_key)}
+        return self._run(environ)
+
+    def _finish(self, body: bytes) -> Iterator[bytes]:
+        """Yield the body; the request is active until the server has sent it."""
+        try:
+            yield body
+        finally:
+            self.active -= 1
 
     def _run(self, environ) -> tuple[int, dict]:
         """Run one request."""
@@ -185,8 +199,7 @@
     listener = eventlet.listen(split_address(listen))
     signal.signal(signal.SIGTERM, lambda *_: eventlet.spawn(drain, app, announcer, clock))
     eventlet.spawn(announcer.run)
-    sys.stdout.write(f"event=target_listening target={target} address={listen}\n")
-    sys.stdout.flush()
+    print_address("target_listening", listener)
     eventlet.wsgi.server(listener, app, log_output=False)
 
 
--- /dev/null
+++ b/test/platform/test_budget.py
@@ -0,0 +1,79 @@
+"""Tests of the client-side call budget."""
+
+from datetime import timedelta
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from returns.pipeline import is_successful
+from testtools import TestCase
+
+from almondshore.core.clock import ManualClock
+from almondshore.platform.budget import BudgetedPlatform, CallBudget, Rate, TokenBucket
+from almondshore.platform.port import BudgetExceeded
+from standins.memory_platform import MemoryPlatform
+from standins.object_store import ObjectStore
+
+STEPS_MS = st.lists(st.integers(0, 5000), min_size=1, max_size=200)
+
+
+class BudgetTest(TestCase):
+    @given(
+        steps=STEPS_MS, per_second=st.sampled_from([1 / 60, 0.5, 2, 5]), burst=st.integers(1, 10)
+    )
+    @settings(max_examples=200, derandomize=True, deadline=None)
+    def test_no_window_has_more_calls_than_its_budget(self, steps, per_second, burst):
+        """Guards against a herd of callers in one process exceeding its share of the platform."""
+        clock = ManualClock()
+        bucket = TokenBucket(clock=clock, rate=Rate(per_second, burst))
+        taken_at = []
+        for step in steps:
+            clock.advance(timedelta(milliseconds=step))
+            for _ in range(burst + 2):
+                if bucket.take() is None:
+                    taken_at.append(clock.monotonic().total_seconds())
+        for first, start in enumerate(taken_at):
+            for last in range(first, len(taken_at)):
+                allowed = burst + (taken_at[last] - start) * per_second
+                self.assertTrue(last - first + 1 <= allowed + 1e-6)
+
+    @given(steps=STEPS_MS)
+    @settings(max_examples=100, derandomize=True, deadline=None)
+    def test_the_stated_wait_is_enough(self, steps):
+        """Guards against callers that wait as told and are refused again."""
+        clock = ManualClock()
+        bucket = TokenBucket(clock=clock, rate=Rate(0.7, 3))
+        for step in steps:
+            clock.advance(timedelta(milliseconds=step))
+            wait = bucket.take()
+            if wait is not None:
+                clock.advance(wait + timedelta(microseconds=2))
+                self.assertIsNone(bucket.take())
+
+    def test_reads_do_not_use_the_budget_of_writes(self):
+        """Guards against a read storm that stops lease renewals."""
+        clock = ManualClock()
+        store = ObjectStore(clock=clock)
+        budget = CallBudget(clock=clock, reads=Rate(1, 2), writes=Rate(1, 1))
+        platform = BudgetedPlatform(inner=MemoryPlatform(store=store), budget=budget)
+        for call in (platform.get, platform.list, platform.get, platform.list):
+            call("k")
+        self.assertEqual(
+            BudgetExceeded(timedelta(seconds=1)), platform.watch("k", 0, timedelta()).failure()
+        )
+        self.assertTrue(is_successful(platform.create("k", b"v", "w")))
+        self.assertIsInstance(platform.update("k", b"v", 1, "w2").failure(), BudgetExceeded)
+        self.assertEqual((2, 1), (store.counts["read"], store.counts["write"]))
+
+    def test_a_rate_refusal_holds_further_calls(self):
+        """Guards against a fleet that keeps knocking at a platform over its rate limit."""
+        clock = ManualClock()
+        store = ObjectStore(clock=clock, reads_per_second=1)
+        budget = CallBudget(clock=clock, reads=Rate(10, 10), writes=Rate(1, 1))
+        platform = BudgetedPlatform(inner=MemoryPlatform(store=store), budget=budget)
+        errors = [type(platform.get("k").failure()).__name__ for _ in range(5)]
+        self.assertEqual(["NotFound", "RateLimited"] + ["BudgetExceeded"] * 3, errors)
+        self.assertEqual(1, store.counts["refused"])
+        store.limits["read"] = 100
+        clock.advance(timedelta(seconds=1))
+        errors = [type(platform.get("k").failure()).__name__ for _ in range(3)]
+        self.assertEqual(["NotFound"] + ["BudgetExceeded"] * 2, errors)
--- /dev/null
+++ b/test/platform/test_retry.py
@@ -0,0 +1,62 @@
+"""Tests of retried platform calls."""
+
+import random
+from datetime import timedelta
+from types import SimpleNamespace
+
+from returns.result import Failure, Success
+from testtools import TestCase
+
+from almondshore.core.clock import ManualClock
+from almondshore.platform.port import BudgetExceeded, Conflict, RateLimited, Unavailable
+from almondshore.platform.retry import RetryingPlatform, RetryPolicy
+
+DOWN = Failure(Unavailable("down"))
+LIMITED = Failure(RateLimited(timedelta(seconds=1)))
+
+
+class RetryTest(TestCase):
+    def call(self, *results, seed=1, policy=RetryPolicy()):  # noqa: B008
+        """Return the result of a read that meets the given results, and the waits between."""
+        clock, waits, left = ManualClock(), [], list(results)
+
+        def sleep(wait):
+            waits.append(wait)
+            clock.advance(wait)
+
+        platform = RetryingPlatform(
+            inner=SimpleNamespace(get=lambda key: left.pop(0)),
+            clock=clock,
+            rng=random.Random(seed),
+            sleep=sleep,
+            policy=policy,
+        )
+        return platform.get("k"), waits, len(left)
+
+    def test_retries_are_bounded_in_number(self):
+        """Guards against retries that multiply the load of an outage."""
+        result, waits, left = self.call(DOWN, DOWN, DOWN, Success("late"))
+        self.assertEqual((DOWN, 2, 1), (result, len(waits), left))
+        self.assertEqual(Success("v"), self.call(DOWN, Success("v"))[0])
+
+    def test_refusals_that_repeat_the_same_are_not_retried(self):
+        """Guards against calls spent on a conflict, or on a budget that is used up."""
+        for error in (Conflict("k", None), BudgetExceeded(timedelta(seconds=1))):
+            self.assertEqual((Failure(error), [], 1), self.call(Failure(error), Success("v")))
+
+    def test_waits_spread_over_the_whole_interval(self):
+        """Guards against nodes that retry in step after a common failure."""
+        waits = [self.call(DOWN, DOWN, Success("v"), seed=seed)[1] for seed in range(400)]
+        for index, bound_ms in enumerate((100, 200)):
+            shares = [wait[index] / timedelta(milliseconds=bound_ms) for wait in waits]
+            quarters = [sum(low <= 4 * share < low + 1 for share in shares) for low in range(4)]
+            self.assertEqual(400, sum(quarters))
+            self.assertTrue(min(quarters) > 60, quarters)
+
+    def test_a_rate_refusal_is_retried_after_its_time_within_the_total(self):
+        """Guards against retries earlier than told, and against callers held for too long."""
+        result, waits, _ = self.call(LIMITED, Success("v"))
+        self.assertEqual(Success("v"), result)
+        self.assertTrue(waits[0] >= timedelta(seconds=1))
+        short = RetryPolicy(total=timedelta(milliseconds=900))
+        self.assertEqual((LIMITED, [], 1), self.call(LIMITED, Success("v"), policy=short))
