--- a/almondshore/versions/publish.py
+++ b/almondshore/versions/publish.py
@@ -149,16 +149,14 @@
             .map(lambda _: Published(version, digest))
         )
 
-<<<<<<< HEAD
     def _parts(self, key: str) -> Result[dict[str, bytes], PlatformError]:
         return self.platform.get(key).map(lambda stored: _unpack(stored.value))
-=======
+
     def _write_head(self, head: Head, revision: int, write_id: str) -> Result[None, PlatformError]:
         result = self.platform.update(HEAD_KEY, msgspec.msgpack.encode(head), revision, write_id)
         if not is_successful(result) and self._took_effect(result.failure(), HEAD_KEY, write_id):
             return Success(None)
         return result.map(lambda _: None)
->>>>>>> rules
 
     def _create_shared(self, key: str, value: bytes) -> Result[None, PlatformError]:
         """Create an object whose key determines its content; one that exists is the same."""
