Run requests with an idempotency key at most once across nodes

Cause: a push resent with its key ran again at every node: in a trial with three nodes one key ran 4 times on one target and once on another. Change: hop 1 asks the owner of the key for a grant and reports the end; the owner answers a resend with the first response; relays tell nodes whether the platform answers.

--- a/almondshore/core/messages.py
+++ b/almondshore/core/messages.py
@@ -83,6 +83,7 @@
     :ivar relays: relays of the node's zone; empty if the node's ``relays_digest`` is current
     :ivar ready: whether the relay itself has learnt the newest configuration
     :ivar confirmed: whether the platform lately showed the relay nothing newer
+    :ivar platform_up: whether the platform answered the relay's last lease renewal
     """
 
     relays: list[RelayEntry]
@@ -92,6 +93,7 @@
     moves_digest: int
     ready: bool = True
     confirmed: bool = False
+    platform_up: bool = False
 
 
 class Busy(NamedTuple):
--- a/almondshore/daemon/node.py
+++ b/almondshore/daemon/node.py
@@ -4,13 +4,21 @@
 from collections.abc import Sequence
 
 from almondshore.core.clock import Clock
-from almondshore.core.messages import Message, Send
+from almondshore.core.messages import (
+    DirectoryDelta,
+    DirectorySnapshot,
+    Message,
+    Send,
+    TargetRecord,
+    TargetState,
+)
 from almondshore.daemon.moving import MoveKeeper
 from almondshore.daemon.routes import RouteKeeper
 from almondshore.limits.tenants import TenantLimits
 from almondshore.moves.state import MoveTable
 from almondshore.platform.port import Platform
 from almondshore.proxy.caller import Routes
+from almondshore.proxy.once import OnceOwner, make_claim_store
 from almondshore.relay.control import ControlLimits, ControlNode, Identity
 from almondshore.retries.budget import RetryBudget
 from almondshore.retries.crash import CrashGuard
@@ -51,6 +59,17 @@
             limits=limits,
         )
         self._make_request_logic(rng, max_tenants)
+        self.once = OnceOwner(
+            clock=clock,
+            node=identity.node,
+            claims=make_claim_store(
+                platform=platform,
+                clock=clock,
+                node=identity.node,
+                instance=f"{identity.node}-{identity.incarnation}",
+            ),
+            directory=self.control.directory,
+        )
         self.routes = RouteKeeper(
             builder=ViewBuilder(state=self.control.config.state, directory=self.control.directory),
             moves=self.table,
@@ -74,6 +93,8 @@
 
     def handle(self, message: Message, sender: str) -> list[Send]:
         """React to a message of another node."""
+        if isinstance(message, DirectoryDelta | DirectorySnapshot):
+            self._notice_own_death(message.records)
         sends = self.control.handle(message, sender) + self.moves.handle(message, sender)
         self.routes.refresh(ready=self.ready)
         return sends
@@ -81,6 +102,9 @@
     def tick(self) -> list[Send]:
         """Do what is due."""
         sends = self.control.tick() + self.moves.tick()
+        self.once.refresh(
+            platform_up=self.control.platform_up, in_contact=self.control.take_contact()
+        )
         self.routes.refresh(ready=self.ready)
         return sends
 
@@ -92,6 +116,10 @@
         """Watch the configuration if this node is a relay; waits for the platform."""
         self.control.watch_step()
 
+    def claim_step(self) -> None:
+        """Write deferred claims of idempotency keys; waits for the platform."""
+        self.once.tick()
+
     def coordinate(self) -> list[Send]:
         """Advance the moves that fall to this node; waits for the platform."""
         return self.moves.coordinate()
@@ -100,6 +128,12 @@
         """Return what requests are routed by."""
         return self.routes.current
 
+    def _notice_own_death(self, records: list[TargetRecord]) -> None:
+        """Note that others took over this node's keys while they held it for dead."""
+        own = {target.record.target for target in self.control.local.targets.values()}
+        if any(r.target in own and r.state is TargetState.DEAD for r in records):
+            self.once.rejoined()
+
     def _make_request_logic(self, rng: random.Random, max_tenants: int) -> None:
         clock = self.clock
         self.tenants = TenantLimits(clock=clock, capacity=max_tenants)
--- a/almondshore/daemon/process.py
+++ b/almondshore/daemon/process.py
@@ -22,12 +22,14 @@
 from almondshore.platform.http import HttpPlatform
 from almondshore.proxy.caller import CallerApp, Finished
 from almondshore.proxy.gate import SlotGate
+from almondshore.proxy.once import OnceApp, OnceClient
 from almondshore.proxy.pool import HopPool
 from almondshore.proxy.target import Endpoint, TargetApp
 from almondshore.relay.control import ControlLimits, Identity
 
 TICK_SECONDS = 0.1
 PLATFORM_STEP_SECONDS = 0.5
+CLAIM_STEP_SECONDS = 1.0
 DRAIN_POLL_SECONDS = 0.05
 # Nodes elsewhere stop sending work within this time of the announcement that targets leave.
 LEAVE_NOTICE = timedelta(seconds=3)
@@ -70,6 +72,7 @@
             endpoints=self.endpoints,
             pool=self.pool,
             max_body_bytes=settings.limits.max_body_bytes,
+            once=OnceApp(owner=self.node.once),
             on_run=self.node.moves.record,
         )
         self.draining = False
@@ -95,6 +98,7 @@
         self._repeat(self._tick, TICK_SECONDS)
         self._repeat(self._platform_step, PLATFORM_STEP_SECONDS)
         self._repeat(self._coordinate, PLATFORM_STEP_SECONDS)
+        self._repeat(self.node.claim_step, CLAIM_STEP_SECONDS)
         self._repeat(self.node.watch_step, lambda: self._watch_delay())
         log_event("node_started", node=self.settings.node, zone=self.settings.zone)
         self.ended.wait()
@@ -176,6 +180,13 @@
             tenants=self.node.tenants,
             policy=self.node.policy,
             crash_guard=self.node.crash_guard,
+            once=OnceClient(
+                clock=self.clock,
+                node=self.settings.node,
+                directory=self.node.control.directory,
+                owner=self.node.once,
+                pool=self.pool,
+            ),
             pool=self.pool,
             max_body_bytes=self.settings.limits.max_body_bytes,
             trusted=trusted,
--- a/almondshore/membership/directory.py
+++ b/almondshore/membership/directory.py
@@ -77,6 +77,16 @@
         """Return the records that a node owns."""
         return [self.records[target] for target in sorted(self.nodes.get(node, ()))]
 
+    def of_service(self, service: str) -> list[TargetRecord]:
+        """Return the live records of a service, those of leaving targets included."""
+        found = self.services.get(service, {}).values()
+        return [self.records[target] for targets in found for target in sorted(targets)]
+
+    def services_of(self, node: str) -> set[str]:
+        """Return the services that a node has live targets of."""
+        records = self.of_node(node)
+        return {r.service for r in records if r.state is not TargetState.DEAD}
+
     def lookup(self, service: str, version: str) -> tuple[TargetRecord, ...]:
         """Return the targets of a service's version that take new work, ordered by name."""
         found = self.cached.get((service, version))
--- a/almondshore/proxy/caller.py
+++ b/almondshore/proxy/caller.py
@@ -13,6 +13,7 @@
 from almondshore.limits.tenants import Limited, TenantLimits
 from almondshore.proxy import headers as names
 from almondshore.proxy.headers import Headers, Problem, first, forwardable, parse_load
+from almondshore.proxy.once import Grant, OnceClient
 from almondshore.proxy.pool import ExchangeFailure, FailureKind, HopPool, Reply
 from almondshore.proxy.wsgi import (
     Request,
@@ -87,6 +88,7 @@
         tenants: TenantLimits,
         policy: RetryPolicy,
         crash_guard: CrashGuard,
+        once: OnceClient,
         pool: HopPool,
         max_body_bytes: int,
         trusted: bool = False,
@@ -98,6 +100,7 @@
         self.tenants = tenants
         self.policy = policy
         self.crash_guard = crash_guard
+        self.once = once
         self.pool = pool
         self.max_body_bytes = max_body_bytes
         self.trusted = trusted
@@ -123,12 +126,16 @@
             close = [("connection", "close")]
             return respond_failure(start_response, failure, request_id, close, request.status)
         call = self._admit(request_id, request, started)
-        result = call if isinstance(call, Failure) else self._send(call)
+        result = call if isinstance(call, Failure) else self._send_once(call)
         self._finish(call, request, result, started)
         if isinstance(result, Failure):
             return respond_failure(start_response, result, request_id)
         headers = forwardable(result.headers)
-        headers += [(name, first(result.headers, name)) for name in (names.OUTCOME, names.VERSION)]
+        headers += [
+            (name, value)
+            for name in (names.OUTCOME, names.VERSION, names.REPLAYED)
+            if (value := first(result.headers, name))
+        ]
         headers.append((names.REQUEST_ID, request_id))
         return respond(start_response, result.status, headers, result.body)
 
@@ -180,6 +187,23 @@
             left = min(left, timedelta(milliseconds=int(given)))
         return started + left
 
+    def _send_once(self, call: Call) -> Reply | Failure:
+        """Send a call; one with an idempotency key only with a grant of the key's owner."""
+        key = first(call.request.headers, names.IDEMPOTENCY_KEY)
+        if not (key and call.match.route["once"]):
+            return self._send(call)
+        grant = self.once.claim(
+            call.match.service, call.tenant, key, call.fingerprint, call.deadline
+        )
+        if not isinstance(grant, Grant):
+            return grant
+        result: Reply | Failure = make_failure(Reason.INTERNAL)
+        try:
+            result = self._send(call)
+        finally:
+            self.once.report(grant, result)
+        return result
+
     def _send(self, call: Call) -> Reply | Failure:
         """Send a call to targets until one responds or no retry is allowed."""
         if call.outermost:
--- /dev/null
+++ b/almondshore/proxy/once.py
@@ -0,0 +1,295 @@
+"""At-most-once execution across nodes: grants asked by hop 1 and given by the owner of a key."""
+
+from collections.abc import Iterable
+from datetime import timedelta
+from typing import NamedTuple
+
+import msgspec
+
+from almondshore.core import rendezvous
+from almondshore.core.clock import Clock
+from almondshore.core.messages import TargetRecord, TargetState
+from almondshore.membership.directory import Directory
+from almondshore.platform.port import Platform
+from almondshore.proxy import headers as names
+from almondshore.proxy.pool import ExchangeFailure, FailureKind, HopPool, Reply
+from almondshore.proxy.wsgi import StartResponse, respond
+from almondshore.retries.claims import ClaimBudget, ClaimStore
+from almondshore.retries.once import (
+    Denied,
+    Granted,
+    OnceRecords,
+    Replay,
+    StoredResponse,
+    key_hash,
+)
+from almondshore.retries.outcome import Failure, Outcome, Reason, make_failure
+from almondshore.retries.ownership import Ownership
+
+OPERATION = names.PREFIX + "once-operation"
+REPORT_ATTEMPTS = 2
+REPORT_TIMEOUT = timedelta(seconds=1)
+# A claim may wait for the platform once or twice before the request itself is sent.
+CLAIM_TIMEOUT = timedelta(seconds=5)
+MAX_SERVICES = 256
+
+
+class ClaimRequest(NamedTuple):
+    """Asks the owner of a key for a grant.
+
+    :ivar left_ms: time in which the request may still be run, milliseconds
+    """
+
+    service: str
+    key: str
+    fingerprint: int
+    left_ms: int
+
+
+class ClaimReply(NamedTuple):
+    """The owner's answer; exactly one of its fields is set."""
+
+    token: int | None = None
+    replay: StoredResponse | None = None
+    denied: Failure | None = None
+
+
+class Report(NamedTuple):
+    """Tells the owner how a granted request ended; the response is None if there is none."""
+
+    service: str
+    key: str
+    token: int
+    outcome: Outcome
+    response: StoredResponse | None
+
+
+class Grant(NamedTuple):
+    """A grant held by hop 1."""
+
+    owner: TargetRecord
+    service: str
+    key: str
+    token: int
+
+
+class OnceOwner:
+    """Keeps the records of the keys that this node owns, for each service it has targets of."""
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        node: str,
+        claims: ClaimStore,
+        directory: Directory,
+    ):
+        self.clock = clock
+        self.node = node
+        self.claims = claims
+        self.directory = directory
+        self.services: dict[str, OnceRecords] = {}
+        self.revision = -1
+
+    def claim(self, request: ClaimRequest) -> ClaimReply:
+        """Answer a claim; may wait for the platform."""
+        records = self.services.get(request.service)
+        if records is None:
+            detail = "this node has no target of the service"
+            return ClaimReply(denied=make_failure(Reason.KEY_UNPROVEN, detail))
+        deadline = self.clock.monotonic() + timedelta(milliseconds=request.left_ms)
+        answer = records.claim(request.key, request.fingerprint, deadline)
+        match answer:
+            case Granted(token):
+                return ClaimReply(token=token)
+            case Replay(response):
+                return ClaimReply(replay=response)
+            case Denied(failure):
+                return ClaimReply(denied=failure)
+
+    def report(self, report: Report) -> None:
+        """Take in how a granted request ended."""
+        records = self.services.get(report.service)
+        if records is None:
+            return
+        if report.response is not None:
+            records.finish(report.key, report.token, report.response)
+        else:
+            records.end(report.key, report.token, report.outcome)
+
+    def refresh(self, *, platform_up: bool | None, in_contact: bool) -> None:
+        """Bring the ownership of keys in step with the directory and the platform's state.
+
+        :param platform_up: whether the platform answers; None if that is not known yet, which must
+            not be taken for an outage: keys of the last process would count as doubtful
+        :param in_contact: whether a relay has answered this node since the last call
+        """
+        for service in self.directory.services_of(self.node):
+            if service not in self.services and len(self.services) < MAX_SERVICES:
+                self.services[service] = self._new_records()
+                self.revision = -1
+        changed = self.revision != self.directory.revision
+        self.revision = self.directory.revision
+        for service, records in self.services.items():
+            if platform_up is not None:
+                records.ownership.platform_state(platform_up)
+            if in_contact:
+                records.ownership.contact()
+            if changed:
+                records.ownership.update(members_of(self.directory, service))
+
+    def rejoined(self) -> None:
+        """Note that other nodes had declared this one dead."""
+        for records in self.services.values():
+            records.ownership.rejoined()
+
+    def tick(self) -> None:
+        """Write deferred claims; waits for the platform."""
+        for records in list(self.services.values()):
+            records.tick()
+
+    def _new_records(self) -> OnceRecords:
+        return OnceRecords(
+            clock=self.clock,
+            claims=self.claims,
+            ownership=Ownership(clock=self.clock, node=self.node),
+        )
+
+
+class OnceApp:
+    """The owner's operations as requests to the hop 2 listener."""
+
+    def __init__(self, *, owner: OnceOwner):
+        self.owner = owner
+
+    def __call__(
+        self, operation: str, body: bytes, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Answer one operation: ``claim`` or ``report``."""
+        try:
+            if operation == "claim":
+                reply = self.owner.claim(msgspec.msgpack.decode(body, type=ClaimRequest))
+                return respond(start_response, 200, [], msgspec.msgpack.encode(reply))
+            if operation == "report":
+                self.owner.report(msgspec.msgpack.decode(body, type=Report))
+                return respond(start_response, 204, [], b"")
+        except msgspec.MsgspecError:
+            pass
+        return respond(start_response, 400, [], b"")
+
+
+class OnceClient:
+    """Asks the owner of a key for a grant and reports how the request ended."""
+
+    def __init__(
+        self, *, clock: Clock, node: str, directory: Directory, owner: OnceOwner, pool: HopPool
+    ):
+        self.clock = clock
+        self.node = node
+        self.directory = directory
+        self.owner = owner
+        self.pool = pool
+
+    def claim(
+        self, service: str, tenant: str, key: str, fingerprint: int, deadline: timedelta
+    ) -> Grant | Reply | Failure:
+        """Ask for a grant.
+
+        :param key: the caller's idempotency key
+        :returns: the grant, the first response if the request has run, or why it must not run
+        """
+        name = key_hash(service, tenant, key)
+        record = self._owner_of(service, name)
+        if record is None:
+            return make_failure(Reason.NO_TARGET, "no node keeps records of the service")
+        left_ms = int((deadline - self.clock.monotonic()) / timedelta(milliseconds=1))
+        if left_ms <= 0:
+            return make_failure(Reason.DEADLINE_PASSED)
+        reply = self._ask(record, ClaimRequest(service, name, fingerprint, left_ms))
+        if isinstance(reply, Failure):
+            return reply
+        if reply.denied is not None:
+            return reply.denied
+        if reply.replay is not None:
+            return _replayed(reply.replay)
+        return Grant(record, service, name, reply.token or 0)
+
+    def report(self, grant: Grant, result: Reply | Failure) -> None:
+        """Tell the owner how the request ended.
+
+        If the report is lost, the record becomes ``unknown`` and the key is never run again.
+        """
+        report = _report_of(grant, result)
+        if grant.owner.node == self.node:
+            self.owner.report(report)
+            return
+        for _ in range(REPORT_ATTEMPTS):
+            reply = self._exchange(grant.owner, "report", report, REPORT_TIMEOUT)
+            if isinstance(reply, Reply):
+                return
+
+    def _owner_of(self, service: str, key: str) -> TargetRecord | None:
+        members = {record.node: record for record in _live(self.directory, service)}
+        chosen = rendezvous.choose(key, members)
+        return members[chosen] if chosen is not None else None
+
+    def _ask(self, record: TargetRecord, request: ClaimRequest) -> ClaimReply | Failure:
+        if record.node == self.node:
+            return self.owner.claim(request)
+        reply = self._exchange(record, "claim", request, CLAIM_TIMEOUT)
+        if isinstance(reply, ExchangeFailure):
+            # Without the owner's answer it is not known whether an earlier attempt has run.
+            outcome = Outcome.UNKNOWN
+            reason = Reason.HOP_LOST
+            if reply.kind is FailureKind.NOT_SENT:
+                reason = Reason.KEY_UNPROVEN
+            return make_failure(reason, reply.detail, outcome=outcome)
+        try:
+            return msgspec.msgpack.decode(reply.body, type=ClaimReply)
+        except msgspec.MsgspecError as error:
+            return make_failure(Reason.KEY_UNPROVEN, f"malformed answer of the owner: {error}")
+
+    def _exchange(
+        self, record: TargetRecord, operation: str, message: NamedTuple, timeout: timedelta
+    ) -> Reply | ExchangeFailure:
+        return self.pool.exchange(
+            record.address,
+            "POST",
+            "/",
+            [(OPERATION, operation), ("content-type", "application/msgpack")],
+            msgspec.msgpack.encode(message),
+            timeout,
+        )
+
+
+def make_claim_store(*, platform: Platform, clock: Clock, node: str, instance: str) -> ClaimStore:
+    """Return the claims of one process with a budget of their own."""
+    return ClaimStore(
+        platform=platform,
+        clock=clock,
+        node=node,
+        instance=instance,
+        budget=ClaimBudget(clock=clock),
+    )
+
+
+def members_of(directory: Directory, service: str) -> set[str]:
+    """Return the nodes that keep records of a service's keys."""
+    return {record.node for record in _live(directory, service)}
+
+
+def _live(directory: Directory, service: str) -> list[TargetRecord]:
+    """Return the records of a service whose targets live, those that are leaving included."""
+    return [r for r in directory.of_service(service) if r.state is not TargetState.DEAD]
+
+
+def _replayed(response: StoredResponse) -> Reply:
+    headers = [*response.headers, (names.OUTCOME, Outcome.RUN.value), (names.REPLAYED, "1")]
+    return Reply(response.status, headers, response.body)
+
+
+def _report_of(grant: Grant, result: Reply | Failure) -> Report:
+    if isinstance(result, Failure):
+        return Report(grant.service, grant.key, grant.token, result.outcome, None)
+    response = StoredResponse(result.status, tuple(names.forwardable(result.headers)), result.body)
+    return Report(grant.service, grant.key, grant.token, Outcome.RUN, response)
--- a/almondshore/proxy/target.py
+++ b/almondshore/proxy/target.py
@@ -9,6 +9,8 @@
 from almondshore.proxy import headers as names
 from almondshore.proxy.gate import SlotGate
 from almondshore.proxy.headers import Headers, Problem, first, format_load, forwardable
+from almondshore.proxy.once import OPERATION as ONCE_OPERATION
+from almondshore.proxy.once import OnceApp
 from almondshore.proxy.pool import ExchangeFailure, FailureKind, HopPool, Reply
 from almondshore.proxy.wsgi import (
     Request,
@@ -81,12 +83,14 @@
         endpoints: Mapping[str, Endpoint],
         pool: HopPool,
         max_body_bytes: int,
+        once: OnceApp,
         on_run: Callable[[RunResult], None] = lambda result: None,
     ):
         self.clock = clock
         self.endpoints = endpoints
         self.pool = pool
         self.max_body_bytes = max_body_bytes
+        self.once = once
         self.on_run = on_run
 
     def __call__(self, environ: dict, start_response: StartResponse) -> Iterable[bytes]:
@@ -96,6 +100,9 @@
             failure = make_failure(Reason.BAD_REQUEST, request.message)
             close = [("connection", "close")]
             return respond_failure(start_response, failure, "", close, request.status)
+        operation = first(request.headers, ONCE_OPERATION)
+        if operation:
+            return self.once(operation, request.body, start_response)
         hop = self._read_hop(request.headers)
         if hop is None:
             failure = make_failure(Reason.BAD_REQUEST, "internal headers are missing or malformed")
--- a/almondshore/relay/control.py
+++ b/almondshore/relay/control.py
@@ -9,6 +9,7 @@
     ALL_ZONES,
     Busy,
     Heartbeat,
+    HeartbeatAck,
     Message,
     RelayInvite,
     Send,
@@ -83,11 +84,16 @@
         self.limits = limits or ControlLimits()
         self.relay: Relay | None = None
         self.source: ConfigSource | None = None
+        self.relay_shows_platform_up: bool | None = None
+        self.acknowledged = False
         self._make_membership()
         self._make_relay_client()
 
     def handle(self, message: Message, sender: str) -> list[Send]:
         """React to a message."""
+        if isinstance(message, HeartbeatAck):
+            self.relay_shows_platform_up = message.platform_up
+            self.acknowledged = True
         if isinstance(message, RelayInvite):
             self.duty.invite(message)
             return []
@@ -110,6 +116,23 @@
             sends += self.relay.tick()
         return sends
 
+    @property
+    def platform_up(self) -> bool | None:
+        """Whether the platform answers, as a relay sees it and tells the other nodes.
+
+        None until a relay has told this node.
+        """
+        return self.duty.platform_up if self.relay is not None else self.relay_shows_platform_up
+
+    def take_contact(self) -> bool:
+        """Return whether this node is known to be alive to others since the last call.
+
+        An acknowledgement of a relay shows it, and so does the platform to a relay that renews
+        its lease.
+        """
+        acknowledged, self.acknowledged = self.acknowledged, False
+        return acknowledged or (self.relay is not None and bool(self.platform_up))
+
     def platform_step(self) -> list[Send]:
         """Take, renew and review relay leases; waits for the platform."""
         return self.duty.step(in_zone=self.selection.in_zone)
@@ -222,6 +245,7 @@
             detector=detector,
             table=self.table,
             moves_digest=self.moves_digest,
+            platform_up=lambda: self.platform_up,
             limits=self.limits.relay,
         )
         self.membership.pass_on = self.relay.own_records_changed
--- a/almondshore/relay/duty.py
+++ b/almondshore/relay/duty.py
@@ -71,6 +71,7 @@
         self.review = LeaseReview(clock=clock, table=table)
         self.lease: Lease | None = None
         self.slot = -1
+        self.platform_up: bool | None = None
         self.invited: int | None = None
         self.next_renewal = self.next_list = self.next_list_all = clock.monotonic()
 
@@ -147,6 +148,7 @@
         return []
 
     def _note_holder(self, slot: int, answer: LeaseAnswer) -> None:
+        self.platform_up = isinstance(answer, Held | HeldElsewhere)
         if isinstance(answer, HeldElsewhere) and answer.record is not None:
             record = answer.record
             self.table.merge([RelayEntry(self.zone, slot, record.holder, record.epoch)])
--- a/almondshore/relay/fanout.py
+++ b/almondshore/relay/fanout.py
@@ -68,6 +68,7 @@
         subscribers: Subscribers | None = None,
         admission: SnapshotAdmission | None = None,
         moves_digest: Callable[[], int] = lambda: 0,
+        platform_up: Callable[[], bool | None] = lambda: None,
         limits: RelayLimits | None = None,
     ):
         self.clock = clock
@@ -81,6 +82,7 @@
         self.subscribers = subscribers or Subscribers(clock=clock)
         self.admission = admission or sync.admission
         self.moves_digest = moves_digest
+        self.platform_up = platform_up
         self.limits = limits or RelayLimits()
         self.pushed_version = 0
         self.changes: list[TargetRecord] = []
@@ -160,6 +162,7 @@
             moves_digest=self.moves_digest(),
             ready=self.sync.ready,
             confirmed=self.sync.confirmed,
+            platform_up=bool(self.platform_up()),
         )
         return [*sends, Send(sender, ack), *self._catch_up(subscriber)]
 
