--- a/almondshore/ui/main.py
+++ b/almondshore/ui/main.py
@@ -73,7 +73,7 @@
         context = Context()
     app = build_app(context)
     try:
-        return app.meta(tokens, exit_on_error=False, print_error=False)
+        return app.meta(tokens, exit_on_error=False, print_error=False) or EXIT_DONE
     except (CycloptsError, UsageError) as error:
         _print_error(context, str(error))
         return EXIT_USAGE
