End in one line when the output or the platform's URL is unusable

Trials with a closed standard output and a full disk ended in a traceback, and a mistyped platform URL was reported as an outage with exit code 1. Errors of the output are now one line, a malformed URL is wrong usage (2), and so is a call without a command, which printed the help with 0 and let a script with an empty variable go on.

--- a/almondshore/ui/commands/drain.py
+++ b/almondshore/ui/commands/drain.py
@@ -4,11 +4,10 @@
 
 import urllib3
 from cyclopts import Parameter
-from urllib3.exceptions import HTTPError, LocationParseError
-from urllib3.util import parse_url
+from urllib3.exceptions import HTTPError
 
 from almondshore.core.errors import UserError
-from almondshore.ui.context import CALL_TIMEOUT, Context, UsageError
+from almondshore.ui.context import CALL_TIMEOUT, Context, require_url
 from almondshore.ui.output import printable
 
 DRAIN_PATH = "/almondshore/v1/drain"
@@ -20,19 +19,12 @@
 
     :param node: URL of the node's admin address, such as http://10.0.0.1:7070
     """
-    try:
-        url = parse_url(node)
-    except LocationParseError as error:
-        raise UsageError(f"'{node}' is not a URL") from error
-    if url.scheme not in ("http", "https") or not url.host:
-        raise UsageError(f"'{node}' is not a URL such as http://10.0.0.1:7070")
+    url = require_url(node)
     timeout = urllib3.Timeout(CALL_TIMEOUT.total_seconds())
     try:
         with urllib3.PoolManager() as pool:
             # Not repeated: the operator sees the failure and may repeat the command, which is safe.
-            response = pool.request(
-                "POST", f"{node.rstrip('/')}{DRAIN_PATH}", timeout=timeout, retries=False
-            )
+            response = pool.request("POST", url + DRAIN_PATH, timeout=timeout, retries=False)
     except HTTPError as error:
         raise UserError(f"the node at {node} does not answer: {error}") from error
     if not 200 <= response.status < 300:
--- a/almondshore/ui/context.py
+++ b/almondshore/ui/context.py
@@ -1,11 +1,15 @@
 """What commands need from outside: the clock, the platform and the output streams."""
 
+import io
 import sys
 import time
 from collections.abc import Callable
 from datetime import timedelta
 from typing import TextIO
 
+from urllib3.exceptions import LocationParseError
+from urllib3.util import Url, parse_url
+
 from almondshore.core.clock import Clock, SystemClock
 from almondshore.core.errors import UserError
 from almondshore.platform.port import Platform
@@ -24,12 +28,29 @@
     time.sleep(duration.total_seconds())
 
 
+def require_url(text: str) -> str:
+    """Check that a text is an HTTP URL with a host; return it without a trailing slash.
+
+    :raises UsageError: if it is not
+    """
+    try:
+        url = parse_url(text)
+    except LocationParseError:
+        url = Url()
+    if url.scheme not in ("http", "https") or not url.host:
+        raise UsageError(f"'{text}' is not a URL such as http://10.0.0.1:7070")
+    return text.rstrip("/")
+
+
 def connect(url: str, clock: Clock) -> Platform:
-    """Return the client of the platform at a URL."""
+    """Return the client of the platform at a URL.
+
+    :raises UsageError: if it is not an HTTP URL
+    """
     # Imported late: commands that read only files start without the HTTP client.
     from almondshore.platform.http import HttpPlatform
 
-    return HttpPlatform(url=url, clock=clock, timeout=CALL_TIMEOUT)
+    return HttpPlatform(url=require_url(url), clock=clock, timeout=CALL_TIMEOUT)
 
 
 class Context:
@@ -49,8 +70,9 @@
         connect: Callable[[str, Clock], Platform] = connect,
     ):
         self.clock = clock or SystemClock()
-        self.out = out or sys.stdout
-        self.err = err or sys.stderr
+        # The streams of the process are None if it was started with them closed.
+        self.out = out or sys.stdout or io.StringIO()
+        self.err = err or sys.stderr or io.StringIO()
         self.wait = wait
         self.connect = connect
         self.url = ""
--- a/almondshore/ui/main.py
+++ b/almondshore/ui/main.py
@@ -50,6 +50,9 @@
 
         :param platform: URL of the platform
         """
+        if not tokens:
+            app.help_print([])
+            return EXIT_USAGE
         context.url = platform
         command, bound, ignored = app.parse_args(tokens, exit_on_error=False, print_error=False)
         if "context" in ignored:
@@ -87,6 +90,8 @@
     except BrokenPipeError:
         # The reader of the output has gone. Python would report it once more when it exits.
         os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+    except OSError as error:
+        _print_error(context, f"cannot write the output: {error}")
     except KeyboardInterrupt:
         return EXIT_INTERRUPTED
     return EXIT_REFUSED
--- a/test/ui/test_main.py
+++ b/test/ui/test_main.py
@@ -1,10 +1,19 @@
 """Tests of the tool's entry point and of ``check``."""
 
+import errno
+import io
 import json
 
+from almondshore.ui.context import Context
+from almondshore.ui.main import run
 from test.ui.tooltest import RULES, ToolTest
 
 
+class FullDisk(io.StringIO):
+    def write(self, text):
+        raise OSError(errno.ENOSPC, "No space left on device")
+
+
 class MainTest(ToolTest):
     def test_wrong_usage_exits_with_2(self):
         """Guards against wrong usage that a script takes for a finding."""
@@ -31,6 +40,18 @@
             self.assertEqual(2, self.run_tool(command, url="")[0])
             self.assertEqual(0, self.run_tool(command, "--platform", "memory:", url="")[0])
 
+    def test_malformed_platform_url_is_wrong_usage(self):
+        """Guards against an outage reported for a mistyped URL."""
+        for url in ("no url", "127.0.0.1:7300", "http://127.0.0.1:99999", "ftp://x", "http://"):
+            context = Context(out=io.StringIO(), err=io.StringIO())
+            self.assertEqual(2, run(["--platform", url, "status"], context=context), url)
+
+    def test_output_that_cannot_be_written(self):
+        """Guards against a traceback when the output is a full disk."""
+        context = Context(out=FullDisk(), err=io.StringIO())
+        self.assertEqual(1, run(["check", self.file()], context=context))
+        self.assertIn("cannot write the output", context.err.getvalue())
+
     def test_check(self):
         """Guards against findings that a script or an editor cannot read."""
         good = self.file()
