--- a/almondshore/daemon/status.py
+++ b/almondshore/daemon/status.py
@@ -49,7 +49,10 @@
     by_node: dict[str, list[TargetRecord]] = {}
     for record in node.control.directory.of_zone(node.identity.zone):
         by_node.setdefault(record.node, []).append(record)
+    zone = node.identity.zone
     for item in node.control.relay.subscribers:
+        if item.zone != zone:
+            continue
         nodes[item.node] = NodeStatus(
             node=item.node,
             address=item.address,
@@ -62,7 +65,7 @@
         key = str(entry["config_version"])
         versions[key] = versions.get(key, 0) + 1
     return ZoneStatus(
-        zone=node.identity.zone,
+        zone=zone,
         at=now.isoformat(),
         versions=versions,
         nodes=[nodes[name] for name in sorted(nodes)],
--- a/almondshore/versions/publish.py
+++ b/almondshore/versions/publish.py
@@ -89,11 +89,11 @@
         """Read all parts of a version."""
         if version == 0:
             return Success({})
-        return self.record(version).bind(
-            lambda record: self.platform.get(record.parts_key).map(
-                lambda stored: _unpack(stored.value)
-            )
-        )
+        return self.record(version).bind(lambda record: self._parts(record.parts_key))
+
+    def parts_of(self, head: Head) -> Result[dict[str, bytes], PlatformError]:
+        """Read all parts of the version that a head names, by one call."""
+        return self._parts(_parts_key(head.digest)) if head.version else Success({})
 
     def record(self, version: int) -> Result[VersionRecord, PlatformError]:
         """Read the record of a version: from the head, or as its successor stored it."""
@@ -129,7 +129,7 @@
         digest = digest_parts(parts)
         rules_digest = hashlib.blake2b(rules, digest_size=DIGEST_BYTES).hexdigest()
         write_id = f"{version}-{digest.hex()}-{rules_digest}-{author}"
-        parts_key = f"config/parts/{digest.hex()}"
+        parts_key = _parts_key(digest)
         record = VersionRecord(version, rules_digest, author, reason, at, parts_key)
         changes = diff_parts(base_parts, parts)
         head = Head(
@@ -149,6 +149,9 @@
             .map(lambda _: Published(version, digest))
         )
 
+    def _parts(self, key: str) -> Result[dict[str, bytes], PlatformError]:
+        return self.platform.get(key).map(lambda stored: _unpack(stored.value))
+
     def _write_head(self, head: Head, revision: int, write_id: str) -> Result[None, PlatformError]:
         result = self.platform.update(HEAD_KEY, msgspec.msgpack.encode(head), revision, write_id)
         if not is_successful(result) and self._took_effect(result.failure(), HEAD_KEY, write_id):
@@ -194,6 +197,10 @@
     return f"config/version/{version:012d}"
 
 
+def _parts_key(digest: bytes) -> str:
+    return f"config/parts/{digest.hex()}"
+
+
 def _pack(parts: Mapping[str, bytes]) -> bytes:
     return zlib.compress(msgspec.msgpack.encode(dict(parts)))
 
