--- a/almondshore/routing/choice.py
+++ b/almondshore/routing/choice.py
@@ -191,22 +191,27 @@
     def _pick_in_tier(
         self, tier: Tier, exclude: Collection[str], now_s: float
     ) -> TargetLoad | None:
-        first = self._sample(tier, exclude, now_s)
+        first = self._sample(tier, exclude, now_s, None)
         if first is None or len(tier.loads) == 1:
             return first
-        second = self._sample(tier, exclude, now_s)
-        if second is None or second is first:
+        second = self._sample(tier, exclude, now_s, first)
+        if second is None:
             return first
         return self._better(first, second, tier, now_s)
 
-    def _sample(self, tier: Tier, exclude: Collection[str], now_s: float) -> TargetLoad | None:
+    def _sample(
+        self, tier: Tier, exclude: Collection[str], now_s: float, other: TargetLoad | None
+    ) -> TargetLoad | None:
+        """Return a random eligible target that is not the other one."""
         loads = tier.loads
         size = len(loads)
         for _ in range(SAMPLE_ATTEMPTS):
             load = loads[int(self.rng.random() * size)]
-            if self._eligible(load, exclude, now_s):
+            if load is not other and self._eligible(load, exclude, now_s):
                 return load
-        eligible = [load for load in loads if self._eligible(load, exclude, now_s)]
+        eligible = [
+            load for load in loads if load is not other and self._eligible(load, exclude, now_s)
+        ]
         return self.rng.choice(eligible) if eligible else None
 
     def _eligible(self, load: TargetLoad, exclude: Collection[str], now_s: float) -> bool:
@@ -216,16 +221,23 @@
     def _better(
         self, first: TargetLoad, second: TargetLoad, tier: Tier, now_s: float
     ) -> TargetLoad:
+        """Return the one with less load; a cold target only in proportion to its ramp."""
         first_ramp, second_ramp = self._ramp(first, now_s), self._ramp(second, now_s)
-        if first_ramp != second_ramp:
-            cold, warm = (first, second) if first_ramp < second_ramp else (second, first)
-            if self.rng.random() >= min(first_ramp, second_ramp):
-                return warm
-            floor = tier.mean
-            cold_use = max(cold.utilisation(now_s, tier.mean), floor)
-            return cold if cold_use <= warm.utilisation(now_s, tier.mean) else warm
         first_use = first.utilisation(now_s, tier.mean)
-        return second if second.utilisation(now_s, tier.mean) < first_use else first
+        second_use = second.utilisation(now_s, tier.mean)
+        if first_ramp == second_ramp:
+            return second if second_use < first_use else first
+        if first_ramp < second_ramp:
+            cold, warm, cold_use, warm_use = first, second, first_use, second_use
+        else:
+            cold, warm, cold_use, warm_use = second, first, second_use, first_use
+        if self.rng.random() >= self._ramp(cold, now_s):
+            return warm
+        # A cold target that looks idle is taken to have the mean load.
+        cold_use = max(cold_use, tier.mean)
+        if cold_use == warm_use:
+            return self.rng.choice((cold, warm))
+        return cold if cold_use < warm_use else warm
 
     def _ramp(self, load: TargetLoad, now_s: float) -> float:
         age = now_s - load.cold_since_s
