Run each idempotency key at most once across owner changes

Cause: a claim alone does not cover runs made without one (platform outage, claim budget used up), nor a node that starts and comes to own old keys. Change: a node that starts takes over the records of its keys and the list of nodes that are gone; owners that are gone need a platform claim and a clear marker; those that died in an outage make their keys unknown; a node without contact to its peers grants nothing; deferred claims are written when the platform is back.

--- a/almondshore/retries/claims.py
+++ b/almondshore/retries/claims.py
@@ -26,6 +26,8 @@
 MIN_RATE = 1 / 64
 # Claims without a rate refusal after which the rate is raised by a tenth.
 RAISE_AFTER = 10
+# Markers have a bucket of their own, since a used-up claim budget is what they report.
+MARKERS_PER_SECOND = 0.5
 # A claim whose answer was lost is repeated once: with the same write id it succeeds if it was won.
 CLAIM_ATTEMPTS = 2
 
@@ -122,6 +124,7 @@
         self.instance = instance
         self.budget = budget
         self.retention = retention
+        self.markers = ClaimBudget(clock=clock, rate=MARKERS_PER_SECOND)
         self.writes = 0
 
     def claim(self, key: str) -> ClaimResult:
@@ -140,7 +143,7 @@
 
     def mark(self, unclaimed: bool) -> ClaimResult:
         """Record for later owners whether this node may hold runs without a claim."""
-        if not self.budget.take():
+        if not self.markers.take():
             return ClaimResult.OVER_BUDGET
         name = MARKER_PREFIX + self.node
         self.writes += 1
@@ -155,7 +158,7 @@
 
     def is_marked(self, node: str) -> bool | None:
         """Tell whether a node's marker is set, or None if the platform does not tell."""
-        if not self.budget.take():
+        if not self.markers.take():
             return None
         result = self.platform.get(MARKER_PREFIX + node)
         if isinstance(result, Success):
--- a/almondshore/retries/once.py
+++ b/almondshore/retries/once.py
@@ -14,7 +14,7 @@
 from almondshore.core.clock import Clock
 from almondshore.retries.claims import ClaimResult, ClaimStore
 from almondshore.retries.outcome import Failure, Outcome, Reason, make_failure
-from almondshore.retries.ownership import Ownership, Standing
+from almondshore.retries.ownership import Departure, Ownership, Standing
 
 KEY_BYTES = 16
 MAX_RECORDS = 100_000
@@ -66,8 +66,33 @@
     failure: Failure
 
 
+class HandedRecord(NamedTuple):
+    """A record that a new owner takes over; responses stay behind.
+
+    :ivar ran: whether the key is known to have run; otherwise that is unknown
+    :ivar expires_s: seconds until the retention ends
+    """
+
+    key: str
+    fingerprint: int
+    ran: bool
+    expires_s: float
+
+
+class Handover(NamedTuple):
+    """What a node that starts needs to know from a live one.
+
+    :ivar age_s: seconds for which the sender has kept records
+    """
+
+    sender: str
+    age_s: float
+    records: list[HandedRecord]
+    departures: list[Departure]
+
+
 class _Record:
-    __slots__ = ("state", "fingerprint", "token", "lapses", "expires", "response", "proven")
+    __slots__ = ("state", "fingerprint", "token", "lapses", "expires", "response")
 
     def __init__(self, fingerprint: int):
         self.fingerprint = fingerprint
@@ -76,7 +101,6 @@
         self.lapses = timedelta()
         self.expires = timedelta()
         self.response: StoredResponse | None = None
-        self.proven = False
 
 
 def key_hash(service: str, tenant: str, key: str) -> str:
@@ -120,8 +144,10 @@
         self.kept: OrderedDict[str, int] = OrderedDict()
         self.kept_bytes = 0
         self.unclaimed: OrderedDict[str, None] = OrderedDict()
-        self.marked = False
-        self.cleared: set[str] = set()
+        # Whether the marker is set in the platform; None if an answer was lost.
+        self.marker: bool | None = False
+        # Departures whose marker was read and is not set, and when to read the others again.
+        self.cleared: set[tuple[str, timedelta]] = set()
         self.recheck: dict[str, timedelta] = {}
         self.next_token = 1
 
@@ -197,6 +223,42 @@
             del self.unclaimed[key]
         self._sync_marker()
 
+    def hand_over(self, node: str) -> Handover | None:
+        """Return the records of a node's keys, or None if that node is not a member here yet.
+
+        From the time at which this node counts the other one as a member it grants none of its
+        keys, so that the handover is complete.
+        """
+        ownership = self.ownership
+        if node not in ownership.members:
+            return None
+        now = self.clock.monotonic()
+        records = [
+            HandedRecord(
+                key,
+                record.fingerprint,
+                record.state is KeyState.DONE,
+                (record.expires - now).total_seconds(),
+            )
+            for key, record in self.records.items()
+            if ownership.owner(key) == node
+        ]
+        age_s = ownership.age().total_seconds()
+        return Handover(ownership.node, age_s, records, ownership.departures())
+
+    def take_over(self, handover: Handover) -> None:
+        """Add the records of a handover; a record that is there already stays."""
+        now = self.clock.monotonic()
+        for item in handover.records:
+            if item.key not in self.records:
+                record = self.records[item.key] = _Record(item.fingerprint)
+                record.state = KeyState.DONE if item.ran else KeyState.UNKNOWN
+                record.expires = now + timedelta(seconds=item.expires_s)
+        for departure in handover.departures:
+            if departure.node not in self.ownership.members:
+                self.ownership.note_departure(departure)
+        self.ownership.note_handover(handover.sender, timedelta(seconds=handover.age_s))
+
     def is_settled(self) -> bool:
         """Tell whether all runs are claimed, so that this node may leave in order."""
         return not self.unclaimed
@@ -235,7 +297,6 @@
         if result is ClaimResult.LOST:
             return make_failure(Reason.KEY_UNKNOWN, "an earlier owner claimed the key")
         if result is ClaimResult.WON:
-            record.proven = True
             if standing is Standing.CERTAIN or self._former_owners_clear(key):
                 return None
         elif standing is Standing.CERTAIN and self._may_run_unclaimed(result):
@@ -250,34 +311,42 @@
         of the outage themselves; a platform that only this node cannot reach is not an outage.
         """
         if result is ClaimResult.OVER_BUDGET and self.ownership.up_since is not None:
-            return self.marked or self._mark(True)
+            return self.marker is True or self._mark(True)
         return self.ownership.up_since is None
 
     def _former_owners_clear(self, key: str) -> bool:
         return all(self._is_clear(node) for node in self.ownership.former_owners(key))
 
     def _is_clear(self, node: str) -> bool:
-        if node in self.cleared:
+        departure = (node, self.ownership.departed.get(node, timedelta()))
+        if departure in self.cleared:
             return True
         now = self.clock.monotonic()
         if now < self.recheck.get(node, now):
             return False
         marked = self.claims.is_marked(node)
         if marked is False:
-            self.cleared.add(node)
+            self._remember_clear(departure)
             return True
         if marked:
             self.recheck[node] = now + MARKER_RECHECK
         return False
 
+    def _remember_clear(self, departure: tuple[str, timedelta]) -> None:
+        departed = self.ownership.departed
+        self.cleared = {item for item in self.cleared if departed.get(item[0]) == item[1]}
+        self.recheck = {node: at for node, at in self.recheck.items() if node in departed}
+        self.cleared.add(departure)
+
     def _sync_marker(self) -> bool:
-        wanted = bool(self.unclaimed) or self.ownership.has_doubt()
-        return wanted == self.marked or self._mark(wanted)
+        wanted = bool(self.unclaimed)
+        return wanted is self.marker or self._mark(wanted)
 
     def _mark(self, unclaimed: bool) -> bool:
+        self.marker = None
         if self.claims.mark(unclaimed) is not ClaimResult.WON:
             return False
-        self.marked = unclaimed
+        self.marker = unclaimed
         return True
 
     def _grant(self, record: _Record, deadline: timedelta, now: timedelta) -> None:
--- a/almondshore/retries/ownership.py
+++ b/almondshore/retries/ownership.py
@@ -3,13 +3,15 @@
 from collections.abc import Iterable
 from datetime import timedelta
 from enum import Enum
+from typing import NamedTuple
 
 from almondshore.core import rendezvous
 from almondshore.core.clock import Clock
 
 RETENTION = timedelta(hours=24)
-# Covers the 3 s in which news of membership reaches every node, and the time in which an owner
-# writes its marker after an outage.
+# Covers the 3 s in which news of membership reaches every node.
+WARM_UP = timedelta(seconds=5)
+# Time in which every node learns that the platform is back and writes its marker.
 SETTLE = timedelta(seconds=10)
 # Less than the 6 s after which a silent node may be declared dead: within this time of its last
 # contact no other node can have taken over its keys.
@@ -20,22 +22,34 @@
     """What a node without a record may conclude about a key."""
 
     NOT_OWNER = "not-owner"
-    # The node has owned the key for the whole retention: no record means not run.
+    # No earlier owner can have run the key without this node knowing of it.
     CERTAIN = "certain"
-    # An earlier owner may have run it: only the platform's claim proves that it did not.
+    # An owner that is gone may have run it: only the platform's claim proves that it did not.
     CLAIM_NEEDED = "claim-needed"
-    # As above, but whether the claim may be trusted is not known yet.
+    # What earlier owners ran is not known yet.
     UNSETTLED = "unsettled"
     # An earlier owner died when it may have held runs without a claim.
     DOUBTFUL = "doubtful"
 
 
+class Departure(NamedTuple):
+    """A node that kept records and is gone.
+
+    :ivar ago_s: seconds since it was removed
+    :ivar doubtful: whether it may have held runs without a claim
+    """
+
+    node: str
+    ago_s: float
+    doubtful: bool
+
+
 class Ownership:
     """History of the nodes that keep the records of one service's keys.
 
-    The owner of a key is the first of the service's nodes in rendezvous order. Without a record,
-    an owner has to rule out that an earlier owner ran the key: one that left within the
-    retention, or one that was there before this node.
+    The owner of a key is the first of the service's nodes in rendezvous order. A node that starts
+    takes over the records of its keys from the live nodes; for nodes that are gone it relies on
+    the platform.
     """
 
     def __init__(
@@ -43,41 +57,44 @@
         *,
         clock: Clock,
         node: str,
-        new_identity: bool = False,
+        new_identity: bool = True,
         retention: timedelta = RETENTION,
+        warm_up: timedelta = WARM_UP,
         settle: timedelta = SETTLE,
         contact_max_age: timedelta = CONTACT_MAX_AGE,
     ):
         """Start a history that begins now.
 
-        :param node: identity of this node
-        :param new_identity: whether no earlier process had this identity; otherwise that process
-            counts as an earlier owner
+        :param node: identity of this node among the members
+        :param new_identity: whether no earlier process had this identity; if one had, it counts
+            as an owner that died now
         """
         self.clock = clock
         self.node = node
-        self.new_identity = new_identity
         self.retention = retention
+        self.warm_up = warm_up
         self.settle = settle
         self.contact_max_age = contact_max_age
         self.members: frozenset[str] = frozenset((node,))
         self.departed: dict[str, timedelta] = {}
         self.doubtful: set[str] = set()
-        self.since = clock.monotonic()
+        self.awaited: set[str] = set()
+        # Nodes that handed over their records, with the time since which each kept records.
+        self.received: dict[str, timedelta] = {}
+        # Nodes that started after this one, hence never owned a key before it.
+        self.later: set[str] = set()
         self.up_since: timedelta | None = None
-        self.last_contact = self.since
-        self.started_settled: bool | None = None
+        self.since = self.last_contact = clock.monotonic()
+        if not new_identity:
+            self.departed[node] = self.since
+            self.doubtful.add(node)
 
     def platform_state(self, up: bool) -> None:
         """Take in what the relays report about the platform."""
         if not up:
             self.up_since = None
-            if self.started_settled is None:
-                self.started_settled = False
         elif self.up_since is None:
             self.up_since = self.clock.monotonic()
-        if self.started_settled is None and self._is_settled():
-            self.started_settled = True
 
     def contact(self) -> None:
         """Note an acknowledged heartbeat: this node is not declared dead."""
@@ -93,18 +110,51 @@
         current = frozenset(members) | {self.node}
         clean = frozenset(left)
         for name in self.members - current:
-            self.departed[name] = now
-            if name not in clean and not self._is_settled():
-                self.doubtful.add(name)
-        # A node that comes back was replaced in between; it counts as an earlier owner until then.
+            self.note_departure(Departure(name, 0.0, name not in clean and not self.is_settled()))
+        if now - self.since < self.warm_up:
+            self.awaited |= current - self.members - self.received.keys()
+        else:
+            self.later |= current - self.members - self.departed.keys()
+        self.awaited &= current
         self.members = current
         for name in [name for name, at in self.departed.items() if now - at >= self.retention]:
             del self.departed[name]
             self.doubtful.discard(name)
+        self.later &= current | self.departed.keys()
+
+    def note_departure(self, departure: Departure) -> None:
+        """Add a node that is gone; the latest time and any doubt about it prevail."""
+        at = self.clock.monotonic() - timedelta(seconds=departure.ago_s)
+        self.departed[departure.node] = max(at, self.departed.get(departure.node, at))
+        if departure.doubtful:
+            self.doubtful.add(departure.node)
+
+    def departures(self) -> list[Departure]:
+        """Return the nodes that are gone, for a node that starts."""
+        now = self.clock.monotonic()
+        return [
+            Departure(name, (now - at).total_seconds(), name in self.doubtful)
+            for name, at in self.departed.items()
+        ]
+
+    def age(self) -> timedelta:
+        """Return how long this node has kept records."""
+        return self.clock.monotonic() - self.since
+
+    def note_handover(self, sender: str, age: timedelta) -> None:
+        """Note that a live node has handed over the records of this node's keys.
+
+        :param age: how long the sender has kept records
+        """
+        self.received[sender] = self.clock.monotonic() - age
+        self.awaited.discard(sender)
 
     def rejoined(self) -> None:
         """Note that others had declared this node dead and may have taken over its keys."""
         self.since = self.clock.monotonic()
+        self.received.clear()
+        self.later.clear()
+        self.awaited = set(self.members - {self.node})
 
     def owner(self, key: str) -> str:
         """Return the node that keeps the record of a key."""
@@ -114,35 +164,43 @@
         """Return what this node may conclude from having no record of a key."""
         if self.owner(key) != self.node:
             return Standing.NOT_OWNER
+        now = self.clock.monotonic()
+        silent = now - self.last_contact >= self.contact_max_age
+        if silent or self.awaited or now - self.since < self.warm_up:
+            return Standing.UNSETTLED
         former = self.former_owners(key)
         if not former:
-            in_contact = self.clock.monotonic() - self.last_contact < self.contact_max_age
-            return Standing.CERTAIN if in_contact else Standing.UNSETTLED
-        if self.doubtful.intersection(former) or (
-            self.node in former and self.started_settled is False
-        ):
+            return Standing.CERTAIN
+        if not self.doubtful.isdisjoint(former):
             return Standing.DOUBTFUL
-        young = self.clock.monotonic() - self.since < self.settle
-        if young or not self._is_settled():
-            return Standing.UNSETTLED
         return Standing.CLAIM_NEEDED
 
     def former_owners(self, key: str) -> list[str]:
-        """Return the nodes that may have run a key of this node's before it did."""
-        ranked = rendezvous.rank(key, self.members | self.departed.keys())
-        position = ranked.index(self.node)
-        former = ranked[:position]
-        if self.clock.monotonic() - self.since < self.retention:
-            former += ranked[position + 1 : position + 2]
-            if not self.new_identity:
-                former.append(self.node)
-        return former
-
-    def has_doubt(self) -> bool:
-        """Tell whether keys of this node may have been run without a claim by one that died."""
-        return bool(self.doubtful)
-
-    def _is_settled(self) -> bool:
+        """Return the nodes that are gone and may have run a key of this node's."""
+        if not self.departed:
+            return []
+        ranked = rendezvous.rank(key, {self.node, *self.departed, *self.received})
+        rank = {name: position for position, name in enumerate(ranked)}
+        return [name for name in self.departed if self._may_have_owned(name, rank)]
+
+    def _may_have_owned(self, name: str, rank: dict[str, int]) -> bool:
+        """Tell whether a node that is gone may have owned a key before this node.
+
+        Beside this node it was the owner only if it ranks above it. If it was gone before it
+        could hand over its records, it was the owner unless it ranks below a node that was there
+        when it left, and that did hand over.
+        """
+        if name == self.node:
+            return True
+        if name in self.later or name in self.received:
+            return rank[name] < rank[self.node]
+        left = self.departed[name]
+        return all(
+            rank[name] < rank[other] for other, since in self.received.items() if since < left
+        )
+
+    def is_settled(self) -> bool:
+        """Tell whether the platform has been up for long enough that markers are written."""
         if self.up_since is None:
             return False
         return self.clock.monotonic() - self.up_since >= self.settle
--- /dev/null
+++ b/test/retries/test_once.py
@@ -0,0 +1,172 @@
+"""Tests of at-most-once execution across resends, deaths and outages."""
+
+from testtools import TestCase
+
+from almondshore.retries.claims import ClaimResult
+from almondshore.retries.once import Granted, Replay, StoredResponse
+from almondshore.retries.outcome import Outcome, Reason
+from standins.object_store import Fault
+from test.retries.helpers import RESPONSE, Fleet, key_of, reason, seconds
+
+
+class OnceTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.fleet = Fleet()
+        self.key = key_of(self.fleet, "b")
+
+    def test_resend_gets_the_first_response(self):
+        """Guards against a schedule push that is delivered twice after a lost response."""
+        self.fleet.send(self.key)
+        self.assertEqual(Replay(RESPONSE), self.fleet.send(self.key))
+        self.assertEqual({self.key: 1}, self.fleet.runs)
+
+    def test_resend_while_the_first_runs_is_refused(self):
+        """Guards against two runs side by side when a caller is impatient."""
+        self.fleet.ask(self.key)
+        answer = self.fleet.send(self.key)
+        self.assertEqual(Reason.KEY_RUNNING, reason(answer))
+        self.assertEqual(Outcome.UNKNOWN, answer.failure.outcome)
+
+    def test_request_that_was_not_run_may_be_sent_again(self):
+        """Guards against a key that an overload refusal makes useless for a day."""
+        self.fleet.send(self.key, "not-run")
+        self.assertIsInstance(self.fleet.send(self.key), Granted)
+        self.assertEqual({self.key: 1}, self.fleet.runs)
+
+    def test_key_of_another_request_is_refused(self):
+        """Guards against a response to one request being replayed to another."""
+        self.fleet.send(self.key)
+        self.assertEqual(Reason.KEY_REUSED, reason(self.fleet.ask(self.key, fingerprint=2)[1]))
+
+    def test_target_death_leaves_the_key_unknown(self):
+        """Guards against a second run after the target died in the first."""
+        self.fleet.send(self.key, "lost")
+        self.assertEqual(Reason.KEY_UNKNOWN, reason(self.fleet.send(self.key)))
+
+    def test_holder_that_died_leaves_the_key_unknown(self):
+        """Guards against a grant that is given again, or blocked for ever, once hop 1 died."""
+        self.fleet.ask(self.key)
+        self.fleet.advance(8)
+        self.assertEqual(Reason.KEY_UNKNOWN, reason(self.fleet.send(self.key)))
+
+    def test_grant_of_a_dead_holder_cannot_start(self):
+        """Guards against a paused hop 1 that runs its request after the key was given up."""
+        records, granted = self.fleet.ask(self.key)
+        self.fleet.advance(8)
+        self.fleet.send(self.key)
+        self.assertFalse(records.running(self.key, granted.token))
+
+    def test_owner_death_with_the_platform_up(self):
+        """Guards against a new owner that has no record running the key again."""
+        self.fleet.send(self.key)
+        self.fleet.kill("b")
+        self.assertEqual(Reason.KEY_UNKNOWN, reason(self.fleet.send(self.key)))
+        fresh = key_of(self.fleet, self.fleet.owner(self.key), 3)
+        self.assertIsInstance(self.fleet.send(fresh), Granted)
+
+    def test_owner_death_in_an_outage(self):
+        """Guards against a new owner that cannot read claims running a key again."""
+        kept = key_of(self.fleet, "a")
+        self.fleet.send(self.key)
+        self.fleet.store.fault = Fault.DOWN
+        self.fleet.advance(1)
+        self.fleet.kill("b")
+        self.assertEqual(Outcome.UNKNOWN, self.fleet.send(self.key).failure.outcome)
+        self.assertIsInstance(self.fleet.send(kept), Granted)
+
+    def test_run_in_an_outage_whose_owner_died_before_it_ended(self):
+        """Guards against a second run after an outage in which the claim could not be written."""
+        self.fleet.store.fault = Fault.DOWN
+        self.fleet.advance(1)
+        self.fleet.send(self.key)
+        self.fleet.kill("b")
+        self.fleet.store.fault = Fault.NONE
+        self.fleet.advance(30)
+        self.assertEqual(Reason.KEY_UNKNOWN, reason(self.fleet.send(self.key)))
+
+    def test_claims_of_an_outage_are_written_when_it_ends(self):
+        """Guards against an owner's death after an outage losing what ran during it."""
+        self.fleet.store.fault = Fault.DOWN
+        self.fleet.advance(1)
+        self.fleet.send(self.key)
+        self.fleet.store.fault = Fault.NONE
+        self.fleet.advance(15)
+        self.fleet.kill("b")
+        self.assertEqual(Reason.KEY_UNKNOWN, reason(self.fleet.send(self.key)))
+
+    def test_lost_answer_of_a_claim_is_not_taken_for_another_owner(self):
+        """Guards against a key lost to the node's own claim, whose answer did not arrive."""
+        self.fleet.store.fault = Fault.LOSE_ANSWERS
+        self.assertEqual(Reason.KEY_UNPROVEN, reason(self.fleet.send(self.key)))
+        self.fleet.store.fault = Fault.NONE
+        self.assertIsInstance(self.fleet.send(self.key), Granted)
+        self.assertEqual(ClaimResult.LOST, self.fleet.nodes["a"].claims.claim(self.key))
+
+    def test_over_budget_run_is_marked_for_the_next_owner(self):
+        """Guards against runs on the record alone that their owner's death makes forgotten."""
+        fleet = Fleet(claim_rate=0.01)
+        keys = [key_of(fleet, "b", n) for n in range(4)]
+        for key in keys:
+            self.assertIsInstance(fleet.send(key), Granted)
+        fleet.kill("b")
+        fleet.advance(30)
+        for key in keys:
+            self.assertIsNot(Granted, type(fleet.send(key)))
+
+    def test_new_node_takes_over_the_records_of_its_keys(self):
+        """Guards against a second run at a node that came to own a key after its run."""
+        keys = [key_of(self.fleet, "b", n) for n in range(40)]
+        for key in keys:
+            self.fleet.send(key)
+        self.fleet.store.fault = Fault.DOWN
+        self.fleet.start()
+        moved = [key for key in keys if self.fleet.owner(key) == "new1"]
+        self.assertNotEqual([], moved)
+        for key in moved:
+            self.assertEqual(Reason.RESPONSE_NOT_KEPT, reason(self.fleet.send(key)))
+
+    def test_node_cut_off_from_its_peers_runs_nothing_new(self):
+        """Guards against two owners of one key when one was declared dead without knowing."""
+        self.fleet.store.fault = Fault.DOWN
+        self.fleet.advance(1)
+        self.fleet.clock.advance(seconds(6))
+        self.assertEqual(Reason.KEY_UNPROVEN, reason(self.fleet.send(self.key)))
+
+    def test_kept_responses_are_bounded(self):
+        """Guards against replays filling the 128 MB of a node; the keys stay known."""
+        records = self.fleet.nodes["b"].records
+        records.max_kept_bytes = 100
+        keys = [key_of(self.fleet, "b", n) for n in range(3)]
+        for key in keys:
+            _, granted = self.fleet.ask(key)
+            records.running(key, granted.token)
+            records.finish(key, granted.token, StoredResponse(200, (), b"x" * 40))
+        self.assertTrue(records.kept_bytes <= 100)
+        self.assertEqual(Reason.RESPONSE_NOT_KEPT, reason(self.fleet.send(keys[0])))
+        self.assertIsInstance(self.fleet.send(keys[2]), Replay)
+
+    def test_full_table_refuses_new_keys_only(self):
+        """Guards against an eviction that lets a key run again."""
+        self.fleet.send(self.key)
+        self.fleet.nodes["b"].records.max_records = 1
+        other = key_of(self.fleet, "b", 1)
+        self.assertEqual(Reason.KEY_TABLE_FULL, reason(self.fleet.send(other)))
+        self.assertEqual(Replay(RESPONSE), self.fleet.send(self.key))
+
+    def test_retention_frees_records_and_claims(self):
+        """Guards against records that are kept for ever, and keys that never work again."""
+        self.fleet.send(self.key)
+        self.fleet.clock.advance(seconds(86_400 + 10))
+        self.fleet.advance(1)
+        self.assertEqual(0, len(self.fleet.nodes["b"].records.records))
+        self.assertIsInstance(self.fleet.send(self.key), Granted)
+
+    def test_claim_of_a_dead_owner_ends_with_the_retention(self):
+        """Guards against keys of a dead owner that never work again."""
+        self.fleet.send(self.key)
+        self.fleet.kill("b")
+        self.fleet.clock.advance(seconds(86_400 + 10))
+        self.fleet.advance(1)
+        self.fleet.sync()
+        self.assertIsInstance(self.fleet.send(self.key), Granted)
