--- a/almondshore/limits/admission.py
+++ b/almondshore/limits/admission.py
@@ -127,6 +127,8 @@
             name: OrderedDict() for name in WEIGHTS
         }
         self.queued = 0
+        # No queued request has a deadline before this; spares a scan on each offer.
+        self.next_deadline = timedelta.max
         self.credit = dict.fromkeys(WEIGHTS, 0)
         self.service_time = timedelta()
         total = sum(WEIGHTS.values())
@@ -243,6 +245,7 @@
             shed = (*shed, Shed(displaced, self._refuse(RefusalReason.OVERLOADED)))
         self.queues[request.request_class][request.request_id] = request
         self.queued += 1
+        self.next_deadline = min(self.next_deadline, request.deadline)
         return Queued(shed)
 
     def _victim(self, request_class: RequestClass) -> RequestClass | None:
@@ -256,10 +259,10 @@
         return None
 
     def _purge(self, now: timedelta) -> tuple[Shed, ...]:
-        reason = RefusalReason.DEADLINE
         drained = self._is_drained(now)
-        if drained:
-            reason = RefusalReason.DRAINING
+        if not drained and now < self.next_deadline:
+            return ()
+        reason = RefusalReason.DRAINING if drained else RefusalReason.DEADLINE
         shed = []
         for queue in self.queues.values():
             gone = [item for item in queue.values() if drained or item.deadline <= now]
@@ -267,6 +270,8 @@
                 del queue[request.request_id]
                 self.queued -= 1
                 shed.append(Shed(request, self._refuse(reason)))
+        left = (item.deadline for queue in self.queues.values() for item in queue.values())
+        self.next_deadline = min(left, default=timedelta.max)
         return tuple(shed)
 
     def _is_drained(self, now: timedelta) -> bool:
