--- a/almondshore/retries/crash.py
+++ b/almondshore/retries/crash.py
@@ -25,11 +25,15 @@
     :ivar fingerprint: identity of the request, see ``fingerprint``
     :ivar target: the target that died
     :ivar incarnation: incarnation of the target that died
+    :ivar started_ms: start of the run, milliseconds since the epoch, UTC
+    :ivar ended_ms: time of the death, milliseconds since the epoch, UTC
     """
 
     fingerprint: int
     target: str
     incarnation: int
+    started_ms: int
+    ended_ms: int
 
 
 class CrashSuspected(NamedTuple):
@@ -41,11 +45,12 @@
 class _Suspect:
     """Deaths that a fingerprint is suspected of; times in seconds."""
 
-    __slots__ = ("count", "seen", "until", "forget")
+    __slots__ = ("count", "seen", "last_ended_ms", "until", "forget")
 
     def __init__(self) -> None:
         self.count = 0
         self.seen: deque[tuple[str, int]] = deque(maxlen=REMEMBERED_DEATHS)
+        self.last_ended_ms = 0
         self.until = 0.0
         self.forget = 0.0
 
@@ -63,8 +68,9 @@
     """Counts deaths of targets by the fingerprint of what they ran.
 
     Two deaths within a minute quarantine a fingerprint. A run that completes clears its deaths:
-    requests that merely ran beside the one at fault complete elsewhere. A death counts once for
-    each fingerprint, however many nodes report it.
+    requests that merely ran beside the one at fault complete elsewhere. A run counts only if it
+    started after the death before it, since a rack that fails ends many runs of a common request
+    at the same time. A death counts once, however many nodes report it.
     """
 
     def __init__(
@@ -123,12 +129,19 @@
         if identity in suspect.seen:
             return False
         suspect.seen.append(identity)
-        suspect.count += 1
+        if death.started_ms >= suspect.last_ended_ms:
+            suspect.count += 1
+        suspect.last_ended_ms = max(suspect.last_ended_ms, death.ended_ms)
         suspect.forget = max(suspect.forget, now_s + self.window_s)
         if suspect.count >= self.deaths:
             self._quarantine(suspect, now_s)
         return True
 
+    def blames_request(self, request: int) -> bool:
+        """Tell whether a death is the request's fault, and not evidence against a version."""
+        suspect = self.suspects.get(request)
+        return suspect is not None and suspect.until > 0.0
+
     def _quarantine(self, suspect: _Suspect, now_s: float) -> None:
         if now_s < suspect.until:
             return
