Harden moves and test each failure

Cause: the first version compared latencies of unequal load, counted a target's death once for each request it broke, and had tests of the two plain cases only. EvidenceRow.latency_buckets leaves out cold targets.

--- a/almondshore/moves/coordinator.py
+++ b/almondshore/moves/coordinator.py
@@ -11,13 +11,14 @@
 
 from almondshore.core.clock import Clock
 from almondshore.core.messages import Evidence, EvidenceRow, MoveStep, Veto
+from almondshore.moves.controls import SlotsInUse
 from almondshore.moves.evidence import (
     BUCKET_BOUNDS_MS,
     COORDINATOR_GRACE,
     EvidenceAggregator,
 )
 from almondshore.moves.outcome import OutcomePublisher
-from almondshore.moves.plan import FINAL_STEP, Capacity, Gathered, plan_of
+from almondshore.moves.plan import FINAL_STEP, Capacity, Gathered, plan_of, target_count
 from almondshore.moves.record import Backoff, Fenced, MoveRecord, RecordStore
 from almondshore.moves.state import MoveTable
 from almondshore.moves.verdict import COORDINATOR_SHARE, FALSE_POSITIVE_RATE, MoveVerdict
@@ -34,9 +35,11 @@
 
 
 class Fleet(NamedTuple):
-    """Live slots of both versions of a service, as the directory shows them."""
+    """Live targets of both versions of a service and their slots, as the directory shows them."""
 
+    new_targets: int
     new_slots: int
+    old_targets: int
     old_slots: int
 
 
@@ -133,7 +136,7 @@
         if self.record is None:
             messages += self._take_over()
         if self.record is not None:
-            messages += self._judge() + self._advance(fleet)
+            messages += self._judge(fleet) + self._advance(fleet)
             self._save()
         return [] if self.fenced else messages
 
@@ -204,14 +207,19 @@
         if is_successful(stored):
             self.table.add_veto(decode_veto(stored.unwrap().value))
 
-    def _judge(self) -> list[Veto]:
+    def _judge(self, fleet: Fleet) -> list[Veto]:
         """Evaluate the windows that have closed; return a veto if the version is condemned."""
         if self.record.state == MoveState.REVERTED.value:
             return []
         verdict = self.verdict = self.verdict or self._verdict()
         for evidence in self.aggregator.tick():
             self._note_demand(evidence.rows)
-            verdict.observe(evidence.window, evidence.rows, warm=self._is_warm(evidence.rows))
+            verdict.observe(
+                evidence.window,
+                evidence.rows,
+                slots=self._slots(fleet),
+                warm=self._is_warm(evidence.rows),
+            )
         messages = []
         if verdict.condemned is not None and self._veto() is None:
             veto = make_veto(
@@ -340,6 +348,12 @@
         warm_up = min(WARM_UP, duration * WARM_UP_SHARE)
         return self.first_seen is not None and now >= self.first_seen + warm_up
 
+    def _slots(self, fleet: Fleet) -> SlotsInUse:
+        share = self.table.share(self.part)
+        used = target_count(share, fleet.new_targets, fleet.old_targets)
+        new = fleet.new_slots * used // max(fleet.new_targets, 1)
+        return SlotsInUse(new, fleet.old_slots)
+
     def _note_demand(self, rows: Iterable[EvidenceRow]) -> None:
         """Estimate the slots in use from rate and latency (Little's law)."""
         in_use = sum(_in_use(row) for row in rows if row.service == self.part["name"])
--- a/almondshore/moves/eprocess.py
+++ b/almondshore/moves/eprocess.py
@@ -6,12 +6,14 @@
 # A new start every 15 windows finds a version that turns bad long after the move began.
 START_EVERY = 15
 MAX_STARTS = 8
+# Above this many terms the exact distribution costs more than it is worth.
+MAX_TERMS = 200
 
 
 class Alternative:
     """Odds that a test tells apart.
 
-    :ivar tolerance: ratio of the new version's rate to the old one's that is still accepted
+    :ivar tolerance: ratio of the new version's odds to the old one's that is still accepted
     :ivar ratios: ratios of the alternatives, all above the tolerance
     """
 
@@ -21,27 +23,60 @@
 
 
 def concurrent_ratio(
-    alternative: Alternative, *, new: float, old: float, new_total: int, old_total: int
+    alternative: Alternative, *, new: int, old: int, new_total: int, old_total: int
 ) -> list[float]:
     """Return the log likelihood ratios of one window with requests on both versions.
 
-    Given the number of events on both versions together, the number on the new one is at most
-    binomial under the null hypothesis, whatever the common rate is in this window.
+    Given the number of events on both versions together, the number on the new one follows
+    Fisher's noncentral hypergeometric distribution, whatever the common rate is in this window.
 
     :param new: events on the new version
     :param old: events on the old version
     :param new_total: requests on the new version
     :param old_total: requests on the old version
     """
+    events = new + old
+    if not events or not new_total or not old_total:
+        return [0.0] * len(alternative.ratios)
+    if min(events, new_total) > MAX_TERMS:
+        return _binomial_ratio(alternative, new, events, new_total, old_total)
+    low, high = max(0, events - old_total), min(events, new_total)
+    terms = [
+        (j, _log_choose(new_total, j) + _log_choose(old_total, events - j))
+        for j in range(low, high + 1)
+    ]
+    base = _log_mass(terms, alternative.tolerance)
+    return [
+        new * math.log(ratio / alternative.tolerance) + base - _log_mass(terms, ratio)
+        for ratio in alternative.ratios
+    ]
+
+
+def _binomial_ratio(
+    alternative: Alternative, new: int, events: int, new_total: int, old_total: int
+) -> list[float]:
+    """Return log likelihood ratios with the binomial in place of the hypergeometric.
+
+    The binomial is more dispersed, so the test stays valid and is only weaker.
+    """
     tolerance = alternative.tolerance
     base = tolerance * new_total + old_total
     return [
         new * math.log(ratio / tolerance)
-        + (new + old) * math.log(base / (ratio * new_total + old_total))
+        + events * math.log(base / (ratio * new_total + old_total))
         for ratio in alternative.ratios
     ]
 
 
+def _log_choose(total: int, count: int) -> float:
+    return math.lgamma(total + 1) - math.lgamma(count + 1) - math.lgamma(total - count + 1)
+
+
+def _log_mass(terms: list[tuple[int, float]], ratio: float) -> float:
+    log_ratio = math.log(ratio)
+    return log_sum(value + count * log_ratio for count, value in terms)
+
+
 def baseline_ratio(
     alternative: Alternative, *, new: float, new_total: int, rate: float
 ) -> list[float]:
--- a/almondshore/moves/evidence.py
+++ b/almondshore/moves/evidence.py
@@ -37,7 +37,7 @@
 
 def bucket_of(latency: timedelta) -> int:
     """Return the index of the histogram bucket of a latency."""
-    return bisect_left(BUCKET_BOUNDS_MS, latency / timedelta(milliseconds=1))
+    return bisect_left(BUCKET_BOUNDS_MS, latency.total_seconds() * 1000)
 
 
 def add_rows(one: EvidenceRow, other: EvidenceRow) -> EvidenceRow:
@@ -89,6 +89,16 @@
     return parts
 
 
+class _Counter:
+    """Counts of one row while its window is open."""
+
+    __slots__ = ("requests", "errors", "buckets", "broken", "refused")
+
+    def __init__(self) -> None:
+        self.requests = self.errors = self.broken = self.refused = 0
+        self.buckets = [0] * BUCKETS
+
+
 class EvidenceRecorder:
     """Counts the results of requests at a node and reports each window once it has ended.
 
@@ -102,7 +112,7 @@
         self.max_rows = max_rows
         self.services: set[str] = set()
         self.window = window_of(clock.now())
-        self.rows: dict[RowKey, EvidenceRow] = {}
+        self.rows: dict[RowKey, _Counter] = {}
         self.ended: list[Evidence] = []
 
     def set_services(self, services: set[str]) -> None:
@@ -127,23 +137,22 @@
         :param broken: whether the response broke off or never came
         :param cold: whether the target is in its slow start, when latency says nothing
         """
-        row = self._row(service, version, route)
-        if row is None:
+        counter = self._counter(service, version, route)
+        if counter is None:
+            return
+        counter.requests += 1
+        if broken:
+            counter.broken += 1
             return
-        buckets = row.latency_buckets
-        if not cold and not broken:
-            buckets[bucket_of(latency)] += 1
-        self.rows[row[:3]] = row._replace(
-            requests=row.requests + 1,
-            errors=row.errors + (not ok and not broken),
-            broken=row.broken + broken,
-        )
+        counter.errors += not ok
+        if not cold:
+            counter.buckets[bucket_of(latency)] += 1
 
     def record_refusal(self, service: str, version: str, route: str) -> None:
         """Count a request that was refused because of overload."""
-        row = self._row(service, version, route)
-        if row is not None:
-            self.rows[row[:3]] = row._replace(refused=row.refused + 1)
+        counter = self._counter(service, version, route)
+        if counter is not None:
+            counter.refused += 1
 
     def tick(self) -> list[Evidence]:
         """Return the evidence of the windows that have ended."""
@@ -151,34 +160,43 @@
         ended, self.ended = self.ended, []
         return ended
 
-    def _row(self, service: str, version: str, route: str) -> EvidenceRow | None:
+    def _counter(self, service: str, version: str, route: str) -> _Counter | None:
         if not self.services:
             return None
         self._roll()
-        if service not in self.services:
-            return self._control_row(service)
         key = (service, version, route)
-        if key not in self.rows and len(self.rows) >= self.max_rows:
+        if service not in self.services:
+            key = (service, "", CONTROL_ROUTE)
+        counter = self.rows.get(key)
+        if counter is not None:
+            return counter
+        if service not in self.services:
+            controls = sum(found[2] == CONTROL_ROUTE for found in self.rows)
+            if controls >= MAX_CONTROL_SERVICES:
+                return None
+        elif len(self.rows) >= self.max_rows:
             key = (service, version, OTHER_ROUTES)
-        return self.rows.get(key) or EvidenceRow(*key, 0, 0, [0] * BUCKETS)
-
-    def _control_row(self, service: str) -> EvidenceRow | None:
-        key = (service, "", CONTROL_ROUTE)
-        if key in self.rows:
-            return self.rows[key]
-        controls = sum(found[2] == CONTROL_ROUTE for found in self.rows)
-        if controls >= MAX_CONTROL_SERVICES:
-            return None
-        return EvidenceRow(*key, 0, 0, [0] * BUCKETS)
+        return self.rows.setdefault(key, _Counter())
 
     def _roll(self) -> None:
         window = window_of(self.clock.now())
-        if window > self.window:
-            if self.rows:
-                self.ended.append(Evidence(self.window, 1, list(self.rows.values())))
-                self.ended = self.ended[-MAX_OPEN_WINDOWS:]
-            self.rows = {}
-            self.window = window
+        if window <= self.window:
+            return
+        if self.rows:
+            rows = [
+                EvidenceRow(
+                    *key,
+                    counter.requests,
+                    counter.errors,
+                    counter.buckets,
+                    counter.broken,
+                    counter.refused,
+                )
+                for key, counter in self.rows.items()
+            ]
+            self.ended = [*self.ended, Evidence(self.window, 1, rows)][-MAX_OPEN_WINDOWS:]
+        self.rows = {}
+        self.window = window
 
 
 class EvidenceAggregator:
--- a/almondshore/moves/plan.py
+++ b/almondshore/moves/plan.py
@@ -14,9 +14,11 @@
 MIN_MARGIN = timedelta(seconds=5)
 MAX_MARGIN = timedelta(minutes=10)
 
-# A version that fails 1 request in 20 is condemned after about 80 requests at a share of 1%.
-MIN_REQUESTS = 100
-MIN_ROUTE_REQUESTS = 10
+# Requests on the new version needed before each step: since the last step, and on the rarest route
+# since the start. They show a version that fails 1 request in 3; milder faults are found later,
+# when a larger share brings evidence fast. The first step only starts to collect and needs none.
+MIN_REQUESTS = (0, 10, 30, 100, 200)
+MIN_ROUTE_REQUESTS = (0, 0, 3, 5, 10)
 # Targets above 80% of their slots queue requests, so a share needs that much more capacity.
 MAX_UTILISATION = 0.8
 
@@ -93,7 +95,7 @@
         if not has_capacity(SHARES[step + 1], capacity):
             return Decision(False, "the new version lacks live capacity")
         hurried = late and self.prefer is Preference.DEADLINE
-        if step and not hurried and not is_enough(seen):
+        if not hurried and not is_enough(step, seen):
             return Decision(False, "too few requests on the new version")
         return Decision(True, "")
 
@@ -126,9 +128,9 @@
     return capacity.new_slots * MAX_UTILISATION >= share * capacity.demand
 
 
-def is_enough(seen: Gathered) -> bool:
-    """Return whether the requests seen suffice for a verdict on the current step."""
-    return seen.requests >= MIN_REQUESTS and seen.rarest_route >= MIN_ROUTE_REQUESTS
+def is_enough(step: int, seen: Gathered) -> bool:
+    """Return whether the requests seen suffice to take the step after ``step``."""
+    return seen.requests >= MIN_REQUESTS[step] and seen.rarest_route >= MIN_ROUTE_REQUESTS[step]
 
 
 def target_count(share: float, new_targets: int, old_targets: int) -> int:
--- a/almondshore/moves/state.py
+++ b/almondshore/moves/state.py
@@ -125,8 +125,6 @@
         move = part["move"]
         if move is None:
             return {part["version"]: 1.0}
-        if move["state"] == MoveState.REVERTED.value:
-            return {move["from_version"]: 1.0}
         if self.veto(part, move["to_version"]) is not None:
             return {move["from_version"]: 1.0}
         share = self.share(part)
--- a/almondshore/moves/verdict.py
+++ b/almondshore/moves/verdict.py
@@ -7,7 +7,7 @@
 from typing import NamedTuple
 
 from almondshore.core.messages import EvidenceRow
-from almondshore.moves.controls import ControlGuard
+from almondshore.moves.controls import ControlGuard, LoadGuard, Loads, SlotsInUse
 from almondshore.moves.eprocess import Alternative, EProcess, baseline_ratio, concurrent_ratio
 from almondshore.moves.evidence import BUCKETS
 
@@ -27,7 +27,6 @@
 MIN_BASELINE_REQUESTS = 300
 # With less than this share of the requests on the old version its past rate is used instead.
 MIN_OLD_SHARE = 0.02
-REFUSED_SHARE = 0.01
 
 
 class Kind(StrEnum):
@@ -41,7 +40,8 @@
 ALTERNATIVES = {
     Kind.ERRORS: Alternative(tolerance=1.5, ratios=(4, 15, 100)),
     Kind.BROKEN: Alternative(tolerance=1.5, ratios=(4, 15, 100)),
-    Kind.SLOW: Alternative(tolerance=3.0, ratios=(6, 12)),
+    # Odds of 3 at the 95% quantile correspond to a version that is about a third slower.
+    Kind.SLOW: Alternative(tolerance=3.0, ratios=(8, 25)),
 }
 
 
@@ -94,23 +94,33 @@
         self.processes: dict[tuple[Kind, str], EProcess] = {}
         self.tallies: dict[tuple[str, str], Tally] = defaultdict(Tally)
         self.controls = ControlGuard()
+        self.loads = LoadGuard()
         self.condemned: Condemned | None = None
 
-    def observe(self, window: int, rows: Iterable[EvidenceRow], *, warm: bool = True) -> None:
+    def observe(
+        self,
+        window: int,
+        rows: Iterable[EvidenceRow],
+        *,
+        slots: SlotsInUse | None = None,
+        warm: bool = True,
+    ) -> None:
         """Take in a window.
 
+        :param slots: slots that serve each version; without them latencies are not compared
         :param warm: whether latencies count; while a version is new its caches are cold
         """
         rows = list(rows)
-        others = [row for row in rows if row.service != self.service]
-        inflation = self.controls.observe(others)
-        pairs = self._pair(rows)
+        own = [row for row in rows if row.service == self.service]
+        inflation = self.controls.observe(row for row in rows if row.service != self.service)
+        loads = self.loads.observe(own, self.new, self.old, slots)
+        pairs = self._pair(own)
         totals: dict[Kind, list[float]] = {}
         for route, (new, old) in sorted(pairs.items()):
             for kind in Kind:
                 if kind is Kind.SLOW and not warm:
                     continue
-                ratios = self._ratios(kind, route, new, old, inflation)
+                ratios = self._ratios(kind, new, old, inflation[kind is Kind.SLOW], loads)
                 if ratios is not None:
                     self._update(kind, route, ratios)
                     known = totals.get(kind, [0.0] * len(ratios))
@@ -134,7 +144,7 @@
         }
 
     def _pair(self, rows: list[EvidenceRow]) -> dict[str, tuple[EvidenceRow, EvidenceRow]]:
-        found = {(r.version, r.route): r for r in rows if r.service == self.service}
+        found = {(row.version, row.route): row for row in rows}
         routes = {route for version, route in found if version in (self.new, self.old)}
         known = {route for _, route in self.tallies}
         room = max(MAX_ROUTES - len(known), 0)
@@ -149,10 +159,10 @@
         }
 
     def _ratios(
-        self, kind: Kind, route: str, new: EvidenceRow, old: EvidenceRow, inflation: dict
+        self, kind: Kind, new: EvidenceRow, old: EvidenceRow, inflation: float, loads: Loads
     ) -> list[float] | None:
         """Return the log likelihood ratios of a window, or None if it says nothing."""
-        past = self.tallies[self.old, route]
+        past = self.tallies[self.old, new.route]
         limit = _slow_bucket(past.buckets) if kind is Kind.SLOW else 0
         if limit is None:
             return None
@@ -160,21 +170,23 @@
         old_events, old_total = _count(kind, old, limit)
         if not total:
             return None
-        if old_total >= MIN_OLD_SHARE * (total + old_total):
-            return concurrent_ratio(
-                ALTERNATIVES[kind],
+        timed = kind is Kind.SLOW
+        unit = BROKEN_UNIT if kind is Kind.BROKEN else 1.0
+        alternative = ALTERNATIVES[kind]
+        if old_total >= MIN_OLD_SHARE * (total + old_total) and (not timed or loads.alike):
+            ratios = concurrent_ratio(
+                alternative,
                 new=events,
                 old=old_events,
                 new_total=total,
                 old_total=old_total,
             )
-        if new.refused > REFUSED_SHARE * new.requests and kind is Kind.SLOW:
-            return None
+            return [unit * ratio for ratio in ratios]
         rate = _past_rate(kind, past, limit)
-        if rate is None:
+        if rate is None or (timed and not loads.usual):
             return None
-        rate *= inflation[kind is Kind.SLOW]
-        return baseline_ratio(ALTERNATIVES[kind], new=events, new_total=total, rate=rate)
+        ratios = baseline_ratio(alternative, new=events, new_total=total, rate=rate * inflation)
+        return [unit * ratio for ratio in ratios]
 
     def _update(self, kind: Kind, route: str, ratios: list[float]) -> None:
         key = (kind, route)
@@ -213,11 +225,11 @@
         return f"{kind} on {route}: {', '.join(counts)} requests, e-value {math.exp(value):.3g}"
 
 
-def _count(kind: Kind, row: EvidenceRow, slow_bucket: int) -> tuple[float, int]:
+def _count(kind: Kind, row: EvidenceRow, slow_bucket: int) -> tuple[int, int]:
     if kind is Kind.ERRORS:
         return row.errors, row.requests
     if kind is Kind.BROKEN:
-        return row.broken * BROKEN_UNIT, row.requests
+        return row.broken, row.requests
     return sum(row.latency_buckets[slow_bucket:]), sum(row.latency_buckets)
 
 
@@ -241,7 +253,7 @@
     if kind is Kind.SLOW:
         count, total = sum(past.buckets[slow_bucket:]), sum(past.buckets)
     elif kind is Kind.BROKEN:
-        count, total = past.broken * BROKEN_UNIT, past.requests
+        count, total = past.broken, past.requests
     else:
         count, total = past.errors, past.requests
     return max((count + 2 * math.sqrt(count + 1)) / total, MIN_BASELINE_RATE)
--- /dev/null
+++ b/test/moves/test_verdict.py
@@ -0,0 +1,126 @@
+"""Tests of the verdict on a version."""
+
+import random
+
+from testtools import TestCase
+
+from almondshore.moves.controls import SlotsInUse
+from almondshore.moves.verdict import FALSE_POSITIVE_RATE, Kind, MoveVerdict
+from test.moves.helpers import ROUTES, SERVICE, row
+
+SLOW_BUCKET = 12
+
+
+def make_verdict(alpha=FALSE_POSITIVE_RATE):
+    return MoveVerdict(service=SERVICE, old="v1", new="v2", routes=len(ROUTES), alpha=alpha)
+
+
+def observe(verdict, seconds, *, new, old, extra=(), slots=None, start=0):
+    """Feed windows of (requests, errors) or rows; return the window of the verdict."""
+    for window in range(start, start + seconds):
+        rows = [row("v1", *old) if isinstance(old, tuple) and len(old) == 2 else old]
+        rows += [row("v2", *new) if isinstance(new, tuple) and len(new) == 2 else new]
+        verdict.observe(window, [*rows, *extra], slots=slots)
+        if verdict.condemned is not None:
+            return verdict.condemned.window
+    return None
+
+
+def draw(rng, count, rate):
+    return sum(rng.random() < rate for _ in range(count))
+
+
+class MoveVerdictTest(TestCase):
+    def test_false_positive_rate_is_kept(self):
+        """Guards against a test that condemns good versions more often than it states.
+
+        The new version is as bad as is still accepted, 1.5 times the odds of the old one.
+        """
+        condemned = 0
+        for seed in range(300):
+            rng = random.Random(seed)
+            verdict = make_verdict(alpha=0.2)
+            for window in range(120):
+                share = (1, 5, 25, 50)[window // 30]
+                rows = [row("v2", share, draw(rng, share, 0.143))]
+                rows.append(row("v1", 100 - share, draw(rng, 100 - share, 0.1)))
+                verdict.observe(window, rows)
+            condemned += verdict.condemned is not None
+        self.assertLessEqual(condemned, 0.2 * 300)
+
+    def test_bad_version_is_found_within_few_errors(self):
+        """Guards against a bad version that keeps its share for long."""
+        self.assertLess(observe(make_verdict(), 60, new=(2, 1), old=(198, 0)), 6)
+        self.assertEqual(0, observe(make_verdict(), 60, new=(50, 15), old=(150, 0)))
+
+    def test_errors_on_both_versions_condemn_neither(self):
+        """Guards against an overload or a fault behind both versions that reverts a good one."""
+        verdict = make_verdict()
+        observe(verdict, 30, new=(50, 0), old=(150, 0))
+        self.assertIsNone(observe(verdict, 200, new=(50, 20), old=(150, 60), start=30))
+
+    def test_one_bad_route_is_named(self):
+        """Guards against a fault on a rare route that the sum over all routes hides."""
+        verdict = make_verdict()
+        good = [row("v1", 900, 9, route=ROUTES[1]), row("v2", 100, 1, route=ROUTES[1])]
+        self.assertIsNotNone(observe(verdict, 60, new=(5, 3), old=(45, 0), extra=good))
+        self.assertEqual(ROUTES[0], verdict.condemned.route)
+
+    def test_version_that_turns_bad_late_is_found(self):
+        """Guards against good evidence of the past that outweighs a fault of the present."""
+        verdict = make_verdict()
+        self.assertIsNone(observe(verdict, 600, new=(50, 0), old=(150, 1)))
+        window = observe(verdict, 60, new=(50, 10), old=(150, 1), start=600)
+        self.assertLess(window, 605)
+
+    def test_fault_after_the_move_is_found_against_the_old_rates(self):
+        """Guards against a bad version that stays because no old request is left to compare."""
+        verdict = make_verdict()
+        observe(verdict, 60, new=(50, 0), old=(150, 0))
+        self.assertIsNone(observe(verdict, 300, new=(200, 0), old=(0, 0), start=60))
+        window = observe(verdict, 60, new=(200, 60), old=(0, 0), start=360)
+        self.assertLess(window, 363)
+
+    def test_fault_of_all_services_after_the_move_is_not_held_against_it(self):
+        """Guards against a zone loss or overload after the move that reverts a good version."""
+
+        def controls(errors):
+            return [row("", 100, errors, service=name, route="*") for name in ("a", "b", "c")]
+
+        verdict = make_verdict()
+        observe(verdict, 60, new=(50, 0), old=(150, 0), extra=controls(0))
+        found = observe(verdict, 20, new=(200, 40), old=(0, 0), extra=controls(20), start=60)
+        self.assertIsNone(found)
+
+    def test_crash_request_does_not_condemn(self):
+        """Guards against one request whose crashes break all that its targets were running."""
+        verdict = make_verdict()
+        observe(verdict, 30, new=(100, 0), old=(100, 0))
+        crash = row("v2", 100, 0, broken=20)
+        self.assertIsNone(observe(verdict, 1, new=crash, old=(100, 0), start=30))
+        self.assertIsNone(observe(verdict, 100, new=(100, 0), old=(100, 0), start=31))
+
+    def test_crashing_version_is_found(self):
+        """Guards against a version whose every request breaks off without an error status."""
+        verdict = make_verdict()
+        window = observe(verdict, 60, new=row("v2", 50, 0, broken=25), old=(150, 0))
+        self.assertLess(window, 8)
+        self.assertEqual(Kind.BROKEN, verdict.condemned.kind)
+
+    def test_slow_version_is_found(self):
+        """Guards against a version that answers correctly but late."""
+        verdict = make_verdict()
+        slots = SlotsInUse(10, 40)
+        observe(verdict, 20, new=(10, 0), old=(190, 0), slots=slots)
+        slow = row("v2", 10, 0, bucket=SLOW_BUCKET)
+        window = observe(verdict, 60, new=slow, old=(190, 0), slots=slots, start=20)
+        self.assertLess(window, 25)
+        self.assertEqual(Kind.SLOW, verdict.condemned.kind)
+
+    def test_load_is_not_mistaken_for_slowness(self):
+        """Guards against a good version reverted because its few targets carry more load."""
+        for slots in (SlotsInUse(2, 40), None):
+            verdict = make_verdict()
+            observe(verdict, 20, new=(10, 0), old=(190, 0), slots=slots)
+            slow = row("v2", 50, 0, bucket=SLOW_BUCKET)
+            self.assertIsNone(observe(verdict, 60, new=slow, old=(150, 0), slots=slots, start=20))
