Keep the baseline and the outcome of a move across coordinators

Cause: a successor that took over after the last step had no rates of the old version to compare with; one that took over during an outage could complete a move that its predecessor had recorded as reverted; a second veto after an allow rule was hidden by the record of the first. Change: the record carries the old version's counts by route; a record found further on or reverted is continued and its outcome published; a newer veto replaces the recorded one. Conclusion: these states survive the death of a coordinator.

--- a/almondshore/moves/coordinator.py
+++ b/almondshore/moves/coordinator.py
@@ -22,13 +22,15 @@
 from almondshore.moves.record import Backoff, Fenced, MoveRecord, RecordStore
 from almondshore.moves.state import MoveTable
 from almondshore.moves.verdict import COORDINATOR_SHARE, FALSE_POSITIVE_RATE, MoveVerdict
-from almondshore.moves.veto import decode_veto, encode_veto, make_veto, veto_key
-from almondshore.platform.port import Conflict, NotFound, Platform
+from almondshore.moves.veto import make_veto, read_veto, save_veto
+from almondshore.platform.port import NotFound, Platform
 from almondshore.rules.model import MoveState, ServicePart
 
 # Caches of a new version fill up; its latencies count only after this time.
 WARM_UP = timedelta(seconds=30)
 WARM_UP_SHARE = 0.2
+# A move taken over at this step has been warm for long.
+WARM_STEP = 3
 # Weight of one window in the moving average of the demand.
 DEMAND_DECAY = 0.2
 ROUTE_TRAFFIC_SHARE = 0.01
@@ -179,9 +181,11 @@
             return []
         self.backoff.note(not is_successful(result))
         self.record = self._continued(found)
+        self.verdict = self._verdict()
+        if self.record.step >= WARM_STEP:
+            self.first_seen = self.clock.monotonic() - WARM_UP
         self._learn_veto()
-        if self.record.state != self.part["move"]["state"]:
-            self.unpublished = MoveState(self.record.state)
+        self._note_outcome()
         self._write()
         return [] if self.fenced else [self._message()]
 
@@ -203,9 +207,9 @@
 
     def _learn_veto(self) -> None:
         """Take the veto that the platform holds, if every node that knew it was restarted."""
-        stored = self.platform.get(veto_key(self.part["name"], self.part["move"]["to_version"]))
-        if is_successful(stored):
-            self.table.add_veto(decode_veto(stored.unwrap().value))
+        veto = read_veto(self.platform, self.part["name"], self.part["move"]["to_version"])
+        if veto is not None:
+            self.table.add_veto(veto)
 
     def _judge(self, fleet: Fleet) -> list[Veto]:
         """Evaluate the windows that have closed; return a veto if the version is condemned."""
@@ -242,13 +246,15 @@
     def _verdict(self) -> MoveVerdict:
         """Return a new verdict; the n-th coordinator of a move gets 1/(n(n+1)) of the rate."""
         move, number = self.part["move"], max(self.record.coordinators, 1)
-        return MoveVerdict(
+        verdict = MoveVerdict(
             service=self.part["name"],
             old=move["from_version"],
             new=move["to_version"],
             routes=len(self.part["routes"]),
             alpha=FALSE_POSITIVE_RATE * COORDINATOR_SHARE / (number * (number + 1)),
         )
+        verdict.add_baseline(self.record.baseline)
+        return verdict
 
     def _roll_back(self, veto: Veto) -> None:
         condemned = self.verdict.condemned if self.verdict else None
@@ -264,7 +270,7 @@
         self.record = self.record._replace(
             state=state.value, reason=reason, route=route, evidence=evidence, at=self.clock.now()
         )
-        self.unpublished = state
+        self._note_outcome()
         self._write()
 
     def _advance(self, fleet: Fleet) -> list[MoveStep]:
@@ -285,7 +291,8 @@
         self.blocked = decision.reason
         if not decision.allowed:
             return []
-        self.record = record._replace(step=record.step + 1, at=now)
+        baseline = self.verdict.baseline()
+        self.record = record._replace(step=record.step + 1, at=now, baseline=baseline)
         self.seen_at_step = self._new_requests()
         self._write()
         return [] if self.fenced else [self._message()]
@@ -305,8 +312,15 @@
             self.fenced = True
         elif not failed and result.unwrap() is not None:
             self.record = result.unwrap()
+            self._note_outcome()
         self.backoff.note(failed)
 
+    def _note_outcome(self) -> None:
+        """Publish the recorded outcome if the configuration does not have it."""
+        state = self.record.state
+        if state != MoveState.ACTIVE.value and state != self.part["move"]["state"]:
+            self.unpublished = MoveState(state)
+
     def _save(self) -> None:
         """Repeat what the platform has not confirmed: record, veto, configuration version."""
         if self.fenced or not self.backoff.is_due():
@@ -314,11 +328,8 @@
         if self.store.pending is not None:
             self._note(self.store.flush())
         if self.unsaved_veto is not None and self.store.pending is None:
-            veto = self.unsaved_veto
-            key = veto_key(veto.service, veto.version)
-            result = self.platform.create(key, encode_veto(veto), f"{veto.origin}-{veto.at}")
-            if is_successful(result) or isinstance(result.failure(), Conflict):
-                self.unsaved_veto = None
+            saved = save_veto(self.platform, self.unsaved_veto)
+            self.unsaved_veto = None if saved else self.unsaved_veto
         if self.unpublished is not None and self.store.pending is None and not self.fenced:
             record = self.record
             result = self.publisher.publish(
--- a/almondshore/moves/record.py
+++ b/almondshore/moves/record.py
@@ -23,6 +23,8 @@
     :ivar epoch: epoch of the coordinator that wrote it
     :ivar coordinators: how many coordinators the move has had
     :ivar at: when the step was taken or the move ended
+    :ivar baseline: counts of the old version by route, for a successor that sees no request on it
+        any more: requests, errors, broken responses, histogram
     """
 
     move_id: str
@@ -34,6 +36,7 @@
     route: str
     evidence: str
     at: datetime
+    baseline: dict[str, tuple[int, int, int, list[int]]] = {}
 
 
 class Fenced(NamedTuple):
--- a/almondshore/moves/verdict.py
+++ b/almondshore/moves/verdict.py
@@ -143,6 +143,21 @@
             for route in routes
         }
 
+    def baseline(self) -> dict[str, tuple[int, int, int, list[int]]]:
+        """Return the counts of the old version by route."""
+        return {
+            route: (tally.requests, tally.errors, tally.broken, tally.buckets)
+            for (version, route), tally in self.tallies.items()
+            if version == self.old
+        }
+
+    def add_baseline(self, baseline: dict[str, tuple[int, int, int, list[int]]]) -> None:
+        """Take over the counts of the old version from a predecessor."""
+        for route, (requests, errors, broken, buckets) in baseline.items():
+            if len(buckets) == BUCKETS:
+                row = EvidenceRow(self.service, self.old, route, requests, errors, buckets, broken)
+                self.tallies[self.old, route].add(row)
+
     def _pair(self, rows: list[EvidenceRow]) -> dict[str, tuple[EvidenceRow, EvidenceRow]]:
         found = {(row.version, row.route): row for row in rows}
         routes = {route for version, route in found if version in (self.new, self.old)}
--- a/almondshore/moves/veto.py
+++ b/almondshore/moves/veto.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 
 import msgspec
+from returns.pipeline import is_successful
 from returns.result import Result
 
 from almondshore.core.clock import Clock
@@ -13,7 +14,7 @@
     Condemned,
     MoveVerdict,
 )
-from almondshore.platform.port import Platform, PlatformError
+from almondshore.platform.port import Conflict, Platform, PlatformError
 from almondshore.rules.model import MoveState, ServicePart
 
 MAX_REASON = 300
@@ -24,17 +25,26 @@
     return f"veto/{service}/{version}"
 
 
-def encode_veto(veto: Veto) -> bytes:
-    """Encode a veto for the platform."""
-    return msgspec.msgpack.encode(veto)
+def read_veto(platform: Platform, service: str, version: str) -> Veto | None:
+    """Return the recorded veto of a version; None if there is none or it cannot be read."""
+    stored = platform.get(veto_key(service, version))
+    return _decoded(stored.unwrap().value) if is_successful(stored) else None
 
 
-def decode_veto(data: bytes) -> Veto:
-    """Decode a veto from the platform.
-
-    :raises msgspec.MsgspecError: if the data is malformed
-    """
-    return msgspec.msgpack.decode(data, type=Veto)
+def save_veto(platform: Platform, veto: Veto) -> bool:
+    """Record a veto unless one at least as new is recorded; return whether that is certain."""
+    key, value = veto_key(veto.service, veto.version), msgspec.msgpack.encode(veto)
+    write_id = f"{veto.origin}-{veto.config_version}-{veto.at.isoformat()}"
+    result = platform.create(key, value, write_id)
+    if is_successful(result) or not isinstance(result.failure(), Conflict):
+        return is_successful(result)
+    current = result.failure().current
+    if current is None:
+        return False
+    known = _decoded(current.value)
+    if known is not None and known.config_version >= veto.config_version:
+        return True
+    return is_successful(platform.update(key, value, current.revision, write_id))
 
 
 def make_veto(
@@ -63,7 +73,7 @@
 
 def _decoded(data: bytes) -> Veto | None:
     try:
-        return decode_veto(data)
+        return msgspec.msgpack.decode(data, type=Veto)
     except msgspec.MsgspecError:
         return None
 
--- a/test/moves/test_coordinator.py
+++ b/test/moves/test_coordinator.py
@@ -62,6 +62,30 @@
         self.assertEqual(DONE + REVERTED, world.publisher.published)
         self.assertEqual({"v1": 1.0}, coordinator.table.weights(world.part))
 
+    def test_fault_after_completion_is_found_by_a_successor(self):
+        """Guards against old rates that are lost with the coordinator that saw them."""
+        world = World(seconds=300)
+        table = MoveTable()
+        world.run(world.coordinator(1, table), 250)
+        world.rates["v2"] = 0.3
+        sent = world.run(world.coordinator(2, table), 5)
+        self.assertEqual([MoveStep, Veto], [type(message) for message in sent])
+
+    def test_rollback_recorded_by_a_predecessor_is_published_after_an_outage(self):
+        """Guards against a takeover during an outage that completes a reverted move."""
+        world = World(seconds=300)
+        world.rates["v2"] = 0.5
+        world.run(world.coordinator(1), 30)
+        world.publisher.published.clear()
+        world.rates["v2"] = 0.0
+        world.store.fault = Fault.DOWN
+        successor = world.coordinator(2)
+        world.run(successor, 20)
+        world.store.fault = Fault.NONE
+        world.run(successor, 10)
+        self.assertEqual("reverted", record(world).state)
+        self.assertEqual(REVERTED, world.publisher.published)
+
     def test_killed_after_the_record_its_step_is_announced_by_the_next(self):
         """Guards against a step that is recorded and never takes effect."""
         world = World(seconds=300)
--- a/test/moves/test_veto.py
+++ b/test/moves/test_veto.py
@@ -3,11 +3,11 @@
 from testtools import TestCase
 
 from almondshore.core.clock import ManualClock
-from almondshore.core.messages import Evidence
-from almondshore.moves.veto import LocalDetector, load_vetoes, veto_key
+from almondshore.core.messages import Evidence, Veto
+from almondshore.moves.veto import LocalDetector, load_vetoes, read_veto, save_veto, veto_key
 from standins.memory_platform import MemoryPlatform
 from standins.object_store import ObjectStore
-from test.moves.helpers import START, make_part, row
+from test.moves.helpers import SERVICE, START, make_part, row
 
 
 class LocalDetectorTest(TestCase):
@@ -44,3 +44,11 @@
         platform = MemoryPlatform(store=ObjectStore(clock=self.clock))
         platform.create(veto_key("a", "v2"), b"\xc1", "w1")
         self.assertEqual([], load_vetoes(platform).unwrap())
+
+    def test_newer_veto_replaces_an_overridden_record(self):
+        """Guards against a second veto that is lost behind the record of the first."""
+        platform = MemoryPlatform(store=ObjectStore(clock=self.clock))
+        for config_version in (7, 9, 8):
+            veto = Veto(SERVICE, "v2", config_version, "errors", "n1", START)
+            self.assertTrue(save_veto(platform, veto))
+        self.assertEqual(9, read_veto(platform, SERVICE, "v2").config_version)
