Add the bench of moves

Cause: the objectives of moves need figures over many kinds of version. A fixed part of it is a test. Conclusion: the bench is in place.

--- /dev/null
+++ b/bench/move_world.py
@@ -0,0 +1,263 @@
+"""Stand-in service of the bench of moves: targets, requests and troubles on a manual clock."""
+
+import random
+from datetime import timedelta
+from typing import NamedTuple
+
+from almondshore.core.clock import ManualClock
+from almondshore.moves.plan import target_count
+from almondshore.rules.model import MovePart, ServicePart
+from bench.move_kinds import (
+    BASE_ERROR_RATE,
+    BASE_LATENCY_MS,
+    LATENCY_SIGMA,
+    ROUTE_WEIGHTS,
+    ROUTES,
+    Kind,
+)
+
+TICK = 0.25
+SERVICE = "counter-app"
+SLOTS = 10
+# Requests a second that a target carries without refusing any, and its share in use by default.
+TARGET_RATE = 70.0
+UTILISATION = 0.7
+SLOW_START = 10.0
+COLD_FACTOR = 3.0
+RESTART_SECONDS = 5.0
+DETECTION_SECONDS = 6.0
+OVERLOAD = 2.0
+QUIET = 0.2
+
+
+class Deployment(NamedTuple):
+    """Sizes of a user's deployment, as the design page gives them."""
+
+    name: str
+    zones: int
+    services: int
+    targets: int
+    prefer: str
+
+
+COOPERATIVA = Deployment("4 zones, 4 x 4 targets", 4, 4, 4, "deadline")
+CHLADLOG = Deployment("3 zones, 4 x 3 targets", 3, 4, 3, "safety")
+
+
+class Target:
+    """A target: where it is, since when it is up, and its load."""
+
+    def __init__(self, *, version: str, zone: int, up_at: float):
+        self.version = version
+        self.zone = zone
+        self.up_at = up_at
+        self.gone = False
+        self.load = 0.0
+        self.arrivals = 0
+
+    def is_up(self, now: float) -> bool:
+        """Return whether requests can run on it."""
+        return not self.gone and now >= self.up_at
+
+    def age(self, now: float) -> float:
+        """Return the time since its start in seconds."""
+        return now - self.up_at
+
+    def roll(self) -> None:
+        """Update the utilisation from the arrivals of a tick."""
+        self.load += 0.3 * (self.arrivals / (TARGET_RATE * TICK) - self.load)
+        self.arrivals = 0
+
+
+class Outcome(NamedTuple):
+    """Result of a request on a target."""
+
+    ok: bool
+    broken: bool
+    latency: timedelta
+    cold: bool
+    bad: bool
+
+
+class World:
+    """Targets, request rate and troubles of one run.
+
+    :ivar harmed: requests that were worse because of a bad new version
+    """
+
+    def __init__(self, kind: Kind, deployment: Deployment, duration: float, seed: int):
+        self.kind, self.deployment, self.duration = kind, deployment, duration
+        self.rng = random.Random(f"{kind.name}/{deployment.name}/{duration}/{seed}")
+        self.clock = ManualClock()
+        self.part = make_part(deployment, duration, self.clock)
+        self.troubles = {
+            name: duration * self.rng.uniform(0.1, 0.9) for name in sorted(kind.troubles)
+        }
+        count = deployment.targets
+        late = duration * 0.5 if "late" in self.troubles else 0.0
+        fewer = 1 if "fewer" in self.troubles else 0
+        zones = range(deployment.zones)
+        self.targets = [
+            Target(version="v1", zone=zones[i % len(zones)], up_at=-1e6) for i in range(count)
+        ] + [
+            Target(version="v2", zone=zones[(i + 1) % len(zones)], up_at=late)
+            for i in range(count - fewer)
+        ]
+        self.now = 0.0
+        self.choices: dict[tuple[str, float], tuple[list[Target], list[float]]] = {}
+        self.lost_zone: int | None = None
+        self.lost_at = 0.0
+        self.requests = 0
+        self.new_requests = 0
+        self.harmed = 0
+        self.first_bad: float | None = None
+        self.shown: float | None = None
+        self.exposed_at_shown = 0.0
+        self.last_new: float | None = None
+        self.crashes_left = 0
+        self.next_crash = self.troubles.get("crash-request", 1e9)
+        if "crash-request" in self.troubles:
+            self.crashes_left = 2
+
+    def advance(self) -> None:
+        """Let a tick pass."""
+        self.clock.advance(timedelta(seconds=TICK))
+        self.now = self.clock.elapsed.total_seconds()
+        for target in self.targets:
+            target.roll()
+        self._lose_zone()
+        self.choices.clear()
+
+    def platform_down(self) -> bool:
+        """Return whether the platform is down now."""
+        if "long-outage" in self.troubles:
+            return 0.3 <= self.now / self.duration <= 1.2
+        start = self.troubles.get("outage")
+        return start is not None and start <= self.now <= start + 0.4 * self.duration
+
+    def rate(self) -> float:
+        """Return the requests a second at present."""
+        base = UTILISATION * TARGET_RATE * self.deployment.targets
+        if "quiet" in self.troubles:
+            base *= QUIET
+        start = self.troubles.get("overload")
+        loaded = start is not None and start <= self.now <= start + 0.25 * self.duration
+        return base * OVERLOAD if loaded else base
+
+    def _lose_zone(self) -> None:
+        start = self.troubles.get("zone")
+        if start is not None and self.now >= start and self.lost_zone is None:
+            self.lost_zone, self.lost_at = self.rng.randrange(self.deployment.zones), self.now
+            for target in self.targets:
+                target.gone = target.gone or target.zone == self.lost_zone
+
+    def live(self, version: str) -> list[Target]:
+        """Return the targets that the directory shows as up."""
+        return [
+            target
+            for target in self.targets
+            if target.version == version
+            and target.up_at <= self.now
+            and (not target.gone or self.now < self.lost_at + DETECTION_SECONDS)
+        ]
+
+    def choose(self, version: str, share: float) -> Target | None:
+        """Choose a target; of the new version only as many as its share calls for."""
+        key = (version, share)
+        if key not in self.choices:
+            live = self.live(version)
+            if version == "v2":
+                live = live[: target_count(share, len(live), len(self.live("v1")))]
+            total, sums = 0.0, []
+            for target in live:
+                total += min(1.0, 0.1 + target.age(self.now) / SLOW_START)
+                sums.append(total)
+            self.choices[key] = (live, sums)
+        live, sums = self.choices[key]
+        return self.rng.choices(live, cum_weights=sums)[0] if live else None
+
+    def route(self) -> str:
+        """Return the route of the next request."""
+        return self.rng.choices(ROUTES, ROUTE_WEIGHTS)[0]
+
+    def serve(self, target: Target, route: str) -> Outcome | None:
+        """Run a request; None if the target refused it for overload."""
+        target.arrivals += 1
+        self.requests += 1
+        if target.load > 1 and self.rng.random() > 1 / target.load:
+            return None
+        if target.version == "v2":
+            self.new_requests += 1
+            self.last_new = self.now
+        error, slow, crash = self._badness(target, route)
+        bad = self.rng.random() < error
+        crashed = self.rng.random() < crash or self._is_crash_request()
+        factor = slow * (1 + target.load**3) * self._cold(target)
+        latency = BASE_LATENCY_MS * factor * self.rng.lognormvariate(0, LATENCY_SIGMA)
+        if bad or slow > 1 or (crashed and crash):
+            self._note_bad()
+        if crashed:
+            target.up_at = self.now + RESTART_SECONDS
+            self.choices.clear()
+        failed = bad or self.rng.random() < BASE_ERROR_RATE
+        return Outcome(
+            not failed and not crashed,
+            crashed,
+            timedelta(milliseconds=latency),
+            target.age(self.now) < SLOW_START,
+            bad,
+        )
+
+    def _badness(self, target: Target, route: str) -> tuple[float, float, float]:
+        version = self.kind.version
+        shown = (
+            target.version == "v2"
+            and self.now >= version.from_share * self.duration
+            and (not version.above_load or target.load >= version.above_load)
+            and version.route in ("", route)
+        )
+        return (version.error_rate, version.slow, version.crash_rate) if shown else (0, 1.0, 0)
+
+    def _cold(self, target: Target) -> float:
+        seconds = self.kind.version.cold_seconds if target.version == "v2" else 5.0
+        return COLD_FACTOR if target.age(self.now) < seconds else 1.0
+
+    def _is_crash_request(self) -> bool:
+        if self.now < self.next_crash or not self.crashes_left:
+            return False
+        self.crashes_left -= 1
+        self.next_crash = self.now + 0.5
+        return True
+
+    def _note_bad(self) -> None:
+        self.harmed += 1
+        if self.first_bad is None:
+            self.first_bad = self.now
+        if self.harmed == 5:
+            self.shown = self.now
+            self.exposed_at_shown = self.new_requests / self.requests
+
+
+def make_part(deployment: Deployment, duration: float, clock: ManualClock) -> ServicePart:
+    """Return the service part with the move under test."""
+    move = MovePart(
+        move_id="bench",
+        from_version="v1",
+        to_version="v2",
+        started=clock.now().isoformat(),
+        deadline=(clock.now() + timedelta(seconds=duration)).isoformat(),
+        prefer=deployment.prefer,
+        state="active",
+        reason="",
+    )
+    routes = [
+        {
+            "methods": [route.split()[0]],
+            "path": route.split()[1],
+            "request_class": "routine",
+            "once": False,
+            "timeout_ms": 2000,
+        }
+        for route in ROUTES
+    ]
+    return ServicePart(name=SERVICE, version="v1", routes=routes, move=move, allowed={})
--- /dev/null
+++ b/test/moves/test_bench.py
@@ -0,0 +1,45 @@
+"""Bounds on a small, fixed part of the bench of moves."""
+
+from testtools import TestCase
+
+from bench.move_kinds import BAD_KINDS, GOOD_KINDS
+from bench.move_world import CHLADLOG, COOPERATIVA
+from bench.moves import OWN, SHORT, Case, is_in_time, run_case
+
+
+def results(kinds, names):
+    found = [kind for kind in kinds if kind.name in names]
+    assert len(found) == len(names)
+    sizes = (COOPERATIVA, CHLADLOG)
+    return [
+        run_case(Case(OWN, kind, sizes[n % len(sizes)], SHORT, 1)) for n, kind in enumerate(found)
+    ]
+
+
+class MovesBenchTest(TestCase):
+    def test_good_versions_are_done_in_time(self):
+        """Guards against troubles that hold back or revert a good version."""
+        names = {
+            "good, overload",
+            "good, overload + zone loss",
+            "good, outage + coordinator death",
+            "good, coordinator death + crash request",
+        }
+        for result in results(GOOD_KINDS, names):
+            self.assertTrue(is_in_time(result), result)
+
+    def test_bad_versions_are_rolled_back_within_bounds(self):
+        """Guards against a bad version that is kept, harms many requests or leaves late."""
+        names = {
+            "bad at once",
+            "bad after the move",
+            "bad only under load",
+            "bad later, coordinator death",
+        }
+        for result in results(BAD_KINDS, names):
+            self.assertTrue(result.reverted, result)
+            self.assertLessEqual(result.harmed, 0.05, result)
+            # None if it was gone before its fifth bad response.
+            self.assertLessEqual(result.shown_to_last or 0.0, 5.0, result)
+            if result.case.kind.version.is_bad_at_start():
+                self.assertLessEqual(result.exposed, 0.05, result)
