--- /dev/null
+++ b/almondshore/relay/duty.py
@@ -0,0 +1,201 @@
+"""The relay leases of a zone: taking a slot, renewing it, and filling vacant ones."""
+
+import random
+from collections.abc import Callable
+from datetime import timedelta
+
+from returns.pipeline import is_successful
+
+from almondshore.core.backoff import full_jitter
+from almondshore.core.clock import Clock
+from almondshore.core.messages import RelayEntry, RelayInvite, RelayList, Send
+from almondshore.platform.port import Platform
+from almondshore.relay.candidacy import Candidacy
+from almondshore.relay.lease import (
+    RELAY_LEASE_PREFIX,
+    Held,
+    HeldElsewhere,
+    Lease,
+    LeaseAnswer,
+    relay_lease_key,
+)
+from almondshore.relay.review import LeaseReview
+from almondshore.relay.table import RelayTable, vacancy
+
+RENEW_INTERVAL = timedelta(seconds=5)
+LIST_INTERVAL = timedelta(seconds=10)
+LIST_ALL_INTERVAL = timedelta(seconds=60)
+NODES_PER_SLOT = 250
+TWO_SLOTS_FROM = 20
+# A slot is given up only if the zone would need one less with a tenth more nodes, so that a
+# zone at the border does not gain and lose a relay again and again.
+SURPLUS_MARGIN = 1.1
+
+
+def slots_needed(nodes: float, nodes_per_slot: int = NODES_PER_SLOT) -> int:
+    """Return how many relays a zone with that many nodes needs."""
+    return max(-int(-nodes // nodes_per_slot), 2 if nodes >= TWO_SLOTS_FROM else 1)
+
+
+class RelayDuty:
+    """Decides whether this node is a relay, by leases in the platform.
+
+    Only this class and ``ConfigSource`` call the platform on behalf of a relay. An ordinary node
+    calls it only when no relay of its zone answers, or when a relay invites it.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        rng: random.Random,
+        platform: Platform,
+        address: str,
+        zone: str,
+        table: RelayTable,
+        candidacy: Candidacy,
+        nodes_in_zone: Callable[[], int],
+        candidates: Callable[[], list[str]],
+        nodes_per_slot: int = NODES_PER_SLOT,
+    ):
+        self.clock = clock
+        self.rng = rng
+        self.platform = platform
+        self.address = address
+        self.zone = zone
+        self.table = table
+        self.candidacy = candidacy
+        self.nodes_in_zone = nodes_in_zone
+        self.candidates = candidates
+        self.nodes_per_slot = nodes_per_slot
+        self.review = LeaseReview(clock=clock, table=table)
+        self.lease: Lease | None = None
+        self.slot = -1
+        self.invited: int | None = None
+        self.next_renewal = self.next_list = self.next_list_all = clock.monotonic()
+
+    @property
+    def is_relay(self) -> bool:
+        """Whether this node acts as a relay.
+
+        It goes on past the lease's end while the platform gives no answer; it stops once the
+        platform shows another holder.
+        """
+        return self.lease is not None
+
+    def invite(self, message: RelayInvite) -> None:
+        """Note another relay's request to take a vacant slot."""
+        if message.zone == self.zone and self.lease is None:
+            self.invited = message.slot
+
+    def step(self, *, in_zone: bool) -> list[Send]:
+        """Do what is due; makes blocking platform calls.
+
+        :param in_zone: whether a relay of the own zone answers this node
+        """
+        now = self.clock.monotonic()
+        if self.lease is None:
+            return self._try_to_become_relay(in_zone)
+        sends: list[Send] = []
+        if now >= self.next_renewal:
+            self.next_renewal = now + RENEW_INTERVAL * self.rng.uniform(0.9, 1)
+            sends = self._renew()
+        if self.lease is not None and now >= self.next_list:
+            sends += self._review(now)
+        return sends
+
+    def release(self) -> list[Send]:
+        """Give the slot up, on shutdown or because the zone has too many.
+
+        :returns: messages that tell the other relays and nodes
+        """
+        if self.lease is None:
+            return []
+        lease, self.lease = self.lease, None
+        gone = vacancy(self.zone, self.slot, lease.epoch)
+        lease.release()
+        self.table.merge([gone])
+        return self._tell(gone)
+
+    def _try_to_become_relay(self, in_zone: bool) -> list[Send]:
+        slot, self.invited = self.invited, None
+        if slot is None:
+            if not self.candidacy.should_try(in_zone):
+                return []
+            slot = 0
+        key = relay_lease_key(self.zone, slot)
+        lease = Lease(platform=self.platform, key=key, holder=self.address, clock=self.clock)
+        answer = lease.acquire_or_renew()
+        self._note_holder(slot, answer)
+        if not isinstance(answer, Held):
+            return []
+        self.lease, self.slot = lease, slot
+        now = self.clock.monotonic()
+        self.next_renewal = now + RENEW_INTERVAL
+        self.next_list = self.next_list_all = now
+        return self._tell(self._own_entry(answer.epoch))
+
+    def _renew(self) -> list[Send]:
+        """Renew the lease; under a higher epoch if others took this relay for gone."""
+        lapsed = self.table.is_vacant(self.zone, self.slot, self.lease.epoch)
+        answer = self.lease.restart() if lapsed else self.lease.acquire_or_renew()
+        self._note_holder(self.slot, answer)
+        if isinstance(answer, HeldElsewhere):
+            self.lease = None
+        elif isinstance(answer, Held) and lapsed:
+            return self._tell(self._own_entry(answer.epoch))
+        return []
+
+    def _note_holder(self, slot: int, answer: LeaseAnswer) -> None:
+        if isinstance(answer, HeldElsewhere) and answer.record is not None:
+            record = answer.record
+            self.table.merge([RelayEntry(self.zone, slot, record.holder, record.epoch)])
+        elif isinstance(answer, Held):
+            self.table.merge([RelayEntry(self.zone, slot, self.address, answer.epoch)])
+
+    def _own_entry(self, epoch: int) -> RelayEntry:
+        return RelayEntry(self.zone, self.slot, self.address, epoch)
+
+    def _tell(self, entry: RelayEntry) -> list[Send]:
+        """Tell an entry to the other relays and to the nodes of the zone."""
+        known = [*self.table.addresses(), *self.candidates()]
+        peers = [peer for peer in dict.fromkeys(known) if peer != self.address]
+        return [Send(peer, RelayList([entry])) for peer in peers]
+
+    def _review(self, now: timedelta) -> list[Send]:
+        """Read the leases of the zone, now and then of all zones, and adjust the slots."""
+        everything = now >= self.next_list_all
+        self.next_list = now + LIST_INTERVAL * self.rng.uniform(0.9, 1.1)
+        prefix = RELAY_LEASE_PREFIX if everything else f"{RELAY_LEASE_PREFIX}{self.zone}/"
+        result = self.platform.list(prefix)
+        if not is_successful(result):
+            self.review.failed()
+            self.next_list += full_jitter(self.rng, 4)
+            return []
+        known = set(self.table.addresses())
+        live = self.review.take(result.unwrap())
+        sends: list[Send] = []
+        if everything:
+            self.next_list_all = now + LIST_ALL_INTERVAL * self.rng.uniform(0.9, 1.1)
+            new = set(self.table.addresses()) - known - {self.address}
+            own = RelayList([self._own_entry(self.lease.epoch)])
+            sends = [Send(relay, own) for relay in sorted(new)]
+        return sends + self._adjust({entry.slot for entry in live if entry.zone == self.zone})
+
+    def _adjust(self, live: set[int]) -> list[Send]:
+        """Give up a surplus slot; as the holder of the lowest slot, invite for vacant ones."""
+        nodes = self.nodes_in_zone()
+        if self.slot >= slots_needed(nodes * SURPLUS_MARGIN, self.nodes_per_slot):
+            return self.release()
+        if not live or self.slot != min(live):
+            return []
+        needed = slots_needed(nodes, self.nodes_per_slot)
+        relays = set(self.table.addresses(self.zone))
+        sends = []
+        for slot in set(range(needed)) - live:
+            free = [peer for peer in self.candidates() if peer not in relays]
+            if free:
+                chosen = self.rng.choice(free)
+                relays.add(chosen)
+                sends.append(Send(chosen, RelayInvite(self.zone, slot)))
+        return sends
