--- a/almondshore/daemon/moving.py
+++ b/almondshore/daemon/moving.py
@@ -101,15 +101,12 @@
         )
 
     def tick(self) -> list[Send]:
-        """Report the evidence of the windows that have ended and act on the own part of it."""
+        """Report the evidence of the windows that have ended; a relay tests and forwards it."""
         watched = self._watched()
         self.recorder.set_services({part["name"] for part in watched})
         sends: list[Send] = []
         for evidence in self.recorder.tick():
             sends += self._report(evidence)
-            for veto in self._detect(evidence, watched):
-                if self.table.add_veto(veto):
-                    sends += self._spread(veto, self.control.identity.control)
         if self.control.relay is not None:
             sends += self._forward_evidence(watched)
         return sends
@@ -211,7 +208,7 @@
     def _fleet(self, part: ServicePart) -> Fleet:
         lookup, name, move = self.control.directory.lookup, part["name"], part["move"]
         new, old = lookup(name, move["to_version"]), lookup(name, move["from_version"])
-        return Fleet(sum(r.slots for r in new), sum(r.slots for r in old))
+        return Fleet(sum(r.slots for r in new), sum(r.slots for r in old), len(new), len(old))
 
     def _report(self, evidence: Evidence) -> list[Send]:
         """Give the own evidence to the relay that sums it up."""
@@ -223,9 +220,9 @@
 
     def _detect(self, evidence: Evidence, watched: list[ServicePart]) -> list[Veto]:
         if self.detector is None:
-            nodes = max(1, len(self.control.directory.nodes))
+            relays = len(self.control.table.addresses())
             self.detector = LocalDetector(
-                clock=self.clock, node=self.control.identity.node, nodes=nodes
+                clock=self.clock, node=self.control.identity.node, nodes=relays
             )
         version = self.control.config.state.current.version
         return self.detector.observe(evidence, watched, version)
@@ -235,6 +232,9 @@
         sends: list[Send] = []
         names = [part["name"] for part in watched]
         for evidence in self.aggregator.tick():
+            for veto in self._detect(evidence, watched):
+                if self.table.add_veto(veto):
+                    sends += self._spread(veto, self.control.identity.control)
             for service, own in split_by_service(evidence, names).items():
                 coordinator = self._coordinator_of(service)
                 if coordinator == self.control.identity.control:
--- a/almondshore/moves/coordinator.py
+++ b/almondshore/moves/coordinator.py
@@ -26,9 +26,10 @@
 from almondshore.platform.port import NotFound, Platform
 from almondshore.rules.model import MoveState, ServicePart
 
-# Caches of a new version fill up; its latencies count only after this time.
+# Caches of a new version fill up; its latencies count only after this time. With a fifth of a short
+# move as the limit, a version that was cold for 25 s was reverted in a move of 120 s.
 WARM_UP = timedelta(seconds=30)
-WARM_UP_SHARE = 0.2
+WARM_UP_SHARE = 0.3
 # A move taken over at this step has been warm for long.
 WARM_STEP = 3
 # Weight of one window in the moving average of the demand.
@@ -37,12 +38,15 @@
 
 
 class Fleet(NamedTuple):
-    """Live targets of both versions of a service and their slots, as the directory shows them."""
+    """Live targets of both versions of a service, as the directory shows them.
+
+    :ivar new_targets: without the counts of targets, latencies are not compared
+    """
 
-    new_targets: int
     new_slots: int
-    old_targets: int
     old_slots: int
+    new_targets: int = 0
+    old_targets: int = 0
 
 
 class Status(StrEnum):
@@ -359,10 +363,13 @@
         warm_up = min(WARM_UP, duration * WARM_UP_SHARE)
         return self.first_seen is not None and now >= self.first_seen + warm_up
 
-    def _slots(self, fleet: Fleet) -> SlotsInUse:
+    def _slots(self, fleet: Fleet) -> SlotsInUse | None:
+        """Return the slots among which requests are spread, as the chooser limits them."""
+        if not fleet.new_targets or not fleet.old_targets:
+            return None
         share = self.table.share(self.part)
         used = target_count(share, fleet.new_targets, fleet.old_targets)
-        new = fleet.new_slots * used // max(fleet.new_targets, 1)
+        new = fleet.new_slots * used // fleet.new_targets
         return SlotsInUse(new, fleet.old_slots)
 
     def _note_demand(self, rows: Iterable[EvidenceRow]) -> None:
--- a/almondshore/moves/veto.py
+++ b/almondshore/moves/veto.py
@@ -18,6 +18,8 @@
 from almondshore.rules.model import MoveState, ServicePart
 
 MAX_REASON = 300
+# A node that has just started does not know all others that test, so at least this many count.
+MIN_DETECTORS = 100
 
 
 def veto_key(service: str, version: str) -> str:
@@ -33,7 +35,7 @@
 
 def save_veto(platform: Platform, veto: Veto) -> bool:
     """Record a veto unless one at least as new is recorded; return whether that is certain."""
-    key, value = veto_key(veto.service, veto.version), msgspec.msgpack.encode(veto)
+    key, value = veto_key(veto.service, veto.version), encode_veto(veto)
     write_id = f"{veto.origin}-{veto.config_version}-{veto.at.isoformat()}"
     result = platform.create(key, value, write_id)
     if is_successful(result) or not isinstance(result.failure(), Conflict):
@@ -71,30 +73,47 @@
     )
 
 
+def encode_veto(veto: Veto) -> bytes:
+    """Encode a veto for the platform."""
+    return msgspec.msgpack.encode(veto)
+
+
+def decode_veto(data: bytes) -> Veto:
+    """Decode a recorded veto.
+
+    :raises msgspec.MsgspecError: if the data is malformed
+    """
+    return msgspec.msgpack.decode(data, type=Veto)
+
+
 def _decoded(data: bytes) -> Veto | None:
     try:
-        return msgspec.msgpack.decode(data, type=Veto)
+        return decode_veto(data)
     except msgspec.MsgspecError:
         return None
 
 
 class LocalDetector:
-    """Tests the evidence of one node, so that a veto needs neither relay nor coordinator.
+    """Tests the evidence that one node has, so that a veto needs no coordinator.
+
+    Evidence is recorded beside the targets, where each node sees one version only; a relay, which
+    sums up its nodes, is the first to see both. The share of the false positive rate that is left
+    to single nodes is divided by their number, so one needs stronger evidence than the
+    coordinator.
 
-    The share of the false positive rate that is left to single nodes is divided by their
-    number, so a node needs stronger evidence than the coordinator.
+    :ivar alpha: false positive rate of this node's tests for each move
     """
 
     def __init__(self, *, clock: Clock, node: str, nodes: int):
         self.clock = clock
         self.node = node
-        self.alpha = FALSE_POSITIVE_RATE * LOCAL_SHARE / max(nodes, 1)
+        self.alpha = FALSE_POSITIVE_RATE * LOCAL_SHARE / max(nodes, MIN_DETECTORS)
         self.verdicts: dict[tuple[str, str, int], MoveVerdict] = {}
 
     def observe(
         self, evidence: Evidence, parts: Iterable[ServicePart], config_version: int
     ) -> list[Veto]:
-        """Take in the node's own evidence of a window; return new vetoes."""
+        """Take in the evidence of a window; return new vetoes."""
         vetoes = []
         current = {}
         for part in parts:
