--- a/almondshore/daemon/routes.py
+++ b/almondshore/daemon/routes.py
@@ -42,11 +42,12 @@
 
         :param ready: whether the node has learnt the newest configuration
         """
-        view = self.builder.view()
-        changed = view is not self.view
+        old, view = self.view, self.builder.view()
+        changed = view is not old
         if changed:
             self._take_view(view)
         moves_seen = (len(self.moves.vetoes), self.moves.digest())
+        self._update_targets(old, view, moved=moves_seen != self.moves_seen)
         if changed or moves_seen != self.moves_seen or ready != self.current.ready:
             self.moves_seen = moves_seen
             self.current = self.current._replace(
@@ -69,8 +70,14 @@
             self.budget.keep(set(self.builder.services))
         if old.services != view.services:
             self.current = self.current._replace(table=RouteTable(view.services.values()))
+
+    def _update_targets(self, old: RoutingView, view: RoutingView, *, moved: bool) -> None:
+        """Give the chooser the targets that changed, limited to those that a move uses."""
         for name in old.targets.keys() | view.targets.keys():
-            targets = view.targets.get(name, {})
-            if targets != old.targets.get(name, {}):
-                records = [record for found in targets.values() for record in found]
+            targets, part = view.targets.get(name, {}), view.services.get(name)
+            moving = part is not None and part["move"] is not None
+            changed = part != old.services.get(name) or targets != old.targets.get(name, {})
+            if changed or (moving and moved):
+                used = self.moves.limit_targets(part, targets) if moving else targets
+                records = [record for found in used.values() for record in found]
                 self.chooser.update(name, records)
--- a/almondshore/moves/state.py
+++ b/almondshore/moves/state.py
@@ -1,12 +1,13 @@
 """What a node knows of moves: vetoes and the newest step of each move."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 
 import msgspec
 import xxhash
 
-from almondshore.core.messages import MovesSnapshot, MoveStep, Veto
-from almondshore.moves.plan import FINAL_STEP, SHARES
+from almondshore.core.messages import MovesSnapshot, MoveStep, TargetRecord, Veto
+from almondshore.core.rendezvous import rank
+from almondshore.moves.plan import FINAL_STEP, SHARES, target_count
 from almondshore.rules.model import MoveState, ServicePart
 
 MAX_VETOES = 4096
@@ -141,6 +142,27 @@
         known = self.step(part)
         return SHARES[known.step] if known else 0.0
 
+    def limit_targets(
+        self, part: ServicePart, targets: Mapping[str, Sequence[TargetRecord]]
+    ) -> dict[str, list[TargetRecord]]:
+        """Return the targets that serve each version while a move is under way.
+
+        Of the new version only as many as its share loads fully, the same ones on every node; a
+        larger share adds to them, and a lost one is replaced without a change of the others.
+
+        :param targets: known targets by version
+        """
+        limited = {version: list(records) for version, records in targets.items()}
+        share = self.share(part)
+        if not 0 < share < 1:
+            return limited
+        move = part["move"]
+        new = {record.target: record for record in targets.get(move["to_version"], ())}
+        count = target_count(share, len(new), len(targets.get(move["from_version"], ())))
+        chosen = rank(f"{part['name']}/{move['to_version']}", new)[:count]
+        limited[move["to_version"]] = [new[target] for target in chosen]
+        return limited
+
 
 def _order(veto: Veto) -> tuple:
     return (veto.config_version, veto.at, veto.origin, veto.reason)
--- a/test/moves/test_state.py
+++ b/test/moves/test_state.py
@@ -5,7 +5,7 @@
 
 from testtools import TestCase
 
-from almondshore.core.messages import MovesSnapshot, MoveStep, Veto
+from almondshore.core.messages import MovesSnapshot, MoveStep, TargetRecord, TargetState, Veto
 from almondshore.moves.state import MoveTable
 from test.moves.helpers import SERVICE, START, make_part
 
@@ -19,6 +19,16 @@
     return Veto(service, version, config_version, "errors", "n1", at)
 
 
+def records(names):
+    return {
+        version: [
+            TargetRecord(name, name, SERVICE, version, "", "z1", 10, 1, TargetState.UP)
+            for name in found
+        ]
+        for version, found in names.items()
+    }
+
+
 def table(part=None):
     result = MoveTable()
     result.set_configuration([part or make_part()])
@@ -110,6 +120,29 @@
         self.assertTrue(moves.synced)
         self.assertEqual(0.5, moves.share(make_part()))
 
+    def test_few_targets_take_a_small_share_and_stay_when_it_grows(self):
+        """Guards against new targets that share a small load or change with each step."""
+        moves, part = table(), make_part()
+        names = {"v1": ["a1", "a2", "a3", "a4"], "v2": ["b1", "b2", "b3", "b4"]}
+        chosen = []
+        for number in (3, 4, 5):
+            moves.apply_step(step(1, number))
+            limited = moves.limit_targets(part, records(names))
+            self.assertEqual(4, len(limited["v1"]))
+            chosen.append({record.target for record in limited["v2"]})
+        self.assertEqual([1, 2, 4], [len(found) for found in chosen])
+        self.assertTrue(chosen[0] < chosen[1] < chosen[2])
+
+    def test_lost_target_is_replaced(self):
+        """Guards against a share without targets when the only one in use is lost."""
+        moves, part = table(), make_part()
+        moves.apply_step(step(1, 3))
+        names = {"v1": ["a1", "a2"], "v2": ["b1", "b2"]}
+        (first,) = moves.limit_targets(part, records(names))["v2"]
+        names["v2"].remove(first.target)
+        (second,) = moves.limit_targets(part, records(names))["v2"]
+        self.assertNotEqual(first.target, second.target)
+
     def test_step_out_of_range_is_refused(self):
         """Guards against a malformed step from another node."""
         self.assertFalse(table().apply_step(step(1, 6)))
