Add failure tests of fleets; fall back to relays of other zones

Cause: found by the new tests. Nodes knew only the relays of their own zone, so 15 nodes of a zone with one relay stayed behind for more than 18 s after it was killed in a push. After the restart of all processes the leases named processes that no longer were relays until they expired. Change: acknowledgements and relay lists carry up to 4 relays of other zones; peers come from the directory as well as from the settings; a node that is taken for a relay checks the lease at once; candidates wait until the lease they found can expire.

--- a/almondshore/membership/detector.py
+++ b/almondshore/membership/detector.py
@@ -2,7 +2,7 @@
 
 import random
 from collections import deque
-from collections.abc import Collection
+from collections.abc import Callable, Sequence
 from datetime import timedelta
 from typing import NamedTuple
 
@@ -114,10 +114,10 @@
         self._declare(message.suspect)
         return []
 
-    def tick(self, helpers: Collection[str] = ()) -> list[Send]:
+    def tick(self, helpers: Callable[[], Sequence[str]]) -> list[Send]:
         """Suspect silent nodes and ask helpers to probe them.
 
-        :param helpers: addresses of other nodes, own zone first
+        :param helpers: returns addresses of other nodes, own zone first
         """
         now = self.clock.monotonic()
         gap, self.last_tick = now - self.last_tick, now
@@ -128,7 +128,7 @@
         new = [node for node in silent if node not in self.suspects]
         self._hold_if_too_many(len(new), now)
         stale = [n for n, s in self.suspects.items() if now - s.since >= self.limits.probe_timeout]
-        return [send for node in new + stale for send in self._probe(node, helpers, now)]
+        return [send for node in new + stale for send in self._probe(node, helpers(), now)]
 
     def take_dead(self) -> list[str]:
         """Return the nodes declared dead since the last call."""
@@ -151,7 +151,7 @@
         enough = suspects >= self.limits.hold_min_suspects
         return enough and suspects > self.limits.hold_share * len(self.nodes)
 
-    def _probe(self, node: str, helpers: Collection[str], now: timedelta) -> list[Send]:
+    def _probe(self, node: str, helpers: Sequence[str], now: timedelta) -> list[Send]:
         address = self.nodes[node].address
         others = [helper for helper in helpers if helper not in (address, self.address)]
         asked = others[: self.limits.helpers]
--- a/almondshore/relay/candidacy.py
+++ b/almondshore/relay/candidacy.py
@@ -51,6 +51,13 @@
         self.due = now + self._delay()
         return True
 
+    def postpone(self, until: timedelta) -> None:
+        """Wait until another holder's lease can expire before the next attempt.
+
+        :param until: time of the own monotonic clock
+        """
+        self.due = max(until, self.clock.monotonic()) + self._delay()
+
     def _delay(self) -> timedelta:
         doublings = self.window / self.doubling
         return self.doubling * math.log2(1 + self.rng.random() * (2**doublings - 1))
--- a/almondshore/relay/control.py
+++ b/almondshore/relay/control.py
@@ -30,6 +30,7 @@
 from almondshore.versions.sync import ConfigSync
 
 NOT_A_RELAY_SECONDS = 10.0
+DIRECTORY_PEERS = 6
 
 
 class Identity(NamedTuple):
@@ -94,6 +95,7 @@
         if self.relay is not None:
             sends = self.relay.handle(message, sender)
         elif isinstance(message, Heartbeat):
+            self.duty.taken_for_relay()
             return [Send(sender, Busy(NOT_A_RELAY_SECONDS, "Heartbeat"))]
         else:
             sends = []
@@ -138,9 +140,15 @@
         )
 
     def peers(self) -> list[str]:
-        """Return addresses of peers to learn the configuration from."""
-        known = dict.fromkeys([*self.seeds, *self.table.addresses(self.identity.zone)])
-        return [peer for peer in known if peer != self.identity.control]
+        """Return addresses of peers to learn the configuration and the relays from.
+
+        Hosts are replaced, so that the seeds of the settings may be gone after some days; nodes
+        of the directory are asked too.
+        """
+        controls = [record.control for record in self.directory.records.values()]
+        sample = self.rng.sample(controls, min(DIRECTORY_PEERS, len(controls)))
+        known = [*self.seeds, *self.table.addresses(self.identity.zone), *sample]
+        return [peer for peer in dict.fromkeys(known) if peer not in ("", self.identity.control)]
 
     def nodes_in_zone(self) -> int:
         """Return the number of nodes of the own zone that the directory knows."""
@@ -190,7 +198,7 @@
             address=who.control,
             table=self.table,
             heartbeat=self.heartbeat,
-            seeds=self.seeds,
+            peers=self.peers,
             limits=self.limits.selection,
         )
         self.duty = RelayDuty(
--- a/almondshore/relay/duty.py
+++ b/almondshore/relay/duty.py
@@ -12,7 +12,9 @@
 from almondshore.platform.port import Platform
 from almondshore.relay.candidacy import Candidacy
 from almondshore.relay.lease import (
+    CLOCK_SKEW,
     RELAY_LEASE_PREFIX,
+    TTL,
     Held,
     HeldElsewhere,
     Lease,
@@ -24,8 +26,9 @@
 
 RENEW_INTERVAL = timedelta(seconds=5)
 LIST_INTERVAL = timedelta(seconds=10)
+SELF_CHECK_INTERVAL = timedelta(seconds=10)
 LIST_ALL_INTERVAL = timedelta(seconds=60)
-NODES_PER_SLOT = 250
+NODES_PER_SLOT = 64
 TWO_SLOTS_FROM = 20
 # A slot is given up only if the zone would need one less with a tenth more nodes, so that a
 # zone at the border does not gain and lose a relay again and again.
@@ -72,6 +75,7 @@
         self.lease: Lease | None = None
         self.slot = -1
         self.invited: int | None = None
+        self.next_self_check = clock.monotonic()
         self.next_renewal = self.next_list = self.next_list_all = clock.monotonic()
 
     @property
@@ -88,6 +92,17 @@
         if message.zone == self.zone and self.lease is None:
             self.invited = message.slot
 
+    def taken_for_relay(self) -> None:
+        """Note a heartbeat that came although this node is no relay.
+
+        The lease may still name this address, if the process was restarted: it then takes the
+        slot at once, and nobody waits until the lease expires.
+        """
+        now = self.clock.monotonic()
+        if self.lease is None and now >= self.next_self_check:
+            self.next_self_check = now + SELF_CHECK_INTERVAL
+            self.invited = 0 if self.invited is None else self.invited
+
     def step(self, *, in_zone: bool) -> list[Send]:
         """Do what is due; makes blocking platform calls.
 
@@ -127,6 +142,9 @@
         lease = Lease(platform=self.platform, key=key, holder=self.address, clock=self.clock)
         answer = lease.acquire_or_renew()
         self._note_holder(slot, answer)
+        if isinstance(answer, HeldElsewhere) and answer.record is not None:
+            left = answer.record.expires - self.clock.now()
+            self.candidacy.postpone(self.clock.monotonic() + min(left, TTL) + CLOCK_SKEW)
         if not isinstance(answer, Held):
             return []
         self.lease, self.slot = lease, slot
--- a/almondshore/relay/fanout.py
+++ b/almondshore/relay/fanout.py
@@ -106,7 +106,7 @@
             case RelaySync():
                 return self._relay_sync(message, sender)
             case RelayQuery(zone):
-                return [Send(sender, RelayList(self.table.of_zone(zone)))]
+                return [Send(sender, RelayList(self.table.with_foreign(zone, self.rng)))]
             case RelayList(relays):
                 self.table.merge(relays)
         return self.detector.handle(message, sender)
@@ -114,7 +114,7 @@
     def tick(self) -> list[Send]:
         """Pass on what changed and watch over the subscribers."""
         self.subscribers.expire()
-        sends = self.detector.tick(self._helpers())
+        sends = self.detector.tick(self._helpers)
         for node in self.detector.take_dead():
             self._changed(self.directory.declare_dead(node), own=True)
         sends += self._flush_changes()
@@ -153,7 +153,7 @@
         current = self.sync.state.current
         known = heartbeat.relays_digest == self.table.digest(self.zone)
         ack = HeartbeatAck(
-            relays=[] if known else self.table.of_zone(self.zone),
+            relays=[] if known else self.table.with_foreign(self.zone, self.rng),
             config_version=current.version,
             config_digest=current.digest,
             directory_digests=self.directory.digest(),
--- a/almondshore/relay/selection.py
+++ b/almondshore/relay/selection.py
@@ -19,9 +19,6 @@
 from almondshore.core.rendezvous import rank
 from almondshore.relay.table import RelayTable
 
-# Relays of other zones told to a node whose zone has none.
-MAX_FOREIGN_RELAYS = 8
-
 
 class SelectionLimits(NamedTuple):
     """Limits of the relay selection.
@@ -36,14 +33,14 @@
     max_missed: int = 2
     avoid: timedelta = timedelta(seconds=30)
     return_interval: timedelta = timedelta(seconds=30)
-    seeds_asked: int = 3
+    peers_asked: int = 3
 
 
 class RelaySelection:
     """Heartbeats to one relay and fails over to the next one.
 
     Relays of the own zone come first, in the order of rendezvous hashing; without any, relays of
-    other zones serve. Without a known relay the node asks its seed peers.
+    other zones serve. Without a known relay that answers, the node asks peers.
     """
 
     def __init__(
@@ -56,7 +53,7 @@
         address: str,
         table: RelayTable,
         heartbeat: Callable[[], Heartbeat],
-        seeds: Sequence[str] = (),
+        peers: Callable[[], Sequence[str]] = list,
         limits: SelectionLimits | None = None,
     ):
         self.clock = clock
@@ -66,7 +63,7 @@
         self.address = address
         self.table = table
         self.heartbeat = heartbeat
-        self.seeds = [seed for seed in seeds if seed != address]
+        self.peers = peers
         self.limits = limits or SelectionLimits()
         self.relay: str | None = None
         self.missed = 0
@@ -113,7 +110,7 @@
             self.next_return = now + self.limits.return_interval
             self._select(now)
         if self.relay is None and not self._select(now):
-            return self._ask_seeds(now)
+            return self._ask_peers(now)
         self.missed += 1
         self.next_send = now + self.limits.heartbeat_interval * self.rng.uniform(0.95, 1.05)
         sends = [Send(self.relay, self.heartbeat())]
@@ -153,13 +150,12 @@
         self.next_send = now + full_jitter(self.rng, self.failures)
         self.failures += 1
 
-    def _ask_seeds(self, now: timedelta) -> list[Send]:
-        self.avoided.clear()
+    def _ask_peers(self, now: timedelta) -> list[Send]:
         self.next_send = now + full_jitter(self.rng, self.failures)
         self.failures += 1
-        asked = self.rng.sample(self.seeds, min(self.limits.seeds_asked, len(self.seeds)))
-        return [Send(seed, RelayQuery(self.zone)) for seed in asked]
+        peers = list(self.peers())
+        asked = self.rng.sample(peers, min(self.limits.peers_asked, len(peers)))
+        return [Send(peer, RelayQuery(self.zone)) for peer in asked]
 
     def _list(self, zone: str) -> RelayList:
-        """Return the relays of a zone; without any, a few of other zones."""
-        return RelayList(self.table.of_zone(zone) or self.table.all()[:MAX_FOREIGN_RELAYS])
+        return RelayList(self.table.with_foreign(zone, self.rng))
--- a/almondshore/relay/table.py
+++ b/almondshore/relay/table.py
@@ -1,12 +1,23 @@
 """Known relays of all availability zones."""
 
+import random
 from collections.abc import Iterable
+from typing import NamedTuple
 
 import xxhash
 
 from almondshore.core.messages import RelayEntry
 
 MAX_RELAYS = 2048
+FOREIGN_RELAYS = 4
+
+
+class RelayGroup(NamedTuple):
+    """The entries of one zone or of all, with what follows from them."""
+
+    entries: list[RelayEntry]
+    addresses: list[str]
+    digest: int
 
 
 class RelayTable:
@@ -20,6 +31,7 @@
     def __init__(self, *, max_relays: int = MAX_RELAYS):
         self.max_relays = max_relays
         self.entries: dict[tuple[str, int], RelayEntry] = {}
+        self.cached: dict[str | None, RelayGroup] = {}
 
     def merge(self, entries: Iterable[RelayEntry]) -> bool:
         """Take the entries with a higher epoch.
@@ -35,33 +47,50 @@
             if known is None or _order_key(entry) > _order_key(known):
                 self.entries[key] = entry
                 changed = True
+        if changed:
+            self.cached.clear()
         return changed
 
     def of_zone(self, zone: str) -> list[RelayEntry]:
         """Return the entries of a zone, vacancies included, ordered by slot."""
-        return sorted(entry for entry in self.entries.values() if entry.zone == zone)
+        return self._group(zone).entries
 
     def all(self) -> list[RelayEntry]:
         """Return all entries, vacancies included, ordered by zone and slot."""
-        return sorted(self.entries.values())
+        return self._group(None).entries
 
     def addresses(self, zone: str | None = None) -> list[str]:
         """Return the distinct addresses of the relays, of one zone if given."""
-        entries = self.all() if zone is None else self.of_zone(zone)
-        return list(dict.fromkeys(entry.address for entry in entries if entry.address))
+        return self._group(zone).addresses
 
     def is_vacant(self, zone: str, slot: int, epoch: int) -> bool:
         """Return whether a slot is known to be vacant since that epoch or a later one."""
         known = self.entries.get((zone, slot))
         return known is not None and known.epoch >= epoch and not known.address
 
+    def with_foreign(self, zone: str, rng: random.Random) -> list[RelayEntry]:
+        """Return the relays of a zone and a few of other zones, as its nodes need them.
+
+        A node whose zone loses all relays goes to one of another zone.
+        """
+        foreign = [e for e in self.all() if e.zone != zone and e.address]
+        return self.of_zone(zone) + rng.sample(foreign, min(FOREIGN_RELAYS, len(foreign)))
+
     def digest(self, zone: str) -> int:
         """Return a digest of a zone's relays; 0 if there are none."""
-        return _digest(self.of_zone(zone))
+        return self._group(zone).digest
 
     def digest_all(self) -> int:
         """Return a digest of all relays; 0 if there are none."""
-        return _digest(self.all())
+        return self._group(None).digest
+
+    def _group(self, zone: str | None) -> RelayGroup:
+        """Return what is known of a zone, or of all; computed again after a change."""
+        if zone not in self.cached:
+            entries = sorted(e for e in self.entries.values() if zone in (None, e.zone))
+            addresses = list(dict.fromkeys(entry.address for entry in entries if entry.address))
+            self.cached[zone] = RelayGroup(entries, addresses, _digest(entries))
+        return self.cached[zone]
 
 
 def vacancy(zone: str, slot: int, epoch: int) -> RelayEntry:
--- a/bench/pump.py
+++ b/bench/pump.py
@@ -24,6 +24,8 @@
     """Runs control nodes on one manual clock.
 
     :ivar drop: share of the messages that are lost
+    :ivar double: share of the messages that arrive twice
+    :ivar spread: longest extra delay of a message; messages overtake each other within it
     :ivar sent_bytes: encoded bytes sent, by sender
     """
 
@@ -32,6 +34,8 @@
         self.clock = ManualClock()
         self.store = ObjectStore(clock=self.clock)
         self.drop = drop
+        self.double = 0.0
+        self.spread = DELAY
         self.count_bytes = count_bytes
         self.nodes: dict[str, ControlNode] = {}
         self.paused: set[str] = set()
@@ -79,9 +83,10 @@
             self._count(sender, send)
             if self.rng.random() < self.drop:
                 continue
-            due = self.clock.monotonic() + DELAY * (1 + self.rng.random())
-            self.sequence += 1
-            heapq.heappush(self.queue, (due, self.sequence, sender, send))
+            for _ in range(2 if self.rng.random() < self.double else 1):
+                due = self.clock.monotonic() + DELAY + self.spread * self.rng.random()
+                self.sequence += 1
+                heapq.heappush(self.queue, (due, self.sequence, sender, send))
 
     def run(self, duration: timedelta) -> None:
         """Run all nodes for a time."""
--- a/test/membership/test_detector.py
+++ b/test/membership/test_detector.py
@@ -27,7 +27,7 @@
             self.clock.advance(SECOND)
             for number in alive:
                 self.detector.heard(f"n{number}", f"a{number}", 1)
-            sends += self.detector.tick(HELPERS)
+            sends += self.detector.tick(lambda: HELPERS)
         return sends
 
     def answer(self, sends, *, reachable):
@@ -57,7 +57,7 @@
         """Guards against a relay that wakes from a pause and buries its zone."""
         self.run_seconds(1, range(10))
         self.clock.advance(timedelta(seconds=40))
-        self.assertEqual([], self.detector.tick(HELPERS))
+        self.assertEqual([], self.detector.tick(lambda: HELPERS))
         self.assertEqual([], self.run_seconds(3, []))
 
     def test_most_of_a_zone_gone_keeps_the_known_set(self):
--- /dev/null
+++ b/test/relay/invariants.py
@@ -0,0 +1,51 @@
+"""Checks of the invariants I1, I2 and I3 over all nodes of a fleet."""
+
+from datetime import timedelta
+
+from almondshore.versions.config import digest_parts
+from test.versions.test_view import assert_closed
+
+
+class Invariants:
+    """Remembers what each node had in effect and what was published."""
+
+    def __init__(self, test, fleet):
+        self.test = test
+        self.fleet = fleet
+        self.digests = {0: digest_parts({})}
+        self.highest = {}
+        self.note_published()
+
+    def note_published(self):
+        head = self.fleet.publisher.current().unwrap().head
+        self.digests[head.version] = head.digest
+
+    def publish(self):
+        version = self.fleet.change_one()
+        self.note_published()
+        return version
+
+    def run(self, seconds):
+        """Run step by step and check after each."""
+        for _ in range(int(seconds * 5)):
+            self.fleet.step()
+            self.check()
+
+    def until(self, done, seconds):
+        """Run until a condition holds, with checks; fail if it does not within the time."""
+        end = self.fleet.pump.clock.monotonic() + timedelta(seconds=seconds)
+        while not done():
+            self.test.assertLess(self.fleet.pump.clock.monotonic(), end, "not within the time")
+            self.fleet.step()
+            self.check()
+
+    def check(self):
+        for address, node in self.fleet.pump.nodes.items():
+            current = node.config.state.current
+            self.test.assertEqual(self.digests[current.version], current.digest, "I3")
+            self.test.assertEqual(current.digest, digest_parts(current.parts), "I3")
+            if node.config.ready:
+                self.test.assertGreaterEqual(current.version, self.highest.get(address, 0), "I1")
+                self.highest[address] = current.version
+            view = self.fleet.view(address)
+            assert_closed(self.test, view, node.config.state, node.directory)
--- /dev/null
+++ b/test/relay/test_failures.py
@@ -0,0 +1,191 @@
+"""Failure tests of whole fleets: the real decision code of all nodes on a message pump."""
+
+import random
+from datetime import timedelta
+
+from hypothesis import given, seed, settings
+from hypothesis import strategies as st
+from testtools import TestCase
+
+from almondshore.core.messages import TargetState
+from bench.fleet import Fleet
+from standins.object_store import Fault
+from test.relay.invariants import Invariants
+
+WITHIN = 18
+
+
+class FleetTestCase(TestCase):
+    def start(self, *, nodes=12, zones=3, number=1, **arguments):
+        self.fleet = Fleet(seed=number, nodes=nodes, zones=zones, **arguments)
+        self.pump, self.store = self.fleet.pump, self.fleet.pump.store
+        self.invariants = Invariants(self, self.fleet)
+        self.invariants.until(lambda: self.fleet.settled(1), 40)
+
+    def holds(self, version):
+        return self.fleet.holding(version) == len(self.fleet.nodes)
+
+    def relay_addresses(self):
+        return [node.identity.control for node in self.fleet.relays]
+
+
+class ConfigurationTest(FleetTestCase):
+    def test_relays_killed_in_the_middle_of_a_push(self):
+        """Guards I10: nodes that the dead relay had not reached yet stay behind."""
+        self.start(nodes=45)
+        version = self.invariants.publish()
+        zone = self.fleet.zones[0]
+        for address in self.relay_addresses():
+            if self.pump.nodes[address].identity.zone == zone:
+                self.pump.kill(address)
+        self.assertFalse(self.holds(version))
+        self.invariants.until(lambda: self.holds(version), WITHIN)
+
+    def test_platform_outage_and_a_dead_relay_at_once(self):
+        """Guards against a zone whose relay dies while no lease can be taken.
+
+        A new node joins meanwhile; endpoint changes propagate and no version is lost.
+        """
+        self.start()
+        self.store.fault = Fault.DOWN
+        victim = self.relay_addresses()[0]
+        zone = self.pump.nodes[victim].identity.zone
+        self.pump.kill(victim)
+        self.invariants.run(30)
+        joined = self.fleet.add(zone)
+        self.invariants.until(lambda: self.fleet.settled(1), 30)
+        self.assertTrue(joined.config.ready)
+        self.assertTrue(all(node.selection.connected for node in self.fleet.nodes))
+        self.store.fault = Fault.NONE
+        version = self.invariants.publish()
+        self.invariants.until(lambda: self.holds(version), WITHIN)
+        self.invariants.until(lambda: all(n.selection.in_zone for n in self.followers()), 40)
+
+    def followers(self):
+        return [node for node in self.fleet.nodes if node.relay is None]
+
+    def test_lost_answers_and_lost_messages_at_once(self):
+        """Guards against a fleet that needs an answer to each write or message."""
+        self.start(drop=0.1)
+        self.store.fault = Fault.LOSE_ANSWERS
+        self.invariants.run(60)
+        self.store.fault = Fault.NONE
+        version = self.invariants.publish()
+        self.invariants.until(lambda: self.holds(version), WITHIN)
+
+    def test_paused_relay_wakes_as_another_holds_its_slot(self):
+        """Guards against a paused lease holder that brings back what it held."""
+        self.start()
+        paused = self.relay_addresses()[0]
+        zone = self.pump.nodes[paused].identity.zone
+        self.pump.paused.add(paused)
+        self.invariants.run(40)
+        version = self.invariants.publish()
+        self.invariants.run(5)
+        self.pump.paused.clear()
+        self.invariants.until(lambda: self.holds(version), WITHIN)
+        self.invariants.run(15)
+        holders = [n.identity.control for n in self.fleet.relays if n.identity.zone == zone]
+        self.assertEqual(1, len(holders))
+        self.assertNotEqual(paused, holders[0])
+        self.invariants.until(lambda: self.fleet.settled(version), 30)
+
+    def test_partition_of_two_regions_for_an_hour_and_its_join(self):
+        """Guards against regions that bury each other's targets or stay different."""
+        self.start(nodes=8, zones=4)
+        zones = self.fleet.zones
+        self.pump.cut = {
+            frozenset((a, b)) for a in zones for b in zones if a.split("-")[1] != b.split("-")[1]
+        }
+        for _ in range(3):
+            version = self.invariants.publish()
+            self.fleet.run(timedelta(minutes=20))
+            self.invariants.check()
+            self.assertTrue(self.holds(version))
+            self.fleet.add()
+            self.pump.kill(self.followers()[0].identity.control)
+        self.pump.cut.clear()
+        self.invariants.until(lambda: self.fleet.settled(version), 60)
+        up = [r for r in self.fleet.nodes[0].directory.records.values() if not r.state]
+        self.assertEqual(len(self.fleet.nodes), len(up))
+
+    @seed(20261204)
+    @settings(max_examples=15, deadline=None, database=None)
+    @given(st.integers(0, 2**32))
+    def test_invariants_hold_under_disorder(self, number):
+        """Guards I1, I2, I3 under dropped, doubled and reordered messages, kills and restarts."""
+        rng = random.Random(number)
+        self.start(nodes=9, number=number)
+        self.pump.drop, self.pump.double = rng.uniform(0, 0.3), rng.uniform(0, 0.3)
+        self.pump.spread = timedelta(seconds=rng.uniform(0, 3))
+        for _ in range(8):
+            event = rng.choice(["publish", "kill", "restart", "drain", "outage", "pause"])
+            self.cause(event, rng)
+            self.invariants.run(rng.uniform(0, 6))
+        self.store.fault, self.pump.drop = Fault.NONE, 0.0
+        self.pump.spread = timedelta(milliseconds=1)
+        self.pump.paused.clear()
+        version = self.invariants.publish()
+        self.invariants.until(lambda: self.holds(version), WITHIN)
+
+    def cause(self, event, rng):
+        addresses = sorted(self.pump.nodes)
+        chosen = rng.choice(addresses)
+        if event == "publish":
+            self.store.fault = Fault.NONE
+            self.invariants.publish()
+        elif event == "kill" and len(addresses) > 6:
+            self.pump.kill(chosen)
+        elif event == "restart":
+            self.fleet.restart([chosen])
+        elif event == "drain":
+            node = self.pump.nodes[chosen]
+            self.pump.send(chosen, node.announce(node.local.drain_all()))
+        elif event == "outage":
+            self.store.fault = Fault.DOWN
+        elif event == "pause":
+            self.pump.paused = {chosen}
+
+
+class MembershipTest(FleetTestCase):
+    def state(self, address, target):
+        return self.pump.nodes[address].directory.records[target].state
+
+    def test_drain_is_known_everywhere_within_three_seconds(self):
+        """Guards I8, also if the first announcement is lost."""
+        self.start()
+        node = self.fleet.nodes[4]
+        record = node.local.drain_all()
+        self.assertEqual(1, len(node.announce(record)))
+        self.invariants.run(3)
+        states = {self.state(address, record[0].target) for address in self.pump.nodes}
+        self.assertEqual({TargetState.LEAVING}, states)
+
+    def test_node_and_its_relay_die_together(self):
+        """Guards against a dead node that no other relay ever heard, and so never suspects."""
+        self.start()
+        relay = self.fleet.relays[0]
+        victim = next(n for n in self.fleet.nodes if n.selection.relay == relay.identity.control)
+        targets = [f"target-{node.identity.node}" for node in (relay, victim)]
+        for node in (relay, victim):
+            self.pump.kill(node.identity.control)
+        live = list(self.pump.nodes)
+        dead = TargetState.DEAD
+        self.invariants.until(
+            lambda: all(self.state(a, target) is dead for a in live for target in targets), 90
+        )
+
+
+class HerdTest(FleetTestCase):
+    def test_return_of_a_herd_keeps_the_limits_of_the_platform(self):
+        """Guards against a storm of calls or snapshots when all processes start at once."""
+        self.start(nodes=240, zones=4)
+        self.fleet.change_one()
+        self.fleet.run(timedelta(seconds=5))
+        before = dict(self.store.counts)
+        self.fleet.restart(list(self.pump.nodes))
+        took = self.fleet.until(lambda: self.fleet.settled(2), timedelta(seconds=60))
+        self.assertIsNotNone(took)
+        self.assertEqual(0, self.store.counts["refused"])
+        calls = sum(self.store.counts[kind] - before[kind] for kind in ("read", "write"))
+        self.assertLess(calls, 240)
--- a/test/relay/test_selection.py
+++ b/test/relay/test_selection.py
@@ -43,7 +43,7 @@
             address="self",
             table=RelayTable(),
             heartbeat=lambda: Heartbeat(f"node-{number}", 1, 0, b"", {}, 0, True),
-            seeds=["s1", "s2", "self"],
+            peers=lambda: ["s1", "s2"],
         )
 
     def run_for(self, duration, *, answering=()):
