Go back to a preferred relay only once it answers

Cause: a node left the relay that served it every 30 s to try its preferred one, and was without a relay for some seconds if that one was dead. After a restart of all processes the slots were taken one by one.

--- a/almondshore/relay/control.py
+++ b/almondshore/relay/control.py
@@ -29,7 +29,7 @@
 from almondshore.versions.publish import Publisher
 from almondshore.versions.sync import ConfigSync
 
-NOT_A_RELAY_SECONDS = 10.0
+NOT_A_RELAY_SECONDS = 3.0
 DIRECTORY_PEERS = 6
 
 
--- a/almondshore/relay/lease.py
+++ b/almondshore/relay/lease.py
@@ -90,13 +90,17 @@
         """Whether this process holds the lease by its own clock."""
         return self.epoch > 0 and self.clock.monotonic() < self.valid_until
 
-    def acquire_or_renew(self) -> LeaseAnswer:
+    def acquire_or_renew(self, known: StoredObject | None = None) -> LeaseAnswer:
         """Renew the lease if it is held, else take it if it is free or expired.
 
         Takes one platform call for a renewal and two for an acquisition.
+
+        :param known: the lease's object if it was just read, which saves a call
         """
         if self.epoch and self.pending_write is None:
             return self._write(self.epoch, self.revision)
+        if known is not None:
+            return self._decide(known)
         result = self.platform.get(self.key)
         if is_successful(result):
             return self._decide(result.unwrap())
@@ -173,6 +177,11 @@
     return msgspec.msgpack.decode(stored.value, type=LeaseRecord)
 
 
+def lease_slot(key: str) -> int:
+    """Return the relay slot that a lease's key names."""
+    return int(key.rpartition("/")[2])
+
+
 def relay_lease_key(zone: str, slot: int) -> str:
     """Return the key of the lease of a zone's relay slot."""
     return f"{RELAY_LEASE_PREFIX}{zone}/{slot}"
--- a/almondshore/relay/selection.py
+++ b/almondshore/relay/selection.py
@@ -24,23 +24,27 @@
     """Limits of the relay selection.
 
     :ivar max_missed: unanswered heartbeats after which the node fails over
-    :ivar avoid: time for which a relay that did not answer is passed over
+    :ivar avoid: time for which a relay that did not answer is passed over; with 30 s a tenth of
+        lost messages kept half of the nodes at relays of other zones
+    :ivar query_cap: longest wait between two queries of peers
     :ivar return_interval: time after which a node goes back to its preferred relay; a node that
         uses a relay of another zone looks for one of its own at each heartbeat
     """
 
     heartbeat_interval: timedelta = timedelta(seconds=2)
     max_missed: int = 2
-    avoid: timedelta = timedelta(seconds=30)
+    avoid: timedelta = timedelta(seconds=6)
     return_interval: timedelta = timedelta(seconds=30)
     peers_asked: int = 3
+    query_cap: timedelta = timedelta(seconds=2)
 
 
 class RelaySelection:
     """Heartbeats to one relay and fails over to the next one.
 
     Relays of the own zone come first, in the order of rendezvous hashing; without any, relays of
-    other zones serve. Without a known relay that answers, the node asks peers.
+    other zones serve. Without a known relay that answers, the node asks peers. A node goes back to
+    a preferred relay only once that relay has answered.
     """
 
     def __init__(
@@ -66,6 +70,7 @@
         self.peers = peers
         self.limits = limits or SelectionLimits()
         self.relay: str | None = None
+        self.trial: str | None = None
         self.missed = 0
         self.failures = 0
         self.avoided: dict[str, timedelta] = {}
@@ -88,14 +93,14 @@
         match message:
             case HeartbeatAck(relays):
                 self.table.merge(relays)
-                if sender == self.relay:
-                    self._answered()
+                if sender in (self.relay, self.trial):
+                    self._answered(sender)
             case RelayList(relays):
                 self.table.merge(relays)
             case RelayQuery():
                 return [Send(sender, self._list(message.zone))]
-            case Busy(retry_after, "Heartbeat") if sender == self.relay:
-                self._fail_over(timedelta(seconds=retry_after))
+            case Busy(retry_after, "Heartbeat"):
+                self._refused(sender, timedelta(seconds=retry_after))
         return []
 
     def tick(self) -> list[Send]:
@@ -106,14 +111,15 @@
         if self.relay is not None and self.missed >= self.limits.max_missed:
             self._fail_over(self.limits.avoid)
             return []
-        if now >= self.next_return or not self.in_zone:
-            self.next_return = now + self.limits.return_interval
-            self._select(now)
-        if self.relay is None and not self._select(now):
+        if self.relay is None:
+            self.relay, self.missed = self.preferred(now), 0
+        if self.relay is None:
             return self._ask_peers(now)
+        self._choose_trial(now)
         self.missed += 1
         self.next_send = now + self.limits.heartbeat_interval * self.rng.uniform(0.95, 1.05)
-        sends = [Send(self.relay, self.heartbeat())]
+        heartbeat = self.heartbeat()
+        sends = [Send(relay, heartbeat) for relay in (self.relay, self.trial) if relay]
         if not self.in_zone:
             sends.append(Send(self.relay, RelayQuery(self.zone)))
         return sends
@@ -129,29 +135,41 @@
                 return rank(self.node, usable)[0]
         return None
 
-    def _select(self, now: timedelta) -> bool:
-        chosen = self.preferred(now)
-        if chosen != self.relay:
-            self.relay, self.missed = chosen, 0
-        return chosen is not None
+    def _choose_trial(self, now: timedelta) -> None:
+        """Try a better relay beside the present one, which stays until the other one answers."""
+        if self.trial is not None:
+            self.avoided[self.trial] = now + self.limits.avoid
+            self.trial = None
+        if now >= self.next_return or not self.in_zone:
+            self.next_return = now + self.limits.return_interval
+            better = self.preferred(now)
+            self.trial = better if better != self.relay else None
 
-    def _answered(self) -> None:
+    def _answered(self, relay: str) -> None:
+        self.relay, self.trial = relay, None
         self.missed = 0
         self.failures = 0
         self.without_relay_since = None
 
+    def _refused(self, relay: str, retry_after: timedelta) -> None:
+        if relay == self.relay:
+            self._fail_over(retry_after)
+        elif relay == self.trial:
+            self.avoided[relay] = self.clock.monotonic() + retry_after
+            self.trial = None
+
     def _fail_over(self, avoid: timedelta) -> None:
         """Avoid the present relay for a time and wait with full jitter before the next one."""
         now = self.clock.monotonic()
         self.avoided[self.relay] = now + avoid
         if self.without_relay_since is None:
             self.without_relay_since = now
-        self.relay, self.missed = None, 0
+        self.relay, self.trial, self.missed = None, None, 0
         self.next_send = now + full_jitter(self.rng, self.failures)
         self.failures += 1
 
     def _ask_peers(self, now: timedelta) -> list[Send]:
-        self.next_send = now + full_jitter(self.rng, self.failures)
+        self.next_send = now + full_jitter(self.rng, self.failures, cap=self.limits.query_cap)
         self.failures += 1
         peers = list(self.peers())
         asked = self.rng.sample(peers, min(self.limits.peers_asked, len(peers)))
