--- a/almondshore/relay/control.py
+++ b/almondshore/relay/control.py
@@ -137,6 +137,7 @@
             moves_digest=self.moves_digest(),
             ready=self.config.ready,
             relays_digest=self.table.digest(self.identity.zone),
+            zone=self.identity.zone,
         )
 
     def peers(self) -> list[str]:
