Add the benchmark of convergence, control bytes and platform calls

Cause: no figures against the targets of the scale. Change: bench/convergence.py measures fleets of 50, 200 and 800 nodes, the state of a node at full scale, and a herd's return; bench/meter.py counts bytes and processor time.

--- /dev/null
+++ b/bench/convergence.py
@@ -0,0 +1,246 @@
+"""Convergence, control bytes, platform calls and processor time against the number of nodes."""
+
+from datetime import timedelta
+from typing import NamedTuple
+
+from almondshore.core.messages import Send
+from bench.fleet import Fleet
+from bench.full_scale import FULL_NODES, full_scale_rows
+from bench.meter import Meter
+from bench.rows import BenchRow
+
+SIZES = (50, 200, 800)
+ZONES = 2
+REST_SECONDS = 60
+CHANGES = 8
+SPACING = timedelta(seconds=3)
+LOSS = 0.01
+
+# Load of the fleet at full scale (docs/design.md, section 1). A replaced host leaves, dies and
+# is followed by a new one: three changed records.
+CONFIG_CHANGES_PER_SECOND = 10_000 / 86_400
+RECORD_CHANGES_PER_SECOND = 3 * 5_400 / 86_400
+
+CONVERGENCE_TARGET = 18.0
+BYTES_TARGET = 14_000.0
+CPU_TARGET_PERCENT = 1.9
+ZONE_WRITES_TARGET = 2.0
+READS_TARGET = 2_000
+WRITES_TARGET = 400
+
+
+class Rate(NamedTuple):
+    """Bytes and processor seconds for each second, of the busiest relay and other node."""
+
+    relay_bytes: float
+    node_bytes: float
+    relay_cpu: float
+    node_cpu: float
+
+
+class Measured(NamedTuple):
+    """Figures of one size.
+
+    :ivar rest: rates without changes
+    :ivar config: cost of one configuration change beyond the rates at rest
+    :ivar record: cost of one changed target record beyond the rates at rest
+    """
+
+    nodes: int
+    convergence: float
+    lossy_convergence: float
+    rest: Rate
+    config: Rate
+    record: Rate
+    zone_writes: float
+    relay_reads: float
+
+    def at_full_load(self) -> Rate:
+        """Return the rates under the changes of the whole fleet."""
+        return Rate(
+            *(
+                rest + CONFIG_CHANGES_PER_SECOND * config + RECORD_CHANGES_PER_SECOND * record
+                for rest, config, record in zip(self.rest, self.config, self.record, strict=True)
+            )
+        )
+
+
+def measure(nodes: int, *, seed: int = 1) -> Measured:
+    """Measure one size; the same seed gives the same counts and bytes."""
+    meter = Meter(timing=True)
+    fleet = Fleet(seed=seed, nodes=nodes, zones=ZONES, meter=meter)
+    _start(fleet)
+    before = dict(fleet.pump.store.counts)
+    rest = _rates(fleet, meter, lambda: None, REST_SECONDS)
+    counts = fleet.pump.store.counts
+    writes = (counts["write"] - before["write"]) / REST_SECONDS / ZONES
+    reads = (counts["read"] - before["read"]) / REST_SECONDS / len(fleet.relays)
+    record = _cost(fleet, meter, rest, lambda: change_record(fleet))
+    times: list[float] = []
+    config = _cost(fleet, meter, rest, lambda: times.append(_converge(fleet)))
+    fleet.pump.drop = LOSS
+    lossy = max(_converge(fleet) for _ in range(CHANGES))
+    return Measured(nodes, max(times), lossy, rest, config, record, writes, reads)
+
+
+def change_record(fleet: Fleet) -> None:
+    """Change the slots of one random target."""
+    address = fleet.rng.choice(sorted(fleet.pump.nodes))
+    node = fleet.pump.nodes[address]
+    record = node.local.records()[0]
+    sends: list[Send] = node.announce(
+        node.local.announce(
+            target=record.target,
+            service=record.service,
+            version=record.version,
+            slots=10 + fleet.rng.randint(1, 1000),
+        )
+    )
+    fleet.pump.send(address, sends)
+
+
+def herd(nodes: int, *, seed: int = 1) -> list[BenchRow]:
+    """Measure the return of all processes at once."""
+    fleet = Fleet(seed=seed, nodes=nodes, zones=ZONES)
+    _start(fleet)
+    version = fleet.change_one()
+    fleet.run(timedelta(seconds=5))
+    fleet.restart(list(fleet.pump.nodes))
+    peaks = {"read": 0, "write": 0}
+    start = fleet.pump.clock.monotonic()
+    ready = None
+    while not fleet.settled(version):
+        fleet.step()
+        peaks = {kind: max(peak, _calls(fleet, kind)) for kind, peak in peaks.items()}
+        served = all(node.config.ready for node in fleet.nodes)
+        if ready is None and served and fleet.holding(version) == nodes:
+            ready = (fleet.pump.clock.monotonic() - start).total_seconds()
+        if fleet.pump.clock.monotonic() - start > timedelta(seconds=120):
+            break
+    total = (fleet.pump.clock.monotonic() - start).total_seconds()
+    scale = FULL_NODES / nodes
+    name = f"herd's return, {nodes} nodes"
+    return [
+        row(f"{name}: ready", 10.0, ready or 120.0, "s"),
+        row(f"{name}: all targets known", CONVERGENCE_TARGET, total, "s"),
+        row(f"{name}: reads, scaled to {FULL_NODES}", READS_TARGET, peaks["read"] * scale, "1/s"),
+        row(
+            f"{name}: writes, scaled to {FULL_NODES}", WRITES_TARGET, peaks["write"] * scale, "1/s"
+        ),
+    ]
+
+
+def row(name: str, target: float, figure: float, unit: str) -> BenchRow:
+    """Return a row whose figure must not exceed the target."""
+    verdict = "ok" if figure <= target else "missed"
+    return BenchRow(name, f"<= {target:g}", f"{figure:.4g}", unit, verdict)
+
+
+def run(sizes: tuple[int, ...] = SIZES) -> list[BenchRow]:
+    """Measure all sizes, their slope, the full scale and a herd's return."""
+    measured = [measure(nodes) for nodes in sizes]
+    rows = [item for one in measured for item in _rows(one)]
+    rows += _slopes(measured[0], measured[-1])
+    return rows + full_scale_rows(measured[-1].at_full_load()) + herd(sizes[-1])
+
+
+def _start(fleet: Fleet) -> None:
+    if fleet.until(lambda: fleet.settled(1), timedelta(seconds=120)) is None:
+        raise RuntimeError("the fleet did not settle after its start")
+    fleet.run(timedelta(seconds=70))
+
+
+def _converge(fleet: Fleet) -> float:
+    """Publish a change.
+
+    :returns: the seconds until all nodes have it in effect
+    """
+    version = fleet.change_one()
+    done = fleet.until(lambda: fleet.holding(version) == len(fleet.nodes), timedelta(seconds=60))
+    return done.total_seconds() if done is not None else 60.0
+
+
+def _rates(fleet: Fleet, meter: Meter, change, seconds: float) -> Rate:
+    meter.clear()
+    start = fleet.pump.clock.monotonic()
+    change()
+    fleet.run(start + timedelta(seconds=seconds) - fleet.pump.clock.monotonic())
+    relays = {node.identity.control for node in fleet.relays}
+    others = fleet.pump.nodes.keys() - relays
+    busiest = [
+        max(counter[address] for address in group) / seconds
+        for counter in (meter.bytes, meter.seconds)
+        for group in (relays, others)
+    ]
+    return Rate(*busiest)
+
+
+def _cost(fleet: Fleet, meter: Meter, rest: Rate, change) -> Rate:
+    """Return the cost of one change beyond the rates at rest."""
+    seconds = SPACING.total_seconds()
+
+    def all_changes() -> None:
+        for _ in range(CHANGES):
+            change()
+            fleet.run(SPACING)
+
+    rates = _rates(fleet, meter, all_changes, CHANGES * (seconds + 1))
+    return Rate(
+        *(max(0.0, (rate - base) * (seconds + 1)) for rate, base in zip(rates, rest, strict=True))
+    )
+
+
+def _calls(fleet: Fleet, kind: str) -> int:
+    """Return the calls of the last second."""
+    fleet.pump.store.counts["refused"] += 0
+    now = fleet.pump.clock.monotonic().total_seconds()
+    return sum(1 for at in fleet.pump.store.recent[kind] if at > now - 1)
+
+
+def _rows(one: Measured) -> list[BenchRow]:
+    load = one.at_full_load()
+    name = f"{one.nodes} nodes"
+    return [
+        row(f"{name}: convergence", CONVERGENCE_TARGET, one.convergence, "s"),
+        row(f"{name}: convergence, 1% lost", CONVERGENCE_TARGET, one.lossy_convergence, "s"),
+        row(f"{name}: busiest relay", BYTES_TARGET, load.relay_bytes, "B/s"),
+        row(f"{name}: busiest other node", BYTES_TARGET, load.node_bytes, "B/s"),
+        row(f"{name}: busiest relay", CPU_TARGET_PERCENT, load.relay_cpu * 100, "% core"),
+        row(f"{name}: busiest other node", CPU_TARGET_PERCENT, load.node_cpu * 100, "% core"),
+        row(f"{name}: writes of a zone", ZONE_WRITES_TARGET, one.zone_writes, "1/s"),
+        row(f"{name}: reads of a relay", 5, one.relay_reads, "1/s"),
+    ]
+
+
+def _slopes(small: Measured, large: Measured) -> list[BenchRow]:
+    """Return the growth for each 1,000 nodes between the smallest and the largest size."""
+    thousands = (large.nodes - small.nodes) / 1000
+    low, high = small.at_full_load(), large.at_full_load()
+    pairs = [
+        ("convergence", small.convergence, large.convergence, "s"),
+        ("busiest relay", low.relay_bytes, high.relay_bytes, "B/s"),
+        ("busiest other node", low.node_bytes, high.node_bytes, "B/s"),
+        ("busiest relay", low.relay_cpu * 100, high.relay_cpu * 100, "% core"),
+        ("writes of a zone", small.zone_writes, large.zone_writes, "1/s"),
+    ]
+    return [
+        BenchRow(
+            f"slope of {name}", "-", f"{(b - a) / thousands:.3g}", f"{unit} per 1,000 nodes", "-"
+        )
+        for name, a, b, unit in pairs
+    ]
+
+
+def main() -> None:
+    """Print the table."""
+    from rich.console import Console
+    from rich.table import Table
+
+    table = Table(*BenchRow._fields)
+    for item in run():
+        table.add_row(*item)
+    Console(width=120).print(table)
+
+
+if __name__ == "__main__":
+    main()
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -9,6 +9,7 @@
 from almondshore.rules.model import RoutePart, ServicePart
 from almondshore.versions.publish import Publisher
 from almondshore.versions.view import RoutingView, ViewBuilder
+from bench.meter import Meter
 from bench.pump import Pump
 from standins.memory_platform import MemoryPlatform
 
@@ -45,11 +46,11 @@
         nodes: int,
         zones: int,
         drop: float = 0.0,
-        count_bytes: bool = False,
+        meter: Meter | None = None,
         limits: ControlLimits | None = None,
     ):
         self.rng = random.Random(seed)
-        self.pump = Pump(seed=seed, drop=drop, count_bytes=count_bytes)
+        self.pump = Pump(seed=seed, drop=drop, meter=meter)
         self.zones = [f"region-{number % 2}-{number}" for number in range(zones)]
         self.limits = limits
         self.services = [f"service-{n}" for n in range(max(1, nodes // NODES_PER_SERVICE))]
--- /dev/null
+++ b/bench/full_scale.py
@@ -0,0 +1,107 @@
+"""Cost of one node's state at full scale: 19,000 targets in 2,600 services."""
+
+import random
+import time
+import tracemalloc
+from datetime import timedelta
+
+from almondshore.core.clock import ManualClock
+from almondshore.core.messages import ConfigDelta, ConfigSnapshot, TargetRecord, TargetState
+from almondshore.membership.directory import Directory
+from almondshore.versions.config import apply_changes, diff_parts, make_configuration
+from almondshore.versions.sync import ConfigSync
+from almondshore.versions.view import ViewBuilder
+from bench.fleet import make_part
+from bench.rows import BenchRow
+
+FULL_NODES = 19_000
+FULL_SERVICES = 2_600
+FULL_ZONES = 41
+REPEATS = 20
+MEMORY_TARGET_MB = 128.0
+CPU_TARGET_PERCENT = 1.9
+
+
+class FullNode:
+    """The configuration, the directory and the view of one node at full scale."""
+
+    def __init__(self):
+        self.clock = ManualClock()
+        self.rng = random.Random(1)
+        self.config = ConfigSync(clock=self.clock, rng=self.rng)
+        parts = {f"service/s{n:04d}": make_part(f"s{n:04d}") for n in range(FULL_SERVICES)}
+        first = make_configuration(1, parts)
+        self.config.offer(ConfigSnapshot(1, first.digest, dict(parts)))
+        self.directory = Directory(clock=self.clock)
+        self.directory.merge(self.record(number, 1) for number in range(FULL_NODES))
+        self.views = ViewBuilder(state=self.config.state, directory=self.directory)
+        self.views.view()
+
+    def record(self, number: int, incarnation: int) -> TargetRecord:
+        """Return the record of a target; its strings are its own, as after decoding."""
+        address = f"10.{number // 62500}.{number // 250 % 250}.{number % 250}"
+        return TargetRecord(
+            target=f"target-{number:05d}",
+            node=f"node-{number:05d}",
+            service=f"s{number % FULL_SERVICES:04d}",
+            version=f"v{1}",
+            address=f"{address}:7401",
+            zone=f"zone-{number % FULL_ZONES:02d}",
+            slots=10,
+            incarnation=incarnation,
+            state=TargetState.UP,
+            control=f"{address}:7400",
+        )
+
+    def change_config(self, number: int) -> None:
+        """Take a change of one service and rebuild the view."""
+        old = self.config.state.current
+        name = f"s{number:04d}"
+        changes = {f"service/{name}": make_part(name, salt=str(old.version))}
+        new = make_configuration(old.version + 1, apply_changes(old.parts, changes))
+        delta = ConfigDelta(
+            new.version, new.digest, old.version, old.digest, diff_parts(old.parts, new.parts)
+        )
+        started = time.process_time()
+        self.config.offer(delta)
+        self.views.view()
+        self.spent += time.process_time() - started
+
+    def change_record(self, number: int) -> None:
+        """Take a changed record and rebuild the view."""
+        record = self.record(number, 2)
+        started = time.process_time()
+        self.directory.merge([record])
+        self.views.view()
+        self.spent += time.process_time() - started
+
+    def cost(self, change) -> float:
+        """Return the processor seconds of one change, the mean of several."""
+        self.spent = 0.0
+        for number in range(REPEATS):
+            change(number)
+            self.clock.advance(timedelta(seconds=1))
+        return self.spent / REPEATS
+
+
+def full_scale_rows(load) -> list[BenchRow]:
+    """Return memory and processor time of a node at full scale.
+
+    :param load: ``Rate`` of the largest measured fleet under the changes of the whole fleet
+    """
+    from bench.convergence import CONFIG_CHANGES_PER_SECOND, RECORD_CHANGES_PER_SECOND, row
+
+    tracemalloc.start()
+    node = FullNode()
+    megabytes = tracemalloc.get_traced_memory()[0] / 1e6
+    tracemalloc.stop()
+    config, record = node.cost(node.change_config), node.cost(node.change_record)
+    changes = CONFIG_CHANGES_PER_SECOND * config + RECORD_CHANGES_PER_SECOND * record
+    name = f"{FULL_NODES} targets, {FULL_SERVICES} services"
+    return [
+        row(f"{name}: state of a node", MEMORY_TARGET_MB, megabytes, "MB"),
+        BenchRow(f"{name}: one version taken", "-", f"{config * 1e3:.3g}", "ms", "-"),
+        BenchRow(f"{name}: one record taken", "-", f"{record * 1e3:.3g}", "ms", "-"),
+        row(f"{name}: relay with view", CPU_TARGET_PERCENT, (load.relay_cpu + changes) * 100, "%"),
+        row(f"{name}: node with view", CPU_TARGET_PERCENT, (load.node_cpu + changes) * 100, "%"),
+    ]
--- a/bench/pump.py
+++ b/bench/pump.py
@@ -8,10 +8,10 @@
 from datetime import timedelta
 
 from almondshore.core.clock import ManualClock
-from almondshore.core.codec import encode
-from almondshore.core.messages import Envelope, Send
+from almondshore.core.messages import Send
 from almondshore.relay.control import ControlLimits, ControlNode, Identity
 from almondshore.versions.publish import HEAD_KEY
+from bench.meter import Meter, MeteredPlatform
 from standins.memory_platform import MemoryPlatform
 from standins.object_store import Fault, ObjectStore
 
@@ -26,28 +26,23 @@
     :ivar drop: share of the messages that are lost
     :ivar double: share of the messages that arrive twice
     :ivar spread: longest extra delay of a message; messages overtake each other within it
-    :ivar sent_bytes: encoded bytes sent, by sender
     """
 
-    def __init__(self, *, seed: int, drop: float = 0.0, count_bytes: bool = False):
+    def __init__(self, *, seed: int, drop: float = 0.0, meter: Meter | None = None):
         self.rng = random.Random(seed)
         self.clock = ManualClock()
         self.store = ObjectStore(clock=self.clock)
         self.drop = drop
         self.double = 0.0
         self.spread = DELAY
-        self.count_bytes = count_bytes
+        self.meter = meter
         self.nodes: dict[str, ControlNode] = {}
         self.paused: set[str] = set()
         self.cut: set[frozenset[str]] = set()
         self.queue: list[tuple[timedelta, int, str, Send]] = []
         self.sequence = 0
-        self.sent_bytes: Counter[str] = Counter()
-        self.received_bytes: Counter[str] = Counter()
-        self.kind_bytes: Counter[str] = Counter()
         self.kind_counts: Counter[str] = Counter()
         self.watch_started: weakref.WeakKeyDictionary = weakref.WeakKeyDictionary()
-        self.sizes: dict[int, tuple[object, int]] = {}
 
     def add(
         self,
@@ -66,7 +61,7 @@
             clock=self.clock,
             rng=random.Random(self.rng.getrandbits(64)),
             identity=identity,
-            platform=MemoryPlatform(store=self.store),
+            platform=self._platform(control),
             seeds=list(seeds),
             limits=limits,
         )
@@ -98,9 +93,9 @@
         """Run one step: every node ticks, then all messages due in the step are delivered."""
         for address, node in list(self.nodes.items()):
             if address not in self.paused:
-                self.send(address, node.platform_step())
-                self._watch(node)
-                self.send(address, node.tick())
+                self.send(address, self._run(address, node.platform_step))
+                self._watch(address, node)
+                self.send(address, self._run(address, node.tick))
         end = self.clock.monotonic() + STEP
         while self.queue and self.queue[0][0] <= end:
             due, _, sender, send = heapq.heappop(self.queue)
@@ -108,7 +103,17 @@
             self._deliver(sender, send)
         self.clock.advance(end - self.clock.monotonic())
 
-    def _watch(self, node: ControlNode) -> None:
+    def _platform(self, address: str) -> MemoryPlatform:
+        if self.meter is None:
+            return MemoryPlatform(store=self.store)
+        return MeteredPlatform(store=self.store, meter=self.meter, address=address)
+
+    def _run(self, address: str, action, *arguments):
+        if self.meter is None:
+            return action(*arguments)
+        return self.meter.run(address, action, *arguments)
+
+    def _watch(self, address: str, node: ControlNode) -> None:
         """Run a node's watch when it would return: on a change, after its time-out or delay."""
         source = node.source
         if source is None:
@@ -120,13 +125,13 @@
         if now - started < (source.watch_timeout if waiting else source.delay):
             return
         self.watch_started[source] = now
-        source.poll()
+        self._run(address, source.poll)
 
     def _deliver(self, sender: str, send: Send) -> None:
         node = self.nodes.get(send.to)
         if node is None or send.to in self.paused or self._is_cut(sender, node):
             return
-        self.send(send.to, node.handle(send.message, sender))
+        self.send(send.to, self._run(send.to, node.handle, send.message, sender))
 
     def _is_cut(self, sender: str, receiver: ControlNode) -> bool:
         source = self.nodes.get(sender)
@@ -135,23 +140,7 @@
         return frozenset((source.identity.zone, receiver.identity.zone)) in self.cut
 
     def _count(self, sender: str, send: Send) -> None:
-        kind = type(send.message).__name__
-        self.kind_counts[kind] += 1
-        if not self.count_bytes:
-            return
-        size = self._size(sender, send)
-        self.sent_bytes[sender] += size
-        self.received_bytes[send.to] += size
-        self.kind_bytes[kind] += size
-
-    def _size(self, sender: str, send: Send) -> int:
-        """Return the encoded size; a message sent to many peers is encoded once."""
-        known = self.sizes.get(id(send.message))
-        if known is not None and known[0] is send.message:
-            return known[1]
-        zone = self.nodes[sender].identity.zone if sender in self.nodes else ""
-        size = len(encode(Envelope(sender, zone, send.message)))
-        if len(self.sizes) > 256:
-            self.sizes.clear()
-        self.sizes[id(send.message)] = (send.message, size)
-        return size
+        self.kind_counts[type(send.message).__name__] += 1
+        if self.meter is not None:
+            zone = self.nodes[sender].identity.zone if sender in self.nodes else ""
+            self.meter.sent(sender, zone, send)
