--- a/almondshore/core/messages.py
+++ b/almondshore/core/messages.py
@@ -96,6 +96,27 @@
     platform_up: bool = False
 
 
+class Keepalive(NamedTuple):
+    """A short heartbeat, for a relay that has acknowledged a whole one of this process.
+
+    :ivar state: ``heartbeat_digest`` of the whole heartbeat; the relay compares it with the
+        digest that follows if the node holds the same as the relay
+    """
+
+    state: int
+
+
+class KeepaliveAck(NamedTuple):
+    """Answer to a ``Keepalive`` if the relay holds the same as the node.
+
+    :ivar known: False asks for a whole ``Heartbeat``
+    :ivar platform_up: whether the platform answered the relay's last lease renewal
+    """
+
+    known: bool
+    platform_up: bool = False
+
+
 class Busy(NamedTuple):
     """Answer of an overloaded node: try again after the delay in seconds.
 
@@ -309,6 +330,8 @@
 Message = (
     Heartbeat
     | HeartbeatAck
+    | Keepalive
+    | KeepaliveAck
     | Busy
     | ConfigDelta
     | ConfigRequest
--- a/almondshore/relay/control.py
+++ b/almondshore/relay/control.py
@@ -1,5 +1,6 @@
 """The control side of one node: configuration, directory, relay selection and relay role."""
 
+import math
 import random
 from collections.abc import Callable, Sequence
 from typing import NamedTuple
@@ -10,6 +11,8 @@
     Busy,
     Heartbeat,
     HeartbeatAck,
+    Keepalive,
+    KeepaliveAck,
     Message,
     RelayInvite,
     Send,
@@ -26,11 +29,15 @@
 from almondshore.relay.fanout import Relay, RelayLimits
 from almondshore.relay.selection import RelaySelection, SelectionLimits
 from almondshore.relay.source import ConfigSource
+from almondshore.relay.subscribers import MAX_SUBSCRIBERS
 from almondshore.relay.table import RelayTable
 from almondshore.versions.publish import Publisher
 from almondshore.versions.sync import ConfigSync
 
-NOT_A_RELAY_SECONDS = 10.0
+NOT_A_RELAY_SECONDS = 3.0
+DIRECTORY_PEERS = 6
+BALANCED_FROM_RELAYS = 5
+FAIR_SHARE_MARGIN = 1.25
 
 
 class Identity(NamedTuple):
@@ -91,15 +98,17 @@
 
     def handle(self, message: Message, sender: str) -> list[Send]:
         """React to a message."""
-        if isinstance(message, HeartbeatAck):
-            self.relay_shows_platform_up = message.platform_up
-            self.acknowledged = True
+        match message:
+            case HeartbeatAck(platform_up=platform_up) | KeepaliveAck(True, platform_up):
+                self.relay_shows_platform_up = platform_up
+                self.acknowledged = True
         if isinstance(message, RelayInvite):
             self.duty.invite(message)
             return []
         if self.relay is not None:
             sends = self.relay.handle(message, sender)
-        elif isinstance(message, Heartbeat):
+        elif isinstance(message, Heartbeat | Keepalive):
+            self.duty.taken_for_relay()
             return [Send(sender, Busy(NOT_A_RELAY_SECONDS, "Heartbeat"))]
         else:
             sends = []
@@ -162,14 +171,32 @@
         )
 
     def peers(self) -> list[str]:
-        """Return addresses of peers to learn the configuration from."""
-        known = dict.fromkeys([*self.seeds, *self.table.addresses(self.identity.zone)])
-        return [peer for peer in known if peer != self.identity.control]
+        """Return addresses of peers to learn the configuration and the relays from.
+
+        Hosts are replaced, so that the seeds of the settings may be gone after some days; nodes
+        of the directory are asked too.
+        """
+        controls = [record.control for record in self.directory.records.values()]
+        sample = self.rng.sample(controls, min(DIRECTORY_PEERS, len(controls)))
+        known = [*self.seeds, *self.table.addresses(self.identity.zone), *sample]
+        return [peer for peer in dict.fromkeys(known) if peer not in ("", self.identity.control)]
 
     def nodes_in_zone(self) -> int:
         """Return the number of nodes of the own zone that the directory knows."""
         return len({record.node for record in self.directory.of_zone(self.identity.zone)})
 
+    def fair_share(self) -> int:
+        """Return how many nodes this node serves as a relay.
+
+        Rendezvous hashing alone gives the busiest of seven relays a third more than the mean.
+        With few relays there is no bound, since the others must serve all if one dies.
+        """
+        relays = len(self.table.addresses(self.identity.zone))
+        if relays < BALANCED_FROM_RELAYS:
+            return MAX_SUBSCRIBERS
+        share = FAIR_SHARE_MARGIN * self.nodes_in_zone() / relays
+        return max(self.limits.nodes_per_slot, math.ceil(share))
+
     def candidates(self) -> list[str]:
         """Return addresses of nodes of the own zone that could become relays."""
         records = self.directory.of_zone(self.identity.zone)
@@ -183,7 +210,7 @@
         own = (self.config, self.membership, self.prober, self.selection)
         if self.relay is None:
             return own
-        answered = {"Heartbeat", "ConfigRequest", "RelayQuery", "RelaySync"}
+        answered = {"Heartbeat", "Keepalive", "ConfigRequest", "RelayQuery", "RelaySync"}
         return () if type(message).__name__ in answered else own
 
     def _take_role(self) -> None:
@@ -214,7 +241,7 @@
             address=who.control,
             table=self.table,
             heartbeat=self.heartbeat,
-            seeds=self.seeds,
+            peers=self.peers,
             limits=self.limits.selection,
         )
         self.duty = RelayDuty(
@@ -246,6 +273,7 @@
             table=self.table,
             moves_digest=self.moves_digest,
             platform_up=lambda: self.platform_up,
+            fair_share=self.fair_share,
             limits=self.limits.relay,
         )
         self.membership.pass_on = self.relay.own_records_changed
