Harden the transport against bad peers and bound its log

Cause: a message of no bytes ended the receiving greenlet, because pynng 0.9 raises RuntimeError for it; so did any exception of the message handler. A port above 65535 and host names went to nng's resolver. A faulty peer could write log lines at any rate.

Change: an empty message counts as malformed, a handler's exception is logged and counted, addresses are parsed by almondshore.net.address, which settings use too, and each kind of event is logged at most once a second with its total.

Conclusion: neither malformed, oversized, empty nor foreign input ends the receiver.

--- a/almondshore/daemon/fields.py
+++ b/almondshore/daemon/fields.py
@@ -1,6 +1,5 @@
 """Kinds of settings: conversion of a YAML node to a checked value."""
 
-import ipaddress
 import re
 from collections.abc import Callable, Sequence
 from datetime import timedelta
@@ -8,10 +7,11 @@
 
 import yaml
 
+from almondshore.net.address import parse_address
+
 MAX_PEERS = 100
 _INTEGER = re.compile(r"-?[0-9]{1,18}")
 _IDENTIFIER = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
-_PORT = re.compile(r"[1-9][0-9]{0,4}")
 _TAG_PREFIX = "tag:yaml.org,2002:"
 
 
@@ -86,12 +86,12 @@
 
     def convert(node: yaml.Node) -> str:
         text = _text(node)
-        ip = _split(text)
-        if ip is None:
+        parsed = parse_address(text)
+        if parsed is None:
             message = f"{_shown(node)} is not ip:port, such as 127.0.0.1:7400"
             raise FieldError(node, "bad-address", message)
-        if ip.is_multicast or (ip.is_unspecified and not any_interface):
-            message = f"{ip} does not name one interface of a host"
+        if parsed.ip.is_multicast or (parsed.ip.is_unspecified and not any_interface):
+            message = f"{parsed.ip} does not name one interface of a host"
             raise FieldError(node, "bad-address", message)
         return text
 
@@ -128,26 +128,13 @@
         except ValueError:
             parts = urlsplit("")
         plain = parts.scheme == "http" and parts.path in ("", "/") and not parts.query
-        if not plain or text.strip() != text or "#" in text or _split(parts.netloc) is None:
+        if not plain or text.strip() != text or "#" in text or parse_address(parts.netloc) is None:
             raise FieldError(node, "bad-address", f"{_shown(node)} is not http://ip:port")
         return f"http://{parts.netloc}"
 
     return convert
 
 
-def _split(text: str) -> ipaddress.IPv4Address | ipaddress.IPv6Address | None:
-    """Return the address of ``ip:port``, or None if the text is anything else."""
-    host, _, port = text.rpartition(":")
-    if not _PORT.fullmatch(port) or int(port) > 65535 or "%" in host:
-        return None
-    bracketed = host.startswith("[") and host.endswith("]")
-    try:
-        ip = ipaddress.ip_address(host[1:-1] if bracketed else host)
-    except ValueError:
-        return None
-    return ip if bracketed == (ip.version == 6) else None
-
-
 def _text(node: yaml.Node) -> str:
     if _tag(node) != "str":
         raise FieldError(node, "wrong-type", f"expected text, not {_shown(node)}")
--- a/almondshore/net/nng.py
+++ b/almondshore/net/nng.py
@@ -13,6 +13,7 @@
 from almondshore.core.errors import CodecError
 from almondshore.core.messages import Envelope, Send
 from almondshore.daemon.logs import log_event
+from almondshore.net.address import parse_address
 from almondshore.net.transport import Transport
 
 SEND_BUFFER_MESSAGES = 64
@@ -26,6 +27,8 @@
 EVICTION_AGE = timedelta(seconds=10)
 # Messages handled before other greenlets get a turn.
 RECEIVE_BATCH = 64
+# A faulty peer can cause events at any rate; the log shows one line of each kind in this time.
+LOG_INTERVAL = timedelta(seconds=1)
 
 _threads_limited = False
 
@@ -67,7 +70,7 @@
     """Sends by one Push socket for each peer and receives by one Pull listener.
 
     :param listen: ``ip:port`` to receive on; also the sender address of outgoing messages
-    :ivar counts: events since the start, by name
+    :ivar counts: messages sent and received, and events by name, since the start
     """
 
     def __init__(
@@ -87,30 +90,34 @@
         self.idle_timeout = idle_timeout
         self.peers: OrderedDict[str, Peer] = OrderedDict()
         self.counts: Counter[str] = Counter()
+        self.logged_at: dict[str, timedelta] = {}
         self.closed = False
         self.receiver: eventlet.greenlet.greenlet | None = None
         self.socket = pynng.Pull0(
             recv_max_size=MAX_MESSAGE_BYTES, recv_buffer_size=RECEIVE_BUFFER_MESSAGES
         )
         self.socket.listen(f"tcp://{listen}")
+        self.receive_fd = self.socket.recv_fd
 
     def send(self, item: Send) -> bool:
         """Hand a message to the peer's socket without waiting.
 
         :returns: False if the message was dropped
         """
+        if self.closed:
+            return self._dropped("closed", item.to)
         try:
             data = encode(Envelope(self.address, self.zone, item.message))
+            if item.to not in self.peers and parse_address(item.to) is None:
+                return self._dropped("bad_address", item.to)
             peer = self._peer(item.to)
             if peer is None:
                 return self._dropped("no_peer_slot", item.to)
             peer.socket.send(data, block=False)
         except pynng.TryAgain:
             return self._dropped("buffer_full", item.to)
-        except CodecError as error:
-            return self._dropped("not_encodable", item.to, str(error))
-        except pynng.NNGException as error:
-            return self._dropped("send_failed", item.to, str(error))
+        except (CodecError, pynng.NNGException) as error:
+            return self._dropped("send_failed", item.to, error=error)
         self.counts["sent"] += 1
         return True
 
@@ -144,20 +151,34 @@
             try:
                 data = self.socket.recv(block=False)
             except pynng.TryAgain:
-                eventlet.hubs.trampoline(self.socket.recv_fd, read=True)
+                eventlet.hubs.trampoline(self.receive_fd, read=True)
                 return
+            except RuntimeError:
+                # pynng 0.9 raises it for a message of no bytes, whose buffer is NULL.
+                data = b""
             self._handle(data, handler)
         eventlet.sleep(0)
 
     def _handle(self, data: bytes, handler: Callable[[Envelope], None]) -> None:
+        """Decode and handle one message; neither a bad one nor a fault in the handler is fatal."""
         try:
             envelope = decode(data)
         except CodecError as error:
-            self.counts["malformed"] += 1
-            log_event("message_malformed", level="WARNING", size=len(data), error=error)
+            self._report("message_malformed", level="WARNING", size=len(data), error=error)
             return
         self.counts["received"] += 1
-        handler(envelope)
+        try:
+            handler(envelope)
+        except Exception as error:
+            kind = type(envelope.message).__name__
+            fault = f"{type(error).__name__}: {error}"
+            self._report(
+                "message_handler_failed",
+                level="ERROR",
+                kind=kind,
+                sender=envelope.sender,
+                error=fault,
+            )
 
     def _peer(self, address: str) -> Peer | None:
         """Return the socket to a peer, opening it if there is room in the table."""
@@ -188,7 +209,15 @@
         self.counts["peers_closed"] += 1
         return True
 
-    def _dropped(self, reason: str, to: str, error: str = "") -> bool:
-        self.counts[f"dropped_{reason}"] += 1
-        log_event("message_dropped", level="DEBUG", reason=reason, to=to, error=error)
+    def _dropped(self, reason: str, to: str, **fields: object) -> bool:
+        self._report(f"send_dropped_{reason}", level="WARNING", to=to, **fields)
         return False
+
+    def _report(self, event: str, *, level: str, **fields: object) -> None:
+        """Count an event, and log it if none of its kind was logged within the interval."""
+        self.counts[event] += 1
+        now = self.clock.monotonic()
+        logged_at = self.logged_at.get(event)
+        if logged_at is None or now - logged_at >= LOG_INTERVAL:
+            self.logged_at[event] = now
+            log_event(event, level=level, total=self.counts[event], **fields)
--- /dev/null
+++ b/test/net/test_nng.py
@@ -0,0 +1,204 @@
+"""Tests of the transport over nng, with sockets on loopback."""
+
+import io
+import itertools
+import os
+import random
+import socket
+from types import SimpleNamespace
+
+import eventlet
+import pynng
+from testtools import TestCase
+
+from almondshore.core.clock import ManualClock, SystemClock
+from almondshore.core.codec import MAX_MESSAGE_BYTES, encode
+from almondshore.core.messages import Busy, ConfigSnapshot, Envelope, Send
+from almondshore.daemon.logs import setup_logs
+from almondshore.net.nng import (
+    EVICTION_AGE,
+    IDLE_TIMEOUT,
+    LOG_INTERVAL,
+    RECEIVE_BATCH,
+    SEND_BUFFER_MESSAGES,
+    NngTransport,
+)
+
+NUMBERS = itertools.count(1)
+WAIT_SECONDS = 30
+
+
+def free_address():
+    """Return a loopback address of this process alone, so that no other run can hold its port."""
+    pid, number = os.getpid(), next(NUMBERS)
+    return f"127.{1 + pid % 250}.{pid // 250 % 250}.{1 + number % 250}:{7402 + number // 250}"
+
+
+def message_of(size):
+    return ConfigSnapshot(1, b"", {"p": bytes(size)})
+
+
+class NngTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.log = io.StringIO()
+        setup_logs(stream=self.log)
+        self.got = []
+
+    def transport(self, *, address=None, clock=None, handler=None, **options):
+        made = NngTransport(
+            listen=address or free_address(), zone="z1", clock=clock or SystemClock(), **options
+        )
+        self.addCleanup(made.close)
+        made.greenlet = eventlet.spawn(made.receive_forever, handler or self.got.append)
+        return made
+
+    def raw_push(self, transport):
+        raw = pynng.Push0(send_timeout=WAIT_SECONDS * 1000)
+        self.addCleanup(raw.close)
+        raw.dial(f"tcp://{transport.address}", block=True)
+        return raw
+
+    def wait_for(self, condition):
+        with eventlet.Timeout(WAIT_SECONDS):
+            while not condition():
+                eventlet.sleep(0.005)
+
+    def test_messages_arrive_whole(self):
+        one, two = self.transport(), self.transport()
+        large = message_of(MAX_MESSAGE_BYTES - 1000)
+        for message in (Busy(1.0), large):
+            self.assertTrue(one.send(Send(two.address, message)))
+        self.wait_for(lambda: len(self.got) == 2)
+        self.assertEqual(
+            [Envelope(one.address, "z1", Busy(1.0)), Envelope(one.address, "z1", large)], self.got
+        )
+
+    def test_a_restarted_peer_is_reached_again(self):
+        """Guards against a node that stays cut off from a relay that was restarted."""
+        one, two = self.transport(), self.transport()
+        one.send(Send(two.address, Busy(1.0)))
+        self.wait_for(lambda: self.got)
+        two.close()
+        two.greenlet.wait()
+        after = []
+        self.transport(address=two.address, handler=after.append)
+        self.wait_for(lambda: one.send(Send(two.address, Busy(2.0))) and after)
+        self.assertEqual(Busy(2.0), after[-1].message)
+
+    def test_a_dead_peer_fills_only_its_own_buffer(self):
+        """Guards against an unreachable peer that blocks the loop or the traffic of others."""
+        one, two = self.transport(), self.transport()
+        dead = free_address()
+        sent = [one.send(Send(dead, Busy(1.0))) for _ in range(3 * SEND_BUFFER_MESSAGES)]
+        self.assertEqual(sorted(sent, reverse=True), sent)
+        self.assertTrue(SEND_BUFFER_MESSAGES <= sum(sent) <= SEND_BUFFER_MESSAGES + 2, sum(sent))
+        self.assertTrue(one.send(Send(two.address, Busy(2.0))))
+        self.wait_for(lambda: self.got)
+
+    def test_a_message_or_address_that_cannot_be_sent_is_dropped(self):
+        """Guards against a state machine's bad output ending the sender."""
+        one = self.transport()
+        self.assertFalse(one.send(Send(free_address(), message_of(MAX_MESSAGE_BYTES))))
+        for address in ("", "localhost:7402", "127.0.0.1:99999999", "\x00", "::1:7402"):
+            self.assertFalse(one.send(Send(address, Busy(1.0))), address)
+        self.assertEqual(5, one.counts["send_dropped_bad_address"])
+        self.assertEqual({}, dict(one.peers))
+
+    def test_bad_input_is_counted_and_not_fatal(self):
+        """Guards against one faulty or foreign peer ending a node's control plane."""
+        one = self.transport(clock=ManualClock())
+        raw, rng = self.raw_push(one), random.Random(1)
+        good = encode(Envelope("127.0.0.1:1", "z9", Busy(1.0)))
+        bad = [b"", b"\xc1", good[:-1], good + b"x", good.replace(b"Busy", b"Bosy")]
+        bad += [rng.randbytes(rng.randrange(200)) for _ in range(50)]
+        for data in bad:
+            raw.send(data)
+        self.raw_push(one).send(bytes(MAX_MESSAGE_BYTES + 1))
+        for data in (b"GET / HTTP/1.1\r\n\r\n", b"\x00SP\x00\x00\x50\x00\x00" + b"\xff" * 64):
+            foreign = socket.create_connection(host_and_port(one))
+            foreign.sendall(data)
+            self.addCleanup(foreign.close)
+        raw.send(good)
+        self.wait_for(lambda: self.got and one.counts["message_malformed"] == len(bad))
+        self.assertEqual([Envelope("127.0.0.1:1", "z9", Busy(1.0))], self.got)
+        self.assertEqual(1, self.log.getvalue().count("event=message_malformed"))
+        one.clock.advance(LOG_INTERVAL)
+        raw.send(b"\xc1")
+        self.wait_for(lambda: f"total={len(bad) + 1}" in self.log.getvalue())
+
+    def test_a_fault_in_the_handler_does_not_end_receiving(self):
+        """Guards against one message that trips a bug and silences the node."""
+
+        def handle(envelope):
+            self.got.append(envelope)
+            raise KeyError("bug")
+
+        one, two = self.transport(), self.transport(handler=handle)
+        for _ in range(3):
+            one.send(Send(two.address, Busy(1.0)))
+        self.wait_for(lambda: len(self.got) == 3)
+        self.assertEqual(3, two.counts["message_handler_failed"])
+
+    def test_many_peers_use_no_more_threads(self):
+        """Guards against a thread for each of a relay's subscribers."""
+        relay = self.transport()
+        self.transport().send(Send(relay.address, Busy(0.0)))
+        self.wait_for(lambda: self.got)
+        before = len(os.listdir("/proc/self/task"))
+        peers = [self.transport() for _ in range(60)]
+        for peer in peers:
+            self.assertTrue(peer.send(Send(relay.address, Busy(1.0))))
+            self.assertTrue(relay.send(Send(peer.address, Busy(2.0))))
+        self.wait_for(lambda: len(self.got) == 121)
+        self.assertEqual({peer.address for peer in peers} | {relay.address}, senders(self.got[1:]))
+        self.assertEqual(before, len(os.listdir("/proc/self/task")))
+
+    def test_the_peer_table_is_bounded(self):
+        """Guards against sockets that pile up for peers long gone, and against thrashing."""
+        clock = ManualClock()
+        one = self.transport(clock=clock, max_peers=3)
+        addresses = [free_address() for _ in range(5)]
+        sent = [one.send(Send(address, Busy(1.0))) for address in addresses]
+        self.assertEqual([True] * 3 + [False] * 2, sent)
+        clock.advance(EVICTION_AGE)
+        one.send(Send(addresses[0], Busy(1.0)))
+        self.assertTrue(one.send(Send(addresses[3], Busy(1.0))))
+        self.assertEqual([addresses[i] for i in (2, 0, 3)], list(one.peers))
+        clock.advance(IDLE_TIMEOUT)
+        one.send(Send(addresses[4], Busy(1.0)))
+        self.assertEqual([addresses[4]], list(one.peers))
+
+    def test_close_ends_receiving_and_sending(self):
+        """Guards against a shutdown that hangs on an idle transport."""
+        one = self.transport()
+        eventlet.sleep(0)
+        one.close()
+        with eventlet.Timeout(WAIT_SECONDS):
+            one.greenlet.wait()
+        self.assertFalse(one.send(Send(free_address(), Busy(1.0))))
+
+    def test_a_flood_leaves_turns_to_other_greenlets(self):
+        """Guards against a peer that starves requests by sending without a pause."""
+        data = encode(Envelope("127.0.0.1:1", "z1", Busy(1.0)))
+
+        def handle(_):
+            one.closed = len(turns) >= 3 or one.counts["received"] >= 100 * RECEIVE_BATCH
+
+        one = self.transport(handler=handle)
+        turns = []
+        one.socket.close()
+        one.socket = SimpleNamespace(recv=lambda block: data, close=lambda: None)
+        eventlet.spawn(lambda: [turns.append(eventlet.sleep(0)) for _ in range(4)])
+        with eventlet.Timeout(WAIT_SECONDS):
+            one.greenlet.wait()
+        self.assertTrue(one.counts["received"] <= 5 * RECEIVE_BATCH, one.counts)
+
+
+def host_and_port(transport):
+    host, port = transport.address.split(":")
+    return host, int(port)
+
+
+def senders(envelopes):
+    return {envelope.sender for envelope in envelopes}
