--- a/almondshore/daemon/logs.py
+++ b/almondshore/daemon/logs.py
@@ -1,6 +1,7 @@
 """Structured logging: one key=value line for each event."""
 
 import json
+import logging
 import re
 import sys
 from datetime import UTC
@@ -9,12 +10,25 @@
 from loguru import logger
 
 MAX_VALUE_CHARS = 2000
+LIBRARY_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR", "CRITICAL")
 _PLAIN = re.compile(r"[A-Za-z0-9_.:/@+,%*\[\]-]+")
 _KEY = re.compile(r"[a-z][a-z0-9_]*")
 
 
+class LibraryHandler(logging.Handler):
+    """Turns records of the standard logging module into events."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Log a record of a library."""
+        fields: dict[str, object] = {"logger": record.name, "message": record.getMessage()}
+        if record.exc_info and record.exc_info[0]:
+            fields["error"] = f"{record.exc_info[0].__name__}: {record.exc_info[1]}"
+        level = record.levelname if record.levelname in LIBRARY_LEVELS else "WARNING"
+        log_event("library_log", level=level, **fields)
+
+
 def setup_logs(*, level: str = "INFO", stream: TextIO | None = None) -> None:
-    """Send log events to a stream, by default to standard error.
+    """Send log events, and warnings of libraries, to a stream, by default to standard error.
 
     :param level: lowest level written, a loguru level name
     """
@@ -27,6 +41,8 @@
         backtrace=False,
         diagnose=False,
     )
+    logging.basicConfig(handlers=[LibraryHandler()], level=logging.WARNING, force=True)
+    logging.captureWarnings(True)
 
 
 def log_event(event: str, *, level: str = "INFO", **fields: object) -> None:
--- a/almondshore/daemon/metrics.py
+++ b/almondshore/daemon/metrics.py
@@ -4,7 +4,9 @@
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
-OTHER_TENANT = "other"
+OTHER = "other"
+# Label sets of one counter or gauge; a scrape with 1,000 of them is about 100 KB.
+MAX_SERIES = 1000
 MAX_LABEL_CHARS = 64
 # The upper bounds follow the 1.8 ms added latency objective at the low end and the longest
 # request deadlines at the high end.
@@ -26,6 +28,18 @@
 )
 
 
+_ESCAPES = str.maketrans({"\\": r"\\", '"': r"\"", "\n": r"\n"})
+
+
+def label_value(text: str) -> str:
+    """Return a label value escaped for the text format.
+
+    The text formatter of aioprometheus 23.12 escapes nothing, so a quote in a tenant's name would
+    end the label and could add samples.
+    """
+    return text[:MAX_LABEL_CHARS].translate(_ESCAPES)
+
+
 class TenantLabels:
     """Bounds the tenants that have time series of their own; later ones share ``other``."""
 
@@ -35,11 +49,11 @@
 
     def label(self, tenant: str) -> str:
         """Return the label value for a tenant."""
-        tenant = tenant[:MAX_LABEL_CHARS]
+        tenant = label_value(tenant)
         if tenant in self.known:
             return tenant
         if not tenant or len(self.known) >= self.limit:
-            return OTHER_TENANT
+            return OTHER
         self.known.add(tenant)
         return tenant
 
@@ -53,9 +67,10 @@
 
     def __init__(self, *, max_tenants: int, constant: dict[str, str] | None = None):
         self.registry = Registry()
-        self.constant = dict(constant or {})
+        self.constant = {key: label_value(value) for key, value in (constant or {}).items()}
         self.tenants = TenantLabels(limit=max_tenants)
         self.collectors: dict[str, Counter | Gauge] = {}
+        self.label_sets: dict[str, set[tuple]] = {}
         self.latency_by_class = self._histogram(
             "almondshore_request_seconds", "Latency of requests by class"
         )
@@ -65,20 +80,18 @@
 
     def count(self, name: str, doc: str, *, by: int = 1, **labels: str) -> None:
         """Add to a counter, which is registered at its first use."""
-        collector = self._collector(Counter, name, doc)
-        collector.add(labels, by)
+        self._collector(Counter, name, doc).add(self._bounded(name, labels), by)
 
     def gauge(self, name: str, doc: str, value: float, **labels: str) -> None:
         """Set a gauge, which is registered at its first use."""
-        collector = self._collector(Gauge, name, doc)
-        collector.set(labels, value)
+        self._collector(Gauge, name, doc).set(self._bounded(name, labels), value)
 
     def observe_request(
         self, *, tenant: str, request_class: str, outcome: str, latency: timedelta
     ) -> None:
         """Record a finished request."""
         seconds = latency.total_seconds()
-        self.latency_by_class.observe({"class": request_class}, seconds)
+        self.latency_by_class.observe({"class": label_value(request_class)}, seconds)
         self.latency_by_tenant.observe({"tenant": self.tenants.label(tenant)}, seconds)
         self.count(
             "almondshore_requests_total",
@@ -91,6 +104,18 @@
         content, headers = render(self.registry, ["text/plain"])
         return content, headers["Content-Type"]
 
+    def _bounded(self, name: str, labels: dict[str, str]) -> dict[str, str]:
+        """Return safe labels, with all values replaced by ``other`` beyond the bound."""
+        labels = {key: label_value(value) for key, value in labels.items()}
+        known = self.label_sets.setdefault(name, set())
+        values = tuple(sorted(labels.items()))
+        if values in known:
+            return labels
+        if len(known) >= MAX_SERIES:
+            return dict.fromkeys(labels, OTHER)
+        known.add(values)
+        return labels
+
     def _histogram(self, name: str, doc: str) -> Histogram:
         return Histogram(
             name,
