--- a/almondshore/daemon/settings.py
+++ b/almondshore/daemon/settings.py
@@ -29,13 +29,16 @@
 class Listen(NamedTuple):
     """Listening addresses, ``ip:port``.
 
-    :ivar caller: HTTP for callers on this host (hop 1)
+    :ivar caller: HTTP for callers from outside (hop 1)
+    :ivar internal: HTTP for calls of the targets on this host, whose deadline and attempt
+        headers are trusted (hop 1)
     :ivar peer: HTTP for other nodes (hop 2)
     :ivar control: control messages of other nodes
     :ivar admin: health, metrics, status and announcements
     """
 
     caller: str
+    internal: str
     peer: str
     control: str
     admin: str
@@ -101,6 +104,7 @@
     "node": identifier(),
     "zone": identifier(),
     "listen.caller": address(any_interface=True),
+    "listen.internal": address(),
     "listen.peer": address(),
     "listen.control": address(),
     "listen.admin": address(any_interface=True),
--- /dev/null
+++ b/almondshore/ui/main.py
@@ -0,0 +1,101 @@
+"""Entry point of the ``almondshore`` tool."""
+
+import io
+import os
+import sys
+import zlib
+from collections.abc import Sequence
+from typing import Annotated
+
+import msgspec
+from cyclopts import App, CycloptsError, Parameter
+
+from almondshore import ui
+from almondshore.core.errors import InvalidInputError, UserError
+from almondshore.ui.commands import apply, check, diff, drain, history, moves, nodes, status
+from almondshore.ui.context import PLATFORM_VARIABLE, Context, UsageError
+
+EXIT_DONE = 0
+EXIT_REFUSED = 1
+EXIT_USAGE = 2
+EXIT_INTERRUPTED = 130
+
+COMMANDS = {
+    "check": check.check,
+    "apply": apply.apply,
+    "diff": diff.diff,
+    "history": history.history,
+    "status": status.status,
+    "nodes": nodes.nodes,
+    "moves": moves.moves,
+    "drain": drain.drain,
+}
+
+
+def build_app(context: Context) -> App:
+    """Return the command-line application.
+
+    :param context: passed to each command
+    """
+    app = App(name="almondshore", help=ui.__doc__, version_flags=[], result_action="return_value")
+    for name, command in COMMANDS.items():
+        app.command(command, name=name)
+
+    @app.meta.default
+    def launch(
+        *tokens: Annotated[str, Parameter(show=False, allow_leading_hyphen=True)],
+        platform: Annotated[str, Parameter(env_var=PLATFORM_VARIABLE)] = "",
+    ) -> int:
+        """Run a command.
+
+        :param platform: URL of the platform
+        """
+        context.url = platform
+        command, bound, ignored = app.parse_args(tokens, exit_on_error=False, print_error=False)
+        if "context" in ignored:
+            bound.arguments["context"] = context
+        return command(*bound.args, **bound.kwargs) or EXIT_DONE
+
+    return app
+
+
+def run(tokens: Sequence[str] | None = None, *, context: Context | None = None) -> int:
+    """Run the tool.
+
+    :param tokens: arguments; those of the process by default
+    :returns: exit code: 0 done, 1 findings or refused change, 2 wrong usage
+    """
+    if context is None:
+        for stream in (sys.stdout, sys.stderr):
+            # Names may hold characters that the operator's terminal encoding lacks.
+            if isinstance(stream, io.TextIOWrapper):
+                stream.reconfigure(errors="backslashreplace")
+        context = Context()
+    app = build_app(context)
+    try:
+        return app.meta(tokens, exit_on_error=False, print_error=False)
+    except (CycloptsError, UsageError) as error:
+        _print_error(context, str(error))
+        return EXIT_USAGE
+    except InvalidInputError as error:
+        print(error, file=context.err)
+        _print_error(context, f"refused with {len(error.findings)} findings")
+    except UserError as error:
+        _print_error(context, str(error))
+    except (msgspec.MsgspecError, zlib.error) as error:
+        _print_error(context, f"an object of the platform is malformed: {error}")
+    except BrokenPipeError:
+        # The reader of the output has gone. Python would report it once more when it exits.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+    except KeyboardInterrupt:
+        return EXIT_INTERRUPTED
+    return EXIT_REFUSED
+
+
+def _print_error(context: Context, message: str) -> None:
+    first, *rest = message.strip().splitlines()
+    print(f"almondshore: {first}", *rest, sep="\n", file=context.err)
+
+
+if __name__ == "__main__":
+    sys.exit(run())
--- a/standins/object_store.py
+++ b/standins/object_store.py
@@ -94,6 +94,7 @@
         ]
         return [self.objects[key] for key in sorted(keys, key=self.changed_at.__getitem__)]
 
+    # Defined last: later annotations in the class body would take ``list`` for this method.
     def list(self, prefix: str) -> list[StoredObject]:
         """Return the objects under a prefix, ordered by key."""
         return [self.objects[key] for key in sorted(self.objects) if key.startswith(prefix)]
