--- a/almondshore/daemon/settings.py
+++ b/almondshore/daemon/settings.py
@@ -187,7 +187,7 @@
 ) -> None:
     """Find listeners that share an address."""
     owners: dict[str, str] = {}
-    for key in ("listen.caller", "listen.peer", "listen.control", "listen.admin"):
+    for key in (f"listen.{name}" for name in Listen._fields):
         other = owners.setdefault(values[key], key) if key in values else key
         if other != key:
             node = nodes.get(key) or nodes[other]
