--- a/almondshore/daemon/metrics.py
+++ b/almondshore/daemon/metrics.py
@@ -27,6 +27,8 @@
     float("inf"),
 )
 
+# Fewer than by class: a scrape holds the loop while it renders, and tenants are the many series.
+TENANT_BOUNDS_SECONDS = (0.005, 0.025, 0.1, 0.5, 2.5, float("inf"))
 
 _ESCAPES = str.maketrans({"\\": r"\\", '"': r"\"", "\n": r"\n"})
 
@@ -72,10 +74,12 @@
         self.collectors: dict[str, Counter | Gauge] = {}
         self.label_sets: dict[str, set[tuple]] = {}
         self.latency_by_class = self._histogram(
-            "almondshore_request_seconds", "Latency of requests by class"
+            "almondshore_request_seconds", "Latency of requests by class", LATENCY_BOUNDS_SECONDS
         )
         self.latency_by_tenant = self._histogram(
-            "almondshore_tenant_request_seconds", "Latency of requests by tenant"
+            "almondshore_tenant_request_seconds",
+            "Latency of requests by tenant",
+            TENANT_BOUNDS_SECONDS,
         )
 
     def count(self, name: str, doc: str, *, by: int = 1, **labels: str) -> None:
@@ -116,13 +120,13 @@
         known.add(values)
         return labels
 
-    def _histogram(self, name: str, doc: str) -> Histogram:
+    def _histogram(self, name: str, doc: str, bounds: tuple[float, ...]) -> Histogram:
         return Histogram(
             name,
             doc,
             const_labels=self.constant,
             registry=self.registry,
-            buckets=LATENCY_BOUNDS_SECONDS,
+            buckets=bounds,
         )
 
     def _collector(self, kind: type, name: str, doc: str) -> Counter | Gauge:
