Test a slow platform and the budget of retries

Cause: two failures of the list had no test of their own: a platform slower than the client's timeout, and callers that all retry at once.

Change: one test each.

Figures: 200 calls that fail at once stay within the bucket of 5 plus 1 a second, retries included.

Conclusion: a write that takes effect after its caller gave up is recognised when it is repeated.

--- a/test/platform/test_retry.py
+++ b/test/platform/test_retry.py
@@ -8,14 +8,30 @@
 from testtools import TestCase
 
 from almondshore.core.clock import ManualClock
+from almondshore.platform.budget import BudgetedPlatform, CallBudget, Rate
 from almondshore.platform.port import BudgetExceeded, Conflict, RateLimited, Unavailable
 from almondshore.platform.retry import RetryingPlatform, RetryPolicy
+from standins.memory_platform import MemoryPlatform
+from standins.object_store import ObjectStore
 
 DOWN = Failure(Unavailable("down"))
 LIMITED = Failure(RateLimited(timedelta(seconds=1)))
 
 
 class RetryTest(TestCase):
+    def test_each_attempt_of_a_herd_takes_its_token(self):
+        """Guards against retries that pass by the budget when all callers fail at once."""
+        clock, rng = ManualClock(), random.Random(1)
+        store = ObjectStore(clock=clock, reads_per_second=1)
+        budget = CallBudget(clock=clock, reads=Rate(1, 5), writes=Rate(1, 5))
+        inner = BudgetedPlatform(inner=MemoryPlatform(store=store), budget=budget)
+        platform = RetryingPlatform(inner=inner, clock=clock, rng=rng, sleep=clock.advance)
+        for _ in range(200):
+            platform.get("k")
+        allowed = 5 + clock.monotonic().total_seconds()
+        self.assertTrue(store.counts["read"] + store.counts["refused"] <= allowed)
+        self.assertTrue(store.counts["refused"] >= 1)
+
     def call(self, *results, seed=1, policy=RetryPolicy()):  # noqa: B008
         """Return the result of a read that meets the given results, and the waits between."""
         clock, waits, left = ManualClock(), [], list(results)
--- a/test/standins/test_platform_server.py
+++ b/test/standins/test_platform_server.py
@@ -58,6 +58,19 @@
         self.deployment.set_fault("none")
         self.assertEqual(b"v", self.platform.get("k").unwrap().value)
 
+    def test_a_slow_platform_is_given_up_and_its_late_write_recognised(self):
+        """Guards against a caller held by a slow platform, and against writing twice."""
+        self.deployment.set_fault("slow")
+        hasty = HttpPlatform(
+            url=self.deployment.platform_url,
+            clock=SystemClock(),
+            timeout=timedelta(milliseconds=100),
+        )
+        self.addCleanup(hasty.close)
+        self.assertIsInstance(hasty.create("k", b"v", "w").failure(), Unavailable)
+        wait_for(lambda: is_successful(self.platform.get("k")), "the late write")
+        self.assertEqual(1, self.platform.create("k", b"v", "w").unwrap().revision)
+
     def test_a_dead_platform_is_unavailable_until_it_is_back(self):
         """Guards against a client that keeps failing on the connections of a dead server."""
         self.assertTrue(is_successful(self.platform.list("")))
