Give requests a turn while metrics are rendered

Cause: a scrape of 1,000 tenants held the loop for 34 ms, and a label with a lone surrogate made every later scrape fail.

Change: the tenant and class histograms pause after every 10 series; label values are made valid UTF-8.

--- a/almondshore/daemon/metrics.py
+++ b/almondshore/daemon/metrics.py
@@ -1,7 +1,10 @@
 """Metrics of the daemon: counters, gauges and latency histograms for Prometheus."""
 
+from collections.abc import Callable, Iterator
 from datetime import timedelta
 
+import eventlet
+import msgspec
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
 OTHER = "other"
@@ -27,7 +30,9 @@
     float("inf"),
 )
 
-# Fewer than by class: a scrape holds the loop while it renders, and tenants are the many series.
+# Series rendered before other greenlets get a turn, about 0.4 ms of work.
+RENDER_BATCH = 10
+# Fewer than by class, since tenants are the many series.
 TENANT_BOUNDS_SECONDS = (0.005, 0.025, 0.1, 0.5, 2.5, float("inf"))
 
 _ESCAPES = str.maketrans({"\\": r"\\", '"': r"\"", "\n": r"\n"})
@@ -39,7 +44,27 @@
     The text formatter of aioprometheus 23.12 escapes nothing, so a quote in a tenant's name would
     end the label and could add samples.
     """
-    return text[:MAX_LABEL_CHARS].translate(_ESCAPES)
+    whole = text[:MAX_LABEL_CHARS].encode("utf-8", "replace").decode()
+    return whole.translate(_ESCAPES)
+
+
+class PausingHistogram(Histogram):
+    """A histogram that lets other work run while its many series are rendered.
+
+    Rendering 1,000 tenants at once held the loop for 34 ms, against 1.8 ms of added latency that
+    requests may have.
+    """
+
+    def __init__(self, *args, pause: Callable[[], None], **options):
+        super().__init__(*args, **options)
+        self.pause = pause
+
+    def get_all(self) -> Iterator[tuple[dict[str, str], dict]]:
+        """Yield the labels and value of each series that exists at the start."""
+        for number, key in enumerate(list(self.values)):
+            if number % RENDER_BATCH == RENDER_BATCH - 1:
+                self.pause()
+            yield msgspec.json.decode(key), self.get(key)
 
 
 class TenantLabels:
@@ -64,11 +89,19 @@
     """The metrics of one node.
 
     :param max_tenants: tenants with time series of their own
+    :param pause: lets other work run while a scrape is rendered
     :param constant: labels on every time series, such as node and zone
     """
 
-    def __init__(self, *, max_tenants: int, constant: dict[str, str] | None = None):
+    def __init__(
+        self,
+        *,
+        max_tenants: int,
+        constant: dict[str, str] | None = None,
+        pause: Callable[[], None] = eventlet.sleep,
+    ):
         self.registry = Registry()
+        self.pause = pause
         self.constant = {key: label_value(value) for key, value in (constant or {}).items()}
         self.tenants = TenantLabels(limit=max_tenants)
         self.collectors: dict[str, Counter | Gauge] = {}
@@ -121,12 +154,13 @@
         return labels
 
     def _histogram(self, name: str, doc: str, bounds: tuple[float, ...]) -> Histogram:
-        return Histogram(
+        return PausingHistogram(
             name,
             doc,
             const_labels=self.constant,
             registry=self.registry,
             buckets=bounds,
+            pause=self.pause,
         )
 
     def _collector(self, kind: type, name: str, doc: str) -> Counter | Gauge:
--- a/bench/daemon.py
+++ b/bench/daemon.py
@@ -4,6 +4,7 @@
 import sys
 from collections.abc import Callable
 from datetime import timedelta
+from itertools import pairwise
 
 import eventlet
 import pynng
@@ -33,6 +34,8 @@
 MAX_MEMORY_MB = 128
 MAX_CALL_MS = 10
 MAX_RENDER_MS = 60
+# A turn delays the requests that meet it, which may take at most 1.8 ms longer for the mesh.
+MAX_TURN_MS = 1.8
 MAX_OBSERVE_US = 100
 HEARTBEAT = Heartbeat("node-1", 1, 7, bytes(16), {f"zone-{n}": n for n in range(41)}, 5, True)
 
@@ -206,9 +209,14 @@
             )
 
     observed = _seconds(clock, observe) / MESSAGES
-    rendered = _seconds(clock, metrics.render)
+    turns = [clock.monotonic()]
+    metrics.latency_by_tenant.pause = lambda: turns.append(clock.monotonic())
     size = len(metrics.render()[0])
+    turns.append(clock.monotonic())
+    longest = max(after - before for before, after in pairwise(turns)).total_seconds()
+    rendered = (turns[-1] - turns[0]).total_seconds()
     return [
+        at_most("metrics, longest turn of the scrape", MAX_TURN_MS, longest * 1e3, "ms"),
         at_most("metrics, one request", MAX_OBSERVE_US, observed * 1e6, "us"),
         at_most(
             f"metrics, scrape of {METRIC_TENANTS} tenants", MAX_RENDER_MS, rendered * 1e3, "ms"
--- a/test/daemon/test_metrics.py
+++ b/test/daemon/test_metrics.py
@@ -5,7 +5,7 @@
 
 from testtools import TestCase
 
-from almondshore.daemon.metrics import MAX_SERIES, Metrics
+from almondshore.daemon.metrics import MAX_SERIES, RENDER_BATCH, Metrics
 
 MILLISECOND = timedelta(milliseconds=1)
 
@@ -45,7 +45,7 @@
 
     def test_label_values_cannot_forge_samples(self):
         """Guards against a tenant name that adds lines to the exposition."""
-        for tenant in ('a"} 1\nforged{x="', "b\\", "c\r\u2028x"):
+        for tenant in ('a"} 1\nforged{x="', "b\\", "c\r\u2028x", "d\ud800"):
             self.observe(tenant)
             self.metrics.count("c_total", "Doc", route=tenant)
         sample = re.compile(r'[a-z_]+\{([a-z]+="(?:[^"\\\n]|\\["\\n])*",?)+\} [0-9.e+-]+')
@@ -54,6 +54,21 @@
             self.assertTrue(line.startswith("# ") or sample.fullmatch(line), line)
         self.assertNotIn("\nforged", text)
 
+    def test_a_scrape_leaves_turns_to_requests(self):
+        """Guards against requests that wait until all tenants have been rendered."""
+        pauses = []
+
+        def pause():
+            pauses.append(len(pauses))
+            self.observe(f"late-{len(pauses)}")
+
+        self.metrics = Metrics(max_tenants=1000, pause=pause)
+        for number in range(200):
+            self.observe(f"tenant-{number}")
+        counts = [line for line in self.samples() if "tenant_request_seconds_count" in line]
+        self.assertEqual(200 // RENDER_BATCH, len(pauses))
+        self.assertEqual(200, len(counts))
+
     def test_latencies_fall_into_their_buckets(self):
         self.observe("t", timedelta(milliseconds=30))
         self.observe("t", timedelta(seconds=60))
