Keep Python code off the threads of nng

Cause: pynng keeps a list of connections by callbacks that nng's threads run under threading.Lock. In the daemon eventlet has replaced that lock by a green one. When one thread held it and another wanted it, the second ran eventlet code on nng's thread and hung with "Cannot switch to a different thread"; the process then received nothing more.

Change: the callbacks are switched off before listen or dial. The transport does not use the list.

--- a/almondshore/net/nng.py
+++ b/almondshore/net/nng.py
@@ -49,6 +49,21 @@
     _threads_limited = True
 
 
+def disable_callbacks(made: pynng.Socket) -> None:
+    """Stop pynng from running Python code on nng's threads; call it before listen or dial.
+
+    pynng keeps a list of connections by callbacks under a lock. Where eventlet has patched the
+    threading module, that lock is a green one: two callbacks that meet at it made nng's threads
+    hang ("Cannot switch to a different thread") and ended all receiving.
+    """
+    for event in (
+        pynng.lib.NNG_PIPE_EV_ADD_PRE,
+        pynng.lib.NNG_PIPE_EV_ADD_POST,
+        pynng.lib.NNG_PIPE_EV_REM_POST,
+    ):
+        pynng.lib.nng_pipe_notify(made.socket, event, pynng.ffi.NULL, pynng.ffi.NULL)
+
+
 class TransportClosedError(Exception):
     """Ends the receiving greenlet when the transport is closed."""
 
@@ -63,6 +78,7 @@
             reconnect_time_max=RECONNECT_MAX_MS,
         )
         self.used_at = used_at
+        disable_callbacks(self.socket)
         self.socket.dial(f"tcp://{address}", block=False)
 
 
@@ -96,6 +112,7 @@
         self.socket = pynng.Pull0(
             recv_max_size=MAX_MESSAGE_BYTES, recv_buffer_size=RECEIVE_BUFFER_MESSAGES
         )
+        disable_callbacks(self.socket)
         self.socket.listen(f"tcp://{listen}")
         self.receive_fd = self.socket.recv_fd
 
--- a/test/net/test_nng.py
+++ b/test/net/test_nng.py
@@ -140,6 +140,13 @@
         self.wait_for(lambda: len(self.got) == 3)
         self.assertEqual(3, two.counts["message_handler_failed"])
 
+    def test_no_python_code_runs_on_the_threads_of_nng(self):
+        """Guards against pynng's callbacks, whose green lock hangs nng's threads in a storm."""
+        one, two = self.transport(), self.transport()
+        one.send(Send(two.address, Busy(1.0)))
+        self.wait_for(lambda: self.got)
+        self.assertEqual(((), ()), (two.socket.pipes, one.peers[two.address].socket.pipes))
+
     def test_many_peers_use_no_more_threads(self):
         """Guards against a thread for each of a relay's subscribers."""
         relay = self.transport()
