Add the call budgets of relays and of ordinary nodes

Cause: the design page gives relays and ordinary nodes different budgets and a node changes its role while it runs, but CallBudget had one fixed pair of rates.

Change: RELAY_RATES and NODE_RATES hold the page's figures; set_rates changes the limits and keeps tokens and holds; writes may share the bucket of the reads.

Figures: on a scratch copy, granting full tokens on a change, losing the hold, or separate buckets for NODE_RATES each made test_a_change_of_role_grants_no_tokens fail.

Conclusion: 40 changes of role in a row granted no call. The daemon does not use a budget yet; that is the wiring's part.

--- a/almondshore/platform/budget.py
+++ b/almondshore/platform/budget.py
@@ -39,6 +39,21 @@
     burst: float
 
 
+class Rates(NamedTuple):
+    """Limits of a process.
+
+    :ivar writes: None if writes take their tokens from the bucket of the reads
+    """
+
+    reads: Rate
+    writes: Rate | None
+
+
+RELAY_RATES = Rates(reads=Rate(5, 5), writes=Rate(2, 2))
+# 19,000 nodes at this rate make 317 calls a second, all kinds together.
+NODE_RATES = Rates(reads=Rate(1 / 60, 2), writes=None)
+
+
 class TokenBucket:
     """A token bucket on the given clock.
 
@@ -59,9 +74,7 @@
         now = self.clock.monotonic()
         if now < self.filled_at:
             return self.filled_at - now
-        added = (now - self.filled_at).total_seconds() * self.rate.per_second
-        self.tokens = min(self.rate.burst, self.tokens + added)
-        self.filled_at = now
+        self._fill(now)
         if self.tokens >= 1:
             self.tokens -= 1
             return None
@@ -75,15 +88,35 @@
         self.filled_at = max(self.filled_at, self.clock.monotonic() + duration)
         self.tokens = min(self.tokens, 1.0)
 
+    def with_rate(self, rate: Rate) -> "TokenBucket":
+        """Return a bucket of another rate with the tokens and the hold of this one."""
+        now = self.clock.monotonic()
+        if now > self.filled_at:
+            self._fill(now)
+        changed = TokenBucket(clock=self.clock, rate=rate)
+        changed.tokens = min(rate.burst, self.tokens)
+        changed.filled_at = self.filled_at
+        return changed
+
+    def _fill(self, now: timedelta) -> None:
+        added = (now - self.filled_at).total_seconds() * self.rate.per_second
+        self.tokens = min(self.rate.burst, self.tokens + added)
+        self.filled_at = now
+
 
 class CallBudget:
     """Token buckets for the reads and the writes of one process."""
 
-    def __init__(self, *, clock: Clock, reads: Rate, writes: Rate):
-        self.buckets = {
-            CallKind.READ: TokenBucket(clock=clock, rate=reads),
-            CallKind.WRITE: TokenBucket(clock=clock, rate=writes),
-        }
+    def __init__(self, *, clock: Clock, reads: Rate, writes: Rate | None):
+        read_bucket = TokenBucket(clock=clock, rate=reads)
+        write_bucket = TokenBucket(clock=clock, rate=writes) if writes else read_bucket
+        self.buckets = {CallKind.READ: read_bucket, CallKind.WRITE: write_bucket}
+
+    def set_rates(self, rates: Rates) -> None:
+        """Change the limits, as when a node becomes a relay; tokens and holds are kept."""
+        reads = self.buckets[CallKind.READ].with_rate(rates.reads)
+        writes = self.buckets[CallKind.WRITE].with_rate(rates.writes) if rates.writes else reads
+        self.buckets = {CallKind.READ: reads, CallKind.WRITE: writes}
 
     def call(
         self, kind: CallKind, action: Callable[[], Result[T, PlatformError]]
--- a/test/platform/test_budget.py
+++ b/test/platform/test_budget.py
@@ -8,7 +8,14 @@
 from testtools import TestCase
 
 from almondshore.core.clock import ManualClock
-from almondshore.platform.budget import BudgetedPlatform, CallBudget, Rate, TokenBucket
+from almondshore.platform.budget import (
+    NODE_RATES,
+    RELAY_RATES,
+    BudgetedPlatform,
+    CallBudget,
+    Rate,
+    TokenBucket,
+)
 from almondshore.platform.port import BudgetExceeded
 from standins.memory_platform import MemoryPlatform
 from standins.object_store import ObjectStore
@@ -64,6 +71,27 @@
         self.assertIsInstance(platform.update("k", b"v", 1, "w2").failure(), BudgetExceeded)
         self.assertEqual((2, 1), (store.counts["read"], store.counts["write"]))
 
+    def test_a_change_of_role_grants_no_tokens(self):
+        """Guards against nodes that turn relay and back to get round their budget."""
+        clock = ManualClock()
+        store = ObjectStore(clock=clock, reads_per_second=3)
+        budget = CallBudget(clock=clock, **NODE_RATES._asdict())
+        platform = BudgetedPlatform(inner=MemoryPlatform(store=store), budget=budget)
+        platform.get("k")
+        platform.create("k", b"v", "w")
+        for rates in (RELAY_RATES, NODE_RATES) * 20:
+            budget.set_rates(rates)
+            self.assertIsInstance(platform.get("k").failure(), BudgetExceeded)
+            self.assertIsInstance(platform.create("k", b"v", "w").failure(), BudgetExceeded)
+        budget.set_rates(RELAY_RATES)
+        clock.advance(timedelta(seconds=1))
+        found = [is_successful(platform.get("k")) for _ in range(6)]
+        self.assertEqual([True] * 3 + [False] * 3, found)
+        budget.set_rates(NODE_RATES)
+        clock.advance(timedelta(milliseconds=900))
+        self.assertIsInstance(platform.get("k").failure(), BudgetExceeded)
+        self.assertEqual((4, 1, 1), tuple(store.counts.values()))
+
     def test_a_rate_refusal_holds_further_calls(self):
         """Guards against a fleet that keeps knocking at a platform over its rate limit."""
         clock = ManualClock()
