Let candidates wait for the relays they know of

Cause: after a restart of all 800 nodes, nodes that already knew a relay of their zone, but waited in a backoff, asked the platform for its lease: up to 90 reads a second, 1,995 when scaled to 19,000 nodes (limit 2,000). Change: a node tries for a lease only when the relays of its zone that it knows have failed to answer; a refusal does not lengthen the backoff.

--- a/almondshore/relay/candidacy.py
+++ b/almondshore/relay/candidacy.py
@@ -34,10 +34,12 @@
         self.doubling = doubling
         self.due: timedelta | None = None
 
-    def should_try(self, connected: bool) -> bool:
+    def should_try(self, connected: bool, *, relay_to_try: bool = False) -> bool:
         """Return whether to try now; call it on each tick.
 
         :param connected: whether a relay of the own zone answers this node
+        :param relay_to_try: whether a known relay of the own zone has not been tried lately; the
+            attempt then waits for its answer
         """
         now = self.clock.monotonic()
         if connected:
@@ -46,7 +48,7 @@
         if self.due is None:
             self.due = now + self._delay()
             return False
-        if now < self.due:
+        if now < self.due or relay_to_try:
             return False
         self.due = now + self._delay()
         return True
--- a/almondshore/relay/control.py
+++ b/almondshore/relay/control.py
@@ -119,7 +119,8 @@
 
     def platform_step(self) -> list[Send]:
         """Take, renew and review relay leases; waits for the platform."""
-        return self.duty.step(in_zone=self.selection.in_zone)
+        selection = self.selection
+        return self.duty.step(in_zone=selection.in_zone, relay_to_try=selection.relay_to_try)
 
     def watch_step(self) -> None:
         """Watch the head of the configuration if this node is a relay; waits for the platform."""
--- a/almondshore/relay/selection.py
+++ b/almondshore/relay/selection.py
@@ -92,6 +92,13 @@
         """Whether a relay of the own zone answers this node."""
         return self.connected and self.relay in self.table.addresses(self.zone)
 
+    @property
+    def relay_to_try(self) -> bool:
+        """Whether a known relay of the own zone has not failed to answer lately."""
+        now = self.clock.monotonic()
+        known = self.table.addresses(self.zone)
+        return any(self.avoided.get(relay, now) <= now for relay in known if relay != self.address)
+
     def handle(self, message: Message, sender: str) -> list[Send]:
         """React to acknowledgements, lists of relays and refusals."""
         match message:
@@ -176,20 +183,23 @@
 
     def _refused(self, relay: str, retry_after: timedelta) -> None:
         if relay == self.relay:
-            self._fail_over(retry_after)
+            self._fail_over(retry_after, silent=False)
         elif relay == self.trial:
             self.avoided[relay] = self.clock.monotonic() + retry_after
             self.trial = None
 
-    def _fail_over(self, avoid: timedelta) -> None:
-        """Avoid the present relay for a time and wait with full jitter before the next one."""
+    def _fail_over(self, avoid: timedelta, *, silent: bool = True) -> None:
+        """Avoid the present relay for a time and wait with full jitter before the next one.
+
+        A relay that refuses at once is no sign of a fault, so the wait does not grow.
+        """
         now = self.clock.monotonic()
         self.avoided[self.relay] = now + avoid
         if self.without_relay_since is None:
             self.without_relay_since = now
         self.relay, self.trial, self.missed = None, None, 0
-        self.next_send = now + full_jitter(self.rng, self.failures)
-        self.failures += 1
+        self.next_send = now + full_jitter(self.rng, self.failures if silent else 0)
+        self.failures += silent
 
     def _ask_peers(self, now: timedelta) -> list[Send]:
         self.next_send = now + full_jitter(self.rng, self.failures, cap=self.limits.query_cap)
--- /dev/null
+++ b/test/relay/test_budget.py
@@ -0,0 +1,48 @@
+"""Bounds on control bytes and platform calls, from the targets of the design."""
+
+from datetime import timedelta
+
+from testtools import TestCase
+
+from bench import convergence
+from bench.fleet import Fleet
+from bench.meter import Meter
+
+NODES = 140
+ZONES = 2
+SECONDS = 40
+# A zone of 463 nodes has 7 relays, the busiest of which serves 83 nodes.
+BUSIEST_SHARE = 83
+ZONE_RELAYS = 7
+STATUS_WRITES = 0.2
+
+
+class BudgetTest(TestCase):
+    def test_bytes_and_calls_stay_within_the_targets(self):
+        """Guards against control traffic or platform calls that grow above the targets.
+
+        The figures of a relay are scaled from the nodes it serves here to the busiest share.
+        """
+        meter = Meter()
+        fleet = Fleet(seed=1, nodes=NODES, zones=ZONES, meter=meter)
+        self.assertIsNotNone(fleet.until(lambda: fleet.settled(1), timedelta(seconds=60)))
+        fleet.run(timedelta(seconds=45))
+        before = dict(fleet.pump.store.counts)
+        rest = convergence.rates(fleet, meter, lambda: None, SECONDS)
+        counts = fleet.pump.store.counts
+        writes = (counts["write"] - before["write"]) / SECONDS / len(fleet.relays)
+        reads = (counts["read"] - before["read"]) / SECONDS / len(fleet.relays)
+        self.assertLessEqual(writes * ZONE_RELAYS + STATUS_WRITES, convergence.ZONE_WRITES_TARGET)
+        self.assertLessEqual(reads, 0.5)
+        times = []
+        config = convergence.cost(
+            fleet, meter, rest, lambda: times.append(convergence.converge(fleet))
+        )
+        record = convergence.cost(fleet, meter, rest, lambda: convergence.change_record(fleet))
+        self.assertLessEqual(max(times), 1)
+        served = max(len(node.relay.subscribers) for node in fleet.relays)
+        measured = convergence.Measured(NODES, 0, 0, rest, config, record, 0, 0, served)
+        load = measured.at_full_load()
+        self.assertLessEqual(load.relay_bytes * BUSIEST_SHARE / served, convergence.BYTES_TARGET)
+        self.assertLessEqual(load.node_bytes, 500)
+        self.assertEqual(0, counts["refused"])
