Keep the platform call budget and publish outcomes within it

Cause: the daemon called the platform without a budget. With the budget wired in, the outcome of a finished move was never published: a publication takes 4 writes, a relay has 2 at once, and each repetition began anew. Ruled out: the verdict and the lease; the log showed the move done and the lease held. Change: call budgets for nodes and relays; the publisher skips objects that it knows to exist, so each repetition gets further; settings that had no effect are wired in, and those that must be equal on all nodes (heartbeat, lease life) are removed.

--- a/almondshore/daemon/journal.py
+++ b/almondshore/daemon/journal.py
@@ -1,5 +1,7 @@
 """Log events and gauges for what changes at a node."""
 
+from collections.abc import Mapping
+
 from almondshore.daemon.logs import log_event
 from almondshore.daemon.metrics import Metrics
 from almondshore.daemon.node import Node
@@ -8,9 +10,10 @@
 class Journal:
     """Compares the node with its last observed state and logs the differences."""
 
-    def __init__(self, *, node: Node, metrics: Metrics):
+    def __init__(self, *, node: Node, metrics: Metrics, transport_counts: Mapping[str, int]):
         self.node = node
         self.metrics = metrics
+        self.transport_counts = transport_counts
         self.version = 0
         self.is_relay = False
         self.ready = False
@@ -22,6 +25,10 @@
         self._observe_config()
         self._observe_role()
         self._observe_moves()
+        for name, value in self.transport_counts.items():
+            self.metrics.gauge(
+                "almondshore_transport_events", "Transport events since start", value, event=name
+            )
 
     def _observe_config(self) -> None:
         config = self.node.control.config
--- a/almondshore/daemon/node.py
+++ b/almondshore/daemon/node.py
@@ -42,10 +42,17 @@
         rng: random.Random,
         identity: Identity,
         platform: Platform,
+        claims_platform: Platform | None = None,
         seeds: Sequence[str] = (),
         limits: ControlLimits | None = None,
         max_tenants: int,
     ):
+        """Create a node that knows nothing yet.
+
+        :param platform: platform client for control, within the node's call budget
+        :param claims_platform: platform client for idempotency keys, whose claims have a budget
+            of their own; the same as ``platform`` by default
+        """
         self.clock = clock
         self.identity = identity
         self.table = MoveTable()
@@ -63,7 +70,7 @@
             clock=clock,
             node=identity.node,
             claims=make_claim_store(
-                platform=platform,
+                platform=claims_platform or platform,
                 clock=clock,
                 node=identity.node,
                 instance=f"{identity.node}-{identity.incarnation}",
--- a/almondshore/daemon/process.py
+++ b/almondshore/daemon/process.py
@@ -1,6 +1,7 @@
 """Adapters around a node: sockets, green threads, logs and metrics."""
 
 import random
+import socket
 from collections.abc import Callable
 from datetime import timedelta
 
@@ -18,7 +19,14 @@
 from almondshore.daemon.settings import Settings
 from almondshore.daemon.status import StatusWriter
 from almondshore.limits.admission import SlotQueue
+from almondshore.net.address import parse_address
 from almondshore.net.nng import NngTransport
+from almondshore.platform.budget import (
+    NODE_RATES,
+    RELAY_RATES,
+    BudgetedPlatform,
+    CallBudget,
+)
 from almondshore.platform.http import HttpPlatform
 from almondshore.proxy.caller import CallerApp, Finished
 from almondshore.proxy.gate import SlotGate
@@ -50,15 +58,20 @@
             max_tenants=settings.limits.tenants,
             constant={"node": settings.node, "zone": settings.zone},
         )
-        self.platform = HttpPlatform(
+        self.budget = CallBudget(clock=self.clock, **NODE_RATES._asdict())
+        self.http_platform = HttpPlatform(
             url=settings.platform.url, clock=self.clock, timeout=settings.platform.timeout
         )
+        self.platform = BudgetedPlatform(inner=self.http_platform, budget=self.budget)
+        self.is_relay = False
         self.node = self._make_node()
         self.transport = NngTransport(
             listen=settings.listen.control, zone=settings.zone, clock=self.clock
         )
         self.status = StatusWriter(clock=self.clock, platform=self.platform, node=self.node)
-        self.journal = Journal(node=self.node, metrics=self.metrics)
+        self.journal = Journal(
+            node=self.node, metrics=self.metrics, transport_counts=self.transport.counts
+        )
         self.pool = HopPool(
             max_hosts=MAX_HOSTS,
             connections_per_host=CONNECTIONS_PER_HOST,
@@ -80,6 +93,7 @@
 
     def run(self) -> None:
         """Serve until the node has been drained."""
+        eventlet.wsgi.MAX_TOTAL_HEADER_SIZE = self.settings.limits.max_header_bytes
         listen = self.settings.listen
         admin = AdminApp(
             clock=self.clock,
@@ -167,8 +181,9 @@
             rng=random.Random(),
             identity=identity,
             platform=self.platform,
+            claims_platform=self.http_platform,
             seeds=self.settings.peers,
-            limits=ControlLimits(nodes_per_slot=self.settings.relay.nodes_per_slot),
+            limits=ControlLimits(**self.settings.relay._asdict()),
             max_tenants=self.settings.limits.tenants,
         )
 
@@ -211,8 +226,9 @@
         )
 
     def _serve(self, address: str, app: Callable) -> None:
-        host, _, port = address.rpartition(":")
-        listener = eventlet.listen((host, int(port)))
+        host, port = parse_address(address)
+        family = socket.AF_INET6 if host.version == 6 else socket.AF_INET
+        listener = eventlet.listen((str(host), port), family)
         eventlet.spawn(
             eventlet.wsgi.server,
             listener,
@@ -250,12 +266,20 @@
 
     def _tick(self) -> None:
         self._send_all(self.node.tick())
+        self._set_budget()
         for endpoint in list(self.endpoints.values()):
             endpoint.gate.expire()
         for target in self.endpoints.keys() - self.node.control.local.targets.keys():
             del self.endpoints[target]
         self.journal.observe()
 
+    def _set_budget(self) -> None:
+        """Give a relay the platform calls that it needs, and take them back afterwards."""
+        is_relay = self.node.control.relay is not None
+        if is_relay != self.is_relay:
+            self.is_relay = is_relay
+            self.budget.set_rates(RELAY_RATES if is_relay else NODE_RATES)
+
     def _platform_step(self) -> None:
         self._send_all(self.node.platform_step())
         self.status.step()
--- a/almondshore/daemon/settings.py
+++ b/almondshore/daemon/settings.py
@@ -59,8 +59,6 @@
     """
 
     nodes_per_slot: int
-    lease_ttl: timedelta
-    lease_renew: timedelta
     backlog_deltas: int
     backlog_bytes: int
     snapshots_per_second: int
@@ -94,7 +92,6 @@
     platform: PlatformSettings
     peers: tuple[str, ...]
     relay: RelaySettings
-    heartbeat: timedelta
     limits: LimitSettings
     drain_timeout: timedelta
     log: LogSettings
@@ -111,10 +108,7 @@
     "platform.url": http_url(),
     "platform.timeout_ms": milliseconds(10, 60_000),
     "peers": addresses(),
-    "heartbeat_ms": milliseconds(100, 60_000),
     "relay.nodes_per_slot": integer(1, 10_000),
-    "relay.lease_ttl_ms": milliseconds(1000, 600_000),
-    "relay.lease_renew_ms": milliseconds(100, 300_000),
     "relay.backlog_deltas": integer(1, 10_000),
     "relay.backlog_bytes": integer(1024, 64 * 1024 * 1024),
     "relay.snapshots_per_second": integer(1, 10_000),
@@ -158,7 +152,6 @@
     if not any(item.code == "syntax" for item in findings.items):
         _check_missing({*values, *nodes}, findings)
     _check_listen(values, nodes, findings)
-    _check_lease(values, nodes, findings)
     if shipped or findings:
         raise InvalidInputError(shipped.sorted() + findings.sorted())
     return _build(values)
@@ -195,17 +188,6 @@
             add_finding(findings, node, "address-in-use", message)
 
 
-def _check_lease(
-    values: dict[str, Any], nodes: dict[str, yaml.Node], findings: FindingList
-) -> None:
-    """Find a renewal interval that lets a lease expire after one lost renewal."""
-    ttl, renew = values.get("relay.lease_ttl_ms"), values.get("relay.lease_renew_ms")
-    if ttl is not None and renew is not None and 2 * renew > ttl:
-        node = nodes.get("relay.lease_renew_ms") or nodes["relay.lease_ttl_ms"]
-        message = "relay.lease_renew_ms must be at most half of relay.lease_ttl_ms"
-        add_finding(findings, node, "out-of-range", message)
-
-
 def _build(values: dict[str, Any]) -> Settings:
     """Assemble checked values."""
 
@@ -225,7 +207,6 @@
         platform=PlatformSettings(**section("platform.")),
         peers=tuple(peer for peer in values["peers"] if peer != listen.control),
         relay=RelaySettings(**section("relay.")),
-        heartbeat=values["heartbeat_ms"],
         limits=LimitSettings(**section("limits.")),
         drain_timeout=values["drain_timeout_ms"],
         log=LogSettings(**section("log.")),
--- a/almondshore/relay/control.py
+++ b/almondshore/relay/control.py
@@ -24,6 +24,7 @@
 from almondshore.membership.prober import Prober
 from almondshore.membership.sync import DirectorySync
 from almondshore.platform.port import Platform
+from almondshore.relay.admission import SNAPSHOTS_PER_SECOND, SnapshotAdmission
 from almondshore.relay.candidacy import Candidacy
 from almondshore.relay.duty import NODES_PER_SLOT, RelayDuty
 from almondshore.relay.fanout import Relay, RelayLimits
@@ -31,6 +32,7 @@
 from almondshore.relay.source import ConfigSource
 from almondshore.relay.subscribers import MAX_SUBSCRIBERS
 from almondshore.relay.table import RelayTable
+from almondshore.versions.history import MAX_BYTES, MAX_DELTAS, DeltaHistory
 from almondshore.versions.publish import Publisher
 from almondshore.versions.sync import ConfigSync
 
@@ -56,12 +58,20 @@
 
 
 class ControlLimits(NamedTuple):
-    """Limits of the joined state machines."""
+    """Limits of the joined state machines.
+
+    :ivar backlog_deltas: configuration changes kept for a relay's subscribers
+    :ivar backlog_bytes: bound of the bytes of these changes
+    :ivar snapshots_per_second: snapshots that a relay sends at most
+    """
 
     selection: SelectionLimits = SelectionLimits()
     detector: DetectorLimits = DetectorLimits()
     relay: RelayLimits = RelayLimits()
     nodes_per_slot: int = NODES_PER_SLOT
+    backlog_deltas: int = MAX_DELTAS
+    backlog_bytes: int = MAX_BYTES
+    snapshots_per_second: float = SNAPSHOTS_PER_SECOND
 
 
 class ControlNode:
@@ -223,7 +233,16 @@
 
     def _make_membership(self) -> None:
         clock, who = self.clock, self.identity
-        self.config = ConfigSync(clock=clock, rng=self.rng, peers=self.peers)
+        limits = self.limits
+        self.config = ConfigSync(
+            clock=clock,
+            rng=self.rng,
+            peers=self.peers,
+            admission=SnapshotAdmission(
+                clock=clock, rng=self.rng, rate=limits.snapshots_per_second
+            ),
+            history=DeltaHistory(max_deltas=limits.backlog_deltas, max_bytes=limits.backlog_bytes),
+        )
         self.directory = Directory(clock=clock)
         self.local = LocalTargets(
             clock=clock, node=who.node, zone=who.zone, address=who.address, control=who.control
--- a/almondshore/versions/publish.py
+++ b/almondshore/versions/publish.py
@@ -20,6 +20,7 @@
 from almondshore.versions.config import DIGEST_BYTES, diff_parts, digest_parts
 
 HEAD_KEY = "config/head"
+MAX_STORED_KEYS = 256
 INLINE_DELTA_BYTES = 256 * 1024
 
 
@@ -68,10 +69,15 @@
 
 
 class Publisher:
-    """Reads and writes configuration versions in the platform."""
+    """Reads and writes configuration versions in the platform.
+
+    Objects that are known to exist are not written again, so that a publication which the call
+    budget interrupts gets further with each repetition.
+    """
 
     def __init__(self, *, platform: Platform):
         self.platform = platform
+        self.stored_keys: set[str] = set()
 
     def current(self) -> Result[Current, PlatformError]:
         """Read the head; an empty head with revision 0 if nothing was published yet."""
@@ -160,12 +166,16 @@
 
     def _create_shared(self, key: str, value: bytes) -> Result[None, PlatformError]:
         """Create an object whose key determines its content; one that exists is the same."""
-        result = self.platform.create(key, value, key)
-        if is_successful(result) or isinstance(result.failure(), Conflict):
+        if key in self.stored_keys:
             return Success(None)
-        if self._took_effect(result.failure(), key, key):
-            return Success(None)
-        return Failure(result.failure())
+        result = self.platform.create(key, value, key)
+        exists = is_successful(result) or isinstance(result.failure(), Conflict)
+        if not exists and not self._took_effect(result.failure(), key, key):
+            return Failure(result.failure())
+        if len(self.stored_keys) >= MAX_STORED_KEYS:
+            self.stored_keys.clear()
+        self.stored_keys.add(key)
+        return Success(None)
 
     def _took_effect(self, error: PlatformError, key: str, write_id: str) -> bool:
         """Return whether a write took effect although its response was lost."""
--- a/test/versions/test_publish.py
+++ b/test/versions/test_publish.py
@@ -1,11 +1,12 @@
 """Tests of publishing by conditional update."""
 
-from datetime import UTC, datetime
+from datetime import UTC, datetime, timedelta
 
 from returns.pipeline import is_successful
 from testtools import TestCase
 
 from almondshore.core.clock import ManualClock
+from almondshore.platform.budget import RELAY_RATES, BudgetedPlatform, CallBudget
 from almondshore.platform.port import Conflict
 from almondshore.versions.publish import Publisher
 from standins.memory_platform import MemoryPlatform
@@ -51,3 +52,32 @@
         base = self.publisher.current().unwrap()
         results = [self.publish(base, "first").unwrap().version for _ in range(2)]
         self.assertEqual([1, 1], results)
+
+
+class BudgetTest(TestCase):
+    def test_a_publication_completes_under_a_budget_smaller_than_its_writes(self):
+        """Guards against a move whose outcome is never published by a relay.
+
+        With two writes at once, repeating all four writes of a publication never ended.
+        """
+        clock = ManualClock()
+        budget = CallBudget(clock=clock, **RELAY_RATES._asdict())
+        inner = MemoryPlatform(store=ObjectStore(clock=clock))
+        publisher = Publisher(platform=BudgetedPlatform(inner=inner, budget=budget))
+        parts = {"service/a": b"x"}
+        for _ in range(4):
+            base = publisher.current()
+            if is_successful(base):
+                result = publisher.publish(
+                    base=base.unwrap(),
+                    base_parts={},
+                    parts=parts,
+                    rules=b"rules",
+                    author="node",
+                    reason="",
+                    at=clock.now(),
+                )
+                if is_successful(result):
+                    break
+            clock.advance(timedelta(seconds=1))
+        self.assertEqual(1, Publisher(platform=inner).current().unwrap().head.version)
