Add the benchmark of the request path

Cause: the decisions need figures beside plain ways: round robin, random and least requests, one FIFO queue, unbounded retries, a plain tenant table. Change: bench.requests runs a discrete-event model (6 targets of 10 slots in 3 zones, 6 hops, 50 ms service time, 1 s deadline, fixed seeds, ManualClock) around the decision code, a chain 7 deep, decision times and tenant floods.

--- /dev/null
+++ b/bench/request_costs.py
@@ -0,0 +1,189 @@
+"""Time of each decision on the request path, and memory of the tenant table."""
+
+import random
+import time
+import tracemalloc
+from collections.abc import Callable
+from datetime import timedelta
+from typing import NamedTuple
+
+from hdrh.histogram import HdrHistogram
+
+from almondshore.core.clock import ManualClock, SystemClock
+from almondshore.core.messages import TargetRecord, TargetState
+from almondshore.limits.admission import SlotQueue, SlotRequest
+from almondshore.limits.tenants import Allowed, TenantLimits
+from almondshore.retries.budget import RetryBudget
+from almondshore.retries.crash import CrashGuard, fingerprint
+from almondshore.retries.outcome import Reason, make_failure
+from almondshore.retries.policy import Attempt, RetryPolicy
+from almondshore.routing.choice import ResultKind, TargetChooser, TargetResult
+from almondshore.routing.outlier import OutlierEjector
+from almondshore.routing.table import RouteTable
+from almondshore.rules.model import RequestClass, RoutePart, ServicePart
+
+SERVICES = 2600
+ROUTES_PER_SERVICE = 5
+SAMPLES = 20_000
+FLOOD = 200_000
+
+
+class Cost(NamedTuple):
+    """Time of one decision in microseconds."""
+
+    name: str
+    mean_us: float
+    p99_us: float
+
+
+def _measure(name: str, action: Callable[[int], object]) -> Cost:
+    histogram = HdrHistogram(1, 1_000_000_000, 3)
+    for number in range(SAMPLES):
+        begin = time.perf_counter_ns()
+        action(number)
+        histogram.record_value(max(1, time.perf_counter_ns() - begin))
+    p99_ns = histogram.get_value_at_percentile(99)
+    return Cost(name, histogram.get_mean_value() / 1000, p99_ns / 1000)
+
+
+def _route(path: str) -> RoutePart:
+    return RoutePart(
+        methods=["GET"], path=path, request_class="routine", once=False, timeout_ms=1000
+    )
+
+
+def _table() -> Callable[[int], object]:
+    parts = [
+        ServicePart(
+            name=f"s{n}",
+            version="v1",
+            routes=[_route(f"/s{n}/r{r}/*") for r in range(ROUTES_PER_SERVICE)],
+            move=None,
+            allowed={},
+        )
+        for n in range(SERVICES)
+    ]
+    table = RouteTable(parts)
+    return lambda number: table.match("GET", f"/s{number % SERVICES}/r3/schedule/{number}")
+
+
+def _choice(targets: int) -> Callable[[int], object]:
+    clock = SystemClock()
+    ejector = OutlierEjector(clock=clock)
+    chooser = TargetChooser(clock=clock, rng=random.Random(1), zone="z0", ejector=ejector)
+    chooser.update(
+        "s",
+        [
+            TargetRecord(f"t{n}", f"t{n}", "s", "v1", "", f"z{n % 4}", 10, 1, TargetState.UP)
+            for n in range(targets)
+        ],
+    )
+
+    def action(number: int) -> None:
+        target = chooser.choose("s", {"v1": 0.95, "v2": 0.05}).target
+        chooser.started(target)
+        chooser.finished(target, TargetResult(ResultKind.OK, number % 10, 0))
+
+    return action
+
+
+def _admission() -> Callable[[int], object]:
+    """Offer and release at a queue that is always full."""
+    clock = SystemClock()
+    queue = SlotQueue(clock=clock, slots=10)
+    classes = list(RequestClass)
+
+    def action(number: int) -> None:
+        deadline = clock.monotonic() + timedelta(seconds=60)
+        queue.offer(SlotRequest(f"r{number}", classes[number % 3], deadline))
+        if queue.queued >= queue.queue_limit:
+            queue.release(next(iter(queue.running)))
+
+    return action
+
+
+def _retry() -> Callable[[int], object]:
+    clock = SystemClock()
+    policy = RetryPolicy(clock=clock, rng=random.Random(1), budget=RetryBudget(clock=clock))
+    failure = make_failure(Reason.OVERLOADED)
+
+    def action(number: int) -> None:
+        policy.first("s")
+        deadline = clock.monotonic() + timedelta(seconds=60)
+        policy.decide(Attempt("s", failure, 0, True, True, deadline))
+
+    return action
+
+
+def decision_costs() -> list[Cost]:
+    """Measure each decision that a request meets on its way."""
+    tenants = TenantLimits(clock=SystemClock())
+    guard = CrashGuard(clock=SystemClock())
+    return [
+        _measure("route look-up, 13,000 routes", _table()),
+        _measure("tenant limit", lambda number: tenants.take(f"tenant-{number % 500}")),
+        _measure("crash check", lambda n: guard.check(fingerprint("GET", "/x", "t", b"%d" % n))),
+        _measure("choice among 8 targets", _choice(8)),
+        _measure("choice among 200 targets", _choice(200)),
+        _measure("admission, full queue", _admission()),
+        _measure("retry decision", _retry()),
+    ]
+
+
+class PlainTenants:
+    """Baseline: a token bucket for each name ever seen."""
+
+    def __init__(self, clock: ManualClock):
+        self.clock = clock
+        self.buckets: dict[str, tuple[float, float]] = {}
+
+    def take(self, tenant: str) -> bool:
+        """Count a request."""
+        now_s = self.clock.monotonic().total_seconds()
+        tokens, at = self.buckets.get(tenant, (200.0, now_s))
+        tokens = min(200.0, tokens + (now_s - at) * 100.0)
+        self.buckets[tenant] = (max(0.0, tokens - 1.0), now_s)
+        return tokens >= 1.0
+
+
+class FloodResult(NamedTuple):
+    """A tenant table after a flood of made-up names.
+
+    :ivar refused_known: refusals of 100 tenants that were there before the flood
+    :ivar refused_new: refusals of 100 tenants that come during the flood
+    """
+
+    megabytes: float
+    identities: int
+    refused_known: int
+    refused_new: int
+    mean_us: float
+
+
+def flood(bounded: bool, gap: timedelta) -> FloodResult:
+    """Send one request under each of 200,000 made-up names, one in each gap."""
+    clock = ManualClock()
+    refused = {"known": 0, "new": 0}
+    tracemalloc.start()
+    table = TenantLimits(clock=clock) if bounded else PlainTenants(clock)
+
+    def take(name: str) -> bool:
+        answer = table.take(name)
+        return isinstance(answer, Allowed) if bounded else answer
+
+    for number in range(100):
+        take(f"known-{number}")
+    for number in range(FLOOD):
+        clock.advance(gap)
+        take(f"made-up-{number}")
+        if number % (FLOOD // 100) == 0:
+            refused["known"] += not take(f"known-{number * 100 // FLOOD}")
+            refused["new"] += not take(f"new-{number}")
+    megabytes = tracemalloc.get_traced_memory()[0] / 1e6
+    tracemalloc.stop()
+    begin = time.perf_counter_ns()
+    for number in range(SAMPLES):
+        take(f"late-{number}")
+    mean_us = (time.perf_counter_ns() - begin) / 1000 / SAMPLES
+    identities = len(table.others if bounded else table.buckets)
+    return FloodResult(megabytes, identities, refused["known"], refused["new"], mean_us)
--- /dev/null
+++ b/bench/request_model.py
@@ -0,0 +1,263 @@
+"""Discrete-event model of one service: callers' hops, targets with slots, zones and failures."""
+
+import heapq
+import random
+from collections import Counter
+from collections.abc import Callable
+from datetime import timedelta
+from typing import NamedTuple
+
+from hdrh.histogram import HdrHistogram
+
+from almondshore.core.clock import ManualClock
+from almondshore.core.messages import TargetRecord, TargetState
+from almondshore.limits.admission import Admitted, Queued, SlotQueue, SlotRequest
+from almondshore.retries.outcome import Reason
+from almondshore.routing.choice import ResultKind, TargetResult
+from almondshore.rules.model import RequestClass
+
+ZONES = ("z1", "z2", "z3")
+TARGETS_PER_ZONE = 2
+SLOTS = 10
+SERVICE_MS = 50.0
+# One way, within a zone and between zones.
+NEAR_MS, FAR_MS = 0.2, 1.0
+# A host that is gone answers nothing; the connection attempt ends after this time.
+CONNECT_TIMEOUT_MS = 250.0
+# Suspicion after 6 s, confirmation, and the delta to all nodes.
+DEATH_KNOWN_MS = 8000.0
+TIMEOUT_MS = 1000.0
+MIX = {RequestClass.URGENT: 0.3, RequestClass.INTERNAL: 0.1, RequestClass.ROUTINE: 0.6}
+CAPACITY_PER_S = len(ZONES) * TARGETS_PER_ZONE * SLOTS * 1000.0 / SERVICE_MS
+
+
+class Scenario(NamedTuple):
+    """What the model is exposed to; times in milliseconds.
+
+    :ivar load: offered requests as a multiple of the capacity
+    :ivar slow_factor: service time of the first target as a multiple of the others'
+    :ivar lost_zone_at_ms: when all targets of the first zone die, None for never
+    :ivar failing_ms: period in which each target ends every run with a lost connection
+    """
+
+    name: str
+    load: float
+    duration_ms: float = 8000.0
+    slow_factor: float = 1.0
+    lost_zone_at_ms: float | None = None
+    failing_ms: tuple[float, float] = (0.0, 0.0)
+
+
+class Call:
+    """A request of a caller and what became of it."""
+
+    __slots__ = ("name", "request_class", "hop", "sent_ms", "deadline_ms", "tried", "done")
+
+    def __init__(self, name: str, request_class: RequestClass, hop: int, sent_ms: float):
+        self.name = name
+        self.request_class = request_class
+        self.hop = hop
+        self.sent_ms = sent_ms
+        self.deadline_ms = sent_ms + TIMEOUT_MS
+        self.tried: list[str] = []
+        self.done = False
+
+
+class Parts(NamedTuple):
+    """The decision code under test; factories are called with the model.
+
+    :ivar chooser: for each hop 1, with ``choose(call)``, ``started``, ``finished``, ``update``
+    :ivar queue: for each target, with ``offer`` and ``release`` as ``SlotQueue`` has them
+    :ivar retry: for each hop 1, with ``first()`` and ``decide(call, reason)``, which returns the
+        delay of a retry in milliseconds or None
+    """
+
+    name: str
+    chooser: Callable
+    queue: Callable
+    retry: Callable
+
+
+class Totals:
+    """Counts and latencies of a run."""
+
+    def __init__(self) -> None:
+        self.offered: Counter = Counter()
+        self.good: Counter = Counter()
+        self.attempts = 0
+        self.retries = 0
+        self.latency_us = {name: HdrHistogram(1, 60_000_000, 3) for name in MIX}
+
+    def p99_ms(self, request_class: RequestClass) -> float:
+        """Return the 99th percentile of the latency of good responses."""
+        return self.latency_us[request_class].get_value_at_percentile(99) / 1000
+
+
+class Target:
+    """A target and the queue of the node beside it."""
+
+    def __init__(self, record: TargetRecord, queue, factor: float):
+        self.record = record
+        self.queue = queue
+        self.factor = factor
+        self.alive = True
+        self.calls: dict[str, Call] = {}
+
+
+class Model:
+    """Runs one scenario with one set of parts under a manual clock and a fixed seed."""
+
+    def __init__(self, scenario: Scenario, parts: Parts, seed: int = 7):
+        self.scenario = scenario
+        # Arrivals have a generator of their own, so that all parts get the same requests.
+        self.arrivals = random.Random(seed)
+        self.rng = random.Random(seed + 1)
+        self.clock = ManualClock()
+        self.now_ms = 0.0
+        self.events: list = []
+        self.sequence = 0
+        self.totals = Totals()
+        self.targets: dict[str, Target] = {}
+        for zone in ZONES:
+            for index in range(TARGETS_PER_ZONE):
+                name = f"{zone}-{index}"
+                record = TargetRecord(name, name, "s", "v1", "", zone, SLOTS, 1, TargetState.UP)
+                factor = scenario.slow_factor if not self.targets else 1.0
+                self.targets[name] = Target(record, parts.queue(self), factor)
+        self.choosers = [parts.chooser(self, zone) for zone in ZONES for _ in range(2)]
+        self.retries = [parts.retry(self) for _ in self.choosers]
+        self._tell_targets()
+
+    def run(self) -> Totals:
+        """Run the scenario to its end and return the totals."""
+        self.at(0.0, self._arrive, 0)
+        if self.scenario.lost_zone_at_ms is not None:
+            self.at(self.scenario.lost_zone_at_ms, self._lose_zone)
+            self.at(self.scenario.lost_zone_at_ms + DEATH_KNOWN_MS, self._tell_targets)
+        while self.events:
+            at_ms, _, action, arguments = heapq.heappop(self.events)
+            if at_ms > self.now_ms:
+                self.clock.advance(timedelta(milliseconds=at_ms - self.now_ms))
+                self.now_ms = at_ms
+            action(*arguments)
+        return self.totals
+
+    def at(self, at_ms: float, action: Callable, *arguments) -> None:
+        """Schedule an action."""
+        self.sequence += 1
+        heapq.heappush(self.events, (at_ms, self.sequence, action, arguments))
+
+    def _tell_targets(self) -> None:
+        records = [target.record for target in self.targets.values() if target.alive]
+        for chooser in self.choosers:
+            chooser.update("s", records)
+
+    def _lose_zone(self) -> None:
+        for target in self.targets.values():
+            if target.record.zone == ZONES[0]:
+                target.alive = False
+                for call in target.calls.values():
+                    self.at(self.now_ms + 1.0, self._failed, call, target, Reason.TARGET_LOST)
+                target.calls = {}
+
+    def _arrive(self, number: int) -> None:
+        request_class = self.arrivals.choices(list(MIX), list(MIX.values()))[0]
+        hop = self.arrivals.randrange(len(self.choosers))
+        call = Call(f"c{number}", request_class, hop, self.now_ms)
+        self.totals.offered[request_class] += 1
+        self.retries[hop].first()
+        self._send(call)
+        gap_ms = self.arrivals.expovariate(self.scenario.load * CAPACITY_PER_S / 1000.0)
+        if self.now_ms + gap_ms < self.scenario.duration_ms:
+            self.at(self.now_ms + gap_ms, self._arrive, number + 1)
+
+    def _send(self, call: Call) -> None:
+        record = self.choosers[call.hop].choose(call)
+        if record is None:
+            call.done = True
+            return
+        target = self.targets[record.target]
+        self.totals.attempts += 1
+        call.tried.append(record.target)
+        self.choosers[call.hop].started(record.target)
+        if not target.alive:
+            self.at(
+                self.now_ms + CONNECT_TIMEOUT_MS, self._failed, call, target, Reason.HOP_UNREACHABLE
+            )
+            return
+        self.at(self.now_ms + self._way_ms(call, target), self._offer, call, target)
+
+    def _way_ms(self, call: Call, target: Target) -> float:
+        return NEAR_MS if ZONES[call.hop // 2] == target.record.zone else FAR_MS
+
+    def _offer(self, call: Call, target: Target) -> None:
+        if not target.alive:
+            self._failed(call, target, Reason.HOP_UNREACHABLE)
+            return
+        name = f"{call.name}/{len(call.tried)}"
+        deadline = timedelta(milliseconds=call.deadline_ms)
+        request = SlotRequest(name, call.request_class, deadline)
+        target.calls[name] = call
+        answer = target.queue.offer(request)
+        if isinstance(answer, Admitted):
+            self._start(name, target)
+        elif isinstance(answer, Queued):
+            for item in answer.shed:
+                self._refuse(item.request.request_id, target)
+        else:
+            self._refuse(name, target)
+
+    def _refuse(self, name: str, target: Target) -> None:
+        call = target.calls.pop(name)
+        self.at(
+            self.now_ms + self._way_ms(call, target), self._failed, call, target, Reason.OVERLOADED
+        )
+
+    def _start(self, name: str, target: Target) -> None:
+        took_ms = self.rng.gammavariate(4.0, SERVICE_MS / 4.0) * target.factor
+        begin, end = self.scenario.failing_ms
+        if begin <= self.now_ms < end:
+            took_ms /= 10.0
+        self.at(self.now_ms + took_ms, self._end, name, target, begin <= self.now_ms < end)
+
+    def _end(self, name: str, target: Target, failed: bool) -> None:
+        if not target.alive:
+            return
+        call = target.calls.pop(name)
+        turn = target.queue.release(name)
+        for item in turn.shed:
+            self._refuse(item.request.request_id, target)
+        for request in turn.run:
+            self._start(request.request_id, target)
+        way_ms = self._way_ms(call, target)
+        if failed:
+            self.at(self.now_ms + way_ms, self._failed, call, target, Reason.TARGET_LOST)
+        else:
+            load = (len(target.queue.running), target.queue.queued)
+            self.at(self.now_ms + way_ms, self._answered, call, target, load)
+
+    def _answered(self, call: Call, target: Target, load: tuple[int, int]) -> None:
+        result = TargetResult(ResultKind.OK, *load)
+        self.choosers[call.hop].finished(target.record.target, result)
+        if not call.done and self.now_ms <= call.deadline_ms:
+            self.totals.good[call.request_class] += 1
+            latency_us = round((self.now_ms - call.sent_ms) * 1000)
+            self.totals.latency_us[call.request_class].record_value(max(1, latency_us))
+        call.done = True
+
+    def _failed(self, call: Call, target: Target, reason: Reason) -> None:
+        refused = reason is Reason.OVERLOADED
+        kind = ResultKind.REFUSED if refused else ResultKind.FAILED
+        load = (len(target.queue.running), target.queue.queued) if refused else (None, None)
+        self.choosers[call.hop].finished(target.record.target, TargetResult(kind, *load))
+        delay_ms = self.retries[call.hop].decide(call, reason)
+        if delay_ms is None:
+            call.done = True
+            return
+        self.totals.retries += 1
+        self.at(self.now_ms + delay_ms, self._send, call)
+
+
+def make_slot_queue(model: Model) -> SlotQueue:
+    """Return the queue under test."""
+    return SlotQueue(clock=model.clock, slots=SLOTS)
