Check an owner's standing again after waiting for the platform

Cause: in an outage a claim ends by its timeout; meanwhile other nodes may have declared the owner dead and taken over its keys. A mass ejection also made each failed request scan all ejected targets of the node. Change: the standing is looked up again before a run without a claim; the ejection floor scans the group only; a handover compares two nodes before it ranks all. Tests for both and for lowered concurrency; the benchmark times the idempotency claim. Figures: with the second look-up disabled on a scratch copy node_declared_dead_while_it_waits fails; with concurrency ignored lowered_concurrency fails. Conclusion: an owner that was cut off runs nothing new.

--- a/almondshore/retries/once.py
+++ b/almondshore/retries/once.py
@@ -11,6 +11,7 @@
 from enum import StrEnum
 from typing import NamedTuple
 
+from almondshore.core import rendezvous
 from almondshore.core.clock import Clock
 from almondshore.retries.claims import ClaimResult, ClaimStore
 from almondshore.retries.outcome import Failure, Outcome, Reason, make_failure
@@ -232,6 +233,7 @@
         ownership = self.ownership
         if node not in ownership.members:
             return None
+        pair = (ownership.node, node)
         now = self.clock.monotonic()
         records = [
             HandedRecord(
@@ -241,7 +243,8 @@
                 (record.expires - now).total_seconds(),
             )
             for key, record in self.records.items()
-            if ownership.owner(key) == node
+            # Most records fail the first, cheaper comparison.
+            if rendezvous.choose(key, pair) == node and ownership.owner(key) == node
         ]
         age_s = ownership.age().total_seconds()
         return Handover(ownership.node, age_s, records, ownership.departures())
@@ -299,17 +302,21 @@
         if result is ClaimResult.WON:
             if standing is Standing.CERTAIN or self._former_owners_clear(key):
                 return None
-        elif standing is Standing.CERTAIN and self._may_run_unclaimed(result):
+        elif self._may_run_unclaimed(key, result):
             self.unclaimed[key] = None
             return None
         return make_failure(Reason.KEY_UNPROVEN, retry_after=UNPROVEN_RETRY_AFTER)
 
-    def _may_run_unclaimed(self, result: ClaimResult) -> bool:
+    def _may_run_unclaimed(self, key: str, result: ClaimResult) -> bool:
         """Tell whether the record alone is enough to run.
 
+        The standing is looked up again, since waiting for the platform may have taken so long
+        that other nodes have declared this one dead.
         With the platform up, the marker has to warn later owners first. In an outage they know
         of the outage themselves; a platform that only this node cannot reach is not an outage.
         """
+        if self.ownership.standing(key) is not Standing.CERTAIN:
+            return False
         if result is ClaimResult.OVER_BUDGET and self.ownership.up_since is not None:
             return self.marker is True or self._mark(True)
         return self.ownership.up_since is None
--- a/almondshore/routing/outlier.py
+++ b/almondshore/routing/outlier.py
@@ -146,13 +146,12 @@
 
     def _ejected_of(self, group: str, now_s: float) -> list[str]:
         members = self.groups.get(group, frozenset())
-        return [
-            name for name in list(self.ejected) if name in members and self.is_ejected(name, now_s)
-        ]
+        return [name for name in members if self.is_ejected(name, now_s)]
 
     def _restore_floor(self, group: str) -> None:
         """Return the targets that were ejected longest ago if the group has shrunk."""
         now_s = self.clock.monotonic().total_seconds()
-        ejected = sorted(self._ejected_of(group, now_s), key=self.ejected.__getitem__)
+        ejected = self._ejected_of(group, now_s)
+        ejected.sort(key=lambda name: (self.ejected[name], name))
         for target in ejected[: max(0, len(ejected) - self._allowed(group))]:
             self._return(target)
--- a/bench/request_costs.py
+++ b/bench/request_costs.py
@@ -14,18 +14,24 @@
 from almondshore.limits.admission import SlotQueue, SlotRequest
 from almondshore.limits.tenants import Allowed, TenantLimits
 from almondshore.retries.budget import RetryBudget
+from almondshore.retries.claims import ClaimBudget, ClaimStore
 from almondshore.retries.crash import CrashGuard, fingerprint
+from almondshore.retries.once import OnceRecords, key_hash
 from almondshore.retries.outcome import Reason, make_failure
+from almondshore.retries.ownership import Ownership
 from almondshore.retries.policy import Attempt, RetryPolicy
 from almondshore.routing.choice import ResultKind, TargetChooser, TargetResult
 from almondshore.routing.outlier import OutlierEjector
 from almondshore.routing.table import RouteTable
 from almondshore.rules.model import RequestClass, RoutePart, ServicePart
+from standins.memory_platform import MemoryPlatform
+from standins.object_store import ObjectStore
 
 SERVICES = 2600
 ROUTES_PER_SERVICE = 5
 SAMPLES = 20_000
 FLOOD = 200_000
+DAY = timedelta(days=1)
 
 
 class Cost(NamedTuple):
@@ -115,6 +121,23 @@
     return action
 
 
+def _claim(nodes: int) -> Callable[[int], object]:
+    """Claim a key at its owner; the platform answers at once, in memory."""
+    clock = SystemClock()
+    ownership = Ownership(clock=clock, node="n0", warm_up=timedelta(), contact_max_age=DAY)
+    ownership.update(f"n{number}" for number in range(nodes))
+    platform = MemoryPlatform(store=ObjectStore(clock=clock, writes_per_second=10**9))
+    budget = ClaimBudget(clock=clock, rate=1e9, burst=1e9)
+    claims = ClaimStore(platform=platform, clock=clock, node="n0", instance="i", budget=budget)
+    records = OnceRecords(clock=clock, claims=claims, ownership=ownership)
+
+    def action(number: int) -> None:
+        key = key_hash("s", "tenant", str(number))
+        records.claim(key, number, clock.monotonic() + timedelta(seconds=2))
+
+    return action
+
+
 def decision_costs() -> list[Cost]:
     """Measure each decision that a request meets on its way."""
     tenants = TenantLimits(clock=SystemClock())
@@ -127,6 +150,7 @@
         _measure("choice among 200 targets", _choice(200)),
         _measure("admission, full queue", _admission()),
         _measure("retry decision", _retry()),
+        _measure("idempotency claim, 8 nodes, without the platform's time", _claim(8)),
     ]
 
 
--- a/test/limits/test_admission.py
+++ b/test/limits/test_admission.py
@@ -16,6 +16,7 @@
     SlotQueue,
     SlotRequest,
 )
+from almondshore.limits.concurrency import AdaptiveConcurrency
 from almondshore.rules.model import RequestClass
 
 URGENT, INTERNAL, ROUTINE = RequestClass.URGENT, RequestClass.INTERNAL, RequestClass.ROUTINE
@@ -103,6 +104,14 @@
             self.assertIsInstance(bed.offer(INTERNAL), Admitted)
             self.assertEqual((), bed.finish(f"r{bed.count}").run)
 
+    def test_lowered_concurrency_leaves_slots_unused(self):
+        """Guards against a saturated target that is given all its slots regardless."""
+        concurrency = AdaptiveConcurrency(slots=10)
+        concurrency.current = 4.9
+        bed = Bed(concurrency=concurrency, reserved_internal=0)
+        answers = [type(bed.offer(URGENT)) for _ in range(6)]
+        self.assertEqual([Admitted] * 4 + [Queued] * 2, answers)
+
     def test_full_queue_sheds_the_lowest_class_first(self):
         """Guards against fault reads being refused while routine checks wait."""
         bed = Bed(slots=2, queue_limit=4)
--- a/test/retries/test_once.py
+++ b/test/retries/test_once.py
@@ -133,6 +133,20 @@
         self.fleet.clock.advance(seconds(6))
         self.assertEqual(Reason.KEY_UNPROVEN, reason(self.fleet.send(self.key)))
 
+    def test_node_declared_dead_while_it_waits_for_the_platform_runs_nothing(self):
+        """Guards against a second owner in an outage whose calls end only by their timeout."""
+        self.fleet.store.fault = Fault.DOWN
+        self.fleet.advance(1)
+        store = self.fleet.nodes["b"].claims.platform
+        create = store.create
+
+        def slow_create(*arguments):
+            self.fleet.clock.advance(seconds(6))
+            return create(*arguments)
+
+        store.create = slow_create
+        self.assertEqual(Reason.KEY_UNPROVEN, reason(self.fleet.send(self.key)))
+
     def test_kept_responses_are_bounded(self):
         """Guards against replays filling the 128 MB of a node; the keys stay known."""
         records = self.fleet.nodes["b"].records
