--- a/almondshore/moves/coordinator.py
+++ b/almondshore/moves/coordinator.py
@@ -11,33 +11,42 @@
 
 from almondshore.core.clock import Clock
 from almondshore.core.messages import Evidence, EvidenceRow, MoveStep, Veto
+from almondshore.moves.controls import SlotsInUse
 from almondshore.moves.evidence import (
     BUCKET_BOUNDS_MS,
     COORDINATOR_GRACE,
     EvidenceAggregator,
 )
 from almondshore.moves.outcome import OutcomePublisher
-from almondshore.moves.plan import FINAL_STEP, Capacity, Gathered, plan_of
+from almondshore.moves.plan import FINAL_STEP, Capacity, Gathered, plan_of, target_count
 from almondshore.moves.record import Backoff, Fenced, MoveRecord, RecordStore
 from almondshore.moves.state import MoveTable
 from almondshore.moves.verdict import COORDINATOR_SHARE, FALSE_POSITIVE_RATE, MoveVerdict
-from almondshore.moves.veto import decode_veto, encode_veto, make_veto, veto_key
-from almondshore.platform.port import Conflict, NotFound, Platform
+from almondshore.moves.veto import make_veto, read_veto, save_veto
+from almondshore.platform.port import NotFound, Platform
 from almondshore.rules.model import MoveState, ServicePart
 
-# Caches of a new version fill up; its latencies count only after this time.
+# Caches of a new version fill up; its latencies count only after this time. With a fifth of a short
+# move as the limit, a version that was cold for 25 s was reverted in a move of 120 s.
 WARM_UP = timedelta(seconds=30)
-WARM_UP_SHARE = 0.2
+WARM_UP_SHARE = 0.3
+# A move taken over at this step has been warm for long.
+WARM_STEP = 3
 # Weight of one window in the moving average of the demand.
 DEMAND_DECAY = 0.2
 ROUTE_TRAFFIC_SHARE = 0.01
 
 
 class Fleet(NamedTuple):
-    """Live slots of both versions of a service, as the directory shows them."""
+    """Live targets of both versions of a service, as the directory shows them.
+
+    :ivar new_targets: without the counts of targets, latencies are not compared
+    """
 
     new_slots: int
     old_slots: int
+    new_targets: int = 0
+    old_targets: int = 0
 
 
 class Status(StrEnum):
@@ -133,7 +142,7 @@
         if self.record is None:
             messages += self._take_over()
         if self.record is not None:
-            messages += self._judge() + self._advance(fleet)
+            messages += self._judge(fleet) + self._advance(fleet)
             self._save()
         return [] if self.fenced else messages
 
@@ -176,9 +185,11 @@
             return []
         self.backoff.note(not is_successful(result))
         self.record = self._continued(found)
+        self.verdict = self._verdict()
+        if self.record.step >= WARM_STEP:
+            self.first_seen = self.clock.monotonic() - WARM_UP
         self._learn_veto()
-        if self.record.state != self.part["move"]["state"]:
-            self.unpublished = MoveState(self.record.state)
+        self._note_outcome()
         self._write()
         return [] if self.fenced else [self._message()]
 
@@ -200,18 +211,23 @@
 
     def _learn_veto(self) -> None:
         """Take the veto that the platform holds, if every node that knew it was restarted."""
-        stored = self.platform.get(veto_key(self.part["name"], self.part["move"]["to_version"]))
-        if is_successful(stored):
-            self.table.add_veto(decode_veto(stored.unwrap().value))
+        veto = read_veto(self.platform, self.part["name"], self.part["move"]["to_version"])
+        if veto is not None:
+            self.table.add_veto(veto)
 
-    def _judge(self) -> list[Veto]:
+    def _judge(self, fleet: Fleet) -> list[Veto]:
         """Evaluate the windows that have closed; return a veto if the version is condemned."""
         if self.record.state == MoveState.REVERTED.value:
             return []
         verdict = self.verdict = self.verdict or self._verdict()
         for evidence in self.aggregator.tick():
             self._note_demand(evidence.rows)
-            verdict.observe(evidence.window, evidence.rows, warm=self._is_warm(evidence.rows))
+            verdict.observe(
+                evidence.window,
+                evidence.rows,
+                slots=self._slots(fleet),
+                warm=self._is_warm(evidence.rows),
+            )
         messages = []
         if verdict.condemned is not None and self._veto() is None:
             veto = make_veto(
@@ -234,13 +250,15 @@
     def _verdict(self) -> MoveVerdict:
         """Return a new verdict; the n-th coordinator of a move gets 1/(n(n+1)) of the rate."""
         move, number = self.part["move"], max(self.record.coordinators, 1)
-        return MoveVerdict(
+        verdict = MoveVerdict(
             service=self.part["name"],
             old=move["from_version"],
             new=move["to_version"],
             routes=len(self.part["routes"]),
             alpha=FALSE_POSITIVE_RATE * COORDINATOR_SHARE / (number * (number + 1)),
         )
+        verdict.add_baseline(self.record.baseline)
+        return verdict
 
     def _roll_back(self, veto: Veto) -> None:
         condemned = self.verdict.condemned if self.verdict else None
@@ -256,7 +274,7 @@
         self.record = self.record._replace(
             state=state.value, reason=reason, route=route, evidence=evidence, at=self.clock.now()
         )
-        self.unpublished = state
+        self._note_outcome()
         self._write()
 
     def _advance(self, fleet: Fleet) -> list[MoveStep]:
@@ -277,7 +295,8 @@
         self.blocked = decision.reason
         if not decision.allowed:
             return []
-        self.record = record._replace(step=record.step + 1, at=now)
+        baseline = self.verdict.baseline()
+        self.record = record._replace(step=record.step + 1, at=now, baseline=baseline)
         self.seen_at_step = self._new_requests()
         self._write()
         return [] if self.fenced else [self._message()]
@@ -297,8 +316,15 @@
             self.fenced = True
         elif not failed and result.unwrap() is not None:
             self.record = result.unwrap()
+            self._note_outcome()
         self.backoff.note(failed)
 
+    def _note_outcome(self) -> None:
+        """Publish the recorded outcome if the configuration does not have it."""
+        state = self.record.state
+        if state != MoveState.ACTIVE.value and state != self.part["move"]["state"]:
+            self.unpublished = MoveState(state)
+
     def _save(self) -> None:
         """Repeat what the platform has not confirmed: record, veto, configuration version."""
         if self.fenced or not self.backoff.is_due():
@@ -306,11 +332,8 @@
         if self.store.pending is not None:
             self._note(self.store.flush())
         if self.unsaved_veto is not None and self.store.pending is None:
-            veto = self.unsaved_veto
-            key = veto_key(veto.service, veto.version)
-            result = self.platform.create(key, encode_veto(veto), f"{veto.origin}-{veto.at}")
-            if is_successful(result) or isinstance(result.failure(), Conflict):
-                self.unsaved_veto = None
+            saved = save_veto(self.platform, self.unsaved_veto)
+            self.unsaved_veto = None if saved else self.unsaved_veto
         if self.unpublished is not None and self.store.pending is None and not self.fenced:
             record = self.record
             result = self.publisher.publish(
@@ -340,6 +363,15 @@
         warm_up = min(WARM_UP, duration * WARM_UP_SHARE)
         return self.first_seen is not None and now >= self.first_seen + warm_up
 
+    def _slots(self, fleet: Fleet) -> SlotsInUse | None:
+        """Return the slots among which requests are spread, as the chooser limits them."""
+        if not fleet.new_targets or not fleet.old_targets:
+            return None
+        share = self.table.share(self.part)
+        used = target_count(share, fleet.new_targets, fleet.old_targets)
+        new = fleet.new_slots * used // fleet.new_targets
+        return SlotsInUse(new, fleet.old_slots)
+
     def _note_demand(self, rows: Iterable[EvidenceRow]) -> None:
         """Estimate the slots in use from rate and latency (Little's law)."""
         in_use = sum(_in_use(row) for row in rows if row.service == self.part["name"])
