--- a/almondshore/retries/once.py
+++ b/almondshore/retries/once.py
@@ -6,7 +6,7 @@
 """
 
 import hashlib
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from datetime import timedelta
 from enum import StrEnum
 from typing import NamedTuple
@@ -18,9 +18,12 @@
 from almondshore.retries.ownership import Departure, Ownership, Standing
 
 KEY_BYTES = 16
-MAX_RECORDS = 100_000
+# A day of claims at one a second, 86,400, must fit.
+MAX_RECORDS = 90_000
 MAX_BODY_BYTES = 64 * 1024
-MAX_KEPT_BYTES = 16 * 1024 * 1024
+MAX_KEPT_BYTES = 8 * 1024 * 1024
+# Counted for each kept response beside its body and headers, so that empty ones are bounded too.
+RESPONSE_OVERHEAD_BYTES = 200
 # Time after a request's deadline in which its holder may still report how it ended.
 REPORT_GRACE = timedelta(seconds=5)
 UNPROVEN_RETRY_AFTER = timedelta(seconds=5)
@@ -110,6 +113,11 @@
     return hashlib.blake2b(text, digest_size=KEY_BYTES).hexdigest()
 
 
+def _size(response: StoredResponse) -> int:
+    headers = sum(len(name) + len(value) for name, value in response.headers)
+    return len(response.body) + headers + RESPONSE_OVERHEAD_BYTES
+
+
 class OnceRecords:
     """The owner's records of one service, backed by claims in the platform.
 
@@ -132,7 +140,7 @@
 
         :param max_records: keys that are tracked; when full, new keys are refused
         :param max_body_bytes: longest response body that is kept for replays
-        :param max_kept_bytes: bodies kept in all; the oldest go first, their keys stay
+        :param max_kept_bytes: size of all kept responses; the oldest go first, their keys stay
         """
         self.clock = clock
         self.claims = claims
@@ -142,7 +150,7 @@
         self.max_kept_bytes = max_kept_bytes
         self.report_grace = report_grace
         self.records: OrderedDict[str, _Record] = OrderedDict()
-        self.kept: OrderedDict[str, int] = OrderedDict()
+        self.kept: deque[str] = deque()
         self.kept_bytes = 0
         self.unclaimed: OrderedDict[str, None] = OrderedDict()
         # Whether the marker is set in the platform; None if an answer was lost.
@@ -200,7 +208,7 @@
         record.state = KeyState.DONE
         if len(response.body) <= self.max_body_bytes:
             record.response = response
-            self._keep(key, len(response.body))
+            self._keep(key, response)
 
     def end(self, key: str, token: int, outcome: Outcome) -> None:
         """Note the end of a request without a response to keep."""
@@ -367,16 +375,15 @@
         record = self.records.get(key)
         return record if record is not None and record.token == token else None
 
-    def _keep(self, key: str, size: int) -> None:
-        self.kept[key] = size
-        self.kept_bytes += size
+    def _keep(self, key: str, response: StoredResponse) -> None:
+        self.kept.append(key)
+        self.kept_bytes += _size(response)
         while self.kept_bytes > self.max_kept_bytes:
-            self._drop_body(next(iter(self.kept)))
+            self._drop_response(self.records.get(self.kept.popleft()))
 
-    def _drop_body(self, key: str) -> None:
-        self.kept_bytes -= self.kept.pop(key, 0)
-        record = self.records.get(key)
-        if record is not None:
+    def _drop_response(self, record: _Record | None) -> None:
+        if record is not None and record.response is not None:
+            self.kept_bytes -= _size(record.response)
             record.response = None
 
     def _expire(self, now: timedelta) -> None:
@@ -386,5 +393,7 @@
             if now < record.expires:
                 return
             del self.records[key]
-            self._drop_body(key)
+            self._drop_response(record)
             self.unclaimed.pop(key, None)
+            while self.kept and self.kept[0] not in self.records:
+                self.kept.popleft()
--- a/test/retries/test_once.py
+++ b/test/retries/test_once.py
@@ -150,16 +150,24 @@
     def test_kept_responses_are_bounded(self):
         """Guards against replays filling the 128 MB of a node; the keys stay known."""
         records = self.fleet.nodes["b"].records
-        records.max_kept_bytes = 100
+        records.max_kept_bytes = 700
         keys = [key_of(self.fleet, "b", n) for n in range(3)]
         for key in keys:
             _, granted = self.fleet.ask(key)
             records.running(key, granted.token)
-            records.finish(key, granted.token, StoredResponse(200, (), b"x" * 40))
-        self.assertTrue(records.kept_bytes <= 100)
+            records.finish(key, granted.token, StoredResponse(200, (("a", "b" * 40),), b"x" * 40))
+        self.assertTrue(0 < records.kept_bytes <= 700)
         self.assertEqual(Reason.RESPONSE_NOT_KEPT, reason(self.fleet.send(keys[0])))
         self.assertIsInstance(self.fleet.send(keys[2]), Replay)
 
+    def test_expiry_returns_the_space_of_responses(self):
+        """Guards against a count of kept bytes that only grows, after which nothing is kept."""
+        self.fleet.send(self.key)
+        self.fleet.clock.advance(seconds(86_400 + 10))
+        self.fleet.advance(1)
+        records = self.fleet.nodes["b"].records
+        self.assertEqual((0, 0), (records.kept_bytes, len(records.kept)))
+
     def test_full_table_refuses_new_keys_only(self):
         """Guards against an eviction that lets a key run again."""
         self.fleet.send(self.key)
