Keep overload out of the old latencies and weigh the tests by use

Errors were given as much of the false positive rate as rarer kinds of fault, and the first start of the test only half of it. Change: latencies of windows with refusals are left out of the old rates; errors get half, the first start three quarters. Figures: all tests of the tree pass; with the mechanism disabled on a scratch copy the new test fails, as do those of the weights and the starts.

--- a/almondshore/moves/controls.py
+++ b/almondshore/moves/controls.py
@@ -104,10 +104,12 @@
 
     :ivar alike: the new version's targets carry hardly more load than the old version's now
     :ivar usual: they carry hardly more than the old version's targets did before
+    :ivar calm: the service refuses hardly any requests
     """
 
     alike: bool
     usual: bool
+    calm: bool
 
 
 class LoadGuard:
@@ -125,12 +127,13 @@
         for row in rows:
             asked[row.version] = asked.get(row.version, 0) + row.requests + row.refused
         total, refused = sum(asked.values()), sum(row.refused for row in rows)
-        if slots is None or refused > MAX_REFUSED_SHARE * total:
-            return Loads(False, False)
+        calm = refused <= MAX_REFUSED_SHARE * total
+        if slots is None or not calm:
+            return Loads(False, False, calm)
         new_rate = asked[new] / slots.new if slots.new else 0.0
         old_rate = asked[old] / slots.old if slots.old else 0.0
         loads = Loads(
-            new_rate <= MAX_LOAD_RATIO * old_rate, new_rate <= MAX_USUAL_RATIO * self.before
+            new_rate <= MAX_LOAD_RATIO * old_rate, new_rate <= MAX_USUAL_RATIO * self.before, calm
         )
         if asked[old] >= total / 2:
             weight = DECAY if self.before else 1.0
--- a/almondshore/moves/eprocess.py
+++ b/almondshore/moves/eprocess.py
@@ -6,6 +6,8 @@
 # A new start every 15 windows finds a version that turns bad long after the move began.
 START_EVERY = 15
 MAX_STARTS = 8
+# Weight of the first start: at first requests are few, later a larger share brings evidence fast.
+FIRST_START = 0.75
 # Above this many terms the exact distribution costs more than it is worth.
 MAX_TERMS = 200
 
@@ -92,8 +94,9 @@
     """Mixture of likelihood ratios over alternatives and over start times.
 
     Its expectation under the null hypothesis never exceeds 1, so by Ville's inequality it ever
-    reaches ``1 / alpha`` with probability at most ``alpha``. The weights of the starts,
-    1/(j(j+1)), add up to 1; dropping a start only makes the test stricter.
+    reaches ``1 / alpha`` with probability at most ``alpha``. The weights of the starts
+    add up to 1, those after the first in proportion to 1/(j(j+1)); dropping a start only makes the
+    test stricter.
     """
 
     def __init__(self, *, alternatives: int):
@@ -105,7 +108,8 @@
         """Multiply in the log likelihood ratios of one window."""
         if self.windows % START_EVERY == 0:
             number = self.windows // START_EVERY + 1
-            weight = -math.log(number * (number + 1) * self.alternatives)
+            share = FIRST_START if number == 1 else (1 - FIRST_START) * 2 / (number * (number + 1))
+            weight = math.log(share / self.alternatives)
             self.starts.append([weight] * self.alternatives)
         self.windows += 1
         self.starts = [
--- a/almondshore/moves/verdict.py
+++ b/almondshore/moves/verdict.py
@@ -45,6 +45,10 @@
 }
 
 
+# Most faults show as errors, so their tests get half of the false positive rate.
+KIND_SHARES = {Kind.ERRORS: 0.5, Kind.BROKEN: 0.25, Kind.SLOW: 0.25}
+
+
 class Condemned(NamedTuple):
     """The new version is worse than the old one.
 
@@ -78,17 +82,17 @@
     """Tests one new version against the old one, on each route and on all routes together.
 
     Half of the false positive rate goes to the test over all routes, half is split over the
-    routes, and each half over the kinds.
+    routes, and each half over the kinds by ``KIND_SHARES``.
     """
 
     def __init__(self, *, service: str, old: str, new: str, routes: int, alpha: float):
         self.service = service
         self.old = old
         self.new = new
-        share = alpha / 2 / len(Kind)
         self.thresholds = {
-            True: -math.log(share),
-            False: -math.log(share / max(routes, 1)),
+            (kind, single): -math.log(alpha / 2 * share / (max(routes, 1) if single else 1))
+            for kind, share in KIND_SHARES.items()
+            for single in (False, True)
         }
         self.routes = max(routes, 1)
         self.processes: dict[tuple[Kind, str], EProcess] = {}
@@ -128,8 +132,10 @@
         for kind, ratios in totals.items():
             self._update(kind, ALL_ROUTES, ratios)
         for route, (new, old) in pairs.items():
+            # Latencies of an overload would hide a slow version from later comparisons.
+            past = old if loads.calm else old._replace(latency_buckets=[0] * BUCKETS)
             self.tallies[self.new, route].add(new)
-            self.tallies[self.old, route].add(old)
+            self.tallies[self.old, route].add(past)
         self._judge(window)
 
     def requests(self) -> dict[str, tuple[int, int]]:
@@ -215,7 +221,7 @@
         worst = None
         for (kind, route), process in self.processes.items():
             value = process.log_value()
-            threshold = self.thresholds[route == ALL_ROUTES]
+            threshold = self.thresholds[kind, route != ALL_ROUTES]
             if value >= threshold and (worst is None or value - threshold > worst[0]):
                 worst = (value - threshold, kind, route, value)
         if worst is not None:
--- a/test/moves/test_verdict.py
+++ b/test/moves/test_verdict.py
@@ -117,6 +117,17 @@
         self.assertLess(window, 25)
         self.assertEqual(Kind.SLOW, verdict.condemned.kind)
 
+    def test_overload_does_not_become_the_old_latency(self):
+        """Guards against a slow version that stays because the old one was overloaded once."""
+        verdict = make_verdict()
+        slots = SlotsInUse(10, 40)
+        observe(verdict, 20, new=(10, 0), old=(190, 0), slots=slots)
+        overload = row("v1", 190, bucket=SLOW_BUCKET)._replace(refused=100)
+        observe(verdict, 60, new=(10, 0), old=overload, slots=slots, start=20)
+        slow = row("v2", 190, bucket=SLOW_BUCKET)
+        window = observe(verdict, 20, new=slow, old=(0, 0), slots=SlotsInUse(40, 40), start=80)
+        self.assertIsNotNone(window)
+
     def test_load_is_not_mistaken_for_slowness(self):
         """Guards against a good version reverted because its few targets carry more load."""
         for slots in (SlotsInUse(2, 40), None):
