--- a/test/daemon/test_routes.py
+++ b/test/daemon/test_routes.py
@@ -2,21 +2,13 @@
 
 from testtools import TestCase
 
-from almondshore.core.messages import MoveStep, TargetRecord, TargetState
+from almondshore.core.messages import MoveStep
 from almondshore.daemon.routes import RouteKeeper
 from almondshore.moves.state import MoveTable
 from almondshore.versions.view import RoutingView
-from test.moves.helpers import SERVICE, make_part
+from test.moves.helpers import SERVICE, make_part, make_targets
 
-
-def target(name, version):
-    return TargetRecord(name, name, SERVICE, version, "", "z1", 10, 1, TargetState.UP)
-
-
-TARGETS = {
-    "v1": tuple(target(f"a{n}", "v1") for n in range(4)),
-    "v2": tuple(target(f"b{n}", "v2") for n in range(4)),
-}
+TARGETS = make_targets({"v1": ["a1", "a2", "a3", "a4"], "v2": ["b1", "b2", "b3", "b4"]})
 
 
 class FakeBuilder:
--- a/test/moves/helpers.py
+++ b/test/moves/helpers.py
@@ -6,7 +6,7 @@
 from returns.result import Failure, Success
 
 from almondshore.core.clock import ManualClock
-from almondshore.core.messages import Evidence, EvidenceRow
+from almondshore.core.messages import Evidence, EvidenceRow, TargetRecord, TargetState
 from almondshore.moves.coordinator import Fleet, MoveCoordinator
 from almondshore.moves.evidence import BUCKETS, window_of
 from almondshore.moves.outcome import OutcomePublisher
@@ -48,6 +48,16 @@
     return EvidenceRow(service, version, route, requests, errors, buckets, broken)
 
 
+def make_targets(names):
+    return {
+        version: [
+            TargetRecord(name, name, SERVICE, version, "", "z1", 10, 1, TargetState.UP)
+            for name in found
+        ]
+        for version, found in names.items()
+    }
+
+
 class FakePublisher(OutcomePublisher):
     """Keeps what was published; refuses while the platform is down."""
 
--- a/test/moves/test_state.py
+++ b/test/moves/test_state.py
@@ -5,9 +5,9 @@
 
 from testtools import TestCase
 
-from almondshore.core.messages import MovesSnapshot, MoveStep, TargetRecord, TargetState, Veto
+from almondshore.core.messages import MovesSnapshot, MoveStep, Veto
 from almondshore.moves.state import MoveTable
-from test.moves.helpers import SERVICE, START, make_part
+from test.moves.helpers import SERVICE, START, make_part, make_targets
 
 
 def step(epoch, number, *, move_id="m1", service=SERVICE):
@@ -19,16 +19,6 @@
     return Veto(service, version, config_version, "errors", "n1", at)
 
 
-def records(names):
-    return {
-        version: [
-            TargetRecord(name, name, SERVICE, version, "", "z1", 10, 1, TargetState.UP)
-            for name in found
-        ]
-        for version, found in names.items()
-    }
-
-
 def table(part=None):
     result = MoveTable()
     result.set_configuration([part or make_part()])
@@ -127,7 +117,7 @@
         chosen = []
         for number in (3, 4, 5):
             moves.apply_step(step(1, number))
-            limited = moves.limit_targets(part, records(names))
+            limited = moves.limit_targets(part, make_targets(names))
             self.assertEqual(4, len(limited["v1"]))
             chosen.append({record.target for record in limited["v2"]})
         self.assertEqual([1, 2, 4], [len(found) for found in chosen])
@@ -138,9 +128,9 @@
         moves, part = table(), make_part()
         moves.apply_step(step(1, 3))
         names = {"v1": ["a1", "a2"], "v2": ["b1", "b2"]}
-        (first,) = moves.limit_targets(part, records(names))["v2"]
+        (first,) = moves.limit_targets(part, make_targets(names))["v2"]
         names["v2"].remove(first.target)
-        (second,) = moves.limit_targets(part, records(names))["v2"]
+        (second,) = moves.limit_targets(part, make_targets(names))["v2"]
         self.assertNotEqual(first.target, second.target)
 
     def test_step_out_of_range_is_refused(self):
