Stop requests that crash their targets, and hand records of keys over

Cause: a request that crashes each target that runs it killed 3 of 8 targets in a trial, two by the node's own retries; it was then refused at every node. Change: hop 2 tells of a death in its response and to all nodes; hop 1 checks the quarantine before each retry; deaths that are the request's fault do not count against the version; a node that starts takes over the records of its keys.

--- a/almondshore/core/messages.py
+++ b/almondshore/core/messages.py
@@ -314,6 +314,23 @@
     step: int
 
 
+class CrashDeath(NamedTuple):
+    """A target died while it ran a request; nodes tell each other of it.
+
+    :ivar fingerprint: identity of the request, see ``retries.crash.fingerprint``
+    :ivar target: the target that died
+    :ivar incarnation: incarnation of the target that died
+    :ivar started_ms: start of the run, milliseconds since the epoch, UTC
+    :ivar ended_ms: time of the death, milliseconds since the epoch, UTC
+    """
+
+    fingerprint: int
+    target: str
+    incarnation: int
+    started_ms: int
+    ended_ms: int
+
+
 class MovesRequest(NamedTuple):
     """Asks a peer for its vetoes and move steps."""
 
@@ -350,6 +367,7 @@
     | Evidence
     | Veto
     | MoveStep
+    | CrashDeath
     | MovesRequest
     | MovesSnapshot
 )
--- a/almondshore/daemon/moving.py
+++ b/almondshore/daemon/moving.py
@@ -75,9 +75,11 @@
         """React to messages about moves and to digests that differ."""
         match message:
             case Veto():
-                return self._spread(message, sender) if self.table.add_veto(message) else []
+                return self.control.spread(message, sender) if self.table.add_veto(message) else []
             case MoveStep():
-                return self._spread(message, sender) if self.table.apply_step(message) else []
+                return (
+                    self.control.spread(message, sender) if self.table.apply_step(message) else []
+                )
             case MovesSnapshot():
                 return self._merge(message, sender)
             case MovesRequest(digest) if digest != self.table.digest():
@@ -119,7 +121,7 @@
             self.coordinations.pop(key).lease.release()
         for key, part in wanted.items():
             for message in self._advance(key, part):
-                sends += self._spread(message, self.control.identity.control)
+                sends += self.control.spread(message, self.control.identity.control)
         self.reports = {
             key[0]: item.coordinator.report()
             for key, item in self.coordinations.items()
@@ -234,7 +236,7 @@
         for evidence in self.aggregator.tick():
             for veto in self._detect(evidence, watched):
                 if self.table.add_veto(veto):
-                    sends += self._spread(veto, self.control.identity.control)
+                    sends += self.control.spread(veto, self.control.identity.control)
             for service, own in split_by_service(evidence, names).items():
                 coordinator = self._coordinator_of(service)
                 if coordinator == self.control.identity.control:
@@ -263,15 +265,4 @@
         vetoes = [veto for veto in snapshot.vetoes if self.table.add_veto(veto)]
         steps = [step for step in snapshot.steps if self.table.apply_step(step)]
         self.table.synced = True
-        return [send for item in (*vetoes, *steps) for send in self._spread(item, sender)]
-
-    def _spread(self, message: Veto | MoveStep, sender: str) -> list[Send]:
-        """Pass news on: a node to its relay, a relay to its nodes and the other relays."""
-        relay = self.control.relay
-        if relay is None:
-            own = sender == self.control.identity.control
-            chosen = self.control.selection.relay
-            return [Send(chosen, message)] if own and chosen else []
-        if sender in self.control.table.addresses() and sender != self.control.identity.control:
-            return relay.to_subscribers(message)
-        return relay.broadcast(message)
+        return [send for item in (*vetoes, *steps) for send in self.control.spread(item, sender)]
--- a/almondshore/daemon/node.py
+++ b/almondshore/daemon/node.py
@@ -5,6 +5,7 @@
 
 from almondshore.core.clock import Clock
 from almondshore.core.messages import (
+    CrashDeath,
     DirectoryDelta,
     DirectorySnapshot,
     Message,
@@ -102,6 +103,8 @@
         """React to a message of another node."""
         if isinstance(message, DirectoryDelta | DirectorySnapshot):
             self._notice_own_death(message.records)
+        if isinstance(message, CrashDeath):
+            return self.note_crash(message, sender)
         sends = self.control.handle(message, sender) + self.moves.handle(message, sender)
         self.routes.refresh(ready=self.ready)
         return sends
@@ -115,6 +118,10 @@
         self.routes.refresh(ready=self.ready)
         return sends
 
+    def note_crash(self, death: CrashDeath, sender: str) -> list[Send]:
+        """Count the death of a target that ran a request, and pass it on if it is news."""
+        return self.control.spread(death, sender) if self.crash_guard.died(death) else []
+
     def platform_step(self) -> list[Send]:
         """Take and renew relay leases; waits for the platform."""
         return self.control.platform_step()
--- a/almondshore/daemon/process.py
+++ b/almondshore/daemon/process.py
@@ -10,7 +10,7 @@
 from eventlet.event import Event
 
 from almondshore.core.clock import SystemClock
-from almondshore.core.messages import Envelope, Send
+from almondshore.core.messages import CrashDeath, Envelope, Send
 from almondshore.daemon.admin import AdminApp, Announcement
 from almondshore.daemon.journal import Journal
 from almondshore.daemon.logs import log_event
@@ -79,6 +79,13 @@
             max_response_bytes=settings.limits.max_body_bytes,
         )
         self.endpoints: dict[str, Endpoint] = {}
+        self.once = OnceClient(
+            clock=self.clock,
+            node=settings.node,
+            directory=self.node.control.directory,
+            owner=self.node.once,
+            pool=self.pool,
+        )
         self.callers = [self._make_caller(trusted) for trusted in (False, True)]
         self.target_app = TargetApp(
             clock=self.clock,
@@ -86,6 +93,8 @@
             pool=self.pool,
             max_body_bytes=settings.limits.max_body_bytes,
             once=OnceApp(owner=self.node.once),
+            crash_guard=self.node.crash_guard,
+            on_death=self._target_died,
             on_run=self.node.moves.record,
         )
         self.draining = False
@@ -113,6 +122,7 @@
         self._repeat(self._platform_step, PLATFORM_STEP_SECONDS)
         self._repeat(self._coordinate, PLATFORM_STEP_SECONDS)
         self._repeat(self.node.claim_step, CLAIM_STEP_SECONDS)
+        self._repeat(self.once.fetch_handovers, CLAIM_STEP_SECONDS)
         self._repeat(self.node.watch_step, lambda: self._watch_delay())
         log_event("node_started", node=self.settings.node, zone=self.settings.zone)
         self.ended.wait()
@@ -195,13 +205,7 @@
             tenants=self.node.tenants,
             policy=self.node.policy,
             crash_guard=self.node.crash_guard,
-            once=OnceClient(
-                clock=self.clock,
-                node=self.settings.node,
-                directory=self.node.control.directory,
-                owner=self.node.once,
-                pool=self.pool,
-            ),
+            once=self.once,
             pool=self.pool,
             max_body_bytes=self.settings.limits.max_body_bytes,
             trusted=trusted,
@@ -223,6 +227,7 @@
             announcement.version,
             announcement.address,
             SlotGate(queue=queue),
+            self.node.control.local.targets[announcement.target].record.incarnation,
         )
 
     def _serve(self, address: str, app: Callable) -> None:
@@ -294,6 +299,10 @@
             else:
                 self.transport.send(item)
 
+    def _target_died(self, death: CrashDeath) -> None:
+        log_event("target_died", level="WARNING", target=death.target)
+        self._send_all(self.node.note_crash(death, self.settings.listen.control))
+
     def _finished(self, finished: Finished) -> None:
         self.metrics.observe_request(
             tenant=finished.tenant,
--- a/almondshore/proxy/caller.py
+++ b/almondshore/proxy/caller.py
@@ -2,27 +2,30 @@
 
 import uuid
 from collections.abc import Callable, Iterable, Mapping
+from contextlib import suppress
 from datetime import timedelta
 from typing import NamedTuple
 
 import eventlet
-import xxhash
+import msgspec
 
 from almondshore.core.clock import Clock
-from almondshore.core.messages import TargetRecord
+from almondshore.core.messages import CrashDeath, TargetRecord
 from almondshore.limits.tenants import Limited, TenantLimits
 from almondshore.proxy import headers as names
 from almondshore.proxy.headers import Headers, Problem, first, forwardable, parse_load
 from almondshore.proxy.once import Grant, OnceClient
 from almondshore.proxy.pool import ExchangeFailure, FailureKind, HopPool, Reply
 from almondshore.proxy.wsgi import (
+    NO_TENANT,
     Request,
     StartResponse,
+    identify,
     read_request,
     respond,
     respond_failure,
 )
-from almondshore.retries.crash import CrashGuard, fingerprint
+from almondshore.retries.crash import CrashGuard
 from almondshore.retries.outcome import Failure, Outcome, Reason, make_failure
 from almondshore.retries.policy import Attempt, Retry, RetryPolicy
 from almondshore.routing.choice import ResultKind, TargetChooser, TargetResult
@@ -31,7 +34,6 @@
 
 # Time for the response of hop 2 to travel back after the deadline that hop 2 enforces.
 HOP_MARGIN = timedelta(milliseconds=50)
-NO_TENANT = "-"
 
 
 class Routes(NamedTuple):
@@ -153,12 +155,7 @@
             if isinstance(limited, Limited):
                 reason = Reason(limited.reason.value)
                 return make_failure(reason, retry_after=limited.retry_after)
-        identity = fingerprint(
-            request.method,
-            request.raw_path,
-            tenant,
-            xxhash.xxh3_128_digest(request.body),
-        )
+        identity = identify(request)
         suspected = self.crash_guard.check(identity)
         if suspected is not None:
             return make_failure(Reason.CRASH_SUSPECTED, retry_after=suspected.retry_after)
@@ -223,6 +220,11 @@
             if delay is None:
                 return failure
             eventlet.sleep(delay.total_seconds())
+            suspected = self.crash_guard.check(call.fingerprint)
+            if suspected is not None:
+                # The earlier attempts may have run, so the refusal takes over their outcome.
+                refusal = make_failure(Reason.CRASH_SUSPECTED, retry_after=suspected.retry_after)
+                return _combine(failure, refusal)
 
     def _retry_delay(self, call: Call, failure: Failure, retries: int) -> timedelta | None:
         """Return the delay before the next attempt, or None if there is none."""
@@ -282,6 +284,7 @@
         received = first(exchanged.headers, names.REQUEST_ID)
         if received.rpartition("-")[0] != call.request_id:
             return make_failure(Reason.MISMATCHED, "the response belongs to another request")
+        self._note_death(exchanged)
         reason = first(exchanged.headers, names.REASON)
         if not reason:
             return exchanged
@@ -291,6 +294,13 @@
         except ValueError:
             return make_failure(Reason.MISMATCHED, "the response of hop 2 is malformed")
 
+    def _note_death(self, exchanged: Reply) -> None:
+        """Count a death that hop 2 saw, before the request is sent to another target."""
+        death = first(exchanged.headers, names.DEATH)
+        if death:
+            with suppress(msgspec.MsgspecError):
+                self.crash_guard.died(msgspec.json.decode(death, type=CrashDeath))
+
     def _finish(
         self,
         call: Call | Failure,
--- a/almondshore/proxy/once.py
+++ b/almondshore/proxy/once.py
@@ -18,6 +18,7 @@
 from almondshore.retries.once import (
     Denied,
     Granted,
+    Handover,
     OnceRecords,
     Replay,
     StoredResponse,
@@ -46,6 +47,13 @@
     left_ms: int
 
 
+class HandoverRequest(NamedTuple):
+    """Asks a node for its records of the keys that the sender owns now."""
+
+    service: str
+    node: str
+
+
 class ClaimReply(NamedTuple):
     """The owner's answer; exactly one of its fields is set."""
 
@@ -117,6 +125,11 @@
         else:
             records.end(report.key, report.token, report.outcome)
 
+    def hand_over(self, request: HandoverRequest) -> Handover | None:
+        """Return the records of keys that another node owns now; None if it is not known yet."""
+        records = self.services.get(request.service)
+        return records.hand_over(request.node) if records is not None else None
+
     def refresh(self, *, platform_up: bool | None, in_contact: bool) -> None:
         """Bring the ownership of keys in step with the directory and the platform's state.
 
@@ -165,7 +178,7 @@
     def __call__(
         self, operation: str, body: bytes, start_response: StartResponse
     ) -> Iterable[bytes]:
-        """Answer one operation: ``claim`` or ``report``."""
+        """Answer one operation: ``claim``, ``report`` or ``handover``."""
         try:
             if operation == "claim":
                 reply = self.owner.claim(msgspec.msgpack.decode(body, type=ClaimRequest))
@@ -173,6 +186,9 @@
             if operation == "report":
                 self.owner.report(msgspec.msgpack.decode(body, type=Report))
                 return respond(start_response, 204, [], b"")
+            if operation == "handover":
+                handover = self.owner.hand_over(msgspec.msgpack.decode(body, type=HandoverRequest))
+                return respond(start_response, 200, [], msgspec.msgpack.encode(handover))
         except msgspec.MsgspecError:
             pass
         return respond(start_response, 400, [], b"")
@@ -228,6 +244,19 @@
             if isinstance(reply, Reply):
                 return
 
+    def fetch_handovers(self) -> None:
+        """Take over the records of this node's keys from nodes that owned them before."""
+        for service, records in list(self.owner.services.items()):
+            live = {record.node: record for record in _live(self.directory, service)}
+            for node in sorted(records.ownership.awaited & live.keys()):
+                request = HandoverRequest(service, self.node)
+                reply = self._exchange(live[node], "handover", request, CLAIM_TIMEOUT)
+                if not isinstance(reply, Reply):
+                    continue
+                handover = msgspec.msgpack.decode(reply.body, type=Handover | None)
+                if handover is not None:
+                    records.take_over(handover)
+
     def _owner_of(self, service: str, key: str) -> TargetRecord | None:
         members = {record.node: record for record in _live(self.directory, service)}
         chosen = rendezvous.choose(key, members)
--- a/almondshore/proxy/pool.py
+++ b/almondshore/proxy/pool.py
@@ -1,5 +1,6 @@
 """HTTP connections from one hop to the next."""
 
+import socket
 import time
 from collections.abc import Callable, Iterable
 from datetime import timedelta
@@ -110,6 +111,20 @@
             return ExchangeFailure(FailureKind.CUT, False, str(error))
         return self._read(response, lambda: time.monotonic() > give_up_at)
 
+    def is_listening(self, address: str) -> bool:
+        """Return whether something accepts connections at an address now."""
+        host, _, port = address.rpartition(":")
+        try:
+            connection = socket.create_connection(
+                (host, int(port)), timeout=self.connect_timeout.total_seconds()
+            )
+        except ConnectionRefusedError:
+            return False
+        except OSError:
+            return True
+        connection.close()
+        return True
+
     def _read(
         self, response: urllib3.BaseHTTPResponse, expired: Callable[[], bool]
     ) -> Reply | ExchangeFailure:
--- a/almondshore/proxy/target.py
+++ b/almondshore/proxy/target.py
@@ -4,7 +4,10 @@
 from datetime import timedelta
 from typing import NamedTuple
 
+import msgspec
+
 from almondshore.core.clock import Clock
+from almondshore.core.messages import CrashDeath
 from almondshore.limits.admission import RefusalReason, Refused, SlotRequest
 from almondshore.proxy import headers as names
 from almondshore.proxy.gate import SlotGate
@@ -15,10 +18,12 @@
 from almondshore.proxy.wsgi import (
     Request,
     StartResponse,
+    identify,
     read_request,
     respond,
     respond_failure,
 )
+from almondshore.retries.crash import CrashGuard
 from almondshore.retries.outcome import Failure, Outcome, Reason, make_failure
 from almondshore.rules.model import RequestClass
 
@@ -34,6 +39,7 @@
     """A target beside this node.
 
     :ivar address: address of the target itself, which only this node uses
+    :ivar incarnation: incarnation of its record when it was first announced
     """
 
     target: str
@@ -41,6 +47,7 @@
     version: str
     address: str
     gate: SlotGate
+    incarnation: int = 0
 
 
 class Hop(NamedTuple):
@@ -70,6 +77,16 @@
     broken: bool = False
 
 
+class Ended(NamedTuple):
+    """How a request ended at its target.
+
+    :ivar death: set if the target died while it ran the request
+    """
+
+    result: Reply | Failure
+    death: CrashDeath | None = None
+
+
 class TargetApp:
     """WSGI application of hop 2.
 
@@ -84,14 +101,18 @@
         pool: HopPool,
         max_body_bytes: int,
         once: OnceApp,
+        crash_guard: CrashGuard,
         on_run: Callable[[RunResult], None] = lambda result: None,
+        on_death: Callable[[CrashDeath], None] = lambda death: None,
     ):
         self.clock = clock
         self.endpoints = endpoints
         self.pool = pool
         self.max_body_bytes = max_body_bytes
         self.once = once
+        self.crash_guard = crash_guard
         self.on_run = on_run
+        self.on_death = on_death
 
     def __call__(self, environ: dict, start_response: StartResponse) -> Iterable[bytes]:
         """Answer a request of hop 1."""
@@ -111,11 +132,13 @@
         if endpoint is None:
             failure = make_failure(Reason.TARGET_UNREACHABLE, "the target is not on this host")
             return respond_failure(start_response, failure, hop.request_id)
-        result = self._run(endpoint, hop, request)
+        result, death = self._run(endpoint, hop, request)
         reported = [
             (names.LOAD, format_load(endpoint.gate.load())),
             (names.VERSION, endpoint.version),
         ]
+        if death is not None:
+            reported.append((names.DEATH, msgspec.json.encode(death).decode()))
         if isinstance(result, Failure):
             return respond_failure(start_response, result, hop.request_id, reported)
         headers = forwardable(result.headers)
@@ -135,21 +158,22 @@
         attempt, route = first(headers, names.ATTEMPT), first(headers, names.ROUTE)
         return Hop(request_id, target, request_class, deadline, attempt, route)
 
-    def _run(self, endpoint: Endpoint, hop: Hop, request: Request) -> Reply | Failure:
+    def _run(self, endpoint: Endpoint, hop: Hop, request: Request) -> Ended:
         slot = SlotRequest(hop.request_id, hop.request_class, hop.deadline, hop.route)
         refused = endpoint.gate.enter(slot)
         if isinstance(refused, Refused):
-            return make_failure(REFUSALS[refused.reason], retry_after=refused.retry_after)
+            failure = make_failure(REFUSALS[refused.reason], retry_after=refused.retry_after)
+            return Ended(failure)
         try:
             return self._hand_over(endpoint, hop, request)
         finally:
             endpoint.gate.leave(hop.request_id)
 
-    def _hand_over(self, endpoint: Endpoint, hop: Hop, request: Request) -> Reply | Failure:
+    def _hand_over(self, endpoint: Endpoint, hop: Hop, request: Request) -> Ended:
         started = self.clock.monotonic()
         left = hop.deadline - started
         if left <= timedelta():
-            return make_failure(Reason.DEADLINE_PASSED)
+            return Ended(make_failure(Reason.DEADLINE_PASSED))
         result = self.pool.exchange(
             endpoint.address,
             request.method,
@@ -159,15 +183,41 @@
             left,
         )
         if isinstance(result, ExchangeFailure):
-            failure = _exchange_failure(result)
-            if failure.reason is not Reason.TARGET_UNREACHABLE:
-                broken = result.kind is FailureKind.CUT
-                self._report(endpoint, hop, started, ok=False, broken=broken)
-            return failure
+            return self._failed(endpoint, hop, request, started, result)
+        self.crash_guard.completed(identify(request))
         if first(result.headers, names.OUTCOME) == Outcome.NOT_RUN.value:
-            return make_failure(Reason.OVERLOADED, "the target refused the request")
+            return Ended(make_failure(Reason.OVERLOADED, "the target refused the request"))
         self._report(endpoint, hop, started, ok=result.status < 500)
-        return result
+        return Ended(result)
+
+    def _failed(
+        self,
+        endpoint: Endpoint,
+        hop: Hop,
+        request: Request,
+        started: timedelta,
+        result: ExchangeFailure,
+    ) -> Ended:
+        """Account a failed hand-over to the version, or to a request that crashes its targets."""
+        failure = _exchange_failure(result)
+        if failure.reason is Reason.TARGET_UNREACHABLE:
+            return Ended(failure)
+        broken = result.kind is FailureKind.CUT
+        identity = identify(request)
+        death = None
+        if broken and not self.pool.is_listening(endpoint.address):
+            death = self._death(endpoint, identity, started)
+            self.on_death(death)
+        if not self.crash_guard.blames_request(identity):
+            self._report(endpoint, hop, started, ok=False, broken=broken)
+        return Ended(failure, death)
+
+    def _death(self, endpoint: Endpoint, identity: int, started: timedelta) -> CrashDeath:
+        ended_ms = int(self.clock.now().timestamp() * 1000)
+        run_ms = int((self.clock.monotonic() - started) / timedelta(milliseconds=1))
+        return CrashDeath(
+            identity, endpoint.target, endpoint.incarnation, ended_ms - run_ms, ended_ms
+        )
 
     def _headers(self, hop: Hop, request: Request, left: timedelta) -> Headers:
         """Return the headers for the target, which passes the internal ones on to inner calls."""
--- a/almondshore/proxy/wsgi.py
+++ b/almondshore/proxy/wsgi.py
@@ -6,9 +6,11 @@
 
 import eventlet
 import msgspec
+import xxhash
 
 from almondshore.proxy import headers as names
 from almondshore.proxy.headers import Headers, Problem, check_request, too_large
+from almondshore.retries.crash import fingerprint
 from almondshore.retries.outcome import Failure, failure_body
 
 READ_CHUNK_BYTES = 64 * 1024
@@ -17,6 +19,8 @@
 # Longest advice to wait, in seconds, that fits the granularity of Retry-After.
 MIN_RETRY_AFTER_SECONDS = 1
 
+NO_TENANT = "-"
+
 STATUS_TEXTS = {
     200: "OK",
     202: "Accepted",
@@ -73,6 +77,16 @@
     )
 
 
+def identify(request: Request) -> int:
+    """Return the identity of a request for idempotency keys and for crash quarantine."""
+    return fingerprint(
+        request.method,
+        request.raw_path,
+        names.first(request.headers, names.TENANT) or NO_TENANT,
+        xxhash.xxh3_128_digest(request.body),
+    )
+
+
 def check_path(raw_path: str) -> Problem | None:
     """Refuse paths that two servers could resolve to different resources."""
     lowered = raw_path.lower()
--- a/almondshore/relay/control.py
+++ b/almondshore/relay/control.py
@@ -166,6 +166,16 @@
         """Make changes of the own targets known."""
         return self.membership.changed(records)
 
+    def spread(self, message: Message, sender: str) -> list[Send]:
+        """Pass news on: a node to its relay, a relay to its nodes and the other relays."""
+        if self.relay is None:
+            own = sender == self.identity.control
+            chosen = self.selection.relay
+            return [Send(chosen, message)] if own and chosen else []
+        if sender in self.table.addresses() and sender != self.identity.control:
+            return self.relay.to_subscribers(message)
+        return self.relay.broadcast(message)
+
     def heartbeat(self) -> Heartbeat:
         """Return the heartbeat that tells what this node holds now."""
         current = self.config.state.current
--- a/almondshore/retries/crash.py
+++ b/almondshore/retries/crash.py
@@ -7,6 +7,7 @@
 import xxhash
 
 from almondshore.core.clock import Clock
+from almondshore.core.messages import CrashDeath
 
 DEATHS = 2
 DEATH_WINDOW = timedelta(seconds=60)
@@ -19,23 +20,6 @@
 REMEMBERED_DEATHS = 16
 
 
-class CrashDeath(NamedTuple):
-    """A target died while it ran a request; nodes tell each other of it.
-
-    :ivar fingerprint: identity of the request, see ``fingerprint``
-    :ivar target: the target that died
-    :ivar incarnation: incarnation of the target that died
-    :ivar started_ms: start of the run, milliseconds since the epoch, UTC
-    :ivar ended_ms: time of the death, milliseconds since the epoch, UTC
-    """
-
-    fingerprint: int
-    target: str
-    incarnation: int
-    started_ms: int
-    ended_ms: int
-
-
 class CrashSuspected(NamedTuple):
     """The request is refused, since it is suspected of crashing targets."""
 
