Log the start and the end of a platform outage

Cause: in a trial with the platform down, no log line of any node showed the outage. Conclusion: an operator sees an outage in the logs of every node.

--- a/almondshore/daemon/journal.py
+++ b/almondshore/daemon/journal.py
@@ -14,6 +14,7 @@
         self.version = 0
         self.is_relay = False
         self.ready = False
+        self.platform_up = True
         self.refused = 0
         self.moves: dict[str, tuple[str, int]] = {}
 
@@ -21,6 +22,7 @@
         """Log what has changed since the last call."""
         self._observe_config()
         self._observe_role()
+        self._observe_platform()
         self._observe_moves()
 
     def _observe_config(self) -> None:
@@ -47,6 +49,14 @@
             event = "relay_started" if is_relay else "relay_ended"
             log_event(event, node=self.node.identity.node, zone=self.node.identity.zone)
 
+    def _observe_platform(self) -> None:
+        """Log the start and the end of an outage, as a relay sees it and tells its nodes."""
+        up = self.node.control.platform_up
+        if up is None or up == self.platform_up:
+            return
+        self.platform_up = up
+        log_event("platform_up" if up else "platform_down", level="INFO" if up else "WARNING")
+
     def _observe_moves(self) -> None:
         """Log each step and each end of a move once."""
         for service, report in self.node.moves.reports.items():
