Log a listening address that cannot be opened

Cause: a daemon whose address was in use ended with a pynng traceback, or an eventlet one. Change: both raise ListenError, which the entry point logs as listen_failed before it ends with 1. Conclusion: the log says which address is in use, in one line.

--- a/almondshore/core/errors.py
+++ b/almondshore/core/errors.py
@@ -26,3 +26,16 @@
 
 class CodecError(AlmondshoreError):
     """A message from another node could not be decoded."""
+
+
+class ListenError(UserError):
+    """A listener could not be opened.
+
+    :ivar address: the ``ip:port`` of the settings
+    :ivar cause: the error of the system
+    """
+
+    def __init__(self, address: str, cause: str):
+        super().__init__(f"cannot listen on {address}: {cause}")
+        self.address = address
+        self.cause = cause
--- a/almondshore/daemon/main.py
+++ b/almondshore/daemon/main.py
@@ -8,14 +8,16 @@
 import signal  # noqa: E402
 import sys  # noqa: E402
 from pathlib import Path  # noqa: E402
+from typing import NoReturn  # noqa: E402
 
 import cyclopts  # noqa: E402
 
-from almondshore.core.errors import InvalidInputError  # noqa: E402
+from almondshore.core.errors import InvalidInputError, ListenError  # noqa: E402
 from almondshore.daemon.logs import log_event, setup_logs  # noqa: E402
 from almondshore.daemon.process import NodeProcess  # noqa: E402
 from almondshore.daemon.settings import load_settings  # noqa: E402
 
+EXIT_FAILED = 1
 EXIT_WRONG_USAGE = 2
 
 app = cyclopts.App(name="almondshored", help="The almondshore node for one target host.")
@@ -35,7 +37,10 @@
         sys.stderr.write(f"{error}\n")
         sys.exit(EXIT_WRONG_USAGE)
     setup_logs(level=loaded.log.level)
-    process = NodeProcess(settings=loaded)
+    try:
+        process = NodeProcess(settings=loaded)
+    except ListenError as error:
+        _fail(error)
 
     def terminate(*_: object) -> None:
         if process.draining:
@@ -45,11 +50,20 @@
 
     signal.signal(signal.SIGTERM, terminate)
     signal.signal(signal.SIGINT, terminate)
-    process.run()
+    try:
+        process.run()
+    except ListenError as error:
+        _fail(error)
     # The hub may still hold greenlets that wait on sockets; all requests have been answered.
     os._exit(0)
 
 
+def _fail(error: ListenError) -> NoReturn:
+    log_event("listen_failed", level="ERROR", address=error.address, error=error.cause)
+    # Greenlets of listeners that were opened already would keep the process alive.
+    os._exit(EXIT_FAILED)
+
+
 def run() -> None:
     """Run the daemon's command line."""
     app()
--- a/almondshore/daemon/process.py
+++ b/almondshore/daemon/process.py
@@ -9,6 +9,7 @@
 from eventlet.event import Event
 
 from almondshore.core.clock import SystemClock
+from almondshore.core.errors import ListenError
 from almondshore.core.messages import Envelope, Send
 from almondshore.daemon.admin import AdminApp, Announcement
 from almondshore.daemon.journal import Journal
@@ -18,6 +19,7 @@
 from almondshore.daemon.settings import Settings
 from almondshore.daemon.status import StatusWriter
 from almondshore.limits.admission import SlotQueue
+from almondshore.net.failures import describe_failure
 from almondshore.net.nng import NngTransport
 from almondshore.platform.http import HttpPlatform
 from almondshore.proxy.caller import CallerApp, Finished
@@ -212,7 +214,10 @@
 
     def _serve(self, address: str, app: Callable) -> None:
         host, _, port = address.rpartition(":")
-        listener = eventlet.listen((host, int(port)))
+        try:
+            listener = eventlet.listen((host, int(port)))
+        except OSError as error:
+            raise ListenError(address, describe_failure(error)) from error
         eventlet.spawn(
             eventlet.wsgi.server,
             listener,
--- a/almondshore/net/nng.py
+++ b/almondshore/net/nng.py
@@ -10,7 +10,7 @@
 
 from almondshore.core.clock import Clock
 from almondshore.core.codec import MAX_MESSAGE_BYTES, decode, encode
-from almondshore.core.errors import CodecError
+from almondshore.core.errors import CodecError, ListenError
 from almondshore.core.messages import Envelope, Send
 from almondshore.daemon.logs import log_event
 from almondshore.net.address import parse_address
@@ -86,6 +86,7 @@
     """Sends by one Push socket for each peer and receives by one Pull listener.
 
     :param listen: ``ip:port`` to receive on; also the sender address of outgoing messages
+    :raises ListenError: if the address cannot be opened
     :ivar counts: messages sent and received, and events by name, since the start
     """
 
@@ -113,7 +114,11 @@
             recv_max_size=MAX_MESSAGE_BYTES, recv_buffer_size=RECEIVE_BUFFER_MESSAGES
         )
         disable_callbacks(self.socket)
-        self.socket.listen(f"tcp://{listen}")
+        try:
+            self.socket.listen(f"tcp://{listen}")
+        except pynng.NNGException as error:
+            self.socket.close()
+            raise ListenError(listen, str(error).lower()) from error
         self.receive_fd = self.socket.recv_fd
 
     def send(self, item: Send) -> bool:
--- /dev/null
+++ b/test/daemon/test_main.py
@@ -0,0 +1,41 @@
+"""Tests of the daemon's process."""
+
+import socket
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+
+import yaml
+from testtools import TestCase
+
+from standins.deployment import free_addresses
+
+KEYS = ("caller", "internal", "peer", "control", "admin")
+
+
+class ListenTest(TestCase):
+    def start(self, listen):
+        """Run the daemon until it ends; return its exit code and its log."""
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        file = Path(folder.name) / "node.yaml"
+        platform = {"url": "http://127.0.0.1:9"}
+        settings = {"node": "n", "zone": "z", "listen": listen, "platform": platform}
+        file.write_text(yaml.safe_dump(settings))
+        command = ["-W", "ignore", "-m", "almondshore.daemon.main", "--settings", str(file)]
+        done = subprocess.run(
+            [sys.executable, *command], capture_output=True, text=True, timeout=30
+        )
+        return done.returncode, done.stderr.splitlines()
+
+    def test_an_address_in_use_is_one_line(self):
+        """Guards against a traceback, or a process that stays without all of its listeners."""
+        for key in ("control", "admin", "internal"):
+            listen = dict(zip(KEYS, free_addresses(len(KEYS)), strict=True))
+            host, _, port = listen[key].rpartition(":")
+            with socket.create_server((host, int(port))):
+                code, lines = self.start(listen)
+            self.assertEqual((1, 1), (code, len(lines)), lines)
+            expected = f'level=ERROR event=listen_failed address={listen[key]} error="address '
+            self.assertIn(expected, lines[0])
