--- a/test/daemon/test_settings.py
+++ b/test/daemon/test_settings.py
@@ -10,6 +10,7 @@
 
 from almondshore.core.errors import InvalidInputError
 from almondshore.daemon.settings import FIELDS, load_settings, parse_settings
+from almondshore.relay.duty import NODES_PER_SLOT
 
 GOOD = {"node": "n1", "zone": "z-1", "platform": {"url": "http://127.0.0.1:7300"}}
 BASE = "node: n1\nzone: z-1\nplatform:\n  url: http://127.0.0.1:7300\n"
@@ -60,6 +61,11 @@
 
 
 class SettingsTest(TestCase):
+    def test_the_default_share_of_a_relay_is_the_measured_one(self):
+        """Guards against relays that serve more nodes than their 14 KB/s allow."""
+        loaded = parse_settings(BASE.encode(), name="node.yaml")
+        self.assertEqual(NODES_PER_SLOT, loaded.relay.nodes_per_slot)
+
     def test_values_replace_defaults(self):
         settings = parse_settings(
             (BASE + "heartbeat_ms: 500\npeers: ['127.0.0.1:7402', '[::1]:9']\n").encode(), name="f"
