--- a/almondshore/daemon/process.py
+++ b/almondshore/daemon/process.py
@@ -10,6 +10,7 @@
 from eventlet.event import Event
 
 from almondshore.core.clock import SystemClock
+from almondshore.core.errors import ListenError
 from almondshore.core.messages import CrashDeath, Envelope, Send
 from almondshore.daemon.admin import AdminApp, Announcement
 from almondshore.daemon.journal import Journal
@@ -20,6 +21,7 @@
 from almondshore.daemon.status import StatusWriter
 from almondshore.limits.admission import SlotQueue
 from almondshore.net.address import parse_address
+from almondshore.net.failures import describe_failure
 from almondshore.net.nng import NngTransport
 from almondshore.platform.budget import (
     NODE_RATES,
@@ -233,7 +235,10 @@
     def _serve(self, address: str, app: Callable) -> None:
         host, port = parse_address(address)
         family = socket.AF_INET6 if host.version == 6 else socket.AF_INET
-        listener = eventlet.listen((str(host), port), family)
+        try:
+            listener = eventlet.listen((str(host), port), family)
+        except OSError as error:
+            raise ListenError(address, describe_failure(error)) from error
         eventlet.spawn(
             eventlet.wsgi.server,
             listener,
