--- a/almondshore/core/messages.py
+++ b/almondshore/core/messages.py
@@ -83,6 +83,7 @@
     :ivar relays: relays of the node's zone; empty if the node's ``relays_digest`` is current
     :ivar ready: whether the relay itself has learnt the newest configuration
     :ivar confirmed: whether the platform lately showed the relay nothing newer
+    :ivar platform_up: whether the platform answered the relay's last lease renewal
     """
 
     relays: list[RelayEntry]
@@ -92,6 +93,28 @@
     moves_digest: int
     ready: bool = True
     confirmed: bool = False
+    platform_up: bool = False
+
+
+class Keepalive(NamedTuple):
+    """A short heartbeat, for a relay that has acknowledged a whole one of this process.
+
+    :ivar state: ``heartbeat_digest`` of the whole heartbeat; the relay compares it with the
+        digest that follows if the node holds the same as the relay
+    """
+
+    state: int
+
+
+class KeepaliveAck(NamedTuple):
+    """Answer to a ``Keepalive`` if the relay holds the same as the node.
+
+    :ivar known: False asks for a whole ``Heartbeat``
+    :ivar platform_up: whether the platform answered the relay's last lease renewal
+    """
+
+    known: bool
+    platform_up: bool = False
 
 
 class Busy(NamedTuple):
@@ -307,6 +330,8 @@
 Message = (
     Heartbeat
     | HeartbeatAck
+    | Keepalive
+    | KeepaliveAck
     | Busy
     | ConfigDelta
     | ConfigRequest
--- a/almondshore/relay/control.py
+++ b/almondshore/relay/control.py
@@ -1,5 +1,6 @@
 """The control side of one node: configuration, directory, relay selection and relay role."""
 
+import math
 import random
 from collections.abc import Callable, Sequence
 from typing import NamedTuple
@@ -9,6 +10,9 @@
     ALL_ZONES,
     Busy,
     Heartbeat,
+    HeartbeatAck,
+    Keepalive,
+    KeepaliveAck,
     Message,
     RelayInvite,
     Send,
@@ -20,16 +24,22 @@
 from almondshore.membership.prober import Prober
 from almondshore.membership.sync import DirectorySync
 from almondshore.platform.port import Platform
+from almondshore.relay.admission import SNAPSHOTS_PER_SECOND, SnapshotAdmission
 from almondshore.relay.candidacy import Candidacy
 from almondshore.relay.duty import NODES_PER_SLOT, RelayDuty
 from almondshore.relay.fanout import Relay, RelayLimits
 from almondshore.relay.selection import RelaySelection, SelectionLimits
 from almondshore.relay.source import ConfigSource
+from almondshore.relay.subscribers import MAX_SUBSCRIBERS
 from almondshore.relay.table import RelayTable
+from almondshore.versions.history import MAX_BYTES, MAX_DELTAS, DeltaHistory
 from almondshore.versions.publish import Publisher
 from almondshore.versions.sync import ConfigSync
 
-NOT_A_RELAY_SECONDS = 10.0
+NOT_A_RELAY_SECONDS = 3.0
+DIRECTORY_PEERS = 6
+BALANCED_FROM_RELAYS = 5
+FAIR_SHARE_MARGIN = 1.25
 
 
 class Identity(NamedTuple):
@@ -48,12 +58,20 @@
 
 
 class ControlLimits(NamedTuple):
-    """Limits of the joined state machines."""
+    """Limits of the joined state machines.
+
+    :ivar backlog_deltas: configuration changes kept for a relay's subscribers
+    :ivar backlog_bytes: bound of the bytes of these changes
+    :ivar snapshots_per_second: snapshots that a relay sends at most
+    """
 
     selection: SelectionLimits = SelectionLimits()
     detector: DetectorLimits = DetectorLimits()
     relay: RelayLimits = RelayLimits()
     nodes_per_slot: int = NODES_PER_SLOT
+    backlog_deltas: int = MAX_DELTAS
+    backlog_bytes: int = MAX_BYTES
+    snapshots_per_second: float = SNAPSHOTS_PER_SECOND
 
 
 class ControlNode:
@@ -83,17 +101,24 @@
         self.limits = limits or ControlLimits()
         self.relay: Relay | None = None
         self.source: ConfigSource | None = None
+        self.relay_shows_platform_up: bool | None = None
+        self.acknowledged = False
         self._make_membership()
         self._make_relay_client()
 
     def handle(self, message: Message, sender: str) -> list[Send]:
         """React to a message."""
+        match message:
+            case HeartbeatAck(platform_up=platform_up) | KeepaliveAck(True, platform_up):
+                self.relay_shows_platform_up = platform_up
+                self.acknowledged = True
         if isinstance(message, RelayInvite):
             self.duty.invite(message)
             return []
         if self.relay is not None:
             sends = self.relay.handle(message, sender)
-        elif isinstance(message, Heartbeat):
+        elif isinstance(message, Heartbeat | Keepalive):
+            self.duty.taken_for_relay()
             return [Send(sender, Busy(NOT_A_RELAY_SECONDS, "Heartbeat"))]
         else:
             sends = []
@@ -110,9 +135,27 @@
             sends += self.relay.tick()
         return sends
 
+    @property
+    def platform_up(self) -> bool | None:
+        """Whether the platform answers, as a relay sees it and tells the other nodes.
+
+        None until a relay has told this node.
+        """
+        return self.duty.platform_up if self.relay is not None else self.relay_shows_platform_up
+
+    def take_contact(self) -> bool:
+        """Return whether this node is known to be alive to others since the last call.
+
+        An acknowledgement of a relay shows it, and so does the platform to a relay that renews
+        its lease.
+        """
+        acknowledged, self.acknowledged = self.acknowledged, False
+        return acknowledged or (self.relay is not None and bool(self.platform_up))
+
     def platform_step(self) -> list[Send]:
         """Take, renew and review relay leases; waits for the platform."""
-        return self.duty.step(in_zone=self.selection.in_zone)
+        selection = self.selection
+        return self.duty.step(in_zone=selection.in_zone, relay_to_try=selection.relay_to_try)
 
     def watch_step(self) -> None:
         """Watch the head of the configuration if this node is a relay; waits for the platform."""
@@ -139,14 +182,32 @@
         )
 
     def peers(self) -> list[str]:
-        """Return addresses of peers to learn the configuration from."""
-        known = dict.fromkeys([*self.seeds, *self.table.addresses(self.identity.zone)])
-        return [peer for peer in known if peer != self.identity.control]
+        """Return addresses of peers to learn the configuration and the relays from.
+
+        Hosts are replaced, so that the seeds of the settings may be gone after some days; nodes
+        of the directory are asked too.
+        """
+        controls = [record.control for record in self.directory.records.values()]
+        sample = self.rng.sample(controls, min(DIRECTORY_PEERS, len(controls)))
+        known = [*self.seeds, *self.table.addresses(self.identity.zone), *sample]
+        return [peer for peer in dict.fromkeys(known) if peer not in ("", self.identity.control)]
 
     def nodes_in_zone(self) -> int:
         """Return the number of nodes of the own zone that the directory knows."""
         return len({record.node for record in self.directory.of_zone(self.identity.zone)})
 
+    def fair_share(self) -> int:
+        """Return how many nodes this node serves as a relay.
+
+        Rendezvous hashing alone gives the busiest of seven relays a third more than the mean.
+        With few relays there is no bound, since the others must serve all if one dies.
+        """
+        relays = len(self.table.addresses(self.identity.zone))
+        if relays < BALANCED_FROM_RELAYS:
+            return MAX_SUBSCRIBERS
+        share = FAIR_SHARE_MARGIN * self.nodes_in_zone() / relays
+        return max(self.limits.nodes_per_slot, math.ceil(share))
+
     def candidates(self) -> list[str]:
         """Return addresses of nodes of the own zone that could become relays."""
         records = self.directory.of_zone(self.identity.zone)
@@ -160,7 +221,7 @@
         own = (self.config, self.membership, self.prober, self.selection)
         if self.relay is None:
             return own
-        answered = {"Heartbeat", "ConfigRequest", "RelayQuery", "RelaySync"}
+        answered = {"Heartbeat", "Keepalive", "ConfigRequest", "RelayQuery", "RelaySync"}
         return () if type(message).__name__ in answered else own
 
     def _take_role(self) -> None:
@@ -172,7 +233,16 @@
 
     def _make_membership(self) -> None:
         clock, who = self.clock, self.identity
-        self.config = ConfigSync(clock=clock, rng=self.rng, peers=self.peers)
+        limits = self.limits
+        self.config = ConfigSync(
+            clock=clock,
+            rng=self.rng,
+            peers=self.peers,
+            admission=SnapshotAdmission(
+                clock=clock, rng=self.rng, rate=limits.snapshots_per_second
+            ),
+            history=DeltaHistory(max_deltas=limits.backlog_deltas, max_bytes=limits.backlog_bytes),
+        )
         self.directory = Directory(clock=clock)
         self.local = LocalTargets(
             clock=clock, node=who.node, zone=who.zone, address=who.address, control=who.control
@@ -191,7 +261,7 @@
             address=who.control,
             table=self.table,
             heartbeat=self.heartbeat,
-            seeds=self.seeds,
+            peers=self.peers,
             limits=self.limits.selection,
         )
         self.duty = RelayDuty(
@@ -222,6 +292,8 @@
             detector=detector,
             table=self.table,
             moves_digest=self.moves_digest,
+            platform_up=lambda: self.platform_up,
+            fair_share=self.fair_share,
             limits=self.limits.relay,
         )
         self.membership.pass_on = self.relay.own_records_changed
--- a/almondshore/relay/duty.py
+++ b/almondshore/relay/duty.py
@@ -9,14 +9,18 @@
 from almondshore.core.backoff import full_jitter
 from almondshore.core.clock import Clock
 from almondshore.core.messages import RelayEntry, RelayInvite, RelayList, Send
-from almondshore.platform.port import Platform
+from almondshore.platform.port import Platform, StoredObject
 from almondshore.relay.candidacy import Candidacy
 from almondshore.relay.lease import (
+    CLOCK_SKEW,
     RELAY_LEASE_PREFIX,
+    TTL,
     Held,
     HeldElsewhere,
     Lease,
     LeaseAnswer,
+    decode_lease,
+    lease_slot,
     relay_lease_key,
 )
 from almondshore.relay.review import LeaseReview
@@ -24,8 +28,13 @@
 
 RENEW_INTERVAL = timedelta(seconds=5)
 LIST_INTERVAL = timedelta(seconds=10)
+SELF_CHECK_INTERVAL = timedelta(seconds=10)
+# After a restart of all processes the relays take their leases within this time, not at once.
+TAKE_SPREAD = timedelta(seconds=2)
 LIST_ALL_INTERVAL = timedelta(seconds=60)
-NODES_PER_SLOT = 250
+# A relay spends about 130 B/s for each node it serves; the busiest serves a quarter more than
+# this, which keeps it under 14 KB/s, and a zone of 463 nodes needs 7 leases, 1.4 writes/s.
+NODES_PER_SLOT = 70
 TWO_SLOTS_FROM = 20
 # A slot is given up only if the zone would need one less with a tenth more nodes, so that a
 # zone at the border does not gain and lose a relay again and again.
@@ -71,7 +80,10 @@
         self.review = LeaseReview(clock=clock, table=table)
         self.lease: Lease | None = None
         self.slot = -1
+        self.platform_up: bool | None = None
         self.invited: int | None = None
+        self.check_own = False
+        self.next_self_check = self.not_before = clock.monotonic()
         self.next_renewal = self.next_list = self.next_list_all = clock.monotonic()
 
     @property
@@ -87,18 +99,32 @@
         """Note another relay's request to take a vacant slot."""
         if message.zone == self.zone and self.lease is None:
             self.invited = message.slot
+            self.not_before = self.clock.monotonic() + TAKE_SPREAD * self.rng.random()
 
-    def step(self, *, in_zone: bool) -> list[Send]:
+    def taken_for_relay(self) -> None:
+        """Note a heartbeat that came although this node is no relay.
+
+        The lease may still name this address, if the process was restarted: it then takes the
+        slot at once, and nobody waits until the lease expires.
+        """
+        now = self.clock.monotonic()
+        if self.lease is None and now >= self.next_self_check:
+            self.next_self_check = now + SELF_CHECK_INTERVAL
+            self.check_own = True
+            self.not_before = now + TAKE_SPREAD * self.rng.random()
+
+    def step(self, *, in_zone: bool, relay_to_try: bool = False) -> list[Send]:
         """Do what is due; makes blocking platform calls.
 
         :param in_zone: whether a relay of the own zone answers this node
+        :param relay_to_try: whether a known relay of the own zone has not been tried lately
         """
         now = self.clock.monotonic()
         if self.lease is None:
-            return self._try_to_become_relay(in_zone)
+            return self._try_to_become_relay(in_zone, relay_to_try)
         sends: list[Send] = []
         if now >= self.next_renewal:
-            self.next_renewal = now + RENEW_INTERVAL * self.rng.uniform(0.9, 1)
+            self.next_renewal = now + RENEW_INTERVAL * self.rng.uniform(0.95, 1.05)
             sends = self._renew()
         if self.lease is not None and now >= self.next_list:
             sends += self._review(now)
@@ -117,24 +143,45 @@
         self.table.merge([gone])
         return self._tell(gone)
 
-    def _try_to_become_relay(self, in_zone: bool) -> list[Send]:
-        slot, self.invited = self.invited, None
-        if slot is None:
-            if not self.candidacy.should_try(in_zone):
-                return []
-            slot = 0
+    def _try_to_become_relay(self, in_zone: bool, relay_to_try: bool) -> list[Send]:
+        waiting = self.clock.monotonic() < self.not_before
+        if self.invited is not None and not waiting:
+            slot, self.invited = self.invited, None
+            return self._take(slot, None)
+        own = self._own_lease() if self.check_own and not waiting else None
+        if own is not None:
+            return self._take(lease_slot(own.key), own)
+        if not self.candidacy.should_try(in_zone, relay_to_try=relay_to_try):
+            return []
+        return self._take(0, None)
+
+    def _take(self, slot: int, known: StoredObject | None) -> list[Send]:
         key = relay_lease_key(self.zone, slot)
         lease = Lease(platform=self.platform, key=key, holder=self.address, clock=self.clock)
-        answer = lease.acquire_or_renew()
+        answer = lease.acquire_or_renew(known)
         self._note_holder(slot, answer)
+        if isinstance(answer, HeldElsewhere) and answer.record is not None:
+            left = answer.record.expires - self.clock.now()
+            self.candidacy.postpone(self.clock.monotonic() + min(left, TTL) + CLOCK_SKEW)
+            return [Send(answer.record.holder, RelayInvite(self.zone, slot))]
         if not isinstance(answer, Held):
             return []
         self.lease, self.slot = lease, slot
         now = self.clock.monotonic()
-        self.next_renewal = now + RENEW_INTERVAL
+        self.next_renewal = now + RENEW_INTERVAL * self.rng.uniform(0.5, 1)
         self.next_list = self.next_list_all = now
         return self._tell(self._own_entry(answer.epoch))
 
+    def _own_lease(self) -> StoredObject | None:
+        """Return the lease of the zone that names this address, None if there is none."""
+        self.check_own = False
+        result = self.platform.list(f"{RELAY_LEASE_PREFIX}{self.zone}/")
+        if not is_successful(result):
+            return None
+        self.review.take(result.unwrap())
+        own = [item for item in result.unwrap() if decode_lease(item).holder == self.address]
+        return own[0] if own else None
+
     def _renew(self) -> list[Send]:
         """Renew the lease; under a higher epoch if others took this relay for gone."""
         lapsed = self.table.is_vacant(self.zone, self.slot, self.lease.epoch)
@@ -147,6 +194,7 @@
         return []
 
     def _note_holder(self, slot: int, answer: LeaseAnswer) -> None:
+        self.platform_up = isinstance(answer, Held | HeldElsewhere)
         if isinstance(answer, HeldElsewhere) and answer.record is not None:
             record = answer.record
             self.table.merge([RelayEntry(self.zone, slot, record.holder, record.epoch)])
--- a/test/relay/test_selection.py
+++ b/test/relay/test_selection.py
@@ -10,6 +10,8 @@
     Busy,
     Heartbeat,
     HeartbeatAck,
+    Keepalive,
+    KeepaliveAck,
     RelayEntry,
     RelayList,
     RelayQuery,
@@ -43,7 +45,7 @@
             address="self",
             table=RelayTable(),
             heartbeat=lambda: Heartbeat(f"node-{number}", 1, 0, b"", {}, 0, True),
-            seeds=["s1", "s2", "self"],
+            peers=lambda: ["s1", "s2"],
         )
 
     def run_for(self, duration, *, answering=()):
@@ -52,10 +54,12 @@
         for _ in range(int(duration / 0.1)):
             self.clock.advance(seconds(0.1))
             for send in self.selection.tick():
-                if isinstance(send.message, Heartbeat):
-                    receivers.append(send.to)
-                    if send.to in answering:
-                        self.selection.handle(ACK, send.to)
+                if not isinstance(send.message, Heartbeat | Keepalive):
+                    continue
+                receivers.append(send.to)
+                if send.to in answering:
+                    whole = isinstance(send.message, Heartbeat)
+                    self.selection.handle(ACK if whole else KeepaliveAck(True), send.to)
         return receivers
 
     def test_without_relays_the_seeds_are_asked(self):
@@ -86,11 +90,21 @@
         self.selection.handle(RelayList(OWN[:1]), "b0")
         self.assertEqual("a0", self.run_for(5, answering=["a0", "b0"])[-1])
 
+    def test_relay_that_does_not_know_the_node_gets_a_whole_heartbeat(self):
+        """Guards against a restarted relay that cannot make sense of short heartbeats."""
+        self.selection.table.merge(OWN[:1])
+        self.run_for(3, answering=["a0"])
+        self.assertEqual("a0", self.selection.acknowledged)
+        self.selection.handle(KeepaliveAck(False), "a0")
+        sent = self.selection.tick()
+        self.assertEqual([Heartbeat], [type(send.message) for send in sent])
+
     def test_refused_node_goes_to_another_relay(self):
         """Guards against a node that waits at a full relay."""
         self.selection.table.merge(OWN)
         first = self.run_for(3, answering=["a0", "a1"])[-1]
         self.selection.handle(Busy(5.0, "Heartbeat"), first)
+        self.assertTrue(self.selection.relay_to_try)
         self.assertNotIn(first, self.run_for(4, answering=["a0", "a1"]))
 
     def test_failovers_of_many_nodes_are_spread(self):
@@ -124,6 +138,15 @@
             early = [due for due in tries if due < tries[0] + 2.5]
             self.assertLessEqual(len(early), most)
 
+    def test_known_relays_are_tried_before_the_platform(self):
+        """Guards against a herd that asks the platform although it knows a relay."""
+        clock = ManualClock()
+        candidacy = Candidacy(clock=clock, rng=random.Random(1))
+        for _ in range(20):
+            clock.advance(seconds(1))
+            self.assertFalse(candidacy.should_try(False, relay_to_try=True))
+        self.assertTrue(candidacy.should_try(False, relay_to_try=False))
+
     def test_node_with_a_relay_in_its_zone_never_tries(self):
         """Guards against platform calls of ordinary nodes in steady state."""
         clock = ManualClock()
