Test one relay and the death of a node with its relay

Change: tests of one relay at its ports; the fleet test picks a node that no other relay still watches; the bound on the calls of a returning herd is 120, not 240.

--- a/test/relay/test_failures.py
+++ b/test/relay/test_failures.py
@@ -173,8 +173,12 @@
     def test_node_and_its_relay_die_together(self):
         """Guards against a dead node that no other relay ever heard, and so never suspects."""
         self.start()
+        self.invariants.run(20)
         relay = self.fleet.relays[0]
-        victim = next(n for n in self.fleet.nodes if n.selection.relay == relay.identity.control)
+        others = self.fleet.relays[1:]
+        heard = {name for other in others for name in other.relay.detector.nodes}
+        served = [n for n in self.followers() if n.selection.relay == relay.identity.control]
+        victim = next(node for node in served if node.identity.node not in heard)
         targets = [f"target-{node.identity.node}" for node in (relay, victim)]
         for node in (relay, victim):
             self.pump.kill(node.identity.control)
@@ -197,4 +201,4 @@
         self.assertIsNotNone(took)
         self.assertEqual(0, self.store.counts["refused"])
         calls = sum(self.store.counts[kind] - before[kind] for kind in ("read", "write"))
-        self.assertLess(calls, 240)
+        self.assertLess(calls, 120)
--- a/test/relay/test_selection.py
+++ b/test/relay/test_selection.py
@@ -104,6 +104,7 @@
         self.selection.table.merge(OWN)
         first = self.run_for(3, answering=["a0", "a1"])[-1]
         self.selection.handle(Busy(5.0, "Heartbeat"), first)
+        self.assertTrue(self.selection.relay_to_try)
         self.assertNotIn(first, self.run_for(4, answering=["a0", "a1"]))
 
     def test_failovers_of_many_nodes_are_spread(self):
@@ -137,6 +138,15 @@
             early = [due for due in tries if due < tries[0] + 2.5]
             self.assertLessEqual(len(early), most)
 
+    def test_known_relays_are_tried_before_the_platform(self):
+        """Guards against a herd that asks the platform although it knows a relay."""
+        clock = ManualClock()
+        candidacy = Candidacy(clock=clock, rng=random.Random(1))
+        for _ in range(20):
+            clock.advance(seconds(1))
+            self.assertFalse(candidacy.should_try(False, relay_to_try=True))
+        self.assertTrue(candidacy.should_try(False, relay_to_try=False))
+
     def test_node_with_a_relay_in_its_zone_never_tries(self):
         """Guards against platform calls of ordinary nodes in steady state."""
         clock = ManualClock()
