--- a/almondshore/relay/control.py
+++ b/almondshore/relay/control.py
@@ -10,7 +10,9 @@
     ALL_ZONES,
     Busy,
     Heartbeat,
+    HeartbeatAck,
     Keepalive,
+    KeepaliveAck,
     Message,
     RelayInvite,
     Send,
@@ -22,6 +24,7 @@
 from almondshore.membership.prober import Prober
 from almondshore.membership.sync import DirectorySync
 from almondshore.platform.port import Platform
+from almondshore.relay.admission import SNAPSHOTS_PER_SECOND, SnapshotAdmission
 from almondshore.relay.candidacy import Candidacy
 from almondshore.relay.duty import NODES_PER_SLOT, RelayDuty
 from almondshore.relay.fanout import Relay, RelayLimits
@@ -29,6 +32,7 @@
 from almondshore.relay.source import ConfigSource
 from almondshore.relay.subscribers import MAX_SUBSCRIBERS
 from almondshore.relay.table import RelayTable
+from almondshore.versions.history import MAX_BYTES, MAX_DELTAS, DeltaHistory
 from almondshore.versions.publish import Publisher
 from almondshore.versions.sync import ConfigSync
 
@@ -54,12 +58,20 @@
 
 
 class ControlLimits(NamedTuple):
-    """Limits of the joined state machines."""
+    """Limits of the joined state machines.
+
+    :ivar backlog_deltas: configuration changes kept for a relay's subscribers
+    :ivar backlog_bytes: bound of the bytes of these changes
+    :ivar snapshots_per_second: snapshots that a relay sends at most
+    """
 
     selection: SelectionLimits = SelectionLimits()
     detector: DetectorLimits = DetectorLimits()
     relay: RelayLimits = RelayLimits()
     nodes_per_slot: int = NODES_PER_SLOT
+    backlog_deltas: int = MAX_DELTAS
+    backlog_bytes: int = MAX_BYTES
+    snapshots_per_second: float = SNAPSHOTS_PER_SECOND
 
 
 class ControlNode:
@@ -89,11 +101,17 @@
         self.limits = limits or ControlLimits()
         self.relay: Relay | None = None
         self.source: ConfigSource | None = None
+        self.relay_shows_platform_up: bool | None = None
+        self.acknowledged = False
         self._make_membership()
         self._make_relay_client()
 
     def handle(self, message: Message, sender: str) -> list[Send]:
         """React to a message."""
+        match message:
+            case HeartbeatAck(platform_up=platform_up) | KeepaliveAck(True, platform_up):
+                self.relay_shows_platform_up = platform_up
+                self.acknowledged = True
         if isinstance(message, RelayInvite):
             self.duty.invite(message)
             return []
@@ -117,6 +135,23 @@
             sends += self.relay.tick()
         return sends
 
+    @property
+    def platform_up(self) -> bool | None:
+        """Whether the platform answers, as a relay sees it and tells the other nodes.
+
+        None until a relay has told this node.
+        """
+        return self.duty.platform_up if self.relay is not None else self.relay_shows_platform_up
+
+    def take_contact(self) -> bool:
+        """Return whether this node is known to be alive to others since the last call.
+
+        An acknowledgement of a relay shows it, and so does the platform to a relay that renews
+        its lease.
+        """
+        acknowledged, self.acknowledged = self.acknowledged, False
+        return acknowledged or (self.relay is not None and bool(self.platform_up))
+
     def platform_step(self) -> list[Send]:
         """Take, renew and review relay leases; waits for the platform."""
         selection = self.selection
@@ -198,7 +233,16 @@
 
     def _make_membership(self) -> None:
         clock, who = self.clock, self.identity
-        self.config = ConfigSync(clock=clock, rng=self.rng, peers=self.peers)
+        limits = self.limits
+        self.config = ConfigSync(
+            clock=clock,
+            rng=self.rng,
+            peers=self.peers,
+            admission=SnapshotAdmission(
+                clock=clock, rng=self.rng, rate=limits.snapshots_per_second
+            ),
+            history=DeltaHistory(max_deltas=limits.backlog_deltas, max_bytes=limits.backlog_bytes),
+        )
         self.directory = Directory(clock=clock)
         self.local = LocalTargets(
             clock=clock, node=who.node, zone=who.zone, address=who.address, control=who.control
@@ -248,6 +292,7 @@
             detector=detector,
             table=self.table,
             moves_digest=self.moves_digest,
+            platform_up=lambda: self.platform_up,
             fair_share=self.fair_share,
             limits=self.limits.relay,
         )
--- a/almondshore/relay/duty.py
+++ b/almondshore/relay/duty.py
@@ -80,6 +80,7 @@
         self.review = LeaseReview(clock=clock, table=table)
         self.lease: Lease | None = None
         self.slot = -1
+        self.platform_up: bool | None = None
         self.invited: int | None = None
         self.check_own = False
         self.next_self_check = self.not_before = clock.monotonic()
@@ -193,6 +194,7 @@
         return []
 
     def _note_holder(self, slot: int, answer: LeaseAnswer) -> None:
+        self.platform_up = isinstance(answer, Held | HeldElsewhere)
         if isinstance(answer, HeldElsewhere) and answer.record is not None:
             record = answer.record
             self.table.merge([RelayEntry(self.zone, slot, record.holder, record.epoch)])
--- a/almondshore/relay/fanout.py
+++ b/almondshore/relay/fanout.py
@@ -77,6 +77,7 @@
         subscribers: Subscribers | None = None,
         admission: SnapshotAdmission | None = None,
         moves_digest: Callable[[], int] = lambda: 0,
+        platform_up: Callable[[], bool | None] = lambda: None,
         fair_share: Callable[[], int] = lambda: MAX_SUBSCRIBERS,
         limits: RelayLimits | None = None,
     ):
@@ -91,6 +92,7 @@
         self.subscribers = subscribers or Subscribers(clock=clock)
         self.admission = admission or sync.admission
         self.moves_digest = moves_digest
+        self.platform_up = platform_up
         self.fair_share = fair_share
         self.limits = limits or RelayLimits()
         self.pushed_version = 0
@@ -174,7 +176,7 @@
             return [Send(sender, KeepaliveAck(False))]
         self.subscribers.heard(sender, expected)
         self.detector.heard(expected.node, sender, expected.incarnation)
-        return [Send(sender, KeepaliveAck(True))]
+        return [Send(sender, KeepaliveAck(True, bool(self.platform_up())))]
 
     def _heartbeat(self, heartbeat: Heartbeat, sender: str) -> list[Send]:
         if sender not in self.subscribers.items and len(self.subscribers) >= self.fair_share():
@@ -194,6 +196,7 @@
             moves_digest=self.moves_digest(),
             ready=self.sync.ready,
             confirmed=self.sync.confirmed,
+            platform_up=bool(self.platform_up()),
         )
         return [*sends, Send(sender, ack), *self._catch_up(subscriber)]
 
--- a/test/moves/helpers.py
+++ b/test/moves/helpers.py
@@ -6,7 +6,7 @@
 from returns.result import Failure, Success
 
 from almondshore.core.clock import ManualClock
-from almondshore.core.messages import Evidence, EvidenceRow
+from almondshore.core.messages import Evidence, EvidenceRow, TargetRecord, TargetState
 from almondshore.moves.coordinator import Fleet, MoveCoordinator
 from almondshore.moves.evidence import BUCKETS, window_of
 from almondshore.moves.outcome import OutcomePublisher
@@ -19,7 +19,7 @@
 START = datetime(2026, 1, 1, tzinfo=UTC)
 SERVICE = "counter-app"
 ROUTES = ("GET /schedule/*", "POST /push/*")
-FLEET = Fleet(new_slots=40, old_slots=40)
+FLEET = Fleet(new_targets=4, new_slots=40, old_targets=4, old_slots=40)
 
 
 def make_part(*, seconds=300, prefer="deadline", state="active", allowed=None, move_id="m1"):
@@ -48,6 +48,16 @@
     return EvidenceRow(service, version, route, requests, errors, buckets, broken)
 
 
+def make_targets(names):
+    return {
+        version: [
+            TargetRecord(name, name, SERVICE, version, "", "z1", 10, 1, TargetState.UP)
+            for name in found
+        ]
+        for version, found in names.items()
+    }
+
+
 class FakePublisher(OutcomePublisher):
     """Keeps what was published; refuses while the platform is down."""
 
