Count only live nodes in the size of a zone

Cause: nodes_in_zone and candidates counted tombstones, which stay for two hours; a zone whose hosts were all replaced would have got twice the relays, and dead nodes could be invited. Change: both leave dead records out. Conclusion: the number of slots follows the live nodes.

--- a/almondshore/relay/control.py
+++ b/almondshore/relay/control.py
@@ -17,6 +17,7 @@
     RelayInvite,
     Send,
     TargetRecord,
+    TargetState,
 )
 from almondshore.membership.detector import DetectorLimits, FailureDetector
 from almondshore.membership.directory import Directory
@@ -193,8 +194,8 @@
         return [peer for peer in dict.fromkeys(known) if peer not in ("", self.identity.control)]
 
     def nodes_in_zone(self) -> int:
-        """Return the number of nodes of the own zone that the directory knows."""
-        return len({record.node for record in self.directory.of_zone(self.identity.zone)})
+        """Return the number of live nodes of the own zone that the directory knows."""
+        return len({record.node for record in self._live_in_zone()})
 
     def fair_share(self) -> int:
         """Return how many nodes this node serves as a relay.
@@ -210,12 +211,15 @@
 
     def candidates(self) -> list[str]:
         """Return addresses of nodes of the own zone that could become relays."""
-        records = self.directory.of_zone(self.identity.zone)
-        own = {record.control for record in records if record.control}
+        own = {record.control for record in self._live_in_zone() if record.control}
         if self.relay is not None:
             own = {subscriber.address for subscriber in self.relay.subscribers}
         return sorted(own - {self.identity.control}) or self.seeds
 
+    def _live_in_zone(self) -> list[TargetRecord]:
+        records = self.directory.of_zone(self.identity.zone)
+        return [record for record in records if record.state is not TargetState.DEAD]
+
     def _machines(self, message: Message):
         """Return the machines of an ordinary node that a message concerns."""
         own = (self.config, self.membership, self.prober, self.selection)
--- a/test/relay/test_failures.py
+++ b/test/relay/test_failures.py
@@ -187,6 +187,8 @@
         self.invariants.until(
             lambda: all(self.state(a, target) is dead for a in live for target in targets), 90
         )
+        left = [n for n in self.fleet.nodes if n.identity.zone == relay.identity.zone]
+        self.assertEqual({len(left)}, {node.nodes_in_zone() for node in left})
 
 
 class HerdTest(FleetTestCase):
