--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -66,6 +66,9 @@
         return self
 
     def __exit__(self, *exc_info) -> None:
+        # The platform ends last, so that nodes can give their leases back.
+        for process in self.processes[1:]:
+            ask_to_end(process)
         for process in reversed(self.processes):
             self.stop(process)
         self.http.clear()
@@ -146,6 +149,10 @@
             timeout=60,
         )
 
+    def runs_of(self, target: TargetProcess) -> dict:
+        """Read how many requests a target has run, in all and by idempotency key."""
+        return json.loads(self.http.request("GET", f"http://{target.address}/runs").data)
+
     def status_of(self, node: NodeProcess) -> dict:
         """Read the status of a node from its admin address; empty if it does not answer."""
         try:
@@ -165,9 +172,7 @@
 
         :returns: its exit code
         """
-        if process.poll() is None:
-            process.send_signal(signal.SIGCONT)
-            process.terminate()
+        if ask_to_end(process):
             try:
                 process.wait(STOP_TIMEOUT.total_seconds())
             except subprocess.TimeoutExpired:
@@ -187,6 +192,20 @@
             return False
 
 
+def ask_to_end(process: subprocess.Popen) -> bool:
+    """Send SIGTERM to a process, also if it is stopped; False if it has ended.
+
+    A process gets it once only, since a second one ends a node at once.
+    """
+    if process.poll() is not None:
+        return False
+    if not getattr(process, "asked_to_end", False):
+        process.send_signal(signal.SIGCONT)
+        process.terminate()
+        process.asked_to_end = True
+    return True
+
+
 def free_addresses(count: int) -> list[str]:
     """Return loopback addresses with ports that were free a moment ago."""
     sockets = [socket.socket() for _ in range(count)]
--- /dev/null
+++ b/test/process/__init__.py
@@ -0,0 +1,1 @@
+"""Failure tests with real processes on loopback."""
--- /dev/null
+++ b/test/proxy/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the proxy hops."""
