Close connections after malformed, crossed and drained requests

Cause: raw requests and a drain under load against real daemons showed four faults. After a 400 the HTTP server kept the connection and read the rest as a second request (two content-lengths, a line such as 'content-length : 2', bytes after a refused body). A malformed or truncated chunk gave a 500 with a traceback. A node that drained ended while a response was not yet written, since a request stopped counting when the application returned. Hop 1 gave a connection back to its pool although the response belonged to another request. Change: HopProtocol counts requests until their response is written, closes the connection after a refused request and, while the node drains, after each response. The listeners are shut down once the gates are idle, so that steady load cannot hold up the end. Malformed header lines, names, values and chunks are refused with 400. The pool checks the request id before it reads the body and closes the connection if it differs. Internal headers written with underscores are dropped, since WSGI targets read them as hyphens.

--- a/almondshore/daemon/process.py
+++ b/almondshore/daemon/process.py
@@ -1,11 +1,11 @@
 """Adapters around a node: sockets, green threads, logs and metrics."""
 
 import random
+import socket
 from collections.abc import Callable
 from datetime import timedelta
 
 import eventlet
-import eventlet.wsgi
 from eventlet.event import Event
 
 from almondshore.core.clock import SystemClock
@@ -24,6 +24,7 @@
 from almondshore.proxy.gate import SlotGate
 from almondshore.proxy.once import OnceApp, OnceClient
 from almondshore.proxy.pool import HopPool
+from almondshore.proxy.serving import InFlight, serve
 from almondshore.proxy.target import Endpoint, TargetApp
 from almondshore.relay.control import ControlLimits, Identity
 
@@ -34,8 +35,6 @@
 # Nodes elsewhere stop sending work within this time of the announcement that targets leave.
 LEAVE_NOTICE = timedelta(seconds=3)
 CONNECT_TIMEOUT = timedelta(seconds=1)
-SOCKET_TIMEOUT_SECONDS = 60
-MAX_CONNECTIONS = 4096
 MAX_HOSTS = 1024
 CONNECTIONS_PER_HOST = 100
 
@@ -75,6 +74,8 @@
             once=OnceApp(owner=self.node.once),
             on_run=self.node.moves.record,
         )
+        self.in_flight = InFlight()
+        self.listeners: list[socket.socket] = []
         self.draining = False
         self.ended = Event()
 
@@ -90,10 +91,12 @@
             drain=lambda: eventlet.spawn(self.drain),
             is_draining=lambda: self.draining,
         )
-        self._serve(listen.admin, admin)
-        self._serve(listen.peer, self.target_app)
-        self._serve(listen.caller, self.callers[0])
-        self._serve(listen.internal, self.callers[1])
+        serve(listen.admin, admin, InFlight())
+        self.listeners = [
+            serve(listen.peer, self.target_app, self.in_flight),
+            serve(listen.caller, self.callers[0], self.in_flight),
+            serve(listen.internal, self.callers[1], self.in_flight),
+        ]
         eventlet.spawn(self.transport.receive_forever, self._received)
         self._repeat(self._tick, TICK_SECONDS)
         self._repeat(self._platform_step, PLATFORM_STEP_SECONDS)
@@ -135,6 +138,7 @@
         if self.draining:
             return
         self.draining = True
+        self.in_flight.closing = True
         log_event("node_draining", node=self.settings.node)
         started = self.clock.monotonic()
         self._send_all(self.node.control.announce(self.node.control.local.drain_all()))
@@ -145,6 +149,8 @@
                 continue
             for endpoint in self.endpoints.values():
                 endpoint.gate.drain()
+            if not self._has_work():
+                self._close_listeners()
             if self._is_idle():
                 break
         self.node.control.duty.release()
@@ -152,9 +158,16 @@
         log_event("node_ended", node=self.settings.node, idle=self._is_idle())
         self.ended.send()
 
+    def _has_work(self) -> bool:
+        return not all(endpoint.gate.queue.is_idle() for endpoint in self.endpoints.values())
+
     def _is_idle(self) -> bool:
-        gates = all(endpoint.gate.queue.is_idle() for endpoint in self.endpoints.values())
-        return gates and not any(caller.active for caller in self.callers)
+        return not self._has_work() and self.in_flight.count == 0
+
+    def _close_listeners(self) -> None:
+        """Accept no more connections, so that a steady load cannot hold up the end."""
+        while self.listeners:
+            self.listeners.pop().shutdown(socket.SHUT_RDWR)
 
     def _make_node(self) -> Node:
         listen = self.settings.listen
@@ -210,18 +223,6 @@
             SlotGate(queue=queue),
         )
 
-    def _serve(self, address: str, app: Callable) -> None:
-        host, _, port = address.rpartition(":")
-        listener = eventlet.listen((host, int(port)))
-        eventlet.spawn(
-            eventlet.wsgi.server,
-            listener,
-            app,
-            log_output=False,
-            max_size=MAX_CONNECTIONS,
-            socket_timeout=SOCKET_TIMEOUT_SECONDS,
-        )
-
     def _repeat(self, action: Callable[[], None], pause: float | Callable[[], float]) -> None:
         """Run an action again and again; an error is logged and does not end the loop."""
 
--- a/almondshore/proxy/caller.py
+++ b/almondshore/proxy/caller.py
@@ -105,26 +105,15 @@
         self.max_body_bytes = max_body_bytes
         self.trusted = trusted
         self.on_finished = on_finished
-        self.active = 0
 
     def __call__(self, environ: dict, start_response: StartResponse) -> Iterable[bytes]:
         """Answer a request of a caller."""
-        self.active += 1
         started = self.clock.monotonic()
-        try:
-            return self._answer(environ, start_response, started)
-        finally:
-            self.active -= 1
-
-    def _answer(
-        self, environ: dict, start_response: StartResponse, started: timedelta
-    ) -> Iterable[bytes]:
         request_id = uuid.uuid4().hex
         request = read_request(environ, self.max_body_bytes)
         if isinstance(request, Problem):
             failure = make_failure(Reason.BAD_REQUEST, request.message)
-            close = [("connection", "close")]
-            return respond_failure(start_response, failure, request_id, close, request.status)
+            return respond_failure(start_response, failure, request_id, status=request.status)
         call = self._admit(request_id, request, started)
         result = call if isinstance(call, Failure) else self._send_once(call)
         self._finish(call, request, result, started)
@@ -250,8 +239,9 @@
             self._headers(call, target, left, attempt),
             call.request.body,
             left + HOP_MARGIN,
+            f"{call.request_id}-{attempt}",
         )
-        result = self._interpret(call, exchanged)
+        result = self._interpret(exchanged)
         self.chooser.finished(target.target, _target_result(exchanged, result))
         return result
 
@@ -269,19 +259,18 @@
             }
         )
 
-    def _interpret(self, call: Call, exchanged: Reply | ExchangeFailure) -> Reply | Failure:
+    def _interpret(self, exchanged: Reply | ExchangeFailure) -> Reply | Failure:
         """Turn the exchange with hop 2 into a response or a failure with its true outcome."""
         if isinstance(exchanged, ExchangeFailure):
             if exchanged.kind is FailureKind.NOT_SENT:
                 return make_failure(Reason.HOP_UNREACHABLE, exchanged.detail)
             if exchanged.kind is FailureKind.TIMEOUT and not exchanged.responded:
                 return make_failure(Reason.TARGET_TIMEOUT, exchanged.detail)
+            if exchanged.kind is FailureKind.MISMATCHED:
+                return make_failure(Reason.MISMATCHED, exchanged.detail)
             if exchanged.responded:
                 return make_failure(Reason.TRUNCATED, exchanged.detail, outcome=Outcome.UNKNOWN)
             return make_failure(Reason.HOP_LOST, exchanged.detail)
-        received = first(exchanged.headers, names.REQUEST_ID)
-        if received.rpartition("-")[0] != call.request_id:
-            return make_failure(Reason.MISMATCHED, "the response belongs to another request")
         reason = first(exchanged.headers, names.REASON)
         if not reason:
             return exchanged
--- a/almondshore/proxy/headers.py
+++ b/almondshore/proxy/headers.py
@@ -1,5 +1,6 @@
 """Header rules of the two proxy hops."""
 
+import re
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
@@ -37,6 +38,10 @@
 # Computed again by each hop from the body that it sends.
 RECOMPUTED = frozenset({"content-length", "host"})
 
+# RFC 9110, section 5.6.2. A name with a trailing space is read differently by different servers.
+TOKEN = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+UNSAFE_VALUE = re.compile(r"[\r\n\0]")
+
 MAX_HEADERS = 100
 MAX_KEY_CHARACTERS = 200
 
@@ -66,6 +71,8 @@
     for name, value in headers:
         count += 1
         lowered = name.lower()
+        if not TOKEN.fullmatch(name) or UNSAFE_VALUE.search(value):
+            return Problem(400, "bad-header", "a header name or value is malformed")
         if lowered == "content-length":
             lengths.append(value.strip())
         elif lowered == "transfer-encoding":
@@ -104,7 +111,8 @@
     """Return the headers that pass through a hop.
 
     Hop-by-hop headers, those named by ``Connection``, and the internal ones are dropped, so that
-    no one outside can set an internal header.
+    no one outside can set an internal header. An underscore counts as a hyphen there, since WSGI
+    and CGI servers do not tell them apart.
     """
     items = [(name.lower(), value.strip()) for name, value in headers]
     named = {
@@ -119,7 +127,7 @@
         if name not in HOP_BY_HOP
         and name not in RECOMPUTED
         and name not in named
-        and not name.startswith(PREFIX)
+        and not name.replace("_", "-").startswith(PREFIX)
     ]
 
 
--- a/almondshore/proxy/pool.py
+++ b/almondshore/proxy/pool.py
@@ -15,7 +15,7 @@
     ReadTimeoutError,
 )
 
-from almondshore.proxy.headers import Headers
+from almondshore.proxy.headers import REQUEST_ID, Headers
 
 READ_CHUNK_BYTES = 64 * 1024
 
@@ -27,6 +27,7 @@
     TIMEOUT = "timeout"
     CUT = "cut"
     TOO_LARGE = "too-large"
+    MISMATCHED = "mismatched"
 
 
 class Reply(NamedTuple):
@@ -78,11 +79,14 @@
         headers: Iterable[tuple[str, str]],
         body: bytes,
         timeout: timedelta,
+        request_id: str = "",
     ) -> Reply | ExchangeFailure:
         """Send a request and read its whole response within the timeout.
 
         :param address: ``ip:port`` of the next hop
         :param path: path with query, as it is sent
+        :param request_id: id that the response must carry if it is not empty. If it carries another
+            one, its connection is closed, since the next responses on it would be crossed too.
         """
         seconds = timeout.total_seconds()
         give_up_at = time.monotonic() + seconds
@@ -108,6 +112,10 @@
             return ExchangeFailure(FailureKind.TIMEOUT, False, str(error))
         except (HTTPError, OSError) as error:
             return ExchangeFailure(FailureKind.CUT, False, str(error))
+        if request_id and response.headers.get(REQUEST_ID) != request_id:
+            response.close()
+            detail = "the response belongs to another request"
+            return ExchangeFailure(FailureKind.MISMATCHED, True, detail)
         return self._read(response, lambda: time.monotonic() > give_up_at)
 
     def _read(
--- a/almondshore/proxy/target.py
+++ b/almondshore/proxy/target.py
@@ -98,8 +98,7 @@
         request = read_request(environ, self.max_body_bytes)
         if isinstance(request, Problem):
             failure = make_failure(Reason.BAD_REQUEST, request.message)
-            close = [("connection", "close")]
-            return respond_failure(start_response, failure, "", close, request.status)
+            return respond_failure(start_response, failure, "", status=request.status)
         operation = first(request.headers, ONCE_OPERATION)
         if operation:
             return self.once(operation, request.body, start_response)
--- a/almondshore/proxy/wsgi.py
+++ b/almondshore/proxy/wsgi.py
@@ -12,6 +12,10 @@
 from almondshore.retries.outcome import Failure, failure_body
 
 READ_CHUNK_BYTES = 64 * 1024
+# Function in the environment of a request; the server closes the connection after the response.
+CLOSE_CONNECTION = "almondshore.close_connection"
+# Whether the server could not parse a header line; it drops that line and all that follow.
+MALFORMED_HEADERS = "almondshore.malformed_headers"
 # Limits the whole body, so that a caller that sends a byte now and then is not served for ever.
 BODY_TIMEOUT = timedelta(seconds=30)
 # Longest advice to wait, in seconds, that fits the granularity of Retry-After.
@@ -54,7 +58,20 @@
 
 
 def read_request(environ: dict, max_body_bytes: int) -> Request | Problem:
-    """Read a request whole and check its form."""
+    """Read a request whole and check its form.
+
+    After a problem the end of the request is not certain, so its connection is closed: the rest
+    could otherwise be taken for a second request.
+    """
+    request = _read_checked(environ, max_body_bytes)
+    if isinstance(request, Problem) and CLOSE_CONNECTION in environ:
+        environ[CLOSE_CONNECTION]()
+    return request
+
+
+def _read_checked(environ: dict, max_body_bytes: int) -> Request | Problem:
+    if environ.get(MALFORMED_HEADERS):
+        return Problem(400, "bad-header", "a header line is malformed")
     headers = list(environ["headers_raw"])
     problem = check_request(headers, max_body_bytes) or check_path(environ["RAW_PATH_INFO"])
     if problem is not None:
@@ -101,6 +118,8 @@
         return Problem(408, "body-timeout", "the body was not received in time")
     except OSError:
         return Problem(400, "body-truncated", "the connection ended within the body")
+    except ValueError:
+        return Problem(400, "bad-chunk", "the chunked body is malformed or truncated")
     if expected is not None and size != int(expected):
         return Problem(400, "body-truncated", "the connection ended within the body")
     return b"".join(chunks)
--- a/standins/target_server.py
+++ b/standins/target_server.py
@@ -26,6 +26,7 @@
 # Time during which a leaving target still serves, so that requests on their way find it.
 LEAVE_GRACE = timedelta(seconds=1)
 DRAIN_TIMEOUT = timedelta(seconds=30)
+MAX_PATHS = 100_000
 KEY_HEADER = "HTTP_IDEMPOTENCY_KEY"
 STATUS_LINES = {
     200: "200 OK",
@@ -49,7 +50,10 @@
 
 
 class TargetApp:
-    """WSGI application of a target; counts the runs of each idempotency key."""
+    """WSGI application of a target; counts the runs of each idempotency key and of each path.
+
+    :ivar runs_by_path: for the newest paths only
+    """
 
     def __init__(
         self, *, target: str, version: str, behaviour: Behaviour, clock: Clock, rng: random.Random
@@ -62,7 +66,9 @@
         self.started_at = clock.monotonic()
         self.runs = 0
         self.runs_by_key: Counter[str] = Counter()
+        self.runs_by_path: Counter[str] = Counter()
         self.active = 0
+        self.last_headers: dict[str, str] = {}
 
     def __call__(self, environ, start_response):
         """Answer one request."""
@@ -80,7 +86,12 @@
     def _document(self, environ) -> tuple[int, dict]:
         """Return the status and document for a request."""
         if environ["PATH_INFO"] == "/runs":
-            return 200, {"runs": self.runs, "by_key": dict(self.runs_by_key)}
+            return 200, {
+                "runs": self.runs,
+                "by_key": dict(self.runs_by_key),
+                "by_path": dict(self.runs_by_path),
+                "last_headers": self.last_headers,
+            }
         return self._run(environ)
 
     def _finish(self, body: bytes) -> Iterator[bytes]:
@@ -96,6 +107,12 @@
             os._exit(70)
         body = environ["wsgi.input"].read()
         self.runs += 1
+        self._count_path(environ["PATH_INFO"])
+        self.last_headers = {
+            name.removeprefix("HTTP_").replace("_", "-").lower(): value
+            for name, value in environ.items()
+            if name.startswith("HTTP_")
+        }
         key = environ.get(KEY_HEADER)
         if key is not None:
             self.runs_by_key[key] += 1
@@ -110,6 +127,11 @@
             "body_bytes": len(body),
         }
 
+    def _count_path(self, path: str) -> None:
+        self.runs_by_path[path] += 1
+        if len(self.runs_by_path) > MAX_PATHS:
+            del self.runs_by_path[next(iter(self.runs_by_path))]
+
     def _latency(self) -> timedelta:
         cold = self.clock.monotonic() - self.started_at < self.behaviour.cold_start
         return self.behaviour.latency * (10 if cold else 1)
--- a/test/standins/test_target_server.py
+++ b/test/standins/test_target_server.py
@@ -51,7 +51,15 @@
             ("t", "v2", "/b", 501, 3),
             tuple(found[key] for key in ("target", "version", "path", "run", "body_bytes")),
         )
-        self.assertEqual({"runs": 501, "by_key": {"k": 500}}, self.call(app, "/runs")[1])
+        self.assertEqual(
+            {
+                "runs": 501,
+                "by_key": {"k": 500},
+                "by_path": {"/a": 500, "/b": 1},
+                "last_headers": {},
+            },
+            self.call(app, "/runs")[1],
+        )
         self.assertEqual(0, app.active)
 
     def test_sigterm_announces_leaving_and_finishes_the_request(self):
