--- /dev/null
+++ b/test/proxy/test_target.py
@@ -0,0 +1,94 @@
+"""Tests of hop 2 against scripted targets."""
+
+from datetime import timedelta
+
+from testtools import TestCase
+
+from almondshore.core.clock import SystemClock
+from almondshore.limits.admission import SlotQueue
+from almondshore.proxy.gate import SlotGate
+from almondshore.proxy.pool import HopPool
+from almondshore.proxy.target import Endpoint, TargetApp
+from standins.deployment import free_address
+from test.proxy.servers import ScriptedServer, answer
+from test.proxy.wsgicall import call
+
+SECOND = timedelta(seconds=1)
+HOP = (
+    ("x-almondshore-request-id", "r1-0"),
+    ("x-almondshore-target", "t"),
+    ("x-almondshore-class", "urgent"),
+    ("x-almondshore-deadline-ms", "3000"),
+)
+
+
+class TargetTest(TestCase):
+    def app(self, address):
+        clock = SystemClock()
+        pool = HopPool(
+            max_hosts=4, connections_per_host=4, connect_timeout=SECOND, max_response_bytes=1000
+        )
+        self.addCleanup(pool.close)
+        gate = SlotGate(queue=SlotQueue(clock=clock, slots=2, queue_limit=2))
+        self.runs = []
+        return TargetApp(
+            clock=clock,
+            endpoints={"t": Endpoint("t", "s", "v1", address, gate)},
+            pool=pool,
+            max_body_bytes=1000,
+            once=None,
+            on_run=self.runs.append,
+        )
+
+    def answered(self, response, close_after=False):
+        server = ScriptedServer([response], close_after=close_after)
+        self.addCleanup(server.close)
+        app = self.app(server.address)
+        result = call(app, "POST", "/a", headers=HOP)
+        self.assertTrue(app.endpoints["t"].gate.queue.is_idle())
+        return result
+
+    def test_whole_response(self):
+        """Guards against a response without the id and outcome that hop 1 checks."""
+        result = self.answered(answer(b"ok", "x-almondshore-request-id: spoofed", "x-kept: k"))
+        self.assertEqual((200, "", "run"), result[:3])
+        self.assertEqual(b"ok", result.body)
+        self.assertEqual("r1-0", result.headers["x-almondshore-request-id"])
+        self.assertEqual("k", result.headers["x-kept"])
+        self.assertEqual([True], [run.ok for run in self.runs])
+
+    def test_outcome_of_failures(self):
+        """Guards against ``not-run`` for a request that the target may have run."""
+        refused = answer(b"", "x-almondshore-outcome: not-run", status="503 Busy")
+        truncated = answer(b"ab", length=10)
+        for response, expected in (
+            (None, (502, "target-lost", "unknown")),
+            (truncated, (502, "response-truncated", "run")),
+            (answer(b"x" * 200_000), (502, "response-truncated", "run")),
+            (refused, (503, "overloaded", "not-run")),
+        ):
+            self.assertEqual(expected, self.answered(response, close_after=True)[:3])
+
+    def test_request_that_reaches_no_target(self):
+        """Guards against a missing ``not-run`` where another target may be tried."""
+        unreachable = (502, "target-unreachable", "not-run")
+        app = self.app(free_address())
+        self.assertEqual(unreachable, call(app, "POST", "/a", headers=HOP)[:3])
+        app.endpoints = {}
+        self.assertEqual(unreachable, call(app, "POST", "/a", headers=HOP)[:3])
+        self.assertEqual([], self.runs)
+
+    def test_malformed_internal_headers(self):
+        """Guards against a request that runs without a deadline, class or target."""
+        app = self.app(free_address())
+        for name, _ in HOP:
+            headers = [item for item in HOP if item[0] != name]
+            result = call(app, "POST", "/a", headers=headers)
+            self.assertEqual((400, "bad-request", "not-run"), result[:3], name)
+
+    def test_draining_target_refuses(self):
+        """Guards against new work for a target that leaves."""
+        app = self.app(free_address())
+        app.endpoints["t"].gate.drain()
+        result = call(app, "POST", "/a", headers=HOP)
+        self.assertEqual((503, "draining", "not-run"), result[:3])
--- /dev/null
+++ b/test/proxy/wsgicall.py
@@ -0,0 +1,37 @@
+"""Calls a WSGI application of a hop as its server would."""
+
+import io
+from typing import NamedTuple
+
+
+class Result(NamedTuple):
+    """Response of an application."""
+
+    status: int
+    reason: str
+    outcome: str
+    headers: dict[str, str]
+    body: bytes
+
+
+def call(app, method, path, body=b"", headers=()):
+    """Send a request to an application."""
+    started = []
+    environ = {
+        "REQUEST_METHOD": method,
+        "PATH_INFO": path,
+        "RAW_PATH_INFO": path,
+        "CONTENT_LENGTH": str(len(body)),
+        "headers_raw": (("content-length", str(len(body))), *headers),
+        "wsgi.input": io.BytesIO(body),
+    }
+    chunks = app(environ, lambda status, items: started.append((status, items)))
+    status, items = started[0]
+    found = dict(items)
+    return Result(
+        int(status.split()[0]),
+        found.get("x-almondshore-reason", ""),
+        found.get("x-almondshore-outcome", ""),
+        found,
+        b"".join(chunks),
+    )
