Keep records of keys by process, and read the markers of dead owners

Cause: after SIGKILL and restart of the only owner of a service 30 of 30 keys ran twice in a process test: the restarted node counted as their owner all along. Change: a process, not a node, is the owner of a key; an owner that starts reads the markers of processes that died with runs they had not claimed. A move keeps its identity when only its deadline or preference changes.

--- a/almondshore/core/messages.py
+++ b/almondshore/core/messages.py
@@ -28,6 +28,7 @@
     :ivar address: ``ip:port`` of the owner's hop 2 listener, which other nodes send requests to
     :ivar slots: requests the target runs at the same time
     :ivar control: ``ip:port`` at which the owner takes control messages, for probes
+    :ivar process: incarnation of the owning node, which tells its processes apart
     """
 
     target: str
@@ -40,6 +41,7 @@
     incarnation: int
     state: TargetState
     control: str = ""
+    process: int = 0
 
 
 class RelayEntry(NamedTuple):
--- a/almondshore/daemon/node.py
+++ b/almondshore/daemon/node.py
@@ -19,7 +19,7 @@
 from almondshore.moves.state import MoveTable
 from almondshore.platform.port import Platform
 from almondshore.proxy.caller import Routes
-from almondshore.proxy.once import OnceOwner, make_claim_store
+from almondshore.proxy.once import OnceOwner
 from almondshore.relay.control import ControlLimits, ControlNode, Identity
 from almondshore.retries.budget import RetryBudget
 from almondshore.retries.crash import CrashGuard
@@ -70,12 +70,8 @@
         self.once = OnceOwner(
             clock=clock,
             node=identity.node,
-            claims=make_claim_store(
-                platform=claims_platform or platform,
-                clock=clock,
-                node=identity.node,
-                instance=f"{identity.node}-{identity.incarnation}",
-            ),
+            process=identity.incarnation,
+            platform=claims_platform or platform,
             directory=self.control.directory,
         )
         self.routes = RouteKeeper(
--- a/almondshore/daemon/process.py
+++ b/almondshore/daemon/process.py
@@ -6,11 +6,9 @@
 from datetime import timedelta
 
 import eventlet
-import eventlet.wsgi
 from eventlet.event import Event
 
 from almondshore.core.clock import SystemClock
-from almondshore.core.errors import ListenError
 from almondshore.core.messages import CrashDeath, Envelope, Send
 from almondshore.daemon.admin import AdminApp, Announcement
 from almondshore.daemon.journal import Journal
@@ -20,8 +18,6 @@
 from almondshore.daemon.settings import Settings
 from almondshore.daemon.status import StatusWriter
 from almondshore.limits.admission import SlotQueue
-from almondshore.net.address import parse_address
-from almondshore.net.failures import describe_failure
 from almondshore.net.nng import NngTransport
 from almondshore.platform.budget import (
     NODE_RATES,
@@ -34,6 +30,7 @@
 from almondshore.proxy.gate import SlotGate
 from almondshore.proxy.once import OnceApp, OnceClient
 from almondshore.proxy.pool import HopPool
+from almondshore.proxy.serving import InFlight, serve
 from almondshore.proxy.target import Endpoint, TargetApp
 from almondshore.relay.control import ControlLimits, Identity
 
@@ -44,8 +41,6 @@
 # Nodes elsewhere stop sending work within this time of the announcement that targets leave.
 LEAVE_NOTICE = timedelta(seconds=3)
 CONNECT_TIMEOUT = timedelta(seconds=1)
-SOCKET_TIMEOUT_SECONDS = 60
-MAX_CONNECTIONS = 4096
 MAX_HOSTS = 1024
 CONNECTIONS_PER_HOST = 100
 
@@ -83,7 +78,7 @@
         self.endpoints: dict[str, Endpoint] = {}
         self.once = OnceClient(
             clock=self.clock,
-            node=settings.node,
+            identity=self.node.once.identity,
             directory=self.node.control.directory,
             owner=self.node.once,
             pool=self.pool,
@@ -99,6 +94,8 @@
             on_death=self._target_died,
             on_run=self.node.moves.record,
         )
+        self.in_flight = InFlight()
+        self.listeners: list[socket.socket] = []
         self.draining = False
         self.ended = Event()
 
@@ -115,10 +112,12 @@
             drain=lambda: eventlet.spawn(self.drain),
             is_draining=lambda: self.draining,
         )
-        self._serve(listen.admin, admin)
-        self._serve(listen.peer, self.target_app)
-        self._serve(listen.caller, self.callers[0])
-        self._serve(listen.internal, self.callers[1])
+        serve(listen.admin, admin, InFlight())
+        self.listeners = [
+            serve(listen.peer, self.target_app, self.in_flight),
+            serve(listen.caller, self.callers[0], self.in_flight),
+            serve(listen.internal, self.callers[1], self.in_flight),
+        ]
         eventlet.spawn(self.transport.receive_forever, self._received)
         self._repeat(self._tick, TICK_SECONDS)
         self._repeat(self._platform_step, PLATFORM_STEP_SECONDS)
@@ -161,6 +160,7 @@
         if self.draining:
             return
         self.draining = True
+        self.in_flight.closing = True
         log_event("node_draining", node=self.settings.node)
         started = self.clock.monotonic()
         self._send_all(self.node.control.announce(self.node.control.local.drain_all()))
@@ -171,6 +171,8 @@
                 continue
             for endpoint in self.endpoints.values():
                 endpoint.gate.drain()
+            if not self._has_work():
+                self._close_listeners()
             if self._is_idle():
                 break
         self.node.control.duty.release()
@@ -178,9 +180,16 @@
         log_event("node_ended", node=self.settings.node, idle=self._is_idle())
         self.ended.send()
 
+    def _has_work(self) -> bool:
+        return not all(endpoint.gate.queue.is_idle() for endpoint in self.endpoints.values())
+
     def _is_idle(self) -> bool:
-        gates = all(endpoint.gate.queue.is_idle() for endpoint in self.endpoints.values())
-        return gates and not any(caller.active for caller in self.callers)
+        return not self._has_work() and self.in_flight.count == 0
+
+    def _close_listeners(self) -> None:
+        """Accept no more connections, so that a steady load cannot hold up the end."""
+        while self.listeners:
+            self.listeners.pop().shutdown(socket.SHUT_RDWR)
 
     def _make_node(self) -> Node:
         listen = self.settings.listen
@@ -232,22 +241,6 @@
             self.node.control.local.targets[announcement.target].record.incarnation,
         )
 
-    def _serve(self, address: str, app: Callable) -> None:
-        host, port = parse_address(address)
-        family = socket.AF_INET6 if host.version == 6 else socket.AF_INET
-        try:
-            listener = eventlet.listen((str(host), port), family)
-        except OSError as error:
-            raise ListenError(address, describe_failure(error)) from error
-        eventlet.spawn(
-            eventlet.wsgi.server,
-            listener,
-            app,
-            log_output=False,
-            max_size=MAX_CONNECTIONS,
-            socket_timeout=SOCKET_TIMEOUT_SECONDS,
-        )
-
     def _repeat(self, action: Callable[[], None], pause: float | Callable[[], float]) -> None:
         """Run an action again and again; an error is logged and does not end the loop."""
 
--- a/almondshore/membership/local.py
+++ b/almondshore/membership/local.py
@@ -31,6 +31,7 @@
         node: str,
         zone: str,
         address: str,
+        process: int = 0,
         control: str,
         announce_timeout: timedelta = ANNOUNCE_TIMEOUT,
         max_targets: int = MAX_TARGETS,
@@ -39,6 +40,7 @@
         self.node = node
         self.zone = zone
         self.address = address
+        self.process = process
         self.control = control
         self.announce_timeout = announce_timeout
         self.max_targets = max_targets
@@ -71,6 +73,7 @@
             incarnation=0,
             state=state,
             control=self.control,
+            process=self.process,
         )
         left = known is not None and known.record.state is TargetState.LEAVING
         if left and known.record.version == version:
--- a/almondshore/moves/coordinator.py
+++ b/almondshore/moves/coordinator.py
@@ -125,6 +125,7 @@
         if part["allowed"].get(to_version) != self.part["allowed"].get(to_version):
             self.verdict = None
         self.part = part
+        self.plan = plan_of(part["move"])
         self.config_version = config_version
 
     def add_evidence(self, evidence: Evidence, sender: str) -> None:
--- a/almondshore/proxy/once.py
+++ b/almondshore/proxy/once.py
@@ -25,7 +25,7 @@
     key_hash,
 )
 from almondshore.retries.outcome import Failure, Outcome, Reason, make_failure
-from almondshore.retries.ownership import Ownership
+from almondshore.retries.ownership import Departure, Ownership
 
 OPERATION = names.PREFIX + "once-operation"
 REPORT_ATTEMPTS = 2
@@ -89,15 +89,29 @@
         *,
         clock: Clock,
         node: str,
-        claims: ClaimStore,
+        process: int,
+        platform: Platform,
         directory: Directory,
     ):
+        """Create an owner without records.
+
+        :param process: incarnation of the node
+        :param platform: platform client for claims, which have a budget of their own
+        """
         self.clock = clock
         self.node = node
-        self.claims = claims
+        self.identity = process_identity(node, process)
+        self.claims = ClaimStore(
+            platform=platform,
+            clock=clock,
+            node=self.identity,
+            instance=self.identity,
+            budget=ClaimBudget(clock=clock),
+        )
         self.directory = directory
         self.services: dict[str, OnceRecords] = {}
         self.revision = -1
+        self.unread: set[str] = set()
 
     def claim(self, request: ClaimRequest) -> ClaimReply:
         """Answer a claim; may wait for the platform."""
@@ -105,6 +119,9 @@
         if records is None:
             detail = "this node has no target of the service"
             return ClaimReply(denied=make_failure(Reason.KEY_UNPROVEN, detail))
+        if request.service in self.unread and not records.ownership.received:
+            detail = "the records of earlier owners are not known yet"
+            return ClaimReply(denied=make_failure(Reason.KEY_UNPROVEN, detail))
         deadline = self.clock.monotonic() + timedelta(milliseconds=request.left_ms)
         answer = records.claim(request.key, request.fingerprint, deadline)
         match answer:
@@ -140,6 +157,7 @@
         for service in self.directory.services_of(self.node):
             if service not in self.services and len(self.services) < MAX_SERVICES:
                 self.services[service] = self._new_records()
+                self.unread.add(service)
                 self.revision = -1
         changed = self.revision != self.directory.revision
         self.revision = self.directory.revision
@@ -158,14 +176,30 @@
 
     def tick(self) -> None:
         """Write deferred claims; waits for the platform."""
+        if self.unread:
+            self._read_markers()
         for records in list(self.services.values()):
             records.tick()
 
+    def _read_markers(self) -> None:
+        """Learn which processes died while they held runs without a claim.
+
+        Without it, the only owner of a service would run their keys again after its restart.
+        """
+        marked = self.claims.marked()
+        if marked is None:
+            return
+        for service in list(self.unread):
+            live = members_of(self.directory, service) | {self.identity}
+            for name in set(marked) - live:
+                self.services[service].ownership.note_departure(Departure(name, 0, True))
+            self.unread.discard(service)
+
     def _new_records(self) -> OnceRecords:
         return OnceRecords(
             clock=self.clock,
             claims=self.claims,
-            ownership=Ownership(clock=self.clock, node=self.node),
+            ownership=Ownership(clock=self.clock, node=self.identity),
         )
 
 
@@ -198,10 +232,10 @@
     """Asks the owner of a key for a grant and reports how the request ended."""
 
     def __init__(
-        self, *, clock: Clock, node: str, directory: Directory, owner: OnceOwner, pool: HopPool
+        self, *, clock: Clock, identity: str, directory: Directory, owner: OnceOwner, pool: HopPool
     ):
         self.clock = clock
-        self.node = node
+        self.identity = identity
         self.directory = directory
         self.owner = owner
         self.pool = pool
@@ -236,7 +270,7 @@
         If the report is lost, the record becomes ``unknown`` and the key is never run again.
         """
         report = _report_of(grant, result)
-        if grant.owner.node == self.node:
+        if keeper_of(grant.owner) == self.identity:
             self.owner.report(report)
             return
         for _ in range(REPORT_ATTEMPTS):
@@ -247,9 +281,9 @@
     def fetch_handovers(self) -> None:
         """Take over the records of this node's keys from nodes that owned them before."""
         for service, records in list(self.owner.services.items()):
-            live = {record.node: record for record in _live(self.directory, service)}
+            live = {keeper_of(record): record for record in _live(self.directory, service)}
             for node in sorted(records.ownership.awaited & live.keys()):
-                request = HandoverRequest(service, self.node)
+                request = HandoverRequest(service, self.identity)
                 reply = self._exchange(live[node], "handover", request, CLAIM_TIMEOUT)
                 if not isinstance(reply, Reply):
                     continue
@@ -258,12 +292,12 @@
                     records.take_over(handover)
 
     def _owner_of(self, service: str, key: str) -> TargetRecord | None:
-        members = {record.node: record for record in _live(self.directory, service)}
+        members = {keeper_of(record): record for record in _live(self.directory, service)}
         chosen = rendezvous.choose(key, members)
         return members[chosen] if chosen is not None else None
 
     def _ask(self, record: TargetRecord, request: ClaimRequest) -> ClaimReply | Failure:
-        if record.node == self.node:
+        if keeper_of(record) == self.identity:
             return self.owner.claim(request)
         reply = self._exchange(record, "claim", request, CLAIM_TIMEOUT)
         if isinstance(reply, ExchangeFailure):
@@ -291,20 +325,22 @@
         )
 
 
-def make_claim_store(*, platform: Platform, clock: Clock, node: str, instance: str) -> ClaimStore:
-    """Return the claims of one process with a budget of their own."""
-    return ClaimStore(
-        platform=platform,
-        clock=clock,
-        node=node,
-        instance=instance,
-        budget=ClaimBudget(clock=clock),
-    )
+def process_identity(node: str, process: int) -> str:
+    """Return the identity under which a process keeps records.
+
+    A restarted node is another keeper than the process before it, whose records are lost.
+    """
+    return f"{node}/{process}"
+
+
+def keeper_of(record: TargetRecord) -> str:
+    """Return the identity of the process that keeps records beside a target."""
+    return process_identity(record.node, record.process)
 
 
 def members_of(directory: Directory, service: str) -> set[str]:
     """Return the nodes that keep records of a service's keys."""
-    return {record.node for record in _live(directory, service)}
+    return {keeper_of(record) for record in _live(directory, service)}
 
 
 def _live(directory: Directory, service: str) -> list[TargetRecord]:
--- a/almondshore/relay/control.py
+++ b/almondshore/relay/control.py
@@ -259,7 +259,12 @@
         )
         self.directory = Directory(clock=clock)
         self.local = LocalTargets(
-            clock=clock, node=who.node, zone=who.zone, address=who.address, control=who.control
+            clock=clock,
+            node=who.node,
+            zone=who.zone,
+            address=who.address,
+            control=who.control,
+            process=who.incarnation,
         )
         self.membership = DirectorySync(clock=clock, directory=self.directory, local=self.local)
         self.prober = Prober(clock=clock, node=who.node, incarnation=who.incarnation)
--- a/almondshore/retries/claims.py
+++ b/almondshore/retries/claims.py
@@ -156,6 +156,17 @@
                 result = self.platform.update(name, value, error.current.revision, write_id)
         return self._account(result)
 
+    def marked(self) -> list[str] | None:
+        """Return the nodes whose marker is set, or None if the platform does not tell."""
+        result = self.platform.list(MARKER_PREFIX)
+        if not isinstance(result, Success):
+            return None
+        return [
+            stored.key.removeprefix(MARKER_PREFIX)
+            for stored in result.unwrap()
+            if _marker_decoder.decode(stored.value)["unclaimed"]
+        ]
+
     def is_marked(self, node: str) -> bool | None:
         """Tell whether a node's marker is set, or None if the platform does not tell."""
         if not self.markers.take():
--- a/almondshore/rules/compile.py
+++ b/almondshore/rules/compile.py
@@ -107,8 +107,13 @@
     if rule is None:
         return None
     identity = move_id(rule)
-    if previous is not None and previous["move"] and previous["move"]["move_id"] == identity:
-        return previous["move"]
+    known = previous["move"] if previous is not None else None
+    if known is not None and known["move_id"] == identity:
+        return known
+    if _continues(known, rule):
+        return MovePart(
+            **{**known, "deadline": rule.deadline.isoformat(), "prefer": rule.prefer.value}
+        )
     return MovePart(
         move_id=identity,
         from_version=base_version,
@@ -121,6 +126,16 @@
     )
 
 
+def _continues(known: MovePart | None, rule: MoveRule) -> bool:
+    """Return whether a rule only changes the deadline or preference of a move under way.
+
+    Such a move keeps its identity: starting anew would take its share back to the first step.
+    """
+    if known is None or known["state"] != MoveState.ACTIVE.value:
+        return False
+    return known["to_version"] == rule.version
+
+
 def _serving_version(base_version: str, move: MovePart | None) -> str:
     if move is not None and move["state"] == MoveState.DONE.value:
         return move["to_version"]
