--- a/almondshore/daemon/journal.py
+++ b/almondshore/daemon/journal.py
@@ -1,5 +1,7 @@
 """Log events and gauges for what changes at a node."""
 
+from collections.abc import Mapping
+
 from almondshore.daemon.logs import log_event
 from almondshore.daemon.metrics import Metrics
 from almondshore.daemon.node import Node
@@ -8,12 +10,14 @@
 class Journal:
     """Compares the node with its last observed state and logs the differences."""
 
-    def __init__(self, *, node: Node, metrics: Metrics):
+    def __init__(self, *, node: Node, metrics: Metrics, transport_counts: Mapping[str, int]):
         self.node = node
         self.metrics = metrics
+        self.transport_counts = transport_counts
         self.version = 0
         self.is_relay = False
         self.ready = False
+        self.platform_up = True
         self.refused = 0
         self.moves: dict[str, tuple[str, int]] = {}
 
@@ -21,7 +25,12 @@
         """Log what has changed since the last call."""
         self._observe_config()
         self._observe_role()
+        self._observe_platform()
         self._observe_moves()
+        for name, value in self.transport_counts.items():
+            self.metrics.gauge(
+                "almondshore_transport_events", "Transport events since start", value, event=name
+            )
 
     def _observe_config(self) -> None:
         config = self.node.control.config
@@ -47,6 +56,14 @@
             event = "relay_started" if is_relay else "relay_ended"
             log_event(event, node=self.node.identity.node, zone=self.node.identity.zone)
 
+    def _observe_platform(self) -> None:
+        """Log the start and the end of an outage, as a relay sees it and tells its nodes."""
+        up = self.node.control.platform_up
+        if up is None or up == self.platform_up:
+            return
+        self.platform_up = up
+        log_event("platform_up" if up else "platform_down", level="INFO" if up else "WARNING")
+
     def _observe_moves(self) -> None:
         """Log each step and each end of a move once."""
         for service, report in self.node.moves.reports.items():
--- a/almondshore/daemon/process.py
+++ b/almondshore/daemon/process.py
@@ -9,7 +9,8 @@
 from eventlet.event import Event
 
 from almondshore.core.clock import SystemClock
-from almondshore.core.messages import Envelope, Send
+from almondshore.core.errors import ListenError
+from almondshore.core.messages import CrashDeath, Envelope, Send
 from almondshore.daemon.admin import AdminApp, Announcement
 from almondshore.daemon.journal import Journal
 from almondshore.daemon.logs import log_event
@@ -18,7 +19,15 @@
 from almondshore.daemon.settings import Settings
 from almondshore.daemon.status import StatusWriter
 from almondshore.limits.admission import SlotQueue
+from almondshore.net.address import parse_address
+from almondshore.net.failures import describe_failure
 from almondshore.net.nng import NngTransport
+from almondshore.platform.budget import (
+    NODE_RATES,
+    RELAY_RATES,
+    BudgetedPlatform,
+    CallBudget,
+)
 from almondshore.platform.http import HttpPlatform
 from almondshore.proxy.caller import CallerApp, Finished
 from almondshore.proxy.gate import SlotGate
@@ -49,15 +58,20 @@
             max_tenants=settings.limits.tenants,
             constant={"node": settings.node, "zone": settings.zone},
         )
-        self.platform = HttpPlatform(
+        self.budget = CallBudget(clock=self.clock, **NODE_RATES._asdict())
+        self.http_platform = HttpPlatform(
             url=settings.platform.url, clock=self.clock, timeout=settings.platform.timeout
         )
+        self.platform = BudgetedPlatform(inner=self.http_platform, budget=self.budget)
+        self.is_relay = False
         self.node = self._make_node()
         self.transport = NngTransport(
             listen=settings.listen.control, zone=settings.zone, clock=self.clock
         )
         self.status = StatusWriter(clock=self.clock, platform=self.platform, node=self.node)
-        self.journal = Journal(node=self.node, metrics=self.metrics)
+        self.journal = Journal(
+            node=self.node, metrics=self.metrics, transport_counts=self.transport.counts
+        )
         self.pool = HopPool(
             max_hosts=MAX_HOSTS,
             connections_per_host=CONNECTIONS_PER_HOST,
@@ -65,6 +79,13 @@
             max_response_bytes=settings.limits.max_body_bytes,
         )
         self.endpoints: dict[str, Endpoint] = {}
+        self.once = OnceClient(
+            clock=self.clock,
+            node=settings.node,
+            directory=self.node.control.directory,
+            owner=self.node.once,
+            pool=self.pool,
+        )
         self.callers = [self._make_caller(trusted) for trusted in (False, True)]
         self.target_app = TargetApp(
             clock=self.clock,
@@ -72,6 +93,8 @@
             pool=self.pool,
             max_body_bytes=settings.limits.max_body_bytes,
             once=OnceApp(owner=self.node.once),
+            crash_guard=self.node.crash_guard,
+            on_death=self._target_died,
             on_run=self.node.moves.record,
         )
         self.in_flight = InFlight()
@@ -81,6 +104,7 @@
 
     def run(self) -> None:
         """Serve until the node has been drained."""
+        eventlet.wsgi.MAX_TOTAL_HEADER_SIZE = self.settings.limits.max_header_bytes
         listen = self.settings.listen
         admin = AdminApp(
             clock=self.clock,
@@ -91,17 +115,18 @@
             drain=lambda: eventlet.spawn(self.drain),
             is_draining=lambda: self.draining,
         )
-        serve(listen.admin, admin, InFlight())
+        self._serve(listen.admin, admin, InFlight())
         self.listeners = [
-            serve(listen.peer, self.target_app, self.in_flight),
-            serve(listen.caller, self.callers[0], self.in_flight),
-            serve(listen.internal, self.callers[1], self.in_flight),
+            self._serve(listen.peer, self.target_app, self.in_flight),
+            self._serve(listen.caller, self.callers[0], self.in_flight),
+            self._serve(listen.internal, self.callers[1], self.in_flight),
         ]
         eventlet.spawn(self.transport.receive_forever, self._received)
         self._repeat(self._tick, TICK_SECONDS)
         self._repeat(self._platform_step, PLATFORM_STEP_SECONDS)
         self._repeat(self._coordinate, PLATFORM_STEP_SECONDS)
         self._repeat(self.node.claim_step, CLAIM_STEP_SECONDS)
+        self._repeat(self.once.fetch_handovers, CLAIM_STEP_SECONDS)
         self._repeat(self.node.watch_step, lambda: self._watch_delay())
         log_event("node_started", node=self.settings.node, zone=self.settings.zone)
         self.ended.wait()
@@ -180,8 +205,9 @@
             rng=random.Random(),
             identity=identity,
             platform=self.platform,
+            claims_platform=self.http_platform,
             seeds=self.settings.peers,
-            limits=ControlLimits(nodes_per_slot=self.settings.relay.nodes_per_slot),
+            limits=ControlLimits(**self.settings.relay._asdict()),
             max_tenants=self.settings.limits.tenants,
         )
 
@@ -193,13 +219,7 @@
             tenants=self.node.tenants,
             policy=self.node.policy,
             crash_guard=self.node.crash_guard,
-            once=OnceClient(
-                clock=self.clock,
-                node=self.settings.node,
-                directory=self.node.control.directory,
-                owner=self.node.once,
-                pool=self.pool,
-            ),
+            once=self.once,
             pool=self.pool,
             max_body_bytes=self.settings.limits.max_body_bytes,
             trusted=trusted,
@@ -221,8 +241,19 @@
             announcement.version,
             announcement.address,
             SlotGate(queue=queue),
+            self.node.control.local.targets[announcement.target].record.incarnation,
         )
 
+    def _serve(self, address: str, app: Callable, in_flight: InFlight) -> socket.socket:
+        host, port = parse_address(address)
+        family = socket.AF_INET6 if host.version == 6 else socket.AF_INET
+        try:
+            listener = eventlet.listen((str(host), port), family)
+        except OSError as error:
+            raise ListenError(address, describe_failure(error)) from error
+        serve(listener, app, in_flight)
+        return listener
+
     def _repeat(self, action: Callable[[], None], pause: float | Callable[[], float]) -> None:
         """Run an action again and again; an error is logged and does not end the loop."""
 
@@ -251,12 +282,20 @@
 
     def _tick(self) -> None:
         self._send_all(self.node.tick())
+        self._set_budget()
         for endpoint in list(self.endpoints.values()):
             endpoint.gate.expire()
         for target in self.endpoints.keys() - self.node.control.local.targets.keys():
             del self.endpoints[target]
         self.journal.observe()
 
+    def _set_budget(self) -> None:
+        """Give a relay the platform calls that it needs, and take them back afterwards."""
+        is_relay = self.node.control.relay is not None
+        if is_relay != self.is_relay:
+            self.is_relay = is_relay
+            self.budget.set_rates(RELAY_RATES if is_relay else NODE_RATES)
+
     def _platform_step(self) -> None:
         self._send_all(self.node.platform_step())
         self.status.step()
@@ -271,6 +310,10 @@
             else:
                 self.transport.send(item)
 
+    def _target_died(self, death: CrashDeath) -> None:
+        log_event("target_died", level="WARNING", target=death.target)
+        self._send_all(self.node.note_crash(death, self.settings.listen.control))
+
     def _finished(self, finished: Finished) -> None:
         self.metrics.observe_request(
             tenant=finished.tenant,
--- a/almondshore/proxy/serving.py
+++ b/almondshore/proxy/serving.py
@@ -65,16 +65,9 @@
             pass
 
 
-def serve(address: str, app: Callable, in_flight: InFlight) -> socket.socket:
-    """Serve a WSGI application in the background.
-
-    :param address: ``ip:port`` to listen on
-    :returns: the listener; once it is shut down, no connection is accepted
-    """
-    host, _, port = address.rpartition(":")
-    listener = eventlet.listen((host, int(port)))
+def serve(listener: socket.socket, app: Callable, in_flight: InFlight) -> None:
+    """Serve a WSGI application in the background until the listener is shut down."""
     eventlet.spawn(_serve_until_closed, listener, app, in_flight)
-    return listener
 
 
 def _serve_until_closed(listener: socket.socket, app: Callable, in_flight: InFlight) -> None:
--- a/almondshore/relay/control.py
+++ b/almondshore/relay/control.py
@@ -17,6 +17,7 @@
     RelayInvite,
     Send,
     TargetRecord,
+    TargetState,
 )
 from almondshore.membership.detector import DetectorLimits, FailureDetector
 from almondshore.membership.directory import Directory
@@ -24,6 +25,7 @@
 from almondshore.membership.prober import Prober
 from almondshore.membership.sync import DirectorySync
 from almondshore.platform.port import Platform
+from almondshore.relay.admission import SNAPSHOTS_PER_SECOND, SnapshotAdmission
 from almondshore.relay.candidacy import Candidacy
 from almondshore.relay.duty import NODES_PER_SLOT, RelayDuty
 from almondshore.relay.fanout import Relay, RelayLimits
@@ -31,6 +33,7 @@
 from almondshore.relay.source import ConfigSource
 from almondshore.relay.subscribers import MAX_SUBSCRIBERS
 from almondshore.relay.table import RelayTable
+from almondshore.versions.history import MAX_BYTES, MAX_DELTAS, DeltaHistory
 from almondshore.versions.publish import Publisher
 from almondshore.versions.sync import ConfigSync
 
@@ -56,12 +59,20 @@
 
 
 class ControlLimits(NamedTuple):
-    """Limits of the joined state machines."""
+    """Limits of the joined state machines.
+
+    :ivar backlog_deltas: configuration changes kept for a relay's subscribers
+    :ivar backlog_bytes: bound of the bytes of these changes
+    :ivar snapshots_per_second: snapshots that a relay sends at most
+    """
 
     selection: SelectionLimits = SelectionLimits()
     detector: DetectorLimits = DetectorLimits()
     relay: RelayLimits = RelayLimits()
     nodes_per_slot: int = NODES_PER_SLOT
+    backlog_deltas: int = MAX_DELTAS
+    backlog_bytes: int = MAX_BYTES
+    snapshots_per_second: float = SNAPSHOTS_PER_SECOND
 
 
 class ControlNode:
@@ -144,7 +155,8 @@
 
     def platform_step(self) -> list[Send]:
         """Take, renew and review relay leases; waits for the platform."""
-        return self.duty.step(in_zone=self.selection.in_zone)
+        selection = self.selection
+        return self.duty.step(in_zone=selection.in_zone, relay_to_try=selection.relay_to_try)
 
     def watch_step(self) -> None:
         """Watch the head of the configuration if this node is a relay; waits for the platform."""
@@ -155,6 +167,16 @@
         """Make changes of the own targets known."""
         return self.membership.changed(records)
 
+    def spread(self, message: Message, sender: str) -> list[Send]:
+        """Pass news on: a node to its relay, a relay to its nodes and the other relays."""
+        if self.relay is None:
+            own = sender == self.identity.control
+            chosen = self.selection.relay
+            return [Send(chosen, message)] if own and chosen else []
+        if sender in self.table.addresses() and sender != self.identity.control:
+            return self.relay.to_subscribers(message)
+        return self.relay.broadcast(message)
+
     def heartbeat(self) -> Heartbeat:
         """Return the heartbeat that tells what this node holds now."""
         current = self.config.state.current
@@ -182,8 +204,8 @@
         return [peer for peer in dict.fromkeys(known) if peer not in ("", self.identity.control)]
 
     def nodes_in_zone(self) -> int:
-        """Return the number of nodes of the own zone that the directory knows."""
-        return len({record.node for record in self.directory.of_zone(self.identity.zone)})
+        """Return the number of live nodes of the own zone that the directory knows."""
+        return len({record.node for record in self._live_in_zone()})
 
     def fair_share(self) -> int:
         """Return how many nodes this node serves as a relay.
@@ -199,12 +221,15 @@
 
     def candidates(self) -> list[str]:
         """Return addresses of nodes of the own zone that could become relays."""
-        records = self.directory.of_zone(self.identity.zone)
-        own = {record.control for record in records if record.control}
+        own = {record.control for record in self._live_in_zone() if record.control}
         if self.relay is not None:
             own = {subscriber.address for subscriber in self.relay.subscribers}
         return sorted(own - {self.identity.control}) or self.seeds
 
+    def _live_in_zone(self) -> list[TargetRecord]:
+        records = self.directory.of_zone(self.identity.zone)
+        return [record for record in records if record.state is not TargetState.DEAD]
+
     def _machines(self, message: Message):
         """Return the machines of an ordinary node that a message concerns."""
         own = (self.config, self.membership, self.prober, self.selection)
@@ -222,7 +247,16 @@
 
     def _make_membership(self) -> None:
         clock, who = self.clock, self.identity
-        self.config = ConfigSync(clock=clock, rng=self.rng, peers=self.peers)
+        limits = self.limits
+        self.config = ConfigSync(
+            clock=clock,
+            rng=self.rng,
+            peers=self.peers,
+            admission=SnapshotAdmission(
+                clock=clock, rng=self.rng, rate=limits.snapshots_per_second
+            ),
+            history=DeltaHistory(max_deltas=limits.backlog_deltas, max_bytes=limits.backlog_bytes),
+        )
         self.directory = Directory(clock=clock)
         self.local = LocalTargets(
             clock=clock, node=who.node, zone=who.zone, address=who.address, control=who.control
--- a/test/proxy/test_target.py
+++ b/test/proxy/test_target.py
@@ -9,6 +9,7 @@
 from almondshore.proxy.gate import SlotGate
 from almondshore.proxy.pool import HopPool
 from almondshore.proxy.target import Endpoint, TargetApp
+from almondshore.retries.crash import CrashGuard
 from standins.deployment import free_address
 from test.proxy.servers import ScriptedServer, answer
 from test.proxy.wsgicall import call
@@ -33,10 +34,11 @@
         self.runs = []
         return TargetApp(
             clock=clock,
-            endpoints={"t": Endpoint("t", "s", "v1", address, gate)},
+            endpoints={"t": Endpoint("t", "s", "v1", address, gate, 1)},
             pool=pool,
             max_body_bytes=1000,
             once=None,
+            crash_guard=CrashGuard(clock=clock),
             on_run=self.runs.append,
         )
 
