--- a/test/daemon/test_journal.py
+++ b/test/daemon/test_journal.py
@@ -32,7 +32,9 @@
             max_tenants=10,
         )
         self.node = node
-        self.journal = Journal(node=node, metrics=Metrics(max_tenants=10, constant={}), transport_counts={})
+        self.journal = Journal(
+            node=node, metrics=Metrics(max_tenants=10, constant={}), transport_counts={}
+        )
 
     def run_for(self, seconds):
         for _ in range(seconds):
