Use the directory's own filter of live records, and correct a comment

Cause: a reading of the whole change found that the records of keys filtered dead targets again, which Directory.of_service already leaves out, and a comment that called the shortest advice to wait the longest. Change: of_service is called directly; the comment says shortest.

--- a/almondshore/proxy/once.py
+++ b/almondshore/proxy/once.py
@@ -8,7 +8,7 @@
 
 from almondshore.core import rendezvous
 from almondshore.core.clock import Clock
-from almondshore.core.messages import TargetRecord, TargetState
+from almondshore.core.messages import TargetRecord
 from almondshore.membership.directory import Directory
 from almondshore.platform.port import Platform
 from almondshore.proxy import headers as names
@@ -281,7 +281,7 @@
     def fetch_handovers(self) -> None:
         """Take over the records of this node's keys from nodes that owned them before."""
         for service, records in list(self.owner.services.items()):
-            live = {keeper_of(record): record for record in _live(self.directory, service)}
+            live = {keeper_of(record): record for record in self.directory.of_service(service)}
             for node in sorted(records.ownership.awaited & live.keys()):
                 request = HandoverRequest(service, self.identity)
                 reply = self._exchange(live[node], "handover", request, CLAIM_TIMEOUT)
@@ -293,7 +293,7 @@
                     records.take_over(handover)
 
     def _owner_of(self, service: str, key: str) -> TargetRecord | None:
-        members = {keeper_of(record): record for record in _live(self.directory, service)}
+        members = {keeper_of(record): record for record in self.directory.of_service(service)}
         chosen = rendezvous.choose(key, members)
         return members[chosen] if chosen is not None else None
 
@@ -341,12 +341,7 @@
 
 def members_of(directory: Directory, service: str) -> set[str]:
     """Return the nodes that keep records of a service's keys."""
-    return {keeper_of(record) for record in _live(directory, service)}
-
-
-def _live(directory: Directory, service: str) -> list[TargetRecord]:
-    """Return the records of a service whose targets live, those that are leaving included."""
-    return [r for r in directory.of_service(service) if r.state is not TargetState.DEAD]
+    return {keeper_of(record) for record in directory.of_service(service)}
 
 
 def _replayed(response: StoredResponse) -> Reply:
--- a/almondshore/proxy/wsgi.py
+++ b/almondshore/proxy/wsgi.py
@@ -20,7 +20,7 @@
 MALFORMED_HEADERS = "almondshore.malformed_headers"
 # Limits the whole body, so that a caller that sends a byte now and then is not served for ever.
 BODY_TIMEOUT = timedelta(seconds=30)
-# Longest advice to wait, in seconds, that fits the granularity of Retry-After.
+# Shortest advice to wait, in seconds, that fits the granularity of Retry-After.
 MIN_RETRY_AFTER_SECONDS = 1
 
 NO_TENANT = "-"
