--- a/almondshore/core/clock.py
+++ b/almondshore/core/clock.py
@@ -29,6 +29,17 @@
         return timedelta(seconds=time.monotonic())
 
 
+class BootClock(SystemClock):
+    """A system clock whose monotonic time goes on while the host is suspended.
+
+    After a suspension, deadlines that have passed meanwhile are recognised as such.
+    """
+
+    def monotonic(self) -> timedelta:
+        """Return the time since the host started."""
+        return timedelta(seconds=time.clock_gettime(time.CLOCK_BOOTTIME))
+
+
 class ManualClock(Clock):
     """A clock that moves only when it is told to."""
 
--- a/almondshore/daemon/fields.py
+++ b/almondshore/daemon/fields.py
@@ -44,6 +44,11 @@
     return convert
 
 
+def line() -> Field:
+    """Return a field for a line of text that its owner parses."""
+    return lambda node: _text(node)
+
+
 def integer(lowest: int, highest: int) -> Field:
     """Return a field for a whole number within inclusive bounds."""
 
--- a/almondshore/daemon/journal.py
+++ b/almondshore/daemon/journal.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Mapping
 
-from almondshore.daemon.logs import log_event
+from almondshore.core.logs import log_event
 from almondshore.daemon.metrics import Metrics
 from almondshore.daemon.node import Node
 
--- a/almondshore/daemon/main.py
+++ b/almondshore/daemon/main.py
@@ -13,7 +13,7 @@
 import cyclopts  # noqa: E402
 
 from almondshore.core.errors import InvalidInputError, ListenError  # noqa: E402
-from almondshore.daemon.logs import log_event, setup_logs  # noqa: E402
+from almondshore.core.logs import log_event, setup_logs  # noqa: E402
 from almondshore.daemon.process import NodeProcess  # noqa: E402
 from almondshore.daemon.settings import load_settings  # noqa: E402
 
--- a/almondshore/daemon/moving.py
+++ b/almondshore/daemon/moving.py
@@ -28,11 +28,11 @@
 from almondshore.moves.outcome import ConfigOutcomePublisher
 from almondshore.moves.state import MoveTable
 from almondshore.moves.veto import LocalDetector
-from almondshore.platform.port import Platform
 from almondshore.proxy.target import RunResult
 from almondshore.relay.control import ControlNode
 from almondshore.relay.lease import Held, HeldElsewhere, Lease
 from almondshore.rules.model import MoveState, ServicePart
+from almondshore.storage.port import Platform
 from almondshore.versions.publish import Publisher
 
 LEASE_RENEW_INTERVAL = timedelta(seconds=5)
--- a/almondshore/daemon/node.py
+++ b/almondshore/daemon/node.py
@@ -17,7 +17,6 @@
 from almondshore.daemon.routes import RouteKeeper
 from almondshore.limits.tenants import TenantLimits
 from almondshore.moves.state import MoveTable
-from almondshore.platform.port import Platform
 from almondshore.proxy.caller import Routes
 from almondshore.proxy.once import OnceOwner
 from almondshore.relay.control import ControlLimits, ControlNode, Identity
@@ -26,6 +25,7 @@
 from almondshore.retries.policy import RetryPolicy
 from almondshore.routing.choice import TargetChooser
 from almondshore.routing.outlier import OutlierEjector
+from almondshore.storage.port import Platform
 from almondshore.versions.view import ViewBuilder
 
 
--- a/almondshore/daemon/process.py
+++ b/almondshore/daemon/process.py
@@ -9,23 +9,16 @@
 from eventlet.event import Event
 
 from almondshore.core.clock import SystemClock
+from almondshore.core.logs import log_event
 from almondshore.core.messages import CrashDeath, Envelope, Send
 from almondshore.daemon.admin import AdminApp, Announcement
 from almondshore.daemon.journal import Journal
-from almondshore.daemon.logs import log_event
 from almondshore.daemon.metrics import Metrics
 from almondshore.daemon.node import Node
 from almondshore.daemon.settings import Settings
 from almondshore.daemon.status import StatusWriter
 from almondshore.limits.admission import SlotQueue
 from almondshore.net.nng import NngTransport
-from almondshore.platform.budget import (
-    NODE_RATES,
-    RELAY_RATES,
-    BudgetedPlatform,
-    CallBudget,
-)
-from almondshore.platform.http import HttpPlatform
 from almondshore.proxy.caller import CallerApp, Finished
 from almondshore.proxy.gate import SlotGate
 from almondshore.proxy.once import OnceApp, OnceClient
@@ -33,6 +26,13 @@
 from almondshore.proxy.serving import InFlight, serve
 from almondshore.proxy.target import Endpoint, TargetApp
 from almondshore.relay.control import ControlLimits, Identity
+from almondshore.storage.budget import (
+    NODE_RATES,
+    RELAY_RATES,
+    BudgetedPlatform,
+    CallBudget,
+)
+from almondshore.storage.http import HttpPlatform
 
 TICK_SECONDS = 0.1
 PLATFORM_STEP_SECONDS = 0.5
--- a/almondshore/daemon/status.py
+++ b/almondshore/daemon/status.py
@@ -8,8 +8,8 @@
 from almondshore.core.messages import TargetRecord
 from almondshore.daemon.node import Node
 from almondshore.moves.plan import FINAL_STEP, SHARES, plan_of
-from almondshore.platform.port import Conflict, Platform
 from almondshore.rules.model import MoveState, ServicePart
+from almondshore.storage.port import Conflict, Platform
 from almondshore.versions.status import (
     MoveStatus,
     NodeStatus,
--- /dev/null
+++ b/almondshore/http/client.py
@@ -0,0 +1,325 @@
+"""HTTP/1.1 client connections, their reuse, and calls on them."""
+
+from collections import deque
+from collections.abc import Callable
+from datetime import timedelta
+from enum import Enum
+from typing import NamedTuple
+
+from eventlet import hubs
+
+from almondshore.core.clock import Clock
+from almondshore.http.messages import Response
+from almondshore.http.parsing import ParseError, ResponseParser
+from almondshore.http.stream import Stream, StreamHandler, connect_stream
+
+Address = tuple[str, int]
+
+# A connection is established within a few milliseconds; a host without power never answers.
+CONNECT_TIMEOUT = timedelta(milliseconds=400)
+# Idle connections are dropped before the peer's own timeout may close them.
+IDLE_LIMIT = timedelta(seconds=8)
+KEEP_ALIVE_MARGIN = timedelta(seconds=1)
+MAX_IDLE = 64
+
+
+class CallFailure(Enum):
+    """Why a call has no response."""
+
+    NOT_CONNECTED = "not-connected"
+    CLOSED = "closed"
+    MALFORMED = "malformed"
+    TRUNCATED = "truncated"
+    TIMED_OUT = "timed-out"
+
+
+class CallResult(NamedTuple):
+    """The end of a call.
+
+    :ivar response: the whole response, or None
+    :ivar failure: why there is none
+    :ivar sent: whether any byte of the request may have reached the peer
+    :ivar reused: whether the connection had carried a request before
+    """
+
+    response: Response | None
+    failure: CallFailure | None
+    sent: bool
+    reused: bool
+
+
+class Call:
+    """A request on a connection, until its result is delivered or it is cancelled."""
+
+    __slots__ = ("data", "accept", "on_done", "head", "connection", "timer", "done")
+
+    def __init__(
+        self,
+        *,
+        data: bytes,
+        accept: Callable[[Response], bool],
+        on_done: Callable[[CallResult], None],
+        head: bool,
+    ):
+        self.data = data
+        self.accept = accept
+        self.on_done = on_done
+        self.head = head
+        self.connection: ClientConnection | None = None
+        self.timer = None
+        self.done = False
+
+    def cancel(self) -> None:
+        """Give the call up; its connection closes and no result is delivered."""
+        if self.done:
+            return
+        self.done = True
+        if self.timer is not None:
+            self.timer.cancel()
+        if self.connection is not None:
+            self.connection.abandon()
+
+    def finish(self, result: CallResult) -> None:
+        """Deliver the result, once."""
+        if self.done:
+            return
+        self.done = True
+        if self.timer is not None:
+            self.timer.cancel()
+        self.on_done(result)
+
+
+class ClientConnection(StreamHandler):
+    """A connection that carries one call at a time."""
+
+    def __init__(self, *, pool: "ConnectionPool", address: Address, call: Call):
+        self.pool = pool
+        self.address = address
+        self.call: Call | None = call
+        self.parser = ResponseParser()
+        self.used = False
+        self.sent = False
+        self.soiled = False
+        self.idle_since = timedelta()
+        self.idle_limit = IDLE_LIMIT
+        self.connect_timer = None
+        call.connection = self
+        stream = connect_stream(address, self)
+        self.stream: Stream | None = stream if isinstance(stream, Stream) else None
+        hub = hubs.get_hub()
+        if self.stream is None:
+            hub.schedule_call_global(0, self._fail, CallFailure.NOT_CONNECTED)
+        else:
+            self.connect_timer = hub.schedule_call_global(
+                CONNECT_TIMEOUT.total_seconds(), self._connect_timed_out
+            )
+
+    def start(self, call: Call) -> None:
+        """Send a call on the idle connection."""
+        self.call = call
+        call.connection = self
+        self._send()
+
+    def on_connected(self) -> None:
+        """Send the call that the connection was made for."""
+        self._stop_connect_timer()
+        if self.call is not None:
+            self._send()
+
+    def on_data(self, data: bytes) -> None:
+        """Parse a response; bytes without a call waiting make the connection unusable."""
+        if self.call is None:
+            self.abandon()
+            return
+        try:
+            self.parser.feed(data)
+        except ParseError:
+            if not self._take_response():
+                self._fail(CallFailure.MALFORMED)
+            return
+        self._take_response()
+
+    def on_end(self, *, clean: bool) -> None:
+        """Complete a response without a length, or fail the call."""
+        self._stop_connect_timer()
+        self.pool.forget(self)
+        if self.call is None:
+            return
+        if self.parser.end(clean=clean) and self._take_response():
+            return
+        if not self.sent:
+            self._fail(CallFailure.NOT_CONNECTED)
+        elif self.parser.started:
+            self._fail(CallFailure.TRUNCATED)
+        else:
+            self._fail(CallFailure.CLOSED)
+
+    def abandon(self) -> None:
+        """Close the connection without a result."""
+        self._stop_connect_timer()
+        self.call = None
+        self.pool.forget(self)
+        if self.stream is not None:
+            self.stream.close()
+
+    def time_out(self, call: Call) -> None:
+        """Fail the call if it is still the present one."""
+        if self.call is call:
+            self._fail(CallFailure.TIMED_OUT)
+
+    def _send(self) -> None:
+        self.sent = True
+        self.stream.write(self.call.data)
+
+    def _take_response(self) -> bool:
+        """Deliver the first response that belongs to the call.
+
+        A response to an earlier request on this connection is dropped.
+        """
+        call = self.call
+        while self.parser.complete:
+            response = self.parser.complete.popleft()
+            if not call.accept(response):
+                self.soiled = True
+                continue
+            reusable = (
+                response.keep_alive
+                and not self.soiled
+                and not call.head
+                and not self.parser.started
+                and not self.parser.complete
+                and not self.stream.unsent
+                and not self.stream.closed
+            )
+            self.call = None
+            result = CallResult(response, None, True, self.used)
+            self.used = True
+            if reusable:
+                self._keep(response)
+            else:
+                self.abandon()
+            call.finish(result)
+            return True
+        return False
+
+    def _keep(self, response: Response) -> None:
+        self.idle_limit = IDLE_LIMIT
+        stated = response.header(b"keep-alive")
+        if stated is not None:
+            limit = _keep_alive_timeout(stated)
+            if limit is not None:
+                self.idle_limit = min(IDLE_LIMIT, max(timedelta(), limit - KEEP_ALIVE_MARGIN))
+        self.idle_since = self.pool.clock.monotonic()
+        self.pool.release(self)
+
+    def _connect_timed_out(self) -> None:
+        if self.stream is not None and self.stream.connecting:
+            self._fail(CallFailure.NOT_CONNECTED)
+
+    def _stop_connect_timer(self) -> None:
+        if self.connect_timer is not None:
+            self.connect_timer.cancel()
+            self.connect_timer = None
+
+    def _fail(self, failure: CallFailure) -> None:
+        call = self.call
+        sent, reused = self.sent, self.used
+        self.abandon()
+        if call is not None:
+            call.finish(CallResult(None, failure, sent, reused))
+
+
+class ConnectionPool:
+    """Connections to all peers, reused most recent first.
+
+    :ivar opened: connections opened so far
+    """
+
+    def __init__(self, *, clock: Clock):
+        self.clock = clock
+        self.idle: dict[Address, deque[ClientConnection]] = {}
+        self.opened = 0
+
+    def call(
+        self,
+        address: Address,
+        data: bytes,
+        *,
+        timeout: timedelta,
+        on_done: Callable[[CallResult], None],
+        accept: Callable[[Response], bool] = lambda _response: True,
+        max_idle: timedelta | None = None,
+        head: bool = False,
+    ) -> Call:
+        """Send a request and deliver its result to ``on_done``, never before this returns.
+
+        :param accept: tells whether a response belongs to the request
+        :param max_idle: longest idle time of a connection to reuse; zero opens a new one
+        :param head: whether the request is a HEAD request
+        """
+        call = Call(data=data, accept=accept, on_done=on_done, head=head)
+        connection = self._take_idle(address, max_idle)
+        if connection is None:
+            self.opened += 1
+            connection = ClientConnection(pool=self, address=address, call=call)
+        else:
+            connection.start(call)
+        call.timer = hubs.get_hub().schedule_call_global(
+            max(0.0, timeout.total_seconds()), connection.time_out, call
+        )
+        return call
+
+    def release(self, connection: ClientConnection) -> None:
+        """Keep an idle connection for reuse."""
+        idle = self.idle.setdefault(connection.address, deque())
+        idle.append(connection)
+        if len(idle) > MAX_IDLE:
+            idle[0].abandon()
+
+    def forget(self, connection: ClientConnection) -> None:
+        """Drop a connection from those kept for reuse."""
+        idle = self.idle.get(connection.address)
+        if idle is None:
+            return
+        if connection in idle:
+            idle.remove(connection)
+        if not idle:
+            self.idle.pop(connection.address, None)
+
+    def drop(self, address: Address) -> None:
+        """Close the idle connections to an address."""
+        for connection in list(self.idle.get(address, ())):
+            connection.abandon()
+
+    def expire(self) -> None:
+        """Close connections that were idle for too long; call this now and then."""
+        now = self.clock.monotonic()
+        for idle in list(self.idle.values()):
+            for connection in list(idle):
+                if now - connection.idle_since > connection.idle_limit:
+                    connection.abandon()
+
+    def _take_idle(self, address: Address, max_idle: timedelta | None) -> ClientConnection | None:
+        now = self.clock.monotonic()
+        while idle := self.idle.get(address):
+            connection = idle[-1]
+            age = now - connection.idle_since
+            if max_idle is not None and age >= max_idle:
+                return None
+            if age > connection.idle_limit or connection.stream.closed:
+                connection.abandon()
+                continue
+            idle.pop()
+            if not idle:
+                del self.idle[address]
+            return connection
+        return None
+
+
+def _keep_alive_timeout(value: bytes) -> timedelta | None:
+    """Return the timeout of a Keep-Alive header in whole seconds, if it states one."""
+    for item in value.split(b","):
+        name, _, number = item.strip().partition(b"=")
+        if name.lower() == b"timeout" and number.isdigit() and len(number) < 9:
+            return timedelta(seconds=int(number))
+    return None
--- /dev/null
+++ b/almondshore/http/messages.py
@@ -0,0 +1,104 @@
+"""HTTP/1.1 messages with whole bodies, and their encoding."""
+
+from http import HTTPStatus
+from typing import NamedTuple
+
+Headers = tuple[tuple[bytes, bytes], ...]
+
+# Headers that concern a single connection and are not forwarded (RFC 9110, section 7.6.1).
+CONNECTION_HEADERS = frozenset(
+    (
+        b"connection",
+        b"content-length",
+        b"expect",
+        b"keep-alive",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    )
+)
+BODILESS_STATUSES = frozenset((204, 304))
+REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
+
+
+class Request(NamedTuple):
+    """A request that was read whole.
+
+    :ivar target: request target as sent, path and query
+    :ivar headers: names as sent
+    :ivar keep_alive: whether the connection stays open after the response
+    """
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes
+    keep_alive: bool = True
+
+    def header(self, name: bytes) -> bytes | None:
+        """Return the first value of a header, given its lower-case name."""
+        return find_header(self.headers, name)
+
+
+class Response(NamedTuple):
+    """A response that was read whole, or one to send."""
+
+    status: int
+    headers: Headers = ()
+    body: bytes = b""
+    reason: bytes = b""
+    keep_alive: bool = True
+
+    def header(self, name: bytes) -> bytes | None:
+        """Return the first value of a header, given its lower-case name."""
+        return find_header(self.headers, name)
+
+
+def find_header(headers: Headers, name: bytes) -> bytes | None:
+    """Return the first value of a header, given its lower-case name."""
+    for key, value in headers:
+        if key.lower() == name:
+            return value
+    return None
+
+
+def end_to_end(headers: Headers, *, without: frozenset[bytes] = frozenset()) -> Headers:
+    """Return the headers to forward.
+
+    :param without: further lower-case names to leave out
+    """
+    dropped = CONNECTION_HEADERS | without
+    for key, value in headers:
+        if key.lower() == b"connection":
+            dropped = dropped | {token.strip().lower() for token in value.split(b",")}
+    return tuple(pair for pair in headers if pair[0].lower() not in dropped)
+
+
+def encode_request(method: bytes, target: bytes, headers: Headers, body: bytes) -> bytes:
+    """Return the bytes of a request, framed by its length."""
+    lines = [method + b" " + target + b" HTTP/1.1"]
+    lines.extend(key + b": " + value for key, value in headers)
+    if body or method in (b"POST", b"PUT", b"PATCH"):
+        lines.append(b"Content-Length: %d" % len(body))
+    lines.append(b"\r\n")
+    return b"\r\n".join(lines) + body
+
+
+def encode_response(response: Response, *, head: bool = False, close: bool = False) -> bytes:
+    """Return the bytes of a response, framed by its length.
+
+    :param head: whether it answers a HEAD request and so carries no body
+    :param close: whether the connection closes after it
+    """
+    reason = response.reason or REASONS.get(response.status, b"Unknown")
+    lines = [b"HTTP/1.1 %d " % response.status + reason]
+    lines.extend(key + b": " + value for key, value in response.headers)
+    if response.status not in BODILESS_STATUSES:
+        lines.append(b"Content-Length: %d" % len(response.body))
+    if close:
+        lines.append(b"Connection: close")
+    lines.append(b"\r\n")
+    bodiless = head or response.status in BODILESS_STATUSES
+    return b"\r\n".join(lines) + (b"" if bodiless else response.body)
--- /dev/null
+++ b/almondshore/http/server.py
@@ -0,0 +1,279 @@
+"""HTTP/1.1 server whose requests are handled concurrently and answered in order."""
+
+from abc import ABC, abstractmethod
+from collections import deque
+from collections.abc import Callable
+from datetime import timedelta
+from typing import NamedTuple
+
+from eventlet import hubs
+from eventlet.hubs.hub import READ
+
+from almondshore.core.clock import Clock
+from almondshore.core.logs import log_event
+from almondshore.http.messages import Request, Response, encode_response
+from almondshore.http.parsing import ParseError, RequestLimits, RequestParser
+from almondshore.http.stream import Stream, StreamHandler, socket, tune
+
+BACKLOG = 1024
+# Requests of one connection that are handled at a time; further ones wait in the kernel.
+MAX_PIPELINED = 32
+SWEEP_INTERVAL_S = 0.5
+# A response that closes the connection is followed by this wait for the peer's end, since
+# closing a socket with unread bytes resets it and may destroy the response.
+LINGER = timedelta(seconds=1)
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+
+class ServerLimits(NamedTuple):
+    """Limits on connections.
+
+    :ivar header_timeout: longest time from the first byte of a request to its end of headers
+    :ivar idle_timeout: longest time without a request
+    """
+
+    request: RequestLimits
+    header_timeout: timedelta
+    idle_timeout: timedelta
+
+
+class Exchange:
+    """A request and its response.
+
+    :ivar on_cancel: called once if the client leaves before the response
+    :ivar received_at: monotonic time at which the request was complete
+    """
+
+    __slots__ = ("request", "received_at", "on_cancel", "connection", "response", "cancelled")
+
+    def __init__(self, *, request: Request, received_at: timedelta, connection: "ServerConnection"):
+        self.request = request
+        self.received_at = received_at
+        self.connection = connection
+        self.on_cancel: Callable[[], None] | None = None
+        self.response: Response | None = None
+        self.cancelled = False
+
+    def respond(self, response: Response) -> None:
+        """Send the response; a second one, or one after the client left, is dropped."""
+        if self.response is not None or self.cancelled:
+            return
+        self.response = response
+        self.connection.flush()
+
+
+class ExchangeHandler(ABC):
+    """Handles requests."""
+
+    @abstractmethod
+    def handle(self, exchange: Exchange) -> None:
+        """Start to handle a request; must not block."""
+
+
+class ServerConnection(StreamHandler):
+    """One client connection."""
+
+    def __init__(self, *, server: "HttpServer", sock: socket.socket, peer: str):
+        self.server = server
+        self.peer = peer
+        self.parser = RequestParser(limits=server.limits().request)
+        self.pending: deque[Exchange] = deque()
+        self.last_active = server.clock.monotonic()
+        self.closing = False
+        self.stream = Stream(sock=sock, handler=self)
+
+    def on_data(self, data: bytes) -> None:
+        """Parse requests and hand them to the handler."""
+        if self.closing:
+            return
+        now = self.server.clock.monotonic()
+        if not self.parser.is_partial():
+            self.last_active = now
+        try:
+            self.parser.feed(data)
+        except ParseError as error:
+            self._take_requests(now)
+            self._reject(error, now)
+            return
+        if self.parser.expects_continue and not self.pending and not self.parser.complete:
+            self.parser.expects_continue = False
+            self.stream.write(CONTINUE)
+        self._take_requests(now)
+
+    def on_end(self, *, clean: bool) -> None:
+        """Cancel the requests of a client that left."""
+        self.server.connections.discard(self)
+        pending, self.pending = self.pending, deque()
+        for exchange in pending:
+            exchange.cancelled = True
+            if exchange.response is None and exchange.on_cancel is not None:
+                exchange.on_cancel()
+
+    def on_drained(self) -> None:
+        """Close the sending side after the last response."""
+        if self.closing and not self.pending:
+            self.stream.finish_writing()
+
+    def flush(self) -> None:
+        """Send the responses that are ready, in the order of their requests."""
+        out = []
+        while self.pending and self.pending[0].response is not None:
+            exchange = self.pending.popleft()
+            last = not exchange.request.keep_alive or not exchange.response.keep_alive
+            last = last or (self.server.draining and not self.pending)
+            out.append(
+                encode_response(
+                    exchange.response, head=exchange.request.method == b"HEAD", close=last
+                )
+            )
+            if last:
+                self._drop_rest()
+                break
+        if not out:
+            return
+        self.last_active = self.server.clock.monotonic()
+        self.stream.write(b"".join(out))
+        if self.closing:
+            if not self.stream.unsent:
+                self.stream.finish_writing()
+        elif self.stream.paused and len(self.pending) < MAX_PIPELINED:
+            self.stream.resume_reading()
+
+    def sweep(self, now: timedelta, limits: ServerLimits) -> None:
+        """Close the connection if it is idle, or slow to send a request."""
+        if self.pending:
+            return
+        idle = now - self.last_active
+        if self.closing:
+            if idle > LINGER:
+                self._close()
+        elif self.parser.is_partial():
+            if self.parser.in_headers and idle > limits.header_timeout:
+                self._reject(ParseError("the request headers took too long", status=408), now)
+        elif idle > limits.idle_timeout:
+            self._close()
+
+    def close_idle(self) -> None:
+        """Close the connection if no request is in progress on it."""
+        if not self.pending and not self.parser.is_partial():
+            self._close()
+
+    def _take_requests(self, now: timedelta) -> None:
+        while self.parser.complete and not self.closing:
+            request = self.parser.complete.popleft()
+            exchange = Exchange(request=request, received_at=now, connection=self)
+            self.pending.append(exchange)
+            if len(self.pending) >= MAX_PIPELINED:
+                self.stream.pause_reading()
+            self.server.handler.handle(exchange)
+
+    def _reject(self, error: ParseError, now: timedelta) -> None:
+        """Answer a malformed request after those before it, and close."""
+        log_event("request_rejected", peer=self.peer, status=error.status, reason=error)
+        request = Request(b"GET", b"", (), b"", keep_alive=False)
+        exchange = Exchange(request=request, received_at=now, connection=self)
+        self.pending.append(exchange)
+        exchange.respond(Response(error.status))
+
+    def _drop_rest(self) -> None:
+        """Cancel requests behind a response that closes the connection; they count as unread."""
+        self.closing = True
+        rest, self.pending = self.pending, deque()
+        for exchange in rest:
+            exchange.cancelled = True
+            if exchange.response is None and exchange.on_cancel is not None:
+                exchange.on_cancel()
+
+    def _close(self) -> None:
+        self.server.connections.discard(self)
+        self.stream.close()
+
+
+class HttpServer:
+    """Accepts connections on one address.
+
+    :ivar draining: whether each connection closes after its present responses
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        address: tuple[str, int],
+        handler: ExchangeHandler,
+        limits: Callable[[], ServerLimits],
+    ):
+        self.clock = clock
+        self.handler = handler
+        self.limits = limits
+        self.connections: set[ServerConnection] = set()
+        self.draining = False
+        self.hub = hubs.get_hub()
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.sock.setblocking(False)
+        self.sock.bind(address)
+        self.sock.listen(BACKLOG)
+        self.listener = self.hub.add(READ, self.sock.fileno(), self._accept, _ignore, _ignore)
+        self.timer = self.hub.schedule_call_global(SWEEP_INTERVAL_S, self._sweep)
+
+    def address(self) -> tuple[str, int]:
+        """Return the address that the server listens on."""
+        return self.sock.getsockname()
+
+    def drain(self) -> None:
+        """Close each connection after its present responses."""
+        self.draining = True
+
+    def close_idle(self) -> None:
+        """Close connections on which no request is in progress."""
+        for connection in list(self.connections):
+            connection.close_idle()
+
+    def in_progress(self) -> int:
+        """Return the number of requests that have no response yet."""
+        return sum(len(connection.pending) for connection in self.connections)
+
+    def unsent(self) -> bool:
+        """Tell whether responses wait for their clients to read."""
+        return any(connection.stream.unsent for connection in self.connections)
+
+    def close(self) -> None:
+        """Stop listening and close all connections."""
+        self.timer.cancel()
+        if self.listener is not None:
+            self.hub.remove(self.listener)
+            self.listener = None
+            self.sock.close()
+        for connection in list(self.connections):
+            connection._close()
+
+    def _accept(self, _fileno: int) -> None:
+        while True:
+            try:
+                sock, peer = self.sock.accept()
+            except (BlockingIOError, InterruptedError):
+                return
+            except OSError as error:
+                log_event("accept_failed", level="ERROR", error=error)
+                return
+            try:
+                tune(sock)
+                connection = ServerConnection(server=self, sock=sock, peer=f"{peer[0]}:{peer[1]}")
+            except OSError as error:
+                # The client reset the connection before it was accepted.
+                log_event("accept_failed", level="WARNING", error=error)
+                sock.close()
+                continue
+            self.connections.add(connection)
+
+    def _sweep(self) -> None:
+        now = self.clock.monotonic()
+        limits = self.limits()
+        for connection in list(self.connections):
+            connection.sweep(now, limits)
+        self.timer = self.hub.schedule_call_global(SWEEP_INTERVAL_S, self._sweep)
+
+
+def _ignore(*_args: object) -> None:
+    """Serve as the callbacks that the hub needs for greenlets."""
--- /dev/null
+++ b/almondshore/mesh/__init__.py
@@ -0,0 +1,1 @@
+"""The request path between hosts, and the state it needs: targets, routes and rollouts."""
--- /dev/null
+++ b/almondshore/mesh/directory.py
@@ -0,0 +1,130 @@
+"""Targets of all hosts, as known from the store, and the nodes that could not be reached."""
+
+from collections.abc import Callable, Iterable
+from datetime import timedelta
+
+from almondshore.core.clock import Clock
+from almondshore.core.logs import log_event
+from almondshore.mesh.model import Address, Target, TargetState
+
+# A node that could not be reached is not used for this long, doubled for each failure in a row.
+UNREACHABLE_PAUSE = timedelta(milliseconds=400)
+MAX_UNREACHABLE_PAUSE = timedelta(seconds=4)
+
+
+class _Reachability:
+    """Failures in a row to reach a node, and when it is tried again."""
+
+    __slots__ = ("failures", "retry_at")
+
+    def __init__(self) -> None:
+        self.failures = 0
+        self.retry_at = timedelta()
+
+
+class Directory:
+    """Targets by identity; entries of one identity are ordered by incarnation and sequence.
+
+    :ivar on_change: called after the set of targets has changed
+    """
+
+    def __init__(self, *, clock: Clock):
+        self.clock = clock
+        self.targets: dict[str, Target] = {}
+        self.services: dict[str, list[Target]] = {}
+        self.nodes: dict[Address, _Reachability] = {}
+        self.refused_until: dict[str, timedelta] = {}
+        self.on_change: Callable[[], None] = lambda: None
+
+    def put(self, target: Target) -> None:
+        """Add or update an entry; an older one is ignored."""
+        known = self.targets.get(target.target)
+        if known is not None:
+            if (target.born_ms, target.sequence) < (known.born_ms, known.sequence):
+                return
+            if known == target:
+                return
+        self.targets[target.target] = target
+        self._index()
+
+    def remove(self, name: str) -> None:
+        """Remove an entry."""
+        if self.targets.pop(name, None) is not None:
+            self._index()
+
+    def replace(self, targets: Iterable[Target]) -> None:
+        """Replace all entries by those of a complete list."""
+        self.targets = {target.target: target for target in targets}
+        self._index()
+
+    def ready(self, service: str) -> list[Target]:
+        """Return the targets of a service that may get requests now."""
+        now = self.clock.monotonic()
+        found = self.services.get(service, [])
+        usable = [target for target in found if self._is_usable(target, now)]
+        if usable:
+            return usable
+        # With no target in good standing, one that only could not be reached is worth a try.
+        return [target for target in found if self.refused_until.get(target.target, now) <= now]
+
+    def versions(self, service: str) -> dict[str, list[Target]]:
+        """Return the ready targets of a service by version."""
+        found: dict[str, list[Target]] = {}
+        for target in self.ready(service):
+            found.setdefault(target.version, []).append(target)
+        return found
+
+    def addresses(self) -> list[Address]:
+        """Return the nodes that have a target, reachable ones first."""
+        now = self.clock.monotonic()
+        nodes = {target.node for target in self.targets.values()}
+        return sorted(nodes, key=lambda node: (self._is_paused(node, now), node))
+
+    def is_reachable(self, node: Address) -> bool:
+        """Tell whether a node was reached at the last try, or is due for another."""
+        return not self._is_paused(node, self.clock.monotonic())
+
+    def unreachable(self, node: Address, reason: str) -> None:
+        """Take note that a node could not be reached."""
+        now = self.clock.monotonic()
+        state = self.nodes.setdefault(node, _Reachability())
+        if state.failures and now < state.retry_at:
+            return
+        pause = min(MAX_UNREACHABLE_PAUSE, UNREACHABLE_PAUSE * 2 ** min(state.failures, 4))
+        state.failures += 1
+        state.retry_at = now + pause
+        if state.failures == 1:
+            log_event("peer_lost", peer=f"{node[0]}:{node[1]}", reason=reason)
+
+    def reached(self, node: Address) -> None:
+        """Take note that a node answered."""
+        state = self.nodes.pop(node, None)
+        if state is not None:
+            log_event("peer_regained", peer=f"{node[0]}:{node[1]}", failures=state.failures)
+
+    def pause_target(self, name: str, pause: timedelta) -> None:
+        """Keep a target that refused for a reason of its own from being chosen for a while."""
+        self.refused_until[name] = self.clock.monotonic() + pause
+
+    def _is_usable(self, target: Target, now: timedelta) -> bool:
+        if self._is_paused(target.node, now):
+            return False
+        until = self.refused_until.get(target.target)
+        return until is None or until <= now
+
+    def _is_paused(self, node: Address, now: timedelta) -> bool:
+        state = self.nodes.get(node)
+        return state is not None and now < state.retry_at
+
+    def _index(self) -> None:
+        services: dict[str, list[Target]] = {}
+        for target in self.targets.values():
+            if target.state is TargetState.READY:
+                services.setdefault(target.service, []).append(target)
+        self.services = services
+        known = {target.node for target in self.targets.values()}
+        for node in self.nodes.keys() - known:
+            del self.nodes[node]
+        for name in self.refused_until.keys() - self.targets.keys():
+            del self.refused_until[name]
+        self.on_change()
--- /dev/null
+++ b/almondshore/mesh/driver.py
@@ -0,0 +1,179 @@
+"""Drives the rollout of the service beside this node."""
+
+from collections.abc import Callable
+from datetime import timedelta
+
+import eventlet
+import msgspec
+from returns.pipeline import is_successful
+
+from almondshore.core.clock import Clock
+from almondshore.core.logs import log_event
+from almondshore.mesh.directory import Directory
+from almondshore.mesh.evidence import RouteCounts
+from almondshore.mesh.model import Address, Rollout, RolloutState
+from almondshore.mesh.peers import EVIDENCE_PATH, Evidence, PeerClient
+from almondshore.mesh.rollout import VersionCounts, add_counts, find_fault, next_progress
+from almondshore.mesh.state import RolloutSink
+from almondshore.mesh.store import MeshStore
+
+TICK = timedelta(milliseconds=400)
+IDLE_TICK = timedelta(seconds=1)
+# The node of each further rank waits this long for those before it.
+RANK_DELAY = timedelta(milliseconds=1200)
+# Nodes that gather evidence; the others judge by their own target alone.
+JUDGES = 3
+
+
+class RolloutDriver:
+    """Advances the rollout of one service.
+
+    The nodes beside the service's targets share the work: each is ranked, and acts if those
+    before it have not. Writes are conditional, so that two that act at once do no harm. The node
+    beside a bad version refuses requests for it by itself, also while the store is away.
+
+    :param service: returns the service of the target beside this node, empty if none
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        node: Address,
+        service: Callable[[], str],
+        own: Callable[[], Evidence],
+        directory: Directory,
+        rollouts: RolloutSink,
+        client: PeerClient,
+        store: MeshStore,
+    ):
+        self.clock = clock
+        self.node = node
+        self.service = service
+        self.own = own
+        self.directory = directory
+        self.rollouts = rollouts
+        self.client = client
+        self.store = store
+        self.seen: dict[tuple[str, str], timedelta] = {}
+        self.moved_at: timedelta | None = None
+        self.condemned: dict[tuple[str, str], str] = {}
+        self.wanted: Rollout | None = None
+        self.wanted_at = timedelta()
+
+    def run(self) -> None:
+        """Drive for as long as the process runs; for a greenlet of its own."""
+        while True:
+            rollout = self.current()
+            eventlet.sleep((TICK if rollout is not None else IDLE_TICK).total_seconds())
+            if rollout is not None:
+                self.step(rollout)
+
+    def current(self) -> Rollout | None:
+        """Return the rollout that is to be driven, or None."""
+        rollout = self.rollouts.shares.rollouts.get(self.service())
+        if rollout is None or rollout.state in (RolloutState.COMPLETED, RolloutState.ROLLED_BACK):
+            return None
+        self.seen.setdefault((rollout.service, rollout.version), self.clock.monotonic())
+        return rollout
+
+    def is_condemned(self, service: str, version: str) -> bool:
+        """Tell whether this node found a version bad."""
+        return (service, version) in self.condemned
+
+    def step(self, rollout: Rollout) -> None:
+        """Judge the version and advance the rollout if it is this node's turn."""
+        key = (rollout.service, rollout.version)
+        ranked = self._ranked(rollout)
+        rank = ranked.index(self.node) if self.node in ranked else len(ranked)
+        evidence = self._gather(ranked) if rank < JUDGES or self._is_stalled(rank) else [self.own()]
+        counts = VersionCounts({}, {})
+        old_running = 0
+        for item in evidence:
+            if item.version == rollout.version:
+                add_counts(counts.new, item.routes)
+            else:
+                add_counts(counts.old, item.routes)
+                old_running += item.running
+        fault = self.condemned.get(key) or find_fault(counts)
+        if fault and key not in self.condemned:
+            self.condemned[key] = fault
+            log_event("version_condemned", service=key[0], version=key[1], fault=fault)
+        now = self.clock.monotonic()
+        self._note_moved(rollout, now)
+        if fault:
+            wanted = rollout._replace(state=RolloutState.ROLLED_BACK, share=0.0)
+        elif not any(item.version == rollout.version for item in evidence):
+            return
+        else:
+            wanted = next_progress(
+                rollout,
+                elapsed=now - self.seen[key],
+                settled=now - self.moved_at if self.moved_at is not None else timedelta(),
+                results=_requests(counts.new),
+                old_running=old_running,
+            )
+        self._propose(rollout, wanted, rank, now)
+
+    def _propose(self, rollout: Rollout, wanted: Rollout, rank: int, now: timedelta) -> None:
+        """Write the progress that is due, unless a node before this one may still do so."""
+        if wanted == rollout:
+            self.wanted = None
+            return
+        if self.wanted is None or self.wanted.revision != wanted.revision:
+            self.wanted, self.wanted_at = wanted, now
+        self.wanted = wanted
+        if now - self.wanted_at < RANK_DELAY * rank:
+            return
+        result = self.store.save_progress(wanted)
+        if not is_successful(result):
+            log_event(
+                "rollout_not_saved", level="WARNING", service=wanted.service, error=result.failure()
+            )
+            return
+        self.wanted = None
+        self.rollouts.put(wanted._replace(revision=result.unwrap()), source="own")
+
+    def _note_moved(self, rollout: Rollout, now: timedelta) -> None:
+        if rollout.share < 1.0 or rollout.state is not RolloutState.RUNNING:
+            self.moved_at = None
+        elif self.moved_at is None:
+            self.moved_at = now
+
+    def _is_stalled(self, rank: int) -> bool:
+        if self.wanted is None:
+            return False
+        return self.clock.monotonic() - self.wanted_at >= RANK_DELAY * rank
+
+    def _ranked(self, rollout: Rollout) -> list[Address]:
+        """Return the nodes of the service, those beside the new version first."""
+        targets = [
+            target
+            for target in self.directory.targets.values()
+            if target.service == rollout.service
+            and (target.node == self.node or self.directory.is_reachable(target.node))
+        ]
+        targets.sort(key=lambda target: (target.version != rollout.version, target.node))
+        return list(dict.fromkeys(target.node for target in targets))
+
+    def _gather(self, nodes: list[Address]) -> list[Evidence]:
+        """Return the evidence of all nodes that answer."""
+        pool = eventlet.GreenPool(len(nodes) or 1)
+        found = pool.imap(self._ask, nodes)
+        return [item for item in found if item is not None]
+
+    def _ask(self, node: Address) -> Evidence | None:
+        if node == self.node:
+            return self.own()
+        body = self.client.get(node, EVIDENCE_PATH)
+        if body is None:
+            return None
+        try:
+            return msgspec.json.decode(body, type=Evidence)
+        except msgspec.MsgspecError as error:
+            log_event("evidence_malformed", level="ERROR", peer=node, error=error)
+            return None
+
+
+def _requests(routes: dict[str, RouteCounts]) -> int:
+    return sum(counts.requests for counts in routes.values())
--- /dev/null
+++ b/almondshore/mesh/evidence.py
@@ -0,0 +1,59 @@
+"""Results of requests at the target beside this node."""
+
+from datetime import timedelta
+from typing import NamedTuple
+
+from almondshore.core.clock import Clock
+
+FAILURE_GAIN = 0.1
+# Without new results a target is given the benefit of the doubt again.
+FAILURE_HALF_LIFE = timedelta(seconds=2)
+
+
+class RouteCounts(NamedTuple):
+    """Results on one route since the target was first seen.
+
+    :ivar timed: warm successes, whose times are summed in ``total_ms``
+    """
+
+    requests: int = 0
+    failures: int = 0
+    timed: int = 0
+    total_ms: float = 0.0
+
+
+class ResultRecorder:
+    """Counts results by route, and keeps a recent failure rate."""
+
+    def __init__(self, *, clock: Clock):
+        self.clock = clock
+        self.routes: dict[str, RouteCounts] = {}
+        self.rate = 0.0
+        self.rated_at = clock.monotonic()
+
+    def reset(self) -> None:
+        """Forget everything: another target took the place."""
+        self.routes.clear()
+        self.rate = 0.0
+
+    def record(self, route: str, *, ok: bool, took: timedelta, warm: bool) -> None:
+        """Count a request that ran.
+
+        :param warm: whether the target was past its slow start
+        """
+        known = self.routes.get(route, RouteCounts())
+        timed = ok and warm
+        self.routes[route] = RouteCounts(
+            known.requests + 1,
+            known.failures + (not ok),
+            known.timed + timed,
+            known.total_ms + (took / timedelta(milliseconds=1) if timed else 0.0),
+        )
+        self.rate = self.failure_rate()
+        self.rate += ((not ok) - self.rate) * FAILURE_GAIN
+        self.rated_at = self.clock.monotonic()
+
+    def failure_rate(self) -> float:
+        """Return the recent share of failures, which halves while nothing is heard."""
+        age = self.clock.monotonic() - self.rated_at
+        return self.rate * 0.5 ** (age / FAILURE_HALF_LIFE)
--- /dev/null
+++ b/almondshore/mesh/inbound.py
@@ -0,0 +1,296 @@
+"""Requests for the target beside this node."""
+
+from collections.abc import Callable
+from datetime import timedelta
+
+from almondshore.core.clock import Clock
+from almondshore.core.logs import log_event
+from almondshore.http.client import Call, CallFailure, CallResult, ConnectionPool
+from almondshore.http.messages import Request, Response, encode_request, end_to_end
+from almondshore.http.server import Exchange, ExchangeHandler
+from almondshore.limits.objective import Job, Refusal, Terms
+from almondshore.mesh.dialect import Dialect, Verdict
+from almondshore.mesh.evidence import ResultRecorder
+from almondshore.mesh.hop import (
+    MILLISECOND,
+    REPORT_HEADER,
+    TERMS_HEADER,
+    HopReport,
+    HopResult,
+    HopTerms,
+    Outcome,
+    decode_terms,
+    encode_report,
+)
+from almondshore.mesh.local import LocalTarget
+from almondshore.mesh.model import Address
+
+HOP_HEADERS = frozenset((TERMS_HEADER, REPORT_HEADER))
+# A target answers by the deadline it is given; later, the connection is given up.
+DEADLINE_SLACK = timedelta(milliseconds=100)
+# A target may drop an idle connection just when a request is sent on it. Requests that must not
+# run twice therefore use connections that were in use a moment ago, or new ones.
+FRESH_IDLE = timedelta(milliseconds=300)
+# A request on a connection that the target had dropped fails at once.
+STALE_WITHIN = timedelta(milliseconds=30)
+# Refused after the target refused a connection, until it announces itself or this time passes.
+DOWN_PAUSE = timedelta(milliseconds=300)
+
+
+class Submission(Job):
+    """A request for the local target, from its arrival to its result."""
+
+    def __init__(
+        self,
+        *,
+        inbound: "Inbound",
+        request: Request,
+        terms: HopTerms,
+        on_result: Callable[[HopResult], None],
+    ):
+        now = inbound.clock.monotonic()
+        self.inbound = inbound
+        self.request = request
+        self.hop = terms
+        self.on_result = on_result
+        self.terms = Terms(
+            terms.route,
+            terms.urgency,
+            now + terms.objective_ms * MILLISECOND,
+            now + terms.deadline_ms * MILLISECOND,
+        )
+        self.arrived_at = now
+        self.started_at: timedelta | None = None
+        self.call: Call | None = None
+        self.done = False
+        self.resent = False
+
+    def start(self) -> None:
+        """Send the request to the target."""
+        self.started_at = self.inbound.clock.monotonic()
+        self.inbound.send(self)
+
+    def refuse(self, reason: Refusal, retry_after: timedelta) -> None:
+        """Report that the request was not started."""
+        self.inbound.finish(self, Outcome.REFUSED, str(reason), retry_after=retry_after)
+
+    def cancel(self) -> None:
+        """Take the request back: its caller left."""
+        self.inbound.cancel(self)
+
+
+class Inbound(ExchangeHandler):
+    """Admits requests to the target's slots and passes them on.
+
+    :param app: address of the target beside this node
+    :param config_version: returns the version of the configuration in force
+    :param on_version: called with the version in force at a node that sent a request
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        dialect: Dialect,
+        pool: ConnectionPool,
+        app: Address,
+        local: LocalTarget,
+        recorder: ResultRecorder,
+        config_version: Callable[[], int],
+        internal: ExchangeHandler,
+    ):
+        self.clock = clock
+        self.dialect = dialect
+        self.pool = pool
+        self.app = app
+        self.local = local
+        self.recorder = recorder
+        self.config_version = config_version
+        self.internal = internal
+        self.leaving = False
+        self.retired: Callable[[str, str], bool] = lambda _service, _version: False
+        self.active: set[Submission] = set()
+        self.down_until = timedelta()
+
+    def handle(self, exchange: Exchange) -> None:
+        """Handle a request of another node."""
+        terms = decode_terms(exchange.request)
+        if terms is None:
+            self.internal.handle(exchange)
+            return
+        submission = self.submit(
+            exchange.request, terms, lambda result: exchange.respond(_to_response(result))
+        )
+        exchange.on_cancel = submission.cancel
+
+    def submit(
+        self, request: Request, terms: HopTerms, on_result: Callable[[HopResult], None]
+    ) -> Submission:
+        """Admit a request; its result is delivered once, possibly before this returns."""
+        submission = Submission(inbound=self, request=request, terms=terms, on_result=on_result)
+        self.active.add(submission)
+        reason = self._obstacle(terms)
+        if reason is not None:
+            self.finish(submission, Outcome.REFUSED, reason)
+        else:
+            self.local.queue.offer(submission)
+        return submission
+
+    def send(self, submission: Submission) -> None:
+        """Send an admitted request to the target."""
+        hop = submission.hop
+        left = submission.terms.deadline_at - self.clock.monotonic()
+        request = submission.request
+        headers = self.dialect.to_target(
+            end_to_end(request.headers, without=HOP_HEADERS),
+            time_left=left,
+            target=hop.target,
+            caller=hop.caller,
+        )
+        request_id = self.dialect.request_id(headers)
+        fresh = not hop.idempotent or submission.resent
+        submission.call = self.pool.call(
+            self.app,
+            encode_request(request.method, request.target, headers, request.body),
+            timeout=left + DEADLINE_SLACK,
+            on_done=lambda result: self._on_done(submission, result),
+            accept=lambda response: self.dialect.belongs(response, request_id),
+            max_idle=(timedelta() if submission.resent else FRESH_IDLE) if fresh else None,
+            head=request.method == b"HEAD",
+        )
+
+    def cancel(self, submission: Submission) -> None:
+        """Stop a request whose caller left."""
+        if submission.done:
+            return
+        submission.done = True
+        self.active.discard(submission)
+        if submission.call is not None:
+            submission.call.cancel()
+        queue = self.local.queue
+        if queue is not None and not queue.cancel(submission):
+            queue.release(submission, observed=False)
+        self._log(submission, "cancelled", "caller-left", 0)
+
+    def finish(
+        self,
+        submission: Submission,
+        outcome: Outcome,
+        reason: str,
+        *,
+        response: Response | None = None,
+        retry_after: timedelta = timedelta(),
+    ) -> None:
+        """Deliver the result of a request."""
+        if submission.done:
+            return
+        submission.done = True
+        self.active.discard(submission)
+        self._log(submission, outcome, reason, response.status if response else 0)
+        report = self._report(submission.hop, outcome, reason, retry_after)
+        submission.on_result(HopResult(outcome, reason, response, report))
+
+    def _obstacle(self, terms: HopTerms) -> str | None:
+        """Return why a request cannot be taken, or None."""
+        if self.local.announced is None:
+            return "no-target"
+        if self.local.announced.target != terms.target:
+            return "wrong-target"
+        if not self.local.usable(terms.target):
+            return str(Refusal.DRAINING)
+        announced = self.local.announced
+        if self.retired(announced.service, announced.version):
+            return "version-retired"
+        if self.clock.monotonic() < self.down_until:
+            return "target-down"
+        return None
+
+    def _on_done(self, submission: Submission, result: CallResult) -> None:
+        if submission.done:
+            return
+        took = self.clock.monotonic() - submission.started_at
+        if self._is_stale(submission, result, took):
+            submission.resent = True
+            self.send(submission)
+            return
+        outcome, reason, ok = self._judge(result)
+        response = result.response
+        ran = outcome in (Outcome.ANSWERED, Outcome.BROKEN)
+        if ran and result.failure is not CallFailure.TIMED_OUT:
+            self._record(submission, ok, took)
+        if reason == "target-down":
+            self.down_until = self.clock.monotonic() + DOWN_PAUSE
+        self.finish(submission, outcome, reason, response=response)
+        self.local.queue.release(submission, observed=ran and ok)
+
+    def _is_stale(self, submission: Submission, result: CallResult, took: timedelta) -> bool:
+        """Tell whether the connection was dropped by the target before the request arrived."""
+        return (
+            result.failure is CallFailure.CLOSED
+            and result.reused
+            and submission.hop.idempotent
+            and not submission.resent
+            and took < STALE_WITHIN
+        )
+
+    def _judge(self, result: CallResult) -> tuple[Outcome, str, bool]:
+        """Return the outcome, its reason and whether the request succeeded."""
+        if result.response is None:
+            if not result.sent:
+                return Outcome.REFUSED, "target-down", False
+            return Outcome.BROKEN, str(result.failure.value), False
+        verdict = self.dialect.verdict(result.response)
+        if verdict in (Verdict.NOT_RUN, Verdict.WRONG_TARGET):
+            return Outcome.REJECTED, verdict.value, False
+        return Outcome.ANSWERED, verdict.value, verdict is Verdict.SUCCEEDED
+
+    def _record(self, submission: Submission, ok: bool, took: timedelta) -> None:
+        self.recorder.record(submission.hop.route, ok=ok, took=took, warm=self.local.is_warm())
+
+    def _report(
+        self, terms: HopTerms, outcome: Outcome, reason: str, retry_after: timedelta
+    ) -> HopReport:
+        queue = self.local.queue
+        service_time = queue.times.expected(terms.route) if queue else timedelta()
+        return HopReport(
+            outcome=outcome,
+            reason=reason,
+            running=len(queue.running) if queue else 0,
+            waiting=len(queue.waiting) if queue else 0,
+            slots=queue.slots if queue else 0,
+            service_ms=int(service_time / MILLISECOND),
+            failure_rate=round(self.recorder.failure_rate(), 3),
+            leaving=self.leaving or self.local.draining_since is not None,
+            retry_after_ms=int(retry_after / MILLISECOND),
+            config_version=self.config_version(),
+        )
+
+    def _log(self, submission: Submission, outcome: str, reason: str, status: int) -> None:
+        now = self.clock.monotonic()
+        started = submission.started_at
+        queue = self.local.queue
+        log_event(
+            "target_request",
+            request=self.dialect.request_id(submission.request.headers).decode("latin-1"),
+            route=submission.hop.route,
+            target=submission.hop.target,
+            outcome=outcome,
+            reason=reason,
+            status=status,
+            waited_ms=int(((started or now) - submission.arrived_at) / MILLISECOND),
+            ran_ms=int((now - started) / MILLISECOND) if started is not None else 0,
+            left_ms=int((submission.terms.deadline_at - now) / MILLISECOND),
+            running=len(queue.running) if queue else 0,
+            waiting=len(queue.waiting) if queue else 0,
+        )
+
+
+def _to_response(result: HopResult) -> Response:
+    """Return the response to the node that sent the request."""
+    header = encode_report(result.report)
+    if result.response is None:
+        return Response(503, (header,))
+    kept = end_to_end(result.response.headers, without=HOP_HEADERS)
+    return Response(
+        result.response.status, (*kept, header), result.response.body, result.response.reason
+    )
--- /dev/null
+++ b/almondshore/mesh/local.py
@@ -0,0 +1,133 @@
+"""The target beside this node: what it announced, and how long it takes new work."""
+
+from datetime import timedelta
+from enum import Enum
+
+from almondshore.core.clock import Clock
+from almondshore.core.logs import log_event
+from almondshore.limits.objective import ObjectiveQueue
+from almondshore.mesh.model import Address, Announcement, Target, TargetState
+
+# Shares of the drain time, from the acknowledgement: new requests are taken until the first,
+# waiting ones start until the second. The rest is margin for a slow host.
+DRAIN_ACCEPT_SHARE = 0.35
+DRAIN_START_SHARE = 0.6
+
+
+class Reception(Enum):
+    """What became of an announcement."""
+
+    ACCEPTED = "accepted"
+    UNCHANGED = "unchanged"
+    OUTDATED = "outdated"
+
+
+class LocalTarget:
+    """State of the target beside this node.
+
+    Only an announcement that was received by this process makes the target usable: a node that
+    was restarted must not send work to a target whose leaving it acknowledged before.
+
+    :ivar announced: the newest announcement
+    :ivar draining_since: when the target's leaving was first taken note of
+    """
+
+    def __init__(self, *, clock: Clock, node: Address, drain: timedelta):
+        self.clock = clock
+        self.node = node
+        self.drain = drain
+        self.announced: Announcement | None = None
+        self.draining_since: timedelta | None = None
+        self.warm_at = timedelta()
+        self.queue: ObjectiveQueue | None = None
+
+    def announce(self, news: Announcement) -> Reception:
+        """Take in an announcement of the target."""
+        known = self.announced
+        if known is not None and self._is_outdated(known, news):
+            log_event(
+                "announcement_outdated",
+                target=news.target,
+                born_ms=news.born_ms,
+                sequence=news.sequence,
+                known_target=known.target,
+                known_born_ms=known.born_ms,
+                known_sequence=known.sequence,
+            )
+            return Reception.OUTDATED
+        reborn = known is None or (known.target, known.born_ms) != (news.target, news.born_ms)
+        if reborn:
+            self.queue = ObjectiveQueue(clock=self.clock, slots=news.slots)
+            self.draining_since = None
+        elif news.slots != known.slots:
+            self.queue.resize(news.slots)
+        if self.draining_since is not None and news.state is TargetState.READY:
+            # A late announcement does not call back a target that said it leaves.
+            news = news._replace(state=TargetState.DRAINING)
+        self.announced = news
+        self.warm_at = self.clock.monotonic() + news.warmup
+        if news.state is not TargetState.READY:
+            self._begin_drain()
+        changed = reborn or self._differs(known, news)
+        return Reception.ACCEPTED if changed else Reception.UNCHANGED
+
+    def depart(self, target: str) -> bool:
+        """Take note that a target leaves for good.
+
+        :returns: whether it is the present one
+        """
+        if self.announced is None or self.announced.target != target:
+            return False
+        self.announced = self.announced._replace(state=TargetState.GONE)
+        self._begin_drain()
+        return True
+
+    def usable(self, target: str) -> bool:
+        """Tell whether new requests for a target may be taken now."""
+        if self.announced is None or self.announced.target != target:
+            return False
+        if self.draining_since is None:
+            return True
+        return self.clock.monotonic() < self.draining_since + self.drain * DRAIN_ACCEPT_SHARE
+
+    def enforce_drain(self) -> None:
+        """Refuse waiting requests once the drain time is nearly over; call this regularly."""
+        if self.draining_since is None or self.queue is None or self.queue.closed:
+            return
+        if self.clock.monotonic() >= self.draining_since + self.drain * DRAIN_START_SHARE:
+            self.queue.close()
+
+    def is_warm(self) -> bool:
+        """Tell whether the target is past its slow start."""
+        return self.clock.monotonic() >= self.warm_at
+
+    def record(self) -> Target | None:
+        """Return the entry that other nodes see."""
+        news = self.announced
+        if news is None:
+            return None
+        return Target(
+            target=news.target,
+            service=news.service,
+            version=news.version,
+            zone=news.zone,
+            slots=news.slots,
+            state=news.state,
+            node=self.node,
+            born_ms=news.born_ms,
+            sequence=news.sequence,
+        )
+
+    def _begin_drain(self) -> None:
+        if self.draining_since is None:
+            self.draining_since = self.clock.monotonic()
+
+    @staticmethod
+    def _is_outdated(known: Announcement, news: Announcement) -> bool:
+        if news.born_ms != known.born_ms:
+            return news.born_ms < known.born_ms
+        return news.target == known.target and news.sequence < known.sequence
+
+    @staticmethod
+    def _differs(known: Announcement, news: Announcement) -> bool:
+        return known._replace(sequence=0, warmup=news.warmup) != news._replace(sequence=0)
--- /dev/null
+++ b/almondshore/mesh/metrics.py
@@ -0,0 +1,61 @@
+"""Metrics of a node, served as text."""
+
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+from almondshore.daemon.metrics import Metrics
+from almondshore.http.messages import Response
+from almondshore.http.server import Exchange, ExchangeHandler
+from almondshore.mesh.model import Route
+
+if TYPE_CHECKING:
+    from almondshore.mesh.node import MeshNode
+
+# The platform's requests name no organisation that a metric could be kept for.
+NO_TENANT = ""
+
+
+class MeshMetrics:
+    """Counters and latency histograms by route."""
+
+    def __init__(self, *, node: str, zone: str):
+        self.metrics = Metrics(max_tenants=1, constant={"node": node, "zone": zone})
+
+    def observe(self, route: Route, status: int, took: timedelta) -> None:
+        """Record a finished request of a caller."""
+        outcome = f"{status // 100}xx" if status else "cancelled"
+        self.metrics.observe_request(
+            tenant=NO_TENANT, request_class=route.name, outcome=outcome, latency=took
+        )
+
+    def render(self, node: "MeshNode") -> tuple[bytes, str]:
+        """Return the present values in the text format, and its content type."""
+        queue = node.local.queue
+        away = node.away_since()
+        values = {
+            "almondshore_config_version": node.outbound.config_version(),
+            "almondshore_targets_known": len(node.directory.targets),
+            "almondshore_outbound_active": len(node.outbound.active),
+            "almondshore_slots_running": len(queue.running) if queue else 0,
+            "almondshore_slots_waiting": len(queue.waiting) if queue else 0,
+            "almondshore_store_away_seconds": (
+                (node.clock.monotonic() - away).total_seconds() if away is not None else 0.0
+            ),
+            "almondshore_connections_opened": node.pool.opened,
+        }
+        for name, value in values.items():
+            self.metrics.gauge(name, name.replace("_", " "), value)
+        return self.metrics.render()
+
+
+class MetricsHandler(ExchangeHandler):
+    """Serves the metrics."""
+
+    def __init__(self, *, metrics: MeshMetrics, node: "MeshNode"):
+        self.metrics = metrics
+        self.node = node
+
+    def handle(self, exchange: Exchange) -> None:
+        """Answer a scrape."""
+        body, content_type = self.metrics.render(self.node)
+        exchange.respond(Response(200, ((b"Content-Type", content_type.encode()),), body))
--- /dev/null
+++ b/almondshore/mesh/node.py
@@ -0,0 +1,330 @@
+"""One node of a mesh: its listeners, its state and its life from start to stop."""
+
+import os
+import random
+from datetime import timedelta
+
+import eventlet
+from eventlet import hubs
+
+from almondshore.core.bounded_stream import BoundedStream
+from almondshore.core.clock import Clock
+from almondshore.core.logs import log_event
+from almondshore.http.client import ConnectionPool
+from almondshore.http.messages import Response
+from almondshore.http.parsing import RequestLimits
+from almondshore.http.server import Exchange, ExchangeHandler, HttpServer, ServerLimits
+from almondshore.mesh.dialect import Dialect
+from almondshore.mesh.directory import Directory
+from almondshore.mesh.driver import RolloutDriver
+from almondshore.mesh.evidence import ResultRecorder
+from almondshore.mesh.inbound import Inbound
+from almondshore.mesh.local import LocalTarget, Reception
+from almondshore.mesh.metrics import MeshMetrics, MetricsHandler
+from almondshore.mesh.model import Announcement, MeshConfig
+from almondshore.mesh.outbound import Outbound
+from almondshore.mesh.peers import InternalHandler, PeerClient, PeerSync
+from almondshore.mesh.publishing import TargetPublisher
+from almondshore.mesh.replication import Replica
+from almondshore.mesh.settings import MeshSettings
+from almondshore.mesh.state import ConfigSink, RolloutSink, TargetSink
+from almondshore.mesh.store import MeshStore
+from almondshore.mesh.versions import VersionShares
+from almondshore.retries.budget import RetryBudget
+from almondshore.routing.completion import CompletionChooser
+
+# Before a configuration is known, and for listeners that callers do not use.
+DEFAULT_LIMITS = ServerLimits(
+    RequestLimits(64 * 1024, 64 * 1024 * 1024), timedelta(seconds=10), timedelta(seconds=60)
+)
+# Changes that come within this are read by one call; they must be in force within 2 s.
+GATHER_CONFIG = timedelta(milliseconds=400)
+GATHER_TARGETS = timedelta(milliseconds=500)
+# Callers stop sending new work after two failed readiness checks, one a second.
+MIN_STOP = timedelta(seconds=2.6)
+# What is still running at this share of the grace period is given up.
+MAX_STOP_SHARE = 0.95
+STOP_TICK_S = 0.05
+HOUSEKEEPING_S = 0.25
+EXPIRE_EVERY = 8
+# Part of the shared retry budget that nodes spend; the rest covers uneven load between them and
+# retries of calls that a repeated request makes again.
+RETRY_SHARE = 0.6
+MAX_SAVED_SHARE = 0.4
+
+
+class ReadinessHandler(ExchangeHandler):
+    """Tells whether new requests may come."""
+
+    def __init__(self, *, node: "MeshNode"):
+        self.node = node
+
+    def handle(self, exchange: Exchange) -> None:
+        """Answer 200 if the node is ready, else 503."""
+        exchange.respond(Response(200 if self.node.is_ready() else 503))
+
+
+class MeshNode:
+    """Joins the parts of a node.
+
+    :param announcements: handler of the target's announcements, given this node
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: MeshSettings,
+        clock: Clock,
+        rng: random.Random,
+        dialect: Dialect,
+        store: MeshStore,
+        pool: ConnectionPool,
+        config_name: str,
+        log_stream: BoundedStream,
+    ):
+        self.settings = settings
+        self.clock = clock
+        self.rng = rng
+        self.store = store
+        self.pool = pool
+        self.log_stream = log_stream
+        self.stopping_since: timedelta | None = None
+        self.ticks = 0
+        self.metrics = MeshMetrics(node=settings.node, zone=settings.zone)
+        self.directory = Directory(clock=clock)
+        self.local = LocalTarget(clock=clock, node=settings.inbound, drain=settings.bounds.drain)
+        self.recorder = ResultRecorder(clock=clock)
+        self.shares = VersionShares(rng=rng)
+        self.budget = RetryBudget(clock=clock)
+        self.chooser = CompletionChooser(clock=clock, rng=rng, zone=settings.zone)
+        self.rollout_sink = RolloutSink(shares=self.shares)
+        internal = InternalHandler(
+            config=self.config,
+            directory=self.directory,
+            rollouts=self.rollout_sink,
+            local=self.local,
+            recorder=self.recorder,
+        )
+        self.inbound = Inbound(
+            clock=clock,
+            dialect=dialect,
+            pool=pool,
+            app=settings.app,
+            local=self.local,
+            recorder=self.recorder,
+            config_version=lambda: self.outbound.config_version(),
+            internal=internal,
+        )
+        self.outbound = Outbound(
+            clock=clock,
+            rng=rng,
+            dialect=dialect,
+            directory=self.directory,
+            chooser=self.chooser,
+            shares=self.shares,
+            budget=self.budget,
+            pool=pool,
+            inbound=self.inbound,
+            node=settings.inbound,
+            caller=lambda: self.settings.service,
+            on_version=lambda node, version: self.peers.note_version(node, version),
+            observe=self.metrics.observe,
+        )
+        self.config_sink = ConfigSink(outbound=self.outbound, name=config_name)
+        self.publisher = TargetPublisher(store=store)
+        self.replicas = (
+            self._replica(store.config, self.config_sink, GATHER_CONFIG),
+            self._replica(store.targets, TargetSink(directory=self.directory), GATHER_TARGETS),
+            self._replica(store.rollouts, self.rollout_sink, timedelta()),
+        )
+        client = PeerClient(pool=pool)
+        self.peers = PeerSync(
+            clock=clock,
+            rng=rng,
+            client=client,
+            directory=self.directory,
+            config=self.config_sink,
+            rollouts=self.rollout_sink,
+            decode=store.decode_config,
+            node=settings.inbound,
+            away_since=self.away_since,
+        )
+        self.driver = RolloutDriver(
+            clock=clock,
+            node=settings.inbound,
+            service=lambda: self.settings.service if self.local.announced else "",
+            own=internal.evidence,
+            directory=self.directory,
+            rollouts=self.rollout_sink,
+            client=client,
+            store=store,
+        )
+        self.inbound.retired = self._is_retired
+        self.directory.on_change = self._on_targets
+        self.servers: list[HttpServer] = []
+
+    def start(self, announcements: ExchangeHandler) -> None:
+        """Open the listeners and start the work in the background."""
+        settings = self.settings
+        self.outbound_server = self._listen(settings.outbound, self.outbound, self._caller_limits)
+        self.inbound_server = self._listen(settings.inbound, self.inbound)
+        self._listen(settings.ready, ReadinessHandler(node=self))
+        self._listen(settings.control, announcements)
+        self._listen(settings.metrics, MetricsHandler(metrics=self.metrics, node=self))
+        for replica in self.replicas:
+            eventlet.spawn(replica.run)
+        eventlet.spawn(self.publisher.run)
+        eventlet.spawn(self.peers.run)
+        eventlet.spawn(self.driver.run)
+        hubs.get_hub().schedule_call_global(HOUSEKEEPING_S, self._housekeeping)
+        log_event(
+            "node_started",
+            node=settings.node,
+            zone=settings.zone,
+            service=settings.service,
+            outbound=f"{settings.outbound[0]}:{settings.outbound[1]}",
+            process=os.getpid(),
+        )
+
+    def config(self) -> MeshConfig | None:
+        """Return the configuration in force."""
+        return self.outbound.config
+
+    def is_ready(self) -> bool:
+        """Tell whether new requests may come."""
+        return self.outbound.config is not None and self.stopping_since is None
+
+    def away_since(self) -> timedelta | None:
+        """Return since when any part of the store has not answered, or None."""
+        failing = [item.failing_since for item in self.replicas if item.failing_since is not None]
+        return min(failing, default=None)
+
+    def on_announcement(self, news: Announcement) -> None:
+        """Take in an announcement of the target on this host."""
+        if news.service != self.settings.service or news.address != self.settings.app:
+            log_event(
+                "announcement_foreign",
+                level="WARNING",
+                target=news.target,
+                service=news.service,
+                address=news.address,
+            )
+            return
+        known = self.local.announced
+        reception = self.local.announce(news)
+        self.inbound.down_until = timedelta()
+        if reception is not Reception.ACCEPTED:
+            return
+        if known is None or known.target != news.target or known.born_ms != news.born_ms:
+            self.recorder.reset()
+            self.pool.drop(self.settings.app)
+        log_event(
+            "target_announced",
+            target=news.target,
+            state=self.local.announced.state,
+            version=news.version,
+            sequence=news.sequence,
+            born_ms=news.born_ms,
+        )
+        self._publish()
+
+    def on_departure(self, target: str) -> None:
+        """Take note that the target on this host leaves for good."""
+        known = self.local.depart(target)
+        log_event("target_departing", target=target, known=known)
+        if known:
+            self._publish()
+
+    def apply_settings(self, settings: MeshSettings) -> None:
+        """Take over changed settings, except for the addresses of listeners."""
+        kept = ("outbound", "inbound", "ready", "control", "metrics")
+        fixed = {name: getattr(self.settings, name) for name in kept}
+        self.settings = settings._replace(**fixed)
+        self.local.drain = settings.bounds.drain
+        self.inbound.app = settings.app
+        self.store.move(settings.store)
+        self._on_targets()
+
+    def stop(self) -> None:
+        """Begin to stop: finish what runs, then leave."""
+        if self.stopping_since is not None:
+            return
+        self.stopping_since = self.clock.monotonic()
+        self.inbound.leaving = True
+        self.outbound_server.drain()
+        log_event(
+            "node_stopping",
+            node=self.settings.node,
+            outbound=len(self.outbound.active),
+            inbound=len(self.inbound.active),
+        )
+
+    def run_until_stopped(self) -> None:
+        """Wait for the end of the process."""
+        while not self._may_end():
+            eventlet.sleep(STOP_TICK_S if self.stopping_since is not None else 1.0)
+        if self.away_since() is None:
+            self.publisher.withdraw()
+        log_event(
+            "node_stopped",
+            node=self.settings.node,
+            outbound=len(self.outbound.active),
+            inbound=len(self.inbound.active),
+        )
+        self.log_stream.drain()
+
+    def _may_end(self) -> bool:
+        if self.stopping_since is None:
+            return False
+        elapsed = self.clock.monotonic() - self.stopping_since
+        if elapsed >= self.settings.bounds.grace * MAX_STOP_SHARE:
+            return True
+        if elapsed < MIN_STOP:
+            return False
+        self.outbound_server.close_idle()
+        busy = self.outbound.active or self.inbound.active
+        return not busy and not any(server.unsent() for server in self.servers)
+
+    def _housekeeping(self) -> None:
+        hubs.get_hub().schedule_call_global(HOUSEKEEPING_S, self._housekeeping)
+        self.ticks += 1
+        self.local.enforce_drain()
+        if self.local.queue is not None and self.local.queue.waiting:
+            self.local.queue.dispatch()
+        self.log_stream.drain()
+        if self.ticks % EXPIRE_EVERY == 0:
+            self.pool.expire()
+
+    def _publish(self) -> None:
+        record = self.local.record()
+        # The directory need not wait for the store to learn of the target beside it.
+        self.directory.put(record)
+        self.publisher.publish(record)
+
+    def _on_targets(self) -> None:
+        targets = self.directory.targets
+        self.chooser.keep(set(targets))
+        self.shares.learn(targets.values())
+        bounds = self.settings.bounds
+        nodes = max(1, len({target.node for target in targets.values()}))
+        floor = bounds.retry_floor * RETRY_SHARE / nodes
+        self.budget.ratio = bounds.retry_ratio * RETRY_SHARE
+        self.budget.min_per_second = floor / bounds.retry_window.total_seconds()
+        self.budget.max_saved = max(1.0, floor * MAX_SAVED_SHARE)
+
+    def _is_retired(self, service: str, version: str) -> bool:
+        return self.shares.is_retired(service, version) or self.driver.is_condemned(
+            service, version
+        )
+
+    def _caller_limits(self) -> ServerLimits:
+        config = self.outbound.config
+        return config.limits if config is not None else DEFAULT_LIMITS
+
+    def _replica(self, feed, sink, gather: timedelta) -> Replica:
+        return Replica(clock=self.clock, rng=self.rng, feed=feed, sink=sink, gather=gather)
+
+    def _listen(self, address, handler: ExchangeHandler, limits=lambda: DEFAULT_LIMITS):
+        server = HttpServer(clock=self.clock, address=address, handler=handler, limits=limits)
+        self.servers.append(server)
+        return server
--- /dev/null
+++ b/almondshore/mesh/peers.py
@@ -0,0 +1,197 @@
+"""State from other nodes, for a node that the store does not answer."""
+
+import random
+from collections.abc import Callable
+from datetime import timedelta
+from urllib.parse import parse_qs
+
+import eventlet
+import msgspec
+from eventlet.event import Event
+
+from almondshore.core.clock import Clock
+from almondshore.core.logs import log_event
+from almondshore.http.client import CallResult, ConnectionPool
+from almondshore.http.messages import Response, encode_request
+from almondshore.http.server import Exchange, ExchangeHandler
+from almondshore.mesh.directory import Directory
+from almondshore.mesh.evidence import ResultRecorder, RouteCounts
+from almondshore.mesh.local import LocalTarget
+from almondshore.mesh.model import Address, MeshConfig
+from almondshore.mesh.state import ConfigSink, PeerState, RolloutSink
+
+STATE_PATH = b"/state"
+EVIDENCE_PATH = b"/evidence"
+PEER_TIMEOUT = timedelta(milliseconds=500)
+# While the store is away, a peer is asked this often; changes must be in force within seconds.
+POLL_INTERVAL = timedelta(milliseconds=500)
+# A store that was silent for this long is taken to be away.
+AWAY_AFTER = timedelta(milliseconds=300)
+
+
+class Evidence(msgspec.Struct):
+    """Results at one target.
+
+    :ivar routes: counts by route
+    :ivar running: requests in the target's slots or waiting for one
+    """
+
+    target: str
+    service: str
+    version: str
+    running: int
+    routes: dict[str, RouteCounts]
+
+
+class InternalHandler(ExchangeHandler):
+    """Answers other nodes' questions about state and evidence."""
+
+    def __init__(
+        self,
+        *,
+        config: Callable[[], MeshConfig | None],
+        directory: Directory,
+        rollouts: RolloutSink,
+        local: LocalTarget,
+        recorder: ResultRecorder,
+    ):
+        self.config = config
+        self.directory = directory
+        self.rollouts = rollouts
+        self.local = local
+        self.recorder = recorder
+
+    def handle(self, exchange: Exchange) -> None:
+        """Answer a request."""
+        path, _, query = exchange.request.target.partition(b"?")
+        if path == STATE_PATH:
+            exchange.respond(Response(200, (), msgspec.json.encode(self._state(query))))
+        elif path == EVIDENCE_PATH:
+            exchange.respond(Response(200, (), msgspec.json.encode(self.evidence())))
+        else:
+            exchange.respond(Response(404))
+
+    def evidence(self) -> Evidence:
+        """Return the results at the target beside this node."""
+        news, queue = self.local.announced, self.local.queue
+        return Evidence(
+            target=news.target if news else "",
+            service=news.service if news else "",
+            version=news.version if news else "",
+            running=len(queue.running) + len(queue.waiting) if queue else 0,
+            routes=dict(self.recorder.routes),
+        )
+
+    def _state(self, query: bytes) -> PeerState:
+        known = parse_qs(query.decode("latin-1")).get("config", ["0"])[0]
+        config = self.config()
+        version = config.version if config is not None else 0
+        needed = config is not None and known.isdigit() and int(known) < version
+        return PeerState(
+            version,
+            config.raw.decode() if needed else "",
+            list(self.directory.targets.values()),
+            list(self.rollouts.shares.rollouts.values()),
+        )
+
+
+class PeerClient:
+    """Asks other nodes."""
+
+    def __init__(self, *, pool: ConnectionPool, timeout: timedelta = PEER_TIMEOUT):
+        self.pool = pool
+        self.timeout = timeout
+
+    def get(self, node: Address, target: bytes) -> bytes | None:
+        """Return the body of a node's answer, or None; for use in a greenlet."""
+        done: Event = Event()
+        headers = ((b"Host", f"{node[0]}:{node[1]}".encode()),)
+        self.pool.call(
+            node,
+            encode_request(b"GET", target, headers, b""),
+            timeout=self.timeout,
+            on_done=done.send,
+        )
+        result: CallResult = done.wait()
+        if result.response is None or result.response.status != 200:
+            return None
+        return result.response.body
+
+
+class PeerSync:
+    """Takes state over from peers while the store is away, or when one has a newer version."""
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        rng: random.Random,
+        client: PeerClient,
+        directory: Directory,
+        config: ConfigSink,
+        rollouts: RolloutSink,
+        decode: Callable[[bytes], MeshConfig | None],
+        node: Address,
+        away_since: Callable[[], timedelta | None],
+    ):
+        self.clock = clock
+        self.rng = rng
+        self.client = client
+        self.directory = directory
+        self.config = config
+        self.rollouts = rollouts
+        self.decode = decode
+        self.node = node
+        self.away_since = away_since
+        self.fetching = False
+
+    def run(self) -> None:
+        """Ask a random peer regularly while the store is away; for a greenlet of its own."""
+        while True:
+            eventlet.sleep(POLL_INTERVAL.total_seconds())
+            since = self.away_since()
+            if since is None or self.clock.monotonic() - since < AWAY_AFTER:
+                continue
+            peers = [node for node in self.directory.addresses() if node != self.node]
+            reachable = [node for node in peers if self.directory.is_reachable(node)]
+            if reachable or peers:
+                self.fetch(self.rng.choice(reachable or peers))
+
+    def note_version(self, node: Address, version: int) -> None:
+        """Fetch the state of a node whose configuration is newer."""
+        if version <= self.config.outbound.config_version() or self.fetching:
+            return
+        self.fetching = True
+        eventlet.spawn(self._fetch_once, node)
+
+    def fetch(self, node: Address) -> bool:
+        """Take over the state of a peer.
+
+        :returns: whether the peer answered
+        """
+        known = self.config.outbound.config_version()
+        body = self.client.get(node, STATE_PATH + b"?config=%d" % known)
+        if body is None:
+            self.directory.unreachable(node, "no-state")
+            return False
+        try:
+            state = msgspec.json.decode(body, type=PeerState)
+        except msgspec.MsgspecError as error:
+            log_event("peer_state_malformed", level="ERROR", peer=node, error=error)
+            return False
+        self.directory.reached(node)
+        if state.config:
+            config = self.decode(state.config.encode())
+            if config is not None:
+                self.config.apply(config, source=f"{node[0]}:{node[1]}")
+        for target in state.targets:
+            self.directory.put(target)
+        for rollout in state.rollouts:
+            self.rollouts.put(rollout, source=f"{node[0]}:{node[1]}")
+        return True
+
+    def _fetch_once(self, node: Address) -> None:
+        try:
+            self.fetch(node)
+        finally:
+            self.fetching = False
--- /dev/null
+++ b/almondshore/mesh/publishing.py
@@ -0,0 +1,91 @@
+"""Writes the entry of the target beside this node to the store."""
+
+from datetime import timedelta
+
+import eventlet
+from eventlet.event import Event
+from returns.pipeline import is_successful
+
+from almondshore.core.logs import log_event
+from almondshore.mesh.model import Target, TargetState
+from almondshore.mesh.store import Changed, MeshStore, NotFound, RateLimited, StoreError
+
+MIN_PAUSE = timedelta(milliseconds=200)
+MAX_PAUSE = timedelta(seconds=1)
+
+
+class TargetPublisher:
+    """Keeps the stored entry equal to what the target said last.
+
+    Writes are conditional, so that a delayed one cannot undo a later one.
+    """
+
+    def __init__(self, *, store: MeshStore):
+        self.store = store
+        self.wanted: Target | None = None
+        self.stored: Target | None = None
+        self.revisions: dict[str, int] = {}
+        self.wake: Event = Event()
+
+    def publish(self, target: Target) -> None:
+        """Set the entry to store."""
+        self.wanted = target
+        if not self.wake.ready():
+            self.wake.send(None)
+
+    def adopt(self, name: str, revision: int) -> None:
+        """Take note of the revision of an entry that was read from the store."""
+        self.revisions[name] = revision
+
+    def run(self) -> None:
+        """Write until the process ends; for a greenlet of its own."""
+        pause = MIN_PAUSE
+        while True:
+            if self.wanted == self.stored:
+                self.wake = Event()
+                self.wake.wait()
+                continue
+            if self.write():
+                pause = MIN_PAUSE
+            else:
+                eventlet.sleep(pause.total_seconds())
+                pause = min(MAX_PAUSE, pause * 2)
+
+    def write(self) -> bool:
+        """Try to write the entry once; returns whether to go on at once."""
+        wanted = self.wanted
+        revision = self.revisions.get(wanted.target, 0)
+        result = self.store.save_target(wanted, revision)
+        if is_successful(result):
+            self.revisions[wanted.target] = result.unwrap()
+            self.stored = wanted
+            log_event(
+                "target_published",
+                target=wanted.target,
+                state=wanted.state,
+                sequence=wanted.sequence,
+                revision=result.unwrap(),
+            )
+            return True
+        return self._on_error(wanted, result.failure())
+
+    def withdraw(self) -> None:
+        """Remove the entry of a target that is gone."""
+        gone = self.wanted
+        if gone is None or gone.state is not TargetState.GONE:
+            return
+        revision = self.revisions.get(gone.target, 0)
+        if revision:
+            result = self.store.delete_target(gone.target, revision)
+            log_event("target_withdrawn", target=gone.target, done=is_successful(result))
+
+    def _on_error(self, wanted: Target, error: StoreError) -> bool:
+        if isinstance(error, Changed):
+            self.revisions[wanted.target] = error.revision
+            return True
+        if isinstance(error, NotFound):
+            self.revisions.pop(wanted.target, None)
+            return True
+        level = "INFO" if isinstance(error, RateLimited) else "WARNING"
+        log_event("target_not_published", level=level, target=wanted.target, error=error)
+        return False
--- /dev/null
+++ b/almondshore/mesh/replication.py
@@ -0,0 +1,103 @@
+"""Keeps a copy of a feed of the store."""
+
+import random
+from abc import ABC, abstractmethod
+from collections.abc import Mapping
+from datetime import timedelta
+from typing import Generic, TypeVar
+
+import eventlet
+from returns.pipeline import is_successful
+
+from almondshore.core.clock import Clock
+from almondshore.core.logs import log_event
+from almondshore.mesh.store import Feed, HistoryGone, RateLimited, StoreError
+
+T = TypeVar("T")
+
+# Longest wait of one call; the store allows 30 s, and each call is charged.
+WATCH_TIMEOUT = timedelta(seconds=25)
+# Pause between tries while the store does not answer, doubled up to the longest.
+MIN_PAUSE = timedelta(milliseconds=150)
+MAX_PAUSE = timedelta(seconds=1)
+# Share of a pause that is random, so that nodes do not return to the store at once.
+PAUSE_JITTER = 0.5
+
+
+class Sink(ABC, Generic[T]):
+    """Takes the items of a feed."""
+
+    @abstractmethod
+    def replace(self, items: Mapping[str, T]) -> None:
+        """Take all items."""
+
+    @abstractmethod
+    def update(self, items: Mapping[str, T | None]) -> None:
+        """Take changed items; a removed one is None."""
+
+
+class Replica(Generic[T]):
+    """Copies a feed to a sink for as long as the process runs.
+
+    :param gather: pause after a change, so that changes in quick succession need one call
+    :ivar failing_since: when the store stopped answering, None while it answers
+    """
+
+    def __init__(
+        self, *, clock: Clock, rng: random.Random, feed: Feed[T], sink: Sink[T], gather: timedelta
+    ):
+        self.clock = clock
+        self.rng = rng
+        self.feed = feed
+        self.sink = sink
+        self.gather = gather
+        self.failing_since: timedelta | None = clock.monotonic()
+        self.position: int | None = None
+        self.pause = MIN_PAUSE
+        self.stopped = False
+
+    def run(self) -> None:
+        """Copy until stopped; for a greenlet of its own."""
+        while not self.stopped:
+            self.step()
+
+    def step(self) -> None:
+        """Make one call and take in its result."""
+        if self.position is None:
+            result = self.feed.read()
+        else:
+            result = self.feed.wait(self.position, WATCH_TIMEOUT)
+        if not is_successful(result):
+            self._on_error(result.failure())
+            return
+        self._note_answer()
+        found = result.unwrap()
+        if self.position is None:
+            self.sink.replace(found.items)
+        elif found.items:
+            self.sink.update(found.items)
+            eventlet.sleep(self.gather.total_seconds())
+        self.position = found.position
+
+    def _on_error(self, error: StoreError) -> None:
+        if isinstance(error, HistoryGone):
+            log_event("store_history_gone", feed=self.feed.name, position=error.position)
+            self.position = None
+            return
+        if self.failing_since is None:
+            self.failing_since = self.clock.monotonic()
+            log_event("store_lost", level="WARNING", feed=self.feed.name, error=error)
+        pause = self.pause
+        if isinstance(error, RateLimited):
+            pause = max(pause, error.retry_after)
+        self.pause = min(MAX_PAUSE, self.pause * 2)
+        eventlet.sleep(pause.total_seconds() * (1.0 + PAUSE_JITTER * self.rng.random()))
+
+    def _note_answer(self) -> None:
+        self.pause = MIN_PAUSE
+        if self.failing_since is not None:
+            away = self.clock.monotonic() - self.failing_since
+            log_event(
+                "store_regained", feed=self.feed.name, away_ms=int(away.total_seconds() * 1e3)
+            )
+            self.failing_since = None
--- /dev/null
+++ b/almondshore/mesh/rollout.py
@@ -0,0 +1,124 @@
+"""Moves a service to a new version step by step, and back if the version is bad."""
+
+from collections.abc import Iterable
+from datetime import timedelta
+from typing import NamedTuple
+
+from almondshore.mesh.evidence import RouteCounts
+from almondshore.mesh.model import Rollout, RolloutState
+
+ZERO = timedelta()
+
+
+class Step(NamedTuple):
+    """A share of the new version, and when it is due.
+
+    :ivar after: share of the time from the order to the deadline
+    :ivar results: results on the new version that the step needs, unless time runs out
+    """
+
+    after: float
+    share: float
+    results: int
+
+
+# A version that turns out bad may have had a tenth of the requests, so that the shares are small
+# until most of the time has passed, and then rise fast enough to leave a margin to the deadline.
+STEPS = (Step(0.0, 0.08, 0), Step(0.42, 0.25, 12), Step(0.56, 0.5, 25), Step(0.7, 1.0, 40))
+# A step that lacks results is taken anyway after this further share of the time.
+STEP_PATIENCE = 0.06
+# Requests on the old version end within this; its targets are stopped at once on completion.
+SETTLE_MIN = timedelta(seconds=1)
+SETTLE_MAX = timedelta(seconds=2.5)
+
+MIN_ROUTE_FAILURES = 4
+ROUTE_FAILURE_RATE = 0.15
+MIN_FAILURES = 5
+FAILURE_RATE = 0.1
+# The new version must fail this many times as often as the old one to be condemned.
+FAILURE_RATIO = 3.0
+# Targets of one version differ in speed by up to three times.
+SLOW_RATIO = 3.0
+MIN_TIMED = 6
+MIN_OLD_TIMED = 10
+
+
+class VersionCounts(NamedTuple):
+    """Results on the two versions of a rollout, by route."""
+
+    new: dict[str, RouteCounts]
+    old: dict[str, RouteCounts]
+
+
+def add_counts(total: dict[str, RouteCounts], routes: dict[str, RouteCounts]) -> None:
+    """Add the counts of one target to a total."""
+    for route, counts in routes.items():
+        known = total.get(route, RouteCounts())
+        total[route] = RouteCounts(
+            *(left + right for left, right in zip(known, counts, strict=True))
+        )
+
+
+def find_fault(counts: VersionCounts) -> str:
+    """Return what is wrong with the new version, or an empty string."""
+    for route, new in counts.new.items():
+        old = counts.old.get(route, RouteCounts())
+        if _fails_more(new, old, MIN_ROUTE_FAILURES, ROUTE_FAILURE_RATE):
+            return f"{new.failures} of {new.requests} requests failed on route {route}"
+        if _is_slower(new, old):
+            return (
+                f"route {route} takes {new.total_ms / new.timed:.0f} ms, "
+                f"{old.total_ms / old.timed:.0f} ms before"
+            )
+    new, old = _summed(counts.new.values()), _summed(counts.old.values())
+    if _fails_more(new, old, MIN_FAILURES, FAILURE_RATE):
+        return f"{new.failures} of {new.requests} requests failed"
+    return ""
+
+
+def next_progress(
+    rollout: Rollout, *, elapsed: timedelta, settled: timedelta, results: int, old_running: int
+) -> Rollout:
+    """Return the rollout with the state and share that are due.
+
+    :param elapsed: time since the order
+    :param settled: time since the new version got all requests
+    :param results: results on the new version so far
+    :param old_running: requests at targets of the old version
+    """
+    if rollout.share >= 1.0 and rollout.state is RolloutState.RUNNING:
+        done = settled >= SETTLE_MAX or (settled >= SETTLE_MIN and old_running == 0)
+        return rollout._replace(state=RolloutState.COMPLETED) if done else rollout
+    passed = elapsed / rollout.duration if rollout.duration else 1.0
+    share = rollout.share
+    for step in STEPS:
+        if step.share <= rollout.share:
+            continue
+        ready = results >= step.results or passed >= step.after + STEP_PATIENCE
+        if passed >= step.after and ready:
+            share = step.share
+        # One step at a time: each is to bring results before the next.
+        break
+    if share == rollout.share and rollout.state is RolloutState.RUNNING:
+        return rollout
+    return rollout._replace(state=RolloutState.RUNNING, share=share)
+
+
+def _fails_more(new: RouteCounts, old: RouteCounts, at_least: int, rate: float) -> bool:
+    if new.failures < at_least:
+        return False
+    usual = old.failures / old.requests if old.requests else 0.0
+    return new.failures / new.requests > max(rate, FAILURE_RATIO * usual)
+
+
+def _is_slower(new: RouteCounts, old: RouteCounts) -> bool:
+    if new.timed < MIN_TIMED or old.timed < MIN_OLD_TIMED:
+        return False
+    return new.total_ms / new.timed > SLOW_RATIO * old.total_ms / old.timed
+
+
+def _summed(counts: Iterable[RouteCounts]) -> RouteCounts:
+    total: dict[str, RouteCounts] = {}
+    for item in counts:
+        add_counts(total, {"": item})
+    return total.get("", RouteCounts())
--- /dev/null
+++ b/almondshore/mesh/settings.py
@@ -0,0 +1,134 @@
+"""Settings of a node in a mesh: a YAML file, checked key by key."""
+
+from collections.abc import Callable
+from datetime import timedelta
+from pathlib import Path
+from typing import NamedTuple
+
+from almondshore.core.errors import InvalidInputError
+from almondshore.core.findings import FindingList
+from almondshore.daemon.fields import Field, FieldError, address, identifier, line
+from almondshore.daemon.yaml_places import add_finding, read_nodes
+from almondshore.mesh.model import Address
+
+
+class Bounds(NamedTuple):
+    """Bounds that the operator of the deployment sets.
+
+    :ivar drain: longest time in which a leaving target gets new requests
+    :ivar grace: time from the request to stop until the process is killed
+    :ivar retry_ratio: retries of all nodes as a share of the requests of a service
+    :ivar retry_window: window in which retries are counted
+    :ivar retry_floor: retries in a window that are always allowed, for all nodes together
+    """
+
+    drain: timedelta
+    grace: timedelta
+    retry_ratio: float
+    retry_window: timedelta
+    retry_floor: int
+
+
+class MeshSettings(NamedTuple):
+    """All settings of one node.
+
+    :ivar service: service of the target on this host
+    :ivar app: address of that target
+    :ivar outbound: listens for requests that originate on this host
+    :ivar inbound: listens for requests of other nodes
+    :ivar ready: listens for readiness checks
+    :ivar control: listens for announcements of the target
+    :ivar metrics: listens for scrapes of the metrics
+    """
+
+    node: str
+    zone: str
+    service: str
+    app: Address
+    outbound: Address
+    inbound: Address
+    ready: Address
+    control: Address
+    metrics: Address
+    store: Address
+    bounds: Bounds
+
+
+FIELDS: dict[str, Field] = {
+    "node": identifier(),
+    "zone": identifier(),
+    "service": identifier(),
+    "app": address(),
+    "listen.outbound": address(),
+    "listen.inbound": address(),
+    "listen.ready": address(),
+    "listen.control": address(),
+    "listen.metrics": address(),
+    "store": address(),
+    "bounds": line(),
+}
+
+
+DecodeBounds = Callable[[str], Bounds]
+
+
+def load_mesh_settings(path: str | Path, decode_bounds: DecodeBounds) -> MeshSettings:
+    """Read a settings file.
+
+    :param decode_bounds: decodes the bounds as the deployment writes them; raises ValueError
+    :raises InvalidInputError: with all findings, if anything in the file is wrong
+    """
+    findings = FindingList(file=str(path))
+    try:
+        data = Path(path).read_bytes()
+    except OSError as error:
+        findings.add(line=0, column=0, code="unreadable", message=str(error.strerror or error))
+        raise InvalidInputError(findings.sorted()) from error
+    return parse_mesh_settings(data, findings, decode_bounds)
+
+
+def parse_mesh_settings(
+    data: bytes, findings: FindingList, decode_bounds: DecodeBounds
+) -> MeshSettings:
+    """Parse settings given as YAML.
+
+    :param findings: receives all that is wrong, with its place
+    :raises InvalidInputError: with all findings, if anything is wrong
+    """
+    nodes = read_nodes(data, FIELDS, findings)
+    values = {}
+    for key, field in FIELDS.items():
+        if key not in nodes:
+            message = f"{key} has no default and must be set"
+            findings.add(line=0, column=0, code="missing", message=message)
+            continue
+        try:
+            values[key] = field(nodes[key])
+        except FieldError as error:
+            add_finding(findings, error.node, error.code, f"{key}: {error.message}")
+    bounds = None
+    if "bounds" in values:
+        try:
+            bounds = decode_bounds(values["bounds"])
+        except ValueError as error:
+            add_finding(findings, nodes["bounds"], "malformed", f"bounds: {error}")
+    if findings or bounds is None:
+        raise InvalidInputError(findings.sorted())
+
+    def at(key: str) -> Address:
+        host, _, port = values[key].rpartition(":")
+        return host, int(port)
+
+    return MeshSettings(
+        node=values["node"],
+        zone=values["zone"],
+        service=values["service"],
+        app=at("app"),
+        outbound=at("listen.outbound"),
+        inbound=at("listen.inbound"),
+        ready=at("listen.ready"),
+        control=at("listen.control"),
+        metrics=at("listen.metrics"),
+        store=at("store"),
+        bounds=bounds,
+    )
--- /dev/null
+++ b/almondshore/mesh/store.py
@@ -0,0 +1,94 @@
+"""Port to the store that holds the configuration, the targets and the rollouts."""
+
+from abc import ABC, abstractmethod
+from collections.abc import Mapping
+from datetime import timedelta
+from typing import Generic, NamedTuple, TypeVar
+
+from returns.result import Result
+
+from almondshore.mesh.model import Address, MeshConfig, Rollout, Target
+from almondshore.storage.port import NotFound, RateLimited, Unavailable
+
+T = TypeVar("T")
+
+
+class HistoryGone(NamedTuple):
+    """The store no longer has the changes since a position; a full read is needed."""
+
+    position: int
+
+
+class Changed(NamedTuple):
+    """A conditional write was refused, since the object is at another revision.
+
+    :ivar revision: present revision, 0 if it is not known
+    """
+
+    revision: int
+
+
+StoreError = Unavailable | RateLimited | NotFound | HistoryGone | Changed
+
+
+class Snapshot(NamedTuple, Generic[T]):
+    """All items of a feed.
+
+    :ivar position: position to wait from
+    """
+
+    position: int
+    items: Mapping[str, T]
+
+
+class Changes(NamedTuple, Generic[T]):
+    """Items that changed; a removed one is None."""
+
+    position: int
+    items: Mapping[str, T | None]
+
+
+class Feed(ABC, Generic[T]):
+    """Items of one kind in the store, and their changes."""
+
+    name: str
+
+    @abstractmethod
+    def read(self) -> Result[Snapshot[T], StoreError]:
+        """Read all items."""
+
+    @abstractmethod
+    def wait(self, position: int, timeout: timedelta) -> Result[Changes[T], StoreError]:
+        """Wait for changes after a position; none if the timeout passed."""
+
+
+class MeshStore(ABC):
+    """What nodes read from the store and write to it."""
+
+    config: Feed[MeshConfig]
+    targets: Feed[Target]
+    rollouts: Feed[Rollout]
+
+    @abstractmethod
+    def move(self, address: Address) -> None:
+        """Use the store at another address from now on."""
+
+    @abstractmethod
+    def save_target(self, target: Target, revision: int) -> Result[int, StoreError]:
+        """Write a target's entry.
+
+        :param revision: revision to replace, 0 to create
+        :returns: the new revision
+        """
+
+    @abstractmethod
+    def delete_target(self, name: str, revision: int) -> Result[int, StoreError]:
+        """Remove a target's entry if it is at the revision."""
+
+    @abstractmethod
+    def save_progress(self, rollout: Rollout) -> Result[int, StoreError]:
+        """Write the progress of a rollout if its object is still at ``rollout.revision``."""
+
+    @abstractmethod
+    def decode_config(self, raw: bytes) -> MeshConfig | None:
+        """Return a configuration from another node, or None if it is not valid."""
--- /dev/null
+++ b/almondshore/mesh/versions.py
@@ -0,0 +1,89 @@
+"""Which version of a service gets a request."""
+
+import random
+from collections.abc import Collection, Mapping
+
+from almondshore.mesh.model import Rollout, RolloutState, Target
+
+
+class VersionShares:
+    """Shares of versions, from the rollouts of each service.
+
+    A version gets requests if it is the usual one of its service, or by the share of a rollout
+    that is running. The usual version is the one that the last completed rollout moved to, else
+    the one that was there first: targets of a new version start before the order is known.
+    """
+
+    def __init__(self, *, rng: random.Random):
+        self.rng = rng
+        self.rollouts: dict[str, Rollout] = {}
+        self.usual: dict[str, str] = {}
+
+    def set_rollout(self, rollout: Rollout) -> None:
+        """Take in an order or its progress."""
+        self.rollouts[rollout.service] = rollout
+        if rollout.state is RolloutState.COMPLETED:
+            self.usual[rollout.service] = rollout.version
+
+    def remove_rollout(self, service: str) -> None:
+        """Forget a rollout whose order was withdrawn."""
+        self.rollouts.pop(service, None)
+
+    def learn(self, targets: Collection[Target]) -> None:
+        """Find the usual version of services where none is known."""
+        oldest: dict[str, Target] = {}
+        for target in targets:
+            if self._may_be_usual(target):
+                known = oldest.get(target.service)
+                if known is None or target.born_ms < known.born_ms:
+                    oldest[target.service] = target
+        for service, target in oldest.items():
+            if service not in self.usual:
+                self.usual[service] = target.version
+
+    def new_share(self, service: str) -> tuple[str, float]:
+        """Return the version of a rollout that is not completed, and its share."""
+        rollout = self.rollouts.get(service)
+        if rollout is None or rollout.state is RolloutState.COMPLETED:
+            return "", 0.0
+        share = rollout.share if rollout.state is RolloutState.RUNNING else 0.0
+        return rollout.version, share
+
+    def is_retired(self, service: str, version: str) -> bool:
+        """Tell whether a version must get no requests at all."""
+        rollout = self.rollouts.get(service)
+        if rollout is None:
+            return False
+        if rollout.state is RolloutState.ROLLED_BACK:
+            return version == rollout.version
+        moved = rollout.state is RolloutState.RUNNING and rollout.share >= 1.0
+        if moved or rollout.state is RolloutState.COMPLETED:
+            return version == self._old_version(service, rollout)
+        return False
+
+    def pick(self, service: str, versions: Mapping[str, list[Target]]) -> str | None:
+        """Return the version for a request, or None if no target may get it.
+
+        :param versions: targets that may be chosen, by version
+        """
+        if not versions:
+            return None
+        new, share = self.new_share(service)
+        old = [name for name in versions if name != new and not self.is_retired(service, name)]
+        usual = self.usual.get(service)
+        if usual in old:
+            old = [usual]
+        if new in versions and share > 0 and (self.rng.random() < share or share >= 1.0):
+            return new
+        if old:
+            return max(old, key=lambda name: len(versions[name]))
+        # A version on trial never takes over from an old one that cannot be reached.
+        return new if new in versions and share >= 0.5 else None
+
+    def _old_version(self, service: str, rollout: Rollout) -> str | None:
+        usual = self.usual.get(service)
+        return usual if usual != rollout.version else None
+
+    def _may_be_usual(self, target: Target) -> bool:
+        rollout = self.rollouts.get(target.service)
+        return rollout is None or rollout.version != target.version
--- a/almondshore/moves/coordinator.py
+++ b/almondshore/moves/coordinator.py
@@ -23,8 +23,8 @@
 from almondshore.moves.state import MoveTable
 from almondshore.moves.verdict import COORDINATOR_SHARE, FALSE_POSITIVE_RATE, MoveVerdict
 from almondshore.moves.veto import make_veto, read_veto, save_veto
-from almondshore.platform.port import NotFound, Platform
 from almondshore.rules.model import MoveState, ServicePart
+from almondshore.storage.port import NotFound, Platform
 
 # Caches of a new version fill up; its latencies count only after this time. With a fifth of a short
 # move as the limit, a version that was cold for 25 s was reverted in a move of 120 s.
--- a/almondshore/moves/outcome.py
+++ b/almondshore/moves/outcome.py
@@ -6,9 +6,9 @@
 from returns.result import Failure, Result, Success
 
 from almondshore.core.clock import Clock
-from almondshore.platform.port import NotFound, PlatformError
 from almondshore.rules.compile import SERVICE_PREFIX, decode_service, encode_part
 from almondshore.rules.model import MoveState, ServicePart
+from almondshore.storage.port import NotFound, PlatformError
 from almondshore.versions.config import apply_changes
 from almondshore.versions.publish import Publisher
 
--- a/almondshore/moves/record.py
+++ b/almondshore/moves/record.py
@@ -9,8 +9,8 @@
 from returns.result import Failure, Result, Success
 
 from almondshore.core.clock import Clock
-from almondshore.platform.port import Conflict, NotFound, Platform, PlatformError, StoredObject
 from almondshore.rules.model import MoveState
+from almondshore.storage.port import Conflict, NotFound, Platform, PlatformError, StoredObject
 
 RETRY_BASE = timedelta(seconds=0.5)
 RETRY_CAP = timedelta(seconds=5)
--- a/almondshore/moves/veto.py
+++ b/almondshore/moves/veto.py
@@ -14,8 +14,8 @@
     Condemned,
     MoveVerdict,
 )
-from almondshore.platform.port import Conflict, Platform, PlatformError
 from almondshore.rules.model import MoveState, ServicePart
+from almondshore.storage.port import Conflict, Platform, PlatformError
 
 MAX_REASON = 300
 # A node that has just started does not know all others that test, so at least this many count.
--- a/almondshore/net/nng.py
+++ b/almondshore/net/nng.py
@@ -11,8 +11,8 @@
 from almondshore.core.clock import Clock
 from almondshore.core.codec import MAX_MESSAGE_BYTES, decode, encode
 from almondshore.core.errors import CodecError, ListenError
+from almondshore.core.logs import log_event
 from almondshore.core.messages import Envelope, Send
-from almondshore.daemon.logs import log_event
 from almondshore.net.address import parse_address
 from almondshore.net.transport import Transport
 
--- a/almondshore/platform/__init__.py
+++ b/almondshore/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Access to the platform's object API."""
+"""Adapter to the users' platform: its wire names, store, settings and upstream announcements."""
--- /dev/null
+++ b/almondshore/platform/announcements.py
@@ -0,0 +1,111 @@
+"""Announcements of the upstream beside a node."""
+
+from collections.abc import Callable
+from datetime import timedelta
+from urllib.parse import unquote
+
+import msgspec
+
+from almondshore.core.logs import log_event
+from almondshore.http.messages import Response
+from almondshore.http.server import Exchange, ExchangeHandler
+from almondshore.mesh.model import Announcement, TargetState
+from almondshore.platform import names
+
+MAX_SLOTS = 10_000
+
+
+class InfoDocument(msgspec.Struct):
+    """What stays the same while an upstream runs."""
+
+    service: str
+    version: str
+    zone: str
+    slots: int
+
+
+class StatusDocument(msgspec.Struct):
+    """What changes while an upstream runs."""
+
+    state: str
+    sequence: int
+    warmup_left_s: float = 0.0
+
+
+class HeartbeatDocument(msgspec.Struct):
+    """A heartbeat."""
+
+    # Address of the upstream itself.
+    address: str
+    info: InfoDocument
+    status: StatusDocument
+    # Unix time of the upstream's start, in milliseconds.
+    born: int = 0
+
+
+class AnnouncementHandler(ExchangeHandler):
+    """Answers heartbeats and deregistrations."""
+
+    def __init__(
+        self,
+        *,
+        on_announcement: Callable[[Announcement], None],
+        on_departure: Callable[[str], None],
+    ):
+        self.on_announcement = on_announcement
+        self.on_departure = on_departure
+
+    def handle(self, exchange: Exchange) -> None:
+        """Take in an announcement; the response acknowledges it."""
+        request = exchange.request
+        path = unquote(request.target.partition(b"?")[0].decode("latin-1"))
+        if request.method != b"POST":
+            exchange.respond(Response(405))
+        elif path.startswith(names.DEREGISTER_PATH):
+            self.on_departure(path.removeprefix(names.DEREGISTER_PATH))
+            exchange.respond(_acknowledgement())
+        elif path.startswith(names.HEARTBEAT_PATH):
+            name = path.removeprefix(names.HEARTBEAT_PATH)
+            exchange.respond(self._on_heartbeat(name, request.body))
+        else:
+            exchange.respond(Response(404))
+
+    def _on_heartbeat(self, name: str, body: bytes) -> Response:
+        try:
+            announcement = decode_heartbeat(name, body)
+        except (msgspec.MsgspecError, ValueError) as error:
+            log_event("announcement_malformed", level="WARNING", target=name, error=error)
+            return Response(400)
+        self.on_announcement(announcement)
+        return _acknowledgement()
+
+
+def decode_heartbeat(name: str, body: bytes) -> Announcement:
+    """Return what a heartbeat says.
+
+    :raises msgspec.MsgspecError: if a field is missing or of another type
+    :raises ValueError: if a value is not one that upstreams send
+    """
+    document = msgspec.json.decode(body, type=HeartbeatDocument)
+    host, _, port = document.address.rpartition(":")
+    state = TargetState(document.status.state)
+    if state is TargetState.GONE or not name or not document.info.service:
+        raise ValueError("a heartbeat names a target, its service and a state")
+    if not 1 <= document.info.slots <= MAX_SLOTS:
+        raise ValueError(f"{document.info.slots} slots")
+    return Announcement(
+        target=name,
+        service=document.info.service,
+        version=document.info.version,
+        zone=document.info.zone,
+        slots=document.info.slots,
+        state=state,
+        address=(host, int(port)),
+        born_ms=document.born,
+        sequence=document.status.sequence,
+        warmup=timedelta(seconds=max(0.0, document.status.warmup_left_s)),
+    )
+
+
+def _acknowledgement() -> Response:
+    return Response(200, ((b"Content-Type", b"application/json"),), b"{}")
--- /dev/null
+++ b/almondshore/platform/bounds.py
@@ -0,0 +1,30 @@
+"""Bounds of the platform's deployments."""
+
+from datetime import timedelta
+
+from almondshore.mesh.settings import Bounds
+
+
+def decode_bounds(text: str) -> Bounds:
+    """Decode ``name=value`` pairs joined by commas; further names are ignored.
+
+    :raises ValueError: naming what is missing or malformed
+    """
+    pairs = dict(item.strip().split("=", 1) for item in text.split(",") if "=" in item)
+
+    def number(name: str) -> float:
+        if name not in pairs:
+            raise ValueError(f"{name} is missing")
+        try:
+            return float(pairs[name])
+        except ValueError:
+            raise ValueError(f"{name}: {pairs[name]!r} is not a number") from None
+
+    return Bounds(
+        drain=timedelta(seconds=number("drain_s")),
+        grace=timedelta(seconds=number("grace_s")),
+        retry_ratio=number("retry_budget_ratio"),
+        retry_window=timedelta(seconds=number("budget_window_s")),
+        # Despite its name it is no minimum: so many retries are allowed beside the ratio.
+        retry_floor=int(number("budget_min_retries")),
+    )
--- /dev/null
+++ b/almondshore/platform/main.py
@@ -0,0 +1,118 @@
+"""The node process on the users' platform."""
+
+import os
+import random
+import signal
+import sys
+
+import eventlet
+from eventlet import hubs
+from eventlet.hubs.hub import READ
+
+from almondshore.core.bounded_stream import BoundedStream
+from almondshore.core.clock import BootClock
+from almondshore.core.errors import InvalidInputError
+from almondshore.core.logs import log_event, setup_logs
+from almondshore.http.client import ConnectionPool
+from almondshore.mesh.node import MeshNode
+from almondshore.mesh.settings import MeshSettings, load_mesh_settings
+from almondshore.platform import names
+from almondshore.platform.announcements import AnnouncementHandler
+from almondshore.platform.bounds import decode_bounds
+from almondshore.platform.dialect import PlatformDialect
+from almondshore.platform.objects import ObjectClient, PlatformStore
+
+SETTINGS_VARIABLE = "ALMONDSHORE_SETTINGS"
+DEFAULT_SETTINGS = "/etc/almondshore/node.conf"
+STDOUT = 1
+EXIT_FAILED = 1
+EXIT_WRONG_SETTINGS = 2
+
+
+def main() -> None:
+    """Run a node until it is told to stop."""
+    path = os.environ.get(SETTINGS_VARIABLE, DEFAULT_SETTINGS)
+    try:
+        settings = load_mesh_settings(path, decode_bounds)
+    except InvalidInputError as error:
+        sys.stderr.write(f"{error}\n")
+        sys.exit(EXIT_WRONG_SETTINGS)
+    stream = BoundedStream(descriptor=STDOUT)
+    setup_logs(stream=stream)
+    node = build_node(settings, stream)
+    handler = AnnouncementHandler(
+        on_announcement=node.on_announcement, on_departure=node.on_departure
+    )
+    try:
+        node.start(handler)
+    except OSError as error:
+        log_event("listen_failed", level="ERROR", error=error)
+        stream.drain()
+        sys.exit(EXIT_FAILED)
+    watch_signals(node, path)
+    node.run_until_stopped()
+    # Greenlets that wait on the store would keep the process alive.
+    os._exit(0)
+
+
+def build_node(settings: MeshSettings, stream: BoundedStream) -> MeshNode:
+    """Return a node that uses the platform's store and headers."""
+    clock = BootClock()
+    pool = ConnectionPool(clock=clock)
+    return MeshNode(
+        settings=settings,
+        clock=clock,
+        rng=random.Random(),
+        dialect=PlatformDialect(),
+        store=PlatformStore(client=ObjectClient(pool=pool, address=settings.store)),
+        pool=pool,
+        config_name=names.CONFIG_NAME,
+        log_stream=stream,
+    )
+
+
+def watch_signals(node: MeshNode, path: str) -> None:
+    """Act on signals from the loop: a handler cannot wake the hub from its wait."""
+    read_end, write_end = os.pipe()
+    for descriptor in (read_end, write_end):
+        os.set_blocking(descriptor, False)
+    signal.set_wakeup_fd(write_end, warn_on_full_buffer=False)
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, _ignore_signal)
+
+    def on_readable(_descriptor: int) -> None:
+        for number in os.read(read_end, 64):
+            if number == signal.SIGHUP:
+                eventlet.spawn(reload_settings, node, path)
+            else:
+                node.stop()
+
+    hubs.get_hub().add(READ, read_end, on_readable, _ignore, _ignore)
+
+
+def reload_settings(node: MeshNode, path: str) -> None:
+    """Read the settings again; addresses of listeners do not change while a node runs."""
+    try:
+        settings = load_mesh_settings(path, decode_bounds)
+    except InvalidInputError as error:
+        log_event("settings_refused", level="ERROR", findings=error)
+        return
+    changed = [
+        name
+        for name in MeshSettings._fields
+        if getattr(settings, name) != getattr(node.settings, name)
+    ]
+    node.apply_settings(settings)
+    log_event("settings_reloaded", changed=",".join(changed) or "nothing")
+
+
+def _ignore_signal(*_args: object) -> None:
+    """Serve as the Python-level handler: the wake-up descriptor carries the signal."""
+
+
+def _ignore(*_args: object) -> None:
+    """Serve as the callbacks that the hub needs for greenlets."""
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/almondshore/platform/names.py
@@ -0,0 +1,20 @@
+"""Names of headers, calls, kinds and fields on the platform's wire."""
+
+REQUEST_ID = b"Attempt-Id"
+# Milliseconds that the sender still waits, not a point in time.
+TIME_LEFT = b"Deadline-Ms"
+SIGNATURE = b"Response-Signature"
+EXPECTED_TARGET = b"Expected-Instance"
+NOT_RUN = b"Not-Executed"
+RETRY_AFTER = b"Retry-After"
+CALLER = b"Caller-Service"
+
+HEARTBEAT_PATH = "/Instances.Heartbeat/"
+DEREGISTER_PATH = "/Instances.Deregister/"
+OBJECTS_PATH = "/objects/"
+
+CONFIG_KIND = "config"
+CONFIG_NAME = "main"
+ROLLOUT_KIND = "rollouts"
+# Kind of our own; other kinds belong to the operator.
+TARGET_KIND = "almondshore-targets"
--- a/almondshore/proxy/once.py
+++ b/almondshore/proxy/once.py
@@ -10,7 +10,6 @@
 from almondshore.core.clock import Clock
 from almondshore.core.messages import TargetRecord
 from almondshore.membership.directory import Directory
-from almondshore.platform.port import Platform
 from almondshore.proxy import headers as names
 from almondshore.proxy.pool import ExchangeFailure, FailureKind, HopPool, Reply
 from almondshore.proxy.wsgi import StartResponse, respond
@@ -26,6 +25,7 @@
 )
 from almondshore.retries.outcome import Failure, Outcome, Reason, make_failure
 from almondshore.retries.ownership import Departure, Ownership
+from almondshore.storage.port import Platform
 
 OPERATION = names.PREFIX + "once-operation"
 REPORT_ATTEMPTS = 2
--- a/almondshore/relay/control.py
+++ b/almondshore/relay/control.py
@@ -24,7 +24,6 @@
 from almondshore.membership.local import LocalTargets
 from almondshore.membership.prober import Prober
 from almondshore.membership.sync import DirectorySync
-from almondshore.platform.port import Platform
 from almondshore.relay.admission import SNAPSHOTS_PER_SECOND, SnapshotAdmission
 from almondshore.relay.candidacy import Candidacy
 from almondshore.relay.duty import NODES_PER_SLOT, RelayDuty
@@ -33,6 +32,7 @@
 from almondshore.relay.source import ConfigSource
 from almondshore.relay.subscribers import MAX_SUBSCRIBERS
 from almondshore.relay.table import RelayTable
+from almondshore.storage.port import Platform
 from almondshore.versions.history import MAX_BYTES, MAX_DELTAS, DeltaHistory
 from almondshore.versions.publish import Publisher
 from almondshore.versions.sync import ConfigSync
--- a/almondshore/relay/duty.py
+++ b/almondshore/relay/duty.py
@@ -9,7 +9,6 @@
 from almondshore.core.backoff import full_jitter
 from almondshore.core.clock import Clock
 from almondshore.core.messages import RelayEntry, RelayInvite, RelayList, Send
-from almondshore.platform.port import Platform, StoredObject
 from almondshore.relay.candidacy import Candidacy
 from almondshore.relay.lease import (
     CLOCK_SKEW,
@@ -25,6 +24,7 @@
 )
 from almondshore.relay.review import LeaseReview
 from almondshore.relay.table import RelayTable, vacancy
+from almondshore.storage.port import Platform, StoredObject
 
 RENEW_INTERVAL = timedelta(seconds=5)
 LIST_INTERVAL = timedelta(seconds=10)
--- a/almondshore/relay/lease.py
+++ b/almondshore/relay/lease.py
@@ -8,7 +8,7 @@
 from returns.result import Result
 
 from almondshore.core.clock import Clock
-from almondshore.platform.port import (
+from almondshore.storage.port import (
     Conflict,
     NotFound,
     Platform,
--- a/almondshore/relay/review.py
+++ b/almondshore/relay/review.py
@@ -6,9 +6,9 @@
 
 from almondshore.core.clock import Clock
 from almondshore.core.messages import RelayEntry
-from almondshore.platform.port import StoredObject
 from almondshore.relay.lease import RELAY_LEASE_PREFIX, TTL, decode_lease
 from almondshore.relay.table import RelayTable, vacancy
+from almondshore.storage.port import StoredObject
 
 
 class Observed(NamedTuple):
--- a/almondshore/relay/source.py
+++ b/almondshore/relay/source.py
@@ -9,7 +9,7 @@
 from almondshore.core.backoff import full_jitter
 from almondshore.core.clock import Clock
 from almondshore.core.messages import ConfigDelta, ConfigSnapshot
-from almondshore.platform.port import BudgetExceeded, PlatformError, RateLimited, StoredObject
+from almondshore.storage.port import BudgetExceeded, PlatformError, RateLimited, StoredObject
 from almondshore.versions.config import EMPTY
 from almondshore.versions.publish import HEAD_KEY, Head, Publisher
 from almondshore.versions.sync import ConfigSync
--- a/almondshore/retries/claims.py
+++ b/almondshore/retries/claims.py
@@ -8,7 +8,8 @@
 from returns.result import Failure, Result, Success
 
 from almondshore.core.clock import Clock
-from almondshore.platform.port import (
+from almondshore.retries.ownership import RETENTION
+from almondshore.storage.port import (
     BudgetExceeded,
     Conflict,
     NotFound,
@@ -17,7 +18,6 @@
     RateLimited,
     StoredObject,
 )
-from almondshore.retries.ownership import RETENTION
 
 CLAIM_PREFIX = "once/"
 MARKER_PREFIX = "once-unclaimed/"
--- a/almondshore/rules/check.py
+++ b/almondshore/rules/check.py
@@ -7,10 +7,10 @@
 from urllib.parse import unquote
 
 from almondshore.core.findings import Finding, FindingList
-from almondshore.platform.port import MAX_VALUE_BYTES
 from almondshore.rules.compile import move_id
 from almondshore.rules.grammar import Parsed, parse
 from almondshore.rules.model import MoveRule, RouteRule, Rule, RuleSet
+from almondshore.storage.port import MAX_VALUE_BYTES
 
 # More findings do not help an operator, and a file of another kind would give one for each line.
 MAX_FINDINGS = 100
--- /dev/null
+++ b/almondshore/storage/__init__.py
@@ -0,0 +1,1 @@
+"""Access to the platform's object API."""
--- a/almondshore/platform/budget.py
+++ b/almondshore/storage/budget.py
@@ -9,7 +9,7 @@
 from returns.result import Failure, Result
 
 from almondshore.core.clock import Clock
-from almondshore.platform.port import (
+from almondshore.storage.port import (
     BudgetExceeded,
     Platform,
     PlatformError,
--- a/almondshore/platform/http.py
+++ b/almondshore/storage/http.py
@@ -11,8 +11,8 @@
 
 from almondshore.core.clock import Clock
 from almondshore.net.failures import describe_failure
-from almondshore.platform.budget import CallBudget, CallKind
-from almondshore.platform.port import (
+from almondshore.storage.budget import CallBudget, CallKind
+from almondshore.storage.port import (
     MAX_VALUE_BYTES,
     Conflict,
     NotFound,
@@ -24,7 +24,7 @@
     Unavailable,
     WatchResult,
 )
-from almondshore.platform.wire import (
+from almondshore.storage.wire import (
     ListAnswer,
     ObjectAnswer,
     ObjectDocument,
--- a/almondshore/platform/wire.py
+++ b/almondshore/storage/wire.py
@@ -2,7 +2,7 @@
 
 from typing import TypedDict
 
-from almondshore.platform.port import StoredObject
+from almondshore.storage.port import StoredObject
 
 
 class ObjectDocument(TypedDict):
--- a/almondshore/ui/applying.py
+++ b/almondshore/ui/applying.py
@@ -13,7 +13,6 @@
 from almondshore.core.findings import FindingList
 from almondshore.core.messages import Veto
 from almondshore.moves.veto import decode_veto, veto_key
-from almondshore.platform.port import Conflict, NotFound, Platform, Unavailable
 from almondshore.rules.check import check_rules
 from almondshore.rules.compile import SERVICE_PREFIX, compile_rules, decode_service
 from almondshore.rules.diff import RuleChange, diff_rules
@@ -24,6 +23,7 @@
     moves_in_force,
     new_moves,
 )
+from almondshore.storage.port import Conflict, NotFound, Platform, Unavailable
 from almondshore.ui.changes import MAX_VERSIONS, ChangeLog, published_rules
 from almondshore.ui.platform_errors import PlatformFailedError, describe, require
 from almondshore.ui.retrying import Retrier
--- a/almondshore/ui/context.py
+++ b/almondshore/ui/context.py
@@ -12,7 +12,7 @@
 
 from almondshore.core.clock import Clock, SystemClock
 from almondshore.core.errors import UserError
-from almondshore.platform.port import Platform
+from almondshore.storage.port import Platform
 
 # The platform responds in milliseconds; a call without an answer for this long will get none.
 CALL_TIMEOUT = timedelta(seconds=3)
@@ -48,7 +48,7 @@
     :raises UsageError: if it is not an HTTP URL
     """
     # Imported late: commands that read only files start without the HTTP client.
-    from almondshore.platform.http import HttpPlatform
+    from almondshore.storage.http import HttpPlatform
 
     return HttpPlatform(url=require_url(url), clock=clock, timeout=CALL_TIMEOUT)
 
--- a/almondshore/ui/platform_errors.py
+++ b/almondshore/ui/platform_errors.py
@@ -4,7 +4,7 @@
 from returns.result import Result
 
 from almondshore.core.errors import UserError
-from almondshore.platform.port import (
+from almondshore.storage.port import (
     BudgetExceeded,
     Conflict,
     NotFound,
--- a/almondshore/ui/retrying.py
+++ b/almondshore/ui/retrying.py
@@ -6,7 +6,7 @@
 from returns.pipeline import is_successful
 from returns.result import Result
 
-from almondshore.platform.port import RateLimited, Unavailable
+from almondshore.storage.port import RateLimited, Unavailable
 
 ATTEMPTS = 4
 FIRST_DELAY = timedelta(milliseconds=200)
--- a/almondshore/ui/zones.py
+++ b/almondshore/ui/zones.py
@@ -3,8 +3,8 @@
 import msgspec
 
 from almondshore.core.errors import UserError
-from almondshore.platform.port import Platform
 from almondshore.relay.lease import RELAY_LEASE_PREFIX
+from almondshore.storage.port import Platform
 from almondshore.ui.platform_errors import require
 from almondshore.versions.status import STATUS_PREFIX, ZoneStatus, decode_status
 
--- a/almondshore/versions/publish.py
+++ b/almondshore/versions/publish.py
@@ -10,7 +10,7 @@
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
-from almondshore.platform.port import (
+from almondshore.storage.port import (
     Conflict,
     NotFound,
     Platform,
--- a/bench/daemon.py
+++ b/bench/daemon.py
@@ -11,11 +11,11 @@
 
 from almondshore.core.clock import Clock, SystemClock
 from almondshore.core.codec import decode, encode
+from almondshore.core.logs import setup_logs
 from almondshore.core.messages import Busy, ConfigSnapshot, Envelope, Heartbeat, Message, Send
-from almondshore.daemon.logs import setup_logs
 from almondshore.daemon.metrics import Metrics
 from almondshore.net.nng import NngTransport
-from almondshore.platform.http import HttpPlatform
+from almondshore.storage.http import HttpPlatform
 from bench.rows import BenchRow
 from standins.deployment import Deployment, free_address, wait_for
 
--- a/bench/meter.py
+++ b/bench/meter.py
@@ -9,7 +9,7 @@
 
 from almondshore.core.codec import decode, encode
 from almondshore.core.messages import Envelope, Send
-from almondshore.platform.port import PlatformError, StoredObject, WatchResult
+from almondshore.storage.port import PlatformError, StoredObject, WatchResult
 from standins.memory_platform import MemoryPlatform
 from standins.object_store import ObjectStore
 
--- a/docs/examples/three_nodes.py
+++ b/docs/examples/three_nodes.py
@@ -10,10 +10,10 @@
 from almondshore.core.findings import FindingList
 from almondshore.core.messages import Send
 from almondshore.daemon.node import Node
-from almondshore.platform.port import Platform
 from almondshore.relay.control import Identity
 from almondshore.rules.check import check_rules
 from almondshore.rules.compile import compile_rules
+from almondshore.storage.port import Platform
 from almondshore.versions.publish import Publisher
 from standins.memory_platform import MemoryPlatform
 from standins.object_store import ObjectStore
--- a/standins/memory_platform.py
+++ b/standins/memory_platform.py
@@ -5,7 +5,7 @@
 
 from returns.result import Failure, Result, Success
 
-from almondshore.platform.port import (
+from almondshore.storage.port import (
     Conflict,
     NotFound,
     Platform,
--- a/standins/object_store.py
+++ b/standins/object_store.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 from almondshore.core.clock import Clock
-from almondshore.platform.port import MAX_VALUE_BYTES, StoredObject
+from almondshore.storage.port import MAX_VALUE_BYTES, StoredObject
 
 READS_PER_SECOND = 2000
 WRITES_PER_SECOND = 400
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -13,8 +13,8 @@
 import msgspec
 
 from almondshore.core.clock import Clock, SystemClock
-from almondshore.platform.port import MAX_VALUE_BYTES
-from almondshore.platform.wire import (
+from almondshore.storage.port import MAX_VALUE_BYTES
+from almondshore.storage.wire import (
     ListAnswer,
     ObjectAnswer,
     PutRequest,
--- a/test/daemon/test_logs.py
+++ b/test/core/test_logs.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 from testtools import TestCase
 
-from almondshore.daemon.logs import MAX_VALUE_CHARS, log_event, setup_logs
+from almondshore.core.logs import MAX_VALUE_CHARS, log_event, setup_logs
 
 PAIR = re.compile(r'([a-z0-9_]+)=("(?:[^"\\]|\\.)*"|[^ "=]+)(?: |$)')
 ANY_TEXT = st.text(st.characters(codec=None), max_size=40)
--- a/test/daemon/test_journal.py
+++ b/test/daemon/test_journal.py
@@ -8,8 +8,8 @@
 from testtools import TestCase
 
 from almondshore.core.clock import ManualClock
+from almondshore.core.logs import setup_logs
 from almondshore.daemon.journal import Journal
-from almondshore.daemon.logs import setup_logs
 from almondshore.daemon.metrics import Metrics
 from almondshore.daemon.node import Node
 from almondshore.relay.control import Identity
--- a/test/moves/helpers.py
+++ b/test/moves/helpers.py
@@ -11,8 +11,8 @@
 from almondshore.moves.evidence import BUCKETS, window_of
 from almondshore.moves.outcome import OutcomePublisher
 from almondshore.moves.state import MoveTable
-from almondshore.platform.port import Unavailable
 from almondshore.rules.model import MovePart, ServicePart
+from almondshore.storage.port import Unavailable
 from standins.memory_platform import MemoryPlatform
 from standins.object_store import Fault, ObjectStore
 
--- a/test/moves/test_outcome.py
+++ b/test/moves/test_outcome.py
@@ -5,9 +5,9 @@
 
 from almondshore.core.clock import ManualClock
 from almondshore.moves.outcome import ConfigOutcomePublisher
-from almondshore.platform.port import Conflict, NotFound
 from almondshore.rules.compile import decode_service, encode_part
 from almondshore.rules.model import MoveState
+from almondshore.storage.port import Conflict, NotFound
 from almondshore.versions.publish import EMPTY_HEAD, Current, Publisher
 from standins.memory_platform import MemoryPlatform
 from standins.object_store import ObjectStore
--- a/test/net/test_nng.py
+++ b/test/net/test_nng.py
@@ -13,8 +13,8 @@
 
 from almondshore.core.clock import ManualClock, SystemClock
 from almondshore.core.codec import MAX_MESSAGE_BYTES, encode
+from almondshore.core.logs import setup_logs
 from almondshore.core.messages import Busy, ConfigSnapshot, Envelope, Send
-from almondshore.daemon.logs import setup_logs
 from almondshore.net.nng import (
     EVICTION_AGE,
     IDLE_TIMEOUT,
--- a/test/relay/test_source.py
+++ b/test/relay/test_source.py
@@ -8,8 +8,8 @@
 from testtools import TestCase
 
 from almondshore.core.clock import ManualClock
-from almondshore.platform.port import Unavailable
 from almondshore.relay.source import ConfigSource
+from almondshore.storage.port import Unavailable
 from almondshore.versions import publish
 from almondshore.versions.publish import Publisher
 from almondshore.versions.sync import ConfigSync
--- a/test/standins/test_platform_server.py
+++ b/test/standins/test_platform_server.py
@@ -8,8 +8,8 @@
 from testtools import TestCase
 
 from almondshore.core.clock import SystemClock
-from almondshore.platform.http import HttpPlatform
-from almondshore.platform.port import MAX_VALUE_BYTES, Unavailable
+from almondshore.storage.http import HttpPlatform
+from almondshore.storage.port import MAX_VALUE_BYTES, Unavailable
 from standins.deployment import Deployment, wait_for
 
 LONG = timedelta(seconds=30)
--- a/test/platform/test_budget.py
+++ b/test/storage/test_budget.py
@@ -8,7 +8,7 @@
 from testtools import TestCase
 
 from almondshore.core.clock import ManualClock
-from almondshore.platform.budget import (
+from almondshore.storage.budget import (
     NODE_RATES,
     RELAY_RATES,
     BudgetedPlatform,
@@ -17,7 +17,7 @@
     Rates,
     TokenBucket,
 )
-from almondshore.platform.port import BudgetExceeded
+from almondshore.storage.port import BudgetExceeded
 from standins.memory_platform import MemoryPlatform
 from standins.object_store import ObjectStore
 
--- a/test/platform/test_http.py
+++ b/test/storage/test_http.py
@@ -11,9 +11,9 @@
 from testtools import TestCase
 
 from almondshore.core.clock import ManualClock, SystemClock
-from almondshore.platform.budget import CallBudget, Rate
-from almondshore.platform.http import MAX_ANSWER_BYTES, HttpPlatform
-from almondshore.platform.port import (
+from almondshore.storage.budget import CallBudget, Rate
+from almondshore.storage.http import MAX_ANSWER_BYTES, HttpPlatform
+from almondshore.storage.port import (
     MAX_VALUE_BYTES,
     BudgetExceeded,
     Conflict,
@@ -23,10 +23,10 @@
     TooLarge,
     Unavailable,
 )
-from almondshore.platform.retry import RetryingPlatform
+from almondshore.storage.retry import RetryingPlatform
 from standins.object_store import Fault, ObjectStore
 from standins.platform_server import PlatformApp
-from test.platform.servers import FakeResponse, ScriptedServer, WsgiPool
+from test.storage.servers import FakeResponse, ScriptedServer, WsgiPool
 
 TIMEOUT = timedelta(milliseconds=300)
 OBJECT = b'{"object":{"key":"k","value":"dg==","revision":1,"write_id":"w"}}'
--- a/test/platform/test_retry.py
+++ b/test/storage/test_retry.py
@@ -8,9 +8,9 @@
 from testtools import TestCase
 
 from almondshore.core.clock import ManualClock
-from almondshore.platform.budget import BudgetedPlatform, CallBudget, Rate
-from almondshore.platform.port import BudgetExceeded, Conflict, RateLimited, Unavailable
-from almondshore.platform.retry import RetryingPlatform, RetryPolicy
+from almondshore.storage.budget import BudgetedPlatform, CallBudget, Rate
+from almondshore.storage.port import BudgetExceeded, Conflict, RateLimited, Unavailable
+from almondshore.storage.retry import RetryingPlatform, RetryPolicy
 from standins.memory_platform import MemoryPlatform
 from standins.object_store import ObjectStore
 
--- a/test/ui/tooltest.py
+++ b/test/ui/tooltest.py
@@ -9,7 +9,7 @@
 from testtools import TestCase
 
 from almondshore.core.clock import ManualClock
-from almondshore.platform.port import Unavailable
+from almondshore.storage.port import Unavailable
 from almondshore.ui.context import Context
 from almondshore.ui.main import run
 from almondshore.versions.status import ZoneStatus, encode_status
--- a/test/versions/test_publish.py
+++ b/test/versions/test_publish.py
@@ -6,8 +6,8 @@
 from testtools import TestCase
 
 from almondshore.core.clock import ManualClock
-from almondshore.platform.budget import RELAY_RATES, BudgetedPlatform, CallBudget
-from almondshore.platform.port import Conflict
+from almondshore.storage.budget import RELAY_RATES, BudgetedPlatform, CallBudget
+from almondshore.storage.port import Conflict
 from almondshore.versions.publish import Publisher
 from standins.memory_platform import MemoryPlatform
 from standins.object_store import ObjectStore
