--- a/almondshore/core/logs.py
+++ b/almondshore/core/logs.py
@@ -5,6 +5,7 @@
 import re
 import sys
 from datetime import UTC
+from functools import lru_cache
 from typing import TextIO
 
 from loguru import logger
@@ -62,12 +63,15 @@
 
 def format_value(value: object) -> str:
     """Return a value as plain text if it is simple, else as an ASCII JSON string."""
+    if type(value) is int:
+        return str(value)
     text = str(value)
     if len(text) > MAX_VALUE_CHARS:
         text = text[:MAX_VALUE_CHARS] + "...[cut]"
     return text if _PLAIN.fullmatch(text) else json.dumps(text, ensure_ascii=True)
 
 
+@lru_cache(maxsize=1000)
 def _format_key(key: str) -> str:
     return key if _KEY.fullmatch(key) else re.sub(r"[^a-z0-9_]", "_", key.lower())
 
--- a/almondshore/mesh/driver.py
+++ b/almondshore/mesh/driver.py
@@ -77,6 +77,14 @@
         self.seen.setdefault((rollout.service, rollout.version), self.clock.monotonic())
         return rollout
 
+    def order_age(self) -> timedelta:
+        """Return how long this node has known of the rollout of its service."""
+        rollout = self.rollouts.shares.rollouts.get(self.service())
+        if rollout is None:
+            return timedelta()
+        key = (rollout.service, rollout.version)
+        return self.clock.monotonic() - self.seen[key] if key in self.seen else timedelta()
+
     def is_condemned(self, service: str, version: str) -> bool:
         """Tell whether this node found a version bad."""
         return (service, version) in self.condemned
@@ -86,9 +94,12 @@
         key = (rollout.service, rollout.version)
         ranked = self._ranked(rollout)
         rank = ranked.index(self.node) if self.node in ranked else len(ranked)
-        evidence = self._gather(ranked) if rank < JUDGES or self._is_stalled(rank) else [self.own()]
+        asks = rank < JUDGES or self._is_stalled(rank)
+        evidence = (self._gather(ranked) if asks else []) or [self.own()]
         counts = VersionCounts({}, {})
         old_running = 0
+        # Nodes beside the new version start after the order; others have known it for longer.
+        age = max(item.order_age_ms for item in evidence) * timedelta(milliseconds=1)
         for item in evidence:
             if item.version == rollout.version:
                 add_counts(counts.new, item.routes)
@@ -108,7 +119,7 @@
         else:
             wanted = next_progress(
                 rollout,
-                elapsed=now - self.seen[key],
+                elapsed=max(age, now - self.seen[key]),
                 settled=now - self.moved_at if self.moved_at is not None else timedelta(),
                 results=_requests(counts.new),
                 old_running=old_running,
--- a/almondshore/mesh/inbound.py
+++ b/almondshore/mesh/inbound.py
@@ -84,7 +84,8 @@
 
     :param app: address of the target beside this node
     :param config_version: returns the version of the configuration in force
-    :param on_version: called with the version in force at a node that sent a request
+    :ivar leaving: whether other nodes should prefer other targets
+    :ivar closed: whether new requests are refused, since the process ends soon
     """
 
     def __init__(
@@ -108,6 +109,7 @@
         self.config_version = config_version
         self.internal = internal
         self.leaving = False
+        self.closed = False
         self.retired: Callable[[str, str], bool] = lambda _service, _version: False
         self.active: set[Submission] = set()
         self.down_until = timedelta()
@@ -192,6 +194,8 @@
 
     def _obstacle(self, terms: HopTerms) -> str | None:
         """Return why a request cannot be taken, or None."""
+        if self.closed:
+            return "shutting-down"
         if self.local.announced is None:
             return "no-target"
         if self.local.announced.target != terms.target:
--- a/almondshore/mesh/node.py
+++ b/almondshore/mesh/node.py
@@ -159,6 +159,7 @@
             client=client,
             store=store,
         )
+        internal.order_age = self.driver.order_age
         self.inbound.retired = self._is_retired
         self.directory.on_change = self._on_targets
         self.servers: list[HttpServer] = []
@@ -281,6 +282,7 @@
             return True
         if elapsed < MIN_STOP:
             return False
+        self.outbound.closed = self.inbound.closed = True
         self.outbound_server.close_idle()
         busy = self.outbound.active or self.inbound.active
         return not busy and not any(server.unsent() for server in self.servers)
--- a/almondshore/mesh/outbound.py
+++ b/almondshore/mesh/outbound.py
@@ -76,6 +76,7 @@
         self.pending: Call | Submission | None = None
         self.failed: Response | None = None
         self.retry_after = ZERO
+        self.reason = ""
         self.done = False
         self.timer = hubs.get_hub().schedule_call_global(
             max(0.0, (self.deadline_at - now).total_seconds()), self._on_deadline
@@ -86,7 +87,7 @@
         """Send the request to the best target that is left, or end it."""
         target = self.outbound.choose(self)
         if target is None:
-            self._give_up("no-target")
+            self._give_up(self.reason or "no-target")
             return
         self.target = target
         self.outbound.chooser.started(target.target)
@@ -135,6 +136,7 @@
         """Try another target: the request has not run."""
         self.refused_by.add(target.target)
         self.refusals += 1
+        self.reason = result.reason
         if result.report is not None:
             self.retry_after = max(self.retry_after, result.report.retry_after_ms * MILLISECOND)
         arrived = result.outcome is Outcome.REJECTED
@@ -218,6 +220,8 @@
                 "latin-1"
             ),
             route=self.route.name,
+            priority=self.route.priority,
+            peer=self.exchange.connection.peer,
             service=self.service,
             config=self.outbound.config_version(),
             outcome=outcome,
@@ -234,6 +238,7 @@
 class Outbound(ExchangeHandler):
     """Routes the requests of callers on this host.
 
+    :ivar closed: whether new requests are refused, since the process ends soon
     :param caller: returns the service of the target beside this node
     :param on_version: told the configuration version in force at a node that answered
     :param observe: counts a finished request
@@ -270,6 +275,7 @@
         self.on_version = on_version
         self.observe = observe
         self.config: MeshConfig | None = None
+        self.closed = False
         self.active: set[Forwarding] = set()
 
     def config_version(self) -> int:
@@ -281,6 +287,9 @@
         if self.config is None:
             self._reject(exchange, 503, "no-configuration")
             return
+        if self.closed:
+            self._reject(exchange, 503, "shutting-down")
+            return
         request = exchange.request
         host = request.header(b"host")
         if host is None:
--- a/almondshore/mesh/peers.py
+++ b/almondshore/mesh/peers.py
@@ -34,6 +34,7 @@
 
     :ivar routes: counts by route
     :ivar running: requests in the target's slots or waiting for one
+    :ivar order_age_ms: how long the node has known of the service's rollout, 0 if of none
     """
 
     target: str
@@ -41,6 +42,7 @@
     version: str
     running: int
     routes: dict[str, RouteCounts]
+    order_age_ms: int = 0
 
 
 class InternalHandler(ExchangeHandler):
@@ -60,6 +62,7 @@
         self.rollouts = rollouts
         self.local = local
         self.recorder = recorder
+        self.order_age: Callable[[], timedelta] = timedelta
 
     def handle(self, exchange: Exchange) -> None:
         """Answer a request."""
@@ -80,6 +83,7 @@
             version=news.version if news else "",
             running=len(queue.running) + len(queue.waiting) if queue else 0,
             routes=dict(self.recorder.routes),
+            order_age_ms=int(self.order_age() / timedelta(milliseconds=1)),
         )
 
     def _state(self, query: bytes) -> PeerState:
--- a/almondshore/mesh/versions.py
+++ b/almondshore/mesh/versions.py
@@ -56,10 +56,8 @@
             return False
         if rollout.state is RolloutState.ROLLED_BACK:
             return version == rollout.version
-        moved = rollout.state is RolloutState.RUNNING and rollout.share >= 1.0
-        if moved or rollout.state is RolloutState.COMPLETED:
-            return version == self._old_version(service, rollout)
-        return False
+        moved = rollout.state is RolloutState.COMPLETED or rollout.share >= 1.0
+        return moved and version != rollout.version
 
     def pick(self, service: str, versions: Mapping[str, list[Target]]) -> str | None:
         """Return the version for a request, or None if no target may get it.
@@ -80,10 +78,6 @@
         # A version on trial never takes over from an old one that cannot be reached.
         return new if new in versions and share >= 0.5 else None
 
-    def _old_version(self, service: str, rollout: Rollout) -> str | None:
-        usual = self.usual.get(service)
-        return usual if usual != rollout.version else None
-
     def _may_be_usual(self, target: Target) -> bool:
         rollout = self.rollouts.get(target.service)
         return rollout is None or rollout.version != target.version
--- /dev/null
+++ b/test/http/loopback.py
@@ -0,0 +1,86 @@
+"""Servers and calls on loopback for tests of the HTTP package."""
+
+from datetime import timedelta
+
+import eventlet
+from eventlet.event import Event
+
+from almondshore.core.clock import SystemClock
+from almondshore.http.client import ConnectionPool
+from almondshore.http.messages import Response
+from almondshore.http.parsing import RequestLimits
+from almondshore.http.server import ExchangeHandler, HttpServer, ServerLimits
+from almondshore.http.stream import socket
+
+LIMITS = ServerLimits(RequestLimits(4096, 65536), timedelta(seconds=0.6), timedelta(seconds=1.2))
+
+
+class Recorder(ExchangeHandler):
+    """Keeps the exchanges, and answers those it is told to answer at once."""
+
+    def __init__(self, answer=lambda exchange: Response(200, (), exchange.request.target)):
+        self.answer = answer
+        self.exchanges = []
+        self.cancelled = []
+
+    def handle(self, exchange):
+        self.exchanges.append(exchange)
+        exchange.on_cancel = lambda: self.cancelled.append(exchange)
+        response = self.answer(exchange)
+        if response is not None:
+            exchange.respond(response)
+
+
+def serve(handler, limits=LIMITS):
+    """Return a server on a free port of loopback."""
+    return HttpServer(
+        clock=SystemClock(), address=("127.0.0.1", 0), handler=handler, limits=lambda: limits
+    )
+
+
+class RawServer:
+    """A server that sends scripted bytes, for what no library would send.
+
+    :param script: called with each accepted socket in a greenlet of its own
+    """
+
+    def __init__(self, script):
+        self.sock = eventlet.listen(("127.0.0.1", 0))
+        self.address = self.sock.getsockname()
+        self.script = script
+        self.greenlet = eventlet.spawn(self._accept)
+
+    def _accept(self):
+        while True:
+            sock, _ = self.sock.accept()
+            eventlet.spawn(self.script, sock)
+
+    def close(self):
+        self.greenlet.kill()
+        self.sock.close()
+
+
+def call(pool, address, data, timeout=2.0, **options):
+    """Make a call and return its result."""
+    done = Event()
+    pool.call(address, data, timeout=timedelta(seconds=timeout), on_done=done.send, **options)
+    with eventlet.Timeout(timeout + 2):
+        return done.wait()
+
+
+def new_pool():
+    return ConnectionPool(clock=SystemClock())
+
+
+def open_socket(address):
+    """Return a green client socket."""
+    return eventlet.connect(address)
+
+
+def free_address():
+    """Return an address on which nobody listens."""
+    sock = socket.socket()
+    sock.bind(("127.0.0.1", 0))
+    address = sock.getsockname()
+    sock.close()
+    return address
--- /dev/null
+++ b/test/http/test_client.py
@@ -0,0 +1,106 @@
+"""Tests of HTTP calls against servers that cut, cross, delay and spoil responses."""
+
+from datetime import timedelta
+
+import eventlet
+from testtools import TestCase
+
+from almondshore.http.client import CallFailure
+from almondshore.http.messages import Response, encode_request
+from test.http.loopback import RawServer, Recorder, call, free_address, new_pool, serve
+
+REQUEST = encode_request(b"GET", b"/a", ((b"Host", b"h"),), b"")
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nId: %s\r\n\r\n%s"
+
+
+def is_own(response):
+    return response.header(b"id") == b"own"
+
+
+class ClientTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.pool = new_pool()
+
+    def raw(self, *pieces, pause=0.0, end=True):
+        def script(sock):
+            sock.recv(65536)
+            for piece in pieces:
+                sock.sendall(piece)
+                eventlet.sleep(pause)
+            if end:
+                sock.close()
+            else:
+                eventlet.sleep(5)
+
+        server = RawServer(script)
+        self.addCleanup(server.close)
+        return server.address
+
+    def test_connections_are_reused(self):
+        """Guards against a new connection for each request, which targets pay for."""
+        handler = Recorder()
+        server = serve(handler)
+        self.addCleanup(server.close)
+        for _ in range(3):
+            self.assertEqual(200, call(self.pool, server.address(), REQUEST).response.status)
+        self.assertEqual(1, self.pool.opened)
+        result = call(self.pool, server.address(), REQUEST, max_idle=timedelta())
+        self.assertFalse(result.reused)
+        self.assertEqual(2, self.pool.opened)
+
+    def test_refused_connection_says_that_nothing_was_sent(self):
+        """Guards against a request that is taken to have run though it was never sent."""
+        result = call(self.pool, free_address(), REQUEST)
+        self.assertEqual((CallFailure.NOT_CONNECTED, False), (result.failure, result.sent))
+
+    def test_failures_are_told_apart(self):
+        """Guards against a cut or spoilt response that is delivered as a whole one."""
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc"
+        cases = {
+            CallFailure.CLOSED: (),
+            CallFailure.TRUNCATED: (head,),
+            CallFailure.MALFORMED: (b"\x00\x01 spoilt\r\n\r\n",),
+        }
+        for failure, pieces in cases.items():
+            result = call(self.pool, self.raw(*pieces), REQUEST)
+            self.assertEqual((failure, True), (result.failure, result.sent))
+
+    def test_response_of_another_request_is_dropped(self):
+        """Guards against a late response that is delivered to the next caller."""
+        address = self.raw(ANSWER % (b"other", b"x"), ANSWER % (b"own", b"y"), pause=0.02)
+        result = call(self.pool, address, REQUEST, accept=is_own)
+        self.assertEqual(b"y", result.response.body)
+        self.assertEqual({}, self.pool.idle)
+
+    def test_bytes_after_the_response_end_the_connection(self):
+        """Guards against excess bytes that wait on a connection for the next request."""
+        address = self.raw(ANSWER % (b"own", b"x"), b"excess", pause=0.02, end=False)
+        self.assertEqual(b"x", call(self.pool, address, REQUEST).response.body)
+        eventlet.sleep(0.1)
+        self.assertEqual({}, self.pool.idle)
+
+    def test_silent_server_times_out_and_cancel_closes(self):
+        """Guards against a request that is held beyond its time or after its caller left."""
+        result = call(self.pool, self.raw(end=False), REQUEST, timeout=0.1)
+        self.assertEqual(CallFailure.TIMED_OUT, result.failure)
+        handler = Recorder(answer=lambda exchange: None)
+        server = serve(handler)
+        self.addCleanup(server.close)
+        pending = self.pool.call(
+            server.address(), REQUEST, timeout=timedelta(seconds=5), on_done=self.fail
+        )
+        eventlet.sleep(0.05)
+        pending.cancel()
+        eventlet.sleep(0.05)
+        self.assertEqual(1, len(handler.cancelled))
+
+    def test_stated_keep_alive_is_kept(self):
+        """Guards against a request that is sent as the server closes an idle connection."""
+        stated = ((b"Keep-Alive", b"timeout=1"),)
+        server = serve(Recorder(answer=lambda exchange: Response(200, stated)))
+        self.addCleanup(server.close)
+        call(self.pool, server.address(), REQUEST)
+        eventlet.sleep(0.02)
+        call(self.pool, server.address(), REQUEST)
+        self.assertEqual(2, self.pool.opened)
--- /dev/null
+++ b/test/http/test_parsing.py
@@ -0,0 +1,101 @@
+"""Tests of the HTTP parsers against malformed, split and excess bytes."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from testtools import TestCase
+
+from almondshore.http.parsing import ParseError, RequestLimits, RequestParser, ResponseParser
+
+LIMITS = RequestLimits(max_header_bytes=1024, max_body_bytes=4096)
+GET = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
+POST = b"POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc"
+CHUNKED = b"POST /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n"
+
+
+def feed(parser, data, sizes):
+    """Feed data in pieces of the given sizes, the last one repeated."""
+    position = 0
+    for size in [*sizes, len(data)]:
+        parser.feed(data[position : position + size])
+        position += size
+        if position >= len(data):
+            return
+
+
+class RequestParserTest(TestCase):
+    @given(st.lists(st.integers(1, 40), max_size=12))
+    @settings(max_examples=60, deadline=None)
+    def test_pipelined_requests_are_split_alike_however_they_arrive(self, sizes):
+        """Guards against requests that are lost or merged at the border of a read."""
+        parser = RequestParser(limits=LIMITS)
+        feed(parser, GET + POST + CHUNKED + GET, sizes)
+        found = [(request.method, request.target, request.body) for request in parser.complete]
+        self.assertEqual(
+            [(b"GET", b"/a", b""), (b"POST", b"/b", b"abc"), (b"POST", b"/c", b"abc"), found[0]],
+            found,
+        )
+        self.assertFalse(parser.is_partial())
+
+    def test_length_and_chunks_together_are_refused(self):
+        """Guards against a request smuggled in the body of another."""
+        parser = RequestParser(limits=LIMITS)
+        data = (
+            b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"0\r\n\r\nGET /x HTTP/1.1\r\n\r\n"
+        )
+        self.assertRaises(ParseError, parser.feed, data)
+        self.assertEqual(0, len(parser.complete))
+
+    def test_limits_have_statuses_of_their_own(self):
+        """Guards against a client that cannot tell what to shorten."""
+        cases = {
+            431: b"GET / HTTP/1.1\r\nHost: h\r\nX: " + b"a" * 2000 + b"\r\n\r\n",
+            413: b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5000\r\n\r\n" + b"a" * 5000,
+            400: b"nonsense\r\n\r\n",
+        }
+        for status, data in cases.items():
+            parser = RequestParser(limits=LIMITS)
+            error = self.assertRaises(ParseError, parser.feed, data)
+            self.assertEqual(status, error.status)
+
+    @given(st.binary(max_size=300))
+    @settings(max_examples=200, deadline=None)
+    def test_arbitrary_bytes_raise_nothing_but_a_parse_error(self, data):
+        """Guards against a client that ends the connection's handler with other errors."""
+        parser = RequestParser(limits=LIMITS)
+        try:
+            parser.feed(data)
+        except ParseError:
+            return
+
+
+class ResponseParserTest(TestCase):
+    def test_body_without_length_ends_with_the_connection(self):
+        """Guards against a cut response that looks complete."""
+        for clean, complete in ((True, 1), (False, 0)):
+            parser = ResponseParser()
+            parser.feed(b"HTTP/1.1 200 OK\r\n\r\nabc")
+            self.assertEqual(0, len(parser.complete))
+            self.assertEqual(clean, parser.end(clean=clean))
+            self.assertEqual(complete, len(parser.complete))
+
+    def test_cut_body_is_not_a_response(self):
+        """Guards against a truncated body that is passed on as a whole one."""
+        for head in (b"Content-Length: 10", b"Transfer-Encoding: chunked"):
+            parser = ResponseParser()
+            parser.feed(b"HTTP/1.1 200 OK\r\n" + head + b"\r\n\r\n3\r\n")
+            self.assertFalse(parser.end(clean=True))
+            self.assertEqual(0, len(parser.complete))
+
+    def test_interim_response_is_skipped(self):
+        """Guards against a 100 response that is taken for the final one."""
+        parser = ResponseParser()
+        parser.feed(b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n")
+        self.assertEqual([204], [response.status for response in parser.complete])
+
+    def test_bytes_after_a_response_form_one_of_their_own(self):
+        """Guards against a second response that is appended to the first."""
+        parser = ResponseParser()
+        answer = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n"
+        parser.feed(answer + b"a" + answer + b"b")
+        self.assertEqual([b"a", b"b"], [response.body for response in parser.complete])
--- /dev/null
+++ b/test/http/test_server.py
@@ -0,0 +1,77 @@
+"""Tests of the HTTP server: order, cancellation, limits and shutdown."""
+
+import eventlet
+from testtools import TestCase
+
+from almondshore.http.messages import Response
+from test.http.loopback import Recorder, open_socket, serve
+
+GET = b"GET /%s HTTP/1.1\r\nHost: h\r\n\r\n"
+
+
+def read_until_closed(sock):
+    data = b""
+    with eventlet.Timeout(5):
+        while chunk := sock.recv(65536):
+            data += chunk
+    return data
+
+
+class ServerTest(TestCase):
+    def start(self, handler):
+        server = serve(handler)
+        self.addCleanup(server.close)
+        sock = open_socket(server.address())
+        self.addCleanup(sock.close)
+        return server, sock
+
+    def test_pipelined_requests_are_answered_in_order(self):
+        """Guards against a fast answer that overtakes a slow one."""
+        handler = Recorder(answer=lambda exchange: None)
+        _, sock = self.start(handler)
+        sock.sendall(b"".join(GET % name for name in (b"a", b"b", b"c")))
+        eventlet.sleep(0.05)
+        for exchange in reversed(handler.exchanges):
+            exchange.respond(Response(200, (), exchange.request.target))
+        eventlet.sleep(0.05)
+        data = sock.recv(65536)
+        self.assertTrue(data.index(b"/a") < data.index(b"/b") < data.index(b"/c"))
+
+    def test_client_that_leaves_cancels_its_requests(self):
+        """Guards against work for a caller that is gone."""
+        handler = Recorder(answer=lambda exchange: None)
+        _, sock = self.start(handler)
+        sock.sendall(GET % b"a")
+        eventlet.sleep(0.05)
+        sock.close()
+        eventlet.sleep(0.1)
+        self.assertEqual(handler.exchanges, handler.cancelled)
+
+    def test_malformed_request_is_answered_after_those_before_it(self):
+        """Guards against a rejection that takes the place of an earlier answer."""
+        _, sock = self.start(Recorder())
+        sock.sendall(GET % b"a" + b"nonsense\r\n\r\n")
+        data = read_until_closed(sock)
+        self.assertEqual(1, data.count(b"200 OK"))
+        self.assertIn(b"400 Bad Request", data.partition(b"/a")[2])
+
+    def test_slow_headers_and_idle_connections_end(self):
+        """Guards against connections that are held open without a request."""
+        _, slow = self.start(Recorder())
+        slow.sendall(b"GET /a HT")
+        self.assertIn(b"408", read_until_closed(slow))
+        _, idle = self.start(Recorder())
+        self.assertEqual(b"", read_until_closed(idle))
+
+    def test_draining_server_closes_after_the_response(self):
+        """Guards against a response that is cut by a shutdown."""
+        handler = Recorder(answer=lambda exchange: None)
+        server, sock = self.start(handler)
+        sock.sendall(GET % b"a")
+        eventlet.sleep(0.05)
+        server.drain()
+        server.close_idle()
+        handler.exchanges[0].respond(Response(200, (), b"x" * 100_000))
+        data = read_until_closed(sock)
+        self.assertIn(b"Connection: close", data)
+        self.assertEqual(100_000, len(data.partition(b"\r\n\r\n")[2]))
--- /dev/null
+++ b/test/mesh/test_directory.py
@@ -0,0 +1,56 @@
+"""Tests of the directory of targets."""
+
+from datetime import timedelta
+
+from testtools import TestCase
+
+from almondshore.core.clock import ManualClock
+from almondshore.mesh.directory import Directory
+from almondshore.mesh.model import TargetState
+from test.mesh.samples import target
+
+
+class DirectoryTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.clock = ManualClock()
+        self.directory = Directory(clock=self.clock)
+
+    def ready(self):
+        return [item.target for item in self.directory.ready("s")]
+
+    def test_older_entries_do_not_replace_newer_ones(self):
+        """Guards against a stale read that brings a leaving target back."""
+        self.directory.put(target(sequence=3, state=TargetState.DRAINING))
+        self.directory.put(target(sequence=2))
+        self.assertEqual([], self.ready())
+        self.directory.put(target(sequence=1, born_ms=2000))
+        self.assertEqual(["t1"], self.ready())
+
+    def test_unreachable_node_is_passed_over_for_longer_each_time(self):
+        """Guards against requests that time out on a host without power."""
+        near, far = target("t1"), target("t2", node=("10.0.0.2", 1))
+        self.directory.replace([near, far])
+        self.directory.unreachable(near.node, "test")
+        self.assertEqual(["t2"], self.ready())
+        self.clock.advance(timedelta(seconds=0.5))
+        self.assertEqual(["t1", "t2"], self.ready())
+        self.directory.unreachable(near.node, "test")
+        self.clock.advance(timedelta(seconds=0.5))
+        self.assertEqual(["t2"], self.ready())
+        self.directory.reached(near.node)
+        self.assertEqual(["t1", "t2"], self.ready())
+
+    def test_last_target_is_tried_though_it_could_not_be_reached(self):
+        """Guards against a service that is given up after one lost packet."""
+        self.directory.put(target())
+        self.directory.unreachable(target().node, "test")
+        self.assertEqual(["t1"], self.ready())
+
+    def test_target_that_refused_for_its_own_reasons_is_not_tried(self):
+        """Guards against a request that is sent to a target known to be leaving."""
+        self.directory.put(target())
+        self.directory.pause_target("t1", timedelta(seconds=1))
+        self.assertEqual([], self.ready())
+        self.clock.advance(timedelta(seconds=1.1))
+        self.assertEqual(["t1"], self.ready())
--- /dev/null
+++ b/test/mesh/test_inbound.py
@@ -0,0 +1,134 @@
+"""Tests of admission and forwarding at the node beside a target."""
+
+from datetime import timedelta
+
+from testtools import TestCase
+
+from almondshore.http.client import CallFailure
+from almondshore.http.messages import Request, Response
+from almondshore.mesh.hop import HopTerms, Outcome
+from almondshore.mesh.model import TargetState
+from test.mesh.fakes import APP, SIGNED, PathBed
+from test.mesh.samples import announcement
+
+OWN = ((b"Attempt-Id", b"a1"), SIGNED)
+
+
+def terms(target="t1", idempotent=True, **fields):
+    values = {"urgency": 1, "objective_ms": 600, "deadline_ms": 1200}
+    return HopTerms(
+        route="r", target=target, caller="caller", idempotent=idempotent, **(values | fields)
+    )
+
+
+class InboundTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.bed = PathBed()
+        self.results = []
+
+    def announce(self, **fields):
+        self.bed.local.announce(announcement(address=APP, slots=2, **fields))
+
+    def submit(self, wanted=None):
+        request = Request(b"GET", b"/a/x", ((b"Attempt-Id", b"a1"),), b"")
+        return self.bed.inbound.submit(request, wanted or terms(), self.results.append)
+
+    def ends(self):
+        return [(result.outcome, result.reason) for result in self.results]
+
+    def test_request_reaches_the_target_with_its_identity(self):
+        """Guards against a request that another target at the same address runs."""
+        self.announce()
+        self.submit()
+        call = self.bed.pool.calls[0]
+        self.assertEqual(APP, call.address)
+        self.assertEqual(b"t1", call.header(b"expected-instance"))
+        self.assertEqual(b"caller", call.header(b"caller-service"))
+        self.assertEqual(b"1200", call.header(b"deadline-ms"))
+        call.answer(Response(200, OWN, b"x"))
+        self.assertEqual([(Outcome.ANSWERED, "succeeded")], self.ends())
+
+    def test_unknown_other_and_leaving_targets_are_refused(self):
+        """Guards against requests for a target that is not there, or not any more."""
+        self.submit()
+        self.announce()
+        self.submit(terms(target="other"))
+        self.announce(sequence=2, state=TargetState.DRAINING)
+        self.bed.clock.advance(timedelta(seconds=1))
+        self.submit()
+        reasons = [reason for _, reason in self.ends()]
+        self.assertEqual(["no-target", "wrong-target", "draining"], reasons)
+        self.assertEqual([], self.bed.pool.calls)
+
+    def test_retired_version_is_refused(self):
+        """Guards against a bad version that gets requests from nodes that do not know it yet."""
+        self.announce()
+        self.bed.inbound.retired = lambda service, version: version == "v1"
+        self.submit()
+        self.assertEqual([(Outcome.REFUSED, "version-retired")], self.ends())
+
+    def test_slots_are_kept_and_freed(self):
+        """Guards against more work than the target has slots, and against slots that leak."""
+        self.announce()
+        for _ in range(3):
+            self.submit()
+        self.assertEqual(2, len(self.bed.pool.calls))
+        self.bed.pool.calls[0].answer(Response(200, OWN))
+        self.assertEqual(3, len(self.bed.pool.calls))
+        self.bed.pool.calls[1].fail(CallFailure.TRUNCATED)
+        self.bed.pool.calls[2].answer(Response(200, OWN))
+        self.assertEqual({}, self.bed.local.queue.running)
+
+    def test_cancelled_requests_free_their_place(self):
+        """Guards against a target or a queue that is held by callers that left."""
+        self.announce()
+        submissions = [self.submit() for _ in range(3)]
+        submissions[2].cancel()
+        submissions[0].cancel()
+        self.assertTrue(self.bed.pool.calls[0].cancelled)
+        self.assertEqual(1, len(self.bed.local.queue.running))
+        self.assertEqual([], self.bed.local.queue.waiting)
+        self.assertEqual([], self.results)
+
+    def test_outcomes_tell_what_may_have_run(self):
+        """Guards against a repeat of a request that has run."""
+        cases = (
+            ((CallFailure.NOT_CONNECTED, False), (Outcome.REFUSED, "target-down")),
+            ((CallFailure.CLOSED, True), (Outcome.BROKEN, "closed")),
+            ((CallFailure.MALFORMED, True), (Outcome.BROKEN, "malformed")),
+        )
+        for (failure, sent), end in cases:
+            self.announce(born_ms=1000 + len(self.results))
+            self.bed.inbound.down_until = timedelta()
+            self.submit()
+            self.bed.pool.calls[-1].fail(failure, sent=sent)
+            self.assertEqual(end, self.ends()[-1])
+        self.bed.inbound.down_until = timedelta()
+        self.submit()
+        self.bed.pool.calls[-1].answer(Response(503, ((b"Not-Executed", b"1"),)))
+        self.assertEqual((Outcome.REJECTED, "not-run"), self.ends()[-1])
+
+    def test_dropped_idle_connection_is_made_up_for_once(self):
+        """Guards against a failure for a request that the target never saw."""
+        self.announce()
+        self.submit()
+        self.bed.pool.calls[0].fail(CallFailure.CLOSED, reused=True)
+        self.assertEqual(timedelta(), self.bed.pool.calls[1].options["max_idle"])
+        self.bed.pool.calls[1].fail(CallFailure.CLOSED, reused=True)
+        self.assertEqual([(Outcome.BROKEN, "closed")], self.ends())
+
+    def test_non_idempotent_requests_use_fresh_connections(self):
+        """Guards against a request that cannot be repeated on a connection that may be dead."""
+        self.announce()
+        self.submit(terms(idempotent=False))
+        self.assertTrue(self.bed.pool.calls[0].options["max_idle"] < timedelta(seconds=1))
+        self.bed.pool.calls[0].fail(CallFailure.CLOSED, reused=True)
+        self.assertEqual([(Outcome.BROKEN, "closed")], self.ends())
+
+    def test_closed_node_refuses(self):
+        """Guards against a request that is cut by the end of the process."""
+        self.announce()
+        self.bed.inbound.closed = True
+        self.submit()
+        self.assertEqual([(Outcome.REFUSED, "shutting-down")], self.ends())
--- /dev/null
+++ b/test/mesh/test_local.py
@@ -0,0 +1,72 @@
+"""Tests of what a node makes of the announcements of its target."""
+
+from datetime import timedelta
+
+from testtools import TestCase
+
+from almondshore.core.clock import ManualClock
+from almondshore.mesh.local import LocalTarget, Reception
+from almondshore.mesh.model import TargetState
+from test.mesh.samples import announcement
+
+DRAIN = timedelta(seconds=2)
+READY, DRAINING = TargetState.READY, TargetState.DRAINING
+
+
+class LocalTargetTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.clock = ManualClock()
+        self.local = LocalTarget(clock=self.clock, node=("10.0.0.1", 1), drain=DRAIN)
+
+    def test_new_process_knows_no_target(self):
+        """Guards against work for a target whose leaving the former process acknowledged."""
+        self.assertFalse(self.local.usable("t1"))
+        self.local.announce(announcement())
+        self.assertTrue(self.local.usable("t1"))
+
+    def test_leaving_target_gets_no_work_well_before_the_bound(self):
+        """Guards against requests that reach a target after its drain time."""
+        self.local.announce(announcement())
+        self.local.announce(announcement(sequence=2, state=DRAINING))
+        self.assertTrue(self.local.usable("t1"))
+        self.clock.advance(DRAIN * 0.4)
+        self.assertFalse(self.local.usable("t1"))
+        self.local.enforce_drain()
+        self.assertFalse(self.local.queue.closed)
+        self.clock.advance(DRAIN * 0.3)
+        self.local.enforce_drain()
+        self.assertTrue(self.local.queue.closed)
+
+    def test_late_announcements_do_not_call_a_target_back(self):
+        """Guards against an announcement that was delayed until after the drain."""
+        self.local.announce(announcement(sequence=5, state=DRAINING))
+        self.assertEqual(Reception.OUTDATED, self.local.announce(announcement(sequence=4)))
+        self.local.announce(announcement(sequence=6, state=READY))
+        self.assertEqual(DRAINING, self.local.record().state)
+        self.clock.advance(DRAIN)
+        self.assertFalse(self.local.usable("t1"))
+
+    def test_departed_target_stays_away(self):
+        """Guards against a heartbeat that crosses the notice of departure."""
+        self.local.announce(announcement())
+        self.assertFalse(self.local.depart("other"))
+        self.assertTrue(self.local.depart("t1"))
+        self.local.announce(announcement(sequence=9))
+        self.clock.advance(DRAIN)
+        self.assertFalse(self.local.usable("t1"))
+
+    def test_new_incarnation_under_the_same_name_starts_afresh(self):
+        """Guards against a restarted target that inherits the drain of the former one."""
+        self.local.announce(announcement(sequence=7, state=DRAINING))
+        reborn = announcement(sequence=1, born_ms=5000)
+        self.assertEqual(Reception.ACCEPTED, self.local.announce(reborn))
+        self.clock.advance(DRAIN)
+        self.assertTrue(self.local.usable("t1"))
+        outdated = self.local.announce(announcement(sequence=99, born_ms=1000))
+        self.assertEqual(Reception.OUTDATED, outdated)
+
+    def test_unchanged_announcements_are_not_worth_a_write(self):
+        """Guards against a store call for each heartbeat."""
+        self.assertEqual(Reception.ACCEPTED, self.local.announce(announcement()))
+        self.assertEqual(Reception.UNCHANGED, self.local.announce(announcement(sequence=2)))
--- /dev/null
+++ b/test/mesh/test_outbound.py
@@ -0,0 +1,164 @@
+"""Tests of routing, retries and deadlines of requests that originate on a host."""
+
+from datetime import timedelta
+
+from testtools import TestCase
+
+from almondshore.http.client import CallFailure
+from almondshore.http.messages import Response
+from almondshore.mesh.hop import Outcome
+from almondshore.mesh.model import Share
+from test.mesh.fakes import SIGNED, PathBed
+from test.mesh.samples import route, target
+
+NODES = [("10.0.0.1", 1), ("10.0.0.2", 1), ("10.0.0.3", 1)]
+
+
+class OutboundTest(TestCase):
+    def bed(self, targets=3, routes=None, **budget):
+        bed = PathBed(routes, **budget)
+        bed.directory.replace(
+            target(f"t{number}", node=node) for number, node in enumerate(NODES[:targets])
+        )
+        return bed
+
+    def status(self, exchange):
+        return exchange.response.status if exchange.response is not None else None
+
+    def test_request_is_forwarded_with_its_terms(self):
+        """Guards against a request that reaches a target changed or without its limits."""
+        bed = self.bed(targets=1)
+        exchange = bed.request(b"/a/x?q=1", b"POST", b"body", left_ms=900)
+        call = bed.pool.calls[0]
+        self.assertEqual((b"POST", b"/a/x?q=1", b"body"), call.request[:2] + (call.request.body,))
+        self.assertEqual(
+            ("r", "t0", "own-service", True),
+            (call.terms.route, call.terms.target, call.terms.caller, call.terms.idempotent),
+        )
+        self.assertEqual((600, 885), (call.terms.objective_ms, call.terms.deadline_ms))
+        call.report(body=b"answer")
+        self.assertEqual((200, b"answer"), exchange.response[:1] + (exchange.response.body,))
+        self.assertEqual((SIGNED,), exchange.response.headers)
+
+    def test_without_configuration_or_route(self):
+        """Guards against a 404 from a node that does not know the routes yet."""
+        bed = self.bed()
+        self.assertEqual(404, self.status(bed.request(b"/other/")))
+        bed.outbound.config = None
+        self.assertEqual(503, self.status(bed.request()))
+
+    def test_refused_request_goes_to_another_target(self):
+        """Guards against a caller that is refused though another target has room."""
+        bed = self.bed(routes=[route(idempotent=False)])
+        exchange = bed.request(method=b"POST")
+        bed.pool.calls[0].report(Outcome.REFUSED, "overloaded", 503)
+        bed.pool.calls[1].fail(CallFailure.NOT_CONNECTED, sent=False)
+        bed.pool.calls[2].report()
+        self.assertEqual(200, self.status(exchange))
+        tried = [call.terms.target for call in bed.pool.calls]
+        self.assertEqual(["t0", "t1", "t2"], sorted(tried))
+
+    def test_request_that_may_have_run_is_not_repeated_unless_idempotent(self):
+        """Guards against a non-idempotent request that runs twice."""
+        for idempotent, calls in ((False, 1), (True, 2)):
+            bed = self.bed(routes=[route(idempotent=idempotent)])
+            exchange = bed.request()
+            bed.pool.calls[0].fail(CallFailure.CLOSED)
+            self.assertEqual(calls, len(bed.pool.calls))
+            self.assertEqual(None if idempotent else 502, self.status(exchange))
+
+    def test_refusal_to_the_caller_is_true(self):
+        """Guards against a 503, after which callers repeat, for a request that may have run."""
+        bed = self.bed(targets=2)
+        exchange = bed.request()
+        bed.pool.calls[0].fail(CallFailure.TRUNCATED)
+        bed.pool.calls[1].report(Outcome.REFUSED, "overloaded", 503)
+        self.assertEqual(502, self.status(exchange))
+        bed = self.bed(targets=1)
+        exchange = bed.request()
+        bed.pool.calls[0].report(Outcome.REFUSED, "overloaded", 503, retry_after_ms=400)
+        self.assertEqual(503, self.status(exchange))
+        stated = float(exchange.response.header(b"retry-after"))
+        self.assertTrue(0.4 <= stated <= 0.6, stated)
+
+    def test_failed_response_is_returned_as_it_was(self):
+        """Guards against a failure of the target that is replaced by one of our own."""
+        bed = self.bed(routes=[route(max_attempts=1)])
+        exchange = bed.request()
+        bed.pool.calls[0].report(status=500, body=b"broken")
+        self.assertEqual(Response(500, (SIGNED,), b"broken"), exchange.response)
+
+    def test_attempts_and_retry_budget_bound_the_runs(self):
+        """Guards against retries that multiply the load when all targets fail."""
+        bed = self.bed()
+        bed.request()
+        for call in bed.pool.calls:
+            call.report(status=500)
+        self.assertEqual(2, len(bed.pool.calls))
+        bed = self.bed(ratio=0.0, min_per_second=0.0)
+        bed.request()
+        bed.pool.calls[0].report(status=500)
+        self.assertEqual(1, len(bed.pool.calls))
+
+    def test_target_that_rejects_draws_on_the_budget(self):
+        """Guards against retries that the targets see but the budget does not."""
+        bed = self.bed(ratio=0.0, min_per_second=0.0)
+        exchange = bed.request()
+        bed.pool.calls[0].report(Outcome.REJECTED, "not-run", 503)
+        self.assertEqual(503, self.status(exchange))
+        self.assertEqual(1, len(bed.pool.calls))
+
+    def test_route_timeout_ends_the_request(self):
+        """Guards against a caller that is held beyond the time that the operator set."""
+        bed = self.bed(routes=[route(timeout=timedelta(seconds=0.7))])
+        exchange = bed.request()
+        self.assertEqual(700, bed.pool.calls[0].terms.deadline_ms)
+        bed.clock.advance(timedelta(seconds=0.7))
+        next(iter(bed.outbound.active))._on_deadline()
+        self.assertEqual(504, self.status(exchange))
+        self.assertTrue(bed.pool.calls[0].cancelled)
+        bed.pool.calls[0].report()
+        self.assertEqual(504, self.status(exchange))
+
+    def test_second_send_has_only_the_time_that_is_left(self):
+        """Guards against a target that works on after its caller has gone."""
+        bed = self.bed()
+        bed.request(left_ms=1000)
+        bed.clock.advance(timedelta(seconds=0.4))
+        bed.pool.calls[0].fail(CallFailure.CLOSED)
+        self.assertEqual(585, bed.pool.calls[1].terms.deadline_ms)
+
+    def test_caller_that_leaves_cancels_the_call(self):
+        """Guards against a target that works for a caller that is gone."""
+        bed = self.bed()
+        exchange = bed.request()
+        exchange.on_cancel()
+        self.assertTrue(bed.pool.calls[0].cancelled)
+        self.assertEqual(set(), bed.outbound.active)
+
+    def test_unreachable_node_is_passed_over(self):
+        """Guards against each request finding out anew that a host is gone."""
+        bed = self.bed(targets=2)
+        bed.request()
+        lost = bed.pool.calls[0].address
+        bed.pool.calls[0].fail(CallFailure.NOT_CONNECTED, sent=False)
+        for _ in range(5):
+            bed.request()
+        self.assertNotIn(lost, [call.address for call in bed.pool.calls[1:]])
+
+    def test_shares_of_a_split_route_are_kept(self):
+        """Guards against a split that follows the load instead of its weights."""
+        split = route(shares=(Share("s", 3.0), Share("other", 1.0)))
+        bed = self.bed(routes=[split])
+        bed.directory.put(target("o1", service="other", node=("10.0.0.8", 1)))
+        for _ in range(800):
+            bed.request()
+        other = sum(call.terms.target == "o1" for call in bed.pool.calls)
+        self.assertTrue(140 < other < 260, other)
+
+    def test_versions_of_other_nodes_are_noted(self):
+        """Guards against a node that stays on an old configuration while the store is away."""
+        bed = self.bed(targets=1)
+        bed.request()
+        bed.pool.calls[0].report(config_version=9)
+        self.assertEqual([9], bed.versions_seen)
--- /dev/null
+++ b/test/mesh/test_rollout.py
@@ -0,0 +1,80 @@
+"""Tests of the steps of a rollout and of the verdict on a version."""
+
+from datetime import timedelta
+
+from testtools import TestCase
+
+from almondshore.mesh.evidence import RouteCounts
+from almondshore.mesh.model import Rollout, RolloutState
+from almondshore.mesh.rollout import VersionCounts, find_fault, next_progress
+
+DURATION = timedelta(seconds=16)
+TICK = timedelta(seconds=0.4)
+
+
+def counts(requests, failures=0, mean_ms=200.0):
+    timed = requests - failures
+    return RouteCounts(requests, failures, timed, timed * mean_ms)
+
+
+def verdict(new, old=None):
+    old = counts(500, 2) if old is None else old
+    return find_fault(VersionCounts({"r": new}, {"r": old}))
+
+
+class VerdictTest(TestCase):
+    def test_bad_versions_are_found_from_few_requests(self):
+        """Guards against a bad version that gets more than a small share before it is found."""
+        self.assertIn("failed on route r", verdict(counts(10, 5)))
+        self.assertIn("takes 1600 ms", verdict(counts(8, mean_ms=1600.0)))
+        spread = {f"r{number}": counts(8, 1) for number in range(5)}
+        self.assertIn("5 of 40", find_fault(VersionCounts(spread, {"r": counts(500, 2)})))
+
+    def test_good_versions_pass(self):
+        """Guards against a good version that is taken back."""
+        self.assertEqual("", verdict(counts(100, 1)))
+        self.assertEqual("", verdict(counts(40, mean_ms=420.0)))
+        self.assertEqual("", verdict(counts(3, 3)))
+
+    def test_failures_that_both_versions_share_are_not_held_against_the_new(self):
+        """Guards against a rollback for a fault that lies elsewhere."""
+        self.assertEqual("", verdict(counts(20, 8), counts(200, 80)))
+
+
+class ProgressTest(TestCase):
+    def play(self, results_per_s, old_running=0):
+        """Return the time and share of each change."""
+        rollout = Rollout("s", "v2", DURATION, RolloutState.ORDERED, 0.0, 1)
+        changes, elapsed, moved_at = [], timedelta(), None
+        while elapsed < DURATION and rollout.state is not RolloutState.COMPLETED:
+            elapsed += TICK
+            if rollout.share >= 1.0 and moved_at is None:
+                moved_at = elapsed
+            settled = elapsed - moved_at if moved_at is not None else timedelta()
+            wanted = next_progress(
+                rollout,
+                elapsed=elapsed,
+                settled=settled,
+                results=int(elapsed.total_seconds() * results_per_s),
+                old_running=old_running,
+            )
+            if wanted != rollout:
+                changes.append((elapsed, wanted.state, wanted.share))
+                rollout = wanted
+        return changes
+
+    def test_good_version_completes_before_its_deadline(self):
+        """Guards against a good version that is late, with results or without."""
+        for rate, running in ((10, 0), (0, 0), (10, 3)):
+            changes = self.play(rate, running)
+            self.assertEqual(RolloutState.COMPLETED, changes[-1][1])
+            self.assertTrue(changes[-1][0] < DURATION * 0.95, changes)
+
+    def test_shares_stay_small_for_the_exposure_bound(self):
+        """Guards against a late fault that meets more than a tenth of all requests."""
+        exposed, share, last = 0.0, 0.0, timedelta()
+        for at, _, new_share in self.play(10):
+            if share < 1.0:
+                exposed += share * ((at - last) / DURATION)
+            share, last = new_share, at
+        self.assertTrue(exposed < 0.16, exposed)
--- /dev/null
+++ b/test/mesh/test_state.py
@@ -0,0 +1,160 @@
+"""Tests of how a node takes over state from the store and from peers."""
+
+import random
+from datetime import timedelta
+
+from returns.result import Failure, Success
+from testtools import TestCase
+
+from almondshore.core.clock import ManualClock
+from almondshore.mesh.model import Rollout, RolloutState
+from almondshore.mesh.publishing import TargetPublisher
+from almondshore.mesh.replication import Replica, Sink
+from almondshore.mesh.state import ConfigSink, RolloutSink, TargetSink
+from almondshore.mesh.store import Changed, Changes, Feed, HistoryGone, NotFound, Snapshot
+from almondshore.mesh.versions import VersionShares
+from almondshore.storage.port import Unavailable
+from test.mesh.fakes import PathBed
+from test.mesh.samples import config, target
+
+
+class ScriptedFeed(Feed):
+    """A feed that gives scripted results."""
+
+    name = "scripted"
+
+    def __init__(self, *results):
+        self.results = list(results)
+        self.calls = []
+
+    def read(self):
+        self.calls.append("read")
+        return self.results.pop(0)
+
+    def wait(self, position, timeout):
+        self.calls.append(position)
+        return self.results.pop(0)
+
+
+class ListSink(Sink):
+    """Keeps what it was given."""
+
+    def __init__(self):
+        self.taken = []
+
+    def replace(self, items):
+        self.taken.append(("all", dict(items)))
+
+    def update(self, items):
+        self.taken.append(("some", dict(items)))
+
+
+class ReplicaTest(TestCase):
+    def replica(self, *results):
+        feed, sink = ScriptedFeed(*results), ListSink()
+        replica = Replica(
+            clock=ManualClock(), rng=random.Random(1), feed=feed, sink=sink, gather=timedelta()
+        )
+        return replica, feed, sink
+
+    def test_changes_follow_the_first_read(self):
+        """Guards against a gap between the first read and the changes after it."""
+        replica, feed, sink = self.replica(
+            Success(Snapshot(7, {"a": 1})),
+            Success(Changes(9, {"a": None})),
+            Success(Changes(9, {})),
+        )
+        for _ in range(3):
+            replica.step()
+        self.assertEqual(["read", 7, 9], feed.calls)
+        self.assertEqual([("all", {"a": 1}), ("some", {"a": None})], sink.taken)
+
+    def test_lost_history_is_followed_by_a_full_read(self):
+        """Guards against a node that misses changes when the store forgets its history."""
+        replica, feed, _ = self.replica(
+            Success(Snapshot(7, {})), Failure(HistoryGone(7)), Success(Snapshot(20, {}))
+        )
+        for _ in range(3):
+            replica.step()
+        self.assertEqual(["read", 7, "read"], feed.calls)
+
+    def test_absence_of_the_store_is_noted_until_it_answers(self):
+        """Guards against a node that does not ask its peers while the store is away."""
+        replica, _, _ = self.replica(
+            Success(Snapshot(7, {})), Failure(Unavailable("x")), Success(Changes(7, {}))
+        )
+        replica.step()
+        self.assertIs(None, replica.failing_since)
+        replica.step()
+        self.assertIsNot(None, replica.failing_since)
+        replica.step()
+        self.assertIs(None, replica.failing_since)
+
+
+class SinkTest(TestCase):
+    def test_configuration_never_goes_back(self):
+        """Guards against a stale read or peer that brings an older version back."""
+        bed = PathBed()
+        sink = ConfigSink(outbound=bed.outbound, name="main")
+        bed.outbound.config = None
+        sink.update({"main": config(version=5)})
+        sink.update({"main": config(version=4)})
+        sink.update({"main": None})
+        sink.update({"other": config(version=9)})
+        self.assertFalse(sink.apply(config(version=5), source="peer"))
+        self.assertEqual(5, bed.outbound.config_version())
+
+    def test_rollouts_follow_their_revision(self):
+        """Guards against an older share that returns with a peer's state."""
+        shares = VersionShares(rng=random.Random(1))
+        sink = RolloutSink(shares=shares)
+        found = Rollout("s", "v2", timedelta(seconds=9), RolloutState.ROLLED_BACK, 0.0, 8)
+        sink.put(found, source="store")
+        older = found._replace(state=RolloutState.RUNNING, share=0.5, revision=6)
+        sink.put(older, source="peer")
+        self.assertEqual(found, shares.rollouts["s"])
+        sink.replace({})
+        self.assertEqual({}, shares.rollouts)
+
+    def test_targets_are_replaced_by_a_full_read(self):
+        """Guards against entries that stay after they were removed in a gap."""
+        bed = PathBed()
+        sink = TargetSink(directory=bed.directory)
+        sink.replace({"t1": target("t1"), "t2": target("t2")})
+        sink.update({"t2": None, "t3": target("t3")})
+        self.assertEqual({"t1", "t3"}, set(bed.directory.targets))
+        sink.replace({"t3": target("t3")})
+        self.assertEqual({"t3"}, set(bed.directory.targets))
+
+
+class FakeStore:
+    """A store that gives scripted results for writes."""
+
+    def __init__(self, *results):
+        self.results = list(results)
+        self.writes = []
+
+    def save_target(self, found, revision):
+        self.writes.append((found.sequence, revision))
+        return self.results.pop(0)
+
+
+class TargetPublisherTest(TestCase):
+    def test_each_write_names_the_revision_it_replaces(self):
+        """Guards against a delayed write that undoes a later one."""
+        store = FakeStore(Success(4), Success(6))
+        publisher = TargetPublisher(store=store)
+        for sequence in (1, 2):
+            publisher.publish(target(sequence=sequence))
+            self.assertTrue(publisher.write())
+        self.assertEqual([(1, 0), (2, 4)], store.writes)
+
+    def test_lost_answers_and_missing_entries_are_made_up_for(self):
+        """Guards against an entry that is never written after a lost answer."""
+        store = FakeStore(
+            Failure(Unavailable("lost")), Failure(Changed(5)), Failure(NotFound("x")), Success(9)
+        )
+        publisher = TargetPublisher(store=store)
+        publisher.publish(target())
+        self.assertEqual([False, True, True, True], [publisher.write() for _ in range(4)])
+        self.assertEqual([(1, 0), (1, 0), (1, 5), (1, 0)], store.writes)
--- /dev/null
+++ b/test/mesh/test_versions.py
@@ -0,0 +1,70 @@
+"""Tests of the share of requests that each version gets."""
+
+import random
+from collections import Counter
+from datetime import timedelta
+
+from testtools import TestCase
+
+from almondshore.mesh.model import Rollout, RolloutState
+from almondshore.mesh.versions import VersionShares
+from test.mesh.samples import target
+
+OLD = {"v1": [target("t1")]}
+BOTH = {**OLD, "v2": [target("t2", "v2")]}
+
+
+def rollout(state, share=0.0, version="v2"):
+    return Rollout("s", version, timedelta(seconds=16), state, share, 1)
+
+
+class VersionSharesTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.shares = VersionShares(rng=random.Random(1))
+        self.shares.learn([target("t1"), target("t2", "v2", born_ms=9000)])
+
+    def count(self, versions, times=1000):
+        return Counter(self.shares.pick("s", versions) for _ in range(times))
+
+    def test_version_without_an_order_gets_nothing(self):
+        """Guards against a new version that takes traffic before it is ordered."""
+        self.assertEqual({"v1": 1000}, self.count(BOTH))
+        self.shares.set_rollout(rollout(RolloutState.ORDERED))
+        self.assertEqual({"v1": 1000}, self.count(BOTH))
+
+    def test_running_rollout_gives_the_share(self):
+        """Guards against a share that depends on the number of targets."""
+        self.shares.set_rollout(rollout(RolloutState.RUNNING, 0.08))
+        self.assertTrue(40 < self.count(BOTH)["v2"] < 120)
+        self.shares.set_rollout(rollout(RolloutState.RUNNING, 1.0))
+        self.assertEqual({"v2": 1000}, self.count(BOTH))
+        self.assertTrue(self.shares.is_retired("s", "v1"))
+
+    def test_version_on_trial_does_not_replace_a_lost_one(self):
+        """Guards against a bad version that gets all traffic when the old one fails."""
+        self.shares.set_rollout(rollout(RolloutState.RUNNING, 0.08))
+        only_new = {"v2": BOTH["v2"]}
+        self.assertEqual({None, "v2"}, set(self.count(only_new)))
+        self.assertTrue(self.count(only_new)["v2"] < 120)
+
+    def test_rolled_back_version_gets_nothing_even_alone(self):
+        """Guards against a version that returns after its rollback."""
+        self.shares.set_rollout(rollout(RolloutState.ROLLED_BACK))
+        self.assertEqual({"v1": 1000}, self.count(BOTH))
+        self.assertEqual({None: 1000}, self.count({"v2": BOTH["v2"]}))
+        self.assertTrue(self.shares.is_retired("s", "v2"))
+
+    def test_completed_rollout_makes_the_version_usual(self):
+        """Guards against requests to old targets, which are stopped without a drain."""
+        self.shares.set_rollout(rollout(RolloutState.COMPLETED, 1.0))
+        self.assertEqual({"v2": 1000}, self.count(BOTH))
+        self.assertTrue(self.shares.is_retired("s", "v1"))
+        self.assertFalse(self.shares.is_retired("s", "v2"))
+
+    def test_node_that_starts_in_a_rollout_finds_the_old_version(self):
+        """Guards against a restarted node that takes the version on trial for the usual one."""
+        shares = VersionShares(rng=random.Random(1))
+        shares.set_rollout(rollout(RolloutState.RUNNING, 0.0))
+        shares.learn([target("t2", "v2", born_ms=1), target("t1", born_ms=2)])
+        self.assertEqual("v1", shares.usual["s"])
--- /dev/null
+++ b/test/platform/test_dialect.py
@@ -0,0 +1,74 @@
+"""Tests of the platform's headers."""
+
+from datetime import timedelta
+
+from testtools import TestCase
+
+from almondshore.http.messages import Request, Response
+from almondshore.mesh.dialect import Verdict
+from almondshore.platform.dialect import PlatformDialect
+
+SIGNED = (b"Response-Signature", b"s")
+DIALECT = PlatformDialect()
+
+
+class DialectTest(TestCase):
+    def test_only_refusals_that_say_so_are_taken_as_not_run(self):
+        """Guards against a second run of a request that a failing target did run."""
+        cases = {
+            Verdict.NOT_RUN: Response(503, ((b"Not-Executed", b"1"),)),
+            Verdict.WRONG_TARGET: Response(421),
+            Verdict.FAILED: Response(503, (SIGNED,)),
+            Verdict.SUCCEEDED: Response(200, (SIGNED,)),
+        }
+        for verdict, response in cases.items():
+            self.assertEqual(verdict, DIALECT.verdict(response))
+        self.assertEqual(Verdict.FAILED, DIALECT.verdict(Response(200)))
+
+    def test_callers_never_see_a_promise_that_is_not_ours(self):
+        """Guards against a caller that repeats a request which has run."""
+        for status in (408, 421, 429, 503):
+            passed = DIALECT.to_caller(Response(status, (SIGNED,)), idempotent=False)
+            self.assertEqual((502, ()), (passed.status, passed.headers))
+        failure = Response(500, (SIGNED,), b"body")
+        self.assertEqual(failure, DIALECT.to_caller(failure, idempotent=False))
+
+    def test_success_without_a_signature_is_not_passed_on(self):
+        """Guards against bytes of a faulty target that look like its answer."""
+        self.assertEqual(502, DIALECT.to_caller(Response(200), idempotent=True).status)
+
+    def test_headers_of_ours_replace_those_of_the_caller(self):
+        """Guards against a caller that names another caller, target or deadline."""
+        sent = (
+            (b"attempt-id", b"a1"),
+            (b"Caller-Service", b"forged"),
+            (b"deadline-ms", b"999999"),
+            (b"Expected-Instance", b"forged"),
+            (b"X-Own", b"kept"),
+        )
+        found = DIALECT.to_target(
+            sent, time_left=timedelta(milliseconds=12.7), target="i-1", caller="svc"
+        )
+        expected = (
+            (b"attempt-id", b"a1"),
+            (b"X-Own", b"kept"),
+            (b"Deadline-Ms", b"12"),
+            (b"Expected-Instance", b"i-1"),
+            (b"Caller-Service", b"svc"),
+        )
+        self.assertEqual(expected, found)
+
+    def test_malformed_deadline_counts_as_none(self):
+        """Guards against a request that fails for a header that cannot be read."""
+        for value in (b"", b"-5", b"soon", b"9" * 30):
+            request = Request(b"GET", b"/", ((b"Deadline-Ms", value),), b"")
+            self.assertIs(None, DIALECT.time_left(request))
+        request = Request(b"GET", b"/", ((b"Deadline-Ms", b"250"),), b"")
+        self.assertEqual(timedelta(milliseconds=250), DIALECT.time_left(request))
+
+    def test_responses_are_matched_by_id(self):
+        """Guards against a late answer that is delivered to another request."""
+        self.assertTrue(DIALECT.belongs(Response(200, ((b"Attempt-Id", b"a1"),)), b"a1"))
+        self.assertFalse(DIALECT.belongs(Response(200, ((b"Attempt-Id", b"a0"),)), b"a1"))
+        self.assertFalse(DIALECT.belongs(Response(200, (SIGNED,)), b"a1"))
+        self.assertTrue(DIALECT.belongs(Response(503, ((b"Not-Executed", b"1"),)), b"a1"))
--- /dev/null
+++ b/test/platform/test_documents.py
@@ -0,0 +1,142 @@
+"""Tests of the decoding of stored documents."""
+
+from datetime import timedelta
+
+import msgspec
+from testtools import TestCase
+
+from almondshore.mesh.model import RolloutState, Share
+from almondshore.platform import documents
+from almondshore.platform.announcements import decode_heartbeat
+from almondshore.platform.bounds import decode_bounds
+from test.mesh.samples import target
+
+ROUTE = {
+    "hostname": "H.example",
+    "path_prefix": "/a/",
+    "route_type": "non_idempotent",
+    "timeout_s": 1.2,
+    "target_latency_s": 0.6,
+    "priority": 2,
+    "max_attempts": 2,
+}
+CONFIG = {
+    "version": "0000000c",
+    "routes": {
+        "r1": {**ROUTE, "service": "s1"},
+        "r2": {
+            **ROUTE,
+            "path_prefix": "/a/b/",
+            "route_type": "idempotent",
+            "weighted_clusters": [{"service": "s1", "weight": 90}, {"service": "s2", "weight": 10}],
+        },
+    },
+    "services": {"s1": {"health_path": "/health"}, "s2": {}},
+    "limits": {
+        "max_header_bytes": 16384,
+        "max_body_bytes": 67108864,
+        "header_timeout_s": 3,
+        "idle_timeout_s": 15,
+    },
+    "base_version": "0000000a",
+}
+HEARTBEAT = {
+    "address": "10.0.0.1:9",
+    "born": 7000,
+    "info": {"service": "s", "version": "v1", "zone": "a", "slots": 9},
+    "status": {"state": "ready", "sequence": 4, "warmup_left_s": 1.5},
+}
+
+
+class ConfigTest(TestCase):
+    def test_routes_and_limits_are_decoded(self):
+        """Guards against units and kinds that are misread at the border."""
+        found = documents.decode_config(msgspec.json.encode(CONFIG))
+        self.assertEqual(12, found.version)
+        longest = found.routes.match("h.EXAMPLE", "/a/b/c")
+        self.assertEqual(("r2", True), (longest.name, longest.idempotent))
+        self.assertEqual((Share("s1", 90.0), Share("s2", 10.0)), longest.shares)
+        plain = found.routes.match("h.example", "/a/x")
+        self.assertEqual(("r1", False), (plain.name, plain.idempotent))
+        self.assertEqual(timedelta(seconds=1.2), plain.timeout)
+        self.assertIs(None, found.routes.match("h.example", "/b/"))
+        self.assertEqual(timedelta(seconds=15), found.limits.idle_timeout)
+
+    def test_malformed_configuration_is_refused_whole(self):
+        """Guards against a configuration that is applied in part."""
+        for change in ({"version": "xyz"}, {"routes": {"r1": {"hostname": "h"}}}, {"limits": 5}):
+            raw = msgspec.json.encode({**CONFIG, **change})
+            self.assertRaises((ValueError, msgspec.MsgspecError), documents.decode_config, raw)
+
+
+class RolloutTest(TestCase):
+    order = {"service": "s", "target_version": "v2", "duration_s": 12}
+
+    def test_status_of_an_earlier_order_is_ignored(self):
+        """Guards against a new order that is taken as done."""
+        old = {"state": "completed", "target_version": "v1"}
+        found = documents.decode_rollout(self.order, old, 5)
+        self.assertEqual((RolloutState.ORDERED, 0.0), (found.state, found.share))
+
+    def test_progress_survives_the_store(self):
+        """Guards against a restarted node that begins a rollout anew."""
+        running = documents.decode_rollout(self.order, None, 5)._replace(
+            state=RolloutState.RUNNING, share=0.25
+        )
+        status = msgspec.to_builtins(documents.encode_progress(running))
+        self.assertEqual(running, documents.decode_rollout(self.order, status, 5))
+        for state in (RolloutState.COMPLETED, RolloutState.ROLLED_BACK):
+            status = msgspec.to_builtins(documents.encode_progress(running._replace(state=state)))
+            self.assertEqual(state, documents.decode_rollout(self.order, status, 5).state)
+
+
+class TargetTest(TestCase):
+    def test_entry_survives_the_store(self):
+        """Guards against a node that others cannot reach by its entry."""
+        spec = msgspec.to_builtins(documents.encode_target(target()))
+        self.assertEqual(target(), documents.decode_target("t1", spec))
+
+    def test_spoilt_entries_name_no_target(self):
+        """Guards against entries of other writers."""
+        good = msgspec.to_builtins(documents.encode_target(target()))
+        for change in ({"state": "asleep"}, {"slots": "many"}, {"port": None}):
+            self.assertRaises(
+                (ValueError, msgspec.MsgspecError),
+                documents.decode_target,
+                "t1",
+                {**good, **change},
+            )
+
+
+class HeartbeatTest(TestCase):
+    def test_heartbeat_is_decoded(self):
+        """Guards against a target that is known under a wrong address or age."""
+        found = decode_heartbeat("i-1", msgspec.json.encode(HEARTBEAT))
+        self.assertEqual(("i-1", ("10.0.0.1", 9)), (found.target, found.address))
+        self.assertEqual((7000, 4), (found.born_ms, found.sequence))
+        self.assertEqual(timedelta(seconds=1.5), found.warmup)
+
+    def test_spoilt_heartbeats_are_refused(self):
+        """Guards against a heartbeat of another writer that names a target."""
+        info, status = HEARTBEAT["info"], HEARTBEAT["status"]
+        cases = (
+            b"\xff\x00",
+            msgspec.json.encode({**HEARTBEAT, "info": {**info, "slots": "9"}}),
+            msgspec.json.encode({**HEARTBEAT, "info": {**info, "slots": 0}}),
+            msgspec.json.encode({**HEARTBEAT, "status": {**status, "state": "asleep"}}),
+            msgspec.json.encode({**HEARTBEAT, "status": {**status, "state": "gone"}}),
+            msgspec.json.encode({**HEARTBEAT, "address": "nowhere"}),
+            msgspec.json.encode({"address": "10.0.0.1:9"}),
+        )
+        for body in cases:
+            self.assertRaises((ValueError, msgspec.MsgspecError), decode_heartbeat, "i-1", body)
+
+
+class BoundsTest(TestCase):
+    def test_missing_and_malformed_bounds_are_named(self):
+        """Guards against a node that runs with a bound of zero."""
+        text = "drain_s=2,grace_s=6,retry_budget_ratio=0.2,budget_window_s=10,budget_min_retries=56"
+        self.assertEqual(56, decode_bounds(text + ",other=true").retry_floor)
+        error = self.assertRaises(ValueError, decode_bounds, text.replace("grace_s=6,", ""))
+        self.assertIn("grace_s", str(error))
+        self.assertRaises(ValueError, decode_bounds, text.replace("=6", "=soon"))
--- /dev/null
+++ b/test/routing/test_completion.py
@@ -0,0 +1,76 @@
+"""Tests of the choice of a target by expected completion."""
+
+import random
+from collections import Counter
+from datetime import timedelta
+
+from testtools import TestCase
+
+from almondshore.core.clock import ManualClock
+from almondshore.mesh.model import LoadReport, Target, TargetState
+from almondshore.routing.completion import CompletionChooser
+
+OBJECTIVE = timedelta(milliseconds=600)
+
+
+def target(name, zone="a", slots=9):
+    return Target(name, "s", "v1", zone, slots, TargetState.READY, (name, 1), 1, 1)
+
+
+def report(running=0, waiting=0, ms=100, failures=0.0, leaving=False):
+    return LoadReport(running, waiting, 9, timedelta(milliseconds=ms), failures, leaving)
+
+
+class CompletionChooserTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.clock = ManualClock()
+        self.chooser = CompletionChooser(clock=self.clock, rng=random.Random(1), zone="a")
+
+    def hear(self, name, **fields):
+        self.chooser.started(name)
+        self.chooser.finished(name, "r", report(**fields))
+
+    def count(self, targets, times=200, **fields):
+        return Counter(
+            self.chooser.choose(targets, route="r", objective=OBJECTIVE, **fields).target
+            for _ in range(times)
+        )
+
+    def test_own_zone_is_preferred_until_it_is_full(self):
+        """Guards against traffic between zones that brings callers nothing."""
+        near, far = target("near"), target("far", zone="b")
+        for name in ("near", "far"):
+            self.hear(name)
+        self.assertEqual({"near": 200}, self.count([near, far]))
+        self.hear("near", running=9, waiting=20)
+        self.assertEqual({"far": 200}, self.count([near, far]))
+
+    def test_failing_and_leaving_targets_are_avoided_while_others_are_there(self):
+        """Guards against work for a target that fails fast and so looks idle."""
+        for fields in ({"failures": 0.5}, {"leaving": True}):
+            good, bad = target("good", zone="b"), target("bad")
+            self.hear("good", running=5)
+            self.hear("bad", ms=20, **fields)
+            self.assertEqual({"good": 200}, self.count([good, bad]))
+            self.assertEqual({"bad": 200}, self.count([good, bad], exclude=("good",)))
+
+    def test_old_reports_are_forgotten(self):
+        """Guards against a target that is avoided for good after one bad report."""
+        bad, good = target("bad"), target("good", zone="b")
+        self.hear("bad", failures=0.5)
+        self.hear("good")
+        self.clock.advance(timedelta(seconds=3))
+        self.assertEqual({"bad": 200}, self.count([good, bad]))
+
+    def test_own_requests_count_before_a_report_comes(self):
+        """Guards against a burst that goes to a single target."""
+        targets = [target("t1"), target("t2"), target("t3")]
+        for name in ("t1", "t2", "t3"):
+            self.hear(name)
+        chosen = Counter()
+        for _ in range(27):
+            found = self.chooser.choose(targets, route="r", objective=OBJECTIVE)
+            self.chooser.started(found.target)
+            chosen[found.target] += 1
+        self.assertTrue(max(chosen.values()) <= 12, chosen)
