--- /dev/null
+++ b/almondshore/mesh/crashes.py
@@ -0,0 +1,141 @@
+"""Requests that crash the targets that run them: what the nodes saw, and what they refuse."""
+
+from collections.abc import Mapping
+from datetime import timedelta
+from typing import NamedTuple
+
+import eventlet
+import xxhash
+from returns.pipeline import is_successful
+
+from almondshore.core.clock import Clock
+from almondshore.core.logs import log_event
+from almondshore.core.messages import CrashDeath
+from almondshore.http.messages import Request
+from almondshore.mesh.replication import Sink
+from almondshore.mesh.store import MeshStore
+from almondshore.retries.crash import CrashGuard, fingerprint
+
+MILLISECOND = timedelta(milliseconds=1)
+# A closed connection is taken for a death if the target refuses connections, or starts anew,
+# within this time; otherwise it only closed a connection.
+DEATH_WITHIN = timedelta(seconds=2)
+# Runs that may be reported for one death; a target has about 10 slots.
+MAX_SUSPECTS = 32
+RETRY_PAUSE = timedelta(seconds=1)
+MAX_PENDING = 64
+
+
+class Death(NamedTuple):
+    """A target that died, and what it ran.
+
+    :ivar name: identity of the death, the same whoever reports it
+    """
+
+    name: str
+    runs: tuple[CrashDeath, ...]
+
+
+class _Suspect(NamedTuple):
+    run: CrashDeath
+    ended: timedelta
+
+
+class DeathWatch:
+    """Finds the deaths of the target beside this node, and what it ran when it died."""
+
+    def __init__(self, *, clock: Clock):
+        self.clock = clock
+        self.suspects: list[_Suspect] = []
+
+    def broke(self, run: CrashDeath) -> None:
+        """Take note of a run that ended with its connection."""
+        now = self.clock.monotonic()
+        recent = [item for item in self.suspects if now - item.ended < DEATH_WITHIN]
+        self.suspects = [*recent[-MAX_SUSPECTS + 1 :], _Suspect(run, now)]
+
+    def died(self) -> Death | None:
+        """Take note that the target is gone; returns its death if something ran just before."""
+        now = self.clock.monotonic()
+        runs = [item.run for item in self.suspects if now - item.ended < DEATH_WITHIN]
+        self.suspects = []
+        if not runs:
+            return None
+        last = runs[-1]
+        return Death(f"{last.target}-{last.incarnation}-{last.ended_ms}", tuple(runs))
+
+
+class CrashSink(Sink[Death]):
+    """Counts the deaths that nodes reported."""
+
+    def __init__(self, *, guard: CrashGuard):
+        self.guard = guard
+
+    def replace(self, items: Mapping[str, Death]) -> None:
+        """Take all reported deaths; those that are known already count once."""
+        self.update(items)
+
+    def update(self, items: Mapping[str, Death | None]) -> None:
+        """Take reported deaths; those that were removed stay counted."""
+        for death in items.values():
+            if death is not None:
+                self.count(death)
+
+    def count(self, death: Death) -> None:
+        """Count a death."""
+        for run in death.runs:
+            known = self.guard.check(run.fingerprint) is not None
+            self.guard.died(run)
+            if not known and self.guard.check(run.fingerprint) is not None:
+                log_event(
+                    "request_quarantined",
+                    level="WARNING",
+                    fingerprint=f"{run.fingerprint:016x}",
+                    death=death.name,
+                )
+
+
+class DeathReporter:
+    """Writes deaths to the store, and removes them when they no longer matter.
+
+    :param keep: how long a report is kept for nodes that start
+    """
+
+    def __init__(self, *, clock: Clock, store: MeshStore, keep: timedelta):
+        self.clock = clock
+        self.store = store
+        self.keep = keep
+        self.pending: list[Death] = []
+        self.written: list[tuple[timedelta, str, int]] = []
+
+    def report(self, death: Death) -> None:
+        """Queue a death for writing; the oldest is dropped if the store is away for long."""
+        log_event("target_died", level="WARNING", death=death.name, runs=len(death.runs))
+        self.pending = [*self.pending, death][-MAX_PENDING:]
+
+    def run(self) -> None:
+        """Write for as long as the process runs; for a greenlet of its own."""
+        while True:
+            eventlet.sleep(RETRY_PAUSE.total_seconds())
+            self.step()
+
+    def step(self) -> None:
+        """Write what is queued, and remove what is old."""
+        while self.pending:
+            result = self.store.save_death(self.pending[0])
+            if not is_successful(result):
+                log_event("death_not_reported", level="WARNING", error=result.failure())
+                return
+            death = self.pending.pop(0)
+            self.written.append((self.clock.monotonic(), death.name, result.unwrap()))
+        while self.written and self.clock.monotonic() - self.written[0][0] > self.keep:
+            _, name, revision = self.written.pop(0)
+            result = self.store.delete_death(name, revision)
+            log_event("death_withdrawn", death=name, done=is_successful(result))
+
+
+def request_fingerprint(request: Request, caller: str) -> int:
+    """Return the identity of a request that may come again."""
+    path = request.target.decode("latin-1")
+    body = xxhash.xxh3_64_digest(request.body)
+    return fingerprint(request.method.decode("latin-1"), path, caller, body)
--- a/almondshore/mesh/inbound.py
+++ b/almondshore/mesh/inbound.py
@@ -5,10 +5,12 @@
 
 from almondshore.core.clock import Clock
 from almondshore.core.logs import log_event
+from almondshore.core.messages import CrashDeath
 from almondshore.http.client import Call, CallFailure, CallResult, ConnectionPool
 from almondshore.http.messages import Request, Response, encode_request, end_to_end
 from almondshore.http.server import Exchange, ExchangeHandler
 from almondshore.limits.objective import Job, Refusal, Terms
+from almondshore.mesh.crashes import Death, DeathWatch, request_fingerprint
 from almondshore.mesh.dialect import Dialect, Verdict
 from almondshore.mesh.evidence import ResultRecorder
 from almondshore.mesh.hop import (
@@ -84,6 +86,7 @@
 
     :param app: address of the target beside this node
     :param config_version: returns the version of the configuration in force
+    :ivar on_death: told when the target died while it ran requests
     :ivar leaving: whether other nodes should prefer other targets
     :ivar closed: whether new requests are refused, since the process ends soon
     """
@@ -111,6 +114,8 @@
         self.leaving = False
         self.closed = False
         self.retired: Callable[[str, str], bool] = lambda _service, _version: False
+        self.on_death: Callable[[Death], None] = lambda _death: None
+        self.deaths = DeathWatch(clock=clock)
         self.active: set[Submission] = set()
         self.down_until = timedelta()
 
@@ -222,11 +227,31 @@
         ran = outcome in (Outcome.ANSWERED, Outcome.BROKEN)
         if ran and result.failure is not CallFailure.TIMED_OUT:
             self._record(submission, ok, took)
+        if result.failure is CallFailure.CLOSED:
+            self.deaths.broke(self._run_of(submission, took))
         if reason == "target-down":
             self.down_until = self.clock.monotonic() + DOWN_PAUSE
+            self.note_death()
         self.finish(submission, outcome, reason, response=response)
         self.local.queue.release(submission, observed=ran and ok)
 
+    def note_death(self) -> None:
+        """Report the death of the target if it ran something just before."""
+        death = self.deaths.died()
+        if death is not None:
+            self.on_death(death)
+
+    def _run_of(self, submission: Submission, took: timedelta) -> CrashDeath:
+        ended_ms = int(self.clock.now().timestamp() * 1000)
+        announced = self.local.announced
+        return CrashDeath(
+            fingerprint=request_fingerprint(submission.request, submission.hop.caller),
+            target=submission.hop.target,
+            incarnation=announced.born_ms if announced is not None else 0,
+            started_ms=ended_ms - int(took / MILLISECOND),
+            ended_ms=ended_ms,
+        )
+
     def _is_stale(self, submission: Submission, result: CallResult, took: timedelta) -> bool:
         """Tell whether the connection was dropped by the target before the request arrived."""
         return (
--- a/almondshore/mesh/node.py
+++ b/almondshore/mesh/node.py
@@ -14,6 +14,7 @@
 from almondshore.http.messages import Response
 from almondshore.http.parsing import RequestLimits
 from almondshore.http.server import Exchange, ExchangeHandler, HttpServer, ServerLimits
+from almondshore.mesh.crashes import CrashSink, Death, DeathReporter
 from almondshore.mesh.dialect import Dialect
 from almondshore.mesh.directory import Directory
 from almondshore.mesh.driver import RolloutDriver
@@ -31,6 +32,7 @@
 from almondshore.mesh.store import MeshStore
 from almondshore.mesh.versions import VersionShares
 from almondshore.retries.budget import RetryBudget
+from almondshore.retries.crash import QUARANTINE, CrashGuard
 from almondshore.routing.completion import CompletionChooser
 
 # Before a configuration is known, and for listeners that callers do not use.
@@ -96,6 +98,7 @@
         self.recorder = ResultRecorder(clock=clock)
         self.shares = VersionShares(rng=rng)
         self.budget = RetryBudget(clock=clock)
+        self.guard = CrashGuard(clock=clock)
         self.chooser = CompletionChooser(clock=clock, rng=rng, zone=settings.zone)
         self.rollout_sink = RolloutSink(shares=self.shares)
         internal = InternalHandler(
@@ -123,6 +126,7 @@
             chooser=self.chooser,
             shares=self.shares,
             budget=self.budget,
+            guard=self.guard,
             pool=pool,
             inbound=self.inbound,
             node=settings.inbound,
@@ -137,6 +141,10 @@
             self._replica(store.targets, TargetSink(directory=self.directory), GATHER_TARGETS),
             self._replica(store.rollouts, self.rollout_sink, timedelta()),
         )
+        self.crash_sink = CrashSink(guard=self.guard)
+        self.death_replica = self._replica(store.deaths, self.crash_sink, timedelta())
+        self.death_reporter = DeathReporter(clock=clock, store=store, keep=QUARANTINE)
+        self.inbound.on_death = self._on_death
         client = PeerClient(pool=pool)
         self.peers = PeerSync(
             clock=clock,
@@ -174,6 +182,8 @@
         self._listen(settings.metrics, MetricsHandler(metrics=self.metrics, node=self))
         for replica in self.replicas:
             eventlet.spawn(replica.run)
+        eventlet.spawn(self.death_replica.run)
+        eventlet.spawn(self.death_reporter.run)
         eventlet.spawn(self.publisher.run)
         eventlet.spawn(self.peers.run)
         eventlet.spawn(self.driver.run)
@@ -217,6 +227,7 @@
         if reception is not Reception.ACCEPTED:
             return
         if known is None or known.target != news.target or known.born_ms != news.born_ms:
+            self.inbound.note_death()
             self.recorder.reset()
             self.pool.drop(self.settings.app)
         log_event(
@@ -297,6 +308,10 @@
         if self.ticks % EXPIRE_EVERY == 0:
             self.pool.expire()
 
+    def _on_death(self, death: Death) -> None:
+        self.crash_sink.count(death)
+        self.death_reporter.report(death)
+
     def _publish(self) -> None:
         record = self.local.record()
         # The directory need not wait for the store to learn of the target beside it.
--- a/almondshore/mesh/outbound.py
+++ b/almondshore/mesh/outbound.py
@@ -9,8 +9,9 @@
 from almondshore.core.clock import Clock
 from almondshore.core.logs import log_event
 from almondshore.http.client import Call, CallResult, ConnectionPool
-from almondshore.http.messages import Response, encode_request, end_to_end
+from almondshore.http.messages import Request, Response, encode_request, end_to_end
 from almondshore.http.server import Exchange, ExchangeHandler
+from almondshore.mesh.crashes import request_fingerprint
 from almondshore.mesh.dialect import Dialect, Verdict
 from almondshore.mesh.directory import Directory
 from almondshore.mesh.hop import (
@@ -27,6 +28,7 @@
 from almondshore.mesh.model import Address, MeshConfig, Route, Target
 from almondshore.mesh.versions import VersionShares
 from almondshore.retries.budget import RetryBudget
+from almondshore.retries.crash import CrashGuard
 from almondshore.routing.completion import CompletionChooser
 
 ZERO = timedelta()
@@ -254,6 +256,7 @@
         chooser: CompletionChooser,
         shares: VersionShares,
         budget: RetryBudget,
+        guard: CrashGuard,
         pool: ConnectionPool,
         inbound: Inbound,
         node: Address,
@@ -268,6 +271,7 @@
         self.chooser = chooser
         self.shares = shares
         self.budget = budget
+        self.guard = guard
         self.pool = pool
         self.inbound = inbound
         self.node = node
@@ -301,6 +305,9 @@
         if route is None:
             self._reject(exchange, 404, "no-route")
             return
+        if self._is_quarantined(request):
+            self._reject(exchange, 503, "crashes-targets")
+            return
         forwarding = Forwarding(
             outbound=self, exchange=exchange, route=route, service=self._pick_service(route)
         )
@@ -366,6 +373,12 @@
                 self.directory.pause_target(target.target, pause)
             self.on_version(target.node, report.config_version)
 
+    def _is_quarantined(self, request: Request) -> bool:
+        """Tell whether a request crashed the targets that ran it."""
+        if not self.guard.suspects:
+            return False
+        return self.guard.check(request_fingerprint(request, self.caller())) is not None
+
     def _pick_service(self, route: Route) -> str:
         if len(route.shares) == 1:
             return route.shares[0].service
--- a/almondshore/mesh/store.py
+++ b/almondshore/mesh/store.py
@@ -3,13 +3,16 @@
 from abc import ABC, abstractmethod
 from collections.abc import Mapping
 from datetime import timedelta
-from typing import Generic, NamedTuple, TypeVar
+from typing import TYPE_CHECKING, Generic, NamedTuple, TypeVar
 
 from returns.result import Result
 
 from almondshore.mesh.model import Address, MeshConfig, Rollout, Target
 from almondshore.storage.port import NotFound, RateLimited, Unavailable
 
+if TYPE_CHECKING:
+    from almondshore.mesh.crashes import Death
+
 T = TypeVar("T")
 
 
@@ -68,6 +71,7 @@
     config: Feed[MeshConfig]
     targets: Feed[Target]
     rollouts: Feed[Rollout]
+    deaths: "Feed[Death]"
 
     @abstractmethod
     def move(self, address: Address) -> None:
@@ -89,6 +93,14 @@
     def save_progress(self, rollout: Rollout) -> Result[int, StoreError]:
         """Write the progress of a rollout if its object is still at ``rollout.revision``."""
 
+    @abstractmethod
+    def save_death(self, death: "Death") -> Result[int, StoreError]:
+        """Write the report of a target's death; returns its revision."""
+
+    @abstractmethod
+    def delete_death(self, name: str, revision: int) -> Result[int, StoreError]:
+        """Remove the report of a target's death."""
+
     @abstractmethod
     def decode_config(self, raw: bytes) -> MeshConfig | None:
         """Return a configuration from another node, or None if it is not valid."""
--- a/almondshore/platform/documents.py
+++ b/almondshore/platform/documents.py
@@ -5,8 +5,10 @@
 
 import msgspec
 
+from almondshore.core.messages import CrashDeath
 from almondshore.http.parsing import RequestLimits
 from almondshore.http.server import ServerLimits
+from almondshore.mesh.crashes import Death
 from almondshore.mesh.model import (
     MeshConfig,
     Rollout,
@@ -97,6 +99,57 @@
     sequence: int
 
 
+class RunDocument(msgspec.Struct):
+    """A request that a target ran when it died."""
+
+    # In hexadecimal, since not every reader of JSON keeps 64 bits of a number.
+    fingerprint: str
+    target: str
+    incarnation: int
+    started_ms: int
+    ended_ms: int
+
+
+class DeathDocument(msgspec.Struct):
+    """Report of a target's death, of a kind of our own."""
+
+    runs: list[RunDocument]
+
+
+def encode_death(death: Death) -> DeathDocument:
+    """Return the report to store for a target's death."""
+    return DeathDocument(
+        [
+            RunDocument(
+                f"{run.fingerprint:016x}",
+                run.target,
+                run.incarnation,
+                run.started_ms,
+                run.ended_ms,
+            )
+            for run in death.runs
+        ]
+    )
+
+
+def decode_death(name: str, spec: object) -> Death:
+    """Return the report of a target's death.
+
+    :raises msgspec.MsgspecError: if it is malformed
+    :raises ValueError: if a fingerprint is malformed
+    """
+    document = msgspec.convert(spec, type=DeathDocument)
+    return Death(
+        name,
+        tuple(
+            CrashDeath(
+                int(run.fingerprint, 16), run.target, run.incarnation, run.started_ms, run.ended_ms
+            )
+            for run in document.runs
+        ),
+    )
+
+
 def decode_config(raw: bytes) -> MeshConfig:
     """Return a configuration.
 
--- a/almondshore/platform/names.py
+++ b/almondshore/platform/names.py
@@ -16,5 +16,6 @@
 CONFIG_KIND = "config"
 CONFIG_NAME = "main"
 ROLLOUT_KIND = "rollouts"
-# Kind of our own; other kinds belong to the operator.
+# Kinds of our own; the others belong to the operator.
 TARGET_KIND = "almondshore-targets"
+DEATH_KIND = "almondshore-deaths"
--- a/almondshore/platform/objects.py
+++ b/almondshore/platform/objects.py
@@ -13,6 +13,7 @@
 from almondshore.core.logs import log_event
 from almondshore.http.client import Address, CallResult, ConnectionPool
 from almondshore.http.messages import Response, encode_request
+from almondshore.mesh.crashes import Death
 from almondshore.mesh.model import MeshConfig, Rollout, Target
 from almondshore.mesh.store import (
     Changed,
@@ -176,6 +177,9 @@
             client=client, kind=names.TARGET_KIND, decode=_target_item, stale=True
         )
         self.rollouts = ObjectFeed(client=client, kind=names.ROLLOUT_KIND, decode=_rollout_item)
+        self.deaths = ObjectFeed(
+            client=client, kind=names.DEATH_KIND, decode=_death_item, stale=True
+        )
 
     def move(self, address: Address) -> None:
         """Use the store at another address from now on."""
@@ -183,21 +187,23 @@
 
     def save_target(self, target: Target, revision: int) -> Result[int, StoreError]:
         """Create or replace a target's entry."""
-        path = _object_path(names.TARGET_KIND, target.target)
         spec = documents.encode_target(target)
-        metadata: dict[str, Any] = {"name": target.target}
-        if revision:
-            metadata["revision"] = revision
-        method = b"PUT" if revision else b"POST"
-        if not revision:
-            path = names.OBJECTS_PATH + names.TARGET_KIND
-        body = msgspec.json.encode({"metadata": metadata, "spec": spec})
-        return self.client.call(method, path, body).bind(_revision)
+        return self._write(names.TARGET_KIND, target.target, spec, revision)
 
     def delete_target(self, name: str, revision: int) -> Result[int, StoreError]:
         """Remove a target's entry if it is at the revision."""
-        path = f"{_object_path(names.TARGET_KIND, name)}?revision={revision}"
-        return self.client.call(b"DELETE", path).map(lambda _response: revision)
+        return self._delete(names.TARGET_KIND, name, revision)
+
+    def save_death(self, death: Death) -> Result[int, StoreError]:
+        """Write the report of a target's death; one that is there already is as good."""
+        result = self._write(names.DEATH_KIND, death.name, documents.encode_death(death), 0)
+        return result.lash(
+            lambda error: Success(error.revision) if isinstance(error, Changed) else Failure(error)
+        )
+
+    def delete_death(self, name: str, revision: int) -> Result[int, StoreError]:
+        """Remove the report of a target's death."""
+        return self._delete(names.DEATH_KIND, name, revision)
 
     def save_progress(self, rollout: Rollout) -> Result[int, StoreError]:
         """Write the status of a rollout if its object is unchanged."""
@@ -215,6 +221,20 @@
             log_event("config_malformed", level="ERROR", error=error)
             return None
 
+    def _write(self, kind: str, name: str, spec: object, revision: int) -> Result[int, StoreError]:
+        """Create an object, or replace it if it is at the revision."""
+        metadata: dict[str, Any] = {"name": name}
+        if revision:
+            metadata["revision"] = revision
+        body = msgspec.json.encode({"metadata": metadata, "spec": spec})
+        if revision:
+            return self.client.call(b"PUT", _object_path(kind, name), body).bind(_revision)
+        return self.client.call(b"POST", names.OBJECTS_PATH + kind, body).bind(_revision)
+
+    def _delete(self, kind: str, name: str, revision: int) -> Result[int, StoreError]:
+        path = f"{_object_path(kind, name)}?revision={revision}"
+        return self.client.call(b"DELETE", path).map(lambda _response: revision)
+
     def _config_item(self, raw: msgspec.Raw) -> tuple[str, MeshConfig]:
         found = msgspec.json.decode(raw, type=RawSpec)
         return found.metadata.name, documents.decode_config(bytes(found.spec))
@@ -231,6 +251,11 @@
     return rollout.service, rollout
 
 
+def _death_item(raw: msgspec.Raw) -> tuple[str, Death]:
+    found = msgspec.json.decode(raw, type=Object)
+    return found.metadata.name, documents.decode_death(found.metadata.name, found.spec)
+
+
 def _object_path(kind: str, name: str) -> str:
     return f"{names.OBJECTS_PATH}{kind}/{quote(name, safe='')}"
 
--- a/test/http/test_parsing.py
+++ b/test/http/test_parsing.py
@@ -9,7 +9,10 @@
 LIMITS = RequestLimits(max_header_bytes=1024, max_body_bytes=4096)
 GET = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
 POST = b"POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc"
-CHUNKED = b"POST /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n"
+CHUNKED = (
+    b"POST /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+    b"2\r\nab\r\n1\r\nc\r\n0\r\n\r\n"
+)
 
 
 def feed(parser, data, sizes):
--- a/test/mesh/fakes.py
+++ b/test/mesh/fakes.py
@@ -17,6 +17,7 @@
 from almondshore.mesh.versions import VersionShares
 from almondshore.platform.dialect import PlatformDialect
 from almondshore.retries.budget import RetryBudget
+from almondshore.retries.crash import CrashGuard
 from almondshore.routing.completion import CompletionChooser
 from test.mesh.samples import config, route
 
@@ -126,6 +127,7 @@
             internal=NoHandler(),
         )
         self.budget = RetryBudget(clock=self.clock, **budget)
+        self.guard = CrashGuard(clock=self.clock)
         self.outbound = Outbound(
             clock=self.clock,
             rng=self.rng,
@@ -134,6 +136,7 @@
             chooser=CompletionChooser(clock=self.clock, rng=self.rng, zone="a"),
             shares=self.shares,
             budget=self.budget,
+            guard=self.guard,
             pool=self.pool,
             inbound=self.inbound,
             node=OWN_NODE,
--- a/test/mesh/samples.py
+++ b/test/mesh/samples.py
@@ -14,8 +14,10 @@
     TargetState,
 )
 
+ALL_TO_S = (Share("s", 1.0),)
 
-def route(name="r", host="h.example", prefix="/a/", shares=(Share("s", 1.0),), **fields):
+
+def route(name="r", host="h.example", prefix="/a/", shares=ALL_TO_S, **fields):
     values = {
         "idempotent": True,
         "timeout": timedelta(seconds=1.2),
--- /dev/null
+++ b/test/mesh/test_crashes.py
@@ -0,0 +1,89 @@
+"""Tests of requests that crash the targets that run them."""
+
+from datetime import timedelta
+
+from returns.result import Failure, Success
+from testtools import TestCase
+
+from almondshore.core.clock import ManualClock
+from almondshore.http.client import CallFailure
+from almondshore.http.messages import Request
+from almondshore.mesh.crashes import CrashSink, Death, DeathReporter, request_fingerprint
+from almondshore.mesh.hop import HopTerms
+from almondshore.storage.port import Unavailable
+from test.mesh.fakes import APP, PathBed
+from test.mesh.samples import announcement, target
+
+REQUEST = Request(b"GET", b"/a/x", ((b"Attempt-Id", b"a1"),), b"")
+
+
+class CrashTest(TestCase):
+    def crash(self, name="t1", born_ms=1000, refuses=True):
+        """Let a target die while it runs the request; returns the reported death."""
+        bed = PathBed()
+        deaths = []
+        bed.inbound.on_death = deaths.append
+        bed.clock.advance(timedelta(milliseconds=born_ms))
+        bed.local.announce(announcement(name, address=APP, born_ms=born_ms))
+        terms = HopTerms("r", name, "own-service", True, 1, 600, 1200)
+        for _ in range(2):
+            bed.inbound.submit(REQUEST, terms, lambda result: None)
+        bed.pool.calls[0].fail(CallFailure.CLOSED)
+        if refuses:
+            bed.pool.calls[1].fail(CallFailure.NOT_CONNECTED, sent=False)
+        return deaths[0] if deaths else None
+
+    def test_closed_connection_alone_is_no_death(self):
+        """Guards against a quarantine for answers that were merely lost."""
+        self.assertIs(None, self.crash(refuses=False))
+
+    def test_request_is_refused_everywhere_after_two_deaths(self):
+        """Guards against a request that takes one target after the other down."""
+        bed = PathBed()
+        bed.directory.put(target())
+        sink = CrashSink(guard=bed.guard)
+        first, second = self.crash("t1"), self.crash("t2", born_ms=9000)
+        self.assertIsNot(None, first)
+        for _ in range(3):
+            sink.update({first.name: first})
+        bed.request(b"/a/x")
+        self.assertEqual(1, len(bed.pool.calls))
+        sink.update({second.name: second, "gone": None})
+        self.assertEqual(503, bed.request(b"/a/x").response.status)
+        self.assertEqual(1, len(bed.pool.calls))
+        bed.request(b"/a/other")
+        self.assertEqual(2, len(bed.pool.calls))
+
+    def test_identity_covers_body_and_caller(self):
+        """Guards against a quarantine of requests that differ from the one at fault."""
+        prints = {
+            request_fingerprint(REQUEST, "s1"),
+            request_fingerprint(REQUEST, "s2"),
+            request_fingerprint(REQUEST._replace(body=b"x"), "s1"),
+            request_fingerprint(REQUEST._replace(target=b"/a/y"), "s1"),
+        }
+        self.assertEqual(4, len(prints))
+
+    def test_report_is_written_when_the_store_returns_and_removed_later(self):
+        """Guards against reports that are lost in an outage, and against ones that pile up."""
+
+        class Store:
+            results = [Failure(Unavailable("away")), Success(4)]
+            deleted = []
+
+            def save_death(self, death):
+                return self.results.pop(0)
+
+            def delete_death(self, name, revision):
+                self.deleted.append((name, revision))
+                return Success(revision)
+
+        clock, store = ManualClock(), Store()
+        reporter = DeathReporter(clock=clock, store=store, keep=timedelta(seconds=60))
+        reporter.report(Death("d1", ()))
+        for _ in range(3):
+            reporter.step()
+        self.assertEqual([], store.deleted)
+        clock.advance(timedelta(seconds=61))
+        reporter.step()
+        self.assertEqual([("d1", 4)], store.deleted)
