Keep departures across restarts, and one target for each node

Traced by three replays: the node was restarted, acknowledged a deregistration before it had heard a heartbeat ('known=False'), and then took the next heartbeat as ready. Ruled out: the margins of the drain (the target was taken as new). Change: departures are kept by identity and start; stored entries that say so bind a new process; a process that cannot read the store holds back its target for 1.5 drain times. Entries of dead targets beside a node are passed over and removed.

--- a/almondshore/mesh/directory.py
+++ b/almondshore/mesh/directory.py
@@ -39,11 +39,8 @@
     def put(self, target: Target) -> None:
         """Add or update an entry; an older one is ignored."""
         known = self.targets.get(target.target)
-        if known is not None:
-            if (target.born_ms, target.sequence) < (known.born_ms, known.sequence):
-                return
-            if known == target:
-                return
+        if known is not None and (known == target or _age(target) < _age(known)):
+            return
         self.targets[target.target] = target
         self._index()
 
@@ -67,6 +64,16 @@
         # With no target in good standing, one that only could not be reached is worth a try.
         return [target for target in found if self.refused_until.get(target.target, now) <= now]
 
+    def predecessors(self, target: Target) -> list[Target]:
+        """Return the entries of earlier targets beside the same node."""
+        return [
+            other
+            for other in self.targets.values()
+            if other.node == target.node
+            and other.target != target.target
+            and other.born_ms < target.born_ms
+        ]
+
     def versions(self, service: str) -> dict[str, list[Target]]:
         """Return the ready targets of a service by version."""
         found: dict[str, list[Target]] = {}
@@ -117,8 +124,14 @@
         return state is not None and now < state.retry_at
 
     def _index(self) -> None:
-        services: dict[str, list[Target]] = {}
+        # A node has one target at a time; entries of those before it are outdated.
+        newest: dict[Address, Target] = {}
         for target in self.targets.values():
+            known = newest.get(target.node)
+            if known is None or target.born_ms > known.born_ms:
+                newest[target.node] = target
+        services: dict[str, list[Target]] = {}
+        for target in newest.values():
             if target.state is TargetState.READY:
                 services.setdefault(target.service, []).append(target)
         self.services = services
@@ -128,3 +141,8 @@
         for name in self.refused_until.keys() - self.targets.keys():
             del self.refused_until[name]
         self.on_change()
+
+
+def _age(target: Target) -> tuple[int, int, int]:
+    """Return the order of entries of one identity; of equal ones, the later state counts."""
+    return target.born_ms, target.sequence, list(TargetState).index(target.state)
--- a/almondshore/mesh/local.py
+++ b/almondshore/mesh/local.py
@@ -12,6 +12,11 @@
 # waiting ones start until the second. The rest is margin for a slow host.
 DRAIN_ACCEPT_SHARE = 0.35
 DRAIN_START_SHARE = 0.6
+# A process that cannot read the store does not know whether the one before it acknowledged that
+# the target leaves. It waits this many drain times, after which such a target is gone.
+UNCONFIRMED_HOLD = 1.5
+# A host runs one target at a time; notices of earlier ones may still arrive.
+MAX_DEPARTED = 16
 
 
 class Reception(Enum):
@@ -30,6 +35,8 @@
 
     :ivar announced: the newest announcement
     :ivar draining_since: when the target's leaving was first taken note of
+    :ivar confirmed: whether stored entries were seen, which may tell that the target leaves
+    :ivar departed: latest start, by identity, of targets that said that they leave for good
     """
 
     def __init__(self, *, clock: Clock, node: Address, drain: timedelta):
@@ -39,6 +46,9 @@
         self.announced: Announcement | None = None
         self.draining_since: timedelta | None = None
         self.warm_at = timedelta()
+        self.departed: dict[str, int] = {}
+        self.started_at = clock.monotonic()
+        self.confirmed = False
         self.queue: ObjectiveQueue | None = None
 
     def announce(self, news: Announcement) -> Reception:
@@ -61,7 +71,8 @@
             self.draining_since = None
         elif news.slots != known.slots:
             self.queue.resize(news.slots)
-        if self.draining_since is not None and news.state is TargetState.READY:
+        leaving = self.draining_since is not None or self._has_departed(news)
+        if leaving and news.state is TargetState.READY:
             # A late announcement does not call back a target that said it leaves.
             news = news._replace(state=TargetState.DRAINING)
         self.announced = news
@@ -71,12 +82,18 @@
         changed = reborn or self._differs(known, news)
         return Reception.ACCEPTED if changed else Reception.UNCHANGED
 
-    def depart(self, target: str) -> bool:
+    def depart(self, target: str, born_ms: int) -> bool:
         """Take note that a target leaves for good.
 
+        The notice binds also if it comes before any announcement of the target.
+
         :returns: whether it is the present one
         """
-        if self.announced is None or self.announced.target != target:
+        known = self.departed.pop(target, 0)
+        self.departed[target] = max(born_ms, known)
+        while len(self.departed) > MAX_DEPARTED:
+            del self.departed[next(iter(self.departed))]
+        if self.announced is None or not self._has_departed(self.announced):
             return False
         self.announced = self.announced._replace(state=TargetState.GONE)
         self._begin_drain()
@@ -86,10 +103,17 @@
         """Tell whether new requests for a target may be taken now."""
         if self.announced is None or self.announced.target != target:
             return False
+        if not self.confirmed and self.clock.monotonic() < self.started_at + self._hold():
+            return False
         if self.draining_since is None:
             return True
         return self.clock.monotonic() < self.draining_since + self.drain * DRAIN_ACCEPT_SHARE
 
+    def note_stored(self, target: Target) -> None:
+        """Take note of a stored entry, which another process of this node may have written."""
+        if target.node == self.node and target.state is not TargetState.READY:
+            self.depart(target.target, target.born_ms)
+
     def enforce_drain(self) -> None:
         """Refuse waiting requests once the drain time is nearly over; call this regularly."""
         if self.draining_since is None or self.queue is None or self.queue.closed:
@@ -118,6 +142,12 @@
             sequence=news.sequence,
         )
 
+    def _hold(self) -> timedelta:
+        return self.drain * UNCONFIRMED_HOLD
+
+    def _has_departed(self, news: Announcement) -> bool:
+        return news.born_ms <= self.departed.get(news.target, -1)
+
     def _begin_drain(self) -> None:
         if self.draining_since is None:
             self.draining_since = self.clock.monotonic()
--- a/almondshore/mesh/node.py
+++ b/almondshore/mesh/node.py
@@ -135,7 +135,7 @@
             observe=self.metrics.observe,
         )
         self.config_sink = ConfigSink(outbound=self.outbound, name=config_name)
-        self.publisher = TargetPublisher(store=store)
+        self.publisher = TargetPublisher(store=store, directory=self.directory)
         self.replicas = (
             self._replica(store.config, self.config_sink, GATHER_CONFIG),
             self._replica(store.targets, TargetSink(directory=self.directory), GATHER_TARGETS),
@@ -240,10 +240,17 @@
         )
         self._publish()
 
-    def on_departure(self, target: str) -> None:
-        """Take note that the target on this host leaves for good."""
-        known = self.local.depart(target)
-        log_event("target_departing", target=target, known=known)
+    def on_departure(self, target: str, born_ms: int | None) -> None:
+        """Take note that the target on this host leaves for good.
+
+        :param born_ms: start of the target; without it the present incarnation is meant
+        """
+        if born_ms is None:
+            present = self.local.announced
+            now_ms = int(self.clock.now().timestamp() * 1000)
+            born_ms = present.born_ms if present is not None else now_ms
+        known = self.local.depart(target, born_ms)
+        log_event("target_departing", target=target, known=known, born_ms=born_ms)
         if known:
             self._publish()
 
@@ -255,7 +262,7 @@
         self.local.drain = settings.bounds.drain
         self.inbound.app = settings.app
         self.store.move(settings.store)
-        self._on_targets()
+        self._set_retry_budget()
 
     def stop(self) -> None:
         """Begin to stop: finish what runs, then leave."""
@@ -314,16 +321,28 @@
 
     def _publish(self) -> None:
         record = self.local.record()
-        # The directory need not wait for the store to learn of the target beside it.
-        self.directory.put(record)
         self.publisher.publish(record)
+        if self.local.confirmed:
+            # The directory need not wait for the store to learn of the target beside it.
+            self.directory.put(record)
 
     def _on_targets(self) -> None:
         targets = self.directory.targets
+        own = self.local.record()
+        if own is not None and own.target not in targets:
+            # A full read may precede the first write of the own entry.
+            self.directory.put(own)
+            return
+        self.local.confirmed = True
+        for target in targets.values():
+            self.local.note_stored(target)
         self.chooser.keep(set(targets))
         self.shares.learn(targets.values())
+        self._set_retry_budget()
+
+    def _set_retry_budget(self) -> None:
         bounds = self.settings.bounds
-        nodes = max(1, len({target.node for target in targets.values()}))
+        nodes = max(1, len({target.node for target in self.directory.targets.values()}))
         floor = bounds.retry_floor * RETRY_SHARE / nodes
         self.budget.ratio = bounds.retry_ratio * RETRY_SHARE
         self.budget.min_per_second = floor / bounds.retry_window.total_seconds()
--- a/almondshore/mesh/publishing.py
+++ b/almondshore/mesh/publishing.py
@@ -7,6 +7,7 @@
 from returns.pipeline import is_successful
 
 from almondshore.core.logs import log_event
+from almondshore.mesh.directory import Directory
 from almondshore.mesh.model import Target, TargetState
 from almondshore.mesh.store import Changed, MeshStore, NotFound, RateLimited, StoreError
 
@@ -20,8 +21,9 @@
     Writes are conditional, so that a delayed one cannot undo a later one.
     """
 
-    def __init__(self, *, store: MeshStore):
+    def __init__(self, *, store: MeshStore, directory: Directory):
         self.store = store
+        self.directory = directory
         self.wanted: Target | None = None
         self.stored: Target | None = None
         self.revisions: dict[str, int] = {}
@@ -33,10 +35,6 @@
         if not self.wake.ready():
             self.wake.send(None)
 
-    def adopt(self, name: str, revision: int) -> None:
-        """Take note of the revision of an entry that was read from the store."""
-        self.revisions[name] = revision
-
     def run(self) -> None:
         """Write until the process ends; for a greenlet of its own."""
         pause = MIN_PAUSE
@@ -66,6 +64,7 @@
                 sequence=wanted.sequence,
                 revision=result.unwrap(),
             )
+            self._remove_predecessors(wanted)
             return True
         return self._on_error(wanted, result.failure())
 
@@ -79,6 +78,15 @@
             result = self.store.delete_target(gone.target, revision)
             log_event("target_withdrawn", target=gone.target, done=is_successful(result))
 
+    def _remove_predecessors(self, target: Target) -> None:
+        """Remove entries of targets that ended without a word beside this node."""
+        for other in self.directory.predecessors(target):
+            result = self.store.delete_target(other.target, 0)
+            removed = is_successful(result) or isinstance(result.failure(), NotFound)
+            if removed:
+                self.directory.remove(other.target)
+            log_event("target_withdrawn", target=other.target, done=removed)
+
     def _on_error(self, wanted: Target, error: StoreError) -> bool:
         if isinstance(error, Changed):
             self.revisions[wanted.target] = error.revision
--- a/almondshore/mesh/store.py
+++ b/almondshore/mesh/store.py
@@ -87,7 +87,7 @@
 
     @abstractmethod
     def delete_target(self, name: str, revision: int) -> Result[int, StoreError]:
-        """Remove a target's entry if it is at the revision."""
+        """Remove a target's entry if it is at the revision; 0 stands for any."""
 
     @abstractmethod
     def save_progress(self, rollout: Rollout) -> Result[int, StoreError]:
--- a/almondshore/platform/announcements.py
+++ b/almondshore/platform/announcements.py
@@ -40,7 +40,13 @@
     info: InfoDocument
     status: StatusDocument
     # Unix time of the upstream's start, in milliseconds.
-    born: int = 0
+    born: int
+
+
+class DepartureDocument(msgspec.Struct):
+    """A deregistration."""
+
+    born: int | None = None
 
 
 class AnnouncementHandler(ExchangeHandler):
@@ -50,7 +56,7 @@
         self,
         *,
         on_announcement: Callable[[Announcement], None],
-        on_departure: Callable[[str], None],
+        on_departure: Callable[[str, int | None], None],
     ):
         self.on_announcement = on_announcement
         self.on_departure = on_departure
@@ -62,7 +68,8 @@
         if request.method != b"POST":
             exchange.respond(Response(405))
         elif path.startswith(names.DEREGISTER_PATH):
-            self.on_departure(path.removeprefix(names.DEREGISTER_PATH))
+            name = path.removeprefix(names.DEREGISTER_PATH)
+            self.on_departure(name, _decode_start(name, request.body))
             exchange.respond(_acknowledgement())
         elif path.startswith(names.HEARTBEAT_PATH):
             name = path.removeprefix(names.HEARTBEAT_PATH)
@@ -107,5 +114,16 @@
     )
 
 
+def _decode_start(name: str, body: bytes) -> int | None:
+    """Return the start of a target that deregisters, None if it does not say."""
+    if not body:
+        return None
+    try:
+        return msgspec.json.decode(body, type=DepartureDocument).born
+    except msgspec.MsgspecError as error:
+        log_event("departure_malformed", level="WARNING", target=name, error=error)
+        return None
+
+
 def _acknowledgement() -> Response:
     return Response(200, ((b"Content-Type", b"application/json"),), b"{}")
--- a/almondshore/platform/objects.py
+++ b/almondshore/platform/objects.py
@@ -191,7 +191,7 @@
         return self._write(names.TARGET_KIND, target.target, spec, revision)
 
     def delete_target(self, name: str, revision: int) -> Result[int, StoreError]:
-        """Remove a target's entry if it is at the revision."""
+        """Remove a target's entry if it is at the revision; 0 stands for any."""
         return self._delete(names.TARGET_KIND, name, revision)
 
     def save_death(self, death: Death) -> Result[int, StoreError]:
@@ -232,7 +232,9 @@
         return self.client.call(b"POST", names.OBJECTS_PATH + kind, body).bind(_revision)
 
     def _delete(self, kind: str, name: str, revision: int) -> Result[int, StoreError]:
-        path = f"{_object_path(kind, name)}?revision={revision}"
+        path = _object_path(kind, name)
+        if revision:
+            path += f"?revision={revision}"
         return self.client.call(b"DELETE", path).map(lambda _response: revision)
 
     def _config_item(self, raw: msgspec.Raw) -> tuple[str, MeshConfig]:
--- a/test/mesh/fakes.py
+++ b/test/mesh/fakes.py
@@ -113,6 +113,7 @@
         self.finished = []
         self.dialect = PlatformDialect()
         self.local = LocalTarget(clock=self.clock, node=OWN_NODE, drain=timedelta(seconds=2))
+        self.local.confirmed = True
         self.recorder = ResultRecorder(clock=self.clock)
         self.shares = VersionShares(rng=self.rng)
         self.directory.on_change = lambda: self.shares.learn(self.directory.targets.values())
--- a/test/mesh/test_directory.py
+++ b/test/mesh/test_directory.py
@@ -23,6 +23,7 @@
         """Guards against a stale read that brings a leaving target back."""
         self.directory.put(target(sequence=3, state=TargetState.DRAINING))
         self.directory.put(target(sequence=2))
+        self.directory.put(target(sequence=3))
         self.assertEqual([], self.ready())
         self.directory.put(target(sequence=1, born_ms=2000))
         self.assertEqual(["t1"], self.ready())
@@ -54,3 +55,10 @@
         self.assertEqual([], self.ready())
         self.clock.advance(timedelta(seconds=1.1))
         self.assertEqual(["t1"], self.ready())
+
+    def test_newest_target_beside_a_node_counts(self):
+        """Guards against requests for a target whose host runs another one by now."""
+        self.directory.replace([target("old"), target("new", born_ms=5000)])
+        self.assertEqual(["new"], self.ready())
+        self.directory.put(target("new", born_ms=5000, sequence=2, state=TargetState.DRAINING))
+        self.assertEqual([], self.ready())
--- a/test/mesh/test_local.py
+++ b/test/mesh/test_local.py
@@ -7,7 +7,7 @@
 from almondshore.core.clock import ManualClock
 from almondshore.mesh.local import LocalTarget, Reception
 from almondshore.mesh.model import TargetState
-from test.mesh.samples import announcement
+from test.mesh.samples import announcement, target
 
 DRAIN = timedelta(seconds=2)
 READY, DRAINING = TargetState.READY, TargetState.DRAINING
@@ -18,6 +18,7 @@
         super().setUp()
         self.clock = ManualClock()
         self.local = LocalTarget(clock=self.clock, node=("10.0.0.1", 1), drain=DRAIN)
+        self.local.confirmed = True
 
     def test_new_process_knows_no_target(self):
         """Guards against work for a target whose leaving the former process acknowledged."""
@@ -50,12 +51,40 @@
     def test_departed_target_stays_away(self):
         """Guards against a heartbeat that crosses the notice of departure."""
         self.local.announce(announcement())
-        self.assertFalse(self.local.depart("other"))
-        self.assertTrue(self.local.depart("t1"))
+        self.assertFalse(self.local.depart("other", 1000))
+        self.assertTrue(self.local.depart("t1", 1000))
         self.local.announce(announcement(sequence=9))
         self.clock.advance(DRAIN)
         self.assertFalse(self.local.usable("t1"))
 
+    def test_departure_before_any_announcement_binds(self):
+        """Guards against a restarted node that forgets a departure it acknowledged."""
+        self.assertFalse(self.local.depart("t1", 1000))
+        self.local.announce(announcement())
+        self.assertEqual(DRAINING, self.local.record().state)
+        self.clock.advance(DRAIN)
+        self.assertFalse(self.local.usable("t1"))
+        self.local.announce(announcement(born_ms=2000))
+        self.assertTrue(self.local.usable("t1"))
+
+    def test_process_without_the_store_waits_before_it_uses_a_target(self):
+        """Guards against a target that is used after a former process acknowledged its leaving."""
+        self.local.confirmed = False
+        self.local.announce(announcement())
+        self.assertFalse(self.local.usable("t1"))
+        self.clock.advance(DRAIN * 1.6)
+        self.assertTrue(self.local.usable("t1"))
+
+    def test_stored_departure_binds_the_next_process(self):
+        """Guards against a departure that is forgotten with the process that took it."""
+        gone = target("t1", node=("10.0.0.1", 1), state=TargetState.GONE)
+        self.local.note_stored(gone._replace(node=("10.0.0.2", 1)))
+        self.local.announce(announcement())
+        self.assertEqual(READY, self.local.record().state)
+        self.local.note_stored(gone)
+        self.local.announce(announcement(sequence=2))
+        self.assertEqual(DRAINING, self.local.record().state)
+
     def test_new_incarnation_under_the_same_name_starts_afresh(self):
         """Guards against a restarted target that inherits the drain of the former one."""
         self.local.announce(announcement(sequence=7, state=DRAINING))
--- a/test/mesh/test_state.py
+++ b/test/mesh/test_state.py
@@ -7,6 +7,7 @@
 from testtools import TestCase
 
 from almondshore.core.clock import ManualClock
+from almondshore.mesh.directory import Directory
 from almondshore.mesh.model import Rollout, RolloutState
 from almondshore.mesh.publishing import TargetPublisher
 from almondshore.mesh.replication import Replica, Sink
@@ -133,6 +134,11 @@
     def __init__(self, *results):
         self.results = list(results)
         self.writes = []
+        self.deleted = []
+
+    def delete_target(self, name, revision):
+        self.deleted.append(name)
+        return Failure(NotFound(name))
 
     def save_target(self, found, revision):
         self.writes.append((found.sequence, revision))
@@ -143,7 +149,7 @@
     def test_each_write_names_the_revision_it_replaces(self):
         """Guards against a delayed write that undoes a later one."""
         store = FakeStore(Success(4), Success(6))
-        publisher = TargetPublisher(store=store)
+        publisher = TargetPublisher(store=store, directory=Directory(clock=ManualClock()))
         for sequence in (1, 2):
             publisher.publish(target(sequence=sequence))
             self.assertTrue(publisher.write())
@@ -154,7 +160,17 @@
         store = FakeStore(
             Failure(Unavailable("lost")), Failure(Changed(5)), Failure(NotFound("x")), Success(9)
         )
-        publisher = TargetPublisher(store=store)
+        publisher = TargetPublisher(store=store, directory=Directory(clock=ManualClock()))
         publisher.publish(target())
         self.assertEqual([False, True, True, True], [publisher.write() for _ in range(4)])
         self.assertEqual([(1, 0), (1, 0), (1, 5), (1, 0)], store.writes)
+
+    def test_entry_of_a_crashed_predecessor_is_removed(self):
+        """Guards against entries of dead targets that pile up and draw requests."""
+        store = FakeStore(Success(4))
+        publisher = TargetPublisher(store=store, directory=Directory(clock=ManualClock()))
+        publisher.directory.replace([target("old"), target("other", node=("10.0.0.2", 1))])
+        publisher.publish(target("new", born_ms=5000))
+        publisher.write()
+        self.assertEqual(["old"], store.deleted)
+        self.assertEqual({"other"}, set(publisher.directory.targets))
