--- a/almondshore/limits/objective.py
+++ b/almondshore/limits/objective.py
@@ -3,6 +3,7 @@
 from abc import ABC, abstractmethod
 from datetime import timedelta
 from enum import StrEnum
+from heapq import heapify, heapreplace
 from typing import NamedTuple
 
 from almondshore.core.clock import Clock
@@ -12,14 +13,19 @@
 SERVICE_TIME_GAIN = 0.15
 # Used before the first observation; targets take between 15 ms and 550 ms.
 DEFAULT_SERVICE_TIME = timedelta(milliseconds=100)
+# More urgent requests that arrive later lengthen a wait; the expected one is scaled by this.
+WAIT_MARGIN = 1.3
 # Requests queued for each slot at most; beyond it the least urgent one is refused.
 QUEUE_PER_SLOT = 4
 # A request is started though its expected end is past its deadline, as long as this part of the
 # expected service time fits: service times vary by a factor of two around the expected one.
-MIN_FIT = 0.6
-# A request that cannot be served on time is refused if it would wait longer than this share
-# of its remaining time: a refusal is worth the more to the caller, the earlier it comes.
-MAX_LATE_WAIT_SHARE = 0.35
+MIN_FIT = 0.75
+# A request that cannot be served on time waits only while fewer than this many requests for each
+# slot are ahead: it gets the slots that others leave, and in an overload there are none. A refusal is
+# worth the more to the caller, the earlier it comes.
+LATE_QUEUE_PER_SLOT = 0.25
+# Expected rest of a running request that is past its expected time, as a share of that time.
+OVERDUE_SHARE = 0.2
 MIN_RETRY_AFTER = timedelta(milliseconds=50)
 MAX_RETRY_AFTER = timedelta(seconds=2)
 
@@ -84,9 +90,9 @@
 class ObjectiveQueue:
     """Slots of one target and the requests that wait for them.
 
-    Requests that can still be on time go first, by urgency and then by objective. Those that
-    cannot use the slots that are left. A request that has no chance to end before its deadline
-    is refused as soon as that is known.
+    The most urgent requests go first. Among equally urgent ones, those that can still be on time
+    go by their objective, and the others use the slots that are left. A request that has no chance
+    to end before its deadline is refused as soon as that is known.
     """
 
     def __init__(self, *, clock: Clock, slots: int):
@@ -109,13 +115,12 @@
         if len(self.running) < self.slots and not self.waiting:
             self._start(job, now)
             return
-        wait = self.expected_wait(job, now)
+        ahead = self._ahead_of(job, now)
+        wait = self.expected_wait(ahead, now) * WAIT_MARGIN
         needed = self.times.expected(job.terms.route)
         late = now + wait + needed > job.terms.objective_at
-        left = job.terms.deadline_at - now
-        if now + wait + needed > job.terms.deadline_at or (
-            late and wait > left * MAX_LATE_WAIT_SHARE
-        ):
+        hopeless = now + wait + needed > job.terms.deadline_at
+        if hopeless or (late and self._is_crowded(len(ahead))):
             job.refuse(Refusal.OVERLOADED, self._retry_after(now))
             return
         self.waiting.append(job)
@@ -159,47 +164,68 @@
 
     def dispatch(self) -> None:
         """Start waiting requests while slots are free, and refuse those without a chance."""
+        if not self.waiting or self.closed:
+            return
         now = self.clock.monotonic()
-        while self.waiting and not self.closed:
-            hopeless = [job for job in self.waiting if not self._fits(job, now)]
-            for job in hopeless:
-                self.waiting.remove(job)
-                job.refuse(Refusal.TOO_LATE, self._retry_after(now))
-            if not self.waiting or len(self.running) >= self.slots:
-                return
-            chosen = min(self.waiting, key=lambda job: self._rank(job, now))
-            self.waiting.remove(chosen)
-            self._start(chosen, now)
-
-    def expected_wait(self, job: Job, now: timedelta) -> timedelta:
-        """Return the expected time until a request would start."""
-        rank = self._rank(job, now)
-        work = sum(
-            (
-                self.times.expected(other.terms.route)
-                for other in self.waiting
-                if self._rank(other, now) <= rank
-            ),
-            ZERO,
-        )
-        for other, started in self.running.items():
-            expected = self.times.expected(other.terms.route)
-            # A request past its expected time is about to end, but has not yet.
-            work += max(expected - (now - started), expected * 0.2)
-        return work / self.slots
+        kept: list[Job] = []
+        hopeless: list[Job] = []
+        for late, job in self._ordered(now):
+            # One that has become late would not be admitted again behind as many others.
+            crowded = late and self._is_crowded(len(kept))
+            (hopeless if crowded or not self._fits(job, now) else kept).append(job)
+        free = max(0, self.slots - len(self.running))
+        self.waiting = kept[free:]
+        for job in hopeless:
+            job.refuse(Refusal.TOO_LATE, self._retry_after(now))
+        for job in kept[:free]:
+            self._start(job, now)
+
+    def expected_wait(self, ahead: list[Job], now: timedelta) -> timedelta:
+        """Return the expected time until a request would start.
+
+        The requests ahead of it are assigned to the slots in the order in which these become
+        free: a request at the front waits for the first slot, not for the mean one.
+        """
+        free = [self._remaining(other, started, now) for other, started in self.running.items()]
+        free.extend([ZERO] * (self.slots - len(free)))
+        heapify(free)
+        for other in sorted(ahead, key=lambda item: self._rank(item, now)):
+            heapreplace(free, free[0] + self.times.expected(other.terms.route))
+        return free[0]
+
+    def _remaining(self, job: Job, started: timedelta, now: timedelta) -> timedelta:
+        """Return the expected rest of a running request.
+
+        One past its expected time is about to end, but has not yet.
+        """
+        expected = self.times.expected(job.terms.route)
+        return max(expected - (now - started), expected * OVERDUE_SHARE)
 
     def _start(self, job: Job, now: timedelta) -> None:
         self.running[job] = now
         job.start()
 
+    def _ordered(self, now: timedelta) -> list[tuple[bool, Job]]:
+        """Return the waiting requests in the order of service, and whether each is late."""
+        ranked = [(self._rank(job, now), job) for job in self.waiting]
+        ranked.sort(key=lambda item: item[0])
+        return [(rank[1], job) for rank, job in ranked]
+
+    def _ahead_of(self, job: Job, now: timedelta) -> list[Job]:
+        rank = self._rank(job, now)
+        return [other for other in self.waiting if self._rank(other, now) <= rank]
+
+    def _is_crowded(self, ahead: int) -> bool:
+        return ahead >= self.slots * LATE_QUEUE_PER_SLOT
+
     def _fits(self, job: Job, now: timedelta) -> bool:
         needed = self.times.expected(job.terms.route)
         return now + needed * MIN_FIT <= job.terms.deadline_at
 
-    def _rank(self, job: Job, now: timedelta) -> tuple[bool, int, timedelta]:
+    def _rank(self, job: Job, now: timedelta) -> tuple[int, bool, timedelta]:
         """Return the place in the order of service, lowest first."""
         late = now + self.times.expected(job.terms.route) > job.terms.objective_at
-        return (late, job.terms.urgency, job.terms.deadline_at if late else job.terms.objective_at)
+        return (job.terms.urgency, late, job.terms.deadline_at if late else job.terms.objective_at)
 
     def _retry_after(self, now: timedelta) -> timedelta:
         """Return when the present queue will have been worked off."""
