Test whole nodes against stand-ins of the store and of upstreams

Change: standins/mesh_platform.py speaks the published protocol; nodes run on loopback in one process. A node can be closed, for embedding.

--- a/almondshore/limits/objective.py
+++ b/almondshore/limits/objective.py
@@ -21,8 +21,8 @@
 # expected service time fits: service times vary by a factor of two around the expected one.
 MIN_FIT = 0.75
 # A request that cannot be served on time waits only while fewer than this many requests for each
-# slot are ahead: it gets the slots that others leave, and in an overload there are none. A refusal is
-# worth the more to the caller, the earlier it comes.
+# slot are ahead: it gets the slots that others leave, and in an overload there are none. A refusal
+# is worth the more to the caller, the earlier it comes.
 LATE_QUEUE_PER_SLOT = 0.25
 # Expected rest of a running request that is past its expected time, as a share of that time.
 OVERDUE_SHARE = 0.2
--- a/almondshore/mesh/node.py
+++ b/almondshore/mesh/node.py
@@ -180,14 +180,16 @@
         self._listen(settings.ready, ReadinessHandler(node=self))
         self._listen(settings.control, announcements)
         self._listen(settings.metrics, MetricsHandler(metrics=self.metrics, node=self))
-        for replica in self.replicas:
-            eventlet.spawn(replica.run)
-        eventlet.spawn(self.death_replica.run)
-        eventlet.spawn(self.death_reporter.run)
-        eventlet.spawn(self.publisher.run)
-        eventlet.spawn(self.peers.run)
-        eventlet.spawn(self.driver.run)
-        hubs.get_hub().schedule_call_global(HOUSEKEEPING_S, self._housekeeping)
+        workers = (
+            *self.replicas,
+            self.death_replica,
+            self.death_reporter,
+            self.publisher,
+            self.peers,
+            self.driver,
+        )
+        self.greenlets = [eventlet.spawn(worker.run) for worker in workers]
+        self._housekeeping()
         log_event(
             "node_started",
             node=settings.node,
@@ -197,6 +199,14 @@
             process=os.getpid(),
         )
 
+    def close(self) -> None:
+        """End all work and close the listeners at once, for a node embedded in a process."""
+        for greenlet in self.greenlets:
+            greenlet.kill()
+        for server in self.servers:
+            server.close()
+        self.housekeeping.cancel()
+
     def config(self) -> MeshConfig | None:
         """Return the configuration in force."""
         return self.outbound.config
@@ -306,7 +316,7 @@
         return not busy and not any(server.unsent() for server in self.servers)
 
     def _housekeeping(self) -> None:
-        hubs.get_hub().schedule_call_global(HOUSEKEEPING_S, self._housekeeping)
+        self.housekeeping = hubs.get_hub().schedule_call_global(HOUSEKEEPING_S, self._housekeeping)
         self.ticks += 1
         self.local.enforce_drain()
         if self.local.queue is not None and self.local.queue.waiting:
--- /dev/null
+++ b/standins/mesh_platform.py
@@ -0,0 +1,212 @@
+"""Stand-ins for the users' platform: its store and an upstream, on the product's HTTP server."""
+
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Any
+from urllib.parse import parse_qs, unquote
+
+import eventlet
+import msgspec
+from eventlet import hubs
+
+from almondshore.core.clock import Clock
+from almondshore.http.messages import Headers, Response
+from almondshore.http.parsing import RequestLimits
+from almondshore.http.server import Exchange, ExchangeHandler, HttpServer, ServerLimits
+
+LIMITS = ServerLimits(
+    RequestLimits(64 * 1024, 4 * 1024 * 1024), timedelta(seconds=10), timedelta(seconds=60)
+)
+JSON: Headers = ((b"Content-Type", b"application/json"),)
+OBJECTS = "/objects/"
+
+
+class StoreStandIn(ExchangeHandler):
+    """Objects by kind and name with revisions, conditional writes and watches.
+
+    :ivar refuse: status that all calls are answered with, 0 to serve them
+    :ivar lose: whether writes are done and not answered
+    :ivar calls: calls so far
+    """
+
+    def __init__(self) -> None:
+        self.revision = 1
+        self.oldest = 0
+        self.objects: dict[str, dict[str, dict[str, Any]]] = {}
+        self.history: list[tuple[int, str, dict[str, Any], bool]] = []
+        self.waiting: list[tuple[Exchange, str, int]] = []
+        self.refuse = 0
+        self.lose = False
+        self.calls = 0
+
+    def handle(self, exchange: Exchange) -> None:
+        """Answer a call."""
+        self.calls += 1
+        if self.refuse:
+            exchange.respond(Response(self.refuse))
+            return
+        path, _, query = exchange.request.target.decode().partition("?")
+        parts = [unquote(part) for part in path.removeprefix(OBJECTS).split("/")]
+        options = {key: values[0] for key, values in parse_qs(query).items()}
+        method = exchange.request.method
+        if method == b"GET":
+            self._read(exchange, parts, options)
+            return
+        status, found = self._write(method, parts, options, exchange.request.body)
+        if not self.lose:
+            body = msgspec.json.encode(found) if found is not None else b""
+            exchange.respond(Response(status, JSON, body))
+
+    def put(self, kind: str, name: str, spec: object) -> None:
+        """Write an object as the operator does."""
+        known = self.objects.get(kind, {}).get(name)
+        self._store(kind, name, spec, known["status"] if known else None)
+
+    def get(self, kind: str, name: str) -> dict[str, Any] | None:
+        """Return an object."""
+        return self.objects.get(kind, {}).get(name)
+
+    def forget_history(self) -> None:
+        """Drop the history, and end the watches."""
+        self.oldest = self.revision
+        self.history.clear()
+        waiting, self.waiting = self.waiting, []
+        for exchange, _, _ in waiting:
+            exchange.respond(Response(410))
+
+    def _read(self, exchange: Exchange, parts: list[str], options: dict[str, str]) -> None:
+        kind = parts[0]
+        if "watch" in options:
+            self._watch(exchange, kind, options)
+            return
+        if len(parts) > 1:
+            found = self.get(kind, parts[1])
+            body = msgspec.json.encode(found)
+            exchange.respond(Response(200 if found else 404, JSON, body if found else b""))
+            return
+        items = [item for _, item in sorted(self.objects.get(kind, {}).items())]
+        answer = {"items": items, "has_more": False, "current_rev": self.revision}
+        exchange.respond(Response(200, JSON, msgspec.json.encode(answer)))
+
+    def _watch(self, exchange: Exchange, kind: str, options: dict[str, str]) -> None:
+        since = int(options["watch"])
+        if since < self.oldest:
+            exchange.respond(Response(410))
+            return
+        if self._answer_watch(exchange, kind, since, empty=False):
+            return
+        entry = (exchange, kind, since)
+        self.waiting.append(entry)
+        wait_s = int(options.get("wait_ms", "0")) / 1000
+        hubs.get_hub().schedule_call_global(wait_s, self._end_watch, entry)
+
+    def _end_watch(self, entry: tuple[Exchange, str, int]) -> None:
+        if entry in self.waiting:
+            self.waiting.remove(entry)
+            self._answer_watch(*entry, empty=True)
+
+    def _answer_watch(self, exchange: Exchange, kind: str, since: int, *, empty: bool) -> bool:
+        events = [
+            {"object": found, "removed": removed}
+            for revision, name, found, removed in self.history
+            if revision > since and name == kind
+        ]
+        if not events and not empty:
+            return False
+        answer = {"events": events, "current_rev": self.revision}
+        exchange.respond(Response(200, JSON, msgspec.json.encode(answer)))
+        return True
+
+    def _write(
+        self, method: bytes, parts: list[str], options: dict[str, str], body: bytes
+    ) -> tuple[int, dict[str, Any] | None]:
+        kind = parts[0]
+        sent = msgspec.json.decode(body) if body else {}
+        metadata = sent.get("metadata", {})
+        name = parts[1] if len(parts) > 1 else metadata["name"]
+        known = self.get(kind, name)
+        if method == b"POST":
+            if known is not None:
+                return 409, known
+            return 201, self._store(kind, name, sent.get("spec"), None)
+        if known is None:
+            return 404, None
+        expected = int(options.get("revision", metadata.get("revision", 0)))
+        if expected and expected != known["metadata"]["revision"]:
+            return 409, known
+        if method == b"DELETE":
+            return 200, self._remove(kind, name)
+        if parts[-1] == "status" and len(parts) > 2:
+            return 200, self._store(kind, name, known["spec"], sent.get("status"))
+        return 200, self._store(kind, name, sent.get("spec"), known["status"])
+
+    def _store(self, kind: str, name: str, spec: object, status: object) -> dict[str, Any]:
+        known = self.get(kind, name)
+        if known is not None and (known["spec"], known["status"]) == (spec, status):
+            return known
+        self.revision += 1
+        created = known["metadata"]["create_rev"] if known else self.revision
+        metadata = {"name": name, "revision": self.revision, "create_rev": created}
+        found = {"metadata": metadata, "spec": spec, "status": status}
+        self.objects.setdefault(kind, {})[name] = found
+        self._note(kind, found, removed=False)
+        return found
+
+    def _remove(self, kind: str, name: str) -> dict[str, Any]:
+        found = self.objects[kind].pop(name)
+        self.revision += 1
+        self._note(kind, found, removed=True)
+        return found
+
+    def _note(self, kind: str, found: dict[str, Any], *, removed: bool) -> None:
+        self.history.append((self.revision, kind, found, removed))
+        for entry in [entry for entry in self.waiting if entry[1] == kind]:
+            self.waiting.remove(entry)
+            self._answer_watch(*entry, empty=True)
+
+
+class UpstreamStandIn(ExchangeHandler):
+    """An upstream that answers after a while, and announces itself to the node beside it.
+
+    :ivar ran: request ids and caller services, in the order in which they ran
+    :ivar answer: makes the response of a request, None to leave it unanswered
+    """
+
+    def __init__(self, *, target: str, work: timedelta = timedelta(milliseconds=5)):
+        self.target = target
+        self.work = work
+        self.ran: list[tuple[bytes, bytes]] = []
+        self.cancelled = 0
+        self.answer: Callable[[Exchange], Response | None] = self._usual
+
+    def handle(self, exchange: Exchange) -> None:
+        """Run a request, or reject one for another instance."""
+        request = exchange.request
+        if request.header(b"expected-instance") not in (None, self.target.encode()):
+            exchange.respond(Response(421))
+            return
+        self.ran.append((request.header(b"attempt-id"), request.header(b"caller-service")))
+        exchange.on_cancel = self._on_cancel
+        eventlet.spawn_after(self.work.total_seconds(), self._finish, exchange)
+
+    def _finish(self, exchange: Exchange) -> None:
+        response = self.answer(exchange)
+        if response is not None:
+            exchange.respond(response)
+
+    def _usual(self, exchange: Exchange) -> Response:
+        headers = (
+            (b"Attempt-Id", exchange.request.header(b"attempt-id") or b""),
+            (b"Response-Signature", self.target.encode()),
+        )
+        return Response(200, headers, b"from " + self.target.encode())
+
+    def _on_cancel(self) -> None:
+        self.cancelled += 1
+
+
+def serve(clock: Clock, handler: ExchangeHandler, port: int = 0) -> HttpServer:
+    """Return a server for a stand-in on loopback."""
+    return HttpServer(
+        clock=clock, address=("127.0.0.1", port), handler=handler, limits=lambda: LIMITS
+    )
--- /dev/null
+++ b/test/mesh/test_node.py
@@ -0,0 +1,177 @@
+"""Tests of whole nodes against stand-ins of the store and of upstreams."""
+
+from datetime import timedelta
+
+import eventlet
+from testtools import TestCase
+
+from almondshore.http.messages import Response
+from test.mesh.meshbed import MeshBed, stored_config
+
+
+class NodeTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.bed = MeshBed()
+        self.addCleanup(self.bed.close)
+        self.bed.store.put("config", "main", stored_config(3, ("s", "other")))
+        self.bed.add_node("n1", service="other")
+        self.bed.add_node("n2")
+        self.bed.wait_until(lambda: len(self.bed.nodes["n1"].directory.targets) == 2)
+
+    def test_request_crosses_to_the_host_of_its_target(self):
+        """Guards against a path that is broken between any two of its parts."""
+        result = self.bed.request("n1")
+        self.assertEqual((200, b"from i-n2"), (result.response.status, result.response.body))
+        self.assertEqual([(b"a1", b"other")], self.bed.upstreams["n2"].ran)
+        self.assertEqual(404, self.bed.status("n1", path="/unknown/"))
+
+    def test_node_without_configuration_is_not_ready(self):
+        """Guards against callers that are sent to a node which cannot route."""
+        self.assertEqual(200, self.bed.ready("n1"))
+        self.bed.store.refuse = 503
+        self.bed.add_node("n3", announce=False)
+        self.assertEqual(503, self.bed.ready("n3"))
+        self.assertEqual(503, self.bed.status("n3"))
+
+    def test_configuration_changes_without_the_store(self):
+        """Guards against a node that keeps an old version while the store refuses it."""
+        first = self.bed.nodes["n1"]
+        first.store.move(("127.0.0.1", 1))
+        first.pool.drop(self.bed.store_server.address())
+        self.bed.store.put("config", "main", stored_config(9, ("s",)))
+        self.bed.wait_until(lambda: self.bed.nodes["n2"].outbound.config_version() == 9)
+        self.bed.wait_until(lambda: first.outbound.config_version() == 9)
+
+    def test_lost_history_loses_no_change(self):
+        """Guards against a node that misses a change when the store drops its history."""
+        self.bed.store.forget_history()
+        self.bed.store.put("config", "main", stored_config(4, ("s",)))
+        self.bed.wait_until(lambda: self.bed.nodes["n1"].outbound.config_version() == 4)
+
+    def test_leaving_target_gets_no_requests(self):
+        """Guards against requests that reach a target after its leaving was acknowledged."""
+        self.assertEqual(200, self.bed.announce("n2", state="draining"))
+        eventlet.sleep(0.5)
+        ran = len(self.bed.upstreams["n2"].ran)
+        self.assertEqual(503, self.bed.status("n1"))
+        self.assertEqual(ran, len(self.bed.upstreams["n2"].ran))
+
+    def test_departure_outlives_the_process(self):
+        """Guards against a restarted node that uses a target which deregistered before."""
+        self.assertEqual(200, self.bed.depart("n2"))
+        entry = ("almondshore-targets", "i-n2")
+        self.bed.wait_until(lambda: self.bed.store.get(*entry)["spec"]["state"] == "gone")
+        former = self.bed.nodes.pop("n2")
+        former.close()
+        self.bed.start(former.settings)
+        self.bed.wait_until(lambda: self.bed.nodes["n2"].local.confirmed)
+        self.bed.announce("n2")
+        eventlet.sleep(0.5)
+        self.assertEqual(503, self.bed.status("n1"))
+        self.assertEqual([], self.bed.upstreams["n2"].ran)
+
+    def test_caller_that_leaves_stops_the_target(self):
+        """Guards against a target that works for a caller that is gone."""
+        upstream = self.bed.upstreams["n2"]
+        upstream.work = timedelta(seconds=2)
+        with eventlet.Timeout(0.2, False):
+            self.bed.request("n1")
+        for connection in list(self.bed.nodes["n1"].outbound_server.connections):
+            connection.stream._finish(clean=True)
+        self.bed.wait_until(lambda: upstream.cancelled == 1, seconds=0.5)
+
+    def test_lost_answer_is_made_up_for_on_idempotent_routes(self):
+        """Guards against a caller that waits in vain for an answer that was lost."""
+        self.bed.add_node("n3")
+        self.bed.wait_until(lambda: len(self.bed.nodes["n1"].directory.targets) == 3)
+        for name in ("n2", "n3"):
+            upstream = self.bed.upstreams[name]
+            upstream.answer = self._cut_first(upstream)
+        statuses = [self.bed.status("n1", request_id=f"a{number}") for number in range(8)]
+        self.assertTrue(statuses.count(200) >= 6, statuses)
+
+    def test_stop_finishes_what_runs(self):
+        """Guards against requests that are cut by a planned stop."""
+        self.bed.upstreams["n2"].work = timedelta(seconds=1)
+        pile = eventlet.GreenPool()
+        replies = [pile.spawn(self.bed.status, "n1", request_id=f"a{number}") for number in (1, 2)]
+        eventlet.sleep(0.2)
+        node = self.bed.nodes["n1"]
+        node.stop()
+        self.assertEqual(503, self.bed.ready("n1"))
+        self.assertFalse(node._may_end())
+        self.assertEqual([504, 504], [reply.wait() for reply in replies])
+        self.assertEqual(200, self.bed.status("n1", path="/other/x"))
+        self.bed.wait_until(node._may_end)
+        self.assertEqual(503, self.bed.status("n1"))
+
+    def test_metrics_are_served(self):
+        """Guards against on-call engineers without counters and histograms."""
+        self.bed.request("n1")
+        body, _ = self.bed.nodes["n1"].metrics.render(self.bed.nodes["n1"])
+        for name in ("almondshore_config_version", "almondshore_request_seconds_bucket"):
+            self.assertIn(name, body.decode())
+
+    def _cut_first(self, upstream):
+        usual = upstream._usual
+        left = [1]
+
+        def answer(exchange):
+            if left:
+                left.pop()
+                exchange.connection.stream.close()
+                exchange.connection.stream.handler.on_end(clean=False)
+                return None
+            return usual(exchange)
+
+        return answer
+
+
+class RolloutTest(TestCase):
+    def play(self, bad):
+        bed = MeshBed()
+        self.addCleanup(bed.close)
+        bed.store.put("config", "main", stored_config(3, ("s", "other")))
+        bed.add_node("n1", service="other")
+        bed.add_node("n2")
+        bed.add_node("n3", version="v2")
+        bed.announce("n3", version="v2", born=9000)
+        if bad:
+            bed.upstreams["n3"].answer = lambda exchange: Response(
+                500,
+                (
+                    (b"Attempt-Id", exchange.request.header(b"attempt-id")),
+                    (b"Response-Signature", b"x"),
+                ),
+            )
+        bed.wait_until(lambda: len(bed.nodes["n1"].directory.targets) == 3)
+        order = {"service": "s", "target_version": "v2", "duration_s": 5}
+        bed.store.put("rollouts", "s", order)
+        number = 0
+        with eventlet.Timeout(7):
+            while True:
+                number += 1
+                bed.status("n1", request_id=f"a{number}")
+                status = bed.store.get("rollouts", "s")["status"]
+                if status and status["state"] in ("completed", "rolled_back"):
+                    return bed, number, status["state"]
+                eventlet.sleep(0.005)
+
+    def test_good_version_is_completed_in_time(self):
+        """Guards against a good version that misses its deadline."""
+        bed, _, state = self.play(bad=False)
+        self.assertEqual("completed", state)
+        before = len(bed.upstreams["n2"].ran)
+        self.assertEqual(200, bed.status("n1"))
+        self.assertEqual(before, len(bed.upstreams["n2"].ran))
+
+    def test_bad_version_is_rolled_back_with_little_exposure(self):
+        """Guards against a bad version that gets more than a small share."""
+        bed, requests, state = self.play(bad=True)
+        self.assertEqual("rolled_back", state)
+        exposed = len(bed.upstreams["n3"].ran)
+        self.assertTrue(exposed <= 0.1 * requests + 50, (exposed, requests))
+        for number in range(20):
+            self.assertEqual(200, bed.status("n1", request_id=f"b{number}"))
+        self.assertEqual(exposed, len(bed.upstreams["n3"].ran))
