Read changed settings without a signal, and clear suspects that complete

Cause: SYSTEM says that settings may change without SIGHUP; a common request that ran beside one at fault stayed under suspicion though it completed elsewhere. Change: the settings file is looked at every 2 s; a completed request clears its deaths.

--- a/almondshore/mesh/outbound.py
+++ b/almondshore/mesh/outbound.py
@@ -132,6 +132,7 @@
             self.failed = response
             self._retry_after_failure(reason)
             return
+        self.outbound.note_completed(self.exchange.request)
         self._answer(response, reason)
 
     def _on_refusal(self, target: Target, result: HopResult) -> None:
@@ -373,6 +374,11 @@
                 self.directory.pause_target(target.target, pause)
             self.on_version(target.node, report.config_version)
 
+    def note_completed(self, request: Request) -> None:
+        """Clear a request of the suspicion that it crashes targets: one ran it to its end."""
+        if self.guard.suspects:
+            self.guard.completed(request_fingerprint(request, self.caller()))
+
     def _is_quarantined(self, request: Request) -> bool:
         """Tell whether a request crashed the targets that ran it."""
         if not self.guard.suspects:
--- a/almondshore/platform/main.py
+++ b/almondshore/platform/main.py
@@ -4,6 +4,7 @@
 import random
 import signal
 import sys
+from datetime import timedelta
 
 import eventlet
 from eventlet import hubs
@@ -25,6 +26,8 @@
 SETTINGS_VARIABLE = "ALMONDSHORE_SETTINGS"
 DEFAULT_SETTINGS = "/etc/almondshore/node.conf"
 STDOUT = 1
+# A changed file takes effect this much later at most.
+SETTINGS_INTERVAL = timedelta(seconds=2)
 EXIT_FAILED = 1
 EXIT_WRONG_SETTINGS = 2
 
@@ -50,6 +53,7 @@
         stream.drain()
         sys.exit(EXIT_FAILED)
     watch_signals(node, path)
+    eventlet.spawn(watch_settings, node, path)
     node.run_until_stopped()
     # Greenlets that wait on the store would keep the process alive.
     os._exit(0)
@@ -90,6 +94,17 @@
     hubs.get_hub().add(READ, read_end, on_readable, _ignore, _ignore)
 
 
+def watch_settings(node: MeshNode, path: str) -> None:
+    """Read the settings again when the file has changed, also without a signal."""
+    known = _change_of(path)
+    while True:
+        eventlet.sleep(SETTINGS_INTERVAL.total_seconds())
+        found = _change_of(path)
+        if found != known:
+            known = found
+            reload_settings(node, path)
+
+
 def reload_settings(node: MeshNode, path: str) -> None:
     """Read the settings again; addresses of listeners do not change while a node runs."""
     try:
@@ -106,6 +121,16 @@
     log_event("settings_reloaded", changed=",".join(changed) or "nothing")
 
 
+def _change_of(path: str) -> tuple[int, int] | None:
+    """Return what changes with a file's content, None if it cannot be read."""
+    try:
+        found = os.stat(path)
+    except OSError as error:
+        log_event("settings_unreadable", level="WARNING", path=path, error=error)
+        return None
+    return found.st_mtime_ns, found.st_size
+
+
 def _ignore_signal(*_args: object) -> None:
     """Serve as the Python-level handler: the wake-up descriptor carries the signal."""
 
--- a/test/mesh/test_crashes.py
+++ b/test/mesh/test_crashes.py
@@ -54,6 +54,19 @@
         bed.request(b"/a/other")
         self.assertEqual(2, len(bed.pool.calls))
 
+    def test_request_that_completes_between_deaths_is_cleared(self):
+        """Guards against a common request that is refused since it ran beside the one at fault."""
+        bed = PathBed()
+        bed.directory.put(target())
+        sink = CrashSink(guard=bed.guard)
+        first, second = self.crash("t1"), self.crash("t2", born_ms=9000)
+        sink.update({first.name: first})
+        bed.request(b"/a/x")
+        bed.pool.calls[0].report()
+        sink.update({second.name: second})
+        self.assertIs(None, bed.request(b"/a/x").response)
+        self.assertEqual(2, len(bed.pool.calls))
+
     def test_identity_covers_body_and_caller(self):
         """Guards against a quarantine of requests that differ from the one at fault."""
         prints = {
--- /dev/null
+++ b/test/platform/test_main.py
@@ -0,0 +1,110 @@
+"""Tests of the node process on the platform: start, settings, signals and stop."""
+
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+from testtools import TestCase
+
+from almondshore.core.errors import InvalidInputError
+from almondshore.mesh.settings import load_mesh_settings
+from almondshore.platform.bounds import decode_bounds
+from test.http.loopback import free_address
+
+BOUNDS = "drain_s=1,grace_s=3,retry_budget_ratio=0.2,budget_window_s=10,budget_min_retries=56"
+
+
+def settings_text(**changes):
+    def address():
+        host, port = free_address()
+        return f"{host}:{port}"
+
+    values = {name: address() for name in ("outbound", "inbound", "ready", "control", "metrics")}
+    listen = "".join(f"  {name}: {value}\n" for name, value in values.items())
+    text = (
+        f"node: n1\nzone: a\nservice: s\napp: {address()}\nlisten:\n{listen}"
+        f'store: {address()}\nbounds: "{BOUNDS}"\n'
+    )
+    for old, new in changes.values():
+        text = text.replace(old, new)
+    return text
+
+
+class SettingsTest(TestCase):
+    def load(self, text):
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "node.yaml"
+            path.write_text(text)
+            return load_mesh_settings(path, decode_bounds)
+
+    def test_template_and_settings_name_the_same_keys(self):
+        """Guards against a deployment whose processes do not start."""
+        root = Path(__file__).parents[2]
+        keys = [line.split(":")[0].strip() for line in settings_text().splitlines()]
+        template = (root / "deploy" / "settings.yaml").read_text().splitlines()
+        found = [line.split(":")[0].strip() for line in template if not line.startswith("#")]
+        self.assertEqual(keys, found)
+        self.assertEqual("n1", self.load(settings_text()).node)
+
+    def test_all_findings_are_reported_with_their_place(self):
+        """Guards against an operator who learns of one error at a time."""
+        text = settings_text(a=("zone: a", "zone: [a]"), b=("drain_s=1", "drain_s=x"))
+        error = self.assertRaises(InvalidInputError, self.load, text + "surplus: 1\n")
+        codes = {finding.code for finding in error.findings}
+        self.assertEqual({"wrong-type", "malformed", "unknown-key"}, codes)
+        self.assertTrue(all(finding.line > 0 for finding in error.findings))
+
+
+class ProcessTest(TestCase):
+    def start(self, text):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = Path(folder.name) / "node.yaml"
+        self.path.write_text(text)
+        self.log = Path(folder.name) / "log"
+        with self.log.open("w") as out:
+            process = subprocess.Popen(
+                [sys.executable, "-W", "ignore", "-m", "almondshore.platform.main"],
+                env={**os.environ, "ALMONDSHORE_SETTINGS": str(self.path)},
+                stdout=out,
+                stderr=subprocess.STDOUT,
+            )
+        self.addCleanup(self.end, process)
+        return process
+
+    def end(self, process):
+        if process.poll() is None:
+            process.kill()
+        process.wait()
+
+    def wait_for(self, text, seconds=10.0):
+        until = time.monotonic() + seconds
+        while text not in self.log.read_text():
+            self.assertTrue(time.monotonic() < until, self.log.read_text())
+            time.sleep(0.05)
+
+    def test_process_logs_its_life_and_ends_on_request(self):
+        """Guards against a process that ignores signals, or ends without a word."""
+        process = self.start(settings_text())
+        self.wait_for("event=node_started")
+        process.send_signal(signal.SIGHUP)
+        self.wait_for("event=settings_reloaded changed=nothing")
+        self.path.write_text(self.path.read_text().replace("drain_s=1", "drain_s=2"))
+        self.wait_for("event=settings_reloaded changed=bounds")
+        self.path.write_text("nonsense")
+        self.wait_for("event=settings_refused")
+        process.send_signal(signal.SIGTERM)
+        self.assertEqual(0, process.wait(timeout=5))
+        self.wait_for("event=node_stopping")
+        self.wait_for("event=node_stopped")
+
+    def test_wrong_settings_end_the_process_with_all_findings(self):
+        """Guards against a process that runs with settings it could not read."""
+        process = self.start("node: n1\nzone: 5\n")
+        self.assertEqual(2, process.wait(timeout=10))
+        self.assertIn("zone", self.log.read_text())
+        self.assertIn("service has no default", self.log.read_text())
