Ask silent nodes whether they are there, and send their requests elsewhere

Cause: a request sent on a kept connection to a host that went silent waited for its deadline, and its cancellation left the node unsuspected; each idle connection cost one more request. Ruled out: a shorter TCP user timeout (queues of slow links would end connections). Change: an overdue response has the node asked twice on new connections; without an answer it is passed over, and idempotent requests at it are sent elsewhere. Figures: test_silent_host_is_passed_over fails before with two timeouts of the route.

--- /dev/null
+++ b/almondshore/mesh/liveness.py
@@ -0,0 +1,60 @@
+"""Finds nodes that have gone silent while requests wait for them."""
+
+from collections.abc import Callable
+from datetime import timedelta
+
+import eventlet
+
+from almondshore.core.clock import Clock
+from almondshore.core.logs import log_event
+from almondshore.http.client import ConnectionPool
+from almondshore.mesh.directory import Directory
+from almondshore.mesh.model import Address
+from almondshore.mesh.peers import ALIVE_PATH, PeerClient
+
+# Nodes answer within a few milliseconds; a busy one has been seen to take 100 ms.
+PROBE_TIMEOUT = timedelta(milliseconds=250)
+# A single lost packet must not condemn a node.
+PROBES = 2
+# A node that answered is not asked again within this time.
+PROBE_INTERVAL = timedelta(seconds=1)
+
+
+class LivenessProber:
+    """Asks a node whether it is there, on a new connection.
+
+    :ivar on_lost: called with a node that does not answer
+    """
+
+    def __init__(
+        self, *, clock: Clock, directory: Directory, pool: ConnectionPool, client: PeerClient
+    ):
+        self.clock = clock
+        self.directory = directory
+        self.pool = pool
+        self.client = client
+        self.asked_at: dict[Address, timedelta] = {}
+        self.on_lost: Callable[[Address], None] = lambda _node: None
+
+    def suspect(self, node: Address) -> None:
+        """Ask a node from which a response is overdue."""
+        now = self.clock.monotonic()
+        last = self.asked_at.get(node)
+        if last is not None and now - last < PROBE_INTERVAL:
+            return
+        self.asked_at[node] = now
+        eventlet.spawn(self.probe, node)
+
+    def probe(self, node: Address) -> bool:
+        """Ask a node; returns whether it answered."""
+        for _ in range(PROBES):
+            if self.client.get(node, ALIVE_PATH, new_connection=True) is not None:
+                self.directory.reached(node)
+                return True
+        log_event("peer_silent", level="WARNING", peer=f"{node[0]}:{node[1]}")
+        self.directory.unreachable(node, "silent")
+        # Connections that were idle when the node went silent would swallow further requests.
+        self.pool.drop(node)
+        self.asked_at.pop(node, None)
+        self.on_lost(node)
+        return False
--- a/almondshore/mesh/node.py
+++ b/almondshore/mesh/node.py
@@ -20,6 +20,7 @@
 from almondshore.mesh.driver import RolloutDriver
 from almondshore.mesh.evidence import ResultRecorder
 from almondshore.mesh.inbound import Inbound
+from almondshore.mesh.liveness import PROBE_TIMEOUT, LivenessProber
 from almondshore.mesh.local import LocalTarget, Reception
 from almondshore.mesh.metrics import MeshMetrics, MetricsHandler
 from almondshore.mesh.model import Announcement, MeshConfig
@@ -134,6 +135,14 @@
             on_version=lambda node, version: self.peers.note_version(node, version),
             observe=self.metrics.observe,
         )
+        self.prober = LivenessProber(
+            clock=clock,
+            directory=self.directory,
+            pool=pool,
+            client=PeerClient(pool=pool, timeout=PROBE_TIMEOUT),
+        )
+        self.prober.on_lost = self.outbound.on_lost
+        self.outbound.suspect = self.prober.suspect
         self.config_sink = ConfigSink(outbound=self.outbound, name=config_name)
         self.publisher = TargetPublisher(store=store, directory=self.directory)
         self.replicas = (
--- a/almondshore/mesh/outbound.py
+++ b/almondshore/mesh/outbound.py
@@ -45,6 +45,9 @@
 RETRY_AFTER_SHARE = 0.3
 # Callers refused at the same moment return spread over this range of the stated time.
 RETRY_AFTER_SPREAD = 0.5
+# A response is overdue after this multiple of its expected time, and not before the minimum.
+OVERDUE_FACTOR = 2.0
+MIN_OVERDUE = timedelta(milliseconds=150)
 DEFAULT_DEADLINE = timedelta(seconds=30)
 # How long a target is passed over after it refused for a reason other than load.
 REFUSAL_PAUSE = {
@@ -79,6 +82,7 @@
         self.failed: Response | None = None
         self.retry_after = ZERO
         self.reason = ""
+        self.silence_timer = None
         self.done = False
         self.timer = hubs.get_hub().schedule_call_global(
             max(0.0, (self.deadline_at - now).total_seconds()), self._on_deadline
@@ -98,6 +102,7 @@
         # The result may have been delivered already, and another send begun.
         if not self.done and self.target is target and self.pending is None:
             self.pending = pending
+            self._watch_silence(target)
 
     def cancel(self) -> None:
         """Stop: the caller left."""
@@ -110,10 +115,21 @@
             self.outbound.chooser.finished(self.target.target, self.route.name, None)
         self._log("cancelled", "caller-left", 0)
 
+    def on_silence(self) -> None:
+        """Send the request elsewhere: the node beside its target does not answer.
+
+        One that must not run twice goes on waiting, as the node may have passed it on.
+        """
+        if self.done or self.pending is None or not self.route.idempotent:
+            return
+        self.pending.cancel()
+        self.on_result(HopResult(Outcome.BROKEN, "silent", None, None, unreachable=True))
+
     def on_result(self, result: HopResult) -> None:
         """Take the result of a send: answer the caller, or send again."""
         if self.done:
             return
+        self._stop_watching()
         target = self.target
         self.target = None
         self.outbound.note_result(self, target, result)
@@ -164,6 +180,21 @@
         else:
             self._give_up(reason)
 
+    def _watch_silence(self, target: Target) -> None:
+        """Have the node asked whether it is there once its response is overdue."""
+        if target.node == self.outbound.node:
+            return
+        expected = self.outbound.chooser.expected_time(target.target, self.route.name)
+        overdue = max(MIN_OVERDUE, expected * OVERDUE_FACTOR)
+        self.silence_timer = hubs.get_hub().schedule_call_global(
+            overdue.total_seconds(), self.outbound.suspect, target.node
+        )
+
+    def _stop_watching(self) -> None:
+        if self.silence_timer is not None:
+            self.silence_timer.cancel()
+            self.silence_timer = None
+
     def _has_time(self) -> bool:
         left = self.deadline_at - self.outbound.clock.monotonic()
         return left > self.route.objective * MIN_RETRY_SHARE
@@ -211,6 +242,7 @@
     def _end(self) -> None:
         self.done = True
         self.timer.cancel()
+        self._stop_watching()
         self.outbound.active.discard(self)
 
     def _log(self, outcome: str, reason: str, status: int) -> None:
@@ -241,6 +273,7 @@
 class Outbound(ExchangeHandler):
     """Routes the requests of callers on this host.
 
+    :ivar suspect: told of a node whose response is overdue
     :ivar closed: whether new requests are refused, since the process ends soon
     :param caller: returns the service of the target beside this node
     :param on_version: told the configuration version in force at a node that answered
@@ -281,6 +314,7 @@
         self.observe = observe
         self.config: MeshConfig | None = None
         self.closed = False
+        self.suspect: Callable[[Address], None] = lambda _node: None
         self.active: set[Forwarding] = set()
 
     def config_version(self) -> int:
@@ -316,6 +350,12 @@
         self.budget.deposit(forwarding.service)
         forwarding.send()
 
+    def on_lost(self, node: Address) -> None:
+        """Send the requests that wait for a silent node elsewhere."""
+        for forwarding in list(self.active):
+            if forwarding.target is not None and forwarding.target.node == node:
+                forwarding.on_silence()
+
     def choose(self, forwarding: Forwarding) -> Target | None:
         """Return the best target that has not been tried."""
         versions = self.directory.versions(forwarding.service)
--- a/almondshore/mesh/peers.py
+++ b/almondshore/mesh/peers.py
@@ -22,6 +22,7 @@
 
 STATE_PATH = b"/state"
 EVIDENCE_PATH = b"/evidence"
+ALIVE_PATH = b"/alive"
 PEER_TIMEOUT = timedelta(milliseconds=500)
 # While the store is away, a peer is asked this often; changes must be in force within seconds.
 POLL_INTERVAL = timedelta(milliseconds=500)
@@ -71,6 +72,8 @@
             exchange.respond(Response(200, (), msgspec.json.encode(self._state(query))))
         elif path == EVIDENCE_PATH:
             exchange.respond(Response(200, (), msgspec.json.encode(self.evidence())))
+        elif path == ALIVE_PATH:
+            exchange.respond(Response(200))
         else:
             exchange.respond(Response(404))
 
@@ -106,8 +109,11 @@
         self.pool = pool
         self.timeout = timeout
 
-    def get(self, node: Address, target: bytes) -> bytes | None:
-        """Return the body of a node's answer, or None; for use in a greenlet."""
+    def get(self, node: Address, target: bytes, *, new_connection: bool = False) -> bytes | None:
+        """Return the body of a node's answer, or None; for use in a greenlet.
+
+        :param new_connection: whether idle connections, which may be dead, are left alone
+        """
         done: Event = Event()
         headers = ((b"Host", f"{node[0]}:{node[1]}".encode()),)
         self.pool.call(
@@ -115,6 +121,7 @@
             encode_request(b"GET", target, headers, b""),
             timeout=self.timeout,
             on_done=done.send,
+            max_idle=timedelta() if new_connection else None,
         )
         result: CallResult = done.wait()
         if result.response is None or result.response.status != 200:
--- a/almondshore/routing/completion.py
+++ b/almondshore/routing/completion.py
@@ -84,6 +84,15 @@
             load.since_report = 0
             load.times[route] = report.service_time
 
+    def expected_time(self, target: str, route: str) -> timedelta:
+        """Return the time that a request may take at a target as it was last reported."""
+        load = self.loads.get(target)
+        if load is None or load.report is None:
+            return DEFAULT_SERVICE_TIME
+        needed = load.times.get(route, DEFAULT_SERVICE_TIME)
+        queued = load.report.waiting / max(1, load.report.slots)
+        return needed * (1.0 + queued)
+
     def keep(self, targets: set[str]) -> None:
         """Drop what is known of other targets."""
         for name in self.loads.keys() - targets:
--- a/test/mesh/test_node.py
+++ b/test/mesh/test_node.py
@@ -81,6 +81,21 @@
             connection.stream._finish(clean=True)
         self.bed.wait_until(lambda: upstream.cancelled == 1, seconds=0.5)
 
+    def test_silent_host_is_passed_over(self):
+        """Guards against connections to a host that went silent without a reset."""
+        self.bed.add_node("n3")
+        self.bed.wait_until(lambda: len(self.bed.nodes["n1"].directory.targets) == 3)
+        for number in range(6):
+            self.bed.status("n1", request_id=f"w{number}")
+        # Neither accepts connections nor reads from those that it has.
+        server = self.bed.nodes["n2"].inbound_server
+        server.hub.remove(server.listener)
+        server.listener = None
+        for connection in server.connections:
+            connection.stream.pause_reading()
+        statuses = [self.bed.status("n1", request_id=f"a{number}") for number in range(8)]
+        self.assertEqual([200] * 8, statuses)
+
     def test_lost_answer_is_made_up_for_on_idempotent_routes(self):
         """Guards against a caller that waits in vain for an answer that was lost."""
         self.bed.add_node("n3")
--- a/test/mesh/test_outbound.py
+++ b/test/mesh/test_outbound.py
@@ -146,6 +146,17 @@
             bed.request()
         self.assertNotIn(lost, [call.address for call in bed.pool.calls[1:]])
 
+    def test_requests_at_a_silent_node_are_sent_elsewhere(self):
+        """Guards against requests that wait for a host without power until their deadline."""
+        for idempotent, calls in ((True, 2), (False, 1)):
+            bed = self.bed(routes=[route(idempotent=idempotent)])
+            bed.request()
+            bed.outbound.on_lost(("10.0.0.77", 1))
+            self.assertEqual(1, len(bed.pool.calls))
+            bed.outbound.on_lost(bed.pool.calls[0].address)
+            self.assertEqual(calls, len(bed.pool.calls))
+            self.assertEqual(idempotent, bed.pool.calls[0].cancelled)
+
     def test_shares_of_a_split_route_are_kept(self):
         """Guards against a split that follows the load instead of its weights."""
         split = route(shares=(Share("s", 3.0), Share("other", 1.0)))
