Count a drain from its first acknowledgement, also across announcements

A restarted node acknowledged a deregistration, and when the next heartbeat came 2 s later the drain was counted from that heartbeat. Change: a departure keeps the time of its acknowledgement; one that only the store tells of is taken as past.

--- a/almondshore/mesh/local.py
+++ b/almondshore/mesh/local.py
@@ -2,6 +2,7 @@
 
 from datetime import timedelta
 from enum import Enum
+from typing import NamedTuple
 
 from almondshore.core.clock import Clock
 from almondshore.core.logs import log_event
@@ -19,6 +20,17 @@
 MAX_DEPARTED = 16
 
 
+class Departure(NamedTuple):
+    """A target's notice that it leaves for good.
+
+    :ivar born_ms: start of the latest incarnation that it speaks for
+    :ivar since: monotonic time at which it was acknowledged
+    """
+
+    born_ms: int
+    since: timedelta
+
+
 class Reception(Enum):
     """What became of an announcement."""
 
@@ -36,7 +48,7 @@
     :ivar announced: the newest announcement
     :ivar draining_since: when the target's leaving was first taken note of
     :ivar confirmed: whether stored entries were seen, which may tell that the target leaves
-    :ivar departed: latest start, by identity, of targets that said that they leave for good
+    :ivar departed: notices of departure by identity of the target
     """
 
     def __init__(self, *, clock: Clock, node: Address, drain: timedelta):
@@ -46,7 +58,7 @@
         self.announced: Announcement | None = None
         self.draining_since: timedelta | None = None
         self.warm_at = timedelta()
-        self.departed: dict[str, int] = {}
+        self.departed: dict[str, Departure] = {}
         self.started_at = clock.monotonic()
         self.confirmed = False
         self.queue: ObjectiveQueue | None = None
@@ -78,25 +90,30 @@
         self.announced = news
         self.warm_at = self.clock.monotonic() + news.warmup
         if news.state is not TargetState.READY:
-            self._begin_drain()
+            self._begin_drain(news)
         changed = reborn or self._differs(known, news)
         return Reception.ACCEPTED if changed else Reception.UNCHANGED
 
-    def depart(self, target: str, born_ms: int) -> bool:
+    def depart(self, target: str, born_ms: int, *, since: timedelta | None = None) -> bool:
         """Take note that a target leaves for good.
 
         The notice binds also if it comes before any announcement of the target.
 
+        :param since: when it was acknowledged, by default now
         :returns: whether it is the present one
         """
-        known = self.departed.pop(target, 0)
-        self.departed[target] = max(born_ms, known)
+        since = self.clock.monotonic() if since is None else since
+        known = self.departed.pop(target, None)
+        if known is not None and known.born_ms >= born_ms:
+            self.departed[target] = known._replace(since=min(since, known.since))
+        else:
+            self.departed[target] = Departure(born_ms, since)
         while len(self.departed) > MAX_DEPARTED:
             del self.departed[next(iter(self.departed))]
         if self.announced is None or not self._has_departed(self.announced):
             return False
         self.announced = self.announced._replace(state=TargetState.GONE)
-        self._begin_drain()
+        self._begin_drain(self.announced)
         return True
 
     def usable(self, target: str) -> bool:
@@ -111,8 +128,13 @@
 
     def note_stored(self, target: Target) -> None:
         """Take note of a stored entry, which another process of this node may have written."""
+        own = self.announced is not None and self.announced.target == target.target
+        if own and self.draining_since is not None:
+            return
         if target.node == self.node and target.state is not TargetState.READY:
-            self.depart(target.target, target.born_ms)
+            # The acknowledgement may be any time ago.
+            since = self.clock.monotonic() - self.drain
+            self.depart(target.target, target.born_ms, since=since)
 
     def enforce_drain(self) -> None:
         """Refuse waiting requests once the drain time is nearly over; call this regularly."""
@@ -146,11 +168,16 @@
         return self.drain * UNCONFIRMED_HOLD
 
     def _has_departed(self, news: Announcement) -> bool:
-        return news.born_ms <= self.departed.get(news.target, -1)
-
-    def _begin_drain(self) -> None:
-        if self.draining_since is None:
-            self.draining_since = self.clock.monotonic()
+        departure = self.departed.get(news.target)
+        return departure is not None and news.born_ms <= departure.born_ms
+
+    def _begin_drain(self, news: Announcement) -> None:
+        """Count the drain from its first acknowledgement."""
+        since = self.clock.monotonic()
+        if self._has_departed(news):
+            since = min(since, self.departed[news.target].since)
+        if self.draining_since is None or since < self.draining_since:
+            self.draining_since = since
 
     @staticmethod
     def _is_outdated(known: Announcement, news: Announcement) -> bool:
--- a/test/mesh/test_local.py
+++ b/test/mesh/test_local.py
@@ -60,10 +60,12 @@
     def test_departure_before_any_announcement_binds(self):
         """Guards against a restarted node that forgets a departure it acknowledged."""
         self.assertFalse(self.local.depart("t1", 1000))
+        self.clock.advance(DRAIN * 0.9)
         self.local.announce(announcement())
         self.assertEqual(DRAINING, self.local.record().state)
-        self.clock.advance(DRAIN)
         self.assertFalse(self.local.usable("t1"))
+        self.local.enforce_drain()
+        self.assertTrue(self.local.queue.closed)
         self.local.announce(announcement(born_ms=2000))
         self.assertTrue(self.local.usable("t1"))
 
@@ -84,6 +86,14 @@
         self.local.note_stored(gone)
         self.local.announce(announcement(sequence=2))
         self.assertEqual(DRAINING, self.local.record().state)
+        self.assertFalse(self.local.usable("t1"))
+
+    def test_own_entry_does_not_shorten_the_drain(self):
+        """Guards against waiting requests that are refused as soon as the entry is written."""
+        self.local.announce(announcement(state=DRAINING))
+        self.local.note_stored(self.local.record())
+        self.assertTrue(self.local.usable("t1"))
+        self.assertEqual(DRAINING, self.local.record().state)
 
     def test_new_incarnation_under_the_same_name_starts_afresh(self):
         """Guards against a restarted target that inherits the drain of the former one."""
