Ask a peer for the configuration only when the store does not bring it

Each response showed a newer version some 0.3 s before the store's feed brought it, and each node then copied a configuration of some 60 KB from a peer, mostly across zones. Ruled out: refused requests (same bytes with and without them). Change: a peer is asked while the store is away, or 1.2 s after a newer version was first seen, in the own zone first.

--- a/almondshore/mesh/directory.py
+++ b/almondshore/mesh/directory.py
@@ -81,12 +81,6 @@
             found.setdefault(target.version, []).append(target)
         return found
 
-    def addresses(self) -> list[Address]:
-        """Return the nodes that have a target, reachable ones first."""
-        now = self.clock.monotonic()
-        nodes = {target.node for target in self.targets.values()}
-        return sorted(nodes, key=lambda node: (self._is_paused(node, now), node))
-
     def is_reachable(self, node: Address) -> bool:
         """Tell whether a node was reached at the last try, or is due for another."""
         return not self._is_paused(node, self.clock.monotonic())
--- a/almondshore/mesh/node.py
+++ b/almondshore/mesh/node.py
@@ -166,6 +166,7 @@
             rollouts=self.rollout_sink,
             decode=store.decode_config,
             node=settings.inbound,
+            zone=settings.zone,
             away_since=self.away_since,
         )
         self.driver = RolloutDriver(
--- a/almondshore/mesh/peers.py
+++ b/almondshore/mesh/peers.py
@@ -28,6 +28,9 @@
 POLL_INTERVAL = timedelta(milliseconds=500)
 # A store that was silent for this long is taken to be away.
 AWAY_AFTER = timedelta(milliseconds=300)
+# A node that learns of a newer version waits this long for the store to bring it: a configuration
+# is large, and traffic between zones is charged. Changes must be in force within 2 s.
+BEHIND_AFTER = timedelta(milliseconds=1200)
 
 
 class Evidence(msgspec.Struct):
@@ -143,6 +146,7 @@
         rollouts: RolloutSink,
         decode: Callable[[bytes], MeshConfig | None],
         node: Address,
+        zone: str,
         away_since: Callable[[], timedelta | None],
     ):
         self.clock = clock
@@ -153,28 +157,45 @@
         self.rollouts = rollouts
         self.decode = decode
         self.node = node
+        self.zone = zone
         self.away_since = away_since
         self.fetching = False
+        self.behind_since: timedelta | None = None
 
     def run(self) -> None:
         """Ask a random peer regularly while the store is away; for a greenlet of its own."""
         while True:
             eventlet.sleep(POLL_INTERVAL.total_seconds())
-            since = self.away_since()
-            if since is None or self.clock.monotonic() - since < AWAY_AFTER:
-                continue
-            peers = [node for node in self.directory.addresses() if node != self.node]
-            reachable = [node for node in peers if self.directory.is_reachable(node)]
-            if reachable or peers:
-                self.fetch(self.rng.choice(reachable or peers))
+            peer = self.choose_peer() if self._is_away(self.clock.monotonic()) else None
+            if peer is not None:
+                self.fetch(peer)
 
     def note_version(self, node: Address, version: int) -> None:
-        """Fetch the state of a node whose configuration is newer."""
-        if version <= self.config.outbound.config_version() or self.fetching:
+        """Fetch the state of a node whose configuration is newer, unless the store brings it."""
+        now = self.clock.monotonic()
+        if version <= self.config.outbound.config_version():
+            self.behind_since = None
+            return
+        if self.behind_since is None:
+            self.behind_since = now
+        late = now - self.behind_since >= BEHIND_AFTER
+        if self.fetching or not (late or self._is_away(now)):
             return
         self.fetching = True
         eventlet.spawn(self._fetch_once, node)
 
+    def choose_peer(self) -> Address | None:
+        """Return a random node to ask, one of the own zone if any can be reached."""
+        others = [item for item in self.directory.targets.values() if item.node != self.node]
+        reachable = [item for item in others if self.directory.is_reachable(item.node)]
+        near = [item for item in reachable if item.zone == self.zone]
+        found = near or reachable or others
+        return self.rng.choice(found).node if found else None
+
+    def _is_away(self, now: timedelta) -> bool:
+        since = self.away_since()
+        return since is not None and now - since >= AWAY_AFTER
+
     def fetch(self, node: Address) -> bool:
         """Take over the state of a peer.
 
--- /dev/null
+++ b/test/mesh/test_peers.py
@@ -0,0 +1,76 @@
+"""Tests of when a node asks its peers for state."""
+
+import random
+from datetime import timedelta
+
+import msgspec
+from testtools import TestCase
+
+from almondshore.mesh.peers import PeerSync
+from almondshore.mesh.state import ConfigSink, PeerState, RolloutSink
+from test.mesh.fakes import OWN_NODE, PathBed
+from test.mesh.samples import config, target
+
+NEAR, FAR = ("10.0.0.1", 1), ("10.0.0.2", 1)
+
+
+class FakeClient:
+    """Answers with the state of a peer."""
+
+    def __init__(self, state):
+        self.state = state
+        self.asked = []
+
+    def get(self, node, path):
+        self.asked.append((node, path))
+        return msgspec.json.encode(self.state) if self.state is not None else None
+
+
+class PeerSyncTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.bed = PathBed()
+        self.away = None
+        self.client = FakeClient(PeerState(7, '{"x": 1}', [target("t9")], []))
+        self.sync = PeerSync(
+            clock=self.bed.clock,
+            rng=random.Random(1),
+            client=self.client,
+            directory=self.bed.directory,
+            config=ConfigSink(outbound=self.bed.outbound, name="main"),
+            rollouts=RolloutSink(shares=self.bed.shares),
+            decode=lambda raw: config(version=7, raw=raw),
+            node=OWN_NODE,
+            zone="a",
+            away_since=lambda: self.away,
+        )
+
+    def test_state_of_a_peer_is_taken_over(self):
+        """Guards against a node that stays on an old state while the store is away."""
+        self.assertTrue(self.sync.fetch(NEAR))
+        self.assertEqual(7, self.bed.outbound.config_version())
+        self.assertIn("t9", self.bed.directory.targets)
+        self.assertEqual([(NEAR, b"/state?config=1")], self.client.asked)
+
+    def test_store_is_given_time_before_a_peer_is_asked(self):
+        """Guards against a configuration that each node copies across zones at each change."""
+        self.sync.note_version(NEAR, 7)
+        self.assertFalse(self.sync.fetching)
+        self.bed.clock.advance(timedelta(seconds=1.3))
+        self.sync.note_version(NEAR, 7)
+        self.assertTrue(self.sync.fetching)
+
+    def test_peer_is_asked_at_once_while_the_store_is_away(self):
+        """Guards against a change that is not in force in time during an outage."""
+        self.away = timedelta()
+        self.bed.clock.advance(timedelta(seconds=1))
+        self.sync.note_version(NEAR, 7)
+        self.assertTrue(self.sync.fetching)
+
+    def test_peers_of_the_own_zone_come_first(self):
+        """Guards against traffic between zones that a nearer node could spare."""
+        self.assertIs(None, self.sync.choose_peer())
+        self.bed.directory.replace([target("t1", node=NEAR), target("t2", node=FAR, zone="b")])
+        self.assertEqual({NEAR}, {self.sync.choose_peer() for _ in range(20)})
+        self.bed.directory.unreachable(NEAR, "test")
+        self.assertEqual({FAR}, {self.sync.choose_peer() for _ in range(20)})
