--- a/almondshore/http/server.py
+++ b/almondshore/http/server.py
@@ -238,13 +238,17 @@
         """Tell whether responses wait for their clients to read."""
         return any(connection.stream.unsent for connection in self.connections)
 
-    def close(self) -> None:
-        """Stop listening and close all connections."""
-        self.timer.cancel()
+    def close_listener(self) -> None:
+        """Accept no further connections."""
         if self.listener is not None:
             self.hub.remove(self.listener)
             self.listener = None
             self.sock.close()
+
+    def close(self) -> None:
+        """Stop listening and close all connections."""
+        self.timer.cancel()
+        self.close_listener()
         for connection in list(self.connections):
             connection._close()
 
--- a/almondshore/mesh/outbound.py
+++ b/almondshore/mesh/outbound.py
@@ -90,6 +90,8 @@
         self.retry_after = ZERO
         self.reason = ""
         self.silence_timer = None
+        self.last_target = ""
+        self.load_age: timedelta | None = None
         self.done = False
         self.timer = hubs.get_hub().schedule_call_global(
             max(0.0, (self.deadline_at - now).total_seconds()), self._on_deadline
@@ -103,6 +105,8 @@
             self._give_up(self.reason or "no-target")
             return
         self.target = target
+        self.last_target = target.target
+        self.load_age = self.outbound.chooser.report_age(target.target)
         self.outbound.chooser.started(target.target)
         self.pending = None
         pending = self.outbound.dispatch(self, target)
@@ -273,7 +277,8 @@
             left_ms=int((self.deadline_at - now) / MILLISECOND),
             runs=self.runs,
             refusals=self.refusals,
-            target=self.target.target if self.target is not None else "",
+            target=self.last_target,
+            load_age_ms=-1 if self.load_age is None else int(self.load_age / MILLISECOND),
         )
 
 
--- a/almondshore/routing/completion.py
+++ b/almondshore/routing/completion.py
@@ -84,6 +84,13 @@
             load.since_report = 0
             load.times[route] = report.service_time
 
+    def report_age(self, target: str) -> timedelta | None:
+        """Return how old the last report of a target's load is, None if there is none."""
+        load = self.loads.get(target)
+        if load is None or load.report is None:
+            return None
+        return self.clock.monotonic() - load.reported_at
+
     def expected_time(self, target: str, route: str) -> timedelta:
         """Return the time that a request may take at a target as it was last reported."""
         load = self.loads.get(target)
--- /dev/null
+++ b/standins/mesh_deployment.py
@@ -0,0 +1,190 @@
+"""A small mesh in one process on loopback: nodes, the store and upstreams."""
+
+import random
+from datetime import timedelta
+from typing import Any
+
+import eventlet
+import msgspec
+from eventlet.event import Event
+
+from almondshore.core.bounded_stream import BoundedStream
+from almondshore.core.clock import BootClock
+from almondshore.http.client import Address, CallResult, ConnectionPool
+from almondshore.http.messages import encode_request
+from almondshore.http.stream import socket
+from almondshore.mesh.node import MeshNode
+from almondshore.mesh.settings import Bounds, MeshSettings
+from almondshore.platform import names
+from almondshore.platform.announcements import AnnouncementHandler
+from almondshore.platform.dialect import PlatformDialect
+from almondshore.platform.objects import ObjectClient, PlatformStore
+from standins.mesh_platform import StoreStandIn, UpstreamStandIn, serve
+
+LIMITS = {
+    "max_header_bytes": 16384,
+    "max_body_bytes": 65536,
+    "header_timeout_s": 3,
+    "idle_timeout_s": 15,
+}
+# Short, so that demonstrations and tests of a drain or a stop take seconds.
+BOUNDS = Bounds(timedelta(seconds=1), timedelta(seconds=4), 0.2, timedelta(seconds=10), 56)
+CALL_TIMEOUT = timedelta(seconds=4)
+
+
+def stored_config(version: int, services: tuple[str, ...] = ("s",), **changes: Any) -> dict:
+    """Return a configuration with the route ``/SERVICE/`` for each service."""
+    route = {
+        "hostname": "h.example",
+        "route_type": "idempotent",
+        "timeout_s": 1.0,
+        "target_latency_s": 0.3,
+        "priority": 1,
+        "max_attempts": 2,
+    }
+    routes = {
+        f"r-{name}": {**route, "path_prefix": f"/{name}/", "service": name, **changes}
+        for name in services
+    }
+    return {
+        "version": f"{version:08x}",
+        "routes": routes,
+        "services": {name: {} for name in services},
+        "limits": LIMITS,
+    }
+
+
+class MeshDeployment:
+    """Nodes, each with an upstream, and a store."""
+
+    def __init__(self, *, log_stream: BoundedStream):
+        self.clock = BootClock()
+        self.log_stream = log_stream
+        self.store = StoreStandIn()
+        self.store_server = serve(self.clock, self.store)
+        self.nodes: dict[str, MeshNode] = {}
+        self.upstreams: dict[str, UpstreamStandIn] = {}
+        self.servers = [self.store_server]
+        self.pool = ConnectionPool(clock=self.clock)
+        self.sequence = 0
+
+    def close(self) -> None:
+        """End all parts."""
+        for node in self.nodes.values():
+            node.close()
+        for server in self.servers:
+            server.close()
+
+    def add_node(
+        self, name: str, service: str = "s", version: str = "v1", announce: bool = True
+    ) -> MeshNode:
+        """Start a node with an upstream of its own."""
+        upstream = UpstreamStandIn(target=f"i-{name}")
+        server = serve(self.clock, upstream)
+        self.servers.append(server)
+        self.upstreams[name] = upstream
+        node = self.start(
+            MeshSettings(
+                node=name,
+                zone="a",
+                service=service,
+                app=server.address(),
+                outbound=free_address(),
+                inbound=free_address(),
+                ready=free_address(),
+                control=free_address(),
+                metrics=free_address(),
+                store=self.store_server.address(),
+                bounds=BOUNDS,
+            )
+        )
+        if announce:
+            eventlet.sleep(0.1)
+            self.announce(name, version=version)
+        return node
+
+    def start(self, settings: MeshSettings) -> MeshNode:
+        """Start a node, or start one again."""
+        pool = ConnectionPool(clock=self.clock)
+        node = MeshNode(
+            settings=settings,
+            clock=self.clock,
+            rng=random.Random(1),
+            dialect=PlatformDialect(),
+            store=PlatformStore(client=ObjectClient(pool=pool, address=settings.store)),
+            pool=pool,
+            config_name=names.CONFIG_NAME,
+            log_stream=self.log_stream,
+        )
+        handler = AnnouncementHandler(
+            on_announcement=node.on_announcement, on_departure=node.on_departure
+        )
+        node.start(handler)
+        self.nodes[settings.node] = node
+        return node
+
+    def announce(
+        self, name: str, state: str = "ready", version: str = "v1", born: int = 1000
+    ) -> int | None:
+        """Send a heartbeat of a node's upstream; returns the status."""
+        self.sequence += 1
+        settings = self.nodes[name].settings
+        info = {"service": settings.service, "version": version, "zone": "a", "slots": 3}
+        status = {"state": state, "sequence": self.sequence, "warmup_left_s": 0}
+        app = f"{settings.app[0]}:{settings.app[1]}"
+        body = {"address": app, "info": info, "status": status, "born": born}
+        return self._post(settings.control, f"{names.HEARTBEAT_PATH}i-{name}", body)
+
+    def depart(self, name: str, born: int = 1000) -> int | None:
+        """Send the deregistration of a node's upstream; returns the status."""
+        control = self.nodes[name].settings.control
+        return self._post(control, f"{names.DEREGISTER_PATH}i-{name}", {"born": born})
+
+    def request(
+        self, node: str, path: str = "/s/x", request_id: str = "a1", deadline_ms: int = 1500
+    ) -> CallResult:
+        """Send a caller's request to a node."""
+        headers = (
+            (b"Host", b"h.example"),
+            (names.REQUEST_ID, request_id.encode()),
+            (names.TIME_LEFT, b"%d" % deadline_ms),
+        )
+        data = encode_request(b"GET", path.encode(), headers, b"")
+        return self.call(self.nodes[node].settings.outbound, data)
+
+    def status(self, node: str, **fields: Any) -> int | None:
+        """Return the status that a caller gets, None for a connection without an answer."""
+        response = self.request(node, **fields).response
+        return response.status if response is not None else None
+
+    def ready(self, node: str) -> int | None:
+        """Return the status of a readiness check."""
+        data = encode_request(b"GET", b"/readiness", ((b"Host", b"h"),), b"")
+        response = self.call(self.nodes[node].settings.ready, data).response
+        return response.status if response is not None else None
+
+    def call(self, address: Address, data: bytes) -> CallResult:
+        """Make a call and wait for its result."""
+        done: Event = Event()
+        self.pool.call(address, data, timeout=CALL_TIMEOUT, on_done=done.send)
+        return done.wait()
+
+    def wait_for_targets(self, node: str, count: int) -> None:
+        """Wait until a node knows so many targets."""
+        with eventlet.Timeout(CALL_TIMEOUT.total_seconds()):
+            while len(self.nodes[node].directory.targets) < count:
+                eventlet.sleep(0.02)
+
+    def _post(self, address: Address, path: str, body: dict) -> int | None:
+        data = encode_request(b"POST", path.encode(), ((b"Host", b"h"),), msgspec.json.encode(body))
+        response = self.call(address, data).response
+        return response.status if response is not None else None
+
+
+def free_address() -> Address:
+    """Return an address of loopback on which nobody listens."""
+    sock = socket.socket()
+    sock.bind(("127.0.0.1", 0))
+    address = sock.getsockname()
+    sock.close()
+    return address
--- a/test/http/loopback.py
+++ b/test/http/loopback.py
@@ -10,7 +10,6 @@
 from almondshore.http.messages import Response
 from almondshore.http.parsing import RequestLimits
 from almondshore.http.server import ExchangeHandler, HttpServer, ServerLimits
-from almondshore.http.stream import socket
 
 LIMITS = ServerLimits(RequestLimits(4096, 65536), timedelta(seconds=0.6), timedelta(seconds=1.2))
 
@@ -75,12 +74,3 @@
 def open_socket(address):
     """Return a green client socket."""
     return eventlet.connect(address)
-
-
-def free_address():
-    """Return an address on which nobody listens."""
-    sock = socket.socket()
-    sock.bind(("127.0.0.1", 0))
-    address = sock.getsockname()
-    sock.close()
-    return address
--- a/test/http/test_client.py
+++ b/test/http/test_client.py
@@ -7,7 +7,8 @@
 
 from almondshore.http.client import CallFailure
 from almondshore.http.messages import Response, encode_request
-from test.http.loopback import RawServer, Recorder, call, free_address, new_pool, serve
+from standins.mesh_deployment import free_address
+from test.http.loopback import RawServer, Recorder, call, new_pool, serve
 
 REQUEST = encode_request(b"GET", b"/a", ((b"Host", b"h"),), b"")
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nId: %s\r\n\r\n%s"
--- a/test/mesh/test_node.py
+++ b/test/mesh/test_node.py
@@ -1,23 +1,39 @@
 """Tests of whole nodes against stand-ins of the store and of upstreams."""
 
+import os
 from datetime import timedelta
 
 import eventlet
 from testtools import TestCase
 
+from almondshore.core.bounded_stream import BoundedStream
 from almondshore.http.messages import Response
-from test.mesh.meshbed import MeshBed, stored_config
+from standins.mesh_deployment import MeshDeployment, stored_config
+
+
+def new_mesh(test):
+    """Return a deployment that ends with the test and logs nowhere."""
+    sink = os.open(os.devnull, os.O_WRONLY)
+    mesh = MeshDeployment(log_stream=BoundedStream(descriptor=sink))
+    test.addCleanup(os.close, sink)
+    test.addCleanup(mesh.close)
+    return mesh
+
+
+def wait_until(condition, seconds=3.0):
+    with eventlet.Timeout(seconds):
+        while not condition():
+            eventlet.sleep(0.02)
 
 
 class NodeTest(TestCase):
     def setUp(self):
         super().setUp()
-        self.bed = MeshBed()
-        self.addCleanup(self.bed.close)
+        self.bed = new_mesh(self)
         self.bed.store.put("config", "main", stored_config(3, ("s", "other")))
         self.bed.add_node("n1", service="other")
         self.bed.add_node("n2")
-        self.bed.wait_until(lambda: len(self.bed.nodes["n1"].directory.targets) == 2)
+        wait_until(lambda: len(self.bed.nodes["n1"].directory.targets) == 2)
 
     def test_request_crosses_to_the_host_of_its_target(self):
         """Guards against a path that is broken between any two of its parts."""
@@ -40,14 +56,14 @@
         first.store.move(("127.0.0.1", 1))
         first.pool.drop(self.bed.store_server.address())
         self.bed.store.put("config", "main", stored_config(9, ("s",)))
-        self.bed.wait_until(lambda: self.bed.nodes["n2"].outbound.config_version() == 9)
-        self.bed.wait_until(lambda: first.outbound.config_version() == 9)
+        wait_until(lambda: self.bed.nodes["n2"].outbound.config_version() == 9)
+        wait_until(lambda: first.outbound.config_version() == 9)
 
     def test_lost_history_loses_no_change(self):
         """Guards against a node that misses a change when the store drops its history."""
         self.bed.store.forget_history()
         self.bed.store.put("config", "main", stored_config(4, ("s",)))
-        self.bed.wait_until(lambda: self.bed.nodes["n1"].outbound.config_version() == 4)
+        wait_until(lambda: self.bed.nodes["n1"].outbound.config_version() == 4)
 
     def test_leaving_target_gets_no_requests(self):
         """Guards against requests that reach a target after its leaving was acknowledged."""
@@ -61,11 +77,11 @@
         """Guards against a restarted node that uses a target which deregistered before."""
         self.assertEqual(200, self.bed.depart("n2"))
         entry = ("almondshore-targets", "i-n2")
-        self.bed.wait_until(lambda: self.bed.store.get(*entry)["spec"]["state"] == "gone")
+        wait_until(lambda: self.bed.store.get(*entry)["spec"]["state"] == "gone")
         former = self.bed.nodes.pop("n2")
         former.close()
         self.bed.start(former.settings)
-        self.bed.wait_until(lambda: self.bed.nodes["n2"].local.confirmed)
+        wait_until(lambda: self.bed.nodes["n2"].local.confirmed)
         self.bed.announce("n2")
         eventlet.sleep(0.5)
         self.assertEqual(503, self.bed.status("n1"))
@@ -79,18 +95,17 @@
             self.bed.request("n1")
         for connection in list(self.bed.nodes["n1"].outbound_server.connections):
             connection.stream._finish(clean=True)
-        self.bed.wait_until(lambda: upstream.cancelled == 1, seconds=0.5)
+        wait_until(lambda: upstream.cancelled == 1, seconds=0.5)
 
     def test_silent_host_is_passed_over(self):
         """Guards against connections to a host that went silent without a reset."""
         self.bed.add_node("n3")
-        self.bed.wait_until(lambda: len(self.bed.nodes["n1"].directory.targets) == 3)
+        wait_until(lambda: len(self.bed.nodes["n1"].directory.targets) == 3)
         for number in range(6):
             self.bed.status("n1", request_id=f"w{number}")
         # Neither accepts connections nor reads from those that it has.
         server = self.bed.nodes["n2"].inbound_server
-        server.hub.remove(server.listener)
-        server.listener = None
+        server.close_listener()
         for connection in server.connections:
             connection.stream.pause_reading()
         statuses = [self.bed.status("n1", request_id=f"a{number}") for number in range(8)]
@@ -99,7 +114,7 @@
     def test_lost_answer_is_made_up_for_on_idempotent_routes(self):
         """Guards against a caller that waits in vain for an answer that was lost."""
         self.bed.add_node("n3")
-        self.bed.wait_until(lambda: len(self.bed.nodes["n1"].directory.targets) == 3)
+        wait_until(lambda: len(self.bed.nodes["n1"].directory.targets) == 3)
         for name in ("n2", "n3"):
             upstream = self.bed.upstreams[name]
             upstream.answer = self._cut_first(upstream)
@@ -118,7 +133,7 @@
         self.assertFalse(node._may_end())
         self.assertEqual([504, 504], [reply.wait() for reply in replies])
         self.assertEqual(200, self.bed.status("n1", path="/other/x"))
-        self.bed.wait_until(node._may_end)
+        wait_until(node._may_end)
         self.assertEqual(503, self.bed.status("n1"))
 
     def test_metrics_are_served(self):
@@ -145,8 +160,7 @@
 
 class RolloutTest(TestCase):
     def play(self, bad):
-        bed = MeshBed()
-        self.addCleanup(bed.close)
+        bed = new_mesh(self)
         bed.store.put("config", "main", stored_config(3, ("s", "other")))
         bed.add_node("n1", service="other")
         bed.add_node("n2")
@@ -160,7 +174,7 @@
                     (b"Response-Signature", b"x"),
                 ),
             )
-        bed.wait_until(lambda: len(bed.nodes["n1"].directory.targets) == 3)
+        wait_until(lambda: len(bed.nodes["n1"].directory.targets) == 3)
         order = {"service": "s", "target_version": "v2", "duration_s": 5}
         bed.store.put("rollouts", "s", order)
         number = 0
--- a/test/platform/test_main.py
+++ b/test/platform/test_main.py
@@ -13,7 +13,7 @@
 from almondshore.core.errors import InvalidInputError
 from almondshore.mesh.settings import load_mesh_settings
 from almondshore.platform.bounds import decode_bounds
-from test.http.loopback import free_address
+from standins.mesh_deployment import free_address
 
 BOUNDS = "drain_s=1,grace_s=3,retry_budget_ratio=0.2,budget_window_s=10,budget_min_retries=56"
 
