--- a/test/docs/test_operations.py
+++ b/test/docs/test_operations.py
@@ -16,7 +16,7 @@
 from almondshore.ui.main import run
 
 DOCS = Path(__file__).parents[2] / "docs"
-PAGE = (DOCS / "operations.md").read_text()
+PAGE = (DOCS / "OPERATIONS.md").read_text()
 # The day of the runs that the page shows; the deadlines on it lie after this day.
 DAY = datetime(2026, 12, 4, 10, 0, tzinfo=UTC)
 PROMPT = "    $ "
@@ -98,7 +98,7 @@
 
     def test_links_lead_to_pages(self):
         """Guards against links to pages or headings that do not exist."""
-        for name in ("operations.md", "embedding.md"):
+        for name in ("OPERATIONS.md", "embedding.md"):
             for path, heading in re.findall(r"\]\(([^)#]+)#?([^)]*)\)", (DOCS / name).read_text()):
                 target = (DOCS / path).read_text()
                 headings = [line.lstrip("# ") for line in target.splitlines() if line[:1] == "#"]
