--- a/Makefile
+++ b/Makefile
@@ -17,12 +17,12 @@
 	$(PYTHON) -m pytest
 
 lint: $(STAMP)
-	$(PYTHON) -m black --check -q almondshore standins bench test docs/examples
-	$(PYTHON) -m ruff check -q --no-cache almondshore standins bench test docs/examples
+	$(PYTHON) -m black --check -q almondshore standins bench soak test docs/examples
+	$(PYTHON) -m ruff check -q --no-cache almondshore standins bench soak test docs/examples
 
 format: $(STAMP)
-	$(PYTHON) -m black -q almondshore standins bench test docs/examples
-	$(PYTHON) -m ruff check -q --no-cache --fix almondshore standins bench test docs/examples
+	$(PYTHON) -m black -q almondshore standins bench soak test docs/examples
+	$(PYTHON) -m ruff check -q --no-cache --fix almondshore standins bench soak test docs/examples
 
 bench: $(STAMP)
 	$(PYTHON) -W ignore -m bench.main
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized fault soak of real node processes on loopback."""
--- a/standins/mesh_platform.py
+++ b/standins/mesh_platform.py
@@ -169,6 +169,7 @@
     """An upstream that answers after a while, and announces itself to the node beside it.
 
     :ivar ran: request ids and caller services, in the order in which they ran
+    :ivar on_run: called with each request that runs
     :ivar answer: makes the response of a request, None to leave it unanswered
     """
 
@@ -178,6 +179,7 @@
         self.ran: list[tuple[bytes, bytes]] = []
         self.cancelled = 0
         self.answer: Callable[[Exchange], Response | None] = self._usual
+        self.on_run: Callable[[Exchange], None] = lambda _exchange: None
 
     def handle(self, exchange: Exchange) -> None:
         """Run a request, or reject one for another instance."""
@@ -186,6 +188,7 @@
             exchange.respond(Response(421))
             return
         self.ran.append((request.header(b"attempt-id"), request.header(b"caller-service")))
+        self.on_run(exchange)
         exchange.on_cancel = self._on_cancel
         eventlet.spawn_after(self.work.total_seconds(), self._finish, exchange)
 
