Give nodes loopback addresses of their own in tests, and measure the hops

A port that was free a moment before had been taken by an outgoing connection. The fault is the harness's.

--- a/bench/hop.py
+++ b/bench/hop.py
@@ -8,7 +8,7 @@
 import urllib3
 from hdrh.histogram import HdrHistogram
 
-from bench.rows import BenchRow
+from bench.rows import BenchRow, make_row, print_rows
 from standins.deployment import Deployment, NodeProcess, wait_for
 
 CALLS = 3000
@@ -47,21 +47,21 @@
     calls = CALLS + WARM_UP_CALLS
     added = [_ms(through, share) - _ms(direct, share) for share in (50, 99)]
     return [
-        _row("direct call, p99", "-", _ms(direct, 99), "ms", None),
-        _row("call through two hops, p99", "-", _ms(through, 99), "ms", None),
-        _row("added by two hops, p50", "-", added[0], "ms", None),
-        _row("added by two hops, p99", f"<= {MAX_ADDED_MS}", added[1], "ms", MAX_ADDED_MS),
-        _row("calls one after another", "-", calls / took, "calls/s", None),
-        _row("processor time for each hop", "-", cpu / calls / 2 * 1e6, "us", None),
-        _row(
+        make_row("direct call, p99", "-", _ms(direct, 99), "ms", None),
+        make_row("call through two hops, p99", "-", _ms(through, 99), "ms", None),
+        make_row("added by two hops, p50", "-", added[0], "ms", None),
+        make_row("added by two hops, p99", f"<= {MAX_ADDED_MS}", added[1], "ms", MAX_ADDED_MS),
+        make_row("calls one after another", "-", calls / took, "calls/s", None),
+        make_row("processor time for each hop", "-", cpu / calls / 2 * 1e6, "us", None),
+        make_row(
             "idle relay, processor",
             f"<= {MAX_IDLE_CORE_PERCENT}",
             idle,
             "% of a core",
             MAX_IDLE_CORE_PERCENT,
         ),
-        _row("idle node, memory", f"<= {MAX_MEMORY_MB}", idle_mb, "MB", MAX_MEMORY_MB),
-        _row("loaded node, memory", f"<= {MAX_MEMORY_MB}", loaded_mb, "MB", MAX_MEMORY_MB),
+        make_row("idle node, memory", f"<= {MAX_MEMORY_MB}", idle_mb, "MB", MAX_MEMORY_MB),
+        make_row("loaded node, memory", f"<= {MAX_MEMORY_MB}", loaded_mb, "MB", MAX_MEMORY_MB),
     ]
 
 
@@ -106,15 +106,9 @@
     return (_cpu_seconds(node) - before) / seconds * 100
 
 
-def _row(name: str, target: str, figure: float, unit: str, limit: float | None) -> BenchRow:
-    verdict = "-" if limit is None else "met" if figure <= limit else "missed"
-    return BenchRow(name, target, f"{figure:.2f}", unit, verdict)
-
-
 def main() -> None:
     """Print the table."""
-    for row in run():
-        print(f"{row.name:<32} {row.target:>10} {row.figure:>10} {row.unit:<12} {row.verdict}")
+    print_rows(run())
 
 
 if __name__ == "__main__":
--- a/bench/main.py
+++ b/bench/main.py
@@ -7,10 +7,10 @@
 from rich.console import Console
 from rich.table import Table
 
-from bench import convergence, daemon, hop, moves, requests
+from bench import convergence, daemon, hop, mesh_path, moves, requests
 from bench.rows import BenchRow
 
-MODULES = (hop, daemon, requests, convergence, moves)
+MODULES = (hop, mesh_path, daemon, requests, convergence, moves)
 RESULT_FILE = Path("build/bench.json")
 MISSED = frozenset({"missed", "FAIL", "fail"})
 
--- a/soak/world.py
+++ b/soak/world.py
@@ -19,7 +19,7 @@
 from almondshore.platform import names
 from soak.promises import Promises, Sent
 from soak.proxy import FaultProxy
-from standins.mesh_deployment import free_address, stored_config
+from standins.mesh_deployment import listen_addresses, stored_config
 from standins.mesh_platform import StoreStandIn, UpstreamStandIn, serve
 
 DRAIN = timedelta(seconds=2)
@@ -51,9 +51,7 @@
         self.server = serve(world.clock, self.upstream)
         self.app_proxy = FaultProxy(target=self.server.address())
         self.store_proxy = FaultProxy(target=world.store_server.address())
-        self.addresses = {
-            key: free_address() for key in ("outbound", "inbound", "ready", "control", "metrics")
-        }
+        self.addresses = listen_addresses()
         self.process: subprocess.Popen | None = None
         self.greenlet = eventlet.spawn(self._announce)
 
--- a/standins/mesh_deployment.py
+++ b/standins/mesh_deployment.py
@@ -1,5 +1,7 @@
 """A small mesh in one process on loopback: nodes, the store and upstreams."""
 
+import itertools
+import os
 import random
 from datetime import timedelta
 from typing import Any
@@ -30,6 +32,10 @@
 # Short, so that demonstrations and tests of a drain or a stop take seconds.
 BOUNDS = Bounds(timedelta(seconds=1), timedelta(seconds=4), 0.2, timedelta(seconds=10), 56)
 CALL_TIMEOUT = timedelta(seconds=4)
+LISTENERS = ("outbound", "inbound", "ready", "control", "metrics")
+FIRST_PORT = 7001
+
+_hosts = itertools.count()
 
 
 def stored_config(version: int, services: tuple[str, ...] = ("s",), **changes: Any) -> dict:
@@ -85,15 +91,11 @@
         self.upstreams[name] = upstream
         node = self.start(
             MeshSettings(
+                **listen_addresses(),
                 node=name,
                 zone="a",
                 service=service,
                 app=server.address(),
-                outbound=free_address(),
-                inbound=free_address(),
-                ready=free_address(),
-                control=free_address(),
-                metrics=free_address(),
                 store=self.store_server.address(),
                 bounds=BOUNDS,
             )
@@ -181,6 +183,16 @@
         return response.status if response is not None else None
 
 
+def listen_addresses() -> dict[str, Address]:
+    """Return addresses for the listeners of a node on a loopback address of its own.
+
+    On 127.0.0.1 a port that was free a moment ago may be taken by any outgoing connection.
+    """
+    number = next(_hosts)
+    host = f"127.{100 + os.getpid() % 100}.{number // 250 % 250}.{number % 250 + 1}"
+    return {name: (host, FIRST_PORT + index) for index, name in enumerate(LISTENERS)}
+
+
 def free_address() -> Address:
     """Return an address of loopback on which nobody listens."""
     sock = socket.socket()
--- a/test/platform/test_main.py
+++ b/test/platform/test_main.py
@@ -13,7 +13,7 @@
 from almondshore.core.errors import InvalidInputError
 from almondshore.mesh.settings import load_mesh_settings
 from almondshore.platform.bounds import decode_bounds
-from standins.mesh_deployment import free_address
+from standins.mesh_deployment import free_address, listen_addresses
 
 BOUNDS = "drain_s=1,grace_s=3,retry_budget_ratio=0.2,budget_window_s=10,budget_min_retries=56"
 
@@ -23,8 +23,8 @@
         host, port = free_address()
         return f"{host}:{port}"
 
-    values = {name: address() for name in ("outbound", "inbound", "ready", "control", "metrics")}
-    listen = "".join(f"  {name}: {value}\n" for name, value in values.items())
+    values = listen_addresses().items()
+    listen = "".join(f"  {name}: {host}:{port}\n" for name, (host, port) in values)
     text = (
         f"node: n1\nzone: a\nservice: s\napp: {address()}\nlisten:\n{listen}"
         f'store: {address()}\nbounds: "{BOUNDS}"\n'
