Ignore SIGHUP until the settings are read, and restart ended processes in the soak

A SIGHUP came while it loaded its modules and ended it by the default action; nothing started it again. Change: SIGHUP is ignored from the first lines; the soak starts a process again that ended, as the platform does, and counts it.

--- a/almondshore/platform/main.py
+++ b/almondshore/platform/main.py
@@ -1,27 +1,32 @@
 """The node process on the users' platform."""
 
-import os
-import random
 import signal
-import sys
-from datetime import timedelta
-
-import eventlet
-from eventlet import hubs
-from eventlet.hubs.hub import READ
-
-from almondshore.core.bounded_stream import BoundedStream
-from almondshore.core.clock import BootClock
-from almondshore.core.errors import InvalidInputError
-from almondshore.core.logs import log_event, setup_logs
-from almondshore.http.client import ConnectionPool
-from almondshore.mesh.node import MeshNode
-from almondshore.mesh.settings import MeshSettings, load_mesh_settings
-from almondshore.platform import names
-from almondshore.platform.announcements import AnnouncementHandler
-from almondshore.platform.bounds import decode_bounds
-from almondshore.platform.dialect import PlatformDialect
-from almondshore.platform.objects import ObjectClient, PlatformStore
+
+# A request to reload that comes while modules are loaded would end the process. The settings are
+# read after this, so that nothing is missed.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+import os  # noqa: E402
+import random  # noqa: E402
+import sys  # noqa: E402
+from datetime import timedelta  # noqa: E402
+
+import eventlet  # noqa: E402
+from eventlet import hubs  # noqa: E402
+from eventlet.hubs.hub import READ  # noqa: E402
+
+from almondshore.core.bounded_stream import BoundedStream  # noqa: E402
+from almondshore.core.clock import BootClock  # noqa: E402
+from almondshore.core.errors import InvalidInputError  # noqa: E402
+from almondshore.core.logs import log_event, setup_logs  # noqa: E402
+from almondshore.http.client import ConnectionPool  # noqa: E402
+from almondshore.mesh.node import MeshNode  # noqa: E402
+from almondshore.mesh.settings import MeshSettings, load_mesh_settings  # noqa: E402
+from almondshore.platform import names  # noqa: E402
+from almondshore.platform.announcements import AnnouncementHandler  # noqa: E402
+from almondshore.platform.bounds import decode_bounds  # noqa: E402
+from almondshore.platform.dialect import PlatformDialect  # noqa: E402
+from almondshore.platform.objects import ObjectClient, PlatformStore  # noqa: E402
 
 SETTINGS_VARIABLE = "ALMONDSHORE_SETTINGS"
 DEFAULT_SETTINGS = "/etc/almondshore/node.conf"
--- a/soak/world.py
+++ b/soak/world.py
@@ -35,6 +35,7 @@
     """A node process and the upstream beside it.
 
     :ivar born: start of the upstream, in milliseconds
+    :ivar exits: times that the node process ended by itself
     :ivar state: what its heartbeats say; empty once it has gone
     """
 
@@ -53,6 +54,8 @@
         self.store_proxy = FaultProxy(target=world.store_server.address())
         self.addresses = listen_addresses()
         self.process: subprocess.Popen | None = None
+        self.restarting = False
+        self.exits = 0
         self.greenlet = eventlet.spawn(self._announce)
 
     def target(self) -> str:
@@ -84,11 +87,19 @@
 
     def restart(self, number: int) -> None:
         """End the node process by a signal and start it again."""
+        self.restarting = True
         self.signal(number)
         while self.process is not None and self.process.poll() is None:
             eventlet.sleep(0.05)
         eventlet.sleep(RESTART_S)
         self.start()
+        self.restarting = False
+
+    def supervise(self) -> None:
+        """Start a process again that has ended by itself, as the platform does."""
+        if self.process is not None and self.process.poll() is not None and not self.restarting:
+            self.exits += 1
+            self.start()
 
     def leave(self, *, notice: bool) -> None:
         """Let the upstream leave, and another one take its place later.
@@ -125,6 +136,7 @@
     def _announce(self) -> None:
         while True:
             eventlet.sleep(HEARTBEAT_S)
+            self.supervise()
             if self.state:
                 self._send_heartbeat()
 
--- a/test/platform/test_main.py
+++ b/test/platform/test_main.py
@@ -102,9 +102,26 @@
         self.wait_for("event=node_stopping")
         self.wait_for("event=node_stopped")
 
+    def test_reload_during_the_start_does_not_end_the_process(self):
+        """Guards against a process that dies of a signal before its handlers are in place."""
+        process = self.start(settings_text())
+        for _ in range(30):
+            time.sleep(0.02)
+            if process.poll() is None and _has_python_started(process.pid):
+                process.send_signal(signal.SIGHUP)
+        self.wait_for("event=node_started")
+        self.assertIs(None, process.poll())
+
     def test_wrong_settings_end_the_process_with_all_findings(self):
         """Guards against a process that runs with settings it could not read."""
         process = self.start("node: n1\nzone: 5\n")
         self.assertEqual(2, process.wait(timeout=10))
         self.assertIn("zone", self.log.read_text())
         self.assertIn("service has no default", self.log.read_text())
+
+
+def _has_python_started(pid):
+    """Tell whether a process ignores or handles SIGHUP, as it does from its first lines on."""
+    status = Path(f"/proc/{pid}/status").read_text()
+    masks = [line.split()[1] for line in status.splitlines() if line[:6] in ("SigIgn", "SigCgt")]
+    return any(int(mask, 16) & 1 << (signal.SIGHUP - 1) for mask in masks)
