Share the hub registration, and drop what is unused

Cause: reading the change as a newcomer: the same do-nothing callback stood in four modules, and a method, an attribute and a type had no user. Change: stream.watch; the peer test covers rollouts. Conclusion: behaviour is the same.

--- a/almondshore/http/parsing.py
+++ b/almondshore/http/parsing.py
@@ -133,7 +133,6 @@
     def __init__(self) -> None:
         self.complete: deque[Response] = deque()
         self.parser = httptools.HttpResponseParser(self)
-        self.expects_head = False
         self.begin()
 
     def begin(self) -> None:
--- a/almondshore/http/server.py
+++ b/almondshore/http/server.py
@@ -7,13 +7,12 @@
 from typing import NamedTuple
 
 from eventlet import hubs
-from eventlet.hubs.hub import READ
 
 from almondshore.core.clock import Clock
 from almondshore.core.logs import log_event
 from almondshore.http.messages import Request, Response, encode_response
 from almondshore.http.parsing import ParseError, RequestLimits, RequestParser
-from almondshore.http.stream import Stream, StreamHandler, socket, tune
+from almondshore.http.stream import READ, Stream, StreamHandler, socket, tune, watch
 
 BACKLOG = 1024
 # Requests of one connection that are handled at a time; further ones wait in the kernel.
@@ -214,7 +213,7 @@
         self.sock.setblocking(False)
         self.sock.bind(address)
         self.sock.listen(BACKLOG)
-        self.listener = self.hub.add(READ, self.sock.fileno(), self._accept, _ignore, _ignore)
+        self.listener = watch(READ, self.sock.fileno(), self._accept)
         self.timer = self.hub.schedule_call_global(SWEEP_INTERVAL_S, self._sweep)
 
     def address(self) -> tuple[str, int]:
@@ -230,10 +229,6 @@
         for connection in list(self.connections):
             connection.close_idle()
 
-    def in_progress(self) -> int:
-        """Return the number of requests that have no response yet."""
-        return sum(len(connection.pending) for connection in self.connections)
-
     def unsent(self) -> bool:
         """Tell whether responses wait for their clients to read."""
         return any(connection.stream.unsent for connection in self.connections)
@@ -277,7 +272,3 @@
         for connection in list(self.connections):
             connection.sweep(now, limits)
         self.timer = self.hub.schedule_call_global(SWEEP_INTERVAL_S, self._sweep)
-
-
-def _ignore(*_args: object) -> None:
-    """Serve as the callbacks that the hub needs for greenlets."""
--- a/almondshore/http/stream.py
+++ b/almondshore/http/stream.py
@@ -2,6 +2,7 @@
 
 import errno
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 
 from eventlet import hubs, patcher
 from eventlet.hubs.hub import READ, WRITE
@@ -23,7 +24,7 @@
 
 _RETRY = frozenset((errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR))
 
-__all__ = ["Stream", "StreamHandler", "connect_stream", "socket", "tune"]
+__all__ = ["READ", "Stream", "StreamHandler", "connect_stream", "socket", "tune", "watch"]
 
 
 class StreamHandler(ABC):
@@ -125,11 +126,11 @@
 
     def _watch_read(self) -> None:
         if self.reader is None and not self.paused:
-            self.reader = self.hub.add(READ, self.fileno, self._on_readable, _ignore, _ignore)
+            self.reader = watch(READ, self.fileno, self._on_readable)
 
     def _watch_write(self) -> None:
         if self.writer is None:
-            self.writer = self.hub.add(WRITE, self.fileno, self._on_writable, _ignore, _ignore)
+            self.writer = watch(WRITE, self.fileno, self._on_writable)
 
     def _unwatch_write(self) -> None:
         if self.writer is not None:
@@ -203,6 +204,11 @@
                 self.handler.on_end(clean=False)
 
 
+def watch(event: str, fileno: int, callback: Callable[[int], None]) -> object:
+    """Have the hub call back whenever a descriptor is ready; returns what to remove from it."""
+    return hubs.get_hub().add(event, fileno, callback, _ignore, _ignore)
+
+
 def connect_stream(address: tuple[str, int], handler: StreamHandler) -> Stream | OSError:
     """Start to connect to an address.
 
--- a/almondshore/mesh/model.py
+++ b/almondshore/mesh/model.py
@@ -1,6 +1,5 @@
 """Configuration, targets and rollouts as the request path sees them."""
 
-from collections.abc import Mapping
 from datetime import timedelta
 from enum import StrEnum
 from typing import NamedTuple
@@ -161,6 +160,3 @@
     service_time: timedelta
     failure_rate: float
     leaving: bool
-
-
-Versions = Mapping[str, float]
--- a/almondshore/platform/main.py
+++ b/almondshore/platform/main.py
@@ -12,14 +12,13 @@
 from datetime import timedelta  # noqa: E402
 
 import eventlet  # noqa: E402
-from eventlet import hubs  # noqa: E402
-from eventlet.hubs.hub import READ  # noqa: E402
 
 from almondshore.core.bounded_stream import BoundedStream  # noqa: E402
 from almondshore.core.clock import BootClock  # noqa: E402
 from almondshore.core.errors import InvalidInputError  # noqa: E402
 from almondshore.core.logs import log_event, setup_logs  # noqa: E402
 from almondshore.http.client import ConnectionPool  # noqa: E402
+from almondshore.http.stream import READ, watch  # noqa: E402
 from almondshore.mesh.node import MeshNode  # noqa: E402
 from almondshore.mesh.settings import MeshSettings, load_mesh_settings  # noqa: E402
 from almondshore.platform import names  # noqa: E402
@@ -96,7 +95,7 @@
             else:
                 node.stop()
 
-    hubs.get_hub().add(READ, read_end, on_readable, _ignore, _ignore)
+    watch(READ, read_end, on_readable)
 
 
 def watch_settings(node: MeshNode, path: str) -> None:
@@ -140,9 +139,5 @@
     """Serve as the Python-level handler: the wake-up descriptor carries the signal."""
 
 
-def _ignore(*_args: object) -> None:
-    """Serve as the callbacks that the hub needs for greenlets."""
-
-
 if __name__ == "__main__":
     main()
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -4,10 +4,9 @@
 from enum import StrEnum
 
 from eventlet import hubs
-from eventlet.hubs.hub import READ
 
 from almondshore.http.client import Address
-from almondshore.http.stream import Stream, StreamHandler, connect_stream, socket, tune
+from almondshore.http.stream import READ, Stream, StreamHandler, connect_stream, socket, tune, watch
 
 DELAY = timedelta(milliseconds=150)
 
@@ -72,8 +71,7 @@
         self.sock.bind(("127.0.0.1", 0))
         self.sock.listen(256)
         self.address: Address = self.sock.getsockname()
-        hub = hubs.get_hub()
-        self.listener = hub.add(READ, self.sock.fileno(), self._accept, _ignore, _ignore)
+        self.listener = watch(READ, self.sock.fileno(), self._accept)
 
     def set_mode(self, mode: Mode) -> None:
         """Put a fault into effect; a reset also ends the open connections."""
@@ -107,7 +105,3 @@
     def _close_all(self) -> None:
         for side in list(self.sides):
             side.close()
-
-
-def _ignore(*_args: object) -> None:
-    """Serve as the callbacks that the hub needs for greenlets."""
--- a/test/mesh/test_peers.py
+++ b/test/mesh/test_peers.py
@@ -6,6 +6,7 @@
 import msgspec
 from testtools import TestCase
 
+from almondshore.mesh.model import Rollout, RolloutState
 from almondshore.mesh.peers import PeerSync
 from almondshore.mesh.state import ConfigSink, PeerState, RolloutSink
 from test.mesh.fakes import OWN_NODE, PathBed
@@ -31,7 +32,8 @@
         super().setUp()
         self.bed = PathBed()
         self.away = None
-        self.client = FakeClient(PeerState(7, '{"x": 1}', [target("t9")], []))
+        self.rollout = Rollout("s", "v2", timedelta(seconds=9), RolloutState.RUNNING, 0.25, 8)
+        self.client = FakeClient(PeerState(7, '{"x": 1}', [target("t9")], [self.rollout]))
         self.sync = PeerSync(
             clock=self.bed.clock,
             rng=random.Random(1),
@@ -49,7 +51,8 @@
         """Guards against a node that stays on an old state while the store is away."""
         self.assertTrue(self.sync.fetch(NEAR))
         self.assertEqual(7, self.bed.outbound.config_version())
-        self.assertIn("t9", self.bed.directory.targets)
+        self.assertEqual({"t9": target("t9")}, self.bed.directory.targets)
+        self.assertEqual({"s": self.rollout}, self.bed.shares.rollouts)
         self.assertEqual([(NEAR, b"/state?config=1")], self.client.asked)
 
     def test_store_is_given_time_before_a_peer_is_asked(self):
