--- a/almondshore/mesh/hop.py
+++ b/almondshore/mesh/hop.py
@@ -11,6 +11,7 @@
 
 TERMS_HEADER = b"x-almondshore-terms"
 REPORT_HEADER = b"x-almondshore-report"
+HOP_HEADERS = frozenset((TERMS_HEADER, REPORT_HEADER))
 MILLISECOND = timedelta(milliseconds=1)
 
 
@@ -27,6 +28,16 @@
     BROKEN = "broken"
 
 
+class Obstacle(StrEnum):
+    """Why the node beside a target refuses a request for a reason other than load."""
+
+    NO_TARGET = "no-target"
+    WRONG_TARGET = "wrong-target"
+    TARGET_DOWN = "target-down"
+    VERSION_RETIRED = "version-retired"
+    SHUTTING_DOWN = "shutting-down"
+
+
 class HopTerms(NamedTuple):
     """Terms of a request, sent to the node beside its target.
 
--- a/almondshore/mesh/inbound.py
+++ b/almondshore/mesh/inbound.py
@@ -14,12 +14,12 @@
 from almondshore.mesh.dialect import Dialect, Verdict
 from almondshore.mesh.evidence import ResultRecorder
 from almondshore.mesh.hop import (
+    HOP_HEADERS,
     MILLISECOND,
-    REPORT_HEADER,
-    TERMS_HEADER,
     HopReport,
     HopResult,
     HopTerms,
+    Obstacle,
     Outcome,
     decode_terms,
     encode_report,
@@ -27,7 +27,6 @@
 from almondshore.mesh.local import LocalTarget
 from almondshore.mesh.model import Address
 
-HOP_HEADERS = frozenset((TERMS_HEADER, REPORT_HEADER))
 # A target answers by the deadline it is given; later, the connection is given up.
 DEADLINE_SLACK = timedelta(milliseconds=100)
 # A target may drop an idle connection just when a request is sent on it. Requests that must not
@@ -200,18 +199,18 @@
     def _obstacle(self, terms: HopTerms) -> str | None:
         """Return why a request cannot be taken, or None."""
         if self.closed:
-            return "shutting-down"
+            return Obstacle.SHUTTING_DOWN
         if self.local.announced is None:
-            return "no-target"
+            return Obstacle.NO_TARGET
         if self.local.announced.target != terms.target:
-            return "wrong-target"
+            return Obstacle.WRONG_TARGET
         if not self.local.usable(terms.target):
-            return str(Refusal.DRAINING)
+            return Refusal.DRAINING
         announced = self.local.announced
         if self.retired(announced.service, announced.version):
-            return "version-retired"
+            return Obstacle.VERSION_RETIRED
         if self.clock.monotonic() < self.down_until:
-            return "target-down"
+            return Obstacle.TARGET_DOWN
         return None
 
     def _on_done(self, submission: Submission, result: CallResult) -> None:
@@ -229,7 +228,7 @@
             self._record(submission, ok, took)
         if result.failure is CallFailure.CLOSED:
             self.deaths.broke(self._run_of(submission, took))
-        if reason == "target-down":
+        if reason == Obstacle.TARGET_DOWN:
             self.down_until = self.clock.monotonic() + DOWN_PAUSE
             self.note_death()
         self.finish(submission, outcome, reason, response=response)
@@ -266,7 +265,7 @@
         """Return the outcome, its reason and whether the request succeeded."""
         if result.response is None:
             if not result.sent:
-                return Outcome.REFUSED, "target-down", False
+                return Outcome.REFUSED, Obstacle.TARGET_DOWN, False
             return Outcome.BROKEN, str(result.failure.value), False
         verdict = self.dialect.verdict(result.response)
         if verdict in (Verdict.NOT_RUN, Verdict.WRONG_TARGET):
