--- a/almondshore/platform/main.py
+++ b/almondshore/platform/main.py
@@ -29,6 +29,7 @@
 
 SETTINGS_VARIABLE = "ALMONDSHORE_SETTINGS"
 DEFAULT_SETTINGS = "/etc/almondshore/node.conf"
+CHECK = "--check"
 STDOUT = 1
 # A changed file takes effect this much later at most.
 SETTINGS_INTERVAL = timedelta(seconds=2)
@@ -37,13 +38,16 @@
 
 
 def main() -> None:
-    """Run a node until it is told to stop."""
+    """Run a node until it is told to stop, or only check its settings."""
     path = os.environ.get(SETTINGS_VARIABLE, DEFAULT_SETTINGS)
     try:
         settings = load_mesh_settings(path, decode_bounds)
     except InvalidInputError as error:
         sys.stderr.write(f"{error}\n")
         sys.exit(EXIT_WRONG_SETTINGS)
+    if sys.argv[1:] == [CHECK]:
+        sys.stdout.write(f"{path}: no findings\n")
+        return
     stream = BoundedStream(descriptor=STDOUT)
     setup_logs(stream=stream)
     node = build_node(settings, stream)
--- a/test/platform/test_main.py
+++ b/test/platform/test_main.py
@@ -60,7 +60,7 @@
 
 
 class ProcessTest(TestCase):
-    def start(self, text):
+    def start(self, text, *arguments):
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         self.path = Path(folder.name) / "node.yaml"
@@ -68,7 +68,7 @@
         self.log = Path(folder.name) / "log"
         with self.log.open("w") as out:
             process = subprocess.Popen(
-                [sys.executable, "-W", "ignore", "-m", "almondshore.platform.main"],
+                [sys.executable, "-W", "ignore", "-m", "almondshore.platform.main", *arguments],
                 env={**os.environ, "ALMONDSHORE_SETTINGS": str(self.path)},
                 stdout=out,
                 stderr=subprocess.STDOUT,
@@ -112,11 +112,18 @@
         self.wait_for("event=node_started")
         self.assertIs(None, process.poll())
 
+    def test_settings_are_checked_without_a_start(self):
+        """Guards against settings that are only found wrong when a host restarts."""
+        process = self.start(settings_text(), "--check")
+        self.assertEqual(0, process.wait(timeout=10))
+        self.assertIn("no findings", self.log.read_text())
+
     def test_wrong_settings_end_the_process_with_all_findings(self):
         """Guards against a process that runs with settings it could not read."""
         process = self.start("node: n1\nzone: 5\n")
         self.assertEqual(2, process.wait(timeout=10))
         self.assertIn("zone", self.log.read_text())
+        self.assertEqual(2, self.start("node: n1\n", "--check").wait(timeout=10))
         self.assertIn("service has no default", self.log.read_text())
 
 
