--- a/almondshore/mesh/liveness.py
+++ b/almondshore/mesh/liveness.py
@@ -45,6 +45,11 @@
         self.asked_at[node] = now
         eventlet.spawn(self.probe, node)
 
+    def keep(self, nodes: set[Address]) -> None:
+        """Forget when other nodes were asked."""
+        for node in self.asked_at.keys() - nodes:
+            del self.asked_at[node]
+
     def probe(self, node: Address) -> bool:
         """Ask a node; returns whether it answered."""
         for _ in range(PROBES):
--- a/almondshore/mesh/metrics.py
+++ b/almondshore/mesh/metrics.py
@@ -16,7 +16,7 @@
 
 
 class MeshMetrics:
-    """Counters and latency histograms by route."""
+    """Counters and latency histograms by class of route."""
 
     def __init__(self, *, node: str, zone: str):
         self.metrics = Metrics(max_tenants=1, constant={"node": node, "zone": zone})
@@ -25,7 +25,7 @@
         """Record a finished request of a caller."""
         outcome = f"{status // 100}xx" if status else "cancelled"
         self.metrics.observe_request(
-            tenant=NO_TENANT, request_class=route.name, outcome=outcome, latency=took
+            tenant=NO_TENANT, request_class=_class_of(route), outcome=outcome, latency=took
         )
 
     def render(self, node: "MeshNode") -> tuple[bytes, str]:
@@ -48,6 +48,12 @@
         return self.metrics.render()
 
 
+def _class_of(route: Route) -> str:
+    """Return the class of a route; routes come and go, and would be series without end."""
+    kind = "idempotent" if route.idempotent else "once"
+    return f"priority-{route.priority}-{kind}"
+
+
 class MetricsHandler(ExchangeHandler):
     """Serves the metrics."""
 
--- a/almondshore/mesh/node.py
+++ b/almondshore/mesh/node.py
@@ -367,6 +367,7 @@
             self.local.note_stored(target)
         self.chooser.keep(set(targets))
         self.outbound.room.keep(set(targets))
+        self.prober.keep({target.node for target in targets.values()})
         self.shares.learn(targets.values())
         self._set_retry_budget()
 
