Notice a silent store within two seconds, and call all feeds again when it is back

Ruled out: the pauses between tries (at most 1.5 s). Change: the targets' feed, at a tenth of the price, waits 1 s; when it was away and answers again, the other feeds call again. Waits of 3 s and 4 s, an answer overdue after 0.7 s, pauses of 0.6 s at most, and no waiting in calls while the store is away.

--- a/almondshore/mesh/node.py
+++ b/almondshore/mesh/node.py
@@ -42,9 +42,11 @@
 )
 # Longest waits for changes. The store charges each call, a tenth for stale reads, as those of
 # targets and deaths are; a newer configuration is also seen in the responses of other nodes.
-WAIT_CONFIG = timedelta(seconds=12)
-WAIT_ROLLOUTS = timedelta(seconds=8)
-WAIT_STALE = timedelta(seconds=4)
+WAIT_CONFIG = timedelta(seconds=3)
+WAIT_ROLLOUTS = timedelta(seconds=4)
+WAIT_DEATHS = timedelta(seconds=4)
+# The cheapest feed shows that the store went silent and came back; it makes the others call again.
+WAIT_TARGETS = timedelta(seconds=1)
 # Changes that come within this are read by one call; they must be in force within 2 s.
 GATHER_CONFIG = timedelta(milliseconds=400)
 GATHER_TARGETS = timedelta(milliseconds=500)
@@ -155,12 +157,13 @@
         self.replicas = (
             self._replica(store.config, self.config_sink, WAIT_CONFIG, GATHER_CONFIG),
             self._replica(
-                store.targets, TargetSink(directory=self.directory), WAIT_STALE, GATHER_TARGETS
+                store.targets, TargetSink(directory=self.directory), WAIT_TARGETS, GATHER_TARGETS
             ),
             self._replica(store.rollouts, self.rollout_sink, WAIT_ROLLOUTS, timedelta()),
         )
         self.crash_sink = CrashSink(guard=self.guard)
-        self.death_replica = self._replica(store.deaths, self.crash_sink, WAIT_STALE, timedelta())
+        self.death_replica = self._replica(store.deaths, self.crash_sink, WAIT_DEATHS, timedelta())
+        self.replicas[1].on_regained = self._on_store_regained
         self.death_reporter = DeathReporter(clock=clock, store=store, keep=QUARANTINE)
         self.inbound.on_death = self._on_death
         client = PeerClient(pool=pool)
@@ -200,14 +203,14 @@
         self._listen(settings.control, announcements)
         self._listen(settings.metrics, MetricsHandler(metrics=self.metrics, node=self))
         workers = (
-            *self.replicas,
-            self.death_replica,
             self.death_reporter,
             self.publisher,
             self.peers,
             self.driver,
         )
         self.greenlets = [eventlet.spawn(worker.run) for worker in workers]
+        for replica in (*self.replicas, self.death_replica):
+            replica.start()
         self._housekeeping()
         log_event(
             "node_started",
@@ -220,8 +223,8 @@
 
     def close(self) -> None:
         """End all work and close the listeners at once, for a node embedded in a process."""
-        for greenlet in self.greenlets:
-            greenlet.kill()
+        for worker in (*self.greenlets, *self.replicas, self.death_replica):
+            worker.kill()
         for server in self.servers:
             server.close()
         self.housekeeping.cancel()
@@ -348,6 +351,11 @@
         self.crash_sink.count(death)
         self.death_reporter.report(death)
 
+    def _on_store_regained(self) -> None:
+        config, _, rollouts = self.replicas
+        for replica in (config, rollouts, self.death_replica):
+            replica.restart()
+
     def _publish(self) -> None:
         record = self.local.record()
         self.publisher.publish(record)
--- a/almondshore/mesh/replication.py
+++ b/almondshore/mesh/replication.py
@@ -2,7 +2,7 @@
 
 import random
 from abc import ABC, abstractmethod
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from datetime import timedelta
 from typing import Generic, TypeVar
 
@@ -15,9 +15,10 @@
 
 T = TypeVar("T")
 
-# Pause between tries while the store does not answer, doubled up to the longest.
+# Pause between tries while the store does not answer, doubled up to the longest. A change must be
+# in force 3 s after the store is back.
 MIN_PAUSE = timedelta(milliseconds=150)
-MAX_PAUSE = timedelta(seconds=1)
+MAX_PAUSE = timedelta(milliseconds=400)
 # Share of a pause that is random, so that nodes do not return to the store at once.
 PAUSE_JITTER = 0.5
 
@@ -40,6 +41,7 @@
     :param wait: longest wait of one call; an answer that is lost on its way leaves the copy
         outdated for as long
     :param gather: pause after a change, so that changes in quick succession need one call
+    :ivar on_regained: called when the store answers again
     :ivar failing_since: when the store stopped answering, None while it answers
     """
 
@@ -63,18 +65,36 @@
         self.position: int | None = None
         self.pause = MIN_PAUSE
         self.stopped = False
+        self.greenlet: eventlet.greenthread.GreenThread | None = None
+        self.on_regained: Callable[[], None] = lambda: None
 
     def run(self) -> None:
         """Copy until stopped; for a greenlet of its own."""
         while not self.stopped:
             self.step()
 
+    def start(self) -> None:
+        """Begin to copy in a greenlet of its own."""
+        self.greenlet = eventlet.spawn(self.run)
+
+    def kill(self) -> None:
+        """End the greenlet, and the call that it waits for."""
+        if self.greenlet is not None:
+            self.greenlet.kill()
+
+    def restart(self) -> None:
+        """Call again at once: the present call may have been lost in an outage."""
+        self.kill()
+        self.start()
+
     def step(self) -> None:
         """Make one call and take in its result."""
         if self.position is None:
             result = self.feed.read()
         else:
-            result = self.feed.wait(self.position, self.wait)
+            # While the store is away, an answer must show at once that it is back.
+            wait = self.wait if self.failing_since is None else timedelta()
+            result = self.feed.wait(self.position, wait)
         if not is_successful(result):
             self._on_error(result.failure())
             return
@@ -109,3 +129,4 @@
                 "store_regained", feed=self.feed.name, away_ms=int(away.total_seconds() * 1e3)
             )
             self.failing_since = None
+            self.on_regained()
--- a/almondshore/platform/objects.py
+++ b/almondshore/platform/objects.py
@@ -32,7 +32,7 @@
 # The store answers in 4 ms; on slow days it takes 60 times as long, and answers may be lost.
 CALL_TIMEOUT = timedelta(seconds=1)
 # A waiting call is answered at the end of its wait; this is added for the way and a slow store.
-WATCH_SLACK = timedelta(seconds=2)
+WATCH_SLACK = timedelta(milliseconds=700)
 RATE_PAUSE = timedelta(milliseconds=500)
 
 
--- a/test/mesh/test_node.py
+++ b/test/mesh/test_node.py
@@ -8,6 +8,7 @@
 
 from almondshore.core.bounded_stream import BoundedStream
 from almondshore.http.messages import Response
+from almondshore.http.server import ExchangeHandler
 from standins.mesh_deployment import MeshDeployment, stored_config
 
 
@@ -78,6 +79,20 @@
         self.assertNotIn("i-n3", first.directory.targets)
         wait_until(lambda: "i-n3" in first.directory.targets, seconds=8)
 
+    def test_changes_are_in_force_soon_after_the_store_was_silent(self):
+        """Guards against a feed that waits on for the answer to a call that was swallowed.
+
+        Seen on valpadana-mesh, trouble-3 --seed 565540342273: no node had a version 2.2 s old.
+        """
+        server = self.bed.store_server
+        handler, server.handler = server.handler, _Silent()
+        self.bed.store.waiting.clear()
+        eventlet.sleep(4)
+        server.handler = handler
+        self.bed.store.put("config", "main", stored_config(8, ("s",)))
+        for node in self.bed.nodes.values():
+            wait_until(lambda node=node: node.outbound.config_version() == 8, seconds=2.5)
+
     def test_leaving_target_gets_no_requests(self):
         """Guards against requests that reach a target after its leaving was acknowledged."""
         self.assertEqual(200, self.bed.announce("n2", state="draining"))
@@ -171,6 +186,13 @@
         return answer
 
 
+class _Silent(ExchangeHandler):
+    """Takes calls and answers none."""
+
+    def handle(self, exchange):
+        return
+
+
 class RolloutTest(TestCase):
     def play(self, bad):
         bed = new_mesh(self)
--- a/test/mesh/test_state.py
+++ b/test/mesh/test_state.py
@@ -27,6 +27,7 @@
     def __init__(self, *results):
         self.results = list(results)
         self.calls = []
+        self.waits = []
 
     def read(self):
         self.calls.append("read")
@@ -34,6 +35,7 @@
 
     def wait(self, position, timeout):
         self.calls.append(position)
+        self.waits.append(timeout)
         return self.results.pop(0)
 
 
@@ -86,15 +88,20 @@
 
     def test_absence_of_the_store_is_noted_until_it_answers(self):
         """Guards against a node that does not ask its peers while the store is away."""
-        replica, _, _ = self.replica(
+        replica, feed, _ = self.replica(
             Success(Snapshot(7, {})), Failure(Unavailable("x")), Success(Changes(7, {}))
         )
+        regained = []
+        replica.on_regained = lambda: regained.append(len(feed.calls))
         replica.step()
         self.assertIs(None, replica.failing_since)
         replica.step()
         self.assertIsNot(None, replica.failing_since)
         replica.step()
         self.assertIs(None, replica.failing_since)
+        # The call that finds out whether the store is back must not wait for a change.
+        self.assertEqual([timedelta(seconds=4), timedelta()], feed.waits)
+        self.assertEqual([1, 3], regained)
 
 
 class SinkTest(TestCase):
