Correct the doc text of a node's parameters

Cause: reading the change as a newcomer: a parameter was described that does not exist. Change: doc text, and a name in place of an index. Conclusion: behaviour is the same.

--- a/almondshore/mesh/node.py
+++ b/almondshore/mesh/node.py
@@ -79,7 +79,8 @@
 class MeshNode:
     """Joins the parts of a node.
 
-    :param announcements: handler of the target's announcements, given this node
+    :param config_name: name of the stored item that holds the configuration
+    :param log_stream: takes the log lines, and is written out regularly
     """
 
     def __init__(
@@ -163,7 +164,8 @@
         )
         self.crash_sink = CrashSink(guard=self.guard)
         self.death_replica = self._replica(store.deaths, self.crash_sink, WAIT_DEATHS, timedelta())
-        self.replicas[1].on_regained = self._on_store_regained
+        _, targets, _ = self.replicas
+        targets.on_regained = self._on_store_regained
         self.death_reporter = DeathReporter(clock=clock, store=store, keep=QUARANTINE)
         self.inbound.on_death = self._on_death
         client = PeerClient(pool=pool)
@@ -195,7 +197,10 @@
         self.servers: list[HttpServer] = []
 
     def start(self, announcements: ExchangeHandler) -> None:
-        """Open the listeners and start the work in the background."""
+        """Open the listeners and start the work in the background.
+
+        :param announcements: handles what the target beside this node says of itself
+        """
         settings = self.settings
         self.outbound_server = self._listen(settings.outbound, self.outbound, self._caller_limits)
         self.inbound_server = self._listen(settings.inbound, self.inbound)
