Pick by weight in one place, and drop a flag that was never set

Cause: reading the whole change: the choice of a service by weight stood in mesh.outbound and, for versions, in routing.choice; Replica.stopped was never set. Change: routing.weights.pick_weighted serves both; Replica runs until it is killed. Ruled out: a change of behaviour; both drew once, and not at all for a single choice. Conclusion: behaviour is the same.

--- a/almondshore/mesh/outbound.py
+++ b/almondshore/mesh/outbound.py
@@ -31,6 +31,7 @@
 from almondshore.retries.budget import RetryBudget
 from almondshore.retries.crash import CrashGuard
 from almondshore.routing.completion import CompletionChooser
+from almondshore.routing.weights import pick_weighted
 
 # A target that refused a route for lack of room is not tried again for the same route within
 # these times: the first by new requests, the second by requests that another target refused.
@@ -123,7 +124,10 @@
             self._reject(exchange, 503, "crashes-targets")
             return
         forwarding = Forwarding(
-            outbound=self, exchange=exchange, route=route, service=self._pick_service(route)
+            outbound=self,
+            exchange=exchange,
+            route=route,
+            service=pick_weighted(self.rng, route.shares),
         )
         self.active.add(forwarding)
         self.budget.deposit(forwarding.service)
@@ -213,16 +217,6 @@
             return False
         return self.guard.check(request_fingerprint(request, self.caller())) is not None
 
-    def _pick_service(self, route: Route) -> str:
-        if len(route.shares) == 1:
-            return route.shares[0].service
-        point = self.rng.random() * sum(share.weight for share in route.shares)
-        for share in route.shares:
-            point -= share.weight
-            if point < 0:
-                return share.service
-        return route.shares[-1].service
-
     def _reject(self, exchange: Exchange, status: int, reason: str) -> None:
         retry_after = NO_TARGET_RETRY_AFTER if status == 503 else None
         exchange.respond(self.dialect.refusal(status, retry_after=retry_after))
--- a/almondshore/mesh/replication.py
+++ b/almondshore/mesh/replication.py
@@ -64,13 +64,12 @@
         self.failing_since: timedelta | None = clock.monotonic()
         self.position: int | None = None
         self.pause = MIN_PAUSE
-        self.stopped = False
         self.greenlet: eventlet.greenthread.GreenThread | None = None
         self.on_regained: Callable[[], None] = lambda: None
 
     def run(self) -> None:
-        """Copy until stopped; for a greenlet of its own."""
-        while not self.stopped:
+        """Copy until killed; for a greenlet of its own."""
+        while True:
             self.step()
 
     def start(self) -> None:
--- a/almondshore/routing/choice.py
+++ b/almondshore/routing/choice.py
@@ -8,6 +8,7 @@
 from almondshore.core.messages import TargetRecord, TargetState
 from almondshore.routing.load import ResultKind, TargetLoad, TargetResult, Tier
 from almondshore.routing.outlier import OutlierEjector
+from almondshore.routing.weights import pick_weighted
 
 SPILLOVER_UTILISATION = 0.8
 RAMP = timedelta(seconds=10)
@@ -93,7 +94,7 @@
         if not present:
             return None
         now_s = self.clock.monotonic().total_seconds()
-        picked = self._pick_version(present)
+        picked = pick_weighted(self.rng, present)
         load = self._pick_target(versions[picked], exclude, now_s)
         if load is None:
             load = self._pick_fallback(picked, present, versions, exclude, now_s)
@@ -140,16 +141,6 @@
             names = (load.record.target for tier in tiers.values() for load in tier.loads)
             self.ejector.set_group(f"{service}\0{version}", names)
 
-    def _pick_version(self, present: list[tuple[str, float]]) -> str:
-        if len(present) == 1:
-            return present[0][0]
-        point = self.rng.random() * sum(weight for _, weight in present)
-        for name, weight in present:
-            point -= weight
-            if point < 0:
-                return name
-        return present[-1][0]
-
     def _pick_fallback(
         self,
         picked: str,
