Refuse requests to services without targets, and give test processes ports of their own

Three causes were found by reading. (1) A node left routes of services without a known target out of its table, so that such a request got 404 (or matched a shorter prefix of another service); a node of another zone that had not yet learnt the targets answered 404 where the others answered 200. (2) Announced targets and polled configurations showed in the status up to a tick (0.1 s) before requests were routed by them; BadInputTest sends its first request right after the status. (3) The harness took ports of 127.0.0.1 that were free a moment ago; an outgoing connection may take such a port before its listener starts, and a target that cannot listen is never announced.

Change: the table holds all routes, routes are refreshed with each announcement and poll, and processes listen on loopback hosts of their own, below the range of outgoing ports. A process test that times out now reports ended processes, statuses and the last log lines.

--- a/almondshore/daemon/node.py
+++ b/almondshore/daemon/node.py
@@ -125,6 +125,13 @@
     def watch_step(self) -> None:
         """Watch the configuration if this node is a relay; waits for the platform."""
         self.control.watch_step()
+        self.routes.refresh(ready=self.ready)
+
+    def announce(self, records: list[TargetRecord]) -> list[Send]:
+        """Route to the own targets as they are now, and make the changes known."""
+        sends = self.control.announce(records)
+        self.routes.refresh(ready=self.ready)
+        return sends
 
     def claim_step(self) -> None:
         """Write deferred claims of idempotency keys; waits for the platform."""
--- a/almondshore/daemon/process.py
+++ b/almondshore/daemon/process.py
@@ -147,12 +147,12 @@
         self._set_endpoint(announcement)
         if leaving:
             self.endpoints[announcement.target].gate.drain()
-        self._send_all(self.node.control.announce(records))
+        self._send_all(self.node.announce(records))
         return True
 
     def withdraw(self, target: str) -> None:
         """Remove a target that has ended."""
-        self._send_all(self.node.control.announce(self.node.control.local.withdraw(target)))
+        self._send_all(self.node.announce(self.node.control.local.withdraw(target)))
         self.endpoints.pop(target, None)
 
     def drain(self) -> None:
@@ -163,7 +163,7 @@
         self.in_flight.closing = True
         log_event("node_draining", node=self.settings.node)
         started = self.clock.monotonic()
-        self._send_all(self.node.control.announce(self.node.control.local.drain_all()))
+        self._send_all(self.node.announce(self.node.control.local.drain_all()))
         while self.clock.monotonic() - started < self.settings.drain_timeout:
             eventlet.sleep(DRAIN_POLL_SECONDS)
             # The gates stay open until every node knows, so that nothing on its way is refused.
--- a/almondshore/daemon/routes.py
+++ b/almondshore/daemon/routes.py
@@ -15,8 +15,10 @@
 class RouteKeeper:
     """Builds the routes anew when the view or the shares of a move have changed.
 
-    A route is only active while its service has known targets, and a share names only versions
-    with known targets, so no route points at something this node does not know.
+    The table holds the routes of all services, since a request to one that has no known target
+    is refused, and must neither be told that its route does not exist nor match a shorter prefix
+    of another service. A share names only versions with known targets, so no request is sent to
+    something this node does not know.
     """
 
     def __init__(
@@ -68,8 +70,7 @@
             self.moves.set_configuration(self.parts())
             self.tenants.configure(view.tenants.values())
             self.budget.keep(set(self.builder.services))
-        if old.services != view.services:
-            self.current = self.current._replace(table=RouteTable(view.services.values()))
+            self.current = self.current._replace(table=RouteTable(self.parts()))
 
     def _update_targets(self, old: RoutingView, view: RoutingView, *, moved: bool) -> None:
         """Give the chooser the targets that changed, limited to those that a move uses."""
--- a/bench/daemon.py
+++ b/bench/daemon.py
@@ -17,7 +17,8 @@
 from almondshore.net.nng import NngTransport
 from almondshore.storage.http import HttpPlatform
 from bench.rows import BenchRow
-from standins.deployment import Deployment, free_address, wait_for
+from standins.addresses import own_address, to_text
+from standins.deployment import Deployment, wait_for
 
 ROUND_TRIPS = 2000
 MESSAGES = 20_000
@@ -94,8 +95,8 @@
 
     def __init__(self, *, clock: Clock):
         self.received = 0
-        self.one = NngTransport(listen=free_address(), zone="z", clock=clock)
-        self.two = NngTransport(listen=free_address(), zone="z", clock=clock)
+        self.one = NngTransport(listen=to_text(own_address()), zone="z", clock=clock)
+        self.two = NngTransport(listen=to_text(own_address()), zone="z", clock=clock)
         eventlet.spawn(self.one.receive_forever, self._count)
         eventlet.spawn(self.two.receive_forever, self._answer)
 
@@ -175,10 +176,10 @@
 
     :returns: resident memory in MB and number of threads
     """
-    port = free_address().rpartition(":")[2]
+    port = own_address()[1]
     addresses = [f"127.0.{number // 250}.{1 + number % 250}:{port}" for number in range(peers)]
     script = PROCESS_SCRIPT.format(
-        imports=imports, limited=limited, listen=free_address(), peers=addresses
+        imports=imports, limited=limited, listen=to_text(own_address()), peers=addresses
     )
     with pynng.Pull0() as listener:
         for address in addresses:
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -2,7 +2,6 @@
 
 import json
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -15,8 +14,11 @@
 import urllib3
 import yaml
 
+from standins.addresses import own_address, own_addresses, to_text
+
 STOP_TIMEOUT = timedelta(seconds=10)
 POLL_INTERVAL_SECONDS = 0.05
+REPORTED_LOG_LINES = 20
 PYTHON = [sys.executable, "-W", "ignore"]
 
 
@@ -59,7 +61,7 @@
         self.path = Path(self.folder.name)
         self.processes: list[subprocess.Popen] = []
         self.nodes: dict[str, NodeProcess] = {}
-        self.platform_address = free_address()
+        self.platform_address = to_text(own_address())
         self.http = urllib3.PoolManager(retries=False, timeout=5)
 
     def __enter__(self) -> "Deployment":
@@ -94,7 +96,7 @@
 
     def start_node(self, name: str, zone: str) -> NodeProcess:
         """Start a node; it knows the control addresses of the nodes started before it."""
-        addresses = NodeAddresses(*free_addresses(len(NodeAddresses._fields)))
+        addresses = NodeAddresses(*map(to_text, own_addresses(len(NodeAddresses._fields))))
         settings = {
             **self.extra_settings,
             "node": name,
@@ -126,8 +128,8 @@
         self, node: NodeProcess, service: str, version: str, *options: str
     ) -> TargetProcess:
         """Start a target on the host of a node."""
-        address = free_address()
-        name = f"{service}-{version}-{address.rpartition(':')[2]}"
+        address = to_text(own_address())
+        name = f"{service}-{version}-{len(self.processes)}"
         process = self._start(
             name,
             *("-m", "standins.target_server", "--listen", address),
@@ -167,6 +169,15 @@
         """Return what a process has written so far."""
         return (self.path / f"{name}.log").read_text()
 
+    def report(self) -> str:
+        """Return what a failure is traced by: ended processes, and state and logs of the nodes."""
+        ended = [process for process in self.processes if process.poll() is not None]
+        lines = [f"ended with {process.returncode}: {process.args}" for process in ended]
+        for name, node in self.nodes.items():
+            lines.append(f"{name}: {self.status_of(node)}")
+            lines += self.log_of(name).splitlines()[-REPORTED_LOG_LINES:]
+        return "\n".join(lines)
+
     def stop(self, process: subprocess.Popen) -> int:
         """Ask a process to end, and kill it if it does not.
 
@@ -206,23 +217,6 @@
     return True
 
 
-def free_addresses(count: int) -> list[str]:
-    """Return loopback addresses with ports that were free a moment ago."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for item in sockets:
-            item.bind(("127.0.0.1", 0))
-        return [f"127.0.0.1:{item.getsockname()[1]}" for item in sockets]
-    finally:
-        for item in sockets:
-            item.close()
-
-
-def free_address() -> str:
-    """Return one loopback address with a port that was free a moment ago."""
-    return free_addresses(1)[0]
-
-
 def wait_for(
     condition: Callable[[], bool], what: str, timeout: timedelta = timedelta(seconds=30)
 ) -> None:
--- a/standins/mesh_deployment.py
+++ b/standins/mesh_deployment.py
@@ -1,7 +1,5 @@
 """A small mesh in one process on loopback: nodes, the store and upstreams."""
 
-import itertools
-import os
 import random
 from datetime import timedelta
 from typing import Any
@@ -14,13 +12,13 @@
 from almondshore.core.clock import BootClock
 from almondshore.http.client import Address, CallResult, ConnectionPool
 from almondshore.http.messages import encode_request
-from almondshore.http.stream import socket
 from almondshore.mesh.node import MeshNode
 from almondshore.mesh.settings import Bounds, MeshSettings
 from almondshore.platform import names
 from almondshore.platform.announcements import AnnouncementHandler
 from almondshore.platform.dialect import PlatformDialect
 from almondshore.platform.objects import ObjectClient, PlatformStore
+from standins.addresses import own_addresses
 from standins.mesh_platform import StoreStandIn, UpstreamStandIn, serve
 
 LIMITS = {
@@ -33,9 +31,6 @@
 BOUNDS = Bounds(timedelta(seconds=1), timedelta(seconds=4), 0.2, timedelta(seconds=10), 56)
 CALL_TIMEOUT = timedelta(seconds=4)
 LISTENERS = ("outbound", "inbound", "ready", "control", "metrics")
-FIRST_PORT = 7001
-
-_hosts = itertools.count()
 
 
 def stored_config(version: int, services: tuple[str, ...] = ("s",), **changes: Any) -> dict:
@@ -184,19 +179,5 @@
 
 
 def listen_addresses() -> dict[str, Address]:
-    """Return addresses for the listeners of a node on a loopback address of its own.
-
-    On 127.0.0.1 a port that was free a moment ago may be taken by any outgoing connection.
-    """
-    number = next(_hosts)
-    host = f"127.{100 + os.getpid() % 100}.{number // 250 % 250}.{number % 250 + 1}"
-    return {name: (host, FIRST_PORT + index) for index, name in enumerate(LISTENERS)}
-
-
-def free_address() -> Address:
-    """Return an address of loopback on which nobody listens."""
-    sock = socket.socket()
-    sock.bind(("127.0.0.1", 0))
-    address = sock.getsockname()
-    sock.close()
-    return address
+    """Return addresses for the listeners of a node on a loopback host of its own."""
+    return dict(zip(LISTENERS, own_addresses(len(LISTENERS)), strict=True))
--- a/test/daemon/test_main.py
+++ b/test/daemon/test_main.py
@@ -9,7 +9,7 @@
 import yaml
 from testtools import TestCase
 
-from standins.deployment import free_addresses
+from standins.addresses import own_addresses, to_text
 
 KEYS = ("caller", "internal", "peer", "control", "admin")
 
@@ -32,7 +32,7 @@
     def test_an_address_in_use_is_one_line(self):
         """Guards against a traceback, or a process that stays without all of its listeners."""
         for key in ("control", "admin", "internal"):
-            listen = dict(zip(KEYS, free_addresses(len(KEYS)), strict=True))
+            listen = dict(zip(KEYS, map(to_text, own_addresses(len(KEYS))), strict=True))
             host, _, port = listen[key].rpartition(":")
             with socket.create_server((host, int(port))):
                 code, lines = self.start(listen)
--- a/test/daemon/test_routes.py
+++ b/test/daemon/test_routes.py
@@ -21,9 +21,10 @@
     def view(self):
         return self.current
 
-    def set(self, version, part):
-        self.services = {SERVICE: part}
-        self.current = RoutingView(version, self.services, {SERVICE: TARGETS}, {}, frozenset())
+    def set(self, version, part, idle=()):
+        self.services = {SERVICE: part} | {other["name"]: other for other in idle}
+        active, without = {SERVICE: part}, frozenset(other["name"] for other in idle)
+        self.current = RoutingView(version, active, {SERVICE: TARGETS}, {}, without)
 
 
 class FakeSink:
@@ -73,3 +74,15 @@
         self.assertEqual(4, len(self.new_targets()))
         self.builder.set(3, make_part(state="done"))
         self.assertEqual(4, len(self.new_targets()))
+
+    def test_a_route_without_targets_is_known(self):
+        """Guards against 404, or another service's answer, for a route whose targets are away."""
+        wide = {"path": "/a/*", "methods": ["GET"]}
+        part = {**make_part(), "routes": [wide]}
+        idle = {**make_part(), "name": "idle", "routes": [{**wide, "path": "/a/b/*"}]}
+        self.builder.set(1, part, idle=[idle])
+        self.keeper.refresh(ready=True)
+        table, weights = self.keeper.current.table, self.keeper.current.weights
+        self.assertEqual("idle", table.match("GET", "/a/b/1").service)
+        self.assertEqual(SERVICE, table.match("GET", "/a/1").service)
+        self.assertEqual({SERVICE}, weights.keys())
--- a/test/http/test_client.py
+++ b/test/http/test_client.py
@@ -7,7 +7,7 @@
 
 from almondshore.http.client import CallFailure
 from almondshore.http.messages import Response, encode_request
-from standins.mesh_deployment import free_address
+from standins.addresses import own_address
 from test.http.loopback import RawServer, Recorder, call, new_pool, serve
 
 REQUEST = encode_request(b"GET", b"/a", ((b"Host", b"h"),), b"")
@@ -52,7 +52,7 @@
 
     def test_refused_connection_says_that_nothing_was_sent(self):
         """Guards against a request that is taken to have run though it was never sent."""
-        result = call(self.pool, free_address(), REQUEST)
+        result = call(self.pool, own_address(), REQUEST)
         self.assertEqual((CallFailure.NOT_CONNECTED, False), (result.failure, result.sent))
 
     def test_failures_are_told_apart(self):
--- a/test/net/test_nng.py
+++ b/test/net/test_nng.py
@@ -1,7 +1,6 @@
 """Tests of the transport over nng, with sockets on loopback."""
 
 import io
-import itertools
 import os
 import random
 import socket
@@ -23,17 +22,11 @@
     SEND_BUFFER_MESSAGES,
     NngTransport,
 )
+from standins.addresses import own_address, to_text
 
-NUMBERS = itertools.count(1)
 WAIT_SECONDS = 30
 
 
-def free_address():
-    """Return a loopback address of this process alone, so that no other run can hold its port."""
-    pid, number = os.getpid(), next(NUMBERS)
-    return f"127.{1 + pid % 250}.{pid // 250 % 250}.{1 + number % 250}:{7402 + number // 250}"
-
-
 def message_of(size):
     return ConfigSnapshot(1, b"", {"p": bytes(size)})
 
@@ -47,7 +40,10 @@
 
     def transport(self, *, address=None, clock=None, handler=None, **options):
         made = NngTransport(
-            listen=address or free_address(), zone="z1", clock=clock or SystemClock(), **options
+            listen=address or to_text(own_address()),
+            zone="z1",
+            clock=clock or SystemClock(),
+            **options,
         )
         self.addCleanup(made.close)
         made.greenlet = eventlet.spawn(made.receive_forever, handler or self.got.append)
@@ -89,7 +85,7 @@
     def test_a_dead_peer_fills_only_its_own_buffer(self):
         """Guards against an unreachable peer that blocks the loop or the traffic of others."""
         one, two = self.transport(), self.transport()
-        dead = free_address()
+        dead = to_text(own_address())
         sent = [one.send(Send(dead, Busy(1.0))) for _ in range(3 * SEND_BUFFER_MESSAGES)]
         self.assertEqual(sorted(sent, reverse=True), sent)
         self.assertTrue(SEND_BUFFER_MESSAGES <= sum(sent) <= SEND_BUFFER_MESSAGES + 2, sum(sent))
@@ -99,7 +95,7 @@
     def test_a_message_or_address_that_cannot_be_sent_is_dropped(self):
         """Guards against a state machine's bad output ending the sender."""
         one = self.transport()
-        self.assertFalse(one.send(Send(free_address(), message_of(MAX_MESSAGE_BYTES))))
+        self.assertFalse(one.send(Send(to_text(own_address()), message_of(MAX_MESSAGE_BYTES))))
         for address in ("", "localhost:7402", "127.0.0.1:99999999", "\x00", "::1:7402"):
             self.assertFalse(one.send(Send(address, Busy(1.0))), address)
         self.assertEqual(5, one.counts["send_dropped_bad_address"])
@@ -165,7 +161,7 @@
         """Guards against sockets that pile up for peers long gone, and against thrashing."""
         clock = ManualClock()
         one = self.transport(clock=clock, max_peers=3)
-        addresses = [free_address() for _ in range(5)]
+        addresses = [to_text(own_address()) for _ in range(5)]
         sent = [one.send(Send(address, Busy(1.0))) for address in addresses]
         self.assertEqual([True] * 3 + [False] * 2, sent)
         clock.advance(EVICTION_AGE)
@@ -183,7 +179,7 @@
         one.close()
         with eventlet.Timeout(WAIT_SECONDS):
             one.greenlet.wait()
-        self.assertFalse(one.send(Send(free_address(), Busy(1.0))))
+        self.assertFalse(one.send(Send(to_text(own_address()), Busy(1.0))))
 
     def test_a_flood_leaves_turns_to_other_greenlets(self):
         """Guards against a peer that starves requests by sending without a pause."""
--- a/test/platform/test_main.py
+++ b/test/platform/test_main.py
@@ -13,21 +13,18 @@
 from almondshore.core.errors import InvalidInputError
 from almondshore.mesh.settings import load_mesh_settings
 from almondshore.platform.bounds import decode_bounds
-from standins.mesh_deployment import free_address, listen_addresses
+from standins.addresses import own_address, to_text
+from standins.mesh_deployment import listen_addresses
 
 BOUNDS = "drain_s=1,grace_s=3,retry_budget_ratio=0.2,budget_window_s=10,budget_min_retries=56"
 
 
 def settings_text(**changes):
-    def address():
-        host, port = free_address()
-        return f"{host}:{port}"
-
     values = listen_addresses().items()
     listen = "".join(f"  {name}: {host}:{port}\n" for name, (host, port) in values)
     text = (
-        f"node: n1\nzone: a\nservice: s\napp: {address()}\nlisten:\n{listen}"
-        f'store: {address()}\nbounds: "{BOUNDS}"\n'
+        f"node: n1\nzone: a\nservice: s\napp: {to_text(own_address())}\nlisten:\n{listen}"
+        f'store: {to_text(own_address())}\nbounds: "{BOUNDS}"\n'
     )
     for old, new in changes.values():
         text = text.replace(old, new)
--- a/test/process/processtest.py
+++ b/test/process/processtest.py
@@ -88,7 +88,7 @@
         for name, zone in cls.zones.items():
             cls.deployment.start_node(name, zone)
         cls.start_targets()
-        wait_for(cls.converged, "the first version at all nodes", CONVERGENCE_BOUND)
+        cls.wait(cls.converged, "the first version at all nodes")
 
     @classmethod
     def start_targets(cls):
@@ -113,10 +113,15 @@
         return all(s.get("ready") and s["config_version"] >= cls.version for s in statuses)
 
     def wait_converged(self, *names):
-        wait_for(lambda: self.converged(names), f"version {self.version}", CONVERGENCE_BOUND)
+        self.wait(lambda: self.converged(names), f"version {self.version}")
 
-    def wait(self, condition, what, bound=CONVERGENCE_BOUND):
-        wait_for(condition, what, bound)
+    @classmethod
+    def wait(cls, condition, what, bound=CONVERGENCE_BOUND):
+        """Wait for a condition; a failure shows the state and the last log lines of the nodes."""
+        try:
+            wait_for(condition, what, bound)
+        except TimeoutError as error:
+            raise AssertionError(f"{error}\n{cls.deployment.report()}") from error
 
     def relay_of(self, zone, without=()):
         """Return a node of the zone that is its relay, or None."""
--- a/test/proxy/test_caller.py
+++ b/test/proxy/test_caller.py
@@ -16,7 +16,7 @@
 from almondshore.routing.choice import TargetChooser
 from almondshore.routing.outlier import OutlierEjector
 from almondshore.routing.table import RouteTable
-from standins.deployment import free_address
+from standins.addresses import own_address, to_text
 from test.proxy.servers import ScriptedServer, answer
 from test.proxy.wsgicall import call
 
@@ -95,7 +95,10 @@
 
     def test_earlier_unknown_outcome_is_kept(self):
         """Guards against ``not-run`` for a request that an earlier attempt may have run."""
-        for second in (self.server(refusal("overloaded", "not-run")).address, free_address()):
+        for second in (
+            self.server(refusal("overloaded", "not-run")).address,
+            to_text(own_address()),
+        ):
             app = self.app(self.server(None).address, second)
             result = call(app, "GET", "/a/1")
             self.assertEqual("unknown", result.outcome, result)
@@ -103,7 +106,7 @@
 
     def test_outcome_of_attempts_that_did_not_run(self):
         """Guards against ``unknown`` for a request that certainly was not run."""
-        result = call(self.app(free_address(), free_address()), "GET", "/a/1")
+        result = call(self.app(to_text(own_address()), to_text(own_address())), "GET", "/a/1")
         self.assertEqual((502, "hop-unreachable", "not-run"), result[:3])
 
     def test_once_request_is_sent_again_only_after_not_run(self):
--- a/test/proxy/test_target.py
+++ b/test/proxy/test_target.py
@@ -10,7 +10,7 @@
 from almondshore.proxy.pool import HopPool
 from almondshore.proxy.target import Endpoint, TargetApp
 from almondshore.retries.crash import CrashGuard
-from standins.deployment import free_address
+from standins.addresses import own_address, to_text
 from test.proxy.servers import ScriptedServer, answer
 from test.proxy.wsgicall import call
 
@@ -74,7 +74,7 @@
     def test_request_that_reaches_no_target(self):
         """Guards against a missing ``not-run`` where another target may be tried."""
         unreachable = (502, "target-unreachable", "not-run")
-        app = self.app(free_address())
+        app = self.app(to_text(own_address()))
         self.assertEqual(unreachable, call(app, "POST", "/a", headers=HOP)[:3])
         app.endpoints = {}
         self.assertEqual(unreachable, call(app, "POST", "/a", headers=HOP)[:3])
@@ -82,7 +82,7 @@
 
     def test_malformed_internal_headers(self):
         """Guards against a request that runs without a deadline, class or target."""
-        app = self.app(free_address())
+        app = self.app(to_text(own_address()))
         for name, _ in HOP:
             headers = [item for item in HOP if item[0] != name]
             result = call(app, "POST", "/a", headers=headers)
@@ -90,7 +90,7 @@
 
     def test_draining_target_refuses(self):
         """Guards against new work for a target that leaves."""
-        app = self.app(free_address())
+        app = self.app(to_text(own_address()))
         app.endpoints["t"].gate.drain()
         result = call(app, "POST", "/a", headers=HOP)
         self.assertEqual((503, "draining", "not-run"), result[:3])
