--- a/almondshore/mesh/replication.py
+++ b/almondshore/mesh/replication.py
@@ -75,6 +75,7 @@
         self.large = large
         self.lead = lead
         self.changed_at: timedelta | None = None
+        self.gathered = timedelta()
         self.answered_at: timedelta | None = None
         self.called_at: timedelta | None = None
         self.failing_since: timedelta | None = clock.monotonic()
@@ -126,7 +127,8 @@
             result = self.feed.read()
         else:
             # While the store is away, an answer must show at once that it is back.
-            wait = self.wait if self.failing_since is None else timedelta()
+            wait = self.wait - self.gathered if self.failing_since is None else timedelta()
+            self.gathered = timedelta()
             result = self.feed.wait(self.position, wait)
         if not is_successful(result):
             self._on_error(result.failure())
@@ -151,7 +153,9 @@
         if self.large and close:
             self.position = None
         if close if self.large else not whole:
-            eventlet.sleep(self.gather.total_seconds())
+            # The next wait is as much shorter, so that the store is heard from as often.
+            self.gathered = min(self.gather, self.wait)
+            eventlet.sleep(self.gathered.total_seconds())
 
     def _is_held(self, now: timedelta) -> bool:
         """Tell whether to wait until the lead finds that the store answers again."""
--- a/test/mesh/test_state.py
+++ b/test/mesh/test_state.py
@@ -63,7 +63,7 @@
             feed=feed,
             sink=sink,
             wait=timedelta(seconds=4),
-            gather=timedelta(),
+            gather=fields.pop("gather", timedelta()),
             **fields,
         )
         return replica, feed, sink
@@ -136,6 +136,21 @@
             replica.step()
         self.assertEqual(["read", 7, "read", "read", 12], feed.calls)
 
+    def test_a_pause_after_a_change_shortens_the_next_wait(self):
+        """Guards against followers that take a watcher for outdated after each change."""
+        pause = timedelta(milliseconds=10)
+        replica, feed, _ = self.replica(
+            Success(Snapshot(7, {})),
+            Success(Changes(8, {"a": 2})),
+            Success(Changes(8, {})),
+            Success(Changes(8, {})),
+            gather=pause,
+        )
+        for _ in range(4):
+            replica.step()
+        wait = timedelta(seconds=4)
+        self.assertEqual([wait, wait - pause, wait], feed.waits)
+
     def test_feeds_wait_for_the_cheapest_one_in_an_outage(self):
         """Guards against calls that fail, and are charged, on all feeds of all nodes."""
         clock = ManualClock()
