--- a/test/mesh/test_node.py
+++ b/test/mesh/test_node.py
@@ -9,6 +9,7 @@
 from almondshore.core.bounded_stream import BoundedStream
 from almondshore.http.messages import Response
 from almondshore.http.server import ExchangeHandler
+from almondshore.mesh.watching import WATCHERS_PER_ZONE
 from standins.mesh_deployment import MeshDeployment, stored_config
 
 
@@ -239,3 +240,50 @@
         for number in range(20):
             self.assertEqual(200, bed.status("n1", request_id=f"b{number}"))
         self.assertEqual(exposed, len(bed.upstreams["n3"].ran))
+
+
+class WatchingTest(TestCase):
+    """Nodes of one zone, more than watch the store."""
+
+    NODES = 7
+
+    def setUp(self):
+        super().setUp()
+        self.bed = new_mesh(self)
+        self.bed.store.put("config", "main", stored_config(3, ("s",)))
+        for number in range(self.NODES):
+            self.bed.add_node(f"n{number}")
+        wait_until(lambda: len(self.followers()) == self.NODES - WATCHERS_PER_ZONE, seconds=8)
+
+    def followers(self):
+        return [node for node in self.bed.nodes.values() if node.follower.followed is not None]
+
+    def test_changes_reach_all_nodes_by_the_watchers(self):
+        """Guards against nodes that do not learn of changes since others watch for them."""
+        self.bed.store.put("config", "main", stored_config(8, ("s",)))
+        self.bed.announce("n1", state="draining")
+        for node in self.bed.nodes.values():
+            wait_until(lambda node=node: node.outbound.config_version() == 8, seconds=2)
+            wait_until(
+                lambda node=node: node.directory.targets["i-n1"].state == "draining", seconds=2
+            )
+
+    def test_a_change_reaches_the_followers_of_a_watcher_that_ends(self):
+        """Guards against followers that wait for a watcher which is gone."""
+        follower = self.followers()[0]
+        names = {node.settings.inbound: name for name, node in self.bed.nodes.items()}
+        self.bed.nodes.pop(names[follower.follower.followed]).close()
+        self.bed.store.put("config", "main", stored_config(9, ("s",)))
+        wait_until(lambda: follower.outbound.config_version() == 9, seconds=2)
+
+    def test_a_change_reaches_followers_while_no_watcher_has_the_store(self):
+        """Guards against followers of watchers that the store refuses, while it serves others."""
+        follower = self.followers()[0]
+        for node in self.bed.nodes.values():
+            if node.follower.followed is None:
+                node.store.move(("127.0.0.1", 1))
+                node.pool.drop(self.bed.store_server.address())
+        for connection in list(self.bed.store_server.connections):
+            connection.stream.close()
+        self.bed.store.put("config", "main", stored_config(9, ("s",)))
+        wait_until(lambda: follower.outbound.config_version() == 9, seconds=3)
