Send requests to a node that was lost only once it answers again

Besides, the entry of a host that was removed while the store was down stayed in the store; every node sent it requests again after each pause of up to 4 s, and 187 requests ended with 502 (silent) from 40 s on.

Change: a node that could not be reached gets no requests until it answers a probe, which follows the same pauses. With no other target of a service left, it is still tried.

--- a/almondshore/mesh/directory.py
+++ b/almondshore/mesh/directory.py
@@ -8,7 +8,8 @@
 from almondshore.mesh.changes import ChangeLog, Kind
 from almondshore.mesh.model import Address, Target, TargetState
 
-# A node that could not be reached is not used for this long, doubled for each failure in a row.
+# A node that could not be reached is asked again after this, doubled for each failure in a row. It
+# gets no requests until it answers: one sent to a host that is gone is late at best.
 UNREACHABLE_PAUSE = timedelta(milliseconds=400)
 MAX_UNREACHABLE_PAUSE = timedelta(seconds=4)
 
@@ -28,6 +29,8 @@
 
     :param changes: takes note of each entry that changed
     :ivar on_change: called after the set of targets has changed
+    :ivar on_unreachable: called with a node that could not be reached, and the pause after which
+        it is to be asked whether it is there
     """
 
     def __init__(self, *, clock: Clock, changes: ChangeLog | None = None):
@@ -38,6 +41,7 @@
         self.nodes: dict[Address, _Reachability] = {}
         self.refused_until: dict[str, timedelta] = {}
         self.on_change: Callable[[], None] = lambda: None
+        self.on_unreachable: Callable[[Address, timedelta], None] = lambda _node, _pause: None
 
     def put(self, target: Target) -> None:
         """Add or update an entry; an older one is ignored."""
@@ -106,8 +110,8 @@
         return found
 
     def is_reachable(self, node: Address) -> bool:
-        """Tell whether a node was reached at the last try, or is due for another."""
-        return not self._is_paused(node, self.clock.monotonic())
+        """Tell whether a node was reached at the last try."""
+        return node not in self.nodes
 
     def unreachable(self, node: Address, reason: str) -> None:
         """Take note that a node could not be reached."""
@@ -120,6 +124,7 @@
         state.retry_at = now + pause
         if state.failures == 1:
             log_event("peer_lost", peer=f"{node[0]}:{node[1]}", reason=reason)
+        self.on_unreachable(node, pause)
 
     def reached(self, node: Address) -> None:
         """Take note that a node answered."""
@@ -132,15 +137,11 @@
         self.refused_until[name] = self.clock.monotonic() + pause
 
     def _is_usable(self, target: Target, now: timedelta) -> bool:
-        if self._is_paused(target.node, now):
+        if target.node in self.nodes:
             return False
         until = self.refused_until.get(target.target)
         return until is None or until <= now
 
-    def _is_paused(self, node: Address, now: timedelta) -> bool:
-        state = self.nodes.get(node)
-        return state is not None and now < state.retry_at
-
     def _index(self) -> None:
         # A node has one target at a time; entries of those before it are outdated.
         newest: dict[Address, Target] = {}
--- a/almondshore/mesh/liveness.py
+++ b/almondshore/mesh/liveness.py
@@ -1,9 +1,10 @@
-"""Finds nodes that have gone silent while requests wait for them."""
+"""Finds nodes that have gone silent while requests wait for them, and those that are back."""
 
 from collections.abc import Callable
 from datetime import timedelta
 
 import eventlet
+from eventlet import hubs
 
 from almondshore.core.clock import Clock
 from almondshore.core.logs import log_event
@@ -45,6 +46,17 @@
         self.asked_at[node] = now
         eventlet.spawn(self.probe, node)
 
+    def recheck(self, node: Address, pause: timedelta) -> None:
+        """Ask a node that could not be reached again after a pause.
+
+        One that does not answer is asked again, since the directory takes note of it.
+        """
+        hubs.get_hub().schedule_call_global(pause.total_seconds(), self._recheck, node)
+
+    def _recheck(self, node: Address) -> None:
+        if not self.directory.is_reachable(node):
+            eventlet.spawn(self.probe, node)
+
     def keep(self, nodes: set[Address]) -> None:
         """Forget when other nodes were asked."""
         for node in self.asked_at.keys() - nodes:
--- a/almondshore/mesh/node.py
+++ b/almondshore/mesh/node.py
@@ -156,6 +156,7 @@
             client=PeerClient(pool=pool, timeout=PROBE_TIMEOUT),
         )
         self.prober.on_lost = self.outbound.on_lost
+        self.directory.on_unreachable = self.prober.recheck
         self.outbound.suspect = self.prober.suspect
         self.config_sink = ConfigSink(
             outbound=self.outbound, name=config_name, changes=self.changes
--- a/test/mesh/test_directory.py
+++ b/test/mesh/test_directory.py
@@ -5,7 +5,7 @@
 from testtools import TestCase
 
 from almondshore.core.clock import ManualClock
-from almondshore.mesh.directory import Directory
+from almondshore.mesh.directory import MAX_UNREACHABLE_PAUSE, Directory
 from almondshore.mesh.model import TargetState
 from test.mesh.samples import target
 
@@ -28,20 +28,34 @@
         self.directory.put(target(sequence=1, born_ms=2000))
         self.assertEqual(["t1"], self.ready())
 
-    def test_unreachable_node_is_passed_over_for_longer_each_time(self):
-        """Guards against requests that time out on a host without power."""
+    def test_unreachable_node_gets_no_requests_until_it_answers(self):
+        """Guards against requests that time out on a host without power.
+
+        Seen on valpadana-mesh, trouble-3 --seed 609123231414: the entry of a host that was taken
+        away during an outage of the store drew requests every few seconds until the end.
+        """
         near, far = target("t1"), target("t2", node=("10.0.0.2", 1))
         self.directory.replace([near, far])
         self.directory.unreachable(near.node, "test")
-        self.assertEqual(["t2"], self.ready())
-        self.clock.advance(timedelta(seconds=0.5))
-        self.assertEqual(["t1", "t2"], self.ready())
-        self.directory.unreachable(near.node, "test")
-        self.clock.advance(timedelta(seconds=0.5))
+        self.clock.advance(timedelta(seconds=60))
         self.assertEqual(["t2"], self.ready())
         self.directory.reached(near.node)
         self.assertEqual(["t1", "t2"], self.ready())
 
+    def test_unreachable_node_is_asked_less_often_each_time(self):
+        """Guards against a host that is gone being asked all the time by all nodes."""
+        pauses = []
+        self.directory.on_unreachable = lambda _node, pause: pauses.append(pause)
+        self.directory.put(target())
+        for _ in range(8):
+            self.directory.unreachable(target().node, "test")
+            self.directory.unreachable(target().node, "repeated")
+            self.clock.advance(timedelta(seconds=4))
+        self.assertEqual(8, len(pauses))
+        self.assertEqual(sorted(pauses), pauses)
+        self.assertEqual(MAX_UNREACHABLE_PAUSE, pauses[-1])
+        self.assertTrue(pauses[0] * 2 == pauses[1])
+
     def test_last_target_is_tried_though_it_could_not_be_reached(self):
         """Guards against a service that is given up after one lost packet."""
         self.directory.put(target())
--- a/test/mesh/test_node.py
+++ b/test/mesh/test_node.py
@@ -140,6 +140,16 @@
         statuses = [self.bed.status("n1", request_id=f"a{number}") for number in range(8)]
         self.assertEqual([200] * 8, statuses)
 
+    def test_host_that_is_back_gets_requests_again(self):
+        """Guards against a host that is passed over for ever after it was away."""
+        first, second = self.bed.nodes["n1"], self.bed.nodes.pop("n2")
+        second.close()
+        wait_until(lambda: self.bed.status("n1") == 503)
+        self.bed.start(second.settings)
+        self.bed.announce("n2")
+        wait_until(lambda: first.directory.is_reachable(second.settings.inbound), seconds=8)
+        wait_until(lambda: self.bed.status("n1") == 200, seconds=8)
+
     def test_lost_answer_is_made_up_for_on_idempotent_routes(self):
         """Guards against a caller that waits in vain for an answer that was lost."""
         self.bed.add_node("n3")
