--- a/almondshore/mesh/watching.py
+++ b/almondshore/mesh/watching.py
@@ -115,13 +115,20 @@
     def _watch(self, reason: str) -> None:
         if self.followed is None:
             return
-        log_event("store_watched", reason=reason, followed=self.followed, age=self.age())
+        log_event(
+            "store_watched", reason=reason, followed=self.followed, age_ms=_whole_ms(self.age())
+        )
         self.followed = None
         for replica in self.replicas:
             replica.resume()
 
     def _follow(self, watcher: Address) -> None:
-        log_event("watcher_followed", watcher=watcher, before=self.followed, age=self.age())
+        log_event(
+            "watcher_followed",
+            watcher=watcher,
+            followed=self.followed,
+            age_ms=_whole_ms(self.age()),
+        )
         if self.followed is None:
             for replica in self.replicas:
                 replica.rest()
@@ -146,3 +153,7 @@
         self.confirmed_at = self.clock.monotonic() - age
         self.epoch, self.number = answer.epoch, answer.number
         return True
+
+
+def _whole_ms(time: timedelta) -> int:
+    return int(time / MILLISECOND)
