--- a/soak/main.py
+++ b/soak/main.py
@@ -16,10 +16,13 @@
 from soak.world import Host, World
 
 STDERR = 2
-HOSTS = 4
+# More than watch the store in a zone, so that some nodes follow others.
+HOSTS = 7
 SECONDS = 12.0
 START_S = 2.5
 RECOVERY_S = 6.0
+# An accepted configuration is in force everywhere within this time.
+CONFIG_BOUND_S = 2.0
 CHECKS_AT_END = 60
 MIN_GAP_S, MAX_GAP_S = 0.1, 1.2
 MIN_FAULT_S, MAX_FAULT_S = 0.3, 4.0
@@ -130,6 +133,10 @@
         for number in range(CHECKS_AT_END):
             served += world.send(world.hosts[number % hosts]) == 200
         world.promises.check_recovery(served, CHECKS_AT_END)
+        path = world.add_route()
+        eventlet.sleep(CONFIG_BOUND_S)
+        for host in world.hosts:
+            world.promises.check_in_force(host.name, path, world.request(host, path))
     finally:
         world.close()
     return world
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -79,6 +79,11 @@
         """Take note that a node acknowledged that a target leaves."""
         self.leaving.setdefault(target, self.clock.monotonic())
 
+    def check_in_force(self, node: str, path: str, status: int | None) -> None:
+        """Check that a node routes by the newest configuration."""
+        if status == 404:
+            self.broken.append(f"{node} answers 404 for {path}, which was added a while ago")
+
     def check_recovery(self, served: int, total: int) -> None:
         """Check that requests are served once all faults are over."""
         if served < SERVED_SHARE_AT_END * total:
--- a/soak/world.py
+++ b/soak/world.py
@@ -182,10 +182,24 @@
             host.upstream.on_run = self._run_hook(host)
             host.start()
 
-    def change_config(self) -> None:
-        """Write a new version of the configuration."""
+    def add_route(self) -> str:
+        """Write a configuration with a further route; returns a path of it."""
+        path = f"/added-{self.version}/"
+        self.change_config(added=path)
+        return f"{path}x"
+
+    def change_config(self, added: str = "") -> None:
+        """Write a new version of the configuration.
+
+        :param added: prefix of a further route, empty for none
+        """
         self.version += self.rng.randrange(1, 4)
         config = stored_config(self.version, SERVICES)
+        if added:
+            config["routes"]["added"] = {
+                **config["routes"][f"r-{SERVICES[0]}"],
+                "path_prefix": added,
+            }
         for name in SERVICES:
             once = {**config["routes"][f"r-{name}"], "route_type": "non_idempotent"}
             config["routes"][f"once-{name}"] = {**once, "path_prefix": f"/once/{name}/"}
@@ -205,16 +219,27 @@
         sent = Sent(f"q{self.count}", host.name, host.service, service, idempotent)
         self.promises.sent[sent.request_id] = sent
         path = f"/{service}/x" if idempotent else f"/once/{service}/x"
+        method = b"GET" if idempotent else b"POST"
+        result = self._send_request(host, method, path, sent.request_id)
+        self.promises.on_result(sent, result)
+        return result.response.status if result.response is not None else None
+
+    def request(self, host: Host, path: str) -> int | None:
+        """Send an idempotent request for the first service; returns the status."""
+        self.count += 1
+        sent = Sent(f"q{self.count}", host.name, host.service, SERVICES[0], True)
+        self.promises.sent[sent.request_id] = sent
+        response = self._send_request(host, b"GET", path, sent.request_id).response
+        return response.status if response is not None else None
+
+    def _send_request(self, host: Host, method: bytes, path: str, request_id: str) -> CallResult:
         headers = (
             (b"Host", b"h.example"),
-            (names.REQUEST_ID, sent.request_id.encode()),
+            (names.REQUEST_ID, request_id.encode()),
             (names.TIME_LEFT, b"1500"),
         )
-        method = b"GET" if idempotent else b"POST"
         data = encode_request(method, path.encode(), headers, b"")
-        result = self.call(host.addresses["outbound"], data)
-        self.promises.on_result(sent, result)
-        return result.response.status if result.response is not None else None
+        return self.call(host.addresses["outbound"], data)
 
     def start_callers(self) -> None:
         """Let callers send requests to all hosts until they are stopped."""
--- a/test/soak/test_promises.py
+++ b/test/soak/test_promises.py
@@ -46,6 +46,7 @@
             lambda: self.answer(200, b"other"),
             lambda: self.answer(404),
             lambda: self.promises.check_recovery(30, 60),
+            lambda: self.promises.check_in_force("n1", "/added", 404),
         )
         for case in cases:
             self.renew()
