Read deaths without staleness, and pause when history is lost again

The logs show store_history_gone up to 1,100 times a second in one zone: deaths were read at the stale price, the position of a stale read was 6 s behind, its history was gone, and the read was repeated at once.

Ruled out: followers that switch to the store; they did so three times in 30 s.

Change: a read of all objects is never stale, and a second loss of history in a row is followed by the usual pause. The test fails before.

--- a/almondshore/mesh/replication.py
+++ b/almondshore/mesh/replication.py
@@ -75,6 +75,7 @@
         self.large = large
         self.lead = lead
         self.changed_at: timedelta | None = None
+        self.lost_history = False
         self.gathered = timedelta()
         self.answered_at: timedelta | None = None
         self.called_at: timedelta | None = None
@@ -143,6 +144,7 @@
         if self.position is None:
             changed = self.sink.replace(found.items)
         else:
+            self.lost_history = False
             changed = bool(found.items)
             if changed:
                 self.sink.update(found.items)
@@ -172,15 +174,20 @@
         if isinstance(error, HistoryGone):
             log_event("store_history_gone", feed=self.feed.name, position=error.position)
             self.position = None
+            if self.lost_history:
+                # The store forgets its history faster than it is read.
+                self._sleep_backoff()
+            self.lost_history = True
             return
         if self.large:
             self.position = None
         if self.failing_since is None:
             self.failing_since = self.clock.monotonic()
             log_event("store_lost", level="WARNING", feed=self.feed.name, error=error)
-        pause = self.pause
-        if isinstance(error, RateLimited):
-            pause = max(pause, error.retry_after)
+        self._sleep_backoff(error.retry_after if isinstance(error, RateLimited) else timedelta())
+
+    def _sleep_backoff(self, at_least: timedelta = timedelta()) -> None:
+        pause = max(self.pause, at_least)
         self.pause = min(MAX_PAUSE, self.pause * 2)
         eventlet.sleep(pause.total_seconds() * (1.0 + PAUSE_JITTER * self.rng.random()))
 
--- a/almondshore/platform/objects.py
+++ b/almondshore/platform/objects.py
@@ -120,29 +120,20 @@
 class ObjectFeed(Feed[T]):
     """Objects of one kind.
 
-    :param stale: whether answers about changes may be seconds old, at a tenth of the price
-    :param stale_read: whether this holds for the read of all objects too
+    :param stale: whether answers about changes may be seconds old, at a tenth of the price; a read
+        of all objects is never stale, since the history from its position may be gone already
     """
 
-    def __init__(
-        self,
-        *,
-        client: ObjectClient,
-        kind: str,
-        decode: Decode,
-        stale: bool = False,
-        stale_read: bool = False,
-    ):
+    def __init__(self, *, client: ObjectClient, kind: str, decode: Decode, stale: bool = False):
         self.client = client
         self.name = kind
         self.decode = decode
         self.stale = stale
-        self.stale_read = stale_read
 
     def read(self) -> Result[Snapshot[T], StoreError]:
         """Read all objects, page by page."""
         items: dict[str, T] = {}
-        query: dict[str, str | int] = {"serializable": 1} if self.stale_read else {}
+        query: dict[str, str] = {}
         while True:
             path = f"{names.OBJECTS_PATH}{self.name}" + (f"?{urlencode(query)}" if query else "")
             answer = self.client.call(b"GET", path)
@@ -197,7 +188,7 @@
         )
         self.rollouts = ObjectFeed(client=client, kind=names.ROLLOUT_KIND, decode=_rollout_item)
         self.deaths = ObjectFeed(
-            client=client, kind=names.DEATH_KIND, decode=_death_item, stale=True, stale_read=True
+            client=client, kind=names.DEATH_KIND, decode=_death_item, stale=True
         )
 
     def move(self, address: Address) -> None:
--- a/test/mesh/test_state.py
+++ b/test/mesh/test_state.py
@@ -7,10 +7,11 @@
 from testtools import TestCase
 
 from almondshore.core.clock import ManualClock
+from almondshore.mesh import replication
 from almondshore.mesh.directory import Directory
 from almondshore.mesh.model import Rollout, RolloutState
 from almondshore.mesh.publishing import TargetPublisher
-from almondshore.mesh.replication import HELD_INTERVAL, Replica, Sink
+from almondshore.mesh.replication import HELD_INTERVAL, MIN_PAUSE, Replica, Sink
 from almondshore.mesh.state import ConfigSink, RolloutSink, TargetSink
 from almondshore.mesh.store import Changed, Changes, Feed, HistoryGone, NotFound, Snapshot
 from almondshore.mesh.versions import VersionShares
@@ -89,6 +90,21 @@
             replica.step()
         self.assertEqual(["read", 7, "read"], feed.calls)
 
+    def test_history_that_is_lost_again_is_not_asked_for_without_a_pause(self):
+        """Guards against reads in a loop while the store forgets its history.
+
+        Seen on valpadana-mesh-grown, scale-1: a stale read gave a position whose history was gone,
+        and each node repeated it 50 times a second.
+        """
+        pauses = []
+        self.patch(replication.eventlet, "sleep", pauses.append)
+        lost = [Success(Snapshot(7, {})), Failure(HistoryGone(7))]
+        replica, feed, _ = self.replica(*lost * 4)
+        for _ in range(8):
+            replica.step()
+        self.assertEqual(3, len(pauses))
+        self.assertTrue(min(pauses) >= MIN_PAUSE.total_seconds(), pauses)
+
     def test_absence_of_the_store_is_noted_until_it_answers(self):
         """Guards against a node that does not ask its peers while the store is away."""
         replica, feed, _ = self.replica(
