Show what one node of a mesh believes: command node, and /status beside the metrics

On-call engineers had no view of a mesh node but its logs and gauges. The metrics address serves the node's view as JSON from its memory, also while the store is away: configuration version, the source and age of its state, its target, nodes that do not answer, ready targets by version and rollouts. `almondshore node URL` prints it. Three gauges join the metrics.

Tests: the view of a node whose store refuses it; the command with a full, a malformed and an empty answer, and a name with a terminal sequence.

--- a/almondshore/mesh/metrics.py
+++ b/almondshore/mesh/metrics.py
@@ -3,16 +3,21 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from almondshore.daemon.metrics import Metrics
 from almondshore.http.messages import Response
 from almondshore.http.server import Exchange, ExchangeHandler
 from almondshore.mesh.model import Route
+from almondshore.mesh.status import node_view
+from almondshore.mesh.view import STATUS_PATH
 
 if TYPE_CHECKING:
     from almondshore.mesh.node import MeshNode
 
 # The platform's requests name no organisation that a metric could be kept for.
 NO_TENANT = ""
+JSON = ((b"Content-Type", b"application/json"),)
 
 
 class MeshMetrics:
@@ -42,6 +47,9 @@
                 (node.clock.monotonic() - away).total_seconds() if away is not None else 0.0
             ),
             "almondshore_connections_opened": node.pool.opened,
+            "almondshore_nodes_unreachable": len(node.directory.nodes),
+            "almondshore_follows_watcher": int(node.follower.followed is not None),
+            "almondshore_state_age_seconds": node.follower.age().total_seconds(),
         }
         for name, value in values.items():
             self.metrics.gauge(name, name.replace("_", " "), value)
@@ -55,13 +63,17 @@
 
 
 class MetricsHandler(ExchangeHandler):
-    """Serves the metrics."""
+    """Serves the metrics, and what the node believes as JSON under ``/status``."""
 
     def __init__(self, *, metrics: MeshMetrics, node: "MeshNode"):
         self.metrics = metrics
         self.node = node
 
     def handle(self, exchange: Exchange) -> None:
-        """Answer a scrape."""
+        """Answer a scrape, or an operator."""
+        if exchange.request.target.partition(b"?")[0] == STATUS_PATH:
+            document = msgspec.json.encode(node_view(self.node))
+            exchange.respond(Response(200, JSON, document))
+            return
         body, content_type = self.metrics.render(self.node)
         exchange.respond(Response(200, ((b"Content-Type", content_type.encode()),), body))
--- /dev/null
+++ b/almondshore/mesh/status.py
@@ -0,0 +1,51 @@
+"""Gathers what a node believes, for operators."""
+
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+from almondshore.mesh.model import TargetState
+from almondshore.mesh.view import NodeView, ServiceView
+
+if TYPE_CHECKING:
+    from almondshore.mesh.node import MeshNode
+
+MILLISECOND = timedelta(milliseconds=1)
+
+
+def node_view(node: "MeshNode") -> NodeView:
+    """Return what a node believes now."""
+    followed, announced, queue = node.follower.followed, node.local.announced, node.local.queue
+    never = node.follower.followed is None and node.lead.answered_at is None
+    away = node.away_since()
+    names = {target.service for target in node.directory.targets.values()}
+    return NodeView(
+        node=node.settings.node,
+        zone=node.settings.zone,
+        service=node.settings.service,
+        ready=node.is_ready(),
+        stopping=node.stopping_since is not None,
+        config_version=node.outbound.config_version(),
+        source="store" if followed is None else f"{followed[0]}:{followed[1]}",
+        state_age_ms=-1 if never else int(node.follower.age() / MILLISECOND),
+        store_away_ms=0 if away is None else int((node.clock.monotonic() - away) / MILLISECOND),
+        target=announced.target if announced else "",
+        target_state=announced.state.value if announced else "",
+        running=len(queue.running) if queue else 0,
+        waiting=len(queue.waiting) if queue else 0,
+        services=[_service_view(node, name) for name in sorted(names)],
+        unreachable=sorted(f"{host}:{port}" for host, port in node.directory.nodes),
+    )
+
+
+def _service_view(node: "MeshNode", service: str) -> ServiceView:
+    found = [item for item in node.directory.targets.values() if item.service == service]
+    rollout = node.shares.rollouts.get(service)
+    ready = node.directory.versions(service)
+    return ServiceView(
+        service=service,
+        ready={version: len(targets) for version, targets in sorted(ready.items())},
+        known=sum(item.state is not TargetState.GONE for item in found),
+        rollout=rollout.state.value if rollout else "",
+        rollout_version=rollout.version if rollout else "",
+        rollout_share=rollout.share if rollout else 0.0,
+    )
--- /dev/null
+++ b/almondshore/ui/commands/node.py
@@ -0,0 +1,61 @@
+"""The ``node`` command."""
+
+from typing import Annotated
+
+import msgspec
+from cyclopts import Parameter
+
+from almondshore.core.errors import UserError
+from almondshore.mesh.view import STATUS_PATH, NodeView, ServiceView
+from almondshore.ui.context import Context
+from almondshore.ui.node_http import call_node
+from almondshore.ui.output import print_json, print_table, printable
+
+HEADER = ("service", "ready targets by version", "known", "rollout")
+
+
+def node(
+    node: str, *, json: bool = False, context: Annotated[Context, Parameter(parse=False)]
+) -> int:
+    """Show what a node of a mesh believes, also while the store is away.
+
+    :param node: URL of the node's metrics address, such as http://10.0.0.1:7620
+    :param json: print the status as JSON
+    """
+    body = call_node("GET", node, STATUS_PATH.decode())
+    try:
+        status = msgspec.json.decode(body, type=NodeView)
+    except msgspec.MsgspecError as error:
+        raise UserError(f"the node at {node} gave a malformed answer: {error}") from error
+    if json:
+        print_json(context.out, status)
+        return 0
+    for text in _lines(status):
+        context.line(printable(text))
+    print_table(context.out, HEADER, [_row(service) for service in status["services"]])
+    return 0
+
+
+def _lines(status: NodeView) -> list[str]:
+    """Return the lines on the node itself."""
+    state = "stopping" if status["stopping"] else "ready" if status["ready"] else "not ready"
+    age = "never read" if status["state_age_ms"] < 0 else f"{status['state_age_ms']} ms old"
+    away = f", store away for {status['store_away_ms']} ms" if status["store_away_ms"] else ""
+    target = f"{status['target']} {status['target_state']}" if status["target"] else "none yet"
+    unreachable = ", ".join(status["unreachable"]) or "none"
+    return [
+        f"node {status['node']} in {status['zone']}: {state}",
+        f"configuration {status['config_version']} from {status['source']}, {age}{away}",
+        f"target of {status['service']}: {target}, {status['running']} requests running, "
+        f"{status['waiting']} waiting",
+        f"nodes that do not answer: {unreachable}",
+    ]
+
+
+def _row(service: ServiceView) -> tuple[object, ...]:
+    ready = ", ".join(f"{version}: {count}" for version, count in service["ready"].items())
+    rollout = ""
+    if service["rollout"]:
+        share = f"{service['rollout_share']:.0%}"
+        rollout = f"{service['rollout_version']} {service['rollout']} at {share}"
+    return service["service"], ready or "none", service["known"], rollout
--- a/almondshore/ui/main.py
+++ b/almondshore/ui/main.py
@@ -12,7 +12,7 @@
 
 from almondshore import ui
 from almondshore.core.errors import InvalidInputError, UserError
-from almondshore.ui.commands import apply, check, diff, drain, history, moves, nodes, status
+from almondshore.ui.commands import apply, check, diff, drain, history, moves, node, nodes, status
 from almondshore.ui.context import PLATFORM_VARIABLE, Context, UsageError
 
 EXIT_DONE = 0
@@ -27,6 +27,7 @@
     "history": history.history,
     "status": status.status,
     "nodes": nodes.nodes,
+    "node": node.node,
     "moves": moves.moves,
     "drain": drain.drain,
 }
--- a/test/mesh/test_node.py
+++ b/test/mesh/test_node.py
@@ -4,11 +4,13 @@
 from datetime import timedelta
 
 import eventlet
+import msgspec
 from testtools import TestCase
 
 from almondshore.core.bounded_stream import BoundedStream
-from almondshore.http.messages import Response
+from almondshore.http.messages import Response, encode_request
 from almondshore.http.server import ExchangeHandler
+from almondshore.mesh.view import NodeView
 from almondshore.mesh.watching import WATCHERS_PER_ZONE
 from standins.mesh_deployment import MeshDeployment, stored_config
 
@@ -182,6 +184,19 @@
         for name in ("almondshore_config_version", "almondshore_request_seconds_bucket"):
             self.assertIn(name, body.decode())
 
+    def test_what_a_node_believes_is_shown_while_the_store_is_away(self):
+        """Guards against operators who see nothing of a node when they need it most."""
+        node = self.bed.nodes["n1"]
+        self.bed.store.refuse = 503
+        wait_until(lambda: node.away_since() is not None)
+        data = encode_request(b"GET", b"/status", ((b"Host", b"h"),), b"")
+        response = self.bed.call(node.settings.metrics, data).response
+        view = msgspec.json.decode(response.body, type=NodeView)
+        self.assertEqual(("n1", True, 3), (view["node"], view["ready"], view["config_version"]))
+        self.assertTrue(view["store_away_ms"] >= 0)
+        found = {item["service"]: item["ready"] for item in view["services"]}
+        self.assertEqual({"s": {"v1": 1}, "other": {"v1": 1}}, found)
+
     def _cut_first(self, upstream):
         usual = upstream._usual
         left = [1]
--- a/test/ui/test_commands.py
+++ b/test/ui/test_commands.py
@@ -14,6 +14,34 @@
     return {**names, **progress, "reason": "", "deadline": "2026-12-08T05:00:00+00:00"}
 
 
+VIEW = {
+    "node": "n\x1b[2J1",
+    "zone": "zone-a",
+    "service": "desk",
+    "ready": True,
+    "stopping": False,
+    "config_version": 12,
+    "source": "10.0.0.7:7401",
+    "state_age_ms": 1700,
+    "store_away_ms": 900,
+    "target": "i-1",
+    "target_state": "ready",
+    "running": 3,
+    "waiting": 1,
+    "services": [
+        {
+            "service": "desk",
+            "ready": {"v1": 2},
+            "known": 3,
+            "rollout": "running",
+            "rollout_version": "v2",
+            "rollout_share": 0.25,
+        }
+    ],
+    "unreachable": ["10.0.0.9:7401"],
+}
+
+
 class ReadingTest(ToolTest):
     def test_diff_of_files_ignores_order_and_spacing(self):
         lines = RULES.splitlines()
@@ -80,15 +108,18 @@
 
 
 class DrainTest(ToolTest):
-    def serve(self, status):
+    def serve(self, status, body=b""):
         requests = []
 
         class Handler(BaseHTTPRequestHandler):
             def do_POST(self):  # noqa: N802
                 requests.append(self.path)
                 self.send_response(status)
-                self.send_header("content-length", "0")
+                self.send_header("content-length", str(len(body)))
                 self.end_headers()
+                self.wfile.write(body)
+
+            do_GET = do_POST  # noqa: N815
 
             def log_message(self, *args):
                 pass
@@ -106,6 +137,20 @@
         self.assertEqual(0, self.run_tool("drain", url + "/", url="")[0])
         self.assertEqual(["/almondshore/v1/drain"], requests)
 
+    def test_node(self):
+        """Guards against a view that hides how old a node's state is, or a terminal sequence."""
+        url, requests = self.serve(200, json.dumps(VIEW).encode())
+        code, out, err = self.run_tool("node", url, url="")
+        self.assertEqual((0, ["/status"], ""), (code, requests, err))
+        for text in ("1700 ms old", "store away for 900 ms", "v1: 2", "v2 running at 25%"):
+            self.assertIn(text, out)
+        self.assertNotIn("\x1b", out)
+        self.assertEqual(VIEW, json.loads(self.run_tool("node", url, "--json", url="")[1]))
+        for malformed in (b"{}", b"<html>"):
+            url, _ = self.serve(200, malformed)
+            code, out, err = self.run_tool("node", url, url="")
+            self.assertEqual((1, "", 1), (code, out, err.count("\n")))
+
     def test_failures(self):
         """Guards against a drain that is taken as started when it was not."""
         url, requests = self.serve(503)
