--- a/almondshore/mesh/node.py
+++ b/almondshore/mesh/node.py
@@ -65,8 +65,9 @@
 HOUSEKEEPING_S = 0.25
 EXPIRE_EVERY = 8
 # Part of the shared retry budget that nodes spend; the rest covers uneven load between them and
-# retries of calls that a repeated request makes again.
-RETRY_SHARE = 0.6
+# retries of calls that a repeated request makes again. At 0.6, a service whose targets reject half
+# of what arrives had 65% of the budget spent in the busiest window.
+RETRY_SHARE = 0.75
 MAX_SAVED_SHARE = 0.4
 
 
--- a/test/mesh/test_rollout.py
+++ b/test/mesh/test_rollout.py
@@ -71,10 +71,13 @@
             self.assertTrue(changes[-1][0] < DURATION * 0.95, changes)
 
     def test_shares_stay_small_for_the_exposure_bound(self):
-        """Guards against a late fault that meets more than a tenth of all requests."""
+        """Guards against a late fault that meets more than a tenth of all requests.
+
+        Seen on chladlog-mesh-grown, fresh-a81a: 575 of 3738 requests, where 424 were allowed.
+        """
         exposed, share, last = 0.0, 0.0, timedelta()
         for at, _, new_share in self.play(10):
             if share < 1.0:
                 exposed += share * ((at - last) / DURATION)
             share, last = new_share, at
-        self.assertTrue(exposed < 0.16, exposed)
+        self.assertTrue(exposed < 0.1, exposed)
