--- /dev/null
+++ b/almondshore/mesh/feeds.py
@@ -0,0 +1,140 @@
+"""How a node learns the state of the mesh: from the store, a watcher or another node."""
+
+import random
+from datetime import timedelta
+
+import eventlet
+
+from almondshore.core.clock import Clock
+from almondshore.mesh.change_server import ChangeServer
+from almondshore.mesh.changes import ChangeLog
+from almondshore.mesh.crashes import CrashSink
+from almondshore.mesh.directory import Directory
+from almondshore.mesh.model import Address
+from almondshore.mesh.outbound import Outbound
+from almondshore.mesh.peers import PeerClient, PeerSync
+from almondshore.mesh.replication import Replica, Sink
+from almondshore.mesh.state import ConfigSink, PeerSink, RolloutSink, TargetSink
+from almondshore.mesh.store import Feed, MeshStore
+from almondshore.mesh.versions import VersionShares
+from almondshore.mesh.watching import Follower
+from almondshore.retries.crash import CrashGuard
+
+# Longest waits for changes. The store charges each call, a tenth for stale reads, as those of
+# targets and deaths are; a newer configuration is also seen in the responses of other nodes.
+WAIT_CONFIG = timedelta(seconds=3)
+WAIT_ROLLOUTS = timedelta(seconds=4)
+WAIT_DEATHS = timedelta(seconds=4)
+# The cheapest feed shows that the store went silent and came back; it makes the others call again.
+# With a failed call and its repetition, it still shows this within the age that followers allow.
+WAIT_TARGETS = timedelta(milliseconds=800)
+# Changes that come within this are read by one call; they must be in force within 2 s. Each version
+# of a large configuration takes a third of a second on a link of 10 Mbit/s.
+GATHER_CONFIG = timedelta(milliseconds=700)
+GATHER_TARGETS = timedelta(milliseconds=500)
+
+
+class StateFeeds:
+    """Keeps the configuration, the targets and the rollouts up to date, and passes them on.
+
+    :param node: address at which other nodes reach this one
+    :param config_name: name of the stored item that holds the configuration
+    :ivar lead: the copy of the feed that is cheapest to call
+    :ivar server: answers the nodes that follow this one
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        rng: random.Random,
+        store: MeshStore,
+        client: PeerClient,
+        outbound: Outbound,
+        directory: Directory,
+        shares: VersionShares,
+        guard: CrashGuard,
+        changes: ChangeLog,
+        node: Address,
+        zone: str,
+        config_name: str,
+    ):
+        self.clock = clock
+        self.rng = rng
+        self.rollouts = RolloutSink(shares=shares, changes=changes)
+        self.crashes = CrashSink(guard=guard)
+        config = ConfigSink(outbound=outbound, name=config_name, changes=changes)
+        targets = TargetSink(directory=directory)
+        self.lead: Replica | None = None
+        self.lead = self._replica(store.targets, targets, WAIT_TARGETS, GATHER_TARGETS)
+        self.lead.on_regained = self._on_regained
+        self.replicas = (
+            self.lead,
+            self._replica(store.config, config, WAIT_CONFIG, GATHER_CONFIG, large=True),
+            self._replica(store.rollouts, self.rollouts, WAIT_ROLLOUTS, timedelta()),
+        )
+        self.deaths = self._replica(store.deaths, self.crashes, WAIT_DEATHS, timedelta())
+        sink = PeerSink(
+            config=config, directory=directory, rollouts=self.rollouts, decode=store.decode_config
+        )
+        self.peers = PeerSync(
+            clock=clock,
+            rng=rng,
+            client=client,
+            sink=sink,
+            node=node,
+            zone=zone,
+            away_since=self.away_since,
+        )
+        self.follower = Follower(
+            clock=clock,
+            client=client,
+            sink=sink,
+            node=node,
+            zone=zone,
+            replicas=self.replicas,
+            lead=self.lead,
+        )
+        self.server = ChangeServer(
+            changes=changes,
+            config=lambda: outbound.config,
+            directory=directory,
+            rollouts=self.rollouts,
+            age=self.follower.age,
+        )
+        self.greenlets: list[eventlet.greenthread.GreenThread] = []
+
+    def start(self) -> None:
+        """Begin to learn; the follower starts the other copies if they are needed."""
+        self.lead.start()
+        self.deaths.start()
+        self.greenlets = [eventlet.spawn(worker.run) for worker in (self.peers, self.follower)]
+
+    def kill(self) -> None:
+        """End all work."""
+        for worker in (*self.greenlets, *self.replicas, self.deaths):
+            worker.kill()
+
+    def away_since(self) -> timedelta | None:
+        """Return since when any part of the store has not answered, or None."""
+        failing = [item.failing_since for item in self.replicas if item.failing_since is not None]
+        return min(failing, default=None)
+
+    def _on_regained(self) -> None:
+        for replica in (*self.replicas, self.deaths):
+            if replica is not self.lead:
+                replica.restart()
+
+    def _replica(
+        self, feed: Feed, sink: Sink, wait: timedelta, gather: timedelta, *, large: bool = False
+    ) -> Replica:
+        return Replica(
+            clock=self.clock,
+            rng=self.rng,
+            feed=feed,
+            sink=sink,
+            wait=wait,
+            gather=gather,
+            large=large,
+            lead=self.lead,
+        )
--- a/almondshore/mesh/metrics.py
+++ b/almondshore/mesh/metrics.py
@@ -36,7 +36,7 @@
     def render(self, node: "MeshNode") -> tuple[bytes, str]:
         """Return the present values in the text format, and its content type."""
         queue = node.local.queue
-        away = node.away_since()
+        away = node.feeds.away_since()
         values = {
             "almondshore_config_version": node.outbound.config_version(),
             "almondshore_targets_known": len(node.directory.targets),
@@ -48,8 +48,8 @@
             ),
             "almondshore_connections_opened": node.pool.opened,
             "almondshore_nodes_unreachable": len(node.directory.nodes),
-            "almondshore_follows_watcher": int(node.follower.followed is not None),
-            "almondshore_state_age_seconds": node.follower.age().total_seconds(),
+            "almondshore_follows_watcher": int(node.feeds.follower.followed is not None),
+            "almondshore_state_age_seconds": node.feeds.follower.age().total_seconds(),
         }
         for name, value in values.items():
             self.metrics.gauge(name, name.replace("_", " "), value)
--- a/almondshore/mesh/node.py
+++ b/almondshore/mesh/node.py
@@ -14,27 +14,24 @@
 from almondshore.http.messages import Response
 from almondshore.http.parsing import RequestLimits
 from almondshore.http.server import Exchange, ExchangeHandler, HttpServer, ServerLimits
-from almondshore.mesh.change_server import ChangeServer
 from almondshore.mesh.changes import ChangeLog
-from almondshore.mesh.crashes import CrashSink, Death, DeathReporter
+from almondshore.mesh.crashes import Death, DeathReporter
 from almondshore.mesh.dialect import Dialect
 from almondshore.mesh.directory import Directory
 from almondshore.mesh.driver import RolloutDriver
 from almondshore.mesh.evidence import ResultRecorder
+from almondshore.mesh.feeds import StateFeeds
 from almondshore.mesh.inbound import Inbound
 from almondshore.mesh.liveness import PROBE_TIMEOUT, LivenessProber
 from almondshore.mesh.local import LocalTarget, Reception
 from almondshore.mesh.metrics import MeshMetrics, MetricsHandler
 from almondshore.mesh.model import Announcement, MeshConfig
 from almondshore.mesh.outbound import Outbound
-from almondshore.mesh.peers import InternalHandler, PeerClient, PeerSync
+from almondshore.mesh.peers import InternalHandler, PeerClient
 from almondshore.mesh.publishing import TargetPublisher
-from almondshore.mesh.replication import Replica, Sink
 from almondshore.mesh.settings import MeshSettings
-from almondshore.mesh.state import ConfigSink, PeerSink, RolloutSink, TargetSink
-from almondshore.mesh.store import Feed, MeshStore
+from almondshore.mesh.store import MeshStore
 from almondshore.mesh.versions import VersionShares
-from almondshore.mesh.watching import Follower
 from almondshore.retries.budget import RetryBudget
 from almondshore.retries.crash import QUARANTINE, CrashGuard
 from almondshore.routing.completion import CompletionChooser
@@ -43,18 +40,6 @@
 DEFAULT_LIMITS = ServerLimits(
     RequestLimits(64 * 1024, 64 * 1024 * 1024), timedelta(seconds=10), timedelta(seconds=60)
 )
-# Longest waits for changes. The store charges each call, a tenth for stale reads, as those of
-# targets and deaths are; a newer configuration is also seen in the responses of other nodes.
-WAIT_CONFIG = timedelta(seconds=3)
-WAIT_ROLLOUTS = timedelta(seconds=4)
-WAIT_DEATHS = timedelta(seconds=4)
-# The cheapest feed shows that the store went silent and came back; it makes the others call again.
-# With a failed call and its repetition, it still shows this within the age that followers allow.
-WAIT_TARGETS = timedelta(milliseconds=800)
-# Changes that come within this are read by one call; they must be in force within 2 s. Each version
-# of a large configuration takes a third of a second on a link of 10 Mbit/s.
-GATHER_CONFIG = timedelta(milliseconds=700)
-GATHER_TARGETS = timedelta(milliseconds=500)
 # Callers stop sending new work after two failed readiness checks, one a second.
 MIN_STOP = timedelta(seconds=2.6)
 # What is still running at this share of the grace period is given up.
@@ -123,7 +108,6 @@
         self.budget = RetryBudget(clock=clock)
         self.guard = CrashGuard(clock=clock)
         self.chooser = CompletionChooser(clock=clock, rng=rng, zone=settings.zone)
-        self.rollout_sink = RolloutSink(shares=self.shares, changes=self.changes)
         internal = InternalHandler(local=self.local, recorder=self.recorder)
         self.inbound = Inbound(
             clock=clock,
@@ -148,7 +132,7 @@
             inbound=self.inbound,
             node=settings.inbound,
             caller=lambda: self.settings.service,
-            on_version=lambda node, version: self.peers.note_version(node, version),
+            on_version=lambda node, version: self.feeds.peers.note_version(node, version),
             observe=self.metrics.observe,
         )
         self.prober = LivenessProber(
@@ -160,63 +144,32 @@
         self.prober.on_lost = self.outbound.on_lost
         self.directory.on_unreachable = self.prober.recheck
         self.outbound.suspect = self.prober.suspect
-        self.config_sink = ConfigSink(
-            outbound=self.outbound, name=config_name, changes=self.changes
-        )
         self.publisher = TargetPublisher(store=store, directory=self.directory)
-        self.lead: Replica | None = None
-        self.lead = self._replica(
-            store.targets, TargetSink(directory=self.directory), WAIT_TARGETS, GATHER_TARGETS
-        )
-        self.lead.on_regained = self._on_store_regained
-        self.replicas = (
-            self.lead,
-            self._replica(store.config, self.config_sink, WAIT_CONFIG, GATHER_CONFIG, large=True),
-            self._replica(store.rollouts, self.rollout_sink, WAIT_ROLLOUTS, timedelta()),
-        )
-        self.crash_sink = CrashSink(guard=self.guard)
-        self.death_replica = self._replica(store.deaths, self.crash_sink, WAIT_DEATHS, timedelta())
         self.death_reporter = DeathReporter(clock=clock, store=store, keep=QUARANTINE)
         self.inbound.on_death = self._on_death
         client = PeerClient(pool=pool)
-        peer_sink = PeerSink(
-            config=self.config_sink,
-            directory=self.directory,
-            rollouts=self.rollout_sink,
-            decode=store.decode_config,
-        )
-        self.peers = PeerSync(
+        self.feeds = StateFeeds(
             clock=clock,
             rng=rng,
+            store=store,
             client=client,
-            sink=peer_sink,
-            node=settings.inbound,
-            zone=settings.zone,
-            away_since=self.away_since,
-        )
-        self.follower = Follower(
-            clock=clock,
-            client=client,
-            sink=peer_sink,
+            outbound=self.outbound,
+            directory=self.directory,
+            shares=self.shares,
+            guard=self.guard,
+            changes=self.changes,
             node=settings.inbound,
             zone=settings.zone,
-            replicas=self.replicas,
-            lead=self.lead,
-        )
-        internal.changes = ChangeServer(
-            changes=self.changes,
-            config=self.config,
-            directory=self.directory,
-            rollouts=self.rollout_sink,
-            age=self.follower.age,
+            config_name=config_name,
         )
+        internal.changes = self.feeds.server
         self.driver = RolloutDriver(
             clock=clock,
             node=settings.inbound,
             service=lambda: self.settings.service if self.local.announced else "",
             own=internal.evidence,
             directory=self.directory,
-            rollouts=self.rollout_sink,
+            rollouts=self.feeds.rollouts,
             client=client,
             store=store,
         )
@@ -236,16 +189,9 @@
         self._listen(settings.ready, ReadinessHandler(node=self))
         self._listen(settings.control, announcements)
         self._listen(settings.metrics, MetricsHandler(metrics=self.metrics, node=self))
-        workers = (
-            self.death_reporter,
-            self.publisher,
-            self.peers,
-            self.driver,
-            self.follower,
-        )
+        workers = (self.death_reporter, self.publisher, self.driver)
         self.greenlets = [eventlet.spawn(worker.run) for worker in workers]
-        self.lead.start()
-        self.death_replica.start()
+        self.feeds.start()
         self._housekeeping()
         log_event(
             "node_started",
@@ -258,8 +204,9 @@
 
     def close(self) -> None:
         """End all work and close the listeners at once, for a node embedded in a process."""
-        for worker in (*self.greenlets, *self.replicas, self.death_replica):
-            worker.kill()
+        self.feeds.kill()
+        for greenlet in self.greenlets:
+            greenlet.kill()
         for server in self.servers:
             server.close()
         self.housekeeping.cancel()
@@ -272,11 +219,6 @@
         """Tell whether new requests may come."""
         return self.outbound.config is not None and self.stopping_since is None
 
-    def away_since(self) -> timedelta | None:
-        """Return since when any part of the store has not answered, or None."""
-        failing = [item.failing_since for item in self.replicas if item.failing_since is not None]
-        return min(failing, default=None)
-
     def on_announcement(self, news: Announcement) -> None:
         """Take in an announcement of the target on this host."""
         if news.service != self.settings.service or news.address != self.settings.app:
@@ -383,14 +325,9 @@
             self.pool.expire()
 
     def _on_death(self, death: Death) -> None:
-        self.crash_sink.count(death)
+        self.feeds.crashes.count(death)
         self.death_reporter.report(death)
 
-    def _on_store_regained(self) -> None:
-        for replica in (*self.replicas, self.death_replica):
-            if replica is not self.lead:
-                replica.restart()
-
     def _publish(self) -> None:
         record = self.local.record()
         self.publisher.publish(record)
@@ -431,20 +368,6 @@
         config = self.outbound.config
         return config.limits if config is not None else DEFAULT_LIMITS
 
-    def _replica(
-        self, feed: Feed, sink: Sink, wait: timedelta, gather: timedelta, *, large: bool = False
-    ) -> Replica:
-        return Replica(
-            clock=self.clock,
-            rng=self.rng,
-            feed=feed,
-            sink=sink,
-            wait=wait,
-            gather=gather,
-            large=large,
-            lead=self.lead,
-        )
-
     def _listen(self, address, handler: ExchangeHandler, limits=lambda: DEFAULT_LIMITS):
         server = HttpServer(clock=self.clock, address=address, handler=handler, limits=limits)
         self.servers.append(server)
--- a/almondshore/mesh/status.py
+++ b/almondshore/mesh/status.py
@@ -14,9 +14,13 @@
 
 def node_view(node: "MeshNode") -> NodeView:
     """Return what a node believes now."""
-    followed, announced, queue = node.follower.followed, node.local.announced, node.local.queue
-    never = node.follower.followed is None and node.lead.answered_at is None
-    away = node.away_since()
+    followed, announced, queue = (
+        node.feeds.follower.followed,
+        node.local.announced,
+        node.local.queue,
+    )
+    never = node.feeds.follower.followed is None and node.feeds.lead.answered_at is None
+    away = node.feeds.away_since()
     names = {target.service for target in node.directory.targets.values()}
     return NodeView(
         node=node.settings.node,
@@ -26,7 +30,7 @@
         stopping=node.stopping_since is not None,
         config_version=node.outbound.config_version(),
         source="store" if followed is None else f"{followed[0]}:{followed[1]}",
-        state_age_ms=-1 if never else int(node.follower.age() / MILLISECOND),
+        state_age_ms=-1 if never else int(node.feeds.follower.age() / MILLISECOND),
         store_away_ms=0 if away is None else int((node.clock.monotonic() - away) / MILLISECOND),
         target=announced.target if announced else "",
         target_state=announced.state.value if announced else "",
--- a/test/load/test_configuration_storm_on_a_narrow_link.py
+++ b/test/load/test_configuration_storm_on_a_narrow_link.py
@@ -8,7 +8,7 @@
 
 from almondshore.core.clock import ManualClock
 from almondshore.mesh import replication
-from almondshore.mesh.node import GATHER_CONFIG, WAIT_CONFIG
+from almondshore.mesh.feeds import GATHER_CONFIG, WAIT_CONFIG
 from almondshore.mesh.replication import Replica, Sink
 from almondshore.mesh.store import Changes, Feed, Snapshot
 from almondshore.storage.port import Unavailable
--- a/test/mesh/test_node.py
+++ b/test/mesh/test_node.py
@@ -188,7 +188,7 @@
         """Guards against operators who see nothing of a node when they need it most."""
         node = self.bed.nodes["n1"]
         self.bed.store.refuse = 503
-        wait_until(lambda: node.away_since() is not None)
+        wait_until(lambda: node.feeds.away_since() is not None)
         data = encode_request(b"GET", b"/status", ((b"Host", b"h"),), b"")
         response = self.bed.call(node.settings.metrics, data).response
         view = msgspec.json.decode(response.body, type=NodeView)
@@ -281,7 +281,9 @@
         wait_until(lambda: len(self.followers()) == self.NODES - WATCHERS_PER_ZONE, seconds=8)
 
     def followers(self):
-        return [node for node in self.bed.nodes.values() if node.follower.followed is not None]
+        return [
+            node for node in self.bed.nodes.values() if node.feeds.follower.followed is not None
+        ]
 
     def test_changes_reach_all_nodes_by_the_watchers(self):
         """Guards against nodes that do not learn of changes since others watch for them."""
@@ -297,7 +299,7 @@
         """Guards against followers that wait for a watcher which is gone."""
         follower = self.followers()[0]
         names = {node.settings.inbound: name for name, node in self.bed.nodes.items()}
-        self.bed.nodes.pop(names[follower.follower.followed]).close()
+        self.bed.nodes.pop(names[follower.feeds.follower.followed]).close()
         self.bed.store.put("config", "main", stored_config(9, ("s",)))
         wait_until(lambda: follower.outbound.config_version() == 9, seconds=2)
 
@@ -305,7 +307,7 @@
         """Guards against followers of watchers that the store refuses, while it serves others."""
         follower = self.followers()[0]
         for node in self.bed.nodes.values():
-            if node.follower.followed is None:
+            if node.feeds.follower.followed is None:
                 node.store.move(("127.0.0.1", 1))
                 node.pool.drop(self.bed.store_server.address())
         for connection in list(self.bed.store_server.connections):
