Probe an outage at the lower price after a rest

A read costs ten times as much as the stale call that other nodes probe with.

Change: after a rest the position from before is kept for probing until the store answers, and then everything is read. The test fails before, with a read for each probe.

--- a/almondshore/mesh/replication.py
+++ b/almondshore/mesh/replication.py
@@ -81,6 +81,7 @@
         self.called_at: timedelta | None = None
         self.failing_since: timedelta | None = clock.monotonic()
         self.position: int | None = None
+        self.former_position: int | None = None
         self.pause = MIN_PAUSE
         self.greenlet: eventlet.greenthread.GreenThread | None = None
         self.on_regained: Callable[[], None] = lambda: None
@@ -115,7 +116,7 @@
         self.kill()
         self.greenlet = None
         self.failing_since = None
-        self.position = None
+        self.former_position, self.position = self.position, None
 
     def resume(self) -> None:
         """Copy again after a rest."""
@@ -129,6 +130,9 @@
             eventlet.sleep(MIN_PAUSE.total_seconds())
             return
         self.called_at = now
+        if self.failing_since is not None and self.former_position is not None:
+            self._probe(self.former_position)
+            return
         if self.position is None:
             result = self.feed.read()
         else:
@@ -152,6 +156,14 @@
         if changed:
             self._after_change(whole)
 
+    def _probe(self, position: int) -> None:
+        """Find out whether the store answers again before all is read, which costs more."""
+        result = self.feed.wait(position, timedelta())
+        if is_successful(result) or isinstance(result.failure(), HistoryGone):
+            self.former_position = None
+        else:
+            self._on_error(result.failure())
+
     def _after_change(self, whole: bool) -> None:
         """Wait for further changes that one call can bring."""
         now = self.clock.monotonic()
--- a/test/mesh/test_state.py
+++ b/test/mesh/test_state.py
@@ -181,6 +181,24 @@
         replica.step()
         self.assertEqual(["read", 7, "read"], feed.calls)
 
+    def test_a_copy_that_rested_probes_an_outage_at_the_lower_price(self):
+        """Guards against full reads that fail all through an outage.
+
+        Seen on chladlog-mesh-grown, inc-6be0: 1,019 of them, a fifth of the price of all calls.
+        """
+        replica, feed, _ = self.replica(
+            Success(Snapshot(7, {})),
+            *[Failure(Unavailable("x"))] * 3,
+            Success(Changes(9, {})),
+            Success(Snapshot(9, {"a": 1})),
+        )
+        replica.step()
+        replica.rest()
+        for _ in range(5):
+            replica.step()
+        self.assertEqual(["read", "read", 7, 7, 7, "read"], feed.calls)
+        self.assertIs(None, replica.failing_since)
+
     def test_feeds_wait_for_the_cheapest_one_in_an_outage(self):
         """Guards against calls that fail, and are charged, on all feeds of all nodes."""
         clock = ManualClock()
