Test lost capacity, new targets and moved clients under load

Three load patterns that had no module, on the real queue and chooser without a network: a third of the targets is lost, targets are added in an overload, all callers are in one zone.

--- a/test/load/fleet.py
+++ b/test/load/fleet.py
@@ -113,12 +113,19 @@
     def add(self, name, zone, **fields):
         self.servers[name] = Server(self.clock, name, zone, **fields)
 
+    def remove(self, name):
+        """Take a target away; what it runs it still ends."""
+        del self.servers[name]
+
     def after(self, delay, action):
         self.count += 1
         heappush(self.events, (self.clock.monotonic() + delay, self.count, action))
 
-    def play(self, per_s, seconds, *, work=0.2, objective=0.6, deadline=1.2, spread=0.5):
-        """Play requests that come at random times to random nodes."""
+    def play(
+        self, per_s, seconds, *, work=0.2, objective=0.6, deadline=1.2, spread=0.5, zones=ZONES
+    ):
+        """Play requests that come at random times to random nodes of some zones."""
+        nodes = [node for node in self.nodes if node.zone in zones]
         at = 0.0
         while at < seconds:
             at += self.rng.expovariate(per_s)
@@ -127,7 +134,7 @@
             terms = Terms(
                 "r", 1, start + timedelta(seconds=objective), start + timedelta(seconds=deadline)
             )
-            call = Call(self, self.rng.choice(self.nodes), terms, took)
+            call = Call(self, self.rng.choice(nodes), terms, took)
             self.after(start, call.send)
         while self.events:
             at, _, action = heappop(self.events)
