--- a/almondshore/mesh/node.py
+++ b/almondshore/mesh/node.py
@@ -49,9 +49,9 @@
 STOP_TICK_S = 0.05
 HOUSEKEEPING_S = 0.25
 EXPIRE_EVERY = 8
-# Part of the shared retry budget that nodes spend; the rest covers uneven load between them and the
-# calls that a repeated request makes again, which count as retries at the service that is called. At
-# 0.75 a service whose targets rejected half of what arrived got 1,693 retries, 1,589 were allowed.
+# Part of the shared retry budget that nodes spend; the rest covers uneven load between them and
+# the calls that a repeated request makes again, which count at the service that is called. At 0.75
+# a service whose targets rejected half of what arrived got 1,693 retries, 1,589 were allowed.
 RETRY_SHARE = 0.6
 MAX_SAVED_SHARE = 0.4
 
