--- a/test/load/test_all_targets_reject.py
+++ b/test/load/test_all_targets_reject.py
@@ -1,4 +1,4 @@
-"""Load: all targets of a service reject half of what arrives, and its callers repeat their requests."""
+"""Load: all targets of a service reject half of what arrives, and its callers try again."""
 
 import random
 from bisect import bisect_right
