--- a/almondshore/limits/objective.py
+++ b/almondshore/limits/objective.py
@@ -86,6 +86,10 @@
         """Return the expected service time of a route."""
         return self.by_route.get(route) or self.overall or DEFAULT_SERVICE_TIME
 
+    def observed(self, route: str) -> timedelta | None:
+        """Return the service time of a route, None before its first observation."""
+        return self.by_route.get(route)
+
 
 class ObjectiveQueue:
     """Slots of one target and the requests that wait for them.
--- a/almondshore/mesh/evidence.py
+++ b/almondshore/mesh/evidence.py
@@ -49,11 +49,22 @@
             known.timed + timed,
             known.total_ms + (took / timedelta(milliseconds=1) if timed else 0.0),
         )
-        self.rate = self.failure_rate()
-        self.rate += ((not ok) - self.rate) * FAILURE_GAIN
-        self.rated_at = self.clock.monotonic()
+        self._rate(ok)
+
+    def record_unanswered(self) -> None:
+        """Count a request that was given up because the target did not answer.
+
+        It counts for the choice of a target only. The verdict on a version needs answers: a
+        request that is given up says little about a target that is slow for another reason.
+        """
+        self._rate(False)
 
     def failure_rate(self) -> float:
         """Return the recent share of failures, which halves while nothing is heard."""
         age = self.clock.monotonic() - self.rated_at
         return self.rate * 0.5 ** (age / FAILURE_HALF_LIFE)
+
+    def _rate(self, ok: bool) -> None:
+        self.rate = self.failure_rate()
+        self.rate += ((not ok) - self.rate) * FAILURE_GAIN
+        self.rated_at = self.clock.monotonic()
--- a/almondshore/mesh/inbound.py
+++ b/almondshore/mesh/inbound.py
@@ -34,6 +34,9 @@
 FRESH_IDLE = timedelta(milliseconds=300)
 # A request on a connection that the target had dropped fails at once.
 STALE_WITHIN = timedelta(milliseconds=30)
+# A request given up after this multiple of its expected time counts as unanswered. Service times
+# vary by a factor of two around the expected one; a sender repeats a request somewhat later.
+UNANSWERED_FACTOR = 2.5
 # Refused after the target refused a connection, until it announces itself or this time passes.
 DOWN_PAUSE = timedelta(milliseconds=300)
 
@@ -173,6 +176,7 @@
         self.active.discard(submission)
         if submission.call is not None:
             submission.call.cancel()
+            self._note_unanswered(submission)
         queue = self.local.queue
         if queue is not None and not queue.cancel(submission):
             queue.release(submission, observed=False)
@@ -224,7 +228,9 @@
         outcome, reason, ok = self._judge(result)
         response = result.response
         ran = outcome in (Outcome.ANSWERED, Outcome.BROKEN)
-        if ran and result.failure is not CallFailure.TIMED_OUT:
+        if result.failure is CallFailure.TIMED_OUT:
+            self._note_unanswered(submission)
+        elif ran:
             self._record(submission, ok, took)
         if result.failure is CallFailure.CLOSED:
             self.deaths.broke(self._run_of(submission, took))
@@ -275,6 +281,14 @@
     def _record(self, submission: Submission, ok: bool, took: timedelta) -> None:
         self.recorder.record(submission.hop.route, ok=ok, took=took, warm=self.local.is_warm())
 
+    def _note_unanswered(self, submission: Submission) -> None:
+        """Count a request that is given up if the target had ample time to answer it."""
+        queue = self.local.queue
+        usual = queue.times.observed(submission.hop.route) if queue is not None else None
+        took = self.clock.monotonic() - submission.started_at
+        if usual is not None and took >= usual * UNANSWERED_FACTOR:
+            self.recorder.record_unanswered()
+
     def _report(
         self, terms: HopTerms, outcome: Outcome, reason: str, retry_after: timedelta
     ) -> HopReport:
--- a/test/mesh/test_inbound.py
+++ b/test/mesh/test_inbound.py
@@ -91,6 +91,37 @@
         self.assertEqual([], self.bed.local.queue.waiting)
         self.assertEqual([], self.results)
 
+    def test_target_that_does_not_answer_is_reported_as_failing(self):
+        """Guards against a target that is chosen as before though it swallows requests."""
+        self.announce()
+        self.submit()
+        self.bed.clock.advance(timedelta(milliseconds=100))
+        self.bed.pool.calls[-1].answer(Response(200, OWN))
+        for given_up in (
+            lambda submission: submission.cancel(),
+            lambda submission: submission.call.fail(CallFailure.TIMED_OUT),
+        ):
+            before = self.bed.recorder.failure_rate()
+            submission = self.submit()
+            self.bed.clock.advance(timedelta(milliseconds=300))
+            given_up(submission)
+            self.assertTrue(self.bed.recorder.failure_rate() > before)
+        self.assertEqual(0, self.bed.recorder.routes["r"].failures)
+
+    def test_caller_that_leaves_early_says_nothing_about_the_target(self):
+        """Guards against impatient callers that make good targets look bad."""
+        self.announce()
+        first = self.submit()
+        self.bed.clock.advance(timedelta(seconds=1))
+        first.cancel()
+        self.submit()
+        self.bed.clock.advance(timedelta(milliseconds=100))
+        self.bed.pool.calls[-1].answer(Response(200, OWN))
+        submission = self.submit()
+        self.bed.clock.advance(timedelta(milliseconds=150))
+        submission.cancel()
+        self.assertEqual(0.0, self.bed.recorder.failure_rate())
+
     def test_outcomes_tell_what_may_have_run(self):
         """Guards against a repeat of a request that has run."""
         cases = (
