--- a/almondshore/mesh/forwarding.py
+++ b/almondshore/mesh/forwarding.py
@@ -4,6 +4,7 @@
 from typing import TYPE_CHECKING
 
 from eventlet import hubs
+from eventlet.hubs.timer import Timer
 
 from almondshore.core.logs import log_event
 from almondshore.http.client import Call
@@ -12,7 +13,7 @@
 from almondshore.mesh.dialect import Verdict
 from almondshore.mesh.hop import HOP_HEADERS, MILLISECOND, HopResult, Obstacle, Outcome
 from almondshore.mesh.inbound import Submission
-from almondshore.mesh.model import Route, Target
+from almondshore.mesh.model import Address, Route, Target
 
 if TYPE_CHECKING:
     from almondshore.mesh.outbound import Outbound
@@ -31,11 +32,25 @@
 # Callers refused at the same moment return spread over this range of the stated time.
 RETRY_AFTER_SPREAD = 0.5
 # A response is overdue after this multiple of its expected time, and not before the minimum.
-OVERDUE_FACTOR = 2.0
+# Service times vary by a factor of two around the expected one.
+OVERDUE_FACTOR = 2.5
 MIN_OVERDUE = timedelta(milliseconds=150)
 DEFAULT_DEADLINE = timedelta(seconds=30)
 
 
+class Send:
+    """One send of a request to a target.
+
+    :ivar pending: None while the send is being made
+    :ivar overdue_timer: runs while the response is not overdue yet
+    """
+
+    def __init__(self, target: Target):
+        self.target = target
+        self.pending: Call | Submission | None = None
+        self.overdue_timer: Timer | None = None
+
+
 class Forwarding:
     """One caller's request, from its arrival to its response."""
 
@@ -53,12 +68,10 @@
         self.refused_by: set[str] = set()
         self.runs = 0
         self.refusals = 0
-        self.target: Target | None = None
-        self.pending: Call | Submission | None = None
+        self.sends: list[Send] = []
         self.failed: Response | None = None
         self.retry_after = ZERO
         self.reason = ""
-        self.silence_timer = None
         self.last_target = ""
         self.load_age: timedelta | None = None
         self.done = False
@@ -73,45 +86,59 @@
         if target is None:
             self._give_up(self.reason or Obstacle.NO_TARGET)
             return
-        self.target = target
-        self.last_target = target.target
-        self.load_age = self.outbound.chooser.report_age(target.target)
-        self.outbound.chooser.started(target.target)
-        self.pending = None
-        pending = self.outbound.dispatch(self, target)
-        # The result may have been delivered already, and another send begun.
-        if not self.done and self.target is target and self.pending is None:
-            self.pending = pending
-            self._watch_silence(target)
+        self._send_to(target)
 
     def cancel(self) -> None:
         """Stop: the caller left."""
         if self.done:
             return
         self._end()
-        if self.pending is not None:
-            self.pending.cancel()
-        if self.target is not None:
-            self.outbound.chooser.finished(self.target.target, self.route.name, None)
         self._log("cancelled", "caller-left", 0)
 
-    def on_silence(self) -> None:
+    def on_silence(self, node: Address) -> None:
         """Send the request elsewhere: the node beside its target does not answer.
 
         One that must not run twice goes on waiting, as the node may have passed it on.
         """
-        if self.done or self.pending is None or not self.route.idempotent:
+        if self.done or not self.route.idempotent:
             return
-        self.pending.cancel()
-        self.on_result(HopResult(Outcome.BROKEN, "silent", None, None, unreachable=True))
+        for send in [item for item in self.sends if item.target.node == node]:
+            send.pending.cancel()
+            self.on_result(send, HopResult(Outcome.BROKEN, "silent", None, None, unreachable=True))
+
+    def on_overdue(self, send: Send) -> None:
+        """Send the request to a second target as well if it may run twice and there is room.
+
+        The first response that succeeds is the answer. The repeat draws on the retry budget.
+        """
+        if self.done or send not in self.sends:
+            return
+        if send.target.node != self.outbound.node:
+            self.outbound.suspect(send.target.node)
+        if not self._may_repeat():
+            return
+        other = self.outbound.choose_idle(self)
+        if other is None or not self.outbound.budget.withdraw(self.service):
+            return
+        now = self.outbound.clock.monotonic()
+        log_event(
+            "request_repeated",
+            request=self._request_id(),
+            route=self.route.name,
+            reason="overdue",
+            overdue_target=send.target.target,
+            target=other.target,
+            took_ms=int((now - self.exchange.received_at) / MILLISECOND),
+        )
+        self._send_to(other)
 
-    def on_result(self, result: HopResult) -> None:
+    def on_result(self, send: Send, result: HopResult) -> None:
         """Take the result of a send: answer the caller, or send again."""
         if self.done:
             return
-        self._stop_watching()
-        target = self.target
-        self.target = None
+        self._stop_watching(send)
+        self.sends.remove(send)
+        target = send.target
         self.outbound.note_result(self, target, result)
         if result.outcome is Outcome.ANSWERED:
             self._on_answer(result.response, result.reason)
@@ -122,6 +149,18 @@
         else:
             self._on_refusal(target, result)
 
+    def _send_to(self, target: Target) -> None:
+        send = Send(target)
+        self.sends.append(send)
+        self.last_target = target.target
+        self.load_age = self.outbound.chooser.report_age(target.target)
+        self.outbound.chooser.started(target.target)
+        pending = self.outbound.dispatch(self, target, lambda result: self.on_result(send, result))
+        # The result may have been delivered already.
+        if not self.done and send in self.sends:
+            send.pending = pending
+            self._watch(send)
+
     def _on_answer(self, response: Response, reason: str) -> None:
         self.runs += 1
         if self.outbound.dialect.verdict(response) is Verdict.FAILED:
@@ -138,6 +177,8 @@
         self.reason = result.reason
         if result.report is not None:
             self.retry_after = max(self.retry_after, result.report.retry_after_ms * MILLISECOND)
+        if self.sends:
+            return
         arrived = result.outcome is Outcome.REJECTED
         if self.refusals > MAX_REFUSALS or not self._has_time():
             self._give_up(result.reason)
@@ -148,32 +189,35 @@
 
     def _retry_after_failure(self, reason: str) -> None:
         """Send the request again if it may run twice and the budget allows it."""
-        allowed = (
-            self.route.idempotent
-            and self.runs < self.route.max_attempts
-            and self._has_time()
+        if self.sends:
+            return
+        if (
+            self._may_repeat()
             and self.outbound.has_other(self)
             and self.outbound.budget.withdraw(self.service)
-        )
-        if allowed:
+        ):
             self.send()
         else:
             self._give_up(reason)
 
-    def _watch_silence(self, target: Target) -> None:
-        """Have the node asked whether it is there once its response is overdue."""
-        if target.node == self.outbound.node:
-            return
-        expected = self.outbound.chooser.expected_time(target.target, self.route.name)
+    def _may_repeat(self) -> bool:
+        return (
+            self.route.idempotent
+            and self.runs + len(self.sends) < self.route.max_attempts
+            and self._has_time()
+        )
+
+    def _watch(self, send: Send) -> None:
+        expected = self.outbound.chooser.expected_time(send.target.target, self.route.name)
         overdue = max(MIN_OVERDUE, expected * OVERDUE_FACTOR)
-        self.silence_timer = hubs.get_hub().schedule_call_global(
-            overdue.total_seconds(), self.outbound.suspect, target.node
+        send.overdue_timer = hubs.get_hub().schedule_call_global(
+            overdue.total_seconds(), self.on_overdue, send
         )
 
-    def _stop_watching(self) -> None:
-        if self.silence_timer is not None:
-            self.silence_timer.cancel()
-            self.silence_timer = None
+    @staticmethod
+    def _stop_watching(send: Send) -> None:
+        if send.overdue_timer is not None:
+            send.overdue_timer.cancel()
 
     def _has_time(self) -> bool:
         left = self.deadline_at - self.outbound.clock.monotonic()
@@ -206,13 +250,8 @@
     def _on_deadline(self) -> None:
         if self.done:
             return
-        pending = self.pending
-        if self.target is not None:
-            self.outbound.chooser.finished(self.target.target, self.route.name, None)
         response = self.failed or self.outbound.dialect.refusal(504)
         self._respond(response, "deadline")
-        if pending is not None:
-            pending.cancel()
 
     def _respond(self, response: Response, reason: str) -> None:
         self._end()
@@ -220,10 +259,19 @@
         self._log("answered", reason, response.status)
 
     def _end(self) -> None:
+        """Take back what is still sent: the request has its answer, or its caller left."""
         self.done = True
         self.timer.cancel()
-        self._stop_watching()
         self.outbound.active.discard(self)
+        for send in self.sends:
+            self._stop_watching(send)
+            send.pending.cancel()
+            self.outbound.chooser.finished(send.target.target, self.route.name, None)
+        self.sends.clear()
+
+    def _request_id(self) -> str:
+        headers = self.exchange.request.headers
+        return self.outbound.dialect.request_id(headers).decode("latin-1")
 
     def _log(self, outcome: str, reason: str, status: int) -> None:
         now = self.outbound.clock.monotonic()
@@ -231,9 +279,7 @@
         self.outbound.observe(self.route, status, took)
         log_event(
             "caller_request",
-            request=self.outbound.dialect.request_id(self.exchange.request.headers).decode(
-                "latin-1"
-            ),
+            request=self._request_id(),
             route=self.route.name,
             priority=self.route.priority,
             peer=self.exchange.connection.peer,
--- a/almondshore/mesh/outbound.py
+++ b/almondshore/mesh/outbound.py
@@ -136,11 +136,27 @@
     def on_lost(self, node: Address) -> None:
         """Send the requests that wait for a silent node elsewhere."""
         for forwarding in list(self.active):
-            if forwarding.target is not None and forwarding.target.node == node:
-                forwarding.on_silence()
+            forwarding.on_silence(node)
 
     def choose(self, forwarding: Forwarding) -> Target | None:
         """Return the best target that has not been tried."""
+        candidates = self._candidates(forwarding)
+        route = forwarding.route
+        return self.chooser.choose(candidates, route=route.name, objective=route.objective)
+
+    def choose_idle(self, forwarding: Forwarding) -> Target | None:
+        """Return the best target that has not been tried and has a free slot."""
+        tried = {send.target.target for send in forwarding.sends}
+        idle = [
+            target
+            for target in self._candidates(forwarding)
+            if target.target not in tried and self.chooser.has_free_slot(target)
+        ]
+        route = forwarding.route
+        return self.chooser.choose(idle, route=route.name, objective=route.objective)
+
+    def _candidates(self, forwarding: Forwarding) -> list[Target]:
+        """Return the targets of a version that may take a request; why there are none is kept."""
         route = forwarding.route
         versions = self.directory.versions(forwarding.service)
         usable = {
@@ -150,20 +166,21 @@
         }
         version = self.shares.pick(forwarding.service, usable)
         if version is None:
-            return None
+            return []
         pause = FULL_RETRY_PAUSE if forwarding.refusals else FULL_PAUSE
         candidates = self.room.with_room(usable[version], route.name, pause)
         if not candidates:
             forwarding.reason = str(Refusal.OVERLOADED)
             forwarding.retry_after = self.room.retry_after(usable[version], route.name)
-            return None
-        return self.chooser.choose(candidates, route=route.name, objective=route.objective)
+        return candidates
 
     def has_other(self, forwarding: Forwarding) -> bool:
         """Tell whether a target is left that has not been tried."""
         return self.choose(forwarding) is not None
 
-    def dispatch(self, forwarding: Forwarding, target: Target) -> Call | Submission:
+    def dispatch(
+        self, forwarding: Forwarding, target: Target, on_result: Callable[[HopResult], None]
+    ) -> Call | Submission:
         """Send a request to the node beside the target."""
         now = self.clock.monotonic()
         route = forwarding.route
@@ -178,13 +195,13 @@
         )
         request = forwarding.exchange.request
         if target.node == self.node:
-            return self.inbound.submit(request, terms, forwarding.on_result)
+            return self.inbound.submit(request, terms, on_result)
         headers = (*end_to_end(request.headers, without=HOP_HEADERS), encode_terms(terms))
         return self.pool.call(
             target.node,
             encode_request(request.method, request.target, headers, request.body),
             timeout=forwarding.deadline_at - now + timedelta(seconds=1),
-            on_done=lambda result: forwarding.on_result(_to_hop_result(result)),
+            on_done=lambda result: on_result(_to_hop_result(result)),
             head=request.method == b"HEAD",
         )
 
--- a/almondshore/routing/completion.py
+++ b/almondshore/routing/completion.py
@@ -100,6 +100,16 @@
         queued = load.report.waiting / max(1, load.report.slots)
         return needed * (1.0 + queued)
 
+    def has_free_slot(self, target: Target) -> bool:
+        """Tell whether a target is known to have room, by a recent report of its load."""
+        load = self.loads.get(target.target)
+        if load is None or load.report is None:
+            return False
+        if self.clock.monotonic() - load.reported_at > REPORT_MAX_AGE:
+            return False
+        held = load.report.running + load.report.waiting + load.since_report
+        return max(held, load.own) < target.slots
+
     def keep(self, targets: set[str]) -> None:
         """Drop what is known of other targets."""
         for name in self.loads.keys() - targets:
--- a/test/load/fleet.py
+++ b/test/load/fleet.py
@@ -8,6 +8,7 @@
 from almondshore.core.clock import ManualClock
 from almondshore.limits.objective import Job, ObjectiveQueue, Terms
 from almondshore.mesh.evidence import ResultRecorder
+from almondshore.mesh.inbound import UNANSWERED_FACTOR
 from almondshore.mesh.model import LoadReport, Target, TargetState
 from almondshore.routing.completion import CompletionChooser
 
@@ -16,14 +17,18 @@
 
 
 class Server:
-    """A target with its queue and results."""
+    """A target with its queue and results.
 
-    def __init__(self, clock, name, zone, *, speed=1.0, failures=0.0, slots=9):
+    :ivar unanswered: share of the requests that it takes and never answers
+    """
+
+    def __init__(self, clock, name, zone, *, speed=1.0, failures=0.0, unanswered=0.0, slots=9):
         self.entry = Target(name, "s", "v1", zone, slots, TargetState.READY, (name, 1), 1, 1)
         self.queue = ObjectiveQueue(clock=clock, slots=slots)
         self.recorder = ResultRecorder(clock=clock)
         self.speed = speed
         self.failures = failures
+        self.unanswered = unanswered
 
     def report(self, route):
         return LoadReport(
@@ -62,6 +67,10 @@
         return ONE_WAY[self.server.entry.zone == self.chooser.zone]
 
     def start(self):
+        if self.fleet.rng.random() < self.server.unanswered:
+            started = self.fleet.clock.monotonic()
+            self.fleet.after(self.terms.deadline_at - started, lambda: self.give_up(started))
+            return
         took = self.work / self.server.speed
         self.fleet.after(took, lambda: self.finish(took))
 
@@ -71,6 +80,15 @@
         self.server.queue.release(self, observed=ok)
         self.fleet.after(self.way(), lambda: self.answer(ok))
 
+    def give_up(self, started):
+        usual = self.server.queue.times.observed("r")
+        took = self.fleet.clock.monotonic() - started
+        if usual is not None and took >= usual * UNANSWERED_FACTOR:
+            self.server.recorder.record_unanswered()
+        self.server.queue.release(self, observed=False)
+        self.chooser.finished(self.server.entry.target, "r", None)
+        self.fleet.ends["failed"] += 1
+
     def answer(self, ok):
         self.chooser.finished(self.server.entry.target, "r", self.server.report("r"))
         now = self.fleet.clock.monotonic()
--- a/test/mesh/test_outbound.py
+++ b/test/mesh/test_outbound.py
@@ -157,6 +157,80 @@
             self.assertEqual(calls, len(bed.pool.calls))
             self.assertEqual(idempotent, bed.pool.calls[0].cancelled)
 
+    def overdue(self, bed):
+        """Let the response of the first send of the only active request become overdue."""
+        (forwarding,) = bed.outbound.active
+        bed.clock.advance(timedelta(milliseconds=300))
+        forwarding.on_overdue(forwarding.sends[0])
+
+    def known_idle(self, bed):
+        """Make the loads of all targets known."""
+        for _ in range(3 * len(NODES)):
+            bed.request()
+            bed.pool.calls[-1].report(running=1)
+        bed.pool.calls.clear()
+
+    def test_overdue_request_goes_to_a_second_target_as_well(self):
+        """Guards against callers that wait for a target which swallows requests."""
+        bed = self.bed()
+        self.known_idle(bed)
+        exchange = bed.request()
+        self.overdue(bed)
+        first, second = bed.pool.calls
+        self.assertNotEqual(first.terms.target, second.terms.target)
+        self.assertFalse(first.cancelled)
+        second.report(body=b"second")
+        self.assertEqual((200, b"second"), exchange.response[:1] + (exchange.response.body,))
+        self.assertTrue(first.cancelled)
+        first.report(body=b"first")
+        self.assertEqual(b"second", exchange.response.body)
+        self.assertEqual(set(), bed.outbound.active)
+        self.assertEqual({0}, {load.own for load in bed.outbound.chooser.loads.values()})
+
+    def test_first_target_may_still_answer(self):
+        """Guards against a good response that is thrown away for a repeat that fails."""
+        for ending in (
+            lambda call: call.report(status=500),
+            lambda call: call.report(Outcome.REFUSED, "overloaded", 503),
+            lambda call: call.fail(CallFailure.CLOSED),
+        ):
+            bed = self.bed(routes=[route(max_attempts=3)])
+            self.known_idle(bed)
+            exchange = bed.request()
+            self.overdue(bed)
+            ending(bed.pool.calls[1])
+            self.assertEqual(None, self.status(exchange))
+            self.assertEqual(2, len(bed.pool.calls))
+            bed.pool.calls[0].report(body=b"first")
+            self.assertEqual(b"first", exchange.response.body)
+
+    def test_overdue_request_is_not_repeated_against_the_rules(self):
+        """Guards against repeats that run twice, exceed a limit or add to an overload."""
+        cases = (
+            ({"idempotent": False}, {}, 1),
+            ({"max_attempts": 1}, {}, 1),
+            ({}, {"ratio": 0.0, "min_per_second": 0.0}, 1),
+            ({}, {}, 4),
+        )
+        for limits, budget, running in cases:
+            bed = self.bed(routes=[route(**limits)], **budget)
+            for _ in range(3 * len(NODES)):
+                bed.request()
+                bed.pool.calls[-1].report(running=running)
+            bed.pool.calls.clear()
+            bed.request()
+            self.overdue(bed)
+            self.assertEqual(1, len(bed.pool.calls), (limits, budget, running))
+
+    def test_caller_that_leaves_cancels_both_sends(self):
+        """Guards against a repeat that runs on for a caller that is gone."""
+        bed = self.bed()
+        self.known_idle(bed)
+        exchange = bed.request()
+        self.overdue(bed)
+        exchange.on_cancel()
+        self.assertEqual([True, True], [call.cancelled for call in bed.pool.calls])
+
     def test_shares_of_a_split_route_are_kept(self):
         """Guards against a split that follows the load instead of its weights."""
         split = route(shares=(Share("s", 3.0), Share("other", 1.0)))
