--- a/almondshore/daemon/fields.py
+++ b/almondshore/daemon/fields.py
@@ -3,6 +3,7 @@
 import re
 from collections.abc import Callable, Sequence
 from datetime import timedelta
+from typing import TypeVar
 from urllib.parse import urlsplit
 
 import yaml
@@ -30,6 +31,7 @@
 
 
 Field = Callable[[yaml.Node], object]
+Number = TypeVar("Number", int, float)
 
 
 def identifier() -> Field:
@@ -56,11 +58,7 @@
     def convert(node: yaml.Node) -> int:
         if _tag(node) != "int" or not _INTEGER.fullmatch(node.value):
             raise FieldError(node, "wrong-type", f"expected a whole number, not {_shown(node)}")
-        value = int(node.value)
-        if not lowest <= value <= highest:
-            message = f"{value} is not between {lowest} and {highest}"
-            raise FieldError(node, "out-of-range", message)
-        return value
+        return _within(node, int(node.value), lowest, highest)
 
     return convert
 
@@ -71,11 +69,7 @@
     def convert(node: yaml.Node) -> float:
         if _tag(node) not in ("int", "float") or not _NUMBER.fullmatch(node.value):
             raise FieldError(node, "wrong-type", f"expected a number, not {_shown(node)}")
-        value = float(node.value)
-        if not lowest <= value <= highest:
-            message = f"{value} is not between {lowest} and {highest}"
-            raise FieldError(node, "out-of-range", message)
-        return value
+        return _within(node, float(node.value), lowest, highest)
 
     return convert
 
@@ -156,6 +150,12 @@
     return convert
 
 
+def _within(node: yaml.Node, value: Number, lowest: Number, highest: Number) -> Number:
+    if not lowest <= value <= highest:
+        raise FieldError(node, "out-of-range", f"{value} is not between {lowest} and {highest}")
+    return value
+
+
 def _text(node: yaml.Node) -> str:
     if _tag(node) != "str":
         raise FieldError(node, "wrong-type", f"expected text, not {_shown(node)}")
--- a/almondshore/mesh/change_server.py
+++ b/almondshore/mesh/change_server.py
@@ -8,6 +8,7 @@
 import msgspec
 from eventlet import hubs
 
+from almondshore.core.logs import log_event
 from almondshore.http.messages import Response
 from almondshore.http.server import Exchange, ExchangeHandler
 from almondshore.mesh.changes import (
@@ -149,6 +150,12 @@
     query = exchange.request.target.partition(b"?")[2].decode("latin-1")
     try:
         return msgspec.convert(dict(parse_qsl(query)), ChangeQuery, strict=False)
-    except msgspec.ValidationError:
-        # The follower is told by the status that its question is malformed.
+    except msgspec.ValidationError as error:
+        log_event(
+            "changes_query_malformed",
+            level="ERROR",
+            peer=exchange.connection.peer,
+            query=query,
+            error=error,
+        )
         return None
--- a/almondshore/mesh/feeds.py
+++ b/almondshore/mesh/feeds.py
@@ -6,6 +6,7 @@
 import eventlet
 
 from almondshore.core.clock import Clock
+from almondshore.core.workers import spawn_worker
 from almondshore.mesh.change_server import ChangeServer
 from almondshore.mesh.changes import ChangeLog
 from almondshore.mesh.crashes import CrashSink
@@ -108,7 +109,8 @@
         """Begin to learn; the follower starts the other copies if they are needed."""
         self.lead.start()
         self.deaths.start()
-        self.greenlets = [eventlet.spawn(worker.run) for worker in (self.peers, self.follower)]
+        workers = (self.peers, self.follower)
+        self.greenlets = [spawn_worker(type(item).__name__, item.run) for item in workers]
 
     def kill(self) -> None:
         """End all work."""
--- a/almondshore/mesh/node.py
+++ b/almondshore/mesh/node.py
@@ -10,6 +10,7 @@
 from almondshore.core.bounded_stream import BoundedStream
 from almondshore.core.clock import Clock
 from almondshore.core.logs import log_event
+from almondshore.core.workers import spawn_worker
 from almondshore.http.client import ConnectionPool
 from almondshore.http.messages import Response
 from almondshore.http.parsing import RequestLimits
@@ -190,7 +191,7 @@
         self._listen(settings.control, announcements)
         self._listen(settings.metrics, MetricsHandler(metrics=self.metrics, node=self))
         workers = (self.death_reporter, self.publisher, self.driver)
-        self.greenlets = [eventlet.spawn(worker.run) for worker in workers]
+        self.greenlets = [spawn_worker(type(item).__name__, item.run) for item in workers]
         self.feeds.start()
         self._housekeeping()
         log_event(
--- a/almondshore/mesh/replication.py
+++ b/almondshore/mesh/replication.py
@@ -11,6 +11,7 @@
 
 from almondshore.core.clock import Clock
 from almondshore.core.logs import log_event
+from almondshore.core.workers import spawn_worker
 from almondshore.mesh.store import Feed, HistoryGone, RateLimited, StoreError
 
 T = TypeVar("T")
@@ -94,7 +95,7 @@
     def start(self) -> None:
         """Begin to copy in a greenlet of its own."""
         self.called_at = None
-        self.greenlet = eventlet.spawn(self.run)
+        self.greenlet = spawn_worker(f"copy of {self.feed.name}", self.run)
 
     def kill(self) -> None:
         """End the greenlet, and the call that it waits for."""
@@ -116,7 +117,8 @@
         self.kill()
         self.greenlet = None
         self.failing_since = None
-        self.former_position, self.position = self.position, None
+        if self.position is not None:
+            self.former_position, self.position = self.position, None
 
     def resume(self) -> None:
         """Copy again after a rest."""
--- a/almondshore/platform/main.py
+++ b/almondshore/platform/main.py
@@ -17,6 +17,7 @@
 from almondshore.core.clock import BootClock  # noqa: E402
 from almondshore.core.errors import InvalidInputError  # noqa: E402
 from almondshore.core.logs import log_event, setup_logs  # noqa: E402
+from almondshore.core.workers import spawn_worker  # noqa: E402
 from almondshore.http.client import ConnectionPool  # noqa: E402
 from almondshore.http.stream import READ, watch  # noqa: E402
 from almondshore.mesh.node import MeshNode  # noqa: E402
@@ -61,7 +62,7 @@
         stream.drain()
         sys.exit(EXIT_FAILED)
     watch_signals(node, path)
-    eventlet.spawn(watch_settings, node, path)
+    spawn_worker("settings", lambda: watch_settings(node, path))
     node.run_until_stopped()
     # Greenlets that wait on the store would keep the process alive.
     os._exit(0)
--- a/test/load/test_targets_that_never_answer.py
+++ b/test/load/test_targets_that_never_answer.py
@@ -7,7 +7,7 @@
 
 class UnansweredRequestsTest(TestCase):
     def test_target_that_swallows_requests_gets_little(self):
-        """Guards against a target that is chosen as before, since what it swallows has no result."""
+        """Guards against a target that is chosen on, since what it swallows has no result."""
         fleet = Fleet()
         fleet.add("t1", "a", unanswered=0.4)
         for name, zone in (("t2", "b"), ("t3", "c"), ("t4", "a")):
--- a/test/mesh/test_state.py
+++ b/test/mesh/test_state.py
@@ -194,6 +194,8 @@
         )
         replica.step()
         replica.rest()
+        # A copy may be put to rest again before it was read.
+        replica.rest()
         for _ in range(5):
             replica.step()
         self.assertEqual(["read", "read", 7, 7, 7, "read"], feed.calls)
--- a/test/mesh/test_watching.py
+++ b/test/mesh/test_watching.py
@@ -35,6 +35,8 @@
 class FakeConnection:
     """Receives responses."""
 
+    peer = "10.0.0.9:5555"
+
     def flush(self):
         pass
 
