--- /dev/null
+++ b/bench/load_choosers.py
@@ -0,0 +1,51 @@
+"""Plain ways to choose a target, as baselines."""
+
+import random
+from collections import Counter
+from datetime import timedelta
+
+from almondshore.core.clock import Clock
+from almondshore.mesh.model import LoadReport, Target
+
+
+class RandomChooser:
+    """Chooses any target with equal probability."""
+
+    def __init__(self, clock: Clock, rng: random.Random, zone: str):
+        self.rng = rng
+        self.zone = zone
+
+    def choose(self, targets, *, route: str, objective: timedelta, exclude=()) -> Target | None:
+        """Return a target, or None if all are excluded."""
+        left = [target for target in targets if target.target not in exclude]
+        return self.rng.choice(left) if left else None
+
+    def started(self, target: str) -> None:
+        """Take note of nothing."""
+
+    def finished(self, target: str, route: str, report: LoadReport | None) -> None:
+        """Take note of nothing."""
+
+
+class LeastActiveChooser(RandomChooser):
+    """Chooses the target with the fewest requests of the own node, in the own zone if equal."""
+
+    def __init__(self, clock: Clock, rng: random.Random, zone: str):
+        super().__init__(clock, rng, zone)
+        self.active: Counter[str] = Counter()
+
+    def choose(self, targets, *, route: str, objective: timedelta, exclude=()) -> Target | None:
+        """Return a target, or None if all are excluded."""
+        left = [target for target in targets if target.target not in exclude]
+        return min(left, key=self._rank, default=None)
+
+    def started(self, target: str) -> None:
+        """Count a request that is being sent."""
+        self.active[target] += 1
+
+    def finished(self, target: str, route: str, report: LoadReport | None) -> None:
+        """Count the end of a request."""
+        self.active[target] -= 1
+
+    def _rank(self, target: Target) -> tuple[int, bool, float]:
+        return self.active[target.target], target.zone != self.zone, self.rng.random()
--- /dev/null
+++ b/bench/load_model.py
@@ -0,0 +1,325 @@
+"""Model of targets and the nodes that choose among them, over the decision code of the product."""
+
+import random
+from collections import Counter
+from collections.abc import Callable
+from datetime import timedelta
+from heapq import heappop, heappush
+from typing import NamedTuple, Protocol
+
+from almondshore.core.clock import Clock, ManualClock
+from almondshore.limits.objective import Job, ObjectiveQueue, Refusal, Terms
+from almondshore.mesh.evidence import ResultRecorder
+from almondshore.mesh.inbound import UNANSWERED_FACTOR
+from almondshore.mesh.model import LoadReport, Target, TargetState
+from almondshore.routing.completion import CompletionChooser
+
+ZERO = timedelta()
+ROUTE = "r"
+ZONES = ("a", "b", "c")
+NODES_PER_ZONE = 3
+# One way, within a zone and between zones, as the users' sites state them.
+ONE_WAY = {True: timedelta(milliseconds=0.1), False: timedelta(milliseconds=0.9)}
+# Targets that may refuse a request before it is refused to the client.
+MAX_REFUSALS = 3
+
+
+class Chooser(Protocol):
+    """What the model needs of the choice of a target."""
+
+    zone: str
+
+    def choose(self, targets, *, route: str, objective: timedelta, exclude=()) -> Target | None:
+        """Return a target, or None if all are excluded."""
+
+    def started(self, target: str) -> None:
+        """Count a request that is being sent."""
+
+    def finished(self, target: str, route: str, report: LoadReport | None) -> None:
+        """Count the end of a request."""
+
+
+class Habits(NamedTuple):
+    """What clients do when they are refused, fail or have waited.
+
+    :ivar retries: how often a client sends a request again that was refused or failed
+    :ivar waits: whether it waits for the time that a refusal states
+    :ivar patience: time after which it leaves, None if it stays until its deadline
+    """
+
+    retries: int = 0
+    waits: bool = True
+    patience: timedelta | None = None
+
+
+class Load(NamedTuple):
+    """Requests of one kind; times in seconds.
+
+    :ivar spread: standard deviation of the logarithm of the work
+    :ivar zones: zones of the clients
+    """
+
+    per_s: float
+    seconds: float
+    work: float = 0.2
+    objective: float = 0.6
+    deadline: float = 1.2
+    spread: float = 0.5
+    zones: tuple[str, ...] = ZONES
+    habits: Habits = Habits()
+
+
+class Server:
+    """A target with its queue and results.
+
+    :ivar unanswered: share of the requests that it takes and never answers
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        name: str,
+        zone: str,
+        *,
+        speed: float = 1.0,
+        failures: float = 0.0,
+        unanswered: float = 0.0,
+        slots: int = 9,
+    ):
+        self.entry = Target(name, "s", "v1", zone, slots, TargetState.READY, (name, 1), 1, 1)
+        self.queue = ObjectiveQueue(clock=clock, slots=slots)
+        self.recorder = ResultRecorder(clock=clock)
+        self.speed = speed
+        self.failures = failures
+        self.unanswered = unanswered
+
+    def report(self) -> LoadReport:
+        """Return the load as the node beside the target reports it."""
+        return LoadReport(
+            len(self.queue.running),
+            len(self.queue.waiting),
+            self.queue.slots,
+            self.queue.times.expected(ROUTE),
+            self.recorder.failure_rate(),
+            False,
+        )
+
+    def note_unanswered(self, took: timedelta) -> None:
+        """Count a request that was given up, as the node beside the target does."""
+        usual = self.queue.times.observed(ROUTE)
+        if usual is not None and took >= usual * UNANSWERED_FACTOR:
+            self.recorder.record_unanswered()
+
+
+class Call(Job):
+    """A client's request at a node, at one target after the other until one takes it."""
+
+    def __init__(
+        self,
+        system: "ServedSystem",
+        chooser: Chooser,
+        terms: Terms,
+        work: timedelta,
+        habits: Habits,
+    ):
+        self.system, self.chooser, self.terms, self.work = system, chooser, terms, work
+        self.habits = habits
+        self.repeats = 0
+        self.refused_by: set[str] = set()
+        self.server: Server | None = None
+        self.begun_at = ZERO
+        self.started_at: timedelta | None = None
+        self.retry_after = ZERO
+        self.done = False
+
+    def begin(self) -> None:
+        """Send the request for the first time."""
+        self.begun_at = self.system.clock.monotonic()
+        if self.habits.patience is not None:
+            self.system.after(self.habits.patience, self.leave)
+        self.send()
+
+    def send(self) -> None:
+        """Send the request to the best target that has not refused it."""
+        entries = [server.entry for server in self.system.servers.values()]
+        objective = self.terms.objective_at - self.system.clock.monotonic()
+        chosen = self.chooser.choose(
+            entries, route=ROUTE, objective=objective, exclude=self.refused_by
+        )
+        if chosen is None or len(self.refused_by) >= MAX_REFUSALS:
+            self.end("refused")
+            return
+        self.server = self.system.servers[chosen.target]
+        self.chooser.started(chosen.target)
+        self.system.sent[chosen.target] += 1
+        self.system.after(self.way(), self.arrive)
+
+    def way(self) -> timedelta:
+        """Return the time from the node to the target's host."""
+        return ONE_WAY[self.server.entry.zone == self.chooser.zone]
+
+    def arrive(self) -> None:
+        """Ask for a slot of the target."""
+        if not self.done:
+            self.server.queue.offer(self)
+
+    def start(self) -> None:
+        """Run the request; a target may keep it until the deadline."""
+        self.started_at = self.system.clock.monotonic()
+        if self.system.rng.random() < self.server.unanswered:
+            self.system.after(self.terms.deadline_at - self.started_at, self.give_up)
+        else:
+            self.system.after(self.work / self.server.speed, self.finish)
+
+    def finish(self) -> None:
+        """End the run with a success or a failure of the target."""
+        if self.done:
+            return
+        took = self.system.clock.monotonic() - self.started_at
+        ok = self.system.rng.random() >= self.server.failures
+        self.server.recorder.record(ROUTE, ok=ok, took=took, warm=True)
+        self.server.queue.release(self, observed=ok)
+        self.system.after(self.way(), lambda: self.answer(ok))
+
+    def give_up(self) -> None:
+        """End a run that the target does not answer."""
+        if self.done:
+            return
+        self._abandon()
+        self.end("failed")
+
+    def leave(self) -> None:
+        """Take the request back: its client left."""
+        if self.done:
+            return
+        if self.started_at is not None:
+            self._abandon()
+        elif self.server is not None:
+            self.server.queue.cancel(self)
+            self.chooser.finished(self.server.entry.target, ROUTE, None)
+        self.system.note_end("left")
+        self.done = True
+
+    def answer(self, ok: bool) -> None:
+        """Take the response at the node."""
+        if self.done:
+            return
+        self.chooser.finished(self.server.entry.target, ROUTE, self.server.report())
+        now = self.system.clock.monotonic()
+        self.system.response_times.append(now - self.begun_at)
+        late = now > self.terms.objective_at
+        self.end("failed" if not ok else "late" if late else "on time")
+
+    def refuse(self, reason: Refusal, retry_after: timedelta) -> None:
+        """Try another target: this one did not start the request."""
+        self.refused_by.add(self.server.entry.target)
+        report = self.server.report()
+        self.system.after(self.way(), lambda: self._refused(report, retry_after))
+
+    def end(self, how: str) -> None:
+        """Answer the client, which may send the request again."""
+        again = how in ("refused", "failed") and self.repeats < self.habits.retries
+        pause = self.retry_after if self.habits.waits else ZERO
+        left = self.terms.deadline_at - self.system.clock.monotonic() - pause
+        if not again or left <= ZERO:
+            self.done = True
+            self.system.note_end(how)
+            return
+        self.repeats += 1
+        self.system.repeats += 1
+        self.refused_by.clear()
+        self.server = self.started_at = None
+        self.system.after(pause, lambda: self.done or self.send())
+
+    def _refused(self, report: LoadReport, retry_after: timedelta) -> None:
+        if self.done:
+            return
+        self.retry_after = retry_after
+        self.chooser.finished(self.server.entry.target, ROUTE, report)
+        self.server = None
+        self.send()
+
+    def _abandon(self) -> None:
+        """Give the slot back without an answer of the target."""
+        self.server.note_unanswered(self.system.clock.monotonic() - self.started_at)
+        self.server.queue.release(self, observed=False)
+        self.chooser.finished(self.server.entry.target, ROUTE, None)
+
+
+class ServedSystem:
+    """Plays requests of nodes in three zones against targets.
+
+    :ivar ends: how requests ended
+    :ivar sent: sends by target
+    :ivar repeats: requests that clients sent again
+    :ivar response_times: times from the first send of a request to a target's response
+    """
+
+    def __init__(
+        self,
+        *,
+        seed: int = 1,
+        chooser: Callable[[Clock, random.Random, str], Chooser] | None = None,
+    ):
+        make = chooser or (
+            lambda clock, rng, zone: CompletionChooser(clock=clock, rng=rng, zone=zone)
+        )
+        self.rng = random.Random(seed)
+        self.clock = ManualClock()
+        self.servers: dict[str, Server] = {}
+        self.nodes = [
+            make(self.clock, self.rng, zone) for zone in ZONES for _ in range(NODES_PER_ZONE)
+        ]
+        self.events: list[tuple[timedelta, int, Callable[[], object]]] = []
+        self.count = 0
+        self.ends: Counter[str] = Counter()
+        self.sent: Counter[str] = Counter()
+        self.repeats = 0
+        self.response_times: list[timedelta] = []
+
+    def add(self, name: str, zone: str, **fields: float) -> None:
+        """Add a target; ``fields`` are those of ``Server``."""
+        self.servers[name] = Server(self.clock, name, zone, **fields)
+
+    def remove(self, name: str) -> None:
+        """Take a target away; what it runs it still ends."""
+        del self.servers[name]
+
+    def after(self, delay: timedelta, action: Callable[[], object]) -> None:
+        """Run an action after a delay."""
+        self.count += 1
+        heappush(self.events, (self.clock.monotonic() + delay, self.count, action))
+
+    def note_end(self, how: str) -> None:
+        """Count the end of a request."""
+        self.ends[how] += 1
+
+    def play(self, load: Load) -> None:
+        """Play requests that come at random times to random nodes of some zones."""
+        nodes = [node for node in self.nodes if node.zone in load.zones]
+        at = 0.0
+        while at < load.seconds:
+            at += self.rng.expovariate(load.per_s)
+            factor = self.rng.lognormvariate(-load.spread * load.spread / 2, load.spread)
+            start = timedelta(seconds=at)
+            terms = Terms(
+                ROUTE,
+                1,
+                start + timedelta(seconds=load.objective),
+                start + timedelta(seconds=load.deadline),
+            )
+            work = timedelta(seconds=load.work * factor)
+            call = Call(self, self.rng.choice(nodes), terms, work, load.habits)
+            self.after(start, call.begin)
+        while self.events:
+            at_time, _, action = heappop(self.events)
+            self.clock.advance(max(ZERO, at_time - self.clock.monotonic()))
+            action()
+
+    def share(self, *ends: str) -> float:
+        """Return the share of the requests that ended in one of the given ways."""
+        return sum(self.ends[end] for end in ends) / sum(self.ends.values())
+
+    def sent_share(self, name: str) -> float:
+        """Return the share of the sends that went to a target."""
+        return self.sent[name] / sum(self.sent.values())
--- a/test/load/test_new_targets_under_load.py
+++ b/test/load/test_new_targets_under_load.py
@@ -1,27 +1,13 @@
 """Load: targets are added while the present ones are overloaded."""
 
-from datetime import timedelta
-
 from testtools import TestCase
 
-from test.load.fleet import Fleet
-
-ADDED_AT_S = 6.0
+from bench.load_scenarios import ADDED_AT_S, play, targets_added
 
 
 class NewTargetsTest(TestCase):
     def play(self, seconds):
-        fleet = Fleet()
-        for number, zone in enumerate("abc"):
-            fleet.add(f"t{number}", zone)
-        for number, zone in enumerate("ab"):
-            fleet.after(
-                timedelta(seconds=ADDED_AT_S),
-                lambda number=number, zone=zone: fleet.add(f"new{number}", zone),
-            )
-        # The work fills 34 slots; there are 27, and 45 later.
-        fleet.play(170, seconds)
-        return fleet
+        return play(lambda model: targets_added(model, seconds))
 
     def test_added_targets_get_work_within_seconds(self):
         """Guards against new targets that stay idle since nobody has heard of their load."""
--- a/test/load/test_uneven_speeds.py
+++ b/test/load/test_uneven_speeds.py
@@ -2,15 +2,12 @@
 
 from testtools import TestCase
 
-from test.load.fleet import Fleet
+from bench.load_scenarios import play, uneven_speeds
 
 
 class UnevenSpeedsTest(TestCase):
     def test_requests_are_on_time_though_a_zone_has_the_slow_target(self):
         """Guards against an equal split, which overloads the slowest target."""
-        fleet = Fleet()
-        for name, zone, speed in (("t1", "a", 0.5), ("t2", "b", 1.0), ("t3", "c", 1.5)):
-            fleet.add(name, zone, speed=speed)
-        fleet.play(90, 20)
-        self.assertTrue(fleet.share("on time") > 0.85, fleet.ends)
-        self.assertTrue(fleet.share("refused") < 0.03, fleet.ends)
+        system = play(uneven_speeds)
+        self.assertTrue(system.share("on time") > 0.85, system.ends)
+        self.assertTrue(system.share("refused") < 0.03, system.ends)
