--- a/almondshore/routing/completion.py
+++ b/almondshore/routing/completion.py
@@ -12,7 +12,7 @@
 REPORT_MAX_AGE = timedelta(seconds=2)
 # Added for a target in another zone, as a share of the objective: traffic between zones is
 # charged, so a farther target must be clearly faster.
-ZONE_PENALTY_SHARE = 0.4
+ZONE_PENALTY_SHARE = 0.2
 # A failed request costs the time it took and the retry, relative to the objective.
 FAILURE_PENALTY_SHARE = 3.0
 LEAVING_PENALTY_SHARE = 4.0
