--- a/almondshore/mesh/directory.py
+++ b/almondshore/mesh/directory.py
@@ -15,12 +15,13 @@
 
 
 class _Reachability:
-    """Failures in a row to reach a node, and when it is tried again."""
+    """Failures in a row to reach a node, since when, and when it is tried again."""
 
-    __slots__ = ("failures", "retry_at")
+    __slots__ = ("failures", "since", "retry_at")
 
-    def __init__(self) -> None:
+    def __init__(self, since: timedelta) -> None:
         self.failures = 0
+        self.since = since
         self.retry_at = timedelta()
 
 
@@ -113,10 +114,18 @@
         """Tell whether a node was reached at the last try."""
         return node not in self.nodes
 
+    def unreachable_since(self, node: Address, failures: int) -> timedelta | None:
+        """Return since when a node could not be reached.
+
+        :param failures: tries that must have failed since; with fewer, the result is None
+        """
+        state = self.nodes.get(node)
+        return state.since if state is not None and state.failures >= failures else None
+
     def unreachable(self, node: Address, reason: str) -> None:
         """Take note that a node could not be reached."""
         now = self.clock.monotonic()
-        state = self.nodes.setdefault(node, _Reachability())
+        state = self.nodes.setdefault(node, _Reachability(now))
         if state.failures and now < state.retry_at:
             return
         pause = min(MAX_UNREACHABLE_PAUSE, UNREACHABLE_PAUSE * 2 ** min(state.failures, 4))
--- a/almondshore/mesh/node.py
+++ b/almondshore/mesh/node.py
@@ -15,6 +15,7 @@
 from almondshore.http.messages import Response
 from almondshore.http.parsing import RequestLimits
 from almondshore.http.server import Exchange, ExchangeHandler, HttpServer, ServerLimits
+from almondshore.mesh.change_server import MAX_AGE
 from almondshore.mesh.changes import ChangeLog
 from almondshore.mesh.crashes import Death, DeathReporter
 from almondshore.mesh.dialect import Dialect
@@ -32,6 +33,7 @@
 from almondshore.mesh.publishing import TargetPublisher
 from almondshore.mesh.settings import MeshSettings
 from almondshore.mesh.store import MeshStore
+from almondshore.mesh.vanished import VanishedEntries
 from almondshore.mesh.versions import VersionShares
 from almondshore.retries.budget import RetryBudget
 from almondshore.retries.crash import QUARANTINE, CrashGuard
@@ -174,6 +176,13 @@
             client=client,
             store=store,
         )
+        self.vanished = VanishedEntries(
+            clock=clock,
+            rng=rng,
+            directory=self.directory,
+            store=store,
+            is_up_to_date=lambda: self.feeds.follower.age() <= MAX_AGE,
+        )
         internal.order_age = self.driver.order_age
         self.inbound.retired = self._is_retired
         self.directory.on_change = self._on_targets
@@ -190,7 +199,7 @@
         self._listen(settings.ready, ReadinessHandler(node=self))
         self._listen(settings.control, announcements)
         self._listen(settings.metrics, MetricsHandler(metrics=self.metrics, node=self))
-        workers = (self.death_reporter, self.publisher, self.driver)
+        workers = (self.death_reporter, self.publisher, self.driver, self.vanished)
         self.greenlets = [spawn_worker(type(item).__name__, item.run) for item in workers]
         self.feeds.start()
         self._housekeeping()
@@ -342,6 +351,7 @@
         if own is not None and own.target not in targets:
             # A full read may precede the first write of the own entry.
             self.directory.put(own)
+            self.publisher.restore()
             return
         self.local.confirmed = True
         for target in targets.values():
--- a/almondshore/mesh/publishing.py
+++ b/almondshore/mesh/publishing.py
@@ -35,6 +35,18 @@
         if not self.wake.ready():
             self.wake.send(None)
 
+    def restore(self) -> None:
+        """Write the entry again: somebody removed it, or a read was older than the last write.
+
+        A write that changes nothing has no effect in the store.
+        """
+        wanted = self.wanted
+        if wanted is None or wanted != self.stored or wanted.state is TargetState.GONE:
+            return
+        log_event("target_missing", target=wanted.target)
+        self.stored = None
+        self.publish(wanted)
+
     def run(self) -> None:
         """Write until the process ends; for a greenlet of its own."""
         pause = MIN_PAUSE
--- /dev/null
+++ b/almondshore/mesh/vanished.py
@@ -0,0 +1,96 @@
+"""Removes the entries of hosts that went without a word."""
+
+import random
+from collections.abc import Callable
+from datetime import timedelta
+
+import eventlet
+from returns.pipeline import is_successful
+
+from almondshore.core.clock import Clock
+from almondshore.core.logs import log_event
+from almondshore.mesh.directory import Directory
+from almondshore.mesh.hop import MILLISECOND
+from almondshore.mesh.model import Target
+from almondshore.mesh.store import MeshStore, NotFound
+
+REVIEW_INTERVAL = timedelta(seconds=30)
+# A host that has been away for so long is taken for gone. Repairs and restarts take minutes, and an
+# entry that stays a while longer only draws probes.
+VANISHED_AFTER = timedelta(minutes=10)
+# Added to it, up to this share, so that one of the nodes removes the entry and the others see it.
+SPREAD = 1.0
+# Failures to reach the host in that time; a process that was suspended has made none. Probes of an
+# unreachable node are 4 s apart.
+MIN_FAILURES = 60
+# With this share of the nodes out of reach, the fault is likelier on this host.
+MAX_UNREACHABLE_SHARE = 0.5
+
+
+class VanishedEntries:
+    """Removes the entries of targets whose node has not been reached for long.
+
+    The node beside a target writes its entry again if it finds it removed. An entry of one
+    incarnation is therefore removed at most once by a node: it may reach what this node does not.
+
+    :param is_up_to_date: whether the copy of the entries was confirmed a moment ago
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        rng: random.Random,
+        directory: Directory,
+        store: MeshStore,
+        is_up_to_date: Callable[[], bool],
+    ):
+        self.clock = clock
+        self.rng = rng
+        self.directory = directory
+        self.store = store
+        self.is_up_to_date = is_up_to_date
+        self.due: dict[str, timedelta] = {}
+        self.removed: set[tuple[str, int]] = set()
+
+    def run(self) -> None:
+        """Review the entries until the process ends; for a greenlet of its own."""
+        while True:
+            eventlet.sleep(REVIEW_INTERVAL.total_seconds())
+            self.review()
+
+    def review(self) -> None:
+        """Remove the entries that are due."""
+        targets = self.directory.targets
+        away = {
+            name: since
+            for name, target in targets.items()
+            if (since := self.directory.unreachable_since(target.node, MIN_FAILURES)) is not None
+        }
+        for name in self.due.keys() - away.keys():
+            del self.due[name]
+        for name, since in away.items():
+            self.due.setdefault(name, since + VANISHED_AFTER * (1 + SPREAD * self.rng.random()))
+        if not self.is_up_to_date() or len(away) > len(targets) * MAX_UNREACHABLE_SHARE:
+            return
+        now = self.clock.monotonic()
+        due = [targets[name] for name, at in self.due.items() if at <= now]
+        for target in due:
+            if (target.target, target.born_ms) not in self.removed:
+                self._remove(target, now - away[target.target])
+
+    def _remove(self, target: Target, away: timedelta) -> None:
+        result = self.store.delete_target(target.target, 0)
+        done = is_successful(result) or isinstance(result.failure(), NotFound)
+        if done:
+            self.removed.add((target.target, target.born_ms))
+            self.directory.remove(target.target)
+        log_event(
+            "vanished_entry_removed",
+            level="WARNING",
+            target=target.target,
+            service=target.service,
+            peer=f"{target.node[0]}:{target.node[1]}",
+            away_ms=int(away / MILLISECOND),
+            done=done,
+        )
--- a/test/mesh/test_state.py
+++ b/test/mesh/test_state.py
@@ -9,7 +9,7 @@
 from almondshore.core.clock import ManualClock
 from almondshore.mesh import replication
 from almondshore.mesh.directory import Directory
-from almondshore.mesh.model import Rollout, RolloutState
+from almondshore.mesh.model import Rollout, RolloutState, TargetState
 from almondshore.mesh.publishing import TargetPublisher
 from almondshore.mesh.replication import HELD_INTERVAL, MIN_PAUSE, Replica, Sink
 from almondshore.mesh.state import ConfigSink, RolloutSink, TargetSink
@@ -290,6 +290,22 @@
         self.assertEqual([False, True, True, True], [publisher.write() for _ in range(4)])
         self.assertEqual([(1, 0), (1, 0), (1, 5), (1, 0)], store.writes)
 
+    def test_entry_that_was_removed_is_written_again(self):
+        """Guards against a target that gets no requests since somebody removed its entry."""
+        store = FakeStore(Success(4), Failure(NotFound("x")), Success(9), Success(11))
+        publisher = TargetPublisher(store=store, directory=Directory(clock=ManualClock()))
+        publisher.restore()
+        publisher.publish(target())
+        publisher.restore()
+        publisher.write()
+        publisher.restore()
+        self.assertEqual([True, True], [publisher.write() for _ in range(2)])
+        self.assertEqual([(1, 0), (1, 4), (1, 0)], store.writes)
+        publisher.publish(target(sequence=2, state=TargetState.GONE))
+        publisher.write()
+        publisher.restore()
+        self.assertEqual(publisher.wanted, publisher.stored)
+
     def test_entry_of_a_crashed_predecessor_is_removed(self):
         """Guards against entries of dead targets that pile up and draw requests."""
         store = FakeStore(Success(4))
--- /dev/null
+++ b/test/mesh/test_vanished.py
@@ -0,0 +1,94 @@
+"""Tests of the removal of entries whose hosts went without a word."""
+
+import random
+
+from returns.result import Failure, Success
+from testtools import TestCase
+
+from almondshore.core.clock import ManualClock
+from almondshore.mesh.directory import Directory
+from almondshore.mesh.vanished import MIN_FAILURES, SPREAD, VANISHED_AFTER, VanishedEntries
+from almondshore.storage.port import Unavailable
+from test.mesh.samples import target
+
+NODES = [("10.0.0.1", 1), ("10.0.0.2", 1), ("10.0.0.3", 1)]
+LATEST = VANISHED_AFTER * (1 + SPREAD)
+
+
+class FakeStore:
+    """Takes note of what is deleted."""
+
+    def __init__(self):
+        self.deleted = []
+        self.result = Success(1)
+
+    def delete_target(self, name, revision):
+        self.deleted.append(name)
+        return self.result
+
+
+class VanishedEntriesTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.clock = ManualClock()
+        self.directory = Directory(clock=self.clock)
+        self.directory.replace(target(f"t{n}", node=node) for n, node in enumerate(NODES))
+        self.store = FakeStore()
+        self.up_to_date = True
+        self.entries = VanishedEntries(
+            clock=self.clock,
+            rng=random.Random(1),
+            directory=self.directory,
+            store=self.store,
+            is_up_to_date=lambda: self.up_to_date,
+        )
+
+    def fail(self, *nodes, failures=MIN_FAILURES, over=LATEST):
+        """Let nodes be out of reach at a number of tries over a time, with reviews between."""
+        for _ in range(failures):
+            for node in nodes:
+                self.directory.unreachable(node, "test")
+            self.clock.advance(over / failures)
+            self.entries.review()
+
+    def test_entry_of_a_host_that_is_gone_is_removed_once(self):
+        """Guards against entries that stay for ever when hosts vanish in an outage of the store."""
+        self.fail(NODES[1], over=VANISHED_AFTER * 0.9)
+        self.assertEqual([], self.store.deleted)
+        self.fail(NODES[1], over=LATEST)
+        self.assertEqual(["t1"], self.store.deleted)
+        self.assertEqual({"t0", "t2"}, set(self.directory.targets))
+        # Its node is there after all, and only this host does not reach it.
+        self.directory.put(target("t1", node=NODES[1]))
+        self.fail(NODES[1], failures=2 * MIN_FAILURES, over=3 * LATEST)
+        self.assertEqual(["t1"], self.store.deleted)
+
+    def test_host_that_answers_keeps_its_entry(self):
+        """Guards against entries that are removed for several short absences."""
+        for _ in range(4):
+            self.fail(NODES[1], over=VANISHED_AFTER * 0.6)
+            self.directory.reached(NODES[1])
+        self.assertEqual([], self.store.deleted)
+
+    def test_process_that_was_suspended_removes_nothing(self):
+        """Guards against a process that takes the time of its own absence for that of others."""
+        self.fail(NODES[1], failures=3, over=4 * LATEST)
+        self.assertEqual([], self.store.deleted)
+
+    def test_host_that_is_cut_off_removes_nothing(self):
+        """Guards against one host that removes the others, of which it reaches none."""
+        self.fail(*NODES[1:], over=2 * LATEST)
+        self.assertEqual([], self.store.deleted)
+
+    def test_nothing_is_removed_while_the_store_is_away(self):
+        """Guards against removals by outdated entries, and against an entry that is forgotten."""
+        self.up_to_date = False
+        self.fail(NODES[1], over=2 * LATEST)
+        self.assertEqual([], self.store.deleted)
+        self.up_to_date = True
+        self.store.result = Failure(Unavailable("x"))
+        self.entries.review()
+        self.store.result = Success(1)
+        self.entries.review()
+        self.entries.review()
+        self.assertEqual(["t1", "t1"], self.store.deleted)
