--- a/almondshore/mesh/hop.py
+++ b/almondshore/mesh/hop.py
@@ -44,6 +44,8 @@
     Times are durations, since clocks of hosts differ.
 
     :ivar target: identity of the target that was chosen
+    :ivar service: its service; a later target of it beside the same node will do as well
+    :ivar version: its version
     :ivar caller: service of the target on the host where the request originated
     :ivar objective_ms: time left in which the response is on time, may be negative
     :ivar deadline_ms: time left after which the response is of no use
@@ -51,6 +53,8 @@
 
     route: str
     target: str
+    service: str
+    version: str
     caller: str
     idempotent: bool
     urgency: int
--- a/almondshore/mesh/inbound.py
+++ b/almondshore/mesh/inbound.py
@@ -9,7 +9,7 @@
 from almondshore.http.client import Call, CallFailure, CallResult, ConnectionPool
 from almondshore.http.messages import Request, Response, encode_request, end_to_end
 from almondshore.http.server import Exchange, ExchangeHandler
-from almondshore.limits.objective import Job, Refusal, Terms
+from almondshore.limits.objective import Job, ObjectiveQueue, Refusal, Terms
 from almondshore.mesh.crashes import Death, DeathWatch, request_fingerprint
 from almondshore.mesh.dialect import Dialect, Verdict
 from almondshore.mesh.evidence import ResultRecorder
@@ -42,7 +42,11 @@
 
 
 class Submission(Job):
-    """A request for the local target, from its arrival to its result."""
+    """A request for the local target, from its arrival to its result.
+
+    :ivar target: identity of the target that runs it
+    :ivar queue: queue of that target, None if the request was refused before
+    """
 
     def __init__(
         self,
@@ -63,6 +67,8 @@
             now + terms.objective_ms * MILLISECOND,
             now + terms.deadline_ms * MILLISECOND,
         )
+        self.target = terms.target
+        self.queue: ObjectiveQueue | None = None
         self.arrived_at = now
         self.started_at: timedelta | None = None
         self.call: Call | None = None
@@ -142,7 +148,9 @@
         if reason is not None:
             self.finish(submission, Outcome.REFUSED, reason)
         else:
-            self.local.queue.offer(submission)
+            submission.target = self.local.announced.target
+            submission.queue = self.local.queue
+            submission.queue.offer(submission)
         return submission
 
     def send(self, submission: Submission) -> None:
@@ -153,7 +161,7 @@
         headers = self.dialect.to_target(
             end_to_end(request.headers, without=HOP_HEADERS),
             time_left=left,
-            target=hop.target,
+            target=submission.target,
             caller=hop.caller,
         )
         request_id = self.dialect.request_id(headers)
@@ -177,7 +185,7 @@
         if submission.call is not None:
             submission.call.cancel()
             self._note_unanswered(submission)
-        queue = self.local.queue
+        queue = submission.queue
         if queue is not None and not queue.cancel(submission):
             queue.release(submission, observed=False)
         self._log(submission, "cancelled", "caller-left", 0)
@@ -206,11 +214,12 @@
             return Obstacle.SHUTTING_DOWN
         if self.local.announced is None:
             return Obstacle.NO_TARGET
-        if self.local.announced.target != terms.target:
+        announced = self.local.announced
+        same_kind = (announced.service, announced.version) == (terms.service, terms.version)
+        if announced.target != terms.target and not same_kind:
             return Obstacle.WRONG_TARGET
-        if not self.local.usable(terms.target):
+        if not self.local.usable():
             return Refusal.DRAINING
-        announced = self.local.announced
         if self.retired(announced.service, announced.version):
             return Obstacle.VERSION_RETIRED
         if self.clock.monotonic() < self.down_until:
@@ -238,7 +247,7 @@
             self.down_until = self.clock.monotonic() + DOWN_PAUSE
             self.note_death()
         self.finish(submission, outcome, reason, response=response)
-        self.local.queue.release(submission, observed=ran and ok)
+        submission.queue.release(submission, observed=ran and ok)
 
     def note_death(self) -> None:
         """Report the death of the target if it ran something just before."""
@@ -251,7 +260,7 @@
         announced = self.local.announced
         return CrashDeath(
             fingerprint=request_fingerprint(submission.request, submission.hop.caller),
-            target=submission.hop.target,
+            target=submission.target,
             incarnation=announced.born_ms if announced is not None else 0,
             started_ms=ended_ms - int(took / MILLISECOND),
             ended_ms=ended_ms,
@@ -283,8 +292,7 @@
 
     def _note_unanswered(self, submission: Submission) -> None:
         """Count a request that is given up if the target had ample time to answer it."""
-        queue = self.local.queue
-        usual = queue.times.observed(submission.hop.route) if queue is not None else None
+        usual = submission.queue.times.observed(submission.hop.route)
         took = self.clock.monotonic() - submission.started_at
         if usual is not None and took >= usual * UNANSWERED_FACTOR:
             self.recorder.record_unanswered()
@@ -315,7 +323,7 @@
             "target_request",
             request=self.dialect.request_id(submission.request.headers).decode("latin-1"),
             route=submission.hop.route,
-            target=submission.hop.target,
+            target=submission.target,
             outcome=outcome,
             reason=reason,
             status=status,
--- a/almondshore/mesh/local.py
+++ b/almondshore/mesh/local.py
@@ -81,6 +81,8 @@
             return Reception.OUTDATED
         reborn = known is None or (known.target, known.born_ms) != (news.target, news.born_ms)
         if reborn:
+            if self.queue is not None:
+                self.queue.close()
             self.queue = ObjectiveQueue(clock=self.clock, slots=news.slots)
             self.draining_since = None
         elif news.slots != known.slots:
@@ -118,9 +120,9 @@
         self._begin_drain(self.announced)
         return True
 
-    def usable(self, target: str) -> bool:
-        """Tell whether new requests for a target may be taken now."""
-        if self.announced is None or self.announced.target != target:
+    def usable(self) -> bool:
+        """Tell whether new requests for the target may be taken now."""
+        if self.announced is None:
             return False
         if not self.confirmed and self.clock.monotonic() < self.started_at + self._hold():
             return False
--- a/almondshore/mesh/outbound.py
+++ b/almondshore/mesh/outbound.py
@@ -187,6 +187,8 @@
         terms = HopTerms(
             route=route.name,
             target=target.target,
+            service=target.service,
+            version=target.version,
             caller=self.caller(),
             idempotent=route.idempotent,
             urgency=route.priority,
