--- a/almondshore/mesh/forwarding.py
+++ b/almondshore/mesh/forwarding.py
@@ -191,12 +191,9 @@
         """Send the request again if it may run twice and the budget allows it."""
         if self.sends:
             return
-        if (
-            self._may_repeat()
-            and self.outbound.has_other(self)
-            and self.outbound.budget.withdraw(self.service)
-        ):
-            self.send()
+        target = self.outbound.choose(self) if self._may_repeat() else None
+        if target is not None and self.outbound.budget.withdraw(self.service):
+            self._send_to(target)
         else:
             self._give_up(reason)
 
--- a/almondshore/mesh/outbound.py
+++ b/almondshore/mesh/outbound.py
@@ -174,10 +174,6 @@
             forwarding.retry_after = self.room.retry_after(usable[version], route.name)
         return candidates
 
-    def has_other(self, forwarding: Forwarding) -> bool:
-        """Tell whether a target is left that has not been tried."""
-        return self.choose(forwarding) is not None
-
     def dispatch(
         self, forwarding: Forwarding, target: Target, on_result: Callable[[HopResult], None]
     ) -> Call | Submission:
