--- a/almondshore/http/server.py
+++ b/almondshore/http/server.py
@@ -17,6 +17,9 @@
 BACKLOG = 1024
 # Requests of one connection that are handled at a time; further ones wait in the kernel.
 MAX_PIPELINED = 32
+# No further request of a connection is handled while this much of its responses has not been
+# read; the smallest hosts have 128 MB of memory.
+MAX_UNREAD_BYTES = 256 * 1024
 SWEEP_INTERVAL_S = 0.5
 # A response that closes the connection is followed by this wait for the peer's end, since
 # closing a socket with unread bytes resets it and may destroy the response.
@@ -77,24 +80,24 @@
         self.peer = peer
         self.parser = RequestParser(limits=server.limits().request)
         self.pending: deque[Exchange] = deque()
-        self.last_active = server.clock.monotonic()
+        self.last_active = self.read_at = server.clock.monotonic()
         self.closing = False
+        self.malformed: ParseError | None = None
         self.stream = Stream(sock=sock, handler=self)
 
     def on_data(self, data: bytes) -> None:
         """Parse requests and hand them to the handler."""
         if self.closing:
             return
-        now = self.server.clock.monotonic()
+        now = self.read_at = self.server.clock.monotonic()
         if not self.parser.is_partial():
             self.last_active = now
         try:
             self.parser.feed(data)
         except ParseError as error:
-            self._take_requests(now)
-            self._reject(error, now)
-            return
-        if self.parser.expects_continue and not self.pending and not self.parser.complete:
+            self.malformed = error
+        idle = not self.pending and not self.parser.complete and self.malformed is None
+        if self.parser.expects_continue and idle:
             self.parser.expects_continue = False
             self.stream.write(CONTINUE)
         self._take_requests(now)
@@ -109,9 +112,11 @@
                 exchange.on_cancel()
 
     def on_drained(self) -> None:
-        """Close the sending side after the last response."""
+        """Go on with requests that were held back; close the sending side after the last one."""
         if self.closing and not self.pending:
             self.stream.finish_writing()
+        elif not self.closing:
+            self._resume()
 
     def flush(self) -> None:
         """Send the responses that are ready, in the order of their requests."""
@@ -135,8 +140,8 @@
         if self.closing:
             if not self.stream.unsent:
                 self.stream.finish_writing()
-        elif self.stream.paused and len(self.pending) < MAX_PIPELINED:
-            self.stream.resume_reading()
+        else:
+            self._resume()
 
     def sweep(self, now: timedelta, limits: ServerLimits) -> None:
         """Close the connection if it is idle, or slow to send a request."""
@@ -159,12 +164,26 @@
 
     def _take_requests(self, now: timedelta) -> None:
         while self.parser.complete and not self.closing:
+            if self._is_backlogged():
+                self.stream.pause_reading()
+                return
             request = self.parser.complete.popleft()
             exchange = Exchange(request=request, received_at=now, connection=self)
             self.pending.append(exchange)
-            if len(self.pending) >= MAX_PIPELINED:
-                self.stream.pause_reading()
             self.server.handler.handle(exchange)
+        if self.malformed is not None and not self.closing:
+            error, self.malformed = self.malformed, None
+            self._reject(error, now)
+
+    def _is_backlogged(self) -> bool:
+        return len(self.pending) >= MAX_PIPELINED or len(self.stream.unsent) > MAX_UNREAD_BYTES
+
+    def _resume(self) -> None:
+        """Handle the requests that were held back, and read again."""
+        if self.stream.paused and not self._is_backlogged():
+            self.stream.resume_reading()
+            # Time counts from the arrival of a request, not from its turn.
+            self._take_requests(self.read_at)
 
     def _reject(self, error: ParseError, now: timedelta) -> None:
         """Answer a malformed request after those before it, and close."""
--- a/almondshore/http/stream.py
+++ b/almondshore/http/stream.py
@@ -76,6 +76,12 @@
         if self.unsent or self.connecting:
             self.unsent += data
             if len(self.unsent) > MAX_WRITE_BUFFER:
+                log_event(
+                    "write_buffer_exceeded",
+                    level="WARNING",
+                    handler=type(self.handler).__name__,
+                    unsent=len(self.unsent),
+                )
                 self._fail("write buffer exceeded")
             return
         try:
--- a/test/http/test_server.py
+++ b/test/http/test_server.py
@@ -4,6 +4,7 @@
 from testtools import TestCase
 
 from almondshore.http.messages import Response
+from almondshore.http.server import MAX_PIPELINED, MAX_UNREAD_BYTES
 from test.http.loopback import Recorder, open_socket, serve
 
 GET = b"GET /%s HTTP/1.1\r\nHost: h\r\n\r\n"
@@ -55,6 +56,35 @@
         self.assertEqual(1, data.count(b"200 OK"))
         self.assertIn(b"400 Bad Request", data.partition(b"/a")[2])
 
+    def test_requests_of_a_client_that_does_not_read_are_held_back(self):
+        """Guards against memory that grows with the responses that nobody reads."""
+        handler = Recorder(answer=lambda _exchange: Response(200, (), b"x" * 20_000))
+        server, sock = self.start(handler)
+        sock.sendall(b"".join(GET % b"%d" % number for number in range(1000)))
+        eventlet.sleep(0.3)
+        (connection,) = server.connections
+        self.assertTrue(len(connection.stream.unsent) <= 2 * MAX_UNREAD_BYTES)
+        data = b""
+        with eventlet.Timeout(5):
+            while data.count(b"200 OK") < 1000 or len(data) < 20_000_000:
+                data += sock.recv(1 << 20)
+        targets = [exchange.request.target for exchange in handler.exchanges]
+        self.assertEqual([b"/%d" % number for number in range(1000)], targets)
+
+    def test_malformed_request_behind_many_is_answered_last(self):
+        """Guards against a rejection that takes the place of a request that was held back."""
+        handler = Recorder(answer=lambda exchange: None)
+        _, sock = self.start(handler)
+        count = 2 * MAX_PIPELINED
+        sock.sendall(GET % b"a" * count + b"nonsense\r\n\r\n")
+        eventlet.sleep(0.05)
+        self.assertEqual(MAX_PIPELINED, len(handler.exchanges))
+        for number in range(count):
+            handler.exchanges[number].respond(Response(200))
+        data = read_until_closed(sock)
+        self.assertEqual(count, data.count(b"200 OK"))
+        self.assertIn(b"400 Bad Request", data.rpartition(b"200 OK")[2])
+
     def test_slow_headers_and_idle_connections_end(self):
         """Guards against connections that are held open without a request."""
         _, slow = self.start(Recorder())
--- a/test/mesh/test_node.py
+++ b/test/mesh/test_node.py
@@ -1,15 +1,18 @@
 """Tests of whole nodes against stand-ins of the store and of upstreams."""
 
+import contextlib
 import os
+import time
 from datetime import timedelta
 
 import eventlet
 import msgspec
+from eventlet.green import socket
 from testtools import TestCase
 
 from almondshore.core.bounded_stream import BoundedStream
 from almondshore.http.messages import Response, encode_request
-from almondshore.http.server import ExchangeHandler
+from almondshore.http.server import MAX_UNREAD_BYTES, ExchangeHandler
 from almondshore.mesh.view import NodeView
 from almondshore.mesh.watching import WATCHERS_PER_ZONE
 from standins.mesh_deployment import MeshDeployment, stored_config
@@ -184,6 +187,26 @@
         for name in ("almondshore_config_version", "almondshore_request_seconds_bucket"):
             self.assertIn(name, body.decode())
 
+    def test_reader_of_the_metrics_that_does_not_read_holds_up_no_request(self):
+        """Guards against requests that wait, or memory that grows, for a scraper that hangs."""
+        node = self.bed.nodes["n1"]
+        reader = socket.create_connection(node.settings.metrics)
+        self.addCleanup(reader.close)
+        reader.settimeout(0.2)
+        scrape = encode_request(b"GET", b"/metrics", ((b"Host", b"h"),), b"")
+        with contextlib.suppress(TimeoutError):
+            reader.sendall(scrape * 20_000)
+        started = time.monotonic()
+        statuses = {self.bed.status("n1", request_id=f"m{number}") for number in range(30)}
+        self.assertEqual({200}, statuses)
+        self.assertTrue(time.monotonic() - started < 3.0)
+        held = [len(item.stream.unsent) for item in self.metrics_connections(node)]
+        self.assertTrue(sum(held) <= 2 * MAX_UNREAD_BYTES, held)
+
+    def metrics_connections(self, node):
+        (server,) = (item for item in node.servers if item.address() == node.settings.metrics)
+        return server.connections
+
     def test_what_a_node_believes_is_shown_while_the_store_is_away(self):
         """Guards against operators who see nothing of a node when they need it most."""
         node = self.bed.nodes["n1"]
