--- a/test/mesh/test_outbound.py
+++ b/test/mesh/test_outbound.py
@@ -1,6 +1,7 @@
 """Tests of routing, retries and deadlines of requests that originate on a host."""
 
 from datetime import timedelta
+from unittest import mock
 
 from testtools import TestCase
 
@@ -187,6 +188,24 @@
         self.assertEqual(set(), bed.outbound.active)
         self.assertEqual({0}, {load.own for load in bed.outbound.chooser.loads.values()})
 
+    def test_repeat_is_logged_with_what_decided_it(self):
+        """Guards against repeats that nobody can follow afterwards."""
+        bed = self.bed()
+        self.known_idle(bed)
+        bed.request()
+        with mock.patch("almondshore.mesh.forwarding.log_event") as log:
+            self.overdue(bed)
+        first, second = bed.pool.calls
+        fields = {
+            "request": "a1",
+            "route": "r",
+            "reason": "overdue",
+            "overdue_target": first.terms.target,
+            "target": second.terms.target,
+            "took_ms": 300,
+        }
+        log.assert_called_once_with("request_repeated", **fields)
+
     def test_first_target_may_still_answer(self):
         """Guards against a good response that is thrown away for a repeat that fails."""
         for ending in (
