--- a/test/mesh/test_vanished.py
+++ b/test/mesh/test_vanished.py
@@ -1,6 +1,8 @@
 """Tests of the removal of entries whose hosts went without a word."""
 
 import random
+from datetime import timedelta
+from unittest import mock
 
 from returns.result import Failure, Success
 from testtools import TestCase
@@ -55,8 +57,15 @@
         """Guards against entries that stay for ever when hosts vanish in an outage of the store."""
         self.fail(NODES[1], over=VANISHED_AFTER * 0.9)
         self.assertEqual([], self.store.deleted)
-        self.fail(NODES[1], over=LATEST)
+        with mock.patch("almondshore.mesh.vanished.log_event") as log:
+            self.fail(NODES[1], over=LATEST)
         self.assertEqual(["t1"], self.store.deleted)
+        (call,) = log.call_args_list
+        self.assertEqual(("vanished_entry_removed",), call.args)
+        told = {key: call.kwargs[key] for key in ("target", "service", "peer", "done")}
+        self.assertEqual({"target": "t1", "service": "s", "peer": "10.0.0.2:1", "done": True}, told)
+        away = timedelta(milliseconds=call.kwargs["away_ms"])
+        self.assertTrue(VANISHED_AFTER <= away <= LATEST, away)
         self.assertEqual({"t0", "t2"}, set(self.directory.targets))
         # Its node is there after all, and only this host does not reach it.
         self.directory.put(target("t1", node=NODES[1]))
