--- a/almondshore/mesh/metrics.py
+++ b/almondshore/mesh/metrics.py
@@ -9,8 +9,8 @@
 from almondshore.http.messages import Response
 from almondshore.http.server import Exchange, ExchangeHandler
 from almondshore.mesh.model import Route
-from almondshore.mesh.status import node_view
-from almondshore.mesh.view import STATUS_PATH
+from almondshore.mesh.status import node_view, targets_view
+from almondshore.mesh.view import STATUS_PATH, TARGETS_PATH
 
 if TYPE_CHECKING:
     from almondshore.mesh.node import MeshNode
@@ -62,8 +62,11 @@
     return f"priority-{route.priority}-{kind}"
 
 
+VIEWS = {STATUS_PATH: node_view, TARGETS_PATH: targets_view}
+
+
 class MetricsHandler(ExchangeHandler):
-    """Serves the metrics, and what the node believes as JSON under ``/status``."""
+    """Serves the metrics, and what the node believes as JSON."""
 
     def __init__(self, *, metrics: MeshMetrics, node: "MeshNode"):
         self.metrics = metrics
@@ -71,9 +74,9 @@
 
     def handle(self, exchange: Exchange) -> None:
         """Answer a scrape, or an operator."""
-        if exchange.request.target.partition(b"?")[0] == STATUS_PATH:
-            document = msgspec.json.encode(node_view(self.node))
-            exchange.respond(Response(200, JSON, document))
+        view = VIEWS.get(exchange.request.target.partition(b"?")[0])
+        if view is not None:
+            exchange.respond(Response(200, JSON, msgspec.json.encode(view(self.node))))
             return
         body, content_type = self.metrics.render(self.node)
         exchange.respond(Response(200, ((b"Content-Type", content_type.encode()),), body))
--- a/almondshore/mesh/status.py
+++ b/almondshore/mesh/status.py
@@ -3,8 +3,8 @@
 from typing import TYPE_CHECKING
 
 from almondshore.mesh.hop import MILLISECOND
-from almondshore.mesh.model import TargetState
-from almondshore.mesh.view import NodeView, ServiceView
+from almondshore.mesh.model import Target, TargetState
+from almondshore.mesh.view import NodeView, ServiceView, TargetsView, TargetView
 
 if TYPE_CHECKING:
     from almondshore.mesh.node import MeshNode
@@ -39,6 +39,24 @@
     )
 
 
+def targets_view(node: "MeshNode") -> TargetsView:
+    """Return the targets that a node knows now."""
+    found = sorted(node.directory.targets.values(), key=lambda item: (item.zone, item.node))
+    return TargetsView(targets=[_target_view(node, item) for item in found])
+
+
+def _target_view(node: "MeshNode", target: Target) -> TargetView:
+    return TargetView(
+        target=target.target,
+        service=target.service,
+        version=target.version,
+        zone=target.zone,
+        node=f"{target.node[0]}:{target.node[1]}",
+        state=target.state.value,
+        answers=node.directory.is_reachable(target.node),
+    )
+
+
 def _service_view(node: "MeshNode", service: str) -> ServiceView:
     found = [item for item in node.directory.targets.values() if item.service == service]
     rollout = node.shares.rollouts.get(service)
--- a/almondshore/mesh/view.py
+++ b/almondshore/mesh/view.py
@@ -3,6 +3,29 @@
 from typing import TypedDict
 
 STATUS_PATH = b"/status"
+TARGETS_PATH = b"/targets"
+
+
+class TargetView(TypedDict):
+    """A target that a node knows.
+
+    :ivar node: address at which the node beside the target takes requests
+    :ivar answers: whether that node answered when it was last tried
+    """
+
+    target: str
+    service: str
+    version: str
+    zone: str
+    node: str
+    state: str
+    answers: bool
+
+
+class TargetsView(TypedDict):
+    """All targets that a node knows."""
+
+    targets: list[TargetView]
 
 
 class ServiceView(TypedDict):
--- a/almondshore/ui/commands/moves.py
+++ b/almondshore/ui/commands/moves.py
@@ -4,19 +4,31 @@
 
 from cyclopts import Parameter
 
+from almondshore.mesh.view import STATUS_PATH, NodeView
 from almondshore.ui.context import Context
+from almondshore.ui.node_http import read_node
 from almondshore.ui.output import print_json, print_table
 from almondshore.ui.zones import read_zones
 from almondshore.versions.status import ZoneStatus
 
+ROLLOUT_HEADER = ("service", "to", "state", "share", "ready targets by version")
 HEADER = ("service", "from", "to", "state", "step", "deadline", "at risk", "zones", "reason")
 
 
-def moves(*, json: bool = False, context: Annotated[Context, Parameter(parse=False)]) -> int:
+def moves(
+    *,
+    node: str | None = None,
+    json: bool = False,
+    context: Annotated[Context, Parameter(parse=False)],
+) -> int:
     """List the moves with their step, deadline and state.
 
+    :param node: URL of the metrics address of a node of a mesh; lists the rollouts that it knows,
+        also while the store is away
     :param json: print the moves as JSON
     """
+    if node is not None:
+        return _list_rollouts(node, json, context)
     found = merge_moves(read_zones(context.platform()))
     if json:
         print_json(context.out, {"moves": found})
@@ -39,6 +51,36 @@
     return 0
 
 
+def _list_rollouts(node: str, json: bool, context: Context) -> int:
+    services = read_node(node, STATUS_PATH, NodeView)["services"]
+    found = [
+        {
+            "service": service["service"],
+            "to_version": service["rollout_version"],
+            "state": service["rollout"],
+            "share": service["rollout_share"],
+            "ready": service["ready"],
+        }
+        for service in services
+        if service["rollout"]
+    ]
+    if json:
+        print_json(context.out, {"moves": found})
+        return 0
+    rows = [
+        (
+            move["service"],
+            move["to_version"],
+            move["state"],
+            f"{move['share']:.0%}",
+            ", ".join(f"{version}: {count}" for version, count in move["ready"].items()),
+        )
+        for move in found
+    ]
+    print_table(context.out, ROLLOUT_HEADER, rows)
+    return 0
+
+
 def merge_moves(zones: list[ZoneStatus]) -> list[dict[str, Any]]:
     """Merge what the zones report into one entry for each move.
 
--- a/almondshore/ui/commands/node.py
+++ b/almondshore/ui/commands/node.py
@@ -2,13 +2,11 @@
 
 from typing import Annotated
 
-import msgspec
 from cyclopts import Parameter
 
-from almondshore.core.errors import UserError
 from almondshore.mesh.view import STATUS_PATH, NodeView, ServiceView
 from almondshore.ui.context import Context
-from almondshore.ui.node_http import call_node
+from almondshore.ui.node_http import read_node
 from almondshore.ui.output import print_json, print_table, printable
 
 HEADER = ("service", "ready targets by version", "known", "rollout")
@@ -22,11 +20,7 @@
     :param node: URL of the node's metrics address, such as http://10.0.0.1:7620
     :param json: print the status as JSON
     """
-    body = call_node("GET", node, STATUS_PATH.decode())
-    try:
-        status = msgspec.json.decode(body, type=NodeView)
-    except msgspec.MsgspecError as error:
-        raise UserError(f"the node at {node} gave a malformed answer: {error}") from error
+    status = read_node(node, STATUS_PATH, NodeView)
     if json:
         print_json(context.out, status)
         return 0
--- a/almondshore/ui/commands/nodes.py
+++ b/almondshore/ui/commands/nodes.py
@@ -4,25 +4,33 @@
 
 from cyclopts import Parameter
 
+from almondshore.mesh.view import TARGETS_PATH, TargetsView, TargetView
 from almondshore.ui.context import Context
+from almondshore.ui.node_http import read_node
 from almondshore.ui.output import print_json, print_table
 from almondshore.ui.zones import read_zones
 from almondshore.versions.status import TargetStatus
 
+TARGET_HEADER = ("zone", "node", "service", "version", "state", "answers", "target")
 HEADER = ("zone", "node", "address", "version", "ready", "targets")
 
 
 def nodes(
     *,
     zone: str | None = None,
+    node: str | None = None,
     json: bool = False,
     context: Annotated[Context, Parameter(parse=False)],
 ) -> int:
     """List the nodes with the version in effect on each and the targets beside it.
 
     :param zone: list only the nodes of this zone
+    :param node: URL of the metrics address of a node of a mesh; lists the targets that it knows
+        and whether their nodes answer it, also while the store is away
     :param json: print the nodes as JSON
     """
+    if node is not None:
+        return _list_targets(node, zone, json, context)
     found = [
         {"zone": status["zone"], **node}
         for status in read_zones(context.platform())
@@ -47,5 +55,20 @@
     return 0
 
 
+def _list_targets(node: str, zone: str | None, json: bool, context: Context) -> int:
+    known = read_node(node, TARGETS_PATH, TargetsView)["targets"]
+    found = [target for target in known if zone in (None, target["zone"])]
+    if json:
+        print_json(context.out, {"targets": found})
+        return 0
+    print_table(context.out, TARGET_HEADER, [_target_row(target) for target in found])
+    return 0
+
+
+def _target_row(target: TargetView) -> tuple[object, ...]:
+    shown = {**target, "answers": "yes" if target["answers"] else "no"}
+    return tuple(shown[key] for key in TARGET_HEADER)
+
+
 def _target(target: TargetStatus) -> str:
     return f"{target['service']} {target['version']} {target['state']} at {target['target']}"
--- a/almondshore/ui/node_http.py
+++ b/almondshore/ui/node_http.py
@@ -1,5 +1,8 @@
 """Calls of the tool to a node."""
 
+from typing import TypeVar
+
+import msgspec
 import urllib3
 from urllib3.exceptions import HTTPError
 
@@ -8,9 +11,24 @@
 from almondshore.ui.context import CALL_TIMEOUT, require_url
 from almondshore.ui.output import printable
 
+T = TypeVar("T")
+
 MAX_SHOWN_CHARS = 200
 
 
+def read_node(node: str, path: bytes, kind: type[T]) -> T:
+    """Return what a node of a mesh tells under a path of its metrics address.
+
+    :param node: URL of the metrics address
+    :raises UserError: if the node does not answer, refuses, or gives a malformed answer
+    """
+    body = call_node("GET", node, path.decode())
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except msgspec.MsgspecError as error:
+        raise UserError(f"the node at {node} gave a malformed answer: {error}") from error
+
+
 def call_node(method: str, node: str, path: str) -> bytes:
     """Call a node and return the body of its answer.
 
--- a/test/mesh/test_node.py
+++ b/test/mesh/test_node.py
@@ -13,7 +13,7 @@
 from almondshore.core.bounded_stream import BoundedStream
 from almondshore.http.messages import Response, encode_request
 from almondshore.http.server import MAX_UNREAD_BYTES, ExchangeHandler
-from almondshore.mesh.view import NodeView
+from almondshore.mesh.view import NodeView, TargetsView
 from almondshore.mesh.watching import WATCHERS_PER_ZONE
 from standins.mesh_deployment import MeshDeployment, stored_config
 
@@ -217,6 +217,12 @@
         view = msgspec.json.decode(response.body, type=NodeView)
         self.assertEqual(("n1", True, 3), (view["node"], view["ready"], view["config_version"]))
         self.assertTrue(view["store_away_ms"] >= 0)
+        data = encode_request(b"GET", b"/targets", ((b"Host", b"h"),), b"")
+        body = self.bed.call(node.settings.metrics, data).response.body
+        targets = msgspec.json.decode(body, type=TargetsView)["targets"]
+        self.assertEqual(
+            {("i-n1", True), ("i-n2", True)}, {(t["target"], t["answers"]) for t in targets}
+        )
         found = {item["service"]: item["ready"] for item in view["services"]}
         self.assertEqual({"s": {"v1": 1}, "other": {"v1": 1}}, found)
 
--- a/test/ui/test_commands.py
+++ b/test/ui/test_commands.py
@@ -14,6 +14,7 @@
     return {**names, **progress, "reason": "", "deadline": "2026-12-08T05:00:00+00:00"}
 
 
+ROLLOUT_FIELDS = ("to_version", "state", "share")
 VIEW = {
     "node": "n\x1b[2J1",
     "zone": "zone-a",
@@ -137,6 +138,34 @@
         self.assertEqual(0, self.run_tool("drain", url + "/", url="")[0])
         self.assertEqual(["/almondshore/v1/drain"], requests)
 
+    def test_targets_of_a_node(self):
+        """Guards against operators who cannot see which targets a node knows in an outage."""
+        found = [
+            {"target": "i-1", "service": "s", "version": "v1", "zone": "a", "node": "10.0.0.1:8"}
+            | {"state": "ready", "answers": True},
+            {"target": "i-2", "service": "s", "version": "v2", "zone": "b", "node": "10.0.0.2:8"}
+            | {"state": "draining\x1b[2J", "answers": False},
+        ]
+        url, requests = self.serve(200, json.dumps({"targets": found}).encode())
+        code, out, err = self.run_tool("nodes", "--node", url, url="")
+        self.assertEqual((0, ["/targets"], ""), (code, requests, err))
+        lines = [line.split() for line in out.splitlines()]
+        self.assertIn(["a", "10.0.0.1:8", "s", "v1", "ready", "yes", "i-1"], lines)
+        self.assertNotIn("\x1b", out)
+        out = self.run_tool("nodes", "--node", url, "--zone", "b", "--json", url="")[1]
+        self.assertEqual(found[1:], json.loads(out)["targets"])
+        url, _ = self.serve(200, b"[]")
+        self.assertEqual(1, self.run_tool("nodes", "--node", url, url="")[0])
+
+    def test_rollouts_of_a_node(self):
+        """Guards against operators who cannot see in an outage how far a rollout has come."""
+        url, requests = self.serve(200, json.dumps(VIEW).encode())
+        code, out, err = self.run_tool("moves", "--node", url, url="")
+        self.assertEqual((0, ["/status"], ""), (code, requests, err))
+        self.assertIn("25%", out)
+        (found,) = json.loads(self.run_tool("moves", "--node", url, "--json", url="")[1])["moves"]
+        self.assertEqual(("v2", "running", 0.25), tuple(found[k] for k in ROLLOUT_FIELDS))
+
     def test_node(self):
         """Guards against a view that hides how old a node's state is, or a terminal sequence."""
         url, requests = self.serve(200, json.dumps(VIEW).encode())
