--- a/almondshore/mesh/change_server.py
+++ b/almondshore/mesh/change_server.py
@@ -18,6 +18,7 @@
     compress_config,
     encode_answer,
 )
+from almondshore.mesh.crashes import CrashSink
 from almondshore.mesh.directory import Directory
 from almondshore.mesh.hop import MILLISECOND
 from almondshore.mesh.model import MeshConfig
@@ -67,12 +68,14 @@
         config: Callable[[], MeshConfig | None],
         directory: Directory,
         rollouts: RolloutSink,
+        crashes: CrashSink,
         age: Callable[[], timedelta],
     ):
         self.changes = changes
         self.config = config
         self.directory = directory
         self.rollouts = rollouts
+        self.crashes = crashes
         self.age = age
         self.held: dict[int, _Held] = {}
         self.scheduled = False
@@ -131,6 +134,7 @@
         if whole:
             after = -1
         targets, rollouts = self.directory.targets, self.rollouts.shares.rollouts
+        reports = self.crashes.reports
         config = self._newer_config(query)
         answer = ChangeAnswer(
             epoch=changes.epoch,
@@ -142,6 +146,8 @@
             removed_targets=changes.removed_since(Kind.TARGET, after),
             rollouts=[rollouts[name] for name in changes.changed_since(Kind.ROLLOUT, after)],
             removed_rollouts=changes.removed_since(Kind.ROLLOUT, after),
+            deaths=[reports[name] for name in changes.changed_since(Kind.DEATH, after)],
+            removed_deaths=changes.removed_since(Kind.DEATH, after),
         )
         return Response(200, (), encode_answer(answer))
 
--- a/almondshore/mesh/changes.py
+++ b/almondshore/mesh/changes.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from almondshore.mesh.model import Rollout, Target
+from almondshore.mesh.model import Death, Rollout, Target
 
 # Removed items are remembered up to this number; a follower that lacks older ones is sent all.
 MAX_REMOVED = 1000
@@ -24,6 +24,7 @@
 
     TARGET = "target"
     ROLLOUT = "rollout"
+    DEATH = "death"
 
 
 Key = tuple[Kind, str]
@@ -97,6 +98,8 @@
     removed_targets: list[str]
     rollouts: list[Rollout]
     removed_rollouts: list[str]
+    deaths: list[Death]
+    removed_deaths: list[str]
 
 
 encode_answer = msgspec.msgpack.Encoder().encode
--- a/almondshore/mesh/crashes.py
+++ b/almondshore/mesh/crashes.py
@@ -12,6 +12,8 @@
 from almondshore.core.logs import log_event
 from almondshore.core.messages import CrashDeath
 from almondshore.http.messages import Request
+from almondshore.mesh.changes import ChangeLog, Kind
+from almondshore.mesh.model import Death
 from almondshore.mesh.replication import Sink
 from almondshore.mesh.store import MeshStore
 from almondshore.retries.crash import CrashGuard, fingerprint
@@ -26,16 +28,6 @@
 MAX_PENDING = 64
 
 
-class Death(NamedTuple):
-    """A target that died, and what it ran.
-
-    :ivar name: identity of the death, the same whoever reports it
-    """
-
-    name: str
-    runs: tuple[CrashDeath, ...]
-
-
 class _Suspect(NamedTuple):
     run: CrashDeath
     ended: timedelta
@@ -66,21 +58,37 @@
 
 
 class CrashSink(Sink[Death]):
-    """Counts the deaths that nodes reported."""
+    """Counts the deaths that nodes reported.
+
+    :param changes: takes note of each report, for the nodes that follow this one
+    :ivar reports: reports that are in the store, by name
+    """
 
-    def __init__(self, *, guard: CrashGuard):
+    def __init__(self, *, guard: CrashGuard, changes: ChangeLog | None = None):
         self.guard = guard
+        self.changes = changes or ChangeLog()
+        self.reports: dict[str, Death] = {}
 
     def replace(self, items: Mapping[str, Death]) -> bool:
         """Take all reported deaths; those that are known already count once."""
-        self.update(items)
+        removed = dict.fromkeys(self.reports.keys() - items.keys())
+        self.update({**items, **removed})
         return bool(items)
 
     def update(self, items: Mapping[str, Death | None]) -> None:
         """Take reported deaths; those that were removed stay counted."""
-        for death in items.values():
+        for name, death in items.items():
             if death is not None:
-                self.count(death)
+                self.put(death)
+            elif self.reports.pop(name, None) is not None:
+                self.changes.note_removed(Kind.DEATH, name)
+
+    def put(self, death: Death) -> None:
+        """Take one reported death; one that is known already changes nothing."""
+        if death.name not in self.reports:
+            self.reports[death.name] = death
+            self.changes.note(Kind.DEATH, death.name)
+            self.count(death)
 
     def count(self, death: Death) -> None:
         """Count a death."""
--- a/almondshore/mesh/feeds.py
+++ b/almondshore/mesh/feeds.py
@@ -63,7 +63,7 @@
         self.clock = clock
         self.rng = rng
         self.rollouts = RolloutSink(shares=shares, changes=changes)
-        self.crashes = CrashSink(guard=guard)
+        crashes = CrashSink(guard=guard, changes=changes)
         config = ConfigSink(outbound=outbound, name=config_name, changes=changes)
         targets = TargetSink(directory=directory)
         self.lead: Replica | None = None
@@ -73,10 +73,14 @@
             self.lead,
             self._replica(store.config, config, WAIT_CONFIG, GATHER_CONFIG, large=True),
             self._replica(store.rollouts, self.rollouts, WAIT_ROLLOUTS, timedelta()),
+            self._replica(store.deaths, crashes, WAIT_DEATHS, timedelta()),
         )
-        self.deaths = self._replica(store.deaths, self.crashes, WAIT_DEATHS, timedelta())
         sink = PeerSink(
-            config=config, directory=directory, rollouts=self.rollouts, decode=store.decode_config
+            config=config,
+            directory=directory,
+            rollouts=self.rollouts,
+            crashes=crashes,
+            decode=store.decode_config,
         )
         self.peers = PeerSync(
             clock=clock,
@@ -101,6 +105,7 @@
             config=lambda: outbound.config,
             directory=directory,
             rollouts=self.rollouts,
+            crashes=crashes,
             age=self.follower.age,
         )
         self.greenlets: list[eventlet.greenthread.GreenThread] = []
@@ -108,13 +113,12 @@
     def start(self) -> None:
         """Begin to learn; the follower starts the other copies if they are needed."""
         self.lead.start()
-        self.deaths.start()
         workers = (self.peers, self.follower)
         self.greenlets = [spawn_worker(type(item).__name__, item.run) for item in workers]
 
     def kill(self) -> None:
         """End all work."""
-        for worker in (*self.greenlets, *self.replicas, self.deaths):
+        for worker in (*self.greenlets, *self.replicas):
             worker.kill()
 
     def away_since(self) -> timedelta | None:
@@ -123,7 +127,7 @@
         return min(failing, default=None)
 
     def _on_regained(self) -> None:
-        for replica in (*self.replicas, self.deaths):
+        for replica in self.replicas:
             if replica is not self.lead:
                 replica.restart()
 
--- a/almondshore/mesh/inbound.py
+++ b/almondshore/mesh/inbound.py
@@ -10,7 +10,7 @@
 from almondshore.http.messages import Request, Response, encode_request, end_to_end
 from almondshore.http.server import Exchange, ExchangeHandler
 from almondshore.limits.objective import Job, ObjectiveQueue, Refusal, Terms
-from almondshore.mesh.crashes import Death, DeathWatch, request_fingerprint
+from almondshore.mesh.crashes import DeathWatch, request_fingerprint
 from almondshore.mesh.dialect import Dialect, Verdict
 from almondshore.mesh.evidence import ResultRecorder
 from almondshore.mesh.hop import (
@@ -25,7 +25,7 @@
     encode_report,
 )
 from almondshore.mesh.local import LocalTarget
-from almondshore.mesh.model import Address
+from almondshore.mesh.model import Address, Death
 
 # A target answers by the deadline it is given; later, the connection is given up.
 DEADLINE_SLACK = timedelta(milliseconds=100)
--- a/almondshore/mesh/model.py
+++ b/almondshore/mesh/model.py
@@ -4,6 +4,7 @@
 from enum import StrEnum
 from typing import NamedTuple
 
+from almondshore.core.messages import CrashDeath
 from almondshore.http.server import ServerLimits
 
 Address = tuple[str, int]
@@ -162,3 +163,13 @@
     service_time: timedelta
     failure_rate: float
     leaving: bool
+
+
+class Death(NamedTuple):
+    """A target that died, and what it ran.
+
+    :ivar name: identity of the death, the same whoever reports it
+    """
+
+    name: str
+    runs: tuple[CrashDeath, ...]
--- a/almondshore/mesh/node.py
+++ b/almondshore/mesh/node.py
@@ -17,7 +17,7 @@
 from almondshore.http.server import Exchange, ExchangeHandler, HttpServer, ServerLimits
 from almondshore.mesh.change_server import MAX_AGE
 from almondshore.mesh.changes import ChangeLog
-from almondshore.mesh.crashes import Death, DeathReporter
+from almondshore.mesh.crashes import DeathReporter
 from almondshore.mesh.dialect import Dialect
 from almondshore.mesh.directory import Directory
 from almondshore.mesh.driver import RolloutDriver
@@ -27,7 +27,7 @@
 from almondshore.mesh.liveness import PROBE_TIMEOUT, LivenessProber
 from almondshore.mesh.local import LocalTarget, Reception
 from almondshore.mesh.metrics import MeshMetrics, MetricsHandler
-from almondshore.mesh.model import Announcement, MeshConfig
+from almondshore.mesh.model import Announcement, Death, MeshConfig
 from almondshore.mesh.outbound import Outbound
 from almondshore.mesh.peers import InternalHandler, PeerClient
 from almondshore.mesh.publishing import TargetPublisher
--- a/almondshore/mesh/state.py
+++ b/almondshore/mesh/state.py
@@ -4,8 +4,9 @@
 
 from almondshore.core.logs import log_event
 from almondshore.mesh.changes import ChangeAnswer, ChangeLog, Kind, decompress_config
+from almondshore.mesh.crashes import CrashSink
 from almondshore.mesh.directory import Directory
-from almondshore.mesh.model import MeshConfig, Rollout, Target
+from almondshore.mesh.model import Death, MeshConfig, Rollout, Target
 from almondshore.mesh.outbound import Outbound
 from almondshore.mesh.replication import Sink
 from almondshore.mesh.versions import VersionShares
@@ -130,11 +131,13 @@
         config: ConfigSink,
         directory: Directory,
         rollouts: RolloutSink,
+        crashes: CrashSink,
         decode: Callable[[bytes], MeshConfig | None],
     ):
         self.config = config
         self.directory = directory
         self.rollouts = rollouts
+        self.crashes = crashes
         self.decode = decode
 
     def config_version(self) -> int:
@@ -162,3 +165,8 @@
             self.rollouts.put(rollout, source=source)
         for service in answer.removed_rollouts if remove else ():
             self.rollouts.remove(service)
+        deaths: dict[str, Death | None] = {death.name: death for death in answer.deaths}
+        if remove and answer.whole:
+            self.crashes.replace(deaths)
+        else:
+            self.crashes.update(deaths | dict.fromkeys(answer.removed_deaths if remove else ()))
--- a/almondshore/mesh/store.py
+++ b/almondshore/mesh/store.py
@@ -3,16 +3,13 @@
 from abc import ABC, abstractmethod
 from collections.abc import Mapping
 from datetime import timedelta
-from typing import TYPE_CHECKING, Generic, NamedTuple, TypeVar
+from typing import Generic, NamedTuple, TypeVar
 
 from returns.result import Result
 
-from almondshore.mesh.model import Address, MeshConfig, Rollout, Target
+from almondshore.mesh.model import Address, Death, MeshConfig, Rollout, Target
 from almondshore.storage.port import NotFound, RateLimited, Unavailable
 
-if TYPE_CHECKING:
-    from almondshore.mesh.crashes import Death
-
 T = TypeVar("T")
 
 
@@ -71,7 +68,7 @@
     config: Feed[MeshConfig]
     targets: Feed[Target]
     rollouts: Feed[Rollout]
-    deaths: "Feed[Death]"
+    deaths: Feed[Death]
 
     @abstractmethod
     def move(self, address: Address) -> None:
@@ -94,7 +91,7 @@
         """Write the progress of a rollout if its object is still at ``rollout.revision``."""
 
     @abstractmethod
-    def save_death(self, death: "Death") -> Result[int, StoreError]:
+    def save_death(self, death: Death) -> Result[int, StoreError]:
         """Write the report of a target's death; returns its revision."""
 
     @abstractmethod
--- a/almondshore/platform/documents.py
+++ b/almondshore/platform/documents.py
@@ -8,8 +8,8 @@
 from almondshore.core.messages import CrashDeath
 from almondshore.http.parsing import RequestLimits
 from almondshore.http.server import ServerLimits
-from almondshore.mesh.crashes import Death
 from almondshore.mesh.model import (
+    Death,
     MeshConfig,
     Rollout,
     RolloutState,
--- a/almondshore/platform/objects.py
+++ b/almondshore/platform/objects.py
@@ -13,8 +13,7 @@
 from almondshore.core.logs import log_event
 from almondshore.http.client import Address, CallResult, ConnectionPool
 from almondshore.http.messages import Response, encode_request
-from almondshore.mesh.crashes import Death
-from almondshore.mesh.model import MeshConfig, Rollout, Target
+from almondshore.mesh.model import Death, MeshConfig, Rollout, Target
 from almondshore.mesh.store import (
     Changed,
     Changes,
--- a/test/mesh/test_crashes.py
+++ b/test/mesh/test_crashes.py
@@ -8,8 +8,9 @@
 from almondshore.core.clock import ManualClock
 from almondshore.http.client import CallFailure
 from almondshore.http.messages import Request
-from almondshore.mesh.crashes import CrashSink, Death, DeathReporter, request_fingerprint
+from almondshore.mesh.crashes import CrashSink, DeathReporter, request_fingerprint
 from almondshore.mesh.hop import HopTerms
+from almondshore.mesh.model import Death
 from almondshore.storage.port import Unavailable
 from test.mesh.fakes import APP, PathBed
 from test.mesh.samples import announcement, target
--- a/test/mesh/test_peers.py
+++ b/test/mesh/test_peers.py
@@ -6,6 +6,7 @@
 from testtools import TestCase
 
 from almondshore.mesh.changes import ChangeAnswer, compress_config, encode_answer
+from almondshore.mesh.crashes import CrashSink
 from almondshore.mesh.model import Rollout, RolloutState
 from almondshore.mesh.peers import PeerSync
 from almondshore.mesh.state import ConfigSink, PeerSink, RolloutSink
@@ -35,13 +36,16 @@
         self.rollout = Rollout("s", "v2", timedelta(seconds=9), RolloutState.RUNNING, 0.25, 8)
         config_of_peer = compress_config(b'{"x": 1}')
         self.client = FakeClient(
-            ChangeAnswer("e", 3, 0, True, config_of_peer, [target("t9")], [], [self.rollout], [])
+            ChangeAnswer(
+                "e", 3, 0, True, config_of_peer, [target("t9")], [], [self.rollout], [], [], []
+            )
         )
         self.sync = PeerSync(
             clock=self.bed.clock,
             rng=random.Random(1),
             client=self.client,
             sink=PeerSink(
+                crashes=CrashSink(guard=self.bed.guard),
                 config=ConfigSink(outbound=self.bed.outbound, name="main"),
                 directory=self.bed.directory,
                 rollouts=RolloutSink(shares=self.bed.shares),
--- a/test/mesh/test_watching.py
+++ b/test/mesh/test_watching.py
@@ -4,20 +4,30 @@
 
 from testtools import TestCase
 
+from almondshore.core.messages import CrashDeath
 from almondshore.http.messages import Request, Response
 from almondshore.http.server import Exchange
 from almondshore.mesh.change_server import MAX_AGE, ChangeServer
 from almondshore.mesh.changes import ChangeLog, decode_answer
+from almondshore.mesh.crashes import CrashSink
 from almondshore.mesh.directory import Directory
+from almondshore.mesh.model import Death
 from almondshore.mesh.state import ConfigSink, PeerSink, RolloutSink
 from almondshore.mesh.watching import MIN_WATCHERS, WATCHERS_PER_ZONE, Follower
 from test.mesh.fakes import PathBed
 from test.mesh.samples import config, target
 
 SECOND = timedelta(seconds=1)
+FINGERPRINT = 77
 OWN = ("10.0.0.1", 1)
 
 
+def death(name, started_ms):
+    """Return the death of a target that ran the request at fault."""
+    run = CrashDeath(FINGERPRINT, name, 1, started_ms, started_ms + 500)
+    return Death(f"{name}-1", (run,))
+
+
 class FakeReplica:
     """Takes note of when it rests."""
 
@@ -50,12 +60,14 @@
         self.directory = Directory(clock=self.bed.clock, changes=self.changes)
         self.config = ConfigSink(outbound=self.bed.outbound, name="main", changes=self.changes)
         self.rollouts = RolloutSink(shares=self.bed.shares, changes=self.changes)
+        self.crashes = CrashSink(guard=self.bed.guard, changes=self.changes)
         self.age = timedelta()
         self.server = ChangeServer(
             changes=self.changes,
             config=lambda: self.bed.outbound.config,
             directory=self.directory,
             rollouts=self.rollouts,
+            crashes=self.crashes,
             age=lambda: self.age,
         )
 
@@ -93,6 +105,7 @@
             config=ConfigSink(outbound=self.bed.outbound, name="main"),
             directory=self.bed.directory,
             rollouts=RolloutSink(shares=self.bed.shares),
+            crashes=CrashSink(guard=self.bed.guard),
             decode=lambda raw: config(version=int(raw), raw=raw),
         )
         self.follower = self.make(OWN)
@@ -155,6 +168,23 @@
         self.assertIn("new", self.bed.directory.targets)
         self.assertNotIn("t3", self.bed.directory.targets)
 
+    def test_a_follower_learns_of_requests_that_crash_targets(self):
+        """Guards against a follower that sends such a request on to further targets."""
+        first = self.follow()[0]
+        deaths = [death("t1", 1_000), death("t2", 2_000)]
+        for found in deaths:
+            first.crashes.update({found.name: found})
+        self.follower.step()
+        self.assertIsNot(None, self.bed.guard.check(FINGERPRINT))
+        first.crashes.update({deaths[0].name: None})
+        self.follower.step()
+        self.assertEqual({deaths[1].name}, set(self.sink.crashes.reports))
+        self.follower.epoch = "another"
+        first.crashes.update({deaths[1].name: None})
+        self.follower.step()
+        self.assertEqual({}, self.sink.crashes.reports)
+        self.assertIsNot(None, self.bed.guard.check(FINGERPRINT))
+
     def test_an_outdated_watcher_is_left_for_another(self):
         """Guards against an old configuration while one watcher is cut off from the store."""
         first, second, *_ = self.follow()
