--- a/bench/load.py
+++ b/bench/load.py
@@ -10,12 +10,13 @@
 from rich.console import Console
 from rich.table import Table
 
+from almondshore.routing.completion import CompletionChooser
 from bench.load_choosers import LeastActiveChooser, RandomChooser
 from bench.load_model import Chooser
 from bench.load_scenarios import SCENARIOS, Scenario, play
 
-POLICIES: dict[str, Callable[..., Chooser] | None] = {
-    "expected completion": None,
+POLICIES: dict[str, Callable[..., Chooser]] = {
+    "expected completion": CompletionChooser,
     "least active": LeastActiveChooser,
     "random": RandomChooser,
 }
--- a/bench/load_choosers.py
+++ b/bench/load_choosers.py
@@ -2,20 +2,29 @@
 
 import random
 from collections import Counter
+from collections.abc import Collection, Iterable
 from datetime import timedelta
 
 from almondshore.core.clock import Clock
 from almondshore.mesh.model import LoadReport, Target
+from bench.load_model import Chooser
 
 
-class RandomChooser:
+class RandomChooser(Chooser):
     """Chooses any target with equal probability."""
 
-    def __init__(self, clock: Clock, rng: random.Random, zone: str):
+    def __init__(self, *, clock: Clock, rng: random.Random, zone: str):
         self.rng = rng
         self.zone = zone
 
-    def choose(self, targets, *, route: str, objective: timedelta, exclude=()) -> Target | None:
+    def choose(
+        self,
+        targets: Iterable[Target],
+        *,
+        route: str,
+        objective: timedelta,
+        exclude: Collection[str] = (),
+    ) -> Target | None:
         """Return a target, or None if all are excluded."""
         left = [target for target in targets if target.target not in exclude]
         return self.rng.choice(left) if left else None
@@ -30,11 +39,18 @@
 class LeastActiveChooser(RandomChooser):
     """Chooses the target with the fewest requests of the own node, in the own zone if equal."""
 
-    def __init__(self, clock: Clock, rng: random.Random, zone: str):
-        super().__init__(clock, rng, zone)
+    def __init__(self, *, clock: Clock, rng: random.Random, zone: str):
+        super().__init__(clock=clock, rng=rng, zone=zone)
         self.active: Counter[str] = Counter()
 
-    def choose(self, targets, *, route: str, objective: timedelta, exclude=()) -> Target | None:
+    def choose(
+        self,
+        targets: Iterable[Target],
+        *,
+        route: str,
+        objective: timedelta,
+        exclude: Collection[str] = (),
+    ) -> Target | None:
         """Return a target, or None if all are excluded."""
         left = [target for target in targets if target.target not in exclude]
         return min(left, key=self._rank, default=None)
--- a/bench/load_model.py
+++ b/bench/load_model.py
@@ -1,11 +1,12 @@
 """Model of targets and the nodes that choose among them, over the decision code of the product."""
 
 import random
+from abc import ABC, abstractmethod
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Collection, Iterable
 from datetime import timedelta
 from heapq import heappop, heappush
-from typing import NamedTuple, Protocol
+from typing import NamedTuple
 
 from almondshore.core.clock import Clock, ManualClock
 from almondshore.limits.objective import Job, ObjectiveQueue, Refusal, Terms
@@ -24,21 +25,34 @@
 MAX_REFUSALS = 3
 
 
-class Chooser(Protocol):
+class Chooser(ABC):
     """What the model needs of the choice of a target."""
 
     zone: str
 
-    def choose(self, targets, *, route: str, objective: timedelta, exclude=()) -> Target | None:
+    @abstractmethod
+    def choose(
+        self,
+        targets: Iterable[Target],
+        *,
+        route: str,
+        objective: timedelta,
+        exclude: Collection[str] = (),
+    ) -> Target | None:
         """Return a target, or None if all are excluded."""
 
+    @abstractmethod
     def started(self, target: str) -> None:
         """Count a request that is being sent."""
 
+    @abstractmethod
     def finished(self, target: str, route: str, report: LoadReport | None) -> None:
         """Count the end of a request."""
 
 
+Chooser.register(CompletionChooser)
+
+
 class Habits(NamedTuple):
     """What clients do when they are refused, fail or have waited.
 
@@ -77,10 +91,10 @@
 
     def __init__(
         self,
+        *,
         clock: Clock,
         name: str,
         zone: str,
-        *,
         speed: float = 1.0,
         failures: float = 0.0,
         unanswered: float = 0.0,
@@ -116,6 +130,7 @@
 
     def __init__(
         self,
+        *,
         system: "ServedSystem",
         chooser: Chooser,
         terms: Terms,
@@ -249,6 +264,7 @@
 class ServedSystem:
     """Plays requests of nodes in three zones against targets.
 
+    :param chooser: makes the choice of targets of a node
     :ivar ends: how requests ended
     :ivar sent: sends by target
     :ivar repeats: requests that clients sent again
@@ -259,16 +275,15 @@
         self,
         *,
         seed: int = 1,
-        chooser: Callable[[Clock, random.Random, str], Chooser] | None = None,
+        chooser: Callable[..., Chooser] = CompletionChooser,
     ):
-        make = chooser or (
-            lambda clock, rng, zone: CompletionChooser(clock=clock, rng=rng, zone=zone)
-        )
         self.rng = random.Random(seed)
         self.clock = ManualClock()
         self.servers: dict[str, Server] = {}
         self.nodes = [
-            make(self.clock, self.rng, zone) for zone in ZONES for _ in range(NODES_PER_ZONE)
+            chooser(clock=self.clock, rng=self.rng, zone=zone)
+            for zone in ZONES
+            for _ in range(NODES_PER_ZONE)
         ]
         self.events: list[tuple[timedelta, int, Callable[[], object]]] = []
         self.count = 0
@@ -279,7 +294,7 @@
 
     def add(self, name: str, zone: str, **fields: float) -> None:
         """Add a target; ``fields`` are those of ``Server``."""
-        self.servers[name] = Server(self.clock, name, zone, **fields)
+        self.servers[name] = Server(clock=self.clock, name=name, zone=zone, **fields)
 
     def remove(self, name: str) -> None:
         """Take a target away; what it runs it still ends."""
@@ -309,7 +324,13 @@
                 start + timedelta(seconds=load.deadline),
             )
             work = timedelta(seconds=load.work * factor)
-            call = Call(self, self.rng.choice(nodes), terms, work, load.habits)
+            call = Call(
+                system=self,
+                chooser=self.rng.choice(nodes),
+                terms=terms,
+                work=work,
+                habits=load.habits,
+            )
             self.after(start, call.begin)
         while self.events:
             at_time, _, action = heappop(self.events)
