--- a/almondshore/mesh/feeds.py
+++ b/almondshore/mesh/feeds.py
@@ -63,7 +63,7 @@
         self.clock = clock
         self.rng = rng
         self.rollouts = RolloutSink(shares=shares, changes=changes)
-        crashes = CrashSink(guard=guard, changes=changes)
+        self.crashes = CrashSink(guard=guard, changes=changes)
         config = ConfigSink(outbound=outbound, name=config_name, changes=changes)
         targets = TargetSink(directory=directory)
         self.lead: Replica | None = None
@@ -73,13 +73,13 @@
             self.lead,
             self._replica(store.config, config, WAIT_CONFIG, GATHER_CONFIG, large=True),
             self._replica(store.rollouts, self.rollouts, WAIT_ROLLOUTS, timedelta()),
-            self._replica(store.deaths, crashes, WAIT_DEATHS, timedelta()),
+            self._replica(store.deaths, self.crashes, WAIT_DEATHS, timedelta()),
         )
         sink = PeerSink(
             config=config,
             directory=directory,
             rollouts=self.rollouts,
-            crashes=crashes,
+            crashes=self.crashes,
             decode=store.decode_config,
         )
         self.peers = PeerSync(
@@ -105,7 +105,7 @@
             config=lambda: outbound.config,
             directory=directory,
             rollouts=self.rollouts,
-            crashes=crashes,
+            crashes=self.crashes,
             age=self.follower.age,
         )
         self.greenlets: list[eventlet.greenthread.GreenThread] = []
--- a/test/mesh/test_node.py
+++ b/test/mesh/test_node.py
@@ -11,8 +11,10 @@
 from testtools import TestCase
 
 from almondshore.core.bounded_stream import BoundedStream
+from almondshore.core.messages import CrashDeath
 from almondshore.http.messages import Response, encode_request
 from almondshore.http.server import MAX_UNREAD_BYTES, ExchangeHandler
+from almondshore.mesh.model import Death
 from almondshore.mesh.view import NodeView, TargetsView
 from almondshore.mesh.watching import WATCHERS_PER_ZONE
 from standins.mesh_deployment import MeshDeployment, stored_config
@@ -165,6 +167,18 @@
         statuses = [self.bed.status("n1", request_id=f"a{number}") for number in range(8)]
         self.assertTrue(statuses.count(200) >= 6, statuses)
 
+    def test_deaths_of_the_own_target_are_counted_and_reported(self):
+        """Guards against a request that takes targets down, and of which nobody learns.
+
+        The node called a part that was gone, and the request at the dead target got no answer.
+        """
+        node, other = self.bed.nodes["n2"], self.bed.nodes["n1"]
+        for number in (1, 2):
+            run = CrashDeath(77, f"i-{number}", 1, number * 1_000, number * 1_000 + 500)
+            node.inbound.on_death(Death(f"i-{number}-1", (run,)))
+        self.assertIsNot(None, node.guard.check(77))
+        wait_until(lambda: other.guard.check(77) is not None, seconds=5)
+
     def test_stop_finishes_what_runs(self):
         """Guards against requests that are cut by a planned stop."""
         self.bed.upstreams["n2"].work = timedelta(seconds=1)
