--- a/almondshore/mesh/evidence.py
+++ b/almondshore/mesh/evidence.py
@@ -6,6 +6,9 @@
 from almondshore.core.clock import Clock
 
 FAILURE_GAIN = 0.1
+# A request given up after this multiple of its expected time counts as unanswered. Service times
+# vary by a factor of two around the expected one; a sender repeats a request somewhat later.
+UNANSWERED_FACTOR = 2.5
 # Without new results a target is given the benefit of the doubt again.
 FAILURE_HALF_LIFE = timedelta(seconds=2)
 
@@ -51,13 +54,16 @@
         )
         self._rate(ok)
 
-    def record_unanswered(self) -> None:
-        """Count a request that was given up because the target did not answer.
+    def record_given_up(self, *, took: timedelta, usual: timedelta | None) -> None:
+        """Count a request that was given up if the target had ample time to answer it.
 
         It counts for the choice of a target only. The verdict on a version needs answers: a
         request that is given up says little about a target that is slow for another reason.
+
+        :param usual: service time of its route, None before the first observation
         """
-        self._rate(False)
+        if usual is not None and took >= usual * UNANSWERED_FACTOR:
+            self._rate(False)
 
     def failure_rate(self) -> float:
         """Return the recent share of failures, which halves while nothing is heard."""
--- a/almondshore/mesh/inbound.py
+++ b/almondshore/mesh/inbound.py
@@ -34,9 +34,6 @@
 FRESH_IDLE = timedelta(milliseconds=300)
 # A request on a connection that the target had dropped fails at once.
 STALE_WITHIN = timedelta(milliseconds=30)
-# A request given up after this multiple of its expected time counts as unanswered. Service times
-# vary by a factor of two around the expected one; a sender repeats a request somewhat later.
-UNANSWERED_FACTOR = 2.5
 # Refused after the target refused a connection, until it announces itself or this time passes.
 DOWN_PAUSE = timedelta(milliseconds=300)
 
@@ -291,11 +288,10 @@
         self.recorder.record(submission.hop.route, ok=ok, took=took, warm=self.local.is_warm())
 
     def _note_unanswered(self, submission: Submission) -> None:
-        """Count a request that is given up if the target had ample time to answer it."""
-        usual = submission.queue.times.observed(submission.hop.route)
-        took = self.clock.monotonic() - submission.started_at
-        if usual is not None and took >= usual * UNANSWERED_FACTOR:
-            self.recorder.record_unanswered()
+        self.recorder.record_given_up(
+            took=self.clock.monotonic() - submission.started_at,
+            usual=submission.queue.times.observed(submission.hop.route),
+        )
 
     def _report(
         self, terms: HopTerms, outcome: Outcome, reason: str, retry_after: timedelta
--- a/almondshore/mesh/peers.py
+++ b/almondshore/mesh/peers.py
@@ -15,6 +15,7 @@
 from almondshore.http.server import Exchange, ExchangeHandler
 from almondshore.mesh.change_server import CHANGES_PATH
 from almondshore.mesh.changes import ChangeAnswer, decode_answer
+from almondshore.mesh.directory import Directory
 from almondshore.mesh.evidence import ResultRecorder, RouteCounts
 from almondshore.mesh.local import LocalTarget
 from almondshore.mesh.model import Address
@@ -182,11 +183,10 @@
 
         :returns: whether the peer answered
         """
-        answer = ask_changes(self.client, node, b"config=%d" % self.sink.config_version())
+        query = b"config=%d" % self.sink.config_version()
+        answer = ask_changes(self.client, self.directory, node, query, reason="no-state")
         if answer is None:
-            self.directory.unreachable(node, "no-state")
             return False
-        self.directory.reached(node)
         if not self._is_away(self.clock.monotonic()):
             # Only the configuration is behind; other entries of the peer may be outdated.
             answer = answer._replace(targets=[], rollouts=[])
@@ -200,17 +200,30 @@
 
 
 def ask_changes(
-    client: PeerClient, node: Address, query: bytes, timeout: timedelta | None = None
+    client: PeerClient,
+    directory: Directory,
+    node: Address,
+    query: bytes,
+    *,
+    reason: str,
+    timeout: timedelta | None = None,
 ) -> ChangeAnswer | None:
-    """Ask a node for its state; None if it does not answer, or not properly."""
+    """Ask a node for its state, and take note of whether it could be reached.
+
+    :param reason: why the node is taken for unreachable if it does not answer, or not properly
+    """
+    answer = None
     body = client.get(node, CHANGES_PATH + b"?" + query, timeout=timeout)
-    if body is None:
-        return None
-    try:
-        return decode_answer(body)
-    except msgspec.MsgspecError as error:
-        log_event("changes_malformed", level="ERROR", peer=node, error=error)
-        return None
+    if body is not None:
+        try:
+            answer = decode_answer(body)
+        except msgspec.MsgspecError as error:
+            log_event("changes_malformed", level="ERROR", peer=node, error=error)
+    if answer is None:
+        directory.unreachable(node, reason)
+    else:
+        directory.reached(node)
+    return answer
 
 
 def take_changes(sink: PeerSink, node: Address, answer: ChangeAnswer, *, remove: bool) -> bool:
--- a/almondshore/mesh/publishing.py
+++ b/almondshore/mesh/publishing.py
@@ -15,6 +15,15 @@
 MAX_PAUSE = timedelta(seconds=1)
 
 
+def remove_entry(store: MeshStore, directory: Directory, name: str) -> bool:
+    """Remove the entry of a target that ended without a word; returns whether it is gone."""
+    result = store.delete_target(name, 0)
+    gone = is_successful(result) or isinstance(result.failure(), NotFound)
+    if gone:
+        directory.remove(name)
+    return gone
+
+
 class TargetPublisher:
     """Keeps the stored entry equal to what the target said last.
 
@@ -93,10 +102,7 @@
     def _remove_predecessors(self, target: Target) -> None:
         """Remove entries of targets that ended without a word beside this node."""
         for other in self.directory.predecessors(target):
-            result = self.store.delete_target(other.target, 0)
-            removed = is_successful(result) or isinstance(result.failure(), NotFound)
-            if removed:
-                self.directory.remove(other.target)
+            removed = remove_entry(self.store, self.directory, other.target)
             log_event("target_withdrawn", target=other.target, done=removed)
 
     def _on_error(self, wanted: Target, error: StoreError) -> bool:
--- a/almondshore/mesh/vanished.py
+++ b/almondshore/mesh/vanished.py
@@ -5,14 +5,14 @@
 from datetime import timedelta
 
 import eventlet
-from returns.pipeline import is_successful
 
 from almondshore.core.clock import Clock
 from almondshore.core.logs import log_event
 from almondshore.mesh.directory import Directory
 from almondshore.mesh.hop import MILLISECOND
 from almondshore.mesh.model import Target
-from almondshore.mesh.store import MeshStore, NotFound
+from almondshore.mesh.publishing import remove_entry
+from almondshore.mesh.store import MeshStore
 
 REVIEW_INTERVAL = timedelta(seconds=30)
 # A host that has been away for so long is taken for gone. Repairs and restarts take minutes, and an
@@ -80,11 +80,9 @@
                 self._remove(target, now - away[target.target])
 
     def _remove(self, target: Target, away: timedelta) -> None:
-        result = self.store.delete_target(target.target, 0)
-        done = is_successful(result) or isinstance(result.failure(), NotFound)
+        done = remove_entry(self.store, self.directory, target.target)
         if done:
             self.removed.add((target.target, target.born_ms))
-            self.directory.remove(target.target)
         log_event(
             "vanished_entry_removed",
             level="WARNING",
--- a/almondshore/mesh/watching.py
+++ b/almondshore/mesh/watching.py
@@ -157,11 +157,16 @@
             self.sink.config_version(),
             int(hold / MILLISECOND),
         )
-        answer = ask_changes(self.client, watcher, query, hold + ANSWER_SLACK)
+        answer = ask_changes(
+            self.client,
+            self.directory,
+            watcher,
+            query,
+            reason="no-changes",
+            timeout=hold + ANSWER_SLACK,
+        )
         if answer is None:
-            self.directory.unreachable(watcher, "no-changes")
             return False
-        self.directory.reached(watcher)
         age = answer.age_ms * MILLISECOND
         if age > MAX_AGE or not take_changes(self.sink, watcher, answer, remove=True):
             return False
--- a/almondshore/routing/completion.py
+++ b/almondshore/routing/completion.py
@@ -102,11 +102,10 @@
 
     def has_free_slot(self, target: Target) -> bool:
         """Tell whether a target is known to have room, by a recent report of its load."""
-        load = self.loads.get(target.target)
-        if load is None or load.report is None:
-            return False
-        if self.clock.monotonic() - load.reported_at > REPORT_MAX_AGE:
+        age = self.report_age(target.target)
+        if age is None or age > REPORT_MAX_AGE:
             return False
+        load = self.loads[target.target]
         held = load.report.running + load.report.waiting + load.since_report
         return max(held, load.own) < target.slots
 
--- a/almondshore/ui/commands/moves.py
+++ b/almondshore/ui/commands/moves.py
@@ -7,7 +7,7 @@
 from almondshore.mesh.view import STATUS_PATH, NodeView
 from almondshore.ui.context import Context
 from almondshore.ui.node_http import read_node
-from almondshore.ui.output import print_json, print_table
+from almondshore.ui.output import print_json, print_table, ready_targets
 from almondshore.ui.zones import read_zones
 from almondshore.versions.status import ZoneStatus
 
@@ -73,7 +73,7 @@
             move["to_version"],
             move["state"],
             f"{move['share']:.0%}",
-            ", ".join(f"{version}: {count}" for version, count in move["ready"].items()),
+            ready_targets(move["ready"]),
         )
         for move in found
     ]
--- a/almondshore/ui/commands/node.py
+++ b/almondshore/ui/commands/node.py
@@ -7,7 +7,7 @@
 from almondshore.mesh.view import STATUS_PATH, NodeView, ServiceView
 from almondshore.ui.context import Context
 from almondshore.ui.node_http import read_node
-from almondshore.ui.output import print_json, print_table, printable
+from almondshore.ui.output import print_json, print_table, printable, ready_targets
 
 HEADER = ("service", "ready targets by version", "known", "rollout")
 
@@ -47,7 +47,7 @@
 
 
 def _row(service: ServiceView) -> tuple[object, ...]:
-    ready = ", ".join(f"{version}: {count}" for version, count in service["ready"].items())
+    ready = ready_targets(service["ready"])
     rollout = ""
     if service["rollout"]:
         share = f"{service['rollout_share']:.0%}"
--- a/almondshore/ui/output.py
+++ b/almondshore/ui/output.py
@@ -29,3 +29,8 @@
 def printable(text: str) -> str:
     """Replace control characters, so that stored text cannot drive the operator's terminal."""
     return "".join(char if char.isprintable() else "?" for char in text)
+
+
+def ready_targets(ready: dict[str, int]) -> str:
+    """Return the numbers of ready targets by version as text."""
+    return ", ".join(f"{version}: {count}" for version, count in ready.items())
--- a/bench/load_choosers.py
+++ b/bench/load_choosers.py
@@ -27,7 +27,7 @@
     ) -> Target | None:
         """Return a target, or None if all are excluded."""
         left = [target for target in targets if target.target not in exclude]
-        return self.rng.choice(left) if left else None
+        return self._pick(left) if left else None
 
     def started(self, target: str) -> None:
         """Take note of nothing."""
@@ -35,6 +35,9 @@
     def finished(self, target: str, route: str, report: LoadReport | None) -> None:
         """Take note of nothing."""
 
+    def _pick(self, targets: list[Target]) -> Target:
+        return self.rng.choice(targets)
+
 
 class LeastActiveChooser(RandomChooser):
     """Chooses the target with the fewest requests of the own node, in the own zone if equal."""
@@ -43,18 +46,6 @@
         super().__init__(clock=clock, rng=rng, zone=zone)
         self.active: Counter[str] = Counter()
 
-    def choose(
-        self,
-        targets: Iterable[Target],
-        *,
-        route: str,
-        objective: timedelta,
-        exclude: Collection[str] = (),
-    ) -> Target | None:
-        """Return a target, or None if all are excluded."""
-        left = [target for target in targets if target.target not in exclude]
-        return min(left, key=self._rank, default=None)
-
     def started(self, target: str) -> None:
         """Count a request that is being sent."""
         self.active[target] += 1
@@ -63,5 +54,8 @@
         """Count the end of a request."""
         self.active[target] -= 1
 
+    def _pick(self, targets: list[Target]) -> Target:
+        return min(targets, key=self._rank)
+
     def _rank(self, target: Target) -> tuple[int, bool, float]:
         return self.active[target.target], target.zone != self.zone, self.rng.random()
--- a/bench/load_model.py
+++ b/bench/load_model.py
@@ -11,7 +11,6 @@
 from almondshore.core.clock import Clock, ManualClock
 from almondshore.limits.objective import Job, ObjectiveQueue, Refusal, Terms
 from almondshore.mesh.evidence import ResultRecorder
-from almondshore.mesh.inbound import UNANSWERED_FACTOR
 from almondshore.mesh.model import LoadReport, Target, TargetState
 from almondshore.routing.completion import CompletionChooser
 
@@ -120,9 +119,7 @@
 
     def note_unanswered(self, took: timedelta) -> None:
         """Count a request that was given up, as the node beside the target does."""
-        usual = self.queue.times.observed(ROUTE)
-        if usual is not None and took >= usual * UNANSWERED_FACTOR:
-            self.recorder.record_unanswered()
+        self.recorder.record_given_up(took=took, usual=self.queue.times.observed(ROUTE))
 
 
 class Call(Job):
