--- a/standins/demo.py
+++ b/standins/demo.py
@@ -64,9 +64,15 @@
     return moves[0]["state"] if moves else ""
 
 
+def move_deadline(now: datetime) -> datetime:
+    """Return the first full minute, as rules state deadlines, that leaves the move its time."""
+    earliest = now + MOVE_TIME
+    return earliest.replace(second=0, microsecond=0) + timedelta(minutes=1)
+
+
 def run_move(deployment: Deployment, rules: str, node: NodeProcess) -> None:
     """Move the counter app to its new version while requests flow."""
-    deadline = datetime.now(UTC).replace(second=0, microsecond=0) + MOVE_TIME + timedelta(minutes=1)
+    deadline = move_deadline(datetime.now(UTC))
     line = MOVE.format(day=deadline.date(), time=deadline.strftime("%H:%M"))
     file = deployment.path / "rules.txt"
     file.write_text(rules + line)
