Rename the relay election and a few public names to the terms of the field

RelayDuty (module duty), LeaseReview (module review), ControlNode.spread, ControlNode.take_contact and publish.Current said figuratively or vaguely what they are. They are now RelayElection (election), LeaseMonitor (lease_monitor), propagate, take_liveness_confirmation and VersionedHead.

--- a/almondshore/daemon/moving.py
+++ b/almondshore/daemon/moving.py
@@ -75,10 +75,14 @@
         """React to messages about moves and to digests that differ."""
         match message:
             case Veto():
-                return self.control.spread(message, sender) if self.table.add_veto(message) else []
+                return (
+                    self.control.propagate(message, sender) if self.table.add_veto(message) else []
+                )
             case MoveStep():
                 return (
-                    self.control.spread(message, sender) if self.table.apply_step(message) else []
+                    self.control.propagate(message, sender)
+                    if self.table.apply_step(message)
+                    else []
                 )
             case MovesSnapshot():
                 return self._merge(message, sender)
@@ -121,7 +125,7 @@
             self.coordinations.pop(key).lease.release()
         for key, part in wanted.items():
             for message in self._advance(key, part):
-                sends += self.control.spread(message, self.control.identity.control)
+                sends += self.control.propagate(message, self.control.identity.control)
         self.reports = {
             key[0]: item.coordinator.report()
             for key, item in self.coordinations.items()
@@ -236,7 +240,7 @@
         for evidence in self.aggregator.tick():
             for veto in self._detect(evidence, watched):
                 if self.table.add_veto(veto):
-                    sends += self.control.spread(veto, self.control.identity.control)
+                    sends += self.control.propagate(veto, self.control.identity.control)
             for service, own in split_by_service(evidence, names).items():
                 coordinator = self._coordinator_of(service)
                 if coordinator == self.control.identity.control:
@@ -265,4 +269,4 @@
         vetoes = [veto for veto in snapshot.vetoes if self.table.add_veto(veto)]
         steps = [step for step in snapshot.steps if self.table.apply_step(step)]
         self.table.synced = True
-        return [send for item in (*vetoes, *steps) for send in self.control.spread(item, sender)]
+        return [send for item in (*vetoes, *steps) for send in self.control.propagate(item, sender)]
--- a/almondshore/daemon/node.py
+++ b/almondshore/daemon/node.py
@@ -109,14 +109,15 @@
         """Do what is due."""
         sends = self.control.tick() + self.moves.tick()
         self.once.refresh(
-            platform_up=self.control.platform_up, in_contact=self.control.take_contact()
+            platform_up=self.control.platform_up,
+            in_contact=self.control.take_liveness_confirmation(),
         )
         self.routes.refresh(ready=self.ready)
         return sends
 
     def note_crash(self, death: CrashDeath, sender: str) -> list[Send]:
         """Count the death of a target that ran a request, and pass it on if it is news."""
-        return self.control.spread(death, sender) if self.crash_guard.died(death) else []
+        return self.control.propagate(death, sender) if self.crash_guard.died(death) else []
 
     def platform_step(self) -> list[Send]:
         """Take and renew relay leases; waits for the platform."""
--- a/almondshore/daemon/process.py
+++ b/almondshore/daemon/process.py
@@ -175,7 +175,7 @@
                 self._close_listeners()
             if self._is_idle():
                 break
-        self.node.control.duty.release()
+        self.node.control.election.release()
         self.node.moves.release()
         log_event("node_ended", node=self.settings.node, idle=self._is_idle())
         self.ended.send()
--- a/almondshore/daemon/status.py
+++ b/almondshore/daemon/status.py
@@ -139,8 +139,8 @@
             self.next_repeat = now + MAX_WRITE_INTERVAL
 
     def _is_first_relay(self) -> bool:
-        duty = self.node.control.duty
-        return self.node.control.relay is not None and duty.slot == 0
+        election = self.node.control.election
+        return self.node.control.relay is not None and election.slot == 0
 
     def _same(self, status: ZoneStatus) -> bool:
         return self.written is not None and {**self.written, "at": ""} == {**status, "at": ""}
--- a/almondshore/relay/control.py
+++ b/almondshore/relay/control.py
@@ -26,7 +26,7 @@
 from almondshore.membership.sync import DirectorySync
 from almondshore.relay.admission import SNAPSHOTS_PER_SECOND, SnapshotAdmission
 from almondshore.relay.candidacy import Candidacy
-from almondshore.relay.duty import NODES_PER_SLOT, RelayDuty
+from almondshore.relay.election import NODES_PER_SLOT, RelayElection
 from almondshore.relay.fanout import Relay, RelayLimits
 from almondshore.relay.selection import RelaySelection, SelectionLimits
 from almondshore.relay.source import ConfigSource
@@ -114,12 +114,12 @@
                 self.relay_shows_platform_up = platform_up
                 self.acknowledged = True
         if isinstance(message, RelayInvite):
-            self.duty.invite(message)
+            self.election.invite(message)
             return []
         if self.relay is not None:
             sends = self.relay.handle(message, sender)
         elif isinstance(message, Heartbeat | Keepalive):
-            self.duty.taken_for_relay()
+            self.election.taken_for_relay()
             return [Send(sender, Busy(NOT_A_RELAY_SECONDS, "Heartbeat"))]
         else:
             sends = []
@@ -142,9 +142,9 @@
 
         None until a relay has told this node.
         """
-        return self.duty.platform_up if self.relay is not None else self.relay_shows_platform_up
+        return self.election.platform_up if self.relay is not None else self.relay_shows_platform_up
 
-    def take_contact(self) -> bool:
+    def take_liveness_confirmation(self) -> bool:
         """Return whether this node is known to be alive to others since the last call.
 
         An acknowledgement of a relay shows it, and so does the platform to a relay that renews
@@ -156,7 +156,7 @@
     def platform_step(self) -> list[Send]:
         """Take, renew and review relay leases; waits for the platform."""
         selection = self.selection
-        return self.duty.step(in_zone=selection.in_zone, relay_to_try=selection.relay_to_try)
+        return self.election.step(in_zone=selection.in_zone, relay_to_try=selection.relay_to_try)
 
     def watch_step(self) -> None:
         """Watch the head of the configuration if this node is a relay; waits for the platform."""
@@ -167,7 +167,7 @@
         """Make changes of the own targets known."""
         return self.membership.changed(records)
 
-    def spread(self, message: Message, sender: str) -> list[Send]:
+    def propagate(self, message: Message, sender: str) -> list[Send]:
         """Pass news on: a node to its relay, a relay to its nodes and the other relays."""
         if self.relay is None:
             own = sender == self.identity.control
@@ -240,9 +240,9 @@
 
     def _take_role(self) -> None:
         """Start or stop acting as a relay, as the lease says."""
-        if self.duty.is_relay and self.relay is None:
+        if self.election.is_relay and self.relay is None:
             self._start_relay()
-        elif not self.duty.is_relay and self.relay is not None:
+        elif not self.election.is_relay and self.relay is not None:
             self.relay = self.source = self.membership.pass_on = None
 
     def _make_membership(self) -> None:
@@ -283,7 +283,7 @@
             peers=self.peers,
             limits=self.limits.selection,
         )
-        self.duty = RelayDuty(
+        self.election = RelayElection(
             clock=clock,
             rng=rng,
             platform=self.platform,
--- a/almondshore/relay/duty.py
+++ b/almondshore/relay/election.py
@@ -22,7 +22,7 @@
     lease_slot,
     relay_lease_key,
 )
-from almondshore.relay.review import LeaseReview
+from almondshore.relay.lease_monitor import LeaseMonitor
 from almondshore.relay.table import RelayTable, vacancy
 from almondshore.storage.port import Platform, StoredObject
 
@@ -46,7 +46,7 @@
     return max(-int(-nodes // nodes_per_slot), 2 if nodes >= TWO_SLOTS_FROM else 1)
 
 
-class RelayDuty:
+class RelayElection:
     """Decides whether this node is a relay, by leases in the platform.
 
     Only this class and ``ConfigSource`` call the platform on behalf of a relay. An ordinary node
@@ -77,7 +77,7 @@
         self.nodes_in_zone = nodes_in_zone
         self.candidates = candidates
         self.nodes_per_slot = nodes_per_slot
-        self.review = LeaseReview(clock=clock, table=table)
+        self.lease_monitor = LeaseMonitor(clock=clock, table=table)
         self.lease: Lease | None = None
         self.slot = -1
         self.platform_up: bool | None = None
@@ -178,7 +178,7 @@
         result = self.platform.list(f"{RELAY_LEASE_PREFIX}{self.zone}/")
         if not is_successful(result):
             return None
-        self.review.take(result.unwrap())
+        self.lease_monitor.take(result.unwrap())
         own = [item for item in result.unwrap() if decode_lease(item).holder == self.address]
         return own[0] if own else None
 
@@ -217,11 +217,11 @@
         prefix = RELAY_LEASE_PREFIX if everything else f"{RELAY_LEASE_PREFIX}{self.zone}/"
         result = self.platform.list(prefix)
         if not is_successful(result):
-            self.review.failed()
+            self.lease_monitor.failed()
             self.next_list += full_jitter(self.rng, 4)
             return []
         known = set(self.table.addresses())
-        live = self.review.take(result.unwrap())
+        live = self.lease_monitor.take(result.unwrap())
         sends: list[Send] = []
         if everything:
             self.next_list_all = now + LIST_ALL_INTERVAL * self.rng.uniform(0.9, 1.1)
--- a/almondshore/relay/review.py
+++ b/almondshore/relay/lease_monitor.py
@@ -18,7 +18,7 @@
     since: timedelta
 
 
-class LeaseReview:
+class LeaseMonitor:
     """Tells live leases from expired ones and brings the relay table up to date.
 
     A lease counts as expired when its object did not change for a whole ``ttl`` by the own
--- a/almondshore/ui/applying.py
+++ b/almondshore/ui/applying.py
@@ -28,7 +28,7 @@
 from almondshore.ui.platform_errors import PlatformFailedError, describe, require
 from almondshore.ui.retrying import Retrier
 from almondshore.versions.config import DIGEST_BYTES
-from almondshore.versions.publish import Current, Publisher
+from almondshore.versions.publish import Publisher, VersionedHead
 
 # The coordinator of moves publishes versions too, with the same rules. Each of them costs one
 # more round; more than a few in one command point to a fault.
@@ -125,7 +125,7 @@
             f"take over these changes and apply again with --base {newest}"
         )
 
-    def _publish(self, change: Change, current: Current, digest: str) -> Outcome | None:
+    def _publish(self, change: Change, current: VersionedHead, digest: str) -> Outcome | None:
         """Publish on top of a version; return None if another version came first."""
         version = current.head.version
         parts = require(self.retry(lambda: self.publisher.parts(version)))
--- a/almondshore/versions/publish.py
+++ b/almondshore/versions/publish.py
@@ -58,7 +58,7 @@
     digest: bytes
 
 
-class Current(NamedTuple):
+class VersionedHead(NamedTuple):
     """The head as read, with its revision for a conditional update; revision 0 if absent."""
 
     head: Head
@@ -79,16 +79,16 @@
         self.platform = platform
         self.stored_keys: set[str] = set()
 
-    def current(self) -> Result[Current, PlatformError]:
+    def current(self) -> Result[VersionedHead, PlatformError]:
         """Read the head; an empty head with revision 0 if nothing was published yet."""
         result = self.platform.get(HEAD_KEY)
         if is_successful(result):
             stored = result.unwrap()
             return Success(
-                Current(msgspec.msgpack.decode(stored.value, type=Head), stored.revision)
+                VersionedHead(msgspec.msgpack.decode(stored.value, type=Head), stored.revision)
             )
         if isinstance(result.failure(), NotFound):
-            return Success(Current(EMPTY_HEAD, 0))
+            return Success(VersionedHead(EMPTY_HEAD, 0))
         return result
 
     def parts(self, version: int) -> Result[dict[str, bytes], PlatformError]:
@@ -116,7 +116,7 @@
     def publish(
         self,
         *,
-        base: Current,
+        base: VersionedHead,
         base_parts: Mapping[str, bytes],
         parts: Mapping[str, bytes],
         rules: bytes,
--- a/bench/convergence.py
+++ b/bench/convergence.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple
 
 from almondshore.relay.control import FAIR_SHARE_MARGIN
-from almondshore.relay.duty import LIST_ALL_INTERVAL, slots_needed
+from almondshore.relay.election import LIST_ALL_INTERVAL, slots_needed
 from bench.fleet import Fleet
 from bench.full_scale import FULL_NODES, FULL_ZONES, full_scale_costs, full_scale_rows
 from bench.meter import Meter
--- a/test/daemon/test_settings.py
+++ b/test/daemon/test_settings.py
@@ -10,7 +10,7 @@
 
 from almondshore.core.errors import InvalidInputError
 from almondshore.daemon.settings import FIELDS, load_settings, parse_settings
-from almondshore.relay.duty import NODES_PER_SLOT
+from almondshore.relay.election import NODES_PER_SLOT
 
 GOOD = {"node": "n1", "zone": "z-1", "platform": {"url": "http://127.0.0.1:7300"}}
 BASE = "node: n1\nzone: z-1\nplatform:\n  url: http://127.0.0.1:7300\n"
--- a/test/moves/test_outcome.py
+++ b/test/moves/test_outcome.py
@@ -8,7 +8,7 @@
 from almondshore.rules.compile import decode_service, encode_part
 from almondshore.rules.model import MoveState
 from almondshore.storage.port import Conflict, NotFound
-from almondshore.versions.publish import EMPTY_HEAD, Current, Publisher
+from almondshore.versions.publish import EMPTY_HEAD, Publisher, VersionedHead
 from standins.memory_platform import MemoryPlatform
 from standins.object_store import ObjectStore
 from test.moves.helpers import SERVICE, START, make_part
@@ -22,7 +22,7 @@
         self.clock = ManualClock(start=START)
         self.platform = MemoryPlatform(store=ObjectStore(clock=self.clock))
         self.versions = Publisher(platform=self.platform)
-        self.apply(Current(EMPTY_HEAD, 0), {})
+        self.apply(VersionedHead(EMPTY_HEAD, 0), {})
         self.outcomes = ConfigOutcomePublisher(
             publisher=self.versions, clock=self.clock, author="almondshored"
         )
--- a/test/relay/test_lease.py
+++ b/test/relay/test_lease.py
@@ -14,7 +14,7 @@
     Unknown,
     relay_lease_key,
 )
-from almondshore.relay.review import LeaseReview
+from almondshore.relay.lease_monitor import LeaseMonitor
 from almondshore.relay.table import RelayTable, vacancy
 from standins.memory_platform import MemoryPlatform
 from standins.object_store import Fault, ObjectStore
@@ -106,11 +106,11 @@
     def setUp(self):
         super().setUp()
         self.table = RelayTable()
-        self.review = LeaseReview(clock=self.clock, table=self.table)
+        self.lease_monitor = LeaseMonitor(clock=self.clock, table=self.table)
 
     def live(self):
         leases = self.platform.list(RELAY_LEASE_PREFIX).unwrap()
-        return [entry.address for entry in self.review.take(leases)]
+        return [entry.address for entry in self.lease_monitor.take(leases)]
 
     def test_expired_lease_leaves_the_table_for_good(self):
         """Guards against a relay that is gone and comes back by a late message."""
@@ -128,7 +128,7 @@
         self.first.acquire_or_renew()
         self.live()
         self.advance(600)
-        self.review.failed()
+        self.lease_monitor.failed()
         self.assertEqual(["first"], self.live())
 
     def test_the_table_is_bounded(self):
