Name limits and retries operations after what they do

Several methods that other folders call had names that did not say what they act on: Turn, CrashGuard.died and completed, RetryPolicy.first, OnceRecords.finish, end and running, Ownership.contact, platform_state, awaited, received and rejoined, ClaimStore.marked. blames_request did not say that it is true once a fingerprint has been quarantined.

They are now DispatchResult (with started instead of run), record_death, record_completion, was_quarantined, record_first_attempt, record_response, record_outcome, mark_running, note_contact, note_platform_state, awaiting_handover, received_handovers, note_rejoin and marked_nodes. SlotQueue._take_turn is now _charge_credit.

--- a/almondshore/daemon/node.py
+++ b/almondshore/daemon/node.py
@@ -116,7 +116,7 @@
 
     def note_crash(self, death: CrashDeath, sender: str) -> list[Send]:
         """Count the death of a target that ran a request, and pass it on if it is news."""
-        return self.control.spread(death, sender) if self.crash_guard.died(death) else []
+        return self.control.spread(death, sender) if self.crash_guard.record_death(death) else []
 
     def platform_step(self) -> list[Send]:
         """Take and renew relay leases; waits for the platform."""
--- a/almondshore/limits/admission.py
+++ b/almondshore/limits/admission.py
@@ -70,14 +70,14 @@
     shed: tuple[Shed, ...] = ()
 
 
-class Turn(NamedTuple):
-    """Queued requests whose wait is over.
+class DispatchResult(NamedTuple):
+    """Requests that left the queue because a slot became free or because they were refused.
 
-    :ivar run: requests that have a slot now; the caller must release each
+    :ivar started: requests that have a slot now; the caller must release each
     :ivar shed: requests that were refused
     """
 
-    run: tuple[SlotRequest, ...] = ()
+    started: tuple[SlotRequest, ...] = ()
     shed: tuple[Shed, ...] = ()
 
 
@@ -151,7 +151,7 @@
             return self._refuse(RefusalReason.OVERLOADED)
         return self._enqueue(request, now)
 
-    def release(self, request_id: str) -> Turn:
+    def release(self, request_id: str) -> DispatchResult:
         """Free the slot of a request that has ended, and start those that come next.
 
         A request id that holds no slot is ignored, so that a repeated release frees nothing.
@@ -175,12 +175,12 @@
                 return True
         return False
 
-    def expire(self) -> Turn:
+    def expire(self) -> DispatchResult:
         """Shed queued requests whose deadline or drain grace has passed; call this regularly."""
         now = self.clock.monotonic()
         shed = self._purge(now)
         turn = self._dispatch(now)
-        return Turn(turn.run, (*shed, *turn.shed))
+        return DispatchResult(turn.started, (*shed, *turn.shed))
 
     def drain(self) -> None:
         """Refuse new requests from now on; queued ones may start within the grace period."""
@@ -277,10 +277,10 @@
     def _is_drained(self, now: timedelta) -> bool:
         return self.drain_started is not None and now >= self.drain_started + self.drain_grace
 
-    def _dispatch(self, now: timedelta) -> Turn:
+    def _dispatch(self, now: timedelta) -> DispatchResult:
         if not self.queued:
-            return Turn()
-        run: list[SlotRequest] = []
+            return DispatchResult()
+        started: list[SlotRequest] = []
         shed: list[Shed] = list(self._purge(now)) if self._is_drained(now) else []
         while (name := self._next_class()) is not None:
             _, request = self.queues[name].popitem(last=False)
@@ -288,17 +288,17 @@
             if request.deadline <= now:
                 shed.append(Shed(request, self._refuse(RefusalReason.DEADLINE)))
                 continue
-            self._take_turn(name)
+            self._charge_credit(name)
             self._start(request, now)
-            run.append(request)
-        return Turn(tuple(run), tuple(shed))
+            started.append(request)
+        return DispatchResult(tuple(started), tuple(shed))
 
     def _next_class(self) -> RequestClass | None:
         """Return the waiting class with the most credit that can have a slot."""
         ready = [name for name, queue in self.queues.items() if queue and self._has_slot(name)]
         return max(ready, key=lambda name: self.credit[name] + WEIGHTS[name], default=None)
 
-    def _take_turn(self, chosen: RequestClass) -> None:
+    def _charge_credit(self, chosen: RequestClass) -> None:
         """Account a start by smooth weighted round robin among the classes that wait."""
         total = 0
         for name, queue in self.queues.items():
--- a/almondshore/mesh/crashes.py
+++ b/almondshore/mesh/crashes.py
@@ -94,7 +94,7 @@
         """Count a death."""
         for run in death.runs:
             known = self.guard.check(run.fingerprint) is not None
-            self.guard.died(run)
+            self.guard.record_death(run)
             if not known and self.guard.check(run.fingerprint) is not None:
                 log_event(
                     "request_quarantined",
--- a/almondshore/mesh/outbound.py
+++ b/almondshore/mesh/outbound.py
@@ -224,7 +224,7 @@
     def note_completed(self, request: Request) -> None:
         """Clear a request of the suspicion that it crashes targets: one ran it to its end."""
         if self.guard.suspects:
-            self.guard.completed(request_fingerprint(request, self.caller()))
+            self.guard.record_completion(request_fingerprint(request, self.caller()))
 
     def _is_quarantined(self, request: Request) -> bool:
         """Tell whether a request crashed the targets that ran it."""
--- a/almondshore/proxy/caller.py
+++ b/almondshore/proxy/caller.py
@@ -193,7 +193,7 @@
     def _send(self, call: Call) -> Reply | Failure:
         """Send a call to targets until one responds or no retry is allowed."""
         if call.outermost:
-            self.policy.first(call.match.service)
+            self.policy.record_first_attempt(call.match.service)
         tried: list[str] = []
         failure: Failure | None = None
         while True:
@@ -288,7 +288,7 @@
         death = first(exchanged.headers, names.DEATH)
         if death:
             with suppress(msgspec.MsgspecError):
-                self.crash_guard.died(msgspec.json.decode(death, type=CrashDeath))
+                self.crash_guard.record_death(msgspec.json.decode(death, type=CrashDeath))
 
     def _finish(
         self,
--- a/almondshore/proxy/gate.py
+++ b/almondshore/proxy/gate.py
@@ -4,12 +4,12 @@
 
 from almondshore.limits.admission import (
     Admitted,
+    DispatchResult,
     Queued,
     Refused,
     Shed,
     SlotQueue,
     SlotRequest,
-    Turn,
 )
 from almondshore.proxy.headers import Load
 
@@ -52,12 +52,12 @@
         """Return the present load of the target."""
         return Load(self.queue.limit(), len(self.queue.running), self.queue.queued)
 
-    def _tell(self, turn: Turn) -> None:
-        for request in turn.run:
+    def _tell(self, turn: DispatchResult) -> None:
+        for request in turn.started:
             self.waiting.pop(request.request_id).send(None)
         self._tell_shed(turn)
 
-    def _tell_shed(self, source: Turn | Queued) -> None:
+    def _tell_shed(self, source: DispatchResult | Queued) -> None:
         item: Shed
         for item in source.shed:
             self.waiting.pop(item.request.request_id).send(item.refused)
--- a/almondshore/proxy/once.py
+++ b/almondshore/proxy/once.py
@@ -119,7 +119,7 @@
         if records is None:
             detail = "this node has no target of the service"
             return ClaimReply(denied=make_failure(Reason.KEY_UNPROVEN, detail))
-        if request.service in self.unread and not records.ownership.received:
+        if request.service in self.unread and not records.ownership.received_handovers:
             detail = "the records of earlier owners are not known yet"
             return ClaimReply(denied=make_failure(Reason.KEY_UNPROVEN, detail))
         deadline = self.clock.monotonic() + timedelta(milliseconds=request.left_ms)
@@ -138,9 +138,9 @@
         if records is None:
             return
         if report.response is not None:
-            records.finish(report.key, report.token, report.response)
+            records.record_response(report.key, report.token, report.response)
         else:
-            records.end(report.key, report.token, report.outcome)
+            records.record_outcome(report.key, report.token, report.outcome)
 
     def hand_over(self, request: HandoverRequest) -> Handover | None:
         """Return the records of keys that another node owns now; None if it is not known yet."""
@@ -163,16 +163,16 @@
         self.revision = self.directory.revision
         for service, records in self.services.items():
             if platform_up is not None:
-                records.ownership.platform_state(platform_up)
+                records.ownership.note_platform_state(platform_up)
             if in_contact:
-                records.ownership.contact()
+                records.ownership.note_contact()
             if changed:
                 records.ownership.update(members_of(self.directory, service))
 
     def rejoined(self) -> None:
         """Note that other nodes had declared this one dead."""
         for records in self.services.values():
-            records.ownership.rejoined()
+            records.ownership.note_rejoin()
 
     def tick(self) -> None:
         """Write deferred claims; waits for the platform."""
@@ -186,7 +186,7 @@
 
         Without it, the only owner of a service would run their keys again after its restart.
         """
-        marked = self.claims.marked()
+        marked = self.claims.marked_nodes()
         if marked is None:
             return
         for service in list(self.unread):
@@ -282,7 +282,7 @@
         """Take over the records of this node's keys from nodes that owned them before."""
         for service, records in list(self.owner.services.items()):
             live = {keeper_of(record): record for record in self.directory.of_service(service)}
-            for node in sorted(records.ownership.awaited & live.keys()):
+            for node in sorted(records.ownership.awaiting_handover & live.keys()):
                 request = HandoverRequest(service, self.identity)
                 reply = self._exchange(live[node], "handover", request, CLAIM_TIMEOUT)
                 if not isinstance(reply, Reply):
--- a/almondshore/proxy/target.py
+++ b/almondshore/proxy/target.py
@@ -183,7 +183,7 @@
         )
         if isinstance(result, ExchangeFailure):
             return self._failed(endpoint, hop, request, started, result)
-        self.crash_guard.completed(identify(request))
+        self.crash_guard.record_completion(identify(request))
         if first(result.headers, names.OUTCOME) == Outcome.NOT_RUN.value:
             return Ended(make_failure(Reason.OVERLOADED, "the target refused the request"))
         self._report(endpoint, hop, started, ok=result.status < 500)
@@ -207,7 +207,7 @@
         if broken and not self.pool.is_listening(endpoint.address):
             death = self._death(endpoint, identity, started)
             self.on_death(death)
-        if not self.crash_guard.blames_request(identity):
+        if not self.crash_guard.was_quarantined(identity):
             self._report(endpoint, hop, started, ok=False, broken=broken)
         return Ended(failure, death)
 
--- a/almondshore/retries/claims.py
+++ b/almondshore/retries/claims.py
@@ -158,7 +158,7 @@
                 result = self.platform.update(name, value, error.current.revision, write_id)
         return self._account(result)
 
-    def marked(self) -> list[str] | None:
+    def marked_nodes(self) -> list[str] | None:
         """Return the nodes whose marker is set, or None if the platform does not tell."""
         result = self.platform.list(MARKER_PREFIX)
         if not isinstance(result, Success):
--- a/almondshore/retries/crash.py
+++ b/almondshore/retries/crash.py
@@ -89,13 +89,13 @@
             del self.suspects[request]
         return None
 
-    def completed(self, request: int) -> None:
+    def record_completion(self, request: int) -> None:
         """Clear a fingerprint whose run ended with a response."""
         suspect = self.suspects.get(request)
         if suspect is not None and self._now_s() >= suspect.until:
             del self.suspects[request]
 
-    def died(self, death: CrashDeath) -> bool:
+    def record_death(self, death: CrashDeath) -> bool:
         """Count a death that this node saw or was told of.
 
         :returns: whether it was new, so that it is to be passed on
@@ -121,7 +121,7 @@
             self._quarantine(suspect, now_s)
         return True
 
-    def blames_request(self, request: int) -> bool:
+    def was_quarantined(self, request: int) -> bool:
         """Tell whether a death is the request's fault, and not evidence against a version."""
         suspect = self.suspects.get(request)
         return suspect is not None and suspect.until > 0.0
--- a/almondshore/retries/once.py
+++ b/almondshore/retries/once.py
@@ -189,7 +189,7 @@
             del self.records[key]
         return Denied(failure)
 
-    def running(self, key: str, token: int) -> bool:
+    def mark_running(self, key: str, token: int) -> bool:
         """Note that the request is about to be handed to a target.
 
         :returns: whether the grant still holds; if not, the request must not be run
@@ -200,7 +200,7 @@
         record.state = KeyState.RUNNING
         return True
 
-    def finish(self, key: str, token: int, response: StoredResponse) -> None:
+    def record_response(self, key: str, token: int, response: StoredResponse) -> None:
         """Note the response of a request that has run."""
         record = self._held(key, token)
         if record is None or record.state in (KeyState.DONE, KeyState.RELEASED):
@@ -210,7 +210,7 @@
             record.response = response
             self._keep(key, response)
 
-    def end(self, key: str, token: int, outcome: Outcome) -> None:
+    def record_outcome(self, key: str, token: int, outcome: Outcome) -> None:
         """Note the end of a request without a response to keep."""
         record = self._held(key, token)
         if record is None or record.state not in (KeyState.CLAIMED, KeyState.RUNNING):
--- a/almondshore/retries/ownership.py
+++ b/almondshore/retries/ownership.py
@@ -78,9 +78,9 @@
         self.members: frozenset[str] = frozenset((node,))
         self.departed: dict[str, timedelta] = {}
         self.doubtful: set[str] = set()
-        self.awaited: set[str] = set()
+        self.awaiting_handover: set[str] = set()
         # Nodes that handed over their records, with the time since which each kept records.
-        self.received: dict[str, timedelta] = {}
+        self.received_handovers: dict[str, timedelta] = {}
         # Nodes that started after this one, hence never owned a key before it.
         self.later: set[str] = set()
         self.up_since: timedelta | None = None
@@ -89,14 +89,14 @@
             self.departed[node] = self.since
             self.doubtful.add(node)
 
-    def platform_state(self, up: bool) -> None:
+    def note_platform_state(self, up: bool) -> None:
         """Take in what the relays report about the platform."""
         if not up:
             self.up_since = None
         elif self.up_since is None:
             self.up_since = self.clock.monotonic()
 
-    def contact(self) -> None:
+    def note_contact(self) -> None:
         """Note an acknowledged heartbeat: this node is not declared dead."""
         self.last_contact = self.clock.monotonic()
 
@@ -112,10 +112,10 @@
         for name in self.members - current:
             self.note_departure(Departure(name, 0.0, name not in clean and not self.is_settled()))
         if now - self.since < self.warm_up:
-            self.awaited |= current - self.members - self.received.keys()
+            self.awaiting_handover |= current - self.members - self.received_handovers.keys()
         else:
             self.later |= current - self.members - self.departed.keys()
-        self.awaited &= current
+        self.awaiting_handover &= current
         self.members = current
         for name in [name for name, at in self.departed.items() if now - at >= self.retention]:
             del self.departed[name]
@@ -146,15 +146,15 @@
 
         :param age: how long the sender has kept records
         """
-        self.received[sender] = self.clock.monotonic() - age
-        self.awaited.discard(sender)
+        self.received_handovers[sender] = self.clock.monotonic() - age
+        self.awaiting_handover.discard(sender)
 
-    def rejoined(self) -> None:
+    def note_rejoin(self) -> None:
         """Note that others had declared this node dead and may have taken over its keys."""
         self.since = self.clock.monotonic()
-        self.received.clear()
+        self.received_handovers.clear()
         self.later.clear()
-        self.awaited = set(self.members - {self.node})
+        self.awaiting_handover = set(self.members - {self.node})
 
     def owner(self, key: str) -> str:
         """Return the node that keeps the record of a key."""
@@ -166,7 +166,7 @@
             return Standing.NOT_OWNER
         now = self.clock.monotonic()
         silent = now - self.last_contact >= self.contact_max_age
-        if silent or self.awaited or now - self.since < self.warm_up:
+        if silent or self.awaiting_handover or now - self.since < self.warm_up:
             return Standing.UNSETTLED
         former = self.former_owners(key)
         if not former:
@@ -179,7 +179,7 @@
         """Return the nodes that are gone and may have run a key of this node's."""
         if not self.departed:
             return []
-        ranked = rendezvous.rank(key, {self.node, *self.departed, *self.received})
+        ranked = rendezvous.rank(key, {self.node, *self.departed, *self.received_handovers})
         rank = {name: position for position, name in enumerate(ranked)}
         return [name for name in self.departed if self._may_have_owned(name, rank)]
 
@@ -192,11 +192,13 @@
         """
         if name == self.node:
             return True
-        if name in self.later or name in self.received:
+        if name in self.later or name in self.received_handovers:
             return rank[name] < rank[self.node]
         left = self.departed[name]
         return all(
-            rank[name] < rank[other] for other, since in self.received.items() if since < left
+            rank[name] < rank[other]
+            for other, since in self.received_handovers.items()
+            if since < left
         )
 
     def is_settled(self) -> bool:
--- a/almondshore/retries/policy.py
+++ b/almondshore/retries/policy.py
@@ -76,7 +76,7 @@
         self.base_delay = base_delay
         self.min_time_left = min_time_left
 
-    def first(self, service: str) -> None:
+    def record_first_attempt(self, service: str) -> None:
         """Count a first attempt at the outermost hop 1."""
         self.budget.deposit(service)
 
--- a/bench/request_chain.py
+++ b/bench/request_chain.py
@@ -49,7 +49,7 @@
         outermost = depth == 0 or not self.header
         policy = self.policies[depth]
         if outermost:
-            policy.first("s")
+            policy.record_first_attempt("s")
         failure = make_failure(Reason.TARGET_LOST)
         for retries in range(policy.max_retries + 1):
             self._call(depth + 1)
--- a/bench/request_costs.py
+++ b/bench/request_costs.py
@@ -114,7 +114,7 @@
     failure = make_failure(Reason.OVERLOADED)
 
     def action(number: int) -> None:
-        policy.first("s")
+        policy.record_first_attempt("s")
         deadline = clock.monotonic() + timedelta(seconds=60)
         policy.decide(Attempt("s", failure, 0, True, True, deadline))
 
--- a/bench/request_model.py
+++ b/bench/request_model.py
@@ -227,7 +227,7 @@
         turn = target.queue.release(name)
         for item in turn.shed:
             self._refuse(item.request.request_id, target)
-        for request in turn.run:
+        for request in turn.started:
             self._start(request.request_id, target)
         way_ms = self._way_ms(call, target)
         if failed:
--- a/bench/request_parts.py
+++ b/bench/request_parts.py
@@ -6,7 +6,7 @@
 from datetime import timedelta
 
 from almondshore.core.messages import TargetRecord
-from almondshore.limits.admission import Admitted, Queued, SlotRequest, Turn
+from almondshore.limits.admission import Admitted, DispatchResult, Queued, SlotRequest
 from almondshore.retries.budget import RetryBudget
 from almondshore.retries.outcome import Reason, make_failure
 from almondshore.retries.policy import Attempt, Retry, RetryPolicy
@@ -42,7 +42,7 @@
 
     def first(self) -> None:
         """Count a first attempt."""
-        self.policy.first("s")
+        self.policy.record_first_attempt("s")
 
     def decide(self, call: Call, reason: Reason) -> float | None:
         """Return the delay of a retry in milliseconds, or None."""
@@ -126,14 +126,14 @@
         self.waiting.append(request)
         return Queued()
 
-    def release(self, request_id: str) -> Turn:
+    def release(self, request_id: str) -> DispatchResult:
         """Start the request that has waited longest."""
         self.running.discard(request_id)
         if not self.waiting:
-            return Turn()
+            return DispatchResult()
         request = self.waiting.popleft()
         self.running.add(request.request_id)
-        return Turn((request,))
+        return DispatchResult((request,))
 
 
 class NoRetry:
--- a/test/limits/test_admission.py
+++ b/test/limits/test_admission.py
@@ -54,7 +54,7 @@
 
     def turn(self, turn):
         self.shed(turn.shed)
-        for request in turn.run:
+        for request in turn.started:
             self.waiting.remove(request.request_id)
             self.started[request.request_class] += 1
         return turn
@@ -102,7 +102,7 @@
         self.assertEqual([Admitted, Admitted, Queued], answers)
         for _ in range(2):
             self.assertIsInstance(bed.offer(INTERNAL), Admitted)
-            self.assertEqual((), bed.finish(f"r{bed.count}").run)
+            self.assertEqual((), bed.finish(f"r{bed.count}").started)
 
     def test_lowered_concurrency_leaves_slots_unused(self):
         """Guards against a saturated target that is given all its slots regardless."""
@@ -140,7 +140,7 @@
         bed.offer(URGENT, timeout=1.0)
         bed.advance(0.2)
         turn = bed.finish("r1")
-        self.assertEqual(["r3"], [request.request_id for request in turn.run])
+        self.assertEqual(["r3"], [request.request_id for request in turn.started])
         self.assertEqual([RefusalReason.DEADLINE], [item.refused.reason for item in turn.shed])
         self.assertEqual(RefusalReason.DEADLINE, Bed().offer(URGENT, timeout=0.0).reason)
 
@@ -170,7 +170,7 @@
             bed.offer(URGENT, timeout=60)
         bed.queue.drain()
         self.assertEqual(RefusalReason.DRAINING, bed.offer(URGENT).reason)
-        self.assertEqual(1, len(bed.finish("r1").run))
+        self.assertEqual(1, len(bed.finish("r1").started))
         bed.advance(3)
         self.assertEqual(
             RefusalReason.DRAINING, bed.turn(bed.queue.expire()).shed[0].refused.reason
@@ -187,7 +187,7 @@
         bed.offer(URGENT)
         bed.offer(URGENT)
         bed.finish("r1")
-        self.assertEqual((), bed.turn(bed.queue.release("r1")).run)
+        self.assertEqual((), bed.turn(bed.queue.release("r1")).started)
         self.assertEqual(1, len(bed.queue.running))
 
 
--- a/test/retries/helpers.py
+++ b/test/retries/helpers.py
@@ -63,7 +63,7 @@
         for node in self.nodes.values():
             node.ownership.update(self.nodes, left)
         for node in self.nodes.values():
-            for name in list(node.ownership.awaited):
+            for name in list(node.ownership.awaiting_handover):
                 handover = self.nodes[name].records.hand_over(node.name)
                 if handover is not None:
                     node.records.take_over(handover)
@@ -72,8 +72,8 @@
         for _ in range(number):
             self.clock.advance(seconds(1))
             for node in self.nodes.values():
-                node.ownership.contact()
-                node.ownership.platform_state(self.store.fault is not Fault.DOWN)
+                node.ownership.note_contact()
+                node.ownership.note_platform_state(self.store.fault is not Fault.DOWN)
                 node.records.tick()
 
     def kill(self, name):
@@ -95,15 +95,15 @@
         if not isinstance(answer, Granted):
             return answer
         if ending == "not-run":
-            records.end(key, answer.token, Outcome.NOT_RUN)
+            records.record_outcome(key, answer.token, Outcome.NOT_RUN)
             return answer
-        if not records.running(key, answer.token):
+        if not records.mark_running(key, answer.token):
             return answer
         self.runs[key] = self.runs.get(key, 0) + 1
         if ending == "done":
-            records.finish(key, answer.token, RESPONSE)
+            records.record_response(key, answer.token, RESPONSE)
         elif ending == "lost":
-            records.end(key, answer.token, Outcome.UNKNOWN)
+            records.record_outcome(key, answer.token, Outcome.UNKNOWN)
         return answer
 
 
--- a/test/retries/test_crash.py
+++ b/test/retries/test_crash.py
@@ -30,13 +30,13 @@
         if self.guard.check(POISON) is not None:
             return False
         self.advance(0.01)
-        self.guard.died(self.death(target, ran_ms=5))
+        self.guard.record_death(self.death(target, ran_ms=5))
         return True
 
     def test_crash_request_stops_after_two_targets(self):
         """Guards against one request that takes a service down as its caller resends it."""
         self.assertEqual(2, sum(self.resend(f"t{n}") for n in range(100)))
-        self.assertTrue(self.guard.blames_request(POISON))
+        self.assertTrue(self.guard.was_quarantined(POISON))
         self.assertIsNone(self.guard.check(fingerprint("GET", "/trend", "hall-8", b"digest")))
 
     def test_one_more_death_on_probation_is_enough(self):
@@ -52,23 +52,23 @@
         other = CrashGuard(clock=self.clock)
         for name in ("t1", "t2"):
             self.advance(1)
-            self.guard.died(self.death(name))
-            self.assertTrue(other.died(self.death(name)))
+            self.guard.record_death(self.death(name))
+            self.assertTrue(other.record_death(self.death(name)))
         self.assertIsNotNone(other.check(POISON))
 
     def test_death_reported_twice_counts_once(self):
         """Guards against a false alarm because two nodes report one death."""
-        self.guard.died(self.death("t1"))
+        self.guard.record_death(self.death("t1"))
         self.advance(1)
-        self.assertFalse(self.guard.died(self.death("t1")))
+        self.assertFalse(self.guard.record_death(self.death("t1")))
         self.assertIsNone(self.guard.check(POISON))
 
     def test_requests_beside_the_one_at_fault_are_cleared(self):
         """Guards against refusing good requests that ran on targets killed by another."""
         for name in ("t1", "t2", "t3"):
             self.advance(1)
-            self.guard.died(self.death(name))
-            self.guard.completed(POISON)
+            self.guard.record_death(self.death(name))
+            self.guard.record_completion(POISON)
         self.assertIsNone(self.guard.check(POISON))
         self.assertEqual(0, len(self.guard.suspects))
 
@@ -76,7 +76,7 @@
         """Guards against a failed rack quarantining the requests that were common on it."""
         for n in range(20):
             self.advance(0.001)
-            self.guard.died(self.death(f"t{n}", ran_ms=50))
+            self.guard.record_death(self.death(f"t{n}", ran_ms=50))
         self.assertIsNone(self.guard.check(POISON))
 
     def test_mass_failure_quarantines_a_bounded_number(self):
@@ -84,15 +84,15 @@
         for name in ("t1", "t2"):
             self.advance(1)
             for request in range(500):
-                self.guard.died(self.death(name, request))
+                self.guard.record_death(self.death(name, request))
         refused = sum(self.guard.check(request) is not None for request in range(500))
         self.assertEqual(64, refused)
 
     def test_deaths_far_apart_do_not_add_up(self):
         """Guards against a false alarm from two unrelated deaths on one day."""
-        self.guard.died(self.death("t1"))
+        self.guard.record_death(self.death("t1"))
         self.advance(3600)
-        self.guard.died(self.death("t2"))
+        self.guard.record_death(self.death("t2"))
         self.assertIsNone(self.guard.check(POISON))
 
     def test_table_is_bounded_and_keeps_those_in_quarantine(self):
@@ -100,6 +100,6 @@
         self.resend("t1")
         self.resend("t2")
         for request in range(5000):
-            self.guard.died(self.death("t3", request))
+            self.guard.record_death(self.death("t3", request))
         self.assertEqual(1024, len(self.guard.suspects))
         self.assertIsNotNone(self.guard.check(POISON))
--- a/test/retries/test_once.py
+++ b/test/retries/test_once.py
@@ -55,7 +55,7 @@
         records, granted = self.fleet.ask(self.key)
         self.fleet.advance(8)
         self.fleet.send(self.key)
-        self.assertFalse(records.running(self.key, granted.token))
+        self.assertFalse(records.mark_running(self.key, granted.token))
 
     def test_owner_death_with_the_platform_up(self):
         """Guards against a new owner that has no record running the key again."""
@@ -154,8 +154,10 @@
         keys = [key_of(self.fleet, "b", n) for n in range(3)]
         for key in keys:
             _, granted = self.fleet.ask(key)
-            records.running(key, granted.token)
-            records.finish(key, granted.token, StoredResponse(200, (("a", "b" * 40),), b"x" * 40))
+            records.mark_running(key, granted.token)
+            records.record_response(
+                key, granted.token, StoredResponse(200, (("a", "b" * 40),), b"x" * 40)
+            )
         self.assertTrue(0 < records.kept_bytes <= 700)
         self.assertEqual(Reason.RESPONSE_NOT_KEPT, reason(self.fleet.send(keys[0])))
         self.assertIsInstance(self.fleet.send(keys[2]), Replay)
--- a/test/retries/test_policy.py
+++ b/test/retries/test_policy.py
@@ -90,7 +90,7 @@
             return
         outermost = depth == 0 or not outermost_only
         if outermost:
-            beds[depth].policy.first("s")
+            beds[depth].policy.record_first_attempt("s")
         for retries in range(3):
             self.call(beds, depth + 1, outermost_only)
             answer = beds[depth].decide(Reason.TARGET_LOST, retries, True, outermost)
@@ -109,7 +109,7 @@
         """Guards against a burst of retries after hours without failures."""
         bed = Bed()
         for _ in range(100_000):
-            bed.policy.first("s")
+            bed.policy.record_first_attempt("s")
         bed.clock.advance(timedelta(hours=5))
         granted = sum(isinstance(bed.decide(Reason.DRAINING), Retry) for _ in range(1000))
         self.assertEqual(53, granted)
