Rename public names of moves and rules to terms of the field

Fleet (counts of live targets of the two versions) is now TargetCounts, Condemned and MoveVerdict.condemned are Regression and regression, SHARES of the plan is STEP_SHARES, COORDINATOR_SHARE and LOCAL_SHARE say that they are shares of alpha, moves_in_force and the parameter held of check_rules are existing_move_ids, and Place of a rule is RuleSource in its field source. No text, encoded field or behaviour changes.

Checks: make lint passes; type errors differ from before only by the new names; pytest test/moves test/rules test/ui test/versions test/daemon/test_routes.py passes.

--- a/almondshore/daemon/moving.py
+++ b/almondshore/daemon/moving.py
@@ -19,7 +19,7 @@
 )
 from almondshore.core.rendezvous import choose
 from almondshore.daemon.routes import RouteKeeper
-from almondshore.moves.coordinator import Fleet, MoveCoordinator, Report
+from almondshore.moves.coordinator import MoveCoordinator, Report, TargetCounts
 from almondshore.moves.evidence import (
     EvidenceAggregator,
     EvidenceRecorder,
@@ -207,10 +207,12 @@
             config_version=self.control.config.state.current.version,
         )
 
-    def _fleet(self, part: ServicePart) -> Fleet:
+    def _fleet(self, part: ServicePart) -> TargetCounts:
         lookup, name, move = self.control.directory.lookup, part["name"], part["move"]
         new, old = lookup(name, move["to_version"]), lookup(name, move["from_version"])
-        return Fleet(sum(r.slots for r in new), sum(r.slots for r in old), len(new), len(old))
+        return TargetCounts(
+            sum(r.slots for r in new), sum(r.slots for r in old), len(new), len(old)
+        )
 
     def _report(self, evidence: Evidence) -> list[Send]:
         """Give the own evidence to the relay that sums it up."""
--- a/almondshore/daemon/status.py
+++ b/almondshore/daemon/status.py
@@ -7,7 +7,7 @@
 from almondshore.core.clock import Clock
 from almondshore.core.messages import TargetRecord
 from almondshore.daemon.node import Node
-from almondshore.moves.plan import FINAL_STEP, SHARES, plan_of
+from almondshore.moves.plan import FINAL_STEP, STEP_SHARES, plan_of
 from almondshore.rules.model import MoveState, ServicePart
 from almondshore.storage.port import Conflict, Platform
 from almondshore.versions.status import (
@@ -109,7 +109,7 @@
         return 100
     if state == MoveState.REVERTED.value:
         return 0
-    return round(SHARES[step] * 100)
+    return round(STEP_SHARES[step] * 100)
 
 
 class StatusWriter:
--- a/almondshore/moves/coordinator.py
+++ b/almondshore/moves/coordinator.py
@@ -21,7 +21,7 @@
 from almondshore.moves.plan import FINAL_STEP, Capacity, Gathered, plan_of, target_count
 from almondshore.moves.record import Backoff, Fenced, MoveRecord, RecordStore
 from almondshore.moves.state import MoveTable
-from almondshore.moves.verdict import COORDINATOR_SHARE, FALSE_POSITIVE_RATE, MoveVerdict
+from almondshore.moves.verdict import COORDINATOR_ALPHA_SHARE, FALSE_POSITIVE_RATE, MoveVerdict
 from almondshore.moves.veto import make_veto, read_veto, save_veto
 from almondshore.rules.model import MoveState, ServicePart
 from almondshore.storage.port import NotFound, Platform
@@ -37,7 +37,7 @@
 ROUTE_TRAFFIC_SHARE = 0.01
 
 
-class Fleet(NamedTuple):
+class TargetCounts(NamedTuple):
     """Live targets of both versions of a service, as the directory shows them.
 
     :ivar new_targets: without the counts of targets, latencies are not compared
@@ -132,7 +132,7 @@
         """Take in the evidence of a relay."""
         self.aggregator.add(evidence, sender)
 
-    def tick(self, fleet: Fleet) -> list[MoveStep | Veto]:
+    def tick(self, fleet: TargetCounts) -> list[MoveStep | Veto]:
         """Act on what is known by now; return the messages for all nodes."""
         known = self.table.step(self.part)
         if known is not None and known.epoch > self.epoch:
@@ -216,7 +216,7 @@
         if veto is not None:
             self.table.add_veto(veto)
 
-    def _judge(self, fleet: Fleet) -> list[Veto]:
+    def _judge(self, fleet: TargetCounts) -> list[Veto]:
         """Evaluate the windows that have closed; return a veto if the version is condemned."""
         if self.record.state == MoveState.REVERTED.value:
             return []
@@ -230,10 +230,10 @@
                 warm=self._is_warm(evidence.rows),
             )
         messages = []
-        if verdict.condemned is not None and self._veto() is None:
+        if verdict.regression is not None and self._veto() is None:
             veto = make_veto(
                 self.part,
-                verdict.condemned,
+                verdict.regression,
                 config_version=self.config_version,
                 origin=self.node,
                 clock=self.clock,
@@ -256,19 +256,19 @@
             old=move["from_version"],
             new=move["to_version"],
             routes=len(self.part["routes"]),
-            alpha=FALSE_POSITIVE_RATE * COORDINATOR_SHARE / (number * (number + 1)),
+            alpha=FALSE_POSITIVE_RATE * COORDINATOR_ALPHA_SHARE / (number * (number + 1)),
         )
         verdict.add_baseline(self.record.baseline)
         return verdict
 
     def _roll_back(self, veto: Veto) -> None:
-        condemned = self.verdict.condemned if self.verdict else None
+        regression = self.verdict.regression if self.verdict else None
         self.unsaved_veto = veto
         self._end(
             MoveState.REVERTED,
             veto.reason,
-            condemned.route if condemned else "",
-            condemned.evidence if condemned else veto.reason,
+            regression.route if regression else "",
+            regression.evidence if regression else veto.reason,
         )
 
     def _end(self, state: MoveState, reason: str, route: str = "", evidence: str = "") -> None:
@@ -278,7 +278,7 @@
         self._note_outcome()
         self._write()
 
-    def _advance(self, fleet: Fleet) -> list[MoveStep]:
+    def _advance(self, fleet: TargetCounts) -> list[MoveStep]:
         """Take the next step if it is allowed, or complete the move."""
         record, now = self.record, self.clock.now()
         if record.state != MoveState.ACTIVE.value:
@@ -364,7 +364,7 @@
         warm_up = min(WARM_UP, duration * WARM_UP_SHARE)
         return self.first_seen is not None and now >= self.first_seen + warm_up
 
-    def _slots(self, fleet: Fleet) -> SlotsInUse | None:
+    def _slots(self, fleet: TargetCounts) -> SlotsInUse | None:
         """Return the slots among which requests are spread, as the chooser limits them."""
         if not fleet.new_targets or not fleet.old_targets:
             return None
--- a/almondshore/moves/plan.py
+++ b/almondshore/moves/plan.py
@@ -5,8 +5,8 @@
 
 from almondshore.rules.model import MovePart, Preference
 
-SHARES = (0.0, 0.01, 0.05, 0.25, 0.50, 1.0)
-FINAL_STEP = len(SHARES) - 1
+STEP_SHARES = (0.0, 0.01, 0.05, 0.25, 0.50, 1.0)
+FINAL_STEP = len(STEP_SHARES) - 1
 
 # A step lasts at least four evidence windows: one to collect, two to travel, one to act.
 MIN_STEP = timedelta(seconds=4)
@@ -92,7 +92,7 @@
         due = taken_at + MIN_STEP if late and step else self.due(step, taken_at)
         if now < due:
             return Decision(False, "not due")
-        if not has_capacity(SHARES[step + 1], capacity):
+        if not has_capacity(STEP_SHARES[step + 1], capacity):
             return Decision(False, "the new version lacks live capacity")
         hurried = late and self.prefer is Preference.DEADLINE
         if not hurried and not is_enough(step, seen):
--- a/almondshore/moves/state.py
+++ b/almondshore/moves/state.py
@@ -7,7 +7,7 @@
 
 from almondshore.core.messages import MovesSnapshot, MoveStep, TargetRecord, Veto
 from almondshore.core.rendezvous import rank
-from almondshore.moves.plan import FINAL_STEP, SHARES, target_count
+from almondshore.moves.plan import FINAL_STEP, STEP_SHARES, target_count
 from almondshore.rules.model import MoveState, ServicePart
 
 MAX_VETOES = 4096
@@ -140,7 +140,7 @@
         if move["state"] == MoveState.DONE.value:
             return 1.0
         known = self.step(part)
-        return SHARES[known.step] if known else 0.0
+        return STEP_SHARES[known.step] if known else 0.0
 
     def limit_targets(
         self, part: ServicePart, targets: Mapping[str, Sequence[TargetRecord]]
--- a/almondshore/moves/verdict.py
+++ b/almondshore/moves/verdict.py
@@ -13,8 +13,8 @@
 
 # Probability that a good version is condemned in a move, over all tests and all windows.
 FALSE_POSITIVE_RATE = 0.001
-COORDINATOR_SHARE = 0.8
-LOCAL_SHARE = 0.2
+COORDINATOR_ALPHA_SHARE = 0.8
+LOCAL_ALPHA_SHARE = 0.2
 
 ALL_ROUTES = "all routes"
 MAX_ROUTES = 64
@@ -49,7 +49,7 @@
 KIND_SHARES = {Kind.ERRORS: 0.5, Kind.BROKEN: 0.25, Kind.SLOW: 0.25}
 
 
-class Condemned(NamedTuple):
+class Regression(NamedTuple):
     """The new version is worse than the old one.
 
     :ivar evidence: counts and test value, for the operator
@@ -99,7 +99,7 @@
         self.tallies: dict[tuple[str, str], Tally] = defaultdict(Tally)
         self.controls = ControlGuard()
         self.loads = LoadGuard()
-        self.condemned: Condemned | None = None
+        self.regression: Regression | None = None
 
     def observe(
         self,
@@ -216,7 +216,7 @@
         self.processes[key].update(ratios)
 
     def _judge(self, window: int) -> None:
-        if self.condemned is not None:
+        if self.regression is not None:
             return
         worst = None
         for (kind, route), process in self.processes.items():
@@ -226,7 +226,7 @@
                 worst = (value - threshold, kind, route, value)
         if worst is not None:
             _, kind, route, value = worst
-            self.condemned = Condemned(kind, route, window, self._describe(kind, route, value))
+            self.regression = Regression(kind, route, window, self._describe(kind, route, value))
 
     def _describe(self, kind: Kind, route: str, value: float) -> str:
         counts = []
--- a/almondshore/moves/veto.py
+++ b/almondshore/moves/veto.py
@@ -10,9 +10,9 @@
 from almondshore.core.messages import Evidence, Veto
 from almondshore.moves.verdict import (
     FALSE_POSITIVE_RATE,
-    LOCAL_SHARE,
-    Condemned,
+    LOCAL_ALPHA_SHARE,
     MoveVerdict,
+    Regression,
 )
 from almondshore.rules.model import MoveState, ServicePart
 from almondshore.storage.port import Conflict, Platform, PlatformError
@@ -50,14 +50,14 @@
 
 
 def make_veto(
-    part: ServicePart, condemned: Condemned, *, config_version: int, origin: str, clock: Clock
+    part: ServicePart, regression: Regression, *, config_version: int, origin: str, clock: Clock
 ) -> Veto:
     """Return the veto of the new version of a service's move."""
     return Veto(
         part["name"],
         part["move"]["to_version"],
         config_version,
-        condemned.evidence[:MAX_REASON],
+        regression.evidence[:MAX_REASON],
         origin,
         clock.now(),
     )
@@ -107,7 +107,7 @@
     def __init__(self, *, clock: Clock, node: str, nodes: int):
         self.clock = clock
         self.node = node
-        self.alpha = FALSE_POSITIVE_RATE * LOCAL_SHARE / max(nodes, MIN_DETECTORS)
+        self.alpha = FALSE_POSITIVE_RATE * LOCAL_ALPHA_SHARE / max(nodes, MIN_DETECTORS)
         self.verdicts: dict[tuple[str, str, int], MoveVerdict] = {}
 
     def observe(
@@ -124,13 +124,13 @@
             key = (part["name"], move["move_id"], allowed)
             verdict = self.verdicts.get(key) or self._verdict(part)
             current[key] = verdict
-            done = verdict.condemned
+            done = verdict.regression
             verdict.observe(evidence.window, evidence.rows, warm=False)
-            if verdict.condemned is not None and done is None:
+            if verdict.regression is not None and done is None:
                 vetoes.append(
                     make_veto(
                         part,
-                        verdict.condemned,
+                        verdict.regression,
                         config_version=config_version,
                         origin=self.node,
                         clock=self.clock,
--- a/almondshore/rules/check.py
+++ b/almondshore/rules/check.py
@@ -19,7 +19,7 @@
 
 
 def check_rules(
-    data: bytes, *, now: datetime, findings: FindingList, held: Collection[str] = ()
+    data: bytes, *, now: datetime, findings: FindingList, existing_move_ids: Collection[str] = ()
 ) -> RuleSet:
     """Decode, parse and check the content of a rules file.
 
@@ -27,7 +27,8 @@
     :param now: current time; the deadline of a new move must lie after it
     :param findings: receives the findings, at most ``MAX_FINDINGS`` and one that says so; if there
         are any, the result must not be used
-    :param held: identities of the moves in force, whose deadline may have passed
+    :param existing_move_ids: identities of the moves in the current configuration; their deadlines
+        may have passed
     """
     if len(data) > MAX_VALUE_BYTES:
         message = f"the file has {len(data)} bytes; at most {MAX_VALUE_BYTES} are accepted"
@@ -40,7 +41,7 @@
     collected = FindingList(file=findings.file)
     parsed = parse(data, findings=collected, limit=MAX_FINDINGS)
     if parsed.complete:
-        _check_together(parsed, now, held, collected)
+        _check_together(parsed, now, existing_move_ids, collected)
     if parsed.complete and not collected and not any(parsed.rules):
         message = "the file has no rules; applying it would remove every service"
         collected.add(line=0, column=0, code="no-rules", message=message)
@@ -58,7 +59,7 @@
 
 
 def _check_together(
-    parsed: Parsed, now: datetime, held: Collection[str], findings: FindingList
+    parsed: Parsed, now: datetime, existing_move_ids: Collection[str], findings: FindingList
 ) -> None:
     rules = parsed.rules
     _check_services(parsed, findings)
@@ -67,7 +68,7 @@
     _check_unique(rules.moves, lambda rule: rule.service, "move", findings)
     _check_unique(rules.allows, lambda rule: (rule.service, rule.version), "allow", findings)
     _check_routes(rules.routes, findings)
-    _check_moves(rules, now, held, findings)
+    _check_moves(rules, now, existing_move_ids, findings)
 
 
 def _check_services(parsed: Parsed, findings: FindingList) -> None:
@@ -76,12 +77,12 @@
     for rule in (*rules.routes, *rules.moves, *rules.allows):
         if rule.service not in known:
             message = f"service '{rule.service}' is not defined"
-            _add(findings, rule, rule.place.columns.name, "unknown-service", message)
+            _add(findings, rule, rule.source.columns.name, "unknown-service", message)
     routed = {rule.service for rule in rules.routes} | skipped["route"]
     for rule in rules.services:
         if rule.name not in routed:
             message = f"no route leads to service '{rule.name}'"
-            _add(findings, rule, rule.place.columns.name, "service-without-route", message)
+            _add(findings, rule, rule.source.columns.name, "service-without-route", message)
 
 
 def _check_unique(
@@ -91,8 +92,8 @@
     for rule in rules:
         other = first.setdefault(key(rule), rule)
         if other is not rule:
-            message = f"line {other.place.line} has the same {kind}"
-            _add(findings, rule, rule.place.columns.name, f"duplicate-{kind}", message)
+            message = f"line {other.source.line} has the same {kind}"
+            _add(findings, rule, rule.source.columns.name, f"duplicate-{kind}", message)
 
 
 def _check_routes(routes: Iterable[RouteRule], findings: FindingList) -> None:
@@ -105,25 +106,25 @@
         if other is None:
             continue
         if _effect(other) == _effect(rule):
-            code, message = "duplicate-route", f"line {other.place.line} has the same route"
+            code, message = "duplicate-route", f"line {other.source.line} has the same route"
         else:
             code = "conflicting-route"
-            message = f"line {other.place.line} routes the same path and method to "
+            message = f"line {other.source.line} routes the same path and method to "
             message += f"'{other.service}'" if other.service != rule.service else "it differently"
-        _add(findings, rule, rule.place.columns.path, code, message)
+        _add(findings, rule, rule.source.columns.path, code, message)
 
 
 def _check_moves(
-    rules: RuleSet, now: datetime, held: Collection[str], findings: FindingList
+    rules: RuleSet, now: datetime, existing_move_ids: Collection[str], findings: FindingList
 ) -> None:
     serving = {rule.name: rule.version for rule in rules.services}
     for rule in rules.moves:
         if serving.get(rule.service) == rule.version:
             message = f"version '{rule.version}' already serves '{rule.service}'"
-            _add(findings, rule, rule.place.columns.version, "move-to-serving-version", message)
-        if rule.deadline <= now and move_id(rule) not in held:
+            _add(findings, rule, rule.source.columns.version, "move-to-serving-version", message)
+        if rule.deadline <= now and move_id(rule) not in existing_move_ids:
             message = f"the deadline {_utc(rule)} has passed"
-            _add(findings, rule, rule.place.columns.deadline, "deadline-past", message)
+            _add(findings, rule, rule.source.columns.deadline, "deadline-past", message)
 
 
 def _effect(route: RouteRule) -> tuple:
@@ -146,4 +147,4 @@
 
 
 def _add(findings: FindingList, rule: Rule, column: int, code: str, message: str) -> None:
-    findings.add(line=rule.place.line, column=column, code=code, message=message)
+    findings.add(line=rule.source.line, column=column, code=code, message=message)
--- a/almondshore/rules/diff.py
+++ b/almondshore/rules/diff.py
@@ -46,13 +46,13 @@
         changes += [RuleChange(ChangeKind.CHANGED, *pair) for pair in pairs]
         changes += [RuleChange(ChangeKind.REMOVED, rule, None) for rule in left]
         changes += [RuleChange(ChangeKind.ADDED, None, rule) for rule in right]
-    return sorted(changes, key=lambda change: (change.new or change.old).place.line)
+    return sorted(changes, key=lambda change: (change.new or change.old).source.line)
 
 
 def describe_change(change: RuleChange) -> list[str]:
     """Return a change as lines that start with ``-`` for the old and ``+`` for the new rule."""
     sides = (("-", change.old), ("+", change.new))
-    return [f"{sign} line {rule.place.line}: {format_rule(rule)}" for sign, rule in sides if rule]
+    return [f"{sign} line {rule.source.line}: {format_rule(rule)}" for sign, rule in sides if rule]
 
 
 def _pair(
@@ -73,7 +73,7 @@
 
 
 def _content(rule: Rule) -> Rule:
-    return rule._replace(place=rule.place._replace(line=0, columns=Columns()))
+    return rule._replace(source=rule.source._replace(line=0, columns=Columns()))
 
 
 def _identity(rule: Rule) -> Hashable:
--- a/almondshore/rules/format.py
+++ b/almondshore/rules/format.py
@@ -15,7 +15,7 @@
 
 def in_file_order(rules: RuleSet) -> list[Rule]:
     """Return the rules of all kinds in the order of their lines."""
-    return sorted((rule for kind in rules for rule in kind), key=lambda rule: rule.place.line)
+    return sorted((rule for kind in rules for rule in kind), key=lambda rule: rule.source.line)
 
 
 def format_rules(rules: RuleSet) -> str:
@@ -25,7 +25,7 @@
 
 def format_rule(rule: Rule) -> str:
     """Return a rule as one line with its requester and reason."""
-    return f"{format_body(rule)}  # {rule.place.requester}: {rule.place.reason}"
+    return f"{format_body(rule)}  # {rule.source.requester}: {rule.source.reason}"
 
 
 def format_body(rule: Rule) -> str:
--- a/almondshore/rules/grammar.py
+++ b/almondshore/rules/grammar.py
@@ -11,12 +11,12 @@
     AllowRule,
     Columns,
     MoveRule,
-    Place,
     Preference,
     RequestClass,
     RouteRule,
     Rule,
     RuleSet,
+    RuleSource,
     ServiceRule,
     TenantRule,
 )
@@ -47,7 +47,7 @@
     complete: bool
 
 
-def _service(words: Words, place: Place) -> ServiceRule:
+def _service(words: Words, source: RuleSource) -> ServiceRule:
     name = words.name("service name")
     if not words.more() or words.next_is("version") and words.index + 1 == len(words.items):
         raise LineError(
@@ -56,10 +56,10 @@
     words.expect("version")
     version = words.name("version name")
     columns = Columns(name=name.column, version=version.column)
-    return ServiceRule(name.text, version.text, place._replace(columns=columns))
+    return ServiceRule(name.text, version.text, source._replace(columns=columns))
 
 
-def _route(words: Words, place: Place) -> RouteRule:
+def _route(words: Words, source: RuleSource) -> RouteRule:
     methods, path = take_methods(words), take_path(words)
     if not words.next_is("to") or words.index + 1 == len(words.items):
         raise LineError(
@@ -78,7 +78,7 @@
             words.report(option, "duplicate-option", f"'{option.text}' is given twice")
         seen.add(option.text)
         options[option.text] = _OPTIONS[option.text](words)
-    place = place._replace(columns=Columns(name=service.column, path=path.column))
+    source = source._replace(columns=Columns(name=service.column, path=path.column))
     return RouteRule(
         methods,
         path.text,
@@ -86,7 +86,7 @@
         options["class"],
         options["once"],
         options["timeout"],
-        place,
+        source,
     )
 
 
@@ -97,16 +97,16 @@
 }
 
 
-def _tenant(words: Words, place: Place) -> TenantRule:
+def _tenant(words: Words, source: RuleSource) -> TenantRule:
     name = words.name("tenant name")
     words.expect("limit")
     rate = take_rate(words)
     words.expect("burst")
     burst = take_burst(words)
-    return TenantRule(name.text, rate, burst, place._replace(columns=Columns(name=name.column)))
+    return TenantRule(name.text, rate, burst, source._replace(columns=Columns(name=name.column)))
 
 
-def _move(words: Words, place: Place) -> MoveRule:
+def _move(words: Words, source: RuleSource) -> MoveRule:
     service = words.name("service name")
     words.expect("to")
     version = words.name("version name")
@@ -117,16 +117,16 @@
         words.expect("prefer")
         prefer = take_choice(words, "a preference", Preference)
     columns = Columns(name=service.column, version=version.column, deadline=column)
-    return MoveRule(service.text, version.text, deadline, prefer, place._replace(columns=columns))
+    return MoveRule(service.text, version.text, deadline, prefer, source._replace(columns=columns))
 
 
-def _allow(words: Words, place: Place) -> AllowRule:
+def _allow(words: Words, source: RuleSource) -> AllowRule:
     service, version = words.name("service name"), words.name("version name")
     columns = Columns(name=service.column, version=version.column)
-    return AllowRule(service.text, version.text, place._replace(columns=columns))
+    return AllowRule(service.text, version.text, source._replace(columns=columns))
 
 
-PARSERS: dict[str, Callable[[Words, Place], Rule]] = {
+PARSERS: dict[str, Callable[[Words, RuleSource], Rule]] = {
     "service": _service,
     "route": _route,
     "tenant": _tenant,
@@ -154,8 +154,8 @@
         words = Words(body)
         if not words.items:
             continue
-        place, faults = _place(line.number, words.end_column, comment if mark else "")
-        keyword, rule, rule_faults = _rule(words, place)
+        source, faults = _place(line.number, words.end_column, comment if mark else "")
+        keyword, rule, rule_faults = _rule(words, source)
         if line.valid:
             for fault in (*rule_faults, *faults):
                 findings.add(line=line.number, **fault._asdict())
@@ -170,17 +170,17 @@
     )
 
 
-def _place(number: int, column: int, comment: str) -> tuple[Place, list[Fault]]:
+def _place(number: int, column: int, comment: str) -> tuple[RuleSource, list[Fault]]:
     requester, colon, reason = (item.strip() for item in comment.partition(":"))
     faults = []
     if not requester or not colon:
         faults.append(Fault(column, "missing-requester", "expected '# requester: reason'"))
     elif not reason:
         faults.append(Fault(column, "missing-reason", f"expected a reason after '{requester}:'"))
-    return Place(number, requester, reason), faults
+    return RuleSource(number, requester, reason), faults
 
 
-def _rule(words: Words, place: Place) -> tuple[str, Rule | None, list[Fault]]:
+def _rule(words: Words, source: RuleSource) -> tuple[str, Rule | None, list[Fault]]:
     """Parse a rule; return its keyword, or the one most likely meant, the rule and the faults."""
     word = words.take("a rule")
     if word.text not in PARSERS:
@@ -189,7 +189,7 @@
         message = f"{quoted(word.text)} is not one of {', '.join(PARSERS)}{hint}"
         return (meant or [""])[0], None, [Fault(word.column, "unknown-rule", message)]
     try:
-        rule = PARSERS[word.text](words, place)
+        rule = PARSERS[word.text](words, source)
         words.finish()
     except LineError as error:
         return word.text, None, [*words.faults, error.fault]
--- a/almondshore/rules/model.py
+++ b/almondshore/rules/model.py
@@ -37,7 +37,7 @@
     deadline: int = 0
 
 
-class Place(NamedTuple):
+class RuleSource(NamedTuple):
     """Where a rule stands and who asked for it."""
 
     line: int
@@ -51,7 +51,7 @@
 
     name: str
     version: str
-    place: Place
+    source: RuleSource
 
 
 class RouteRule(NamedTuple):
@@ -67,7 +67,7 @@
     request_class: RequestClass
     once: bool
     timeout: timedelta
-    place: Place
+    source: RuleSource
 
 
 class TenantRule(NamedTuple):
@@ -80,7 +80,7 @@
     name: str
     rate: float
     burst: int
-    place: Place
+    source: RuleSource
 
 
 class MoveRule(NamedTuple):
@@ -93,7 +93,7 @@
     version: str
     deadline: datetime
     prefer: Preference
-    place: Place
+    source: RuleSource
 
 
 class AllowRule(NamedTuple):
@@ -101,7 +101,7 @@
 
     service: str
     version: str
-    place: Place
+    source: RuleSource
 
 
 Rule = ServiceRule | RouteRule | TenantRule | MoveRule | AllowRule
--- a/almondshore/rules/transition.py
+++ b/almondshore/rules/transition.py
@@ -8,7 +8,7 @@
 from almondshore.rules.model import MoveRule, MoveState, RuleSet, ServicePart
 
 
-def moves_in_force(previous: Mapping[str, ServicePart]) -> frozenset[str]:
+def existing_move_ids(previous: Mapping[str, ServicePart]) -> frozenset[str]:
     """Return the identities of the moves that a configuration holds."""
     return frozenset(part["move"]["move_id"] for part in previous.values() if part["move"])
 
@@ -31,8 +31,8 @@
             continue
         if rule.version == move["from_version"]:
             findings.add(
-                line=rule.place.line,
-                column=rule.place.columns.version,
+                line=rule.source.line,
+                column=rule.source.columns.version,
                 code="serving-version",
                 message=f"version '{move['to_version']}' serves '{rule.name}' since its move; "
                 f"write 'service {rule.name} version {move['to_version']}'",
@@ -41,7 +41,7 @@
 
 def new_moves(rules: RuleSet, *, previous: Mapping[str, ServicePart]) -> list[MoveRule]:
     """Return the moves that the configuration in force does not hold."""
-    held = moves_in_force(previous)
+    held = existing_move_ids(previous)
     return [rule for rule in rules.moves if move_id(rule) not in held]
 
 
@@ -73,8 +73,8 @@
         if key in allows:
             hint = "the allow rule is older; remove it in one version and add it in the next"
         findings.add(
-            line=rule.place.line,
-            column=rule.place.columns.version,
+            line=rule.source.line,
+            column=rule.source.columns.version,
             code="vetoed-version",
             message=f"version '{rule.version}' was vetoed ({veto.reason}); {hint}",
         )
--- a/almondshore/ui/applying.py
+++ b/almondshore/ui/applying.py
@@ -20,7 +20,7 @@
 from almondshore.rules.transition import (
     check_transition,
     check_vetoes,
-    moves_in_force,
+    existing_move_ids,
     new_moves,
 )
 from almondshore.storage.port import Conflict, NotFound, Platform, Unavailable
@@ -156,8 +156,8 @@
         :raises InvalidInputError: if there are findings
         """
         findings = FindingList(file=change.file)
-        held = moves_in_force(previous)
-        rules = check_rules(change.data, now=now, findings=findings, held=held)
+        move_ids = existing_move_ids(previous)
+        rules = check_rules(change.data, now=now, findings=findings, existing_move_ids=move_ids)
         if not findings:
             check_transition(rules, previous=previous, findings=findings)
             vetoes = self._vetoes(new_moves(rules, previous=previous))
--- a/almondshore/ui/commands/diff.py
+++ b/almondshore/ui/commands/diff.py
@@ -56,10 +56,10 @@
 def _side(rule: Rule | None) -> dict[str, Any] | None:
     if rule is None:
         return None
-    place = rule.place
+    source = rule.source
     return {
-        "line": place.line,
+        "line": source.line,
         "rule": format_body(rule),
-        "requester": place.requester,
-        "reason": place.reason,
+        "requester": source.requester,
+        "reason": source.reason,
     }
--- a/bench/move_policies.py
+++ b/bench/move_policies.py
@@ -6,10 +6,10 @@
 
 from almondshore.core.codec import encode
 from almondshore.core.messages import Envelope, Evidence, MovesSnapshot, MoveStep, Veto
-from almondshore.moves.coordinator import Fleet, MoveCoordinator
+from almondshore.moves.coordinator import MoveCoordinator, TargetCounts
 from almondshore.moves.evidence import EvidenceAggregator, EvidenceRecorder, split_by_service
 from almondshore.moves.outcome import OutcomePublisher, with_outcome
-from almondshore.moves.plan import FINAL_STEP, SHARES
+from almondshore.moves.plan import FINAL_STEP, STEP_SHARES
 from almondshore.moves.state import MoveTable
 from almondshore.moves.veto import LocalDetector
 from almondshore.rules.model import MoveState
@@ -91,7 +91,7 @@
     def share(self, node: int) -> float:
         """Return the share of the step that is due."""
         step = min(1 + int(self.world.now / (0.18 * self.world.duration)), FINAL_STEP)
-        return SHARES[step]
+        return STEP_SHARES[step]
 
 
 class Threshold(Timed):
@@ -301,7 +301,7 @@
                 config_version=self.version,
             )
         new, old = len(self.world.live("v2")), len(self.world.live("v1"))
-        fleet = Fleet(SLOTS * new, SLOTS * old, new, old)
+        fleet = TargetCounts(SLOTS * new, SLOTS * old, new, old)
         for message in self.coordinator.tick(fleet):
             self._broadcast(message, self.relay_tables[self.seat])
 
--- a/bench/move_verdicts.py
+++ b/bench/move_verdicts.py
@@ -6,7 +6,7 @@
 from almondshore.core.messages import EvidenceRow
 from almondshore.moves.controls import SlotsInUse
 from almondshore.moves.evidence import BUCKETS
-from almondshore.moves.verdict import COORDINATOR_SHARE, FALSE_POSITIVE_RATE, MoveVerdict
+from almondshore.moves.verdict import COORDINATOR_ALPHA_SHARE, FALSE_POSITIVE_RATE, MoveVerdict
 from bench.move_kinds import ROUTE_WEIGHTS, ROUTES
 from bench.rows import BenchRow
 
@@ -35,7 +35,7 @@
         old="v1",
         new="v2",
         routes=len(ROUTES),
-        alpha=FALSE_POSITIVE_RATE * COORDINATOR_SHARE,
+        alpha=FALSE_POSITIVE_RATE * COORDINATOR_ALPHA_SHARE,
     )
     base = ERROR_RATES[seed % len(ERROR_RATES)]
     for window in range(WINDOWS_PER_STEP * len(SHARES)):
@@ -50,7 +50,7 @@
             rows.append(make_row(rng, "v1", route, total - new, rate))
         new_slots = max(1, round(40 * share))
         verdict.observe(window, rows, slots=SlotsInUse(new_slots, 40))
-        if verdict.condemned is not None:
+        if verdict.regression is not None:
             return True
     return False
 
--- a/test/moves/helpers.py
+++ b/test/moves/helpers.py
@@ -7,7 +7,7 @@
 
 from almondshore.core.clock import ManualClock
 from almondshore.core.messages import Evidence, EvidenceRow, TargetRecord, TargetState
-from almondshore.moves.coordinator import Fleet, MoveCoordinator
+from almondshore.moves.coordinator import MoveCoordinator, TargetCounts
 from almondshore.moves.evidence import BUCKETS, window_of
 from almondshore.moves.outcome import OutcomePublisher
 from almondshore.moves.state import MoveTable
@@ -19,7 +19,7 @@
 START = datetime(2026, 1, 1, tzinfo=UTC)
 SERVICE = "counter-app"
 ROUTES = ("GET /schedule/*", "POST /push/*")
-FLEET = Fleet(new_targets=4, new_slots=40, old_targets=4, old_slots=40)
+FLEET = TargetCounts(new_targets=4, new_slots=40, old_targets=4, old_slots=40)
 
 
 def make_part(*, seconds=300, prefer="deadline", state="active", allowed=None, move_id="m1"):
--- a/test/moves/test_coordinator.py
+++ b/test/moves/test_coordinator.py
@@ -6,7 +6,7 @@
 from testtools import TestCase
 
 from almondshore.core.messages import MoveStep, Veto
-from almondshore.moves.coordinator import Fleet, Status
+from almondshore.moves.coordinator import Status, TargetCounts
 from almondshore.moves.record import MoveRecord
 from almondshore.moves.state import MoveTable
 from almondshore.rules.model import MoveState
@@ -212,7 +212,7 @@
     def test_missing_capacity_is_reported_at_risk(self):
         """Guards against a deadline that passes without a word to the operator."""
         world = World(seconds=300)
-        world.fleet = Fleet(new_targets=1, new_slots=2, old_targets=4, old_slots=40)
+        world.fleet = TargetCounts(new_targets=1, new_slots=2, old_targets=4, old_slots=40)
         coordinator = world.coordinator(1)
         world.run(coordinator, 290)
         report = coordinator.report()
@@ -237,7 +237,7 @@
         world.rates["v2"] = 0.5
         coordinator = world.coordinator(1)
         world.run(coordinator, 20)
-        self.assertIsNotNone(coordinator.verdict.condemned)
+        self.assertIsNotNone(coordinator.verdict.regression)
         coordinator.set_configuration(make_part(allowed={"v2": 9}), 9)
         self.assertIsNone(coordinator.verdict)
         self.assertEqual(timedelta(seconds=20), world.clock.elapsed)
--- a/test/moves/test_verdict.py
+++ b/test/moves/test_verdict.py
@@ -21,8 +21,8 @@
         rows = [row("v1", *old) if isinstance(old, tuple) and len(old) == 2 else old]
         rows += [row("v2", *new) if isinstance(new, tuple) and len(new) == 2 else new]
         verdict.observe(window, [*rows, *extra], slots=slots)
-        if verdict.condemned is not None:
-            return verdict.condemned.window
+        if verdict.regression is not None:
+            return verdict.regression.window
     return None
 
 
@@ -45,7 +45,7 @@
                 rows = [row("v2", share, draw(rng, share, 0.143))]
                 rows.append(row("v1", 100 - share, draw(rng, 100 - share, 0.1)))
                 verdict.observe(window, rows)
-            condemned += verdict.condemned is not None
+            condemned += verdict.regression is not None
         self.assertLessEqual(condemned, 0.2 * 300)
 
     def test_bad_version_is_found_within_few_errors(self):
@@ -64,7 +64,7 @@
         verdict = make_verdict()
         good = [row("v1", 900, 9, route=ROUTES[1]), row("v2", 100, 1, route=ROUTES[1])]
         self.assertIsNotNone(observe(verdict, 60, new=(5, 3), old=(45, 0), extra=good))
-        self.assertEqual(ROUTES[0], verdict.condemned.route)
+        self.assertEqual(ROUTES[0], verdict.regression.route)
 
     def test_version_that_turns_bad_late_is_found(self):
         """Guards against good evidence of the past that outweighs a fault of the present."""
@@ -105,7 +105,7 @@
         verdict = make_verdict()
         window = observe(verdict, 60, new=row("v2", 50, 0, broken=25), old=(150, 0))
         self.assertLess(window, 8)
-        self.assertEqual(Kind.BROKEN, verdict.condemned.kind)
+        self.assertEqual(Kind.BROKEN, verdict.regression.kind)
 
     def test_slow_version_is_found(self):
         """Guards against a version that answers correctly but late."""
@@ -115,7 +115,7 @@
         slow = row("v2", 10, 0, bucket=SLOW_BUCKET)
         window = observe(verdict, 60, new=slow, old=(190, 0), slots=slots, start=20)
         self.assertLess(window, 25)
-        self.assertEqual(Kind.SLOW, verdict.condemned.kind)
+        self.assertEqual(Kind.SLOW, verdict.regression.kind)
 
     def test_overload_does_not_become_the_old_latency(self):
         """Guards against a slow version that stays because the old one was overloaded once."""
--- a/test/rules/test_check.py
+++ b/test/rules/test_check.py
@@ -14,10 +14,10 @@
 WHO = " # A: b"
 
 
-def check(data, held=()):
+def check(data, existing_move_ids=()):
     findings = FindingList(file="f")
     data = data if isinstance(data, bytes) else data.encode()
-    rules = check_rules(data, now=NOW, findings=findings, held=held)
+    rules = check_rules(data, now=NOW, findings=findings, existing_move_ids=existing_move_ids)
     return rules, [(item.line, item.column, item.code) for item in findings.items]
 
 
@@ -130,7 +130,7 @@
         data = BASE + "move desk to v2 by 2026-12-03 06:00 UTC # A: b"
         rules, found = check(data)
         self.assertEqual([(3, 20, "deadline-past")], found)
-        self.assertEqual([], check(data, held={move_id(rules.moves[0])})[1])
+        self.assertEqual([], check(data, existing_move_ids={move_id(rules.moves[0])})[1])
 
     def test_six_mistakes_give_six_findings(self):
         """Guards against mistakes reported one by one, and against consequences of them."""
--- a/test/rules/test_diff.py
+++ b/test/rules/test_diff.py
@@ -8,7 +8,7 @@
 from almondshore.rules.compile import compile_rules, decode_service, encode_part
 from almondshore.rules.diff import describe_change, diff_rules
 from almondshore.rules.grammar import parse
-from almondshore.rules.transition import check_transition, moves_in_force
+from almondshore.rules.transition import check_transition, existing_move_ids
 
 NOW = datetime(2026, 12, 4, tzinfo=UTC)
 RULES = """\
@@ -30,7 +30,7 @@
 
 def changes(old, new):
     return [
-        (change.kind.value, *(rule and rule.place.line for rule in change[1:]))
+        (change.kind.value, *(rule and rule.source.line for rule in change[1:]))
         for change in diff_rules(rules(old), rules(new))
     ]
 
@@ -97,5 +97,5 @@
         part = decode_service(parts["service/desk"])
         self.assertEqual((previous["desk"]["move"], "v2"), (part["move"], part["version"]))
         self.assertEqual({"v0": 3}, part["allowed"])
-        self.assertEqual({part["move"]["move_id"]}, moves_in_force(previous))
+        self.assertEqual({part["move"]["move_id"]}, existing_move_ids(previous))
         self.assertEqual(encode_part(part), parts["service/desk"])
--- a/test/rules/test_format.py
+++ b/test/rules/test_format.py
@@ -16,11 +16,11 @@
     AllowRule,
     Columns,
     MoveRule,
-    Place,
     Preference,
     RequestClass,
     RouteRule,
     RuleSet,
+    RuleSource,
     ServiceRule,
     TenantRule,
 )
@@ -54,7 +54,7 @@
     and not any(unicodedata.category(char) in HIDDEN_CATEGORIES for char in text)
 )
 places = st.builds(
-    lambda who, why: Place(0, who.strip(), why.strip()),
+    lambda who, why: RuleSource(0, who.strip(), why.strip()),
     comments.filter(lambda text: ":" not in text),
     comments,
 )
@@ -88,7 +88,7 @@
 def rule_set(items):
     kinds = (ServiceRule, RouteRule, TenantRule, MoveRule, AllowRule)
     placed = [
-        rule._replace(place=rule.place._replace(line=number))
+        rule._replace(source=rule.source._replace(line=number))
         for number, rule in enumerate(items, 1)
     ]
     return RuleSet(*(tuple(rule for rule in placed if type(rule) is kind) for kind in kinds))
@@ -97,7 +97,7 @@
 def without_columns(rules):
     return RuleSet(
         *(
-            tuple(rule._replace(place=rule.place._replace(columns=Columns())) for rule in kind)
+            tuple(rule._replace(source=rule.source._replace(columns=Columns())) for rule in kind)
             for kind in rules
         )
     )
