Name the request path's public interfaces in usual terms

"Verdict" stood for what a response says, while almondshore.moves has another Verdict for versions; it is ResponseClass now, read by classify_response. belongs -> matches_request, refusal -> error_response (it builds responses with any error status), record_given_up -> record_abandoned with expected for usual, on_departure -> on_deregistration as the platform's call is named, RETRY_SHARE -> RETRY_BUDGET_SHARE, MAX_SAVED_SHARE -> MAX_SAVED_RETRY_SHARE, ask_changes -> fetch_changes, take_changes -> apply_changes, PathBed -> RequestPathHarness. Only identifiers change.

Checks: make lint passes; type check shows nothing new in these files; tests of test/mesh, test/platform and test/load pass.

--- a/almondshore/mesh/dialect.py
+++ b/almondshore/mesh/dialect.py
@@ -7,7 +7,7 @@
 from almondshore.http.messages import Headers, Request, Response
 
 
-class Verdict(Enum):
+class ResponseClass(Enum):
     """What a response of a target says about the request."""
 
     SUCCEEDED = "succeeded"
@@ -37,11 +37,11 @@
         """
 
     @abstractmethod
-    def belongs(self, response: Response, request_id: bytes) -> bool:
+    def matches_request(self, response: Response, request_id: bytes) -> bool:
         """Tell whether a target's response answers the request with this id."""
 
     @abstractmethod
-    def verdict(self, response: Response) -> Verdict:
+    def classify_response(self, response: Response) -> ResponseClass:
         """Return what a target's response says about the request."""
 
     @abstractmethod
@@ -53,5 +53,5 @@
         """
 
     @abstractmethod
-    def refusal(self, status: int, *, retry_after: timedelta | None = None) -> Response:
+    def error_response(self, status: int, *, retry_after: timedelta | None = None) -> Response:
         """Return a response of the system's own."""
--- a/almondshore/mesh/evidence.py
+++ b/almondshore/mesh/evidence.py
@@ -54,15 +54,15 @@
         )
         self._rate(ok)
 
-    def record_given_up(self, *, took: timedelta, usual: timedelta | None) -> None:
+    def record_abandoned(self, *, took: timedelta, expected: timedelta | None) -> None:
         """Count a request that was given up if the target had ample time to answer it.
 
         It counts for the choice of a target only. The verdict on a version needs answers: a
         request that is given up says little about a target that is slow for another reason.
 
-        :param usual: service time of its route, None before the first observation
+        :param expected: service time of its route, None before the first observation
         """
-        if usual is not None and took >= usual * UNANSWERED_FACTOR:
+        if expected is not None and took >= expected * UNANSWERED_FACTOR:
             self._rate(False)
 
     def failure_rate(self) -> float:
--- a/almondshore/mesh/forwarding.py
+++ b/almondshore/mesh/forwarding.py
@@ -10,7 +10,7 @@
 from almondshore.http.client import Call
 from almondshore.http.messages import Response, end_to_end
 from almondshore.http.server import Exchange
-from almondshore.mesh.dialect import Verdict
+from almondshore.mesh.dialect import ResponseClass
 from almondshore.mesh.hop import HOP_HEADERS, MILLISECOND, HopResult, Obstacle, Outcome
 from almondshore.mesh.inbound import Submission
 from almondshore.mesh.model import Address, Route, Target
@@ -163,7 +163,7 @@
 
     def _on_answer(self, response: Response, reason: str) -> None:
         self.runs += 1
-        if self.outbound.dialect.verdict(response) is Verdict.FAILED:
+        if self.outbound.dialect.classify_response(response) is ResponseClass.FAILED:
             self.failed = response
             self._retry_after_failure(reason)
             return
@@ -224,10 +224,10 @@
         if self.failed is not None:
             self._answer(self.failed, reason)
         elif self.runs:
-            self._respond(self.outbound.dialect.refusal(502), reason)
+            self._respond(self.outbound.dialect.error_response(502), reason)
         else:
             self._respond(
-                self.outbound.dialect.refusal(503, retry_after=self._return_after()), reason
+                self.outbound.dialect.error_response(503, retry_after=self._return_after()), reason
             )
 
     def _return_after(self) -> timedelta:
@@ -247,7 +247,7 @@
     def _on_deadline(self) -> None:
         if self.done:
             return
-        response = self.failed or self.outbound.dialect.refusal(504)
+        response = self.failed or self.outbound.dialect.error_response(504)
         self._respond(response, "deadline")
 
     def _respond(self, response: Response, reason: str) -> None:
--- a/almondshore/mesh/inbound.py
+++ b/almondshore/mesh/inbound.py
@@ -11,7 +11,7 @@
 from almondshore.http.server import Exchange, ExchangeHandler
 from almondshore.limits.objective import Job, ObjectiveQueue, Refusal, Terms
 from almondshore.mesh.crashes import DeathWatch, request_fingerprint
-from almondshore.mesh.dialect import Dialect, Verdict
+from almondshore.mesh.dialect import Dialect, ResponseClass
 from almondshore.mesh.evidence import ResultRecorder
 from almondshore.mesh.hop import (
     HOP_HEADERS,
@@ -168,7 +168,7 @@
             encode_request(request.method, request.target, headers, request.body),
             timeout=left + DEADLINE_SLACK,
             on_done=lambda result: self._on_done(submission, result),
-            accept=lambda response: self.dialect.belongs(response, request_id),
+            accept=lambda response: self.dialect.matches_request(response, request_id),
             max_idle=(timedelta() if submission.resent else FRESH_IDLE) if fresh else None,
             head=request.method == b"HEAD",
         )
@@ -279,18 +279,18 @@
             if not result.sent:
                 return Outcome.REFUSED, Obstacle.TARGET_DOWN, False
             return Outcome.BROKEN, str(result.failure.value), False
-        verdict = self.dialect.verdict(result.response)
-        if verdict in (Verdict.NOT_RUN, Verdict.WRONG_TARGET):
-            return Outcome.REJECTED, verdict.value, False
-        return Outcome.ANSWERED, verdict.value, verdict is Verdict.SUCCEEDED
+        response_class = self.dialect.classify_response(result.response)
+        if response_class in (ResponseClass.NOT_RUN, ResponseClass.WRONG_TARGET):
+            return Outcome.REJECTED, response_class.value, False
+        return Outcome.ANSWERED, response_class.value, response_class is ResponseClass.SUCCEEDED
 
     def _record(self, submission: Submission, ok: bool, took: timedelta) -> None:
         self.recorder.record(submission.hop.route, ok=ok, took=took, warm=self.local.is_warm())
 
     def _note_unanswered(self, submission: Submission) -> None:
-        self.recorder.record_given_up(
+        self.recorder.record_abandoned(
             took=self.clock.monotonic() - submission.started_at,
-            usual=submission.queue.times.observed(submission.hop.route),
+            expected=submission.queue.times.observed(submission.hop.route),
         )
 
     def _report(
--- a/almondshore/mesh/node.py
+++ b/almondshore/mesh/node.py
@@ -55,8 +55,8 @@
 # Part of the shared retry budget that nodes spend; the rest covers uneven load between them and
 # the calls that a repeated request makes again, which count at the service that is called. At 0.75
 # a service whose targets rejected half of what arrived got 1,693 retries, 1,589 were allowed.
-RETRY_SHARE = 0.6
-MAX_SAVED_SHARE = 0.4
+RETRY_BUDGET_SHARE = 0.6
+MAX_SAVED_RETRY_SHARE = 0.4
 
 
 class ReadinessHandler(ExchangeHandler):
@@ -259,7 +259,7 @@
         )
         self._publish()
 
-    def on_departure(self, target: str, born_ms: int | None) -> None:
+    def on_deregistration(self, target: str, born_ms: int | None) -> None:
         """Take note that the target on this host leaves for good.
 
         :param born_ms: start of the target; without it the present incarnation is meant
@@ -365,10 +365,10 @@
     def _set_retry_budget(self) -> None:
         bounds = self.settings.bounds
         nodes = max(1, len({target.node for target in self.directory.targets.values()}))
-        floor = bounds.retry_floor * RETRY_SHARE / nodes
-        self.budget.ratio = bounds.retry_ratio * RETRY_SHARE
+        floor = bounds.retry_floor * RETRY_BUDGET_SHARE / nodes
+        self.budget.ratio = bounds.retry_ratio * RETRY_BUDGET_SHARE
         self.budget.min_per_second = floor / bounds.retry_window.total_seconds()
-        self.budget.max_saved = max(1.0, floor * MAX_SAVED_SHARE)
+        self.budget.max_saved = max(1.0, floor * MAX_SAVED_RETRY_SHARE)
 
     def _is_retired(self, service: str, version: str) -> bool:
         return self.shares.is_retired(service, version) or self.driver.is_condemned(
--- a/almondshore/mesh/outbound.py
+++ b/almondshore/mesh/outbound.py
@@ -234,7 +234,7 @@
 
     def _reject(self, exchange: Exchange, status: int, reason: str) -> None:
         retry_after = NO_TARGET_RETRY_AFTER if status == 503 else None
-        exchange.respond(self.dialect.refusal(status, retry_after=retry_after))
+        exchange.respond(self.dialect.error_response(status, retry_after=retry_after))
         log_event(
             "caller_request_rejected",
             request=self.dialect.request_id(exchange.request.headers).decode("latin-1"),
--- a/almondshore/mesh/peers.py
+++ b/almondshore/mesh/peers.py
@@ -184,13 +184,13 @@
         :returns: whether the peer answered
         """
         query = b"config=%d" % self.sink.config_version()
-        answer = ask_changes(self.client, self.directory, node, query, reason="no-state")
+        answer = fetch_changes(self.client, self.directory, node, query, reason="no-state")
         if answer is None:
             return False
         if not self._is_away(self.clock.monotonic()):
             # Only the configuration is behind; other entries of the peer may be outdated.
             answer = answer._replace(targets=[], rollouts=[])
-        return take_changes(self.sink, node, answer, remove=False)
+        return apply_changes(self.sink, node, answer, remove=False)
 
     def _fetch_once(self, node: Address) -> None:
         try:
@@ -199,7 +199,7 @@
             self.fetching = False
 
 
-def ask_changes(
+def fetch_changes(
     client: PeerClient,
     directory: Directory,
     node: Address,
@@ -226,7 +226,7 @@
     return answer
 
 
-def take_changes(sink: PeerSink, node: Address, answer: ChangeAnswer, *, remove: bool) -> bool:
+def apply_changes(sink: PeerSink, node: Address, answer: ChangeAnswer, *, remove: bool) -> bool:
     """Take over a node's state; returns whether it was well-formed."""
     try:
         sink.take(answer, source=f"{node[0]}:{node[1]}", remove=remove)
--- a/almondshore/mesh/watching.py
+++ b/almondshore/mesh/watching.py
@@ -12,7 +12,7 @@
 from almondshore.mesh.change_server import MAX_AGE, MAX_HOLD
 from almondshore.mesh.hop import MILLISECOND
 from almondshore.mesh.model import Address, TargetState
-from almondshore.mesh.peers import PeerClient, ask_changes, take_changes
+from almondshore.mesh.peers import PeerClient, apply_changes, fetch_changes
 from almondshore.mesh.replication import Replica
 from almondshore.mesh.state import PeerSink
 
@@ -157,7 +157,7 @@
             self.sink.config_version(),
             int(hold / MILLISECOND),
         )
-        answer = ask_changes(
+        answer = fetch_changes(
             self.client,
             self.directory,
             watcher,
@@ -168,7 +168,7 @@
         if answer is None:
             return False
         age = answer.age_ms * MILLISECOND
-        if age > MAX_AGE or not take_changes(self.sink, watcher, answer, remove=True):
+        if age > MAX_AGE or not apply_changes(self.sink, watcher, answer, remove=True):
             return False
         self.confirmed_at = self.clock.monotonic() - age
         self.epoch, self.number = answer.epoch, answer.number
--- a/almondshore/platform/announcements.py
+++ b/almondshore/platform/announcements.py
@@ -56,10 +56,10 @@
         self,
         *,
         on_announcement: Callable[[Announcement], None],
-        on_departure: Callable[[str, int | None], None],
+        on_deregistration: Callable[[str, int | None], None],
     ):
         self.on_announcement = on_announcement
-        self.on_departure = on_departure
+        self.on_deregistration = on_deregistration
 
     def handle(self, exchange: Exchange) -> None:
         """Take in an announcement; the response acknowledges it."""
@@ -69,7 +69,7 @@
             exchange.respond(Response(405))
         elif path.startswith(names.DEREGISTER_PATH):
             name = path.removeprefix(names.DEREGISTER_PATH)
-            self.on_departure(name, _decode_start(name, request.body))
+            self.on_deregistration(name, _decode_start(name, request.body))
             exchange.respond(_acknowledgement())
         elif path.startswith(names.HEARTBEAT_PATH):
             name = path.removeprefix(names.HEARTBEAT_PATH)
--- a/almondshore/platform/dialect.py
+++ b/almondshore/platform/dialect.py
@@ -3,7 +3,7 @@
 from datetime import timedelta
 
 from almondshore.http.messages import Headers, Request, Response, find_header
-from almondshore.mesh.dialect import Dialect, Verdict
+from almondshore.mesh.dialect import Dialect, ResponseClass
 from almondshore.platform import names
 
 _SET_BY_US = frozenset(
@@ -49,7 +49,7 @@
             (names.CALLER, caller.encode()),
         )
 
-    def belongs(self, response: Response, request_id: bytes) -> bool:
+    def matches_request(self, response: Response, request_id: bytes) -> bool:
         """Tell whether a target's response answers the request with this id."""
         found = response.header(_REQUEST_ID)
         if found is None:
@@ -57,24 +57,24 @@
             return response.header(_SIGNATURE) is None
         return found == request_id
 
-    def verdict(self, response: Response) -> Verdict:
+    def classify_response(self, response: Response) -> ResponseClass:
         """Return what a target's response says about the request."""
         if response.status == MISDIRECTED:
-            return Verdict.WRONG_TARGET
+            return ResponseClass.WRONG_TARGET
         if response.header(_NOT_RUN) is not None:
-            return Verdict.NOT_RUN
+            return ResponseClass.NOT_RUN
         if 200 <= response.status < 300 and response.header(_SIGNATURE) is None:
-            return Verdict.FAILED
-        return Verdict.FAILED if response.status >= 500 else Verdict.SUCCEEDED
+            return ResponseClass.FAILED
+        return ResponseClass.FAILED if response.status >= 500 else ResponseClass.SUCCEEDED
 
     def to_caller(self, response: Response, *, idempotent: bool) -> Response:
         """Return a target's final response as the caller may see it."""
         unsigned = 200 <= response.status < 300 and response.header(_SIGNATURE) is None
         if unsigned or response.status in PROMISES_NOT_RUN:
-            return self.refusal(502)
+            return self.error_response(502)
         return response
 
-    def refusal(self, status: int, *, retry_after: timedelta | None = None) -> Response:
+    def error_response(self, status: int, *, retry_after: timedelta | None = None) -> Response:
         """Return a response of the system's own."""
         if retry_after is None:
             return Response(status)
--- a/almondshore/platform/main.py
+++ b/almondshore/platform/main.py
@@ -53,7 +53,7 @@
     setup_logs(stream=stream)
     node = build_node(settings, stream)
     handler = AnnouncementHandler(
-        on_announcement=node.on_announcement, on_departure=node.on_departure
+        on_announcement=node.on_announcement, on_deregistration=node.on_deregistration
     )
     try:
         node.start(handler)
--- a/bench/load_model.py
+++ b/bench/load_model.py
@@ -119,7 +119,7 @@
 
     def note_unanswered(self, took: timedelta) -> None:
         """Count a request that was given up, as the node beside the target does."""
-        self.recorder.record_given_up(took=took, usual=self.queue.times.observed(ROUTE))
+        self.recorder.record_abandoned(took=took, expected=self.queue.times.observed(ROUTE))
 
 
 class Call(Job):
--- a/standins/mesh_deployment.py
+++ b/standins/mesh_deployment.py
@@ -114,7 +114,7 @@
             log_stream=self.log_stream,
         )
         handler = AnnouncementHandler(
-            on_announcement=node.on_announcement, on_departure=node.on_departure
+            on_announcement=node.on_announcement, on_deregistration=node.on_deregistration
         )
         node.start(handler)
         self.nodes[settings.node] = node
--- a/test/load/test_all_targets_full.py
+++ b/test/load/test_all_targets_full.py
@@ -5,14 +5,14 @@
 from testtools import TestCase
 
 from almondshore.mesh.hop import Outcome
-from test.mesh.fakes import PathBed
+from test.mesh.fakes import RequestPathHarness
 from test.mesh.samples import route, target
 
 
 class AllTargetsFullTest(TestCase):
     def setUp(self):
         super().setUp()
-        self.bed = PathBed(routes=[route(), route("urgent", prefix="/u/", priority=0)])
+        self.bed = RequestPathHarness(routes=[route(), route("urgent", prefix="/u/", priority=0)])
         self.bed.directory.replace(
             target(f"t{number}", node=(f"10.0.0.{number}", 1)) for number in (1, 2, 3)
         )
--- a/test/load/test_all_targets_reject.py
+++ b/test/load/test_all_targets_reject.py
@@ -9,7 +9,7 @@
 
 from almondshore.core.clock import ManualClock
 from almondshore.mesh.forwarding import MAX_REFUSALS
-from almondshore.mesh.node import MAX_SAVED_SHARE, RETRY_SHARE
+from almondshore.mesh.node import MAX_SAVED_RETRY_SHARE, RETRY_BUDGET_SHARE
 from almondshore.retries.budget import RetryBudget
 
 # The bound that nodes share, as valpadana-mesh states it: a ratio of the requests, and a floor.
@@ -32,7 +32,7 @@
                 clock=self.clock,
                 ratio=RATIO * share,
                 min_per_second=floor / WINDOW_S,
-                max_saved=max(1.0, floor * MAX_SAVED_SHARE),
+                max_saved=max(1.0, floor * MAX_SAVED_RETRY_SHARE),
             )
             for _ in range(NODES)
         ]
@@ -100,9 +100,9 @@
         Calls that a repeated request makes again count too. Seen on valpadana-mesh, scale-1 --seed
         77060107396, with a part of 0.75: 1,693 retries in 10 s, 1,589 were allowed.
         """
-        self.assertTrue(Rejecting(RETRY_SHARE).play().worst() <= 1.0)
+        self.assertTrue(Rejecting(RETRY_BUDGET_SHARE).play().worst() <= 1.0)
 
     def test_retries_serve_more_requests_than_none(self):
         """Guards against a budget so small that rejected requests are given up at once."""
-        ends = Rejecting(RETRY_SHARE).play().ends
+        ends = Rejecting(RETRY_BUDGET_SHARE).play().ends
         self.assertTrue(ends[True] / sum(ends.values()) > 1 - REJECTED + 0.04, ends)
--- a/test/mesh/fakes.py
+++ b/test/mesh/fakes.py
@@ -101,7 +101,7 @@
         exchange.respond(Response(404))
 
 
-class PathBed:
+class RequestPathHarness:
     """Both sides of one node over fake calls and a manual clock."""
 
     def __init__(self, routes=None, **budget):
--- a/test/mesh/test_crashes.py
+++ b/test/mesh/test_crashes.py
@@ -12,7 +12,7 @@
 from almondshore.mesh.hop import HopTerms
 from almondshore.mesh.model import Death
 from almondshore.storage.port import Unavailable
-from test.mesh.fakes import APP, PathBed
+from test.mesh.fakes import APP, RequestPathHarness
 from test.mesh.samples import announcement, target
 
 REQUEST = Request(b"GET", b"/a/x", ((b"Attempt-Id", b"a1"),), b"")
@@ -21,7 +21,7 @@
 class CrashTest(TestCase):
     def crash(self, name="t1", born_ms=1000, refuses=True):
         """Let a target die while it runs the request; returns the reported death."""
-        bed = PathBed()
+        bed = RequestPathHarness()
         deaths = []
         bed.inbound.on_death = deaths.append
         bed.clock.advance(timedelta(milliseconds=born_ms))
@@ -40,7 +40,7 @@
 
     def test_request_is_refused_everywhere_after_two_deaths(self):
         """Guards against a request that takes one target after the other down."""
-        bed = PathBed()
+        bed = RequestPathHarness()
         bed.directory.put(target())
         sink = CrashSink(guard=bed.guard)
         first, second = self.crash("t1"), self.crash("t2", born_ms=9000)
@@ -57,7 +57,7 @@
 
     def test_request_that_completes_between_deaths_is_cleared(self):
         """Guards against a common request that is refused since it ran beside the one at fault."""
-        bed = PathBed()
+        bed = RequestPathHarness()
         bed.directory.put(target())
         sink = CrashSink(guard=bed.guard)
         first, second = self.crash("t1"), self.crash("t2", born_ms=9000)
--- a/test/mesh/test_inbound.py
+++ b/test/mesh/test_inbound.py
@@ -8,7 +8,7 @@
 from almondshore.http.messages import Request, Response
 from almondshore.mesh.hop import HopTerms, Outcome
 from almondshore.mesh.model import TargetState
-from test.mesh.fakes import APP, SIGNED, PathBed
+from test.mesh.fakes import APP, SIGNED, RequestPathHarness
 from test.mesh.samples import announcement
 
 OWN = ((b"Attempt-Id", b"a1"), SIGNED)
@@ -25,7 +25,7 @@
 class InboundTest(TestCase):
     def setUp(self):
         super().setUp()
-        self.bed = PathBed()
+        self.bed = RequestPathHarness()
         self.results = []
 
     def announce(self, **fields):
--- a/test/mesh/test_outbound.py
+++ b/test/mesh/test_outbound.py
@@ -9,7 +9,7 @@
 from almondshore.http.messages import Response
 from almondshore.mesh.hop import Outcome
 from almondshore.mesh.model import Share
-from test.mesh.fakes import SIGNED, PathBed
+from test.mesh.fakes import SIGNED, RequestPathHarness
 from test.mesh.samples import route, target
 
 NODES = [("10.0.0.1", 1), ("10.0.0.2", 1), ("10.0.0.3", 1)]
@@ -17,7 +17,7 @@
 
 class OutboundTest(TestCase):
     def bed(self, targets=3, routes=None, **budget):
-        bed = PathBed(routes, **budget)
+        bed = RequestPathHarness(routes, **budget)
         bed.directory.replace(
             target(f"t{number}", node=node) for number, node in enumerate(NODES[:targets])
         )
--- a/test/mesh/test_peers.py
+++ b/test/mesh/test_peers.py
@@ -10,7 +10,7 @@
 from almondshore.mesh.model import Rollout, RolloutState
 from almondshore.mesh.peers import PeerSync
 from almondshore.mesh.state import ConfigSink, PeerSink, RolloutSink
-from test.mesh.fakes import OWN_NODE, PathBed
+from test.mesh.fakes import OWN_NODE, RequestPathHarness
 from test.mesh.samples import config, target
 
 NEAR, FAR = ("10.0.0.1", 1), ("10.0.0.2", 1)
@@ -31,7 +31,7 @@
 class PeerSyncTest(TestCase):
     def setUp(self):
         super().setUp()
-        self.bed = PathBed()
+        self.bed = RequestPathHarness()
         self.away = None
         self.rollout = Rollout("s", "v2", timedelta(seconds=9), RolloutState.RUNNING, 0.25, 8)
         config_of_peer = compress_config(b'{"x": 1}')
--- a/test/mesh/test_state.py
+++ b/test/mesh/test_state.py
@@ -16,7 +16,7 @@
 from almondshore.mesh.store import Changed, Changes, Feed, HistoryGone, NotFound, Snapshot
 from almondshore.mesh.versions import VersionShares
 from almondshore.storage.port import Unavailable
-from test.mesh.fakes import PathBed
+from test.mesh.fakes import RequestPathHarness
 from test.mesh.samples import config, target
 
 
@@ -220,7 +220,7 @@
 class SinkTest(TestCase):
     def test_configuration_never_goes_back(self):
         """Guards against a stale read or peer that brings an older version back."""
-        bed = PathBed()
+        bed = RequestPathHarness()
         sink = ConfigSink(outbound=bed.outbound, name="main")
         bed.outbound.config = None
         sink.update({"main": config(version=5)})
@@ -244,7 +244,7 @@
 
     def test_targets_are_replaced_by_a_full_read(self):
         """Guards against entries that stay after they were removed in a gap."""
-        bed = PathBed()
+        bed = RequestPathHarness()
         sink = TargetSink(directory=bed.directory)
         sink.replace({"t1": target("t1"), "t2": target("t2")})
         sink.update({"t2": None, "t3": target("t3")})
--- a/test/mesh/test_watching.py
+++ b/test/mesh/test_watching.py
@@ -14,7 +14,7 @@
 from almondshore.mesh.model import Death
 from almondshore.mesh.state import ConfigSink, PeerSink, RolloutSink
 from almondshore.mesh.watching import MIN_WATCHERS, WATCHERS_PER_ZONE, Follower
-from test.mesh.fakes import PathBed
+from test.mesh.fakes import RequestPathHarness
 from test.mesh.samples import config, target
 
 SECOND = timedelta(seconds=1)
@@ -55,7 +55,7 @@
     """The state of a node that watches the store, and the server of its changes."""
 
     def __init__(self, epoch="e1"):
-        self.bed = PathBed()
+        self.bed = RequestPathHarness()
         self.changes = ChangeLog(epoch=epoch)
         self.directory = Directory(clock=self.bed.clock, changes=self.changes)
         self.config = ConfigSink(outbound=self.bed.outbound, name="main", changes=self.changes)
@@ -98,7 +98,7 @@
 class FollowerTest(TestCase):
     def setUp(self):
         super().setUp()
-        self.bed = PathBed()
+        self.bed = RequestPathHarness()
         self.replicas = [FakeReplica(), FakeReplica()]
         self.client = FakeClient({})
         self.sink = PeerSink(
--- a/test/platform/test_dialect.py
+++ b/test/platform/test_dialect.py
@@ -5,7 +5,7 @@
 from testtools import TestCase
 
 from almondshore.http.messages import Request, Response
-from almondshore.mesh.dialect import Verdict
+from almondshore.mesh.dialect import ResponseClass
 from almondshore.platform.dialect import PlatformDialect
 
 SIGNED = (b"Response-Signature", b"s")
@@ -16,14 +16,14 @@
     def test_only_refusals_that_say_so_are_taken_as_not_run(self):
         """Guards against a second run of a request that a failing target did run."""
         cases = {
-            Verdict.NOT_RUN: Response(503, ((b"Not-Executed", b"1"),)),
-            Verdict.WRONG_TARGET: Response(421),
-            Verdict.FAILED: Response(503, (SIGNED,)),
-            Verdict.SUCCEEDED: Response(200, (SIGNED,)),
+            ResponseClass.NOT_RUN: Response(503, ((b"Not-Executed", b"1"),)),
+            ResponseClass.WRONG_TARGET: Response(421),
+            ResponseClass.FAILED: Response(503, (SIGNED,)),
+            ResponseClass.SUCCEEDED: Response(200, (SIGNED,)),
         }
-        for verdict, response in cases.items():
-            self.assertEqual(verdict, DIALECT.verdict(response))
-        self.assertEqual(Verdict.FAILED, DIALECT.verdict(Response(200)))
+        for response_class, response in cases.items():
+            self.assertEqual(response_class, DIALECT.classify_response(response))
+        self.assertEqual(ResponseClass.FAILED, DIALECT.classify_response(Response(200)))
 
     def test_callers_never_see_a_promise_that_is_not_ours(self):
         """Guards against a caller that repeats a request which has run."""
@@ -68,7 +68,7 @@
 
     def test_responses_are_matched_by_id(self):
         """Guards against a late answer that is delivered to another request."""
-        self.assertTrue(DIALECT.belongs(Response(200, ((b"Attempt-Id", b"a1"),)), b"a1"))
-        self.assertFalse(DIALECT.belongs(Response(200, ((b"Attempt-Id", b"a0"),)), b"a1"))
-        self.assertFalse(DIALECT.belongs(Response(200, (SIGNED,)), b"a1"))
-        self.assertTrue(DIALECT.belongs(Response(503, ((b"Not-Executed", b"1"),)), b"a1"))
+        self.assertTrue(DIALECT.matches_request(Response(200, ((b"Attempt-Id", b"a1"),)), b"a1"))
+        self.assertFalse(DIALECT.matches_request(Response(200, ((b"Attempt-Id", b"a0"),)), b"a1"))
+        self.assertFalse(DIALECT.matches_request(Response(200, (SIGNED,)), b"a1"))
+        self.assertTrue(DIALECT.matches_request(Response(503, ((b"Not-Executed", b"1"),)), b"a1"))
