Rename public names of the mesh state modules

Names used outside these modules were vague or figurative. Now: Directory.unreachable/reached -> mark_unreachable/mark_reachable (they read as queries but record a result); DeathWatch.broke/died -> DeathDetector.record_broken_run/detect_death; VersionShares.learn -> infer_stable_versions; MeshStore.move -> set_address; PeerSink.take -> apply; RolloutDriver.is_condemned -> is_faulty; lead -> probe_replica (the replica of the cheapest feed, which detects store outages); away_since -> store_unavailable_since; MAX_AGE -> MAX_STATE_AGE. Metric, status field and log event names are unchanged.

--- a/almondshore/mesh/change_server.py
+++ b/almondshore/mesh/change_server.py
@@ -29,7 +29,7 @@
 MAX_HOLD = timedelta(milliseconds=700)
 # State that was last confirmed longer ago is taken for outdated. A watcher hears from the store
 # each 0.8 s, and a change must be in force everywhere within 2 s.
-MAX_AGE = timedelta(milliseconds=1300)
+MAX_STATE_AGE = timedelta(milliseconds=1300)
 # Followers kept waiting at a time; a zone of 19,000 nodes in 41 zones has 116 for each watcher.
 MAX_HELD = 512
 ZERO = timedelta()
@@ -88,7 +88,7 @@
             exchange.respond(Response(400))
             return
         # A follower is to learn in time that this node's own state is outdated.
-        hold = min(query.hold_ms * MILLISECOND, MAX_HOLD, MAX_AGE - self.age())
+        hold = min(query.hold_ms * MILLISECOND, MAX_HOLD, MAX_STATE_AGE - self.age())
         if hold <= ZERO or self._has_news(query) or len(self.held) >= MAX_HELD:
             exchange.respond(self._answer(query))
             return
--- a/almondshore/mesh/crashes.py
+++ b/almondshore/mesh/crashes.py
@@ -33,20 +33,20 @@
     ended: timedelta
 
 
-class DeathWatch:
+class DeathDetector:
     """Finds the deaths of the target beside this node, and what it ran when it died."""
 
     def __init__(self, *, clock: Clock):
         self.clock = clock
         self.suspects: list[_Suspect] = []
 
-    def broke(self, run: CrashDeath) -> None:
+    def record_broken_run(self, run: CrashDeath) -> None:
         """Take note of a run that ended with its connection."""
         now = self.clock.monotonic()
         recent = [item for item in self.suspects if now - item.ended < DEATH_WITHIN]
         self.suspects = [*recent[-MAX_SUSPECTS + 1 :], _Suspect(run, now)]
 
-    def died(self) -> Death | None:
+    def detect_death(self) -> Death | None:
         """Take note that the target is gone; returns its death if something ran just before."""
         now = self.clock.monotonic()
         runs = [item.run for item in self.suspects if now - item.ended < DEATH_WITHIN]
--- a/almondshore/mesh/directory.py
+++ b/almondshore/mesh/directory.py
@@ -122,7 +122,7 @@
         state = self.nodes.get(node)
         return state.since if state is not None and state.failures >= failures else None
 
-    def unreachable(self, node: Address, reason: str) -> None:
+    def mark_unreachable(self, node: Address, reason: str) -> None:
         """Take note that a node could not be reached."""
         now = self.clock.monotonic()
         state = self.nodes.setdefault(node, _Reachability(now))
@@ -135,7 +135,7 @@
             log_event("peer_lost", peer=f"{node[0]}:{node[1]}", reason=reason)
         self.on_unreachable(node, pause)
 
-    def reached(self, node: Address) -> None:
+    def mark_reachable(self, node: Address) -> None:
         """Take note that a node answered."""
         state = self.nodes.pop(node, None)
         if state is not None:
--- a/almondshore/mesh/driver.py
+++ b/almondshore/mesh/driver.py
@@ -90,7 +90,7 @@
         key = (rollout.service, rollout.version)
         return self.clock.monotonic() - self.seen[key] if key in self.seen else timedelta()
 
-    def is_condemned(self, service: str, version: str) -> bool:
+    def is_faulty(self, service: str, version: str) -> bool:
         """Tell whether this node found a version bad."""
         return (service, version) in self.condemned
 
--- a/almondshore/mesh/feeds.py
+++ b/almondshore/mesh/feeds.py
@@ -40,7 +40,7 @@
 
     :param node: address at which other nodes reach this one
     :param config_name: name of the stored item that holds the configuration
-    :ivar lead: the copy of the feed that is cheapest to call
+    :ivar probe_replica: the copy of the feed that is cheapest to call
     :ivar server: answers the nodes that follow this one
     """
 
@@ -66,11 +66,11 @@
         self.crashes = CrashSink(guard=guard, changes=changes)
         config = ConfigSink(outbound=outbound, name=config_name, changes=changes)
         targets = TargetSink(directory=directory)
-        self.lead: Replica | None = None
-        self.lead = self._replica(store.targets, targets, WAIT_TARGETS, GATHER_TARGETS)
-        self.lead.on_regained = self._on_regained
+        self.probe_replica: Replica | None = None
+        self.probe_replica = self._replica(store.targets, targets, WAIT_TARGETS, GATHER_TARGETS)
+        self.probe_replica.on_regained = self._on_regained
         self.replicas = (
-            self.lead,
+            self.probe_replica,
             self._replica(store.config, config, WAIT_CONFIG, GATHER_CONFIG, large=True),
             self._replica(store.rollouts, self.rollouts, WAIT_ROLLOUTS, timedelta()),
             self._replica(store.deaths, self.crashes, WAIT_DEATHS, timedelta()),
@@ -89,7 +89,7 @@
             sink=sink,
             node=node,
             zone=zone,
-            away_since=self.away_since,
+            store_unavailable_since=self.store_unavailable_since,
         )
         self.follower = Follower(
             clock=clock,
@@ -98,7 +98,7 @@
             node=node,
             zone=zone,
             replicas=self.replicas,
-            lead=self.lead,
+            probe_replica=self.probe_replica,
         )
         self.server = ChangeServer(
             changes=changes,
@@ -112,7 +112,7 @@
 
     def start(self) -> None:
         """Begin to learn; the follower starts the other copies if they are needed."""
-        self.lead.start()
+        self.probe_replica.start()
         workers = (self.peers, self.follower)
         self.greenlets = [spawn_worker(type(item).__name__, item.run) for item in workers]
 
@@ -121,14 +121,14 @@
         for worker in (*self.greenlets, *self.replicas):
             worker.kill()
 
-    def away_since(self) -> timedelta | None:
+    def store_unavailable_since(self) -> timedelta | None:
         """Return since when any part of the store has not answered, or None."""
         failing = [item.failing_since for item in self.replicas if item.failing_since is not None]
         return min(failing, default=None)
 
     def _on_regained(self) -> None:
         for replica in self.replicas:
-            if replica is not self.lead:
+            if replica is not self.probe_replica:
                 replica.restart()
 
     def _replica(
@@ -142,5 +142,5 @@
             wait=wait,
             gather=gather,
             large=large,
-            lead=self.lead,
+            probe_replica=self.probe_replica,
         )
--- a/almondshore/mesh/inbound.py
+++ b/almondshore/mesh/inbound.py
@@ -10,7 +10,7 @@
 from almondshore.http.messages import Request, Response, encode_request, end_to_end
 from almondshore.http.server import Exchange, ExchangeHandler
 from almondshore.limits.objective import Job, ObjectiveQueue, Refusal, Terms
-from almondshore.mesh.crashes import DeathWatch, request_fingerprint
+from almondshore.mesh.crashes import DeathDetector, request_fingerprint
 from almondshore.mesh.dialect import Dialect, Verdict
 from almondshore.mesh.evidence import ResultRecorder
 from almondshore.mesh.hop import (
@@ -120,7 +120,7 @@
         self.closed = False
         self.retired: Callable[[str, str], bool] = lambda _service, _version: False
         self.on_death: Callable[[Death], None] = lambda _death: None
-        self.deaths = DeathWatch(clock=clock)
+        self.deaths = DeathDetector(clock=clock)
         self.active: set[Submission] = set()
         self.down_until = timedelta()
 
@@ -239,7 +239,7 @@
         elif ran:
             self._record(submission, ok, took)
         if result.failure is CallFailure.CLOSED:
-            self.deaths.broke(self._run_of(submission, took))
+            self.deaths.record_broken_run(self._run_of(submission, took))
         if reason == Obstacle.TARGET_DOWN:
             self.down_until = self.clock.monotonic() + DOWN_PAUSE
             self.note_death()
@@ -248,7 +248,7 @@
 
     def note_death(self) -> None:
         """Report the death of the target if it ran something just before."""
-        death = self.deaths.died()
+        death = self.deaths.detect_death()
         if death is not None:
             self.on_death(death)
 
--- a/almondshore/mesh/liveness.py
+++ b/almondshore/mesh/liveness.py
@@ -66,10 +66,10 @@
         """Ask a node; returns whether it answered."""
         for _ in range(PROBES):
             if self.client.get(node, ALIVE_PATH, new_connection=True) is not None:
-                self.directory.reached(node)
+                self.directory.mark_reachable(node)
                 return True
         log_event("peer_silent", level="WARNING", peer=f"{node[0]}:{node[1]}")
-        self.directory.unreachable(node, "silent")
+        self.directory.mark_unreachable(node, "silent")
         # Connections that were idle when the node went silent would swallow further requests.
         self.pool.drop(node)
         self.asked_at.pop(node, None)
--- a/almondshore/mesh/metrics.py
+++ b/almondshore/mesh/metrics.py
@@ -36,7 +36,7 @@
     def render(self, node: "MeshNode") -> tuple[bytes, str]:
         """Return the present values in the text format, and its content type."""
         queue = node.local.queue
-        away = node.feeds.away_since()
+        away = node.feeds.store_unavailable_since()
         values = {
             "almondshore_config_version": node.outbound.config_version(),
             "almondshore_targets_known": len(node.directory.targets),
--- a/almondshore/mesh/node.py
+++ b/almondshore/mesh/node.py
@@ -15,7 +15,7 @@
 from almondshore.http.messages import Response
 from almondshore.http.parsing import RequestLimits
 from almondshore.http.server import Exchange, ExchangeHandler, HttpServer, ServerLimits
-from almondshore.mesh.change_server import MAX_AGE
+from almondshore.mesh.change_server import MAX_STATE_AGE
 from almondshore.mesh.changes import ChangeLog
 from almondshore.mesh.crashes import DeathReporter
 from almondshore.mesh.dialect import Dialect
@@ -181,7 +181,7 @@
             rng=rng,
             directory=self.directory,
             store=store,
-            is_up_to_date=lambda: self.feeds.follower.age() <= MAX_AGE,
+            is_up_to_date=lambda: self.feeds.follower.age() <= MAX_STATE_AGE,
         )
         internal.order_age = self.driver.order_age
         self.inbound.retired = self._is_retired
@@ -280,7 +280,7 @@
         self.settings = settings._replace(**fixed)
         self.local.drain = settings.bounds.drain
         self.inbound.app = settings.app
-        self.store.move(settings.store)
+        self.store.set_address(settings.store)
         self._set_retry_budget()
 
     def stop(self) -> None:
@@ -359,7 +359,7 @@
         self.chooser.keep(set(targets))
         self.outbound.room.keep(set(targets))
         self.prober.keep({target.node for target in targets.values()})
-        self.shares.learn(targets.values())
+        self.shares.infer_stable_versions(targets.values())
         self._set_retry_budget()
 
     def _set_retry_budget(self) -> None:
@@ -371,9 +371,7 @@
         self.budget.max_saved = max(1.0, floor * MAX_SAVED_SHARE)
 
     def _is_retired(self, service: str, version: str) -> bool:
-        return self.shares.is_retired(service, version) or self.driver.is_condemned(
-            service, version
-        )
+        return self.shares.is_retired(service, version) or self.driver.is_faulty(service, version)
 
     def _caller_limits(self) -> ServerLimits:
         config = self.outbound.config
--- a/almondshore/mesh/outbound.py
+++ b/almondshore/mesh/outbound.py
@@ -209,9 +209,9 @@
         load = report.load() if report is not None else None
         self.chooser.finished(target.target, forwarding.route.name, load)
         if result.unreachable:
-            self.directory.unreachable(target.node, result.reason)
+            self.directory.mark_unreachable(target.node, result.reason)
         elif target.node != self.node:
-            self.directory.reached(target.node)
+            self.directory.mark_reachable(target.node)
         if report is not None:
             pause = REFUSAL_PAUSE.get(report.reason)
             if report.reason == Refusal.OVERLOADED:
--- a/almondshore/mesh/peers.py
+++ b/almondshore/mesh/peers.py
@@ -131,7 +131,7 @@
         sink: PeerSink,
         node: Address,
         zone: str,
-        away_since: Callable[[], timedelta | None],
+        store_unavailable_since: Callable[[], timedelta | None],
     ):
         self.clock = clock
         self.rng = rng
@@ -140,7 +140,7 @@
         self.directory = sink.directory
         self.node = node
         self.zone = zone
-        self.away_since = away_since
+        self.store_unavailable_since = store_unavailable_since
         self.fetching = False
         self.behind_since: timedelta | None = None
 
@@ -175,7 +175,7 @@
         return self.rng.choice(found).node if found else None
 
     def _is_away(self, now: timedelta) -> bool:
-        since = self.away_since()
+        since = self.store_unavailable_since()
         return since is not None and now - since >= AWAY_AFTER
 
     def fetch(self, node: Address) -> bool:
@@ -220,16 +220,16 @@
         except msgspec.MsgspecError as error:
             log_event("changes_malformed", level="ERROR", peer=node, error=error)
     if answer is None:
-        directory.unreachable(node, reason)
+        directory.mark_unreachable(node, reason)
     else:
-        directory.reached(node)
+        directory.mark_reachable(node)
     return answer
 
 
 def take_changes(sink: PeerSink, node: Address, answer: ChangeAnswer, *, remove: bool) -> bool:
     """Take over a node's state; returns whether it was well-formed."""
     try:
-        sink.take(answer, source=f"{node[0]}:{node[1]}", remove=remove)
+        sink.apply(answer, source=f"{node[0]}:{node[1]}", remove=remove)
     except ValueError as error:
         log_event("changes_malformed", level="ERROR", peer=node, error=error)
         return False
--- a/almondshore/mesh/replication.py
+++ b/almondshore/mesh/replication.py
@@ -22,7 +22,8 @@
 MAX_PAUSE = timedelta(milliseconds=400)
 # Share of a pause that is random, so that nodes do not return to the store at once.
 PAUSE_JITTER = 0.5
-# While the store does not answer the lead either, other feeds call it no more often than this.
+# While the store does not answer the probe replica either, other feeds call it no more often than
+# this.
 HELD_INTERVAL = timedelta(seconds=4)
 # Changes that follow each other this closely are read whole, each pause, until there are none.
 CLOSE_CHANGES = timedelta(seconds=1)
@@ -48,8 +49,8 @@
     :param gather: pause after a change, so that changes in quick succession need one call
     :param large: whether a change holds so much that only the newest is wanted: after a failure,
         and while changes come in quick succession, the feed is read whole, not change by change
-    :param lead: copy of the feed that is cheapest to call; while the store does not answer it,
-        this one hardly calls, since calls that fail are charged too
+    :param probe_replica: copy of the feed that is cheapest to call; while the store does not answer
+        it, this one hardly calls, since calls that fail are charged too
     :ivar on_regained: called when the store answers again
     :ivar failing_since: when the store stopped answering, None while it answers
     :ivar answered_at: when the store last answered, None before its first answer
@@ -65,7 +66,7 @@
         wait: timedelta,
         gather: timedelta,
         large: bool = False,
-        lead: "Replica | None" = None,
+        probe_replica: "Replica | None" = None,
     ):
         self.clock = clock
         self.rng = rng
@@ -74,7 +75,7 @@
         self.wait = wait
         self.gather = gather
         self.large = large
-        self.lead = lead
+        self.probe_replica = probe_replica
         self.changed_at: timedelta | None = None
         self.lost_history = False
         self.gathered = timedelta()
@@ -179,8 +180,12 @@
             eventlet.sleep(self.gathered.total_seconds())
 
     def _is_held(self, now: timedelta) -> bool:
-        """Tell whether to wait until the lead finds that the store answers again."""
-        if self.lead is None or self.lead.failing_since is None or self.failing_since is None:
+        """Tell whether to wait until the probe replica finds that the store answers again."""
+        if (
+            self.probe_replica is None
+            or self.probe_replica.failing_since is None
+            or self.failing_since is None
+        ):
             return False
         return self.called_at is not None and now - self.called_at < HELD_INTERVAL
 
--- a/almondshore/mesh/state.py
+++ b/almondshore/mesh/state.py
@@ -144,7 +144,7 @@
         """Return the version in force."""
         return self.config.outbound.config_version()
 
-    def take(self, answer: ChangeAnswer, *, source: str, remove: bool) -> None:
+    def apply(self, answer: ChangeAnswer, *, source: str, remove: bool) -> None:
         """Take over another node's state; what is older than the own changes nothing.
 
         :param remove: whether targets that the other node does not know are removed
--- a/almondshore/mesh/status.py
+++ b/almondshore/mesh/status.py
@@ -17,8 +17,8 @@
         node.local.announced,
         node.local.queue,
     )
-    never = node.feeds.follower.followed is None and node.feeds.lead.answered_at is None
-    away = node.feeds.away_since()
+    never = node.feeds.follower.followed is None and node.feeds.probe_replica.answered_at is None
+    away = node.feeds.store_unavailable_since()
     names = {target.service for target in node.directory.targets.values()}
     return NodeView(
         node=node.settings.node,
--- a/almondshore/mesh/store.py
+++ b/almondshore/mesh/store.py
@@ -71,7 +71,7 @@
     deaths: Feed[Death]
 
     @abstractmethod
-    def move(self, address: Address) -> None:
+    def set_address(self, address: Address) -> None:
         """Use the store at another address from now on."""
 
     @abstractmethod
--- a/almondshore/mesh/versions.py
+++ b/almondshore/mesh/versions.py
@@ -29,7 +29,7 @@
         """Forget a rollout whose order was withdrawn."""
         self.rollouts.pop(service, None)
 
-    def learn(self, targets: Collection[Target]) -> None:
+    def infer_stable_versions(self, targets: Collection[Target]) -> None:
         """Find the usual version of services where none is known."""
         oldest: dict[str, Target] = {}
         for target in targets:
--- a/almondshore/mesh/watching.py
+++ b/almondshore/mesh/watching.py
@@ -9,7 +9,7 @@
 from almondshore.core import rendezvous
 from almondshore.core.clock import Clock
 from almondshore.core.logs import log_event
-from almondshore.mesh.change_server import MAX_AGE, MAX_HOLD
+from almondshore.mesh.change_server import MAX_HOLD, MAX_STATE_AGE
 from almondshore.mesh.hop import MILLISECOND
 from almondshore.mesh.model import Address, TargetState
 from almondshore.mesh.peers import PeerClient, ask_changes, take_changes
@@ -44,7 +44,7 @@
     with recent state watches the store itself until it finds one.
 
     :param replicas: copies of the store's feeds, which rest while this node follows another
-    :param lead: the copy that hears from the store most often
+    :param probe_replica: the copy that hears from the store most often
     :ivar followed: the watcher that this node follows, None while it watches the store itself
     """
 
@@ -57,7 +57,7 @@
         node: Address,
         zone: str,
         replicas: Sequence[Replica],
-        lead: Replica,
+        probe_replica: Replica,
     ):
         self.clock = clock
         self.client = client
@@ -66,7 +66,7 @@
         self.node = node
         self.zone = zone
         self.replicas = replicas
-        self.lead = lead
+        self.probe_replica = probe_replica
         self.followed: Address | None = None
         self.epoch = ""
         self.number = 0
@@ -80,12 +80,12 @@
 
     def age(self) -> timedelta:
         """Return how long ago the store was last known to have nothing newer."""
-        at = self.confirmed_at if self.followed is not None else self.lead.answered_at
+        at = self.confirmed_at if self.followed is not None else self.probe_replica.answered_at
         return NEVER if at is None else self.clock.monotonic() - at
 
     def step(self) -> timedelta:
         """Ask one watcher, or all if the present one is outdated; returns the pause after it."""
-        if self.lead.answered_at is None:
+        if self.probe_replica.answered_at is None:
             # What else there is in the zone is not known yet.
             return START_POLL
         watchers = self.watchers()
@@ -168,7 +168,7 @@
         if answer is None:
             return False
         age = answer.age_ms * MILLISECOND
-        if age > MAX_AGE or not take_changes(self.sink, watcher, answer, remove=True):
+        if age > MAX_STATE_AGE or not take_changes(self.sink, watcher, answer, remove=True):
             return False
         self.confirmed_at = self.clock.monotonic() - age
         self.epoch, self.number = answer.epoch, answer.number
--- a/almondshore/platform/objects.py
+++ b/almondshore/platform/objects.py
@@ -190,7 +190,7 @@
             client=client, kind=names.DEATH_KIND, decode=_death_item, stale=True
         )
 
-    def move(self, address: Address) -> None:
+    def set_address(self, address: Address) -> None:
         """Use the store at another address from now on."""
         self.client.address = address
 
--- a/test/mesh/fakes.py
+++ b/test/mesh/fakes.py
@@ -116,7 +116,9 @@
         self.local.confirmed = True
         self.recorder = ResultRecorder(clock=self.clock)
         self.shares = VersionShares(rng=self.rng)
-        self.directory.on_change = lambda: self.shares.learn(self.directory.targets.values())
+        self.directory.on_change = lambda: self.shares.infer_stable_versions(
+            self.directory.targets.values()
+        )
         self.inbound = Inbound(
             clock=self.clock,
             dialect=self.dialect,
--- a/test/mesh/test_directory.py
+++ b/test/mesh/test_directory.py
@@ -36,10 +36,10 @@
         """
         near, far = target("t1"), target("t2", node=("10.0.0.2", 1))
         self.directory.replace([near, far])
-        self.directory.unreachable(near.node, "test")
+        self.directory.mark_unreachable(near.node, "test")
         self.clock.advance(timedelta(seconds=60))
         self.assertEqual(["t2"], self.ready())
-        self.directory.reached(near.node)
+        self.directory.mark_reachable(near.node)
         self.assertEqual(["t1", "t2"], self.ready())
 
     def test_unreachable_node_is_asked_less_often_each_time(self):
@@ -48,8 +48,8 @@
         self.directory.on_unreachable = lambda _node, pause: pauses.append(pause)
         self.directory.put(target())
         for _ in range(8):
-            self.directory.unreachable(target().node, "test")
-            self.directory.unreachable(target().node, "repeated")
+            self.directory.mark_unreachable(target().node, "test")
+            self.directory.mark_unreachable(target().node, "repeated")
             self.clock.advance(timedelta(seconds=4))
         self.assertEqual(8, len(pauses))
         self.assertEqual(sorted(pauses), pauses)
@@ -59,7 +59,7 @@
     def test_last_target_is_tried_though_it_could_not_be_reached(self):
         """Guards against a service that is given up after one lost packet."""
         self.directory.put(target())
-        self.directory.unreachable(target().node, "test")
+        self.directory.mark_unreachable(target().node, "test")
         self.assertEqual(["t1"], self.ready())
 
     def test_target_that_refused_for_its_own_reasons_is_not_tried(self):
--- a/test/mesh/test_driver.py
+++ b/test/mesh/test_driver.py
@@ -69,10 +69,10 @@
 
         Seen on chladlog-mesh-grown, fresh-d52d: it took 0.8 s, in which it got 190 requests.
         """
-        self.assertFalse(self.driver.is_condemned("s", "v2"))
+        self.assertFalse(self.driver.is_faulty("s", "v2"))
         self.counts = RouteCounts(40, 10, 30, 3000.0)
         eventlet.sleep(TICK.total_seconds() / 2)
-        self.assertTrue(self.driver.is_condemned("s", "v2"))
+        self.assertTrue(self.driver.is_faulty("s", "v2"))
         self.assertEqual([RolloutState.ROLLED_BACK], self.store.saved)
 
     def test_node_beside_the_old_version_does_not_judge_by_its_own_target(self):
@@ -80,4 +80,4 @@
         self.version = "v1"
         self.counts = RouteCounts(40, 10, 30, 3000.0)
         eventlet.sleep(2.5 * TICK.total_seconds())
-        self.assertFalse(self.driver.is_condemned("s", "v2"))
+        self.assertFalse(self.driver.is_faulty("s", "v2"))
--- a/test/mesh/test_node.py
+++ b/test/mesh/test_node.py
@@ -62,7 +62,7 @@
     def test_configuration_changes_without_the_store(self):
         """Guards against a node that keeps an old version while the store refuses it."""
         first = self.bed.nodes["n1"]
-        first.store.move(("127.0.0.1", 1))
+        first.store.set_address(("127.0.0.1", 1))
         first.pool.drop(self.bed.store_server.address())
         self.bed.store.put("config", "main", stored_config(9, ("s",)))
         wait_until(lambda: self.bed.nodes["n2"].outbound.config_version() == 9)
@@ -225,7 +225,7 @@
         """Guards against operators who see nothing of a node when they need it most."""
         node = self.bed.nodes["n1"]
         self.bed.store.refuse = 503
-        wait_until(lambda: node.feeds.away_since() is not None)
+        wait_until(lambda: node.feeds.store_unavailable_since() is not None)
         data = encode_request(b"GET", b"/status", ((b"Host", b"h"),), b"")
         response = self.bed.call(node.settings.metrics, data).response
         view = msgspec.json.decode(response.body, type=NodeView)
@@ -351,7 +351,7 @@
         follower = self.followers()[0]
         for node in self.bed.nodes.values():
             if node.feeds.follower.followed is None:
-                node.store.move(("127.0.0.1", 1))
+                node.store.set_address(("127.0.0.1", 1))
                 node.pool.drop(self.bed.store_server.address())
         for connection in list(self.bed.store_server.connections):
             connection.stream.close()
--- a/test/mesh/test_peers.py
+++ b/test/mesh/test_peers.py
@@ -53,7 +53,7 @@
             ),
             node=OWN_NODE,
             zone="a",
-            away_since=lambda: self.away,
+            store_unavailable_since=lambda: self.away,
         )
 
     def test_state_of_a_peer_is_taken_over(self):
@@ -92,5 +92,5 @@
         self.assertIs(None, self.sync.choose_peer())
         self.bed.directory.replace([target("t1", node=NEAR), target("t2", node=FAR, zone="b")])
         self.assertEqual({NEAR}, {self.sync.choose_peer() for _ in range(20)})
-        self.bed.directory.unreachable(NEAR, "test")
+        self.bed.directory.mark_unreachable(NEAR, "test")
         self.assertEqual({FAR}, {self.sync.choose_peer() for _ in range(20)})
--- a/test/mesh/test_state.py
+++ b/test/mesh/test_state.py
@@ -204,11 +204,16 @@
     def test_feeds_wait_for_the_cheapest_one_in_an_outage(self):
         """Guards against calls that fail, and are charged, on all feeds of all nodes."""
         clock = ManualClock()
-        lead, *_ = self.replica(Success(Snapshot(7, {})), Failure(Unavailable("x")), clock=clock)
+        probe_replica, *_ = self.replica(
+            Success(Snapshot(7, {})), Failure(Unavailable("x")), clock=clock
+        )
         replica, feed, _ = self.replica(
-            *[Success(Snapshot(7, {}))], *[Failure(Unavailable("x"))] * 2, clock=clock, lead=lead
+            *[Success(Snapshot(7, {}))],
+            *[Failure(Unavailable("x"))] * 2,
+            clock=clock,
+            probe_replica=probe_replica,
         )
-        for item in (lead, replica, lead, replica):
+        for item in (probe_replica, replica, probe_replica, replica):
             item.step()
         replica.step()
         self.assertEqual(["read", 7], feed.calls)
--- a/test/mesh/test_vanished.py
+++ b/test/mesh/test_vanished.py
@@ -49,7 +49,7 @@
         """Let nodes be out of reach at a number of tries over a time, with reviews between."""
         for _ in range(failures):
             for node in nodes:
-                self.directory.unreachable(node, "test")
+                self.directory.mark_unreachable(node, "test")
             self.clock.advance(over / failures)
             self.entries.review()
 
@@ -76,7 +76,7 @@
         """Guards against entries that are removed for several short absences."""
         for _ in range(4):
             self.fail(NODES[1], over=VANISHED_AFTER * 0.6)
-            self.directory.reached(NODES[1])
+            self.directory.mark_reachable(NODES[1])
         self.assertEqual([], self.store.deleted)
 
     def test_process_that_was_suspended_removes_nothing(self):
--- a/test/mesh/test_versions.py
+++ b/test/mesh/test_versions.py
@@ -22,7 +22,7 @@
     def setUp(self):
         super().setUp()
         self.shares = VersionShares(rng=random.Random(1))
-        self.shares.learn([target("t1"), target("t2", "v2", born_ms=9000)])
+        self.shares.infer_stable_versions([target("t1"), target("t2", "v2", born_ms=9000)])
 
     def count(self, versions, times=1000):
         return Counter(self.shares.pick("s", versions) for _ in range(times))
@@ -66,5 +66,5 @@
         """Guards against a restarted node that takes the version on trial for the usual one."""
         shares = VersionShares(rng=random.Random(1))
         shares.set_rollout(rollout(RolloutState.RUNNING, 0.0))
-        shares.learn([target("t2", "v2", born_ms=1), target("t1", born_ms=2)])
+        shares.infer_stable_versions([target("t2", "v2", born_ms=1), target("t1", born_ms=2)])
         self.assertEqual("v1", shares.usual["s"])
--- a/test/mesh/test_watching.py
+++ b/test/mesh/test_watching.py
@@ -7,7 +7,7 @@
 from almondshore.core.messages import CrashDeath
 from almondshore.http.messages import Request, Response
 from almondshore.http.server import Exchange
-from almondshore.mesh.change_server import MAX_AGE, ChangeServer
+from almondshore.mesh.change_server import MAX_STATE_AGE, ChangeServer
 from almondshore.mesh.changes import ChangeLog, decode_answer
 from almondshore.mesh.crashes import CrashSink
 from almondshore.mesh.directory import Directory
@@ -118,7 +118,7 @@
             node=node,
             zone="a",
             replicas=self.replicas,
-            lead=self.replicas[0],
+            probe_replica=self.replicas[0],
         )
 
     def fill(self, count, **links):
@@ -152,7 +152,7 @@
         """Guards against a narrow link that is filled by what it passes on."""
         self.fill(20, n7=200.0, n9=200.0)
         self.assertEqual({("10.0.0.7", 1), ("10.0.0.9", 1)}, set(self.follower.watchers()))
-        self.bed.directory.unreachable(("10.0.0.7", 1), "test")
+        self.bed.directory.mark_unreachable(("10.0.0.7", 1), "test")
         self.assertEqual(MIN_WATCHERS, len(self.follower.watchers()))
         self.assertIn(("10.0.0.9", 1), self.follower.watchers())
 
@@ -188,7 +188,7 @@
     def test_an_outdated_watcher_is_left_for_another(self):
         """Guards against an old configuration while one watcher is cut off from the store."""
         first, second, *_ = self.follow()
-        first.age = MAX_AGE * 2
+        first.age = MAX_STATE_AGE * 2
         second.config.apply(config(version=9, raw=b"9"), source="store")
         self.follower.step()
         self.assertEqual(9, self.bed.outbound.config_version())
@@ -197,7 +197,7 @@
     def test_a_node_without_recent_watchers_watches_itself(self):
         """Guards against an old state where all watchers of a zone lost the store."""
         for watcher in self.follow():
-            watcher.age = MAX_AGE * 2
+            watcher.age = MAX_STATE_AGE * 2
         self.follower.step()
         self.assertEqual([False, False], [replica.resting for replica in self.replicas])
         self.client.watchers.clear()
@@ -242,10 +242,10 @@
 
     def test_outdated_state_is_told_at_once(self):
         """Guards against a follower that waits at a watcher which lost the store."""
-        self.watcher.age = MAX_AGE
+        self.watcher.age = MAX_STATE_AGE
         number = self.watcher.changes.number
         answer = self.answer(b"epoch=e1&after=%d&config=9&hold_ms=700" % number)
-        self.assertEqual(MAX_AGE / timedelta(milliseconds=1), answer.age_ms)
+        self.assertEqual(MAX_STATE_AGE / timedelta(milliseconds=1), answer.age_ms)
 
     def test_a_malformed_question_is_refused(self):
         """Guards against a question that ends the server's loop."""
