--- a/almondshore/membership/detector.py
+++ b/almondshore/membership/detector.py
@@ -25,19 +25,19 @@
     probe_timeout: timedelta = timedelta(seconds=3)
     helpers: int = 3
     confirmations: int = 2
-    hold_share: float = 0.3
-    hold_min_suspects: int = 3
-    hold_window: timedelta = timedelta(seconds=10)
-    pause: timedelta = timedelta(seconds=2)
+    max_suspect_share: float = 0.3
+    suppress_min_suspects: int = 3
+    suppress_window: timedelta = timedelta(seconds=10)
+    max_tick_gap: timedelta = timedelta(seconds=2)
     max_nodes: int = 1024
 
 
-class Tracked(NamedTuple):
+class TrackedNode(NamedTuple):
     """A node whose heartbeats this relay expects."""
 
     address: str
     incarnation: int
-    heard: timedelta
+    last_heartbeat_at: timedelta
 
 
 class Suspicion(NamedTuple):
@@ -67,32 +67,32 @@
         self.rng = rng
         self.address = address
         self.limits = limits or DetectorLimits()
-        self.nodes: dict[str, Tracked] = {}
+        self.nodes: dict[str, TrackedNode] = {}
         self.suspects: dict[str, Suspicion] = {}
-        self.became_suspect: deque[timedelta] = deque()
-        self.held_until = timedelta()
+        self.suspected_at: deque[timedelta] = deque()
+        self.suppressed_until = timedelta()
         self.dead: list[str] = []
         self.next_probe_id = rng.getrandbits(32)
         self.last_tick = clock.monotonic()
 
     @property
-    def holding(self) -> bool:
+    def suppressing(self) -> bool:
         """Whether no node is declared dead, because too many are or became suspect at once."""
-        return self.clock.monotonic() < self.held_until or self._too_many(len(self.suspects))
+        return self.clock.monotonic() < self.suppressed_until or self._too_many(len(self.suspects))
 
-    def heard(self, node: str, address: str, incarnation: int) -> None:
+    def record_heartbeat(self, node: str, address: str, incarnation: int) -> None:
         """Note a heartbeat of a node."""
         if node not in self.nodes and len(self.nodes) >= self.limits.max_nodes:
             return
-        self.nodes[node] = Tracked(address, incarnation, self.clock.monotonic())
+        self.nodes[node] = TrackedNode(address, incarnation, self.clock.monotonic())
         self.suspects.pop(node, None)
 
-    def expect(self, node: str, address: str) -> None:
+    def track(self, node: str, address: str) -> None:
         """Track a node that was not heard yet, as if it had been heard now."""
         if node not in self.nodes:
-            self.heard(node, address, 0)
+            self.record_heartbeat(node, address, 0)
 
-    def forget(self, node: str) -> None:
+    def untrack(self, node: str) -> None:
         """Stop tracking a node that went to another relay or left."""
         self.nodes.pop(node, None)
         self.suspects.pop(node, None)
@@ -107,11 +107,11 @@
         if sender not in suspicion.asked:
             return []
         if message.reachable:
-            self.forget(message.suspect)
+            self.untrack(message.suspect)
             return []
         unreachable = suspicion.unreachable | {sender}
         self.suspects[message.suspect] = suspicion._replace(unreachable=unreachable)
-        self._declare(message.suspect)
+        self._declare_dead_if_confirmed(message.suspect)
         return []
 
     def tick(self, helpers: Callable[[], Sequence[str]]) -> list[Send]:
@@ -121,12 +121,16 @@
         """
         now = self.clock.monotonic()
         gap, self.last_tick = now - self.last_tick, now
-        if gap > self.limits.pause:
-            self._restart(now)
+        if gap > self.limits.max_tick_gap:
+            self._reset_timers(now)
             return []
-        silent = [n for n, t in self.nodes.items() if now - t.heard >= self.limits.suspect_after]
+        silent = [
+            n
+            for n, t in self.nodes.items()
+            if now - t.last_heartbeat_at >= self.limits.suspect_after
+        ]
         new = [node for node in silent if node not in self.suspects]
-        self._hold_if_too_many(len(new), now)
+        self._suppress_if_too_many(len(new), now)
         stale = [n for n, s in self.suspects.items() if now - s.since >= self.limits.probe_timeout]
         return [send for node in new + stale for send in self._probe(node, helpers(), now)]
 
@@ -135,21 +139,23 @@
         dead, self.dead = self.dead, []
         return dead
 
-    def _restart(self, now: timedelta) -> None:
+    def _reset_timers(self, now: timedelta) -> None:
         """Give every node its full time again after a pause of this observer."""
         self.suspects.clear()
-        self.nodes = {node: tracked._replace(heard=now) for node, tracked in self.nodes.items()}
+        self.nodes = {
+            node: tracked._replace(last_heartbeat_at=now) for node, tracked in self.nodes.items()
+        }
 
-    def _hold_if_too_many(self, new: int, now: timedelta) -> None:
-        self.became_suspect.extend([now] * new)
-        while self.became_suspect and now - self.became_suspect[0] > self.limits.hold_window:
-            self.became_suspect.popleft()
-        if self._too_many(len(self.became_suspect)):
-            self.held_until = now + self.limits.hold_window
+    def _suppress_if_too_many(self, new: int, now: timedelta) -> None:
+        self.suspected_at.extend([now] * new)
+        while self.suspected_at and now - self.suspected_at[0] > self.limits.suppress_window:
+            self.suspected_at.popleft()
+        if self._too_many(len(self.suspected_at)):
+            self.suppressed_until = now + self.limits.suppress_window
 
     def _too_many(self, suspects: int) -> bool:
-        enough = suspects >= self.limits.hold_min_suspects
-        return enough and suspects > self.limits.hold_share * len(self.nodes)
+        enough = suspects >= self.limits.suppress_min_suspects
+        return enough and suspects > self.limits.max_suspect_share * len(self.nodes)
 
     def _probe(self, node: str, helpers: Sequence[str], now: timedelta) -> list[Send]:
         address = self.nodes[node].address
@@ -161,10 +167,10 @@
         probe = PeerProbe(suspicion.probe_id, node, address, self.address)
         return [Send(helper, probe) for helper in asked]
 
-    def _declare(self, node: str) -> None:
+    def _declare_dead_if_confirmed(self, node: str) -> None:
         suspicion = self.suspects[node]
         enough = min(self.limits.confirmations, len(suspicion.asked))
-        if self.holding or len(suspicion.unreachable) < enough:
+        if self.suppressing or len(suspicion.unreachable) < enough:
             return
-        self.forget(node)
+        self.untrack(node)
         self.dead.append(node)
--- a/almondshore/membership/directory.py
+++ b/almondshore/membership/directory.py
@@ -62,7 +62,7 @@
             total ^= digest
         return {ALL_ZONES: total}
 
-    def differing(self, digests: Mapping[str, int]) -> list[str]:
+    def differing_zones(self, digests: Mapping[str, int]) -> list[str]:
         """Return the zones whose digest differs from the given ones."""
         own = self.digests()
         return sorted(
--- a/almondshore/membership/local.py
+++ b/almondshore/membership/local.py
@@ -14,7 +14,7 @@
     """The record of a target and when it last announced itself."""
 
     record: TargetRecord
-    seen: timedelta
+    last_announced_at: timedelta
 
 
 class LocalTargets:
@@ -75,8 +75,8 @@
             control=self.control,
             process=self.process,
         )
-        left = known is not None and known.record.state is TargetState.LEAVING
-        if left and known.record.version == version:
+        was_leaving = known is not None and known.record.state is TargetState.LEAVING
+        if was_leaving and known.record.version == version:
             record = record._replace(state=TargetState.LEAVING)
         return self._store(record)
 
@@ -99,7 +99,7 @@
         known = self.targets.pop(target, None)
         if known is None:
             return []
-        return [self._raised(known.record, TargetState.DEAD)]
+        return [self._with_new_incarnation(known.record, TargetState.DEAD)]
 
     def correct(self, record: TargetRecord) -> list[TargetRecord]:
         """Answer a record about a target of this node that others hold.
@@ -115,7 +115,7 @@
             starting = self.clock.monotonic() - self.started < self.announce_timeout
             if starting or record.state is TargetState.DEAD:
                 return []
-            return [self._raised(record, TargetState.DEAD)]
+            return [self._with_new_incarnation(record, TargetState.DEAD)]
         if record == known.record or record.incarnation < known.record.incarnation:
             return []
         raised = known.record._replace(incarnation=record.incarnation + 1)
@@ -125,7 +125,9 @@
     def tick(self) -> list[TargetRecord]:
         """Withdraw the targets that stopped announcing themselves."""
         limit = self.clock.monotonic() - self.announce_timeout
-        expired = [name for name, target in self.targets.items() if target.seen < limit]
+        expired = [
+            name for name, target in self.targets.items() if target.last_announced_at < limit
+        ]
         return [record for name in expired for record in self.withdraw(name)]
 
     def records(self) -> list[TargetRecord]:
@@ -138,13 +140,13 @@
         if known is not None:
             record = record._replace(incarnation=known.record.incarnation)
             if record == known.record:
-                self.targets[record.target] = known._replace(seen=now)
+                self.targets[record.target] = known._replace(last_announced_at=now)
                 return []
-        raised = self._raised(record, record.state)
+        raised = self._with_new_incarnation(record, record.state)
         self.targets[record.target] = LocalTarget(raised, now)
         return [raised]
 
-    def _raised(self, record: TargetRecord, state: TargetState) -> TargetRecord:
+    def _with_new_incarnation(self, record: TargetRecord, state: TargetState) -> TargetRecord:
         milliseconds = int(self.clock.now().timestamp() * 1000)
         incarnation = max(record.incarnation + 1, milliseconds)
         return record._replace(incarnation=incarnation, state=state)
--- a/almondshore/membership/prober.py
+++ b/almondshore/membership/prober.py
@@ -10,7 +10,7 @@
 MAX_PENDING = 256
 
 
-class Pending(NamedTuple):
+class PendingProbe(NamedTuple):
     """A probe that waits for its answer."""
 
     probe: PeerProbe
@@ -38,7 +38,7 @@
         self.incarnation = incarnation
         self.timeout = timeout
         self.max_pending = max_pending
-        self.pending: dict[tuple[str, int], Pending] = {}
+        self.pending: dict[tuple[str, int], PendingProbe] = {}
         self.last_tick = clock.monotonic()
 
     def handle(self, message: Message, sender: str) -> list[Send]:
@@ -49,7 +49,7 @@
                 return [Send(sender, reply)]
             case PeerProbe() if sender == message.asker and len(self.pending) < self.max_pending:
                 deadline = self.clock.monotonic() + self.timeout
-                self.pending[message.suspect, message.probe_id] = Pending(message, deadline)
+                self.pending[message.suspect, message.probe_id] = PendingProbe(message, deadline)
                 return [Send(message.address, message)]
             case PeerProbeReply(probe_id, suspect):
                 pending = self.pending.pop((suspect, probe_id), None)
--- a/almondshore/membership/sync.py
+++ b/almondshore/membership/sync.py
@@ -23,7 +23,7 @@
 
 REQUEST_INTERVAL = timedelta(seconds=4)
 # Three heartbeats; a difference that lasts longer is no change under way.
-DIFFERENCE_TOLERATED = timedelta(seconds=6)
+DIFFERENCE_TOLERANCE = timedelta(seconds=6)
 ANNOUNCE_INTERVAL = timedelta(seconds=1)
 EXPIRE_INTERVAL = timedelta(minutes=1)
 
@@ -44,17 +44,17 @@
         clock: Clock,
         directory: Directory,
         local: LocalTargets,
-        pass_on: Callable[[list[TargetRecord]], None] | None = None,
+        forward_changes: Callable[[list[TargetRecord]], None] | None = None,
         request_interval: timedelta = REQUEST_INTERVAL,
     ):
         self.clock = clock
         self.directory = directory
         self.local = local
-        self.pass_on = pass_on
+        self.forward_changes = forward_changes
         self.request_interval = request_interval
         self.relay: str | None = None
-        self.complete = False
-        self.differing: int | None = None
+        self.synchronized = False
+        self.differing_digest: int | None = None
         self.differing_since = timedelta()
         self.unconfirmed: dict[str, TargetRecord] = {}
         self.next_announce = clock.monotonic()
@@ -69,19 +69,19 @@
             case HeartbeatAck():
                 return self._compare(message.directory_digests.get(ALL_ZONES, 0), sender)
             case KeepaliveAck(True):
-                self.complete, self.differing = True, None
+                self.synchronized, self.differing_digest = True, None
             case Busy(retry_after, "DirectoryRequest"):
                 delay = timedelta(seconds=retry_after)
                 self.next_request = max(self.next_request, self.clock.monotonic() + delay)
         return []
 
-    def changed(self, records: list[TargetRecord]) -> list[Send]:
+    def own_records_changed(self, records: list[TargetRecord]) -> list[Send]:
         """Take changes of the own targets and announce them to the relay."""
         if not records:
             return []
         self.directory.merge(records)
-        if self.pass_on is not None:
-            self.pass_on(records)
+        if self.forward_changes is not None:
+            self.forward_changes(records)
             return []
         self.unconfirmed.update({record.target: record for record in records})
         return self._announce()
@@ -93,7 +93,7 @@
             self.next_expiry = now + EXPIRE_INTERVAL
             self.directory.expire()
         orphans = self._corrections(self.directory.of_node(self.local.node))
-        sends = self.changed(self.local.tick() + orphans)
+        sends = self.own_records_changed(self.local.tick() + orphans)
         if self.unconfirmed and now >= self.next_announce and not sends:
             return self._announce()
         return sends
@@ -110,7 +110,7 @@
             own = self.unconfirmed.get(record.target)
             if own is not None and not is_newer(own, record):
                 del self.unconfirmed[record.target]
-        return self.changed(self._corrections(records))
+        return self.own_records_changed(self._corrections(records))
 
     def _corrections(self, records: list[TargetRecord]) -> list[TargetRecord]:
         return [corrected for record in records for corrected in self.local.correct(record)]
@@ -118,23 +118,23 @@
     def _compare(self, digest: int, sender: str) -> list[Send]:
         new_relay, self.relay = sender != self.relay, sender
         if digest == self.directory.digest()[ALL_ZONES]:
-            self.complete, self.differing = True, None
+            self.synchronized, self.differing_digest = True, None
             self.unconfirmed.clear()
             return []
         sends: list[Send] = []
         if new_relay:
             self.unconfirmed.update({r.target: r for r in self.local.records()})
             sends = self._announce()
-        return sends + self._ask_if_due(digest, sender)
+        return sends + self._request_if_due(digest, sender)
 
-    def _ask_if_due(self, digest: int, sender: str) -> list[Send]:
+    def _request_if_due(self, digest: int, sender: str) -> list[Send]:
         """Ask for the records of differing zones if the difference is no change under way."""
         now = self.clock.monotonic()
-        if self.differing is None:
+        if self.differing_digest is None:
             self.differing_since = now
-        repeated, self.differing = digest == self.differing, digest
-        lasting = now - self.differing_since >= DIFFERENCE_TOLERATED
-        if now < self.next_request or (self.complete and not repeated and not lasting):
+        repeated, self.differing_digest = digest == self.differing_digest, digest
+        lasting = now - self.differing_since >= DIFFERENCE_TOLERANCE
+        if now < self.next_request or (self.synchronized and not repeated and not lasting):
             return []
         self.next_request = now + self.request_interval
         if repeated:
--- a/almondshore/relay/candidacy.py
+++ b/almondshore/relay/candidacy.py
@@ -8,8 +8,8 @@
 
 # With these two figures one node in 170 tries within the first 2 s and the others hear of its
 # success; in a zone of four nodes the first try comes after about 7 s.
-WINDOW = timedelta(seconds=9)
-DOUBLING = timedelta(seconds=1)
+MAX_ATTEMPT_DELAY = timedelta(seconds=9)
+DENSITY_DOUBLING_TIME = timedelta(seconds=1)
 
 
 class Candidacy:
@@ -25,16 +25,16 @@
         *,
         clock: Clock,
         rng: random.Random,
-        window: timedelta = WINDOW,
-        doubling: timedelta = DOUBLING,
+        max_delay: timedelta = MAX_ATTEMPT_DELAY,
+        doubling_time: timedelta = DENSITY_DOUBLING_TIME,
     ):
         self.clock = clock
         self.rng = rng
-        self.window = window
-        self.doubling = doubling
+        self.max_delay = max_delay
+        self.doubling_time = doubling_time
         self.due: timedelta | None = None
 
-    def should_try(self, connected: bool, *, relay_to_try: bool = False) -> bool:
+    def should_attempt(self, connected: bool, *, has_usable_relay: bool = False) -> bool:
         """Return whether to try now; call it on each tick.
 
         :param connected: whether a relay of the own zone answers this node
@@ -48,7 +48,7 @@
         if self.due is None:
             self.due = now + self._delay()
             return False
-        if now < self.due or relay_to_try:
+        if now < self.due or has_usable_relay:
             return False
         self.due = now + self._delay()
         return True
@@ -61,5 +61,5 @@
         self.due = max(until, self.clock.monotonic()) + self._delay()
 
     def _delay(self) -> timedelta:
-        doublings = self.window / self.doubling
-        return self.doubling * math.log2(1 + self.rng.random() * (2**doublings - 1))
+        doublings = self.max_delay / self.doubling_time
+        return self.doubling_time * math.log2(1 + self.rng.random() * (2**doublings - 1))
--- a/almondshore/relay/control.py
+++ b/almondshore/relay/control.py
@@ -37,9 +37,9 @@
 from almondshore.versions.publish import Publisher
 from almondshore.versions.sync import ConfigSync
 
-NOT_A_RELAY_SECONDS = 3.0
-DIRECTORY_PEERS = 6
-BALANCED_FROM_RELAYS = 5
+NOT_A_RELAY_RETRY_SECONDS = 3.0
+MAX_DIRECTORY_PEERS = 6
+MIN_RELAYS_FOR_FAIR_SHARE = 5
 FAIR_SHARE_MARGIN = 1.25
 
 
@@ -102,7 +102,7 @@
         self.limits = limits or ControlLimits()
         self.relay: Relay | None = None
         self.source: ConfigSource | None = None
-        self.relay_shows_platform_up: bool | None = None
+        self.relay_reports_platform_up: bool | None = None
         self.acknowledged = False
         self._make_membership()
         self._make_relay_client()
@@ -111,7 +111,7 @@
         """React to a message."""
         match message:
             case HeartbeatAck(platform_up=platform_up) | KeepaliveAck(True, platform_up):
-                self.relay_shows_platform_up = platform_up
+                self.relay_reports_platform_up = platform_up
                 self.acknowledged = True
         if isinstance(message, RelayInvite):
             self.election.invite(message)
@@ -119,17 +119,17 @@
         if self.relay is not None:
             sends = self.relay.handle(message, sender)
         elif isinstance(message, Heartbeat | Keepalive):
-            self.election.taken_for_relay()
-            return [Send(sender, Busy(NOT_A_RELAY_SECONDS, "Heartbeat"))]
+            self.election.on_unexpected_heartbeat()
+            return [Send(sender, Busy(NOT_A_RELAY_RETRY_SECONDS, "Heartbeat"))]
         else:
             sends = []
-        for machine in self._machines(message):
-            sends += machine.handle(message, sender)
+        for component in self._components(message):
+            sends += component.handle(message, sender)
         return sends
 
     def tick(self) -> list[Send]:
         """Do what is due."""
-        self._take_role()
+        self._update_role()
         sends = self.config.tick() + self.membership.tick() + self.prober.tick()
         sends += self.selection.tick()
         if self.relay is not None:
@@ -142,7 +142,9 @@
 
         None until a relay has told this node.
         """
-        return self.election.platform_up if self.relay is not None else self.relay_shows_platform_up
+        return (
+            self.election.platform_up if self.relay is not None else self.relay_reports_platform_up
+        )
 
     def take_liveness_confirmation(self) -> bool:
         """Return whether this node is known to be alive to others since the last call.
@@ -156,7 +158,9 @@
     def platform_step(self) -> list[Send]:
         """Take, renew and review relay leases; waits for the platform."""
         selection = self.selection
-        return self.election.step(in_zone=selection.in_zone, relay_to_try=selection.relay_to_try)
+        return self.election.step(
+            in_zone=selection.in_zone, has_usable_relay=selection.has_usable_relay
+        )
 
     def watch_step(self) -> None:
         """Watch the head of the configuration if this node is a relay; waits for the platform."""
@@ -165,7 +169,7 @@
 
     def announce(self, records: list[TargetRecord]) -> list[Send]:
         """Make changes of the own targets known."""
-        return self.membership.changed(records)
+        return self.membership.own_records_changed(records)
 
     def propagate(self, message: Message, sender: str) -> list[Send]:
         """Pass news on: a node to its relay, a relay to its nodes and the other relays."""
@@ -199,7 +203,7 @@
         of the directory are asked too.
         """
         controls = [record.control for record in self.directory.records.values()]
-        sample = self.rng.sample(controls, min(DIRECTORY_PEERS, len(controls)))
+        sample = self.rng.sample(controls, min(MAX_DIRECTORY_PEERS, len(controls)))
         known = [*self.seeds, *self.table.addresses(self.identity.zone), *sample]
         return [peer for peer in dict.fromkeys(known) if peer not in ("", self.identity.control)]
 
@@ -214,7 +218,7 @@
         With few relays there is no bound, since the others must serve all if one dies.
         """
         relays = len(self.table.addresses(self.identity.zone))
-        if relays < BALANCED_FROM_RELAYS:
+        if relays < MIN_RELAYS_FOR_FAIR_SHARE:
             return MAX_SUBSCRIBERS
         share = FAIR_SHARE_MARGIN * self.nodes_in_zone() / relays
         return max(self.limits.nodes_per_slot, math.ceil(share))
@@ -230,7 +234,7 @@
         records = self.directory.of_zone(self.identity.zone)
         return [record for record in records if record.state is not TargetState.DEAD]
 
-    def _machines(self, message: Message):
+    def _components(self, message: Message):
         """Return the machines of an ordinary node that a message concerns."""
         own = (self.config, self.membership, self.prober, self.selection)
         if self.relay is None:
@@ -238,15 +242,15 @@
         answered = {"Heartbeat", "Keepalive", "ConfigRequest", "RelayQuery", "RelaySync"}
         return () if type(message).__name__ in answered else own
 
-    def _take_role(self) -> None:
+    def _update_role(self) -> None:
         """Start or stop acting as a relay, as the lease says."""
         if self.election.is_relay and self.relay is None:
             self._start_relay()
         elif not self.election.is_relay and self.relay is not None:
-            self.relay = self.source = self.membership.pass_on = None
+            self.relay = self.source = self.membership.forward_changes = None
 
     def _make_membership(self) -> None:
-        clock, who = self.clock, self.identity
+        clock, identity = self.clock, self.identity
         limits = self.limits
         self.config = ConfigSync(
             clock=clock,
@@ -260,24 +264,24 @@
         self.directory = Directory(clock=clock)
         self.local = LocalTargets(
             clock=clock,
-            node=who.node,
-            zone=who.zone,
-            address=who.address,
-            control=who.control,
-            process=who.incarnation,
+            node=identity.node,
+            zone=identity.zone,
+            address=identity.address,
+            control=identity.control,
+            process=identity.incarnation,
         )
         self.membership = DirectorySync(clock=clock, directory=self.directory, local=self.local)
-        self.prober = Prober(clock=clock, node=who.node, incarnation=who.incarnation)
+        self.prober = Prober(clock=clock, node=identity.node, incarnation=identity.incarnation)
 
     def _make_relay_client(self) -> None:
-        clock, rng, who = self.clock, self.rng, self.identity
+        clock, rng, identity = self.clock, self.rng, self.identity
         self.table = RelayTable()
         self.selection = RelaySelection(
             clock=clock,
             rng=rng,
-            node=who.node,
-            zone=who.zone,
-            address=who.control,
+            node=identity.node,
+            zone=identity.zone,
+            address=identity.control,
             table=self.table,
             heartbeat=self.heartbeat,
             peers=self.peers,
@@ -287,8 +291,8 @@
             clock=clock,
             rng=rng,
             platform=self.platform,
-            address=who.control,
-            zone=who.zone,
+            address=identity.control,
+            zone=identity.zone,
             table=self.table,
             candidacy=Candidacy(clock=clock, rng=rng),
             nodes_in_zone=self.nodes_in_zone,
@@ -297,15 +301,15 @@
         )
 
     def _start_relay(self) -> None:
-        clock, rng, who = self.clock, self.rng, self.identity
+        clock, rng, identity = self.clock, self.rng, self.identity
         detector = FailureDetector(
-            clock=clock, rng=rng, address=who.control, limits=self.limits.detector
+            clock=clock, rng=rng, address=identity.control, limits=self.limits.detector
         )
         self.relay = Relay(
             clock=clock,
             rng=rng,
-            address=who.control,
-            zone=who.zone,
+            address=identity.control,
+            zone=identity.zone,
             sync=self.config,
             directory=self.directory,
             detector=detector,
@@ -315,6 +319,6 @@
             fair_share=self.fair_share,
             limits=self.limits.relay,
         )
-        self.membership.pass_on = self.relay.own_records_changed
+        self.membership.forward_changes = self.relay.own_records_changed
         publisher = Publisher(platform=self.platform)
         self.source = ConfigSource(clock=clock, rng=rng, publisher=publisher, sync=self.config)
--- a/almondshore/relay/election.py
+++ b/almondshore/relay/election.py
@@ -17,7 +17,7 @@
     Held,
     HeldElsewhere,
     Lease,
-    LeaseAnswer,
+    LeaseResult,
     decode_lease,
     lease_slot,
     relay_lease_key,
@@ -27,23 +27,23 @@
 from almondshore.storage.port import Platform, StoredObject
 
 RENEW_INTERVAL = timedelta(seconds=5)
-LIST_INTERVAL = timedelta(seconds=10)
+ZONE_LIST_INTERVAL = timedelta(seconds=10)
 SELF_CHECK_INTERVAL = timedelta(seconds=10)
 # After a restart of all processes the relays take their leases within this time, not at once.
-TAKE_SPREAD = timedelta(seconds=2)
+MAX_ACQUIRE_DELAY = timedelta(seconds=2)
 LIST_ALL_INTERVAL = timedelta(seconds=60)
 # A relay spends about 130 B/s for each node it serves; the busiest serves a quarter more than
 # this, which keeps it under 14 KB/s, and a zone of 463 nodes needs 7 leases, 1.4 writes/s.
 NODES_PER_SLOT = 70
-TWO_SLOTS_FROM = 20
+MIN_NODES_FOR_TWO_SLOTS = 20
 # A slot is given up only if the zone would need one less with a tenth more nodes, so that a
 # zone at the border does not gain and lose a relay again and again.
-SURPLUS_MARGIN = 1.1
+SURPLUS_NODE_FACTOR = 1.1
 
 
 def slots_needed(nodes: float, nodes_per_slot: int = NODES_PER_SLOT) -> int:
     """Return how many relays a zone with that many nodes needs."""
-    return max(-int(-nodes // nodes_per_slot), 2 if nodes >= TWO_SLOTS_FROM else 1)
+    return max(-int(-nodes // nodes_per_slot), 2 if nodes >= MIN_NODES_FOR_TWO_SLOTS else 1)
 
 
 class RelayElection:
@@ -81,9 +81,9 @@
         self.lease: Lease | None = None
         self.slot = -1
         self.platform_up: bool | None = None
-        self.invited: int | None = None
-        self.check_own = False
-        self.next_self_check = self.not_before = clock.monotonic()
+        self.invited_slot: int | None = None
+        self.check_own_lease = False
+        self.next_self_check = self.acquire_not_before = clock.monotonic()
         self.next_renewal = self.next_list = self.next_list_all = clock.monotonic()
 
     @property
@@ -98,10 +98,10 @@
     def invite(self, message: RelayInvite) -> None:
         """Note another relay's request to take a vacant slot."""
         if message.zone == self.zone and self.lease is None:
-            self.invited = message.slot
-            self.not_before = self.clock.monotonic() + TAKE_SPREAD * self.rng.random()
+            self.invited_slot = message.slot
+            self.acquire_not_before = self.clock.monotonic() + MAX_ACQUIRE_DELAY * self.rng.random()
 
-    def taken_for_relay(self) -> None:
+    def on_unexpected_heartbeat(self) -> None:
         """Note a heartbeat that came although this node is no relay.
 
         The lease may still name this address, if the process was restarted: it then takes the
@@ -110,10 +110,10 @@
         now = self.clock.monotonic()
         if self.lease is None and now >= self.next_self_check:
             self.next_self_check = now + SELF_CHECK_INTERVAL
-            self.check_own = True
-            self.not_before = now + TAKE_SPREAD * self.rng.random()
+            self.check_own_lease = True
+            self.acquire_not_before = now + MAX_ACQUIRE_DELAY * self.rng.random()
 
-    def step(self, *, in_zone: bool, relay_to_try: bool = False) -> list[Send]:
+    def step(self, *, in_zone: bool, has_usable_relay: bool = False) -> list[Send]:
         """Do what is due; makes blocking platform calls.
 
         :param in_zone: whether a relay of the own zone answers this node
@@ -121,13 +121,13 @@
         """
         now = self.clock.monotonic()
         if self.lease is None:
-            return self._try_to_become_relay(in_zone, relay_to_try)
+            return self._attempt_acquisition(in_zone, has_usable_relay)
         sends: list[Send] = []
         if now >= self.next_renewal:
             self.next_renewal = now + RENEW_INTERVAL * self.rng.uniform(0.95, 1.05)
             sends = self._renew()
         if self.lease is not None and now >= self.next_list:
-            sends += self._review(now)
+            sends += self._check_leases(now)
         return sends
 
     def release(self) -> list[Send]:
@@ -141,21 +141,21 @@
         gone = vacancy(self.zone, self.slot, lease.epoch)
         lease.release()
         self.table.merge([gone])
-        return self._tell(gone)
-
-    def _try_to_become_relay(self, in_zone: bool, relay_to_try: bool) -> list[Send]:
-        waiting = self.clock.monotonic() < self.not_before
-        if self.invited is not None and not waiting:
-            slot, self.invited = self.invited, None
-            return self._take(slot, None)
-        own = self._own_lease() if self.check_own and not waiting else None
+        return self._announce_entry(gone)
+
+    def _attempt_acquisition(self, in_zone: bool, has_usable_relay: bool) -> list[Send]:
+        waiting = self.clock.monotonic() < self.acquire_not_before
+        if self.invited_slot is not None and not waiting:
+            slot, self.invited_slot = self.invited_slot, None
+            return self._acquire_slot(slot, None)
+        own = self._find_own_lease() if self.check_own_lease and not waiting else None
         if own is not None:
-            return self._take(lease_slot(own.key), own)
-        if not self.candidacy.should_try(in_zone, relay_to_try=relay_to_try):
+            return self._acquire_slot(lease_slot(own.key), own)
+        if not self.candidacy.should_attempt(in_zone, has_usable_relay=has_usable_relay):
             return []
-        return self._take(0, None)
+        return self._acquire_slot(0, None)
 
-    def _take(self, slot: int, known: StoredObject | None) -> list[Send]:
+    def _acquire_slot(self, slot: int, known: StoredObject | None) -> list[Send]:
         key = relay_lease_key(self.zone, slot)
         lease = Lease(platform=self.platform, key=key, holder=self.address, clock=self.clock)
         answer = lease.acquire_or_renew(known)
@@ -170,30 +170,30 @@
         now = self.clock.monotonic()
         self.next_renewal = now + RENEW_INTERVAL * self.rng.uniform(0.5, 1)
         self.next_list = self.next_list_all = now
-        return self._tell(self._own_entry(answer.epoch))
+        return self._announce_entry(self._own_entry(answer.epoch))
 
-    def _own_lease(self) -> StoredObject | None:
+    def _find_own_lease(self) -> StoredObject | None:
         """Return the lease of the zone that names this address, None if there is none."""
-        self.check_own = False
+        self.check_own_lease = False
         result = self.platform.list(f"{RELAY_LEASE_PREFIX}{self.zone}/")
         if not is_successful(result):
             return None
-        self.lease_monitor.take(result.unwrap())
+        self.lease_monitor.update(result.unwrap())
         own = [item for item in result.unwrap() if decode_lease(item).holder == self.address]
         return own[0] if own else None
 
     def _renew(self) -> list[Send]:
         """Renew the lease; under a higher epoch if others took this relay for gone."""
         lapsed = self.table.is_vacant(self.zone, self.slot, self.lease.epoch)
-        answer = self.lease.restart() if lapsed else self.lease.acquire_or_renew()
+        answer = self.lease.renew_with_new_epoch() if lapsed else self.lease.acquire_or_renew()
         self._note_holder(self.slot, answer)
         if isinstance(answer, HeldElsewhere):
             self.lease = None
         elif isinstance(answer, Held) and lapsed:
-            return self._tell(self._own_entry(answer.epoch))
+            return self._announce_entry(self._own_entry(answer.epoch))
         return []
 
-    def _note_holder(self, slot: int, answer: LeaseAnswer) -> None:
+    def _note_holder(self, slot: int, answer: LeaseResult) -> None:
         self.platform_up = isinstance(answer, Held | HeldElsewhere)
         if isinstance(answer, HeldElsewhere) and answer.record is not None:
             record = answer.record
@@ -204,36 +204,36 @@
     def _own_entry(self, epoch: int) -> RelayEntry:
         return RelayEntry(self.zone, self.slot, self.address, epoch)
 
-    def _tell(self, entry: RelayEntry) -> list[Send]:
+    def _announce_entry(self, entry: RelayEntry) -> list[Send]:
         """Tell an entry to the other relays and to the nodes of the zone."""
         known = [*self.table.addresses(), *self.candidates()]
         peers = [peer for peer in dict.fromkeys(known) if peer != self.address]
         return [Send(peer, RelayList([entry])) for peer in peers]
 
-    def _review(self, now: timedelta) -> list[Send]:
+    def _check_leases(self, now: timedelta) -> list[Send]:
         """Read the leases of the zone, now and then of all zones, and adjust the slots."""
-        everything = now >= self.next_list_all
-        self.next_list = now + LIST_INTERVAL * self.rng.uniform(0.9, 1.1)
-        prefix = RELAY_LEASE_PREFIX if everything else f"{RELAY_LEASE_PREFIX}{self.zone}/"
+        all_zones = now >= self.next_list_all
+        self.next_list = now + ZONE_LIST_INTERVAL * self.rng.uniform(0.9, 1.1)
+        prefix = RELAY_LEASE_PREFIX if all_zones else f"{RELAY_LEASE_PREFIX}{self.zone}/"
         result = self.platform.list(prefix)
         if not is_successful(result):
-            self.lease_monitor.failed()
+            self.lease_monitor.on_list_failure()
             self.next_list += full_jitter(self.rng, 4)
             return []
         known = set(self.table.addresses())
-        live = self.lease_monitor.take(result.unwrap())
+        live = self.lease_monitor.update(result.unwrap())
         sends: list[Send] = []
-        if everything:
+        if all_zones:
             self.next_list_all = now + LIST_ALL_INTERVAL * self.rng.uniform(0.9, 1.1)
             new = set(self.table.addresses()) - known - {self.address}
             own = RelayList([self._own_entry(self.lease.epoch)])
             sends = [Send(relay, own) for relay in sorted(new)]
-        return sends + self._adjust({entry.slot for entry in live if entry.zone == self.zone})
+        return sends + self._adjust_slots({entry.slot for entry in live if entry.zone == self.zone})
 
-    def _adjust(self, live: set[int]) -> list[Send]:
+    def _adjust_slots(self, live: set[int]) -> list[Send]:
         """Give up a surplus slot; as the holder of the lowest slot, invite for vacant ones."""
         nodes = self.nodes_in_zone()
-        if self.slot >= slots_needed(nodes * SURPLUS_MARGIN, self.nodes_per_slot):
+        if self.slot >= slots_needed(nodes * SURPLUS_NODE_FACTOR, self.nodes_per_slot):
             return self.release()
         if not live or self.slot != min(live):
             return []
--- a/almondshore/relay/fanout.py
+++ b/almondshore/relay/fanout.py
@@ -54,10 +54,10 @@
 
     anti_entropy_interval: timedelta = timedelta(seconds=10)
     push_fanout: int = 3
-    adopt_interval: timedelta = timedelta(seconds=30)
+    tracking_interval: timedelta = timedelta(seconds=30)
     max_changes: int = 16_384
     records_per_message: int = 512
-    refusal: timedelta = timedelta(seconds=60)
+    refusal_retry_after: timedelta = timedelta(seconds=60)
 
 
 class Relay:
@@ -101,7 +101,7 @@
         self.dropped_changes = 0
         interval = self.limits.anti_entropy_interval
         self.next_anti_entropy = clock.monotonic() + interval * rng.random()
-        self.next_adoption = clock.monotonic() + self.limits.adopt_interval
+        self.next_tracking = clock.monotonic() + self.limits.tracking_interval
 
     def handle(self, message: Message, sender: str) -> list[Send]:
         """React to a message from a node or another relay."""
@@ -111,9 +111,9 @@
             case Keepalive(state):
                 return self._keepalive(state, sender)
             case Announce():
-                return self._announced(message, sender)
+                return self._merge_announcement(message, sender)
             case DirectoryDelta(records) | DirectorySnapshot(records):
-                self._changed(self.directory.merge(records), own=False)
+                self._queue_changes(self.directory.merge(records), own=False)
             case DirectoryRequest():
                 return self._directory_request(message, sender)
             case ConfigRequest():
@@ -131,21 +131,21 @@
         self.subscribers.expire()
         sends = self.detector.tick(self._helpers)
         for node in self.detector.take_dead():
-            self._changed(self.directory.declare_dead(node), own=True)
+            self._queue_changes(self.directory.declare_dead(node), own=True)
         sends += self._flush_changes()
         sends += self._push_config()
         now = self.clock.monotonic()
         if now >= self.next_anti_entropy:
             self.next_anti_entropy = now + self.limits.anti_entropy_interval
             sends += self._anti_entropy()
-        if now >= self.next_adoption:
-            self.next_adoption = now + self.limits.adopt_interval
-            self._adopt()
+        if now >= self.next_tracking:
+            self.next_tracking = now + self.limits.tracking_interval
+            self._track_assigned_nodes()
         return sends
 
     def own_records_changed(self, records: list[TargetRecord]) -> None:
         """Pass on records that the directory already holds."""
-        self._changed(records, own=True)
+        self._queue_changes(records, own=True)
 
     def broadcast(self, message: Message) -> list[Send]:
         """Address a message to all subscribers and all other relays."""
@@ -174,17 +174,19 @@
         )
         if heartbeat_digest(expected) != state:
             return [Send(sender, KeepaliveAck(False))]
-        self.subscribers.heard(sender, expected)
-        self.detector.heard(expected.node, sender, expected.incarnation)
+        self.subscribers.record_heartbeat(sender, expected)
+        self.detector.record_heartbeat(expected.node, sender, expected.incarnation)
         return [Send(sender, KeepaliveAck(True, bool(self.platform_up())))]
 
     def _heartbeat(self, heartbeat: Heartbeat, sender: str) -> list[Send]:
         if sender not in self.subscribers.items and len(self.subscribers) >= self.fair_share():
-            return [Send(sender, Busy(self.limits.refusal.total_seconds(), "Heartbeat"))]
-        subscriber = self.subscribers.heard(sender, heartbeat)
+            return [
+                Send(sender, Busy(self.limits.refusal_retry_after.total_seconds(), "Heartbeat"))
+            ]
+        subscriber = self.subscribers.record_heartbeat(sender, heartbeat)
         if subscriber is None:
             return [Send(sender, Busy(self.rng.uniform(1, 5), "Heartbeat"))]
-        self.detector.heard(heartbeat.node, sender, heartbeat.incarnation)
+        self.detector.record_heartbeat(heartbeat.node, sender, heartbeat.incarnation)
         sends = self.sync.handle(heartbeat, sender)
         current = self.sync.state.current
         known = heartbeat.relays_digest == self.table.digest(self.zone)
@@ -203,12 +205,12 @@
     def _catch_up(self, subscriber: Subscriber) -> list[Send]:
         """Send a subscriber the changes since its version, or a snapshot beyond the backlog."""
         current = self.sync.state.current
-        if not self.sync.ready or not self.subscribers.due(subscriber, current.version):
+        if not self.sync.ready or not self.subscribers.is_due(subscriber, current.version):
             return []
         message = self.sync.answer(ConfigRequest(subscriber.version, subscriber.digest))
         if isinstance(message, Busy):
             return []
-        self.subscribers.sent(subscriber.address, current.version)
+        self.subscribers.mark_sent(subscriber.address, current.version)
         return [Send(subscriber.address, message)]
 
     def _push_config(self) -> list[Send]:
@@ -217,15 +219,15 @@
             return []
         self.pushed_version = current.version
         sends = [send for s in self.subscribers for send in self._catch_up(s)]
-        if self.sync.history.steps:
-            delta = self.sync.history.steps[-1].delta
+        if self.sync.history.entries:
+            delta = self.sync.history.entries[-1].delta
             relays = self._other_relays()
             chosen = self.rng.sample(relays, min(self.limits.push_fanout, len(relays)))
             sends += [Send(relay, delta) for relay in chosen]
         return sends
 
     def _directory_request(self, request: DirectoryRequest, sender: str) -> list[Send]:
-        zones = self.directory.differing(request.digests)
+        zones = self.directory.differing_zones(request.digests)
         if not zones:
             return []
         retry_after = self.admission.admit()
@@ -233,15 +235,15 @@
             return [Send(sender, Busy(retry_after.total_seconds(), "DirectoryRequest"))]
         return [Send(sender, DirectorySnapshot(self.directory.of_zone(zone))) for zone in zones]
 
-    def _announced(self, message: Announce, sender: str) -> list[Send]:
+    def _merge_announcement(self, message: Announce, sender: str) -> list[Send]:
         """Take a node's own records; answer with those that are known as they are, or newer."""
         changed = self.directory.merge(message.records)
-        self._changed(changed, own=True)
+        self._queue_changes(changed, own=True)
         known = [self.directory.records.get(record.target) for record in message.records]
-        settled = [record for record in known if record is not None and record not in changed]
-        return [Send(sender, DirectoryDelta(settled))] if settled else []
+        unchanged = [record for record in known if record is not None and record not in changed]
+        return [Send(sender, DirectoryDelta(unchanged))] if unchanged else []
 
-    def _changed(self, records: list[TargetRecord], *, own: bool) -> None:
+    def _queue_changes(self, records: list[TargetRecord], *, own: bool) -> None:
         self.changes += records
         if own:
             self.own_changes += records
@@ -289,7 +291,7 @@
             sends.append(Send(sender, self._summary(wants_answer=False)))
         return sends
 
-    def _adopt(self) -> None:
+    def _track_assigned_nodes(self) -> None:
         """Expect heartbeats of the nodes that are this relay's share of the zone.
 
         Covers nodes that failed together with the relay they used: no other relay heard them.
@@ -299,7 +301,7 @@
             if record.state is TargetState.DEAD or not record.control:
                 continue
             if record.control != self.address and choose(record.node, relays) == self.address:
-                self.detector.expect(record.node, record.control)
+                self.detector.track(record.node, record.control)
 
     def _helpers(self) -> list[str]:
         """Return addresses of nodes that can probe a suspect, own subscribers first."""
--- a/almondshore/relay/lease.py
+++ b/almondshore/relay/lease.py
@@ -49,7 +49,7 @@
     error: PlatformError
 
 
-LeaseAnswer = Held | HeldElsewhere | Unknown
+LeaseResult = Held | HeldElsewhere | Unknown
 
 
 class Lease:
@@ -81,7 +81,7 @@
         self.writes = 0
         self.valid_until = timedelta()
         self.pending_write: str | None = None
-        self.pending_sent = timedelta()
+        self.pending_sent_at = timedelta()
         self.observed_revision = 0
         self.observed_at = timedelta()
 
@@ -90,7 +90,7 @@
         """Whether this process holds the lease by its own clock."""
         return self.epoch > 0 and self.clock.monotonic() < self.valid_until
 
-    def acquire_or_renew(self, known: StoredObject | None = None) -> LeaseAnswer:
+    def acquire_or_renew(self, known: StoredObject | None = None) -> LeaseResult:
         """Renew the lease if it is held, else take it if it is free or expired.
 
         Takes one platform call for a renewal and two for an acquisition.
@@ -100,15 +100,15 @@
         if self.epoch and self.pending_write is None:
             return self._write(self.epoch, self.revision)
         if known is not None:
-            return self._decide(known)
+            return self._evaluate(known)
         result = self.platform.get(self.key)
         if is_successful(result):
-            return self._decide(result.unwrap())
+            return self._evaluate(result.unwrap())
         if isinstance(result.failure(), NotFound):
             return self._write(1, 0)
         return Unknown(result.failure())
 
-    def restart(self) -> LeaseAnswer:
+    def renew_with_new_epoch(self) -> LeaseResult:
         """Take the held lease anew under a higher epoch."""
         if not self.epoch or self.pending_write is not None:
             return self.acquire_or_renew()
@@ -118,15 +118,15 @@
         """End the hold, so that another process can take the lease at once."""
         if self.epoch:
             self._put(self.epoch, self.revision, timedelta())
-        self._forget()
+        self._reset()
 
-    def _decide(self, stored: StoredObject) -> LeaseAnswer:
+    def _evaluate(self, stored: StoredObject) -> LeaseResult:
         record = decode_lease(stored)
         if self.pending_write is not None and stored.write_id == self.pending_write:
             return self._confirm(record.epoch, stored.revision)
         if self.epoch and (record.holder, record.epoch) == (self.holder, self.epoch):
             return self._write(self.epoch, stored.revision)
-        self._forget()
+        self._reset()
         if self._expired(stored, record):
             return self._write(record.epoch + 1, stored.revision)
         return HeldElsewhere(record)
@@ -134,7 +134,7 @@
     def _confirm(self, epoch: int, revision: int) -> Held:
         """Take note of a write that took effect; the hold counts from before it was sent."""
         self.epoch, self.revision, self.pending_write = epoch, revision, None
-        self.valid_until = self.pending_sent + self.ttl
+        self.valid_until = self.pending_sent_at + self.ttl
         return Held(epoch)
 
     def _expired(self, stored: StoredObject, record: LeaseRecord) -> bool:
@@ -145,7 +145,7 @@
             return True
         return record.holder == self.holder or self.clock.now() > record.expires + self.clock_skew
 
-    def _write(self, epoch: int, revision: int) -> LeaseAnswer:
+    def _write(self, epoch: int, revision: int) -> LeaseResult:
         result = self._put(epoch, revision, self.ttl)
         if is_successful(result):
             return self._confirm(epoch, result.unwrap().revision)
@@ -153,7 +153,7 @@
         if not isinstance(error, Unavailable):
             self.pending_write = None
         if isinstance(error, Conflict):
-            self._forget()
+            self._reset()
             return HeldElsewhere(decode_lease(error.current) if error.current else None)
         return Unknown(error)
 
@@ -161,13 +161,13 @@
         self, epoch: int, revision: int, ttl: timedelta
     ) -> Result[StoredObject, PlatformError]:
         self.writes += 1
-        self.pending_sent = self.clock.monotonic()
+        self.pending_sent_at = self.clock.monotonic()
         self.pending_write = f"{self.holder}/{epoch}/{self.writes}"
         record = LeaseRecord(self.holder, epoch, self.clock.now() + ttl)
         value = msgspec.msgpack.encode(record)
         return self.platform.update(self.key, value, revision, self.pending_write)
 
-    def _forget(self) -> None:
+    def _reset(self) -> None:
         self.epoch, self.revision, self.pending_write = 0, 0, None
         self.valid_until = timedelta()
 
--- a/almondshore/relay/lease_monitor.py
+++ b/almondshore/relay/lease_monitor.py
@@ -11,7 +11,7 @@
 from almondshore.storage.port import StoredObject
 
 
-class Observed(NamedTuple):
+class ObservedRevision(NamedTuple):
     """A revision of a lease and since when it was seen unchanged."""
 
     revision: int
@@ -30,13 +30,13 @@
         self.clock = clock
         self.table = table
         self.ttl = ttl
-        self.observed: dict[str, Observed] = {}
+        self.observed: dict[str, ObservedRevision] = {}
 
-    def failed(self) -> None:
+    def on_list_failure(self) -> None:
         """Note that the leases could not be read."""
         self.observed.clear()
 
-    def take(self, leases: Iterable[StoredObject]) -> list[RelayEntry]:
+    def update(self, leases: Iterable[StoredObject]) -> list[RelayEntry]:
         """Merge what the leases show into the table.
 
         :returns: the live leases
@@ -55,7 +55,7 @@
         now = self.clock.monotonic()
         known = self.observed.get(stored.key)
         if known is None or known.revision != stored.revision:
-            self.observed[stored.key] = Observed(stored.revision, now)
+            self.observed[stored.key] = ObservedRevision(stored.revision, now)
             return False
         return now - known.since >= self.ttl
 
--- a/almondshore/relay/selection.py
+++ b/almondshore/relay/selection.py
@@ -36,10 +36,10 @@
 
     heartbeat_interval: timedelta = timedelta(seconds=2)
     max_missed: int = 2
-    avoid: timedelta = timedelta(seconds=6)
-    return_interval: timedelta = timedelta(seconds=30)
-    peers_asked: int = 3
-    query_cap: timedelta = timedelta(seconds=2)
+    avoid_duration: timedelta = timedelta(seconds=6)
+    failback_interval: timedelta = timedelta(seconds=30)
+    peers_queried: int = 3
+    max_query_delay: timedelta = timedelta(seconds=2)
 
 
 class RelaySelection:
@@ -79,7 +79,7 @@
         self.failures = 0
         self.avoided: dict[str, timedelta] = {}
         self.next_send = clock.monotonic() + full_jitter(rng, 0)
-        self.next_return = clock.monotonic() + self.limits.return_interval
+        self.next_failback = clock.monotonic() + self.limits.failback_interval
         self.without_relay_since: timedelta | None = clock.monotonic()
 
     @property
@@ -93,7 +93,7 @@
         return self.connected and self.relay in self.table.addresses(self.zone)
 
     @property
-    def relay_to_try(self) -> bool:
+    def has_usable_relay(self) -> bool:
         """Whether a known relay of the own zone has not failed to answer lately."""
         now = self.clock.monotonic()
         known = self.table.addresses(self.zone)
@@ -106,18 +106,18 @@
                 self.table.merge(relays)
                 self.acknowledged = sender
                 if sender in (self.relay, self.trial):
-                    self._answered(sender)
+                    self._on_acknowledgement(sender)
             case KeepaliveAck(known) if sender == self.relay:
-                self._answered(sender)
+                self._on_acknowledgement(sender)
                 if not known:
                     self.acknowledged = None
                     self.next_send = self.clock.monotonic()
             case RelayList(relays):
                 self.table.merge(relays)
             case RelayQuery():
-                return [Send(sender, self._list(message.zone))]
+                return [Send(sender, self._relay_list(message.zone))]
             case Busy(retry_after, "Heartbeat"):
-                self._refused(sender, timedelta(seconds=retry_after))
+                self._on_refusal(sender, timedelta(seconds=retry_after))
         return []
 
     def tick(self) -> list[Send]:
@@ -126,12 +126,12 @@
         if now < self.next_send:
             return []
         if self.relay is not None and self.missed >= self.limits.max_missed:
-            self._fail_over(self.limits.avoid)
+            self._fail_over(self.limits.avoid_duration)
             return []
         if self.relay is None:
             self.relay, self.missed = self.preferred(now), 0
         if self.relay is None:
-            return self._ask_peers(now)
+            return self._query_peers(now)
         self._choose_trial(now)
         self.missed += 1
         self.next_send = now + self.limits.heartbeat_interval * self.rng.uniform(0.95, 1.05)
@@ -167,46 +167,46 @@
     def _choose_trial(self, now: timedelta) -> None:
         """Try a better relay beside the present one, which stays until the other one answers."""
         if self.trial is not None:
-            self.avoided[self.trial] = now + self.limits.avoid
+            self.avoided[self.trial] = now + self.limits.avoid_duration
             self.trial = None
-        if now >= self.next_return or not self.in_zone:
-            self.next_return = now + self.limits.return_interval
+        if now >= self.next_failback or not self.in_zone:
+            self.next_failback = now + self.limits.failback_interval
             better = self.preferred(now)
             self.trial = better if better != self.relay else None
 
-    def _answered(self, relay: str) -> None:
+    def _on_acknowledgement(self, relay: str) -> None:
         if relay == self.trial:
             self.relay, self.trial = relay, None
         self.missed = 0
         self.failures = 0
         self.without_relay_since = None
 
-    def _refused(self, relay: str, retry_after: timedelta) -> None:
+    def _on_refusal(self, relay: str, retry_after: timedelta) -> None:
         if relay == self.relay:
             self._fail_over(retry_after, silent=False)
         elif relay == self.trial:
             self.avoided[relay] = self.clock.monotonic() + retry_after
             self.trial = None
 
-    def _fail_over(self, avoid: timedelta, *, silent: bool = True) -> None:
+    def _fail_over(self, avoid_duration: timedelta, *, silent: bool = True) -> None:
         """Avoid the present relay for a time and wait with full jitter before the next one.
 
         A relay that refuses at once is no sign of a fault, so the wait does not grow.
         """
         now = self.clock.monotonic()
-        self.avoided[self.relay] = now + avoid
+        self.avoided[self.relay] = now + avoid_duration
         if self.without_relay_since is None:
             self.without_relay_since = now
         self.relay, self.trial, self.missed = None, None, 0
         self.next_send = now + full_jitter(self.rng, self.failures if silent else 0)
         self.failures += silent
 
-    def _ask_peers(self, now: timedelta) -> list[Send]:
-        self.next_send = now + full_jitter(self.rng, self.failures, cap=self.limits.query_cap)
+    def _query_peers(self, now: timedelta) -> list[Send]:
+        self.next_send = now + full_jitter(self.rng, self.failures, cap=self.limits.max_query_delay)
         self.failures += 1
         peers = list(self.peers())
-        asked = self.rng.sample(peers, min(self.limits.peers_asked, len(peers)))
+        asked = self.rng.sample(peers, min(self.limits.peers_queried, len(peers)))
         return [Send(peer, RelayQuery(self.zone)) for peer in asked]
 
-    def _list(self, zone: str) -> RelayList:
+    def _relay_list(self, zone: str) -> RelayList:
         return RelayList(self.table.with_foreign(zone, self.rng))
--- a/almondshore/relay/source.py
+++ b/almondshore/relay/source.py
@@ -54,7 +54,7 @@
         """
         result = self.publisher.platform.watch(HEAD_KEY, self.position, self.watch_timeout)
         if not is_successful(result):
-            self._failed(result.failure())
+            self._on_failure(result.failure())
             return
         watched = result.unwrap()
         self.position = watched.position
@@ -62,16 +62,16 @@
         self.delay = self.watch_interval
         heads = [stored for stored in watched.objects if stored.key == HEAD_KEY]
         if heads:
-            self._take(_decode_head(heads[-1]))
+            self._offer_head(_decode_head(heads[-1]))
         elif self.head is None:
-            self.sync.platform_shows(0, EMPTY.digest)
+            self.sync.record_platform_version(0, EMPTY.digest)
         else:
-            self.sync.platform_shows(self.head.version, self.head.digest)
+            self.sync.record_platform_version(self.head.version, self.head.digest)
 
-    def _take(self, head: Head) -> None:
+    def _offer_head(self, head: Head) -> None:
         """Offer a version; if its parts cannot be read now, the next watch returns it again."""
         self.head = head
-        self.sync.platform_shows(head.version, head.digest)
+        self.sync.record_platform_version(head.version, head.digest)
         current = self.sync.state.current
         if head.version <= current.version:
             return
@@ -80,11 +80,11 @@
             return
         parts = self.publisher.parts_of(head)
         if not is_successful(parts):
-            self._failed(parts.failure())
+            self._on_failure(parts.failure())
             return
         self.sync.offer(ConfigSnapshot(head.version, head.digest, parts.unwrap()))
 
-    def _failed(self, error: PlatformError) -> None:
+    def _on_failure(self, error: PlatformError) -> None:
         """Read the head anew after a failure, so that nothing between is missed."""
         self.position = 0
         self.delay = full_jitter(self.rng, self.failures)
--- a/almondshore/relay/subscribers.py
+++ b/almondshore/relay/subscribers.py
@@ -37,10 +37,10 @@
     version: int
     digest: bytes
     ready: bool
-    heard: timedelta
+    last_heartbeat_at: timedelta
     heartbeat: Heartbeat | None = None
-    sent: int = 0
-    tries: int = 0
+    sent_version: int = 0
+    resends: int = 0
     resend_at: timedelta = timedelta()
 
 
@@ -65,7 +65,7 @@
     def __iter__(self) -> Iterator[Subscriber]:
         return iter(list(self.items.values()))
 
-    def heard(self, address: str, heartbeat: Heartbeat) -> Subscriber | None:
+    def record_heartbeat(self, address: str, heartbeat: Heartbeat) -> Subscriber | None:
         """Note a heartbeat.
 
         :returns: the subscriber, or None if the table is full
@@ -81,29 +81,29 @@
             version=heartbeat.config_version,
             digest=heartbeat.config_digest,
             ready=heartbeat.ready,
-            heard=self.clock.monotonic(),
+            last_heartbeat_at=self.clock.monotonic(),
             heartbeat=heartbeat,
         )
         self.items[address] = subscriber
         return subscriber
 
-    def due(self, subscriber: Subscriber, version: int) -> bool:
+    def is_due(self, subscriber: Subscriber, version: int) -> bool:
         """Return whether a subscriber is behind and may be sent a version now."""
         if subscriber.version >= version:
             return False
-        return subscriber.sent < version or self.clock.monotonic() >= subscriber.resend_at
+        return subscriber.sent_version < version or self.clock.monotonic() >= subscriber.resend_at
 
-    def sent(self, address: str, version: int) -> None:
+    def mark_sent(self, address: str, version: int) -> None:
         """Note that a version was sent; the same one is repeated with growing delays."""
         subscriber = self.items[address]
-        tries = subscriber.tries + 1 if subscriber.sent == version else 0
-        delay = min(RESEND_CAP, RESEND_BASE * 2 ** min(tries, 8))
+        resends = subscriber.resends + 1 if subscriber.sent_version == version else 0
+        delay = min(RESEND_CAP, RESEND_BASE * 2 ** min(resends, 8))
         self.items[address] = subscriber._replace(
-            sent=version, tries=tries, resend_at=self.clock.monotonic() + delay
+            sent_version=version, resends=resends, resend_at=self.clock.monotonic() + delay
         )
 
     def expire(self) -> None:
         """Drop the subscribers that stopped their heartbeats."""
         limit = self.clock.monotonic() - self.timeout
-        for address in [a for a, s in self.items.items() if s.heard < limit]:
+        for address in [a for a, s in self.items.items() if s.last_heartbeat_at < limit]:
             del self.items[address]
--- a/almondshore/versions/history.py
+++ b/almondshore/versions/history.py
@@ -10,7 +10,7 @@
 MAX_BYTES = 256 * 1024
 
 
-class Step(NamedTuple):
+class HistoryEntry(NamedTuple):
     """One change from a configuration to its successor; ``size`` in bytes."""
 
     delta: ConfigDelta
@@ -27,7 +27,7 @@
     def __init__(self, *, max_deltas: int = MAX_DELTAS, max_bytes: int = MAX_BYTES):
         self.max_deltas = max_deltas
         self.max_bytes = max_bytes
-        self.steps: deque[Step] = deque()
+        self.entries: deque[HistoryEntry] = deque()
         self.size = 0
         self.cached: dict[tuple[int, bytes], ConfigDelta | None] = {}
 
@@ -36,13 +36,13 @@
         self.cached.clear()
         changes = diff_parts(old.parts, new.parts)
         delta = ConfigDelta(new.version, new.digest, old.version, old.digest, changes)
-        if self.steps and self.steps[-1].delta.version != old.version:
-            self.steps.clear()
+        if self.entries and self.entries[-1].delta.version != old.version:
+            self.entries.clear()
             self.size = 0
-        self.steps.append(Step(delta, delta_size(delta)))
-        self.size += self.steps[-1].size
-        while self.steps and (len(self.steps) > self.max_deltas or self.size > self.max_bytes):
-            self.size -= self.steps.popleft().size
+        self.entries.append(HistoryEntry(delta, delta_size(delta)))
+        self.size += self.entries[-1].size
+        while self.entries and (len(self.entries) > self.max_deltas or self.size > self.max_bytes):
+            self.size -= self.entries.popleft().size
 
     def since(self, version: int, digest: bytes) -> ConfigDelta | None:
         """Return one delta from a held configuration to the newest, None if out of reach.
@@ -53,14 +53,14 @@
         if key not in self.cached:
             if len(self.cached) >= self.max_deltas:
                 self.cached.clear()
-            self.cached[key] = self._combined(version, digest)
+            self.cached[key] = self._combine(version, digest)
         return self.cached[key]
 
-    def _combined(self, version: int, digest: bytes) -> ConfigDelta | None:
+    def _combine(self, version: int, digest: bytes) -> ConfigDelta | None:
         chain: list[ConfigDelta] = []
-        for step in reversed(self.steps):
-            chain.append(step.delta)
-            if step.delta.base_version <= version:
+        for entry in reversed(self.entries):
+            chain.append(entry.delta)
+            if entry.delta.base_version <= version:
                 break
         if not chain or (chain[-1].base_version, chain[-1].base_digest) != (version, digest):
             return None
--- a/almondshore/versions/state.py
+++ b/almondshore/versions/state.py
@@ -57,22 +57,22 @@
 
     def offer_delta(self, delta: ConfigDelta) -> Verdict:
         """Apply a delta if it builds on the version in force and its result is valid."""
-        known = self._compare(delta.version, delta.digest)
-        if known is not None:
-            return known
+        verdict = self._check_version(delta.version, delta.digest)
+        if verdict is not None:
+            return verdict
         base = (delta.base_version, delta.base_digest)
         if base != (self.current.version, self.current.digest):
             return SnapshotNeeded(delta.version)
         changed = [(name, data) for name, data in delta.parts.items() if data is not None]
         parts = apply_changes(self.current.parts, delta.parts)
-        return self._replace(delta.version, delta.digest, parts, changed)
+        return self._apply(delta.version, delta.digest, parts, changed)
 
     def offer_snapshot(self, snapshot: ConfigSnapshot) -> Verdict:
         """Take a whole version if it is newer than the one in force and valid."""
-        known = self._compare(snapshot.version, snapshot.digest)
-        if known is not None:
-            return known
-        return self._replace(
+        verdict = self._check_version(snapshot.version, snapshot.digest)
+        if verdict is not None:
+            return verdict
+        return self._apply(
             snapshot.version, snapshot.digest, snapshot.parts, snapshot.parts.items()
         )
 
@@ -81,7 +81,7 @@
         current = self.current
         return ConfigSnapshot(current.version, current.digest, dict(current.parts))
 
-    def _compare(self, version: int, digest: bytes) -> Verdict | None:
+    def _check_version(self, version: int, digest: bytes) -> Verdict | None:
         if version < self.current.version:
             return AlreadyHeld(self.current.version)
         if version == self.current.version:
@@ -92,7 +92,7 @@
             )
         return None
 
-    def _replace(
+    def _apply(
         self,
         version: int,
         digest: bytes,
--- a/almondshore/versions/sync.py
+++ b/almondshore/versions/sync.py
@@ -31,18 +31,18 @@
 )
 
 PLATFORM = "platform"
-START_BOUND = timedelta(seconds=10)
+STARTUP_TIMEOUT = timedelta(seconds=10)
 REQUEST_TIMEOUT = timedelta(seconds=2)
 # A relay repeats a push that was lost after one heartbeat interval.
-ASK_AFTER = timedelta(seconds=3)
-PEERS_NEEDED = 3
+REQUEST_DELAY = timedelta(seconds=3)
+MIN_READY_PEERS = 3
 # Longer than the time-out of a watch of the head, which confirms the version when it returns.
-CONFIRMATION_AGE = timedelta(seconds=45)
-MAX_PEERS_SHOWN = 64
-MAX_REFUSED = 64
+MAX_CONFIRMATION_AGE = timedelta(seconds=45)
+MAX_REPORTED_PEERS = 64
+MAX_REFUSED_VERSIONS = 64
 
 
-class Shown(NamedTuple):
+class ReportedVersion(NamedTuple):
     """The version that a peer or the platform said it holds.
 
     :ivar ready: whether the peer itself has learnt the newest version
@@ -70,10 +70,10 @@
         state: ConfigState | None = None,
         admission: SnapshotAdmission | None = None,
         history: DeltaHistory | None = None,
-        start_bound: timedelta = START_BOUND,
+        startup_timeout: timedelta = STARTUP_TIMEOUT,
         request_timeout: timedelta = REQUEST_TIMEOUT,
-        ask_after: timedelta = ASK_AFTER,
-        peers_needed: int = PEERS_NEEDED,
+        request_delay: timedelta = REQUEST_DELAY,
+        min_ready_peers: int = MIN_READY_PEERS,
     ):
         self.clock = clock
         self.rng = rng
@@ -81,19 +81,19 @@
         self.state = state or ConfigState()
         self.admission = admission or SnapshotAdmission(clock=clock, rng=rng)
         self.history = history or DeltaHistory()
-        self.start_bound = start_bound
+        self.startup_timeout = startup_timeout
         self.request_timeout = request_timeout
-        self.ask_after = ask_after
-        self.peers_needed = peers_needed
+        self.request_delay = request_delay
+        self.min_ready_peers = min_ready_peers
         self.started = clock.monotonic()
-        self.shown: OrderedDict[str, Shown] = OrderedDict()
+        self.reported: OrderedDict[str, ReportedVersion] = OrderedDict()
         self.refused: OrderedDict[tuple[int, bytes], str] = OrderedDict()
         self.refusals = 0
         self.last_refusal: Refused | None = None
         self.attempt = 0
         self.next_request = clock.monotonic()
         self.next_query = clock.monotonic()
-        self.is_ready = False
+        self.was_ready = False
         self.missing_since: timedelta | None = None
         self.confirmed_at: timedelta | None = None
 
@@ -103,21 +103,21 @@
 
         Once true it stays true.
         """
-        if not self.is_ready:
-            self.is_ready = self._learnt_newest()
-        return self.is_ready
+        if not self.was_ready:
+            self.was_ready = self._has_newest()
+        return self.was_ready
 
     def handle(self, message: Message, sender: str) -> list[Send]:
         """React to a message about configuration; ignore all others."""
         match message:
             case ConfigDelta() | ConfigSnapshot():
-                return self._offered(message, sender)
+                return self._handle_offer(message, sender)
             case ConfigRequest():
                 return [Send(sender, self.answer(message))]
             case ConfigStatus():
-                return self.observe(Shown(*message), sender)
+                return self.observe(ReportedVersion(*message), sender)
             case Heartbeat() | HeartbeatAck() | RelaySync():
-                return self._summary(message, sender)
+                return self._handle_summary(message, sender)
             case Busy(retry_after, "ConfigRequest"):
                 delay = timedelta(seconds=retry_after) + full_jitter(self.rng, 0)
                 self.next_request = max(self.next_request, self.clock.monotonic() + delay)
@@ -136,37 +136,37 @@
             self.next_request = self.clock.monotonic()
             self.missing_since = None
         elif isinstance(verdict, Refused):
-            self._note_refusal(message, verdict)
+            self._record_refusal(message, verdict)
         return verdict
 
-    def _note_refusal(self, message: ConfigDelta | ConfigSnapshot, verdict: Refused) -> None:
+    def _record_refusal(self, message: ConfigDelta | ConfigSnapshot, verdict: Refused) -> None:
         """Remember a bad version, so that it is not asked for again; a damaged copy is."""
         self.refusals += 1
         self.last_refusal = verdict
         if not verdict.final:
             return
         self.refused[(message.version, message.digest)] = verdict.reason
-        while len(self.refused) > MAX_REFUSED:
+        while len(self.refused) > MAX_REFUSED_VERSIONS:
             self.refused.popitem(last=False)
 
-    def platform_shows(self, version: int, digest: bytes) -> None:
+    def record_platform_version(self, version: int, digest: bytes) -> None:
         """Note the version that the platform shows now."""
         self.confirmed_at = self.clock.monotonic()
-        self.observe(Shown(version, digest, True, True), PLATFORM)
+        self.observe(ReportedVersion(version, digest, True, True), PLATFORM)
 
     @property
     def confirmed(self) -> bool:
         """Whether the platform lately showed nothing newer than the version in force."""
         if self.confirmed_at is None:
             return False
-        return self.clock.monotonic() - self.confirmed_at < CONFIRMATION_AGE
+        return self.clock.monotonic() - self.confirmed_at < MAX_CONFIRMATION_AGE
 
-    def observe(self, shown: Shown, sender: str) -> list[Send]:
+    def observe(self, reported: ReportedVersion, sender: str) -> list[Send]:
         """Note the version that a peer shows; ask for it if it is newer."""
-        self._note(shown, sender)
-        if sender == PLATFORM or not shown.ready or not self._misses(shown):
+        self._record_report(reported, sender)
+        if sender == PLATFORM or not reported.ready or not self._is_missing(reported):
             return []
-        return self._ask(sender)
+        return self._request_from(sender)
 
     def answer(self, request: ConfigRequest) -> Message:
         """Return a delta, a snapshot, the status if nothing is newer, or ``Busy``."""
@@ -183,59 +183,63 @@
 
     def tick(self) -> list[Send]:
         """Ask for a missing version; while starting, ask peers which one they hold."""
-        sends = self._ask_for_missing()
+        sends = self._request_missing()
         if self.ready or self.clock.monotonic() < self.next_query:
             return sends
         self.next_query = self.clock.monotonic() + self.request_timeout
         peers = list(self.peers())
-        asked = self.rng.sample(peers, min(self.peers_needed, len(peers)))
+        asked = self.rng.sample(peers, min(self.min_ready_peers, len(peers)))
         query = self._request()._replace(status_only=True)
         return sends + [Send(peer, query) for peer in asked]
 
-    def _ask_for_missing(self) -> list[Send]:
-        missed = [peer for peer, shown in self.shown.items() if self._misses(shown)]
-        missed = [peer for peer in missed if peer != PLATFORM and self.shown[peer].ready]
+    def _request_missing(self) -> list[Send]:
+        sources = [peer for peer, reported in self.reported.items() if self._is_missing(reported)]
+        sources = [peer for peer in sources if peer != PLATFORM and self.reported[peer].ready]
         now = self.clock.monotonic()
-        if not missed:
+        if not sources:
             self.missing_since = None
             return []
         if self.missing_since is None:
             self.missing_since = now
-        if self.ready and now - self.missing_since < self.ask_after:
+        if self.ready and now - self.missing_since < self.request_delay:
             return []
-        return self._ask(self.rng.choice(missed))
+        return self._request_from(self.rng.choice(sources))
 
-    def _offered(self, message: ConfigDelta | ConfigSnapshot, sender: str) -> list[Send]:
+    def _handle_offer(self, message: ConfigDelta | ConfigSnapshot, sender: str) -> list[Send]:
         verdict = self.offer(message)
-        sends = self.observe(Shown(message.version, message.digest, True, False), sender)
+        sends = self.observe(ReportedVersion(message.version, message.digest, True, False), sender)
         if isinstance(verdict, SnapshotNeeded) and not sends:
-            return self._ask(sender)
+            return self._request_from(sender)
         return sends
 
-    def _note(self, shown: Shown, sender: str) -> None:
-        self.shown[sender] = shown
-        self.shown.move_to_end(sender)
-        while len(self.shown) > MAX_PEERS_SHOWN:
-            self.shown.popitem(last=False)
+    def _record_report(self, reported: ReportedVersion, sender: str) -> None:
+        self.reported[sender] = reported
+        self.reported.move_to_end(sender)
+        while len(self.reported) > MAX_REPORTED_PEERS:
+            self.reported.popitem(last=False)
 
-    def _summary(self, message: Heartbeat | HeartbeatAck | RelaySync, sender: str) -> list[Send]:
+    def _handle_summary(
+        self, message: Heartbeat | HeartbeatAck | RelaySync, sender: str
+    ) -> list[Send]:
         """Note the version in a summary.
 
         A relay sends what a heartbeat shows to be missing by itself; ``tick`` asks only if that
         does not come. A node that is starting, or another relay, asks at once.
         """
         confirmed = isinstance(message, HeartbeatAck) and message.confirmed
-        shown = Shown(message.config_version, message.config_digest, message.ready, confirmed)
+        reported = ReportedVersion(
+            message.config_version, message.config_digest, message.ready, confirmed
+        )
         if isinstance(message, RelaySync) or not self.ready:
-            return self.observe(shown, sender)
-        self._note(shown, sender)
+            return self.observe(reported, sender)
+        self._record_report(reported, sender)
         return []
 
-    def _misses(self, shown: Shown) -> bool:
-        newer = shown.version > self.state.current.version
-        return newer and (shown.version, shown.digest) not in self.refused
+    def _is_missing(self, reported: ReportedVersion) -> bool:
+        newer = reported.version > self.state.current.version
+        return newer and (reported.version, reported.digest) not in self.refused
 
-    def _ask(self, peer: str) -> list[Send]:
+    def _request_from(self, peer: str) -> list[Send]:
         if self.clock.monotonic() < self.next_request:
             return []
         delay = self.request_timeout + full_jitter(self.rng, self.attempt)
@@ -246,12 +250,12 @@
     def _request(self) -> ConfigRequest:
         return ConfigRequest(self.state.current.version, self.state.current.digest)
 
-    def _learnt_newest(self) -> bool:
-        ready = {peer: shown for peer, shown in self.shown.items() if shown.ready}
-        if not ready or any(self._misses(shown) for shown in ready.values()):
+    def _has_newest(self) -> bool:
+        ready = {peer: reported for peer, reported in self.reported.items() if reported.ready}
+        if not ready or any(self._is_missing(reported) for reported in ready.values()):
             return False
-        if any(shown.confirmed for shown in ready.values()):
+        if any(reported.confirmed for reported in ready.values()):
             return True
-        needed = min(self.peers_needed, max(1, len(self.peers())))
-        overdue = self.clock.monotonic() - self.started >= self.start_bound
-        return len(ready) >= needed or overdue
+        needed = min(self.min_ready_peers, max(1, len(self.peers())))
+        timed_out = self.clock.monotonic() - self.started >= self.startup_timeout
+        return len(ready) >= needed or timed_out
--- a/test/membership/test_detector.py
+++ b/test/membership/test_detector.py
@@ -26,7 +26,7 @@
         for _ in range(seconds):
             self.clock.advance(SECOND)
             for number in alive:
-                self.detector.heard(f"n{number}", f"a{number}", 1)
+                self.detector.record_heartbeat(f"n{number}", f"a{number}", 1)
             sends += self.detector.tick(lambda: HELPERS)
         return sends
 
@@ -64,11 +64,11 @@
         """Guards against a network fault near the observer that empties the directory."""
         self.run_seconds(1, range(10))
         sends = self.run_seconds(30, range(4, 10))
-        self.assertTrue(self.detector.holding)
+        self.assertTrue(self.detector.suppressing)
         self.answer(sends, reachable=False)
         self.assertEqual([], self.detector.take_dead())
         self.run_seconds(30, range(1, 10))
-        self.assertFalse(self.detector.holding)
+        self.assertFalse(self.detector.suppressing)
         sends = self.run_seconds(3, range(1, 10))
         self.answer(sends, reachable=False)
         self.assertEqual(["n0"], self.detector.take_dead())
--- a/test/membership/test_directory.py
+++ b/test/membership/test_directory.py
@@ -77,7 +77,7 @@
             other.merge([record])
         self.assertEqual(self.directory.records, other.records)
         self.assertEqual(self.directory.digests(), other.digests())
-        self.assertEqual([], self.directory.differing(other.digests()))
+        self.assertEqual([], self.directory.differing_zones(other.digests()))
         live = [r for r in other.records.values() if r.state is not TargetState.DEAD]
         self.assertEqual(bool(live), other.digest()[ALL_ZONES] != 0)
         for record in live:
--- a/test/relay/test_fanout.py
+++ b/test/relay/test_fanout.py
@@ -40,7 +40,7 @@
     def make(self, address):
         clock, rng = self.clock, random.Random(address)
         sync = ConfigSync(clock=clock, rng=rng, history=DeltaHistory(max_deltas=3))
-        sync.platform_shows(0, CHAIN[0].digest)
+        sync.record_platform_version(0, CHAIN[0].digest)
         table = RelayTable()
         table.merge([RelayEntry("zone-a", slot, a, 1) for slot, a in enumerate(ADDRESSES)])
         return Relay(
--- a/test/relay/test_lease.py
+++ b/test/relay/test_lease.py
@@ -110,7 +110,7 @@
 
     def live(self):
         leases = self.platform.list(RELAY_LEASE_PREFIX).unwrap()
-        return [entry.address for entry in self.lease_monitor.take(leases)]
+        return [entry.address for entry in self.lease_monitor.update(leases)]
 
     def test_expired_lease_leaves_the_table_for_good(self):
         """Guards against a relay that is gone and comes back by a late message."""
@@ -128,7 +128,7 @@
         self.first.acquire_or_renew()
         self.live()
         self.advance(600)
-        self.lease_monitor.failed()
+        self.lease_monitor.on_list_failure()
         self.assertEqual(["first"], self.live())
 
     def test_the_table_is_bounded(self):
--- a/test/relay/test_selection.py
+++ b/test/relay/test_selection.py
@@ -104,7 +104,7 @@
         self.selection.table.merge(OWN)
         first = self.run_for(3, answering=["a0", "a1"])[-1]
         self.selection.handle(Busy(5.0, "Heartbeat"), first)
-        self.assertTrue(self.selection.relay_to_try)
+        self.assertTrue(self.selection.has_usable_relay)
         self.assertNotIn(first, self.run_for(4, answering=["a0", "a1"]))
 
     def test_failovers_of_many_nodes_are_spread(self):
@@ -127,7 +127,7 @@
         clock = ManualClock()
         made = [Candidacy(clock=clock, rng=rng) for _ in range(nodes)]
         for candidacy in made:
-            candidacy.should_try(False)
+            candidacy.should_attempt(False)
         return sorted(candidacy.due.total_seconds() for candidacy in made)
 
     def test_few_nodes_of_a_large_zone_try_before_they_hear_of_the_first(self):
@@ -144,8 +144,8 @@
         candidacy = Candidacy(clock=clock, rng=random.Random(1))
         for _ in range(20):
             clock.advance(seconds(1))
-            self.assertFalse(candidacy.should_try(False, relay_to_try=True))
-        self.assertTrue(candidacy.should_try(False, relay_to_try=False))
+            self.assertFalse(candidacy.should_attempt(False, has_usable_relay=True))
+        self.assertTrue(candidacy.should_attempt(False, has_usable_relay=False))
 
     def test_node_with_a_relay_in_its_zone_never_tries(self):
         """Guards against platform calls of ordinary nodes in steady state."""
@@ -153,7 +153,7 @@
         candidacy = Candidacy(clock=clock, rng=random.Random(1))
         for _ in range(1000):
             clock.advance(seconds(1))
-            self.assertFalse(candidacy.should_try(True))
+            self.assertFalse(candidacy.should_attempt(True))
 
 
 class AdmissionTest(TestCase):
--- a/test/versions/test_sync.py
+++ b/test/versions/test_sync.py
@@ -18,7 +18,7 @@
 )
 from almondshore.relay.admission import SnapshotAdmission
 from almondshore.versions.history import DeltaHistory
-from almondshore.versions.sync import MAX_PEERS_SHOWN, ConfigSync, Shown
+from almondshore.versions.sync import MAX_REPORTED_PEERS, ConfigSync, ReportedVersion
 from test.versions.parts import between, chain, service_part, snapshot, whole
 
 CHAIN = chain(12)
@@ -79,7 +79,7 @@
 
     def test_a_bad_newest_version_does_not_block_the_start(self):
         """Guards against a bad version on the platform keeping restarted nodes out of service."""
-        self.sync.platform_shows(BAD.version, BAD.digest)
+        self.sync.record_platform_version(BAD.version, BAD.digest)
         self.sync.offer(BAD)
         self.sync.handle(status(2), "a")
         self.assertFalse(self.sync.ready)
@@ -125,7 +125,7 @@
         self.assertEqual(1, len(self.sync.handle(damaged, "relay")))
         self.assertEqual({}, dict(self.sync.refused))
         self.sync.handle(BAD, "relay")
-        self.sync.shown.clear()
+        self.sync.reported.clear()
         self.sync.handle(HeartbeatAck([], BAD.version, BAD.digest, {}, 0), "relay")
         self.assertEqual([], self.after(60))
         self.assertEqual(0, self.sync.state.current.version)
@@ -135,7 +135,7 @@
         for number in range(500):
             self.sync.handle(status(0), f"peer-{number}")
             self.sync.offer(snapshot(1 + number, {"service/bad": b"\xc1" * (1 + number)}))
-        self.assertEqual(MAX_PEERS_SHOWN, len(self.sync.shown))
+        self.assertEqual(MAX_REPORTED_PEERS, len(self.sync.reported))
         self.assertEqual(64, len(self.sync.refused))
 
 
@@ -166,7 +166,7 @@
         self.sync.history = DeltaHistory(max_deltas=4)
         for old, new in zip(CHAIN, CHAIN[1:], strict=False):
             self.sync.history.append(old, new)
-        self.assertEqual(4, len(self.sync.history.steps))
+        self.assertEqual(4, len(self.sync.history.entries))
         answers = [self.ask(1, CHAIN[1].digest) for _ in range(3)]
         self.assertIsInstance(answers[0], ConfigSnapshot)
         self.assertIsInstance(answers[1], ConfigSnapshot)
@@ -197,8 +197,8 @@
             self.assertGreaterEqual(current.version, highest)
             self.assertEqual(CHAIN[current.version], current)
             highest = current.version
-        self.assertLessEqual(len(sync.history.steps), sync.history.max_deltas)
-        sync.observe(Shown(12, CHAIN[12].digest, True, False), "peer")
+        self.assertLessEqual(len(sync.history.entries), sync.history.max_deltas)
+        sync.observe(ReportedVersion(12, CHAIN[12].digest, True, False), "peer")
         sync.handle(whole(CHAIN[12]), "peer")
         self.assertEqual(CHAIN[12], sync.state.current)
 
