--- a/almondshore/membership/detector.py
+++ b/almondshore/membership/detector.py
@@ -1,4 +1,4 @@
-"""Detection of dead nodes by a relay, from missed heartbeats and confirmed by other nodes."""
+"""Failure detection: nodes that miss heartbeats are suspected and probed by other nodes."""
 
 import random
 from collections import deque
@@ -13,12 +13,20 @@
 class DetectorLimits(NamedTuple):
     """Limits of the failure detector.
 
-    :ivar suspect_after: three missed heartbeats
-    :ivar probe_timeout: after it, a suspect that is neither confirmed nor cleared is probed anew
-    :ivar hold_share: share of the tracked nodes that may become suspect within ``hold_window``;
-        beyond it the observer or the network is the likelier fault
-    :ivar hold_min_suspects: one of two or three nodes may fail without causing a hold
-    :ivar pause: a gap between two ticks that shows that this observer was paused
+    :ivar suspect_after: time without a heartbeat after which a node is suspected; three missed
+        heartbeats
+    :ivar probe_timeout: time after which a suspect that is neither confirmed dead nor cleared is
+        probed again
+    :ivar helpers: number of other nodes that are asked to probe a suspect
+    :ivar confirmations: number of helpers that must find a suspect unreachable
+    :ivar max_suspect_share: share of the tracked nodes that may become suspect within
+        ``suppress_window``; if more do, a fault of the observer or the network is more likely, and
+        no node is declared dead
+    :ivar suppress_min_suspects: number of suspects below which deaths are never suppressed, so that
+        one of two or three nodes can be declared dead
+    :ivar max_tick_gap: time between two ticks beyond which this observer is taken to have been
+        paused
+    :ivar max_nodes: maximum number of tracked nodes
     """
 
     suspect_after: timedelta = timedelta(seconds=6)
@@ -33,7 +41,7 @@
 
 
 class TrackedNode(NamedTuple):
-    """A node whose heartbeats this relay expects."""
+    """A node whose heartbeats this relay expects, with the monotonic time of the last one."""
 
     address: str
     incarnation: int
@@ -41,7 +49,12 @@
 
 
 class Suspicion(NamedTuple):
-    """An open suspicion: its probe, and which helpers answered that the node is unreachable."""
+    """A suspected node that is being probed.
+
+    :ivar asked: addresses of the helpers that were asked to probe the node
+    :ivar since: monotonic time at which they were asked
+    :ivar unreachable: addresses of the helpers that could not reach the node
+    """
 
     probe_id: int
     asked: tuple[str, ...]
@@ -50,9 +63,12 @@
 
 
 class FailureDetector:
-    """Finds the dead among the nodes that heartbeat to this relay.
+    """Detects dead nodes among those that heartbeat to this relay.
+
+    At ``max_nodes`` further nodes are not tracked; the relay refuses subscribers before that.
 
-    At ``max_nodes`` a further node is not tracked; the relay refuses subscribers before that.
+    :ivar suspected_at: monotonic times at which nodes became suspect within ``suppress_window``
+    :ivar suppressed_until: monotonic time until which no node is declared dead
     """
 
     def __init__(
@@ -77,28 +93,28 @@
 
     @property
     def suppressing(self) -> bool:
-        """Whether no node is declared dead, because too many are or became suspect at once."""
+        """Whether no node is declared dead, because too many are suspect or recently became so."""
         return self.clock.monotonic() < self.suppressed_until or self._too_many(len(self.suspects))
 
     def record_heartbeat(self, node: str, address: str, incarnation: int) -> None:
-        """Note a heartbeat of a node."""
+        """Record a heartbeat of a node and clear a suspicion of it."""
         if node not in self.nodes and len(self.nodes) >= self.limits.max_nodes:
             return
         self.nodes[node] = TrackedNode(address, incarnation, self.clock.monotonic())
         self.suspects.pop(node, None)
 
     def track(self, node: str, address: str) -> None:
-        """Track a node that was not heard yet, as if it had been heard now."""
+        """Track a node that has sent no heartbeat yet, as if it had just sent one."""
         if node not in self.nodes:
             self.record_heartbeat(node, address, 0)
 
     def untrack(self, node: str) -> None:
-        """Stop tracking a node that went to another relay or left."""
+        """Stop tracking a node that uses another relay or is gone."""
         self.nodes.pop(node, None)
         self.suspects.pop(node, None)
 
     def handle(self, message: Message, sender: str) -> list[Send]:
-        """React to the answers of helpers."""
+        """Handle the probe results of helpers."""
         if not isinstance(message, PeerProbeReply):
             return []
         suspicion = self.suspects.get(message.suspect)
@@ -115,9 +131,9 @@
         return []
 
     def tick(self, helpers: Callable[[], Sequence[str]]) -> list[Send]:
-        """Suspect silent nodes and ask helpers to probe them.
+        """Suspect nodes that miss heartbeats and ask helpers to probe them.
 
-        :param helpers: returns addresses of other nodes, own zone first
+        :param helpers: returns addresses of nodes that can probe, those in this zone first
         """
         now = self.clock.monotonic()
         gap, self.last_tick = now - self.last_tick, now
@@ -135,12 +151,12 @@
         return [send for node in new + stale for send in self._probe(node, helpers(), now)]
 
     def take_dead(self) -> list[str]:
-        """Return the nodes declared dead since the last call."""
+        """Return the nodes that were declared dead since the last call."""
         dead, self.dead = self.dead, []
         return dead
 
     def _reset_timers(self, now: timedelta) -> None:
-        """Give every node its full time again after a pause of this observer."""
+        """Restart the heartbeat time-outs of all nodes after a pause of this observer."""
         self.suspects.clear()
         self.nodes = {
             node: tracked._replace(last_heartbeat_at=now) for node, tracked in self.nodes.items()
--- a/almondshore/membership/directory.py
+++ b/almondshore/membership/directory.py
@@ -1,4 +1,4 @@
-"""Replica of the target records of the fleet."""
+"""Local replica of the target records of all nodes."""
 
 from collections import defaultdict
 from collections.abc import Iterable, Mapping
@@ -9,17 +9,20 @@
 from almondshore.membership.record import declared_dead, is_newer, record_hash
 
 MAX_RECORDS = 65_536
-# Longer than a partition of an hour, so that a record from the other side cannot revive a target
-# whose death was seen here.
+# Longer than a network partition of an hour, so that an old record from the other side does not
+# restore a target that was declared dead on this side.
 TOMBSTONE_RETENTION = timedelta(hours=2)
 
 
 class Directory:
     """Target records, merged by incarnation and state.
 
-    ``revision`` grows with every change. Dead records are kept as tombstones and left out of the
-    digests. At ``max_records`` a record of an unknown target is not taken and ``refused`` is
-    raised.
+    Dead records are kept as tombstones and excluded from the digests. At ``max_records`` a record
+    of an unknown target is refused.
+
+    :ivar dead_since: monotonic time at which each tombstone was stored
+    :ivar revision: increases with each change of a record
+    :ivar refused: number of refused records
     """
 
     def __init__(
@@ -45,18 +48,18 @@
         self.refused = 0
 
     def merge(self, records: Iterable[TargetRecord]) -> list[TargetRecord]:
-        """Take the records that are newer than the known ones.
+        """Store the records that are newer than the known ones.
 
-        :returns: the records taken, to be passed on
+        :returns: the records stored, to be forwarded
         """
-        return [record for record in records if self._take(record)]
+        return [record for record in records if self._store_if_newer(record)]
 
     def digests(self) -> dict[str, int]:
         """Return the digest of each zone that has live records."""
         return {zone: digest for zone, digest in self.zone_digests.items() if digest}
 
     def digest(self) -> dict[str, int]:
-        """Return the digest of the whole directory, as a heartbeat carries it."""
+        """Return the digest of the whole directory under ``ALL_ZONES``, as sent in heartbeats."""
         total = 0
         for digest in self.zone_digests.values():
             total ^= digest
@@ -74,16 +77,16 @@
         return [self.records[target] for target in sorted(self.zones.get(zone, ()))]
 
     def of_node(self, node: str) -> list[TargetRecord]:
-        """Return the records that a node owns."""
+        """Return the records that a node owns, tombstones included."""
         return [self.records[target] for target in sorted(self.nodes.get(node, ()))]
 
     def of_service(self, service: str) -> list[TargetRecord]:
-        """Return the live records of a service, those of leaving targets included."""
+        """Return the records of a service's targets that take new work."""
         found = self.services.get(service, {}).values()
         return [self.records[target] for targets in found for target in sorted(targets)]
 
     def services_of(self, node: str) -> set[str]:
-        """Return the services that a node has live targets of."""
+        """Return the services for which a node has live targets."""
         records = self.of_node(node)
         return {r.service for r in records if r.state is not TargetState.DEAD}
 
@@ -101,21 +104,21 @@
         return set(self.services.get(service, ()))
 
     def declare_dead(self, node: str) -> list[TargetRecord]:
-        """Mark all records of a node dead.
+        """Mark all records of a node as dead.
 
-        :returns: the records changed
+        :returns: the changed records
         """
         return self.merge([declared_dead(record) for record in self.of_node(node)])
 
     def expire(self) -> None:
-        """Drop tombstones past their retention."""
+        """Remove the tombstones whose retention has passed, and bound the look-up cache."""
         limit = self.clock.monotonic() - self.tombstone_retention
         if len(self.cached) > MAX_RECORDS:
             self.cached.clear()
         for target in [t for t, since in self.dead_since.items() if since <= limit]:
             self._remove(target)
 
-    def _take(self, record: TargetRecord) -> bool:
+    def _store_if_newer(self, record: TargetRecord) -> bool:
         known = self.records.get(record.target)
         if not is_newer(record, known):
             return False
--- a/almondshore/membership/local.py
+++ b/almondshore/membership/local.py
@@ -1,4 +1,4 @@
-"""The targets beside this node, whose records this node owns."""
+"""The local targets of this node, whose records it owns."""
 
 from datetime import timedelta
 from typing import NamedTuple
@@ -11,7 +11,7 @@
 
 
 class LocalTarget(NamedTuple):
-    """The record of a target and when it last announced itself."""
+    """The record of a target and the monotonic time of its last announcement."""
 
     record: TargetRecord
     last_announced_at: timedelta
@@ -20,8 +20,11 @@
 class LocalTargets:
     """Targets that announce themselves to this node.
 
-    The first incarnation of a record is the time in milliseconds, so that a restarted node
-    continues above the records of its predecessor. At ``max_targets`` a new target is refused.
+    The incarnations of a record start at the wall-clock time in milliseconds, so that the records
+    of a restarted node supersede those of its former process. At ``max_targets`` a new target is
+    refused.
+
+    :ivar process: incarnation of this node
     """
 
     def __init__(
@@ -50,10 +53,10 @@
     def announce(
         self, *, target: str, service: str, version: str, slots: int, draining: bool = False
     ) -> list[TargetRecord]:
-        """Take a target's announcement.
+        """Record a target's announcement.
 
-        A target that is leaving stays so under the same version; it comes back only after it was
-        withdrawn.
+        A leaving target remains so while it announces the same version. To take new work under
+        that version again, it must first be withdrawn.
 
         :returns: the changed record, to be sent to the relay; empty if nothing changed or the
             table of targets is full
@@ -81,14 +84,14 @@
         return self._store(record)
 
     def drain(self, target: str) -> list[TargetRecord]:
-        """Mark a target as leaving; it gets no new work."""
+        """Mark a target as leaving, so that it gets no new work."""
         known = self.targets.get(target)
         if known is None:
             return []
         return self._store(known.record._replace(state=TargetState.LEAVING))
 
     def drain_all(self) -> list[TargetRecord]:
-        """Mark every target as leaving, when the node itself shuts down."""
+        """Mark all targets as leaving, for the shutdown of this node."""
         return [record for target in list(self.targets) for record in self.drain(target)]
 
     def withdraw(self, target: str) -> list[TargetRecord]:
@@ -102,11 +105,11 @@
         return [self._with_new_incarnation(known.record, TargetState.DEAD)]
 
     def correct(self, record: TargetRecord) -> list[TargetRecord]:
-        """Answer a record about a target of this node that others hold.
+        """Correct a record of this node's targets that another node holds.
 
-        :returns: this node's record with a higher incarnation if the other one contradicts it;
-            a record of a target that is not here is declared dead, once the targets had time to
-            announce themselves to a restarted node
+        :returns: this node's record under a higher incarnation if the other record contradicts
+            it; for an unknown target its record as dead, but only after ``announce_timeout``, in
+            which targets can announce themselves to a restarted node; otherwise empty
         """
         if record.node != self.node:
             return []
@@ -123,7 +126,7 @@
         return [raised]
 
     def tick(self) -> list[TargetRecord]:
-        """Withdraw the targets that stopped announcing themselves."""
+        """Withdraw the targets that did not announce themselves within ``announce_timeout``."""
         limit = self.clock.monotonic() - self.announce_timeout
         expired = [
             name for name, target in self.targets.items() if target.last_announced_at < limit
@@ -131,7 +134,7 @@
         return [record for name in expired for record in self.withdraw(name)]
 
     def records(self) -> list[TargetRecord]:
-        """Return the records of all targets beside this node."""
+        """Return the records of all local targets."""
         return [target.record for target in self.targets.values()]
 
     def _store(self, record: TargetRecord) -> list[TargetRecord]:
--- a/almondshore/membership/prober.py
+++ b/almondshore/membership/prober.py
@@ -11,17 +11,17 @@
 
 
 class PendingProbe(NamedTuple):
-    """A probe that waits for its answer."""
+    """A probe that waits for a reply until a monotonic time."""
 
     probe: PeerProbe
     deadline: timedelta
 
 
 class Prober:
-    """Answers probes of this node and probes suspects for relays.
+    """Replies to probes of this node and probes suspects for relays.
 
-    A probe is reported as failed only if this node ran when it timed out: after a pause of its
-    own the pending probes are dropped. At ``max_pending`` further requests are dropped.
+    A probe is reported as failed only if this node was running when it timed out: after a pause
+    of this node all pending probes are dropped. At ``max_pending`` further requests are dropped.
     """
 
     def __init__(
@@ -42,7 +42,7 @@
         self.last_tick = clock.monotonic()
 
     def handle(self, message: Message, sender: str) -> list[Send]:
-        """React to probes, requests for probes, and their answers."""
+        """Handle probes of this node, probe requests of relays and replies of suspects."""
         match message:
             case PeerProbe() if message.suspect == self.node:
                 reply = PeerProbeReply(message.probe_id, self.node, True, self.incarnation)
@@ -57,7 +57,7 @@
         return []
 
     def tick(self) -> list[Send]:
-        """Report the probes that got no answer in time."""
+        """Report the probes that timed out to the relays that requested them."""
         now = self.clock.monotonic()
         paused, self.last_tick = now - self.last_tick > self.timeout, now
         if paused:
--- a/almondshore/membership/record.py
+++ b/almondshore/membership/record.py
@@ -1,4 +1,4 @@
-"""Order of target records: which of two records about a target is newer."""
+"""Ordering and hashing of target records."""
 
 import xxhash
 
@@ -6,10 +6,11 @@
 
 
 def order_key(record: TargetRecord) -> tuple:
-    """Return a key that is higher for the newer of two records of one target.
+    """Return a sort key that is higher for the newer of two records of one target.
 
-    A higher incarnation wins, then the higher state. Records that differ only in other fields
-    come from two owners of one target name; comparing all fields makes every node keep the same.
+    The higher incarnation is newer, then the higher state. Records that differ only in other
+    fields come from two owners of the same target name; comparing all fields makes every node
+    keep the same one.
     """
     return (record.incarnation, record.state, record)
 
@@ -20,7 +21,7 @@
 
 
 def declared_dead(record: TargetRecord) -> TargetRecord:
-    """Return the record that declares the target dead at its present incarnation."""
+    """Return a record that marks the target as dead at its current incarnation."""
     return record._replace(state=TargetState.DEAD)
 
 
--- a/almondshore/membership/sync.py
+++ b/almondshore/membership/sync.py
@@ -1,4 +1,4 @@
-"""Repair of a node's directory by the digests that its relay shows."""
+"""Synchronization of a node's directory with its relay, by comparing digests."""
 
 from collections.abc import Callable
 from datetime import timedelta
@@ -22,20 +22,25 @@
 from almondshore.membership.record import is_newer
 
 REQUEST_INTERVAL = timedelta(seconds=4)
-# Three heartbeats; a difference that lasts longer is no change under way.
+# Three heartbeat intervals; a change that is still being distributed takes less.
 DIFFERENCE_TOLERANCE = timedelta(seconds=6)
 ANNOUNCE_INTERVAL = timedelta(seconds=1)
 EXPIRE_INTERVAL = timedelta(minutes=1)
 
 
 class DirectorySync:
-    """Keeps an ordinary node's directory and its own records in step with its relay.
-
-    A changed record of an own target is announced again until the relay passes it back. Records
-    of a zone are asked for when the digest of the relay differs twice in a row without change,
-    or for ``DIFFERENCE_TOLERATED``, so that changes under way cause no requests.
-
-    :ivar pass_on: takes the changes of the own targets if this node is a relay itself
+    """Synchronizes an ordinary node's directory and the records of its targets with its relay.
+
+    A changed record of a local target is announced repeatedly until the relay returns it. Records
+    are requested if the relay twice in a row shows the same differing digest, or if the digests
+    differ for ``DIFFERENCE_TOLERANCE``, so that changes still being distributed cause no requests.
+    Until the digests have matched once, a difference leads to a request without that delay.
+
+    :ivar forward_changes: called with changed records of local targets if this node is a relay;
+        None on other nodes
+    :ivar synchronized: whether the digests have matched at least once
+    :ivar differing_digest: the relay's last digest if it differed; None if it matched
+    :ivar unconfirmed: records of local targets that the relay has not confirmed, by target
     """
 
     def __init__(
@@ -62,7 +67,7 @@
         self.next_expiry = clock.monotonic() + EXPIRE_INTERVAL
 
     def handle(self, message: Message, sender: str) -> list[Send]:
-        """React to directory messages and to the digest in acknowledgements."""
+        """Handle directory messages and the digests in acknowledgements."""
         match message:
             case DirectoryDelta(records) | DirectorySnapshot(records):
                 return self._merge(records)
@@ -76,7 +81,7 @@
         return []
 
     def own_records_changed(self, records: list[TargetRecord]) -> list[Send]:
-        """Take changes of the own targets and announce them to the relay."""
+        """Store changed records of local targets and announce them to the relay."""
         if not records:
             return []
         self.directory.merge(records)
@@ -87,7 +92,7 @@
         return self._announce()
 
     def tick(self) -> list[Send]:
-        """Withdraw silent targets, repeat announcements and drop old tombstones."""
+        """Withdraw targets that timed out, repeat announcements and expire tombstones."""
         now = self.clock.monotonic()
         if now >= self.next_expiry:
             self.next_expiry = now + EXPIRE_INTERVAL
@@ -128,7 +133,7 @@
         return sends + self._request_if_due(digest, sender)
 
     def _request_if_due(self, digest: int, sender: str) -> list[Send]:
-        """Ask for the records of differing zones if the difference is no change under way."""
+        """Request the records of differing zones unless a change may still be on its way."""
         now = self.clock.monotonic()
         if self.differing_digest is None:
             self.differing_since = now
--- a/almondshore/relay/__init__.py
+++ b/almondshore/relay/__init__.py
@@ -1,1 +1,1 @@
-"""Relays that pass configuration and membership on within an availability zone."""
+"""Relays, which distribute configuration and membership within an availability zone."""
--- a/almondshore/relay/admission.py
+++ b/almondshore/relay/admission.py
@@ -1,4 +1,4 @@
-"""Admission control for snapshots, so that a herd of returning nodes is served in turn."""
+"""Admission control for snapshots: many nodes that reconnect at once are served in turn."""
 
 import random
 from datetime import timedelta
@@ -10,10 +10,14 @@
 
 
 class SnapshotAdmission:
-    """A token bucket of snapshots; tells those it refuses when to return.
+    """Token bucket for snapshots that gives refused callers a time to retry after.
 
-    Refused callers are spread over the time that serving all of them takes, with full jitter and
-    at most ``max_retry_after``, so that they do not return together.
+    The retry delays are spread with jitter over the time that serving all refused callers takes,
+    at most ``max_retry_after``, so that the callers do not retry at the same moment.
+
+    :ivar rate: snapshots per second, and the capacity of the bucket
+    :ivar refused: estimate of the refused callers that still wait to retry
+    :ivar refilled: monotonic time of the last refill
     """
 
     def __init__(
@@ -33,9 +37,9 @@
         self.refilled = clock.monotonic()
 
     def admit(self) -> timedelta | None:
-        """Take a token.
+        """Take a token if one is available.
 
-        :returns: None if admitted, else the time after which the caller may ask again
+        :returns: None if the snapshot may be sent, else the delay before the caller may retry
         """
         now = self.clock.monotonic()
         elapsed = (now - self.refilled).total_seconds()
--- a/almondshore/relay/candidacy.py
+++ b/almondshore/relay/candidacy.py
@@ -1,4 +1,4 @@
-"""When an ordinary node tries to become a relay."""
+"""Timing of a node's attempts to become a relay."""
 
 import math
 import random
@@ -6,18 +6,20 @@
 
 from almondshore.core.clock import Clock
 
-# With these two figures one node in 170 tries within the first 2 s and the others hear of its
-# success; in a zone of four nodes the first try comes after about 7 s.
+# With these two values, one node in 170 attempts within the first 2 s and the others learn of its
+# success; in a zone of four nodes the first attempt comes after about 7 s.
 MAX_ATTEMPT_DELAY = timedelta(seconds=9)
 DENSITY_DOUBLING_TIME = timedelta(seconds=1)
 
 
 class Candidacy:
-    """Delays the attempt to take a relay slot, so that few nodes of a zone try at once.
+    """Randomizes when a node attempts to acquire a relay slot, so that few nodes attempt at once.
 
-    The delay has an exponentially rising density (feedback suppression): the more nodes wait,
-    the earlier the first of them tries, and the number of tries before the others hear of it
-    hardly depends on how many they are.
+    The probability density of the delay rises exponentially (feedback suppression): the more
+    nodes wait, the earlier the first of them attempts, and the number of attempts before the
+    others learn of its success hardly depends on the number of nodes.
+
+    :ivar due: monotonic time of the next attempt; None if none is scheduled
     """
 
     def __init__(
@@ -35,11 +37,11 @@
         self.due: timedelta | None = None
 
     def should_attempt(self, connected: bool, *, has_usable_relay: bool = False) -> bool:
-        """Return whether to try now; call it on each tick.
+        """Return whether to attempt now; to be called on each tick.
 
-        :param connected: whether a relay of the own zone answers this node
-        :param relay_to_try: whether a known relay of the own zone has not been tried lately; the
-            attempt then waits for its answer
+        :param connected: whether a relay in this node's zone answers it
+        :param has_usable_relay: whether a known relay in the zone is not being avoided; the
+            attempt then waits until that relay has been tried
         """
         now = self.clock.monotonic()
         if connected:
@@ -54,9 +56,9 @@
         return True
 
     def postpone(self, until: timedelta) -> None:
-        """Wait until another holder's lease can expire before the next attempt.
+        """Delay the next attempt until the lease of another holder can have expired.
 
-        :param until: time of the own monotonic clock
+        :param until: time on this node's monotonic clock
         """
         self.due = max(until, self.clock.monotonic()) + self._delay()
 
--- a/almondshore/relay/control.py
+++ b/almondshore/relay/control.py
@@ -1,4 +1,4 @@
-"""The control side of one node: configuration, directory, relay selection and relay role."""
+"""The control plane of one node: configuration, directory, relay selection and relay role."""
 
 import math
 import random
@@ -44,10 +44,10 @@
 
 
 class Identity(NamedTuple):
-    """Who a node is.
+    """Identity and addresses of a node.
 
-    :ivar incarnation: higher after each restart of the node
-    :ivar control: ``ip:port`` at which it takes control messages
+    :ivar incarnation: increases with each restart of the node
+    :ivar control: ``ip:port`` at which it receives control messages
     :ivar address: ``ip:port`` of its hop 2 listener
     """
 
@@ -59,11 +59,12 @@
 
 
 class ControlLimits(NamedTuple):
-    """Limits of the joined state machines.
+    """Limits of the state machines of a node.
 
-    :ivar backlog_deltas: configuration changes kept for a relay's subscribers
-    :ivar backlog_bytes: bound of the bytes of these changes
-    :ivar snapshots_per_second: snapshots that a relay sends at most
+    :ivar nodes_per_slot: nodes in a zone for each relay slot
+    :ivar backlog_deltas: maximum number of configuration changes kept for lagging subscribers
+    :ivar backlog_bytes: maximum total size of these changes
+    :ivar snapshots_per_second: maximum rate at which this node sends snapshots
     """
 
     selection: SelectionLimits = SelectionLimits()
@@ -76,10 +77,10 @@
 
 
 class ControlNode:
-    """Joins the state machines of one node.
+    """Connects the state machines of one node.
 
-    ``handle`` and ``tick`` never wait. ``platform_step`` and ``watch_step`` make blocking platform
-    calls and are run apart from each other.
+    ``handle`` and ``tick`` never block. ``platform_step`` and ``watch_step`` make blocking platform
+    calls and run in separate loops.
     """
 
     def __init__(
@@ -108,7 +109,7 @@
         self._make_relay_client()
 
     def handle(self, message: Message, sender: str) -> list[Send]:
-        """React to a message."""
+        """Pass a message to the state machines it concerns and return their replies."""
         match message:
             case HeartbeatAck(platform_up=platform_up) | KeepaliveAck(True, platform_up):
                 self.relay_reports_platform_up = platform_up
@@ -128,7 +129,7 @@
         return sends
 
     def tick(self) -> list[Send]:
-        """Do what is due."""
+        """Run the periodic work that is due, without platform calls."""
         self._update_role()
         sends = self.config.tick() + self.membership.tick() + self.prober.tick()
         sends += self.selection.tick()
@@ -138,41 +139,45 @@
 
     @property
     def platform_up(self) -> bool | None:
-        """Whether the platform answers, as a relay sees it and tells the other nodes.
+        """Whether the platform answers, as observed by a relay and reported to the other nodes.
 
-        None until a relay has told this node.
+        None until this node has received a report.
         """
         return (
             self.election.platform_up if self.relay is not None else self.relay_reports_platform_up
         )
 
     def take_liveness_confirmation(self) -> bool:
-        """Return whether this node is known to be alive to others since the last call.
+        """Return whether others have confirmed since the last call that this node is alive.
 
-        An acknowledgement of a relay shows it, and so does the platform to a relay that renews
-        its lease.
+        A relay confirms it by an acknowledgement. A relay itself is confirmed while the platform
+        answers its lease renewals.
         """
         acknowledged, self.acknowledged = self.acknowledged, False
         return acknowledged or (self.relay is not None and bool(self.platform_up))
 
     def platform_step(self) -> list[Send]:
-        """Take, renew and review relay leases; waits for the platform."""
+        """Acquire, renew and check relay leases; blocks on platform calls."""
         selection = self.selection
         return self.election.step(
             in_zone=selection.in_zone, has_usable_relay=selection.has_usable_relay
         )
 
     def watch_step(self) -> None:
-        """Watch the head of the configuration if this node is a relay; waits for the platform."""
+        """Watch the configuration head if this node is a relay; blocks on platform calls."""
         if self.source is not None:
             self.source.poll()
 
     def announce(self, records: list[TargetRecord]) -> list[Send]:
-        """Make changes of the own targets known."""
+        """Publish changed records of this node's targets."""
         return self.membership.own_records_changed(records)
 
     def propagate(self, message: Message, sender: str) -> list[Send]:
-        """Pass news on: a node to its relay, a relay to its nodes and the other relays."""
+        """Forward a message that every node must receive.
+
+        An ordinary node sends its own messages to its relay. A relay sends them to its
+        subscribers and, unless they came from another relay, to the other relays.
+        """
         if self.relay is None:
             own = sender == self.identity.control
             chosen = self.selection.relay
@@ -182,7 +187,7 @@
         return self.relay.broadcast(message)
 
     def heartbeat(self) -> Heartbeat:
-        """Return the heartbeat that tells what this node holds now."""
+        """Return a heartbeat with the versions and digests that this node holds now."""
         current = self.config.state.current
         return Heartbeat(
             node=self.identity.node,
@@ -197,10 +202,10 @@
         )
 
     def peers(self) -> list[str]:
-        """Return addresses of peers to learn the configuration and the relays from.
+        """Return addresses of peers to query for the configuration and the relays.
 
-        Hosts are replaced, so that the seeds of the settings may be gone after some days; nodes
-        of the directory are asked too.
+        Hosts are replaced over time, so the configured seeds may all be gone after some days.
+        Nodes from the directory are therefore included.
         """
         controls = [record.control for record in self.directory.records.values()]
         sample = self.rng.sample(controls, min(MAX_DIRECTORY_PEERS, len(controls)))
@@ -208,14 +213,15 @@
         return [peer for peer in dict.fromkeys(known) if peer not in ("", self.identity.control)]
 
     def nodes_in_zone(self) -> int:
-        """Return the number of live nodes of the own zone that the directory knows."""
+        """Return the number of live nodes in this node's zone according to the directory."""
         return len({record.node for record in self._live_in_zone()})
 
     def fair_share(self) -> int:
-        """Return how many nodes this node serves as a relay.
+        """Return the maximum number of nodes that this node serves as a relay.
 
-        Rendezvous hashing alone gives the busiest of seven relays a third more than the mean.
-        With few relays there is no bound, since the others must serve all if one dies.
+        Rendezvous hashing alone gives the busiest of seven relays a third more nodes than the
+        mean. With fewer than ``MIN_RELAYS_FOR_FAIR_SHARE`` relays only ``MAX_SUBSCRIBERS``
+        applies, since the remaining relays must serve all nodes if one dies.
         """
         relays = len(self.table.addresses(self.identity.zone))
         if relays < MIN_RELAYS_FOR_FAIR_SHARE:
@@ -224,7 +230,7 @@
         return max(self.limits.nodes_per_slot, math.ceil(share))
 
     def candidates(self) -> list[str]:
-        """Return addresses of nodes of the own zone that could become relays."""
+        """Return addresses of nodes in this node's zone that could become relays."""
         own = {record.control for record in self._live_in_zone() if record.control}
         if self.relay is not None:
             own = {subscriber.address for subscriber in self.relay.subscribers}
@@ -235,7 +241,7 @@
         return [record for record in records if record.state is not TargetState.DEAD]
 
     def _components(self, message: Message):
-        """Return the machines of an ordinary node that a message concerns."""
+        """Return the state machines to call for a message; a relay handles some without them."""
         own = (self.config, self.membership, self.prober, self.selection)
         if self.relay is None:
             return own
@@ -243,7 +249,7 @@
         return () if type(message).__name__ in answered else own
 
     def _update_role(self) -> None:
-        """Start or stop acting as a relay, as the lease says."""
+        """Start or stop the relay role according to the lease."""
         if self.election.is_relay and self.relay is None:
             self._start_relay()
         elif not self.election.is_relay and self.relay is not None:
--- a/almondshore/relay/election.py
+++ b/almondshore/relay/election.py
@@ -1,4 +1,4 @@
-"""The relay leases of a zone: taking a slot, renewing it, and filling vacant ones."""
+"""Election of a zone's relays by leases: acquiring and renewing a slot, filling vacant slots."""
 
 import random
 from collections.abc import Callable
@@ -29,28 +29,30 @@
 RENEW_INTERVAL = timedelta(seconds=5)
 ZONE_LIST_INTERVAL = timedelta(seconds=10)
 SELF_CHECK_INTERVAL = timedelta(seconds=10)
-# After a restart of all processes the relays take their leases within this time, not at once.
+# Spreads the acquisitions after all processes restart, so that they do not happen at once.
 MAX_ACQUIRE_DELAY = timedelta(seconds=2)
 LIST_ALL_INTERVAL = timedelta(seconds=60)
-# A relay spends about 130 B/s for each node it serves; the busiest serves a quarter more than
-# this, which keeps it under 14 KB/s, and a zone of 463 nodes needs 7 leases, 1.4 writes/s.
+# A relay sends about 130 B/s for each node it serves. The busiest relay serves a quarter more
+# nodes than this, which keeps it under 14 KB/s. A zone of 463 nodes needs 7 leases, or 1.4 lease
+# writes per second.
 NODES_PER_SLOT = 70
 MIN_NODES_FOR_TWO_SLOTS = 20
-# A slot is given up only if the zone would need one less with a tenth more nodes, so that a
-# zone at the border does not gain and lose a relay again and again.
+# Hysteresis: a slot is released only if the zone would not need it with a tenth more nodes, so
+# that a zone near the threshold does not repeatedly gain and lose a relay.
 SURPLUS_NODE_FACTOR = 1.1
 
 
 def slots_needed(nodes: float, nodes_per_slot: int = NODES_PER_SLOT) -> int:
-    """Return how many relays a zone with that many nodes needs."""
+    """Return the number of relays that a zone with this many nodes needs."""
     return max(-int(-nodes // nodes_per_slot), 2 if nodes >= MIN_NODES_FOR_TWO_SLOTS else 1)
 
 
 class RelayElection:
-    """Decides whether this node is a relay, by leases in the platform.
+    """Decides by leases in the platform whether this node is a relay.
 
     Only this class and ``ConfigSource`` call the platform on behalf of a relay. An ordinary node
-    calls it only when no relay of its zone answers, or when a relay invites it.
+    calls it only if no relay in its zone answers, if a relay invites it, or if another node
+    mistakes it for a relay.
     """
 
     def __init__(
@@ -90,22 +92,22 @@
     def is_relay(self) -> bool:
         """Whether this node acts as a relay.
 
-        It goes on past the lease's end while the platform gives no answer; it stops once the
-        platform shows another holder.
+        It continues past the expiry of its lease while the platform does not answer, and stops
+        once the platform reports another holder.
         """
         return self.lease is not None
 
     def invite(self, message: RelayInvite) -> None:
-        """Note another relay's request to take a vacant slot."""
+        """Schedule the acquisition of a vacant slot at another relay's request."""
         if message.zone == self.zone and self.lease is None:
             self.invited_slot = message.slot
             self.acquire_not_before = self.clock.monotonic() + MAX_ACQUIRE_DELAY * self.rng.random()
 
     def on_unexpected_heartbeat(self) -> None:
-        """Note a heartbeat that came although this node is no relay.
+        """Schedule a look-up of this node's lease after a heartbeat that only a relay should get.
 
-        The lease may still name this address, if the process was restarted: it then takes the
-        slot at once, and nobody waits until the lease expires.
+        After a restart the lease may still name this address. The node then reacquires the slot
+        without waiting for the lease to expire.
         """
         now = self.clock.monotonic()
         if self.lease is None and now >= self.next_self_check:
@@ -114,10 +116,10 @@
             self.acquire_not_before = now + MAX_ACQUIRE_DELAY * self.rng.random()
 
     def step(self, *, in_zone: bool, has_usable_relay: bool = False) -> list[Send]:
-        """Do what is due; makes blocking platform calls.
+        """Run the lease operations that are due; blocks on platform calls.
 
-        :param in_zone: whether a relay of the own zone answers this node
-        :param relay_to_try: whether a known relay of the own zone has not been tried lately
+        :param in_zone: whether a relay in this node's zone answers it
+        :param has_usable_relay: whether a known relay in the zone is not being avoided
         """
         now = self.clock.monotonic()
         if self.lease is None:
@@ -131,9 +133,9 @@
         return sends
 
     def release(self) -> list[Send]:
-        """Give the slot up, on shutdown or because the zone has too many.
+        """Release the slot, on shutdown or because the zone has too many relays.
 
-        :returns: messages that tell the other relays and nodes
+        :returns: messages that announce the vacancy to the other relays and nodes
         """
         if self.lease is None:
             return []
@@ -159,7 +161,7 @@
         key = relay_lease_key(self.zone, slot)
         lease = Lease(platform=self.platform, key=key, holder=self.address, clock=self.clock)
         answer = lease.acquire_or_renew(known)
-        self._note_holder(slot, answer)
+        self._record_holder(slot, answer)
         if isinstance(answer, HeldElsewhere) and answer.record is not None:
             left = answer.record.expires - self.clock.now()
             self.candidacy.postpone(self.clock.monotonic() + min(left, TTL) + CLOCK_SKEW)
@@ -173,7 +175,7 @@
         return self._announce_entry(self._own_entry(answer.epoch))
 
     def _find_own_lease(self) -> StoredObject | None:
-        """Return the lease of the zone that names this address, None if there is none."""
+        """Return the lease in the zone that names this address, or None if there is none."""
         self.check_own_lease = False
         result = self.platform.list(f"{RELAY_LEASE_PREFIX}{self.zone}/")
         if not is_successful(result):
@@ -183,17 +185,17 @@
         return own[0] if own else None
 
     def _renew(self) -> list[Send]:
-        """Renew the lease; under a higher epoch if others took this relay for gone."""
+        """Renew the lease, under a higher epoch if other nodes consider this relay gone."""
         lapsed = self.table.is_vacant(self.zone, self.slot, self.lease.epoch)
         answer = self.lease.renew_with_new_epoch() if lapsed else self.lease.acquire_or_renew()
-        self._note_holder(self.slot, answer)
+        self._record_holder(self.slot, answer)
         if isinstance(answer, HeldElsewhere):
             self.lease = None
         elif isinstance(answer, Held) and lapsed:
             return self._announce_entry(self._own_entry(answer.epoch))
         return []
 
-    def _note_holder(self, slot: int, answer: LeaseResult) -> None:
+    def _record_holder(self, slot: int, answer: LeaseResult) -> None:
         self.platform_up = isinstance(answer, Held | HeldElsewhere)
         if isinstance(answer, HeldElsewhere) and answer.record is not None:
             record = answer.record
@@ -205,13 +207,13 @@
         return RelayEntry(self.zone, self.slot, self.address, epoch)
 
     def _announce_entry(self, entry: RelayEntry) -> list[Send]:
-        """Tell an entry to the other relays and to the nodes of the zone."""
+        """Send an entry to the other relays and to the nodes in the zone."""
         known = [*self.table.addresses(), *self.candidates()]
         peers = [peer for peer in dict.fromkeys(known) if peer != self.address]
         return [Send(peer, RelayList([entry])) for peer in peers]
 
     def _check_leases(self, now: timedelta) -> list[Send]:
-        """Read the leases of the zone, now and then of all zones, and adjust the slots."""
+        """Read the leases of the zone, or periodically of all zones, and adjust the slots."""
         all_zones = now >= self.next_list_all
         self.next_list = now + ZONE_LIST_INTERVAL * self.rng.uniform(0.9, 1.1)
         prefix = RELAY_LEASE_PREFIX if all_zones else f"{RELAY_LEASE_PREFIX}{self.zone}/"
@@ -231,7 +233,10 @@
         return sends + self._adjust_slots({entry.slot for entry in live if entry.zone == self.zone})
 
     def _adjust_slots(self, live: set[int]) -> list[Send]:
-        """Give up a surplus slot; as the holder of the lowest slot, invite for vacant ones."""
+        """Release a surplus slot; the holder of the lowest live slot fills the vacant ones.
+
+        It fills them by inviting random nodes of the zone that are not relays.
+        """
         nodes = self.nodes_in_zone()
         if self.slot >= slots_needed(nodes * SURPLUS_NODE_FACTOR, self.nodes_per_slot):
             return self.release()
--- a/almondshore/relay/fanout.py
+++ b/almondshore/relay/fanout.py
@@ -1,4 +1,4 @@
-"""The relay: passes configuration and directory changes to its subscribers and other relays."""
+"""The relay: forwards configuration and directory changes to its subscribers and other relays."""
 
 import random
 from collections.abc import Callable
@@ -43,13 +43,14 @@
 class RelayLimits(NamedTuple):
     """Limits of a relay.
 
-    :ivar push_fanout: random relays that a new configuration version is passed to
-    :ivar adopt_interval: how often the relay looks for nodes of its share that no longer
-        heartbeat to any relay
-    :ivar max_changes: directory changes that wait to be passed on; beyond it all are dropped
-        and the digests in the heartbeats repair the rest
-    :ivar records_per_message: bound of one directory delta
-    :ivar refusal: time for which a node is sent to other relays by a relay with its fair share
+    :ivar push_fanout: number of random relays that a new configuration version is sent to
+    :ivar tracking_interval: interval at which the relay starts to track the nodes assigned to it,
+        to detect those that no longer heartbeat to any relay
+    :ivar max_changes: maximum number of queued directory changes; beyond it all are dropped, and
+        the digests in the heartbeats lead to their repair
+    :ivar records_per_message: maximum number of records in one directory delta
+    :ivar refusal_retry_after: retry delay given to a node that is refused because the relay
+        already serves its fair share
     """
 
     anti_entropy_interval: timedelta = timedelta(seconds=10)
@@ -61,7 +62,7 @@
 
 
 class Relay:
-    """Serves the nodes that heartbeat to it and keeps in step with the other relays."""
+    """Serves the nodes that heartbeat to it and synchronizes with the other relays."""
 
     def __init__(
         self,
@@ -104,7 +105,7 @@
         self.next_tracking = clock.monotonic() + self.limits.tracking_interval
 
     def handle(self, message: Message, sender: str) -> list[Send]:
-        """React to a message from a node or another relay."""
+        """Handle a message from a node or another relay and return the replies."""
         match message:
             case Heartbeat():
                 return self._heartbeat(message, sender)
@@ -127,7 +128,7 @@
         return self.detector.handle(message, sender)
 
     def tick(self) -> list[Send]:
-        """Pass on what changed and watch over the subscribers."""
+        """Send pending changes, detect dead nodes and run anti-entropy when it is due."""
         self.subscribers.expire()
         sends = self.detector.tick(self._helpers)
         for node in self.detector.take_dead():
@@ -144,23 +145,23 @@
         return sends
 
     def own_records_changed(self, records: list[TargetRecord]) -> None:
-        """Pass on records that the directory already holds."""
+        """Queue changed records of this node's targets, which the directory already holds."""
         self._queue_changes(records, own=True)
 
     def broadcast(self, message: Message) -> list[Send]:
-        """Address a message to all subscribers and all other relays."""
+        """Return sends of a message to all subscribers and all other relays."""
         return self.to_subscribers(message) + self.to_relays(message)
 
     def to_subscribers(self, message: Message) -> list[Send]:
-        """Address a message to all subscribers."""
+        """Return sends of a message to all subscribers."""
         return [Send(subscriber.address, message) for subscriber in self.subscribers]
 
     def to_relays(self, message: Message) -> list[Send]:
-        """Address a message to all other relays."""
+        """Return sends of a message to all other relays."""
         return [Send(relay, message) for relay in self._other_relays()]
 
     def _keepalive(self, state: int, sender: str) -> list[Send]:
-        """Handle a short heartbeat; ask for a whole one unless the node misses nothing."""
+        """Acknowledge a keepalive if the node is up to date, else request a full heartbeat."""
         known = self.subscribers.items.get(sender)
         if known is None or not known.ready or not self.sync.ready:
             return [Send(sender, KeepaliveAck(False))]
@@ -236,7 +237,10 @@
         return [Send(sender, DirectorySnapshot(self.directory.of_zone(zone))) for zone in zones]
 
     def _merge_announcement(self, message: Announce, sender: str) -> list[Send]:
-        """Take a node's own records; answer with those that are known as they are, or newer."""
+        """Merge a node's own records; reply with the records that the merge left unchanged.
+
+        These are equal to the announced records or newer, and confirm the announcement.
+        """
         changed = self.directory.merge(message.records)
         self._queue_changes(changed, own=True)
         known = [self.directory.records.get(record.target) for record in message.records]
@@ -292,9 +296,10 @@
         return sends
 
     def _track_assigned_nodes(self) -> None:
-        """Expect heartbeats of the nodes that are this relay's share of the zone.
+        """Track the nodes in the zone that rendezvous hashing assigns to this relay.
 
-        Covers nodes that failed together with the relay they used: no other relay heard them.
+        This detects nodes that failed together with their relay and therefore never sent a
+        heartbeat to another one.
         """
         relays = self.table.addresses(self.zone)
         for record in self.directory.of_zone(self.zone):
--- a/almondshore/relay/lease.py
+++ b/almondshore/relay/lease.py
@@ -1,4 +1,4 @@
-"""Leases in the platform, with an epoch that grows with each new holder."""
+"""Leases in the platform, with an epoch that increases with each new holder."""
 
 from datetime import datetime, timedelta
 from typing import NamedTuple
@@ -24,7 +24,7 @@
 
 
 class LeaseRecord(NamedTuple):
-    """Content of a lease's object."""
+    """Content of the object that stores a lease."""
 
     holder: str
     epoch: int
@@ -38,13 +38,16 @@
 
 
 class HeldElsewhere(NamedTuple):
-    """Another process holds the lease, or takes it at this moment."""
+    """Another process holds the lease, or is acquiring it.
+
+    :ivar record: the current lease; None if it was not reported with the write conflict
+    """
 
     record: LeaseRecord | None
 
 
 class Unknown(NamedTuple):
-    """The platform gave no answer; an earlier hold is valid until it expires."""
+    """The platform call failed; a lease acquired earlier remains valid until it expires."""
 
     error: PlatformError
 
@@ -53,11 +56,16 @@
 
 
 class Lease:
-    """One lease that this process wants to hold.
+    """A lease that this process holds or tries to acquire.
+
+    A holder that was paused beyond the expiry of its lease does no harm: its next write conflicts,
+    and receivers reject messages with its lower epoch. A lease counts as expired once its expiry
+    time has passed by the wall clock, or its object has not changed for a full ``ttl`` by this
+    process's monotonic clock.
 
-    A holder that was paused past the lease is harmless: its next write conflicts, and receivers
-    refuse what carries its lower epoch. A lease counts as expired once its time has passed by
-    the wall clock, or its object has not changed for a whole ``ttl`` by the own monotonic clock.
+    :ivar epoch: epoch of the lease held; 0 if none
+    :ivar revision: revision of the lease's object after the last confirmed write
+    :ivar pending_write: id of a write whose result is not known
     """
 
     def __init__(
@@ -87,15 +95,15 @@
 
     @property
     def held(self) -> bool:
-        """Whether this process holds the lease by its own clock."""
+        """Whether this process holds an unexpired lease by its own monotonic clock."""
         return self.epoch > 0 and self.clock.monotonic() < self.valid_until
 
     def acquire_or_renew(self, known: StoredObject | None = None) -> LeaseResult:
-        """Renew the lease if it is held, else take it if it is free or expired.
+        """Renew the lease if it is held, else acquire it if it is free or expired.
 
-        Takes one platform call for a renewal and two for an acquisition.
+        A renewal takes one platform call, an acquisition two.
 
-        :param known: the lease's object if it was just read, which saves a call
+        :param known: the lease's object if it has just been read, which saves a call
         """
         if self.epoch and self.pending_write is None:
             return self._write(self.epoch, self.revision)
@@ -109,13 +117,13 @@
         return Unknown(result.failure())
 
     def renew_with_new_epoch(self) -> LeaseResult:
-        """Take the held lease anew under a higher epoch."""
+        """Renew the held lease under a higher epoch."""
         if not self.epoch or self.pending_write is not None:
             return self.acquire_or_renew()
         return self._write(self.epoch + 1, self.revision)
 
     def release(self) -> None:
-        """End the hold, so that another process can take the lease at once."""
+        """Release the lease, so that another process can acquire it at once."""
         if self.epoch:
             self._put(self.epoch, self.revision, timedelta())
         self._reset()
@@ -132,7 +140,7 @@
         return HeldElsewhere(record)
 
     def _confirm(self, epoch: int, revision: int) -> Held:
-        """Take note of a write that took effect; the hold counts from before it was sent."""
+        """Record a write that took effect; the lease is valid from the time the write was sent."""
         self.epoch, self.revision, self.pending_write = epoch, revision, None
         self.valid_until = self.pending_sent_at + self.ttl
         return Held(epoch)
@@ -173,7 +181,7 @@
 
 
 def decode_lease(stored: StoredObject) -> LeaseRecord:
-    """Decode a lease's object."""
+    """Decode the object that stores a lease."""
     return msgspec.msgpack.decode(stored.value, type=LeaseRecord)
 
 
--- a/almondshore/relay/lease_monitor.py
+++ b/almondshore/relay/lease_monitor.py
@@ -1,4 +1,4 @@
-"""Review of the relay leases that the platform holds."""
+"""Detection of expired relay leases in the platform."""
 
 from collections.abc import Iterable
 from datetime import timedelta
@@ -12,18 +12,18 @@
 
 
 class ObservedRevision(NamedTuple):
-    """A revision of a lease and since when it was seen unchanged."""
+    """A revision of a lease and the monotonic time at which it was first observed."""
 
     revision: int
     since: timedelta
 
 
 class LeaseMonitor:
-    """Tells live leases from expired ones and brings the relay table up to date.
+    """Distinguishes live leases from expired ones and updates the relay table.
 
-    A lease counts as expired when its object did not change for a whole ``ttl`` by the own
-    monotonic clock, while the platform answered. After an outage all leases are old; the
-    observations start anew, so that their holders have time to renew them.
+    A lease counts as expired if its object has not changed for a full ``ttl`` by this process's
+    monotonic clock while the platform answered. After an outage all leases are old, so the
+    observations start again to give the holders time to renew their leases.
     """
 
     def __init__(self, *, clock: Clock, table: RelayTable, ttl: timedelta = TTL):
@@ -33,11 +33,11 @@
         self.observed: dict[str, ObservedRevision] = {}
 
     def on_list_failure(self) -> None:
-        """Note that the leases could not be read."""
+        """Discard the observations after the leases could not be read."""
         self.observed.clear()
 
     def update(self, leases: Iterable[StoredObject]) -> list[RelayEntry]:
-        """Merge what the leases show into the table.
+        """Merge the leases, as just read, into the relay table.
 
         :returns: the live leases
         """
--- a/almondshore/relay/selection.py
+++ b/almondshore/relay/selection.py
@@ -1,4 +1,4 @@
-"""Choice of the relay that a node heartbeats to."""
+"""Selection of the relay that a node sends its heartbeats to."""
 
 import random
 from collections.abc import Callable, Sequence
@@ -26,12 +26,13 @@
 class SelectionLimits(NamedTuple):
     """Limits of the relay selection.
 
-    :ivar max_missed: unanswered heartbeats after which the node fails over
-    :ivar avoid: time for which a relay that did not answer is passed over; with 30 s a tenth of
-        lost messages kept half of the nodes at relays of other zones
-    :ivar query_cap: longest wait between two queries of peers
-    :ivar return_interval: time after which a node goes back to its preferred relay; a node that
-        uses a relay of another zone looks for one of its own at each heartbeat
+    :ivar max_missed: number of unanswered heartbeats after which the node fails over
+    :ivar avoid_duration: time for which a relay that did not answer is avoided; with 30 s, 10%
+        message loss kept half of the nodes on relays in other zones
+    :ivar failback_interval: interval at which a node tries to return to its preferred relay; a
+        node that uses a relay in another zone tries one in its own zone at each heartbeat
+    :ivar peers_queried: number of peers that are asked for relays at once
+    :ivar max_query_delay: maximum delay between two queries of peers
     """
 
     heartbeat_interval: timedelta = timedelta(seconds=2)
@@ -43,11 +44,16 @@
 
 
 class RelaySelection:
-    """Heartbeats to one relay and fails over to the next one.
+    """Sends heartbeats to one relay and fails over to the next one.
 
-    Relays of the own zone come first, in the order of rendezvous hashing; without any, relays of
-    other zones serve. Without a known relay that answers, the node asks peers. A node goes back to
-    a preferred relay only once that relay has answered.
+    Relays in the node's own zone come first, in the order of rendezvous hashing, then relays in
+    other zones. If no usable relay is known, the node queries peers for relays. A node fails back
+    to a preferred relay only once that relay has answered.
+
+    :ivar relay: address of the relay in use
+    :ivar trial: address of a preferred relay that the node also sends heartbeats to, to test it
+    :ivar acknowledged: address of the relay that has acknowledged a full heartbeat
+    :ivar avoided: relays that are not chosen, each until a monotonic time
     """
 
     def __init__(
@@ -89,18 +95,18 @@
 
     @property
     def in_zone(self) -> bool:
-        """Whether a relay of the own zone answers this node."""
+        """Whether a relay in this node's zone answers it."""
         return self.connected and self.relay in self.table.addresses(self.zone)
 
     @property
     def has_usable_relay(self) -> bool:
-        """Whether a known relay of the own zone has not failed to answer lately."""
+        """Whether a known relay in this node's zone is not being avoided."""
         now = self.clock.monotonic()
         known = self.table.addresses(self.zone)
         return any(self.avoided.get(relay, now) <= now for relay in known if relay != self.address)
 
     def handle(self, message: Message, sender: str) -> list[Send]:
-        """React to acknowledgements, lists of relays and refusals."""
+        """Handle acknowledgements, lists of relays, queries for them and refusals."""
         match message:
             case HeartbeatAck(relays):
                 self.table.merge(relays)
@@ -121,7 +127,7 @@
         return []
 
     def tick(self) -> list[Send]:
-        """Send the next heartbeat, or look for a relay."""
+        """Send the next heartbeat, fail over, or query peers for a relay."""
         now = self.clock.monotonic()
         if now < self.next_send:
             return []
@@ -141,10 +147,10 @@
         return sends
 
     def _heartbeats(self) -> list[Send]:
-        """Return the heartbeat to the relay, and to the one on trial.
+        """Return the heartbeats to the relay in use and to the trial relay.
 
-        A relay that has acknowledged a whole heartbeat gets a ``Keepalive``, until it asks for
-        a whole one again.
+        A relay that has acknowledged a full heartbeat gets a ``Keepalive`` until it requests a
+        full one again.
         """
         heartbeat = self.heartbeat()
         first: Message = heartbeat
@@ -154,7 +160,7 @@
         return sends + ([Send(self.trial, heartbeat)] if self.trial else [])
 
     def preferred(self, now: timedelta) -> str | None:
-        """Return the best relay that is not avoided; None if none is known."""
+        """Return the highest-ranked relay that is not avoided; None if there is none."""
         self.avoided = {relay: until for relay, until in self.avoided.items() if until > now}
         own = [relay for relay in self.table.addresses(self.zone) if relay != self.address]
         others = [relay for relay in self.table.addresses() if relay != self.address]
@@ -165,7 +171,7 @@
         return None
 
     def _choose_trial(self, now: timedelta) -> None:
-        """Try a better relay beside the present one, which stays until the other one answers."""
+        """Choose a preferred relay to test; the current relay stays until the other one answers."""
         if self.trial is not None:
             self.avoided[self.trial] = now + self.limits.avoid_duration
             self.trial = None
@@ -189,9 +195,11 @@
             self.trial = None
 
     def _fail_over(self, avoid_duration: timedelta, *, silent: bool = True) -> None:
-        """Avoid the present relay for a time and wait with full jitter before the next one.
+        """Avoid the current relay and wait with full jitter before choosing another one.
 
-        A relay that refuses at once is no sign of a fault, so the wait does not grow.
+        :param avoid_duration: time for which the current relay is not chosen again
+        :param silent: whether the relay did not answer; False after a refusal, which is no sign
+            of a fault and does not increase the backoff
         """
         now = self.clock.monotonic()
         self.avoided[self.relay] = now + avoid_duration
--- a/almondshore/relay/source.py
+++ b/almondshore/relay/source.py
@@ -1,4 +1,4 @@
-"""Reading of configuration versions from the platform."""
+"""Reads new configuration versions from the platform."""
 
 import random
 from datetime import timedelta
@@ -15,14 +15,16 @@
 from almondshore.versions.sync import ConfigSync
 
 WATCH_TIMEOUT = timedelta(seconds=30)
-# Shortest time between two watches; bounds the calls when versions follow each other closely.
+# Minimum delay between two watches; limits the platform calls while versions change rapidly.
 WATCH_INTERVAL = timedelta(seconds=1)
 
 
 class ConfigSource:
     """Watches ``config/head`` and offers new versions to a ``ConfigSync``.
 
+    :ivar position: position of the watch, from which the next one resumes; 0 reads the head
     :ivar delay: time to wait before the next ``poll``
+    :ivar head: head as last read; None if nothing was published yet
     """
 
     def __init__(
@@ -47,10 +49,10 @@
         self.head: Head | None = None
 
     def poll(self) -> None:
-        """Watch once and take what is new; may wait for ``watch_timeout``.
+        """Watch the head once and offer a new version; blocks for up to ``watch_timeout``.
 
-        Takes one platform call, and one more if a new version does not build on the held one.
-        Of several versions published between two watches only the newest is read.
+        Makes one platform call, and a second one if the head has no delta on the held version. If
+        several versions were published between two watches, only the newest is read.
         """
         result = self.publisher.platform.watch(HEAD_KEY, self.position, self.watch_timeout)
         if not is_successful(result):
@@ -69,7 +71,7 @@
             self.sync.record_platform_version(self.head.version, self.head.digest)
 
     def _offer_head(self, head: Head) -> None:
-        """Offer a version; if its parts cannot be read now, the next watch returns it again."""
+        """Offer the version of a head; if its parts cannot be read, the next watch returns it."""
         self.head = head
         self.sync.record_platform_version(head.version, head.digest)
         current = self.sync.state.current
@@ -85,7 +87,7 @@
         self.sync.offer(ConfigSnapshot(head.version, head.digest, parts.unwrap()))
 
     def _on_failure(self, error: PlatformError) -> None:
-        """Read the head anew after a failure, so that nothing between is missed."""
+        """Restart the watch from the head and back off, so that no version is missed."""
         self.position = 0
         self.delay = full_jitter(self.rng, self.failures)
         self.failures += 1
--- a/almondshore/relay/subscribers.py
+++ b/almondshore/relay/subscribers.py
@@ -1,4 +1,4 @@
-"""Nodes that heartbeat to a relay, and what each of them holds."""
+"""Nodes that heartbeat to a relay, and the configuration version each of them holds."""
 
 from collections.abc import Iterator
 from datetime import timedelta
@@ -10,7 +10,7 @@
 from almondshore.core.clock import Clock
 from almondshore.core.messages import Heartbeat
 
-# Twice the share of a relay, so that the survivors can serve a zone that lost half its relays.
+# Twice the share of one relay, so that a zone that lost half of its relays can still be served.
 MAX_SUBSCRIBERS = 512
 SUBSCRIBER_TIMEOUT = timedelta(seconds=10)
 RESEND_BASE = timedelta(seconds=2)
@@ -18,17 +18,20 @@
 
 
 def heartbeat_digest(heartbeat: Heartbeat) -> int:
-    """Return a digest of a heartbeat's content."""
+    """Return the digest that a ``Keepalive`` carries instead of a heartbeat."""
     return xxhash.xxh3_64_intdigest(msgspec.msgpack.encode(heartbeat))
 
 
 class Subscriber(NamedTuple):
     """A node that heartbeats to this relay.
 
-    :ivar version: configuration version it said it holds
-    :ivar sent: configuration version last sent to it
+    :ivar version: configuration version that the node reported
+    :ivar digest: digest of that version
+    :ivar last_heartbeat_at: monotonic time of its last heartbeat
     :ivar heartbeat: its last heartbeat
-    :ivar resend_at: time from which the same version may be sent again
+    :ivar sent_version: configuration version last sent to it
+    :ivar resends: number of times that this version was sent again
+    :ivar resend_at: monotonic time from which the same version may be sent again
     """
 
     address: str
@@ -66,7 +69,7 @@
         return iter(list(self.items.values()))
 
     def record_heartbeat(self, address: str, heartbeat: Heartbeat) -> Subscriber | None:
-        """Note a heartbeat.
+        """Record a heartbeat.
 
         :returns: the subscriber, or None if the table is full
         """
@@ -88,13 +91,13 @@
         return subscriber
 
     def is_due(self, subscriber: Subscriber, version: int) -> bool:
-        """Return whether a subscriber is behind and may be sent a version now."""
+        """Return whether a subscriber is behind a version and that version may be sent now."""
         if subscriber.version >= version:
             return False
         return subscriber.sent_version < version or self.clock.monotonic() >= subscriber.resend_at
 
     def mark_sent(self, address: str, version: int) -> None:
-        """Note that a version was sent; the same one is repeated with growing delays."""
+        """Record that a version was sent; each resend doubles the delay up to ``RESEND_CAP``."""
         subscriber = self.items[address]
         resends = subscriber.resends + 1 if subscriber.sent_version == version else 0
         delay = min(RESEND_CAP, RESEND_BASE * 2 ** min(resends, 8))
@@ -103,7 +106,7 @@
         )
 
     def expire(self) -> None:
-        """Drop the subscribers that stopped their heartbeats."""
+        """Remove the subscribers that sent no heartbeat within the timeout."""
         limit = self.clock.monotonic() - self.timeout
         for address in [a for a, s in self.items.items() if s.last_heartbeat_at < limit]:
             del self.items[address]
--- a/almondshore/relay/table.py
+++ b/almondshore/relay/table.py
@@ -13,7 +13,7 @@
 
 
 class RelayGroup(NamedTuple):
-    """The entries of one zone or of all, with what follows from them."""
+    """The entries of one zone or of all zones, with their addresses and digest."""
 
     entries: list[RelayEntry]
     addresses: list[str]
@@ -23,9 +23,9 @@
 class RelayTable:
     """The newest known holder of each relay slot.
 
-    For one slot the higher epoch wins; at one epoch a vacancy (an entry without an address) wins,
-    so that a relay that has gone is not brought back by late messages. At ``max_relays`` unknown
-    slots are not taken.
+    The entry with the higher epoch replaces the other one. At the same epoch a vacancy (an entry
+    without an address) wins, so that delayed messages do not restore a relay that has gone. Once
+    ``max_relays`` slots are known, entries of further slots are ignored.
     """
 
     def __init__(self, *, max_relays: int = MAX_RELAYS):
@@ -34,7 +34,7 @@
         self.cached: dict[str | None, RelayGroup] = {}
 
     def merge(self, entries: Iterable[RelayEntry]) -> bool:
-        """Take the entries with a higher epoch.
+        """Merge entries, keeping the newest one of each slot.
 
         :returns: whether anything changed
         """
@@ -60,18 +60,18 @@
         return self._group(None).entries
 
     def addresses(self, zone: str | None = None) -> list[str]:
-        """Return the distinct addresses of the relays, of one zone if given."""
+        """Return the distinct addresses of the relays in a zone, by default in all zones."""
         return self._group(zone).addresses
 
     def is_vacant(self, zone: str, slot: int, epoch: int) -> bool:
-        """Return whether a slot is known to be vacant since that epoch or a later one."""
+        """Return whether a slot is known to be vacant at this epoch or a later one."""
         known = self.entries.get((zone, slot))
         return known is not None and known.epoch >= epoch and not known.address
 
     def with_foreign(self, zone: str, rng: random.Random) -> list[RelayEntry]:
-        """Return the relays of a zone and a few of other zones, as its nodes need them.
+        """Return the relays of a zone and up to ``FOREIGN_RELAYS`` random relays of other zones.
 
-        A node whose zone loses all relays goes to one of another zone.
+        A node uses a relay in another zone if its own zone loses all relays.
         """
         foreign = [e for e in self.all() if e.zone != zone and e.address]
         return self.of_zone(zone) + rng.sample(foreign, min(FOREIGN_RELAYS, len(foreign)))
@@ -85,7 +85,7 @@
         return self._group(None).digest
 
     def _group(self, zone: str | None) -> RelayGroup:
-        """Return what is known of a zone, or of all; computed again after a change."""
+        """Return the entries of a zone, or of all zones for None, cached until the next change."""
         if zone not in self.cached:
             entries = sorted(e for e in self.entries.values() if zone in (None, e.zone))
             addresses = list(dict.fromkeys(entry.address for entry in entries if entry.address))
@@ -94,7 +94,7 @@
 
 
 def vacancy(zone: str, slot: int, epoch: int) -> RelayEntry:
-    """Return the entry which says that the holder of an epoch is gone."""
+    """Return the entry that marks a slot as vacant after the holder of an epoch has gone."""
     return RelayEntry(zone, slot, "", epoch)
 
 
--- a/almondshore/versions/config.py
+++ b/almondshore/versions/config.py
@@ -20,7 +20,7 @@
 class Configuration(NamedTuple):
     """One configuration version.
 
-    :ivar version: position in the total order of versions; 0 means none
+    :ivar version: number in the total order of versions; 0 for no configuration
     :ivar digest: digest of all parts
     :ivar parts: encoded parts by name
     """
@@ -31,7 +31,7 @@
 
 
 def digest_parts(parts: Mapping[str, bytes]) -> bytes:
-    """Return the digest of a set of parts, independent of their order."""
+    """Return the digest of all parts, independent of their order."""
     total = hashlib.blake2b(digest_size=DIGEST_BYTES)
     for name in sorted(parts):
         total.update(name.encode())
@@ -71,7 +71,7 @@
 
 
 def check_part(name: str, data: bytes) -> str | None:
-    """Check that a part has the shape its name calls for.
+    """Check that a part decodes as the kind that its name indicates and contains that name.
 
     :returns: a description of the problem, or None if the part is valid
     """
--- a/almondshore/versions/history.py
+++ b/almondshore/versions/history.py
@@ -1,4 +1,4 @@
-"""Bounded history of configuration changes, from which late nodes are brought up to date."""
+"""Bounded history of configuration changes, for incremental updates of nodes that lag behind."""
 
 from collections import deque
 from typing import NamedTuple
@@ -11,7 +11,7 @@
 
 
 class HistoryEntry(NamedTuple):
-    """One change from a configuration to its successor; ``size`` in bytes."""
+    """A change from one configuration to its successor; ``size`` in bytes."""
 
     delta: ConfigDelta
     size: int
@@ -20,8 +20,11 @@
 class DeltaHistory:
     """The latest changes, as a chain that ends at the configuration in force.
 
-    Every subscriber's backlog is the part of the chain after the version it holds. At the bound
-    the oldest changes are dropped, and a subscriber that is further behind needs a snapshot.
+    A subscriber needs the part of the chain after the version it holds. Beyond ``max_deltas`` or
+    ``max_bytes`` the oldest changes are dropped, and a subscriber that is further behind needs a
+    snapshot.
+
+    :ivar size: total size of the changes in bytes
     """
 
     def __init__(self, *, max_deltas: int = MAX_DELTAS, max_bytes: int = MAX_BYTES):
@@ -45,9 +48,9 @@
             self.size -= self.entries.popleft().size
 
     def since(self, version: int, digest: bytes) -> ConfigDelta | None:
-        """Return one delta from a held configuration to the newest, None if out of reach.
+        """Return a delta from a configuration to the newest; None if the history is too short.
 
-        Callers with the same base get the same object, so that it can be encoded once.
+        Calls with the same base return the same object, so that it can be encoded only once.
         """
         key = (version, digest)
         if key not in self.cached:
--- a/almondshore/versions/publish.py
+++ b/almondshore/versions/publish.py
@@ -1,4 +1,4 @@
-"""Publishing of configuration versions through conditional updates in the platform."""
+"""Publication of configuration versions by conditional updates in the platform."""
 
 import hashlib
 import zlib
@@ -25,7 +25,7 @@
 
 
 class VersionRecord(NamedTuple):
-    """Who published a version, and where its rules and parts are."""
+    """Author, reason and time of a version, the digest of its rules and the key of its parts."""
 
     version: int
     rules_digest: str
@@ -72,7 +72,7 @@
     """Reads and writes configuration versions in the platform.
 
     Objects that are known to exist are not written again, so that a publication which the call
-    budget interrupts gets further with each repetition.
+    budget interrupts makes progress with each retry.
     """
 
     def __init__(self, *, platform: Platform):
@@ -80,7 +80,7 @@
         self.stored_keys: set[str] = set()
 
     def current(self) -> Result[VersionedHead, PlatformError]:
-        """Read the head; an empty head with revision 0 if nothing was published yet."""
+        """Read the head; it is empty with revision 0 if nothing has been published yet."""
         result = self.platform.get(HEAD_KEY)
         if is_successful(result):
             stored = result.unwrap()
@@ -98,11 +98,11 @@
         return self.record(version).bind(lambda record: self._parts(record.parts_key))
 
     def parts_of(self, head: Head) -> Result[dict[str, bytes], PlatformError]:
-        """Read all parts of the version that a head names, by one call."""
+        """Read all parts of the version that a head names, in one platform call."""
         return self._parts(_parts_key(head.digest)) if head.version else Success({})
 
     def record(self, version: int) -> Result[VersionRecord, PlatformError]:
-        """Read the record of a version: from the head, or as its successor stored it."""
+        """Read the record of a version, from the head or as stored with its successor."""
         return self.current().bind(lambda current: self._record(current.head, version))
 
     def rules_text(self, version: int) -> Result[bytes, PlatformError]:
@@ -126,8 +126,8 @@
     ) -> Result[Published, PlatformError]:
         """Publish the successor of a version.
 
-        The same call with the same arguments is safe to repeat: the write id follows from the
-        content, so that a write whose answer was lost is recognised as done.
+        The call is idempotent: the write id is derived from the content, so that a write whose
+        response was lost is recognised as done when the call is repeated.
 
         :returns: ``Conflict`` if another version was published since ``base`` was read
         """
@@ -165,7 +165,7 @@
         return result.map(lambda _: None)
 
     def _create_shared(self, key: str, value: bytes) -> Result[None, PlatformError]:
-        """Create an object whose key determines its content; one that exists is the same."""
+        """Create an object whose key determines its content; an existing one is identical."""
         if key in self.stored_keys:
             return Success(None)
         result = self.platform.create(key, value, key)
@@ -194,8 +194,8 @@
     def _store_record(self, head: Head) -> Result[None, PlatformError]:
         """Store the record of a head before it is replaced.
 
-        Only what was the head is ever stored under a version's key, so publishers that race for
-        the next version cannot store different records, and no record is replaced.
+        Only the record of a former head is stored under a version's key. Publishers that race for
+        the next version therefore cannot store different records, and no record is overwritten.
         """
         if head.record is None:
             return Success(None)
--- a/almondshore/versions/state.py
+++ b/almondshore/versions/state.py
@@ -1,4 +1,4 @@
-"""Acceptance of configuration versions by a node."""
+"""Validation and activation of configuration versions on a node."""
 
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
@@ -20,9 +20,9 @@
 
 
 class Refused(NamedTuple):
-    """The version was refused whole; the previous one stays in force.
+    """The version was refused as a whole; the previous one remains in force.
 
-    :ivar final: whether the version itself is bad, so that every copy of it is refused; False
+    :ivar final: whether the version itself is invalid, so that every copy of it is refused; False
         if only this message may be damaged
     """
 
@@ -38,7 +38,7 @@
 
 
 class SnapshotNeeded(NamedTuple):
-    """The delta does not build on the version in force; a snapshot is needed."""
+    """The base of the delta is not the version in force; a snapshot is needed."""
 
     version: int
 
@@ -47,16 +47,17 @@
 
 
 class ConfigState:
-    """The configuration in force and the rules by which a newer one replaces it.
+    """The configuration in force, which only a newer valid version replaces.
 
-    Versions only go up. A version is checked whole and then takes force by one assignment.
+    Versions only increase. A version is validated as a whole and then activated by a single
+    assignment.
     """
 
     def __init__(self) -> None:
         self.current = EMPTY
 
     def offer_delta(self, delta: ConfigDelta) -> Verdict:
-        """Apply a delta if it builds on the version in force and its result is valid."""
+        """Apply a delta if its base is the version in force and its result is valid."""
         verdict = self._check_version(delta.version, delta.digest)
         if verdict is not None:
             return verdict
@@ -68,7 +69,7 @@
         return self._apply(delta.version, delta.digest, parts, changed)
 
     def offer_snapshot(self, snapshot: ConfigSnapshot) -> Verdict:
-        """Take a whole version if it is newer than the one in force and valid."""
+        """Apply a full version if it is newer than the one in force and valid."""
         verdict = self._check_version(snapshot.version, snapshot.digest)
         if verdict is not None:
             return verdict
@@ -77,7 +78,7 @@
         )
 
     def snapshot(self) -> ConfigSnapshot:
-        """Return the version in force as a message."""
+        """Return the version in force as a ``ConfigSnapshot``."""
         current = self.current
         return ConfigSnapshot(current.version, current.digest, dict(current.parts))
 
--- a/almondshore/versions/status.py
+++ b/almondshore/versions/status.py
@@ -1,4 +1,4 @@
-"""The status of a zone as its relay writes it to the platform and the tool reads it."""
+"""The status of a zone, written to the platform by a relay and read by the command-line tool."""
 
 from typing import TypedDict
 
@@ -8,7 +8,7 @@
 
 
 class TargetStatus(TypedDict):
-    """A target beside a node; ``state`` is the state of its announcement."""
+    """A target of a node; ``state`` is the state of its announcement."""
 
     target: str
     service: str
@@ -27,7 +27,7 @@
 
 
 class MoveStatus(TypedDict):
-    """A move as the zone sees it; ``deadline`` in ISO 8601, ``step_percent`` from 0 to 100."""
+    """A move as known in the zone; ``deadline`` in ISO 8601, ``step_percent`` from 0 to 100."""
 
     service: str
     move_id: str
--- a/almondshore/versions/sync.py
+++ b/almondshore/versions/sync.py
@@ -1,4 +1,4 @@
-"""Repair of a node's configuration by what heartbeats and peers show."""
+"""Synchronization of a node's configuration with the versions that peers report."""
 
 import random
 from collections import OrderedDict
@@ -33,20 +33,20 @@
 PLATFORM = "platform"
 STARTUP_TIMEOUT = timedelta(seconds=10)
 REQUEST_TIMEOUT = timedelta(seconds=2)
-# A relay repeats a push that was lost after one heartbeat interval.
+# A relay repeats a lost push after one heartbeat interval, so a ready node waits longer than that.
 REQUEST_DELAY = timedelta(seconds=3)
 MIN_READY_PEERS = 3
-# Longer than the time-out of a watch of the head, which confirms the version when it returns.
+# Longer than the time-out of a watch of the head, which confirms the version each time it returns.
 MAX_CONFIRMATION_AGE = timedelta(seconds=45)
 MAX_REPORTED_PEERS = 64
 MAX_REFUSED_VERSIONS = 64
 
 
 class ReportedVersion(NamedTuple):
-    """The version that a peer or the platform said it holds.
+    """The version that a peer or the platform reported to hold.
 
-    :ivar ready: whether the peer itself has learnt the newest version
-    :ivar confirmed: whether the peer has this from the platform
+    :ivar ready: whether the peer itself has obtained the newest version
+    :ivar confirmed: whether the platform recently confirmed the version to the peer
     """
 
     version: int
@@ -56,9 +56,16 @@
 
 
 class ConfigSync:
-    """Holds a ``ConfigState`` and asks peers for what it misses.
+    """Keeps a ``ConfigState`` up to date by requesting missing versions from peers.
 
-    At most one request is outstanding. Tables are bounded: the oldest entry leaves.
+    At most one request is outstanding. The tables are bounded and evict their oldest entry.
+
+    :ivar reported: last version reported by each peer and by the platform
+    :ivar refused: reasons by version and digest of invalid versions, which are not requested again
+    :ivar refusals: number of refused versions and damaged copies
+    :ivar attempt: number of requests since the last accepted version, for the backoff
+    :ivar missing_since: monotonic time since which a ready peer has reported a newer version
+    :ivar confirmed_at: monotonic time of the last report by the platform
     """
 
     def __init__(
@@ -99,16 +106,16 @@
 
     @property
     def ready(self) -> bool:
-        """Whether the newest version that peers or the platform show is in force.
+        """Whether the newest version that peers or the platform report is in force.
 
-        Once true it stays true.
+        Once true it remains true.
         """
         if not self.was_ready:
             self.was_ready = self._has_newest()
         return self.was_ready
 
     def handle(self, message: Message, sender: str) -> list[Send]:
-        """React to a message about configuration; ignore all others."""
+        """Handle a message about configuration; all others are ignored."""
         match message:
             case ConfigDelta() | ConfigSnapshot():
                 return self._handle_offer(message, sender)
@@ -124,7 +131,7 @@
         return []
 
     def offer(self, message: ConfigDelta | ConfigSnapshot) -> Verdict:
-        """Offer a version to the state and remember the change or the refusal."""
+        """Offer a version to the state and record the change or the refusal."""
         before = self.state.current
         if isinstance(message, ConfigDelta):
             verdict = self.state.offer_delta(message)
@@ -140,7 +147,7 @@
         return verdict
 
     def _record_refusal(self, message: ConfigDelta | ConfigSnapshot, verdict: Refused) -> None:
-        """Remember a bad version, so that it is not asked for again; a damaged copy is."""
+        """Record an invalid version, so that it is not requested again, unlike a damaged copy."""
         self.refusals += 1
         self.last_refusal = verdict
         if not verdict.final:
@@ -150,26 +157,30 @@
             self.refused.popitem(last=False)
 
     def record_platform_version(self, version: int, digest: bytes) -> None:
-        """Note the version that the platform shows now."""
+        """Record the version that the platform currently reports."""
         self.confirmed_at = self.clock.monotonic()
         self.observe(ReportedVersion(version, digest, True, True), PLATFORM)
 
     @property
     def confirmed(self) -> bool:
-        """Whether the platform lately showed nothing newer than the version in force."""
+        """Whether the platform has reported its version within ``MAX_CONFIRMATION_AGE``."""
         if self.confirmed_at is None:
             return False
         return self.clock.monotonic() - self.confirmed_at < MAX_CONFIRMATION_AGE
 
     def observe(self, reported: ReportedVersion, sender: str) -> list[Send]:
-        """Note the version that a peer shows; ask for it if it is newer."""
+        """Record the version that a peer reports and request it if it is newer."""
         self._record_report(reported, sender)
         if sender == PLATFORM or not reported.ready or not self._is_missing(reported):
             return []
         return self._request_from(sender)
 
     def answer(self, request: ConfigRequest) -> Message:
-        """Return a delta, a snapshot, the status if nothing is newer, or ``Busy``."""
+        """Return the reply to a request.
+
+        :returns: the status if it was requested, this node is not ready or holds nothing newer;
+            else a delta, a snapshot beyond the history, or ``Busy`` at the snapshot rate limit
+        """
         current = self.state.current
         if request.status_only or not self.ready or current.version <= request.version:
             return ConfigStatus(current.version, current.digest, self.ready, self.confirmed)
@@ -182,7 +193,7 @@
         return self.state.snapshot()
 
     def tick(self) -> list[Send]:
-        """Ask for a missing version; while starting, ask peers which one they hold."""
+        """Request a missing version; until ready, query peers for the versions they hold."""
         sends = self._request_missing()
         if self.ready or self.clock.monotonic() < self.next_query:
             return sends
@@ -221,10 +232,11 @@
     def _handle_summary(
         self, message: Heartbeat | HeartbeatAck | RelaySync, sender: str
     ) -> list[Send]:
-        """Note the version in a summary.
+        """Record the version reported in a heartbeat, acknowledgement or relay summary.
 
-        A relay sends what a heartbeat shows to be missing by itself; ``tick`` asks only if that
-        does not come. A node that is starting, or another relay, asks at once.
+        A relay sends the changes that a heartbeat shows to be missing unasked; ``tick`` requests
+        them only if they do not arrive. A node that is not ready, or that receives the summary of
+        another relay, requests them at once.
         """
         confirmed = isinstance(message, HeartbeatAck) and message.confirmed
         reported = ReportedVersion(
--- a/almondshore/versions/view.py
+++ b/almondshore/versions/view.py
@@ -1,4 +1,4 @@
-"""The effective routing view of a node: configuration and directory with closed references."""
+"""The effective routing view of a node, derived from its configuration and directory."""
 
 from collections.abc import Mapping
 from typing import NamedTuple
@@ -19,12 +19,12 @@
 
 
 class RoutingView(NamedTuple):
-    """What a node may route to.
+    """Services, targets and tenants that a node routes by; all references resolve.
 
-    :ivar version: configuration version the view was made from
+    :ivar version: configuration version that the view was built from
     :ivar services: services with at least one known target; only their routes are active
-    :ivar targets: targets that take new work by service and version, never empty
-    :ivar without_targets: services of the configuration that have no known target
+    :ivar targets: targets that take new work, by service and version; no entry is empty
+    :ivar without_targets: services in the configuration that have no known target
     """
 
     version: int
@@ -34,9 +34,9 @@
     without_targets: frozenset[str]
 
     def split(self, service: str, weights: Mapping[str, float]) -> dict[str, float]:
-        """Return the weights restricted to versions with known targets, with the sum 1.
+        """Return the weights of the versions with known targets, normalized to a sum of 1.
 
-        :returns: empty if no version with a weight has a known target
+        :returns: empty if no version with a positive weight has a known target
         """
         known = self.targets.get(service, {})
         kept = {v: weight for v, weight in weights.items() if v in known and weight > 0}
@@ -45,9 +45,13 @@
 
 
 class ViewBuilder:
-    """Builds the view anew when the configuration or the directory has changed.
+    """Rebuilds the view when the configuration or the directory has changed.
 
-    Unknown versions are dropped from the view only, so that they come back with their targets.
+    Versions without known targets are omitted only from the view, so that they return with their
+    targets.
+
+    :ivar configuration: the configuration whose parts are decoded
+    :ivar built: configuration digest and version, and directory revision, of the current view
     """
 
     def __init__(self, *, state: ConfigState, directory: Directory):
@@ -60,7 +64,7 @@
         self.current = RoutingView(0, {}, {}, {}, frozenset())
 
     def view(self) -> RoutingView:
-        """Return the view of the configuration and the directory as they are now."""
+        """Return the current view, rebuilt if the configuration or the directory has changed."""
         configuration = self.state.current
         key = (configuration.digest, configuration.version, self.directory.revision)
         if key != self.built:
@@ -70,7 +74,7 @@
         return self.current
 
     def _decode(self, configuration: Configuration) -> None:
-        """Decode the parts that differ from those decoded before."""
+        """Decode the parts that differ from the configuration decoded before."""
         old, new = self.configuration.parts, configuration.parts
         for name in old.keys() - new.keys():
             if name.startswith(SERVICE_PREFIX):
