Name tests of relay, membership and versions after what they check

Test names and docstrings spoke of herds, burying, waking and tries, and some left out the failure they guard against. They now name the failure and its cause in the terms of the code. Checks, bounds, seeds and literals are unchanged, but for two texts that no check matches: the message of a condition that is not met in time and the reason of a lost response.

--- a/almondshore/relay/election.py
+++ b/almondshore/relay/election.py
@@ -160,19 +160,19 @@
     def _acquire_slot(self, slot: int, known: StoredObject | None) -> list[Send]:
         key = relay_lease_key(self.zone, slot)
         lease = Lease(platform=self.platform, key=key, holder=self.address, clock=self.clock)
-        answer = lease.acquire_or_renew(known)
-        self._record_holder(slot, answer)
-        if isinstance(answer, HeldElsewhere) and answer.record is not None:
-            left = answer.record.expires - self.clock.now()
+        result = lease.acquire_or_renew(known)
+        self._record_holder(slot, result)
+        if isinstance(result, HeldElsewhere) and result.record is not None:
+            left = result.record.expires - self.clock.now()
             self.candidacy.postpone(self.clock.monotonic() + min(left, TTL) + CLOCK_SKEW)
-            return [Send(answer.record.holder, RelayInvite(self.zone, slot))]
-        if not isinstance(answer, Held):
+            return [Send(result.record.holder, RelayInvite(self.zone, slot))]
+        if not isinstance(result, Held):
             return []
         self.lease, self.slot = lease, slot
         now = self.clock.monotonic()
         self.next_renewal = now + RENEW_INTERVAL * self.rng.uniform(0.5, 1)
         self.next_list = self.next_list_all = now
-        return self._announce_entry(self._own_entry(answer.epoch))
+        return self._announce_entry(self._own_entry(result.epoch))
 
     def _find_own_lease(self) -> StoredObject | None:
         """Return the lease in the zone that names this address, or None if there is none."""
@@ -187,21 +187,21 @@
     def _renew(self) -> list[Send]:
         """Renew the lease, under a higher epoch if other nodes consider this relay gone."""
         lapsed = self.table.is_vacant(self.zone, self.slot, self.lease.epoch)
-        answer = self.lease.renew_with_new_epoch() if lapsed else self.lease.acquire_or_renew()
-        self._record_holder(self.slot, answer)
-        if isinstance(answer, HeldElsewhere):
+        result = self.lease.renew_with_new_epoch() if lapsed else self.lease.acquire_or_renew()
+        self._record_holder(self.slot, result)
+        if isinstance(result, HeldElsewhere):
             self.lease = None
-        elif isinstance(answer, Held) and lapsed:
-            return self._announce_entry(self._own_entry(answer.epoch))
+        elif isinstance(result, Held) and lapsed:
+            return self._announce_entry(self._own_entry(result.epoch))
         return []
 
-    def _record_holder(self, slot: int, answer: LeaseResult) -> None:
-        self.platform_up = isinstance(answer, Held | HeldElsewhere)
-        if isinstance(answer, HeldElsewhere) and answer.record is not None:
-            record = answer.record
+    def _record_holder(self, slot: int, result: LeaseResult) -> None:
+        self.platform_up = isinstance(result, Held | HeldElsewhere)
+        if isinstance(result, HeldElsewhere) and result.record is not None:
+            record = result.record
             self.table.merge([RelayEntry(self.zone, slot, record.holder, record.epoch)])
-        elif isinstance(answer, Held):
-            self.table.merge([RelayEntry(self.zone, slot, self.address, answer.epoch)])
+        elif isinstance(result, Held):
+            self.table.merge([RelayEntry(self.zone, slot, self.address, result.epoch)])
 
     def _own_entry(self, epoch: int) -> RelayEntry:
         return RelayEntry(self.zone, self.slot, self.address, epoch)
--- a/almondshore/relay/lease.py
+++ b/almondshore/relay/lease.py
@@ -123,7 +123,7 @@
         return self._write(self.epoch + 1, self.revision)
 
     def release(self) -> None:
-        """Release the lease, so that another process can acquire it at once."""
+        """Release the lease, so that other processes need not wait for it to expire."""
         if self.epoch:
             self._put(self.epoch, self.revision, timedelta())
         self._reset()
--- a/test/membership/__init__.py
+++ b/test/membership/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of membership."""
+"""Tests of the target directory and of failure detection."""
--- a/test/membership/test_detector.py
+++ b/test/membership/test_detector.py
@@ -1,4 +1,4 @@
-"""Tests of the failure detector and of probing."""
+"""Tests of the failure detector and the prober."""
 
 import random
 from datetime import timedelta
@@ -21,7 +21,7 @@
         self.detector = FailureDetector(clock=self.clock, rng=random.Random(1), address="relay")
 
     def run_seconds(self, seconds, alive):
-        """Tick every second while the nodes that are alive send heartbeats."""
+        """Tick every second while the live nodes send heartbeats; return the messages sent."""
         sends = []
         for _ in range(seconds):
             self.clock.advance(SECOND)
@@ -36,7 +36,7 @@
             self.detector.handle(reply, send.to)
 
     def test_two_confirmations_declare_a_silent_node_dead(self):
-        """Guards against one observer's view deciding that a node is dead."""
+        """Guards against a single observer declaring a node dead."""
         self.run_seconds(1, range(10))
         sends = self.run_seconds(6, range(1, 10))
         self.assertEqual(["h1", "h2", "h3"], [send.to for send in sends])
@@ -46,22 +46,22 @@
         self.assertEqual(["n0"], self.detector.take_dead())
 
     def test_node_that_others_reach_is_not_dead(self):
-        """Guards against declaring a node dead that went to another relay."""
+        """Guards against declaring a node dead that now uses another relay."""
         self.run_seconds(1, range(10))
         sends = self.run_seconds(6, range(1, 10))
         self.answer(sends[:1], reachable=True)
         self.answer(sends[1:], reachable=False)
         self.assertEqual([], self.detector.take_dead())
 
-    def test_paused_observer_suspects_nobody(self):
-        """Guards against a relay that wakes from a pause and buries its zone."""
+    def test_paused_observer_suspects_no_node(self):
+        """Guards against a relay that declares its zone dead after a pause of its own."""
         self.run_seconds(1, range(10))
         self.clock.advance(timedelta(seconds=40))
         self.assertEqual([], self.detector.tick(lambda: HELPERS))
         self.assertEqual([], self.run_seconds(3, []))
 
-    def test_most_of_a_zone_gone_keeps_the_known_set(self):
-        """Guards against a network fault near the observer that empties the directory."""
+    def test_no_node_is_declared_dead_if_most_of_a_zone_is_silent(self):
+        """Guards against a network fault at the observer that empties the directory."""
         self.run_seconds(1, range(10))
         sends = self.run_seconds(30, range(4, 10))
         self.assertTrue(self.detector.suppressing)
@@ -74,7 +74,7 @@
         self.assertEqual(["n0"], self.detector.take_dead())
 
     def test_the_bound_leaves_further_nodes_untracked(self):
-        """Guards against memory that grows with the names in heartbeats."""
+        """Guards against memory that grows with the number of names in heartbeats."""
         self.detector.limits = DetectorLimits(max_nodes=5)
         self.run_seconds(1, range(10))
         self.assertEqual(5, len(self.detector.nodes))
@@ -87,8 +87,8 @@
         self.prober = Prober(clock=self.clock, node="helper", incarnation=3)
         self.probe = PeerProbe(7, "suspect", "suspect-address", "relay")
 
-    def test_answer_is_passed_to_the_relay(self):
-        """Guards against a confirmation without a probe of the suspect."""
+    def test_reply_is_forwarded_to_the_relay(self):
+        """Guards against a probe result that does not come from the suspect."""
         self.assertEqual(
             [Send("suspect-address", self.probe)], self.prober.handle(self.probe, "relay")
         )
@@ -96,7 +96,7 @@
         self.assertEqual([Send("relay", reply)], self.prober.handle(reply, "suspect-address"))
         self.assertEqual([], self.prober.handle(reply, "suspect-address"))
 
-    def test_no_answer_is_reported_unless_the_helper_was_paused(self):
+    def test_missing_reply_is_reported_unless_the_helper_was_paused(self):
         """Guards against a paused helper confirming the death of a live node."""
         self.prober.handle(self.probe, "relay")
         self.clock.advance(SECOND)
@@ -106,7 +106,7 @@
         self.assertEqual([], self.prober.tick())
 
     def test_the_bound_drops_further_requests(self):
-        """Guards against memory that grows with requests for probes."""
+        """Guards against memory that grows with the number of probe requests."""
         for number in range(MAX_PENDING + 10):
             self.prober.handle(self.probe._replace(probe_id=number), "relay")
         self.assertEqual(MAX_PENDING, len(self.prober.pending))
--- a/test/membership/test_directory.py
+++ b/test/membership/test_directory.py
@@ -20,7 +20,7 @@
         self.directory = Directory(clock=self.clock)
 
     def test_late_up_does_not_revive_a_leaving_or_dead_target(self):
-        """Guards I8: an old announcement that arrives after the drain."""
+        """Guards I8 against an old announcement that arrives after the drain."""
         self.directory.merge([make_record("t1", state=TargetState.LEAVING)])
         self.assertEqual([], self.directory.merge([make_record("t1")]))
         self.assertEqual((), self.directory.lookup("counter-app", "v1"))
@@ -28,13 +28,13 @@
         self.assertEqual([], self.directory.merge([make_record("t1")]))
 
     def test_higher_incarnation_revives(self):
-        """Guards against a target declared dead by mistake that can never come back."""
+        """Guards against a target that was declared dead by mistake and cannot return."""
         self.directory.merge([make_record("t1", state=TargetState.DEAD)])
         self.directory.merge([make_record("t1", incarnation=2)])
         self.assertEqual(1, len(self.directory.lookup("counter-app", "v1")))
 
     def test_tombstone_outlives_a_partition_of_an_hour(self):
-        """Guards against the far side of a partition reviving targets that died here."""
+        """Guards against the other side of a partition restoring targets that died on this side."""
         self.directory.merge([make_record("t1")])
         self.directory.declare_dead("node-t1")
         self.clock.advance(timedelta(minutes=70))
@@ -45,7 +45,7 @@
         self.assertEqual({}, self.directory.records)
 
     def test_the_bound_refuses_unknown_targets_only(self):
-        """Guards against memory that grows with announced names."""
+        """Guards against memory that grows with the number of announced names."""
         directory = Directory(clock=self.clock, max_records=2)
         directory.merge([make_record(f"t{n}") for n in range(3)])
         directory.merge([make_record("t0", incarnation=2)])
@@ -57,7 +57,7 @@
     @settings(max_examples=200, deadline=None, database=None)
     @given(st.integers())
     def test_replicas_converge_in_any_order(self, number):
-        """Guards against replicas that stay different after the same records in other orders."""
+        """Guards against replicas that differ after the same records in different orders."""
         rng = random.Random(number)
         records = [
             make_record(
--- a/test/relay/__init__.py
+++ b/test/relay/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of relay."""
+"""Tests of the relays."""
--- a/test/relay/invariants.py
+++ b/test/relay/invariants.py
@@ -1,4 +1,4 @@
-"""Checks of the invariants I1, I2 and I3 over all nodes of a fleet."""
+"""Checks of the invariants I1, I2 and I3 on all nodes of a fleet."""
 
 from datetime import timedelta
 
@@ -7,7 +7,7 @@
 
 
 class Invariants:
-    """Remembers what each node had in effect and what was published."""
+    """Records the published versions and what each node has in effect, to check invariants."""
 
     def __init__(self, test, fleet):
         self.test = test
@@ -15,28 +15,30 @@
         self.digests = {0: digest_parts({})}
         self.highest = {}
         self.checked = {}
-        self.note_published()
+        self.record_published()
 
-    def note_published(self):
+    def record_published(self):
         head = self.fleet.publisher.current().unwrap().head
         self.digests[head.version] = head.digest
 
     def publish(self):
         version = self.fleet.change_one()
-        self.note_published()
+        self.record_published()
         return version
 
     def run(self, seconds):
-        """Run step by step and check after each step the nodes that changed in it."""
+        """Run step by step; after each step check the nodes that changed in it."""
         for _ in range(int(seconds * 5)):
             self.fleet.step()
             self.check()
 
     def until(self, done, seconds):
-        """Run until a condition holds, with checks; fail if it does not within the time."""
+        """Run with checks until a condition holds; fail if that takes longer than the time."""
         end = self.fleet.pump.clock.monotonic() + timedelta(seconds=seconds)
         while not done():
-            self.test.assertLess(self.fleet.pump.clock.monotonic(), end, "not within the time")
+            self.test.assertLess(
+                self.fleet.pump.clock.monotonic(), end, "condition not met in time"
+            )
             self.fleet.step()
             self.check()
 
--- a/test/relay/test_budget.py
+++ b/test/relay/test_budget.py
@@ -1,4 +1,4 @@
-"""Bounds on control bytes and platform calls, from the targets of the design."""
+"""Limits on control traffic and platform calls, from the design targets."""
 
 from datetime import timedelta
 
@@ -19,9 +19,9 @@
 
 class BudgetTest(TestCase):
     def test_bytes_and_calls_stay_within_the_targets(self):
-        """Guards against control traffic or platform calls that grow above the targets.
+        """Guards against control traffic or platform calls above the design targets.
 
-        The figures of a relay are scaled from the nodes it serves here to the busiest share.
+        The traffic of a relay is scaled from the nodes it serves here to the busiest share.
         """
         meter = Meter()
         fleet = Fleet(seed=1, nodes=NODES, zones=ZONES, meter=meter)
--- a/test/relay/test_failures.py
+++ b/test/relay/test_failures.py
@@ -1,4 +1,4 @@
-"""Failure tests of whole fleets: the real decision code of all nodes on a message pump."""
+"""Failure tests of a fleet: the production code of all nodes on a simulated network."""
 
 import random
 from datetime import timedelta
@@ -12,7 +12,7 @@
 from standins.object_store import Fault
 from test.relay.invariants import Invariants
 
-WITHIN = 18
+CONVERGENCE_SECONDS = 18
 
 
 class FleetTestCase(TestCase):
@@ -38,7 +38,7 @@
 
 class ConfigurationTest(FleetTestCase):
     def test_relays_killed_in_the_middle_of_a_push(self):
-        """Guards I10: nodes that the dead relay had not reached yet stay behind."""
+        """Guards I10 against nodes that stay on an old version after their relay died in a push."""
         self.start(nodes=45)
         version = self.invariants.publish()
         zone = self.fleet.zones[0]
@@ -46,12 +46,12 @@
             if self.pump.nodes[address].identity.zone == zone:
                 self.pump.kill(address)
         self.assertFalse(self.holds(version))
-        self.invariants.until(lambda: self.holds(version), WITHIN)
+        self.invariants.until(lambda: self.holds(version), CONVERGENCE_SECONDS)
 
     def test_platform_outage_and_a_dead_relay_at_once(self):
-        """Guards against a zone whose relay dies while no lease can be taken.
+        """Guards against a zone that loses its relay while no lease can be acquired.
 
-        A new node joins meanwhile; endpoint changes propagate and no version is lost.
+        A new node joins during the outage; target changes still propagate and no version is lost.
         """
         self.start()
         self.store.fault = Fault.DOWN
@@ -65,21 +65,21 @@
         self.assertTrue(all(node.selection.connected for node in self.followers()))
         self.store.fault = Fault.NONE
         version = self.invariants.publish()
-        self.invariants.until(lambda: self.holds(version), WITHIN)
+        self.invariants.until(lambda: self.holds(version), CONVERGENCE_SECONDS)
         self.invariants.until(lambda: all(n.selection.in_zone for n in self.followers()), 40)
 
     def test_lost_answers_and_lost_messages_at_once(self):
-        """Guards against a fleet that needs an answer to each write or message."""
+        """Guards against a fleet that depends on a response to each write or message."""
         self.start()
         self.pump.drop = 0.1
         self.store.fault = Fault.LOSE_ANSWERS
         self.invariants.run(60)
         self.store.fault = Fault.NONE
         version = self.invariants.publish()
-        self.invariants.until(lambda: self.holds(version), WITHIN)
+        self.invariants.until(lambda: self.holds(version), CONVERGENCE_SECONDS)
 
-    def test_paused_relay_wakes_as_another_holds_its_slot(self):
-        """Guards against a paused lease holder that brings back what it held."""
+    def test_paused_relay_resumes_after_another_took_its_slot(self):
+        """Guards against a paused lease holder that acts as a relay again after it resumes."""
         self.start()
         paused = self.relay_addresses()[0]
         zone = self.pump.nodes[paused].identity.zone
@@ -88,15 +88,15 @@
         version = self.invariants.publish()
         self.invariants.run(5)
         self.pump.paused.clear()
-        self.invariants.until(lambda: self.holds(version), WITHIN)
+        self.invariants.until(lambda: self.holds(version), CONVERGENCE_SECONDS)
         self.invariants.run(15)
         holders = [n.identity.control for n in self.fleet.relays if n.identity.zone == zone]
         self.assertEqual(1, len(holders))
         self.assertNotEqual(paused, holders[0])
         self.invariants.until(lambda: self.fleet.settled(version), 30)
 
-    def test_partition_of_two_regions_for_an_hour_and_its_join(self):
-        """Guards against regions that bury each other's targets or stay different."""
+    def test_partition_of_two_regions_for_an_hour_and_recovery(self):
+        """Guards against regions that stay different or keep each other's targets declared dead."""
         self.start(nodes=8, zones=4)
         zones = self.fleet.zones
         self.pump.cut = {
@@ -121,38 +121,38 @@
     @seed(20261204)
     @settings(max_examples=15, deadline=None, database=None)
     @given(st.integers(0, 2**32))
-    def test_invariants_hold_under_disorder(self, number):
-        """Guards I1, I2, I3 under dropped, doubled and reordered messages, kills and restarts."""
+    def test_invariants_hold_under_random_faults(self, number):
+        """Guards I1, I2, I3 under lost, duplicated and reordered messages, kills and restarts."""
         rng = random.Random(number)
         self.start(nodes=9, number=number)
         self.pump.drop, self.pump.double = rng.uniform(0, 0.3), rng.uniform(0, 0.3)
         self.pump.spread = timedelta(seconds=rng.uniform(0, 3))
         for _ in range(8):
-            event = rng.choice(["publish", "kill", "restart", "drain", "outage", "pause"])
-            self.cause(event, rng)
+            action = rng.choice(["publish", "kill", "restart", "drain", "outage", "pause"])
+            self.perform(action, rng)
             self.invariants.run(rng.uniform(0, 6))
         self.store.fault, self.pump.drop = Fault.NONE, 0.0
         self.pump.spread = timedelta(milliseconds=1)
         self.pump.paused.clear()
         version = self.invariants.publish()
-        self.invariants.until(lambda: self.holds(version), WITHIN)
+        self.invariants.until(lambda: self.holds(version), CONVERGENCE_SECONDS)
 
-    def cause(self, event, rng):
+    def perform(self, action, rng):
         addresses = sorted(self.pump.nodes)
         chosen = rng.choice(addresses)
-        if event == "publish":
+        if action == "publish":
             self.store.fault = Fault.NONE
             self.invariants.publish()
-        elif event == "kill" and len(addresses) > 6:
+        elif action == "kill" and len(addresses) > 6:
             self.pump.kill(chosen)
-        elif event == "restart":
+        elif action == "restart":
             self.fleet.restart([chosen])
-        elif event == "drain":
+        elif action == "drain":
             node = self.pump.nodes[chosen]
             self.pump.send(chosen, node.announce(node.local.drain_all()))
-        elif event == "outage":
+        elif action == "outage":
             self.store.fault = Fault.DOWN
-        elif event == "pause":
+        elif action == "pause":
             self.pump.paused = {chosen}
 
 
@@ -161,7 +161,7 @@
         return self.pump.nodes[address].directory.records[target].state
 
     def test_drain_is_known_everywhere_within_three_seconds(self):
-        """Guards I8, also if the first announcement is lost."""
+        """Guards I8 against a drain that stays unknown if its first announcement is lost."""
         self.start()
         node = self.fleet.nodes[4]
         record = node.local.drain_all()
@@ -171,7 +171,7 @@
         self.assertEqual({TargetState.LEAVING}, states)
 
     def test_node_and_its_relay_die_together(self):
-        """Guards against a dead node that no other relay ever heard, and so never suspects."""
+        """Guards against an undetected dead node that never sent a heartbeat to another relay."""
         self.start()
         self.invariants.run(20)
         relay = self.fleet.relays[0]
@@ -191,9 +191,9 @@
         self.assertEqual({len(left)}, {node.nodes_in_zone() for node in left})
 
 
-class HerdTest(FleetTestCase):
-    def test_return_of_a_herd_keeps_the_limits_of_the_platform(self):
-        """Guards against a storm of calls or snapshots when all processes start at once."""
+class FullRestartTest(FleetTestCase):
+    def test_restart_of_all_nodes_stays_within_the_platform_limits(self):
+        """Guards against excessive platform calls or snapshots when all processes start at once."""
         self.start(nodes=240, zones=4)
         self.fleet.change_one()
         self.fleet.run(timedelta(seconds=5))
--- a/test/relay/test_fanout.py
+++ b/test/relay/test_fanout.py
@@ -1,4 +1,4 @@
-"""Tests of one relay towards its subscribers and other relays."""
+"""Tests of a relay's messages to its subscribers and other relays."""
 
 import random
 from datetime import timedelta
@@ -24,9 +24,9 @@
 from almondshore.versions.history import DeltaHistory
 from almondshore.versions.sync import ConfigSync
 from test.membership.records import make_record
-from test.versions.parts import between, chain
+from test.versions.parts import delta_between, make_chain
 
-CHAIN = chain(6)
+CHAIN = make_chain(6)
 ADDRESSES = ["r0", "r1", "r2", "r3", "r4", "r5"]
 
 
@@ -55,46 +55,46 @@
             limits=RelayLimits(max_changes=4),
         )
 
-    def take(self, relay, versions):
+    def apply_versions(self, relay, versions):
         self.assertTrue(relay.sync.ready)
         for version in range(1, versions + 1):
-            relay.sync.offer(between(CHAIN[version - 1], CHAIN[version]))
+            relay.sync.offer(delta_between(CHAIN[version - 1], CHAIN[version]))
 
     def subscribe(self, address, version=0):
         heartbeat = Heartbeat(address, 1, version, CHAIN[version].digest, {}, 0, True)
         return self.relay.handle(heartbeat, address)
 
-    def of_kind(self, sends, kind):
+    def receivers_of(self, sends, kind):
         return [send.to for send in sends if isinstance(send.message, kind)]
 
     def test_new_version_goes_to_subscribers_and_some_relays(self):
-        """Guards I10: a version that one relay knows while the platform is down for others."""
+        """Guards I10 against a version that only the relay that read it from the platform knows."""
         self.subscribe("n1")
         self.subscribe("n2")
-        self.take(self.relay, 1)
-        receivers = self.of_kind(self.relay.tick(), ConfigDelta)
+        self.apply_versions(self.relay, 1)
+        receivers = self.receivers_of(self.relay.tick(), ConfigDelta)
         self.assertEqual(["n1", "n2"], receivers[:2])
         self.assertEqual(3, len(set(receivers[2:]) & set(ADDRESSES[1:])))
 
     def test_subscriber_beyond_the_backlog_gets_a_snapshot(self):
-        """Guards against a backlog without bound for a node that was away."""
-        self.take(self.relay, 6)
-        self.assertEqual(["n1"], self.of_kind(self.subscribe("n1", 3), ConfigDelta))
-        self.assertEqual(["n2"], self.of_kind(self.subscribe("n2", 2), ConfigSnapshot))
+        """Guards against an unbounded backlog for a node that was disconnected."""
+        self.apply_versions(self.relay, 6)
+        self.assertEqual(["n1"], self.receivers_of(self.subscribe("n1", 3), ConfigDelta))
+        self.assertEqual(["n2"], self.receivers_of(self.subscribe("n2", 2), ConfigSnapshot))
 
     def test_lost_push_is_repeated_with_growing_delays(self):
-        """Guards against a subscriber that stays behind, and one that is sent to without end."""
-        self.take(self.relay, 1)
+        """Guards against a subscriber that stays behind, and against resending without backoff."""
+        self.apply_versions(self.relay, 1)
         pushes = []
         for second in range(60):
             self.clock.advance(timedelta(seconds=1))
-            if self.of_kind(self.subscribe("n1"), ConfigDelta):
+            if self.receivers_of(self.subscribe("n1"), ConfigDelta):
                 pushes.append(second)
         self.assertEqual([0, 2, 6, 14, 30], pushes)
 
-    def test_anti_entropy_brings_relays_together(self):
-        """Guards against relays that stay different after a partition or lost messages."""
-        self.take(self.relays["r3"], 2)
+    def test_anti_entropy_converges_relays(self):
+        """Guards against relays that remain different after a partition or lost messages."""
+        self.apply_versions(self.relays["r3"], 2)
         self.relays["r1"].directory.merge([make_record("t1")])
         for _ in range(600):
             self.clock.advance(timedelta(milliseconds=100))
@@ -112,24 +112,24 @@
         self.assertEqual(({2}, 1), (held, len(known)))
         self.assertNotEqual({0}, known)
 
-    def test_changes_beyond_the_bound_are_left_to_the_digests(self):
-        """Guards against a list of waiting changes that grows in a storm."""
+    def test_changes_beyond_the_limit_are_repaired_by_digests(self):
+        """Guards against a queue of changes that grows without bound."""
         self.subscribe("n1")
         self.relay.handle(Announce([make_record(f"t{n}") for n in range(5)]), "n2")
-        self.assertEqual([], self.of_kind(self.relay.tick(), DirectoryDelta))
+        self.assertEqual([], self.receivers_of(self.relay.tick(), DirectoryDelta))
         self.assertEqual(5, self.relay.dropped_changes)
         ack = next(s.message for s in self.subscribe("n1") if isinstance(s.message, HeartbeatAck))
         self.assertEqual(self.relay.directory.digest(), ack.directory_digests)
 
-    def test_relay_with_its_share_refuses_new_nodes_only(self):
-        """Guards against one relay that serves most of its zone."""
+    def test_relay_at_its_fair_share_refuses_only_new_nodes(self):
+        """Guards against one relay that serves most nodes of its zone."""
         self.relay.fair_share = lambda: 1
-        self.assertEqual(["n1"], self.of_kind(self.subscribe("n1"), HeartbeatAck))
-        self.assertEqual(["n2"], self.of_kind(self.subscribe("n2"), Busy))
-        self.assertEqual(["n1"], self.of_kind(self.subscribe("n1"), HeartbeatAck))
+        self.assertEqual(["n1"], self.receivers_of(self.subscribe("n1"), HeartbeatAck))
+        self.assertEqual(["n2"], self.receivers_of(self.subscribe("n2"), Busy))
+        self.assertEqual(["n1"], self.receivers_of(self.subscribe("n1"), HeartbeatAck))
 
-    def test_nodes_of_the_own_share_are_expected(self):
-        """Guards against a node that died with its relay, which no other relay ever heard."""
+    def test_nodes_assigned_to_a_relay_are_tracked(self):
+        """Guards against an undetected dead node that failed together with its relay."""
         for relay in self.relays.values():
             relay.directory.merge([make_record(f"t{n}") for n in range(30)])
         self.clock.advance(timedelta(seconds=31))
--- a/test/relay/test_selection.py
+++ b/test/relay/test_selection.py
@@ -1,4 +1,4 @@
-"""Tests of the relay selection, candidacy and admission."""
+"""Tests of relay selection, candidacy and snapshot admission."""
 
 import random
 from datetime import timedelta
@@ -49,7 +49,7 @@
         )
 
     def run_for(self, duration, *, answering=()):
-        """Return the receivers of heartbeats; those in ``answering`` acknowledge them."""
+        """Run for a time; return the heartbeat receivers, of which ``answering`` acknowledge."""
         receivers = []
         for _ in range(int(duration / 0.1)):
             self.clock.advance(seconds(0.1))
@@ -62,8 +62,8 @@
                     self.selection.handle(ACK if whole else KeepaliveAck(True), send.to)
         return receivers
 
-    def test_without_relays_the_seeds_are_asked(self):
-        """Guards against a start that needs the platform."""
+    def test_seeds_are_queried_without_known_relays(self):
+        """Guards against a start that depends on the platform."""
         self.clock.advance(seconds(1))
         sends = self.selection.tick()
         self.assertEqual({"s1", "s2"}, {send.to for send in sends})
@@ -71,8 +71,8 @@
         self.selection.handle(RelayList(OWN), "s1")
         self.assertIn(self.run_for(6, answering=["a0", "a1"])[-1], {"a0", "a1"})
 
-    def test_two_missed_acks_lead_to_the_next_relay(self):
-        """Guards against a node that stays with a dead relay."""
+    def test_node_fails_over_after_two_missed_acks(self):
+        """Guards against a node that stays connected to a dead relay."""
         self.selection.table.merge(OWN + OTHER)
         preferred = self.run_for(4, answering=["a0", "a1"])[-1]
         self.assertTrue(self.selection.in_zone)
@@ -83,15 +83,15 @@
         self.assertTrue(self.selection.connected)
 
     def test_relay_of_another_zone_serves_until_the_own_zone_has_one(self):
-        """Guards against a zone cut off by the loss of all its relays."""
+        """Guards against a zone that is cut off when it loses all its relays."""
         self.selection.table.merge(OTHER)
         self.assertEqual({"b0"}, set(self.run_for(5, answering=["b0"])))
         self.assertEqual((True, False), (self.selection.connected, self.selection.in_zone))
         self.selection.handle(RelayList(OWN[:1]), "b0")
         self.assertEqual("a0", self.run_for(5, answering=["a0", "b0"])[-1])
 
-    def test_relay_that_does_not_know_the_node_gets_a_whole_heartbeat(self):
-        """Guards against a restarted relay that cannot make sense of short heartbeats."""
+    def test_relay_that_does_not_know_the_node_gets_a_full_heartbeat(self):
+        """Guards against a restarted relay that gets only keepalives, which it cannot check."""
         self.selection.table.merge(OWN[:1])
         self.run_for(3, answering=["a0"])
         self.assertEqual("a0", self.selection.acknowledged)
@@ -100,7 +100,7 @@
         self.assertEqual([Heartbeat], [type(send.message) for send in sent])
 
     def test_refused_node_goes_to_another_relay(self):
-        """Guards against a node that waits at a full relay."""
+        """Guards against a node that waits for a relay at its limit."""
         self.selection.table.merge(OWN)
         first = self.run_for(3, answering=["a0", "a1"])[-1]
         self.selection.handle(Busy(5.0, "Heartbeat"), first)
@@ -108,7 +108,7 @@
         self.assertNotIn(first, self.run_for(4, answering=["a0", "a1"]))
 
     def test_failovers_of_many_nodes_are_spread(self):
-        """Guards against all nodes of a dead relay reconnecting at one moment."""
+        """Guards against all nodes of a dead relay reconnecting at the same moment."""
         due = []
         for number in range(400):
             self.selection = self.make(number)
@@ -122,24 +122,24 @@
 
 
 class CandidacyTest(TestCase):
-    def first_tries(self, nodes):
+    def first_attempts(self, nodes):
         rng = random.Random(nodes)
         clock = ManualClock()
-        made = [Candidacy(clock=clock, rng=rng) for _ in range(nodes)]
-        for candidacy in made:
+        candidacies = [Candidacy(clock=clock, rng=rng) for _ in range(nodes)]
+        for candidacy in candidacies:
             candidacy.should_attempt(False)
-        return sorted(candidacy.due.total_seconds() for candidacy in made)
+        return sorted(candidacy.due.total_seconds() for candidacy in candidacies)
 
-    def test_few_nodes_of_a_large_zone_try_before_they_hear_of_the_first(self):
-        """Guards against a herd whose nodes all call the platform for the same lease."""
+    def test_few_nodes_attempt_before_they_learn_of_the_first_success(self):
+        """Guards against many nodes calling the platform for the same lease."""
         for nodes, most in ((4, 4), (463, 30), (2000, 60)):
-            tries = self.first_tries(nodes)
-            self.assertLess(tries[0], 9)
-            early = [due for due in tries if due < tries[0] + 2.5]
+            attempts = self.first_attempts(nodes)
+            self.assertLess(attempts[0], 9)
+            early = [due for due in attempts if due < attempts[0] + 2.5]
             self.assertLessEqual(len(early), most)
 
     def test_known_relays_are_tried_before_the_platform(self):
-        """Guards against a herd that asks the platform although it knows a relay."""
+        """Guards against many nodes calling the platform although they know a relay."""
         clock = ManualClock()
         candidacy = Candidacy(clock=clock, rng=random.Random(1))
         for _ in range(20):
@@ -147,8 +147,8 @@
             self.assertFalse(candidacy.should_attempt(False, has_usable_relay=True))
         self.assertTrue(candidacy.should_attempt(False, has_usable_relay=False))
 
-    def test_node_with_a_relay_in_its_zone_never_tries(self):
-        """Guards against platform calls of ordinary nodes in steady state."""
+    def test_node_with_a_relay_in_its_zone_never_attempts(self):
+        """Guards against platform calls by ordinary nodes in steady state."""
         clock = ManualClock()
         candidacy = Candidacy(clock=clock, rng=random.Random(1))
         for _ in range(1000):
@@ -157,8 +157,8 @@
 
 
 class AdmissionTest(TestCase):
-    def test_a_herd_is_served_at_the_rate_and_sent_away_in_spread(self):
-        """Guards against snapshots above the rate and refused nodes that return together."""
+    def test_many_callers_are_served_at_the_rate_and_retries_are_spread(self):
+        """Guards against snapshots above the rate and refused callers that retry together."""
         clock = ManualClock()
         admission = SnapshotAdmission(clock=clock, rng=random.Random(1), rate=50)
         waiting = [0.0] * 1000
--- a/test/relay/test_source.py
+++ b/test/relay/test_source.py
@@ -1,4 +1,4 @@
-"""Tests of reading versions from the platform."""
+"""Tests of reading configuration versions from the platform."""
 
 import random
 from datetime import UTC, datetime
@@ -34,8 +34,8 @@
     )
 
 
-class ForgetfulPlatform(MemoryPlatform):
-    """Loses the answer to each write once; the repeated write is answered."""
+class LostResponsePlatform(MemoryPlatform):
+    """Loses the response to each write once; the repeated write gets a response."""
 
     def __init__(self, *, store):
         super().__init__(store=store)
@@ -46,7 +46,7 @@
         if write_id in self.answered:
             return result
         self.answered.add(write_id)
-        return Failure(Unavailable("the answer was lost"))
+        return Failure(Unavailable("response lost"))
 
 
 class SourceTest(TestCase):
@@ -70,7 +70,7 @@
         return self.sync.state.current.version
 
     def test_an_outage_between_a_write_and_its_watch_loses_no_version(self):
-        """Guards against a watch that resumes behind a version it never returned."""
+        """Guards against a watch that resumes after a version it never returned."""
         self.publish("one")
         self.assertEqual(1, self.held())
         self.publish("two")
@@ -79,9 +79,9 @@
         self.store.fault = Fault.NONE
         self.assertEqual(2, self.held())
 
-    def test_a_write_whose_answer_was_lost_is_distributed_once(self):
-        """Guards against a change applied twice, or lost, when the answer to its write was."""
-        self.publisher.platform = ForgetfulPlatform(store=self.store)
+    def test_a_write_whose_response_was_lost_is_distributed_once(self):
+        """Guards against a change applied twice, or lost, if the response to its write was lost."""
+        self.publisher.platform = LostResponsePlatform(store=self.store)
         base, self.parts = self.publisher.current().unwrap(), service_part("one")
         results = [publish_parts(self.publisher, self.parts, base) for _ in range(4)]
         done = [is_successful(result) for result in results]
@@ -91,7 +91,7 @@
         self.assertEqual(self.parts, dict(self.sync.state.current.parts))
 
     def test_parts_that_could_not_be_read_are_read_later(self):
-        """Guards against an outage between the watch and the read of a large version."""
+        """Guards against losing a large version whose parts could not be read after the watch."""
         self.publish("one")
         self.assertEqual(1, self.held())
         inline, publish.INLINE_DELTA_BYTES = publish.INLINE_DELTA_BYTES, 0
@@ -106,7 +106,7 @@
         return self.publisher.current().unwrap().head
 
     def test_versions_missed_in_an_outage_cost_one_read_of_parts(self):
-        """Guards against a read for each version that was published meanwhile."""
+        """Guards against a read for each version that was published during an outage."""
         for number in range(10):
             self.publish(f"service-{number}")
         before = self.store.counts["read"]
@@ -114,7 +114,7 @@
         self.assertEqual(2, self.store.counts["read"] - before)
 
     def test_a_bad_version_is_reported_and_the_next_one_taken(self):
-        """Guards I3, and against a relay that stops at a bad version."""
+        """Guards I3, and against a relay that reads no versions after an invalid one."""
         self.publish("one")
         self.held()
         publish_parts(self.publisher, {**self.parts, "service/bad": b"\xc1"})
--- a/test/versions/parts.py
+++ b/test/versions/parts.py
@@ -17,15 +17,15 @@
 
 
 def delta(base, version, changes):
-    """Return the delta from a configuration by changes; None removes a part."""
+    """Return the delta that applies changes to a configuration; None removes a part."""
     parts = {**base.parts, **changes}
     parts = {name: data for name, data in parts.items() if data is not None}
     digest = make_configuration(version, parts).digest
     return ConfigDelta(version, digest, base.version, base.digest, changes)
 
 
-def chain(length):
-    """Return configurations 0 to length, each of which changes one part."""
+def make_chain(length):
+    """Return the configurations of versions 0 to ``length``, each with one changed part."""
     found = [make_configuration(0, {})]
     for version in range(1, length + 1):
         changed = service_part(f"service-{version % 5}", f"v{version}")
@@ -33,12 +33,12 @@
     return found
 
 
-def between(old, new):
+def delta_between(old, new):
     """Return the delta between two configurations."""
     changes = diff_parts(old.parts, new.parts)
     return ConfigDelta(new.version, new.digest, old.version, old.digest, changes)
 
 
-def whole(configuration):
+def snapshot_of(configuration):
     """Return the snapshot of a configuration."""
     return ConfigSnapshot(configuration.version, configuration.digest, dict(configuration.parts))
--- a/test/versions/test_publish.py
+++ b/test/versions/test_publish.py
@@ -1,4 +1,4 @@
-"""Tests of publishing by conditional update."""
+"""Tests of publication by conditional updates."""
 
 from datetime import UTC, datetime, timedelta
 
@@ -48,7 +48,7 @@
         self.assertEqual(["first", "second", "third"], authors)
 
     def test_repeat_after_a_lost_response_succeeds(self):
-        """Guards against a conflict with one's own write."""
+        """Guards against a publisher that gets a conflict with its own write."""
         base = self.publisher.current().unwrap()
         results = [self.publish(base, "first").unwrap().version for _ in range(2)]
         self.assertEqual([1, 1], results)
@@ -56,9 +56,9 @@
 
 class BudgetTest(TestCase):
     def test_a_publication_completes_under_a_budget_smaller_than_its_writes(self):
-        """Guards against a move whose outcome is never published by a relay.
+        """Guards against a move whose outcome a relay never manages to publish.
 
-        With two writes at once, repeating all four writes of a publication never ended.
+        With a budget of two writes, retrying all four writes of a publication never succeeded.
         """
         clock = ManualClock()
         budget = CallBudget(clock=clock, **RELAY_RATES._asdict())
--- a/test/versions/test_state.py
+++ b/test/versions/test_state.py
@@ -1,4 +1,4 @@
-"""Tests of the acceptance of configuration versions."""
+"""Tests of the validation and activation of configuration versions."""
 
 from testtools import TestCase
 
@@ -20,7 +20,7 @@
         self.state.offer_snapshot(snapshot(5, service_part("counter-app")))
 
     def test_older_snapshot_does_not_replace_newer(self):
-        """Guards against a stale relay taking a node back to an older version."""
+        """Guards against a stale relay that reverts a node to an older version."""
         verdict = self.state.offer_snapshot(snapshot(4, service_part("old")))
         self.assertEqual(AlreadyHeld(5), verdict)
         self.assertEqual(5, self.state.current.version)
@@ -31,13 +31,13 @@
         self.assertEqual(2, len(self.state.current.parts))
 
     def test_delta_on_another_base_asks_for_a_snapshot(self):
-        """Guards against applying a delta after a lost one."""
+        """Guards against applying a delta after a previous one was lost."""
         verdict = self.state.offer_delta(delta(EMPTY, 7, service_part("fault-desk")))
         self.assertEqual(SnapshotNeeded(7), verdict)
         self.assertEqual(5, self.state.current.version)
 
     def test_one_bad_part_refuses_the_whole_version(self):
-        """Guards against applying the good parts of a bad version."""
+        """Guards against applying the valid parts of an invalid version."""
         parts = {**service_part("fault-desk"), "service/bad": b"\xc1"}
         verdict = self.state.offer_snapshot(snapshot(6, parts))
         self.assertIsInstance(verdict, Refused)
@@ -45,9 +45,9 @@
         self.assertEqual({"service/counter-app"}, set(self.state.current.parts))
 
     def test_wrong_digest_refuses_the_version(self):
-        """Guards against parts that were damaged or mixed up on the way.
+        """Guards against parts that were damaged or mixed up in transit.
 
-        Another copy of the same version may be whole, so the refusal is not final.
+        Another copy of the same version may be intact, so the refusal is not final.
         """
         bad = snapshot(6, service_part("fault-desk"))._replace(digest=b"x" * 16)
         verdict = self.state.offer_snapshot(bad)
@@ -55,6 +55,6 @@
         self.assertFalse(verdict.final)
 
     def test_same_version_with_another_digest_is_refused(self):
-        """Guards against two different configurations under one version number."""
+        """Guards against two different configurations with the same version number."""
         verdict = self.state.offer_snapshot(snapshot(5, service_part("other")))
         self.assertIsInstance(verdict, Refused)
--- a/test/versions/test_sync.py
+++ b/test/versions/test_sync.py
@@ -1,4 +1,4 @@
-"""Tests of the repair of a node's configuration."""
+"""Tests of the synchronization of a node's configuration with its peers."""
 
 import random
 from datetime import timedelta
@@ -19,9 +19,9 @@
 from almondshore.relay.admission import SnapshotAdmission
 from almondshore.versions.history import DeltaHistory
 from almondshore.versions.sync import MAX_REPORTED_PEERS, ConfigSync, ReportedVersion
-from test.versions.parts import between, chain, service_part, snapshot, whole
+from test.versions.parts import delta_between, make_chain, service_part, snapshot, snapshot_of
 
-CHAIN = chain(12)
+CHAIN = make_chain(12)
 BAD = snapshot(3, {"service/bad": b"\xc1"})
 
 
@@ -44,46 +44,46 @@
         self.sync = make_sync(self.clock)
 
     def test_waits_for_the_newest_of_three_peers(self):
-        """Guards against serving an old version because one old peer answered first."""
+        """Guards against serving an old version because an outdated peer responded first."""
         self.assertEqual(3, len({send.to for send in self.sync.tick()}))
         self.sync.handle(status(2), "a")
-        self.sync.handle(whole(CHAIN[2]), "a")
+        self.sync.handle(snapshot_of(CHAIN[2]), "a")
         self.assertFalse(self.sync.ready)
         asked = self.sync.handle(status(5), "b")
         self.assertEqual([Send("b", ConfigRequest(2, CHAIN[2].digest))], asked)
         self.sync.handle(status(2), "c")
         self.assertFalse(self.sync.ready)
-        self.sync.handle(whole(CHAIN[5]), "b")
+        self.sync.handle(snapshot_of(CHAIN[5]), "b")
         self.assertTrue(self.sync.ready)
 
-    def test_peers_that_start_themselves_do_not_count(self):
-        """Guards against a herd whose members confirm to each other that nothing exists."""
+    def test_peers_that_are_not_ready_do_not_count(self):
+        """Guards against starting nodes that confirm to each other that no version exists."""
         for peer in "abcd":
             self.sync.handle(status(0, ready=False), peer)
         self.clock.advance(timedelta(seconds=60))
         self.assertFalse(self.sync.ready)
 
     def test_one_confirmed_answer_is_enough(self):
-        """Guards against waiting the full bound although a relay knows the platform's head."""
+        """Guards against waiting for the start-up time-out although a relay knows the head."""
         self.sync.handle(status(0, confirmed=True), "a")
         self.assertTrue(self.sync.ready)
 
-    def test_takes_what_is_known_at_the_bound(self):
-        """Guards against a start that waits for dead peers without end."""
+    def test_is_ready_with_what_is_known_at_the_startup_timeout(self):
+        """Guards against a start that waits for dead peers forever."""
         self.sync.handle(status(1), "a")
-        self.sync.handle(whole(CHAIN[1]), "a")
+        self.sync.handle(snapshot_of(CHAIN[1]), "a")
         self.clock.advance(timedelta(seconds=9))
         self.assertFalse(self.sync.ready)
         self.clock.advance(timedelta(seconds=1))
         self.assertTrue(self.sync.ready)
 
     def test_a_bad_newest_version_does_not_block_the_start(self):
-        """Guards against a bad version on the platform keeping restarted nodes out of service."""
+        """Guards against an invalid version on the platform that keeps nodes from starting."""
         self.sync.record_platform_version(BAD.version, BAD.digest)
         self.sync.offer(BAD)
         self.sync.handle(status(2), "a")
         self.assertFalse(self.sync.ready)
-        self.sync.handle(whole(CHAIN[2]), "a")
+        self.sync.handle(snapshot_of(CHAIN[2]), "a")
         self.assertTrue(self.sync.ready)
         self.assertEqual(2, self.sync.state.current.version)
 
@@ -100,28 +100,28 @@
         self.clock.advance(timedelta(seconds=seconds))
         return self.sync.tick()
 
-    def test_a_lost_push_is_asked_for(self):
+    def test_a_lost_push_is_requested(self):
         """Guards against a node that stays behind after a lost delta."""
         self.assertEqual([], self.sync.handle(ack(1), "relay"))
         self.assertEqual([], self.sync.tick())
         self.assertEqual([Send("relay", ConfigRequest(0, CHAIN[0].digest))], self.after(4))
 
     def test_a_delta_on_another_base_leads_to_a_request(self):
-        """Guards against waiting for a delta that can never fit."""
-        sends = self.sync.handle(between(CHAIN[4], CHAIN[5]), "relay")
+        """Guards against waiting for a delta on a version that the node does not hold."""
+        sends = self.sync.handle(delta_between(CHAIN[4], CHAIN[5]), "relay")
         self.assertEqual([Send("relay", ConfigRequest(0, CHAIN[0].digest))], sends)
 
     def test_busy_delays_the_next_request(self):
-        """Guards against hammering an overloaded relay."""
-        self.sync.handle(between(CHAIN[4], CHAIN[5]), "relay")
+        """Guards against repeated requests to an overloaded relay."""
+        self.sync.handle(delta_between(CHAIN[4], CHAIN[5]), "relay")
         self.sync.handle(Busy(20.0, "ConfigRequest"), "relay")
         self.after(4)
         self.assertEqual([], self.after(15))
         self.assertEqual(1, len(self.after(2)))
 
-    def test_a_bad_version_is_asked_for_once_and_a_damaged_copy_again(self):
-        """Guards against endless transfers of a bad version, and against giving up a good one."""
-        damaged = whole(CHAIN[3])._replace(parts=service_part("other"))
+    def test_an_invalid_version_is_requested_once_and_a_damaged_copy_again(self):
+        """Guards against endless requests for an invalid version, and none for a valid one."""
+        damaged = snapshot_of(CHAIN[3])._replace(parts=service_part("other"))
         self.assertEqual(1, len(self.sync.handle(damaged, "relay")))
         self.assertEqual({}, dict(self.sync.refused))
         self.sync.handle(BAD, "relay")
@@ -131,7 +131,7 @@
         self.assertEqual(0, self.sync.state.current.version)
 
     def test_tables_are_bounded(self):
-        """Guards against memory that grows with the number of peers and bad versions."""
+        """Guards against memory that grows with the number of peers and invalid versions."""
         for number in range(500):
             self.sync.handle(status(0), f"peer-{number}")
             self.sync.offer(snapshot(1 + number, {"service/bad": b"\xc1" * (1 + number)}))
@@ -148,21 +148,21 @@
         self.sync.handle(status(0, confirmed=True), "a")
         self.assertTrue(self.sync.ready)
         for old, new in zip(CHAIN, CHAIN[1:], strict=False):
-            self.sync.offer(between(old, new))
+            self.sync.offer(delta_between(old, new))
 
     def ask(self, version, digest):
         return self.sync.answer(ConfigRequest(version, digest))
 
-    def test_a_late_node_gets_one_delta(self):
-        """Guards against snapshots where the backlog still reaches."""
+    def test_a_lagging_node_gets_one_delta(self):
+        """Guards against snapshots for nodes that the backlog still covers."""
         combined = self.ask(5, CHAIN[5].digest)
         other = make_sync(self.clock)
-        other.offer(whole(CHAIN[5]))
+        other.offer(snapshot_of(CHAIN[5]))
         other.offer(combined)
         self.assertEqual(CHAIN[12], other.state.current)
 
     def test_beyond_the_backlog_snapshots_are_admitted_in_turn(self):
-        """Guards against a backlog without bound and against a storm of snapshots."""
+        """Guards against an unbounded backlog and against snapshots above the rate."""
         self.sync.history = DeltaHistory(max_deltas=4)
         for old, new in zip(CHAIN, CHAIN[1:], strict=False):
             self.sync.history.append(old, new)
@@ -173,24 +173,24 @@
         self.assertIsInstance(answers[2], Busy)
 
     def test_a_starting_node_gives_no_configuration(self):
-        """Guards against spreading an old version from a node that has not learnt the newest."""
+        """Guards against distributing an old version from a node that lacks the newest one."""
         starting = make_sync(self.clock)
-        starting.offer(whole(CHAIN[2]))
+        starting.offer(snapshot_of(CHAIN[2]))
         answer = starting.answer(ConfigRequest(0, CHAIN[0].digest))
         self.assertEqual(status(2, ready=False), answer)
 
 
-class DisorderTest(TestCase):
+class RandomOrderTest(TestCase):
     @seed(20261204)
     @settings(max_examples=300, deadline=None, database=None)
     @given(st.data())
-    def test_versions_only_go_up_and_are_whole(self, data):
-        """Guards I1 and I3 under reordered, doubled, dropped and damaged messages."""
+    def test_versions_only_increase_and_are_complete(self, data):
+        """Guards I1 and I3 under reordered, duplicated, lost and damaged messages."""
         clock = ManualClock()
         sync = make_sync(clock)
         highest = 0
         for _ in range(data.draw(st.integers(1, 25))):
-            sync.handle(data.draw(st.sampled_from(disordered_messages())), "peer")
+            sync.handle(data.draw(st.sampled_from(message_samples())), "peer")
             clock.advance(timedelta(milliseconds=data.draw(st.integers(0, 3000))))
             sync.tick()
             current = sync.state.current
@@ -199,14 +199,14 @@
             highest = current.version
         self.assertLessEqual(len(sync.history.entries), sync.history.max_deltas)
         sync.observe(ReportedVersion(12, CHAIN[12].digest, True, False), "peer")
-        sync.handle(whole(CHAIN[12]), "peer")
+        sync.handle(snapshot_of(CHAIN[12]), "peer")
         self.assertEqual(CHAIN[12], sync.state.current)
 
 
-def disordered_messages():
+def message_samples():
     pairs = [(i, j) for i in range(12) for j in range(i + 1, min(i + 4, 13))]
-    deltas = [between(CHAIN[i], CHAIN[j]) for i, j in pairs]
+    deltas = [delta_between(CHAIN[i], CHAIN[j]) for i, j in pairs]
     bad_part = {"service/service-1": b"\xc1"}
     mixed = deltas[0]._replace(parts={**deltas[0].parts, **bad_part})
     part_bad = snapshot(9, {**CHAIN[9].parts, **bad_part})
-    return [*deltas, *(whole(c) for c in CHAIN[1:]), mixed, part_bad, status(7), ack(11)]
+    return [*deltas, *(snapshot_of(c) for c in CHAIN[1:]), mixed, part_bad, status(7), ack(11)]
--- a/test/versions/test_view.py
+++ b/test/versions/test_view.py
@@ -30,7 +30,7 @@
         self.state.offer_snapshot(snapshot(1, parts))
 
     def test_service_without_targets_comes_back_with_them(self):
-        """Guards I2: a route to a service without targets, and one that never comes back."""
+        """Guards I2 against a route to a service without targets, and one that never returns."""
         self.assertEqual({"counter-app", "fault-desk"}, self.builder.view().without_targets)
         self.directory.merge([make_record("t1", service="counter-app")])
         self.assertEqual({"counter-app"}, self.builder.view().services.keys())
@@ -39,14 +39,14 @@
         self.assertEqual({}, self.builder.view().services)
 
     def test_split_names_only_versions_with_known_targets(self):
-        """Guards I2: a share of traffic for a version whose targets have not come yet."""
+        """Guards I2 against a share of traffic for a version that has no known targets yet."""
         self.directory.merge([make_record("t1", service="counter-app", version="v1")])
         view = self.builder.view()
         self.assertEqual({"v1": 1.0}, view.split("counter-app", {"v1": 0.75, "v2": 0.25}))
         self.assertEqual({}, view.split("counter-app", {"v2": 1.0}))
 
     def test_removed_service_leaves_the_view(self):
-        """Guards I2: routes of a service that the configuration no longer has."""
+        """Guards I2 against routes of a service that was removed from the configuration."""
         self.directory.merge([make_record("t1", service="fault-desk")])
         self.state.offer_snapshot(snapshot(2, service_part("counter-app")))
         self.assertNotIn("fault-desk", self.builder.view().services)
@@ -76,7 +76,7 @@
 
 
 def assert_closed(test, view, state, directory):
-    """Check that a view names only services, versions and targets that the node has."""
+    """Check that a view names only services, versions and targets that the node knows."""
     test.assertEqual(state.current.version, view.version)
     for name in view.services:
         test.assertIn(f"service/{name}", state.current.parts)
