--- a/almondshore/rules/__init__.py
+++ b/almondshore/rules/__init__.py
@@ -1,1 +1,1 @@
-"""The rules language: parsing, checking and compiling an operator's rules file."""
+"""Rules language: parses, checks and compiles the rules files that operators write."""
--- a/almondshore/rules/check.py
+++ b/almondshore/rules/check.py
@@ -1,4 +1,4 @@
-"""Check a rules file as a whole."""
+"""Checks a complete rules file, including references between its rules."""
 
 import codecs
 import re
@@ -8,14 +8,14 @@
 
 from almondshore.core.findings import Finding, FindingList
 from almondshore.rules.compile import move_id
-from almondshore.rules.grammar import Parsed, parse
+from almondshore.rules.grammar import ParseResult, parse
 from almondshore.rules.model import MoveRule, RouteRule, Rule, RuleSet
 from almondshore.storage.port import MAX_VALUE_BYTES
 
-# More findings do not help an operator, and a file of another kind would give one for each line.
+# More findings do not help an operator; a file that is not a rules file has one on every line.
 MAX_FINDINGS = 100
-ESCAPE = re.compile(r"%[0-9A-Fa-f]{2}")
-UNRESERVED = re.compile(r"[A-Za-z0-9._~-]\Z")
+PERCENT_ESCAPE_PATTERN = re.compile(r"%[0-9A-Fa-f]{2}")
+UNRESERVED_PATTERN = re.compile(r"[A-Za-z0-9._~-]\Z")
 
 
 def check_rules(
@@ -25,8 +25,8 @@
 
     :param data: content of the file, UTF-8, at most ``MAX_VALUE_BYTES``
     :param now: current time; the deadline of a new move must lie after it
-    :param findings: receives the findings, at most ``MAX_FINDINGS`` and one that says so; if there
-        are any, the result must not be used
+    :param findings: receives at most ``MAX_FINDINGS`` findings, and one that says so if there are
+        more; if there are any, the result must not be used
     :param existing_move_ids: identities of the moves in the current configuration; their deadlines
         may have passed
     """
@@ -41,16 +41,16 @@
     collected = FindingList(file=findings.file)
     parsed = parse(data, findings=collected, limit=MAX_FINDINGS)
     if parsed.complete:
-        _check_together(parsed, now, existing_move_ids, collected)
+        _check_whole_file(parsed, now, existing_move_ids, collected)
     if parsed.complete and not collected and not any(parsed.rules):
         message = "the file has no rules; applying it would remove every service"
         collected.add(line=0, column=0, code="no-rules", message=message)
-    for finding in _bounded(collected.sorted(), parsed.complete):
+    for finding in _limit_findings(collected.sorted(), parsed.complete):
         findings.add(**{key: value for key, value in finding._asdict().items() if key != "file"})
     return parsed.rules
 
 
-def _bounded(items: list[Finding], complete: bool) -> list[Finding]:
+def _limit_findings(items: list[Finding], complete: bool) -> list[Finding]:
     if len(items) <= MAX_FINDINGS and complete:
         return items
     last = items[min(len(items), MAX_FINDINGS) - 1]
@@ -58,8 +58,8 @@
     return [*items[:MAX_FINDINGS], last._replace(code="too-many-findings", message=message)]
 
 
-def _check_together(
-    parsed: Parsed, now: datetime, existing_move_ids: Collection[str], findings: FindingList
+def _check_whole_file(
+    parsed: ParseResult, now: datetime, existing_move_ids: Collection[str], findings: FindingList
 ) -> None:
     rules = parsed.rules
     _check_services(parsed, findings)
@@ -71,18 +71,18 @@
     _check_moves(rules, now, existing_move_ids, findings)
 
 
-def _check_services(parsed: Parsed, findings: FindingList) -> None:
+def _check_services(parsed: ParseResult, findings: FindingList) -> None:
     rules, skipped = parsed.rules, parsed.skipped
     known = {rule.name for rule in rules.services} | skipped["service"]
     for rule in (*rules.routes, *rules.moves, *rules.allows):
         if rule.service not in known:
             message = f"service '{rule.service}' is not defined"
-            _add(findings, rule, rule.source.columns.name, "unknown-service", message)
-    routed = {rule.service for rule in rules.routes} | skipped["route"]
+            _add_finding(findings, rule, rule.source.columns.name, "unknown-service", message)
+    with_routes = {rule.service for rule in rules.routes} | skipped["route"]
     for rule in rules.services:
-        if rule.name not in routed:
+        if rule.name not in with_routes:
             message = f"no route leads to service '{rule.name}'"
-            _add(findings, rule, rule.source.columns.name, "service-without-route", message)
+            _add_finding(findings, rule, rule.source.columns.name, "service-without-route", message)
 
 
 def _check_unique(
@@ -93,7 +93,7 @@
         other = first.setdefault(key(rule), rule)
         if other is not rule:
             message = f"line {other.source.line} has the same {kind}"
-            _add(findings, rule, rule.source.columns.name, f"duplicate-{kind}", message)
+            _add_finding(findings, rule, rule.source.columns.name, f"duplicate-{kind}", message)
 
 
 def _check_routes(routes: Iterable[RouteRule], findings: FindingList) -> None:
@@ -105,46 +105,52 @@
             first.setdefault(key, rule)
         if other is None:
             continue
-        if _effect(other) == _effect(rule):
+        if _normalized(other) == _normalized(rule):
             code, message = "duplicate-route", f"line {other.source.line} has the same route"
         else:
             code = "conflicting-route"
-            message = f"line {other.source.line} routes the same path and method to "
-            message += f"'{other.service}'" if other.service != rule.service else "it differently"
-        _add(findings, rule, rule.source.columns.path, code, message)
+            message = f"line {other.source.line} routes the same path and method "
+            message += (
+                f"to '{other.service}'"
+                if other.service != rule.service
+                else "with other methods or options"
+            )
+        _add_finding(findings, rule, rule.source.columns.path, code, message)
 
 
 def _check_moves(
     rules: RuleSet, now: datetime, existing_move_ids: Collection[str], findings: FindingList
 ) -> None:
-    serving = {rule.name: rule.version for rule in rules.services}
+    serving_versions = {rule.name: rule.version for rule in rules.services}
     for rule in rules.moves:
-        if serving.get(rule.service) == rule.version:
+        if serving_versions.get(rule.service) == rule.version:
             message = f"version '{rule.version}' already serves '{rule.service}'"
-            _add(findings, rule, rule.source.columns.version, "move-to-serving-version", message)
+            _add_finding(
+                findings, rule, rule.source.columns.version, "move-to-serving-version", message
+            )
         if rule.deadline <= now and move_id(rule) not in existing_move_ids:
-            message = f"the deadline {_utc(rule)} has passed"
-            _add(findings, rule, rule.source.columns.deadline, "deadline-past", message)
+            message = f"the deadline {_format_deadline(rule)} has passed"
+            _add_finding(findings, rule, rule.source.columns.deadline, "deadline-past", message)
 
 
-def _effect(route: RouteRule) -> tuple:
-    """Return what a route does, regardless of how it is written."""
+def _normalized(route: RouteRule) -> tuple:
+    """Return the methods, path and options of a route in a form that compares by effect."""
     return (set(route.methods), canonical_path(route.path), *route[2:-1])
 
 
 def canonical_path(path: str) -> str:
-    """Return the path with equivalent percent escapes written in one way (RFC 3986, 6.2.2)."""
+    """Normalize the percent escapes of a path (RFC 3986, section 6.2.2)."""
 
     def replace(match: re.Match) -> str:
         char = unquote(match.group(), errors="replace")
-        return char if UNRESERVED.match(char) else match.group().upper()
+        return char if UNRESERVED_PATTERN.match(char) else match.group().upper()
 
-    return ESCAPE.sub(replace, path)
+    return PERCENT_ESCAPE_PATTERN.sub(replace, path)
 
 
-def _utc(rule: MoveRule) -> str:
+def _format_deadline(rule: MoveRule) -> str:
     return rule.deadline.strftime("%Y-%m-%d %H:%M UTC")
 
 
-def _add(findings: FindingList, rule: Rule, column: int, code: str, message: str) -> None:
+def _add_finding(findings: FindingList, rule: Rule, column: int, code: str, message: str) -> None:
     findings.add(line=rule.source.line, column=column, code=code, message=message)
--- a/almondshore/rules/compile.py
+++ b/almondshore/rules/compile.py
@@ -1,4 +1,4 @@
-"""Compile rules into configuration parts."""
+"""Compiles rules into configuration parts."""
 
 import hashlib
 from collections.abc import Mapping
@@ -27,7 +27,7 @@
 
 
 def encode_part(part: ServicePart | TenantPart) -> bytes:
-    """Encode a part canonically, so that equal parts have equal bytes."""
+    """Encode a part with sorted keys, so that equal parts have equal bytes."""
     return _encoder.encode(part)
 
 
@@ -48,7 +48,7 @@
 
 
 def move_id(rule: MoveRule) -> str:
-    """Return the identity of a move: its service, version and deadline."""
+    """Return the identity of a move: a hash of its service, version and deadline."""
     text = f"{rule.service}\0{rule.version}\0{rule.deadline.isoformat()}"
     return hashlib.blake2b(text.encode(), digest_size=MOVE_ID_BYTES).hexdigest()
 
@@ -56,14 +56,14 @@
 def compile_rules(
     rules: RuleSet, *, version: int, now: datetime, previous: Mapping[str, ServicePart]
 ) -> dict[str, bytes]:
-    """Compile checked rules into parts by name.
+    """Compile checked rules into encoded parts by name.
 
-    A move that the previous configuration already holds keeps its state, so that applying an
-    unrelated change neither restarts nor undoes it.
+    A move that the previous configuration already contains keeps its state, so that an unrelated
+    change neither restarts nor undoes it.
 
-    :param version: number of the configuration version that the parts are for
-    :param now: start time of moves that are new
-    :param previous: service parts of the configuration in force, by service name
+    :param version: number of the configuration version that will contain the parts
+    :param now: start time of new moves
+    :param previous: service parts of the current configuration, by service name
     """
     moves = {rule.service: rule for rule in rules.moves}
     routes: dict[str, list[RoutePart]] = {rule.name: [] for rule in rules.services}
@@ -81,7 +81,7 @@
             version=_serving_version(service.version, move),
             routes=routes[name],
             move=move,
-            allowed=_overrides(allowed.get(name, []), version, previous.get(name)),
+            allowed=_allowed_since(allowed.get(name, []), version, previous.get(name)),
         )
         parts[SERVICE_PREFIX + name] = encode_part(part)
     for tenant in rules.tenants:
@@ -110,7 +110,7 @@
     known = previous["move"] if previous is not None else None
     if known is not None and known["move_id"] == identity:
         return known
-    if _continues(known, rule):
+    if _keeps_identity(known, rule):
         return MovePart(
             **{**known, "deadline": rule.deadline.isoformat(), "prefer": rule.prefer.value}
         )
@@ -126,10 +126,10 @@
     )
 
 
-def _continues(known: MovePart | None, rule: MoveRule) -> bool:
-    """Return whether a rule only changes the deadline or preference of a move under way.
+def _keeps_identity(known: MovePart | None, rule: MoveRule) -> bool:
+    """Return whether a rule only changes the deadline or preference of an active move.
 
-    Such a move keeps its identity: starting anew would take its share back to the first step.
+    Such a move keeps its identity; a new identity would restart it at the first step.
     """
     if known is None or known["state"] != MoveState.ACTIVE.value:
         return False
@@ -142,6 +142,8 @@
     return base_version
 
 
-def _overrides(allowed: list[str], version: int, previous: ServicePart | None) -> dict[str, int]:
+def _allowed_since(
+    allowed: list[str], version: int, previous: ServicePart | None
+) -> dict[str, int]:
     known = previous["allowed"] if previous is not None else {}
     return {name: known.get(name, version) for name in sorted(allowed)}
--- a/almondshore/rules/diff.py
+++ b/almondshore/rules/diff.py
@@ -18,10 +18,10 @@
 
 
 class RuleChange(NamedTuple):
-    """A rule that differs; its place names the line and the requester in its own file.
+    """A rule that was added, removed or changed; ``source`` refers to the file of each side.
 
-    :ivar old: the rule before; None if it was added
-    :ivar new: the rule after; None if it was removed
+    :ivar old: the previous rule; None if it was added
+    :ivar new: the new rule; None if it was removed
     """
 
     kind: ChangeKind
@@ -32,25 +32,27 @@
 def diff_rules(old: RuleSet, new: RuleSet) -> list[RuleChange]:
     """Return the differences, ordered by line.
 
-    Rules are compared by what they say and who asked for it, not by their position or spacing.
-    A rule is changed if a rule of the same identity differs: the name of a service or tenant, the
-    service of a move, the service and version of an override, the path of a route.
+    Rules are compared by content, requester and reason, not by position or spacing. Two rules that
+    differ count as one changed rule if they have the same identity: the name of a service or
+    tenant, the service of a move, the service and version of an override, the path of a route.
     """
     changes: list[RuleChange] = []
     for before, after in zip(old, new, strict=True):
-        left, right, _ = _pair(before, after, _content)
-        left, right, pairs = _pair(left, right, _identity)
-        if left and isinstance(left[0], RouteRule):
-            left, right, same_path = _pair(left, right, lambda rule: canonical_path(rule.path))
+        removed, added, _ = _pair(before, after, _without_position)
+        removed, added, pairs = _pair(removed, added, _identity)
+        if removed and isinstance(removed[0], RouteRule):
+            removed, added, same_path = _pair(
+                removed, added, lambda rule: canonical_path(rule.path)
+            )
             pairs += same_path
         changes += [RuleChange(ChangeKind.CHANGED, *pair) for pair in pairs]
-        changes += [RuleChange(ChangeKind.REMOVED, rule, None) for rule in left]
-        changes += [RuleChange(ChangeKind.ADDED, None, rule) for rule in right]
+        changes += [RuleChange(ChangeKind.REMOVED, rule, None) for rule in removed]
+        changes += [RuleChange(ChangeKind.ADDED, None, rule) for rule in added]
     return sorted(changes, key=lambda change: (change.new or change.old).source.line)
 
 
 def describe_change(change: RuleChange) -> list[str]:
-    """Return a change as lines that start with ``-`` for the old and ``+`` for the new rule."""
+    """Format a change as lines: the old rule after ``-`` and the new rule after ``+``."""
     sides = (("-", change.old), ("+", change.new))
     return [f"{sign} line {rule.source.line}: {format_rule(rule)}" for sign, rule in sides if rule]
 
@@ -58,21 +60,24 @@
 def _pair(
     old: Iterable[Rule], new: Iterable[Rule], key: Callable[[Rule], Hashable]
 ) -> tuple[list[Rule], list[Rule], list[tuple[Rule, Rule]]]:
-    """Pair rules of equal keys; return the old and new rules left over, and the pairs."""
-    waiting: dict[Hashable, list[Rule]] = {}
+    """Pair rules that have equal keys.
+
+    :return: old rules without a pair, new rules without a pair, and the pairs
+    """
+    unmatched: dict[Hashable, list[Rule]] = {}
     for rule in old:
-        waiting.setdefault(key(rule), []).append(rule)
-    pairs, right = [], []
+        unmatched.setdefault(key(rule), []).append(rule)
+    pairs, added = [], []
     for rule in new:
-        same = waiting.get(key(rule))
-        if same:
-            pairs.append((same.pop(0), rule))
+        candidates = unmatched.get(key(rule))
+        if candidates:
+            pairs.append((candidates.pop(0), rule))
         else:
-            right.append(rule)
-    return [rule for rules in waiting.values() for rule in rules], right, pairs
+            added.append(rule)
+    return [rule for rules in unmatched.values() for rule in rules], added, pairs
 
 
-def _content(rule: Rule) -> Rule:
+def _without_position(rule: Rule) -> Rule:
     return rule._replace(source=rule.source._replace(line=0, columns=Columns()))
 
 
--- a/almondshore/rules/grammar.py
+++ b/almondshore/rules/grammar.py
@@ -1,4 +1,4 @@
-"""Parse the lines of a rules file into typed rules, collecting findings with their place."""
+"""Parses the lines of a rules file into typed rules and collects findings with their positions."""
 
 from collections.abc import Callable, Mapping
 from datetime import timedelta
@@ -29,16 +29,16 @@
     take_path,
     take_rate,
 )
-from almondshore.rules.words import Fault, LineError, Words, quoted
+from almondshore.rules.words import LineError, LineFinding, WordReader, quoted
 
 DEFAULT_TIMEOUT = timedelta(seconds=2)
 
 
-class Parsed(NamedTuple):
-    """The rules of a file.
+class ParseResult(NamedTuple):
+    """The rules parsed from a file.
 
-    :ivar skipped: by keyword, all words of the lines left out of the rules because of findings;
-        checks of references use them to not report consequences of those findings
+    :ivar skipped: by keyword, all words of the lines that were left out because of findings;
+        reference checks use them to avoid findings that only follow from the earlier ones
     :ivar complete: whether all lines were read
     """
 
@@ -47,9 +47,9 @@
     complete: bool
 
 
-def _service(words: Words, source: RuleSource) -> ServiceRule:
+def _parse_service(words: WordReader, source: RuleSource) -> ServiceRule:
     name = words.name("service name")
-    if not words.more() or words.next_is("version") and words.index + 1 == len(words.items):
+    if not words.has_more() or words.next_is("version") and words.index + 1 == len(words.items):
         raise LineError(
             words.end_column, "missing-version", "expected 'version NAME': a service needs one"
         )
@@ -59,7 +59,7 @@
     return ServiceRule(name.text, version.text, source._replace(columns=columns))
 
 
-def _route(words: Words, source: RuleSource) -> RouteRule:
+def _parse_route(words: WordReader, source: RuleSource) -> RouteRule:
     methods, path = take_methods(words), take_path(words)
     if not words.next_is("to") or words.index + 1 == len(words.items):
         raise LineError(
@@ -69,7 +69,7 @@
     service = words.name("service name")
     options = {"class": RequestClass.ROUTINE, "once": False, "timeout": DEFAULT_TIMEOUT}
     seen: set[str] = set()
-    while words.more():
+    while words.has_more():
         option = words.take("an option")
         if option.text not in options:
             message = f"{quoted(option.text)} is not one of {', '.join(options)}"
@@ -77,7 +77,7 @@
         if option.text in seen:
             words.report(option, "duplicate-option", f"'{option.text}' is given twice")
         seen.add(option.text)
-        options[option.text] = _OPTIONS[option.text](words)
+        options[option.text] = OPTION_PARSERS[option.text](words)
     source = source._replace(columns=Columns(name=service.column, path=path.column))
     return RouteRule(
         methods,
@@ -90,14 +90,14 @@
     )
 
 
-_OPTIONS: dict[str, Callable] = {
+OPTION_PARSERS: dict[str, Callable] = {
     "class": lambda words: take_choice(words, "a class", RequestClass),
     "once": lambda words: True,
     "timeout": take_duration,
 }
 
 
-def _tenant(words: Words, source: RuleSource) -> TenantRule:
+def _parse_tenant(words: WordReader, source: RuleSource) -> TenantRule:
     name = words.name("tenant name")
     words.expect("limit")
     rate = take_rate(words)
@@ -106,42 +106,43 @@
     return TenantRule(name.text, rate, burst, source._replace(columns=Columns(name=name.column)))
 
 
-def _move(words: Words, source: RuleSource) -> MoveRule:
+def _parse_move(words: WordReader, source: RuleSource) -> MoveRule:
     service = words.name("service name")
     words.expect("to")
     version = words.name("version name")
     words.expect("by")
     deadline, column = take_deadline(words)
     prefer = Preference.DEADLINE
-    if words.more():
+    if words.has_more():
         words.expect("prefer")
         prefer = take_choice(words, "a preference", Preference)
     columns = Columns(name=service.column, version=version.column, deadline=column)
     return MoveRule(service.text, version.text, deadline, prefer, source._replace(columns=columns))
 
 
-def _allow(words: Words, source: RuleSource) -> AllowRule:
+def _parse_allow(words: WordReader, source: RuleSource) -> AllowRule:
     service, version = words.name("service name"), words.name("version name")
     columns = Columns(name=service.column, version=version.column)
     return AllowRule(service.text, version.text, source._replace(columns=columns))
 
 
-PARSERS: dict[str, Callable[[Words, RuleSource], Rule]] = {
-    "service": _service,
-    "route": _route,
-    "tenant": _tenant,
-    "move": _move,
-    "allow": _allow,
+PARSERS: dict[str, Callable[[WordReader, RuleSource], Rule]] = {
+    "service": _parse_service,
+    "route": _parse_route,
+    "tenant": _parse_tenant,
+    "move": _parse_move,
+    "allow": _parse_allow,
 }
 
 
-def parse(data: bytes, *, findings: FindingList, limit: int | None = None) -> Parsed:
+def parse(data: bytes, *, findings: FindingList, limit: int | None = None) -> ParseResult:
     """Parse the content of a rules file.
 
-    Lines with findings are left out of the rules, except for lines that lack only the requester.
+    Lines with findings are left out of the rules, unless the only finding is a missing requester
+    or reason.
 
-    :param findings: receives the findings of all lines
-    :param limit: number of findings after which reading stops; None for no limit
+    :param findings: receives the findings of all lines that were read
+    :param limit: number of findings after which parsing stops; None for no limit
     """
     rules: dict[str, list[Rule]] = {keyword: [] for keyword in PARSERS}
     skipped: dict[str, set[str]] = {keyword: set() for keyword in PARSERS}
@@ -150,47 +151,59 @@
         if limit is not None and len(findings.items) >= limit:
             complete = False
             break
-        body, mark, comment = line.text.partition("#")
-        words = Words(body)
+        body, hash_sign, comment = line.text.partition("#")
+        words = WordReader(body)
         if not words.items:
             continue
-        source, faults = _place(line.number, words.end_column, comment if mark else "")
-        keyword, rule, rule_faults = _rule(words, source)
+        source, comment_findings = _parse_comment(
+            line.number, words.end_column, comment if hash_sign else ""
+        )
+        keyword, rule, rule_findings = _parse_rule(words, source)
         if line.valid:
-            for fault in (*rule_faults, *faults):
-                findings.add(line=line.number, **fault._asdict())
-        if rule is not None and line.valid and not rule_faults:
+            for finding in (*rule_findings, *comment_findings):
+                findings.add(line=line.number, **finding._asdict())
+        if rule is not None and line.valid and not rule_findings:
             rules[keyword].append(rule)
         elif keyword in skipped:
             skipped[keyword].update(word.text for word in words.items)
-    return Parsed(
+    return ParseResult(
         RuleSet(*(tuple(items) for items in rules.values())),
         {keyword: frozenset(items) for keyword, items in skipped.items()},
         complete,
     )
 
 
-def _place(number: int, column: int, comment: str) -> tuple[RuleSource, list[Fault]]:
+def _parse_comment(number: int, column: int, comment: str) -> tuple[RuleSource, list[LineFinding]]:
     requester, colon, reason = (item.strip() for item in comment.partition(":"))
-    faults = []
+    comment_findings = []
     if not requester or not colon:
-        faults.append(Fault(column, "missing-requester", "expected '# requester: reason'"))
+        comment_findings.append(
+            LineFinding(column, "missing-requester", "expected '# requester: reason'")
+        )
     elif not reason:
-        faults.append(Fault(column, "missing-reason", f"expected a reason after '{requester}:'"))
-    return RuleSource(number, requester, reason), faults
+        comment_findings.append(
+            LineFinding(column, "missing-reason", f"expected a reason after '{requester}:'")
+        )
+    return RuleSource(number, requester, reason), comment_findings
 
 
-def _rule(words: Words, source: RuleSource) -> tuple[str, Rule | None, list[Fault]]:
-    """Parse a rule; return its keyword, or the one most likely meant, the rule and the faults."""
+def _parse_rule(
+    words: WordReader, source: RuleSource
+) -> tuple[str, Rule | None, list[LineFinding]]:
+    """Parse a rule.
+
+    :return: the keyword, or the closest one if it is unknown; the rule, or None if it could not be
+        parsed; the findings of the line
+    """
     word = words.take("a rule")
     if word.text not in PARSERS:
-        meant = get_close_matches(word.text.lower()[:20], PARSERS, 1)
-        hint = f"; did you mean '{meant[0]}'?" if meant else ""
+        suggestions = get_close_matches(word.text.lower()[:20], PARSERS, 1)
+        hint = f"; did you mean '{suggestions[0]}'?" if suggestions else ""
         message = f"{quoted(word.text)} is not one of {', '.join(PARSERS)}{hint}"
-        return (meant or [""])[0], None, [Fault(word.column, "unknown-rule", message)]
+        return (suggestions or [""])[0], None, [LineFinding(word.column, "unknown-rule", message)]
     try:
         rule = PARSERS[word.text](words, source)
-        words.finish()
+        words.expect_end()
     except LineError as error:
-        return word.text, None, [*words.faults, error.fault]
-    return word.text, rule, words.faults
+        return word.text, None, [*words.findings, error.finding]
+    return word.text, rule, words.findings
--- a/almondshore/rules/model.py
+++ b/almondshore/rules/model.py
@@ -1,4 +1,4 @@
-"""Typed rules as an operator writes them, and the parts they are compiled to."""
+"""Typed rules of a rules file, and the configuration parts that they are compiled to."""
 
 from datetime import datetime, timedelta
 from enum import StrEnum
@@ -14,14 +14,14 @@
 
 
 class Preference(StrEnum):
-    """What a move favours when evidence is scarce."""
+    """Whether a move keeps its deadline or waits when the new version got too few requests."""
 
     DEADLINE = "deadline"
     SAFETY = "safety"
 
 
 class MoveState(StrEnum):
-    """State of a move as a configuration version records it."""
+    """State of a move as recorded in a configuration version."""
 
     ACTIVE = "active"
     DONE = "done"
@@ -29,7 +29,7 @@
 
 
 class Columns(NamedTuple):
-    """Columns, counted in characters from 1, of words of a rule; 0 for a word it does not have."""
+    """Columns of the words of a rule, in characters from 1; 0 for a word that the rule lacks."""
 
     name: int = 0
     version: int = 0
@@ -38,7 +38,7 @@
 
 
 class RuleSource(NamedTuple):
-    """Where a rule stands and who asked for it."""
+    """Position of a rule in its file, and who requested it and why."""
 
     line: int
     requester: str
@@ -47,7 +47,7 @@
 
 
 class ServiceRule(NamedTuple):
-    """A service and the version that serves it outside of moves."""
+    """A service and the version that serves it while no move changes that."""
 
     name: str
     version: str
@@ -55,10 +55,10 @@
 
 
 class RouteRule(NamedTuple):
-    """A route of requests to a service.
+    """A route that sends matching requests to a service.
 
     :ivar path: exact path, or a prefix that ends in ``*``
-    :ivar once: whether requests of the route are not idempotent
+    :ivar once: whether requests on the route are not idempotent
     """
 
     methods: tuple[str, ...]
@@ -73,8 +73,8 @@
 class TenantRule(NamedTuple):
     """The request limit of a tenant.
 
-    :ivar rate: requests a second
-    :ivar burst: requests that may come at once
+    :ivar rate: sustained limit in requests per second
+    :ivar burst: number of requests that may arrive at once
     """
 
     name: str
@@ -84,9 +84,9 @@
 
 
 class MoveRule(NamedTuple):
-    """A move of a service's traffic to a version.
+    """A gradual move of a service's traffic to another version.
 
-    :ivar deadline: time by which the move is complete, UTC
+    :ivar deadline: time by which the move should be complete, UTC
     """
 
     service: str
@@ -97,7 +97,7 @@
 
 
 class AllowRule(NamedTuple):
-    """An operator's override of the veto of a version."""
+    """An operator's override of earlier vetoes of a version."""
 
     service: str
     version: str
@@ -108,7 +108,7 @@
 
 
 class RuleSet(NamedTuple):
-    """All rules of one file, each kind in the order of the file."""
+    """All rules of one file, grouped by kind; within a kind in file order."""
 
     services: tuple[ServiceRule, ...] = ()
     routes: tuple[RouteRule, ...] = ()
@@ -143,9 +143,9 @@
 class ServicePart(TypedDict):
     """Everything a node needs to route to one service.
 
-    ``version`` is the version that serves outside of a move; it is already the new version once
-    a move is done. ``allowed`` maps each version with an override to the configuration version
-    that introduced it.
+    ``version`` is the version that serves when no move is active; after a completed move it is
+    the new version. ``allowed`` maps each version that has an ``allow`` rule to the configuration
+    version that introduced the rule.
     """
 
     name: str
@@ -156,7 +156,7 @@
 
 
 class TenantPart(TypedDict):
-    """The compiled limit of a tenant."""
+    """The compiled limit of a tenant; ``rate`` in requests per second, ``burst`` in requests."""
 
     name: str
     rate: float
--- a/almondshore/rules/values.py
+++ b/almondshore/rules/values.py
@@ -1,4 +1,4 @@
-"""Read the values of a rule: methods, paths, rates, durations, deadlines."""
+"""Parses the values in a rule: methods, paths, rates, durations and deadlines."""
 
 import re
 from datetime import datetime, timedelta
@@ -6,28 +6,28 @@
 from typing import TypeVar
 
 from almondshore.rules import times
-from almondshore.rules.words import Word, Words, quoted
+from almondshore.rules.words import Word, WordReader, quoted
 
-PATH = re.compile(r"/(?:[A-Za-z0-9/._~!$&'()+,;=:@-]|%[0-9A-Fa-f]{2})*\*?\Z")
-RATE = re.compile(r"([0-9]+(?:\.[0-9]{1,3})?)/s\Z")
-NUMBER = re.compile(r"[0-9]+\Z")
-DURATION = re.compile(r"([0-9]+)(ms|s|m)\Z")
+PATH_PATTERN = re.compile(r"/(?:[A-Za-z0-9/._~!$&'()+,;=:@-]|%[0-9A-Fa-f]{2})*\*?\Z")
+RATE_PATTERN = re.compile(r"([0-9]+(?:\.[0-9]{1,3})?)/s\Z")
+NUMBER_PATTERN = re.compile(r"[0-9]+\Z")
+DURATION_PATTERN = re.compile(r"([0-9]+)(ms|s|m)\Z")
 DURATION_UNITS_MS = {"ms": 1, "s": 1000, "m": 60_000}
 METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
 MAX_PATH_CHARS = 200
-# No tenant may exceed the call rate that the whole mesh is sized for (1.6 million calls/s).
+# The whole mesh is sized for 1.6 million calls per second; no tenant may exceed that.
 MAX_RATE = 1_600_000
 MAX_BURST = 1_600_000
-# A draining target waits for its requests, so a longer timeout would delay its replacement.
+# A draining target waits for its running requests, so a longer timeout would delay its replacement.
 MAX_TIMEOUT = timedelta(minutes=5)
-# Longer digit strings are out of every range; int() refuses strings of over 4,300 digits.
+# Longer numbers exceed every accepted range, and int() rejects strings of more than 4,300 digits.
 MAX_DIGITS = 12
 
 Choice = TypeVar("Choice", bound=StrEnum)
 
 
-def take_methods(words: Words) -> tuple[str, ...]:
-    """Take methods separated by commas."""
+def take_methods(words: WordReader) -> tuple[str, ...]:
+    """Take the next word, a comma-separated list of HTTP methods."""
     word = words.take("methods such as GET or GET,HEAD")
     methods = tuple(word.text.split(","))
     for index, method in enumerate(methods):
@@ -40,24 +40,24 @@
     return methods
 
 
-def take_path(words: Words) -> Word:
-    """Take an exact path, or a prefix that ends in ``*``."""
+def take_path(words: WordReader) -> Word:
+    """Take the next word, an exact path or a prefix that ends in ``*``."""
     word = words.take("a path")
-    if not PATH.match(word.text):
+    if not PATH_PATTERN.match(word.text):
         words.report(word, "bad-path", f"{quoted(word.text)} is not a valid path")
     elif len(word.text) > MAX_PATH_CHARS:
-        message = f"the path has {len(word.text)} characters; at most {MAX_PATH_CHARS} fit"
+        message = f"the path has {len(word.text)} characters; at most {MAX_PATH_CHARS} are accepted"
         words.report(word, "bad-path", message)
     elif {".", ".."} & set(word.text.split("/")):
-        # Clients resolve these segments before they send a request, so the route would never match.
+        # Clients resolve these segments before sending a request, so the route would never match.
         words.report(word, "bad-path", f"{quoted(word.text)} has a '.' or '..' segment")
     return word
 
 
-def take_rate(words: Words) -> float:
-    """Take a rate in requests a second."""
+def take_rate(words: WordReader) -> float:
+    """Take a rate such as ``50/s``; return it in requests per second, or 0 if it is malformed."""
     word = words.take("a rate such as 50/s")
-    match = RATE.match(word.text)
+    match = RATE_PATTERN.match(word.text)
     if not match:
         words.report(word, "bad-rate", f"{quoted(word.text)} is not a rate such as 50/s")
         return 0.0
@@ -68,10 +68,10 @@
     return rate
 
 
-def take_burst(words: Words) -> int:
-    """Take a number of requests."""
+def take_burst(words: WordReader) -> int:
+    """Take a burst size in requests; return 0 if it is malformed."""
     word = words.take("a number of requests")
-    if not NUMBER.match(word.text):
+    if not NUMBER_PATTERN.match(word.text):
         words.report(word, "bad-number", f"{quoted(word.text)} is not a number of requests")
         return 0
     burst = _integer(word.text)
@@ -80,10 +80,10 @@
     return burst
 
 
-def take_duration(words: Words) -> timedelta:
-    """Take a duration in milliseconds, seconds or minutes."""
+def take_duration(words: WordReader) -> timedelta:
+    """Take a duration in ms, s or m; return 0 if it is malformed or out of range."""
     word = words.take("a duration such as 500ms or 2s")
-    match = DURATION.match(word.text)
+    match = DURATION_PATTERN.match(word.text)
     if not match:
         words.report(word, "bad-duration", f"{quoted(word.text)} is not a duration such as 2s")
         return timedelta()
@@ -95,8 +95,8 @@
     return timedelta(milliseconds=milliseconds)
 
 
-def take_choice(words: Words, what: str, kind: type[Choice]) -> Choice:
-    """Take one of the values of an enumeration."""
+def take_choice(words: WordReader, what: str, kind: type[Choice]) -> Choice:
+    """Take a value of an enumeration; return its first member if the value is unknown."""
     word = words.take(what)
     try:
         return kind(word.text)
@@ -106,8 +106,11 @@
         return next(iter(kind))
 
 
-def take_deadline(words: Words) -> tuple[datetime, int]:
-    """Take a local date, a time and a time zone; return the time in UTC and the column."""
+def take_deadline(words: WordReader) -> tuple[datetime, int]:
+    """Take a local date, time and time zone; return the time in UTC and the column of the date.
+
+    An invalid deadline is reported and replaced by the latest possible time.
+    """
     items = [words.take(what) for what in ("a date", "a time", "a time zone")]
     try:
         deadline = times.to_utc(*(item.text for item in items))
@@ -118,6 +121,6 @@
 
 
 def _integer(digits: str) -> int:
-    """Return the value of a digit string; one of too many digits stands for a value too large."""
+    """Convert a digit string; one with more than ``MAX_DIGITS`` digits becomes out of range."""
     significant = digits.lstrip("0")
     return 10 ** MAX_DIGITS if len(significant) > MAX_DIGITS else int(significant or "0")
--- a/test/rules/test_check.py
+++ b/test/rules/test_check.py
@@ -1,4 +1,4 @@
-"""Tests of the findings of a rules file: each mistake has its code, line and column."""
+"""Tests of the findings in a rules file: code, line and column of each mistake."""
 
 from datetime import UTC, datetime
 
@@ -11,7 +11,7 @@
 
 NOW = datetime(2026, 12, 4, 9, 0, tzinfo=UTC)
 BASE = "service desk version v1 # A: b\nroute GET /* to desk # A: b\n"
-WHO = " # A: b"
+REQUESTER_COMMENT = " # A: b"
 
 
 def check(data, existing_move_ids=()):
@@ -23,12 +23,12 @@
 
 class CheckRulesTest(TestCase):
     def assert_third_line(self, line, column, code, **kwargs):
-        """Check that the line after the two lines of BASE gives exactly one finding."""
+        """Check that a line appended to the two lines of BASE gives exactly one finding."""
         _, found = check(BASE + line, **kwargs)
         self.assertEqual([(3, column, code)], found, line)
 
-    def test_example_of_the_design(self):
-        """Guards against findings in the example that operators start from."""
+    def test_example_rules_file_has_no_findings(self):
+        """Guards against findings in the documented example of a rules file."""
         rules, found = check(
             "service counter-app version v1  # Anna: base\n"
             "route GET /schedule/* to counter-app class urgent timeout 2s  # Marco: reads\n"
@@ -41,7 +41,7 @@
         self.assertEqual([1] * 5, [len(kind) for kind in rules])
 
     def test_malformed_lines(self):
-        """Guards against a finding at the wrong place or with the wrong code."""
+        """Guards against a finding at the wrong column or with the wrong code."""
         move = "move desk to v2 by "
         cases = (
             ("rout GET /x to desk", 1, "unknown-rule"),
@@ -85,17 +85,17 @@
             (move + "2027-03-01 06:00 UTC prefer speed", 48, "unknown-value"),
         )
         for line, column, code in cases:
-            self.assert_third_line(line + WHO, column, code)
+            self.assert_third_line(line + REQUESTER_COMMENT, column, code)
 
-    def test_requester(self):
-        """Guards against a change that nobody is named for."""
+    def test_missing_requester_or_reason(self):
+        """Guards against accepting a rule without a requester or a reason."""
         rule = "tenant t limit 5/s burst 1"
         for comment in ("", " #", " # Anna", " # : why"):
             self.assert_third_line(rule + comment, 27, "missing-requester")
         self.assert_third_line(rule + " # Anna: ", 27, "missing-reason")
 
     def test_references_and_duplicates(self):
-        """Guards against rules that contradict each other or lead nowhere."""
+        """Guards against duplicate or conflicting rules and references to unknown services."""
         cases = (
             ("route GET /x to dask", 17, "unknown-service"),
             ("move dask to v2 by 2027-03-01 06:00 UTC", 6, "unknown-service"),
@@ -108,7 +108,7 @@
             ("move desk to v1 by 2027-03-01 06:00 UTC", 14, "move-to-serving-version"),
         )
         for line, column, code in cases:
-            self.assert_third_line(line + WHO, column, code)
+            self.assert_third_line(line + REQUESTER_COMMENT, column, code)
 
     def test_second_rule_of_a_kind(self):
         cases = (
@@ -117,26 +117,26 @@
             ("allow desk v2", 7, "duplicate-allow"),
         )
         for line, column, code in cases:
-            _, found = check(f"{BASE}{line}{WHO}\n{line}{WHO}\n")
+            _, found = check(f"{BASE}{line}{REQUESTER_COMMENT}\n{line}{REQUESTER_COMMENT}\n")
             self.assertEqual([(4, column, code)], found)
 
     def test_paths_that_differ_only_in_escapes_are_equal(self):
-        """Guards against two routes for one path that a proxy would choose between at random."""
+        """Guards against two routes for one path, between which the choice would be arbitrary."""
         lines = "route GET /a%7e%2f to desk # A: b\nroute GET /a~%2F to desk # A: b\n"
         self.assertEqual([(4, 11, "duplicate-route")], check(BASE + lines)[1])
 
     def test_deadline_of_a_move_in_force_may_have_passed(self):
-        """Guards against refusing unrelated changes after the deadline of a kept move."""
+        """Guards against rejecting unrelated changes after the deadline of an existing move."""
         data = BASE + "move desk to v2 by 2026-12-03 06:00 UTC # A: b"
         rules, found = check(data)
         self.assertEqual([(3, 20, "deadline-past")], found)
         self.assertEqual([], check(data, existing_move_ids={move_id(rules.moves[0])})[1])
 
     def test_six_mistakes_give_six_findings(self):
-        """Guards against mistakes reported one by one, and against consequences of them."""
+        """Guards against reporting only the first mistake, or findings that follow from others."""
         _, found = check(
             "service desk version v1\n"  # no requester
-            "servce shop version v1 # A: b\n"  # unknown keyword, but shop is meant to exist
+            "servce shop version v1 # A: b\n"  # misspelt keyword; shop counts as defined
             "route GET /desk to desk timeout 2x # A: b\n"
             "route GET /shop to shop # A: b\n"
             "route GET /none to none # A: b\n"
@@ -159,7 +159,7 @@
         self.assertEqual([7, 11, 27, 39, 40], [column for _, column, _ in found])
 
     def test_findings_are_bounded(self):
-        """Guards against a file of another kind that floods the operator's terminal."""
+        """Guards against flooding the terminal when a file is not a rules file."""
         for data in (b"x\n" * 500_000, BASE.encode() * 300):
             _, found = check(data)
             self.assertEqual(MAX_FINDINGS + 1, len(found))
@@ -168,14 +168,14 @@
 
 class CharactersTest(TestCase):
     def test_line_ends_tabs_and_byte_order_mark(self):
-        """Guards against refusing files that editors on other systems write."""
+        """Guards against rejecting the line endings, tabs and byte order marks of other editors."""
         for data in (BASE, BASE.rstrip("\n"), BASE.replace(" ", "\t"), BASE.replace("\n", "\r\n")):
             for mark in (b"", b"\xef\xbb\xbf"):
                 rules, found = check(mark + data.encode())
                 self.assertEqual(([], 1, "desk"), (found, len(rules.routes), rules[0][0].name))
 
     def test_bad_characters(self):
-        """Guards against bytes that would hide a rule or act on the operator's terminal."""
+        """Guards against characters that hide a rule or that a terminal interprets."""
         cases = (
             (b"tenant t\0 limit 1/s burst 1 # A: b", 9, "control-character"),
             (b"tenant t limit 1/s burst 1 # A: \x1b[2J", 33, "control-character"),
@@ -192,12 +192,12 @@
     def test_wide_space_in_a_comment_is_accepted(self):
         self.assertEqual([], check(BASE + "tenant t limit 1/s burst 1 # Zoë\u00a0: a\u3000b")[1])
 
-    def test_bad_encoding_has_no_consequences(self):
-        """Guards against unknown services after a service line with a Latin-1 requester."""
+    def test_bad_encoding_causes_no_further_findings(self):
+        """Guards against an unknown-service finding caused by a service line in Latin-1."""
         data = BASE.replace("A", "Zo\u00eb", 1).encode("latin-1")
         self.assertEqual([(1, 29, "bad-encoding")], check(data)[1])
 
-    def test_whole_file(self):
+    def test_findings_about_the_whole_file(self):
         self.assertEqual([(0, 0, "file-too-large")], check(b"#" * (1024 * 1024 + 1))[1])
         self.assertEqual([(1, 1, "bad-encoding")], check(BASE.encode("utf-16"))[1])
         self.assertEqual([(0, 0, "no-rules")], check(b"# Anna: later\n")[1])
--- a/test/rules/test_diff.py
+++ b/test/rules/test_diff.py
@@ -1,4 +1,4 @@
-"""Tests of the semantic difference of rules, and of the check against the rules in force."""
+"""Tests of the semantic diff of rules and of the check against the current configuration."""
 
 from datetime import UTC, datetime
 
@@ -37,12 +37,12 @@
 
 class DiffTest(TestCase):
     def test_same_meaning_is_no_difference(self):
-        """Guards against reporting lines that only moved or were spaced differently."""
+        """Guards against reporting rules whose line or spacing is all that changed."""
         lines = RULES.replace(" to desk", "\tto   desk class routine timeout 2000ms").splitlines()
         self.assertEqual([], changes(RULES, "\n\n".join(reversed(lines)) + "\n# end"))
 
     def test_each_kind_of_change(self):
-        """Guards against a change that is shown at the wrong line or not at all."""
+        """Guards against a change that is reported at the wrong line or not at all."""
         cases = (
             ("service desk version v1", "service desk version v3", ("changed", 1, 1)),
             ("service desk", "service shop", ("removed", 1, None), ("added", None, 1)),
@@ -80,7 +80,7 @@
         return [(item.line, item.column, item.code) for item in findings.items]
 
     def test_finished_move_is_not_undone(self):
-        """Guards against sending all traffic back at once when a move rule is cleaned up."""
+        """Guards against reverting all traffic when the rule of a completed move is removed."""
         removed = RULES.replace("move", "# move")
         replaced = RULES.replace("to v2", "to v3")
         for text in (removed, replaced):
@@ -89,8 +89,8 @@
             self.assertEqual([], self.found(text, "active"))
         self.assertEqual([], self.found(RULES, "done"))
 
-    def test_unrelated_change_keeps_move_and_override(self):
-        """Guards against restarting a move, or renewing an override, by an unrelated change."""
+    def test_unrelated_change_keeps_move_and_allow_rule(self):
+        """Guards against an unrelated change that restarts a move or renews an allow rule."""
         previous = self.previous("done")
         later = rules(RULES.replace("burst 1", "burst 2"))
         parts = compile_rules(later, version=9, now=NOW.replace(day=5), previous=previous)
--- a/test/rules/test_format.py
+++ b/test/rules/test_format.py
@@ -53,13 +53,13 @@
     lambda text: text.strip()
     and not any(unicodedata.category(char) in HIDDEN_CATEGORIES for char in text)
 )
-places = st.builds(
+sources = st.builds(
     lambda who, why: RuleSource(0, who.strip(), why.strip()),
     comments.filter(lambda text: ":" not in text),
     comments,
 )
 rules = st.one_of(
-    st.builds(ServiceRule, names, names, places),
+    st.builds(ServiceRule, names, names, sources),
     st.builds(
         RouteRule,
         st.lists(st.sampled_from(METHODS), min_size=1, unique=True).map(tuple),
@@ -68,10 +68,10 @@
         st.sampled_from(RequestClass),
         st.booleans(),
         st.integers(1, 300_000).map(lambda count: timedelta(milliseconds=count)),
-        places,
+        sources,
     ),
     st.builds(
-        TenantRule, names, st.integers(1, 10**9).map(lambda n: n / 1000), st.integers(1, 9), places
+        TenantRule, names, st.integers(1, 10**9).map(lambda n: n / 1000), st.integers(1, 9), sources
     ),
     st.builds(
         MoveRule,
@@ -79,9 +79,9 @@
         names,
         st.datetimes(timezones=st.just(UTC)).map(lambda at: at.replace(second=0, microsecond=0)),
         st.sampled_from(Preference),
-        places,
+        sources,
     ),
-    st.builds(AllowRule, names, names, places),
+    st.builds(AllowRule, names, names, sources),
 )
 
 
@@ -110,13 +110,13 @@
     @example(b"move a to b by 9999-12-31 23:59 Pacific/Honolulu # A: b")
     @example(b"move a to b by 2026-12-08 06:00 Europe # A: b")
     def test_checking_never_raises(self, data):
-        """Guards against a traceback for any content of a rules file."""
+        """Guards against an exception on arbitrary content of a rules file."""
         check_rules(data, now=NOW, findings=FindingList(file="f"))
 
     @SETTINGS
     @given(st.lists(rules, max_size=5).map(rule_set))
     def test_formatted_rules_parse_to_themselves(self, expected):
-        """Guards against a difference between what is written and what is read."""
+        """Guards against formatted rules that parse to different rules."""
         findings = FindingList(file="f")
         parsed = parse(format_rules(expected).encode(), findings=findings)
         self.assertEqual([], findings.items)
