--- a/almondshore/daemon/moving.py
+++ b/almondshore/daemon/moving.py
@@ -19,7 +19,7 @@
 )
 from almondshore.core.rendezvous import choose
 from almondshore.daemon.routes import RouteKeeper
-from almondshore.moves.coordinator import MoveCoordinator, Report, TargetCounts
+from almondshore.moves.coordinator import MoveCoordinator, MoveReport, TargetCounts
 from almondshore.moves.evidence import (
     EvidenceAggregator,
     EvidenceRecorder,
@@ -69,7 +69,7 @@
         self.aggregator = EvidenceAggregator(clock=clock)
         self.detector: LocalDetector | None = None
         self.coordinations: dict[tuple[str, str], Coordination] = {}
-        self.reports: dict[str, Report] = {}
+        self.reports: dict[str, MoveReport] = {}
 
     def handle(self, message: Message, sender: str) -> list[Send]:
         """React to messages about moves and to digests that differ."""
--- a/almondshore/moves/__init__.py
+++ b/almondshore/moves/__init__.py
@@ -1,1 +1,1 @@
-"""Moves of traffic between target versions."""
+"""Gradual moves of a service's traffic from one target version to another."""
--- a/almondshore/moves/controls.py
+++ b/almondshore/moves/controls.py
@@ -1,4 +1,4 @@
-"""Guards of the verdict: what other services and the load explain is not a version's fault."""
+"""Corrections of the verdict for faults of all services alike and for differences in load."""
 
 from collections.abc import Iterable
 from statistics import median
@@ -8,29 +8,30 @@
 from almondshore.moves.evidence import BUCKETS
 
 # Weight of one window in the moving average of a control service's rates.
-DECAY = 0.02
-# A window far above the long-term values hardly moves them, or a fault would soon pass as usual.
+WINDOW_WEIGHT = 0.02
+# A window far above the long-term values gets a small weight; otherwise a lasting fault would soon
+# raise them and count as normal.
 UNUSUAL_FACTOR = 3.0
-UNUSUAL_DECAY = 0.001
+UNUSUAL_WINDOW_WEIGHT = 0.001
 MAX_CONTROLS = 8
-MIN_REQUESTS = 5
+MIN_CONTROL_REQUESTS = 5
 MIN_ERROR_RATE = 0.002
 SLOW_QUANTILE = 0.95
-# A target with this much more load than another may well be slower for it.
-MAX_LOAD_RATIO = 1.4
-MAX_USUAL_RATIO = 1.25
+# A target whose load exceeds another's by more than this factor may be slower because of its load.
+MAX_CONCURRENT_LOAD_RATIO = 1.4
+MAX_PAST_LOAD_RATIO = 1.25
 MAX_REFUSED_SHARE = 0.01
 
 
-class Control:
-    """Long-term error rate and latency histogram of one service."""
+class ControlService:
+    """Long-term error rate and latency histogram of one control service."""
 
     def __init__(self) -> None:
         self.error_rate = 0.0
         self.buckets = [0.0] * BUCKETS
 
     def slow_share(self, row: EvidenceRow) -> float:
-        """Return the share of a row's responses above the long-term quantile."""
+        """Return the share of a row's responses above the long-term ``SLOW_QUANTILE``."""
         total = sum(self.buckets)
         seen, limit = 0.0, BUCKETS
         for index, count in enumerate(self.buckets):
@@ -42,14 +43,15 @@
         return sum(row.latency_buckets[limit:]) / timed if timed else 0.0
 
     def observe(self, row: EvidenceRow) -> tuple[float, float]:
-        """Move the long-term values towards those of a window.
+        """Update the long-term values with those of a window.
 
-        :returns: factors by which its error rate and its share of slow responses exceed them
+        :return: factors by which the error rate and the share of slow responses of the window
+            exceed the long-term values
         """
         rate = (row.errors + row.broken) / row.requests
         errors = rate / max(self.error_rate, MIN_ERROR_RATE)
         slow = self.slow_share(row) / (1 - SLOW_QUANTILE)
-        weight = UNUSUAL_DECAY if max(errors, slow) > UNUSUAL_FACTOR else DECAY
+        weight = UNUSUAL_WINDOW_WEIGHT if max(errors, slow) > UNUSUAL_FACTOR else WINDOW_WEIGHT
         self.error_rate += weight * (rate - self.error_rate)
         timed = sum(row.latency_buckets) or 1
         self.buckets = [
@@ -59,83 +61,91 @@
         return errors, slow
 
 
-class ControlGuard:
-    """Compares each control service's present rates with its long-term ones.
+class ControlBaseline:
+    """Compares the current rates of each control service with its long-term rates.
 
-    The median over the services is used: a fault of one service that shows at its callers does
-    not look like a fault of everything.
+    The median over the services is used, so that a fault of one service, which also affects its
+    callers, does not count as a fault of all services.
     """
 
     def __init__(self) -> None:
-        self.controls: dict[str, Control] = {}
+        self.controls: dict[str, ControlService] = {}
 
     def observe(self, rows: Iterable[EvidenceRow]) -> dict[bool, float]:
-        """Take in the control rows of a window.
+        """Add the control rows of a window.
 
-        :returns: factors, at least 1, by which present rates exceed the long-term ones: for
+        :return: factors, at least 1, by which current rates exceed the long-term ones: for
             slow responses under True, for errors under False
         """
         errors, slow = [], []
         for row in rows:
-            if row.requests < MIN_REQUESTS:
+            if row.requests < MIN_CONTROL_REQUESTS:
                 continue
             if row.service not in self.controls and len(self.controls) >= MAX_CONTROLS:
                 continue
-            control = self.controls.setdefault(row.service, Control())
+            control = self.controls.setdefault(row.service, ControlService())
             errors_factor, slow_factor = control.observe(row)
             errors.append(errors_factor)
             slow.append(slow_factor)
-        return {True: _middle(slow), False: _middle(errors)}
+        return {True: _median_factor(slow), False: _median_factor(errors)}
 
 
-def _middle(factors: list[float]) -> float:
+def _median_factor(factors: list[float]) -> float:
     return max(1.0, median(factors)) if factors else 1.0
 
 
 class SlotsInUse(NamedTuple):
-    """Slots of the targets among which each version's requests are spread."""
+    """Slots of the targets that receive the requests of each version."""
 
     new: int
     old: int
 
 
-class Loads(NamedTuple):
+class LoadComparison(NamedTuple):
     """Whether latencies may be compared in a window.
 
-    :ivar alike: the new version's targets carry hardly more load than the old version's now
-    :ivar usual: they carry hardly more than the old version's targets did before
-    :ivar calm: the service refuses hardly any requests
+    :ivar similar_to_old: whether the load of the new version's targets exceeds that of the old
+        version's targets in this window by at most ``MAX_CONCURRENT_LOAD_RATIO``
+    :ivar similar_to_past: whether it exceeds the past load of the old version's targets by at most
+        ``MAX_PAST_LOAD_RATIO``
+    :ivar few_refusals: whether the service refused at most ``MAX_REFUSED_SHARE`` of its requests
     """
 
-    alike: bool
-    usual: bool
-    calm: bool
+    similar_to_old: bool
+    similar_to_past: bool
+    few_refusals: bool
 
 
-class LoadGuard:
-    """Compares request rates for each slot, so that load is not mistaken for slowness."""
+class LoadBaseline:
+    """Compares requests per slot, so that the effect of load does not count as a slow version.
+
+    :ivar past_rate: moving average of the old version's requests per slot and window, from windows
+        in which it got at least half of the requests
+    """
 
     def __init__(self) -> None:
-        self.before = 0.0
+        self.past_rate = 0.0
 
     def observe(
         self, rows: Iterable[EvidenceRow], new: str, old: str, slots: SlotsInUse | None
-    ) -> Loads:
-        """Take in a service's rows of a window."""
+    ) -> LoadComparison:
+        """Add the rows of a service for a window and compare the loads of its versions."""
         rows = list(rows)
-        asked = {new: 0, old: 0}
+        offered = {new: 0, old: 0}
         for row in rows:
-            asked[row.version] = asked.get(row.version, 0) + row.requests + row.refused
-        total, refused = sum(asked.values()), sum(row.refused for row in rows)
-        calm = refused <= MAX_REFUSED_SHARE * total
-        if slots is None or not calm:
-            return Loads(False, False, calm)
-        new_rate = asked[new] / slots.new if slots.new else 0.0
-        old_rate = asked[old] / slots.old if slots.old else 0.0
-        loads = Loads(
-            new_rate <= MAX_LOAD_RATIO * old_rate, new_rate <= MAX_USUAL_RATIO * self.before, calm
+            offered[row.version] = offered.get(row.version, 0) + row.requests + row.refused
+        total, refused = sum(offered.values()), sum(row.refused for row in rows)
+        few_refusals = refused <= MAX_REFUSED_SHARE * total
+        if slots is None or not few_refusals:
+            return LoadComparison(False, False, few_refusals)
+        new_rate = offered[new] / slots.new if slots.new else 0.0
+        old_rate = offered[old] / slots.old if slots.old else 0.0
+        comparison = LoadComparison(
+            new_rate <= MAX_CONCURRENT_LOAD_RATIO * old_rate,
+            new_rate <= MAX_PAST_LOAD_RATIO * self.past_rate,
+            few_refusals,
         )
-        if asked[old] >= total / 2:
-            weight = DECAY if self.before else 1.0
-            self.before += weight * (old_rate - self.before)
-        return loads
+        if offered[old] >= total / 2:
+            weight = WINDOW_WEIGHT if self.past_rate else 1.0
+            self.past_rate += weight * (old_rate - self.past_rate)
+        return comparison
--- a/almondshore/moves/coordinator.py
+++ b/almondshore/moves/coordinator.py
@@ -18,7 +18,7 @@
     EvidenceAggregator,
 )
 from almondshore.moves.outcome import OutcomePublisher
-from almondshore.moves.plan import FINAL_STEP, Capacity, Gathered, plan_of, target_count
+from almondshore.moves.plan import FINAL_STEP, Capacity, RequestCounts, plan_of, target_count
 from almondshore.moves.record import Backoff, Fenced, MoveRecord, RecordStore
 from almondshore.moves.state import MoveTable
 from almondshore.moves.verdict import COORDINATOR_ALPHA_SHARE, FALSE_POSITIVE_RATE, MoveVerdict
@@ -26,21 +26,24 @@
 from almondshore.rules.model import MoveState, ServicePart
 from almondshore.storage.port import NotFound, Platform
 
-# Caches of a new version fill up; its latencies count only after this time. With a fifth of a short
-# move as the limit, a version that was cold for 25 s was reverted in a move of 120 s.
-WARM_UP = timedelta(seconds=30)
-WARM_UP_SHARE = 0.3
-# A move taken over at this step has been warm for long.
-WARM_STEP = 3
+# Latencies of a new version count only after this time, when its caches are filled. For short moves
+# it is limited to a share of the duration; with a fifth, a version that was cold for 25 s was
+# reverted in a move of 120 s.
+WARM_UP_DURATION = timedelta(seconds=30)
+MAX_WARM_UP_SHARE = 0.3
+# From this step on the new version has been warm for long, so a successor does not wait again.
+MIN_WARM_STEP = 3
 # Weight of one window in the moving average of the demand.
-DEMAND_DECAY = 0.2
-ROUTE_TRAFFIC_SHARE = 0.01
+DEMAND_WINDOW_WEIGHT = 0.2
+# Routes with a smaller share of the requests do not delay a step.
+MIN_ROUTE_TRAFFIC_SHARE = 0.01
 
 
 class TargetCounts(NamedTuple):
-    """Live targets of both versions of a service, as the directory shows them.
+    """Slots and live targets of both versions of a service, according to the directory.
 
-    :ivar new_targets: without the counts of targets, latencies are not compared
+    :ivar new_targets: live targets of the new version; latencies are compared only if both counts
+        of targets are given
     """
 
     new_slots: int
@@ -50,7 +53,7 @@
 
 
 class Status(StrEnum):
-    """State of a move as it is reported to operators."""
+    """State of a move in reports to operators."""
 
     ACTIVE = "active"
     AT_RISK = "at risk"
@@ -58,10 +61,10 @@
     REVERTED = "reverted"
 
 
-class Report(NamedTuple):
-    """What is reported of a move.
+class MoveReport(NamedTuple):
+    """Report on a move for operators.
 
-    :ivar recorded: whether the platform holds the outcome
+    :ivar recorded: whether the platform has stored the record and the outcome
     """
 
     service: str
@@ -76,12 +79,15 @@
 
 
 class MoveCoordinator:
-    """Takes the steps of one move, or rolls it back.
+    """Executes the steps of one move, or rolls it back.
 
-    The caller holds the lease of the move and gives its epoch. The record is written before a
-    step is announced, so that a coordinator that was paused past its lease finds the record of
-    its successor and announces nothing. While the platform does not answer, steps are announced
-    at once and recorded later; receivers refuse those of an old epoch.
+    The caller holds the lease of the move and passes its epoch. The record is written before a
+    step is announced, so that a coordinator that was paused until its lease expired finds the
+    record of its successor and announces nothing. While the platform does not answer, steps are
+    announced at once and recorded later; receivers reject those of an old epoch.
+
+    :ivar fenced: whether a coordinator with a higher epoch has taken over; this one then does
+        nothing any more
     """
 
     def __init__(
@@ -112,15 +118,18 @@
         self.record: MoveRecord | None = None
         self.verdict: MoveVerdict | None = None
         self.fenced = False
-        self.blocked = ""
+        self.blocked_reason = ""
         self.demand = 0.0
-        self.seen_at_step = 0
-        self.first_seen: timedelta | None = None
-        self.unsaved_veto: Veto | None = None
-        self.unpublished: MoveState | None = None
+        self.requests_at_step = 0
+        self.first_request_at: timedelta | None = None
+        self.pending_veto: Veto | None = None
+        self.pending_outcome: MoveState | None = None
 
     def set_configuration(self, part: ServicePart, config_version: int) -> None:
-        """Take over a newer version of the service's part with the same move."""
+        """Set a newer version of the service's part that contains the same move.
+
+        A changed ``allow`` rule of the new version discards the evidence collected so far.
+        """
         to_version = self.part["move"]["to_version"]
         if part["allowed"].get(to_version) != self.part["allowed"].get(to_version):
             self.verdict = None
@@ -129,11 +138,11 @@
         self.config_version = config_version
 
     def add_evidence(self, evidence: Evidence, sender: str) -> None:
-        """Take in the evidence of a relay."""
+        """Add the evidence of a relay."""
         self.aggregator.add(evidence, sender)
 
-    def tick(self, fleet: TargetCounts) -> list[MoveStep | Veto]:
-        """Act on what is known by now; return the messages for all nodes."""
+    def tick(self, target_counts: TargetCounts) -> list[MoveStep | Veto]:
+        """Evaluate closed windows and advance the move; return the messages for all nodes."""
         known = self.table.step(self.part)
         if known is not None and known.epoch > self.epoch:
             self.fenced = True
@@ -143,22 +152,33 @@
         if self.record is None:
             messages += self._take_over()
         if self.record is not None:
-            messages += self._judge(fleet) + self._advance(fleet)
-            self._save()
+            messages += self._evaluate(target_counts) + self._advance(target_counts)
+            self._retry_pending_writes()
         return [] if self.fenced else messages
 
-    def report(self) -> Report:
+    def report(self) -> MoveReport:
         """Return the state of the move for operators."""
         move, record = self.part["move"], self.record
         if record is None:
-            return Report(
-                self.part["name"], move["move_id"], Status.ACTIVE, 0, "starting", "", "", "", False
+            return MoveReport(
+                self.part["name"],
+                move["move_id"],
+                Status.ACTIVE,
+                0,
+                "starting",
+                "",
+                "",
+                "",
+                False,
             )
         status, reason = Status(record.state), record.reason
-        if status is Status.ACTIVE and self._at_risk():
-            status, reason = Status.AT_RISK, self.blocked or "the deadline has passed"
-        recorded = self.store.pending is None and self.unpublished is None
-        return Report(
+        if status is Status.ACTIVE and self._is_at_risk():
+            status, reason = (
+                Status.AT_RISK,
+                self.blocked_reason or "the deadline has passed",
+            )
+        recorded = self.store.pending is None and self.pending_outcome is None
+        return MoveReport(
             self.part["name"],
             move["move_id"],
             status,
@@ -170,63 +190,66 @@
             recorded,
         )
 
-    def _at_risk(self) -> bool:
+    def _is_at_risk(self) -> bool:
         now = self.clock.now()
         late = self.plan.is_late(self.record.step, now) and self.record.step < FINAL_STEP
         return now >= self.plan.deadline or late
 
     def _take_over(self) -> list[MoveStep]:
-        """Continue the move from its record and from the steps that nodes know."""
+        """Resume the move from its record and from the newest step known to this node."""
         if not self.backoff.is_due():
             return []
         result = self.store.read()
-        found = result.unwrap() if is_successful(result) else None
+        stored = result.unwrap() if is_successful(result) else None
         if not is_successful(result) and isinstance(result.failure(), Fenced):
             self.fenced = True
             return []
-        self.backoff.note(not is_successful(result))
-        self.record = self._continued(found)
-        self.verdict = self._verdict()
-        if self.record.step >= WARM_STEP:
-            self.first_seen = self.clock.monotonic() - WARM_UP
-        self._learn_veto()
-        self._note_outcome()
+        self.backoff.record_result(not is_successful(result))
+        self.record = self._resumed_record(stored)
+        self.verdict = self._new_verdict()
+        if self.record.step >= MIN_WARM_STEP:
+            self.first_request_at = self.clock.monotonic() - WARM_UP_DURATION
+        self._load_veto()
+        self._queue_outcome()
         self._write()
-        return [] if self.fenced else [self._message()]
+        return [] if self.fenced else [self._announce_step()]
+
+    def _resumed_record(self, record: MoveRecord | None) -> MoveRecord:
+        """Return the record to resume from.
 
-    def _continued(self, found: MoveRecord | None) -> MoveRecord:
-        """Return the record to continue from, given the one in the platform."""
+        :param record: the record in the platform, if any
+        """
         move, now = self.part["move"], self.clock.now()
-        if found is None or found.move_id != move["move_id"]:
-            found = MoveRecord(
+        if record is None or record.move_id != move["move_id"]:
+            record = MoveRecord(
                 move["move_id"], self.epoch, 0, 0, move["state"], "", "", "", self.plan.started
             )
         known = self.table.step(self.part)
-        if known is not None and known.step > found.step:
-            found = found._replace(step=known.step, at=now)
-        if move["state"] != MoveState.ACTIVE.value and found.state == MoveState.ACTIVE.value:
-            found = found._replace(state=move["state"], reason=move["reason"])
-        if found.state == MoveState.DONE.value:
-            found = found._replace(step=FINAL_STEP)
-        return found._replace(epoch=self.epoch, coordinators=found.coordinators + 1)
-
-    def _learn_veto(self) -> None:
-        """Take the veto that the platform holds, if every node that knew it was restarted."""
+        if known is not None and known.step > record.step:
+            record = record._replace(step=known.step, at=now)
+        if move["state"] != MoveState.ACTIVE.value and record.state == MoveState.ACTIVE.value:
+            record = record._replace(state=move["state"], reason=move["reason"])
+        if record.state == MoveState.DONE.value:
+            record = record._replace(step=FINAL_STEP)
+        return record._replace(epoch=self.epoch, coordinators=record.coordinators + 1)
+
+    def _load_veto(self) -> None:
+        """Load the stored veto, in case every node that knew it was restarted."""
         veto = read_veto(self.platform, self.part["name"], self.part["move"]["to_version"])
         if veto is not None:
             self.table.add_veto(veto)
 
-    def _judge(self, fleet: TargetCounts) -> list[Veto]:
-        """Evaluate the windows that have closed; return a veto if the version is condemned."""
+    def _evaluate(self, target_counts: TargetCounts) -> list[Veto]:
+        """Evaluate the closed windows; return a veto if there is a regression not yet vetoed."""
         if self.record.state == MoveState.REVERTED.value:
             return []
-        verdict = self.verdict = self.verdict or self._verdict()
+        verdict = self.verdict = self.verdict or self._new_verdict()
         for evidence in self.aggregator.tick():
-            self._note_demand(evidence.rows)
+            self._update_demand(evidence.rows)
             verdict.observe(
                 evidence.window,
                 evidence.rows,
-                slots=self._slots(fleet),
+                slots=self._slots(target_counts),
                 warm=self._is_warm(evidence.rows),
             )
         messages = []
@@ -248,8 +271,11 @@
     def _veto(self) -> Veto | None:
         return self.table.veto(self.part, self.part["move"]["to_version"])
 
-    def _verdict(self) -> MoveVerdict:
-        """Return a new verdict; the n-th coordinator of a move gets 1/(n(n+1)) of the rate."""
+    def _new_verdict(self) -> MoveVerdict:
+        """Return a new verdict.
+
+        The n-th coordinator of a move gets 1/(n(n+1)) of the coordinators' false positive rate.
+        """
         move, number = self.part["move"], max(self.record.coordinators, 1)
         verdict = MoveVerdict(
             service=self.part["name"],
@@ -263,7 +289,7 @@
 
     def _roll_back(self, veto: Veto) -> None:
         regression = self.verdict.regression if self.verdict else None
-        self.unsaved_veto = veto
+        self.pending_veto = veto
         self._end(
             MoveState.REVERTED,
             veto.reason,
@@ -275,10 +301,10 @@
         self.record = self.record._replace(
             state=state.value, reason=reason, route=route, evidence=evidence, at=self.clock.now()
         )
-        self._note_outcome()
+        self._queue_outcome()
         self._write()
 
-    def _advance(self, fleet: TargetCounts) -> list[MoveStep]:
+    def _advance(self, target_counts: TargetCounts) -> list[MoveStep]:
         """Take the next step if it is allowed, or complete the move."""
         record, now = self.record, self.clock.now()
         if record.state != MoveState.ACTIVE.value:
@@ -290,67 +316,75 @@
             step=record.step,
             taken_at=record.at,
             now=now,
-            capacity=Capacity(fleet.new_slots, self.demand or fleet.old_slots, fleet.old_slots),
-            seen=self._gathered(),
+            capacity=Capacity(
+                target_counts.new_slots,
+                self.demand or target_counts.old_slots,
+                target_counts.old_slots,
+            ),
+            counts=self._request_counts(),
         )
-        self.blocked = decision.reason
+        self.blocked_reason = decision.reason
         if not decision.allowed:
             return []
         baseline = self.verdict.baseline()
         self.record = record._replace(step=record.step + 1, at=now, baseline=baseline)
-        self.seen_at_step = self._new_requests()
+        self.requests_at_step = self._new_requests()
         self._write()
-        return [] if self.fenced else [self._message()]
+        return [] if self.fenced else [self._announce_step()]
 
-    def _message(self) -> MoveStep:
+    def _announce_step(self) -> MoveStep:
         message = MoveStep(self.part["name"], self.record.move_id, self.epoch, self.record.step)
         self.table.apply_step(message)
         return message
 
     def _write(self) -> None:
-        self._note(self.store.write(self.record))
+        self._handle_write_result(self.store.write(self.record))
 
-    def _note(self, result: Result) -> None:
-        """Take the result of a write: continue from what was written, or stop if fenced."""
+    def _handle_write_result(self, result: Result) -> None:
+        """Handle the result of a write: continue from the record as written, or stop if fenced."""
         failed = not is_successful(result)
         if failed and isinstance(result.failure(), Fenced):
             self.fenced = True
         elif not failed and result.unwrap() is not None:
             self.record = result.unwrap()
-            self._note_outcome()
-        self.backoff.note(failed)
+            self._queue_outcome()
+        self.backoff.record_result(failed)
 
-    def _note_outcome(self) -> None:
-        """Publish the recorded outcome if the configuration does not have it."""
+    def _queue_outcome(self) -> None:
+        """Schedule publication of the outcome if the configuration does not contain it."""
         state = self.record.state
         if state != MoveState.ACTIVE.value and state != self.part["move"]["state"]:
-            self.unpublished = MoveState(state)
+            self.pending_outcome = MoveState(state)
 
-    def _save(self) -> None:
-        """Repeat what the platform has not confirmed: record, veto, configuration version."""
+    def _retry_pending_writes(self) -> None:
+        """Retry unconfirmed writes: the record, then the veto and the configuration version."""
         if self.fenced or not self.backoff.is_due():
             return
         if self.store.pending is not None:
-            self._note(self.store.flush())
-        if self.unsaved_veto is not None and self.store.pending is None:
-            saved = save_veto(self.platform, self.unsaved_veto)
-            self.unsaved_veto = None if saved else self.unsaved_veto
-        if self.unpublished is not None and self.store.pending is None and not self.fenced:
+            self._handle_write_result(self.store.flush())
+        if self.pending_veto is not None and self.store.pending is None:
+            saved = save_veto(self.platform, self.pending_veto)
+            self.pending_veto = None if saved else self.pending_veto
+        if self.pending_outcome is not None and self.store.pending is None and not self.fenced:
             record = self.record
             result = self.publisher.publish(
-                self.part["name"], record.move_id, self.unpublished, record.reason
+                self.part["name"], record.move_id, self.pending_outcome, record.reason
             )
             failed = not is_successful(result)
             if not failed or isinstance(result.failure(), NotFound):
-                self.unpublished = None
-            self.backoff.note(failed)
+                self.pending_outcome = None
+            self.backoff.record_result(failed)
 
-    def _gathered(self) -> Gathered:
-        """Return the requests on the new version since the step, and on its rarest route."""
+    def _request_counts(self) -> RequestCounts:
+        """Return the new version's requests since the step, and on the route with the fewest."""
         counts = self.verdict.requests() if self.verdict else {}
         total = sum(new + old for new, old in counts.values())
-        busy = [new for new, old in counts.values() if new + old >= ROUTE_TRAFFIC_SHARE * total > 0]
-        return Gathered(self._new_requests() - self.seen_at_step, min(busy, default=0))
+        route_requests = [
+            new for new, old in counts.values() if new + old >= MIN_ROUTE_TRAFFIC_SHARE * total > 0
+        ]
+        return RequestCounts(
+            self._new_requests() - self.requests_at_step, min(route_requests, default=0)
+        )
 
     def _new_requests(self) -> int:
         return sum(new for new, _ in self.verdict.requests().values()) if self.verdict else 0
@@ -358,30 +392,32 @@
     def _is_warm(self, rows: Iterable[EvidenceRow]) -> bool:
         new = self.part["move"]["to_version"]
         now = self.clock.monotonic()
-        if self.first_seen is None and any(r.version == new and r.requests for r in rows):
-            self.first_seen = now
-        duration = self.plan.end - self.plan.started
-        warm_up = min(WARM_UP, duration * WARM_UP_SHARE)
-        return self.first_seen is not None and now >= self.first_seen + warm_up
-
-    def _slots(self, fleet: TargetCounts) -> SlotsInUse | None:
-        """Return the slots among which requests are spread, as the chooser limits them."""
-        if not fleet.new_targets or not fleet.old_targets:
+        if self.first_request_at is None and any(r.version == new and r.requests for r in rows):
+            self.first_request_at = now
+        duration = self.plan.planned_end - self.plan.started
+        warm_up = min(WARM_UP_DURATION, duration * MAX_WARM_UP_SHARE)
+        return self.first_request_at is not None and now >= self.first_request_at + warm_up
+
+    def _slots(self, target_counts: TargetCounts) -> SlotsInUse | None:
+        """Return the slots that receive requests, given the limit on new targets in use."""
+        if not target_counts.new_targets or not target_counts.old_targets:
             return None
         share = self.table.share(self.part)
-        used = target_count(share, fleet.new_targets, fleet.old_targets)
-        new = fleet.new_slots * used // fleet.new_targets
-        return SlotsInUse(new, fleet.old_slots)
-
-    def _note_demand(self, rows: Iterable[EvidenceRow]) -> None:
-        """Estimate the slots in use from rate and latency (Little's law)."""
-        in_use = sum(_in_use(row) for row in rows if row.service == self.part["name"])
-        weight = DEMAND_DECAY if self.demand else 1.0
-        self.demand += weight * (in_use - self.demand)
+        used = target_count(share, target_counts.new_targets, target_counts.old_targets)
+        new = target_counts.new_slots * used // target_counts.new_targets
+        return SlotsInUse(new, target_counts.old_slots)
+
+    def _update_demand(self, rows: Iterable[EvidenceRow]) -> None:
+        """Update the estimate of slots in use from request rate and latency (Little's law)."""
+        concurrency = sum(
+            _mean_concurrency(row) for row in rows if row.service == self.part["name"]
+        )
+        weight = DEMAND_WINDOW_WEIGHT if self.demand else 1.0
+        self.demand += weight * (concurrency - self.demand)
 
 
-def _in_use(row: EvidenceRow) -> float:
-    """Return the mean number of requests of a row that ran at the same time."""
+def _mean_concurrency(row: EvidenceRow) -> float:
+    """Return the mean number of concurrent requests of a row."""
     bounds = (*BUCKET_BOUNDS_MS, 2 * BUCKET_BOUNDS_MS[-1])
     milliseconds = sum(
         count * bound for count, bound in zip(row.latency_buckets, bounds, strict=True)
--- a/almondshore/moves/eprocess.py
+++ b/almondshore/moves/eprocess.py
@@ -1,36 +1,37 @@
-"""Sequential test by e-processes: likelihood ratios that may be looked at after each window."""
+"""Sequential test based on e-processes, which stays valid when evaluated after every window."""
 
 import math
 from collections.abc import Sequence
 
-# A new start every 15 windows finds a version that turns bad long after the move began.
-START_EVERY = 15
-MAX_STARTS = 8
-# Weight of the first start: at first requests are few, later a larger share brings evidence fast.
-FIRST_START = 0.75
-# Above this many terms the exact distribution costs more than it is worth.
-MAX_TERMS = 200
+# A new start every 15 windows detects a version that becomes faulty long after the move began.
+START_INTERVAL_WINDOWS = 15
+MAX_OPEN_STARTS = 8
+# The first start gets most of the weight, since there are few requests at first; later a larger
+# share gives evidence quickly.
+FIRST_START_WEIGHT = 0.75
+# With more terms the gain of the exact distribution does not justify its cost.
+MAX_EXACT_TERMS = 200
 
 
-class Alternative:
-    """Odds that a test tells apart.
+class OddsHypothesis:
+    """Null and alternative hypotheses about the odds ratio of the new version to the old one.
 
-    :ivar tolerance: ratio of the new version's odds to the old one's that is still accepted
-    :ivar ratios: ratios of the alternatives, all above the tolerance
+    :ivar tolerance: largest accepted odds ratio, the bound of the null hypothesis
+    :ivar odds_ratios: odds ratios of the alternatives, all above the tolerance
     """
 
-    def __init__(self, *, tolerance: float, ratios: Sequence[float]):
+    def __init__(self, *, tolerance: float, odds_ratios: Sequence[float]):
         self.tolerance = tolerance
-        self.ratios = tuple(ratios)
+        self.odds_ratios = tuple(odds_ratios)
 
 
-def concurrent_ratio(
-    alternative: Alternative, *, new: int, old: int, new_total: int, old_total: int
+def concurrent_log_ratios(
+    hypothesis: OddsHypothesis, *, new: int, old: int, new_total: int, old_total: int
 ) -> list[float]:
     """Return the log likelihood ratios of one window with requests on both versions.
 
-    Given the number of events on both versions together, the number on the new one follows
-    Fisher's noncentral hypergeometric distribution, whatever the common rate is in this window.
+    Given the total number of events, the number on the new version follows Fisher's noncentral
+    hypergeometric distribution, regardless of the common rate in this window.
 
     :param new: events on the new version
     :param old: events on the old version
@@ -39,34 +40,34 @@
     """
     events = new + old
     if not events or not new_total or not old_total:
-        return [0.0] * len(alternative.ratios)
-    if min(events, new_total) > MAX_TERMS:
-        return _binomial_ratio(alternative, new, events, new_total, old_total)
+        return [0.0] * len(hypothesis.odds_ratios)
+    if min(events, new_total) > MAX_EXACT_TERMS:
+        return _binomial_log_ratios(hypothesis, new, events, new_total, old_total)
     low, high = max(0, events - old_total), min(events, new_total)
     terms = [
         (j, _log_choose(new_total, j) + _log_choose(old_total, events - j))
         for j in range(low, high + 1)
     ]
-    base = _log_mass(terms, alternative.tolerance)
+    base = _log_normalizer(terms, hypothesis.tolerance)
     return [
-        new * math.log(ratio / alternative.tolerance) + base - _log_mass(terms, ratio)
-        for ratio in alternative.ratios
+        new * math.log(ratio / hypothesis.tolerance) + base - _log_normalizer(terms, ratio)
+        for ratio in hypothesis.odds_ratios
     ]
 
 
-def _binomial_ratio(
-    alternative: Alternative, new: int, events: int, new_total: int, old_total: int
+def _binomial_log_ratios(
+    hypothesis: OddsHypothesis, new: int, events: int, new_total: int, old_total: int
 ) -> list[float]:
-    """Return log likelihood ratios with the binomial in place of the hypergeometric.
+    """Return log likelihood ratios with the binomial instead of the hypergeometric distribution.
 
-    The binomial is more dispersed, so the test stays valid and is only weaker.
+    The binomial has a larger variance, so the test stays valid but has less power.
     """
-    tolerance = alternative.tolerance
+    tolerance = hypothesis.tolerance
     base = tolerance * new_total + old_total
     return [
         new * math.log(ratio / tolerance)
         + events * math.log(base / (ratio * new_total + old_total))
-        for ratio in alternative.ratios
+        for ratio in hypothesis.odds_ratios
     ]
 
 
@@ -74,29 +75,34 @@
     return math.lgamma(total + 1) - math.lgamma(count + 1) - math.lgamma(total - count + 1)
 
 
-def _log_mass(terms: list[tuple[int, float]], ratio: float) -> float:
+def _log_normalizer(terms: list[tuple[int, float]], ratio: float) -> float:
     log_ratio = math.log(ratio)
-    return log_sum(value + count * log_ratio for count, value in terms)
+    return log_sum_exp(value + count * log_ratio for count, value in terms)
 
 
-def baseline_ratio(
-    alternative: Alternative, *, new: float, new_total: int, rate: float
+def baseline_log_ratios(
+    hypothesis: OddsHypothesis, *, new: float, new_total: int, rate: float
 ) -> list[float]:
-    """Return the log likelihood ratios of one window against a known rate of the old version."""
-    tolerance = alternative.tolerance
+    """Return the log likelihood ratios of one window against a known rate of the old version.
+
+    :param new: events on the new version
+    :param new_total: requests on the new version
+    :param rate: rate of events per request on the old version
+    """
+    tolerance = hypothesis.tolerance
     return [
         new * math.log(ratio / tolerance) - new_total * rate * (ratio - tolerance)
-        for ratio in alternative.ratios
+        for ratio in hypothesis.odds_ratios
     ]
 
 
 class EProcess:
     """Mixture of likelihood ratios over alternatives and over start times.
 
-    Its expectation under the null hypothesis never exceeds 1, so by Ville's inequality it ever
-    reaches ``1 / alpha`` with probability at most ``alpha``. The weights of the starts
-    add up to 1, those after the first in proportion to 1/(j(j+1)); dropping a start only makes the
-    test stricter.
+    Its expected value under the null hypothesis never exceeds 1, so by Ville's inequality the
+    probability that it ever reaches ``1 / alpha`` is at most ``alpha``. The weights of the starts
+    add up to 1; those after the first are proportional to 1/(j(j+1)). Dropping a start only makes
+    the test more conservative.
     """
 
     def __init__(self, *, alternatives: int):
@@ -104,30 +110,34 @@
         self.windows = 0
         self.starts: list[list[float]] = []
 
-    def update(self, ratios: Sequence[float]) -> None:
-        """Multiply in the log likelihood ratios of one window."""
-        if self.windows % START_EVERY == 0:
-            number = self.windows // START_EVERY + 1
-            share = FIRST_START if number == 1 else (1 - FIRST_START) * 2 / (number * (number + 1))
+    def update(self, log_ratios: Sequence[float]) -> None:
+        """Multiply the process by the likelihood ratios of one window, given as logarithms."""
+        if self.windows % START_INTERVAL_WINDOWS == 0:
+            number = self.windows // START_INTERVAL_WINDOWS + 1
+            share = (
+                FIRST_START_WEIGHT
+                if number == 1
+                else (1 - FIRST_START_WEIGHT) * 2 / (number * (number + 1))
+            )
             weight = math.log(share / self.alternatives)
             self.starts.append([weight] * self.alternatives)
         self.windows += 1
         self.starts = [
-            [value + ratio for value, ratio in zip(start, ratios, strict=True)]
+            [value + ratio for value, ratio in zip(start, log_ratios, strict=True)]
             for start in self.starts
         ]
-        if len(self.starts) > MAX_STARTS:
+        if len(self.starts) > MAX_OPEN_STARTS:
             self.starts.remove(min(self.starts, key=max))
 
     def log_value(self) -> float:
         """Return the natural logarithm of the e-process; 0 before the first window."""
         if not self.starts:
             return 0.0
-        return log_sum(value for start in self.starts for value in start)
+        return log_sum_exp(value for start in self.starts for value in start)
 
 
-def log_sum(values) -> float:
-    """Return the logarithm of the sum of exponentials."""
+def log_sum_exp(values) -> float:
+    """Return the logarithm of the sum of exponentials, without overflow."""
     values = list(values)
-    top = max(values)
-    return top + math.log(sum(math.exp(value - top) for value in values))
+    largest = max(values)
+    return largest + math.log(sum(math.exp(value - largest) for value in values))
--- a/almondshore/moves/evidence.py
+++ b/almondshore/moves/evidence.py
@@ -1,4 +1,4 @@
-"""Request evidence: counted at nodes, summed up at relays and at the coordinator."""
+"""Request evidence: counted at nodes, aggregated at relays and at the coordinator."""
 
 from bisect import bisect_left
 from collections.abc import Iterable
@@ -8,19 +8,19 @@
 from almondshore.core.messages import Evidence, EvidenceRow
 
 WINDOW = timedelta(seconds=1)
-# Each bound is about 1.4 times the one before; the last bucket holds everything above.
+# Upper bounds, each about 1.4 times the previous one; the last bucket has no upper bound.
 BUCKET_BOUNDS_MS = (1, 1.4, 2, 2.8, 4, 5.6, 8, 11, 16, 22, 32, 45, 64, 90, 128, 181, 256, 362, 512)
 BUCKET_BOUNDS_MS += (724, 1024, 1448, 2048, 4096)
 BUCKETS = len(BUCKET_BOUNDS_MS) + 1
 
-MAX_ROWS = 64
-# Route of the rows of services without a move; they show what befalls all services alike.
+MAX_ROWS_PER_WINDOW = 64
+# Route of the rows of services without a move. They show faults that affect all services alike.
 CONTROL_ROUTE = "*"
 MAX_CONTROL_SERVICES = 8
 OTHER_ROUTES = "other"
 
-# How long an aggregator keeps a window open after its end, for messages still on their way: a
-# relay waits for its nodes, the coordinator for the relays.
+# How long an aggregator keeps a window open after its end for messages in transit: a relay waits
+# for its nodes, the coordinator waits for the relays.
 RELAY_GRACE = timedelta(milliseconds=400)
 COORDINATOR_GRACE = timedelta(milliseconds=800)
 MAX_OPEN_WINDOWS = 8
@@ -31,7 +31,7 @@
 
 
 def window_of(at: datetime) -> int:
-    """Return the index of the window that contains a time."""
+    """Return the number of the window that contains a time, counted from the Unix epoch."""
     return int(at.timestamp() // WINDOW.total_seconds())
 
 
@@ -40,20 +40,20 @@
     return bisect_left(BUCKET_BOUNDS_MS, latency.total_seconds() * 1000)
 
 
-def add_rows(one: EvidenceRow, other: EvidenceRow) -> EvidenceRow:
+def add_rows(left: EvidenceRow, right: EvidenceRow) -> EvidenceRow:
     """Return the sum of two rows of the same service, version and route."""
-    buckets = list(map(int.__add__, one.latency_buckets, other.latency_buckets))
-    return one._replace(
-        requests=one.requests + other.requests,
-        errors=one.errors + other.errors,
+    buckets = list(map(int.__add__, left.latency_buckets, right.latency_buckets))
+    return left._replace(
+        requests=left.requests + right.requests,
+        errors=left.errors + right.errors,
         latency_buckets=buckets,
-        broken=one.broken + other.broken,
-        refused=one.refused + other.refused,
+        broken=left.broken + right.broken,
+        refused=left.refused + right.refused,
     )
 
 
 def is_valid(row: EvidenceRow) -> bool:
-    """Return whether the counts of a row from another node are consistent."""
+    """Return whether the counts of a row from another node are complete and consistent."""
     counts = (row.requests, row.errors, row.broken, row.refused, *row.latency_buckets)
     return (
         len(row.latency_buckets) == BUCKETS
@@ -63,33 +63,34 @@
     )
 
 
-def _sum_into(rows: dict[RowKey, EvidenceRow], more: Iterable[EvidenceRow], limit: int) -> None:
-    for row in filter(is_valid, more):
-        known = rows.get(row[:3])
-        if known is not None:
-            rows[row[:3]] = add_rows(known, row)
+def _add_rows_to(rows: dict[RowKey, EvidenceRow], added: Iterable[EvidenceRow], limit: int) -> None:
+    for row in filter(is_valid, added):
+        existing = rows.get(row[:3])
+        if existing is not None:
+            rows[row[:3]] = add_rows(existing, row)
         elif len(rows) < limit:
             rows[row[:3]] = row
 
 
 def split_by_service(evidence: Evidence, services: Iterable[str]) -> dict[str, Evidence]:
-    """Split evidence into what the coordinator of each service needs.
+    """Split evidence by service, for the coordinators of the services' moves.
 
-    Each part holds the rows of its service and one control row for each other service.
+    Each part contains the rows of its service and one control row for each other service, at most
+    ``MAX_CONTROL_SERVICES``. Services without rows of their own are left out.
     """
     controls: dict[RowKey, EvidenceRow] = {}
     for row in evidence.rows:
-        _sum_into(controls, [row._replace(version="", route=CONTROL_ROUTE)], MAX_SUMMED_ROWS)
+        _add_rows_to(controls, [row._replace(version="", route=CONTROL_ROUTE)], MAX_SUMMED_ROWS)
     parts = {}
     for service in services:
-        own = [row for row in evidence.rows if row.service == service and row.version]
-        others = [row for row in controls.values() if row.service != service]
-        if own:
-            parts[service] = evidence._replace(rows=own + others[:MAX_CONTROL_SERVICES])
+        own_rows = [row for row in evidence.rows if row.service == service and row.version]
+        control_rows = [row for row in controls.values() if row.service != service]
+        if own_rows:
+            parts[service] = evidence._replace(rows=own_rows + control_rows[:MAX_CONTROL_SERVICES])
     return parts
 
 
-class _Counter:
+class _RowCounter:
     """Counts of one row while its window is open."""
 
     __slots__ = ("requests", "errors", "buckets", "broken", "refused")
@@ -100,23 +101,23 @@
 
 
 class EvidenceRecorder:
-    """Counts the results of requests at a node and reports each window once it has ended.
+    """Counts the results of requests at a node and reports each window after its end.
 
-    Counted as an error is a server error (5xx) or a broken response of a target. The caller
-    records neither requests that the target's node could not be reached for, since the loss of
+    Server errors (5xx) and broken responses of targets are counted as faults of the version. The
+    caller does not record requests for which the target's node was unreachable, since the loss of
     a host or a zone says nothing about a version, nor requests refused as crash requests.
     """
 
-    def __init__(self, *, clock: Clock, max_rows: int = MAX_ROWS):
+    def __init__(self, *, clock: Clock, max_rows: int = MAX_ROWS_PER_WINDOW):
         self.clock = clock
         self.max_rows = max_rows
         self.services: set[str] = set()
         self.window = window_of(clock.now())
-        self.rows: dict[RowKey, _Counter] = {}
-        self.ended: list[Evidence] = []
+        self.rows: dict[RowKey, _RowCounter] = {}
+        self.ended_windows: list[Evidence] = []
 
     def set_services(self, services: set[str]) -> None:
-        """Set the services whose moves are under way or being watched; none stops recording."""
+        """Set the services whose moves are active or monitored; an empty set stops recording."""
         self.services = set(services)
 
     def record(
@@ -130,12 +131,13 @@
         broken: bool = False,
         cold: bool = False,
     ) -> None:
-        """Count a request that was handed to a target.
+        """Count a request that was passed to a target.
 
-        :param ok: whether a whole response came that is not a server error
-        :param latency: from hand-over at the target's node to the end of the response
-        :param broken: whether the response broke off or never came
-        :param cold: whether the target is in its slow start, when latency says nothing
+        :param ok: whether a complete response arrived that is not a server error
+        :param latency: time from passing the request to the target at its node until the end of
+            the response
+        :param broken: whether the response was truncated or never arrived
+        :param cold: whether the target is in slow start, when its latency is not counted
         """
         counter = self._counter(service, version, route)
         if counter is None:
@@ -149,21 +151,21 @@
             counter.buckets[bucket_of(latency)] += 1
 
     def record_refusal(self, service: str, version: str, route: str) -> None:
-        """Count a request that was refused because of overload."""
+        """Count a request that was rejected because of overload."""
         counter = self._counter(service, version, route)
         if counter is not None:
             counter.refused += 1
 
     def tick(self) -> list[Evidence]:
         """Return the evidence of the windows that have ended."""
-        self._roll()
-        ended, self.ended = self.ended, []
-        return ended
+        self._close_ended_windows()
+        ended_windows, self.ended_windows = self.ended_windows, []
+        return ended_windows
 
-    def _counter(self, service: str, version: str, route: str) -> _Counter | None:
+    def _counter(self, service: str, version: str, route: str) -> _RowCounter | None:
         if not self.services:
             return None
-        self._roll()
+        self._close_ended_windows()
         key = (service, version, route)
         if service not in self.services:
             key = (service, "", CONTROL_ROUTE)
@@ -171,14 +173,14 @@
         if counter is not None:
             return counter
         if service not in self.services:
-            controls = sum(found[2] == CONTROL_ROUTE for found in self.rows)
+            controls = sum(row_key[2] == CONTROL_ROUTE for row_key in self.rows)
             if controls >= MAX_CONTROL_SERVICES:
                 return None
         elif len(self.rows) >= self.max_rows:
             key = (service, version, OTHER_ROUTES)
-        return self.rows.setdefault(key, _Counter())
+        return self.rows.setdefault(key, _RowCounter())
 
-    def _roll(self) -> None:
+    def _close_ended_windows(self) -> None:
         window = window_of(self.clock.now())
         if window <= self.window:
             return
@@ -194,51 +196,55 @@
                 )
                 for key, counter in self.rows.items()
             ]
-            self.ended = [*self.ended, Evidence(self.window, 1, rows)][-MAX_OPEN_WINDOWS:]
+            self.ended_windows = [*self.ended_windows, Evidence(self.window, 1, rows)][
+                -MAX_OPEN_WINDOWS:
+            ]
         self.rows = {}
         self.window = window
 
 
 class EvidenceAggregator:
-    """Sums up the evidence of many sources by window, each source once for each window.
+    """Sums the evidence of many senders by window; each sender is counted once per window.
+
+    A window is closed after its grace period. Later evidence is dropped, because the receiver has
+    already acted on the sum and could not distinguish a second one from a duplicate.
 
-    A window is closed when its grace has passed. What comes later is dropped and counted: the
-    receiver has already acted on the sum, and a second one could not be told from a duplicate.
+    :ivar dropped: number of messages dropped as late, too early, duplicate or above the limit
     """
 
     def __init__(self, *, clock: Clock, grace: timedelta = RELAY_GRACE):
         self.clock = clock
         self.grace = grace
-        self.open: dict[int, dict[RowKey, EvidenceRow]] = {}
-        self.seen: dict[int, dict[str, int]] = {}
-        self.closed = window_of(clock.now()) - MAX_OPEN_WINDOWS
+        self.open_windows: dict[int, dict[RowKey, EvidenceRow]] = {}
+        self.senders_by_window: dict[int, dict[str, int]] = {}
+        self.last_closed = window_of(clock.now()) - MAX_OPEN_WINDOWS
         self.dropped = 0
 
     def add(self, evidence: Evidence, sender: str) -> bool:
-        """Add a source's evidence; return whether it was counted."""
+        """Add a sender's evidence; return whether it was counted."""
         newest = window_of(self.clock.now()) + 1
-        if not self.closed < evidence.window <= newest:
+        if not self.last_closed < evidence.window <= newest:
             self.dropped += 1
             return False
-        senders = self.seen.setdefault(evidence.window, {})
+        senders = self.senders_by_window.setdefault(evidence.window, {})
         if sender in senders or len(senders) >= MAX_SOURCES:
             self.dropped += 1
             return False
         senders[sender] = evidence.sources
-        rows = self.open.setdefault(evidence.window, {})
-        _sum_into(rows, evidence.rows, MAX_SUMMED_ROWS)
+        rows = self.open_windows.setdefault(evidence.window, {})
+        _add_rows_to(rows, evidence.rows, MAX_SUMMED_ROWS)
         return True
 
     def tick(self) -> list[Evidence]:
-        """Return the sums of the windows whose grace has passed, oldest first."""
+        """Close the windows whose grace period has passed; return their sums, oldest first."""
         last = window_of(self.clock.now() - self.grace) - 1
-        ready = sorted(window for window in self.open if window <= last)
-        self.closed = max(self.closed, last)
+        ready = sorted(window for window in self.open_windows if window <= last)
+        self.last_closed = max(self.last_closed, last)
         return [
             Evidence(
                 window,
-                sum(self.seen.pop(window).values()),
-                [row for _, row in sorted(self.open.pop(window).items())],
+                sum(self.senders_by_window.pop(window).values()),
+                [row for _, row in sorted(self.open_windows.pop(window).items())],
             )
             for window in ready
         ]
--- a/almondshore/moves/outcome.py
+++ b/almondshore/moves/outcome.py
@@ -1,4 +1,4 @@
-"""Publishing the end of a move as a new configuration version."""
+"""Publishes the outcome of a move as a new configuration version."""
 
 from abc import ABC, abstractmethod
 
@@ -20,15 +20,15 @@
     def publish(
         self, service: str, move_id: str, state: MoveState, reason: str
     ) -> Result[int, PlatformError]:
-        """Publish a configuration version that records the outcome; safe to repeat.
+        """Publish a configuration version that records the outcome; the call is idempotent.
 
-        :returns: the version in which the outcome is recorded, which may be an earlier one;
+        :return: the version in which the outcome is recorded, which may be an earlier one;
             ``NotFound`` if the configuration no longer contains the move
         """
 
 
 class ConfigOutcomePublisher(OutcomePublisher):
-    """Publishes outcomes on top of the newest configuration version."""
+    """Publishes outcomes as changes of the newest configuration version."""
 
     def __init__(self, *, publisher: Publisher, clock: Clock, author: str):
         self.publisher = publisher
@@ -38,7 +38,7 @@
     def publish(
         self, service: str, move_id: str, state: MoveState, reason: str
     ) -> Result[int, PlatformError]:
-        """Publish the outcome; a conflict with another publisher is returned to the caller."""
+        """Publish the outcome; a conflict with a concurrent change is returned to the caller."""
         current = self.publisher.current()
         if not is_successful(current):
             return current
@@ -70,7 +70,7 @@
 def with_outcome(part: ServicePart, state: MoveState, reason: str) -> ServicePart:
     """Return a service part whose move has ended.
 
-    :param state: done makes the new version the serving one, reverted the old one
+    :param state: ``DONE`` makes the new version the serving one, ``REVERTED`` the old one
     """
     move = part["move"]
     serving = move["to_version"] if state is MoveState.DONE else move["from_version"]
--- a/almondshore/moves/record.py
+++ b/almondshore/moves/record.py
@@ -1,4 +1,4 @@
-"""The record of a move in the platform, written by its coordinator only."""
+"""The stored record of a move, written only by its coordinator."""
 
 import random
 from datetime import datetime, timedelta
@@ -12,19 +12,19 @@
 from almondshore.rules.model import MoveState
 from almondshore.storage.port import Conflict, NotFound, Platform, PlatformError, StoredObject
 
-RETRY_BASE = timedelta(seconds=0.5)
-RETRY_CAP = timedelta(seconds=5)
+RETRY_BASE_DELAY = timedelta(seconds=0.5)
+MAX_RETRY_DELAY = timedelta(seconds=5)
 MAX_CONFLICTS = 3
 
 
 class MoveRecord(NamedTuple):
-    """Content of ``move/<service>``.
+    """Content of the platform object ``move/<service>``.
 
-    :ivar epoch: epoch of the coordinator that wrote it
-    :ivar coordinators: how many coordinators the move has had
+    :ivar epoch: epoch of the coordinator that wrote the record
+    :ivar coordinators: number of coordinators that the move has had
     :ivar at: when the step was taken or the move ended
-    :ivar baseline: counts of the old version by route, for a successor that sees no request on it
-        any more: requests, errors, broken responses, histogram
+    :ivar baseline: by route, the old version's requests, errors, broken responses and latency
+        histogram, for a successor that starts when the old version gets no more requests
     """
 
     move_id: str
@@ -40,13 +40,13 @@
 
 
 class Fenced(NamedTuple):
-    """A coordinator with a higher epoch has taken over; nothing was changed."""
+    """A coordinator with a higher epoch has taken over; nothing was written."""
 
     epoch: int
 
 
 class Backoff:
-    """Spaces repeated calls with full jitter."""
+    """Exponential backoff with full jitter for calls to the platform."""
 
     def __init__(self, *, clock: Clock, rng: random.Random):
         self.clock = clock
@@ -58,18 +58,18 @@
         """Return whether the next call may be made."""
         return self.clock.monotonic() >= self.next_at
 
-    def note(self, failed: bool) -> None:
-        """Record the result of a call."""
+    def record_result(self, failed: bool) -> None:
+        """Schedule the next call: at once after a success, with a delay after a failure."""
         self.failures = min(self.failures + 1, 10) if failed else 0
-        delay = min(RETRY_BASE * 2**self.failures, RETRY_CAP) * self.rng.random()
+        delay = min(RETRY_BASE_DELAY * 2**self.failures, MAX_RETRY_DELAY) * self.rng.random()
         self.next_at = self.clock.monotonic() + (delay if failed else timedelta())
 
 
 class RecordStore:
     """Reads and conditionally updates the record of one service's move.
 
-    A coordinator writes only under its own epoch, so a record with its epoch is its own, one
-    with a lower epoch is to be taken over, and one with a higher epoch fences it.
+    A coordinator writes only under its own epoch. So it wrote any record with that epoch itself,
+    takes over a record with a lower epoch, and is fenced by one with a higher epoch.
     """
 
     def __init__(self, *, platform: Platform, service: str, epoch: int, node: str):
@@ -82,7 +82,7 @@
         self.pending: tuple[MoveRecord, str] | None = None
 
     def read(self) -> Result[MoveRecord | None, PlatformError | Fenced]:
-        """Read the record; None if there is none yet."""
+        """Read the record; the result is None if there is none yet or it is malformed."""
         result = self.platform.get(self.key)
         if is_successful(result):
             return self._adopt(result.unwrap())
@@ -99,8 +99,8 @@
     def flush(self) -> Result[MoveRecord | None, PlatformError | Fenced]:
         """Write the pending record, if any.
 
-        :returns: the record as written, which continues from the one in the platform if that
-            one is further on
+        :return: the record as written, with the progress of the stored one if that was further
+            advanced; None if no record was pending
         """
         if self.pending is None:
             return Success(None)
@@ -118,7 +118,7 @@
             if not is_successful(adopted):
                 self.pending = None
                 return adopted
-            self.pending = (combine(record, adopted.unwrap()), write_id)
+            self.pending = (merge_progress(record, adopted.unwrap()), write_id)
         return Failure(error)
 
     def _put(self, value: bytes, write_id: str) -> Result[StoredObject, PlatformError]:
@@ -135,15 +135,15 @@
 
 
 def decode_record(data: bytes) -> MoveRecord | None:
-    """Decode a record; None if it is malformed, so that a coordinator replaces it."""
+    """Decode a record; return None if it is malformed, so that the coordinator replaces it."""
     try:
         return msgspec.msgpack.decode(data, type=MoveRecord)
     except msgspec.MsgspecError:
         return None
 
 
-def combine(record: MoveRecord, stored: MoveRecord | None) -> MoveRecord:
-    """Return a record that keeps the progress of the stored one: its step and its rollback."""
+def merge_progress(record: MoveRecord, stored: MoveRecord | None) -> MoveRecord:
+    """Return the record with the progress of the stored one: a higher step or a rollback."""
     if stored is None or stored.move_id != record.move_id:
         return record
     if stored.state == MoveState.REVERTED.value:
--- a/almondshore/moves/state.py
+++ b/almondshore/moves/state.py
@@ -1,4 +1,4 @@
-"""What a node knows of moves: vetoes and the newest step of each move."""
+"""State of moves at a node: vetoes and the newest step of each move."""
 
 from collections.abc import Iterable, Mapping, Sequence
 
@@ -13,19 +13,20 @@
 MAX_VETOES = 4096
 MAX_STEPS = 4096
 
+# Service and version of a veto, or service and move id of a step.
 Key = tuple[str, str]
 
 
 class MoveTable:
-    """Vetoes and move steps, merged from messages in any order and any number of copies.
+    """Vetoes and move steps, merged from messages that may be reordered or duplicated.
 
     For each version of a service the veto issued under the newest configuration is kept, since
-    it overrides at least as much as any older one. For each move the highest epoch is kept, and
-    the highest step that was accepted: a message of an older epoch is refused, one of a newer
-    epoch never lowers the step.
+    it applies wherever an older one does. For each move the highest epoch and the highest accepted
+    step are kept: a message of an older epoch is rejected, and one of a newer epoch never lowers
+    the step.
 
     :ivar synced: whether a snapshot of a peer was merged since the start; a node that is not
-        synced does not know the present shares and should not report that it is ready
+        synced does not know the current shares and should not report that it is ready
     """
 
     def __init__(self, *, max_vetoes: int = MAX_VETOES, max_steps: int = MAX_STEPS):
@@ -34,18 +35,18 @@
         self.vetoes: dict[Key, Veto] = {}
         self.steps: dict[Key, MoveStep] = {}
         self.services: set[str] = set()
-        self.active: set[Key] = set()
+        self.active_moves: set[Key] = set()
         self.synced = False
         self._digest: int | None = None
 
     def set_configuration(self, parts: Iterable[ServicePart]) -> None:
-        """Tell the table which services and moves the configuration in effect contains.
+        """Set the services and active moves of the current configuration.
 
-        The digest covers these only, and they are the last to be evicted.
+        The digest covers only these, and their entries are evicted last.
         """
         parts = list(parts)
         self.services = {part["name"] for part in parts}
-        self.active = {
+        self.active_moves = {
             (part["name"], part["move"]["move_id"])
             for part in parts
             if part["move"] and part["move"]["state"] == MoveState.ACTIVE.value
@@ -53,7 +54,7 @@
         self._digest = None
 
     def apply_step(self, step: MoveStep) -> bool:
-        """Take a step unless a newer one is known; return whether anything changed."""
+        """Apply a step unless it is invalid or a newer one is known; return whether it changed."""
         if not 0 <= step.step <= FINAL_STEP:
             return False
         key = (step.service, step.move_id)
@@ -66,23 +67,23 @@
                 return False
         self.steps[key] = step
         self._digest = None
-        _evict(self.steps, self.max_steps, keep=self.active)
+        _evict(self.steps, self.max_steps, keep=self.active_moves)
         return key in self.steps
 
     def add_veto(self, veto: Veto) -> bool:
-        """Add a veto; return whether anything changed."""
+        """Add a veto unless a newer one is known; return whether the table changed."""
         key = (veto.service, veto.version)
         known = self.vetoes.get(key)
-        if known is not None and _order(veto) <= _order(known):
+        if known is not None and _precedence(veto) <= _precedence(known):
             return False
         self.vetoes[key] = veto
         self._digest = None
-        keep = {found for found in self.vetoes if found[0] in self.services}
+        keep = {other for other in self.vetoes if other[0] in self.services}
         _evict(self.vetoes, self.max_vetoes, keep=keep)
         return key in self.vetoes
 
     def merge(self, snapshot: MovesSnapshot) -> bool:
-        """Merge a peer's snapshot; return whether anything changed."""
+        """Merge a peer's snapshot; return whether the table changed."""
         self.synced = True
         changed = [self.add_veto(veto) for veto in snapshot.vetoes]
         changed += [self.apply_step(step) for step in snapshot.steps]
@@ -93,10 +94,13 @@
         return MovesSnapshot(list(self.vetoes.values()), list(self.steps.values()))
 
     def digest(self) -> int:
-        """Return a digest of what concerns the configuration in effect, equal on equal content."""
+        """Return a digest of the vetoes and steps that concern the current configuration.
+
+        Tables with equal content have equal digests; the digest of an empty table is 0.
+        """
         if self._digest is None:
             vetoes = sorted(v for v in self.vetoes.values() if v.service in self.services)
-            steps = sorted(self.steps[key] for key in self.active if key in self.steps)
+            steps = sorted(self.steps[key] for key in self.active_moves if key in self.steps)
             data = msgspec.msgpack.encode((vetoes, steps))
             self._digest = xxhash.xxh3_64_intdigest(data) if vetoes or steps else 0
         return self._digest
@@ -120,7 +124,7 @@
     def weights(self, part: ServicePart) -> dict[str, float]:
         """Return the share of requests for each version of a service; the shares add up to 1.
 
-        Versions with no share are left out. A configuration that reports the move done or
+        Versions without a share are left out. A move that the configuration marks as done or
         reverted overrides its steps; a veto overrides both.
         """
         move = part["move"]
@@ -133,7 +137,7 @@
         return {version: weight for version, weight in weights.items() if weight > 0}
 
     def share(self, part: ServicePart) -> float:
-        """Return the share of the new version that the steps call for, vetoes aside."""
+        """Return the share of the new version according to the move, ignoring vetoes."""
         move = part["move"]
         if move is None or move["state"] == MoveState.REVERTED.value:
             return 0.0
@@ -145,10 +149,11 @@
     def limit_targets(
         self, part: ServicePart, targets: Mapping[str, Sequence[TargetRecord]]
     ) -> dict[str, list[TargetRecord]]:
-        """Return the targets that serve each version while a move is under way.
+        """Return the targets that serve each version during a move.
 
-        Of the new version only as many as its share loads fully, the same ones on every node; a
-        larger share adds to them, and a lost one is replaced without a change of the others.
+        Only as many targets of the new version are used as its share requires. Rendezvous hashing
+        selects the same ones on every node; a larger share adds targets to them, and a lost
+        target is replaced without changing the others.
 
         :param targets: known targets by version
         """
@@ -164,11 +169,11 @@
         return limited
 
 
-def _order(veto: Veto) -> tuple:
+def _precedence(veto: Veto) -> tuple:
     return (veto.config_version, veto.at, veto.origin, veto.reason)
 
 
 def _evict(entries: dict, limit: int, *, keep: set[Key] | Mapping) -> None:
-    """Remove the oldest entries above the limit, those to keep last."""
+    """Remove the oldest entries above the limit, those in ``keep`` only after all others."""
     while len(entries) > limit:
         entries.pop(next((key for key in entries if key not in keep), next(iter(entries))))
--- a/almondshore/moves/verdict.py
+++ b/almondshore/moves/verdict.py
@@ -7,11 +7,17 @@
 from typing import NamedTuple
 
 from almondshore.core.messages import EvidenceRow
-from almondshore.moves.controls import ControlGuard, LoadGuard, Loads, SlotsInUse
-from almondshore.moves.eprocess import Alternative, EProcess, baseline_ratio, concurrent_ratio
+from almondshore.moves.controls import ControlBaseline, LoadBaseline, LoadComparison, SlotsInUse
+from almondshore.moves.eprocess import (
+    EProcess,
+    OddsHypothesis,
+    baseline_log_ratios,
+    concurrent_log_ratios,
+)
 from almondshore.moves.evidence import BUCKETS
 
-# Probability that a good version is condemned in a move, over all tests and all windows.
+# Probability that a good version is rejected during a move, over all tests and all windows. The
+# coordinator and the detectors of single nodes share it.
 FALSE_POSITIVE_RATE = 0.001
 COORDINATOR_ALPHA_SHARE = 0.8
 LOCAL_ALPHA_SHARE = 0.2
@@ -19,50 +25,51 @@
 ALL_ROUTES = "all routes"
 MAX_ROUTES = 64
 
-# A target runs about 10 requests; its death breaks all of them, so each counts for a tenth.
-BROKEN_UNIT = 0.1
+# A target runs about 10 requests and all of them break when it dies, so each counts one tenth.
+BROKEN_WEIGHT = 0.1
 SLOW_QUANTILE = 0.95
-# Rates of the old version below this are not told apart from it when no old requests run.
+# Lower bound of the old version's past rate, used when the old version gets no requests.
 MIN_BASELINE_RATE = 0.002
 MIN_BASELINE_REQUESTS = 300
-# With less than this share of the requests on the old version its past rate is used instead.
+# If the old version gets less than this share of the requests, its past rate is used instead.
 MIN_OLD_SHARE = 0.02
 
 
-class Kind(StrEnum):
-    """What a test counts."""
+class FaultKind(StrEnum):
+    """Kind of fault that a test counts; the value appears in evidence shown to operators."""
 
     ERRORS = "errors"
     BROKEN = "broken responses"
     SLOW = "slow responses"
 
 
-ALTERNATIVES = {
-    Kind.ERRORS: Alternative(tolerance=1.5, ratios=(4, 15, 100)),
-    Kind.BROKEN: Alternative(tolerance=1.5, ratios=(4, 15, 100)),
-    # Odds of 3 at the 95% quantile correspond to a version that is about a third slower.
-    Kind.SLOW: Alternative(tolerance=3.0, ratios=(8, 25)),
+HYPOTHESES = {
+    FaultKind.ERRORS: OddsHypothesis(tolerance=1.5, odds_ratios=(4, 15, 100)),
+    FaultKind.BROKEN: OddsHypothesis(tolerance=1.5, odds_ratios=(4, 15, 100)),
+    # An odds ratio of 3 at the 95% quantile corresponds to a version that is about a third slower.
+    FaultKind.SLOW: OddsHypothesis(tolerance=3.0, odds_ratios=(8, 25)),
 }
 
 
-# Most faults show as errors, so their tests get half of the false positive rate.
-KIND_SHARES = {Kind.ERRORS: 0.5, Kind.BROKEN: 0.25, Kind.SLOW: 0.25}
+# Most faults cause errors, so the tests of errors get half of the false positive rate.
+FAULT_KIND_ALPHA_SHARES = {FaultKind.ERRORS: 0.5, FaultKind.BROKEN: 0.25, FaultKind.SLOW: 0.25}
 
 
 class Regression(NamedTuple):
-    """The new version is worse than the old one.
+    """A detected regression: the new version is worse than the old one.
 
+    :ivar window: number of the window in which a test reached its threshold
     :ivar evidence: counts and test value, for the operator
     """
 
-    kind: Kind
+    kind: FaultKind
     route: str
     window: int
     evidence: str
 
 
-class Tally:
-    """Counts of one version on one route so far."""
+class RouteCounts:
+    """Total counts of one version on one route."""
 
     def __init__(self) -> None:
         self.requests = 0
@@ -71,7 +78,7 @@
         self.buckets = [0] * BUCKETS
 
     def add(self, row: EvidenceRow) -> None:
-        """Add the counts of a window."""
+        """Add the counts of a window on this route."""
         self.requests += row.requests
         self.errors += row.errors
         self.broken += row.broken
@@ -81,8 +88,11 @@
 class MoveVerdict:
     """Tests one new version against the old one, on each route and on all routes together.
 
-    Half of the false positive rate goes to the test over all routes, half is split over the
-    routes, and each half over the kinds by ``KIND_SHARES``.
+    Half of the false positive rate is for the tests over all routes, the other half is divided
+    among the routes. Each half is divided among the fault kinds by ``FAULT_KIND_ALPHA_SHARES``.
+
+    :ivar thresholds: logarithm of the e-value at which a test detects a regression, by fault kind
+        and whether the test is for a single route
     """
 
     def __init__(self, *, service: str, old: str, new: str, routes: int, alpha: float):
@@ -90,15 +100,15 @@
         self.old = old
         self.new = new
         self.thresholds = {
-            (kind, single): -math.log(alpha / 2 * share / (max(routes, 1) if single else 1))
-            for kind, share in KIND_SHARES.items()
-            for single in (False, True)
+            (kind, per_route): -math.log(alpha / 2 * share / (max(routes, 1) if per_route else 1))
+            for kind, share in FAULT_KIND_ALPHA_SHARES.items()
+            for per_route in (False, True)
         }
         self.routes = max(routes, 1)
-        self.processes: dict[tuple[Kind, str], EProcess] = {}
-        self.tallies: dict[tuple[str, str], Tally] = defaultdict(Tally)
-        self.controls = ControlGuard()
-        self.loads = LoadGuard()
+        self.processes: dict[tuple[FaultKind, str], EProcess] = {}
+        self.counts_by_route: dict[tuple[str, str], RouteCounts] = defaultdict(RouteCounts)
+        self.controls = ControlBaseline()
+        self.load_baseline = LoadBaseline()
         self.regression: Regression | None = None
 
     def observe(
@@ -109,113 +119,132 @@
         slots: SlotsInUse | None = None,
         warm: bool = True,
     ) -> None:
-        """Take in a window.
+        """Update the tests with the evidence of a window.
 
+        :param rows: rows of this service and control rows of other services
         :param slots: slots that serve each version; without them latencies are not compared
-        :param warm: whether latencies count; while a version is new its caches are cold
+        :param warm: whether latencies are compared; the caches of a new version are cold at first
         """
         rows = list(rows)
         own = [row for row in rows if row.service == self.service]
-        inflation = self.controls.observe(row for row in rows if row.service != self.service)
-        loads = self.loads.observe(own, self.new, self.old, slots)
-        pairs = self._pair(own)
-        totals: dict[Kind, list[float]] = {}
+        control_factors = self.controls.observe(row for row in rows if row.service != self.service)
+        load_comparison = self.load_baseline.observe(own, self.new, self.old, slots)
+        pairs = self._rows_by_route(own)
+        totals: dict[FaultKind, list[float]] = {}
         for route, (new, old) in sorted(pairs.items()):
-            for kind in Kind:
-                if kind is Kind.SLOW and not warm:
+            for kind in FaultKind:
+                if kind is FaultKind.SLOW and not warm:
                     continue
-                ratios = self._ratios(kind, new, old, inflation[kind is Kind.SLOW], loads)
-                if ratios is not None:
-                    self._update(kind, route, ratios)
-                    known = totals.get(kind, [0.0] * len(ratios))
-                    totals[kind] = list(map(float.__add__, known, ratios))
-        for kind, ratios in totals.items():
-            self._update(kind, ALL_ROUTES, ratios)
+                log_ratios = self._log_ratios(
+                    kind, new, old, control_factors[kind is FaultKind.SLOW], load_comparison
+                )
+                if log_ratios is not None:
+                    self._update(kind, route, log_ratios)
+                    known = totals.get(kind, [0.0] * len(log_ratios))
+                    totals[kind] = list(map(float.__add__, known, log_ratios))
+        for kind, log_ratios in totals.items():
+            self._update(kind, ALL_ROUTES, log_ratios)
         for route, (new, old) in pairs.items():
-            # Latencies of an overload would hide a slow version from later comparisons.
-            past = old if loads.calm else old._replace(latency_buckets=[0] * BUCKETS)
-            self.tallies[self.new, route].add(new)
-            self.tallies[self.old, route].add(past)
-        self._judge(window)
+            # Latencies during an overload would make a slow version look normal in later windows.
+            baseline_row = (
+                old if load_comparison.few_refusals else old._replace(latency_buckets=[0] * BUCKETS)
+            )
+            self.counts_by_route[self.new, route].add(new)
+            self.counts_by_route[self.old, route].add(baseline_row)
+        self._check_thresholds(window)
 
     def requests(self) -> dict[str, tuple[int, int]]:
-        """Return the requests on the new and on the old version so far, by route."""
-        routes = {route for _, route in self.tallies}
+        """Return the total requests on the new and on the old version, by route."""
+        routes = {route for _, route in self.counts_by_route}
         return {
             route: (
-                self.tallies[self.new, route].requests,
-                self.tallies[self.old, route].requests,
+                self.counts_by_route[self.new, route].requests,
+                self.counts_by_route[self.old, route].requests,
             )
             for route in routes
         }
 
     def baseline(self) -> dict[str, tuple[int, int, int, list[int]]]:
-        """Return the counts of the old version by route."""
+        """Return the old version's requests, errors, broken responses and histogram by route."""
         return {
-            route: (tally.requests, tally.errors, tally.broken, tally.buckets)
-            for (version, route), tally in self.tallies.items()
+            route: (
+                route_counts.requests,
+                route_counts.errors,
+                route_counts.broken,
+                route_counts.buckets,
+            )
+            for (version, route), route_counts in self.counts_by_route.items()
             if version == self.old
         }
 
     def add_baseline(self, baseline: dict[str, tuple[int, int, int, list[int]]]) -> None:
-        """Take over the counts of the old version from a predecessor."""
+        """Add the counts of the old version that a previous coordinator recorded."""
         for route, (requests, errors, broken, buckets) in baseline.items():
             if len(buckets) == BUCKETS:
                 row = EvidenceRow(self.service, self.old, route, requests, errors, buckets, broken)
-                self.tallies[self.old, route].add(row)
-
-    def _pair(self, rows: list[EvidenceRow]) -> dict[str, tuple[EvidenceRow, EvidenceRow]]:
-        found = {(row.version, row.route): row for row in rows}
-        routes = {route for version, route in found if version in (self.new, self.old)}
-        known = {route for _, route in self.tallies}
-        room = max(MAX_ROUTES - len(known), 0)
-        chosen = (routes & known) | set(sorted(routes - known)[:room])
+                self.counts_by_route[self.old, route].add(row)
+
+    def _rows_by_route(self, rows: list[EvidenceRow]) -> dict[str, tuple[EvidenceRow, EvidenceRow]]:
+        rows_by_key = {(row.version, row.route): row for row in rows}
+        routes = {route for version, route in rows_by_key if version in (self.new, self.old)}
+        known = {route for _, route in self.counts_by_route}
+        free_slots = max(MAX_ROUTES - len(known), 0)
+        selected_routes = (routes & known) | set(sorted(routes - known)[:free_slots])
         return {
             route: tuple(
-                found.get((version, route))
+                rows_by_key.get((version, route))
                 or EvidenceRow(self.service, version, route, 0, 0, [0] * BUCKETS)
                 for version in (self.new, self.old)
             )
-            for route in chosen
+            for route in selected_routes
         }
 
-    def _ratios(
-        self, kind: Kind, new: EvidenceRow, old: EvidenceRow, inflation: float, loads: Loads
+    def _log_ratios(
+        self,
+        kind: FaultKind,
+        new: EvidenceRow,
+        old: EvidenceRow,
+        control_factor: float,
+        load_comparison: LoadComparison,
     ) -> list[float] | None:
-        """Return the log likelihood ratios of a window, or None if it says nothing."""
-        past = self.tallies[self.old, new.route]
-        limit = _slow_bucket(past.buckets) if kind is Kind.SLOW else 0
-        if limit is None:
+        """Return the log likelihood ratios of a window, or None if the data is insufficient."""
+        past = self.counts_by_route[self.old, new.route]
+        slow_bucket = _slow_bucket(past.buckets) if kind is FaultKind.SLOW else 0
+        if slow_bucket is None:
             return None
-        events, total = _count(kind, new, limit)
-        old_events, old_total = _count(kind, old, limit)
+        events, total = _count(kind, new, slow_bucket)
+        old_events, old_total = _count(kind, old, slow_bucket)
         if not total:
             return None
-        timed = kind is Kind.SLOW
-        unit = BROKEN_UNIT if kind is Kind.BROKEN else 1.0
-        alternative = ALTERNATIVES[kind]
-        if old_total >= MIN_OLD_SHARE * (total + old_total) and (not timed or loads.alike):
-            ratios = concurrent_ratio(
-                alternative,
+        timed = kind is FaultKind.SLOW
+        weight = BROKEN_WEIGHT if kind is FaultKind.BROKEN else 1.0
+        hypothesis = HYPOTHESES[kind]
+        if old_total >= MIN_OLD_SHARE * (total + old_total) and (
+            not timed or load_comparison.similar_to_old
+        ):
+            log_ratios = concurrent_log_ratios(
+                hypothesis,
                 new=events,
                 old=old_events,
                 new_total=total,
                 old_total=old_total,
             )
-            return [unit * ratio for ratio in ratios]
-        rate = _past_rate(kind, past, limit)
-        if rate is None or (timed and not loads.usual):
+            return [weight * ratio for ratio in log_ratios]
+        rate = _past_rate(kind, past, slow_bucket)
+        if rate is None or (timed and not load_comparison.similar_to_past):
             return None
-        ratios = baseline_ratio(alternative, new=events, new_total=total, rate=rate * inflation)
-        return [unit * ratio for ratio in ratios]
+        log_ratios = baseline_log_ratios(
+            hypothesis, new=events, new_total=total, rate=rate * control_factor
+        )
+        return [weight * ratio for ratio in log_ratios]
 
-    def _update(self, kind: Kind, route: str, ratios: list[float]) -> None:
+    def _update(self, kind: FaultKind, route: str, log_ratios: list[float]) -> None:
         key = (kind, route)
         if key not in self.processes:
-            self.processes[key] = EProcess(alternatives=len(ratios))
-        self.processes[key].update(ratios)
+            self.processes[key] = EProcess(alternatives=len(log_ratios))
+        self.processes[key].update(log_ratios)
 
-    def _judge(self, window: int) -> None:
+    def _check_thresholds(self, window: int) -> None:
         if self.regression is not None:
             return
         worst = None
@@ -228,34 +257,34 @@
             _, kind, route, value = worst
             self.regression = Regression(kind, route, window, self._describe(kind, route, value))
 
-    def _describe(self, kind: Kind, route: str, value: float) -> str:
+    def _describe(self, kind: FaultKind, route: str, value: float) -> str:
         counts = []
         for version in (self.new, self.old):
-            tallies = [
-                tally
-                for (found, on), tally in self.tallies.items()
-                if found == version and route in (on, ALL_ROUTES)
+            selected = [
+                route_counts
+                for (counted_version, tally_route), route_counts in self.counts_by_route.items()
+                if counted_version == version and route in (tally_route, ALL_ROUTES)
             ]
-            bad = {
-                Kind.ERRORS: sum(tally.errors for tally in tallies),
-                Kind.BROKEN: sum(tally.broken for tally in tallies),
-                Kind.SLOW: None,
+            faulty = {
+                FaultKind.ERRORS: sum(route_counts.errors for route_counts in selected),
+                FaultKind.BROKEN: sum(route_counts.broken for route_counts in selected),
+                FaultKind.SLOW: None,
             }[kind]
-            total = sum(tally.requests for tally in tallies)
-            counts.append(f"{version} {'' if bad is None else f'{bad} of '}{total}")
+            total = sum(route_counts.requests for route_counts in selected)
+            counts.append(f"{version} {'' if faulty is None else f'{faulty} of '}{total}")
         return f"{kind} on {route}: {', '.join(counts)} requests, e-value {math.exp(value):.3g}"
 
 
-def _count(kind: Kind, row: EvidenceRow, slow_bucket: int) -> tuple[int, int]:
-    if kind is Kind.ERRORS:
+def _count(kind: FaultKind, row: EvidenceRow, slow_bucket: int) -> tuple[int, int]:
+    if kind is FaultKind.ERRORS:
         return row.errors, row.requests
-    if kind is Kind.BROKEN:
+    if kind is FaultKind.BROKEN:
         return row.broken, row.requests
     return sum(row.latency_buckets[slow_bucket:]), sum(row.latency_buckets)
 
 
 def _slow_bucket(buckets: list[int]) -> int | None:
-    """Return the first bucket above the quantile that separates slow responses."""
+    """Return the first bucket above ``SLOW_QUANTILE``, or None if there are too few requests."""
     total = sum(buckets)
     if total < MIN_BASELINE_REQUESTS:
         return None
@@ -267,13 +296,13 @@
     return None
 
 
-def _past_rate(kind: Kind, past: Tally, slow_bucket: int) -> float | None:
-    """Return an upper estimate of the old version's rate, or None if too little was seen."""
+def _past_rate(kind: FaultKind, past: RouteCounts, slow_bucket: int) -> float | None:
+    """Return an upper estimate of the old version's rate, or None if it had too few requests."""
     if past.requests < MIN_BASELINE_REQUESTS:
         return None
-    if kind is Kind.SLOW:
+    if kind is FaultKind.SLOW:
         count, total = sum(past.buckets[slow_bucket:]), sum(past.buckets)
-    elif kind is Kind.BROKEN:
+    elif kind is FaultKind.BROKEN:
         count, total = past.broken, past.requests
     else:
         count, total = past.errors, past.requests
--- a/almondshore/moves/veto.py
+++ b/almondshore/moves/veto.py
@@ -1,4 +1,4 @@
-"""Vetoes: detection of a bad version by a single node, and the objects that record vetoes."""
+"""Vetoes: detection of a faulty version by a single node, and stored vetoes."""
 
 from collections.abc import Iterable
 
@@ -18,7 +18,7 @@
 from almondshore.storage.port import Conflict, Platform, PlatformError
 
 MAX_REASON = 300
-# A node that has just started does not know all others that test, so at least this many count.
+# A node that has just started does not know all other detectors, so at least this many are assumed.
 MIN_DETECTORS = 100
 
 
@@ -28,13 +28,16 @@
 
 
 def read_veto(platform: Platform, service: str, version: str) -> Veto | None:
-    """Return the recorded veto of a version; None if there is none or it cannot be read."""
+    """Return the stored veto of a version; None if there is none or it cannot be read."""
     stored = platform.get(veto_key(service, version))
-    return _decoded(stored.unwrap().value) if is_successful(stored) else None
+    return _decode_or_none(stored.unwrap().value) if is_successful(stored) else None
 
 
 def save_veto(platform: Platform, veto: Veto) -> bool:
-    """Record a veto unless one at least as new is recorded; return whether that is certain."""
+    """Store a veto unless one that is at least as new is stored.
+
+    :return: whether the platform confirmed that such a veto is stored
+    """
     key, value = veto_key(veto.service, veto.version), encode_veto(veto)
     write_id = f"{veto.origin}-{veto.config_version}-{veto.at.isoformat()}"
     result = platform.create(key, value, write_id)
@@ -43,7 +46,7 @@
     current = result.failure().current
     if current is None:
         return False
-    known = _decoded(current.value)
+    known = _decode_or_none(current.value)
     if known is not None and known.config_version >= veto.config_version:
         return True
     return is_successful(platform.update(key, value, current.revision, write_id))
@@ -52,7 +55,7 @@
 def make_veto(
     part: ServicePart, regression: Regression, *, config_version: int, origin: str, clock: Clock
 ) -> Veto:
-    """Return the veto of the new version of a service's move."""
+    """Return a veto of the new version of a service's move, with the evidence as its reason."""
     return Veto(
         part["name"],
         part["move"]["to_version"],
@@ -64,12 +67,12 @@
 
 
 def load_vetoes(platform: Platform) -> Result[list[Veto], PlatformError]:
-    """Read all recorded vetoes, for a relay that starts while no peer knows them.
+    """Read all stored vetoes, for a relay that starts when no peer knows them.
 
-    Malformed objects are left out.
+    Malformed objects are skipped.
     """
     return platform.list("veto/").map(
-        lambda found: [veto for stored in found if (veto := _decoded(stored.value))]
+        lambda found: [veto for stored in found if (veto := _decode_or_none(stored.value))]
     )
 
 
@@ -79,14 +82,14 @@
 
 
 def decode_veto(data: bytes) -> Veto:
-    """Decode a recorded veto.
+    """Decode a stored veto.
 
     :raises msgspec.MsgspecError: if the data is malformed
     """
     return msgspec.msgpack.decode(data, type=Veto)
 
 
-def _decoded(data: bytes) -> Veto | None:
+def _decode_or_none(data: bytes) -> Veto | None:
     try:
         return decode_veto(data)
     except msgspec.MsgspecError:
@@ -94,14 +97,14 @@
 
 
 class LocalDetector:
-    """Tests the evidence that one node has, so that a veto needs no coordinator.
+    """Tests the evidence of one node, so that a veto does not require a coordinator.
 
-    Evidence is recorded beside the targets, where each node sees one version only; a relay, which
-    sums up its nodes, is the first to see both. The share of the false positive rate that is left
-    to single nodes is divided by their number, so one needs stronger evidence than the
-    coordinator.
+    Evidence is recorded at the node of a target, which sees only one version. A relay, which
+    aggregates the evidence of its nodes, is the first to see both. ``LOCAL_ALPHA_SHARE`` of the
+    false positive rate is divided among the detectors, so that a single node requires stronger
+    evidence than the coordinator.
 
-    :ivar alpha: false positive rate of this node's tests for each move
+    :ivar alpha: false positive rate of this node's tests per move
     """
 
     def __init__(self, *, clock: Clock, node: str, nodes: int):
@@ -113,7 +116,7 @@
     def observe(
         self, evidence: Evidence, parts: Iterable[ServicePart], config_version: int
     ) -> list[Veto]:
-        """Take in the evidence of a window; return new vetoes."""
+        """Evaluate the evidence of a window; return the new vetoes."""
         vetoes = []
         current = {}
         for part in parts:
@@ -122,11 +125,11 @@
                 continue
             allowed = part["allowed"].get(move["to_version"], 0)
             key = (part["name"], move["move_id"], allowed)
-            verdict = self.verdicts.get(key) or self._verdict(part)
+            verdict = self.verdicts.get(key) or self._new_verdict(part)
             current[key] = verdict
-            done = verdict.regression
+            previous_regression = verdict.regression
             verdict.observe(evidence.window, evidence.rows, warm=False)
-            if verdict.regression is not None and done is None:
+            if verdict.regression is not None and previous_regression is None:
                 vetoes.append(
                     make_veto(
                         part,
@@ -139,7 +142,7 @@
         self.verdicts = current
         return vetoes
 
-    def _verdict(self, part: ServicePart) -> MoveVerdict:
+    def _new_verdict(self, part: ServicePart) -> MoveVerdict:
         move = part["move"]
         return MoveVerdict(
             service=part["name"],
--- a/test/moves/test_evidence.py
+++ b/test/moves/test_evidence.py
@@ -88,7 +88,7 @@
         self.assertFalse(self.aggregator.add(Evidence(self.window, 1, [row("v2", 1)]), "n1"))
         far = Evidence(self.window + 100, 1, [row("v2", 1)])
         self.assertFalse(self.aggregator.add(far, "n1"))
-        self.assertEqual((2, {}), (self.aggregator.dropped, self.aggregator.open))
+        self.assertEqual((2, {}), (self.aggregator.dropped, self.aggregator.open_windows))
 
     def test_inconsistent_rows_are_left_out(self):
         """Guards against a faulty node whose counts would condemn a version."""
--- a/test/moves/test_plan.py
+++ b/test/moves/test_plan.py
@@ -4,22 +4,24 @@
 
 from testtools import TestCase
 
-from almondshore.moves.plan import Capacity, Gathered, Plan, target_count
+from almondshore.moves.plan import Capacity, Plan, RequestCounts, target_count
 from almondshore.rules.model import Preference
 from test.moves.helpers import START
 
-ENOUGH = Gathered(10_000, 1000)
-NONE = Gathered(0, 0)
+ENOUGH = RequestCounts(10_000, 1000)
+NONE = RequestCounts(0, 0)
 FULL = Capacity(new_slots=40, demand=30, old_slots=40)
 
 
-def walk(prefer, *, seen=ENOUGH, capacity=FULL, from_second=0, seconds=200, first=0):
+def walk(prefer, *, counts=ENOUGH, capacity=FULL, from_second=0, seconds=200, first=0):
     """Return the second of each step taken in a move of 100 s, from ``from_second`` on."""
     plan = Plan(started=START, deadline=START + timedelta(seconds=100), prefer=prefer)
     step, taken_at, taken = first, START, []
     for second in range(from_second, seconds):
         now = START + timedelta(seconds=second)
-        decision = plan.decide(step=step, taken_at=taken_at, now=now, capacity=capacity, seen=seen)
+        decision = plan.decide(
+            step=step, taken_at=taken_at, now=now, capacity=capacity, counts=counts
+        )
         if decision.allowed:
             step, taken_at = step + 1, now
             taken.append(second)
@@ -41,14 +43,14 @@
 
     def test_scarce_evidence_holds_safety_but_not_the_deadline(self):
         """Guards against a preference that is not followed."""
-        taken = walk(Preference.DEADLINE, seen=NONE)
+        taken = walk(Preference.DEADLINE, counts=NONE)
         self.assertEqual(6, len(taken))
         self.assertLess(taken[-1], 100)
-        self.assertEqual([0], walk(Preference.SAFETY, seen=NONE))
+        self.assertEqual([0], walk(Preference.SAFETY, counts=NONE))
 
     def test_a_route_without_requests_holds_the_larger_steps(self):
         """Guards against a version that is bad on a route that nobody has tried yet."""
-        self.assertEqual(2, len(walk(Preference.SAFETY, seen=Gathered(10_000, 0))))
+        self.assertEqual(2, len(walk(Preference.SAFETY, counts=RequestCounts(10_000, 0))))
 
     def test_capacity_is_required_even_when_late(self):
         """Guards against a share that the live targets cannot carry."""
--- a/test/moves/test_verdict.py
+++ b/test/moves/test_verdict.py
@@ -5,7 +5,7 @@
 from testtools import TestCase
 
 from almondshore.moves.controls import SlotsInUse
-from almondshore.moves.verdict import FALSE_POSITIVE_RATE, Kind, MoveVerdict
+from almondshore.moves.verdict import FALSE_POSITIVE_RATE, FaultKind, MoveVerdict
 from test.moves.helpers import ROUTES, SERVICE, row
 
 SLOW_BUCKET = 12
@@ -105,7 +105,7 @@
         verdict = make_verdict()
         window = observe(verdict, 60, new=row("v2", 50, 0, broken=25), old=(150, 0))
         self.assertLess(window, 8)
-        self.assertEqual(Kind.BROKEN, verdict.regression.kind)
+        self.assertEqual(FaultKind.BROKEN, verdict.regression.kind)
 
     def test_slow_version_is_found(self):
         """Guards against a version that answers correctly but late."""
@@ -115,7 +115,7 @@
         slow = row("v2", 10, 0, bucket=SLOW_BUCKET)
         window = observe(verdict, 60, new=slow, old=(190, 0), slots=slots, start=20)
         self.assertLess(window, 25)
-        self.assertEqual(Kind.SLOW, verdict.regression.kind)
+        self.assertEqual(FaultKind.SLOW, verdict.regression.kind)
 
     def test_overload_does_not_become_the_old_latency(self):
         """Guards against a slow version that stays because the old one was overloaded once."""
