Reword the tests of moves

Names and docstrings of tests say which failure they guard against ('fence nobody', 'moves no receiver', 'held against it' and 'condemn' are gone). Checks, bounds, seeds and literals are unchanged.

--- a/test/moves/__init__.py
+++ b/test/moves/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of moves between target versions."""
+"""Tests of gradual moves between target versions."""
--- a/test/moves/helpers.py
+++ b/test/moves/helpers.py
@@ -1,4 +1,4 @@
-"""Builders shared by the tests of moves."""
+"""Fixtures shared by the tests of moves."""
 
 import random
 from datetime import UTC, datetime, timedelta
@@ -59,7 +59,7 @@
 
 
 class FakePublisher(OutcomePublisher):
-    """Keeps what was published; refuses while the platform is down."""
+    """Records published outcomes; fails while the platform is down."""
 
     def __init__(self, store):
         self.store = store
@@ -72,8 +72,8 @@
         return Success(len(self.published))
 
 
-class World:
-    """A platform and coordinators that share a clock; evidence is fed by hand."""
+class Simulation:
+    """A platform and coordinators that share a clock; evidence is generated from error rates."""
 
     def __init__(self, **part):
         self.clock = ManualClock(start=START)
@@ -81,7 +81,7 @@
         self.publisher = FakePublisher(self.store)
         self.part = make_part(**part)
         self.fleet = FLEET
-        self.rates = {"v1": 0.0, "v2": 0.0}
+        self.error_rates = {"v1": 0.0, "v2": 0.0}
         self.requests = 200
         self.messages = []
 
@@ -103,12 +103,12 @@
         for route in ROUTES:
             for version, part in (("v1", 1 - share), ("v2", share)):
                 count = round(self.requests * part)
-                errors = round(count * self.rates[version])
+                errors = round(count * self.error_rates[version])
                 rows.append(row(version, count, errors, route=route))
         return rows
 
     def run(self, coordinator, seconds, extra=()):
-        """Advance second by second, feeding evidence that follows the coordinator's table."""
+        """Advance second by second, with evidence that follows the shares of the coordinator."""
         sent = []
         for _ in range(seconds):
             share = coordinator.table.weights(self.part).get("v2", 0.0)
--- a/test/moves/test_bench.py
+++ b/test/moves/test_bench.py
@@ -1,4 +1,4 @@
-"""Bounds on a small, fixed part of the bench of moves."""
+"""Bounds on the results of a small, fixed subset of the benchmark of moves."""
 
 from testtools import TestCase
 
@@ -18,7 +18,7 @@
 
 class MovesBenchTest(TestCase):
     def test_good_versions_are_done_in_time(self):
-        """Guards against troubles that hold back or revert a good version."""
+        """Guards against disturbances that delay or revert the move to a good version."""
         names = {
             "good, overload",
             "good, overload + zone loss",
@@ -29,7 +29,7 @@
             self.assertTrue(is_in_time(result), result)
 
     def test_bad_versions_are_rolled_back_within_bounds(self):
-        """Guards against a bad version that is kept, harms many requests or leaves late."""
+        """Guards against a bad version that stays, harms many requests or is removed late."""
         names = {
             "bad at once",
             "bad after the move",
@@ -39,7 +39,7 @@
         for result in results(BAD_KINDS, names):
             self.assertTrue(result.reverted, result)
             self.assertLessEqual(result.harmed, 0.05, result)
-            # None if it was gone before its fifth bad response.
+            # None if the version was removed before its fifth bad response.
             self.assertLessEqual(result.shown_to_last or 0.0, 5.0, result)
             if result.case.kind.version.is_bad_at_start():
                 self.assertLessEqual(result.exposed, 0.05, result)
--- a/test/moves/test_evidence.py
+++ b/test/moves/test_evidence.py
@@ -32,7 +32,7 @@
         return {found.route: found for found in evidence.rows}
 
     def test_refusals_are_not_requests_and_broken_ones_are_not_errors(self):
-        """Guards against an overload or a crash that condemns a version."""
+        """Guards against rejecting a version because of an overload or a crash."""
         self.recorder.record_refusal(SERVICE, "v2", "r")
         self.recorder.record(SERVICE, "v2", "r", False, LATENCY, broken=True)
         self.recorder.record(SERVICE, "v2", "r", False, LATENCY)
@@ -40,7 +40,7 @@
         self.assertEqual((2, 1, 1, 1), (found.requests, found.errors, found.broken, found.refused))
 
     def test_cold_target_counts_without_its_latency(self):
-        """Guards against a cold start that condemns a version as slow."""
+        """Guards against rejecting a version as slow because of a cold start."""
         self.recorder.record(SERVICE, "v2", "r", True, LATENCY, cold=True)
         found = self.ended()["r"]
         self.assertEqual((1, 0), (found.requests, sum(found.latency_buckets)))
@@ -58,7 +58,7 @@
         self.assertLessEqual(len(evidence.rows), 4 + 8 + 1)
 
     def test_nothing_is_recorded_without_a_move(self):
-        """Guards against control traffic while no move runs."""
+        """Guards against sending evidence while there is no move."""
         self.recorder.set_services(set())
         self.recorder.record(SERVICE, "v2", "r", True, LATENCY)
         self.clock.advance(timedelta(seconds=1))
@@ -72,8 +72,8 @@
         self.aggregator = EvidenceAggregator(clock=self.clock)
         self.window = window_of(START)
 
-    def test_doubled_message_counts_once(self):
-        """Guards against errors counted twice after a doubled delivery."""
+    def test_duplicate_message_counts_once(self):
+        """Guards against errors counted twice after a duplicate delivery."""
         evidence = Evidence(self.window, 1, [row("v2", 10, 1)])
         for sender in ("n1", "n1", "n2"):
             self.aggregator.add(evidence, sender)
@@ -91,7 +91,7 @@
         self.assertEqual((2, {}), (self.aggregator.dropped, self.aggregator.open_windows))
 
     def test_inconsistent_rows_are_left_out(self):
-        """Guards against a faulty node whose counts would condemn a version."""
+        """Guards against rejecting a version because of a faulty node's counts."""
         bad = [
             row("v2", 5, 6),
             row("v2", 5)._replace(latency_buckets=[1]),
@@ -103,7 +103,7 @@
         self.assertEqual([row("v1", 5)], total.rows)
 
     def test_split_gives_each_service_the_others_as_controls(self):
-        """Guards against a coordinator without the services it compares with."""
+        """Guards against a coordinator that gets no control rows of other services."""
         rows = [row("v1", 5), row("v2", 5), row("v3", 7, service="fault-desk")]
         parts = split_by_service(Evidence(self.window, 1, rows), [SERVICE, "fault-desk"])
         own, control = parts[SERVICE].rows[:2], parts[SERVICE].rows[2]
--- a/test/moves/test_outcome.py
+++ b/test/moves/test_outcome.py
@@ -39,20 +39,20 @@
         )
 
     def test_done_is_a_higher_version_that_serves_the_new_one(self):
-        """Guards against an outcome that a restarted node does not find."""
+        """Guards against an outcome that is lost when nodes restart."""
         result = self.outcomes.publish(SERVICE, "m1", MoveState.DONE, "complete")
         self.assertEqual(2, result.unwrap())
         part = decode_service(self.versions.parts(2).unwrap()[NAME])
         self.assertEqual(("v2", "done"), (part["version"], part["move"]["state"]))
 
     def test_repeated_outcome_publishes_no_second_version(self):
-        """Guards against a version for each retry after a lost response."""
+        """Guards against publishing another version on each retry after a lost response."""
         for _ in range(3):
             result = self.outcomes.publish(SERVICE, "m1", MoveState.REVERTED, "errors")
             self.assertEqual(2, result.unwrap())
 
     def test_move_that_the_operator_removed_is_left_alone(self):
-        """Guards against an outcome of an old move that ends a new one."""
+        """Guards against the outcome of an old move that ends a new one."""
         result = self.outcomes.publish(SERVICE, "other", MoveState.DONE, "complete")
         self.assertIsInstance(result.failure(), NotFound)
 
--- a/test/moves/test_state.py
+++ b/test/moves/test_state.py
@@ -1,4 +1,4 @@
-"""Tests of what a node knows of moves."""
+"""Tests of the state of moves at a node."""
 
 import random
 from datetime import timedelta
@@ -34,13 +34,13 @@
         self.assertEqual(0.01, moves.share(make_part()))
 
     def test_newer_epoch_does_not_lower_the_step(self):
-        """Guards against a share that goes back when a coordinator takes over."""
+        """Guards against a share that decreases when a coordinator takes over."""
         moves = table()
         moves.apply_step(step(1, 4))
         moves.apply_step(step(2, 2))
         self.assertEqual(step(2, 4), moves.step(make_part()))
 
-    def test_lost_doubled_and_reordered_messages_converge(self):
+    def test_lost_duplicate_and_reordered_messages_converge(self):
         """Guards against nodes that keep different shares or miss a veto."""
         messages = [step(1, n) for n in range(6)] + [step(2, n) for n in range(3, 6)]
         messages += [veto(n, second=n) for n in range(5, 8)]
@@ -60,7 +60,7 @@
             self.assertEqual(1, len({str(moves.weights(make_part())) for moves in tables}), seed)
 
     def test_allow_overrides_only_older_vetoes(self):
-        """Guards against a veto that acts in spite of a later allow rule."""
+        """Guards against a veto that stays in effect despite a later allow rule."""
         part = make_part(allowed={"v2": 8})
         moves = table(part)
         moves.apply_step(step(1, 3))
@@ -78,7 +78,7 @@
         self.assertEqual({"v1": 1.0}, moves.weights(part))
 
     def test_configuration_overrides_steps_and_a_veto_overrides_both(self):
-        """Guards against steps that undo a recorded outcome, and against a bad version kept."""
+        """Guards against steps that undo a recorded outcome or keep a vetoed version."""
         moves = table()
         moves.apply_step(step(1, 3))
         self.assertEqual({"v1": 1.0}, moves.weights(make_part(state="reverted")))
@@ -88,7 +88,7 @@
         self.assertEqual({"v1": 1.0}, moves.weights(done))
 
     def test_flood_does_not_evict_what_the_configuration_needs(self):
-        """Guards against unbounded memory and against a veto lost to a flood of others."""
+        """Guards against unbounded memory and against evicting a veto that is in effect."""
         moves = MoveTable(max_vetoes=10, max_steps=10)
         moves.set_configuration([make_part()])
         moves.add_veto(veto())
@@ -103,7 +103,7 @@
         self.assertEqual(digest, moves.digest())
 
     def test_restarted_node_is_not_synced_before_a_snapshot(self):
-        """Guards against a restarted node that sends requests by shares it does not know."""
+        """Guards against routing by default shares after a restart."""
         moves = table()
         self.assertFalse(moves.synced)
         moves.merge(MovesSnapshot([], [step(3, 4)]))
@@ -111,7 +111,7 @@
         self.assertEqual(0.5, moves.share(make_part()))
 
     def test_few_targets_take_a_small_share_and_stay_when_it_grows(self):
-        """Guards against new targets that share a small load or change with each step."""
+        """Guards against spreading a small share over many targets, or changing them per step."""
         moves, part = table(), make_part()
         names = {"v1": ["a1", "a2", "a3", "a4"], "v2": ["b1", "b2", "b3", "b4"]}
         chosen = []
@@ -124,7 +124,7 @@
         self.assertTrue(chosen[0] < chosen[1] < chosen[2])
 
     def test_lost_target_is_replaced(self):
-        """Guards against a share without targets when the only one in use is lost."""
+        """Guards against a share without targets after the loss of the only one in use."""
         moves, part = table(), make_part()
         moves.apply_step(step(1, 3))
         names = {"v1": ["a1", "a2"], "v2": ["b1", "b2"]}
@@ -134,5 +134,5 @@
         self.assertNotEqual(first.target, second.target)
 
     def test_step_out_of_range_is_refused(self):
-        """Guards against a malformed step from another node."""
+        """Guards against applying an invalid step from another node."""
         self.assertFalse(table().apply_step(step(1, 6)))
--- a/test/moves/test_verdict.py
+++ b/test/moves/test_verdict.py
@@ -16,7 +16,7 @@
 
 
 def observe(verdict, seconds, *, new, old, extra=(), slots=None, start=0):
-    """Feed windows of (requests, errors) or rows; return the window of the verdict."""
+    """Feed windows of (requests, errors) or rows; return the window of the regression, if any."""
     for window in range(start, start + seconds):
         rows = [row("v1", *old) if isinstance(old, tuple) and len(old) == 2 else old]
         rows += [row("v2", *new) if isinstance(new, tuple) and len(new) == 2 else new]
@@ -26,63 +26,63 @@
     return None
 
 
-def draw(rng, count, rate):
+def count_events(rng, count, rate):
     return sum(rng.random() < rate for _ in range(count))
 
 
 class MoveVerdictTest(TestCase):
     def test_false_positive_rate_is_kept(self):
-        """Guards against a test that condemns good versions more often than it states.
+        """Guards against a test that rejects good versions more often than alpha.
 
-        The new version is as bad as is still accepted, 1.5 times the odds of the old one.
+        The new version has the highest accepted error rate, 1.5 times the odds of the old one.
         """
-        condemned = 0
+        rejected = 0
         for seed in range(300):
             rng = random.Random(seed)
             verdict = make_verdict(alpha=0.2)
             for window in range(120):
                 share = (1, 5, 25, 50)[window // 30]
-                rows = [row("v2", share, draw(rng, share, 0.143))]
-                rows.append(row("v1", 100 - share, draw(rng, 100 - share, 0.1)))
+                rows = [row("v2", share, count_events(rng, share, 0.143))]
+                rows.append(row("v1", 100 - share, count_events(rng, 100 - share, 0.1)))
                 verdict.observe(window, rows)
-            condemned += verdict.regression is not None
-        self.assertLessEqual(condemned, 0.2 * 300)
+            rejected += verdict.regression is not None
+        self.assertLessEqual(rejected, 0.2 * 300)
 
     def test_bad_version_is_found_within_few_errors(self):
-        """Guards against a bad version that keeps its share for long."""
+        """Guards against a bad version that is detected only after many errors."""
         self.assertLess(observe(make_verdict(), 60, new=(2, 1), old=(198, 0)), 6)
         self.assertEqual(0, observe(make_verdict(), 60, new=(50, 15), old=(150, 0)))
 
-    def test_errors_on_both_versions_condemn_neither(self):
-        """Guards against an overload or a fault behind both versions that reverts a good one."""
+    def test_errors_on_both_versions_reject_neither(self):
+        """Guards against reverting a good version for an overload or a fault of both versions."""
         verdict = make_verdict()
         observe(verdict, 30, new=(50, 0), old=(150, 0))
         self.assertIsNone(observe(verdict, 200, new=(50, 20), old=(150, 60), start=30))
 
     def test_one_bad_route_is_named(self):
-        """Guards against a fault on a rare route that the sum over all routes hides."""
+        """Guards against a fault on a rare route that is hidden in the sum over all routes."""
         verdict = make_verdict()
         good = [row("v1", 900, 9, route=ROUTES[1]), row("v2", 100, 1, route=ROUTES[1])]
         self.assertIsNotNone(observe(verdict, 60, new=(5, 3), old=(45, 0), extra=good))
         self.assertEqual(ROUTES[0], verdict.regression.route)
 
     def test_version_that_turns_bad_late_is_found(self):
-        """Guards against good evidence of the past that outweighs a fault of the present."""
+        """Guards against old evidence of a good version that outweighs a current fault."""
         verdict = make_verdict()
         self.assertIsNone(observe(verdict, 600, new=(50, 0), old=(150, 1)))
         window = observe(verdict, 60, new=(50, 10), old=(150, 1), start=600)
         self.assertLess(window, 605)
 
     def test_fault_after_the_move_is_found_against_the_old_rates(self):
-        """Guards against a bad version that stays because no old request is left to compare."""
+        """Guards against a bad version that stays because the old one gets no requests."""
         verdict = make_verdict()
         observe(verdict, 60, new=(50, 0), old=(150, 0))
         self.assertIsNone(observe(verdict, 300, new=(200, 0), old=(0, 0), start=60))
         window = observe(verdict, 60, new=(200, 60), old=(0, 0), start=360)
         self.assertLess(window, 363)
 
-    def test_fault_of_all_services_after_the_move_is_not_held_against_it(self):
-        """Guards against a zone loss or overload after the move that reverts a good version."""
+    def test_fault_of_all_services_after_the_move_is_tolerated(self):
+        """Guards against reverting a good version for a zone loss or overload after the move."""
 
         def controls(errors):
             return [row("", 100, errors, service=name, route="*") for name in ("a", "b", "c")]
@@ -92,8 +92,11 @@
         found = observe(verdict, 20, new=(200, 40), old=(0, 0), extra=controls(20), start=60)
         self.assertIsNone(found)
 
-    def test_crash_request_does_not_condemn(self):
-        """Guards against one request whose crashes break all that its targets were running."""
+    def test_crash_request_does_not_reject_a_version(self):
+        """Guards against a version rejected because one request crashes its targets.
+
+        Each crash also breaks all other requests that the target is running.
+        """
         verdict = make_verdict()
         observe(verdict, 30, new=(100, 0), old=(100, 0))
         crash = row("v2", 100, 0, broken=20)
@@ -101,14 +104,14 @@
         self.assertIsNone(observe(verdict, 100, new=(100, 0), old=(100, 0), start=31))
 
     def test_crashing_version_is_found(self):
-        """Guards against a version whose every request breaks off without an error status."""
+        """Guards against a version whose responses are truncated without an error status."""
         verdict = make_verdict()
         window = observe(verdict, 60, new=row("v2", 50, 0, broken=25), old=(150, 0))
         self.assertLess(window, 8)
         self.assertEqual(FaultKind.BROKEN, verdict.regression.kind)
 
     def test_slow_version_is_found(self):
-        """Guards against a version that answers correctly but late."""
+        """Guards against a version that responds correctly but slowly."""
         verdict = make_verdict()
         slots = SlotsInUse(10, 40)
         observe(verdict, 20, new=(10, 0), old=(190, 0), slots=slots)
@@ -117,8 +120,8 @@
         self.assertLess(window, 25)
         self.assertEqual(FaultKind.SLOW, verdict.regression.kind)
 
-    def test_overload_does_not_become_the_old_latency(self):
-        """Guards against a slow version that stays because the old one was overloaded once."""
+    def test_overload_does_not_change_the_latency_baseline(self):
+        """Guards against a slow version that is tolerated because the old one was overloaded."""
         verdict = make_verdict()
         slots = SlotsInUse(10, 40)
         observe(verdict, 20, new=(10, 0), old=(190, 0), slots=slots)
@@ -128,8 +131,8 @@
         window = observe(verdict, 20, new=slow, old=(0, 0), slots=SlotsInUse(40, 40), start=80)
         self.assertIsNotNone(window)
 
-    def test_load_is_not_mistaken_for_slowness(self):
-        """Guards against a good version reverted because its few targets carry more load."""
+    def test_load_does_not_count_as_a_slow_version(self):
+        """Guards against reverting a good version whose few targets have a higher load."""
         for slots in (SlotsInUse(2, 40), None):
             verdict = make_verdict()
             observe(verdict, 20, new=(10, 0), old=(190, 0), slots=slots)
--- a/test/moves/test_veto.py
+++ b/test/moves/test_veto.py
@@ -28,25 +28,25 @@
         (veto,) = self.observe(range(20), make_part(), 7, 5)
         self.assertEqual(("v2", 7, "n1"), (veto.version, veto.config_version, veto.origin))
 
-    def test_veto_under_an_allow_rule_acts_again(self):
-        """Guards against a node that keeps silent about a version once it was allowed."""
+    def test_allowed_version_can_be_vetoed_again(self):
+        """Guards against a node that never vetoes a version again after it was allowed."""
         self.assertEqual(1, len(self.observe(range(20), make_part(), 7, 5)))
         allowed = make_part(allowed={"v2": 8})
         (veto,) = self.observe(range(20, 40), allowed, 8, 5)
         self.assertEqual(8, veto.config_version)
 
     def test_good_version_is_not_vetoed(self):
-        """Guards against a node whose few requests condemn a version."""
+        """Guards against a node that vetoes a good version because of its few requests."""
         self.assertEqual([], self.observe(range(300), make_part(), 7, 0))
 
     def test_malformed_record_does_not_hide_the_others(self):
-        """Guards against a relay that starts without vetoes because one is damaged."""
+        """Guards against a relay that starts without vetoes because one is malformed."""
         platform = MemoryPlatform(store=ObjectStore(clock=self.clock))
         platform.create(veto_key("a", "v2"), b"\xc1", "w1")
         self.assertEqual([], load_vetoes(platform).unwrap())
 
     def test_newer_veto_replaces_an_overridden_record(self):
-        """Guards against a second veto that is lost behind the record of the first."""
+        """Guards against a second veto that is not stored because of the first one."""
         platform = MemoryPlatform(store=ObjectStore(clock=self.clock))
         for config_version in (7, 9, 8):
             veto = Veto(SERVICE, "v2", config_version, "errors", "n1", START)
