Name the remaining loop variables of the verdict and its baselines

'past', 'seen', 'limit' and 'tally' named several things each; they are old_counts, cumulative, slow_bucket and counted_route. The docstring of the slow bucket names both cases without a result.

Checks: make lint passes; pytest test/moves passes.

--- a/almondshore/moves/controls.py
+++ b/almondshore/moves/controls.py
@@ -33,14 +33,14 @@
     def slow_share(self, row: EvidenceRow) -> float:
         """Return the share of a row's responses above the long-term ``SLOW_QUANTILE``."""
         total = sum(self.buckets)
-        seen, limit = 0.0, BUCKETS
+        cumulative, slow_bucket = 0.0, BUCKETS
         for index, count in enumerate(self.buckets):
-            seen += count
-            if total and seen >= SLOW_QUANTILE * total:
-                limit = index + 1
+            cumulative += count
+            if total and cumulative >= SLOW_QUANTILE * total:
+                slow_bucket = index + 1
                 break
         timed = sum(row.latency_buckets)
-        return sum(row.latency_buckets[limit:]) / timed if timed else 0.0
+        return sum(row.latency_buckets[slow_bucket:]) / timed if timed else 0.0
 
     def observe(self, row: EvidenceRow) -> tuple[float, float]:
         """Update the long-term values with those of a window.
@@ -55,8 +55,8 @@
         self.error_rate += weight * (rate - self.error_rate)
         timed = sum(row.latency_buckets) or 1
         self.buckets = [
-            known + weight * (count / timed - known)
-            for known, count in zip(self.buckets, row.latency_buckets, strict=True)
+            long_term + weight * (count / timed - long_term)
+            for long_term, count in zip(self.buckets, row.latency_buckets, strict=True)
         ]
         return errors, slow
 
--- a/almondshore/moves/coordinator.py
+++ b/almondshore/moves/coordinator.py
@@ -27,8 +27,8 @@
 from almondshore.storage.port import NotFound, Platform
 
 # Latencies of a new version count only after this time, when its caches are filled. For short moves
-# it is limited to a share of the duration; with a fifth, a version that was cold for 25 s was
-# reverted in a move of 120 s.
+# it is limited to a share of the duration: with a fifth as the limit, a version that was cold for
+# 25 s was reverted in a move of 120 s.
 WARM_UP_DURATION = timedelta(seconds=30)
 MAX_WARM_UP_SHARE = 0.3
 # From this step on the new version has been warm for long, so a successor does not wait again.
@@ -161,22 +161,11 @@
         move, record = self.part["move"], self.record
         if record is None:
             return MoveReport(
-                self.part["name"],
-                move["move_id"],
-                Status.ACTIVE,
-                0,
-                "starting",
-                "",
-                "",
-                "",
-                False,
+                self.part["name"], move["move_id"], Status.ACTIVE, 0, "starting", "", "", "", False
             )
         status, reason = Status(record.state), record.reason
         if status is Status.ACTIVE and self._is_at_risk():
-            status, reason = (
-                Status.AT_RISK,
-                self.blocked_reason or "the deadline has passed",
-            )
+            status, reason = Status.AT_RISK, self.blocked_reason or "the deadline has passed"
         recorded = self.store.pending is None and self.pending_outcome is None
         return MoveReport(
             self.part["name"],
--- a/almondshore/moves/state.py
+++ b/almondshore/moves/state.py
@@ -54,7 +54,7 @@
         self._digest = None
 
     def apply_step(self, step: MoveStep) -> bool:
-        """Apply a step unless it is invalid or a newer one is known; return whether it changed."""
+        """Apply a step unless it is invalid or outdated; return whether the table changed."""
         if not 0 <= step.step <= FINAL_STEP:
             return False
         key = (step.service, step.move_id)
@@ -96,7 +96,7 @@
     def digest(self) -> int:
         """Return a digest of the vetoes and steps that concern the current configuration.
 
-        Tables with equal content have equal digests; the digest of an empty table is 0.
+        Equal content has an equal digest; it is 0 if there are none.
         """
         if self._digest is None:
             vetoes = sorted(v for v in self.vetoes.values() if v.service in self.services)
--- a/almondshore/moves/verdict.py
+++ b/almondshore/moves/verdict.py
@@ -188,8 +188,8 @@
         rows_by_key = {(row.version, row.route): row for row in rows}
         routes = {route for version, route in rows_by_key if version in (self.new, self.old)}
         known = {route for _, route in self.counts_by_route}
-        free_slots = max(MAX_ROUTES - len(known), 0)
-        selected_routes = (routes & known) | set(sorted(routes - known)[:free_slots])
+        max_added_routes = max(MAX_ROUTES - len(known), 0)
+        selected_routes = (routes & known) | set(sorted(routes - known)[:max_added_routes])
         return {
             route: tuple(
                 rows_by_key.get((version, route))
@@ -208,8 +208,8 @@
         load_comparison: LoadComparison,
     ) -> list[float] | None:
         """Return the log likelihood ratios of a window, or None if the data is insufficient."""
-        past = self.counts_by_route[self.old, new.route]
-        slow_bucket = _slow_bucket(past.buckets) if kind is FaultKind.SLOW else 0
+        old_counts = self.counts_by_route[self.old, new.route]
+        slow_bucket = _slow_bucket(old_counts.buckets) if kind is FaultKind.SLOW else 0
         if slow_bucket is None:
             return None
         events, total = _count(kind, new, slow_bucket)
@@ -230,7 +230,7 @@
                 old_total=old_total,
             )
             return [weight * ratio for ratio in log_ratios]
-        rate = _past_rate(kind, past, slow_bucket)
+        rate = _past_rate(kind, old_counts, slow_bucket)
         if rate is None or (timed and not load_comparison.similar_to_past):
             return None
         log_ratios = baseline_log_ratios(
@@ -262,8 +262,8 @@
         for version in (self.new, self.old):
             selected = [
                 route_counts
-                for (counted_version, tally_route), route_counts in self.counts_by_route.items()
-                if counted_version == version and route in (tally_route, ALL_ROUTES)
+                for (counted_version, counted_route), route_counts in self.counts_by_route.items()
+                if counted_version == version and route in (counted_route, ALL_ROUTES)
             ]
             faulty = {
                 FaultKind.ERRORS: sum(route_counts.errors for route_counts in selected),
@@ -284,26 +284,29 @@
 
 
 def _slow_bucket(buckets: list[int]) -> int | None:
-    """Return the first bucket above ``SLOW_QUANTILE``, or None if there are too few requests."""
+    """Return the first bucket above ``SLOW_QUANTILE``.
+
+    None if there are too few requests or the quantile is in the last bucket.
+    """
     total = sum(buckets)
     if total < MIN_BASELINE_REQUESTS:
         return None
-    seen = 0
+    cumulative = 0
     for index, count in enumerate(buckets[:-1]):
-        seen += count
-        if seen >= SLOW_QUANTILE * total:
+        cumulative += count
+        if cumulative >= SLOW_QUANTILE * total:
             return index + 1
     return None
 
 
-def _past_rate(kind: FaultKind, past: RouteCounts, slow_bucket: int) -> float | None:
+def _past_rate(kind: FaultKind, old_counts: RouteCounts, slow_bucket: int) -> float | None:
     """Return an upper estimate of the old version's rate, or None if it had too few requests."""
-    if past.requests < MIN_BASELINE_REQUESTS:
+    if old_counts.requests < MIN_BASELINE_REQUESTS:
         return None
     if kind is FaultKind.SLOW:
-        count, total = sum(past.buckets[slow_bucket:]), sum(past.buckets)
+        count, total = sum(old_counts.buckets[slow_bucket:]), sum(old_counts.buckets)
     elif kind is FaultKind.BROKEN:
-        count, total = past.broken, past.requests
+        count, total = old_counts.broken, old_counts.requests
     else:
-        count, total = past.errors, past.requests
+        count, total = old_counts.errors, old_counts.requests
     return max((count + 2 * math.sqrt(count + 1)) / total, MIN_BASELINE_RATE)
