--- a/almondshore/mesh/change_server.py
+++ b/almondshore/mesh/change_server.py
@@ -14,7 +14,7 @@
 from almondshore.mesh.changes import (
     ChangeAnswer,
     ChangeLog,
-    Kind,
+    StateKind,
     compress_config,
     encode_answer,
 )
@@ -26,12 +26,12 @@
 
 CHANGES_PATH = b"/changes"
 # Longest time for which a follower is kept waiting while nothing changes.
-MAX_HOLD = timedelta(milliseconds=700)
+MAX_POLL_WAIT = timedelta(milliseconds=700)
 # State that was last confirmed longer ago is taken for outdated. A watcher hears from the store
 # each 0.8 s, and a change must be in force everywhere within 2 s.
 MAX_STATE_AGE = timedelta(milliseconds=1300)
 # Followers kept waiting at a time; a zone of 19,000 nodes in 41 zones has 116 for each watcher.
-MAX_HELD = 512
+MAX_PENDING_POLLS = 512
 ZERO = timedelta()
 
 
@@ -49,7 +49,7 @@
     hold_ms: int = 0
 
 
-class _Held(NamedTuple):
+class _PendingPoll(NamedTuple):
     exchange: Exchange
     query: ChangeQuery
     timer: Any
@@ -77,8 +77,8 @@
         self.rollouts = rollouts
         self.crashes = crashes
         self.age = age
-        self.held: dict[int, _Held] = {}
-        self.scheduled = False
+        self.pending: dict[int, _PendingPoll] = {}
+        self.response_scheduled = False
         changes.on_change = self._on_change
 
     def handle(self, exchange: Exchange) -> None:
@@ -88,16 +88,16 @@
             exchange.respond(Response(400))
             return
         # A follower is to learn in time that this node's own state is outdated.
-        hold = min(query.hold_ms * MILLISECOND, MAX_HOLD, MAX_STATE_AGE - self.age())
-        if hold <= ZERO or self._has_news(query) or len(self.held) >= MAX_HELD:
-            exchange.respond(self._answer(query))
+        poll_wait = min(query.hold_ms * MILLISECOND, MAX_POLL_WAIT, MAX_STATE_AGE - self.age())
+        if poll_wait <= ZERO or self._has_changes(query) or len(self.pending) >= MAX_PENDING_POLLS:
+            exchange.respond(self._make_response(query))
             return
         key = id(exchange)
-        timer = hubs.get_hub().schedule_call_global(hold.total_seconds(), self._release, key)
-        self.held[key] = _Held(exchange, query, timer)
-        exchange.on_cancel = lambda: self._drop(key)
+        timer = hubs.get_hub().schedule_call_global(poll_wait.total_seconds(), self._respond, key)
+        self.pending[key] = _PendingPoll(exchange, query, timer)
+        exchange.on_cancel = lambda: self._remove_pending(key)
 
-    def _has_news(self, query: ChangeQuery) -> bool:
+    def _has_changes(self, query: ChangeQuery) -> bool:
         covered = self.changes.covers(query.epoch, query.after)
         news = not covered or self.changes.number > query.after
         return news or self._newer_config(query) is not None
@@ -108,27 +108,27 @@
 
     def _on_change(self) -> None:
         """Answer all that wait, once for the changes of one moment."""
-        if self.held and not self.scheduled:
-            self.scheduled = True
-            hubs.get_hub().schedule_call_global(0, self._release_all)
-
-    def _release_all(self) -> None:
-        self.scheduled = False
-        for key in list(self.held):
-            self._release(key)
-
-    def _release(self, key: int) -> None:
-        held = self._drop(key)
-        if held is not None:
-            held.exchange.respond(self._answer(held.query))
-
-    def _drop(self, key: int) -> _Held | None:
-        held = self.held.pop(key, None)
-        if held is not None:
-            held.timer.cancel()
-        return held
-
-    def _answer(self, query: ChangeQuery) -> Response:
+        if self.pending and not self.response_scheduled:
+            self.response_scheduled = True
+            hubs.get_hub().schedule_call_global(0, self._respond_to_all)
+
+    def _respond_to_all(self) -> None:
+        self.response_scheduled = False
+        for key in list(self.pending):
+            self._respond(key)
+
+    def _respond(self, key: int) -> None:
+        pending = self._remove_pending(key)
+        if pending is not None:
+            pending.exchange.respond(self._make_response(pending.query))
+
+    def _remove_pending(self, key: int) -> _PendingPoll | None:
+        pending = self.pending.pop(key, None)
+        if pending is not None:
+            pending.timer.cancel()
+        return pending
+
+    def _make_response(self, query: ChangeQuery) -> Response:
         changes, after = self.changes, query.after
         whole = not changes.covers(query.epoch, after)
         if whole:
@@ -142,12 +142,12 @@
             age_ms=int(self.age() / MILLISECOND),
             whole=whole,
             config=compress_config(config.raw) if config is not None else b"",
-            targets=[targets[name] for name in changes.changed_since(Kind.TARGET, after)],
-            removed_targets=changes.removed_since(Kind.TARGET, after),
-            rollouts=[rollouts[name] for name in changes.changed_since(Kind.ROLLOUT, after)],
-            removed_rollouts=changes.removed_since(Kind.ROLLOUT, after),
-            deaths=[reports[name] for name in changes.changed_since(Kind.DEATH, after)],
-            removed_deaths=changes.removed_since(Kind.DEATH, after),
+            targets=[targets[name] for name in changes.changed_since(StateKind.TARGET, after)],
+            removed_targets=changes.removed_since(StateKind.TARGET, after),
+            rollouts=[rollouts[name] for name in changes.changed_since(StateKind.ROLLOUT, after)],
+            removed_rollouts=changes.removed_since(StateKind.ROLLOUT, after),
+            deaths=[reports[name] for name in changes.changed_since(StateKind.DEATH, after)],
+            removed_deaths=changes.removed_since(StateKind.DEATH, after),
         )
         return Response(200, (), encode_answer(answer))
 
--- a/almondshore/mesh/changes.py
+++ b/almondshore/mesh/changes.py
@@ -19,7 +19,7 @@
 MAX_CONFIG_BYTES = 16 * 1024 * 1024
 
 
-class Kind(StrEnum):
+class StateKind(StrEnum):
     """Kinds of state that change one item at a time."""
 
     TARGET = "target"
@@ -27,7 +27,7 @@
     DEATH = "death"
 
 
-Key = tuple[Kind, str]
+Key = tuple[StateKind, str]
 
 
 class ChangeLog:
@@ -47,21 +47,21 @@
         self.removed: dict[Key, int] = {}
         self.on_change: Callable[[], None] = lambda: None
 
-    def note(self, kind: Kind, name: str) -> None:
+    def record_change(self, kind: StateKind, name: str) -> None:
         """Take note that an item was added or changed."""
         self.removed.pop((kind, name), None)
-        self.note_version()
+        self.increment()
         self.changed[kind, name] = self.number
 
-    def note_removed(self, kind: Kind, name: str) -> None:
+    def record_removal(self, kind: StateKind, name: str) -> None:
         """Take note that an item was removed."""
         self.changed.pop((kind, name), None)
-        self.note_version()
+        self.increment()
         self.removed[kind, name] = self.number
         while len(self.removed) > MAX_REMOVED:
             self.complete_from = self.removed.pop(next(iter(self.removed)))
 
-    def note_version(self) -> None:
+    def increment(self) -> None:
         """Take note that something changed, such as the version of the configuration."""
         self.number += 1
         self.on_change()
@@ -70,11 +70,11 @@
         """Tell whether all changes after a number of an epoch are known here."""
         return epoch == self.epoch and self.complete_from <= number <= self.number
 
-    def changed_since(self, kind: Kind, number: int) -> list[str]:
+    def changed_since(self, kind: StateKind, number: int) -> list[str]:
         """Return the items of a kind that were added or changed after a number."""
         return [name for (of, name), at in self.changed.items() if of is kind and at > number]
 
-    def removed_since(self, kind: Kind, number: int) -> list[str]:
+    def removed_since(self, kind: StateKind, number: int) -> list[str]:
         """Return the items of a kind that were removed after a number."""
         return [name for (of, name), at in self.removed.items() if of is kind and at > number]
 
--- a/almondshore/mesh/crashes.py
+++ b/almondshore/mesh/crashes.py
@@ -12,7 +12,7 @@
 from almondshore.core.logs import log_event
 from almondshore.core.messages import CrashDeath
 from almondshore.http.messages import Request
-from almondshore.mesh.changes import ChangeLog, Kind
+from almondshore.mesh.changes import ChangeLog, StateKind
 from almondshore.mesh.model import Death
 from almondshore.mesh.replication import Sink
 from almondshore.mesh.store import MeshStore
@@ -21,11 +21,11 @@
 MILLISECOND = timedelta(milliseconds=1)
 # A closed connection is taken for a death if the target refuses connections, or starts anew,
 # within this time; otherwise it only closed a connection.
-DEATH_WITHIN = timedelta(seconds=2)
+DEATH_DETECTION_WINDOW = timedelta(seconds=2)
 # Runs that may be reported for one death; a target has about 10 slots.
 MAX_SUSPECTS = 32
-RETRY_PAUSE = timedelta(seconds=1)
-MAX_PENDING = 64
+WRITE_INTERVAL = timedelta(seconds=1)
+MAX_PENDING_REPORTS = 64
 
 
 class _Suspect(NamedTuple):
@@ -43,13 +43,13 @@
     def record_broken_run(self, run: CrashDeath) -> None:
         """Take note of a run that ended with its connection."""
         now = self.clock.monotonic()
-        recent = [item for item in self.suspects if now - item.ended < DEATH_WITHIN]
+        recent = [item for item in self.suspects if now - item.ended < DEATH_DETECTION_WINDOW]
         self.suspects = [*recent[-MAX_SUSPECTS + 1 :], _Suspect(run, now)]
 
     def detect_death(self) -> Death | None:
         """Take note that the target is gone; returns its death if something ran just before."""
         now = self.clock.monotonic()
-        runs = [item.run for item in self.suspects if now - item.ended < DEATH_WITHIN]
+        runs = [item.run for item in self.suspects if now - item.ended < DEATH_DETECTION_WINDOW]
         self.suspects = []
         if not runs:
             return None
@@ -81,13 +81,13 @@
             if death is not None:
                 self.put(death)
             elif self.reports.pop(name, None) is not None:
-                self.changes.note_removed(Kind.DEATH, name)
+                self.changes.record_removal(StateKind.DEATH, name)
 
     def put(self, death: Death) -> None:
         """Take one reported death; one that is known already changes nothing."""
         if death.name not in self.reports:
             self.reports[death.name] = death
-            self.changes.note(Kind.DEATH, death.name)
+            self.changes.record_change(StateKind.DEATH, death.name)
             self.count(death)
 
     def count(self, death: Death) -> None:
@@ -120,12 +120,12 @@
     def report(self, death: Death) -> None:
         """Queue a death for writing; the oldest is dropped if the store is away for long."""
         log_event("target_died", level="WARNING", death=death.name, runs=len(death.runs))
-        self.pending = [*self.pending, death][-MAX_PENDING:]
+        self.pending = [*self.pending, death][-MAX_PENDING_REPORTS:]
 
     def run(self) -> None:
         """Write for as long as the process runs; for a greenlet of its own."""
         while True:
-            eventlet.sleep(RETRY_PAUSE.total_seconds())
+            eventlet.sleep(WRITE_INTERVAL.total_seconds())
             self.step()
 
     def step(self) -> None:
--- a/almondshore/mesh/directory.py
+++ b/almondshore/mesh/directory.py
@@ -5,7 +5,7 @@
 
 from almondshore.core.clock import Clock
 from almondshore.core.logs import log_event
-from almondshore.mesh.changes import ChangeLog, Kind
+from almondshore.mesh.changes import ChangeLog, StateKind
 from almondshore.mesh.model import Address, Target, TargetState
 
 # A node that could not be reached is asked again after this, doubled for each failure in a row. It
@@ -59,10 +59,10 @@
         """
         old, self.targets = self.targets, {target.target: target for target in targets}
         for name in old.keys() - self.targets.keys():
-            self.changes.note_removed(Kind.TARGET, name)
+            self.changes.record_removal(StateKind.TARGET, name)
         for name, target in self.targets.items():
             if old.get(name) != target:
-                self.changes.note(Kind.TARGET, name)
+                self.changes.record_change(StateKind.TARGET, name)
         self._index()
         return old != self.targets
 
@@ -71,14 +71,16 @@
         changed = False
         for name in removed:
             if self.targets.pop(name, None) is not None:
-                self.changes.note_removed(Kind.TARGET, name)
+                self.changes.record_removal(StateKind.TARGET, name)
                 changed = True
         for target in targets:
             known = self.targets.get(target.target)
-            if known is not None and (known == target or _age(target) < _age(known)):
+            if known is not None and (
+                known == target or _entry_order(target) < _entry_order(known)
+            ):
                 continue
             self.targets[target.target] = target
-            self.changes.note(Kind.TARGET, target.target)
+            self.changes.record_change(StateKind.TARGET, target.target)
             changed = True
         if changed:
             self._index()
@@ -171,6 +173,6 @@
         self.on_change()
 
 
-def _age(target: Target) -> tuple[int, int, int]:
+def _entry_order(target: Target) -> tuple[int, int, int]:
     """Return the order of entries of one identity; of equal ones, the later state counts."""
     return target.born_ms, target.sequence, list(TargetState).index(target.state)
--- a/almondshore/mesh/driver.py
+++ b/almondshore/mesh/driver.py
@@ -17,15 +17,15 @@
 from almondshore.mesh.state import RolloutSink
 from almondshore.mesh.store import MeshStore
 
-TICK = timedelta(milliseconds=400)
+STEP_INTERVAL = timedelta(milliseconds=400)
 # The node beside a target looks at its own results more often: a version that turns bad has all
 # requests within a second, and its node refuses them as soon as it knows.
-OWN_TICK = timedelta(milliseconds=150)
-IDLE_TICK = timedelta(seconds=1)
+LOCAL_CHECK_INTERVAL = timedelta(milliseconds=150)
+IDLE_INTERVAL = timedelta(seconds=1)
 # The node of each further rank waits this long for those before it.
 RANK_DELAY = timedelta(milliseconds=1200)
 # Nodes that gather evidence; the others judge by their own target alone.
-JUDGES = 3
+MAX_EVIDENCE_COLLECTORS = 3
 
 
 class RolloutDriver:
@@ -44,7 +44,7 @@
         clock: Clock,
         node: Address,
         service: Callable[[], str],
-        own: Callable[[], Evidence],
+        own_evidence: Callable[[], Evidence],
         directory: Directory,
         rollouts: RolloutSink,
         client: PeerClient,
@@ -53,24 +53,26 @@
         self.clock = clock
         self.node = node
         self.service = service
-        self.own = own
+        self.own_evidence = own_evidence
         self.directory = directory
         self.rollouts = rollouts
         self.client = client
         self.store = store
-        self.seen: dict[tuple[str, str], timedelta] = {}
-        self.moved_at: timedelta | None = None
-        self.condemned: dict[tuple[str, str], str] = {}
-        self.wanted: Rollout | None = None
-        self.wanted_at = timedelta()
+        self.first_seen: dict[tuple[str, str], timedelta] = {}
+        self.full_share_at: timedelta | None = None
+        self.faults: dict[tuple[str, str], str] = {}
+        self.desired: Rollout | None = None
+        self.desired_at = timedelta()
         self.stepped_at: timedelta | None = None
 
     def run(self) -> None:
         """Drive for as long as the process runs; for a greenlet of its own."""
         while True:
             rollout = self.current()
-            eventlet.sleep((OWN_TICK if rollout is not None else IDLE_TICK).total_seconds())
-            if rollout is not None and (self._is_due() or self._find_own_fault(rollout)):
+            eventlet.sleep(
+                (LOCAL_CHECK_INTERVAL if rollout is not None else IDLE_INTERVAL).total_seconds()
+            )
+            if rollout is not None and (self._is_step_due() or self._detect_local_fault(rollout)):
                 self.stepped_at = self.clock.monotonic()
                 self.step(rollout)
 
@@ -79,7 +81,7 @@
         rollout = self.rollouts.shares.rollouts.get(self.service())
         if rollout is None or rollout.state in (RolloutState.COMPLETED, RolloutState.ROLLED_BACK):
             return None
-        self.seen.setdefault((rollout.service, rollout.version), self.clock.monotonic())
+        self.first_seen.setdefault((rollout.service, rollout.version), self.clock.monotonic())
         return rollout
 
     def order_age(self) -> timedelta:
@@ -88,19 +90,21 @@
         if rollout is None:
             return timedelta()
         key = (rollout.service, rollout.version)
-        return self.clock.monotonic() - self.seen[key] if key in self.seen else timedelta()
+        return (
+            self.clock.monotonic() - self.first_seen[key] if key in self.first_seen else timedelta()
+        )
 
     def is_faulty(self, service: str, version: str) -> bool:
         """Tell whether this node found a version bad."""
-        return (service, version) in self.condemned
+        return (service, version) in self.faults
 
     def step(self, rollout: Rollout) -> None:
         """Judge the version and advance the rollout if it is this node's turn."""
         key = (rollout.service, rollout.version)
-        ranked = self._ranked(rollout)
+        ranked = self._rank_nodes(rollout)
         rank = ranked.index(self.node) if self.node in ranked else len(ranked)
-        asks = rank < JUDGES or self._is_stalled(rank)
-        evidence = (self._gather(ranked) if asks else []) or [self.own()]
+        collects = rank < MAX_EVIDENCE_COLLECTORS or self._is_stalled(rank)
+        evidence = (self._collect_evidence(ranked) if collects else []) or [self.own_evidence()]
         counts = VersionCounts({}, {})
         old_running = 0
         # Nodes beside the new version start after the order; others have known it for longer.
@@ -111,73 +115,78 @@
             else:
                 add_counts(counts.old, item.routes)
                 old_running += item.running
-        fault = self._judge(key, counts)
+        fault = self._check_version(key, counts)
         now = self.clock.monotonic()
-        self._note_moved(rollout, now)
+        self._update_full_share_at(rollout, now)
         if fault:
-            wanted = rollout._replace(state=RolloutState.ROLLED_BACK, share=0.0)
+            desired = rollout._replace(state=RolloutState.ROLLED_BACK, share=0.0)
         elif not any(item.version == rollout.version for item in evidence):
             return
         else:
-            wanted = next_progress(
+            desired = next_progress(
                 rollout,
-                elapsed=max(age, now - self.seen[key]),
-                settled=now - self.moved_at if self.moved_at is not None else timedelta(),
-                results=_requests(counts.new),
+                elapsed=max(age, now - self.first_seen[key]),
+                time_at_full_share=(
+                    now - self.full_share_at if self.full_share_at is not None else timedelta()
+                ),
+                results=_count_requests(counts.new),
                 old_running=old_running,
             )
-        self._propose(rollout, wanted, rank, now)
+        self._save_progress(rollout, desired, rank, now)
 
-    def _is_due(self) -> bool:
-        return self.stepped_at is None or self.clock.monotonic() - self.stepped_at >= TICK
+    def _is_step_due(self) -> bool:
+        return self.stepped_at is None or self.clock.monotonic() - self.stepped_at >= STEP_INTERVAL
 
-    def _find_own_fault(self, rollout: Rollout) -> bool:
+    def _detect_local_fault(self, rollout: Rollout) -> bool:
         """Judge the version by the own target alone; returns whether it was found bad just now."""
         key = (rollout.service, rollout.version)
-        own = self.own()
-        if key in self.condemned or own.version != rollout.version:
+        own_evidence = self.own_evidence()
+        if key in self.faults or own_evidence.version != rollout.version:
             return False
-        return bool(self._judge(key, VersionCounts(own.routes, {})))
+        return bool(self._check_version(key, VersionCounts(own_evidence.routes, {})))
 
-    def _judge(self, key: tuple[str, str], counts: VersionCounts) -> str:
+    def _check_version(self, key: tuple[str, str], counts: VersionCounts) -> str:
         """Return why a version is bad, an empty string if it is not; a verdict is final."""
-        fault = self.condemned.get(key) or find_fault(counts)
-        if fault and key not in self.condemned:
-            self.condemned[key] = fault
+        fault = self.faults.get(key) or find_fault(counts)
+        if fault and key not in self.faults:
+            self.faults[key] = fault
             log_event("version_condemned", service=key[0], version=key[1], fault=fault)
         return fault
 
-    def _propose(self, rollout: Rollout, wanted: Rollout, rank: int, now: timedelta) -> None:
+    def _save_progress(self, rollout: Rollout, desired: Rollout, rank: int, now: timedelta) -> None:
         """Write the progress that is due, unless a node before this one may still do so."""
-        if wanted == rollout:
-            self.wanted = None
+        if desired == rollout:
+            self.desired = None
             return
-        if self.wanted is None or self.wanted.revision != wanted.revision:
-            self.wanted, self.wanted_at = wanted, now
-        self.wanted = wanted
-        if now - self.wanted_at < RANK_DELAY * rank:
+        if self.desired is None or self.desired.revision != desired.revision:
+            self.desired, self.desired_at = desired, now
+        self.desired = desired
+        if now - self.desired_at < RANK_DELAY * rank:
             return
-        result = self.store.save_progress(wanted)
+        result = self.store.save_progress(desired)
         if not is_successful(result):
             log_event(
-                "rollout_not_saved", level="WARNING", service=wanted.service, error=result.failure()
+                "rollout_not_saved",
+                level="WARNING",
+                service=desired.service,
+                error=result.failure(),
             )
             return
-        self.wanted = None
-        self.rollouts.put(wanted._replace(revision=result.unwrap()), source="own")
+        self.desired = None
+        self.rollouts.put(desired._replace(revision=result.unwrap()), source="own")
 
-    def _note_moved(self, rollout: Rollout, now: timedelta) -> None:
+    def _update_full_share_at(self, rollout: Rollout, now: timedelta) -> None:
         if rollout.share < 1.0 or rollout.state is not RolloutState.RUNNING:
-            self.moved_at = None
-        elif self.moved_at is None:
-            self.moved_at = now
+            self.full_share_at = None
+        elif self.full_share_at is None:
+            self.full_share_at = now
 
     def _is_stalled(self, rank: int) -> bool:
-        if self.wanted is None:
+        if self.desired is None:
             return False
-        return self.clock.monotonic() - self.wanted_at >= RANK_DELAY * rank
+        return self.clock.monotonic() - self.desired_at >= RANK_DELAY * rank
 
-    def _ranked(self, rollout: Rollout) -> list[Address]:
+    def _rank_nodes(self, rollout: Rollout) -> list[Address]:
         """Return the nodes of the service, those beside the new version first."""
         targets = [
             target
@@ -188,15 +197,15 @@
         targets.sort(key=lambda target: (target.version != rollout.version, target.node))
         return list(dict.fromkeys(target.node for target in targets))
 
-    def _gather(self, nodes: list[Address]) -> list[Evidence]:
+    def _collect_evidence(self, nodes: list[Address]) -> list[Evidence]:
         """Return the evidence of all nodes that answer."""
         pool = eventlet.GreenPool(len(nodes) or 1)
-        found = pool.imap(self._ask, nodes)
-        return [item for item in found if item is not None]
+        responses = pool.imap(self._fetch_evidence, nodes)
+        return [item for item in responses if item is not None]
 
-    def _ask(self, node: Address) -> Evidence | None:
+    def _fetch_evidence(self, node: Address) -> Evidence | None:
         if node == self.node:
-            return self.own()
+            return self.own_evidence()
         body = self.client.get(node, EVIDENCE_PATH)
         if body is None:
             return None
@@ -207,5 +216,5 @@
             return None
 
 
-def _requests(routes: dict[str, RouteCounts]) -> int:
+def _count_requests(routes: dict[str, RouteCounts]) -> int:
     return sum(counts.requests for counts in routes.values())
--- a/almondshore/mesh/feeds.py
+++ b/almondshore/mesh/feeds.py
@@ -23,16 +23,16 @@
 
 # Longest waits for changes. The store charges each call, a tenth for stale reads, as those of
 # targets and deaths are; a newer configuration is also seen in the responses of other nodes.
-WAIT_CONFIG = timedelta(seconds=3)
-WAIT_ROLLOUTS = timedelta(seconds=4)
-WAIT_DEATHS = timedelta(seconds=4)
+CONFIG_MAX_WAIT = timedelta(seconds=3)
+ROLLOUTS_MAX_WAIT = timedelta(seconds=4)
+DEATHS_MAX_WAIT = timedelta(seconds=4)
 # The cheapest feed shows that the store went silent and came back; it makes the others call again.
 # With a failed call and its repetition, it still shows this within the age that followers allow.
-WAIT_TARGETS = timedelta(milliseconds=800)
+TARGETS_MAX_WAIT = timedelta(milliseconds=800)
 # Changes that come within this are read by one call; they must be in force within 2 s. Each version
 # of a large configuration takes a third of a second on a link of 10 Mbit/s.
-GATHER_CONFIG = timedelta(milliseconds=700)
-GATHER_TARGETS = timedelta(milliseconds=500)
+CONFIG_BATCH_DELAY = timedelta(milliseconds=700)
+TARGETS_BATCH_DELAY = timedelta(milliseconds=500)
 
 
 class StateFeeds:
@@ -67,13 +67,17 @@
         config = ConfigSink(outbound=outbound, name=config_name, changes=changes)
         targets = TargetSink(directory=directory)
         self.probe_replica: Replica | None = None
-        self.probe_replica = self._replica(store.targets, targets, WAIT_TARGETS, GATHER_TARGETS)
-        self.probe_replica.on_regained = self._on_regained
+        self.probe_replica = self._make_replica(
+            store.targets, targets, TARGETS_MAX_WAIT, TARGETS_BATCH_DELAY
+        )
+        self.probe_replica.on_recovered = self._on_store_recovered
         self.replicas = (
             self.probe_replica,
-            self._replica(store.config, config, WAIT_CONFIG, GATHER_CONFIG, large=True),
-            self._replica(store.rollouts, self.rollouts, WAIT_ROLLOUTS, timedelta()),
-            self._replica(store.deaths, self.crashes, WAIT_DEATHS, timedelta()),
+            self._make_replica(
+                store.config, config, CONFIG_MAX_WAIT, CONFIG_BATCH_DELAY, large=True
+            ),
+            self._make_replica(store.rollouts, self.rollouts, ROLLOUTS_MAX_WAIT, timedelta()),
+            self._make_replica(store.deaths, self.crashes, DEATHS_MAX_WAIT, timedelta()),
         )
         sink = PeerSink(
             config=config,
@@ -126,13 +130,19 @@
         failing = [item.failing_since for item in self.replicas if item.failing_since is not None]
         return min(failing, default=None)
 
-    def _on_regained(self) -> None:
+    def _on_store_recovered(self) -> None:
         for replica in self.replicas:
             if replica is not self.probe_replica:
                 replica.restart()
 
-    def _replica(
-        self, feed: Feed, sink: Sink, wait: timedelta, gather: timedelta, *, large: bool = False
+    def _make_replica(
+        self,
+        feed: Feed,
+        sink: Sink,
+        wait: timedelta,
+        batch_delay: timedelta,
+        *,
+        large: bool = False,
     ) -> Replica:
         return Replica(
             clock=self.clock,
@@ -140,7 +150,7 @@
             feed=feed,
             sink=sink,
             wait=wait,
-            gather=gather,
+            batch_delay=batch_delay,
             large=large,
             probe_replica=self.probe_replica,
         )
--- a/almondshore/mesh/node.py
+++ b/almondshore/mesh/node.py
@@ -170,7 +170,7 @@
             clock=clock,
             node=settings.inbound,
             service=lambda: self.settings.service if self.local.announced else "",
-            own=internal.evidence,
+            own_evidence=internal.evidence,
             directory=self.directory,
             rollouts=self.feeds.rollouts,
             client=client,
--- a/almondshore/mesh/publishing.py
+++ b/almondshore/mesh/publishing.py
@@ -11,8 +11,8 @@
 from almondshore.mesh.model import Target, TargetState
 from almondshore.mesh.store import Changed, MeshStore, NotFound, RateLimited, StoreError
 
-MIN_PAUSE = timedelta(milliseconds=200)
-MAX_PAUSE = timedelta(seconds=1)
+MIN_BACKOFF = timedelta(milliseconds=200)
+MAX_BACKOFF = timedelta(seconds=1)
 
 
 def remove_entry(store: MeshStore, directory: Directory, name: str) -> bool:
@@ -33,65 +33,65 @@
     def __init__(self, *, store: MeshStore, directory: Directory):
         self.store = store
         self.directory = directory
-        self.wanted: Target | None = None
+        self.desired: Target | None = None
         self.stored: Target | None = None
         self.revisions: dict[str, int] = {}
-        self.wake: Event = Event()
+        self.desired_changed: Event = Event()
 
     def publish(self, target: Target) -> None:
         """Set the entry to store."""
-        self.wanted = target
-        if not self.wake.ready():
-            self.wake.send(None)
+        self.desired = target
+        if not self.desired_changed.ready():
+            self.desired_changed.send(None)
 
     def restore(self) -> None:
         """Write the entry again: somebody removed it, or a read was older than the last write.
 
         A write that changes nothing has no effect in the store.
         """
-        wanted = self.wanted
-        if wanted is None or wanted != self.stored or wanted.state is TargetState.GONE:
+        desired = self.desired
+        if desired is None or desired != self.stored or desired.state is TargetState.GONE:
             return
-        log_event("target_missing", target=wanted.target)
+        log_event("target_missing", target=desired.target)
         self.stored = None
-        self.publish(wanted)
+        self.publish(desired)
 
     def run(self) -> None:
         """Write until the process ends; for a greenlet of its own."""
-        pause = MIN_PAUSE
+        backoff = MIN_BACKOFF
         while True:
-            if self.wanted == self.stored:
-                self.wake = Event()
-                self.wake.wait()
+            if self.desired == self.stored:
+                self.desired_changed = Event()
+                self.desired_changed.wait()
                 continue
             if self.write():
-                pause = MIN_PAUSE
+                backoff = MIN_BACKOFF
             else:
-                eventlet.sleep(pause.total_seconds())
-                pause = min(MAX_PAUSE, pause * 2)
+                eventlet.sleep(backoff.total_seconds())
+                backoff = min(MAX_BACKOFF, backoff * 2)
 
     def write(self) -> bool:
         """Try to write the entry once; returns whether to go on at once."""
-        wanted = self.wanted
-        revision = self.revisions.get(wanted.target, 0)
-        result = self.store.save_target(wanted, revision)
+        desired = self.desired
+        revision = self.revisions.get(desired.target, 0)
+        result = self.store.save_target(desired, revision)
         if is_successful(result):
-            self.revisions[wanted.target] = result.unwrap()
-            self.stored = wanted
+            self.revisions[desired.target] = result.unwrap()
+            self.stored = desired
             log_event(
                 "target_published",
-                target=wanted.target,
-                state=wanted.state,
-                sequence=wanted.sequence,
+                target=desired.target,
+                state=desired.state,
+                sequence=desired.sequence,
                 revision=result.unwrap(),
             )
-            self._remove_predecessors(wanted)
+            self._remove_predecessor_entries(desired)
             return True
-        return self._on_error(wanted, result.failure())
+        return self._handle_error(desired, result.failure())
 
     def withdraw(self) -> None:
         """Remove the entry of a target that is gone."""
-        gone = self.wanted
+        gone = self.desired
         if gone is None or gone.state is not TargetState.GONE:
             return
         revision = self.revisions.get(gone.target, 0)
@@ -99,19 +99,19 @@
             result = self.store.delete_target(gone.target, revision)
             log_event("target_withdrawn", target=gone.target, done=is_successful(result))
 
-    def _remove_predecessors(self, target: Target) -> None:
+    def _remove_predecessor_entries(self, target: Target) -> None:
         """Remove entries of targets that ended without a word beside this node."""
         for other in self.directory.predecessors(target):
             removed = remove_entry(self.store, self.directory, other.target)
             log_event("target_withdrawn", target=other.target, done=removed)
 
-    def _on_error(self, wanted: Target, error: StoreError) -> bool:
+    def _handle_error(self, desired: Target, error: StoreError) -> bool:
         if isinstance(error, Changed):
-            self.revisions[wanted.target] = error.revision
+            self.revisions[desired.target] = error.revision
             return True
         if isinstance(error, NotFound):
-            self.revisions.pop(wanted.target, None)
+            self.revisions.pop(desired.target, None)
             return True
         level = "INFO" if isinstance(error, RateLimited) else "WARNING"
-        log_event("target_not_published", level=level, target=wanted.target, error=error)
+        log_event("target_not_published", level=level, target=desired.target, error=error)
         return False
--- a/almondshore/mesh/replication.py
+++ b/almondshore/mesh/replication.py
@@ -18,15 +18,15 @@
 
 # Pause between tries while the store does not answer, doubled up to the longest. A change must be
 # in force 3 s after the store is back.
-MIN_PAUSE = timedelta(milliseconds=150)
-MAX_PAUSE = timedelta(milliseconds=400)
+MIN_BACKOFF = timedelta(milliseconds=150)
+MAX_BACKOFF = timedelta(milliseconds=400)
 # Share of a pause that is random, so that nodes do not return to the store at once.
-PAUSE_JITTER = 0.5
+BACKOFF_JITTER = 0.5
 # While the store does not answer the probe replica either, other feeds call it no more often than
 # this.
-HELD_INTERVAL = timedelta(seconds=4)
+OUTAGE_CALL_INTERVAL = timedelta(seconds=4)
 # Changes that follow each other this closely are read whole, each pause, until there are none.
-CLOSE_CHANGES = timedelta(seconds=1)
+BURST_INTERVAL = timedelta(seconds=1)
 
 
 class Sink(ABC, Generic[T]):
@@ -64,7 +64,7 @@
         feed: Feed[T],
         sink: Sink[T],
         wait: timedelta,
-        gather: timedelta,
+        batch_delay: timedelta,
         large: bool = False,
         probe_replica: "Replica | None" = None,
     ):
@@ -73,20 +73,20 @@
         self.feed = feed
         self.sink = sink
         self.wait = wait
-        self.gather = gather
+        self.batch_delay = batch_delay
         self.large = large
         self.probe_replica = probe_replica
         self.changed_at: timedelta | None = None
         self.lost_history = False
-        self.gathered = timedelta()
+        self.last_batch_delay = timedelta()
         self.answered_at: timedelta | None = None
         self.called_at: timedelta | None = None
         self.failing_since: timedelta | None = clock.monotonic()
         self.position: int | None = None
         self.former_position: int | None = None
-        self.pause = MIN_PAUSE
+        self.backoff = MIN_BACKOFF
         self.greenlet: eventlet.greenthread.GreenThread | None = None
-        self.on_regained: Callable[[], None] = lambda: None
+        self.on_recovered: Callable[[], None] = lambda: None
 
     def run(self) -> None:
         """Copy until killed; for a greenlet of its own."""
@@ -109,7 +109,7 @@
             self.kill()
             self.start()
 
-    def rest(self) -> None:
+    def suspend(self) -> None:
         """Stop copying.
 
         What others tell meanwhile may be older than what was copied, so that the feed is read
@@ -129,24 +129,24 @@
     def step(self) -> None:
         """Make one call and take in its result."""
         now = self.clock.monotonic()
-        if self._is_held(now):
-            eventlet.sleep(MIN_PAUSE.total_seconds())
+        if self._defers_to_probe_replica(now):
+            eventlet.sleep(MIN_BACKOFF.total_seconds())
             return
         self.called_at = now
         if self.failing_since is not None and self.former_position is not None:
-            self._probe(self.former_position)
+            self._probe_store(self.former_position)
             return
         if self.position is None:
             result = self.feed.read()
         else:
             # While the store is away, an answer must show at once that it is back.
-            wait = self.wait - self.gathered if self.failing_since is None else timedelta()
-            self.gathered = timedelta()
+            wait = self.wait - self.last_batch_delay if self.failing_since is None else timedelta()
+            self.last_batch_delay = timedelta()
             result = self.feed.wait(self.position, wait)
         if not is_successful(result):
             self._on_error(result.failure())
             return
-        self._note_answer()
+        self._record_answer()
         found = result.unwrap()
         if self.position is None:
             changed = self.sink.replace(found.items)
@@ -159,7 +159,7 @@
         if changed:
             self._after_change(whole)
 
-    def _probe(self, position: int) -> None:
+    def _probe_store(self, position: int) -> None:
         """Find out whether the store answers again before all is read, which costs more."""
         result = self.feed.wait(position, timedelta())
         if is_successful(result) or isinstance(result.failure(), HistoryGone):
@@ -170,16 +170,16 @@
     def _after_change(self, whole: bool) -> None:
         """Wait for further changes that one call can bring."""
         now = self.clock.monotonic()
-        close = self.changed_at is not None and now - self.changed_at < CLOSE_CHANGES
+        in_burst = self.changed_at is not None and now - self.changed_at < BURST_INTERVAL
         self.changed_at = now
-        if self.large and close:
+        if self.large and in_burst:
             self.position = None
-        if close if self.large else not whole:
+        if in_burst if self.large else not whole:
             # The next wait is as much shorter, so that the store is heard from as often.
-            self.gathered = min(self.gather, self.wait)
-            eventlet.sleep(self.gathered.total_seconds())
+            self.last_batch_delay = min(self.batch_delay, self.wait)
+            eventlet.sleep(self.last_batch_delay.total_seconds())
 
-    def _is_held(self, now: timedelta) -> bool:
+    def _defers_to_probe_replica(self, now: timedelta) -> bool:
         """Tell whether to wait until the probe replica finds that the store answers again."""
         if (
             self.probe_replica is None
@@ -187,7 +187,7 @@
             or self.failing_since is None
         ):
             return False
-        return self.called_at is not None and now - self.called_at < HELD_INTERVAL
+        return self.called_at is not None and now - self.called_at < OUTAGE_CALL_INTERVAL
 
     def _on_error(self, error: StoreError) -> None:
         if isinstance(error, HistoryGone):
@@ -206,17 +206,17 @@
         self._sleep_backoff(error.retry_after if isinstance(error, RateLimited) else timedelta())
 
     def _sleep_backoff(self, at_least: timedelta = timedelta()) -> None:
-        pause = max(self.pause, at_least)
-        self.pause = min(MAX_PAUSE, self.pause * 2)
-        eventlet.sleep(pause.total_seconds() * (1.0 + PAUSE_JITTER * self.rng.random()))
+        backoff = max(self.backoff, at_least)
+        self.backoff = min(MAX_BACKOFF, self.backoff * 2)
+        eventlet.sleep(backoff.total_seconds() * (1.0 + BACKOFF_JITTER * self.rng.random()))
 
-    def _note_answer(self) -> None:
-        self.pause = MIN_PAUSE
+    def _record_answer(self) -> None:
+        self.backoff = MIN_BACKOFF
         self.answered_at = self.clock.monotonic()
         if self.failing_since is not None:
-            away = self.clock.monotonic() - self.failing_since
+            outage = self.clock.monotonic() - self.failing_since
             log_event(
-                "store_regained", feed=self.feed.name, away_ms=int(away.total_seconds() * 1e3)
+                "store_regained", feed=self.feed.name, away_ms=int(outage.total_seconds() * 1e3)
             )
             self.failing_since = None
-            self.on_regained()
+            self.on_recovered()
--- a/almondshore/mesh/rollout.py
+++ b/almondshore/mesh/rollout.py
@@ -27,10 +27,10 @@
 # rollout of 16 s to be found; the last step leaves a margin to the deadline.
 STEPS = (Step(0.0, 0.05, 0), Step(0.42, 0.09, 12), Step(0.56, 0.18, 25), Step(0.7, 1.0, 40))
 # A step that lacks results is taken anyway after this further share of the time.
-STEP_PATIENCE = 0.06
+MAX_STEP_DELAY = 0.06
 # Requests on the old version end within this; its targets are stopped at once on completion.
-SETTLE_MIN = timedelta(seconds=1)
-SETTLE_MAX = timedelta(seconds=2.5)
+MIN_SETTLE_TIME = timedelta(seconds=1)
+MAX_SETTLE_TIME = timedelta(seconds=2.5)
 
 MIN_ROUTE_FAILURES = 4
 ROUTE_FAILURE_RATE = 0.15
@@ -71,14 +71,19 @@
                 f"route {route} takes {new.total_ms / new.timed:.0f} ms, "
                 f"{old.total_ms / old.timed:.0f} ms before"
             )
-    new, old = _summed(counts.new.values()), _summed(counts.old.values())
+    new, old = _sum_counts(counts.new.values()), _sum_counts(counts.old.values())
     if _fails_more(new, old, MIN_FAILURES, FAILURE_RATE):
         return f"{new.failures} of {new.requests} requests failed"
     return ""
 
 
 def next_progress(
-    rollout: Rollout, *, elapsed: timedelta, settled: timedelta, results: int, old_running: int
+    rollout: Rollout,
+    *,
+    elapsed: timedelta,
+    time_at_full_share: timedelta,
+    results: int,
+    old_running: int,
 ) -> Rollout:
     """Return the rollout with the state and share that are due.
 
@@ -88,15 +93,17 @@
     :param old_running: requests at targets of the old version
     """
     if rollout.share >= 1.0 and rollout.state is RolloutState.RUNNING:
-        done = settled >= SETTLE_MAX or (settled >= SETTLE_MIN and old_running == 0)
+        done = time_at_full_share >= MAX_SETTLE_TIME or (
+            time_at_full_share >= MIN_SETTLE_TIME and old_running == 0
+        )
         return rollout._replace(state=RolloutState.COMPLETED) if done else rollout
-    passed = elapsed / rollout.duration if rollout.duration else 1.0
+    elapsed_fraction = elapsed / rollout.duration if rollout.duration else 1.0
     share = rollout.share
     for step in STEPS:
         if step.share <= rollout.share:
             continue
-        ready = results >= step.results or passed >= step.after + STEP_PATIENCE
-        if passed >= step.after and ready:
+        ready = results >= step.results or elapsed_fraction >= step.after + MAX_STEP_DELAY
+        if elapsed_fraction >= step.after and ready:
             share = step.share
         # One step at a time: each is to bring results before the next.
         break
@@ -108,8 +115,8 @@
 def _fails_more(new: RouteCounts, old: RouteCounts, at_least: int, rate: float) -> bool:
     if new.failures < at_least:
         return False
-    usual = old.failures / old.requests if old.requests else 0.0
-    return new.failures / new.requests > max(rate, FAILURE_RATIO * usual)
+    old_rate = old.failures / old.requests if old.requests else 0.0
+    return new.failures / new.requests > max(rate, FAILURE_RATIO * old_rate)
 
 
 def _is_slower(new: RouteCounts, old: RouteCounts) -> bool:
@@ -118,7 +125,7 @@
     return new.total_ms / new.timed > SLOW_RATIO * old.total_ms / old.timed
 
 
-def _summed(counts: Iterable[RouteCounts]) -> RouteCounts:
+def _sum_counts(counts: Iterable[RouteCounts]) -> RouteCounts:
     total: dict[str, RouteCounts] = {}
     for item in counts:
         add_counts(total, {"": item})
--- a/almondshore/mesh/state.py
+++ b/almondshore/mesh/state.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Mapping
 
 from almondshore.core.logs import log_event
-from almondshore.mesh.changes import ChangeAnswer, ChangeLog, Kind, decompress_config
+from almondshore.mesh.changes import ChangeAnswer, ChangeLog, StateKind, decompress_config
 from almondshore.mesh.crashes import CrashSink
 from almondshore.mesh.directory import Directory
 from almondshore.mesh.model import Death, MeshConfig, Rollout, Target
@@ -39,7 +39,7 @@
             return False
         self.outbound.config = config
         log_event("config_applied", version=config.version, previous=known, source=source)
-        self.changes.note_version()
+        self.changes.increment()
         return True
 
 
@@ -99,7 +99,7 @@
         """Forget the rollout of a service."""
         if service in self.shares.rollouts:
             self.shares.remove_rollout(service)
-            self.changes.note_removed(Kind.ROLLOUT, service)
+            self.changes.record_removal(StateKind.ROLLOUT, service)
 
     def put(self, rollout: Rollout, *, source: str) -> None:
         """Take a rollout unless a newer revision is known."""
@@ -116,7 +116,7 @@
             revision=rollout.revision,
             source=source,
         )
-        self.changes.note(Kind.ROLLOUT, rollout.service)
+        self.changes.record_change(StateKind.ROLLOUT, rollout.service)
 
 
 class PeerSink:
--- a/almondshore/mesh/vanished.py
+++ b/almondshore/mesh/vanished.py
@@ -19,7 +19,7 @@
 # entry that stays a while longer only draws probes.
 VANISHED_AFTER = timedelta(minutes=10)
 # Added to it, up to this share, so that one of the nodes removes the entry and the others see it.
-SPREAD = 1.0
+REMOVAL_JITTER = 1.0
 # Failures to reach the host in that time; a process that was suspended has made none. Probes of an
 # unreachable node are 4 s apart.
 MIN_FAILURES = 60
@@ -62,24 +62,26 @@
     def review(self) -> None:
         """Remove the entries that are due."""
         targets = self.directory.targets
-        away = {
+        unreachable = {
             name: since
             for name, target in targets.items()
             if (since := self.directory.unreachable_since(target.node, MIN_FAILURES)) is not None
         }
-        for name in self.due.keys() - away.keys():
+        for name in self.due.keys() - unreachable.keys():
             del self.due[name]
-        for name, since in away.items():
-            self.due.setdefault(name, since + VANISHED_AFTER * (1 + SPREAD * self.rng.random()))
-        if not self.is_up_to_date() or len(away) > len(targets) * MAX_UNREACHABLE_SHARE:
+        for name, since in unreachable.items():
+            self.due.setdefault(
+                name, since + VANISHED_AFTER * (1 + REMOVAL_JITTER * self.rng.random())
+            )
+        if not self.is_up_to_date() or len(unreachable) > len(targets) * MAX_UNREACHABLE_SHARE:
             return
         now = self.clock.monotonic()
         due = [targets[name] for name, at in self.due.items() if at <= now]
         for target in due:
             if (target.target, target.born_ms) not in self.removed:
-                self._remove(target, now - away[target.target])
+                self._remove(target, now - unreachable[target.target])
 
-    def _remove(self, target: Target, away: timedelta) -> None:
+    def _remove(self, target: Target, unreachable: timedelta) -> None:
         done = remove_entry(self.store, self.directory, target.target)
         if done:
             self.removed.add((target.target, target.born_ms))
@@ -89,6 +91,6 @@
             target=target.target,
             service=target.service,
             peer=f"{target.node[0]}:{target.node[1]}",
-            away_ms=int(away / MILLISECOND),
+            away_ms=int(unreachable / MILLISECOND),
             done=done,
         )
--- a/almondshore/mesh/versions.py
+++ b/almondshore/mesh/versions.py
@@ -17,13 +17,13 @@
     def __init__(self, *, rng: random.Random):
         self.rng = rng
         self.rollouts: dict[str, Rollout] = {}
-        self.usual: dict[str, str] = {}
+        self.stable: dict[str, str] = {}
 
     def set_rollout(self, rollout: Rollout) -> None:
         """Take in an order or its progress."""
         self.rollouts[rollout.service] = rollout
         if rollout.state is RolloutState.COMPLETED:
-            self.usual[rollout.service] = rollout.version
+            self.stable[rollout.service] = rollout.version
 
     def remove_rollout(self, service: str) -> None:
         """Forget a rollout whose order was withdrawn."""
@@ -33,13 +33,13 @@
         """Find the usual version of services where none is known."""
         oldest: dict[str, Target] = {}
         for target in targets:
-            if self._may_be_usual(target):
+            if self._may_be_stable(target):
                 known = oldest.get(target.service)
                 if known is None or target.born_ms < known.born_ms:
                     oldest[target.service] = target
         for service, target in oldest.items():
-            if service not in self.usual:
-                self.usual[service] = target.version
+            if service not in self.stable:
+                self.stable[service] = target.version
 
     def new_share(self, service: str) -> tuple[str, float]:
         """Return the version of a rollout that is not completed, and its share."""
@@ -68,9 +68,9 @@
             return None
         new, share = self.new_share(service)
         old = [name for name in versions if name != new and not self.is_retired(service, name)]
-        usual = self.usual.get(service)
-        if usual in old:
-            old = [usual]
+        stable = self.stable.get(service)
+        if stable in old:
+            old = [stable]
         if new in versions and share > 0 and (self.rng.random() < share or share >= 1.0):
             return new
         if old:
@@ -78,6 +78,6 @@
         # A version on trial never takes over from an old one that cannot be reached.
         return new if new in versions and share >= 0.5 else None
 
-    def _may_be_usual(self, target: Target) -> bool:
+    def _may_be_stable(self, target: Target) -> bool:
         rollout = self.rollouts.get(target.service)
         return rollout is None or rollout.version != target.version
--- a/almondshore/mesh/watching.py
+++ b/almondshore/mesh/watching.py
@@ -9,7 +9,7 @@
 from almondshore.core import rendezvous
 from almondshore.core.clock import Clock
 from almondshore.core.logs import log_event
-from almondshore.mesh.change_server import MAX_HOLD, MAX_STATE_AGE
+from almondshore.mesh.change_server import MAX_POLL_WAIT, MAX_STATE_AGE
 from almondshore.mesh.hop import MILLISECOND
 from almondshore.mesh.model import Address, TargetState
 from almondshore.mesh.peers import PeerClient, apply_changes, fetch_changes
@@ -23,18 +23,18 @@
 # filled by a large configuration that changes often.
 MIN_WATCHERS = 2
 # Added to the hold for the way and a busy watcher.
-ANSWER_SLACK = timedelta(milliseconds=300)
+RESPONSE_MARGIN = timedelta(milliseconds=300)
 # Pause before a watcher is asked again; changes that come within it need one answer.
-POLL_PAUSE = timedelta(milliseconds=100)
+POLL_INTERVAL = timedelta(milliseconds=100)
 # A process that starts looks for a watcher to follow for so long before it reads the rest of its
 # state from the store; it is not ready before it has the configuration.
-START_PATIENCE = timedelta(milliseconds=250)
-START_POLL = timedelta(milliseconds=20)
+START_TIMEOUT = timedelta(milliseconds=250)
+START_POLL_INTERVAL = timedelta(milliseconds=20)
 # How often a node that watches the store looks at whether it still should.
 REVIEW_INTERVAL = timedelta(seconds=1)
 # How often a node whose watchers are all outdated asks them again.
 RETRY_INTERVAL = timedelta(milliseconds=500)
-NEVER = timedelta(days=1)
+UNKNOWN_AGE = timedelta(days=1)
 
 
 class Follower:
@@ -74,30 +74,32 @@
 
     def run(self) -> None:
         """Watch or follow for as long as the process runs; for a greenlet of its own."""
-        hubs.get_hub().schedule_call_global(START_PATIENCE.total_seconds(), self._lose_patience)
+        hubs.get_hub().schedule_call_global(START_TIMEOUT.total_seconds(), self._on_start_timeout)
         while True:
             eventlet.sleep(self.step().total_seconds())
 
     def age(self) -> timedelta:
         """Return how long ago the store was last known to have nothing newer."""
         at = self.confirmed_at if self.followed is not None else self.probe_replica.answered_at
-        return NEVER if at is None else self.clock.monotonic() - at
+        return UNKNOWN_AGE if at is None else self.clock.monotonic() - at
 
     def step(self) -> timedelta:
         """Ask one watcher, or all if the present one is outdated; returns the pause after it."""
         if self.probe_replica.answered_at is None:
             # What else there is in the zone is not known yet.
-            return START_POLL
+            return START_POLL_INTERVAL
         watchers = self.watchers()
         if not watchers or self.node in watchers:
             self._watch("watcher")
             return REVIEW_INTERVAL
-        if self.followed in watchers and self._ask(self.followed, hold=MAX_HOLD):
-            return POLL_PAUSE
+        if self.followed in watchers and self._request_changes(
+            self.followed, poll_wait=MAX_POLL_WAIT
+        ):
+            return POLL_INTERVAL
         for watcher in watchers:
-            if watcher != self.followed and self._ask(watcher, hold=timedelta()):
+            if watcher != self.followed and self._request_changes(watcher, poll_wait=timedelta()):
                 self._follow(watcher)
-                return POLL_PAUSE
+                return POLL_INTERVAL
         self._watch("no-watcher")
         return RETRY_INTERVAL
 
@@ -118,11 +120,11 @@
         own = f"{self.node[0]}:{self.node[1]}"
         return [found[name].node for name in rendezvous.rank(own, chosen)]
 
-    def _lose_patience(self) -> None:
+    def _on_start_timeout(self) -> None:
         if self.followed is None:
-            self._resume()
+            self._resume_replicas()
 
-    def _resume(self) -> None:
+    def _resume_replicas(self) -> None:
         for replica in self.replicas:
             replica.resume()
 
@@ -132,30 +134,30 @@
                 "store_watched",
                 reason=reason,
                 followed=self.followed,
-                age_ms=_whole_ms(self.age()),
+                age_ms=_to_ms(self.age()),
             )
         self.followed = None
-        self._resume()
+        self._resume_replicas()
 
     def _follow(self, watcher: Address) -> None:
         log_event(
             "watcher_followed",
             watcher=watcher,
             followed=self.followed,
-            age_ms=_whole_ms(self.age()),
+            age_ms=_to_ms(self.age()),
         )
         if self.followed is None:
             for replica in self.replicas:
-                replica.rest()
+                replica.suspend()
         self.followed = watcher
 
-    def _ask(self, watcher: Address, *, hold: timedelta) -> bool:
+    def _request_changes(self, watcher: Address, *, poll_wait: timedelta) -> bool:
         """Ask a watcher for changes; returns whether its state is recent."""
         query = b"epoch=%s&after=%d&config=%d&hold_ms=%d" % (
             self.epoch.encode(),
             self.number,
             self.sink.config_version(),
-            int(hold / MILLISECOND),
+            int(poll_wait / MILLISECOND),
         )
         answer = fetch_changes(
             self.client,
@@ -163,7 +165,7 @@
             watcher,
             query,
             reason="no-changes",
-            timeout=hold + ANSWER_SLACK,
+            timeout=poll_wait + RESPONSE_MARGIN,
         )
         if answer is None:
             return False
@@ -175,5 +177,5 @@
         return True
 
 
-def _whole_ms(time: timedelta) -> int:
+def _to_ms(time: timedelta) -> int:
     return int(time / MILLISECOND)
--- a/test/load/test_configuration_storm_on_a_narrow_link.py
+++ b/test/load/test_configuration_storm_on_a_narrow_link.py
@@ -8,7 +8,7 @@
 
 from almondshore.core.clock import ManualClock
 from almondshore.mesh import replication
-from almondshore.mesh.feeds import GATHER_CONFIG, WAIT_CONFIG
+from almondshore.mesh.feeds import CONFIG_BATCH_DELAY, CONFIG_MAX_WAIT
 from almondshore.mesh.replication import Replica, Sink
 from almondshore.mesh.store import Changes, Feed, Snapshot
 from almondshore.storage.port import Unavailable
@@ -101,8 +101,8 @@
             rng=random.Random(1),
             feed=feed,
             sink=sink,
-            wait=WAIT_CONFIG,
-            gather=GATHER_CONFIG,
+            wait=CONFIG_MAX_WAIT,
+            batch_delay=CONFIG_BATCH_DELAY,
             large=True,
         )
         while sink.version < len(written):
--- a/test/mesh/test_driver.py
+++ b/test/mesh/test_driver.py
@@ -9,7 +9,7 @@
 
 from almondshore.core.clock import BootClock
 from almondshore.mesh.directory import Directory
-from almondshore.mesh.driver import TICK, RolloutDriver
+from almondshore.mesh.driver import STEP_INTERVAL, RolloutDriver
 from almondshore.mesh.evidence import RouteCounts
 from almondshore.mesh.model import Rollout, RolloutState
 from almondshore.mesh.peers import Evidence
@@ -54,7 +54,7 @@
             clock=clock,
             node=NODE,
             service=lambda: "s",
-            own=lambda: Evidence("t2", "s", self.version, 0, {"r": self.counts}),
+            own_evidence=lambda: Evidence("t2", "s", self.version, 0, {"r": self.counts}),
             directory=directory,
             rollouts=self.rollouts,
             client=NoPeers(),
@@ -62,7 +62,7 @@
         )
         greenlet = eventlet.spawn(self.driver.run)
         self.addCleanup(greenlet.kill)
-        eventlet.sleep(TICK.total_seconds() / 2)
+        eventlet.sleep(STEP_INTERVAL.total_seconds() / 2)
 
     def test_version_that_turns_bad_is_refused_by_its_node_at_once(self):
         """Guards against a version with all requests that goes on failing until the next review.
@@ -71,7 +71,7 @@
         """
         self.assertFalse(self.driver.is_faulty("s", "v2"))
         self.counts = RouteCounts(40, 10, 30, 3000.0)
-        eventlet.sleep(TICK.total_seconds() / 2)
+        eventlet.sleep(STEP_INTERVAL.total_seconds() / 2)
         self.assertTrue(self.driver.is_faulty("s", "v2"))
         self.assertEqual([RolloutState.ROLLED_BACK], self.store.saved)
 
@@ -79,5 +79,5 @@
         """Guards against a new version that is taken back for failures of the old one."""
         self.version = "v1"
         self.counts = RouteCounts(40, 10, 30, 3000.0)
-        eventlet.sleep(2.5 * TICK.total_seconds())
+        eventlet.sleep(2.5 * STEP_INTERVAL.total_seconds())
         self.assertFalse(self.driver.is_faulty("s", "v2"))
--- a/test/mesh/test_rollout.py
+++ b/test/mesh/test_rollout.py
@@ -9,7 +9,7 @@
 from almondshore.mesh.rollout import VersionCounts, find_fault, next_progress
 
 DURATION = timedelta(seconds=16)
-TICK = timedelta(seconds=0.4)
+STEP_INTERVAL = timedelta(seconds=0.4)
 
 
 def counts(requests, failures=0, mean_ms=200.0):
@@ -45,22 +45,24 @@
     def play(self, results_per_s, old_running=0):
         """Return the time and share of each change."""
         rollout = Rollout("s", "v2", DURATION, RolloutState.ORDERED, 0.0, 1)
-        changes, elapsed, moved_at = [], timedelta(), None
+        changes, elapsed, full_share_at = [], timedelta(), None
         while elapsed < DURATION and rollout.state is not RolloutState.COMPLETED:
-            elapsed += TICK
-            if rollout.share >= 1.0 and moved_at is None:
-                moved_at = elapsed
-            settled = elapsed - moved_at if moved_at is not None else timedelta()
-            wanted = next_progress(
+            elapsed += STEP_INTERVAL
+            if rollout.share >= 1.0 and full_share_at is None:
+                full_share_at = elapsed
+            time_at_full_share = (
+                elapsed - full_share_at if full_share_at is not None else timedelta()
+            )
+            desired = next_progress(
                 rollout,
                 elapsed=elapsed,
-                settled=settled,
+                time_at_full_share=time_at_full_share,
                 results=int(elapsed.total_seconds() * results_per_s),
                 old_running=old_running,
             )
-            if wanted != rollout:
-                changes.append((elapsed, wanted.state, wanted.share))
-                rollout = wanted
+            if desired != rollout:
+                changes.append((elapsed, desired.state, desired.share))
+                rollout = desired
         return changes
 
     def test_good_version_completes_before_its_deadline(self):
--- a/test/mesh/test_state.py
+++ b/test/mesh/test_state.py
@@ -11,7 +11,7 @@
 from almondshore.mesh.directory import Directory
 from almondshore.mesh.model import Rollout, RolloutState, TargetState
 from almondshore.mesh.publishing import TargetPublisher
-from almondshore.mesh.replication import HELD_INTERVAL, MIN_PAUSE, Replica, Sink
+from almondshore.mesh.replication import MIN_BACKOFF, OUTAGE_CALL_INTERVAL, Replica, Sink
 from almondshore.mesh.state import ConfigSink, RolloutSink, TargetSink
 from almondshore.mesh.store import Changed, Changes, Feed, HistoryGone, NotFound, Snapshot
 from almondshore.mesh.versions import VersionShares
@@ -64,7 +64,7 @@
             feed=feed,
             sink=sink,
             wait=timedelta(seconds=4),
-            gather=fields.pop("gather", timedelta()),
+            batch_delay=fields.pop("batch_delay", timedelta()),
             **fields,
         )
         return replica, feed, sink
@@ -103,7 +103,7 @@
         for _ in range(8):
             replica.step()
         self.assertEqual(3, len(pauses))
-        self.assertTrue(min(pauses) >= MIN_PAUSE.total_seconds(), pauses)
+        self.assertTrue(min(pauses) >= MIN_BACKOFF.total_seconds(), pauses)
 
     def test_absence_of_the_store_is_noted_until_it_answers(self):
         """Guards against a node that does not ask its peers while the store is away."""
@@ -111,7 +111,7 @@
             Success(Snapshot(7, {})), Failure(Unavailable("x")), Success(Changes(7, {}))
         )
         regained = []
-        replica.on_regained = lambda: regained.append(len(feed.calls))
+        replica.on_recovered = lambda: regained.append(len(feed.calls))
         replica.step()
         self.assertIs(None, replica.failing_since)
         replica.step()
@@ -160,7 +160,7 @@
             Success(Changes(8, {"a": 2})),
             Success(Changes(8, {})),
             Success(Changes(8, {})),
-            gather=pause,
+            batch_delay=pause,
         )
         for _ in range(4):
             replica.step()
@@ -177,7 +177,7 @@
         )
         for _ in range(2):
             replica.step()
-        replica.rest()
+        replica.suspend()
         replica.step()
         self.assertEqual(["read", 7, "read"], feed.calls)
 
@@ -193,9 +193,9 @@
             Success(Snapshot(9, {"a": 1})),
         )
         replica.step()
-        replica.rest()
+        replica.suspend()
         # A copy may be put to rest again before it was read.
-        replica.rest()
+        replica.suspend()
         for _ in range(5):
             replica.step()
         self.assertEqual(["read", "read", 7, 7, 7, "read"], feed.calls)
@@ -217,7 +217,7 @@
             item.step()
         replica.step()
         self.assertEqual(["read", 7], feed.calls)
-        clock.advance(HELD_INTERVAL)
+        clock.advance(OUTAGE_CALL_INTERVAL)
         replica.step()
         self.assertEqual(["read", 7, 7], feed.calls)
 
@@ -309,7 +309,7 @@
         publisher.publish(target(sequence=2, state=TargetState.GONE))
         publisher.write()
         publisher.restore()
-        self.assertEqual(publisher.wanted, publisher.stored)
+        self.assertEqual(publisher.desired, publisher.stored)
 
     def test_entry_of_a_crashed_predecessor_is_removed(self):
         """Guards against entries of dead targets that pile up and draw requests."""
--- a/test/mesh/test_vanished.py
+++ b/test/mesh/test_vanished.py
@@ -9,12 +9,12 @@
 
 from almondshore.core.clock import ManualClock
 from almondshore.mesh.directory import Directory
-from almondshore.mesh.vanished import MIN_FAILURES, SPREAD, VANISHED_AFTER, VanishedEntries
+from almondshore.mesh.vanished import MIN_FAILURES, REMOVAL_JITTER, VANISHED_AFTER, VanishedEntries
 from almondshore.storage.port import Unavailable
 from test.mesh.samples import target
 
 NODES = [("10.0.0.1", 1), ("10.0.0.2", 1), ("10.0.0.3", 1)]
-LATEST = VANISHED_AFTER * (1 + SPREAD)
+LATEST = VANISHED_AFTER * (1 + REMOVAL_JITTER)
 
 
 class FakeStore:
--- a/test/mesh/test_versions.py
+++ b/test/mesh/test_versions.py
@@ -67,4 +67,4 @@
         shares = VersionShares(rng=random.Random(1))
         shares.set_rollout(rollout(RolloutState.RUNNING, 0.0))
         shares.infer_stable_versions([target("t2", "v2", born_ms=1), target("t1", born_ms=2)])
-        self.assertEqual("v1", shares.usual["s"])
+        self.assertEqual("v1", shares.stable["s"])
--- a/test/mesh/test_watching.py
+++ b/test/mesh/test_watching.py
@@ -33,13 +33,13 @@
 
     def __init__(self):
         self.answered_at = timedelta()
-        self.resting = False
+        self.suspended = False
 
-    def rest(self):
-        self.resting = True
+    def suspend(self):
+        self.suspended = True
 
     def resume(self):
-        self.resting = False
+        self.suspended = False
 
 
 class FakeConnection:
@@ -91,7 +91,7 @@
         if watcher is None:
             return None
         exchange = watcher.ask(path.partition(b"?")[2])
-        watcher.server._release_all()
+        watcher.server._respond_to_all()
         return exchange.response.body
 
 
@@ -159,7 +159,7 @@
     def test_a_follower_rests_its_copies_and_takes_changes(self):
         """Guards against a follower that calls the store, or misses a change."""
         first = self.follow()[0]
-        self.assertEqual([True, True], [replica.resting for replica in self.replicas])
+        self.assertEqual([True, True], [replica.suspended for replica in self.replicas])
         first.config.apply(config(version=5, raw=b"5"), source="store")
         first.directory.put(target("new"))
         first.directory.remove("t3")
@@ -192,14 +192,14 @@
         second.config.apply(config(version=9, raw=b"9"), source="store")
         self.follower.step()
         self.assertEqual(9, self.bed.outbound.config_version())
-        self.assertEqual([True, True], [replica.resting for replica in self.replicas])
+        self.assertEqual([True, True], [replica.suspended for replica in self.replicas])
 
     def test_a_node_without_recent_watchers_watches_itself(self):
         """Guards against an old state where all watchers of a zone lost the store."""
         for watcher in self.follow():
             watcher.age = MAX_STATE_AGE * 2
         self.follower.step()
-        self.assertEqual([False, False], [replica.resting for replica in self.replicas])
+        self.assertEqual([False, False], [replica.suspended for replica in self.replicas])
         self.client.watchers.clear()
         self.follower.step()
         self.assertIs(None, self.follower.followed)
@@ -229,7 +229,7 @@
         exchange = self.watcher.ask(b"epoch=e1&after=%d&config=9&hold_ms=700" % number)
         self.assertIs(None, exchange.response)
         self.watcher.directory.put(target("t3"))
-        self.watcher.server._release_all()
+        self.watcher.server._respond_to_all()
         answer = decode_answer(exchange.response.body)
         self.assertEqual(["t3"], [item.target for item in answer.targets])
         self.assertFalse(answer.whole)
