Reword comments, docstrings and errors of the mesh state modules

Comments and docstrings spoke of hosts that "went without a word", copies that "rest", answers that are "told" and the target "beside" a node. They now speak of the local target, replicas, long polls, outages and stable versions, and state conditions and attributes where a docstring only repeated a name. Every number and reason is kept.

No test matches the parts that changed.

--- a/almondshore/mesh/change_server.py
+++ b/almondshore/mesh/change_server.py
@@ -1,4 +1,4 @@
-"""Answers the nodes that follow this one with what has changed."""
+"""Long-polling endpoint that sends state changes to the nodes that follow this one."""
 
 from collections.abc import Callable
 from datetime import timedelta
@@ -25,22 +25,24 @@
 from almondshore.mesh.state import RolloutSink
 
 CHANGES_PATH = b"/changes"
-# Longest time for which a follower is kept waiting while nothing changes.
+# Longest time that a poll waits for a change.
 MAX_POLL_WAIT = timedelta(milliseconds=700)
-# State that was last confirmed longer ago is taken for outdated. A watcher hears from the store
-# each 0.8 s, and a change must be in force everywhere within 2 s.
+# State that was last confirmed longer ago counts as outdated. A watcher hears from the store every
+# 0.8 s, and a change must take effect everywhere within 2 s.
 MAX_STATE_AGE = timedelta(milliseconds=1300)
-# Followers kept waiting at a time; a zone of 19,000 nodes in 41 zones has 116 for each watcher.
+# Limit of polls that wait at the same time. With 19,000 nodes in 41 zones, each watcher has 116
+# followers.
 MAX_PENDING_POLLS = 512
 ZERO = timedelta()
 
 
 class ChangeQuery(msgspec.Struct):
-    """What a follower knows, and how long it may be kept waiting.
+    """Poll of a follower: the state that it has, and how long the response may be delayed.
 
-    :ivar epoch: names the process whose changes it has taken; empty for none
-    :ivar after: number of the last change that it has taken
+    :ivar epoch: identifies the process whose changes it has applied; empty for none
+    :ivar after: number of the last change that it has applied
     :ivar config: version of its configuration
+    :ivar hold_ms: longest time to wait for a change
     """
 
     epoch: str = ""
@@ -56,9 +58,10 @@
 
 
 class ChangeServer(ExchangeHandler):
-    """Keeps followers waiting until something changes.
+    """Serves state changes by long polling.
 
-    :param age: returns how long ago the store was last known to have nothing newer
+    :param age: returns how long ago this node's state was last known to be up to date
+    :ivar pending: polls that wait for a change
     """
 
     def __init__(
@@ -82,12 +85,17 @@
         changes.on_change = self._on_change
 
     def handle(self, exchange: Exchange) -> None:
-        """Answer a follower, at once if there is anything to tell."""
+        """Respond to a poll, at once or when something changes or its wait ends.
+
+        The response is immediate if there are changes, if this node's state is outdated, or if too
+        many polls are pending.
+        """
         query = _decode_query(exchange)
         if query is None:
             exchange.respond(Response(400))
             return
-        # A follower is to learn in time that this node's own state is outdated.
+        # Respond by the time at which this node's state becomes outdated, so that the follower
+        # learns of it.
         poll_wait = min(query.hold_ms * MILLISECOND, MAX_POLL_WAIT, MAX_STATE_AGE - self.age())
         if poll_wait <= ZERO or self._has_changes(query) or len(self.pending) >= MAX_PENDING_POLLS:
             exchange.respond(self._make_response(query))
@@ -107,7 +115,7 @@
         return config if config is not None and config.version > query.config else None
 
     def _on_change(self) -> None:
-        """Answer all that wait, once for the changes of one moment."""
+        """Schedule one response to all pending polls; simultaneous changes share it."""
         if self.pending and not self.response_scheduled:
             self.response_scheduled = True
             hubs.get_hub().schedule_call_global(0, self._respond_to_all)
--- a/almondshore/mesh/crashes.py
+++ b/almondshore/mesh/crashes.py
@@ -1,4 +1,4 @@
-"""Requests that crash the targets that run them: what the nodes saw, and what they refuse."""
+"""Detects, reports and counts deaths of targets, to quarantine the requests that cause them."""
 
 from collections.abc import Mapping
 from datetime import timedelta
@@ -19,10 +19,10 @@
 from almondshore.retries.crash import CrashGuard, fingerprint
 
 MILLISECOND = timedelta(milliseconds=1)
-# A closed connection is taken for a death if the target refuses connections, or starts anew,
-# within this time; otherwise it only closed a connection.
+# A closed connection counts as a sign of a death only if the target refuses connections or restarts
+# within this time.
 DEATH_DETECTION_WINDOW = timedelta(seconds=2)
-# Runs that may be reported for one death; a target has about 10 slots.
+# Limit of the runs reported for one death; a target has about 10 slots.
 MAX_SUSPECTS = 32
 WRITE_INTERVAL = timedelta(seconds=1)
 MAX_PENDING_REPORTS = 64
@@ -34,20 +34,20 @@
 
 
 class DeathDetector:
-    """Finds the deaths of the target beside this node, and what it ran when it died."""
+    """Detects deaths of the local target, and the requests that it was running."""
 
     def __init__(self, *, clock: Clock):
         self.clock = clock
         self.suspects: list[_Suspect] = []
 
     def record_broken_run(self, run: CrashDeath) -> None:
-        """Take note of a run that ended with its connection."""
+        """Record a run that ended because its connection closed."""
         now = self.clock.monotonic()
         recent = [item for item in self.suspects if now - item.ended < DEATH_DETECTION_WINDOW]
         self.suspects = [*recent[-MAX_SUSPECTS + 1 :], _Suspect(run, now)]
 
     def detect_death(self) -> Death | None:
-        """Take note that the target is gone; returns its death if something ran just before."""
+        """Handle the loss of the target; returns its death if runs broke off just before."""
         now = self.clock.monotonic()
         runs = [item.run for item in self.suspects if now - item.ended < DEATH_DETECTION_WINDOW]
         self.suspects = []
@@ -58,9 +58,9 @@
 
 
 class CrashSink(Sink[Death]):
-    """Counts the deaths that nodes reported.
+    """Counts the deaths that nodes reported, so that the guard can quarantine requests.
 
-    :param changes: takes note of each report, for the nodes that follow this one
+    :param changes: records each report, for the nodes that follow this one
     :ivar reports: reports that are in the store, by name
     """
 
@@ -70,13 +70,13 @@
         self.reports: dict[str, Death] = {}
 
     def replace(self, items: Mapping[str, Death]) -> bool:
-        """Take all reported deaths; those that are known already count once."""
+        """Replace all reports; deaths that are already known are not counted again."""
         removed = dict.fromkeys(self.reports.keys() - items.keys())
         self.update({**items, **removed})
         return bool(items)
 
     def update(self, items: Mapping[str, Death | None]) -> None:
-        """Take reported deaths; those that were removed stay counted."""
+        """Apply added and removed reports; a death whose report was removed stays counted."""
         for name, death in items.items():
             if death is not None:
                 self.put(death)
@@ -84,14 +84,14 @@
                 self.changes.record_removal(StateKind.DEATH, name)
 
     def put(self, death: Death) -> None:
-        """Take one reported death; one that is known already changes nothing."""
+        """Add a report and count its death, unless it is already known."""
         if death.name not in self.reports:
             self.reports[death.name] = death
             self.changes.record_change(StateKind.DEATH, death.name)
             self.count(death)
 
     def count(self, death: Death) -> None:
-        """Count a death."""
+        """Count a death against each request that ran; logs requests that this quarantines."""
         for run in death.runs:
             known = self.guard.check(run.fingerprint) is not None
             self.guard.record_death(run)
@@ -105,9 +105,9 @@
 
 
 class DeathReporter:
-    """Writes deaths to the store, and removes them when they no longer matter.
+    """Writes reports of deaths to the store, and removes them when they have expired.
 
-    :param keep: how long a report is kept for nodes that start
+    :param keep: how long a report stays in the store, for nodes that start later
     """
 
     def __init__(self, *, clock: Clock, store: MeshStore, keep: timedelta):
@@ -118,18 +118,18 @@
         self.written: list[tuple[timedelta, str, int]] = []
 
     def report(self, death: Death) -> None:
-        """Queue a death for writing; the oldest is dropped if the store is away for long."""
+        """Queue a report for writing; in a long outage of the store the oldest are dropped."""
         log_event("target_died", level="WARNING", death=death.name, runs=len(death.runs))
         self.pending = [*self.pending, death][-MAX_PENDING_REPORTS:]
 
     def run(self) -> None:
-        """Write for as long as the process runs; for a greenlet of its own."""
+        """Write and remove reports until the process ends; runs in its own greenlet."""
         while True:
             eventlet.sleep(WRITE_INTERVAL.total_seconds())
             self.step()
 
     def step(self) -> None:
-        """Write what is queued, and remove what is old."""
+        """Write queued reports, then remove expired ones; a failed write ends the step."""
         while self.pending:
             result = self.store.save_death(self.pending[0])
             if not is_successful(result):
@@ -144,7 +144,7 @@
 
 
 def request_fingerprint(request: Request, caller: str) -> int:
-    """Return the identity of a request that may come again."""
+    """Return a hash that is equal for repetitions of a request by the same caller."""
     path = request.target.decode("latin-1")
     body = xxhash.xxh3_64_digest(request.body)
     return fingerprint(request.method.decode("latin-1"), path, caller, body)
--- a/almondshore/mesh/directory.py
+++ b/almondshore/mesh/directory.py
@@ -1,4 +1,4 @@
-"""Targets of all hosts, as known from the store, and the nodes that could not be reached."""
+"""Targets of all hosts, as known from the store, and the nodes that are unreachable."""
 
 from collections.abc import Callable, Iterable
 from datetime import timedelta
@@ -8,14 +8,14 @@
 from almondshore.mesh.changes import ChangeLog, StateKind
 from almondshore.mesh.model import Address, Target, TargetState
 
-# A node that could not be reached is asked again after this, doubled for each failure in a row. It
-# gets no requests until it answers: one sent to a host that is gone is late at best.
+# An unreachable node is probed again after this, doubled for each consecutive failure. It gets no
+# requests until it answers: a request to a host that is gone is late at best.
 UNREACHABLE_PAUSE = timedelta(milliseconds=400)
 MAX_UNREACHABLE_PAUSE = timedelta(seconds=4)
 
 
 class _Reachability:
-    """Failures in a row to reach a node, since when, and when it is tried again."""
+    """Consecutive failures to reach a node, since when, and the time of the next attempt."""
 
     __slots__ = ("failures", "since", "retry_at")
 
@@ -26,12 +26,12 @@
 
 
 class Directory:
-    """Targets by identity; entries of one identity are ordered by incarnation and sequence.
+    """Entries of targets by name; those of one name are ordered by incarnation and sequence.
 
-    :param changes: takes note of each entry that changed
+    :param changes: records each change of an entry
     :ivar on_change: called after the set of targets has changed
-    :ivar on_unreachable: called with a node that could not be reached, and the pause after which
-        it is to be asked whether it is there
+    :ivar on_unreachable: called with an unreachable node, and the pause after which it is to be
+        probed
     """
 
     def __init__(self, *, clock: Clock, changes: ChangeLog | None = None):
@@ -49,13 +49,13 @@
         self.merge([target], ())
 
     def remove(self, name: str) -> None:
-        """Remove an entry."""
+        """Remove an entry, if it is known."""
         self.merge((), [name])
 
     def replace(self, targets: Iterable[Target]) -> bool:
-        """Replace all entries by those of a complete list, also by older ones.
+        """Replace all entries by those of a complete list, even by older ones.
 
-        :returns: whether any entry changed
+        :return: whether any entry changed
         """
         old, self.targets = self.targets, {target.target: target for target in targets}
         for name in old.keys() - self.targets.keys():
@@ -67,7 +67,7 @@
         return old != self.targets
 
     def merge(self, targets: Iterable[Target], removed: Iterable[str]) -> None:
-        """Add or update entries, but for older ones, and remove others."""
+        """Add or update entries, ignoring older ones, and remove others."""
         changed = False
         for name in removed:
             if self.targets.pop(name, None) is not None:
@@ -92,11 +92,11 @@
         usable = [target for target in found if self._is_usable(target, now)]
         if usable:
             return usable
-        # With no target in good standing, one that only could not be reached is worth a try.
+        # With no usable target, one whose node was unreachable at the last attempt is worth a try.
         return [target for target in found if self.refused_until.get(target.target, now) <= now]
 
     def predecessors(self, target: Target) -> list[Target]:
-        """Return the entries of earlier targets beside the same node."""
+        """Return the entries of earlier targets of the same node."""
         return [
             other
             for other in self.targets.values()
@@ -113,19 +113,19 @@
         return found
 
     def is_reachable(self, node: Address) -> bool:
-        """Tell whether a node was reached at the last try."""
+        """Return whether no attempt to reach a node has failed since it last answered."""
         return node not in self.nodes
 
     def unreachable_since(self, node: Address, failures: int) -> timedelta | None:
-        """Return since when a node could not be reached.
+        """Return since when a node has been unreachable, or None.
 
-        :param failures: tries that must have failed since; with fewer, the result is None
+        :param failures: attempts that must have failed since; with fewer, the result is None
         """
         state = self.nodes.get(node)
         return state.since if state is not None and state.failures >= failures else None
 
     def mark_unreachable(self, node: Address, reason: str) -> None:
-        """Take note that a node could not be reached."""
+        """Record a failure to reach a node; ignored until its next attempt is due."""
         now = self.clock.monotonic()
         state = self.nodes.setdefault(node, _Reachability(now))
         if state.failures and now < state.retry_at:
@@ -138,13 +138,13 @@
         self.on_unreachable(node, pause)
 
     def mark_reachable(self, node: Address) -> None:
-        """Take note that a node answered."""
+        """Record that a node answered."""
         state = self.nodes.pop(node, None)
         if state is not None:
             log_event("peer_regained", peer=f"{node[0]}:{node[1]}", failures=state.failures)
 
     def pause_target(self, name: str, pause: timedelta) -> None:
-        """Keep a target that refused for a reason of its own from being chosen for a while."""
+        """Exclude a target that refused a request for its own reasons from selection."""
         self.refused_until[name] = self.clock.monotonic() + pause
 
     def _is_usable(self, target: Target, now: timedelta) -> bool:
@@ -154,7 +154,7 @@
         return until is None or until <= now
 
     def _index(self) -> None:
-        # A node has one target at a time; entries of those before it are outdated.
+        # A node has one target at a time; entries of earlier ones are outdated.
         newest: dict[Address, Target] = {}
         for target in self.targets.values():
             known = newest.get(target.node)
@@ -174,5 +174,5 @@
 
 
 def _entry_order(target: Target) -> tuple[int, int, int]:
-    """Return the order of entries of one identity; of equal ones, the later state counts."""
+    """Return the sort key for entries of one target; at equal sequence the later state wins."""
     return target.born_ms, target.sequence, list(TargetState).index(target.state)
--- a/almondshore/mesh/driver.py
+++ b/almondshore/mesh/driver.py
@@ -1,4 +1,4 @@
-"""Drives the rollout of the service beside this node."""
+"""Drives the rollout of the local target's service."""
 
 from collections.abc import Callable
 from datetime import timedelta
@@ -18,24 +18,30 @@
 from almondshore.mesh.store import MeshStore
 
 STEP_INTERVAL = timedelta(milliseconds=400)
-# The node beside a target looks at its own results more often: a version that turns bad has all
-# requests within a second, and its node refuses them as soon as it knows.
+# A node checks the results of its local target more often: a version that turns bad may get all
+# requests within a second, and its node refuses them as soon as it detects the fault.
 LOCAL_CHECK_INTERVAL = timedelta(milliseconds=150)
 IDLE_INTERVAL = timedelta(seconds=1)
-# The node of each further rank waits this long for those before it.
+# The node of each further rank waits this much longer, so that those before it can act.
 RANK_DELAY = timedelta(milliseconds=1200)
-# Nodes that gather evidence; the others judge by their own target alone.
+# Number of nodes that collect evidence; the others check only the results of their local target.
 MAX_EVIDENCE_COLLECTORS = 3
 
 
 class RolloutDriver:
-    """Advances the rollout of one service.
-
-    The nodes beside the service's targets share the work: each is ranked, and acts if those
-    before it have not. Writes are conditional, so that two that act at once do no harm. The node
-    beside a bad version refuses requests for it by itself, also while the store is away.
-
-    :param service: returns the service of the target beside this node, empty if none
+    """Advances the rollout of the local target's service.
+
+    The nodes of the service's targets share the work: each has a rank, and acts if those before
+    it have not. Writes are conditional, so that two nodes may act at once without harm. The node
+    of a target with a faulty version refuses requests for it on its own, even while the store is
+    unavailable.
+
+    :param service: returns the service of the local target, empty if none
+    :param own_evidence: returns the results of the local target
+    :ivar first_seen: when each version of a service was first seen in a rollout
+    :ivar full_share_at: when the new version was first seen to get all requests
+    :ivar faults: faults that were found, by service and version
+    :ivar desired: progress that is due but not saved, None if there is none
     """
 
     def __init__(
@@ -66,7 +72,7 @@
         self.stepped_at: timedelta | None = None
 
     def run(self) -> None:
-        """Drive for as long as the process runs; for a greenlet of its own."""
+        """Drive rollouts until the process ends; runs in its own greenlet."""
         while True:
             rollout = self.current()
             eventlet.sleep(
@@ -77,7 +83,7 @@
                 self.step(rollout)
 
     def current(self) -> Rollout | None:
-        """Return the rollout that is to be driven, or None."""
+        """Return the unfinished rollout of the local target's service, or None."""
         rollout = self.rollouts.shares.rollouts.get(self.service())
         if rollout is None or rollout.state in (RolloutState.COMPLETED, RolloutState.ROLLED_BACK):
             return None
@@ -95,11 +101,11 @@
         )
 
     def is_faulty(self, service: str, version: str) -> bool:
-        """Tell whether this node found a version bad."""
+        """Return whether this node found a fault in a version."""
         return (service, version) in self.faults
 
     def step(self, rollout: Rollout) -> None:
-        """Judge the version and advance the rollout if it is this node's turn."""
+        """Check the version for faults, and advance the rollout if it is this node's turn."""
         key = (rollout.service, rollout.version)
         ranked = self._rank_nodes(rollout)
         rank = ranked.index(self.node) if self.node in ranked else len(ranked)
@@ -107,7 +113,7 @@
         evidence = (self._collect_evidence(ranked) if collects else []) or [self.own_evidence()]
         counts = VersionCounts({}, {})
         old_running = 0
-        # Nodes beside the new version start after the order; others have known it for longer.
+        # Nodes of the new version start after the order; others have known of it for longer.
         age = max(item.order_age_ms for item in evidence) * timedelta(milliseconds=1)
         for item in evidence:
             if item.version == rollout.version:
@@ -138,7 +144,7 @@
         return self.stepped_at is None or self.clock.monotonic() - self.stepped_at >= STEP_INTERVAL
 
     def _detect_local_fault(self, rollout: Rollout) -> bool:
-        """Judge the version by the own target alone; returns whether it was found bad just now."""
+        """Check the version by the local target's results alone; returns whether a fault is new."""
         key = (rollout.service, rollout.version)
         own_evidence = self.own_evidence()
         if key in self.faults or own_evidence.version != rollout.version:
@@ -146,7 +152,7 @@
         return bool(self._check_version(key, VersionCounts(own_evidence.routes, {})))
 
     def _check_version(self, key: tuple[str, str], counts: VersionCounts) -> str:
-        """Return why a version is bad, an empty string if it is not; a verdict is final."""
+        """Return the fault of a version, or an empty string; a fault once found is final."""
         fault = self.faults.get(key) or find_fault(counts)
         if fault and key not in self.faults:
             self.faults[key] = fault
@@ -154,7 +160,7 @@
         return fault
 
     def _save_progress(self, rollout: Rollout, desired: Rollout, rank: int, now: timedelta) -> None:
-        """Write the progress that is due, unless a node before this one may still do so."""
+        """Save the progress that is due, unless a node ranked before this one may still do so."""
         if desired == rollout:
             self.desired = None
             return
@@ -187,7 +193,7 @@
         return self.clock.monotonic() - self.desired_at >= RANK_DELAY * rank
 
     def _rank_nodes(self, rollout: Rollout) -> list[Address]:
-        """Return the nodes of the service, those beside the new version first."""
+        """Return the reachable nodes of the service, those of the new version first."""
         targets = [
             target
             for target in self.directory.targets.values()
--- a/almondshore/mesh/feeds.py
+++ b/almondshore/mesh/feeds.py
@@ -1,4 +1,4 @@
-"""How a node learns the state of the mesh: from the store, a watcher or another node."""
+"""Keeps a node's state of the mesh up to date from the store, a watcher or another node."""
 
 import random
 from datetime import timedelta
@@ -21,27 +21,29 @@
 from almondshore.mesh.watching import Follower
 from almondshore.retries.crash import CrashGuard
 
-# Longest waits for changes. The store charges each call, a tenth for stale reads, as those of
-# targets and deaths are; a newer configuration is also seen in the responses of other nodes.
+# Longest wait of one call for changes. The store charges for each call, but only a tenth for stale
+# reads, which the feeds of targets and deaths use. A newer configuration is also noticed in the
+# responses of other nodes.
 CONFIG_MAX_WAIT = timedelta(seconds=3)
 ROLLOUTS_MAX_WAIT = timedelta(seconds=4)
 DEATHS_MAX_WAIT = timedelta(seconds=4)
-# The cheapest feed shows that the store went silent and came back; it makes the others call again.
-# With a failed call and its repetition, it still shows this within the age that followers allow.
+# The cheapest feed detects that the store stopped answering or answers again, and then makes the
+# others call again. Even after a failed call and its retry, it does so within the state age that
+# followers accept.
 TARGETS_MAX_WAIT = timedelta(milliseconds=800)
-# Changes that come within this are read by one call; they must be in force within 2 s. Each version
-# of a large configuration takes a third of a second on a link of 10 Mbit/s.
+# Changes that arrive within this delay are read by one call; they must take effect within 2 s. Each
+# version of a large configuration takes a third of a second on a link of 10 Mbit/s.
 CONFIG_BATCH_DELAY = timedelta(milliseconds=700)
 TARGETS_BATCH_DELAY = timedelta(milliseconds=500)
 
 
 class StateFeeds:
-    """Keeps the configuration, the targets and the rollouts up to date, and passes them on.
+    """Keeps the configuration, targets, rollouts and deaths up to date, and serves followers.
 
     :param node: address at which other nodes reach this one
     :param config_name: name of the stored item that holds the configuration
-    :ivar probe_replica: the copy of the feed that is cheapest to call
-    :ivar server: answers the nodes that follow this one
+    :ivar probe_replica: replica of the feed that is cheapest to call; it detects store outages
+    :ivar server: serves changes to the nodes that follow this one
     """
 
     def __init__(
@@ -115,18 +117,18 @@
         self.greenlets: list[eventlet.greenthread.GreenThread] = []
 
     def start(self) -> None:
-        """Begin to learn; the follower starts the other copies if they are needed."""
+        """Start the workers; the follower starts the other replicas if they are needed."""
         self.probe_replica.start()
         workers = (self.peers, self.follower)
         self.greenlets = [spawn_worker(type(item).__name__, item.run) for item in workers]
 
     def kill(self) -> None:
-        """End all work."""
+        """Kill all workers and replicas."""
         for worker in (*self.greenlets, *self.replicas):
             worker.kill()
 
     def store_unavailable_since(self) -> timedelta | None:
-        """Return since when any part of the store has not answered, or None."""
+        """Return since when any feed of the store has not answered, or None if all answer."""
         failing = [item.failing_since for item in self.replicas if item.failing_since is not None]
         return min(failing, default=None)
 
--- a/almondshore/mesh/publishing.py
+++ b/almondshore/mesh/publishing.py
@@ -1,4 +1,4 @@
-"""Writes the entry of the target beside this node to the store."""
+"""Publishes the entry of the local target in the store."""
 
 from datetime import timedelta
 
@@ -16,7 +16,7 @@
 
 
 def remove_entry(store: MeshStore, directory: Directory, name: str) -> bool:
-    """Remove the entry of a target that ended without a word; returns whether it is gone."""
+    """Remove the entry of a target that ended without notice; returns whether it is gone."""
     result = store.delete_target(name, 0)
     gone = is_successful(result) or isinstance(result.failure(), NotFound)
     if gone:
@@ -25,9 +25,13 @@
 
 
 class TargetPublisher:
-    """Keeps the stored entry equal to what the target said last.
+    """Keeps the stored entry equal to the last announcement of the local target.
 
     Writes are conditional, so that a delayed one cannot undo a later one.
+
+    :ivar desired: entry to store
+    :ivar stored: entry that was last written, None if it has to be written again
+    :ivar revisions: last known revision of each entry
     """
 
     def __init__(self, *, store: MeshStore, directory: Directory):
@@ -39,13 +43,13 @@
         self.desired_changed: Event = Event()
 
     def publish(self, target: Target) -> None:
-        """Set the entry to store."""
+        """Set the entry to store, and wake the writer."""
         self.desired = target
         if not self.desired_changed.ready():
             self.desired_changed.send(None)
 
     def restore(self) -> None:
-        """Write the entry again: somebody removed it, or a read was older than the last write.
+        """Write the entry again: it was removed, or a read was older than the last write.
 
         A write that changes nothing has no effect in the store.
         """
@@ -57,7 +61,7 @@
         self.publish(desired)
 
     def run(self) -> None:
-        """Write until the process ends; for a greenlet of its own."""
+        """Write each new entry until the process ends; runs in its own greenlet."""
         backoff = MIN_BACKOFF
         while True:
             if self.desired == self.stored:
@@ -71,7 +75,7 @@
                 backoff = min(MAX_BACKOFF, backoff * 2)
 
     def write(self) -> bool:
-        """Try to write the entry once; returns whether to go on at once."""
+        """Try to write the entry once; returns whether to continue without a pause."""
         desired = self.desired
         revision = self.revisions.get(desired.target, 0)
         result = self.store.save_target(desired, revision)
@@ -90,7 +94,7 @@
         return self._handle_error(desired, result.failure())
 
     def withdraw(self) -> None:
-        """Remove the entry of a target that is gone."""
+        """Remove the entry of the local target if its state is GONE."""
         gone = self.desired
         if gone is None or gone.state is not TargetState.GONE:
             return
@@ -100,7 +104,7 @@
             log_event("target_withdrawn", target=gone.target, done=is_successful(result))
 
     def _remove_predecessor_entries(self, target: Target) -> None:
-        """Remove entries of targets that ended without a word beside this node."""
+        """Remove entries of earlier targets of this node, which ended without notice."""
         for other in self.directory.predecessors(target):
             removed = remove_entry(self.store, self.directory, other.target)
             log_event("target_withdrawn", target=other.target, done=removed)
--- a/almondshore/mesh/replication.py
+++ b/almondshore/mesh/replication.py
@@ -1,4 +1,4 @@
-"""Keeps a copy of a feed of the store."""
+"""Replicates a feed of the store."""
 
 import random
 from abc import ABC, abstractmethod
@@ -16,44 +16,47 @@
 
 T = TypeVar("T")
 
-# Pause between tries while the store does not answer, doubled up to the longest. A change must be
-# in force 3 s after the store is back.
+# Pause between attempts while the store does not answer, doubled up to the longest. A change must
+# take effect within 3 s after the store is available again.
 MIN_BACKOFF = timedelta(milliseconds=150)
 MAX_BACKOFF = timedelta(milliseconds=400)
-# Share of a pause that is random, so that nodes do not return to the store at once.
+# Random extension of a pause, as a share of it, so that nodes do not call the store all at once.
 BACKOFF_JITTER = 0.5
-# While the store does not answer the probe replica either, other feeds call it no more often than
-# this.
+# While the store does not answer the probe replica either, other replicas call it no more often
+# than this.
 OUTAGE_CALL_INTERVAL = timedelta(seconds=4)
-# Changes that follow each other this closely are read whole, each pause, until there are none.
+# Changes less than this apart are a burst: a large feed is then read in full after each batch
+# delay, until it no longer changes.
 BURST_INTERVAL = timedelta(seconds=1)
 
 
 class Sink(ABC, Generic[T]):
-    """Takes the items of a feed."""
+    """Receives the items of a feed."""
 
     @abstractmethod
     def replace(self, items: Mapping[str, T]) -> bool:
-        """Take all items; returns whether any was news."""
+        """Replace all items; returns whether any may have changed."""
 
     @abstractmethod
     def update(self, items: Mapping[str, T | None]) -> None:
-        """Take changed items; a removed one is None."""
+        """Apply changed items; a removed one is None."""
 
 
 class Replica(Generic[T]):
-    """Copies a feed to a sink for as long as the process runs.
+    """Copies a feed to a sink until it is killed or suspended.
 
-    :param wait: longest wait of one call; an answer that is lost on its way leaves the copy
+    :param wait: longest wait of one call; a response that is lost in transit leaves the replica
         outdated for as long
-    :param gather: pause after a change, so that changes in quick succession need one call
-    :param large: whether a change holds so much that only the newest is wanted: after a failure,
-        and while changes come in quick succession, the feed is read whole, not change by change
-    :param probe_replica: copy of the feed that is cheapest to call; while the store does not answer
-        it, this one hardly calls, since calls that fail are charged too
-    :ivar on_regained: called when the store answers again
+    :param batch_delay: pause after a change, so that changes in quick succession need one call
+    :param large: whether changes are so large that only the newest is wanted: after a failure, and
+        while changes come in quick succession, the feed is read in full, not change by change
+    :param probe_replica: replica of the feed that is cheapest to call; while the store does not
+        answer it, this one makes few calls, since calls that fail are charged too
+    :ivar on_recovered: called when the store answers again
     :ivar failing_since: when the store stopped answering, None while it answers
     :ivar answered_at: when the store last answered, None before its first answer
+    :ivar position: position in the feed to wait from, None if it has to be read in full
+    :ivar former_position: position before a suspension, used to probe the store
     """
 
     def __init__(
@@ -89,31 +92,31 @@
         self.on_recovered: Callable[[], None] = lambda: None
 
     def run(self) -> None:
-        """Copy until killed; for a greenlet of its own."""
+        """Replicate until killed; runs in its own greenlet."""
         while True:
             self.step()
 
     def start(self) -> None:
-        """Begin to copy in a greenlet of its own."""
+        """Start replicating in a new greenlet."""
         self.called_at = None
         self.greenlet = spawn_worker(f"copy of {self.feed.name}", self.run)
 
     def kill(self) -> None:
-        """End the greenlet, and the call that it waits for."""
+        """Kill the greenlet, and with it the call that it waits for."""
         if self.greenlet is not None:
             self.greenlet.kill()
 
     def restart(self) -> None:
-        """Call again at once, unless at rest: the present call may have been lost in an outage."""
+        """Call again at once, unless suspended: the current call may be lost in an outage."""
         if self.greenlet is not None:
             self.kill()
             self.start()
 
     def suspend(self) -> None:
-        """Stop copying.
+        """Stop replicating.
 
-        What others tell meanwhile may be older than what was copied, so that the feed is read
-        whole afterwards.
+        State that other nodes send meanwhile may be older than what was replicated, so the feed
+        is read in full afterwards.
         """
         self.kill()
         self.greenlet = None
@@ -122,12 +125,12 @@
             self.former_position, self.position = self.position, None
 
     def resume(self) -> None:
-        """Copy again after a rest."""
+        """Start replicating, unless already started."""
         if self.greenlet is None:
             self.start()
 
     def step(self) -> None:
-        """Make one call and take in its result."""
+        """Make one call and apply its result."""
         now = self.clock.monotonic()
         if self._defers_to_probe_replica(now):
             eventlet.sleep(MIN_BACKOFF.total_seconds())
@@ -139,7 +142,7 @@
         if self.position is None:
             result = self.feed.read()
         else:
-            # While the store is away, an answer must show at once that it is back.
+            # In an outage, do not wait for changes: a response must show at once that it is over.
             wait = self.wait - self.last_batch_delay if self.failing_since is None else timedelta()
             self.last_batch_delay = timedelta()
             result = self.feed.wait(self.position, wait)
@@ -155,32 +158,32 @@
             changed = bool(found.items)
             if changed:
                 self.sink.update(found.items)
-        whole, self.position = self.position is None, found.position
+        full_read, self.position = self.position is None, found.position
         if changed:
-            self._after_change(whole)
+            self._after_change(full_read)
 
     def _probe_store(self, position: int) -> None:
-        """Find out whether the store answers again before all is read, which costs more."""
+        """Check whether the store answers again, before a full read, which costs more."""
         result = self.feed.wait(position, timedelta())
         if is_successful(result) or isinstance(result.failure(), HistoryGone):
             self.former_position = None
         else:
             self._on_error(result.failure())
 
-    def _after_change(self, whole: bool) -> None:
-        """Wait for further changes that one call can bring."""
+    def _after_change(self, full_read: bool) -> None:
+        """Pause, so that one call reads further changes; in a burst, read a large feed in full."""
         now = self.clock.monotonic()
         in_burst = self.changed_at is not None and now - self.changed_at < BURST_INTERVAL
         self.changed_at = now
         if self.large and in_burst:
             self.position = None
-        if in_burst if self.large else not whole:
-            # The next wait is as much shorter, so that the store is heard from as often.
+        if in_burst if self.large else not full_read:
+            # The next wait is shorter by the pause, so that the store still answers as often.
             self.last_batch_delay = min(self.batch_delay, self.wait)
             eventlet.sleep(self.last_batch_delay.total_seconds())
 
     def _defers_to_probe_replica(self, now: timedelta) -> bool:
-        """Tell whether to wait until the probe replica finds that the store answers again."""
+        """Return whether to wait until the probe replica finds that the store answers again."""
         if (
             self.probe_replica is None
             or self.probe_replica.failing_since is None
@@ -194,7 +197,7 @@
             log_event("store_history_gone", feed=self.feed.name, position=error.position)
             self.position = None
             if self.lost_history:
-                # The store forgets its history faster than it is read.
+                # The store discards its history faster than it is read.
                 self._sleep_backoff()
             self.lost_history = True
             return
--- a/almondshore/mesh/rollout.py
+++ b/almondshore/mesh/rollout.py
@@ -1,4 +1,4 @@
-"""Moves a service to a new version step by step, and back if the version is bad."""
+"""Decides the steps of a rollout, and whether its version is faulty."""
 
 from collections.abc import Iterable
 from datetime import timedelta
@@ -11,10 +11,10 @@
 
 
 class Step(NamedTuple):
-    """A share of the new version, and when it is due.
+    """Share of requests that the new version gets, and when it is due.
 
-    :ivar after: share of the time from the order to the deadline
-    :ivar results: results on the new version that the step needs, unless time runs out
+    :ivar after: earliest time of the step, as a fraction of the time from the order to the deadline
+    :ivar results: results on the new version that the step needs, unless it is overdue
     """
 
     after: float
@@ -22,13 +22,14 @@
     results: int
 
 
-# A version that turns out bad, at any time, may have had a tenth of the requests of the whole time.
-# The shares before the last step add up to 6%, so that a fault that shows then may take 0.8 s of a
-# rollout of 16 s to be found; the last step leaves a margin to the deadline.
+# Whenever a version turns out bad, it may have received at most a tenth of the requests of the
+# whole rollout. The steps before the last one add up to 6% of them, so that a fault that appears
+# at the last step may take 0.8 s of a rollout of 16 s to be found. The last step leaves a margin to
+# the deadline.
 STEPS = (Step(0.0, 0.05, 0), Step(0.42, 0.09, 12), Step(0.56, 0.18, 25), Step(0.7, 1.0, 40))
-# A step that lacks results is taken anyway after this further share of the time.
-MAX_STEP_DELAY = 0.06
-# Requests on the old version end within this; its targets are stopped at once on completion.
+# A step that lacks results is taken anyway after this further fraction of the rollout's time.
+MAX_STEP_DELAY_FRACTION = 0.06
+# Time in which requests on the old version end; its targets are stopped at once on completion.
 MIN_SETTLE_TIME = timedelta(seconds=1)
 MAX_SETTLE_TIME = timedelta(seconds=2.5)
 
@@ -36,9 +37,9 @@
 ROUTE_FAILURE_RATE = 0.15
 MIN_FAILURES = 5
 FAILURE_RATE = 0.1
-# The new version must fail this many times as often as the old one to be condemned.
+# The new version must fail this many times as often as the old one to count as faulty.
 FAILURE_RATIO = 3.0
-# Targets of one version differ in speed by up to three times.
+# Targets of one version differ in speed by up to a factor of three.
 SLOW_RATIO = 3.0
 MIN_TIMED = 6
 MIN_OLD_TIMED = 10
@@ -61,7 +62,7 @@
 
 
 def find_fault(counts: VersionCounts) -> str:
-    """Return what is wrong with the new version, or an empty string."""
+    """Return a description of what is wrong with the new version, or an empty string."""
     for route, new in counts.new.items():
         old = counts.old.get(route, RouteCounts())
         if _fails_more(new, old, MIN_ROUTE_FAILURES, ROUTE_FAILURE_RATE):
@@ -69,7 +70,7 @@
         if _is_slower(new, old):
             return (
                 f"route {route} takes {new.total_ms / new.timed:.0f} ms, "
-                f"{old.total_ms / old.timed:.0f} ms before"
+                f"{old.total_ms / old.timed:.0f} ms on the old version"
             )
     new, old = _sum_counts(counts.new.values()), _sum_counts(counts.old.values())
     if _fails_more(new, old, MIN_FAILURES, FAILURE_RATE):
@@ -88,9 +89,9 @@
     """Return the rollout with the state and share that are due.
 
     :param elapsed: time since the order
-    :param settled: time since the new version got all requests
+    :param time_at_full_share: time since the new version got all requests
     :param results: results on the new version so far
-    :param old_running: requests at targets of the old version
+    :param old_running: requests that still run at targets of the old version
     """
     if rollout.share >= 1.0 and rollout.state is RolloutState.RUNNING:
         done = time_at_full_share >= MAX_SETTLE_TIME or (
@@ -102,10 +103,10 @@
     for step in STEPS:
         if step.share <= rollout.share:
             continue
-        ready = results >= step.results or elapsed_fraction >= step.after + MAX_STEP_DELAY
+        ready = results >= step.results or elapsed_fraction >= step.after + MAX_STEP_DELAY_FRACTION
         if elapsed_fraction >= step.after and ready:
             share = step.share
-        # One step at a time: each is to bring results before the next.
+        # Take one step at a time, so that each brings results before the next.
         break
     if share == rollout.share and rollout.state is RolloutState.RUNNING:
         return rollout
--- a/almondshore/mesh/state.py
+++ b/almondshore/mesh/state.py
@@ -1,4 +1,4 @@
-"""What a node believes: configuration, targets and rollouts, from the store and from peers."""
+"""Applies configuration, targets and rollouts from the store and from peers."""
 
 from collections.abc import Callable, Mapping
 
@@ -15,7 +15,7 @@
 class ConfigSink(Sink[MeshConfig]):
     """Applies a configuration unless a newer one is in force.
 
-    :param name: name of the item that holds the configuration
+    :param name: name of the stored item that holds the configuration
     """
 
     def __init__(self, *, outbound: Outbound, name: str, changes: ChangeLog | None = None):
@@ -24,16 +24,16 @@
         self.changes = changes or ChangeLog()
 
     def replace(self, items: Mapping[str, MeshConfig]) -> bool:
-        """Take the stored configuration."""
+        """Apply the stored configuration if it is newer; returns whether it was."""
         return self.update(items)
 
     def update(self, items: Mapping[str, MeshConfig | None]) -> bool:
-        """Take a changed configuration; its removal changes nothing."""
+        """Apply a changed configuration if it is newer; its removal changes nothing."""
         config = items.get(self.name)
         return config is not None and self.apply(config, source="store")
 
     def apply(self, config: MeshConfig, *, source: str) -> bool:
-        """Put a configuration in force if it is newer than the present one."""
+        """Apply a configuration if it is newer than the current one; returns whether it was."""
         known = self.outbound.config_version()
         if config.version <= known:
             return False
@@ -44,18 +44,18 @@
 
 
 class TargetSink(Sink[Target]):
-    """Keeps the directory of targets."""
+    """Applies the stored targets to the directory."""
 
     def __init__(self, *, directory: Directory):
         self.directory = directory
 
     def replace(self, items: Mapping[str, Target]) -> bool:
-        """Take all targets."""
+        """Replace all targets; returns whether any changed."""
         log_event("targets_read", targets=len(items))
         return self.directory.replace(items.values())
 
     def update(self, items: Mapping[str, Target | None]) -> None:
-        """Take changed targets."""
+        """Apply changed and removed targets."""
         for name, target in items.items():
             if target is None:
                 self.directory.remove(name)
@@ -73,14 +73,14 @@
 
 
 class RolloutSink(Sink[Rollout]):
-    """Keeps the rollouts."""
+    """Applies rollouts to the shares of versions."""
 
     def __init__(self, *, shares: VersionShares, changes: ChangeLog | None = None):
         self.shares = shares
         self.changes = changes or ChangeLog()
 
     def replace(self, items: Mapping[str, Rollout]) -> bool:
-        """Take all rollouts."""
+        """Apply all rollouts, and remove those that are missing; returns whether any changed."""
         before = dict(self.shares.rollouts)
         for name in before.keys() - items.keys():
             self.remove(name)
@@ -88,7 +88,7 @@
         return self.shares.rollouts != before
 
     def update(self, items: Mapping[str, Rollout | None]) -> None:
-        """Take changed rollouts."""
+        """Apply changed and removed rollouts."""
         for name, rollout in items.items():
             if rollout is None:
                 self.remove(name)
@@ -96,13 +96,13 @@
                 self.put(rollout, source="store")
 
     def remove(self, service: str) -> None:
-        """Forget the rollout of a service."""
+        """Remove the rollout of a service, if there is one."""
         if service in self.shares.rollouts:
             self.shares.remove_rollout(service)
             self.changes.record_removal(StateKind.ROLLOUT, service)
 
     def put(self, rollout: Rollout, *, source: str) -> None:
-        """Take a rollout unless a newer revision is known."""
+        """Apply a rollout unless this or a newer revision is known."""
         known = self.shares.rollouts.get(rollout.service)
         if known is not None and known.revision >= rollout.revision:
             return
@@ -120,7 +120,7 @@
 
 
 class PeerSink:
-    """Takes over what other nodes know.
+    """Applies the state that other nodes send.
 
     :param decode: decodes a stored configuration; None if it is not valid
     """
@@ -141,13 +141,14 @@
         self.decode = decode
 
     def config_version(self) -> int:
-        """Return the version in force."""
+        """Return the version of the configuration in force."""
         return self.config.outbound.config_version()
 
     def apply(self, answer: ChangeAnswer, *, source: str, remove: bool) -> None:
-        """Take over another node's state; what is older than the own changes nothing.
+        """Apply another node's state, ignoring what is older than this node's.
 
-        :param remove: whether targets that the other node does not know are removed
+        :param remove: whether to remove what the other node removed and, if it sent everything,
+            targets and deaths that it does not know
         :raises ValueError: if the configuration is malformed
         """
         if answer.config:
--- a/almondshore/mesh/store.py
+++ b/almondshore/mesh/store.py
@@ -1,4 +1,4 @@
-"""Port to the store that holds the configuration, the targets and the rollouts."""
+"""Interface to the store that holds the configuration, targets, rollouts and deaths."""
 
 from abc import ABC, abstractmethod
 from collections.abc import Mapping
@@ -20,9 +20,9 @@
 
 
 class Changed(NamedTuple):
-    """A conditional write was refused, since the object is at another revision.
+    """A conditional write was refused, because the object is at another revision.
 
-    :ivar revision: present revision, 0 if it is not known
+    :ivar revision: current revision, 0 if it is not known
     """
 
     revision: int
@@ -42,7 +42,10 @@
 
 
 class Changes(NamedTuple, Generic[T]):
-    """Items that changed; a removed one is None."""
+    """Items that changed; a removed one is None.
+
+    :ivar position: position to wait from next
+    """
 
     position: int
     items: Mapping[str, T | None]
@@ -59,11 +62,11 @@
 
     @abstractmethod
     def wait(self, position: int, timeout: timedelta) -> Result[Changes[T], StoreError]:
-        """Wait for changes after a position; none if the timeout passed."""
+        """Wait for changes after a position; the result is empty if the timeout passed."""
 
 
 class MeshStore(ABC):
-    """What nodes read from the store and write to it."""
+    """Operations of a node on the store."""
 
     config: Feed[MeshConfig]
     targets: Feed[Target]
@@ -79,7 +82,7 @@
         """Write a target's entry.
 
         :param revision: revision to replace, 0 to create
-        :returns: the new revision
+        :return: the new revision
         """
 
     @abstractmethod
--- a/almondshore/mesh/vanished.py
+++ b/almondshore/mesh/vanished.py
@@ -1,4 +1,4 @@
-"""Removes the entries of hosts that went without a word."""
+"""Removes the entries of hosts that disappeared without notice."""
 
 import random
 from collections.abc import Callable
@@ -15,25 +15,28 @@
 from almondshore.mesh.store import MeshStore
 
 REVIEW_INTERVAL = timedelta(seconds=30)
-# A host that has been away for so long is taken for gone. Repairs and restarts take minutes, and an
-# entry that stays a while longer only draws probes.
+# A host that has been unreachable for this long counts as gone. Repairs and restarts take minutes,
+# and an entry that stays for a while longer only causes probes.
 VANISHED_AFTER = timedelta(minutes=10)
-# Added to it, up to this share, so that one of the nodes removes the entry and the others see it.
+# Random extension of this time, up to this share of it, so that one node removes the entry and the
+# others see the removal.
 REMOVAL_JITTER = 1.0
-# Failures to reach the host in that time; a process that was suspended has made none. Probes of an
-# unreachable node are 4 s apart.
+# Failures to reach the host that are needed in that time, since a process that was suspended made
+# no attempts. Probes of an unreachable node are 4 s apart.
 MIN_FAILURES = 60
-# With this share of the nodes out of reach, the fault is likelier on this host.
+# If more than this share of the targets is unreachable, the fault is more likely on this host.
 MAX_UNREACHABLE_SHARE = 0.5
 
 
 class VanishedEntries:
-    """Removes the entries of targets whose node has not been reached for long.
+    """Removes the entries of targets whose node has been unreachable for long.
 
-    The node beside a target writes its entry again if it finds it removed. An entry of one
-    incarnation is therefore removed at most once by a node: it may reach what this node does not.
+    A node that finds the entry of its local target removed writes it again. Each node therefore
+    removes the entry of one incarnation at most once: the target may be reachable for others.
 
-    :param is_up_to_date: whether the copy of the entries was confirmed a moment ago
+    :param is_up_to_date: returns whether the directory was recently confirmed to be up to date
+    :ivar due: when each entry is to be removed
+    :ivar removed: targets and incarnations that this node has removed
     """
 
     def __init__(
@@ -54,13 +57,13 @@
         self.removed: set[tuple[str, int]] = set()
 
     def run(self) -> None:
-        """Review the entries until the process ends; for a greenlet of its own."""
+        """Review the entries until the process ends; runs in its own greenlet."""
         while True:
             eventlet.sleep(REVIEW_INTERVAL.total_seconds())
             self.review()
 
     def review(self) -> None:
-        """Remove the entries that are due."""
+        """Remove the entries that are due, unless the fault may lie with this host."""
         targets = self.directory.targets
         unreachable = {
             name: since
--- a/almondshore/mesh/versions.py
+++ b/almondshore/mesh/versions.py
@@ -1,4 +1,4 @@
-"""Which version of a service gets a request."""
+"""Chooses the version of a service that gets a request."""
 
 import random
 from collections.abc import Collection, Mapping
@@ -7,11 +7,11 @@
 
 
 class VersionShares:
-    """Shares of versions, from the rollouts of each service.
+    """Splits requests between versions, according to the rollout of each service.
 
-    A version gets requests if it is the usual one of its service, or by the share of a rollout
-    that is running. The usual version is the one that the last completed rollout moved to, else
-    the one that was there first: targets of a new version start before the order is known.
+    A version gets requests if it is the stable one of its service, or by the share of a running
+    rollout. The stable version is that of the last completed rollout, else that of the oldest
+    target: targets of a new version start before the order is known.
     """
 
     def __init__(self, *, rng: random.Random):
@@ -20,17 +20,17 @@
         self.stable: dict[str, str] = {}
 
     def set_rollout(self, rollout: Rollout) -> None:
-        """Take in an order or its progress."""
+        """Set the rollout of a service, as ordered or with its progress."""
         self.rollouts[rollout.service] = rollout
         if rollout.state is RolloutState.COMPLETED:
             self.stable[rollout.service] = rollout.version
 
     def remove_rollout(self, service: str) -> None:
-        """Forget a rollout whose order was withdrawn."""
+        """Remove a rollout whose order was withdrawn."""
         self.rollouts.pop(service, None)
 
     def infer_stable_versions(self, targets: Collection[Target]) -> None:
-        """Find the usual version of services where none is known."""
+        """Set the stable version of services where none is known, from their oldest target."""
         oldest: dict[str, Target] = {}
         for target in targets:
             if self._may_be_stable(target):
@@ -42,7 +42,7 @@
                 self.stable[service] = target.version
 
     def new_share(self, service: str) -> tuple[str, float]:
-        """Return the version of a rollout that is not completed, and its share."""
+        """Return the version of an uncompleted rollout and its share; empty and 0 if none."""
         rollout = self.rollouts.get(service)
         if rollout is None or rollout.state is RolloutState.COMPLETED:
             return "", 0.0
@@ -50,7 +50,7 @@
         return rollout.version, share
 
     def is_retired(self, service: str, version: str) -> bool:
-        """Tell whether a version must get no requests at all."""
+        """Return whether a version must get no requests at all."""
         rollout = self.rollouts.get(service)
         if rollout is None:
             return False
@@ -75,7 +75,7 @@
             return new
         if old:
             return max(old, key=lambda name: len(versions[name]))
-        # A version on trial never takes over from an old one that cannot be reached.
+        # A version with a small share never takes over from an old one that is unreachable.
         return new if new in versions and share >= 0.5 else None
 
     def _may_be_stable(self, target: Target) -> bool:
--- a/almondshore/mesh/watching.py
+++ b/almondshore/mesh/watching.py
@@ -1,4 +1,4 @@
-"""Few nodes of a zone watch the store; the others follow them."""
+"""Lets a few nodes of a zone watch the store, and the others follow them."""
 
 from collections.abc import Sequence
 from datetime import timedelta
@@ -16,23 +16,23 @@
 from almondshore.mesh.replication import Replica
 from almondshore.mesh.state import PeerSink
 
-# Nodes of a zone that watch the store. Each call to the store is charged; with four, all of them
-# are cut off from it at once only when most of the zone is.
+# Number of nodes of a zone that watch the store. Each call to the store is charged; four lose the
+# store at the same time only when most of the zone does.
 WATCHERS_PER_ZONE = 4
-# Of these, two watch in any case, and the others only if their links are as wide: a narrow link is
-# filled by a large configuration that changes often.
+# Two nodes watch in any case, further ones only if their links are as wide as the widest: a large
+# configuration that changes often saturates a narrow link.
 MIN_WATCHERS = 2
-# Added to the hold for the way and a busy watcher.
+# Added to the wait of a poll to get its timeout, for network latency and a busy watcher.
 RESPONSE_MARGIN = timedelta(milliseconds=300)
-# Pause before a watcher is asked again; changes that come within it need one answer.
+# Pause before a watcher is polled again; changes that arrive within it need one response.
 POLL_INTERVAL = timedelta(milliseconds=100)
-# A process that starts looks for a watcher to follow for so long before it reads the rest of its
-# state from the store; it is not ready before it has the configuration.
+# How long a process that starts looks for a watcher to follow before it reads the rest of its state
+# from the store; it is not ready before it has the configuration.
 START_TIMEOUT = timedelta(milliseconds=250)
 START_POLL_INTERVAL = timedelta(milliseconds=20)
-# How often a node that watches the store looks at whether it still should.
+# How often a node that watches the store checks whether it still should.
 REVIEW_INTERVAL = timedelta(seconds=1)
-# How often a node whose watchers are all outdated asks them again.
+# How often a node whose watchers are all outdated polls them again.
 RETRY_INTERVAL = timedelta(milliseconds=500)
 UNKNOWN_AGE = timedelta(days=1)
 
@@ -40,11 +40,11 @@
 class Follower:
     """Watches the store, or follows a node that does.
 
-    The nodes of a zone are ranked alike by all; the first ones watch. A node that finds no watcher
+    All nodes of a zone compute the same ranking; the first ones watch. A node that finds no watcher
     with recent state watches the store itself until it finds one.
 
-    :param replicas: copies of the store's feeds, which rest while this node follows another
-    :param probe_replica: the copy that hears from the store most often
+    :param replicas: replicas of the store's feeds, suspended while this node follows another
+    :param probe_replica: the replica that the store answers most often
     :ivar followed: the watcher that this node follows, None while it watches the store itself
     """
 
@@ -73,20 +73,20 @@
         self.confirmed_at: timedelta | None = None
 
     def run(self) -> None:
-        """Watch or follow for as long as the process runs; for a greenlet of its own."""
+        """Watch or follow until the process ends; runs in its own greenlet."""
         hubs.get_hub().schedule_call_global(START_TIMEOUT.total_seconds(), self._on_start_timeout)
         while True:
             eventlet.sleep(self.step().total_seconds())
 
     def age(self) -> timedelta:
-        """Return how long ago the store was last known to have nothing newer."""
+        """Return how long ago this node's state was last known to be up to date with the store."""
         at = self.confirmed_at if self.followed is not None else self.probe_replica.answered_at
         return UNKNOWN_AGE if at is None else self.clock.monotonic() - at
 
     def step(self) -> timedelta:
-        """Ask one watcher, or all if the present one is outdated; returns the pause after it."""
+        """Poll the followed watcher, or all if it is outdated; returns the pause after it."""
         if self.probe_replica.answered_at is None:
-            # What else there is in the zone is not known yet.
+            # The other nodes of the zone are not known yet.
             return START_POLL_INTERVAL
         watchers = self.watchers()
         if not watchers or self.node in watchers:
@@ -104,7 +104,7 @@
         return RETRY_INTERVAL
 
     def watchers(self) -> list[Address]:
-        """Return the nodes of the zone that watch the store, in this node's order."""
+        """Return the nodes of the zone that watch the store, in this node's order of preference."""
         found = {
             f"{target.node[0]}:{target.node[1]}": target
             for target in self.directory.targets.values()
@@ -116,7 +116,7 @@
         ranked.sort(key=lambda name: -found[name].link_mbps)
         widest = [name for name in ranked if found[name].link_mbps == found[ranked[0]].link_mbps]
         chosen = ranked[: max(MIN_WATCHERS, min(WATCHERS_PER_ZONE, len(widest)))]
-        # Each node prefers another watcher, so that they have as many followers each.
+        # Nodes differ in their order of preference, so that followers are spread evenly.
         own = f"{self.node[0]}:{self.node[1]}"
         return [found[name].node for name in rendezvous.rank(own, chosen)]
 
@@ -152,7 +152,7 @@
         self.followed = watcher
 
     def _request_changes(self, watcher: Address, *, poll_wait: timedelta) -> bool:
-        """Ask a watcher for changes; returns whether its state is recent."""
+        """Poll a watcher and apply its changes; returns whether its state is recent."""
         query = b"epoch=%s&after=%d&config=%d&hold_ms=%d" % (
             self.epoch.encode(),
             self.number,
