--- a/test/mesh/test_crashes.py
+++ b/test/mesh/test_crashes.py
@@ -1,4 +1,4 @@
-"""Tests of requests that crash the targets that run them."""
+"""Tests of the detection of target deaths and of the quarantine of requests that cause them."""
 
 from datetime import timedelta
 
@@ -20,7 +20,7 @@
 
 class CrashTest(TestCase):
     def crash(self, name="t1", born_ms=1000, refuses=True):
-        """Let a target die while it runs the request; returns the reported death."""
+        """Crash a target while it runs the request; returns the reported death."""
         bed = RequestPathHarness()
         deaths = []
         bed.inbound.on_death = deaths.append
@@ -35,11 +35,11 @@
         return deaths[0] if deaths else None
 
     def test_closed_connection_alone_is_no_death(self):
-        """Guards against a quarantine for answers that were merely lost."""
+        """Guards against a quarantine of requests whose connection closed without a crash."""
         self.assertIs(None, self.crash(refuses=False))
 
     def test_request_is_refused_everywhere_after_two_deaths(self):
-        """Guards against a request that takes one target after the other down."""
+        """Guards against a request that crashes one target after another."""
         bed = RequestPathHarness()
         bed.directory.put(target())
         sink = CrashSink(guard=bed.guard)
@@ -56,7 +56,7 @@
         self.assertEqual(2, len(bed.pool.calls))
 
     def test_request_that_completes_between_deaths_is_cleared(self):
-        """Guards against a common request that is refused since it ran beside the one at fault."""
+        """Guards against refusing a common request that ran beside the one that crashes targets."""
         bed = RequestPathHarness()
         bed.directory.put(target())
         sink = CrashSink(guard=bed.guard)
@@ -69,17 +69,17 @@
         self.assertEqual(2, len(bed.pool.calls))
 
     def test_identity_covers_body_and_caller(self):
-        """Guards against a quarantine of requests that differ from the one at fault."""
-        prints = {
+        """Guards against a quarantine of requests that differ from the one that crashes targets."""
+        fingerprints = {
             request_fingerprint(REQUEST, "s1"),
             request_fingerprint(REQUEST, "s2"),
             request_fingerprint(REQUEST._replace(body=b"x"), "s1"),
             request_fingerprint(REQUEST._replace(target=b"/a/y"), "s1"),
         }
-        self.assertEqual(4, len(prints))
+        self.assertEqual(4, len(fingerprints))
 
     def test_report_is_written_when_the_store_returns_and_removed_later(self):
-        """Guards against reports that are lost in an outage, and against ones that pile up."""
+        """Guards against reports that an outage of the store loses, and ones that accumulate."""
 
         class Store:
             results = [Failure(Unavailable("away")), Success(4)]
--- a/test/mesh/test_directory.py
+++ b/test/mesh/test_directory.py
@@ -20,7 +20,7 @@
         return [item.target for item in self.directory.ready("s")]
 
     def test_older_entries_do_not_replace_newer_ones(self):
-        """Guards against a stale read that brings a leaving target back."""
+        """Guards against a stale read that makes a draining target available again."""
         self.directory.put(target(sequence=3, state=TargetState.DRAINING))
         self.directory.put(target(sequence=2))
         self.directory.put(target(sequence=3))
@@ -29,10 +29,10 @@
         self.assertEqual(["t1"], self.ready())
 
     def test_unreachable_node_gets_no_requests_until_it_answers(self):
-        """Guards against requests that time out on a host without power.
+        """Guards against requests that time out at a host that is gone.
 
-        Seen on valpadana-mesh, trouble-3 --seed 609123231414: the entry of a host that was taken
-        away during an outage of the store drew requests every few seconds until the end.
+        A host that was taken away during an outage of the store kept its entry, which drew
+        requests every few seconds.
         """
         near, far = target("t1"), target("t2", node=("10.0.0.2", 1))
         self.directory.replace([near, far])
@@ -43,7 +43,7 @@
         self.assertEqual(["t1", "t2"], self.ready())
 
     def test_unreachable_node_is_asked_less_often_each_time(self):
-        """Guards against a host that is gone being asked all the time by all nodes."""
+        """Guards against constant probes of a host that is gone, by all nodes."""
         pauses = []
         self.directory.on_unreachable = lambda _node, pause: pauses.append(pause)
         self.directory.put(target())
@@ -57,7 +57,7 @@
         self.assertTrue(pauses[0] * 2 == pauses[1])
 
     def test_last_target_is_tried_though_it_could_not_be_reached(self):
-        """Guards against a service that is given up after one lost packet."""
+        """Guards against a service that is unavailable after one lost packet."""
         self.directory.put(target())
         self.directory.mark_unreachable(target().node, "test")
         self.assertEqual(["t1"], self.ready())
@@ -71,7 +71,7 @@
         self.assertEqual(["t1"], self.ready())
 
     def test_newest_target_beside_a_node_counts(self):
-        """Guards against requests for a target whose host runs another one by now."""
+        """Guards against requests to a target whose host already runs a newer one."""
         self.directory.replace([target("old"), target("new", born_ms=5000)])
         self.assertEqual(["new"], self.ready())
         self.directory.put(target("new", born_ms=5000, sequence=2, state=TargetState.DRAINING))
--- a/test/mesh/test_driver.py
+++ b/test/mesh/test_driver.py
@@ -1,4 +1,4 @@
-"""Tests of the node that drives the rollout of the service beside it."""
+"""Tests of a node that drives the rollout of its local target's service."""
 
 import random
 from datetime import timedelta
@@ -21,7 +21,7 @@
 
 
 class FakeStore:
-    """Takes progress."""
+    """A store that records the saved progress."""
 
     def __init__(self):
         self.saved = []
@@ -32,7 +32,7 @@
 
 
 class NoPeers:
-    """Other nodes do not answer."""
+    """A client for which no other node answers."""
 
     def get(self, node, path):
         return None
@@ -65,9 +65,9 @@
         eventlet.sleep(STEP_INTERVAL.total_seconds() / 2)
 
     def test_version_that_turns_bad_is_refused_by_its_node_at_once(self):
-        """Guards against a version with all requests that goes on failing until the next review.
+        """Guards against a version at full share that keeps failing until the next step.
 
-        Seen on chladlog-mesh-grown, fresh-d52d: it took 0.8 s, in which it got 190 requests.
+        The fault was found after 0.8 s, in which the version received 190 requests.
         """
         self.assertFalse(self.driver.is_faulty("s", "v2"))
         self.counts = RouteCounts(40, 10, 30, 3000.0)
@@ -76,7 +76,7 @@
         self.assertEqual([RolloutState.ROLLED_BACK], self.store.saved)
 
     def test_node_beside_the_old_version_does_not_judge_by_its_own_target(self):
-        """Guards against a new version that is taken back for failures of the old one."""
+        """Guards against a new version that is rolled back for failures of the old one."""
         self.version = "v1"
         self.counts = RouteCounts(40, 10, 30, 3000.0)
         eventlet.sleep(2.5 * STEP_INTERVAL.total_seconds())
--- a/test/mesh/test_rollout.py
+++ b/test/mesh/test_rollout.py
@@ -1,4 +1,4 @@
-"""Tests of the steps of a rollout and of the verdict on a version."""
+"""Tests of the steps of a rollout and of fault detection in its version."""
 
 from datetime import timedelta
 
@@ -17,33 +17,33 @@
     return RouteCounts(requests, failures, timed, timed * mean_ms)
 
 
-def verdict(new, old=None):
+def fault_of(new, old=None):
     old = counts(500, 2) if old is None else old
     return find_fault(VersionCounts({"r": new}, {"r": old}))
 
 
 class VerdictTest(TestCase):
     def test_bad_versions_are_found_from_few_requests(self):
-        """Guards against a bad version that gets more than a small share before it is found."""
-        self.assertIn("failed on route r", verdict(counts(10, 5)))
-        self.assertIn("takes 1600 ms", verdict(counts(8, mean_ms=1600.0)))
+        """Guards against a bad version that gets more than a small share before detection."""
+        self.assertIn("failed on route r", fault_of(counts(10, 5)))
+        self.assertIn("takes 1600 ms", fault_of(counts(8, mean_ms=1600.0)))
         spread = {f"r{number}": counts(8, 1) for number in range(5)}
         self.assertIn("5 of 40", find_fault(VersionCounts(spread, {"r": counts(500, 2)})))
 
     def test_good_versions_pass(self):
-        """Guards against a good version that is taken back."""
-        self.assertEqual("", verdict(counts(100, 1)))
-        self.assertEqual("", verdict(counts(40, mean_ms=420.0)))
-        self.assertEqual("", verdict(counts(3, 3)))
+        """Guards against a good version that is rolled back."""
+        self.assertEqual("", fault_of(counts(100, 1)))
+        self.assertEqual("", fault_of(counts(40, mean_ms=420.0)))
+        self.assertEqual("", fault_of(counts(3, 3)))
 
     def test_failures_that_both_versions_share_are_not_held_against_the_new(self):
-        """Guards against a rollback for a fault that lies elsewhere."""
-        self.assertEqual("", verdict(counts(20, 8), counts(200, 80)))
+        """Guards against a rollback for a fault outside the new version."""
+        self.assertEqual("", fault_of(counts(20, 8), counts(200, 80)))
 
 
 class ProgressTest(TestCase):
-    def play(self, results_per_s, old_running=0):
-        """Return the time and share of each change."""
+    def simulate(self, results_per_s, old_running=0):
+        """Simulate a rollout; returns the time, state and share of each change."""
         rollout = Rollout("s", "v2", DURATION, RolloutState.ORDERED, 0.0, 1)
         changes, elapsed, full_share_at = [], timedelta(), None
         while elapsed < DURATION and rollout.state is not RolloutState.COMPLETED:
@@ -66,24 +66,24 @@
         return changes
 
     def test_good_version_completes_before_its_deadline(self):
-        """Guards against a good version that is late, with results or without."""
+        """Guards against a good version that misses its deadline, with results or without."""
         for rate, running in ((10, 0), (0, 0), (10, 3)):
-            changes = self.play(rate, running)
+            changes = self.simulate(rate, running)
             self.assertEqual(RolloutState.COMPLETED, changes[-1][1])
             self.assertTrue(changes[-1][0] < DURATION * 0.95, changes)
 
     def test_shares_stay_small_for_the_exposure_bound(self):
-        """Guards against a late fault that meets more than a tenth of all requests.
+        """Guards against a late fault that affects more than a tenth of all requests.
 
-        Seen on chladlog-mesh-grown, fresh-a81a: 575 of 3738 requests, where 424 were allowed.
+        A bad version was seen to get 575 of 3738 requests, where 424 were allowed.
         """
         exposed, share, last = 0.0, 0.0, timedelta()
-        for at, _, new_share in self.play(10):
+        for at, _, new_share in self.simulate(10):
             if share < 1.0:
                 exposed += share * ((at - last) / DURATION)
             share, last = new_share, at
-        # A fault that shows at the last step is found within a second, with all requests on the
-        # new version. Seen on chladlog-mesh-grown, fresh-d52d: 457 of 3890, where 439 were allowed.
+        # A fault that appears at the last step is found within a second, in which the new version
+        # gets all requests. A bad version was seen to get 457 of 3890, where 439 were allowed.
         found_after = timedelta(seconds=0.8) / DURATION
         slack = 50 / 3890
         self.assertTrue(exposed + found_after < 0.1 + slack, exposed)
--- a/test/mesh/test_state.py
+++ b/test/mesh/test_state.py
@@ -1,4 +1,4 @@
-"""Tests of how a node takes over state from the store and from peers."""
+"""Tests of the replication of state from the store and peers, and of publishing to the store."""
 
 import random
 from datetime import timedelta
@@ -21,7 +21,7 @@
 
 
 class ScriptedFeed(Feed):
-    """A feed that gives scripted results."""
+    """A feed that returns scripted results."""
 
     name = "scripted"
 
@@ -41,18 +41,18 @@
 
 
 class ListSink(Sink):
-    """Keeps what it was given."""
+    """A sink that records what it received."""
 
     def __init__(self):
-        self.taken = []
+        self.received = []
 
     def replace(self, items):
-        known = [taken for _, taken in self.taken]
-        self.taken.append(("all", dict(items)))
+        known = [received for _, received in self.received]
+        self.received.append(("all", dict(items)))
         return dict(items) not in known
 
     def update(self, items):
-        self.taken.append(("some", dict(items)))
+        self.received.append(("some", dict(items)))
 
 
 class ReplicaTest(TestCase):
@@ -70,7 +70,7 @@
         return replica, feed, sink
 
     def test_changes_follow_the_first_read(self):
-        """Guards against a gap between the first read and the changes after it."""
+        """Guards against changes missed between the first read and the first wait."""
         replica, feed, sink = self.replica(
             Success(Snapshot(7, {"a": 1})),
             Success(Changes(9, {"a": None})),
@@ -79,10 +79,10 @@
         for _ in range(3):
             replica.step()
         self.assertEqual(["read", 7, 9], feed.calls)
-        self.assertEqual([("all", {"a": 1}), ("some", {"a": None})], sink.taken)
+        self.assertEqual([("all", {"a": 1}), ("some", {"a": None})], sink.received)
 
     def test_lost_history_is_followed_by_a_full_read(self):
-        """Guards against a node that misses changes when the store forgets its history."""
+        """Guards against a node that misses changes when the store discards its history."""
         replica, feed, _ = self.replica(
             Success(Snapshot(7, {})), Failure(HistoryGone(7)), Success(Snapshot(20, {}))
         )
@@ -91,10 +91,10 @@
         self.assertEqual(["read", 7, "read"], feed.calls)
 
     def test_history_that_is_lost_again_is_not_asked_for_without_a_pause(self):
-        """Guards against reads in a loop while the store forgets its history.
+        """Guards against reads in a tight loop while the store discards its history.
 
-        Seen on valpadana-mesh-grown, scale-1: a stale read gave a position whose history was gone,
-        and each node repeated it 50 times a second.
+        A stale read returned a position whose history was gone, and each node repeated it 50 times
+        a second.
         """
         pauses = []
         self.patch(replication.eventlet, "sleep", pauses.append)
@@ -106,27 +106,27 @@
         self.assertTrue(min(pauses) >= MIN_BACKOFF.total_seconds(), pauses)
 
     def test_absence_of_the_store_is_noted_until_it_answers(self):
-        """Guards against a node that does not ask its peers while the store is away."""
+        """Guards against a node that does not ask its peers while the store is unavailable."""
         replica, feed, _ = self.replica(
             Success(Snapshot(7, {})), Failure(Unavailable("x")), Success(Changes(7, {}))
         )
-        regained = []
-        replica.on_recovered = lambda: regained.append(len(feed.calls))
+        recovered = []
+        replica.on_recovered = lambda: recovered.append(len(feed.calls))
         replica.step()
         self.assertIs(None, replica.failing_since)
         replica.step()
         self.assertIsNot(None, replica.failing_since)
         replica.step()
         self.assertIs(None, replica.failing_since)
-        # The call that finds out whether the store is back must not wait for a change.
+        # The call that checks whether the store is available must not wait for a change.
         self.assertEqual([timedelta(seconds=4), timedelta()], feed.waits)
-        self.assertEqual([1, 3], regained)
+        self.assertEqual([1, 3], recovered)
 
     def test_large_items_are_read_whole_after_a_failure(self):
-        """Guards against an answer with all versions missed in an outage, which never gets through.
+        """Guards against a response with all versions missed in an outage, too large to arrive.
 
-        Seen on chladlog-mesh-grown, trouble-1: on a link of 10 Mbit/s a node asked for them for
-        18 s, each time until the call timed out, and nothing else passed the link.
+        On a link of 10 Mbit/s a node requested them for 18 s, each time until the call timed out,
+        and nothing else passed the link.
         """
         replica, feed, _ = self.replica(
             Success(Snapshot(7, {"a": 1})),
@@ -139,7 +139,7 @@
         self.assertEqual(["read", 7, "read"], feed.calls)
 
     def test_large_items_that_change_quickly_are_read_whole_until_they_rest(self):
-        """Guards against each version of a storm being sent in full over a narrow link."""
+        """Guards against sending each version of a burst in full over a narrow link."""
         replica, feed, _ = self.replica(
             Success(Snapshot(7, {"a": 1})),
             Success(Changes(8, {"a": 2})),
@@ -153,7 +153,7 @@
         self.assertEqual(["read", 7, "read", "read", 12], feed.calls)
 
     def test_a_pause_after_a_change_shortens_the_next_wait(self):
-        """Guards against followers that take a watcher for outdated after each change."""
+        """Guards against followers that consider a watcher outdated after each change."""
         pause = timedelta(milliseconds=10)
         replica, feed, _ = self.replica(
             Success(Snapshot(7, {})),
@@ -168,9 +168,9 @@
         self.assertEqual([wait, wait - pause, wait], feed.waits)
 
     def test_a_copy_that_rested_is_read_whole(self):
-        """Guards against entries that stay lost: an outdated watcher had them removed here.
+        """Guards against entries that stay missing after an outdated watcher removed them here.
 
-        Seen in a mesh of seven nodes: some knew four targets of seven for ever.
+        In a mesh of seven nodes, some permanently knew only four of seven targets.
         """
         replica, feed, _ = self.replica(
             Success(Snapshot(7, {})), Success(Changes(9, {"a": 1})), Success(Snapshot(9, {"a": 1}))
@@ -182,9 +182,9 @@
         self.assertEqual(["read", 7, "read"], feed.calls)
 
     def test_a_copy_that_rested_probes_an_outage_at_the_lower_price(self):
-        """Guards against full reads that fail all through an outage.
+        """Guards against full reads that fail throughout an outage.
 
-        Seen on chladlog-mesh-grown, inc-6be0: 1,019 of them, a fifth of the price of all calls.
+        One outage caused 1,019 of them, a fifth of the cost of all calls.
         """
         replica, feed, _ = self.replica(
             Success(Snapshot(7, {})),
@@ -194,7 +194,7 @@
         )
         replica.step()
         replica.suspend()
-        # A copy may be put to rest again before it was read.
+        # A replica may be suspended again before it was read.
         replica.suspend()
         for _ in range(5):
             replica.step()
@@ -202,7 +202,7 @@
         self.assertIs(None, replica.failing_since)
 
     def test_feeds_wait_for_the_cheapest_one_in_an_outage(self):
-        """Guards against calls that fail, and are charged, on all feeds of all nodes."""
+        """Guards against failing calls, which are charged too, on all feeds of all nodes."""
         clock = ManualClock()
         probe_replica, *_ = self.replica(
             Success(Snapshot(7, {})), Failure(Unavailable("x")), clock=clock
@@ -224,7 +224,7 @@
 
 class SinkTest(TestCase):
     def test_configuration_never_goes_back(self):
-        """Guards against a stale read or peer that brings an older version back."""
+        """Guards against a stale read or peer that restores an older version."""
         bed = RequestPathHarness()
         sink = ConfigSink(outbound=bed.outbound, name="main")
         bed.outbound.config = None
@@ -236,7 +236,7 @@
         self.assertEqual(5, bed.outbound.config_version())
 
     def test_rollouts_follow_their_revision(self):
-        """Guards against an older share that returns with a peer's state."""
+        """Guards against a peer's state that restores an older share."""
         shares = VersionShares(rng=random.Random(1))
         sink = RolloutSink(shares=shares)
         found = Rollout("s", "v2", timedelta(seconds=9), RolloutState.ROLLED_BACK, 0.0, 8)
@@ -248,7 +248,7 @@
         self.assertEqual({}, shares.rollouts)
 
     def test_targets_are_replaced_by_a_full_read(self):
-        """Guards against entries that stay after they were removed in a gap."""
+        """Guards against entries that stay though they were removed between two reads."""
         bed = RequestPathHarness()
         sink = TargetSink(directory=bed.directory)
         sink.replace({"t1": target("t1"), "t2": target("t2")})
@@ -259,7 +259,7 @@
 
 
 class FakeStore:
-    """A store that gives scripted results for writes."""
+    """A store that returns scripted results for writes."""
 
     def __init__(self, *results):
         self.results = list(results)
@@ -286,7 +286,7 @@
         self.assertEqual([(1, 0), (2, 4)], store.writes)
 
     def test_lost_answers_and_missing_entries_are_made_up_for(self):
-        """Guards against an entry that is never written after a lost answer."""
+        """Guards against an entry that is never written after a lost response."""
         store = FakeStore(
             Failure(Unavailable("lost")), Failure(Changed(5)), Failure(NotFound("x")), Success(9)
         )
@@ -296,7 +296,7 @@
         self.assertEqual([(1, 0), (1, 0), (1, 5), (1, 0)], store.writes)
 
     def test_entry_that_was_removed_is_written_again(self):
-        """Guards against a target that gets no requests since somebody removed its entry."""
+        """Guards against a target that gets no requests because another node removed its entry."""
         store = FakeStore(Success(4), Failure(NotFound("x")), Success(9), Success(11))
         publisher = TargetPublisher(store=store, directory=Directory(clock=ManualClock()))
         publisher.restore()
@@ -312,7 +312,7 @@
         self.assertEqual(publisher.desired, publisher.stored)
 
     def test_entry_of_a_crashed_predecessor_is_removed(self):
-        """Guards against entries of dead targets that pile up and draw requests."""
+        """Guards against entries of dead targets that accumulate and get requests."""
         store = FakeStore(Success(4))
         publisher = TargetPublisher(store=store, directory=Directory(clock=ManualClock()))
         publisher.directory.replace([target("old"), target("other", node=("10.0.0.2", 1))])
--- a/test/mesh/test_vanished.py
+++ b/test/mesh/test_vanished.py
@@ -1,4 +1,4 @@
-"""Tests of the removal of entries whose hosts went without a word."""
+"""Tests of the removal of entries whose hosts disappeared without notice."""
 
 import random
 from datetime import timedelta
@@ -18,7 +18,7 @@
 
 
 class FakeStore:
-    """Takes note of what is deleted."""
+    """A store that records what is deleted."""
 
     def __init__(self):
         self.deleted = []
@@ -45,8 +45,8 @@
             is_up_to_date=lambda: self.up_to_date,
         )
 
-    def fail(self, *nodes, failures=MIN_FAILURES, over=LATEST):
-        """Let nodes be out of reach at a number of tries over a time, with reviews between."""
+    def fail_attempts(self, *nodes, failures=MIN_FAILURES, over=LATEST):
+        """Make attempts to reach nodes fail over a time, with a review after each."""
         for _ in range(failures):
             for node in nodes:
                 self.directory.mark_unreachable(node, "test")
@@ -54,45 +54,47 @@
             self.entries.review()
 
     def test_entry_of_a_host_that_is_gone_is_removed_once(self):
-        """Guards against entries that stay for ever when hosts vanish in an outage of the store."""
-        self.fail(NODES[1], over=VANISHED_AFTER * 0.9)
+        """Guards against entries that stay forever when hosts vanish in an outage of the store."""
+        self.fail_attempts(NODES[1], over=VANISHED_AFTER * 0.9)
         self.assertEqual([], self.store.deleted)
         with mock.patch("almondshore.mesh.vanished.log_event") as log:
-            self.fail(NODES[1], over=LATEST)
+            self.fail_attempts(NODES[1], over=LATEST)
         self.assertEqual(["t1"], self.store.deleted)
         (call,) = log.call_args_list
         self.assertEqual(("vanished_entry_removed",), call.args)
-        told = {key: call.kwargs[key] for key in ("target", "service", "peer", "done")}
-        self.assertEqual({"target": "t1", "service": "s", "peer": "10.0.0.2:1", "done": True}, told)
+        logged = {key: call.kwargs[key] for key in ("target", "service", "peer", "done")}
+        self.assertEqual(
+            {"target": "t1", "service": "s", "peer": "10.0.0.2:1", "done": True}, logged
+        )
         away = timedelta(milliseconds=call.kwargs["away_ms"])
         self.assertTrue(VANISHED_AFTER <= away <= LATEST, away)
         self.assertEqual({"t0", "t2"}, set(self.directory.targets))
-        # Its node is there after all, and only this host does not reach it.
+        # The node still exists, and only this host cannot reach it.
         self.directory.put(target("t1", node=NODES[1]))
-        self.fail(NODES[1], failures=2 * MIN_FAILURES, over=3 * LATEST)
+        self.fail_attempts(NODES[1], failures=2 * MIN_FAILURES, over=3 * LATEST)
         self.assertEqual(["t1"], self.store.deleted)
 
     def test_host_that_answers_keeps_its_entry(self):
-        """Guards against entries that are removed for several short absences."""
+        """Guards against entries that are removed after several short outages of their host."""
         for _ in range(4):
-            self.fail(NODES[1], over=VANISHED_AFTER * 0.6)
+            self.fail_attempts(NODES[1], over=VANISHED_AFTER * 0.6)
             self.directory.mark_reachable(NODES[1])
         self.assertEqual([], self.store.deleted)
 
     def test_process_that_was_suspended_removes_nothing(self):
-        """Guards against a process that takes the time of its own absence for that of others."""
-        self.fail(NODES[1], failures=3, over=4 * LATEST)
+        """Guards against a process that counts its own suspension as an outage of other hosts."""
+        self.fail_attempts(NODES[1], failures=3, over=4 * LATEST)
         self.assertEqual([], self.store.deleted)
 
     def test_host_that_is_cut_off_removes_nothing(self):
-        """Guards against one host that removes the others, of which it reaches none."""
-        self.fail(*NODES[1:], over=2 * LATEST)
+        """Guards against an isolated host that removes the entries of all others."""
+        self.fail_attempts(*NODES[1:], over=2 * LATEST)
         self.assertEqual([], self.store.deleted)
 
     def test_nothing_is_removed_while_the_store_is_away(self):
-        """Guards against removals by outdated entries, and against an entry that is forgotten."""
+        """Guards against removals based on outdated entries, and against missing a due removal."""
         self.up_to_date = False
-        self.fail(NODES[1], over=2 * LATEST)
+        self.fail_attempts(NODES[1], over=2 * LATEST)
         self.assertEqual([], self.store.deleted)
         self.up_to_date = True
         self.store.result = Failure(Unavailable("x"))
--- a/test/mesh/test_versions.py
+++ b/test/mesh/test_versions.py
@@ -28,7 +28,7 @@
         return Counter(self.shares.pick("s", versions) for _ in range(times))
 
     def test_version_without_an_order_gets_nothing(self):
-        """Guards against a new version that takes traffic before it is ordered."""
+        """Guards against a new version that gets traffic before its rollout is ordered."""
         self.assertEqual({"v1": 1000}, self.count(BOTH))
         self.shares.set_rollout(rollout(RolloutState.ORDERED))
         self.assertEqual({"v1": 1000}, self.count(BOTH))
@@ -49,7 +49,7 @@
         self.assertTrue(self.count(only_new)["v2"] < 120)
 
     def test_rolled_back_version_gets_nothing_even_alone(self):
-        """Guards against a version that returns after its rollback."""
+        """Guards against a version that gets requests again after its rollback."""
         self.shares.set_rollout(rollout(RolloutState.ROLLED_BACK))
         self.assertEqual({"v1": 1000}, self.count(BOTH))
         self.assertEqual({None: 1000}, self.count({"v2": BOTH["v2"]}))
@@ -63,7 +63,7 @@
         self.assertFalse(self.shares.is_retired("s", "v2"))
 
     def test_node_that_starts_in_a_rollout_finds_the_old_version(self):
-        """Guards against a restarted node that takes the version on trial for the usual one."""
+        """Guards against a restarted node that treats the new version as the stable one."""
         shares = VersionShares(rng=random.Random(1))
         shares.set_rollout(rollout(RolloutState.RUNNING, 0.0))
         shares.infer_stable_versions([target("t2", "v2", born_ms=1), target("t1", born_ms=2)])
--- a/test/mesh/test_watching.py
+++ b/test/mesh/test_watching.py
@@ -1,4 +1,4 @@
-"""Tests of which nodes watch the store, and of those that follow them."""
+"""Tests of the choice of watchers, and of the nodes that follow them."""
 
 from datetime import timedelta
 
@@ -23,13 +23,13 @@
 
 
 def death(name, started_ms):
-    """Return the death of a target that ran the request at fault."""
+    """Return the death of a target that ran the request that crashes targets."""
     run = CrashDeath(FINGERPRINT, name, 1, started_ms, started_ms + 500)
     return Death(f"{name}-1", (run,))
 
 
 class FakeReplica:
-    """Takes note of when it rests."""
+    """A replica that records whether it is suspended."""
 
     def __init__(self):
         self.answered_at = timedelta()
@@ -43,7 +43,7 @@
 
 
 class FakeConnection:
-    """Receives responses."""
+    """The connection of an exchange."""
 
     peer = "10.0.0.9:5555"
 
@@ -52,7 +52,7 @@
 
 
 class Watcher:
-    """The state of a node that watches the store, and the server of its changes."""
+    """State of a node that watches the store, and its change server."""
 
     def __init__(self, epoch="e1"):
         self.bed = RequestPathHarness()
@@ -79,7 +79,7 @@
 
 
 class FakeClient:
-    """Asks watchers in this process; those that are missing do not answer."""
+    """A client for watchers in this process; any other node does not answer."""
 
     def __init__(self, watchers):
         self.watchers = watchers
@@ -121,8 +121,8 @@
             probe_replica=self.replicas[0],
         )
 
-    def fill(self, count, **links):
-        """Let a zone have nodes 1 to ``count``; returns them."""
+    def add_nodes(self, count, **links):
+        """Add targets on nodes 1 to ``count`` to the zone; returns the nodes."""
         nodes = [(f"10.0.0.{number}", 1) for number in range(1, count + 1)]
         for number, node in enumerate(nodes):
             link = links.get(f"n{number + 1}", 10.0)
@@ -130,8 +130,8 @@
         return nodes
 
     def follow(self):
-        """Make the own node follow one of its watchers; returns the watchers."""
-        nodes = self.fill(10)
+        """Make this node follow one of its watchers; returns the watchers."""
+        nodes = self.add_nodes(10)
         own = next(node for node in nodes if node not in self.follower.watchers())
         self.follower = self.make(own)
         for node in self.follower.watchers():
@@ -142,15 +142,15 @@
 
     def test_all_nodes_agree_on_few_watchers(self):
         """Guards against calls to the store that grow with the number of nodes."""
-        nodes = self.fill(20)
+        nodes = self.add_nodes(20)
         chosen = {frozenset(self.make(node).watchers()) for node in nodes}
         self.assertEqual(1, len(chosen))
         self.assertEqual(WATCHERS_PER_ZONE, len(chosen.pop()))
         self.assertTrue(len({self.make(node).watchers()[0] for node in nodes}) > 1)
 
     def test_nodes_with_wide_links_watch(self):
-        """Guards against a narrow link that is filled by what it passes on."""
-        self.fill(20, n7=200.0, n9=200.0)
+        """Guards against a watcher whose narrow link is saturated by its followers."""
+        self.add_nodes(20, n7=200.0, n9=200.0)
         self.assertEqual({("10.0.0.7", 1), ("10.0.0.9", 1)}, set(self.follower.watchers()))
         self.bed.directory.mark_unreachable(("10.0.0.7", 1), "test")
         self.assertEqual(MIN_WATCHERS, len(self.follower.watchers()))
@@ -169,7 +169,7 @@
         self.assertNotIn("t3", self.bed.directory.targets)
 
     def test_a_follower_learns_of_requests_that_crash_targets(self):
-        """Guards against a follower that sends such a request on to further targets."""
+        """Guards against a follower that forwards such a request to further targets."""
         first = self.follow()[0]
         deaths = [death("t1", 1_000), death("t2", 2_000)]
         for found in deaths:
@@ -186,7 +186,7 @@
         self.assertIsNot(None, self.bed.guard.check(FINGERPRINT))
 
     def test_an_outdated_watcher_is_left_for_another(self):
-        """Guards against an old configuration while one watcher is cut off from the store."""
+        """Guards against an outdated configuration while one watcher has lost the store."""
         first, second, *_ = self.follow()
         first.age = MAX_STATE_AGE * 2
         second.config.apply(config(version=9, raw=b"9"), source="store")
@@ -195,7 +195,7 @@
         self.assertEqual([True, True], [replica.suspended for replica in self.replicas])
 
     def test_a_node_without_recent_watchers_watches_itself(self):
-        """Guards against an old state where all watchers of a zone lost the store."""
+        """Guards against outdated state when all watchers of a zone have lost the store."""
         for watcher in self.follow():
             watcher.age = MAX_STATE_AGE * 2
         self.follower.step()
@@ -205,7 +205,7 @@
         self.assertIs(None, self.follower.followed)
 
     def test_age_counts_since_the_watcher_heard_from_the_store(self):
-        """Guards against outdated state that looks recent after it was passed on twice."""
+        """Guards against outdated state that looks recent after it was relayed twice."""
         first = self.follow()[0]
         first.age = SECOND
         self.follower.step()
@@ -224,7 +224,7 @@
         return decode_answer(exchange.response.body) if exchange.response is not None else None
 
     def test_a_question_waits_until_something_changes(self):
-        """Guards against followers that ask without a pause, or learn of a change late."""
+        """Guards against followers that poll without a pause, or learn of a change late."""
         number = self.watcher.changes.number
         exchange = self.watcher.ask(b"epoch=e1&after=%d&config=9&hold_ms=700" % number)
         self.assertIs(None, exchange.response)
@@ -235,19 +235,19 @@
         self.assertFalse(answer.whole)
 
     def test_another_epoch_is_sent_everything(self):
-        """Guards against changes that are missed when a watcher starts anew."""
+        """Guards against changes that are missed when a watcher restarts."""
         answer = self.answer(b"epoch=e0&after=2&config=9&hold_ms=700")
         self.assertTrue(answer.whole)
         self.assertEqual({"t1", "t2"}, {item.target for item in answer.targets})
 
     def test_outdated_state_is_told_at_once(self):
-        """Guards against a follower that waits at a watcher which lost the store."""
+        """Guards against a follower that waits for a watcher that has lost the store."""
         self.watcher.age = MAX_STATE_AGE
         number = self.watcher.changes.number
         answer = self.answer(b"epoch=e1&after=%d&config=9&hold_ms=700" % number)
         self.assertEqual(MAX_STATE_AGE / timedelta(milliseconds=1), answer.age_ms)
 
     def test_a_malformed_question_is_refused(self):
-        """Guards against a question that ends the server's loop."""
+        """Guards against a malformed poll that ends the server's loop."""
         exchange = self.watcher.ask(b"after=x")
         self.assertEqual(Response(400).status, exchange.response.status)
