--- a/almondshore/mesh/directory.py
+++ b/almondshore/mesh/directory.py
@@ -144,7 +144,7 @@
             log_event("peer_regained", peer=f"{node[0]}:{node[1]}", failures=state.failures)
 
     def pause_target(self, name: str, pause: timedelta) -> None:
-        """Exclude a target that refused a request for its own reasons from selection."""
+        """Exclude a target that refused for its own reasons from selection for a while."""
         self.refused_until[name] = self.clock.monotonic() + pause
 
     def _is_usable(self, target: Target, now: timedelta) -> bool:
--- a/almondshore/mesh/driver.py
+++ b/almondshore/mesh/driver.py
@@ -22,7 +22,7 @@
 # requests within a second, and its node refuses them as soon as it detects the fault.
 LOCAL_CHECK_INTERVAL = timedelta(milliseconds=150)
 IDLE_INTERVAL = timedelta(seconds=1)
-# The node of each further rank waits this much longer, so that those before it can act.
+# The node of each further rank waits this much longer, so that those before it can act first.
 RANK_DELAY = timedelta(milliseconds=1200)
 # Number of nodes that collect evidence; the others check only the results of their local target.
 MAX_EVIDENCE_COLLECTORS = 3
