--- a/almondshore/mesh/evidence.py
+++ b/almondshore/mesh/evidence.py
@@ -5,12 +5,12 @@
 
 from almondshore.core.clock import Clock
 
-FAILURE_GAIN = 0.1
+FAILURE_RATE_WEIGHT = 0.1
 # A request given up after this multiple of its expected time counts as unanswered. Service times
 # vary by a factor of two around the expected one; a sender repeats a request somewhat later.
 UNANSWERED_FACTOR = 2.5
 # Without new results a target is given the benefit of the doubt again.
-FAILURE_HALF_LIFE = timedelta(seconds=2)
+FAILURE_RATE_HALF_LIFE = timedelta(seconds=2)
 
 
 class RouteCounts(NamedTuple):
@@ -31,28 +31,28 @@
     def __init__(self, *, clock: Clock):
         self.clock = clock
         self.routes: dict[str, RouteCounts] = {}
-        self.rate = 0.0
-        self.rated_at = clock.monotonic()
+        self.last_failure_rate = 0.0
+        self.rate_updated_at = clock.monotonic()
 
     def reset(self) -> None:
         """Forget everything: another target took the place."""
         self.routes.clear()
-        self.rate = 0.0
+        self.last_failure_rate = 0.0
 
     def record(self, route: str, *, ok: bool, took: timedelta, warm: bool) -> None:
         """Count a request that ran.
 
         :param warm: whether the target was past its slow start
         """
-        known = self.routes.get(route, RouteCounts())
+        counts = self.routes.get(route, RouteCounts())
         timed = ok and warm
         self.routes[route] = RouteCounts(
-            known.requests + 1,
-            known.failures + (not ok),
-            known.timed + timed,
-            known.total_ms + (took / timedelta(milliseconds=1) if timed else 0.0),
+            counts.requests + 1,
+            counts.failures + (not ok),
+            counts.timed + timed,
+            counts.total_ms + (took / timedelta(milliseconds=1) if timed else 0.0),
         )
-        self._rate(ok)
+        self._update_failure_rate(ok)
 
     def record_abandoned(self, *, took: timedelta, expected: timedelta | None) -> None:
         """Count a request that was given up if the target had ample time to answer it.
@@ -63,14 +63,14 @@
         :param expected: service time of its route, None before the first observation
         """
         if expected is not None and took >= expected * UNANSWERED_FACTOR:
-            self._rate(False)
+            self._update_failure_rate(False)
 
     def failure_rate(self) -> float:
         """Return the recent share of failures, which halves while nothing is heard."""
-        age = self.clock.monotonic() - self.rated_at
-        return self.rate * 0.5 ** (age / FAILURE_HALF_LIFE)
+        age = self.clock.monotonic() - self.rate_updated_at
+        return self.last_failure_rate * 0.5 ** (age / FAILURE_RATE_HALF_LIFE)
 
-    def _rate(self, ok: bool) -> None:
-        self.rate = self.failure_rate()
-        self.rate += ((not ok) - self.rate) * FAILURE_GAIN
-        self.rated_at = self.clock.monotonic()
+    def _update_failure_rate(self, ok: bool) -> None:
+        self.last_failure_rate = self.failure_rate()
+        self.last_failure_rate += ((not ok) - self.last_failure_rate) * FAILURE_RATE_WEIGHT
+        self.rate_updated_at = self.clock.monotonic()
--- a/almondshore/mesh/forwarding.py
+++ b/almondshore/mesh/forwarding.py
@@ -11,7 +11,7 @@
 from almondshore.http.messages import Response, end_to_end
 from almondshore.http.server import Exchange
 from almondshore.mesh.dialect import ResponseClass
-from almondshore.mesh.hop import HOP_HEADERS, MILLISECOND, HopResult, Obstacle, Outcome
+from almondshore.mesh.hop import HOP_HEADERS, MILLISECOND, HopResult, Outcome, UnavailableReason
 from almondshore.mesh.inbound import Submission
 from almondshore.mesh.model import Address, Route, Target
 
@@ -30,7 +30,7 @@
 # Callers wait at most a third of the time they have left.
 RETRY_AFTER_SHARE = 0.3
 # Callers refused at the same moment return spread over this range of the stated time.
-RETRY_AFTER_SPREAD = 0.5
+RETRY_AFTER_JITTER = 0.5
 # A response is overdue after this multiple of its expected time, and not before the minimum.
 # Service times vary by a factor of two around the expected one.
 OVERDUE_FACTOR = 2.5
@@ -38,7 +38,7 @@
 DEFAULT_DEADLINE = timedelta(seconds=30)
 
 
-class Send:
+class Attempt:
     """One send of a request to a target.
 
     :ivar pending: None while the send is being made
@@ -51,7 +51,7 @@
         self.overdue_timer: Timer | None = None
 
 
-class Forwarding:
+class ForwardedRequest:
     """One caller's request, from its arrival to its response."""
 
     def __init__(self, *, outbound: "Outbound", exchange: Exchange, route: Route, service: str):
@@ -65,11 +65,11 @@
         self.deadline_at = now + min(caller_left - CALLER_MARGIN, route.timeout)
         self.caller_deadline_at = now + caller_left
         self.objective_at = now + route.objective
-        self.refused_by: set[str] = set()
+        self.excluded_targets: set[str] = set()
         self.runs = 0
         self.refusals = 0
-        self.sends: list[Send] = []
-        self.failed: Response | None = None
+        self.attempts: list[Attempt] = []
+        self.failed_response: Response | None = None
         self.retry_after = ZERO
         self.reason = ""
         self.last_target = ""
@@ -84,7 +84,7 @@
         """Send the request to the best target that is left, or end it."""
         target = self.outbound.choose(self)
         if target is None:
-            self._give_up(self.reason or Obstacle.NO_TARGET)
+            self._fail(self.reason or UnavailableReason.NO_TARGET)
             return
         self._send_to(target)
 
@@ -92,30 +92,32 @@
         """Stop: the caller left."""
         if self.done:
             return
-        self._end()
+        self._finish()
         self._log("cancelled", "caller-left", 0)
 
-    def on_silence(self, node: Address) -> None:
+    def on_node_unresponsive(self, node: Address) -> None:
         """Send the request elsewhere: the node beside its target does not answer.
 
         One that must not run twice goes on waiting, as the node may have passed it on.
         """
         if self.done or not self.route.idempotent:
             return
-        for send in [item for item in self.sends if item.target.node == node]:
-            send.pending.cancel()
-            self.on_result(send, HopResult(Outcome.BROKEN, "silent", None, None, unreachable=True))
+        for attempt in [item for item in self.attempts if item.target.node == node]:
+            attempt.pending.cancel()
+            self.on_result(
+                attempt, HopResult(Outcome.BROKEN, "silent", None, None, unreachable=True)
+            )
 
-    def on_overdue(self, send: Send) -> None:
+    def on_overdue(self, attempt: Attempt) -> None:
         """Send the request to a second target as well if it may run twice and there is room.
 
         The first response that succeeds is the answer. The repeat draws on the retry budget.
         """
-        if self.done or send not in self.sends:
+        if self.done or attempt not in self.attempts:
             return
-        if send.target.node != self.outbound.node:
-            self.outbound.suspect(send.target.node)
-        if not self._may_repeat():
+        if attempt.target.node != self.outbound.node:
+            self.outbound.suspect(attempt.target.node)
+        if not self._may_resend():
             return
         other = self.outbound.choose_idle(self)
         if other is None or not self.outbound.budget.withdraw(self.service):
@@ -126,114 +128,117 @@
             request=self._request_id(),
             route=self.route.name,
             reason="overdue",
-            overdue_target=send.target.target,
+            overdue_target=attempt.target.target,
             target=other.target,
             took_ms=int((now - self.exchange.received_at) / MILLISECOND),
         )
         self._send_to(other)
 
-    def on_result(self, send: Send, result: HopResult) -> None:
-        """Take the result of a send: answer the caller, or send again."""
+    def on_result(self, attempt: Attempt, result: HopResult) -> None:
+        """Take the result of a attempt: answer the caller, or send again."""
         if self.done:
             return
-        self._stop_watching(send)
-        self.sends.remove(send)
-        target = send.target
-        self.outbound.note_result(self, target, result)
+        self._cancel_overdue_timer(attempt)
+        self.attempts.remove(attempt)
+        target = attempt.target
+        self.outbound.record_result(self, target, result)
         if result.outcome is Outcome.ANSWERED:
             self._on_answer(result.response, result.reason)
         elif result.outcome is Outcome.BROKEN:
             self.runs += 1
-            self.refused_by.add(target.target)
+            self.excluded_targets.add(target.target)
             self._retry_after_failure(result.reason)
         else:
             self._on_refusal(target, result)
 
     def _send_to(self, target: Target) -> None:
-        send = Send(target)
-        self.sends.append(send)
+        attempt = Attempt(target)
+        self.attempts.append(attempt)
         self.last_target = target.target
         self.load_age = self.outbound.chooser.report_age(target.target)
         self.outbound.chooser.started(target.target)
-        pending = self.outbound.dispatch(self, target, lambda result: self.on_result(send, result))
+        pending = self.outbound.dispatch(
+            self, target, lambda result: self.on_result(attempt, result)
+        )
         # The result may have been delivered already.
-        if not self.done and send in self.sends:
-            send.pending = pending
-            self._watch(send)
+        if not self.done and attempt in self.attempts:
+            attempt.pending = pending
+            self._start_overdue_timer(attempt)
 
     def _on_answer(self, response: Response, reason: str) -> None:
         self.runs += 1
         if self.outbound.dialect.classify_response(response) is ResponseClass.FAILED:
-            self.failed = response
+            self.failed_response = response
             self._retry_after_failure(reason)
             return
-        self.outbound.note_completed(self.exchange.request)
+        self.outbound.record_completion(self.exchange.request)
         self._answer(response, reason)
 
     def _on_refusal(self, target: Target, result: HopResult) -> None:
         """Try another target: the request has not run."""
-        self.refused_by.add(target.target)
+        self.excluded_targets.add(target.target)
         self.refusals += 1
         self.reason = result.reason
         if result.report is not None:
             self.retry_after = max(self.retry_after, result.report.retry_after_ms * MILLISECOND)
-        if self.sends:
+        if self.attempts:
             return
         arrived = result.outcome is Outcome.REJECTED
-        if self.refusals > MAX_REFUSALS or not self._has_time():
-            self._give_up(result.reason)
+        if self.refusals > MAX_REFUSALS or not self._has_time_to_retry():
+            self._fail(result.reason)
         elif arrived and not self.outbound.budget.withdraw(self.service):
-            self._give_up("retry-budget")
+            self._fail("retry-budget")
         else:
             self.send()
 
     def _retry_after_failure(self, reason: str) -> None:
         """Send the request again if it may run twice and the budget allows it."""
-        if self.sends:
+        if self.attempts:
             return
-        target = self.outbound.choose(self) if self._may_repeat() else None
+        target = self.outbound.choose(self) if self._may_resend() else None
         if target is not None and self.outbound.budget.withdraw(self.service):
             self._send_to(target)
         else:
-            self._give_up(reason)
+            self._fail(reason)
 
-    def _may_repeat(self) -> bool:
+    def _may_resend(self) -> bool:
         return (
             self.route.idempotent
-            and self.runs + len(self.sends) < self.route.max_attempts
-            and self._has_time()
+            and self.runs + len(self.attempts) < self.route.max_attempts
+            and self._has_time_to_retry()
         )
 
-    def _watch(self, send: Send) -> None:
-        expected = self.outbound.chooser.expected_time(send.target.target, self.route.name)
+    def _start_overdue_timer(self, attempt: Attempt) -> None:
+        expected = self.outbound.chooser.expected_time(attempt.target.target, self.route.name)
         overdue = max(MIN_OVERDUE, expected * OVERDUE_FACTOR)
-        send.overdue_timer = hubs.get_hub().schedule_call_global(
-            overdue.total_seconds(), self.on_overdue, send
+        attempt.overdue_timer = hubs.get_hub().schedule_call_global(
+            overdue.total_seconds(), self.on_overdue, attempt
         )
 
     @staticmethod
-    def _stop_watching(send: Send) -> None:
-        if send.overdue_timer is not None:
-            send.overdue_timer.cancel()
+    def _cancel_overdue_timer(attempt: Attempt) -> None:
+        if attempt.overdue_timer is not None:
+            attempt.overdue_timer.cancel()
 
-    def _has_time(self) -> bool:
+    def _has_time_to_retry(self) -> bool:
         left = self.deadline_at - self.outbound.clock.monotonic()
         return left > self.route.objective * MIN_RETRY_SHARE
 
-    def _give_up(self, reason: str) -> None:
-        if self.failed is not None:
-            self._answer(self.failed, reason)
+    def _fail(self, reason: str) -> None:
+        if self.failed_response is not None:
+            self._answer(self.failed_response, reason)
         elif self.runs:
             self._respond(self.outbound.dialect.error_response(502), reason)
         else:
             self._respond(
-                self.outbound.dialect.error_response(503, retry_after=self._return_after()), reason
+                self.outbound.dialect.error_response(503, retry_after=self._retry_after_delay()),
+                reason,
             )
 
-    def _return_after(self) -> timedelta:
+    def _retry_after_delay(self) -> timedelta:
         """Return when the caller should come back, spread so that callers do not return at once."""
         wait = max(MIN_RETRY_AFTER, self.retry_after or NO_TARGET_RETRY_AFTER)
-        wait *= 1.0 + RETRY_AFTER_SPREAD * self.outbound.rng.random()
+        wait *= 1.0 + RETRY_AFTER_JITTER * self.outbound.rng.random()
         left = self.caller_deadline_at - self.outbound.clock.monotonic()
         return min(wait, max(MIN_RETRY_AFTER, left * RETRY_AFTER_SHARE))
 
@@ -247,24 +252,24 @@
     def _on_deadline(self) -> None:
         if self.done:
             return
-        response = self.failed or self.outbound.dialect.error_response(504)
+        response = self.failed_response or self.outbound.dialect.error_response(504)
         self._respond(response, "deadline")
 
     def _respond(self, response: Response, reason: str) -> None:
-        self._end()
+        self._finish()
         self.exchange.respond(response)
         self._log("answered", reason, response.status)
 
-    def _end(self) -> None:
+    def _finish(self) -> None:
         """Take back what is still sent: the request has its answer, or its caller left."""
         self.done = True
         self.timer.cancel()
         self.outbound.active.discard(self)
-        for send in self.sends:
-            self._stop_watching(send)
-            send.pending.cancel()
-            self.outbound.chooser.finished(send.target.target, self.route.name, None)
-        self.sends.clear()
+        for attempt in self.attempts:
+            self._cancel_overdue_timer(attempt)
+            attempt.pending.cancel()
+            self.outbound.chooser.finished(attempt.target.target, self.route.name, None)
+        self.attempts.clear()
 
     def _request_id(self) -> str:
         headers = self.exchange.request.headers
--- a/almondshore/mesh/hop.py
+++ b/almondshore/mesh/hop.py
@@ -28,7 +28,7 @@
     BROKEN = "broken"
 
 
-class Obstacle(StrEnum):
+class UnavailableReason(StrEnum):
     """Why the node beside a target refuses a request for a reason other than load."""
 
     NO_TARGET = "no-target"
--- a/almondshore/mesh/inbound.py
+++ b/almondshore/mesh/inbound.py
@@ -19,8 +19,8 @@
     HopReport,
     HopResult,
     HopTerms,
-    Obstacle,
     Outcome,
+    UnavailableReason,
     decode_terms,
     encode_report,
 )
@@ -31,11 +31,11 @@
 DEADLINE_SLACK = timedelta(milliseconds=100)
 # A target may drop an idle connection just when a request is sent on it. Requests that must not
 # run twice therefore use connections that were in use a moment ago, or new ones.
-FRESH_IDLE = timedelta(milliseconds=300)
+FRESH_CONNECTION_MAX_IDLE = timedelta(milliseconds=300)
 # A request on a connection that the target had dropped fails at once.
-STALE_WITHIN = timedelta(milliseconds=30)
+STALE_CONNECTION_MAX_TIME = timedelta(milliseconds=30)
 # Refused after the target refused a connection, until it announces itself or this time passes.
-DOWN_PAUSE = timedelta(milliseconds=300)
+TARGET_DOWN_PAUSE = timedelta(milliseconds=300)
 
 
 class Submission(Job):
@@ -56,7 +56,7 @@
         now = inbound.clock.monotonic()
         self.inbound = inbound
         self.request = request
-        self.hop = terms
+        self.hop_terms = terms
         self.on_result = on_result
         self.terms = Terms(
             terms.route,
@@ -118,11 +118,11 @@
         self.internal = internal
         self.leaving = False
         self.closed = False
-        self.retired: Callable[[str, str], bool] = lambda _service, _version: False
+        self.is_retired: Callable[[str, str], bool] = lambda _service, _version: False
         self.on_death: Callable[[Death], None] = lambda _death: None
         self.deaths = DeathDetector(clock=clock)
         self.active: set[Submission] = set()
-        self.down_until = timedelta()
+        self.target_down_until = timedelta()
 
     def handle(self, exchange: Exchange) -> None:
         """Handle a request of another node."""
@@ -141,7 +141,7 @@
         """Admit a request; its result is delivered once, possibly before this returns."""
         submission = Submission(inbound=self, request=request, terms=terms, on_result=on_result)
         self.active.add(submission)
-        reason = self._obstacle(terms)
+        reason = self._unavailable_reason(terms)
         if reason is not None:
             self.finish(submission, Outcome.REFUSED, reason)
         else:
@@ -152,24 +152,26 @@
 
     def send(self, submission: Submission) -> None:
         """Send an admitted request to the target."""
-        hop = submission.hop
+        hop_terms = submission.hop_terms
         left = submission.terms.deadline_at - self.clock.monotonic()
         request = submission.request
         headers = self.dialect.to_target(
             end_to_end(request.headers, without=HOP_HEADERS),
             time_left=left,
             target=submission.target,
-            caller=hop.caller,
+            caller=hop_terms.caller,
         )
         request_id = self.dialect.request_id(headers)
-        fresh = not hop.idempotent or submission.resent
+        fresh = not hop_terms.idempotent or submission.resent
         submission.call = self.pool.call(
             self.app,
             encode_request(request.method, request.target, headers, request.body),
             timeout=left + DEADLINE_SLACK,
             on_done=lambda result: self._on_done(submission, result),
             accept=lambda response: self.dialect.matches_request(response, request_id),
-            max_idle=(timedelta() if submission.resent else FRESH_IDLE) if fresh else None,
+            max_idle=(
+                (timedelta() if submission.resent else FRESH_CONNECTION_MAX_IDLE) if fresh else None
+            ),
             head=request.method == b"HEAD",
         )
 
@@ -181,7 +183,7 @@
         self.active.discard(submission)
         if submission.call is not None:
             submission.call.cancel()
-            self._note_unanswered(submission)
+            self._record_abandoned(submission)
         queue = submission.queue
         if queue is not None and not queue.cancel(submission):
             queue.release(submission, observed=False)
@@ -202,82 +204,84 @@
         submission.done = True
         self.active.discard(submission)
         self._log(submission, outcome, reason, response.status if response else 0)
-        report = self._report(submission.hop, outcome, reason, retry_after)
+        report = self._report(submission.hop_terms, outcome, reason, retry_after)
         submission.on_result(HopResult(outcome, reason, response, report))
 
-    def _obstacle(self, terms: HopTerms) -> str | None:
+    def _unavailable_reason(self, terms: HopTerms) -> str | None:
         """Return why a request cannot be taken, or None."""
         if self.closed:
-            return Obstacle.SHUTTING_DOWN
+            return UnavailableReason.SHUTTING_DOWN
         if self.local.announced is None:
-            return Obstacle.NO_TARGET
+            return UnavailableReason.NO_TARGET
         announced = self.local.announced
-        same_kind = (announced.service, announced.version) == (terms.service, terms.version)
-        if announced.target != terms.target and not same_kind:
-            return Obstacle.WRONG_TARGET
-        if not self.local.usable():
+        same_version = (announced.service, announced.version) == (terms.service, terms.version)
+        if announced.target != terms.target and not same_version:
+            return UnavailableReason.WRONG_TARGET
+        if not self.local.accepts_requests():
             return Refusal.DRAINING
-        if self.retired(announced.service, announced.version):
-            return Obstacle.VERSION_RETIRED
-        if self.clock.monotonic() < self.down_until:
-            return Obstacle.TARGET_DOWN
+        if self.is_retired(announced.service, announced.version):
+            return UnavailableReason.VERSION_RETIRED
+        if self.clock.monotonic() < self.target_down_until:
+            return UnavailableReason.TARGET_DOWN
         return None
 
     def _on_done(self, submission: Submission, result: CallResult) -> None:
         if submission.done:
             return
         took = self.clock.monotonic() - submission.started_at
-        if self._is_stale(submission, result, took):
+        if self._is_stale_connection(submission, result, took):
             submission.resent = True
             self.send(submission)
             return
-        outcome, reason, ok = self._judge(result)
+        outcome, reason, ok = self._classify_result(result)
         response = result.response
         ran = outcome in (Outcome.ANSWERED, Outcome.BROKEN)
         if result.failure is CallFailure.TIMED_OUT:
-            self._note_unanswered(submission)
+            self._record_abandoned(submission)
         elif ran:
             self._record(submission, ok, took)
         if result.failure is CallFailure.CLOSED:
-            self.deaths.record_broken_run(self._run_of(submission, took))
-        if reason == Obstacle.TARGET_DOWN:
-            self.down_until = self.clock.monotonic() + DOWN_PAUSE
-            self.note_death()
+            self.deaths.record_broken_run(self._crash_record(submission, took))
+        if reason == UnavailableReason.TARGET_DOWN:
+            self.target_down_until = self.clock.monotonic() + TARGET_DOWN_PAUSE
+            self.report_death()
         self.finish(submission, outcome, reason, response=response)
         submission.queue.release(submission, observed=ran and ok)
 
-    def note_death(self) -> None:
+    def report_death(self) -> None:
         """Report the death of the target if it ran something just before."""
         death = self.deaths.detect_death()
         if death is not None:
             self.on_death(death)
 
-    def _run_of(self, submission: Submission, took: timedelta) -> CrashDeath:
+    def _crash_record(self, submission: Submission, took: timedelta) -> CrashDeath:
         ended_ms = int(self.clock.now().timestamp() * 1000)
         announced = self.local.announced
         return CrashDeath(
-            fingerprint=request_fingerprint(submission.request, submission.hop.caller),
+            fingerprint=request_fingerprint(submission.request, submission.hop_terms.caller),
             target=submission.target,
             incarnation=announced.born_ms if announced is not None else 0,
             started_ms=ended_ms - int(took / MILLISECOND),
             ended_ms=ended_ms,
         )
 
-    def _is_stale(self, submission: Submission, result: CallResult, took: timedelta) -> bool:
+    def _is_stale_connection(
+        self, submission: Submission, result: CallResult, took: timedelta
+    ) -> bool:
         """Tell whether the connection was dropped by the target before the request arrived."""
         return (
             result.failure is CallFailure.CLOSED
             and result.reused
-            and submission.hop.idempotent
+            and submission.hop_terms.idempotent
             and not submission.resent
-            and took < STALE_WITHIN
+            and took < STALE_CONNECTION_MAX_TIME
         )
 
-    def _judge(self, result: CallResult) -> tuple[Outcome, str, bool]:
+    def _classify_result(self, result: CallResult) -> tuple[Outcome, str, bool]:
         """Return the outcome, its reason and whether the request succeeded."""
         if result.response is None:
             if not result.sent:
-                return Outcome.REFUSED, Obstacle.TARGET_DOWN, False
+                return Outcome.REFUSED, UnavailableReason.TARGET_DOWN, False
             return Outcome.BROKEN, str(result.failure.value), False
         response_class = self.dialect.classify_response(result.response)
         if response_class in (ResponseClass.NOT_RUN, ResponseClass.WRONG_TARGET):
@@ -285,12 +289,14 @@
         return Outcome.ANSWERED, response_class.value, response_class is ResponseClass.SUCCEEDED
 
     def _record(self, submission: Submission, ok: bool, took: timedelta) -> None:
-        self.recorder.record(submission.hop.route, ok=ok, took=took, warm=self.local.is_warm())
+        self.recorder.record(
+            submission.hop_terms.route, ok=ok, took=took, warm=self.local.is_warm()
+        )
 
-    def _note_unanswered(self, submission: Submission) -> None:
+    def _record_abandoned(self, submission: Submission) -> None:
         self.recorder.record_abandoned(
             took=self.clock.monotonic() - submission.started_at,
-            expected=submission.queue.times.observed(submission.hop.route),
+            expected=submission.queue.times.observed(submission.hop_terms.route),
         )
 
     def _report(
@@ -318,7 +324,7 @@
         log_event(
             "target_request",
             request=self.dialect.request_id(submission.request.headers).decode("latin-1"),
-            route=submission.hop.route,
+            route=submission.hop_terms.route,
             target=submission.target,
             outcome=outcome,
             reason=reason,
--- a/almondshore/mesh/liveness.py
+++ b/almondshore/mesh/liveness.py
@@ -16,7 +16,7 @@
 # Nodes answer within a few milliseconds; a busy one has been seen to take 100 ms.
 PROBE_TIMEOUT = timedelta(milliseconds=250)
 # A single lost packet must not condemn a node.
-PROBES = 2
+PROBE_ATTEMPTS = 2
 # A node that answered is not asked again within this time.
 PROBE_INTERVAL = timedelta(seconds=1)
 
@@ -34,16 +34,16 @@
         self.directory = directory
         self.pool = pool
         self.client = client
-        self.asked_at: dict[Address, timedelta] = {}
-        self.on_lost: Callable[[Address], None] = lambda _node: None
+        self.probed_at: dict[Address, timedelta] = {}
+        self.on_unresponsive: Callable[[Address], None] = lambda _node: None
 
     def suspect(self, node: Address) -> None:
         """Ask a node from which a response is overdue."""
         now = self.clock.monotonic()
-        last = self.asked_at.get(node)
+        last = self.probed_at.get(node)
         if last is not None and now - last < PROBE_INTERVAL:
             return
-        self.asked_at[node] = now
+        self.probed_at[node] = now
         eventlet.spawn(self.probe, node)
 
     def recheck(self, node: Address, pause: timedelta) -> None:
@@ -57,14 +57,14 @@
         if not self.directory.is_reachable(node):
             eventlet.spawn(self.probe, node)
 
-    def keep(self, nodes: set[Address]) -> None:
+    def retain(self, nodes: set[Address]) -> None:
         """Forget when other nodes were asked."""
-        for node in self.asked_at.keys() - nodes:
-            del self.asked_at[node]
+        for node in self.probed_at.keys() - nodes:
+            del self.probed_at[node]
 
     def probe(self, node: Address) -> bool:
         """Ask a node; returns whether it answered."""
-        for _ in range(PROBES):
+        for _ in range(PROBE_ATTEMPTS):
             if self.client.get(node, ALIVE_PATH, new_connection=True) is not None:
                 self.directory.mark_reachable(node)
                 return True
@@ -72,6 +72,6 @@
         self.directory.mark_unreachable(node, "silent")
         # Connections that were idle when the node went silent would swallow further requests.
         self.pool.drop(node)
-        self.asked_at.pop(node, None)
-        self.on_lost(node)
+        self.probed_at.pop(node, None)
+        self.on_unresponsive(node)
         return False
--- a/almondshore/mesh/local.py
+++ b/almondshore/mesh/local.py
@@ -15,12 +15,12 @@
 DRAIN_START_SHARE = 0.6
 # A process that cannot read the store does not know whether the one before it acknowledged that
 # the target leaves. It waits this many drain times, after which such a target is gone.
-UNCONFIRMED_HOLD = 1.5
+STORE_UNREAD_HOLD_FACTOR = 1.5
 # A host runs one target at a time; notices of earlier ones may still arrive.
-MAX_DEPARTED = 16
+MAX_DEREGISTRATIONS = 16
 
 
-class Departure(NamedTuple):
+class Deregistration(NamedTuple):
     """A target's notice that it leaves for good.
 
     :ivar born_ms: start of the latest incarnation that it speaks for
@@ -31,7 +31,7 @@
     since: timedelta
 
 
-class Reception(Enum):
+class AnnouncementResult(Enum):
     """What became of an announcement."""
 
     ACCEPTED = "accepted"
@@ -60,45 +60,48 @@
         self.announced: Announcement | None = None
         self.draining_since: timedelta | None = None
         self.warm_at = timedelta()
-        self.departed: dict[str, Departure] = {}
+        self.deregistrations: dict[str, Deregistration] = {}
         self.started_at = clock.monotonic()
-        self.confirmed = False
+        self.store_read = False
         self.queue: ObjectiveQueue | None = None
 
-    def announce(self, news: Announcement) -> Reception:
+    def announce(self, announcement: Announcement) -> AnnouncementResult:
         """Take in an announcement of the target."""
         known = self.announced
-        if known is not None and self._is_outdated(known, news):
+        if known is not None and self._is_outdated(known, announcement):
             log_event(
                 "announcement_outdated",
-                target=news.target,
-                born_ms=news.born_ms,
-                sequence=news.sequence,
+                target=announcement.target,
+                born_ms=announcement.born_ms,
+                sequence=announcement.sequence,
                 known_target=known.target,
                 known_born_ms=known.born_ms,
                 known_sequence=known.sequence,
             )
-            return Reception.OUTDATED
-        reborn = known is None or (known.target, known.born_ms) != (news.target, news.born_ms)
-        if reborn:
+            return AnnouncementResult.OUTDATED
+        is_new = known is None or (known.target, known.born_ms) != (
+            announcement.target,
+            announcement.born_ms,
+        )
+        if is_new:
             if self.queue is not None:
                 self.queue.close()
-            self.queue = ObjectiveQueue(clock=self.clock, slots=news.slots)
+            self.queue = ObjectiveQueue(clock=self.clock, slots=announcement.slots)
             self.draining_since = None
-        elif news.slots != known.slots:
-            self.queue.resize(news.slots)
-        leaving = self.draining_since is not None or self._has_departed(news)
-        if leaving and news.state is TargetState.READY:
+        elif announcement.slots != known.slots:
+            self.queue.resize(announcement.slots)
+        leaving = self.draining_since is not None or self._is_deregistered(announcement)
+        if leaving and announcement.state is TargetState.READY:
             # A late announcement does not call back a target that said it leaves.
-            news = news._replace(state=TargetState.DRAINING)
-        self.announced = news
-        self.warm_at = self.clock.monotonic() + news.warmup
-        if news.state is not TargetState.READY:
-            self._begin_drain(news)
-        changed = reborn or self._differs(known, news)
-        return Reception.ACCEPTED if changed else Reception.UNCHANGED
-
-    def depart(self, target: str, born_ms: int, *, since: timedelta | None = None) -> bool:
+            announcement = announcement._replace(state=TargetState.DRAINING)
+        self.announced = announcement
+        self.warm_at = self.clock.monotonic() + announcement.warmup
+        if announcement.state is not TargetState.READY:
+            self._begin_drain(announcement)
+        changed = is_new or self._differs(known, announcement)
+        return AnnouncementResult.ACCEPTED if changed else AnnouncementResult.UNCHANGED
+
+    def deregister(self, target: str, born_ms: int, *, since: timedelta | None = None) -> bool:
         """Take note that a target leaves for good.
 
         The notice binds also if it comes before any announcement of the target.
@@ -107,30 +110,30 @@
         :returns: whether it is the present one
         """
         since = self.clock.monotonic() if since is None else since
-        known = self.departed.pop(target, None)
+        known = self.deregistrations.pop(target, None)
         if known is not None and known.born_ms >= born_ms:
-            self.departed[target] = known._replace(since=min(since, known.since))
+            self.deregistrations[target] = known._replace(since=min(since, known.since))
         else:
-            self.departed[target] = Departure(born_ms, since)
-        while len(self.departed) > MAX_DEPARTED:
-            del self.departed[next(iter(self.departed))]
-        if self.announced is None or not self._has_departed(self.announced):
+            self.deregistrations[target] = Deregistration(born_ms, since)
+        while len(self.deregistrations) > MAX_DEREGISTRATIONS:
+            del self.deregistrations[next(iter(self.deregistrations))]
+        if self.announced is None or not self._is_deregistered(self.announced):
             return False
         self.announced = self.announced._replace(state=TargetState.GONE)
         self._begin_drain(self.announced)
         return True
 
-    def usable(self) -> bool:
+    def accepts_requests(self) -> bool:
         """Tell whether new requests for the target may be taken now."""
         if self.announced is None:
             return False
-        if not self.confirmed and self.clock.monotonic() < self.started_at + self._hold():
+        if not self.store_read and self.clock.monotonic() < self.started_at + self._hold_time():
             return False
         if self.draining_since is None:
             return True
         return self.clock.monotonic() < self.draining_since + self.drain * DRAIN_ACCEPT_SHARE
 
-    def note_stored(self, target: Target) -> None:
+    def apply_stored_entry(self, target: Target) -> None:
         """Take note of a stored entry, which another process of this node may have written."""
         own = self.announced is not None and self.announced.target == target.target
         if own and self.draining_since is not None:
@@ -138,7 +141,7 @@
         if target.node == self.node and target.state is not TargetState.READY:
             # The acknowledgement may be any time ago.
             since = self.clock.monotonic() - self.drain
-            self.depart(target.target, target.born_ms, since=since)
+            self.deregister(target.target, target.born_ms, since=since)
 
     def enforce_drain(self) -> None:
         """Refuse waiting requests once the drain time is nearly over; call this regularly."""
@@ -153,43 +156,45 @@
 
     def record(self) -> Target | None:
         """Return the entry that other nodes see."""
-        news = self.announced
-        if news is None:
+        announcement = self.announced
+        if announcement is None:
             return None
         return Target(
-            target=news.target,
-            service=news.service,
-            version=news.version,
-            zone=news.zone,
-            slots=news.slots,
-            state=news.state,
+            target=announcement.target,
+            service=announcement.service,
+            version=announcement.version,
+            zone=announcement.zone,
+            slots=announcement.slots,
+            state=announcement.state,
             node=self.node,
-            born_ms=news.born_ms,
-            sequence=news.sequence,
+            born_ms=announcement.born_ms,
+            sequence=announcement.sequence,
             link_mbps=self.link_mbps,
         )
 
-    def _hold(self) -> timedelta:
-        return self.drain * UNCONFIRMED_HOLD
+    def _hold_time(self) -> timedelta:
+        return self.drain * STORE_UNREAD_HOLD_FACTOR
 
-    def _has_departed(self, news: Announcement) -> bool:
-        departure = self.departed.get(news.target)
-        return departure is not None and news.born_ms <= departure.born_ms
+    def _is_deregistered(self, announcement: Announcement) -> bool:
+        deregistration = self.deregistrations.get(announcement.target)
+        return deregistration is not None and announcement.born_ms <= deregistration.born_ms
 
-    def _begin_drain(self, news: Announcement) -> None:
+    def _begin_drain(self, announcement: Announcement) -> None:
         """Count the drain from its first acknowledgement."""
         since = self.clock.monotonic()
-        if self._has_departed(news):
-            since = min(since, self.departed[news.target].since)
+        if self._is_deregistered(announcement):
+            since = min(since, self.deregistrations[announcement.target].since)
         if self.draining_since is None or since < self.draining_since:
             self.draining_since = since
 
     @staticmethod
-    def _is_outdated(known: Announcement, news: Announcement) -> bool:
-        if news.born_ms != known.born_ms:
-            return news.born_ms < known.born_ms
-        return news.target == known.target and news.sequence < known.sequence
+    def _is_outdated(known: Announcement, announcement: Announcement) -> bool:
+        if announcement.born_ms != known.born_ms:
+            return announcement.born_ms < known.born_ms
+        return announcement.target == known.target and announcement.sequence < known.sequence
 
     @staticmethod
-    def _differs(known: Announcement, news: Announcement) -> bool:
-        return known._replace(sequence=0, warmup=news.warmup) != news._replace(sequence=0)
+    def _differs(known: Announcement, announcement: Announcement) -> bool:
+        return known._replace(sequence=0, warmup=announcement.warmup) != announcement._replace(
+            sequence=0
+        )
--- a/almondshore/mesh/metrics.py
+++ b/almondshore/mesh/metrics.py
@@ -30,13 +30,13 @@
         """Record a finished request of a caller."""
         outcome = f"{status // 100}xx" if status else "cancelled"
         self.metrics.observe_request(
-            tenant=NO_TENANT, request_class=_class_of(route), outcome=outcome, latency=took
+            tenant=NO_TENANT, request_class=_route_class(route), outcome=outcome, latency=took
         )
 
     def render(self, node: "MeshNode") -> tuple[bytes, str]:
         """Return the present values in the text format, and its content type."""
         queue = node.local.queue
-        away = node.feeds.store_unavailable_since()
+        down_since = node.feeds.store_unavailable_since()
         values = {
             "almondshore_config_version": node.outbound.config_version(),
             "almondshore_targets_known": len(node.directory.targets),
@@ -44,7 +44,9 @@
             "almondshore_slots_running": len(queue.running) if queue else 0,
             "almondshore_slots_waiting": len(queue.waiting) if queue else 0,
             "almondshore_store_away_seconds": (
-                (node.clock.monotonic() - away).total_seconds() if away is not None else 0.0
+                (node.clock.monotonic() - down_since).total_seconds()
+                if down_since is not None
+                else 0.0
             ),
             "almondshore_connections_opened": node.pool.opened,
             "almondshore_nodes_unreachable": len(node.directory.nodes),
@@ -56,13 +58,13 @@
         return self.metrics.render()
 
 
-def _class_of(route: Route) -> str:
+def _route_class(route: Route) -> str:
     """Return the class of a route; routes come and go, and would be series without end."""
     kind = "idempotent" if route.idempotent else "once"
     return f"priority-{route.priority}-{kind}"
 
 
-VIEWS = {STATUS_PATH: node_view, TARGETS_PATH: targets_view}
+STATUS_VIEWS = {STATUS_PATH: node_view, TARGETS_PATH: targets_view}
 
 
 class MetricsHandler(ExchangeHandler):
@@ -74,7 +76,7 @@
 
     def handle(self, exchange: Exchange) -> None:
         """Answer a scrape, or an operator."""
-        view = VIEWS.get(exchange.request.target.partition(b"?")[0])
+        view = STATUS_VIEWS.get(exchange.request.target.partition(b"?")[0])
         if view is not None:
             exchange.respond(Response(200, JSON, msgspec.json.encode(view(self.node))))
             return
--- a/almondshore/mesh/node.py
+++ b/almondshore/mesh/node.py
@@ -25,7 +25,7 @@
 from almondshore.mesh.feeds import StateFeeds
 from almondshore.mesh.inbound import Inbound
 from almondshore.mesh.liveness import PROBE_TIMEOUT, LivenessProber
-from almondshore.mesh.local import LocalTarget, Reception
+from almondshore.mesh.local import AnnouncementResult, LocalTarget
 from almondshore.mesh.metrics import MeshMetrics, MetricsHandler
 from almondshore.mesh.model import Announcement, Death, MeshConfig
 from almondshore.mesh.outbound import Outbound
@@ -44,14 +44,14 @@
     RequestLimits(64 * 1024, 64 * 1024 * 1024), timedelta(seconds=10), timedelta(seconds=60)
 )
 # Callers stop sending new work after two failed readiness checks, one a second.
-MIN_STOP = timedelta(seconds=2.6)
+MIN_STOP_TIME = timedelta(seconds=2.6)
 # What is still running at this share of the grace period is given up.
-MAX_STOP_SHARE = 0.9
+MAX_STOP_GRACE_SHARE = 0.9
 # The entry of a target that is gone is removed at the end of a stop; the store may be slow.
 WITHDRAW_TIMEOUT = timedelta(milliseconds=200)
-STOP_TICK_S = 0.05
-HOUSEKEEPING_S = 0.25
-EXPIRE_EVERY = 8
+STOP_POLL_S = 0.05
+HOUSEKEEPING_INTERVAL_S = 0.25
+EXPIRE_EVERY_TICKS = 8
 # Part of the shared retry budget that nodes spend; the rest covers uneven load between them and
 # the calls that a repeated request makes again, which count at the service that is called. At 0.75
 # a service whose targets rejected half of what arrived got 1,693 retries, 1,589 were allowed.
@@ -135,7 +135,7 @@
             inbound=self.inbound,
             node=settings.inbound,
             caller=lambda: self.settings.service,
-            on_version=lambda node, version: self.feeds.peers.note_version(node, version),
+            on_version=lambda node, version: self.feeds.peers.on_peer_version(node, version),
             observe=self.metrics.observe,
         )
         self.prober = LivenessProber(
@@ -144,7 +144,7 @@
             pool=pool,
             client=PeerClient(pool=pool, timeout=PROBE_TIMEOUT),
         )
-        self.prober.on_lost = self.outbound.on_lost
+        self.prober.on_unresponsive = self.outbound.on_unresponsive
         self.directory.on_unreachable = self.prober.recheck
         self.outbound.suspect = self.prober.suspect
         self.publisher = TargetPublisher(store=store, directory=self.directory)
@@ -184,8 +184,8 @@
             is_up_to_date=lambda: self.feeds.follower.age() <= MAX_STATE_AGE,
         )
         internal.order_age = self.driver.order_age
-        self.inbound.retired = self._is_retired
-        self.directory.on_change = self._on_targets
+        self.inbound.is_retired = self._is_retired
+        self.directory.on_change = self._on_directory_change
         self.servers: list[HttpServer] = []
 
     def start(self, announcements: ExchangeHandler) -> None:
@@ -229,33 +229,40 @@
         """Tell whether new requests may come."""
         return self.outbound.config is not None and self.stopping_since is None
 
-    def on_announcement(self, news: Announcement) -> None:
+    def on_announcement(self, announcement: Announcement) -> None:
         """Take in an announcement of the target on this host."""
-        if news.service != self.settings.service or news.address != self.settings.app:
+        if (
+            announcement.service != self.settings.service
+            or announcement.address != self.settings.app
+        ):
             log_event(
                 "announcement_foreign",
                 level="WARNING",
-                target=news.target,
-                service=news.service,
-                address=news.address,
+                target=announcement.target,
+                service=announcement.service,
+                address=announcement.address,
             )
             return
         known = self.local.announced
-        reception = self.local.announce(news)
-        self.inbound.down_until = timedelta()
-        if reception is not Reception.ACCEPTED:
+        result = self.local.announce(announcement)
+        self.inbound.target_down_until = timedelta()
+        if result is not AnnouncementResult.ACCEPTED:
             return
-        if known is None or known.target != news.target or known.born_ms != news.born_ms:
-            self.inbound.note_death()
+        if (
+            known is None
+            or known.target != announcement.target
+            or known.born_ms != announcement.born_ms
+        ):
+            self.inbound.report_death()
             self.recorder.reset()
             self.pool.drop(self.settings.app)
         log_event(
             "target_announced",
-            target=news.target,
+            target=announcement.target,
             state=self.local.announced.state,
-            version=news.version,
-            sequence=news.sequence,
-            born_ms=news.born_ms,
+            version=announcement.version,
+            sequence=announcement.sequence,
+            born_ms=announcement.born_ms,
         )
         self._publish()
 
@@ -268,7 +275,7 @@
             present = self.local.announced
             now_ms = int(self.clock.now().timestamp() * 1000)
             born_ms = present.born_ms if present is not None else now_ms
-        known = self.local.depart(target, born_ms)
+        known = self.local.deregister(target, born_ms)
         log_event("target_departing", target=target, known=known, born_ms=born_ms)
         if known:
             self._publish()
@@ -299,8 +306,8 @@
 
     def run_until_stopped(self) -> None:
         """Wait for the end of the process."""
-        while not self._may_end():
-            eventlet.sleep(STOP_TICK_S if self.stopping_since is not None else 1.0)
+        while not self._may_exit():
+            eventlet.sleep(STOP_POLL_S if self.stopping_since is not None else 1.0)
         with eventlet.Timeout(WITHDRAW_TIMEOUT.total_seconds(), False):
             self.publisher.withdraw()
         log_event(
@@ -311,13 +318,13 @@
         )
         self.log_stream.drain()
 
-    def _may_end(self) -> bool:
+    def _may_exit(self) -> bool:
         if self.stopping_since is None:
             return False
         elapsed = self.clock.monotonic() - self.stopping_since
-        if elapsed >= self.settings.bounds.grace * MAX_STOP_SHARE:
+        if elapsed >= self.settings.bounds.grace * MAX_STOP_GRACE_SHARE:
             return True
-        if elapsed < MIN_STOP:
+        if elapsed < MIN_STOP_TIME:
             return False
         self.outbound.closed = self.inbound.closed = True
         self.outbound_server.close_idle()
@@ -325,13 +332,15 @@
         return not busy and not any(server.unsent() for server in self.servers)
 
     def _housekeeping(self) -> None:
-        self.housekeeping = hubs.get_hub().schedule_call_global(HOUSEKEEPING_S, self._housekeeping)
+        self.housekeeping = hubs.get_hub().schedule_call_global(
+            HOUSEKEEPING_INTERVAL_S, self._housekeeping
+        )
         self.ticks += 1
         self.local.enforce_drain()
         if self.local.queue is not None and self.local.queue.waiting:
             self.local.queue.dispatch()
         self.log_stream.drain()
-        if self.ticks % EXPIRE_EVERY == 0:
+        if self.ticks % EXPIRE_EVERY_TICKS == 0:
             self.pool.expire()
 
     def _on_death(self, death: Death) -> None:
@@ -341,11 +350,11 @@
     def _publish(self) -> None:
         record = self.local.record()
         self.publisher.publish(record)
-        if self.local.confirmed:
+        if self.local.store_read:
             # The directory need not wait for the store to learn of the target beside it.
             self.directory.put(record)
 
-    def _on_targets(self) -> None:
+    def _on_directory_change(self) -> None:
         targets = self.directory.targets
         own = self.local.record()
         if own is not None and own.target not in targets:
@@ -353,12 +362,12 @@
             self.directory.put(own)
             self.publisher.restore()
             return
-        self.local.confirmed = True
+        self.local.store_read = True
         for target in targets.values():
-            self.local.note_stored(target)
+            self.local.apply_stored_entry(target)
         self.chooser.keep(set(targets))
-        self.outbound.room.keep(set(targets))
-        self.prober.keep({target.node for target in targets.values()})
+        self.outbound.overload_refusals.retain(set(targets))
+        self.prober.retain({target.node for target in targets.values()})
         self.shares.infer_stable_versions(targets.values())
         self._set_retry_budget()
 
--- a/almondshore/mesh/outbound.py
+++ b/almondshore/mesh/outbound.py
@@ -13,20 +13,20 @@
 from almondshore.mesh.crashes import request_fingerprint
 from almondshore.mesh.dialect import Dialect
 from almondshore.mesh.directory import Directory
-from almondshore.mesh.forwarding import NO_TARGET_RETRY_AFTER, Forwarding
+from almondshore.mesh.forwarding import NO_TARGET_RETRY_AFTER, ForwardedRequest
 from almondshore.mesh.hop import (
     HOP_HEADERS,
     MILLISECOND,
     HopResult,
     HopTerms,
-    Obstacle,
     Outcome,
+    UnavailableReason,
     decode_report,
     encode_terms,
 )
 from almondshore.mesh.inbound import Inbound, Submission
 from almondshore.mesh.model import Address, MeshConfig, Route, Target
-from almondshore.mesh.room import RoomMemory
+from almondshore.mesh.overload import OverloadRefusals
 from almondshore.mesh.versions import VersionShares
 from almondshore.retries.budget import RetryBudget
 from almondshore.retries.crash import CrashGuard
@@ -36,16 +36,16 @@
 # A target that refused a route for lack of room is not tried again for the same route within
 # these times: the first by new requests, the second by requests that another target refused.
 # About 10 slots of 200 ms come free each 20 ms, and other nodes send there too.
-FULL_PAUSE = timedelta(milliseconds=50)
-FULL_RETRY_PAUSE = timedelta(milliseconds=250)
+OVERLOAD_PAUSE = timedelta(milliseconds=50)
+OVERLOAD_RETRY_PAUSE = timedelta(milliseconds=250)
 # How long a target is passed over after it refused for a reason other than load.
-REFUSAL_PAUSE = {
+REFUSAL_PAUSES = {
     Refusal.DRAINING: timedelta(seconds=10),
-    Obstacle.WRONG_TARGET: timedelta(seconds=2),
-    Obstacle.NO_TARGET: timedelta(milliseconds=400),
-    Obstacle.TARGET_DOWN: timedelta(milliseconds=300),
-    Obstacle.VERSION_RETIRED: timedelta(seconds=2),
-    Obstacle.SHUTTING_DOWN: timedelta(seconds=1),
+    UnavailableReason.WRONG_TARGET: timedelta(seconds=2),
+    UnavailableReason.NO_TARGET: timedelta(milliseconds=400),
+    UnavailableReason.TARGET_DOWN: timedelta(milliseconds=300),
+    UnavailableReason.VERSION_RETIRED: timedelta(seconds=2),
+    UnavailableReason.SHUTTING_DOWN: timedelta(seconds=1),
 }
 
 
@@ -93,9 +93,9 @@
         self.observe = observe
         self.config: MeshConfig | None = None
         self.closed = False
-        self.room = RoomMemory(clock=clock)
+        self.overload_refusals = OverloadRefusals(clock=clock)
         self.suspect: Callable[[Address], None] = lambda _node: None
-        self.active: set[Forwarding] = set()
+        self.active: set[ForwardedRequest] = set()
 
     def config_version(self) -> int:
         """Return the version in force, 0 if none is known."""
@@ -107,7 +107,7 @@
             self._reject(exchange, 503, "no-configuration")
             return
         if self.closed:
-            self._reject(exchange, 503, Obstacle.SHUTTING_DOWN)
+            self._reject(exchange, 503, UnavailableReason.SHUTTING_DOWN)
             return
         request = exchange.request
         host = request.header(b"host")
@@ -123,63 +123,65 @@
         if self._is_quarantined(request):
             self._reject(exchange, 503, "crashes-targets")
             return
-        forwarding = Forwarding(
+        forwarded = ForwardedRequest(
             outbound=self,
             exchange=exchange,
             route=route,
             service=pick_weighted(self.rng, route.shares),
         )
-        self.active.add(forwarding)
-        self.budget.deposit(forwarding.service)
-        forwarding.send()
+        self.active.add(forwarded)
+        self.budget.deposit(forwarded.service)
+        forwarded.send()
 
-    def on_lost(self, node: Address) -> None:
+    def on_unresponsive(self, node: Address) -> None:
         """Send the requests that wait for a silent node elsewhere."""
-        for forwarding in list(self.active):
-            forwarding.on_silence(node)
+        for forwarded in list(self.active):
+            forwarded.on_node_unresponsive(node)
 
-    def choose(self, forwarding: Forwarding) -> Target | None:
+    def choose(self, forwarded: ForwardedRequest) -> Target | None:
         """Return the best target that has not been tried."""
-        candidates = self._candidates(forwarding)
-        route = forwarding.route
+        candidates = self._candidates(forwarded)
+        route = forwarded.route
         return self.chooser.choose(candidates, route=route.name, objective=route.objective)
 
-    def choose_idle(self, forwarding: Forwarding) -> Target | None:
+    def choose_idle(self, forwarded: ForwardedRequest) -> Target | None:
         """Return the best target that has not been tried and has a free slot."""
-        tried = {send.target.target for send in forwarding.sends}
+        tried = {attempt.target.target for attempt in forwarded.attempts}
         idle = [
             target
-            for target in self._candidates(forwarding)
+            for target in self._candidates(forwarded)
             if target.target not in tried and self.chooser.has_free_slot(target)
         ]
-        route = forwarding.route
+        route = forwarded.route
         return self.chooser.choose(idle, route=route.name, objective=route.objective)
 
-    def _candidates(self, forwarding: Forwarding) -> list[Target]:
+    def _candidates(self, forwarded: ForwardedRequest) -> list[Target]:
         """Return the targets of a version that may take a request; why there are none is kept."""
-        route = forwarding.route
-        versions = self.directory.versions(forwarding.service)
+        route = forwarded.route
+        versions = self.directory.versions(forwarded.service)
         usable = {
             version: left
             for version, targets in versions.items()
-            if (left := [item for item in targets if item.target not in forwarding.refused_by])
+            if (left := [item for item in targets if item.target not in forwarded.excluded_targets])
         }
-        version = self.shares.pick(forwarding.service, usable)
+        version = self.shares.pick(forwarded.service, usable)
         if version is None:
             return []
-        pause = FULL_RETRY_PAUSE if forwarding.refusals else FULL_PAUSE
-        candidates = self.room.with_room(usable[version], route.name, pause)
+        pause = OVERLOAD_RETRY_PAUSE if forwarded.refusals else OVERLOAD_PAUSE
+        candidates = self.overload_refusals.without_recent_refusal(
+            usable[version], route.name, pause
+        )
         if not candidates:
-            forwarding.reason = str(Refusal.OVERLOADED)
-            forwarding.retry_after = self.room.retry_after(usable[version], route.name)
+            forwarded.reason = str(Refusal.OVERLOADED)
+            forwarded.retry_after = self.overload_refusals.retry_after(usable[version], route.name)
         return candidates
 
     def dispatch(
-        self, forwarding: Forwarding, target: Target, on_result: Callable[[HopResult], None]
+        self, forwarded: ForwardedRequest, target: Target, on_result: Callable[[HopResult], None]
     ) -> Call | Submission:
         """Send a request to the node beside the target."""
         now = self.clock.monotonic()
-        route = forwarding.route
+        route = forwarded.route
         terms = HopTerms(
             route=route.name,
             target=target.target,
@@ -188,40 +190,40 @@
             caller=self.caller(),
             idempotent=route.idempotent,
             urgency=route.priority,
-            objective_ms=int((forwarding.objective_at - now) / MILLISECOND),
-            deadline_ms=int((forwarding.deadline_at - now) / MILLISECOND),
+            objective_ms=int((forwarded.objective_at - now) / MILLISECOND),
+            deadline_ms=int((forwarded.deadline_at - now) / MILLISECOND),
         )
-        request = forwarding.exchange.request
+        request = forwarded.exchange.request
         if target.node == self.node:
             return self.inbound.submit(request, terms, on_result)
         headers = (*end_to_end(request.headers, without=HOP_HEADERS), encode_terms(terms))
         return self.pool.call(
             target.node,
             encode_request(request.method, request.target, headers, request.body),
-            timeout=forwarding.deadline_at - now + timedelta(seconds=1),
+            timeout=forwarded.deadline_at - now + timedelta(seconds=1),
             on_done=lambda result: on_result(_to_hop_result(result)),
             head=request.method == b"HEAD",
         )
 
-    def note_result(self, forwarding: Forwarding, target: Target, result: HopResult) -> None:
+    def record_result(self, forwarded: ForwardedRequest, target: Target, result: HopResult) -> None:
         """Take in what a result says about the target and the node beside it."""
         report = result.report
         load = report.load() if report is not None else None
-        self.chooser.finished(target.target, forwarding.route.name, load)
+        self.chooser.finished(target.target, forwarded.route.name, load)
         if result.unreachable:
             self.directory.mark_unreachable(target.node, result.reason)
         elif target.node != self.node:
             self.directory.mark_reachable(target.node)
         if report is not None:
-            pause = REFUSAL_PAUSE.get(report.reason)
+            pause = REFUSAL_PAUSES.get(report.reason)
             if report.reason == Refusal.OVERLOADED:
                 after = report.retry_after_ms * MILLISECOND
-                self.room.note_full(target.target, forwarding.route.name, after)
+                self.overload_refusals.record(target.target, forwarded.route.name, after)
             if report.outcome is Outcome.REFUSED and pause is not None:
                 self.directory.pause_target(target.target, pause)
             self.on_version(target.node, report.config_version)
 
-    def note_completed(self, request: Request) -> None:
+    def record_completion(self, request: Request) -> None:
         """Clear a request of the suspicion that it crashes targets: one ran it to its end."""
         if self.guard.suspects:
             self.guard.record_completion(request_fingerprint(request, self.caller()))
--- a/almondshore/mesh/room.py
+++ b/almondshore/mesh/overload.py
@@ -8,12 +8,12 @@
 from almondshore.mesh.model import Target
 
 
-class _Full(NamedTuple):
+class _OverloadRefusal(NamedTuple):
     at: timedelta
     retry_after: timedelta
 
 
-class RoomMemory:
+class OverloadRefusals:
     """Remembers refusals, so that a request which cannot be served is refused at once.
 
     Without it, each request in an overload would be sent to all targets in turn.
@@ -21,21 +21,23 @@
 
     def __init__(self, *, clock: Clock):
         self.clock = clock
-        self.full: dict[tuple[str, str], _Full] = {}
+        self.refusals: dict[tuple[str, str], _OverloadRefusal] = {}
 
-    def note_full(self, target: str, route: str, retry_after: timedelta) -> None:
+    def record(self, target: str, route: str, retry_after: timedelta) -> None:
         """Take note that a target had no room for a route."""
-        self.full[target, route] = _Full(self.clock.monotonic(), retry_after)
+        self.refusals[target, route] = _OverloadRefusal(self.clock.monotonic(), retry_after)
 
-    def with_room(self, targets: Iterable[Target], route: str, pause: timedelta) -> list[Target]:
+    def without_recent_refusal(
+        self, targets: Iterable[Target], route: str, pause: timedelta
+    ) -> list[Target]:
         """Return the targets that did not refuse the route within the pause."""
-        if not self.full:
+        if not self.refusals:
             return list(targets)
         since = self.clock.monotonic() - pause
         return [
             target
             for target in targets
-            if (found := self.full.get((target.target, route))) is None or found.at <= since
+            if (found := self.refusals.get((target.target, route))) is None or found.at <= since
         ]
 
     def retry_after(self, targets: Iterable[Target], route: str) -> timedelta:
@@ -43,11 +45,11 @@
         known = [
             found.retry_after
             for target in targets
-            if (found := self.full.get((target.target, route))) is not None
+            if (found := self.refusals.get((target.target, route))) is not None
         ]
         return min(known, default=timedelta())
 
-    def keep(self, targets: set[str]) -> None:
+    def retain(self, targets: set[str]) -> None:
         """Drop what is known of other targets."""
-        for key in [key for key in self.full if key[0] not in targets]:
-            del self.full[key]
+        for key in [key for key in self.refusals if key[0] not in targets]:
+            del self.refusals[key]
--- a/almondshore/mesh/peers.py
+++ b/almondshore/mesh/peers.py
@@ -27,10 +27,10 @@
 # While the store is away, a peer is asked this often; changes must be in force within seconds.
 POLL_INTERVAL = timedelta(milliseconds=500)
 # A store that was silent for this long is taken to be away.
-AWAY_AFTER = timedelta(milliseconds=300)
+STORE_DOWN_AFTER = timedelta(milliseconds=300)
 # A node that learns of a newer version waits this long for the store to bring it: a configuration
 # is large, and traffic between zones is charged. Changes must be in force within 2 s.
-BEHIND_AFTER = timedelta(milliseconds=1200)
+STORE_UPDATE_WAIT = timedelta(milliseconds=1200)
 
 
 class Evidence(msgspec.Struct):
@@ -72,11 +72,11 @@
 
     def evidence(self) -> Evidence:
         """Return the results at the target beside this node."""
-        news, queue = self.local.announced, self.local.queue
+        announcement, queue = self.local.announced, self.local.queue
         return Evidence(
-            target=news.target if news else "",
-            service=news.service if news else "",
-            version=news.version if news else "",
+            target=announcement.target if announcement else "",
+            service=announcement.service if announcement else "",
+            version=announcement.version if announcement else "",
             running=len(queue.running) + len(queue.waiting) if queue else 0,
             routes=dict(self.recorder.routes),
             order_age_ms=int(self.order_age() / timedelta(milliseconds=1)),
@@ -148,11 +148,11 @@
         """Ask a random peer regularly while the store is away; for a greenlet of its own."""
         while True:
             eventlet.sleep(POLL_INTERVAL.total_seconds())
-            peer = self.choose_peer() if self._is_away(self.clock.monotonic()) else None
+            peer = self.choose_peer() if self._is_store_down(self.clock.monotonic()) else None
             if peer is not None:
                 self.fetch(peer)
 
-    def note_version(self, node: Address, version: int) -> None:
+    def on_peer_version(self, node: Address, version: int) -> None:
         """Fetch the state of a node whose configuration is newer, unless the store brings it."""
         now = self.clock.monotonic()
         if version <= self.sink.config_version():
@@ -160,8 +160,8 @@
             return
         if self.behind_since is None:
             self.behind_since = now
-        late = now - self.behind_since >= BEHIND_AFTER
-        if self.fetching or not (late or self._is_away(now)):
+        store_is_late = now - self.behind_since >= STORE_UPDATE_WAIT
+        if self.fetching or not (store_is_late or self._is_store_down(now)):
             return
         self.fetching = True
         eventlet.spawn(self._fetch_once, node)
@@ -170,13 +170,13 @@
         """Return a random node to ask, one of the own zone if any can be reached."""
         others = [item for item in self.directory.targets.values() if item.node != self.node]
         reachable = [item for item in others if self.directory.is_reachable(item.node)]
-        near = [item for item in reachable if item.zone == self.zone]
-        found = near or reachable or others
+        same_zone = [item for item in reachable if item.zone == self.zone]
+        found = same_zone or reachable or others
         return self.rng.choice(found).node if found else None
 
-    def _is_away(self, now: timedelta) -> bool:
+    def _is_store_down(self, now: timedelta) -> bool:
         since = self.store_unavailable_since()
-        return since is not None and now - since >= AWAY_AFTER
+        return since is not None and now - since >= STORE_DOWN_AFTER
 
     def fetch(self, node: Address) -> bool:
         """Take over the state of a peer.
@@ -187,7 +187,7 @@
         answer = fetch_changes(self.client, self.directory, node, query, reason="no-state")
         if answer is None:
             return False
-        if not self._is_away(self.clock.monotonic()):
+        if not self._is_store_down(self.clock.monotonic()):
             # Only the configuration is behind; other entries of the peer may be outdated.
             answer = answer._replace(targets=[], rollouts=[])
         return apply_changes(self.sink, node, answer, remove=False)
--- a/almondshore/mesh/settings.py
+++ b/almondshore/mesh/settings.py
@@ -119,7 +119,7 @@
     if findings or bounds is None:
         raise InvalidInputError(findings.sorted())
 
-    def at(key: str) -> Address:
+    def parse_address(key: str) -> Address:
         host, _, port = values[key].rpartition(":")
         return host, int(port)
 
@@ -127,13 +127,13 @@
         node=values["node"],
         zone=values["zone"],
         service=values["service"],
-        app=at("app"),
-        outbound=at("listen.outbound"),
-        inbound=at("listen.inbound"),
-        ready=at("listen.ready"),
-        control=at("listen.control"),
-        metrics=at("listen.metrics"),
-        store=at("store"),
+        app=parse_address("app"),
+        outbound=parse_address("listen.outbound"),
+        inbound=parse_address("listen.inbound"),
+        ready=parse_address("listen.ready"),
+        control=parse_address("listen.control"),
+        metrics=parse_address("listen.metrics"),
+        store=parse_address("store"),
         bounds=bounds,
         link_mbps=values["link_mbps"],
     )
--- a/almondshore/mesh/status.py
+++ b/almondshore/mesh/status.py
@@ -17,8 +17,8 @@
         node.local.announced,
         node.local.queue,
     )
-    never = node.feeds.follower.followed is None and node.feeds.probe_replica.answered_at is None
-    away = node.feeds.store_unavailable_since()
+    never_updated = node.feeds.follower.followed is None and node.feeds.probe_replica.answered_at is None
+    down_since = node.feeds.store_unavailable_since()
     names = {target.service for target in node.directory.targets.values()}
     return NodeView(
         node=node.settings.node,
@@ -28,8 +28,10 @@
         stopping=node.stopping_since is not None,
         config_version=node.outbound.config_version(),
         source="store" if followed is None else f"{followed[0]}:{followed[1]}",
-        state_age_ms=-1 if never else int(node.feeds.follower.age() / MILLISECOND),
-        store_away_ms=0 if away is None else int((node.clock.monotonic() - away) / MILLISECOND),
+        state_age_ms=-1 if never_updated else int(node.feeds.follower.age() / MILLISECOND),
+        store_away_ms=(
+            0 if down_since is None else int((node.clock.monotonic() - down_since) / MILLISECOND)
+        ),
         target=announced.target if announced else "",
         target_state=announced.state.value if announced else "",
         running=len(queue.running) if queue else 0,
--- a/test/mesh/fakes.py
+++ b/test/mesh/fakes.py
@@ -94,7 +94,7 @@
         return
 
 
-class NoHandler(ExchangeHandler):
+class NotFoundHandler(ExchangeHandler):
     """Refuses everything."""
 
     def handle(self, exchange):
@@ -113,7 +113,7 @@
         self.finished = []
         self.dialect = PlatformDialect()
         self.local = LocalTarget(clock=self.clock, node=OWN_NODE, drain=timedelta(seconds=2))
-        self.local.confirmed = True
+        self.local.store_read = True
         self.recorder = ResultRecorder(clock=self.clock)
         self.shares = VersionShares(rng=self.rng)
         self.directory.on_change = lambda: self.shares.infer_stable_versions(
@@ -127,7 +127,7 @@
             local=self.local,
             recorder=self.recorder,
             config_version=lambda: 1,
-            internal=NoHandler(),
+            internal=NotFoundHandler(),
         )
         self.budget = RetryBudget(clock=self.clock, **budget)
         self.guard = CrashGuard(clock=self.clock)
--- a/test/mesh/test_inbound.py
+++ b/test/mesh/test_inbound.py
@@ -25,15 +25,15 @@
 class InboundTest(TestCase):
     def setUp(self):
         super().setUp()
-        self.bed = RequestPathHarness()
+        self.harness = RequestPathHarness()
         self.results = []
 
     def announce(self, **fields):
-        self.bed.local.announce(announcement(address=APP, slots=2, **fields))
+        self.harness.local.announce(announcement(address=APP, slots=2, **fields))
 
     def submit(self, wanted=None):
         request = Request(b"GET", b"/a/x", ((b"Attempt-Id", b"a1"),), b"")
-        return self.bed.inbound.submit(request, wanted or terms(), self.results.append)
+        return self.harness.inbound.submit(request, wanted or terms(), self.results.append)
 
     def ends(self):
         return [(result.outcome, result.reason) for result in self.results]
@@ -42,7 +42,7 @@
         """Guards against a request that another target at the same address runs."""
         self.announce()
         self.submit()
-        call = self.bed.pool.calls[0]
+        call = self.harness.pool.calls[0]
         self.assertEqual(APP, call.address)
         self.assertEqual(b"t1", call.header(b"expected-instance"))
         self.assertEqual(b"caller", call.header(b"caller-service"))
@@ -58,7 +58,7 @@
         """
         self.announce()
         self.submit(terms(target="t0"))
-        call = self.bed.pool.calls[0]
+        call = self.harness.pool.calls[0]
         self.assertEqual(b"t1", call.header(b"expected-instance"))
         for other in ({"service": "other"}, {"version": "v2"}):
             self.submit(terms(target="t0", **other))
@@ -71,9 +71,9 @@
             self.submit()
         self.announce(name="t2", born_ms=5000)
         self.assertEqual([(Outcome.REFUSED, "draining")], self.ends())
-        for call in self.bed.pool.calls:
+        for call in self.harness.pool.calls:
             call.fail(CallFailure.CLOSED)
-        self.assertEqual({}, self.bed.local.queue.running)
+        self.assertEqual({}, self.harness.local.queue.running)
         self.assertEqual(3, len(self.results))
 
     def test_unknown_other_and_leaving_targets_are_refused(self):
@@ -82,16 +82,16 @@
         self.announce()
         self.submit(terms(target="other", service="other"))
         self.announce(sequence=2, state=TargetState.DRAINING)
-        self.bed.clock.advance(timedelta(seconds=1))
+        self.harness.clock.advance(timedelta(seconds=1))
         self.submit()
         reasons = [reason for _, reason in self.ends()]
         self.assertEqual(["no-target", "wrong-target", "draining"], reasons)
-        self.assertEqual([], self.bed.pool.calls)
+        self.assertEqual([], self.harness.pool.calls)
 
     def test_retired_version_is_refused(self):
         """Guards against a bad version that gets requests from nodes that do not know it yet."""
         self.announce()
-        self.bed.inbound.retired = lambda service, version: version == "v1"
+        self.harness.inbound.is_retired = lambda service, version: version == "v1"
         self.submit()
         self.assertEqual([(Outcome.REFUSED, "version-retired")], self.ends())
 
@@ -100,12 +100,12 @@
         self.announce()
         for _ in range(3):
             self.submit()
-        self.assertEqual(2, len(self.bed.pool.calls))
-        self.bed.pool.calls[0].answer(Response(200, OWN))
-        self.assertEqual(3, len(self.bed.pool.calls))
-        self.bed.pool.calls[1].fail(CallFailure.TRUNCATED)
-        self.bed.pool.calls[2].answer(Response(200, OWN))
-        self.assertEqual({}, self.bed.local.queue.running)
+        self.assertEqual(2, len(self.harness.pool.calls))
+        self.harness.pool.calls[0].answer(Response(200, OWN))
+        self.assertEqual(3, len(self.harness.pool.calls))
+        self.harness.pool.calls[1].fail(CallFailure.TRUNCATED)
+        self.harness.pool.calls[2].answer(Response(200, OWN))
+        self.assertEqual({}, self.harness.local.queue.running)
 
     def test_cancelled_requests_free_their_place(self):
         """Guards against a target or a queue that is held by callers that left."""
@@ -113,41 +113,41 @@
         submissions = [self.submit() for _ in range(3)]
         submissions[2].cancel()
         submissions[0].cancel()
-        self.assertTrue(self.bed.pool.calls[0].cancelled)
-        self.assertEqual(1, len(self.bed.local.queue.running))
-        self.assertEqual([], self.bed.local.queue.waiting)
+        self.assertTrue(self.harness.pool.calls[0].cancelled)
+        self.assertEqual(1, len(self.harness.local.queue.running))
+        self.assertEqual([], self.harness.local.queue.waiting)
         self.assertEqual([], self.results)
 
     def test_target_that_does_not_answer_is_reported_as_failing(self):
         """Guards against a target that is chosen as before though it swallows requests."""
         self.announce()
         self.submit()
-        self.bed.clock.advance(timedelta(milliseconds=100))
-        self.bed.pool.calls[-1].answer(Response(200, OWN))
+        self.harness.clock.advance(timedelta(milliseconds=100))
+        self.harness.pool.calls[-1].answer(Response(200, OWN))
         for given_up in (
             lambda submission: submission.cancel(),
             lambda submission: submission.call.fail(CallFailure.TIMED_OUT),
         ):
-            before = self.bed.recorder.failure_rate()
+            before = self.harness.recorder.failure_rate()
             submission = self.submit()
-            self.bed.clock.advance(timedelta(milliseconds=300))
+            self.harness.clock.advance(timedelta(milliseconds=300))
             given_up(submission)
-            self.assertTrue(self.bed.recorder.failure_rate() > before)
-        self.assertEqual(0, self.bed.recorder.routes["r"].failures)
+            self.assertTrue(self.harness.recorder.failure_rate() > before)
+        self.assertEqual(0, self.harness.recorder.routes["r"].failures)
 
     def test_caller_that_leaves_early_says_nothing_about_the_target(self):
         """Guards against impatient callers that make good targets look bad."""
         self.announce()
         first = self.submit()
-        self.bed.clock.advance(timedelta(seconds=1))
+        self.harness.clock.advance(timedelta(seconds=1))
         first.cancel()
         self.submit()
-        self.bed.clock.advance(timedelta(milliseconds=100))
-        self.bed.pool.calls[-1].answer(Response(200, OWN))
+        self.harness.clock.advance(timedelta(milliseconds=100))
+        self.harness.pool.calls[-1].answer(Response(200, OWN))
         submission = self.submit()
-        self.bed.clock.advance(timedelta(milliseconds=150))
+        self.harness.clock.advance(timedelta(milliseconds=150))
         submission.cancel()
-        self.assertEqual(0.0, self.bed.recorder.failure_rate())
+        self.assertEqual(0.0, self.harness.recorder.failure_rate())
 
     def test_outcomes_tell_what_may_have_run(self):
         """Guards against a repeat of a request that has run."""
@@ -158,35 +158,35 @@
         )
         for (failure, sent), end in cases:
             self.announce(born_ms=1000 + len(self.results))
-            self.bed.inbound.down_until = timedelta()
+            self.harness.inbound.target_down_until = timedelta()
             self.submit()
-            self.bed.pool.calls[-1].fail(failure, sent=sent)
+            self.harness.pool.calls[-1].fail(failure, sent=sent)
             self.assertEqual(end, self.ends()[-1])
-        self.bed.inbound.down_until = timedelta()
+        self.harness.inbound.target_down_until = timedelta()
         self.submit()
-        self.bed.pool.calls[-1].answer(Response(503, ((b"Not-Executed", b"1"),)))
+        self.harness.pool.calls[-1].answer(Response(503, ((b"Not-Executed", b"1"),)))
         self.assertEqual((Outcome.REJECTED, "not-run"), self.ends()[-1])
 
     def test_dropped_idle_connection_is_made_up_for_once(self):
         """Guards against a failure for a request that the target never saw."""
         self.announce()
         self.submit()
-        self.bed.pool.calls[0].fail(CallFailure.CLOSED, reused=True)
-        self.assertEqual(timedelta(), self.bed.pool.calls[1].options["max_idle"])
-        self.bed.pool.calls[1].fail(CallFailure.CLOSED, reused=True)
+        self.harness.pool.calls[0].fail(CallFailure.CLOSED, reused=True)
+        self.assertEqual(timedelta(), self.harness.pool.calls[1].options["max_idle"])
+        self.harness.pool.calls[1].fail(CallFailure.CLOSED, reused=True)
         self.assertEqual([(Outcome.BROKEN, "closed")], self.ends())
 
     def test_non_idempotent_requests_use_fresh_connections(self):
         """Guards against a request that cannot be repeated on a connection that may be dead."""
         self.announce()
         self.submit(terms(idempotent=False))
-        self.assertTrue(self.bed.pool.calls[0].options["max_idle"] < timedelta(seconds=1))
-        self.bed.pool.calls[0].fail(CallFailure.CLOSED, reused=True)
+        self.assertTrue(self.harness.pool.calls[0].options["max_idle"] < timedelta(seconds=1))
+        self.harness.pool.calls[0].fail(CallFailure.CLOSED, reused=True)
         self.assertEqual([(Outcome.BROKEN, "closed")], self.ends())
 
     def test_closed_node_refuses(self):
         """Guards against a request that is cut by the end of the process."""
         self.announce()
-        self.bed.inbound.closed = True
+        self.harness.inbound.closed = True
         self.submit()
         self.assertEqual([(Outcome.REFUSED, "shutting-down")], self.ends())
--- a/test/mesh/test_outbound.py
+++ b/test/mesh/test_outbound.py
@@ -16,21 +16,21 @@
 
 
 class OutboundTest(TestCase):
-    def bed(self, targets=3, routes=None, **budget):
-        bed = RequestPathHarness(routes, **budget)
-        bed.directory.replace(
+    def new_harness(self, targets=3, routes=None, **budget):
+        harness = RequestPathHarness(routes, **budget)
+        harness.directory.replace(
             target(f"t{number}", node=node) for number, node in enumerate(NODES[:targets])
         )
-        return bed
+        return harness
 
     def status(self, exchange):
         return exchange.response.status if exchange.response is not None else None
 
     def test_request_is_forwarded_with_its_terms(self):
         """Guards against a request that reaches a target changed or without its limits."""
-        bed = self.bed(targets=1)
-        exchange = bed.request(b"/a/x?q=1", b"POST", b"body", left_ms=900)
-        call = bed.pool.calls[0]
+        harness = self.new_harness(targets=1)
+        exchange = harness.request(b"/a/x?q=1", b"POST", b"body", left_ms=900)
+        call = harness.pool.calls[0]
         self.assertEqual((b"POST", b"/a/x?q=1", b"body"), call.request[:2] + (call.request.body,))
         self.assertEqual(
             ("r", "t0", "own-service", True),
@@ -43,141 +43,141 @@
 
     def test_without_configuration_or_route(self):
         """Guards against a 404 from a node that does not know the routes yet."""
-        bed = self.bed()
-        self.assertEqual(404, self.status(bed.request(b"/other/")))
-        bed.outbound.config = None
-        self.assertEqual(503, self.status(bed.request()))
+        harness = self.new_harness()
+        self.assertEqual(404, self.status(harness.request(b"/other/")))
+        harness.outbound.config = None
+        self.assertEqual(503, self.status(harness.request()))
 
     def test_refused_request_goes_to_another_target(self):
         """Guards against a caller that is refused though another target has room."""
-        bed = self.bed(routes=[route(idempotent=False)])
-        exchange = bed.request(method=b"POST")
-        bed.pool.calls[0].report(Outcome.REFUSED, "overloaded", 503)
-        bed.pool.calls[1].fail(CallFailure.NOT_CONNECTED, sent=False)
-        bed.pool.calls[2].report()
+        harness = self.new_harness(routes=[route(idempotent=False)])
+        exchange = harness.request(method=b"POST")
+        harness.pool.calls[0].report(Outcome.REFUSED, "overloaded", 503)
+        harness.pool.calls[1].fail(CallFailure.NOT_CONNECTED, sent=False)
+        harness.pool.calls[2].report()
         self.assertEqual(200, self.status(exchange))
-        tried = [call.terms.target for call in bed.pool.calls]
+        tried = [call.terms.target for call in harness.pool.calls]
         self.assertEqual(["t0", "t1", "t2"], sorted(tried))
 
     def test_request_that_may_have_run_is_not_repeated_unless_idempotent(self):
         """Guards against a non-idempotent request that runs twice."""
         for idempotent, calls in ((False, 1), (True, 2)):
-            bed = self.bed(routes=[route(idempotent=idempotent)])
-            exchange = bed.request()
-            bed.pool.calls[0].fail(CallFailure.CLOSED)
-            self.assertEqual(calls, len(bed.pool.calls))
+            harness = self.new_harness(routes=[route(idempotent=idempotent)])
+            exchange = harness.request()
+            harness.pool.calls[0].fail(CallFailure.CLOSED)
+            self.assertEqual(calls, len(harness.pool.calls))
             self.assertEqual(None if idempotent else 502, self.status(exchange))
 
     def test_refusal_to_the_caller_is_true(self):
         """Guards against a 503, after which callers repeat, for a request that may have run."""
-        bed = self.bed(targets=2)
-        exchange = bed.request()
-        bed.pool.calls[0].fail(CallFailure.TRUNCATED)
-        bed.pool.calls[1].report(Outcome.REFUSED, "overloaded", 503)
+        harness = self.new_harness(targets=2)
+        exchange = harness.request()
+        harness.pool.calls[0].fail(CallFailure.TRUNCATED)
+        harness.pool.calls[1].report(Outcome.REFUSED, "overloaded", 503)
         self.assertEqual(502, self.status(exchange))
-        bed = self.bed(targets=1)
-        exchange = bed.request()
-        bed.pool.calls[0].report(Outcome.REFUSED, "overloaded", 503, retry_after_ms=400)
+        harness = self.new_harness(targets=1)
+        exchange = harness.request()
+        harness.pool.calls[0].report(Outcome.REFUSED, "overloaded", 503, retry_after_ms=400)
         self.assertEqual(503, self.status(exchange))
         stated = float(exchange.response.header(b"retry-after"))
         self.assertTrue(0.4 <= stated <= 0.6, stated)
 
     def test_failed_response_is_returned_as_it_was(self):
         """Guards against a failure of the target that is replaced by one of our own."""
-        bed = self.bed(routes=[route(max_attempts=1)])
-        exchange = bed.request()
-        bed.pool.calls[0].report(status=500, body=b"broken")
+        harness = self.new_harness(routes=[route(max_attempts=1)])
+        exchange = harness.request()
+        harness.pool.calls[0].report(status=500, body=b"broken")
         self.assertEqual(Response(500, (SIGNED,), b"broken"), exchange.response)
 
     def test_attempts_and_retry_budget_bound_the_runs(self):
         """Guards against retries that multiply the load when all targets fail."""
-        bed = self.bed()
-        bed.request()
-        for call in bed.pool.calls:
+        harness = self.new_harness()
+        harness.request()
+        for call in harness.pool.calls:
             call.report(status=500)
-        self.assertEqual(2, len(bed.pool.calls))
-        bed = self.bed(ratio=0.0, min_per_second=0.0)
-        bed.request()
-        bed.pool.calls[0].report(status=500)
-        self.assertEqual(1, len(bed.pool.calls))
+        self.assertEqual(2, len(harness.pool.calls))
+        harness = self.new_harness(ratio=0.0, min_per_second=0.0)
+        harness.request()
+        harness.pool.calls[0].report(status=500)
+        self.assertEqual(1, len(harness.pool.calls))
 
     def test_target_that_rejects_draws_on_the_budget(self):
         """Guards against retries that the targets see but the budget does not."""
-        bed = self.bed(ratio=0.0, min_per_second=0.0)
-        exchange = bed.request()
-        bed.pool.calls[0].report(Outcome.REJECTED, "not-run", 503)
+        harness = self.new_harness(ratio=0.0, min_per_second=0.0)
+        exchange = harness.request()
+        harness.pool.calls[0].report(Outcome.REJECTED, "not-run", 503)
         self.assertEqual(503, self.status(exchange))
-        self.assertEqual(1, len(bed.pool.calls))
+        self.assertEqual(1, len(harness.pool.calls))
 
     def test_route_timeout_ends_the_request(self):
         """Guards against a caller that is held beyond the time that the operator set."""
-        bed = self.bed(routes=[route(timeout=timedelta(seconds=0.7))])
-        exchange = bed.request()
-        self.assertEqual(700, bed.pool.calls[0].terms.deadline_ms)
-        bed.clock.advance(timedelta(seconds=0.7))
-        next(iter(bed.outbound.active))._on_deadline()
+        harness = self.new_harness(routes=[route(timeout=timedelta(seconds=0.7))])
+        exchange = harness.request()
+        self.assertEqual(700, harness.pool.calls[0].terms.deadline_ms)
+        harness.clock.advance(timedelta(seconds=0.7))
+        next(iter(harness.outbound.active))._on_deadline()
         self.assertEqual(504, self.status(exchange))
-        self.assertTrue(bed.pool.calls[0].cancelled)
-        bed.pool.calls[0].report()
+        self.assertTrue(harness.pool.calls[0].cancelled)
+        harness.pool.calls[0].report()
         self.assertEqual(504, self.status(exchange))
 
     def test_second_send_has_only_the_time_that_is_left(self):
         """Guards against a target that works on after its caller has gone."""
-        bed = self.bed()
-        bed.request(left_ms=1000)
-        bed.clock.advance(timedelta(seconds=0.4))
-        bed.pool.calls[0].fail(CallFailure.CLOSED)
-        self.assertEqual(585, bed.pool.calls[1].terms.deadline_ms)
+        harness = self.new_harness()
+        harness.request(left_ms=1000)
+        harness.clock.advance(timedelta(seconds=0.4))
+        harness.pool.calls[0].fail(CallFailure.CLOSED)
+        self.assertEqual(585, harness.pool.calls[1].terms.deadline_ms)
 
     def test_caller_that_leaves_cancels_the_call(self):
         """Guards against a target that works for a caller that is gone."""
-        bed = self.bed()
-        exchange = bed.request()
+        harness = self.new_harness()
+        exchange = harness.request()
         exchange.on_cancel()
-        self.assertTrue(bed.pool.calls[0].cancelled)
-        self.assertEqual(set(), bed.outbound.active)
+        self.assertTrue(harness.pool.calls[0].cancelled)
+        self.assertEqual(set(), harness.outbound.active)
 
     def test_unreachable_node_is_passed_over(self):
         """Guards against each request finding out anew that a host is gone."""
-        bed = self.bed(targets=2)
-        bed.request()
-        lost = bed.pool.calls[0].address
-        bed.pool.calls[0].fail(CallFailure.NOT_CONNECTED, sent=False)
+        harness = self.new_harness(targets=2)
+        harness.request()
+        lost = harness.pool.calls[0].address
+        harness.pool.calls[0].fail(CallFailure.NOT_CONNECTED, sent=False)
         for _ in range(5):
-            bed.request()
-        self.assertNotIn(lost, [call.address for call in bed.pool.calls[1:]])
+            harness.request()
+        self.assertNotIn(lost, [call.address for call in harness.pool.calls[1:]])
 
     def test_requests_at_a_silent_node_are_sent_elsewhere(self):
         """Guards against requests that wait for a host without power until their deadline."""
         for idempotent, calls in ((True, 2), (False, 1)):
-            bed = self.bed(routes=[route(idempotent=idempotent)])
-            bed.request()
-            bed.outbound.on_lost(("10.0.0.77", 1))
-            self.assertEqual(1, len(bed.pool.calls))
-            bed.outbound.on_lost(bed.pool.calls[0].address)
-            self.assertEqual(calls, len(bed.pool.calls))
-            self.assertEqual(idempotent, bed.pool.calls[0].cancelled)
+            harness = self.new_harness(routes=[route(idempotent=idempotent)])
+            harness.request()
+            harness.outbound.on_unresponsive(("10.0.0.77", 1))
+            self.assertEqual(1, len(harness.pool.calls))
+            harness.outbound.on_unresponsive(harness.pool.calls[0].address)
+            self.assertEqual(calls, len(harness.pool.calls))
+            self.assertEqual(idempotent, harness.pool.calls[0].cancelled)
 
-    def overdue(self, bed):
+    def overdue(self, harness):
         """Let the response of the first send of the only active request become overdue."""
-        (forwarding,) = bed.outbound.active
-        bed.clock.advance(timedelta(milliseconds=300))
-        forwarding.on_overdue(forwarding.sends[0])
+        (forwarded,) = harness.outbound.active
+        harness.clock.advance(timedelta(milliseconds=300))
+        forwarded.on_overdue(forwarded.attempts[0])
 
-    def known_idle(self, bed):
+    def known_idle(self, harness):
         """Make the loads of all targets known."""
         for _ in range(3 * len(NODES)):
-            bed.request()
-            bed.pool.calls[-1].report(running=1)
-        bed.pool.calls.clear()
+            harness.request()
+            harness.pool.calls[-1].report(running=1)
+        harness.pool.calls.clear()
 
     def test_overdue_request_goes_to_a_second_target_as_well(self):
         """Guards against callers that wait for a target which swallows requests."""
-        bed = self.bed()
-        self.known_idle(bed)
-        exchange = bed.request()
-        self.overdue(bed)
-        first, second = bed.pool.calls
+        harness = self.new_harness()
+        self.known_idle(harness)
+        exchange = harness.request()
+        self.overdue(harness)
+        first, second = harness.pool.calls
         self.assertNotEqual(first.terms.target, second.terms.target)
         self.assertFalse(first.cancelled)
         second.report(body=b"second")
@@ -185,17 +185,17 @@
         self.assertTrue(first.cancelled)
         first.report(body=b"first")
         self.assertEqual(b"second", exchange.response.body)
-        self.assertEqual(set(), bed.outbound.active)
-        self.assertEqual({0}, {load.own for load in bed.outbound.chooser.loads.values()})
+        self.assertEqual(set(), harness.outbound.active)
+        self.assertEqual({0}, {load.own for load in harness.outbound.chooser.loads.values()})
 
     def test_repeat_is_logged_with_what_decided_it(self):
         """Guards against repeats that nobody can follow afterwards."""
-        bed = self.bed()
-        self.known_idle(bed)
-        bed.request()
+        harness = self.new_harness()
+        self.known_idle(harness)
+        harness.request()
         with mock.patch("almondshore.mesh.forwarding.log_event") as log:
-            self.overdue(bed)
-        first, second = bed.pool.calls
+            self.overdue(harness)
+        first, second = harness.pool.calls
         fields = {
             "request": "a1",
             "route": "r",
@@ -213,14 +213,14 @@
             lambda call: call.report(Outcome.REFUSED, "overloaded", 503),
             lambda call: call.fail(CallFailure.CLOSED),
         ):
-            bed = self.bed(routes=[route(max_attempts=3)])
-            self.known_idle(bed)
-            exchange = bed.request()
-            self.overdue(bed)
-            ending(bed.pool.calls[1])
+            harness = self.new_harness(routes=[route(max_attempts=3)])
+            self.known_idle(harness)
+            exchange = harness.request()
+            self.overdue(harness)
+            ending(harness.pool.calls[1])
             self.assertEqual(None, self.status(exchange))
-            self.assertEqual(2, len(bed.pool.calls))
-            bed.pool.calls[0].report(body=b"first")
+            self.assertEqual(2, len(harness.pool.calls))
+            harness.pool.calls[0].report(body=b"first")
             self.assertEqual(b"first", exchange.response.body)
 
     def test_overdue_request_is_not_repeated_against_the_rules(self):
@@ -232,37 +232,37 @@
             ({}, {}, 4),
         )
         for limits, budget, running in cases:
-            bed = self.bed(routes=[route(**limits)], **budget)
+            harness = self.new_harness(routes=[route(**limits)], **budget)
             for _ in range(3 * len(NODES)):
-                bed.request()
-                bed.pool.calls[-1].report(running=running)
-            bed.pool.calls.clear()
-            bed.request()
-            self.overdue(bed)
-            self.assertEqual(1, len(bed.pool.calls), (limits, budget, running))
+                harness.request()
+                harness.pool.calls[-1].report(running=running)
+            harness.pool.calls.clear()
+            harness.request()
+            self.overdue(harness)
+            self.assertEqual(1, len(harness.pool.calls), (limits, budget, running))
 
     def test_caller_that_leaves_cancels_both_sends(self):
         """Guards against a repeat that runs on for a caller that is gone."""
-        bed = self.bed()
-        self.known_idle(bed)
-        exchange = bed.request()
-        self.overdue(bed)
+        harness = self.new_harness()
+        self.known_idle(harness)
+        exchange = harness.request()
+        self.overdue(harness)
         exchange.on_cancel()
-        self.assertEqual([True, True], [call.cancelled for call in bed.pool.calls])
+        self.assertEqual([True, True], [call.cancelled for call in harness.pool.calls])
 
     def test_shares_of_a_split_route_are_kept(self):
         """Guards against a split that follows the load instead of its weights."""
         split = route(shares=(Share("s", 3.0), Share("other", 1.0)))
-        bed = self.bed(routes=[split])
-        bed.directory.put(target("o1", service="other", node=("10.0.0.8", 1)))
+        harness = self.new_harness(routes=[split])
+        harness.directory.put(target("o1", service="other", node=("10.0.0.8", 1)))
         for _ in range(800):
-            bed.request()
-        other = sum(call.terms.target == "o1" for call in bed.pool.calls)
+            harness.request()
+        other = sum(call.terms.target == "o1" for call in harness.pool.calls)
         self.assertTrue(140 < other < 260, other)
 
     def test_versions_of_other_nodes_are_noted(self):
         """Guards against a node that stays on an old configuration while the store is away."""
-        bed = self.bed(targets=1)
-        bed.request()
-        bed.pool.calls[0].report(config_version=9)
-        self.assertEqual([9], bed.versions_seen)
+        harness = self.new_harness(targets=1)
+        harness.request()
+        harness.pool.calls[0].report(config_version=9)
+        self.assertEqual([9], harness.versions_seen)
--- a/test/mesh/test_peers.py
+++ b/test/mesh/test_peers.py
@@ -31,7 +31,7 @@
 class PeerSyncTest(TestCase):
     def setUp(self):
         super().setUp()
-        self.bed = RequestPathHarness()
+        self.harness = RequestPathHarness()
         self.away = None
         self.rollout = Rollout("s", "v2", timedelta(seconds=9), RolloutState.RUNNING, 0.25, 8)
         config_of_peer = compress_config(b'{"x": 1}')
@@ -41,14 +41,14 @@
             )
         )
         self.sync = PeerSync(
-            clock=self.bed.clock,
+            clock=self.harness.clock,
             rng=random.Random(1),
             client=self.client,
             sink=PeerSink(
-                crashes=CrashSink(guard=self.bed.guard),
-                config=ConfigSink(outbound=self.bed.outbound, name="main"),
-                directory=self.bed.directory,
-                rollouts=RolloutSink(shares=self.bed.shares),
+                crashes=CrashSink(guard=self.harness.guard),
+                config=ConfigSink(outbound=self.harness.outbound, name="main"),
+                directory=self.harness.directory,
+                rollouts=RolloutSink(shares=self.harness.shares),
                 decode=lambda raw: config(version=7, raw=raw),
             ),
             node=OWN_NODE,
@@ -58,39 +58,39 @@
 
     def test_state_of_a_peer_is_taken_over(self):
         """Guards against a node that stays on an old state while the store is away."""
-        self.away = self.bed.clock.monotonic() - timedelta(seconds=1)
+        self.away = self.harness.clock.monotonic() - timedelta(seconds=1)
         self.assertTrue(self.sync.fetch(NEAR))
-        self.assertEqual(7, self.bed.outbound.config_version())
-        self.assertEqual({"t9": target("t9")}, self.bed.directory.targets)
-        self.assertEqual({"s": self.rollout}, self.bed.shares.rollouts)
+        self.assertEqual(7, self.harness.outbound.config_version())
+        self.assertEqual({"t9": target("t9")}, self.harness.directory.targets)
+        self.assertEqual({"s": self.rollout}, self.harness.shares.rollouts)
         self.assertEqual([(NEAR, b"/changes?config=1")], self.client.asked)
 
     def test_a_peer_brings_only_the_configuration_while_the_store_answers(self):
         """Guards against entries that were removed and come back with a peer's older state."""
         self.assertTrue(self.sync.fetch(NEAR))
-        self.assertEqual(7, self.bed.outbound.config_version())
-        self.assertEqual({}, self.bed.directory.targets)
-        self.assertEqual({}, self.bed.shares.rollouts)
+        self.assertEqual(7, self.harness.outbound.config_version())
+        self.assertEqual({}, self.harness.directory.targets)
+        self.assertEqual({}, self.harness.shares.rollouts)
 
     def test_store_is_given_time_before_a_peer_is_asked(self):
         """Guards against a configuration that each node copies across zones at each change."""
-        self.sync.note_version(NEAR, 7)
+        self.sync.on_peer_version(NEAR, 7)
         self.assertFalse(self.sync.fetching)
-        self.bed.clock.advance(timedelta(seconds=1.3))
-        self.sync.note_version(NEAR, 7)
+        self.harness.clock.advance(timedelta(seconds=1.3))
+        self.sync.on_peer_version(NEAR, 7)
         self.assertTrue(self.sync.fetching)
 
     def test_peer_is_asked_at_once_while_the_store_is_away(self):
         """Guards against a change that is not in force in time during an outage."""
         self.away = timedelta()
-        self.bed.clock.advance(timedelta(seconds=1))
-        self.sync.note_version(NEAR, 7)
+        self.harness.clock.advance(timedelta(seconds=1))
+        self.sync.on_peer_version(NEAR, 7)
         self.assertTrue(self.sync.fetching)
 
     def test_peers_of_the_own_zone_come_first(self):
         """Guards against traffic between zones that a nearer node could spare."""
         self.assertIs(None, self.sync.choose_peer())
-        self.bed.directory.replace([target("t1", node=NEAR), target("t2", node=FAR, zone="b")])
+        self.harness.directory.replace([target("t1", node=NEAR), target("t2", node=FAR, zone="b")])
         self.assertEqual({NEAR}, {self.sync.choose_peer() for _ in range(20)})
-        self.bed.directory.mark_unreachable(NEAR, "test")
+        self.harness.directory.mark_unreachable(NEAR, "test")
         self.assertEqual({FAR}, {self.sync.choose_peer() for _ in range(20)})
