--- a/almondshore/mesh/dialect.py
+++ b/almondshore/mesh/dialect.py
@@ -1,4 +1,4 @@
-"""Port to what callers and targets say in headers."""
+"""Interface to the header conventions of callers and targets."""
 
 from abc import ABC, abstractmethod
 from datetime import timedelta
@@ -8,7 +8,7 @@
 
 
 class ResponseClass(Enum):
-    """What a response of a target says about the request."""
+    """Result of a request according to the target's response."""
 
     SUCCEEDED = "succeeded"
     FAILED = "failed"
@@ -17,15 +17,15 @@
 
 
 class Dialect(ABC):
-    """Reads and writes the headers of callers and targets."""
+    """Reads and writes the headers that callers and targets understand."""
 
     @abstractmethod
     def request_id(self, headers: Headers) -> bytes:
-        """Return the id of a caller's attempt, empty if it has none."""
+        """Return the id of a caller's attempt, empty if the header is missing."""
 
     @abstractmethod
     def time_left(self, request: Request) -> timedelta | None:
-        """Return how long the caller waits, or None if it does not say."""
+        """Return the time until the caller's deadline, or None if it states none."""
 
     @abstractmethod
     def to_target(
@@ -34,6 +34,9 @@
         """Return the headers of a request to a target.
 
         :param headers: end-to-end headers of the caller's request
+        :param time_left: time until the request's deadline
+        :param target: identity of the target
+        :param caller: service that sent the request
         """
 
     @abstractmethod
@@ -42,16 +45,16 @@
 
     @abstractmethod
     def classify_response(self, response: Response) -> ResponseClass:
-        """Return what a target's response says about the request."""
+        """Tell from a target's response whether the request ran and succeeded."""
 
     @abstractmethod
     def to_caller(self, response: Response, *, idempotent: bool) -> Response:
-        """Return a target's final response as the caller may see it.
+        """Return a target's final response in the form that is sent to the caller.
 
-        A status that tells callers that the request has not run is replaced by one that tells
-        nothing.
+        A status that callers take as proof that the request has not run is replaced by one that
+        makes no such promise.
         """
 
     @abstractmethod
     def error_response(self, status: int, *, retry_after: timedelta | None = None) -> Response:
-        """Return a response of the system's own."""
+        """Return a response that this system generates instead of a target."""
--- a/almondshore/mesh/evidence.py
+++ b/almondshore/mesh/evidence.py
@@ -1,4 +1,4 @@
-"""Results of requests at the target beside this node."""
+"""Results of requests at the local target."""
 
 from datetime import timedelta
 from typing import NamedTuple
@@ -6,17 +6,18 @@
 from almondshore.core.clock import Clock
 
 FAILURE_RATE_WEIGHT = 0.1
-# A request given up after this multiple of its expected time counts as unanswered. Service times
-# vary by a factor of two around the expected one; a sender repeats a request somewhat later.
+# A request that is abandoned after this multiple of its expected service time counts as
+# unanswered. Service times vary by a factor of two around the expected one, and senders retry a
+# request somewhat later than this.
 UNANSWERED_FACTOR = 2.5
-# Without new results a target is given the benefit of the doubt again.
+# Without new results the rate decays, so that a target which failed is tried again.
 FAILURE_RATE_HALF_LIFE = timedelta(seconds=2)
 
 
 class RouteCounts(NamedTuple):
     """Results on one route since the target was first seen.
 
-    :ivar timed: warm successes, whose times are summed in ``total_ms``
+    :ivar timed: successes after the slow start; ``total_ms`` is the sum of their times
     """
 
     requests: int = 0
@@ -26,7 +27,7 @@
 
 
 class ResultRecorder:
-    """Counts results by route, and keeps a recent failure rate."""
+    """Counts results by route and tracks the recent failure rate."""
 
     def __init__(self, *, clock: Clock):
         self.clock = clock
@@ -35,12 +36,12 @@
         self.rate_updated_at = clock.monotonic()
 
     def reset(self) -> None:
-        """Forget everything: another target took the place."""
+        """Discard all results, after another target has replaced the local one."""
         self.routes.clear()
         self.last_failure_rate = 0.0
 
     def record(self, route: str, *, ok: bool, took: timedelta, warm: bool) -> None:
-        """Count a request that ran.
+        """Count a request that the target ran.
 
         :param warm: whether the target was past its slow start
         """
@@ -55,18 +56,19 @@
         self._update_failure_rate(ok)
 
     def record_abandoned(self, *, took: timedelta, expected: timedelta | None) -> None:
-        """Count a request that was given up if the target had ample time to answer it.
+        """Count an abandoned request as a failure if the target had ample time to answer it.
 
-        It counts for the choice of a target only. The verdict on a version needs answers: a
-        request that is given up says little about a target that is slow for another reason.
+        It changes the failure rate, which is used to choose targets, but not the counts by route,
+        by which versions are judged: the target may be slow for a reason other than its version.
 
-        :param expected: service time of its route, None before the first observation
+        :param took: time from the start of the request until it was abandoned
+        :param expected: expected service time of its route, None before the first observation
         """
         if expected is not None and took >= expected * UNANSWERED_FACTOR:
             self._update_failure_rate(False)
 
     def failure_rate(self) -> float:
-        """Return the recent share of failures, which halves while nothing is heard."""
+        """Return the recent share of failures, which decays while there are no results."""
         age = self.clock.monotonic() - self.rate_updated_at
         return self.last_failure_rate * 0.5 ** (age / FAILURE_RATE_HALF_LIFE)
 
--- a/almondshore/mesh/forwarding.py
+++ b/almondshore/mesh/forwarding.py
@@ -1,4 +1,4 @@
-"""One caller's request on its way: sends, retries, refusal and deadline."""
+"""Forwarding of one caller's request: attempts, retries, refusals and deadline."""
 
 from datetime import timedelta
 from typing import TYPE_CHECKING
@@ -19,19 +19,20 @@
     from almondshore.mesh.outbound import Outbound
 
 ZERO = timedelta()
-# A caller that waits until its deadline gets the answer this much earlier, for the way back.
+# Requests end this long before the caller's deadline, so that the response arrives in time.
 CALLER_MARGIN = timedelta(milliseconds=15)
-# Targets that may refuse one request before it is refused to the caller.
+# A request that more than this many targets refuse is refused to the caller.
 MAX_REFUSALS = 3
-# A retry is worth sending if this share of the objective is left before the deadline.
+# A request is retried only if this share of the objective is left before the deadline.
 MIN_RETRY_SHARE = 0.15
 NO_TARGET_RETRY_AFTER = timedelta(milliseconds=250)
 MIN_RETRY_AFTER = timedelta(milliseconds=50)
-# Callers wait at most a third of the time they have left.
+# Callers are told to wait at most this share of the time left until their deadline.
 RETRY_AFTER_SHARE = 0.3
-# Callers refused at the same moment return spread over this range of the stated time.
+# Retry times are lengthened by a random share of up to this much, so that callers that were
+# refused at the same moment do not all return at once.
 RETRY_AFTER_JITTER = 0.5
-# A response is overdue after this multiple of its expected time, and not before the minimum.
+# A response is overdue after this multiple of its expected time, but not before MIN_OVERDUE.
 # Service times vary by a factor of two around the expected one.
 OVERDUE_FACTOR = 2.5
 MIN_OVERDUE = timedelta(milliseconds=150)
@@ -39,10 +40,10 @@
 
 
 class Attempt:
-    """One send of a request to a target.
+    """One attempt to have a request run by a target.
 
-    :ivar pending: None while the send is being made
-    :ivar overdue_timer: runs while the response is not overdue yet
+    :ivar pending: call or submission that the attempt waits for, None until it has been sent
+    :ivar overdue_timer: fires when the response becomes overdue
     """
 
     def __init__(self, target: Target):
@@ -52,7 +53,13 @@
 
 
 class ForwardedRequest:
-    """One caller's request, from its arrival to its response."""
+    """A caller's request, from its arrival to its response.
+
+    :ivar excluded_targets: targets that refused the request or whose connection broke
+    :ivar runs: attempts that a target ran or may have run
+    :ivar failed_response: last response with a failure, returned if no attempt succeeds
+    :ivar load_age: age of the load report by which the last target was chosen
+    """
 
     def __init__(self, *, outbound: "Outbound", exchange: Exchange, route: Route, service: str):
         self.outbound = outbound
@@ -81,7 +88,7 @@
         exchange.on_cancel = self.cancel
 
     def send(self) -> None:
-        """Send the request to the best target that is left, or end it."""
+        """Send the request to the best remaining target, or fail it if there is none."""
         target = self.outbound.choose(self)
         if target is None:
             self._fail(self.reason or UnavailableReason.NO_TARGET)
@@ -89,16 +96,16 @@
         self._send_to(target)
 
     def cancel(self) -> None:
-        """Stop: the caller left."""
+        """Cancel all attempts after the caller has disconnected."""
         if self.done:
             return
         self._finish()
         self._log("cancelled", "caller-left", 0)
 
     def on_node_unresponsive(self, node: Address) -> None:
-        """Send the request elsewhere: the node beside its target does not answer.
+        """Retry the request at another target if it was sent to a node that does not respond.
 
-        One that must not run twice goes on waiting, as the node may have passed it on.
+        A request that is not idempotent keeps waiting, since that node may have forwarded it.
         """
         if self.done or not self.route.idempotent:
             return
@@ -109,9 +116,9 @@
             )
 
     def on_overdue(self, attempt: Attempt) -> None:
-        """Send the request to a second target as well if it may run twice and there is room.
+        """Hedge an idempotent request: send it to a second target that has a free slot.
 
-        The first response that succeeds is the answer. The repeat draws on the retry budget.
+        The first successful response is returned. The second attempt uses the retry budget.
         """
         if self.done or attempt not in self.attempts:
             return
@@ -135,7 +142,7 @@
         self._send_to(other)
 
     def on_result(self, attempt: Attempt, result: HopResult) -> None:
-        """Take the result of a attempt: answer the caller, or send again."""
+        """Handle the result of an attempt: respond to the caller or retry."""
         if self.done:
             return
         self._cancel_overdue_timer(attempt)
@@ -160,7 +167,7 @@
         pending = self.outbound.dispatch(
             self, target, lambda result: self.on_result(attempt, result)
         )
-        # The result may have been delivered already.
+        # The result may have been delivered before dispatch() returned.
         if not self.done and attempt in self.attempts:
             attempt.pending = pending
             self._start_overdue_timer(attempt)
@@ -175,7 +182,7 @@
         self._answer(response, reason)
 
     def _on_refusal(self, target: Target, result: HopResult) -> None:
-        """Try another target: the request has not run."""
+        """Try another target after one that did not run the request."""
         self.excluded_targets.add(target.target)
         self.refusals += 1
         self.reason = result.reason
@@ -192,7 +199,7 @@
             self.send()
 
     def _retry_after_failure(self, reason: str) -> None:
-        """Send the request again if it may run twice and the budget allows it."""
+        """Retry the request if it is idempotent and the retry budget allows it."""
         if self.attempts:
             return
         target = self.outbound.choose(self) if self._may_resend() else None
@@ -236,7 +243,7 @@
             )
 
     def _retry_after_delay(self) -> timedelta:
-        """Return when the caller should come back, spread so that callers do not return at once."""
+        """Return after what time the caller should retry, with jitter."""
         wait = max(MIN_RETRY_AFTER, self.retry_after or NO_TARGET_RETRY_AFTER)
         wait *= 1.0 + RETRY_AFTER_JITTER * self.outbound.rng.random()
         left = self.caller_deadline_at - self.outbound.clock.monotonic()
@@ -261,7 +268,7 @@
         self._log("answered", reason, response.status)
 
     def _finish(self) -> None:
-        """Take back what is still sent: the request has its answer, or its caller left."""
+        """End the request: cancel its deadline timer and the pending attempts."""
         self.done = True
         self.timer.cancel()
         self.outbound.active.discard(self)
--- a/almondshore/mesh/hop.py
+++ b/almondshore/mesh/hop.py
@@ -1,4 +1,4 @@
-"""What two nodes tell each other with a request and its response."""
+"""Headers that nodes add to requests and responses between them."""
 
 from datetime import timedelta
 from enum import StrEnum
@@ -16,10 +16,11 @@
 
 
 class Outcome(StrEnum):
-    """How a request ended at the node beside its target.
+    """How a request ended at its target's node.
 
-    ``REFUSED``: it has not run and will not. ``REJECTED``: the target itself refused to run it.
-    ``ANSWERED``: the target's response is attached. ``BROKEN``: it may have run, no response.
+    ``REFUSED``: the node did not pass it to the target; it has not run. ``REJECTED``: the target
+    declined to run it. ``ANSWERED``: the target's response is attached. ``BROKEN``: there is no
+    response, though the request may have run.
     """
 
     REFUSED = "refused"
@@ -29,7 +30,7 @@
 
 
 class UnavailableReason(StrEnum):
-    """Why the node beside a target refuses a request for a reason other than load."""
+    """Reasons other than load for which a target's node refuses requests."""
 
     NO_TARGET = "no-target"
     WRONG_TARGET = "wrong-target"
@@ -39,16 +40,18 @@
 
 
 class HopTerms(NamedTuple):
-    """Terms of a request, sent to the node beside its target.
+    """Terms of a request, sent to its target's node.
 
-    Times are durations, since clocks of hosts differ.
+    Times are durations, since the clocks of hosts differ.
 
-    :ivar target: identity of the target that was chosen
-    :ivar service: its service; a later target of it beside the same node will do as well
-    :ivar version: its version
+    :ivar target: identity of the chosen target
+    :ivar service: service of the target; a newer target of the same service and version at that
+        node may run the request instead
+    :ivar version: version of the target
     :ivar caller: service of the target on the host where the request originated
-    :ivar objective_ms: time left in which the response is on time, may be negative
-    :ivar deadline_ms: time left after which the response is of no use
+    :ivar urgency: priority of the route, 0 is the most urgent
+    :ivar objective_ms: time left to meet the latency objective, may be negative
+    :ivar deadline_ms: time left until the deadline, after which a response is useless
     """
 
     route: str
@@ -65,10 +68,11 @@
 class HopReport(NamedTuple):
     """Outcome of a request and the load of its target, sent with the response.
 
-    :ivar service_ms: expected time in a slot for the route of the request
+    :ivar service_ms: expected service time of the request's route
     :ivar failure_rate: recent share of failed requests, 0 to 1
-    :ivar retry_after_ms: when a refused request may fit, 0 if not known
-    :ivar config_version: version in force at the reporting node
+    :ivar leaving: whether the target is draining or its node shutting down
+    :ivar retry_after_ms: time until a refused request may be accepted, 0 if not known
+    :ivar config_version: configuration version in force at the reporting node
     """
 
     outcome: Outcome
@@ -83,7 +87,7 @@
     config_version: int
 
     def load(self) -> LoadReport:
-        """Return the part about the target's load."""
+        """Return the load of the target."""
         return LoadReport(
             self.running,
             self.waiting,
@@ -95,11 +99,11 @@
 
 
 class HopResult(NamedTuple):
-    """End of a request at a target, as the node that sent it sees it.
+    """Result of an attempt, as seen by the node that sent it.
 
     :ivar response: the target's own response if the outcome is ``ANSWERED`` or ``REJECTED``
-    :ivar report: None if the node beside the target did not answer
-    :ivar unreachable: whether the node could not be reached or went away
+    :ivar report: None if the target's node sent none
+    :ivar unreachable: whether the target's node could not be reached or the connection was lost
     """
 
     outcome: Outcome
@@ -115,7 +119,7 @@
 
 
 def decode_terms(request: Request) -> HopTerms | None:
-    """Return the terms of a request from another node, or None if it has none."""
+    """Return the terms of a request, or None if they are missing or malformed."""
     value = find_header(request.headers, TERMS_HEADER)
     if value is None:
         return None
@@ -131,7 +135,7 @@
 
 
 def decode_report(headers: Headers) -> HopReport | None:
-    """Return the report of a response from another node, or None if it has none."""
+    """Return the report of a response, or None if it is missing or malformed."""
     value = find_header(headers, REPORT_HEADER)
     if value is None:
         return None
--- a/almondshore/mesh/inbound.py
+++ b/almondshore/mesh/inbound.py
@@ -1,4 +1,4 @@
-"""Requests for the target beside this node."""
+"""Requests for the local target."""
 
 from collections.abc import Callable
 from datetime import timedelta
@@ -27,14 +27,15 @@
 from almondshore.mesh.local import LocalTarget
 from almondshore.mesh.model import Address, Death
 
-# A target answers by the deadline it is given; later, the connection is given up.
+# Targets answer by the deadline they are given. The connection is closed this much later.
 DEADLINE_SLACK = timedelta(milliseconds=100)
-# A target may drop an idle connection just when a request is sent on it. Requests that must not
-# run twice therefore use connections that were in use a moment ago, or new ones.
+# A target may close an idle connection just as a request is sent on it. Requests that are not
+# idempotent therefore use only connections that were in use within this time, or new ones.
 FRESH_CONNECTION_MAX_IDLE = timedelta(milliseconds=300)
-# A request on a connection that the target had dropped fails at once.
+# A request on a connection that the target had already closed fails within this time.
 STALE_CONNECTION_MAX_TIME = timedelta(milliseconds=30)
-# Refused after the target refused a connection, until it announces itself or this time passes.
+# After a failed connection to the target, requests are refused for this long or until its next
+# announcement.
 TARGET_DOWN_PAUSE = timedelta(milliseconds=300)
 
 
@@ -42,7 +43,8 @@
     """A request for the local target, from its arrival to its result.
 
     :ivar target: identity of the target that runs it
-    :ivar queue: queue of that target, None if the request was refused before
+    :ivar queue: queue of that target, None if the request was refused before it was queued
+    :ivar resent: whether it was sent again after the target had closed an idle connection
     """
 
     def __init__(
@@ -78,22 +80,24 @@
         self.inbound.send(self)
 
     def refuse(self, reason: Refusal, retry_after: timedelta) -> None:
-        """Report that the request was not started."""
+        """Deliver a refusal: the queue will not start the request."""
         self.inbound.finish(self, Outcome.REFUSED, str(reason), retry_after=retry_after)
 
     def cancel(self) -> None:
-        """Take the request back: its caller left."""
+        """Cancel the request after its caller has disconnected."""
         self.inbound.cancel(self)
 
 
 class Inbound(ExchangeHandler):
-    """Admits requests to the target's slots and passes them on.
+    """Admits requests to the target's slots and forwards them to the target.
 
-    :param app: address of the target beside this node
+    :param app: address of the local target
     :param config_version: returns the version of the configuration in force
-    :ivar on_death: told when the target died while it ran requests
-    :ivar leaving: whether other nodes should prefer other targets
-    :ivar closed: whether new requests are refused, since the process ends soon
+    :param internal: handles requests of other nodes that are not meant for the target
+    :ivar is_retired: tells whether a version of a service must get no more requests
+    :ivar on_death: called when the target died while it ran requests
+    :ivar leaving: whether other nodes are told to prefer other targets
+    :ivar closed: whether new requests are refused because the process is about to exit
     """
 
     def __init__(
@@ -125,7 +129,7 @@
         self.target_down_until = timedelta()
 
     def handle(self, exchange: Exchange) -> None:
-        """Handle a request of another node."""
+        """Handle a request from another node."""
         terms = decode_terms(exchange.request)
         if terms is None:
             self.internal.handle(exchange)
@@ -138,7 +142,10 @@
     def submit(
         self, request: Request, terms: HopTerms, on_result: Callable[[HopResult], None]
     ) -> Submission:
-        """Admit a request; its result is delivered once, possibly before this returns."""
+        """Queue or refuse a request.
+
+        :param on_result: called once with the result, possibly before this method returns
+        """
         submission = Submission(inbound=self, request=request, terms=terms, on_result=on_result)
         self.active.add(submission)
         reason = self._unavailable_reason(terms)
@@ -176,7 +183,7 @@
         )
 
     def cancel(self, submission: Submission) -> None:
-        """Stop a request whose caller left."""
+        """Cancel a request whose caller has disconnected."""
         if submission.done:
             return
         submission.done = True
@@ -198,7 +205,7 @@
         response: Response | None = None,
         retry_after: timedelta = timedelta(),
     ) -> None:
-        """Deliver the result of a request."""
+        """Log a request that has ended and deliver its result."""
         if submission.done:
             return
         submission.done = True
@@ -208,7 +215,7 @@
         submission.on_result(HopResult(outcome, reason, response, report))
 
     def _unavailable_reason(self, terms: HopTerms) -> str | None:
-        """Return why a request cannot be taken, or None."""
+        """Return why a request cannot be admitted, or None."""
         if self.closed:
             return UnavailableReason.SHUTTING_DOWN
         if self.local.announced is None:
@@ -249,7 +256,7 @@
         submission.queue.release(submission, observed=ran and ok)
 
     def report_death(self) -> None:
-        """Report the death of the target if it ran something just before."""
+        """Report that the target died, if requests were running at it just before."""
         death = self.deaths.detect_death()
         if death is not None:
             self.on_death(death)
@@ -268,7 +275,7 @@
     def _is_stale_connection(
         self, submission: Submission, result: CallResult, took: timedelta
     ) -> bool:
-        """Tell whether the connection was dropped by the target before the request arrived."""
+        """Tell whether the target closed an idle connection before the request arrived."""
         return (
             result.failure is CallFailure.CLOSED
             and result.reused
@@ -278,7 +285,7 @@
         )
 
     def _classify_result(self, result: CallResult) -> tuple[Outcome, str, bool]:
-        """Return the outcome, its reason and whether the request succeeded."""
+        """Return the outcome, the reason and whether the request succeeded."""
         if result.response is None:
             if not result.sent:
                 return Outcome.REFUSED, UnavailableReason.TARGET_DOWN, False
@@ -338,7 +345,7 @@
 
 
 def _to_response(result: HopResult) -> Response:
-    """Return the response to the node that sent the request."""
+    """Return the response for the node that sent the request."""
     header = encode_report(result.report)
     if result.response is None:
         return Response(503, (header,))
--- a/almondshore/mesh/liveness.py
+++ b/almondshore/mesh/liveness.py
@@ -1,4 +1,4 @@
-"""Finds nodes that have gone silent while requests wait for them, and those that are back."""
+"""Detects nodes that have stopped responding, and those that respond again."""
 
 from collections.abc import Callable
 from datetime import timedelta
@@ -13,18 +13,19 @@
 from almondshore.mesh.model import Address
 from almondshore.mesh.peers import ALIVE_PATH, PeerClient
 
-# Nodes answer within a few milliseconds; a busy one has been seen to take 100 ms.
+# Nodes answer within a few milliseconds, busy ones within 100 ms.
 PROBE_TIMEOUT = timedelta(milliseconds=250)
-# A single lost packet must not condemn a node.
+# A single lost packet must not make a node count as unreachable.
 PROBE_ATTEMPTS = 2
-# A node that answered is not asked again within this time.
+# A node that answered is not probed again for overdue responses within this time.
 PROBE_INTERVAL = timedelta(seconds=1)
 
 
 class LivenessProber:
-    """Asks a node whether it is there, on a new connection.
+    """Probes nodes on new connections.
 
-    :ivar on_lost: called with a node that does not answer
+    :ivar probed_at: monotonic time of the last probe that an overdue response caused, by node
+    :ivar on_unresponsive: called with the address of a node that does not answer
     """
 
     def __init__(
@@ -38,7 +39,7 @@
         self.on_unresponsive: Callable[[Address], None] = lambda _node: None
 
     def suspect(self, node: Address) -> None:
-        """Ask a node from which a response is overdue."""
+        """Probe a node whose response is overdue, unless it was probed recently."""
         now = self.clock.monotonic()
         last = self.probed_at.get(node)
         if last is not None and now - last < PROBE_INTERVAL:
@@ -47,9 +48,10 @@
         eventlet.spawn(self.probe, node)
 
     def recheck(self, node: Address, pause: timedelta) -> None:
-        """Ask a node that could not be reached again after a pause.
+        """Probe an unreachable node after a pause.
 
-        One that does not answer is asked again, since the directory takes note of it.
+        If it does not answer, it is marked unreachable again and the directory schedules another
+        recheck.
         """
         hubs.get_hub().schedule_call_global(pause.total_seconds(), self._recheck, node)
 
@@ -58,19 +60,22 @@
             eventlet.spawn(self.probe, node)
 
     def retain(self, nodes: set[Address]) -> None:
-        """Forget when other nodes were asked."""
+        """Drop the probe times of all other nodes."""
         for node in self.probed_at.keys() - nodes:
             del self.probed_at[node]
 
     def probe(self, node: Address) -> bool:
-        """Ask a node; returns whether it answered."""
+        """Probe a node and update the directory.
+
+        :return: whether the node answered
+        """
         for _ in range(PROBE_ATTEMPTS):
             if self.client.get(node, ALIVE_PATH, new_connection=True) is not None:
                 self.directory.mark_reachable(node)
                 return True
         log_event("peer_silent", level="WARNING", peer=f"{node[0]}:{node[1]}")
         self.directory.mark_unreachable(node, "silent")
-        # Connections that were idle when the node went silent would swallow further requests.
+        # Further requests on its idle connections would get no answer.
         self.pool.drop(node)
         self.probed_at.pop(node, None)
         self.on_unresponsive(node)
--- a/almondshore/mesh/local.py
+++ b/almondshore/mesh/local.py
@@ -1,4 +1,4 @@
-"""The target beside this node: what it announced, and how long it takes new work."""
+"""State of the local target: its announcements, drain and deregistration."""
 
 from datetime import timedelta
 from enum import Enum
@@ -9,21 +9,21 @@
 from almondshore.limits.objective import ObjectiveQueue
 from almondshore.mesh.model import Address, Announcement, Target, TargetState
 
-# Shares of the drain time, from the acknowledgement: new requests are taken until the first,
-# waiting ones start until the second. The rest is margin for a slow host.
+# Shares of the drain time, counted from the acknowledgement: new requests are accepted until the
+# first, waiting ones are started until the second. The rest is a margin for slow hosts.
 DRAIN_ACCEPT_SHARE = 0.35
 DRAIN_START_SHARE = 0.6
-# A process that cannot read the store does not know whether the one before it acknowledged that
-# the target leaves. It waits this many drain times, after which such a target is gone.
+# A process that has not read the store does not know whether its predecessor acknowledged a drain
+# of the target. It sends no requests for this many drain times, after which that drain is over.
 STORE_UNREAD_HOLD_FACTOR = 1.5
-# A host runs one target at a time; notices of earlier ones may still arrive.
+# A host runs one target at a time, but deregistrations of earlier ones may still arrive.
 MAX_DEREGISTRATIONS = 16
 
 
 class Deregistration(NamedTuple):
-    """A target's notice that it leaves for good.
+    """A target's notice that it leaves the mesh permanently.
 
-    :ivar born_ms: start of the latest incarnation that it speaks for
+    :ivar born_ms: start time of the latest incarnation that it applies to
     :ivar since: monotonic time at which it was acknowledged
     """
 
@@ -32,7 +32,7 @@
 
 
 class AnnouncementResult(Enum):
-    """What became of an announcement."""
+    """Whether an announcement was applied."""
 
     ACCEPTED = "accepted"
     UNCHANGED = "unchanged"
@@ -40,16 +40,18 @@
 
 
 class LocalTarget:
-    """State of the target beside this node.
+    """State of the local target.
 
-    Only an announcement that was received by this process makes the target usable: a node that
-    was restarted must not send work to a target whose leaving it acknowledged before.
+    The target gets requests only after this process has received an announcement: a restarted
+    node must not send requests to a target whose drain or deregistration it acknowledged before.
 
-    :param link_mbps: bandwidth of this node's link, told to the others with the entry
+    :param drain: longest time in which a draining target may get new requests
+    :param link_mbps: bandwidth of this node's link, published with the entry
     :ivar announced: the newest announcement
-    :ivar draining_since: when the target's leaving was first taken note of
-    :ivar confirmed: whether stored entries were seen, which may tell that the target leaves
-    :ivar departed: notices of departure by identity of the target
+    :ivar draining_since: monotonic time of the first acknowledged drain or deregistration
+    :ivar warm_at: monotonic time at which the target's slow start ends
+    :ivar store_read: whether stored entries were read, which may say that the target is draining
+    :ivar deregistrations: the latest ones, by identity of the target
     """
 
     def __init__(self, *, clock: Clock, node: Address, drain: timedelta, link_mbps: float = 0.0):
@@ -66,7 +68,7 @@
         self.queue: ObjectiveQueue | None = None
 
     def announce(self, announcement: Announcement) -> AnnouncementResult:
-        """Take in an announcement of the target."""
+        """Apply an announcement of the target, unless it is outdated."""
         known = self.announced
         if known is not None and self._is_outdated(known, announcement):
             log_event(
@@ -92,7 +94,7 @@
             self.queue.resize(announcement.slots)
         leaving = self.draining_since is not None or self._is_deregistered(announcement)
         if leaving and announcement.state is TargetState.READY:
-            # A late announcement does not call back a target that said it leaves.
+            # A delayed announcement must not end the drain.
             announcement = announcement._replace(state=TargetState.DRAINING)
         self.announced = announcement
         self.warm_at = self.clock.monotonic() + announcement.warmup
@@ -102,12 +104,11 @@
         return AnnouncementResult.ACCEPTED if changed else AnnouncementResult.UNCHANGED
 
     def deregister(self, target: str, born_ms: int, *, since: timedelta | None = None) -> bool:
-        """Take note that a target leaves for good.
+        """Record that a target leaves the mesh permanently, even if it was never announced.
 
-        The notice binds also if it comes before any announcement of the target.
-
-        :param since: when it was acknowledged, by default now
-        :returns: whether it is the present one
+        :param born_ms: start time of the latest incarnation that leaves
+        :param since: monotonic time of the acknowledgement, by default now
+        :return: whether it is the current target
         """
         since = self.clock.monotonic() if since is None else since
         known = self.deregistrations.pop(target, None)
@@ -124,7 +125,7 @@
         return True
 
     def accepts_requests(self) -> bool:
-        """Tell whether new requests for the target may be taken now."""
+        """Tell whether new requests for the target are accepted now."""
         if self.announced is None:
             return False
         if not self.store_read and self.clock.monotonic() < self.started_at + self._hold_time():
@@ -134,17 +135,17 @@
         return self.clock.monotonic() < self.draining_since + self.drain * DRAIN_ACCEPT_SHARE
 
     def apply_stored_entry(self, target: Target) -> None:
-        """Take note of a stored entry, which another process of this node may have written."""
+        """Apply a stored entry, which an earlier process of this node may have written."""
         own = self.announced is not None and self.announced.target == target.target
         if own and self.draining_since is not None:
             return
         if target.node == self.node and target.state is not TargetState.READY:
-            # The acknowledgement may be any time ago.
+            # It is not known when the drain was acknowledged; assume that its time is over.
             since = self.clock.monotonic() - self.drain
             self.deregister(target.target, target.born_ms, since=since)
 
     def enforce_drain(self) -> None:
-        """Refuse waiting requests once the drain time is nearly over; call this regularly."""
+        """Refuse waiting requests late in the drain; must be called periodically."""
         if self.draining_since is None or self.queue is None or self.queue.closed:
             return
         if self.clock.monotonic() >= self.draining_since + self.drain * DRAIN_START_SHARE:
@@ -155,7 +156,7 @@
         return self.clock.monotonic() >= self.warm_at
 
     def record(self) -> Target | None:
-        """Return the entry that other nodes see."""
+        """Return the entry to publish to other nodes, None before any announcement."""
         announcement = self.announced
         if announcement is None:
             return None
@@ -180,7 +181,7 @@
         return deregistration is not None and announcement.born_ms <= deregistration.born_ms
 
     def _begin_drain(self, announcement: Announcement) -> None:
-        """Count the drain from its first acknowledgement."""
+        """Start the drain, or move its start back to an earlier acknowledgement."""
         since = self.clock.monotonic()
         if self._is_deregistered(announcement):
             since = min(since, self.deregistrations[announcement.target].since)
--- a/almondshore/mesh/metrics.py
+++ b/almondshore/mesh/metrics.py
@@ -1,4 +1,4 @@
-"""Metrics of a node, served as text."""
+"""Metrics and status of a node over HTTP."""
 
 from datetime import timedelta
 from typing import TYPE_CHECKING
@@ -15,26 +15,29 @@
 if TYPE_CHECKING:
     from almondshore.mesh.node import MeshNode
 
-# The platform's requests name no organisation that a metric could be kept for.
+# The platform's requests do not name an organisation, so metrics are not kept by tenant.
 NO_TENANT = ""
 JSON = ((b"Content-Type", b"application/json"),)
 
 
 class MeshMetrics:
-    """Counters and latency histograms by class of route."""
+    """Request counters and latency histograms by class of route."""
 
     def __init__(self, *, node: str, zone: str):
         self.metrics = Metrics(max_tenants=1, constant={"node": node, "zone": zone})
 
     def observe(self, route: Route, status: int, took: timedelta) -> None:
-        """Record a finished request of a caller."""
+        """Record a finished request of a caller.
+
+        :param status: HTTP status of the response, 0 if the request was cancelled
+        """
         outcome = f"{status // 100}xx" if status else "cancelled"
         self.metrics.observe_request(
             tenant=NO_TENANT, request_class=_route_class(route), outcome=outcome, latency=took
         )
 
     def render(self, node: "MeshNode") -> tuple[bytes, str]:
-        """Return the present values in the text format, and its content type."""
+        """Return the current values in the text exposition format, and its content type."""
         queue = node.local.queue
         down_since = node.feeds.store_unavailable_since()
         values = {
@@ -59,7 +62,10 @@
 
 
 def _route_class(route: Route) -> str:
-    """Return the class of a route; routes come and go, and would be series without end."""
+    """Return the class of a route.
+
+    Routes change over time, so that a label by route would create an unbounded number of series.
+    """
     kind = "idempotent" if route.idempotent else "once"
     return f"priority-{route.priority}-{kind}"
 
@@ -68,14 +74,14 @@
 
 
 class MetricsHandler(ExchangeHandler):
-    """Serves the metrics, and what the node believes as JSON."""
+    """Serves the metrics as text and the status views as JSON."""
 
     def __init__(self, *, metrics: MeshMetrics, node: "MeshNode"):
         self.metrics = metrics
         self.node = node
 
     def handle(self, exchange: Exchange) -> None:
-        """Answer a scrape, or an operator."""
+        """Respond with a status view if the path names one, else with the metrics."""
         view = STATUS_VIEWS.get(exchange.request.target.partition(b"?")[0])
         if view is not None:
             exchange.respond(Response(200, JSON, msgspec.json.encode(view(self.node))))
--- a/almondshore/mesh/model.py
+++ b/almondshore/mesh/model.py
@@ -1,4 +1,4 @@
-"""Configuration, targets and rollouts as the request path sees them."""
+"""Data model of configuration, targets and rollouts."""
 
 from datetime import timedelta
 from enum import StrEnum
@@ -13,7 +13,7 @@
 class Share(NamedTuple):
     """Part of a route's requests that goes to a service.
 
-    :ivar weight: relative to the other parts of the route, not negative
+    :ivar weight: relative to the other shares of the route, not negative
     """
 
     service: str
@@ -24,10 +24,10 @@
     """A route of the configuration.
 
     :ivar idempotent: whether a request may run more than once
-    :ivar timeout: longest time a request may be kept waiting
-    :ivar objective: time within which a response is on time
-    :ivar priority: rank, 0 is the most urgent
-    :ivar max_attempts: most targets that may run one request
+    :ivar timeout: longest time until a request is answered
+    :ivar objective: latency objective, the time within which a response is on time
+    :ivar priority: 0 is the most urgent
+    :ivar max_attempts: number of times that one request may run at most
     """
 
     name: str
@@ -52,7 +52,7 @@
             found.sort(key=lambda route: -len(route.prefix))
 
     def match(self, host: str, path: str) -> Route | None:
-        """Return the route with the longest prefix of the path, or None."""
+        """Return the route whose prefix is the longest match for the path, or None."""
         for route in self.hosts.get(host.lower(), ()):
             if path.startswith(route.prefix):
                 return route
@@ -60,11 +60,11 @@
 
 
 class MeshConfig(NamedTuple):
-    """A version of the configuration, applied whole.
+    """A version of the configuration, applied atomically.
 
     :ivar version: increases with each change by the operator
     :ivar services: names of the configured services
-    :ivar raw: the configuration as it was stored, for nodes that cannot reach the store
+    :ivar raw: the configuration as stored, served to nodes that cannot reach the store
     """
 
     version: int
@@ -75,7 +75,7 @@
 
 
 class TargetState(StrEnum):
-    """What a target says of itself."""
+    """State that a target announces."""
 
     READY = "ready"
     DRAINING = "draining"
@@ -83,13 +83,13 @@
 
 
 class Target(NamedTuple):
-    """A target and the node beside it.
+    """A target and its node.
 
     :ivar target: identity of the target
-    :ivar node: address at which the node beside it takes requests for it
-    :ivar born_ms: Unix time of the target's start, in milliseconds, by its own clock
-    :ivar sequence: increases with each announcement of one incarnation
-    :ivar link_mbps: bandwidth of the node's link, 0 if it is not known
+    :ivar node: address at which its node accepts requests for it
+    :ivar born_ms: Unix time of the target's start in milliseconds, by its own clock
+    :ivar sequence: increases with each announcement of an incarnation
+    :ivar link_mbps: bandwidth of the node's link, 0 if unknown
     """
 
     target: str
@@ -105,9 +105,10 @@
 
 
 class Announcement(NamedTuple):
-    """What a target tells the node beside it.
+    """Announcement of a target to its node.
 
-    :ivar warmup: how much longer the target is slow after its start
+    :ivar address: address at which the target accepts requests
+    :ivar warmup: remaining time of the target's slow start
     """
 
     target: str
@@ -123,7 +124,7 @@
 
 
 class RolloutState(StrEnum):
-    """Progress of a rollout."""
+    """Stage of a rollout."""
 
     ORDERED = "ordered"
     RUNNING = "running"
@@ -132,11 +133,11 @@
 
 
 class Rollout(NamedTuple):
-    """An order to move a service to a version, and how far it is.
+    """An order to move a service to a version, and its progress.
 
     :ivar duration: time from the order to the deadline
-    :ivar share: part of the service's requests that the version gets, 0 to 1
-    :ivar revision: of the stored object, for conditional updates
+    :ivar share: share of the service's requests that go to the version, 0 to 1
+    :ivar revision: revision of the stored object, for conditional updates
     """
 
     service: str
@@ -148,13 +149,13 @@
 
 
 class LoadReport(NamedTuple):
-    """Load of a target, as the node beside it reports it with each response.
+    """Load of a target, as its node reports it with each response.
 
-    :ivar running: requests in the target's slots
+    :ivar running: requests that occupy slots of the target
     :ivar waiting: requests that wait for a slot
-    :ivar service_time: expected time in a slot for the route of the request
+    :ivar service_time: expected service time of the request's route
     :ivar failure_rate: recent share of requests that failed, 0 to 1
-    :ivar leaving: whether the target or its node takes no further work soon
+    :ivar leaving: whether the target is draining or its node shutting down
     """
 
     running: int
@@ -166,9 +167,9 @@
 
 
 class Death(NamedTuple):
-    """A target that died, and what it ran.
+    """Death of a target, and the requests that it was running.
 
-    :ivar name: identity of the death, the same whoever reports it
+    :ivar name: identity of the death, the same in the reports of all nodes
     """
 
     name: str
--- a/almondshore/mesh/node.py
+++ b/almondshore/mesh/node.py
@@ -1,4 +1,4 @@
-"""One node of a mesh: its listeners, its state and its life from start to stop."""
+"""A node of the mesh: its listeners, state and lifecycle."""
 
 import os
 import random
@@ -39,42 +39,45 @@
 from almondshore.retries.crash import QUARANTINE, CrashGuard
 from almondshore.routing.completion import CompletionChooser
 
-# Before a configuration is known, and for listeners that callers do not use.
+# Limits before a configuration is known, and of listeners that do not serve callers.
 DEFAULT_LIMITS = ServerLimits(
     RequestLimits(64 * 1024, 64 * 1024 * 1024), timedelta(seconds=10), timedelta(seconds=60)
 )
-# Callers stop sending new work after two failed readiness checks, one a second.
+# Callers stop sending requests after two failed readiness checks, one a second.
 MIN_STOP_TIME = timedelta(seconds=2.6)
-# What is still running at this share of the grace period is given up.
+# Requests that still run after this share of the grace period are abandoned.
 MAX_STOP_GRACE_SHARE = 0.9
-# The entry of a target that is gone is removed at the end of a stop; the store may be slow.
+# Time limit for removing the entry of a target that is gone before the process exits, since the
+# store may be slow.
 WITHDRAW_TIMEOUT = timedelta(milliseconds=200)
 STOP_POLL_S = 0.05
 HOUSEKEEPING_INTERVAL_S = 0.25
 EXPIRE_EVERY_TICKS = 8
-# Part of the shared retry budget that nodes spend; the rest covers uneven load between them and
-# the calls that a repeated request makes again, which count at the service that is called. At 0.75
-# a service whose targets rejected half of what arrived got 1,693 retries, 1,589 were allowed.
+# Share of the common retry budget that is divided among the nodes. The rest covers uneven load
+# between nodes, and the calls that a retried request makes again, which count at the called
+# service. At 0.75, a service whose targets rejected half of the requests got 1,693 retries where
+# 1,589 were allowed.
 RETRY_BUDGET_SHARE = 0.6
+# Retries that a node may save up, as a share of those that are always allowed in a window.
 MAX_SAVED_RETRY_SHARE = 0.4
 
 
 class ReadinessHandler(ExchangeHandler):
-    """Tells whether new requests may come."""
+    """Answers readiness checks."""
 
     def __init__(self, *, node: "MeshNode"):
         self.node = node
 
     def handle(self, exchange: Exchange) -> None:
-        """Answer 200 if the node is ready, else 503."""
+        """Respond with status 200 if the node is ready, else 503."""
         exchange.respond(Response(200 if self.node.is_ready() else 503))
 
 
 class MeshNode:
-    """Joins the parts of a node.
+    """Creates, connects and runs the components of a node.
 
     :param config_name: name of the stored item that holds the configuration
-    :param log_stream: takes the log lines, and is written out regularly
+    :param log_stream: buffers log lines and is flushed periodically
     """
 
     def __init__(
@@ -189,9 +192,9 @@
         self.servers: list[HttpServer] = []
 
     def start(self, announcements: ExchangeHandler) -> None:
-        """Open the listeners and start the work in the background.
+        """Open the listeners and start the background workers.
 
-        :param announcements: handles what the target beside this node says of itself
+        :param announcements: handles announcements and deregistrations of the local target
         """
         settings = self.settings
         self.outbound_server = self._listen(settings.outbound, self.outbound, self._caller_limits)
@@ -213,7 +216,7 @@
         )
 
     def close(self) -> None:
-        """End all work and close the listeners at once, for a node embedded in a process."""
+        """Stop the workers and listeners immediately, for a node that is embedded in a process."""
         self.feeds.kill()
         for greenlet in self.greenlets:
             greenlet.kill()
@@ -226,11 +229,14 @@
         return self.outbound.config
 
     def is_ready(self) -> bool:
-        """Tell whether new requests may come."""
+        """Tell whether the node accepts new requests of callers."""
         return self.outbound.config is not None and self.stopping_since is None
 
     def on_announcement(self, announcement: Announcement) -> None:
-        """Take in an announcement of the target on this host."""
+        """Apply an announcement of the local target.
+
+        Announcements of another service or address are logged and ignored.
+        """
         if (
             announcement.service != self.settings.service
             or announcement.address != self.settings.app
@@ -243,15 +249,15 @@
                 address=announcement.address,
             )
             return
-        known = self.local.announced
+        previous = self.local.announced
         result = self.local.announce(announcement)
         self.inbound.target_down_until = timedelta()
         if result is not AnnouncementResult.ACCEPTED:
             return
         if (
-            known is None
-            or known.target != announcement.target
-            or known.born_ms != announcement.born_ms
+            previous is None
+            or previous.target != announcement.target
+            or previous.born_ms != announcement.born_ms
         ):
             self.inbound.report_death()
             self.recorder.reset()
@@ -267,21 +273,21 @@
         self._publish()
 
     def on_deregistration(self, target: str, born_ms: int | None) -> None:
-        """Take note that the target on this host leaves for good.
+        """Apply the deregistration of the local target.
 
-        :param born_ms: start of the target; without it the present incarnation is meant
+        :param born_ms: start of the target in Unix milliseconds; None for the current incarnation
         """
         if born_ms is None:
-            present = self.local.announced
+            current = self.local.announced
             now_ms = int(self.clock.now().timestamp() * 1000)
-            born_ms = present.born_ms if present is not None else now_ms
-        known = self.local.deregister(target, born_ms)
-        log_event("target_departing", target=target, known=known, born_ms=born_ms)
-        if known:
+            born_ms = current.born_ms if current is not None else now_ms
+        is_current = self.local.deregister(target, born_ms)
+        log_event("target_departing", target=target, known=is_current, born_ms=born_ms)
+        if is_current:
             self._publish()
 
     def apply_settings(self, settings: MeshSettings) -> None:
-        """Take over changed settings, except for the addresses of listeners."""
+        """Apply changed settings, except for the addresses of listeners."""
         kept = ("outbound", "inbound", "ready", "control", "metrics")
         fixed = {name: getattr(self.settings, name) for name in kept}
         self.settings = settings._replace(**fixed)
@@ -291,7 +297,7 @@
         self._set_retry_budget()
 
     def stop(self) -> None:
-        """Begin to stop: finish what runs, then leave."""
+        """Begin a graceful stop, in which running requests are completed."""
         if self.stopping_since is not None:
             return
         self.stopping_since = self.clock.monotonic()
@@ -305,7 +311,7 @@
         )
 
     def run_until_stopped(self) -> None:
-        """Wait for the end of the process."""
+        """Block until the process may exit, then remove the entry of a target that is gone."""
         while not self._may_exit():
             eventlet.sleep(STOP_POLL_S if self.stopping_since is not None else 1.0)
         with eventlet.Timeout(WITHDRAW_TIMEOUT.total_seconds(), False):
@@ -351,14 +357,14 @@
         record = self.local.record()
         self.publisher.publish(record)
         if self.local.store_read:
-            # The directory need not wait for the store to learn of the target beside it.
+            # Makes the local target known to this node before the store has been updated.
             self.directory.put(record)
 
     def _on_directory_change(self) -> None:
         targets = self.directory.targets
         own = self.local.record()
         if own is not None and own.target not in targets:
-            # A full read may precede the first write of the own entry.
+            # A full read of the store may precede the first write of the local target's entry.
             self.directory.put(own)
             self.publisher.restore()
             return
--- a/almondshore/mesh/outbound.py
+++ b/almondshore/mesh/outbound.py
@@ -1,4 +1,4 @@
-"""Requests that originate on this host: route, choice of a target, sending."""
+"""Requests that originate on this host: routing, choice of a target and sending."""
 
 import random
 from collections.abc import Callable
@@ -33,12 +33,12 @@
 from almondshore.routing.completion import CompletionChooser
 from almondshore.routing.weights import pick_weighted
 
-# A target that refused a route for lack of room is not tried again for the same route within
-# these times: the first by new requests, the second by requests that another target refused.
-# About 10 slots of 200 ms come free each 20 ms, and other nodes send there too.
+# A target that refused a route as overloaded gets no requests of that route for this long: the
+# first time applies to new requests, the second to requests that were already refused once. With
+# about 10 slots and 200 ms per request a slot becomes free every 20 ms, and other nodes compete.
 OVERLOAD_PAUSE = timedelta(milliseconds=50)
 OVERLOAD_RETRY_PAUSE = timedelta(milliseconds=250)
-# How long a target is passed over after it refused for a reason other than load.
+# How long a target gets no requests after it refused one for a reason other than load.
 REFUSAL_PAUSES = {
     Refusal.DRAINING: timedelta(seconds=10),
     UnavailableReason.WRONG_TARGET: timedelta(seconds=2),
@@ -52,11 +52,13 @@
 class Outbound(ExchangeHandler):
     """Routes the requests of callers on this host.
 
-    :ivar suspect: told of a node whose response is overdue
-    :ivar closed: whether new requests are refused, since the process ends soon
-    :param caller: returns the service of the target beside this node
-    :param on_version: told the configuration version in force at a node that answered
-    :param observe: counts a finished request
+    :param node: address of this node
+    :param caller: returns the service of the local target
+    :param on_version: called with the address of a node that responded and its configuration
+        version
+    :param observe: records the route, status and duration of a finished request
+    :ivar suspect: called with the address of a node whose response is overdue
+    :ivar closed: whether new requests are refused because the process is about to exit
     """
 
     def __init__(
@@ -98,7 +100,7 @@
         self.active: set[ForwardedRequest] = set()
 
     def config_version(self) -> int:
-        """Return the version in force, 0 if none is known."""
+        """Return the configuration version in force, 0 if none is known."""
         return self.config.version if self.config is not None else 0
 
     def handle(self, exchange: Exchange) -> None:
@@ -134,18 +136,18 @@
         forwarded.send()
 
     def on_unresponsive(self, node: Address) -> None:
-        """Send the requests that wait for a silent node elsewhere."""
+        """Retry the requests that wait for a node which does not respond."""
         for forwarded in list(self.active):
             forwarded.on_node_unresponsive(node)
 
     def choose(self, forwarded: ForwardedRequest) -> Target | None:
-        """Return the best target that has not been tried."""
+        """Return the best target that the request may be sent to, or None."""
         candidates = self._candidates(forwarded)
         route = forwarded.route
         return self.chooser.choose(candidates, route=route.name, objective=route.objective)
 
     def choose_idle(self, forwarded: ForwardedRequest) -> Target | None:
-        """Return the best target that has not been tried and has a free slot."""
+        """Return the best target with a free slot to which no attempt is pending, or None."""
         tried = {attempt.target.target for attempt in forwarded.attempts}
         idle = [
             target
@@ -156,7 +158,10 @@
         return self.chooser.choose(idle, route=route.name, objective=route.objective)
 
     def _candidates(self, forwarded: ForwardedRequest) -> list[Target]:
-        """Return the targets of a version that may take a request; why there are none is kept."""
+        """Return the targets of one version that the request may be sent to.
+
+        If they are all overloaded, the reason and retry time are set in the request.
+        """
         route = forwarded.route
         versions = self.directory.versions(forwarded.service)
         usable = {
@@ -179,7 +184,7 @@
     def dispatch(
         self, forwarded: ForwardedRequest, target: Target, on_result: Callable[[HopResult], None]
     ) -> Call | Submission:
-        """Send a request to the node beside the target."""
+        """Send a request to the target's node, or queue it if that is this node."""
         now = self.clock.monotonic()
         route = forwarded.route
         terms = HopTerms(
@@ -206,7 +211,7 @@
         )
 
     def record_result(self, forwarded: ForwardedRequest, target: Target, result: HopResult) -> None:
-        """Take in what a result says about the target and the node beside it."""
+        """Update the state of the target and its node from the result of an attempt."""
         report = result.report
         load = report.load() if report is not None else None
         self.chooser.finished(target.target, forwarded.route.name, load)
@@ -224,12 +229,12 @@
             self.on_version(target.node, report.config_version)
 
     def record_completion(self, request: Request) -> None:
-        """Clear a request of the suspicion that it crashes targets: one ran it to its end."""
+        """Tell the crash guard that a target ran the request to completion."""
         if self.guard.suspects:
             self.guard.record_completion(request_fingerprint(request, self.caller()))
 
     def _is_quarantined(self, request: Request) -> bool:
-        """Tell whether a request crashed the targets that ran it."""
+        """Tell whether a request is quarantined for crashing targets."""
         if not self.guard.suspects:
             return False
         return self.guard.check(request_fingerprint(request, self.caller())) is not None
@@ -247,7 +252,7 @@
 
 
 def _to_hop_result(result: CallResult) -> HopResult:
-    """Convert the end of a call to another node."""
+    """Convert the result of a call to another node."""
     if result.response is None:
         reason = str(result.failure.value)
         if not result.sent:
--- a/almondshore/mesh/overload.py
+++ b/almondshore/mesh/overload.py
@@ -1,4 +1,4 @@
-"""Targets that refused a route a moment ago for lack of room."""
+"""Targets that recently refused requests of a route as overloaded."""
 
 from collections.abc import Iterable
 from datetime import timedelta
@@ -14,9 +14,10 @@
 
 
 class OverloadRefusals:
-    """Remembers refusals, so that a request which cannot be served is refused at once.
+    """Keeps the last overload refusal by target and route.
 
-    Without it, each request in an overload would be sent to all targets in turn.
+    Requests that no target can serve are refused immediately. Without this, each request in an
+    overload would be sent to all targets in turn.
     """
 
     def __init__(self, *, clock: Clock):
@@ -24,13 +25,13 @@
         self.refusals: dict[tuple[str, str], _OverloadRefusal] = {}
 
     def record(self, target: str, route: str, retry_after: timedelta) -> None:
-        """Take note that a target had no room for a route."""
+        """Record that a target refused a request of a route as overloaded."""
         self.refusals[target, route] = _OverloadRefusal(self.clock.monotonic(), retry_after)
 
     def without_recent_refusal(
         self, targets: Iterable[Target], route: str, pause: timedelta
     ) -> list[Target]:
-        """Return the targets that did not refuse the route within the pause."""
+        """Return the targets that have not refused the route within the pause."""
         if not self.refusals:
             return list(targets)
         since = self.clock.monotonic() - pause
@@ -41,7 +42,7 @@
         ]
 
     def retry_after(self, targets: Iterable[Target], route: str) -> timedelta:
-        """Return when the first of the targets expected to have room again."""
+        """Return the shortest retry time that the targets stated, zero if none is known."""
         known = [
             found.retry_after
             for target in targets
@@ -50,6 +51,6 @@
         return min(known, default=timedelta())
 
     def retain(self, targets: set[str]) -> None:
-        """Drop what is known of other targets."""
+        """Drop the refusals of all other targets."""
         for key in [key for key in self.refusals if key[0] not in targets]:
             del self.refusals[key]
--- a/almondshore/mesh/peers.py
+++ b/almondshore/mesh/peers.py
@@ -1,4 +1,4 @@
-"""State from other nodes, for a node that the store does not answer."""
+"""Queries between nodes, and state from peers while the store is unreachable."""
 
 import random
 from collections.abc import Callable
@@ -24,21 +24,23 @@
 EVIDENCE_PATH = b"/evidence"
 ALIVE_PATH = b"/alive"
 PEER_TIMEOUT = timedelta(milliseconds=500)
-# While the store is away, a peer is asked this often; changes must be in force within seconds.
+# While the store is unreachable, a peer is polled at this interval; changes must be in force
+# within seconds.
 POLL_INTERVAL = timedelta(milliseconds=500)
-# A store that was silent for this long is taken to be away.
+# A store that has not answered for this long counts as unreachable.
 STORE_DOWN_AFTER = timedelta(milliseconds=300)
-# A node that learns of a newer version waits this long for the store to bring it: a configuration
-# is large, and traffic between zones is charged. Changes must be in force within 2 s.
+# A node that learns of a newer version waits this long for the store to deliver it before it asks
+# a peer: configurations are large, and traffic between zones is charged. Changes must be in force
+# within 2 s.
 STORE_UPDATE_WAIT = timedelta(milliseconds=1200)
 
 
 class Evidence(msgspec.Struct):
     """Results at one target.
 
-    :ivar routes: counts by route
-    :ivar running: requests in the target's slots or waiting for one
-    :ivar order_age_ms: how long the node has known of the service's rollout, 0 if of none
+    :ivar running: requests that run at the target or wait for a slot
+    :ivar routes: counts of results by route
+    :ivar order_age_ms: how long the node has known the service's rollout, 0 if there is none
     """
 
     target: str
@@ -50,7 +52,7 @@
 
 
 class InternalHandler(ExchangeHandler):
-    """Answers other nodes' questions about state and evidence."""
+    """Serves state, results and liveness probes to other nodes."""
 
     def __init__(self, *, local: LocalTarget, recorder: ResultRecorder):
         self.local = local
@@ -59,7 +61,7 @@
         self.changes: ExchangeHandler | None = None
 
     def handle(self, exchange: Exchange) -> None:
-        """Answer a request."""
+        """Respond to a request, with status 404 for an unknown path."""
         path = exchange.request.target.partition(b"?")[0]
         if path == EVIDENCE_PATH:
             exchange.respond(Response(200, (), msgspec.json.encode(self.evidence())))
@@ -71,7 +73,7 @@
             exchange.respond(Response(404))
 
     def evidence(self) -> Evidence:
-        """Return the results at the target beside this node."""
+        """Return the results at the local target."""
         announcement, queue = self.local.announced, self.local.queue
         return Evidence(
             target=announcement.target if announcement else "",
@@ -84,7 +86,7 @@
 
 
 class PeerClient:
-    """Asks other nodes."""
+    """Sends GET requests to other nodes."""
 
     def __init__(self, *, pool: ConnectionPool, timeout: timedelta = PEER_TIMEOUT):
         self.pool = pool
@@ -98,10 +100,11 @@
         new_connection: bool = False,
         timeout: timedelta | None = None,
     ) -> bytes | None:
-        """Return the body of a node's answer, or None; for use in a greenlet.
+        """Return the body of a node's response; blocks the calling greenlet.
 
-        :param new_connection: whether idle connections, which may be dead, are left alone
-        :param timeout: in place of the client's own
+        :param new_connection: whether to avoid idle connections, which may be broken
+        :param timeout: overrides the client's timeout
+        :return: None if the node did not respond in time or not with status 200
         """
         done: Event = Event()
         headers = ((b"Host", f"{node[0]}:{node[1]}".encode()),)
@@ -120,7 +123,11 @@
 
 
 class PeerSync:
-    """Takes state over from peers while the store is away, or when one has a newer version."""
+    """Fetches state from peers if the store is unreachable or late with a configuration.
+
+    :param away_since: returns since when the store has not answered, None if it answers
+    :ivar behind_since: monotonic time at which a peer was first seen to have a newer version
+    """
 
     def __init__(
         self,
@@ -145,7 +152,7 @@
         self.behind_since: timedelta | None = None
 
     def run(self) -> None:
-        """Ask a random peer regularly while the store is away; for a greenlet of its own."""
+        """Poll random peers while the store is unreachable; runs forever, in its own greenlet."""
         while True:
             eventlet.sleep(POLL_INTERVAL.total_seconds())
             peer = self.choose_peer() if self._is_store_down(self.clock.monotonic()) else None
@@ -153,7 +160,7 @@
                 self.fetch(peer)
 
     def on_peer_version(self, node: Address, version: int) -> None:
-        """Fetch the state of a node whose configuration is newer, unless the store brings it."""
+        """Fetch the state of a node with a newer configuration if the store is late or down."""
         now = self.clock.monotonic()
         if version <= self.sink.config_version():
             self.behind_since = None
@@ -167,7 +174,7 @@
         eventlet.spawn(self._fetch_once, node)
 
     def choose_peer(self) -> Address | None:
-        """Return a random node to ask, one of the own zone if any can be reached."""
+        """Return a random peer, preferably a reachable one in this zone; None if none is known."""
         others = [item for item in self.directory.targets.values() if item.node != self.node]
         reachable = [item for item in others if self.directory.is_reachable(item.node)]
         same_zone = [item for item in reachable if item.zone == self.zone]
@@ -179,16 +186,16 @@
         return since is not None and now - since >= STORE_DOWN_AFTER
 
     def fetch(self, node: Address) -> bool:
-        """Take over the state of a peer.
+        """Fetch and apply the state of a peer.
 
-        :returns: whether the peer answered
+        :return: whether the peer sent well-formed state
         """
         query = b"config=%d" % self.sink.config_version()
         answer = fetch_changes(self.client, self.directory, node, query, reason="no-state")
         if answer is None:
             return False
         if not self._is_store_down(self.clock.monotonic()):
-            # Only the configuration is behind; other entries of the peer may be outdated.
+            # Only the configuration is outdated here; other entries of the peer may be older.
             answer = answer._replace(targets=[], rollouts=[])
         return apply_changes(self.sink, node, answer, remove=False)
 
@@ -208,9 +215,11 @@
     reason: str,
     timeout: timedelta | None = None,
 ) -> ChangeAnswer | None:
-    """Ask a node for its state, and take note of whether it could be reached.
+    """Fetch a node's state and update its reachability in the directory.
 
-    :param reason: why the node is taken for unreachable if it does not answer, or not properly
+    :param reason: recorded if the node is unreachable or its answer malformed
+    :param timeout: overrides the client's timeout
+    :return: None if there was no well-formed answer
     """
     answer = None
     body = client.get(node, CHANGES_PATH + b"?" + query, timeout=timeout)
@@ -227,7 +236,11 @@
 
 
 def apply_changes(sink: PeerSink, node: Address, answer: ChangeAnswer, *, remove: bool) -> bool:
-    """Take over a node's state; returns whether it was well-formed."""
+    """Apply a node's state.
+
+    :param remove: whether entries that the node has removed, or does not have, are removed here
+    :return: whether the state was well-formed
+    """
     try:
         sink.apply(answer, source=f"{node[0]}:{node[1]}", remove=remove)
     except ValueError as error:
--- a/almondshore/mesh/settings.py
+++ b/almondshore/mesh/settings.py
@@ -1,4 +1,4 @@
-"""Settings of a node in a mesh: a YAML file, checked key by key."""
+"""Settings of a node, read from a YAML file and validated key by key."""
 
 from collections.abc import Callable
 from datetime import timedelta
@@ -15,11 +15,11 @@
 class Bounds(NamedTuple):
     """Bounds that the operator of the deployment sets.
 
-    :ivar drain: longest time in which a leaving target gets new requests
-    :ivar grace: time from the request to stop until the process is killed
-    :ivar retry_ratio: retries of all nodes as a share of the requests of a service
-    :ivar retry_window: window in which retries are counted
-    :ivar retry_floor: retries in a window that are always allowed, for all nodes together
+    :ivar drain: longest time in which a draining target gets new requests
+    :ivar grace: time from the stop signal until the process is killed
+    :ivar retry_ratio: allowed retries of all nodes as a share of the requests to a service
+    :ivar retry_window: time window in which retries are counted
+    :ivar retry_floor: retries that are always allowed in a window, for all nodes together
     """
 
     drain: timedelta
@@ -34,12 +34,13 @@
 
     :ivar service: service of the target on this host
     :ivar app: address of that target
-    :ivar outbound: listens for requests that originate on this host
-    :ivar inbound: listens for requests of other nodes
-    :ivar ready: listens for readiness checks
-    :ivar control: listens for announcements of the target
-    :ivar metrics: listens for scrapes of the metrics
-    :ivar link_mbps: bandwidth of the host's link; nodes with wide links watch the store for others
+    :ivar outbound: listen address for requests that originate on this host
+    :ivar inbound: listen address for requests of other nodes
+    :ivar ready: listen address for readiness checks
+    :ivar control: listen address for announcements of the target
+    :ivar metrics: listen address for metrics and status
+    :ivar link_mbps: bandwidth of the host's link; nodes with high bandwidth watch the store on
+        behalf of others
     """
 
     node: str
@@ -79,7 +80,7 @@
 def load_mesh_settings(path: str | Path, decode_bounds: DecodeBounds) -> MeshSettings:
     """Read a settings file.
 
-    :param decode_bounds: decodes the bounds as the deployment writes them; raises ValueError
+    :param decode_bounds: decodes the deployment's notation of the bounds; raises ValueError
     :raises InvalidInputError: with all findings, if anything in the file is wrong
     """
     findings = FindingList(file=str(path))
@@ -96,7 +97,7 @@
 ) -> MeshSettings:
     """Parse settings given as YAML.
 
-    :param findings: receives all that is wrong, with its place
+    :param findings: receives all errors, with their positions
     :raises InvalidInputError: with all findings, if anything is wrong
     """
     nodes = read_nodes(data, FIELDS, findings)
--- a/almondshore/mesh/status.py
+++ b/almondshore/mesh/status.py
@@ -1,4 +1,4 @@
-"""Gathers what a node believes, for operators."""
+"""Builds the status views of a node."""
 
 from typing import TYPE_CHECKING
 
@@ -11,7 +11,7 @@
 
 
 def node_view(node: "MeshNode") -> NodeView:
-    """Return what a node believes now."""
+    """Return the current status of a node."""
     followed, announced, queue = (
         node.feeds.follower.followed,
         node.local.announced,
@@ -42,7 +42,7 @@
 
 
 def targets_view(node: "MeshNode") -> TargetsView:
-    """Return the targets that a node knows now."""
+    """Return the targets that a node knows, sorted by zone and node."""
     found = sorted(node.directory.targets.values(), key=lambda item: (item.zone, item.node))
     return TargetsView(targets=[_target_view(node, item) for item in found])
 
--- a/almondshore/mesh/view.py
+++ b/almondshore/mesh/view.py
@@ -1,4 +1,4 @@
-"""What a node tells operators of what it believes."""
+"""Schema of the status views that a node serves to operators."""
 
 from typing import TypedDict
 
@@ -9,7 +9,7 @@
 class TargetView(TypedDict):
     """A target that a node knows.
 
-    :ivar node: address at which the node beside the target takes requests
+    :ivar node: address at which the target's node accepts requests
     :ivar answers: whether that node answered when it was last tried
     """
 
@@ -31,9 +31,9 @@
 class ServiceView(TypedDict):
     """Targets of a service by version, and its rollout.
 
-    :ivar ready: ready targets of each version whose node can be reached
-    :ivar known: known targets that are not gone
-    :ivar rollout: empty if none is known
+    :ivar ready: number of ready targets with a reachable node, by version
+    :ivar known: number of known targets that are not gone
+    :ivar rollout: state of the rollout, empty if none is known
     """
 
     service: str
@@ -45,13 +45,13 @@
 
 
 class NodeView(TypedDict):
-    """What one node believes.
+    """Status of a node and its view of the mesh.
 
-    :ivar source: ``store``, or the address of the watcher that the node follows
-    :ivar state_age_ms: time since the store was last known to have nothing newer; -1 for never
-    :ivar store_away_ms: time since the store stopped to answer this node; 0 while it answers
-    :ivar target: identity of the target beside the node; empty before it has announced itself
-    :ivar unreachable: nodes that get no requests since they do not answer
+    :ivar source: ``store``, or the address of the watcher from which the node gets changes
+    :ivar state_age_ms: time since the state was last known to be up to date; -1 if it never was
+    :ivar store_away_ms: time since the store stopped answering this node; 0 while it answers
+    :ivar target: identity of the local target, empty before its first announcement
+    :ivar unreachable: addresses of nodes that get no requests because they do not answer
     """
 
     node: str
