State in the mesh tests which failure they guard against

Names and docstrings such as "a node that makes up for a dropped connection" or "what a node believes" needed the author's context. They now name the failure and its cause in usual terms (resent, hedged, draining, deregistered, unresponsive). Checks, bounds and literals are unchanged.

--- a/test/mesh/fakes.py
+++ b/test/mesh/fakes.py
@@ -1,4 +1,4 @@
-"""Fakes at the interfaces of the request path."""
+"""Fakes for tests of the request path."""
 
 import random
 from datetime import timedelta
@@ -27,7 +27,7 @@
 
 
 class FakeCall:
-    """A call that the test ends."""
+    """A call whose result the test delivers."""
 
     def __init__(self, address, data, timeout, on_done, options):
         self.address, self.timeout, self.on_done, self.options = address, timeout, on_done, options
@@ -53,7 +53,7 @@
         self.on_done(CallResult(None, failure, sent, reused))
 
     def report(self, outcome=Outcome.ANSWERED, reason="", status=200, body=b"", **fields):
-        """Answer as the node beside a target does."""
+        """Respond as the node of a target does."""
         values = {
             "running": 1,
             "waiting": 0,
@@ -70,7 +70,7 @@
 
 
 class FakePool:
-    """A connection pool whose calls the test ends."""
+    """A connection pool that records its calls, whose results the test delivers."""
 
     def __init__(self):
         self.calls = []
@@ -86,7 +86,7 @@
 
 
 class FakeConnection:
-    """The connection of an exchange."""
+    """The server connection of an exchange."""
 
     peer = "10.0.0.9:5555"
 
@@ -95,14 +95,14 @@
 
 
 class NotFoundHandler(ExchangeHandler):
-    """Refuses everything."""
+    """Responds to every request with status 404."""
 
     def handle(self, exchange):
         exchange.respond(Response(404))
 
 
 class RequestPathHarness:
-    """Both sides of one node over fake calls and a manual clock."""
+    """Inbound and outbound side of a node with fake connections and a manual clock."""
 
     def __init__(self, routes=None, **budget):
         self.clock = ManualClock()
@@ -150,7 +150,7 @@
         self.outbound.config = config(routes=routes if routes is not None else [route()])
 
     def request(self, path=b"/a/x", method=b"GET", body=b"", headers=(), left_ms=2000):
-        """Return an exchange that the outbound side has begun to handle."""
+        """Pass a request to the outbound side and return its exchange."""
         fixed = (
             (b"Host", b"h.example"),
             (b"Attempt-Id", b"a1"),
--- a/test/mesh/test_inbound.py
+++ b/test/mesh/test_inbound.py
@@ -1,4 +1,4 @@
-"""Tests of admission and forwarding at the node beside a target."""
+"""Tests of admission and forwarding at the node of a target."""
 
 from datetime import timedelta
 
@@ -35,11 +35,11 @@
         request = Request(b"GET", b"/a/x", ((b"Attempt-Id", b"a1"),), b"")
         return self.harness.inbound.submit(request, wanted or terms(), self.results.append)
 
-    def ends(self):
+    def outcomes(self):
         return [(result.outcome, result.reason) for result in self.results]
 
     def test_request_reaches_the_target_with_its_identity(self):
-        """Guards against a request that another target at the same address runs."""
+        """Guards against a request run by another target that took over the address."""
         self.announce()
         self.submit()
         call = self.harness.pool.calls[0]
@@ -48,13 +48,13 @@
         self.assertEqual(b"caller", call.header(b"caller-service"))
         self.assertEqual(b"1200", call.header(b"deadline-ms"))
         call.answer(Response(200, OWN, b"x"))
-        self.assertEqual([(Outcome.ANSWERED, "succeeded")], self.ends())
+        self.assertEqual([(Outcome.ANSWERED, "succeeded")], self.outcomes())
 
-    def test_restarted_target_takes_requests_for_the_one_before_it(self):
-        """Guards against refusals in the second in which nodes know only the former target.
+    def test_restarted_target_accepts_requests_for_its_predecessor(self):
+        """Guards against refusals in the second after a restart of the target.
 
-        Seen on valpadana-mesh-grown, trouble-1: after all hosts lost power, 129 of the first 720
-        requests were refused as meant for another target.
+        Other nodes then know only its predecessor. On valpadana-mesh-grown, trouble-1, 129 of the
+        first 720 requests after a power loss of all hosts were refused as meant for another target.
         """
         self.announce()
         self.submit(terms(target="t0"))
@@ -62,41 +62,41 @@
         self.assertEqual(b"t1", call.header(b"expected-instance"))
         for other in ({"service": "other"}, {"version": "v2"}):
             self.submit(terms(target="t0", **other))
-            self.assertEqual((Outcome.REFUSED, "wrong-target"), self.ends()[-1])
+            self.assertEqual((Outcome.REFUSED, "wrong-target"), self.outcomes()[-1])
 
-    def test_requests_that_wait_for_a_target_that_is_replaced_are_refused(self):
-        """Guards against requests that are held until their deadline since nobody starts them."""
+    def test_queued_requests_are_refused_when_the_target_is_replaced(self):
+        """Guards against requests that stay queued for a former target until their deadline."""
         self.announce()
         for _ in range(3):
             self.submit()
         self.announce(name="t2", born_ms=5000)
-        self.assertEqual([(Outcome.REFUSED, "draining")], self.ends())
+        self.assertEqual([(Outcome.REFUSED, "draining")], self.outcomes())
         for call in self.harness.pool.calls:
             call.fail(CallFailure.CLOSED)
         self.assertEqual({}, self.harness.local.queue.running)
         self.assertEqual(3, len(self.results))
 
-    def test_unknown_other_and_leaving_targets_are_refused(self):
-        """Guards against requests for a target that is not there, or not any more."""
+    def test_requests_for_unknown_wrong_and_draining_targets_are_refused(self):
+        """Guards against requests that reach a target which is unknown, wrong or draining."""
         self.submit()
         self.announce()
         self.submit(terms(target="other", service="other"))
         self.announce(sequence=2, state=TargetState.DRAINING)
         self.harness.clock.advance(timedelta(seconds=1))
         self.submit()
-        reasons = [reason for _, reason in self.ends()]
+        reasons = [reason for _, reason in self.outcomes()]
         self.assertEqual(["no-target", "wrong-target", "draining"], reasons)
         self.assertEqual([], self.harness.pool.calls)
 
     def test_retired_version_is_refused(self):
-        """Guards against a bad version that gets requests from nodes that do not know it yet."""
+        """Guards against requests for a retired version from nodes that do not know of it yet."""
         self.announce()
         self.harness.inbound.is_retired = lambda service, version: version == "v1"
         self.submit()
-        self.assertEqual([(Outcome.REFUSED, "version-retired")], self.ends())
+        self.assertEqual([(Outcome.REFUSED, "version-retired")], self.outcomes())
 
-    def test_slots_are_kept_and_freed(self):
-        """Guards against more work than the target has slots, and against slots that leak."""
+    def test_slots_limit_concurrency_and_are_released(self):
+        """Guards against more concurrent requests than slots, and against slot leaks."""
         self.announce()
         for _ in range(3):
             self.submit()
@@ -107,8 +107,8 @@
         self.harness.pool.calls[2].answer(Response(200, OWN))
         self.assertEqual({}, self.harness.local.queue.running)
 
-    def test_cancelled_requests_free_their_place(self):
-        """Guards against a target or a queue that is held by callers that left."""
+    def test_cancelled_requests_leave_slots_and_queue(self):
+        """Guards against slots and queue entries that stay occupied by disconnected callers."""
         self.announce()
         submissions = [self.submit() for _ in range(3)]
         submissions[2].cancel()
@@ -118,25 +118,25 @@
         self.assertEqual([], self.harness.local.queue.waiting)
         self.assertEqual([], self.results)
 
-    def test_target_that_does_not_answer_is_reported_as_failing(self):
-        """Guards against a target that is chosen as before though it swallows requests."""
+    def test_unanswered_requests_raise_the_failure_rate(self):
+        """Guards against a target that keeps being chosen though it does not answer requests."""
         self.announce()
         self.submit()
         self.harness.clock.advance(timedelta(milliseconds=100))
         self.harness.pool.calls[-1].answer(Response(200, OWN))
-        for given_up in (
+        for abandon in (
             lambda submission: submission.cancel(),
             lambda submission: submission.call.fail(CallFailure.TIMED_OUT),
         ):
             before = self.harness.recorder.failure_rate()
             submission = self.submit()
             self.harness.clock.advance(timedelta(milliseconds=300))
-            given_up(submission)
+            abandon(submission)
             self.assertTrue(self.harness.recorder.failure_rate() > before)
         self.assertEqual(0, self.harness.recorder.routes["r"].failures)
 
-    def test_caller_that_leaves_early_says_nothing_about_the_target(self):
-        """Guards against impatient callers that make good targets look bad."""
+    def test_early_cancellation_does_not_raise_the_failure_rate(self):
+        """Guards against callers with short timeouts that make good targets look bad."""
         self.announce()
         first = self.submit()
         self.harness.clock.advance(timedelta(seconds=1))
@@ -149,8 +149,8 @@
         submission.cancel()
         self.assertEqual(0.0, self.harness.recorder.failure_rate())
 
-    def test_outcomes_tell_what_may_have_run(self):
-        """Guards against a repeat of a request that has run."""
+    def test_outcomes_distinguish_requests_that_may_have_run(self):
+        """Guards against a retry of a request that may have run."""
         cases = (
             ((CallFailure.NOT_CONNECTED, False), (Outcome.REFUSED, "target-down")),
             ((CallFailure.CLOSED, True), (Outcome.BROKEN, "closed")),
@@ -161,32 +161,32 @@
             self.harness.inbound.target_down_until = timedelta()
             self.submit()
             self.harness.pool.calls[-1].fail(failure, sent=sent)
-            self.assertEqual(end, self.ends()[-1])
+            self.assertEqual(end, self.outcomes()[-1])
         self.harness.inbound.target_down_until = timedelta()
         self.submit()
         self.harness.pool.calls[-1].answer(Response(503, ((b"Not-Executed", b"1"),)))
-        self.assertEqual((Outcome.REJECTED, "not-run"), self.ends()[-1])
+        self.assertEqual((Outcome.REJECTED, "not-run"), self.outcomes()[-1])
 
-    def test_dropped_idle_connection_is_made_up_for_once(self):
-        """Guards against a failure for a request that the target never saw."""
+    def test_request_on_closed_idle_connection_is_resent_once(self):
+        """Guards against failing a request that the target never received."""
         self.announce()
         self.submit()
         self.harness.pool.calls[0].fail(CallFailure.CLOSED, reused=True)
         self.assertEqual(timedelta(), self.harness.pool.calls[1].options["max_idle"])
         self.harness.pool.calls[1].fail(CallFailure.CLOSED, reused=True)
-        self.assertEqual([(Outcome.BROKEN, "closed")], self.ends())
+        self.assertEqual([(Outcome.BROKEN, "closed")], self.outcomes())
 
     def test_non_idempotent_requests_use_fresh_connections(self):
-        """Guards against a request that cannot be repeated on a connection that may be dead."""
+        """Guards against losing a request that cannot be retried to a stale connection."""
         self.announce()
         self.submit(terms(idempotent=False))
         self.assertTrue(self.harness.pool.calls[0].options["max_idle"] < timedelta(seconds=1))
         self.harness.pool.calls[0].fail(CallFailure.CLOSED, reused=True)
-        self.assertEqual([(Outcome.BROKEN, "closed")], self.ends())
+        self.assertEqual([(Outcome.BROKEN, "closed")], self.outcomes())
 
-    def test_closed_node_refuses(self):
-        """Guards against a request that is cut by the end of the process."""
+    def test_closed_node_refuses_requests(self):
+        """Guards against a request that is interrupted because the process exits."""
         self.announce()
         self.harness.inbound.closed = True
         self.submit()
-        self.assertEqual([(Outcome.REFUSED, "shutting-down")], self.ends())
+        self.assertEqual([(Outcome.REFUSED, "shutting-down")], self.outcomes())
--- a/test/mesh/test_local.py
+++ b/test/mesh/test_local.py
@@ -1,4 +1,4 @@
-"""Tests of what a node makes of the announcements of its target."""
+"""Tests of the state that a node keeps of its local target."""
 
 from datetime import timedelta
 
@@ -20,13 +20,13 @@
         self.local = LocalTarget(clock=self.clock, node=("10.0.0.1", 1), drain=DRAIN)
         self.local.store_read = True
 
-    def test_new_process_knows_no_target(self):
-        """Guards against work for a target whose leaving the former process acknowledged."""
+    def test_new_process_has_no_target(self):
+        """Guards against requests for a target whose drain an earlier process acknowledged."""
         self.assertFalse(self.local.accepts_requests())
         self.local.announce(announcement())
         self.assertTrue(self.local.accepts_requests())
 
-    def test_leaving_target_gets_no_work_well_before_the_bound(self):
+    def test_draining_target_stops_accepting_well_before_the_drain_ends(self):
         """Guards against requests that reach a target after its drain time."""
         self.local.announce(announcement())
         self.local.announce(announcement(sequence=2, state=DRAINING))
@@ -39,8 +39,8 @@
         self.local.enforce_drain()
         self.assertTrue(self.local.queue.closed)
 
-    def test_late_announcements_do_not_call_a_target_back(self):
-        """Guards against an announcement that was delayed until after the drain."""
+    def test_delayed_announcements_do_not_end_the_drain(self):
+        """Guards against requests after the drain because of a delayed announcement."""
         self.local.announce(announcement(sequence=5, state=DRAINING))
         self.assertEqual(AnnouncementResult.OUTDATED, self.local.announce(announcement(sequence=4)))
         self.local.announce(announcement(sequence=6, state=READY))
@@ -48,8 +48,8 @@
         self.clock.advance(DRAIN)
         self.assertFalse(self.local.accepts_requests())
 
-    def test_departed_target_stays_away(self):
-        """Guards against a heartbeat that crosses the notice of departure."""
+    def test_deregistered_target_gets_no_requests(self):
+        """Guards against a heartbeat that arrives after the deregistration."""
         self.local.announce(announcement())
         self.assertFalse(self.local.deregister("other", 1000))
         self.assertTrue(self.local.deregister("t1", 1000))
@@ -57,8 +57,8 @@
         self.clock.advance(DRAIN)
         self.assertFalse(self.local.accepts_requests())
 
-    def test_departure_before_any_announcement_binds(self):
-        """Guards against a restarted node that forgets a departure it acknowledged."""
+    def test_deregistration_before_any_announcement_is_applied(self):
+        """Guards against a restarted node that ignores a deregistration it acknowledged."""
         self.assertFalse(self.local.deregister("t1", 1000))
         self.clock.advance(DRAIN * 0.9)
         self.local.announce(announcement())
@@ -69,16 +69,16 @@
         self.local.announce(announcement(born_ms=2000))
         self.assertTrue(self.local.accepts_requests())
 
-    def test_process_without_the_store_waits_before_it_uses_a_target(self):
-        """Guards against a target that is used after a former process acknowledged its leaving."""
+    def test_process_that_has_not_read_the_store_waits(self):
+        """Guards against requests for a target whose drain an earlier process acknowledged."""
         self.local.store_read = False
         self.local.announce(announcement())
         self.assertFalse(self.local.accepts_requests())
         self.clock.advance(DRAIN * 1.6)
         self.assertTrue(self.local.accepts_requests())
 
-    def test_stored_departure_binds_the_next_process(self):
-        """Guards against a departure that is forgotten with the process that took it."""
+    def test_stored_deregistration_applies_to_the_next_process(self):
+        """Guards against a deregistration that is lost with the process that acknowledged it."""
         gone = target("t1", node=("10.0.0.1", 1), state=TargetState.GONE)
         self.local.apply_stored_entry(gone._replace(node=("10.0.0.2", 1)))
         self.local.announce(announcement())
@@ -88,25 +88,25 @@
         self.assertEqual(DRAINING, self.local.record().state)
         self.assertFalse(self.local.accepts_requests())
 
-    def test_own_entry_does_not_shorten_the_drain(self):
-        """Guards against waiting requests that are refused as soon as the entry is written."""
+    def test_own_stored_entry_does_not_shorten_the_drain(self):
+        """Guards against waiting requests that are refused as soon as the entry is stored."""
         self.local.announce(announcement(state=DRAINING))
         self.local.apply_stored_entry(self.local.record())
         self.assertTrue(self.local.accepts_requests())
         self.assertEqual(DRAINING, self.local.record().state)
 
-    def test_new_incarnation_under_the_same_name_starts_afresh(self):
-        """Guards against a restarted target that inherits the drain of the former one."""
+    def test_new_incarnation_with_the_same_name_is_not_draining(self):
+        """Guards against a restarted target that inherits the drain of its predecessor."""
         self.local.announce(announcement(sequence=7, state=DRAINING))
-        reborn = announcement(sequence=1, born_ms=5000)
-        self.assertEqual(AnnouncementResult.ACCEPTED, self.local.announce(reborn))
+        new_incarnation = announcement(sequence=1, born_ms=5000)
+        self.assertEqual(AnnouncementResult.ACCEPTED, self.local.announce(new_incarnation))
         self.clock.advance(DRAIN)
         self.assertTrue(self.local.accepts_requests())
         outdated = self.local.announce(announcement(sequence=99, born_ms=1000))
         self.assertEqual(AnnouncementResult.OUTDATED, outdated)
 
-    def test_unchanged_announcements_are_not_worth_a_write(self):
-        """Guards against a store call for each heartbeat."""
+    def test_unchanged_announcements_are_not_published(self):
+        """Guards against a write to the store for each heartbeat."""
         self.assertEqual(AnnouncementResult.ACCEPTED, self.local.announce(announcement()))
         self.assertEqual(
             AnnouncementResult.UNCHANGED, self.local.announce(announcement(sequence=2))
--- a/test/mesh/test_node.py
+++ b/test/mesh/test_node.py
@@ -1,4 +1,4 @@
-"""Tests of whole nodes against stand-ins of the store and of upstreams."""
+"""Tests of complete nodes with stand-ins for the store and the targets."""
 
 import contextlib
 import os
@@ -21,7 +21,7 @@
 
 
 def new_mesh(test):
-    """Return a deployment that ends with the test and logs nowhere."""
+    """Return a deployment that is closed after the test and discards its logs."""
     sink = os.open(os.devnull, os.O_WRONLY)
     mesh = MeshDeployment(log_stream=BoundedStream(descriptor=sink))
     test.addCleanup(os.close, sink)
@@ -44,23 +44,23 @@
         self.mesh.add_node("n2")
         wait_until(lambda: len(self.mesh.nodes["n1"].directory.targets) == 2)
 
-    def test_request_crosses_to_the_host_of_its_target(self):
-        """Guards against a path that is broken between any two of its parts."""
+    def test_request_is_forwarded_to_the_host_of_its_target(self):
+        """Guards against a request path that is broken between any two components."""
         result = self.mesh.request("n1")
         self.assertEqual((200, b"from i-n2"), (result.response.status, result.response.body))
         self.assertEqual([(b"a1", b"other")], self.mesh.upstreams["n2"].ran)
         self.assertEqual(404, self.mesh.status("n1", path="/unknown/"))
 
     def test_node_without_configuration_is_not_ready(self):
-        """Guards against callers that are sent to a node which cannot route."""
+        """Guards against callers that are directed to a node which cannot route requests."""
         self.assertEqual(200, self.mesh.ready("n1"))
         self.mesh.store.refuse = 503
         self.mesh.add_node("n3", announce=False)
         self.assertEqual(503, self.mesh.ready("n3"))
         self.assertEqual(503, self.mesh.status("n3"))
 
-    def test_configuration_changes_without_the_store(self):
-        """Guards against a node that keeps an old version while the store refuses it."""
+    def test_configuration_is_updated_from_peers(self):
+        """Guards against a node that keeps an old version while it cannot reach the store."""
         first = self.mesh.nodes["n1"]
         first.store.set_address(("127.0.0.1", 1))
         first.pool.drop(self.mesh.store_server.address())
@@ -74,26 +74,27 @@
         self.mesh.store.put("config", "main", stored_config(4, ("s",)))
         wait_until(lambda: self.mesh.nodes["n1"].outbound.config_version() == 4)
 
-    def test_lost_answer_of_the_store_is_made_up_for(self):
-        """Guards against a node that knows no target since an answer of the store was lost.
+    def test_node_recovers_from_a_lost_answer_of_the_store(self):
+        """Guards against a node that misses new targets after an answer of the store was lost.
 
-        Seen in the soak with seed 4: one node had outdated targets 10 s later.
+        In the soak with seed 4, one node had outdated targets 10 s later.
         """
         first = self.mesh.nodes["n1"]
         for connection in list(self.mesh.store_server.connections):
-            # The store believes that it answered, and the node that it still waits.
+            # The store considers its answers sent, while the node still waits for them.
             connection.stream.write = lambda data: None
         self.mesh.add_node("n3")
         self.assertNotIn("i-n3", first.directory.targets)
         wait_until(lambda: "i-n3" in first.directory.targets, seconds=8)
 
-    def test_changes_are_in_force_soon_after_the_store_was_silent(self):
-        """Guards against a feed that waits on for the answer to a call that was swallowed.
+    def test_changes_take_effect_soon_after_the_store_was_unresponsive(self):
+        """Guards against a feed that keeps waiting for the answer to a call that was lost.
 
-        Seen on valpadana-mesh, trouble-3 --seed 565540342273: no node had a version 2.2 s old.
+        On valpadana-mesh, trouble-3 --seed 565540342273, no node had a version in force 2.2 s after
+        it was stored.
         """
         server = self.mesh.store_server
-        handler, server.handler = server.handler, _Silent()
+        handler, server.handler = server.handler, _UnresponsiveHandler()
         self.mesh.store.waiting.clear()
         eventlet.sleep(4)
         server.handler = handler
@@ -101,16 +102,16 @@
         for node in self.mesh.nodes.values():
             wait_until(lambda node=node: node.outbound.config_version() == 8, seconds=2.5)
 
-    def test_leaving_target_gets_no_requests(self):
-        """Guards against requests that reach a target after its leaving was acknowledged."""
+    def test_draining_target_gets_no_requests(self):
+        """Guards against requests that reach a target after its drain was acknowledged."""
         self.assertEqual(200, self.mesh.announce("n2", state="draining"))
         eventlet.sleep(0.5)
         ran = len(self.mesh.upstreams["n2"].ran)
         self.assertEqual(503, self.mesh.status("n1"))
         self.assertEqual(ran, len(self.mesh.upstreams["n2"].ran))
 
-    def test_departure_outlives_the_process(self):
-        """Guards against a restarted node that uses a target which deregistered before."""
+    def test_deregistration_outlives_the_process(self):
+        """Guards against a restarted node that sends requests to a deregistered target."""
         self.assertEqual(200, self.mesh.depart("n2"))
         entry = ("almondshore-targets", "i-n2")
         wait_until(lambda: self.mesh.store.get(*entry)["spec"]["state"] == "gone")
@@ -123,8 +124,8 @@
         self.assertEqual(503, self.mesh.status("n1"))
         self.assertEqual([], self.mesh.upstreams["n2"].ran)
 
-    def test_caller_that_leaves_stops_the_target(self):
-        """Guards against a target that works for a caller that is gone."""
+    def test_disconnected_caller_cancels_the_work_of_the_target(self):
+        """Guards against a target that works for a caller that has disconnected."""
         upstream = self.mesh.upstreams["n2"]
         upstream.work = timedelta(seconds=2)
         with eventlet.Timeout(0.2, False):
@@ -133,13 +134,13 @@
             connection.stream._finish(clean=True)
         wait_until(lambda: upstream.cancelled == 1, seconds=0.5)
 
-    def test_silent_host_is_passed_over(self):
-        """Guards against connections to a host that went silent without a reset."""
+    def test_unresponsive_host_gets_no_requests(self):
+        """Guards against requests on open connections to a host that no longer responds."""
         self.mesh.add_node("n3")
         wait_until(lambda: len(self.mesh.nodes["n1"].directory.targets) == 3)
         for number in range(6):
             self.mesh.status("n1", request_id=f"w{number}")
-        # Neither accepts connections nor reads from those that it has.
+        # The host neither accepts connections nor reads from its open ones.
         server = self.mesh.nodes["n2"].inbound_server
         server.close_listener()
         for connection in server.connections:
@@ -147,8 +148,8 @@
         statuses = [self.mesh.status("n1", request_id=f"a{number}") for number in range(8)]
         self.assertEqual([200] * 8, statuses)
 
-    def test_host_that_is_back_gets_requests_again(self):
-        """Guards against a host that is passed over for ever after it was away."""
+    def test_recovered_host_gets_requests_again(self):
+        """Guards against a host that gets no requests after it has recovered."""
         first, second = self.mesh.nodes["n1"], self.mesh.nodes.pop("n2")
         second.close()
         wait_until(lambda: self.mesh.status("n1") == 503)
@@ -157,8 +158,8 @@
         wait_until(lambda: first.directory.is_reachable(second.settings.inbound), seconds=8)
         wait_until(lambda: self.mesh.status("n1") == 200, seconds=8)
 
-    def test_lost_answer_is_made_up_for_on_idempotent_routes(self):
-        """Guards against a caller that waits in vain for an answer that was lost."""
+    def test_lost_response_is_retried_on_idempotent_routes(self):
+        """Guards against a caller that waits until its deadline for a response that was lost."""
         self.mesh.add_node("n3")
         wait_until(lambda: len(self.mesh.nodes["n1"].directory.targets) == 3)
         for name in ("n2", "n3"):
@@ -167,10 +168,11 @@
         statuses = [self.mesh.status("n1", request_id=f"a{number}") for number in range(8)]
         self.assertTrue(statuses.count(200) >= 6, statuses)
 
-    def test_deaths_of_the_own_target_are_counted_and_reported(self):
-        """Guards against a request that takes targets down, and of which nobody learns.
+    def test_deaths_of_the_local_target_are_counted_and_reported(self):
+        """Guards against an unreported request that crashes targets.
 
-        The node called a part that was gone, and the request at the dead target got no answer.
+        The node called a component that had been removed, so that the death was not reported and
+        the request at the dead target got no response.
         """
         node, other = self.mesh.nodes["n2"], self.mesh.nodes["n1"]
         for number in (1, 2):
@@ -179,8 +181,8 @@
         self.assertIsNot(None, node.guard.check(77))
         wait_until(lambda: other.guard.check(77) is not None, seconds=5)
 
-    def test_stop_finishes_what_runs(self):
-        """Guards against requests that are cut by a planned stop."""
+    def test_stop_completes_running_requests(self):
+        """Guards against requests that are interrupted by a graceful stop."""
         self.mesh.upstreams["n2"].work = timedelta(seconds=1)
         pool = eventlet.GreenPool()
         replies = [pool.spawn(self.mesh.status, "n1", request_id=f"a{number}") for number in (1, 2)]
@@ -195,14 +197,14 @@
         self.assertEqual(503, self.mesh.status("n1"))
 
     def test_metrics_are_served(self):
-        """Guards against on-call engineers without counters and histograms."""
+        """Guards against missing gauges and histograms in the metrics."""
         self.mesh.request("n1")
         body, _ = self.mesh.nodes["n1"].metrics.render(self.mesh.nodes["n1"])
         for name in ("almondshore_config_version", "almondshore_request_seconds_bucket"):
             self.assertIn(name, body.decode())
 
-    def test_reader_of_the_metrics_that_does_not_read_holds_up_no_request(self):
-        """Guards against requests that wait, or memory that grows, for a scraper that hangs."""
+    def test_stalled_metrics_scraper_delays_no_request(self):
+        """Guards against delayed requests and unbounded buffers because of a stalled scraper."""
         node = self.mesh.nodes["n1"]
         reader = socket.create_connection(node.settings.metrics)
         self.addCleanup(reader.close)
@@ -221,8 +223,8 @@
         (server,) = (item for item in node.servers if item.address() == node.settings.metrics)
         return server.connections
 
-    def test_what_a_node_believes_is_shown_while_the_store_is_away(self):
-        """Guards against operators who see nothing of a node when they need it most."""
+    def test_status_is_served_while_the_store_is_unreachable(self):
+        """Guards against a status view that is not available during an outage of the store."""
         node = self.mesh.nodes["n1"]
         self.mesh.store.refuse = 503
         wait_until(lambda: node.feeds.store_unavailable_since() is not None)
@@ -255,15 +257,15 @@
         return answer
 
 
-class _Silent(ExchangeHandler):
-    """Takes calls and answers none."""
+class _UnresponsiveHandler(ExchangeHandler):
+    """Accepts requests and answers none of them."""
 
     def handle(self, exchange):
         return
 
 
 class RolloutTest(TestCase):
-    def play(self, bad):
+    def run_rollout(self, bad):
         mesh = new_mesh(self)
         mesh.store.put("config", "main", stored_config(3, ("s", "other")))
         mesh.add_node("n1", service="other")
@@ -291,17 +293,17 @@
                     return mesh, number, status["state"]
                 eventlet.sleep(0.005)
 
-    def test_good_version_is_completed_in_time(self):
-        """Guards against a good version that misses its deadline."""
-        mesh, _, state = self.play(bad=False)
+    def test_rollout_of_a_good_version_completes_in_time(self):
+        """Guards against the rollout of a good version that misses its deadline."""
+        mesh, _, state = self.run_rollout(bad=False)
         self.assertEqual("completed", state)
         before = len(mesh.upstreams["n2"].ran)
         self.assertEqual(200, mesh.status("n1"))
         self.assertEqual(before, len(mesh.upstreams["n2"].ran))
 
     def test_bad_version_is_rolled_back_with_little_exposure(self):
-        """Guards against a bad version that gets more than a small share."""
-        mesh, requests, state = self.play(bad=True)
+        """Guards against a bad version that gets more than a small share of the requests."""
+        mesh, requests, state = self.run_rollout(bad=True)
         self.assertEqual("rolled_back", state)
         exposed = len(mesh.upstreams["n3"].ran)
         self.assertTrue(exposed <= 0.1 * requests + 50, (exposed, requests))
@@ -311,7 +313,7 @@
 
 
 class WatchingTest(TestCase):
-    """Nodes of one zone, more than watch the store."""
+    """Changes in a zone with more nodes than watch the store."""
 
     NODES = 7
 
@@ -328,8 +330,8 @@
             node for node in self.mesh.nodes.values() if node.feeds.follower.followed is not None
         ]
 
-    def test_changes_reach_all_nodes_by_the_watchers(self):
-        """Guards against nodes that do not learn of changes since others watch for them."""
+    def test_changes_reach_all_nodes_through_the_watchers(self):
+        """Guards against nodes that miss changes because they do not watch the store themselves."""
         self.mesh.store.put("config", "main", stored_config(8, ("s",)))
         self.mesh.announce("n1", state="draining")
         for node in self.mesh.nodes.values():
@@ -339,15 +341,15 @@
             )
 
     def test_a_change_reaches_the_followers_of_a_watcher_that_ends(self):
-        """Guards against followers that wait for a watcher which is gone."""
+        """Guards against followers that keep waiting for a watcher which has stopped."""
         follower = self.followers()[0]
         names = {node.settings.inbound: name for name, node in self.mesh.nodes.items()}
         self.mesh.nodes.pop(names[follower.feeds.follower.followed]).close()
         self.mesh.store.put("config", "main", stored_config(9, ("s",)))
         wait_until(lambda: follower.outbound.config_version() == 9, seconds=2)
 
-    def test_a_change_reaches_followers_while_no_watcher_has_the_store(self):
-        """Guards against followers of watchers that the store refuses, while it serves others."""
+    def test_a_change_reaches_followers_while_no_watcher_reaches_the_store(self):
+        """Guards against outdated followers when only their watchers cannot reach the store."""
         follower = self.followers()[0]
         for node in self.mesh.nodes.values():
             if node.feeds.follower.followed is None:
--- a/test/mesh/test_outbound.py
+++ b/test/mesh/test_outbound.py
@@ -27,7 +27,7 @@
         return exchange.response.status if exchange.response is not None else None
 
     def test_request_is_forwarded_with_its_terms(self):
-        """Guards against a request that reaches a target changed or without its limits."""
+        """Guards against a request that is altered or forwarded without its time limits."""
         harness = self.new_harness(targets=1)
         exchange = harness.request(b"/a/x?q=1", b"POST", b"body", left_ms=900)
         call = harness.pool.calls[0]
@@ -41,15 +41,15 @@
         self.assertEqual((200, b"answer"), exchange.response[:1] + (exchange.response.body,))
         self.assertEqual((SIGNED,), exchange.response.headers)
 
-    def test_without_configuration_or_route(self):
-        """Guards against a 404 from a node that does not know the routes yet."""
+    def test_unknown_route_and_missing_configuration_are_distinguished(self):
+        """Guards against a 404 response from a node that has no configuration yet."""
         harness = self.new_harness()
         self.assertEqual(404, self.status(harness.request(b"/other/")))
         harness.outbound.config = None
         self.assertEqual(503, self.status(harness.request()))
 
     def test_refused_request_goes_to_another_target(self):
-        """Guards against a caller that is refused though another target has room."""
+        """Guards against refusing a request while another target has free capacity."""
         harness = self.new_harness(routes=[route(idempotent=False)])
         exchange = harness.request(method=b"POST")
         harness.pool.calls[0].report(Outcome.REFUSED, "overloaded", 503)
@@ -59,7 +59,7 @@
         tried = [call.terms.target for call in harness.pool.calls]
         self.assertEqual(["t0", "t1", "t2"], sorted(tried))
 
-    def test_request_that_may_have_run_is_not_repeated_unless_idempotent(self):
+    def test_request_that_may_have_run_is_retried_only_if_idempotent(self):
         """Guards against a non-idempotent request that runs twice."""
         for idempotent, calls in ((False, 1), (True, 2)):
             harness = self.new_harness(routes=[route(idempotent=idempotent)])
@@ -68,8 +68,8 @@
             self.assertEqual(calls, len(harness.pool.calls))
             self.assertEqual(None if idempotent else 502, self.status(exchange))
 
-    def test_refusal_to_the_caller_is_true(self):
-        """Guards against a 503, after which callers repeat, for a request that may have run."""
+    def test_503_is_returned_only_if_the_request_has_not_run(self):
+        """Guards against a 503 for a request that may have run; callers retry after a 503."""
         harness = self.new_harness(targets=2)
         exchange = harness.request()
         harness.pool.calls[0].fail(CallFailure.TRUNCATED)
@@ -82,14 +82,14 @@
         stated = float(exchange.response.header(b"retry-after"))
         self.assertTrue(0.4 <= stated <= 0.6, stated)
 
-    def test_failed_response_is_returned_as_it_was(self):
-        """Guards against a failure of the target that is replaced by one of our own."""
+    def test_failed_response_is_returned_unchanged(self):
+        """Guards against replacing the error response of a target by a generated one."""
         harness = self.new_harness(routes=[route(max_attempts=1)])
         exchange = harness.request()
         harness.pool.calls[0].report(status=500, body=b"broken")
         self.assertEqual(Response(500, (SIGNED,), b"broken"), exchange.response)
 
-    def test_attempts_and_retry_budget_bound_the_runs(self):
+    def test_max_attempts_and_retry_budget_limit_retries(self):
         """Guards against retries that multiply the load when all targets fail."""
         harness = self.new_harness()
         harness.request()
@@ -101,8 +101,8 @@
         harness.pool.calls[0].report(status=500)
         self.assertEqual(1, len(harness.pool.calls))
 
-    def test_target_that_rejects_draws_on_the_budget(self):
-        """Guards against retries that the targets see but the budget does not."""
+    def test_retry_after_rejection_uses_the_budget(self):
+        """Guards against retries that reach targets without being counted in the budget."""
         harness = self.new_harness(ratio=0.0, min_per_second=0.0)
         exchange = harness.request()
         harness.pool.calls[0].report(Outcome.REJECTED, "not-run", 503)
@@ -110,7 +110,7 @@
         self.assertEqual(1, len(harness.pool.calls))
 
     def test_route_timeout_ends_the_request(self):
-        """Guards against a caller that is held beyond the time that the operator set."""
+        """Guards against a request that outlasts the timeout of its route."""
         harness = self.new_harness(routes=[route(timeout=timedelta(seconds=0.7))])
         exchange = harness.request()
         self.assertEqual(700, harness.pool.calls[0].terms.deadline_ms)
@@ -121,24 +121,24 @@
         harness.pool.calls[0].report()
         self.assertEqual(504, self.status(exchange))
 
-    def test_second_send_has_only_the_time_that_is_left(self):
-        """Guards against a target that works on after its caller has gone."""
+    def test_second_attempt_gets_only_the_remaining_time(self):
+        """Guards against a target that works past the deadline of the caller."""
         harness = self.new_harness()
         harness.request(left_ms=1000)
         harness.clock.advance(timedelta(seconds=0.4))
         harness.pool.calls[0].fail(CallFailure.CLOSED)
         self.assertEqual(585, harness.pool.calls[1].terms.deadline_ms)
 
-    def test_caller_that_leaves_cancels_the_call(self):
-        """Guards against a target that works for a caller that is gone."""
+    def test_disconnected_caller_cancels_the_call(self):
+        """Guards against a target that works for a caller that has disconnected."""
         harness = self.new_harness()
         exchange = harness.request()
         exchange.on_cancel()
         self.assertTrue(harness.pool.calls[0].cancelled)
         self.assertEqual(set(), harness.outbound.active)
 
-    def test_unreachable_node_is_passed_over(self):
-        """Guards against each request finding out anew that a host is gone."""
+    def test_unreachable_node_gets_no_requests(self):
+        """Guards against every request being sent first to a host that is down."""
         harness = self.new_harness(targets=2)
         harness.request()
         lost = harness.pool.calls[0].address
@@ -147,8 +147,8 @@
             harness.request()
         self.assertNotIn(lost, [call.address for call in harness.pool.calls[1:]])
 
-    def test_requests_at_a_silent_node_are_sent_elsewhere(self):
-        """Guards against requests that wait for a host without power until their deadline."""
+    def test_pending_requests_at_an_unresponsive_node_are_retried(self):
+        """Guards against requests that wait until their deadline for a host that lost power."""
         for idempotent, calls in ((True, 2), (False, 1)):
             harness = self.new_harness(routes=[route(idempotent=idempotent)])
             harness.request()
@@ -158,25 +158,25 @@
             self.assertEqual(calls, len(harness.pool.calls))
             self.assertEqual(idempotent, harness.pool.calls[0].cancelled)
 
-    def overdue(self, harness):
-        """Let the response of the first send of the only active request become overdue."""
+    def make_overdue(self, harness):
+        """Make the response to the first attempt of the only active request overdue."""
         (forwarded,) = harness.outbound.active
         harness.clock.advance(timedelta(milliseconds=300))
         forwarded.on_overdue(forwarded.attempts[0])
 
-    def known_idle(self, harness):
-        """Make the loads of all targets known."""
+    def report_all_loads(self, harness):
+        """Make the chooser know the loads of all targets."""
         for _ in range(3 * len(NODES)):
             harness.request()
             harness.pool.calls[-1].report(running=1)
         harness.pool.calls.clear()
 
-    def test_overdue_request_goes_to_a_second_target_as_well(self):
-        """Guards against callers that wait for a target which swallows requests."""
+    def test_overdue_request_is_hedged_at_a_second_target(self):
+        """Guards against callers that wait for a target which does not answer."""
         harness = self.new_harness()
-        self.known_idle(harness)
+        self.report_all_loads(harness)
         exchange = harness.request()
-        self.overdue(harness)
+        self.make_overdue(harness)
         first, second = harness.pool.calls
         self.assertNotEqual(first.terms.target, second.terms.target)
         self.assertFalse(first.cancelled)
@@ -188,13 +188,13 @@
         self.assertEqual(set(), harness.outbound.active)
         self.assertEqual({0}, {load.own for load in harness.outbound.chooser.loads.values()})
 
-    def test_repeat_is_logged_with_what_decided_it(self):
-        """Guards against repeats that nobody can follow afterwards."""
+    def test_hedged_attempt_is_logged_with_its_reason(self):
+        """Guards against hedged attempts that cannot be traced in the logs."""
         harness = self.new_harness()
-        self.known_idle(harness)
+        self.report_all_loads(harness)
         harness.request()
         with mock.patch("almondshore.mesh.forwarding.log_event") as log:
-            self.overdue(harness)
+            self.make_overdue(harness)
         first, second = harness.pool.calls
         fields = {
             "request": "a1",
@@ -207,24 +207,28 @@
         log.assert_called_once_with("request_repeated", **fields)
 
     def test_first_target_may_still_answer(self):
-        """Guards against a good response that is thrown away for a repeat that fails."""
+        """Guards against discarding a good first response because the second attempt failed."""
         for ending in (
             lambda call: call.report(status=500),
             lambda call: call.report(Outcome.REFUSED, "overloaded", 503),
             lambda call: call.fail(CallFailure.CLOSED),
         ):
             harness = self.new_harness(routes=[route(max_attempts=3)])
-            self.known_idle(harness)
+            self.report_all_loads(harness)
             exchange = harness.request()
-            self.overdue(harness)
+            self.make_overdue(harness)
             ending(harness.pool.calls[1])
             self.assertEqual(None, self.status(exchange))
             self.assertEqual(2, len(harness.pool.calls))
             harness.pool.calls[0].report(body=b"first")
             self.assertEqual(b"first", exchange.response.body)
 
-    def test_overdue_request_is_not_repeated_against_the_rules(self):
-        """Guards against repeats that run twice, exceed a limit or add to an overload."""
+    def test_overdue_request_is_hedged_only_within_limits(self):
+        """Guards against hedging that runs a request twice, exceeds a limit or adds to overload.
+
+        The cases are a route that is not idempotent, one with a single attempt, an exhausted
+        retry budget, and targets without a free slot.
+        """
         cases = (
             ({"idempotent": False}, {}, 1),
             ({"max_attempts": 1}, {}, 1),
@@ -238,20 +242,20 @@
                 harness.pool.calls[-1].report(running=running)
             harness.pool.calls.clear()
             harness.request()
-            self.overdue(harness)
+            self.make_overdue(harness)
             self.assertEqual(1, len(harness.pool.calls), (limits, budget, running))
 
-    def test_caller_that_leaves_cancels_both_sends(self):
-        """Guards against a repeat that runs on for a caller that is gone."""
+    def test_disconnected_caller_cancels_both_attempts(self):
+        """Guards against a hedged attempt that keeps running for a disconnected caller."""
         harness = self.new_harness()
-        self.known_idle(harness)
+        self.report_all_loads(harness)
         exchange = harness.request()
-        self.overdue(harness)
+        self.make_overdue(harness)
         exchange.on_cancel()
         self.assertEqual([True, True], [call.cancelled for call in harness.pool.calls])
 
     def test_shares_of_a_split_route_are_kept(self):
-        """Guards against a split that follows the load instead of its weights."""
+        """Guards against a traffic split that follows the load instead of its weights."""
         split = route(shares=(Share("s", 3.0), Share("other", 1.0)))
         harness = self.new_harness(routes=[split])
         harness.directory.put(target("o1", service="other", node=("10.0.0.8", 1)))
@@ -260,8 +264,8 @@
         other = sum(call.terms.target == "o1" for call in harness.pool.calls)
         self.assertTrue(140 < other < 260, other)
 
-    def test_versions_of_other_nodes_are_noted(self):
-        """Guards against a node that stays on an old configuration while the store is away."""
+    def test_configuration_versions_of_other_nodes_are_reported(self):
+        """Guards against a node that keeps an old configuration while the store is unreachable."""
         harness = self.new_harness(targets=1)
         harness.request()
         harness.pool.calls[0].report(config_version=9)
--- a/test/mesh/test_peers.py
+++ b/test/mesh/test_peers.py
@@ -1,4 +1,4 @@
-"""Tests of when a node asks its peers for state."""
+"""Tests of fetching state from peers."""
 
 import random
 from datetime import timedelta
@@ -17,7 +17,7 @@
 
 
 class FakeClient:
-    """Answers with the state of a peer."""
+    """Returns the state of a peer and records its calls."""
 
     def __init__(self, state):
         self.state = state
@@ -56,8 +56,8 @@
             store_unavailable_since=lambda: self.away,
         )
 
-    def test_state_of_a_peer_is_taken_over(self):
-        """Guards against a node that stays on an old state while the store is away."""
+    def test_state_of_a_peer_is_applied(self):
+        """Guards against a node that keeps outdated state while the store is unreachable."""
         self.away = self.harness.clock.monotonic() - timedelta(seconds=1)
         self.assertTrue(self.sync.fetch(NEAR))
         self.assertEqual(7, self.harness.outbound.config_version())
@@ -65,30 +65,30 @@
         self.assertEqual({"s": self.rollout}, self.harness.shares.rollouts)
         self.assertEqual([(NEAR, b"/changes?config=1")], self.client.asked)
 
-    def test_a_peer_brings_only_the_configuration_while_the_store_answers(self):
-        """Guards against entries that were removed and come back with a peer's older state."""
+    def test_only_the_configuration_is_fetched_while_the_store_answers(self):
+        """Guards against removed entries that reappear from the outdated state of a peer."""
         self.assertTrue(self.sync.fetch(NEAR))
         self.assertEqual(7, self.harness.outbound.config_version())
         self.assertEqual({}, self.harness.directory.targets)
         self.assertEqual({}, self.harness.shares.rollouts)
 
-    def test_store_is_given_time_before_a_peer_is_asked(self):
-        """Guards against a configuration that each node copies across zones at each change."""
+    def test_peer_is_asked_only_if_the_store_is_late(self):
+        """Guards against each node copying each new configuration across zones."""
         self.sync.on_peer_version(NEAR, 7)
         self.assertFalse(self.sync.fetching)
         self.harness.clock.advance(timedelta(seconds=1.3))
         self.sync.on_peer_version(NEAR, 7)
         self.assertTrue(self.sync.fetching)
 
-    def test_peer_is_asked_at_once_while_the_store_is_away(self):
-        """Guards against a change that is not in force in time during an outage."""
+    def test_peer_is_asked_immediately_while_the_store_is_unreachable(self):
+        """Guards against a change that takes effect late during an outage of the store."""
         self.away = timedelta()
         self.harness.clock.advance(timedelta(seconds=1))
         self.sync.on_peer_version(NEAR, 7)
         self.assertTrue(self.sync.fetching)
 
-    def test_peers_of_the_own_zone_come_first(self):
-        """Guards against traffic between zones that a nearer node could spare."""
+    def test_peers_in_the_same_zone_are_preferred(self):
+        """Guards against avoidable traffic between zones."""
         self.assertIs(None, self.sync.choose_peer())
         self.harness.directory.replace([target("t1", node=NEAR), target("t2", node=FAR, zone="b")])
         self.assertEqual({NEAR}, {self.sync.choose_peer() for _ in range(20)})
