Spell out short local names on the request path

left, kept and fresh stood for a remaining time, remaining targets, end-to-end headers and the need for a fresh connection; the locals now say which.

Checks: make lint passes; test_inbound and test_outbound of test/mesh pass.

--- a/almondshore/mesh/forwarding.py
+++ b/almondshore/mesh/forwarding.py
@@ -66,11 +66,11 @@
         self.exchange = exchange
         self.route = route
         self.service = service
-        left = outbound.dialect.time_left(exchange.request)
+        time_left = outbound.dialect.time_left(exchange.request)
         now = exchange.received_at
-        caller_left = DEFAULT_DEADLINE if left is None else left
-        self.deadline_at = now + min(caller_left - CALLER_MARGIN, route.timeout)
-        self.caller_deadline_at = now + caller_left
+        caller_time_left = DEFAULT_DEADLINE if time_left is None else time_left
+        self.deadline_at = now + min(caller_time_left - CALLER_MARGIN, route.timeout)
+        self.caller_deadline_at = now + caller_time_left
         self.objective_at = now + route.objective
         self.excluded_targets: set[str] = set()
         self.runs = 0
@@ -228,8 +228,8 @@
             attempt.overdue_timer.cancel()
 
     def _has_time_to_retry(self) -> bool:
-        left = self.deadline_at - self.outbound.clock.monotonic()
-        return left > self.route.objective * MIN_RETRY_SHARE
+        time_left = self.deadline_at - self.outbound.clock.monotonic()
+        return time_left > self.route.objective * MIN_RETRY_SHARE
 
     def _fail(self, reason: str) -> None:
         if self.failed_response is not None:
@@ -246,12 +246,12 @@
         """Return after what time the caller should retry, with jitter."""
         wait = max(MIN_RETRY_AFTER, self.retry_after or NO_TARGET_RETRY_AFTER)
         wait *= 1.0 + RETRY_AFTER_JITTER * self.outbound.rng.random()
-        left = self.caller_deadline_at - self.outbound.clock.monotonic()
-        return min(wait, max(MIN_RETRY_AFTER, left * RETRY_AFTER_SHARE))
+        time_left = self.caller_deadline_at - self.outbound.clock.monotonic()
+        return min(wait, max(MIN_RETRY_AFTER, time_left * RETRY_AFTER_SHARE))
 
     def _answer(self, response: Response, reason: str) -> None:
-        kept = end_to_end(response.headers, without=HOP_HEADERS)
-        final = Response(response.status, kept, response.body, response.reason)
+        headers = end_to_end(response.headers, without=HOP_HEADERS)
+        final = Response(response.status, headers, response.body, response.reason)
         self._respond(
             self.outbound.dialect.to_caller(final, idempotent=self.route.idempotent), reason
         )
--- a/almondshore/mesh/inbound.py
+++ b/almondshore/mesh/inbound.py
@@ -160,24 +160,26 @@
     def send(self, submission: Submission) -> None:
         """Send an admitted request to the target."""
         hop_terms = submission.hop_terms
-        left = submission.terms.deadline_at - self.clock.monotonic()
+        time_left = submission.terms.deadline_at - self.clock.monotonic()
         request = submission.request
         headers = self.dialect.to_target(
             end_to_end(request.headers, without=HOP_HEADERS),
-            time_left=left,
+            time_left=time_left,
             target=submission.target,
             caller=hop_terms.caller,
         )
         request_id = self.dialect.request_id(headers)
-        fresh = not hop_terms.idempotent or submission.resent
+        needs_fresh_connection = not hop_terms.idempotent or submission.resent
         submission.call = self.pool.call(
             self.app,
             encode_request(request.method, request.target, headers, request.body),
-            timeout=left + DEADLINE_SLACK,
+            timeout=time_left + DEADLINE_SLACK,
             on_done=lambda result: self._on_done(submission, result),
             accept=lambda response: self.dialect.matches_request(response, request_id),
             max_idle=(
-                (timedelta() if submission.resent else FRESH_CONNECTION_MAX_IDLE) if fresh else None
+                (timedelta() if submission.resent else FRESH_CONNECTION_MAX_IDLE)
+                if needs_fresh_connection
+                else None
             ),
             head=request.method == b"HEAD",
         )
@@ -349,7 +351,7 @@
     header = encode_report(result.report)
     if result.response is None:
         return Response(503, (header,))
-    kept = end_to_end(result.response.headers, without=HOP_HEADERS)
+    headers = end_to_end(result.response.headers, without=HOP_HEADERS)
     return Response(
-        result.response.status, (*kept, header), result.response.body, result.response.reason
+        result.response.status, (*headers, header), result.response.body, result.response.reason
     )
--- a/almondshore/mesh/outbound.py
+++ b/almondshore/mesh/outbound.py
@@ -165,9 +165,13 @@
         route = forwarded.route
         versions = self.directory.versions(forwarded.service)
         usable = {
-            version: left
+            version: remaining
             for version, targets in versions.items()
-            if (left := [item for item in targets if item.target not in forwarded.excluded_targets])
+            if (
+                remaining := [
+                    item for item in targets if item.target not in forwarded.excluded_targets
+                ]
+            )
         }
         version = self.shares.pick(forwarded.service, usable)
         if version is None:
