--- a/almondshore/mesh/status.py
+++ b/almondshore/mesh/status.py
@@ -17,7 +17,9 @@
         node.local.announced,
         node.local.queue,
     )
-    never_updated = node.feeds.follower.followed is None and node.feeds.probe_replica.answered_at is None
+    never_updated = (
+        node.feeds.follower.followed is None and node.feeds.probe_replica.answered_at is None
+    )
     down_since = node.feeds.store_unavailable_since()
     names = {target.service for target in node.directory.targets.values()}
     return NodeView(
