--- a/almondshore/proxy/gate.py
+++ b/almondshore/proxy/gate.py
@@ -52,10 +52,10 @@
         """Return the present load of the target."""
         return Load(self.queue.limit(), len(self.queue.running), self.queue.queued)
 
-    def _tell(self, turn: DispatchResult) -> None:
-        for request in turn.started:
+    def _tell(self, result: DispatchResult) -> None:
+        for request in result.started:
             self.waiting.pop(request.request_id).send(None)
-        self._tell_shed(turn)
+        self._tell_shed(result)
 
     def _tell_shed(self, source: DispatchResult | Queued) -> None:
         item: Shed
