Describe admission and rate limits in the usual terms

The reasons and figures behind the constants are kept. Tests keep their checks; the test bed is now QueueHarness and some tests have plainer names.

--- a/almondshore/limits/admission.py
+++ b/almondshore/limits/admission.py
@@ -1,4 +1,4 @@
-"""Admission of requests to the slots of one target, at the node beside it."""
+"""Admission control for the slots of one target, run by the target's node."""
 
 from collections import OrderedDict
 from datetime import timedelta
@@ -9,20 +9,21 @@
 from almondshore.limits.concurrency import AdaptiveConcurrency
 from almondshore.rules.model import RequestClass
 
-WEIGHTS = {RequestClass.URGENT: 8, RequestClass.INTERNAL: 4, RequestClass.ROUTINE: 1}
+CLASS_WEIGHTS = {RequestClass.URGENT: 8, RequestClass.INTERNAL: 4, RequestClass.ROUTINE: 1}
 # Lowest class first.
 SHED_ORDER = (RequestClass.ROUTINE, RequestClass.INTERNAL, RequestClass.URGENT)
-RESERVED_INTERNAL = 1
+RESERVED_INTERNAL_SLOTS = 1
 QUEUE_PER_SLOT = 2
 # Queued requests may still start for this long after a drain begins; invariant I8 allows 3 s.
 DRAIN_GRACE = timedelta(seconds=2.5)
 MIN_RETRY_AFTER = timedelta(milliseconds=100)
 MAX_RETRY_AFTER = timedelta(seconds=10)
+# Weight of the newest observation in the moving average of the service time.
 SERVICE_TIME_GAIN = 0.1
 
 
 class RefusalReason(StrEnum):
-    """Why a request was not admitted; the request was not run."""
+    """Why a request was refused; a refused request has not run."""
 
     OVERLOADED = "overloaded"
     DEADLINE = "deadline-passed"
@@ -44,27 +45,27 @@
 
 
 class Refused(NamedTuple):
-    """The request was not handed to the target and will not be."""
+    """The request was not sent to the target and will not be."""
 
     retry_after: timedelta
     reason: RefusalReason
 
 
 class Shed(NamedTuple):
-    """A queued request that has been refused after all."""
+    """A request that was queued and then refused."""
 
     request: SlotRequest
     refused: Refused
 
 
 class Admitted(NamedTuple):
-    """The request has a slot and runs now; the caller must release it."""
+    """The request has a slot and may run now; the caller must release the slot."""
 
 
 class Queued(NamedTuple):
-    """The request waits.
+    """The request waits in the queue.
 
-    :ivar shed: requests that left the queue to make room for it
+    :ivar shed: requests that were removed from the queue to make room for it
     """
 
     shed: tuple[Shed, ...] = ()
@@ -73,7 +74,7 @@
 class DispatchResult(NamedTuple):
     """Requests that left the queue because a slot became free or because they were refused.
 
-    :ivar started: requests that have a slot now; the caller must release each
+    :ivar started: requests that have a slot now; the caller must release each of them
     :ivar shed: requests that were refused
     """
 
@@ -87,13 +88,13 @@
 
 
 class SlotQueue:
-    """Slots of one target and the classes that wait for them.
+    """The slots of one target, with a queue of waiting requests for each request class.
 
-    Each offered request ends in exactly one of: released after it ran, refused or shed, cancelled.
-    Slots go to the classes in proportion to their weights. One slot is kept for internal calls,
-    since a chain of services deadlocks if callers hold all slots while their callees wait. Each
-    class keeps a part of the queue in proportion to its weight; beyond it, the lowest class is
-    shed first.
+    Each offered request ends in exactly one way: it is released after it ran, refused, shed or
+    cancelled. Slots are given to the classes in proportion to their weights. One slot is reserved
+    for internal calls, because a chain of services deadlocks if callers hold all slots while
+    their callees wait. Each class is guaranteed a share of the queue in proportion to its weight;
+    among the classes that exceed their share, the lowest is shed first.
     """
 
     def __init__(
@@ -102,15 +103,16 @@
         clock: Clock,
         slots: int,
         queue_limit: int | None = None,
-        reserved_internal: int = RESERVED_INTERNAL,
+        reserved_internal: int = RESERVED_INTERNAL_SLOTS,
         concurrency: AdaptiveConcurrency | None = None,
         drain_grace: timedelta = DRAIN_GRACE,
     ):
         """Create an empty queue.
 
         :param slots: requests that the target runs at the same time, at least 1
-        :param queue_limit: requests that may wait; by default twice the slots
-        :param concurrency: lowers the slots in use when latency rises
+        :param queue_limit: maximum number of queued requests; by default twice the slots
+        :param reserved_internal: slots that only internal calls may use
+        :param concurrency: lowers the number of usable slots when latency rises
         """
         if slots < 1:
             raise ValueError(f"a target needs at least 1 slot, not {slots}")
@@ -124,15 +126,18 @@
         self.running: dict[str, _Running] = {}
         self.running_internal = 0
         self.queues: dict[RequestClass, OrderedDict[str, SlotRequest]] = {
-            name: OrderedDict() for name in WEIGHTS
+            name: OrderedDict() for name in CLASS_WEIGHTS
         }
         self.queued = 0
-        # No queued request has a deadline before this; spares a scan on each offer.
-        self.next_deadline = timedelta.max
-        self.credit = dict.fromkeys(WEIGHTS, 0)
+        # Lower bound of the deadlines of queued requests; avoids scanning the queues when none
+        # can have expired.
+        self.earliest_deadline = timedelta.max
+        self.credit = dict.fromkeys(CLASS_WEIGHTS, 0)
         self.service_time = timedelta()
-        total = sum(WEIGHTS.values())
-        self.share = {name: self.queue_limit * weight // total for name, weight in WEIGHTS.items()}
+        total = sum(CLASS_WEIGHTS.values())
+        self.queue_shares = {
+            name: self.queue_limit * weight // total for name, weight in CLASS_WEIGHTS.items()
+        }
 
     def offer(self, request: SlotRequest) -> Admitted | Queued | Refused:
         """Admit a request to a slot, queue it or refuse it."""
@@ -152,9 +157,9 @@
         return self._enqueue(request, now)
 
     def release(self, request_id: str) -> DispatchResult:
-        """Free the slot of a request that has ended, and start those that come next.
+        """Free the slot of a request that has ended, and start the next queued requests.
 
-        A request id that holds no slot is ignored, so that a repeated release frees nothing.
+        A request id that holds no slot is ignored, so that a repeated release has no effect.
         """
         entry = self.running.pop(request_id, None)
         now = self.clock.monotonic()
@@ -165,9 +170,9 @@
         return self._dispatch(now)
 
     def cancel(self, request_id: str) -> bool:
-        """Take a request that its caller gave up out of the queue.
+        """Remove a request from the queue after its caller gave up.
 
-        :returns: whether it was queued; if not, it has a slot, or its wait is over
+        :returns: whether it was queued; if not, it has a slot, was shed or has ended
         """
         for queue in self.queues.values():
             if queue.pop(request_id, None) is not None:
@@ -179,8 +184,8 @@
         """Shed queued requests whose deadline or drain grace has passed; call this regularly."""
         now = self.clock.monotonic()
         shed = self._purge(now)
-        turn = self._dispatch(now)
-        return DispatchResult(turn.started, (*shed, *turn.shed))
+        result = self._dispatch(now)
+        return DispatchResult(result.started, (*shed, *result.shed))
 
     def drain(self) -> None:
         """Refuse new requests from now on; queued ones may start within the grace period."""
@@ -188,11 +193,11 @@
             self.drain_started = self.clock.monotonic()
 
     def is_idle(self) -> bool:
-        """Tell whether nothing runs and nothing waits."""
+        """Return whether no request is running or queued."""
         return not self.running and not self.queued
 
     def limit(self) -> int:
-        """Return the slots in use at most now."""
+        """Return the number of slots that may be in use at present."""
         if self.concurrency is None:
             return self.slots
         return max(1, min(self.slots, self.concurrency.limit()))
@@ -205,28 +210,30 @@
         if request_class is RequestClass.INTERNAL:
             return len(self.running) < limit
         reserved = min(self.reserved_internal, limit - 1)
-        kept = max(0, reserved - self.running_internal)
-        return len(self.running) + kept < limit
+        withheld = max(0, reserved - self.running_internal)
+        return len(self.running) + withheld < limit
 
     def _start(self, request: SlotRequest, now: timedelta) -> None:
         self.running[request.request_id] = _Running(request, now)
         if request.request_class is RequestClass.INTERNAL:
             self.running_internal += 1
 
-    def _observe(self, entry: _Running, took: timedelta) -> None:
+    def _observe(self, entry: _Running, duration: timedelta) -> None:
         if self.service_time:
-            self.service_time += (took - self.service_time) * SERVICE_TIME_GAIN
+            self.service_time += (duration - self.service_time) * SERVICE_TIME_GAIN
         else:
-            self.service_time = took
+            self.service_time = duration
         if self.concurrency is not None:
-            self.concurrency.observe(entry.request.route, took)
+            self.concurrency.observe(entry.request.route, duration)
 
     def _expected_wait(self, request_class: RequestClass) -> timedelta:
-        """Estimate the wait from the class's part of the slots and the whole queue."""
+        """Estimate the wait for a slot, from the class's weight and the length of the queues."""
         weights = sum(
-            weight for name, weight in WEIGHTS.items() if self.queues[name] or name is request_class
+            weight
+            for name, weight in CLASS_WEIGHTS.items()
+            if self.queues[name] or name is request_class
         )
-        own = (len(self.queues[request_class]) + 1) * weights / WEIGHTS[request_class]
+        own = (len(self.queues[request_class]) + 1) * weights / CLASS_WEIGHTS[request_class]
         ahead = min(own, self.queued + 1)
         return self.service_time * (ahead / self.limit())
 
@@ -237,41 +244,41 @@
     def _enqueue(self, request: SlotRequest, now: timedelta) -> Queued | Refused:
         shed = self._purge(now) if self.queued >= self.queue_limit else ()
         if self.queued >= self.queue_limit:
-            victim = self._victim(request.request_class)
-            if victim is None:
+            shed_class = self._class_to_shed(request.request_class)
+            if shed_class is None:
                 return self._refuse(RefusalReason.OVERLOADED)
-            _, displaced = self.queues[victim].popitem(last=True)
+            _, displaced = self.queues[shed_class].popitem(last=True)
             self.queued -= 1
             shed = (*shed, Shed(displaced, self._refuse(RefusalReason.OVERLOADED)))
         self.queues[request.request_class][request.request_id] = request
         self.queued += 1
-        self.next_deadline = min(self.next_deadline, request.deadline)
+        self.earliest_deadline = min(self.earliest_deadline, request.deadline)
         return Queued(shed)
 
-    def _victim(self, request_class: RequestClass) -> RequestClass | None:
-        """Return the class whose newest request makes room, or None if the offer must go."""
-        under_share = len(self.queues[request_class]) < self.share[request_class]
+    def _class_to_shed(self, request_class: RequestClass) -> RequestClass | None:
+        """Return the class whose newest request is shed, or None to refuse the offered one."""
+        under_share = len(self.queues[request_class]) < self.queue_shares[request_class]
         for name in SHED_ORDER:
             if name is request_class and not under_share:
                 return None
-            if len(self.queues[name]) > self.share[name]:
+            if len(self.queues[name]) > self.queue_shares[name]:
                 return name
         return None
 
     def _purge(self, now: timedelta) -> tuple[Shed, ...]:
         drained = self._is_drained(now)
-        if not drained and now < self.next_deadline:
+        if not drained and now < self.earliest_deadline:
             return ()
         reason = RefusalReason.DRAINING if drained else RefusalReason.DEADLINE
         shed = []
         for queue in self.queues.values():
-            gone = [item for item in queue.values() if drained or item.deadline <= now]
-            for request in gone:
+            removed = [item for item in queue.values() if drained or item.deadline <= now]
+            for request in removed:
                 del queue[request.request_id]
                 self.queued -= 1
                 shed.append(Shed(request, self._refuse(reason)))
         left = (item.deadline for queue in self.queues.values() for item in queue.values())
-        self.next_deadline = min(left, default=timedelta.max)
+        self.earliest_deadline = min(left, default=timedelta.max)
         return tuple(shed)
 
     def _is_drained(self, now: timedelta) -> bool:
@@ -294,17 +301,20 @@
         return DispatchResult(tuple(started), tuple(shed))
 
     def _next_class(self) -> RequestClass | None:
-        """Return the waiting class with the most credit that can have a slot."""
+        """Return the class with the most credit among those with a queued request and a slot."""
         ready = [name for name, queue in self.queues.items() if queue and self._has_slot(name)]
-        return max(ready, key=lambda name: self.credit[name] + WEIGHTS[name], default=None)
+        return max(ready, key=lambda name: self.credit[name] + CLASS_WEIGHTS[name], default=None)
 
     def _charge_credit(self, chosen: RequestClass) -> None:
-        """Account a start by smooth weighted round robin among the classes that wait."""
+        """Update the credits of smooth weighted round robin after a start.
+
+        Classes without queued requests lose their credit.
+        """
         total = 0
         for name, queue in self.queues.items():
             if queue or name is chosen:
-                self.credit[name] += WEIGHTS[name]
-                total += WEIGHTS[name]
+                self.credit[name] += CLASS_WEIGHTS[name]
+                total += CLASS_WEIGHTS[name]
             else:
                 self.credit[name] = 0
         self.credit[chosen] -= total
--- a/almondshore/limits/objective.py
+++ b/almondshore/limits/objective.py
@@ -1,4 +1,4 @@
-"""Admission to the slots of one target by latency objective, at the node beside it."""
+"""Admission control for the slots of one target by latency objective, run by its node."""
 
 from abc import ABC, abstractmethod
 from datetime import timedelta
@@ -11,27 +11,28 @@
 ZERO = timedelta()
 # Weight of the newest observation in the expected service time of a route.
 SERVICE_TIME_GAIN = 0.15
-# Used before the first observation; targets take between 15 ms and 550 ms.
+# Expected service time before the first observation; targets take between 15 ms and 550 ms.
 DEFAULT_SERVICE_TIME = timedelta(milliseconds=100)
-# More urgent requests that arrive later lengthen a wait; the expected one is scaled by this.
-WAIT_MARGIN = 1.3
-# Requests queued for each slot at most; beyond it the least urgent one is refused.
+# Factor applied to the expected wait, because more urgent requests may arrive later and go first.
+EXPECTED_WAIT_FACTOR = 1.3
+# Maximum number of queued requests for each slot; beyond it the last one in the order is refused.
 QUEUE_PER_SLOT = 4
-# A request is started though its expected end is past its deadline, as long as this part of the
-# expected service time fits: service times vary by a factor of two around the expected one.
-MIN_FIT = 0.75
-# A request that cannot be served on time waits only while fewer than this many requests for each
-# slot are ahead: it gets the slots that others leave, and in an overload there are none. A refusal
-# is worth the more to the caller, the earlier it comes.
+# Share of the expected service time that must fit before the deadline for a request to be started.
+# It is below 1 because service times vary by a factor of two around the expected one.
+MIN_SERVICE_TIME_SHARE = 0.75
+# A request that cannot meet its objective may wait only while fewer than this many requests for
+# each slot are ahead of it. It gets only slots that others leave free, and in an overload there
+# are none; an early refusal leaves the caller time to react.
 LATE_QUEUE_PER_SLOT = 0.25
-# Expected rest of a running request that is past its expected time, as a share of that time.
-OVERDUE_SHARE = 0.2
+# Expected remaining time of a request that has exceeded its expected service time, as a share of
+# that service time.
+OVERDUE_REMAINING_SHARE = 0.2
 MIN_RETRY_AFTER = timedelta(milliseconds=50)
 MAX_RETRY_AFTER = timedelta(seconds=2)
 
 
 class Refusal(StrEnum):
-    """Why a request was not started. It has not run."""
+    """Why a request was refused; a refused request has not run."""
 
     OVERLOADED = "overloaded"
     TOO_LATE = "too-late"
@@ -39,10 +40,10 @@
 
 
 class Terms(NamedTuple):
-    """What a request needs.
+    """Route, priority and time limits of a request.
 
-    :ivar urgency: lower is served first
-    :ivar objective_at: monotonic time by which the response is on time
+    :ivar urgency: requests with a lower value are served first
+    :ivar objective_at: monotonic time up to which the response counts as on time
     :ivar deadline_at: monotonic time after which the response is of no use
     """
 
@@ -59,44 +60,52 @@
 
     @abstractmethod
     def start(self) -> None:
-        """Run the request; ``ObjectiveQueue.release`` must follow."""
+        """Run the request; ``ObjectiveQueue.release`` must be called when it has ended."""
 
     @abstractmethod
     def refuse(self, reason: Refusal, retry_after: timedelta) -> None:
-        """Take note that the request will not be started."""
+        """Handle that the request will not be started.
+
+        :param retry_after: time after which a retry may succeed
+        """
 
 
 class ServiceTimes:
-    """Expected service time by route, from the requests that ended."""
+    """Moving average of the service time, by route and over all routes."""
 
     def __init__(self) -> None:
         self.by_route: dict[str, timedelta] = {}
         self.overall = ZERO
 
-    def observe(self, route: str, took: timedelta) -> None:
-        """Take in the service time of a request that ended."""
-        known = self.by_route.get(route)
-        self.by_route[route] = took if known is None else known + (took - known) * SERVICE_TIME_GAIN
+    def observe(self, route: str, duration: timedelta) -> None:
+        """Record the service time of a request that ended."""
+        average = self.by_route.get(route)
+        self.by_route[route] = (
+            duration if average is None else average + (duration - average) * SERVICE_TIME_GAIN
+        )
         if self.overall:
-            self.overall += (took - self.overall) * SERVICE_TIME_GAIN
+            self.overall += (duration - self.overall) * SERVICE_TIME_GAIN
         else:
-            self.overall = took
+            self.overall = duration
 
     def expected(self, route: str) -> timedelta:
-        """Return the expected service time of a route."""
+        """Return the expected service time of a route.
+
+        A route without observations has the average of all routes.
+        """
         return self.by_route.get(route) or self.overall or DEFAULT_SERVICE_TIME
 
     def observed(self, route: str) -> timedelta | None:
-        """Return the service time of a route, None before its first observation."""
+        """Return the average service time of a route, or None before its first observation."""
         return self.by_route.get(route)
 
 
 class ObjectiveQueue:
-    """Slots of one target and the requests that wait for them.
+    """The slots of one target, with a priority queue of the requests that wait for them.
 
-    The most urgent requests go first. Among equally urgent ones, those that can still be on time
-    go by their objective, and the others use the slots that are left. A request that has no chance
-    to end before its deadline is refused as soon as that is known.
+    The most urgent requests are started first. Among equally urgent ones, those that can still
+    meet their objective are ordered by it, and late ones follow in the order of their deadlines. A
+    request that cannot end before its deadline is refused as soon as that is known.
     """
 
     def __init__(self, *, clock: Clock, slots: int):
@@ -108,35 +117,38 @@
         self.closed = False
 
     def offer(self, job: Job) -> None:
-        """Start a request, queue it or refuse it, before this returns."""
+        """Start a request, queue it or refuse it.
+
+        ``Job.start`` or ``Job.refuse`` may be called before this returns.
+        """
         now = self.clock.monotonic()
         if self.closed:
             job.refuse(Refusal.DRAINING, MIN_RETRY_AFTER)
             return
-        if not self._fits(job, now):
+        if not self._can_meet_deadline(job, now):
             job.refuse(Refusal.TOO_LATE, self._retry_after(now))
             return
         if len(self.running) < self.slots and not self.waiting:
             self._start(job, now)
             return
         ahead = self._ahead_of(job, now)
-        wait = self.expected_wait(ahead, now) * WAIT_MARGIN
-        needed = self.times.expected(job.terms.route)
-        late = now + wait + needed > job.terms.objective_at
-        hopeless = now + wait + needed > job.terms.deadline_at
-        if hopeless or (late and self._is_crowded(len(ahead))):
+        wait = self.expected_wait(ahead, now) * EXPECTED_WAIT_FACTOR
+        service_time = self.times.expected(job.terms.route)
+        late = now + wait + service_time > job.terms.objective_at
+        too_late = now + wait + service_time > job.terms.deadline_at
+        if too_late or (late and self._exceeds_late_limit(len(ahead))):
             job.refuse(Refusal.OVERLOADED, self._retry_after(now))
             return
         self.waiting.append(job)
         if len(self.waiting) > QUEUE_PER_SLOT * self.slots:
-            victim = max(self.waiting, key=lambda item: self._rank(item, now))
-            self.waiting.remove(victim)
-            victim.refuse(Refusal.OVERLOADED, self._retry_after(now))
+            last_in_order = max(self.waiting, key=lambda item: self._rank(item, now))
+            self.waiting.remove(last_in_order)
+            last_in_order.refuse(Refusal.OVERLOADED, self._retry_after(now))
 
     def release(self, job: Job, *, observed: bool) -> None:
-        """Free the slot of a request that ended, and start those that come next.
+        """Free the slot of a request that ended, and start the next waiting requests.
 
-        :param observed: whether the time it took says how long requests of its route take
+        :param observed: whether its duration counts as a service time of its route
         """
         started = self.running.pop(job, None)
         now = self.clock.monotonic()
@@ -145,7 +157,7 @@
         self.dispatch()
 
     def cancel(self, job: Job) -> bool:
-        """Take a waiting request out of the queue.
+        """Remove a waiting request from the queue.
 
         :returns: whether it was waiting
         """
@@ -162,24 +174,24 @@
             job.refuse(Refusal.DRAINING, MIN_RETRY_AFTER)
 
     def resize(self, slots: int) -> None:
-        """Change the number of slots."""
+        """Change the number of slots; waiting requests may start."""
         self.slots = slots
         self.dispatch()
 
     def dispatch(self) -> None:
-        """Start waiting requests while slots are free, and refuse those without a chance."""
+        """Start waiting requests while slots are free; refuse those that would end too late."""
         if not self.waiting or self.closed:
             return
         now = self.clock.monotonic()
         kept: list[Job] = []
-        hopeless: list[Job] = []
+        too_late: list[Job] = []
         for late, job in self._ordered(now):
-            # One that has become late would not be admitted again behind as many others.
-            crowded = late and self._is_crowded(len(kept))
-            (hopeless if crowded or not self._fits(job, now) else kept).append(job)
+            # A request that has become late must meet the same limit as a late one on arrival.
+            over_limit = late and self._exceeds_late_limit(len(kept))
+            (too_late if over_limit or not self._can_meet_deadline(job, now) else kept).append(job)
         free = max(0, self.slots - len(self.running))
         self.waiting = kept[free:]
-        for job in hopeless:
+        for job in too_late:
             job.refuse(Refusal.TOO_LATE, self._retry_after(now))
         for job in kept[:free]:
             self._start(job, now)
@@ -188,7 +200,7 @@
         """Return the expected time until a request would start.
 
         The requests ahead of it are assigned to the slots in the order in which these become
-        free: a request at the front waits for the first slot, not for the mean one.
+        free, so that a request at the front waits for the first free slot, not for an average one.
         """
         free = [self._remaining(other, started, now) for other, started in self.running.items()]
         free.extend([ZERO] * (self.slots - len(free)))
@@ -198,19 +210,19 @@
         return free[0]
 
     def _remaining(self, job: Job, started: timedelta, now: timedelta) -> timedelta:
-        """Return the expected rest of a running request.
+        """Return the expected remaining time of a running request.
 
-        One past its expected time is about to end, but has not yet.
+        A request that has exceeded its expected service time still has a share of it left.
         """
         expected = self.times.expected(job.terms.route)
-        return max(expected - (now - started), expected * OVERDUE_SHARE)
+        return max(expected - (now - started), expected * OVERDUE_REMAINING_SHARE)
 
     def _start(self, job: Job, now: timedelta) -> None:
         self.running[job] = now
         job.start()
 
     def _ordered(self, now: timedelta) -> list[tuple[bool, Job]]:
-        """Return the waiting requests in the order of service, and whether each is late."""
+        """Return the waiting requests in the order of service, each with whether it is late."""
         ranked = [(self._rank(job, now), job) for job in self.waiting]
         ranked.sort(key=lambda item: item[0])
         return [(rank[1], job) for rank, job in ranked]
@@ -219,20 +231,20 @@
         rank = self._rank(job, now)
         return [other for other in self.waiting if self._rank(other, now) <= rank]
 
-    def _is_crowded(self, ahead: int) -> bool:
+    def _exceeds_late_limit(self, ahead: int) -> bool:
         return ahead >= self.slots * LATE_QUEUE_PER_SLOT
 
-    def _fits(self, job: Job, now: timedelta) -> bool:
-        needed = self.times.expected(job.terms.route)
-        return now + needed * MIN_FIT <= job.terms.deadline_at
+    def _can_meet_deadline(self, job: Job, now: timedelta) -> bool:
+        service_time = self.times.expected(job.terms.route)
+        return now + service_time * MIN_SERVICE_TIME_SHARE <= job.terms.deadline_at
 
     def _rank(self, job: Job, now: timedelta) -> tuple[int, bool, timedelta]:
-        """Return the place in the order of service, lowest first."""
+        """Return the sort key for the order of service; the lowest is served first."""
         late = now + self.times.expected(job.terms.route) > job.terms.objective_at
         return (job.terms.urgency, late, job.terms.deadline_at if late else job.terms.objective_at)
 
     def _retry_after(self, now: timedelta) -> timedelta:
-        """Return when the present queue will have been worked off."""
+        """Estimate the time until the running and waiting requests have ended."""
         work = sum((self.times.expected(job.terms.route) for job in self.waiting), ZERO)
         for job, started in self.running.items():
             work += max(self.times.expected(job.terms.route) - (now - started), ZERO)
--- a/almondshore/limits/tenants.py
+++ b/almondshore/limits/tenants.py
@@ -1,4 +1,4 @@
-"""Request limits by tenant, with a bounded table of identities."""
+"""Request rate limits by tenant, with a bounded table of tenants outside the configuration."""
 
 import heapq
 from collections.abc import Iterable
@@ -14,8 +14,10 @@
 CAPACITY = 10_000
 DEFAULT_RATE = 100.0
 DEFAULT_BURST = 200
-# Names come from callers; longer ones are kept as a hash, so that an entry has a bounded size.
+# Tenant names come from callers. Longer ones are replaced by a hash, so that the size of a table
+# entry is bounded.
 MAX_NAME_CHARS = 64
+# Bounds the time that a single request spends on finding an entry to evict.
 MAX_EVICTION_STEPS = 32
 
 
@@ -49,7 +51,7 @@
         self.updated = now_s
 
     def take(self, now_s: float) -> float:
-        """Take a token; return 0, or the seconds until one is there."""
+        """Take a token and return 0, or return the seconds until a token is available."""
         self.tokens = min(self.burst, self.tokens + (now_s - self.updated) * self.rate)
         self.updated = now_s
         if self.tokens >= 1.0:
@@ -58,16 +60,16 @@
         return (1.0 - self.tokens) / self.rate
 
     def full_at(self) -> float:
-        """Return the time at which the bucket is at capacity again if it is left alone."""
+        """Return the time at which the bucket is full again if no more tokens are taken."""
         return self.updated + (self.burst - self.tokens) / self.rate
 
 
 class TenantLimits:
     """Token buckets by tenant.
 
-    Configured tenants have buckets of their own, as many as the configuration names. Identities
-    that callers make up share a bounded table. A bucket at capacity equals a new one, so evicting
-    it loses nothing; when no bucket is at capacity, only new identities are refused.
+    Each configured tenant has a bucket that is never evicted. All other names, which callers can
+    make up, share a bounded table. A full bucket is equal to a new one, so evicting it loses
+    nothing; when no bucket is full, only names that are not in the table are refused.
     """
 
     def __init__(
@@ -80,9 +82,9 @@
     ):
         """Create an empty table.
 
-        :param capacity: identities outside the configuration that are tracked
-        :param default_rate: requests a second for each of them
-        :param default_burst: requests that may come at once from each of them
+        :param capacity: maximum number of tracked tenants outside the configuration
+        :param default_rate: requests per second for each of them
+        :param default_burst: requests that each of them may send at once
         """
         self.clock = clock
         self.capacity = capacity
@@ -90,7 +92,8 @@
         self.default_burst = default_burst
         self.configured: dict[str, _Bucket] = {}
         self.others: dict[str, _Bucket] = {}
-        # One entry for each key of ``others``: a lower bound of the time it is at capacity.
+        # Heap with one entry for each key of ``others``: a lower bound of the time at which its
+        # bucket is full.
         self.by_full_at: list[tuple[float, str]] = []
 
     def configure(self, parts: Iterable[TenantPart]) -> None:
@@ -105,12 +108,12 @@
         self.configured = configured
 
     def take(self, tenant: str) -> Allowed | Limited:
-        """Count a request of a tenant.
+        """Charge a request to a tenant's bucket.
 
-        :param tenant: name as the caller gives it; the empty name is a tenant like others
+        :param tenant: name given by the caller; the empty name is treated like any other
         """
         now_s = self.clock.monotonic().total_seconds()
-        bucket = self.configured.get(tenant) or self._other(tenant, now_s)
+        bucket = self.configured.get(tenant) or self._unconfigured_bucket(tenant, now_s)
         if bucket is None:
             wait_s = max(1.0, self.by_full_at[0][0] - now_s) if self.by_full_at else 1.0
             return Limited(timedelta(seconds=wait_s), LimitReason.TABLE_FULL)
@@ -119,7 +122,7 @@
             return Limited(timedelta(seconds=wait_s), LimitReason.TENANT_LIMITED)
         return Allowed()
 
-    def _other(self, tenant: str, now_s: float) -> _Bucket | None:
+    def _unconfigured_bucket(self, tenant: str, now_s: float) -> _Bucket | None:
         key = tenant
         if len(tenant) > MAX_NAME_CHARS:
             key = f"#{xxhash.xxh3_128_hexdigest(tenant.encode(errors='replace'))}"
@@ -133,7 +136,7 @@
         return bucket
 
     def _evict(self, now_s: float) -> bool:
-        """Evict one bucket at capacity; the number of steps is bounded."""
+        """Evict one full bucket, in a bounded number of steps; return whether one was found."""
         for _ in range(MAX_EVICTION_STEPS):
             bound, key = self.by_full_at[0]
             if bound > now_s:
--- a/test/limits/test_admission.py
+++ b/test/limits/test_admission.py
@@ -22,8 +22,8 @@
 URGENT, INTERNAL, ROUTINE = RequestClass.URGENT, RequestClass.INTERNAL, RequestClass.ROUTINE
 
 
-class Bed:
-    """A slot queue that counts how each offered request ends."""
+class QueueHarness:
+    """Drives a slot queue and counts how often each offered request ends."""
 
     def __init__(self, slots=10, **limits):
         self.clock = ManualClock()
@@ -52,16 +52,16 @@
             self.waiting.remove(item.request.request_id)
             self.ends[item.request.request_id] += 1
 
-    def turn(self, turn):
-        self.shed(turn.shed)
-        for request in turn.started:
+    def apply_result(self, result):
+        self.shed(result.shed)
+        for request in result.started:
             self.waiting.remove(request.request_id)
             self.started[request.request_class] += 1
-        return turn
+        return result
 
     def finish(self, name):
         self.ends[name] += 1
-        return self.turn(self.queue.release(name))
+        return self.apply_result(self.queue.release(name))
 
     def finish_oldest(self):
         return self.finish(next(iter(self.queue.running)))
@@ -71,124 +71,128 @@
 
 
 class ClassTest(TestCase):
-    def overload(self, bed, offers, rounds=400):
-        """Offer three times what the slots can run; each slot takes 10 ms for a request."""
+    def overload(self, harness, offers, rounds=400):
+        """Offer three times as many requests as the slots can run, at 10 ms for each request."""
         for _ in range(rounds):
-            bed.advance(0.01)
+            harness.advance(0.01)
             for request_class, count in offers.items():
                 for _ in range(count):
-                    bed.offer(request_class, timeout=0.5)
-            for name in list(bed.queue.running):
-                bed.finish(name)
+                    harness.offer(request_class, timeout=0.5)
+            for name in list(harness.queue.running):
+                harness.finish(name)
 
     def test_internal_calls_run_under_three_times_overload(self):
-        """Guards against urgent requests starving the internal calls that they depend on."""
-        bed = Bed()
-        self.overload(bed, {URGENT: 28, INTERNAL: 2})
-        self.assertTrue(bed.started[INTERNAL] >= 780, bed.started)
-
-    def test_slots_follow_the_weights_when_all_classes_wait(self):
-        """Guards against a class taking over the slots because it offers the most."""
-        bed = Bed(queue_limit=130, reserved_internal=0)
-        self.overload(bed, {URGENT: 30, INTERNAL: 30, ROUTINE: 30}, rounds=1000)
-        total = sum(bed.started.values())
-        shares = [round(13 * bed.started[name] / total) for name in (URGENT, INTERNAL, ROUTINE)]
+        """Guards against urgent requests that starve the internal calls they depend on."""
+        harness = QueueHarness()
+        self.overload(harness, {URGENT: 28, INTERNAL: 2})
+        self.assertTrue(harness.started[INTERNAL] >= 780, harness.started)
+
+    def test_slots_are_shared_by_weight_when_all_classes_wait(self):
+        """Guards against a class that gets most slots because it offers the most requests."""
+        harness = QueueHarness(queue_limit=130, reserved_internal=0)
+        self.overload(harness, {URGENT: 30, INTERNAL: 30, ROUTINE: 30}, rounds=1000)
+        total = sum(harness.started.values())
+        shares = [round(13 * harness.started[name] / total) for name in (URGENT, INTERNAL, ROUTINE)]
         self.assertEqual([8, 4, 1], shares)
 
-    def test_one_slot_is_kept_for_internal_calls(self):
+    def test_one_slot_is_reserved_for_internal_calls(self):
         """Guards against a deadlock of callers that hold all slots and wait for their callees."""
-        bed = Bed(slots=3)
-        answers = [type(bed.offer(URGENT)) for _ in range(3)]
+        harness = QueueHarness(slots=3)
+        answers = [type(harness.offer(URGENT)) for _ in range(3)]
         self.assertEqual([Admitted, Admitted, Queued], answers)
         for _ in range(2):
-            self.assertIsInstance(bed.offer(INTERNAL), Admitted)
-            self.assertEqual((), bed.finish(f"r{bed.count}").started)
+            self.assertIsInstance(harness.offer(INTERNAL), Admitted)
+            self.assertEqual((), harness.finish(f"r{harness.count}").started)
 
     def test_lowered_concurrency_leaves_slots_unused(self):
-        """Guards against a saturated target that is given all its slots regardless."""
+        """Guards against a saturated target that is still given all its slots."""
         concurrency = AdaptiveConcurrency(slots=10)
         concurrency.current = 4.9
-        bed = Bed(concurrency=concurrency, reserved_internal=0)
-        answers = [type(bed.offer(URGENT)) for _ in range(6)]
+        harness = QueueHarness(concurrency=concurrency, reserved_internal=0)
+        answers = [type(harness.offer(URGENT)) for _ in range(6)]
         self.assertEqual([Admitted] * 4 + [Queued] * 2, answers)
 
     def test_full_queue_sheds_the_lowest_class_first(self):
-        """Guards against fault reads being refused while routine checks wait."""
-        bed = Bed(slots=2, queue_limit=4)
+        """Guards against urgent requests that are refused while routine ones wait."""
+        harness = QueueHarness(slots=2, queue_limit=4)
         for request_class in (URGENT, INTERNAL, ROUTINE, ROUTINE, ROUTINE, ROUTINE):
-            bed.offer(request_class)
-        answer = bed.offer(URGENT)
+            harness.offer(request_class)
+        answer = harness.offer(URGENT)
         self.assertEqual(["r6"], [item.request.request_id for item in answer.shed])
         self.assertEqual(RefusalReason.OVERLOADED, answer.shed[0].refused.reason)
-        self.assertIsInstance(bed.offer(ROUTINE), Refused)
+        self.assertIsInstance(harness.offer(ROUTINE), Refused)
 
-    def test_urgent_requests_do_not_push_out_the_internal_part_of_the_queue(self):
-        """Guards against starvation in the queue rather than in the slots."""
-        bed = Bed(slots=2, queue_limit=13)
+    def test_urgent_requests_do_not_displace_the_internal_share_of_the_queue(self):
+        """Guards against internal calls that starve because urgent ones fill the queue."""
+        harness = QueueHarness(slots=2, queue_limit=13)
         for _ in range(30):
-            bed.offer(INTERNAL)
-            bed.offer(URGENT)
-        self.assertEqual(4, len(bed.queue.queues[INTERNAL]))
+            harness.offer(INTERNAL)
+            harness.offer(URGENT)
+        self.assertEqual(4, len(harness.queue.queues[INTERNAL]))
 
 
 class DeadlineTest(TestCase):
-    def test_expired_work_is_not_started(self):
-        """Guards against slots spent on responses that nobody waits for."""
-        bed = Bed(slots=1)
-        bed.offer(URGENT)
-        bed.offer(URGENT, timeout=0.1)
-        bed.offer(URGENT, timeout=1.0)
-        bed.advance(0.2)
-        turn = bed.finish("r1")
-        self.assertEqual(["r3"], [request.request_id for request in turn.started])
-        self.assertEqual([RefusalReason.DEADLINE], [item.refused.reason for item in turn.shed])
-        self.assertEqual(RefusalReason.DEADLINE, Bed().offer(URGENT, timeout=0.0).reason)
+    def test_expired_request_is_not_started(self):
+        """Guards against slots that run requests whose callers no longer wait."""
+        harness = QueueHarness(slots=1)
+        harness.offer(URGENT)
+        harness.offer(URGENT, timeout=0.1)
+        harness.offer(URGENT, timeout=1.0)
+        harness.advance(0.2)
+        result = harness.finish("r1")
+        self.assertEqual(["r3"], [request.request_id for request in result.started])
+        self.assertEqual([RefusalReason.DEADLINE], [item.refused.reason for item in result.shed])
+        self.assertEqual(RefusalReason.DEADLINE, QueueHarness().offer(URGENT, timeout=0.0).reason)
 
     def test_request_that_would_wait_past_its_deadline_is_refused_at_once(self):
-        """Guards against a caller that learns too late to try another target."""
-        bed = Bed(slots=1)
-        bed.offer(URGENT)
-        bed.advance(0.1)
-        bed.finish("r1")
-        bed.offer(URGENT)
-        self.assertIsInstance(bed.offer(URGENT, timeout=0.15), Refused)
-        self.assertIsInstance(bed.offer(URGENT, timeout=0.5), Queued)
-
-    def test_expiry_needs_no_release(self):
-        """Guards against requests that wait for ever behind a stuck target."""
-        bed = Bed(slots=1)
-        bed.offer(URGENT)
-        bed.offer(URGENT, timeout=0.1)
-        bed.advance(0.2)
-        bed.turn(bed.queue.expire())
-        self.assertEqual(set(), bed.waiting)
-
-    def test_drain_refuses_new_work_and_ends_the_queue_within_3_s(self):
-        """Guards against a leaving target getting work after the 3 s of I8, or cutting some."""
-        bed = Bed(slots=1)
+        """Guards against a refusal that comes too late for the caller to try another target."""
+        harness = QueueHarness(slots=1)
+        harness.offer(URGENT)
+        harness.advance(0.1)
+        harness.finish("r1")
+        harness.offer(URGENT)
+        self.assertIsInstance(harness.offer(URGENT, timeout=0.15), Refused)
+        self.assertIsInstance(harness.offer(URGENT, timeout=0.5), Queued)
+
+    def test_queued_requests_expire_without_a_release(self):
+        """Guards against requests that wait for ever for a target that releases no slot."""
+        harness = QueueHarness(slots=1)
+        harness.offer(URGENT)
+        harness.offer(URGENT, timeout=0.1)
+        harness.advance(0.2)
+        harness.apply_result(harness.queue.expire())
+        self.assertEqual(set(), harness.waiting)
+
+    def test_drain_refuses_new_requests_and_empties_the_queue_within_3_s(self):
+        """Guards against a draining target that starts requests after the 3 s of I8.
+
+        Requests that run must not be cut off either.
+        """
+        harness = QueueHarness(slots=1)
         for _ in range(3):
-            bed.offer(URGENT, timeout=60)
-        bed.queue.drain()
-        self.assertEqual(RefusalReason.DRAINING, bed.offer(URGENT).reason)
-        self.assertEqual(1, len(bed.finish("r1").started))
-        bed.advance(3)
+            harness.offer(URGENT, timeout=60)
+        harness.queue.drain()
+        self.assertEqual(RefusalReason.DRAINING, harness.offer(URGENT).reason)
+        self.assertEqual(1, len(harness.finish("r1").started))
+        harness.advance(3)
         self.assertEqual(
-            RefusalReason.DRAINING, bed.turn(bed.queue.expire()).shed[0].refused.reason
+            RefusalReason.DRAINING,
+            harness.apply_result(harness.queue.expire()).shed[0].refused.reason,
         )
-        self.assertFalse(bed.queue.is_idle())
-        bed.finish("r2")
-        self.assertTrue(bed.queue.is_idle())
+        self.assertFalse(harness.queue.is_idle())
+        harness.finish("r2")
+        self.assertTrue(harness.queue.is_idle())
 
     def test_repeated_release_and_id_free_no_slot(self):
-        """Guards against a doubled report that lets two requests into one slot."""
-        bed = Bed(slots=1)
-        bed.offer(URGENT)
-        self.assertEqual(RefusalReason.DUPLICATE, bed.offer(URGENT, request_id="r1").reason)
-        bed.offer(URGENT)
-        bed.offer(URGENT)
-        bed.finish("r1")
-        self.assertEqual((), bed.turn(bed.queue.release("r1")).started)
-        self.assertEqual(1, len(bed.queue.running))
+        """Guards against a repeated report that lets two requests into one slot."""
+        harness = QueueHarness(slots=1)
+        harness.offer(URGENT)
+        self.assertEqual(RefusalReason.DUPLICATE, harness.offer(URGENT, request_id="r1").reason)
+        harness.offer(URGENT)
+        harness.offer(URGENT)
+        harness.finish("r1")
+        self.assertEqual((), harness.apply_result(harness.queue.release("r1")).started)
+        self.assertEqual(1, len(harness.queue.running))
 
 
 OPERATION = st.one_of(
@@ -200,37 +204,37 @@
 )
 
 
-def apply(bed, operation):
+def apply(harness, operation):
     kind, value, timeout = operation
     if kind == "offer":
-        bed.offer(value, timeout)
-    elif kind == "finish" and bed.queue.running:
-        bed.finish(list(bed.queue.running)[value % len(bed.queue.running)])
-    elif kind == "cancel" and bed.waiting:
-        name = sorted(bed.waiting)[value % len(bed.waiting)]
-        bed.ends[name] += bed.queue.cancel(name)
-        bed.waiting.discard(name)
+        harness.offer(value, timeout)
+    elif kind == "finish" and harness.queue.running:
+        harness.finish(list(harness.queue.running)[value % len(harness.queue.running)])
+    elif kind == "cancel" and harness.waiting:
+        name = sorted(harness.waiting)[value % len(harness.waiting)]
+        harness.ends[name] += harness.queue.cancel(name)
+        harness.waiting.discard(name)
     elif kind == "advance":
-        bed.advance(value)
+        harness.advance(value)
     elif kind == "expire":
-        bed.turn(bed.queue.expire())
-    elif kind == "drain" and bed.count > 15:
-        bed.queue.drain()
+        harness.apply_result(harness.queue.expire())
+    elif kind == "drain" and harness.count > 15:
+        harness.queue.drain()
 
 
 class PropertyTest(TestCase):
     @settings(max_examples=300, deadline=None, derandomize=True, database=None)
     @given(operations=st.lists(OPERATION, max_size=60), slots=st.integers(1, 4))
-    def test_slots_hold_and_each_request_ends_once(self, operations, slots):
-        """Guards against a lost, doubled or oversold request under any order of events."""
-        bed = Bed(slots=slots, queue_limit=5)
+    def test_slots_are_not_exceeded_and_each_request_ends_once(self, operations, slots):
+        """Guards against lost or repeated requests and exceeded slots in any order of events."""
+        harness = QueueHarness(slots=slots, queue_limit=5)
         for operation in operations:
-            apply(bed, operation)
-            self.assertTrue(len(bed.queue.running) <= slots)
-            self.assertTrue(bed.queue.queued <= 5)
-            self.assertEqual(len(bed.waiting), bed.queue.queued)
-        bed.advance(10)
-        while bed.queue.running:
-            bed.finish_oldest()
-        bed.turn(bed.queue.expire())
-        self.assertEqual({f"r{n + 1}": 1 for n in range(bed.count)}, dict(bed.ends))
+            apply(harness, operation)
+            self.assertTrue(len(harness.queue.running) <= slots)
+            self.assertTrue(harness.queue.queued <= 5)
+            self.assertEqual(len(harness.waiting), harness.queue.queued)
+        harness.advance(10)
+        while harness.queue.running:
+            harness.finish_oldest()
+        harness.apply_result(harness.queue.expire())
+        self.assertEqual({f"r{n + 1}": 1 for n in range(harness.count)}, dict(harness.ends))
--- a/test/limits/test_concurrency.py
+++ b/test/limits/test_concurrency.py
@@ -12,45 +12,45 @@
 class AdaptiveConcurrencyTest(TestCase):
     def setUp(self):
         super().setUp()
-        self.control = AdaptiveConcurrency(slots=10)
+        self.concurrency = AdaptiveConcurrency(slots=10)
 
     def observe(self, latency, times, route="read"):
         for _ in range(times):
-            self.control.observe(route, latency)
+            self.concurrency.observe(route, latency)
 
-    def test_rising_latency_lowers_the_slots_and_calm_restores_them(self):
-        """Guards against a target that is pushed further once it is saturated."""
+    def test_limit_falls_with_rising_latency_and_recovers_afterwards(self):
+        """Guards against a saturated target that is still given all its slots."""
         self.observe(FAST, 500)
-        self.assertEqual(10, self.control.limit())
+        self.assertEqual(10, self.concurrency.limit())
         self.observe(FAST * 4, 250)
-        self.assertTrue(self.control.limit() <= 6, self.control.limit())
+        self.assertTrue(self.concurrency.limit() <= 6, self.concurrency.limit())
         self.observe(FAST, 500)
-        self.assertEqual(10, self.control.limit())
+        self.assertEqual(10, self.concurrency.limit())
 
     def test_limit_has_a_minimum(self):
-        """Guards against a target that gets no requests and can show no better latency."""
+        """Guards against a target without requests, whose latency can never be seen to improve."""
         self.observe(FAST, 500)
         self.observe(FAST * 9, 2500)
-        self.assertEqual(2, self.control.limit())
+        self.assertEqual(2, self.concurrency.limit())
 
-    def test_change_in_the_mix_of_routes_is_no_overload(self):
-        """Guards against fewer slots because slow reports replace fast reads."""
+    def test_change_in_the_mix_of_routes_keeps_the_limit(self):
+        """Guards against a lowered limit when the share of requests to a slow route rises."""
         for _ in range(50):
             self.observe(FAST, 9)
             self.observe(SLOW, 1, route="report")
         for _ in range(50):
             self.observe(FAST, 1)
             self.observe(SLOW, 9, route="report")
-        self.assertEqual(10, self.control.limit())
+        self.assertEqual(10, self.concurrency.limit())
 
-    def test_lasting_change_becomes_the_new_floor(self):
-        """Guards against a slower version being held at few slots for ever."""
+    def test_lasting_change_becomes_the_new_baseline(self):
+        """Guards against a slower version that is limited to a few slots for ever."""
         self.observe(FAST, 500)
         self.observe(FAST * 4, 50 * 80)
-        self.assertEqual(10, self.control.limit())
+        self.assertEqual(10, self.concurrency.limit())
 
-    def test_routes_are_bounded(self):
-        """Guards against memory growing with the routes that come and go."""
+    def test_number_of_tracked_routes_is_bounded(self):
+        """Guards against memory use that grows with each route that was ever seen."""
         for n in range(1000):
             self.observe(FAST, 1, route=f"r{n}")
-        self.assertEqual(256, len(self.control.routes))
+        self.assertEqual(256, len(self.concurrency.routes))
--- a/test/limits/test_objective.py
+++ b/test/limits/test_objective.py
@@ -15,7 +15,7 @@
 
 
 class FakeJob(Job):
-    """Notes how it ended."""
+    """Records whether it was started or refused."""
 
     def __init__(self, name, terms, log):
         self.name, self.terms, self.log = name, terms, log
@@ -54,7 +54,7 @@
         return job
 
     def test_urgent_requests_go_first_and_then_the_nearest_objective(self):
-        """Guards against an urgent read that waits behind routine checks."""
+        """Guards against an urgent request that waits behind routine ones."""
         queue = self.queue()
         running = self.offer(queue, "running")
         self.offer(queue, "routine", urgency=2, objective=500)
@@ -66,17 +66,17 @@
             job = next(iter(queue.running))
         self.assertEqual(["running", "sooner", "later", "routine"], self.started)
 
-    def test_request_without_a_chance_is_refused_at_once(self):
+    def test_request_that_would_miss_its_deadline_is_refused_at_once(self):
         """Guards against a request that is held until its deadline passes."""
         queue = self.queue()
         self.offer(queue)
         late = self.offer(queue, objective=50, deadline=120)
         self.assertEqual([Refusal.OVERLOADED], late.ends)
-        hopeless = self.offer(queue, objective=10, deadline=20)
-        self.assertEqual([Refusal.TOO_LATE], hopeless.ends)
+        too_late = self.offer(queue, objective=10, deadline=20)
+        self.assertEqual([Refusal.TOO_LATE], too_late.ends)
 
-    def test_late_requests_use_only_slots_that_are_left(self):
-        """Guards against late requests that make those behind them late too."""
+    def test_late_requests_start_after_those_on_time(self):
+        """Guards against late requests that delay others until these are late too."""
         queue = self.queue()
         first = self.offer(queue, "first")
         self.offer(queue, "late", objective=150, deadline=3000)
@@ -85,8 +85,8 @@
         queue.release(first, observed=False)
         self.assertEqual(["first", "on-time"], self.started)
 
-    def test_waiting_request_is_refused_when_it_no_longer_fits(self):
-        """Guards against a target that works on answers nobody waits for."""
+    def test_waiting_request_is_refused_once_it_would_miss_its_deadline(self):
+        """Guards against a target that runs requests whose callers no longer wait."""
         queue = self.queue()
         self.offer(queue)
         waiting = self.offer(queue, objective=250, deadline=320)
@@ -95,7 +95,7 @@
         self.assertEqual([Refusal.TOO_LATE], waiting.ends)
 
     def test_closed_queue_refuses_all(self):
-        """Guards against work that reaches a target which has left."""
+        """Guards against requests that are sent to a target after it has left."""
         queue = self.queue()
         self.offer(queue)
         waiting = self.offer(queue)
@@ -110,8 +110,8 @@
         st.randoms(use_true_random=False),
     )
     @settings(max_examples=60, deadline=None)
-    def test_each_request_ends_once_and_slots_are_kept(self, wanted, rng):
-        """Guards against lost or doubled requests, and against more work than slots."""
+    def test_each_request_ends_once_and_slots_are_not_exceeded(self, wanted, rng):
+        """Guards against lost or repeated requests, and more running requests than slots."""
         self.clock = ManualClock()
         queue = self.queue(slots=3)
         jobs = []
--- a/test/limits/test_tenants.py
+++ b/test/limits/test_tenants.py
@@ -22,7 +22,7 @@
         return [None if isinstance(answer, Allowed) else answer.reason for answer in answers]
 
     def test_limit_and_refill(self):
-        """Guards against one tenant using up what all share."""
+        """Guards against one tenant that uses up the capacity all tenants share."""
         limited = LimitReason.TENANT_LIMITED
         self.assertEqual([None, None, limited], self.reasons("bakery", 3))
         self.assertEqual(timedelta(seconds=0.2), self.limits.take("bakery").retry_after)
@@ -30,7 +30,7 @@
         self.assertEqual([None, limited], self.reasons("bakery", 2))
 
     def test_full_table_refuses_only_new_identities(self):
-        """Guards against made-up tenant names filling memory or locking known tenants out."""
+        """Guards against made-up tenant names that fill memory or lock out known tenants."""
         for n in range(1000):
             self.limits.take(f"made-up-{n}")
         self.assertEqual(100, len(self.limits.others))
@@ -38,16 +38,16 @@
         self.assertEqual([None], self.reasons("made-up-5"))
         self.assertEqual([None], self.reasons("bakery"))
 
-    def test_buckets_at_capacity_make_room(self):
-        """Guards against a table that stays full after a flood has ended."""
+    def test_full_buckets_are_evicted(self):
+        """Guards against a table that stays full after a flood of made-up names has ended."""
         for n in range(100):
             self.limits.take(f"made-up-{n}")
         self.clock.advance(timedelta(seconds=0.2))
         self.assertEqual([None], self.reasons("new"))
         self.assertEqual(100, len(self.limits.others))
 
-    def test_eviction_never_forgives_a_used_up_bucket(self):
-        """Guards against a tenant that renews its burst by having itself evicted."""
+    def test_used_up_bucket_is_not_evicted(self):
+        """Guards against a tenant that regains its burst because its bucket was evicted."""
         self.reasons("greedy", 10)
         for n in range(99):
             self.limits.take(f"made-up-{n}")
@@ -57,12 +57,12 @@
         self.assertIn(LimitReason.TENANT_LIMITED, self.reasons("greedy", 3))
 
     def test_unchanged_limit_keeps_its_bucket(self):
-        """Guards against each of 10,000 configuration changes a day refilling all buckets."""
+        """Guards against refilling all buckets at each of 10,000 configuration changes a day."""
         self.reasons("bakery", 2)
         self.limits.configure([{"name": "bakery", "rate": 5.0, "burst": 2}])
         self.assertEqual([LimitReason.TENANT_LIMITED], self.reasons("bakery"))
 
     def test_long_names_take_bounded_space(self):
-        """Guards against megabytes of memory by way of long tenant names."""
+        """Guards against long tenant names that take up megabytes of memory."""
         self.limits.take("x" * 10_000)
         self.assertTrue(max(map(len, self.limits.others)) <= 64)
