Describe target choice and ejection in the usual terms

Short names such as own, others, use, heard, goal, fresh and usual did not say what they count, and comments spoke of evidence, herds and targets that return. The constants of the ramp, of reports and of jitter name what they bound. The reason and the figure behind each constant are kept. Tests keep their checks; the test bed is now ChooserHarness.

--- a/almondshore/routing/choice.py
+++ b/almondshore/routing/choice.py
@@ -11,8 +11,10 @@
 from almondshore.routing.weights import pick_weighted
 
 SPILLOVER_UTILISATION = 0.8
-RAMP = timedelta(seconds=10)
-RAMP_START = 0.1
+# Time over which a new target's share of requests rises from RAMP_INITIAL_SHARE to its full value.
+RAMP_TIME = timedelta(seconds=10)
+RAMP_INITIAL_SHARE = 0.1
+# Random draws of an eligible target before all targets of the tier are searched.
 SAMPLE_ATTEMPTS = 4
 
 __all__ = ["ResultKind", "TargetChooser", "TargetResult"]
@@ -21,8 +23,8 @@
 class TargetChooser:
     """Chooses targets by power of two random choices, nearest availability zone first.
 
-    The version is picked first, by weight; the target then within the version, so that the share
-    of a move does not depend on the number or the load of its targets.
+    The version is picked first, by weight, and then a target of that version, so that the share of
+    requests in a move does not depend on the number or the load of the version's targets.
     """
 
     def __init__(
@@ -34,13 +36,15 @@
         ejector: OutlierEjector,
         distance: Callable[[str], int] | None = None,
         spillover: float = SPILLOVER_UTILISATION,
-        ramp: timedelta = RAMP,
+        ramp: timedelta = RAMP_TIME,
     ):
         """Create a chooser without targets.
 
-        :param zone: own availability zone
-        :param distance: maps a zone to its distance, 0 for the own one; by default all others
-            are equally far
+        :param zone: availability zone of this node
+        :param distance: returns the distance of a zone, 0 for this node's zone; by default all
+            other zones are equally far
+        :param spillover: utilisation of a tier from which farther tiers are used too
+        :param ramp: time until a new target gets its full share of requests
         """
         self.clock = clock
         self.rng = rng
@@ -54,20 +58,20 @@
         self.members: dict[str, set[str]] = {}
 
     def update(self, service: str, records: Iterable[TargetRecord]) -> None:
-        """Set the targets of a service; only those that are up are chosen."""
+        """Set the targets of a service; only those in state ``UP`` can be chosen."""
         now_s = self.clock.monotonic().total_seconds()
         up = [record for record in records if record.state is TargetState.UP]
-        first = service not in self.services
+        is_first_update = service not in self.services
         for target in self.members.get(service, set()) - {record.target for record in up}:
             self._unlist(target)
         versions: dict[str, dict[int, Tier]] = {}
         for record in up:
-            # Targets that were there before this node need no ramp.
-            load = self._load(record, float("-inf") if first else now_s)
+            # Targets in the first update may have been up for long and are not ramped up.
+            load = self._load(record, float("-inf") if is_first_update else now_s)
             distance = self.distance(record.zone)
             tiers = versions.setdefault(record.version, {})
             tiers.setdefault(distance, Tier(distance)).loads.append(load)
-        self._set_groups(service, versions)
+        self._update_ejection_groups(service, versions)
         if not up:
             self.services.pop(service, None)
             self.members.pop(service, None)
@@ -81,10 +85,10 @@
     def choose(
         self, service: str, weights: Mapping[str, float], exclude: Collection[str] = ()
     ) -> TargetRecord | None:
-        """Return a target for a request, or None if there is none.
+        """Return a target for a request, or None if no target is eligible.
 
         :param weights: share of each version; versions without targets are ignored
-        :param exclude: targets that were tried already
+        :param exclude: targets that the request has already been sent to
         """
         versions = self.services.get(service)
         if versions is None:
@@ -104,18 +108,18 @@
         """Count a request that is being sent to a target."""
         load = self.loads.get(target)
         if load is not None:
-            load.own += 1
+            load.own_requests += 1
 
     def finished(self, target: str, result: TargetResult) -> None:
-        """Count the end of a request and take in what it says about the target."""
+        """Count the end of a request and update the target's load and health from its result."""
         load = self.loads.get(target)
         if load is None:
             return
-        load.own = max(0, load.own - 1)
-        load.report(result, self.clock.monotonic().total_seconds())
+        load.own_requests = max(0, load.own_requests - 1)
+        load.update(result, self.clock.monotonic().total_seconds())
         if result.kind in (ResultKind.OK, ResultKind.FAILED):
             self.ejector.record(target, result.kind is ResultKind.OK)
-        if not load.listed and load.own == 0:
+        if not load.listed and load.own_requests == 0:
             del self.loads[target]
 
     def _load(self, record: TargetRecord, cold_since_s: float) -> TargetLoad:
@@ -131,10 +135,12 @@
     def _unlist(self, target: str) -> None:
         load = self.loads[target]
         load.listed = False
-        if load.own == 0:
+        if load.own_requests == 0:
             del self.loads[target]
 
-    def _set_groups(self, service: str, versions: Mapping[str, Mapping[int, Tier]]) -> None:
+    def _update_ejection_groups(
+        self, service: str, versions: Mapping[str, Mapping[int, Tier]]
+    ) -> None:
         for version in self.services.get(service, {}).keys() - versions.keys():
             self.ejector.set_group(f"{service}\0{version}", ())
         for version, tiers in versions.items():
@@ -149,14 +155,14 @@
         exclude: Collection[str],
         now_s: float,
     ) -> TargetLoad | None:
-        """Pick from a version with at least the weight of the picked one.
+        """Pick a target of another version that has at least the weight of the picked one.
 
-        A version with a smaller share never takes over, so that the loss of the old version's
-        targets does not put all requests on one that is still on trial.
+        A version with a smaller share is never used as a fallback, so that the loss of the old
+        version's targets does not send all requests to a version that is still being tested.
         """
         weight = dict(present)[picked]
-        others = [pair for pair in present if pair[0] != picked and pair[1] >= weight]
-        for name, _ in sorted(others, key=lambda pair: -pair[1]):
+        fallbacks = [pair for pair in present if pair[0] != picked and pair[1] >= weight]
+        for name, _ in sorted(fallbacks, key=lambda pair: -pair[1]):
             load = self._pick_target(versions[name], exclude, now_s)
             if load is not None:
                 return load
@@ -166,16 +172,16 @@
         self, tiers: list[Tier], exclude: Collection[str], now_s: float
     ) -> TargetLoad | None:
         best: TargetLoad | None = None
-        best_use = 0.0
+        best_utilisation = 0.0
         for tier in tiers:
             tier.refresh(now_s)
             load = self._pick_in_tier(tier, exclude, now_s)
             if load is None:
                 continue
-            use = load.utilisation(now_s, tier.mean)
-            if best is None or use < best_use:
-                best, best_use = load, use
-            if tier.use < self.spillover:
+            utilisation = load.utilisation(now_s, tier.mean_load)
+            if best is None or utilisation < best_utilisation:
+                best, best_utilisation = load, utilisation
+            if tier.mean_utilisation < self.spillover:
                 break
         return best
 
@@ -188,12 +194,12 @@
         second = self._sample(tier, exclude, now_s, first)
         if second is None:
             return first
-        return self._better(first, second, tier, now_s)
+        return self._less_loaded(first, second, tier, now_s)
 
     def _sample(
         self, tier: Tier, exclude: Collection[str], now_s: float, other: TargetLoad | None
     ) -> TargetLoad | None:
-        """Return a random eligible target that is not the other one."""
+        """Return a random eligible target other than ``other``, or None if there is none."""
         loads = tier.loads
         size = len(loads)
         for _ in range(SAMPLE_ATTEMPTS):
@@ -209,29 +215,32 @@
         target = load.record.target
         return target not in exclude and not self.ejector.is_ejected(target, now_s)
 
-    def _better(
+    def _less_loaded(
         self, first: TargetLoad, second: TargetLoad, tier: Tier, now_s: float
     ) -> TargetLoad:
-        """Return the one with less load; a cold target only in proportion to its ramp."""
+        """Return the target with the lower utilisation.
+
+        While a target is ramping up, it is considered only with the probability of its ramp.
+        """
         first_ramp, second_ramp = self._ramp(first, now_s), self._ramp(second, now_s)
-        first_use = first.utilisation(now_s, tier.mean)
-        second_use = second.utilisation(now_s, tier.mean)
+        first_load = first.utilisation(now_s, tier.mean_load)
+        second_load = second.utilisation(now_s, tier.mean_load)
         if first_ramp == second_ramp:
-            return second if second_use < first_use else first
+            return second if second_load < first_load else first
         if first_ramp < second_ramp:
-            cold, warm, cold_use, warm_use = first, second, first_use, second_use
+            cold, warm, cold_load, warm_load = first, second, first_load, second_load
         else:
-            cold, warm, cold_use, warm_use = second, first, second_use, first_use
+            cold, warm, cold_load, warm_load = second, first, second_load, first_load
         if self.rng.random() >= self._ramp(cold, now_s):
             return warm
-        # A cold target that looks idle is taken to have the mean load.
-        cold_use = max(cold_use, tier.mean)
-        if cold_use == warm_use:
+        # The load of a cold target is not known well, so it counts as at least the mean.
+        cold_load = max(cold_load, tier.mean_load)
+        if cold_load == warm_load:
             return self.rng.choice((cold, warm))
-        return cold if cold_use < warm_use else warm
+        return cold if cold_load < warm_load else warm
 
     def _ramp(self, load: TargetLoad, now_s: float) -> float:
         age = now_s - load.cold_since_s
         if age >= self.ramp_s:
             return 1.0
-        return RAMP_START + (1.0 - RAMP_START) * age / self.ramp_s
+        return RAMP_INITIAL_SHARE + (1.0 - RAMP_INITIAL_SHARE) * age / self.ramp_s
--- a/almondshore/routing/completion.py
+++ b/almondshore/routing/completion.py
@@ -8,36 +8,44 @@
 from almondshore.mesh.model import LoadReport, Target
 
 ZERO = timedelta()
-# Reports older than this say nothing about a target's present load.
+# A report loses weight linearly up to this age; an older one says nothing about the current load.
 REPORT_MAX_AGE = timedelta(seconds=2)
-# Added for a target in another zone, as a share of the objective: traffic between zones is
-# charged, so a farther target must be clearly faster.
+# Penalty for a target in another zone, as a share of the objective: traffic between zones is
+# charged, so a target there must be clearly faster.
 ZONE_PENALTY_SHARE = 0.2
-# A failed request costs the time it took and the retry, relative to the objective.
+# Penalty for a failure rate of 1, as a share of the objective: a failed request costs the time it
+# took and that of the retry.
 FAILURE_PENALTY_SHARE = 3.0
+# Penalty for a target that is about to leave, as a share of the objective.
 LEAVING_PENALTY_SHARE = 4.0
-# Spreads the choices of nodes that hold the same reports, relative to the score.
-JITTER = 0.1
+# Random addition to a score, as a share of it. It spreads the choices of nodes that have received
+# the same reports.
+JITTER_SHARE = 0.1
 DEFAULT_SERVICE_TIME = timedelta(milliseconds=100)
 
 
 class _Load:
-    """Load of one target as this node sees it."""
+    """Load of one target as known to this node.
 
-    __slots__ = ("own", "since_report", "report", "reported_at", "times")
+    :ivar own_requests: requests of this node that have not ended
+    :ivar since_report: requests of this node that were sent after the last report
+    :ivar service_times: last reported service time by route
+    """
+
+    __slots__ = ("own_requests", "since_report", "report", "reported_at", "service_times")
 
     def __init__(self) -> None:
-        self.own = 0
+        self.own_requests = 0
         self.since_report = 0
         self.report: LoadReport | None = None
         self.reported_at = ZERO
-        self.times: dict[str, timedelta] = {}
+        self.service_times: dict[str, timedelta] = {}
 
 
 class CompletionChooser:
-    """Chooses the target that is expected to complete a request first.
+    """Chooses the target with the shortest expected time to completion, plus penalties.
 
-    :param zone: own availability zone
+    :param zone: availability zone of this node
     """
 
     def __init__(self, *, clock: Clock, rng: random.Random, zone: str):
@@ -54,14 +62,14 @@
         objective: timedelta,
         exclude: Collection[str] = (),
     ) -> Target | None:
-        """Return the best target, or None if all are excluded."""
+        """Return the target with the lowest score, or None if all are excluded."""
         now = self.clock.monotonic()
         best, best_score = None, 0.0
         candidates = [target for target in targets if target.target not in exclude]
-        usual = self._usual_time(candidates, route)
+        mean_time = self._mean_service_time(candidates, route)
         for target in candidates:
-            score = self._score(target, route, objective, usual, now)
-            score *= 1.0 + JITTER * self.rng.random()
+            score = self._score(target, route, objective, mean_time, now)
+            score *= 1.0 + JITTER_SHARE * self.rng.random()
             if best is None or score < best_score:
                 best, best_score = target, score
         return best
@@ -69,84 +77,88 @@
     def started(self, target: str) -> None:
         """Count a request that is being sent."""
         load = self.loads.setdefault(target, _Load())
-        load.own += 1
+        load.own_requests += 1
         load.since_report += 1
 
     def finished(self, target: str, route: str, report: LoadReport | None) -> None:
-        """Count the end of a request, and take in the load that was reported with it."""
+        """Count the end of a request and store the load reported with its response, if any."""
         load = self.loads.get(target)
         if load is None:
             return
-        load.own = max(0, load.own - 1)
+        load.own_requests = max(0, load.own_requests - 1)
         if report is not None:
             load.report = report
             load.reported_at = self.clock.monotonic()
             load.since_report = 0
-            load.times[route] = report.service_time
+            load.service_times[route] = report.service_time
 
     def report_age(self, target: str) -> timedelta | None:
-        """Return how old the last report of a target's load is, None if there is none."""
+        """Return the age of the last load report of a target, or None if there is none."""
         load = self.loads.get(target)
         if load is None or load.report is None:
             return None
         return self.clock.monotonic() - load.reported_at
 
     def expected_time(self, target: str, route: str) -> timedelta:
-        """Return the time that a request may take at a target as it was last reported."""
+        """Return the expected time of a request at a target, by the last report of its load."""
         load = self.loads.get(target)
         if load is None or load.report is None:
             return DEFAULT_SERVICE_TIME
-        needed = load.times.get(route, DEFAULT_SERVICE_TIME)
+        service_time = load.service_times.get(route, DEFAULT_SERVICE_TIME)
         queued = load.report.waiting / max(1, load.report.slots)
-        return needed * (1.0 + queued)
+        return service_time * (1.0 + queued)
 
     def has_free_slot(self, target: Target) -> bool:
-        """Tell whether a target is known to have room, by a recent report of its load."""
+        """Return whether a recent report shows that a target has a free slot."""
         age = self.report_age(target.target)
         if age is None or age > REPORT_MAX_AGE:
             return False
         load = self.loads[target.target]
         held = load.report.running + load.report.waiting + load.since_report
-        return max(held, load.own) < target.slots
+        return max(held, load.own_requests) < target.slots
 
     def keep(self, targets: set[str]) -> None:
-        """Drop what is known of other targets."""
+        """Drop the loads of all targets but these."""
         for name in self.loads.keys() - targets:
             del self.loads[name]
 
-    def _usual_time(self, targets: list[Target], route: str) -> timedelta:
-        """Return the mean service time of a route, for targets not yet heard of."""
-        known = [
-            load.times[route]
+    def _mean_service_time(self, targets: list[Target], route: str) -> timedelta:
+        """Return the mean service time of a route, used for targets that have not reported one."""
+        reported_times = [
+            load.service_times[route]
             for target in targets
-            if (load := self.loads.get(target.target)) is not None and route in load.times
+            if (load := self.loads.get(target.target)) is not None and route in load.service_times
         ]
-        return sum(known, ZERO) / len(known) if known else DEFAULT_SERVICE_TIME
+        return (
+            sum(reported_times, ZERO) / len(reported_times)
+            if reported_times
+            else DEFAULT_SERVICE_TIME
+        )
 
     def _score(
-        self, target: Target, route: str, objective: timedelta, usual: timedelta, now: timedelta
+        self, target: Target, route: str, objective: timedelta, mean_time: timedelta, now: timedelta
     ) -> float:
-        """Return the expected seconds to completion, with penalties."""
+        """Return the expected seconds to completion plus penalties; lower is better."""
         load = self.loads.get(target.target)
-        goal = objective.total_seconds()
-        needed = usual.total_seconds()
+        objective_s = objective.total_seconds()
+        service_time_s = mean_time.total_seconds()
         score = 0.0
         if target.zone != self.zone:
-            score += goal * ZONE_PENALTY_SHARE
+            score += objective_s * ZONE_PENALTY_SHARE
         if load is None:
-            return score + needed
-        needed = load.times.get(route, usual).total_seconds()
-        held = float(load.own)
+            return score + service_time_s
+        service_time_s = load.service_times.get(route, mean_time).total_seconds()
+        held = float(load.own_requests)
         report = load.report
         if report is not None:
             age = (now - load.reported_at) / REPORT_MAX_AGE
-            fresh = max(0.0, 1.0 - age)
-            held = max(held, fresh * (report.running + report.waiting) + load.since_report)
-            score += goal * FAILURE_PENALTY_SHARE * report.failure_rate * fresh
+            freshness = max(0.0, 1.0 - age)
+            held = max(held, freshness * (report.running + report.waiting) + load.since_report)
+            score += objective_s * FAILURE_PENALTY_SHARE * report.failure_rate * freshness
             if report.leaving:
-                score += goal * LEAVING_PENALTY_SHARE * fresh
+                score += objective_s * LEAVING_PENALTY_SHARE * freshness
         slots = max(1, target.slots)
-        wait = max(0.0, (held + 1 - slots) / slots) * needed
-        # A nearly full target is the likelier to be full when the request arrives.
-        crowding = 0.15 * needed * min(1.0, held / slots)
-        return score + needed + wait + crowding
+        wait_s = max(0.0, (held + 1 - slots) / slots) * service_time_s
+        # A target that is nearly full is more likely to be full when the request arrives.
+        near_full_penalty = 0.15 * service_time_s * min(1.0, held / slots)
+        return score + service_time_s + wait_s + near_full_penalty
--- a/almondshore/routing/table.py
+++ b/almondshore/routing/table.py
@@ -1,4 +1,4 @@
-"""Match of a request's method and path to a service's route."""
+"""Lookup of the route of a request by method and path."""
 
 from collections.abc import Iterable
 from typing import NamedTuple
@@ -19,11 +19,11 @@
     """Routes of all services, indexed by method and path.
 
     An exact path takes precedence over a prefix, and a longer prefix over a shorter one. If two
-    services claim the same method and path, the service that sorts first has it, so that all
-    nodes agree.
+    services define a route for the same method and path, the service whose name sorts first gets
+    it, so that all nodes agree.
 
-    A look-up costs one dictionary access for each distinct prefix length in use, regardless of
-    the number of routes.
+    A lookup costs at most one dictionary access for the exact path and one for each distinct
+    prefix length in use, regardless of the number of routes.
     """
 
     def __init__(self, services: Iterable[ServicePart]):
@@ -33,15 +33,15 @@
             for route in service["routes"]:
                 self._add(Match(service["name"], route))
         lengths = {len(prefix) for _, prefix in self.prefixes}
-        self.lengths = sorted(lengths, reverse=True)
+        self.prefix_lengths = sorted(lengths, reverse=True)
 
     def _add(self, match: Match) -> None:
         path = match.route["path"]
-        index, name = self.exact, path
+        index, key = self.exact, path
         if path.endswith(WILDCARD):
-            index, name = self.prefixes, path[: -len(WILDCARD)]
+            index, key = self.prefixes, path[: -len(WILDCARD)]
         for method in match.route["methods"]:
-            index.setdefault((method, name), match)
+            index.setdefault((method, key), match)
 
     def match(self, method: str, path: str) -> Match | None:
         """Return the route of a request, or None if no route matches.
@@ -53,7 +53,7 @@
             return found
         size = len(path)
         prefixes = self.prefixes
-        for length in self.lengths:
+        for length in self.prefix_lengths:
             if length > size:
                 continue
             found = prefixes.get((method, path[:length]))
--- a/almondshore/routing/weights.py
+++ b/almondshore/routing/weights.py
@@ -5,9 +5,9 @@
 
 
 def pick_weighted(rng: random.Random, choices: Sequence[tuple[str, float]]) -> str:
-    """Return one of the names, each in proportion to its weight.
+    """Return a random name, with a probability in proportion to its weight.
 
-    :param choices: names and weights, at least one; a single one is returned without a draw
+    :param choices: names and weights, at least one; a single one is returned without a random draw
     """
     if len(choices) == 1:
         return choices[0][0]
--- a/test/routing/helpers.py
+++ b/test/routing/helpers.py
@@ -1,4 +1,4 @@
-"""Targets and choosers for the tests of routing."""
+"""Sample targets and a target chooser for the tests of routing."""
 
 import random
 from collections import Counter
@@ -16,7 +16,7 @@
     return TargetRecord(name, f"node-{name}", "s", version, "addr", zone, slots, 1, state)
 
 
-class Bed:
+class ChooserHarness:
     """A chooser with a manual clock and a fixed seed."""
 
     def __init__(self, records, seed=1, **limits):
--- a/test/routing/test_choice.py
+++ b/test/routing/test_choice.py
@@ -4,157 +4,159 @@
 
 from almondshore.core.messages import TargetState
 from almondshore.routing.choice import ResultKind, TargetResult
-from test.routing.helpers import Bed, target
+from test.routing.helpers import ChooserHarness, target
 
 
-def names(prefix, count, **fields):
+def make_targets(prefix, count, **fields):
     return [target(f"{prefix}{n}", **fields) for n in range(count)]
 
 
 class VersionTest(TestCase):
     def test_share_of_a_move_does_not_depend_on_the_number_of_targets(self):
-        """Guards against a new version with few targets getting less or more than its step."""
-        bed = Bed(names("old", 9) + names("new", 1, version="v2"))
-        bed.report("new0", 10, 5)
-        got = bed.chosen(10_000, {"v1": 0.95, "v2": 0.05}, by="version")
+        """Guards against a new version whose share of requests depends on its few targets."""
+        harness = ChooserHarness(make_targets("old", 9) + make_targets("new", 1, version="v2"))
+        harness.report("new0", 10, 5)
+        got = harness.chosen(10_000, {"v1": 0.95, "v2": 0.05}, by="version")
         self.assertTrue(400 < got["v2"] < 600, got)
 
     def test_version_without_targets_is_left_out(self):
-        """Guards against a route to a version that no target serves."""
-        bed = Bed(names("old", 2))
-        self.assertEqual({"v1"}, set(bed.chosen(100, {"v1": 0.5, "v2": 0.5}, by="version")))
-        self.assertIsNone(bed.chooser.choose("s", {"v2": 1.0}))
-
-    def test_version_on_trial_never_takes_over_from_the_old_one(self):
-        """Guards against all requests landing on a new version once the old targets are tried."""
-        bed = Bed(names("old", 1) + names("new", 1, version="v2"))
+        """Guards against requests for a version that no target serves."""
+        harness = ChooserHarness(make_targets("old", 2))
+        self.assertEqual({"v1"}, set(harness.chosen(100, {"v1": 0.5, "v2": 0.5}, by="version")))
+        self.assertIsNone(harness.chooser.choose("s", {"v2": 1.0}))
+
+    def test_version_with_a_small_share_is_no_fallback(self):
+        """Guards against sending all requests to a new version if the old targets are excluded."""
+        harness = ChooserHarness(make_targets("old", 1) + make_targets("new", 1, version="v2"))
         weights = {"v1": 0.99, "v2": 0.01}
-        got = bed.chosen(1000, weights, exclude={"old0"})
+        got = harness.chosen(1000, weights, exclude={"old0"})
         self.assertTrue(got["new0"] < 30, got)
-        self.assertEqual({"old0": 1000}, bed.chosen(1000, weights, exclude={"new0"}))
+        self.assertEqual({"old0": 1000}, harness.chosen(1000, weights, exclude={"new0"}))
 
 
 class LoadTest(TestCase):
-    def test_no_herd_onto_a_target_that_looks_idle(self):
-        """Guards against every node sending to the one target whose last report was idle."""
-        bed = Bed(names("t", 10), spillover=2.0)
+    def test_idle_report_does_not_attract_all_requests(self):
+        """Guards against all nodes sending to the one target whose last report showed no load."""
+        harness = ChooserHarness(make_targets("t", 10), spillover=2.0)
         for n in range(10):
-            bed.report(f"t{n}", 0 if n == 0 else 8)
-        self.assertTrue(bed.chosen(10_000)["t0"] < 2200)
-        bed.advance(6)
-        self.assertTrue(bed.chosen(10_000)["t0"] < 1200, "an old report still attracts requests")
-
-    def test_target_without_evidence_gets_at_most_its_share(self):
-        """Guards against a new target being flooded because nothing is known of it."""
-        bed = Bed(names("t", 9), spillover=2.0)
+            harness.report(f"t{n}", 0 if n == 0 else 8)
+        self.assertTrue(harness.chosen(10_000)["t0"] < 2200)
+        harness.advance(6)
+        self.assertTrue(
+            harness.chosen(10_000)["t0"] < 1200, "an old report still attracts requests"
+        )
+
+    def test_target_without_a_report_gets_at_most_its_share(self):
+        """Guards against overloading a new target because it has not reported its load."""
+        harness = ChooserHarness(make_targets("t", 9), spillover=2.0)
         for n in range(9):
-            bed.report(f"t{n}", 4 + n % 3)
-        bed.chooser.update("s", names("t", 10))
-        bed.advance(4)
-        self.assertTrue(bed.chosen(10_000)["t9"] < 1000)
-        bed.advance(8)
+            harness.report(f"t{n}", 4 + n % 3)
+        harness.chooser.update("s", make_targets("t", 10))
+        harness.advance(4)
+        self.assertTrue(harness.chosen(10_000)["t9"] < 1000)
+        harness.advance(8)
         for n in range(9):
-            bed.report(f"t{n}", 4 + n % 3)
-        self.assertTrue(bed.chosen(10_000)["t9"] < 1300, "idle once its ramp is over")
+            harness.report(f"t{n}", 4 + n % 3)
+        self.assertTrue(harness.chosen(10_000)["t9"] < 1300, "still treated as idle after its ramp")
 
     def test_old_report_weighs_less_than_own_requests(self):
-        """Guards against sending on to a target because of what it reported seconds ago."""
-        bed = Bed(names("t", 2), spillover=2.0)
-        bed.report("t1", 8)
-        bed.report("t0", 0)
+        """Guards against preferring a target because of a low load reported seconds ago."""
+        harness = ChooserHarness(make_targets("t", 2), spillover=2.0)
+        harness.report("t1", 8)
+        harness.report("t0", 0)
         for _ in range(3):
-            bed.chooser.started("t0")
-        self.assertEqual({"t0": 100}, bed.chosen(100))
-        bed.advance(3)
-        self.assertEqual({"t1": 100}, bed.chosen(100))
+            harness.chooser.started("t0")
+        self.assertEqual({"t0": 100}, harness.chosen(100))
+        harness.advance(3)
+        self.assertEqual({"t1": 100}, harness.chosen(100))
 
     def test_cold_target_ramps_up(self):
-        """Guards against a cold start that times out under its full share at once."""
-        bed = Bed(names("t", 4))
-        bed.chooser.update("s", names("t", 5))
-        shares = [bed.chosen(10_000)["t4"]]
+        """Guards against time-outs at a new target that gets its full share while it starts."""
+        harness = ChooserHarness(make_targets("t", 4))
+        harness.chooser.update("s", make_targets("t", 5))
+        shares = [harness.chosen(10_000)["t4"]]
         for _ in range(2):
-            bed.advance(5)
-            shares.append(bed.chosen(10_000)["t4"])
+            harness.advance(5)
+            shares.append(harness.chosen(10_000)["t4"])
         self.assertTrue(shares[0] < 400 < shares[1] < 1600 < shares[2], shares)
 
     def test_slow_target_among_good_ones_gets_less(self):
-        """Guards against an even split that queues a quarter of all requests at a slow target."""
-        bed = Bed(names("t", 4))
+        """Guards against an even split, which queues a quarter of all requests at a slow target."""
+        harness = ChooserHarness(make_targets("t", 4))
         held = []
         slow = 0
         for tick in range(4000):
-            bed.advance(0.001)
+            harness.advance(0.001)
             while held and held[0][0] <= tick:
                 _, name = held.pop(0)
-                bed.chooser.finished(name, bed_result(bed, name))
-            name = bed.chooser.choose("s", {"v1": 1.0}).target
+                harness.chooser.finished(name, success_with_load(harness, name))
+            name = harness.chooser.choose("s", {"v1": 1.0}).target
             slow += name == "t0"
-            bed.chooser.started(name)
+            harness.chooser.started(name)
             held.append((tick + (100 if name == "t0" else 10), name))
             held.sort()
         self.assertTrue(slow < 400, slow)
 
     def test_target_that_fails_fast_does_not_look_idle(self):
-        """Guards against a broken target swallowing requests because it answers at once."""
-        bed = Bed(names("t", 4), spillover=2.0)
+        """Guards against a failing target that attracts requests because it fails at once."""
+        harness = ChooserHarness(make_targets("t", 4), spillover=2.0)
         for n in range(4):
-            bed.report(f"t{n}", 5)
-        bed.report("t0", 0, kind=ResultKind.FAILED)
-        self.assertTrue(bed.chosen(1000)["t0"] < 100)
-
-    def test_tried_and_leaving_targets_are_not_chosen(self):
-        """Guards against a retry to the same target, and new work for a leaving one."""
-        bed = Bed([*names("t", 2), target("gone", state=TargetState.LEAVING)])
-        self.assertEqual({"t1": 100}, bed.chosen(100, exclude={"t0"}))
-        self.assertEqual({None: 10}, bed.chosen(10, exclude={"t0", "t1"}))
-
-    def test_removed_targets_leave_nothing_behind(self):
-        """Guards against memory growing with 5,400 replaced hosts a day."""
-        bed = Bed(names("t", 2))
+            harness.report(f"t{n}", 5)
+        harness.report("t0", 0, kind=ResultKind.FAILED)
+        self.assertTrue(harness.chosen(1000)["t0"] < 100)
+
+    def test_excluded_and_leaving_targets_are_not_chosen(self):
+        """Guards against a retry at the same target, and new requests to a leaving target."""
+        harness = ChooserHarness([*make_targets("t", 2), target("gone", state=TargetState.LEAVING)])
+        self.assertEqual({"t1": 100}, harness.chosen(100, exclude={"t0"}))
+        self.assertEqual({None: 10}, harness.chosen(10, exclude={"t0", "t1"}))
+
+    def test_state_of_removed_targets_is_dropped(self):
+        """Guards against memory use that grows with 5,400 replaced hosts a day."""
+        harness = ChooserHarness(make_targets("t", 2))
         for n in range(50):
-            bed.chooser.update("s", names(f"t{n}-", 2))
-            bed.chooser.started(f"t{n}-0")
+            harness.chooser.update("s", make_targets(f"t{n}-", 2))
+            harness.chooser.started(f"t{n}-0")
         for n in range(50):
-            bed.chooser.finished(f"t{n}-0", bed_result(bed, f"t{n}-0"))
-        self.assertEqual(2, len(bed.chooser.loads))
-        self.assertEqual(2, len(bed.ejector.health))
+            harness.chooser.finished(f"t{n}-0", success_with_load(harness, f"t{n}-0"))
+        self.assertEqual(2, len(harness.chooser.loads))
+        self.assertEqual(2, len(harness.ejector.health))
 
 
 class ZoneTest(TestCase):
     def setUp(self):
         super().setUp()
-        self.near = names("near", 2)
-        self.far = names("far", 2, zone="z2")
+        self.near = make_targets("near", 2)
+        self.far = make_targets("far", 2, zone="z2")
 
     def test_own_zone_is_used_while_it_has_room(self):
-        """Guards against paying the way between zones without need."""
-        self.assertEqual({"z1"}, set(Bed(self.near + self.far).chosen(100, by="zone")))
+        """Guards against traffic between zones, which is charged, without need."""
+        self.assertEqual({"z1"}, set(ChooserHarness(self.near + self.far).chosen(100, by="zone")))
 
     def test_full_zone_spills_over(self):
-        """Guards against queueing in the own zone while others have idle slots."""
-        bed = Bed(self.near + self.far)
+        """Guards against queueing in the node's zone while other zones have idle slots."""
+        harness = ChooserHarness(self.near + self.far)
         for name in ("near0", "near1"):
-            bed.report(name, 10, 5)
-        self.assertEqual({"z2"}, set(bed.chosen(100, by="zone")))
+            harness.report(name, 10, 5)
+        self.assertEqual({"z2"}, set(harness.chosen(100, by="zone")))
 
     def test_lost_zone_is_replaced_by_the_others(self):
-        """Guards against requests failing after a zone loss although others have targets."""
-        bed = Bed(self.near + self.far)
-        bed.chooser.update("s", self.far)
-        self.assertEqual({"z2"}, set(bed.chosen(100, by="zone")))
-
-    def test_zone_that_dies_while_still_listed_is_ejected(self):
-        """Guards against a held directory, which lists the targets of a lost zone as up."""
-        bed = Bed(self.near + self.far)
+        """Guards against requests that fail after the loss of a zone though others have targets."""
+        harness = ChooserHarness(self.near + self.far)
+        harness.chooser.update("s", self.far)
+        self.assertEqual({"z2"}, set(harness.chosen(100, by="zone")))
+
+    def test_lost_zone_that_is_still_listed_is_ejected(self):
+        """Guards against an outdated directory that lists the targets of a lost zone as up."""
+        harness = ChooserHarness(self.near + self.far)
         for _ in range(6):
             for name in ("near0", "near1"):
-                bed.report(name, None, kind=ResultKind.FAILED)
-            bed.advance(1)
-        self.assertTrue(bed.ejector.is_ejected("near0", 0.0))
-        self.assertEqual({"z2"}, set(bed.chosen(100, by="zone")))
+                harness.report(name, None, kind=ResultKind.FAILED)
+            harness.advance(1)
+        self.assertTrue(harness.ejector.is_ejected("near0", 0.0))
+        self.assertEqual({"z2"}, set(harness.chosen(100, by="zone")))
 
 
-def bed_result(bed, name):
-    load = bed.chooser.loads[name]
-    return TargetResult(ResultKind.OK, load.own, 0)
+def success_with_load(harness, name):
+    load = harness.chooser.loads[name]
+    return TargetResult(ResultKind.OK, load.own_requests, 0)
--- a/test/routing/test_completion.py
+++ b/test/routing/test_completion.py
@@ -17,7 +17,7 @@
     return Target(name, "s", "v1", zone, slots, TargetState.READY, (name, 1), 1, 1)
 
 
-def report(running=0, waiting=0, ms=100, failures=0.0, leaving=False):
+def make_report(running=0, waiting=0, ms=100, failures=0.0, leaving=False):
     return LoadReport(running, waiting, 9, timedelta(milliseconds=ms), failures, leaving)
 
 
@@ -27,9 +27,9 @@
         self.clock = ManualClock()
         self.chooser = CompletionChooser(clock=self.clock, rng=random.Random(1), zone="a")
 
-    def hear(self, name, **fields):
+    def receive_report(self, name, **fields):
         self.chooser.started(name)
-        self.chooser.finished(name, "r", report(**fields))
+        self.chooser.finished(name, "r", make_report(**fields))
 
     def count(self, targets, times=200, **fields):
         return Counter(
@@ -38,36 +38,36 @@
         )
 
     def test_own_zone_is_preferred_until_it_is_full(self):
-        """Guards against traffic between zones that brings callers nothing."""
+        """Guards against traffic between zones that does not shorten the response time."""
         near, far = target("near"), target("far", zone="b")
         for name in ("near", "far"):
-            self.hear(name)
+            self.receive_report(name)
         self.assertEqual({"near": 200}, self.count([near, far]))
-        self.hear("near", running=9, waiting=36)
+        self.receive_report("near", running=9, waiting=36)
         self.assertEqual({"far": 200}, self.count([near, far]))
 
-    def test_failing_and_leaving_targets_are_avoided_while_others_are_there(self):
-        """Guards against work for a target that fails fast and so looks idle."""
+    def test_failing_and_leaving_targets_are_chosen_last(self):
+        """Guards against preferring a target that looks idle because it fails fast or leaves."""
         for fields in ({"failures": 0.5}, {"leaving": True}):
             good, bad = target("good", zone="b"), target("bad")
-            self.hear("good", running=5)
-            self.hear("bad", ms=20, **fields)
+            self.receive_report("good", running=5)
+            self.receive_report("bad", ms=20, **fields)
             self.assertEqual({"good": 200}, self.count([good, bad]))
             self.assertEqual({"bad": 200}, self.count([good, bad], exclude=("good",)))
 
-    def test_old_reports_are_forgotten(self):
-        """Guards against a target that is avoided for good after one bad report."""
+    def test_old_reports_are_ignored(self):
+        """Guards against a target that is never chosen again after one bad report."""
         bad, good = target("bad"), target("good", zone="b")
-        self.hear("bad", failures=0.5)
-        self.hear("good")
+        self.receive_report("bad", failures=0.5)
+        self.receive_report("good")
         self.clock.advance(timedelta(seconds=3))
         self.assertEqual({"bad": 200}, self.count([good, bad]))
 
-    def test_own_requests_count_before_a_report_comes(self):
-        """Guards against a burst that goes to a single target."""
+    def test_own_requests_count_before_the_next_report(self):
+        """Guards against sending a whole burst to a single target."""
         targets = [target("t1"), target("t2"), target("t3")]
         for name in ("t1", "t2", "t3"):
-            self.hear(name)
+            self.receive_report(name)
         chosen = Counter()
         for _ in range(27):
             found = self.chooser.choose(targets, route="r", objective=OBJECTIVE)
--- a/test/routing/test_outlier.py
+++ b/test/routing/test_outlier.py
@@ -23,12 +23,12 @@
         return {name for name in "abcde" if self.ejector.is_ejected(name, now_s)}
 
     def test_never_more_than_half_is_ejected(self):
-        """Guards against a common fault taking all targets of a service away."""
+        """Guards against a common fault that ejects all targets of a service."""
         for name in "abcde":
             self.fail(name, 30)
         self.assertEqual({"a", "b"}, self.ejected())
 
-    def test_floor_holds_when_the_group_shrinks(self):
+    def test_limit_holds_when_the_group_shrinks(self):
         """Guards against ejected targets outnumbering the rest after others have left."""
         self.fail("a")
         self.fail("b")
@@ -36,7 +36,7 @@
         self.assertEqual(1, len(self.ejected()))
 
     def test_single_target_is_never_ejected(self):
-        """Guards against a service with one target refusing everything for seconds."""
+        """Guards against a service whose only target is ejected, so that all requests fail."""
         self.ejector.set_group("t", ["only"])
         self.fail("only", 30)
         self.assertFalse(self.ejector.is_ejected("only", 0.0))
@@ -47,15 +47,15 @@
         self.ejector.record("a", True)
         self.assertNotIn(True, self.fail("a", 4))
 
-    def test_high_error_rate_ejects_without_a_series(self):
-        """Guards against a target that fails two of three requests, never five in a row."""
+    def test_high_error_rate_ejects_without_consecutive_failures(self):
+        """Guards against keeping a target that fails two of three requests, never five in a row."""
         for _ in range(10):
             self.fail("a", 2)
             self.ejector.record("a", True)
         self.assertEqual({"a"}, self.ejected())
 
     def test_target_that_still_fails_is_ejected_for_longer(self):
-        """Guards against a dead target getting five requests every few seconds."""
+        """Guards against a dead target that gets five requests after each ejection."""
         self.fail("a")
         self.clock.advance(timedelta(seconds=6))
         self.assertEqual(set(), self.ejected())
--- a/test/routing/test_table.py
+++ b/test/routing/test_table.py
@@ -1,4 +1,4 @@
-"""Tests of the match of requests to routes."""
+"""Tests of the lookup of routes."""
 
 from testtools import TestCase
 
@@ -34,30 +34,30 @@
         return (found.service, found.route["path"]) if found else None
 
     def test_exact_path_beats_the_longest_prefix(self):
-        """Guards against a wide prefix route taking over a path with a route of its own."""
+        """Guards against a prefix route that takes requests from an exact route."""
         self.assertEqual(
             ("fault-desk", "/schedule/faults"), self.matched("GET", "/schedule/faults")
         )
 
     def test_longest_prefix_wins(self):
-        """Guards against an answer that depends on the order of the rules."""
+        """Guards against a match that depends on the order of the rules."""
         self.assertEqual(("fault-desk", "/schedule/f*"), self.matched("GET", "/schedule/f1"))
         self.assertEqual(("counter-app", "/schedule/*"), self.matched("GET", "/schedule/1"))
 
     def test_route_of_another_method_does_not_match(self):
-        """Guards against a push route answering reads."""
+        """Guards against a route for pushes that also matches reads."""
         self.assertIsNone(self.matched("GET", "/push/1"))
         self.assertEqual(("counter-app", "/push/*"), self.matched("PUT", "/push/1"))
 
-    def test_all_nodes_agree_on_a_path_claimed_twice(self):
-        """Guards against two nodes sending the same path to different services."""
+    def test_all_nodes_agree_on_a_path_of_two_services(self):
+        """Guards against nodes that send the same path to different services."""
         parts = [service("b", route("/x")), service("a", route("/x"))]
         found = {RouteTable(order).match("GET", "/x").service for order in (parts, parts[::-1])}
         self.assertEqual({"a"}, found)
 
-    def test_look_up_does_not_grow_with_the_number_of_routes(self):
+    def test_lookup_does_not_grow_with_the_number_of_routes(self):
         """Guards against a linear scan over the 13,000 routes of the scale target."""
         parts = [service(f"s{n}", *(route(f"/s{n}/r{r}/*") for r in range(5))) for n in range(2600)]
         table = RouteTable(parts)
         self.assertEqual("s2599", table.match("GET", "/s2599/r4/x").service)
-        self.assertTrue(len(table.lengths) < 20)
+        self.assertTrue(len(table.prefix_lengths) < 20)
