--- a/almondshore/retries/ownership.py
+++ b/almondshore/retries/ownership.py
@@ -12,7 +12,7 @@
 # Covers the 3 s in which news of membership reaches every node.
 WARM_UP = timedelta(seconds=5)
 # Time in which every node learns that the platform is back and writes its marker.
-SETTLE = timedelta(seconds=10)
+PLATFORM_SETTLE_TIME = timedelta(seconds=10)
 # Less than the 6 s after which a silent node may be declared dead: within this time of its last
 # contact no other node can have taken over its keys.
 CONTACT_MAX_AGE = timedelta(seconds=5)
@@ -60,7 +60,7 @@
         new_identity: bool = True,
         retention: timedelta = RETENTION,
         warm_up: timedelta = WARM_UP,
-        settle: timedelta = SETTLE,
+        settle: timedelta = PLATFORM_SETTLE_TIME,
         contact_max_age: timedelta = CONTACT_MAX_AGE,
     ):
         """Start a history that begins now.
--- a/test/process/test_once.py
+++ b/test/process/test_once.py
@@ -5,7 +5,7 @@
 
 import urllib3
 
-from almondshore.retries.ownership import CONTACT_MAX_AGE, SETTLE
+from almondshore.retries.ownership import CONTACT_MAX_AGE, PLATFORM_SETTLE_TIME
 from test.process.processtest import ProcessTest, pause
 from test.process.test_requests import REQUEST_TIMEOUT_SECONDS, send
 
@@ -111,7 +111,7 @@
         owner = self.deployment.nodes["node-a1"]
         # An owner that dies before the platform has been up for so long may have run keys that it
         # has not claimed; those that it may have run are then refused for the retention.
-        pause((SETTLE + CONTACT_MAX_AGE).total_seconds())
+        pause((PLATFORM_SETTLE_TIME + CONTACT_MAX_AGE).total_seconds())
         owner.process.kill()
         owner.process.wait()
         self.deployment.restart_node(owner.name)
