Describe retries and idempotency keys in the usual terms

Reasons and figures are kept. Tests keep their checks; their names and first lines say which fault they guard against.

--- a/almondshore/retries/claims.py
+++ b/almondshore/retries/claims.py
@@ -1,4 +1,4 @@
-"""Claims of idempotency keys in the platform, within a budget of their own."""
+"""Claims of idempotency keys, stored in the platform within a separate rate budget."""
 
 from datetime import datetime, timedelta
 from enum import Enum
@@ -21,16 +21,18 @@
 
 CLAIM_PREFIX = "once/"
 MARKER_PREFIX = "once-unclaimed/"
-# A run without a claim makes the keys of its owner doubtful if the owner dies, so the budget is
-# ample; it is halved on each rate refusal, which keeps a whole fleet within the platform's limit.
+# If a node that ran a request without a claim dies, it is uncertain which of its keys have run, so
+# the budget is generous. The rate is halved each time the platform refuses a call because of its
+# rate limit, which keeps all nodes together within that limit.
 CLAIMS_PER_SECOND = 10.0
 CLAIM_BURST = 50.0
-MIN_RATE = 1 / 64
-# Claims without a rate refusal after which the rate is raised by a tenth.
-RAISE_AFTER = 10
-# Markers have a bucket of their own, since a used-up claim budget is what they report.
+MIN_CALLS_PER_SECOND = 1 / 64
+# Number of accepted calls after which the rate is raised by a tenth of the maximum.
+ACCEPTED_BEFORE_RAISE = 10
+# Markers have a separate budget, since they are written when the claim budget is used up.
 MARKERS_PER_SECOND = 0.5
-# A claim whose answer was lost is repeated once: with the same write id it succeeds if it was won.
+# A claim whose answer was lost is repeated once. With the same write id, the repeated call succeeds
+# if the first one did.
 CLAIM_ATTEMPTS = 2
 
 
@@ -44,14 +46,14 @@
 
 
 class ClaimValue(TypedDict):
-    """Content of a claim; ``at`` in ISO 8601, UTC."""
+    """Stored content of a claim; ``at`` is its time in ISO 8601, UTC."""
 
     holder: str
     at: str
 
 
 class MarkerValue(TypedDict):
-    """Whether a node may hold runs whose key it has not claimed."""
+    """Stored content of a marker: whether a node may have run keys that it has not claimed."""
 
     unclaimed: bool
 
@@ -62,14 +64,15 @@
 
 
 class ClaimBudget:
-    """Token bucket for claims; its rate is halved on a refusal and raised slowly."""
+    """Token bucket whose rate is halved on a refusal by the platform and then raised slowly."""
 
     def __init__(
         self, *, clock: Clock, rate: float = CLAIMS_PER_SECOND, burst: float = CLAIM_BURST
     ):
         """Create a full bucket.
 
-        :param rate: claims a second at most
+        :param rate: maximum number of calls per second
+        :param burst: calls that may be made at once
         """
         self.clock = clock
         self.max_rate = rate
@@ -80,7 +83,7 @@
         self.accepted = 0
 
     def take(self) -> bool:
-        """Take a token if there is one."""
+        """Take a token; return whether one was available."""
         now_s = self.clock.monotonic().total_seconds()
         self.tokens = min(self.burst, self.tokens + (now_s - self.updated_s) * self.rate)
         self.updated_s = now_s
@@ -90,24 +93,28 @@
         return True
 
     def on_refused(self) -> None:
-        """Halve the rate after the platform refused a call because of its rate limit."""
-        self.rate = max(MIN_RATE, self.rate / 2)
+        """Halve the rate after the platform refused a call because of its rate limit.
+
+        At most one saved token is kept.
+        """
+        self.rate = max(MIN_CALLS_PER_SECOND, self.rate / 2)
         self.tokens = min(self.tokens, 1.0)
         self.accepted = 0
 
     def on_accepted(self) -> None:
         """Raise the rate by a tenth of the maximum after several calls without a refusal."""
         self.accepted += 1
-        if self.accepted >= RAISE_AFTER:
+        if self.accepted >= ACCEPTED_BEFORE_RAISE:
             self.accepted = 0
             self.rate = min(self.max_rate, self.rate + self.max_rate / 10)
 
 
 class ClaimStore:
-    """Claims and markers of one process.
+    """Writes and reads the claims and markers of one process.
 
-    :ivar instance: identity of the process, new at each start; names the write, so that a repeated
-        claim of the same process is recognised and one of an earlier process is not
+    :ivar instance: identity of the process, new at each start. It is part of the write id, so that
+        a repeated claim of the same process is recognised as its own and one of an earlier process
+        is not
     """
 
     def __init__(
@@ -126,11 +133,11 @@
         self.instance = instance
         self.budget = budget
         self.retention = retention
-        self.markers = ClaimBudget(clock=clock, rate=MARKERS_PER_SECOND)
+        self.marker_budget = ClaimBudget(clock=clock, rate=MARKERS_PER_SECOND)
         self.writes = 0
 
     def claim(self, key: str) -> ClaimResult:
-        """Claim a key for this process; repeating a claim that was won wins again."""
+        """Claim a key for this process; a repeated claim of the same process succeeds again."""
         if not self.budget.take():
             return ClaimResult.OVER_BUDGET
         name = CLAIM_PREFIX + key
@@ -138,14 +145,14 @@
         outcome = ClaimResult.UNAVAILABLE
         for _ in range(CLAIM_ATTEMPTS):
             result = self.platform.create(name, self._claim_value(), write_id)
-            outcome = self._judge(result, key)
+            outcome = self._claim_result(result, key)
             if outcome is not ClaimResult.UNAVAILABLE:
                 break
         return outcome
 
-    def mark(self, unclaimed: bool) -> ClaimResult:
-        """Record for later owners whether this node may hold runs without a claim."""
-        if not self.markers.take():
+    def write_marker(self, unclaimed: bool) -> ClaimResult:
+        """Write this node's marker, which tells later owners whether it may have unclaimed runs."""
+        if not self.marker_budget.take():
             return ClaimResult.OVER_BUDGET
         name = MARKER_PREFIX + self.node
         self.writes += 1
@@ -156,10 +163,10 @@
             error = result.failure()
             if isinstance(error, Conflict) and error.current is not None:
                 result = self.platform.update(name, value, error.current.revision, write_id)
-        return self._account(result)
+        return self._record_result(result)
 
     def marked_nodes(self) -> list[str] | None:
-        """Return the nodes whose marker is set, or None if the platform does not tell."""
+        """Return the nodes whose marker is set, or None if the platform could not be read."""
         result = self.platform.list(MARKER_PREFIX)
         if not isinstance(result, Success):
             return None
@@ -169,34 +176,34 @@
             if _marker_decoder.decode(stored.value)["unclaimed"]
         ]
 
-    def is_marked(self, node: str) -> bool | None:
-        """Tell whether a node's marker is set, or None if the platform does not tell."""
-        if not self.markers.take():
+    def is_marker_set(self, node: str) -> bool | None:
+        """Return whether a node's marker is set, or None if it could not be read."""
+        if not self.marker_budget.take():
             return None
         result = self.platform.get(MARKER_PREFIX + node)
         if isinstance(result, Success):
             return _marker_decoder.decode(result.unwrap().value)["unclaimed"]
         return False if isinstance(result.failure(), NotFound) else None
 
-    def _judge(self, result: Result[StoredObject, PlatformError], key: str) -> ClaimResult:
-        """Tell whether a claim was won; one whose retention has passed is taken over."""
+    def _claim_result(self, result: Result[StoredObject, PlatformError], key: str) -> ClaimResult:
+        """Return the result of a claim; a stored claim past its retention is taken over."""
         if isinstance(result, Success):
             current = result.unwrap()
         else:
             error = result.failure()
             if not isinstance(error, Conflict):
-                return self._account(result)
+                return self._record_result(result)
             if error.current is None:
                 return ClaimResult.LOST
             current = error.current
         at = datetime.fromisoformat(_claim_decoder.decode(current.value)["at"])
         if self.clock.now() - at >= self.retention:
-            return self._account(self._take_over(current, key))
-        own = current.write_id.startswith(f"{self.instance}/{key}")
-        return self._account(Success(current)) if own else ClaimResult.LOST
+            return self._record_result(self._take_over(current, key))
+        claimed_by_self = current.write_id.startswith(f"{self.instance}/{key}")
+        return self._record_result(Success(current)) if claimed_by_self else ClaimResult.LOST
 
     def _take_over(self, current: StoredObject, key: str) -> Result[StoredObject, PlatformError]:
-        # The write id differs from that of the expired claim, which may be this process's own.
+        # The write id must differ from that of the expired claim, which this process may have made.
         self.writes += 1
         write_id = f"{self.instance}/{key}/{self.writes}"
         return self.platform.update(current.key, self._claim_value(), current.revision, write_id)
@@ -204,7 +211,7 @@
     def _claim_value(self) -> bytes:
         return _encode(ClaimValue(holder=self.node, at=self.clock.now().isoformat()))
 
-    def _account(self, result: Result[StoredObject, PlatformError]) -> ClaimResult:
+    def _record_result(self, result: Result[StoredObject, PlatformError]) -> ClaimResult:
         if isinstance(result, Success):
             self.budget.on_accepted()
             return ClaimResult.WON
--- a/almondshore/retries/crash.py
+++ b/almondshore/retries/crash.py
@@ -9,59 +9,65 @@
 from almondshore.core.clock import Clock
 from almondshore.core.messages import CrashDeath
 
-DEATHS = 2
+# Counted deaths of targets that quarantine a fingerprint.
+QUARANTINE_DEATHS = 2
 DEATH_WINDOW = timedelta(seconds=60)
 QUARANTINE = timedelta(seconds=60)
-# After its quarantine a fingerprint is on probation: one more death quarantines it again.
+# During this time after a quarantine, a single further death quarantines the fingerprint again.
 PROBATION = timedelta(minutes=10)
 CAPACITY = 1024
-# Bounds what a mass failure, in which many targets die with the same requests, can refuse.
+# Bounds the number of refused fingerprints after a mass failure, in which many targets die while
+# they run the same requests.
 MAX_QUARANTINED = 64
-REMEMBERED_DEATHS = 16
+MAX_RECENT_DEATHS = 16
 
 
 class CrashSuspected(NamedTuple):
-    """The request is refused, since it is suspected of crashing targets."""
+    """The request must be refused because it is suspected of crashing targets."""
 
     retry_after: timedelta
 
 
 class _Suspect:
-    """Deaths that a fingerprint is suspected of; times in seconds."""
+    """Deaths of targets that ran requests with one fingerprint; monotonic times in seconds.
 
-    __slots__ = ("count", "seen", "last_ended_ms", "until", "forget")
+    :ivar recent_deaths: the last deaths, as target and incarnation, to recognise repeated reports
+    :ivar last_ended_ms: wall clock time of the latest death
+    """
+
+    __slots__ = ("death_count", "recent_deaths", "last_ended_ms", "quarantined_until", "expires")
 
     def __init__(self) -> None:
-        self.count = 0
-        self.seen: deque[tuple[str, int]] = deque(maxlen=REMEMBERED_DEATHS)
+        self.death_count = 0
+        self.recent_deaths: deque[tuple[str, int]] = deque(maxlen=MAX_RECENT_DEATHS)
         self.last_ended_ms = 0
-        self.until = 0.0
-        self.forget = 0.0
+        self.quarantined_until = 0.0
+        self.expires = 0.0
 
 
 def fingerprint(method: str, path: str, tenant: str, body_digest: bytes) -> int:
-    """Return the identity of a request for the purpose of quarantine.
+    """Return a hash that is equal for requests that quarantine treats as the same.
 
-    :param body_digest: digest of the whole body
+    :param body_digest: digest of the complete body
     """
     text = f"{method}\0{path}\0{tenant}\0".encode(errors="replace")
     return xxhash.xxh3_64_intdigest(text + body_digest)
 
 
 class CrashGuard:
-    """Counts deaths of targets by the fingerprint of what they ran.
+    """Counts deaths of targets by the fingerprint of the requests that they were running.
 
-    Two deaths within a minute quarantine a fingerprint. A run that completes clears its deaths:
-    requests that merely ran beside the one at fault complete elsewhere. A run counts only if it
-    started after the death before it, since a rack that fails ends many runs of a common request
-    at the same time. A death counts once, however many nodes report it.
+    Two deaths within a minute quarantine a fingerprint. A completed run clears its deaths, because
+    requests that only ran at the same time as the crashing one complete on other targets. A death
+    counts only if the run started after the previous death, since the failure of a rack ends many
+    runs of a common request at the same time. A death counts once, however many nodes report it.
     """
 
     def __init__(
         self,
         *,
         clock: Clock,
-        deaths: int = DEATHS,
+        deaths: int = QUARANTINE_DEATHS,
         window: timedelta = DEATH_WINDOW,
         quarantine: timedelta = QUARANTINE,
         probation: timedelta = PROBATION,
@@ -83,26 +89,29 @@
         if suspect is None:
             return None
         now_s = self._now_s()
-        if now_s < suspect.until:
-            return CrashSuspected(timedelta(seconds=suspect.until - now_s))
-        if now_s >= suspect.forget:
+        if now_s < suspect.quarantined_until:
+            return CrashSuspected(timedelta(seconds=suspect.quarantined_until - now_s))
+        if now_s >= suspect.expires:
             del self.suspects[request]
         return None
 
     def record_completion(self, request: int) -> None:
-        """Clear a fingerprint whose run ended with a response."""
+        """Clear the deaths of a fingerprint after a run ended with a response.
+
+        A fingerprint in quarantine is not cleared.
+        """
         suspect = self.suspects.get(request)
-        if suspect is not None and self._now_s() >= suspect.until:
+        if suspect is not None and self._now_s() >= suspect.quarantined_until:
             del self.suspects[request]
 
     def record_death(self, death: CrashDeath) -> bool:
-        """Count a death that this node saw or was told of.
+        """Count a death that this node observed or that another node reported.
 
-        :returns: whether it was new, so that it is to be passed on
+        :returns: whether the death was new to this node and should be forwarded to others
         """
         now_s = self._now_s()
         suspect = self.suspects.get(death.fingerprint)
-        if suspect is not None and now_s >= suspect.forget:
+        if suspect is not None and now_s >= suspect.expires:
             del self.suspects[death.fingerprint]
             suspect = None
         if suspect is None:
@@ -110,36 +119,47 @@
             if suspect is None:
                 return False
         identity = (death.target, death.incarnation)
-        if identity in suspect.seen:
+        if identity in suspect.recent_deaths:
             return False
-        suspect.seen.append(identity)
+        suspect.recent_deaths.append(identity)
         if death.started_ms >= suspect.last_ended_ms:
-            suspect.count += 1
+            suspect.death_count += 1
         suspect.last_ended_ms = max(suspect.last_ended_ms, death.ended_ms)
-        suspect.forget = max(suspect.forget, now_s + self.window_s)
-        if suspect.count >= self.deaths:
+        suspect.expires = max(suspect.expires, now_s + self.window_s)
+        if suspect.death_count >= self.deaths:
             self._quarantine(suspect, now_s)
         return True
 
     def was_quarantined(self, request: int) -> bool:
-        """Tell whether a death is the request's fault, and not evidence against a version."""
+        """Return whether a request is or was in quarantine.
+
+        A death while it ran is then no evidence against the target's version.
+        """
         suspect = self.suspects.get(request)
-        return suspect is not None and suspect.until > 0.0
+        return suspect is not None and suspect.quarantined_until > 0.0
 
     def _quarantine(self, suspect: _Suspect, now_s: float) -> None:
-        if now_s < suspect.until:
+        if now_s < suspect.quarantined_until:
             return
-        if sum(now_s < other.until for other in self.suspects.values()) >= self.max_quarantined:
+        if (
+            sum(now_s < other.quarantined_until for other in self.suspects.values())
+            >= self.max_quarantined
+        ):
             return
-        suspect.until = now_s + self.quarantine_s
-        suspect.forget = suspect.until + self.probation_s
-        suspect.count = self.deaths - 1
+        suspect.quarantined_until = now_s + self.quarantine_s
+        suspect.expires = suspect.quarantined_until + self.probation_s
+        suspect.death_count = self.deaths - 1
 
     def _add(self, request: int, now_s: float) -> _Suspect | None:
-        """Add a fingerprint; a full table evicts the oldest one that is not in quarantine."""
+        """Add a fingerprint, or return None if the table is full of fingerprints in quarantine.
+
+        A full table evicts the oldest fingerprint that is not in quarantine.
+        """
         if len(self.suspects) >= self.capacity:
-            free = (key for key, item in self.suspects.items() if now_s >= item.until)
-            oldest = next(free, None)
+            evictable = (
+                key for key, item in self.suspects.items() if now_s >= item.quarantined_until
+            )
+            oldest = next(evictable, None)
             if oldest is None:
                 return None
             del self.suspects[oldest]
--- a/almondshore/retries/outcome.py
+++ b/almondshore/retries/outcome.py
@@ -1,4 +1,4 @@
-"""Outcomes of requests, and the failures that a caller is told of."""
+"""Outcomes of requests, and the failures reported to callers."""
 
 from datetime import timedelta
 from enum import StrEnum
@@ -6,7 +6,7 @@
 
 
 class Outcome(StrEnum):
-    """Whether the operation that a request asks for was run by a target."""
+    """Whether a target has run the operation of a request."""
 
     NOT_RUN = "not-run"
     RUN = "run"
@@ -43,50 +43,50 @@
     INTERNAL = "internal-error"
 
 
-class FailureKind(NamedTuple):
-    """What a reason means.
+class FailureProperties(NamedTuple):
+    """Properties of all failures with the same reason.
 
     :ivar status: HTTP status of the response
-    :ivar outcome: outcome unless the hop that reports the failure knows better
-    :ivar elsewhere: whether another target may succeed
+    :ivar outcome: default outcome, used unless the hop that reports the failure sets another one
+    :ivar retryable_elsewhere: whether the request may succeed at another target
     """
 
     status: int
     outcome: Outcome
-    elsewhere: bool
-
-
-KINDS: dict[Reason, FailureKind] = {
-    Reason.BAD_REQUEST: FailureKind(400, Outcome.NOT_RUN, False),
-    Reason.NO_ROUTE: FailureKind(404, Outcome.NOT_RUN, False),
-    Reason.NOT_READY: FailureKind(503, Outcome.NOT_RUN, False),
-    Reason.NO_TARGET: FailureKind(503, Outcome.NOT_RUN, False),
-    Reason.TENANT_LIMITED: FailureKind(429, Outcome.NOT_RUN, False),
-    Reason.TENANT_TABLE_FULL: FailureKind(429, Outcome.NOT_RUN, False),
-    Reason.CRASH_SUSPECTED: FailureKind(503, Outcome.NOT_RUN, False),
-    Reason.DEADLINE_PASSED: FailureKind(504, Outcome.NOT_RUN, False),
-    Reason.OVERLOADED: FailureKind(503, Outcome.NOT_RUN, True),
-    Reason.DRAINING: FailureKind(503, Outcome.NOT_RUN, True),
-    Reason.DUPLICATE_ID: FailureKind(400, Outcome.UNKNOWN, False),
-    Reason.HOP_UNREACHABLE: FailureKind(502, Outcome.NOT_RUN, True),
-    Reason.HOP_LOST: FailureKind(502, Outcome.UNKNOWN, True),
-    Reason.TARGET_UNREACHABLE: FailureKind(502, Outcome.NOT_RUN, True),
-    Reason.TARGET_LOST: FailureKind(502, Outcome.UNKNOWN, True),
-    Reason.TARGET_TIMEOUT: FailureKind(504, Outcome.UNKNOWN, True),
-    Reason.TRUNCATED: FailureKind(502, Outcome.RUN, True),
-    Reason.MISMATCHED: FailureKind(502, Outcome.UNKNOWN, True),
-    Reason.KEY_REUSED: FailureKind(422, Outcome.NOT_RUN, False),
-    Reason.KEY_RUNNING: FailureKind(409, Outcome.UNKNOWN, False),
-    Reason.KEY_UNKNOWN: FailureKind(409, Outcome.UNKNOWN, False),
-    Reason.KEY_UNPROVEN: FailureKind(503, Outcome.UNKNOWN, False),
-    Reason.KEY_TABLE_FULL: FailureKind(503, Outcome.UNKNOWN, False),
-    Reason.RESPONSE_NOT_KEPT: FailureKind(409, Outcome.RUN, False),
-    Reason.INTERNAL: FailureKind(500, Outcome.UNKNOWN, False),
+    retryable_elsewhere: bool
+
+
+FAILURE_PROPERTIES: dict[Reason, FailureProperties] = {
+    Reason.BAD_REQUEST: FailureProperties(400, Outcome.NOT_RUN, False),
+    Reason.NO_ROUTE: FailureProperties(404, Outcome.NOT_RUN, False),
+    Reason.NOT_READY: FailureProperties(503, Outcome.NOT_RUN, False),
+    Reason.NO_TARGET: FailureProperties(503, Outcome.NOT_RUN, False),
+    Reason.TENANT_LIMITED: FailureProperties(429, Outcome.NOT_RUN, False),
+    Reason.TENANT_TABLE_FULL: FailureProperties(429, Outcome.NOT_RUN, False),
+    Reason.CRASH_SUSPECTED: FailureProperties(503, Outcome.NOT_RUN, False),
+    Reason.DEADLINE_PASSED: FailureProperties(504, Outcome.NOT_RUN, False),
+    Reason.OVERLOADED: FailureProperties(503, Outcome.NOT_RUN, True),
+    Reason.DRAINING: FailureProperties(503, Outcome.NOT_RUN, True),
+    Reason.DUPLICATE_ID: FailureProperties(400, Outcome.UNKNOWN, False),
+    Reason.HOP_UNREACHABLE: FailureProperties(502, Outcome.NOT_RUN, True),
+    Reason.HOP_LOST: FailureProperties(502, Outcome.UNKNOWN, True),
+    Reason.TARGET_UNREACHABLE: FailureProperties(502, Outcome.NOT_RUN, True),
+    Reason.TARGET_LOST: FailureProperties(502, Outcome.UNKNOWN, True),
+    Reason.TARGET_TIMEOUT: FailureProperties(504, Outcome.UNKNOWN, True),
+    Reason.TRUNCATED: FailureProperties(502, Outcome.RUN, True),
+    Reason.MISMATCHED: FailureProperties(502, Outcome.UNKNOWN, True),
+    Reason.KEY_REUSED: FailureProperties(422, Outcome.NOT_RUN, False),
+    Reason.KEY_RUNNING: FailureProperties(409, Outcome.UNKNOWN, False),
+    Reason.KEY_UNKNOWN: FailureProperties(409, Outcome.UNKNOWN, False),
+    Reason.KEY_UNPROVEN: FailureProperties(503, Outcome.UNKNOWN, False),
+    Reason.KEY_TABLE_FULL: FailureProperties(503, Outcome.UNKNOWN, False),
+    Reason.RESPONSE_NOT_KEPT: FailureProperties(409, Outcome.RUN, False),
+    Reason.INTERNAL: FailureProperties(500, Outcome.UNKNOWN, False),
 }
 
 
 class Failure(NamedTuple):
-    """A failed request."""
+    """A failed request, with its outcome and the time after which a retry may succeed."""
 
     reason: Reason
     outcome: Outcome
@@ -96,11 +96,11 @@
     @property
     def status(self) -> int:
         """Return the HTTP status of the response."""
-        return KINDS[self.reason].status
+        return FAILURE_PROPERTIES[self.reason].status
 
 
 class FailureBody(TypedDict):
-    """JSON body of an error response; ``retry_after_ms`` is null if there is no advice."""
+    """JSON body of an error response; ``retry_after_ms`` is null if the time is not known."""
 
     error: str
     outcome: str
@@ -117,12 +117,12 @@
     retry_after: timedelta | None = None,
 ) -> Failure:
     """Return a failure; its outcome is that of the reason unless one is given."""
-    known = KINDS[reason].outcome if outcome is None else outcome
+    known = FAILURE_PROPERTIES[reason].outcome if outcome is None else outcome
     return Failure(reason, known, detail, retry_after)
 
 
 def failure_body(failure: Failure, request_id: str) -> FailureBody:
-    """Return the JSON body that tells a caller of a failure."""
+    """Return the JSON body of the error response for a failure."""
     wait = failure.retry_after
     return FailureBody(
         error=failure.reason.value,
--- a/almondshore/retries/ownership.py
+++ b/almondshore/retries/ownership.py
@@ -1,4 +1,4 @@
-"""Which node keeps the record of an idempotency key, and what that node may rely on."""
+"""Ownership of idempotency keys, and what an owner may conclude about keys without a record."""
 
 from collections.abc import Iterable
 from datetime import timedelta
@@ -9,34 +9,36 @@
 from almondshore.core.clock import Clock
 
 RETENTION = timedelta(hours=24)
-# Covers the 3 s in which news of membership reaches every node.
+# Time after its start in which a node treats what earlier owners ran as unknown. It covers the 3 s
+# in which a change of the membership reaches every node.
 WARM_UP = timedelta(seconds=5)
-# Time in which every node learns that the platform is back and writes its marker.
+# Time in which every node learns that the platform has become available and writes its marker.
 PLATFORM_SETTLE_TIME = timedelta(seconds=10)
-# Less than the 6 s after which a silent node may be declared dead: within this time of its last
-# contact no other node can have taken over its keys.
+# Less than the 6 s after which a node without contact may be declared dead: for this long after its
+# last contact, no other node can have taken over its keys.
 CONTACT_MAX_AGE = timedelta(seconds=5)
 
 
-class Standing(Enum):
-    """What a node without a record may conclude about a key."""
+class KeyHistory(Enum):
+    """What a node knows about earlier runs of a key that it has no record of."""
 
     NOT_OWNER = "not-owner"
-    # No earlier owner can have run the key without this node knowing of it.
-    CERTAIN = "certain"
-    # An owner that is gone may have run it: only the platform's claim proves that it did not.
+    # The key has not run: this node would know of any run by an earlier owner.
+    COMPLETE = "certain"
+    # An owner that is gone may have run the key. Winning its claim in the platform proves that it
+    # has not.
     CLAIM_NEEDED = "claim-needed"
-    # What earlier owners ran is not known yet.
-    UNSETTLED = "unsettled"
-    # An earlier owner died when it may have held runs without a claim.
+    # It is not known yet which keys earlier owners have run.
+    INCOMPLETE = "unsettled"
+    # An earlier owner died and may have run the key without a claim.
     DOUBTFUL = "doubtful"
 
 
 class Departure(NamedTuple):
-    """A node that kept records and is gone.
+    """A node that kept records and has left or died.
 
-    :ivar ago_s: seconds since it was removed
-    :ivar doubtful: whether it may have held runs without a claim
+    :ivar ago_s: seconds since it was removed from the members
+    :ivar doubtful: whether it may have run keys without a claim
     """
 
     node: str
@@ -45,11 +47,15 @@
 
 
 class Ownership:
-    """History of the nodes that keep the records of one service's keys.
+    """Current and former nodes that keep the records of one service's idempotency keys.
 
     The owner of a key is the first of the service's nodes in rendezvous order. A node that starts
-    takes over the records of its keys from the live nodes; for nodes that are gone it relies on
-    the platform.
+    takes over the records of its keys from the live nodes. For nodes that are gone it relies on
+    the claims and markers in the platform.
+
+    :ivar departed: nodes that are gone, with the time at which each was removed
+    :ivar doubtful: those of them that may have run keys without a claim
+    :ivar awaiting_handover: live nodes that have not handed over their records yet
     """
 
     def __init__(
@@ -63,11 +69,11 @@
         settle: timedelta = PLATFORM_SETTLE_TIME,
         contact_max_age: timedelta = CONTACT_MAX_AGE,
     ):
-        """Start a history that begins now.
+        """Start with this node as the only member.
 
         :param node: identity of this node among the members
-        :param new_identity: whether no earlier process had this identity; if one had, it counts
-            as an owner that died now
+        :param new_identity: whether no earlier process had this identity; otherwise that process
+            counts as a doubtful owner that died now
         """
         self.clock = clock
         self.node = node
@@ -79,58 +85,63 @@
         self.departed: dict[str, timedelta] = {}
         self.doubtful: set[str] = set()
         self.awaiting_handover: set[str] = set()
-        # Nodes that handed over their records, with the time since which each kept records.
+        # Nodes that handed over their records, with the time at which each began to keep records.
         self.received_handovers: dict[str, timedelta] = {}
-        # Nodes that started after this one, hence never owned a key before it.
-        self.later: set[str] = set()
-        self.up_since: timedelta | None = None
-        self.since = self.last_contact = clock.monotonic()
+        # Nodes that started after this one, so that they cannot have owned a key before it.
+        self.started_later: set[str] = set()
+        self.platform_up_since: timedelta | None = None
+        self.recording_since = self.last_contact = clock.monotonic()
         if not new_identity:
-            self.departed[node] = self.since
+            self.departed[node] = self.recording_since
             self.doubtful.add(node)
 
     def note_platform_state(self, up: bool) -> None:
-        """Take in what the relays report about the platform."""
+        """Note whether the relays report the platform as available."""
         if not up:
-            self.up_since = None
-        elif self.up_since is None:
-            self.up_since = self.clock.monotonic()
+            self.platform_up_since = None
+        elif self.platform_up_since is None:
+            self.platform_up_since = self.clock.monotonic()
 
     def note_contact(self) -> None:
-        """Note an acknowledged heartbeat: this node is not declared dead."""
+        """Note an acknowledged heartbeat, which shows that this node is not declared dead."""
         self.last_contact = self.clock.monotonic()
 
     def update(self, members: Iterable[str], left: Iterable[str] = ()) -> None:
-        """Set the nodes that keep records.
+        """Set the nodes that keep records, and note those that are gone.
 
         :param members: identities of the service's live nodes
-        :param left: nodes that have gone in order, with all their runs claimed
+        :param left: nodes that left gracefully, after all their runs were claimed
         """
         now = self.clock.monotonic()
         current = frozenset(members) | {self.node}
-        clean = frozenset(left)
+        left_gracefully = frozenset(left)
         for name in self.members - current:
-            self.note_departure(Departure(name, 0.0, name not in clean and not self.is_settled()))
-        if now - self.since < self.warm_up:
+            self.note_departure(
+                Departure(name, 0.0, name not in left_gracefully and not self.is_platform_settled())
+            )
+        if now - self.recording_since < self.warm_up:
             self.awaiting_handover |= current - self.members - self.received_handovers.keys()
         else:
-            self.later |= current - self.members - self.departed.keys()
+            self.started_later |= current - self.members - self.departed.keys()
         self.awaiting_handover &= current
         self.members = current
         for name in [name for name, at in self.departed.items() if now - at >= self.retention]:
             del self.departed[name]
             self.doubtful.discard(name)
-        self.later &= current | self.departed.keys()
+        self.started_later &= current | self.departed.keys()
 
     def note_departure(self, departure: Departure) -> None:
-        """Add a node that is gone; the latest time and any doubt about it prevail."""
+        """Add a node that is gone.
+
+        If it is already known, the later time is kept, and it stays doubtful once it was.
+        """
         at = self.clock.monotonic() - timedelta(seconds=departure.ago_s)
         self.departed[departure.node] = max(at, self.departed.get(departure.node, at))
         if departure.doubtful:
             self.doubtful.add(departure.node)
 
     def departures(self) -> list[Departure]:
-        """Return the nodes that are gone, for a node that starts."""
+        """Return the nodes that are gone, to be sent to a node that starts."""
         now = self.clock.monotonic()
         return [
             Departure(name, (now - at).total_seconds(), name in self.doubtful)
@@ -138,8 +149,8 @@
         ]
 
     def age(self) -> timedelta:
-        """Return how long this node has kept records."""
-        return self.clock.monotonic() - self.since
+        """Return the time for which this node has kept records without a break."""
+        return self.clock.monotonic() - self.recording_since
 
     def note_handover(self, sender: str, age: timedelta) -> None:
         """Note that a live node has handed over the records of this node's keys.
@@ -151,32 +162,32 @@
 
     def note_rejoin(self) -> None:
         """Note that others had declared this node dead and may have taken over its keys."""
-        self.since = self.clock.monotonic()
+        self.recording_since = self.clock.monotonic()
         self.received_handovers.clear()
-        self.later.clear()
+        self.started_later.clear()
         self.awaiting_handover = set(self.members - {self.node})
 
     def owner(self, key: str) -> str:
         """Return the node that keeps the record of a key."""
         return rendezvous.choose(key, self.members) or self.node
 
-    def standing(self, key: str) -> Standing:
-        """Return what this node may conclude from having no record of a key."""
+    def history_of(self, key: str) -> KeyHistory:
+        """Return what this node knows about earlier runs of a key that it has no record of."""
         if self.owner(key) != self.node:
-            return Standing.NOT_OWNER
+            return KeyHistory.NOT_OWNER
         now = self.clock.monotonic()
         silent = now - self.last_contact >= self.contact_max_age
-        if silent or self.awaiting_handover or now - self.since < self.warm_up:
-            return Standing.UNSETTLED
+        if silent or self.awaiting_handover or now - self.recording_since < self.warm_up:
+            return KeyHistory.INCOMPLETE
         former = self.former_owners(key)
         if not former:
-            return Standing.CERTAIN
+            return KeyHistory.COMPLETE
         if not self.doubtful.isdisjoint(former):
-            return Standing.DOUBTFUL
-        return Standing.CLAIM_NEEDED
+            return KeyHistory.DOUBTFUL
+        return KeyHistory.CLAIM_NEEDED
 
     def former_owners(self, key: str) -> list[str]:
-        """Return the nodes that are gone and may have run a key of this node's."""
+        """Return the nodes that are gone and may have run a key that this node owns now."""
         if not self.departed:
             return []
         ranked = rendezvous.rank(key, {self.node, *self.departed, *self.received_handovers})
@@ -184,15 +195,15 @@
         return [name for name in self.departed if self._may_have_owned(name, rank)]
 
     def _may_have_owned(self, name: str, rank: dict[str, int]) -> bool:
-        """Tell whether a node that is gone may have owned a key before this node.
+        """Return whether a node that is gone may have owned a key before this node.
 
-        Beside this node it was the owner only if it ranks above it. If it was gone before it
-        could hand over its records, it was the owner unless it ranks below a node that was there
-        when it left, and that did hand over.
+        A node that was a member at the same time as this one was the owner only if it ranks above
+        it. A node that was gone before it could hand over its records may have been the owner
+        unless it ranks below a node that was a member when it left and has handed over its records.
         """
         if name == self.node:
             return True
-        if name in self.later or name in self.received_handovers:
+        if name in self.started_later or name in self.received_handovers:
             return rank[name] < rank[self.node]
         left = self.departed[name]
         return all(
@@ -201,8 +212,8 @@
             if since < left
         )
 
-    def is_settled(self) -> bool:
-        """Tell whether the platform has been up for long enough that markers are written."""
-        if self.up_since is None:
+    def is_platform_settled(self) -> bool:
+        """Return whether the platform has been up long enough for all nodes' markers."""
+        if self.platform_up_since is None:
             return False
-        return self.clock.monotonic() - self.up_since >= self.settle
+        return self.clock.monotonic() - self.platform_up_since >= self.settle
--- a/almondshore/retries/policy.py
+++ b/almondshore/retries/policy.py
@@ -1,4 +1,4 @@
-"""Decision whether a failed request is sent to another target."""
+"""Decides whether a failed request is retried at another target."""
 
 import random
 from datetime import timedelta
@@ -7,21 +7,22 @@
 
 from almondshore.core.clock import Clock
 from almondshore.retries.budget import RetryBudget
-from almondshore.retries.outcome import KINDS, Failure, Outcome
+from almondshore.retries.outcome import FAILURE_PROPERTIES, Failure, Outcome
 
 MAX_RETRIES = 2
+# Upper bound of the random delay before the first retry; it doubles with each further retry.
 BASE_DELAY = timedelta(milliseconds=5)
-# A retry with less time left than this would most likely be wasted work.
+# With less time than this before the deadline, a retry would most likely be wasted work.
 MIN_TIME_LEFT = timedelta(milliseconds=10)
 
 
 class Attempt(NamedTuple):
     """A failed attempt of a request.
 
-    :ivar retries: retries made so far
-    :ivar idempotent: whether running the request twice does no harm
-    :ivar outermost: whether this hop 1 is the first that the call passed, that is, the request
-        came without an attempt header
+    :ivar retries: number of retries so far
+    :ivar idempotent: whether the request may be run more than once
+    :ivar outermost: whether this hop 1 is the first in the chain of calls, that is, the request
+        arrived without an attempt header
     :ivar deadline: monotonic time after which the response is of no use
     """
 
@@ -51,13 +52,16 @@
 
 
 class GiveUp(NamedTuple):
-    """Pass the failure on to the caller."""
+    """Return the failure to the caller."""
 
     reason: GiveUpReason
 
 
 class RetryPolicy:
-    """Retries at the outermost hop 1 only, so that a chain of calls does not multiply them."""
+    """Allows retries only at the outermost hop 1, so that a chain of calls does not multiply them.
+
+    The number of retries, the deadline and the retry budget of the service limit them too.
+    """
 
     def __init__(
         self,
@@ -77,14 +81,14 @@
         self.min_time_left = min_time_left
 
     def record_first_attempt(self, service: str) -> None:
-        """Count a first attempt at the outermost hop 1."""
+        """Add a first attempt at the outermost hop 1 to the retry budget of its service."""
         self.budget.deposit(service)
 
     def decide(self, attempt: Attempt) -> Retry | GiveUp:
-        """Decide on a failed attempt; the budget is charged only if the answer is a retry."""
+        """Decide on a failed attempt; the retry budget is charged only if it is retried."""
         if not attempt.outermost:
             return GiveUp(GiveUpReason.INNER_HOP)
-        if not KINDS[attempt.failure.reason].elsewhere:
+        if not FAILURE_PROPERTIES[attempt.failure.reason].retryable_elsewhere:
             return GiveUp(GiveUpReason.FINAL)
         if attempt.failure.outcome is not Outcome.NOT_RUN and not attempt.idempotent:
             return GiveUp(GiveUpReason.NOT_IDEMPOTENT)
--- a/test/retries/helpers.py
+++ b/test/retries/helpers.py
@@ -1,4 +1,4 @@
-"""Owner nodes of idempotency keys over one in-memory platform."""
+"""Owner nodes of idempotency keys that share an in-memory platform."""
 
 from datetime import timedelta
 
@@ -31,10 +31,10 @@
 
 
 class Fleet:
-    """Nodes of one service, their shared clock and platform, and the count of runs by key.
+    """Nodes of one service with a shared clock and platform, and the number of runs of each key.
 
-    Membership reaches all nodes at once, and the 8 s that it takes to declare a node dead pass
-    whenever one dies.
+    Changes of the membership reach all nodes at once. ``kill`` advances the clock by the 8 s that
+    it takes to declare a node dead.
     """
 
     def __init__(self, names=("a", "b", "c"), claim_rate=1000.0):
@@ -84,14 +84,18 @@
     def owner(self, key):
         return next(iter(self.nodes.values())).ownership.owner(key)
 
-    def ask(self, key, fingerprint=1):
-        """Ask the key's owner, as a resend through any node does."""
+    def claim(self, key, fingerprint=1):
+        """Claim the key at its owner, as a request or a repeat through any node does."""
         records = self.nodes[self.owner(key)].records
         return records, records.claim(key, fingerprint, self.clock.monotonic() + TIMEOUT)
 
     def send(self, key, ending="done"):
-        """Send a request and run it if that is granted; the ending says what its holder sees."""
-        records, answer = self.ask(key)
+        """Claim a key and run its request if that is granted.
+
+        :param ending: what the holder of the grant observes: "done", "not-run", "lost" (the
+            response) or "silent" (nothing is reported)
+        """
+        records, answer = self.claim(key)
         if not isinstance(answer, Granted):
             return answer
         if ending == "not-run":
@@ -112,6 +116,6 @@
 
 
 def key_of(fleet, owner, number=0):
-    """Return a key that a node owns."""
+    """Return the n-th of the keys that a node owns."""
     keys = (key_hash("push", "bakery", f"k{n}") for n in range(1000))
     return [key for key in keys if fleet.owner(key) == owner][number]
--- a/test/retries/test_crash.py
+++ b/test/retries/test_crash.py
@@ -7,7 +7,7 @@
 from almondshore.core.clock import ManualClock
 from almondshore.retries.crash import CrashDeath, CrashGuard, fingerprint
 
-POISON = fingerprint("GET", "/trend", "hall-7", b"digest")
+CRASH_REQUEST = fingerprint("GET", "/trend", "hall-7", b"digest")
 
 
 class CrashGuardTest(TestCase):
@@ -22,65 +22,65 @@
     def now_ms(self):
         return round(self.clock.now().timestamp() * 1000)
 
-    def death(self, target, request=POISON, ran_ms=0):
+    def death(self, target, request=CRASH_REQUEST, ran_ms=0):
         return CrashDeath(request, target, 1, self.now_ms() - ran_ms, self.now_ms())
 
-    def resend(self, target):
-        """Send the request to a target that dies of it; return whether it was sent."""
-        if self.guard.check(POISON) is not None:
+    def send_crashing_request(self, target):
+        """Send the request to a target that crashes while it runs; return whether it was sent."""
+        if self.guard.check(CRASH_REQUEST) is not None:
             return False
         self.advance(0.01)
         self.guard.record_death(self.death(target, ran_ms=5))
         return True
 
     def test_crash_request_stops_after_two_targets(self):
-        """Guards against one request that takes a service down as its caller resends it."""
-        self.assertEqual(2, sum(self.resend(f"t{n}") for n in range(100)))
-        self.assertTrue(self.guard.was_quarantined(POISON))
+        """Guards against a request that takes a service down because its caller repeats it."""
+        self.assertEqual(2, sum(self.send_crashing_request(f"t{n}") for n in range(100)))
+        self.assertTrue(self.guard.was_quarantined(CRASH_REQUEST))
         self.assertIsNone(self.guard.check(fingerprint("GET", "/trend", "hall-8", b"digest")))
 
     def test_one_more_death_on_probation_is_enough(self):
-        """Guards against two more dead targets in each minute that the caller goes on."""
+        """Guards against two more dead targets per minute while the caller repeats the request."""
         sent = 0
         for n in range(600):
-            sent += self.resend(f"t{n}")
+            sent += self.send_crashing_request(f"t{n}")
             self.advance(1)
         self.assertTrue(sent <= 11, sent)
 
     def test_other_nodes_learn_of_deaths(self):
-        """Guards against a resend through another node that has seen no death."""
+        """Guards against a repeated request through a node that has observed no death."""
         other = CrashGuard(clock=self.clock)
         for name in ("t1", "t2"):
             self.advance(1)
             self.guard.record_death(self.death(name))
             self.assertTrue(other.record_death(self.death(name)))
-        self.assertIsNotNone(other.check(POISON))
+        self.assertIsNotNone(other.check(CRASH_REQUEST))
 
     def test_death_reported_twice_counts_once(self):
-        """Guards against a false alarm because two nodes report one death."""
+        """Guards against a quarantine because two nodes report the same death."""
         self.guard.record_death(self.death("t1"))
         self.advance(1)
         self.assertFalse(self.guard.record_death(self.death("t1")))
-        self.assertIsNone(self.guard.check(POISON))
+        self.assertIsNone(self.guard.check(CRASH_REQUEST))
 
     def test_requests_beside_the_one_at_fault_are_cleared(self):
-        """Guards against refusing good requests that ran on targets killed by another."""
+        """Guards against refusing requests that only ran beside the one that crashed the target."""
         for name in ("t1", "t2", "t3"):
             self.advance(1)
             self.guard.record_death(self.death(name))
-            self.guard.record_completion(POISON)
-        self.assertIsNone(self.guard.check(POISON))
+            self.guard.record_completion(CRASH_REQUEST)
+        self.assertIsNone(self.guard.check(CRASH_REQUEST))
         self.assertEqual(0, len(self.guard.suspects))
 
     def test_targets_that_die_together_are_one_event(self):
-        """Guards against a failed rack quarantining the requests that were common on it."""
+        """Guards against a quarantine of the requests that ran on all targets of a failed rack."""
         for n in range(20):
             self.advance(0.001)
             self.guard.record_death(self.death(f"t{n}", ran_ms=50))
-        self.assertIsNone(self.guard.check(POISON))
+        self.assertIsNone(self.guard.check(CRASH_REQUEST))
 
     def test_mass_failure_quarantines_a_bounded_number(self):
-        """Guards against a zone loss that makes a node refuse most requests."""
+        """Guards against a node that refuses most requests after the loss of a zone."""
         for name in ("t1", "t2"):
             self.advance(1)
             for request in range(500):
@@ -89,17 +89,17 @@
         self.assertEqual(64, refused)
 
     def test_deaths_far_apart_do_not_add_up(self):
-        """Guards against a false alarm from two unrelated deaths on one day."""
+        """Guards against a quarantine because of two unrelated deaths on one day."""
         self.guard.record_death(self.death("t1"))
         self.advance(3600)
         self.guard.record_death(self.death("t2"))
-        self.assertIsNone(self.guard.check(POISON))
+        self.assertIsNone(self.guard.check(CRASH_REQUEST))
 
     def test_table_is_bounded_and_keeps_those_in_quarantine(self):
-        """Guards against memory, or the quarantine, lost to many different requests."""
-        self.resend("t1")
-        self.resend("t2")
+        """Guards against unbounded memory and a lost quarantine with many different requests."""
+        self.send_crashing_request("t1")
+        self.send_crashing_request("t2")
         for request in range(5000):
             self.guard.record_death(self.death("t3", request))
         self.assertEqual(1024, len(self.guard.suspects))
-        self.assertIsNotNone(self.guard.check(POISON))
+        self.assertIsNotNone(self.guard.check(CRASH_REQUEST))
--- a/test/retries/test_once_properties.py
+++ b/test/retries/test_once_properties.py
@@ -1,4 +1,4 @@
-"""Property test of at-most-once execution under random interleavings of failures."""
+"""Property test of at-most-once execution with random sequences of failures."""
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -37,7 +37,7 @@
     @settings(max_examples=300, deadline=None, derandomize=True, database=None)
     @given(steps=st.lists(STEP, max_size=12), claim_rate=st.sampled_from([0.05, 1000.0]))
     def test_each_key_runs_at_most_once(self, steps, claim_rate):
-        """Guards against any order of crash, resend, outage and lost answers that runs twice."""
+        """Guards against a second run by any order of crashes, repeats, outages, lost answers."""
         fleet = Fleet(claim_rate=claim_rate)
         keys = [key_of(fleet, owner, n) for owner in ("a", "b") for n in range(KEYS // 2)]
         for step in steps:
