--- a/test/load/slots.py
+++ b/test/load/slots.py
@@ -1,4 +1,4 @@
-"""A target's slots under scripted load, on a manual clock."""
+"""Simulation of the slots of one target under a given load, with a manual clock."""
 
 import random
 from collections import Counter
@@ -14,33 +14,34 @@
 
 
 class Arrival(Job):
-    """A request of a kind."""
+    """A request that arrives at the queue; ``work`` is its service time."""
 
-    def __init__(self, bed, kind, terms, work):
-        self.bed, self.kind, self.terms, self.work = bed, kind, terms, work
+    def __init__(self, simulation, kind, terms, work):
+        self.simulation, self.kind, self.terms, self.work = simulation, kind, terms, work
 
     def start(self):
-        self.bed.push(self.bed.clock.monotonic() + self.work, self.finish)
+        self.simulation.schedule(self.simulation.clock.monotonic() + self.work, self.finish)
 
     def finish(self):
-        now = self.bed.clock.monotonic()
+        now = self.simulation.clock.monotonic()
         end = "late" if now > self.terms.objective_at else "on time"
         if now > self.terms.deadline_at:
             end = "useless"
-        self.bed.ends[self.kind, end] += 1
-        self.bed.queue.release(self, observed=True)
+        self.simulation.ends[self.kind, end] += 1
+        self.simulation.queue.release(self, observed=True)
 
     def refuse(self, reason, retry_after):
-        self.bed.ends[self.kind, "refused"] += 1
-        self.bed.held[self.kind].append(self.bed.clock.monotonic() - self.arrived)
-        self.bed.retry_after.append(retry_after)
+        self.simulation.ends[self.kind, "refused"] += 1
+        self.simulation.held[self.kind].append(self.simulation.clock.monotonic() - self.arrived)
+        self.simulation.retry_after.append(retry_after)
 
 
-class SlotsBed:
-    """Plays arrivals against the queue of one target.
+class SlotsSimulation:
+    """Runs arrivals of requests against the queue of one target.
 
-    :ivar ends: how requests ended, by kind
-    :ivar held: how long refused requests were held, by kind
+    :ivar ends: number of requests by kind and by how they ended: "on time", "late", "useless"
+        (after the deadline) or "refused"
+    :ivar held: times from arrival to refusal, by kind
     """
 
     def __init__(self, slots=9, seed=1):
@@ -53,29 +54,31 @@
         self.retry_after = []
         self.count = 0
 
-    def push(self, at, action):
+    def schedule(self, at, action):
         self.count += 1
         heappush(self.events, (at, self.count, action))
 
-    def arrivals(self, kind, per_s, seconds, *, work, objective, deadline, urgency, spread=0.3):
-        """Schedule requests at random times.
+    def schedule_arrivals(
+        self, kind, per_s, seconds, *, work, objective, deadline, urgency, spread=0.3
+    ):
+        """Schedule requests of a kind at random times; the times of a request are milliseconds.
 
-        :param spread: standard deviation of the logarithm of the work
+        :param spread: standard deviation of the logarithm of the service time
         """
         self.held.setdefault(kind, [])
         for number in range(int(per_s * seconds)):
             at = timedelta(seconds=(number + self.rng.random()) / per_s)
-            took = ms(work) * self.rng.lognormvariate(-spread * spread / 2, spread)
+            service_time = ms(work) * self.rng.lognormvariate(-spread * spread / 2, spread)
 
-            def offer(at=at, took=took):
+            def offer(at=at, service_time=service_time):
                 terms = Terms(kind, urgency, at + ms(objective), at + ms(deadline))
-                arrival = Arrival(self, kind, terms, took)
+                arrival = Arrival(self, kind, terms, service_time)
                 arrival.arrived = at
                 self.queue.offer(arrival)
 
-            self.push(at, offer)
+            self.schedule(at, offer)
 
-    def play(self):
+    def run(self):
         while self.events:
             at, _, action = heappop(self.events)
             self.clock.advance(max(timedelta(), at - self.clock.monotonic()))
--- a/test/load/test_all_targets_full.py
+++ b/test/load/test_all_targets_full.py
@@ -1,4 +1,4 @@
-"""Load: all targets of a service are full, and requests go on to come."""
+"""Load: all targets of a service are full, and more requests arrive."""
 
 from datetime import timedelta
 
@@ -24,9 +24,9 @@
         return exchange
 
     def test_requests_are_refused_without_being_sent(self):
-        """Guards against each request crossing all zones, only to be refused everywhere.
+        """Guards against sending each request to the targets of all zones, which refuse it.
 
-        Seen as 15 MB between zones on a recorded day of chladlog-mesh.
+        This caused 15 MB of traffic between zones on a recorded day of chladlog-mesh.
         """
         self.assertEqual(503, self.refuse_all().response.status)
         sent = len(self.bed.pool.calls)
@@ -35,8 +35,8 @@
         self.assertEqual(sent, len(self.bed.pool.calls))
         self.assertTrue(float(exchange.response.header(b"retry-after")) >= 0.3)
 
-    def test_room_is_looked_for_again_soon(self):
-        """Guards against targets that idle while callers are refused."""
+    def test_targets_are_tried_again_soon(self):
+        """Guards against refusing requests although targets have free slots again."""
         self.refuse_all()
         sent = len(self.bed.pool.calls)
         self.bed.clock.advance(timedelta(milliseconds=60))
@@ -46,7 +46,7 @@
         self.assertEqual(200, exchange.response.status)
 
     def test_other_routes_are_still_sent(self):
-        """Guards against urgent requests that are refused since routine ones were."""
+        """Guards against refusing urgent requests because routine ones were refused."""
         self.refuse_all()
         sent = len(self.bed.pool.calls)
         self.bed.request(b"/u/x")
--- a/test/load/test_capacity_lost_under_load.py
+++ b/test/load/test_capacity_lost_under_load.py
@@ -1,4 +1,4 @@
-"""Load: a third of the targets is lost while the others have just enough room."""
+"""Load: a third of the targets is lost, and the others have just enough capacity."""
 
 from testtools import TestCase
 
@@ -6,8 +6,8 @@
 
 
 class CapacityLostTest(TestCase):
-    def test_the_targets_that_are_left_serve_what_they_can(self):
-        """Guards against requests that are refused, or late, while targets have room."""
+    def test_remaining_targets_serve_the_requests(self):
+        """Guards against requests that are refused or late while targets have free slots."""
         system = play(capacity_lost)
         self.assertTrue(system.share("on time") > 0.95, system.ends)
         self.assertTrue(system.share("refused") < 0.01, system.ends)
--- a/test/load/test_grey_target.py
+++ b/test/load/test_grey_target.py
@@ -1,4 +1,4 @@
-"""Load: one target fails half of its requests at once, and so looks idle."""
+"""Load: one target fails half of its requests immediately, so that it looks idle."""
 
 from testtools import TestCase
 
@@ -6,8 +6,8 @@
 
 
 class GreyTargetTest(TestCase):
-    def test_failing_target_gets_little(self):
-        """Guards against a target that draws requests by failing them fast."""
+    def test_failing_target_gets_few_requests(self):
+        """Guards against a failing target that attracts requests because it fails fast."""
         system = play(grey_target)
         self.assertTrue(system.sent_share("t1") < 0.12, system.sent)
         self.assertTrue(system.share("failed") < 0.06, system.ends)
--- a/test/load/test_new_targets_under_load.py
+++ b/test/load/test_new_targets_under_load.py
@@ -1,4 +1,4 @@
-"""Load: targets are added while the present ones are overloaded."""
+"""Load: targets are added while the existing ones are overloaded."""
 
 from testtools import TestCase
 
@@ -9,15 +9,15 @@
     def play(self, seconds):
         return play(lambda model: targets_added(model, seconds))
 
-    def test_added_targets_get_work_within_seconds(self):
-        """Guards against new targets that stay idle since nobody has heard of their load."""
+    def test_added_targets_get_requests_within_seconds(self):
+        """Guards against new targets that stay idle because no node has a report of their load."""
         before, after = self.play(ADDED_AT_S), self.play(ADDED_AT_S + 2.0)
         sent = sum(after.sent.values()) - sum(before.sent.values())
         to_new = sum(after.sent[name] for name in ("new0", "new1"))
         self.assertTrue(to_new / sent > 0.25, after.sent)
 
     def test_requests_are_on_time_soon_after(self):
-        """Guards against a queue of late requests that outlives the overload."""
+        """Guards against a queue of late requests that remains after the overload has ended."""
         middle, late = self.play(ADDED_AT_S + 2.0), self.play(ADDED_AT_S + 10.0)
         ends = late.ends - middle.ends
         self.assertTrue(ends["on time"] / sum(ends.values()) > 0.95, ends)
--- a/test/load/test_one_slow_target.py
+++ b/test/load/test_one_slow_target.py
@@ -1,4 +1,4 @@
-"""Load: one target of four becomes five times as slow, the others have room for all."""
+"""Load: one of four targets becomes five times slower, and the others have enough capacity."""
 
 from testtools import TestCase
 
@@ -6,8 +6,8 @@
 
 
 class OneSlowTargetTest(TestCase):
-    def test_work_moves_to_the_others(self):
-        """Guards against requests that follow their zone into a queue."""
+    def test_requests_move_to_the_other_targets(self):
+        """Guards against requests that queue at a slow target because it is in their zone."""
         system = play(one_slow_target)
         self.assertTrue(system.share("on time") > 0.9, system.ends)
         self.assertTrue(system.sent_share("t1") < 0.1, system.sent)
--- a/test/load/test_targets_that_never_answer.py
+++ b/test/load/test_targets_that_never_answer.py
@@ -1,4 +1,4 @@
-"""Load: a target takes two of five requests and never answers them."""
+"""Load: a target accepts two of five requests and never answers them."""
 
 from testtools import TestCase
 
@@ -6,8 +6,8 @@
 
 
 class UnansweredRequestsTest(TestCase):
-    def test_target_that_swallows_requests_gets_little(self):
-        """Guards against a target that is chosen on, since what it swallows has no result."""
+    def test_target_that_does_not_answer_gets_few_requests(self):
+        """Guards against choosing a target again and again because lost requests have no result."""
         system = play(target_that_never_answers)
         self.assertTrue(system.sent_share("t1") < 0.12, system.sent)
         self.assertTrue(system.share("failed") < 0.04, system.ends)
