State the comparison of targets in their ramp precisely

The doc comment of _less_loaded said less than the code: the ramp matters only if the two targets differ in it. The comment on cold targets gave a reason that the code does not have.

--- a/almondshore/routing/choice.py
+++ b/almondshore/routing/choice.py
@@ -220,7 +220,8 @@
     ) -> TargetLoad:
         """Return the target with the lower utilisation.
 
-        While a target is ramping up, it is considered only with the probability of its ramp.
+        If one of them is further in its ramp, the other is considered only with the probability of
+        its own ramp.
         """
         first_ramp, second_ramp = self._ramp(first, now_s), self._ramp(second, now_s)
         first_load = first.utilisation(now_s, tier.mean_load)
@@ -233,7 +234,7 @@
             cold, warm, cold_load, warm_load = second, first, second_load, first_load
         if self.rng.random() >= self._ramp(cold, now_s):
             return warm
-        # The load of a cold target is not known well, so it counts as at least the mean.
+        # A cold target looks idle, so it counts as having at least the mean load.
         cold_load = max(cold_load, tier.mean_load)
         if cold_load == warm_load:
             return self.rng.choice((cold, warm))
