--- a/test/mesh/test_outbound.py
+++ b/test/mesh/test_outbound.py
@@ -186,7 +186,9 @@
         first.report(body=b"first")
         self.assertEqual(b"second", exchange.response.body)
         self.assertEqual(set(), harness.outbound.active)
-        self.assertEqual({0}, {load.own_requests for load in harness.outbound.chooser.loads.values()})
+        self.assertEqual(
+            {0}, {load.own_requests for load in harness.outbound.chooser.loads.values()}
+        )
 
     def test_hedged_attempt_is_logged_with_its_reason(self):
         """Guards against hedged attempts that cannot be traced in the logs."""
