Rename the object API's answer types to responses

The HTTP client called a response "answer", next to urllib3 and the HTTP package, which say "response". ObjectAnswer, ListAnswer and WatchAnswer are now ObjectResponse, ListResponse and WatchResponse, in storage and in the platform's store client; the client's own Answer is HttpResponse and MAX_ANSWER_BYTES is MAX_RESPONSE_BYTES. The names of the types do not leave the process.

Checked: test/storage, test/platform and test/standins/test_platform_server.py pass; lint is clean.

--- a/almondshore/platform/objects.py
+++ b/almondshore/platform/objects.py
@@ -67,7 +67,7 @@
     spec: msgspec.Raw = msgspec.Raw()
 
 
-class ListAnswer(msgspec.Struct):
+class ListResponse(msgspec.Struct):
     """A page of objects."""
 
     items: list[msgspec.Raw]
@@ -83,7 +83,7 @@
     removed: bool = False
 
 
-class WatchAnswer(msgspec.Struct):
+class WatchResponse(msgspec.Struct):
     """Changes since a revision."""
 
     events: list[ObjectChange]
@@ -136,7 +136,7 @@
         while True:
             path = f"{names.OBJECTS_PATH}{self.name}" + (f"?{urlencode(query)}" if query else "")
             answer = self.client.call(b"GET", path)
-            page = answer.bind(lambda found: _decoded(found, ListAnswer))
+            page = answer.bind(lambda found: _decoded(found, ListResponse))
             if not is_successful(page):
                 return page
             content = page.unwrap()
@@ -153,9 +153,9 @@
             query["serializable"] = 1
         path = f"{names.OBJECTS_PATH}{self.name}?{urlencode(query)}"
         answer = self.client.call(b"GET", path, timeout=timeout + WATCH_SLACK)
-        return answer.bind(lambda found: _decoded(found, WatchAnswer)).map(self._to_changes)
+        return answer.bind(lambda found: _decoded(found, WatchResponse)).map(self._to_changes)
 
-    def _to_changes(self, answer: WatchAnswer) -> Changes[T]:
+    def _to_changes(self, answer: WatchResponse) -> Changes[T]:
         items: dict[str, T | None] = {}
         for event in answer.events:
             if event.removed:
--- a/almondshore/storage/http.py
+++ b/almondshore/storage/http.py
@@ -25,15 +25,15 @@
     WatchResult,
 )
 from almondshore.storage.wire import (
-    ListAnswer,
-    ObjectAnswer,
+    ListResponse,
     ObjectDocument,
+    ObjectResponse,
     PutRequest,
-    WatchAnswer,
+    WatchResponse,
     from_document,
 )
 
-MAX_ANSWER_BYTES = 32 * 1024 * 1024
+MAX_RESPONSE_BYTES = 32 * 1024 * 1024
 READ_CHUNK_BYTES = 64 * 1024
 POOL_CONNECTIONS = 8
 DEFAULT_RETRY_AFTER = timedelta(seconds=1)
@@ -43,7 +43,7 @@
 T = TypeVar("T")
 
 
-class Answer(msgspec.Struct, frozen=True):
+class HttpResponse(msgspec.Struct, frozen=True):
     """An HTTP answer that was read whole."""
 
     status: int
@@ -108,12 +108,12 @@
         """Read all objects under a prefix."""
         path = f"/v1/list?{urlencode({'prefix': prefix})}"
 
-        def convert(found: ListAnswer) -> list[StoredObject]:
+        def convert(found: ListResponse) -> list[StoredObject]:
             return _to_objects(prefix, found["objects"])
 
         def read() -> Result[list[StoredObject], PlatformError]:
             answer = self._exchange("GET", path, self.timeout)
-            return answer.bind(lambda found: _parsed(found, ListAnswer, convert))
+            return answer.bind(lambda found: _parsed(found, ListResponse, convert))
 
         return self._budgeted(CallKind.READ, read)
 
@@ -130,7 +130,7 @@
         def read() -> Result[WatchResult, PlatformError]:
             answer = self._exchange("GET", f"/v1/watch?{query}", self.timeout + timeout)
             return answer.bind(
-                lambda found: _parsed(found, WatchAnswer, lambda item: _to_watch(prefix, item))
+                lambda found: _parsed(found, WatchResponse, lambda item: _to_watch(prefix, item))
             )
 
         return self._budgeted(CallKind.READ, read)
@@ -146,7 +146,7 @@
 
     def _exchange(
         self, method: str, path: str, timeout: timedelta, body: bytes | None = None
-    ) -> Result[Answer, PlatformError]:
+    ) -> Result[HttpResponse, PlatformError]:
         """Send a request and read the whole answer within the timeout."""
         deadline = self.clock.monotonic() + timeout
         try:
@@ -165,7 +165,7 @@
             content = self._read_whole(response, deadline)
         except (urllib3.exceptions.HTTPError, OSError, ValueError) as error:
             return Failure(Unavailable(f"{describe_failure(error)} at {self.url}"))
-        return Success(Answer(response.status, response.headers.get("retry-after"), content))
+        return Success(HttpResponse(response.status, response.headers.get("retry-after"), content))
 
     def _read_whole(self, response: urllib3.BaseHTTPResponse, deadline: timedelta) -> bytes:
         """Read the body; a connection whose answer was not read whole is not used again."""
@@ -182,8 +182,8 @@
         content = bytearray()
         while chunk := response.read1(READ_CHUNK_BYTES):
             content += chunk
-            if len(content) > MAX_ANSWER_BYTES:
-                raise ValueError(f"the answer exceeds {MAX_ANSWER_BYTES} bytes")
+            if len(content) > MAX_RESPONSE_BYTES:
+                raise ValueError(f"the answer exceeds {MAX_RESPONSE_BYTES} bytes")
             if self.clock.monotonic() > deadline:
                 raise TimeoutError("the answer was not complete within the timeout")
         return bytes(content)
@@ -193,21 +193,23 @@
     return f"/v1/objects/{quote(key, safe='')}"
 
 
-def _object_result(key: str, size: int, answer: Answer) -> Result[StoredObject, PlatformError]:
+def _object_result(
+    key: str, size: int, answer: HttpResponse
+) -> Result[StoredObject, PlatformError]:
     """Convert the answer to a read or write of one object."""
     if answer.status == 404:
         return Failure(NotFound(key))
     if answer.status == 413:
         return Failure(TooLarge(size))
     if answer.status == 409:
-        return _parsed(answer, ObjectAnswer, lambda found: _to_conflict(key, found), 409).bind(
+        return _parsed(answer, ObjectResponse, lambda found: _to_conflict(key, found), 409).bind(
             Failure
         )
-    return _parsed(answer, ObjectAnswer, lambda found: _to_object(key, found))
+    return _parsed(answer, ObjectResponse, lambda found: _to_object(key, found))
 
 
 def _parsed(
-    answer: Answer, kind: type, convert: Callable[..., T], accept: int = 200
+    answer: HttpResponse, kind: type, convert: Callable[..., T], accept: int = 200
 ) -> Result[T, PlatformError]:
     """Decode a JSON answer with the accepted status; any other status is an error."""
     if answer.status == 429:
@@ -227,7 +229,7 @@
     return min(timedelta(seconds=int(text)), MAX_RETRY_AFTER)
 
 
-def _to_object(key: str, found: ObjectAnswer) -> StoredObject:
+def _to_object(key: str, found: ObjectResponse) -> StoredObject:
     """Convert an answer that must show an object.
 
     The key is checked, since a crossed answer would otherwise pass for another object's value.
@@ -238,7 +240,7 @@
     return stored
 
 
-def _to_conflict(key: str, found: ObjectAnswer) -> Conflict:
+def _to_conflict(key: str, found: ObjectResponse) -> Conflict:
     return Conflict(key, _to_object(key, found) if found["object"] else None)
 
 
@@ -250,5 +252,5 @@
     return objects
 
 
-def _to_watch(prefix: str, found: WatchAnswer) -> WatchResult:
+def _to_watch(prefix: str, found: WatchResponse) -> WatchResult:
     return WatchResult(found["position"], _to_objects(prefix, found["objects"]))
--- a/almondshore/storage/wire.py
+++ b/almondshore/storage/wire.py
@@ -14,19 +14,19 @@
     write_id: str
 
 
-class ObjectAnswer(TypedDict):
+class ObjectResponse(TypedDict):
     """Answer to a read or write of one object; None if there is no object to show."""
 
     object: ObjectDocument | None
 
 
-class ListAnswer(TypedDict):
+class ListResponse(TypedDict):
     """Answer to a list call."""
 
     objects: list[ObjectDocument]
 
 
-class WatchAnswer(TypedDict):
+class WatchResponse(TypedDict):
     """Answer to a watch call."""
 
     position: int
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -15,10 +15,10 @@
 from almondshore.core.clock import Clock, SystemClock
 from almondshore.storage.port import MAX_VALUE_BYTES
 from almondshore.storage.wire import (
-    ListAnswer,
-    ObjectAnswer,
+    ListResponse,
+    ObjectResponse,
     PutRequest,
-    WatchAnswer,
+    WatchResponse,
     to_document,
 )
 from standins.object_store import Fault, ObjectStore, Status
@@ -102,7 +102,7 @@
                 return self._put(key, query, environ)
         if (method, path) == ("GET", "/v1/list"):
             objects = [to_document(item) for item in self.store.list(query.get("prefix", ""))]
-            return Answer(200, ListAnswer(objects=objects))
+            return Answer(200, ListResponse(objects=objects))
         if (method, path) == ("GET", "/v1/watch"):
             wait = timedelta(milliseconds=int(query["timeout_ms"]))
             return self._watch(query.get("prefix", ""), int(query["after"]), min(wait, MAX_WATCH))
@@ -111,7 +111,7 @@
     def _put(self, key: str, query: dict[str, str], environ) -> Answer:
         body = _read_body(environ)
         if body is None:
-            return Answer(413, ObjectAnswer(object=None))
+            return Answer(413, ObjectResponse(object=None))
         value = msgspec.json.decode(body, type=PutRequest)["value"]
         before = self.store.position
         status = self.store.put(key, value, int(query["revision"]), query["write_id"])
@@ -131,7 +131,7 @@
             if self.store.fault is Fault.DOWN:
                 return Answer(503, {"error": "the platform is down"})
         documents = [to_document(item) for item in objects]
-        return Answer(200, WatchAnswer(position=self.store.position, objects=documents))
+        return Answer(200, WatchResponse(position=self.store.position, objects=documents))
 
     def _set_fault(self, environ) -> Answer:
         body = _read_body(environ) or b""
@@ -154,7 +154,7 @@
 
 def _object_answer(status: Status) -> Answer:
     document = to_document(status.object) if status.object else None
-    return Answer(status.code, ObjectAnswer(object=document))
+    return Answer(status.code, ObjectResponse(object=document))
 
 
 def serve(listener, app, *, log_output: bool = False) -> None:
--- a/test/storage/test_http.py
+++ b/test/storage/test_http.py
@@ -12,7 +12,7 @@
 
 from almondshore.core.clock import ManualClock, SystemClock
 from almondshore.storage.budget import CallBudget, Rate
-from almondshore.storage.http import MAX_ANSWER_BYTES, HttpPlatform
+from almondshore.storage.http import MAX_RESPONSE_BYTES, HttpPlatform
 from almondshore.storage.port import (
     MAX_VALUE_BYTES,
     BudgetExceeded,
@@ -148,12 +148,12 @@
 
         def endless(size):
             sizes.append(size)
-            return bytes(size if sum(sizes) < 2 * MAX_ANSWER_BYTES else 0)
+            return bytes(size if sum(sizes) < 2 * MAX_RESPONSE_BYTES else 0)
 
         response = FakeResponse(200, {}, endless)
         self.platform.pool = SimpleNamespace(request=lambda *_, **__: response)
         self.assertIsInstance(self.platform.get("k").failure(), Unavailable)
-        self.assertTrue(sum(sizes) < MAX_ANSWER_BYTES + 2**20, sum(sizes))
+        self.assertTrue(sum(sizes) < MAX_RESPONSE_BYTES + 2**20, sum(sizes))
 
     @given(status=st.sampled_from([200, 404, 409, 413, 429, 503, 302]), body=st.binary(max_size=80))
     @settings(max_examples=200, derandomize=True, deadline=None)
