Say in plain words what the core types do

Several docstrings used figurative or abbreviated wording ("greenlets that outlive an error", "a message as it travels", "nodes tell each other of it", "has learnt"). They now name the effect, the unit or the condition: who sends a digest and what it is compared with, what an empty address or a False reply means, when the backlog drops lines, when a worker is called again.

--- a/almondshore/core/bounded_stream.py
+++ b/almondshore/core/bounded_stream.py
@@ -1,19 +1,20 @@
-"""Text stream that never blocks its writer and holds a bounded backlog."""
+"""Text stream with a bounded backlog whose writer never blocks."""
 
 import os
 import select
 from collections import deque
 
-# A log line is about 300 bytes, so that this holds about a second of a busy node.
+# About one second of the log of a busy node, at about 300 bytes a line.
 MAX_BACKLOG_BYTES = 256 * 1024
-# A pipe that is ready for writing takes at least this much without blocking (POSIX PIPE_BUF).
+# A pipe that is ready for writing accepts at least this much without blocking (POSIX PIPE_BUF).
 WRITE_BYTES = 4096
 
 
 class BoundedStream:
-    """Collects lines, and writes them when the descriptor can take them.
+    """Buffers lines and writes them when the descriptor accepts them without blocking.
 
-    :ivar dropped: lines dropped since the last flush that could report them
+    :ivar size: bytes in the backlog
+    :ivar dropped: lines dropped since the last ``log_lines_dropped`` event
     """
 
     def __init__(self, *, descriptor: int, max_bytes: int = MAX_BACKLOG_BYTES):
@@ -34,12 +35,12 @@
         return len(text)
 
     def flush(self) -> None:
-        """Do nothing: lines are written by ``drain``, since a reader may be slow."""
+        """Do nothing; ``drain`` writes the lines, so that a slow reader cannot block the caller."""
 
     def drain(self) -> bool:
-        """Write as much as the descriptor takes now.
+        """Write as much as the descriptor accepts without blocking.
 
-        :returns: whether nothing is left
+        :returns: True if the backlog is empty
         """
         if self.dropped and self.size < self.max_bytes // 2:
             self._report_dropped()
@@ -60,7 +61,7 @@
         self.size += len(line)
 
     def _batch(self) -> bytes:
-        """Take lines that fit into one write."""
+        """Remove and return the next lines, as many as fit into one write, but at least one."""
         parts = [self.lines.popleft()]
         total = len(parts[0])
         while self.lines and total + len(self.lines[0]) <= WRITE_BYTES:
--- a/almondshore/core/clock.py
+++ b/almondshore/core/clock.py
@@ -1,4 +1,4 @@
-"""Clocks: the system clock, and one that tests advance by hand."""
+"""Clocks: the system clock, and a clock that tests advance."""
 
 import time
 from abc import ABC, abstractmethod
@@ -30,18 +30,18 @@
 
 
 class BootClock(SystemClock):
-    """A system clock whose monotonic time goes on while the host is suspended.
+    """A system clock whose monotonic time also advances while the host is suspended.
 
-    After a suspension, deadlines that have passed meanwhile are recognised as such.
+    Deadlines that pass during a suspension have therefore expired when the host resumes.
     """
 
     def monotonic(self) -> timedelta:
-        """Return the time since the host started."""
+        """Return the time since the host booted."""
         return timedelta(seconds=time.clock_gettime(time.CLOCK_BOOTTIME))
 
 
 class ManualClock(Clock):
-    """A clock that moves only when it is told to."""
+    """A clock for tests, which moves only when ``advance`` is called."""
 
     def __init__(self, *, start: datetime = datetime(2026, 1, 1, tzinfo=UTC)):
         self.start = start
--- a/almondshore/core/errors.py
+++ b/almondshore/core/errors.py
@@ -16,7 +16,7 @@
 class InvalidInputError(UserError):
     """Input was refused because of one or more findings.
 
-    :ivar findings: the findings, in the order of the file
+    :ivar findings: the findings, in file order
     """
 
     def __init__(self, findings: Sequence[Finding]):
@@ -25,14 +25,14 @@
 
 
 class CodecError(AlmondshoreError):
-    """A message from another node could not be decoded."""
+    """A message is malformed, of an unknown kind or format, or exceeds the size limit."""
 
 
 class ListenError(UserError):
     """A listener could not be opened.
 
-    :ivar address: the ``ip:port`` of the settings
-    :ivar cause: the error of the system
+    :ivar address: the configured ``ip:port``
+    :ivar cause: error text of the operating system or the transport library
     """
 
     def __init__(self, address: str, cause: str):
--- a/almondshore/core/findings.py
+++ b/almondshore/core/findings.py
@@ -1,10 +1,10 @@
-"""Findings: problems in operator input, collected with their place."""
+"""Findings: problems in operator input, with their position in the file."""
 
 from typing import NamedTuple
 
 
 class Finding(NamedTuple):
-    """One problem at one place of an input file.
+    """One problem at one position in an input file.
 
     Lines and columns count from 1; 0 means that the finding concerns the whole file or line.
     """
@@ -37,7 +37,7 @@
         self.items.append(Finding(self.file, line, column, code, message))
 
     def sorted(self) -> list[Finding]:
-        """Return the findings in the order of the file."""
+        """Return the findings in file order."""
         return sorted(self.items)
 
     def __bool__(self) -> bool:
--- a/almondshore/core/logs.py
+++ b/almondshore/core/logs.py
@@ -12,15 +12,15 @@
 
 MAX_VALUE_CHARS = 2000
 LIBRARY_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR", "CRITICAL")
-_PLAIN = re.compile(r"[A-Za-z0-9_.:/@+,%*\[\]-]+")
-_KEY = re.compile(r"[a-z][a-z0-9_]*")
+_UNQUOTED_VALUE = re.compile(r"[A-Za-z0-9_.:/@+,%*\[\]-]+")
+_VALID_KEY = re.compile(r"[a-z][a-z0-9_]*")
 
 
 class LibraryHandler(logging.Handler):
-    """Turns records of the standard logging module into events."""
+    """Forwards records of the standard logging module as ``library_log`` events."""
 
     def emit(self, record: logging.LogRecord) -> None:
-        """Log a record of a library."""
+        """Log a record at its own level, or as a warning if the level is not a standard one."""
         fields: dict[str, object] = {"logger": record.name, "message": record.getMessage()}
         if record.exc_info and record.exc_info[0]:
             fields["error"] = f"{record.exc_info[0].__name__}: {record.exc_info[1]}"
@@ -29,9 +29,10 @@
 
 
 def setup_logs(*, level: str = "INFO", stream: TextIO | None = None) -> None:
-    """Send log events, and warnings of libraries, to a stream, by default to standard error.
+    """Write log events and the warnings of libraries to a stream.
 
     :param level: lowest level written, a loguru level name
+    :param stream: destination, standard error by default
     """
     logger.remove()
     logger.add(
@@ -62,18 +63,21 @@
 
 
 def format_value(value: object) -> str:
-    """Return a value as plain text if it is simple, else as an ASCII JSON string."""
+    """Return a value as it is if it needs no quotes, else as an ASCII JSON string.
+
+    Values longer than ``MAX_VALUE_CHARS`` are truncated.
+    """
     if type(value) is int:
         return str(value)
     text = str(value)
     if len(text) > MAX_VALUE_CHARS:
         text = text[:MAX_VALUE_CHARS] + "...[cut]"
-    return text if _PLAIN.fullmatch(text) else json.dumps(text, ensure_ascii=True)
+    return text if _UNQUOTED_VALUE.fullmatch(text) else json.dumps(text, ensure_ascii=True)
 
 
 @lru_cache(maxsize=1000)
 def _format_key(key: str) -> str:
-    return key if _KEY.fullmatch(key) else re.sub(r"[^a-z0-9_]", "_", key.lower())
+    return key if _VALID_KEY.fullmatch(key) else re.sub(r"[^a-z0-9_]", "_", key.lower())
 
 
 def _format_record(record: dict) -> str:
--- a/almondshore/core/messages.py
+++ b/almondshore/core/messages.py
@@ -1,7 +1,7 @@
 """Messages between nodes.
 
-Delivery is at most once and unordered. Every exchange is repaired by a later heartbeat, so a
-receiver never relies on having seen an earlier message.
+Delivery is at most once and unordered. Later heartbeats make up for lost messages, so a receiver
+never relies on having seen an earlier message.
 """
 
 from datetime import datetime
@@ -20,15 +20,15 @@
 
 
 class TargetRecord(NamedTuple):
-    """What the node beside a target says about it.
+    """State of a target as published by the node beside it.
 
     :ivar target: identity of the target, unique in the fleet
-    :ivar node: identity of the node beside it, which owns the record
+    :ivar node: identity of the node beside the target, which owns the record
     :ivar incarnation: raised by the owner on each change; the higher one is newer
-    :ivar address: ``ip:port`` of the owner's hop 2 listener, which other nodes send requests to
+    :ivar address: ``ip:port`` of the owner's listener for requests of other nodes (hop 2)
     :ivar slots: requests the target runs at the same time
-    :ivar control: ``ip:port`` at which the owner takes control messages, for probes
-    :ivar process: incarnation of the owning node, which tells its processes apart
+    :ivar control: ``ip:port`` of the owner's listener for control messages, used for probes
+    :ivar process: incarnation of the owning node, which distinguishes its successive processes
     """
 
     target: str
@@ -47,7 +47,7 @@
 class RelayEntry(NamedTuple):
     """A relay of an availability zone and the epoch of its lease.
 
-    An empty address says that the holder of this epoch is gone and the slot is vacant.
+    An empty address means that the holder of this epoch is gone and the slot is vacant.
     """
 
     zone: str
@@ -62,7 +62,7 @@
     :ivar config_version: version in force, 0 if none
     :ivar config_digest: digest of the version in force
     :ivar directory_digests: digest of the sender's whole directory under ``ALL_ZONES``; digests
-        by zone travel only in ``DirectoryRequest``, since 41 of them would fill the heartbeat
+        by zone are sent only in ``DirectoryRequest``, since 41 of them would fill the heartbeat
     :ivar moves_digest: digest of the vetoes and move steps the sender knows
     :ivar relays_digest: digest of the relays the sender knows
     :ivar zone: availability zone of the sender, which may be served by a relay of another zone
@@ -80,11 +80,11 @@
 
 
 class HeartbeatAck(NamedTuple):
-    """Answer of a relay to a heartbeat; carries what the node needs to notice missed pushes.
+    """Reply of a relay to a heartbeat; its digests show the node which updates it has missed.
 
     :ivar relays: relays of the node's zone; empty if the node's ``relays_digest`` is current
-    :ivar ready: whether the relay itself has learnt the newest configuration
-    :ivar confirmed: whether the platform lately showed the relay nothing newer
+    :ivar ready: whether the relay itself has received the newest configuration
+    :ivar confirmed: whether the platform recently showed the relay no newer configuration
     :ivar platform_up: whether the platform answered the relay's last lease renewal
     """
 
@@ -99,19 +99,20 @@
 
 
 class Keepalive(NamedTuple):
-    """A short heartbeat, for a relay that has acknowledged a whole one of this process.
+    """A short heartbeat, for a relay that has acknowledged a full one of this process.
 
-    :ivar state: ``heartbeat_digest`` of the whole heartbeat; the relay compares it with the
-        digest that follows if the node holds the same as the relay
+    :ivar state: ``heartbeat_digest`` of the full heartbeat; the relay compares it with the digest
+        that the heartbeat has if node and relay hold the same state
     """
 
     state: int
 
 
 class KeepaliveAck(NamedTuple):
-    """Answer to a ``Keepalive`` if the relay holds the same as the node.
+    """Reply to a ``Keepalive``.
 
-    :ivar known: False asks for a whole ``Heartbeat``
+    :ivar known: True if the relay holds the same state as the node; False requests a full
+        ``Heartbeat``
     :ivar platform_up: whether the platform answered the relay's last lease renewal
     """
 
@@ -120,8 +121,9 @@
 
 
 class Busy(NamedTuple):
-    """Answer of an overloaded node: try again after the delay in seconds.
+    """Reply of an overloaded node.
 
+    :ivar retry_after: seconds to wait before the next attempt
     :ivar refused: kind of the message that was refused
     """
 
@@ -132,6 +134,8 @@
 class ConfigDelta(NamedTuple):
     """The difference between two configuration versions.
 
+    :ivar base_version: version that the delta applies to
+    :ivar base_digest: digest of that version
     :ivar parts: changed parts by name; None removes a part
     """
 
@@ -145,7 +149,7 @@
 class ConfigRequest(NamedTuple):
     """Asks a peer for a newer configuration than the one held.
 
-    :ivar status_only: ask only for a ``ConfigStatus``, to compare several peers cheaply
+    :ivar status_only: request only a ``ConfigStatus``, to compare several peers at low cost
     """
 
     version: int
@@ -154,7 +158,7 @@
 
 
 class ConfigSnapshot(NamedTuple):
-    """A whole configuration version."""
+    """A complete configuration version."""
 
     version: int
     digest: bytes
@@ -162,10 +166,10 @@
 
 
 class ConfigStatus(NamedTuple):
-    """Answer to a ``ConfigRequest`` when the sender holds nothing newer.
+    """Reply to a ``ConfigRequest`` when the sender holds nothing newer.
 
-    :ivar ready: whether the sender itself has learnt the newest configuration
-    :ivar confirmed: whether the platform lately showed the sender nothing newer
+    :ivar ready: whether the sender itself has received the newest configuration
+    :ivar confirmed: whether the platform recently showed the sender no newer configuration
     """
 
     version: int
@@ -181,13 +185,16 @@
 
 
 class DirectoryDelta(NamedTuple):
-    """Changed target records."""
+    """Target records that have changed."""
 
     records: list[TargetRecord]
 
 
 class DirectoryRequest(NamedTuple):
-    """Asks a peer for the records of availability zones whose digest differs."""
+    """Asks a peer for the records of availability zones whose digest differs.
+
+    :ivar digests: digest of the sender's records by zone
+    """
 
     digests: dict[str, int]
 
@@ -199,11 +206,11 @@
 
 
 class PeerProbe(NamedTuple):
-    """A relay's request that the receiver probe a suspect, or the probe itself.
+    """A relay's request to probe a suspect on its behalf, or the probe itself.
 
     :ivar suspect: identity of the node that missed heartbeats
     :ivar address: address of the suspect
-    :ivar asker: address of the relay that wants the answer
+    :ivar asker: address of the relay that receives the result
     """
 
     probe_id: int
@@ -232,13 +239,13 @@
 
 
 class RelayList(NamedTuple):
-    """Known relays."""
+    """The relays that the sender knows."""
 
     relays: list[RelayEntry]
 
 
 class RelaySync(NamedTuple):
-    """What a relay holds, sent to another relay for anti-entropy.
+    """Digests of a relay's state, sent to another relay for anti-entropy.
 
     :ivar relays_digest: digest of all relays that the sender knows
     :ivar wants_answer: whether the receiver sends its own ``RelaySync`` back
@@ -266,8 +273,8 @@
     :ivar errors: complete responses with a server error
     :ivar latency_buckets: counts by bucket of ``moves.evidence.BUCKET_BOUNDS_MS``; the sum is
         below ``requests`` when some came from a target in its slow start
-    :ivar broken: responses that broke off because the target closed the connection or died
-    :ivar refused: requests refused by overload; they are not part of ``requests``
+    :ivar broken: responses left incomplete because the target closed the connection or died
+    :ivar refused: requests refused because of overload; they are not part of ``requests``
     """
 
     service: str
@@ -283,8 +290,8 @@
 class Evidence(NamedTuple):
     """Request evidence of one reporting window.
 
-    :ivar window: index of the reporting window since the epoch, one second each
-    :ivar sources: nodes summed up in the rows
+    :ivar window: index of the reporting window, counted in seconds since the Unix epoch
+    :ivar sources: number of nodes whose counts the rows add up
     """
 
     window: int
@@ -293,7 +300,7 @@
 
 
 class Veto(NamedTuple):
-    """Bars a version of a service; once added it is never removed by another message.
+    """Bars a version of a service; no other message removes it.
 
     :ivar config_version: configuration version in force at the origin; an ``allow`` rule that
         came with a later configuration version overrides the veto
@@ -317,7 +324,7 @@
 
 
 class CrashDeath(NamedTuple):
-    """A target died while it ran a request; nodes tell each other of it.
+    """Notice that a target died while it ran a request.
 
     :ivar fingerprint: identity of the request, see ``retries.crash.fingerprint``
     :ivar target: the target that died
@@ -376,7 +383,7 @@
 
 
 class Send(NamedTuple):
-    """A message that a state machine wants sent.
+    """An outgoing message produced by a state machine.
 
     :ivar to: address of the receiving node, ``ip:port``
     """
@@ -386,7 +393,7 @@
 
 
 class Envelope(NamedTuple):
-    """A message as it travels.
+    """A message with its sender, as it is encoded.
 
     :ivar sender: address of the sending node, ``ip:port``
     :ivar zone: availability zone of the sender
--- a/almondshore/core/rendezvous.py
+++ b/almondshore/core/rendezvous.py
@@ -1,4 +1,4 @@
-"""Rendezvous hashing: a stable choice among members that moves few keys on a change."""
+"""Rendezvous hashing: a stable choice of members, in which a change moves few keys."""
 
 from collections.abc import Iterable
 
--- a/almondshore/core/workers.py
+++ b/almondshore/core/workers.py
@@ -1,4 +1,4 @@
-"""Greenlets that outlive an unexpected error."""
+"""Greenlets that are restarted after an unexpected error."""
 
 from collections.abc import Callable
 from datetime import timedelta
@@ -7,14 +7,15 @@
 
 from almondshore.core.logs import log_event
 
-# A fault that returns at once must neither fill the log nor the processor.
-RESTART_PAUSE = timedelta(seconds=1)
+# Keeps a function that fails at once from filling the log and using up the processor.
+RESTART_DELAY = timedelta(seconds=1)
 
 
 def spawn_worker(name: str, run: Callable[[], None]) -> eventlet.greenthread.GreenThread:
-    """Run a function in a greenlet of its own; after an unexpected error it is run again.
+    """Run a function in a greenlet of its own, and again after each unexpected error.
 
-    :param run: returns only when its work is done
+    :param name: logged with each error
+    :param run: called until it returns without an error
     """
     return eventlet.spawn(_run, name, run)
 
@@ -26,4 +27,4 @@
             return
         except Exception as error:
             log_event("worker_failed", level="ERROR", worker=name, error=repr(error))
-        eventlet.sleep(RESTART_PAUSE.total_seconds())
+        eventlet.sleep(RESTART_DELAY.total_seconds())
--- a/test/core/test_logs.py
+++ b/test/core/test_logs.py
@@ -52,7 +52,7 @@
         self.assertEqual({"event": event, "level": "INFO", **values}, pairs)
 
     def test_markup_and_braces_are_kept(self):
-        """Guards against values that loguru reads as formats or colours."""
+        """Guards against values that loguru interprets as formats or colour markup."""
         log_event("e", a="{x} <red>", b="{extra}", c="</>")
         self.assertEqual("{x} <red>", parse(self.lines()[0])["a"])
 
--- a/test/core/test_rendezvous.py
+++ b/test/core/test_rendezvous.py
@@ -9,7 +9,7 @@
 
 class RendezvousTest(TestCase):
     def test_removing_a_member_moves_only_its_keys(self):
-        """Guards against a member's death moving the keys of all others."""
+        """Guards against the loss of one member moving the keys of all others."""
         for key in (f"key-{n}" for n in range(200)):
             order = rank(key, MEMBERS)
             self.assertEqual(order[0], choose(key, MEMBERS))
--- a/test/core/test_workers.py
+++ b/test/core/test_workers.py
@@ -1,4 +1,4 @@
-"""Tests of greenlets that outlive unexpected errors."""
+"""Tests of greenlets that are restarted after unexpected errors."""
 
 from datetime import timedelta
 from unittest import mock
@@ -13,7 +13,7 @@
 class WorkerTest(TestCase):
     def setUp(self):
         super().setUp()
-        self.patch("RESTART_PAUSE", timedelta(milliseconds=1))
+        self.patch("RESTART_DELAY", timedelta(milliseconds=1))
         self.log = self.patch("log_event", mock.Mock())
 
     def patch(self, name, value):
@@ -22,7 +22,7 @@
         return patch.start()
 
     def test_worker_is_run_again_after_an_error(self):
-        """Guards against a node that serves on but learns nothing more."""
+        """Guards against a node that keeps serving but no longer receives updates."""
         results = iter([ValueError("first"), KeyError("second"), None])
 
         def run():
@@ -35,7 +35,7 @@
         self.assertEqual([("worker_failed", "reader")] * 2, logged)
 
     def test_worker_can_be_killed(self):
-        """Guards against a worker that takes its end for an error, and starts again."""
+        """Guards against a worker that treats being killed as an error and starts again."""
         runs = []
 
         def run():
