Describe the message transport in the terms of sockets and queues

The transport spoke of messages "at hand", a "made" socket, peers of an "age" and a send that "hands over without waiting". It now says that messages are queued without blocking, which peers are closed and when, what a full peer table means for a send, and why pynng's callbacks are turned off.

Renamed: EVICTION_AGE -> EVICTION_MIN_IDLE, _close_oldest -> _close_least_recently_used, disable_callbacks -> disable_pipe_callbacks, _dropped -> _report_dropped, _peer -> _find_or_open_peer; in the test, got -> received and message_of -> snapshot_of_size.

--- a/almondshore/net/address.py
+++ b/almondshore/net/address.py
@@ -1,4 +1,4 @@
-"""Addresses ``ip:port``; host names are never resolved."""
+"""Parsing of ``ip:port`` addresses; host names are never resolved."""
 
 import ipaddress
 import re
--- a/almondshore/net/failures.py
+++ b/almondshore/net/failures.py
@@ -1,13 +1,14 @@
-"""Short descriptions of failed HTTP calls, for messages that people read."""
+"""Short descriptions of failed HTTP calls, for messages to operators."""
 
 from urllib3.exceptions import TimeoutError as HttpTimeoutError
 
 
 def describe_failure(error: Exception) -> str:
-    """Return the cause of a failed call: of the system if it gave one, else of the library.
+    """Return the error text of the operating system if there is one, else that of the library.
 
-    The text of urllib3 repeats its own class names and the address. Its error for a refused
-    connection is also a kind of timeout, so the system's cause is looked for first.
+    The messages of urllib3 repeat its class names and the address, so they are not used for known
+    causes. Its error for a refused connection is a subclass of its timeout error, so the operating
+    system's error is looked for first.
     """
     for found in (error, error.__cause__, error.__context__):
         if isinstance(found, OSError) and found.strerror:
--- a/almondshore/net/nng.py
+++ b/almondshore/net/nng.py
@@ -22,19 +22,19 @@
 RECONNECT_MAX_MS = 5000
 MAX_PEERS = 1024
 IDLE_TIMEOUT = timedelta(seconds=60)
-# A peer used within this time is not evicted when the table is full: evicting peers in use would
-# reconnect on every send.
-EVICTION_AGE = timedelta(seconds=10)
-# Messages handled before other greenlets get a turn.
+# A peer used within this time is not evicted when the table is full: if peers in use were evicted,
+# every send would reconnect.
+EVICTION_MIN_IDLE = timedelta(seconds=10)
+# Messages handled before other greenlets may run.
 RECEIVE_BATCH = 64
-# A faulty peer can cause events at any rate; the log shows one line of each kind in this time.
+# Shortest time between log lines of the same event, which a faulty peer can cause at any rate.
 LOG_INTERVAL = timedelta(seconds=1)
 
 _threads_limited = False
 
 
 def limit_threads() -> None:
-    """Cut nng's thread pools to their minimum; has an effect before the first socket only."""
+    """Limit nng's thread pools to their minimum; must precede the first socket to have effect."""
     global _threads_limited
     if _threads_limited:
         return
@@ -49,27 +49,30 @@
     _threads_limited = True
 
 
-def disable_callbacks(made: pynng.Socket) -> None:
+def disable_pipe_callbacks(sock: pynng.Socket) -> None:
     """Stop pynng from running Python code on nng's threads; call it before listen or dial.
 
-    pynng keeps a list of connections by callbacks under a lock. Where eventlet has patched the
-    threading module, that lock is a green one: two callbacks that meet at it made nng's threads
-    hang ("Cannot switch to a different thread") and ended all receiving.
+    In its callbacks, pynng keeps a list of connections under a lock. Where eventlet has patched the
+    threading module, this is a green lock: two callbacks that contended for it made nng's threads
+    hang ("Cannot switch to a different thread") and stopped all receiving.
     """
     for event in (
         pynng.lib.NNG_PIPE_EV_ADD_PRE,
         pynng.lib.NNG_PIPE_EV_ADD_POST,
         pynng.lib.NNG_PIPE_EV_REM_POST,
     ):
-        pynng.lib.nng_pipe_notify(made.socket, event, pynng.ffi.NULL, pynng.ffi.NULL)
+        pynng.lib.nng_pipe_notify(sock.socket, event, pynng.ffi.NULL, pynng.ffi.NULL)
 
 
 class TransportClosedError(Exception):
-    """Ends the receiving greenlet when the transport is closed."""
+    """Raised in the receiving greenlet when the transport is closed."""
 
 
 class Peer:
-    """A push socket to one peer and the time of its last use."""
+    """A Push socket to one peer.
+
+    :ivar used_at: monotonic time of the last send
+    """
 
     def __init__(self, *, address: str, used_at: timedelta):
         self.socket = pynng.Push0(
@@ -78,14 +81,17 @@
             reconnect_time_max=RECONNECT_MAX_MS,
         )
         self.used_at = used_at
-        disable_callbacks(self.socket)
+        disable_pipe_callbacks(self.socket)
         self.socket.dial(f"tcp://{address}", block=False)
 
 
 class NngTransport(Transport):
-    """Sends by one Push socket for each peer and receives by one Pull listener.
+    """Sends through one Push socket per peer and receives through one Pull socket.
 
     :param listen: ``ip:port`` to receive on; also the sender address of outgoing messages
+    :param max_peers: size of the peer table; if it is full of peers in use, sends to other peers
+        are dropped
+    :param idle_timeout: time without a send after which the socket to a peer is closed
     :raises ListenError: if the address cannot be opened
     :ivar counts: messages sent and received, and events by name, since the start
     """
@@ -113,7 +119,7 @@
         self.socket = pynng.Pull0(
             recv_max_size=MAX_MESSAGE_BYTES, recv_buffer_size=RECEIVE_BUFFER_MESSAGES
         )
-        disable_callbacks(self.socket)
+        disable_pipe_callbacks(self.socket)
         try:
             self.socket.listen(f"tcp://{listen}")
         except pynng.NNGException as error:
@@ -122,24 +128,24 @@
         self.receive_fd = self.socket.recv_fd
 
     def send(self, item: Send) -> bool:
-        """Hand a message to the peer's socket without waiting.
+        """Queue a message on the peer's socket, without blocking.
 
         :returns: False if the message was dropped
         """
         if self.closed:
-            return self._dropped("closed", item.to)
+            return self._report_dropped("closed", item.to)
         try:
             data = encode(Envelope(self.address, self.zone, item.message))
             if item.to not in self.peers and parse_address(item.to) is None:
-                return self._dropped("bad_address", item.to)
-            peer = self._peer(item.to)
+                return self._report_dropped("bad_address", item.to)
+            peer = self._find_or_open_peer(item.to)
             if peer is None:
-                return self._dropped("no_peer_slot", item.to)
+                return self._report_dropped("no_peer_slot", item.to)
             peer.socket.send(data, block=False)
         except pynng.TryAgain:
-            return self._dropped("buffer_full", item.to)
+            return self._report_dropped("buffer_full", item.to)
         except (CodecError, pynng.NNGException) as error:
-            return self._dropped("send_failed", item.to, error=error)
+            return self._report_dropped("send_failed", item.to, error=error)
         self.counts["sent"] += 1
         return True
 
@@ -155,7 +161,7 @@
             self.receiver = None
 
     def close(self) -> None:
-        """Release all sockets and end ``receive_forever``."""
+        """Close all sockets and end ``receive_forever``."""
         if self.closed:
             return
         self.closed = True
@@ -168,7 +174,7 @@
         self.socket.close()
 
     def _receive_batch(self, handler: Callable[[Envelope], None]) -> None:
-        """Handle the messages at hand, at most a batch, then wait or yield."""
+        """Handle up to ``RECEIVE_BATCH`` received messages, then wait for more or yield."""
         for _ in range(RECEIVE_BATCH):
             try:
                 data = self.socket.recv(block=False)
@@ -176,13 +182,13 @@
                 eventlet.hubs.trampoline(self.receive_fd, read=True)
                 return
             except RuntimeError:
-                # pynng 0.9 raises it for a message of no bytes, whose buffer is NULL.
+                # pynng 0.9 raises it for an empty message, whose buffer is NULL.
                 data = b""
             self._handle(data, handler)
         eventlet.sleep(0)
 
     def _handle(self, data: bytes, handler: Callable[[Envelope], None]) -> None:
-        """Decode and handle one message; neither a bad one nor a fault in the handler is fatal."""
+        """Decode and handle one message; malformed ones and handler errors are only reported."""
         try:
             envelope = decode(data)
         except CodecError as error:
@@ -193,22 +199,24 @@
             handler(envelope)
         except Exception as error:
             kind = type(envelope.message).__name__
-            fault = f"{type(error).__name__}: {error}"
+            cause = f"{type(error).__name__}: {error}"
             self._report(
                 "message_handler_failed",
                 level="ERROR",
                 kind=kind,
                 sender=envelope.sender,
-                error=fault,
+                error=cause,
             )
 
-    def _peer(self, address: str) -> Peer | None:
-        """Return the socket to a peer, opening it if there is room in the table."""
+    def _find_or_open_peer(self, address: str) -> Peer | None:
+        """Return the peer, opened if needed; None if the table is full of peers in use."""
         now = self.clock.monotonic()
         self._close_idle(now)
         peer = self.peers.get(address)
         if peer is None:
-            if len(self.peers) >= self.max_peers and not self._close_oldest(now, EVICTION_AGE):
+            if len(self.peers) >= self.max_peers and not self._close_least_recently_used(
+                now, EVICTION_MIN_IDLE
+            ):
                 return None
             peer = self.peers[address] = Peer(address=address, used_at=now)
         peer.used_at = now
@@ -216,27 +224,30 @@
         return peer
 
     def _close_idle(self, now: timedelta) -> None:
-        while self._close_oldest(now, self.idle_timeout):
+        while self._close_least_recently_used(now, self.idle_timeout):
             pass
 
-    def _close_oldest(self, now: timedelta, age: timedelta) -> bool:
-        """Close the peer unused for the longest time if that time has reached the age."""
+    def _close_least_recently_used(self, now: timedelta, min_idle: timedelta) -> bool:
+        """Close the least recently used peer if it has been idle for at least ``min_idle``.
+
+        :returns: whether a peer was closed
+        """
         if not self.peers:
             return False
         address, peer = next(iter(self.peers.items()))
-        if now - peer.used_at < age:
+        if now - peer.used_at < min_idle:
             return False
         del self.peers[address]
         peer.socket.close()
         self.counts["peers_closed"] += 1
         return True
 
-    def _dropped(self, reason: str, to: str, **fields: object) -> bool:
+    def _report_dropped(self, reason: str, to: str, **fields: object) -> bool:
         self._report(f"send_dropped_{reason}", level="WARNING", to=to, **fields)
         return False
 
     def _report(self, event: str, *, level: str, **fields: object) -> None:
-        """Count an event, and log it if none of its kind was logged within the interval."""
+        """Count an event, and log it unless the same event was logged within ``LOG_INTERVAL``."""
         self.counts[event] += 1
         now = self.clock.monotonic()
         logged_at = self.logged_at.get(event)
--- a/almondshore/net/transport.py
+++ b/almondshore/net/transport.py
@@ -1,4 +1,4 @@
-"""The port through which nodes exchange control messages."""
+"""Interface through which nodes exchange control messages."""
 
 from abc import ABC, abstractmethod
 from collections.abc import Callable
@@ -7,13 +7,13 @@
 
 
 class Transport(ABC):
-    """Sends whole messages to peers; a message may be lost, never cut or changed."""
+    """Sends messages to peers; a message may be lost, but is never truncated or altered."""
 
     @abstractmethod
     def send(self, item: Send) -> bool:
-        """Hand a message to the transport without waiting.
+        """Queue a message for sending, without blocking.
 
-        :returns: False if the message was dropped because the peer's buffer is full
+        :returns: False if the message was dropped, as when the peer's buffer is full
         """
 
     @abstractmethod
@@ -22,4 +22,4 @@
 
     @abstractmethod
     def close(self) -> None:
-        """Release all sockets."""
+        """Close all sockets and end ``receive_forever``."""
--- a/test/net/test_failures.py
+++ b/test/net/test_failures.py
@@ -16,7 +16,7 @@
             return describe_failure(self.assertRaises(HTTPError, pool.request, "GET", url))
 
     def test_texts_of_the_library_are_not_shown(self):
-        """Guards against error lines that name urllib3's classes instead of the cause."""
+        """Guards against error messages that name urllib3's classes instead of the cause."""
         with socket.socket() as listener:
             listener.bind(("127.0.0.1", 0))
             self.assertEqual("connection refused", self.failure(listener))
@@ -24,5 +24,5 @@
             self.assertEqual("timed out", self.failure(listener, timeout=0.05))
 
     def test_an_unknown_error_keeps_its_text(self):
-        """Guards against a cause that is lost because it is of another kind."""
+        """Guards against an error of another type whose message is lost."""
         self.assertEqual("ValueError: bad port", describe_failure(ValueError("bad port")))
--- a/test/net/test_nng.py
+++ b/test/net/test_nng.py
@@ -15,7 +15,7 @@
 from almondshore.core.logs import setup_logs
 from almondshore.core.messages import Busy, ConfigSnapshot, Envelope, Send
 from almondshore.net.nng import (
-    EVICTION_AGE,
+    EVICTION_MIN_IDLE,
     IDLE_TIMEOUT,
     LOG_INTERVAL,
     RECEIVE_BATCH,
@@ -27,7 +27,7 @@
 WAIT_SECONDS = 30
 
 
-def message_of(size):
+def snapshot_of_size(size):
     return ConfigSnapshot(1, b"", {"p": bytes(size)})
 
 
@@ -36,18 +36,20 @@
         super().setUp()
         self.log = io.StringIO()
         setup_logs(stream=self.log)
-        self.got = []
+        self.received = []
 
     def transport(self, *, address=None, clock=None, handler=None, **options):
-        made = NngTransport(
+        transport = NngTransport(
             listen=address or to_text(own_address()),
             zone="z1",
             clock=clock or SystemClock(),
             **options,
         )
-        self.addCleanup(made.close)
-        made.greenlet = eventlet.spawn(made.receive_forever, handler or self.got.append)
-        return made
+        self.addCleanup(transport.close)
+        transport.greenlet = eventlet.spawn(
+            transport.receive_forever, handler or self.received.append
+        )
+        return transport
 
     def raw_push(self, transport):
         raw = pynng.Push0(send_timeout=WAIT_SECONDS * 1000)
@@ -62,19 +64,20 @@
 
     def test_messages_arrive_whole(self):
         one, two = self.transport(), self.transport()
-        large = message_of(MAX_MESSAGE_BYTES - 1000)
+        large = snapshot_of_size(MAX_MESSAGE_BYTES - 1000)
         for message in (Busy(1.0), large):
             self.assertTrue(one.send(Send(two.address, message)))
-        self.wait_for(lambda: len(self.got) == 2)
+        self.wait_for(lambda: len(self.received) == 2)
         self.assertEqual(
-            [Envelope(one.address, "z1", Busy(1.0)), Envelope(one.address, "z1", large)], self.got
+            [Envelope(one.address, "z1", Busy(1.0)), Envelope(one.address, "z1", large)],
+            self.received,
         )
 
     def test_a_restarted_peer_is_reached_again(self):
         """Guards against a node that stays cut off from a relay that was restarted."""
         one, two = self.transport(), self.transport()
         one.send(Send(two.address, Busy(1.0)))
-        self.wait_for(lambda: self.got)
+        self.wait_for(lambda: self.received)
         two.close()
         two.greenlet.wait()
         after = []
@@ -90,12 +93,14 @@
         self.assertEqual(sorted(sent, reverse=True), sent)
         self.assertTrue(SEND_BUFFER_MESSAGES <= sum(sent) <= SEND_BUFFER_MESSAGES + 2, sum(sent))
         self.assertTrue(one.send(Send(two.address, Busy(2.0))))
-        self.wait_for(lambda: self.got)
+        self.wait_for(lambda: self.received)
 
     def test_a_message_or_address_that_cannot_be_sent_is_dropped(self):
-        """Guards against a state machine's bad output ending the sender."""
+        """Guards against an invalid message of a state machine that raises in the sender."""
         one = self.transport()
-        self.assertFalse(one.send(Send(to_text(own_address()), message_of(MAX_MESSAGE_BYTES))))
+        self.assertFalse(
+            one.send(Send(to_text(own_address()), snapshot_of_size(MAX_MESSAGE_BYTES)))
+        )
         for address in ("", "localhost:7402", "127.0.0.1:99999999", "\x00", "::1:7402"):
             self.assertFalse(one.send(Send(address, Busy(1.0))), address)
         self.assertEqual(5, one.counts["send_dropped_bad_address"])
@@ -116,55 +121,57 @@
             foreign.sendall(data)
             self.addCleanup(foreign.close)
         raw.send(good)
-        self.wait_for(lambda: self.got and one.counts["message_malformed"] == len(bad))
-        self.assertEqual([Envelope("127.0.0.1:1", "z9", Busy(1.0))], self.got)
+        self.wait_for(lambda: self.received and one.counts["message_malformed"] == len(bad))
+        self.assertEqual([Envelope("127.0.0.1:1", "z9", Busy(1.0))], self.received)
         self.assertEqual(1, self.log.getvalue().count("event=message_malformed"))
         one.clock.advance(LOG_INTERVAL)
         raw.send(b"\xc1")
         self.wait_for(lambda: f"total={len(bad) + 1}" in self.log.getvalue())
 
     def test_a_fault_in_the_handler_does_not_end_receiving(self):
-        """Guards against one message that trips a bug and silences the node."""
+        """Guards against one message that raises in the handler and stops all receiving."""
 
         def handle(envelope):
-            self.got.append(envelope)
+            self.received.append(envelope)
             raise KeyError("bug")
 
         one, two = self.transport(), self.transport(handler=handle)
         for _ in range(3):
             one.send(Send(two.address, Busy(1.0)))
-        self.wait_for(lambda: len(self.got) == 3)
+        self.wait_for(lambda: len(self.received) == 3)
         self.assertEqual(3, two.counts["message_handler_failed"])
 
     def test_no_python_code_runs_on_the_threads_of_nng(self):
-        """Guards against pynng's callbacks, whose green lock hangs nng's threads in a storm."""
+        """Guards against pynng's callbacks, whose contended green lock hangs nng's threads."""
         one, two = self.transport(), self.transport()
         one.send(Send(two.address, Busy(1.0)))
-        self.wait_for(lambda: self.got)
+        self.wait_for(lambda: self.received)
         self.assertEqual(((), ()), (two.socket.pipes, one.peers[two.address].socket.pipes))
 
     def test_many_peers_use_no_more_threads(self):
-        """Guards against a thread for each of a relay's subscribers."""
+        """Guards against a relay that uses a thread per subscriber."""
         relay = self.transport()
         self.transport().send(Send(relay.address, Busy(0.0)))
-        self.wait_for(lambda: self.got)
+        self.wait_for(lambda: self.received)
         before = len(os.listdir("/proc/self/task"))
         peers = [self.transport() for _ in range(60)]
         for peer in peers:
             self.assertTrue(peer.send(Send(relay.address, Busy(1.0))))
             self.assertTrue(relay.send(Send(peer.address, Busy(2.0))))
-        self.wait_for(lambda: len(self.got) == 121)
-        self.assertEqual({peer.address for peer in peers} | {relay.address}, senders(self.got[1:]))
+        self.wait_for(lambda: len(self.received) == 121)
+        self.assertEqual(
+            {peer.address for peer in peers} | {relay.address}, senders(self.received[1:])
+        )
         self.assertEqual(before, len(os.listdir("/proc/self/task")))
 
     def test_the_peer_table_is_bounded(self):
-        """Guards against sockets that pile up for peers long gone, and against thrashing."""
+        """Guards against sockets kept for peers long gone, and against reconnects on every send."""
         clock = ManualClock()
         one = self.transport(clock=clock, max_peers=3)
         addresses = [to_text(own_address()) for _ in range(5)]
         sent = [one.send(Send(address, Busy(1.0))) for address in addresses]
         self.assertEqual([True] * 3 + [False] * 2, sent)
-        clock.advance(EVICTION_AGE)
+        clock.advance(EVICTION_MIN_IDLE)
         one.send(Send(addresses[0], Busy(1.0)))
         self.assertTrue(one.send(Send(addresses[3], Busy(1.0))))
         self.assertEqual([addresses[i] for i in (2, 0, 3)], list(one.peers))
@@ -182,7 +189,7 @@
         self.assertFalse(one.send(Send(to_text(own_address()), Busy(1.0))))
 
     def test_a_flood_leaves_turns_to_other_greenlets(self):
-        """Guards against a peer that starves requests by sending without a pause."""
+        """Guards against a peer whose continuous sending starves the handling of requests."""
         data = encode(Envelope("127.0.0.1:1", "z1", Busy(1.0)))
 
         def handle(_):
