State what the platform client returns, limits and retries

Comments spoke of crossed or dripping answers, herds, holds and refusals that "meet" a call. They now name responses, suspensions of a token bucket, failures by type and the limits of retries. The reasons stay: why a bucket keeps one token at most during a suspension, why a node's burst exceeds two calls, why the key of a response is checked.

Renamed: hold -> suspend, filled_at -> refilled_at, _fill -> _refill; _exchange -> _send_request, _read_whole -> _read_and_release, _parsed -> _parse_response, _budgeted -> _call_within_budget; _wait -> _retry_delay, give_up_at -> deadline; tests follow.

Failure details have changed: "malformed answer" -> "malformed response", "status 500" -> "unexpected HTTP status 500", and the texts for a body that is too large or incomplete and for a key or prefix that was not asked for.

--- a/almondshore/storage/budget.py
+++ b/almondshore/storage/budget.py
@@ -32,7 +32,7 @@
     """Limit of a token bucket.
 
     :ivar per_second: tokens added each second, more than 0
-    :ivar burst: most tokens held, and the tokens held at first
+    :ivar burst: capacity of the bucket, which starts full
     """
 
     per_second: float
@@ -40,9 +40,9 @@
 
 
 class Rates(NamedTuple):
-    """Limits of a process.
+    """Limits on the platform calls of a process.
 
-    :ivar writes: None if writes take their tokens from the bucket of the reads
+    :ivar writes: None if writes share the bucket of the reads
     """
 
     reads: Rate
@@ -50,59 +50,59 @@
 
 
 RELAY_RATES = Rates(reads=Rate(5, 5), writes=Rate(2, 2))
-# Taking a lease needs 2 calls; with a burst of 2, a node whose first try found the lease held
-# could never make both. 19,000 nodes without any relay make 950 calls a second at most.
+# Taking a lease needs 2 calls; with a burst of 2, a node whose first attempt found the lease held
+# could never make both. 19,000 nodes without any relay make at most 950 calls a second.
 NODE_RATES = Rates(reads=Rate(1 / 20, 6), writes=None)
 
 
 class TokenBucket:
     """A token bucket on the given clock.
 
-    :ivar filled_at: time up to which tokens were added; in the future while the bucket is held
+    :ivar refilled_at: time up to which tokens were added; in the future during a suspension
     """
 
     def __init__(self, *, clock: Clock, rate: Rate):
         self.clock = clock
         self.rate = rate
         self.tokens = rate.burst
-        self.filled_at = clock.monotonic()
+        self.refilled_at = clock.monotonic()
 
     def take(self) -> timedelta | None:
         """Take one token.
 
-        :returns: None if a token was taken, else the time until one may be there
+        :returns: None if a token was taken, else the time until one may be available
         """
         now = self.clock.monotonic()
-        if now < self.filled_at:
-            return self.filled_at - now
-        self._fill(now)
+        if now < self.refilled_at:
+            return self.refilled_at - now
+        self._refill(now)
         if self.tokens >= 1:
             self.tokens -= 1
             return None
         return timedelta(seconds=(1 - self.tokens) / self.rate.per_second)
 
-    def hold(self, duration: timedelta) -> None:
-        """Refuse tokens for a duration, and drop those saved up but one.
+    def suspend(self, duration: timedelta) -> None:
+        """Grant no tokens for a duration, and keep at most one of the saved tokens.
 
-        Otherwise every client would send its saved burst at the end of the hold.
+        Otherwise every client would send its saved burst at the end of the suspension.
         """
-        self.filled_at = max(self.filled_at, self.clock.monotonic() + duration)
+        self.refilled_at = max(self.refilled_at, self.clock.monotonic() + duration)
         self.tokens = min(self.tokens, 1.0)
 
     def with_rate(self, rate: Rate) -> "TokenBucket":
-        """Return a bucket of another rate with the tokens and the hold of this one."""
+        """Return a bucket of another rate with the tokens and the suspension of this one."""
         now = self.clock.monotonic()
-        if now > self.filled_at:
-            self._fill(now)
-        changed = TokenBucket(clock=self.clock, rate=rate)
-        changed.tokens = min(rate.burst, self.tokens)
-        changed.filled_at = self.filled_at
-        return changed
-
-    def _fill(self, now: timedelta) -> None:
-        added = (now - self.filled_at).total_seconds() * self.rate.per_second
+        if now > self.refilled_at:
+            self._refill(now)
+        bucket = TokenBucket(clock=self.clock, rate=rate)
+        bucket.tokens = min(rate.burst, self.tokens)
+        bucket.refilled_at = self.refilled_at
+        return bucket
+
+    def _refill(self, now: timedelta) -> None:
+        added = (now - self.refilled_at).total_seconds() * self.rate.per_second
         self.tokens = min(self.rate.burst, self.tokens + added)
-        self.filled_at = now
+        self.refilled_at = now
 
 
 class CallBudget:
@@ -114,7 +114,7 @@
         self.buckets = {CallKind.READ: read_bucket, CallKind.WRITE: write_bucket}
 
     def set_rates(self, rates: Rates) -> None:
-        """Change the limits, as when a node becomes a relay; tokens and holds are kept."""
+        """Change the limits, as when a node becomes a relay; tokens and suspensions are kept."""
         reads = self.buckets[CallKind.READ].with_rate(rates.reads)
         writes = self.buckets[CallKind.WRITE].with_rate(rates.writes) if rates.writes else reads
         self.buckets = {CallKind.READ: reads, CallKind.WRITE: writes}
@@ -122,18 +122,21 @@
     def call(
         self, kind: CallKind, action: Callable[[], Result[T, PlatformError]]
     ) -> Result[T, PlatformError]:
-        """Make a call if a token is left; a rate refusal holds further calls of the kind."""
+        """Make a call if a token is available, else fail with ``BudgetExceeded``.
+
+        A call that fails with ``RateLimited`` suspends calls of its kind for ``retry_after``.
+        """
         wait = self.buckets[kind].take()
         if wait is not None:
             return Failure(BudgetExceeded(wait))
         result = action()
         if not is_successful(result) and isinstance(result.failure(), RateLimited):
-            self.buckets[kind].hold(result.failure().retry_after)
+            self.buckets[kind].suspend(result.failure().retry_after)
         return result
 
 
 class BudgetedPlatform(Platform):
-    """Passes calls on to another platform client while the budget lasts."""
+    """Platform client that limits the calls to another client by a budget."""
 
     def __init__(self, *, inner: Platform, budget: CallBudget):
         self.inner = inner
--- a/almondshore/storage/http.py
+++ b/almondshore/storage/http.py
@@ -44,7 +44,7 @@
 
 
 class HttpResponse(msgspec.Struct, frozen=True):
-    """An HTTP answer that was read whole."""
+    """An HTTP response that was read completely."""
 
     status: int
     retry_after: str | None
@@ -52,10 +52,10 @@
 
 
 class HttpPlatform(Platform):
-    """Platform client over urllib3; no exception leaves it.
+    """Platform client over urllib3, which returns failures instead of raising.
 
     :param url: base address of the platform, ``http://ip:port``
-    :param timeout: bound of each call, and of the slack that a watch has beyond its own timeout
+    :param timeout: timeout of each call; a watch may take this much longer than its own timeout
     :param budget: call budget; a call over budget is not sent
     :param pool: connection pool, by default one of its own
     """
@@ -79,10 +79,10 @@
         """Read one object."""
 
         def read() -> Result[StoredObject, PlatformError]:
-            answer = self._exchange("GET", _object_path(key), self.timeout)
-            return answer.bind(lambda found: _object_result(key, 0, found))
+            result = self._send_request("GET", _object_path(key), self.timeout)
+            return result.bind(lambda response: _object_result(key, 0, response))
 
-        return self._budgeted(CallKind.READ, read)
+        return self._call_within_budget(CallKind.READ, read)
 
     def create(self, key: str, value: bytes, write_id: str) -> Result[StoredObject, PlatformError]:
         """Create an object that must not exist."""
@@ -99,55 +99,58 @@
         body = msgspec.json.encode(PutRequest(value=value))
 
         def write() -> Result[StoredObject, PlatformError]:
-            answer = self._exchange("PUT", path, self.timeout, body)
-            return answer.bind(lambda found: _object_result(key, len(value), found))
+            result = self._send_request("PUT", path, self.timeout, body)
+            return result.bind(lambda response: _object_result(key, len(value), response))
 
-        return self._budgeted(CallKind.WRITE, write)
+        return self._call_within_budget(CallKind.WRITE, write)
 
     def list(self, prefix: str) -> Result[list[StoredObject], PlatformError]:
         """Read all objects under a prefix."""
         path = f"/v1/list?{urlencode({'prefix': prefix})}"
 
-        def convert(found: ListResponse) -> list[StoredObject]:
-            return _to_objects(prefix, found["objects"])
+        def convert(body: ListResponse) -> list[StoredObject]:
+            return _to_objects(prefix, body["objects"])
 
         def read() -> Result[list[StoredObject], PlatformError]:
-            answer = self._exchange("GET", path, self.timeout)
-            return answer.bind(lambda found: _parsed(found, ListResponse, convert))
+            result = self._send_request("GET", path, self.timeout)
+            return result.bind(lambda response: _parse_response(response, ListResponse, convert))
 
-        return self._budgeted(CallKind.READ, read)
+        return self._call_within_budget(CallKind.READ, read)
 
     def watch(
         self, prefix: str, after: int, timeout: timedelta
     ) -> Result[WatchResult, PlatformError]:
         """Wait for changes under a prefix.
 
-        A connection that dies silently ends the call at its timeout plus the client's own.
+        On a connection that dies silently, the call fails after ``timeout`` plus the client's own
+        timeout.
         """
         wait_ms = max(0, round(timeout / timedelta(milliseconds=1)))
         query = urlencode({"prefix": prefix, "after": after, "timeout_ms": wait_ms})
 
         def read() -> Result[WatchResult, PlatformError]:
-            answer = self._exchange("GET", f"/v1/watch?{query}", self.timeout + timeout)
-            return answer.bind(
-                lambda found: _parsed(found, WatchResponse, lambda item: _to_watch(prefix, item))
+            result = self._send_request("GET", f"/v1/watch?{query}", self.timeout + timeout)
+            return result.bind(
+                lambda response: _parse_response(
+                    response, WatchResponse, lambda body: _to_watch_result(prefix, body)
+                )
             )
 
-        return self._budgeted(CallKind.READ, read)
+        return self._call_within_budget(CallKind.READ, read)
 
     def close(self) -> None:
         """Close the idle connections."""
         self.pool.clear()
 
-    def _budgeted(
+    def _call_within_budget(
         self, kind: CallKind, action: Callable[[], Result[T, PlatformError]]
     ) -> Result[T, PlatformError]:
         return action() if self.budget is None else self.budget.call(kind, action)
 
-    def _exchange(
+    def _send_request(
         self, method: str, path: str, timeout: timedelta, body: bytes | None = None
     ) -> Result[HttpResponse, PlatformError]:
-        """Send a request and read the whole answer within the timeout."""
+        """Send a request and read the complete response within the timeout."""
         deadline = self.clock.monotonic() + timeout
         try:
             response = self.pool.request(
@@ -162,13 +165,16 @@
                 redirect=False,
                 preload_content=False,
             )
-            content = self._read_whole(response, deadline)
+            content = self._read_and_release(response, deadline)
         except (urllib3.exceptions.HTTPError, OSError, ValueError) as error:
             return Failure(Unavailable(f"{describe_failure(error)} at {self.url}"))
         return Success(HttpResponse(response.status, response.headers.get("retry-after"), content))
 
-    def _read_whole(self, response: urllib3.BaseHTTPResponse, deadline: timedelta) -> bytes:
-        """Read the body; a connection whose answer was not read whole is not used again."""
+    def _read_and_release(self, response: urllib3.BaseHTTPResponse, deadline: timedelta) -> bytes:
+        """Read the body and return the connection to the pool; close it if reading fails.
+
+        A connection with unread bytes must not be reused.
+        """
         try:
             content = self._read_body(response, deadline)
         except BaseException:
@@ -178,14 +184,20 @@
         return content
 
     def _read_body(self, response: urllib3.BaseHTTPResponse, deadline: timedelta) -> bytes:
-        """Read the body in chunks, so that neither a slow nor an endless one holds the caller."""
+        """Read the body in chunks, so that a slow or endless one cannot block the caller.
+
+        :raises ValueError: if the body exceeds ``MAX_RESPONSE_BYTES``
+        :raises TimeoutError: if the body is incomplete at the deadline
+        """
         content = bytearray()
         while chunk := response.read1(READ_CHUNK_BYTES):
             content += chunk
             if len(content) > MAX_RESPONSE_BYTES:
-                raise ValueError(f"the answer exceeds {MAX_RESPONSE_BYTES} bytes")
+                raise ValueError(f"response body exceeds {MAX_RESPONSE_BYTES} bytes")
             if self.clock.monotonic() > deadline:
-                raise TimeoutError("the answer was not complete within the timeout")
+                raise TimeoutError(
+                    f"response body incomplete at the deadline after {len(content)} bytes"
+                )
         return bytes(content)
 
 
@@ -194,63 +206,72 @@
 
 
 def _object_result(
-    key: str, size: int, answer: HttpResponse
+    key: str, size: int, response: HttpResponse
 ) -> Result[StoredObject, PlatformError]:
-    """Convert the answer to a read or write of one object."""
-    if answer.status == 404:
+    """Convert the response to a read or write of one object.
+
+    :param size: size of the written value in bytes, for ``TooLarge``
+    """
+    if response.status == 404:
         return Failure(NotFound(key))
-    if answer.status == 413:
+    if response.status == 413:
         return Failure(TooLarge(size))
-    if answer.status == 409:
-        return _parsed(answer, ObjectResponse, lambda found: _to_conflict(key, found), 409).bind(
-            Failure
-        )
-    return _parsed(answer, ObjectResponse, lambda found: _to_object(key, found))
+    if response.status == 409:
+        return _parse_response(
+            response, ObjectResponse, lambda body: _to_conflict(key, body), 409
+        ).bind(Failure)
+    return _parse_response(response, ObjectResponse, lambda body: _to_object(key, body))
 
 
-def _parsed(
-    answer: HttpResponse, kind: type, convert: Callable[..., T], accept: int = 200
+def _parse_response(
+    response: HttpResponse, body_type: type, convert: Callable[..., T], expected_status: int = 200
 ) -> Result[T, PlatformError]:
-    """Decode a JSON answer with the accepted status; any other status is an error."""
-    if answer.status == 429:
-        return Failure(RateLimited(_retry_after(answer.retry_after)))
-    if answer.status != accept:
-        return Failure(Unavailable(f"status {answer.status}"))
+    """Decode and convert a JSON body; any status but the expected one is a failure."""
+    if response.status == 429:
+        return Failure(RateLimited(_parse_retry_after(response.retry_after)))
+    if response.status != expected_status:
+        return Failure(Unavailable(f"unexpected HTTP status {response.status}"))
     try:
-        return Success(convert(msgspec.json.decode(answer.body, type=kind)))
+        return Success(convert(msgspec.json.decode(response.body, type=body_type)))
     except (msgspec.MsgspecError, TypeError, ValueError) as error:
-        return Failure(Unavailable(f"malformed answer: {error}"))
+        return Failure(Unavailable(f"malformed response: {error}"))
 
 
-def _retry_after(text: str | None) -> timedelta:
-    """Parse a Retry-After header in seconds; other forms give the default."""
+def _parse_retry_after(text: str | None) -> timedelta:
+    """Parse a Retry-After header in seconds, up to the maximum; other forms give the default."""
     if text is None or not text.isascii() or not text.isdigit() or len(text) > 9:
         return DEFAULT_RETRY_AFTER
     return min(timedelta(seconds=int(text)), MAX_RETRY_AFTER)
 
 
-def _to_object(key: str, found: ObjectResponse) -> StoredObject:
-    """Convert an answer that must show an object.
+def _to_object(key: str, body: ObjectResponse) -> StoredObject:
+    """Convert a response that must contain the object.
+
+    The key is checked, since the response to another call on the same connection would otherwise be
+    taken for this object's value.
 
-    The key is checked, since a crossed answer would otherwise pass for another object's value.
+    :raises ValueError: if the response is for another key
     """
-    stored = from_document(found["object"])
+    stored = from_document(body["object"])
     if stored.key != key:
-        raise ValueError(f"answer for another key, {stored.key[:100]!r}")
+        raise ValueError(f"response is for another key: {stored.key[:100]!r}")
     return stored
 
 
-def _to_conflict(key: str, found: ObjectResponse) -> Conflict:
-    return Conflict(key, _to_object(key, found) if found["object"] else None)
+def _to_conflict(key: str, body: ObjectResponse) -> Conflict:
+    return Conflict(key, _to_object(key, body) if body["object"] else None)
 
 
 def _to_objects(prefix: str, documents: list[ObjectDocument]) -> list[StoredObject]:
-    """Convert objects that must all be under the prefix."""
+    """Convert objects that must all be under the prefix.
+
+    :raises ValueError: if an object is not
+    """
     objects = [from_document(document) for document in documents]
     if not all(stored.key.startswith(prefix) for stored in objects):
-        raise ValueError("answer for another prefix")
+        raise ValueError(f"response contains a key outside the prefix {prefix!r}")
     return objects
 
 
-def _to_watch(prefix: str, found: WatchResponse) -> WatchResult:
-    return WatchResult(found["position"], _to_objects(prefix, found["objects"]))
+def _to_watch_result(prefix: str, body: WatchResponse) -> WatchResult:
+    return WatchResult(body["position"], _to_objects(prefix, body["objects"]))
--- a/almondshore/storage/port.py
+++ b/almondshore/storage/port.py
@@ -1,4 +1,4 @@
-"""The port to the platform's object API, with its typed results and errors."""
+"""Interface to the platform's object API, with its results and errors."""
 
 from abc import ABC, abstractmethod
 from datetime import timedelta
@@ -12,7 +12,7 @@
 class StoredObject(NamedTuple):
     """An object of the platform.
 
-    :ivar revision: version of this object; conditional updates name it
+    :ivar revision: version of this object, which a conditional update must state
     :ivar write_id: identifier given by the writer of this revision
     """
 
@@ -23,9 +23,9 @@
 
 
 class WatchResult(NamedTuple):
-    """Changes seen by a watch.
+    """Changes returned by a watch.
 
-    :ivar position: position to watch from next
+    :ivar position: position from which to continue, the ``after`` of the next watch
     :ivar objects: changed objects, oldest first; empty if the timeout passed
     """
 
@@ -34,7 +34,10 @@
 
 
 class Conflict(NamedTuple):
-    """A conditional write was refused; ``current`` is the object in the way, if known."""
+    """A conditional write was refused.
+
+    :ivar current: the stored object that the write conflicts with, if known
+    """
 
     key: str
     current: StoredObject | None
@@ -47,25 +50,34 @@
 
 
 class Unavailable(NamedTuple):
-    """The platform did not answer; a write may or may not have taken effect."""
+    """The platform gave no valid response; a write may or may not have taken effect."""
 
     detail: str
 
 
 class RateLimited(NamedTuple):
-    """The platform refused the call because of its rate limit."""
+    """The platform refused the call because of its rate limit.
+
+    :ivar retry_after: time to wait before the next call
+    """
 
     retry_after: timedelta
 
 
 class BudgetExceeded(NamedTuple):
-    """The call was not sent because the client's own call budget is used up."""
+    """The call was not sent because the client's own call budget is exhausted.
+
+    :ivar retry_after: time until a token may be available
+    """
 
     retry_after: timedelta
 
 
 class TooLarge(NamedTuple):
-    """The value exceeds ``MAX_VALUE_BYTES``."""
+    """The value exceeds the size limit.
+
+    :ivar size: size of the value in bytes
+    """
 
     size: int
 
@@ -74,7 +86,7 @@
 
 
 class Platform(ABC):
-    """The platform's object API: objects with versions, conditional updates and watches."""
+    """The platform's object API: versioned objects with conditional updates and watches."""
 
     @abstractmethod
     def get(self, key: str) -> Result[StoredObject, PlatformError]:
@@ -85,7 +97,7 @@
         """Create an object; fails with ``Conflict`` if it exists.
 
         A repeated create with the ``write_id`` of the stored object succeeds, so that a write
-        whose answer was lost is recognised as done.
+        whose response was lost can be retried.
         """
 
     @abstractmethod
@@ -107,6 +119,6 @@
     ) -> Result[WatchResult, PlatformError]:
         """Wait for changes under a prefix.
 
-        :param after: position returned by the last watch; 0 returns the present objects
-        :param timeout: longest wait
+        :param after: position returned by the last watch; 0 returns the current objects
+        :param timeout: longest time to wait for a change
         """
--- a/almondshore/storage/retry.py
+++ b/almondshore/storage/retry.py
@@ -22,11 +22,11 @@
 
 
 class RetryPolicy(NamedTuple):
-    """Bounds of the retries of one call.
+    """Limits on the retries of one call.
 
-    :ivar attempts: calls made at most, the first one included
-    :ivar base: upper bound of the first wait, doubled for each further one
-    :ivar cap: upper bound of any wait
+    :ivar attempts: maximum number of calls, including the first one
+    :ivar base: upper bound of the first delay, doubled for each further one
+    :ivar cap: upper bound of any delay before ``retry_after`` is added
     :ivar total: no retry starts later than this after the first attempt
     """
 
@@ -40,11 +40,11 @@
 
 
 class RetryingPlatform(Platform):
-    """Repeats calls that got no answer or a rate refusal.
+    """Platform client that retries calls which fail with ``Unavailable`` or ``RateLimited``.
 
-    A repeated write carries the same write id, so a write whose answer was lost succeeds when it
-    is repeated. A call over the client's budget is not repeated, nor is a watch, whose caller
-    starts it again anyway. Put the budget inside, so that each attempt takes its token.
+    A retried write has the same write id, so a write whose response was lost succeeds on the retry.
+    A call over the client's budget is not retried, nor is a watch, whose caller starts it again
+    anyway. The budget belongs to ``inner``, so that each attempt takes a token.
 
     :param sleep: waits for a duration
     """
@@ -85,22 +85,22 @@
     def watch(
         self, prefix: str, after: int, timeout: timedelta
     ) -> Result[WatchResult, PlatformError]:
-        """Wait for changes under a prefix, without a retry."""
+        """Wait for changes under a prefix, without retries."""
         return self.inner.watch(prefix, after, timeout)
 
     def _retry(self, action: Callable[[], Result[T, PlatformError]]) -> Result[T, PlatformError]:
-        give_up_at = self.clock.monotonic() + self.policy.total
+        deadline = self.clock.monotonic() + self.policy.total
         result = action()
         for attempt in range(self.policy.attempts - 1):
-            wait = self._wait(attempt, result)
-            if wait is None or self.clock.monotonic() + wait > give_up_at:
+            delay = self._retry_delay(attempt, result)
+            if delay is None or self.clock.monotonic() + delay > deadline:
                 break
-            self.sleep(wait)
+            self.sleep(delay)
             result = action()
         return result
 
-    def _wait(self, attempt: int, result: Result[T, PlatformError]) -> timedelta | None:
-        """Return how long to wait before the next attempt, or None if there is to be none."""
+    def _retry_delay(self, attempt: int, result: Result[T, PlatformError]) -> timedelta | None:
+        """Return the delay before the next attempt, or None if the call is not retried."""
         if is_successful(result):
             return None
         error = result.failure()
--- a/almondshore/storage/wire.py
+++ b/almondshore/storage/wire.py
@@ -1,4 +1,4 @@
-"""JSON documents of the platform's object API; values travel as base64."""
+"""JSON documents of the platform's object API; values are encoded as base64."""
 
 from typing import TypedDict
 
@@ -15,26 +15,26 @@
 
 
 class ObjectResponse(TypedDict):
-    """Answer to a read or write of one object; None if there is no object to show."""
+    """Response to a read or write of one object; None if it contains no object."""
 
     object: ObjectDocument | None
 
 
 class ListResponse(TypedDict):
-    """Answer to a list call."""
+    """Response to a list call."""
 
     objects: list[ObjectDocument]
 
 
 class WatchResponse(TypedDict):
-    """Answer to a watch call."""
+    """Response to a watch call."""
 
     position: int
     objects: list[ObjectDocument]
 
 
 class PutRequest(TypedDict):
-    """Body of a write."""
+    """Request body of a write."""
 
     value: bytes
 
--- a/test/storage/servers.py
+++ b/test/storage/servers.py
@@ -10,14 +10,14 @@
 
 
 class ScriptedServer:
-    """A TCP server on loopback that answers each request with the next scripted bytes.
+    """A TCP server on loopback that responds to each request with the next scripted bytes.
 
-    None keeps the connection open without an answer; the connection closes after other answers
-    unless ``keep_open`` is set.
+    None keeps the connection open without a response; after any other response the connection is
+    closed, unless ``keep_open`` is set.
     """
 
-    def __init__(self, answers, *, keep_open=False):
-        self.answers = list(answers)
+    def __init__(self, responses, *, keep_open=False):
+        self.responses = list(responses)
         self.keep_open = keep_open
         self.connections = []
         self.listener = socket.create_server(("127.0.0.1", 0))
@@ -31,15 +31,15 @@
             except OSError:
                 return
             self.connections.append(connection)
-            threading.Thread(target=self._answer, args=[connection], daemon=True).start()
+            threading.Thread(target=self._respond, args=[connection], daemon=True).start()
 
-    def _answer(self, connection):
+    def _respond(self, connection):
         try:
-            while self.answers and b"\r\n\r\n" in connection.recv(65536):
-                answer = self.answers.pop(0)
-                if answer is None:
+            while self.responses and b"\r\n\r\n" in connection.recv(65536):
+                response = self.responses.pop(0)
+                if response is None:
                     return
-                connection.sendall(answer)
+                connection.sendall(response)
                 if not self.keep_open:
                     break
             connection.close()
@@ -52,7 +52,7 @@
 
 
 class WsgiPool:
-    """Stands for a urllib3 pool and calls a WSGI application instead of a server."""
+    """Replaces a urllib3 pool and calls a WSGI application instead of a server."""
 
     def __init__(self, app):
         self.app = app
@@ -73,13 +73,16 @@
         chunks = self.app(environ, lambda status, headers: started.append((status, headers)))
         if dropped:
             raise urllib3.exceptions.ProtocolError("connection dropped")
-        status, answer_headers = started[0]
+        status, response_headers = started[0]
         content = io.BytesIO(b"".join(chunks))
-        return FakeResponse(int(status.split()[0]), dict(answer_headers), content.read1)
+        return FakeResponse(int(status.split()[0]), dict(response_headers), content.read1)
 
 
 class FakeResponse:
-    """A urllib3 response whose body comes from a function."""
+    """A urllib3 response whose body is returned by a function.
+
+    :param read1: takes a size in bytes and returns the next part of the body
+    """
 
     def __init__(self, status, headers, read1):
         self.status = status
--- a/test/storage/test_budget.py
+++ b/test/storage/test_budget.py
@@ -32,7 +32,7 @@
     )
     @settings(max_examples=200, derandomize=True, deadline=None)
     def test_no_window_has_more_calls_than_its_budget(self, steps, per_second, burst):
-        """Guards against a herd of callers in one process exceeding its share of the platform."""
+        """Guards against many callers in one process that together exceed its call budget."""
         clock = ManualClock()
         bucket = TokenBucket(clock=clock, rate=Rate(per_second, burst))
         taken_at = []
@@ -49,7 +49,7 @@
     @given(steps=STEPS_MS)
     @settings(max_examples=100, derandomize=True, deadline=None)
     def test_the_stated_wait_is_enough(self, steps):
-        """Guards against callers that wait as told and are refused again."""
+        """Guards against callers that wait for the returned time and are refused again."""
         clock = ManualClock()
         bucket = TokenBucket(clock=clock, rate=Rate(0.7, 3))
         for step in steps:
@@ -60,7 +60,7 @@
                 self.assertIsNone(bucket.take())
 
     def test_reads_do_not_use_the_budget_of_writes(self):
-        """Guards against a read storm that stops lease renewals."""
+        """Guards against many reads that prevent lease renewals."""
         clock = ManualClock()
         store = ObjectStore(clock=clock)
         budget = CallBudget(clock=clock, reads=Rate(1, 2), writes=Rate(1, 1))
@@ -75,7 +75,7 @@
         self.assertEqual((2, 1), (store.counts["read"], store.counts["write"]))
 
     def test_a_change_of_role_grants_no_tokens(self):
-        """Guards against nodes that turn relay and back to get round their budget."""
+        """Guards against a node that exceeds its budget by becoming a relay and a node again."""
         clock = ManualClock()
         store = ObjectStore(clock=clock, reads_per_second=3)
         budget = CallBudget(clock=clock, **SMALL_RATES._asdict())
@@ -96,9 +96,9 @@
         self.assertEqual((4, 1, 1), tuple(store.counts.values()))
 
     def test_an_ordinary_node_can_take_a_lease_at_its_second_try(self):
-        """Guards against a zone without a relay after its only relay is gone.
+        """Guards against a zone that stays without a relay after its only relay is gone.
 
-        A first try that finds the lease held takes one call; the second try takes two more.
+        A first attempt that finds the lease held takes one call; the second one takes two more.
         """
         clock = ManualClock()
         budget = CallBudget(clock=clock, **NODE_RATES._asdict())
@@ -110,7 +110,7 @@
         self.assertTrue(is_successful(platform.create("lease", b"v", "w")))
 
     def test_a_rate_refusal_holds_further_calls(self):
-        """Guards against a fleet that keeps knocking at a platform over its rate limit."""
+        """Guards against nodes that keep calling a platform which is over its rate limit."""
         clock = ManualClock()
         store = ObjectStore(clock=clock, reads_per_second=1)
         budget = CallBudget(clock=clock, reads=Rate(10, 10), writes=Rate(1, 1))
--- a/test/storage/test_http.py
+++ b/test/storage/test_http.py
@@ -1,4 +1,4 @@
-"""Tests of the platform client, against the stand-in's application and against bad servers."""
+"""Tests of the platform client, with the stand-in's application and with faulty servers."""
 
 import random
 import socket
@@ -32,7 +32,7 @@
 OBJECT = b'{"object":{"key":"k","value":"dg==","revision":1,"write_id":"w"}}'
 
 
-def http_answer(body, *, length=None, status=b"200 OK"):
+def http_response(body, *, length=None, status=b"200 OK"):
     size = len(body) if length is None else length
     return b"HTTP/1.1 %s\r\ncontent-length: %d\r\n\r\n%s" % (status, size, body)
 
@@ -45,8 +45,8 @@
         self.app = PlatformApp(store=self.store, clock=self.clock)
         self.platform = self.client()
 
-    def test_a_refused_connection_is_told_with_the_url(self):
-        """Guards against an error that shows the library's text and not which URL it was."""
+    def test_a_refused_connection_is_reported_with_the_url(self):
+        """Guards against an error that shows the library's text and omits the URL."""
         with socket.socket() as unused:
             unused.bind(("127.0.0.1", 0))
             url = "http://{}:{}".format(*unused.getsockname())
@@ -85,7 +85,7 @@
         self.assertEqual(RateLimited(timedelta(seconds=1)), refused)
 
     def test_an_oversized_value_is_not_sent(self):
-        """Guards against spending platform calls on values that it must refuse."""
+        """Guards against platform calls spent on values that the platform must refuse."""
         self.assertEqual(
             TooLarge(MAX_VALUE_BYTES + 1),
             self.platform.create("k", bytes(MAX_VALUE_BYTES + 1), "w").failure(),
@@ -93,8 +93,8 @@
         self.assertEqual(0, self.store.counts["write"])
         self.assertTrue(is_successful(self.platform.create("k", bytes(MAX_VALUE_BYTES), "w")))
 
-    def test_a_write_whose_answer_was_lost_is_done_once(self):
-        """Guards against reporting a conflict with one's own earlier write."""
+    def test_a_write_whose_response_was_lost_is_done_once(self):
+        """Guards against a retried write that conflicts with its own first attempt."""
         self.store.fault = Fault.LOSE_ANSWERS
         self.assertIsInstance(self.platform.create("k", b"v", "w").failure(), Unavailable)
         self.assertIsInstance(self.platform.update("k", b"v2", 1, "w2").failure(), Unavailable)
@@ -102,8 +102,8 @@
         self.assertEqual(2, self.platform.update("k", b"v2", 1, "w2").unwrap().revision)
         self.assertEqual(2, self.store.position)
 
-    def test_retries_recognise_a_write_whose_answer_was_lost(self):
-        """Guards against an apply that fails because one answer was lost."""
+    def test_retries_recognise_a_write_whose_response_was_lost(self):
+        """Guards against an ``apply`` command that fails because one response was lost."""
         self.store.fault = Fault.LOSE_ANSWERS
 
         def recover(_):
@@ -130,20 +130,20 @@
         self.assertEqual([NotFound] * 2 + [BudgetExceeded] * 2, errors)
         self.assertEqual(2, self.store.counts["read"])
 
-    def test_a_dripping_body_is_cut_at_the_timeout(self):
+    def test_a_slow_body_is_abandoned_at_the_timeout(self):
         """Guards against a server that keeps a caller waiting by sending a byte at a time."""
 
-        def drip(_):
+        def read_slowly(_):
             self.clock.advance(TIMEOUT / 3)
             return b" "
 
-        response = FakeResponse(200, {}, drip)
+        response = FakeResponse(200, {}, read_slowly)
         self.platform.pool = SimpleNamespace(request=lambda *_, **__: response)
         self.assertIsInstance(self.platform.get("k").failure(), Unavailable)
         self.assertTrue(response.closed)
 
-    def test_an_endless_body_is_cut_at_the_size_limit(self):
-        """Guards against running out of memory on a faulty answer."""
+    def test_an_endless_body_is_abandoned_at_the_size_limit(self):
+        """Guards against running out of memory on a faulty response."""
         sizes = []
 
         def endless(size):
@@ -157,8 +157,8 @@
 
     @given(status=st.sampled_from([200, 404, 409, 413, 429, 503, 302]), body=st.binary(max_size=80))
     @settings(max_examples=200, derandomize=True, deadline=None)
-    def test_no_answer_raises(self, status, body):
-        """Guards against an exception in the caller because of a malformed answer."""
+    def test_no_response_raises(self, status, body):
+        """Guards against an exception in the caller because of a malformed response."""
         platform = HttpPlatform(url="http://p", clock=ManualClock(), timeout=TIMEOUT)
         for content in (body, b'{"object":null}', OBJECT.replace(b"dg==", b"***"), OBJECT + body):
             parts = [content, b""]
@@ -170,30 +170,30 @@
             )
 
 
-class BadServerTest(TestCase):
-    def call(self, *answers, calls=1, keep_open=False):
-        server = ScriptedServer(answers, keep_open=keep_open)
+class FaultyServerTest(TestCase):
+    def call(self, *responses, calls=1, keep_open=False):
+        server = ScriptedServer(responses, keep_open=keep_open)
         self.addCleanup(server.close)
         platform = HttpPlatform(url=server.url, clock=SystemClock(), timeout=TIMEOUT)
         self.addCleanup(platform.close)
         results = [platform.get("k") for _ in range(calls)]
         return results, server
 
-    def test_half_closed_truncated_and_garbage_answers_are_unavailable(self):
-        """Guards against taking part of an answer for the whole, and against exceptions."""
-        for answer in (
+    def test_half_closed_truncated_and_garbage_responses_are_unavailable(self):
+        """Guards against truncated responses taken as complete, and against exceptions."""
+        for response in (
             b"",
             b"\x00\xff garbage\r\n\r\n",
             b"HTTP/1.1 200 OK\r\ncontent-le",
-            http_answer(OBJECT[:20], length=len(OBJECT)),
-            http_answer(OBJECT, length=len(OBJECT) + 10),
+            http_response(OBJECT[:20], length=len(OBJECT)),
+            http_response(OBJECT, length=len(OBJECT) + 10),
             b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n",
             b"HTTP/1.1 200 OK\r\n" + b"x: y\r\n" * 200 + b"\r\n",
             b"HTTP/1.1 200 OK\r\ncontent-length: x\r\n\r\n",
-            http_answer(b"", status=b"302 Found\r\nlocation: /v1/objects/k"),
+            http_response(b"", status=b"302 Found\r\nlocation: /v1/objects/k"),
         ):
-            results, _ = self.call(answer)
-            self.assertIsInstance(results[0].failure(), Unavailable, answer)
+            results, _ = self.call(response)
+            self.assertIsInstance(results[0].failure(), Unavailable, response)
 
     def test_a_silent_connection_ends_a_watch(self):
         """Guards against a watch that waits forever on a connection that died silently."""
@@ -202,13 +202,13 @@
         platform = HttpPlatform(url=server.url, clock=SystemClock(), timeout=TIMEOUT)
         self.assertIsInstance(platform.watch("", 0, TIMEOUT).failure(), Unavailable)
 
-    def test_a_crossed_answer_is_not_taken(self):
-        """Guards against reading the answer to another call as one's own."""
-        other = http_answer(OBJECT.replace(b'"k"', b'"other"'))
+    def test_a_response_for_another_key_is_not_accepted(self):
+        """Guards against the response to another call on the same connection being accepted."""
+        other = http_response(OBJECT.replace(b'"k"', b'"other"'))
         for first, second in (
-            (http_answer(OBJECT), other),
-            (http_answer(OBJECT) + other, http_answer(OBJECT)),
-            (http_answer(OBJECT) + http_answer(b" " * 100_000), http_answer(OBJECT)),
+            (http_response(OBJECT), other),
+            (http_response(OBJECT) + other, http_response(OBJECT)),
+            (http_response(OBJECT) + http_response(b" " * 100_000), http_response(OBJECT)),
         ):
             results, _ = self.call(first, second, calls=2, keep_open=True)
             self.assertEqual(b"v", results[0].unwrap().value)
@@ -217,10 +217,10 @@
             else:
                 self.assertIsInstance(results[1].failure(), Unavailable)
 
-    def test_an_answer_for_another_prefix_is_not_taken(self):
-        """Guards against a crossed list or watch answer entering a lease or configuration."""
+    def test_a_response_for_another_prefix_is_not_accepted(self):
+        """Guards against a lease or configuration read from another call's list or watch."""
         body = b'{"position":3,"objects":[%s]}' % OBJECT.removeprefix(b'{"object":')[:-1]
-        server = ScriptedServer([http_answer(body)] * 4, keep_open=True)
+        server = ScriptedServer([http_response(body)] * 4, keep_open=True)
         self.addCleanup(server.close)
         platform = HttpPlatform(url=server.url, clock=SystemClock(), timeout=TIMEOUT)
         self.assertEqual(["k"], [stored.key for stored in platform.list("").unwrap()])
--- a/test/storage/test_retry.py
+++ b/test/storage/test_retry.py
@@ -19,8 +19,8 @@
 
 
 class RetryTest(TestCase):
-    def test_each_attempt_of_a_herd_takes_its_token(self):
-        """Guards against retries that pass by the budget when all callers fail at once."""
+    def test_each_attempt_takes_a_token(self):
+        """Guards against retries that bypass the budget when all callers fail at once."""
         clock, rng = ManualClock(), random.Random(1)
         store = ObjectStore(clock=clock, reads_per_second=1)
         budget = CallBudget(clock=clock, reads=Rate(1, 5), writes=Rate(1, 5))
@@ -33,7 +33,10 @@
         self.assertTrue(store.counts["refused"] >= 1)
 
     def call(self, *results, seed=1, policy=RetryPolicy()):  # noqa: B008
-        """Return the result of a read that meets the given results, and the waits between."""
+        """Return the outcome of a read whose attempts give ``results``, its delays and the rest.
+
+        :returns: the final result, the delays between attempts, the number of results not used
+        """
         clock, waits, left = ManualClock(), [], list(results)
 
         def sleep(wait):
@@ -55,13 +58,13 @@
         self.assertEqual((DOWN, 2, 1), (result, len(waits), left))
         self.assertEqual(Success("v"), self.call(DOWN, Success("v"))[0])
 
-    def test_refusals_that_repeat_the_same_are_not_retried(self):
-        """Guards against calls spent on a conflict, or on a budget that is used up."""
+    def test_refusals_that_would_recur_are_not_retried(self):
+        """Guards against calls spent on a conflict, or on a budget that is exhausted."""
         for error in (Conflict("k", None), BudgetExceeded(timedelta(seconds=1))):
             self.assertEqual((Failure(error), [], 1), self.call(Failure(error), Success("v")))
 
     def test_waits_spread_over_the_whole_interval(self):
-        """Guards against nodes that retry in step after a common failure."""
+        """Guards against nodes that retry at the same time after a common failure."""
         waits = [self.call(DOWN, DOWN, Success("v"), seed=seed)[1] for seed in range(400)]
         for index, bound_ms in enumerate((100, 200)):
             shares = [wait[index] / timedelta(milliseconds=bound_ms) for wait in waits]
@@ -69,8 +72,8 @@
             self.assertEqual(400, sum(quarters))
             self.assertTrue(min(quarters) > 60, quarters)
 
-    def test_a_rate_refusal_is_retried_after_its_time_within_the_total(self):
-        """Guards against retries earlier than told, and against callers held for too long."""
+    def test_a_rate_refusal_is_retried_after_its_delay_within_the_total(self):
+        """Guards against retries before ``retry_after``, and against callers blocked too long."""
         result, waits, _ = self.call(LIMITED, Success("v"))
         self.assertEqual(Success("v"), result)
         self.assertTrue(waits[0] >= timedelta(seconds=1))
