Name the errors that are searched for a cause

The loop over an error, its cause and its context called each of them "found" before it was known to be the cause; it is a candidate.

Checked: lint is clean; test/net passes (13).

--- a/almondshore/net/failures.py
+++ b/almondshore/net/failures.py
@@ -10,9 +10,9 @@
     causes. Its error for a refused connection is a subclass of its timeout error, so the operating
     system's error is looked for first.
     """
-    for found in (error, error.__cause__, error.__context__):
-        if isinstance(found, OSError) and found.strerror:
-            return found.strerror.lower()
+    for candidate in (error, error.__cause__, error.__context__):
+        if isinstance(candidate, OSError) and candidate.strerror:
+            return candidate.strerror.lower()
     if isinstance(error, HttpTimeoutError):
         return "timed out"
     return f"{type(error).__name__}: {error}"
