Rename public names of the HTTP and proxy packages to the terms of the field

Names that other packages use were vague or stood for several things: tune and drop did not say what they do, MAX_IDLE was a count while the parameter max_idle was a time, Finished and InFlight left out their noun, 'once' was a client in one application and another application in the other, and unsent was both a buffer and a method.

They are now configure_socket, ConnectionPool.close_idle, MAX_IDLE_PER_ADDRESS, max_idle_time, stall_timeout (was stall), HttpServer.has_unsent, FinishedCall, InFlightRequests, once_client and once_app, and OnceOwner.note_rejoin (was rejoined), as in Ownership.

--- a/almondshore/daemon/node.py
+++ b/almondshore/daemon/node.py
@@ -150,7 +150,7 @@
         """Note that others took over this node's keys while they held it for dead."""
         own = {target.record.target for target in self.control.local.targets.values()}
         if any(r.target in own and r.state is TargetState.DEAD for r in records):
-            self.once.rejoined()
+            self.once.note_rejoin()
 
     def _make_request_logic(self, rng: random.Random, max_tenants: int) -> None:
         clock = self.clock
--- a/almondshore/daemon/process.py
+++ b/almondshore/daemon/process.py
@@ -19,11 +19,11 @@
 from almondshore.daemon.status import StatusWriter
 from almondshore.limits.admission import SlotQueue
 from almondshore.net.nng import NngTransport
-from almondshore.proxy.caller import CallerApp, Finished
+from almondshore.proxy.caller import CallerApp, FinishedCall
 from almondshore.proxy.gate import SlotGate
 from almondshore.proxy.once import OnceApp, OnceClient
 from almondshore.proxy.pool import HopPool
-from almondshore.proxy.serving import InFlight, serve
+from almondshore.proxy.serving import InFlightRequests, serve
 from almondshore.proxy.target import Endpoint, TargetApp
 from almondshore.relay.control import ControlLimits, Identity
 from almondshore.storage.budget import (
@@ -89,12 +89,12 @@
             endpoints=self.endpoints,
             pool=self.pool,
             max_body_bytes=settings.limits.max_body_bytes,
-            once=OnceApp(owner=self.node.once),
+            once_app=OnceApp(owner=self.node.once),
             crash_guard=self.node.crash_guard,
             on_death=self._target_died,
             on_run=self.node.moves.record,
         )
-        self.in_flight = InFlight()
+        self.in_flight = InFlightRequests()
         self.listeners: list[socket.socket] = []
         self.draining = False
         self.ended = Event()
@@ -112,7 +112,7 @@
             drain=lambda: eventlet.spawn(self.drain),
             is_draining=lambda: self.draining,
         )
-        serve(listen.admin, admin, InFlight())
+        serve(listen.admin, admin, InFlightRequests())
         self.listeners = [
             serve(listen.peer, self.target_app, self.in_flight),
             serve(listen.caller, self.callers[0], self.in_flight),
@@ -216,7 +216,7 @@
             tenants=self.node.tenants,
             policy=self.node.policy,
             crash_guard=self.node.crash_guard,
-            once=self.once,
+            once_client=self.once,
             pool=self.pool,
             max_body_bytes=self.settings.limits.max_body_bytes,
             trusted=trusted,
@@ -301,7 +301,7 @@
         log_event("target_died", level="WARNING", target=death.target)
         self._send_all(self.node.note_crash(death, self.settings.listen.control))
 
-    def _finished(self, finished: Finished) -> None:
+    def _finished(self, finished: FinishedCall) -> None:
         self.metrics.observe_request(
             tenant=finished.tenant,
             request_class=finished.request_class,
--- a/almondshore/http/client.py
+++ b/almondshore/http/client.py
@@ -20,7 +20,7 @@
 # Idle connections are dropped before the peer's own timeout may close them.
 IDLE_LIMIT = timedelta(seconds=8)
 KEEP_ALIVE_MARGIN = timedelta(seconds=1)
-MAX_IDLE = 64
+MAX_IDLE_PER_ADDRESS = 64
 
 
 class CallFailure(Enum):
@@ -51,7 +51,16 @@
 class Call:
     """A request on a connection, until its result is delivered or it is cancelled."""
 
-    __slots__ = ("data", "accept", "on_done", "head", "stall", "connection", "timer", "done")
+    __slots__ = (
+        "data",
+        "accept",
+        "on_done",
+        "head",
+        "stall_timeout",
+        "connection",
+        "timer",
+        "done",
+    )
 
     def __init__(
         self,
@@ -60,13 +69,13 @@
         accept: Callable[[Response], bool],
         on_done: Callable[[CallResult], None],
         head: bool,
-        stall: timedelta | None,
+        stall_timeout: timedelta | None,
     ):
         self.data = data
         self.accept = accept
         self.on_done = on_done
         self.head = head
-        self.stall = stall
+        self.stall_timeout = stall_timeout
         self.connection: ClientConnection | None = None
         self.timer = None
         self.done = False
@@ -141,8 +150,8 @@
         if self.call is None:
             self.abandon()
             return
-        if self.call.stall is not None:
-            self.call.set_timeout(self.call.stall)
+        if self.call.stall_timeout is not None:
+            self.call.set_timeout(self.call.stall_timeout)
         try:
             self.parser.feed(data)
         except ParseError:
@@ -260,20 +269,22 @@
         timeout: timedelta,
         on_done: Callable[[CallResult], None],
         accept: Callable[[Response], bool] = lambda _response: True,
-        max_idle: timedelta | None = None,
+        max_idle_time: timedelta | None = None,
         head: bool = False,
-        stall: timedelta | None = None,
+        stall_timeout: timedelta | None = None,
     ) -> Call:
         """Send a request and deliver its result to ``on_done``, never before this returns.
 
         :param accept: tells whether a response belongs to the request
-        :param max_idle: longest idle time of a connection to reuse; zero opens a new one
+        :param max_idle_time: longest idle time of a connection to reuse; zero opens a new one
         :param head: whether the request is a HEAD request
-        :param stall: longest time without a further byte of a response that has begun, in place
-            of the timeout from then on; for responses that take long on a narrow link
+        :param stall_timeout: longest time between two reads of a response, replacing ``timeout``
+            once the response has begun; for long responses over a slow link
         """
-        call = Call(data=data, accept=accept, on_done=on_done, head=head, stall=stall)
-        connection = self._take_idle(address, max_idle)
+        call = Call(
+            data=data, accept=accept, on_done=on_done, head=head, stall_timeout=stall_timeout
+        )
+        connection = self._take_idle(address, max_idle_time)
         if connection is None:
             self.opened += 1
             connection = ClientConnection(pool=self, address=address, call=call)
@@ -286,7 +297,7 @@
         """Keep an idle connection for reuse."""
         idle = self.idle.setdefault(connection.address, deque())
         idle.append(connection)
-        if len(idle) > MAX_IDLE:
+        if len(idle) > MAX_IDLE_PER_ADDRESS:
             idle[0].abandon()
 
     def forget(self, connection: ClientConnection) -> None:
@@ -299,7 +310,7 @@
         if not idle:
             self.idle.pop(connection.address, None)
 
-    def drop(self, address: Address) -> None:
+    def close_idle(self, address: Address) -> None:
         """Close the idle connections to an address."""
         for connection in list(self.idle.get(address, ())):
             connection.abandon()
@@ -312,12 +323,14 @@
                 if now - connection.idle_since > connection.idle_limit:
                     connection.abandon()
 
-    def _take_idle(self, address: Address, max_idle: timedelta | None) -> ClientConnection | None:
+    def _take_idle(
+        self, address: Address, max_idle_time: timedelta | None
+    ) -> ClientConnection | None:
         now = self.clock.monotonic()
         while idle := self.idle.get(address):
             connection = idle[-1]
             age = now - connection.idle_since
-            if max_idle is not None and age >= max_idle:
+            if max_idle_time is not None and age >= max_idle_time:
                 return None
             if age > connection.idle_limit or connection.stream.closed:
                 connection.abandon()
--- a/almondshore/http/server.py
+++ b/almondshore/http/server.py
@@ -12,7 +12,7 @@
 from almondshore.core.logs import log_event
 from almondshore.http.messages import Request, Response, encode_response
 from almondshore.http.parsing import ParseError, RequestLimits, RequestParser
-from almondshore.http.stream import READ, Stream, StreamHandler, socket, tune, watch
+from almondshore.http.stream import READ, Stream, StreamHandler, configure_socket, socket, watch
 
 BACKLOG = 1024
 # Requests of one connection that are handled at a time; further ones wait in the kernel.
@@ -248,7 +248,7 @@
         for connection in list(self.connections):
             connection.close_idle()
 
-    def unsent(self) -> bool:
+    def has_unsent(self) -> bool:
         """Tell whether responses wait for their clients to read."""
         return any(connection.stream.unsent for connection in self.connections)
 
@@ -276,7 +276,7 @@
                 log_event("accept_failed", level="ERROR", error=error)
                 return
             try:
-                tune(sock)
+                configure_socket(sock)
                 connection = ServerConnection(server=self, sock=sock, peer=f"{peer[0]}:{peer[1]}")
             except OSError as error:
                 # The client reset the connection before it was accepted.
--- a/almondshore/http/stream.py
+++ b/almondshore/http/stream.py
@@ -24,7 +24,15 @@
 
 _RETRY = frozenset((errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR))
 
-__all__ = ["READ", "Stream", "StreamHandler", "connect_stream", "socket", "tune", "watch"]
+__all__ = [
+    "READ",
+    "Stream",
+    "StreamHandler",
+    "configure_socket",
+    "connect_stream",
+    "socket",
+    "watch",
+]
 
 
 class StreamHandler(ABC):
@@ -221,7 +229,7 @@
     :returns: the stream, or the error if the connection is refused at once
     """
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    tune(sock)
+    configure_socket(sock)
     code = sock.connect_ex(address)
     if code not in (0, errno.EINPROGRESS):
         sock.close()
@@ -229,7 +237,7 @@
     return Stream(sock=sock, handler=handler, connecting=True)
 
 
-def tune(sock: socket.socket) -> None:
+def configure_socket(sock: socket.socket) -> None:
     """Make a socket non-blocking, without delay, and let it notice a dead peer."""
     sock.setblocking(False)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/almondshore/mesh/inbound.py
+++ b/almondshore/mesh/inbound.py
@@ -176,7 +176,7 @@
             timeout=time_left + DEADLINE_SLACK,
             on_done=lambda result: self._on_done(submission, result),
             accept=lambda response: self.dialect.matches_request(response, request_id),
-            max_idle=(
+            max_idle_time=(
                 (timedelta() if submission.resent else FRESH_CONNECTION_MAX_IDLE)
                 if needs_fresh_connection
                 else None
--- a/almondshore/mesh/liveness.py
+++ b/almondshore/mesh/liveness.py
@@ -76,7 +76,7 @@
         log_event("peer_silent", level="WARNING", peer=f"{node[0]}:{node[1]}")
         self.directory.mark_unreachable(node, "silent")
         # Further requests on its idle connections would get no answer.
-        self.pool.drop(node)
+        self.pool.close_idle(node)
         self.probed_at.pop(node, None)
         self.on_unresponsive(node)
         return False
--- a/almondshore/mesh/node.py
+++ b/almondshore/mesh/node.py
@@ -261,7 +261,7 @@
         ):
             self.inbound.report_death()
             self.recorder.reset()
-            self.pool.drop(self.settings.app)
+            self.pool.close_idle(self.settings.app)
         log_event(
             "target_announced",
             target=announcement.target,
@@ -335,7 +335,7 @@
         self.outbound.closed = self.inbound.closed = True
         self.outbound_server.close_idle()
         busy = self.outbound.active or self.inbound.active
-        return not busy and not any(server.unsent() for server in self.servers)
+        return not busy and not any(server.has_unsent() for server in self.servers)
 
     def _housekeeping(self) -> None:
         self.housekeeping = hubs.get_hub().schedule_call_global(
--- a/almondshore/mesh/peers.py
+++ b/almondshore/mesh/peers.py
@@ -113,8 +113,8 @@
             encode_request(b"GET", target, headers, b""),
             timeout=self.timeout if timeout is None else timeout,
             on_done=done.send,
-            max_idle=timedelta() if new_connection else None,
-            stall=PEER_TIMEOUT,
+            max_idle_time=timedelta() if new_connection else None,
+            stall_timeout=PEER_TIMEOUT,
         )
         result: CallResult = done.wait()
         if result.response is None or result.response.status != 200:
--- a/almondshore/platform/objects.py
+++ b/almondshore/platform/objects.py
@@ -110,7 +110,9 @@
         if body:
             headers.append((b"Content-Type", b"application/json"))
         data = encode_request(method, path.encode(), tuple(headers), body)
-        self.pool.call(self.address, data, timeout=timeout, on_done=done.send, stall=STALL_TIMEOUT)
+        self.pool.call(
+            self.address, data, timeout=timeout, on_done=done.send, stall_timeout=STALL_TIMEOUT
+        )
         result: CallResult = done.wait()
         if result.response is None:
             return Failure(Unavailable(str(result.failure.value)))
--- a/almondshore/proxy/caller.py
+++ b/almondshore/proxy/caller.py
@@ -63,7 +63,7 @@
     fingerprint: int
 
 
-class Finished(NamedTuple):
+class FinishedCall(NamedTuple):
     """A call that has ended, for metrics and logs."""
 
     service: str
@@ -90,11 +90,11 @@
         tenants: TenantLimits,
         policy: RetryPolicy,
         crash_guard: CrashGuard,
-        once: OnceClient,
+        once_client: OnceClient,
         pool: HopPool,
         max_body_bytes: int,
         trusted: bool = False,
-        on_finished: Callable[[Finished], None] = lambda finished: None,
+        on_finished: Callable[[FinishedCall], None] = lambda finished: None,
     ):
         self.clock = clock
         self.routes = routes
@@ -102,7 +102,7 @@
         self.tenants = tenants
         self.policy = policy
         self.crash_guard = crash_guard
-        self.once = once
+        self.once_client = once_client
         self.pool = pool
         self.max_body_bytes = max_body_bytes
         self.trusted = trusted
@@ -178,7 +178,7 @@
         key = first(call.request.headers, names.IDEMPOTENCY_KEY)
         if not (key and call.match.route["once"]):
             return self._send(call)
-        grant = self.once.claim(
+        grant = self.once_client.claim(
             call.match.service, call.tenant, key, call.fingerprint, call.deadline
         )
         if not isinstance(grant, Grant):
@@ -187,7 +187,7 @@
         try:
             result = self._send(call)
         finally:
-            self.once.report(grant, result)
+            self.once_client.report(grant, result)
         return result
 
     def _send(self, call: Call) -> Reply | Failure:
@@ -300,7 +300,7 @@
         admitted = isinstance(call, Call)
         outcome = result.outcome.value if isinstance(result, Failure) else Outcome.RUN.value
         self.on_finished(
-            Finished(
+            FinishedCall(
                 call.match.service if admitted else "-",
                 call.tenant if admitted else first(request.headers, names.TENANT) or NO_TENANT,
                 call.request_class.value if admitted else RequestClass.ROUTINE.value,
--- a/almondshore/proxy/once.py
+++ b/almondshore/proxy/once.py
@@ -169,7 +169,7 @@
             if changed:
                 records.ownership.update(members_of(self.directory, service))
 
-    def rejoined(self) -> None:
+    def note_rejoin(self) -> None:
         """Note that other nodes had declared this one dead."""
         for records in self.services.values():
             records.ownership.note_rejoin()
--- a/almondshore/proxy/serving.py
+++ b/almondshore/proxy/serving.py
@@ -23,7 +23,7 @@
 SOCKET_TIMEOUT = timedelta(seconds=60)
 
 
-class InFlight:
+class InFlightRequests:
     """Counts requests until their response is written.
 
     :ivar closing: whether each connection is closed after its response
@@ -39,7 +39,7 @@
 
     def handle_one_response(self) -> None:
         """Answer one request."""
-        in_flight: InFlight = self.environ[IN_FLIGHT]
+        in_flight: InFlightRequests = self.environ[IN_FLIGHT]
         self.environ[CLOSE_CONNECTION] = self._refuse
         self.environ[MALFORMED_HEADERS] = bool(self.headers.defects)
         self.refused = False
@@ -68,7 +68,7 @@
             pass
 
 
-def serve(address: str, app: Callable, in_flight: InFlight) -> socket.socket:
+def serve(address: str, app: Callable, in_flight: InFlightRequests) -> socket.socket:
     """Serve a WSGI application in the background.
 
     :param address: ``ip:port`` to listen on
@@ -85,7 +85,9 @@
     return listener
 
 
-def _serve_until_closed(listener: socket.socket, app: Callable, in_flight: InFlight) -> None:
+def _serve_until_closed(
+    listener: socket.socket, app: Callable, in_flight: InFlightRequests
+) -> None:
     """Serve until the listener is shut down; idle connections are closed then."""
     try:
         eventlet.wsgi.server(
--- a/almondshore/proxy/target.py
+++ b/almondshore/proxy/target.py
@@ -100,7 +100,7 @@
         endpoints: Mapping[str, Endpoint],
         pool: HopPool,
         max_body_bytes: int,
-        once: OnceApp,
+        once_app: OnceApp,
         crash_guard: CrashGuard,
         on_run: Callable[[RunResult], None] = lambda result: None,
         on_death: Callable[[CrashDeath], None] = lambda death: None,
@@ -109,7 +109,7 @@
         self.endpoints = endpoints
         self.pool = pool
         self.max_body_bytes = max_body_bytes
-        self.once = once
+        self.once_app = once_app
         self.crash_guard = crash_guard
         self.on_run = on_run
         self.on_death = on_death
@@ -122,7 +122,7 @@
             return respond_failure(start_response, failure, "", status=request.status)
         operation = first(request.headers, ONCE_OPERATION)
         if operation:
-            return self.once(operation, request.body, start_response)
+            return self.once_app(operation, request.body, start_response)
         hop = self._read_hop(request.headers)
         if hop is None:
             failure = make_failure(Reason.BAD_REQUEST, "internal headers are missing or malformed")
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -6,7 +6,15 @@
 from eventlet import hubs
 
 from almondshore.http.client import Address
-from almondshore.http.stream import READ, Stream, StreamHandler, connect_stream, socket, tune, watch
+from almondshore.http.stream import (
+    READ,
+    Stream,
+    StreamHandler,
+    configure_socket,
+    connect_stream,
+    socket,
+    watch,
+)
 
 DELAY = timedelta(milliseconds=150)
 
@@ -90,7 +98,7 @@
         if self.mode is Mode.RESET:
             accepted.close()
             return
-        tune(accepted)
+        configure_socket(accepted)
         near = _Side(proxy=self, cut=Mode.CUT_REQUESTS)
         far = _Side(proxy=self, cut=Mode.CUT_ANSWERS)
         near.other, far.other = far, near
--- a/test/http/test_client.py
+++ b/test/http/test_client.py
@@ -46,7 +46,7 @@
         for _ in range(3):
             self.assertEqual(200, call(self.pool, server.address(), REQUEST).response.status)
         self.assertEqual(1, self.pool.opened)
-        result = call(self.pool, server.address(), REQUEST, max_idle=timedelta())
+        result = call(self.pool, server.address(), REQUEST, max_idle_time=timedelta())
         self.assertFalse(result.reused)
         self.assertEqual(2, self.pool.opened)
 
--- a/test/mesh/fakes.py
+++ b/test/mesh/fakes.py
@@ -81,7 +81,7 @@
         self.calls.append(found)
         return found
 
-    def drop(self, address):
+    def close_idle(self, address):
         self.dropped.append(address)
 
 
--- a/test/mesh/test_inbound.py
+++ b/test/mesh/test_inbound.py
@@ -172,7 +172,7 @@
         self.announce()
         self.submit()
         self.harness.pool.calls[0].fail(CallFailure.CLOSED, reused=True)
-        self.assertEqual(timedelta(), self.harness.pool.calls[1].options["max_idle"])
+        self.assertEqual(timedelta(), self.harness.pool.calls[1].options["max_idle_time"])
         self.harness.pool.calls[1].fail(CallFailure.CLOSED, reused=True)
         self.assertEqual([(Outcome.BROKEN, "closed")], self.outcomes())
 
@@ -180,7 +180,7 @@
         """Guards against losing a request that cannot be retried to a stale connection."""
         self.announce()
         self.submit(terms(idempotent=False))
-        self.assertTrue(self.harness.pool.calls[0].options["max_idle"] < timedelta(seconds=1))
+        self.assertTrue(self.harness.pool.calls[0].options["max_idle_time"] < timedelta(seconds=1))
         self.harness.pool.calls[0].fail(CallFailure.CLOSED, reused=True)
         self.assertEqual([(Outcome.BROKEN, "closed")], self.outcomes())
 
--- a/test/mesh/test_node.py
+++ b/test/mesh/test_node.py
@@ -63,7 +63,7 @@
         """Guards against a node that keeps an old version while it cannot reach the store."""
         first = self.mesh.nodes["n1"]
         first.store.set_address(("127.0.0.1", 1))
-        first.pool.drop(self.mesh.store_server.address())
+        first.pool.close_idle(self.mesh.store_server.address())
         self.mesh.store.put("config", "main", stored_config(9, ("s",)))
         wait_until(lambda: self.mesh.nodes["n2"].outbound.config_version() == 9)
         wait_until(lambda: first.outbound.config_version() == 9)
@@ -354,7 +354,7 @@
         for node in self.mesh.nodes.values():
             if node.feeds.follower.followed is None:
                 node.store.set_address(("127.0.0.1", 1))
-                node.pool.drop(self.mesh.store_server.address())
+                node.pool.close_idle(self.mesh.store_server.address())
         for connection in list(self.mesh.store_server.connections):
             connection.stream.close()
         self.mesh.store.put("config", "main", stored_config(9, ("s",)))
--- a/test/proxy/test_caller.py
+++ b/test/proxy/test_caller.py
@@ -68,7 +68,7 @@
             tenants=TenantLimits(clock=clock, capacity=10),
             policy=RetryPolicy(clock=clock, rng=rng, budget=RetryBudget(clock=clock)),
             crash_guard=CrashGuard(clock=clock),
-            once=None,
+            once_client=None,
             pool=pool,
             max_body_bytes=1000,
         )
--- a/test/proxy/test_target.py
+++ b/test/proxy/test_target.py
@@ -37,7 +37,7 @@
             endpoints={"t": Endpoint("t", "s", "v1", address, gate, 1)},
             pool=pool,
             max_body_bytes=1000,
-            once=None,
+            once_app=None,
             crash_guard=CrashGuard(clock=clock),
             on_run=self.runs.append,
         )
