Word the HTTP package in the terms of HTTP and sockets

Docstrings named an effect in a figure (cut off, left, given up, take) or only repeated the method's name, and a few attributes could not be read without their author: soiled, forget, _keep, _drop_rest, read_at, _place. They now say what a method does, in which unit, and what it returns: received_stale, remove_idle, _return_to_pool, _cancel_pending, last_read_at, _source_location. Every reason for a constant stays. Rejected messages now state the limit that was exceeded; their log event, field names and HTTP statuses are unchanged. Headlines and names of the tests say which failure they guard against; their checks are unchanged.

--- a/almondshore/http/client.py
+++ b/almondshore/http/client.py
@@ -1,4 +1,4 @@
-"""HTTP/1.1 client connections, their reuse, and calls on them."""
+"""HTTP/1.1 client with a pool of keep-alive connections."""
 
 from collections import deque
 from collections.abc import Callable
@@ -15,16 +15,17 @@
 
 Address = tuple[str, int]
 
-# A connection is established within a few milliseconds; a host without power never answers.
+# Connections are established within a few milliseconds; a host that has lost power never answers.
 CONNECT_TIMEOUT = timedelta(milliseconds=400)
-# Idle connections are dropped before the peer's own timeout may close them.
+# Idle connections are closed before the peer closes them after its own idle timeout.
 IDLE_LIMIT = timedelta(seconds=8)
+# Subtracted from the timeout that the peer states in a Keep-Alive header.
 KEEP_ALIVE_MARGIN = timedelta(seconds=1)
 MAX_IDLE_PER_ADDRESS = 64
 
 
 class CallFailure(Enum):
-    """Why a call has no response."""
+    """Why no response was received for a call."""
 
     NOT_CONNECTED = "not-connected"
     CLOSED = "closed"
@@ -34,12 +35,12 @@
 
 
 class CallResult(NamedTuple):
-    """The end of a call.
+    """The response to a call, or the reason for its failure.
 
-    :ivar response: the whole response, or None
-    :ivar failure: why there is none
+    :ivar response: the complete response, or None if the call failed
+    :ivar failure: None if there is a response
     :ivar sent: whether any byte of the request may have reached the peer
-    :ivar reused: whether the connection had carried a request before
+    :ivar reused: whether the connection had already carried an earlier request
     """
 
     response: Response | None
@@ -49,7 +50,10 @@
 
 
 class Call:
-    """A request on a connection, until its result is delivered or it is cancelled."""
+    """A request in progress on a connection.
+
+    A call ends when its result is passed to ``on_done`` or when it is cancelled.
+    """
 
     __slots__ = (
         "data",
@@ -81,7 +85,7 @@
         self.done = False
 
     def set_timeout(self, timeout: timedelta) -> None:
-        """Let the call fail after a time from now, instead of the time set before."""
+        """Fail the call after ``timeout`` from now; replaces any earlier timeout."""
         if self.timer is not None:
             self.timer.cancel()
         self.timer = hubs.get_hub().schedule_call_global(
@@ -89,7 +93,7 @@
         )
 
     def cancel(self) -> None:
-        """Give the call up; its connection closes and no result is delivered."""
+        """Cancel the call: close its connection and deliver no result."""
         if self.done:
             return
         self.done = True
@@ -99,7 +103,7 @@
             self.connection.abandon()
 
     def finish(self, result: CallResult) -> None:
-        """Deliver the result, once."""
+        """Pass the result to ``on_done``; has no effect once the call has ended."""
         if self.done:
             return
         self.done = True
@@ -109,7 +113,13 @@
 
 
 class ClientConnection(StreamHandler):
-    """A connection that carries one call at a time."""
+    """A connection that carries one call at a time.
+
+    :ivar used: whether a response was received on the connection before
+    :ivar received_stale: whether a response to an earlier request was received, after which the
+        connection is not reused
+    :ivar idle_since: monotonic time at which the connection was returned to the pool
+    """
 
     def __init__(self, *, pool: "ConnectionPool", address: Address, call: Call):
         self.pool = pool
@@ -118,7 +128,7 @@
         self.parser = ResponseParser()
         self.used = False
         self.sent = False
-        self.soiled = False
+        self.received_stale = False
         self.idle_since = timedelta()
         self.idle_limit = IDLE_LIMIT
         self.connect_timer = None
@@ -134,19 +144,19 @@
             )
 
     def start(self, call: Call) -> None:
-        """Send a call on the idle connection."""
+        """Send a call on this connection, which must be idle."""
         self.call = call
         call.connection = self
         self._send()
 
     def on_connected(self) -> None:
-        """Send the call that the connection was made for."""
+        """Send the call for which the connection was opened."""
         self._stop_connect_timer()
         if self.call is not None:
             self._send()
 
     def on_data(self, data: bytes) -> None:
-        """Parse a response; bytes without a call waiting make the connection unusable."""
+        """Parse received bytes; close the connection if no call is waiting for a response."""
         if self.call is None:
             self.abandon()
             return
@@ -161,9 +171,9 @@
         self._take_response()
 
     def on_end(self, *, clean: bool) -> None:
-        """Complete a response without a length, or fail the call."""
+        """Complete a response that ends with the connection, or fail the call."""
         self._stop_connect_timer()
-        self.pool.forget(self)
+        self.pool.remove_idle(self)
         if self.call is None:
             return
         if self.parser.end(clean=clean) and self._take_response():
@@ -176,15 +186,15 @@
             self._fail(CallFailure.CLOSED)
 
     def abandon(self) -> None:
-        """Close the connection without a result."""
+        """Close the connection without delivering a result."""
         self._stop_connect_timer()
         self.call = None
-        self.pool.forget(self)
+        self.pool.remove_idle(self)
         if self.stream is not None:
             self.stream.close()
 
     def time_out(self, call: Call) -> None:
-        """Fail the call if it is still the present one."""
+        """Fail the call if it is still in progress on this connection."""
         if self.call is call:
             self._fail(CallFailure.TIMED_OUT)
 
@@ -193,19 +203,21 @@
         self.stream.write(self.call.data)
 
     def _take_response(self) -> bool:
-        """Deliver the first response that belongs to the call.
+        """Deliver the first received response that belongs to the call.
+
+        Responses to earlier requests on this connection are discarded.
 
-        A response to an earlier request on this connection is dropped.
+        :return: whether a response was delivered
         """
         call = self.call
         while self.parser.complete:
             response = self.parser.complete.popleft()
             if not call.accept(response):
-                self.soiled = True
+                self.received_stale = True
                 continue
             reusable = (
                 response.keep_alive
-                and not self.soiled
+                and not self.received_stale
                 and not call.head
                 and not self.parser.started
                 and not self.parser.complete
@@ -216,18 +228,18 @@
             result = CallResult(response, None, True, self.used)
             self.used = True
             if reusable:
-                self._keep(response)
+                self._return_to_pool(response)
             else:
                 self.abandon()
             call.finish(result)
             return True
         return False
 
-    def _keep(self, response: Response) -> None:
+    def _return_to_pool(self, response: Response) -> None:
         self.idle_limit = IDLE_LIMIT
-        stated = response.header(b"keep-alive")
-        if stated is not None:
-            limit = _keep_alive_timeout(stated)
+        keep_alive_header = response.header(b"keep-alive")
+        if keep_alive_header is not None:
+            limit = _keep_alive_timeout(keep_alive_header)
             if limit is not None:
                 self.idle_limit = min(IDLE_LIMIT, max(timedelta(), limit - KEEP_ALIVE_MARGIN))
         self.idle_since = self.pool.clock.monotonic()
@@ -251,9 +263,9 @@
 
 
 class ConnectionPool:
-    """Connections to all peers, reused most recent first.
+    """Keeps idle connections to all peers and reuses the most recently used one first.
 
-    :ivar opened: connections opened so far
+    :ivar opened: number of connections opened so far
     """
 
     def __init__(self, *, clock: Clock):
@@ -273,9 +285,11 @@
         head: bool = False,
         stall_timeout: timedelta | None = None,
     ) -> Call:
-        """Send a request and deliver its result to ``on_done``, never before this returns.
+        """Send a request and pass its result to ``on_done``, never before this method returns.
 
-        :param accept: tells whether a response belongs to the request
+        :param data: encoded request
+        :param timeout: time from now after which the call fails
+        :param accept: returns whether a response belongs to the request
         :param max_idle_time: longest idle time of a connection to reuse; zero opens a new one
         :param head: whether the request is a HEAD request
         :param stall_timeout: longest time between two reads of a response, replacing ``timeout``
@@ -294,14 +308,14 @@
         return call
 
     def release(self, connection: ClientConnection) -> None:
-        """Keep an idle connection for reuse."""
+        """Keep an idle connection for reuse; close the one idle longest if there are too many."""
         idle = self.idle.setdefault(connection.address, deque())
         idle.append(connection)
         if len(idle) > MAX_IDLE_PER_ADDRESS:
             idle[0].abandon()
 
-    def forget(self, connection: ClientConnection) -> None:
-        """Drop a connection from those kept for reuse."""
+    def remove_idle(self, connection: ClientConnection) -> None:
+        """Remove a connection from those kept for reuse."""
         idle = self.idle.get(connection.address)
         if idle is None:
             return
@@ -311,12 +325,12 @@
             self.idle.pop(connection.address, None)
 
     def close_idle(self, address: Address) -> None:
-        """Close the idle connections to an address."""
+        """Close all idle connections to an address."""
         for connection in list(self.idle.get(address, ())):
             connection.abandon()
 
     def expire(self) -> None:
-        """Close connections that were idle for too long; call this now and then."""
+        """Close connections that exceeded their idle limit; must be called periodically."""
         now = self.clock.monotonic()
         for idle in list(self.idle.values()):
             for connection in list(idle):
@@ -343,7 +357,7 @@
 
 
 def _keep_alive_timeout(value: bytes) -> timedelta | None:
-    """Return the timeout of a Keep-Alive header in whole seconds, if it states one."""
+    """Return the timeout of a Keep-Alive header, or None if it is absent or malformed."""
     for item in value.split(b","):
         name, _, number = item.strip().partition(b"=")
         if name.lower() == b"timeout" and number.isdigit() and len(number) < 9:
--- a/almondshore/http/messages.py
+++ b/almondshore/http/messages.py
@@ -1,11 +1,11 @@
-"""HTTP/1.1 messages with whole bodies, and their encoding."""
+"""HTTP/1.1 messages with complete bodies, and their encoding."""
 
 from http import HTTPStatus
 from typing import NamedTuple
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
-# Headers that concern a single connection and are not forwarded (RFC 9110, section 7.6.1).
+# Headers that apply to a single connection and are not forwarded (RFC 9110, section 7.6.1).
 CONNECTION_HEADERS = frozenset(
     (
         b"connection",
@@ -24,10 +24,10 @@
 
 
 class Request(NamedTuple):
-    """A request that was read whole.
+    """A completely received request.
 
-    :ivar target: request target as sent, path and query
-    :ivar headers: names as sent
+    :ivar target: request target (path and query) as received
+    :ivar headers: header fields, with the case of their names as received
     :ivar keep_alive: whether the connection stays open after the response
     """
 
@@ -43,7 +43,11 @@
 
 
 class Response(NamedTuple):
-    """A response that was read whole, or one to send."""
+    """A completely received response, or a response to send.
+
+    :ivar reason: reason phrase; if it is empty, the standard phrase of the status is sent
+    :ivar keep_alive: whether the connection stays open after the response
+    """
 
     status: int
     headers: Headers = ()
@@ -65,9 +69,9 @@
 
 
 def end_to_end(headers: Headers, *, without: frozenset[bytes] = frozenset()) -> Headers:
-    """Return the headers to forward.
+    """Return the headers to forward, without those that apply to a single connection.
 
-    :param without: further lower-case names to leave out
+    :param without: lower-case names of further headers to remove
     """
     dropped = CONNECTION_HEADERS | without
     for key, value in headers:
@@ -77,7 +81,7 @@
 
 
 def encode_request(method: bytes, target: bytes, headers: Headers, body: bytes) -> bytes:
-    """Return the bytes of a request, framed by its length."""
+    """Encode a request, with a Content-Length header if it has or may have a body."""
     lines = [method + b" " + target + b" HTTP/1.1"]
     lines.extend(key + b": " + value for key, value in headers)
     if body or method in (b"POST", b"PUT", b"PATCH"):
@@ -87,10 +91,10 @@
 
 
 def encode_response(response: Response, *, head: bool = False, close: bool = False) -> bytes:
-    """Return the bytes of a response, framed by its length.
+    """Encode a response, with a Content-Length header unless its status excludes a body.
 
-    :param head: whether it answers a HEAD request and so carries no body
-    :param close: whether the connection closes after it
+    :param head: whether the request was a HEAD request, so that the body is omitted
+    :param close: whether to announce that the connection closes after the response
     """
     reason = response.reason or REASONS.get(response.status, b"Unknown")
     lines = [b"HTTP/1.1 %d " % response.status + reason]
--- a/almondshore/http/parsing.py
+++ b/almondshore/http/parsing.py
@@ -1,4 +1,4 @@
-"""Incremental parsers of HTTP/1.1 messages over httptools."""
+"""Incremental HTTP/1.1 parsers based on httptools."""
 
 from collections import deque
 from typing import NamedTuple
@@ -7,14 +7,14 @@
 
 from almondshore.http.messages import BODILESS_STATUSES, Request, Response
 
-# Bounds memory per message; the largest bodies that callers may send are 64 MB.
+# Limits the memory per response; as large as the largest request body allowed, 64 MB.
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
 
 
 class ParseError(Exception):
-    """The bytes are no HTTP message, or exceed a limit.
+    """Received bytes are not a valid HTTP message, or exceed a limit.
 
-    :ivar status: status that a server answers with
+    :ivar status: HTTP status with which a server responds
     """
 
     def __init__(self, message: str, *, status: int = 400):
@@ -23,17 +23,17 @@
 
 
 class RequestLimits(NamedTuple):
-    """Limits on the requests of a connection, in bytes."""
+    """Size limits for each request."""
 
     max_header_bytes: int
     max_body_bytes: int
 
 
 class RequestParser:
-    """Splits the bytes of a connection into requests.
+    """Parses the bytes received on a server connection into requests.
 
-    :ivar complete: requests that were read whole and not yet taken
-    :ivar expects_continue: whether a client waits for ``100 Continue`` before it sends the body
+    :ivar complete: completely received requests; the caller removes them
+    :ivar expects_continue: whether the client waits for ``100 Continue`` before it sends the body
     """
 
     def __init__(self, *, limits: RequestLimits):
@@ -67,43 +67,49 @@
                 raise cause from None
             raise ParseError(f"malformed request: {error}") from error
         if self.in_headers and self.header_bytes > self.limits.max_header_bytes:
-            raise ParseError("the request headers are too large", status=431)
+            raise ParseError(
+                f"the request headers exceed {self.limits.max_header_bytes} bytes", status=431
+            )
 
     def is_partial(self) -> bool:
-        """Tell whether a request has begun to arrive and is not complete."""
+        """Return whether a request has been received in part."""
         return self.started
 
     def on_message_begin(self) -> None:
-        """Start a request."""
+        """Note that a request has begun."""
         self.started = True
 
     def on_url(self, target: bytes) -> None:
-        """Take a part of the request target."""
+        """Append a part of the request target."""
         self.target += target
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Take a header field."""
+        """Append a header field."""
         self.headers.append((name, value))
 
     def on_headers_complete(self) -> None:
-        """End the headers."""
+        """Check the size of the headers and look for ``Expect: 100-continue``."""
         self.in_headers = False
         size = len(self.target) + sum(len(key) + len(value) + 4 for key, value in self.headers)
         if size > self.limits.max_header_bytes:
-            raise ParseError("the request headers are too large", status=431)
+            raise ParseError(
+                f"the request headers exceed {self.limits.max_header_bytes} bytes", status=431
+            )
         for name, value in self.headers:
             if name.lower() == b"expect":
                 self.expects_continue = value.lower() == b"100-continue"
 
     def on_body(self, data: bytes) -> None:
-        """Take a part of the body."""
+        """Append a part of the body."""
         self.body_bytes += len(data)
         if self.body_bytes > self.limits.max_body_bytes:
-            raise ParseError("the request body is too large", status=413)
+            raise ParseError(
+                f"the request body exceeds {self.limits.max_body_bytes} bytes", status=413
+            )
         self.chunks.append(data)
 
     def on_message_complete(self) -> None:
-        """End the request and prepare for the next."""
+        """Append the request to ``complete`` and reset the state for the next one."""
         self.complete.append(
             Request(
                 self.parser.get_method(),
@@ -122,21 +128,24 @@
 
 
 class ResponseParser:
-    """Splits the bytes of an upstream connection into final responses.
+    """Parses the bytes received on a client connection into final responses.
 
-    Bytes that follow a complete response are parsed as a further response, which the caller
-    tells apart by its request id.
+    Bytes after a complete response are parsed as another response, which the caller recognises
+    by its request id.
 
-    :ivar complete: responses that were read whole and not yet taken
+    :ivar complete: completely received responses; the caller removes them
+    :ivar started: whether a response has been received in part
+    :ivar framed: whether the response states its length or its end, rather than ending with the
+        connection
     """
 
     def __init__(self) -> None:
         self.complete: deque[Response] = deque()
         self.parser = httptools.HttpResponseParser(self)
-        self.begin()
+        self.reset()
 
-    def begin(self) -> None:
-        """Prepare for the next response."""
+    def reset(self) -> None:
+        """Reset the state for the next response."""
         self.reason = bytearray()
         self.headers: list[tuple[bytes, bytes]] = []
         self.chunks: list[bytes] = []
@@ -148,7 +157,7 @@
     def feed(self, data: bytes) -> None:
         """Parse received bytes.
 
-        :raises ParseError: if they are no response
+        :raises ParseError: if they are not a valid response
         """
         self.started = True
         try:
@@ -157,10 +166,10 @@
             raise ParseError(f"malformed response: {error}") from error
 
     def end(self, *, clean: bool) -> bool:
-        """Take the end of the connection.
+        """Handle the end of the connection.
 
-        :param clean: whether the peer closed it in order, not by a reset
-        :returns: whether it completed a response that had no length
+        :param clean: whether the peer closed the connection without a reset
+        :return: whether the end completed a response that did not state its length
         """
         if not clean or not self.in_body or self.framed:
             return False
@@ -168,16 +177,16 @@
         return True
 
     def on_status(self, reason: bytes) -> None:
-        """Take a part of the reason phrase."""
+        """Append a part of the reason phrase."""
         self.started = True
         self.reason += reason
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Take a header field."""
+        """Append a header field."""
         self.headers.append((name, value))
 
     def on_headers_complete(self) -> None:
-        """End the headers, and find out how the body is framed."""
+        """Determine how the body is framed."""
         names = {name.lower() for name, _ in self.headers}
         status = self.parser.get_status_code()
         bodiless = status in BODILESS_STATUSES or status < 200
@@ -185,16 +194,16 @@
         self.in_body = True
 
     def on_body(self, data: bytes) -> None:
-        """Take a part of the body."""
+        """Append a part of the body."""
         self.body_bytes += len(data)
         if self.body_bytes > MAX_RESPONSE_BYTES:
-            raise ParseError("the response body is too large")
+            raise ParseError(f"the response body exceeds {MAX_RESPONSE_BYTES} bytes")
         self.chunks.append(data)
 
     def on_message_complete(self) -> None:
-        """End the response; interim ones are dropped."""
+        """Append a final response to ``complete``, or discard an interim (1xx) one."""
         if self.parser.get_status_code() < 200:
-            self.begin()
+            self.reset()
             return
         if self.framed:
             self._finish(keep_alive=self.parser.should_keep_alive())
@@ -209,4 +218,4 @@
                 keep_alive,
             )
         )
-        self.begin()
+        self.reset()
--- a/almondshore/http/server.py
+++ b/almondshore/http/server.py
@@ -1,4 +1,4 @@
-"""HTTP/1.1 server whose requests are handled concurrently and answered in order."""
+"""HTTP/1.1 server that handles pipelined requests concurrently and responds in order."""
 
 from abc import ABC, abstractmethod
 from collections import deque
@@ -15,22 +15,22 @@
 from almondshore.http.stream import READ, Stream, StreamHandler, configure_socket, socket, watch
 
 BACKLOG = 1024
-# Requests of one connection that are handled at a time; further ones wait in the kernel.
+# Requests handled concurrently per connection; further ones stay in the kernel's buffer.
 MAX_PIPELINED = 32
-# No further request of a connection is handled while this much of its responses has not been
-# read; the smallest hosts have 128 MB of memory.
+# While more than this is buffered because the client does not read, no further request of its
+# connection is handled. The smallest hosts have only 128 MB of memory.
 MAX_UNREAD_BYTES = 256 * 1024
 SWEEP_INTERVAL_S = 0.5
-# A response that closes the connection is followed by this wait for the peer's end, since
-# closing a socket with unread bytes resets it and may destroy the response.
-LINGER = timedelta(seconds=1)
-CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+# After the last response, the server waits this long for the peer to close the connection:
+# closing a socket with unread bytes resets the connection, and the peer may lose the response.
+LINGER_TIMEOUT = timedelta(seconds=1)
+CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
 class ServerLimits(NamedTuple):
-    """Limits on connections.
+    """Limits for each connection.
 
-    :ivar header_timeout: longest time from the first byte of a request to its end of headers
+    :ivar header_timeout: longest time from the first byte of a request to the end of its headers
     :ivar idle_timeout: longest time without a request
     """
 
@@ -42,8 +42,8 @@
 class Exchange:
     """A request and its response.
 
-    :ivar on_cancel: called once if the client leaves before the response
-    :ivar received_at: monotonic time at which the request was complete
+    :ivar on_cancel: called once if the client disconnects before the response is set
+    :ivar received_at: monotonic time at which the request was received completely
     """
 
     __slots__ = ("request", "received_at", "on_cancel", "connection", "response", "cancelled")
@@ -57,7 +57,7 @@
         self.cancelled = False
 
     def respond(self, response: Response) -> None:
-        """Send the response; a second one, or one after the client left, is dropped."""
+        """Send the response; has no effect after an earlier response or a cancellation."""
         if self.response is not None or self.cancelled:
             return
         self.response = response
@@ -65,45 +65,51 @@
 
 
 class ExchangeHandler(ABC):
-    """Handles requests."""
+    """Handles the requests of a server."""
 
     @abstractmethod
     def handle(self, exchange: Exchange) -> None:
-        """Start to handle a request; must not block."""
+        """Start handling a request, which may be answered later; must not block."""
 
 
 class ServerConnection(StreamHandler):
-    """One client connection."""
+    """A connection from a client.
+
+    :ivar pending: exchanges whose response is not sent yet, in the order of their requests
+    :ivar last_active: monotonic time of the last response or of the first byte of a request
+    :ivar last_read_at: monotonic time of the last read
+    :ivar parse_error: error to respond with after the requests before it
+    """
 
     def __init__(self, *, server: "HttpServer", sock: socket.socket, peer: str):
         self.server = server
         self.peer = peer
         self.parser = RequestParser(limits=server.limits().request)
         self.pending: deque[Exchange] = deque()
-        self.last_active = self.read_at = server.clock.monotonic()
+        self.last_active = self.last_read_at = server.clock.monotonic()
         self.closing = False
-        self.malformed: ParseError | None = None
+        self.parse_error: ParseError | None = None
         self.stream = Stream(sock=sock, handler=self)
 
     def on_data(self, data: bytes) -> None:
-        """Parse requests and hand them to the handler."""
+        """Parse requests and pass them to the handler."""
         if self.closing:
             return
-        now = self.read_at = self.server.clock.monotonic()
+        now = self.last_read_at = self.server.clock.monotonic()
         if not self.parser.is_partial():
             self.last_active = now
         try:
             self.parser.feed(data)
         except ParseError as error:
-            self.malformed = error
-        idle = not self.pending and not self.parser.complete and self.malformed is None
+            self.parse_error = error
+        idle = not self.pending and not self.parser.complete and self.parse_error is None
         if self.parser.expects_continue and idle:
             self.parser.expects_continue = False
-            self.stream.write(CONTINUE)
-        self._take_requests(now)
+            self.stream.write(CONTINUE_RESPONSE)
+        self._dispatch_requests(now)
 
     def on_end(self, *, clean: bool) -> None:
-        """Cancel the requests of a client that left."""
+        """Cancel the pending requests of a client that disconnected."""
         self.server.connections.discard(self)
         pending, self.pending = self.pending, deque()
         for exchange in pending:
@@ -112,7 +118,7 @@
                 exchange.on_cancel()
 
     def on_drained(self) -> None:
-        """Go on with requests that were held back; close the sending side after the last one."""
+        """Handle requests that were held back, or shut down sending after the last response."""
         if self.closing and not self.pending:
             self.stream.finish_writing()
         elif not self.closing:
@@ -120,23 +126,23 @@
 
     def flush(self) -> None:
         """Send the responses that are ready, in the order of their requests."""
-        out = []
+        encoded_responses = []
         while self.pending and self.pending[0].response is not None:
             exchange = self.pending.popleft()
             last = not exchange.request.keep_alive or not exchange.response.keep_alive
             last = last or (self.server.draining and not self.pending)
-            out.append(
+            encoded_responses.append(
                 encode_response(
                     exchange.response, head=exchange.request.method == b"HEAD", close=last
                 )
             )
             if last:
-                self._drop_rest()
+                self._cancel_pending()
                 break
-        if not out:
+        if not encoded_responses:
             return
         self.last_active = self.server.clock.monotonic()
-        self.stream.write(b"".join(out))
+        self.stream.write(b"".join(encoded_responses))
         if self.closing:
             if not self.stream.unsent:
                 self.stream.finish_writing()
@@ -144,16 +150,23 @@
             self._resume()
 
     def sweep(self, now: timedelta, limits: ServerLimits) -> None:
-        """Close the connection if it is idle, or slow to send a request."""
+        """Close the connection if it is idle for too long or sends its headers too slowly."""
         if self.pending:
             return
         idle = now - self.last_active
         if self.closing:
-            if idle > LINGER:
+            if idle > LINGER_TIMEOUT:
                 self._close()
         elif self.parser.is_partial():
             if self.parser.in_headers and idle > limits.header_timeout:
-                self._reject(ParseError("the request headers took too long", status=408), now)
+                self._reject(
+                    ParseError(
+                        "the request headers were not received within "
+                        f"{limits.header_timeout.total_seconds():g} s",
+                        status=408,
+                    ),
+                    now,
+                )
         elif idle > limits.idle_timeout:
             self._close()
 
@@ -162,7 +175,7 @@
         if not self.pending and not self.parser.is_partial():
             self._close()
 
-    def _take_requests(self, now: timedelta) -> None:
+    def _dispatch_requests(self, now: timedelta) -> None:
         while self.parser.complete and not self.closing:
             if self._is_backlogged():
                 self.stream.pause_reading()
@@ -171,30 +184,30 @@
             exchange = Exchange(request=request, received_at=now, connection=self)
             self.pending.append(exchange)
             self.server.handler.handle(exchange)
-        if self.malformed is not None and not self.closing:
-            error, self.malformed = self.malformed, None
+        if self.parse_error is not None and not self.closing:
+            error, self.parse_error = self.parse_error, None
             self._reject(error, now)
 
     def _is_backlogged(self) -> bool:
         return len(self.pending) >= MAX_PIPELINED or len(self.stream.unsent) > MAX_UNREAD_BYTES
 
     def _resume(self) -> None:
-        """Handle the requests that were held back, and read again."""
+        """Resume reading, and handle the requests that were held back."""
         if self.stream.paused and not self._is_backlogged():
             self.stream.resume_reading()
-            # Time counts from the arrival of a request, not from its turn.
-            self._take_requests(self.read_at)
+            # A held-back request counts as received when it was read, not when its handling starts.
+            self._dispatch_requests(self.last_read_at)
 
     def _reject(self, error: ParseError, now: timedelta) -> None:
-        """Answer a malformed request after those before it, and close."""
+        """Respond to a malformed request after the requests before it, and close."""
         log_event("request_rejected", peer=self.peer, status=error.status, reason=error)
         request = Request(b"GET", b"", (), b"", keep_alive=False)
         exchange = Exchange(request=request, received_at=now, connection=self)
         self.pending.append(exchange)
         exchange.respond(Response(error.status))
 
-    def _drop_rest(self) -> None:
-        """Cancel requests behind a response that closes the connection; they count as unread."""
+    def _cancel_pending(self) -> None:
+        """Cancel the requests after the last response; they are treated as never received."""
         self.closing = True
         rest, self.pending = self.pending, deque()
         for exchange in rest:
@@ -210,7 +223,7 @@
 class HttpServer:
     """Accepts connections on one address.
 
-    :ivar draining: whether each connection closes after its present responses
+    :ivar draining: whether each connection closes after the responses to its pending requests
     """
 
     def __init__(
@@ -236,11 +249,11 @@
         self.timer = self.hub.schedule_call_global(SWEEP_INTERVAL_S, self._sweep)
 
     def address(self) -> tuple[str, int]:
-        """Return the address that the server listens on."""
+        """Return the address on which the server listens, with the actual port."""
         return self.sock.getsockname()
 
     def drain(self) -> None:
-        """Close each connection after its present responses."""
+        """Close each connection after the responses to its pending requests."""
         self.draining = True
 
     def close_idle(self) -> None:
@@ -249,18 +262,18 @@
             connection.close_idle()
 
     def has_unsent(self) -> bool:
-        """Tell whether responses wait for their clients to read."""
+        """Return whether any response has not been passed to the kernel completely."""
         return any(connection.stream.unsent for connection in self.connections)
 
     def close_listener(self) -> None:
-        """Accept no further connections."""
+        """Stop accepting connections."""
         if self.listener is not None:
             self.hub.remove(self.listener)
             self.listener = None
             self.sock.close()
 
     def close(self) -> None:
-        """Stop listening and close all connections."""
+        """Stop accepting connections and close all open ones."""
         self.timer.cancel()
         self.close_listener()
         for connection in list(self.connections):
--- a/almondshore/http/stream.py
+++ b/almondshore/http/stream.py
@@ -1,4 +1,4 @@
-"""Non-blocking TCP streams whose events are delivered by eventlet's hub."""
+"""Non-blocking TCP streams that deliver their events on eventlet's hub."""
 
 import errno
 from abc import ABC, abstractmethod
@@ -11,18 +11,18 @@
 
 socket = patcher.original("socket")
 
-READ_BYTES = 64 * 1024
-# A peer that does not read is cut off once this much waits for it.
-MAX_WRITE_BUFFER = 128 * 1024 * 1024
-# Unacknowledged data is given up after this; links are a few milliseconds long, and a
-# lost packet is sent again within 0.2 s to 0.4 s.
+READ_CHUNK_BYTES = 64 * 1024
+# The connection is closed if the peer reads so slowly that more than this is buffered.
+MAX_WRITE_BUFFER_BYTES = 128 * 1024 * 1024
+# A connection fails if sent data is not acknowledged within this time. Links have a latency of a
+# few milliseconds, and a lost packet is retransmitted within 0.2 s to 0.4 s.
 USER_TIMEOUT_MS = 1500
-# Idle connections are probed, so that a silent partition is noticed within 2 s.
+# Idle connections are probed, so that a network partition is detected within 2 s.
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
 
-_RETRY = frozenset((errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR))
+_RETRYABLE_ERRNOS = frozenset((errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR))
 
 __all__ = [
     "READ",
@@ -36,29 +36,33 @@
 
 
 class StreamHandler(ABC):
-    """Receives the events of a stream, on the hub; it must not block."""
+    """Receives the events of a stream; called on the hub, so its methods must not block."""
 
     @abstractmethod
     def on_data(self, data: bytes) -> None:
-        """Take received bytes."""
+        """Handle received bytes."""
 
     @abstractmethod
     def on_end(self, *, clean: bool) -> None:
-        """Take the end of the stream, once; clean unless it was reset or timed out."""
+        """Handle the end of the stream; called at most once.
+
+        :param clean: whether the peer closed the stream, rather than a reset, timeout or error
+        """
 
     def on_connected(self) -> None:
-        """Take note that an outgoing connection is established."""
+        """Handle the establishment of an outgoing connection."""
         return
 
     def on_drained(self) -> None:
-        """Take note that all buffered bytes were handed to the kernel."""
+        """Handle that all buffered bytes were passed to the kernel."""
         return
 
 
 class Stream:
-    """A connected, or connecting, TCP socket.
+    """A TCP socket that is connected or connecting.
 
-    :ivar unsent: bytes that the kernel has not taken yet
+    :ivar unsent: bytes not yet passed to the kernel
+    :ivar paused: whether reading is paused
     """
 
     def __init__(self, *, sock: socket.socket, handler: StreamHandler, connecting: bool = False):
@@ -78,12 +82,12 @@
             self._watch_read()
 
     def write(self, data: bytes) -> None:
-        """Send bytes, now as far as the kernel takes them and later the rest."""
+        """Send bytes; those that the kernel does not accept at once are buffered."""
         if self.closed:
             return
         if self.unsent or self.connecting:
             self.unsent += data
-            if len(self.unsent) > MAX_WRITE_BUFFER:
+            if len(self.unsent) > MAX_WRITE_BUFFER_BYTES:
                 log_event(
                     "write_buffer_exceeded",
                     level="WARNING",
@@ -95,8 +99,8 @@
         try:
             sent = self.sock.send(data)
         except OSError as error:
-            if error.errno not in _RETRY:
-                # The end is delivered from the hub, so that a caller never sees it reentrantly.
+            if error.errno not in _RETRYABLE_ERRNOS:
+                # on_end is called from the hub, so that it never runs within the caller's write().
                 self.hub.schedule_call_global(0, self._fail, error)
                 return
             sent = 0
@@ -105,30 +109,30 @@
             self._watch_write()
 
     def pause_reading(self) -> None:
-        """Stop delivering received bytes."""
+        """Stop reading, so that received bytes stay in the kernel's buffer."""
         self.paused = True
         if self.reader is not None:
             self.hub.remove(self.reader)
             self.reader = None
 
     def resume_reading(self) -> None:
-        """Deliver received bytes again."""
+        """Start reading again after :meth:`pause_reading`."""
         self.paused = False
         if self.reader is None and not self.closed and not self.connecting:
             self._watch_read()
 
     def finish_writing(self) -> None:
-        """Close the sending side once all bytes are sent."""
+        """Shut down the sending side; to be called only while ``unsent`` is empty."""
         if self.closed:
             return
         try:
             self.sock.shutdown(socket.SHUT_WR)
         except OSError:
-            # The peer is gone already; the end is delivered by the read side.
+            # The peer has disconnected; reading from the socket reports the end.
             return
 
     def close(self) -> None:
-        """Close the socket without delivering its end."""
+        """Close the socket without calling ``on_end``."""
         if self.closed:
             return
         self.closed = True
@@ -155,9 +159,9 @@
         if self.closed or self.paused:
             return
         try:
-            data = self.sock.recv(READ_BYTES)
+            data = self.sock.recv(READ_CHUNK_BYTES)
         except OSError as error:
-            if error.errno not in _RETRY:
+            if error.errno not in _RETRYABLE_ERRNOS:
                 self._fail(error)
             return
         if not data:
@@ -178,15 +182,15 @@
             self._deliver(self.handler.on_connected)
             if self.closed:
                 return
-        self._send_rest()
+        self._send_buffered()
 
-    def _send_rest(self) -> None:
+    def _send_buffered(self) -> None:
         try:
             while self.unsent:
                 sent = self.sock.send(self.unsent)
                 del self.unsent[:sent]
         except OSError as error:
-            if error.errno not in _RETRY:
+            if error.errno not in _RETRYABLE_ERRNOS:
                 self._fail(error)
             return
         self._unwatch_write()
@@ -201,17 +205,17 @@
         self.close()
         self._deliver(self.handler.on_end, clean=clean)
 
-    def _deliver(self, method, *args, **fields) -> None:
-        """Call the handler; an exception in it ends this stream, not the process."""
+    def _deliver(self, method, *args, **kwargs) -> None:
+        """Call a method of the handler; an exception in it closes only this stream."""
         try:
-            method(*args, **fields)
+            method(*args, **kwargs)
         except Exception as error:
             log_event(
                 "stream_handler_failed",
                 level="ERROR",
                 handler=type(self.handler).__name__,
                 error=f"{type(error).__name__}: {error}",
-                place=_place(error),
+                place=_source_location(error),
             )
             if not self.closed:
                 self.close()
@@ -219,14 +223,18 @@
 
 
 def watch(event: str, fileno: int, callback: Callable[[int], None]) -> object:
-    """Have the hub call back whenever a descriptor is ready; returns what to remove from it."""
+    """Call ``callback`` on the hub whenever a file descriptor is ready.
+
+    :param event: ``READ`` or ``WRITE``
+    :return: listener to pass to the hub's ``remove``
+    """
     return hubs.get_hub().add(event, fileno, callback, _ignore, _ignore)
 
 
 def connect_stream(address: tuple[str, int], handler: StreamHandler) -> Stream | OSError:
-    """Start to connect to an address.
+    """Start connecting to an address.
 
-    :returns: the stream, or the error if the connection is refused at once
+    :return: the stream, or the error if connecting fails immediately
     """
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     configure_socket(sock)
@@ -238,7 +246,7 @@
 
 
 def configure_socket(sock: socket.socket) -> None:
-    """Make a socket non-blocking, without delay, and let it notice a dead peer."""
+    """Make a socket non-blocking, disable Nagle's algorithm and detect dead peers."""
     sock.setblocking(False)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
@@ -249,13 +257,13 @@
 
 
 def _ignore(*_args: object) -> None:
-    """Serve as the callbacks that the hub needs for greenlets."""
+    """Fill the hub's callback parameters that are not needed without a greenlet."""
 
 
-def _place(error: Exception) -> str:
-    trace = error.__traceback__
-    while trace is not None and trace.tb_next is not None:
-        trace = trace.tb_next
-    if trace is None:
+def _source_location(error: Exception) -> str:
+    traceback = error.__traceback__
+    while traceback is not None and traceback.tb_next is not None:
+        traceback = traceback.tb_next
+    if traceback is None:
         return "unknown"
-    return f"{trace.tb_frame.f_code.co_filename.rsplit('/', 1)[-1]}:{trace.tb_lineno}"
+    return f"{traceback.tb_frame.f_code.co_filename.rsplit('/', 1)[-1]}:{traceback.tb_lineno}"
--- a/test/http/loopback.py
+++ b/test/http/loopback.py
@@ -1,4 +1,4 @@
-"""Servers and calls on loopback for tests of the HTTP package."""
+"""Loopback servers and client helpers for tests of the HTTP package."""
 
 from datetime import timedelta
 
@@ -14,8 +14,8 @@
 LIMITS = ServerLimits(RequestLimits(4096, 65536), timedelta(seconds=0.6), timedelta(seconds=1.2))
 
 
-class Recorder(ExchangeHandler):
-    """Keeps the exchanges, and answers those it is told to answer at once."""
+class RecordingHandler(ExchangeHandler):
+    """Records exchanges, and responds at once if ``answer`` returns a response."""
 
     def __init__(self, answer=lambda exchange: Response(200, (), exchange.request.target)):
         self.answer = answer
@@ -31,16 +31,16 @@
 
 
 def serve(handler, limits=LIMITS):
-    """Return a server on a free port of loopback."""
+    """Start a server on a free loopback port."""
     return HttpServer(
         clock=SystemClock(), address=("127.0.0.1", 0), handler=handler, limits=lambda: limits
     )
 
 
 class RawServer:
-    """A server that sends scripted bytes, for what no library would send.
+    """A server that sends raw bytes, such as malformed responses.
 
-    :param script: called with each accepted socket in a greenlet of its own
+    :param script: called with each accepted socket in a separate greenlet
     """
 
     def __init__(self, script):
@@ -60,7 +60,10 @@
 
 
 def call(pool, address, data, timeout=2.0, **options):
-    """Make a call and return its result."""
+    """Send a request and wait for its result.
+
+    :param timeout: timeout of the call in seconds
+    """
     done = Event()
     pool.call(address, data, timeout=timedelta(seconds=timeout), on_done=done.send, **options)
     with eventlet.Timeout(timeout + 2):
@@ -72,5 +75,5 @@
 
 
 def open_socket(address):
-    """Return a green client socket."""
+    """Return a client socket that cooperates with eventlet."""
     return eventlet.connect(address)
--- a/test/http/test_client.py
+++ b/test/http/test_client.py
@@ -1,4 +1,4 @@
-"""Tests of HTTP calls against servers that cut, cross, delay and spoil responses."""
+"""Tests of the HTTP client with servers that truncate, mix up, delay or corrupt responses."""
 
 from datetime import timedelta
 
@@ -8,13 +8,13 @@
 from almondshore.http.client import CallFailure
 from almondshore.http.messages import Response, encode_request
 from standins.addresses import own_address
-from test.http.loopback import RawServer, Recorder, call, new_pool, serve
+from test.http.loopback import RawServer, RecordingHandler, call, new_pool, serve
 
 REQUEST = encode_request(b"GET", b"/a", ((b"Host", b"h"),), b"")
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nId: %s\r\n\r\n%s"
 
 
-def is_own(response):
+def has_own_id(response):
     return response.header(b"id") == b"own"
 
 
@@ -39,8 +39,8 @@
         return server.address
 
     def test_connections_are_reused(self):
-        """Guards against a new connection for each request, which targets pay for."""
-        handler = Recorder()
+        """Guards against a new connection for each request, which costs the target time."""
+        handler = RecordingHandler()
         server = serve(handler)
         self.addCleanup(server.close)
         for _ in range(3):
@@ -50,13 +50,13 @@
         self.assertFalse(result.reused)
         self.assertEqual(2, self.pool.opened)
 
-    def test_refused_connection_says_that_nothing_was_sent(self):
-        """Guards against a request that is taken to have run though it was never sent."""
+    def test_refused_connection_is_reported_as_not_sent(self):
+        """Guards against treating a request as possibly executed although it was never sent."""
         result = call(self.pool, own_address(), REQUEST)
         self.assertEqual((CallFailure.NOT_CONNECTED, False), (result.failure, result.sent))
 
-    def test_failures_are_told_apart(self):
-        """Guards against a cut or spoilt response that is delivered as a whole one."""
+    def test_failures_are_distinguished(self):
+        """Guards against delivering a truncated or corrupt response as a complete one."""
         head = b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc"
         cases = {
             CallFailure.CLOSED: (),
@@ -67,25 +67,25 @@
             result = call(self.pool, self.raw(*pieces), REQUEST)
             self.assertEqual((failure, True), (result.failure, result.sent))
 
-    def test_response_of_another_request_is_dropped(self):
-        """Guards against a late response that is delivered to the next caller."""
+    def test_response_to_another_request_is_discarded(self):
+        """Guards against delivering a late response to the next request on the connection."""
         address = self.raw(ANSWER % (b"other", b"x"), ANSWER % (b"own", b"y"), pause=0.02)
-        result = call(self.pool, address, REQUEST, accept=is_own)
+        result = call(self.pool, address, REQUEST, accept=has_own_id)
         self.assertEqual(b"y", result.response.body)
         self.assertEqual({}, self.pool.idle)
 
-    def test_bytes_after_the_response_end_the_connection(self):
-        """Guards against excess bytes that wait on a connection for the next request."""
+    def test_bytes_after_the_response_close_the_connection(self):
+        """Guards against reading excess bytes as the response to the next request."""
         address = self.raw(ANSWER % (b"own", b"x"), b"excess", pause=0.02, end=False)
         self.assertEqual(b"x", call(self.pool, address, REQUEST).response.body)
         eventlet.sleep(0.1)
         self.assertEqual({}, self.pool.idle)
 
-    def test_silent_server_times_out_and_cancel_closes(self):
-        """Guards against a request that is held beyond its time or after its caller left."""
+    def test_silent_server_times_out_and_cancel_closes_connection(self):
+        """Guards against a request that outlives its timeout or its caller."""
         result = call(self.pool, self.raw(end=False), REQUEST, timeout=0.1)
         self.assertEqual(CallFailure.TIMED_OUT, result.failure)
-        handler = Recorder(answer=lambda exchange: None)
+        handler = RecordingHandler(answer=lambda exchange: None)
         server = serve(handler)
         self.addCleanup(server.close)
         pending = self.pool.call(
@@ -96,10 +96,10 @@
         eventlet.sleep(0.05)
         self.assertEqual(1, len(handler.cancelled))
 
-    def test_stated_keep_alive_is_kept(self):
-        """Guards against a request that is sent as the server closes an idle connection."""
-        stated = ((b"Keep-Alive", b"timeout=1"),)
-        server = serve(Recorder(answer=lambda exchange: Response(200, stated)))
+    def test_keep_alive_timeout_of_the_server_is_respected(self):
+        """Guards against sending a request while the server closes the idle connection."""
+        keep_alive = ((b"Keep-Alive", b"timeout=1"),)
+        server = serve(RecordingHandler(answer=lambda exchange: Response(200, keep_alive)))
         self.addCleanup(server.close)
         call(self.pool, server.address(), REQUEST)
         eventlet.sleep(0.02)
--- a/test/http/test_parsing.py
+++ b/test/http/test_parsing.py
@@ -1,4 +1,4 @@
-"""Tests of the HTTP parsers against malformed, split and excess bytes."""
+"""Tests of the HTTP parsers with malformed, split and excess bytes."""
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -16,7 +16,7 @@
 
 
 def feed(parser, data, sizes):
-    """Feed data in pieces of the given sizes, the last one repeated."""
+    """Feed data in pieces of the given sizes, and the rest in one piece."""
     position = 0
     for size in [*sizes, len(data)]:
         parser.feed(data[position : position + size])
@@ -28,8 +28,8 @@
 class RequestParserTest(TestCase):
     @given(st.lists(st.integers(1, 40), max_size=12))
     @settings(max_examples=60, deadline=None)
-    def test_pipelined_requests_are_split_alike_however_they_arrive(self, sizes):
-        """Guards against requests that are lost or merged at the border of a read."""
+    def test_pipelined_requests_are_parsed_alike_for_any_split_into_reads(self, sizes):
+        """Guards against losing or merging requests that are split across reads."""
         parser = RequestParser(limits=LIMITS)
         feed(parser, GET + POST + CHUNKED + GET, sizes)
         found = [(request.method, request.target, request.body) for request in parser.complete]
@@ -39,8 +39,8 @@
         )
         self.assertFalse(parser.is_partial())
 
-    def test_length_and_chunks_together_are_refused(self):
-        """Guards against a request smuggled in the body of another."""
+    def test_content_length_with_chunked_encoding_is_rejected(self):
+        """Guards against request smuggling in the body of another request."""
         parser = RequestParser(limits=LIMITS)
         data = (
             b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -49,8 +49,8 @@
         self.assertRaises(ParseError, parser.feed, data)
         self.assertEqual(0, len(parser.complete))
 
-    def test_limits_have_statuses_of_their_own(self):
-        """Guards against a client that cannot tell what to shorten."""
+    def test_each_limit_has_its_own_status(self):
+        """Guards against a status that does not tell the client which limit it exceeded."""
         cases = {
             431: b"GET / HTTP/1.1\r\nHost: h\r\nX: " + b"a" * 2000 + b"\r\n\r\n",
             413: b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5000\r\n\r\n" + b"a" * 5000,
@@ -63,8 +63,8 @@
 
     @given(st.binary(max_size=300))
     @settings(max_examples=200, deadline=None)
-    def test_arbitrary_bytes_raise_nothing_but_a_parse_error(self, data):
-        """Guards against a client that ends the connection's handler with other errors."""
+    def test_arbitrary_bytes_raise_only_parse_errors(self, data):
+        """Guards against other exceptions, which would fail in the connection's handler."""
         parser = RequestParser(limits=LIMITS)
         try:
             parser.feed(data)
@@ -74,7 +74,7 @@
 
 class ResponseParserTest(TestCase):
     def test_body_without_length_ends_with_the_connection(self):
-        """Guards against a cut response that looks complete."""
+        """Guards against accepting a truncated response as complete."""
         for clean, complete in ((True, 1), (False, 0)):
             parser = ResponseParser()
             parser.feed(b"HTTP/1.1 200 OK\r\n\r\nabc")
@@ -82,8 +82,8 @@
             self.assertEqual(clean, parser.end(clean=clean))
             self.assertEqual(complete, len(parser.complete))
 
-    def test_cut_body_is_not_a_response(self):
-        """Guards against a truncated body that is passed on as a whole one."""
+    def test_truncated_body_is_not_a_response(self):
+        """Guards against forwarding a truncated body as a complete one."""
         for head in (b"Content-Length: 10", b"Transfer-Encoding: chunked"):
             parser = ResponseParser()
             parser.feed(b"HTTP/1.1 200 OK\r\n" + head + b"\r\n\r\n3\r\n")
@@ -91,13 +91,13 @@
             self.assertEqual(0, len(parser.complete))
 
     def test_interim_response_is_skipped(self):
-        """Guards against a 100 response that is taken for the final one."""
+        """Guards against taking a 100 response for the final one."""
         parser = ResponseParser()
         parser.feed(b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n")
         self.assertEqual([204], [response.status for response in parser.complete])
 
-    def test_bytes_after_a_response_form_one_of_their_own(self):
-        """Guards against a second response that is appended to the first."""
+    def test_bytes_after_a_response_are_parsed_as_another_response(self):
+        """Guards against appending a second response to the body of the first."""
         parser = ResponseParser()
         answer = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n"
         parser.feed(answer + b"a" + answer + b"b")
--- a/test/http/test_server.py
+++ b/test/http/test_server.py
@@ -5,7 +5,7 @@
 
 from almondshore.http.messages import Response
 from almondshore.http.server import MAX_PIPELINED, MAX_UNREAD_BYTES
-from test.http.loopback import Recorder, open_socket, serve
+from test.http.loopback import RecordingHandler, open_socket, serve
 
 GET = b"GET /%s HTTP/1.1\r\nHost: h\r\n\r\n"
 
@@ -27,8 +27,8 @@
         return server, sock
 
     def test_pipelined_requests_are_answered_in_order(self):
-        """Guards against a fast answer that overtakes a slow one."""
-        handler = Recorder(answer=lambda exchange: None)
+        """Guards against sending a fast response before an earlier, slower one."""
+        handler = RecordingHandler(answer=lambda exchange: None)
         _, sock = self.start(handler)
         sock.sendall(b"".join(GET % name for name in (b"a", b"b", b"c")))
         eventlet.sleep(0.05)
@@ -38,9 +38,9 @@
         data = sock.recv(65536)
         self.assertTrue(data.index(b"/a") < data.index(b"/b") < data.index(b"/c"))
 
-    def test_client_that_leaves_cancels_its_requests(self):
-        """Guards against work for a caller that is gone."""
-        handler = Recorder(answer=lambda exchange: None)
+    def test_client_disconnect_cancels_its_requests(self):
+        """Guards against work for a client that has disconnected."""
+        handler = RecordingHandler(answer=lambda exchange: None)
         _, sock = self.start(handler)
         sock.sendall(GET % b"a")
         eventlet.sleep(0.05)
@@ -48,17 +48,17 @@
         eventlet.sleep(0.1)
         self.assertEqual(handler.exchanges, handler.cancelled)
 
-    def test_malformed_request_is_answered_after_those_before_it(self):
-        """Guards against a rejection that takes the place of an earlier answer."""
-        _, sock = self.start(Recorder())
+    def test_malformed_request_is_answered_after_earlier_requests(self):
+        """Guards against a rejection that is sent in place of an earlier response."""
+        _, sock = self.start(RecordingHandler())
         sock.sendall(GET % b"a" + b"nonsense\r\n\r\n")
         data = read_until_closed(sock)
         self.assertEqual(1, data.count(b"200 OK"))
         self.assertIn(b"400 Bad Request", data.partition(b"/a")[2])
 
     def test_requests_of_a_client_that_does_not_read_are_held_back(self):
-        """Guards against memory that grows with the responses that nobody reads."""
-        handler = Recorder(answer=lambda _exchange: Response(200, (), b"x" * 20_000))
+        """Guards against unbounded memory for responses that the client does not read."""
+        handler = RecordingHandler(answer=lambda _exchange: Response(200, (), b"x" * 20_000))
         server, sock = self.start(handler)
         sock.sendall(b"".join(GET % b"%d" % number for number in range(1000)))
         eventlet.sleep(0.3)
@@ -71,9 +71,9 @@
         targets = [exchange.request.target for exchange in handler.exchanges]
         self.assertEqual([b"/%d" % number for number in range(1000)], targets)
 
-    def test_malformed_request_behind_many_is_answered_last(self):
-        """Guards against a rejection that takes the place of a request that was held back."""
-        handler = Recorder(answer=lambda exchange: None)
+    def test_malformed_request_after_queued_requests_is_answered_last(self):
+        """Guards against a rejection that is sent in place of a held-back request's response."""
+        handler = RecordingHandler(answer=lambda exchange: None)
         _, sock = self.start(handler)
         count = 2 * MAX_PIPELINED
         sock.sendall(GET % b"a" * count + b"nonsense\r\n\r\n")
@@ -85,17 +85,17 @@
         self.assertEqual(count, data.count(b"200 OK"))
         self.assertIn(b"400 Bad Request", data.rpartition(b"200 OK")[2])
 
-    def test_slow_headers_and_idle_connections_end(self):
-        """Guards against connections that are held open without a request."""
-        _, slow = self.start(Recorder())
+    def test_slow_headers_and_idle_connections_are_closed(self):
+        """Guards against connections that clients keep open without a request."""
+        _, slow = self.start(RecordingHandler())
         slow.sendall(b"GET /a HT")
         self.assertIn(b"408", read_until_closed(slow))
-        _, idle = self.start(Recorder())
+        _, idle = self.start(RecordingHandler())
         self.assertEqual(b"", read_until_closed(idle))
 
     def test_draining_server_closes_after_the_response(self):
-        """Guards against a response that is cut by a shutdown."""
-        handler = Recorder(answer=lambda exchange: None)
+        """Guards against a response that is truncated by a shutdown."""
+        handler = RecordingHandler(answer=lambda exchange: None)
         server, sock = self.start(handler)
         sock.sendall(GET % b"a")
         eventlet.sleep(0.05)
