--- a/almondshore/proxy/caller.py
+++ b/almondshore/proxy/caller.py
@@ -1,4 +1,4 @@
-"""Hop 1: routes the requests of callers to targets on other hosts."""
+"""Hop 1: routes the requests of callers to the nodes of targets."""
 
 import uuid
 from collections.abc import Callable, Iterable, Mapping
@@ -13,15 +13,15 @@
 from almondshore.core.messages import CrashDeath, TargetRecord
 from almondshore.limits.tenants import Limited, TenantLimits
 from almondshore.proxy import headers as names
-from almondshore.proxy.headers import Headers, Problem, first, forwardable, parse_load
+from almondshore.proxy.headers import Headers, Problem, first_value, forwardable, parse_load
 from almondshore.proxy.once import Grant, OnceClient
-from almondshore.proxy.pool import ExchangeFailure, FailureKind, HopPool, Reply
+from almondshore.proxy.pool import ExchangeFailure, ExchangeFailureKind, HopPool, Reply
 from almondshore.proxy.wsgi import (
     NO_TENANT,
     Request,
     StartResponse,
-    identify,
     read_request,
+    request_fingerprint,
     respond,
     respond_failure,
 )
@@ -32,14 +32,15 @@
 from almondshore.routing.table import Match, RouteTable
 from almondshore.rules.model import RequestClass
 
-# Time for the response of hop 2 to travel back after the deadline that hop 2 enforces.
+# Hop 2 enforces the deadline; its response needs this much longer to reach hop 1.
 HOP_MARGIN = timedelta(milliseconds=50)
 
 
 class Routes(NamedTuple):
-    """What a node routes by; replaced as a whole.
+    """Routing configuration of a node; replaced as a whole on each change.
 
-    :ivar weights: share of each version by service
+    :ivar ready: whether a configuration is in effect
+    :ivar weights: share of each version, by service
     """
 
     ready: bool
@@ -48,9 +49,11 @@
 
 
 class Call(NamedTuple):
-    """A request on its way.
+    """An admitted request with its route and limits.
 
-    :ivar outermost: whether no other hop 1 handled the call before
+    :ivar deadline: monotonic time by which the caller needs the response
+    :ivar outermost: whether no other hop 1 has handled the call before this one
+    :ivar fingerprint: identifies the request for idempotency keys and crash quarantine
     """
 
     request_id: str
@@ -64,7 +67,10 @@
 
 
 class FinishedCall(NamedTuple):
-    """A call that has ended, for metrics and logs."""
+    """Summary of a call that has ended, for metrics and logs.
+
+    :ivar latency: time since hop 1 received the request
+    """
 
     service: str
     tenant: str
@@ -77,8 +83,8 @@
 class CallerApp:
     """WSGI application of hop 1.
 
-    :ivar trusted: whether the deadline and attempt headers of callers are taken over; only the
-        listener for the targets on the same host is trusted
+    :ivar trusted: whether to accept the deadline and attempt headers of callers, and not to apply
+        the limits of tenants; set only for the listener for targets on the same host
     """
 
     def __init__(
@@ -118,34 +124,34 @@
             return respond_failure(start_response, failure, request_id, status=request.status)
         call = self._admit(request_id, request, started)
         result = call if isinstance(call, Failure) else self._send_once(call)
-        self._finish(call, request, result, started)
+        self._report_finished(call, request, result, started)
         if isinstance(result, Failure):
             return respond_failure(start_response, result, request_id)
         headers = forwardable(result.headers)
         headers += [
             (name, value)
             for name in (names.OUTCOME, names.VERSION, names.REPLAYED)
-            if (value := first(result.headers, name))
+            if (value := first_value(result.headers, name))
         ]
         headers.append((names.REQUEST_ID, request_id))
         return respond(start_response, result.status, headers, result.body)
 
     def _admit(self, request_id: str, request: Request, started: timedelta) -> Call | Failure:
-        """Check everything that can be decided without a target."""
+        """Apply the checks that need no target, and find the route."""
         routes = self.routes()
         if not routes.ready:
             return make_failure(Reason.NOT_READY, "no configuration is in effect yet")
         match = routes.table.match(request.method, request.path)
         if match is None:
             return make_failure(Reason.NO_ROUTE, "no route matches the method and path")
-        tenant = first(request.headers, names.TENANT) or NO_TENANT
+        tenant = first_value(request.headers, names.TENANT) or NO_TENANT
         if not self.trusted:
             limited = self.tenants.take(tenant)
             if isinstance(limited, Limited):
                 reason = Reason(limited.reason.value)
                 return make_failure(reason, retry_after=limited.retry_after)
-        identity = identify(request)
-        suspected = self.crash_guard.check(identity)
+        fingerprint = request_fingerprint(request)
+        suspected = self.crash_guard.check(fingerprint)
         if suspected is not None:
             return make_failure(Reason.CRASH_SUSPECTED, retry_after=suspected.retry_after)
         return Call(
@@ -153,29 +159,29 @@
             request,
             match,
             tenant,
-            self._class(match),
+            self._request_class(match),
             self._deadline(request, match, started),
-            not (self.trusted and first(request.headers, names.ATTEMPT)),
-            identity,
+            not (self.trusted and first_value(request.headers, names.ATTEMPT)),
+            fingerprint,
         )
 
-    def _class(self, match: Match) -> RequestClass:
-        """Return the class of a call; those between services are at least internal."""
+    def _request_class(self, match: Match) -> RequestClass:
+        """Return the class of a request; calls between services are at least ``INTERNAL``."""
         request_class = RequestClass(match.route["request_class"])
         if self.trusted and request_class is RequestClass.ROUTINE:
             return RequestClass.INTERNAL
         return request_class
 
     def _deadline(self, request: Request, match: Match, started: timedelta) -> timedelta:
-        left = timedelta(milliseconds=match.route["timeout_ms"])
-        given = first(request.headers, names.DEADLINE_MS)
-        if self.trusted and given.isascii() and given.isdecimal():
-            left = min(left, timedelta(milliseconds=int(given)))
-        return started + left
+        remaining = timedelta(milliseconds=match.route["timeout_ms"])
+        deadline_header = first_value(request.headers, names.DEADLINE_MS)
+        if self.trusted and deadline_header.isascii() and deadline_header.isdecimal():
+            remaining = min(remaining, timedelta(milliseconds=int(deadline_header)))
+        return started + remaining
 
     def _send_once(self, call: Call) -> Reply | Failure:
-        """Send a call; one with an idempotency key only with a grant of the key's owner."""
-        key = first(call.request.headers, names.IDEMPOTENCY_KEY)
+        """Send a call; one with an idempotency key needs a grant from the key's owner first."""
+        key = first_value(call.request.headers, names.IDEMPOTENCY_KEY)
         if not (key and call.match.route["once"]):
             return self._send(call)
         grant = self.once_client.claim(
@@ -191,32 +197,32 @@
         return result
 
     def _send(self, call: Call) -> Reply | Failure:
-        """Send a call to targets until one responds or no retry is allowed."""
+        """Try targets until one responds or no further retry is allowed."""
         if call.outermost:
             self.policy.record_first_attempt(call.match.service)
-        tried: list[str] = []
+        tried_targets: list[str] = []
         failure: Failure | None = None
         while True:
-            target = self._choose(call, tried)
+            target = self._choose(call, tried_targets)
             if target is None:
                 return failure or make_failure(Reason.NO_TARGET, "no target takes the request")
-            tried.append(target.target)
-            result = self._attempt(call, target, len(tried) - 1)
+            tried_targets.append(target.target)
+            result = self._attempt(call, target, len(tried_targets) - 1)
             if isinstance(result, Reply):
                 return result
-            failure = _combine(failure, result)
-            delay = self._retry_delay(call, result, len(tried) - 1)
+            failure = _combine_outcomes(failure, result)
+            delay = self._retry_delay(call, result, len(tried_targets) - 1)
             if delay is None:
                 return failure
             eventlet.sleep(delay.total_seconds())
             suspected = self.crash_guard.check(call.fingerprint)
             if suspected is not None:
-                # The earlier attempts may have run, so the refusal takes over their outcome.
+                # An earlier attempt may have run, so the refusal keeps the outcome of the attempts.
                 refusal = make_failure(Reason.CRASH_SUSPECTED, retry_after=suspected.retry_after)
-                return _combine(failure, refusal)
+                return _combine_outcomes(failure, refusal)
 
     def _retry_delay(self, call: Call, failure: Failure, retries: int) -> timedelta | None:
-        """Return the delay before the next attempt, or None if there is none."""
+        """Return the delay before the next attempt, or None if no retry is allowed."""
         idempotent = not call.match.route["once"]
         attempt = Attempt(
             call.match.service, failure, retries, idempotent, call.outermost, call.deadline
@@ -224,37 +230,39 @@
         decision = self.policy.decide(attempt)
         return decision.delay if isinstance(decision, Retry) else None
 
-    def _choose(self, call: Call, tried: list[str]) -> TargetRecord | None:
+    def _choose(self, call: Call, tried_targets: list[str]) -> TargetRecord | None:
         service = call.match.service
-        return self.chooser.choose(service, self.routes().weights.get(service, {}), tried)
+        return self.chooser.choose(service, self.routes().weights.get(service, {}), tried_targets)
 
     def _attempt(self, call: Call, target: TargetRecord, attempt: int) -> Reply | Failure:
-        """Send a call to one target and take in what the exchange says about it."""
-        left = call.deadline - self.clock.monotonic()
-        if left <= timedelta():
+        """Send a call to one target and report the result to the target chooser."""
+        remaining = call.deadline - self.clock.monotonic()
+        if remaining <= timedelta():
             return make_failure(Reason.DEADLINE_PASSED)
         self.chooser.started(target.target)
         exchanged = self.pool.exchange(
             target.address,
             call.request.method,
             call.request.raw_path,
-            self._headers(call, target, left, attempt),
+            self._headers(call, target, remaining, attempt),
             call.request.body,
-            left + HOP_MARGIN,
+            remaining + HOP_MARGIN,
             f"{call.request_id}-{attempt}",
         )
         result = self._interpret(exchanged)
         self.chooser.finished(target.target, _target_result(exchanged, result))
         return result
 
-    def _headers(self, call: Call, target: TargetRecord, left: timedelta, attempt: int) -> Headers:
+    def _headers(
+        self, call: Call, target: TargetRecord, remaining: timedelta, attempt: int
+    ) -> Headers:
         route = call.match.route
         return forwardable(call.request.headers) + names.internal_headers(
             {
                 names.REQUEST_ID: f"{call.request_id}-{attempt}",
                 names.TARGET: target.target,
                 names.CLASS: call.request_class.value,
-                names.DEADLINE_MS: int(left / timedelta(milliseconds=1)),
+                names.DEADLINE_MS: int(remaining / timedelta(milliseconds=1)),
                 names.ATTEMPT: attempt,
                 names.ROUTE: f"{','.join(route['methods'])} {route['path']}",
                 names.ONCE: 1 if route["once"] else None,
@@ -262,35 +270,35 @@
         )
 
     def _interpret(self, exchanged: Reply | ExchangeFailure) -> Reply | Failure:
-        """Turn the exchange with hop 2 into a response or a failure with its true outcome."""
+        """Return the response, or a failure that says whether the request may have run."""
         if isinstance(exchanged, ExchangeFailure):
-            if exchanged.kind is FailureKind.NOT_SENT:
+            if exchanged.kind is ExchangeFailureKind.NOT_SENT:
                 return make_failure(Reason.HOP_UNREACHABLE, exchanged.detail)
-            if exchanged.kind is FailureKind.TIMEOUT and not exchanged.responded:
+            if exchanged.kind is ExchangeFailureKind.TIMEOUT and not exchanged.responded:
                 return make_failure(Reason.TARGET_TIMEOUT, exchanged.detail)
-            if exchanged.kind is FailureKind.MISMATCHED:
+            if exchanged.kind is ExchangeFailureKind.MISMATCHED:
                 return make_failure(Reason.MISMATCHED, exchanged.detail)
             if exchanged.responded:
                 return make_failure(Reason.TRUNCATED, exchanged.detail, outcome=Outcome.UNKNOWN)
             return make_failure(Reason.HOP_LOST, exchanged.detail)
-        self._note_death(exchanged)
-        reason = first(exchanged.headers, names.REASON)
+        self._record_reported_death(exchanged)
+        reason = first_value(exchanged.headers, names.REASON)
         if not reason:
             return exchanged
         try:
-            outcome = Outcome(first(exchanged.headers, names.OUTCOME))
+            outcome = Outcome(first_value(exchanged.headers, names.OUTCOME))
             return make_failure(Reason(reason), outcome=outcome)
         except ValueError:
             return make_failure(Reason.MISMATCHED, "the response of hop 2 is malformed")
 
-    def _note_death(self, exchanged: Reply) -> None:
-        """Count a death that hop 2 saw, before the request is sent to another target."""
-        death = first(exchanged.headers, names.DEATH)
+    def _record_reported_death(self, exchanged: Reply) -> None:
+        """Record a crash that hop 2 reports, before the request is retried on another target."""
+        death = first_value(exchanged.headers, names.DEATH)
         if death:
             with suppress(msgspec.MsgspecError):
                 self.crash_guard.record_death(msgspec.json.decode(death, type=CrashDeath))
 
-    def _finish(
+    def _report_finished(
         self,
         call: Call | Failure,
         request: Request,
@@ -302,7 +310,11 @@
         self.on_finished(
             FinishedCall(
                 call.match.service if admitted else "-",
-                call.tenant if admitted else first(request.headers, names.TENANT) or NO_TENANT,
+                (
+                    call.tenant
+                    if admitted
+                    else first_value(request.headers, names.TENANT) or NO_TENANT
+                ),
                 call.request_class.value if admitted else RequestClass.ROUTINE.value,
                 outcome,
                 result.status,
@@ -314,7 +326,7 @@
 def _target_result(exchanged: Reply | ExchangeFailure, result: Reply | Failure) -> TargetResult:
     if isinstance(exchanged, ExchangeFailure):
         return TargetResult(ResultKind.FAILED)
-    load = parse_load(first(exchanged.headers, names.LOAD))
+    load = parse_load(first_value(exchanged.headers, names.LOAD))
     busy, queued = (load.running, load.queued) if load else (None, None)
     if isinstance(result, Reply):
         kind = ResultKind.OK if result.status < 500 else ResultKind.FAILED
@@ -325,10 +337,11 @@
     return TargetResult(kind, busy, queued)
 
 
-def _combine(earlier: Failure | None, latest: Failure) -> Failure:
-    """Return the latest failure with the outcome of all attempts.
+def _combine_outcomes(earlier: Failure | None, latest: Failure) -> Failure:
+    """Return the latest failure with the combined outcome of all attempts.
 
-    A request that may have run at an earlier attempt is not ``not-run`` because the last one was.
+    If an earlier attempt may have run, the outcome is not ``not-run`` even if the latest attempt
+    did not run.
     """
     if earlier is None or latest.outcome is not Outcome.NOT_RUN:
         return latest
--- a/almondshore/proxy/gate.py
+++ b/almondshore/proxy/gate.py
@@ -1,4 +1,4 @@
-"""Lets green threads wait for a slot of a target."""
+"""Blocking acquisition of a target's slots by green threads."""
 
 from eventlet.event import Event
 
@@ -15,49 +15,53 @@
 
 
 class SlotGate:
-    """Joins a slot queue with the green threads whose requests wait in it."""
+    """Blocks green threads until a slot queue admits or refuses their requests.
+
+    :ivar waiting: events of the queued requests, by request id
+    """
 
     def __init__(self, *, queue: SlotQueue):
         self.queue = queue
         self.waiting: dict[str, Event] = {}
 
-    def enter(self, request: SlotRequest) -> Refused | None:
-        """Wait for a slot.
+    def acquire(self, request: SlotRequest) -> Refused | None:
+        """Acquire a slot, waiting for it if necessary.
 
-        :returns: None once the request has a slot, which :meth:`leave` must free; or the refusal
+        :return: None if the request has a slot, which the caller must :meth:`release`, or the
+            refusal
         """
-        verdict = self.queue.offer(request)
-        if isinstance(verdict, Admitted):
+        result = self.queue.offer(request)
+        if isinstance(result, Admitted):
             return None
-        if isinstance(verdict, Refused):
-            return verdict
+        if isinstance(result, Refused):
+            return result
         event = Event()
         self.waiting[request.request_id] = event
-        self._tell_shed(verdict)
+        self._notify_shed(result)
         return event.wait()
 
-    def leave(self, request_id: str) -> None:
-        """Free the slot of a request and wake those that come next."""
-        self._tell(self.queue.release(request_id))
+    def release(self, request_id: str) -> None:
+        """Release the slot of a request and wake the requests that start or are shed."""
+        self._notify(self.queue.release(request_id))
 
     def expire(self) -> None:
-        """Wake requests whose deadline has passed; call this regularly."""
-        self._tell(self.queue.expire())
+        """Refuse queued requests whose deadline has passed; must be called periodically."""
+        self._notify(self.queue.expire())
 
     def drain(self) -> None:
-        """Refuse new requests from now on."""
+        """Start refusing new requests."""
         self.queue.drain()
 
     def load(self) -> Load:
-        """Return the present load of the target."""
+        """Return the current load of the target."""
         return Load(self.queue.limit(), len(self.queue.running), self.queue.queued)
 
-    def _tell(self, result: DispatchResult) -> None:
-        for request in result.started:
+    def _notify(self, dispatched: DispatchResult) -> None:
+        for request in dispatched.started:
             self.waiting.pop(request.request_id).send(None)
-        self._tell_shed(result)
+        self._notify_shed(dispatched)
 
-    def _tell_shed(self, source: DispatchResult | Queued) -> None:
+    def _notify_shed(self, result: DispatchResult | Queued) -> None:
         item: Shed
-        for item in source.shed:
+        for item in result.shed:
             self.waiting.pop(item.request.request_id).send(item.refused)
--- a/almondshore/proxy/headers.py
+++ b/almondshore/proxy/headers.py
@@ -1,28 +1,28 @@
-"""Header rules of the two proxy hops."""
+"""Names, validation and forwarding of the headers of both proxy hops."""
 
 import re
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
-PREFIX = "x-almondshore-"
-REQUEST_ID = PREFIX + "request-id"
-DEADLINE_MS = PREFIX + "deadline-ms"
-ATTEMPT = PREFIX + "attempt"
-CLASS = PREFIX + "class"
-TENANT_INTERNAL = PREFIX + "tenant"
-TARGET = PREFIX + "target"
-ROUTE = PREFIX + "route"
-ONCE = PREFIX + "once"
-OUTCOME = PREFIX + "outcome"
-REASON = PREFIX + "reason"
-VERSION = PREFIX + "version"
-LOAD = PREFIX + "load"
-DEATH = PREFIX + "death"
-REPLAYED = PREFIX + "replayed"
+INTERNAL_PREFIX = "x-almondshore-"
+REQUEST_ID = INTERNAL_PREFIX + "request-id"
+DEADLINE_MS = INTERNAL_PREFIX + "deadline-ms"
+ATTEMPT = INTERNAL_PREFIX + "attempt"
+CLASS = INTERNAL_PREFIX + "class"
+TENANT_INTERNAL = INTERNAL_PREFIX + "tenant"
+TARGET = INTERNAL_PREFIX + "target"
+ROUTE = INTERNAL_PREFIX + "route"
+ONCE = INTERNAL_PREFIX + "once"
+OUTCOME = INTERNAL_PREFIX + "outcome"
+REASON = INTERNAL_PREFIX + "reason"
+VERSION = INTERNAL_PREFIX + "version"
+LOAD = INTERNAL_PREFIX + "load"
+DEATH = INTERNAL_PREFIX + "death"
+REPLAYED = INTERNAL_PREFIX + "replayed"
 IDEMPOTENCY_KEY = "idempotency-key"
 TENANT = "x-tenant"
 
-# RFC 9110, section 7.6.1, with the older names that servers still send.
+# RFC 9110, section 7.6.1, and obsolete names that servers still send.
 HOP_BY_HOP = frozenset(
     {
         "connection",
@@ -36,21 +36,24 @@
         "upgrade",
     }
 )
-# Computed again by each hop from the body that it sends.
+# Set anew by each hop for the request or response that it sends.
 RECOMPUTED = frozenset({"content-length", "host"})
 
-# RFC 9110, section 5.6.2. A name with a trailing space is read differently by different servers.
+# RFC 9110, section 5.6.2. Servers disagree on how to read a name with a trailing space.
 TOKEN = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 UNSAFE_VALUE = re.compile(r"[\r\n\0]")
 
 MAX_HEADERS = 100
-MAX_KEY_CHARACTERS = 200
+MAX_IDEMPOTENCY_KEY_CHARACTERS = 200
 
 Headers = list[tuple[str, str]]
 
 
 class Problem(NamedTuple):
-    """Why a request is refused before it is routed; ``status`` is an HTTP status code."""
+    """Why a request is refused before it is routed.
+
+    :ivar status: HTTP status code of the response
+    """
 
     status: int
     reason: str
@@ -58,13 +61,14 @@
 
 
 def check_request(headers: Iterable[tuple[str, str]], max_body_bytes: int) -> Problem | None:
-    """Check the headers of a request from outside.
+    """Validate the headers of a received request.
 
-    Requests whose length could be read in two ways are refused, since the next server might
-    read them in the other way and see a second, hidden request.
+    Requests with an ambiguous body length are refused: the next server might interpret the
+    length differently and see a second, smuggled request.
 
     :param headers: header names and values as received
     :param max_body_bytes: largest accepted body
+    :return: the first problem found, or None
     """
     lengths: list[str] = []
     encodings: list[str] = []
@@ -78,9 +82,12 @@
             lengths.append(value.strip())
         elif lowered == "transfer-encoding":
             encodings.append(value.strip().lower())
-        elif lowered == IDEMPOTENCY_KEY and not 0 < len(value.strip()) <= MAX_KEY_CHARACTERS:
-            limit = f"an idempotency key has 1 to {MAX_KEY_CHARACTERS} characters"
-            return Problem(400, "bad-idempotency-key", limit)
+        elif (
+            lowered == IDEMPOTENCY_KEY
+            and not 0 < len(value.strip()) <= MAX_IDEMPOTENCY_KEY_CHARACTERS
+        ):
+            message = f"an idempotency key has 1 to {MAX_IDEMPOTENCY_KEY_CHARACTERS} characters"
+            return Problem(400, "bad-idempotency-key", message)
     if count > MAX_HEADERS:
         return Problem(431, "too-many-headers", f"at most {MAX_HEADERS} headers are accepted")
     return _check_length(lengths, encodings, max_body_bytes)
@@ -99,21 +106,21 @@
         if not (lengths[0].isascii() and lengths[0].isdecimal()):
             return Problem(400, "bad-length", "content-length is not a number")
         if int(lengths[0]) > max_body_bytes:
-            return too_large(max_body_bytes)
+            return body_too_large(max_body_bytes)
     return None
 
 
-def too_large(max_body_bytes: int) -> Problem:
-    """Return the problem of a body above the limit."""
+def body_too_large(max_body_bytes: int) -> Problem:
+    """Return the problem to report for a body above the limit."""
     return Problem(413, "body-too-large", f"a body has at most {max_body_bytes} bytes")
 
 
 def forwardable(headers: Iterable[tuple[str, str]]) -> Headers:
-    """Return the headers that pass through a hop.
+    """Return the headers that a hop forwards, with lower-case names.
 
-    Hop-by-hop headers, those named by ``Connection``, and the internal ones are dropped, so that
-    no one outside can set an internal header. An underscore counts as a hyphen there, since WSGI
-    and CGI servers do not tell them apart.
+    Removes hop-by-hop headers, headers named by ``Connection``, and internal headers, which
+    callers must not be able to set. Internal headers are also recognised with underscores in
+    place of hyphens, since WSGI and CGI servers do not distinguish the two.
     """
     items = [(name.lower(), value.strip()) for name, value in headers]
     named = {
@@ -128,12 +135,15 @@
         if name not in HOP_BY_HOP
         and name not in RECOMPUTED
         and name not in named
-        and not name.replace("_", "-").startswith(PREFIX)
+        and not name.replace("_", "-").startswith(INTERNAL_PREFIX)
     ]
 
 
-def first(headers: Iterable[tuple[str, str]], name: str) -> str:
-    """Return the first value of a header, stripped, or an empty string."""
+def first_value(headers: Iterable[tuple[str, str]], name: str) -> str:
+    """Return the first value of a header, stripped, or an empty string if it is absent.
+
+    :param name: lower-case name
+    """
     for found, value in headers:
         if found.lower() == name:
             return value.strip()
@@ -141,11 +151,11 @@
 
 
 class Load(NamedTuple):
-    """Load of a target as its node reports it on each response.
+    """Load of a target, which its node reports with each response.
 
-    :ivar slots: requests that may run at the same time
-    :ivar running: requests running now
-    :ivar queued: requests waiting for a slot
+    :ivar slots: limit of concurrently running requests
+    :ivar running: number of running requests
+    :ivar queued: number of requests waiting for a slot
     """
 
     slots: int
@@ -159,7 +169,7 @@
 
 
 def parse_load(value: str) -> Load | None:
-    """Parse an ``x-almondshore-load`` header; None if it is absent or malformed."""
+    """Parse an ``x-almondshore-load`` header; return None if it is empty or malformed."""
     fields = value.split("/")
     if len(fields) != 3 or not all(field.isascii() and field.isdecimal() for field in fields):
         return None
@@ -167,5 +177,5 @@
 
 
 def internal_headers(values: Mapping[str, object]) -> Headers:
-    """Return internal headers for a hop; values that are None are left out."""
+    """Return internal headers with the given values; those that are None are omitted."""
     return [(name, str(value)) for name, value in values.items() if value is not None]
--- a/almondshore/proxy/once.py
+++ b/almondshore/proxy/once.py
@@ -1,4 +1,4 @@
-"""At-most-once execution across nodes: grants asked by hop 1 and given by the owner of a key."""
+"""At-most-once execution across nodes: hop 1 requests grants from the owner of a key."""
 
 from collections.abc import Iterable
 from datetime import timedelta
@@ -11,7 +11,7 @@
 from almondshore.core.messages import TargetRecord
 from almondshore.membership.directory import Directory
 from almondshore.proxy import headers as names
-from almondshore.proxy.pool import ExchangeFailure, FailureKind, HopPool, Reply
+from almondshore.proxy.pool import ExchangeFailure, ExchangeFailureKind, HopPool, Reply
 from almondshore.proxy.wsgi import StartResponse, respond
 from almondshore.retries.claims import ClaimBudget, ClaimStore
 from almondshore.retries.once import (
@@ -27,18 +27,20 @@
 from almondshore.retries.ownership import Departure, Ownership
 from almondshore.storage.port import Platform
 
-OPERATION = names.PREFIX + "once-operation"
+OPERATION = names.INTERNAL_PREFIX + "once-operation"
 REPORT_ATTEMPTS = 2
 REPORT_TIMEOUT = timedelta(seconds=1)
-# A claim may wait for the platform once or twice before the request itself is sent.
+# The owner may wait for the platform once or twice before it answers a claim, and the request is
+# sent only afterwards.
 CLAIM_TIMEOUT = timedelta(seconds=5)
+# Maximum number of services for which a node keeps records.
 MAX_SERVICES = 256
 
 
 class ClaimRequest(NamedTuple):
-    """Asks the owner of a key for a grant.
+    """Asks the owner of a key for a grant to run a request.
 
-    :ivar left_ms: time in which the request may still be run, milliseconds
+    :ivar left_ms: time until the deadline of the request, in milliseconds
     """
 
     service: str
@@ -48,14 +50,22 @@
 
 
 class HandoverRequest(NamedTuple):
-    """Asks a node for its records of the keys that the sender owns now."""
+    """Asks a node for its records of the keys that the sender now owns.
+
+    :ivar node: process identity of the sender
+    """
 
     service: str
     node: str
 
 
 class ClaimReply(NamedTuple):
-    """The owner's answer; exactly one of its fields is set."""
+    """The owner's answer to a claim; exactly one field is set.
+
+    :ivar token: token of the grant
+    :ivar replay: stored response of the first run
+    :ivar denied: why the request must not run
+    """
 
     token: int | None = None
     replay: StoredResponse | None = None
@@ -63,7 +73,10 @@
 
 
 class Report(NamedTuple):
-    """Tells the owner how a granted request ended; the response is None if there is none."""
+    """Tells the owner how a granted request ended.
+
+    :ivar response: None if the request has no response
+    """
 
     service: str
     key: str
@@ -73,7 +86,7 @@
 
 
 class Grant(NamedTuple):
-    """A grant held by hop 1."""
+    """Permission for hop 1 to run a request with an idempotency key."""
 
     owner: TargetRecord
     service: str
@@ -82,7 +95,13 @@
 
 
 class OnceOwner:
-    """Keeps the records of the keys that this node owns, for each service it has targets of."""
+    """Keeps the records of the keys that this node owns, for each service with targets here.
+
+    :ivar revision: revision of the directory at the last update of the ownership, or -1 to force
+        an update
+    :ivar pending_marker_reads: services for which the markers of ended processes are still to be
+        read from the platform
+    """
 
     def __init__(
         self,
@@ -96,7 +115,7 @@
         """Create an owner without records.
 
         :param process: incarnation of the node
-        :param platform: platform client for claims, which have a budget of their own
+        :param platform: platform client for claims, which have a separate call budget
         """
         self.clock = clock
         self.node = node
@@ -111,15 +130,18 @@
         self.directory = directory
         self.services: dict[str, OnceRecords] = {}
         self.revision = -1
-        self.unread: set[str] = set()
+        self.pending_marker_reads: set[str] = set()
 
     def claim(self, request: ClaimRequest) -> ClaimReply:
-        """Answer a claim; may wait for the platform."""
+        """Grant, replay or deny a request; may block on the platform."""
         records = self.services.get(request.service)
         if records is None:
             detail = "this node has no target of the service"
             return ClaimReply(denied=make_failure(Reason.KEY_UNPROVEN, detail))
-        if request.service in self.unread and not records.ownership.received_handovers:
+        if (
+            request.service in self.pending_marker_reads
+            and not records.ownership.received_handovers
+        ):
             detail = "the records of earlier owners are not known yet"
             return ClaimReply(denied=make_failure(Reason.KEY_UNPROVEN, detail))
         deadline = self.clock.monotonic() + timedelta(milliseconds=request.left_ms)
@@ -133,7 +155,7 @@
                 return ClaimReply(denied=failure)
 
     def report(self, report: Report) -> None:
-        """Take in how a granted request ended."""
+        """Record how a granted request ended."""
         records = self.services.get(report.service)
         if records is None:
             return
@@ -143,21 +165,21 @@
             records.record_outcome(report.key, report.token, report.outcome)
 
     def hand_over(self, request: HandoverRequest) -> Handover | None:
-        """Return the records of keys that another node owns now; None if it is not known yet."""
+        """Return the records of keys that another node now owns; None if it is no member yet."""
         records = self.services.get(request.service)
         return records.hand_over(request.node) if records is not None else None
 
     def refresh(self, *, platform_up: bool | None, in_contact: bool) -> None:
-        """Bring the ownership of keys in step with the directory and the platform's state.
+        """Update the ownership of keys from the directory and the state of the platform.
 
-        :param platform_up: whether the platform answers; None if that is not known yet, which must
-            not be taken for an outage: keys of the last process would count as doubtful
+        :param platform_up: whether the platform responds, or None if not known yet. Unknown must
+            not count as an outage, which would make the keys of the previous process doubtful.
         :param in_contact: whether a relay has answered this node since the last call
         """
         for service in self.directory.services_of(self.node):
             if service not in self.services and len(self.services) < MAX_SERVICES:
                 self.services[service] = self._new_records()
-                self.unread.add(service)
+                self.pending_marker_reads.add(service)
                 self.revision = -1
         changed = self.revision != self.directory.revision
         self.revision = self.directory.revision
@@ -167,33 +189,34 @@
             if in_contact:
                 records.ownership.note_contact()
             if changed:
-                records.ownership.update(members_of(self.directory, service))
+                records.ownership.update(member_identities(self.directory, service))
 
     def note_rejoin(self) -> None:
-        """Note that other nodes had declared this one dead."""
+        """Record that other nodes had declared this node dead."""
         for records in self.services.values():
             records.ownership.note_rejoin()
 
     def tick(self) -> None:
-        """Write deferred claims; waits for the platform."""
-        if self.unread:
+        """Write deferred claims and read pending markers; blocks on the platform."""
+        if self.pending_marker_reads:
             self._read_markers()
         for records in list(self.services.values()):
             records.tick()
 
     def _read_markers(self) -> None:
-        """Learn which processes died while they held runs without a claim.
+        """Read which processes died while requests ran without a claim on the platform.
 
-        Without it, the only owner of a service would run their keys again after its restart.
+        Otherwise a node that is the only owner of a service would, after a restart, run requests
+        with their keys a second time.
         """
         marked = self.claims.marked_nodes()
         if marked is None:
             return
-        for service in list(self.unread):
-            live = members_of(self.directory, service) | {self.identity}
+        for service in list(self.pending_marker_reads):
+            live = member_identities(self.directory, service) | {self.identity}
             for name in set(marked) - live:
                 self.services[service].ownership.note_departure(Departure(name, 0, True))
-            self.unread.discard(service)
+            self.pending_marker_reads.discard(service)
 
     def _new_records(self) -> OnceRecords:
         return OnceRecords(
@@ -204,7 +227,7 @@
 
 
 class OnceApp:
-    """The owner's operations as requests to the hop 2 listener."""
+    """Serves the owner's operations on the listener of hop 2."""
 
     def __init__(self, *, owner: OnceOwner):
         self.owner = owner
@@ -229,7 +252,7 @@
 
 
 class OnceClient:
-    """Asks the owner of a key for a grant and reports how the request ended."""
+    """Requests grants from the owners of keys and reports how the requests ended."""
 
     def __init__(
         self, *, clock: Clock, identity: str, directory: Directory, owner: OnceOwner, pool: HopPool
@@ -243,34 +266,35 @@
     def claim(
         self, service: str, tenant: str, key: str, fingerprint: int, deadline: timedelta
     ) -> Grant | Reply | Failure:
-        """Ask for a grant.
+        """Request a grant from the owner of a key.
 
         :param key: the caller's idempotency key
-        :returns: the grant, the first response if the request has run, or why it must not run
+        :return: the grant; the stored response if the request has already run; or the reason why
+            it must not run
         """
-        name = key_hash(service, tenant, key)
-        record = self._owner_of(service, name)
+        hashed_key = key_hash(service, tenant, key)
+        record = self._owner_of(service, hashed_key)
         if record is None:
             return make_failure(Reason.NO_TARGET, "no node keeps records of the service")
         left_ms = int((deadline - self.clock.monotonic()) / timedelta(milliseconds=1))
         if left_ms <= 0:
             return make_failure(Reason.DEADLINE_PASSED)
-        reply = self._ask(record, ClaimRequest(service, name, fingerprint, left_ms))
+        reply = self._send_claim(record, ClaimRequest(service, hashed_key, fingerprint, left_ms))
         if isinstance(reply, Failure):
             return reply
         if reply.denied is not None:
             return reply.denied
         if reply.replay is not None:
-            return _replayed(reply.replay)
-        return Grant(record, service, name, reply.token or 0)
+            return _make_replay(reply.replay)
+        return Grant(record, service, hashed_key, reply.token or 0)
 
     def report(self, grant: Grant, result: Reply | Failure) -> None:
-        """Tell the owner how the request ended.
+        """Report to the owner how the request ended.
 
-        If the report is lost, the record becomes ``unknown`` and the key is never run again.
+        If the report is lost, the record becomes ``unknown`` and the key never runs again.
         """
-        report = _report_of(grant, result)
-        if keeper_of(grant.owner) == self.identity:
+        report = _make_report(grant, result)
+        if member_identity(grant.owner) == self.identity:
             self.owner.report(report)
             return
         for _ in range(REPORT_ATTEMPTS):
@@ -279,33 +303,35 @@
                 return
 
     def fetch_handovers(self) -> None:
-        """Take over the records of this node's keys from nodes that owned them before."""
+        """Fetch the records of this node's keys from the nodes that owned the keys before."""
         for service, records in list(self.owner.services.items()):
-            live = {keeper_of(record): record for record in self.directory.of_service(service)}
+            live = {
+                member_identity(record): record for record in self.directory.of_service(service)
+            }
             for node in sorted(records.ownership.awaiting_handover & live.keys()):
                 request = HandoverRequest(service, self.identity)
                 reply = self._exchange(live[node], "handover", request, CLAIM_TIMEOUT)
                 if not isinstance(reply, Reply):
                     continue
                 handover = msgspec.msgpack.decode(reply.body, type=Handover | None)
-                # A restarted node answers at the address of the process before it.
+                # After a restart, another process may answer at the same address.
                 if handover is not None and handover.sender == node:
                     records.take_over(handover)
 
     def _owner_of(self, service: str, key: str) -> TargetRecord | None:
-        members = {keeper_of(record): record for record in self.directory.of_service(service)}
+        members = {member_identity(record): record for record in self.directory.of_service(service)}
         chosen = rendezvous.choose(key, members)
         return members[chosen] if chosen is not None else None
 
-    def _ask(self, record: TargetRecord, request: ClaimRequest) -> ClaimReply | Failure:
-        if keeper_of(record) == self.identity:
+    def _send_claim(self, record: TargetRecord, request: ClaimRequest) -> ClaimReply | Failure:
+        if member_identity(record) == self.identity:
             return self.owner.claim(request)
         reply = self._exchange(record, "claim", request, CLAIM_TIMEOUT)
         if isinstance(reply, ExchangeFailure):
-            # Without the owner's answer it is not known whether an earlier attempt has run.
+            # Without the owner's answer it is unknown whether an earlier attempt has run.
             outcome = Outcome.UNKNOWN
             reason = Reason.HOP_LOST
-            if reply.kind is FailureKind.NOT_SENT:
+            if reply.kind is ExchangeFailureKind.NOT_SENT:
                 reason = Reason.KEY_UNPROVEN
             return make_failure(reason, reply.detail, outcome=outcome)
         try:
@@ -329,27 +355,27 @@
 def process_identity(node: str, process: int) -> str:
     """Return the identity under which a process keeps records.
 
-    A restarted node is another keeper than the process before it, whose records are lost.
+    It differs from that of the node's previous process, whose records are lost.
     """
     return f"{node}/{process}"
 
 
-def keeper_of(record: TargetRecord) -> str:
-    """Return the identity of the process that keeps records beside a target."""
+def member_identity(record: TargetRecord) -> str:
+    """Return the identity of the node process that keeps records for a target."""
     return process_identity(record.node, record.process)
 
 
-def members_of(directory: Directory, service: str) -> set[str]:
-    """Return the nodes that keep records of a service's keys."""
-    return {keeper_of(record) for record in directory.of_service(service)}
+def member_identities(directory: Directory, service: str) -> set[str]:
+    """Return the identities of the processes that keep records of a service's keys."""
+    return {member_identity(record) for record in directory.of_service(service)}
 
 
-def _replayed(response: StoredResponse) -> Reply:
+def _make_replay(response: StoredResponse) -> Reply:
     headers = [*response.headers, (names.OUTCOME, Outcome.RUN.value), (names.REPLAYED, "1")]
     return Reply(response.status, headers, response.body)
 
 
-def _report_of(grant: Grant, result: Reply | Failure) -> Report:
+def _make_report(grant: Grant, result: Reply | Failure) -> Report:
     if isinstance(result, Failure):
         return Report(grant.service, grant.key, grant.token, result.outcome, None)
     response = StoredResponse(result.status, tuple(names.forwardable(result.headers)), result.body)
--- a/almondshore/proxy/pool.py
+++ b/almondshore/proxy/pool.py
@@ -1,4 +1,4 @@
-"""HTTP connections from one hop to the next."""
+"""Pooled HTTP connections to the next hop."""
 
 import socket
 import time
@@ -21,18 +21,18 @@
 READ_CHUNK_BYTES = 64 * 1024
 
 
-class FailureKind(Enum):
-    """How an exchange with the next hop failed."""
+class ExchangeFailureKind(Enum):
+    """Why an exchange with the next hop failed."""
 
     NOT_SENT = "not-sent"
     TIMEOUT = "timeout"
-    CUT = "cut"
+    CONNECTION_LOST = "cut"
     TOO_LARGE = "too-large"
     MISMATCHED = "mismatched"
 
 
 class Reply(NamedTuple):
-    """A whole response of the next hop."""
+    """A complete response of the next hop."""
 
     status: int
     headers: Headers
@@ -40,22 +40,22 @@
 
 
 class ExchangeFailure(NamedTuple):
-    """A failed exchange.
+    """A request without a complete response.
 
-    :ivar kind: ``NOT_SENT`` is only used if no byte of the request was sent
-    :ivar responded: whether the next hop had begun to respond, hence had run the request
+    :ivar kind: ``NOT_SENT`` only if no byte of the request was sent
+    :ivar responded: whether the next hop had begun to respond and hence had run the request
     """
 
-    kind: FailureKind
+    kind: ExchangeFailureKind
     responded: bool
     detail: str
 
 
 class HopPool:
-    """Keeps connections to the next hops and exchanges whole requests and responses.
+    """Pools connections to the next hops and exchanges complete requests and responses.
 
-    A connection goes back to the pool only after its response was read to the end, so that a
-    later request never sees bytes of an earlier response.
+    A connection returns to the pool only after its response was read to the end, so that a later
+    request never receives bytes of an earlier response.
     """
 
     def __init__(
@@ -82,15 +82,15 @@
         timeout: timedelta,
         request_id: str = "",
     ) -> Reply | ExchangeFailure:
-        """Send a request and read its whole response within the timeout.
+        """Send a request and read its complete response within the timeout.
 
         :param address: ``ip:port`` of the next hop
-        :param path: path with query, as it is sent
-        :param request_id: id that the response must carry if it is not empty. If it carries another
-            one, its connection is closed, since the next responses on it would be crossed too.
+        :param path: path with query, as sent
+        :param request_id: id that the response must carry, unless empty. After a response with
+            another id the connection is closed, since later ones would be mismatched too.
         """
         seconds = timeout.total_seconds()
-        give_up_at = time.monotonic() + seconds
+        deadline = time.monotonic() + seconds
         try:
             host, _, port = address.rpartition(":")
             response = self.manager.connection_from_host(host, int(port)).urlopen(
@@ -108,19 +108,22 @@
                 assert_same_host=False,
             )
         except (NewConnectionError, ConnectTimeoutError) as error:
-            return ExchangeFailure(FailureKind.NOT_SENT, False, str(error))
+            return ExchangeFailure(ExchangeFailureKind.NOT_SENT, False, str(error))
         except ReadTimeoutError as error:
-            return ExchangeFailure(FailureKind.TIMEOUT, False, str(error))
+            return ExchangeFailure(ExchangeFailureKind.TIMEOUT, False, str(error))
         except (HTTPError, OSError) as error:
-            return ExchangeFailure(FailureKind.CUT, False, str(error))
+            return ExchangeFailure(ExchangeFailureKind.CONNECTION_LOST, False, str(error))
         if request_id and response.headers.get(REQUEST_ID) != request_id:
             response.close()
             detail = "the response belongs to another request"
-            return ExchangeFailure(FailureKind.MISMATCHED, True, detail)
-        return self._read(response, lambda: time.monotonic() > give_up_at)
+            return ExchangeFailure(ExchangeFailureKind.MISMATCHED, True, detail)
+        return self._read_response(response, lambda: time.monotonic() > deadline)
 
     def is_listening(self, address: str) -> bool:
-        """Return whether something accepts connections at an address now."""
+        """Return whether a server accepts connections at an address.
+
+        Only a refused connection counts as no; after another error, a server may still listen.
+        """
         host, _, port = address.rpartition(":")
         try:
             connection = socket.create_connection(
@@ -133,8 +136,8 @@
         connection.close()
         return True
 
-    def _read(
-        self, response: urllib3.BaseHTTPResponse, expired: Callable[[], bool]
+    def _read_response(
+        self, response: urllib3.BaseHTTPResponse, is_expired: Callable[[], bool]
     ) -> Reply | ExchangeFailure:
         chunks: list[bytes] = []
         size = 0
@@ -145,15 +148,15 @@
                 size += len(chunk)
                 if size > self.max_response_bytes:
                     detail = f"the response has more than {self.max_response_bytes} bytes"
-                    failure = ExchangeFailure(FailureKind.TOO_LARGE, True, detail)
+                    failure = ExchangeFailure(ExchangeFailureKind.TOO_LARGE, True, detail)
                     break
-                if expired():
-                    failure = ExchangeFailure(FailureKind.TIMEOUT, True, "deadline passed")
+                if is_expired():
+                    failure = ExchangeFailure(ExchangeFailureKind.TIMEOUT, True, "deadline passed")
                     break
         except ReadTimeoutError as error:
-            failure = ExchangeFailure(FailureKind.TIMEOUT, True, str(error))
+            failure = ExchangeFailure(ExchangeFailureKind.TIMEOUT, True, str(error))
         except (IncompleteRead, HTTPError, OSError) as error:
-            failure = ExchangeFailure(FailureKind.CUT, True, str(error))
+            failure = ExchangeFailure(ExchangeFailureKind.CONNECTION_LOST, True, str(error))
         if failure is not None:
             response.close()
             return failure
--- a/almondshore/proxy/serving.py
+++ b/almondshore/proxy/serving.py
@@ -1,4 +1,4 @@
-"""HTTP serving of the hops: requests in flight, and connections that must not be used again."""
+"""WSGI server of the hops: counts requests in flight and closes connections after refusals."""
 
 import errno
 import socket
@@ -14,19 +14,20 @@
 from almondshore.proxy.wsgi import CLOSE_CONNECTION, MALFORMED_HEADERS
 
 IN_FLIGHT = "almondshore.in_flight"
-# Time in which the rest of a refused request is read, so that the reset of the connection does
-# not reach the caller before the response does.
-LINGER = timedelta(seconds=2)
-READ_BYTES = 64 * 1024
+# After a refusal, the rest of the request is read for this long: closing the connection earlier
+# would reset it, and the reset could overtake the response.
+LINGER_TIMEOUT = timedelta(seconds=2)
+READ_CHUNK_BYTES = 64 * 1024
 MAX_CONNECTIONS = 4096
-CLOSED_LISTENER = frozenset({errno.EINVAL, errno.EBADF})
+# Errors of accept() after the listener was shut down.
+CLOSED_LISTENER_ERRNOS = frozenset({errno.EINVAL, errno.EBADF})
 SOCKET_TIMEOUT = timedelta(seconds=60)
 
 
 class InFlightRequests:
-    """Counts requests until their response is written.
+    """Counts requests whose response has not been written.
 
-    :ivar closing: whether each connection is closed after its response
+    :ivar closing: whether to close each connection after its current response
     """
 
     def __init__(self):
@@ -35,12 +36,12 @@
 
 
 class HopProtocol(eventlet.wsgi.HttpProtocol):
-    """Closes a connection whose request was refused, and counts requests in flight."""
+    """Counts requests in flight and closes the connection after a refused request."""
 
     def handle_one_response(self) -> None:
-        """Answer one request."""
+        """Handle one request and count it as in flight meanwhile."""
         in_flight: InFlightRequests = self.environ[IN_FLIGHT]
-        self.environ[CLOSE_CONNECTION] = self._refuse
+        self.environ[CLOSE_CONNECTION] = self._close_after_response
         self.environ[MALFORMED_HEADERS] = bool(self.headers.defects)
         self.refused = False
         if in_flight.closing:
@@ -53,16 +54,16 @@
         if self.refused:
             self._linger()
 
-    def _refuse(self) -> None:
-        """Close the connection after this response: what follows is not a request."""
+    def _close_after_response(self) -> None:
+        """Close the connection after this response, as the next bytes may not be a request."""
         self.refused = True
         self.close_connection = 1
 
     def _linger(self) -> None:
         try:
             self.connection.shutdown(socket.SHUT_WR)
-            with eventlet.Timeout(LINGER.total_seconds(), False):
-                while self.connection.recv(READ_BYTES):
+            with eventlet.Timeout(LINGER_TIMEOUT.total_seconds(), False):
+                while self.connection.recv(READ_CHUNK_BYTES):
                     pass
         except OSError:
             pass
@@ -72,8 +73,8 @@
     """Serve a WSGI application in the background.
 
     :param address: ``ip:port`` to listen on
-    :raises ListenError: if the address cannot be opened
-    :returns: the listener; once it is shut down, no connection is accepted
+    :raises ListenError: if the address cannot be bound
+    :return: the listener; shut it down to stop accepting connections
     """
     host, port = parse_address(address)
     family = socket.AF_INET6 if host.version == 6 else socket.AF_INET
@@ -88,7 +89,7 @@
 def _serve_until_closed(
     listener: socket.socket, app: Callable, in_flight: InFlightRequests
 ) -> None:
-    """Serve until the listener is shut down; idle connections are closed then."""
+    """Serve until the listener is shut down, and then close idle connections."""
     try:
         eventlet.wsgi.server(
             listener,
@@ -101,5 +102,5 @@
             socket_timeout=SOCKET_TIMEOUT.total_seconds(),
         )
     except OSError as error:
-        if error.errno not in CLOSED_LISTENER:
+        if error.errno not in CLOSED_LISTENER_ERRNOS:
             raise
--- a/almondshore/proxy/target.py
+++ b/almondshore/proxy/target.py
@@ -1,4 +1,4 @@
-"""Hop 2: admits requests to the targets beside this node and hands them over."""
+"""Hop 2: admits requests to the targets on the same host and forwards them."""
 
 from collections.abc import Callable, Iterable, Mapping
 from datetime import timedelta
@@ -11,15 +11,15 @@
 from almondshore.limits.admission import RefusalReason, Refused, SlotRequest
 from almondshore.proxy import headers as names
 from almondshore.proxy.gate import SlotGate
-from almondshore.proxy.headers import Headers, Problem, first, format_load, forwardable
+from almondshore.proxy.headers import Headers, Problem, first_value, format_load, forwardable
 from almondshore.proxy.once import OPERATION as ONCE_OPERATION
 from almondshore.proxy.once import OnceApp
-from almondshore.proxy.pool import ExchangeFailure, FailureKind, HopPool, Reply
+from almondshore.proxy.pool import ExchangeFailure, ExchangeFailureKind, HopPool, Reply
 from almondshore.proxy.wsgi import (
     Request,
     StartResponse,
-    identify,
     read_request,
+    request_fingerprint,
     respond,
     respond_failure,
 )
@@ -27,7 +27,7 @@
 from almondshore.retries.outcome import Failure, Outcome, Reason, make_failure
 from almondshore.rules.model import RequestClass
 
-REFUSALS = {
+REFUSAL_REASONS = {
     RefusalReason.OVERLOADED: Reason.OVERLOADED,
     RefusalReason.DEADLINE: Reason.DEADLINE_PASSED,
     RefusalReason.DRAINING: Reason.DRAINING,
@@ -36,10 +36,10 @@
 
 
 class Endpoint(NamedTuple):
-    """A target beside this node.
+    """A target on the same host as this node.
 
-    :ivar address: address of the target itself, which only this node uses
-    :ivar incarnation: incarnation of its record when it was first announced
+    :ivar address: address of the target process, to which only this node connects
+    :ivar incarnation: incarnation of the target's record when it was first announced
     """
 
     target: str
@@ -50,8 +50,11 @@
     incarnation: int = 0
 
 
-class Hop(NamedTuple):
-    """What hop 1 says about a request."""
+class HopMetadata(NamedTuple):
+    """Internal headers of hop 1 for a request.
+
+    :ivar deadline: monotonic time, computed on receipt from the remaining milliseconds
+    """
 
     request_id: str
     target: str
@@ -62,11 +65,11 @@
 
 
 class RunResult(NamedTuple):
-    """What a hand-over to a target says about its version.
+    """Result of running a request on a target, as evidence about the target's version.
 
-    :ivar ok: whether the target responded with a whole response below status 500
-    :ivar latency: time from the hand-over to the end of the response
-    :ivar broken: whether the target closed the connection before a whole response
+    :ivar ok: whether the target sent a complete response with a status below 500
+    :ivar latency: time from forwarding the request to the end of the response
+    :ivar broken: whether the connection was lost before the response was complete
     """
 
     service: str
@@ -77,10 +80,10 @@
     broken: bool = False
 
 
-class Ended(NamedTuple):
-    """How a request ended at its target.
+class ForwardResult(NamedTuple):
+    """Result of a request at its target.
 
-    :ivar death: set if the target died while it ran the request
+    :ivar death: set if the target died while running the request
     """
 
     result: Reply | Failure
@@ -90,7 +93,7 @@
 class TargetApp:
     """WSGI application of hop 2.
 
-    Only this hop hands requests to a target, so it alone knows whether one was handed over.
+    Only this hop connects to the targets, so only it knows whether a target received a request.
     """
 
     def __init__(
@@ -115,15 +118,15 @@
         self.on_death = on_death
 
     def __call__(self, environ: dict, start_response: StartResponse) -> Iterable[bytes]:
-        """Answer a request of hop 1."""
+        """Handle a request from hop 1."""
         request = read_request(environ, self.max_body_bytes)
         if isinstance(request, Problem):
             failure = make_failure(Reason.BAD_REQUEST, request.message)
             return respond_failure(start_response, failure, "", status=request.status)
-        operation = first(request.headers, ONCE_OPERATION)
+        operation = first_value(request.headers, ONCE_OPERATION)
         if operation:
             return self.once_app(operation, request.body, start_response)
-        hop = self._read_hop(request.headers)
+        hop = self._read_hop_metadata(request.headers)
         if hop is None:
             failure = make_failure(Reason.BAD_REQUEST, "internal headers are missing or malformed")
             return respond_failure(start_response, failure, "")
@@ -132,112 +135,128 @@
             failure = make_failure(Reason.TARGET_UNREACHABLE, "the target is not on this host")
             return respond_failure(start_response, failure, hop.request_id)
         result, death = self._run(endpoint, hop, request)
-        reported = [
+        report_headers = [
             (names.LOAD, format_load(endpoint.gate.load())),
             (names.VERSION, endpoint.version),
         ]
         if death is not None:
-            reported.append((names.DEATH, msgspec.json.encode(death).decode()))
+            report_headers.append((names.DEATH, msgspec.json.encode(death).decode()))
         if isinstance(result, Failure):
-            return respond_failure(start_response, result, hop.request_id, reported)
+            return respond_failure(start_response, result, hop.request_id, report_headers)
         headers = forwardable(result.headers)
         headers += [(names.OUTCOME, Outcome.RUN.value), (names.REQUEST_ID, hop.request_id)]
-        return respond(start_response, result.status, headers + reported, result.body)
+        return respond(start_response, result.status, headers + report_headers, result.body)
 
-    def _read_hop(self, headers: Headers) -> Hop | None:
-        request_id, target = first(headers, names.REQUEST_ID), first(headers, names.TARGET)
-        left = first(headers, names.DEADLINE_MS)
+    def _read_hop_metadata(self, headers: Headers) -> HopMetadata | None:
+        request_id, target = (
+            first_value(headers, names.REQUEST_ID),
+            first_value(headers, names.TARGET),
+        )
+        deadline_header = first_value(headers, names.DEADLINE_MS)
         try:
-            request_class = RequestClass(first(headers, names.CLASS))
+            request_class = RequestClass(first_value(headers, names.CLASS))
         except ValueError:
             return None
-        if not (request_id and target and left.isascii() and left.isdecimal()):
+        if not (
+            request_id and target and deadline_header.isascii() and deadline_header.isdecimal()
+        ):
             return None
-        deadline = self.clock.monotonic() + timedelta(milliseconds=int(left))
-        attempt, route = first(headers, names.ATTEMPT), first(headers, names.ROUTE)
-        return Hop(request_id, target, request_class, deadline, attempt, route)
+        deadline = self.clock.monotonic() + timedelta(milliseconds=int(deadline_header))
+        attempt, route = first_value(headers, names.ATTEMPT), first_value(headers, names.ROUTE)
+        return HopMetadata(request_id, target, request_class, deadline, attempt, route)
 
-    def _run(self, endpoint: Endpoint, hop: Hop, request: Request) -> Ended:
-        slot = SlotRequest(hop.request_id, hop.request_class, hop.deadline, hop.route)
-        refused = endpoint.gate.enter(slot)
+    def _run(self, endpoint: Endpoint, hop: HopMetadata, request: Request) -> ForwardResult:
+        slot_request = SlotRequest(hop.request_id, hop.request_class, hop.deadline, hop.route)
+        refused = endpoint.gate.acquire(slot_request)
         if isinstance(refused, Refused):
-            failure = make_failure(REFUSALS[refused.reason], retry_after=refused.retry_after)
-            return Ended(failure)
+            failure = make_failure(REFUSAL_REASONS[refused.reason], retry_after=refused.retry_after)
+            return ForwardResult(failure)
         try:
-            return self._hand_over(endpoint, hop, request)
+            return self._forward(endpoint, hop, request)
         finally:
-            endpoint.gate.leave(hop.request_id)
+            endpoint.gate.release(hop.request_id)
 
-    def _hand_over(self, endpoint: Endpoint, hop: Hop, request: Request) -> Ended:
+    def _forward(self, endpoint: Endpoint, hop: HopMetadata, request: Request) -> ForwardResult:
         started = self.clock.monotonic()
-        left = hop.deadline - started
-        if left <= timedelta():
-            return Ended(make_failure(Reason.DEADLINE_PASSED))
+        remaining = hop.deadline - started
+        if remaining <= timedelta():
+            return ForwardResult(make_failure(Reason.DEADLINE_PASSED))
         result = self.pool.exchange(
             endpoint.address,
             request.method,
             request.raw_path,
-            self._headers(hop, request, left),
+            self._headers(hop, request, remaining),
             request.body,
-            left,
+            remaining,
         )
         if isinstance(result, ExchangeFailure):
-            return self._failed(endpoint, hop, request, started, result)
-        self.crash_guard.record_completion(identify(request))
-        if first(result.headers, names.OUTCOME) == Outcome.NOT_RUN.value:
-            return Ended(make_failure(Reason.OVERLOADED, "the target refused the request"))
-        self._report(endpoint, hop, started, ok=result.status < 500)
-        return Ended(result)
-
-    def _failed(
+            return self._handle_failure(endpoint, hop, request, started, result)
+        self.crash_guard.record_completion(request_fingerprint(request))
+        if first_value(result.headers, names.OUTCOME) == Outcome.NOT_RUN.value:
+            return ForwardResult(make_failure(Reason.OVERLOADED, "the target refused the request"))
+        self._report_run(endpoint, hop, started, ok=result.status < 500)
+        return ForwardResult(result)
+
+    def _handle_failure(
         self,
         endpoint: Endpoint,
-        hop: Hop,
+        hop: HopMetadata,
         request: Request,
         started: timedelta,
         result: ExchangeFailure,
-    ) -> Ended:
-        """Account a failed hand-over to the version, or to a request that crashes its targets."""
+    ) -> ForwardResult:
+        """Record a failed attempt to run a request.
+
+        A lost connection to a target that no longer listens is reported as the target's death. The
+        failure counts against the version unless the target was unreachable or the request was
+        quarantined for crashing targets.
+        """
         failure = _exchange_failure(result)
         if failure.reason is Reason.TARGET_UNREACHABLE:
-            return Ended(failure)
-        broken = result.kind is FailureKind.CUT
-        identity = identify(request)
+            return ForwardResult(failure)
+        broken = result.kind is ExchangeFailureKind.CONNECTION_LOST
+        fingerprint = request_fingerprint(request)
         death = None
         if broken and not self.pool.is_listening(endpoint.address):
-            death = self._death(endpoint, identity, started)
+            death = self._make_death(endpoint, fingerprint, started)
             self.on_death(death)
-        if not self.crash_guard.was_quarantined(identity):
-            self._report(endpoint, hop, started, ok=False, broken=broken)
-        return Ended(failure, death)
+        if not self.crash_guard.was_quarantined(fingerprint):
+            self._report_run(endpoint, hop, started, ok=False, broken=broken)
+        return ForwardResult(failure, death)
 
-    def _death(self, endpoint: Endpoint, identity: int, started: timedelta) -> CrashDeath:
+    def _make_death(self, endpoint: Endpoint, fingerprint: int, started: timedelta) -> CrashDeath:
         ended_ms = int(self.clock.now().timestamp() * 1000)
         run_ms = int((self.clock.monotonic() - started) / timedelta(milliseconds=1))
         return CrashDeath(
-            identity, endpoint.target, endpoint.incarnation, ended_ms - run_ms, ended_ms
+            fingerprint, endpoint.target, endpoint.incarnation, ended_ms - run_ms, ended_ms
         )
 
-    def _headers(self, hop: Hop, request: Request, left: timedelta) -> Headers:
-        """Return the headers for the target, which passes the internal ones on to inner calls."""
+    def _headers(self, hop: HopMetadata, request: Request, remaining: timedelta) -> Headers:
+        """Return the headers for the target, which copies the internal ones to its own calls."""
         return forwardable(request.headers) + [
             (names.REQUEST_ID, hop.request_id),
-            (names.DEADLINE_MS, str(int(left / timedelta(milliseconds=1)))),
+            (names.DEADLINE_MS, str(int(remaining / timedelta(milliseconds=1)))),
             (names.ATTEMPT, hop.attempt or "0"),
         ]
 
-    def _report(
-        self, endpoint: Endpoint, hop: Hop, started: timedelta, *, ok: bool, broken: bool = False
+    def _report_run(
+        self,
+        endpoint: Endpoint,
+        hop: HopMetadata,
+        started: timedelta,
+        *,
+        ok: bool,
+        broken: bool = False,
     ) -> None:
         latency = self.clock.monotonic() - started
         self.on_run(RunResult(endpoint.service, endpoint.version, hop.route, ok, latency, broken))
 
 
 def _exchange_failure(result: ExchangeFailure) -> Failure:
-    if result.kind is FailureKind.NOT_SENT:
+    if result.kind is ExchangeFailureKind.NOT_SENT:
         return make_failure(Reason.TARGET_UNREACHABLE, result.detail)
     if result.responded:
         return make_failure(Reason.TRUNCATED, result.detail)
-    if result.kind is FailureKind.TIMEOUT:
+    if result.kind is ExchangeFailureKind.TIMEOUT:
         return make_failure(Reason.TARGET_TIMEOUT, result.detail)
     return make_failure(Reason.TARGET_LOST, result.detail)
--- a/almondshore/proxy/wsgi.py
+++ b/almondshore/proxy/wsgi.py
@@ -1,4 +1,4 @@
-"""Reading of requests and writing of responses for the WSGI applications of both hops."""
+"""Request parsing and responses for the WSGI applications of both hops."""
 
 from collections.abc import Callable, Iterable
 from datetime import timedelta
@@ -9,23 +9,24 @@
 import xxhash
 
 from almondshore.proxy import headers as names
-from almondshore.proxy.headers import Headers, Problem, check_request, too_large
+from almondshore.proxy.headers import Headers, Problem, body_too_large, check_request
 from almondshore.retries.crash import fingerprint
 from almondshore.retries.outcome import Failure, failure_body
 
 READ_CHUNK_BYTES = 64 * 1024
-# Function in the environment of a request; the server closes the connection after the response.
+# Key in the WSGI environment of a function that closes the connection after the response.
 CLOSE_CONNECTION = "almondshore.close_connection"
-# Whether the server could not parse a header line; it drops that line and all that follow.
+# Key of a flag: a header line could not be parsed, so the server dropped it and all later ones.
 MALFORMED_HEADERS = "almondshore.malformed_headers"
-# Limits the whole body, so that a caller that sends a byte now and then is not served for ever.
+# Applies to the whole body, so that a client cannot hold a request open by sending slowly.
 BODY_TIMEOUT = timedelta(seconds=30)
-# Shortest advice to wait, in seconds, that fits the granularity of Retry-After.
+# Retry-After has a granularity of whole seconds.
 MIN_RETRY_AFTER_SECONDS = 1
 
+# Stands for the tenant of a request that names none.
 NO_TENANT = "-"
 
-STATUS_TEXTS = {
+REASON_PHRASES = {
     200: "OK",
     202: "Accepted",
     204: "No Content",
@@ -48,7 +49,7 @@
 
 
 class Request(NamedTuple):
-    """A whole request as received.
+    """A complete request as received.
 
     :ivar path: decoded path without the query
     :ivar raw_path: path as received, with the query
@@ -62,10 +63,10 @@
 
 
 def read_request(environ: dict, max_body_bytes: int) -> Request | Problem:
-    """Read a request whole and check its form.
+    """Read a complete request and validate it.
 
-    After a problem the end of the request is not certain, so its connection is closed: the rest
-    could otherwise be taken for a second request.
+    After a problem the end of the request is uncertain, so its connection is closed; otherwise
+    the remaining bytes could be taken for a second request.
     """
     request = _read_checked(environ, max_body_bytes)
     if isinstance(request, Problem) and CLOSE_CONNECTION in environ:
@@ -94,18 +95,18 @@
     )
 
 
-def identify(request: Request) -> int:
-    """Return the identity of a request for idempotency keys and for crash quarantine."""
+def request_fingerprint(request: Request) -> int:
+    """Return the fingerprint of a request for idempotency keys and crash quarantine."""
     return fingerprint(
         request.method,
         request.raw_path,
-        names.first(request.headers, names.TENANT) or NO_TENANT,
+        names.first_value(request.headers, names.TENANT) or NO_TENANT,
         xxhash.xxh3_128_digest(request.body),
     )
 
 
 def check_path(raw_path: str) -> Problem | None:
-    """Refuse paths that two servers could resolve to different resources."""
+    """Return the problem of a path that servers could resolve to different resources."""
     lowered = raw_path.lower()
     if not raw_path.startswith("/"):
         return Problem(400, "bad-path", "the path does not start with '/'")
@@ -118,7 +119,7 @@
 
 
 def _read_body(environ: dict, max_body_bytes: int) -> bytes | Problem:
-    expected = environ.get("CONTENT_LENGTH")
+    content_length = environ.get("CONTENT_LENGTH")
     chunks: list[bytes] = []
     size = 0
     try:
@@ -127,14 +128,14 @@
                 chunks.append(chunk)
                 size += len(chunk)
                 if size > max_body_bytes:
-                    return too_large(max_body_bytes)
+                    return body_too_large(max_body_bytes)
     except eventlet.Timeout:
         return Problem(408, "body-timeout", "the body was not received in time")
     except OSError:
         return Problem(400, "body-truncated", "the connection ended within the body")
     except ValueError:
         return Problem(400, "bad-chunk", "the chunked body is malformed or truncated")
-    if expected is not None and size != int(expected):
+    if content_length is not None and size != int(content_length):
         return Problem(400, "body-truncated", "the connection ended within the body")
     return b"".join(chunks)
 
@@ -142,16 +143,16 @@
 def respond(
     start_response: StartResponse, status: int, headers: Headers, body: bytes
 ) -> Iterable[bytes]:
-    """Send a whole response."""
-    text = STATUS_TEXTS.get(status, "Status")
-    start_response(f"{status} {text}", [*headers, ("content-length", str(len(body)))])
+    """Send a complete response."""
+    reason_phrase = REASON_PHRASES.get(status, "Status")
+    start_response(f"{status} {reason_phrase}", [*headers, ("content-length", str(len(body)))])
     return [body]
 
 
 def respond_json(
     start_response: StartResponse, status: int, document: object, headers: Headers = ()
 ) -> Iterable[bytes]:
-    """Send a JSON document."""
+    """Send a response with a JSON body."""
     body = msgspec.json.encode(document)
     return respond(start_response, status, [("content-type", "application/json"), *headers], body)
 
@@ -163,7 +164,10 @@
     headers: Headers = (),
     status: int | None = None,
 ) -> Iterable[bytes]:
-    """Send a failure with its outcome, its reason and the advice when to come back."""
+    """Send a failure with its outcome, reason and, if known, Retry-After.
+
+    :param status: replaces the status of the failure
+    """
     items = [
         (names.OUTCOME, failure.outcome.value),
         (names.REASON, failure.reason.value),
--- a/test/proxy/servers.py
+++ b/test/proxy/servers.py
@@ -1,16 +1,18 @@
-"""A server whose responses are written byte by byte, one script for each connection."""
+"""Server that sends scripted raw responses, with one script for each connection."""
 
 import socket
 import threading
 
 
 class ScriptedServer:
-    """Answers the requests of each connection with the next items of its script.
+    """Answers each request on a connection with the next item of the connection's script.
 
-    ``None`` closes the connection instead. ``{id}`` in a response becomes the request id.
+    The item None closes the connection without a response. ``{id}`` in a response is replaced by
+    the request id.
 
-    :ivar close_after: whether a connection is closed when its script is done
-    :ivar requests: heads of the requests, with the number of their connection
+    :ivar close_after: whether to close a connection at the end of its script
+    :ivar requests: number of the connection and request head (request line and headers) of each
+        request
     """
 
     def __init__(self, *scripts: list[bytes | None], close_after: bool = False):
@@ -53,7 +55,7 @@
                 connection.sendall(response.replace(b"{id}", request_id(head)))
             if self.close_after:
                 return
-            # An empty read means that the other side has closed the connection.
+            # Keeps the connection open until the client closes it.
             self._read(connection)
 
     def _read(self, connection):
@@ -78,8 +80,14 @@
     return b""
 
 
-def answer(body: bytes, *lines: str, length: int | None = None, status: str = "200 OK") -> bytes:
-    """Return the bytes of a response; ``length`` overrides the true content length."""
+def build_response(
+    body: bytes, *lines: str, length: int | None = None, status: str = "200 OK"
+) -> bytes:
+    """Encode a response.
+
+    :param lines: header lines
+    :param length: Content-Length to send instead of the actual one
+    """
     size = len(body) if length is None else length
     head = [f"HTTP/1.1 {status}", f"content-length: {size}", *lines]
     return "\r\n".join(head).encode() + b"\r\n\r\n" + body
--- a/test/proxy/test_caller.py
+++ b/test/proxy/test_caller.py
@@ -1,4 +1,4 @@
-"""Tests of hop 1 against scripted hops 2."""
+"""Tests of hop 1 with scripted responses of hop 2."""
 
 import random
 from datetime import timedelta
@@ -17,7 +17,7 @@
 from almondshore.routing.outlier import OutlierEjector
 from almondshore.routing.table import RouteTable
 from standins.addresses import own_address, to_text
-from test.proxy.servers import ScriptedServer, answer
+from test.proxy.servers import ScriptedServer, build_response
 from test.proxy.wsgicall import call
 
 SECOND = timedelta(seconds=1)
@@ -33,24 +33,24 @@
 
 
 def refusal(reason: str, outcome: str, status: str = "503 Service Unavailable") -> bytes:
-    """Return a failure of hop 2."""
+    """Return a failure response of hop 2."""
     lines = (ID, f"x-almondshore-reason: {reason}", f"x-almondshore-outcome: {outcome}")
-    return answer(b"{}", *lines, status=status)
+    return build_response(b"{}", *lines, status=status)
 
 
-class InOrder(TargetChooser):
-    """Tries the targets in the order of their names."""
+class OrderedChooser(TargetChooser):
+    """Chooses the targets in the order of their names."""
 
     def choose(self, service, weights, exclude=()):
-        left = sorted(self.members[service] - set(exclude))
-        return self.loads[left[0]].record if left else None
+        candidates = sorted(self.members[service] - set(exclude))
+        return self.loads[candidates[0]].record if candidates else None
 
 
 class CallerTest(TestCase):
     def app(self, *addresses):
         clock, rng = SystemClock(), random.Random(1)
         ejector = OutlierEjector(clock=clock)
-        chooser = InOrder(clock=clock, rng=rng, zone="z1", ejector=ejector)
+        chooser = OrderedChooser(clock=clock, rng=rng, zone="z1", ejector=ejector)
         records = [
             TargetRecord(f"t{n}", f"n{n}", "s", "v1", address, "z1", 10, 1, TargetState.UP)
             for n, address in enumerate(addresses)
@@ -78,23 +78,23 @@
         self.addCleanup(server.close)
         return server
 
-    def test_crossed_response_is_not_delivered(self):
-        """Guards against a caller that gets the response to another request."""
-        crossed = answer(b"secret", "x-almondshore-request-id: other-0")
-        for response in (crossed, answer(b"secret")):
+    def test_mismatched_response_is_not_delivered(self):
+        """Guards against delivering the response to another request to a caller."""
+        mismatched = build_response(b"secret", "x-almondshore-request-id: other-0")
+        for response in (mismatched, build_response(b"secret")):
             server = self.server(response)
             result = call(self.app(server.address), "POST", "/once/1")
             self.assertEqual((502, "response-mismatched", "unknown"), result[:3])
             self.assertNotIn(b"secret", result.body)
 
     def test_truncated_response_is_an_error(self):
-        """Guards against half a response that is delivered as a whole one."""
-        server = self.server(answer(b"half", ID, length=10), close_after=True)
+        """Guards against delivering a truncated response as a complete one."""
+        server = self.server(build_response(b"half", ID, length=10), close_after=True)
         result = call(self.app(server.address), "POST", "/once/1")
         self.assertEqual((502, "response-truncated", "unknown"), result[:3])
 
-    def test_earlier_unknown_outcome_is_kept(self):
-        """Guards against ``not-run`` for a request that an earlier attempt may have run."""
+    def test_unknown_outcome_of_earlier_attempt_is_kept(self):
+        """Guards against ``not-run`` after an earlier attempt that may have run."""
         for second in (
             self.server(refusal("overloaded", "not-run")).address,
             to_text(own_address()),
@@ -105,25 +105,25 @@
             self.assertIn(result.reason, ("overloaded", "hop-unreachable"))
 
     def test_outcome_of_attempts_that_did_not_run(self):
-        """Guards against ``unknown`` for a request that certainly was not run."""
+        """Guards against ``unknown`` for a request that was certainly not run."""
         result = call(self.app(to_text(own_address()), to_text(own_address())), "GET", "/a/1")
         self.assertEqual((502, "hop-unreachable", "not-run"), result[:3])
 
-    def test_once_request_is_sent_again_only_after_not_run(self):
-        """Guards against a push that runs twice because the first attempt was lost."""
-        whole = answer(b"done", ID)
+    def test_once_request_is_retried_only_after_not_run(self):
+        """Guards against running a request twice because the result of its first run was lost."""
+        success = build_response(b"done", ID)
         for script, expected, sent in (
             (refusal("overloaded", "not-run"), 200, 1),
             (refusal("target-lost", "unknown"), 502, 0),
             (None, 502, 0),
         ):
-            first, second = self.server(script), self.server(whole)
+            first, second = self.server(script), self.server(success)
             app = self.app(first.address, second.address)
             self.assertEqual(expected, call(app, "POST", "/once/1").status)
             self.assertEqual(sent, len(second.requests))
 
     def test_malformed_outcome_of_hop_2(self):
-        """Guards against a failure of hop 2 whose unreadable outcome counts as ``not-run``."""
+        """Guards against taking a failure of hop 2 with a malformed outcome as ``not-run``."""
         for response in (refusal("overloaded", "maybe"), refusal("nonsense", "not-run")):
             result = call(self.app(self.server(response).address), "POST", "/once/1")
             self.assertEqual((502, "response-mismatched", "unknown"), result[:3])
--- a/test/proxy/test_headers.py
+++ b/test/proxy/test_headers.py
@@ -1,4 +1,4 @@
-"""Tests of the header rules."""
+"""Tests of header validation and forwarding."""
 
 from testtools import TestCase
 
@@ -7,7 +7,7 @@
 
 class HeadersTest(TestCase):
     def test_refused_requests(self):
-        """Guards against a length that two servers read in two ways."""
+        """Guards against a body length that servers interpret differently."""
         for status, headers in (
             (400, [("Content-Length", "1"), ("transfer-encoding", "chunked")]),
             (400, [("content-length", "1"), ("Content-Length", "1")]),
@@ -26,7 +26,7 @@
         self.assertIsNone(check_request([("content-length", "10"), ("x", "ü")], 10))
 
     def test_forwardable(self):
-        """Guards against hop-by-hop and internal headers that pass through a hop."""
+        """Guards against forwarding hop-by-hop and internal headers."""
         dropped = [
             ("Connection", "close, X-Named"),
             ("x-named", "1"),
@@ -43,7 +43,7 @@
         self.assertEqual([("x-kept", "1")], forwardable([*dropped, ("X-Kept", " 1 ")]))
 
     def test_malformed_load(self):
-        """Guards against a failed request because of a malformed load report."""
+        """Guards against failing a request because of a malformed load report."""
         self.assertEqual((10, 2, 0), parse_load("10/2/0"))
         for value in ("", "1/2", "1/2/x", "1/2/-3", "1/2/3/4"):
             self.assertIsNone(parse_load(value), value)
--- a/test/proxy/wsgicall.py
+++ b/test/proxy/wsgicall.py
@@ -1,11 +1,15 @@
-"""Calls a WSGI application of a hop as its server would."""
+"""Test client that calls a WSGI application of a hop as its server does."""
 
 import io
 from typing import NamedTuple
 
 
 class Result(NamedTuple):
-    """Response of an application."""
+    """Response of an application.
+
+    :ivar reason: value of the header ``x-almondshore-reason``, empty if absent
+    :ivar outcome: value of the header ``x-almondshore-outcome``, empty if absent
+    """
 
     status: int
     reason: str
@@ -15,7 +19,7 @@
 
 
 def call(app, method, path, body=b"", headers=()):
-    """Send a request to an application."""
+    """Call an application with a request and return its response."""
     started = []
     environ = {
         "REQUEST_METHOD": method,
