--- a/bench/convergence.py
+++ b/bench/convergence.py
@@ -12,27 +12,27 @@
 from bench.meter import Meter
 from bench.rows import BenchRow
 
-SIZES = (50, 200, 800)
+FLEET_SIZES = (50, 200, 800)
 ZONES = 2
-REST_SECONDS = 60
+IDLE_SECONDS = 60
 CHANGES = 8
-SPACING = timedelta(seconds=3)
-LOSS = 0.01
+CHANGE_INTERVAL = timedelta(seconds=3)
+MESSAGE_LOSS = 0.01
 
 # Load of the fleet at full scale (docs/design.md, section 1). A replaced host leaves, dies and
 # is followed by a new one: three changed records.
 CONFIG_CHANGES_PER_SECOND = 10_000 / 86_400
 RECORD_CHANGES_PER_SECOND = 3 * 5_400 / 86_400
 
-ZONE_NODES = 464
+NODES_IN_FULL_ZONE = 464
 LEASE_BYTES = 160
 
-CONVERGENCE_TARGET = 18.0
-BYTES_TARGET = 14_000.0
+CONVERGENCE_TARGET_S = 18.0
+BYTES_PER_S_TARGET = 14_000.0
 CPU_TARGET_PERCENT = 1.9
-ZONE_WRITES_TARGET = 2.0
-READS_TARGET = 2_000
-WRITES_TARGET = 400
+ZONE_WRITES_PER_S_TARGET = 2.0
+READS_PER_S_TARGET = 2_000
+WRITES_PER_S_TARGET = 400
 
 
 class Rate(NamedTuple):
@@ -44,10 +44,10 @@
     node_cpu: float
 
 
-class Measured(NamedTuple):
+class FleetFigures(NamedTuple):
     """Figures of one size.
 
-    :ivar rest: rates without changes
+    :ivar idle: rates without changes
     :ivar config: cost of one configuration change beyond the rates at rest
     :ivar record: cost of one changed target record beyond the rates at rest
     :ivar served: nodes that the busiest relay serves
@@ -56,7 +56,7 @@
     nodes: int
     convergence: float
     lossy_convergence: float
-    rest: Rate
+    idle: Rate
     config: Rate
     record: Rate
     zone_writes: float
@@ -67,13 +67,13 @@
         """Return the rates under the changes of the whole fleet."""
         return Rate(
             *(
-                rest + CONFIG_CHANGES_PER_SECOND * config + RECORD_CHANGES_PER_SECOND * record
-                for rest, config, record in zip(self.rest, self.config, self.record, strict=True)
+                idle + CONFIG_CHANGES_PER_SECOND * config + RECORD_CHANGES_PER_SECOND * record
+                for idle, config, record in zip(self.idle, self.config, self.record, strict=True)
             )
         )
 
 
-def measure(nodes: int, *, seed: int = 1) -> Measured:
+def measure_fleet(nodes: int, *, seed: int = 1) -> FleetFigures:
     """Measure one size; the same seed gives the same counts and bytes.
 
     Garbage collection over the objects of all nodes would be counted to the node that runs when
@@ -82,27 +82,29 @@
     gc.collect()
     gc.disable()
     try:
-        return _measure(nodes, seed)
+        return _measure_fleet(nodes, seed)
     finally:
         gc.enable()
 
 
-def _measure(nodes: int, seed: int) -> Measured:
+def _measure_fleet(nodes: int, seed: int) -> FleetFigures:
     meter = Meter(timing=True)
     fleet = Fleet(seed=seed, nodes=nodes, zones=ZONES, meter=meter)
     _start(fleet)
     before = dict(fleet.pump.store.counts)
-    rest = rates(fleet, meter, lambda: None, REST_SECONDS)
+    idle = measure_rates(fleet, meter, lambda: None, IDLE_SECONDS)
     counts = fleet.pump.store.counts
-    writes = (counts["write"] - before["write"]) / REST_SECONDS / ZONES
-    reads = (counts["read"] - before["read"]) / REST_SECONDS / len(fleet.relays)
-    record = cost(fleet, meter, rest, lambda: change_record(fleet))
+    writes = (counts["write"] - before["write"]) / IDLE_SECONDS / ZONES
+    reads = (counts["read"] - before["read"]) / IDLE_SECONDS / len(fleet.relays)
+    record = measure_change_cost(fleet, meter, idle, lambda: change_record(fleet))
     times: list[float] = []
-    config = cost(fleet, meter, rest, lambda: times.append(converge(fleet)))
-    fleet.pump.drop = LOSS
-    lossy = max(converge(fleet) for _ in range(CHANGES))
+    config = measure_change_cost(
+        fleet, meter, idle, lambda: times.append(measure_convergence(fleet))
+    )
+    fleet.pump.drop_rate = MESSAGE_LOSS
+    lossy = max(measure_convergence(fleet) for _ in range(CHANGES))
     served = max(len(node.relay.subscribers) for node in fleet.relays)
-    return Measured(nodes, max(times), lossy, rest, config, record, writes, reads, served)
+    return FleetFigures(nodes, max(times), lossy, idle, config, record, writes, reads, served)
 
 
 def change_record(fleet: Fleet) -> None:
@@ -113,21 +115,21 @@
     fleet.pump.send(address, node.announce(fleet.announce(address, node)))
 
 
-def herd(nodes: int, *, seed: int = 1) -> list[BenchRow]:
+def measure_fleet_restart(nodes: int, *, seed: int = 1) -> list[BenchRow]:
     """Measure the return of all processes at once."""
     fleet = Fleet(seed=seed, nodes=nodes, zones=ZONES)
     _start(fleet)
-    version = fleet.change_one()
+    version = fleet.change_service()
     fleet.run(timedelta(seconds=5))
     fleet.restart(list(fleet.pump.nodes))
     peaks = {"read": 0, "write": 0}
     start = fleet.pump.clock.monotonic()
     ready = None
-    while not fleet.settled(version):
+    while not fleet.is_converged(version):
         fleet.step()
         peaks = {kind: max(peak, _calls(fleet, kind)) for kind, peak in peaks.items()}
         served = all(node.config.ready for node in fleet.nodes)
-        if ready is None and served and fleet.holding(version) == nodes:
+        if ready is None and served and fleet.nodes_at_version(version) == nodes:
             ready = (fleet.pump.clock.monotonic() - start).total_seconds()
         if fleet.pump.clock.monotonic() - start > timedelta(seconds=120):
             break
@@ -135,61 +137,71 @@
     scale = FULL_NODES / nodes
     name = f"herd's return, {nodes} nodes"
     return [
-        row(f"{name}: ready", 10.0, ready or 120.0, "s"),
-        row(f"{name}: all targets known", CONVERGENCE_TARGET, total, "s"),
-        row(f"{name}: reads, scaled to {FULL_NODES}", READS_TARGET, peaks["read"] * scale, "1/s"),
-        row(
-            f"{name}: writes, scaled to {FULL_NODES}", WRITES_TARGET, peaks["write"] * scale, "1/s"
+        at_most(f"{name}: ready", 10.0, ready or 120.0, "s"),
+        at_most(f"{name}: all targets known", CONVERGENCE_TARGET_S, total, "s"),
+        at_most(
+            f"{name}: reads, scaled to {FULL_NODES}",
+            READS_PER_S_TARGET,
+            peaks["read"] * scale,
+            "1/s",
+        ),
+        at_most(
+            f"{name}: writes, scaled to {FULL_NODES}",
+            WRITES_PER_S_TARGET,
+            peaks["write"] * scale,
+            "1/s",
         ),
     ]
 
 
-def row(name: str, target: float, figure: float, unit: str) -> BenchRow:
+def at_most(name: str, target: float, figure: float, unit: str) -> BenchRow:
     """Return a row whose figure must not exceed the target."""
     verdict = "ok" if figure <= target else "missed"
     return BenchRow(name, f"<= {target:g}", f"{figure:.4g}", unit, verdict)
 
 
-def run(sizes: tuple[int, ...] = SIZES) -> list[BenchRow]:
+def run(sizes: tuple[int, ...] = FLEET_SIZES) -> list[BenchRow]:
     """Measure all sizes, their slope, the full scale and a herd's return."""
     # The state of one node comes first: garbage collection over the fleets would add to its time.
     costs = full_scale_costs()
-    measured = [measure(nodes) for nodes in sizes]
-    rows = [item for one in measured for item in _rows(one)]
+    measured = [measure_fleet(nodes) for nodes in sizes]
+    rows = [item for figures in measured for item in _rows(figures)]
     rows += _slopes(measured[0], measured[-1])
     rows += full_scale_rows(costs, measured[-1].at_full_load())
-    return rows + [_scaled_relay(measured[-1])] + herd(sizes[-1])
+    return rows + [_scaled_relay(measured[-1])] + measure_fleet_restart(sizes[-1])
 
 
-def _scaled_relay(one: Measured) -> BenchRow:
+def _scaled_relay(figures: FleetFigures) -> BenchRow:
     """Return the bytes of the busiest relay of a full zone in the full fleet.
 
     The reads of all leases grow with the number of zones; the rest with the nodes served.
     """
-    relays = slots_needed(ZONE_NODES)
-    served = math.ceil(FAIR_SHARE_MARGIN * ZONE_NODES / relays)
+    relays = slots_needed(NODES_IN_FULL_ZONE)
+    served = math.ceil(FAIR_SHARE_MARGIN * NODES_IN_FULL_ZONE / relays)
     leases = FULL_ZONES * relays * LEASE_BYTES / LIST_ALL_INTERVAL.total_seconds()
-    figure = one.at_full_load().relay_bytes * served / one.served + leases
-    return row(f"{FULL_NODES} nodes: busiest relay, scaled", BYTES_TARGET, figure, "B/s")
+    figure = figures.at_full_load().relay_bytes * served / figures.served + leases
+    return at_most(f"{FULL_NODES} nodes: busiest relay, scaled", BYTES_PER_S_TARGET, figure, "B/s")
 
 
 def _start(fleet: Fleet) -> None:
-    if fleet.until(lambda: fleet.settled(1), timedelta(seconds=120)) is None:
+    if fleet.run_until(lambda: fleet.is_converged(1), timedelta(seconds=120)) is None:
         raise RuntimeError("the fleet did not settle after its start")
     fleet.run(timedelta(seconds=70))
 
 
-def converge(fleet: Fleet) -> float:
+def measure_convergence(fleet: Fleet) -> float:
     """Publish a change.
 
     :returns: the seconds until all nodes have it in effect
     """
-    version = fleet.change_one()
-    done = fleet.until(lambda: fleet.holding(version) == len(fleet.nodes), timedelta(seconds=60))
+    version = fleet.change_service()
+    done = fleet.run_until(
+        lambda: fleet.nodes_at_version(version) == len(fleet.nodes), timedelta(seconds=60)
+    )
     return done.total_seconds() if done is not None else 60.0
 
 
-def rates(fleet: Fleet, meter: Meter, change, seconds: float) -> Rate:
+def measure_rates(fleet: Fleet, meter: Meter, change, seconds: float) -> Rate:
     """Return the rates over a time in which ``change`` is called once."""
     meter.clear()
     start = fleet.pump.clock.monotonic()
@@ -205,18 +217,18 @@
     return Rate(*busiest)
 
 
-def cost(fleet: Fleet, meter: Meter, rest: Rate, change) -> Rate:
+def measure_change_cost(fleet: Fleet, meter: Meter, idle: Rate, change) -> Rate:
     """Return the cost of one change beyond the rates at rest."""
-    seconds = SPACING.total_seconds()
+    seconds = CHANGE_INTERVAL.total_seconds()
 
     def all_changes() -> None:
         for _ in range(CHANGES):
             change()
-            fleet.run(SPACING)
+            fleet.run(CHANGE_INTERVAL)
 
-    changed = rates(fleet, meter, all_changes, CHANGES * (seconds + 1))
+    changed = measure_rates(fleet, meter, all_changes, CHANGES * (seconds + 1))
     return Rate(
-        *(max(0.0, (rate - base) * (seconds + 1)) for rate, base in zip(changed, rest, strict=True))
+        *(max(0.0, (rate - base) * (seconds + 1)) for rate, base in zip(changed, idle, strict=True))
     )
 
 
@@ -226,23 +238,25 @@
     return sum(1 for at in fleet.pump.store.recent[kind] if at > now - 1)
 
 
-def _rows(one: Measured) -> list[BenchRow]:
-    load = one.at_full_load()
-    name = f"{one.nodes} nodes"
+def _rows(figures: FleetFigures) -> list[BenchRow]:
+    load = figures.at_full_load()
+    name = f"{figures.nodes} nodes"
     return [
-        row(f"{name}: convergence", CONVERGENCE_TARGET, one.convergence, "s"),
-        row(f"{name}: convergence, 1% lost", CONVERGENCE_TARGET, one.lossy_convergence, "s"),
-        row(f"{name}: busiest relay", BYTES_TARGET, load.relay_bytes, "B/s"),
-        BenchRow(f"{name}: served by it", "-", str(one.served), "nodes", "-"),
-        row(f"{name}: busiest other node", BYTES_TARGET, load.node_bytes, "B/s"),
-        row(f"{name}: busiest relay", CPU_TARGET_PERCENT, load.relay_cpu * 100, "% core"),
-        row(f"{name}: busiest other node", CPU_TARGET_PERCENT, load.node_cpu * 100, "% core"),
-        row(f"{name}: writes of a zone", ZONE_WRITES_TARGET, one.zone_writes, "1/s"),
-        row(f"{name}: reads of a relay", 5, one.relay_reads, "1/s"),
+        at_most(f"{name}: convergence", CONVERGENCE_TARGET_S, figures.convergence, "s"),
+        at_most(
+            f"{name}: convergence, 1% lost", CONVERGENCE_TARGET_S, figures.lossy_convergence, "s"
+        ),
+        at_most(f"{name}: busiest relay", BYTES_PER_S_TARGET, load.relay_bytes, "B/s"),
+        BenchRow(f"{name}: served by it", "-", str(figures.served), "nodes", "-"),
+        at_most(f"{name}: busiest other node", BYTES_PER_S_TARGET, load.node_bytes, "B/s"),
+        at_most(f"{name}: busiest relay", CPU_TARGET_PERCENT, load.relay_cpu * 100, "% core"),
+        at_most(f"{name}: busiest other node", CPU_TARGET_PERCENT, load.node_cpu * 100, "% core"),
+        at_most(f"{name}: writes of a zone", ZONE_WRITES_PER_S_TARGET, figures.zone_writes, "1/s"),
+        at_most(f"{name}: reads of a relay", 5, figures.relay_reads, "1/s"),
     ]
 
 
-def _slopes(small: Measured, large: Measured) -> list[BenchRow]:
+def _slopes(small: FleetFigures, large: FleetFigures) -> list[BenchRow]:
     """Return the growth for each 1,000 nodes between the smallest and the largest size."""
     thousands = (large.nodes - small.nodes) / 1000
     low, high = small.at_full_load(), large.at_full_load()
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -45,12 +45,12 @@
         seed: int,
         nodes: int,
         zones: int,
-        drop: float = 0.0,
+        drop_rate: float = 0.0,
         meter: Meter | None = None,
         limits: ControlLimits | None = None,
     ):
         self.rng = random.Random(seed)
-        self.pump = Pump(seed=seed, drop=drop, meter=meter)
+        self.pump = Pump(seed=seed, drop_rate=drop_rate, meter=meter)
         self.zones = [f"region-{number % 2}-{number}" for number in range(zones)]
         self.limits = limits
         self.services = [f"service-{n}" for n in range(max(1, nodes // NODES_PER_SERVICE))]
@@ -113,7 +113,7 @@
         )
         return published.unwrap().version
 
-    def change_one(self) -> int:
+    def change_service(self) -> int:
         """Publish a change of one service."""
         name = self.rng.choice(self.services)
         salt = f"{self.rng.getrandbits(32):08x}"
@@ -142,11 +142,11 @@
             slots=self.slots.get(address, 10),
         )
 
-    def holding(self, version: int) -> int:
+    def nodes_at_version(self, version: int) -> int:
         """Return how many nodes have exactly this version in effect."""
         return sum(node.config.state.current.version == version for node in self.nodes)
 
-    def until(self, done, limit: timedelta) -> timedelta | None:
+    def run_until(self, done, limit: timedelta) -> timedelta | None:
         """Run until a condition holds.
 
         :returns: the time it took, None if it did not hold within the limit
@@ -158,7 +158,7 @@
             self.step()
         return self.pump.clock.monotonic() - start
 
-    def settled(self, version: int) -> bool:
+    def is_converged(self, version: int) -> bool:
         """Return whether all nodes hold a version, are ready and know all live targets."""
         nodes = self.nodes
         digest = nodes[0].directory.digest()
--- a/bench/full_scale.py
+++ b/bench/full_scale.py
@@ -107,15 +107,19 @@
 
     :param load: ``Rate`` of the largest measured fleet under the changes of the whole fleet
     """
-    from bench.convergence import CONFIG_CHANGES_PER_SECOND, RECORD_CHANGES_PER_SECOND, row
+    from bench.convergence import CONFIG_CHANGES_PER_SECOND, RECORD_CHANGES_PER_SECOND, at_most
 
     megabytes, config, record = costs
     changes = CONFIG_CHANGES_PER_SECOND * config + RECORD_CHANGES_PER_SECOND * record
     name = f"{FULL_NODES} targets, {FULL_SERVICES} services"
     return [
-        row(f"{name}: state of a node", MEMORY_TARGET_MB, megabytes, "MB"),
+        at_most(f"{name}: state of a node", MEMORY_TARGET_MB, megabytes, "MB"),
         BenchRow(f"{name}: one version taken", "-", f"{config * 1e3:.3g}", "ms", "-"),
         BenchRow(f"{name}: one record taken", "-", f"{record * 1e3:.3g}", "ms", "-"),
-        row(f"{name}: relay with view", CPU_TARGET_PERCENT, (load.relay_cpu + changes) * 100, "%"),
-        row(f"{name}: node with view", CPU_TARGET_PERCENT, (load.node_cpu + changes) * 100, "%"),
+        at_most(
+            f"{name}: relay with view", CPU_TARGET_PERCENT, (load.relay_cpu + changes) * 100, "%"
+        ),
+        at_most(
+            f"{name}: node with view", CPU_TARGET_PERCENT, (load.node_cpu + changes) * 100, "%"
+        ),
     ]
--- a/bench/load.py
+++ b/bench/load.py
@@ -13,7 +13,7 @@
 from almondshore.routing.completion import CompletionChooser
 from bench.load_choosers import LeastActiveChooser, RandomChooser
 from bench.load_model import Chooser
-from bench.load_scenarios import SCENARIOS, Scenario, play
+from bench.load_scenarios import SCENARIOS, Scenario, simulate
 
 POLICIES: dict[str, Callable[..., Chooser]] = {
     "expected completion": CompletionChooser,
@@ -29,7 +29,7 @@
 app = App(help="Play load patterns on the model of the served system.")
 
 
-class Figures(NamedTuple):
+class PolicyFigures(NamedTuple):
     """Means over the seeds of one pattern and choice.
 
     :ivar worth: mean worth of a request, 0 to 1
@@ -56,22 +56,22 @@
     :param seeds: number of seeds for each pattern and choice
     :param out: directory of the results
     """
-    found = [measure(scenario, policy, seeds) for scenario in SCENARIOS for policy in POLICIES]
+    results = [measure(scenario, policy, seeds) for scenario in SCENARIOS for policy in POLICIES]
     table = Table(*COLUMNS)
-    for figures in found:
+    for figures in results:
         table.add_row(*figures.cells())
     Console(width=120).print(table)
     out.mkdir(parents=True, exist_ok=True)
-    (out / "load.md").write_text(markdown(found))
-    (out / "load.svg").write_bytes(plot(found, seeds).render())
+    (out / "load.md").write_text(markdown(results))
+    (out / "load.svg").write_bytes(plot(results, seeds).render())
     print(f"{seeds} seeds each; written to {out / 'load.md'} and {out / 'load.svg'}")
 
 
-def measure(scenario: Scenario, policy: str, seeds: int) -> Figures:
+def measure(scenario: Scenario, policy: str, seeds: int) -> PolicyFigures:
     """Play a pattern with a way to choose targets, once for each seed."""
-    systems = [play(scenario, seed, chooser=POLICIES[policy]) for seed in range(1, seeds + 1)]
+    systems = [simulate(scenario, seed, chooser=POLICIES[policy]) for seed in range(1, seeds + 1)]
     worths = [system.share("on time") + LATE_WORTH * system.share("late") for system in systems]
-    return Figures(
+    return PolicyFigures(
         scenario.__name__.replace("_", " "),
         policy,
         fmean(worths),
@@ -80,13 +80,13 @@
     )
 
 
-def markdown(found: list[Figures]) -> str:
+def markdown(results: list[PolicyFigures]) -> str:
     """Return the figures as a Markdown table."""
-    rows = [COLUMNS, ["---"] * len(COLUMNS), *(figures.cells() for figures in found)]
+    rows = [COLUMNS, ["---"] * len(COLUMNS), *(figures.cells() for figures in results)]
     return "".join(f"| {' | '.join(row)} |\n" for row in rows)
 
 
-def plot(found: list[Figures], seeds: int) -> pygal.Bar:
+def plot(results: list[PolicyFigures], seeds: int) -> pygal.Bar:
     """Return a chart of the worth by pattern, a series for each way to choose targets."""
     chart = pygal.Bar(
         title=f"Mean worth of a request, {seeds} seeds",
@@ -96,7 +96,7 @@
         x_labels=[scenario.__name__.replace("_", " ") for scenario in SCENARIOS],
     )
     for policy in POLICIES:
-        chart.add(policy, [item.worth for item in found if item.policy == policy])
+        chart.add(policy, [item.worth for item in results if item.policy == policy])
     return chart
 
 
--- a/bench/load_model.py
+++ b/bench/load_model.py
@@ -19,7 +19,7 @@
 ZONES = ("a", "b", "c")
 NODES_PER_ZONE = 3
 # One way, within a zone and between zones, as the users' sites state them.
-ONE_WAY = {True: timedelta(milliseconds=0.1), False: timedelta(milliseconds=0.9)}
+ONE_WAY_DELAY = {True: timedelta(milliseconds=0.1), False: timedelta(milliseconds=0.9)}
 # Targets that may refuse a request before it is refused to the client.
 MAX_REFUSALS = 3
 
@@ -52,23 +52,23 @@
 Chooser.register(CompletionChooser)
 
 
-class Habits(NamedTuple):
+class ClientBehaviour(NamedTuple):
     """What clients do when they are refused, fail or have waited.
 
     :ivar retries: how often a client sends a request again that was refused or failed
     :ivar waits: whether it waits for the time that a refusal states
-    :ivar patience: time after which it leaves, None if it stays until its deadline
+    :ivar timeout: time after which it leaves, None if it stays until its deadline
     """
 
-    retries: int = 0
-    waits: bool = True
-    patience: timedelta | None = None
+    max_retries: int = 0
+    honours_retry_after: bool = True
+    timeout: timedelta | None = None
 
 
 class Load(NamedTuple):
     """Requests of one kind; times in seconds.
 
-    :ivar spread: standard deviation of the logarithm of the work
+    :ivar work_sigma: standard deviation of the logarithm of the work
     :ivar zones: zones of the clients
     """
 
@@ -77,15 +77,15 @@
     work: float = 0.2
     objective: float = 0.6
     deadline: float = 1.2
-    spread: float = 0.5
+    work_sigma: float = 0.5
     zones: tuple[str, ...] = ZONES
-    habits: Habits = Habits()
+    behaviour: ClientBehaviour = ClientBehaviour()
 
 
 class Server:
     """A target with its queue and results.
 
-    :ivar unanswered: share of the requests that it takes and never answers
+    :ivar unanswered_rate: share of the requests that it takes and never answers
     """
 
     def __init__(
@@ -95,16 +95,16 @@
         name: str,
         zone: str,
         speed: float = 1.0,
-        failures: float = 0.0,
-        unanswered: float = 0.0,
+        failure_rate: float = 0.0,
+        unanswered_rate: float = 0.0,
         slots: int = 9,
     ):
         self.entry = Target(name, "s", "v1", zone, slots, TargetState.READY, (name, 1), 1, 1)
         self.queue = ObjectiveQueue(clock=clock, slots=slots)
         self.recorder = ResultRecorder(clock=clock)
         self.speed = speed
-        self.failures = failures
-        self.unanswered = unanswered
+        self.failure_rate = failure_rate
+        self.unanswered_rate = unanswered_rate
 
     def report(self) -> LoadReport:
         """Return the load as the node beside the target reports it."""
@@ -117,7 +117,7 @@
             False,
         )
 
-    def note_unanswered(self, took: timedelta) -> None:
+    def record_unanswered(self, took: timedelta) -> None:
         """Count a request that was given up, as the node beside the target does."""
         self.recorder.record_abandoned(took=took, expected=self.queue.times.observed(ROUTE))
 
@@ -128,27 +128,27 @@
     def __init__(
         self,
         *,
-        system: "ServedSystem",
+        system: "SimulatedSystem",
         chooser: Chooser,
         terms: Terms,
         work: timedelta,
-        habits: Habits,
+        behaviour: ClientBehaviour,
     ):
         self.system, self.chooser, self.terms, self.work = system, chooser, terms, work
-        self.habits = habits
-        self.repeats = 0
+        self.behaviour = behaviour
+        self.retries = 0
         self.refused_by: set[str] = set()
         self.server: Server | None = None
-        self.begun_at = ZERO
+        self.first_sent_at = ZERO
         self.started_at: timedelta | None = None
         self.retry_after = ZERO
         self.done = False
 
     def begin(self) -> None:
         """Send the request for the first time."""
-        self.begun_at = self.system.clock.monotonic()
-        if self.habits.patience is not None:
-            self.system.after(self.habits.patience, self.leave)
+        self.first_sent_at = self.system.clock.monotonic()
+        if self.behaviour.timeout is not None:
+            self.system.schedule(self.behaviour.timeout, self.leave)
         self.send()
 
     def send(self) -> None:
@@ -164,11 +164,11 @@
         self.server = self.system.servers[chosen.target]
         self.chooser.started(chosen.target)
         self.system.sent[chosen.target] += 1
-        self.system.after(self.way(), self.arrive)
+        self.system.schedule(self.one_way_delay(), self.arrive)
 
-    def way(self) -> timedelta:
+    def one_way_delay(self) -> timedelta:
         """Return the time from the node to the target's host."""
-        return ONE_WAY[self.server.entry.zone == self.chooser.zone]
+        return ONE_WAY_DELAY[self.server.entry.zone == self.chooser.zone]
 
     def arrive(self) -> None:
         """Ask for a slot of the target."""
@@ -178,20 +178,20 @@
     def start(self) -> None:
         """Run the request; a target may keep it until the deadline."""
         self.started_at = self.system.clock.monotonic()
-        if self.system.rng.random() < self.server.unanswered:
-            self.system.after(self.terms.deadline_at - self.started_at, self.give_up)
+        if self.system.rng.random() < self.server.unanswered_rate:
+            self.system.schedule(self.terms.deadline_at - self.started_at, self.give_up)
         else:
-            self.system.after(self.work / self.server.speed, self.finish)
+            self.system.schedule(self.work / self.server.speed, self.finish)
 
     def finish(self) -> None:
         """End the run with a success or a failure of the target."""
         if self.done:
             return
         took = self.system.clock.monotonic() - self.started_at
-        ok = self.system.rng.random() >= self.server.failures
+        ok = self.system.rng.random() >= self.server.failure_rate
         self.server.recorder.record(ROUTE, ok=ok, took=took, warm=True)
         self.server.queue.release(self, observed=ok)
-        self.system.after(self.way(), lambda: self.answer(ok))
+        self.system.schedule(self.one_way_delay(), lambda: self.answer(ok))
 
     def give_up(self) -> None:
         """End a run that the target does not answer."""
@@ -209,7 +209,7 @@
         elif self.server is not None:
             self.server.queue.cancel(self)
             self.chooser.finished(self.server.entry.target, ROUTE, None)
-        self.system.note_end("left")
+        self.system.record_end("left")
         self.done = True
 
     def answer(self, ok: bool) -> None:
@@ -218,7 +218,7 @@
             return
         self.chooser.finished(self.server.entry.target, ROUTE, self.server.report())
         now = self.system.clock.monotonic()
-        self.system.response_times.append(now - self.begun_at)
+        self.system.response_times.append(now - self.first_sent_at)
         late = now > self.terms.objective_at
         self.end("failed" if not ok else "late" if late else "on time")
 
@@ -226,22 +226,22 @@
         """Try another target: this one did not start the request."""
         self.refused_by.add(self.server.entry.target)
         report = self.server.report()
-        self.system.after(self.way(), lambda: self._refused(report, retry_after))
+        self.system.schedule(self.one_way_delay(), lambda: self._refused(report, retry_after))
 
-    def end(self, how: str) -> None:
+    def end(self, outcome: str) -> None:
         """Answer the client, which may send the request again."""
-        again = how in ("refused", "failed") and self.repeats < self.habits.retries
-        pause = self.retry_after if self.habits.waits else ZERO
-        left = self.terms.deadline_at - self.system.clock.monotonic() - pause
-        if not again or left <= ZERO:
+        retry = outcome in ("refused", "failed") and self.retries < self.behaviour.max_retries
+        delay = self.retry_after if self.behaviour.honours_retry_after else ZERO
+        remaining = self.terms.deadline_at - self.system.clock.monotonic() - delay
+        if not retry or remaining <= ZERO:
             self.done = True
-            self.system.note_end(how)
+            self.system.record_end(outcome)
             return
-        self.repeats += 1
-        self.system.repeats += 1
+        self.retries += 1
+        self.system.client_retries += 1
         self.refused_by.clear()
         self.server = self.started_at = None
-        self.system.after(pause, lambda: self.done or self.send())
+        self.system.schedule(delay, lambda: self.done or self.send())
 
     def _refused(self, report: LoadReport, retry_after: timedelta) -> None:
         if self.done:
@@ -253,18 +253,18 @@
 
     def _abandon(self) -> None:
         """Give the slot back without an answer of the target."""
-        self.server.note_unanswered(self.system.clock.monotonic() - self.started_at)
+        self.server.record_unanswered(self.system.clock.monotonic() - self.started_at)
         self.server.queue.release(self, observed=False)
         self.chooser.finished(self.server.entry.target, ROUTE, None)
 
 
-class ServedSystem:
+class SimulatedSystem:
     """Plays requests of nodes in three zones against targets.
 
     :param chooser: makes the choice of targets of a node
     :ivar ends: how requests ended
     :ivar sent: sends by target
-    :ivar repeats: requests that clients sent again
+    :ivar client_retries: requests that clients sent again
     :ivar response_times: times from the first send of a request to a target's response
     """
 
@@ -283,10 +283,10 @@
             for _ in range(NODES_PER_ZONE)
         ]
         self.events: list[tuple[timedelta, int, Callable[[], object]]] = []
-        self.count = 0
+        self.sequence = 0
         self.ends: Counter[str] = Counter()
         self.sent: Counter[str] = Counter()
-        self.repeats = 0
+        self.client_retries = 0
         self.response_times: list[timedelta] = []
 
     def add(self, name: str, zone: str, **fields: float) -> None:
@@ -297,22 +297,24 @@
         """Take a target away; what it runs it still ends."""
         del self.servers[name]
 
-    def after(self, delay: timedelta, action: Callable[[], object]) -> None:
+    def schedule(self, delay: timedelta, action: Callable[[], object]) -> None:
         """Run an action after a delay."""
-        self.count += 1
-        heappush(self.events, (self.clock.monotonic() + delay, self.count, action))
+        self.sequence += 1
+        heappush(self.events, (self.clock.monotonic() + delay, self.sequence, action))
 
-    def note_end(self, how: str) -> None:
+    def record_end(self, outcome: str) -> None:
         """Count the end of a request."""
-        self.ends[how] += 1
+        self.ends[outcome] += 1
 
-    def play(self, load: Load) -> None:
+    def run(self, load: Load) -> None:
         """Play requests that come at random times to random nodes of some zones."""
         nodes = [node for node in self.nodes if node.zone in load.zones]
         at = 0.0
         while at < load.seconds:
             at += self.rng.expovariate(load.per_s)
-            factor = self.rng.lognormvariate(-load.spread * load.spread / 2, load.spread)
+            factor = self.rng.lognormvariate(
+                -load.work_sigma * load.work_sigma / 2, load.work_sigma
+            )
             start = timedelta(seconds=at)
             terms = Terms(
                 ROUTE,
@@ -326,9 +328,9 @@
                 chooser=self.rng.choice(nodes),
                 terms=terms,
                 work=work,
-                habits=load.habits,
+                behaviour=load.behaviour,
             )
-            self.after(start, call.begin)
+            self.schedule(start, call.begin)
         while self.events:
             at_time, _, action = heappop(self.events)
             self.clock.advance(max(ZERO, at_time - self.clock.monotonic()))
--- a/bench/move_kinds.py
+++ b/bench/move_kinds.py
@@ -1,4 +1,4 @@
-"""Kinds of version and of trouble that the bench of moves runs through."""
+"""Kinds of version and of fault that the bench of moves runs through."""
 
 from typing import NamedTuple
 
@@ -15,7 +15,7 @@
     """Behaviour of the targets of a new version.
 
     :ivar error_rate: share of requests that it fails
-    :ivar slow: factor on latency
+    :ivar latency_factor: factor on latency
     :ivar crash_rate: share of requests that end the target's process
     :ivar from_share: share of the move's duration after which it turns bad; above 1 it does so
         after the move
@@ -25,7 +25,7 @@
     """
 
     error_rate: float = 0.0
-    slow: float = 1.0
+    latency_factor: float = 1.0
     crash_rate: float = 0.0
     from_share: float = 0.0
     above_load: float = 0.0
@@ -34,7 +34,7 @@
 
     def is_bad(self) -> bool:
         """Return whether a right verdict rolls the version back."""
-        return bool(self.error_rate or self.slow > 1 or self.crash_rate)
+        return bool(self.error_rate or self.latency_factor > 1 or self.crash_rate)
 
     def is_bad_at_start(self) -> bool:
         """Return whether it is bad from its first request on."""
@@ -42,11 +42,11 @@
 
 
 class Kind(NamedTuple):
-    """A kind of version with the troubles that befall its move."""
+    """A kind of version with the faults that befall its move."""
 
     name: str
     version: Version
-    troubles: tuple[str, ...] = ()
+    faults: tuple[str, ...] = ()
 
 
 GOOD = Version()
@@ -55,7 +55,7 @@
 AFTER = Version(error_rate=0.3, from_share=1.15)
 UNDER_LOAD = Version(error_rate=0.3, above_load=0.5)
 ONE_ROUTE = Version(error_rate=0.5, route=RARE_ROUTE)
-SLOW = Version(slow=3.0)
+SLOW = Version(latency_factor=3.0)
 
 GOOD_KINDS = (
     Kind("good", GOOD),
@@ -84,7 +84,7 @@
     Kind("bad only under load", UNDER_LOAD),
     Kind("bad on one route", ONE_ROUTE),
     Kind("slow, 3 times", SLOW),
-    Kind("slow, 2 times", Version(slow=2.0)),
+    Kind("slow, 2 times", Version(latency_factor=2.0)),
     Kind("crashes on 1 in 10", Version(crash_rate=0.1)),
     Kind("bad at once, platform outage", AT_ONCE, ("outage",)),
     Kind("bad later, coordinator death", LATER, ("coordinator",)),
--- a/bench/move_policies.py
+++ b/bench/move_policies.py
@@ -13,16 +13,16 @@
 from almondshore.moves.state import MoveTable
 from almondshore.moves.veto import LocalDetector
 from almondshore.rules.model import MoveState
-from bench.move_world import SERVICE, SLOTS, TICK, Outcome, Target, World
+from bench.move_world import SERVICE, SLOTS, TICK_S, Outcome, Target, World
 from standins.memory_platform import MemoryPlatform
 from standins.object_store import Fault, ObjectStore
 
-HEARTBEAT = 2.0
-LEASE = 15.0
+HEARTBEAT_INTERVAL_S = 2.0
+LEASE_S = 15.0
 # One message in fifty is lost; the next heartbeat repairs it.
-LOSS = 0.02
-THRESHOLD = 0.05
-THRESHOLD_REQUESTS = 10
+MESSAGE_LOSS = 0.02
+ERROR_RATE_THRESHOLD = 0.05
+MIN_REQUESTS_PER_WINDOW = 10
 
 
 class Policy(ABC):
@@ -42,7 +42,7 @@
         """Take in the result of a request; None if it was refused."""
 
     @abstractmethod
-    def control(self, node: int, service: str, ok: bool, latency: timedelta) -> None:
+    def record_control(self, node: int, service: str, ok: bool, latency: timedelta) -> None:
         """Take in the result of a request to another service."""
 
     @abstractmethod
@@ -68,13 +68,13 @@
         return node % self.world.deployment.zones
 
 
-class AtOnce(Policy):
+class AtOncePolicy(Policy):
     """Moves all requests at the start."""
 
     def record(self, node: int, target: Target, route: str, outcome: Outcome | None) -> None:
         """Ignore the result of a request."""
 
-    def control(self, node: int, service: str, ok: bool, latency: timedelta) -> None:
+    def record_control(self, node: int, service: str, ok: bool, latency: timedelta) -> None:
         """Ignore the result of a request to another service."""
 
     def share(self, node: int) -> float:
@@ -85,7 +85,7 @@
         """Do nothing."""
 
 
-class Timed(AtOnce):
+class TimedPolicy(AtOncePolicy):
     """Takes the steps at fixed times and looks at nothing."""
 
     def share(self, node: int) -> float:
@@ -94,12 +94,12 @@
         return STEP_SHARES[step]
 
 
-class Threshold(Timed):
+class ThresholdPolicy(TimedPolicy):
     """Timed steps; rolls back when a window of a second shows too many errors."""
 
     def __init__(self, *, world: World):
         super().__init__(world=world)
-        self.requests = self.errors = self.windows = 0
+        self.requests = self.errors = self.current_second = 0
         self.reverted = False
 
     def share(self, node: int) -> float:
@@ -114,10 +114,13 @@
 
     def tick(self) -> None:
         """Compare the last second with the threshold."""
-        if int(self.world.now) == self.windows:
+        if int(self.world.now) == self.current_second:
             return
-        self.windows = int(self.world.now)
-        if self.requests >= THRESHOLD_REQUESTS and self.errors > THRESHOLD * self.requests:
+        self.current_second = int(self.world.now)
+        if (
+            self.requests >= MIN_REQUESTS_PER_WINDOW
+            and self.errors > ERROR_RATE_THRESHOLD * self.requests
+        ):
             self.reverted = True
         self.requests = self.errors = 0
 
@@ -129,17 +132,17 @@
 class BenchPublisher(OutcomePublisher):
     """Puts outcomes into the part that all nodes use; fails while the platform is down."""
 
-    def __init__(self, *, policy: "Moves"):
+    def __init__(self, *, policy: "ProductPolicy"):
         self.policy = policy
 
     def publish(self, service, move_id, state, reason):
         """Publish an outcome if the platform answers."""
         return self.policy.platform.get("config/head").lash(
-            lambda error: self.policy.take_outcome(state, reason, error)
+            lambda error: self.policy.apply_outcome(state, reason, error)
         )
 
 
-class Moves(Policy):
+class ProductPolicy(Policy):
     """almondshore's own state machines, with messages that take a tick and may be lost."""
 
     def __init__(self, *, world: World):
@@ -159,15 +162,15 @@
         self.detectors = [
             LocalDetector(clock=clock, node=f"r{zone}", nodes=len(zones)) for zone in zones
         ]
-        self.seat = 0
+        self.coordinator_zone = 0
         self.epoch = 0
         self.coordinator: MoveCoordinator | None = None
-        self.next_lease = 0.0
-        self.death = world.troubles.get("coordinator")
-        self.restart = world.troubles.get("restart")
+        self.lease_expires_at = 0.0
+        self.coordinator_fails_at = world.faults.get("coordinator")
+        self.restart_at = world.faults.get("restart")
         self.inbox: list[tuple[MoveTable, MoveStep | Veto]] = []
         self.evidence: list[tuple[int, str, Evidence]] = []
-        self.windows = 0
+        self.current_second = 0
         self.weights: dict[int, float] = {}
 
     def share(self, node: int) -> float:
@@ -192,11 +195,11 @@
             cold=outcome.cold,
         )
 
-    def control(self, node: int, service: str, ok: bool, latency: timedelta) -> None:
+    def record_control(self, node: int, service: str, ok: bool, latency: timedelta) -> None:
         """Record a result of another service."""
         self.recorders[node].record(service, "v1", "", ok, latency)
 
-    def take_outcome(self, state: MoveState, reason: str, error):
+    def apply_outcome(self, state: MoveState, reason: str, error):
         """Put an outcome into the configuration unless the platform is down."""
         if self.store.fault is Fault.DOWN:
             return self.platform.get("config/head")
@@ -212,17 +215,17 @@
         """Deliver messages, act at relays and coordinator, exchange digests."""
         self.weights.clear()
         self.store.fault = Fault.DOWN if self.world.platform_down() else Fault.NONE
-        self._fail()
+        self._inject_faults()
         inbox, self.inbox = self.inbox, []
         for table, message in inbox:
             if isinstance(message, MoveStep):
                 table.apply_step(message)
             else:
                 table.add_veto(message)
-        self._collect()
-        self._coordinate()
-        if self.world.now % HEARTBEAT < TICK:
-            self._repair()
+        self._deliver_evidence()
+        self._run_coordinator()
+        if self.world.now % HEARTBEAT_INTERVAL_S < TICK_S:
+            self._exchange_snapshots()
 
     def is_reverted(self) -> bool:
         """Return whether the version is vetoed or its move reverted."""
@@ -239,16 +242,16 @@
         recorder.set_services({SERVICE})
         return recorder
 
-    def _fail(self) -> None:
+    def _inject_faults(self) -> None:
         now = self.world.now
-        died = self.death is not None and now >= self.death
-        if died or self.seat == self.world.lost_zone:
-            self.death = None if died else self.death
+        failed = self.coordinator_fails_at is not None and now >= self.coordinator_fails_at
+        if failed or self.coordinator_zone == self.world.lost_zone:
+            self.coordinator_fails_at = None if failed else self.coordinator_fails_at
             self.coordinator = None
-            self.next_lease = now + LEASE
-            self.seat = (self.seat + 1) % len(self.relays)
-        if self.restart is not None and now >= self.restart:
-            self.restart = None
+            self.lease_expires_at = now + LEASE_S
+            self.coordinator_zone = (self.coordinator_zone + 1) % len(self.relays)
+        if self.restart_at is not None and now >= self.restart_at:
+            self.restart_at = None
             for node in range(0, len(self.nodes()), 2):
                 self.tables[node] = self._table()
                 self.tables[node].merge(self.relay_tables[self.zone(node)].snapshot())
@@ -256,10 +259,10 @@
             for target in self.world.targets[::2]:
                 self.recorders[target.node] = self._recorder()
 
-    def _collect(self) -> None:
+    def _deliver_evidence(self) -> None:
         """Pass evidence on: nodes to relays, relays to the coordinator."""
-        arrived, self.evidence = self.evidence, []
-        for zone, sender, evidence in arrived:
+        delivered, self.evidence = self.evidence, []
+        for zone, sender, evidence in delivered:
             if zone >= 0:
                 self.relays[zone].add(evidence, sender)
             elif self.coordinator is not None:
@@ -281,12 +284,12 @@
 
     def _send(self, evidence: Evidence, zone: int, sender: str) -> None:
         self.bytes += len(encode(Envelope("10.0.0.1:7000", f"zone-{zone}", evidence)))
-        if zone != self.world.lost_zone and self.rng.random() >= LOSS:
+        if zone != self.world.lost_zone and self.rng.random() >= MESSAGE_LOSS:
             self.evidence.append((zone, sender, evidence))
 
-    def _coordinate(self) -> None:
+    def _run_coordinator(self) -> None:
         if self.coordinator is None:
-            if self.world.now < self.next_lease or self.store.fault is Fault.DOWN:
+            if self.world.now < self.lease_expires_at or self.store.fault is Fault.DOWN:
                 return
             self.epoch += 1
             self.coordinator = MoveCoordinator(
@@ -294,7 +297,7 @@
                 rng=self.rng,
                 platform=self.platform,
                 publisher=BenchPublisher(policy=self),
-                table=self.relay_tables[self.seat],
+                table=self.relay_tables[self.coordinator_zone],
                 node=f"relay-{self.epoch}",
                 epoch=self.epoch,
                 part=self.part,
@@ -303,23 +306,23 @@
         new, old = len(self.world.live("v2")), len(self.world.live("v1"))
         fleet = TargetCounts(SLOTS * new, SLOTS * old, new, old)
         for message in self.coordinator.tick(fleet):
-            self._broadcast(message, self.relay_tables[self.seat])
+            self._broadcast(message, self.relay_tables[self.coordinator_zone])
 
-    def _broadcast(self, message: MoveStep | Veto, own: MoveTable) -> None:
-        self.inbox.append((own, message))
+    def _broadcast(self, message: MoveStep | Veto, sender_table: MoveTable) -> None:
+        self.inbox.append((sender_table, message))
         size = len(encode(Envelope("10.0.0.1:7000", "zone-1", message)))
         for table in self.tables + self.relay_tables:
             self.bytes += size
-            if table is not own and self.rng.random() >= LOSS:
+            if table is not sender_table and self.rng.random() >= MESSAGE_LOSS:
                 self.inbox.append((table, message))
 
-    def _repair(self) -> None:
+    def _exchange_snapshots(self) -> None:
         """Let each node merge with its relay, and the relays with one another."""
         pairs = [(table, self.relay_tables[self.zone(n)]) for n, table in enumerate(self.tables)]
         pairs += zip(self.relay_tables, self.relay_tables[1:], strict=False)
-        for one, other in pairs:
-            if one.digest() != other.digest():
-                for source, sink in ((one, other), (other, one)):
+        for first, second in pairs:
+            if first.digest() != second.digest():
+                for source, destination in ((first, second), (second, first)):
                     snapshot: MovesSnapshot = source.snapshot()
                     self.bytes += len(encode(Envelope("10.0.0.1:7000", "zone-1", snapshot)))
-                    sink.merge(snapshot)
+                    destination.merge(snapshot)
--- a/bench/move_world.py
+++ b/bench/move_world.py
@@ -1,4 +1,4 @@
-"""Stand-in service of the bench of moves: targets, requests and troubles on a manual clock."""
+"""Stand-in service of the bench of moves: targets, requests and faults on a manual clock."""
 
 import random
 from datetime import timedelta
@@ -16,18 +16,18 @@
     Kind,
 )
 
-TICK = 0.25
+TICK_S = 0.25
 SERVICE = "counter-app"
 SLOTS = 10
 # Requests a second that a target carries without refusing any, and its share in use by default.
-TARGET_RATE = 70.0
+TARGET_REQUESTS_PER_S = 70.0
 UTILISATION = 0.7
-SLOW_START = 10.0
+SLOW_START_S = 10.0
 COLD_FACTOR = 3.0
-RESTART_SECONDS = 5.0
-DETECTION_SECONDS = 6.0
-OVERLOAD = 2.0
-QUIET = 0.2
+RESTART_S = 5.0
+DETECTION_S = 6.0
+OVERLOAD_FACTOR = 2.0
+LOW_TRAFFIC_FACTOR = 0.2
 
 
 class Deployment(NamedTuple):
@@ -67,9 +67,9 @@
         """Return the time since its start in seconds."""
         return now - self.up_at
 
-    def roll(self) -> None:
+    def update_load(self) -> None:
         """Update the utilisation from the arrivals of a tick."""
-        self.load += 0.3 * (self.arrivals / (TARGET_RATE * TICK) - self.load)
+        self.load += 0.3 * (self.arrivals / (TARGET_REQUESTS_PER_S * TICK_S) - self.load)
         self.arrivals = 0
 
 
@@ -84,7 +84,7 @@
 
 
 class World:
-    """Targets, request rate and troubles of one run.
+    """Targets, request rate and faults of one run.
 
     :ivar harmed: requests that were worse because of a bad new version
     """
@@ -94,12 +94,10 @@
         self.rng = random.Random(f"{kind.name}/{deployment.name}/{duration}/{seed}")
         self.clock = ManualClock()
         self.part = make_part(deployment, duration, self.clock)
-        self.troubles = {
-            name: duration * self.rng.uniform(0.1, 0.9) for name in sorted(kind.troubles)
-        }
+        self.faults = {name: duration * self.rng.uniform(0.1, 0.9) for name in sorted(kind.faults)}
         count = deployment.targets
-        late = duration * 0.5 if "late" in self.troubles else 0.0
-        fewer = 1 if "fewer" in self.troubles else 0
+        late = duration * 0.5 if "late" in self.faults else 0.0
+        fewer = 1 if "fewer" in self.faults else 0
         zones, callers = deployment.zones, deployment.services * deployment.targets
         self.targets = [
             Target(version="v1", node=i, zone=i % zones, up_at=-1e6) for i in range(count)
@@ -115,41 +113,41 @@
         self.new_requests = 0
         self.harmed = 0
         self.first_bad: float | None = None
-        self.shown: float | None = None
-        self.exposed_at_shown = 0.0
-        self.last_new: float | None = None
+        self.fifth_bad: float | None = None
+        self.exposed_at_fifth_bad = 0.0
+        self.last_request_on_new: float | None = None
         self.crashes_left = 0
-        self.next_crash = self.troubles.get("crash-request", 1e9)
-        if "crash-request" in self.troubles:
+        self.next_crash = self.faults.get("crash-request", 1e9)
+        if "crash-request" in self.faults:
             self.crashes_left = 2
 
     def advance(self) -> None:
         """Let a tick pass."""
-        self.clock.advance(timedelta(seconds=TICK))
+        self.clock.advance(timedelta(seconds=TICK_S))
         self.now = self.clock.elapsed.total_seconds()
         for target in self.targets:
-            target.roll()
+            target.update_load()
         self._lose_zone()
         self.choices.clear()
 
     def platform_down(self) -> bool:
         """Return whether the platform is down now."""
-        if "long-outage" in self.troubles:
+        if "long-outage" in self.faults:
             return 0.3 <= self.now / self.duration <= 1.2
-        start = self.troubles.get("outage")
+        start = self.faults.get("outage")
         return start is not None and start <= self.now <= start + 0.4 * self.duration
 
     def rate(self) -> float:
         """Return the requests a second at present."""
-        base = UTILISATION * TARGET_RATE * self.deployment.targets
-        if "quiet" in self.troubles:
-            base *= QUIET
-        start = self.troubles.get("overload")
+        base = UTILISATION * TARGET_REQUESTS_PER_S * self.deployment.targets
+        if "quiet" in self.faults:
+            base *= LOW_TRAFFIC_FACTOR
+        start = self.faults.get("overload")
         loaded = start is not None and start <= self.now <= start + 0.25 * self.duration
-        return base * OVERLOAD if loaded else base
+        return base * OVERLOAD_FACTOR if loaded else base
 
     def _lose_zone(self) -> None:
-        start = self.troubles.get("zone")
+        start = self.faults.get("zone")
         if start is not None and self.now >= start and self.lost_zone is None:
             self.lost_zone, self.lost_at = self.rng.randrange(self.deployment.zones), self.now
             for target in self.targets:
@@ -162,7 +160,7 @@
             for target in self.targets
             if target.version == version
             and target.up_at <= self.now
-            and (not target.gone or self.now < self.lost_at + DETECTION_SECONDS)
+            and (not target.gone or self.now < self.lost_at + DETECTION_S)
         ]
 
     def choose(self, version: str, share: float) -> Target | None:
@@ -172,13 +170,13 @@
             live = self.live(version)
             if version == "v2":
                 live = live[: target_count(share, len(live), len(self.live("v1")))]
-            total, sums = 0.0, []
+            total, cumulative_weights = 0.0, []
             for target in live:
-                total += min(1.0, 0.1 + target.age(self.now) / SLOW_START)
-                sums.append(total)
-            self.choices[key] = (live, sums)
-        live, sums = self.choices[key]
-        return self.rng.choices(live, cum_weights=sums)[0] if live else None
+                total += min(1.0, 0.1 + target.age(self.now) / SLOW_START_S)
+                cumulative_weights.append(total)
+            self.choices[key] = (live, cumulative_weights)
+        live, cumulative_weights = self.choices[key]
+        return self.rng.choices(live, cum_weights=cumulative_weights)[0] if live else None
 
     def route(self) -> str:
         """Return the route of the next request."""
@@ -192,37 +190,41 @@
             return None
         if target.version == "v2":
             self.new_requests += 1
-            self.last_new = self.now
-        error, slow, crash = self._badness(target, route)
+            self.last_request_on_new = self.now
+        error, slow, crash = self._bad_behaviour(target, route)
         bad = self.rng.random() < error
         crashed = self.rng.random() < crash or self._is_crash_request()
-        factor = slow * (1 + target.load**3) * self._cold(target)
+        factor = slow * (1 + target.load**3) * self._cold_factor(target)
         latency = BASE_LATENCY_MS * factor * self.rng.lognormvariate(0, LATENCY_SIGMA)
         if bad or slow > 1 or (crashed and crash):
-            self._note_bad()
+            self._record_bad_response()
         if crashed:
-            target.up_at = self.now + RESTART_SECONDS
+            target.up_at = self.now + RESTART_S
             self.choices.clear()
         failed = bad or self.rng.random() < BASE_ERROR_RATE
         return Outcome(
             not failed and not crashed,
             crashed,
             timedelta(milliseconds=latency),
-            target.age(self.now) < SLOW_START,
+            target.age(self.now) < SLOW_START_S,
             bad,
         )
 
-    def _badness(self, target: Target, route: str) -> tuple[float, float, float]:
+    def _bad_behaviour(self, target: Target, route: str) -> tuple[float, float, float]:
         version = self.kind.version
-        shown = (
+        is_bad = (
             target.version == "v2"
             and self.now >= version.from_share * self.duration
             and (not version.above_load or target.load >= version.above_load)
             and version.route in ("", route)
         )
-        return (version.error_rate, version.slow, version.crash_rate) if shown else (0, 1.0, 0)
+        return (
+            (version.error_rate, version.latency_factor, version.crash_rate)
+            if is_bad
+            else (0, 1.0, 0)
+        )
 
-    def _cold(self, target: Target) -> float:
+    def _cold_factor(self, target: Target) -> float:
         seconds = self.kind.version.cold_seconds if target.version == "v2" else 5.0
         return COLD_FACTOR if target.age(self.now) < seconds else 1.0
 
@@ -233,13 +235,13 @@
         self.next_crash = self.now + 0.5
         return True
 
-    def _note_bad(self) -> None:
+    def _record_bad_response(self) -> None:
         self.harmed += 1
         if self.first_bad is None:
             self.first_bad = self.now
         if self.harmed == 5:
-            self.shown = self.now
-            self.exposed_at_shown = self.new_requests / self.requests
+            self.fifth_bad = self.now
+            self.exposed_at_fifth_bad = self.new_requests / self.requests
 
 
 def make_part(deployment: Deployment, duration: float, clock: ManualClock) -> ServicePart:
--- a/bench/moves.py
+++ b/bench/moves.py
@@ -8,24 +8,24 @@
 from typing import NamedTuple
 
 from bench.move_kinds import BAD_KINDS, BASE_ERROR_RATE, GOOD_KINDS, Kind
-from bench.move_policies import AtOnce, Moves, Policy, Threshold, Timed
-from bench.move_world import CHLADLOG, COOPERATIVA, TICK, Deployment, World
+from bench.move_policies import AtOncePolicy, Policy, ProductPolicy, ThresholdPolicy, TimedPolicy
+from bench.move_world import CHLADLOG, COOPERATIVA, TICK_S, Deployment, World
 from bench.rows import BenchRow
 
-OWN = "almondshore"
+PRODUCT = "almondshore"
 POLICIES: dict[str, type[Policy]] = {
-    OWN: Moves,
-    "timed steps": Timed,
-    "threshold 5%": Threshold,
-    "all at once": AtOnce,
+    PRODUCT: ProductPolicy,
+    "timed steps": TimedPolicy,
+    "threshold 5%": ThresholdPolicy,
+    "all at once": AtOncePolicy,
 }
 DEPLOYMENTS = (COOPERATIVA, CHLADLOG)
-SHORT = 120.0
-LONG = 400.0
+SHORT_MOVE_S = 120.0
+LONG_MOVE_S = 400.0
 # The move is followed for this multiple of its duration, for versions that turn bad after it.
-FOLLOWED = 1.3
-PROCESSES = 3
-BREAKS_AT_CRASH = 9
+OBSERVED_DURATIONS = 1.3
+WORKER_PROCESSES = 3
+MAX_BROKEN_REQUESTS_PER_CRASH = 9
 
 
 class Case(NamedTuple):
@@ -44,8 +44,8 @@
     :ivar completed_at: when all requests went to the new version, in seconds, or None
     :ivar harmed: share of the service's requests that a bad version harmed
     :ivar exposed: share of requests on the new version until its fifth bad response
-    :ivar sign_to_last: seconds from the first bad response to the last request on the version
-    :ivar shown_to_last: seconds from the fifth bad response to the last request on the version
+    :ivar first_bad_to_last: seconds from the first bad response to the last request on the version
+    :ivar fifth_bad_to_last: seconds from the fifth bad response to the last request on the version
     :ivar bytes_per_node: control bytes a second for each node
     """
 
@@ -54,8 +54,8 @@
     reverted: bool
     harmed: float
     exposed: float
-    sign_to_last: float | None
-    shown_to_last: float | None
+    first_bad_to_last: float | None
+    fifth_bad_to_last: float | None
     bytes_per_node: float
 
 
@@ -64,13 +64,17 @@
     world = World(case.kind, case.deployment, case.duration, case.seed)
     policy = POLICIES[case.policy](world=world)
     completed_at = None
-    while world.now < FOLLOWED * case.duration:
+    while world.now < OBSERVED_DURATIONS * case.duration:
         _run_requests(world, policy)
         world.advance()
         policy.tick()
         if completed_at is None and policy.is_complete() and world.live("v2"):
             completed_at = world.now
-        if policy.is_reverted() and world.last_new and world.now > world.last_new + 10:
+        if (
+            policy.is_reverted()
+            and world.last_request_on_new
+            and world.now > world.last_request_on_new + 10
+        ):
             break
     return _result(case, world, policy, completed_at)
 
@@ -79,7 +83,7 @@
     rng, rate = world.rng, world.rate()
     nodes = [node for node in policy.nodes() if policy.zone(node) != world.lost_zone]
     shares = {node: policy.share(node) for node in nodes}
-    for _ in range(round(rate * TICK + rng.uniform(-0.5, 0.5))):
+    for _ in range(round(rate * TICK_S + rng.uniform(-0.5, 0.5))):
         node = rng.choice(nodes)
         version = "v2" if rng.random() < shares[node] else "v1"
         target = world.choose(version, shares[node])
@@ -90,34 +94,36 @@
         outcome = world.serve(target, route)
         policy.record(node, target, route, outcome)
         if outcome is not None and outcome.broken:
-            for _ in range(rng.randint(0, BREAKS_AT_CRASH)):
+            for _ in range(rng.randint(0, MAX_BROKEN_REQUESTS_PER_CRASH)):
                 policy.record(rng.choice(nodes), target, route, outcome)
-    _run_controls(world, policy, nodes)
+    _send_control_requests(world, policy, nodes)
 
 
-def _run_controls(world: World, policy: Policy, nodes: list[int]) -> None:
+def _send_control_requests(world: World, policy: Policy, nodes: list[int]) -> None:
     """Send some requests to the services without a move."""
     rng = world.rng
     for service in ("fault-desk", "status-monitoring", "schedule-programming"):
         for _ in range(3):
             latency = timedelta(milliseconds=20 * rng.lognormvariate(0, 0.5))
-            policy.control(rng.choice(nodes), service, rng.random() >= BASE_ERROR_RATE, latency)
+            policy.record_control(
+                rng.choice(nodes), service, rng.random() >= BASE_ERROR_RATE, latency
+            )
 
 
 def _result(case: Case, world: World, policy: Policy, completed_at: float | None) -> Result:
     def since(start: float | None) -> float | None:
-        if start is None or world.last_new is None:
+        if start is None or world.last_request_on_new is None:
             return None
-        return max(0.0, world.last_new - start)
+        return max(0.0, world.last_request_on_new - start)
 
     return Result(
         case,
         completed_at,
         policy.is_reverted(),
         world.harmed / max(world.requests, 1),
-        world.exposed_at_shown,
+        world.exposed_at_fifth_bad,
         since(world.first_bad),
-        since(world.shown),
+        since(world.fifth_bad),
         policy.bytes / max(world.now, 1) / len(policy.nodes()),
     )
 
@@ -128,36 +134,36 @@
         Case(policy, kind, deployment, duration, seed)
         for kind in kinds
         for deployment in DEPLOYMENTS
-        for duration, count in ((SHORT, seeds), (LONG, max(seeds // 6, 1)))
+        for duration, count in ((SHORT_MOVE_S, seeds), (LONG_MOVE_S, max(seeds // 6, 1)))
         for seed in range(count)
     ]
 
 
 def run_cases(cases: list[Case]) -> list[Result]:
     """Run moves on a few processes."""
-    with ProcessPoolExecutor(PROCESSES) as pool:
+    with ProcessPoolExecutor(WORKER_PROCESSES) as pool:
         return list(pool.map(run_case, cases, chunksize=4))
 
 
 def is_in_time(result: Result) -> bool:
     """Return whether a move was complete by its deadline and stayed so."""
-    done = result.completed_at
-    return done is not None and done <= result.case.duration and not result.reverted
+    completed_at = result.completed_at
+    return completed_at is not None and completed_at <= result.case.duration and not result.reverted
 
 
 def good_rows(name: str, results: list[Result]) -> list[BenchRow]:
     """Return the rows of good versions."""
-    count, done = len(results), [result for result in results if is_in_time(result)]
-    margins = [1 - result.completed_at / result.case.duration for result in done]
+    count, in_time = len(results), [result for result in results if is_in_time(result)]
+    margins = [1 - result.completed_at / result.case.duration for result in in_time]
     margin = f", least margin {min(margins):.0%}" if margins else ""
     reverted = sum(result.reverted for result in results)
     return [
         BenchRow(
             f"{name}: in time",
             "all",
-            f"{len(done)} of {count}{margin}",
+            f"{len(in_time)} of {count}{margin}",
             "moves",
-            _verdict(len(done) == count),
+            _verdict(len(in_time) == count),
         ),
         BenchRow(
             f"{name}: false rollbacks",
@@ -173,8 +179,8 @@
     """Return the rows of bad versions."""
     count, reverted = len(results), sum(result.reverted for result in results)
     harmed = max(result.harmed for result in results)
-    first = [result.sign_to_last for result in results if result.sign_to_last is not None]
-    last = [result.shown_to_last for result in results if result.shown_to_last is not None]
+    first = [result.first_bad_to_last for result in results if result.first_bad_to_last is not None]
+    last = [result.fifth_bad_to_last for result in results if result.fifth_bad_to_last is not None]
     rows = [
         BenchRow(
             f"{name}: rolled back",
@@ -218,14 +224,14 @@
     for result in results:
         groups.setdefault((result.case.policy, result.case.kind.name), []).append(result)
     rows = []
-    for (policy, kind), found in groups.items():
-        if policy == OWN:
-            bad = found[0].case.kind.version.is_bad()
-            rows += (bad_rows if bad else good_rows)(kind, found)
+    for (policy, kind), group in groups.items():
+        if policy == PRODUCT:
+            bad = group[0].case.kind.version.is_bad()
+            rows += (bad_rows if bad else good_rows)(kind, group)
     for policy in POLICIES:
-        own = [result for result in results if result.case.policy == policy]
-        good = [result for result in own if not result.case.kind.version.is_bad()]
-        bad = [result for result in own if result.case.kind.version.is_bad()]
+        of_policy = [result for result in results if result.case.policy == policy]
+        good = [result for result in of_policy if not result.case.kind.version.is_bad()]
+        bad = [result for result in of_policy if result.case.kind.version.is_bad()]
         rows += good_rows(f"{policy}, all good kinds", good) if good else []
         rows += bad_rows(f"{policy}, all bad kinds", bad)[:2] if bad else []
     size = max((result.bytes_per_node for result in results), default=0)
@@ -247,9 +253,9 @@
 
 def run(seeds: int = 1) -> list[BenchRow]:
     """Run all kinds with all policies and return the table."""
-    cases = make_cases(OWN, GOOD_KINDS + BAD_KINDS, seeds)
+    cases = make_cases(PRODUCT, GOOD_KINDS + BAD_KINDS, seeds)
     for policy in POLICIES:
-        if policy != OWN:
+        if policy != PRODUCT:
             cases += make_cases(policy, GOOD_KINDS + BAD_KINDS, max(seeds // 10, 1))
     return make_rows(run_cases(cases))
 
--- a/bench/pump.py
+++ b/bench/pump.py
@@ -16,8 +16,8 @@
 from standins.object_store import Fault, ObjectStore
 
 STEP = timedelta(milliseconds=200)
-DELAY = timedelta(milliseconds=1)
-NODES_PER_HOST_RANGE = 250
+MIN_DELAY = timedelta(milliseconds=1)
+NODES_PER_SUBNET = 250
 
 
 class Pump:
@@ -28,20 +28,20 @@
     :ivar spread: longest extra delay of a message; messages overtake each other within it
     """
 
-    def __init__(self, *, seed: int, drop: float = 0.0, meter: Meter | None = None):
+    def __init__(self, *, seed: int, drop_rate: float = 0.0, meter: Meter | None = None):
         self.rng = random.Random(seed)
         self.clock = ManualClock()
         self.store = ObjectStore(clock=self.clock)
-        self.drop = drop
-        self.double = 0.0
-        self.spread = DELAY
+        self.drop_rate = drop_rate
+        self.duplicate_rate = 0.0
+        self.max_jitter = MIN_DELAY
         self.meter = meter
         self.nodes: dict[str, ControlNode] = {}
         self.paused: set[str] = set()
-        self.cut: set[frozenset[str]] = set()
+        self.partitions: set[frozenset[str]] = set()
         self.queue: list[tuple[timedelta, int, str, Send]] = []
         self.sequence = 0
-        self.kind_counts: Counter[str] = Counter()
+        self.message_counts: Counter[str] = Counter()
         self.watch_started: weakref.WeakKeyDictionary = weakref.WeakKeyDictionary()
 
     def add(
@@ -53,7 +53,7 @@
         limits: ControlLimits | None = None,
     ) -> ControlNode:
         """Start a node whose addresses follow from its index."""
-        control = f"10.0.{index // NODES_PER_HOST_RANGE}.{index % NODES_PER_HOST_RANGE}:7400"
+        control = f"10.0.{index // NODES_PER_SUBNET}.{index % NODES_PER_SUBNET}:7400"
         milliseconds = int(self.clock.now().timestamp() * 1000)
         address = control.replace(":7400", ":7401")
         identity = Identity(f"node-{index:05d}", milliseconds, zone, control, address)
@@ -76,10 +76,10 @@
         """Put messages on their way."""
         for send in sends:
             self._count(sender, send)
-            if self.rng.random() < self.drop:
+            if self.rng.random() < self.drop_rate:
                 continue
-            for _ in range(2 if self.rng.random() < self.double else 1):
-                due = self.clock.monotonic() + DELAY + self.spread * self.rng.random()
+            for _ in range(2 if self.rng.random() < self.duplicate_rate else 1):
+                due = self.clock.monotonic() + MIN_DELAY + self.max_jitter * self.rng.random()
                 self.sequence += 1
                 heapq.heappush(self.queue, (due, self.sequence, sender, send))
 
@@ -129,18 +129,18 @@
 
     def _deliver(self, sender: str, send: Send) -> None:
         node = self.nodes.get(send.to)
-        if node is None or send.to in self.paused or self._is_cut(sender, node):
+        if node is None or send.to in self.paused or self._is_partitioned(sender, node):
             return
         self.send(send.to, self._run(send.to, node.handle, send.message, sender))
 
-    def _is_cut(self, sender: str, receiver: ControlNode) -> bool:
+    def _is_partitioned(self, sender: str, receiver: ControlNode) -> bool:
         source = self.nodes.get(sender)
-        if source is None or not self.cut:
+        if source is None or not self.partitions:
             return False
-        return frozenset((source.identity.zone, receiver.identity.zone)) in self.cut
+        return frozenset((source.identity.zone, receiver.identity.zone)) in self.partitions
 
     def _count(self, sender: str, send: Send) -> None:
-        self.kind_counts[type(send.message).__name__] += 1
+        self.message_counts[type(send.message).__name__] += 1
         if self.meter is not None:
             zone = self.nodes[sender].identity.zone if sender in self.nodes else ""
             self.meter.sent(sender, zone, send)
--- a/test/load/test_clients_that_give_up.py
+++ b/test/load/test_clients_that_give_up.py
@@ -2,16 +2,18 @@
 
 from testtools import TestCase
 
-from bench.load_model import Habits
-from bench.load_scenarios import PATIENCE, clients_that_give_up, play
+from bench.load_model import ClientBehaviour
+from bench.load_scenarios import CLIENT_TIMEOUT, clients_that_give_up, simulate
 
 
 class ClientsThatGiveUpTest(TestCase):
     def test_targets_do_not_run_requests_of_clients_that_gave_up(self):
         """Guards against slots held by requests whose clients have given up."""
-        system = play(clients_that_give_up)
-        staying = play(lambda model: clients_that_give_up(model)._replace(habits=Habits()))
-        soon = sum(took <= PATIENCE for took in staying.response_times)
+        system = simulate(clients_that_give_up)
+        staying = simulate(
+            lambda model: clients_that_give_up(model)._replace(behaviour=ClientBehaviour())
+        )
+        soon = sum(took <= CLIENT_TIMEOUT for took in staying.response_times)
         # At least as many requests are answered in time as if no client gave up.
         self.assertTrue(system.ends["on time"] >= soon, (system.ends, soon))
         for server in system.servers.values():
@@ -19,6 +21,6 @@
 
     def test_clients_that_give_up_do_not_raise_the_failure_rate(self):
         """Guards against avoiding targets because their clients gave up early."""
-        system = play(clients_that_give_up)
+        system = simulate(clients_that_give_up)
         rates = [server.recorder.failure_rate() for server in system.servers.values()]
         self.assertTrue(max(rates) < 0.2, rates)
--- a/test/load/test_grey_target.py
+++ b/test/load/test_grey_target.py
@@ -2,12 +2,12 @@
 
 from testtools import TestCase
 
-from bench.load_scenarios import grey_target, play
+from bench.load_scenarios import grey_target, simulate
 
 
 class GreyTargetTest(TestCase):
     def test_failing_target_gets_few_requests(self):
         """Guards against a failing target that attracts requests because it fails fast."""
-        system = play(grey_target)
+        system = simulate(grey_target)
         self.assertTrue(system.sent_share("t1") < 0.12, system.sent)
         self.assertTrue(system.share("failed") < 0.06, system.ends)
--- a/test/load/test_retry_storm.py
+++ b/test/load/test_retry_storm.py
@@ -2,16 +2,18 @@
 
 from testtools import TestCase
 
-from bench.load_model import Habits
-from bench.load_scenarios import play, retry_storm
+from bench.load_model import ClientBehaviour
+from bench.load_scenarios import retry_storm, simulate
 
 
 class RetryStormTest(TestCase):
     def test_repeats_do_not_displace_requests_that_can_be_served(self):
         """Guards against repeated requests that keep targets from answering any request in time."""
-        system = play(retry_storm)
-        without_repeats = play(lambda model: retry_storm(model)._replace(habits=Habits()))
-        self.assertTrue(system.repeats > sum(system.ends.values()) * 0.2, system.repeats)
+        system = simulate(retry_storm)
+        without_repeats = simulate(lambda model: retry_storm(model)._replace(behaviour=ClientBehaviour()))
+        self.assertTrue(
+            system.client_retries > sum(system.ends.values()) * 0.2, system.client_retries
+        )
         # The targets have capacity for two thirds of the requests.
         self.assertTrue(system.share("on time") > 0.5, system.ends)
         self.assertTrue(
--- a/test/moves/test_bench.py
+++ b/test/moves/test_bench.py
@@ -4,7 +4,7 @@
 
 from bench.move_kinds import BAD_KINDS, GOOD_KINDS
 from bench.move_world import CHLADLOG, COOPERATIVA
-from bench.moves import OWN, SHORT, Case, is_in_time, run_case
+from bench.moves import PRODUCT, SHORT_MOVE_S, Case, is_in_time, run_case
 
 
 def results(kinds, names):
@@ -12,7 +12,8 @@
     assert len(found) == len(names)
     sizes = (COOPERATIVA, CHLADLOG)
     return [
-        run_case(Case(OWN, kind, sizes[n % len(sizes)], SHORT, 1)) for n, kind in enumerate(found)
+        run_case(Case(PRODUCT, kind, sizes[n % len(sizes)], SHORT_MOVE_S, 1))
+        for n, kind in enumerate(found)
     ]
 
 
@@ -40,6 +41,6 @@
             self.assertTrue(result.reverted, result)
             self.assertLessEqual(result.harmed, 0.05, result)
             # None if the version was removed before its fifth bad response.
-            self.assertLessEqual(result.shown_to_last or 0.0, 5.0, result)
+            self.assertLessEqual(result.fifth_bad_to_last or 0.0, 5.0, result)
             if result.case.kind.version.is_bad_at_start():
                 self.assertLessEqual(result.exposed, 0.05, result)
--- a/test/relay/invariants.py
+++ b/test/relay/invariants.py
@@ -22,7 +22,7 @@
         self.digests[head.version] = head.digest
 
     def publish(self):
-        version = self.fleet.change_one()
+        version = self.fleet.change_service()
         self.record_published()
         return version
 
--- a/test/relay/test_budget.py
+++ b/test/relay/test_budget.py
@@ -25,24 +25,30 @@
         """
         meter = Meter()
         fleet = Fleet(seed=1, nodes=NODES, zones=ZONES, meter=meter)
-        self.assertIsNotNone(fleet.until(lambda: fleet.settled(1), timedelta(seconds=60)))
+        self.assertIsNotNone(fleet.run_until(lambda: fleet.is_converged(1), timedelta(seconds=60)))
         fleet.run(timedelta(seconds=45))
         before = dict(fleet.pump.store.counts)
-        rest = convergence.rates(fleet, meter, lambda: None, SECONDS)
+        idle = convergence.measure_rates(fleet, meter, lambda: None, SECONDS)
         counts = fleet.pump.store.counts
         writes = (counts["write"] - before["write"]) / SECONDS / len(fleet.relays)
         reads = (counts["read"] - before["read"]) / SECONDS / len(fleet.relays)
-        self.assertLessEqual(writes * ZONE_RELAYS + STATUS_WRITES, convergence.ZONE_WRITES_TARGET)
+        self.assertLessEqual(
+            writes * ZONE_RELAYS + STATUS_WRITES, convergence.ZONE_WRITES_PER_S_TARGET
+        )
         self.assertLessEqual(reads, 0.5)
         times = []
-        config = convergence.cost(
-            fleet, meter, rest, lambda: times.append(convergence.converge(fleet))
+        config = convergence.measure_change_cost(
+            fleet, meter, idle, lambda: times.append(convergence.measure_convergence(fleet))
+        )
+        record = convergence.measure_change_cost(
+            fleet, meter, idle, lambda: convergence.change_record(fleet)
         )
-        record = convergence.cost(fleet, meter, rest, lambda: convergence.change_record(fleet))
         self.assertLessEqual(max(times), 1)
         served = max(len(node.relay.subscribers) for node in fleet.relays)
-        measured = convergence.Measured(NODES, 0, 0, rest, config, record, 0, 0, served)
-        load = measured.at_full_load()
-        self.assertLessEqual(load.relay_bytes * BUSIEST_SHARE / served, convergence.BYTES_TARGET)
+        figures = convergence.FleetFigures(NODES, 0, 0, idle, config, record, 0, 0, served)
+        load = figures.at_full_load()
+        self.assertLessEqual(
+            load.relay_bytes * BUSIEST_SHARE / served, convergence.BYTES_PER_S_TARGET
+        )
         self.assertLessEqual(load.node_bytes, 500)
         self.assertEqual(0, counts["refused"])
--- a/test/relay/test_failures.py
+++ b/test/relay/test_failures.py
@@ -24,13 +24,13 @@
 
     def started(self):
         in_zone = all(node.selection.in_zone for node in self.followers())
-        return in_zone and self.fleet.settled(1)
+        return in_zone and self.fleet.is_converged(1)
 
     def followers(self):
         return [node for node in self.fleet.nodes if node.relay is None]
 
     def holds(self, version):
-        return self.fleet.holding(version) == len(self.fleet.nodes)
+        return self.fleet.nodes_at_version(version) == len(self.fleet.nodes)
 
     def relay_addresses(self):
         return [node.identity.control for node in self.fleet.relays]
@@ -60,7 +60,7 @@
         self.pump.kill(victim)
         self.invariants.run(30)
         joined = self.fleet.add(zone)
-        self.invariants.until(lambda: self.fleet.settled(1), 30)
+        self.invariants.until(lambda: self.fleet.is_converged(1), 30)
         self.assertTrue(joined.config.ready)
         self.assertTrue(all(node.selection.connected for node in self.followers()))
         self.store.fault = Fault.NONE
@@ -71,7 +71,7 @@
     def test_lost_answers_and_lost_messages_at_once(self):
         """Guards against a fleet that depends on a response to each write or message."""
         self.start()
-        self.pump.drop = 0.1
+        self.pump.drop_rate = 0.1
         self.store.fault = Fault.LOSE_ANSWERS
         self.invariants.run(60)
         self.store.fault = Fault.NONE
@@ -93,13 +93,13 @@
         holders = [n.identity.control for n in self.fleet.relays if n.identity.zone == zone]
         self.assertEqual(1, len(holders))
         self.assertNotEqual(paused, holders[0])
-        self.invariants.until(lambda: self.fleet.settled(version), 30)
+        self.invariants.until(lambda: self.fleet.is_converged(version), 30)
 
     def test_partition_of_two_regions_for_an_hour_and_recovery(self):
         """Guards against regions that stay different or keep each other's targets declared dead."""
         self.start(nodes=8, zones=4)
         zones = self.fleet.zones
-        self.pump.cut = {
+        self.pump.partitions = {
             frozenset((a, b)) for a in zones for b in zones if a.split("-")[1] != b.split("-")[1]
         }
         for _ in range(3):
@@ -109,10 +109,10 @@
             self.assertTrue(self.holds(version))
             self.fleet.add()
             self.pump.kill(self.followers()[0].identity.control)
-        self.pump.cut.clear()
-        self.invariants.until(lambda: self.fleet.settled(version), 60)
+        self.pump.partitions.clear()
+        self.invariants.until(lambda: self.fleet.is_converged(version), 60)
         self.invariants.until(lambda: self.live_records() == len(self.fleet.nodes), 60)
-        self.invariants.until(lambda: self.fleet.settled(version), 5)
+        self.invariants.until(lambda: self.fleet.is_converged(version), 5)
 
     def live_records(self):
         records = self.fleet.nodes[0].directory.records.values()
@@ -125,14 +125,14 @@
         """Guards I1, I2, I3 under lost, duplicated and reordered messages, kills and restarts."""
         rng = random.Random(number)
         self.start(nodes=9, number=number)
-        self.pump.drop, self.pump.double = rng.uniform(0, 0.3), rng.uniform(0, 0.3)
-        self.pump.spread = timedelta(seconds=rng.uniform(0, 3))
+        self.pump.drop_rate, self.pump.duplicate_rate = rng.uniform(0, 0.3), rng.uniform(0, 0.3)
+        self.pump.max_jitter = timedelta(seconds=rng.uniform(0, 3))
         for _ in range(8):
             action = rng.choice(["publish", "kill", "restart", "drain", "outage", "pause"])
             self.perform(action, rng)
             self.invariants.run(rng.uniform(0, 6))
-        self.store.fault, self.pump.drop = Fault.NONE, 0.0
-        self.pump.spread = timedelta(milliseconds=1)
+        self.store.fault, self.pump.drop_rate = Fault.NONE, 0.0
+        self.pump.max_jitter = timedelta(milliseconds=1)
         self.pump.paused.clear()
         version = self.invariants.publish()
         self.invariants.until(lambda: self.holds(version), CONVERGENCE_SECONDS)
@@ -195,11 +195,11 @@
     def test_restart_of_all_nodes_stays_within_the_platform_limits(self):
         """Guards against excessive platform calls or snapshots when all processes start at once."""
         self.start(nodes=240, zones=4)
-        self.fleet.change_one()
+        self.fleet.change_service()
         self.fleet.run(timedelta(seconds=5))
         before = dict(self.store.counts)
         self.fleet.restart(list(self.pump.nodes))
-        took = self.fleet.until(lambda: self.fleet.settled(2), timedelta(seconds=60))
+        took = self.fleet.run_until(lambda: self.fleet.is_converged(2), timedelta(seconds=60))
         self.assertIsNotNone(took)
         self.assertEqual(0, self.store.counts["refused"])
         calls = sum(self.store.counts[kind] - before[kind] for kind in ("read", "write"))
