Reword the benchmark of the request path

Comments spoke of what becomes of a request, of what is held against a budget and of choosers that are told of targets. They now state units, conditions and the fields of each model. Parts -> Components, MIX -> CLASS_SHARES, NEAR_MS and FAR_MS -> SAME_ZONE_MS and CROSS_ZONE_MS, PlainTenants -> UnboundedTenantLimits, flood -> measure_tenant_flood, way -> one_way, GAP -> REQUEST_INTERVAL, OwnChooser/OwnRetry -> ProductChooser/ProductRetry. Texts of rows are unchanged.

--- a/bench/request_chain.py
+++ b/bench/request_chain.py
@@ -1,4 +1,4 @@
-"""Retries along a chain of calls whose last target always fails."""
+"""Simulation of retries along a chain of calls whose last target always fails."""
 
 import random
 from datetime import timedelta
@@ -10,20 +10,21 @@
 
 DEPTH = 7
 REQUESTS = 5000
-GAP = timedelta(milliseconds=1)
+REQUEST_INTERVAL = timedelta(milliseconds=1)
 DEADLINE = timedelta(days=1)
 
 
 class Chain:
-    """Hops of a chain of calls, each with a retry policy.
+    """A chain of calls, with a retry policy at each hop.
 
-    :ivar runs: runs of the last target
+    :ivar runs: how often the last target ran a request
     """
 
     def __init__(self, *, header: bool):
         """Create a chain.
 
-        :param header: whether the services pass the attempt header on
+        :param header: whether the services forward the attempt header, so that only the outermost
+            hop retries
         """
         self.header = header
         self.clock = ManualClock()
@@ -36,9 +37,12 @@
         self.runs = 0
 
     def run(self) -> float:
-        """Send the requests and return the runs of the last target for each."""
+        """Send ``REQUESTS`` requests.
+
+        :return: runs of the last target per request
+        """
         for _ in range(REQUESTS):
-            self.clock.advance(GAP)
+            self.clock.advance(REQUEST_INTERVAL)
             self._call(0)
         return self.runs / REQUESTS
 
@@ -58,6 +62,6 @@
                 return
 
 
-def unbounded_runs(retries: int) -> int:
-    """Return the runs for each request if every hop retries without a budget."""
+def runs_without_budget(retries: int) -> int:
+    """Return the runs of the last target per request if every hop retries without a budget."""
     return (retries + 1) ** DEPTH
--- a/bench/request_costs.py
+++ b/bench/request_costs.py
@@ -30,7 +30,7 @@
 SERVICES = 2600
 ROUTES_PER_SERVICE = 5
 SAMPLES = 20_000
-FLOOD = 200_000
+FLOOD_REQUESTS = 200_000
 DAY = timedelta(days=1)
 
 
@@ -94,7 +94,7 @@
 
 
 def _admission() -> Callable[[int], object]:
-    """Offer and release at a queue that is always full."""
+    """Return an action that offers a request to a queue and frees a slot when it is full."""
     clock = SystemClock()
     queue = SlotQueue(clock=clock, slots=10)
     classes = list(RequestClass)
@@ -122,7 +122,7 @@
 
 
 def _claim(nodes: int) -> Callable[[int], object]:
-    """Claim a key at its owner; the platform answers at once, in memory."""
+    """Return an action that claims a key at its owner; the in-memory platform adds no latency."""
     clock = SystemClock()
     ownership = Ownership(clock=clock, node="n0", warm_up=timedelta(), contact_max_age=DAY)
     ownership.update(f"n{number}" for number in range(nodes))
@@ -139,7 +139,7 @@
 
 
 def decision_costs() -> list[Cost]:
-    """Measure each decision that a request meets on its way."""
+    """Measure the time of each decision on the request path."""
     tenants = TenantLimits(clock=SystemClock())
     guard = CrashGuard(clock=SystemClock())
     return [
@@ -154,15 +154,15 @@
     ]
 
 
-class PlainTenants:
-    """Baseline: a token bucket for each name ever seen."""
+class UnboundedTenantLimits:
+    """Baseline: a token bucket for each tenant name ever seen, without eviction."""
 
     def __init__(self, clock: ManualClock):
         self.clock = clock
         self.buckets: dict[str, tuple[float, float]] = {}
 
     def take(self, tenant: str) -> bool:
-        """Count a request."""
+        """Take a token; returns whether the request is allowed."""
         now_s = self.clock.monotonic().total_seconds()
         tokens, at = self.buckets.get(tenant, (200.0, now_s))
         tokens = min(200.0, tokens + (now_s - at) * 100.0)
@@ -171,10 +171,13 @@
 
 
 class FloodResult(NamedTuple):
-    """A tenant table after a flood of made-up names.
+    """State of a tenant table after a flood of requests under made-up tenant names.
 
-    :ivar refused_known: refusals of 100 tenants that were there before the flood
-    :ivar refused_new: refusals of 100 tenants that come during the flood
+    :ivar megabytes: memory of the table
+    :ivar identities: entries in the table
+    :ivar refused_known: refusals among one request each of 100 tenants known before the flood
+    :ivar refused_new: refusals among one request each of 100 tenants that come during the flood
+    :ivar mean_us: mean time to decide on a request under a new name after the flood
     """
 
     megabytes: float
@@ -184,12 +187,16 @@
     mean_us: float
 
 
-def flood(bounded: bool, gap: timedelta) -> FloodResult:
-    """Send one request under each of 200,000 made-up names, one in each gap."""
+def measure_tenant_flood(bounded: bool, interval: timedelta) -> FloodResult:
+    """Send one request under each of 200,000 made-up tenant names.
+
+    :param bounded: whether to use the product's table or the unbounded baseline
+    :param interval: simulated time between two requests
+    """
     clock = ManualClock()
     refused = {"known": 0, "new": 0}
     tracemalloc.start()
-    table = TenantLimits(clock=clock) if bounded else PlainTenants(clock)
+    table = TenantLimits(clock=clock) if bounded else UnboundedTenantLimits(clock)
 
     def take(name: str) -> bool:
         answer = table.take(name)
@@ -197,11 +204,11 @@
 
     for number in range(100):
         take(f"known-{number}")
-    for number in range(FLOOD):
-        clock.advance(gap)
+    for number in range(FLOOD_REQUESTS):
+        clock.advance(interval)
         take(f"made-up-{number}")
-        if number % (FLOOD // 100) == 0:
-            refused["known"] += not take(f"known-{number * 100 // FLOOD}")
+        if number % (FLOOD_REQUESTS // 100) == 0:
+            refused["known"] += not take(f"known-{number * 100 // FLOOD_REQUESTS}")
             refused["new"] += not take(f"new-{number}")
     megabytes = tracemalloc.get_traced_memory()[0] / 1e6
     tracemalloc.stop()
--- a/bench/request_model.py
+++ b/bench/request_model.py
@@ -1,4 +1,4 @@
-"""Discrete-event model of one service: callers' hops, targets with slots, zones and failures."""
+"""Discrete-event model of one service: caller-side nodes, targets with slots, zones, failures."""
 
 import heapq
 import random
@@ -20,24 +20,24 @@
 TARGETS_PER_ZONE = 2
 SLOTS = 10
 SERVICE_MS = 50.0
-# One way, within a zone and between zones.
-NEAR_MS, FAR_MS = 0.2, 1.0
-# A host that is gone answers nothing; the connection attempt ends after this time.
+# One-way network delay within a zone and between zones.
+SAME_ZONE_MS, CROSS_ZONE_MS = 0.2, 1.0
+# A lost host does not respond at all, so connection attempts end only after this time.
 CONNECT_TIMEOUT_MS = 250.0
-# Suspicion after 6 s, confirmation, and the delta to all nodes.
-DEATH_KNOWN_MS = 8000.0
+# Time until all nodes know of a death: suspicion after 6 s, confirmation, and the directory delta.
+DEATH_PROPAGATION_MS = 8000.0
 TIMEOUT_MS = 1000.0
-MIX = {RequestClass.URGENT: 0.3, RequestClass.INTERNAL: 0.1, RequestClass.ROUTINE: 0.6}
+CLASS_SHARES = {RequestClass.URGENT: 0.3, RequestClass.INTERNAL: 0.1, RequestClass.ROUTINE: 0.6}
 CAPACITY_PER_S = len(ZONES) * TARGETS_PER_ZONE * SLOTS * 1000.0 / SERVICE_MS
 
 
 class Scenario(NamedTuple):
-    """What the model is exposed to; times in milliseconds.
+    """Load and faults of a run; times in milliseconds.
 
     :ivar load: offered requests as a multiple of the capacity
     :ivar slow_factor: service time of the first target as a multiple of the others'
     :ivar lost_zone_at_ms: when all targets of the first zone die, None for never
-    :ivar failing_ms: period in which each target ends every run with a lost connection
+    :ivar failing_ms: period (start, end) in which every run ends with a lost connection
     """
 
     name: str
@@ -49,7 +49,12 @@
 
 
 class Call:
-    """A request of a caller and what became of it."""
+    """A caller's request.
+
+    :ivar hop: index of the caller-side node that sends it
+    :ivar tried: targets that it was sent to, in order
+    :ivar done: whether the call has ended
+    """
 
     __slots__ = ("name", "request_class", "hop", "sent_ms", "deadline_ms", "tried", "done")
 
@@ -63,13 +68,14 @@
         self.done = False
 
 
-class Parts(NamedTuple):
-    """The decision code under test; factories are called with the model.
+class Components(NamedTuple):
+    """The decision code under test, as factories that are called with the model.
 
-    :ivar chooser: for each hop 1, with ``choose(call)``, ``started``, ``finished``, ``update``
-    :ivar queue: for each target, with ``offer`` and ``release`` as ``SlotQueue`` has them
-    :ivar retry: for each hop 1, with ``first()`` and ``decide(call, reason)``, which returns the
-        delay of a retry in milliseconds or None
+    :ivar chooser: makes the target chooser of a first hop (a caller-side node), with
+        ``choose(call)``, ``started``, ``finished`` and ``update``
+    :ivar queue: makes the queue of a target, with ``offer`` and ``release`` like ``SlotQueue``
+    :ivar retry: makes the retry policy of a first hop, with ``first()`` and
+        ``decide(call, reason)``, which returns the delay of a retry in milliseconds or None
     """
 
     name: str
@@ -79,14 +85,18 @@
 
 
 class Totals:
-    """Counts and latencies of a run."""
+    """Counts and latencies of a run.
+
+    :ivar offered: requests sent by callers, by class
+    :ivar good: successful responses before the deadline, by class
+    """
 
     def __init__(self) -> None:
         self.offered: Counter = Counter()
         self.good: Counter = Counter()
         self.attempts = 0
         self.retries = 0
-        self.latency_us = {name: HdrHistogram(1, 60_000_000, 3) for name in MIX}
+        self.latency_us = {name: HdrHistogram(1, 60_000_000, 3) for name in CLASS_SHARES}
 
     def p99_ms(self, request_class: RequestClass) -> float:
         """Return the 99th percentile of the latency of good responses."""
@@ -94,7 +104,11 @@
 
 
 class Target:
-    """A target and the queue of the node beside it."""
+    """A target with the request queue of its node.
+
+    :ivar factor: factor on the service time
+    :ivar calls: queued and running calls by request id
+    """
 
     def __init__(self, record: TargetRecord, queue, factor: float):
         self.record = record
@@ -105,11 +119,11 @@
 
 
 class Model:
-    """Runs one scenario with one set of parts under a manual clock and a fixed seed."""
+    """Runs one scenario with one set of components under a manual clock and a fixed seed."""
 
-    def __init__(self, scenario: Scenario, parts: Parts, seed: int = 7):
+    def __init__(self, scenario: Scenario, components: Components, seed: int = 7):
         self.scenario = scenario
-        # Arrivals have a generator of their own, so that all parts get the same requests.
+        # Arrivals have their own random generator, so that all components get the same requests.
         self.arrivals = random.Random(seed)
         self.rng = random.Random(seed + 1)
         self.clock = ManualClock()
@@ -123,17 +137,17 @@
                 name = f"{zone}-{index}"
                 record = TargetRecord(name, name, "s", "v1", "", zone, SLOTS, 1, TargetState.UP)
                 factor = scenario.slow_factor if not self.targets else 1.0
-                self.targets[name] = Target(record, parts.queue(self), factor)
-        self.choosers = [parts.chooser(self, zone) for zone in ZONES for _ in range(2)]
-        self.retries = [parts.retry(self) for _ in self.choosers]
-        self._tell_targets()
+                self.targets[name] = Target(record, components.queue(self), factor)
+        self.choosers = [components.chooser(self, zone) for zone in ZONES for _ in range(2)]
+        self.retries = [components.retry(self) for _ in self.choosers]
+        self._update_choosers()
 
     def run(self) -> Totals:
-        """Run the scenario to its end and return the totals."""
+        """Run the scenario until no event is left and return the totals."""
         self.at(0.0, self._arrive, 0)
         if self.scenario.lost_zone_at_ms is not None:
             self.at(self.scenario.lost_zone_at_ms, self._lose_zone)
-            self.at(self.scenario.lost_zone_at_ms + DEATH_KNOWN_MS, self._tell_targets)
+            self.at(self.scenario.lost_zone_at_ms + DEATH_PROPAGATION_MS, self._update_choosers)
         while self.events:
             at_ms, _, action, arguments = heapq.heappop(self.events)
             if at_ms > self.now_ms:
@@ -143,11 +157,11 @@
         return self.totals
 
     def at(self, at_ms: float, action: Callable, *arguments) -> None:
-        """Schedule an action."""
+        """Schedule an action at a simulated time in milliseconds."""
         self.sequence += 1
         heapq.heappush(self.events, (at_ms, self.sequence, action, arguments))
 
-    def _tell_targets(self) -> None:
+    def _update_choosers(self) -> None:
         records = [target.record for target in self.targets.values() if target.alive]
         for chooser in self.choosers:
             chooser.update("s", records)
@@ -157,11 +171,11 @@
             if target.record.zone == ZONES[0]:
                 target.alive = False
                 for call in target.calls.values():
-                    self.at(self.now_ms + 1.0, self._failed, call, target, Reason.TARGET_LOST)
+                    self.at(self.now_ms + 1.0, self._fail, call, target, Reason.TARGET_LOST)
                 target.calls = {}
 
     def _arrive(self, number: int) -> None:
-        request_class = self.arrivals.choices(list(MIX), list(MIX.values()))[0]
+        request_class = self.arrivals.choices(list(CLASS_SHARES), list(CLASS_SHARES.values()))[0]
         hop = self.arrivals.randrange(len(self.choosers))
         call = Call(f"c{number}", request_class, hop, self.now_ms)
         self.totals.offered[request_class] += 1
@@ -182,17 +196,17 @@
         self.choosers[call.hop].started(record.target)
         if not target.alive:
             self.at(
-                self.now_ms + CONNECT_TIMEOUT_MS, self._failed, call, target, Reason.HOP_UNREACHABLE
+                self.now_ms + CONNECT_TIMEOUT_MS, self._fail, call, target, Reason.HOP_UNREACHABLE
             )
             return
-        self.at(self.now_ms + self._way_ms(call, target), self._offer, call, target)
+        self.at(self.now_ms + self._one_way_ms(call, target), self._offer, call, target)
 
-    def _way_ms(self, call: Call, target: Target) -> float:
-        return NEAR_MS if ZONES[call.hop // 2] == target.record.zone else FAR_MS
+    def _one_way_ms(self, call: Call, target: Target) -> float:
+        return SAME_ZONE_MS if ZONES[call.hop // 2] == target.record.zone else CROSS_ZONE_MS
 
     def _offer(self, call: Call, target: Target) -> None:
         if not target.alive:
-            self._failed(call, target, Reason.HOP_UNREACHABLE)
+            self._fail(call, target, Reason.HOP_UNREACHABLE)
             return
         name = f"{call.name}/{len(call.tried)}"
         deadline = timedelta(milliseconds=call.deadline_ms)
@@ -210,7 +224,11 @@
     def _refuse(self, name: str, target: Target) -> None:
         call = target.calls.pop(name)
         self.at(
-            self.now_ms + self._way_ms(call, target), self._failed, call, target, Reason.OVERLOADED
+            self.now_ms + self._one_way_ms(call, target),
+            self._fail,
+            call,
+            target,
+            Reason.OVERLOADED,
         )
 
     def _start(self, name: str, target: Target) -> None:
@@ -224,19 +242,19 @@
         if not target.alive:
             return
         call = target.calls.pop(name)
-        turn = target.queue.release(name)
-        for item in turn.shed:
+        dispatched = target.queue.release(name)
+        for item in dispatched.shed:
             self._refuse(item.request.request_id, target)
-        for request in turn.started:
+        for request in dispatched.started:
             self._start(request.request_id, target)
-        way_ms = self._way_ms(call, target)
+        one_way_ms = self._one_way_ms(call, target)
         if failed:
-            self.at(self.now_ms + way_ms, self._failed, call, target, Reason.TARGET_LOST)
+            self.at(self.now_ms + one_way_ms, self._fail, call, target, Reason.TARGET_LOST)
         else:
             load = (len(target.queue.running), target.queue.queued)
-            self.at(self.now_ms + way_ms, self._answered, call, target, load)
+            self.at(self.now_ms + one_way_ms, self._complete, call, target, load)
 
-    def _answered(self, call: Call, target: Target, load: tuple[int, int]) -> None:
+    def _complete(self, call: Call, target: Target, load: tuple[int, int]) -> None:
         result = TargetResult(ResultKind.OK, *load)
         self.choosers[call.hop].finished(target.record.target, result)
         if not call.done and self.now_ms <= call.deadline_ms:
@@ -245,7 +263,7 @@
             self.totals.latency_us[call.request_class].record_value(max(1, latency_us))
         call.done = True
 
-    def _failed(self, call: Call, target: Target, reason: Reason) -> None:
+    def _fail(self, call: Call, target: Target, reason: Reason) -> None:
         refused = reason is Reason.OVERLOADED
         kind = ResultKind.REFUSED if refused else ResultKind.FAILED
         load = (len(target.queue.running), target.queue.queued) if refused else (None, None)
@@ -259,5 +277,5 @@
 
 
 def make_slot_queue(model: Model) -> SlotQueue:
-    """Return the queue under test."""
+    """Return the product's queue for a target."""
     return SlotQueue(clock=model.clock, slots=SLOTS)
--- a/bench/request_parts.py
+++ b/bench/request_parts.py
@@ -1,4 +1,4 @@
-"""The decision code for the request model, and plain baselines to compare it with."""
+"""The product's decision code and simple baselines, adapted to the request model."""
 
 import itertools
 import random
@@ -12,28 +12,28 @@
 from almondshore.retries.policy import Attempt, Retry, RetryPolicy
 from almondshore.routing.choice import TargetChooser, TargetResult
 from almondshore.routing.outlier import OutlierEjector
-from bench.request_model import SLOTS, Call, Model, Parts, make_slot_queue
+from bench.request_model import SLOTS, Call, Components, Model, make_slot_queue
 
-RETRY_PAUSE_MS = 25.0
+RETRY_INTERVAL_MS = 25.0
 
 
-class OwnChooser:
-    """``TargetChooser`` as the model calls it."""
+class ProductChooser:
+    """Adapts ``TargetChooser`` to the interface of the model."""
 
     def __init__(self, model: Model, zone: str):
         rng = random.Random(model.rng.random())
         ejector = OutlierEjector(clock=model.clock)
-        self.inner = TargetChooser(clock=model.clock, rng=rng, zone=zone, ejector=ejector)
-        self.update, self.started = self.inner.update, self.inner.started
-        self.finished = self.inner.finished
+        self.chooser = TargetChooser(clock=model.clock, rng=rng, zone=zone, ejector=ejector)
+        self.update, self.started = self.chooser.update, self.chooser.started
+        self.finished = self.chooser.finished
 
     def choose(self, call: Call) -> TargetRecord | None:
-        """Choose a target that the call has not tried."""
-        return self.inner.choose("s", {"v1": 1.0}, call.tried)
+        """Choose a target that the call has not tried; None if there is none."""
+        return self.chooser.choose("s", {"v1": 1.0}, call.tried)
 
 
-class OwnRetry:
-    """``RetryPolicy`` as the model calls it."""
+class ProductRetry:
+    """Adapts ``RetryPolicy`` to the interface of the model."""
 
     def __init__(self, model: Model):
         rng = random.Random(model.rng.random())
@@ -41,7 +41,7 @@
         self.policy = RetryPolicy(clock=model.clock, rng=rng, budget=budget)
 
     def first(self) -> None:
-        """Count a first attempt."""
+        """Count a first attempt, which adds to the retry budget."""
         self.policy.record_first_attempt("s")
 
     def decide(self, call: Call, reason: Reason) -> float | None:
@@ -54,24 +54,27 @@
 
 
 class PlainChooser:
-    """Baseline: a rule over all listed targets, without zones, reports or ejection."""
+    """Base of baselines that ignore zones, load reports and outlier ejection.
+
+    :ivar active: this node's running requests by target
+    """
 
     def __init__(self, model: Model, zone: str):
         self.rng = random.Random(model.rng.random())
         self.records: list[TargetRecord] = []
-        self.own: dict[str, int] = {}
+        self.active: dict[str, int] = {}
 
     def update(self, service: str, records: list[TargetRecord]) -> None:
-        """Set the targets."""
+        """Replace the list of targets."""
         self.records = list(records)
 
     def started(self, target: str) -> None:
-        """Count a request."""
-        self.own[target] = self.own.get(target, 0) + 1
+        """Count a running request."""
+        self.active[target] = self.active.get(target, 0) + 1
 
     def finished(self, target: str, result: TargetResult) -> None:
         """Count the end of a request."""
-        self.own[target] -= 1
+        self.active[target] -= 1
 
     def choose(self, call: Call) -> TargetRecord | None:
         """Choose a target."""
@@ -79,19 +82,19 @@
 
 
 class RoundRobin(PlainChooser):
-    """Baseline: one target after the other."""
+    """Baseline: targets in turn, starting at a random one."""
 
     def __init__(self, model: Model, zone: str):
         super().__init__(model, zone)
-        self.turn = itertools.count(self.rng.randrange(100))
+        self.positions = itertools.count(self.rng.randrange(100))
 
     def choose(self, call: Call) -> TargetRecord | None:
         """Return the next target."""
-        return self.records[next(self.turn) % len(self.records)]
+        return self.records[next(self.positions) % len(self.records)]
 
 
 class RandomChoice(PlainChooser):
-    """Baseline: any target."""
+    """Baseline: any target with equal probability."""
 
     def choose(self, call: Call) -> TargetRecord | None:
         """Return a random target."""
@@ -99,15 +102,17 @@
 
 
 class LeastRequests(PlainChooser):
-    """Baseline: the target that holds the fewest requests of this node."""
+    """Baseline: the target with the fewest running requests of this node."""
 
     def choose(self, call: Call) -> TargetRecord | None:
-        """Return the target with the fewest own requests; ties go to a random one."""
-        return min(self.records, key=lambda item: (self.own.get(item.target, 0), self.rng.random()))
+        """Return the target with the fewest requests; ties are broken at random."""
+        return min(
+            self.records, key=lambda item: (self.active.get(item.target, 0), self.rng.random())
+        )
 
 
 class Fifo:
-    """Baseline: one unbounded queue for all classes, blind to deadlines."""
+    """Baseline: one unbounded queue for all request classes that ignores deadlines."""
 
     def __init__(self, model: Model):
         self.running: set[str] = set()
@@ -127,7 +132,7 @@
         return Queued()
 
     def release(self, request_id: str) -> DispatchResult:
-        """Start the request that has waited longest."""
+        """Free a slot and start the request that has waited longest."""
         self.running.discard(request_id)
         if not self.waiting:
             return DispatchResult()
@@ -137,13 +142,13 @@
 
 
 class NoRetry:
-    """Baseline: every failure goes to the caller."""
+    """Baseline: every failure is returned to the caller."""
 
     def __init__(self, model: Model):
         pass
 
     def first(self) -> None:
-        """Count nothing."""
+        """Do nothing; there is no budget."""
 
     def decide(self, call: Call, reason: Reason) -> float | None:
         """Never retry."""
@@ -157,14 +162,14 @@
         self.model = model
 
     def decide(self, call: Call, reason: Reason) -> float | None:
-        """Retry while there is time."""
-        return RETRY_PAUSE_MS if self.model.now_ms < call.deadline_ms else None
+        """Retry until the deadline has passed."""
+        return RETRY_INTERVAL_MS if self.model.now_ms < call.deadline_ms else None
 
 
-OWN = Parts("almondshore", OwnChooser, make_slot_queue, OwnRetry)
+PRODUCT = Components("almondshore", ProductChooser, make_slot_queue, ProductRetry)
 BASELINES = (
-    Parts("round robin, FIFO, unbounded retries", RoundRobin, Fifo, UnboundedRetry),
-    Parts("random, FIFO, unbounded retries", RandomChoice, Fifo, UnboundedRetry),
-    Parts("least requests, FIFO, unbounded retries", LeastRequests, Fifo, UnboundedRetry),
-    Parts("least requests, FIFO, no retries", LeastRequests, Fifo, NoRetry),
+    Components("round robin, FIFO, unbounded retries", RoundRobin, Fifo, UnboundedRetry),
+    Components("random, FIFO, unbounded retries", RandomChoice, Fifo, UnboundedRetry),
+    Components("least requests, FIFO, unbounded retries", LeastRequests, Fifo, UnboundedRetry),
+    Components("least requests, FIFO, no retries", LeastRequests, Fifo, NoRetry),
 )
--- a/bench/requests.py
+++ b/bench/requests.py
@@ -4,10 +4,10 @@
 
 from almondshore.limits.tenants import CAPACITY
 from almondshore.rules.model import RequestClass
-from bench.request_chain import DEPTH, GAP, REQUESTS, Chain, unbounded_runs
-from bench.request_costs import decision_costs, flood
+from bench.request_chain import DEPTH, REQUEST_INTERVAL, REQUESTS, Chain, runs_without_budget
+from bench.request_costs import decision_costs, measure_tenant_flood
 from bench.request_model import (
-    MIX,
+    CLASS_SHARES,
     SERVICE_MS,
     TARGETS_PER_ZONE,
     ZONES,
@@ -15,7 +15,7 @@
     Scenario,
     Totals,
 )
-from bench.request_parts import BASELINES, OWN
+from bench.request_parts import BASELINES, PRODUCT
 from bench.rows import BenchRow
 
 OVERLOAD = Scenario("3x overload", 3.0)
@@ -25,23 +25,24 @@
 HOPS = 2 * len(ZONES)
 # Section 1 of the design page: added latency for 99 in 100 calls.
 MAX_ADDED_US = 1800.0
-# Section 7: retries are 10% of requests plus 3/s; each hop 1 starts with one second's minimum.
+# Section 7: the retry budget is 10% of requests plus 3/s; the budget of each first hop starts with
+# the minimum of one second.
 RETRY_RATIO, RETRY_MIN_PER_S = 0.1, 3.0
-# Section 7: one slot of each target is the minimum for internal calls.
+# Section 7: internal calls get at least one slot of each target.
 INTERNAL_MIN_PER_S = len(ZONES) * TARGETS_PER_ZONE * 1000.0 / SERVICE_MS
 SECOND = timedelta(seconds=1)
-FLOOD_GAPS = (timedelta(microseconds=50), timedelta(microseconds=1))
+FLOOD_INTERVALS = (timedelta(microseconds=50), timedelta(microseconds=1))
 
 
-def _verdict(holds: bool) -> str:
-    return "pass" if holds else "FAIL"
+def _verdict(met: bool) -> str:
+    return "pass" if met else "FAIL"
 
 
 def _class_rows(scenario: Scenario, name: str, totals: Totals) -> list[BenchRow]:
-    """Return good responses and p99 by class, for information."""
+    """Return good responses and p99 latency by request class; these rows have no target."""
     seconds = scenario.duration_ms / 1000
     rows = []
-    for request_class in MIX:
+    for request_class in CLASS_SHARES:
         label = f"{scenario.name}, {name}: {request_class.value}"
         rate = totals.good[request_class] / seconds
         offered = totals.offered[request_class] / seconds
@@ -58,31 +59,32 @@
 def _compare(scenario: Scenario) -> tuple[Totals, list[BenchRow]]:
     """Run a scenario with the product and the baselines.
 
-    :returns: the product's totals, and rows of which one holds the product against the baselines
+    :return: the product's totals, and the rows; the last one compares the good responses of the
+        product with those of the best baseline
     """
-    own = Model(scenario, OWN).run()
-    rows = _class_rows(scenario, OWN.name, own)
+    product = Model(scenario, PRODUCT).run()
+    rows = _class_rows(scenario, PRODUCT.name, product)
     best = 0
-    for parts in BASELINES:
-        totals = Model(scenario, parts).run()
-        rows += _class_rows(scenario, parts.name, totals)
+    for components in BASELINES:
+        totals = Model(scenario, components).run()
+        rows += _class_rows(scenario, components.name, totals)
         best = max(best, totals.good.total())
     seconds = scenario.duration_ms / 1000
     rows.append(
         BenchRow(
             f"{scenario.name}: good responses, all classes",
             f">= best baseline {best / seconds:.1f}",
-            f"{own.good.total() / seconds:.1f}",
+            f"{product.good.total() / seconds:.1f}",
             "1/s",
-            _verdict(own.good.total() >= best),
+            _verdict(product.good.total() >= best),
         )
     )
-    return own, rows
+    return product, rows
 
 
 def _overload_rows() -> list[BenchRow]:
-    own, rows = _compare(OVERLOAD)
-    rate = own.good[RequestClass.INTERNAL] * 1000.0 / OVERLOAD.duration_ms
+    product, rows = _compare(OVERLOAD)
+    rate = product.good[RequestClass.INTERNAL] * 1000.0 / OVERLOAD.duration_ms
     target = f">= {INTERNAL_MIN_PER_S:.0f} (1 slot of each target)"
     verdict = _verdict(rate >= INTERNAL_MIN_PER_S)
     rows.append(BenchRow("3x overload: internal good", target, f"{rate:.1f}", "1/s", verdict))
@@ -90,34 +92,37 @@
 
 
 def _failing_rows() -> list[BenchRow]:
-    """Hold the retries of the product against the budget, without what is saved up."""
-    own, rows = _compare(FAILING)
+    """Compare the retries of the product with the budget, leaving out saved-up retries."""
+    product, rows = _compare(FAILING)
     seconds = FAILING.duration_ms / 1000
-    allowed = RETRY_RATIO * own.offered.total() + RETRY_MIN_PER_S * (seconds + 1) * HOPS
+    allowed = RETRY_RATIO * product.offered.total() + RETRY_MIN_PER_S * (seconds + 1) * HOPS
     rows.append(
         BenchRow(
             "all targets fail 2 s: retries",
             f"<= {allowed:.0f} (10% + 3/s for each hop 1)",
-            f"{own.retries}",
+            f"{product.retries}",
             "count",
-            _verdict(own.retries <= allowed),
+            _verdict(product.retries <= allowed),
         )
     )
     return rows
 
 
 def _chain_rows() -> list[BenchRow]:
-    allowed = 1.0 + RETRY_RATIO + RETRY_MIN_PER_S * (GAP * REQUESTS / SECOND + 1) / REQUESTS
+    allowed = (
+        1.0 + RETRY_RATIO + RETRY_MIN_PER_S * (REQUEST_INTERVAL * REQUESTS / SECOND + 1) / REQUESTS
+    )
     runs = Chain(header=True).run()
     name = f"chain of {DEPTH}: runs of the last target"
     unit = "for each request"
-    bare = Chain(header=False).run()
-    plain = unbounded_runs(2)
+    without_header = Chain(header=False).run()
+    without_budget = runs_without_budget(2)
     return [
         BenchRow(name, f"<= {allowed:.3f} (10% + 3/s)", f"{runs:.3f}", unit,
                  _verdict(runs <= allowed)),
-        BenchRow(f"{name}, attempt header not passed on", "-", f"{bare:.3f}", unit, "info"),
-        BenchRow(f"{name}, 2 retries at each hop (3^7)", "-", f"{plain}", unit, "info"),
+        BenchRow(f"{name}, attempt header not passed on", "-", f"{without_header:.3f}", unit,
+                 "info"),
+        BenchRow(f"{name}, 2 retries at each hop (3^7)", "-", f"{without_budget}", unit, "info"),
     ]  # fmt: skip
 
 
@@ -140,15 +145,15 @@
 
 def _tenant_rows() -> list[BenchRow]:
     rows = []
-    for gap in FLOOD_GAPS:
+    for interval in FLOOD_INTERVALS:
         for bounded in (True, False):
-            result = flood(bounded, gap)
+            result = measure_tenant_flood(bounded, interval)
             kind = "bounded" if bounded else "plain"
-            name = f"tenant flood, 1 name in {gap / timedelta(microseconds=1):.0f} us, {kind}"
-            holds = _verdict(result.identities <= CAPACITY) if bounded else "info"
+            name = f"tenant flood, 1 name in {interval / timedelta(microseconds=1):.0f} us, {kind}"
+            verdict = _verdict(result.identities <= CAPACITY) if bounded else "info"
             target = f"<= {CAPACITY}" if bounded else "-"
             rows.append(
-                BenchRow(f"{name}: identities", target, f"{result.identities}", "count", holds)
+                BenchRow(f"{name}: identities", target, f"{result.identities}", "count", verdict)
             )
             rows.append(BenchRow(f"{name}: memory", "-", f"{result.megabytes:.1f}", "MB", "info"))
             rows.append(BenchRow(f"{name}: time", "-", f"{result.mean_us:.1f}", "us", "info"))
@@ -168,7 +173,7 @@
 
 
 def main() -> None:
-    """Print the table."""
+    """Run the benchmark and print its table."""
     for row in run():
         print(f"{row.name:<80} {row.target:<34} {row.figure:>14} {row.unit:<16} {row.verdict}")
 
