Reword the benchmark of convergence and the simulated fleet

Docstrings repeated the name or used private pictures ("a herd's return", "rates at rest", "put messages on their way"). They now describe the simulated network, the metered traffic and each figure with its unit. Counters of the meter are bytes_by_node, bytes_by_message_type and cpu_seconds. Texts of rows are unchanged.

--- a/bench/convergence.py
+++ b/bench/convergence.py
@@ -1,4 +1,4 @@
-"""Convergence, control bytes, platform calls and processor time against the number of nodes."""
+"""Benchmark of convergence, control traffic, platform calls and processor time by fleet size."""
 
 import gc
 import math
@@ -19,8 +19,8 @@
 CHANGE_INTERVAL = timedelta(seconds=3)
 MESSAGE_LOSS = 0.01
 
-# Load of the fleet at full scale (docs/design.md, section 1). A replaced host leaves, dies and
-# is followed by a new one: three changed records.
+# Change rates of the fleet at full scale (docs/design.md, section 1). Replacing a host takes three
+# record changes: the old target leaves, the old target is dead, the new target is up.
 CONFIG_CHANGES_PER_SECOND = 10_000 / 86_400
 RECORD_CHANGES_PER_SECOND = 3 * 5_400 / 86_400
 
@@ -36,7 +36,7 @@
 
 
 class Rate(NamedTuple):
-    """Bytes and processor seconds for each second, of the busiest relay and other node."""
+    """Bytes and processor seconds per second of the busiest relay and the busiest other node."""
 
     relay_bytes: float
     node_bytes: float
@@ -45,11 +45,15 @@
 
 
 class FleetFigures(NamedTuple):
-    """Figures of one size.
+    """Figures of a fleet of one size.
 
+    :ivar convergence: seconds until all nodes have a new version in effect, the longest
+    :ivar lossy_convergence: the same while 1% of the messages are lost
     :ivar idle: rates without changes
-    :ivar config: cost of one configuration change beyond the rates at rest
-    :ivar record: cost of one changed target record beyond the rates at rest
+    :ivar config: additional cost of one configuration change
+    :ivar record: additional cost of one changed target record
+    :ivar zone_writes: platform writes per second of one zone, without changes
+    :ivar relay_reads: platform reads per second of one relay, without changes
     :ivar served: nodes that the busiest relay serves
     """
 
@@ -64,7 +68,7 @@
     served: int
 
     def at_full_load(self) -> Rate:
-        """Return the rates under the changes of the whole fleet."""
+        """Return the rates under the change rates of the full-scale fleet."""
         return Rate(
             *(
                 idle + CONFIG_CHANGES_PER_SECOND * config + RECORD_CHANGES_PER_SECOND * record
@@ -74,10 +78,10 @@
 
 
 def measure_fleet(nodes: int, *, seed: int = 1) -> FleetFigures:
-    """Measure one size; the same seed gives the same counts and bytes.
+    """Measure a fleet of one size; the same seed gives the same counts and bytes.
 
-    Garbage collection over the objects of all nodes would be counted to the node that runs when
-    it starts, and is off meanwhile.
+    Garbage collection is disabled meanwhile: it traverses the objects of all nodes, and its time
+    would be charged to the node that happens to run.
     """
     gc.collect()
     gc.disable()
@@ -108,7 +112,7 @@
 
 
 def change_record(fleet: Fleet) -> None:
-    """Change the slots of one random target."""
+    """Change the number of slots of a random target and announce it."""
     address = fleet.rng.choice(sorted(fleet.pump.nodes))
     node = fleet.pump.nodes[address]
     fleet.slots[address] = 10 + fleet.rng.randint(1, 1000)
@@ -116,7 +120,7 @@
 
 
 def measure_fleet_restart(nodes: int, *, seed: int = 1) -> list[BenchRow]:
-    """Measure the return of all processes at once."""
+    """Measure the recovery after all processes restart at the same time."""
     fleet = Fleet(seed=seed, nodes=nodes, zones=ZONES)
     _start(fleet)
     version = fleet.change_service()
@@ -161,8 +165,9 @@
 
 
 def run(sizes: tuple[int, ...] = FLEET_SIZES) -> list[BenchRow]:
-    """Measure all sizes, their slope, the full scale and a herd's return."""
-    # The state of one node comes first: garbage collection over the fleets would add to its time.
+    """Measure all fleet sizes, their growth, one node at full scale and a restart of all nodes."""
+    # The full-scale node is measured before any fleet exists, since garbage collection over the
+    # fleets' objects would add to its time.
     costs = full_scale_costs()
     measured = [measure_fleet(nodes) for nodes in sizes]
     rows = [item for figures in measured for item in _rows(figures)]
@@ -172,9 +177,10 @@
 
 
 def _scaled_relay(figures: FleetFigures) -> BenchRow:
-    """Return the bytes of the busiest relay of a full zone in the full fleet.
+    """Extrapolate the traffic of the busiest relay of a full zone in the full-scale fleet.
 
-    The reads of all leases grow with the number of zones; the rest with the nodes served.
+    The traffic grows with the nodes that the relay serves, except for the reads of all leases,
+    which grow with the number of zones.
     """
     relays = slots_needed(NODES_IN_FULL_ZONE)
     served = math.ceil(FAIR_SHARE_MARGIN * NODES_IN_FULL_ZONE / relays)
@@ -185,14 +191,14 @@
 
 def _start(fleet: Fleet) -> None:
     if fleet.run_until(lambda: fleet.is_converged(1), timedelta(seconds=120)) is None:
-        raise RuntimeError("the fleet did not settle after its start")
+        raise RuntimeError("fleet did not converge within 120 s of its start")
     fleet.run(timedelta(seconds=70))
 
 
 def measure_convergence(fleet: Fleet) -> float:
-    """Publish a change.
+    """Publish a change of one service.
 
-    :returns: the seconds until all nodes have it in effect
+    :return: seconds until all nodes have it in effect, 60 if some still have not by then
     """
     version = fleet.change_service()
     done = fleet.run_until(
@@ -202,7 +208,7 @@
 
 
 def measure_rates(fleet: Fleet, meter: Meter, change, seconds: float) -> Rate:
-    """Return the rates over a time in which ``change`` is called once."""
+    """Return the mean rates over some seconds, at the start of which ``change`` is called."""
     meter.clear()
     start = fleet.pump.clock.monotonic()
     change()
@@ -210,30 +216,30 @@
     relays = {node.identity.control for node in fleet.relays}
     others = fleet.pump.nodes.keys() - relays
     busiest = [
-        max(counter[address] for address in group) / seconds
-        for counter in (meter.bytes, meter.seconds)
+        max(counts[address] for address in group) / seconds
+        for counts in (meter.bytes_by_node, meter.cpu_seconds)
         for group in (relays, others)
     ]
     return Rate(*busiest)
 
 
 def measure_change_cost(fleet: Fleet, meter: Meter, idle: Rate, change) -> Rate:
-    """Return the cost of one change beyond the rates at rest."""
+    """Return the cost of one change in bytes and processor seconds beyond the idle rates."""
     seconds = CHANGE_INTERVAL.total_seconds()
 
-    def all_changes() -> None:
+    def make_changes() -> None:
         for _ in range(CHANGES):
             change()
             fleet.run(CHANGE_INTERVAL)
 
-    changed = measure_rates(fleet, meter, all_changes, CHANGES * (seconds + 1))
+    changed = measure_rates(fleet, meter, make_changes, CHANGES * (seconds + 1))
     return Rate(
         *(max(0.0, (rate - base) * (seconds + 1)) for rate, base in zip(changed, idle, strict=True))
     )
 
 
 def _calls(fleet: Fleet, kind: str) -> int:
-    """Return the calls of the last second."""
+    """Return the platform calls of a kind in the last second."""
     now = fleet.pump.clock.monotonic().total_seconds()
     return sum(1 for at in fleet.pump.store.recent[kind] if at > now - 1)
 
@@ -257,7 +263,7 @@
 
 
 def _slopes(small: FleetFigures, large: FleetFigures) -> list[BenchRow]:
-    """Return the growth for each 1,000 nodes between the smallest and the largest size."""
+    """Return the growth per 1,000 nodes between the smallest and the largest size."""
     thousands = (large.nodes - small.nodes) / 1000
     low, high = small.at_full_load(), large.at_full_load()
     pairs = [
@@ -276,7 +282,7 @@
 
 
 def main() -> None:
-    """Print the table."""
+    """Run the benchmark and print its table."""
     from rich.console import Console
     from rich.table import Table
 
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -1,4 +1,4 @@
-"""A fleet of control nodes with one target each, for benchmarks and failure tests."""
+"""Simulated fleet of control nodes with one target each, for benchmarks and failure tests."""
 
 import random
 from collections.abc import Iterable
@@ -20,7 +20,10 @@
 
 
 def make_part(name: str, *, version: str = "v1", salt: str = "") -> bytes:
-    """Return the part of a service with a few routes."""
+    """Return the encoded configuration part of a service with a few routes.
+
+    :param salt: goes into the paths, so that another salt gives another part
+    """
     routes = [
         RoutePart(
             methods=["GET"],
@@ -37,7 +40,12 @@
 
 
 class Fleet:
-    """Nodes in zones on a pump, the platform behind them, and an operator who publishes."""
+    """Control nodes in several zones, an in-memory platform, and a publisher of configuration.
+
+    :ivar zones: names of the zones, alternately in one of two regions
+    :ivar slots: slots of targets that differ from the default, by address of the node
+    :ivar seeds: addresses of all nodes added so far
+    """
 
     def __init__(
         self,
@@ -68,7 +76,7 @@
 
     @property
     def nodes(self) -> list[ControlNode]:
-        """The running nodes."""
+        """All running nodes."""
         return list(self.pump.nodes.values())
 
     @property
@@ -77,7 +85,7 @@
         return [node for node in self.nodes if node.relay is not None]
 
     def add(self, zone: str | None = None) -> ControlNode:
-        """Start a node with one target."""
+        """Start a node with one target; without a zone, zones are taken in turn."""
         index, self.next_index = self.next_index, self.next_index + 1
         zone = zone or self.zones[index % len(self.zones)]
         node = self.pump.add(index, zone, self.seeds[:SEEDS], limits=self.limits)
@@ -88,7 +96,7 @@
         return node
 
     def restart(self, addresses: Iterable[str]) -> None:
-        """Replace nodes by new processes at the same addresses, with nothing in memory."""
+        """Replace nodes by new processes at the same addresses, without any state."""
         for address in addresses:
             old = self.pump.nodes[address]
             index = int(old.identity.node.removeprefix("node-"))
@@ -96,9 +104,10 @@
             self.views[address] = ViewBuilder(state=node.config.state, directory=node.directory)
 
     def publish(self, changes: dict[str, bytes]) -> int:
-        """Publish a new version.
+        """Publish a new version of the configuration.
 
-        :returns: its number
+        :param changes: new or changed parts
+        :return: number of the version
         """
         base = self.publisher.current().unwrap()
         old, self.parts = (self.parts if base.head.version else {}), {**self.parts, **changes}
@@ -114,13 +123,13 @@
         return published.unwrap().version
 
     def change_service(self) -> int:
-        """Publish a change of one service."""
+        """Publish a change of a random service; returns the number of the new version."""
         name = self.rng.choice(self.services)
         salt = f"{self.rng.getrandbits(32):08x}"
         return self.publish({f"service/{name}": make_part(name, salt=salt)})
 
     def run(self, duration: timedelta) -> None:
-        """Run for a time, with the announcements of the targets."""
+        """Run for a time; the targets announce themselves meanwhile."""
         end = self.pump.clock.monotonic() + duration
         while self.pump.clock.monotonic() < end:
             self.step()
@@ -134,7 +143,7 @@
         self.pump.step()
 
     def announce(self, address: str, node: ControlNode) -> list:
-        """Announce the target beside a node; return the records that changed."""
+        """Announce the local target of a node; returns the records that changed."""
         return node.local.announce(
             target=f"target-{node.identity.node}",
             service=self.service_of[address],
@@ -143,13 +152,13 @@
         )
 
     def nodes_at_version(self, version: int) -> int:
-        """Return how many nodes have exactly this version in effect."""
+        """Return the number of nodes that have exactly this version in effect."""
         return sum(node.config.state.current.version == version for node in self.nodes)
 
     def run_until(self, done, limit: timedelta) -> timedelta | None:
         """Run until a condition holds.
 
-        :returns: the time it took, None if it did not hold within the limit
+        :return: simulated time that it took, None if the condition did not hold within the limit
         """
         start = self.pump.clock.monotonic()
         while not done():
@@ -159,7 +168,10 @@
         return self.pump.clock.monotonic() - start
 
     def is_converged(self, version: int) -> bool:
-        """Return whether all nodes hold a version, are ready and know all live targets."""
+        """Return whether all nodes are ready, agree on the directory and have a version in effect.
+
+        The directory has to list one target for each node.
+        """
         nodes = self.nodes
         digest = nodes[0].directory.digest()
         return all(
--- a/bench/full_scale.py
+++ b/bench/full_scale.py
@@ -1,4 +1,4 @@
-"""Cost of one node's state at full scale: 19,000 targets in 2,600 services."""
+"""Memory and processor time of one node at full scale: 19,000 targets in 2,600 services."""
 
 import random
 import time
@@ -18,13 +18,13 @@
 FULL_NODES = 19_000
 FULL_SERVICES = 2_600
 FULL_ZONES = 41
-REPEATS = 20
+REPETITIONS = 20
 MEMORY_TARGET_MB = 128.0
 CPU_TARGET_PERCENT = 1.9
 
 
-class FullNode:
-    """The configuration, the directory and the view of one node at full scale."""
+class FullScaleNode:
+    """The configuration, the directory and the routing view of one node at full scale."""
 
     def __init__(self):
         self.clock = ManualClock()
@@ -39,7 +39,7 @@
         self.views.view()
 
     def record(self, number: int, incarnation: int) -> TargetRecord:
-        """Return the record of a target; its strings are its own, as after decoding."""
+        """Return the record of a target; like a decoded one, it shares no strings with others."""
         address = f"10.{number // 62500}.{number // 250 % 250}.{number % 250}"
         return TargetRecord(
             target=f"target-{number:05d}",
@@ -55,7 +55,7 @@
         )
 
     def change_config(self, number: int) -> None:
-        """Take a change of one service and rebuild the view."""
+        """Apply a change of one service and rebuild the view."""
         old = self.config.state.current
         name = f"s{number:04d}"
         changes = {f"service/{name}": make_part(name, salt=str(old.version))}
@@ -66,46 +66,46 @@
         started = time.process_time()
         self.config.offer(delta)
         self.views.view()
-        self.spent += time.process_time() - started
+        self.cpu_seconds += time.process_time() - started
 
     def change_record(self, number: int) -> None:
-        """Take a changed record and rebuild the view."""
+        """Apply a changed target record and rebuild the view."""
         record = self.record(number, 2)
         started = time.process_time()
         self.directory.merge([record])
         self.views.view()
-        self.spent += time.process_time() - started
+        self.cpu_seconds += time.process_time() - started
 
     def cost(self, change) -> float:
-        """Return the processor seconds of one change, the mean of several."""
-        self.spent = 0.0
-        for number in range(REPEATS):
+        """Return the mean processor seconds of one change."""
+        self.cpu_seconds = 0.0
+        for number in range(REPETITIONS):
             change(number)
             self.clock.advance(timedelta(seconds=1))
-        return self.spent / REPEATS
+        return self.cpu_seconds / REPETITIONS
 
 
-class Costs(NamedTuple):
-    """Memory of one node in MB and processor seconds of one change."""
+class NodeCosts(NamedTuple):
+    """Memory of one node in MB, and processor seconds of one change of each kind."""
 
     megabytes: float
     config: float
     record: float
 
 
-def full_scale_costs() -> Costs:
-    """Measure one node at full scale."""
+def full_scale_costs() -> NodeCosts:
+    """Measure the memory and the cost of changes of one node at full scale."""
     tracemalloc.start()
-    node = FullNode()
+    node = FullScaleNode()
     megabytes = tracemalloc.get_traced_memory()[0] / 1e6
     tracemalloc.stop()
-    return Costs(megabytes, node.cost(node.change_config), node.cost(node.change_record))
+    return NodeCosts(megabytes, node.cost(node.change_config), node.cost(node.change_record))
 
 
-def full_scale_rows(costs: Costs, load) -> list[BenchRow]:
+def full_scale_rows(costs: NodeCosts, load) -> list[BenchRow]:
     """Return memory and processor time of a node at full scale.
 
-    :param load: ``Rate`` of the largest measured fleet under the changes of the whole fleet
+    :param load: ``Rate`` of the largest measured fleet under the changes of the full-scale fleet
     """
     from bench.convergence import CONFIG_CHANGES_PER_SECOND, RECORD_CHANGES_PER_SECOND, at_most
 
--- a/bench/meter.py
+++ b/bench/meter.py
@@ -1,4 +1,4 @@
-"""Meters of bytes, processor time and platform calls around control nodes."""
+"""Measurement of the bytes and processor time of control nodes."""
 
 import time
 from collections import Counter
@@ -14,61 +14,65 @@
 from standins.object_store import ObjectStore
 
 OBJECT_OVERHEAD_BYTES = 48
-CACHED_SIZES = 256
+MAX_CACHED_SIZES = 256
 
 
 class Meter:
-    """Counts of one run, by address of the node.
+    """Traffic and processor time of one run, by address of the node.
 
-    Bytes of messages are those that ``core.codec`` makes, at the sender and at the receiver;
-    bytes of the platform are keys and values. Processor time covers the decision code, and the
-    encoding and decoding of each message when ``timing`` is set.
+    A message counts with its size as encoded by ``core.codec``, at the sender and at the
+    receiver; a platform call counts with its keys and values. Processor time is measured only
+    with ``timing`` and covers the decision code and the encoding and decoding of each message.
+
+    :ivar bytes_by_message_type: encoded bytes by class name of the message
+    :ivar size_cache: encoded size by id of the message; holds the message, so that its id is not
+        reused
     """
 
     def __init__(self, *, timing: bool = False):
         self.timing = timing
-        self.bytes: Counter[str] = Counter()
-        self.kinds: Counter[str] = Counter()
-        self.seconds: Counter[str] = Counter()
-        self.sizes: dict[int, tuple[object, int]] = {}
+        self.bytes_by_node: Counter[str] = Counter()
+        self.bytes_by_message_type: Counter[str] = Counter()
+        self.cpu_seconds: Counter[str] = Counter()
+        self.size_cache: dict[int, tuple[object, int]] = {}
 
     def clear(self) -> None:
-        """Start the counts anew."""
-        for counter in (self.bytes, self.kinds, self.seconds):
+        """Reset all counts."""
+        for counter in (self.bytes_by_node, self.bytes_by_message_type, self.cpu_seconds):
             counter.clear()
 
-    def sent(self, sender: str, zone: str, send: Send) -> None:
-        """Count a message at both ends."""
+    def record_message(self, sender: str, zone: str, send: Send) -> None:
+        """Count a message at its sender and at its receiver."""
         size = self._size(sender, zone, send)
-        self.bytes[sender] += size
-        self.bytes[send.to] += size
-        self.kinds[type(send.message).__name__] += size
+        self.bytes_by_node[sender] += size
+        self.bytes_by_node[send.to] += size
+        self.bytes_by_message_type[type(send.message).__name__] += size
 
     def run(self, address: str, action, *arguments):
-        """Call a function and count the processor time on a node."""
+        """Call a function and charge its processor time to a node; returns its result."""
         if not self.timing:
             return action(*arguments)
         started = time.process_time()
         result = action(*arguments)
-        self.seconds[address] += time.process_time() - started
+        self.cpu_seconds[address] += time.process_time() - started
         return result
 
     def _size(self, sender: str, zone: str, send: Send) -> int:
-        """Return the encoded size; without timing, a message to many peers is encoded once."""
-        known = self.sizes.get(id(send.message))
-        if not self.timing and known is not None and known[0] is send.message:
-            return known[1]
+        """Return the encoded size; without timing, a message to many peers is encoded only once."""
+        cached = self.size_cache.get(id(send.message))
+        if not self.timing and cached is not None and cached[0] is send.message:
+            return cached[1]
         data = self.run(sender, encode, Envelope(sender, zone, send.message))
         if self.timing:
             self.run(send.to, decode, data)
-        if len(self.sizes) >= CACHED_SIZES:
-            self.sizes.clear()
-        self.sizes[id(send.message)] = (send.message, len(data))
+        if len(self.size_cache) >= MAX_CACHED_SIZES:
+            self.size_cache.clear()
+        self.size_cache[id(send.message)] = (send.message, len(data))
         return len(data)
 
 
 class MeteredPlatform(MemoryPlatform):
-    """A platform client whose bytes are counted for one node."""
+    """A platform client that charges the bytes of its calls to one node."""
 
     def __init__(self, *, store: ObjectStore, meter: Meter, address: str):
         super().__init__(store=store)
@@ -76,23 +80,23 @@
         self.address = address
 
     def get(self, key: str) -> Result[StoredObject, PlatformError]:
-        """Read one object."""
+        """Read one object; its key and value are counted."""
         return self._count(super().get(key), lambda found: [found])
 
     def update(
         self, key: str, value: bytes, revision: int, write_id: str
     ) -> Result[StoredObject, PlatformError]:
-        """Replace an object; its value is counted as sent."""
+        """Replace an object; its key and the written value are counted."""
         return self._count(super().update(key, value, revision, write_id), lambda found: [found])
 
     def watch(
         self, prefix: str, after: int, timeout: timedelta
     ) -> Result[WatchResult, PlatformError]:
-        """Return the changes so far."""
+        """Return the changes so far; their keys and values are counted."""
         return self._count(super().watch(prefix, after, timeout), lambda found: found.objects)
 
     def list(self, prefix: str) -> Result[list[StoredObject], PlatformError]:
-        """Read all objects under a prefix."""
+        """Read all objects under a prefix; their keys and values are counted."""
         return self._count(super().list(prefix), lambda found: found)
 
     def _count(self, result: Result, objects) -> Result:
@@ -100,5 +104,5 @@
         if is_successful(result):
             for item in objects(result.unwrap()):
                 size += len(item.key) + len(item.value) + OBJECT_OVERHEAD_BYTES
-        self.meter.bytes[self.address] += size
+        self.meter.bytes_by_node[self.address] += size
         return result
--- a/bench/pump.py
+++ b/bench/pump.py
@@ -1,4 +1,4 @@
-"""In-process message pump: delivers messages between control nodes with delays and drops."""
+"""Simulated network: runs control nodes in one process, with delayed and lost messages."""
 
 import heapq
 import random
@@ -21,11 +21,14 @@
 
 
 class Pump:
-    """Runs control nodes on one manual clock.
-
-    :ivar drop: share of the messages that are lost
-    :ivar double: share of the messages that arrive twice
-    :ivar spread: longest extra delay of a message; messages overtake each other within it
+    """Runs control nodes on one manual clock and delivers their messages.
+
+    :ivar drop_rate: share of the messages that are lost
+    :ivar duplicate_rate: share of the messages that arrive twice
+    :ivar max_jitter: longest random delay beyond ``MIN_DELAY``; it can reorder messages
+    :ivar paused: addresses of nodes that do not run; messages to them are lost
+    :ivar partitions: pairs of zones between which messages are lost
+    :ivar queue: messages under way: time of delivery, sequence number, sender, message
     """
 
     def __init__(self, *, seed: int, drop_rate: float = 0.0, meter: Meter | None = None):
@@ -52,7 +55,7 @@
         *,
         limits: ControlLimits | None = None,
     ) -> ControlNode:
-        """Start a node whose addresses follow from its index."""
+        """Start a node; its name and addresses are derived from its index."""
         control = f"10.0.{index // NODES_PER_SUBNET}.{index % NODES_PER_SUBNET}:7400"
         milliseconds = int(self.clock.now().timestamp() * 1000)
         address = control.replace(":7400", ":7401")
@@ -69,11 +72,11 @@
         return node
 
     def kill(self, address: str) -> None:
-        """End a node at once."""
+        """Remove a node without notice to the others."""
         del self.nodes[address]
 
     def send(self, sender: str, sends: Iterable[Send]) -> None:
-        """Put messages on their way."""
+        """Queue messages for delivery, subject to loss, duplication and delay."""
         for send in sends:
             self._count(sender, send)
             if self.rng.random() < self.drop_rate:
@@ -84,13 +87,13 @@
                 heapq.heappush(self.queue, (due, self.sequence, sender, send))
 
     def run(self, duration: timedelta) -> None:
-        """Run all nodes for a time."""
+        """Run all nodes for some simulated time."""
         end = self.clock.monotonic() + duration
         while self.clock.monotonic() < end:
             self.step()
 
     def step(self) -> None:
-        """Run one step: every node ticks, then all messages due in the step are delivered."""
+        """Run one step: tick every node, then deliver the messages that are due within the step."""
         for address, node in list(self.nodes.items()):
             if address not in self.paused:
                 self.send(address, self._run(address, node.platform_step))
@@ -114,7 +117,11 @@
         return self.meter.run(address, action, *arguments)
 
     def _watch(self, address: str, node: ControlNode) -> None:
-        """Run a node's watch when it would return: on a change, after its time-out or delay."""
+        """Run a node's watch once its long poll would return.
+
+        That is after the watch time-out if the poll has to wait for a change, otherwise after
+        the source's delay.
+        """
         source = node.source
         if source is None:
             return
@@ -143,4 +150,4 @@
         self.message_counts[type(send.message).__name__] += 1
         if self.meter is not None:
             zone = self.nodes[sender].identity.zone if sender in self.nodes else ""
-            self.meter.sent(sender, zone, send)
+            self.meter.record_message(sender, zone, send)
