Reword the benchmarks of adapters and proxy hops

A "turn" of the scrape, a "light" and a "whole" process and transports "one" and "two" are MAX_UNINTERRUPTED_MS, MINIMAL_IMPORT, DAEMON_IMPORT, first and second. Percentiles are no longer called shares. Docstrings state what is measured, in which unit and with which exit code. Texts of rows are unchanged.

The benchmarks were not run.

--- a/bench/daemon.py
+++ b/bench/daemon.py
@@ -1,4 +1,4 @@
-"""Benchmarks of the adapters: transport, memory and threads of a process, platform client."""
+"""Benchmarks of the codec, the transport, processes, metrics and the platform client."""
 
 import subprocess
 import sys
@@ -27,22 +27,23 @@
 METRIC_TENANTS = 1000
 RELAY_PEERS = 250
 WAIT_SECONDS = 60
-# A relay of 250 nodes handles 125 heartbeats a second and sends their acks; ten times that, both
-# ways, is what the transport has to leave room for.
+# A relay of 250 nodes receives 125 heartbeats a second and sends as many acks; the transport must
+# handle ten times that in both directions.
 MIN_MESSAGES_PER_SECOND = 2500
 MAX_ROUND_TRIP_US = 1800
 MAX_THREADS = 8
 MAX_MEMORY_MB = 128
 MAX_CALL_MS = 10
 MAX_RENDER_MS = 60
-# A turn delays the requests that meet it, which may take at most 1.8 ms longer for the mesh.
-MAX_TURN_MS = 1.8
+# Rendering blocks the event loop, and with it requests, until it yields; the mesh may add at most
+# 1.8 ms to a request.
+MAX_UNINTERRUPTED_MS = 1.8
 MAX_OBSERVE_US = 100
 HEARTBEAT = Heartbeat("node-1", 1, 7, bytes(16), {f"zone-{n}": n for n in range(41)}, 5, True)
 
 
 def run() -> list[BenchRow]:
-    """Run all benchmarks of this module."""
+    """Run all benchmarks of this module and return their rows."""
     setup_logs(level="ERROR")
     clock = SystemClock()
     rows = [*codec_rows(clock), *transport_rows(clock), *process_rows()]
@@ -91,34 +92,37 @@
 
 
 class TransportPair:
-    """Two transports in one process; the second one sends each ``Busy`` back."""
+    """Two transports in one process; the second one echoes each ``Busy`` message.
+
+    :ivar received: echoes and one-way messages received so far
+    """
 
     def __init__(self, *, clock: Clock):
         self.received = 0
-        self.one = NngTransport(listen=to_text(own_address()), zone="z", clock=clock)
-        self.two = NngTransport(listen=to_text(own_address()), zone="z", clock=clock)
-        eventlet.spawn(self.one.receive_forever, self._count)
-        eventlet.spawn(self.two.receive_forever, self._answer)
+        self.first = NngTransport(listen=to_text(own_address()), zone="z", clock=clock)
+        self.second = NngTransport(listen=to_text(own_address()), zone="z", clock=clock)
+        eventlet.spawn(self.first.receive_forever, self._count)
+        eventlet.spawn(self.second.receive_forever, self._echo)
 
     def exchange(self, message: Message, count: int) -> None:
-        """Send a message and wait for it to come back, one at a time."""
+        """Send a message ``count`` times, each time waiting for its echo."""
         for _ in range(count):
             target = self.received + 1
-            self.one.send(Send(self.two.address, message))
+            self.first.send(Send(self.second.address, message))
             self._wait_for(target)
 
     def stream(self, message: Message, count: int) -> None:
-        """Send messages as fast as the buffers take them and wait until all have arrived."""
+        """Send messages as fast as the buffers accept them and wait until all have arrived."""
         target = self.received + count
         for _ in range(count):
-            while not self.one.send(Send(self.two.address, message)):
+            while not self.first.send(Send(self.second.address, message)):
                 eventlet.sleep(0)
         self._wait_for(target)
 
     def close(self) -> None:
         """Close both transports."""
-        self.one.close()
-        self.two.close()
+        self.first.close()
+        self.second.close()
 
     def _wait_for(self, target: int) -> None:
         with eventlet.Timeout(WAIT_SECONDS):
@@ -128,9 +132,9 @@
     def _count(self, _: Envelope) -> None:
         self.received += 1
 
-    def _answer(self, envelope: Envelope) -> None:
+    def _echo(self, envelope: Envelope) -> None:
         if isinstance(envelope.message, Busy):
-            self.two.send(Send(envelope.sender, envelope.message))
+            self.second.send(Send(envelope.sender, envelope.message))
         else:
             self.received += 1
 
@@ -151,30 +155,32 @@
 status = dict(line.split(":", 1) for line in open("/proc/self/status"))
 print(status["VmRSS"].split()[0], status["Threads"])
 """
-LIGHT = "almondshore.core.codec"
-WHOLE = "almondshore.daemon.main"
+MINIMAL_IMPORT = "almondshore.core.codec"
+DAEMON_IMPORT = "almondshore.daemon.main"
 
 
 def process_rows() -> list[BenchRow]:
-    """Measure memory and threads of processes with a transport, without a configuration."""
-    _, unlimited = _measure_process(LIGHT, limited=False)
-    light_mb, limited = _measure_process(LIGHT, limited=True)
-    whole_mb, _ = _measure_process(WHOLE, limited=True)
-    relay_mb, relay_threads = _measure_process(WHOLE, limited=True, peers=RELAY_PEERS)
+    """Measure memory and threads of processes with a transport but without a configuration."""
+    _, unlimited = _measure_process(MINIMAL_IMPORT, limited=False)
+    transport_mb, limited = _measure_process(MINIMAL_IMPORT, limited=True)
+    daemon_mb, _ = _measure_process(DAEMON_IMPORT, limited=True)
+    relay_mb, relay_threads = _measure_process(DAEMON_IMPORT, limited=True, peers=RELAY_PEERS)
     return [
         BenchRow("threads, nng defaults", "", f"{unlimited}", "threads", "baseline"),
         at_most("threads, nng limited", MAX_THREADS, limited, "threads"),
-        at_most("memory, transport only", MAX_MEMORY_MB, light_mb, "MB"),
-        at_most("memory, all imports", MAX_MEMORY_MB, whole_mb, "MB"),
+        at_most("memory, transport only", MAX_MEMORY_MB, transport_mb, "MB"),
+        at_most("memory, all imports", MAX_MEMORY_MB, daemon_mb, "MB"),
         at_most(f"memory, all imports, {RELAY_PEERS} peers", MAX_MEMORY_MB, relay_mb, "MB"),
         at_most(f"threads, {RELAY_PEERS} peers", MAX_THREADS, relay_threads, "threads"),
     ]
 
 
 def _measure_process(imports: str, *, limited: bool, peers: int = 0) -> tuple[float, int]:
-    """Start a process with a transport that is connected to peers and read its size.
+    """Measure a process whose transport is connected to peers.
 
-    :returns: resident memory in MB and number of threads
+    :param imports: module that the process imports besides the transport
+    :param limited: whether the thread pool of nng is limited, as in the daemon
+    :return: resident memory in MB and number of threads
     """
     port = own_address()[1]
     addresses = [f"127.0.{number // 250}.{1 + number % 250}:{port}" for number in range(peers)]
@@ -197,7 +203,7 @@
 
 
 def metrics_rows(clock: Clock) -> list[BenchRow]:
-    """Measure the recording of a request and a scrape with the most tenants allowed."""
+    """Measure recording a request and rendering a scrape with the maximum number of tenants."""
     metrics = Metrics(max_tenants=METRIC_TENANTS)
 
     def observe() -> None:
@@ -210,14 +216,14 @@
             )
 
     observed = _seconds(clock, observe) / MESSAGES
-    turns = [clock.monotonic()]
-    metrics.latency_by_tenant.pause = lambda: turns.append(clock.monotonic())
+    yielded_at = [clock.monotonic()]
+    metrics.latency_by_tenant.pause = lambda: yielded_at.append(clock.monotonic())
     size = len(metrics.render()[0])
-    turns.append(clock.monotonic())
-    longest = max(after - before for before, after in pairwise(turns)).total_seconds()
-    rendered = (turns[-1] - turns[0]).total_seconds()
+    yielded_at.append(clock.monotonic())
+    longest = max(after - before for before, after in pairwise(yielded_at)).total_seconds()
+    rendered = (yielded_at[-1] - yielded_at[0]).total_seconds()
     return [
-        at_most("metrics, longest turn of the scrape", MAX_TURN_MS, longest * 1e3, "ms"),
+        at_most("metrics, longest turn of the scrape", MAX_UNINTERRUPTED_MS, longest * 1e3, "ms"),
         at_most("metrics, one request", MAX_OBSERVE_US, observed * 1e6, "us"),
         at_most(
             f"metrics, scrape of {METRIC_TENANTS} tenants", MAX_RENDER_MS, rendered * 1e3, "ms"
@@ -227,7 +233,7 @@
 
 
 def platform_rows(clock: Clock) -> list[BenchRow]:
-    """Measure sequential platform calls against the stand-in."""
+    """Measure sequential platform calls to the stand-in of the platform."""
     with Deployment() as deployment:
         deployment.start_platform()
         platform = HttpPlatform(
@@ -263,7 +269,7 @@
 
 
 def main() -> None:
-    """Run the benchmarks and print them as a table; ends with 1 if a target is missed."""
+    """Run the benchmarks and print their table; the exit code is 1 if a target is missed."""
     rows = run()
     for row in rows:
         sys.stdout.write(
--- a/bench/hop.py
+++ b/bench/hop.py
@@ -1,4 +1,4 @@
-"""Benchmark of the two proxy hops with real processes: added latency, calls, memory and time."""
+"""Benchmark of the two proxy hops in real processes: latency, memory and processor time."""
 
 import os
 import time
@@ -17,7 +17,7 @@
 MAX_ADDED_MS = 1.8
 MAX_MEMORY_MB = 128
 MAX_IDLE_CORE_PERCENT = 1.9
-MAX_US = 60_000_000
+MAX_LATENCY_US = 60_000_000
 TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
 RULES = """\
 service bench version v1                                  # bench: target
@@ -27,7 +27,7 @@
 
 
 def run() -> list[BenchRow]:
-    """Run the benchmark."""
+    """Run two nodes and a target as processes, and measure calls directly and through the nodes."""
     with Deployment() as deployment:
         deployment.start_platform()
         file = deployment.path / "rules.txt"
@@ -40,18 +40,18 @@
         idle_mb = _memory_mb(nodes[0])
         direct = _measure(f"http://{target.address}/bench/x")
         started, cpu = time.monotonic(), _cpu_seconds(nodes[0]) + _cpu_seconds(nodes[1])
-        through = _measure(f"http://{nodes[0].addresses.caller}/bench/x")
-        took = time.monotonic() - started
+        via_hops = _measure(f"http://{nodes[0].addresses.caller}/bench/x")
+        elapsed = time.monotonic() - started
         cpu = _cpu_seconds(nodes[0]) + _cpu_seconds(nodes[1]) - cpu
         loaded_mb = max(_memory_mb(node) for node in nodes)
     calls = CALLS + WARM_UP_CALLS
-    added = [_ms(through, share) - _ms(direct, share) for share in (50, 99)]
+    added = [_ms(via_hops, percentile) - _ms(direct, percentile) for percentile in (50, 99)]
     return [
         make_row("direct call, p99", "-", _ms(direct, 99), "ms", None),
-        make_row("call through two hops, p99", "-", _ms(through, 99), "ms", None),
+        make_row("call through two hops, p99", "-", _ms(via_hops, 99), "ms", None),
         make_row("added by two hops, p50", "-", added[0], "ms", None),
         make_row("added by two hops, p99", f"<= {MAX_ADDED_MS}", added[1], "ms", MAX_ADDED_MS),
-        make_row("calls one after another", "-", calls / took, "calls/s", None),
+        make_row("calls one after another", "-", calls / elapsed, "calls/s", None),
         make_row("processor time for each hop", "-", cpu / calls / 2 * 1e6, "us", None),
         make_row(
             "idle relay, processor",
@@ -71,21 +71,24 @@
 
 
 def _measure(url: str) -> HdrHistogram:
-    """Return the latencies of calls one after another over one connection, in microseconds."""
-    histogram = HdrHistogram(1, MAX_US, 3)
+    """Return the latencies in microseconds of sequential calls over one connection.
+
+    :raises RuntimeError: if a response is not 200
+    """
+    histogram = HdrHistogram(1, MAX_LATENCY_US, 3)
     pool = urllib3.PoolManager(retries=False, timeout=5)
     for number in range(WARM_UP_CALLS + CALLS):
         started = time.perf_counter()
         response = pool.request("GET", url, headers={"x-tenant": "bench"})
         if response.status != 200:
-            raise RuntimeError(f"{url}: {response.status} {response.data!r}")
+            raise RuntimeError(f"{url} answered {response.status}: {response.data!r}")
         if number >= WARM_UP_CALLS:
             histogram.record_value(int((time.perf_counter() - started) * 1e6))
     return histogram
 
 
-def _ms(histogram: HdrHistogram, share: float) -> float:
-    micros = timedelta(microseconds=histogram.get_value_at_percentile(share))
+def _ms(histogram: HdrHistogram, percentile: float) -> float:
+    micros = timedelta(microseconds=histogram.get_value_at_percentile(percentile))
     return micros / timedelta(milliseconds=1)
 
 
@@ -107,7 +110,7 @@
 
 
 def main() -> None:
-    """Print the table."""
+    """Run the benchmark and print its table."""
     print_rows(run())
 
 
--- a/bench/main.py
+++ b/bench/main.py
@@ -16,7 +16,7 @@
 
 
 def main() -> None:
-    """Run every benchmark; the exit code is 0 also if a target is missed."""
+    """Run every benchmark; the exit code is 0 even if a target is missed."""
     rows: list[tuple[str, BenchRow]] = []
     for module in MODULES:
         name = module.__name__.rpartition(".")[2]
--- a/bench/mesh_path.py
+++ b/bench/mesh_path.py
@@ -17,14 +17,18 @@
 CALLS = 3000
 WARM_UP_CALLS = 300
 MAX_ADDED_MS = 1.8
-MAX_US = 60_000_000
+MAX_LATENCY_US = 60_000_000
 
 
-class Cost:
-    """Latency and processor time of a series of calls, one after another."""
+class CallCosts:
+    """Latency and processor time of a series of sequential calls.
+
+    :ivar latency: latencies in microseconds
+    :ivar cpu_us: processor time of the whole process per call
+    """
 
     def __init__(self, mesh: MeshDeployment, address: tuple[str, int]):
-        self.latency = HdrHistogram(1, MAX_US, 3)
+        self.latency = HdrHistogram(1, MAX_LATENCY_US, 3)
         headers = ((b"Host", b"h.example"), (names.REQUEST_ID, b"a1"), (names.TIME_LEFT, b"5000"))
         data = encode_request(b"GET", b"/s/x", headers, b"")
         for _ in range(WARM_UP_CALLS):
@@ -42,7 +46,7 @@
 
 
 def run() -> list[BenchRow]:
-    """Run the benchmark: two nodes, callers and the target in one process."""
+    """Run the benchmark with two nodes, the caller and the target in one process."""
     sink = os.open(os.devnull, os.O_WRONLY)
     mesh = MeshDeployment(log_stream=BoundedStream(descriptor=sink))
     setup_logs(stream=mesh.log_stream)
@@ -52,16 +56,16 @@
         target = mesh.add_node("n2")
         mesh.upstreams["n2"].work = timedelta()
         mesh.wait_for_targets("n1", 2)
-        direct = Cost(mesh, target.settings.app)
-        logged = Cost(mesh, first.settings.outbound)
+        direct = CallCosts(mesh, target.settings.app)
+        logged = CallCosts(mesh, first.settings.outbound)
         logger.remove()
-        silent = Cost(mesh, first.settings.outbound)
+        unlogged = CallCosts(mesh, first.settings.outbound)
     finally:
         mesh.close()
         os.close(sink)
-    added = [logged.ms(share) - direct.ms(share) for share in (50, 99)]
+    added = [logged.ms(percentile) - direct.ms(percentile) for percentile in (50, 99)]
     hop_us = (logged.cpu_us - direct.cpu_us) / 2
-    log_us = (logged.cpu_us - silent.cpu_us) / 2
+    log_us = (logged.cpu_us - unlogged.cpu_us) / 2
     return [
         make_row("direct call, p99", "-", direct.ms(99), "ms", None),
         make_row("added by two hops, p50", "-", added[0], "ms", None),
@@ -72,7 +76,7 @@
 
 
 def main() -> None:
-    """Print the table."""
+    """Run the benchmark and print its table."""
     print_rows(run())
 
 
