Reword the simulation of load patterns

Clients left, came back and had habits; targets took requests and kept them. Docstrings now use selection policy, retry, abandon, one-way delay and utilisation, and document the fields of Load, Server, Call and ClientBehaviour. The help of bench.load follows; its flags and the columns and names of its table are unchanged.

--- a/bench/load.py
+++ b/bench/load.py
@@ -1,4 +1,4 @@
-"""Plays load patterns with the product's choice of targets and with baselines: ``bench.load``."""
+"""Simulates load patterns with the product's target selection and with baselines."""
 
 from collections.abc import Callable
 from pathlib import Path
@@ -20,21 +20,22 @@
     "least active": LeastActiveChooser,
     "random": RandomChooser,
 }
-# Worth of a response after its objective; the users' sites state 0.1 to 0.3.
+# Worth of a response after its objective, where one in time is worth 1; the users' sites state 0.1
+# to 0.3.
 LATE_WORTH = 0.2
 ENDS = ("on time", "late", "refused", "failed", "left")
 COLUMNS = ("pattern", "choice", "worth", "lowest", *ENDS)
 Seeds = Annotated[int, Parameter(validator=validators.Number(gte=1, lte=1000))]
 
-app = App(help="Play load patterns on the model of the served system.")
+app = App(help="Simulate load patterns and compare policies of target selection.")
 
 
 class PolicyFigures(NamedTuple):
-    """Means over the seeds of one pattern and choice.
+    """Means over all seeds for one load pattern and one selection policy.
 
     :ivar worth: mean worth of a request, 0 to 1
-    :ivar lowest: worth of the worst seed
-    :ivar shares: share of the requests by how they ended
+    :ivar lowest: mean worth of a request with the worst seed
+    :ivar shares: share of the requests by end, one of ``ENDS``
     """
 
     pattern: str
@@ -51,10 +52,10 @@
 
 @app.default
 def main(*, seeds: Seeds = 5, out: Path = Path("build")) -> None:
-    """Play all patterns, print a table, and write ``load.md`` and ``load.svg``.
+    """Simulate all patterns, print a table, and write ``load.md`` and ``load.svg``.
 
-    :param seeds: number of seeds for each pattern and choice
-    :param out: directory of the results
+    :param seeds: number of seeds for each pattern and policy
+    :param out: directory for the results
     """
     results = [measure(scenario, policy, seeds) for scenario in SCENARIOS for policy in POLICIES]
     table = Table(*COLUMNS)
@@ -68,7 +69,7 @@
 
 
 def measure(scenario: Scenario, policy: str, seeds: int) -> PolicyFigures:
-    """Play a pattern with a way to choose targets, once for each seed."""
+    """Simulate a pattern with a policy, once for each seed."""
     systems = [simulate(scenario, seed, chooser=POLICIES[policy]) for seed in range(1, seeds + 1)]
     worths = [system.share("on time") + LATE_WORTH * system.share("late") for system in systems]
     return PolicyFigures(
@@ -87,7 +88,7 @@
 
 
 def plot(results: list[PolicyFigures], seeds: int) -> pygal.Bar:
-    """Return a chart of the worth by pattern, a series for each way to choose targets."""
+    """Return a bar chart of the worth by pattern, with a series for each policy."""
     chart = pygal.Bar(
         title=f"Mean worth of a request, {seeds} seeds",
         range=(0, 1),
--- a/bench/load_choosers.py
+++ b/bench/load_choosers.py
@@ -1,4 +1,4 @@
-"""Plain ways to choose a target, as baselines."""
+"""Simple policies of target selection, as baselines."""
 
 import random
 from collections import Counter
@@ -30,24 +30,27 @@
         return self._pick(left) if left else None
 
     def started(self, target: str) -> None:
-        """Take note of nothing."""
+        """Do nothing; the choice does not depend on load."""
 
     def finished(self, target: str, route: str, report: LoadReport | None) -> None:
-        """Take note of nothing."""
+        """Do nothing; the choice does not depend on load."""
 
     def _pick(self, targets: list[Target]) -> Target:
         return self.rng.choice(targets)
 
 
 class LeastActiveChooser(RandomChooser):
-    """Chooses the target with the fewest requests of the own node, in the own zone if equal."""
+    """Chooses the target with the fewest running requests of this node.
+
+    Ties go to targets in the zone of the node, then to a random one.
+    """
 
     def __init__(self, *, clock: Clock, rng: random.Random, zone: str):
         super().__init__(clock=clock, rng=rng, zone=zone)
         self.active: Counter[str] = Counter()
 
     def started(self, target: str) -> None:
-        """Count a request that is being sent."""
+        """Count a request that is sent to the target."""
         self.active[target] += 1
 
     def finished(self, target: str, route: str, report: LoadReport | None) -> None:
--- a/bench/load_model.py
+++ b/bench/load_model.py
@@ -1,4 +1,4 @@
-"""Model of targets and the nodes that choose among them, over the decision code of the product."""
+"""Discrete-event simulation of clients, nodes and targets that runs the product's decision code."""
 
 import random
 from abc import ABC, abstractmethod
@@ -18,14 +18,14 @@
 ROUTE = "r"
 ZONES = ("a", "b", "c")
 NODES_PER_ZONE = 3
-# One way, within a zone and between zones, as the users' sites state them.
+# One-way network delay by whether both ends are in one zone, as the users' sites state it.
 ONE_WAY_DELAY = {True: timedelta(milliseconds=0.1), False: timedelta(milliseconds=0.9)}
-# Targets that may refuse a request before it is refused to the client.
+# Number of targets that may refuse a request before the client gets the refusal.
 MAX_REFUSALS = 3
 
 
 class Chooser(ABC):
-    """What the model needs of the choice of a target."""
+    """Interface of target selection in the simulation; one chooser for each node."""
 
     zone: str
 
@@ -42,22 +42,22 @@
 
     @abstractmethod
     def started(self, target: str) -> None:
-        """Count a request that is being sent."""
+        """Register a request that is sent to a target."""
 
     @abstractmethod
     def finished(self, target: str, route: str, report: LoadReport | None) -> None:
-        """Count the end of a request."""
+        """Register the end of a request; the report is None if the target did not respond."""
 
 
 Chooser.register(CompletionChooser)
 
 
 class ClientBehaviour(NamedTuple):
-    """What clients do when they are refused, fail or have waited.
+    """How clients react to refusals, failures and slow responses.
 
-    :ivar retries: how often a client sends a request again that was refused or failed
-    :ivar waits: whether it waits for the time that a refusal states
-    :ivar timeout: time after which it leaves, None if it stays until its deadline
+    :ivar max_retries: how often a client repeats a request that was refused or failed
+    :ivar honours_retry_after: whether it waits for the retry-after time of a refusal
+    :ivar timeout: time after which it abandons a request, None if it waits until the deadline
     """
 
     max_retries: int = 0
@@ -66,8 +66,13 @@
 
 
 class Load(NamedTuple):
-    """Requests of one kind; times in seconds.
+    """Load of the simulation; times in seconds.
 
+    :ivar per_s: mean arrivals per second
+    :ivar seconds: duration of the load
+    :ivar work: mean service time on a target of speed 1
+    :ivar objective: time in which a response is on time
+    :ivar deadline: time after which a response is of no use
     :ivar work_sigma: standard deviation of the logarithm of the work
     :ivar zones: zones of the clients
     """
@@ -83,9 +88,11 @@
 
 
 class Server:
-    """A target with its queue and results.
+    """A target with its request queue and its recorded results.
 
-    :ivar unanswered_rate: share of the requests that it takes and never answers
+    :ivar entry: the target as it is listed in the directory
+    :ivar failure_rate: share of the requests that fail
+    :ivar unanswered_rate: share of the requests that it starts and never answers
     """
 
     def __init__(
@@ -107,7 +114,7 @@
         self.unanswered_rate = unanswered_rate
 
     def report(self) -> LoadReport:
-        """Return the load as the node beside the target reports it."""
+        """Return the load report that the target's local node would send."""
         return LoadReport(
             len(self.queue.running),
             len(self.queue.waiting),
@@ -118,12 +125,19 @@
         )
 
     def record_unanswered(self, took: timedelta) -> None:
-        """Count a request that was given up, as the node beside the target does."""
+        """Record a request that was abandoned, as the target's local node does."""
         self.recorder.record_abandoned(took=took, expected=self.queue.times.observed(ROUTE))
 
 
 class Call(Job):
-    """A client's request at a node, at one target after the other until one takes it."""
+    """A client's request, which the node offers to one target after another until one accepts it.
+
+    :ivar work: service time on a target of speed 1
+    :ivar retries: how often the client has repeated the request
+    :ivar refused_by: names of the targets that refused it since the client sent it
+    :ivar server: the target that it was last sent to, None between two targets
+    :ivar retry_after: retry-after time of the last refusal
+    """
 
     def __init__(
         self,
@@ -167,16 +181,16 @@
         self.system.schedule(self.one_way_delay(), self.arrive)
 
     def one_way_delay(self) -> timedelta:
-        """Return the time from the node to the target's host."""
+        """Return the network delay from the node to the target's host."""
         return ONE_WAY_DELAY[self.server.entry.zone == self.chooser.zone]
 
     def arrive(self) -> None:
-        """Ask for a slot of the target."""
+        """Offer the request to the queue of the target."""
         if not self.done:
             self.server.queue.offer(self)
 
     def start(self) -> None:
-        """Run the request; a target may keep it until the deadline."""
+        """Run the request; with ``unanswered_rate``, the target never responds to it."""
         self.started_at = self.system.clock.monotonic()
         if self.system.rng.random() < self.server.unanswered_rate:
             self.system.schedule(self.terms.deadline_at - self.started_at, self.give_up)
@@ -184,7 +198,7 @@
             self.system.schedule(self.work / self.server.speed, self.finish)
 
     def finish(self) -> None:
-        """End the run with a success or a failure of the target."""
+        """End the run with a success or a failure, and send the response to the node."""
         if self.done:
             return
         took = self.system.clock.monotonic() - self.started_at
@@ -194,14 +208,14 @@
         self.system.schedule(self.one_way_delay(), lambda: self.answer(ok))
 
     def give_up(self) -> None:
-        """End a run that the target does not answer."""
+        """Give up at the deadline a run that the target does not answer."""
         if self.done:
             return
         self._abandon()
         self.end("failed")
 
     def leave(self) -> None:
-        """Take the request back: its client left."""
+        """Cancel the request because its client has left."""
         if self.done:
             return
         if self.started_at is not None:
@@ -213,7 +227,7 @@
         self.done = True
 
     def answer(self, ok: bool) -> None:
-        """Take the response at the node."""
+        """Handle the response at the node."""
         if self.done:
             return
         self.chooser.finished(self.server.entry.target, ROUTE, self.server.report())
@@ -223,13 +237,13 @@
         self.end("failed" if not ok else "late" if late else "on time")
 
     def refuse(self, reason: Refusal, retry_after: timedelta) -> None:
-        """Try another target: this one did not start the request."""
+        """Return the refusal to the node, which tries another target."""
         self.refused_by.add(self.server.entry.target)
         report = self.server.report()
         self.system.schedule(self.one_way_delay(), lambda: self._refused(report, retry_after))
 
     def end(self, outcome: str) -> None:
-        """Answer the client, which may send the request again."""
+        """Answer the client, which may repeat a refused or failed request before its deadline."""
         retry = outcome in ("refused", "failed") and self.retries < self.behaviour.max_retries
         delay = self.retry_after if self.behaviour.honours_retry_after else ZERO
         remaining = self.terms.deadline_at - self.system.clock.monotonic() - delay
@@ -252,20 +266,21 @@
         self.send()
 
     def _abandon(self) -> None:
-        """Give the slot back without an answer of the target."""
+        """Free the slot of a run that the target has not answered."""
         self.server.record_unanswered(self.system.clock.monotonic() - self.started_at)
         self.server.queue.release(self, observed=False)
         self.chooser.finished(self.server.entry.target, ROUTE, None)
 
 
 class SimulatedSystem:
-    """Plays requests of nodes in three zones against targets.
-
-    :param chooser: makes the choice of targets of a node
-    :ivar ends: how requests ended
-    :ivar sent: sends by target
-    :ivar client_retries: requests that clients sent again
-    :ivar response_times: times from the first send of a request to a target's response
+    """Simulation of clients, nodes in three zones, and targets on a manual clock.
+
+    :param chooser: makes the chooser of a node
+    :ivar events: pending actions: time, sequence number, action
+    :ivar ends: requests by how they ended: on time, late, refused, failed or left
+    :ivar sent: requests sent, by target
+    :ivar client_retries: requests that clients repeated
+    :ivar response_times: times from the first sending of a request to a target's response
     """
 
     def __init__(
@@ -290,15 +305,15 @@
         self.response_times: list[timedelta] = []
 
     def add(self, name: str, zone: str, **fields: float) -> None:
-        """Add a target; ``fields`` are those of ``Server``."""
+        """Add a target; ``fields`` are passed to ``Server``."""
         self.servers[name] = Server(clock=self.clock, name=name, zone=zone, **fields)
 
     def remove(self, name: str) -> None:
-        """Take a target away; what it runs it still ends."""
+        """Remove a target from selection; it still ends the requests that it runs."""
         del self.servers[name]
 
     def schedule(self, delay: timedelta, action: Callable[[], object]) -> None:
-        """Run an action after a delay."""
+        """Schedule an action after a delay."""
         self.sequence += 1
         heappush(self.events, (self.clock.monotonic() + delay, self.sequence, action))
 
@@ -307,7 +322,7 @@
         self.ends[outcome] += 1
 
     def run(self, load: Load) -> None:
-        """Play requests that come at random times to random nodes of some zones."""
+        """Simulate requests that arrive at random times at random nodes of the load's zones."""
         nodes = [node for node in self.nodes if node.zone in load.zones]
         at = 0.0
         while at < load.seconds:
@@ -341,5 +356,5 @@
         return sum(self.ends[end] for end in ends) / sum(self.ends.values())
 
     def sent_share(self, name: str) -> float:
-        """Return the share of the sends that went to a target."""
+        """Return the share of the sent requests that went to a target."""
         return self.sent[name] / sum(self.sent.values())
--- a/bench/load_scenarios.py
+++ b/bench/load_scenarios.py
@@ -1,4 +1,4 @@
-"""Load patterns of the model: targets, what happens to them, and the clients."""
+"""Load patterns of the simulation: targets, changes of targets, and client load."""
 
 from collections.abc import Callable
 from datetime import timedelta
@@ -10,12 +10,12 @@
 DURATION_S = 20.0
 TARGETS_LOST_AT_S = 8.0
 TARGETS_ADDED_AT_S = 6.0
-# Half of the objective, after which impatient clients leave.
+# Time after which clients abandon a request: half of the objective.
 CLIENT_TIMEOUT = timedelta(seconds=0.3)
 
 
 def uneven_speeds(system: SimulatedSystem) -> Load:
-    """Targets differ in speed by three times, at two thirds of the capacity."""
+    """Targets whose speeds differ by up to three times, at two thirds of their capacity."""
     for name, zone, speed in (("t1", "a", 0.5), ("t2", "b", 1.0), ("t3", "c", 1.5)):
         system.add(name, zone, speed=speed)
     return Load(90, DURATION_S)
@@ -28,25 +28,25 @@
 
 
 def grey_target(system: SimulatedSystem) -> Load:
-    """One of four targets fails half of its requests at once, and so looks idle."""
+    """One of four targets fails half of its requests quickly, and so appears to be idle."""
     _add_four_targets(system, failure_rate=0.5, speed=5.0)
     return Load(60, DURATION_S)
 
 
 def target_that_never_answers(system: SimulatedSystem) -> Load:
-    """One of four targets takes two of five requests and never answers them."""
+    """One of four targets accepts all requests and never answers two of five."""
     _add_four_targets(system, unanswered_rate=0.4)
     return Load(60, DURATION_S)
 
 
 def clients_moved(system: SimulatedSystem, per_s: float = 100) -> Load:
-    """All clients are in one zone; their work fills 20 slots, the zone has 9, all have 27."""
+    """All clients are in one zone and need 20 slots; their zone has 9, all zones have 27."""
     _add_one_per_zone(system)
     return Load(per_s, DURATION_S, zones=("a",))
 
 
 def capacity_lost(system: SimulatedSystem) -> Load:
-    """Two of six targets go; 36 slots are left for work that fills 27 of them."""
+    """Two of six targets are removed; the load needs 27 of the remaining 36 slots."""
     for number, zone in enumerate("abcabc"):
         system.add(f"t{number}", zone)
     for name in ("t0", "t4"):
@@ -55,7 +55,7 @@
 
 
 def targets_added(system: SimulatedSystem, seconds: float = DURATION_S) -> Load:
-    """Work for 34 slots; there are 27, and 45 later."""
+    """The load needs 34 slots; there are 27 at first, and 45 once two targets are added."""
     _add_one_per_zone(system)
     for number, zone in enumerate("ab"):
         system.schedule(
@@ -66,7 +66,7 @@
 
 
 def retry_storm(system: SimulatedSystem) -> Load:
-    """One and a half times the capacity; refused clients come back at once, three times."""
+    """One and a half times the capacity; refused clients retry immediately, up to three times."""
     _add_one_per_zone(system)
     return Load(
         200, DURATION_S, behaviour=ClientBehaviour(max_retries=3, honours_retry_after=False)
@@ -74,7 +74,7 @@
 
 
 def clients_that_give_up(system: SimulatedSystem) -> Load:
-    """One and a half times the capacity; clients leave after half the objective."""
+    """One and a half times the capacity; clients abandon requests after half the objective."""
     _add_one_per_zone(system)
     return Load(200, DURATION_S, behaviour=ClientBehaviour(timeout=CLIENT_TIMEOUT))
 
@@ -93,14 +93,14 @@
 
 
 def simulate(scenario: Scenario, seed: int = 1, **options) -> SimulatedSystem:
-    """Play a scenario; ``options`` are those of ``SimulatedSystem``."""
+    """Simulate a scenario; ``options`` are passed to ``SimulatedSystem``."""
     system = SimulatedSystem(seed=seed, **options)
     system.run(scenario(system))
     return system
 
 
 def _add_four_targets(system: SimulatedSystem, **first: float) -> None:
-    """Add four targets in three zones, of which the first one is special."""
+    """Add four targets in three zones; ``first`` are the properties of the first target."""
     system.add("t1", "a", **first)
     for name, zone in (("t2", "b"), ("t3", "c"), ("t4", "a")):
         system.add(name, zone)
