Reword the benchmark of version moves

"Ways to run a move", troubles that befall it and nodes that take results in are now policies, faults and recorded results. Baselines are marked as such, and the state of a run, a target and a policy is documented with its units. The reason for the run time beyond the move and the loss rate of messages stay in their comments.

--- a/bench/move_kinds.py
+++ b/bench/move_kinds.py
@@ -1,4 +1,4 @@
-"""Kinds of version and of fault that the bench of moves runs through."""
+"""Kinds of new versions and of faults that the benchmark of moves covers."""
 
 from typing import NamedTuple
 
@@ -14,14 +14,14 @@
 class Version(NamedTuple):
     """Behaviour of the targets of a new version.
 
-    :ivar error_rate: share of requests that it fails
+    :ivar error_rate: share of requests that fail
     :ivar latency_factor: factor on latency
-    :ivar crash_rate: share of requests that end the target's process
-    :ivar from_share: share of the move's duration after which it turns bad; above 1 it does so
-        after the move
+    :ivar crash_rate: share of requests that crash the target's process
+    :ivar from_share: share of the move's duration after which it turns bad; above 1, after the
+        move
     :ivar above_load: utilisation of a target above which it is bad
     :ivar route: the only route on which it is bad
-    :ivar cold_seconds: time after its start in which a target takes three times as long
+    :ivar cold_seconds: time after its start during which a target takes three times as long
     """
 
     error_rate: float = 0.0
@@ -33,16 +33,19 @@
     cold_seconds: float = 5.0
 
     def is_bad(self) -> bool:
-        """Return whether a right verdict rolls the version back."""
+        """Return whether the version should be rolled back."""
         return bool(self.error_rate or self.latency_factor > 1 or self.crash_rate)
 
     def is_bad_at_start(self) -> bool:
-        """Return whether it is bad from its first request on."""
+        """Return whether the version is bad from its first request on."""
         return self.is_bad() and not self.from_share and not self.above_load
 
 
 class Kind(NamedTuple):
-    """A kind of version with the faults that befall its move."""
+    """A kind of new version, and the faults that occur during its move.
+
+    :ivar name: names rows of the table and seeds the random generator of the runs
+    """
 
     name: str
     version: Version
--- a/bench/move_policies.py
+++ b/bench/move_policies.py
@@ -1,4 +1,4 @@
-"""Ways to run a move in the bench: almondshore's own code and three baselines."""
+"""Policies that run a move in the benchmark: the product's code and three baselines."""
 
 import random
 from abc import ABC, abstractmethod
@@ -19,14 +19,17 @@
 
 HEARTBEAT_INTERVAL_S = 2.0
 LEASE_S = 15.0
-# One message in fifty is lost; the next heartbeat repairs it.
+# Share of messages lost; the exchange at the next heartbeat makes up for them.
 MESSAGE_LOSS = 0.02
 ERROR_RATE_THRESHOLD = 0.05
 MIN_REQUESTS_PER_WINDOW = 10
 
 
 class Policy(ABC):
-    """Decides the share of the new version as each node sees it."""
+    """Decides which share of its requests each node sends to the new version.
+
+    :ivar bytes: control traffic of the move so far
+    """
 
     def __init__(self, *, world: World):
         self.world = world
@@ -35,22 +38,22 @@
 
     @abstractmethod
     def share(self, node: int) -> float:
-        """Return the share of the new version for requests of a node."""
+        """Return the share of a node's requests that goes to the new version."""
 
     @abstractmethod
     def record(self, node: int, target: Target, route: str, outcome: Outcome | None) -> None:
-        """Take in the result of a request; None if it was refused."""
+        """Record the result of a request; None if it was refused."""
 
     @abstractmethod
     def record_control(self, node: int, service: str, ok: bool, latency: timedelta) -> None:
-        """Take in the result of a request to another service."""
+        """Record the result of a request to another service, which has no move."""
 
     @abstractmethod
     def tick(self) -> None:
-        """Act on the time that has passed."""
+        """Act after a tick of ``TICK_S``."""
 
     def is_complete(self) -> bool:
-        """Return whether all requests go to the new version, on every node that lives."""
+        """Return whether all live nodes send all requests to the new version."""
         lost = self.world.lost_zone
         return all(self.share(node) == 1.0 for node in self.nodes() if self.zone(node) != lost)
 
@@ -69,7 +72,7 @@
 
 
 class AtOncePolicy(Policy):
-    """Moves all requests at the start."""
+    """Baseline: moves all requests at the start."""
 
     def record(self, node: int, target: Target, route: str, outcome: Outcome | None) -> None:
         """Ignore the result of a request."""
@@ -78,7 +81,7 @@
         """Ignore the result of a request to another service."""
 
     def share(self, node: int) -> float:
-        """Return the whole share once the targets are up."""
+        """Return 1 once a target of the new version is up, until then 0."""
         return 1.0 if self.world.live("v2") else 0.0
 
     def tick(self) -> None:
@@ -86,7 +89,7 @@
 
 
 class TimedPolicy(AtOncePolicy):
-    """Takes the steps at fixed times and looks at nothing."""
+    """Baseline: takes the steps at fixed times, whatever the results."""
 
     def share(self, node: int) -> float:
         """Return the share of the step that is due."""
@@ -95,7 +98,7 @@
 
 
 class ThresholdPolicy(TimedPolicy):
-    """Timed steps; rolls back when a window of a second shows too many errors."""
+    """Baseline: timed steps, rolled back if too many requests of one second fail."""
 
     def __init__(self, *, world: World):
         super().__init__(world=world)
@@ -103,7 +106,7 @@
         self.reverted = False
 
     def share(self, node: int) -> float:
-        """Return the share of the step that is due, or none after the rollback."""
+        """Return the share of the step that is due, or 0 after the rollback."""
         return 0.0 if self.reverted else super().share(node)
 
     def record(self, node: int, target: Target, route: str, outcome: Outcome | None) -> None:
@@ -113,7 +116,7 @@
             self.errors += not outcome.ok
 
     def tick(self) -> None:
-        """Compare the last second with the threshold."""
+        """Compare the error rate of the last second with the threshold."""
         if int(self.world.now) == self.current_second:
             return
         self.current_second = int(self.world.now)
@@ -125,25 +128,33 @@
         self.requests = self.errors = 0
 
     def is_reverted(self) -> bool:
-        """Return whether the threshold was exceeded."""
+        """Return whether the error rate exceeded the threshold."""
         return self.reverted
 
 
 class BenchPublisher(OutcomePublisher):
-    """Puts outcomes into the part that all nodes use; fails while the platform is down."""
+    """Publishes outcomes to all nodes of a policy; fails while the platform is down."""
 
     def __init__(self, *, policy: "ProductPolicy"):
         self.policy = policy
 
     def publish(self, service, move_id, state, reason):
-        """Publish an outcome if the platform answers."""
+        """Publish the outcome of the move if the platform responds."""
         return self.policy.platform.get("config/head").lash(
             lambda error: self.policy.apply_outcome(state, reason, error)
         )
 
 
 class ProductPolicy(Policy):
-    """almondshore's own state machines, with messages that take a tick and may be lost."""
+    """Runs the product's state machines; messages take one tick and may be lost.
+
+    :ivar zones: zone of each recorder's node; nodes of new targets come after ``nodes()``
+    :ivar relays: evidence aggregator of each zone's relay
+    :ivar coordinator_zone: zone whose relay coordinates the move, or will do so next
+    :ivar evidence: evidence under way: zone of the receiving relay or -1 for the coordinator,
+        sender, evidence
+    :ivar weights: share of the new version by node, cached within a tick
+    """
 
     def __init__(self, *, world: World):
         super().__init__(world=world)
@@ -174,13 +185,13 @@
         self.weights: dict[int, float] = {}
 
     def share(self, node: int) -> float:
-        """Return the share that the node's own table gives."""
+        """Return the share according to the node's move table."""
         if node not in self.weights:
             self.weights[node] = self.tables[node].weights(self.part).get("v2", 0.0)
         return self.weights[node]
 
     def record(self, node: int, target: Target, route: str, outcome: Outcome | None) -> None:
-        """Record a result at the node beside its target."""
+        """Record a result at the target's local node."""
         recorder = self.recorders[target.node]
         if outcome is None:
             recorder.record_refusal(SERVICE, target.version, route)
@@ -196,11 +207,14 @@
         )
 
     def record_control(self, node: int, service: str, ok: bool, latency: timedelta) -> None:
-        """Record a result of another service."""
+        """Record a result of another service at a node."""
         self.recorders[node].record(service, "v1", "", ok, latency)
 
     def apply_outcome(self, state: MoveState, reason: str, error):
-        """Put an outcome into the configuration unless the platform is down."""
+        """Write an outcome to the configuration of all nodes.
+
+        :return: the failure of the platform if it is down
+        """
         if self.store.fault is Fault.DOWN:
             return self.platform.get("config/head")
         self.part = with_outcome(self.part, state, reason)
@@ -212,7 +226,7 @@
         return self.platform.create(f"outcome/{self.version}", b"", "bench")
 
     def tick(self) -> None:
-        """Deliver messages, act at relays and coordinator, exchange digests."""
+        """Inject faults, deliver messages, run relays and the coordinator, exchange snapshots."""
         self.weights.clear()
         self.store.fault = Fault.DOWN if self.world.platform_down() else Fault.NONE
         self._inject_faults()
@@ -228,7 +242,7 @@
             self._exchange_snapshots()
 
     def is_reverted(self) -> bool:
-        """Return whether the version is vetoed or its move reverted."""
+        """Return whether a node vetoes the new version or its move is reverted."""
         vetoed = any(table.veto(self.part, "v2") for table in self.tables)
         return vetoed or self.part["move"]["state"] == MoveState.REVERTED.value
 
@@ -260,7 +274,7 @@
                 self.recorders[target.node] = self._recorder()
 
     def _deliver_evidence(self) -> None:
-        """Pass evidence on: nodes to relays, relays to the coordinator."""
+        """Deliver evidence, then send new evidence to the relays and on to the coordinator."""
         delivered, self.evidence = self.evidence, []
         for zone, sender, evidence in delivered:
             if zone >= 0:
@@ -317,7 +331,7 @@
                 self.inbox.append((table, message))
 
     def _exchange_snapshots(self) -> None:
-        """Let each node merge with its relay, and the relays with one another."""
+        """Merge the tables of nodes and their relays, and of neighbouring relays, that differ."""
         pairs = [(table, self.relay_tables[self.zone(n)]) for n, table in enumerate(self.tables)]
         pairs += zip(self.relay_tables, self.relay_tables[1:], strict=False)
         for first, second in pairs:
--- a/bench/move_verdicts.py
+++ b/bench/move_verdicts.py
@@ -1,4 +1,4 @@
-"""Bench of the verdict alone: how often equal versions are told apart over many moves."""
+"""Benchmark of the verdict: rate of false rollbacks over many moves between equal versions."""
 
 import random
 import sys
@@ -14,14 +14,14 @@
 REQUESTS_PER_WINDOW = 100
 NEW_VERSION_SHARES = (0.01, 0.05, 0.25, 0.5, 1.0)
 ERROR_RATES = (0.0005, 0.005, 0.05)
-# Histogram of both versions as (bucket, weight); the slow bucket is hit by 4%.
+# Latency histogram of both versions as (bucket, weight); 4% fall into the slow bucket.
 LATENCY_BUCKETS = ((9, 0.5), (10, 0.3), (11, 0.16), (13, 0.04))
 
 
 def make_evidence_row(
     rng: random.Random, version: str, route: str, count: int, rate: float
 ) -> EvidenceRow:
-    """Return a window of a version that fails at the given rate."""
+    """Return the evidence of one window for a version with the given error rate."""
     buckets = [0] * BUCKETS
     for bucket in rng.choices(*zip(*LATENCY_BUCKETS, strict=True), k=count):
         buckets[bucket] += 1
@@ -30,7 +30,10 @@
 
 
 def is_rolled_back(seed: int) -> bool:
-    """Run a move between equal versions; the common rate changes from window to window."""
+    """Return whether the verdict rolls back a move between equal versions.
+
+    The error rate is the same for both versions, but changes over the windows.
+    """
     rng = random.Random(seed)
     verdict = MoveVerdict(
         service="service",
@@ -42,7 +45,7 @@
     base = ERROR_RATES[seed % len(ERROR_RATES)]
     for window in range(WINDOWS_PER_STEP * len(NEW_VERSION_SHARES)):
         share = NEW_VERSION_SHARES[window // WINDOWS_PER_STEP]
-        # While old requests run, the common rate may be ten times higher for a while.
+        # While the old version still gets requests, the common rate is at times ten times higher.
         rate = base * (10 if share < 1 and window % 30 > 25 else 1)
         rows = []
         for route, weight in zip(ROUTES, ROUTE_WEIGHTS, strict=True):
@@ -58,7 +61,7 @@
 
 
 def run(moves: int = 300) -> list[BenchRow]:
-    """Return the share of moves between equal versions in which the new one is condemned."""
+    """Return a row with the number of moves between equal versions that are rolled back."""
     rolled_back = sum(is_rolled_back(seed) for seed in range(moves))
     met = rolled_back <= FALSE_POSITIVE_RATE * moves
     return [
--- a/bench/move_world.py
+++ b/bench/move_world.py
@@ -1,4 +1,4 @@
-"""Stand-in service of the bench of moves: targets, requests and faults on a manual clock."""
+"""Simulated service for the benchmark of moves: targets, requests and faults."""
 
 import random
 from datetime import timedelta
@@ -19,7 +19,7 @@
 TICK_S = 0.25
 SERVICE = "counter-app"
 SLOTS = 10
-# Requests a second that a target carries without refusing any, and its share in use by default.
+# Requests per second that a target serves without refusing any, and its default utilisation.
 TARGET_REQUESTS_PER_S = 70.0
 UTILISATION = 0.7
 SLOW_START_S = 10.0
@@ -31,7 +31,11 @@
 
 
 class Deployment(NamedTuple):
-    """Sizes of a user's deployment, as the design page gives them."""
+    """Sizes of a user's deployment, as the design page states them.
+
+    :ivar targets: number of targets of each service
+    :ivar prefer: whether a late move prefers its deadline or safety
+    """
 
     name: str
     zones: int
@@ -45,9 +49,13 @@
 
 
 class Target:
-    """A target: where it is, since when it is up, and its load.
+    """A target of the old or the new version.
 
-    :ivar node: index of the node beside it
+    :ivar node: index of its local node
+    :ivar up_at: simulated time in seconds from which it serves requests
+    :ivar gone: whether its zone is lost
+    :ivar load: smoothed utilisation; above 1 the target refuses some requests
+    :ivar arrivals: requests of the current tick
     """
 
     def __init__(self, *, version: str, node: int, zone: int, up_at: float):
@@ -60,21 +68,26 @@
         self.arrivals = 0
 
     def is_up(self, now: float) -> bool:
-        """Return whether requests can run on it."""
+        """Return whether the target can serve requests."""
         return not self.gone and now >= self.up_at
 
     def age(self, now: float) -> float:
-        """Return the time since its start in seconds."""
+        """Return the seconds since the target came up."""
         return now - self.up_at
 
     def update_load(self) -> None:
-        """Update the utilisation from the arrivals of a tick."""
+        """Update the smoothed utilisation with the arrivals of a tick."""
         self.load += 0.3 * (self.arrivals / (TARGET_REQUESTS_PER_S * TICK_S) - self.load)
         self.arrivals = 0
 
 
 class Outcome(NamedTuple):
-    """Result of a request on a target."""
+    """Result of a request on a target.
+
+    :ivar broken: whether the target crashed during the request
+    :ivar cold: whether the target was in its slow start
+    :ivar bad: whether it failed because of a bad new version
+    """
 
     ok: bool
     broken: bool
@@ -84,9 +97,15 @@
 
 
 class World:
-    """Targets, request rate and faults of one run.
-
-    :ivar harmed: requests that were worse because of a bad new version
+    """Targets, request rate and faults of one run; times in seconds from its start.
+
+    :ivar faults: start of each fault of the kind
+    :ivar choices: live targets and cumulative weights by version and share, cached within a tick
+    :ivar harmed: requests that failed or were slower because of a bad new version
+    :ivar first_bad: time of the first harmed request
+    :ivar fifth_bad: time of the fifth harmed request
+    :ivar exposed_at_fifth_bad: share of the requests on the new version at that time
+    :ivar last_request_on_new: time of the last request on the new version
     """
 
     def __init__(self, kind: Kind, deployment: Deployment, duration: float, seed: int):
@@ -122,7 +141,7 @@
             self.crashes_left = 2
 
     def advance(self) -> None:
-        """Let a tick pass."""
+        """Advance the time by a tick and update targets and faults."""
         self.clock.advance(timedelta(seconds=TICK_S))
         self.now = self.clock.elapsed.total_seconds()
         for target in self.targets:
@@ -131,14 +150,14 @@
         self.choices.clear()
 
     def platform_down(self) -> bool:
-        """Return whether the platform is down now."""
+        """Return whether the platform is down at present."""
         if "long-outage" in self.faults:
             return 0.3 <= self.now / self.duration <= 1.2
         start = self.faults.get("outage")
         return start is not None and start <= self.now <= start + 0.4 * self.duration
 
     def rate(self) -> float:
-        """Return the requests a second at present."""
+        """Return the present rate of requests per second."""
         base = UTILISATION * TARGET_REQUESTS_PER_S * self.deployment.targets
         if "quiet" in self.faults:
             base *= LOW_TRAFFIC_FACTOR
@@ -154,7 +173,10 @@
                 target.gone = target.gone or target.zone == self.lost_zone
 
     def live(self, version: str) -> list[Target]:
-        """Return the targets that the directory shows as up."""
+        """Return the targets that the directory lists as up.
+
+        Those of a lost zone are listed for ``DETECTION_S`` after its loss.
+        """
         return [
             target
             for target in self.targets
@@ -164,7 +186,10 @@
         ]
 
     def choose(self, version: str, share: float) -> Target | None:
-        """Choose a target; of the new version only as many as its share calls for."""
+        """Choose a target at random, weighted by age during slow start.
+
+        Of the new version, only as many targets are used as its share requires.
+        """
         key = (version, share)
         if key not in self.choices:
             live = self.live(version)
@@ -179,11 +204,11 @@
         return self.rng.choices(live, cum_weights=cumulative_weights)[0] if live else None
 
     def route(self) -> str:
-        """Return the route of the next request."""
+        """Return a random route for the next request."""
         return self.rng.choices(ROUTES, ROUTE_WEIGHTS)[0]
 
     def serve(self, target: Target, route: str) -> Outcome | None:
-        """Run a request; None if the target refused it for overload."""
+        """Run a request; returns None if the overloaded target refused it."""
         target.arrivals += 1
         self.requests += 1
         if target.load > 1 and self.rng.random() > 1 / target.load:
@@ -245,7 +270,7 @@
 
 
 def make_part(deployment: Deployment, duration: float, clock: ManualClock) -> ServicePart:
-    """Return the service part with the move under test."""
+    """Return the configuration part of the service, with an active move from v1 to v2."""
     move = MovePart(
         move_id="bench",
         from_version="v1",
--- a/bench/moves.py
+++ b/bench/moves.py
@@ -1,4 +1,4 @@
-"""Bench of version moves: almondshore's decision code beside three baselines."""
+"""Benchmark of version moves: the product's decision code and three baselines."""
 
 import sys
 from collections.abc import Iterable
@@ -22,14 +22,14 @@
 DEPLOYMENTS = (COOPERATIVA, CHLADLOG)
 SHORT_MOVE_S = 120.0
 LONG_MOVE_S = 400.0
-# The move is followed for this multiple of its duration, for versions that turn bad after it.
+# Runs last for this multiple of the move's duration, since some versions turn bad after it.
 OBSERVED_DURATIONS = 1.3
 WORKER_PROCESSES = 3
 MAX_BROKEN_REQUESTS_PER_CRASH = 9
 
 
 class Case(NamedTuple):
-    """One run."""
+    """One run; ``duration`` is the duration of the move in seconds."""
 
     policy: str
     kind: Kind
@@ -39,14 +39,14 @@
 
 
 class Result(NamedTuple):
-    """What a run showed.
+    """Result of one run.
 
     :ivar completed_at: when all requests went to the new version, in seconds, or None
     :ivar harmed: share of the service's requests that a bad version harmed
     :ivar exposed: share of requests on the new version until its fifth bad response
     :ivar first_bad_to_last: seconds from the first bad response to the last request on the version
     :ivar fifth_bad_to_last: seconds from the fifth bad response to the last request on the version
-    :ivar bytes_per_node: control bytes a second for each node
+    :ivar bytes_per_node: control bytes per second and node
     """
 
     case: Case
@@ -60,7 +60,7 @@
 
 
 def run_case(case: Case) -> Result:
-    """Run one move from its start past its deadline."""
+    """Run one move from its start until some time after its deadline or its rollback."""
     world = World(case.kind, case.deployment, case.duration, case.seed)
     policy = POLICIES[case.policy](world=world)
     completed_at = None
@@ -100,7 +100,7 @@
 
 
 def _send_control_requests(world: World, policy: Policy, nodes: list[int]) -> None:
-    """Send some requests to the services without a move."""
+    """Send requests to services without a move, which serve as controls of the verdict."""
     rng = world.rng
     for service in ("fault-desk", "status-monitoring", "schedule-programming"):
         for _ in range(3):
@@ -129,7 +129,7 @@
 
 
 def make_cases(policy: str, kinds: Iterable[Kind], seeds: int) -> list[Case]:
-    """Return the runs of a policy; the long moves get a sixth of the seeds."""
+    """Return the runs of a policy; long moves are run with a sixth of the seeds."""
     return [
         Case(policy, kind, deployment, duration, seed)
         for kind in kinds
@@ -140,19 +140,19 @@
 
 
 def run_cases(cases: list[Case]) -> list[Result]:
-    """Run moves on a few processes."""
+    """Run cases in ``WORKER_PROCESSES`` processes; results keep the order of the cases."""
     with ProcessPoolExecutor(WORKER_PROCESSES) as pool:
         return list(pool.map(run_case, cases, chunksize=4))
 
 
 def is_in_time(result: Result) -> bool:
-    """Return whether a move was complete by its deadline and stayed so."""
+    """Return whether a move was complete by its deadline and was not reverted."""
     completed_at = result.completed_at
     return completed_at is not None and completed_at <= result.case.duration and not result.reverted
 
 
 def good_rows(name: str, results: list[Result]) -> list[BenchRow]:
-    """Return the rows of good versions."""
+    """Return the rows for good versions: moves in time and false rollbacks."""
     count, in_time = len(results), [result for result in results if is_in_time(result)]
     margins = [1 - result.completed_at / result.case.duration for result in in_time]
     margin = f", least margin {min(margins):.0%}" if margins else ""
@@ -176,7 +176,7 @@
 
 
 def bad_rows(name: str, results: list[Result]) -> list[BenchRow]:
-    """Return the rows of bad versions."""
+    """Return the rows for bad versions: rollbacks, harmed requests and time to the rollback."""
     count, reverted = len(results), sum(result.reverted for result in results)
     harmed = max(result.harmed for result in results)
     first = [result.first_bad_to_last for result in results if result.first_bad_to_last is not None]
@@ -219,7 +219,7 @@
 
 
 def make_rows(results: list[Result]) -> list[BenchRow]:
-    """Return the rows by kind for almondshore, and sums for it and for each baseline."""
+    """Return rows by kind for the product, and summary rows for the product and each baseline."""
     groups: dict[tuple[str, str], list[Result]] = {}
     for result in results:
         groups.setdefault((result.case.policy, result.case.kind.name), []).append(result)
@@ -261,7 +261,7 @@
 
 
 def main() -> None:
-    """Print the table; the number of seeds may be given as an argument."""
+    """Run the benchmark and print its table; the first argument is the number of seeds."""
     for row in run(int(sys.argv[1]) if len(sys.argv) > 1 else 1):
         print(f"| {row.name} | {row.target} | {row.figure} | {row.unit} | {row.verdict} |")
 
