--- a/bench/convergence.py
+++ b/bench/convergence.py
@@ -19,8 +19,8 @@
 CHANGE_INTERVAL = timedelta(seconds=3)
 MESSAGE_LOSS = 0.01
 
-# Change rates of the fleet at full scale (docs/design.md, section 1). Replacing a host takes three
-# record changes: the old target leaves, the old target is dead, the new target is up.
+# Change rates of the fleet at full scale (docs/design.md, section 1). Replacing a host takes
+# three record changes: the old target leaves, then is dead, and the new host's target is added.
 CONFIG_CHANGES_PER_SECOND = 10_000 / 86_400
 RECORD_CHANGES_PER_SECOND = 3 * 5_400 / 86_400
 
@@ -201,10 +201,10 @@
     :return: seconds until all nodes have it in effect, 60 if some still have not by then
     """
     version = fleet.change_service()
-    done = fleet.run_until(
+    elapsed = fleet.run_until(
         lambda: fleet.nodes_at_version(version) == len(fleet.nodes), timedelta(seconds=60)
     )
-    return done.total_seconds() if done is not None else 60.0
+    return elapsed.total_seconds() if elapsed is not None else 60.0
 
 
 def measure_rates(fleet: Fleet, meter: Meter, change, seconds: float) -> Rate:
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -13,8 +13,8 @@
 from bench.pump import Pump
 from standins.memory_platform import MemoryPlatform
 
-ANNOUNCE_STEPS = 10
-SEEDS = 6
+STEPS_PER_ANNOUNCEMENT = 10
+SEEDS_PER_NODE = 6
 ROUTES_PER_SERVICE = 2
 NODES_PER_SERVICE = 7
 
@@ -88,7 +88,7 @@
         """Start a node with one target; without a zone, zones are taken in turn."""
         index, self.next_index = self.next_index, self.next_index + 1
         zone = zone or self.zones[index % len(self.zones)]
-        node = self.pump.add(index, zone, self.seeds[:SEEDS], limits=self.limits)
+        node = self.pump.add(index, zone, self.seeds[:SEEDS_PER_NODE], limits=self.limits)
         address = node.identity.control
         self.seeds.append(address)
         self.service_of[address] = self.services[index % len(self.services)]
@@ -138,7 +138,10 @@
         """Run one step of the pump; each target announces itself every 2 s."""
         self.steps += 1
         for number, (address, node) in enumerate(list(self.pump.nodes.items())):
-            if address not in self.pump.paused and (number + self.steps) % ANNOUNCE_STEPS == 0:
+            if (
+                address not in self.pump.paused
+                and (number + self.steps) % STEPS_PER_ANNOUNCEMENT == 0
+            ):
                 self.pump.send(address, node.announce(self.announce(address, node)))
         self.pump.step()
 
--- a/bench/load.py
+++ b/bench/load.py
@@ -1,4 +1,4 @@
-"""Simulates load patterns with the product's target selection and with baselines."""
+"""Simulates load patterns with the product's target selection and baselines: ``bench.load``."""
 
 from collections.abc import Callable
 from pathlib import Path
--- a/bench/meter.py
+++ b/bench/meter.py
@@ -21,8 +21,9 @@
     """Traffic and processor time of one run, by address of the node.
 
     A message counts with its size as encoded by ``core.codec``, at the sender and at the
-    receiver; a platform call counts with its keys and values. Processor time is measured only
-    with ``timing`` and covers the decision code and the encoding and decoding of each message.
+    receiver; a platform call counts with its keys and values, and an overhead for each object.
+    Processor time is measured only with ``timing`` and covers the decision code and the encoding
+    and decoding of each message.
 
     :ivar bytes_by_message_type: encoded bytes by class name of the message
     :ivar size_cache: encoded size by id of the message; holds the message, so that its id is not
--- a/bench/requests.py
+++ b/bench/requests.py
@@ -59,8 +59,8 @@
 def _compare(scenario: Scenario) -> tuple[Totals, list[BenchRow]]:
     """Run a scenario with the product and the baselines.
 
-    :return: the product's totals, and the rows; the last one compares the good responses of the
-        product with those of the best baseline
+    :return: the product's totals, and the rows; the last one compares the product's good responses
+        with those of the best baseline
     """
     product = Model(scenario, PRODUCT).run()
     rows = _class_rows(scenario, PRODUCT.name, product)
