--- a/test/load/test_retry_storm.py
+++ b/test/load/test_retry_storm.py
@@ -10,7 +10,9 @@
     def test_repeats_do_not_displace_requests_that_can_be_served(self):
         """Guards against repeated requests that keep targets from answering any request in time."""
         system = simulate(retry_storm)
-        without_repeats = simulate(lambda model: retry_storm(model)._replace(behaviour=ClientBehaviour()))
+        without_repeats = simulate(
+            lambda model: retry_storm(model)._replace(behaviour=ClientBehaviour())
+        )
         self.assertTrue(
             system.client_retries > sum(system.ends.values()) * 0.2, system.client_retries
         )
