Rename names of the daemon package that other packages use

yaml_places is yaml_nodes: it reads YAML nodes by dotted key. The field for plain text was called line, although it accepts text of any form; it is string. The Metrics parameter constant, which did not say what is constant, is constant_labels.

Checks: make lint passes; pytest test/daemon test/mesh/test_node.py passes.

--- a/almondshore/daemon/fields.py
+++ b/almondshore/daemon/fields.py
@@ -47,7 +47,7 @@
     return convert
 
 
-def line() -> Field:
+def string() -> Field:
     """Return a field for a line of text that its owner parses."""
     return lambda node: _text(node)
 
--- a/almondshore/daemon/metrics.py
+++ b/almondshore/daemon/metrics.py
@@ -90,19 +90,21 @@
 
     :param max_tenants: tenants with time series of their own
     :param pause: lets other work run while a scrape is rendered
-    :param constant: labels on every time series, such as node and zone
+    :param constant_labels: labels on every time series, such as node and zone
     """
 
     def __init__(
         self,
         *,
         max_tenants: int,
-        constant: dict[str, str] | None = None,
+        constant_labels: dict[str, str] | None = None,
         pause: Callable[[], None] = eventlet.sleep,
     ):
         self.registry = Registry()
         self.pause = pause
-        self.constant = {key: label_value(value) for key, value in (constant or {}).items()}
+        self.constant_labels = {
+            key: label_value(value) for key, value in (constant_labels or {}).items()
+        }
         self.tenants = TenantLabels(limit=max_tenants)
         self.collectors: dict[str, Counter | Gauge] = {}
         self.label_sets: dict[str, set[tuple]] = {}
@@ -157,7 +159,7 @@
         return PausingHistogram(
             name,
             doc,
-            const_labels=self.constant,
+            const_labels=self.constant_labels,
             registry=self.registry,
             buckets=bounds,
             pause=self.pause,
@@ -166,6 +168,6 @@
     def _collector(self, kind: type, name: str, doc: str) -> Counter | Gauge:
         collector = self.collectors.get(name)
         if collector is None:
-            collector = kind(name, doc, const_labels=self.constant, registry=self.registry)
+            collector = kind(name, doc, const_labels=self.constant_labels, registry=self.registry)
             self.collectors[name] = collector
         return collector
--- a/almondshore/daemon/process.py
+++ b/almondshore/daemon/process.py
@@ -53,7 +53,7 @@
         self.clock = SystemClock()
         self.metrics = Metrics(
             max_tenants=settings.limits.tenants,
-            constant={"node": settings.node, "zone": settings.zone},
+            constant_labels={"node": settings.node, "zone": settings.zone},
         )
         self.budget = CallBudget(clock=self.clock, **NODE_RATES._asdict())
         self.http_platform = HttpPlatform(
--- a/almondshore/daemon/settings.py
+++ b/almondshore/daemon/settings.py
@@ -20,7 +20,7 @@
     integer,
     milliseconds,
 )
-from almondshore.daemon.yaml_places import add_finding, read_nodes
+from almondshore.daemon.yaml_nodes import add_finding, read_nodes
 
 DEFAULTS_NAME = "config_default.yaml"
 LOG_LEVELS = ("TRACE", "DEBUG", "INFO", "WARNING", "ERROR")
--- a/almondshore/mesh/metrics.py
+++ b/almondshore/mesh/metrics.py
@@ -24,7 +24,7 @@
     """Request counters and latency histograms by class of route."""
 
     def __init__(self, *, node: str, zone: str):
-        self.metrics = Metrics(max_tenants=1, constant={"node": node, "zone": zone})
+        self.metrics = Metrics(max_tenants=1, constant_labels={"node": node, "zone": zone})
 
     def observe(self, route: Route, status: int, took: timedelta) -> None:
         """Record a finished request of a caller.
--- a/almondshore/mesh/settings.py
+++ b/almondshore/mesh/settings.py
@@ -7,8 +7,8 @@
 
 from almondshore.core.errors import InvalidInputError
 from almondshore.core.findings import FindingList
-from almondshore.daemon.fields import Field, FieldError, address, identifier, line, number
-from almondshore.daemon.yaml_places import add_finding, read_nodes
+from almondshore.daemon.fields import Field, FieldError, address, identifier, number, string
+from almondshore.daemon.yaml_nodes import add_finding, read_nodes
 from almondshore.mesh.model import Address
 
 
@@ -70,7 +70,7 @@
     "listen.metrics": address(),
     "store": address(),
     "link_mbps": number(0, MAX_LINK_MBPS),
-    "bounds": line(),
+    "bounds": string(),
 }
 
 
--- a/test/daemon/test_journal.py
+++ b/test/daemon/test_journal.py
@@ -33,7 +33,7 @@
         )
         self.node = node
         self.journal = Journal(
-            node=node, metrics=Metrics(max_tenants=10, constant={}), transport_counts={}
+            node=node, metrics=Metrics(max_tenants=10, constant_labels={}), transport_counts={}
         )
 
     def run_for(self, seconds):
--- a/test/daemon/test_metrics.py
+++ b/test/daemon/test_metrics.py
@@ -13,7 +13,7 @@
 class MetricsTest(TestCase):
     def setUp(self):
         super().setUp()
-        self.metrics = Metrics(max_tenants=3, constant={"node": "n1"})
+        self.metrics = Metrics(max_tenants=3, constant_labels={"node": "n1"})
 
     def samples(self):
         text = self.metrics.render()[0].decode()
