--- a/almondshore/daemon/admin.py
+++ b/almondshore/daemon/admin.py
@@ -17,7 +17,12 @@
 
 
 class Announcement(msgspec.Struct, forbid_unknown_fields=True):
-    """Body of an announcement; ``state`` is ``up`` or ``leaving``."""
+    """JSON body with which a target announces itself.
+
+    :ivar address: ``ip:port`` of the target
+    :ivar slots: number of requests that the target runs at the same time
+    :ivar state: ``up`` or ``leaving``
+    """
 
     target: str
     service: str
@@ -28,7 +33,7 @@
 
 
 class AdminError(Exception):
-    """A request to the admin address was refused with a status and a message."""
+    """A request is refused with an HTTP status; the message is part of the JSON response."""
 
     def __init__(self, status: int, message: str):
         super().__init__(message)
@@ -36,7 +41,12 @@
 
 
 class AdminApp:
-    """WSGI application of the admin address."""
+    """WSGI application of the admin address.
+
+    :param announce: registers a target or updates it; returns False if there is no room for it
+    :param withdraw: removes the target of this name
+    :param drain: starts the drain of the node without waiting for its end
+    """
 
     def __init__(
         self,
@@ -66,11 +76,11 @@
         }
 
     def __call__(self, environ: dict, start_response: StartResponse) -> Iterable[bytes]:
-        """Answer one request."""
+        """Handle a request; all responses but the metrics are JSON."""
         method, path = environ["REQUEST_METHOD"], environ["PATH_INFO"]
         if (method, path) == ("GET", PREFIX + "metrics"):
-            content, kind = self.metrics.render()
-            return respond(start_response, 200, [("content-type", kind)], content)
+            content, content_type = self.metrics.render()
+            return respond(start_response, 200, [("content-type", content_type)], content)
         handler = self.handlers.get((method, path.removeprefix(PREFIX)))
         if handler is None or not path.startswith(PREFIX):
             return respond_json(start_response, 404, {"error": "no such resource"})
--- a/almondshore/daemon/main.py
+++ b/almondshore/daemon/main.py
@@ -17,17 +17,17 @@
 from almondshore.daemon.process import NodeProcess  # noqa: E402
 from almondshore.daemon.settings import load_settings  # noqa: E402
 
-EXIT_FAILED = 1
-EXIT_WRONG_USAGE = 2
+EXIT_FAILURE = 1
+EXIT_USAGE = 2
 
 app = cyclopts.App(name="almondshored", help="The almondshore node for one target host.")
 
 
 @app.default
 def main(*, settings: Path) -> None:
-    """Run a node until it is told to end.
+    """Run a node until it is stopped.
 
-    SIGTERM drains the node, a second one ends it at once.
+    SIGTERM or SIGINT drains the node; a second signal ends the process immediately.
 
     :param settings: YAML settings file
     """
@@ -35,33 +35,33 @@
         loaded = load_settings(settings)
     except InvalidInputError as error:
         sys.stderr.write(f"{error}\n")
-        sys.exit(EXIT_WRONG_USAGE)
+        sys.exit(EXIT_USAGE)
     setup_logs(level=loaded.log.level)
     try:
         process = NodeProcess(settings=loaded)
     except ListenError as error:
-        _fail(error)
+        _exit_on_listen_error(error)
 
-    def terminate(*_: object) -> None:
+    def handle_signal(*_: object) -> None:
         if process.draining:
             log_event("node_ended", node=loaded.node, reason="second signal")
             os._exit(1)
         eventlet.spawn(process.drain)
 
-    signal.signal(signal.SIGTERM, terminate)
-    signal.signal(signal.SIGINT, terminate)
+    signal.signal(signal.SIGTERM, handle_signal)
+    signal.signal(signal.SIGINT, handle_signal)
     try:
         process.run()
     except ListenError as error:
-        _fail(error)
-    # The hub may still hold greenlets that wait on sockets; all requests have been answered.
+        _exit_on_listen_error(error)
+    # Greenlets blocked on sockets may still be registered with the hub; no request is unanswered.
     os._exit(0)
 
 
-def _fail(error: ListenError) -> NoReturn:
+def _exit_on_listen_error(error: ListenError) -> NoReturn:
     log_event("listen_failed", level="ERROR", address=error.address, error=error.cause)
-    # Greenlets of listeners that were opened already would keep the process alive.
-    os._exit(EXIT_FAILED)
+    # Greenlets of the listeners that are already open would keep the process alive.
+    os._exit(EXIT_FAILURE)
 
 
 def run() -> None:
--- a/almondshore/daemon/metrics.py
+++ b/almondshore/daemon/metrics.py
@@ -7,13 +7,13 @@
 import msgspec
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
-OTHER = "other"
-# Label sets of one counter or gauge; a scrape with 1,000 of them is about 100 KB.
-MAX_SERIES = 1000
+OTHER_LABEL = "other"
+# Maximum number of label sets of a counter or gauge; a scrape of 1,000 is about 100 KB.
+MAX_SERIES_PER_METRIC = 1000
 MAX_LABEL_CHARS = 64
-# The upper bounds follow the 1.8 ms added latency objective at the low end and the longest
-# request deadlines at the high end.
-LATENCY_BOUNDS_SECONDS = (
+# Upper bounds of the buckets. The lowest resolve the objective of 1.8 ms added latency, the highest
+# the longest request deadlines.
+CLASS_LATENCY_BUCKETS_SECONDS = (
     0.001,
     0.002,
     0.005,
@@ -30,29 +30,29 @@
     float("inf"),
 )
 
-# Series rendered before other greenlets get a turn, about 0.4 ms of work.
-RENDER_BATCH = 10
-# Fewer than by class, since tenants are the many series.
-TENANT_BOUNDS_SECONDS = (0.005, 0.025, 0.1, 0.5, 2.5, float("inf"))
+# Number of series rendered before yielding to other greenlets, about 0.4 ms of work.
+RENDER_BATCH_SERIES = 10
+# Fewer buckets than by class, because there are many more tenants than classes.
+TENANT_LATENCY_BUCKETS_SECONDS = (0.005, 0.025, 0.1, 0.5, 2.5, float("inf"))
 
 _ESCAPES = str.maketrans({"\\": r"\\", '"': r"\"", "\n": r"\n"})
 
 
-def label_value(text: str) -> str:
-    """Return a label value escaped for the text format.
+def escape_label_value(text: str) -> str:
+    """Return a label value, truncated to ``MAX_LABEL_CHARS`` and escaped for the text format.
 
     The text formatter of aioprometheus 23.12 escapes nothing, so a quote in a tenant's name would
     end the label and could add samples.
     """
-    whole = text[:MAX_LABEL_CHARS].encode("utf-8", "replace").decode()
-    return whole.translate(_ESCAPES)
+    truncated = text[:MAX_LABEL_CHARS].encode("utf-8", "replace").decode()
+    return truncated.translate(_ESCAPES)
 
 
 class PausingHistogram(Histogram):
-    """A histogram that lets other work run while its many series are rendered.
+    """A histogram that yields to other greenlets while its series are rendered.
 
-    Rendering 1,000 tenants at once held the loop for 34 ms, against 1.8 ms of added latency that
-    requests may have.
+    Rendering 1,000 tenants in one go blocked the event loop for 34 ms, while the objective for the
+    latency added to requests is 1.8 ms.
     """
 
     def __init__(self, *args, pause: Callable[[], None], **options):
@@ -60,27 +60,27 @@
         self.pause = pause
 
     def get_all(self) -> Iterator[tuple[dict[str, str], dict]]:
-        """Yield the labels and value of each series that exists at the start."""
+        """Yield labels and value of each series; those added during the iteration are skipped."""
         for number, key in enumerate(list(self.values)):
-            if number % RENDER_BATCH == RENDER_BATCH - 1:
+            if number % RENDER_BATCH_SERIES == RENDER_BATCH_SERIES - 1:
                 self.pause()
             yield msgspec.json.decode(key), self.get(key)
 
 
 class TenantLabels:
-    """Bounds the tenants that have time series of their own; later ones share ``other``."""
+    """Limits the tenants that have time series of their own; further ones share ``other``."""
 
     def __init__(self, *, limit: int):
         self.limit = limit
         self.known: set[str] = set()
 
     def label(self, tenant: str) -> str:
-        """Return the label value for a tenant."""
-        tenant = label_value(tenant)
+        """Return the escaped name of a tenant, or ``other`` if it is empty or beyond the limit."""
+        tenant = escape_label_value(tenant)
         if tenant in self.known:
             return tenant
         if not tenant or len(self.known) >= self.limit:
-            return OTHER
+            return OTHER_LABEL
         self.known.add(tenant)
         return tenant
 
@@ -88,8 +88,8 @@
 class Metrics:
     """The metrics of one node.
 
-    :param max_tenants: tenants with time series of their own
-    :param pause: lets other work run while a scrape is rendered
+    :param max_tenants: maximum number of tenants with time series of their own
+    :param pause: yields to other greenlets; called repeatedly while a scrape is rendered
     :param constant_labels: labels on every time series, such as node and zone
     """
 
@@ -103,34 +103,36 @@
         self.registry = Registry()
         self.pause = pause
         self.constant_labels = {
-            key: label_value(value) for key, value in (constant_labels or {}).items()
+            key: escape_label_value(value) for key, value in (constant_labels or {}).items()
         }
         self.tenants = TenantLabels(limit=max_tenants)
         self.collectors: dict[str, Counter | Gauge] = {}
         self.label_sets: dict[str, set[tuple]] = {}
         self.latency_by_class = self._histogram(
-            "almondshore_request_seconds", "Latency of requests by class", LATENCY_BOUNDS_SECONDS
+            "almondshore_request_seconds",
+            "Latency of requests by class",
+            CLASS_LATENCY_BUCKETS_SECONDS,
         )
         self.latency_by_tenant = self._histogram(
             "almondshore_tenant_request_seconds",
             "Latency of requests by tenant",
-            TENANT_BOUNDS_SECONDS,
+            TENANT_LATENCY_BUCKETS_SECONDS,
         )
 
     def count(self, name: str, doc: str, *, by: int = 1, **labels: str) -> None:
-        """Add to a counter, which is registered at its first use."""
-        self._collector(Counter, name, doc).add(self._bounded(name, labels), by)
+        """Increase a counter, which is registered on first use."""
+        self._collector(Counter, name, doc).add(self._limit_label_sets(name, labels), by)
 
     def gauge(self, name: str, doc: str, value: float, **labels: str) -> None:
-        """Set a gauge, which is registered at its first use."""
-        self._collector(Gauge, name, doc).set(self._bounded(name, labels), value)
+        """Set a gauge, which is registered on first use."""
+        self._collector(Gauge, name, doc).set(self._limit_label_sets(name, labels), value)
 
     def observe_request(
         self, *, tenant: str, request_class: str, outcome: str, latency: timedelta
     ) -> None:
         """Record a finished request."""
         seconds = latency.total_seconds()
-        self.latency_by_class.observe({"class": label_value(request_class)}, seconds)
+        self.latency_by_class.observe({"class": escape_label_value(request_class)}, seconds)
         self.latency_by_tenant.observe({"tenant": self.tenants.label(tenant)}, seconds)
         self.count(
             "almondshore_requests_total",
@@ -143,31 +145,36 @@
         content, headers = render(self.registry, ["text/plain"])
         return content, headers["Content-Type"]
 
-    def _bounded(self, name: str, labels: dict[str, str]) -> dict[str, str]:
-        """Return safe labels, with all values replaced by ``other`` beyond the bound."""
-        labels = {key: label_value(value) for key, value in labels.items()}
+    def _limit_label_sets(self, name: str, labels: dict[str, str]) -> dict[str, str]:
+        """Return escaped labels, with all values replaced by ``other`` for further label sets.
+
+        The first ``MAX_SERIES_PER_METRIC`` label sets of a metric are kept as they are.
+        """
+        labels = {key: escape_label_value(value) for key, value in labels.items()}
         known = self.label_sets.setdefault(name, set())
         values = tuple(sorted(labels.items()))
         if values in known:
             return labels
-        if len(known) >= MAX_SERIES:
-            return dict.fromkeys(labels, OTHER)
+        if len(known) >= MAX_SERIES_PER_METRIC:
+            return dict.fromkeys(labels, OTHER_LABEL)
         known.add(values)
         return labels
 
-    def _histogram(self, name: str, doc: str, bounds: tuple[float, ...]) -> Histogram:
+    def _histogram(self, name: str, doc: str, buckets: tuple[float, ...]) -> Histogram:
         return PausingHistogram(
             name,
             doc,
             const_labels=self.constant_labels,
             registry=self.registry,
-            buckets=bounds,
+            buckets=buckets,
             pause=self.pause,
         )
 
-    def _collector(self, kind: type, name: str, doc: str) -> Counter | Gauge:
+    def _collector(self, collector_type: type, name: str, doc: str) -> Counter | Gauge:
         collector = self.collectors.get(name)
         if collector is None:
-            collector = kind(name, doc, const_labels=self.constant_labels, registry=self.registry)
+            collector = collector_type(
+                name, doc, const_labels=self.constant_labels, registry=self.registry
+            )
             self.collectors[name] = collector
         return collector
--- a/almondshore/daemon/moving.py
+++ b/almondshore/daemon/moves.py
@@ -1,4 +1,4 @@
-"""Moves at one node: evidence, vetoes, steps, and the coordinator role on relays."""
+"""Moves at one node: evidence, vetoes, steps and, on relays, the coordination of moves."""
 
 import random
 from datetime import timedelta
@@ -18,7 +18,7 @@
     Veto,
 )
 from almondshore.core.rendezvous import choose
-from almondshore.daemon.routes import RouteKeeper
+from almondshore.daemon.routes import RouteUpdater
 from almondshore.moves.coordinator import MoveCoordinator, MoveReport, TargetCounts
 from almondshore.moves.evidence import (
     EvidenceAggregator,
@@ -38,16 +38,25 @@
 LEASE_RENEW_INTERVAL = timedelta(seconds=5)
 
 
-class Coordination(NamedTuple):
-    """A move that this node coordinates or wants to."""
+class CoordinatedMove(NamedTuple):
+    """A move assigned to this node for coordination.
+
+    :ivar coordinator: None until this node holds the lease, and while another node holds it
+    :ivar next_renewal: monotonic time at which the lease is next acquired or renewed
+    """
 
     lease: Lease
     coordinator: MoveCoordinator | None
     next_renewal: timedelta
 
 
-class MoveKeeper:
-    """Joins the state machines of moves with those of the control side of a node."""
+class MoveManager:
+    """Connects the state machines of moves with the control plane of a node.
+
+    :ivar detector: created when a relay first has evidence to test
+    :ivar coordinated_moves: moves assigned to this node, by service and move ID
+    :ivar reports: reports of the moves that this node coordinates, by service
+    """
 
     def __init__(
         self,
@@ -57,7 +66,7 @@
         platform: Platform,
         control: ControlNode,
         table: MoveTable,
-        routes: RouteKeeper,
+        routes: RouteUpdater,
     ):
         self.clock = clock
         self.rng = rng
@@ -68,11 +77,11 @@
         self.recorder = EvidenceRecorder(clock=clock)
         self.aggregator = EvidenceAggregator(clock=clock)
         self.detector: LocalDetector | None = None
-        self.coordinations: dict[tuple[str, str], Coordination] = {}
+        self.coordinated_moves: dict[tuple[str, str], CoordinatedMove] = {}
         self.reports: dict[str, MoveReport] = {}
 
     def handle(self, message: Message, sender: str) -> list[Send]:
-        """React to messages about moves and to digests that differ."""
+        """Process messages about moves; request a snapshot if the digest of a peer differs."""
         match message:
             case Veto():
                 return (
@@ -85,18 +94,18 @@
                     else []
                 )
             case MovesSnapshot():
-                return self._merge(message, sender)
+                return self._merge_snapshot(message, sender)
             case MovesRequest(digest) if digest != self.table.digest():
                 return [Send(sender, self.table.snapshot())]
             case Evidence():
-                self._take_evidence(message, sender)
+                self._handle_evidence(message, sender)
             case Heartbeat() | HeartbeatAck() | RelaySync():
                 if message.moves_digest != self.table.digest():
                     return [Send(sender, MovesRequest(self.table.digest()))]
         return []
 
     def record(self, result: RunResult) -> None:
-        """Count the result of a request that was handed to a target beside this node."""
+        """Record the result of a request that this node handed to one of its targets."""
         self.recorder.record(
             result.service,
             result.version,
@@ -107,40 +116,44 @@
         )
 
     def tick(self) -> list[Send]:
-        """Report the evidence of the windows that have ended; a relay tests and forwards it."""
-        watched = self._watched()
-        self.recorder.set_services({part["name"] for part in watched})
+        """Report the evidence of closed windows; a relay also tests and forwards its sums."""
+        parts = self._monitored_parts()
+        self.recorder.set_services({part["name"] for part in parts})
         sends: list[Send] = []
         for evidence in self.recorder.tick():
-            sends += self._report(evidence)
+            sends += self._submit_evidence(evidence)
         if self.control.relay is not None:
-            sends += self._forward_evidence(watched)
+            sends += self._forward_evidence(parts)
         return sends
 
     def coordinate(self) -> list[Send]:
-        """Advance the moves that fall to this node; waits for the platform."""
+        """Advance the moves assigned to this node; blocks on platform calls."""
         sends: list[Send] = []
-        wanted = {self._key(part): part for part in self._watched() if self._is_own(part)}
-        for key in self.coordinations.keys() - wanted.keys():
-            self.coordinations.pop(key).lease.release()
-        for key, part in wanted.items():
+        assigned = {
+            self._move_key(part): part
+            for part in self._monitored_parts()
+            if self._is_assigned(part)
+        }
+        for key in self.coordinated_moves.keys() - assigned.keys():
+            self.coordinated_moves.pop(key).lease.release()
+        for key, part in assigned.items():
             for message in self._advance(key, part):
                 sends += self.control.propagate(message, self.control.identity.control)
         self.reports = {
             key[0]: item.coordinator.report()
-            for key, item in self.coordinations.items()
+            for key, item in self.coordinated_moves.items()
             if item.coordinator is not None
         }
         return sends
 
     def release(self) -> None:
-        """Give up all leases on shutdown."""
-        for item in self.coordinations.values():
+        """Release the leases of all coordinated moves; called on shutdown."""
+        for item in self.coordinated_moves.values():
             item.lease.release()
-        self.coordinations.clear()
+        self.coordinated_moves.clear()
 
-    def _watched(self) -> list[ServicePart]:
-        """Return the services whose move is active, or done while old targets remain."""
+    def _monitored_parts(self) -> list[ServicePart]:
+        """Return the services whose move is active, or done with old targets still in use."""
         return [part for part in self.routes.parts() if part["move"] and self._is_open(part)]
 
     def _is_open(self, part: ServicePart) -> bool:
@@ -149,7 +162,7 @@
             return bool(self.control.directory.lookup(part["name"], move["from_version"]))
         return move["state"] == MoveState.ACTIVE.value
 
-    def _is_own(self, part: ServicePart) -> bool:
+    def _is_assigned(self, part: ServicePart) -> bool:
         if self.control.relay is None:
             return False
         return self._coordinator_of(part["name"]) == self.control.identity.control
@@ -157,42 +170,42 @@
     def _coordinator_of(self, service: str) -> str | None:
         return choose(service, self.control.table.addresses())
 
-    def _key(self, part: ServicePart) -> tuple[str, str]:
+    def _move_key(self, part: ServicePart) -> tuple[str, str]:
         return part["name"], part["move"]["move_id"]
 
     def _advance(self, key: tuple[str, str], part: ServicePart) -> list[MoveStep | Veto]:
-        item = self._hold_lease(key, part)
-        self.coordinations[key] = item
+        item = self._acquire_or_renew_lease(key, part)
+        self.coordinated_moves[key] = item
         if item.coordinator is None:
             return []
         version = self.control.config.state.current.version
         item.coordinator.set_configuration(part, version)
-        return item.coordinator.tick(self._fleet(part))
+        return item.coordinator.tick(self._count_targets(part))
 
-    def _hold_lease(self, key: tuple[str, str], part: ServicePart) -> Coordination:
-        """Renew the lease of a move; a new epoch needs a new coordinator."""
+    def _acquire_or_renew_lease(self, key: tuple[str, str], part: ServicePart) -> CoordinatedMove:
+        """Acquire or renew the lease of a move if due; a new epoch needs a new coordinator."""
         now = self.clock.monotonic()
-        item = self.coordinations.get(key) or self._new_coordination(part)
+        item = self.coordinated_moves.get(key) or self._new_coordinated_move(part)
         if now < item.next_renewal:
             return item
-        answer = item.lease.acquire_or_renew()
+        result = item.lease.acquire_or_renew()
         coordinator = item.coordinator
-        if isinstance(answer, HeldElsewhere):
+        if isinstance(result, HeldElsewhere):
             coordinator = None
-        elif isinstance(answer, Held) and (
-            coordinator is None or coordinator.epoch != answer.epoch or coordinator.fenced
+        elif isinstance(result, Held) and (
+            coordinator is None or coordinator.epoch != result.epoch or coordinator.fenced
         ):
-            coordinator = self._new_coordinator(part, answer.epoch)
-        return Coordination(item.lease, coordinator, now + LEASE_RENEW_INTERVAL)
+            coordinator = self._new_coordinator(part, result.epoch)
+        return CoordinatedMove(item.lease, coordinator, now + LEASE_RENEW_INTERVAL)
 
-    def _new_coordination(self, part: ServicePart) -> Coordination:
+    def _new_coordinated_move(self, part: ServicePart) -> CoordinatedMove:
         lease = Lease(
             platform=self.platform,
             key=f"lease/move/{part['name']}",
             holder=self.control.identity.control,
             clock=self.clock,
         )
-        return Coordination(lease, None, self.clock.monotonic())
+        return CoordinatedMove(lease, None, self.clock.monotonic())
 
     def _new_coordinator(self, part: ServicePart, epoch: int) -> MoveCoordinator:
         node = self.control.identity.node
@@ -211,48 +224,49 @@
             config_version=self.control.config.state.current.version,
         )
 
-    def _fleet(self, part: ServicePart) -> TargetCounts:
+    def _count_targets(self, part: ServicePart) -> TargetCounts:
         lookup, name, move = self.control.directory.lookup, part["name"], part["move"]
         new, old = lookup(name, move["to_version"]), lookup(name, move["from_version"])
         return TargetCounts(
             sum(r.slots for r in new), sum(r.slots for r in old), len(new), len(old)
         )
 
-    def _report(self, evidence: Evidence) -> list[Send]:
-        """Give the own evidence to the relay that sums it up."""
+    def _submit_evidence(self, evidence: Evidence) -> list[Send]:
+        """Add evidence of this node's targets to the relay's sum, here or at the selected relay."""
         if self.control.relay is not None:
             self.aggregator.add(evidence, self.control.identity.control)
             return []
         relay = self.control.selection.relay
         return [Send(relay, evidence)] if relay else []
 
-    def _detect(self, evidence: Evidence, watched: list[ServicePart]) -> list[Veto]:
+    def _detect_faults(self, evidence: Evidence, parts: list[ServicePart]) -> list[Veto]:
+        """Test an evidence sum of this relay; return new vetoes."""
         if self.detector is None:
             relays = len(self.control.table.addresses())
             self.detector = LocalDetector(
                 clock=self.clock, node=self.control.identity.node, nodes=relays
             )
         version = self.control.config.state.current.version
-        return self.detector.observe(evidence, watched, version)
+        return self.detector.observe(evidence, parts, version)
 
-    def _forward_evidence(self, watched: list[ServicePart]) -> list[Send]:
-        """Send the sums of this relay to the coordinators."""
+    def _forward_evidence(self, parts: list[ServicePart]) -> list[Send]:
+        """Test the evidence sums of this relay and send them to the coordinators."""
         sends: list[Send] = []
-        names = [part["name"] for part in watched]
+        names = [part["name"] for part in parts]
         for evidence in self.aggregator.tick():
-            for veto in self._detect(evidence, watched):
+            for veto in self._detect_faults(evidence, parts):
                 if self.table.add_veto(veto):
                     sends += self.control.propagate(veto, self.control.identity.control)
-            for service, own in split_by_service(evidence, names).items():
+            for service, service_evidence in split_by_service(evidence, names).items():
                 coordinator = self._coordinator_of(service)
                 if coordinator == self.control.identity.control:
-                    self._add_to_coordinator(service, own, coordinator)
+                    self._add_to_coordinator(service, service_evidence, coordinator)
                 elif coordinator is not None:
-                    sends.append(Send(coordinator, own))
+                    sends.append(Send(coordinator, service_evidence))
         return sends
 
-    def _take_evidence(self, evidence: Evidence, sender: str) -> None:
-        """Take evidence from a node of this relay, or the sum of another relay."""
+    def _handle_evidence(self, evidence: Evidence, sender: str) -> None:
+        """Add evidence of a subscriber to this relay's sum, or a relay's sum to the coordinator."""
         if sender not in self.control.table.addresses():
             self.aggregator.add(evidence, sender)
             return
@@ -262,12 +276,12 @@
                 return
 
     def _add_to_coordinator(self, service: str, evidence: Evidence, sender: str) -> None:
-        for (name, _), item in self.coordinations.items():
+        for (name, _), item in self.coordinated_moves.items():
             if name == service and item.coordinator is not None:
                 item.coordinator.add_evidence(evidence, sender)
 
-    def _merge(self, snapshot: MovesSnapshot, sender: str) -> list[Send]:
-        """Merge a snapshot; a relay passes on what was new to it."""
+    def _merge_snapshot(self, snapshot: MovesSnapshot, sender: str) -> list[Send]:
+        """Merge a snapshot; a relay forwards the entries that were new to it."""
         vetoes = [veto for veto in snapshot.vetoes if self.table.add_veto(veto)]
         steps = [step for step in snapshot.steps if self.table.apply_step(step)]
         self.table.synced = True
--- a/almondshore/daemon/node.py
+++ b/almondshore/daemon/node.py
@@ -1,4 +1,4 @@
-"""One node without I/O: joins the state machines of control, routes and moves."""
+"""One node without I/O: connects the state machines of control, routing and moves."""
 
 import random
 from collections.abc import Sequence
@@ -13,8 +13,8 @@
     TargetRecord,
     TargetState,
 )
-from almondshore.daemon.moving import MoveKeeper
-from almondshore.daemon.routes import RouteKeeper
+from almondshore.daemon.moves import MoveManager
+from almondshore.daemon.routes import RouteUpdater
 from almondshore.limits.tenants import TenantLimits
 from almondshore.moves.state import MoveTable
 from almondshore.proxy.caller import Routes
@@ -32,8 +32,8 @@
 class Node:
     """The decision logic of one node.
 
-    ``handle`` and ``tick`` never wait. ``platform_step``, ``watch_step`` and ``coordinate`` wait
-    for the platform and are run apart from each other.
+    ``handle`` and ``tick`` never block. ``platform_step``, ``watch_step``, ``claim_step`` and
+    ``coordinate`` make blocking platform calls and run in separate loops.
     """
 
     def __init__(
@@ -48,11 +48,13 @@
         limits: ControlLimits | None = None,
         max_tenants: int,
     ):
-        """Create a node that knows nothing yet.
+        """Create a node without configuration, routes or targets.
 
-        :param platform: platform client for control, within the node's call budget
+        :param platform: platform client for the control plane, limited by the node's call budget
         :param claims_platform: platform client for idempotency keys, whose claims have a budget
             of their own; the same as ``platform`` by default
+        :param seeds: control addresses of nodes to contact first
+        :param max_tenants: maximum number of tenants with limits of their own
         """
         self.clock = clock
         self.identity = identity
@@ -66,7 +68,7 @@
             moves_digest=self.table.digest,
             limits=limits,
         )
-        self._make_request_logic(rng, max_tenants)
+        self._create_request_components(rng, max_tenants)
         self.once = OnceOwner(
             clock=clock,
             node=identity.node,
@@ -74,14 +76,14 @@
             platform=claims_platform or platform,
             directory=self.control.directory,
         )
-        self.routes = RouteKeeper(
+        self.routes = RouteUpdater(
             builder=ViewBuilder(state=self.control.config.state, directory=self.control.directory),
             moves=self.table,
             chooser=self.chooser,
             tenants=self.tenants,
             budget=self.policy.budget,
         )
-        self.moves = MoveKeeper(
+        self.moves = MoveManager(
             clock=clock,
             rng=rng,
             platform=platform,
@@ -92,21 +94,21 @@
 
     @property
     def ready(self) -> bool:
-        """Whether this node has learnt the newest configuration and may serve requests."""
+        """Whether this node has received the newest configuration and may serve requests."""
         return self.control.config.ready
 
     def handle(self, message: Message, sender: str) -> list[Send]:
-        """React to a message of another node."""
+        """Process a message from another node; return the messages to send."""
         if isinstance(message, DirectoryDelta | DirectorySnapshot):
-            self._notice_own_death(message.records)
+            self._check_own_target_deaths(message.records)
         if isinstance(message, CrashDeath):
-            return self.note_crash(message, sender)
+            return self.record_crash(message, sender)
         sends = self.control.handle(message, sender) + self.moves.handle(message, sender)
         self.routes.refresh(ready=self.ready)
         return sends
 
     def tick(self) -> list[Send]:
-        """Do what is due."""
+        """Run the periodic work that is due; return the messages to send."""
         sends = self.control.tick() + self.moves.tick()
         self.once.refresh(
             platform_up=self.control.platform_up,
@@ -115,44 +117,44 @@
         self.routes.refresh(ready=self.ready)
         return sends
 
-    def note_crash(self, death: CrashDeath, sender: str) -> list[Send]:
-        """Count the death of a target that ran a request, and pass it on if it is news."""
+    def record_crash(self, death: CrashDeath, sender: str) -> list[Send]:
+        """Record that a target died while running a request; forward it if not known yet."""
         return self.control.propagate(death, sender) if self.crash_guard.record_death(death) else []
 
     def platform_step(self) -> list[Send]:
-        """Take and renew relay leases; waits for the platform."""
+        """Acquire and renew relay leases; blocks on platform calls."""
         return self.control.platform_step()
 
     def watch_step(self) -> None:
-        """Watch the configuration if this node is a relay; waits for the platform."""
+        """Watch the configuration if this node is a relay; blocks on platform calls."""
         self.control.watch_step()
         self.routes.refresh(ready=self.ready)
 
     def announce(self, records: list[TargetRecord]) -> list[Send]:
-        """Route to the own targets as they are now, and make the changes known."""
+        """Publish changed records of this node's targets and update its routes."""
         sends = self.control.announce(records)
         self.routes.refresh(ready=self.ready)
         return sends
 
     def claim_step(self) -> None:
-        """Write deferred claims of idempotency keys; waits for the platform."""
+        """Write deferred claims of idempotency keys; blocks on platform calls."""
         self.once.tick()
 
     def coordinate(self) -> list[Send]:
-        """Advance the moves that fall to this node; waits for the platform."""
+        """Advance the moves assigned to this node; blocks on platform calls."""
         return self.moves.coordinate()
 
     def current_routes(self) -> Routes:
-        """Return what requests are routed by."""
+        """Return the routes in effect."""
         return self.routes.current
 
-    def _notice_own_death(self, records: list[TargetRecord]) -> None:
-        """Note that others took over this node's keys while they held it for dead."""
+    def _check_own_target_deaths(self, records: list[TargetRecord]) -> None:
+        """Note that others declared a target of this node dead and took over its keys."""
         own = {target.record.target for target in self.control.local.targets.values()}
         if any(r.target in own and r.state is TargetState.DEAD for r in records):
             self.once.note_rejoin()
 
-    def _make_request_logic(self, rng: random.Random, max_tenants: int) -> None:
+    def _create_request_components(self, rng: random.Random, max_tenants: int) -> None:
         clock = self.clock
         self.tenants = TenantLimits(clock=clock, capacity=max_tenants)
         self.policy = RetryPolicy(clock=clock, rng=rng, budget=RetryBudget(clock=clock))
--- a/almondshore/daemon/process.py
+++ b/almondshore/daemon/process.py
@@ -1,4 +1,4 @@
-"""Adapters around a node: sockets, green threads, logs and metrics."""
+"""The process of one node: connects its logic to sockets, greenlets, logs and metrics."""
 
 import random
 import socket
@@ -12,10 +12,10 @@
 from almondshore.core.logs import log_event
 from almondshore.core.messages import CrashDeath, Envelope, Send
 from almondshore.daemon.admin import AdminApp, Announcement
-from almondshore.daemon.journal import Journal
 from almondshore.daemon.metrics import Metrics
 from almondshore.daemon.node import Node
 from almondshore.daemon.settings import Settings
+from almondshore.daemon.state_logger import StateLogger
 from almondshore.daemon.status import StatusWriter
 from almondshore.limits.admission import SlotQueue
 from almondshore.net.nng import NngTransport
@@ -34,19 +34,25 @@
 )
 from almondshore.storage.http import HttpPlatform
 
-TICK_SECONDS = 0.1
-PLATFORM_STEP_SECONDS = 0.5
-CLAIM_STEP_SECONDS = 1.0
-DRAIN_POLL_SECONDS = 0.05
-# Nodes elsewhere stop sending work within this time of the announcement that targets leave.
-LEAVE_NOTICE = timedelta(seconds=3)
+TICK_INTERVAL_SECONDS = 0.1
+PLATFORM_STEP_INTERVAL_SECONDS = 0.5
+CLAIM_STEP_INTERVAL_SECONDS = 1.0
+DRAIN_POLL_INTERVAL_SECONDS = 0.05
+# Time in which all nodes learn that targets are leaving and stop sending requests to them.
+LEAVE_PROPAGATION_TIME = timedelta(seconds=3)
 CONNECT_TIMEOUT = timedelta(seconds=1)
 MAX_HOSTS = 1024
 CONNECTIONS_PER_HOST = 100
 
 
 class NodeProcess:
-    """One node with its sockets."""
+    """Runs one node with its listeners, transport and platform clients.
+
+    :ivar callers: hop 1 applications of the external and the internal listener
+    :ivar endpoints: targets of this node that requests may be handed to, by name
+    :ivar in_flight: requests being served, except those of the admin listener
+    :ivar is_relay: role that the rates of the platform call budget are set for
+    """
 
     def __init__(self, *, settings: Settings):
         self.settings = settings
@@ -66,7 +72,7 @@
             listen=settings.listen.control, zone=settings.zone, clock=self.clock
         )
         self.status = StatusWriter(clock=self.clock, platform=self.platform, node=self.node)
-        self.journal = Journal(
+        self.state_logger = StateLogger(
             node=self.node, metrics=self.metrics, transport_counts=self.transport.counts
         )
         self.pool = HopPool(
@@ -91,13 +97,13 @@
             max_body_bytes=settings.limits.max_body_bytes,
             once_app=OnceApp(owner=self.node.once),
             crash_guard=self.node.crash_guard,
-            on_death=self._target_died,
+            on_death=self._record_target_death,
             on_run=self.node.moves.record,
         )
         self.in_flight = InFlightRequests()
         self.listeners: list[socket.socket] = []
         self.draining = False
-        self.ended = Event()
+        self.drained = Event()
 
     def run(self) -> None:
         """Serve until the node has been drained."""
@@ -118,20 +124,20 @@
             serve(listen.caller, self.callers[0], self.in_flight),
             serve(listen.internal, self.callers[1], self.in_flight),
         ]
-        eventlet.spawn(self.transport.receive_forever, self._received)
-        self._repeat(self._tick, TICK_SECONDS)
-        self._repeat(self._platform_step, PLATFORM_STEP_SECONDS)
-        self._repeat(self._coordinate, PLATFORM_STEP_SECONDS)
-        self._repeat(self.node.claim_step, CLAIM_STEP_SECONDS)
-        self._repeat(self.once.fetch_handovers, CLAIM_STEP_SECONDS)
-        self._repeat(self.node.watch_step, lambda: self._watch_delay())
+        eventlet.spawn(self.transport.receive_forever, self._handle_message)
+        self._spawn_loop(self._tick, TICK_INTERVAL_SECONDS)
+        self._spawn_loop(self._platform_step, PLATFORM_STEP_INTERVAL_SECONDS)
+        self._spawn_loop(self._coordinate, PLATFORM_STEP_INTERVAL_SECONDS)
+        self._spawn_loop(self.node.claim_step, CLAIM_STEP_INTERVAL_SECONDS)
+        self._spawn_loop(self.once.fetch_handovers, CLAIM_STEP_INTERVAL_SECONDS)
+        self._spawn_loop(self.node.watch_step, lambda: self._watch_delay())
         log_event("node_started", node=self.settings.node, zone=self.settings.zone)
-        self.ended.wait()
+        self.drained.wait()
 
     def announce(self, announcement: Announcement) -> bool:
-        """Take the announcement of a target on this host.
+        """Register or update a target on this host.
 
-        :returns: False if there is no room for it
+        :return: False if there is no room for another target
         """
         local = self.node.control.local
         leaving = announcement.state == "leaving" or self.draining
@@ -151,12 +157,15 @@
         return True
 
     def withdraw(self, target: str) -> None:
-        """Remove a target that has ended."""
+        """Remove a target that has stopped."""
         self._send_all(self.node.announce(self.node.control.local.withdraw(target)))
         self.endpoints.pop(target, None)
 
     def drain(self) -> None:
-        """Refuse new work, let the work in progress finish, and end."""
+        """Announce that the targets leave, finish the requests in progress and stop the node.
+
+        Requests still running after the drain timeout are abandoned.
+        """
         if self.draining:
             return
         self.draining = True
@@ -165,9 +174,9 @@
         started = self.clock.monotonic()
         self._send_all(self.node.announce(self.node.control.local.drain_all()))
         while self.clock.monotonic() - started < self.settings.drain_timeout:
-            eventlet.sleep(DRAIN_POLL_SECONDS)
-            # The gates stay open until every node knows, so that nothing on its way is refused.
-            if self.clock.monotonic() - started < LEAVE_NOTICE:
+            eventlet.sleep(DRAIN_POLL_INTERVAL_SECONDS)
+            # The gates stay open until every node knows, so that no request in transit is refused.
+            if self.clock.monotonic() - started < LEAVE_PROPAGATION_TIME:
                 continue
             for endpoint in self.endpoints.values():
                 endpoint.gate.drain()
@@ -178,7 +187,7 @@
         self.node.control.election.release()
         self.node.moves.release()
         log_event("node_ended", node=self.settings.node, idle=self._is_idle())
-        self.ended.send()
+        self.drained.send()
 
     def _has_work(self) -> bool:
         return not all(endpoint.gate.queue.is_idle() for endpoint in self.endpoints.values())
@@ -187,7 +196,7 @@
         return not self._has_work() and self.in_flight.count == 0
 
     def _close_listeners(self) -> None:
-        """Accept no more connections, so that a steady load cannot hold up the end."""
+        """Accept no more connections, so that steady load cannot delay the shutdown."""
         while self.listeners:
             self.listeners.pop().shutdown(socket.SHUT_RDWR)
 
@@ -220,12 +229,12 @@
             pool=self.pool,
             max_body_bytes=self.settings.limits.max_body_bytes,
             trusted=trusted,
-            on_finished=self._finished,
+            on_finished=self._record_request,
         )
 
     def _set_endpoint(self, announcement: Announcement) -> None:
-        known = self.endpoints.get(announcement.target)
-        if known is not None and known.version == announcement.version:
+        existing = self.endpoints.get(announcement.target)
+        if existing is not None and existing.version == announcement.version:
             return
         queue = SlotQueue(
             clock=self.clock,
@@ -241,8 +250,11 @@
             self.node.control.local.targets[announcement.target].record.incarnation,
         )
 
-    def _repeat(self, action: Callable[[], None], pause: float | Callable[[], float]) -> None:
-        """Run an action again and again; an error is logged and does not end the loop."""
+    def _spawn_loop(self, action: Callable[[], None], pause: float | Callable[[], float]) -> None:
+        """Run an action in a loop in its own greenlet; errors are logged and counted.
+
+        :param pause: seconds between runs, or a function that returns them
+        """
 
         def loop() -> None:
             while True:
@@ -257,9 +269,11 @@
 
     def _watch_delay(self) -> float:
         source = self.node.control.source
-        return source.delay.total_seconds() if source is not None else PLATFORM_STEP_SECONDS
+        return (
+            source.delay.total_seconds() if source is not None else PLATFORM_STEP_INTERVAL_SECONDS
+        )
 
-    def _received(self, envelope: Envelope) -> None:
+    def _handle_message(self, envelope: Envelope) -> None:
         try:
             self._send_all(self.node.handle(envelope.message, envelope.sender))
         except Exception as error:
@@ -269,15 +283,15 @@
 
     def _tick(self) -> None:
         self._send_all(self.node.tick())
-        self._set_budget()
+        self._update_call_budget()
         for endpoint in list(self.endpoints.values()):
             endpoint.gate.expire()
         for target in self.endpoints.keys() - self.node.control.local.targets.keys():
             del self.endpoints[target]
-        self.journal.observe()
+        self.state_logger.observe()
 
-    def _set_budget(self) -> None:
-        """Give a relay the platform calls that it needs, and take them back afterwards."""
+    def _update_call_budget(self) -> None:
+        """Set the rates of the platform call budget when this node's role as a relay changes."""
         is_relay = self.node.control.relay is not None
         if is_relay != self.is_relay:
             self.is_relay = is_relay
@@ -297,11 +311,11 @@
             else:
                 self.transport.send(item)
 
-    def _target_died(self, death: CrashDeath) -> None:
+    def _record_target_death(self, death: CrashDeath) -> None:
         log_event("target_died", level="WARNING", target=death.target)
-        self._send_all(self.node.note_crash(death, self.settings.listen.control))
+        self._send_all(self.node.record_crash(death, self.settings.listen.control))
 
-    def _finished(self, finished: FinishedCall) -> None:
+    def _record_request(self, finished: FinishedCall) -> None:
         self.metrics.observe_request(
             tenant=finished.tenant,
             request_class=finished.request_class,
--- a/almondshore/daemon/routes.py
+++ b/almondshore/daemon/routes.py
@@ -1,4 +1,4 @@
-"""Routes of a node: kept in step with the configuration, the directory and the moves."""
+"""Routes of a node, updated from the configuration, the directory and the moves."""
 
 from almondshore.limits.tenants import TenantLimits
 from almondshore.moves.state import MoveTable
@@ -12,13 +12,16 @@
 NO_ROUTES = Routes(False, RouteTable([]), {})
 
 
-class RouteKeeper:
-    """Builds the routes anew when the view or the shares of a move have changed.
+class RouteUpdater:
+    """Rebuilds the routes when the routing view or the traffic shares of a move change.
 
-    The table holds the routes of all services, since a request to one that has no known target
-    is refused, and must neither be told that its route does not exist nor match a shorter prefix
-    of another service. A share names only versions with known targets, so no request is sent to
-    something this node does not know.
+    The table contains the routes of all services, including those without known targets. A request
+    for such a service must fail for the lack of a target; it must neither fail for an unknown route
+    nor match a shorter prefix of another service. Weights contain only versions with known targets,
+    so that no request is sent to an unknown target.
+
+    :ivar current: routes in effect
+    :ivar moves_fingerprint: number of vetoes and digest of the moves that the routes reflect
     """
 
     def __init__(
@@ -36,22 +39,22 @@
         self.tenants = tenants
         self.budget = budget
         self.view: RoutingView = builder.current
-        self.moves_seen: tuple[int, int] = (0, 0)
+        self.moves_fingerprint: tuple[int, int] = (0, 0)
         self.current = NO_ROUTES
 
     def refresh(self, *, ready: bool) -> None:
-        """Bring the routes up to date.
+        """Update the routes, the chooser and the tenant limits if their inputs have changed.
 
-        :param ready: whether the node has learnt the newest configuration
+        :param ready: whether the node has received the newest configuration
         """
         old, view = self.view, self.builder.view()
         changed = view is not old
         if changed:
-            self._take_view(view)
-        moves_seen = (len(self.moves.vetoes), self.moves.digest())
-        self._update_targets(old, view, moved=moves_seen != self.moves_seen)
-        if changed or moves_seen != self.moves_seen or ready != self.current.ready:
-            self.moves_seen = moves_seen
+            self._apply_view(view)
+        moves_fingerprint = (len(self.moves.vetoes), self.moves.digest())
+        self._update_targets(old, view, moves_changed=moves_fingerprint != self.moves_fingerprint)
+        if changed or moves_fingerprint != self.moves_fingerprint or ready != self.current.ready:
+            self.moves_fingerprint = moves_fingerprint
             self.current = self.current._replace(
                 ready=ready,
                 weights={
@@ -64,7 +67,7 @@
         """Return all service parts of the configuration in effect."""
         return list(self.builder.services.values())
 
-    def _take_view(self, view: RoutingView) -> None:
+    def _apply_view(self, view: RoutingView) -> None:
         old, self.view = self.view, view
         if old.version != view.version:
             self.moves.set_configuration(self.parts())
@@ -72,13 +75,15 @@
             self.budget.keep(set(self.builder.services))
             self.current = self.current._replace(table=RouteTable(self.parts()))
 
-    def _update_targets(self, old: RoutingView, view: RoutingView, *, moved: bool) -> None:
-        """Give the chooser the targets that changed, limited to those that a move uses."""
+    def _update_targets(self, old: RoutingView, view: RoutingView, *, moves_changed: bool) -> None:
+        """Pass changed targets to the chooser; of a service with a move, only those it uses."""
         for name in old.targets.keys() | view.targets.keys():
             targets, part = view.targets.get(name, {}), view.services.get(name)
-            moving = part is not None and part["move"] is not None
+            has_move = part is not None and part["move"] is not None
             changed = part != old.services.get(name) or targets != old.targets.get(name, {})
-            if changed or (moving and moved):
-                used = self.moves.limit_targets(part, targets) if moving else targets
-                records = [record for found in used.values() for record in found]
+            if changed or (has_move and moves_changed):
+                used = self.moves.limit_targets(part, targets) if has_move else targets
+                records = [
+                    record for version_records in used.values() for record in version_records
+                ]
                 self.chooser.update(name, records)
--- a/almondshore/daemon/settings.py
+++ b/almondshore/daemon/settings.py
@@ -1,4 +1,4 @@
-"""Settings of almondshored: a YAML file over the shipped defaults, checked key by key."""
+"""Settings of almondshored: a YAML file merged with the defaults, each key validated."""
 
 from datetime import timedelta
 from importlib.resources import files
@@ -26,7 +26,7 @@
 LOG_LEVELS = ("TRACE", "DEBUG", "INFO", "WARNING", "ERROR")
 
 
-class Listen(NamedTuple):
+class ListenSettings(NamedTuple):
     """Listening addresses, ``ip:port``.
 
     :ivar caller: HTTP for callers from outside (hop 1)
@@ -34,7 +34,7 @@
         headers are trusted (hop 1)
     :ivar peer: HTTP for other nodes (hop 2)
     :ivar control: control messages of other nodes
-    :ivar admin: health, metrics, status and announcements
+    :ivar admin: HTTP for health, metrics, status, announcements and drain
     """
 
     caller: str
@@ -45,7 +45,7 @@
 
 
 class PlatformSettings(NamedTuple):
-    """Where the platform is and how long a call may take."""
+    """Base URL of the platform and timeout of a call."""
 
     url: str
     timeout: timedelta
@@ -55,7 +55,10 @@
     """Sizing of relays and their backlogs.
 
     :ivar nodes_per_slot: nodes of an availability zone for each relay slot
-    :ivar backlog_deltas: deltas kept for a subscriber before it is sent a snapshot
+    :ivar backlog_deltas: deltas kept for lagging subscribers; one that needs older ones is sent a
+        snapshot
+    :ivar backlog_bytes: maximum total size of these deltas
+    :ivar snapshots_per_second: maximum rate at which a relay sends snapshots
     """
 
     nodes_per_slot: int
@@ -65,10 +68,12 @@
 
 
 class LimitSettings(NamedTuple):
-    """Bounds on requests and tables.
+    """Limits on requests and tables.
 
-    :ivar queue_length: requests that wait for the slots of a target
-    :ivar tenants: tenants with a limit and a metric of their own
+    :ivar queue_length: maximum number of requests that wait for the slots of a target
+    :ivar max_body_bytes: maximum size of a request or response body
+    :ivar max_header_bytes: maximum total size of the headers of a request
+    :ivar tenants: maximum number of tenants with a limit and a metric of their own
     """
 
     queue_length: int
@@ -78,17 +83,24 @@
 
 
 class LogSettings(NamedTuple):
-    """Logging."""
+    """Logging.
+
+    :ivar level: lowest level that is written, one of ``LOG_LEVELS``
+    """
 
     level: str
 
 
 class Settings(NamedTuple):
-    """All settings of one node."""
+    """All settings of one node.
+
+    :ivar peers: control addresses of other nodes, without the node's own
+    :ivar drain_timeout: maximum duration of a drain
+    """
 
     node: str
     zone: str
-    listen: Listen
+    listen: ListenSettings
     platform: PlatformSettings
     peers: tuple[str, ...]
     relay: RelaySettings
@@ -122,7 +134,7 @@
 
 
 def load_settings(path: str | Path) -> Settings:
-    """Read a settings file over the defaults.
+    """Read a settings file and merge it with the defaults.
 
     :raises InvalidInputError: with all findings, if anything in the file is wrong
     """
@@ -137,23 +149,23 @@
 
 
 def parse_settings(data: bytes, *, name: str) -> Settings:
-    """Parse settings given as YAML over the defaults.
+    """Parse settings in YAML and merge them with the defaults.
 
     :param name: file name shown in findings
     :raises InvalidInputError: with all findings, if anything is wrong
     """
-    shipped = FindingList(file=DEFAULTS_NAME)
+    default_findings = FindingList(file=DEFAULTS_NAME)
     default_data = files("almondshore.daemon").joinpath(DEFAULTS_NAME).read_bytes()
-    values = _convert(read_nodes(default_data, FIELDS, shipped), shipped)
+    values = _convert(read_nodes(default_data, FIELDS, default_findings), default_findings)
     findings = FindingList(file=name)
     nodes = read_nodes(data, FIELDS, findings)
     defaults = {key: value for key, value in values.items() if key not in nodes}
     values = defaults | _convert(nodes, findings)
     if not any(item.code == "syntax" for item in findings.items):
         _check_missing({*values, *nodes}, findings)
-    _check_listen(values, nodes, findings)
-    if shipped or findings:
-        raise InvalidInputError(shipped.sorted() + findings.sorted())
+    _check_listen_addresses(values, nodes, findings)
+    if default_findings or findings:
+        raise InvalidInputError(default_findings.sorted() + findings.sorted())
     return _build(values)
 
 
@@ -168,20 +180,20 @@
     return values
 
 
-def _check_missing(known: set[str], findings: FindingList) -> None:
+def _check_missing(present: set[str], findings: FindingList) -> None:
     for key in FIELDS:
-        if key not in known:
+        if key not in present:
             message = f"{key} has no default and must be set"
             findings.add(line=0, column=0, code="missing", message=message)
 
 
-def _check_listen(
+def _check_listen_addresses(
     values: dict[str, Any], nodes: dict[str, yaml.Node], findings: FindingList
 ) -> None:
-    """Find listeners that share an address."""
-    owners: dict[str, str] = {}
-    for key in (f"listen.{name}" for name in Listen._fields):
-        other = owners.setdefault(values[key], key) if key in values else key
+    """Add a finding for each listener that shares its address with another one."""
+    key_by_address: dict[str, str] = {}
+    for key in (f"listen.{name}" for name in ListenSettings._fields):
+        other = key_by_address.setdefault(values[key], key) if key in values else key
         if other != key:
             node = nodes.get(key) or nodes[other]
             message = f"{key} and {other} are both {values[key]}"
@@ -189,17 +201,17 @@
 
 
 def _build(values: dict[str, Any]) -> Settings:
-    """Assemble checked values."""
+    """Build the settings from validated values by dotted key."""
 
     def section(prefix: str) -> dict[str, Any]:
-        """Return the values under a prefix by field name, without the unit of durations."""
+        """Return the values under a prefix by field name; the suffix ``_ms`` is removed."""
         return {
             key.removeprefix(prefix).removesuffix("_ms"): value
             for key, value in values.items()
             if key.startswith(prefix)
         }
 
-    listen = Listen(**section("listen."))
+    listen = ListenSettings(**section("listen."))
     return Settings(
         node=values["node"],
         zone=values["zone"],
--- a/almondshore/daemon/journal.py
+++ b/almondshore/daemon/state_logger.py
@@ -1,4 +1,4 @@
-"""Log events and gauges for what changes at a node."""
+"""Log events and gauges for state changes of a node."""
 
 from collections.abc import Mapping
 
@@ -7,8 +7,11 @@
 from almondshore.daemon.node import Node
 
 
-class Journal:
-    """Compares the node with its last observed state and logs the differences."""
+class StateLogger:
+    """Compares a node with its last observed state and logs the differences.
+
+    :ivar logged_moves: status and step last logged for the move of each service
+    """
 
     def __init__(self, *, node: Node, metrics: Metrics, transport_counts: Mapping[str, int]):
         self.node = node
@@ -18,11 +21,11 @@
         self.is_relay = False
         self.ready = False
         self.platform_up = True
-        self.refused = 0
-        self.moves: dict[str, tuple[str, int]] = {}
+        self.refused_count = 0
+        self.logged_moves: dict[str, tuple[str, int]] = {}
 
     def observe(self) -> None:
-        """Log what has changed since the last call."""
+        """Log the changes since the last call and update the gauges."""
         self._observe_config()
         self._observe_role()
         self._observe_platform()
@@ -41,10 +44,10 @@
             self.metrics.gauge(
                 "almondshore_config_version", "Configuration version in effect", version
             )
-        if len(config.refused) > self.refused:
-            (refused, _), reason = next(reversed(config.refused.items()))
-            log_event("config_refused", level="ERROR", version=refused, reason=reason)
-        self.refused = len(config.refused)
+        if len(config.refused) > self.refused_count:
+            (refused_version, _), reason = next(reversed(config.refused.items()))
+            log_event("config_refused", level="ERROR", version=refused_version, reason=reason)
+        self.refused_count = len(config.refused)
         if config.ready != self.ready:
             self.ready = config.ready
             log_event("node_ready", node=self.node.identity.node, version=version)
@@ -57,7 +60,7 @@
             log_event(event, node=self.node.identity.node, zone=self.node.identity.zone)
 
     def _observe_platform(self) -> None:
-        """Log the start and the end of an outage, as a relay sees it and tells its nodes."""
+        """Log the start and end of a platform outage, as a relay reports it to its nodes."""
         up = self.node.control.platform_up
         if up is None or up == self.platform_up:
             return
@@ -65,12 +68,12 @@
         log_event("platform_up" if up else "platform_down", level="INFO" if up else "WARNING")
 
     def _observe_moves(self) -> None:
-        """Log each step and each end of a move once."""
+        """Log each step and the end of each move once."""
         for service, report in self.node.moves.reports.items():
-            seen = (report.status.value, report.step)
-            if self.moves.get(service) == seen:
+            step_and_status = (report.status.value, report.step)
+            if self.logged_moves.get(service) == step_and_status:
                 continue
-            self.moves[service] = seen
+            self.logged_moves[service] = step_and_status
             log_event(
                 f"move_{report.status.value.replace(' ', '_')}",
                 service=service,
--- a/almondshore/daemon/status.py
+++ b/almondshore/daemon/status.py
@@ -19,14 +19,14 @@
     status_key,
 )
 
-# Keeps the writes of a zone far below the 2 a second that it may make in steady state.
+# Keeps a zone far below its limit of 2 platform writes per second in steady state.
 MIN_WRITE_INTERVAL = timedelta(seconds=5)
-# A status is written again without a change, so that readers can tell that it is alive.
+# An unchanged status is written again after this time, so that readers can tell it is current.
 MAX_WRITE_INTERVAL = timedelta(seconds=60)
 
 
 def node_status(node: Node) -> NodeStatus:
-    """Return the status of a node itself."""
+    """Return the status of a node and its targets."""
     identity = node.identity
     return NodeStatus(
         node=identity.node,
@@ -38,31 +38,31 @@
 
 
 def move_statuses(node: Node, now: datetime) -> list[MoveStatus]:
-    """Return the state of all moves in the configuration in effect."""
+    """Return the state of all moves in the configuration in effect, as known to this node."""
     parts = [part for part in node.routes.parts() if part["move"]]
     return [_move_status(node, part, now) for part in parts]
 
 
 def zone_status(node: Node, now: datetime) -> ZoneStatus:
-    """Return the status of the zone as its relay sees it."""
+    """Return the status of a relay's zone: the relay itself and its subscribers."""
     nodes = {node.identity.node: node_status(node)}
     by_node: dict[str, list[TargetRecord]] = {}
     for record in node.control.directory.of_zone(node.identity.zone):
         by_node.setdefault(record.node, []).append(record)
     zone = node.identity.zone
-    for item in node.control.relay.subscribers:
-        if item.zone != zone:
+    for subscriber in node.control.relay.subscribers:
+        if subscriber.zone != zone:
             continue
-        nodes[item.node] = NodeStatus(
-            node=item.node,
-            address=item.address,
-            config_version=item.version,
-            ready=item.ready,
-            targets=[_target_status(record) for record in by_node.get(item.node, [])],
+        nodes[subscriber.node] = NodeStatus(
+            node=subscriber.node,
+            address=subscriber.address,
+            config_version=subscriber.version,
+            ready=subscriber.ready,
+            targets=[_target_status(record) for record in by_node.get(subscriber.node, [])],
         )
     versions: dict[str, int] = {}
-    for entry in nodes.values():
-        key = str(entry["config_version"])
+    for status in nodes.values():
+        key = str(status["config_version"])
         versions[key] = versions.get(key, 0) + 1
     return ZoneStatus(
         zone=zone,
@@ -84,8 +84,8 @@
 
 def _move_status(node: Node, part: ServicePart, now: datetime) -> MoveStatus:
     move = part["move"]
-    known = node.table.step(part)
-    step = known.step if known is not None else 0
+    move_step = node.table.step(part)
+    step = move_step.step if move_step is not None else 0
     state, reason = move["state"], move["reason"]
     veto = node.table.veto(part, move["to_version"])
     if veto is not None:
@@ -113,7 +113,16 @@
 
 
 class StatusWriter:
-    """Writes the status of a zone to the platform when it has changed."""
+    """Writes the status of a zone to the platform.
+
+    A changed status is written at most every ``MIN_WRITE_INTERVAL``, an unchanged one every
+    ``MAX_WRITE_INTERVAL``.
+
+    :ivar written: status written last
+    :ivar revision: revision of the status object that the next write replaces
+    :ivar next_write: monotonic time before which nothing is written
+    :ivar next_refresh: monotonic time at which an unchanged status is written again
+    """
 
     def __init__(self, *, clock: Clock, platform: Platform, node: Node):
         self.clock = clock
@@ -121,34 +130,34 @@
         self.node = node
         self.written: ZoneStatus | None = None
         self.revision = 0
-        self.writes = 0
+        self.write_count = 0
         self.next_write = clock.monotonic()
-        self.next_repeat = clock.monotonic()
+        self.next_refresh = clock.monotonic()
 
     def step(self) -> None:
-        """Write the status if this node is the zone's first relay and it is due."""
+        """Write the status if it is due and this node holds the first relay slot of the zone."""
         now = self.clock.monotonic()
         if now < self.next_write or not self._is_first_relay():
             return
         status = zone_status(self.node, self.clock.now())
-        if self._same(status) and now < self.next_repeat:
+        if self._is_unchanged(status) and now < self.next_refresh:
             return
         self.next_write = now + MIN_WRITE_INTERVAL
         if self._write(status):
             self.written = status
-            self.next_repeat = now + MAX_WRITE_INTERVAL
+            self.next_refresh = now + MAX_WRITE_INTERVAL
 
     def _is_first_relay(self) -> bool:
         election = self.node.control.election
         return self.node.control.relay is not None and election.slot == 0
 
-    def _same(self, status: ZoneStatus) -> bool:
+    def _is_unchanged(self, status: ZoneStatus) -> bool:
         return self.written is not None and {**self.written, "at": ""} == {**status, "at": ""}
 
     def _write(self, status: ZoneStatus) -> bool:
         key = status_key(status["zone"])
-        self.writes += 1
-        write_id = f"{self.node.identity.node}-{self.node.identity.incarnation}-{self.writes}"
+        self.write_count += 1
+        write_id = f"{self.node.identity.node}-{self.node.identity.incarnation}-{self.write_count}"
         result = self.platform.update(key, encode_status(status), self.revision, write_id)
         if is_successful(result):
             self.revision = result.unwrap().revision
--- a/almondshore/daemon/yaml_nodes.py
+++ b/almondshore/daemon/yaml_nodes.py
@@ -1,4 +1,4 @@
-"""Reading of a YAML mapping into dotted keys that keep their place in the file."""
+"""Reads a YAML mapping as nodes by dotted key, with their positions for findings."""
 
 from collections.abc import Collection
 
@@ -9,11 +9,14 @@
 MAX_FILE_BYTES = 256 * 1024
 
 
-def read_nodes(data: bytes, known: Collection[str], findings: FindingList) -> dict[str, yaml.Node]:
+def read_nodes(
+    data: bytes, known_keys: Collection[str], findings: FindingList
+) -> dict[str, yaml.Node]:
     """Return the nodes of the known keys that the document sets.
 
-    :param known: dotted keys that may be set
-    :param findings: receives syntax errors and unknown, duplicate and misplaced keys
+    :param known_keys: dotted keys that may be set
+    :param findings: receives syntax errors, unknown and duplicate keys, and sections that are not
+        mappings
     """
     root = _compose(data, findings)
     if root is None:
@@ -22,19 +25,19 @@
     if not isinstance(root, yaml.MappingNode):
         add_finding(findings, root, "not-a-mapping", "the file must be a mapping of keys")
         return found
-    sections = {key.rpartition(".")[0] for key in known} - {""}
-    _collect(root, "", set(known), sections, found, findings)
+    sections = {key.rpartition(".")[0] for key in known_keys} - {""}
+    _collect(root, "", set(known_keys), sections, found, findings)
     return found
 
 
 def add_finding(findings: FindingList, node: yaml.Node, code: str, message: str) -> None:
-    """Record a finding at the place of a node."""
+    """Add a finding with the line and column at which a node starts."""
     mark = node.start_mark
     findings.add(line=mark.line + 1, column=mark.column + 1, code=code, message=message)
 
 
 def _compose(data: bytes, findings: FindingList) -> yaml.Node | None:
-    """Parse the document; a syntax error becomes a finding."""
+    """Parse the document without constructing values; a syntax error becomes a finding."""
     if len(data) > MAX_FILE_BYTES:
         message = f"the file has {len(data)} bytes, more than {MAX_FILE_BYTES}"
         findings.add(line=0, column=0, code="file-too-large", message=message)
@@ -55,12 +58,12 @@
 def _collect(
     mapping: yaml.MappingNode,
     prefix: str,
-    known: set[str],
+    known_keys: set[str],
     sections: set[str],
     found: dict[str, yaml.Node],
     findings: FindingList,
 ) -> None:
-    """Add the nodes of a mapping's known keys, and of its sections, to ``found``."""
+    """Add the nodes of a mapping's known keys to ``found``; recurse into its sections."""
     seen: set[str] = set()
     for key_node, value_node in mapping.value:
         if not isinstance(key_node, yaml.ScalarNode):
@@ -69,12 +72,12 @@
         key = prefix + key_node.value
         if key in seen:
             add_finding(findings, key_node, "duplicate-key", f"{key} is set twice")
-        elif key in known:
+        elif key in known_keys:
             found[key] = value_node
         elif key not in sections:
             add_finding(findings, key_node, "unknown-key", f"{key} is not a setting")
         elif isinstance(value_node, yaml.MappingNode):
-            _collect(value_node, f"{key}.", known, sections, found, findings)
+            _collect(value_node, f"{key}.", known_keys, sections, found, findings)
         else:
             add_finding(findings, value_node, "wrong-type", f"{key}: expected a mapping of keys")
         seen.add(key)
--- a/test/daemon/test_main.py
+++ b/test/daemon/test_main.py
@@ -1,4 +1,4 @@
-"""Tests of the daemon's process."""
+"""Tests of the daemon as a process."""
 
 import socket
 import subprocess
@@ -11,12 +11,12 @@
 
 from standins.addresses import own_addresses, to_text
 
-KEYS = ("caller", "internal", "peer", "control", "admin")
+LISTENERS = ("caller", "internal", "peer", "control", "admin")
 
 
 class ListenTest(TestCase):
-    def start(self, listen):
-        """Run the daemon until it ends; return its exit code and its log."""
+    def run_daemon(self, listen):
+        """Run the daemon until it exits; return its exit code and the lines of its log."""
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         file = Path(folder.name) / "node.yaml"
@@ -24,18 +24,18 @@
         settings = {"node": "n", "zone": "z", "listen": listen, "platform": platform}
         file.write_text(yaml.safe_dump(settings))
         command = ["-W", "ignore", "-m", "almondshore.daemon.main", "--settings", str(file)]
-        done = subprocess.run(
+        completed = subprocess.run(
             [sys.executable, *command], capture_output=True, text=True, timeout=30
         )
-        return done.returncode, done.stderr.splitlines()
+        return completed.returncode, completed.stderr.splitlines()
 
-    def test_an_address_in_use_is_one_line(self):
-        """Guards against a traceback, or a process that stays without all of its listeners."""
+    def test_address_in_use_is_logged_on_one_line(self):
+        """Guards against a traceback, or a process that keeps running without all listeners."""
         for key in ("control", "admin", "internal"):
-            listen = dict(zip(KEYS, map(to_text, own_addresses(len(KEYS))), strict=True))
+            listen = dict(zip(LISTENERS, map(to_text, own_addresses(len(LISTENERS))), strict=True))
             host, _, port = listen[key].rpartition(":")
             with socket.create_server((host, int(port))):
-                code, lines = self.start(listen)
+                code, lines = self.run_daemon(listen)
             self.assertEqual((1, 1), (code, len(lines)), lines)
             expected = f'level=ERROR event=listen_failed address={listen[key]} error="address '
             self.assertIn(expected, lines[0])
--- a/test/daemon/test_metrics.py
+++ b/test/daemon/test_metrics.py
@@ -5,7 +5,7 @@
 
 from testtools import TestCase
 
-from almondshore.daemon.metrics import MAX_SERIES, RENDER_BATCH, Metrics
+from almondshore.daemon.metrics import MAX_SERIES_PER_METRIC, RENDER_BATCH_SERIES, Metrics
 
 MILLISECOND = timedelta(milliseconds=1)
 
@@ -24,7 +24,7 @@
             tenant=tenant, request_class="urgent", outcome="run", latency=latency
         )
 
-    def test_tenants_beyond_the_bound_share_a_label(self):
+    def test_tenants_beyond_the_limit_share_a_label(self):
         """Guards against callers that exhaust memory by inventing tenant names."""
         for number in range(5000):
             self.observe(f"tenant-{number}")
@@ -34,17 +34,21 @@
             'almondshore_tenant_request_seconds_count{node="n1",tenant="other"} 4997.0', counts
         )
 
-    def test_series_of_a_metric_are_bounded(self):
-        """Guards against any other label that grows without a bound."""
-        for number in range(3 * MAX_SERIES):
+    def test_series_of_a_metric_are_limited(self):
+        """Guards against memory growth caused by the values of any other label."""
+        for number in range(3 * MAX_SERIES_PER_METRIC):
             self.metrics.count("c_total", "Doc", route=f"/r/{number}")
             self.metrics.gauge("g", "Doc", 1.5, route=f"/r/{number}")
         names = [line.split("{")[0] for line in self.samples()]
-        self.assertEqual([MAX_SERIES + 1] * 2, [names.count("c_total"), names.count("g")])
-        self.assertIn(f'c_total{{node="n1",route="other"}} {2 * MAX_SERIES}', self.samples())
+        self.assertEqual(
+            [MAX_SERIES_PER_METRIC + 1] * 2, [names.count("c_total"), names.count("g")]
+        )
+        self.assertIn(
+            f'c_total{{node="n1",route="other"}} {2 * MAX_SERIES_PER_METRIC}', self.samples()
+        )
 
     def test_label_values_cannot_forge_samples(self):
-        """Guards against a tenant name that adds lines to the exposition."""
+        """Guards against a tenant name that adds samples to the text format."""
         for tenant in ('a"} 1\nforged{x="', "b\\", "c\r\u2028x", "d\ud800"):
             self.observe(tenant)
             self.metrics.count("c_total", "Doc", route=tenant)
@@ -54,7 +58,7 @@
             self.assertTrue(line.startswith("# ") or sample.fullmatch(line), line)
         self.assertNotIn("\nforged", text)
 
-    def test_a_scrape_leaves_turns_to_requests(self):
+    def test_scrape_yields_to_other_greenlets(self):
         """Guards against requests that wait until all tenants have been rendered."""
         pauses = []
 
@@ -66,7 +70,7 @@
         for number in range(200):
             self.observe(f"tenant-{number}")
         counts = [line for line in self.samples() if "tenant_request_seconds_count" in line]
-        self.assertEqual(200 // RENDER_BATCH, len(pauses))
+        self.assertEqual(200 // RENDER_BATCH_SERIES, len(pauses))
         self.assertEqual(200, len(counts))
 
     def test_latencies_fall_into_their_buckets(self):
--- a/test/daemon/test_node.py
+++ b/test/daemon/test_node.py
@@ -50,8 +50,8 @@
         )
         self.node.announce(records)
 
-    def test_what_the_status_shows_is_routed_by(self):
-        """Guards against a node that reports a version or a target and answers without it."""
+    def test_reported_version_and_target_are_in_the_routes(self):
+        """Guards against a node that reports a version or a target but routes without it."""
         self.publish()
         while self.version() == 0:
             self.clock.advance(timedelta(seconds=1))
--- a/test/daemon/test_settings.py
+++ b/test/daemon/test_settings.py
@@ -12,9 +12,9 @@
 from almondshore.daemon.settings import FIELDS, load_settings, parse_settings
 from almondshore.relay.election import NODES_PER_SLOT
 
-GOOD = {"node": "n1", "zone": "z-1", "platform": {"url": "http://127.0.0.1:7300"}}
-BASE = "node: n1\nzone: z-1\nplatform:\n  url: http://127.0.0.1:7300\n"
-BAD_VALUES = {
+VALID_SETTINGS = {"node": "n1", "zone": "z-1", "platform": {"url": "http://127.0.0.1:7300"}}
+VALID_YAML = "node: n1\nzone: z-1\nplatform:\n  url: http://127.0.0.1:7300\n"
+INVALID_VALUES = {
     "node": ["", "a b", "a/b", 17, None, ["x"], "x" * 64],
     "zone": ["z/1", True, {}],
     "listen.caller": ["localhost:7400", ":7400", "127.0.0.1", "127.0.0.1:0", "224.0.0.1:1", 7400],
@@ -40,10 +40,11 @@
     return []
 
 
-def document(values):
-    """Return the YAML text of dotted keys over a good file, and the line of each key."""
+def settings_yaml(values):
+    """Return the YAML text of the valid settings with values replaced by dotted key."""
     nested = {
-        section: dict(keys) if isinstance(keys, dict) else keys for section, keys in GOOD.items()
+        section: dict(keys) if isinstance(keys, dict) else keys
+        for section, keys in VALID_SETTINGS.items()
     }
     for key, value in values.items():
         section, _, name = key.rpartition(".")
@@ -53,21 +54,23 @@
 
 
 @st.composite
-def mistakes(draw):
-    """Draw one bad value for each of several keys."""
-    keys = draw(st.lists(st.sampled_from(sorted(BAD_VALUES)), min_size=1, max_size=6, unique=True))
-    return {key: draw(st.sampled_from(BAD_VALUES[key])) for key in keys}
+def invalid_values(draw):
+    """Draw an invalid value for each of several keys."""
+    keys = draw(
+        st.lists(st.sampled_from(sorted(INVALID_VALUES)), min_size=1, max_size=6, unique=True)
+    )
+    return {key: draw(st.sampled_from(INVALID_VALUES[key])) for key in keys}
 
 
 class SettingsTest(TestCase):
-    def test_the_default_share_of_a_relay_is_the_measured_one(self):
+    def test_default_nodes_per_slot_is_that_of_the_relay_election(self):
         """Guards against relays that serve more nodes than their 14 KB/s allow."""
-        loaded = parse_settings(BASE.encode(), name="node.yaml")
+        loaded = parse_settings(VALID_YAML.encode(), name="node.yaml")
         self.assertEqual(NODES_PER_SLOT, loaded.relay.nodes_per_slot)
 
     def test_values_replace_defaults(self):
         settings = parse_settings(
-            (BASE + "drain_timeout_ms: 500\npeers: ['127.0.0.1:7402', '[::1]:9']\n").encode(),
+            (VALID_YAML + "drain_timeout_ms: 500\npeers: ['127.0.0.1:7402', '[::1]:9']\n").encode(),
             name="f",
         )
         self.assertEqual(timedelta(milliseconds=500), settings.drain_timeout)
@@ -75,17 +78,21 @@
         self.assertEqual(timedelta(seconds=2), settings.platform.timeout)
         self.assertEqual("127.0.0.1:7403", settings.listen.admin)
 
-    @given(bad=mistakes())
+    @given(invalid=invalid_values())
     @settings(max_examples=300, derandomize=True, deadline=None)
-    def test_every_mistake_is_found_at_its_key(self, bad):
-        """Guards against findings that come one at a time, or without a place to look at."""
-        found = findings(document(bad))
-        for key in bad:
-            mine = [item for item in found if key in item.message]
-            self.assertTrue(mine and all(item.line and item.column for item in mine), (key, found))
+    def test_every_invalid_value_is_reported_at_its_key(self, invalid):
+        """Guards against findings that are reported one at a time, or without a position."""
+        found = findings(settings_yaml(invalid))
+        for key in invalid:
+            of_key = [item for item in found if key in item.message]
+            self.assertTrue(
+                of_key and all(item.line and item.column for item in of_key), (key, found)
+            )
         self.assertEqual(sorted(found), found)
         self.assertTrue(all("\n" not in str(item) for item in found))
-        self.assertFalse([item for item in found if not any(key in item.message for key in bad)])
+        self.assertFalse(
+            [item for item in found if not any(key in item.message for key in invalid)]
+        )
 
     @given(
         extra=st.dictionaries(
@@ -94,39 +101,43 @@
         missing=st.sets(st.sampled_from(["node", "zone", "platform"])),
     )
     @settings(max_examples=200, derandomize=True, deadline=None)
-    def test_unknown_and_missing_keys_are_found_together(self, extra, missing):
-        """Guards against a mistyped key that silently leaves the default in force."""
+    def test_unknown_and_missing_keys_are_reported_together(self, extra, missing):
+        """Guards against a mistyped key that silently leaves the default in effect."""
         extra = {f"x{key}": value for key, value in extra.items()}
         lines = [f"{key}:" for key in extra]
-        lines += [yaml.safe_dump({key: GOOD[key]}) for key in GOOD if key not in missing]
+        lines += [
+            yaml.safe_dump({key: VALID_SETTINGS[key]})
+            for key in VALID_SETTINGS
+            if key not in missing
+        ]
         found = findings("\n".join(lines))
-        unknown = {item.message.split()[0] for item in found if item.code == "unknown-key"}
-        absent = {item.message.split()[0] for item in found if item.code == "missing"}
-        self.assertEqual(set(extra), unknown)
+        unknown_keys = {item.message.split()[0] for item in found if item.code == "unknown-key"}
+        missing_keys = {item.message.split()[0] for item in found if item.code == "missing"}
+        self.assertEqual(set(extra), unknown_keys)
         names = {"node": "node", "zone": "zone", "platform": "platform.url"}
-        self.assertEqual({names[key] for key in missing}, absent)
+        self.assertEqual({names[key] for key in missing}, missing_keys)
         self.assertEqual(len(extra) + len(missing), len(found))
 
     @given(data=st.one_of(st.binary(max_size=60), st.text("a:[]{}-*&!|>'\"#%\n\t ,?", max_size=40)))
     @settings(max_examples=400, derandomize=True, deadline=None)
-    def test_no_input_raises_anything_else(self, data):
+    def test_arbitrary_input_gives_findings(self, data):
         """Guards against a traceback instead of findings."""
         self.assertTrue(findings(data))
 
-    def test_structural_mistakes(self):
+    def test_structural_errors(self):
         for text, code, line in (
-            (BASE + "node: n2\n", "duplicate-key", 5),
-            (BASE + "limits: 3\n", "wrong-type", 5),
-            (BASE + "limits: {a: {b: 1}}\n", "unknown-key", 5),
-            (BASE + "[1]: 2\n", "unknown-key", 5),
-            (BASE + "drain_timeout_ms: !!python/object:os.system 5\n", "wrong-type", 5),
-            (BASE + "drain_timeout_ms: 1:30\n", "wrong-type", 5),
-            (BASE + "drain_timeout_ms: 0x10\n", "wrong-type", 5),
-            (BASE + "listen: {peer: '127.0.0.1:7400'}\n", "address-in-use", 5),
-            (BASE + "listen: {internal: '127.0.0.1:7403'}\n", "address-in-use", 5),
-            (BASE + "relay:\n  nodes_per_slot: 0\n", "out-of-range", 6),
-            (BASE + "peers: [&a '127.0.0.1:1', *a]\n", "duplicate", 5),
-            (BASE + "---\n" + BASE, "syntax", 5),
+            (VALID_YAML + "node: n2\n", "duplicate-key", 5),
+            (VALID_YAML + "limits: 3\n", "wrong-type", 5),
+            (VALID_YAML + "limits: {a: {b: 1}}\n", "unknown-key", 5),
+            (VALID_YAML + "[1]: 2\n", "unknown-key", 5),
+            (VALID_YAML + "drain_timeout_ms: !!python/object:os.system 5\n", "wrong-type", 5),
+            (VALID_YAML + "drain_timeout_ms: 1:30\n", "wrong-type", 5),
+            (VALID_YAML + "drain_timeout_ms: 0x10\n", "wrong-type", 5),
+            (VALID_YAML + "listen: {peer: '127.0.0.1:7400'}\n", "address-in-use", 5),
+            (VALID_YAML + "listen: {internal: '127.0.0.1:7403'}\n", "address-in-use", 5),
+            (VALID_YAML + "relay:\n  nodes_per_slot: 0\n", "out-of-range", 6),
+            (VALID_YAML + "peers: [&a '127.0.0.1:1', *a]\n", "duplicate", 5),
+            (VALID_YAML + "---\n" + VALID_YAML, "syntax", 5),
             ("a: [", "syntax", 1),
             ("[" * 100_000, "syntax", 0),
             ("# " + "x" * 300_000, "file-too-large", 0),
@@ -135,7 +146,7 @@
             found = findings(text)
             self.assertIn((code, line), [(item.code, item.line) for item in found], found)
 
-    def test_an_unreadable_file_is_a_finding(self):
+    def test_unreadable_file_is_a_finding(self):
         error = self.assertRaises(InvalidInputError, load_settings, "/nonexistent/node.yaml")
         self.assertEqual("unreadable", error.findings[0].code)
 
--- a/test/daemon/test_journal.py
+++ b/test/daemon/test_state_logger.py
@@ -1,4 +1,4 @@
-"""Tests of the log events for what changes at a node."""
+"""Tests of the log events for state changes of a node."""
 
 import io
 import random
@@ -9,15 +9,15 @@
 
 from almondshore.core.clock import ManualClock
 from almondshore.core.logs import setup_logs
-from almondshore.daemon.journal import Journal
 from almondshore.daemon.metrics import Metrics
 from almondshore.daemon.node import Node
+from almondshore.daemon.state_logger import StateLogger
 from almondshore.relay.control import Identity
 from standins.memory_platform import MemoryPlatform
 from standins.object_store import Fault, ObjectStore
 
 
-class JournalTest(TestCase):
+class StateLoggerTest(TestCase):
     def setUp(self):
         super().setUp()
         self.clock, self.log = ManualClock(), io.StringIO()
@@ -32,7 +32,7 @@
             max_tenants=10,
         )
         self.node = node
-        self.journal = Journal(
+        self.state_logger = StateLogger(
             node=node, metrics=Metrics(max_tenants=10, constant_labels={}), transport_counts={}
         )
 
@@ -42,14 +42,14 @@
             self.node.platform_step()
             self.node.watch_step()
             self.node.tick()
-            self.journal.observe()
+            self.state_logger.observe()
 
     def outages(self):
         lines = self.log.getvalue().splitlines()
         return [line.partition("level=")[2] for line in lines if "event=platform_" in line]
 
-    def test_an_outage_of_the_platform_is_logged_once(self):
-        """Guards against an outage that no log line shows, or that fills the log."""
+    def test_platform_outage_is_logged_once(self):
+        """Guards against an outage that is not logged, or is logged on every tick."""
         self.run_for(30)
         self.assertEqual([], self.outages())
         self.store.fault = Fault.DOWN
