Reword the command-line tool and its tests

The apply logic names its input and result ApplyRequest and ApplyOutcome instead of Change and Outcome, and its checks say what they check (_check_not_superseded, _check_base_unchanged, _validate, _is_published). Context.line is print_line; ready_targets, which formats text, is format_ready_targets. The wait for a version speaks of pending and unreported zones instead of late and silent ones. Docstrings state conditions, errors and results; all reasons are kept.

Exit codes, findings and JSON are unchanged.

--- a/almondshore/ui/applying.py
+++ b/almondshore/ui/applying.py
@@ -1,4 +1,4 @@
-"""Publishing of a rules file on top of the version in force."""
+"""Publishes a rules file as the successor of the current configuration version."""
 
 import hashlib
 from collections.abc import Callable, Iterable, Mapping
@@ -25,24 +25,25 @@
 )
 from almondshore.storage.port import Conflict, NotFound, Platform, Unavailable
 from almondshore.ui.changes import MAX_VERSIONS, ChangeLog, published_rules
-from almondshore.ui.platform_errors import PlatformFailedError, describe, require
+from almondshore.ui.platform_errors import PlatformFailedError, describe_error, require
 from almondshore.ui.retrying import Retrier
 from almondshore.versions.config import DIGEST_BYTES
 from almondshore.versions.publish import Publisher, VersionedHead
 
-# The coordinator of moves publishes versions too, with the same rules. Each of them costs one
-# more round; more than a few in one command point to a fault.
-MAX_ROUNDS = 5
+# The coordinators of moves also publish versions, with unchanged rules. Each such version costs
+# another attempt; more than a few of them during one command indicate a fault.
+MAX_PUBLISH_ATTEMPTS = 5
 
 
 class ConflictError(UserError):
-    """Another operator changed the rules in between."""
+    """The rules conflict with the published versions; nothing was published."""
 
 
-class Change(NamedTuple):
+class ApplyRequest(NamedTuple):
     """A rules file to publish.
 
-    :ivar base: version that the file was edited from; None if not known
+    :ivar file: file name shown in findings
+    :ivar base: version that the file was edited from; None if unknown
     """
 
     file: str
@@ -52,11 +53,11 @@
     base: int | None
 
 
-class Outcome(NamedTuple):
-    """The version that holds the rules.
+class ApplyOutcome(NamedTuple):
+    """The version that contains the rules.
 
     :ivar created: whether this call published it
-    :ivar changes: changed rules since its predecessor, if this call published it
+    :ivar changes: rule changes compared with its predecessor; empty if not created by this call
     """
 
     version: int
@@ -65,99 +66,106 @@
 
 
 class Applier:
-    """Publishes rules files; nothing is merged, and a repeat changes nothing."""
+    """Publishes rules files. Applying the same file again has no effect; files are not merged."""
 
     def __init__(self, *, platform: Platform, clock: Clock, wait: Callable[[timedelta], None]):
         self.publisher = Publisher(platform=platform)
         self.clock = clock
         self.retry = Retrier(wait=wait)
-        self.log = ChangeLog(publisher=self.publisher, retry=self.retry)
+        self.change_log = ChangeLog(publisher=self.publisher, retry=self.retry)
 
-    def apply(self, change: Change) -> Outcome:
-        """Publish rules as the successor of the head.
+    def apply(self, request: ApplyRequest) -> ApplyOutcome:
+        """Publish rules as the successor of the current version, unless it contains them already.
 
-        :raises ConflictError: if another operator changed the rules since the base
+        :raises ConflictError: if another operator changed the rules since the base, if an earlier
+            version had the same rules, or if too many versions are published at the same time
         :raises InvalidInputError: if the rules have findings
         :raises UserError: if the platform fails
         """
-        digest = hashlib.blake2b(change.data, digest_size=DIGEST_BYTES).hexdigest()
-        base: int | None = change.base
-        for _ in range(MAX_ROUNDS):
+        digest = hashlib.blake2b(request.data, digest_size=DIGEST_BYTES).hexdigest()
+        base: int | None = request.base
+        for _ in range(MAX_PUBLISH_ATTEMPTS):
             current = require(self.retry(self.publisher.current))
             version = current.head.version
-            if version and self.log.record(version).rules_digest == digest:
-                return Outcome(version, False, [])
+            if version and self.change_log.record(version).rules_digest == digest:
+                return ApplyOutcome(version, False, [])
             if base is None:
-                self._refuse_repeat_of_older(digest, version)
+                self._check_not_superseded(digest, version)
                 base = version
-            self._refuse_changed_rules(base, version)
-            outcome = self._publish(change, current, digest)
+            self._check_base_unchanged(base, version)
+            outcome = self._publish(request, current, digest)
             if outcome is not None:
                 return outcome
         raise ConflictError("other versions are being published at the same time; try again later")
 
-    def _refuse_repeat_of_older(self, digest: str, newest: int) -> None:
-        """Refuse rules that an earlier version held.
+    def _check_not_superseded(self, digest: str, newest: int) -> None:
+        """Refuse rules that an earlier version contained, if no base is given.
 
-        An apply that is repeated after a lost response would otherwise undo what others published
-        on top of it.
+        Otherwise an apply that is repeated after a lost response would undo versions that others
+        have published since.
         """
         for version in range(newest - 1, max(newest - MAX_VERSIONS, 0), -1):
-            record = self.log.record(version)
+            record = self.change_log.record(version)
             if record.rules_digest == digest:
                 raise ConflictError(
                     f"these rules are version {version} by {record.author}, which later versions "
                     f"replaced; to return to them use --base {newest}\n"
-                    + self.log.describe(version, newest)
+                    + self.change_log.describe(version, newest)
                 )
 
-    def _refuse_changed_rules(self, base: int, newest: int) -> None:
-        """Refuse if the newest version has other rules than the base."""
+    def _check_base_unchanged(self, base: int, newest: int) -> None:
+        """Refuse if the rules of the newest version differ from those of the base."""
         if base == newest:
             return
         if base > newest:
             raise ConflictError(f"version {base} does not exist; the newest is version {newest}")
-        if base and self.log.record(base).rules_digest == self.log.record(newest).rules_digest:
+        if (
+            base
+            and self.change_log.record(base).rules_digest
+            == self.change_log.record(newest).rules_digest
+        ):
             return
         raise ConflictError(
             f"the rules were changed after version {base}; nothing was published\n"
-            f"{self.log.describe(base, newest)}\n"
-            f"take over these changes and apply again with --base {newest}"
+            f"{self.change_log.describe(base, newest)}\n"
+            f"include these changes in the file and apply it again with --base {newest}"
         )
 
-    def _publish(self, change: Change, current: VersionedHead, digest: str) -> Outcome | None:
-        """Publish on top of a version; return None if another version came first."""
+    def _publish(
+        self, request: ApplyRequest, current: VersionedHead, digest: str
+    ) -> ApplyOutcome | None:
+        """Publish the successor of a version; return None if another successor was published."""
         version = current.head.version
         parts = require(self.retry(lambda: self.publisher.parts(version)))
         previous = service_parts(parts)
         now = self.clock.now()
-        rules = self._accepted(change, now, previous)
-        changes = diff_rules(published_rules(self.log.text(version)), rules)
+        rules = self._validate(request, now, previous)
+        changes = diff_rules(published_rules(self.change_log.text(version)), rules)
         result = self.retry(
             lambda: self.publisher.publish(
                 base=current,
                 base_parts=parts,
                 parts=compile_rules(rules, version=version + 1, now=now, previous=previous),
-                rules=change.data,
-                author=change.author,
-                reason=change.reason,
+                rules=request.data,
+                author=request.author,
+                reason=request.reason,
                 at=now,
             )
         )
-        if self._published(result, version + 1, digest, now):
-            return Outcome(version + 1, True, changes)
+        if self._is_published(result, version + 1, digest, now):
+            return ApplyOutcome(version + 1, True, changes)
         return None
 
-    def _accepted(
-        self, change: Change, now: datetime, previous: Mapping[str, ServicePart]
+    def _validate(
+        self, request: ApplyRequest, now: datetime, previous: Mapping[str, ServicePart]
     ) -> RuleSet:
-        """Check a rules file against the configuration it replaces.
+        """Check a rules file by itself and against the configuration that it replaces.
 
         :raises InvalidInputError: if there are findings
         """
-        findings = FindingList(file=change.file)
+        findings = FindingList(file=request.file)
         move_ids = existing_move_ids(previous)
-        rules = check_rules(change.data, now=now, findings=findings, existing_move_ids=move_ids)
+        rules = check_rules(request.data, now=now, findings=findings, existing_move_ids=move_ids)
         if not findings:
             check_transition(rules, previous=previous, findings=findings)
             vetoes = self._vetoes(new_moves(rules, previous=previous))
@@ -167,7 +175,7 @@
         return rules
 
     def _vetoes(self, moves: Iterable[MoveRule]) -> list[Veto]:
-        """Read the recorded vetoes of the versions that moves are to."""
+        """Read the recorded vetoes against the versions that the moves lead to."""
         vetoes = []
         for rule in moves:
             key = veto_key(rule.service, rule.version)
@@ -176,24 +184,27 @@
                 vetoes.append(decode_veto(require(result).value))
         return vetoes
 
-    def _published(self, result: Result, version: int, digest: str, at: datetime) -> bool:
-        """Return whether the version is the one just written, and not that of another."""
+    def _is_published(self, result: Result, version: int, digest: str, at: datetime) -> bool:
+        """Return whether this call has published the version, and not another writer.
+
+        :raises PlatformFailedError: if that is unknown, or if the write failed
+        """
         if is_successful(result):
             return True
         error = result.failure()
         if isinstance(error, Conflict):
-            # The response to the first attempt may have been lost, and another version may have
-            # replaced this one before the next attempt.
-            found = self.retry(lambda: self.publisher.record(version))
-            if is_successful(found):
-                return (found.unwrap().rules_digest, found.unwrap().at) == (digest, at)
-            error = found.failure()
+            # The response to a successful first write may have been lost, and a newer version may
+            # have been published before the retry.
+            existing = self.retry(lambda: self.publisher.record(version))
+            if is_successful(existing):
+                return (existing.unwrap().rules_digest, existing.unwrap().at) == (digest, at)
+            error = existing.failure()
         if isinstance(error, Unavailable):
             raise PlatformFailedError(
-                f"{describe(error)}; it is not known whether version {version} was published; "
-                "the same command can safely be repeated"
+                f"{describe_error(error)}; it is not known whether version {version} was "
+                "published; the same command can safely be repeated"
             )
-        raise PlatformFailedError(describe(error))
+        raise PlatformFailedError(describe_error(error))
 
 
 def service_parts(parts: Mapping[str, bytes]) -> dict[str, ServicePart]:
--- a/almondshore/ui/changes.py
+++ b/almondshore/ui/changes.py
@@ -1,4 +1,4 @@
-"""Which rules the published versions changed, and who published them."""
+"""Rule changes of the published versions, with their authors."""
 
 from collections.abc import Callable
 
@@ -12,12 +12,15 @@
 from almondshore.ui.platform_errors import require
 from almondshore.versions.publish import Publisher, VersionRecord
 
-# Each version costs four reads; an operator who is further behind compares with the newest rules.
+# Each version costs four reads; an operator with an older base compares with the newest rules.
 MAX_VERSIONS = 20
 
 
 class ChangeLog:
-    """Reads what the published versions changed."""
+    """Reads published versions and describes the changes between them.
+
+    :param retry: calls the platform again after a transient failure
+    """
 
     def __init__(self, *, publisher: Publisher, retry: Callable[[Callable[[], Result]], Result]):
         self.publisher = publisher
@@ -40,32 +43,34 @@
         return require(self.retry(lambda: self.publisher.rules_text(version)))
 
     def describe(self, base: int, newest: int) -> str:
-        """Describe version by version which rules were changed after a base version.
+        """Describe the rule changes after a base version, one published version after the other.
+
+        At most the last ``MAX_VERSIONS`` versions are described.
 
         :raises UserError: if the platform fails
         """
         start = max(base, newest - MAX_VERSIONS)
         lines = [] if start == base else [f"(versions {base + 1} to {start} are not shown)"]
-        before = published_rules(self.text(start))
+        rules_before = published_rules(self.text(start))
         for version in range(start + 1, newest + 1):
-            record, after = self.record(version), published_rules(self.text(version))
-            changes = diff_rules(before, after)
+            record, rules_after = self.record(version), published_rules(self.text(version))
+            changes = diff_rules(rules_before, rules_after)
             if changes:
                 at = record.at.isoformat(timespec="seconds")
                 lines.append(f"version {version} by {printable(record.author)} at {at}:")
                 lines += describe_changes(changes)
-            before = after
+            rules_before = rules_after
         return "\n".join(lines)
 
 
 def published_rules(data: bytes) -> RuleSet:
     """Parse the rules of a published version.
 
-    Lines that the rules language has ceased to accept since are left out.
+    Lines that the rules language no longer accepts are omitted.
     """
     return parse(data, findings=FindingList(file="")).rules
 
 
 def describe_changes(changes: list[RuleChange]) -> list[str]:
-    """Return changes as indented lines."""
+    """Return the changes as indented lines of printable text."""
     return [f"  {printable(line)}" for change in changes for line in describe_change(change)]
--- a/almondshore/ui/commands/apply.py
+++ b/almondshore/ui/commands/apply.py
@@ -10,7 +10,7 @@
 from almondshore.core.errors import InvalidInputError
 from almondshore.core.findings import FindingList
 from almondshore.rules.check import check_rules
-from almondshore.ui.applying import Applier, Change
+from almondshore.ui.applying import Applier, ApplyRequest
 from almondshore.ui.changes import describe_changes
 from almondshore.ui.context import Context, UsageError
 from almondshore.ui.files import read_file
@@ -48,7 +48,7 @@
     data = read_file(file)
     _check_offline(str(file), data, context)
     applier = Applier(platform=context.platform(), clock=context.clock, wait=context.wait)
-    outcome = applier.apply(Change(str(file), data, author.strip(), reason, base))
+    outcome = applier.apply(ApplyRequest(str(file), data, author.strip(), reason, base))
     lines = [f"version {outcome.version} already holds these rules"]
     if outcome.created:
         lines = [f"published version {outcome.version}"]
@@ -57,9 +57,9 @@
             lines.append(f"  and {len(outcome.changes) - MAX_SHOWN_CHANGES} more changes")
     in_effect = None
     if not json:
-        context.line("\n".join(lines))
+        context.print_line("\n".join(lines))
     if wait is not None:
-        waiter = Waiter(context=context, show=(lambda line: None) if json else context.line)
+        waiter = Waiter(context=context, show=(lambda line: None) if json else context.print_line)
         in_effect = waiter.wait_for(outcome.version, timeout=timedelta(seconds=wait))
     if json:
         print_json(
@@ -75,9 +75,12 @@
 
 
 def _check_offline(file: str, data: bytes, context: Context) -> None:
-    """Report what needs no platform, even if the platform is down.
+    """Check the rules without the platform, so that findings are reported even in an outage.
 
-    Deadlines that have passed are checked later, against the moves in force.
+    A past deadline alone is no reason to refuse the file here: it is allowed for a move of the
+    current configuration, against which the deadlines are checked later.
+
+    :raises InvalidInputError: if there are findings other than past deadlines
     """
     findings = FindingList(file=file)
     check_rules(data, now=context.clock.now(), findings=findings)
--- a/almondshore/ui/commands/check.py
+++ b/almondshore/ui/commands/check.py
@@ -26,7 +26,7 @@
         print_json(context.out, {"findings": [item._asdict() for item in findings.sorted()]})
     elif findings:
         for finding in findings.sorted():
-            context.line(str(finding))
+            context.print_line(str(finding))
     else:
-        context.line(f"{file}: {sum(len(kind) for kind in rules)} rules, no findings")
+        context.print_line(f"{file}: {sum(len(kind) for kind in rules)} rules, no findings")
     return 1 if findings else 0
--- a/almondshore/ui/commands/diff.py
+++ b/almondshore/ui/commands/diff.py
@@ -31,29 +31,33 @@
     :param json: print the differences as JSON
     """
     if new is None:
-        after, before = parse_file(old), _published(context)
+        after, before = parse_file(old), _read_published_rules(context)
     else:
         before, after = parse_file(old), parse_file(new)
     changes = diff_rules(before, after)
     if json:
-        print_json(context.out, {"changes": [_document(change) for change in changes]})
+        print_json(context.out, {"changes": [_change_document(change) for change in changes]})
     else:
-        context.line("\n".join(describe_changes(changes)) or "no differences")
+        context.print_line("\n".join(describe_changes(changes)) or "no differences")
     return 0
 
 
-def _published(context: Context):
+def _read_published_rules(context: Context):
     publisher = Publisher(platform=context.platform())
     retry = Retrier(wait=context.wait)
     version = require(retry(publisher.current)).head.version
     return published_rules(ChangeLog(publisher=publisher, retry=retry).text(version))
 
 
-def _document(change: RuleChange) -> dict[str, Any]:
-    return {"kind": change.kind, "old": _side(change.old), "new": _side(change.new)}
+def _change_document(change: RuleChange) -> dict[str, Any]:
+    return {
+        "kind": change.kind,
+        "old": _rule_document(change.old),
+        "new": _rule_document(change.new),
+    }
 
 
-def _side(rule: Rule | None) -> dict[str, Any] | None:
+def _rule_document(rule: Rule | None) -> dict[str, Any] | None:
     if rule is None:
         return None
     source = rule.source
--- a/almondshore/ui/commands/drain.py
+++ b/almondshore/ui/commands/drain.py
@@ -16,5 +16,5 @@
     :param node: URL of the node's admin address, such as http://10.0.0.1:7403
     """
     call_node("POST", node, DRAIN_PATH)
-    context.line(f"the node at {node} is draining")
+    context.print_line(f"the node at {node} is draining")
     return 0
--- a/almondshore/ui/commands/history.py
+++ b/almondshore/ui/commands/history.py
@@ -24,7 +24,7 @@
 ) -> int:
     """List the newest configuration versions with author, time and reason.
 
-    :param limit: greatest number of versions to list
+    :param limit: maximum number of versions to list
     :param rules: print the rules file of this version instead of the list
     :param json: print the versions as JSON
     """
--- a/almondshore/ui/commands/moves.py
+++ b/almondshore/ui/commands/moves.py
@@ -7,7 +7,7 @@
 from almondshore.mesh.view import STATUS_PATH, NodeView
 from almondshore.ui.context import Context
 from almondshore.ui.node_http import read_node
-from almondshore.ui.output import print_json, print_table, ready_targets
+from almondshore.ui.output import format_ready_targets, print_json, print_table
 from almondshore.ui.zones import read_zones
 from almondshore.versions.status import ZoneStatus
 
@@ -24,7 +24,7 @@
     """List the moves with their step, deadline and state.
 
     :param node: URL of the metrics address of a node of a mesh; lists the rollouts that it knows,
-        also while the store is away
+        even while the store is unreachable
     :param json: print the moves as JSON
     """
     if node is not None:
@@ -39,7 +39,7 @@
             move["from_version"],
             move["to_version"],
             ", ".join(move["states"]),
-            _range(move["steps_percent"]),
+            _format_steps(move["steps_percent"]),
             move["deadline"],
             "yes" if move["at_risk"] else "no",
             len(move["zones"]),
@@ -73,7 +73,7 @@
             move["to_version"],
             move["state"],
             f"{move['share']:.0%}",
-            ready_targets(move["ready"]),
+            format_ready_targets(move["ready"]),
         )
         for move in found
     ]
@@ -82,9 +82,9 @@
 
 
 def merge_moves(zones: list[ZoneStatus]) -> list[dict[str, Any]]:
-    """Merge what the zones report into one entry for each move.
+    """Merge the moves that the zones report into one entry per move.
 
-    Zones learn of steps at different times; states and steps that differ are all kept.
+    Zones learn of steps at different times, so an entry lists all reported states and steps.
     """
     merged: dict[tuple[str, str], dict[str, Any]] = {}
     for zone in zones:
@@ -109,5 +109,5 @@
     return [merged[key] for key in sorted(merged)]
 
 
-def _range(steps: list[int]) -> str:
+def _format_steps(steps: list[int]) -> str:
     return f"{steps[0]}%" if len(steps) == 1 else f"{steps[0]}% to {steps[-1]}%"
--- a/almondshore/ui/commands/nodes.py
+++ b/almondshore/ui/commands/nodes.py
@@ -22,11 +22,11 @@
     json: bool = False,
     context: Annotated[Context, Parameter(parse=False)],
 ) -> int:
-    """List the nodes with the version in effect on each and the targets beside it.
+    """List the nodes with the version in effect and the targets of each.
 
     :param zone: list only the nodes of this zone
     :param node: URL of the metrics address of a node of a mesh; lists the targets that it knows
-        and whether their nodes answer it, also while the store is away
+        and whether their nodes answer it, even while the store is unreachable
     :param json: print the nodes as JSON
     """
     if node is not None:
@@ -47,7 +47,7 @@
             node["address"],
             node["config_version"],
             "yes" if node["ready"] else "no",
-            ", ".join(_target(target) for target in node["targets"]),
+            ", ".join(_format_target(target) for target in node["targets"]),
         )
         for node in found
     ]
@@ -66,9 +66,9 @@
 
 
 def _target_row(target: TargetView) -> tuple[object, ...]:
-    shown = {**target, "answers": "yes" if target["answers"] else "no"}
-    return tuple(shown[key] for key in TARGET_HEADER)
+    cells = {**target, "answers": "yes" if target["answers"] else "no"}
+    return tuple(cells[key] for key in TARGET_HEADER)
 
 
-def _target(target: TargetStatus) -> str:
+def _format_target(target: TargetStatus) -> str:
     return f"{target['service']} {target['version']} {target['state']} at {target['target']}"
--- a/almondshore/ui/commands/status.py
+++ b/almondshore/ui/commands/status.py
@@ -24,7 +24,7 @@
         print_json(context.out, {"version": head.version, "author": head.author, "zones": zones})
         return 0
     author = f" by {printable(head.author)}" if head.author else ""
-    context.line(f"published version: {head.version}{author}")
+    context.print_line(f"published version: {head.version}{author}")
     rows = [
         (zone["zone"], zone["at"], len(zone["nodes"]), describe_versions(zone)) for zone in zones
     ]
--- a/almondshore/ui/context.py
+++ b/almondshore/ui/context.py
@@ -1,4 +1,4 @@
-"""What commands need from outside: the clock, the platform and the output streams."""
+"""Dependencies of the commands: clock, platform client and output streams."""
 
 import io
 import sys
@@ -14,22 +14,22 @@
 from almondshore.core.errors import UserError
 from almondshore.storage.port import Platform
 
-# The platform responds in milliseconds; a call without an answer for this long will get none.
+# The platform responds within milliseconds; a call without a response after this time has failed.
 CALL_TIMEOUT = timedelta(seconds=3)
 PLATFORM_VARIABLE = "ALMONDSHORE_PLATFORM"
 
 
 class UsageError(UserError):
-    """The command line is not valid; the tool exits with 2."""
+    """Wrong usage, such as an invalid URL or an unreadable file; the tool exits with status 2."""
 
 
 def sleep(duration: timedelta) -> None:
-    """Wait on the system clock."""
+    """Sleep in real time."""
     time.sleep(duration.total_seconds())
 
 
 def require_url(text: str) -> str:
-    """Check that a text is an HTTP URL with a host; return it without a trailing slash.
+    """Check that a text is an HTTP or HTTPS URL with a host; return it without trailing slashes.
 
     :raises UsageError: if it is not
     """
@@ -43,21 +43,22 @@
 
 
 def connect(url: str, clock: Clock) -> Platform:
-    """Return the client of the platform at a URL.
+    """Return a client of the platform at a URL, without connecting to it.
 
     :raises UsageError: if it is not an HTTP URL
     """
-    # Imported late: commands that read only files start without the HTTP client.
+    # Imported lazily, so that commands that read only files do not load the HTTP client.
     from almondshore.storage.http import HttpPlatform
 
     return HttpPlatform(url=require_url(url), clock=clock, timeout=CALL_TIMEOUT)
 
 
 class Context:
-    """The surroundings of one run of the tool.
+    """Dependencies of one run of the tool.
 
     :ivar url: URL of the platform; empty if none was given
-    :ivar wait: waits for a duration; tests advance a manual clock instead
+    :ivar wait: sleeps for a duration; tests advance a manual clock instead
+    :ivar connect: creates the client of the platform at a URL
     """
 
     def __init__(
@@ -70,7 +71,7 @@
         connect: Callable[[str, Clock], Platform] = connect,
     ):
         self.clock = clock or SystemClock()
-        # The streams of the process are None if it was started with them closed.
+        # The standard streams are None if the process was started with them closed.
         self.out = out or sys.stdout or io.StringIO()
         self.err = err or sys.stderr or io.StringIO()
         self.wait = wait
@@ -86,6 +87,6 @@
             raise UsageError(f"no platform given; use --platform URL or set {PLATFORM_VARIABLE}")
         return self.connect(self.url, self.clock)
 
-    def line(self, text: str) -> None:
-        """Print a line of output."""
+    def print_line(self, text: str) -> None:
+        """Print text and a line break to the output, and flush it."""
         print(text, file=self.out, flush=True)
--- a/almondshore/ui/files.py
+++ b/almondshore/ui/files.py
@@ -1,4 +1,4 @@
-"""Reading of rules files for commands."""
+"""Reads rules files for the commands."""
 
 from pathlib import Path
 
@@ -22,7 +22,7 @@
 
 
 def parse_file(path: Path) -> RuleSet:
-    """Read and parse a rules file, without the checks that compare its rules.
+    """Read and parse a rules file, without the checks across its rules.
 
     :raises UsageError: if the file cannot be read
     :raises InvalidInputError: if a line cannot be parsed
--- a/almondshore/ui/main.py
+++ b/almondshore/ui/main.py
@@ -15,8 +15,8 @@
 from almondshore.ui.commands import apply, check, diff, drain, history, moves, node, nodes, status
 from almondshore.ui.context import PLATFORM_VARIABLE, Context, UsageError
 
-EXIT_DONE = 0
-EXIT_REFUSED = 1
+EXIT_OK = 0
+EXIT_FAILURE = 1
 EXIT_USAGE = 2
 EXIT_INTERRUPTED = 130
 
@@ -36,7 +36,7 @@
 def build_app(context: Context) -> App:
     """Return the command-line application.
 
-    :param context: passed to each command
+    :param context: passed to each command that has a parameter ``context``
     """
     app = App(name="almondshore", help=ui.__doc__, version_flags=[], result_action="return_value")
     for name, command in COMMANDS.items():
@@ -58,7 +58,7 @@
         command, bound, ignored = app.parse_args(tokens, exit_on_error=False, print_error=False)
         if "context" in ignored:
             bound.arguments["context"] = context
-        return command(*bound.args, **bound.kwargs) or EXIT_DONE
+        return command(*bound.args, **bound.kwargs) or EXIT_OK
 
     return app
 
@@ -67,17 +67,18 @@
     """Run the tool.
 
     :param tokens: arguments; those of the process by default
-    :returns: exit code: 0 done, 1 findings or refused change, 2 wrong usage
+    :return: exit code: 0 success, 1 findings, refused change or failure, 2 wrong usage,
+        130 interrupted
     """
     if context is None:
         for stream in (sys.stdout, sys.stderr):
-            # Names may hold characters that the operator's terminal encoding lacks.
+            # Names may contain characters that the encoding of the terminal cannot represent.
             if isinstance(stream, io.TextIOWrapper):
                 stream.reconfigure(errors="backslashreplace")
         context = Context()
     app = build_app(context)
     try:
-        return app.meta(tokens, exit_on_error=False, print_error=False) or EXIT_DONE
+        return app.meta(tokens, exit_on_error=False, print_error=False) or EXIT_OK
     except (CycloptsError, UsageError) as error:
         _print_error(context, str(error))
         return EXIT_USAGE
@@ -89,13 +90,14 @@
     except (msgspec.MsgspecError, zlib.error) as error:
         _print_error(context, f"an object of the platform is malformed: {error}")
     except BrokenPipeError:
-        # The reader of the output has gone. Python would report it once more when it exits.
+        # The reader has closed the pipe. Python flushes stdout at exit and would report this again,
+        # so stdout is redirected to the null device.
         os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
     except OSError as error:
         _print_error(context, f"cannot write the output: {error}")
     except KeyboardInterrupt:
         return EXIT_INTERRUPTED
-    return EXIT_REFUSED
+    return EXIT_FAILURE
 
 
 def _print_error(context: Context, message: str) -> None:
--- a/almondshore/ui/node_http.py
+++ b/almondshore/ui/node_http.py
@@ -1,4 +1,4 @@
-"""Calls of the tool to a node."""
+"""HTTP calls of the tool to a node."""
 
 from typing import TypeVar
 
@@ -11,35 +11,37 @@
 from almondshore.ui.context import CALL_TIMEOUT, require_url
 from almondshore.ui.output import printable
 
-T = TypeVar("T")
+Document = TypeVar("Document")
 
 MAX_SHOWN_CHARS = 200
 
 
-def read_node(node: str, path: bytes, kind: type[T]) -> T:
-    """Return what a node of a mesh tells under a path of its metrics address.
+def read_node(node: str, path: bytes, document_type: type[Document]) -> Document:
+    """Read a JSON document from the metrics address of a node of a mesh.
 
     :param node: URL of the metrics address
-    :raises UserError: if the node does not answer, refuses, or gives a malformed answer
+    :param document_type: type that the document is decoded to
+    :raises UserError: if the node does not answer, refuses the request, or sends a malformed
+        response
     """
     body = call_node("GET", node, path.decode())
     try:
-        return msgspec.json.decode(body, type=kind)
+        return msgspec.json.decode(body, type=document_type)
     except msgspec.MsgspecError as error:
-        raise UserError(f"the node at {node} gave a malformed answer: {error}") from error
+        raise UserError(f"the node at {node} sent a malformed response: {error}") from error
 
 
 def call_node(method: str, node: str, path: str) -> bytes:
-    """Call a node and return the body of its answer.
+    """Send a request without a body to a node and return the body of the response.
 
-    :param node: URL of the node
-    :raises UserError: if the node does not answer or refuses
+    :param node: URL of an address of the node
+    :raises UserError: if the node does not answer within ``CALL_TIMEOUT``, or refuses the request
     """
     url = require_url(node)
     timeout = urllib3.Timeout(CALL_TIMEOUT.total_seconds())
     try:
         with urllib3.PoolManager() as pool:
-            # Not repeated: the operator sees the failure and may repeat the command, which is safe.
+            # Not retried: the operator sees the failure and can safely repeat the command.
             response = pool.request(method, url + path, timeout=timeout, retries=False)
     except HTTPError as error:
         raise UserError(f"the node at {node} does not answer: {describe_failure(error)}") from error
--- a/almondshore/ui/output.py
+++ b/almondshore/ui/output.py
@@ -1,4 +1,4 @@
-"""Tables and JSON on the output of the tool."""
+"""Output of the tool as tables and JSON."""
 
 from collections.abc import Iterable, Sequence
 from typing import Any, TextIO
@@ -8,7 +8,7 @@
 from rich.table import Table
 from rich.text import Text
 
-# Wide enough that no cell is cut or wrapped when the output goes to a file or a pipe.
+# Wide enough that no cell is truncated or wrapped when the output goes to a file or a pipe.
 PIPE_WIDTH_COLUMNS = 10_000
 
 
@@ -27,10 +27,10 @@
 
 
 def printable(text: str) -> str:
-    """Replace control characters, so that stored text cannot drive the operator's terminal."""
+    """Replace control characters by ``?``; stored text must not control the operator's terminal."""
     return "".join(char if char.isprintable() else "?" for char in text)
 
 
-def ready_targets(ready: dict[str, int]) -> str:
-    """Return the numbers of ready targets by version as text."""
+def format_ready_targets(ready: dict[str, int]) -> str:
+    """Format the number of ready targets of each version, such as ``v1: 2, v2: 1``."""
     return ", ".join(f"{version}: {count}" for version, count in ready.items())
--- a/almondshore/ui/platform_errors.py
+++ b/almondshore/ui/platform_errors.py
@@ -1,4 +1,4 @@
-"""Messages for the typed errors of the platform."""
+"""Error messages for failed platform calls."""
 
 from returns.pipeline import is_successful
 from returns.result import Result
@@ -19,8 +19,8 @@
     """The platform did not answer or refused a call."""
 
 
-def describe(error: PlatformError) -> str:
-    """Return a one-line description of an error of the platform."""
+def describe_error(error: PlatformError) -> str:
+    """Return a one-line message for an error of a platform call."""
     match error:
         case Unavailable(detail):
             return f"the platform does not answer: {detail}"
@@ -29,17 +29,17 @@
         case NotFound(key):
             return f"the platform has no object '{key}'"
         case Conflict(key, _):
-            return f"the object '{key}' was changed at the same time"
+            return f"the object '{key}' was changed concurrently"
         case TooLarge(size):
             return f"a value of {size} bytes is too large for the platform"
     return str(error)
 
 
 def require(result: Result):
-    """Return the value of a result.
+    """Return the value of a successful result.
 
     :raises PlatformFailedError: if the result is a failure
     """
     if not is_successful(result):
-        raise PlatformFailedError(describe(result.failure()))
+        raise PlatformFailedError(describe_error(result.failure()))
     return result.unwrap()
--- a/almondshore/ui/retrying.py
+++ b/almondshore/ui/retrying.py
@@ -1,4 +1,4 @@
-"""Bounded repetition of calls that the platform did not answer."""
+"""Retries of platform calls, with a limited number of attempts."""
 
 from collections.abc import Callable
 from datetime import timedelta
@@ -8,25 +8,32 @@
 
 from almondshore.storage.port import RateLimited, Unavailable
 
-ATTEMPTS = 4
+MAX_ATTEMPTS = 4
 FIRST_DELAY = timedelta(milliseconds=200)
-# An operator waits for the command; beyond this an error is more useful.
+# Limits the delay that the platform asks for: an error helps a waiting operator more than a longer
+# delay.
 MAX_DELAY = timedelta(seconds=5)
 
 
 class Retrier:
-    """Repeats calls; the calls must be safe to repeat.
+    """Retries platform calls that got no response or were rate limited.
 
-    :ivar wait: waits for a duration
+    Only for calls that are safe to repeat. The delay doubles with each attempt; a rate-limited call
+    waits as long as the platform asks, up to ``MAX_DELAY``.
+
+    :ivar wait: sleeps for a duration
     """
 
     def __init__(self, *, wait: Callable[[timedelta], None]):
         self.wait = wait
 
     def __call__(self, call: Callable[[], Result]) -> Result:
-        """Call until there is an answer, at most ``ATTEMPTS`` times."""
+        """Call until the platform responds, at most ``MAX_ATTEMPTS`` times.
+
+        :return: the last result
+        """
         delay = FIRST_DELAY
-        for _ in range(ATTEMPTS - 1):
+        for _ in range(MAX_ATTEMPTS - 1):
             result = call()
             if is_successful(result):
                 return result
--- a/almondshore/ui/waiting.py
+++ b/almondshore/ui/waiting.py
@@ -1,4 +1,4 @@
-"""Waiting until a version is in effect in every zone."""
+"""Waits until a version is in effect in every zone."""
 
 from collections.abc import Callable
 from datetime import timedelta
@@ -13,9 +13,10 @@
 
 
 class Waiter:
-    """Polls the status of the zones.
+    """Polls the status of the zones and prints the progress.
 
     :ivar show: prints a line of progress
+    :ivar last_shown: line printed last; a repeated line is not printed
     """
 
     def __init__(self, *, context: Context, show: Callable[[str], None]):
@@ -23,56 +24,61 @@
         self.wait = context.wait
         self.platform = context.platform()
         self.show = show
-        self.shown = ""
+        self.last_shown = ""
 
     def wait_for(self, version: int, *, timeout: timedelta) -> bool:
         """Wait until each node has the version, or a newer one, in effect.
 
-        An outage of the platform does not end the wait.
+        The wait continues during an outage of the platform.
 
-        :returns: whether that was so before the timeout
+        :return: False if the timeout passed before
         """
         deadline = self.clock.monotonic() + timeout
         while True:
-            late = self._poll(version)
-            if late == []:
+            pending = self._poll(version)
+            if pending == []:
                 return True
-            left = deadline - self.clock.monotonic()
-            if left <= timedelta():
+            remaining = deadline - self.clock.monotonic()
+            if remaining <= timedelta():
                 break
-            self.wait(min(left, POLL_INTERVAL))
-        self._show(f"version {version} is not in effect in time")
-        for line in late or ():
+            self.wait(min(remaining, POLL_INTERVAL))
+        self._show(f"version {version} did not take effect in all zones before the timeout")
+        for line in pending or ():
             self._show(f"  {line}")
         return False
 
     def _poll(self, version: int) -> list[str] | None:
-        """Return a description of each zone without the version; None if no zone is known."""
+        """Return a description of each zone that lacks the version.
+
+        :return: None if no zone is known or the platform fails
+        """
         try:
             zones = read_zones(self.platform)
-            silent = zones_with_relays(self.platform) - {zone["zone"] for zone in zones}
+            unreported = zones_with_relays(self.platform) - {zone["zone"] for zone in zones}
         except UserError as error:
             self._show(str(error))
             return None
-        late = [
+        pending = [
             f"{zone['zone']}: {describe_versions(zone)} (reported {zone['at']})"
             for zone in zones
-            if not reached(zone, version)
+            if not zone_has_version(zone, version)
         ]
-        late += [f"{zone}: no status reported" for zone in sorted(silent)]
-        count = len(zones) + len(silent)
-        self._show(f"version {version} is in effect in {count - len(late)} of {count} zones")
-        return late if count else None
+        pending += [f"{zone}: no status reported" for zone in sorted(unreported)]
+        count = len(zones) + len(unreported)
+        self._show(f"version {version} is in effect in {count - len(pending)} of {count} zones")
+        return pending if count else None
 
     def _show(self, line: str) -> None:
-        if line != self.shown:
+        if line != self.last_shown:
             self.show(line)
-            self.shown = line
+            self.last_shown = line
 
 
-def reached(zone: ZoneStatus, version: int) -> bool:
+def zone_has_version(zone: ZoneStatus, version: int) -> bool:
     """Return whether every node of the zone has the version or a newer one in effect."""
-    return bool(zone["versions"]) and all(int(held) >= version for held in zone["versions"])
+    return bool(zone["versions"]) and all(
+        int(node_version) >= version for node_version in zone["versions"]
+    )
 
 
 def describe_versions(zone: ZoneStatus) -> str:
--- a/almondshore/ui/zones.py
+++ b/almondshore/ui/zones.py
@@ -1,4 +1,4 @@
-"""Reading of the status objects of all zones."""
+"""Reads the status objects of all zones."""
 
 import msgspec
 
@@ -24,7 +24,7 @@
 
 
 def zones_with_relays(platform: Platform) -> set[str]:
-    """Return the zones whose relays have taken a lease, whether or not they reported a status.
+    """Return the zones with a relay lease, whether or not they have reported a status.
 
     :raises UserError: if the platform fails
     """
--- a/test/ui/test_apply_races.py
+++ b/test/ui/test_apply_races.py
@@ -8,33 +8,33 @@
 
 SETTINGS = settings(deadline=None, derandomize=True, database=None, max_examples=60)
 writes = st.sets(st.integers(1, 16), max_size=6)
-# Each operator applies once; the second one does so before or after a write of the first.
-rounds = st.tuples(writes, writes, st.sampled_from(("before", "after")), st.integers(0, 8))
+# In each round two operators apply once; the second does so before or after a write of the first.
+race = st.tuples(writes, writes, st.sampled_from(("before", "after")), st.integers(0, 8))
 
 
 class ApplyRacesTest(ToolTest):
     @SETTINGS
-    @given(st.lists(rounds, min_size=1, max_size=4))
+    @given(st.lists(race, min_size=1, max_size=4))
     def test_each_success_is_one_version_and_each_refusal_none(self, script):
         """Guards against lost, duplicate or overwritten versions, and false reports of success."""
         self.store.objects.clear()
         self.results = {}
-        for number, (lost, down, when, at) in enumerate(script):
+        for number, (lost, down, when, write_number) in enumerate(script):
             platform = ScriptedPlatform(store=self.store)
             platform.lost, platform.down = set(lost), set(down)
-            other = self.applied(f"b{number}", self.platform)
-            getattr(platform, when)[at] = other
-            self.applied(f"a{number}", platform)()
-        held = self.held()
+            other = self.make_apply(f"b{number}", self.platform)
+            getattr(platform, when)[write_number] = other
+            self.make_apply(f"a{number}", platform)()
+        published_authors = self.published_authors()
         for author, (code, _, err) in self.results.items():
             if code == 0:
-                self.assertEqual(1, held.count(author))
+                self.assertEqual(1, published_authors.count(author))
             elif "not known" in err:
-                self.assertIn(held.count(author), (0, 1))
+                self.assertIn(published_authors.count(author), (0, 1))
             else:
-                self.assertNotIn(author, held)
+                self.assertNotIn(author, published_authors)
 
-    def applied(self, author, platform):
+    def make_apply(self, author, platform):
         def apply():
             self.results[author] = self.apply(self.text(author), author, platform=platform)
 
@@ -43,8 +43,8 @@
     def text(self, author):
         return RULES.replace("bakery-12", f"bakery-{author}")
 
-    def held(self):
-        """Return the authors of all versions, whose rules and parts must be their own."""
+    def published_authors(self):
+        """Return the author of each version; check that its rules and parts are the author's."""
         publisher = Publisher(platform=self.platform)
         authors = []
         for version in range(1, publisher.current().unwrap().head.version + 1):
--- a/test/ui/test_commands.py
+++ b/test/ui/test_commands.py
@@ -8,14 +8,14 @@
 from test.ui.tooltest import RULES, ToolTest
 
 
-def move(step, state, at_risk=False):
+def move_status(step, state, at_risk=False):
     names = {"service": "desk", "move_id": "m", "from_version": "v1", "to_version": "v2"}
     progress = {"step_percent": step, "state": state, "at_risk": at_risk}
     return {**names, **progress, "reason": "", "deadline": "2026-12-08T05:00:00+00:00"}
 
 
 ROLLOUT_FIELDS = ("to_version", "state", "share")
-VIEW = {
+NODE_VIEW = {
     "node": "n\x1b[2J1",
     "zone": "zone-a",
     "service": "desk",
@@ -46,20 +46,24 @@
 class ReadingTest(ToolTest):
     def test_diff_of_files_ignores_order_and_spacing(self):
         lines = RULES.splitlines()
-        old = self.file(name="old")
-        new = self.file("\n".join([lines[2].replace("  ", " "), "", *lines[:2]]), name="new")
+        old = self.write_rules(name="old")
+        new = self.write_rules("\n".join([lines[2].replace("  ", " "), "", *lines[:2]]), name="new")
         self.assertEqual((0, "no differences\n", ""), self.run_tool("diff", old, new, url=""))
 
     def test_diff_against_the_published_rules(self):
         self.apply()
-        changed = self.file(RULES.replace("100  # Anna: contract", "90  # Ugo: less"))
+        changed = self.write_rules(RULES.replace("100  # Anna: contract", "90  # Ugo: less"))
         change = json.loads(self.run_tool("diff", changed, "--json")[1])["changes"][0]
-        self.assertEqual(("changed", 3, "Ugo"), (change["kind"], *_place(change["new"])))
-        self.assertEqual((3, "Anna"), _place(change["old"]))
+        self.assertEqual(
+            ("changed", 3, "Ugo"), (change["kind"], *_line_and_requester(change["new"]))
+        )
+        self.assertEqual((3, "Anna"), _line_and_requester(change["old"]))
 
     def test_diff_of_a_malformed_file(self):
-        """Guards against a difference that leaves out lines with findings."""
-        code, out, err = self.run_tool("diff", self.file(), self.file("x", "new"), url="")
+        """Guards against a diff that silently omits lines with findings."""
+        code, out, err = self.run_tool(
+            "diff", self.write_rules(), self.write_rules("x", "new"), url=""
+        )
         self.assertEqual((1, ""), (code, out))
         self.assertIn("new:1:1: unknown-rule", err)
 
@@ -88,17 +92,17 @@
         self.assertEqual(["n1"], [item["node"] for item in found])
 
     def test_moves_merge_zones(self):
-        """Guards against hiding that one zone is behind or sees a risk."""
-        self.report("a", {}, moves=[move(25, "active")])
-        self.report("b", {}, moves=[move(5, "active", at_risk=True)])
+        """Guards against hiding that one zone is behind or reports a risk."""
+        self.report("a", {}, moves=[move_status(25, "active")])
+        self.report("b", {}, moves=[move_status(5, "active", at_risk=True)])
         found = json.loads(self.run_tool("moves", "--json")[1])["moves"]
         self.assertEqual(1, len(found))
         self.assertEqual(([5, 25], True), (found[0]["steps_percent"], found[0]["at_risk"]))
         self.assertIn("5% to 25%", self.run_tool("moves")[1])
 
     def test_failures_are_one_line(self):
-        """Guards against tracebacks during an outage or for malformed objects."""
-        commands = (["status"], ["nodes"], ["moves"], ["history"], ["diff", self.file()])
+        """Guards against tracebacks during an outage or on malformed objects."""
+        commands = (["status"], ["nodes"], ["moves"], ["history"], ["diff", self.write_rules()])
         self.store.put("config/head", b"\xc1", 0, "w")
         self.store.put("status/a", b"\xc1", 0, "w")
         for fault in (Fault.NONE, Fault.DOWN):
@@ -139,7 +143,7 @@
         self.assertEqual(["/almondshore/v1/drain"], requests)
 
     def test_targets_of_a_node(self):
-        """Guards against operators who cannot see which targets a node knows in an outage."""
+        """Guards against an outage in which operators cannot see the targets that a node knows."""
         found = [
             {"target": "i-1", "service": "s", "version": "v1", "zone": "a", "node": "10.0.0.1:8"}
             | {"state": "ready", "answers": True},
@@ -158,8 +162,8 @@
         self.assertEqual(1, self.run_tool("nodes", "--node", url, url="")[0])
 
     def test_rollouts_of_a_node(self):
-        """Guards against operators who cannot see in an outage how far a rollout has come."""
-        url, requests = self.serve(200, json.dumps(VIEW).encode())
+        """Guards against an outage in which operators cannot see the progress of a rollout."""
+        url, requests = self.serve(200, json.dumps(NODE_VIEW).encode())
         code, out, err = self.run_tool("moves", "--node", url, url="")
         self.assertEqual((0, ["/status"], ""), (code, requests, err))
         self.assertIn("25%", out)
@@ -167,21 +171,21 @@
         self.assertEqual(("v2", "running", 0.25), tuple(found[k] for k in ROLLOUT_FIELDS))
 
     def test_node(self):
-        """Guards against a view that hides how old a node's state is, or a terminal sequence."""
-        url, requests = self.serve(200, json.dumps(VIEW).encode())
+        """Guards against output that hides the age of a node's state or has terminal sequences."""
+        url, requests = self.serve(200, json.dumps(NODE_VIEW).encode())
         code, out, err = self.run_tool("node", url, url="")
         self.assertEqual((0, ["/status"], ""), (code, requests, err))
         for text in ("1700 ms old", "store away for 900 ms", "v1: 2", "v2 running at 25%"):
             self.assertIn(text, out)
         self.assertNotIn("\x1b", out)
-        self.assertEqual(VIEW, json.loads(self.run_tool("node", url, "--json", url="")[1]))
+        self.assertEqual(NODE_VIEW, json.loads(self.run_tool("node", url, "--json", url="")[1]))
         for malformed in (b"{}", b"<html>"):
             url, _ = self.serve(200, malformed)
             code, out, err = self.run_tool("node", url, url="")
             self.assertEqual((1, "", 1), (code, out, err.count("\n")))
 
     def test_failures(self):
-        """Guards against a drain that is taken as started when it was not."""
+        """Guards against reporting a drain as started when the node refused it."""
         url, requests = self.serve(503)
         code, out, err = self.run_tool("drain", url, url="")
         self.assertEqual((1, "", 1, 1), (code, out, err.count("\n"), len(requests)))
@@ -190,5 +194,5 @@
             self.assertEqual(2, self.run_tool("drain", wrong, url="")[0], wrong)
 
 
-def _place(side):
+def _line_and_requester(side):
     return side["line"], side["requester"]
--- a/test/ui/tooltest.py
+++ b/test/ui/tooltest.py
@@ -25,12 +25,12 @@
 
 
 class ScriptedPlatform(MemoryPlatform):
-    """A platform that fails chosen writes and lets others act before them.
+    """A platform that fails selected writes and runs actions before or after them.
 
-    :ivar lost: numbers, from 1, of the writes that take effect without an answer
+    :ivar lost: numbers, from 1, of the writes that take effect but whose response is lost
     :ivar down: numbers of the writes that do not take effect
-    :ivar before: actions by the number of the write that they precede
-    :ivar after: actions by the number of the write that they follow
+    :ivar before: actions by number of the write before which they run
+    :ivar after: actions by number of the write after which they run
     """
 
     def __init__(self, *, store):
@@ -62,13 +62,16 @@
         self.addCleanup(directory.cleanup)
         self.directory = Path(directory.name)
 
-    def file(self, text=RULES, name="rules.txt"):
+    def write_rules(self, text=RULES, name="rules.txt"):
         path = self.directory / name
         path.write_bytes(text.encode())
         return str(path)
 
     def run_tool(self, *tokens, url="memory:", platform=None, wait=None):
-        """Return the exit code, the output and the errors of a command."""
+        """Run a command; return its exit code, output and error output.
+
+        :param wait: replaces the waits of the command; by default they advance the clock
+        """
         context = Context(
             clock=self.clock,
             out=io.StringIO(),
@@ -81,7 +84,7 @@
         return code, context.out.getvalue(), context.err.getvalue()
 
     def apply(self, text=RULES, author="Livia", *options, platform=None):
-        file = self.file(text, f"{author}.txt")
+        file = self.write_rules(text, f"{author}.txt")
         return self.run_tool("apply", file, "--author", author, *options, platform=platform)
 
     def report(self, zone, versions, nodes=(), moves=()):
@@ -90,6 +93,6 @@
             zone=zone, at="t", versions=versions, nodes=list(nodes), moves=list(moves)
         )
         key = f"status/{zone}"
-        held = self.store.objects.get(key)
-        revision = held.revision if held else 0
+        stored = self.store.objects.get(key)
+        revision = stored.revision if stored else 0
         self.store.put(key, encode_status(status), revision, f"{zone}{revision}")
