--- a/docs/examples/three_nodes.py
+++ b/docs/examples/three_nodes.py
@@ -1,4 +1,4 @@
-"""Three nodes in two zones on one manual clock: a version and a target reach all of them."""
+"""Simulates three nodes in two zones on one manual clock; all learn of a version and a target."""
 
 import random
 import sys
@@ -30,7 +30,7 @@
 def publish(platform: Platform, clock: Clock, text: bytes) -> int:
     """Check a rules file and publish it as the first version.
 
-    :returns: the number of the version
+    :return: the number of the version
     :raises InvalidInputError: if the rules have findings
     """
     findings = FindingList(file="rules.txt")
@@ -51,8 +51,13 @@
     return published.unwrap().version
 
 
-class Pump:
-    """Runs nodes on one clock and delivers what they send, in order and without loss."""
+class Simulation:
+    """Runs nodes on one clock and delivers their messages in order and without loss.
+
+    :ivar nodes: nodes by control address
+    :ivar queue: sender and message of each message not yet delivered
+    :ivar delivered: number of delivered messages
+    """
 
     def __init__(self, *, seed: int):
         self.clock = ManualClock()
@@ -63,7 +68,7 @@
         self.delivered = 0
 
     def add(self, ip: str, zone: str) -> Node:
-        """Start a node that knows the control addresses of the nodes before it."""
+        """Create a node that knows the control addresses of the nodes created before it."""
         control = f"{ip}:7402"
         node = Node(
             clock=self.clock,
@@ -77,7 +82,7 @@
         return node
 
     def send(self, sender: str, sends: list[Send]) -> None:
-        """Put what a node wants sent on its way."""
+        """Queue the messages of a node for delivery."""
         self.queue.extend((sender, item) for item in sends)
 
     def step(self) -> None:
@@ -95,38 +100,38 @@
         self.clock.advance(STEP)
 
     def run(self, duration: timedelta) -> None:
-        """Run for a time on the manual clock."""
+        """Run steps for a duration of the manual clock."""
         end = self.clock.monotonic() + duration
         while self.clock.monotonic() < end:
             self.step()
 
 
-def announce(pump: Pump, node: Node) -> None:
-    """Take the announcement of the target beside a node and make the change known."""
+def announce(simulation: Simulation, node: Node) -> None:
+    """Register or renew the target on a node's host and publish the change to the other nodes."""
     records = node.control.local.announce(
         target="counter-1", service="counter-app", version="v1", slots=10
     )
-    pump.send(node.identity.control, node.control.announce(records))
+    simulation.send(node.identity.control, node.control.announce(records))
 
 
-def run(seed: int = 1) -> Pump:
-    """Run the example and return the pump with its nodes."""
-    pump = Pump(seed=seed)
-    publish(pump.platform, pump.clock, RULES)
+def run(seed: int = 1) -> Simulation:
+    """Run the example and return the simulation with its nodes."""
+    simulation = Simulation(seed=seed)
+    publish(simulation.platform, simulation.clock, RULES)
     for ip, zone in ZONES.items():
-        pump.add(ip, zone)
-    pump.run(timedelta(seconds=20))
-    first = next(iter(pump.nodes.values()))
+        simulation.add(ip, zone)
+    simulation.run(timedelta(seconds=20))
+    first = next(iter(simulation.nodes.values()))
     for _ in range(3):
-        announce(pump, first)
-        pump.run(ANNOUNCE_INTERVAL)
-    return pump
+        announce(simulation, first)
+        simulation.run(ANNOUNCE_INTERVAL)
+    return simulation
 
 
 def main() -> None:
-    """Run the example and print what each node holds."""
-    pump = run()
-    for address, node in pump.nodes.items():
+    """Run the example and print the state of each node."""
+    simulation = run()
+    for address, node in simulation.nodes.items():
         version = node.control.config.state.current.version
         targets = sorted(node.control.directory.records)
         routed = sorted(node.current_routes().weights)
@@ -134,7 +139,7 @@
             f"{address} {node.identity.zone} ready={node.ready} version={version} "
             f"targets={targets} routed={routed} relay={node.control.relay is not None}\n"
         )
-    sys.stdout.write(f"messages delivered: {pump.delivered}\n")
+    sys.stdout.write(f"messages delivered: {simulation.delivered}\n")
 
 
 if __name__ == "__main__":
--- a/test/docs/test_operations.py
+++ b/test/docs/test_operations.py
@@ -1,4 +1,4 @@
-"""Tests of the operator's page: what needs no deployment is run as it is written."""
+"""Tests of the operations page; commands that need no deployment are run as written there."""
 
 import io
 import os
@@ -17,8 +17,8 @@
 
 DOCS = Path(__file__).parents[2] / "docs"
 PAGE = (DOCS / "OPERATIONS.md").read_text()
-# The day of the runs that the page shows; the deadlines on it lie after this day.
-DAY = datetime(2026, 12, 4, 10, 0, tzinfo=UTC)
+# Time of the runs on the page; the deadlines on the page are later.
+RUN_TIME = datetime(2026, 12, 4, 10, 0, tzinfo=UTC)
 PROMPT = "    $ "
 
 
@@ -27,7 +27,7 @@
 
 
 def commands(name):
-    """Return the commands of the page that run a command of the tool, with the output shown."""
+    """Return the arguments and the shown output of each run of a command on the page."""
     found = []
     for block in re.findall(r"(?:^    .*\n)+", PAGE, re.M):
         for part in block.split(PROMPT)[1:]:
@@ -52,33 +52,33 @@
         Path("edited.txt").write_text(rules + moved)
         Path("broken.txt").write_text((rules + broken).replace("class urgent", "class urgnt"))
 
-    def tool(self, words):
+    def run_tool(self, words):
         out, err = io.StringIO(), io.StringIO()
-        code = run(words, context=Context(clock=ManualClock(start=DAY), out=out, err=err))
+        code = run(words, context=Context(clock=ManualClock(start=RUN_TIME), out=out, err=err))
         return code, (err.getvalue() + out.getvalue()).splitlines()
 
     def test_check_prints_what_the_page_shows(self):
-        """Guards against a rules file on the page that the tool refuses, or other output."""
+        """Guards against a rules file on the page that the tool refuses, and different output."""
         shown = commands("check")
         self.assertEqual(["rules.txt", "edited.txt"], [words[1] for words, _ in shown])
         for words, output in shown:
-            self.assertEqual((0, output), self.tool(words))
+            self.assertEqual((0, output), self.run_tool(words))
 
     def test_diff_prints_what_the_page_shows(self):
-        """Guards against a moved deadline that is shown differently.
+        """Guards against a changed deadline that the tool shows in another way than the page.
 
-        The published rules, which the page compares with, are given as a file.
+        The published rules, with which the page compares, are read from a file instead.
         """
         ((words, output),) = commands("diff")
         self.assertEqual(["diff", "edited.txt"], words)
-        self.assertEqual((0, output), self.tool(["diff", "published.txt", "edited.txt"]))
+        self.assertEqual((0, output), self.run_tool(["diff", "published.txt", "edited.txt"]))
 
     def test_findings_are_those_that_the_page_shows(self):
-        """Guards against findings whose place, code or wording differs from the page."""
+        """Guards against findings whose position, code or wording differs from the page."""
         output = next(out for words, out in commands("apply") if words[1] == "broken.txt")
-        self.assertEqual((1, output[:-1]), self.tool(["check", "broken.txt"]))
+        self.assertEqual((1, output[:-1]), self.run_tool(["check", "broken.txt"]))
         words = ["--platform", "http://127.0.0.1:9", "apply", "broken.txt", "--author", "livia"]
-        self.assertEqual((1, output), self.tool(words))
+        self.assertEqual((1, output), self.run_tool(words))
 
     def test_settings_load_without_findings(self):
         """Guards against a settings file on a page with a key or value that is refused."""
@@ -93,7 +93,8 @@
         text = re.search(r"```\n(service .*?)```", (DOCS / "rules.md").read_text(), re.S)[1]
         Path("rules-page.txt").write_text(text)
         self.assertEqual(
-            (0, ["rules-page.txt: 5 rules, no findings"]), self.tool(["check", "rules-page.txt"])
+            (0, ["rules-page.txt: 5 rules, no findings"]),
+            self.run_tool(["check", "rules-page.txt"]),
         )
 
     def test_links_lead_to_pages(self):
@@ -107,7 +108,7 @@
                 )
 
     def test_events_of_the_page_are_documented(self):
-        """Guards against an event that only one of the two pages names."""
+        """Guards against a log event of the page that the reference of log events lacks."""
         listed = re.findall(r"^\| (`.*?) \|", PAGE.partition("## Log events")[2], re.M)
         reference = (DOCS / "logs-and-metrics.md").read_text()
         for event in re.findall(r"`(\w+)", " ".join(listed)):
