Reword the process tests

The test of a target that stops under load claimed to guard against requests that run twice, which it does not check; its docstring now names the failed and cut-off requests that it checks.

--- a/test/process/processtest.py
+++ b/test/process/processtest.py
@@ -1,4 +1,4 @@
-"""Base class of tests with real processes, and the checks they share."""
+"""Base class and helpers of tests with real processes."""
 
 import json
 import threading
@@ -13,7 +13,7 @@
 
 SAMPLE_INTERVAL_SECONDS = 0.05
 SAMPLE_TIMEOUT_SECONDS = 1
-CONVERGENCE_BOUND = timedelta(seconds=60)
+CONVERGENCE_TIMEOUT = timedelta(seconds=60)
 NODES = {"node-a1": "zone-a", "node-a2": "zone-a", "node-b1": "zone-b", "node-b2": "zone-b"}
 RULES = """\
 service counter-app version v1  # Anna: base
@@ -25,10 +25,13 @@
 
 
 class VersionSampler:
-    """Samples the configuration version of every node in the background.
+    """Samples the configuration version of every node in background threads.
 
-    A process that has just started shows version 0 until it has learnt one; that is no step back
-    as long as it does not call itself ready.
+    A process that has just started reports version 0 until it has received a version; this is not a
+    decrease as long as it does not report that it is ready.
+
+    :ivar highest: process ID and highest version seen, by node
+    :ivar decreases: node, highest version before and lower version seen afterwards
     """
 
     def __init__(self, deployment: Deployment):
@@ -46,7 +49,7 @@
             thread.start()
 
     def stop(self) -> None:
-        """End sampling."""
+        """Stop sampling and wait for the threads."""
         self.ended.set()
         for thread in self.threads:
             thread.join()
@@ -60,24 +63,24 @@
                 status = json.loads(self.http.request("GET", url).data)
             except (urllib3.exceptions.HTTPError, ValueError):
                 continue
-            self._take(name, node.process.pid, status)
+            self._record_status(name, node.process.pid, status)
 
-    def _take(self, name: str, process: int, status: dict) -> None:
+    def _record_status(self, name: str, pid: int, status: dict) -> None:
         version = status["config_version"]
-        last_process, highest = self.highest.get(name, (process, 0))
+        last_pid, highest = self.highest.get(name, (pid, 0))
         self.samples += 1
-        if version == 0 and process != last_process and not status["ready"]:
+        if version == 0 and pid != last_pid and not status["ready"]:
             return
         if version < highest:
             self.decreases.append((name, highest, version))
-        self.highest[name] = (process, max(highest, version))
+        self.highest[name] = (pid, max(highest, version))
 
 
 class ProcessTest(TestCase):
     """Shares one deployment between the tests of a class."""
 
     zones = NODES
-    # Targets that every node is to know.
+    # Targets that the directory of every node must contain.
     targets: Sequence[TargetProcess] = ()
 
     @classmethod
@@ -95,11 +98,11 @@
 
     @classmethod
     def start_targets(cls):
-        """Start the targets of the class."""
+        """Start the targets of the test class and set ``targets``."""
 
     @classmethod
     def apply(cls) -> int:
-        """Publish rules that differ from the last ones and return the version."""
+        """Publish rules that differ from the previous ones and return the version."""
         file = cls.deployment.path / "rules.txt"
         file.write_text(RULES.format(limit=10000 + cls.version))
         result = cls.deployment.command("apply", str(file), "--author", "anna")
@@ -110,7 +113,7 @@
 
     @classmethod
     def converged(cls, names=()) -> bool:
-        """Return whether the named nodes, or all, have the last version and know the targets."""
+        """Return whether the named nodes, or all, have the newest version and know all targets."""
         nodes = [cls.deployment.nodes[name] for name in names or cls.zones]
         statuses = [cls.deployment.status_of(node) for node in nodes]
         return all(
@@ -124,15 +127,15 @@
         self.wait(lambda: self.converged(names), f"version {self.version}")
 
     @classmethod
-    def wait(cls, condition, what, bound=CONVERGENCE_BOUND):
-        """Wait for a condition; a failure shows the state and the last log lines of the nodes."""
+    def wait(cls, condition, what, timeout=CONVERGENCE_TIMEOUT):
+        """Wait for a condition; a failure reports the state and last log lines of the nodes."""
         try:
-            wait_for(condition, what, bound)
+            wait_for(condition, what, timeout)
         except TimeoutError as error:
             raise AssertionError(f"{error}\n{cls.deployment.report()}") from error
 
     def relay_of(self, zone, without=()):
-        """Return a node of the zone that is its relay, or None."""
+        """Return a node that is a relay of the zone, except those named, or None."""
         for name, found in self.zones.items():
             node = self.deployment.nodes[name]
             if found == zone and name not in without:
@@ -147,5 +150,5 @@
 
 
 def pause(seconds: float) -> None:
-    """Let load flow; no verdict depends on the time."""
+    """Sleep while the processes go on; no check depends on the exact duration."""
     time.sleep(seconds)
--- a/test/process/raw.py
+++ b/test/process/raw.py
@@ -1,4 +1,4 @@
-"""Requests written byte by byte, as no client library would send them."""
+"""Raw requests that HTTP client libraries would not send."""
 
 import socket
 from typing import NamedTuple
@@ -7,7 +7,11 @@
 
 
 class RawResponse(NamedTuple):
-    """What came back until the server closed the connection or the time was up."""
+    """Status line and headers of a response; status 0 if none was received.
+
+    :ivar head: status line and headers in lower case
+    :ivar closed: whether the server closed the connection before the end of the headers
+    """
 
     status: int
     head: str
@@ -15,7 +19,7 @@
 
 
 def send_raw(address: str, data: bytes, *, end: bool = False) -> RawResponse:
-    """Send bytes on a new connection and read one response.
+    """Send bytes on a new connection and read the head of one response.
 
     :param end: whether to close the sending side after the bytes
     """
@@ -38,7 +42,7 @@
 
 
 def read_all(address: str, data: bytes) -> bytes:
-    """Send bytes on a new connection and read until the server closes it or falls silent."""
+    """Send bytes on a new connection; read until the server closes it or is silent for 2 s."""
     host, _, port = address.rpartition(":")
     with socket.create_connection((host, int(port)), timeout=2) as connection:
         connection.sendall(data)
--- a/test/process/test_bad_input.py
+++ b/test/process/test_bad_input.py
@@ -1,10 +1,10 @@
-"""Malformed requests on a raw socket are refused and reach no target."""
+"""Tests that malformed requests on a raw socket are refused and do not reach a target."""
 
 from test.process.processtest import ProcessTest
 from test.process.raw import read_all, send_raw
 
 POST = b"POST /schedule/x HTTP/1.1\r\nhost: a\r\n"
-HIDDEN = b"GET /schedule/hidden HTTP/1.1\r\nhost: a\r\n\r\n"
+SMUGGLED_REQUEST = b"GET /schedule/hidden HTTP/1.1\r\nhost: a\r\n\r\n"
 MAX_BODY_BYTES = 16 * 1024 * 1024
 
 
@@ -26,9 +26,13 @@
         return self.deployment.runs_of(self.target)["runs"]
 
     def check_refused(self, data, *statuses):
-        """Check that one 4xx comes back and that the rest is not taken for a request."""
+        """Check that the request is refused and that no other request is parsed from its data.
+
+        ``SMUGGLED_REQUEST`` follows the data on the same connection and must be neither answered
+        nor run.
+        """
         before = self.runs()
-        received = read_all(self.address, data + HIDDEN)
+        received = read_all(self.address, data + SMUGGLED_REQUEST)
         self.assertIn(int(received.split()[1]), statuses, (data[:200], received))
         self.assertEqual(1, received.count(b"HTTP/1."), (data[:200], received))
         self.assertNotIn(b"Traceback", received)
@@ -59,7 +63,7 @@
             self.check_refused(POST + lines, 400)
 
     def test_truncated_body(self):
-        """Guards against a push of half a schedule when a caller dies within the body."""
+        """Guards against a push of a partial schedule when a caller dies while sending the body."""
         for rest in (
             b"content-length: 10\r\n\r\nab",
             b"transfer-encoding: chunked\r\n\r\na\r\nab",
@@ -73,7 +77,7 @@
             self.assertEqual(before, self.runs(), rest)
 
     def test_oversized(self):
-        """Guards against a body or header that fills the memory of a node."""
+        """Guards against a body or header that exhausts the memory of a node."""
         self.check_refused(POST + b"content-length: 99999999\r\n\r\n", 413)
         size = MAX_BODY_BYTES + 1
         body = b"x" * size
--- a/test/process/test_configuration.py
+++ b/test/process/test_configuration.py
@@ -1,4 +1,4 @@
-"""Configuration survives the failure of processes and reaches all nodes."""
+"""Tests that the configuration reaches all nodes and never goes back while processes fail."""
 
 import signal
 import threading
@@ -12,7 +12,7 @@
         self.sampler = VersionSampler(self.deployment)
         self.addCleanup(self.sampler.stop)
 
-    def others(self, name):
+    def other_nodes(self, name):
         return [other for other in self.zones if other != name]
 
     def check_never_older(self):
@@ -21,7 +21,7 @@
         self.assertEqual([], self.sampler.decreases)
 
     def test_relay_killed_while_rules_are_applied(self):
-        """Guards against nodes that stay behind, or go back, when their relay dies."""
+        """Guards against nodes that keep or return to an older version when their relay dies."""
         relay = self.wait_relay("zone-a")
         killer = threading.Timer(0.2, relay.process.kill)
         killer.start()
@@ -29,13 +29,13 @@
             self.apply()
         killer.join()
         relay.process.wait()
-        self.wait_converged(*self.others(relay.name))
+        self.wait_converged(*self.other_nodes(relay.name))
         self.deployment.restart_node(relay.name)
         self.wait_converged()
         self.check_never_older()
 
-    def test_lost_answers_of_the_platform(self):
-        """Guards against an apply that fails or publishes twice when answers are lost."""
+    def test_lost_responses_of_the_platform(self):
+        """Guards against an apply that fails or publishes twice when responses are lost."""
         before = self.version
         self.deployment.set_fault("lose-answers")
         self.addCleanup(self.deployment.set_fault, "none")
@@ -66,14 +66,14 @@
         self.check_never_older()
 
     def test_relay_paused_past_its_lease(self):
-        """Guards against a relay that wakes after its lease and spreads an older version."""
+        """Guards against a relay that resumes after its lease and distributes an older version."""
         relay = self.wait_relay("zone-a")
         relay.process.send_signal(signal.SIGSTOP)
         self.addCleanup(relay.process.send_signal, signal.SIGCONT)
         # The other node of the zone becomes relay only after the lease has expired.
         self.wait_relay("zone-a", without=(relay.name,))
         self.apply()
-        self.wait_converged(*self.others(relay.name))
+        self.wait_converged(*self.other_nodes(relay.name))
         relay.process.send_signal(signal.SIGCONT)
         self.wait_converged()
         self.apply()
--- a/test/process/test_once.py
+++ b/test/process/test_once.py
@@ -1,4 +1,4 @@
-"""An idempotency key runs at most once while nodes and targets are killed."""
+"""Tests that an idempotency key runs at most once while nodes and targets are killed."""
 
 from collections import Counter
 from datetime import timedelta
@@ -9,7 +9,7 @@
 from test.process.processtest import ProcessTest, pause
 from test.process.test_requests import REQUEST_TIMEOUT_SECONDS, send
 
-GRANT_BOUND = timedelta(seconds=30)
+GRANT_TIMEOUT = timedelta(seconds=30)
 KEYS = 30
 
 
@@ -22,7 +22,7 @@
     def start_targets(cls):
         owner = cls.deployment.nodes["node-a1"]
         cls.targets = [cls.deployment.start_target(owner, "fault-desk", "v1") for _ in range(2)]
-        cls.ended = Counter()
+        cls.runs_of_killed = Counter()
 
     def setUp(self):
         super().setUp()
@@ -31,7 +31,7 @@
         self.sent = 0
 
     def push(self, key, *names):
-        """Send a keyed push through the named nodes, or all."""
+        """Send a push with an idempotency key through each of the named nodes, or all nodes."""
         return [
             send(
                 self.http,
@@ -44,12 +44,15 @@
         ]
 
     def wait_granted(self, name):
-        """Wait until new keys are granted, that is, until the owner is past its start."""
+        """Wait until new keys are granted; an owner refuses them for a time after its start."""
 
         self.wait_all_granted(name, keys=1)
 
     def wait_all_granted(self, name, *, keys):
-        """Wait until so many new keys are granted in a row; a failure shows the last answers."""
+        """Wait until this number of new keys is granted in a row.
+
+        A failure reports the last responses.
+        """
         answers = []
 
         def granted():
@@ -59,14 +62,14 @@
             return all(answer.status == 200 for answer in answers)
 
         try:
-            self.wait(granted, "grants of new keys", GRANT_BOUND)
+            self.wait(granted, "grants of new keys", GRANT_TIMEOUT)
         except AssertionError as error:
             seen = Counter((answer.status, answer.outcome, answer.reason) for answer in answers)
             raise AssertionError(f"{seen}\n{error}") from error
 
     def runs(self):
-        """Return the runs of each key, those of killed targets as last read."""
-        found = Counter(self.ended)
+        """Return the number of runs of each key; runs of killed targets as read before the kill."""
+        found = Counter(self.runs_of_killed)
         for target in self.targets:
             found.update(self.deployment.runs_of(target)["by_key"])
         return found
@@ -76,18 +79,18 @@
         self.assertEqual([], [(key, runs[key]) for key in keys if runs[key] != 1])
 
     def test_a_key_resent_through_every_node(self):
-        """Guards against a key that runs again at another node, target or after a death."""
+        """Guards against a key that runs again at another node or target, or after a death."""
         self.wait_granted("node-a2")
         keys = [f"resent-{number}" for number in range(KEYS)]
         for key in keys:
             answers = self.push(key)
             self.assertEqual({200}, {answer.status for answer in answers}, answers)
         self.check_once(keys)
-        victim = max(self.targets, key=lambda t: self.deployment.runs_of(t)["runs"])
-        self.ended.update(self.deployment.runs_of(victim)["by_key"])
-        self.targets.remove(victim)
-        victim.process.kill()
-        victim.process.wait()
+        killed_target = max(self.targets, key=lambda t: self.deployment.runs_of(t)["runs"])
+        self.runs_of_killed.update(self.deployment.runs_of(killed_target)["by_key"])
+        self.targets.remove(killed_target)
+        killed_target.process.kill()
+        killed_target.process.wait()
         for key in keys:
             self.push(key)
         self.check_once(keys)
@@ -109,14 +112,14 @@
         for key in keys:
             self.assertEqual(200, self.push(key, "node-a2")[0].status)
         owner = self.deployment.nodes["node-a1"]
-        # An owner that dies before the platform has been up for so long may have run keys that it
-        # has not claimed; those that it may have run are then refused for the retention.
+        # An owner that dies before the platform has been up for this long may have run keys without
+        # a claim; all keys that it may have run are then refused for the retention period.
         pause((PLATFORM_SETTLE_TIME + CONTACT_MAX_AGE).total_seconds())
         owner.process.kill()
         owner.process.wait()
         self.deployment.restart_node(owner.name)
         self.wait_converged()
-        # Beyond the time in which a node that starts refuses all keys as unproven.
+        # Longer than the time during which a starting node refuses all keys as unproven.
         for _ in range(8):
             for key in keys:
                 self.push(key, "node-a2")
@@ -124,7 +127,7 @@
         self.check_once(keys)
 
     def test_c_owner_that_joins(self):
-        """Guards against a new owner that refuses its keys for ever."""
+        """Guards against a new owner that refuses its keys permanently."""
         joining = self.deployment.start_target(self.deployment.nodes["node-b1"], "fault-desk", "v1")
         self.targets.append(joining)
         pause(10)
--- a/test/process/test_requests.py
+++ b/test/process/test_requests.py
@@ -1,4 +1,4 @@
-"""Requests keep their guarantees while nodes and targets are killed or drained."""
+"""Tests of the guarantees for requests while nodes and targets are killed or drained."""
 
 import json
 import threading
@@ -15,7 +15,10 @@
 
 
 class Answer(NamedTuple):
-    """What a caller saw; status 0 if the response was cut, -1 if no connection was made."""
+    """Result of a request at its caller.
+
+    :ivar status: HTTP status; 0 if the response was cut off, -1 if no connection was made
+    """
 
     path: str
     key: str
@@ -25,7 +28,7 @@
 
 
 class Load:
-    """Callers that each send one request after the other, each with a path of its own."""
+    """Callers that each send one request at a time; each request has a unique path."""
 
     def __init__(self, test, addresses, method, prefix, *, callers=6):
         self.method, self.prefix = method, prefix
@@ -47,7 +50,7 @@
         return self.answers
 
     def _run(self, number):
-        # A connection for each request, so that a draining node may close idle ones.
+        # Each request uses its own connection, because a draining node may close idle ones.
         http = urllib3.PoolManager(retries=False, timeout=REQUEST_TIMEOUT_SECONDS)
         sent = 0
         while not self.ended.is_set():
@@ -98,7 +101,7 @@
         return [nodes[name].addresses.caller for name in self.zones if name not in without]
 
     def runs(self):
-        """Return how often the targets that live ran each path."""
+        """Return how many times the running targets have run each path."""
         paths = Counter()
         for target in self.targets:
             if target.process.poll() is None:
@@ -106,28 +109,31 @@
         return paths
 
     def check_runs(self, answers, *, once):
-        """Check the outcomes against what the targets ran."""
+        """Check that requests reported as not run did not run.
+
+        :param once: whether to check also that no request ran more than once
+        """
         paths = self.runs()
         ran_anyway = [a for a in answers if a.outcome == NOT_RUN and paths[a.path]]
         self.assertEqual([], ran_anyway)
         if once:
             self.assertEqual([], [a for a in answers if paths[a.path] > 1])
 
-    def whole(self, answers):
-        """Return the answers by status and reason, after a check that none was cut."""
+    def count_answers(self, answers):
+        """Count the answers by status and reason; check that no response was cut off."""
         found = Counter((a.status, a.reason) for a in answers)
         self.assertEqual([], [a for a in answers if a.status == 0])
         return found
 
-    def start_missing(self):
-        """Start what a test has killed, and wait until every node knows it."""
+    def restart_stopped_nodes(self):
+        """Restart the nodes that a test has stopped, and wait until all nodes have converged."""
         for name, node in list(self.deployment.nodes.items()):
             if node.process.poll() is not None:
                 self.deployment.restart_node(name)
         self.wait_converged()
 
     def test_a_target_leaves_under_load(self):
-        """Guards against requests that are cut, or run twice, when a target is told to end."""
+        """Guards against requests that fail or are cut off when a target is told to stop."""
         target = self.deployment.start_target(
             self.deployment.nodes["node-b2"], "counter-app", "v1", *LATENCY
         )
@@ -138,43 +144,47 @@
         target.process.terminate()
         self.assertEqual(0, target.process.wait(60))
         self.targets.remove(target)
-        seen = len(load.answers)
-        self.wait(lambda: len(load.answers) > seen + 50, "requests after the target's end")
+        answers_before = len(load.answers)
+        self.wait(
+            lambda: len(load.answers) > answers_before + 50, "requests after the target's end"
+        )
         answers = load.stop()
-        self.assertEqual({(200, "")}, set(self.whole(answers)))
+        self.assertEqual({(200, "")}, set(self.count_answers(answers)))
         self.check_runs(answers, once=False)
 
     def test_b_node_leaves_under_load(self):
-        """Guards against requests that are cut when a node is told to end."""
+        """Guards against requests that are cut off when a node is told to stop."""
         node = self.deployment.nodes["node-a2"]
         load = Load(self, self.callers(), "GET", "/schedule", callers=8)
         self.wait(lambda: len(load.answers) > 50, "load")
         node.process.terminate()
         self.assertEqual(0, node.process.wait(60))
-        seen = len(load.answers)
-        self.wait(lambda: len(load.answers) > seen + 100, "requests after the node's end")
+        answers_before = len(load.answers)
+        self.wait(lambda: len(load.answers) > answers_before + 100, "requests after the node's end")
         answers = load.stop()
-        found = self.whole(answers)
+        found = self.count_answers(answers)
         self.check_runs(answers, once=False)
-        # The callers of the node itself find no listener any more.
+        # Callers of the stopped node itself get no connection.
         self.assertEqual({(200, ""), (-1, "")}, set(found), found)
-        self.start_missing()
+        self.restart_stopped_nodes()
 
     def test_c_target_killed_while_it_runs_pushes(self):
         """Guards against a push that runs twice because its target died."""
         load = Load(self, self.callers(), "POST", "/push", callers=8)
-        victim = next(
+        killed_target = next(
             t for t in self.targets if t.name.startswith("fault-desk") and t.process.poll() is None
         )
-        self.wait(lambda: self.deployment.runs_of(victim)["runs"] > 5, "load on the target")
-        victim.process.kill()
-        victim.process.wait()
-        seen = len(load.answers)
-        self.wait(lambda: len(load.answers) > seen + 100, "requests after the target's death")
+        self.wait(lambda: self.deployment.runs_of(killed_target)["runs"] > 5, "load on the target")
+        killed_target.process.kill()
+        killed_target.process.wait()
+        answers_before = len(load.answers)
+        self.wait(
+            lambda: len(load.answers) > answers_before + 100, "requests after the target's death"
+        )
         answers = load.stop()
-        self.targets.remove(victim)
-        self.whole(answers)
+        self.targets.remove(killed_target)
+        self.count_answers(answers)
         self.check_runs(answers, once=True)
-        # What was on its way when the target died may have run there.
+        # Requests in flight when the target died may have run there, but not at another target.
         lost = [a for a in answers if a.status != 200 and a.outcome != NOT_RUN]
         self.assertEqual([], [a for a in lost if self.runs()[a.path]])
