--- a/almondshore/ui/applying.py
+++ b/almondshore/ui/applying.py
@@ -168,13 +168,13 @@
         rules = check_rules(request.data, now=now, findings=findings, existing_move_ids=move_ids)
         if not findings:
             check_transition(rules, previous=previous, findings=findings)
-            vetoes = self._vetoes(new_moves(rules, previous=previous))
+            vetoes = self._read_vetoes(new_moves(rules, previous=previous))
             check_vetoes(rules, vetoes=vetoes, previous=previous, findings=findings)
         if findings:
             raise InvalidInputError(findings.sorted())
         return rules
 
-    def _vetoes(self, moves: Iterable[MoveRule]) -> list[Veto]:
+    def _read_vetoes(self, moves: Iterable[MoveRule]) -> list[Veto]:
         """Read the recorded vetoes against the versions that the moves lead to."""
         vetoes = []
         for rule in moves:
