--- a/bench/daemon.py
+++ b/bench/daemon.py
@@ -17,7 +17,7 @@
 from almondshore.net.nng import NngTransport
 from almondshore.storage.http import HttpPlatform
 from bench.rows import BenchRow
-from standins.addresses import own_address, to_text
+from standins.addresses import allocate_address, format_address
 from standins.deployment import Deployment, wait_for
 
 ROUND_TRIPS = 2000
@@ -99,8 +99,8 @@
 
     def __init__(self, *, clock: Clock):
         self.received = 0
-        self.first = NngTransport(listen=to_text(own_address()), zone="z", clock=clock)
-        self.second = NngTransport(listen=to_text(own_address()), zone="z", clock=clock)
+        self.first = NngTransport(listen=format_address(allocate_address()), zone="z", clock=clock)
+        self.second = NngTransport(listen=format_address(allocate_address()), zone="z", clock=clock)
         eventlet.spawn(self.first.receive_forever, self._count)
         eventlet.spawn(self.second.receive_forever, self._echo)
 
@@ -182,10 +182,10 @@
     :param limited: whether the thread pool of nng is limited, as in the daemon
     :return: resident memory in MB and number of threads
     """
-    port = own_address()[1]
+    port = allocate_address()[1]
     addresses = [f"127.0.{number // 250}.{1 + number % 250}:{port}" for number in range(peers)]
     script = PROCESS_SCRIPT.format(
-        imports=imports, limited=limited, listen=to_text(own_address()), peers=addresses
+        imports=imports, limited=limited, listen=format_address(allocate_address()), peers=addresses
     )
     with pynng.Pull0() as listener:
         for address in addresses:
--- a/soak/world.py
+++ b/soak/world.py
@@ -19,7 +19,7 @@
 from almondshore.platform import names
 from soak.promises import Promises, Sent
 from soak.proxy import FaultProxy
-from standins.addresses import to_text
+from standins.addresses import format_address
 from standins.mesh_deployment import listen_addresses, stored_config
 from standins.mesh_platform import StoreStandIn, UpstreamStandIn, serve
 
@@ -66,11 +66,14 @@
     def start(self) -> None:
         """Start the node process."""
         path = self.world.folder / f"{self.name}.yaml"
-        listen = "".join(f"  {key}: {to_text(value)}\n" for key, value in self.addresses.items())
+        listen = "".join(
+            f"  {key}: {format_address(value)}\n" for key, value in self.addresses.items()
+        )
         path.write_text(
             f"node: {self.name}\nzone: a\nservice: {self.service}\n"
-            f"app: {to_text(self.app_proxy.address)}\nlisten:\n{listen}"
-            f'store: {to_text(self.store_proxy.address)}\nlink_mbps: 100.0\nbounds: "{BOUNDS}"\n'
+            f"app: {format_address(self.app_proxy.address)}\nlisten:\n{listen}"
+            f"store: {format_address(self.store_proxy.address)}\n"
+            f'link_mbps: 100.0\nbounds: "{BOUNDS}"\n'
         )
         log = (self.world.folder / f"{self.name}.log").open("a")
         self.process = subprocess.Popen(
@@ -145,7 +148,7 @@
         self.sequence += 1
         info = {"service": self.service, "version": "v1", "zone": "a", "slots": 4}
         status = {"state": self.state, "sequence": self.sequence, "warmup_left_s": 0}
-        body = {"address": to_text(self.app_proxy.address), "info": info, "status": status}
+        body = {"address": format_address(self.app_proxy.address), "info": info, "status": status}
         return self._post(f"{names.HEARTBEAT_PATH}{self.target()}", {**body, "born": self.born})
 
     def _post(self, path: str, body: dict) -> int | None:
--- a/standins/addresses.py
+++ b/standins/addresses.py
@@ -12,7 +12,7 @@
 _hosts = itertools.count()
 
 
-def own_addresses(count: int) -> list[Address]:
+def allocate_addresses(count: int) -> list[Address]:
     """Return addresses on a loopback host of their own, on which nobody listens.
 
     A port of 127.0.0.1 that was free a moment ago may be taken by an outgoing connection before
@@ -25,11 +25,11 @@
     return [(name, first + index) for index in range(count)]
 
 
-def own_address() -> Address:
+def allocate_address() -> Address:
     """Return one address on a loopback host of its own, on which nobody listens."""
-    return own_addresses(1)[0]
+    return allocate_addresses(1)[0]
 
 
-def to_text(address: Address) -> str:
+def format_address(address: Address) -> str:
     """Return an address as ``ip:port``."""
     return f"{address[0]}:{address[1]}"
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -14,7 +14,7 @@
 import urllib3
 import yaml
 
-from standins.addresses import own_address, own_addresses, to_text
+from standins.addresses import allocate_address, allocate_addresses, format_address
 
 STOP_TIMEOUT = timedelta(seconds=10)
 POLL_INTERVAL_SECONDS = 0.05
@@ -61,7 +61,7 @@
         self.path = Path(self.folder.name)
         self.processes: list[subprocess.Popen] = []
         self.nodes: dict[str, NodeProcess] = {}
-        self.platform_address = to_text(own_address())
+        self.platform_address = format_address(allocate_address())
         self.http = urllib3.PoolManager(retries=False, timeout=5)
 
     def __enter__(self) -> "Deployment":
@@ -96,7 +96,9 @@
 
     def start_node(self, name: str, zone: str) -> NodeProcess:
         """Start a node; it knows the control addresses of the nodes started before it."""
-        addresses = NodeAddresses(*map(to_text, own_addresses(len(NodeAddresses._fields))))
+        addresses = NodeAddresses(
+            *map(format_address, allocate_addresses(len(NodeAddresses._fields)))
+        )
         settings = {
             **self.extra_settings,
             "node": name,
@@ -128,7 +130,7 @@
         self, node: NodeProcess, service: str, version: str, *options: str
     ) -> TargetProcess:
         """Start a target on the host of a node."""
-        address = to_text(own_address())
+        address = format_address(allocate_address())
         name = f"{service}-{version}-{len(self.processes)}"
         process = self._start(
             name,
--- a/standins/mesh_deployment.py
+++ b/standins/mesh_deployment.py
@@ -18,7 +18,7 @@
 from almondshore.platform.announcements import AnnouncementHandler
 from almondshore.platform.dialect import PlatformDialect
 from almondshore.platform.objects import ObjectClient, PlatformStore
-from standins.addresses import own_addresses
+from standins.addresses import allocate_addresses
 from standins.mesh_platform import StoreStandIn, UpstreamStandIn, serve
 
 LIMITS = {
@@ -180,4 +180,4 @@
 
 def listen_addresses() -> dict[str, Address]:
     """Return addresses for the listeners of a node on a loopback host of its own."""
-    return dict(zip(LISTENERS, own_addresses(len(LISTENERS)), strict=True))
+    return dict(zip(LISTENERS, allocate_addresses(len(LISTENERS)), strict=True))
--- a/test/daemon/test_main.py
+++ b/test/daemon/test_main.py
@@ -9,7 +9,7 @@
 import yaml
 from testtools import TestCase
 
-from standins.addresses import own_addresses, to_text
+from standins.addresses import allocate_addresses, format_address
 
 LISTENERS = ("caller", "internal", "peer", "control", "admin")
 
@@ -32,7 +32,9 @@
     def test_address_in_use_is_logged_on_one_line(self):
         """Guards against a traceback, or a process that keeps running without all listeners."""
         for key in ("control", "admin", "internal"):
-            listen = dict(zip(LISTENERS, map(to_text, own_addresses(len(LISTENERS))), strict=True))
+            listen = dict(
+                zip(LISTENERS, map(format_address, allocate_addresses(len(LISTENERS))), strict=True)
+            )
             host, _, port = listen[key].rpartition(":")
             with socket.create_server((host, int(port))):
                 code, lines = self.run_daemon(listen)
--- a/test/http/test_client.py
+++ b/test/http/test_client.py
@@ -7,7 +7,7 @@
 
 from almondshore.http.client import CallFailure
 from almondshore.http.messages import Response, encode_request
-from standins.addresses import own_address
+from standins.addresses import allocate_address
 from test.http.loopback import RawServer, RecordingHandler, call, new_pool, serve
 
 REQUEST = encode_request(b"GET", b"/a", ((b"Host", b"h"),), b"")
@@ -52,7 +52,7 @@
 
     def test_refused_connection_is_reported_as_not_sent(self):
         """Guards against treating a request as possibly executed although it was never sent."""
-        result = call(self.pool, own_address(), REQUEST)
+        result = call(self.pool, allocate_address(), REQUEST)
         self.assertEqual((CallFailure.NOT_CONNECTED, False), (result.failure, result.sent))
 
     def test_failures_are_distinguished(self):
--- a/test/net/test_nng.py
+++ b/test/net/test_nng.py
@@ -22,7 +22,7 @@
     SEND_BUFFER_MESSAGES,
     NngTransport,
 )
-from standins.addresses import own_address, to_text
+from standins.addresses import allocate_address, format_address
 
 WAIT_SECONDS = 30
 
@@ -40,7 +40,7 @@
 
     def transport(self, *, address=None, clock=None, handler=None, **options):
         transport = NngTransport(
-            listen=address or to_text(own_address()),
+            listen=address or format_address(allocate_address()),
             zone="z1",
             clock=clock or SystemClock(),
             **options,
@@ -88,7 +88,7 @@
     def test_a_dead_peer_fills_only_its_own_buffer(self):
         """Guards against an unreachable peer that blocks the loop or the traffic of others."""
         one, two = self.transport(), self.transport()
-        dead = to_text(own_address())
+        dead = format_address(allocate_address())
         sent = [one.send(Send(dead, Busy(1.0))) for _ in range(3 * SEND_BUFFER_MESSAGES)]
         self.assertEqual(sorted(sent, reverse=True), sent)
         self.assertTrue(SEND_BUFFER_MESSAGES <= sum(sent) <= SEND_BUFFER_MESSAGES + 2, sum(sent))
@@ -99,7 +99,7 @@
         """Guards against an invalid message of a state machine that raises in the sender."""
         one = self.transport()
         self.assertFalse(
-            one.send(Send(to_text(own_address()), snapshot_of_size(MAX_MESSAGE_BYTES)))
+            one.send(Send(format_address(allocate_address()), snapshot_of_size(MAX_MESSAGE_BYTES)))
         )
         for address in ("", "localhost:7402", "127.0.0.1:99999999", "\x00", "::1:7402"):
             self.assertFalse(one.send(Send(address, Busy(1.0))), address)
@@ -168,7 +168,7 @@
         """Guards against sockets kept for peers long gone, and against reconnects on every send."""
         clock = ManualClock()
         one = self.transport(clock=clock, max_peers=3)
-        addresses = [to_text(own_address()) for _ in range(5)]
+        addresses = [format_address(allocate_address()) for _ in range(5)]
         sent = [one.send(Send(address, Busy(1.0))) for address in addresses]
         self.assertEqual([True] * 3 + [False] * 2, sent)
         clock.advance(EVICTION_MIN_IDLE)
@@ -186,7 +186,7 @@
         one.close()
         with eventlet.Timeout(WAIT_SECONDS):
             one.greenlet.wait()
-        self.assertFalse(one.send(Send(to_text(own_address()), Busy(1.0))))
+        self.assertFalse(one.send(Send(format_address(allocate_address()), Busy(1.0))))
 
     def test_a_flood_leaves_turns_to_other_greenlets(self):
         """Guards against a peer whose continuous sending starves the handling of requests."""
--- a/test/platform/test_main.py
+++ b/test/platform/test_main.py
@@ -13,7 +13,7 @@
 from almondshore.core.errors import InvalidInputError
 from almondshore.mesh.settings import load_mesh_settings
 from almondshore.platform.bounds import decode_bounds
-from standins.addresses import own_address, to_text
+from standins.addresses import allocate_address, format_address
 from standins.mesh_deployment import listen_addresses
 
 BOUNDS = "drain_s=1,grace_s=3,retry_budget_ratio=0.2,budget_window_s=10,budget_min_retries=56"
@@ -23,8 +23,9 @@
     values = listen_addresses().items()
     listen = "".join(f"  {name}: {host}:{port}\n" for name, (host, port) in values)
     text = (
-        f"node: n1\nzone: a\nservice: s\napp: {to_text(own_address())}\nlisten:\n{listen}"
-        f'store: {to_text(own_address())}\nlink_mbps: 100.0\nbounds: "{BOUNDS}"\n'
+        f"node: n1\nzone: a\nservice: s\n"
+        f"app: {format_address(allocate_address())}\nlisten:\n{listen}"
+        f'store: {format_address(allocate_address())}\nlink_mbps: 100.0\nbounds: "{BOUNDS}"\n'
     )
     for old, new in changes.values():
         text = text.replace(old, new)
--- a/test/proxy/test_caller.py
+++ b/test/proxy/test_caller.py
@@ -16,7 +16,7 @@
 from almondshore.routing.choice import TargetChooser
 from almondshore.routing.outlier import OutlierEjector
 from almondshore.routing.table import RouteTable
-from standins.addresses import own_address, to_text
+from standins.addresses import allocate_address, format_address
 from test.proxy.servers import ScriptedServer, build_response
 from test.proxy.wsgicall import call
 
@@ -97,7 +97,7 @@
         """Guards against ``not-run`` after an earlier attempt that may have run."""
         for second in (
             self.server(refusal("overloaded", "not-run")).address,
-            to_text(own_address()),
+            format_address(allocate_address()),
         ):
             app = self.app(self.server(None).address, second)
             result = call(app, "GET", "/a/1")
@@ -106,7 +106,11 @@
 
     def test_outcome_of_attempts_that_did_not_run(self):
         """Guards against ``unknown`` for a request that was certainly not run."""
-        result = call(self.app(to_text(own_address()), to_text(own_address())), "GET", "/a/1")
+        result = call(
+            self.app(format_address(allocate_address()), format_address(allocate_address())),
+            "GET",
+            "/a/1",
+        )
         self.assertEqual((502, "hop-unreachable", "not-run"), result[:3])
 
     def test_once_request_is_retried_only_after_not_run(self):
--- a/test/proxy/test_target.py
+++ b/test/proxy/test_target.py
@@ -10,7 +10,7 @@
 from almondshore.proxy.pool import HopPool
 from almondshore.proxy.target import Endpoint, TargetApp
 from almondshore.retries.crash import CrashGuard
-from standins.addresses import own_address, to_text
+from standins.addresses import allocate_address, format_address
 from test.proxy.servers import ScriptedServer, build_response
 from test.proxy.wsgicall import call
 
@@ -76,7 +76,7 @@
     def test_request_to_unreachable_target(self):
         """Guards against a missing ``not-run``, without which no other target is tried."""
         unreachable = (502, "target-unreachable", "not-run")
-        app = self.app(to_text(own_address()))
+        app = self.app(format_address(allocate_address()))
         self.assertEqual(unreachable, call(app, "POST", "/a", headers=HOP_HEADERS)[:3])
         app.endpoints = {}
         self.assertEqual(unreachable, call(app, "POST", "/a", headers=HOP_HEADERS)[:3])
@@ -84,7 +84,7 @@
 
     def test_malformed_internal_headers(self):
         """Guards against running a request without a request id, deadline, class or target."""
-        app = self.app(to_text(own_address()))
+        app = self.app(format_address(allocate_address()))
         for name, _ in HOP_HEADERS:
             headers = [item for item in HOP_HEADERS if item[0] != name]
             result = call(app, "POST", "/a", headers=headers)
@@ -92,7 +92,7 @@
 
     def test_draining_target_refuses(self):
         """Guards against sending new requests to a target that is shutting down."""
-        app = self.app(to_text(own_address()))
+        app = self.app(format_address(allocate_address()))
         app.endpoints["t"].gate.drain()
         result = call(app, "POST", "/a", headers=HOP_HEADERS)
         self.assertEqual((503, "draining", "not-run"), result[:3])
--- a/test/standins/test_addresses.py
+++ b/test/standins/test_addresses.py
@@ -5,7 +5,7 @@
 
 from testtools import TestCase
 
-from standins.addresses import HOSTS_PER_PROCESS, own_address, own_addresses
+from standins.addresses import HOSTS_PER_PROCESS, allocate_address, allocate_addresses
 
 PORT_RANGE = Path("/proc/sys/net/ipv4/ip_local_port_range")
 
@@ -19,13 +19,13 @@
             socket.create_connection(server.getsockname()) as outgoing,
         ):
             outgoing_host = outgoing.getsockname()[0]
-        for host, port in own_addresses(5):
+        for host, port in allocate_addresses(5):
             self.assertFalse(first <= port <= last, port)
             self.assertNotEqual(outgoing_host, host)
 
     def test_addresses_are_given_once(self):
         """Guards against two processes of a test that share a port."""
-        given = [own_address() for _ in range(3 * HOSTS_PER_PROCESS)]
+        given = [allocate_address() for _ in range(3 * HOSTS_PER_PROCESS)]
         self.assertEqual(len(given), len(set(given)))
         for address in (given[0], given[-1]):
             with socket.create_server(address):
