Rename vague attributes of the platform stand-ins

The switches and records of StoreStandIn and UpstreamStandIn were single verbs that did not say what they hold or do: refuse -> refusal_status, lose -> drop_write_responses, waiting -> pending_watches, oldest -> compacted_revision, forget_history -> compact_history, work -> processing_time, ran -> executed, answer -> make_response, _usual -> _default_response. MeshDeployment: status and ready return HTTP statuses and are request_status and readiness_status; start -> start_node, depart -> deregister. ObjectStore: changed_at holds positions, not times, and is change_positions; recent -> recent_calls. Deployment.report -> diagnostics. Names and attributes only.

--- a/bench/convergence.py
+++ b/bench/convergence.py
@@ -241,7 +241,7 @@
 def _calls(fleet: Fleet, kind: str) -> int:
     """Return the platform calls of a kind in the last second."""
     now = fleet.pump.clock.monotonic().total_seconds()
-    return sum(1 for at in fleet.pump.store.recent[kind] if at > now - 1)
+    return sum(1 for at in fleet.pump.store.recent_calls[kind] if at > now - 1)
 
 
 def _rows(figures: FleetFigures) -> list[BenchRow]:
--- a/bench/mesh_path.py
+++ b/bench/mesh_path.py
@@ -54,7 +54,7 @@
         mesh.store.put(names.CONFIG_KIND, names.CONFIG_NAME, stored_config(3, ("s", "other")))
         first = mesh.add_node("n1", service="other")
         target = mesh.add_node("n2")
-        mesh.upstreams["n2"].work = timedelta()
+        mesh.upstreams["n2"].processing_time = timedelta()
         mesh.wait_for_targets("n1", 2)
         direct = CallCosts(mesh, target.settings.app)
         logged = CallCosts(mesh, first.settings.outbound)
--- a/bench/pump.py
+++ b/bench/pump.py
@@ -127,7 +127,7 @@
             return
         now = self.clock.monotonic()
         started = self.watch_started.get(source, now - source.delay)
-        changed = self.store.changed_at.get(HEAD_KEY, 0) > source.position
+        changed = self.store.change_positions.get(HEAD_KEY, 0) > source.position
         waiting = source.position > 0 and not changed and self.store.fault is Fault.NONE
         if now - started < (source.watch_timeout if waiting else source.delay):
             return
--- a/soak/main.py
+++ b/soak/main.py
@@ -74,16 +74,16 @@
 def harm_store(world: World, _host: Host) -> None:
     """Let the store refuse calls, or lose the answers to writes."""
     if world.rng.random() < 0.5:
-        world.store.refuse = world.rng.choice((429, 503))
+        world.store.refusal_status = world.rng.choice((429, 503))
     else:
-        world.store.lose = True
+        world.store.drop_write_responses = True
     eventlet.sleep(_fault_time(world))
-    world.store.refuse, world.store.lose = 0, False
+    world.store.refusal_status, world.store.drop_write_responses = 0, False
 
 
 def forget_history(world: World, _host: Host) -> None:
     """Let the store drop its history."""
-    world.store.forget_history()
+    world.store.compact_history()
 
 
 def change_config(world: World, _host: Host) -> None:
--- a/soak/world.py
+++ b/soak/world.py
@@ -49,7 +49,7 @@
         self.born = 1000
         self.state = "ready"
         self.upstream = UpstreamStandIn(target=self.target())
-        self.upstream.answer = self._answer
+        self.upstream.make_response = self._answer
         self.server = serve(world.clock, self.upstream)
         self.app_proxy = FaultProxy(target=self.server.address())
         self.store_proxy = FaultProxy(target=world.store_server.address())
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -171,7 +171,7 @@
         """Return what a process has written so far."""
         return (self.path / f"{name}.log").read_text()
 
-    def report(self) -> str:
+    def diagnostics(self) -> str:
         """Return what a failure is traced by: ended processes, and state and logs of the nodes."""
         ended = [process for process in self.processes if process.poll() is not None]
         lines = [f"ended with {process.returncode}: {process.args}" for process in ended]
--- a/standins/failures.py
+++ b/standins/failures.py
@@ -19,19 +19,19 @@
     """Send a request whose only target has just said that it leaves."""
     mesh.announce("n2", state="draining")
     eventlet.sleep(0.5)
-    return mesh.status("n1", request_id="refused-1", path="/s/x")
+    return mesh.request_status("n1", request_id="refused-1", path="/s/x")
 
 
 def failed_by_one_version(mesh: MeshDeployment) -> int | None:
     """Send requests while a bad version is brought in; returns the status of one that failed."""
     mesh.add_node("n3")
     mesh.add_node("n4", version="v2")
-    mesh.upstreams["n4"].answer = _fail
+    mesh.upstreams["n4"].make_response = _fail
     mesh.wait_for_targets("n1", 4)
     order = {"service": "s", "target_version": "v2", "duration_s": 4}
     mesh.store.put(names.ROLLOUT_KIND, "s", order)
     for number in range(400):
-        status = mesh.status("n1", request_id=f"version-{number}")
+        status = mesh.request_status("n1", request_id=f"version-{number}")
         found = mesh.store.get(names.ROLLOUT_KIND, "s")["status"] or {}
         if found.get("state") == "rolled_back":
             return status
@@ -41,10 +41,10 @@
 
 def cut_while_a_host_left(mesh: MeshDeployment) -> int | None:
     """Send a request to a host that goes silent while it runs."""
-    mesh.upstreams["n3"].work = timedelta(seconds=2)
+    mesh.upstreams["n3"].processing_time = timedelta(seconds=2)
     server = mesh.nodes["n3"].inbound_server
     eventlet.spawn_after(0.1, _silence, server)
-    return mesh.status("n1", request_id="silent-1")
+    return mesh.request_status("n1", request_id="silent-1")
 
 
 def _fail(exchange: Exchange) -> Response:
--- a/standins/mesh_deployment.py
+++ b/standins/mesh_deployment.py
@@ -84,7 +84,7 @@
         server = serve(self.clock, upstream)
         self.servers.append(server)
         self.upstreams[name] = upstream
-        node = self.start(
+        node = self.start_node(
             MeshSettings(
                 **listen_addresses(),
                 node=name,
@@ -100,7 +100,7 @@
             self.announce(name, version=version)
         return node
 
-    def start(self, settings: MeshSettings) -> MeshNode:
+    def start_node(self, settings: MeshSettings) -> MeshNode:
         """Start a node, or start one again."""
         pool = ConnectionPool(clock=self.clock)
         node = MeshNode(
@@ -132,7 +132,7 @@
         body = {"address": app, "info": info, "status": status, "born": born}
         return self._post(settings.control, f"{names.HEARTBEAT_PATH}i-{name}", body)
 
-    def depart(self, name: str, born: int = 1000) -> int | None:
+    def deregister(self, name: str, born: int = 1000) -> int | None:
         """Send the deregistration of a node's upstream; returns the status."""
         control = self.nodes[name].settings.control
         return self._post(control, f"{names.DEREGISTER_PATH}i-{name}", {"born": born})
@@ -149,12 +149,12 @@
         data = encode_request(b"GET", path.encode(), headers, b"")
         return self.call(self.nodes[node].settings.outbound, data)
 
-    def status(self, node: str, **fields: Any) -> int | None:
+    def request_status(self, node: str, **fields: Any) -> int | None:
         """Return the status that a caller gets, None for a connection without an answer."""
         response = self.request(node, **fields).response
         return response.status if response is not None else None
 
-    def ready(self, node: str) -> int | None:
+    def readiness_status(self, node: str) -> int | None:
         """Return the status of a readiness check."""
         data = encode_request(b"GET", b"/readiness", ((b"Host", b"h"),), b"")
         response = self.call(self.nodes[node].settings.ready, data).response
--- a/standins/mesh_platform.py
+++ b/standins/mesh_platform.py
@@ -24,26 +24,26 @@
 class StoreStandIn(ExchangeHandler):
     """Objects by kind and name with revisions, conditional writes and watches.
 
-    :ivar refuse: status that all calls are answered with, 0 to serve them
-    :ivar lose: whether writes are done and not answered
+    :ivar refusal_status: status that all calls are answered with, 0 to serve them
+    :ivar drop_write_responses: whether writes are done and not answered
     :ivar calls: calls so far
     """
 
     def __init__(self) -> None:
         self.revision = 1
-        self.oldest = 0
+        self.compacted_revision = 0
         self.objects: dict[str, dict[str, dict[str, Any]]] = {}
         self.history: list[tuple[int, str, dict[str, Any], bool]] = []
-        self.waiting: list[tuple[Exchange, str, int]] = []
-        self.refuse = 0
-        self.lose = False
+        self.pending_watches: list[tuple[Exchange, str, int]] = []
+        self.refusal_status = 0
+        self.drop_write_responses = False
         self.calls = 0
 
     def handle(self, exchange: Exchange) -> None:
         """Answer a call."""
         self.calls += 1
-        if self.refuse:
-            exchange.respond(Response(self.refuse))
+        if self.refusal_status:
+            exchange.respond(Response(self.refusal_status))
             return
         path, _, query = exchange.request.target.decode().partition("?")
         parts = [unquote(part) for part in path.removeprefix(OBJECTS).split("/")]
@@ -53,7 +53,7 @@
             self._read(exchange, parts, options)
             return
         status, found = self._write(method, parts, options, exchange.request.body)
-        if not self.lose:
+        if not self.drop_write_responses:
             body = msgspec.json.encode(found) if found is not None else b""
             exchange.respond(Response(status, JSON, body))
 
@@ -66,12 +66,12 @@
         """Return an object."""
         return self.objects.get(kind, {}).get(name)
 
-    def forget_history(self) -> None:
+    def compact_history(self) -> None:
         """Drop the history, and end the watches."""
-        self.oldest = self.revision
+        self.compacted_revision = self.revision
         self.history.clear()
-        waiting, self.waiting = self.waiting, []
-        for exchange, _, _ in waiting:
+        pending, self.pending_watches = self.pending_watches, []
+        for exchange, _, _ in pending:
             exchange.respond(Response(410))
 
     def _read(self, exchange: Exchange, parts: list[str], options: dict[str, str]) -> None:
@@ -90,19 +90,19 @@
 
     def _watch(self, exchange: Exchange, kind: str, options: dict[str, str]) -> None:
         since = int(options["watch"])
-        if since < self.oldest:
+        if since < self.compacted_revision:
             exchange.respond(Response(410))
             return
         if self._answer_watch(exchange, kind, since, empty=False):
             return
         entry = (exchange, kind, since)
-        self.waiting.append(entry)
+        self.pending_watches.append(entry)
         wait_s = int(options.get("wait_ms", "0")) / 1000
         hubs.get_hub().schedule_call_global(wait_s, self._end_watch, entry)
 
     def _end_watch(self, entry: tuple[Exchange, str, int]) -> None:
-        if entry in self.waiting:
-            self.waiting.remove(entry)
+        if entry in self.pending_watches:
+            self.pending_watches.remove(entry)
             self._answer_watch(*entry, empty=True)
 
     def _answer_watch(self, exchange: Exchange, kind: str, since: int, *, empty: bool) -> bool:
@@ -160,25 +160,25 @@
 
     def _note(self, kind: str, found: dict[str, Any], *, removed: bool) -> None:
         self.history.append((self.revision, kind, found, removed))
-        for entry in [entry for entry in self.waiting if entry[1] == kind]:
-            self.waiting.remove(entry)
+        for entry in [entry for entry in self.pending_watches if entry[1] == kind]:
+            self.pending_watches.remove(entry)
             self._answer_watch(*entry, empty=True)
 
 
 class UpstreamStandIn(ExchangeHandler):
     """An upstream that answers after a while, and announces itself to the node beside it.
 
-    :ivar ran: request ids and caller services, in the order in which they ran
+    :ivar executed: request ids and caller services, in the order in which they ran
     :ivar on_run: called with each request that runs
-    :ivar answer: makes the response of a request, None to leave it unanswered
+    :ivar make_response: makes the response of a request, None to leave it unanswered
     """
 
-    def __init__(self, *, target: str, work: timedelta = timedelta(milliseconds=5)):
+    def __init__(self, *, target: str, processing_time: timedelta = timedelta(milliseconds=5)):
         self.target = target
-        self.work = work
-        self.ran: list[tuple[bytes, bytes]] = []
+        self.processing_time = processing_time
+        self.executed: list[tuple[bytes, bytes]] = []
         self.cancelled = 0
-        self.answer: Callable[[Exchange], Response | None] = self._usual
+        self.make_response: Callable[[Exchange], Response | None] = self._default_response
         self.on_run: Callable[[Exchange], None] = lambda _exchange: None
 
     def handle(self, exchange: Exchange) -> None:
@@ -187,17 +187,17 @@
         if request.header(b"expected-instance") not in (None, self.target.encode()):
             exchange.respond(Response(421))
             return
-        self.ran.append((request.header(b"attempt-id"), request.header(b"caller-service")))
+        self.executed.append((request.header(b"attempt-id"), request.header(b"caller-service")))
         self.on_run(exchange)
         exchange.on_cancel = self._on_cancel
-        eventlet.spawn_after(self.work.total_seconds(), self._finish, exchange)
+        eventlet.spawn_after(self.processing_time.total_seconds(), self._finish, exchange)
 
     def _finish(self, exchange: Exchange) -> None:
-        response = self.answer(exchange)
+        response = self.make_response(exchange)
         if response is not None:
             exchange.respond(response)
 
-    def _usual(self, exchange: Exchange) -> Response:
+    def _default_response(self, exchange: Exchange) -> Response:
         headers = (
             (b"Attempt-Id", exchange.request.header(b"attempt-id") or b""),
             (b"Response-Signature", self.target.encode()),
--- a/standins/object_store.py
+++ b/standins/object_store.py
@@ -39,12 +39,12 @@
     ):
         self.clock = clock
         self.objects: dict[str, StoredObject] = {}
-        self.changed_at: dict[str, int] = {}
+        self.change_positions: dict[str, int] = {}
         self.position = 0
         self.fault = Fault.NONE
         self.counts = {"read": 0, "write": 0, "refused": 0}
         self.limits = {"read": reads_per_second, "write": writes_per_second}
-        self.recent: dict[str, deque] = {"read": deque(), "write": deque()}
+        self.recent_calls: dict[str, deque] = {"read": deque(), "write": deque()}
 
     def admit(self, kind: str) -> bool:
         """Count a call and return whether the rate limit admits it.
@@ -52,7 +52,7 @@
         :param kind: ``read`` or ``write``
         """
         now = self.clock.monotonic().total_seconds()
-        recent = self.recent[kind]
+        recent = self.recent_calls[kind]
         while recent and recent[0] <= now - 1:
             recent.popleft()
         if len(recent) >= self.limits[kind]:
@@ -82,17 +82,17 @@
         self.position += 1
         stored = StoredObject(key, value, revision + 1, write_id)
         self.objects[key] = stored
-        self.changed_at[key] = self.position
+        self.change_positions[key] = self.position
         return Status(200, stored)
 
     def changes(self, prefix: str, after: int) -> list[StoredObject]:
         """Return the objects under a prefix that changed after a position, oldest first."""
         keys = [
             key
-            for key, position in self.changed_at.items()
+            for key, position in self.change_positions.items()
             if position > after and key.startswith(prefix)
         ]
-        return [self.objects[key] for key in sorted(keys, key=self.changed_at.__getitem__)]
+        return [self.objects[key] for key in sorted(keys, key=self.change_positions.__getitem__)]
 
     # Defined last: later annotations in the class body would take ``list`` for this method.
     def list(self, prefix: str) -> list[StoredObject]:
--- a/test/mesh/test_node.py
+++ b/test/mesh/test_node.py
@@ -48,16 +48,16 @@
         """Guards against a request path that is broken between any two components."""
         result = self.mesh.request("n1")
         self.assertEqual((200, b"from i-n2"), (result.response.status, result.response.body))
-        self.assertEqual([(b"a1", b"other")], self.mesh.upstreams["n2"].ran)
-        self.assertEqual(404, self.mesh.status("n1", path="/unknown/"))
+        self.assertEqual([(b"a1", b"other")], self.mesh.upstreams["n2"].executed)
+        self.assertEqual(404, self.mesh.request_status("n1", path="/unknown/"))
 
     def test_node_without_configuration_is_not_ready(self):
         """Guards against callers that are directed to a node which cannot route requests."""
-        self.assertEqual(200, self.mesh.ready("n1"))
-        self.mesh.store.refuse = 503
+        self.assertEqual(200, self.mesh.readiness_status("n1"))
+        self.mesh.store.refusal_status = 503
         self.mesh.add_node("n3", announce=False)
-        self.assertEqual(503, self.mesh.ready("n3"))
-        self.assertEqual(503, self.mesh.status("n3"))
+        self.assertEqual(503, self.mesh.readiness_status("n3"))
+        self.assertEqual(503, self.mesh.request_status("n3"))
 
     def test_configuration_is_updated_from_peers(self):
         """Guards against a node that keeps an old version while it cannot reach the store."""
@@ -70,7 +70,7 @@
 
     def test_lost_history_loses_no_change(self):
         """Guards against a node that misses a change when the store drops its history."""
-        self.mesh.store.forget_history()
+        self.mesh.store.compact_history()
         self.mesh.store.put("config", "main", stored_config(4, ("s",)))
         wait_until(lambda: self.mesh.nodes["n1"].outbound.config_version() == 4)
 
@@ -95,7 +95,7 @@
         """
         server = self.mesh.store_server
         handler, server.handler = server.handler, _UnresponsiveHandler()
-        self.mesh.store.waiting.clear()
+        self.mesh.store.pending_watches.clear()
         eventlet.sleep(4)
         server.handler = handler
         self.mesh.store.put("config", "main", stored_config(8, ("s",)))
@@ -106,28 +106,28 @@
         """Guards against requests that reach a target after its drain was acknowledged."""
         self.assertEqual(200, self.mesh.announce("n2", state="draining"))
         eventlet.sleep(0.5)
-        ran = len(self.mesh.upstreams["n2"].ran)
-        self.assertEqual(503, self.mesh.status("n1"))
-        self.assertEqual(ran, len(self.mesh.upstreams["n2"].ran))
+        ran = len(self.mesh.upstreams["n2"].executed)
+        self.assertEqual(503, self.mesh.request_status("n1"))
+        self.assertEqual(ran, len(self.mesh.upstreams["n2"].executed))
 
     def test_deregistration_outlives_the_process(self):
         """Guards against a restarted node that sends requests to a deregistered target."""
-        self.assertEqual(200, self.mesh.depart("n2"))
+        self.assertEqual(200, self.mesh.deregister("n2"))
         entry = ("almondshore-targets", "i-n2")
         wait_until(lambda: self.mesh.store.get(*entry)["spec"]["state"] == "gone")
         former = self.mesh.nodes.pop("n2")
         former.close()
-        self.mesh.start(former.settings)
+        self.mesh.start_node(former.settings)
         wait_until(lambda: self.mesh.nodes["n2"].local.store_read)
         self.mesh.announce("n2")
         eventlet.sleep(0.5)
-        self.assertEqual(503, self.mesh.status("n1"))
-        self.assertEqual([], self.mesh.upstreams["n2"].ran)
+        self.assertEqual(503, self.mesh.request_status("n1"))
+        self.assertEqual([], self.mesh.upstreams["n2"].executed)
 
     def test_disconnected_caller_cancels_the_work_of_the_target(self):
         """Guards against a target that works for a caller that has disconnected."""
         upstream = self.mesh.upstreams["n2"]
-        upstream.work = timedelta(seconds=2)
+        upstream.processing_time = timedelta(seconds=2)
         with eventlet.Timeout(0.2, False):
             self.mesh.request("n1")
         for connection in list(self.mesh.nodes["n1"].outbound_server.connections):
@@ -139,24 +139,24 @@
         self.mesh.add_node("n3")
         wait_until(lambda: len(self.mesh.nodes["n1"].directory.targets) == 3)
         for number in range(6):
-            self.mesh.status("n1", request_id=f"w{number}")
+            self.mesh.request_status("n1", request_id=f"w{number}")
         # The host neither accepts connections nor reads from its open ones.
         server = self.mesh.nodes["n2"].inbound_server
         server.close_listener()
         for connection in server.connections:
             connection.stream.pause_reading()
-        statuses = [self.mesh.status("n1", request_id=f"a{number}") for number in range(8)]
+        statuses = [self.mesh.request_status("n1", request_id=f"a{number}") for number in range(8)]
         self.assertEqual([200] * 8, statuses)
 
     def test_recovered_host_gets_requests_again(self):
         """Guards against a host that gets no requests after it has recovered."""
         first, second = self.mesh.nodes["n1"], self.mesh.nodes.pop("n2")
         second.close()
-        wait_until(lambda: self.mesh.status("n1") == 503)
-        self.mesh.start(second.settings)
+        wait_until(lambda: self.mesh.request_status("n1") == 503)
+        self.mesh.start_node(second.settings)
         self.mesh.announce("n2")
         wait_until(lambda: first.directory.is_reachable(second.settings.inbound), seconds=8)
-        wait_until(lambda: self.mesh.status("n1") == 200, seconds=8)
+        wait_until(lambda: self.mesh.request_status("n1") == 200, seconds=8)
 
     def test_lost_response_is_retried_on_idempotent_routes(self):
         """Guards against a caller that waits until its deadline for a response that was lost."""
@@ -164,8 +164,8 @@
         wait_until(lambda: len(self.mesh.nodes["n1"].directory.targets) == 3)
         for name in ("n2", "n3"):
             upstream = self.mesh.upstreams[name]
-            upstream.answer = self._cut_first(upstream)
-        statuses = [self.mesh.status("n1", request_id=f"a{number}") for number in range(8)]
+            upstream.make_response = self._cut_first(upstream)
+        statuses = [self.mesh.request_status("n1", request_id=f"a{number}") for number in range(8)]
         self.assertTrue(statuses.count(200) >= 6, statuses)
 
     def test_deaths_of_the_local_target_are_counted_and_reported(self):
@@ -183,18 +183,20 @@
 
     def test_stop_completes_running_requests(self):
         """Guards against requests that are interrupted by a graceful stop."""
-        self.mesh.upstreams["n2"].work = timedelta(seconds=1)
+        self.mesh.upstreams["n2"].processing_time = timedelta(seconds=1)
         pool = eventlet.GreenPool()
-        replies = [pool.spawn(self.mesh.status, "n1", request_id=f"a{number}") for number in (1, 2)]
+        replies = [
+            pool.spawn(self.mesh.request_status, "n1", request_id=f"a{number}") for number in (1, 2)
+        ]
         eventlet.sleep(0.2)
         node = self.mesh.nodes["n1"]
         node.stop()
-        self.assertEqual(503, self.mesh.ready("n1"))
+        self.assertEqual(503, self.mesh.readiness_status("n1"))
         self.assertFalse(node._may_exit())
         self.assertEqual([504, 504], [reply.wait() for reply in replies])
-        self.assertEqual(200, self.mesh.status("n1", path="/other/x"))
+        self.assertEqual(200, self.mesh.request_status("n1", path="/other/x"))
         wait_until(node._may_exit)
-        self.assertEqual(503, self.mesh.status("n1"))
+        self.assertEqual(503, self.mesh.request_status("n1"))
 
     def test_metrics_are_served(self):
         """Guards against missing gauges and histograms in the metrics."""
@@ -213,7 +215,7 @@
         with contextlib.suppress(TimeoutError):
             reader.sendall(scrape * 20_000)
         started = time.monotonic()
-        statuses = {self.mesh.status("n1", request_id=f"m{number}") for number in range(30)}
+        statuses = {self.mesh.request_status("n1", request_id=f"m{number}") for number in range(30)}
         self.assertEqual({200}, statuses)
         self.assertTrue(time.monotonic() - started < 3.0)
         held = [len(item.stream.unsent) for item in self.metrics_connections(node)]
@@ -226,7 +228,7 @@
     def test_status_is_served_while_the_store_is_unreachable(self):
         """Guards against a status view that is not available during an outage of the store."""
         node = self.mesh.nodes["n1"]
-        self.mesh.store.refuse = 503
+        self.mesh.store.refusal_status = 503
         wait_until(lambda: node.feeds.store_unavailable_since() is not None)
         data = encode_request(b"GET", b"/status", ((b"Host", b"h"),), b"")
         response = self.mesh.call(node.settings.metrics, data).response
@@ -243,7 +245,7 @@
         self.assertEqual({"s": {"v1": 1}, "other": {"v1": 1}}, found)
 
     def _cut_first(self, upstream):
-        usual = upstream._usual
+        usual = upstream._default_response
         left = [1]
 
         def answer(exchange):
@@ -273,7 +275,7 @@
         mesh.add_node("n3", version="v2")
         mesh.announce("n3", version="v2", born=9000)
         if bad:
-            mesh.upstreams["n3"].answer = lambda exchange: Response(
+            mesh.upstreams["n3"].make_response = lambda exchange: Response(
                 500,
                 (
                     (b"Attempt-Id", exchange.request.header(b"attempt-id")),
@@ -287,7 +289,7 @@
         with eventlet.Timeout(7):
             while True:
                 number += 1
-                mesh.status("n1", request_id=f"a{number}")
+                mesh.request_status("n1", request_id=f"a{number}")
                 status = mesh.store.get("rollouts", "s")["status"]
                 if status and status["state"] in ("completed", "rolled_back"):
                     return mesh, number, status["state"]
@@ -297,19 +299,19 @@
         """Guards against the rollout of a good version that misses its deadline."""
         mesh, _, state = self.run_rollout(bad=False)
         self.assertEqual("completed", state)
-        before = len(mesh.upstreams["n2"].ran)
-        self.assertEqual(200, mesh.status("n1"))
-        self.assertEqual(before, len(mesh.upstreams["n2"].ran))
+        before = len(mesh.upstreams["n2"].executed)
+        self.assertEqual(200, mesh.request_status("n1"))
+        self.assertEqual(before, len(mesh.upstreams["n2"].executed))
 
     def test_bad_version_is_rolled_back_with_little_exposure(self):
         """Guards against a bad version that gets more than a small share of the requests."""
         mesh, requests, state = self.run_rollout(bad=True)
         self.assertEqual("rolled_back", state)
-        exposed = len(mesh.upstreams["n3"].ran)
+        exposed = len(mesh.upstreams["n3"].executed)
         self.assertTrue(exposed <= 0.1 * requests + 50, (exposed, requests))
         for number in range(20):
-            self.assertEqual(200, mesh.status("n1", request_id=f"b{number}"))
-        self.assertEqual(exposed, len(mesh.upstreams["n3"].ran))
+            self.assertEqual(200, mesh.request_status("n1", request_id=f"b{number}"))
+        self.assertEqual(exposed, len(mesh.upstreams["n3"].executed))
 
 
 class WatchingTest(TestCase):
--- a/test/process/processtest.py
+++ b/test/process/processtest.py
@@ -132,7 +132,7 @@
         try:
             wait_for(condition, what, timeout)
         except TimeoutError as error:
-            raise AssertionError(f"{error}\n{cls.deployment.report()}") from error
+            raise AssertionError(f"{error}\n{cls.deployment.diagnostics()}") from error
 
     def relay_of(self, zone, without=()):
         """Return a node that is a relay of the zone, except those named, or None."""
