Describe the soak in the terms of fault-injection tests

Names and texts such as Promises, broken, World, harm, play, pile and Mode were private to the soak. The modules promises and world are now guarantees and cluster; Promises -> GuaranteeChecker, broken -> violations, Sent -> SentRequest, World -> Cluster, Mode -> ProxyMode, play -> run_soak, harm_* -> disturb_*, Host.leave -> replace_upstream, World.send -> send_random_request, World.request -> probe_route. Constants name what they bound and their unit.

Docstrings state conditions, parameters and results. Two were wrong and say now what the code does: faults are limited to one per host, not to one of a kind per host, and stopping the callers does not cancel requests that are in flight. The lines printed per seed say violations instead of broken, and the texts of the violations are reworded; no test or page matches them. Checks, bounds, seeds and the causes of the regression seeds stay.

--- a/soak/world.py
+++ b/soak/cluster.py
@@ -1,4 +1,4 @@
-"""Node processes, with a store, upstreams, proxies and callers around them."""
+"""Node processes on loopback, with a stand-in store, upstreams, fault proxies and callers."""
 
 import os
 import random
@@ -17,7 +17,7 @@
 from almondshore.http.messages import Response, encode_request
 from almondshore.http.server import Exchange
 from almondshore.platform import names
-from soak.promises import Promises, Sent
+from soak.guarantees import GuaranteeChecker, SentRequest
 from soak.proxy import FaultProxy
 from standins.addresses import format_address
 from standins.mesh_deployment import listen_addresses, stored_config
@@ -25,57 +25,60 @@
 
 DRAIN = timedelta(seconds=2)
 BOUNDS = "drain_s=2,grace_s=4,retry_budget_ratio=0.2,budget_window_s=10,budget_min_retries=56"
-HEARTBEAT_S = 0.5
+HEARTBEAT_INTERVAL_S = 0.5
 CALL_TIMEOUT = timedelta(seconds=3)
 SERVICES = ("alpha", "beta")
-REQUEST_PAUSE_S = 0.04
-RESTART_S = 0.3
+REQUEST_INTERVAL_S = 0.04
+RESTART_DELAY_S = 0.3
 
 
 class Host:
-    """A node process and the upstream beside it.
-
-    :ivar born: start of the upstream, in milliseconds
-    :ivar exits: times that the node process ended by itself
-    :ivar state: what its heartbeats say; empty once it has gone
+    """A node process and its local upstream, each reached through a fault proxy.
+
+    :ivar generation: number of upstreams that this host had before the present one
+    :ivar sequence: number of the last heartbeat of the present upstream
+    :ivar born: start time of the upstream in milliseconds, as its heartbeats state it
+    :ivar state: state that the heartbeats state; no heartbeats are sent while it is empty
+    :ivar restarting: whether the soak itself is restarting the process
+    :ivar unexpected_exits: how often the node process ended without a signal from the soak
     """
 
-    def __init__(self, *, world: "World", name: str, service: str):
-        self.world = world
+    def __init__(self, *, cluster: "Cluster", name: str, service: str):
+        self.cluster = cluster
         self.name = name
         self.service = service
         self.generation = 0
         self.sequence = 0
         self.born = 1000
         self.state = "ready"
-        self.upstream = UpstreamStandIn(target=self.target())
-        self.upstream.make_response = self._answer
-        self.server = serve(world.clock, self.upstream)
-        self.app_proxy = FaultProxy(target=self.server.address())
-        self.store_proxy = FaultProxy(target=world.store_server.address())
+        self.upstream = UpstreamStandIn(target=self.target_id())
+        self.upstream.make_response = self._make_response
+        self.server = serve(cluster.clock, self.upstream)
+        self.target_proxy = FaultProxy(destination=self.server.address())
+        self.store_proxy = FaultProxy(destination=cluster.store_server.address())
         self.addresses = listen_addresses()
         self.process: subprocess.Popen | None = None
         self.restarting = False
-        self.exits = 0
-        self.greenlet = eventlet.spawn(self._announce)
+        self.unexpected_exits = 0
+        self.heartbeat_task = eventlet.spawn(self._heartbeat_loop)
 
-    def target(self) -> str:
-        """Return the identity of the present upstream."""
+    def target_id(self) -> str:
+        """Return the identity of the present upstream; each replacement has a new one."""
         return f"i-{self.name}-{self.generation}"
 
     def start(self) -> None:
-        """Start the node process."""
-        path = self.world.folder / f"{self.name}.yaml"
+        """Write the settings and start the node process; its output is appended to a log file."""
+        path = self.cluster.folder / f"{self.name}.yaml"
         listen = "".join(
             f"  {key}: {format_address(value)}\n" for key, value in self.addresses.items()
         )
         path.write_text(
             f"node: {self.name}\nzone: a\nservice: {self.service}\n"
-            f"app: {format_address(self.app_proxy.address)}\nlisten:\n{listen}"
+            f"app: {format_address(self.target_proxy.address)}\nlisten:\n{listen}"
             f"store: {format_address(self.store_proxy.address)}\n"
             f'link_mbps: 100.0\nbounds: "{BOUNDS}"\n'
         )
-        log = (self.world.folder / f"{self.name}.log").open("a")
+        log = (self.cluster.folder / f"{self.name}.log").open("a")
         self.process = subprocess.Popen(
             [sys.executable, "-W", "ignore", "-m", "almondshore.platform.main"],
             env={**os.environ, "ALMONDSHORE_SETTINGS": str(path), "EVENTLET_NO_GREENDNS": "yes"},
@@ -85,61 +88,61 @@
         log.close()
 
     def signal(self, number: int) -> None:
-        """Send a signal to the node process, if it still runs."""
+        """Send a signal to the node process if it is still running."""
         if self.process is not None and self.process.poll() is None:
             os.kill(self.process.pid, number)
 
     def restart(self, number: int) -> None:
-        """End the node process by a signal and start it again."""
+        """Send a signal that ends the node process, wait for its exit and start it again."""
         self.restarting = True
         self.signal(number)
         while self.process is not None and self.process.poll() is None:
             eventlet.sleep(0.05)
-        eventlet.sleep(RESTART_S)
+        eventlet.sleep(RESTART_DELAY_S)
         self.start()
         self.restarting = False
 
     def supervise(self) -> None:
-        """Start a process again that has ended by itself, as the platform does."""
+        """Restart the node process if it exited by itself, as the platform does."""
         if self.process is not None and self.process.poll() is not None and not self.restarting:
-            self.exits += 1
+            self.unexpected_exits += 1
             self.start()
 
-    def leave(self, *, notice: bool) -> None:
-        """Let the upstream leave, and another one take its place later.
+    def replace_upstream(self, *, drain_first: bool) -> None:
+        """Drain or deregister the upstream, and start its replacement after two drain periods.
 
-        :param notice: whether it says that it drains before it deregisters
+        :param drain_first: announce a drain; otherwise deregister without one
         """
-        name, born = self.target(), self.born
-        if notice:
+        target_id, born = self.target_id(), self.born
+        if drain_first:
             self.state = "draining"
             if self._send_heartbeat() == 200:
-                self.world.promises.on_acknowledged(name)
+                self.cluster.checker.on_departure_acknowledged(target_id)
         else:
             self.state = ""
-            path = f"{names.DEREGISTER_PATH}{name}"
+            path = f"{names.DEREGISTER_PATH}{target_id}"
             if self._post(path, {"born": born}) == 200:
-                self.world.promises.on_acknowledged(name)
+                self.cluster.checker.on_departure_acknowledged(target_id)
         eventlet.sleep(DRAIN.total_seconds() * 2)
         self.generation += 1
         self.born += 1_000_000
-        self.upstream.target = self.target()
+        self.upstream.target = self.target_id()
         self.sequence = 0
         self.state = "ready"
 
     def stop(self) -> None:
-        """End everything."""
-        self.greenlet.kill()
+        """Kill the node process and close the upstream and the proxies."""
+        self.heartbeat_task.kill()
         self.signal(signal.SIGCONT)
         self.signal(signal.SIGKILL)
         if self.process is not None:
             self.process.wait()
-        for part in (self.app_proxy, self.store_proxy, self.server):
-            part.close()
+        for component in (self.target_proxy, self.store_proxy, self.server):
+            component.close()
 
-    def _announce(self) -> None:
+    def _heartbeat_loop(self) -> None:
         while True:
-            eventlet.sleep(HEARTBEAT_S)
+            eventlet.sleep(HEARTBEAT_INTERVAL_S)
             self.supervise()
             if self.state:
                 self._send_heartbeat()
@@ -148,46 +151,57 @@
         self.sequence += 1
         info = {"service": self.service, "version": "v1", "zone": "a", "slots": 4}
         status = {"state": self.state, "sequence": self.sequence, "warmup_left_s": 0}
-        body = {"address": format_address(self.app_proxy.address), "info": info, "status": status}
-        return self._post(f"{names.HEARTBEAT_PATH}{self.target()}", {**body, "born": self.born})
+        body = {
+            "address": format_address(self.target_proxy.address),
+            "info": info,
+            "status": status,
+        }
+        return self._post(f"{names.HEARTBEAT_PATH}{self.target_id()}", {**body, "born": self.born})
 
     def _post(self, path: str, body: dict) -> int | None:
         headers = ((b"Host", b"h"),)
         data = encode_request(b"POST", path.encode(), headers, msgspec.json.encode(body))
-        response = self.world.call(self.addresses["control"], data).response
+        response = self.cluster.call(self.addresses["control"], data).response
         return response.status if response is not None else None
 
-    def _answer(self, exchange: Exchange) -> Response:
+    def _make_response(self, exchange: Exchange) -> Response:
         request_id = exchange.request.header(names.REQUEST_ID.lower()) or b""
         headers = ((names.REQUEST_ID, request_id), (names.SIGNATURE, b"s"))
         return Response(200, headers, request_id * 50)
 
 
-class World:
-    """All parts of one run."""
+class Cluster:
+    """Store, hosts, callers and the checks of one run.
+
+    :param folder: folder for the settings and logs of the nodes
+    :ivar version: version of the last configuration that was written
+    """
 
     def __init__(self, *, folder: Path, hosts: int, seed: int):
         self.folder = folder
         self.rng = random.Random(seed)
         self.clock = BootClock()
         self.pool = ConnectionPool(clock=self.clock)
-        self.promises = Promises(clock=self.clock, drain=DRAIN)
+        self.checker = GuaranteeChecker(clock=self.clock, drain=DRAIN)
         self.store = StoreStandIn()
         self.store_server = serve(self.clock, self.store)
         self.version = 1
         self.change_config()
         self.hosts = [
-            Host(world=self, name=f"n{number}", service=SERVICES[number % len(SERVICES)])
+            Host(cluster=self, name=f"n{number}", service=SERVICES[number % len(SERVICES)])
             for number in range(hosts)
         ]
-        self.count = 0
+        self.request_count = 0
         self.callers: list = []
         for host in self.hosts:
-            host.upstream.on_run = self._run_hook(host)
+            host.upstream.on_run = self._make_run_observer(host)
             host.start()
 
     def add_route(self) -> str:
-        """Write a configuration with a further route; returns a path of it."""
+        """Write a configuration with an additional route.
+
+        :return: a path on the additional route
+        """
         path = f"/added-{self.version}/"
         self.change_config(added=path)
         return f"{path}x"
@@ -195,7 +209,7 @@
     def change_config(self, added: str = "") -> None:
         """Write a new version of the configuration.
 
-        :param added: prefix of a further route, empty for none
+        :param added: path prefix of an additional route, empty for none
         """
         self.version += self.rng.randrange(1, 4)
         config = stored_config(self.version, SERVICES)
@@ -210,29 +224,35 @@
         self.store.put(names.CONFIG_KIND, names.CONFIG_NAME, config)
 
     def call(self, address: Address, data: bytes) -> CallResult:
-        """Make a call and wait for its result."""
+        """Send an encoded request and wait for its result, at most ``CALL_TIMEOUT``."""
         done: Event = Event()
         self.pool.call(address, data, timeout=CALL_TIMEOUT, on_done=done.send)
         return done.wait()
 
-    def send(self, host: Host) -> int | None:
-        """Send a caller's request; returns the status."""
-        self.count += 1
+    def send_random_request(self, host: Host) -> int | None:
+        """Send an idempotent or non-idempotent request to a random service and check its result.
+
+        :return: status of the response, None if there was none
+        """
+        self.request_count += 1
         service = self.rng.choice(SERVICES)
         idempotent = self.rng.random() < 0.5
-        sent = Sent(f"q{self.count}", host.name, host.service, service, idempotent)
-        self.promises.sent[sent.request_id] = sent
+        sent = SentRequest(f"q{self.request_count}", host.name, host.service, service, idempotent)
+        self.checker.sent[sent.request_id] = sent
         path = f"/{service}/x" if idempotent else f"/once/{service}/x"
         method = b"GET" if idempotent else b"POST"
         result = self._send_request(host, method, path, sent.request_id)
-        self.promises.on_result(sent, result)
+        self.checker.on_result(sent, result)
         return result.response.status if result.response is not None else None
 
-    def request(self, host: Host, path: str) -> int | None:
-        """Send an idempotent request for the first service; returns the status."""
-        self.count += 1
-        sent = Sent(f"q{self.count}", host.name, host.service, SERVICES[0], True)
-        self.promises.sent[sent.request_id] = sent
+    def probe_route(self, host: Host, path: str) -> int | None:
+        """Send an idempotent request for a path of the first service, without checking its result.
+
+        :return: status of the response, None if there was none
+        """
+        self.request_count += 1
+        sent = SentRequest(f"q{self.request_count}", host.name, host.service, SERVICES[0], True)
+        self.checker.sent[sent.request_id] = sent
         response = self._send_request(host, b"GET", path, sent.request_id).response
         return response.status if response is not None else None
 
@@ -246,32 +266,32 @@
         return self.call(host.addresses["outbound"], data)
 
     def start_callers(self) -> None:
-        """Let callers send requests to all hosts until they are stopped."""
-        self.callers = [eventlet.spawn(self._keep_sending, host) for host in self.hosts]
+        """Start one caller for each host; they send requests until they are stopped."""
+        self.callers = [eventlet.spawn(self._run_caller, host) for host in self.hosts]
 
     def stop_callers(self) -> None:
-        """Stop the callers; requests under way are cancelled."""
+        """Stop the callers from sending further requests."""
         for caller in self.callers:
             caller.kill()
 
     def close(self) -> None:
-        """End all parts."""
+        """Stop the callers and hosts, and close the store."""
         self.stop_callers()
         for host in self.hosts:
             host.stop()
         self.store_server.close()
 
-    def _keep_sending(self, host: Host) -> None:
-        pile = eventlet.GreenPool(50)
+    def _run_caller(self, host: Host) -> None:
+        pool = eventlet.GreenPool(50)
         while True:
-            eventlet.sleep(REQUEST_PAUSE_S)
-            pile.spawn_n(self.send, host)
+            eventlet.sleep(REQUEST_INTERVAL_S)
+            pool.spawn_n(self.send_random_request, host)
 
-    def _run_hook(self, host: Host):
+    def _make_run_observer(self, host: Host):
         def on_run(exchange: Exchange) -> None:
             request = exchange.request
             request_id = (request.header(names.REQUEST_ID.lower()) or b"").decode()
             caller = (request.header(names.CALLER.lower()) or b"").decode()
-            self.promises.on_run(host.target(), host.service, request_id, caller)
+            self.checker.on_run(host.target_id(), host.service, request_id, caller)
 
         return on_run
--- /dev/null
+++ b/soak/guarantees.py
@@ -0,0 +1,126 @@
+"""Checks of the mesh's guarantees against the observations of callers and upstreams."""
+
+from collections import Counter
+from datetime import timedelta
+from typing import NamedTuple
+
+from almondshore.core.clock import Clock
+from almondshore.http.client import CallResult
+
+# Statuses that state that the request was not executed; callers retry even non-idempotent requests
+# after them.
+NOT_EXECUTED_STATUSES = frozenset((408, 421, 429, 503))
+MIN_SERVED_SHARE = 0.9
+
+
+class SentRequest(NamedTuple):
+    """A request sent by a caller.
+
+    :ivar node: name of the node that the request was sent to
+    :ivar caller_service: service that the caller belongs to
+    :ivar target_service: service that the request is routed to
+    """
+
+    request_id: str
+    node: str
+    caller_service: str
+    target_service: str
+    idempotent: bool
+
+
+class GuaranteeChecker:
+    """Records requests, runs and results, and reports violated guarantees.
+
+    :param drain: time after an acknowledged departure in which a target may still get requests
+    :ivar violations: one line for each violation
+    :ivar sent: requests by id; a request is added before it is sent
+    :ivar refused_ids: requests answered with a status of ``NOT_EXECUTED_STATUSES``
+    :ivar statuses: number of results by HTTP status, or by failure if there was no response
+    :ivar departures: time at which a node acknowledged the departure of a target, by target
+    """
+
+    def __init__(self, *, clock: Clock, drain: timedelta):
+        self.clock = clock
+        self.drain = drain
+        self.violations: list[str] = []
+        self.sent: dict[str, SentRequest] = {}
+        self.run_counts: Counter[str] = Counter()
+        self.refused_ids: set[str] = set()
+        self.statuses: Counter[str] = Counter()
+        self.departures: dict[str, timedelta] = {}
+
+    def on_run(self, target: str, service: str, request_id: str, caller: str) -> None:
+        """Record and check that an upstream runs a request.
+
+        :param target: identity of the upstream
+        :param service: service of the upstream
+        :param caller: calling service according to the request header
+        """
+        self.run_counts[request_id] += 1
+        sent = self.sent.get(request_id)
+        if sent is None:
+            self.violations.append(f"{target} ran {request_id}, which no caller sent")
+            return
+        if sent.target_service != service:
+            self.violations.append(
+                f"{target} of {service} ran {request_id}, sent to service {sent.target_service}"
+            )
+        if caller != sent.caller_service:
+            self.violations.append(
+                f"{request_id} names caller service {caller} instead of {sent.caller_service}"
+            )
+        if not sent.idempotent and self.run_counts[request_id] > 1:
+            self.violations.append(
+                f"non-idempotent {request_id} ran more than once, now at {target}"
+            )
+        if request_id in self.refused_ids and not sent.idempotent:
+            self.violations.append(
+                f"non-idempotent {request_id} ran at {target} after it was refused"
+            )
+        departed_at = self.departures.get(target)
+        if departed_at is not None and self.clock.monotonic() - departed_at > self.drain:
+            delay = self.clock.monotonic() - departed_at
+            self.violations.append(f"{request_id} reached {target} {delay} after its departure")
+
+    def on_result(self, sent: SentRequest, result: CallResult) -> None:
+        """Record and check the result that a caller got."""
+        response = result.response
+        if response is None:
+            self.statuses[str(result.failure.value)] += 1
+            return
+        self.statuses[str(response.status)] += 1
+        if response.status == 200:
+            if response.body != sent.request_id.encode() * 50:
+                self.violations.append(
+                    f"{sent.request_id} got an unexpected body: {response.body[:60]!r}"
+                )
+        elif response.status in NOT_EXECUTED_STATUSES:
+            self.refused_ids.add(sent.request_id)
+            if not sent.idempotent and self.run_counts[sent.request_id]:
+                self.violations.append(
+                    f"non-idempotent {sent.request_id} was refused with {response.status} but ran"
+                )
+        elif response.status == 404:
+            self.violations.append(
+                f"{sent.request_id} got 404 on a route that is in all configurations"
+            )
+
+    def on_departure_acknowledged(self, target: str) -> None:
+        """Record that a node acknowledged the drain or deregistration of a target."""
+        self.departures.setdefault(target, self.clock.monotonic())
+
+    def check_config_applied(self, node: str, path: str, status: int | None) -> None:
+        """Check that a node has applied the configuration that added a route.
+
+        :param path: path on the added route
+        :param status: status of a request for the path, None if there was no response
+        """
+        if status == 404:
+            self.violations.append(f"{node} answers 404 for {path}, whose route was added before")
+
+    def check_recovery(self, served: int, total: int) -> None:
+        """Check that enough requests are served once all faults are over."""
+        if served < MIN_SERVED_SHARE * total:
+            self.violations.append(
+                f"only {served} of {total} requests were served after the faults"
+            )
--- a/soak/main.py
+++ b/soak/main.py
@@ -12,98 +12,98 @@
 
 from almondshore.core.bounded_stream import BoundedStream
 from almondshore.core.logs import setup_logs
-from soak.proxy import Mode
-from soak.world import Host, World
+from soak.cluster import Cluster, Host
+from soak.proxy import ProxyMode
 
 STDERR = 2
-# More than watch the store in a zone, so that some nodes follow others.
-HOSTS = 7
-SECONDS = 12.0
-START_S = 2.5
-RECOVERY_S = 6.0
-# An accepted configuration is in force everywhere within this time.
-CONFIG_BOUND_S = 2.0
-CHECKS_AT_END = 60
-MIN_GAP_S, MAX_GAP_S = 0.1, 1.2
-MIN_FAULT_S, MAX_FAULT_S = 0.3, 4.0
-MAX_LEAVING = 1
+# More nodes than watch the store in one zone, so that some nodes get changes from other nodes.
+HOST_COUNT = 7
+FAULT_PHASE_S = 12.0
+START_PHASE_S = 2.5
+RECOVERY_PHASE_S = 6.0
+# Time within which every node applies a configuration that the store has accepted.
+MAX_CONFIG_DELAY_S = 2.0
+RECOVERY_REQUESTS = 60
+MIN_FAULT_INTERVAL_S, MAX_FAULT_INTERVAL_S = 0.1, 1.2
+MIN_FAULT_DURATION_S, MAX_FAULT_DURATION_S = 0.3, 4.0
+MAX_DEPARTING_TARGETS = 1
 
-Fault = Callable[[World, Host], None]
+Fault = Callable[[Cluster, Host], None]
 
 
-def _fault_time(world: World) -> float:
-    return world.rng.uniform(MIN_FAULT_S, MAX_FAULT_S)
+def _random_fault_duration(cluster: Cluster) -> float:
+    return cluster.rng.uniform(MIN_FAULT_DURATION_S, MAX_FAULT_DURATION_S)
 
 
-def kill_node(world: World, host: Host) -> None:
-    """Kill a node process and start it again."""
+def kill_node(cluster: Cluster, host: Host) -> None:
+    """Kill a node process with SIGKILL and restart it."""
     host.restart(signal.SIGKILL)
 
 
-def stop_node(world: World, host: Host) -> None:
-    """Stop a node process as planned work does, and start it again."""
+def stop_node(cluster: Cluster, host: Host) -> None:
+    """Stop a node process with SIGTERM, as planned maintenance does, and restart it."""
     host.restart(signal.SIGTERM)
 
 
-def pause_node(world: World, host: Host) -> None:
-    """Let a node process stand still."""
+def pause_node(cluster: Cluster, host: Host) -> None:
+    """Suspend a node process with SIGSTOP for a while."""
     host.signal(signal.SIGSTOP)
-    eventlet.sleep(_fault_time(world))
+    eventlet.sleep(_random_fault_duration(cluster))
     host.signal(signal.SIGCONT)
 
 
-def reload_node(world: World, host: Host) -> None:
-    """Have a node read its settings again."""
+def reload_node(cluster: Cluster, host: Host) -> None:
+    """Make a node reload its settings with SIGHUP."""
     host.signal(signal.SIGHUP)
 
 
-def harm_store_path(world: World, host: Host) -> None:
-    """Harm the connections of a node to the store."""
-    host.store_proxy.set_mode(world.rng.choice(list(Mode)[1:]))
-    eventlet.sleep(_fault_time(world))
-    host.store_proxy.set_mode(Mode.PASS)
+def disturb_store_connections(cluster: Cluster, host: Host) -> None:
+    """Apply a random proxy fault to the connections from a node to the store."""
+    host.store_proxy.set_mode(cluster.rng.choice(list(ProxyMode)[1:]))
+    eventlet.sleep(_random_fault_duration(cluster))
+    host.store_proxy.set_mode(ProxyMode.PASS)
 
 
-def harm_target_path(world: World, host: Host) -> None:
-    """Harm the connections of a node to its target."""
-    host.app_proxy.set_mode(world.rng.choice(list(Mode)[1:]))
-    eventlet.sleep(_fault_time(world))
-    host.app_proxy.set_mode(Mode.PASS)
+def disturb_target_connections(cluster: Cluster, host: Host) -> None:
+    """Apply a random proxy fault to the connections from a node to its target."""
+    host.target_proxy.set_mode(cluster.rng.choice(list(ProxyMode)[1:]))
+    eventlet.sleep(_random_fault_duration(cluster))
+    host.target_proxy.set_mode(ProxyMode.PASS)
 
 
-def harm_store(world: World, _host: Host) -> None:
-    """Let the store refuse calls, or lose the answers to writes."""
-    if world.rng.random() < 0.5:
-        world.store.refusal_status = world.rng.choice((429, 503))
+def disturb_store(cluster: Cluster, _host: Host) -> None:
+    """Make the store refuse all calls, or leave writes that it has made unanswered."""
+    if cluster.rng.random() < 0.5:
+        cluster.store.refusal_status = cluster.rng.choice((429, 503))
     else:
-        world.store.drop_write_responses = True
-    eventlet.sleep(_fault_time(world))
-    world.store.refusal_status, world.store.drop_write_responses = 0, False
+        cluster.store.drop_write_responses = True
+    eventlet.sleep(_random_fault_duration(cluster))
+    cluster.store.refusal_status, cluster.store.drop_write_responses = 0, False
 
 
-def forget_history(world: World, _host: Host) -> None:
-    """Let the store drop its history."""
-    world.store.compact_history()
+def compact_store_history(cluster: Cluster, _host: Host) -> None:
+    """Drop the change history of the store, which ends all watches."""
+    cluster.store.compact_history()
 
 
-def change_config(world: World, _host: Host) -> None:
-    """Write a new configuration."""
-    world.change_config()
+def change_config(cluster: Cluster, _host: Host) -> None:
+    """Write a new version of the configuration to the store."""
+    cluster.change_config()
 
 
-def drain_target(world: World, host: Host) -> None:
-    """Let a target leave after it said so; another one takes its place."""
-    _leave(world, host, notice=True)
+def drain_target(cluster: Cluster, host: Host) -> None:
+    """Replace a target that announces that it drains."""
+    _replace_target(cluster, host, drain_first=True)
 
 
-def deregister_target(world: World, host: Host) -> None:
-    """Let a target leave without a word before; another one takes its place."""
-    _leave(world, host, notice=False)
+def deregister_target(cluster: Cluster, host: Host) -> None:
+    """Replace a target that deregisters without a drain."""
+    _replace_target(cluster, host, drain_first=False)
 
 
-def _leave(world: World, host: Host, *, notice: bool) -> None:
-    if sum(other.state != "ready" for other in world.hosts) < MAX_LEAVING:
-        host.leave(notice=notice)
+def _replace_target(cluster: Cluster, host: Host, *, drain_first: bool) -> None:
+    if sum(other.state != "ready" for other in cluster.hosts) < MAX_DEPARTING_TARGETS:
+        host.replace_upstream(drain_first=drain_first)
 
 
 FAULTS: tuple[Fault, ...] = (
@@ -111,79 +111,95 @@
     stop_node,
     pause_node,
     reload_node,
-    harm_store_path,
-    harm_target_path,
-    harm_store,
-    forget_history,
+    disturb_store_connections,
+    disturb_target_connections,
+    disturb_store,
+    compact_store_history,
     change_config,
     drain_target,
     deregister_target,
 )
 
 
-def play(*, seed: int, folder: Path, seconds: float = SECONDS, hosts: int = HOSTS) -> World:
-    """Play one run; the broken promises are in the world that is returned."""
-    world = World(folder=folder, hosts=hosts, seed=seed)
+def run_soak(
+    *, seed: int, folder: Path, seconds: float = FAULT_PHASE_S, hosts: int = HOST_COUNT
+) -> Cluster:
+    """Run the soak with one seed.
+
+    :param folder: folder for the settings and logs of the nodes
+    :param seconds: duration of the phase in which faults are injected
+    :return: the closed cluster; its checker holds the violations
+    """
+    cluster = Cluster(folder=folder, hosts=hosts, seed=seed)
     try:
-        eventlet.sleep(START_S)
-        world.start_callers()
-        _inject(world, seconds)
-        eventlet.sleep(RECOVERY_S)
+        eventlet.sleep(START_PHASE_S)
+        cluster.start_callers()
+        _inject_faults(cluster, seconds)
+        eventlet.sleep(RECOVERY_PHASE_S)
         served = 0
-        for number in range(CHECKS_AT_END):
-            served += world.send(world.hosts[number % hosts]) == 200
-        world.promises.check_recovery(served, CHECKS_AT_END)
-        path = world.add_route()
-        eventlet.sleep(CONFIG_BOUND_S)
-        for host in world.hosts:
-            world.promises.check_in_force(host.name, path, world.request(host, path))
+        for number in range(RECOVERY_REQUESTS):
+            served += cluster.send_random_request(cluster.hosts[number % hosts]) == 200
+        cluster.checker.check_recovery(served, RECOVERY_REQUESTS)
+        path = cluster.add_route()
+        eventlet.sleep(MAX_CONFIG_DELAY_S)
+        for host in cluster.hosts:
+            cluster.checker.check_config_applied(host.name, path, cluster.probe_route(host, path))
     finally:
-        world.close()
-    return world
+        cluster.close()
+    return cluster
 
 
-def _inject(world: World, seconds: float) -> None:
-    """Start faults one after the other; they overlap, at most one of a kind for a host."""
-    busy: set[Host] = set()
-    end = world.clock.monotonic() + timedelta(seconds=seconds)
-    pile = eventlet.GreenPool()
+def _inject_faults(cluster: Cluster, seconds: float) -> None:
+    """Start faults at random intervals; they overlap, but each host has at most one at a time."""
+    hosts_with_fault: set[Host] = set()
+    end = cluster.clock.monotonic() + timedelta(seconds=seconds)
+    pool = eventlet.GreenPool()
 
     def run(fault: Fault, host: Host) -> None:
         try:
-            fault(world, host)
+            fault(cluster, host)
         finally:
-            busy.discard(host)
+            hosts_with_fault.discard(host)
 
-    while world.clock.monotonic() < end:
-        eventlet.sleep(world.rng.uniform(MIN_GAP_S, MAX_GAP_S))
-        free = [host for host in world.hosts if host not in busy]
-        if free:
-            host = world.rng.choice(free)
-            busy.add(host)
-            pile.spawn_n(run, world.rng.choice(FAULTS), host)
-    pile.waitall()
+    while cluster.clock.monotonic() < end:
+        eventlet.sleep(cluster.rng.uniform(MIN_FAULT_INTERVAL_S, MAX_FAULT_INTERVAL_S))
+        fault_free_hosts = [host for host in cluster.hosts if host not in hosts_with_fault]
+        if fault_free_hosts:
+            host = cluster.rng.choice(fault_free_hosts)
+            hosts_with_fault.add(host)
+            pool.spawn_n(run, cluster.rng.choice(FAULTS), host)
+    pool.waitall()
 
 
 def main() -> int:
-    """Play the seeds, and print what was seen and each broken promise."""
+    """Run all seeds and print the result counts and the violations of each.
+
+    :return: 1 if a seed found a violation, otherwise 0
+    """
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seeds", default="1", help="first and last seed, such as 1-50")
-    parser.add_argument("--seconds", type=float, default=SECONDS, help="time of the faults")
-    parser.add_argument("--keep", type=Path, help="folder for the logs of failed seeds")
+    parser.add_argument(
+        "--seconds", type=float, default=FAULT_PHASE_S, help="duration of the fault phase"
+    )
+    parser.add_argument(
+        "--keep", type=Path, help="folder that receives the settings and logs of failed seeds"
+    )
     options = parser.parse_args()
     setup_logs(level="ERROR", stream=BoundedStream(descriptor=STDERR))
     first, _, last = options.seeds.partition("-")
     failed = 0
     for seed in range(int(first), int(last or first) + 1):
         with tempfile.TemporaryDirectory() as folder:
-            world = play(seed=seed, folder=Path(folder), seconds=options.seconds)
+            cluster = run_soak(seed=seed, folder=Path(folder), seconds=options.seconds)
             statuses = " ".join(
-                f"{key}={count}" for key, count in sorted(world.promises.statuses.items())
+                f"{key}={count}" for key, count in sorted(cluster.checker.statuses.items())
+            )
+            print(
+                f"seed {seed}: {len(cluster.checker.violations)} violations; {statuses}", flush=True
             )
-            print(f"seed {seed}: {len(world.promises.broken)} broken; {statuses}", flush=True)
-            for line in world.promises.broken:
+            for line in cluster.checker.violations:
                 print(f"  {line}")
-            if world.promises.broken:
+            if cluster.checker.violations:
                 failed += 1
                 if options.keep is not None:
                     Path(folder).rename(options.keep / f"seed-{seed}")
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -1,4 +1,4 @@
-"""Loopback proxy that delays, resets, cuts and silences connections."""
+"""TCP proxy on loopback that delays, resets or discards the data of its connections."""
 
 from datetime import timedelta
 from enum import StrEnum
@@ -19,8 +19,14 @@
 DELAY = timedelta(milliseconds=150)
 
 
-class Mode(StrEnum):
-    """What the proxy does to the bytes of all its connections."""
+class ProxyMode(StrEnum):
+    """Treatment of all connections of a proxy.
+
+    ``PASS`` forwards data unchanged, and ``DELAY`` forwards it after a delay. ``RESET`` closes open
+    connections, and new ones as soon as they are accepted. ``CUT_REQUESTS`` discards data from
+    clients, ``CUT_ANSWERS`` data from the destination, and ``SILENT`` both; these three keep the
+    connections open.
+    """
 
     PASS = "pass"
     DELAY = "delay"
@@ -30,50 +36,52 @@
     SILENT = "silent"
 
 
-class _Side(StreamHandler):
-    """One of the two connections of a path.
+class _ProxyConnection(StreamHandler):
+    """One of the two connections that the proxy joins.
 
-    :ivar cut: mode in which the bytes from this side are lost
+    :ivar discard_mode: mode in which data received on this connection is discarded
+    :ivar peer: the connection that received data is forwarded to
     """
 
-    def __init__(self, *, proxy: "FaultProxy", cut: Mode):
+    def __init__(self, *, proxy: "FaultProxy", discard_mode: ProxyMode):
         self.proxy = proxy
-        self.cut = cut
+        self.discard_mode = discard_mode
         self.stream: Stream | None = None
-        self.other: _Side | None = None
+        self.peer: _ProxyConnection | None = None
 
     def on_data(self, data: bytes) -> None:
         mode = self.proxy.mode
-        if mode in (self.cut, Mode.SILENT):
+        if mode in (self.discard_mode, ProxyMode.SILENT):
             return
-        if mode is Mode.DELAY:
+        if mode is ProxyMode.DELAY:
             hub = hubs.get_hub()
-            hub.schedule_call_global(DELAY.total_seconds(), self.other.stream.write, data)
+            hub.schedule_call_global(DELAY.total_seconds(), self.peer.stream.write, data)
         else:
-            self.other.stream.write(data)
+            self.peer.stream.write(data)
 
     def on_end(self, *, clean: bool) -> None:
-        self.proxy.sides.discard(self)
-        self.other.close()
+        self.proxy.connections.discard(self)
+        self.peer.close()
 
     def close(self) -> None:
-        """Close this side."""
-        self.proxy.sides.discard(self)
+        """Close this connection and remove it from the proxy; its peer is left open."""
+        self.proxy.connections.discard(self)
         if self.stream is not None:
             self.stream.close()
 
 
 class FaultProxy:
-    """Passes connections on to one address.
+    """Listens on a free loopback port and forwards connections to one address.
 
-    :ivar target: address that connections are passed on to
-    :ivar mode: fault in effect, also on open connections
+    :ivar destination: address that connections are forwarded to
+    :ivar mode: current treatment of connections; a change also applies to open ones
+    :ivar address: address that the proxy listens on
     """
 
-    def __init__(self, *, target: Address):
-        self.target = target
-        self.mode = Mode.PASS
-        self.sides: set[_Side] = set()
+    def __init__(self, *, destination: Address):
+        self.destination = destination
+        self.mode = ProxyMode.PASS
+        self.connections: set[_ProxyConnection] = set()
         self.sock = socket.socket()
         self.sock.setblocking(False)
         self.sock.bind(("127.0.0.1", 0))
@@ -81,35 +89,35 @@
         self.address: Address = self.sock.getsockname()
         self.listener = watch(READ, self.sock.fileno(), self._accept)
 
-    def set_mode(self, mode: Mode) -> None:
-        """Put a fault into effect; a reset also ends the open connections."""
+    def set_mode(self, mode: ProxyMode) -> None:
+        """Switch the mode; ``RESET`` also closes the open connections."""
         self.mode = mode
-        if mode is Mode.RESET:
+        if mode is ProxyMode.RESET:
             self._close_all()
 
     def close(self) -> None:
-        """End the proxy."""
+        """Stop listening and close all connections."""
         hubs.get_hub().remove(self.listener)
         self.sock.close()
         self._close_all()
 
     def _accept(self, _fileno: int) -> None:
         accepted, _ = self.sock.accept()
-        if self.mode is Mode.RESET:
+        if self.mode is ProxyMode.RESET:
             accepted.close()
             return
         configure_socket(accepted)
-        near = _Side(proxy=self, cut=Mode.CUT_REQUESTS)
-        far = _Side(proxy=self, cut=Mode.CUT_ANSWERS)
-        near.other, far.other = far, near
-        connected = connect_stream(self.target, far)
+        client_side = _ProxyConnection(proxy=self, discard_mode=ProxyMode.CUT_REQUESTS)
+        destination_side = _ProxyConnection(proxy=self, discard_mode=ProxyMode.CUT_ANSWERS)
+        client_side.peer, destination_side.peer = destination_side, client_side
+        connected = connect_stream(self.destination, destination_side)
         if not isinstance(connected, Stream):
             accepted.close()
             return
-        far.stream = connected
-        near.stream = Stream(sock=accepted, handler=near)
-        self.sides |= {near, far}
+        destination_side.stream = connected
+        client_side.stream = Stream(sock=accepted, handler=client_side)
+        self.connections |= {client_side, destination_side}
 
     def _close_all(self) -> None:
-        for side in list(self.sides):
-            side.close()
+        for connection in list(self.connections):
+            connection.close()
--- a/test/soak/test_soak.py
+++ b/test/soak/test_soak.py
@@ -1,33 +1,33 @@
-"""A short seeded run of the fault soak, and the seeds that once failed."""
+"""Short seeded runs of the fault soak, among them seeds that failed before."""
 
 import tempfile
 from pathlib import Path
 
 from testtools import TestCase
 
-from soak.main import play
+from soak.main import run_soak
 
-# Seeds that broke a promise, each with its cause.
-REGRESSIONS = {
-    1: "a node that got SIGHUP while it loaded its modules ended, and nothing started it again",
-    4: "an answer of the store was lost, and the node's targets were outdated for 25 s",
-    27: "as seed 1",
+# Seeds that found a violation, with the cause of each.
+REGRESSION_SEEDS = {
+    1: "a node that got SIGHUP while it imported its modules exited and was not restarted",
+    4: "a response of the store was lost, and the node's target list was outdated for 25 s",
+    27: "same cause as seed 1",
 }
-SECONDS = 6.0
+FAULT_PHASE_S = 6.0
 
 
 class SoakTest(TestCase):
-    def play(self, seed, seconds):
+    def run_soak(self, seed, seconds):
         with tempfile.TemporaryDirectory() as folder:
-            world = play(seed=seed, folder=Path(folder), seconds=seconds)
-        self.assertEqual([], world.promises.broken)
-        self.assertTrue(world.promises.statuses["200"] > 100, world.promises.statuses)
+            cluster = run_soak(seed=seed, folder=Path(folder), seconds=seconds)
+        self.assertEqual([], cluster.checker.violations)
+        self.assertTrue(cluster.checker.statuses["200"] > 100, cluster.checker.statuses)
 
-    def test_short_run_keeps_the_promises(self):
-        """Guards against promises that only hold while nothing fails."""
-        self.play(1, SECONDS)
+    def test_short_run_finds_no_violation(self):
+        """Guards against guarantees that hold only in the absence of faults."""
+        self.run_soak(1, FAULT_PHASE_S)
 
     def test_seeds_that_failed_before(self):
-        """Guards against the return of a fault that a seed once found."""
-        for seed in REGRESSIONS:
-            self.play(seed, SECONDS)
+        """Guards against regressions: each seed has found a violation before."""
+        for seed in REGRESSION_SEEDS:
+            self.run_soak(seed, FAULT_PHASE_S)
