Describe the stand-ins for platform, store and targets precisely

Docstrings spoke of answers, of what a stand-in shows and of a node beside a target, and left out units, conditions and results. They now name responses, faults and the local node, and document attributes, return values and the effect of each fault. UpstreamStandIn was said to announce itself, which it does not. MemoryPlatform ignores the fault slow, which is now stated.

Renames: LEAVE_GRACE -> MIN_DRAIN_TIME, KEY_HEADER -> IDEMPOTENCY_KEY_VARIABLE, MAX_PATHS -> MAX_COUNTED_PATHS and private methods. The failure text "the answer was lost" of MemoryPlatform says response; no test matches it.

--- a/standins/addresses.py
+++ b/standins/addresses.py
@@ -5,28 +5,28 @@
 
 from almondshore.http.client import Address
 
-# Below the range from which the kernel takes ports of outgoing connections.
+# Below the range from which the kernel takes the local ports of outgoing connections.
 FIRST_PORT = 7001
 HOSTS_PER_PROCESS = 250
 
-_hosts = itertools.count()
+_host_numbers = itertools.count()
 
 
 def allocate_addresses(count: int) -> list[Address]:
-    """Return addresses on a loopback host of their own, on which nobody listens.
+    """Return unused addresses on one loopback host.
 
-    A port of 127.0.0.1 that was free a moment ago may be taken by an outgoing connection before
-    its listener starts; outgoing connections never come from these hosts and ports. The host is
-    derived from the process, so that concurrent runs have different ones.
+    A free port of 127.0.0.1 may be taken by an outgoing connection before its listener starts.
+    Outgoing connections do not use the hosts and ports returned here. The host is derived from the
+    process id, so that concurrent runs use different hosts.
     """
-    process, (round_, host) = os.getpid(), divmod(next(_hosts), HOSTS_PER_PROCESS)
-    name = f"127.{1 + process // 250 % 250}.{process % 250}.{1 + host}"
-    first = FIRST_PORT + round_ * count
-    return [(name, first + index) for index in range(count)]
+    pid, (port_block, host_index) = os.getpid(), divmod(next(_host_numbers), HOSTS_PER_PROCESS)
+    host = f"127.{1 + pid // 250 % 250}.{pid % 250}.{1 + host_index}"
+    first = FIRST_PORT + port_block * count
+    return [(host, first + index) for index in range(count)]
 
 
 def allocate_address() -> Address:
-    """Return one address on a loopback host of its own, on which nobody listens."""
+    """Return one unused loopback address."""
     return allocate_addresses(1)[0]
 
 
--- a/standins/memory_platform.py
+++ b/standins/memory_platform.py
@@ -1,4 +1,4 @@
-"""An in-process platform over an object store, for tests that need no sockets."""
+"""In-process platform client on an object store, for tests without sockets."""
 
 from collections.abc import Callable
 from datetime import timedelta
@@ -22,7 +22,10 @@
 
 
 class MemoryPlatform(Platform):
-    """A platform client that calls an object store directly and shows its faults."""
+    """Platform client that calls an object store directly and applies its rate limits and faults.
+
+    ``Fault.SLOW`` has no effect here.
+    """
 
     def __init__(self, *, store: ObjectStore):
         self.store = store
@@ -32,7 +35,7 @@
         return self._call("read", lambda: self._result(key, self.store.get(key), 0))
 
     def create(self, key: str, value: bytes, write_id: str) -> Result[StoredObject, PlatformError]:
-        """Create an object that must not exist."""
+        """Create an object, which must not exist yet."""
         return self.update(key, value, 0, write_id)
 
     def update(
@@ -53,7 +56,7 @@
     def watch(
         self, prefix: str, after: int, timeout: timedelta
     ) -> Result[WatchResult, PlatformError]:
-        """Return the changes so far without waiting."""
+        """Return the changes after a position; never waits for the timeout."""
         return self._call(
             "read",
             lambda: Success(WatchResult(self.store.position, self.store.changes(prefix, after))),
@@ -66,7 +69,7 @@
             return Failure(RateLimited(RETRY_AFTER))
         result = action()
         if kind == "write" and self.store.fault is Fault.LOSE_ANSWERS:
-            return Failure(Unavailable("the answer was lost"))
+            return Failure(Unavailable("the response was lost"))
         return result
 
     @staticmethod
--- a/standins/mesh_deployment.py
+++ b/standins/mesh_deployment.py
@@ -1,4 +1,4 @@
-"""A small mesh in one process on loopback: nodes, the store and upstreams."""
+"""Small mesh in one process on loopback: nodes, a stand-in store and upstreams."""
 
 import random
 from datetime import timedelta
@@ -27,14 +27,17 @@
     "header_timeout_s": 3,
     "idle_timeout_s": 15,
 }
-# Short, so that demonstrations and tests of a drain or a stop take seconds.
+# Short, so that a drain or a stop takes only seconds in demonstrations and tests.
 BOUNDS = Bounds(timedelta(seconds=1), timedelta(seconds=4), 0.2, timedelta(seconds=10), 56)
 CALL_TIMEOUT = timedelta(seconds=4)
 LISTENERS = ("outbound", "inbound", "ready", "control", "metrics")
 
 
 def stored_config(version: int, services: tuple[str, ...] = ("s",), **changes: Any) -> dict:
-    """Return a configuration with the route ``/SERVICE/`` for each service."""
+    """Return a configuration with an idempotent route ``/SERVICE/`` for each service.
+
+    :param changes: fields that replace the defaults in all routes
+    """
     route = {
         "hostname": "h.example",
         "route_type": "idempotent",
@@ -56,7 +59,12 @@
 
 
 class MeshDeployment:
-    """Nodes, each with an upstream, and a store."""
+    """Starts nodes, each with an upstream of its own, and the store that they share.
+
+    :ivar nodes: running nodes by name
+    :ivar upstreams: upstreams by the name of their node
+    :ivar sequence: number of the last heartbeat
+    """
 
     def __init__(self, *, log_stream: BoundedStream):
         self.clock = BootClock()
@@ -70,7 +78,7 @@
         self.sequence = 0
 
     def close(self) -> None:
-        """End all parts."""
+        """Close the nodes, the upstreams and the store."""
         for node in self.nodes.values():
             node.close()
         for server in self.servers:
@@ -79,7 +87,10 @@
     def add_node(
         self, name: str, service: str = "s", version: str = "v1", announce: bool = True
     ) -> MeshNode:
-        """Start a node with an upstream of its own."""
+        """Start a node and its upstream.
+
+        :param announce: whether to send a heartbeat of the upstream to the node
+        """
         upstream = UpstreamStandIn(target=f"i-{name}")
         server = serve(self.clock, upstream)
         self.servers.append(server)
@@ -101,7 +112,7 @@
         return node
 
     def start_node(self, settings: MeshSettings) -> MeshNode:
-        """Start a node, or start one again."""
+        """Start a node, or restart a closed one with its settings."""
         pool = ConnectionPool(clock=self.clock)
         node = MeshNode(
             settings=settings,
@@ -123,7 +134,10 @@
     def announce(
         self, name: str, state: str = "ready", version: str = "v1", born: int = 1000
     ) -> int | None:
-        """Send a heartbeat of a node's upstream; returns the status."""
+        """Send a heartbeat of a node's upstream to the node.
+
+        :return: status of the response, None if there was none
+        """
         self.sequence += 1
         settings = self.nodes[name].settings
         info = {"service": settings.service, "version": version, "zone": "a", "slots": 3}
@@ -133,14 +147,20 @@
         return self._post(settings.control, f"{names.HEARTBEAT_PATH}i-{name}", body)
 
     def deregister(self, name: str, born: int = 1000) -> int | None:
-        """Send the deregistration of a node's upstream; returns the status."""
+        """Deregister a node's upstream at the node.
+
+        :return: status of the response, None if there was none
+        """
         control = self.nodes[name].settings.control
         return self._post(control, f"{names.DEREGISTER_PATH}i-{name}", {"born": born})
 
     def request(
         self, node: str, path: str = "/s/x", request_id: str = "a1", deadline_ms: int = 1500
     ) -> CallResult:
-        """Send a caller's request to a node."""
+        """Send a request to the outbound listener of a node.
+
+        :param deadline_ms: time left for the request, sent as a header
+        """
         headers = (
             (b"Host", b"h.example"),
             (names.REQUEST_ID, request_id.encode()),
@@ -150,24 +170,33 @@
         return self.call(self.nodes[node].settings.outbound, data)
 
     def request_status(self, node: str, **fields: Any) -> int | None:
-        """Return the status that a caller gets, None for a connection without an answer."""
+        """Send a request as :meth:`request` does.
+
+        :return: status of the response, None if there was none
+        """
         response = self.request(node, **fields).response
         return response.status if response is not None else None
 
     def readiness_status(self, node: str) -> int | None:
-        """Return the status of a readiness check."""
+        """Send a readiness check to a node.
+
+        :return: status of the response, None if there was none
+        """
         data = encode_request(b"GET", b"/readiness", ((b"Host", b"h"),), b"")
         response = self.call(self.nodes[node].settings.ready, data).response
         return response.status if response is not None else None
 
     def call(self, address: Address, data: bytes) -> CallResult:
-        """Make a call and wait for its result."""
+        """Send an encoded request and wait for its result, at most ``CALL_TIMEOUT``."""
         done: Event = Event()
         self.pool.call(address, data, timeout=CALL_TIMEOUT, on_done=done.send)
         return done.wait()
 
     def wait_for_targets(self, node: str, count: int) -> None:
-        """Wait until a node knows so many targets."""
+        """Wait until a node knows at least ``count`` targets.
+
+        :raises eventlet.Timeout: if it does not within ``CALL_TIMEOUT``
+        """
         with eventlet.Timeout(CALL_TIMEOUT.total_seconds()):
             while len(self.nodes[node].directory.targets) < count:
                 eventlet.sleep(0.02)
@@ -179,5 +208,5 @@
 
 
 def listen_addresses() -> dict[str, Address]:
-    """Return addresses for the listeners of a node on a loopback host of its own."""
+    """Return unused addresses on one loopback host for the listeners of a node."""
     return dict(zip(LISTENERS, allocate_addresses(len(LISTENERS)), strict=True))
--- a/standins/mesh_platform.py
+++ b/standins/mesh_platform.py
@@ -1,4 +1,4 @@
-"""Stand-ins for the users' platform: its store and an upstream, on the product's HTTP server."""
+"""Stand-ins for the users' platform, its store and an upstream, on almondshore's HTTP server."""
 
 from collections.abc import Callable
 from datetime import timedelta
@@ -24,9 +24,13 @@
 class StoreStandIn(ExchangeHandler):
     """Objects by kind and name with revisions, conditional writes and watches.
 
+    :ivar revision: revision of the last change in the store
+    :ivar compacted_revision: watches from before this revision are answered with 410
+    :ivar history: revision, kind, object and whether it was removed, for each change
+    :ivar pending_watches: exchange, kind and start revision of each watch that waits for a change
     :ivar refusal_status: status that all calls are answered with, 0 to serve them
-    :ivar drop_write_responses: whether writes are done and not answered
-    :ivar calls: calls so far
+    :ivar drop_write_responses: whether writes are executed but left unanswered
+    :ivar calls: number of calls so far
     """
 
     def __init__(self) -> None:
@@ -40,7 +44,7 @@
         self.calls = 0
 
     def handle(self, exchange: Exchange) -> None:
-        """Answer a call."""
+        """Handle a read, a watch or a write."""
         self.calls += 1
         if self.refusal_status:
             exchange.respond(Response(self.refusal_status))
@@ -58,16 +62,16 @@
             exchange.respond(Response(status, JSON, body))
 
     def put(self, kind: str, name: str, spec: object) -> None:
-        """Write an object as the operator does."""
+        """Write the specification of an object, as an operator does; its status stays."""
         known = self.objects.get(kind, {}).get(name)
         self._store(kind, name, spec, known["status"] if known else None)
 
     def get(self, kind: str, name: str) -> dict[str, Any] | None:
-        """Return an object."""
+        """Return an object, None if there is none of this name."""
         return self.objects.get(kind, {}).get(name)
 
     def compact_history(self) -> None:
-        """Drop the history, and end the watches."""
+        """Drop the history and answer all pending watches with 410."""
         self.compacted_revision = self.revision
         self.history.clear()
         pending, self.pending_watches = self.pending_watches, []
@@ -149,16 +153,16 @@
         metadata = {"name": name, "revision": self.revision, "create_rev": created}
         found = {"metadata": metadata, "spec": spec, "status": status}
         self.objects.setdefault(kind, {})[name] = found
-        self._note(kind, found, removed=False)
+        self._append_event(kind, found, removed=False)
         return found
 
     def _remove(self, kind: str, name: str) -> dict[str, Any]:
         found = self.objects[kind].pop(name)
         self.revision += 1
-        self._note(kind, found, removed=True)
+        self._append_event(kind, found, removed=True)
         return found
 
-    def _note(self, kind: str, found: dict[str, Any], *, removed: bool) -> None:
+    def _append_event(self, kind: str, found: dict[str, Any], *, removed: bool) -> None:
         self.history.append((self.revision, kind, found, removed))
         for entry in [entry for entry in self.pending_watches if entry[1] == kind]:
             self.pending_watches.remove(entry)
@@ -166,11 +170,14 @@
 
 
 class UpstreamStandIn(ExchangeHandler):
-    """An upstream that answers after a while, and announces itself to the node beside it.
-
-    :ivar executed: request ids and caller services, in the order in which they ran
-    :ivar on_run: called with each request that runs
-    :ivar make_response: makes the response of a request, None to leave it unanswered
+    """An upstream that answers each request after a fixed time.
+
+    :ivar target: identity of the upstream; requests that expect another one are answered with 421
+    :ivar processing_time: time from the arrival of a request to its response
+    :ivar executed: attempt id and caller service of each request, in the order of execution
+    :ivar cancelled: number of requests that were cancelled
+    :ivar on_run: called with each request that is executed
+    :ivar make_response: returns the response to a request, None to leave it unanswered
     """
 
     def __init__(self, *, target: str, processing_time: timedelta = timedelta(milliseconds=5)):
@@ -182,7 +189,7 @@
         self.on_run: Callable[[Exchange], None] = lambda _exchange: None
 
     def handle(self, exchange: Exchange) -> None:
-        """Run a request, or reject one for another instance."""
+        """Execute a request, or reject one that expects another instance."""
         request = exchange.request
         if request.header(b"expected-instance") not in (None, self.target.encode()):
             exchange.respond(Response(421))
@@ -190,9 +197,9 @@
         self.executed.append((request.header(b"attempt-id"), request.header(b"caller-service")))
         self.on_run(exchange)
         exchange.on_cancel = self._on_cancel
-        eventlet.spawn_after(self.processing_time.total_seconds(), self._finish, exchange)
+        eventlet.spawn_after(self.processing_time.total_seconds(), self._respond, exchange)
 
-    def _finish(self, exchange: Exchange) -> None:
+    def _respond(self, exchange: Exchange) -> None:
         response = self.make_response(exchange)
         if response is not None:
             exchange.respond(response)
@@ -209,7 +216,10 @@
 
 
 def serve(clock: Clock, handler: ExchangeHandler, port: int = 0) -> HttpServer:
-    """Return a server for a stand-in on loopback."""
+    """Start an HTTP server for a stand-in on loopback.
+
+    :param port: port to listen on, 0 for a free one
+    """
     return HttpServer(
         clock=clock, address=("127.0.0.1", port), handler=handler, limits=lambda: LIMITS
     )
--- a/standins/object_store.py
+++ b/standins/object_store.py
@@ -12,7 +12,11 @@
 
 
 class Fault(StrEnum):
-    """Fault that the stand-in shows to its callers."""
+    """Fault that calls to the stand-in run into.
+
+    ``DOWN`` makes all calls fail, ``SLOW`` delays them, and ``LOSE_ANSWERS`` executes writes but
+    leaves them unanswered.
+    """
 
     NONE = "none"
     DOWN = "down"
@@ -28,7 +32,13 @@
 
 
 class ObjectStore:
-    """Objects with revisions, conditional writes, a change log, rate limits and call counts."""
+    """Objects with revisions, conditional writes, changes by position, rate limits and call counts.
+
+    :ivar change_positions: position of the last change of each object
+    :ivar position: number of changes so far
+    :ivar counts: calls admitted by kind, and calls refused by the rate limit
+    :ivar recent_calls: times in seconds of the calls admitted within the last second, by kind
+    """
 
     def __init__(
         self,
@@ -47,7 +57,7 @@
         self.recent_calls: dict[str, deque] = {"read": deque(), "write": deque()}
 
     def admit(self, kind: str) -> bool:
-        """Count a call and return whether the rate limit admits it.
+        """Return whether the rate limit admits a call, and count the call as admitted or refused.
 
         :param kind: ``read`` or ``write``
         """
@@ -70,7 +80,10 @@
     def put(self, key: str, value: bytes, revision: int, write_id: str) -> Status:
         """Write an object if its revision is the given one; 0 means that it must not exist.
 
-        :returns: 200, 409 with the object in the way, or 413
+        A write that repeats the ``write_id`` of the stored object succeeds without a change.
+
+        :return: 200, 409 with the conflicting object if there is one, or 413 if the value is too
+            large
         """
         if len(value) > MAX_VALUE_BYTES:
             return Status(413, None)
@@ -94,7 +107,7 @@
         ]
         return [self.objects[key] for key in sorted(keys, key=self.change_positions.__getitem__)]
 
-    # Defined last: later annotations in the class body would take ``list`` for this method.
+    # Defined last: in annotations after it, ``list`` would refer to this method.
     def list(self, prefix: str) -> list[StoredObject]:
         """Return the objects under a prefix, ordered by key."""
         return [self.objects[key] for key in sorted(self.objects) if key.startswith(prefix)]
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -39,7 +39,10 @@
 
 
 class Answer(NamedTuple):
-    """Status and JSON document of an answer; ``lost`` drops it instead of sending it."""
+    """Status and JSON document of a response.
+
+    :ivar lost: shut the connection down instead of sending the response
+    """
 
     status: int
     document: object
@@ -53,7 +56,11 @@
 
 
 class PlatformApp:
-    """WSGI application that serves an object store."""
+    """WSGI application that serves an object store and applies its rate limits and faults.
+
+    :param slow_delay: delay of each call under ``Fault.SLOW``
+    :ivar changed: event that wakes the waiting watches; replaced each time it is sent
+    """
 
     def __init__(self, *, store: ObjectStore, clock: Clock, slow_delay: timedelta = SLOW_DELAY):
         self.store = store
@@ -62,7 +69,7 @@
         self.changed = eventlet.event.Event()
 
     def __call__(self, environ, start_response):
-        """Answer one request."""
+        """Handle a request; a malformed one is answered with 400."""
         try:
             answer = self._route(environ)
         except (ValueError, KeyError, msgspec.MsgspecError) as error:
@@ -88,9 +95,9 @@
             return Answer(429, {"error": "rate limit"})
         if self.store.fault is Fault.SLOW:
             eventlet.sleep(self.slow_delay.total_seconds())
-        return self._serve(method, path, environ)
+        return self._handle_call(method, path, environ)
 
-    def _serve(self, method: str, path: str, environ) -> Answer:
+    def _handle_call(self, method: str, path: str, environ) -> Answer:
         query = {
             name: values[0] for name, values in parse_qs(environ.get("QUERY_STRING", "")).items()
         }
@@ -113,14 +120,14 @@
         if body is None:
             return Answer(413, ObjectResponse(object=None))
         value = msgspec.json.decode(body, type=PutRequest)["value"]
-        before = self.store.position
+        previous_position = self.store.position
         status = self.store.put(key, value, int(query["revision"]), query["write_id"])
-        if self.store.position != before:
+        if self.store.position != previous_position:
             self._wake_watches()
         return _object_answer(status)._replace(lost=self.store.fault is Fault.LOSE_ANSWERS)
 
     def _watch(self, prefix: str, after: int, wait: timedelta) -> Answer:
-        """Wait until an object under the prefix changes, the time is up or the fault is set."""
+        """Wait for a change of an object under the prefix, the time-out or ``Fault.DOWN``."""
         deadline = self.clock.monotonic() + wait
         while not (objects := self.store.changes(prefix, after)):
             remaining = deadline - self.clock.monotonic()
@@ -145,7 +152,7 @@
 
 
 def _read_body(environ) -> bytes | None:
-    """Read the request body; None if it is larger than any valid one."""
+    """Read the request body; None if it exceeds ``MAX_BODY_BYTES``."""
     length = int(environ.get("CONTENT_LENGTH") or 0)
     if length > MAX_BODY_BYTES:
         return None
@@ -158,18 +165,18 @@
 
 
 def serve(listener, app, *, log_output: bool = False) -> None:
-    """Serve a WSGI application on a listening eventlet socket until killed."""
+    """Serve a WSGI application on a listening eventlet socket; does not return."""
     eventlet.wsgi.server(listener, app, log_output=log_output, max_size=4096)
 
 
 def split_address(address: str) -> tuple[str, int]:
-    """Split ``ip:port``."""
+    """Split ``ip:port`` into host and port; brackets of an IPv6 host are removed."""
     host, _, port = address.rpartition(":")
     return host.strip("[]"), int(port)
 
 
 def print_address(event: str, listener: socket.socket) -> None:
-    """Print the address of a listener, whose port the system may have chosen."""
+    """Print the address of a listener; the kernel chose the port if 0 was requested."""
     host, port = listener.getsockname()[:2]
     sys.stdout.write(f"event={event} address={host}:{port}\n")
     sys.stdout.flush()
@@ -178,8 +185,8 @@
 def main(*, listen: str = "127.0.0.1:7300", slow_ms: int = 1500) -> None:
     """Serve the platform stand-in.
 
-    :param listen: address ``ip:port``
-    :param slow_ms: delay of each answer under the fault ``slow``
+    :param listen: address ``ip:port`` to listen on
+    :param slow_ms: delay of each call under the fault ``slow``
     """
     clock = SystemClock()
     app = PlatformApp(
--- a/standins/target_server.py
+++ b/standins/target_server.py
@@ -23,11 +23,11 @@
 
 ANNOUNCE_INTERVAL = timedelta(seconds=2)
 ANNOUNCE_TIMEOUT = timedelta(seconds=1)
-# Time during which a leaving target still serves, so that requests on their way find it.
-LEAVE_GRACE = timedelta(seconds=1)
+# A draining target serves at least this long, so that requests on their way to it are answered.
+MIN_DRAIN_TIME = timedelta(seconds=1)
 DRAIN_TIMEOUT = timedelta(seconds=30)
-MAX_PATHS = 100_000
-KEY_HEADER = "HTTP_IDEMPOTENCY_KEY"
+MAX_COUNTED_PATHS = 100_000
+IDEMPOTENCY_KEY_VARIABLE = "HTTP_IDEMPOTENCY_KEY"
 STATUS_LINES = {
     200: "200 OK",
     500: "500 Internal Server Error",
@@ -36,11 +36,12 @@
 
 
 class Behaviour(NamedTuple):
-    """How a target answers.
+    """Latency and failures of a target.
 
     :ivar error_rate: share of requests answered with 500
-    :ivar crash_on: path whose request ends the process; empty for none
-    :ivar cold_start: time after the start in which requests take ten times the latency
+    :ivar latency: time that each request takes
+    :ivar crash_on: path whose requests end the process with exit code 70; empty for none
+    :ivar cold_start: time after the start during which requests take ten times the latency
     """
 
     error_rate: float = 0.0
@@ -50,9 +51,11 @@
 
 
 class TargetApp:
-    """WSGI application of a target; counts the runs of each idempotency key and of each path.
+    """WSGI application of a target; counts runs by idempotency key and by path.
 
-    :ivar runs_by_path: for the newest paths only
+    :ivar runs_by_path: runs of at most the last ``MAX_COUNTED_PATHS`` distinct paths
+    :ivar active: requests whose response has not been sent completely
+    :ivar last_headers: headers of the last request that was run
     """
 
     def __init__(
@@ -71,20 +74,20 @@
         self.last_headers: dict[str, str] = {}
 
     def __call__(self, environ, start_response):
-        """Answer one request."""
+        """Handle a request."""
         self.active += 1
         try:
-            status, document = self._document(environ)
+            status, document = self._handle_request(environ)
         except BaseException:
             self.active -= 1
             raise
         body = msgspec.json.encode(document)
         headers = [("content-type", "application/json"), ("content-length", str(len(body)))]
         start_response(STATUS_LINES[status], headers)
-        return self._finish(body)
+        return self._send_body(body)
 
-    def _document(self, environ) -> tuple[int, dict]:
-        """Return the status and document for a request."""
+    def _handle_request(self, environ) -> tuple[int, dict]:
+        """Run a request, or return the run counts if it asks for ``/runs``."""
         if environ["PATH_INFO"] == "/runs":
             return 200, {
                 "runs": self.runs,
@@ -92,17 +95,17 @@
                 "by_path": dict(self.runs_by_path),
                 "last_headers": self.last_headers,
             }
-        return self._run(environ)
+        return self._process(environ)
 
-    def _finish(self, body: bytes) -> Iterator[bytes]:
-        """Yield the body; the request is active until the server has sent it."""
+    def _send_body(self, body: bytes) -> Iterator[bytes]:
+        """Yield the body; the request counts as active until the server has sent it."""
         try:
             yield body
         finally:
             self.active -= 1
 
-    def _run(self, environ) -> tuple[int, dict]:
-        """Run one request."""
+    def _process(self, environ) -> tuple[int, dict]:
+        """Run a request with the latency and the failures of the target's behaviour."""
         if self.behaviour.crash_on and environ["PATH_INFO"] == self.behaviour.crash_on:
             os._exit(70)
         body = environ["wsgi.input"].read()
@@ -113,7 +116,7 @@
             for name, value in environ.items()
             if name.startswith("HTTP_")
         }
-        key = environ.get(KEY_HEADER)
+        key = environ.get(IDEMPOTENCY_KEY_VARIABLE)
         if key is not None:
             self.runs_by_key[key] += 1
         eventlet.sleep(self._latency().total_seconds())
@@ -129,16 +132,19 @@
 
     def _count_path(self, path: str) -> None:
         self.runs_by_path[path] += 1
-        if len(self.runs_by_path) > MAX_PATHS:
+        if len(self.runs_by_path) > MAX_COUNTED_PATHS:
             del self.runs_by_path[next(iter(self.runs_by_path))]
 
     def _latency(self) -> timedelta:
-        cold = self.clock.monotonic() - self.started_at < self.behaviour.cold_start
-        return self.behaviour.latency * (10 if cold else 1)
+        is_cold = self.clock.monotonic() - self.started_at < self.behaviour.cold_start
+        return self.behaviour.latency * (10 if is_cold else 1)
 
 
 class Announcer:
-    """Posts the target's record to the node beside it."""
+    """Posts the target's record to its local node.
+
+    :ivar state: state that is sent with the record, ``up`` or ``leaving``
+    """
 
     def __init__(self, *, url: str, record: dict):
         self.url = f"{url.rstrip('/')}/almondshore/v1/announce"
@@ -161,20 +167,23 @@
         return response.status < 300
 
     def run(self) -> None:
-        """Announce until killed."""
+        """Announce the target at intervals; does not return."""
         while True:
             self.announce()
             eventlet.sleep(ANNOUNCE_INTERVAL.total_seconds())
 
 
 def drain(app: TargetApp, announcer: Announcer, clock: Clock) -> None:
-    """Announce that the target leaves, finish the requests and end the process."""
+    """Announce that the target leaves, finish active requests and end the process.
+
+    Requests that are still active after ``DRAIN_TIMEOUT`` are cut off.
+    """
     announcer.state = "leaving"
     announcer.announce()
     started_at = clock.monotonic()
     while clock.monotonic() - started_at < DRAIN_TIMEOUT:
         eventlet.sleep(0.05)
-        if app.active == 0 and clock.monotonic() - started_at >= LEAVE_GRACE:
+        if app.active == 0 and clock.monotonic() - started_at >= MIN_DRAIN_TIME:
             break
     os._exit(0)
 
@@ -193,11 +202,11 @@
     cold_start_ms: float = 0.0,
     seed: int = 1,
 ) -> None:
-    """Serve a target stand-in.
+    """Serve a target stand-in until SIGTERM, which drains it.
 
     :param listen: address ``ip:port`` to serve on
-    :param announce: admin address of the node beside it, ``http://ip:port``
-    :param name: identity of the target; the address by default
+    :param announce: admin address of the local node, ``http://ip:port``
+    :param name: identity of the target, ``service@ip:port`` by default
     """
     clock = SystemClock()
     target = name or f"{service}@{listen}"
