--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -1,4 +1,4 @@
-"""A small deployment of real processes on loopback, for the demo and for process tests."""
+"""Small deployment of real processes on loopback, for the demo and the process tests."""
 
 import json
 import signal
@@ -33,7 +33,7 @@
 
 
 class NodeProcess(NamedTuple):
-    """A running node."""
+    """A node process."""
 
     name: str
     zone: str
@@ -42,7 +42,7 @@
 
 
 class TargetProcess(NamedTuple):
-    """A running target."""
+    """A target process."""
 
     name: str
     address: str
@@ -52,11 +52,16 @@
 class Deployment:
     """Starts and stops the platform stand-in, nodes and targets.
 
-    Used as a context manager: all processes it started are ended on exit.
+    As a context manager, it ends all processes that it started on exit.
+
+    :param settings: settings that all nodes have in addition to their own
+    :ivar path: folder for the settings and logs of the processes
+    :ivar processes: all processes in the order of their start, the platform first
+    :ivar nodes: the last process of each node, by name
     """
 
     def __init__(self, *, settings: dict | None = None):
-        self.extra_settings = settings or {}
+        self.common_settings = settings or {}
         self.folder = tempfile.TemporaryDirectory(prefix="almondshore-")
         self.path = Path(self.folder.name)
         self.processes: list[subprocess.Popen] = []
@@ -68,9 +73,9 @@
         return self
 
     def __exit__(self, *exc_info) -> None:
-        # The platform ends last, so that nodes can give their leases back.
+        # The platform is stopped last, so that nodes can release their leases.
         for process in self.processes[1:]:
-            ask_to_end(process)
+            send_sigterm(process)
         for process in reversed(self.processes):
             self.stop(process)
         self.http.clear()
@@ -82,25 +87,25 @@
         return f"http://{self.platform_address}"
 
     def start_platform(self) -> subprocess.Popen:
-        """Start the platform stand-in and wait until it answers."""
+        """Start the platform stand-in and wait until it responds."""
         process = self._start(
             "platform", "-m", "standins.platform_server", "--listen", self.platform_address
         )
-        wait_for(lambda: self._answers(f"{self.platform_url}/v1/counts"), "the platform")
+        wait_for(lambda: self._responds_ok(f"{self.platform_url}/v1/counts"), "the platform")
         return process
 
     def set_fault(self, fault: str) -> None:
-        """Switch a fault of the platform on, or all off with ``none``."""
+        """Set the fault of the platform stand-in; ``none`` clears it."""
         body = json.dumps({"fault": fault}).encode()
         self.http.request("POST", f"{self.platform_url}/v1/fault", body=body)
 
     def start_node(self, name: str, zone: str) -> NodeProcess:
-        """Start a node; it knows the control addresses of the nodes started before it."""
+        """Start a node whose peers are the nodes started before it, and wait until it responds."""
         addresses = NodeAddresses(
             *map(format_address, allocate_addresses(len(NodeAddresses._fields)))
         )
         settings = {
-            **self.extra_settings,
+            **self.common_settings,
             "node": name,
             "zone": zone,
             "listen": addresses._asdict(),
@@ -110,7 +115,7 @@
         return self._start_node(name, zone, addresses, settings)
 
     def restart_node(self, name: str) -> NodeProcess:
-        """Start a node that has ended again, with the settings that it had."""
+        """Start a node that has ended again, with its former settings."""
         node = self.nodes[name]
         settings = yaml.safe_load((self.path / f"{name}.yaml").read_text())
         return self._start_node(name, node.zone, node.addresses, settings)
@@ -118,18 +123,20 @@
     def _start_node(
         self, name: str, zone: str, addresses: NodeAddresses, settings: dict
     ) -> NodeProcess:
-        file = self.path / f"{name}.yaml"
-        file.write_text(yaml.safe_dump(settings))
-        process = self._start(name, "-m", "almondshore.daemon.main", "--settings", str(file))
+        settings_file = self.path / f"{name}.yaml"
+        settings_file.write_text(yaml.safe_dump(settings))
+        process = self._start(
+            name, "-m", "almondshore.daemon.main", "--settings", str(settings_file)
+        )
         node = NodeProcess(name, zone, addresses, process)
         self.nodes[name] = node
-        wait_for(lambda: self._answers(f"http://{addresses.admin}/almondshore/v1/health"), name)
+        wait_for(lambda: self._responds_ok(f"http://{addresses.admin}/almondshore/v1/health"), name)
         return node
 
     def start_target(
         self, node: NodeProcess, service: str, version: str, *options: str
     ) -> TargetProcess:
-        """Start a target on the host of a node."""
+        """Start a target that announces itself to a node; does not wait for it."""
         address = format_address(allocate_address())
         name = f"{service}-{version}-{len(self.processes)}"
         process = self._start(
@@ -141,7 +148,7 @@
         return TargetProcess(name, address, process)
 
     def command(self, *arguments: str) -> subprocess.CompletedProcess:
-        """Run the command-line tool and return its result."""
+        """Run the command-line tool against the platform stand-in, for 60 s at most."""
         return subprocess.run(
             [
                 *PYTHON,
@@ -154,11 +161,11 @@
         )
 
     def runs_of(self, target: TargetProcess) -> dict:
-        """Read how many requests a target has run, in all and by idempotency key."""
+        """Read how many requests a target has run: in total, by idempotency key and by path."""
         return json.loads(self.http.request("GET", f"http://{target.address}/runs").data)
 
     def status_of(self, node: NodeProcess) -> dict:
-        """Read the status of a node from its admin address; empty if it does not answer."""
+        """Read the status of a node from its admin address; empty if it does not respond."""
         try:
             response = self.http.request(
                 "GET", f"http://{node.addresses.admin}/almondshore/v1/status"
@@ -168,24 +175,24 @@
         return json.loads(response.data)
 
     def log_of(self, name: str) -> str:
-        """Return what a process has written so far."""
+        """Return the output of a process so far."""
         return (self.path / f"{name}.log").read_text()
 
     def diagnostics(self) -> str:
-        """Return what a failure is traced by: ended processes, and state and logs of the nodes."""
+        """Return exit codes of ended processes, and the status and last log lines of each node."""
         ended = [process for process in self.processes if process.poll() is not None]
-        lines = [f"ended with {process.returncode}: {process.args}" for process in ended]
+        lines = [f"exited with code {process.returncode}: {process.args}" for process in ended]
         for name, node in self.nodes.items():
             lines.append(f"{name}: {self.status_of(node)}")
             lines += self.log_of(name).splitlines()[-REPORTED_LOG_LINES:]
         return "\n".join(lines)
 
     def stop(self, process: subprocess.Popen) -> int:
-        """Ask a process to end, and kill it if it does not.
+        """Send SIGTERM to a process, and kill it if it does not end within ``STOP_TIMEOUT``.
 
-        :returns: its exit code
+        :return: its exit code
         """
-        if ask_to_end(process):
+        if send_sigterm(process):
             try:
                 process.wait(STOP_TIMEOUT.total_seconds())
             except subprocess.TimeoutExpired:
@@ -198,17 +205,19 @@
         self.processes.append(process)
         return process
 
-    def _answers(self, url: str) -> bool:
+    def _responds_ok(self, url: str) -> bool:
         try:
             return self.http.request("GET", url).status == 200
         except urllib3.exceptions.HTTPError:
             return False
 
 
-def ask_to_end(process: subprocess.Popen) -> bool:
-    """Send SIGTERM to a process, also if it is stopped; False if it has ended.
+def send_sigterm(process: subprocess.Popen) -> bool:
+    """Send SIGTERM to a process unless it has ended; a suspended process is resumed first.
+
+    Each process gets only one SIGTERM, since a second one ends a node at once.
 
-    A process gets it once only, since a second one ends a node at once.
+    :return: False if the process has ended
     """
     if process.poll() is not None:
         return False
@@ -220,14 +229,15 @@
 
 
 def wait_for(
-    condition: Callable[[], bool], what: str, timeout: timedelta = timedelta(seconds=30)
+    condition: Callable[[], bool], awaited: str, timeout: timedelta = timedelta(seconds=30)
 ) -> None:
-    """Wait until a condition holds.
+    """Poll until a condition holds.
 
+    :param awaited: what is waited for, as the error message names it
     :raises TimeoutError: if it does not hold within the timeout
     """
-    give_up_at = time.monotonic() + timeout.total_seconds()
+    deadline = time.monotonic() + timeout.total_seconds()
     while not condition():
-        if time.monotonic() > give_up_at:
-            raise TimeoutError(f"{what} was not ready within {timeout}")
+        if time.monotonic() > deadline:
+            raise TimeoutError(f"timed out after {timeout} waiting for {awaited}")
         time.sleep(POLL_INTERVAL_SECONDS)
--- a/standins/load.py
+++ b/standins/load.py
@@ -1,7 +1,7 @@
-"""An open-loop load generator: ``python -m standins.load``.
+"""Open-loop load generator: ``python -m standins.load``.
 
-Arrivals follow a seeded Poisson process that does not wait for answers, and latency counts from
-the planned arrival, so that a stalled system cannot hide its delay by slowing the generator.
+Arrivals follow a seeded Poisson process that does not wait for responses, and latency counts from
+the planned arrival. A stalled system therefore cannot hide its delay by slowing the generator.
 """
 
 import eventlet
@@ -27,11 +27,11 @@
 OUTCOME_HEADER = "x-almondshore-outcome"
 
 
-class Kind(NamedTuple):
-    """A kind of request in the mix.
+class RequestKind(NamedTuple):
+    """A kind of request in the load.
 
-    :ivar name: class that its figures are reported under
-    :ivar weight: share of the arrivals, relative to the other kinds
+    :ivar name: class under which its results are reported
+    :ivar weight: relative frequency among the kinds
     """
 
     name: str
@@ -41,28 +41,33 @@
 
 
 class Arrival(NamedTuple):
-    """A planned request; ``at`` counts from the start of the run."""
+    """A planned request.
 
-    at: timedelta
-    kind: Kind
+    :ivar offset: planned time of sending since the start of the run
+    :ivar url: base address that the path of the kind is appended to
+    :ivar number: position in the plan; part of the idempotency key
+    """
+
+    offset: timedelta
+    kind: RequestKind
     url: str
     tenant: str
     number: int
 
 
 class Tally:
-    """Results of one class."""
+    """Result counts of one class, and the latencies of its good responses."""
 
     def __init__(self):
         self.results: Counter[str] = Counter()
         self.latencies = HdrHistogram(1, MAX_LATENCY_US, SIGNIFICANT_DIGITS)
 
     def add(self, result: str, latency: timedelta) -> None:
-        """Record one finished request; only good ones count in the latencies."""
+        """Record the result of an arrival; only good ones count in the latencies."""
         self.results[result] += 1
         if result == "good":
-            micros = round(latency / timedelta(microseconds=1))
-            self.latencies.record_value(min(max(1, micros), MAX_LATENCY_US))
+            latency_us = round(latency / timedelta(microseconds=1))
+            self.latencies.record_value(min(max(1, latency_us), MAX_LATENCY_US))
 
     def percentile_ms(self, percentile: float) -> float:
         """Return a latency percentile of the good responses in milliseconds."""
@@ -71,7 +76,7 @@
 
 def plan_arrivals(
     *,
-    kinds: list[Kind],
+    kinds: list[RequestKind],
     urls: list[str],
     tenants: int,
     rate: float,
@@ -79,25 +84,33 @@
     duration: timedelta,
     rng: random.Random,
 ) -> list[Arrival]:
-    """Plan the arrivals of a run, bounded by count and by duration."""
+    """Plan the arrivals of a run, bounded by count and by duration.
+
+    :param tenants: number of tenants that the requests are spread over
+    :param rate: mean number of arrivals per second
+    """
     arrivals: list[Arrival] = []
-    at = 0.0
+    offset_s = 0.0
     weights = [kind.weight for kind in kinds]
     while len(arrivals) < count:
-        at += rng.expovariate(rate)
-        if at >= duration.total_seconds():
+        offset_s += rng.expovariate(rate)
+        if offset_s >= duration.total_seconds():
             break
         kind = rng.choices(kinds, weights)[0]
         tenant = f"tenant-{rng.randrange(tenants)}"
         number = len(arrivals)
-        arrivals.append(Arrival(timedelta(seconds=at), kind, rng.choice(urls), tenant, number))
+        arrivals.append(
+            Arrival(timedelta(seconds=offset_s), kind, rng.choice(urls), tenant, number)
+        )
     return arrivals
 
 
 class LoadRun:
-    """Sends the planned requests and tallies their results by class.
+    """Sends the planned requests and counts their results by class.
 
-    :param max_in_flight: requests at the same time; an arrival beyond it counts as ``overrun``
+    :param max_in_flight: limit of concurrent requests; an arrival beyond it is not sent and counts
+        as ``overrun``
+    :param run_id: prefix of the idempotency keys
     """
 
     def __init__(
@@ -118,17 +131,17 @@
         self.tallies: dict[str, Tally] = {}
 
     def run(self, arrivals: list[Arrival]) -> timedelta:
-        """Send all arrivals at their times and return the time that the run took."""
+        """Send all requests at their planned times and return the duration of the run."""
         started_at = self.clock.monotonic()
         tasks = []
         for arrival in arrivals:
-            wait = started_at + arrival.at - self.clock.monotonic()
+            wait = started_at + arrival.offset - self.clock.monotonic()
             eventlet.sleep(max(0.0, wait.total_seconds()))
             if self.in_flight >= self.max_in_flight:
                 self._tally(arrival).add("overrun", timedelta())
                 continue
             self.in_flight += 1
-            tasks.append(eventlet.spawn(self._send, arrival, started_at + arrival.at))
+            tasks.append(eventlet.spawn(self._send, arrival, started_at + arrival.offset))
         for task in tasks:
             task.wait()
         return self.clock.monotonic() - started_at
@@ -141,7 +154,7 @@
         self._tally(arrival).add(result, self.clock.monotonic() - planned_at)
 
     def _request(self, arrival: Arrival) -> str:
-        """Send one request and return its result in a word."""
+        """Send one request and return its result: ``failed``, or what :func:`classify` returns."""
         headers = {"x-tenant": arrival.tenant}
         if arrival.kind.method != "GET":
             headers["idempotency-key"] = f"{self.run_id}-{arrival.number}"
@@ -165,8 +178,9 @@
 def classify(status: int, outcome: str | None, body: bytes, arrival: Arrival) -> str:
     """Return the result of a response: ``good``, ``mixed-up``, an outcome or ``error``.
 
-    A response is good if it is complete and belongs to its request; the targets answer with the
-    path that they ran.
+    A response is good if it is complete and states the path of its request, ``mixed-up`` if it
+    states another path; targets respond with the path that they ran. Other statuses than 200 give
+    the value of the outcome header, or ``error`` without one.
     """
     if status != 200:
         return outcome or "error"
@@ -177,30 +191,30 @@
     return "good" if path == arrival.kind.path else "mixed-up"
 
 
-def format_report(tallies: dict[str, Tally], took: timedelta) -> str:
-    """Return a table of the results, one line for each class."""
-    seconds = max(took.total_seconds(), 0.001)
+def format_report(tallies: dict[str, Tally], elapsed: timedelta) -> str:
+    """Return a table of the results with one line for each class."""
+    seconds = max(elapsed.total_seconds(), 0.001)
     lines = [
         f"{'class':12} {'sent':>8} {'good':>8} {'good/s':>9} {'p50 ms':>9} {'p99 ms':>9}  other"
     ]
     for name, tally in sorted(tallies.items()):
         good = tally.results["good"]
-        other = {key: value for key, value in sorted(tally.results.items()) if key != "good"}
-        rest = " ".join(f"{key}={value}" for key, value in other.items())
+        other_counts = {key: value for key, value in sorted(tally.results.items()) if key != "good"}
+        others = " ".join(f"{key}={value}" for key, value in other_counts.items())
         lines.append(
             f"{name:12} {tally.results.total():8} {good:8} {good / seconds:9.1f}"
-            f" {tally.percentile_ms(50):9.2f} {tally.percentile_ms(99):9.2f}  {rest}".rstrip()
+            f" {tally.percentile_ms(50):9.2f} {tally.percentile_ms(99):9.2f}  {others}".rstrip()
         )
     return "\n".join(lines) + "\n"
 
 
-def parse_kind(text: str) -> Kind:
+def parse_kind(text: str) -> RequestKind:
     """Parse ``class:METHOD:/path:weight``.
 
-    :raises ValueError: if the text has another form
+    :raises ValueError: if the number of fields is not four or the weight is not a number
     """
     name, method, path, weight = text.split(":")
-    return Kind(name, method, path, float(weight))
+    return RequestKind(name, method, path, float(weight))
 
 
 def main(
--- a/test/standins/test_addresses.py
+++ b/test/standins/test_addresses.py
@@ -1,4 +1,4 @@
-"""Tests of the loopback addresses that processes of tests listen on."""
+"""Tests of the allocation of loopback addresses for test processes."""
 
 import socket
 from pathlib import Path
@@ -11,8 +11,8 @@
 
 
 class AddressesTest(TestCase):
-    def test_no_outgoing_connection_takes_an_address(self):
-        """Guards against a listener whose port an outgoing connection took before it started."""
+    def test_addresses_are_outside_the_range_of_outgoing_connections(self):
+        """Guards against a port that an outgoing connection takes before its listener starts."""
         first, last = map(int, PORT_RANGE.read_text().split())
         with (
             socket.create_server(("127.0.0.1", 0)) as server,
@@ -23,10 +23,10 @@
             self.assertFalse(first <= port <= last, port)
             self.assertNotEqual(outgoing_host, host)
 
-    def test_addresses_are_given_once(self):
-        """Guards against two processes of a test that share a port."""
-        given = [allocate_address() for _ in range(3 * HOSTS_PER_PROCESS)]
-        self.assertEqual(len(given), len(set(given)))
-        for address in (given[0], given[-1]):
+    def test_addresses_are_allocated_once(self):
+        """Guards against two processes of a test that are given the same address."""
+        allocated = [allocate_address() for _ in range(3 * HOSTS_PER_PROCESS)]
+        self.assertEqual(len(allocated), len(set(allocated)))
+        for address in (allocated[0], allocated[-1]):
             with socket.create_server(address):
                 pass
--- a/test/standins/test_load.py
+++ b/test/standins/test_load.py
@@ -9,10 +9,10 @@
 from testtools import TestCase
 
 from almondshore.core.clock import ManualClock
-from standins.load import Arrival, Kind, LoadRun, classify, format_report, plan_arrivals
+from standins.load import Arrival, LoadRun, RequestKind, classify, format_report, plan_arrivals
 
-URGENT = Kind("urgent", "GET", "/a", 1)
-ROUTINE = Kind("routine", "POST", "/b", 3)
+URGENT = RequestKind("urgent", "GET", "/a", 1)
+ROUTINE = RequestKind("routine", "POST", "/b", 3)
 SECOND = timedelta(seconds=1)
 
 
@@ -29,18 +29,18 @@
 
 
 class LoadTest(TestCase):
-    def test_the_plan_is_seeded_and_bounded(self):
-        """Guards against load that cannot be repeated or does not end."""
+    def test_plan_is_reproducible_and_bounded(self):
+        """Guards against load that cannot be reproduced from its seed or has no end."""
         self.assertEqual(plan(), plan())
         self.assertNotEqual(plan(), plan(seed=2))
         self.assertEqual(50, len(plan(count=50)))
         arrivals = plan()
-        self.assertTrue(900 <= len(arrivals) <= 1100 and arrivals[-1].at < 10 * SECOND)
+        self.assertTrue(900 <= len(arrivals) <= 1100 and arrivals[-1].offset < 10 * SECOND)
         routine = sum(arrival.kind is ROUTINE for arrival in arrivals)
         self.assertTrue(0.70 <= routine / len(arrivals) <= 0.80)
 
-    def test_only_a_whole_response_to_the_own_request_is_good(self):
-        """Guards against counting truncated or mixed-up responses as served."""
+    def test_only_a_complete_response_to_the_sent_request_is_good(self):
+        """Guards against counting truncated responses, or those to other requests, as good."""
         arrival = Arrival(SECOND, URGENT, "http://x", "t", 0)
         for status, outcome, body, expected in (
             (200, None, b'{"path":"/a"}', "good"),
@@ -53,7 +53,7 @@
             self.assertEqual(expected, classify(status, outcome, body, arrival))
 
     def test_arrivals_do_not_wait_for_responses(self):
-        """Guards against latency that looks small because the generator waited."""
+        """Guards against latencies that are too low because the generator waited for responses."""
         waiting = eventlet.event.Event()
 
         def request(method, url, **_):
@@ -77,9 +77,9 @@
             eventlet.sleep(0)
         clock.advance(2 * SECOND)
         waiting.send()
-        took = task.wait()
+        elapsed = task.wait()
         self.assertEqual({"good": 4, "overrun": 2}, dict(run.tallies["urgent"].results))
         self.assertEqual({"failed": 1}, dict(run.tallies["routine"].results))
         self.assertTrue(1990 <= run.tallies["urgent"].percentile_ms(50) <= 2010)
-        report = format_report(run.tallies, took).splitlines()
+        report = format_report(run.tallies, elapsed).splitlines()
         self.assertEqual(["urgent", "6", "4", "2.0"], report[2].split()[:4])
--- a/test/standins/test_platform_server.py
+++ b/test/standins/test_platform_server.py
@@ -1,4 +1,4 @@
-"""Tests of the platform stand-in as a process, over loopback."""
+"""Tests of the platform stand-in as a separate process on loopback."""
 
 import json
 import threading
@@ -12,7 +12,7 @@
 from almondshore.storage.port import MAX_VALUE_BYTES, Unavailable
 from standins.deployment import Deployment, wait_for
 
-LONG = timedelta(seconds=30)
+TIMEOUT = timedelta(seconds=30)
 
 
 class PlatformServerTest(TestCase):
@@ -22,7 +22,7 @@
         self.addCleanup(self.deployment.__exit__)
         self.process = self.deployment.start_platform()
         url = self.deployment.platform_url
-        self.platform = HttpPlatform(url=url, clock=SystemClock(), timeout=LONG)
+        self.platform = HttpPlatform(url=url, clock=SystemClock(), timeout=TIMEOUT)
         self.addCleanup(self.platform.close)
 
     def counts(self):
@@ -32,47 +32,47 @@
     def watch_in_background(self):
         results, before = [], self.counts()["read"]
         thread = threading.Thread(
-            target=lambda: results.append(self.platform.watch("lease/", 0, LONG)), daemon=True
+            target=lambda: results.append(self.platform.watch("lease/", 0, TIMEOUT)), daemon=True
         )
         thread.start()
         wait_for(lambda: self.counts()["read"] > before, "the watch")
         return thread, results
 
-    def test_a_waiting_watch_ends_at_a_write_and_counts_once(self):
-        """Guards against a stand-in that polls, or that answers before anything changed."""
+    def test_a_watch_returns_at_the_first_write_under_its_prefix_and_counts_once(self):
+        """Guards against a watch that polls, or that responds before an object has changed."""
         thread, results = self.watch_in_background()
         self.platform.create("other", b"v", "w")
         created = self.platform.create("lease/a", bytes(MAX_VALUE_BYTES), "w").unwrap()
-        thread.join(LONG.total_seconds())
+        thread.join(TIMEOUT.total_seconds())
         self.assertEqual((2, [created]), tuple(results[0].unwrap()))
         self.assertEqual({"read": 1, "write": 2, "refused": 0}, self.counts())
 
-    def test_an_outage_ends_waiting_watches_and_a_lost_answer_keeps_the_write(self):
-        """Guards against faults that the stand-in shows only to new calls."""
+    def test_an_outage_ends_pending_watches_and_a_write_without_response_is_kept(self):
+        """Guards against faults that affect only new calls, and lost responses that undo writes."""
         thread, results = self.watch_in_background()
         self.deployment.set_fault("down")
-        thread.join(LONG.total_seconds())
+        thread.join(TIMEOUT.total_seconds())
         self.assertIsInstance(results[0].failure(), Unavailable)
         self.deployment.set_fault("lose-answers")
         self.assertIsInstance(self.platform.create("k", b"v", "w").failure(), Unavailable)
         self.deployment.set_fault("none")
         self.assertEqual(b"v", self.platform.get("k").unwrap().value)
 
-    def test_a_slow_platform_is_given_up_and_its_late_write_recognised(self):
-        """Guards against a caller held by a slow platform, and against writing twice."""
+    def test_a_call_to_a_slow_platform_times_out_and_its_write_is_recognised_later(self):
+        """Guards against a caller blocked by a slow platform, and against a duplicate write."""
         self.deployment.set_fault("slow")
-        hasty = HttpPlatform(
+        short_timeout_platform = HttpPlatform(
             url=self.deployment.platform_url,
             clock=SystemClock(),
             timeout=timedelta(milliseconds=100),
         )
-        self.addCleanup(hasty.close)
-        self.assertIsInstance(hasty.create("k", b"v", "w").failure(), Unavailable)
+        self.addCleanup(short_timeout_platform.close)
+        self.assertIsInstance(short_timeout_platform.create("k", b"v", "w").failure(), Unavailable)
         wait_for(lambda: is_successful(self.platform.get("k")), "the late write")
         self.assertEqual(1, self.platform.create("k", b"v", "w").unwrap().revision)
 
-    def test_a_dead_platform_is_unavailable_until_it_is_back(self):
-        """Guards against a client that keeps failing on the connections of a dead server."""
+    def test_a_stopped_platform_is_unavailable_until_it_is_restarted(self):
+        """Guards against a client that keeps failing on pooled connections to a stopped server."""
         self.assertTrue(is_successful(self.platform.list("")))
         self.deployment.stop(self.process)
         self.assertIsInstance(self.platform.list("").failure(), Unavailable)
