Name the documents of the store stand-in and a soak parameter

known and found stood for the stored object, the new object and the response body in StoreStandIn; they are current, item and document. The optional prefix of an additional route in the soak is route_prefix, not added.

Checks: make lint passes; test/mesh/test_node.py, test_guarantees of test/soak and test_demo of test/standins pass.

--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -37,8 +37,8 @@
 
     :ivar generation: number of upstreams that this host had before the present one
     :ivar sequence: number of the last heartbeat of the present upstream
-    :ivar born: start time of the upstream in milliseconds, as its heartbeats state it
-    :ivar state: state that the heartbeats state; no heartbeats are sent while it is empty
+    :ivar born: start time of the upstream in milliseconds, as sent in its heartbeats
+    :ivar state: state in the heartbeats; no heartbeats are sent while it is empty
     :ivar restarting: whether the soak itself is restarting the process
     :ivar unexpected_exits: how often the node process ended without a signal from the soak
     """
@@ -203,20 +203,20 @@
         :return: a path on the additional route
         """
         path = f"/added-{self.version}/"
-        self.change_config(added=path)
+        self.change_config(route_prefix=path)
         return f"{path}x"
 
-    def change_config(self, added: str = "") -> None:
+    def change_config(self, route_prefix: str = "") -> None:
         """Write a new version of the configuration.
 
-        :param added: path prefix of an additional route, empty for none
+        :param route_prefix: path prefix of an additional route, empty for none
         """
         self.version += self.rng.randrange(1, 4)
         config = stored_config(self.version, SERVICES)
-        if added:
+        if route_prefix:
             config["routes"]["added"] = {
                 **config["routes"][f"r-{SERVICES[0]}"],
-                "path_prefix": added,
+                "path_prefix": route_prefix,
             }
         for name in SERVICES:
             once = {**config["routes"][f"r-{name}"], "route_type": "non_idempotent"}
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -7,8 +7,8 @@
 from almondshore.core.clock import Clock
 from almondshore.http.client import CallResult
 
-# Statuses that state that the request was not executed; callers retry even non-idempotent requests
-# after them.
+# Statuses that guarantee that a request was not executed; after them, callers also retry
+# non-idempotent requests.
 NOT_EXECUTED_STATUSES = frozenset((408, 421, 429, 503))
 MIN_SERVED_SHARE = 0.9
 
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -117,7 +117,7 @@
         run_command(deployment, "check", str(rules_file))
         run_command(deployment, "apply", str(rules_file), "--author", "anna")
 
-        print_heading("Four nodes start in two availability zones, with targets beside them")
+        print_heading("Four nodes start in two availability zones, with targets on their hosts")
         nodes = [deployment.start_node(name, zone) for name, zone in ZONES.items()]
         deployment.start_target(nodes[1], "counter-app", "v1")
         deployment.start_target(nodes[3], "counter-app", "v1")
--- a/standins/mesh_platform.py
+++ b/standins/mesh_platform.py
@@ -56,15 +56,15 @@
         if method == b"GET":
             self._read(exchange, parts, options)
             return
-        status, found = self._write(method, parts, options, exchange.request.body)
+        status, document = self._write(method, parts, options, exchange.request.body)
         if not self.drop_write_responses:
-            body = msgspec.json.encode(found) if found is not None else b""
+            body = msgspec.json.encode(document) if document is not None else b""
             exchange.respond(Response(status, JSON, body))
 
     def put(self, kind: str, name: str, spec: object) -> None:
         """Write the specification of an object, as an operator does; its status stays."""
-        known = self.objects.get(kind, {}).get(name)
-        self._store(kind, name, spec, known["status"] if known else None)
+        current = self.objects.get(kind, {}).get(name)
+        self._store(kind, name, spec, current["status"] if current else None)
 
     def get(self, kind: str, name: str) -> dict[str, Any] | None:
         """Return an object, None if there is none of this name."""
@@ -84,13 +84,13 @@
             self._watch(exchange, kind, options)
             return
         if len(parts) > 1:
-            found = self.get(kind, parts[1])
-            body = msgspec.json.encode(found)
-            exchange.respond(Response(200 if found else 404, JSON, body if found else b""))
+            item = self.get(kind, parts[1])
+            body = msgspec.json.encode(item)
+            exchange.respond(Response(200 if item else 404, JSON, body if item else b""))
             return
         items = [item for _, item in sorted(self.objects.get(kind, {}).items())]
-        answer = {"items": items, "has_more": False, "current_rev": self.revision}
-        exchange.respond(Response(200, JSON, msgspec.json.encode(answer)))
+        document = {"items": items, "has_more": False, "current_rev": self.revision}
+        exchange.respond(Response(200, JSON, msgspec.json.encode(document)))
 
     def _watch(self, exchange: Exchange, kind: str, options: dict[str, str]) -> None:
         since = int(options["watch"])
@@ -111,59 +111,59 @@
 
     def _answer_watch(self, exchange: Exchange, kind: str, since: int, *, empty: bool) -> bool:
         events = [
-            {"object": found, "removed": removed}
-            for revision, name, found, removed in self.history
-            if revision > since and name == kind
+            {"object": item, "removed": removed}
+            for revision, item_kind, item, removed in self.history
+            if revision > since and item_kind == kind
         ]
         if not events and not empty:
             return False
-        answer = {"events": events, "current_rev": self.revision}
-        exchange.respond(Response(200, JSON, msgspec.json.encode(answer)))
+        document = {"events": events, "current_rev": self.revision}
+        exchange.respond(Response(200, JSON, msgspec.json.encode(document)))
         return True
 
     def _write(
         self, method: bytes, parts: list[str], options: dict[str, str], body: bytes
     ) -> tuple[int, dict[str, Any] | None]:
         kind = parts[0]
-        sent = msgspec.json.decode(body) if body else {}
-        metadata = sent.get("metadata", {})
+        request_body = msgspec.json.decode(body) if body else {}
+        metadata = request_body.get("metadata", {})
         name = parts[1] if len(parts) > 1 else metadata["name"]
-        known = self.get(kind, name)
+        current = self.get(kind, name)
         if method == b"POST":
-            if known is not None:
-                return 409, known
-            return 201, self._store(kind, name, sent.get("spec"), None)
-        if known is None:
+            if current is not None:
+                return 409, current
+            return 201, self._store(kind, name, request_body.get("spec"), None)
+        if current is None:
             return 404, None
         expected = int(options.get("revision", metadata.get("revision", 0)))
-        if expected and expected != known["metadata"]["revision"]:
-            return 409, known
+        if expected and expected != current["metadata"]["revision"]:
+            return 409, current
         if method == b"DELETE":
             return 200, self._remove(kind, name)
         if parts[-1] == "status" and len(parts) > 2:
-            return 200, self._store(kind, name, known["spec"], sent.get("status"))
-        return 200, self._store(kind, name, sent.get("spec"), known["status"])
+            return 200, self._store(kind, name, current["spec"], request_body.get("status"))
+        return 200, self._store(kind, name, request_body.get("spec"), current["status"])
 
     def _store(self, kind: str, name: str, spec: object, status: object) -> dict[str, Any]:
-        known = self.get(kind, name)
-        if known is not None and (known["spec"], known["status"]) == (spec, status):
-            return known
+        current = self.get(kind, name)
+        if current is not None and (current["spec"], current["status"]) == (spec, status):
+            return current
         self.revision += 1
-        created = known["metadata"]["create_rev"] if known else self.revision
+        created = current["metadata"]["create_rev"] if current else self.revision
         metadata = {"name": name, "revision": self.revision, "create_rev": created}
-        found = {"metadata": metadata, "spec": spec, "status": status}
-        self.objects.setdefault(kind, {})[name] = found
-        self._append_event(kind, found, removed=False)
-        return found
+        item = {"metadata": metadata, "spec": spec, "status": status}
+        self.objects.setdefault(kind, {})[name] = item
+        self._append_event(kind, item, removed=False)
+        return item
 
     def _remove(self, kind: str, name: str) -> dict[str, Any]:
-        found = self.objects[kind].pop(name)
+        item = self.objects[kind].pop(name)
         self.revision += 1
-        self._append_event(kind, found, removed=True)
-        return found
+        self._append_event(kind, item, removed=True)
+        return item
 
-    def _append_event(self, kind: str, found: dict[str, Any], *, removed: bool) -> None:
-        self.history.append((self.revision, kind, found, removed))
+    def _append_event(self, kind: str, item: dict[str, Any], *, removed: bool) -> None:
+        self.history.append((self.revision, kind, item, removed))
         for entry in [entry for entry in self.pending_watches if entry[1] == kind]:
             self.pending_watches.remove(entry)
             self._answer_watch(*entry, empty=True)
