Name the number of latency buckets as a count

BUCKETS read like a list of buckets; it is the length of the latency histogram of an evidence row. It is now BUCKET_COUNT, also in the benchmark of verdicts, which imports it.

--- a/almondshore/moves/controls.py
+++ b/almondshore/moves/controls.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 from almondshore.core.messages import EvidenceRow
-from almondshore.moves.evidence import BUCKETS
+from almondshore.moves.evidence import BUCKET_COUNT
 
 # Weight of one window in the moving average of a control service's rates.
 WINDOW_WEIGHT = 0.02
@@ -28,12 +28,12 @@
 
     def __init__(self) -> None:
         self.error_rate = 0.0
-        self.buckets = [0.0] * BUCKETS
+        self.buckets = [0.0] * BUCKET_COUNT
 
     def slow_share(self, row: EvidenceRow) -> float:
         """Return the share of a row's responses above the long-term ``SLOW_QUANTILE``."""
         total = sum(self.buckets)
-        cumulative, slow_bucket = 0.0, BUCKETS
+        cumulative, slow_bucket = 0.0, BUCKET_COUNT
         for index, count in enumerate(self.buckets):
             cumulative += count
             if total and cumulative >= SLOW_QUANTILE * total:
--- a/almondshore/moves/evidence.py
+++ b/almondshore/moves/evidence.py
@@ -11,7 +11,7 @@
 # Upper bounds, each about 1.4 times the previous one; the last bucket has no upper bound.
 BUCKET_BOUNDS_MS = (1, 1.4, 2, 2.8, 4, 5.6, 8, 11, 16, 22, 32, 45, 64, 90, 128, 181, 256, 362, 512)
 BUCKET_BOUNDS_MS += (724, 1024, 1448, 2048, 4096)
-BUCKETS = len(BUCKET_BOUNDS_MS) + 1
+BUCKET_COUNT = len(BUCKET_BOUNDS_MS) + 1
 
 MAX_ROWS_PER_WINDOW = 64
 # Route of the rows of services without a move. They show faults that affect all services alike.
@@ -56,7 +56,7 @@
     """Return whether the counts of a row from another node are complete and consistent."""
     counts = (row.requests, row.errors, row.broken, row.refused, *row.latency_buckets)
     return (
-        len(row.latency_buckets) == BUCKETS
+        len(row.latency_buckets) == BUCKET_COUNT
         and min(counts) >= 0
         and row.errors + row.broken <= row.requests
         and sum(row.latency_buckets) <= row.requests
@@ -97,7 +97,7 @@
 
     def __init__(self) -> None:
         self.requests = self.errors = self.broken = self.refused = 0
-        self.buckets = [0] * BUCKETS
+        self.buckets = [0] * BUCKET_COUNT
 
 
 class EvidenceRecorder:
--- a/almondshore/moves/verdict.py
+++ b/almondshore/moves/verdict.py
@@ -14,7 +14,7 @@
     baseline_log_ratios,
     concurrent_log_ratios,
 )
-from almondshore.moves.evidence import BUCKETS
+from almondshore.moves.evidence import BUCKET_COUNT
 
 # Probability that a good version is rejected during a move, over all tests and all windows. The
 # coordinator and the detectors of single nodes share it.
@@ -75,7 +75,7 @@
         self.requests = 0
         self.errors = 0
         self.broken = 0
-        self.buckets = [0] * BUCKETS
+        self.buckets = [0] * BUCKET_COUNT
 
     def add(self, row: EvidenceRow) -> None:
         """Add the counts of a window on this route."""
@@ -147,7 +147,9 @@
         for route, (new, old) in pairs.items():
             # Latencies during an overload would make a slow version look normal in later windows.
             baseline_row = (
-                old if load_comparison.few_refusals else old._replace(latency_buckets=[0] * BUCKETS)
+                old
+                if load_comparison.few_refusals
+                else old._replace(latency_buckets=[0] * BUCKET_COUNT)
             )
             self.counts_by_route[self.new, route].add(new)
             self.counts_by_route[self.old, route].add(baseline_row)
@@ -180,7 +182,7 @@
     def add_baseline(self, baseline: dict[str, tuple[int, int, int, list[int]]]) -> None:
         """Add the counts of the old version that a previous coordinator recorded."""
         for route, (requests, errors, broken, buckets) in baseline.items():
-            if len(buckets) == BUCKETS:
+            if len(buckets) == BUCKET_COUNT:
                 row = EvidenceRow(self.service, self.old, route, requests, errors, buckets, broken)
                 self.counts_by_route[self.old, route].add(row)
 
@@ -193,7 +195,7 @@
         return {
             route: tuple(
                 rows_by_key.get((version, route))
-                or EvidenceRow(self.service, version, route, 0, 0, [0] * BUCKETS)
+                or EvidenceRow(self.service, version, route, 0, 0, [0] * BUCKET_COUNT)
                 for version in (self.new, self.old)
             )
             for route in selected_routes
--- a/bench/move_verdicts.py
+++ b/bench/move_verdicts.py
@@ -5,7 +5,7 @@
 
 from almondshore.core.messages import EvidenceRow
 from almondshore.moves.controls import SlotsInUse
-from almondshore.moves.evidence import BUCKETS
+from almondshore.moves.evidence import BUCKET_COUNT
 from almondshore.moves.verdict import COORDINATOR_ALPHA_SHARE, FALSE_POSITIVE_RATE, MoveVerdict
 from bench.move_kinds import ROUTE_WEIGHTS, ROUTES
 from bench.rows import BenchRow
@@ -22,7 +22,7 @@
     rng: random.Random, version: str, route: str, count: int, rate: float
 ) -> EvidenceRow:
     """Return the evidence of one window for a version with the given error rate."""
-    buckets = [0] * BUCKETS
+    buckets = [0] * BUCKET_COUNT
     for bucket in rng.choices(*zip(*LATENCY_BUCKETS, strict=True), k=count):
         buckets[bucket] += 1
     errors = sum(rng.random() < rate for _ in range(count))
--- a/test/moves/helpers.py
+++ b/test/moves/helpers.py
@@ -8,7 +8,7 @@
 from almondshore.core.clock import ManualClock
 from almondshore.core.messages import Evidence, EvidenceRow, TargetRecord, TargetState
 from almondshore.moves.coordinator import MoveCoordinator, TargetCounts
-from almondshore.moves.evidence import BUCKETS, window_of
+from almondshore.moves.evidence import BUCKET_COUNT, window_of
 from almondshore.moves.outcome import OutcomePublisher
 from almondshore.moves.state import MoveTable
 from almondshore.rules.model import MovePart, ServicePart
@@ -43,7 +43,7 @@
 
 
 def row(version, requests, errors=0, *, route=ROUTES[0], service=SERVICE, broken=0, bucket=6):
-    buckets = [0] * BUCKETS
+    buckets = [0] * BUCKET_COUNT
     buckets[bucket] = requests - broken
     return EvidenceRow(service, version, route, requests, errors, buckets, broken)
 
