Give bounds of the control packages a subject and a unit

Several constants named neither what they bound nor their unit: MAX_RATE, MAX_BURST, MAX_REASON, MAX_PENDING, MAX_BYTES, MAX_DELTAS, MAX_SOURCES (which bounds senders per window), FOREIGN_RELAYS, RESEND_CAP and TTL. They are now MAX_RATE_PER_S, MAX_BURST_REQUESTS, MAX_REASON_CHARS, MAX_PENDING_PROBES, MAX_HISTORY_BYTES, MAX_HISTORY_DELTAS, MAX_SENDERS_PER_WINDOW, MAX_FOREIGN_RELAYS, MAX_RESEND_DELAY and LEASE_TTL. The request count rarest_route, which held no route, is fewest_on_route. The type of the result of offering a version was called Verdict, like the unrelated verdict on a version move; it is OfferResult. Return values are documented with :return: throughout these packages.

--- a/almondshore/membership/directory.py
+++ b/almondshore/membership/directory.py
@@ -50,7 +50,7 @@
     def merge(self, records: Iterable[TargetRecord]) -> list[TargetRecord]:
         """Store the records that are newer than the known ones.
 
-        :returns: the records stored, to be forwarded
+        :return: the records stored, to be forwarded
         """
         return [record for record in records if self._store_if_newer(record)]
 
@@ -106,7 +106,7 @@
     def declare_dead(self, node: str) -> list[TargetRecord]:
         """Mark all records of a node as dead.
 
-        :returns: the changed records
+        :return: the changed records
         """
         return self.merge([declared_dead(record) for record in self.of_node(node)])
 
--- a/almondshore/membership/local.py
+++ b/almondshore/membership/local.py
@@ -58,7 +58,7 @@
         A leaving target remains so while it announces the same version. To take new work under
         that version again, it must first be withdrawn.
 
-        :returns: the changed record, to be sent to the relay; empty if nothing changed or the
+        :return: the changed record, to be sent to the relay; empty if nothing changed or the
             table of targets is full
         """
         state = TargetState.LEAVING if draining else TargetState.UP
@@ -97,7 +97,7 @@
     def withdraw(self, target: str) -> list[TargetRecord]:
         """Remove a target that has ended.
 
-        :returns: its record, declared dead
+        :return: its record, declared dead
         """
         known = self.targets.pop(target, None)
         if known is None:
@@ -107,7 +107,7 @@
     def correct(self, record: TargetRecord) -> list[TargetRecord]:
         """Correct a record of this node's targets that another node holds.
 
-        :returns: this node's record under a higher incarnation if the other record contradicts
+        :return: this node's record under a higher incarnation if the other record contradicts
             it; for an unknown target its record as dead, but only after ``announce_timeout``, in
             which targets can announce themselves to a restarted node; otherwise empty
         """
--- a/almondshore/membership/prober.py
+++ b/almondshore/membership/prober.py
@@ -7,7 +7,7 @@
 from almondshore.core.messages import Message, PeerProbe, PeerProbeReply, Send
 
 PROBE_TIMEOUT = timedelta(seconds=1)
-MAX_PENDING = 256
+MAX_PENDING_PROBES = 256
 
 
 class PendingProbe(NamedTuple):
@@ -31,7 +31,7 @@
         node: str,
         incarnation: int,
         timeout: timedelta = PROBE_TIMEOUT,
-        max_pending: int = MAX_PENDING,
+        max_pending: int = MAX_PENDING_PROBES,
     ):
         self.clock = clock
         self.node = node
--- a/almondshore/moves/evidence.py
+++ b/almondshore/moves/evidence.py
@@ -24,7 +24,7 @@
 RELAY_GRACE = timedelta(milliseconds=400)
 COORDINATOR_GRACE = timedelta(milliseconds=800)
 MAX_OPEN_WINDOWS = 8
-MAX_SOURCES = 4096
+MAX_SENDERS_PER_WINDOW = 4096
 MAX_SUMMED_ROWS = 4096
 
 RowKey = tuple[str, str, str]
@@ -227,7 +227,7 @@
             self.dropped += 1
             return False
         senders = self.senders_by_window.setdefault(evidence.window, {})
-        if sender in senders or len(senders) >= MAX_SOURCES:
+        if sender in senders or len(senders) >= MAX_SENDERS_PER_WINDOW:
             self.dropped += 1
             return False
         senders[sender] = evidence.sources
--- a/almondshore/moves/plan.py
+++ b/almondshore/moves/plan.py
@@ -43,11 +43,11 @@
     """Requests to the new version.
 
     :ivar requests: on all routes since the current step was taken
-    :ivar rarest_route: since the start, on the route with the fewest among those with traffic
+    :ivar fewest_on_route: since the start, on the route with the fewest among those with traffic
     """
 
     requests: int
-    rarest_route: int
+    fewest_on_route: int
 
 
 class Decision(NamedTuple):
@@ -149,7 +149,9 @@
 
 def has_enough_requests(step: int, counts: RequestCounts) -> bool:
     """Return whether the new version got enough requests to take the step after ``step``."""
-    return counts.requests >= MIN_REQUESTS[step] and counts.rarest_route >= MIN_ROUTE_REQUESTS[step]
+    return (
+        counts.requests >= MIN_REQUESTS[step] and counts.fewest_on_route >= MIN_ROUTE_REQUESTS[step]
+    )
 
 
 def target_count(share: float, new_targets: int, old_targets: int) -> int:
--- a/almondshore/moves/veto.py
+++ b/almondshore/moves/veto.py
@@ -17,7 +17,7 @@
 from almondshore.rules.model import MoveState, ServicePart
 from almondshore.storage.port import Conflict, Platform, PlatformError
 
-MAX_REASON = 300
+MAX_REASON_CHARS = 300
 # A node that has just started does not know all other detectors, so at least this many are assumed.
 MIN_DETECTORS = 100
 
@@ -60,7 +60,7 @@
         part["name"],
         part["move"]["to_version"],
         config_version,
-        regression.evidence[:MAX_REASON],
+        regression.evidence[:MAX_REASON_CHARS],
         origin,
         clock.now(),
     )
--- a/almondshore/relay/admission.py
+++ b/almondshore/relay/admission.py
@@ -39,7 +39,7 @@
     def admit(self) -> timedelta | None:
         """Take a token if one is available.
 
-        :returns: None if the snapshot may be sent, else the delay before the caller may retry
+        :return: None if the snapshot may be sent, else the delay before the caller may retry
         """
         now = self.clock.monotonic()
         elapsed = (now - self.refilled).total_seconds()
--- a/almondshore/relay/control.py
+++ b/almondshore/relay/control.py
@@ -33,7 +33,7 @@
 from almondshore.relay.subscribers import MAX_SUBSCRIBERS
 from almondshore.relay.table import RelayTable
 from almondshore.storage.port import Platform
-from almondshore.versions.history import MAX_BYTES, MAX_DELTAS, DeltaHistory
+from almondshore.versions.history import MAX_HISTORY_BYTES, MAX_HISTORY_DELTAS, DeltaHistory
 from almondshore.versions.publish import Publisher
 from almondshore.versions.sync import ConfigSync
 
@@ -71,8 +71,8 @@
     detector: DetectorLimits = DetectorLimits()
     relay: RelayLimits = RelayLimits()
     nodes_per_slot: int = NODES_PER_SLOT
-    backlog_deltas: int = MAX_DELTAS
-    backlog_bytes: int = MAX_BYTES
+    backlog_deltas: int = MAX_HISTORY_DELTAS
+    backlog_bytes: int = MAX_HISTORY_BYTES
     snapshots_per_second: float = SNAPSHOTS_PER_SECOND
 
 
--- a/almondshore/relay/election.py
+++ b/almondshore/relay/election.py
@@ -12,8 +12,8 @@
 from almondshore.relay.candidacy import Candidacy
 from almondshore.relay.lease import (
     CLOCK_SKEW,
+    LEASE_TTL,
     RELAY_LEASE_PREFIX,
-    TTL,
     Held,
     HeldElsewhere,
     Lease,
@@ -135,7 +135,7 @@
     def release(self) -> list[Send]:
         """Release the slot, on shutdown or because the zone has too many relays.
 
-        :returns: messages that announce the vacancy to the other relays and nodes
+        :return: messages that announce the vacancy to the other relays and nodes
         """
         if self.lease is None:
             return []
@@ -164,7 +164,7 @@
         self._record_holder(slot, result)
         if isinstance(result, HeldElsewhere) and result.record is not None:
             left = result.record.expires - self.clock.now()
-            self.candidacy.postpone(self.clock.monotonic() + min(left, TTL) + CLOCK_SKEW)
+            self.candidacy.postpone(self.clock.monotonic() + min(left, LEASE_TTL) + CLOCK_SKEW)
             return [Send(result.record.holder, RelayInvite(self.zone, slot))]
         if not isinstance(result, Held):
             return []
--- a/almondshore/relay/lease.py
+++ b/almondshore/relay/lease.py
@@ -18,7 +18,7 @@
 )
 
 RELAY_LEASE_PREFIX = "lease/relay/"
-TTL = timedelta(seconds=15)
+LEASE_TTL = timedelta(seconds=15)
 # Tolerated difference between the clocks of two hosts.
 CLOCK_SKEW = timedelta(seconds=2)
 
@@ -75,7 +75,7 @@
         key: str,
         holder: str,
         clock: Clock,
-        ttl: timedelta = TTL,
+        ttl: timedelta = LEASE_TTL,
         clock_skew: timedelta = CLOCK_SKEW,
     ):
         self.platform = platform
--- a/almondshore/relay/lease_monitor.py
+++ b/almondshore/relay/lease_monitor.py
@@ -6,7 +6,7 @@
 
 from almondshore.core.clock import Clock
 from almondshore.core.messages import RelayEntry
-from almondshore.relay.lease import RELAY_LEASE_PREFIX, TTL, decode_lease
+from almondshore.relay.lease import LEASE_TTL, RELAY_LEASE_PREFIX, decode_lease
 from almondshore.relay.table import RelayTable, vacancy
 from almondshore.storage.port import StoredObject
 
@@ -26,7 +26,7 @@
     observations start again to give the holders time to renew their leases.
     """
 
-    def __init__(self, *, clock: Clock, table: RelayTable, ttl: timedelta = TTL):
+    def __init__(self, *, clock: Clock, table: RelayTable, ttl: timedelta = LEASE_TTL):
         self.clock = clock
         self.table = table
         self.ttl = ttl
@@ -39,7 +39,7 @@
     def update(self, leases: Iterable[StoredObject]) -> list[RelayEntry]:
         """Merge the leases, as just read, into the relay table.
 
-        :returns: the live leases
+        :return: the live leases
         """
         live = []
         for stored in leases:
--- a/almondshore/relay/subscribers.py
+++ b/almondshore/relay/subscribers.py
@@ -13,8 +13,8 @@
 # Twice the share of one relay, so that a zone that lost half of its relays can still be served.
 MAX_SUBSCRIBERS = 512
 SUBSCRIBER_TIMEOUT = timedelta(seconds=10)
-RESEND_BASE = timedelta(seconds=2)
-RESEND_CAP = timedelta(seconds=60)
+RESEND_BASE_DELAY = timedelta(seconds=2)
+MAX_RESEND_DELAY = timedelta(seconds=60)
 
 
 def heartbeat_digest(heartbeat: Heartbeat) -> int:
@@ -71,7 +71,7 @@
     def record_heartbeat(self, address: str, heartbeat: Heartbeat) -> Subscriber | None:
         """Record a heartbeat.
 
-        :returns: the subscriber, or None if the table is full
+        :return: the subscriber, or None if the table is full
         """
         known = self.items.get(address)
         if known is None and len(self.items) >= self.max_subscribers:
@@ -97,10 +97,13 @@
         return subscriber.sent_version < version or self.clock.monotonic() >= subscriber.resend_at
 
     def mark_sent(self, address: str, version: int) -> None:
-        """Record that a version was sent; each resend doubles the delay up to ``RESEND_CAP``."""
+        """Record that a version was sent.
+
+        Each resend doubles the delay until the next one, up to ``MAX_RESEND_DELAY``.
+        """
         subscriber = self.items[address]
         resends = subscriber.resends + 1 if subscriber.sent_version == version else 0
-        delay = min(RESEND_CAP, RESEND_BASE * 2 ** min(resends, 8))
+        delay = min(MAX_RESEND_DELAY, RESEND_BASE_DELAY * 2 ** min(resends, 8))
         self.items[address] = subscriber._replace(
             sent_version=version, resends=resends, resend_at=self.clock.monotonic() + delay
         )
--- a/almondshore/relay/table.py
+++ b/almondshore/relay/table.py
@@ -9,7 +9,7 @@
 from almondshore.core.messages import RelayEntry
 
 MAX_RELAYS = 2048
-FOREIGN_RELAYS = 4
+MAX_FOREIGN_RELAYS = 4
 
 
 class RelayGroup(NamedTuple):
@@ -36,7 +36,7 @@
     def merge(self, entries: Iterable[RelayEntry]) -> bool:
         """Merge entries, keeping the newest one of each slot.
 
-        :returns: whether anything changed
+        :return: whether anything changed
         """
         changed = False
         for entry in entries:
@@ -69,12 +69,13 @@
         return known is not None and known.epoch >= epoch and not known.address
 
     def with_foreign(self, zone: str, rng: random.Random) -> list[RelayEntry]:
-        """Return the relays of a zone and up to ``FOREIGN_RELAYS`` random relays of other zones.
+        """Return the relays of a zone, and random relays of other zones.
 
-        A node uses a relay in another zone if its own zone loses all relays.
+        At most ``MAX_FOREIGN_RELAYS`` of other zones are returned. A node uses one of them if its
+        own zone loses all relays.
         """
         foreign = [e for e in self.all() if e.zone != zone and e.address]
-        return self.of_zone(zone) + rng.sample(foreign, min(FOREIGN_RELAYS, len(foreign)))
+        return self.of_zone(zone) + rng.sample(foreign, min(MAX_FOREIGN_RELAYS, len(foreign)))
 
     def digest(self, zone: str) -> int:
         """Return a digest of a zone's relays; 0 if there are none."""
--- a/almondshore/rules/values.py
+++ b/almondshore/rules/values.py
@@ -16,8 +16,8 @@
 METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
 MAX_PATH_CHARS = 200
 # The whole mesh is sized for 1.6 million calls per second; no tenant may exceed that.
-MAX_RATE = 1_600_000
-MAX_BURST = 1_600_000
+MAX_RATE_PER_S = 1_600_000
+MAX_BURST_REQUESTS = 1_600_000
 # A draining target waits for its running requests, so a longer timeout would delay its replacement.
 MAX_TIMEOUT = timedelta(minutes=5)
 # Longer numbers exceed every accepted range, and int() rejects strings of more than 4,300 digits.
@@ -63,8 +63,10 @@
         return 0.0
     too_long = len(match.group(1)) > MAX_DIGITS
     rate = 0.0 if too_long else float(match.group(1))
-    if not 0 < rate <= MAX_RATE:
-        words.report(word, "out-of-range", f"the rate must be above 0 and at most {MAX_RATE}/s")
+    if not 0 < rate <= MAX_RATE_PER_S:
+        words.report(
+            word, "out-of-range", f"the rate must be above 0 and at most {MAX_RATE_PER_S}/s"
+        )
     return rate
 
 
@@ -75,8 +77,8 @@
         words.report(word, "bad-number", f"{quoted(word.text)} is not a number of requests")
         return 0
     burst = _integer(word.text)
-    if not 1 <= burst <= MAX_BURST:
-        words.report(word, "out-of-range", f"the burst must be from 1 to {MAX_BURST}")
+    if not 1 <= burst <= MAX_BURST_REQUESTS:
+        words.report(word, "out-of-range", f"the burst must be from 1 to {MAX_BURST_REQUESTS}")
     return burst
 
 
--- a/almondshore/versions/config.py
+++ b/almondshore/versions/config.py
@@ -73,7 +73,7 @@
 def check_part(name: str, data: bytes) -> str | None:
     """Check that a part decodes as the kind that its name indicates and contains that name.
 
-    :returns: a description of the problem, or None if the part is valid
+    :return: a description of the problem, or None if the part is valid
     """
     try:
         if name.startswith(SERVICE_PREFIX):
--- a/almondshore/versions/history.py
+++ b/almondshore/versions/history.py
@@ -6,8 +6,8 @@
 from almondshore.core.messages import ConfigDelta
 from almondshore.versions.config import Configuration, diff_parts
 
-MAX_DELTAS = 64
-MAX_BYTES = 256 * 1024
+MAX_HISTORY_DELTAS = 64
+MAX_HISTORY_BYTES = 256 * 1024
 
 
 class HistoryEntry(NamedTuple):
@@ -27,7 +27,7 @@
     :ivar size: total size of the changes in bytes
     """
 
-    def __init__(self, *, max_deltas: int = MAX_DELTAS, max_bytes: int = MAX_BYTES):
+    def __init__(self, *, max_deltas: int = MAX_HISTORY_DELTAS, max_bytes: int = MAX_HISTORY_BYTES):
         self.max_deltas = max_deltas
         self.max_bytes = max_bytes
         self.entries: deque[HistoryEntry] = deque()
--- a/almondshore/versions/publish.py
+++ b/almondshore/versions/publish.py
@@ -21,7 +21,7 @@
 
 HEAD_KEY = "config/head"
 MAX_STORED_KEYS = 256
-INLINE_DELTA_BYTES = 256 * 1024
+MAX_INLINE_DELTA_BYTES = 256 * 1024
 
 
 class VersionRecord(NamedTuple):
@@ -129,7 +129,7 @@
         The call is idempotent: the write id is derived from the content, so that a write whose
         response was lost is recognised as done when the call is repeated.
 
-        :returns: ``Conflict`` if another version was published since ``base`` was read
+        :return: ``Conflict`` if another version was published since ``base`` was read
         """
         version = base.head.version + 1
         digest = digest_parts(parts)
@@ -221,4 +221,4 @@
 
 def _inline(changes: dict[str, bytes | None]) -> dict[str, bytes | None] | None:
     size = sum(len(name) + len(data or b"") for name, data in changes.items())
-    return changes if size <= INLINE_DELTA_BYTES else None
+    return changes if size <= MAX_INLINE_DELTA_BYTES else None
--- a/almondshore/versions/state.py
+++ b/almondshore/versions/state.py
@@ -43,7 +43,7 @@
     version: int
 
 
-Verdict = Accepted | Refused | AlreadyHeld | SnapshotNeeded
+OfferResult = Accepted | Refused | AlreadyHeld | SnapshotNeeded
 
 
 class ConfigState:
@@ -56,7 +56,7 @@
     def __init__(self) -> None:
         self.current = EMPTY
 
-    def offer_delta(self, delta: ConfigDelta) -> Verdict:
+    def offer_delta(self, delta: ConfigDelta) -> OfferResult:
         """Apply a delta if its base is the version in force and its result is valid."""
         verdict = self._check_version(delta.version, delta.digest)
         if verdict is not None:
@@ -68,7 +68,7 @@
         parts = apply_changes(self.current.parts, delta.parts)
         return self._apply(delta.version, delta.digest, parts, changed)
 
-    def offer_snapshot(self, snapshot: ConfigSnapshot) -> Verdict:
+    def offer_snapshot(self, snapshot: ConfigSnapshot) -> OfferResult:
         """Apply a full version if it is newer than the one in force and valid."""
         verdict = self._check_version(snapshot.version, snapshot.digest)
         if verdict is not None:
@@ -82,7 +82,7 @@
         current = self.current
         return ConfigSnapshot(current.version, current.digest, dict(current.parts))
 
-    def _check_version(self, version: int, digest: bytes) -> Verdict | None:
+    def _check_version(self, version: int, digest: bytes) -> OfferResult | None:
         if version < self.current.version:
             return AlreadyHeld(self.current.version)
         if version == self.current.version:
@@ -99,7 +99,7 @@
         digest: bytes,
         parts: Mapping[str, bytes],
         changed: Iterable[tuple[str, bytes]],
-    ) -> Verdict:
+    ) -> OfferResult:
         candidate = make_configuration(version, parts)
         if candidate.digest != digest:
             return Refused(version, "the digest does not match the parts", False)
--- a/almondshore/versions/sync.py
+++ b/almondshore/versions/sync.py
@@ -25,9 +25,9 @@
 from almondshore.versions.state import (
     Accepted,
     ConfigState,
+    OfferResult,
     Refused,
     SnapshotNeeded,
-    Verdict,
 )
 
 PLATFORM = "platform"
@@ -130,7 +130,7 @@
                 self.next_request = max(self.next_request, self.clock.monotonic() + delay)
         return []
 
-    def offer(self, message: ConfigDelta | ConfigSnapshot) -> Verdict:
+    def offer(self, message: ConfigDelta | ConfigSnapshot) -> OfferResult:
         """Offer a version to the state and record the change or the refusal."""
         before = self.state.current
         if isinstance(message, ConfigDelta):
@@ -178,7 +178,7 @@
     def answer(self, request: ConfigRequest) -> Message:
         """Return the reply to a request.
 
-        :returns: the status if it was requested, this node is not ready or holds nothing newer;
+        :return: the status if it was requested, this node is not ready or holds nothing newer;
             else a delta, a snapshot beyond the history, or ``Busy`` at the snapshot rate limit
         """
         current = self.state.current
--- a/almondshore/versions/view.py
+++ b/almondshore/versions/view.py
@@ -36,7 +36,7 @@
     def split(self, service: str, weights: Mapping[str, float]) -> dict[str, float]:
         """Return the weights of the versions with known targets, normalized to a sum of 1.
 
-        :returns: empty if no version with a positive weight has a known target
+        :return: empty if no version with a positive weight has a known target
         """
         known = self.targets.get(service, {})
         kept = {v: weight for v, weight in weights.items() if v in known and weight > 0}
--- a/test/membership/test_detector.py
+++ b/test/membership/test_detector.py
@@ -8,7 +8,7 @@
 from almondshore.core.clock import ManualClock
 from almondshore.core.messages import PeerProbe, PeerProbeReply, Send
 from almondshore.membership.detector import DetectorLimits, FailureDetector
-from almondshore.membership.prober import MAX_PENDING, Prober
+from almondshore.membership.prober import MAX_PENDING_PROBES, Prober
 
 HELPERS = ["h1", "h2", "h3", "h4"]
 SECOND = timedelta(seconds=1)
@@ -107,6 +107,6 @@
 
     def test_the_bound_drops_further_requests(self):
         """Guards against memory that grows with the number of probe requests."""
-        for number in range(MAX_PENDING + 10):
+        for number in range(MAX_PENDING_PROBES + 10):
             self.prober.handle(self.probe._replace(probe_id=number), "relay")
-        self.assertEqual(MAX_PENDING, len(self.prober.pending))
+        self.assertEqual(MAX_PENDING_PROBES, len(self.prober.pending))
--- a/test/relay/test_budget.py
+++ b/test/relay/test_budget.py
@@ -12,9 +12,9 @@
 ZONES = 2
 SECONDS = 40
 # A zone of 463 nodes has 7 relays, the busiest of which serves 83 nodes.
-BUSIEST_SHARE = 83
+BUSIEST_RELAY_NODES = 83
 ZONE_RELAYS = 7
-STATUS_WRITES = 0.2
+STATUS_WRITES_PER_S = 0.2
 
 
 class BudgetTest(TestCase):
@@ -33,7 +33,7 @@
         writes = (counts["write"] - before["write"]) / SECONDS / len(fleet.relays)
         reads = (counts["read"] - before["read"]) / SECONDS / len(fleet.relays)
         self.assertLessEqual(
-            writes * ZONE_RELAYS + STATUS_WRITES, convergence.ZONE_WRITES_PER_S_TARGET
+            writes * ZONE_RELAYS + STATUS_WRITES_PER_S, convergence.ZONE_WRITES_PER_S_TARGET
         )
         self.assertLessEqual(reads, 0.5)
         times = []
@@ -48,7 +48,7 @@
         figures = convergence.FleetFigures(NODES, 0, 0, idle, config, record, 0, 0, served)
         load = figures.at_full_load()
         self.assertLessEqual(
-            load.relay_bytes * BUSIEST_SHARE / served, convergence.BYTES_PER_S_TARGET
+            load.relay_bytes * BUSIEST_RELAY_NODES / served, convergence.BYTES_PER_S_TARGET
         )
         self.assertLessEqual(load.node_bytes, 500)
         self.assertEqual(0, counts["refused"])
