Reword the versions package and its tests

The result of an offered version was called a verdict, a word that the moves package uses for its tests; it is a result, and a refusal where only that is meant. Local variables named found, before, asked and ready (a table) name their content. Two test docstrings now name the failure.

--- a/almondshore/versions/config.py
+++ b/almondshore/versions/config.py
@@ -77,13 +77,13 @@
     """
     try:
         if name.startswith(SERVICE_PREFIX):
-            found = SERVICE_PREFIX + decode_service(data)["name"]
+            actual = SERVICE_PREFIX + decode_service(data)["name"]
         elif name.startswith(TENANT_PREFIX):
-            found = TENANT_PREFIX + decode_tenant(data)["name"]
+            actual = TENANT_PREFIX + decode_tenant(data)["name"]
         else:
             return f"part {name!r} is of an unknown kind"
     except msgspec.MsgspecError as error:
         return f"part {name!r} is malformed: {error}"
-    if found != name:
-        return f"part {name!r} contains {found!r}"
+    if actual != name:
+        return f"part {name!r} contains {actual!r}"
     return None
--- a/almondshore/versions/history.py
+++ b/almondshore/versions/history.py
@@ -1,4 +1,4 @@
-"""Bounded history of configuration changes, for incremental updates of nodes that lag behind."""
+"""Bounded history of configuration changes, for incremental updates of lagging nodes."""
 
 from collections import deque
 from typing import NamedTuple
@@ -48,7 +48,7 @@
             self.size -= self.entries.popleft().size
 
     def since(self, version: int, digest: bytes) -> ConfigDelta | None:
-        """Return a delta from a configuration to the newest; None if the history is too short.
+        """Return a delta from a configuration to the newest one; None if the history is too short.
 
         Calls with the same base return the same object, so that it can be encoded only once.
         """
--- a/almondshore/versions/publish.py
+++ b/almondshore/versions/publish.py
@@ -59,7 +59,7 @@
 
 
 class VersionedHead(NamedTuple):
-    """The head as read, with its revision for a conditional update; revision 0 if absent."""
+    """The head as read, with its revision for a conditional update; 0 if there is no head."""
 
     head: Head
     revision: int
@@ -71,7 +71,7 @@
 class Publisher:
     """Reads and writes configuration versions in the platform.
 
-    Objects that are known to exist are not written again, so that a publication which the call
+    Objects that are known to exist are not written again, so that a publication that the call
     budget interrupts makes progress with each retry.
     """
 
--- a/almondshore/versions/state.py
+++ b/almondshore/versions/state.py
@@ -58,9 +58,9 @@
 
     def offer_delta(self, delta: ConfigDelta) -> OfferResult:
         """Apply a delta if its base is the version in force and its result is valid."""
-        verdict = self._check_version(delta.version, delta.digest)
-        if verdict is not None:
-            return verdict
+        result = self._check_version(delta.version, delta.digest)
+        if result is not None:
+            return result
         base = (delta.base_version, delta.base_digest)
         if base != (self.current.version, self.current.digest):
             return SnapshotNeeded(delta.version)
@@ -70,9 +70,9 @@
 
     def offer_snapshot(self, snapshot: ConfigSnapshot) -> OfferResult:
         """Apply a full version if it is newer than the one in force and valid."""
-        verdict = self._check_version(snapshot.version, snapshot.digest)
-        if verdict is not None:
-            return verdict
+        result = self._check_version(snapshot.version, snapshot.digest)
+        if result is not None:
+            return result
         return self._apply(
             snapshot.version, snapshot.digest, snapshot.parts, snapshot.parts.items()
         )
--- a/almondshore/versions/sync.py
+++ b/almondshore/versions/sync.py
@@ -43,7 +43,7 @@
 
 
 class ReportedVersion(NamedTuple):
-    """The version that a peer or the platform reported to hold.
+    """The version that a peer or the platform last reported.
 
     :ivar ready: whether the peer itself has obtained the newest version
     :ivar confirmed: whether the platform recently confirmed the version to the peer
@@ -132,27 +132,27 @@
 
     def offer(self, message: ConfigDelta | ConfigSnapshot) -> OfferResult:
         """Offer a version to the state and record the change or the refusal."""
-        before = self.state.current
+        previous = self.state.current
         if isinstance(message, ConfigDelta):
-            verdict = self.state.offer_delta(message)
+            result = self.state.offer_delta(message)
         else:
-            verdict = self.state.offer_snapshot(message)
-        if isinstance(verdict, Accepted):
-            self.history.append(before, verdict.configuration)
+            result = self.state.offer_snapshot(message)
+        if isinstance(result, Accepted):
+            self.history.append(previous, result.configuration)
             self.attempt = 0
             self.next_request = self.clock.monotonic()
             self.missing_since = None
-        elif isinstance(verdict, Refused):
-            self._record_refusal(message, verdict)
-        return verdict
+        elif isinstance(result, Refused):
+            self._record_refusal(message, result)
+        return result
 
-    def _record_refusal(self, message: ConfigDelta | ConfigSnapshot, verdict: Refused) -> None:
-        """Record an invalid version, so that it is not requested again, unlike a damaged copy."""
+    def _record_refusal(self, message: ConfigDelta | ConfigSnapshot, refusal: Refused) -> None:
+        """Record a refusal; an invalid version is not requested again, unlike a damaged copy."""
         self.refusals += 1
-        self.last_refusal = verdict
-        if not verdict.final:
+        self.last_refusal = refusal
+        if not refusal.final:
             return
-        self.refused[(message.version, message.digest)] = verdict.reason
+        self.refused[(message.version, message.digest)] = refusal.reason
         while len(self.refused) > MAX_REFUSED_VERSIONS:
             self.refused.popitem(last=False)
 
@@ -178,8 +178,9 @@
     def answer(self, request: ConfigRequest) -> Message:
         """Return the reply to a request.
 
-        :return: the status if it was requested, this node is not ready or holds nothing newer;
-            else a delta, a snapshot beyond the history, or ``Busy`` at the snapshot rate limit
+        :return: the status if only that was requested, or if this node is not ready or holds
+            nothing newer; else a delta, a snapshot if the history does not reach back far enough,
+            or ``Busy`` if the snapshot rate limit is exceeded
         """
         current = self.state.current
         if request.status_only or not self.ready or current.version <= request.version:
@@ -199,9 +200,9 @@
             return sends
         self.next_query = self.clock.monotonic() + self.request_timeout
         peers = list(self.peers())
-        asked = self.rng.sample(peers, min(self.min_ready_peers, len(peers)))
+        queried = self.rng.sample(peers, min(self.min_ready_peers, len(peers)))
         query = self._request()._replace(status_only=True)
-        return sends + [Send(peer, query) for peer in asked]
+        return sends + [Send(peer, query) for peer in queried]
 
     def _request_missing(self) -> list[Send]:
         sources = [peer for peer, reported in self.reported.items() if self._is_missing(reported)]
@@ -217,9 +218,9 @@
         return self._request_from(self.rng.choice(sources))
 
     def _handle_offer(self, message: ConfigDelta | ConfigSnapshot, sender: str) -> list[Send]:
-        verdict = self.offer(message)
+        result = self.offer(message)
         sends = self.observe(ReportedVersion(message.version, message.digest, True, False), sender)
-        if isinstance(verdict, SnapshotNeeded) and not sends:
+        if isinstance(result, SnapshotNeeded) and not sends:
             return self._request_from(sender)
         return sends
 
@@ -234,9 +235,9 @@
     ) -> list[Send]:
         """Record the version reported in a heartbeat, acknowledgement or relay summary.
 
-        A relay sends the changes that a heartbeat shows to be missing unasked; ``tick`` requests
-        them only if they do not arrive. A node that is not ready, or that receives the summary of
-        another relay, requests them at once.
+        A relay pushes the changes that a subscriber lacks according to its heartbeat, so a ready
+        node requests them only in ``tick`` if they do not arrive. A node that is not ready, or that
+        receives the summary of another relay, requests them at once.
         """
         confirmed = isinstance(message, HeartbeatAck) and message.confirmed
         reported = ReportedVersion(
@@ -263,11 +264,11 @@
         return ConfigRequest(self.state.current.version, self.state.current.digest)
 
     def _has_newest(self) -> bool:
-        ready = {peer: reported for peer, reported in self.reported.items() if reported.ready}
-        if not ready or any(self._is_missing(reported) for reported in ready.values()):
+        reports = {peer: reported for peer, reported in self.reported.items() if reported.ready}
+        if not reports or any(self._is_missing(reported) for reported in reports.values()):
             return False
-        if any(reported.confirmed for reported in ready.values()):
+        if any(reported.confirmed for reported in reports.values()):
             return True
         needed = min(self.min_ready_peers, max(1, len(self.peers())))
         timed_out = self.clock.monotonic() - self.started >= self.startup_timeout
-        return len(ready) >= needed or timed_out
+        return len(reports) >= needed or timed_out
--- a/almondshore/versions/view.py
+++ b/almondshore/versions/view.py
@@ -74,7 +74,7 @@
         return self.current
 
     def _decode(self, configuration: Configuration) -> None:
-        """Decode the parts that differ from the configuration decoded before."""
+        """Decode the parts that differ from those of the last decoded configuration."""
         old, new = self.configuration.parts, configuration.parts
         for name in old.keys() - new.keys():
             if name.startswith(SERVICE_PREFIX):
@@ -92,10 +92,10 @@
 
     def _build(self, version: int) -> RoutingView:
         targets = {name: self._targets(name) for name in self.services}
-        active = {name: found for name, found in targets.items() if found}
+        active = {name: known for name, known in targets.items() if known}
         services = {name: self.services[name] for name in active}
-        without = frozenset(self.services.keys() - active.keys())
-        return RoutingView(version, services, active, dict(self.tenants), without)
+        without_targets = frozenset(self.services.keys() - active.keys())
+        return RoutingView(version, services, active, dict(self.tenants), without_targets)
 
     def _targets(self, service: str) -> Targets:
         lookup = self.directory.lookup
--- a/test/versions/parts.py
+++ b/test/versions/parts.py
@@ -26,11 +26,11 @@
 
 def make_chain(length):
     """Return the configurations of versions 0 to ``length``, each with one changed part."""
-    found = [make_configuration(0, {})]
+    chain = [make_configuration(0, {})]
     for version in range(1, length + 1):
         changed = service_part(f"service-{version % 5}", f"v{version}")
-        found.append(make_configuration(version, {**found[-1].parts, **changed}))
-    return found
+        chain.append(make_configuration(version, {**chain[-1].parts, **changed}))
+    return chain
 
 
 def delta_between(old, new):
--- a/test/versions/test_sync.py
+++ b/test/versions/test_sync.py
@@ -49,8 +49,8 @@
         self.sync.handle(status(2), "a")
         self.sync.handle(snapshot_of(CHAIN[2]), "a")
         self.assertFalse(self.sync.ready)
-        asked = self.sync.handle(status(5), "b")
-        self.assertEqual([Send("b", ConfigRequest(2, CHAIN[2].digest))], asked)
+        sends = self.sync.handle(status(5), "b")
+        self.assertEqual([Send("b", ConfigRequest(2, CHAIN[2].digest))], sends)
         self.sync.handle(status(2), "c")
         self.assertFalse(self.sync.ready)
         self.sync.handle(snapshot_of(CHAIN[5]), "b")
@@ -107,7 +107,7 @@
         self.assertEqual([Send("relay", ConfigRequest(0, CHAIN[0].digest))], self.after(4))
 
     def test_a_delta_on_another_base_leads_to_a_request(self):
-        """Guards against waiting for a delta on a version that the node does not hold."""
+        """Guards against a node that ignores a delta it cannot apply and stays behind."""
         sends = self.sync.handle(delta_between(CHAIN[4], CHAIN[5]), "relay")
         self.assertEqual([Send("relay", ConfigRequest(0, CHAIN[0].digest))], sends)
 
@@ -120,7 +120,7 @@
         self.assertEqual(1, len(self.after(2)))
 
     def test_an_invalid_version_is_requested_once_and_a_damaged_copy_again(self):
-        """Guards against endless requests for an invalid version, and none for a valid one."""
+        """Guards against requesting an invalid version forever, or a valid one never again."""
         damaged = snapshot_of(CHAIN[3])._replace(parts=service_part("other"))
         self.assertEqual(1, len(self.sync.handle(damaged, "relay")))
         self.assertEqual({}, dict(self.sync.refused))
