Reword the moves package and its tests

The name known stood for a step, a table of routes, a sum and a stored veto; each now names its content, as do found, timed, one and other. The comments on the warm step, on the weight of the first start of the sequential test and on the epochs of a record were abbreviated and are now full sentences. The docstring of a decision documents its reason as a field. OTHER_ROUTES and RecordStore._adopt say what they are for. The tests call the target counts of a simulation by that name instead of fleet.

--- a/almondshore/moves/controls.py
+++ b/almondshore/moves/controls.py
@@ -1,4 +1,4 @@
-"""Corrections of the verdict for faults of all services alike and for differences in load."""
+"""Corrections of a verdict for faults that affect all services and for differences in load."""
 
 from collections.abc import Iterable
 from statistics import median
@@ -39,8 +39,8 @@
             if total and cumulative >= SLOW_QUANTILE * total:
                 slow_bucket = index + 1
                 break
-        timed = sum(row.latency_buckets)
-        return sum(row.latency_buckets[slow_bucket:]) / timed if timed else 0.0
+        timed_responses = sum(row.latency_buckets)
+        return sum(row.latency_buckets[slow_bucket:]) / timed_responses if timed_responses else 0.0
 
     def observe(self, row: EvidenceRow) -> tuple[float, float]:
         """Update the long-term values with those of a window.
@@ -53,9 +53,9 @@
         slow = self.slow_share(row) / (1 - SLOW_QUANTILE)
         weight = UNUSUAL_WINDOW_WEIGHT if max(errors, slow) > UNUSUAL_FACTOR else WINDOW_WEIGHT
         self.error_rate += weight * (rate - self.error_rate)
-        timed = sum(row.latency_buckets) or 1
+        timed_responses = sum(row.latency_buckets) or 1
         self.buckets = [
-            long_term + weight * (count / timed - long_term)
+            long_term + weight * (count / timed_responses - long_term)
             for long_term, count in zip(self.buckets, row.latency_buckets, strict=True)
         ]
         return errors, slow
--- a/almondshore/moves/coordinator.py
+++ b/almondshore/moves/coordinator.py
@@ -26,12 +26,13 @@
 from almondshore.rules.model import MoveState, ServicePart
 from almondshore.storage.port import NotFound, Platform
 
-# Latencies of a new version count only after this time, when its caches are filled. For short moves
-# it is limited to a share of the duration: with a fifth as the limit, a version that was cold for
+# Latencies of a new version count only after this time, when its caches are filled. In short moves
+# it is limited to a share of the duration: with a limit of one fifth, a version that was cold for
 # 25 s was reverted in a move of 120 s.
 WARM_UP_DURATION = timedelta(seconds=30)
 MAX_WARM_UP_SHARE = 0.3
-# From this step on the new version has been warm for long, so a successor does not wait again.
+# At this step the new version has long been warm, so a succeeding coordinator does not wait for it
+# to warm up again.
 MIN_WARM_STEP = 3
 # Weight of one window in the moving average of the demand.
 DEMAND_WINDOW_WEIGHT = 0.2
@@ -86,8 +87,8 @@
     record of its successor and announces nothing. While the platform does not answer, steps are
     announced at once and recorded later; receivers reject those of an old epoch.
 
-    :ivar fenced: whether a coordinator with a higher epoch has taken over; this one then does
-        nothing any more
+    :ivar fenced: whether a coordinator with a higher epoch has taken over; this one then takes no
+        further action
     """
 
     def __init__(
@@ -143,8 +144,8 @@
 
     def tick(self, target_counts: TargetCounts) -> list[MoveStep | Veto]:
         """Evaluate closed windows and advance the move; return the messages for all nodes."""
-        known = self.table.step(self.part)
-        if known is not None and known.epoch > self.epoch:
+        newest_step = self.table.step(self.part)
+        if newest_step is not None and newest_step.epoch > self.epoch:
             self.fenced = True
         if self.fenced:
             return []
@@ -388,7 +389,7 @@
         return self.first_request_at is not None and now >= self.first_request_at + warm_up
 
     def _slots(self, target_counts: TargetCounts) -> SlotsInUse | None:
-        """Return the slots that receive requests, given the limit on new targets in use."""
+        """Return the slots that receive requests; the new version may use only some targets."""
         if not target_counts.new_targets or not target_counts.old_targets:
             return None
         share = self.table.share(self.part)
--- a/almondshore/moves/eprocess.py
+++ b/almondshore/moves/eprocess.py
@@ -6,8 +6,8 @@
 # A new start every 15 windows detects a version that becomes faulty long after the move began.
 START_INTERVAL_WINDOWS = 15
 MAX_OPEN_STARTS = 8
-# The first start gets most of the weight, since there are few requests at first; later a larger
-# share gives evidence quickly.
+# The first start gets most of the weight, since the new version gets few requests at first. Later
+# starts need less weight, because a larger share of the requests gives evidence quickly.
 FIRST_START_WEIGHT = 0.75
 # With more terms the gain of the exact distribution does not justify its cost.
 MAX_EXACT_TERMS = 200
@@ -137,7 +137,7 @@
 
 
 def log_sum_exp(values) -> float:
-    """Return the logarithm of the sum of exponentials, without overflow."""
+    """Return the logarithm of the sum of the exponentials of the values, without overflow."""
     values = list(values)
     largest = max(values)
     return largest + math.log(sum(math.exp(value - largest) for value in values))
--- a/almondshore/moves/evidence.py
+++ b/almondshore/moves/evidence.py
@@ -17,6 +17,7 @@
 # Route of the rows of services without a move. They show faults that affect all services alike.
 CONTROL_ROUTE = "*"
 MAX_CONTROL_SERVICES = 8
+# Route of the rows that count all further routes once ``MAX_ROWS_PER_WINDOW`` is reached.
 OTHER_ROUTES = "other"
 
 # How long an aggregator keeps a window open after its end for messages in transit: a relay waits
--- a/almondshore/moves/outcome.py
+++ b/almondshore/moves/outcome.py
@@ -38,16 +38,16 @@
     def publish(
         self, service: str, move_id: str, state: MoveState, reason: str
     ) -> Result[int, PlatformError]:
-        """Publish the outcome; a conflict with a concurrent change is returned to the caller."""
+        """Publish the outcome; return ``Conflict`` if the configuration changed concurrently."""
         current = self.publisher.current()
         if not is_successful(current):
             return current
         base = current.unwrap()
         parts = self.publisher.parts(base.head.version)
         rules = self.publisher.rules_text(base.head.version)
-        for read in (parts, rules):
-            if not is_successful(read):
-                return read
+        for result in (parts, rules):
+            if not is_successful(result):
+                return result
         name = SERVICE_PREFIX + service
         old_parts = parts.unwrap()
         part = decode_service(old_parts[name]) if name in old_parts else None
--- a/almondshore/moves/plan.py
+++ b/almondshore/moves/plan.py
@@ -51,7 +51,10 @@
 
 
 class Decision(NamedTuple):
-    """Whether the next step may be taken now; ``reason`` says why not, empty if it may."""
+    """Whether the next step may be taken now.
+
+    :ivar reason: why it may not be taken; empty if it may
+    """
 
     allowed: bool
     reason: str
@@ -168,5 +171,5 @@
     if share >= 1:
         return new_targets
     reference = max(old_targets, 1)
-    needed = -int(-share * reference // 1)
-    return max(1, min(new_targets, needed))
+    required = -int(-share * reference // 1)
+    return max(1, min(new_targets, required))
--- a/almondshore/moves/record.py
+++ b/almondshore/moves/record.py
@@ -68,8 +68,8 @@
 class RecordStore:
     """Reads and conditionally updates the record of one service's move.
 
-    A coordinator writes only under its own epoch. So it wrote any record with that epoch itself,
-    takes over a record with a lower epoch, and is fenced by one with a higher epoch.
+    A coordinator writes only under its own epoch. A record with that epoch is therefore its own,
+    one with a lower epoch is taken over, and one with a higher epoch fences this coordinator.
     """
 
     def __init__(self, *, platform: Platform, service: str, epoch: int, node: str):
@@ -127,6 +127,7 @@
         return self.platform.update(self.key, value, self.revision, write_id)
 
     def _adopt(self, stored: StoredObject) -> Result[MoveRecord | None, Fenced]:
+        """Base the next update on a stored record; return ``Fenced`` if its epoch is higher."""
         record = decode_record(stored.value)
         if record is not None and record.epoch > self.epoch:
             return Failure(Fenced(record.epoch))
--- a/almondshore/moves/state.py
+++ b/almondshore/moves/state.py
@@ -78,7 +78,7 @@
             return False
         self.vetoes[key] = veto
         self._digest = None
-        keep = {other for other in self.vetoes if other[0] in self.services}
+        keep = {veto_key for veto_key in self.vetoes if veto_key[0] in self.services}
         _evict(self.vetoes, self.max_vetoes, keep=keep)
         return key in self.vetoes
 
@@ -137,14 +137,14 @@
         return {version: weight for version, weight in weights.items() if weight > 0}
 
     def share(self, part: ServicePart) -> float:
-        """Return the share of the new version according to the move, ignoring vetoes."""
+        """Return the new version's share of requests, from 0 to 1, ignoring vetoes."""
         move = part["move"]
         if move is None or move["state"] == MoveState.REVERTED.value:
             return 0.0
         if move["state"] == MoveState.DONE.value:
             return 1.0
-        known = self.step(part)
-        return STEP_SHARES[known.step] if known else 0.0
+        newest = self.step(part)
+        return STEP_SHARES[newest.step] if newest else 0.0
 
     def limit_targets(
         self, part: ServicePart, targets: Mapping[str, Sequence[TargetRecord]]
--- a/almondshore/moves/verdict.py
+++ b/almondshore/moves/verdict.py
@@ -25,7 +25,7 @@
 ALL_ROUTES = "all routes"
 MAX_ROUTES = 64
 
-# A target runs about 10 requests and all of them break when it dies, so each counts one tenth.
+# A target runs about 10 requests at once. All of them break when it dies, so each counts one tenth.
 BROKEN_WEIGHT = 0.1
 SLOW_QUANTILE = 0.95
 # Lower bound of the old version's past rate, used when the old version gets no requests.
@@ -140,8 +140,8 @@
                 )
                 if log_ratios is not None:
                     self._update(kind, route, log_ratios)
-                    known = totals.get(kind, [0.0] * len(log_ratios))
-                    totals[kind] = list(map(float.__add__, known, log_ratios))
+                    total = totals.get(kind, [0.0] * len(log_ratios))
+                    totals[kind] = list(map(float.__add__, total, log_ratios))
         for kind, log_ratios in totals.items():
             self._update(kind, ALL_ROUTES, log_ratios)
         for route, (new, old) in pairs.items():
@@ -189,9 +189,9 @@
     def _rows_by_route(self, rows: list[EvidenceRow]) -> dict[str, tuple[EvidenceRow, EvidenceRow]]:
         rows_by_key = {(row.version, row.route): row for row in rows}
         routes = {route for version, route in rows_by_key if version in (self.new, self.old)}
-        known = {route for _, route in self.counts_by_route}
-        max_added_routes = max(MAX_ROUTES - len(known), 0)
-        selected_routes = (routes & known) | set(sorted(routes - known)[:max_added_routes])
+        counted = {route for _, route in self.counts_by_route}
+        max_added_routes = max(MAX_ROUTES - len(counted), 0)
+        selected_routes = (routes & counted) | set(sorted(routes - counted)[:max_added_routes])
         return {
             route: tuple(
                 rows_by_key.get((version, route))
@@ -218,11 +218,11 @@
         old_events, old_total = _count(kind, old, slow_bucket)
         if not total:
             return None
-        timed = kind is FaultKind.SLOW
+        compares_latencies = kind is FaultKind.SLOW
         weight = BROKEN_WEIGHT if kind is FaultKind.BROKEN else 1.0
         hypothesis = HYPOTHESES[kind]
         if old_total >= MIN_OLD_SHARE * (total + old_total) and (
-            not timed or load_comparison.similar_to_old
+            not compares_latencies or load_comparison.similar_to_old
         ):
             log_ratios = concurrent_log_ratios(
                 hypothesis,
@@ -233,7 +233,7 @@
             )
             return [weight * ratio for ratio in log_ratios]
         rate = _past_rate(kind, old_counts, slow_bucket)
-        if rate is None or (timed and not load_comparison.similar_to_past):
+        if rate is None or (compares_latencies and not load_comparison.similar_to_past):
             return None
         log_ratios = baseline_log_ratios(
             hypothesis, new=events, new_total=total, rate=rate * control_factor
--- a/almondshore/moves/veto.py
+++ b/almondshore/moves/veto.py
@@ -46,8 +46,8 @@
     current = result.failure().current
     if current is None:
         return False
-    known = _decode_or_none(current.value)
-    if known is not None and known.config_version >= veto.config_version:
+    stored_veto = _decode_or_none(current.value)
+    if stored_veto is not None and stored_veto.config_version >= veto.config_version:
         return True
     return is_successful(platform.update(key, value, current.revision, write_id))
 
@@ -72,7 +72,7 @@
     Malformed objects are skipped.
     """
     return platform.list("veto/").map(
-        lambda found: [veto for stored in found if (veto := _decode_or_none(stored.value))]
+        lambda objects: [veto for stored in objects if (veto := _decode_or_none(stored.value))]
     )
 
 
@@ -99,10 +99,10 @@
 class LocalDetector:
     """Tests the evidence of one node, so that a veto does not require a coordinator.
 
-    Evidence is recorded at the node of a target, which sees only one version. A relay, which
-    aggregates the evidence of its nodes, is the first to see both. ``LOCAL_ALPHA_SHARE`` of the
-    false positive rate is divided among the detectors, so that a single node requires stronger
-    evidence than the coordinator.
+    Evidence recorded at the node of a target covers only one version. A relay, which aggregates
+    the evidence of its nodes, is the first to see both. ``LOCAL_ALPHA_SHARE`` of the false positive
+    rate is divided among the detectors, so that a single node requires stronger evidence than the
+    coordinator.
 
     :ivar alpha: false positive rate of this node's tests per move
     """
--- a/test/moves/helpers.py
+++ b/test/moves/helpers.py
@@ -19,7 +19,7 @@
 START = datetime(2026, 1, 1, tzinfo=UTC)
 SERVICE = "counter-app"
 ROUTES = ("GET /schedule/*", "POST /push/*")
-FLEET = TargetCounts(new_targets=4, new_slots=40, old_targets=4, old_slots=40)
+TARGET_COUNTS = TargetCounts(new_targets=4, new_slots=40, old_targets=4, old_slots=40)
 
 
 def make_part(*, seconds=300, prefer="deadline", state="active", allowed=None, move_id="m1"):
@@ -52,9 +52,9 @@
     return {
         version: [
             TargetRecord(name, name, SERVICE, version, "", "z1", 10, 1, TargetState.UP)
-            for name in found
+            for name in target_names
         ]
-        for version, found in names.items()
+        for version, target_names in names.items()
     }
 
 
@@ -80,7 +80,7 @@
         self.store = ObjectStore(clock=self.clock)
         self.publisher = FakePublisher(self.store)
         self.part = make_part(**part)
-        self.fleet = FLEET
+        self.target_counts = TARGET_COUNTS
         self.error_rates = {"v1": 0.0, "v2": 0.0}
         self.requests = 200
         self.messages = []
@@ -101,8 +101,8 @@
     def rows(self, share):
         rows = []
         for route in ROUTES:
-            for version, part in (("v1", 1 - share), ("v2", share)):
-                count = round(self.requests * part)
+            for version, version_share in (("v1", 1 - share), ("v2", share)):
+                count = round(self.requests * version_share)
                 errors = round(count * self.error_rates[version])
                 rows.append(row(version, count, errors, route=route))
         return rows
@@ -116,6 +116,6 @@
             self.clock.advance(timedelta(seconds=1))
             evidence = Evidence(window, 1, [*self.rows(share), *extra])
             coordinator.add_evidence(evidence, "relay")
-            sent += coordinator.tick(self.fleet)
+            sent += coordinator.tick(self.target_counts)
         self.messages += sent
         return sent
--- a/test/moves/test_bench.py
+++ b/test/moves/test_bench.py
@@ -8,12 +8,12 @@
 
 
 def results(kinds, names):
-    found = [kind for kind in kinds if kind.name in names]
-    assert len(found) == len(names)
+    selected = [kind for kind in kinds if kind.name in names]
+    assert len(selected) == len(names)
     sizes = (COOPERATIVA, CHLADLOG)
     return [
         run_case(Case(PRODUCT, kind, sizes[n % len(sizes)], SHORT_MOVE_S, 1))
-        for n, kind in enumerate(found)
+        for n, kind in enumerate(selected)
     ]
 
 
--- a/test/moves/test_coordinator.py
+++ b/test/moves/test_coordinator.py
@@ -214,7 +214,9 @@
     def test_missing_capacity_is_reported_at_risk(self):
         """Guards against missing a deadline without reporting it to the operator."""
         simulation = Simulation(seconds=300)
-        simulation.fleet = TargetCounts(new_targets=1, new_slots=2, old_targets=4, old_slots=40)
+        simulation.target_counts = TargetCounts(
+            new_targets=1, new_slots=2, old_targets=4, old_slots=40
+        )
         coordinator = simulation.coordinator(1)
         simulation.run(coordinator, 290)
         report = coordinator.report()
--- a/test/moves/test_evidence.py
+++ b/test/moves/test_evidence.py
@@ -26,24 +26,26 @@
         self.recorder = EvidenceRecorder(clock=self.clock, max_rows=4)
         self.recorder.set_services({SERVICE})
 
-    def ended(self):
+    def ended_rows(self):
         self.clock.advance(timedelta(seconds=1))
         (evidence,) = self.recorder.tick()
-        return {found.route: found for found in evidence.rows}
+        return {counted.route: counted for counted in evidence.rows}
 
     def test_refusals_are_not_requests_and_broken_ones_are_not_errors(self):
         """Guards against rejecting a version because of an overload or a crash."""
         self.recorder.record_refusal(SERVICE, "v2", "r")
         self.recorder.record(SERVICE, "v2", "r", False, LATENCY, broken=True)
         self.recorder.record(SERVICE, "v2", "r", False, LATENCY)
-        found = self.ended()["r"]
-        self.assertEqual((2, 1, 1, 1), (found.requests, found.errors, found.broken, found.refused))
+        counted = self.ended_rows()["r"]
+        self.assertEqual(
+            (2, 1, 1, 1), (counted.requests, counted.errors, counted.broken, counted.refused)
+        )
 
     def test_cold_target_counts_without_its_latency(self):
         """Guards against rejecting a version as slow because of a cold start."""
         self.recorder.record(SERVICE, "v2", "r", True, LATENCY, cold=True)
-        found = self.ended()["r"]
-        self.assertEqual((1, 0), (found.requests, sum(found.latency_buckets)))
+        counted = self.ended_rows()["r"]
+        self.assertEqual((1, 0), (counted.requests, sum(counted.latency_buckets)))
 
     def test_rows_are_bounded(self):
         """Guards against memory that grows with the number of routes or services."""
@@ -52,9 +54,9 @@
             self.recorder.record(f"s{n}", "v1", "r", True, LATENCY)
         self.clock.advance(timedelta(seconds=1))
         (evidence,) = self.recorder.tick()
-        rows = [found for found in evidence.rows if found.service == SERVICE]
-        self.assertEqual(100, sum(found.requests for found in rows))
-        self.assertIn(OTHER_ROUTES, {found.route for found in rows})
+        rows = [counted for counted in evidence.rows if counted.service == SERVICE]
+        self.assertEqual(100, sum(counted.requests for counted in rows))
+        self.assertIn(OTHER_ROUTES, {counted.route for counted in rows})
         self.assertLessEqual(len(evidence.rows), 4 + 8 + 1)
 
     def test_nothing_is_recorded_without_a_move(self):
@@ -86,8 +88,8 @@
         self.clock.advance(timedelta(seconds=2))
         self.aggregator.tick()
         self.assertFalse(self.aggregator.add(Evidence(self.window, 1, [row("v2", 1)]), "n1"))
-        far = Evidence(self.window + 100, 1, [row("v2", 1)])
-        self.assertFalse(self.aggregator.add(far, "n1"))
+        early = Evidence(self.window + 100, 1, [row("v2", 1)])
+        self.assertFalse(self.aggregator.add(early, "n1"))
         self.assertEqual((2, {}), (self.aggregator.dropped, self.aggregator.open_windows))
 
     def test_inconsistent_rows_are_left_out(self):
--- a/test/moves/test_outcome.py
+++ b/test/moves/test_outcome.py
@@ -52,7 +52,7 @@
             self.assertEqual(2, result.unwrap())
 
     def test_move_that_the_operator_removed_is_left_alone(self):
-        """Guards against the outcome of an old move that ends a new one."""
+        """Guards against ending a new move with the outcome of an old one."""
         result = self.outcomes.publish(SERVICE, "other", MoveState.DONE, "complete")
         self.assertIsInstance(result.failure(), NotFound)
 
--- a/test/moves/test_state.py
+++ b/test/moves/test_state.py
@@ -52,10 +52,10 @@
                     add = moves.apply_step if isinstance(message, MoveStep) else moves.add_veto
                     add(message)
             for _ in range(2):
-                for one, other in zip(tables, tables[1:] + tables[:1], strict=True):
-                    if one.digest() != other.digest():
-                        one.merge(other.snapshot())
-                        other.merge(one.snapshot())
+                for left, right in zip(tables, tables[1:] + tables[:1], strict=True):
+                    if left.digest() != right.digest():
+                        left.merge(right.snapshot())
+                        right.merge(left.snapshot())
             self.assertEqual(1, len({moves.digest() for moves in tables}), seed)
             self.assertEqual(1, len({str(moves.weights(make_part())) for moves in tables}), seed)
 
@@ -120,7 +120,7 @@
             limited = moves.limit_targets(part, make_targets(names))
             self.assertEqual(4, len(limited["v1"]))
             chosen.append({record.target for record in limited["v2"]})
-        self.assertEqual([1, 2, 4], [len(found) for found in chosen])
+        self.assertEqual([1, 2, 4], [len(targets) for targets in chosen])
         self.assertTrue(chosen[0] < chosen[1] < chosen[2])
 
     def test_lost_target_is_replaced(self):
--- a/test/moves/test_verdict.py
+++ b/test/moves/test_verdict.py
@@ -89,8 +89,8 @@
 
         verdict = make_verdict()
         observe(verdict, 60, new=(50, 0), old=(150, 0), extra=controls(0))
-        found = observe(verdict, 20, new=(200, 40), old=(0, 0), extra=controls(20), start=60)
-        self.assertIsNone(found)
+        window = observe(verdict, 20, new=(200, 40), old=(0, 0), extra=controls(20), start=60)
+        self.assertIsNone(window)
 
     def test_crash_request_does_not_reject_a_version(self):
         """Guards against a version rejected because one request crashes its targets.
--- a/test/moves/test_veto.py
+++ b/test/moves/test_veto.py
@@ -18,10 +18,10 @@
 
     def observe(self, windows, part, version, errors):
         evidence = [row("v1", 30), row("v2", 10, errors)]
-        found = []
+        vetoes = []
         for window in windows:
-            found += self.detector.observe(Evidence(window, 1, evidence), [part], version)
-        return found
+            vetoes += self.detector.observe(Evidence(window, 1, evidence), [part], version)
+        return vetoes
 
     def test_node_vetoes_on_its_own_evidence(self):
         """Guards against a bad version that stays while no coordinator can be reached."""
