--- a/almondshore/rules/check.py
+++ b/almondshore/rules/check.py
@@ -73,9 +73,9 @@
 
 def _check_services(parsed: ParseResult, findings: FindingList) -> None:
     rules, skipped = parsed.rules, parsed.skipped
-    known = {rule.name for rule in rules.services} | skipped["service"]
+    defined = {rule.name for rule in rules.services} | skipped["service"]
     for rule in (*rules.routes, *rules.moves, *rules.allows):
-        if rule.service not in known:
+        if rule.service not in defined:
             message = f"service '{rule.service}' is not defined"
             _add_finding(findings, rule, rule.source.columns.name, "unknown-service", message)
     with_routes = {rule.service for rule in rules.routes} | skipped["route"]
@@ -88,31 +88,31 @@
 def _check_unique(
     rules: Iterable[Rule], key: Callable[[Rule], Hashable], kind: str, findings: FindingList
 ) -> None:
-    first: dict[Hashable, Rule] = {}
+    first_by_key: dict[Hashable, Rule] = {}
     for rule in rules:
-        other = first.setdefault(key(rule), rule)
-        if other is not rule:
-            message = f"line {other.source.line} has the same {kind}"
+        first = first_by_key.setdefault(key(rule), rule)
+        if first is not rule:
+            message = f"line {first.source.line} has the same {kind}"
             _add_finding(findings, rule, rule.source.columns.name, f"duplicate-{kind}", message)
 
 
 def _check_routes(routes: Iterable[RouteRule], findings: FindingList) -> None:
-    first: dict[tuple[str, str], RouteRule] = {}
+    first_by_key: dict[tuple[str, str], RouteRule] = {}
     for rule in routes:
         keys = [(method, canonical_path(rule.path)) for method in rule.methods]
-        other = next((first[key] for key in keys if key in first), None)
+        earlier = next((first_by_key[key] for key in keys if key in first_by_key), None)
         for key in keys:
-            first.setdefault(key, rule)
-        if other is None:
+            first_by_key.setdefault(key, rule)
+        if earlier is None:
             continue
-        if _normalized(other) == _normalized(rule):
-            code, message = "duplicate-route", f"line {other.source.line} has the same route"
+        if _normalized(earlier) == _normalized(rule):
+            code, message = "duplicate-route", f"line {earlier.source.line} has the same route"
         else:
             code = "conflicting-route"
-            message = f"line {other.source.line} routes the same path and method "
+            message = f"line {earlier.source.line} routes the same path and method "
             message += (
-                f"to '{other.service}'"
-                if other.service != rule.service
+                f"to '{earlier.service}'"
+                if earlier.service != rule.service
                 else "with other methods or options"
             )
         _add_finding(findings, rule, rule.source.columns.path, code, message)
@@ -134,7 +134,7 @@
 
 
 def _normalized(route: RouteRule) -> tuple:
-    """Return the methods, path and options of a route in a form that compares by effect."""
+    """Return the methods, path and options of a route; equal for routes with equal effect."""
     return (set(route.methods), canonical_path(route.path), *route[2:-1])
 
 
--- a/almondshore/rules/compile.py
+++ b/almondshore/rules/compile.py
@@ -107,12 +107,12 @@
     if rule is None:
         return None
     identity = move_id(rule)
-    known = previous["move"] if previous is not None else None
-    if known is not None and known["move_id"] == identity:
-        return known
-    if _keeps_identity(known, rule):
+    existing = previous["move"] if previous is not None else None
+    if existing is not None and existing["move_id"] == identity:
+        return existing
+    if _keeps_identity(existing, rule):
         return MovePart(
-            **{**known, "deadline": rule.deadline.isoformat(), "prefer": rule.prefer.value}
+            **{**existing, "deadline": rule.deadline.isoformat(), "prefer": rule.prefer.value}
         )
     return MovePart(
         move_id=identity,
@@ -126,14 +126,14 @@
     )
 
 
-def _keeps_identity(known: MovePart | None, rule: MoveRule) -> bool:
+def _keeps_identity(existing: MovePart | None, rule: MoveRule) -> bool:
     """Return whether a rule only changes the deadline or preference of an active move.
 
     Such a move keeps its identity; a new identity would restart it at the first step.
     """
-    if known is None or known["state"] != MoveState.ACTIVE.value:
+    if existing is None or existing["state"] != MoveState.ACTIVE.value:
         return False
-    return known["to_version"] == rule.version
+    return existing["to_version"] == rule.version
 
 
 def _serving_version(base_version: str, move: MovePart | None) -> str:
@@ -145,5 +145,10 @@
 def _allowed_since(
     allowed: list[str], version: int, previous: ServicePart | None
 ) -> dict[str, int]:
-    known = previous["allowed"] if previous is not None else {}
-    return {name: known.get(name, version) for name in sorted(allowed)}
+    """Return, for each allowed version, the configuration version that introduced its rule.
+
+    :param allowed: service versions with an ``allow`` rule
+    :param version: configuration version being compiled
+    """
+    existing = previous["allowed"] if previous is not None else {}
+    return {name: existing.get(name, version) for name in sorted(allowed)}
--- a/almondshore/rules/grammar.py
+++ b/almondshore/rules/grammar.py
@@ -37,8 +37,8 @@
 class ParseResult(NamedTuple):
     """The rules parsed from a file.
 
-    :ivar skipped: by keyword, all words of the lines that were left out because of findings;
-        reference checks use them to avoid findings that only follow from the earlier ones
+    :ivar skipped: by keyword, all words of the lines that were left out because of findings; the
+        reference checks accept these words as names, so that a mistake causes no further findings
     :ivar complete: whether all lines were read
     """
 
--- a/almondshore/rules/model.py
+++ b/almondshore/rules/model.py
@@ -29,7 +29,7 @@
 
 
 class Columns(NamedTuple):
-    """Columns of the words of a rule, in characters from 1; 0 for a word that the rule lacks."""
+    """Columns of the words of a rule, in characters from 1; 0 if the rule has no such word."""
 
     name: int = 0
     version: int = 0
--- a/almondshore/rules/transition.py
+++ b/almondshore/rules/transition.py
@@ -44,7 +44,7 @@
 
 
 def new_moves(rules: RuleSet, *, previous: Mapping[str, ServicePart]) -> list[MoveRule]:
-    """Return the moves that the current configuration does not contain."""
+    """Return the rules of the moves that the current configuration does not contain."""
     existing = existing_move_ids(previous)
     return [rule for rule in rules.moves if move_id(rule) not in existing]
 
--- a/almondshore/rules/values.py
+++ b/almondshore/rules/values.py
@@ -55,7 +55,7 @@
 
 
 def take_rate(words: WordReader) -> float:
-    """Take a rate such as ``50/s``; return it in requests per second, or 0 if it is malformed."""
+    """Take a rate such as ``50/s``; return it in requests per second, 0 if it is malformed."""
     word = words.take("a rate such as 50/s")
     match = RATE_PATTERN.match(word.text)
     if not match:
@@ -97,15 +97,15 @@
     return timedelta(milliseconds=milliseconds)
 
 
-def take_choice(words: WordReader, what: str, kind: type[Choice]) -> Choice:
+def take_choice(words: WordReader, expected: str, enumeration: type[Choice]) -> Choice:
     """Take a value of an enumeration; return its first member if the value is unknown."""
-    word = words.take(what)
+    word = words.take(expected)
     try:
-        return kind(word.text)
+        return enumeration(word.text)
     except ValueError:
-        names = ", ".join(kind)
+        names = ", ".join(enumeration)
         words.report(word, "unknown-value", f"{quoted(word.text)} is not one of {names}")
-        return next(iter(kind))
+        return next(iter(enumeration))
 
 
 def take_deadline(words: WordReader) -> tuple[datetime, int]:
@@ -113,7 +113,7 @@
 
     An invalid deadline is reported and replaced by the latest possible time.
     """
-    items = [words.take(what) for what in ("a date", "a time", "a time zone")]
+    items = [words.take(expected) for expected in ("a date", "a time", "a time zone")]
     try:
         deadline = times.to_utc(*(item.text for item in items))
     except times.LocalTimeError as error:
@@ -123,6 +123,6 @@
 
 
 def _integer(digits: str) -> int:
-    """Convert a digit string; one with more than ``MAX_DIGITS`` digits becomes out of range."""
+    """Convert a digit string; above ``MAX_DIGITS`` significant digits return ``10**MAX_DIGITS``."""
     significant = digits.lstrip("0")
     return 10 ** MAX_DIGITS if len(significant) > MAX_DIGITS else int(significant or "0")
--- a/almondshore/rules/words.py
+++ b/almondshore/rules/words.py
@@ -64,14 +64,14 @@
         """Record a finding in a word; reading continues with the next word."""
         self.findings.append(LineFinding(word.column, code, message))
 
-    def take(self, what: str) -> Word:
+    def take(self, expected: str) -> Word:
         """Consume the next word and return it.
 
-        :param what: description of the expected word, for the error message
+        :param expected: description of the expected word, for the error message
         :raises LineError: if no word is left
         """
         if not self.has_more():
-            raise LineError(self.end_column, "missing-word", f"expected {what}")
+            raise LineError(self.end_column, "missing-word", f"expected {expected}")
         self.index += 1
         return self.items[self.index - 1]
 
@@ -85,19 +85,20 @@
             message = f"expected '{keyword}', found {quoted(word.text)}"
             raise LineError(word.column, "unexpected-word", message)
 
-    def name(self, what: str) -> Word:
+    def name(self, kind: str) -> Word:
         """Consume the next word, which should be a name; an invalid one is reported.
 
+        :param kind: kind of name for messages, such as ``service name``
         :raises LineError: if no word is left
         """
-        word = self.take(f"a {what}")
+        word = self.take(f"a {kind}")
         if len(word.text) > MAX_NAME_CHARS:
             message = (
-                f"the {what} has {len(word.text)} characters; at most {MAX_NAME_CHARS} are accepted"
+                f"the {kind} has {len(word.text)} characters; at most {MAX_NAME_CHARS} are accepted"
             )
             self.report(word, "name-too-long", message)
         elif not NAME_PATTERN.match(word.text):
-            message = f"{quoted(word.text)} is not a valid {what}; use a-z, 0-9, '.', '_' and '-'"
+            message = f"{quoted(word.text)} is not a valid {kind}; use a-z, 0-9, '.', '_' and '-'"
             self.report(word, "bad-name", message)
         return word
 
@@ -113,5 +114,5 @@
 
 def quoted(text: str) -> str:
     """Quote a word for a message, shortened to ``MAX_QUOTED_CHARS`` characters."""
-    cut = text if len(text) <= MAX_QUOTED_CHARS else text[: MAX_QUOTED_CHARS - 3] + "..."
-    return f"'{cut}'"
+    shortened = text if len(text) <= MAX_QUOTED_CHARS else text[: MAX_QUOTED_CHARS - 3] + "..."
+    return f"'{shortened}'"
--- a/test/rules/test_check.py
+++ b/test/rules/test_check.py
@@ -121,7 +121,7 @@
             self.assertEqual([(4, column, code)], found)
 
     def test_paths_that_differ_only_in_escapes_are_equal(self):
-        """Guards against two routes for one path, between which the choice would be arbitrary."""
+        """Guards against two routes for one path, with an arbitrary choice between them."""
         lines = "route GET /a%7e%2f to desk # A: b\nroute GET /a~%2F to desk # A: b\n"
         self.assertEqual([(4, 11, "duplicate-route")], check(BASE + lines)[1])
 
@@ -136,7 +136,7 @@
         """Guards against reporting only the first mistake, or findings that follow from others."""
         _, found = check(
             "service desk version v1\n"  # no requester
-            "servce shop version v1 # A: b\n"  # misspelt keyword; shop counts as defined
+            "servce shop version v1 # A: b\n"  # misspelled keyword; shop counts as defined
             "route GET /desk to desk timeout 2x # A: b\n"
             "route GET /shop to shop # A: b\n"
             "route GET /none to none # A: b\n"
--- a/test/rules/test_diff.py
+++ b/test/rules/test_diff.py
@@ -37,7 +37,7 @@
 
 class DiffTest(TestCase):
     def test_same_meaning_is_no_difference(self):
-        """Guards against reporting rules whose line or spacing is all that changed."""
+        """Guards against reporting rules of which only the line or the spacing changed."""
         lines = RULES.replace(" to desk", "\tto   desk class routine timeout 2000ms").splitlines()
         self.assertEqual([], changes(RULES, "\n\n".join(reversed(lines)) + "\n# end"))
 
