Reword the relay package and its tests

known, own, others, answered, gone and first stood for many different tables, addresses and flags; each local variable now names its content. The method ConfigSync.answer, whose documentation already spoke of a reply, is reply_to. The docstrings of the relay's queues, of its candidates, of the lease checks after an outage and of the renewal under a higher epoch now say what happens and why. The module of invariants says what I1, I2 and I3 are.

--- a/almondshore/relay/control.py
+++ b/almondshore/relay/control.py
@@ -48,7 +48,7 @@
 
     :ivar incarnation: increases with each restart of the node
     :ivar control: ``ip:port`` at which it receives control messages
-    :ivar address: ``ip:port`` of its hop 2 listener
+    :ivar address: ``ip:port`` of its listener for requests of other nodes (hop 2)
     """
 
     node: str
@@ -179,9 +179,9 @@
         subscribers and, unless they came from another relay, to the other relays.
         """
         if self.relay is None:
-            own = sender == self.identity.control
-            chosen = self.selection.relay
-            return [Send(chosen, message)] if own and chosen else []
+            is_own = sender == self.identity.control
+            relay = self.selection.relay
+            return [Send(relay, message)] if is_own and relay else []
         if sender in self.table.addresses() and sender != self.identity.control:
             return self.relay.to_subscribers(message)
         return self.relay.broadcast(message)
@@ -209,8 +209,10 @@
         """
         controls = [record.control for record in self.directory.records.values()]
         sample = self.rng.sample(controls, min(MAX_DIRECTORY_PEERS, len(controls)))
-        known = [*self.seeds, *self.table.addresses(self.identity.zone), *sample]
-        return [peer for peer in dict.fromkeys(known) if peer not in ("", self.identity.control)]
+        addresses = [*self.seeds, *self.table.addresses(self.identity.zone), *sample]
+        return [
+            peer for peer in dict.fromkeys(addresses) if peer not in ("", self.identity.control)
+        ]
 
     def nodes_in_zone(self) -> int:
         """Return the number of live nodes in this node's zone according to the directory."""
@@ -230,11 +232,15 @@
         return max(self.limits.nodes_per_slot, math.ceil(share))
 
     def candidates(self) -> list[str]:
-        """Return addresses of nodes in this node's zone that could become relays."""
-        own = {record.control for record in self._live_in_zone() if record.control}
+        """Return addresses of nodes in this node's zone that could become relays.
+
+        These are the subscribers of a relay, the live nodes of the directory on other nodes, and
+        the seeds if there are none.
+        """
+        addresses = {record.control for record in self._live_in_zone() if record.control}
         if self.relay is not None:
-            own = {subscriber.address for subscriber in self.relay.subscribers}
-        return sorted(own - {self.identity.control}) or self.seeds
+            addresses = {subscriber.address for subscriber in self.relay.subscribers}
+        return sorted(addresses - {self.identity.control}) or self.seeds
 
     def _live_in_zone(self) -> list[TargetRecord]:
         records = self.directory.of_zone(self.identity.zone)
@@ -242,11 +248,11 @@
 
     def _components(self, message: Message):
         """Return the state machines to call for a message; a relay handles some without them."""
-        own = (self.config, self.membership, self.prober, self.selection)
+        components = (self.config, self.membership, self.prober, self.selection)
         if self.relay is None:
-            return own
-        answered = {"Heartbeat", "Keepalive", "ConfigRequest", "RelayQuery", "RelaySync"}
-        return () if type(message).__name__ in answered else own
+            return components
+        handled_by_relay = {"Heartbeat", "Keepalive", "ConfigRequest", "RelayQuery", "RelaySync"}
+        return () if type(message).__name__ in handled_by_relay else components
 
     def _update_role(self) -> None:
         """Start or stop the relay role according to the lease."""
--- a/almondshore/relay/election.py
+++ b/almondshore/relay/election.py
@@ -140,19 +140,19 @@
         if self.lease is None:
             return []
         lease, self.lease = self.lease, None
-        gone = vacancy(self.zone, self.slot, lease.epoch)
+        vacant_entry = vacancy(self.zone, self.slot, lease.epoch)
         lease.release()
-        self.table.merge([gone])
-        return self._announce_entry(gone)
+        self.table.merge([vacant_entry])
+        return self._announce_entry(vacant_entry)
 
     def _attempt_acquisition(self, in_zone: bool, has_usable_relay: bool) -> list[Send]:
         waiting = self.clock.monotonic() < self.acquire_not_before
         if self.invited_slot is not None and not waiting:
             slot, self.invited_slot = self.invited_slot, None
             return self._acquire_slot(slot, None)
-        own = self._find_own_lease() if self.check_own_lease and not waiting else None
-        if own is not None:
-            return self._acquire_slot(lease_slot(own.key), own)
+        own_lease = self._find_own_lease() if self.check_own_lease and not waiting else None
+        if own_lease is not None:
+            return self._acquire_slot(lease_slot(own_lease.key), own_lease)
         if not self.candidacy.should_attempt(in_zone, has_usable_relay=has_usable_relay):
             return []
         return self._acquire_slot(0, None)
@@ -163,8 +163,8 @@
         result = lease.acquire_or_renew(known)
         self._record_holder(slot, result)
         if isinstance(result, HeldElsewhere) and result.record is not None:
-            left = result.record.expires - self.clock.now()
-            self.candidacy.postpone(self.clock.monotonic() + min(left, LEASE_TTL) + CLOCK_SKEW)
+            remaining = result.record.expires - self.clock.now()
+            self.candidacy.postpone(self.clock.monotonic() + min(remaining, LEASE_TTL) + CLOCK_SKEW)
             return [Send(result.record.holder, RelayInvite(self.zone, slot))]
         if not isinstance(result, Held):
             return []
@@ -181,17 +181,19 @@
         if not is_successful(result):
             return None
         self.lease_monitor.update(result.unwrap())
-        own = [item for item in result.unwrap() if decode_lease(item).holder == self.address]
-        return own[0] if own else None
+        own_leases = [item for item in result.unwrap() if decode_lease(item).holder == self.address]
+        return own_leases[0] if own_leases else None
 
     def _renew(self) -> list[Send]:
-        """Renew the lease, under a higher epoch if other nodes consider this relay gone."""
-        lapsed = self.table.is_vacant(self.zone, self.slot, self.lease.epoch)
-        result = self.lease.renew_with_new_epoch() if lapsed else self.lease.acquire_or_renew()
+        """Renew the lease, under a higher epoch if the relay table marks this slot as vacant."""
+        marked_vacant = self.table.is_vacant(self.zone, self.slot, self.lease.epoch)
+        result = (
+            self.lease.renew_with_new_epoch() if marked_vacant else self.lease.acquire_or_renew()
+        )
         self._record_holder(self.slot, result)
         if isinstance(result, HeldElsewhere):
             self.lease = None
-        elif isinstance(result, Held) and lapsed:
+        elif isinstance(result, Held) and marked_vacant:
             return self._announce_entry(self._own_entry(result.epoch))
         return []
 
@@ -208,8 +210,8 @@
 
     def _announce_entry(self, entry: RelayEntry) -> list[Send]:
         """Send an entry to the other relays and to the nodes in the zone."""
-        known = [*self.table.addresses(), *self.candidates()]
-        peers = [peer for peer in dict.fromkeys(known) if peer != self.address]
+        addresses = [*self.table.addresses(), *self.candidates()]
+        peers = [peer for peer in dict.fromkeys(addresses) if peer != self.address]
         return [Send(peer, RelayList([entry])) for peer in peers]
 
     def _check_leases(self, now: timedelta) -> list[Send]:
@@ -222,14 +224,14 @@
             self.lease_monitor.on_list_failure()
             self.next_list += full_jitter(self.rng, 4)
             return []
-        known = set(self.table.addresses())
+        known_relays = set(self.table.addresses())
         live = self.lease_monitor.update(result.unwrap())
         sends: list[Send] = []
         if all_zones:
             self.next_list_all = now + LIST_ALL_INTERVAL * self.rng.uniform(0.9, 1.1)
-            new = set(self.table.addresses()) - known - {self.address}
-            own = RelayList([self._own_entry(self.lease.epoch)])
-            sends = [Send(relay, own) for relay in sorted(new)]
+            new_relays = set(self.table.addresses()) - known_relays - {self.address}
+            own_entry = RelayList([self._own_entry(self.lease.epoch)])
+            sends = [Send(relay, own_entry) for relay in sorted(new_relays)]
         return sends + self._adjust_slots({entry.slot for entry in live if entry.zone == self.zone})
 
     def _adjust_slots(self, live: set[int]) -> list[Send]:
@@ -246,9 +248,9 @@
         relays = set(self.table.addresses(self.zone))
         sends = []
         for slot in set(range(needed)) - live:
-            free = [peer for peer in self.candidates() if peer not in relays]
-            if free:
-                chosen = self.rng.choice(free)
-                relays.add(chosen)
-                sends.append(Send(chosen, RelayInvite(self.zone, slot)))
+            available = [peer for peer in self.candidates() if peer not in relays]
+            if available:
+                invited = self.rng.choice(available)
+                relays.add(invited)
+                sends.append(Send(invited, RelayInvite(self.zone, slot)))
         return sends
--- a/almondshore/relay/fanout.py
+++ b/almondshore/relay/fanout.py
@@ -47,7 +47,7 @@
     :ivar tracking_interval: interval at which the relay starts to track the nodes assigned to it,
         to detect those that no longer heartbeat to any relay
     :ivar max_changes: maximum number of queued directory changes; beyond it all are dropped, and
-        the digests in the heartbeats lead to their repair
+        receivers request them after comparing digests
     :ivar records_per_message: maximum number of records in one directory delta
     :ivar refusal_retry_after: retry delay given to a node that is refused because the relay
         already serves its fair share
@@ -118,7 +118,7 @@
             case DirectoryRequest():
                 return self._directory_request(message, sender)
             case ConfigRequest():
-                return [Send(sender, self.sync.answer(message))]
+                return [Send(sender, self.sync.reply_to(message))]
             case RelaySync():
                 return self._relay_sync(message, sender)
             case RelayQuery(zone):
@@ -162,16 +162,16 @@
 
     def _keepalive(self, state: int, sender: str) -> list[Send]:
         """Acknowledge a keepalive if the node is up to date, else request a full heartbeat."""
-        known = self.subscribers.items.get(sender)
-        if known is None or not known.ready or not self.sync.ready:
+        subscriber = self.subscribers.items.get(sender)
+        if subscriber is None or not subscriber.ready or not self.sync.ready:
             return [Send(sender, KeepaliveAck(False))]
         current = self.sync.state.current
-        expected = known.heartbeat._replace(
+        expected = subscriber.heartbeat._replace(
             config_version=current.version,
             config_digest=current.digest,
             directory_digests=self.directory.digest(),
             moves_digest=self.moves_digest(),
-            relays_digest=self.table.digest(known.heartbeat.zone or self.zone),
+            relays_digest=self.table.digest(subscriber.heartbeat.zone or self.zone),
         )
         if heartbeat_digest(expected) != state:
             return [Send(sender, KeepaliveAck(False))]
@@ -190,9 +190,9 @@
         self.detector.record_heartbeat(heartbeat.node, sender, heartbeat.incarnation)
         sends = self.sync.handle(heartbeat, sender)
         current = self.sync.state.current
-        known = heartbeat.relays_digest == self.table.digest(self.zone)
+        has_relays = heartbeat.relays_digest == self.table.digest(self.zone)
         ack = HeartbeatAck(
-            relays=[] if known else self.table.with_foreign(self.zone, self.rng),
+            relays=[] if has_relays else self.table.with_foreign(self.zone, self.rng),
             config_version=current.version,
             config_digest=current.digest,
             directory_digests=self.directory.digest(),
@@ -204,11 +204,11 @@
         return [*sends, Send(sender, ack), *self._catch_up(subscriber)]
 
     def _catch_up(self, subscriber: Subscriber) -> list[Send]:
-        """Send a subscriber the changes since its version, or a snapshot beyond the backlog."""
+        """Send a subscriber the changes since its version, or a snapshot if it lags too far."""
         current = self.sync.state.current
         if not self.sync.ready or not self.subscribers.is_due(subscriber, current.version):
             return []
-        message = self.sync.answer(ConfigRequest(subscriber.version, subscriber.digest))
+        message = self.sync.reply_to(ConfigRequest(subscriber.version, subscriber.digest))
         if isinstance(message, Busy):
             return []
         self.subscribers.mark_sent(subscriber.address, current.version)
@@ -243,8 +243,8 @@
         """
         changed = self.directory.merge(message.records)
         self._queue_changes(changed, own=True)
-        known = [self.directory.records.get(record.target) for record in message.records]
-        unchanged = [record for record in known if record is not None and record not in changed]
+        current = [self.directory.records.get(record.target) for record in message.records]
+        unchanged = [record for record in current if record is not None and record not in changed]
         return [Send(sender, DirectoryDelta(unchanged))] if unchanged else []
 
     def _queue_changes(self, records: list[TargetRecord], *, own: bool) -> None:
@@ -256,15 +256,15 @@
             self.changes, self.own_changes = [], []
 
     def _flush_changes(self) -> list[Send]:
-        """Send the directory changes since the last tick."""
-        changes, own = self.changes, self.own_changes
+        """Send queued changes to the subscribers, and those that originate here to the relays."""
+        changes, own_changes = self.changes, self.own_changes
         self.changes, self.own_changes = [], []
         size = self.limits.records_per_message
         sends = []
         for start in range(0, len(changes), size):
             sends += self.to_subscribers(DirectoryDelta(changes[start : start + size]))
-        for start in range(0, len(own), size):
-            sends += self.to_relays(DirectoryDelta(own[start : start + size]))
+        for start in range(0, len(own_changes), size):
+            sends += self.to_relays(DirectoryDelta(own_changes[start : start + size]))
         return sends
 
     def _anti_entropy(self) -> list[Send]:
@@ -309,12 +309,12 @@
                 self.detector.track(record.node, record.control)
 
     def _helpers(self) -> list[str]:
-        """Return addresses of nodes that can probe a suspect, own subscribers first."""
-        own = [s.address for s in self.subscribers if s.node not in self.detector.suspects]
-        others = self._other_relays()
-        self.rng.shuffle(own)
-        self.rng.shuffle(others)
-        return own + others
+        """Return addresses of nodes that can probe a suspect, subscribers of this relay first."""
+        subscribers = [s.address for s in self.subscribers if s.node not in self.detector.suspects]
+        relays = self._other_relays()
+        self.rng.shuffle(subscribers)
+        self.rng.shuffle(relays)
+        return subscribers + relays
 
     def _other_relays(self) -> list[str]:
         return [relay for relay in self.table.addresses() if relay != self.address]
--- a/almondshore/relay/lease.py
+++ b/almondshore/relay/lease.py
@@ -129,6 +129,7 @@
         self._reset()
 
     def _evaluate(self, stored: StoredObject) -> LeaseResult:
+        """Confirm a pending write, renew or acquire the lease, depending on its stored state."""
         record = decode_lease(stored)
         if self.pending_write is not None and stored.write_id == self.pending_write:
             return self._confirm(record.epoch, stored.revision)
--- a/almondshore/relay/lease_monitor.py
+++ b/almondshore/relay/lease_monitor.py
@@ -22,8 +22,8 @@
     """Distinguishes live leases from expired ones and updates the relay table.
 
     A lease counts as expired if its object has not changed for a full ``ttl`` by this process's
-    monotonic clock while the platform answered. After an outage all leases are old, so the
-    observations start again to give the holders time to renew their leases.
+    monotonic clock while the platform answered. No lease can be renewed during an outage, so the
+    observations restart after it to give the holders time to renew.
     """
 
     def __init__(self, *, clock: Clock, table: RelayTable, ttl: timedelta = LEASE_TTL):
@@ -53,11 +53,11 @@
 
     def _expired(self, stored: StoredObject) -> bool:
         now = self.clock.monotonic()
-        known = self.observed.get(stored.key)
-        if known is None or known.revision != stored.revision:
+        last_change = self.observed.get(stored.key)
+        if last_change is None or last_change.revision != stored.revision:
             self.observed[stored.key] = ObservedRevision(stored.revision, now)
             return False
-        return now - known.since >= self.ttl
+        return now - last_change.since >= self.ttl
 
 
 def _entry(stored: StoredObject) -> RelayEntry:
--- a/almondshore/relay/selection.py
+++ b/almondshore/relay/selection.py
@@ -31,7 +31,7 @@
         message loss kept half of the nodes on relays in other zones
     :ivar failback_interval: interval at which a node tries to return to its preferred relay; a
         node that uses a relay in another zone tries one in its own zone at each heartbeat
-    :ivar peers_queried: number of peers that are asked for relays at once
+    :ivar peers_queried: number of peers that are queried for relays at once
     :ivar max_query_delay: maximum delay between two queries of peers
     """
 
@@ -102,8 +102,8 @@
     def has_usable_relay(self) -> bool:
         """Whether a known relay in this node's zone is not being avoided."""
         now = self.clock.monotonic()
-        known = self.table.addresses(self.zone)
-        return any(self.avoided.get(relay, now) <= now for relay in known if relay != self.address)
+        relays = self.table.addresses(self.zone)
+        return any(self.avoided.get(relay, now) <= now for relay in relays if relay != self.address)
 
     def handle(self, message: Message, sender: str) -> list[Send]:
         """Handle acknowledgements, lists of relays, queries for them and refusals."""
@@ -113,9 +113,9 @@
                 self.acknowledged = sender
                 if sender in (self.relay, self.trial):
                     self._on_acknowledgement(sender)
-            case KeepaliveAck(known) if sender == self.relay:
+            case KeepaliveAck(same_state) if sender == self.relay:
                 self._on_acknowledgement(sender)
-                if not known:
+                if not same_state:
                     self.acknowledged = None
                     self.next_send = self.clock.monotonic()
             case RelayList(relays):
@@ -153,32 +153,32 @@
         full one again.
         """
         heartbeat = self.heartbeat()
-        first: Message = heartbeat
+        message: Message = heartbeat
         if self.acknowledged == self.relay:
-            first = Keepalive(heartbeat_digest(heartbeat))
-        sends = [Send(self.relay, first)]
+            message = Keepalive(heartbeat_digest(heartbeat))
+        sends = [Send(self.relay, message)]
         return sends + ([Send(self.trial, heartbeat)] if self.trial else [])
 
     def preferred(self, now: timedelta) -> str | None:
         """Return the highest-ranked relay that is not avoided; None if there is none."""
         self.avoided = {relay: until for relay, until in self.avoided.items() if until > now}
-        own = [relay for relay in self.table.addresses(self.zone) if relay != self.address]
-        others = [relay for relay in self.table.addresses() if relay != self.address]
-        for group in (own, others):
+        in_zone = [relay for relay in self.table.addresses(self.zone) if relay != self.address]
+        in_all_zones = [relay for relay in self.table.addresses() if relay != self.address]
+        for group in (in_zone, in_all_zones):
             usable = [relay for relay in group if relay not in self.avoided]
             if usable:
                 return rank(self.node, usable)[0]
         return None
 
     def _choose_trial(self, now: timedelta) -> None:
-        """Choose a preferred relay to test; the current relay stays until the other one answers."""
+        """Choose a preferred relay to test; it replaces the current relay only once it answers."""
         if self.trial is not None:
             self.avoided[self.trial] = now + self.limits.avoid_duration
             self.trial = None
         if now >= self.next_failback or not self.in_zone:
             self.next_failback = now + self.limits.failback_interval
-            better = self.preferred(now)
-            self.trial = better if better != self.relay else None
+            preferred = self.preferred(now)
+            self.trial = preferred if preferred != self.relay else None
 
     def _on_acknowledgement(self, relay: str) -> None:
         if relay == self.trial:
@@ -213,8 +213,8 @@
         self.next_send = now + full_jitter(self.rng, self.failures, cap=self.limits.max_query_delay)
         self.failures += 1
         peers = list(self.peers())
-        asked = self.rng.sample(peers, min(self.limits.peers_queried, len(peers)))
-        return [Send(peer, RelayQuery(self.zone)) for peer in asked]
+        queried = self.rng.sample(peers, min(self.limits.peers_queried, len(peers)))
+        return [Send(peer, RelayQuery(self.zone)) for peer in queried]
 
     def _relay_list(self, zone: str) -> RelayList:
         return RelayList(self.table.with_foreign(zone, self.rng))
--- a/almondshore/relay/subscribers.py
+++ b/almondshore/relay/subscribers.py
@@ -73,10 +73,10 @@
 
         :return: the subscriber, or None if the table is full
         """
-        known = self.items.get(address)
-        if known is None and len(self.items) >= self.max_subscribers:
+        existing = self.items.get(address)
+        if existing is None and len(self.items) >= self.max_subscribers:
             return None
-        base = known or Subscriber(
+        base = existing or Subscriber(
             address, heartbeat.node, heartbeat.zone, 0, b"", False, timedelta()
         )
         subscriber = base._replace(
--- a/almondshore/versions/sync.py
+++ b/almondshore/versions/sync.py
@@ -120,7 +120,7 @@
             case ConfigDelta() | ConfigSnapshot():
                 return self._handle_offer(message, sender)
             case ConfigRequest():
-                return [Send(sender, self.answer(message))]
+                return [Send(sender, self.reply_to(message))]
             case ConfigStatus():
                 return self.observe(ReportedVersion(*message), sender)
             case Heartbeat() | HeartbeatAck() | RelaySync():
@@ -175,7 +175,7 @@
             return []
         return self._request_from(sender)
 
-    def answer(self, request: ConfigRequest) -> Message:
+    def reply_to(self, request: ConfigRequest) -> Message:
         """Return the reply to a request.
 
         :return: the status if only that was requested, or if this node is not ready or holds
--- a/test/relay/invariants.py
+++ b/test/relay/invariants.py
@@ -1,4 +1,9 @@
-"""Checks of the invariants I1, I2 and I3 on all nodes of a fleet."""
+"""Checks of the invariants I1, I2 and I3 on all nodes of a fleet.
+
+I1: the version in force at a ready node never decreases. I2: the routing view of a node refers only
+to services, versions and targets that the node knows. I3: a node holds only complete versions that
+were published.
+"""
 
 from datetime import timedelta
 
@@ -57,5 +62,5 @@
             assert_closed(self.test, view, node.config.state, node.directory)
 
 
-def _same(one, other):
-    return all(a is b for a, b in zip(one, other, strict=True))
+def _same(left, right):
+    return all(a is b for a, b in zip(left, right, strict=True))
--- a/test/relay/test_failures.py
+++ b/test/relay/test_failures.py
@@ -29,7 +29,7 @@
     def followers(self):
         return [node for node in self.fleet.nodes if node.relay is None]
 
-    def holds(self, version):
+    def all_hold(self, version):
         return self.fleet.nodes_at_version(version) == len(self.fleet.nodes)
 
     def relay_addresses(self):
@@ -45,8 +45,8 @@
         for address in self.relay_addresses():
             if self.pump.nodes[address].identity.zone == zone:
                 self.pump.kill(address)
-        self.assertFalse(self.holds(version))
-        self.invariants.until(lambda: self.holds(version), CONVERGENCE_SECONDS)
+        self.assertFalse(self.all_hold(version))
+        self.invariants.until(lambda: self.all_hold(version), CONVERGENCE_SECONDS)
 
     def test_platform_outage_and_a_dead_relay_at_once(self):
         """Guards against a zone that loses its relay while no lease can be acquired.
@@ -65,7 +65,7 @@
         self.assertTrue(all(node.selection.connected for node in self.followers()))
         self.store.fault = Fault.NONE
         version = self.invariants.publish()
-        self.invariants.until(lambda: self.holds(version), CONVERGENCE_SECONDS)
+        self.invariants.until(lambda: self.all_hold(version), CONVERGENCE_SECONDS)
         self.invariants.until(lambda: all(n.selection.in_zone for n in self.followers()), 40)
 
     def test_lost_answers_and_lost_messages_at_once(self):
@@ -76,7 +76,7 @@
         self.invariants.run(60)
         self.store.fault = Fault.NONE
         version = self.invariants.publish()
-        self.invariants.until(lambda: self.holds(version), CONVERGENCE_SECONDS)
+        self.invariants.until(lambda: self.all_hold(version), CONVERGENCE_SECONDS)
 
     def test_paused_relay_resumes_after_another_took_its_slot(self):
         """Guards against a paused lease holder that acts as a relay again after it resumes."""
@@ -88,7 +88,7 @@
         version = self.invariants.publish()
         self.invariants.run(5)
         self.pump.paused.clear()
-        self.invariants.until(lambda: self.holds(version), CONVERGENCE_SECONDS)
+        self.invariants.until(lambda: self.all_hold(version), CONVERGENCE_SECONDS)
         self.invariants.run(15)
         holders = [n.identity.control for n in self.fleet.relays if n.identity.zone == zone]
         self.assertEqual(1, len(holders))
@@ -106,7 +106,7 @@
             version = self.invariants.publish()
             self.fleet.run(timedelta(minutes=20))
             self.invariants.check()
-            self.assertTrue(self.holds(version))
+            self.assertTrue(self.all_hold(version))
             self.fleet.add()
             self.pump.kill(self.followers()[0].identity.control)
         self.pump.partitions.clear()
@@ -135,7 +135,7 @@
         self.pump.max_jitter = timedelta(milliseconds=1)
         self.pump.paused.clear()
         version = self.invariants.publish()
-        self.invariants.until(lambda: self.holds(version), CONVERGENCE_SECONDS)
+        self.invariants.until(lambda: self.all_hold(version), CONVERGENCE_SECONDS)
 
     def perform(self, action, rng):
         addresses = sorted(self.pump.nodes)
--- a/test/relay/test_fanout.py
+++ b/test/relay/test_fanout.py
@@ -103,10 +103,10 @@
             while queue:
                 sender, send = queue.pop()
                 relay = self.relays[send.to]
-                answers = relay.handle(send.message, sender)
+                replies = relay.handle(send.message, sender)
                 if isinstance(send.message, ConfigDelta):
-                    answers += relay.sync.handle(send.message, sender)
-                queue += [(send.to, answer) for answer in answers]
+                    replies += relay.sync.handle(send.message, sender)
+                queue += [(send.to, reply) for reply in replies]
         held = {relay.sync.state.current.version for relay in self.relays.values()}
         known = {relay.directory.digest()[ALL_ZONES] for relay in self.relays.values()}
         self.assertEqual(({2}, 1), (held, len(known)))
--- a/test/relay/test_selection.py
+++ b/test/relay/test_selection.py
@@ -58,8 +58,8 @@
                     continue
                 receivers.append(send.to)
                 if send.to in answering:
-                    whole = isinstance(send.message, Heartbeat)
-                    self.selection.handle(ACK if whole else KeepaliveAck(True), send.to)
+                    is_full = isinstance(send.message, Heartbeat)
+                    self.selection.handle(ACK if is_full else KeepaliveAck(True), send.to)
         return receivers
 
     def test_seeds_are_queried_without_known_relays(self):
@@ -132,11 +132,11 @@
 
     def test_few_nodes_attempt_before_they_learn_of_the_first_success(self):
         """Guards against many nodes calling the platform for the same lease."""
-        for nodes, most in ((4, 4), (463, 30), (2000, 60)):
+        for nodes, max_attempts in ((4, 4), (463, 30), (2000, 60)):
             attempts = self.first_attempts(nodes)
             self.assertLess(attempts[0], 9)
             early = [due for due in attempts if due < attempts[0] + 2.5]
-            self.assertLessEqual(len(early), most)
+            self.assertLessEqual(len(early), max_attempts)
 
     def test_known_relays_are_tried_before_the_platform(self):
         """Guards against many nodes calling the platform although they know a relay."""
--- a/test/relay/test_source.py
+++ b/test/relay/test_source.py
@@ -39,13 +39,13 @@
 
     def __init__(self, *, store):
         super().__init__(store=store)
-        self.answered = set()
+        self.lost_write_ids = set()
 
     def update(self, key, value, revision, write_id):
         result = super().update(key, value, revision, write_id)
-        if write_id in self.answered:
+        if write_id in self.lost_write_ids:
             return result
-        self.answered.add(write_id)
+        self.lost_write_ids.add(write_id)
         return Failure(Unavailable("response lost"))
 
 
@@ -80,7 +80,7 @@
         self.assertEqual(2, self.held())
 
     def test_a_write_whose_response_was_lost_is_distributed_once(self):
-        """Guards against a change applied twice, or lost, if the response to its write was lost."""
+        """Guards against a change that is lost or applied twice after a lost write response."""
         self.publisher.platform = LostResponsePlatform(store=self.store)
         base, self.parts = self.publisher.current().unwrap(), service_part("one")
         results = [publish_parts(self.publisher, self.parts, base) for _ in range(4)]
--- a/test/versions/test_sync.py
+++ b/test/versions/test_sync.py
@@ -150,12 +150,12 @@
         for old, new in zip(CHAIN, CHAIN[1:], strict=False):
             self.sync.offer(delta_between(old, new))
 
-    def ask(self, version, digest):
-        return self.sync.answer(ConfigRequest(version, digest))
+    def request(self, version, digest):
+        return self.sync.reply_to(ConfigRequest(version, digest))
 
     def test_a_lagging_node_gets_one_delta(self):
         """Guards against snapshots for nodes that the backlog still covers."""
-        combined = self.ask(5, CHAIN[5].digest)
+        combined = self.request(5, CHAIN[5].digest)
         other = make_sync(self.clock)
         other.offer(snapshot_of(CHAIN[5]))
         other.offer(combined)
@@ -167,17 +167,17 @@
         for old, new in zip(CHAIN, CHAIN[1:], strict=False):
             self.sync.history.append(old, new)
         self.assertEqual(4, len(self.sync.history.entries))
-        answers = [self.ask(1, CHAIN[1].digest) for _ in range(3)]
-        self.assertIsInstance(answers[0], ConfigSnapshot)
-        self.assertIsInstance(answers[1], ConfigSnapshot)
-        self.assertIsInstance(answers[2], Busy)
+        replies = [self.request(1, CHAIN[1].digest) for _ in range(3)]
+        self.assertIsInstance(replies[0], ConfigSnapshot)
+        self.assertIsInstance(replies[1], ConfigSnapshot)
+        self.assertIsInstance(replies[2], Busy)
 
     def test_a_starting_node_gives_no_configuration(self):
         """Guards against distributing an old version from a node that lacks the newest one."""
         starting = make_sync(self.clock)
         starting.offer(snapshot_of(CHAIN[2]))
-        answer = starting.answer(ConfigRequest(0, CHAIN[0].digest))
-        self.assertEqual(status(2, ready=False), answer)
+        reply = starting.reply_to(ConfigRequest(0, CHAIN[0].digest))
+        self.assertEqual(status(2, ready=False), reply)
 
 
 class RandomOrderTest(TestCase):
