Reword the membership package and its tests

The records that the directory sync corrects were called orphans, the number of required confirmations enough, and look-up results found; they now name their content. The docstrings of the order of records, of the correction of a record and of the request conditions were abbreviated and now name their subjects and conditions.

--- a/almondshore/membership/detector.py
+++ b/almondshore/membership/detector.py
@@ -141,9 +141,9 @@
             self._reset_timers(now)
             return []
         silent = [
-            n
-            for n, t in self.nodes.items()
-            if now - t.last_heartbeat_at >= self.limits.suspect_after
+            node
+            for node, tracked in self.nodes.items()
+            if now - tracked.last_heartbeat_at >= self.limits.suspect_after
         ]
         new = [node for node in silent if node not in self.suspects]
         self._suppress_if_too_many(len(new), now)
@@ -185,8 +185,8 @@
 
     def _declare_dead_if_confirmed(self, node: str) -> None:
         suspicion = self.suspects[node]
-        enough = min(self.limits.confirmations, len(suspicion.asked))
-        if self.suppressing or len(suspicion.unreachable) < enough:
+        required = min(self.limits.confirmations, len(suspicion.asked))
+        if self.suppressing or len(suspicion.unreachable) < required:
             return
         self.untrack(node)
         self.dead.append(node)
--- a/almondshore/membership/directory.py
+++ b/almondshore/membership/directory.py
@@ -82,8 +82,10 @@
 
     def of_service(self, service: str) -> list[TargetRecord]:
         """Return the records of a service's targets that take new work."""
-        found = self.services.get(service, {}).values()
-        return [self.records[target] for targets in found for target in sorted(targets)]
+        targets_by_version = self.services.get(service, {}).values()
+        return [
+            self.records[target] for targets in targets_by_version for target in sorted(targets)
+        ]
 
     def services_of(self, node: str) -> set[str]:
         """Return the services for which a node has live targets."""
@@ -92,12 +94,12 @@
 
     def lookup(self, service: str, version: str) -> tuple[TargetRecord, ...]:
         """Return the targets of a service's version that take new work, ordered by name."""
-        found = self.cached.get((service, version))
-        if found is None:
+        records = self.cached.get((service, version))
+        if records is None:
             targets = self.services.get(service, {}).get(version, ())
-            found = tuple(self.records[target] for target in sorted(targets))
-            self.cached[service, version] = found
-        return found
+            records = tuple(self.records[target] for target in sorted(targets))
+            self.cached[service, version] = records
+        return records
 
     def versions(self, service: str) -> set[str]:
         """Return the versions of a service with at least one target that takes new work."""
--- a/almondshore/membership/local.py
+++ b/almondshore/membership/local.py
@@ -24,7 +24,7 @@
     of a restarted node supersede those of its former process. At ``max_targets`` a new target is
     refused.
 
-    :ivar process: incarnation of this node
+    :ivar process: incarnation of this node, copied into the records of its targets
     """
 
     def __init__(
@@ -108,8 +108,9 @@
         """Correct a record of this node's targets that another node holds.
 
         :return: this node's record under a higher incarnation if the other record contradicts
-            it; for an unknown target its record as dead, but only after ``announce_timeout``, in
-            which targets can announce themselves to a restarted node; otherwise empty
+            it; the record of an unknown target, marked as dead, but only once ``announce_timeout``
+            has passed since the start, so that targets can first announce themselves to a
+            restarted node; otherwise empty
         """
         if record.node != self.node:
             return []
--- a/almondshore/membership/record.py
+++ b/almondshore/membership/record.py
@@ -8,9 +8,9 @@
 def order_key(record: TargetRecord) -> tuple:
     """Return a sort key that is higher for the newer of two records of one target.
 
-    The higher incarnation is newer, then the higher state. Records that differ only in other
-    fields come from two owners of the same target name; comparing all fields makes every node
-    keep the same one.
+    The record with the higher incarnation is newer; at the same incarnation, the one with the
+    higher state. Records that differ only in other fields come from two owners of the same target
+    name; comparing all fields makes every node keep the same one.
     """
     return (record.incarnation, record.state, record)
 
--- a/almondshore/membership/sync.py
+++ b/almondshore/membership/sync.py
@@ -32,9 +32,9 @@
     """Synchronizes an ordinary node's directory and the records of its targets with its relay.
 
     A changed record of a local target is announced repeatedly until the relay returns it. Records
-    are requested if the relay twice in a row shows the same differing digest, or if the digests
+    are requested if the relay reports the same differing digest twice in a row, or if the digests
     differ for ``DIFFERENCE_TOLERANCE``, so that changes still being distributed cause no requests.
-    Until the digests have matched once, a difference leads to a request without that delay.
+    Until the digests have matched once, records are requested without waiting for either.
 
     :ivar forward_changes: called with changed records of local targets if this node is a relay;
         None on other nodes
@@ -97,8 +97,8 @@
         if now >= self.next_expiry:
             self.next_expiry = now + EXPIRE_INTERVAL
             self.directory.expire()
-        orphans = self._corrections(self.directory.of_node(self.local.node))
-        sends = self.own_records_changed(self.local.tick() + orphans)
+        corrections = self._corrections(self.directory.of_node(self.local.node))
+        sends = self.own_records_changed(self.local.tick() + corrections)
         if self.unconfirmed and now >= self.next_announce and not sends:
             return self._announce()
         return sends
@@ -112,8 +112,8 @@
     def _merge(self, records: list[TargetRecord]) -> list[Send]:
         self.directory.merge(records)
         for record in records:
-            own = self.unconfirmed.get(record.target)
-            if own is not None and not is_newer(own, record):
+            unconfirmed = self.unconfirmed.get(record.target)
+            if unconfirmed is not None and not is_newer(unconfirmed, record):
                 del self.unconfirmed[record.target]
         return self.own_records_changed(self._corrections(records))
 
--- a/test/membership/test_detector.py
+++ b/test/membership/test_detector.py
@@ -30,7 +30,7 @@
             sends += self.detector.tick(lambda: HELPERS)
         return sends
 
-    def answer(self, sends, *, reachable):
+    def reply_to_probes(self, sends, *, reachable):
         for send in sends:
             reply = PeerProbeReply(send.message.probe_id, send.message.suspect, reachable, 1)
             self.detector.handle(reply, send.to)
@@ -40,17 +40,17 @@
         self.run_seconds(1, range(10))
         sends = self.run_seconds(6, range(1, 10))
         self.assertEqual(["h1", "h2", "h3"], [send.to for send in sends])
-        self.answer(sends[:1] * 2, reachable=False)
+        self.reply_to_probes(sends[:1] * 2, reachable=False)
         self.assertEqual([], self.detector.take_dead())
-        self.answer(sends[1:2], reachable=False)
+        self.reply_to_probes(sends[1:2], reachable=False)
         self.assertEqual(["n0"], self.detector.take_dead())
 
     def test_node_that_others_reach_is_not_dead(self):
         """Guards against declaring a node dead that now uses another relay."""
         self.run_seconds(1, range(10))
         sends = self.run_seconds(6, range(1, 10))
-        self.answer(sends[:1], reachable=True)
-        self.answer(sends[1:], reachable=False)
+        self.reply_to_probes(sends[:1], reachable=True)
+        self.reply_to_probes(sends[1:], reachable=False)
         self.assertEqual([], self.detector.take_dead())
 
     def test_paused_observer_suspects_no_node(self):
@@ -65,12 +65,12 @@
         self.run_seconds(1, range(10))
         sends = self.run_seconds(30, range(4, 10))
         self.assertTrue(self.detector.suppressing)
-        self.answer(sends, reachable=False)
+        self.reply_to_probes(sends, reachable=False)
         self.assertEqual([], self.detector.take_dead())
         self.run_seconds(30, range(1, 10))
         self.assertFalse(self.detector.suppressing)
         sends = self.run_seconds(3, range(1, 10))
-        self.answer(sends, reachable=False)
+        self.reply_to_probes(sends, reachable=False)
         self.assertEqual(["n0"], self.detector.take_dead())
 
     def test_the_bound_leaves_further_nodes_untracked(self):
--- a/test/membership/test_local.py
+++ b/test/membership/test_local.py
@@ -56,7 +56,7 @@
         self.assertEqual([], self.local.correct(corrected[0]))
 
     def test_records_of_a_restarted_node_supersede_older_ones(self):
-        """Guards against records of a restarted node that are older than its former ones."""
+        """Guards against records of a restarted node that its former records supersede."""
         old = self.announce()[0]
         self.local = self.make_local()
         self.assertEqual([], self.local.correct(old))
