--- a/almondshore/moves/coordinator.py
+++ b/almondshore/moves/coordinator.py
@@ -224,7 +224,7 @@
         return record._replace(epoch=self.epoch, coordinators=record.coordinators + 1)
 
     def _load_veto(self) -> None:
-        """Load the stored veto, in case every node that knew it was restarted."""
+        """Load the stored veto, because every node that held it may have restarted."""
         veto = read_veto(self.platform, self.part["name"], self.part["move"]["to_version"])
         if veto is not None:
             self.table.add_veto(veto)
--- a/almondshore/relay/control.py
+++ b/almondshore/relay/control.py
@@ -234,8 +234,8 @@
     def candidates(self) -> list[str]:
         """Return addresses of nodes in this node's zone that could become relays.
 
-        These are the subscribers of a relay, the live nodes of the directory on other nodes, and
-        the seeds if there are none.
+        On a relay these are its subscribers, on other nodes the live nodes of the directory; in
+        both cases the seeds if there are none.
         """
         addresses = {record.control for record in self._live_in_zone() if record.control}
         if self.relay is not None:
--- a/test/relay/test_failures.py
+++ b/test/relay/test_failures.py
@@ -16,17 +16,17 @@
 
 
 class FleetTestCase(TestCase):
-    def start(self, *, nodes=12, zones=3, number=1, **arguments):
-        self.fleet = Fleet(seed=number, nodes=nodes, zones=zones, **arguments)
+    def start(self, *, nodes=12, zones=3, fleet_seed=1, **arguments):
+        self.fleet = Fleet(seed=fleet_seed, nodes=nodes, zones=zones, **arguments)
         self.pump, self.store = self.fleet.pump, self.fleet.pump.store
         self.invariants = Invariants(self, self.fleet)
         self.invariants.until(self.started, 60)
 
     def started(self):
-        in_zone = all(node.selection.in_zone for node in self.followers())
+        in_zone = all(node.selection.in_zone for node in self.ordinary_nodes())
         return in_zone and self.fleet.is_converged(1)
 
-    def followers(self):
+    def ordinary_nodes(self):
         return [node for node in self.fleet.nodes if node.relay is None]
 
     def all_hold(self, version):
@@ -62,11 +62,11 @@
         joined = self.fleet.add(zone)
         self.invariants.until(lambda: self.fleet.is_converged(1), 30)
         self.assertTrue(joined.config.ready)
-        self.assertTrue(all(node.selection.connected for node in self.followers()))
+        self.assertTrue(all(node.selection.connected for node in self.ordinary_nodes()))
         self.store.fault = Fault.NONE
         version = self.invariants.publish()
         self.invariants.until(lambda: self.all_hold(version), CONVERGENCE_SECONDS)
-        self.invariants.until(lambda: all(n.selection.in_zone for n in self.followers()), 40)
+        self.invariants.until(lambda: all(n.selection.in_zone for n in self.ordinary_nodes()), 40)
 
     def test_lost_answers_and_lost_messages_at_once(self):
         """Guards against a fleet that depends on a response to each write or message."""
@@ -108,7 +108,7 @@
             self.invariants.check()
             self.assertTrue(self.all_hold(version))
             self.fleet.add()
-            self.pump.kill(self.followers()[0].identity.control)
+            self.pump.kill(self.ordinary_nodes()[0].identity.control)
         self.pump.partitions.clear()
         self.invariants.until(lambda: self.fleet.is_converged(version), 60)
         self.invariants.until(lambda: self.live_records() == len(self.fleet.nodes), 60)
@@ -124,7 +124,7 @@
     def test_invariants_hold_under_random_faults(self, number):
         """Guards I1, I2, I3 under lost, duplicated and reordered messages, kills and restarts."""
         rng = random.Random(number)
-        self.start(nodes=9, number=number)
+        self.start(nodes=9, fleet_seed=number)
         self.pump.drop_rate, self.pump.duplicate_rate = rng.uniform(0, 0.3), rng.uniform(0, 0.3)
         self.pump.max_jitter = timedelta(seconds=rng.uniform(0, 3))
         for _ in range(8):
@@ -177,7 +177,7 @@
         relay = self.fleet.relays[0]
         others = self.fleet.relays[1:]
         heard = {name for other in others for name in other.relay.detector.nodes}
-        served = [n for n in self.followers() if n.selection.relay == relay.identity.control]
+        served = [n for n in self.ordinary_nodes() if n.selection.relay == relay.identity.control]
         victim = next(node for node in served if node.identity.node not in heard)
         targets = [f"target-{node.identity.node}" for node in (relay, victim)]
         for node in (relay, victim):
--- a/test/relay/test_source.py
+++ b/test/relay/test_source.py
@@ -94,8 +94,8 @@
         """Guards against losing a large version whose parts could not be read after the watch."""
         self.publish("one")
         self.assertEqual(1, self.held())
-        inline, publish.MAX_INLINE_DELTA_BYTES = publish.MAX_INLINE_DELTA_BYTES, 0
-        self.addCleanup(setattr, publish, "MAX_INLINE_DELTA_BYTES", inline)
+        original, publish.MAX_INLINE_DELTA_BYTES = publish.MAX_INLINE_DELTA_BYTES, 0
+        self.addCleanup(setattr, publish, "MAX_INLINE_DELTA_BYTES", original)
         self.publish("two")
         missing = self.store.objects.pop(f"config/parts/{self.head().digest.hex()}")
         self.assertEqual(1, self.held())
