Name the table of tenants outside the configuration

TenantLimits.others did not say what its entries are. It is now TenantLimits.unconfigured, the counterpart of TenantLimits.configured; the benchmark that reads its size follows.

--- a/almondshore/limits/tenants.py
+++ b/almondshore/limits/tenants.py
@@ -91,9 +91,9 @@
         self.default_rate = default_rate
         self.default_burst = default_burst
         self.configured: dict[str, _Bucket] = {}
-        self.others: dict[str, _Bucket] = {}
-        # Heap with one entry for each key of ``others``: a lower bound of the time at which its
-        # bucket is full.
+        self.unconfigured: dict[str, _Bucket] = {}
+        # Heap with one entry for each key of ``unconfigured``: a lower bound of the time at which
+        # its bucket is full.
         self.by_full_at: list[tuple[float, str]] = []
 
     def configure(self, parts: Iterable[TenantPart]) -> None:
@@ -126,12 +126,12 @@
         key = tenant
         if len(tenant) > MAX_NAME_CHARS:
             key = f"#{xxhash.xxh3_128_hexdigest(tenant.encode(errors='replace'))}"
-        bucket = self.others.get(key)
+        bucket = self.unconfigured.get(key)
         if bucket is not None:
             return bucket
-        if len(self.others) >= self.capacity and not self._evict(now_s):
+        if len(self.unconfigured) >= self.capacity and not self._evict(now_s):
             return None
-        bucket = self.others[key] = _Bucket(self.default_rate, float(self.default_burst), now_s)
+        bucket = self.unconfigured[key] = _Bucket(self.default_rate, float(self.default_burst), now_s)
         heapq.heappush(self.by_full_at, (now_s, key))
         return bucket
 
@@ -141,10 +141,10 @@
             bound, key = self.by_full_at[0]
             if bound > now_s:
                 return False
-            full_at = self.others[key].full_at()
+            full_at = self.unconfigured[key].full_at()
             if full_at <= now_s:
                 heapq.heappop(self.by_full_at)
-                del self.others[key]
+                del self.unconfigured[key]
                 return True
             heapq.heapreplace(self.by_full_at, (full_at, key))
         return False
--- a/bench/request_costs.py
+++ b/bench/request_costs.py
@@ -216,5 +216,5 @@
     for number in range(SAMPLES):
         take(f"late-{number}")
     mean_us = (time.perf_counter_ns() - begin) / 1000 / SAMPLES
-    identities = len(table.others if bounded else table.buckets)
+    identities = len(table.unconfigured if bounded else table.buckets)
     return FloodResult(megabytes, identities, refused["known"], refused["new"], mean_us)
--- a/test/limits/test_tenants.py
+++ b/test/limits/test_tenants.py
@@ -33,7 +33,7 @@
         """Guards against made-up tenant names that fill memory or lock out known tenants."""
         for n in range(1000):
             self.limits.take(f"made-up-{n}")
-        self.assertEqual(100, len(self.limits.others))
+        self.assertEqual(100, len(self.limits.unconfigured))
         self.assertEqual([LimitReason.TABLE_FULL], self.reasons("new"))
         self.assertEqual([None], self.reasons("made-up-5"))
         self.assertEqual([None], self.reasons("bakery"))
@@ -44,7 +44,7 @@
             self.limits.take(f"made-up-{n}")
         self.clock.advance(timedelta(seconds=0.2))
         self.assertEqual([None], self.reasons("new"))
-        self.assertEqual(100, len(self.limits.others))
+        self.assertEqual(100, len(self.limits.unconfigured))
 
     def test_used_up_bucket_is_not_evicted(self):
         """Guards against a tenant that regains its burst because its bucket was evicted."""
@@ -65,4 +65,4 @@
     def test_long_names_take_bounded_space(self):
         """Guards against long tenant names that take up megabytes of memory."""
         self.limits.take("x" * 10_000)
-        self.assertTrue(max(map(len, self.limits.others)) <= 64)
+        self.assertTrue(max(map(len, self.limits.unconfigured)) <= 64)
