Use specific names in the limits and their tests

- Request classes were called "name" in loops of the slot queue; they are named request_class, other_class or shed_class.
- "drained" meant that the grace period of the drain is over; it is grace_over now. _purge is _shed_expired.
- In the queue by objective, "free" stood both for a number of slots and for the times at which slots become free; the docstring of dispatch did not mention that late requests beyond their limit are refused.
- The default limits of tenants have names with a unit.
- Tests called the results of the queues "answers".

--- a/almondshore/limits/admission.py
+++ b/almondshore/limits/admission.py
@@ -45,7 +45,10 @@
 
 
 class Refused(NamedTuple):
-    """The request was not sent to the target and will not be."""
+    """The request was not sent to the target and will not be.
+
+    :ivar retry_after: time after which a retry may succeed
+    """
 
     retry_after: timedelta
     reason: RefusalReason
@@ -126,7 +129,7 @@
         self.running: dict[str, _Running] = {}
         self.running_internal = 0
         self.queues: dict[RequestClass, OrderedDict[str, SlotRequest]] = {
-            name: OrderedDict() for name in CLASS_WEIGHTS
+            request_class: OrderedDict() for request_class in CLASS_WEIGHTS
         }
         self.queued = 0
         # Lower bound of the deadlines of queued requests; avoids scanning the queues when none
@@ -134,9 +137,10 @@
         self.earliest_deadline = timedelta.max
         self.credit = dict.fromkeys(CLASS_WEIGHTS, 0)
         self.service_time = timedelta()
-        total = sum(CLASS_WEIGHTS.values())
+        total_weight = sum(CLASS_WEIGHTS.values())
         self.queue_shares = {
-            name: self.queue_limit * weight // total for name, weight in CLASS_WEIGHTS.items()
+            request_class: self.queue_limit * weight // total_weight
+            for request_class, weight in CLASS_WEIGHTS.items()
         }
 
     def offer(self, request: SlotRequest) -> Admitted | Queued | Refused:
@@ -183,7 +187,7 @@
     def expire(self) -> DispatchResult:
         """Shed queued requests whose deadline or drain grace has passed; call this regularly."""
         now = self.clock.monotonic()
-        shed = self._purge(now)
+        shed = self._shed_expired(now)
         result = self._dispatch(now)
         return DispatchResult(result.started, (*shed, *result.shed))
 
@@ -230,11 +234,13 @@
         """Estimate the wait for a slot, from the class's weight and the length of the queues."""
         weights = sum(
             weight
-            for name, weight in CLASS_WEIGHTS.items()
-            if self.queues[name] or name is request_class
+            for other_class, weight in CLASS_WEIGHTS.items()
+            if self.queues[other_class] or other_class is request_class
         )
-        own = (len(self.queues[request_class]) + 1) * weights / CLASS_WEIGHTS[request_class]
-        ahead = min(own, self.queued + 1)
+        ahead_by_weight = (
+            (len(self.queues[request_class]) + 1) * weights / CLASS_WEIGHTS[request_class]
+        )
+        ahead = min(ahead_by_weight, self.queued + 1)
         return self.service_time * (ahead / self.limit())
 
     def _refuse(self, reason: RefusalReason) -> Refused:
@@ -242,7 +248,7 @@
         return Refused(min(MAX_RETRY_AFTER, max(MIN_RETRY_AFTER, wait)), reason)
 
     def _enqueue(self, request: SlotRequest, now: timedelta) -> Queued | Refused:
-        shed = self._purge(now) if self.queued >= self.queue_limit else ()
+        shed = self._shed_expired(now) if self.queued >= self.queue_limit else ()
         if self.queued >= self.queue_limit:
             shed_class = self._class_to_shed(request.request_class)
             if shed_class is None:
@@ -258,63 +264,71 @@
     def _class_to_shed(self, request_class: RequestClass) -> RequestClass | None:
         """Return the class whose newest request is shed, or None to refuse the offered one."""
         under_share = len(self.queues[request_class]) < self.queue_shares[request_class]
-        for name in SHED_ORDER:
-            if name is request_class and not under_share:
+        for shed_class in SHED_ORDER:
+            if shed_class is request_class and not under_share:
                 return None
-            if len(self.queues[name]) > self.queue_shares[name]:
-                return name
+            if len(self.queues[shed_class]) > self.queue_shares[shed_class]:
+                return shed_class
         return None
 
-    def _purge(self, now: timedelta) -> tuple[Shed, ...]:
-        drained = self._is_drained(now)
-        if not drained and now < self.earliest_deadline:
+    def _shed_expired(self, now: timedelta) -> tuple[Shed, ...]:
+        grace_over = self._is_drain_grace_over(now)
+        if not grace_over and now < self.earliest_deadline:
             return ()
-        reason = RefusalReason.DRAINING if drained else RefusalReason.DEADLINE
+        reason = RefusalReason.DRAINING if grace_over else RefusalReason.DEADLINE
         shed = []
         for queue in self.queues.values():
-            removed = [item for item in queue.values() if drained or item.deadline <= now]
+            removed = [item for item in queue.values() if grace_over or item.deadline <= now]
             for request in removed:
                 del queue[request.request_id]
                 self.queued -= 1
                 shed.append(Shed(request, self._refuse(reason)))
-        left = (item.deadline for queue in self.queues.values() for item in queue.values())
-        self.earliest_deadline = min(left, default=timedelta.max)
+        deadlines = (item.deadline for queue in self.queues.values() for item in queue.values())
+        self.earliest_deadline = min(deadlines, default=timedelta.max)
         return tuple(shed)
 
-    def _is_drained(self, now: timedelta) -> bool:
+    def _is_drain_grace_over(self, now: timedelta) -> bool:
         return self.drain_started is not None and now >= self.drain_started + self.drain_grace
 
     def _dispatch(self, now: timedelta) -> DispatchResult:
         if not self.queued:
             return DispatchResult()
         started: list[SlotRequest] = []
-        shed: list[Shed] = list(self._purge(now)) if self._is_drained(now) else []
-        while (name := self._next_class()) is not None:
-            _, request = self.queues[name].popitem(last=False)
+        shed: list[Shed] = list(self._shed_expired(now)) if self._is_drain_grace_over(now) else []
+        while (request_class := self._next_class()) is not None:
+            _, request = self.queues[request_class].popitem(last=False)
             self.queued -= 1
             if request.deadline <= now:
                 shed.append(Shed(request, self._refuse(RefusalReason.DEADLINE)))
                 continue
-            self._charge_credit(name)
+            self._charge_credit(request_class)
             self._start(request, now)
             started.append(request)
         return DispatchResult(tuple(started), tuple(shed))
 
     def _next_class(self) -> RequestClass | None:
         """Return the class with the most credit among those with a queued request and a slot."""
-        ready = [name for name, queue in self.queues.items() if queue and self._has_slot(name)]
-        return max(ready, key=lambda name: self.credit[name] + CLASS_WEIGHTS[name], default=None)
+        ready = [
+            request_class
+            for request_class, queue in self.queues.items()
+            if queue and self._has_slot(request_class)
+        ]
+        return max(
+            ready,
+            key=lambda request_class: self.credit[request_class] + CLASS_WEIGHTS[request_class],
+            default=None,
+        )
 
-    def _charge_credit(self, chosen: RequestClass) -> None:
+    def _charge_credit(self, started_class: RequestClass) -> None:
         """Update the credits of smooth weighted round robin after a start.
 
         Classes without queued requests lose their credit.
         """
-        total = 0
-        for name, queue in self.queues.items():
-            if queue or name is chosen:
-                self.credit[name] += CLASS_WEIGHTS[name]
-                total += CLASS_WEIGHTS[name]
+        total_weight = 0
+        for request_class, queue in self.queues.items():
+            if queue or request_class is started_class:
+                self.credit[request_class] += CLASS_WEIGHTS[request_class]
+                total_weight += CLASS_WEIGHTS[request_class]
             else:
-                self.credit[name] = 0
-        self.credit[chosen] -= total
+                self.credit[request_class] = 0
+        self.credit[started_class] -= total_weight
--- a/almondshore/limits/concurrency.py
+++ b/almondshore/limits/concurrency.py
@@ -53,13 +53,13 @@
         self.min_slots = min(min_slots, slots)
         self.window = window
         self.max_routes = max_routes
-        self.current = float(slots)
+        self.current_limit = float(slots)
         self.routes: OrderedDict[str, _RouteLatency] = OrderedDict()
         self.count = 0
 
     def limit(self) -> int:
         """Return the number of slots that may be in use at present."""
-        return int(self.current)
+        return int(self.current_limit)
 
     def observe(self, route: str, latency: timedelta) -> None:
         """Record the time for which a request held its slot."""
@@ -87,6 +87,6 @@
             latencies.total, latencies.count = 0.0, 0
         self.count = 0
         if observed > OVERLOAD_RATIO * baseline:
-            self.current = max(float(self.min_slots), self.current * DECREASE_FACTOR)
+            self.current_limit = max(float(self.min_slots), self.current_limit * DECREASE_FACTOR)
         elif observed < RECOVERY_RATIO * baseline:
-            self.current = min(float(self.slots), self.current + 1.0)
+            self.current_limit = min(float(self.slots), self.current_limit + 1.0)
--- a/almondshore/limits/objective.py
+++ b/almondshore/limits/objective.py
@@ -64,7 +64,7 @@
 
     @abstractmethod
     def refuse(self, reason: Refusal, retry_after: timedelta) -> None:
-        """Handle that the request will not be started.
+        """Handle the refusal of the request; it will not be started.
 
         :param retry_after: time after which a retry may succeed
         """
@@ -179,21 +179,24 @@
         self.dispatch()
 
     def dispatch(self) -> None:
-        """Start waiting requests while slots are free; refuse those that would end too late."""
+        """Start waiting requests while slots are free.
+
+        Those that would end too late, and late ones beyond their limit, are refused.
+        """
         if not self.waiting or self.closed:
             return
         now = self.clock.monotonic()
         kept: list[Job] = []
-        too_late: list[Job] = []
+        refused: list[Job] = []
         for late, job in self._ordered(now):
             # A request that has become late must meet the same limit as a late one on arrival.
             over_limit = late and self._exceeds_late_limit(len(kept))
-            (too_late if over_limit or not self._can_meet_deadline(job, now) else kept).append(job)
-        free = max(0, self.slots - len(self.running))
-        self.waiting = kept[free:]
-        for job in too_late:
+            (refused if over_limit or not self._can_meet_deadline(job, now) else kept).append(job)
+        free_slots = max(0, self.slots - len(self.running))
+        self.waiting = kept[free_slots:]
+        for job in refused:
             job.refuse(Refusal.TOO_LATE, self._retry_after(now))
-        for job in kept[:free]:
+        for job in kept[:free_slots]:
             self._start(job, now)
 
     def expected_wait(self, ahead: list[Job], now: timedelta) -> timedelta:
@@ -202,12 +205,14 @@
         The requests ahead of it are assigned to the slots in the order in which these become
         free, so that a request at the front waits for the first free slot, not for an average one.
         """
-        free = [self._remaining(other, started, now) for other, started in self.running.items()]
-        free.extend([ZERO] * (self.slots - len(free)))
-        heapify(free)
+        free_after = [
+            self._remaining(other, started, now) for other, started in self.running.items()
+        ]
+        free_after.extend([ZERO] * (self.slots - len(free_after)))
+        heapify(free_after)
         for other in sorted(ahead, key=lambda item: self._rank(item, now)):
-            heapreplace(free, free[0] + self.times.expected(other.terms.route))
-        return free[0]
+            heapreplace(free_after, free_after[0] + self.times.expected(other.terms.route))
+        return free_after[0]
 
     def _remaining(self, job: Job, started: timedelta, now: timedelta) -> timedelta:
         """Return the expected remaining time of a running request.
--- a/almondshore/limits/tenants.py
+++ b/almondshore/limits/tenants.py
@@ -11,9 +11,9 @@
 from almondshore.core.clock import Clock
 from almondshore.rules.model import TenantPart
 
-CAPACITY = 10_000
-DEFAULT_RATE = 100.0
-DEFAULT_BURST = 200
+MAX_UNCONFIGURED_TENANTS = 10_000
+DEFAULT_RATE_PER_S = 100.0
+DEFAULT_BURST_REQUESTS = 200
 # Tenant names come from callers. Longer ones are replaced by a hash, so that the size of a table
 # entry is bounded.
 MAX_NAME_CHARS = 64
@@ -33,7 +33,7 @@
 
 
 class Limited(NamedTuple):
-    """The request is over its tenant's limit, or its tenant cannot be tracked."""
+    """The request is over its tenant's limit, or its tenant is new and the table is full."""
 
     retry_after: timedelta
     reason: LimitReason
@@ -76,9 +76,9 @@
         self,
         *,
         clock: Clock,
-        capacity: int = CAPACITY,
-        default_rate: float = DEFAULT_RATE,
-        default_burst: int = DEFAULT_BURST,
+        capacity: int = MAX_UNCONFIGURED_TENANTS,
+        default_rate: float = DEFAULT_RATE_PER_S,
+        default_burst: int = DEFAULT_BURST_REQUESTS,
     ):
         """Create an empty table.
 
@@ -131,7 +131,9 @@
             return bucket
         if len(self.unconfigured) >= self.capacity and not self._evict(now_s):
             return None
-        bucket = self.unconfigured[key] = _Bucket(self.default_rate, float(self.default_burst), now_s)
+        bucket = self.unconfigured[key] = _Bucket(
+            self.default_rate, float(self.default_burst), now_s
+        )
         heapq.heappush(self.by_full_at, (now_s, key))
         return bucket
 
--- a/test/limits/test_admission.py
+++ b/test/limits/test_admission.py
@@ -37,15 +37,15 @@
         self.count += 1
         name = request_id or f"r{self.count}"
         deadline = self.clock.monotonic() + timedelta(seconds=timeout)
-        answer = self.queue.offer(SlotRequest(name, request_class, deadline))
-        if isinstance(answer, Admitted):
+        result = self.queue.offer(SlotRequest(name, request_class, deadline))
+        if isinstance(result, Admitted):
             self.started[request_class] += 1
-        elif isinstance(answer, Refused):
+        elif isinstance(result, Refused):
             self.ends[name] += 1
         else:
             self.waiting.add(name)
-            self.shed(answer.shed)
-        return answer
+            self.shed(result.shed)
+        return result
 
     def shed(self, items):
         for item in items:
@@ -98,8 +98,8 @@
     def test_one_slot_is_reserved_for_internal_calls(self):
         """Guards against a deadlock of callers that hold all slots and wait for their callees."""
         harness = QueueHarness(slots=3)
-        answers = [type(harness.offer(URGENT)) for _ in range(3)]
-        self.assertEqual([Admitted, Admitted, Queued], answers)
+        result_types = [type(harness.offer(URGENT)) for _ in range(3)]
+        self.assertEqual([Admitted, Admitted, Queued], result_types)
         for _ in range(2):
             self.assertIsInstance(harness.offer(INTERNAL), Admitted)
             self.assertEqual((), harness.finish(f"r{harness.count}").started)
@@ -107,19 +107,19 @@
     def test_lowered_concurrency_leaves_slots_unused(self):
         """Guards against a saturated target that is still given all its slots."""
         concurrency = AdaptiveConcurrency(slots=10)
-        concurrency.current = 4.9
+        concurrency.current_limit = 4.9
         harness = QueueHarness(concurrency=concurrency, reserved_internal=0)
-        answers = [type(harness.offer(URGENT)) for _ in range(6)]
-        self.assertEqual([Admitted] * 4 + [Queued] * 2, answers)
+        result_types = [type(harness.offer(URGENT)) for _ in range(6)]
+        self.assertEqual([Admitted] * 4 + [Queued] * 2, result_types)
 
     def test_full_queue_sheds_the_lowest_class_first(self):
         """Guards against urgent requests that are refused while routine ones wait."""
         harness = QueueHarness(slots=2, queue_limit=4)
         for request_class in (URGENT, INTERNAL, ROUTINE, ROUTINE, ROUTINE, ROUTINE):
             harness.offer(request_class)
-        answer = harness.offer(URGENT)
-        self.assertEqual(["r6"], [item.request.request_id for item in answer.shed])
-        self.assertEqual(RefusalReason.OVERLOADED, answer.shed[0].refused.reason)
+        result = harness.offer(URGENT)
+        self.assertEqual(["r6"], [item.request.request_id for item in result.shed])
+        self.assertEqual(RefusalReason.OVERLOADED, result.shed[0].refused.reason)
         self.assertIsInstance(harness.offer(ROUTINE), Refused)
 
     def test_urgent_requests_do_not_displace_the_internal_share_of_the_queue(self):
--- a/test/limits/test_objective.py
+++ b/test/limits/test_objective.py
@@ -110,12 +110,12 @@
         st.randoms(use_true_random=False),
     )
     @settings(max_examples=60, deadline=None)
-    def test_each_request_ends_once_and_slots_are_not_exceeded(self, wanted, rng):
+    def test_each_request_ends_once_and_slots_are_not_exceeded(self, requests, rng):
         """Guards against lost or repeated requests, and more running requests than slots."""
         self.clock = ManualClock()
         queue = self.queue(slots=3)
         jobs = []
-        for urgency, objective, deadline in wanted:
+        for urgency, objective, deadline in requests:
             jobs.append(self.offer(queue, "j", urgency, objective, deadline))
             self.assertTrue(len(queue.running) <= 3)
             self.clock.advance(ms(rng.randrange(60)))
--- a/test/limits/test_tenants.py
+++ b/test/limits/test_tenants.py
@@ -18,8 +18,8 @@
         self.limits.configure([{"name": "bakery", "rate": 5.0, "burst": 2}])
 
     def reasons(self, tenant, times=1):
-        answers = [self.limits.take(tenant) for _ in range(times)]
-        return [None if isinstance(answer, Allowed) else answer.reason for answer in answers]
+        results = [self.limits.take(tenant) for _ in range(times)]
+        return [None if isinstance(result, Allowed) else result.reason for result in results]
 
     def test_limit_and_refill(self):
         """Guards against one tenant that uses up the capacity all tenants share."""
@@ -29,7 +29,7 @@
         self.clock.advance(timedelta(seconds=0.2))
         self.assertEqual([None, limited], self.reasons("bakery", 2))
 
-    def test_full_table_refuses_only_new_identities(self):
+    def test_full_table_refuses_only_new_tenants(self):
         """Guards against made-up tenant names that fill memory or lock out known tenants."""
         for n in range(1000):
             self.limits.take(f"made-up-{n}")
