Use specific names in the routing and its tests

- The chooser called the versions that can be picked "present" and the picked one "picked"; they are candidates and picked_version.
- The score by completion called outstanding requests "held", and the age of a report as a share of its maximum "age".
- Tests had variables "got" and "found", and "beats", "wins" and "room" in their names.

--- a/almondshore/routing/choice.py
+++ b/almondshore/routing/choice.py
@@ -50,7 +50,7 @@
         self.rng = rng
         self.zone = zone
         self.ejector = ejector
-        self.distance = distance or (lambda other: int(other != zone))
+        self.distance = distance or (lambda other_zone: int(other_zone != zone))
         self.spillover = spillover
         self.ramp_s = ramp.total_seconds()
         self.loads: dict[str, TargetLoad] = {}
@@ -93,15 +93,15 @@
         versions = self.services.get(service)
         if versions is None:
             return None
-        present = [(name, weight) for name, weight in weights.items() if weight > 0]
-        present = [(name, weight) for name, weight in present if name in versions]
-        if not present:
+        candidates = [(name, weight) for name, weight in weights.items() if weight > 0]
+        candidates = [(name, weight) for name, weight in candidates if name in versions]
+        if not candidates:
             return None
         now_s = self.clock.monotonic().total_seconds()
-        picked = pick_weighted(self.rng, present)
-        load = self._pick_target(versions[picked], exclude, now_s)
+        picked_version = pick_weighted(self.rng, candidates)
+        load = self._pick_target(versions[picked_version], exclude, now_s)
         if load is None:
-            load = self._pick_fallback(picked, present, versions, exclude, now_s)
+            load = self._pick_fallback(picked_version, candidates, versions, exclude, now_s)
         return load.record if load is not None else None
 
     def started(self, target: str) -> None:
@@ -149,8 +149,8 @@
 
     def _pick_fallback(
         self,
-        picked: str,
-        present: list[tuple[str, float]],
+        picked_version: str,
+        candidates: list[tuple[str, float]],
         versions: Mapping[str, list[Tier]],
         exclude: Collection[str],
         now_s: float,
@@ -160,8 +160,8 @@
         A version with a smaller share is never used as a fallback, so that the loss of the old
         version's targets does not send all requests to a version that is still being tested.
         """
-        weight = dict(present)[picked]
-        fallbacks = [pair for pair in present if pair[0] != picked and pair[1] >= weight]
+        weight = dict(candidates)[picked_version]
+        fallbacks = [pair for pair in candidates if pair[0] != picked_version and pair[1] >= weight]
         for name, _ in sorted(fallbacks, key=lambda pair: -pair[1]):
             load = self._pick_target(versions[name], exclude, now_s)
             if load is not None:
--- a/almondshore/routing/completion.py
+++ b/almondshore/routing/completion.py
@@ -100,7 +100,7 @@
         return self.clock.monotonic() - load.reported_at
 
     def expected_time(self, target: str, route: str) -> timedelta:
-        """Return the expected time of a request at a target, by the last report of its load."""
+        """Return the expected time of a request at a target, according to its last load report."""
         load = self.loads.get(target)
         if load is None or load.report is None:
             return DEFAULT_SERVICE_TIME
@@ -114,8 +114,8 @@
         if age is None or age > REPORT_MAX_AGE:
             return False
         load = self.loads[target.target]
-        held = load.report.running + load.report.waiting + load.since_report
-        return max(held, load.own_requests) < target.slots
+        outstanding = load.report.running + load.report.waiting + load.since_report
+        return max(outstanding, load.own_requests) < target.slots
 
     def keep(self, targets: set[str]) -> None:
         """Drop the loads of all targets but these."""
@@ -148,17 +148,19 @@
         if load is None:
             return score + service_time_s
         service_time_s = load.service_times.get(route, mean_time).total_seconds()
-        held = float(load.own_requests)
+        outstanding = float(load.own_requests)
         report = load.report
         if report is not None:
-            age = (now - load.reported_at) / REPORT_MAX_AGE
-            freshness = max(0.0, 1.0 - age)
-            held = max(held, freshness * (report.running + report.waiting) + load.since_report)
+            relative_age = (now - load.reported_at) / REPORT_MAX_AGE
+            freshness = max(0.0, 1.0 - relative_age)
+            outstanding = max(
+                outstanding, freshness * (report.running + report.waiting) + load.since_report
+            )
             score += objective_s * FAILURE_PENALTY_SHARE * report.failure_rate * freshness
             if report.leaving:
                 score += objective_s * LEAVING_PENALTY_SHARE * freshness
         slots = max(1, target.slots)
-        wait_s = max(0.0, (held + 1 - slots) / slots) * service_time_s
+        wait_s = max(0.0, (outstanding + 1 - slots) / slots) * service_time_s
         # A target that is nearly full is more likely to be full when the request arrives.
-        near_full_penalty = 0.15 * service_time_s * min(1.0, held / slots)
-        return score + service_time_s + wait_s + near_full_penalty
+        near_full_penalty_s = 0.15 * service_time_s * min(1.0, outstanding / slots)
+        return score + service_time_s + wait_s + near_full_penalty_s
--- a/test/routing/test_choice.py
+++ b/test/routing/test_choice.py
@@ -16,8 +16,8 @@
         """Guards against a new version whose share of requests depends on its few targets."""
         harness = ChooserHarness(make_targets("old", 9) + make_targets("new", 1, version="v2"))
         harness.report("new0", 10, 5)
-        got = harness.chosen(10_000, {"v1": 0.95, "v2": 0.05}, by="version")
-        self.assertTrue(400 < got["v2"] < 600, got)
+        counts = harness.chosen(10_000, {"v1": 0.95, "v2": 0.05}, by="version")
+        self.assertTrue(400 < counts["v2"] < 600, counts)
 
     def test_version_without_targets_is_left_out(self):
         """Guards against requests for a version that no target serves."""
@@ -29,8 +29,8 @@
         """Guards against sending all requests to a new version if the old targets are excluded."""
         harness = ChooserHarness(make_targets("old", 1) + make_targets("new", 1, version="v2"))
         weights = {"v1": 0.99, "v2": 0.01}
-        got = harness.chosen(1000, weights, exclude={"old0"})
-        self.assertTrue(got["new0"] < 30, got)
+        counts = harness.chosen(1000, weights, exclude={"old0"})
+        self.assertTrue(counts["new0"] < 30, counts)
         self.assertEqual({"old0": 1000}, harness.chosen(1000, weights, exclude={"new0"}))
 
 
@@ -83,19 +83,19 @@
     def test_slow_target_among_good_ones_gets_less(self):
         """Guards against an even split, which queues a quarter of all requests at a slow target."""
         harness = ChooserHarness(make_targets("t", 4))
-        held = []
-        slow = 0
+        running = []
+        sent_to_slow = 0
         for tick in range(4000):
             harness.advance(0.001)
-            while held and held[0][0] <= tick:
-                _, name = held.pop(0)
+            while running and running[0][0] <= tick:
+                _, name = running.pop(0)
                 harness.chooser.finished(name, success_with_load(harness, name))
             name = harness.chooser.choose("s", {"v1": 1.0}).target
-            slow += name == "t0"
+            sent_to_slow += name == "t0"
             harness.chooser.started(name)
-            held.append((tick + (100 if name == "t0" else 10), name))
-            held.sort()
-        self.assertTrue(slow < 400, slow)
+            running.append((tick + (100 if name == "t0" else 10), name))
+            running.sort()
+        self.assertTrue(sent_to_slow < 400, sent_to_slow)
 
     def test_target_that_fails_fast_does_not_look_idle(self):
         """Guards against a failing target that attracts requests because it fails at once."""
@@ -129,7 +129,7 @@
         self.near = make_targets("near", 2)
         self.far = make_targets("far", 2, zone="z2")
 
-    def test_own_zone_is_used_while_it_has_room(self):
+    def test_own_zone_is_used_while_it_has_capacity(self):
         """Guards against traffic between zones, which is charged, without need."""
         self.assertEqual({"z1"}, set(ChooserHarness(self.near + self.far).chosen(100, by="zone")))
 
--- a/test/routing/test_completion.py
+++ b/test/routing/test_completion.py
@@ -70,7 +70,7 @@
             self.receive_report(name)
         chosen = Counter()
         for _ in range(27):
-            found = self.chooser.choose(targets, route="r", objective=OBJECTIVE)
-            self.chooser.started(found.target)
-            chosen[found.target] += 1
+            choice = self.chooser.choose(targets, route="r", objective=OBJECTIVE)
+            self.chooser.started(choice.target)
+            chosen[choice.target] += 1
         self.assertTrue(max(chosen.values()) <= 12, chosen)
--- a/test/routing/test_table.py
+++ b/test/routing/test_table.py
@@ -30,16 +30,16 @@
         )
 
     def matched(self, method, path):
-        found = self.table.match(method, path)
-        return (found.service, found.route["path"]) if found else None
+        match = self.table.match(method, path)
+        return (match.service, match.route["path"]) if match else None
 
-    def test_exact_path_beats_the_longest_prefix(self):
+    def test_exact_path_takes_precedence_over_prefixes(self):
         """Guards against a prefix route that takes requests from an exact route."""
         self.assertEqual(
             ("fault-desk", "/schedule/faults"), self.matched("GET", "/schedule/faults")
         )
 
-    def test_longest_prefix_wins(self):
+    def test_longest_prefix_takes_precedence(self):
         """Guards against a match that depends on the order of the rules."""
         self.assertEqual(("fault-desk", "/schedule/f*"), self.matched("GET", "/schedule/f1"))
         self.assertEqual(("counter-app", "/schedule/*"), self.matched("GET", "/schedule/1"))
@@ -52,8 +52,8 @@
     def test_all_nodes_agree_on_a_path_of_two_services(self):
         """Guards against nodes that send the same path to different services."""
         parts = [service("b", route("/x")), service("a", route("/x"))]
-        found = {RouteTable(order).match("GET", "/x").service for order in (parts, parts[::-1])}
-        self.assertEqual({"a"}, found)
+        services = {RouteTable(order).match("GET", "/x").service for order in (parts, parts[::-1])}
+        self.assertEqual({"a"}, services)
 
     def test_lookup_does_not_grow_with_the_number_of_routes(self):
         """Guards against a linear scan over the 13,000 routes of the scale target."""
