Use specific names in the retries and their tests

- Markers of departed nodes were "clear" or "cleared"; the methods of the records say unmarked, and the comment on the marker says what it is for.
- Parameters "request" of the crash guard hold a fingerprint, "settle" a time, "deaths" the number of deaths that quarantine, "writes" a count.
- CAPACITY and PROBATION did not say of what; they are MAX_SUSPECTS and PROBATION_TIME.
- Why no marker is needed in an outage was hard to follow.

--- a/almondshore/retries/claims.py
+++ b/almondshore/retries/claims.py
@@ -31,8 +31,8 @@
 ACCEPTED_BEFORE_RAISE = 10
 # Markers have a separate budget, since they are written when the claim budget is used up.
 MARKERS_PER_SECOND = 0.5
-# A claim whose answer was lost is repeated once. With the same write id, the repeated call succeeds
-# if the first one did.
+# A claim whose response was lost is repeated once. With the same write id, the repeated call
+# succeeds if the first one did.
 CLAIM_ATTEMPTS = 2
 
 
@@ -134,7 +134,7 @@
         self.budget = budget
         self.retention = retention
         self.marker_budget = ClaimBudget(clock=clock, rate=MARKERS_PER_SECOND)
-        self.writes = 0
+        self.write_count = 0
 
     def claim(self, key: str) -> ClaimResult:
         """Claim a key for this process; a repeated claim of the same process succeeds again."""
@@ -155,9 +155,9 @@
         if not self.marker_budget.take():
             return ClaimResult.OVER_BUDGET
         name = MARKER_PREFIX + self.node
-        self.writes += 1
+        self.write_count += 1
         value = _encode(MarkerValue(unclaimed=unclaimed))
-        write_id = f"{self.instance}/{self.writes}"
+        write_id = f"{self.instance}/{self.write_count}"
         result = self.platform.create(name, value, write_id)
         if isinstance(result, Failure):
             error = result.failure()
@@ -204,8 +204,8 @@
 
     def _take_over(self, current: StoredObject, key: str) -> Result[StoredObject, PlatformError]:
         # The write id must differ from that of the expired claim, which this process may have made.
-        self.writes += 1
-        write_id = f"{self.instance}/{key}/{self.writes}"
+        self.write_count += 1
+        write_id = f"{self.instance}/{key}/{self.write_count}"
         return self.platform.update(current.key, self._claim_value(), current.revision, write_id)
 
     def _claim_value(self) -> bytes:
--- a/almondshore/retries/crash.py
+++ b/almondshore/retries/crash.py
@@ -14,8 +14,8 @@
 DEATH_WINDOW = timedelta(seconds=60)
 QUARANTINE = timedelta(seconds=60)
 # During this time after a quarantine, a single further death quarantines the fingerprint again.
-PROBATION = timedelta(minutes=10)
-CAPACITY = 1024
+PROBATION_TIME = timedelta(minutes=10)
+MAX_SUSPECTS = 1024
 # Bounds the number of refused fingerprints after a mass failure, in which many targets die while
 # they run the same requests.
 MAX_QUARANTINED = 64
@@ -67,15 +67,15 @@
         self,
         *,
         clock: Clock,
-        deaths: int = QUARANTINE_DEATHS,
+        quarantine_deaths: int = QUARANTINE_DEATHS,
         window: timedelta = DEATH_WINDOW,
         quarantine: timedelta = QUARANTINE,
-        probation: timedelta = PROBATION,
-        capacity: int = CAPACITY,
+        probation: timedelta = PROBATION_TIME,
+        capacity: int = MAX_SUSPECTS,
         max_quarantined: int = MAX_QUARANTINED,
     ):
         self.clock = clock
-        self.deaths = deaths
+        self.quarantine_deaths = quarantine_deaths
         self.window_s = window.total_seconds()
         self.quarantine_s = quarantine.total_seconds()
         self.probation_s = probation.total_seconds()
@@ -83,26 +83,26 @@
         self.max_quarantined = max_quarantined
         self.suspects: OrderedDict[int, _Suspect] = OrderedDict()
 
-    def check(self, request: int) -> CrashSuspected | None:
+    def check(self, request_fingerprint: int) -> CrashSuspected | None:
         """Return a refusal if the fingerprint is in quarantine."""
-        suspect = self.suspects.get(request)
+        suspect = self.suspects.get(request_fingerprint)
         if suspect is None:
             return None
         now_s = self._now_s()
         if now_s < suspect.quarantined_until:
             return CrashSuspected(timedelta(seconds=suspect.quarantined_until - now_s))
         if now_s >= suspect.expires:
-            del self.suspects[request]
+            del self.suspects[request_fingerprint]
         return None
 
-    def record_completion(self, request: int) -> None:
+    def record_completion(self, request_fingerprint: int) -> None:
         """Clear the deaths of a fingerprint after a run ended with a response.
 
         A fingerprint in quarantine is not cleared.
         """
-        suspect = self.suspects.get(request)
+        suspect = self.suspects.get(request_fingerprint)
         if suspect is not None and self._now_s() >= suspect.quarantined_until:
-            del self.suspects[request]
+            del self.suspects[request_fingerprint]
 
     def record_death(self, death: CrashDeath) -> bool:
         """Count a death that this node observed or that another node reported.
@@ -126,16 +126,16 @@
             suspect.death_count += 1
         suspect.last_ended_ms = max(suspect.last_ended_ms, death.ended_ms)
         suspect.expires = max(suspect.expires, now_s + self.window_s)
-        if suspect.death_count >= self.deaths:
+        if suspect.death_count >= self.quarantine_deaths:
             self._quarantine(suspect, now_s)
         return True
 
-    def was_quarantined(self, request: int) -> bool:
+    def was_quarantined(self, request_fingerprint: int) -> bool:
         """Return whether a request is or was in quarantine.
 
         A death while it ran is then no evidence against the target's version.
         """
-        suspect = self.suspects.get(request)
+        suspect = self.suspects.get(request_fingerprint)
         return suspect is not None and suspect.quarantined_until > 0.0
 
     def _quarantine(self, suspect: _Suspect, now_s: float) -> None:
@@ -148,9 +148,9 @@
             return
         suspect.quarantined_until = now_s + self.quarantine_s
         suspect.expires = suspect.quarantined_until + self.probation_s
-        suspect.death_count = self.deaths - 1
+        suspect.death_count = self.quarantine_deaths - 1
 
-    def _add(self, request: int, now_s: float) -> _Suspect | None:
+    def _add(self, request_fingerprint: int, now_s: float) -> _Suspect | None:
         """Add a fingerprint, or return None if the table is full of fingerprints in quarantine.
 
         A full table evicts the oldest fingerprint that is not in quarantine.
@@ -163,7 +163,7 @@
             if oldest is None:
                 return None
             del self.suspects[oldest]
-        suspect = self.suspects[request] = _Suspect()
+        suspect = self.suspects[request_fingerprint] = _Suspect()
         return suspect
 
     def _now_s(self) -> float:
--- a/almondshore/retries/once.py
+++ b/almondshore/retries/once.py
@@ -158,12 +158,12 @@
         self.kept_keys: deque[str] = deque()
         self.kept_bytes = 0
         self.unclaimed: OrderedDict[str, None] = OrderedDict()
-        # Whether the marker is set in the platform; None if that is not known, because the answer
-        # to a write was lost.
+        # Whether this node's marker, which warns later owners of runs without a claim, is set in
+        # the platform; None if that is not known, because the response to a write was lost.
         self.marker: bool | None = False
         # Departures whose marker was read and is not set, and when to read the marker of other
         # nodes again.
-        self.cleared_departures: set[tuple[str, timedelta]] = set()
+        self.unmarked_departures: set[tuple[str, timedelta]] = set()
         self.recheck_at: dict[str, timedelta] = {}
         self.next_token = 1
 
@@ -322,7 +322,7 @@
         if result is ClaimResult.LOST:
             return make_failure(Reason.KEY_UNKNOWN, "an earlier owner claimed the key")
         if result is ClaimResult.WON:
-            if history is KeyHistory.COMPLETE or self._former_owners_clear(key):
+            if history is KeyHistory.COMPLETE or self._are_former_owners_unmarked(key):
                 return None
         elif self._may_run_unclaimed(key, result):
             self.unclaimed[key] = None
@@ -334,9 +334,9 @@
 
         The history is looked up again, because the call to the platform may have taken so long
         that other nodes have declared this one dead.
-        While the platform is up, the marker must be set first to warn later owners. In an outage
-        they know of the outage themselves; a platform that only this node cannot reach is not an
-        outage.
+        While the platform is up, the marker must be set first to warn later owners. In an outage no
+        marker is needed, because later owners observe the outage too; a platform that only this
+        node cannot reach is not an outage.
         """
         if self.ownership.history_of(key) is not KeyHistory.COMPLETE:
             return False
@@ -344,35 +344,35 @@
             return self.marker is True or self._write_marker(True)
         return self.ownership.platform_up_since is None
 
-    def _former_owners_clear(self, key: str) -> bool:
-        return all(self._is_marker_clear(node) for node in self.ownership.former_owners(key))
+    def _are_former_owners_unmarked(self, key: str) -> bool:
+        return all(self._is_unmarked(node) for node in self.ownership.former_owners(key))
 
-    def _is_marker_clear(self, node: str) -> bool:
+    def _is_unmarked(self, node: str) -> bool:
         departure = (node, self.ownership.departed.get(node, timedelta()))
-        if departure in self.cleared_departures:
+        if departure in self.unmarked_departures:
             return True
         now = self.clock.monotonic()
         if now < self.recheck_at.get(node, now):
             return False
         marked = self.claims.is_marker_set(node)
         if marked is False:
-            self._remember_clear(departure)
+            self._remember_unmarked(departure)
             return True
         if marked:
             self.recheck_at[node] = now + MARKER_RECHECK_INTERVAL
         return False
 
-    def _remember_clear(self, departure: tuple[str, timedelta]) -> None:
+    def _remember_unmarked(self, departure: tuple[str, timedelta]) -> None:
         departed = self.ownership.departed
-        self.cleared_departures = {
-            item for item in self.cleared_departures if departed.get(item[0]) == item[1]
+        self.unmarked_departures = {
+            item for item in self.unmarked_departures if departed.get(item[0]) == item[1]
         }
         self.recheck_at = {node: at for node, at in self.recheck_at.items() if node in departed}
-        self.cleared_departures.add(departure)
+        self.unmarked_departures.add(departure)
 
     def _sync_marker(self) -> bool:
-        wanted = bool(self.unclaimed)
-        return wanted is self.marker or self._write_marker(wanted)
+        has_unclaimed = bool(self.unclaimed)
+        return has_unclaimed is self.marker or self._write_marker(has_unclaimed)
 
     def _write_marker(self, unclaimed: bool) -> bool:
         self.marker = None
--- a/almondshore/retries/outcome.py
+++ b/almondshore/retries/outcome.py
@@ -117,8 +117,8 @@
     retry_after: timedelta | None = None,
 ) -> Failure:
     """Return a failure; its outcome is that of the reason unless one is given."""
-    known = FAILURE_PROPERTIES[reason].outcome if outcome is None else outcome
-    return Failure(reason, known, detail, retry_after)
+    effective_outcome = FAILURE_PROPERTIES[reason].outcome if outcome is None else outcome
+    return Failure(reason, effective_outcome, detail, retry_after)
 
 
 def failure_body(failure: Failure, request_id: str) -> FailureBody:
--- a/almondshore/retries/ownership.py
+++ b/almondshore/retries/ownership.py
@@ -66,7 +66,7 @@
         new_identity: bool = True,
         retention: timedelta = RETENTION,
         warm_up: timedelta = WARM_UP,
-        settle: timedelta = PLATFORM_SETTLE_TIME,
+        settle_time: timedelta = PLATFORM_SETTLE_TIME,
         contact_max_age: timedelta = CONTACT_MAX_AGE,
     ):
         """Start with this node as the only member.
@@ -79,7 +79,7 @@
         self.node = node
         self.retention = retention
         self.warm_up = warm_up
-        self.settle = settle
+        self.settle_time = settle_time
         self.contact_max_age = contact_max_age
         self.members: frozenset[str] = frozenset((node,))
         self.departed: dict[str, timedelta] = {}
@@ -149,7 +149,7 @@
         ]
 
     def age(self) -> timedelta:
-        """Return the time for which this node has kept records without a break."""
+        """Return the time for which this node has kept records without interruption."""
         return self.clock.monotonic() - self.recording_since
 
     def note_handover(self, sender: str, age: timedelta) -> None:
@@ -176,8 +176,8 @@
         if self.owner(key) != self.node:
             return KeyHistory.NOT_OWNER
         now = self.clock.monotonic()
-        silent = now - self.last_contact >= self.contact_max_age
-        if silent or self.awaiting_handover or now - self.recording_since < self.warm_up:
+        out_of_contact = now - self.last_contact >= self.contact_max_age
+        if out_of_contact or self.awaiting_handover or now - self.recording_since < self.warm_up:
             return KeyHistory.INCOMPLETE
         former = self.former_owners(key)
         if not former:
@@ -205,15 +205,15 @@
             return True
         if name in self.started_later or name in self.received_handovers:
             return rank[name] < rank[self.node]
-        left = self.departed[name]
+        departed_at = self.departed[name]
         return all(
             rank[name] < rank[other]
             for other, since in self.received_handovers.items()
-            if since < left
+            if since < departed_at
         )
 
     def is_platform_settled(self) -> bool:
         """Return whether the platform has been up long enough for all nodes' markers."""
         if self.platform_up_since is None:
             return False
-        return self.clock.monotonic() - self.platform_up_since >= self.settle
+        return self.clock.monotonic() - self.platform_up_since >= self.settle_time
--- a/test/retries/helpers.py
+++ b/test/retries/helpers.py
@@ -95,24 +95,24 @@
         :param ending: what the holder of the grant observes: "done", "not-run", "lost" (the
             response) or "silent" (nothing is reported)
         """
-        records, answer = self.claim(key)
-        if not isinstance(answer, Granted):
-            return answer
+        records, result = self.claim(key)
+        if not isinstance(result, Granted):
+            return result
         if ending == "not-run":
-            records.record_outcome(key, answer.token, Outcome.NOT_RUN)
-            return answer
-        if not records.mark_running(key, answer.token):
-            return answer
+            records.record_outcome(key, result.token, Outcome.NOT_RUN)
+            return result
+        if not records.mark_running(key, result.token):
+            return result
         self.runs[key] = self.runs.get(key, 0) + 1
         if ending == "done":
-            records.record_response(key, answer.token, RESPONSE)
+            records.record_response(key, result.token, RESPONSE)
         elif ending == "lost":
-            records.record_outcome(key, answer.token, Outcome.UNKNOWN)
-        return answer
+            records.record_outcome(key, result.token, Outcome.UNKNOWN)
+        return result
 
 
-def reason(answer):
-    return answer.failure.reason if isinstance(answer, Denied) else None
+def denial_reason(result):
+    return result.failure.reason if isinstance(result, Denied) else None
 
 
 def key_of(fleet, owner, number=0):
--- a/test/retries/test_crash.py
+++ b/test/retries/test_crash.py
@@ -49,12 +49,12 @@
 
     def test_other_nodes_learn_of_deaths(self):
         """Guards against a repeated request through a node that has observed no death."""
-        other = CrashGuard(clock=self.clock)
+        other_guard = CrashGuard(clock=self.clock)
         for name in ("t1", "t2"):
             self.advance(1)
             self.guard.record_death(self.death(name))
-            self.assertTrue(other.record_death(self.death(name)))
-        self.assertIsNotNone(other.check(CRASH_REQUEST))
+            self.assertTrue(other_guard.record_death(self.death(name)))
+        self.assertIsNotNone(other_guard.check(CRASH_REQUEST))
 
     def test_death_reported_twice_counts_once(self):
         """Guards against a quarantine because two nodes report the same death."""
@@ -63,8 +63,8 @@
         self.assertFalse(self.guard.record_death(self.death("t1")))
         self.assertIsNone(self.guard.check(CRASH_REQUEST))
 
-    def test_requests_beside_the_one_at_fault_are_cleared(self):
-        """Guards against refusing requests that only ran beside the one that crashed the target."""
+    def test_requests_concurrent_with_the_crashing_one_are_cleared(self):
+        """Guards against refusing requests that only ran while another one crashed the target."""
         for name in ("t1", "t2", "t3"):
             self.advance(1)
             self.guard.record_death(self.death(name))
--- a/test/retries/test_once.py
+++ b/test/retries/test_once.py
@@ -6,7 +6,7 @@
 from almondshore.retries.once import Granted, Replay, StoredResponse
 from almondshore.retries.outcome import Outcome, Reason
 from standins.object_store import Fault
-from test.retries.helpers import RESPONSE, Fleet, key_of, reason, seconds
+from test.retries.helpers import RESPONSE, Fleet, denial_reason, key_of, seconds
 
 
 class OnceTest(TestCase):
@@ -24,9 +24,9 @@
     def test_repeated_request_is_refused_while_the_first_runs(self):
         """Guards against two concurrent runs when a caller repeats its request early."""
         self.fleet.claim(self.key)
-        answer = self.fleet.send(self.key)
-        self.assertEqual(Reason.KEY_RUNNING, reason(answer))
-        self.assertEqual(Outcome.UNKNOWN, answer.failure.outcome)
+        result = self.fleet.send(self.key)
+        self.assertEqual(Reason.KEY_RUNNING, denial_reason(result))
+        self.assertEqual(Outcome.UNKNOWN, result.failure.outcome)
 
     def test_request_that_was_not_run_may_be_sent_again(self):
         """Guards against a key that cannot be used for a day after an overload refusal."""
@@ -37,18 +37,20 @@
     def test_key_of_another_request_is_refused(self):
         """Guards against replaying the response of one request to another one."""
         self.fleet.send(self.key)
-        self.assertEqual(Reason.KEY_REUSED, reason(self.fleet.claim(self.key, fingerprint=2)[1]))
+        self.assertEqual(
+            Reason.KEY_REUSED, denial_reason(self.fleet.claim(self.key, fingerprint=2)[1])
+        )
 
     def test_target_death_leaves_the_key_unknown(self):
         """Guards against a second run after the target died in the first."""
         self.fleet.send(self.key, "lost")
-        self.assertEqual(Reason.KEY_UNKNOWN, reason(self.fleet.send(self.key)))
+        self.assertEqual(Reason.KEY_UNKNOWN, denial_reason(self.fleet.send(self.key)))
 
     def test_holder_that_died_leaves_the_key_unknown(self):
         """Guards against a key that is granted again, or stays locked, after hop 1 has died."""
         self.fleet.claim(self.key)
         self.fleet.advance(8)
-        self.assertEqual(Reason.KEY_UNKNOWN, reason(self.fleet.send(self.key)))
+        self.assertEqual(Reason.KEY_UNKNOWN, denial_reason(self.fleet.send(self.key)))
 
     def test_expired_grant_cannot_be_used(self):
         """Guards against a paused hop 1 that runs its request after its grant has expired."""
@@ -61,7 +63,7 @@
         """Guards against a second run by a new owner that has no record of the key."""
         self.fleet.send(self.key)
         self.fleet.kill("b")
-        self.assertEqual(Reason.KEY_UNKNOWN, reason(self.fleet.send(self.key)))
+        self.assertEqual(Reason.KEY_UNKNOWN, denial_reason(self.fleet.send(self.key)))
         fresh = key_of(self.fleet, self.fleet.owner(self.key), 3)
         self.assertIsInstance(self.fleet.send(fresh), Granted)
 
@@ -83,7 +85,7 @@
         self.fleet.kill("b")
         self.fleet.store.fault = Fault.NONE
         self.fleet.advance(30)
-        self.assertEqual(Reason.KEY_UNKNOWN, reason(self.fleet.send(self.key)))
+        self.assertEqual(Reason.KEY_UNKNOWN, denial_reason(self.fleet.send(self.key)))
 
     def test_claims_of_an_outage_are_written_when_it_ends(self):
         """Guards against a second run of a key that ran in an outage, when its owner dies later."""
@@ -93,12 +95,12 @@
         self.fleet.store.fault = Fault.NONE
         self.fleet.advance(15)
         self.fleet.kill("b")
-        self.assertEqual(Reason.KEY_UNKNOWN, reason(self.fleet.send(self.key)))
+        self.assertEqual(Reason.KEY_UNKNOWN, denial_reason(self.fleet.send(self.key)))
 
-    def test_lost_answer_of_a_claim_is_not_taken_for_another_owner(self):
-        """Guards against refusing a key because of the node's own claim, whose answer was lost."""
+    def test_claim_with_a_lost_response_is_not_attributed_to_another_owner(self):
+        """Guards against refusing a key because the response to the node's own claim was lost."""
         self.fleet.store.fault = Fault.LOSE_ANSWERS
-        self.assertEqual(Reason.KEY_UNPROVEN, reason(self.fleet.send(self.key)))
+        self.assertEqual(Reason.KEY_UNPROVEN, denial_reason(self.fleet.send(self.key)))
         self.fleet.store.fault = Fault.NONE
         self.assertIsInstance(self.fleet.send(self.key), Granted)
         self.assertEqual(ClaimResult.LOST, self.fleet.nodes["a"].claims.claim(self.key))
@@ -124,28 +126,28 @@
         moved = [key for key in keys if self.fleet.owner(key) == "new1"]
         self.assertNotEqual([], moved)
         for key in moved:
-            self.assertEqual(Reason.RESPONSE_NOT_KEPT, reason(self.fleet.send(key)))
+            self.assertEqual(Reason.RESPONSE_NOT_KEPT, denial_reason(self.fleet.send(key)))
 
     def test_node_cut_off_from_its_peers_runs_nothing_new(self):
         """Guards against two owners of a key when one does not know that it was declared dead."""
         self.fleet.store.fault = Fault.DOWN
         self.fleet.advance(1)
         self.fleet.clock.advance(seconds(6))
-        self.assertEqual(Reason.KEY_UNPROVEN, reason(self.fleet.send(self.key)))
+        self.assertEqual(Reason.KEY_UNPROVEN, denial_reason(self.fleet.send(self.key)))
 
     def test_node_declared_dead_while_it_waits_for_the_platform_runs_nothing(self):
         """Guards against two owners of a key when calls to the platform end by their timeout."""
         self.fleet.store.fault = Fault.DOWN
         self.fleet.advance(1)
-        store = self.fleet.nodes["b"].claims.platform
-        create = store.create
+        platform = self.fleet.nodes["b"].claims.platform
+        create = platform.create
 
         def slow_create(*arguments):
             self.fleet.clock.advance(seconds(6))
             return create(*arguments)
 
-        store.create = slow_create
-        self.assertEqual(Reason.KEY_UNPROVEN, reason(self.fleet.send(self.key)))
+        platform.create = slow_create
+        self.assertEqual(Reason.KEY_UNPROVEN, denial_reason(self.fleet.send(self.key)))
 
     def test_kept_responses_are_bounded(self):
         """Guards against kept responses that fill the 128 MB of a node.
@@ -162,7 +164,7 @@
                 key, granted.token, StoredResponse(200, (("a", "b" * 40),), b"x" * 40)
             )
         self.assertTrue(0 < records.kept_bytes <= 700)
-        self.assertEqual(Reason.RESPONSE_NOT_KEPT, reason(self.fleet.send(keys[0])))
+        self.assertEqual(Reason.RESPONSE_NOT_KEPT, denial_reason(self.fleet.send(keys[0])))
         self.assertIsInstance(self.fleet.send(keys[2]), Replay)
 
     def test_expiry_frees_the_size_of_responses(self):
@@ -178,7 +180,7 @@
         self.fleet.send(self.key)
         self.fleet.nodes["b"].records.max_records = 1
         other = key_of(self.fleet, "b", 1)
-        self.assertEqual(Reason.KEY_TABLE_FULL, reason(self.fleet.send(other)))
+        self.assertEqual(Reason.KEY_TABLE_FULL, denial_reason(self.fleet.send(other)))
         self.assertEqual(Replay(RESPONSE), self.fleet.send(self.key))
 
     def test_retention_frees_records_and_claims(self):
--- a/test/retries/test_policy.py
+++ b/test/retries/test_policy.py
@@ -31,8 +31,8 @@
         return self.policy.decide(Attempt("s", failure, retries, idempotent, outermost, deadline))
 
 
-def gave_up(answer):
-    return answer.reason if isinstance(answer, GiveUp) else None
+def give_up_reason(decision):
+    return decision.reason if isinstance(decision, GiveUp) else None
 
 
 class DecisionTest(TestCase):
@@ -42,11 +42,13 @@
 
     def test_non_idempotent_request_is_retried_only_when_not_run(self):
         """Guards against a request that runs twice because its first response was lost."""
-        for reason, kind in FAILURE_PROPERTIES.items():
+        for reason, properties in FAILURE_PROPERTIES.items():
             harness = PolicyHarness()
             retried = isinstance(harness.decide(reason), Retry)
             self.assertEqual(
-                kind.retryable_elsewhere and kind.outcome is Outcome.NOT_RUN, retried, reason
+                properties.retryable_elsewhere and properties.outcome is Outcome.NOT_RUN,
+                retried,
+                reason,
             )
 
     def test_idempotent_request_is_retried_after_a_lost_target(self):
@@ -57,14 +59,16 @@
         """Guards against sending a request to one target after another that none will run."""
         for reason in (Reason.TENANT_LIMITED, Reason.CRASH_SUSPECTED, Reason.NO_ROUTE):
             self.assertEqual(
-                GiveUpReason.FINAL, gave_up(self.harness.decide(reason, idempotent=True))
+                GiveUpReason.FINAL, give_up_reason(self.harness.decide(reason, idempotent=True))
             )
 
     def test_maximum_number_and_deadline_limit_retries(self):
         """Guards against retries that continue after the caller has given up."""
-        self.assertEqual(GiveUpReason.MAX_RETRIES, gave_up(self.harness.decide(Reason.DRAINING, 2)))
+        self.assertEqual(
+            GiveUpReason.MAX_RETRIES, give_up_reason(self.harness.decide(Reason.DRAINING, 2))
+        )
         late = self.harness.decide(Reason.DRAINING, deadline=timedelta(milliseconds=9))
-        self.assertEqual(GiveUpReason.DEADLINE, gave_up(late))
+        self.assertEqual(GiveUpReason.DEADLINE, give_up_reason(late))
 
     def test_delays_are_random(self):
         """Guards against retries after a common failure that all arrive at the same time."""
@@ -103,8 +107,8 @@
             harnesses[depth].policy.record_first_attempt("s")
         for retries in range(3):
             self.call(harnesses, depth + 1, outermost_only)
-            answer = harnesses[depth].decide(Reason.TARGET_LOST, retries, True, outermost)
-            if isinstance(answer, GiveUp):
+            decision = harnesses[depth].decide(Reason.TARGET_LOST, retries, True, outermost)
+            if isinstance(decision, GiveUp):
                 return
 
     def test_chain_does_not_multiply_retries(self):
