Use specific names and plain messages in the proxy hops

- Hop 2 called the internal headers of a request "hop"; they are metadata.
- Times in seconds of the pool have a unit; the result of an exchange was "exchanged"; header names and connection options were "found" and "named".
- Docstrings of the gate did not mention the drain grace, and the one of check_path not that it returns None.
- Replies and responses were also called answers.

--- a/almondshore/proxy/caller.py
+++ b/almondshore/proxy/caller.py
@@ -115,7 +115,7 @@
         self.on_finished = on_finished
 
     def __call__(self, environ: dict, start_response: StartResponse) -> Iterable[bytes]:
-        """Answer a request of a caller."""
+        """Handle a request of a caller."""
         started = self.clock.monotonic()
         request_id = uuid.uuid4().hex
         request = read_request(environ, self.max_body_bytes)
@@ -205,7 +205,9 @@
         while True:
             target = self._choose(call, tried_targets)
             if target is None:
-                return failure or make_failure(Reason.NO_TARGET, "no target takes the request")
+                return failure or make_failure(
+                    Reason.NO_TARGET, "no target is available for the request"
+                )
             tried_targets.append(target.target)
             result = self._attempt(call, target, len(tried_targets) - 1)
             if isinstance(result, Reply):
@@ -240,7 +242,7 @@
         if remaining <= timedelta():
             return make_failure(Reason.DEADLINE_PASSED)
         self.chooser.started(target.target)
-        exchanged = self.pool.exchange(
+        exchange_result = self.pool.exchange(
             target.address,
             call.request.method,
             call.request.raw_path,
@@ -249,8 +251,8 @@
             remaining + HOP_MARGIN,
             f"{call.request_id}-{attempt}",
         )
-        result = self._interpret(exchanged)
-        self.chooser.finished(target.target, _target_result(exchanged, result))
+        result = self._interpret(exchange_result)
+        self.chooser.finished(target.target, _target_result(exchange_result, result))
         return result
 
     def _headers(
@@ -269,31 +271,36 @@
             }
         )
 
-    def _interpret(self, exchanged: Reply | ExchangeFailure) -> Reply | Failure:
+    def _interpret(self, exchange_result: Reply | ExchangeFailure) -> Reply | Failure:
         """Return the response, or a failure that says whether the request may have run."""
-        if isinstance(exchanged, ExchangeFailure):
-            if exchanged.kind is ExchangeFailureKind.NOT_SENT:
-                return make_failure(Reason.HOP_UNREACHABLE, exchanged.detail)
-            if exchanged.kind is ExchangeFailureKind.TIMEOUT and not exchanged.responded:
-                return make_failure(Reason.TARGET_TIMEOUT, exchanged.detail)
-            if exchanged.kind is ExchangeFailureKind.MISMATCHED:
-                return make_failure(Reason.MISMATCHED, exchanged.detail)
-            if exchanged.responded:
-                return make_failure(Reason.TRUNCATED, exchanged.detail, outcome=Outcome.UNKNOWN)
-            return make_failure(Reason.HOP_LOST, exchanged.detail)
-        self._record_reported_death(exchanged)
-        reason = first_value(exchanged.headers, names.REASON)
+        if isinstance(exchange_result, ExchangeFailure):
+            if exchange_result.kind is ExchangeFailureKind.NOT_SENT:
+                return make_failure(Reason.HOP_UNREACHABLE, exchange_result.detail)
+            if (
+                exchange_result.kind is ExchangeFailureKind.TIMEOUT
+                and not exchange_result.responded
+            ):
+                return make_failure(Reason.TARGET_TIMEOUT, exchange_result.detail)
+            if exchange_result.kind is ExchangeFailureKind.MISMATCHED:
+                return make_failure(Reason.MISMATCHED, exchange_result.detail)
+            if exchange_result.responded:
+                return make_failure(
+                    Reason.TRUNCATED, exchange_result.detail, outcome=Outcome.UNKNOWN
+                )
+            return make_failure(Reason.HOP_LOST, exchange_result.detail)
+        self._record_reported_death(exchange_result)
+        reason = first_value(exchange_result.headers, names.REASON)
         if not reason:
-            return exchanged
+            return exchange_result
         try:
-            outcome = Outcome(first_value(exchanged.headers, names.OUTCOME))
+            outcome = Outcome(first_value(exchange_result.headers, names.OUTCOME))
             return make_failure(Reason(reason), outcome=outcome)
         except ValueError:
             return make_failure(Reason.MISMATCHED, "the response of hop 2 is malformed")
 
-    def _record_reported_death(self, exchanged: Reply) -> None:
+    def _record_reported_death(self, exchange_result: Reply) -> None:
         """Record a crash that hop 2 reports, before the request is retried on another target."""
-        death = first_value(exchanged.headers, names.DEATH)
+        death = first_value(exchange_result.headers, names.DEATH)
         if death:
             with suppress(msgspec.MsgspecError):
                 self.crash_guard.record_death(msgspec.json.decode(death, type=CrashDeath))
@@ -323,10 +330,12 @@
         )
 
 
-def _target_result(exchanged: Reply | ExchangeFailure, result: Reply | Failure) -> TargetResult:
-    if isinstance(exchanged, ExchangeFailure):
+def _target_result(
+    exchange_result: Reply | ExchangeFailure, result: Reply | Failure
+) -> TargetResult:
+    if isinstance(exchange_result, ExchangeFailure):
         return TargetResult(ResultKind.FAILED)
-    load = parse_load(first_value(exchanged.headers, names.LOAD))
+    load = parse_load(first_value(exchange_result.headers, names.LOAD))
     busy, queued = (load.running, load.queued) if load else (None, None)
     if isinstance(result, Reply):
         kind = ResultKind.OK if result.status < 500 else ResultKind.FAILED
--- a/almondshore/proxy/gate.py
+++ b/almondshore/proxy/gate.py
@@ -45,11 +45,14 @@
         self._notify(self.queue.release(request_id))
 
     def expire(self) -> None:
-        """Refuse queued requests whose deadline has passed; must be called periodically."""
+        """Refuse queued requests whose deadline or drain grace has passed.
+
+        Must be called periodically.
+        """
         self._notify(self.queue.expire())
 
     def drain(self) -> None:
-        """Start refusing new requests."""
+        """Refuse new requests from now on; queued ones may start within the grace period."""
         self.queue.drain()
 
     def load(self) -> Load:
--- a/almondshore/proxy/headers.py
+++ b/almondshore/proxy/headers.py
@@ -86,7 +86,9 @@
             lowered == IDEMPOTENCY_KEY
             and not 0 < len(value.strip()) <= MAX_IDEMPOTENCY_KEY_CHARACTERS
         ):
-            message = f"an idempotency key has 1 to {MAX_IDEMPOTENCY_KEY_CHARACTERS} characters"
+            message = (
+                f"an idempotency key must have 1 to {MAX_IDEMPOTENCY_KEY_CHARACTERS} characters"
+            )
             return Problem(400, "bad-idempotency-key", message)
     if count > MAX_HEADERS:
         return Problem(431, "too-many-headers", f"at most {MAX_HEADERS} headers are accepted")
@@ -112,7 +114,7 @@
 
 def body_too_large(max_body_bytes: int) -> Problem:
     """Return the problem to report for a body above the limit."""
-    return Problem(413, "body-too-large", f"a body has at most {max_body_bytes} bytes")
+    return Problem(413, "body-too-large", f"the body exceeds {max_body_bytes} bytes")
 
 
 def forwardable(headers: Iterable[tuple[str, str]]) -> Headers:
@@ -123,7 +125,7 @@
     place of hyphens, since WSGI and CGI servers do not distinguish the two.
     """
     items = [(name.lower(), value.strip()) for name, value in headers]
-    named = {
+    connection_options = {
         token.strip().lower()
         for name, value in items
         if name == "connection"
@@ -134,7 +136,7 @@
         for name, value in items
         if name not in HOP_BY_HOP
         and name not in RECOMPUTED
-        and name not in named
+        and name not in connection_options
         and not name.replace("_", "-").startswith(INTERNAL_PREFIX)
     ]
 
@@ -144,8 +146,8 @@
 
     :param name: lower-case name
     """
-    for found, value in headers:
-        if found.lower() == name:
+    for header_name, value in headers:
+        if header_name.lower() == name:
             return value.strip()
     return ""
 
--- a/almondshore/proxy/once.py
+++ b/almondshore/proxy/once.py
@@ -30,8 +30,8 @@
 OPERATION = names.INTERNAL_PREFIX + "once-operation"
 REPORT_ATTEMPTS = 2
 REPORT_TIMEOUT = timedelta(seconds=1)
-# The owner may wait for the platform once or twice before it answers a claim, and the request is
-# sent only afterwards.
+# The owner may wait for the platform once or twice before it responds to a claim, and the request
+# is sent only afterwards.
 CLAIM_TIMEOUT = timedelta(seconds=5)
 # Maximum number of services for which a node keeps records.
 MAX_SERVICES = 256
@@ -60,7 +60,7 @@
 
 
 class ClaimReply(NamedTuple):
-    """The owner's answer to a claim; exactly one field is set.
+    """The owner's reply to a claim; exactly one field is set.
 
     :ivar token: token of the grant
     :ivar replay: stored response of the first run
@@ -145,8 +145,8 @@
             detail = "the records of earlier owners are not known yet"
             return ClaimReply(denied=make_failure(Reason.KEY_UNPROVEN, detail))
         deadline = self.clock.monotonic() + timedelta(milliseconds=request.left_ms)
-        answer = records.claim(request.key, request.fingerprint, deadline)
-        match answer:
+        result = records.claim(request.key, request.fingerprint, deadline)
+        match result:
             case Granted(token):
                 return ClaimReply(token=token)
             case Replay(response):
@@ -174,7 +174,7 @@
 
         :param platform_up: whether the platform responds, or None if not known yet. Unknown must
             not count as an outage, which would make the keys of the previous process doubtful.
-        :param in_contact: whether a relay has answered this node since the last call
+        :param in_contact: whether a relay has responded to this node since the last call
         """
         for service in self.directory.services_of(self.node):
             if service not in self.services and len(self.services) < MAX_SERVICES:
@@ -235,7 +235,7 @@
     def __call__(
         self, operation: str, body: bytes, start_response: StartResponse
     ) -> Iterable[bytes]:
-        """Answer one operation: ``claim``, ``report`` or ``handover``."""
+        """Handle one operation: ``claim``, ``report`` or ``handover``."""
         try:
             if operation == "claim":
                 reply = self.owner.claim(msgspec.msgpack.decode(body, type=ClaimRequest))
@@ -314,21 +314,21 @@
                 if not isinstance(reply, Reply):
                     continue
                 handover = msgspec.msgpack.decode(reply.body, type=Handover | None)
-                # After a restart, another process may answer at the same address.
+                # After a restart, another process may respond at the same address.
                 if handover is not None and handover.sender == node:
                     records.take_over(handover)
 
     def _owner_of(self, service: str, key: str) -> TargetRecord | None:
         members = {member_identity(record): record for record in self.directory.of_service(service)}
-        chosen = rendezvous.choose(key, members)
-        return members[chosen] if chosen is not None else None
+        owner = rendezvous.choose(key, members)
+        return members[owner] if owner is not None else None
 
     def _send_claim(self, record: TargetRecord, request: ClaimRequest) -> ClaimReply | Failure:
         if member_identity(record) == self.identity:
             return self.owner.claim(request)
         reply = self._exchange(record, "claim", request, CLAIM_TIMEOUT)
         if isinstance(reply, ExchangeFailure):
-            # Without the owner's answer it is unknown whether an earlier attempt has run.
+            # Without the owner's reply it is unknown whether an earlier attempt has run.
             outcome = Outcome.UNKNOWN
             reason = Reason.HOP_LOST
             if reply.kind is ExchangeFailureKind.NOT_SENT:
@@ -337,7 +337,7 @@
         try:
             return msgspec.msgpack.decode(reply.body, type=ClaimReply)
         except msgspec.MsgspecError as error:
-            return make_failure(Reason.KEY_UNPROVEN, f"malformed answer of the owner: {error}")
+            return make_failure(Reason.KEY_UNPROVEN, f"malformed reply from the owner: {error}")
 
     def _exchange(
         self, record: TargetRecord, operation: str, message: NamedTuple, timeout: timedelta
--- a/almondshore/proxy/pool.py
+++ b/almondshore/proxy/pool.py
@@ -89,8 +89,8 @@
         :param request_id: id that the response must carry, unless empty. After a response with
             another id the connection is closed, since later ones would be mismatched too.
         """
-        seconds = timeout.total_seconds()
-        deadline = time.monotonic() + seconds
+        timeout_s = timeout.total_seconds()
+        deadline_s = time.monotonic() + timeout_s
         try:
             host, _, port = address.rpartition(":")
             response = self.manager.connection_from_host(host, int(port)).urlopen(
@@ -99,7 +99,7 @@
                 body=body,
                 headers=urllib3.HTTPHeaderDict(headers),
                 timeout=urllib3.Timeout(
-                    connect=min(self.connect_timeout.total_seconds(), seconds), total=seconds
+                    connect=min(self.connect_timeout.total_seconds(), timeout_s), total=timeout_s
                 ),
                 retries=False,
                 redirect=False,
@@ -117,12 +117,13 @@
             response.close()
             detail = "the response belongs to another request"
             return ExchangeFailure(ExchangeFailureKind.MISMATCHED, True, detail)
-        return self._read_response(response, lambda: time.monotonic() > deadline)
+        return self._read_response(response, lambda: time.monotonic() > deadline_s)
 
     def is_listening(self, address: str) -> bool:
         """Return whether a server accepts connections at an address.
 
-        Only a refused connection counts as no; after another error, a server may still listen.
+        Returns False only if the connection is refused; after any other error, a server may still
+        be listening.
         """
         host, _, port = address.rpartition(":")
         try:
--- a/almondshore/proxy/serving.py
+++ b/almondshore/proxy/serving.py
@@ -55,7 +55,7 @@
             self._linger()
 
     def _close_after_response(self) -> None:
-        """Close the connection after this response, as the next bytes may not be a request."""
+        """Close the connection after this response: the next bytes may not start a request."""
         self.refused = True
         self.close_connection = 1
 
--- a/almondshore/proxy/target.py
+++ b/almondshore/proxy/target.py
@@ -126,15 +126,15 @@
         operation = first_value(request.headers, ONCE_OPERATION)
         if operation:
             return self.once_app(operation, request.body, start_response)
-        hop = self._read_hop_metadata(request.headers)
-        if hop is None:
+        metadata = self._read_hop_metadata(request.headers)
+        if metadata is None:
             failure = make_failure(Reason.BAD_REQUEST, "internal headers are missing or malformed")
             return respond_failure(start_response, failure, "")
-        endpoint = self.endpoints.get(hop.target)
+        endpoint = self.endpoints.get(metadata.target)
         if endpoint is None:
             failure = make_failure(Reason.TARGET_UNREACHABLE, "the target is not on this host")
-            return respond_failure(start_response, failure, hop.request_id)
-        result, death = self._run(endpoint, hop, request)
+            return respond_failure(start_response, failure, metadata.request_id)
+        result, death = self._run(endpoint, metadata, request)
         report_headers = [
             (names.LOAD, format_load(endpoint.gate.load())),
             (names.VERSION, endpoint.version),
@@ -142,9 +142,9 @@
         if death is not None:
             report_headers.append((names.DEATH, msgspec.json.encode(death).decode()))
         if isinstance(result, Failure):
-            return respond_failure(start_response, result, hop.request_id, report_headers)
+            return respond_failure(start_response, result, metadata.request_id, report_headers)
         headers = forwardable(result.headers)
-        headers += [(names.OUTCOME, Outcome.RUN.value), (names.REQUEST_ID, hop.request_id)]
+        headers += [(names.OUTCOME, Outcome.RUN.value), (names.REQUEST_ID, metadata.request_id)]
         return respond(start_response, result.status, headers + report_headers, result.body)
 
     def _read_hop_metadata(self, headers: Headers) -> HopMetadata | None:
@@ -165,42 +165,46 @@
         attempt, route = first_value(headers, names.ATTEMPT), first_value(headers, names.ROUTE)
         return HopMetadata(request_id, target, request_class, deadline, attempt, route)
 
-    def _run(self, endpoint: Endpoint, hop: HopMetadata, request: Request) -> ForwardResult:
-        slot_request = SlotRequest(hop.request_id, hop.request_class, hop.deadline, hop.route)
+    def _run(self, endpoint: Endpoint, metadata: HopMetadata, request: Request) -> ForwardResult:
+        slot_request = SlotRequest(
+            metadata.request_id, metadata.request_class, metadata.deadline, metadata.route
+        )
         refused = endpoint.gate.acquire(slot_request)
         if isinstance(refused, Refused):
             failure = make_failure(REFUSAL_REASONS[refused.reason], retry_after=refused.retry_after)
             return ForwardResult(failure)
         try:
-            return self._forward(endpoint, hop, request)
+            return self._forward(endpoint, metadata, request)
         finally:
-            endpoint.gate.release(hop.request_id)
+            endpoint.gate.release(metadata.request_id)
 
-    def _forward(self, endpoint: Endpoint, hop: HopMetadata, request: Request) -> ForwardResult:
+    def _forward(
+        self, endpoint: Endpoint, metadata: HopMetadata, request: Request
+    ) -> ForwardResult:
         started = self.clock.monotonic()
-        remaining = hop.deadline - started
+        remaining = metadata.deadline - started
         if remaining <= timedelta():
             return ForwardResult(make_failure(Reason.DEADLINE_PASSED))
         result = self.pool.exchange(
             endpoint.address,
             request.method,
             request.raw_path,
-            self._headers(hop, request, remaining),
+            self._headers(metadata, request, remaining),
             request.body,
             remaining,
         )
         if isinstance(result, ExchangeFailure):
-            return self._handle_failure(endpoint, hop, request, started, result)
+            return self._handle_failure(endpoint, metadata, request, started, result)
         self.crash_guard.record_completion(request_fingerprint(request))
         if first_value(result.headers, names.OUTCOME) == Outcome.NOT_RUN.value:
             return ForwardResult(make_failure(Reason.OVERLOADED, "the target refused the request"))
-        self._report_run(endpoint, hop, started, ok=result.status < 500)
+        self._report_run(endpoint, metadata, started, ok=result.status < 500)
         return ForwardResult(result)
 
     def _handle_failure(
         self,
         endpoint: Endpoint,
-        hop: HopMetadata,
+        metadata: HopMetadata,
         request: Request,
         started: timedelta,
         result: ExchangeFailure,
@@ -211,7 +215,7 @@
         failure counts against the version unless the target was unreachable or the request was
         quarantined for crashing targets.
         """
-        failure = _exchange_failure(result)
+        failure = _to_failure(result)
         if failure.reason is Reason.TARGET_UNREACHABLE:
             return ForwardResult(failure)
         broken = result.kind is ExchangeFailureKind.CONNECTION_LOST
@@ -221,7 +225,7 @@
             death = self._make_death(endpoint, fingerprint, started)
             self.on_death(death)
         if not self.crash_guard.was_quarantined(fingerprint):
-            self._report_run(endpoint, hop, started, ok=False, broken=broken)
+            self._report_run(endpoint, metadata, started, ok=False, broken=broken)
         return ForwardResult(failure, death)
 
     def _make_death(self, endpoint: Endpoint, fingerprint: int, started: timedelta) -> CrashDeath:
@@ -231,28 +235,30 @@
             fingerprint, endpoint.target, endpoint.incarnation, ended_ms - run_ms, ended_ms
         )
 
-    def _headers(self, hop: HopMetadata, request: Request, remaining: timedelta) -> Headers:
+    def _headers(self, metadata: HopMetadata, request: Request, remaining: timedelta) -> Headers:
         """Return the headers for the target, which copies the internal ones to its own calls."""
         return forwardable(request.headers) + [
-            (names.REQUEST_ID, hop.request_id),
+            (names.REQUEST_ID, metadata.request_id),
             (names.DEADLINE_MS, str(int(remaining / timedelta(milliseconds=1)))),
-            (names.ATTEMPT, hop.attempt or "0"),
+            (names.ATTEMPT, metadata.attempt or "0"),
         ]
 
     def _report_run(
         self,
         endpoint: Endpoint,
-        hop: HopMetadata,
+        metadata: HopMetadata,
         started: timedelta,
         *,
         ok: bool,
         broken: bool = False,
     ) -> None:
         latency = self.clock.monotonic() - started
-        self.on_run(RunResult(endpoint.service, endpoint.version, hop.route, ok, latency, broken))
+        self.on_run(
+            RunResult(endpoint.service, endpoint.version, metadata.route, ok, latency, broken)
+        )
 
 
-def _exchange_failure(result: ExchangeFailure) -> Failure:
+def _to_failure(result: ExchangeFailure) -> Failure:
     if result.kind is ExchangeFailureKind.NOT_SENT:
         return make_failure(Reason.TARGET_UNREACHABLE, result.detail)
     if result.responded:
--- a/almondshore/proxy/wsgi.py
+++ b/almondshore/proxy/wsgi.py
@@ -23,7 +23,7 @@
 # Retry-After has a granularity of whole seconds.
 MIN_RETRY_AFTER_SECONDS = 1
 
-# Stands for the tenant of a request that names none.
+# Tenant of a request without a tenant header.
 NO_TENANT = "-"
 
 REASON_PHRASES = {
@@ -68,13 +68,13 @@
     After a problem the end of the request is uncertain, so its connection is closed; otherwise
     the remaining bytes could be taken for a second request.
     """
-    request = _read_checked(environ, max_body_bytes)
+    request = _read_validated(environ, max_body_bytes)
     if isinstance(request, Problem) and CLOSE_CONNECTION in environ:
         environ[CLOSE_CONNECTION]()
     return request
 
 
-def _read_checked(environ: dict, max_body_bytes: int) -> Request | Problem:
+def _read_validated(environ: dict, max_body_bytes: int) -> Request | Problem:
     if environ.get(MALFORMED_HEADERS):
         return Problem(400, "bad-header", "a header line is malformed")
     headers = list(environ["headers_raw"])
@@ -106,7 +106,7 @@
 
 
 def check_path(raw_path: str) -> Problem | None:
-    """Return the problem of a path that servers could resolve to different resources."""
+    """Return a problem if servers could resolve a path to different resources, otherwise None."""
     lowered = raw_path.lower()
     if not raw_path.startswith("/"):
         return Problem(400, "bad-path", "the path does not start with '/'")
--- a/test/proxy/servers.py
+++ b/test/proxy/servers.py
@@ -38,12 +38,12 @@
             except OSError:
                 return
             thread = threading.Thread(
-                target=self._answer, args=(connection, number, script), daemon=True
+                target=self._run_script, args=(connection, number, script), daemon=True
             )
             thread.start()
             threads.append(thread)
 
-    def _answer(self, connection, number, script):
+    def _run_script(self, connection, number, script):
         with connection:
             for response in script:
                 head = self._read(connection)
--- a/test/proxy/wsgicall.py
+++ b/test/proxy/wsgicall.py
@@ -31,11 +31,11 @@
     }
     chunks = app(environ, lambda status, items: started.append((status, items)))
     status, items = started[0]
-    found = dict(items)
+    response_headers = dict(items)
     return Result(
         int(status.split()[0]),
-        found.get("x-almondshore-reason", ""),
-        found.get("x-almondshore-outcome", ""),
-        found,
+        response_headers.get("x-almondshore-reason", ""),
+        response_headers.get("x-almondshore-outcome", ""),
+        response_headers,
         b"".join(chunks),
     )
