Use specific names in the HTTP package, its tests and the load tests

- REASONS holds reason phrases, BACKLOG the backlog of listen(), last_active a time.
- ExchangeHandler.handle "may be answered later" read as if the handler were answered; the docstrings of on_drained and of the empty hub callback are reworded.
- HTTP tests: "answer" is make_response, head or RESPONSE.

--- a/almondshore/http/client.py
+++ b/almondshore/http/client.py
@@ -15,7 +15,7 @@
 
 Address = tuple[str, int]
 
-# Connections are established within a few milliseconds; a host that has lost power never answers.
+# Connections are established within a few milliseconds; a host that has lost power never responds.
 CONNECT_TIMEOUT = timedelta(milliseconds=400)
 # Idle connections are closed before the peer closes them after its own idle timeout.
 IDLE_LIMIT = timedelta(seconds=8)
@@ -357,7 +357,7 @@
 
 
 def _keep_alive_timeout(value: bytes) -> timedelta | None:
-    """Return the timeout of a Keep-Alive header, or None if it is absent or malformed."""
+    """Return the timeout in a Keep-Alive header, or None if it is absent or malformed."""
     for item in value.split(b","):
         name, _, number = item.strip().partition(b"=")
         if name.lower() == b"timeout" and number.isdigit() and len(number) < 9:
--- a/almondshore/http/messages.py
+++ b/almondshore/http/messages.py
@@ -20,7 +20,7 @@
     )
 )
 BODILESS_STATUSES = frozenset((204, 304))
-REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
+REASON_PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
 
 
 class Request(NamedTuple):
@@ -96,7 +96,7 @@
     :param head: whether the request was a HEAD request, so that the body is omitted
     :param close: whether to announce that the connection closes after the response
     """
-    reason = response.reason or REASONS.get(response.status, b"Unknown")
+    reason = response.reason or REASON_PHRASES.get(response.status, b"Unknown")
     lines = [b"HTTP/1.1 %d " % response.status + reason]
     lines.extend(key + b": " + value for key, value in response.headers)
     if response.status not in BODILESS_STATUSES:
--- a/almondshore/http/server.py
+++ b/almondshore/http/server.py
@@ -14,7 +14,7 @@
 from almondshore.http.parsing import ParseError, RequestLimits, RequestParser
 from almondshore.http.stream import READ, Stream, StreamHandler, configure_socket, socket, watch
 
-BACKLOG = 1024
+LISTEN_BACKLOG = 1024
 # Requests handled concurrently per connection; further ones stay in the kernel's buffer.
 MAX_PIPELINED = 32
 # While more than this is buffered because the client does not read, no further request of its
@@ -69,14 +69,14 @@
 
     @abstractmethod
     def handle(self, exchange: Exchange) -> None:
-        """Start handling a request, which may be answered later; must not block."""
+        """Start handling a request without blocking; the response may be sent later."""
 
 
 class ServerConnection(StreamHandler):
     """A connection from a client.
 
     :ivar pending: exchanges whose response is not sent yet, in the order of their requests
-    :ivar last_active: monotonic time of the last response or of the first byte of a request
+    :ivar last_active_at: monotonic time of the last response or of the first byte of a request
     :ivar last_read_at: monotonic time of the last read
     :ivar parse_error: error to respond with after the requests before it
     """
@@ -86,7 +86,7 @@
         self.peer = peer
         self.parser = RequestParser(limits=server.limits().request)
         self.pending: deque[Exchange] = deque()
-        self.last_active = self.last_read_at = server.clock.monotonic()
+        self.last_active_at = self.last_read_at = server.clock.monotonic()
         self.closing = False
         self.parse_error: ParseError | None = None
         self.stream = Stream(sock=sock, handler=self)
@@ -97,7 +97,7 @@
             return
         now = self.last_read_at = self.server.clock.monotonic()
         if not self.parser.is_partial():
-            self.last_active = now
+            self.last_active_at = now
         try:
             self.parser.feed(data)
         except ParseError as error:
@@ -141,7 +141,7 @@
                 break
         if not encoded_responses:
             return
-        self.last_active = self.server.clock.monotonic()
+        self.last_active_at = self.server.clock.monotonic()
         self.stream.write(b"".join(encoded_responses))
         if self.closing:
             if not self.stream.unsent:
@@ -153,7 +153,7 @@
         """Close the connection if it is idle for too long or sends its headers too slowly."""
         if self.pending:
             return
-        idle = now - self.last_active
+        idle = now - self.last_active_at
         if self.closing:
             if idle > LINGER_TIMEOUT:
                 self._close()
@@ -209,8 +209,8 @@
     def _cancel_pending(self) -> None:
         """Cancel the requests after the last response; they are treated as never received."""
         self.closing = True
-        rest, self.pending = self.pending, deque()
-        for exchange in rest:
+        cancelled, self.pending = self.pending, deque()
+        for exchange in cancelled:
             exchange.cancelled = True
             if exchange.response is None and exchange.on_cancel is not None:
                 exchange.on_cancel()
@@ -244,7 +244,7 @@
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.sock.setblocking(False)
         self.sock.bind(address)
-        self.sock.listen(BACKLOG)
+        self.sock.listen(LISTEN_BACKLOG)
         self.listener = watch(READ, self.sock.fileno(), self._accept)
         self.timer = self.hub.schedule_call_global(SWEEP_INTERVAL_S, self._sweep)
 
--- a/almondshore/http/stream.py
+++ b/almondshore/http/stream.py
@@ -54,7 +54,7 @@
         return
 
     def on_drained(self) -> None:
-        """Handle that all buffered bytes were passed to the kernel."""
+        """Continue after all buffered bytes have been passed to the kernel."""
         return
 
 
@@ -257,7 +257,7 @@
 
 
 def _ignore(*_args: object) -> None:
-    """Fill the hub's callback parameters that are not needed without a greenlet."""
+    """Do nothing; passed for the callbacks of the hub that only greenlets need."""
 
 
 def _source_location(error: Exception) -> str:
--- a/test/http/loopback.py
+++ b/test/http/loopback.py
@@ -15,17 +15,17 @@
 
 
 class RecordingHandler(ExchangeHandler):
-    """Records exchanges, and responds at once if ``answer`` returns a response."""
+    """Records exchanges, and responds at once if ``make_response`` returns a response."""
 
-    def __init__(self, answer=lambda exchange: Response(200, (), exchange.request.target)):
-        self.answer = answer
+    def __init__(self, make_response=lambda exchange: Response(200, (), exchange.request.target)):
+        self.make_response = make_response
         self.exchanges = []
         self.cancelled = []
 
     def handle(self, exchange):
         self.exchanges.append(exchange)
         exchange.on_cancel = lambda: self.cancelled.append(exchange)
-        response = self.answer(exchange)
+        response = self.make_response(exchange)
         if response is not None:
             exchange.respond(response)
 
--- a/test/http/test_client.py
+++ b/test/http/test_client.py
@@ -11,7 +11,7 @@
 from test.http.loopback import RawServer, RecordingHandler, call, new_pool, serve
 
 REQUEST = encode_request(b"GET", b"/a", ((b"Host", b"h"),), b"")
-ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nId: %s\r\n\r\n%s"
+RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nId: %s\r\n\r\n%s"
 
 
 def has_own_id(response):
@@ -69,14 +69,14 @@
 
     def test_response_to_another_request_is_discarded(self):
         """Guards against delivering a late response to the next request on the connection."""
-        address = self.raw(ANSWER % (b"other", b"x"), ANSWER % (b"own", b"y"), pause=0.02)
+        address = self.raw(RESPONSE % (b"other", b"x"), RESPONSE % (b"own", b"y"), pause=0.02)
         result = call(self.pool, address, REQUEST, accept=has_own_id)
         self.assertEqual(b"y", result.response.body)
         self.assertEqual({}, self.pool.idle)
 
     def test_bytes_after_the_response_close_the_connection(self):
         """Guards against reading excess bytes as the response to the next request."""
-        address = self.raw(ANSWER % (b"own", b"x"), b"excess", pause=0.02, end=False)
+        address = self.raw(RESPONSE % (b"own", b"x"), b"excess", pause=0.02, end=False)
         self.assertEqual(b"x", call(self.pool, address, REQUEST).response.body)
         eventlet.sleep(0.1)
         self.assertEqual({}, self.pool.idle)
@@ -85,7 +85,7 @@
         """Guards against a request that outlives its timeout or its caller."""
         result = call(self.pool, self.raw(end=False), REQUEST, timeout=0.1)
         self.assertEqual(CallFailure.TIMED_OUT, result.failure)
-        handler = RecordingHandler(answer=lambda exchange: None)
+        handler = RecordingHandler(make_response=lambda exchange: None)
         server = serve(handler)
         self.addCleanup(server.close)
         pending = self.pool.call(
@@ -99,7 +99,7 @@
     def test_keep_alive_timeout_of_the_server_is_respected(self):
         """Guards against sending a request while the server closes the idle connection."""
         keep_alive = ((b"Keep-Alive", b"timeout=1"),)
-        server = serve(RecordingHandler(answer=lambda exchange: Response(200, keep_alive)))
+        server = serve(RecordingHandler(make_response=lambda exchange: Response(200, keep_alive)))
         self.addCleanup(server.close)
         call(self.pool, server.address(), REQUEST)
         eventlet.sleep(0.02)
--- a/test/http/test_parsing.py
+++ b/test/http/test_parsing.py
@@ -32,10 +32,10 @@
         """Guards against losing or merging requests that are split across reads."""
         parser = RequestParser(limits=LIMITS)
         feed(parser, GET + POST + CHUNKED + GET, sizes)
-        found = [(request.method, request.target, request.body) for request in parser.complete]
+        parsed = [(request.method, request.target, request.body) for request in parser.complete]
         self.assertEqual(
-            [(b"GET", b"/a", b""), (b"POST", b"/b", b"abc"), (b"POST", b"/c", b"abc"), found[0]],
-            found,
+            [(b"GET", b"/a", b""), (b"POST", b"/b", b"abc"), (b"POST", b"/c", b"abc"), parsed[0]],
+            parsed,
         )
         self.assertFalse(parser.is_partial())
 
@@ -99,6 +99,6 @@
     def test_bytes_after_a_response_are_parsed_as_another_response(self):
         """Guards against appending a second response to the body of the first."""
         parser = ResponseParser()
-        answer = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n"
-        parser.feed(answer + b"a" + answer + b"b")
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n"
+        parser.feed(head + b"a" + head + b"b")
         self.assertEqual([b"a", b"b"], [response.body for response in parser.complete])
--- a/test/http/test_server.py
+++ b/test/http/test_server.py
@@ -28,7 +28,7 @@
 
     def test_pipelined_requests_are_answered_in_order(self):
         """Guards against sending a fast response before an earlier, slower one."""
-        handler = RecordingHandler(answer=lambda exchange: None)
+        handler = RecordingHandler(make_response=lambda exchange: None)
         _, sock = self.start(handler)
         sock.sendall(b"".join(GET % name for name in (b"a", b"b", b"c")))
         eventlet.sleep(0.05)
@@ -40,7 +40,7 @@
 
     def test_client_disconnect_cancels_its_requests(self):
         """Guards against work for a client that has disconnected."""
-        handler = RecordingHandler(answer=lambda exchange: None)
+        handler = RecordingHandler(make_response=lambda exchange: None)
         _, sock = self.start(handler)
         sock.sendall(GET % b"a")
         eventlet.sleep(0.05)
@@ -58,7 +58,7 @@
 
     def test_requests_of_a_client_that_does_not_read_are_held_back(self):
         """Guards against unbounded memory for responses that the client does not read."""
-        handler = RecordingHandler(answer=lambda _exchange: Response(200, (), b"x" * 20_000))
+        handler = RecordingHandler(make_response=lambda _exchange: Response(200, (), b"x" * 20_000))
         server, sock = self.start(handler)
         sock.sendall(b"".join(GET % b"%d" % number for number in range(1000)))
         eventlet.sleep(0.3)
@@ -73,7 +73,7 @@
 
     def test_malformed_request_after_queued_requests_is_answered_last(self):
         """Guards against a rejection that is sent in place of a held-back request's response."""
-        handler = RecordingHandler(answer=lambda exchange: None)
+        handler = RecordingHandler(make_response=lambda exchange: None)
         _, sock = self.start(handler)
         count = 2 * MAX_PIPELINED
         sock.sendall(GET % b"a" * count + b"nonsense\r\n\r\n")
@@ -95,7 +95,7 @@
 
     def test_draining_server_closes_after_the_response(self):
         """Guards against a response that is truncated by a shutdown."""
-        handler = RecordingHandler(answer=lambda exchange: None)
+        handler = RecordingHandler(make_response=lambda exchange: None)
         server, sock = self.start(handler)
         sock.sendall(GET % b"a")
         eventlet.sleep(0.05)
--- a/test/load/slots.py
+++ b/test/load/slots.py
@@ -32,7 +32,9 @@
 
     def refuse(self, reason, retry_after):
         self.simulation.ends[self.kind, "refused"] += 1
-        self.simulation.held[self.kind].append(self.simulation.clock.monotonic() - self.arrived)
+        self.simulation.refusal_delays[self.kind].append(
+            self.simulation.clock.monotonic() - self.arrived
+        )
         self.simulation.retry_after.append(retry_after)
 
 
@@ -41,7 +43,7 @@
 
     :ivar ends: number of requests by kind and by how they ended: "on time", "late", "useless"
         (after the deadline) or "refused"
-    :ivar held: times from arrival to refusal, by kind
+    :ivar refusal_delays: times from arrival to refusal, by kind
     """
 
     def __init__(self, slots=9, seed=1):
@@ -50,7 +52,7 @@
         self.queue = ObjectiveQueue(clock=self.clock, slots=slots)
         self.events = []
         self.ends = Counter()
-        self.held = {}
+        self.refusal_delays = {}
         self.retry_after = []
         self.count = 0
 
@@ -65,7 +67,7 @@
 
         :param spread: standard deviation of the logarithm of the service time
         """
-        self.held.setdefault(kind, [])
+        self.refusal_delays.setdefault(kind, [])
         for number in range(int(per_s * seconds)):
             at = timedelta(seconds=(number + self.rng.random()) / per_s)
             service_time = ms(work) * self.rng.lognormvariate(-spread * spread / 2, spread)
--- a/test/load/test_all_targets_full.py
+++ b/test/load/test_all_targets_full.py
@@ -12,14 +12,16 @@
 class AllTargetsFullTest(TestCase):
     def setUp(self):
         super().setUp()
-        self.bed = RequestPathHarness(routes=[route(), route("urgent", prefix="/u/", priority=0)])
-        self.bed.directory.replace(
+        self.harness = RequestPathHarness(
+            routes=[route(), route("urgent", prefix="/u/", priority=0)]
+        )
+        self.harness.directory.replace(
             target(f"t{number}", node=(f"10.0.0.{number}", 1)) for number in (1, 2, 3)
         )
 
     def refuse_all(self):
-        exchange = self.bed.request()
-        for call in self.bed.pool.calls:
+        exchange = self.harness.request()
+        for call in self.harness.pool.calls:
             call.report(Outcome.REFUSED, "overloaded", 503, retry_after_ms=300)
         return exchange
 
@@ -29,25 +31,25 @@
         This caused 15 MB of traffic between zones on a recorded day of chladlog-mesh.
         """
         self.assertEqual(503, self.refuse_all().response.status)
-        sent = len(self.bed.pool.calls)
-        exchange = self.bed.request()
+        sent = len(self.harness.pool.calls)
+        exchange = self.harness.request()
         self.assertEqual(503, exchange.response.status)
-        self.assertEqual(sent, len(self.bed.pool.calls))
+        self.assertEqual(sent, len(self.harness.pool.calls))
         self.assertTrue(float(exchange.response.header(b"retry-after")) >= 0.3)
 
     def test_targets_are_tried_again_soon(self):
         """Guards against refusing requests although targets have free slots again."""
         self.refuse_all()
-        sent = len(self.bed.pool.calls)
-        self.bed.clock.advance(timedelta(milliseconds=60))
-        exchange = self.bed.request()
-        self.assertEqual(sent + 1, len(self.bed.pool.calls))
-        self.bed.pool.calls[-1].report()
+        sent = len(self.harness.pool.calls)
+        self.harness.clock.advance(timedelta(milliseconds=60))
+        exchange = self.harness.request()
+        self.assertEqual(sent + 1, len(self.harness.pool.calls))
+        self.harness.pool.calls[-1].report()
         self.assertEqual(200, exchange.response.status)
 
     def test_other_routes_are_still_sent(self):
         """Guards against refusing urgent requests because routine ones were refused."""
         self.refuse_all()
-        sent = len(self.bed.pool.calls)
-        self.bed.request(b"/u/x")
-        self.assertEqual(sent + 1, len(self.bed.pool.calls))
+        sent = len(self.harness.pool.calls)
+        self.harness.request(b"/u/x")
+        self.assertEqual(sent + 1, len(self.harness.pool.calls))
--- a/test/load/test_all_targets_reject.py
+++ b/test/load/test_all_targets_reject.py
@@ -90,12 +90,12 @@
         """Return the largest share of the limit that is used in any window."""
         shares = []
         for start in self.retries:
-            allowed = RETRY_RATIO * _within(self.requests, start) + MIN_RETRIES
-            shares.append(_within(self.retries, start) / allowed)
+            allowed = RETRY_RATIO * _count_in_window(self.requests, start) + MIN_RETRIES
+            shares.append(_count_in_window(self.retries, start) / allowed)
         return max(shares)
 
 
-def _within(times, start):
+def _count_in_window(times, start):
     return bisect_right(times, start + WINDOW_S) - bisect_right(times, start)
 
 
--- a/test/load/test_calls_behind_long_requests.py
+++ b/test/load/test_calls_behind_long_requests.py
@@ -7,7 +7,7 @@
 
 class CallsBehindLongRequestsTest(TestCase):
     def test_calls_are_served_while_long_requests_fill_the_slots(self):
-        """Guards against refusing calls, which makes the requests fail that made them.
+        """Guards against running requests that fail because their calls are refused.
 
         On chladlog-mesh, trouble-1, seed 125052883930, a target ran no call for 10 s.
         """
--- a/test/load/test_clients_that_give_up.py
+++ b/test/load/test_clients_that_give_up.py
@@ -10,12 +10,12 @@
     def test_targets_do_not_run_requests_of_clients_that_gave_up(self):
         """Guards against slots held by requests whose clients have given up."""
         system = simulate(clients_that_give_up)
-        staying = simulate(
+        baseline = simulate(
             lambda model: clients_that_give_up(model)._replace(behaviour=ClientBehaviour())
         )
-        soon = sum(took <= CLIENT_TIMEOUT for took in staying.response_times)
+        answered_in_time = sum(took <= CLIENT_TIMEOUT for took in baseline.response_times)
         # At least as many requests are answered in time as if no client gave up.
-        self.assertTrue(system.ends["on time"] >= soon, (system.ends, soon))
+        self.assertTrue(system.ends["on time"] >= answered_in_time, (system.ends, answered_in_time))
         for server in system.servers.values():
             self.assertEqual(({}, []), (server.queue.running, server.queue.waiting))
 
--- a/test/load/test_configuration_storm_on_a_narrow_link.py
+++ b/test/load/test_configuration_storm_on_a_narrow_link.py
@@ -46,8 +46,8 @@
         self.clock.advance(timedelta(seconds=versions * CONFIG_BYTES / LINK_BYTES_PER_S))
 
     def wait_if_unavailable(self):
-        first, last = self.outage
-        if not first <= self.now() < last:
+        begin, end = self.outage
+        if not begin <= self.now() < end:
             return False
         self.clock.advance(timedelta(seconds=CALL_TIMEOUT_S))
         return True
@@ -63,8 +63,8 @@
         if self.wait_if_unavailable():
             return Failure(Unavailable("away"))
         if self.newest_version() <= position:
-            until = min([at for at in self.written if at > self.now()], default=float("inf"))
-            end = min(until, self.now() + timeout.total_seconds())
+            next_change = min([at for at in self.written if at > self.now()], default=float("inf"))
+            end = min(next_change, self.now() + timeout.total_seconds())
             self.clock.advance(timedelta(seconds=end - self.now()))
         version = self.newest_version()
         self.send(version - position)
@@ -124,7 +124,7 @@
         self.assertTrue(share <= MAX_LINK_SHARE, share)
 
     def test_the_newest_version_comes_soon_after_an_outage(self):
-        """Guards against an answer with all missed versions that exceeds the timeout of the call.
+        """Guards against a response with all missed versions that exceeds the timeout of the call.
 
         On chladlog-mesh-grown, trouble-1, a node's calls failed in this way for 18 s.
         """
--- a/test/load/test_zone_whose_clients_moved.py
+++ b/test/load/test_zone_whose_clients_moved.py
@@ -13,7 +13,7 @@
         self.assertTrue(system.share("on time") > 0.95, system.ends)
 
     def test_a_choice_that_ignores_zones_serves_hardly_more_in_time(self):
-        """Guards against requests that wait in their zone although another would be faster."""
+        """Guards against requests that wait in their zone although another zone would be faster."""
         random_choice = simulate(clients_moved, chooser=RandomChooser)
         system = simulate(clients_moved)
         difference = random_choice.share("on time") - system.share("on time")
