Unify return fields, terms for departed nodes and names of limits

- The doc comments of these folders used both :returns: and :return:.
- Nodes "that are gone" are departed nodes, as the fields and classes call them.
- QUEUE_PER_SLOT is a maximum of queued requests, KEY_BYTES the size of a key hash and TIER_REFRESH_S an interval; their names say so.
"text" held bytes.

--- a/almondshore/limits/admission.py
+++ b/almondshore/limits/admission.py
@@ -13,7 +13,7 @@
 # Lowest class first.
 SHED_ORDER = (RequestClass.ROUTINE, RequestClass.INTERNAL, RequestClass.URGENT)
 RESERVED_INTERNAL_SLOTS = 1
-QUEUE_PER_SLOT = 2
+MAX_QUEUED_PER_SLOT = 2
 # Queued requests may still start for this long after a drain begins; invariant I8 allows 3 s.
 DRAIN_GRACE = timedelta(seconds=2.5)
 MIN_RETRY_AFTER = timedelta(milliseconds=100)
@@ -121,7 +121,7 @@
             raise ValueError(f"a target needs at least 1 slot, not {slots}")
         self.clock = clock
         self.slots = slots
-        self.queue_limit = QUEUE_PER_SLOT * slots if queue_limit is None else queue_limit
+        self.queue_limit = MAX_QUEUED_PER_SLOT * slots if queue_limit is None else queue_limit
         self.reserved_internal = min(reserved_internal, slots - 1)
         self.concurrency = concurrency
         self.drain_grace = drain_grace
@@ -176,7 +176,7 @@
     def cancel(self, request_id: str) -> bool:
         """Remove a request from the queue after its caller gave up.
 
-        :returns: whether it was queued; if not, it has a slot, was shed or has ended
+        :return: whether it was queued; if not, it has a slot, was shed or has ended
         """
         for queue in self.queues.values():
             if queue.pop(request_id, None) is not None:
--- a/almondshore/limits/objective.py
+++ b/almondshore/limits/objective.py
@@ -16,7 +16,7 @@
 # Factor applied to the expected wait, because more urgent requests may arrive later and go first.
 EXPECTED_WAIT_FACTOR = 1.3
 # Maximum number of queued requests for each slot; beyond it the last one in the order is refused.
-QUEUE_PER_SLOT = 4
+MAX_QUEUED_PER_SLOT = 4
 # Share of the expected service time that must fit before the deadline for a request to be started.
 # It is below 1 because service times vary by a factor of two around the expected one.
 MIN_SERVICE_TIME_SHARE = 0.75
@@ -140,7 +140,7 @@
             job.refuse(Refusal.OVERLOADED, self._retry_after(now))
             return
         self.waiting.append(job)
-        if len(self.waiting) > QUEUE_PER_SLOT * self.slots:
+        if len(self.waiting) > MAX_QUEUED_PER_SLOT * self.slots:
             last_in_order = max(self.waiting, key=lambda item: self._rank(item, now))
             self.waiting.remove(last_in_order)
             last_in_order.refuse(Refusal.OVERLOADED, self._retry_after(now))
@@ -159,7 +159,7 @@
     def cancel(self, job: Job) -> bool:
         """Remove a waiting request from the queue.
 
-        :returns: whether it was waiting
+        :return: whether it was waiting
         """
         if job in self.waiting:
             self.waiting.remove(job)
--- a/almondshore/retries/crash.py
+++ b/almondshore/retries/crash.py
@@ -50,8 +50,8 @@
 
     :param body_digest: digest of the complete body
     """
-    text = f"{method}\0{path}\0{tenant}\0".encode(errors="replace")
-    return xxhash.xxh3_64_intdigest(text + body_digest)
+    request_bytes = f"{method}\0{path}\0{tenant}\0".encode(errors="replace")
+    return xxhash.xxh3_64_intdigest(request_bytes + body_digest)
 
 
 class CrashGuard:
@@ -107,7 +107,7 @@
     def record_death(self, death: CrashDeath) -> bool:
         """Count a death that this node observed or that another node reported.
 
-        :returns: whether the death was new to this node and should be forwarded to others
+        :return: whether the death was new to this node and should be forwarded to others
         """
         now_s = self._now_s()
         suspect = self.suspects.get(death.fingerprint)
--- a/almondshore/retries/once.py
+++ b/almondshore/retries/once.py
@@ -17,7 +17,7 @@
 from almondshore.retries.outcome import Failure, Outcome, Reason, make_failure
 from almondshore.retries.ownership import Departure, KeyHistory, Ownership
 
-KEY_BYTES = 16
+KEY_HASH_BYTES = 16
 # Room for a day of claims at one per second, which is 86,400.
 MAX_RECORDS = 90_000
 MAX_BODY_BYTES = 64 * 1024
@@ -111,8 +111,8 @@
 
 def key_hash(service: str, tenant: str, key: str) -> str:
     """Return the hash that identifies an idempotency key of a service and a tenant."""
-    text = f"{service}\0{tenant}\0{key}".encode(errors="replace")
-    return hashlib.blake2b(text, digest_size=KEY_BYTES).hexdigest()
+    encoded_key = f"{service}\0{tenant}\0{key}".encode(errors="replace")
+    return hashlib.blake2b(encoded_key, digest_size=KEY_HASH_BYTES).hexdigest()
 
 
 def _kept_size(response: StoredResponse) -> int:
@@ -199,7 +199,7 @@
     def mark_running(self, key: str, token: int) -> bool:
         """Note that the request is about to be sent to a target.
 
-        :returns: whether the grant is still valid; if not, the request must not be run
+        :return: whether the grant is still valid; if not, the request must not be run
         """
         record = self._granted_record(key, token)
         if record is None or record.state not in (KeyState.CLAIMED, KeyState.RUNNING):
@@ -320,7 +320,7 @@
     def _prove_not_run(self, key: str, record: _Record, history: KeyHistory) -> Failure | None:
         """Claim the key to prove that it has not run.
 
-        :returns: None if the key may be granted, otherwise why not
+        :return: None if the key may be granted, otherwise why not
         """
         result = self.claims.claim(key)
         if result is ClaimResult.LOST:
--- a/almondshore/retries/ownership.py
+++ b/almondshore/retries/ownership.py
@@ -25,8 +25,8 @@
     NOT_OWNER = "not-owner"
     # The key has not run: this node would know of any run by an earlier owner.
     COMPLETE = "certain"
-    # An owner that is gone may have run the key. Winning its claim in the platform proves that it
-    # has not.
+    # A departed owner may have run the key. Winning its claim in the platform proves that it has
+    # not.
     CLAIM_NEEDED = "claim-needed"
     # It is not known yet which keys earlier owners have run.
     INCOMPLETE = "unsettled"
@@ -50,10 +50,10 @@
     """Current and former nodes that keep the records of one service's idempotency keys.
 
     The owner of a key is the first of the service's nodes in rendezvous order. A node that starts
-    takes over the records of its keys from the live nodes. For nodes that are gone it relies on
-    the claims and markers in the platform.
+    takes over the records of its keys from the live nodes. For departed nodes it relies on the
+    claims and markers in the platform.
 
-    :ivar departed: nodes that are gone, with the time at which each was removed
+    :ivar departed: nodes that have left or died, with the time at which each was removed
     :ivar doubtful: those of them that may have run keys without a claim
     :ivar awaiting_handover: live nodes that have not handed over their records yet
     """
@@ -107,7 +107,7 @@
         self.last_contact = self.clock.monotonic()
 
     def update(self, members: Iterable[str], left: Iterable[str] = ()) -> None:
-        """Set the nodes that keep records, and note those that are gone.
+        """Set the nodes that keep records, and note departures.
 
         :param members: identities of the service's live nodes
         :param left: nodes that left gracefully, after all their runs were claimed
@@ -131,7 +131,7 @@
         self.started_later &= current | self.departed.keys()
 
     def note_departure(self, departure: Departure) -> None:
-        """Add a node that is gone.
+        """Add a departed node.
 
         If it is already known, the later time is kept, and it stays doubtful once it was.
         """
@@ -141,7 +141,7 @@
             self.doubtful.add(departure.node)
 
     def departures(self) -> list[Departure]:
-        """Return the nodes that are gone, to be sent to a node that starts."""
+        """Return the departed nodes, to be sent to a node that starts."""
         now = self.clock.monotonic()
         return [
             Departure(name, (now - at).total_seconds(), name in self.doubtful)
@@ -187,7 +187,7 @@
         return KeyHistory.CLAIM_NEEDED
 
     def former_owners(self, key: str) -> list[str]:
-        """Return the nodes that are gone and may have run a key that this node owns now."""
+        """Return the departed nodes that may have run a key that this node owns now."""
         if not self.departed:
             return []
         ranked = rendezvous.rank(key, {self.node, *self.departed, *self.received_handovers})
@@ -195,10 +195,10 @@
         return [name for name in self.departed if self._may_have_owned(name, rank)]
 
     def _may_have_owned(self, name: str, rank: dict[str, int]) -> bool:
-        """Return whether a node that is gone may have owned a key before this node.
+        """Return whether a departed node may have owned a key before this node.
 
         A node that was a member at the same time as this one was the owner only if it ranks above
-        it. A node that was gone before it could hand over its records may have been the owner
+        it. A node that departed before it could hand over its records may have been the owner
         unless it ranks below a node that was a member when it left and has handed over its records.
         """
         if name == self.node:
--- a/almondshore/routing/load.py
+++ b/almondshore/routing/load.py
@@ -8,7 +8,7 @@
 LOAD_HALF_LIFE_S = 1.0
 # A report older than this is ignored, and the mean load of the tier is assumed instead.
 REPORT_MAX_AGE_S = 5.0
-TIER_REFRESH_S = 0.05
+TIER_REFRESH_INTERVAL_S = 0.05
 
 
 class ResultKind(Enum):
@@ -97,7 +97,7 @@
 
     def refresh(self, now_s: float) -> None:
         """Recompute the means if they are older than the refresh interval."""
-        if now_s - self.refreshed_s < TIER_REFRESH_S:
+        if now_s - self.refreshed_s < TIER_REFRESH_INTERVAL_S:
             return
         self.refreshed_s = now_s
         recent = [load for load in self.loads if now_s - load.reported_s < REPORT_MAX_AGE_S]
--- a/almondshore/routing/outlier.py
+++ b/almondshore/routing/outlier.py
@@ -101,7 +101,7 @@
     def record(self, target: str, ok: bool) -> bool:
         """Record the result of a request.
 
-        :returns: whether the target was ejected because of this result
+        :return: whether the target was ejected because of this result
         """
         health = self.health.get(target)
         if health is None:
--- a/test/retries/test_policy.py
+++ b/test/retries/test_policy.py
@@ -88,7 +88,7 @@
     def storm(self, requests, outermost_only):
         """Send requests 1 ms apart through a chain of services whose last target always fails.
 
-        :returns: number of runs at the last target
+        :return: number of runs at the last target
         """
         harnesses = [PolicyHarness() for _ in range(DEPTH)]
         self.runs = 0
