--- a/almondshore/proxy/caller.py
+++ b/almondshore/proxy/caller.py
@@ -205,9 +205,7 @@
         while True:
             target = self._choose(call, tried_targets)
             if target is None:
-                return failure or make_failure(
-                    Reason.NO_TARGET, "no target is available for the request"
-                )
+                return failure or make_failure(Reason.NO_TARGET, "no target takes the request")
             tried_targets.append(target.target)
             result = self._attempt(call, target, len(tried_targets) - 1)
             if isinstance(result, Reply):
--- a/almondshore/proxy/headers.py
+++ b/almondshore/proxy/headers.py
@@ -86,9 +86,7 @@
             lowered == IDEMPOTENCY_KEY
             and not 0 < len(value.strip()) <= MAX_IDEMPOTENCY_KEY_CHARACTERS
         ):
-            message = (
-                f"an idempotency key must have 1 to {MAX_IDEMPOTENCY_KEY_CHARACTERS} characters"
-            )
+            message = f"an idempotency key has 1 to {MAX_IDEMPOTENCY_KEY_CHARACTERS} characters"
             return Problem(400, "bad-idempotency-key", message)
     if count > MAX_HEADERS:
         return Problem(431, "too-many-headers", f"at most {MAX_HEADERS} headers are accepted")
@@ -114,7 +112,7 @@
 
 def body_too_large(max_body_bytes: int) -> Problem:
     """Return the problem to report for a body above the limit."""
-    return Problem(413, "body-too-large", f"the body exceeds {max_body_bytes} bytes")
+    return Problem(413, "body-too-large", f"a body has at most {max_body_bytes} bytes")
 
 
 def forwardable(headers: Iterable[tuple[str, str]]) -> Headers:
--- a/almondshore/proxy/once.py
+++ b/almondshore/proxy/once.py
@@ -337,7 +337,7 @@
         try:
             return msgspec.msgpack.decode(reply.body, type=ClaimReply)
         except msgspec.MsgspecError as error:
-            return make_failure(Reason.KEY_UNPROVEN, f"malformed reply from the owner: {error}")
+            return make_failure(Reason.KEY_UNPROVEN, f"malformed answer of the owner: {error}")
 
     def _exchange(
         self, record: TargetRecord, operation: str, message: NamedTuple, timeout: timedelta
--- a/almondshore/retries/once.py
+++ b/almondshore/retries/once.py
@@ -299,11 +299,7 @@
             self._grant(record, deadline, now)
             return Granted(record.token)
         if record.state is KeyState.UNKNOWN:
-            return Denied(
-                make_failure(
-                    Reason.KEY_UNKNOWN, "the outcome of the first attempt was not reported"
-                )
-            )
+            return Denied(make_failure(Reason.KEY_UNKNOWN, "the first attempt did not report"))
         if record.response is None:
             return Denied(make_failure(Reason.RESPONSE_NOT_KEPT))
         return Replay(record.response)
