Name the benchmark deployments by their zones

The deployments of the benchmark of moves had the names of two user organisations, which say nothing to a reader of the code.

Checks: make lint passes; pytest test/moves/test_bench.py passes (2 tests).

--- a/bench/move_world.py
+++ b/bench/move_world.py
@@ -44,8 +44,8 @@
     prefer: str
 
 
-COOPERATIVA = Deployment("4 zones, 4 x 4 targets", 4, 4, 4, "deadline")
-CHLADLOG = Deployment("3 zones, 4 x 3 targets", 3, 4, 3, "safety")
+FOUR_ZONE_DEPLOYMENT = Deployment("4 zones, 4 x 4 targets", 4, 4, 4, "deadline")
+THREE_ZONE_DEPLOYMENT = Deployment("3 zones, 4 x 3 targets", 3, 4, 3, "safety")
 
 
 class Target:
--- a/bench/moves.py
+++ b/bench/moves.py
@@ -9,7 +9,7 @@
 
 from bench.move_kinds import BAD_KINDS, BASE_ERROR_RATE, GOOD_KINDS, Kind
 from bench.move_policies import AtOncePolicy, Policy, ProductPolicy, ThresholdPolicy, TimedPolicy
-from bench.move_world import CHLADLOG, COOPERATIVA, TICK_S, Deployment, World
+from bench.move_world import FOUR_ZONE_DEPLOYMENT, THREE_ZONE_DEPLOYMENT, TICK_S, Deployment, World
 from bench.rows import BenchRow
 
 PRODUCT = "almondshore"
@@ -19,7 +19,7 @@
     "threshold 5%": ThresholdPolicy,
     "all at once": AtOncePolicy,
 }
-DEPLOYMENTS = (COOPERATIVA, CHLADLOG)
+DEPLOYMENTS = (FOUR_ZONE_DEPLOYMENT, THREE_ZONE_DEPLOYMENT)
 SHORT_MOVE_S = 120.0
 LONG_MOVE_S = 400.0
 # Runs last for this multiple of the move's duration, since some versions turn bad after it.
--- a/test/moves/test_bench.py
+++ b/test/moves/test_bench.py
@@ -3,14 +3,14 @@
 from testtools import TestCase
 
 from bench.move_kinds import BAD_KINDS, GOOD_KINDS
-from bench.move_world import CHLADLOG, COOPERATIVA
+from bench.move_world import FOUR_ZONE_DEPLOYMENT, THREE_ZONE_DEPLOYMENT
 from bench.moves import PRODUCT, SHORT_MOVE_S, Case, is_in_time, run_case
 
 
 def results(kinds, names):
     selected = [kind for kind in kinds if kind.name in names]
     assert len(selected) == len(names)
-    sizes = (COOPERATIVA, CHLADLOG)
+    sizes = (FOUR_ZONE_DEPLOYMENT, THREE_ZONE_DEPLOYMENT)
     return [
         run_case(Case(PRODUCT, kind, sizes[n % len(sizes)], SHORT_MOVE_S, 1))
         for n, kind in enumerate(selected)
