Clarify docstrings of messages, transport and call budget

The docstrings spoke of a node beside its target, of a heartbeat that would have a digest, of saved tokens and of a version that an update must state. They now name the host, the heartbeats that are compared, accumulated tokens and the revision to match. Return values are documented as :return: like in the rest of these packages.

--- a/almondshore/core/bounded_stream.py
+++ b/almondshore/core/bounded_stream.py
@@ -40,7 +40,7 @@
     def drain(self) -> bool:
         """Write as much as the descriptor accepts without blocking.
 
-        :returns: True if the backlog is empty
+        :return: True if the backlog is empty
         """
         if self.dropped and self.size < self.max_bytes // 2:
             self._report_dropped()
--- a/almondshore/core/clock.py
+++ b/almondshore/core/clock.py
@@ -52,7 +52,7 @@
         return self.start + self.elapsed
 
     def monotonic(self) -> timedelta:
-        """Return the time advanced since the clock was made."""
+        """Return the time advanced since the clock was created."""
         return self.elapsed
 
     def advance(self, step: timedelta) -> None:
--- a/almondshore/core/messages.py
+++ b/almondshore/core/messages.py
@@ -12,7 +12,7 @@
 
 
 class TargetState(IntEnum):
-    """State of a target; at one incarnation a higher value replaces a lower one."""
+    """State of a target; within one incarnation, a higher value replaces a lower one."""
 
     UP = 0
     LEAVING = 1
@@ -20,10 +20,10 @@
 
 
 class TargetRecord(NamedTuple):
-    """State of a target as published by the node beside it.
+    """State of a target as published by the node on its host.
 
     :ivar target: identity of the target, unique in the fleet
-    :ivar node: identity of the node beside the target, which owns the record
+    :ivar node: identity of the node on the target's host, which owns the record
     :ivar incarnation: raised by the owner on each change; the higher one is newer
     :ivar address: ``ip:port`` of the owner's listener for requests of other nodes (hop 2)
     :ivar slots: requests the target runs at the same time
@@ -101,8 +101,8 @@
 class Keepalive(NamedTuple):
     """A short heartbeat, for a relay that has acknowledged a full one of this process.
 
-    :ivar state: ``heartbeat_digest`` of the full heartbeat; the relay compares it with the digest
-        that the heartbeat has if node and relay hold the same state
+    :ivar state: ``heartbeat_digest`` of the full heartbeat that the node would send; the relay
+        compares it with that of the node's last full heartbeat, updated to the relay's own state
     """
 
     state: int
@@ -179,7 +179,7 @@
 
 
 class Announce(NamedTuple):
-    """The records of the sender's own targets."""
+    """The records of the targets on the sender's host."""
 
     records: list[TargetRecord]
 
@@ -300,7 +300,7 @@
 
 
 class Veto(NamedTuple):
-    """Bars a version of a service; no other message removes it.
+    """Bars a version of a service from use; no message revokes a veto.
 
     :ivar config_version: configuration version in force at the origin; an ``allow`` rule that
         came with a later configuration version overrides the veto
--- a/almondshore/core/rendezvous.py
+++ b/almondshore/core/rendezvous.py
@@ -1,4 +1,4 @@
-"""Rendezvous hashing: a stable choice of members, in which a change moves few keys."""
+"""Rendezvous hashing: assigns keys to members so that a membership change moves few keys."""
 
 from collections.abc import Iterable
 
@@ -13,7 +13,7 @@
 
     :param key: the key to place
     :param members: member names
-    :returns: all members, most preferred first
+    :return: all members, most preferred first
     """
     return sorted(
         members,
--- a/almondshore/net/nng.py
+++ b/almondshore/net/nng.py
@@ -25,9 +25,9 @@
 # A peer used within this time is not evicted when the table is full: if peers in use were evicted,
 # every send would reconnect.
 EVICTION_MIN_IDLE = timedelta(seconds=10)
-# Messages handled before other greenlets may run.
+# Number of messages handled before yielding to other greenlets.
 RECEIVE_BATCH = 64
-# Shortest time between log lines of the same event, which a faulty peer can cause at any rate.
+# Minimum time between two log lines of the same event: a faulty peer may cause events at any rate.
 LOG_INTERVAL = timedelta(seconds=1)
 
 _threads_limited = False
@@ -130,7 +130,7 @@
     def send(self, item: Send) -> bool:
         """Queue a message on the peer's socket, without blocking.
 
-        :returns: False if the message was dropped
+        :return: False if the message was dropped
         """
         if self.closed:
             return self._report_dropped("closed", item.to)
@@ -230,7 +230,7 @@
     def _close_least_recently_used(self, now: timedelta, min_idle: timedelta) -> bool:
         """Close the least recently used peer if it has been idle for at least ``min_idle``.
 
-        :returns: whether a peer was closed
+        :return: whether a peer was closed
         """
         if not self.peers:
             return False
--- a/almondshore/net/transport.py
+++ b/almondshore/net/transport.py
@@ -13,7 +13,7 @@
     def send(self, item: Send) -> bool:
         """Queue a message for sending, without blocking.
 
-        :returns: False if the message was dropped, as when the peer's buffer is full
+        :return: False if the message was dropped, for example because the peer's buffer is full
         """
 
     @abstractmethod
--- a/almondshore/storage/budget.py
+++ b/almondshore/storage/budget.py
@@ -70,7 +70,7 @@
     def take(self) -> timedelta | None:
         """Take one token.
 
-        :returns: None if a token was taken, else the time until one may be available
+        :return: None if a token was taken, else the time until one may be available
         """
         now = self.clock.monotonic()
         if now < self.refilled_at:
@@ -82,9 +82,9 @@
         return timedelta(seconds=(1 - self.tokens) / self.rate.per_second)
 
     def suspend(self, duration: timedelta) -> None:
-        """Grant no tokens for a duration, and keep at most one of the saved tokens.
+        """Grant no tokens for a duration, and keep at most one of the accumulated tokens.
 
-        Otherwise every client would send its saved burst at the end of the suspension.
+        Otherwise every client would send a full burst at the end of the suspension.
         """
         self.refilled_at = max(self.refilled_at, self.clock.monotonic() + duration)
         self.tokens = min(self.tokens, 1.0)
@@ -114,7 +114,7 @@
         self.buckets = {CallKind.READ: read_bucket, CallKind.WRITE: write_bucket}
 
     def set_rates(self, rates: Rates) -> None:
-        """Change the limits, as when a node becomes a relay; tokens and suspensions are kept."""
+        """Change the limits, e.g. when a node becomes a relay; keeps tokens and suspensions."""
         reads = self.buckets[CallKind.READ].with_rate(rates.reads)
         writes = self.buckets[CallKind.WRITE].with_rate(rates.writes) if rates.writes else reads
         self.buckets = {CallKind.READ: reads, CallKind.WRITE: writes}
--- a/almondshore/storage/port.py
+++ b/almondshore/storage/port.py
@@ -12,7 +12,7 @@
 class StoredObject(NamedTuple):
     """An object of the platform.
 
-    :ivar revision: version of this object, which a conditional update must state
+    :ivar revision: number of this object's version, which a conditional update has to match
     :ivar write_id: identifier given by the writer of this revision
     """
 
