Clarify wording and local names of the daemon and the tool

Evidence was added to a relay's sum, targets left, and gates waited until every node knows; the comments now name the aggregate, the drain and the listing of targets. Results called found, known and other have specific names: nodes, selected, rollouts, merged, first_key. The docstring of _submit_evidence now says what happens on a relay and on another node.

--- a/almondshore/daemon/moves.py
+++ b/almondshore/daemon/moves.py
@@ -116,7 +116,7 @@
         )
 
     def tick(self) -> list[Send]:
-        """Report the evidence of closed windows; a relay also tests and forwards its sums."""
+        """Report the evidence of closed windows; a relay also tests and forwards its aggregates."""
         parts = self._monitored_parts()
         self.recorder.set_services({part["name"] for part in parts})
         sends: list[Send] = []
@@ -153,7 +153,7 @@
         self.coordinated_moves.clear()
 
     def _monitored_parts(self) -> list[ServicePart]:
-        """Return the services whose move is active, or done with old targets still in use."""
+        """Return the services whose move is active, or is done with old targets still listed."""
         return [part for part in self.routes.parts() if part["move"] and self._is_open(part)]
 
     def _is_open(self, part: ServicePart) -> bool:
@@ -232,7 +232,7 @@
         )
 
     def _submit_evidence(self, evidence: Evidence) -> list[Send]:
-        """Add evidence of this node's targets to the relay's sum, here or at the selected relay."""
+        """Add this node's evidence to its aggregate if it is a relay, else send it to its relay."""
         if self.control.relay is not None:
             self.aggregator.add(evidence, self.control.identity.control)
             return []
@@ -240,7 +240,7 @@
         return [Send(relay, evidence)] if relay else []
 
     def _detect_faults(self, evidence: Evidence, parts: list[ServicePart]) -> list[Veto]:
-        """Test an evidence sum of this relay; return new vetoes."""
+        """Test aggregated evidence of this relay for faults; return new vetoes."""
         if self.detector is None:
             relays = len(self.control.table.addresses())
             self.detector = LocalDetector(
@@ -250,7 +250,7 @@
         return self.detector.observe(evidence, parts, version)
 
     def _forward_evidence(self, parts: list[ServicePart]) -> list[Send]:
-        """Test the evidence sums of this relay and send them to the coordinators."""
+        """Test the aggregated evidence of this relay and send it to the coordinators."""
         sends: list[Send] = []
         names = [part["name"] for part in parts]
         for evidence in self.aggregator.tick():
@@ -266,7 +266,7 @@
         return sends
 
     def _handle_evidence(self, evidence: Evidence, sender: str) -> None:
-        """Add evidence of a subscriber to this relay's sum, or a relay's sum to the coordinator."""
+        """Add evidence of a subscriber to the aggregate, or that of a relay to the coordinator."""
         if sender not in self.control.table.addresses():
             self.aggregator.add(evidence, sender)
             return
--- a/almondshore/daemon/node.py
+++ b/almondshore/daemon/node.py
@@ -118,7 +118,7 @@
         return sends
 
     def record_crash(self, death: CrashDeath, sender: str) -> list[Send]:
-        """Record that a target died while running a request; forward it if not known yet."""
+        """Record that a target died while running a request; forward the message if it is new."""
         return self.control.propagate(death, sender) if self.crash_guard.record_death(death) else []
 
     def platform_step(self) -> list[Send]:
@@ -149,7 +149,7 @@
         return self.routes.current
 
     def _check_own_target_deaths(self, records: list[TargetRecord]) -> None:
-        """Note that others declared a target of this node dead and took over its keys."""
+        """Note that other nodes declared a target of this node dead and took over its keys."""
         own = {target.record.target for target in self.control.local.targets.values()}
         if any(r.target in own and r.state is TargetState.DEAD for r in records):
             self.once.note_rejoin()
--- a/almondshore/daemon/process.py
+++ b/almondshore/daemon/process.py
@@ -38,7 +38,7 @@
 PLATFORM_STEP_INTERVAL_SECONDS = 0.5
 CLAIM_STEP_INTERVAL_SECONDS = 1.0
 DRAIN_POLL_INTERVAL_SECONDS = 0.05
-# Time in which all nodes learn that targets are leaving and stop sending requests to them.
+# Time within which all nodes learn that the targets are leaving and stop sending them requests.
 LEAVE_PROPAGATION_TIME = timedelta(seconds=3)
 CONNECT_TIMEOUT = timedelta(seconds=1)
 MAX_HOSTS = 1024
@@ -51,7 +51,7 @@
     :ivar callers: hop 1 applications of the external and the internal listener
     :ivar endpoints: targets of this node that requests may be handed to, by name
     :ivar in_flight: requests being served, except those of the admin listener
-    :ivar is_relay: role that the rates of the platform call budget are set for
+    :ivar is_relay: whether the platform call budget has the rates of a relay
     """
 
     def __init__(self, *, settings: Settings):
@@ -162,7 +162,7 @@
         self.endpoints.pop(target, None)
 
     def drain(self) -> None:
-        """Announce that the targets leave, finish the requests in progress and stop the node.
+        """Announce that the targets are leaving, finish the requests in flight and stop the node.
 
         Requests still running after the drain timeout are abandoned.
         """
@@ -175,7 +175,7 @@
         self._send_all(self.node.announce(self.node.control.local.drain_all()))
         while self.clock.monotonic() - started < self.settings.drain_timeout:
             eventlet.sleep(DRAIN_POLL_INTERVAL_SECONDS)
-            # The gates stay open until every node knows, so that no request in transit is refused.
+            # Gates stay open until all nodes know, so that no request in transit is refused.
             if self.clock.monotonic() - started < LEAVE_PROPAGATION_TIME:
                 continue
             for endpoint in self.endpoints.values():
--- a/almondshore/daemon/routes.py
+++ b/almondshore/daemon/routes.py
@@ -16,9 +16,9 @@
     """Rebuilds the routes when the routing view or the traffic shares of a move change.
 
     The table contains the routes of all services, including those without known targets. A request
-    for such a service must fail for the lack of a target; it must neither fail for an unknown route
-    nor match a shorter prefix of another service. Weights contain only versions with known targets,
-    so that no request is sent to an unknown target.
+    for such a service must fail because there is no target; it must neither fail with an unknown
+    route nor match a shorter prefix of another service. Weights contain only versions with known
+    targets, so that no request is sent to an unknown target.
 
     :ivar current: routes in effect
     :ivar moves_fingerprint: number of vetoes and digest of the moves that the routes reflect
@@ -76,7 +76,7 @@
             self.current = self.current._replace(table=RouteTable(self.parts()))
 
     def _update_targets(self, old: RoutingView, view: RoutingView, *, moves_changed: bool) -> None:
-        """Pass changed targets to the chooser; of a service with a move, only those it uses."""
+        """Pass changed targets to the chooser; during a move, only those that the move uses."""
         for name in old.targets.keys() | view.targets.keys():
             targets, part = view.targets.get(name, {}), view.services.get(name)
             has_move = part is not None and part["move"] is not None
--- a/almondshore/daemon/settings.py
+++ b/almondshore/daemon/settings.py
@@ -45,7 +45,7 @@
 
 
 class PlatformSettings(NamedTuple):
-    """Base URL of the platform and timeout of a call."""
+    """Base URL of the platform and timeout of each call to it."""
 
     url: str
     timeout: timedelta
@@ -55,8 +55,8 @@
     """Sizing of relays and their backlogs.
 
     :ivar nodes_per_slot: nodes of an availability zone for each relay slot
-    :ivar backlog_deltas: deltas kept for lagging subscribers; one that needs older ones is sent a
-        snapshot
+    :ivar backlog_deltas: number of deltas kept for lagging subscribers; a subscriber that needs
+        older ones is sent a snapshot
     :ivar backlog_bytes: maximum total size of these deltas
     :ivar snapshots_per_second: maximum rate at which a relay sends snapshots
     """
@@ -193,10 +193,10 @@
     """Add a finding for each listener that shares its address with another one."""
     key_by_address: dict[str, str] = {}
     for key in (f"listen.{name}" for name in ListenSettings._fields):
-        other = key_by_address.setdefault(values[key], key) if key in values else key
-        if other != key:
-            node = nodes.get(key) or nodes[other]
-            message = f"{key} and {other} are both {values[key]}"
+        first_key = key_by_address.setdefault(values[key], key) if key in values else key
+        if first_key != key:
+            node = nodes.get(key) or nodes[first_key]
+            message = f"{key} and {first_key} are both {values[key]}"
             add_finding(findings, node, "address-in-use", message)
 
 
--- a/almondshore/daemon/state_logger.py
+++ b/almondshore/daemon/state_logger.py
@@ -60,7 +60,7 @@
             log_event(event, node=self.node.identity.node, zone=self.node.identity.zone)
 
     def _observe_platform(self) -> None:
-        """Log the start and end of a platform outage, as a relay reports it to its nodes."""
+        """Log the start and end of a platform outage; nodes learn of it from their relay."""
         up = self.node.control.platform_up
         if up is None or up == self.platform_up:
             return
--- a/almondshore/daemon/yaml_nodes.py
+++ b/almondshore/daemon/yaml_nodes.py
@@ -21,13 +21,13 @@
     root = _compose(data, findings)
     if root is None:
         return {}
-    found: dict[str, yaml.Node] = {}
+    nodes: dict[str, yaml.Node] = {}
     if not isinstance(root, yaml.MappingNode):
         add_finding(findings, root, "not-a-mapping", "the file must be a mapping of keys")
-        return found
+        return nodes
     sections = {key.rpartition(".")[0] for key in known_keys} - {""}
-    _collect(root, "", set(known_keys), sections, found, findings)
-    return found
+    _collect(root, "", set(known_keys), sections, nodes, findings)
+    return nodes
 
 
 def add_finding(findings: FindingList, node: yaml.Node, code: str, message: str) -> None:
@@ -60,10 +60,10 @@
     prefix: str,
     known_keys: set[str],
     sections: set[str],
-    found: dict[str, yaml.Node],
+    nodes: dict[str, yaml.Node],
     findings: FindingList,
 ) -> None:
-    """Add the nodes of a mapping's known keys to ``found``; recurse into its sections."""
+    """Add the nodes of a mapping's known keys to ``nodes``; recurse into its sections."""
     seen: set[str] = set()
     for key_node, value_node in mapping.value:
         if not isinstance(key_node, yaml.ScalarNode):
@@ -73,11 +73,11 @@
         if key in seen:
             add_finding(findings, key_node, "duplicate-key", f"{key} is set twice")
         elif key in known_keys:
-            found[key] = value_node
+            nodes[key] = value_node
         elif key not in sections:
             add_finding(findings, key_node, "unknown-key", f"{key} is not a setting")
         elif isinstance(value_node, yaml.MappingNode):
-            _collect(value_node, f"{key}.", known_keys, sections, found, findings)
+            _collect(value_node, f"{key}.", known_keys, sections, nodes, findings)
         else:
             add_finding(findings, value_node, "wrong-type", f"{key}: expected a mapping of keys")
         seen.add(key)
--- a/almondshore/ui/applying.py
+++ b/almondshore/ui/applying.py
@@ -75,7 +75,7 @@
         self.change_log = ChangeLog(publisher=self.publisher, retry=self.retry)
 
     def apply(self, request: ApplyRequest) -> ApplyOutcome:
-        """Publish rules as the successor of the current version, unless it contains them already.
+        """Publish rules as the successor of the current version unless that contains them already.
 
         :raises ConflictError: if another operator changed the rules since the base, if an earlier
             version had the same rules, or if too many versions are published at the same time
@@ -175,7 +175,7 @@
         return rules
 
     def _read_vetoes(self, moves: Iterable[MoveRule]) -> list[Veto]:
-        """Read the recorded vetoes against the versions that the moves lead to."""
+        """Read the recorded vetoes of the versions to which the moves lead."""
         vetoes = []
         for rule in moves:
             key = veto_key(rule.service, rule.version)
@@ -185,9 +185,9 @@
         return vetoes
 
     def _is_published(self, result: Result, version: int, digest: str, at: datetime) -> bool:
-        """Return whether this call has published the version, and not another writer.
+        """Return whether the version was published by this call rather than by another writer.
 
-        :raises PlatformFailedError: if that is unknown, or if the write failed
+        :raises PlatformFailedError: if the result of the write is unknown, or if the write failed
         """
         if is_successful(result):
             return True
--- a/almondshore/ui/changes.py
+++ b/almondshore/ui/changes.py
@@ -12,7 +12,7 @@
 from almondshore.ui.platform_errors import require
 from almondshore.versions.publish import Publisher, VersionRecord
 
-# Each version costs four reads; an operator with an older base compares with the newest rules.
+# Each version costs four reads; operators with an older base can compare with the newest rules.
 MAX_VERSIONS = 20
 
 
@@ -43,7 +43,7 @@
         return require(self.retry(lambda: self.publisher.rules_text(version)))
 
     def describe(self, base: int, newest: int) -> str:
-        """Describe the rule changes after a base version, one published version after the other.
+        """Describe the rule changes since a base version, in the order of the published versions.
 
         At most the last ``MAX_VERSIONS`` versions are described.
 
--- a/almondshore/ui/commands/moves.py
+++ b/almondshore/ui/commands/moves.py
@@ -29,9 +29,9 @@
     """
     if node is not None:
         return _list_rollouts(node, json, context)
-    found = merge_moves(read_zones(context.platform()))
+    merged = merge_moves(read_zones(context.platform()))
     if json:
-        print_json(context.out, {"moves": found})
+        print_json(context.out, {"moves": merged})
         return 0
     rows = [
         (
@@ -45,7 +45,7 @@
             len(move["zones"]),
             move["reason"],
         )
-        for move in found
+        for move in merged
     ]
     print_table(context.out, HEADER, rows)
     return 0
@@ -53,7 +53,7 @@
 
 def _list_rollouts(node: str, json: bool, context: Context) -> int:
     services = read_node(node, STATUS_PATH, NodeView)["services"]
-    found = [
+    rollouts = [
         {
             "service": service["service"],
             "to_version": service["rollout_version"],
@@ -65,17 +65,17 @@
         if service["rollout"]
     ]
     if json:
-        print_json(context.out, {"moves": found})
+        print_json(context.out, {"moves": rollouts})
         return 0
     rows = [
         (
-            move["service"],
-            move["to_version"],
-            move["state"],
-            f"{move['share']:.0%}",
-            format_ready_targets(move["ready"]),
+            rollout["service"],
+            rollout["to_version"],
+            rollout["state"],
+            f"{rollout['share']:.0%}",
+            format_ready_targets(rollout["ready"]),
         )
-        for move in found
+        for rollout in rollouts
     ]
     print_table(context.out, ROLLOUT_HEADER, rows)
     return 0
--- a/almondshore/ui/commands/nodes.py
+++ b/almondshore/ui/commands/nodes.py
@@ -31,14 +31,14 @@
     """
     if node is not None:
         return _list_targets(node, zone, json, context)
-    found = [
+    selected = [
         {"zone": status["zone"], **node}
         for status in read_zones(context.platform())
         if zone in (None, status["zone"])
         for node in sorted(status["nodes"], key=lambda node: node["node"])
     ]
     if json:
-        print_json(context.out, {"nodes": found})
+        print_json(context.out, {"nodes": selected})
         return 0
     rows = [
         (
@@ -49,19 +49,19 @@
             "yes" if node["ready"] else "no",
             ", ".join(_format_target(target) for target in node["targets"]),
         )
-        for node in found
+        for node in selected
     ]
     print_table(context.out, HEADER, rows)
     return 0
 
 
 def _list_targets(node: str, zone: str | None, json: bool, context: Context) -> int:
-    known = read_node(node, TARGETS_PATH, TargetsView)["targets"]
-    found = [target for target in known if zone in (None, target["zone"])]
+    targets = read_node(node, TARGETS_PATH, TargetsView)["targets"]
+    selected = [target for target in targets if zone in (None, target["zone"])]
     if json:
-        print_json(context.out, {"targets": found})
+        print_json(context.out, {"targets": selected})
         return 0
-    print_table(context.out, TARGET_HEADER, [_target_row(target) for target in found])
+    print_table(context.out, TARGET_HEADER, [_target_row(target) for target in selected])
     return 0
 
 
--- a/almondshore/ui/platform_errors.py
+++ b/almondshore/ui/platform_errors.py
@@ -16,7 +16,7 @@
 
 
 class PlatformFailedError(UserError):
-    """The platform did not answer or refused a call."""
+    """The platform did not respond, or a call to it failed or was refused."""
 
 
 def describe_error(error: PlatformError) -> str:
--- a/almondshore/ui/waiting.py
+++ b/almondshore/ui/waiting.py
@@ -31,7 +31,7 @@
 
         The wait continues during an outage of the platform.
 
-        :return: False if the timeout passed before
+        :return: False if the timeout passed first
         """
         deadline = self.clock.monotonic() + timeout
         while True:
