Give specific names to values in the benchmarks

ResourceUsage (Rate) holds rates and also costs per change, which its docstring now says. Messages and evidence are in transit instead of under way. The error of a failed direct call names the request and status.

--- a/bench/convergence.py
+++ b/bench/convergence.py
@@ -35,8 +35,11 @@
 WRITES_PER_S_TARGET = 400
 
 
-class Rate(NamedTuple):
-    """Bytes and processor seconds per second of the busiest relay and the busiest other node."""
+class ResourceUsage(NamedTuple):
+    """Bytes and processor seconds of the busiest relay and the busiest other node.
+
+    They are rates per second, or costs per change.
+    """
 
     relay_bytes: float
     node_bytes: float
@@ -47,7 +50,7 @@
 class FleetFigures(NamedTuple):
     """Figures of a fleet of one size.
 
-    :ivar convergence: seconds until all nodes have a new version in effect, the longest
+    :ivar convergence: longest time until all nodes have a new version in effect, in seconds
     :ivar lossy_convergence: the same while 1% of the messages are lost
     :ivar idle: rates without changes
     :ivar config: additional cost of one configuration change
@@ -60,16 +63,16 @@
     nodes: int
     convergence: float
     lossy_convergence: float
-    idle: Rate
-    config: Rate
-    record: Rate
+    idle: ResourceUsage
+    config: ResourceUsage
+    record: ResourceUsage
     zone_writes: float
     relay_reads: float
     served: int
 
-    def at_full_load(self) -> Rate:
-        """Return the rates under the change rates of the full-scale fleet."""
-        return Rate(
+    def at_full_load(self) -> ResourceUsage:
+        """Return the rates at the rate of changes of the full-scale fleet."""
+        return ResourceUsage(
             *(
                 idle + CONFIG_CHANGES_PER_SECOND * config + RECORD_CHANGES_PER_SECOND * record
                 for idle, config, record in zip(self.idle, self.config, self.record, strict=True)
@@ -80,8 +83,8 @@
 def measure_fleet(nodes: int, *, seed: int = 1) -> FleetFigures:
     """Measure a fleet of one size; the same seed gives the same counts and bytes.
 
-    Garbage collection is disabled meanwhile: it traverses the objects of all nodes, and its time
-    would be charged to the node that happens to run.
+    Garbage collection is disabled during the measurement: it traverses the objects of all nodes,
+    and its time would be charged to the node that happens to run.
     """
     gc.collect()
     gc.disable()
@@ -94,7 +97,7 @@
 def _measure_fleet(nodes: int, seed: int) -> FleetFigures:
     meter = Meter(timing=True)
     fleet = Fleet(seed=seed, nodes=nodes, zones=ZONES, meter=meter)
-    _start(fleet)
+    _run_until_stable(fleet)
     before = dict(fleet.pump.store.counts)
     idle = measure_rates(fleet, meter, lambda: None, IDLE_SECONDS)
     counts = fleet.pump.store.counts
@@ -122,7 +125,7 @@
 def measure_fleet_restart(nodes: int, *, seed: int = 1) -> list[BenchRow]:
     """Measure the recovery after all processes restart at the same time."""
     fleet = Fleet(seed=seed, nodes=nodes, zones=ZONES)
-    _start(fleet)
+    _run_until_stable(fleet)
     version = fleet.change_service()
     fleet.run(timedelta(seconds=5))
     fleet.restart(list(fleet.pump.nodes))
@@ -131,7 +134,7 @@
     ready = None
     while not fleet.is_converged(version):
         fleet.step()
-        peaks = {kind: max(peak, _calls(fleet, kind)) for kind, peak in peaks.items()}
+        peaks = {kind: max(peak, _recent_calls(fleet, kind)) for kind, peak in peaks.items()}
         served = all(node.config.ready for node in fleet.nodes)
         if ready is None and served and fleet.nodes_at_version(version) == nodes:
             ready = (fleet.pump.clock.monotonic() - start).total_seconds()
@@ -189,7 +192,7 @@
     return at_most(f"{FULL_NODES} nodes: busiest relay, scaled", BYTES_PER_S_TARGET, figure, "B/s")
 
 
-def _start(fleet: Fleet) -> None:
+def _run_until_stable(fleet: Fleet) -> None:
     if fleet.run_until(lambda: fleet.is_converged(1), timedelta(seconds=120)) is None:
         raise RuntimeError("fleet did not converge within 120 s of its start")
     fleet.run(timedelta(seconds=70))
@@ -198,7 +201,7 @@
 def measure_convergence(fleet: Fleet) -> float:
     """Publish a change of one service.
 
-    :return: seconds until all nodes have it in effect, 60 if some still have not by then
+    :return: seconds until all nodes have it in effect, or 60 if some do not by then
     """
     version = fleet.change_service()
     elapsed = fleet.run_until(
@@ -207,8 +210,8 @@
     return elapsed.total_seconds() if elapsed is not None else 60.0
 
 
-def measure_rates(fleet: Fleet, meter: Meter, change, seconds: float) -> Rate:
-    """Return the mean rates over some seconds, at the start of which ``change`` is called."""
+def measure_rates(fleet: Fleet, meter: Meter, change, seconds: float) -> ResourceUsage:
+    """Call ``change`` and return the mean rates over a period that starts with the call."""
     meter.clear()
     start = fleet.pump.clock.monotonic()
     change()
@@ -220,10 +223,10 @@
         for counts in (meter.bytes_by_node, meter.cpu_seconds)
         for group in (relays, others)
     ]
-    return Rate(*busiest)
+    return ResourceUsage(*busiest)
 
 
-def measure_change_cost(fleet: Fleet, meter: Meter, idle: Rate, change) -> Rate:
+def measure_change_cost(fleet: Fleet, meter: Meter, idle: ResourceUsage, change) -> ResourceUsage:
     """Return the cost of one change in bytes and processor seconds beyond the idle rates."""
     seconds = CHANGE_INTERVAL.total_seconds()
 
@@ -233,12 +236,12 @@
             fleet.run(CHANGE_INTERVAL)
 
     changed = measure_rates(fleet, meter, make_changes, CHANGES * (seconds + 1))
-    return Rate(
+    return ResourceUsage(
         *(max(0.0, (rate - base) * (seconds + 1)) for rate, base in zip(changed, idle, strict=True))
     )
 
 
-def _calls(fleet: Fleet, kind: str) -> int:
+def _recent_calls(fleet: Fleet, kind: str) -> int:
     """Return the platform calls of a kind in the last second."""
     now = fleet.pump.clock.monotonic().total_seconds()
     return sum(1 for at in fleet.pump.store.recent_calls[kind] if at > now - 1)
--- a/bench/daemon.py
+++ b/bench/daemon.py
@@ -64,8 +64,10 @@
     """Measure the encoding and decoding of a heartbeat with 41 zone digests."""
     envelope = Envelope("127.0.0.1:7402", "zone-1", HEARTBEAT)
     data = encode(envelope)
-    encoding = _seconds(clock, lambda: [encode(envelope) for _ in range(MESSAGES)]) / MESSAGES
-    decoding = _seconds(clock, lambda: [decode(data) for _ in range(MESSAGES)]) / MESSAGES
+    encoding = (
+        _elapsed_seconds(clock, lambda: [encode(envelope) for _ in range(MESSAGES)]) / MESSAGES
+    )
+    decoding = _elapsed_seconds(clock, lambda: [decode(data) for _ in range(MESSAGES)]) / MESSAGES
     return [
         at_most("heartbeat encode", 50, encoding * 1e6, "us"),
         at_most("heartbeat decode", 50, decoding * 1e6, "us"),
@@ -78,10 +80,12 @@
     pair = TransportPair(clock=clock)
     try:
         pair.exchange(Busy(0.0), count=10)
-        round_trip = _seconds(clock, lambda: pair.exchange(Busy(0.0), ROUND_TRIPS)) / ROUND_TRIPS
-        heartbeats = MESSAGES / _seconds(clock, lambda: pair.stream(HEARTBEAT, MESSAGES))
+        round_trip = (
+            _elapsed_seconds(clock, lambda: pair.exchange(Busy(0.0), ROUND_TRIPS)) / ROUND_TRIPS
+        )
+        heartbeats = MESSAGES / _elapsed_seconds(clock, lambda: pair.stream(HEARTBEAT, MESSAGES))
         snapshot = ConfigSnapshot(1, bytes(16), {"service/a": bytes(1024 * 1024)})
-        megabytes = 100 / _seconds(clock, lambda: pair.stream(snapshot, 100))
+        megabytes = 100 / _elapsed_seconds(clock, lambda: pair.stream(snapshot, 100))
     finally:
         pair.close()
     return [
@@ -107,26 +111,26 @@
     def exchange(self, message: Message, count: int) -> None:
         """Send a message ``count`` times, each time waiting for its echo."""
         for _ in range(count):
-            target = self.received + 1
+            expected_count = self.received + 1
             self.first.send(Send(self.second.address, message))
-            self._wait_for(target)
+            self._wait_for(expected_count)
 
     def stream(self, message: Message, count: int) -> None:
         """Send messages as fast as the buffers accept them and wait until all have arrived."""
-        target = self.received + count
+        expected_count = self.received + count
         for _ in range(count):
             while not self.first.send(Send(self.second.address, message)):
                 eventlet.sleep(0)
-        self._wait_for(target)
+        self._wait_for(expected_count)
 
     def close(self) -> None:
         """Close both transports."""
         self.first.close()
         self.second.close()
 
-    def _wait_for(self, target: int) -> None:
+    def _wait_for(self, expected_count: int) -> None:
         with eventlet.Timeout(WAIT_SECONDS):
-            while self.received < target:
+            while self.received < expected_count:
                 eventlet.sleep(0)
 
     def _count(self, _: Envelope) -> None:
@@ -215,7 +219,7 @@
                 latency=timedelta(milliseconds=3),
             )
 
-    observed = _seconds(clock, observe) / MESSAGES
+    observed = _elapsed_seconds(clock, observe) / MESSAGES
     yielded_at = [clock.monotonic()]
     metrics.latency_by_tenant.pause = lambda: yielded_at.append(clock.monotonic())
     size = len(metrics.render()[0])
@@ -240,10 +244,10 @@
             url=deployment.platform_url, clock=clock, timeout=timedelta(seconds=10)
         )
         platform.create("k", bytes(1024), "w").unwrap()
-        small = _seconds(clock, lambda: [platform.get("k").unwrap() for _ in range(CALLS)])
-        writes = _seconds(clock, lambda: _write(platform, WRITES))
+        small = _elapsed_seconds(clock, lambda: [platform.get("k").unwrap() for _ in range(CALLS)])
+        writes = _elapsed_seconds(clock, lambda: _write(platform, WRITES))
         platform.create("large", bytes(1024 * 1024), "w").unwrap()
-        large = _seconds(clock, lambda: [platform.get("large").unwrap() for _ in range(20)])
+        large = _elapsed_seconds(clock, lambda: [platform.get("large").unwrap() for _ in range(20)])
         platform.close()
     return [
         at_most("platform read of 1 KB", MAX_CALL_MS, small / CALLS * 1e3, "ms"),
@@ -257,7 +261,7 @@
         platform.create(f"key/{number}", bytes(1024), "w").unwrap()
 
 
-def _seconds(clock: Clock, action: Callable[[], object]) -> float:
+def _elapsed_seconds(clock: Clock, action: Callable[[], object]) -> float:
     started_at = clock.monotonic()
     action()
     return (clock.monotonic() - started_at).total_seconds()
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -22,7 +22,7 @@
 def make_part(name: str, *, version: str = "v1", salt: str = "") -> bytes:
     """Return the encoded configuration part of a service with a few routes.
 
-    :param salt: goes into the paths, so that another salt gives another part
+    :param salt: part of each path; a different salt gives a different part
     """
     routes = [
         RoutePart(
@@ -43,7 +43,7 @@
     """Control nodes in several zones, an in-memory platform, and a publisher of configuration.
 
     :ivar zones: names of the zones, alternately in one of two regions
-    :ivar slots: slots of targets that differ from the default, by address of the node
+    :ivar slots: numbers of slots of targets, where not the default, by address of the node
     :ivar seeds: addresses of all nodes added so far
     """
 
@@ -129,7 +129,7 @@
         return self.publish({f"service/{name}": make_part(name, salt=salt)})
 
     def run(self, duration: timedelta) -> None:
-        """Run for a time; the targets announce themselves meanwhile."""
+        """Run for a simulated duration, in which the targets announce themselves."""
         end = self.pump.clock.monotonic() + duration
         while self.pump.clock.monotonic() < end:
             self.step()
@@ -158,13 +158,13 @@
         """Return the number of nodes that have exactly this version in effect."""
         return sum(node.config.state.current.version == version for node in self.nodes)
 
-    def run_until(self, done, limit: timedelta) -> timedelta | None:
+    def run_until(self, condition, limit: timedelta) -> timedelta | None:
         """Run until a condition holds.
 
-        :return: simulated time that it took, None if the condition did not hold within the limit
+        :return: simulated time that passed, or None if the condition did not hold in time
         """
         start = self.pump.clock.monotonic()
-        while not done():
+        while not condition():
             if self.pump.clock.monotonic() - start >= limit:
                 return None
             self.step()
--- a/bench/full_scale.py
+++ b/bench/full_scale.py
@@ -105,7 +105,7 @@
 def full_scale_rows(costs: NodeCosts, load) -> list[BenchRow]:
     """Return memory and processor time of a node at full scale.
 
-    :param load: ``Rate`` of the largest measured fleet under the changes of the full-scale fleet
+    :param load: ``ResourceUsage`` of the largest measured fleet at the full-scale change rates
     """
     from bench.convergence import CONFIG_CHANGES_PER_SECOND, RECORD_CHANGES_PER_SECOND, at_most
 
--- a/bench/hop.py
+++ b/bench/hop.py
@@ -81,7 +81,7 @@
         started = time.perf_counter()
         response = pool.request("GET", url, headers={"x-tenant": "bench"})
         if response.status != 200:
-            raise RuntimeError(f"{url} answered {response.status}: {response.data!r}")
+            raise RuntimeError(f"GET {url} returned status {response.status}: {response.data!r}")
         if number >= WARM_UP_CALLS:
             histogram.record_value(int((time.perf_counter() - started) * 1e6))
     return histogram
--- a/bench/load.py
+++ b/bench/load.py
@@ -20,8 +20,7 @@
     "least active": LeastActiveChooser,
     "random": RandomChooser,
 }
-# Worth of a response after its objective, where one in time is worth 1; the users' sites state 0.1
-# to 0.3.
+# Worth of a response after its objective, relative to one on time; users state 0.1 to 0.3.
 LATE_WORTH = 0.2
 ENDS = ("on time", "late", "refused", "failed", "left")
 COLUMNS = ("pattern", "choice", "worth", "lowest", *ENDS)
--- a/bench/load_model.py
+++ b/bench/load_model.py
@@ -55,7 +55,7 @@
 class ClientBehaviour(NamedTuple):
     """How clients react to refusals, failures and slow responses.
 
-    :ivar max_retries: how often a client repeats a request that was refused or failed
+    :ivar max_retries: maximum number of times that a client repeats a refused or failed request
     :ivar honours_retry_after: whether it waits for the retry-after time of a refusal
     :ivar timeout: time after which it abandons a request, None if it waits until the deadline
     """
@@ -133,7 +133,7 @@
     """A client's request, which the node offers to one target after another until one accepts it.
 
     :ivar work: service time on a target of speed 1
-    :ivar retries: how often the client has repeated the request
+    :ivar retries: number of times that the client has repeated the request
     :ivar refused_by: names of the targets that refused it since the client sent it
     :ivar server: the target that it was last sent to, None between two targets
     :ivar retry_after: retry-after time of the last refusal
@@ -193,7 +193,7 @@
         """Run the request; with ``unanswered_rate``, the target never responds to it."""
         self.started_at = self.system.clock.monotonic()
         if self.system.rng.random() < self.server.unanswered_rate:
-            self.system.schedule(self.terms.deadline_at - self.started_at, self.give_up)
+            self.system.schedule(self.terms.deadline_at - self.started_at, self.expire)
         else:
             self.system.schedule(self.work / self.server.speed, self.finish)
 
@@ -205,17 +205,17 @@
         ok = self.system.rng.random() >= self.server.failure_rate
         self.server.recorder.record(ROUTE, ok=ok, took=took, warm=True)
         self.server.queue.release(self, observed=ok)
-        self.system.schedule(self.one_way_delay(), lambda: self.answer(ok))
+        self.system.schedule(self.one_way_delay(), lambda: self.receive_response(ok))
 
-    def give_up(self) -> None:
-        """Give up at the deadline a run that the target does not answer."""
+    def expire(self) -> None:
+        """Abandon at the deadline a run that the target has not answered."""
         if self.done:
             return
         self._abandon()
         self.end("failed")
 
     def leave(self) -> None:
-        """Cancel the request because its client has left."""
+        """Cancel the request because its client has abandoned it."""
         if self.done:
             return
         if self.started_at is not None:
@@ -226,7 +226,7 @@
         self.system.record_end("left")
         self.done = True
 
-    def answer(self, ok: bool) -> None:
+    def receive_response(self, ok: bool) -> None:
         """Handle the response at the node."""
         if self.done:
             return
@@ -240,10 +240,10 @@
         """Return the refusal to the node, which tries another target."""
         self.refused_by.add(self.server.entry.target)
         report = self.server.report()
-        self.system.schedule(self.one_way_delay(), lambda: self._refused(report, retry_after))
+        self.system.schedule(self.one_way_delay(), lambda: self._try_next(report, retry_after))
 
     def end(self, outcome: str) -> None:
-        """Answer the client, which may repeat a refused or failed request before its deadline."""
+        """Return the outcome to the client, which may retry a refused or failed request in time."""
         retry = outcome in ("refused", "failed") and self.retries < self.behaviour.max_retries
         delay = self.retry_after if self.behaviour.honours_retry_after else ZERO
         remaining = self.terms.deadline_at - self.system.clock.monotonic() - delay
@@ -257,7 +257,8 @@
         self.server = self.started_at = None
         self.system.schedule(delay, lambda: self.done or self.send())
 
-    def _refused(self, report: LoadReport, retry_after: timedelta) -> None:
+    def _try_next(self, report: LoadReport, retry_after: timedelta) -> None:
+        """Record a refusal at the node and send the request to another target."""
         if self.done:
             return
         self.retry_after = retry_after
--- a/bench/meter.py
+++ b/bench/meter.py
@@ -82,23 +82,23 @@
 
     def get(self, key: str) -> Result[StoredObject, PlatformError]:
         """Read one object; its key and value are counted."""
-        return self._count(super().get(key), lambda found: [found])
+        return self._count(super().get(key), lambda stored: [stored])
 
     def update(
         self, key: str, value: bytes, revision: int, write_id: str
     ) -> Result[StoredObject, PlatformError]:
         """Replace an object; its key and the written value are counted."""
-        return self._count(super().update(key, value, revision, write_id), lambda found: [found])
+        return self._count(super().update(key, value, revision, write_id), lambda stored: [stored])
 
     def watch(
         self, prefix: str, after: int, timeout: timedelta
     ) -> Result[WatchResult, PlatformError]:
         """Return the changes so far; their keys and values are counted."""
-        return self._count(super().watch(prefix, after, timeout), lambda found: found.objects)
+        return self._count(super().watch(prefix, after, timeout), lambda changes: changes.objects)
 
     def list(self, prefix: str) -> Result[list[StoredObject], PlatformError]:
         """Read all objects under a prefix; their keys and values are counted."""
-        return self._count(super().list(prefix), lambda found: found)
+        return self._count(super().list(prefix), lambda objects: objects)
 
     def _count(self, result: Result, objects) -> Result:
         size = OBJECT_OVERHEAD_BYTES
--- a/bench/move_policies.py
+++ b/bench/move_policies.py
@@ -151,7 +151,7 @@
     :ivar zones: zone of each recorder's node; nodes of new targets come after ``nodes()``
     :ivar relays: evidence aggregator of each zone's relay
     :ivar coordinator_zone: zone whose relay coordinates the move, or will do so next
-    :ivar evidence: evidence under way: zone of the receiving relay or -1 for the coordinator,
+    :ivar evidence: evidence in transit: zone of the receiving relay or -1 for the coordinator,
         sender, evidence
     :ivar weights: share of the new version by node, cached within a tick
     """
--- a/bench/moves.py
+++ b/bench/moves.py
@@ -111,7 +111,7 @@
 
 
 def _result(case: Case, world: World, policy: Policy, completed_at: float | None) -> Result:
-    def since(start: float | None) -> float | None:
+    def seconds_to_last_request(start: float | None) -> float | None:
         if start is None or world.last_request_on_new is None:
             return None
         return max(0.0, world.last_request_on_new - start)
@@ -122,8 +122,8 @@
         policy.is_reverted(),
         world.harmed / max(world.requests, 1),
         world.exposed_at_fifth_bad,
-        since(world.first_bad),
-        since(world.fifth_bad),
+        seconds_to_last_request(world.first_bad),
+        seconds_to_last_request(world.fifth_bad),
         policy.bytes / max(world.now, 1) / len(policy.nodes()),
     )
 
@@ -234,14 +234,14 @@
         bad = [result for result in of_policy if result.case.kind.version.is_bad()]
         rows += good_rows(f"{policy}, all good kinds", good) if good else []
         rows += bad_rows(f"{policy}, all bad kinds", bad)[:2] if bad else []
-    size = max((result.bytes_per_node for result in results), default=0)
+    max_bytes = max((result.bytes_per_node for result in results), default=0)
     rows.append(
         BenchRow(
             "control bytes of moves for each node, most",
             "14,000",
-            f"{size:.0f}",
+            f"{max_bytes:.0f}",
             "B/s",
-            _verdict(size < 14_000),
+            _verdict(max_bytes < 14_000),
         )
     )
     return rows
--- a/bench/pump.py
+++ b/bench/pump.py
@@ -28,7 +28,7 @@
     :ivar max_jitter: longest random delay beyond ``MIN_DELAY``; it can reorder messages
     :ivar paused: addresses of nodes that do not run; messages to them are lost
     :ivar partitions: pairs of zones between which messages are lost
-    :ivar queue: messages under way: time of delivery, sequence number, sender, message
+    :ivar queue: messages in transit: time of delivery, sequence number, sender, message
     """
 
     def __init__(self, *, seed: int, drop_rate: float = 0.0, meter: Meter | None = None):
@@ -119,7 +119,7 @@
     def _watch(self, address: str, node: ControlNode) -> None:
         """Run a node's watch once its long poll would return.
 
-        That is after the watch time-out if the poll has to wait for a change, otherwise after
+        That is after the watch timeout if the poll has to wait for a change, otherwise after
         the source's delay.
         """
         source = node.source
@@ -141,10 +141,10 @@
         self.send(send.to, self._run(send.to, node.handle, send.message, sender))
 
     def _is_partitioned(self, sender: str, receiver: ControlNode) -> bool:
-        source = self.nodes.get(sender)
-        if source is None or not self.partitions:
+        sending_node = self.nodes.get(sender)
+        if sending_node is None or not self.partitions:
             return False
-        return frozenset((source.identity.zone, receiver.identity.zone)) in self.partitions
+        return frozenset((sending_node.identity.zone, receiver.identity.zone)) in self.partitions
 
     def _count(self, sender: str, send: Send) -> None:
         self.message_counts[type(send.message).__name__] += 1
--- a/bench/request_costs.py
+++ b/bench/request_costs.py
@@ -199,8 +199,8 @@
     table = TenantLimits(clock=clock) if bounded else UnboundedTenantLimits(clock)
 
     def take(name: str) -> bool:
-        answer = table.take(name)
-        return isinstance(answer, Allowed) if bounded else answer
+        decision = table.take(name)
+        return isinstance(decision, Allowed) if bounded else decision
 
     for number in range(100):
         take(f"known-{number}")
--- a/bench/request_model.py
+++ b/bench/request_model.py
@@ -212,11 +212,11 @@
         deadline = timedelta(milliseconds=call.deadline_ms)
         request = SlotRequest(name, call.request_class, deadline)
         target.calls[name] = call
-        answer = target.queue.offer(request)
-        if isinstance(answer, Admitted):
+        admission = target.queue.offer(request)
+        if isinstance(admission, Admitted):
             self._start(name, target)
-        elif isinstance(answer, Queued):
-            for item in answer.shed:
+        elif isinstance(admission, Queued):
+            for item in admission.shed:
                 self._refuse(item.request.request_id, target)
         else:
             self._refuse(name, target)
--- a/bench/request_parts.py
+++ b/bench/request_parts.py
@@ -49,8 +49,8 @@
         deadline = timedelta(milliseconds=call.deadline_ms)
         failure = make_failure(reason)
         attempt = Attempt("s", failure, len(call.tried) - 1, True, True, deadline)
-        answer = self.policy.decide(attempt)
-        return answer.delay / timedelta(milliseconds=1) if isinstance(answer, Retry) else None
+        decision = self.policy.decide(attempt)
+        return decision.delay / timedelta(milliseconds=1) if isinstance(decision, Retry) else None
 
 
 class PlainChooser:
