Name values in tests by what they hold

Transports called one and two are sender, receiver or transport, by their role in the test. Values called found, other and seen are reported, versions, nodes, moves, targets, rollout, buckets, allowed, changes, other_object or second_apply. The storage tests called their package platform. The checks, bounds and literals are unchanged.

--- a/test/core/test_workers.py
+++ b/test/core/test_workers.py
@@ -26,9 +26,9 @@
         results = iter([ValueError("first"), KeyError("second"), None])
 
         def run():
-            found = next(results)
-            if found is not None:
-                raise found
+            error = next(results)
+            if error is not None:
+                raise error
 
         spawn_worker("reader", run).wait()
         logged = [(call.args[0], call.kwargs["worker"]) for call in self.log.call_args_list]
--- a/test/daemon/test_metrics.py
+++ b/test/daemon/test_metrics.py
@@ -76,11 +76,11 @@
     def test_latencies_fall_into_their_buckets(self):
         self.observe("t", timedelta(milliseconds=30))
         self.observe("t", timedelta(seconds=60))
-        found = {
+        buckets = {
             match[1]: float(match[2])
             for line in self.samples()
             if (match := re.match(r'almondshore_request_seconds_bucket.*le="([^"]+)".* (.*)', line))
         }
         self.assertEqual(
-            (0.0, 1.0, 1.0, 2.0), tuple(found[b] for b in ("0.025", "0.05", "10.0", "+Inf"))
+            (0.0, 1.0, 1.0, 2.0), tuple(buckets[b] for b in ("0.025", "0.05", "10.0", "+Inf"))
         )
--- a/test/daemon/test_settings.py
+++ b/test/daemon/test_settings.py
@@ -48,8 +48,8 @@
     }
     for key, value in values.items():
         section, _, name = key.rpartition(".")
-        target = nested.setdefault(section, {}) if section else nested
-        target[name] = value
+        mapping = nested.setdefault(section, {}) if section else nested
+        mapping[name] = value
     return yaml.safe_dump(nested)
 
 
@@ -82,16 +82,16 @@
     @settings(max_examples=300, derandomize=True, deadline=None)
     def test_every_invalid_value_is_reported_at_its_key(self, invalid):
         """Guards against findings that are reported one at a time, or without a position."""
-        found = findings(settings_yaml(invalid))
+        reported = findings(settings_yaml(invalid))
         for key in invalid:
-            of_key = [item for item in found if key in item.message]
+            of_key = [item for item in reported if key in item.message]
             self.assertTrue(
-                of_key and all(item.line and item.column for item in of_key), (key, found)
+                of_key and all(item.line and item.column for item in of_key), (key, reported)
             )
-        self.assertEqual(sorted(found), found)
-        self.assertTrue(all("\n" not in str(item) for item in found))
+        self.assertEqual(sorted(reported), reported)
+        self.assertTrue(all("\n" not in str(item) for item in reported))
         self.assertFalse(
-            [item for item in found if not any(key in item.message for key in invalid)]
+            [item for item in reported if not any(key in item.message for key in invalid)]
         )
 
     @given(
@@ -110,13 +110,13 @@
             for key in VALID_SETTINGS
             if key not in missing
         ]
-        found = findings("\n".join(lines))
-        unknown_keys = {item.message.split()[0] for item in found if item.code == "unknown-key"}
-        missing_keys = {item.message.split()[0] for item in found if item.code == "missing"}
+        reported = findings("\n".join(lines))
+        unknown_keys = {item.message.split()[0] for item in reported if item.code == "unknown-key"}
+        missing_keys = {item.message.split()[0] for item in reported if item.code == "missing"}
         self.assertEqual(set(extra), unknown_keys)
         names = {"node": "node", "zone": "zone", "platform": "platform.url"}
         self.assertEqual({names[key] for key in missing}, missing_keys)
-        self.assertEqual(len(extra) + len(missing), len(found))
+        self.assertEqual(len(extra) + len(missing), len(reported))
 
     @given(data=st.one_of(st.binary(max_size=60), st.text("a:[]{}-*&!|>'\"#%\n\t ,?", max_size=40)))
     @settings(max_examples=400, derandomize=True, deadline=None)
@@ -143,8 +143,8 @@
             ("# " + "x" * 300_000, "file-too-large", 0),
             ("- 1\n", "not-a-mapping", 1),
         ):
-            found = findings(text)
-            self.assertIn((code, line), [(item.code, item.line) for item in found], found)
+            reported = findings(text)
+            self.assertIn((code, line), [(item.code, item.line) for item in reported], reported)
 
     def test_unreadable_file_is_a_finding(self):
         error = self.assertRaises(InvalidInputError, load_settings, "/nonexistent/node.yaml")
--- a/test/net/test_nng.py
+++ b/test/net/test_nng.py
@@ -62,69 +62,69 @@
             while not condition():
                 eventlet.sleep(0.005)
 
-    def test_messages_arrive_whole(self):
-        one, two = self.transport(), self.transport()
+    def test_messages_arrive_complete(self):
+        sender, receiver = self.transport(), self.transport()
         large = snapshot_of_size(MAX_MESSAGE_BYTES - 1000)
         for message in (Busy(1.0), large):
-            self.assertTrue(one.send(Send(two.address, message)))
+            self.assertTrue(sender.send(Send(receiver.address, message)))
         self.wait_for(lambda: len(self.received) == 2)
         self.assertEqual(
-            [Envelope(one.address, "z1", Busy(1.0)), Envelope(one.address, "z1", large)],
+            [Envelope(sender.address, "z1", Busy(1.0)), Envelope(sender.address, "z1", large)],
             self.received,
         )
 
     def test_a_restarted_peer_is_reached_again(self):
         """Guards against a node that stays cut off from a relay that was restarted."""
-        one, two = self.transport(), self.transport()
-        one.send(Send(two.address, Busy(1.0)))
+        sender, receiver = self.transport(), self.transport()
+        sender.send(Send(receiver.address, Busy(1.0)))
         self.wait_for(lambda: self.received)
-        two.close()
-        two.greenlet.wait()
+        receiver.close()
+        receiver.greenlet.wait()
         after = []
-        self.transport(address=two.address, handler=after.append)
-        self.wait_for(lambda: one.send(Send(two.address, Busy(2.0))) and after)
+        self.transport(address=receiver.address, handler=after.append)
+        self.wait_for(lambda: sender.send(Send(receiver.address, Busy(2.0))) and after)
         self.assertEqual(Busy(2.0), after[-1].message)
 
     def test_a_dead_peer_fills_only_its_own_buffer(self):
         """Guards against an unreachable peer that blocks the loop or the traffic of others."""
-        one, two = self.transport(), self.transport()
-        dead = format_address(allocate_address())
-        sent = [one.send(Send(dead, Busy(1.0))) for _ in range(3 * SEND_BUFFER_MESSAGES)]
+        sender, live_peer = self.transport(), self.transport()
+        dead_address = format_address(allocate_address())
+        sent = [sender.send(Send(dead_address, Busy(1.0))) for _ in range(3 * SEND_BUFFER_MESSAGES)]
         self.assertEqual(sorted(sent, reverse=True), sent)
         self.assertTrue(SEND_BUFFER_MESSAGES <= sum(sent) <= SEND_BUFFER_MESSAGES + 2, sum(sent))
-        self.assertTrue(one.send(Send(two.address, Busy(2.0))))
+        self.assertTrue(sender.send(Send(live_peer.address, Busy(2.0))))
         self.wait_for(lambda: self.received)
 
     def test_a_message_or_address_that_cannot_be_sent_is_dropped(self):
         """Guards against an invalid message of a state machine that raises in the sender."""
-        one = self.transport()
+        sender = self.transport()
         self.assertFalse(
-            one.send(Send(format_address(allocate_address()), snapshot_of_size(MAX_MESSAGE_BYTES)))
+            sender.send(Send(format_address(allocate_address()), snapshot_of_size(MAX_MESSAGE_BYTES)))
         )
         for address in ("", "localhost:7402", "127.0.0.1:99999999", "\x00", "::1:7402"):
-            self.assertFalse(one.send(Send(address, Busy(1.0))), address)
-        self.assertEqual(5, one.counts["send_dropped_bad_address"])
-        self.assertEqual({}, dict(one.peers))
+            self.assertFalse(sender.send(Send(address, Busy(1.0))), address)
+        self.assertEqual(5, sender.counts["send_dropped_bad_address"])
+        self.assertEqual({}, dict(sender.peers))
 
     def test_bad_input_is_counted_and_not_fatal(self):
         """Guards against one faulty or foreign peer ending a node's control plane."""
-        one = self.transport(clock=ManualClock())
-        raw, rng = self.raw_push(one), random.Random(1)
+        receiver = self.transport(clock=ManualClock())
+        raw, rng = self.raw_push(receiver), random.Random(1)
         good = encode(Envelope("127.0.0.1:1", "z9", Busy(1.0)))
         bad = [b"", b"\xc1", good[:-1], good + b"x", good.replace(b"Busy", b"Bosy")]
         bad += [rng.randbytes(rng.randrange(200)) for _ in range(50)]
         for data in bad:
             raw.send(data)
-        self.raw_push(one).send(bytes(MAX_MESSAGE_BYTES + 1))
+        self.raw_push(receiver).send(bytes(MAX_MESSAGE_BYTES + 1))
         for data in (b"GET / HTTP/1.1\r\n\r\n", b"\x00SP\x00\x00\x50\x00\x00" + b"\xff" * 64):
-            foreign = socket.create_connection(host_and_port(one))
+            foreign = socket.create_connection(host_and_port(receiver))
             foreign.sendall(data)
             self.addCleanup(foreign.close)
         raw.send(good)
-        self.wait_for(lambda: self.received and one.counts["message_malformed"] == len(bad))
+        self.wait_for(lambda: self.received and receiver.counts["message_malformed"] == len(bad))
         self.assertEqual([Envelope("127.0.0.1:1", "z9", Busy(1.0))], self.received)
         self.assertEqual(1, self.log.getvalue().count("event=message_malformed"))
-        one.clock.advance(LOG_INTERVAL)
+        receiver.clock.advance(LOG_INTERVAL)
         raw.send(b"\xc1")
         self.wait_for(lambda: f"total={len(bad) + 1}" in self.log.getvalue())
 
@@ -135,18 +135,20 @@
             self.received.append(envelope)
             raise KeyError("bug")
 
-        one, two = self.transport(), self.transport(handler=handle)
+        sender, receiver = self.transport(), self.transport(handler=handle)
         for _ in range(3):
-            one.send(Send(two.address, Busy(1.0)))
+            sender.send(Send(receiver.address, Busy(1.0)))
         self.wait_for(lambda: len(self.received) == 3)
-        self.assertEqual(3, two.counts["message_handler_failed"])
+        self.assertEqual(3, receiver.counts["message_handler_failed"])
 
     def test_no_python_code_runs_on_the_threads_of_nng(self):
         """Guards against pynng's callbacks, whose contended green lock hangs nng's threads."""
-        one, two = self.transport(), self.transport()
-        one.send(Send(two.address, Busy(1.0)))
+        sender, receiver = self.transport(), self.transport()
+        sender.send(Send(receiver.address, Busy(1.0)))
         self.wait_for(lambda: self.received)
-        self.assertEqual(((), ()), (two.socket.pipes, one.peers[two.address].socket.pipes))
+        self.assertEqual(
+            ((), ()), (receiver.socket.pipes, sender.peers[receiver.address].socket.pipes)
+        )
 
     def test_many_peers_use_no_more_threads(self):
         """Guards against a relay that uses a thread per subscriber."""
@@ -165,44 +167,44 @@
         self.assertEqual(before, len(os.listdir("/proc/self/task")))
 
     def test_the_peer_table_is_bounded(self):
-        """Guards against sockets kept for peers long gone, and against reconnects on every send."""
+        """Guards against sockets kept for departed peers, and against a reconnect on every send."""
         clock = ManualClock()
-        one = self.transport(clock=clock, max_peers=3)
+        transport = self.transport(clock=clock, max_peers=3)
         addresses = [format_address(allocate_address()) for _ in range(5)]
-        sent = [one.send(Send(address, Busy(1.0))) for address in addresses]
+        sent = [transport.send(Send(address, Busy(1.0))) for address in addresses]
         self.assertEqual([True] * 3 + [False] * 2, sent)
         clock.advance(EVICTION_MIN_IDLE)
-        one.send(Send(addresses[0], Busy(1.0)))
-        self.assertTrue(one.send(Send(addresses[3], Busy(1.0))))
-        self.assertEqual([addresses[i] for i in (2, 0, 3)], list(one.peers))
+        transport.send(Send(addresses[0], Busy(1.0)))
+        self.assertTrue(transport.send(Send(addresses[3], Busy(1.0))))
+        self.assertEqual([addresses[i] for i in (2, 0, 3)], list(transport.peers))
         clock.advance(IDLE_TIMEOUT)
-        one.send(Send(addresses[4], Busy(1.0)))
-        self.assertEqual([addresses[4]], list(one.peers))
+        transport.send(Send(addresses[4], Busy(1.0)))
+        self.assertEqual([addresses[4]], list(transport.peers))
 
     def test_close_ends_receiving_and_sending(self):
         """Guards against a shutdown that hangs on an idle transport."""
-        one = self.transport()
+        transport = self.transport()
         eventlet.sleep(0)
-        one.close()
+        transport.close()
         with eventlet.Timeout(WAIT_SECONDS):
-            one.greenlet.wait()
-        self.assertFalse(one.send(Send(format_address(allocate_address()), Busy(1.0))))
+            transport.greenlet.wait()
+        self.assertFalse(transport.send(Send(format_address(allocate_address()), Busy(1.0))))
 
     def test_a_flood_leaves_turns_to_other_greenlets(self):
         """Guards against a peer whose continuous sending starves the handling of requests."""
         data = encode(Envelope("127.0.0.1:1", "z1", Busy(1.0)))
 
         def handle(_):
-            one.closed = len(turns) >= 3 or one.counts["received"] >= 100 * RECEIVE_BATCH
+            receiver.closed = len(turns) >= 3 or receiver.counts["received"] >= 100 * RECEIVE_BATCH
 
-        one = self.transport(handler=handle)
+        receiver = self.transport(handler=handle)
         turns = []
-        one.socket.close()
-        one.socket = SimpleNamespace(recv=lambda block: data, close=lambda: None)
+        receiver.socket.close()
+        receiver.socket = SimpleNamespace(recv=lambda block: data, close=lambda: None)
         eventlet.spawn(lambda: [turns.append(eventlet.sleep(0)) for _ in range(4)])
         with eventlet.Timeout(WAIT_SECONDS):
-            one.greenlet.wait()
-        self.assertTrue(one.counts["received"] <= 5 * RECEIVE_BATCH, one.counts)
+            receiver.greenlet.wait()
+        self.assertTrue(receiver.counts["received"] <= 5 * RECEIVE_BATCH, receiver.counts)
 
 
 def host_and_port(transport):
--- a/test/storage/__init__.py
+++ b/test/storage/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of the platform package."""
+"""Tests of the storage package."""
--- a/test/storage/test_budget.py
+++ b/test/storage/test_budget.py
@@ -88,8 +88,8 @@
             self.assertIsInstance(platform.create("k", b"v", "w").failure(), BudgetExceeded)
         budget.set_rates(RELAY_RATES)
         clock.advance(timedelta(seconds=1))
-        found = [is_successful(platform.get("k")) for _ in range(6)]
-        self.assertEqual([True] * 3 + [False] * 3, found)
+        allowed = [is_successful(platform.get("k")) for _ in range(6)]
+        self.assertEqual([True] * 3 + [False] * 3, allowed)
         budget.set_rates(SMALL_RATES)
         clock.advance(timedelta(milliseconds=900))
         self.assertIsInstance(platform.get("k").failure(), BudgetExceeded)
--- a/test/storage/test_http.py
+++ b/test/storage/test_http.py
@@ -67,8 +67,8 @@
         self.assertEqual(
             ["a/../x?%2F#", "a/b ü"], [o.key for o in self.platform.list("a/").unwrap()]
         )
-        seen = self.platform.watch("b", 3, timedelta()).unwrap()
-        self.assertEqual((4, [updated]), (seen.position, seen.objects))
+        changes = self.platform.watch("b", 3, timedelta()).unwrap()
+        self.assertEqual((4, [updated]), (changes.position, changes.objects))
         self.assertEqual([], self.platform.watch("b", 4, timedelta()).unwrap().objects)
 
     def test_refusals_are_typed(self):
@@ -204,10 +204,10 @@
 
     def test_a_response_for_another_key_is_not_accepted(self):
         """Guards against the response to another call on the same connection being accepted."""
-        other = http_response(OBJECT.replace(b'"k"', b'"other"'))
+        other_object = http_response(OBJECT.replace(b'"k"', b'"other"'))
         for first, second in (
-            (http_response(OBJECT), other),
-            (http_response(OBJECT) + other, http_response(OBJECT)),
+            (http_response(OBJECT), other_object),
+            (http_response(OBJECT) + other_object, http_response(OBJECT)),
             (http_response(OBJECT) + http_response(b" " * 100_000), http_response(OBJECT)),
         ):
             results, _ = self.call(first, second, calls=2, keep_open=True)
--- a/test/storage/test_retry.py
+++ b/test/storage/test_retry.py
@@ -33,9 +33,9 @@
         self.assertTrue(store.counts["refused"] >= 1)
 
     def call(self, *results, seed=1, policy=RetryPolicy()):  # noqa: B008
-        """Return the outcome of a read whose attempts give ``results``, its delays and the rest.
+        """Read an object from a platform that returns ``results`` in turn.
 
-        :returns: the final result, the delays between attempts, the number of results not used
+        :return: the final result, the delays between attempts, the number of results not used
         """
         clock, waits, left = ManualClock(), [], list(results)
 
--- a/test/ui/test_apply_races.py
+++ b/test/ui/test_apply_races.py
@@ -22,8 +22,8 @@
         for number, (lost, down, when, write_number) in enumerate(script):
             platform = ScriptedPlatform(store=self.store)
             platform.lost, platform.down = set(lost), set(down)
-            other = self.make_apply(f"b{number}", self.platform)
-            getattr(platform, when)[write_number] = other
+            second_apply = self.make_apply(f"b{number}", self.platform)
+            getattr(platform, when)[write_number] = second_apply
             self.make_apply(f"a{number}", platform)()
         published_authors = self.published_authors()
         for author, (code, _, err) in self.results.items():
--- a/test/ui/test_commands.py
+++ b/test/ui/test_commands.py
@@ -71,8 +71,8 @@
         for burst in (1, 2, 3):
             self.apply(RULES.replace("100", str(burst)), "Livia", "--reason", f"b{burst}")
         out = json.loads(self.run_tool("history", "--limit", "2", "--json")[1])
-        found = [(item["version"], item["reason"]) for item in out["versions"]]
-        self.assertEqual([(3, "b3"), (2, "b2")], found)
+        versions = [(item["version"], item["reason"]) for item in out["versions"]]
+        self.assertEqual([(3, "b3"), (2, "b2")], versions)
         self.assertEqual(4, len(self.run_tool("history")[1].splitlines()))
         self.assertIn("burst 2 ", self.run_tool("history", "--rules", "2")[1])
         self.assertEqual(1, self.run_tool("history", "--rules", "7")[0])
@@ -88,16 +88,16 @@
         out = self.run_tool("nodes")[1]
         self.assertIn("desk v1 up at 10.0.0.2:80", out)
         self.assertNotIn("\x1b", out)
-        found = json.loads(self.run_tool("nodes", "--zone", "a", "--json")[1])["nodes"]
-        self.assertEqual(["n1"], [item["node"] for item in found])
+        nodes = json.loads(self.run_tool("nodes", "--zone", "a", "--json")[1])["nodes"]
+        self.assertEqual(["n1"], [item["node"] for item in nodes])
 
     def test_moves_merge_zones(self):
         """Guards against hiding that one zone is behind or reports a risk."""
         self.report("a", {}, moves=[move_status(25, "active")])
         self.report("b", {}, moves=[move_status(5, "active", at_risk=True)])
-        found = json.loads(self.run_tool("moves", "--json")[1])["moves"]
-        self.assertEqual(1, len(found))
-        self.assertEqual(([5, 25], True), (found[0]["steps_percent"], found[0]["at_risk"]))
+        moves = json.loads(self.run_tool("moves", "--json")[1])["moves"]
+        self.assertEqual(1, len(moves))
+        self.assertEqual(([5, 25], True), (moves[0]["steps_percent"], moves[0]["at_risk"]))
         self.assertIn("5% to 25%", self.run_tool("moves")[1])
 
     def test_failures_are_one_line(self):
@@ -144,20 +144,20 @@
 
     def test_targets_of_a_node(self):
         """Guards against an outage in which operators cannot see the targets that a node knows."""
-        found = [
+        targets = [
             {"target": "i-1", "service": "s", "version": "v1", "zone": "a", "node": "10.0.0.1:8"}
             | {"state": "ready", "answers": True},
             {"target": "i-2", "service": "s", "version": "v2", "zone": "b", "node": "10.0.0.2:8"}
             | {"state": "draining\x1b[2J", "answers": False},
         ]
-        url, requests = self.serve(200, json.dumps({"targets": found}).encode())
+        url, requests = self.serve(200, json.dumps({"targets": targets}).encode())
         code, out, err = self.run_tool("nodes", "--node", url, url="")
         self.assertEqual((0, ["/targets"], ""), (code, requests, err))
         lines = [line.split() for line in out.splitlines()]
         self.assertIn(["a", "10.0.0.1:8", "s", "v1", "ready", "yes", "i-1"], lines)
         self.assertNotIn("\x1b", out)
         out = self.run_tool("nodes", "--node", url, "--zone", "b", "--json", url="")[1]
-        self.assertEqual(found[1:], json.loads(out)["targets"])
+        self.assertEqual(targets[1:], json.loads(out)["targets"])
         url, _ = self.serve(200, b"[]")
         self.assertEqual(1, self.run_tool("nodes", "--node", url, url="")[0])
 
@@ -167,8 +167,8 @@
         code, out, err = self.run_tool("moves", "--node", url, url="")
         self.assertEqual((0, ["/status"], ""), (code, requests, err))
         self.assertIn("25%", out)
-        (found,) = json.loads(self.run_tool("moves", "--node", url, "--json", url="")[1])["moves"]
-        self.assertEqual(("v2", "running", 0.25), tuple(found[k] for k in ROLLOUT_FIELDS))
+        (rollout,) = json.loads(self.run_tool("moves", "--node", url, "--json", url="")[1])["moves"]
+        self.assertEqual(("v2", "running", 0.25), tuple(rollout[k] for k in ROLLOUT_FIELDS))
 
     def test_node(self):
         """Guards against output that hides the age of a node's state or has terminal sequences."""
