Call the outcome of a test request a result

In the process tests an answer was the result of a request at its caller, although it also stands for a lost connection, and found was a count, a zone or a total. The class is CallResult; answers, count_answers, answers_before and check_never_older are results, count_results, results_before and check_versions_never_decrease. Docstrings name SIGTERM where a process was told to stop. The checks, bounds and literals are unchanged.

--- a/test/process/processtest.py
+++ b/test/process/processtest.py
@@ -80,7 +80,7 @@
     """Shares one deployment between the tests of a class."""
 
     zones = NODES
-    # Targets that the directory of every node must contain.
+    # Targets that the directories of all nodes must contain.
     targets: Sequence[TargetProcess] = ()
 
     @classmethod
@@ -127,18 +127,18 @@
         self.wait(lambda: self.converged(names), f"version {self.version}")
 
     @classmethod
-    def wait(cls, condition, what, timeout=CONVERGENCE_TIMEOUT):
+    def wait(cls, condition, description, timeout=CONVERGENCE_TIMEOUT):
         """Wait for a condition; a failure reports the state and last log lines of the nodes."""
         try:
-            wait_for(condition, what, timeout)
+            wait_for(condition, description, timeout)
         except TimeoutError as error:
             raise AssertionError(f"{error}\n{cls.deployment.diagnostics()}") from error
 
     def relay_of(self, zone, without=()):
         """Return a node that is a relay of the zone, except those named, or None."""
-        for name, found in self.zones.items():
+        for name, node_zone in self.zones.items():
             node = self.deployment.nodes[name]
-            if found == zone and name not in without:
+            if node_zone == zone and name not in without:
                 status = self.deployment.status_of(node)
                 if status.get("is_relay"):
                     return node
--- a/test/process/test_configuration.py
+++ b/test/process/test_configuration.py
@@ -13,9 +13,9 @@
         self.addCleanup(self.sampler.stop)
 
     def other_nodes(self, name):
-        return [other for other in self.zones if other != name]
+        return [node for node in self.zones if node != name]
 
-    def check_never_older(self):
+    def check_versions_never_decrease(self):
         self.sampler.stop()
         self.assertGreater(self.sampler.samples, 0)
         self.assertEqual([], self.sampler.decreases)
@@ -32,7 +32,7 @@
         self.wait_converged(*self.other_nodes(relay.name))
         self.deployment.restart_node(relay.name)
         self.wait_converged()
-        self.check_never_older()
+        self.check_versions_never_decrease()
 
     def test_lost_responses_of_the_platform(self):
         """Guards against an apply that fails or publishes twice when responses are lost."""
@@ -47,10 +47,10 @@
             for node in self.deployment.nodes.values()
         }
         self.assertEqual({before + 1}, versions)
-        self.check_never_older()
+        self.check_versions_never_decrease()
 
     def test_restart_while_the_platform_is_down(self):
-        """Guards against a node that starts without the platform and takes an older version."""
+        """Guards against a node that uses an older version if the platform is down at its start."""
         self.apply()
         self.wait_converged()
         node = self.deployment.nodes["node-b2"]
@@ -63,7 +63,7 @@
         status = self.deployment.status_of(self.deployment.nodes[node.name])
         self.assertEqual(self.version, status["config_version"])
         self.deployment.set_fault("none")
-        self.check_never_older()
+        self.check_versions_never_decrease()
 
     def test_relay_paused_past_its_lease(self):
         """Guards against a relay that resumes after its lease and distributes an older version."""
@@ -78,4 +78,4 @@
         self.wait_converged()
         self.apply()
         self.wait_converged()
-        self.check_never_older()
+        self.check_versions_never_decrease()
--- a/test/process/test_once.py
+++ b/test/process/test_once.py
@@ -53,26 +53,26 @@
 
         A failure reports the last responses.
         """
-        answers = []
+        results = []
 
         def granted():
             self.sent += 1
-            new = [f"{self.id()}-{self.sent}-{number}" for number in range(keys)]
-            answers[:] = [self.push(key, name)[0] for key in new]
-            return all(answer.status == 200 for answer in answers)
+            new_keys = [f"{self.id()}-{self.sent}-{number}" for number in range(keys)]
+            results[:] = [self.push(key, name)[0] for key in new_keys]
+            return all(result.status == 200 for result in results)
 
         try:
             self.wait(granted, "grants of new keys", GRANT_TIMEOUT)
         except AssertionError as error:
-            seen = Counter((answer.status, answer.outcome, answer.reason) for answer in answers)
-            raise AssertionError(f"{seen}\n{error}") from error
+            counts = Counter((result.status, result.outcome, result.reason) for result in results)
+            raise AssertionError(f"{counts}\n{error}") from error
 
     def runs(self):
         """Return the number of runs of each key; runs of killed targets as read before the kill."""
-        found = Counter(self.runs_of_killed)
+        runs = Counter(self.runs_of_killed)
         for target in self.targets:
-            found.update(self.deployment.runs_of(target)["by_key"])
-        return found
+            runs.update(self.deployment.runs_of(target)["by_key"])
+        return runs
 
     def check_once(self, keys):
         runs = self.runs()
@@ -83,8 +83,8 @@
         self.wait_granted("node-a2")
         keys = [f"resent-{number}" for number in range(KEYS)]
         for key in keys:
-            answers = self.push(key)
-            self.assertEqual({200}, {answer.status for answer in answers}, answers)
+            results = self.push(key)
+            self.assertEqual({200}, {result.status for result in results}, results)
         self.check_once(keys)
         killed_target = max(self.targets, key=lambda t: self.deployment.runs_of(t)["runs"])
         self.runs_of_killed.update(self.deployment.runs_of(killed_target)["by_key"])
--- a/test/process/test_requests.py
+++ b/test/process/test_requests.py
@@ -14,8 +14,8 @@
 LATENCY = ("--latency-ms", "100")
 
 
-class Answer(NamedTuple):
-    """Result of a request at its caller.
+class CallResult(NamedTuple):
+    """Result of a request as its caller sees it.
 
     :ivar status: HTTP status; 0 if the response was cut off, -1 if no connection was made
     """
@@ -33,7 +33,7 @@
     def __init__(self, test, addresses, method, prefix, *, callers=6):
         self.method, self.prefix = method, prefix
         self.addresses = addresses
-        self.answers: list[Answer] = []
+        self.results: list[CallResult] = []
         self.ended = threading.Event()
         self.threads = [
             threading.Thread(target=self._run, args=(number,), daemon=True)
@@ -47,7 +47,7 @@
         self.ended.set()
         for thread in self.threads:
             thread.join()
-        return self.answers
+        return self.results
 
     def _run(self, number):
         # Each request uses its own connection, because a draining node may close idle ones.
@@ -57,8 +57,8 @@
             address = self.addresses[(number + sent) % len(self.addresses)]
             name = f"{id(self)}-{number}-{sent}"
             sent += 1
-            answer = send(http, address, self.method, f"{self.prefix}/{name}")
-            self.answers.append(answer)
+            result = send(http, address, self.method, f"{self.prefix}/{name}")
+            self.results.append(result)
 
 
 def send(http, address, method, path, key=""):
@@ -70,10 +70,10 @@
         if response.status == 200:
             json.loads(response.data)
     except urllib3.exceptions.NewConnectionError:
-        return Answer(path, key, -1, NOT_RUN, "")
+        return CallResult(path, key, -1, NOT_RUN, "")
     except urllib3.exceptions.HTTPError as error:
-        return Answer(path, key, 0, "", repr(error))
-    return Answer(
+        return CallResult(path, key, 0, "", repr(error))
+    return CallResult(
         path,
         key,
         response.status,
@@ -108,22 +108,22 @@
                 paths.update(self.deployment.runs_of(target)["by_path"])
         return paths
 
-    def check_runs(self, answers, *, once):
+    def check_runs(self, results, *, once):
         """Check that requests reported as not run did not run.
 
         :param once: whether to check also that no request ran more than once
         """
         paths = self.runs()
-        ran_anyway = [a for a in answers if a.outcome == NOT_RUN and paths[a.path]]
+        ran_anyway = [r for r in results if r.outcome == NOT_RUN and paths[r.path]]
         self.assertEqual([], ran_anyway)
         if once:
-            self.assertEqual([], [a for a in answers if paths[a.path] > 1])
+            self.assertEqual([], [r for r in results if paths[r.path] > 1])
 
-    def count_answers(self, answers):
-        """Count the answers by status and reason; check that no response was cut off."""
-        found = Counter((a.status, a.reason) for a in answers)
-        self.assertEqual([], [a for a in answers if a.status == 0])
-        return found
+    def count_results(self, results):
+        """Count the results by status and reason; check that no response was cut off."""
+        counts = Counter((r.status, r.reason) for r in results)
+        self.assertEqual([], [r for r in results if r.status == 0])
+        return counts
 
     def restart_stopped_nodes(self):
         """Restart the nodes that a test has stopped, and wait until all nodes have converged."""
@@ -133,7 +133,7 @@
         self.wait_converged()
 
     def test_a_target_leaves_under_load(self):
-        """Guards against requests that fail or are cut off when a target is told to stop."""
+        """Guards against requests that fail or are cut off when a target gets SIGTERM."""
         target = self.deployment.start_target(
             self.deployment.nodes["node-b2"], "counter-app", "v1", *LATENCY
         )
@@ -144,28 +144,28 @@
         target.process.terminate()
         self.assertEqual(0, target.process.wait(60))
         self.targets.remove(target)
-        answers_before = len(load.answers)
+        results_before = len(load.results)
         self.wait(
-            lambda: len(load.answers) > answers_before + 50, "requests after the target's end"
+            lambda: len(load.results) > results_before + 50, "requests after the target's end"
         )
-        answers = load.stop()
-        self.assertEqual({(200, "")}, set(self.count_answers(answers)))
-        self.check_runs(answers, once=False)
+        results = load.stop()
+        self.assertEqual({(200, "")}, set(self.count_results(results)))
+        self.check_runs(results, once=False)
 
     def test_b_node_leaves_under_load(self):
-        """Guards against requests that are cut off when a node is told to stop."""
+        """Guards against requests that are cut off when a node gets SIGTERM."""
         node = self.deployment.nodes["node-a2"]
         load = Load(self, self.callers(), "GET", "/schedule", callers=8)
-        self.wait(lambda: len(load.answers) > 50, "load")
+        self.wait(lambda: len(load.results) > 50, "load")
         node.process.terminate()
         self.assertEqual(0, node.process.wait(60))
-        answers_before = len(load.answers)
-        self.wait(lambda: len(load.answers) > answers_before + 100, "requests after the node's end")
-        answers = load.stop()
-        found = self.count_answers(answers)
-        self.check_runs(answers, once=False)
+        results_before = len(load.results)
+        self.wait(lambda: len(load.results) > results_before + 100, "requests after the node's end")
+        results = load.stop()
+        counts = self.count_results(results)
+        self.check_runs(results, once=False)
         # Callers of the stopped node itself get no connection.
-        self.assertEqual({(200, ""), (-1, "")}, set(found), found)
+        self.assertEqual({(200, ""), (-1, "")}, set(counts), counts)
         self.restart_stopped_nodes()
 
     def test_c_target_killed_while_it_runs_pushes(self):
@@ -177,14 +177,14 @@
         self.wait(lambda: self.deployment.runs_of(killed_target)["runs"] > 5, "load on the target")
         killed_target.process.kill()
         killed_target.process.wait()
-        answers_before = len(load.answers)
+        results_before = len(load.results)
         self.wait(
-            lambda: len(load.answers) > answers_before + 100, "requests after the target's death"
+            lambda: len(load.results) > results_before + 100, "requests after the target's death"
         )
-        answers = load.stop()
+        results = load.stop()
         self.targets.remove(killed_target)
-        self.count_answers(answers)
-        self.check_runs(answers, once=True)
+        self.count_results(results)
+        self.check_runs(results, once=True)
         # Requests in flight when the target died may have run there, but not at another target.
-        lost = [a for a in answers if a.status != 200 and a.outcome != NOT_RUN]
-        self.assertEqual([], [a for a in lost if self.runs()[a.path]])
+        lost = [r for r in results if r.status != 200 and r.outcome != NOT_RUN]
+        self.assertEqual([], [r for r in lost if self.runs()[r.path]])
