Name the scheduling and retry interfaces of the benchmark models

Model.at schedules an action and is schedule_at; first() of the retry adapters is record_first_attempt like in RetryPolicy; the header flag of Chain is forward_header; FullScaleNode.cost is measure_cost. The docstring of _failing_rows said that saved-up retries are left out; it now says that the limit is the budget without its allowance for saved retries.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -43,7 +43,7 @@
     """Control nodes in several zones, an in-memory platform, and a publisher of configuration.
 
     :ivar zones: names of the zones, alternately in one of two regions
-    :ivar slots: numbers of slots of targets, where not the default, by address of the node
+    :ivar slots: slot counts of targets, where not the default, by address of the target's node
     :ivar seeds: addresses of all nodes added so far
     """
 
--- a/bench/full_scale.py
+++ b/bench/full_scale.py
@@ -76,7 +76,7 @@
         self.views.view()
         self.cpu_seconds += time.process_time() - started
 
-    def cost(self, change) -> float:
+    def measure_cost(self, change) -> float:
         """Return the mean processor seconds of one change."""
         self.cpu_seconds = 0.0
         for number in range(REPETITIONS):
@@ -99,7 +99,9 @@
     node = FullScaleNode()
     megabytes = tracemalloc.get_traced_memory()[0] / 1e6
     tracemalloc.stop()
-    return NodeCosts(megabytes, node.cost(node.change_config), node.cost(node.change_record))
+    return NodeCosts(
+        megabytes, node.measure_cost(node.change_config), node.measure_cost(node.change_record)
+    )
 
 
 def full_scale_rows(costs: NodeCosts, load) -> list[BenchRow]:
--- a/bench/load_model.py
+++ b/bench/load_model.py
@@ -243,7 +243,7 @@
         self.system.schedule(self.one_way_delay(), lambda: self._try_next(report, retry_after))
 
     def end(self, outcome: str) -> None:
-        """Return the outcome to the client, which may retry a refused or failed request in time."""
+        """End an attempt; the client may retry a refused or failed request before its deadline."""
         retry = outcome in ("refused", "failed") and self.retries < self.behaviour.max_retries
         delay = self.retry_after if self.behaviour.honours_retry_after else ZERO
         remaining = self.terms.deadline_at - self.system.clock.monotonic() - delay
--- a/bench/move_policies.py
+++ b/bench/move_policies.py
@@ -89,7 +89,7 @@
 
 
 class TimedPolicy(AtOncePolicy):
-    """Baseline: takes the steps at fixed times, whatever the results."""
+    """Baseline: takes the steps at fixed times, regardless of the results."""
 
     def share(self, node: int) -> float:
         """Return the share of the step that is due."""
--- a/bench/request_chain.py
+++ b/bench/request_chain.py
@@ -17,16 +17,16 @@
 class Chain:
     """A chain of calls, with a retry policy at each hop.
 
-    :ivar runs: how often the last target ran a request
+    :ivar runs: number of requests that the last target has run
     """
 
-    def __init__(self, *, header: bool):
+    def __init__(self, *, forward_header: bool):
         """Create a chain.
 
-        :param header: whether the services forward the attempt header, so that only the outermost
-            hop retries
+        :param forward_header: whether the services forward the attempt header, so that only the
+            outermost hop retries
         """
-        self.header = header
+        self.forward_header = forward_header
         self.clock = ManualClock()
         self.policies = [
             RetryPolicy(
@@ -50,7 +50,7 @@
         if depth == DEPTH:
             self.runs += 1
             return
-        outermost = depth == 0 or not self.header
+        outermost = depth == 0 or not self.forward_header
         policy = self.policies[depth]
         if outermost:
             policy.record_first_attempt("s")
--- a/bench/request_costs.py
+++ b/bench/request_costs.py
@@ -176,7 +176,7 @@
     :ivar megabytes: memory of the table
     :ivar identities: entries in the table
     :ivar refused_known: refusals among one request each of 100 tenants known before the flood
-    :ivar refused_new: refusals among one request each of 100 tenants that come during the flood
+    :ivar refused_new: refusals among one request each of 100 tenants first seen during the flood
     :ivar mean_us: mean time to decide on a request under a new name after the flood
     """
 
--- a/bench/request_model.py
+++ b/bench/request_model.py
@@ -74,7 +74,7 @@
     :ivar chooser: makes the target chooser of a first hop (a caller-side node), with
         ``choose(call)``, ``started``, ``finished`` and ``update``
     :ivar queue: makes the queue of a target, with ``offer`` and ``release`` like ``SlotQueue``
-    :ivar retry: makes the retry policy of a first hop, with ``first()`` and
+    :ivar retry: makes the retry policy of a first hop, with ``record_first_attempt()`` and
         ``decide(call, reason)``, which returns the delay of a retry in milliseconds or None
     """
 
@@ -144,10 +144,12 @@
 
     def run(self) -> Totals:
         """Run the scenario until no event is left and return the totals."""
-        self.at(0.0, self._arrive, 0)
+        self.schedule_at(0.0, self._arrive, 0)
         if self.scenario.lost_zone_at_ms is not None:
-            self.at(self.scenario.lost_zone_at_ms, self._lose_zone)
-            self.at(self.scenario.lost_zone_at_ms + DEATH_PROPAGATION_MS, self._update_choosers)
+            self.schedule_at(self.scenario.lost_zone_at_ms, self._lose_zone)
+            self.schedule_at(
+                self.scenario.lost_zone_at_ms + DEATH_PROPAGATION_MS, self._update_choosers
+            )
         while self.events:
             at_ms, _, action, arguments = heapq.heappop(self.events)
             if at_ms > self.now_ms:
@@ -156,7 +158,7 @@
             action(*arguments)
         return self.totals
 
-    def at(self, at_ms: float, action: Callable, *arguments) -> None:
+    def schedule_at(self, at_ms: float, action: Callable, *arguments) -> None:
         """Schedule an action at a simulated time in milliseconds."""
         self.sequence += 1
         heapq.heappush(self.events, (at_ms, self.sequence, action, arguments))
@@ -171,7 +173,9 @@
             if target.record.zone == ZONES[0]:
                 target.alive = False
                 for call in target.calls.values():
-                    self.at(self.now_ms + 1.0, self._fail, call, target, Reason.TARGET_LOST)
+                    self.schedule_at(
+                        self.now_ms + 1.0, self._fail, call, target, Reason.TARGET_LOST
+                    )
                 target.calls = {}
 
     def _arrive(self, number: int) -> None:
@@ -179,11 +183,11 @@
         hop = self.arrivals.randrange(len(self.choosers))
         call = Call(f"c{number}", request_class, hop, self.now_ms)
         self.totals.offered[request_class] += 1
-        self.retries[hop].first()
+        self.retries[hop].record_first_attempt()
         self._send(call)
         gap_ms = self.arrivals.expovariate(self.scenario.load * CAPACITY_PER_S / 1000.0)
         if self.now_ms + gap_ms < self.scenario.duration_ms:
-            self.at(self.now_ms + gap_ms, self._arrive, number + 1)
+            self.schedule_at(self.now_ms + gap_ms, self._arrive, number + 1)
 
     def _send(self, call: Call) -> None:
         record = self.choosers[call.hop].choose(call)
@@ -195,11 +199,11 @@
         call.tried.append(record.target)
         self.choosers[call.hop].started(record.target)
         if not target.alive:
-            self.at(
+            self.schedule_at(
                 self.now_ms + CONNECT_TIMEOUT_MS, self._fail, call, target, Reason.HOP_UNREACHABLE
             )
             return
-        self.at(self.now_ms + self._one_way_ms(call, target), self._offer, call, target)
+        self.schedule_at(self.now_ms + self._one_way_ms(call, target), self._offer, call, target)
 
     def _one_way_ms(self, call: Call, target: Target) -> float:
         return SAME_ZONE_MS if ZONES[call.hop // 2] == target.record.zone else CROSS_ZONE_MS
@@ -223,7 +227,7 @@
 
     def _refuse(self, name: str, target: Target) -> None:
         call = target.calls.pop(name)
-        self.at(
+        self.schedule_at(
             self.now_ms + self._one_way_ms(call, target),
             self._fail,
             call,
@@ -236,7 +240,7 @@
         begin, end = self.scenario.failing_ms
         if begin <= self.now_ms < end:
             took_ms /= 10.0
-        self.at(self.now_ms + took_ms, self._end, name, target, begin <= self.now_ms < end)
+        self.schedule_at(self.now_ms + took_ms, self._end, name, target, begin <= self.now_ms < end)
 
     def _end(self, name: str, target: Target, failed: bool) -> None:
         if not target.alive:
@@ -249,10 +253,10 @@
             self._start(request.request_id, target)
         one_way_ms = self._one_way_ms(call, target)
         if failed:
-            self.at(self.now_ms + one_way_ms, self._fail, call, target, Reason.TARGET_LOST)
+            self.schedule_at(self.now_ms + one_way_ms, self._fail, call, target, Reason.TARGET_LOST)
         else:
             load = (len(target.queue.running), target.queue.queued)
-            self.at(self.now_ms + one_way_ms, self._complete, call, target, load)
+            self.schedule_at(self.now_ms + one_way_ms, self._complete, call, target, load)
 
     def _complete(self, call: Call, target: Target, load: tuple[int, int]) -> None:
         result = TargetResult(ResultKind.OK, *load)
@@ -273,7 +277,7 @@
             call.done = True
             return
         self.totals.retries += 1
-        self.at(self.now_ms + delay_ms, self._send, call)
+        self.schedule_at(self.now_ms + delay_ms, self._send, call)
 
 
 def make_slot_queue(model: Model) -> SlotQueue:
--- a/bench/request_parts.py
+++ b/bench/request_parts.py
@@ -40,7 +40,7 @@
         budget = RetryBudget(clock=model.clock)
         self.policy = RetryPolicy(clock=model.clock, rng=rng, budget=budget)
 
-    def first(self) -> None:
+    def record_first_attempt(self) -> None:
         """Count a first attempt, which adds to the retry budget."""
         self.policy.record_first_attempt("s")
 
@@ -147,7 +147,7 @@
     def __init__(self, model: Model):
         pass
 
-    def first(self) -> None:
+    def record_first_attempt(self) -> None:
         """Do nothing; there is no budget."""
 
     def decide(self, call: Call, reason: Reason) -> float | None:
--- a/bench/requests.py
+++ b/bench/requests.py
@@ -92,7 +92,7 @@
 
 
 def _failing_rows() -> list[BenchRow]:
-    """Compare the retries of the product with the budget, leaving out saved-up retries."""
+    """Compare the product's retries with its budget, without the allowance for saved retries."""
     product, rows = _compare(FAILING)
     seconds = FAILING.duration_ms / 1000
     allowed = RETRY_RATIO * product.offered.total() + RETRY_MIN_PER_S * (seconds + 1) * HOPS
@@ -112,10 +112,10 @@
     allowed = (
         1.0 + RETRY_RATIO + RETRY_MIN_PER_S * (REQUEST_INTERVAL * REQUESTS / SECOND + 1) / REQUESTS
     )
-    runs = Chain(header=True).run()
+    runs = Chain(forward_header=True).run()
     name = f"chain of {DEPTH}: runs of the last target"
     unit = "for each request"
-    without_header = Chain(header=False).run()
+    without_header = Chain(forward_header=False).run()
     without_budget = runs_without_budget(2)
     return [
         BenchRow(name, f"<= {allowed:.3f} (10% + 3/s)", f"{runs:.3f}", unit,
