--- a/test/net/test_nng.py
+++ b/test/net/test_nng.py
@@ -99,7 +99,9 @@
         """Guards against an invalid message of a state machine that raises in the sender."""
         sender = self.transport()
         self.assertFalse(
-            sender.send(Send(format_address(allocate_address()), snapshot_of_size(MAX_MESSAGE_BYTES)))
+            sender.send(
+                Send(format_address(allocate_address()), snapshot_of_size(MAX_MESSAGE_BYTES))
+            )
         )
         for address in ("", "localhost:7402", "127.0.0.1:99999999", "\x00", "::1:7402"):
             self.assertFalse(sender.send(Send(address, Busy(1.0))), address)
