Call what a change server sends a response

An answer, a response and a state named the same message. ChangeAnswer is ChangeResponse, with encode_response and decode_response; its docstring says that the full state includes rollouts, which it left out. The docstring of PeerSync described a parameter, away_since, that it does not have. Comments told of a watcher that hears from the store and of wide links; they say that it gets responses, and bandwidth. Candidates, peers and the local address had names such as found, others and own.

--- a/almondshore/mesh/change_server.py
+++ b/almondshore/mesh/change_server.py
@@ -12,11 +12,11 @@
 from almondshore.http.messages import Response
 from almondshore.http.server import Exchange, ExchangeHandler
 from almondshore.mesh.changes import (
-    ChangeAnswer,
     ChangeLog,
+    ChangeResponse,
     StateKind,
     compress_config,
-    encode_answer,
+    encode_response,
 )
 from almondshore.mesh.crashes import CrashSink
 from almondshore.mesh.directory import Directory
@@ -27,11 +27,11 @@
 CHANGES_PATH = b"/changes"
 # Longest time that a poll waits for a change.
 MAX_POLL_WAIT = timedelta(milliseconds=700)
-# State that was last confirmed longer ago counts as outdated. A watcher hears from the store every
-# 0.8 s, and a change must take effect everywhere within 2 s.
+# State that was last confirmed longer ago counts as outdated. A watcher gets a response from the
+# store every 0.8 s, and a change must take effect everywhere within 2 s.
 MAX_STATE_AGE = timedelta(milliseconds=1300)
-# Limit of polls that wait at the same time. With 19,000 nodes in 41 zones, each watcher has 116
-# followers.
+# Limit of the number of pending polls; further ones get a response at once. With 19,000 nodes in
+# 41 zones, each watcher has 116 followers.
 MAX_PENDING_POLLS = 512
 ZERO = timedelta()
 
@@ -60,6 +60,7 @@
 class ChangeServer(ExchangeHandler):
     """Serves state changes by long polling.
 
+    :param config: returns the configuration in force
     :param age: returns how long ago this node's state was last known to be up to date
     :ivar pending: polls that wait for a change
     """
@@ -94,7 +95,7 @@
         if query is None:
             exchange.respond(Response(400))
             return
-        # Respond when this node's state becomes outdated, so that the follower learns of it.
+        # Respond when this node's state becomes outdated, so the follower can poll another one.
         poll_wait = min(query.hold_ms * MILLISECOND, MAX_POLL_WAIT, MAX_STATE_AGE - self.age())
         if poll_wait <= ZERO or self._has_changes(query) or len(self.pending) >= MAX_PENDING_POLLS:
             exchange.respond(self._make_response(query))
@@ -106,8 +107,8 @@
 
     def _has_changes(self, query: ChangeQuery) -> bool:
         covered = self.changes.covers(query.epoch, query.after)
-        news = not covered or self.changes.number > query.after
-        return news or self._newer_config(query) is not None
+        has_newer_items = not covered or self.changes.number > query.after
+        return has_newer_items or self._newer_config(query) is not None
 
     def _newer_config(self, query: ChangeQuery) -> MeshConfig | None:
         config = self.config()
@@ -143,7 +144,7 @@
         targets, rollouts = self.directory.targets, self.rollouts.shares.rollouts
         reports = self.crashes.reports
         config = self._newer_config(query)
-        answer = ChangeAnswer(
+        response = ChangeResponse(
             epoch=changes.epoch,
             number=changes.number,
             age_ms=int(self.age() / MILLISECOND),
@@ -156,7 +157,7 @@
             deaths=[reports[name] for name in changes.changed_since(StateKind.DEATH, after)],
             removed_deaths=changes.removed_since(StateKind.DEATH, after),
         )
-        return Response(200, (), encode_answer(answer))
+        return Response(200, (), encode_response(response))
 
 
 def _decode_query(exchange: Exchange) -> ChangeQuery | None:
--- a/almondshore/mesh/changes.py
+++ b/almondshore/mesh/changes.py
@@ -65,7 +65,7 @@
             self.complete_from = self.removed.pop(next(iter(self.removed)))
 
     def increment(self) -> None:
-        """Number a change, also one of no single item, such as a new configuration version."""
+        """Assign the next number to a change; called directly for a new configuration version."""
         self.number += 1
         self.on_change()
 
@@ -90,13 +90,13 @@
         ]
 
 
-class ChangeAnswer(NamedTuple):
-    """State that a node sends to another one: what changed, or everything.
+class ChangeResponse(NamedTuple):
+    """Response to a poll: the changes since the follower's last poll, or the full state.
 
     :ivar epoch: identifies the process that numbers the changes
     :ivar number: number of the newest change
     :ivar age_ms: time since the sender's state was last known to be up to date with the store
-    :ivar whole: whether all targets and deaths are listed, not only those that changed
+    :ivar whole: whether all targets, rollouts and deaths are listed, not only those that changed
     :ivar config: compressed configuration, empty unless it is newer than the receiver's
     """
 
@@ -113,11 +113,11 @@
     removed_deaths: list[str]
 
 
-encode_answer = msgspec.msgpack.Encoder().encode
-_decoder = msgspec.msgpack.Decoder(ChangeAnswer)
+encode_response = msgspec.msgpack.Encoder().encode
+_decoder = msgspec.msgpack.Decoder(ChangeResponse)
 
 
-def decode_answer(body: bytes) -> ChangeAnswer:
+def decode_response(body: bytes) -> ChangeResponse:
     """Decode the state that another node sent.
 
     :raises msgspec.MsgspecError: if it is malformed
@@ -127,7 +127,7 @@
 
 @lru_cache(maxsize=2)
 def compress_config(raw: bytes) -> bytes:
-    """Compress a stored configuration for other nodes; several ask for each version."""
+    """Compress a stored configuration; cached, since several nodes request each version."""
     return zlib.compress(raw, COMPRESSION_LEVEL)
 
 
--- a/almondshore/mesh/feeds.py
+++ b/almondshore/mesh/feeds.py
@@ -1,4 +1,4 @@
-"""Keeps a node's state of the mesh up to date from the store, a watcher or another node."""
+"""Keeps a node's copy of the mesh state up to date from the store, a watcher or another node."""
 
 import random
 from datetime import timedelta
@@ -27,9 +27,8 @@
 CONFIG_MAX_WAIT = timedelta(seconds=3)
 ROLLOUTS_MAX_WAIT = timedelta(seconds=4)
 DEATHS_MAX_WAIT = timedelta(seconds=4)
-# The cheapest feed detects that the store stopped answering or answers again, and then makes the
-# others call again. Even after a failed call and its retry, it does so within the state age that
-# followers accept.
+# The cheapest feed detects outages of the store; when the store responds again, the others call
+# it at once. Even after a failed call and its retry, its state is recent enough for followers.
 TARGETS_MAX_WAIT = timedelta(milliseconds=800)
 # Changes that arrive within this delay are read by one call; they must take effect within 2 s. Each
 # version of a large configuration takes a third of a second on a link of 10 Mbit/s.
@@ -128,7 +127,7 @@
             worker.kill()
 
     def store_unavailable_since(self) -> timedelta | None:
-        """Return since when any feed of the store has not answered, or None if all answer."""
+        """Return the earliest time since which a feed of the store has not responded, or None."""
         failing = [item.failing_since for item in self.replicas if item.failing_since is not None]
         return min(failing, default=None)
 
--- a/almondshore/mesh/peers.py
+++ b/almondshore/mesh/peers.py
@@ -14,7 +14,7 @@
 from almondshore.http.messages import Response, encode_request
 from almondshore.http.server import Exchange, ExchangeHandler
 from almondshore.mesh.change_server import CHANGES_PATH
-from almondshore.mesh.changes import ChangeAnswer, decode_answer
+from almondshore.mesh.changes import ChangeResponse, decode_response
 from almondshore.mesh.directory import Directory
 from almondshore.mesh.evidence import ResultRecorder, RouteCounts
 from almondshore.mesh.local import LocalTarget
@@ -27,20 +27,20 @@
 # While the store is unreachable, a peer is polled at this interval; changes must be in force
 # within seconds.
 POLL_INTERVAL = timedelta(milliseconds=500)
-# A store that has not answered for this long counts as unreachable.
+# A store that has not responded for this long counts as unreachable.
 STORE_DOWN_AFTER = timedelta(milliseconds=300)
-# A node that learns of a newer version waits this long for the store to deliver it before it asks
-# a peer: configurations are large, and traffic between zones is charged. Changes must be in force
-# within 2 s.
+# A node that learns of a newer version waits this long for the store to deliver it before it
+# fetches it from a peer: configurations are large, and traffic between zones is charged. Changes
+# must be in force within 2 s.
 STORE_UPDATE_WAIT = timedelta(milliseconds=1200)
 
 
 class Evidence(msgspec.Struct):
     """Results at one target.
 
-    :ivar running: requests that run at the target or wait for a slot
+    :ivar running: number of requests that run at the target or wait for a slot
     :ivar routes: counts of results by route
-    :ivar order_age_ms: how long the node has known the service's rollout, 0 if there is none
+    :ivar order_age_ms: for how long the node has known of the service's rollout, 0 if there is none
     """
 
     target: str
@@ -125,7 +125,8 @@
 class PeerSync:
     """Fetches state from peers if the store is unreachable or late with a configuration.
 
-    :param away_since: returns since when the store has not answered, None if it answers
+    :param store_unavailable_since: returns the monotonic time at which the store stopped
+        responding, None while it responds
     :ivar behind_since: monotonic time at which a peer was first seen to have a newer version
     """
 
@@ -175,11 +176,11 @@
 
     def choose_peer(self) -> Address | None:
         """Return a random peer, preferably a reachable one in this zone; None if none is known."""
-        others = [item for item in self.directory.targets.values() if item.node != self.node]
-        reachable = [item for item in others if self.directory.is_reachable(item.node)]
+        peers = [item for item in self.directory.targets.values() if item.node != self.node]
+        reachable = [item for item in peers if self.directory.is_reachable(item.node)]
         same_zone = [item for item in reachable if item.zone == self.zone]
-        found = same_zone or reachable or others
-        return self.rng.choice(found).node if found else None
+        candidates = same_zone or reachable or peers
+        return self.rng.choice(candidates).node if candidates else None
 
     def _is_store_down(self, now: timedelta) -> bool:
         since = self.store_unavailable_since()
@@ -191,13 +192,13 @@
         :return: whether the peer sent well-formed state
         """
         query = b"config=%d" % self.sink.config_version()
-        answer = fetch_changes(self.client, self.directory, node, query, reason="no-state")
-        if answer is None:
+        response = fetch_changes(self.client, self.directory, node, query, reason="no-state")
+        if response is None:
             return False
         if not self._is_store_down(self.clock.monotonic()):
             # Only the configuration is outdated here; other entries of the peer may be older.
-            answer = answer._replace(targets=[], rollouts=[])
-        return apply_changes(self.sink, node, answer, remove=False)
+            response = response._replace(targets=[], rollouts=[])
+        return apply_changes(self.sink, node, response, remove=False)
 
     def _fetch_once(self, node: Address) -> None:
         try:
@@ -214,35 +215,35 @@
     *,
     reason: str,
     timeout: timedelta | None = None,
-) -> ChangeAnswer | None:
+) -> ChangeResponse | None:
     """Fetch a node's state and update its reachability in the directory.
 
-    :param reason: recorded if the node is unreachable or its answer malformed
+    :param reason: recorded if the node does not respond or its response is malformed
     :param timeout: overrides the client's timeout
-    :return: None if there was no well-formed answer
+    :return: None if there was no well-formed response
     """
-    answer = None
+    response = None
     body = client.get(node, CHANGES_PATH + b"?" + query, timeout=timeout)
     if body is not None:
         try:
-            answer = decode_answer(body)
+            response = decode_response(body)
         except msgspec.MsgspecError as error:
             log_event("changes_malformed", level="ERROR", peer=node, error=error)
-    if answer is None:
+    if response is None:
         directory.mark_unreachable(node, reason)
     else:
         directory.mark_reachable(node)
-    return answer
+    return response
 
 
-def apply_changes(sink: PeerSink, node: Address, answer: ChangeAnswer, *, remove: bool) -> bool:
+def apply_changes(sink: PeerSink, node: Address, response: ChangeResponse, *, remove: bool) -> bool:
     """Apply a node's state.
 
     :param remove: whether entries that the node has removed, or does not have, are removed here
     :return: whether the state was well-formed
     """
     try:
-        sink.apply(answer, source=f"{node[0]}:{node[1]}", remove=remove)
+        sink.apply(response, source=f"{node[0]}:{node[1]}", remove=remove)
     except ValueError as error:
         log_event("changes_malformed", level="ERROR", peer=node, error=error)
         return False
--- a/almondshore/mesh/state.py
+++ b/almondshore/mesh/state.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Mapping
 
 from almondshore.core.logs import log_event
-from almondshore.mesh.changes import ChangeAnswer, ChangeLog, StateKind, decompress_config
+from almondshore.mesh.changes import ChangeLog, ChangeResponse, StateKind, decompress_config
 from almondshore.mesh.crashes import CrashSink
 from almondshore.mesh.directory import Directory
 from almondshore.mesh.model import Death, MeshConfig, Rollout, Target
@@ -34,11 +34,11 @@
 
     def apply(self, config: MeshConfig, *, source: str) -> bool:
         """Apply a configuration if it is newer than the current one; returns whether it was."""
-        known = self.outbound.config_version()
-        if config.version <= known:
+        previous = self.outbound.config_version()
+        if config.version <= previous:
             return False
         self.outbound.config = config
-        log_event("config_applied", version=config.version, previous=known, source=source)
+        log_event("config_applied", version=config.version, previous=previous, source=source)
         self.changes.increment()
         return True
 
@@ -144,30 +144,30 @@
         """Return the version of the configuration in force."""
         return self.config.outbound.config_version()
 
-    def apply(self, answer: ChangeAnswer, *, source: str, remove: bool) -> None:
+    def apply(self, response: ChangeResponse, *, source: str, remove: bool) -> None:
         """Apply another node's state, ignoring what is older than this node's.
 
-        :param remove: whether to remove what the other node removed and, if it sent everything,
-            targets and deaths that it does not know
+        :param remove: whether to remove what the other node removed and, if it sent its full state,
+            targets and deaths that are missing from it
         :raises ValueError: if the configuration is malformed
         """
-        if answer.config:
-            config = self.decode(decompress_config(answer.config))
+        if response.config:
+            config = self.decode(decompress_config(response.config))
             if config is not None:
                 self.config.apply(config, source=source)
         removed: list[str] = []
         if remove:
-            listed = {target.target for target in answer.targets}
-            known = self.directory.targets if answer.whole else ()
-            removed = [name for name in known if name not in listed]
-            removed += answer.removed_targets
-        self.directory.merge(answer.targets, removed)
-        for rollout in answer.rollouts:
+            listed = {target.target for target in response.targets}
+            candidates = self.directory.targets if response.whole else ()
+            removed = [name for name in candidates if name not in listed]
+            removed += response.removed_targets
+        self.directory.merge(response.targets, removed)
+        for rollout in response.rollouts:
             self.rollouts.put(rollout, source=source)
-        for service in answer.removed_rollouts if remove else ():
+        for service in response.removed_rollouts if remove else ():
             self.rollouts.remove(service)
-        deaths: dict[str, Death | None] = {death.name: death for death in answer.deaths}
-        if remove and answer.whole:
+        deaths: dict[str, Death | None] = {death.name: death for death in response.deaths}
+        if remove and response.whole:
             self.crashes.replace(deaths)
         else:
-            self.crashes.update(deaths | dict.fromkeys(answer.removed_deaths if remove else ()))
+            self.crashes.update(deaths | dict.fromkeys(response.removed_deaths if remove else ()))
--- a/almondshore/mesh/watching.py
+++ b/almondshore/mesh/watching.py
@@ -16,11 +16,11 @@
 from almondshore.mesh.replication import Replica
 from almondshore.mesh.state import PeerSink
 
-# Number of nodes of a zone that watch the store. Each call to the store is charged; four lose the
-# store at the same time only when most of the zone does.
+# Number of nodes of a zone that watch the store. Each call to the store is charged; four watchers
+# lose their connection to it at the same time only if most of the zone does.
 WATCHERS_PER_ZONE = 4
-# Two nodes watch in any case, further ones only if their links are as wide as the widest: a large
-# configuration that changes often saturates a narrow link.
+# Two nodes always watch; further ones only if their links have the highest bandwidth of the zone: a
+# large configuration that changes often saturates a slow link.
 MIN_WATCHERS = 2
 # Added to the wait of a poll to get its timeout, for network latency and a busy watcher.
 RESPONSE_MARGIN = timedelta(milliseconds=300)
@@ -32,7 +32,7 @@
 START_POLL_INTERVAL = timedelta(milliseconds=20)
 # How often a node that watches the store checks whether it still should.
 REVIEW_INTERVAL = timedelta(seconds=1)
-# How often a node whose watchers are all outdated polls them again.
+# How often a node polls its watchers again after all were outdated.
 RETRY_INTERVAL = timedelta(milliseconds=500)
 UNKNOWN_AGE = timedelta(days=1)
 
@@ -44,7 +44,10 @@
     with recent state watches the store itself until it finds one.
 
     :param replicas: replicas of the store's feeds, suspended while this node follows another
-    :param probe_replica: the replica that the store answers most often
+    :param probe_replica: the replica that gets responses from the store most often
+    :ivar epoch: identifies the process of the watcher whose changes were last applied
+    :ivar number: number of the last of these changes
+    :ivar confirmed_at: monotonic time at which a watcher's state was last up to date with the store
     :ivar followed: the watcher that this node follows, None while it watches the store itself
     """
 
@@ -84,7 +87,7 @@
         return UNKNOWN_AGE if at is None else self.clock.monotonic() - at
 
     def step(self) -> timedelta:
-        """Poll the followed watcher, or all if it is outdated; returns the pause after it."""
+        """Poll the followed watcher, or the others if it is outdated; returns the next pause."""
         if self.probe_replica.answered_at is None:
             # The other nodes of the zone are not known yet.
             return START_POLL_INTERVAL
@@ -105,20 +108,22 @@
 
     def watchers(self) -> list[Address]:
         """Return the nodes of the zone that watch the store, in this node's order of preference."""
-        found = {
+        candidates = {
             f"{target.node[0]}:{target.node[1]}": target
             for target in self.directory.targets.values()
             if target.zone == self.zone
             and target.state is not TargetState.GONE
             and (target.node == self.node or self.directory.is_reachable(target.node))
         }
-        ranked = rendezvous.rank(self.zone, found)
-        ranked.sort(key=lambda name: -found[name].link_mbps)
-        widest = [name for name in ranked if found[name].link_mbps == found[ranked[0]].link_mbps]
-        chosen = ranked[: max(MIN_WATCHERS, min(WATCHERS_PER_ZONE, len(widest)))]
+        ranked = rendezvous.rank(self.zone, candidates)
+        ranked.sort(key=lambda name: -candidates[name].link_mbps)
+        fastest = [
+            name for name in ranked if candidates[name].link_mbps == candidates[ranked[0]].link_mbps
+        ]
+        chosen = ranked[: max(MIN_WATCHERS, min(WATCHERS_PER_ZONE, len(fastest)))]
         # Nodes differ in their order of preference, so that followers are spread evenly.
-        own = f"{self.node[0]}:{self.node[1]}"
-        return [found[name].node for name in rendezvous.rank(own, chosen)]
+        local_address = f"{self.node[0]}:{self.node[1]}"
+        return [candidates[name].node for name in rendezvous.rank(local_address, chosen)]
 
     def _on_start_timeout(self) -> None:
         if self.followed is None:
@@ -159,7 +164,7 @@
             self.sink.config_version(),
             int(poll_wait / MILLISECOND),
         )
-        answer = fetch_changes(
+        response = fetch_changes(
             self.client,
             self.directory,
             watcher,
@@ -167,13 +172,13 @@
             reason="no-changes",
             timeout=poll_wait + RESPONSE_MARGIN,
         )
-        if answer is None:
+        if response is None:
             return False
-        age = answer.age_ms * MILLISECOND
-        if age > MAX_STATE_AGE or not apply_changes(self.sink, watcher, answer, remove=True):
+        age = response.age_ms * MILLISECOND
+        if age > MAX_STATE_AGE or not apply_changes(self.sink, watcher, response, remove=True):
             return False
         self.confirmed_at = self.clock.monotonic() - age
-        self.epoch, self.number = answer.epoch, answer.number
+        self.epoch, self.number = response.epoch, response.number
         return True
 
 
--- a/test/mesh/test_peers.py
+++ b/test/mesh/test_peers.py
@@ -5,7 +5,7 @@
 
 from testtools import TestCase
 
-from almondshore.mesh.changes import ChangeAnswer, compress_config, encode_answer
+from almondshore.mesh.changes import ChangeResponse, compress_config, encode_response
 from almondshore.mesh.crashes import CrashSink
 from almondshore.mesh.model import Rollout, RolloutState
 from almondshore.mesh.peers import PeerSync
@@ -25,7 +25,7 @@
 
     def get(self, node, path, *, timeout=None):
         self.asked.append((node, path))
-        return encode_answer(self.state) if self.state is not None else None
+        return encode_response(self.state) if self.state is not None else None
 
 
 class PeerSyncTest(TestCase):
@@ -36,7 +36,7 @@
         self.rollout = Rollout("s", "v2", timedelta(seconds=9), RolloutState.RUNNING, 0.25, 8)
         config_of_peer = compress_config(b'{"x": 1}')
         self.client = FakeClient(
-            ChangeAnswer(
+            ChangeResponse(
                 "e", 3, 0, True, config_of_peer, [target("t9")], [], [self.rollout], [], [], []
             )
         )
--- a/test/mesh/test_watching.py
+++ b/test/mesh/test_watching.py
@@ -8,7 +8,7 @@
 from almondshore.http.messages import Request, Response
 from almondshore.http.server import Exchange
 from almondshore.mesh.change_server import MAX_STATE_AGE, ChangeServer
-from almondshore.mesh.changes import ChangeLog, decode_answer
+from almondshore.mesh.changes import ChangeLog, decode_response
 from almondshore.mesh.crashes import CrashSink
 from almondshore.mesh.directory import Directory
 from almondshore.mesh.model import Death
@@ -219,9 +219,9 @@
         self.watcher = Watcher()
         self.watcher.directory.replace([target("t1"), target("t2")])
 
-    def answer(self, query):
+    def response(self, query):
         exchange = self.watcher.ask(query)
-        return decode_answer(exchange.response.body) if exchange.response is not None else None
+        return decode_response(exchange.response.body) if exchange.response is not None else None
 
     def test_a_question_waits_until_something_changes(self):
         """Guards against followers that poll without a pause, or learn of a change late."""
@@ -230,22 +230,22 @@
         self.assertIs(None, exchange.response)
         self.watcher.directory.put(target("t3"))
         self.watcher.server._respond_to_all()
-        answer = decode_answer(exchange.response.body)
-        self.assertEqual(["t3"], [item.target for item in answer.targets])
-        self.assertFalse(answer.whole)
+        response = decode_response(exchange.response.body)
+        self.assertEqual(["t3"], [item.target for item in response.targets])
+        self.assertFalse(response.whole)
 
     def test_another_epoch_is_sent_everything(self):
         """Guards against changes that are missed when a watcher restarts."""
-        answer = self.answer(b"epoch=e0&after=2&config=9&hold_ms=700")
-        self.assertTrue(answer.whole)
-        self.assertEqual({"t1", "t2"}, {item.target for item in answer.targets})
+        response = self.response(b"epoch=e0&after=2&config=9&hold_ms=700")
+        self.assertTrue(response.whole)
+        self.assertEqual({"t1", "t2"}, {item.target for item in response.targets})
 
     def test_outdated_state_is_told_at_once(self):
         """Guards against a follower that waits for a watcher that has lost the store."""
         self.watcher.age = MAX_STATE_AGE
         number = self.watcher.changes.number
-        answer = self.answer(b"epoch=e1&after=%d&config=9&hold_ms=700" % number)
-        self.assertEqual(MAX_STATE_AGE / timedelta(milliseconds=1), answer.age_ms)
+        response = self.response(b"epoch=e1&after=%d&config=9&hold_ms=700" % number)
+        self.assertEqual(MAX_STATE_AGE / timedelta(milliseconds=1), response.age_ms)
 
     def test_a_malformed_question_is_refused(self):
         """Guards against a malformed poll that ends the server's loop."""
