Name the evidence and entry of the local target

Own and local meant the same target: own_evidence is local_evidence. LocalTarget.record was a noun among methods in which record is a verb; it is entry, the term of the store and the directory. DeathReporter.keep is retention. known stood for the current announcement and for the state of a quarantine before a death was counted. Times in docstrings say that they are monotonic.

--- a/almondshore/mesh/crashes.py
+++ b/almondshore/mesh/crashes.py
@@ -1,4 +1,4 @@
-"""Detects, reports and counts deaths of targets, to quarantine the requests that cause them."""
+"""Detects, reports and counts deaths of targets, to quarantine requests that cause them."""
 
 from collections.abc import Mapping
 from datetime import timedelta
@@ -22,7 +22,7 @@
 # A closed connection counts as a sign of a death only if the target refuses connections or restarts
 # within this time.
 DEATH_DETECTION_WINDOW = timedelta(seconds=2)
-# Limit of the runs reported for one death; a target has about 10 slots.
+# Maximum number of requests reported for one death; a target has about 10 slots.
 MAX_SUSPECTS = 32
 WRITE_INTERVAL = timedelta(seconds=1)
 MAX_PENDING_REPORTS = 64
@@ -41,13 +41,13 @@
         self.suspects: list[_Suspect] = []
 
     def record_broken_run(self, run: CrashDeath) -> None:
-        """Record a run that ended because its connection closed."""
+        """Record a request that ended because its connection closed."""
         now = self.clock.monotonic()
         recent = [item for item in self.suspects if now - item.ended < DEATH_DETECTION_WINDOW]
         self.suspects = [*recent[-MAX_SUSPECTS + 1 :], _Suspect(run, now)]
 
     def detect_death(self) -> Death | None:
-        """Handle the loss of the target; returns its death if runs broke off just before."""
+        """Handle the loss of the target; returns its death if requests broke off just before."""
         now = self.clock.monotonic()
         runs = [item.run for item in self.suspects if now - item.ended < DEATH_DETECTION_WINDOW]
         self.suspects = []
@@ -93,9 +93,9 @@
     def count(self, death: Death) -> None:
         """Count a death against each request that ran; logs requests that this quarantines."""
         for run in death.runs:
-            known = self.guard.check(run.fingerprint) is not None
+            was_quarantined = self.guard.check(run.fingerprint) is not None
             self.guard.record_death(run)
-            if not known and self.guard.check(run.fingerprint) is not None:
+            if not was_quarantined and self.guard.check(run.fingerprint) is not None:
                 log_event(
                     "request_quarantined",
                     level="WARNING",
@@ -107,18 +107,18 @@
 class DeathReporter:
     """Writes reports of deaths to the store, and removes them when they have expired.
 
-    :param keep: how long a report stays in the store, for nodes that start later
+    :param retention: how long a report stays in the store, for nodes that start later
     """
 
-    def __init__(self, *, clock: Clock, store: MeshStore, keep: timedelta):
+    def __init__(self, *, clock: Clock, store: MeshStore, retention: timedelta):
         self.clock = clock
         self.store = store
-        self.keep = keep
+        self.retention = retention
         self.pending: list[Death] = []
         self.written: list[tuple[timedelta, str, int]] = []
 
     def report(self, death: Death) -> None:
-        """Queue a report for writing; in a long outage of the store the oldest are dropped."""
+        """Queue a report for writing; if a long outage fills the queue, the oldest are dropped."""
         log_event("target_died", level="WARNING", death=death.name, runs=len(death.runs))
         self.pending = [*self.pending, death][-MAX_PENDING_REPORTS:]
 
@@ -137,7 +137,7 @@
                 return
             death = self.pending.pop(0)
             self.written.append((self.clock.monotonic(), death.name, result.unwrap()))
-        while self.written and self.clock.monotonic() - self.written[0][0] > self.keep:
+        while self.written and self.clock.monotonic() - self.written[0][0] > self.retention:
             _, name, revision = self.written.pop(0)
             result = self.store.delete_death(name, revision)
             log_event("death_withdrawn", death=name, done=is_successful(result))
--- a/almondshore/mesh/driver.py
+++ b/almondshore/mesh/driver.py
@@ -18,8 +18,8 @@
 from almondshore.mesh.store import MeshStore
 
 STEP_INTERVAL = timedelta(milliseconds=400)
-# A node checks the results of its local target more often: a version that turns bad may get all
-# requests within a second, and its node refuses them as soon as it detects the fault.
+# A node checks the results of its local target more often: a faulty version may get all requests
+# within a second, and its node refuses them as soon as it detects the fault.
 LOCAL_CHECK_INTERVAL = timedelta(milliseconds=150)
 IDLE_INTERVAL = timedelta(seconds=1)
 # The node of each further rank waits this much longer, so that those before it can act first.
@@ -37,11 +37,12 @@
     unavailable.
 
     :param service: returns the service of the local target, empty if none
-    :param own_evidence: returns the results of the local target
-    :ivar first_seen: when each version of a service was first seen in a rollout
-    :ivar full_share_at: when the new version was first seen to get all requests
-    :ivar faults: faults that were found, by service and version
+    :param local_evidence: returns the results of the local target
+    :ivar first_seen: monotonic time at which each version of a service was first seen in a rollout
+    :ivar full_share_at: monotonic time at which the new version was first seen to get all requests
+    :ivar faults: detected faults, by service and version
     :ivar desired: progress that is due but not saved, None if there is none
+    :ivar desired_at: monotonic time at which it became due
     """
 
     def __init__(
@@ -50,7 +51,7 @@
         clock: Clock,
         node: Address,
         service: Callable[[], str],
-        own_evidence: Callable[[], Evidence],
+        local_evidence: Callable[[], Evidence],
         directory: Directory,
         rollouts: RolloutSink,
         client: PeerClient,
@@ -59,7 +60,7 @@
         self.clock = clock
         self.node = node
         self.service = service
-        self.own_evidence = own_evidence
+        self.local_evidence = local_evidence
         self.directory = directory
         self.rollouts = rollouts
         self.client = client
@@ -101,7 +102,7 @@
         )
 
     def is_faulty(self, service: str, version: str) -> bool:
-        """Return whether this node found a fault in a version."""
+        """Return whether this node detected a fault in a version."""
         return (service, version) in self.faults
 
     def step(self, rollout: Rollout) -> None:
@@ -110,10 +111,10 @@
         ranked = self._rank_nodes(rollout)
         rank = ranked.index(self.node) if self.node in ranked else len(ranked)
         collects = rank < MAX_EVIDENCE_COLLECTORS or self._is_stalled(rank)
-        evidence = (self._collect_evidence(ranked) if collects else []) or [self.own_evidence()]
+        evidence = (self._collect_evidence(ranked) if collects else []) or [self.local_evidence()]
         counts = VersionCounts({}, {})
         old_running = 0
-        # Nodes of the new version start after the order; others have known of it for longer.
+        # Nodes of the new version may start after the order, so others have known of it for longer.
         age = max(item.order_age_ms for item in evidence) * timedelta(milliseconds=1)
         for item in evidence:
             if item.version == rollout.version:
@@ -146,13 +147,13 @@
     def _detect_local_fault(self, rollout: Rollout) -> bool:
         """Check the version by the local target's results alone; returns whether a fault is new."""
         key = (rollout.service, rollout.version)
-        own_evidence = self.own_evidence()
-        if key in self.faults or own_evidence.version != rollout.version:
+        local_evidence = self.local_evidence()
+        if key in self.faults or local_evidence.version != rollout.version:
             return False
-        return bool(self._check_version(key, VersionCounts(own_evidence.routes, {})))
+        return bool(self._check_version(key, VersionCounts(local_evidence.routes, {})))
 
     def _check_version(self, key: tuple[str, str], counts: VersionCounts) -> str:
-        """Return the fault of a version, or an empty string; a fault once found is final."""
+        """Return the fault of a version, or an empty string; a detected fault is final."""
         fault = self.faults.get(key) or find_fault(counts)
         if fault and key not in self.faults:
             self.faults[key] = fault
@@ -204,14 +205,14 @@
         return list(dict.fromkeys(target.node for target in targets))
 
     def _collect_evidence(self, nodes: list[Address]) -> list[Evidence]:
-        """Return the evidence of all nodes that answer."""
+        """Return the evidence of all nodes that respond."""
         pool = eventlet.GreenPool(len(nodes) or 1)
         responses = pool.imap(self._fetch_evidence, nodes)
         return [item for item in responses if item is not None]
 
     def _fetch_evidence(self, node: Address) -> Evidence | None:
         if node == self.node:
-            return self.own_evidence()
+            return self.local_evidence()
         body = self.client.get(node, EVIDENCE_PATH)
         if body is None:
             return None
--- a/almondshore/mesh/local.py
+++ b/almondshore/mesh/local.py
@@ -50,7 +50,8 @@
     :ivar announced: the newest announcement
     :ivar draining_since: monotonic time of the first acknowledged drain or deregistration
     :ivar warm_at: monotonic time at which the target's slow start ends
-    :ivar store_read: whether stored entries were read, which may say that the target is draining
+    :ivar store_read: whether the stored entries have been read, in which an earlier process may
+        have recorded a drain of the target
     :ivar deregistrations: the latest ones, by identity of the target
     """
 
@@ -69,19 +70,19 @@
 
     def announce(self, announcement: Announcement) -> AnnouncementResult:
         """Apply an announcement of the target, unless it is outdated."""
-        known = self.announced
-        if known is not None and self._is_outdated(known, announcement):
+        current = self.announced
+        if current is not None and self._is_outdated(current, announcement):
             log_event(
                 "announcement_outdated",
                 target=announcement.target,
                 born_ms=announcement.born_ms,
                 sequence=announcement.sequence,
-                known_target=known.target,
-                known_born_ms=known.born_ms,
-                known_sequence=known.sequence,
+                known_target=current.target,
+                known_born_ms=current.born_ms,
+                known_sequence=current.sequence,
             )
             return AnnouncementResult.OUTDATED
-        is_new = known is None or (known.target, known.born_ms) != (
+        is_new = current is None or (current.target, current.born_ms) != (
             announcement.target,
             announcement.born_ms,
         )
@@ -90,7 +91,7 @@
                 self.queue.close()
             self.queue = ObjectiveQueue(clock=self.clock, slots=announcement.slots)
             self.draining_since = None
-        elif announcement.slots != known.slots:
+        elif announcement.slots != current.slots:
             self.queue.resize(announcement.slots)
         leaving = self.draining_since is not None or self._is_deregistered(announcement)
         if leaving and announcement.state is TargetState.READY:
@@ -100,7 +101,7 @@
         self.warm_at = self.clock.monotonic() + announcement.warmup
         if announcement.state is not TargetState.READY:
             self._begin_drain(announcement)
-        changed = is_new or self._differs(known, announcement)
+        changed = is_new or self._differs(current, announcement)
         return AnnouncementResult.ACCEPTED if changed else AnnouncementResult.UNCHANGED
 
     def deregister(self, target: str, born_ms: int, *, since: timedelta | None = None) -> bool:
@@ -125,7 +126,7 @@
         return True
 
     def accepts_requests(self) -> bool:
-        """Tell whether new requests for the target are accepted now."""
+        """Return whether new requests for the target are accepted now."""
         if self.announced is None:
             return False
         if not self.store_read and self.clock.monotonic() < self.started_at + self._hold_time():
@@ -136,8 +137,8 @@
 
     def apply_stored_entry(self, target: Target) -> None:
         """Apply a stored entry, which an earlier process of this node may have written."""
-        own = self.announced is not None and self.announced.target == target.target
-        if own and self.draining_since is not None:
+        is_current = self.announced is not None and self.announced.target == target.target
+        if is_current and self.draining_since is not None:
             return
         if target.node == self.node and target.state is not TargetState.READY:
             # It is not known when the drain was acknowledged; assume that its time is over.
@@ -152,10 +153,10 @@
             self.queue.close()
 
     def is_warm(self) -> bool:
-        """Tell whether the target is past its slow start."""
+        """Return whether the target is past its slow start."""
         return self.clock.monotonic() >= self.warm_at
 
-    def record(self) -> Target | None:
+    def entry(self) -> Target | None:
         """Return the entry to publish to other nodes, None before any announcement."""
         announcement = self.announced
         if announcement is None:
@@ -189,13 +190,13 @@
             self.draining_since = since
 
     @staticmethod
-    def _is_outdated(known: Announcement, announcement: Announcement) -> bool:
-        if announcement.born_ms != known.born_ms:
-            return announcement.born_ms < known.born_ms
-        return announcement.target == known.target and announcement.sequence < known.sequence
+    def _is_outdated(current: Announcement, announcement: Announcement) -> bool:
+        if announcement.born_ms != current.born_ms:
+            return announcement.born_ms < current.born_ms
+        return announcement.target == current.target and announcement.sequence < current.sequence
 
     @staticmethod
-    def _differs(known: Announcement, announcement: Announcement) -> bool:
-        return known._replace(sequence=0, warmup=announcement.warmup) != announcement._replace(
+    def _differs(current: Announcement, announcement: Announcement) -> bool:
+        return current._replace(sequence=0, warmup=announcement.warmup) != announcement._replace(
             sequence=0
         )
--- a/almondshore/mesh/node.py
+++ b/almondshore/mesh/node.py
@@ -43,20 +43,20 @@
 DEFAULT_LIMITS = ServerLimits(
     RequestLimits(64 * 1024, 64 * 1024 * 1024), timedelta(seconds=10), timedelta(seconds=60)
 )
-# Callers stop sending requests after two failed readiness checks, one a second.
+# Callers stop sending requests to a node after two failed readiness checks, one per second.
 MIN_STOP_TIME = timedelta(seconds=2.6)
 # Requests that still run after this share of the grace period are abandoned.
 MAX_STOP_GRACE_SHARE = 0.9
 # Time limit for removing the entry of a target that is gone before the process exits, since the
 # store may be slow.
 WITHDRAW_TIMEOUT = timedelta(milliseconds=200)
-STOP_POLL_S = 0.05
+STOP_POLL_INTERVAL_S = 0.05
 HOUSEKEEPING_INTERVAL_S = 0.25
 EXPIRE_EVERY_TICKS = 8
 # Share of the common retry budget that is divided among the nodes. The rest covers uneven load
-# between nodes, and the calls that a retried request makes again, which count at the called
-# service. At 0.75, a service whose targets rejected half of the requests got 1,693 retries where
-# 1,589 were allowed.
+# between nodes, and the calls to other services that a retried request repeats, which count as
+# retries at those services. At 0.75, a service whose targets rejected half of the requests got
+# 1,693 retries where 1,589 were allowed.
 RETRY_BUDGET_SHARE = 0.6
 # Retries that a node may save up, as a share of those that are always allowed in a window.
 MAX_SAVED_RETRY_SHARE = 0.4
@@ -151,7 +151,7 @@
         self.directory.on_unreachable = self.prober.recheck
         self.outbound.suspect = self.prober.suspect
         self.publisher = TargetPublisher(store=store, directory=self.directory)
-        self.death_reporter = DeathReporter(clock=clock, store=store, keep=QUARANTINE)
+        self.death_reporter = DeathReporter(clock=clock, store=store, retention=QUARANTINE)
         self.inbound.on_death = self._on_death
         client = PeerClient(pool=pool)
         self.feeds = StateFeeds(
@@ -173,7 +173,7 @@
             clock=clock,
             node=settings.inbound,
             service=lambda: self.settings.service if self.local.announced else "",
-            own_evidence=internal.evidence,
+            local_evidence=internal.evidence,
             directory=self.directory,
             rollouts=self.feeds.rollouts,
             client=client,
@@ -216,20 +216,20 @@
         )
 
     def close(self) -> None:
-        """Stop the workers and listeners immediately, for a node that is embedded in a process."""
+        """Stop the workers and listeners immediately, for a node embedded in another program."""
         self.feeds.kill()
         for greenlet in self.greenlets:
             greenlet.kill()
         for server in self.servers:
             server.close()
-        self.housekeeping.cancel()
+        self.housekeeping_timer.cancel()
 
     def config(self) -> MeshConfig | None:
         """Return the configuration in force."""
         return self.outbound.config
 
     def is_ready(self) -> bool:
-        """Tell whether the node accepts new requests of callers."""
+        """Return whether the node accepts new requests of callers."""
         return self.outbound.config is not None and self.stopping_since is None
 
     def on_announcement(self, announcement: Announcement) -> None:
@@ -288,9 +288,9 @@
 
     def apply_settings(self, settings: MeshSettings) -> None:
         """Apply changed settings, except for the addresses of listeners."""
-        kept = ("outbound", "inbound", "ready", "control", "metrics")
-        fixed = {name: getattr(self.settings, name) for name in kept}
-        self.settings = settings._replace(**fixed)
+        listeners = ("outbound", "inbound", "ready", "control", "metrics")
+        current_addresses = {name: getattr(self.settings, name) for name in listeners}
+        self.settings = settings._replace(**current_addresses)
         self.local.drain = settings.bounds.drain
         self.inbound.app = settings.app
         self.store.set_address(settings.store)
@@ -313,7 +313,7 @@
     def run_until_stopped(self) -> None:
         """Block until the process may exit, then remove the entry of a target that is gone."""
         while not self._may_exit():
-            eventlet.sleep(STOP_POLL_S if self.stopping_since is not None else 1.0)
+            eventlet.sleep(STOP_POLL_INTERVAL_S if self.stopping_since is not None else 1.0)
         with eventlet.Timeout(WITHDRAW_TIMEOUT.total_seconds(), False):
             self.publisher.withdraw()
         log_event(
@@ -338,7 +338,7 @@
         return not busy and not any(server.has_unsent() for server in self.servers)
 
     def _housekeeping(self) -> None:
-        self.housekeeping = hubs.get_hub().schedule_call_global(
+        self.housekeeping_timer = hubs.get_hub().schedule_call_global(
             HOUSEKEEPING_INTERVAL_S, self._housekeeping
         )
         self.ticks += 1
@@ -354,18 +354,18 @@
         self.death_reporter.report(death)
 
     def _publish(self) -> None:
-        record = self.local.record()
-        self.publisher.publish(record)
+        entry = self.local.entry()
+        self.publisher.publish(entry)
         if self.local.store_read:
             # Makes the local target known to this node before the store has been updated.
-            self.directory.put(record)
+            self.directory.put(entry)
 
     def _on_directory_change(self) -> None:
         targets = self.directory.targets
-        own = self.local.record()
-        if own is not None and own.target not in targets:
+        local_entry = self.local.entry()
+        if local_entry is not None and local_entry.target not in targets:
             # A full read of the store may precede the first write of the local target's entry.
-            self.directory.put(own)
+            self.directory.put(local_entry)
             self.publisher.restore()
             return
         self.local.store_read = True
--- a/test/mesh/test_crashes.py
+++ b/test/mesh/test_crashes.py
@@ -93,7 +93,7 @@
                 return Success(revision)
 
         clock, store = ManualClock(), Store()
-        reporter = DeathReporter(clock=clock, store=store, keep=timedelta(seconds=60))
+        reporter = DeathReporter(clock=clock, store=store, retention=timedelta(seconds=60))
         reporter.report(Death("d1", ()))
         for _ in range(3):
             reporter.step()
--- a/test/mesh/test_driver.py
+++ b/test/mesh/test_driver.py
@@ -54,7 +54,7 @@
             clock=clock,
             node=NODE,
             service=lambda: "s",
-            own_evidence=lambda: Evidence("t2", "s", self.version, 0, {"r": self.counts}),
+            local_evidence=lambda: Evidence("t2", "s", self.version, 0, {"r": self.counts}),
             directory=directory,
             rollouts=self.rollouts,
             client=NoPeers(),
--- a/test/mesh/test_local.py
+++ b/test/mesh/test_local.py
@@ -44,7 +44,7 @@
         self.local.announce(announcement(sequence=5, state=DRAINING))
         self.assertEqual(AnnouncementResult.OUTDATED, self.local.announce(announcement(sequence=4)))
         self.local.announce(announcement(sequence=6, state=READY))
-        self.assertEqual(DRAINING, self.local.record().state)
+        self.assertEqual(DRAINING, self.local.entry().state)
         self.clock.advance(DRAIN)
         self.assertFalse(self.local.accepts_requests())
 
@@ -62,7 +62,7 @@
         self.assertFalse(self.local.deregister("t1", 1000))
         self.clock.advance(DRAIN * 0.9)
         self.local.announce(announcement())
-        self.assertEqual(DRAINING, self.local.record().state)
+        self.assertEqual(DRAINING, self.local.entry().state)
         self.assertFalse(self.local.accepts_requests())
         self.local.enforce_drain()
         self.assertTrue(self.local.queue.closed)
@@ -82,18 +82,18 @@
         gone = target("t1", node=("10.0.0.1", 1), state=TargetState.GONE)
         self.local.apply_stored_entry(gone._replace(node=("10.0.0.2", 1)))
         self.local.announce(announcement())
-        self.assertEqual(READY, self.local.record().state)
+        self.assertEqual(READY, self.local.entry().state)
         self.local.apply_stored_entry(gone)
         self.local.announce(announcement(sequence=2))
-        self.assertEqual(DRAINING, self.local.record().state)
+        self.assertEqual(DRAINING, self.local.entry().state)
         self.assertFalse(self.local.accepts_requests())
 
     def test_own_stored_entry_does_not_shorten_the_drain(self):
         """Guards against waiting requests that are refused as soon as the entry is stored."""
         self.local.announce(announcement(state=DRAINING))
-        self.local.apply_stored_entry(self.local.record())
+        self.local.apply_stored_entry(self.local.entry())
         self.assertTrue(self.local.accepts_requests())
-        self.assertEqual(DRAINING, self.local.record().state)
+        self.assertEqual(DRAINING, self.local.entry().state)
 
     def test_new_incarnation_with_the_same_name_is_not_draining(self):
         """Guards against a restarted target that inherits the drain of its predecessor."""
