Reword the request path and the replicas of the store

found, known, other and gone named many things in one function; they have names of their own (candidates, refusal, predecessor, hedge_target). Comments that could be misread, such as a limit that is doubled up to the longest, say which constant they mean. Thresholds of fault detection say whether they are a minimum or a maximum. Methods that return a boolean say return, not tell, and nodes respond, where the text used both answer and respond.

--- a/almondshore/mesh/dialect.py
+++ b/almondshore/mesh/dialect.py
@@ -41,11 +41,11 @@
 
     @abstractmethod
     def matches_request(self, response: Response, request_id: bytes) -> bool:
-        """Tell whether a target's response answers the request with this id."""
+        """Return whether a target's response belongs to the request with this id."""
 
     @abstractmethod
     def classify_response(self, response: Response) -> ResponseClass:
-        """Tell from a target's response whether the request ran and succeeded."""
+        """Return whether the request ran and succeeded, according to the target's response."""
 
     @abstractmethod
     def to_caller(self, response: Response, *, idempotent: bool) -> Response:
--- a/almondshore/mesh/directory.py
+++ b/almondshore/mesh/directory.py
@@ -8,8 +8,8 @@
 from almondshore.mesh.changes import ChangeLog, StateKind
 from almondshore.mesh.model import Address, Target, TargetState
 
-# An unreachable node is probed again after this, doubled for each consecutive failure. It gets no
-# requests until it answers: a request to a host that is gone is late at best.
+# An unreachable node is probed again after this pause, which doubles with each consecutive failure.
+# It gets no requests until it responds: a request to a host that is gone is late at best.
 UNREACHABLE_PAUSE = timedelta(milliseconds=400)
 MAX_UNREACHABLE_PAUSE = timedelta(seconds=4)
 
@@ -88,36 +88,38 @@
     def ready(self, service: str) -> list[Target]:
         """Return the targets of a service that may get requests now."""
         now = self.clock.monotonic()
-        found = self.services.get(service, [])
-        usable = [target for target in found if self._is_usable(target, now)]
+        candidates = self.services.get(service, [])
+        usable = [target for target in candidates if self._is_usable(target, now)]
         if usable:
             return usable
-        # With no usable target, one whose node was unreachable at the last attempt is worth a try.
-        return [target for target in found if self.refused_until.get(target.target, now) <= now]
+        # If there are none, targets of unreachable nodes are returned: the failure may have passed.
+        return [
+            target for target in candidates if self.refused_until.get(target.target, now) <= now
+        ]
 
     def predecessors(self, target: Target) -> list[Target]:
         """Return the entries of earlier targets of the same node."""
         return [
-            other
-            for other in self.targets.values()
-            if other.node == target.node
-            and other.target != target.target
-            and other.born_ms < target.born_ms
+            entry
+            for entry in self.targets.values()
+            if entry.node == target.node
+            and entry.target != target.target
+            and entry.born_ms < target.born_ms
         ]
 
     def versions(self, service: str) -> dict[str, list[Target]]:
         """Return the ready targets of a service by version."""
-        found: dict[str, list[Target]] = {}
+        versions: dict[str, list[Target]] = {}
         for target in self.ready(service):
-            found.setdefault(target.version, []).append(target)
-        return found
+            versions.setdefault(target.version, []).append(target)
+        return versions
 
     def is_reachable(self, node: Address) -> bool:
-        """Return whether no attempt to reach a node has failed since it last answered."""
+        """Return whether no attempt to reach a node has failed since it last responded."""
         return node not in self.nodes
 
     def unreachable_since(self, node: Address, failures: int) -> timedelta | None:
-        """Return since when a node has been unreachable, or None.
+        """Return the time since which a node has been unreachable, or None.
 
         :param failures: attempts that must have failed since; with fewer, the result is None
         """
@@ -125,7 +127,7 @@
         return state.since if state is not None and state.failures >= failures else None
 
     def mark_unreachable(self, node: Address, reason: str) -> None:
-        """Record a failure to reach a node; ignored until its next attempt is due."""
+        """Record a failure to reach a node; further ones are ignored until the next attempt."""
         now = self.clock.monotonic()
         state = self.nodes.setdefault(node, _Reachability(now))
         if state.failures and now < state.retry_at:
@@ -138,13 +140,13 @@
         self.on_unreachable(node, pause)
 
     def mark_reachable(self, node: Address) -> None:
-        """Record that a node answered."""
+        """Record that a node responded."""
         state = self.nodes.pop(node, None)
         if state is not None:
             log_event("peer_regained", peer=f"{node[0]}:{node[1]}", failures=state.failures)
 
     def pause_target(self, name: str, pause: timedelta) -> None:
-        """Exclude a target that refused for its own reasons from selection for a while."""
+        """Exclude a target that refused for a reason other than load from selection for a while."""
         self.refused_until[name] = self.clock.monotonic() + pause
 
     def _is_usable(self, target: Target, now: timedelta) -> bool:
@@ -165,8 +167,8 @@
             if target.state is TargetState.READY:
                 services.setdefault(target.service, []).append(target)
         self.services = services
-        known = {target.node for target in self.targets.values()}
-        for node in self.nodes.keys() - known:
+        known_nodes = {target.node for target in self.targets.values()}
+        for node in self.nodes.keys() - known_nodes:
             del self.nodes[node]
         for name in self.refused_until.keys() - self.targets.keys():
             del self.refused_until[name]
--- a/almondshore/mesh/evidence.py
+++ b/almondshore/mesh/evidence.py
@@ -1,10 +1,11 @@
-"""Results of requests at the local target."""
+"""Counts and failure rate of the requests that the local target ran."""
 
 from datetime import timedelta
 from typing import NamedTuple
 
 from almondshore.core.clock import Clock
 
+# Weight of the newest result in the moving average of the failure rate.
 FAILURE_RATE_WEIGHT = 0.1
 # A request that is abandoned after this multiple of its expected service time counts as
 # unanswered. Service times vary by a factor of two around the expected one, and senders retry a
--- a/almondshore/mesh/forwarding.py
+++ b/almondshore/mesh/forwarding.py
@@ -21,13 +21,13 @@
 ZERO = timedelta()
 # Requests end this long before the caller's deadline, so that the response arrives in time.
 CALLER_MARGIN = timedelta(milliseconds=15)
-# A request that more than this many targets refuse is refused to the caller.
+# A request that has been refused more than this number of times is refused to the caller.
 MAX_REFUSALS = 3
 # A request is retried only if this share of the objective is left before the deadline.
 MIN_RETRY_SHARE = 0.15
 NO_TARGET_RETRY_AFTER = timedelta(milliseconds=250)
 MIN_RETRY_AFTER = timedelta(milliseconds=50)
-# Callers are told to wait at most this share of the time left until their deadline.
+# The retry time is at most this share of the time left until the caller's deadline.
 RETRY_AFTER_SHARE = 0.3
 # Retry times are lengthened by a random share of up to this much, so that callers that were
 # refused at the same moment do not all return at once.
@@ -55,8 +55,9 @@
 class ForwardedRequest:
     """A caller's request, from its arrival to its response.
 
-    :ivar excluded_targets: targets that refused the request or whose connection broke
-    :ivar runs: attempts that a target ran or may have run
+    :ivar excluded_targets: targets that refused the request or whose connection was lost
+    :ivar runs: number of attempts that a target ran or may have run
+    :ivar refusals: number of attempts that were refused
     :ivar failed_response: last response with a failure, returned if no attempt succeeds
     :ivar load_age: age of the load report by which the last target was chosen
     """
@@ -124,10 +125,10 @@
             return
         if attempt.target.node != self.outbound.node:
             self.outbound.suspect(attempt.target.node)
-        if not self._may_resend():
+        if not self._may_retry():
             return
-        other = self.outbound.choose_idle(self)
-        if other is None or not self.outbound.budget.withdraw(self.service):
+        hedge_target = self.outbound.choose_idle(self)
+        if hedge_target is None or not self.outbound.budget.withdraw(self.service):
             return
         now = self.outbound.clock.monotonic()
         log_event(
@@ -136,10 +137,10 @@
             route=self.route.name,
             reason="overdue",
             overdue_target=attempt.target.target,
-            target=other.target,
+            target=hedge_target.target,
             took_ms=int((now - self.exchange.received_at) / MILLISECOND),
         )
-        self._send_to(other)
+        self._send_to(hedge_target)
 
     def on_result(self, attempt: Attempt, result: HopResult) -> None:
         """Handle the result of an attempt: respond to the caller or retry."""
@@ -150,7 +151,7 @@
         target = attempt.target
         self.outbound.record_result(self, target, result)
         if result.outcome is Outcome.ANSWERED:
-            self._on_answer(result.response, result.reason)
+            self._on_response(result.response, result.reason)
         elif result.outcome is Outcome.BROKEN:
             self.runs += 1
             self.excluded_targets.add(target.target)
@@ -172,17 +173,17 @@
             attempt.pending = pending
             self._start_overdue_timer(attempt)
 
-    def _on_answer(self, response: Response, reason: str) -> None:
+    def _on_response(self, response: Response, reason: str) -> None:
         self.runs += 1
         if self.outbound.dialect.classify_response(response) is ResponseClass.FAILED:
             self.failed_response = response
             self._retry_after_failure(reason)
             return
         self.outbound.record_completion(self.exchange.request)
-        self._answer(response, reason)
+        self._return_response(response, reason)
 
     def _on_refusal(self, target: Target, result: HopResult) -> None:
-        """Try another target after one that did not run the request."""
+        """Try another target after one has refused the request, or fail the request."""
         self.excluded_targets.add(target.target)
         self.refusals += 1
         self.reason = result.reason
@@ -190,10 +191,10 @@
             self.retry_after = max(self.retry_after, result.report.retry_after_ms * MILLISECOND)
         if self.attempts:
             return
-        arrived = result.outcome is Outcome.REJECTED
+        reached_target = result.outcome is Outcome.REJECTED
         if self.refusals > MAX_REFUSALS or not self._has_time_to_retry():
             self._fail(result.reason)
-        elif arrived and not self.outbound.budget.withdraw(self.service):
+        elif reached_target and not self.outbound.budget.withdraw(self.service):
             self._fail("retry-budget")
         else:
             self.send()
@@ -202,13 +203,13 @@
         """Retry the request if it is idempotent and the retry budget allows it."""
         if self.attempts:
             return
-        target = self.outbound.choose(self) if self._may_resend() else None
+        target = self.outbound.choose(self) if self._may_retry() else None
         if target is not None and self.outbound.budget.withdraw(self.service):
             self._send_to(target)
         else:
             self._fail(reason)
 
-    def _may_resend(self) -> bool:
+    def _may_retry(self) -> bool:
         return (
             self.route.idempotent
             and self.runs + len(self.attempts) < self.route.max_attempts
@@ -233,7 +234,7 @@
 
     def _fail(self, reason: str) -> None:
         if self.failed_response is not None:
-            self._answer(self.failed_response, reason)
+            self._return_response(self.failed_response, reason)
         elif self.runs:
             self._respond(self.outbound.dialect.error_response(502), reason)
         else:
@@ -243,13 +244,13 @@
             )
 
     def _retry_after_delay(self) -> timedelta:
-        """Return after what time the caller should retry, with jitter."""
+        """Return the time, with jitter, after which the caller should retry."""
         wait = max(MIN_RETRY_AFTER, self.retry_after or NO_TARGET_RETRY_AFTER)
         wait *= 1.0 + RETRY_AFTER_JITTER * self.outbound.rng.random()
         time_left = self.caller_deadline_at - self.outbound.clock.monotonic()
         return min(wait, max(MIN_RETRY_AFTER, time_left * RETRY_AFTER_SHARE))
 
-    def _answer(self, response: Response, reason: str) -> None:
+    def _return_response(self, response: Response, reason: str) -> None:
         headers = end_to_end(response.headers, without=HOP_HEADERS)
         final = Response(response.status, headers, response.body, response.reason)
         self._respond(
--- a/almondshore/mesh/hop.py
+++ b/almondshore/mesh/hop.py
@@ -19,7 +19,7 @@
     """How a request ended at its target's node.
 
     ``REFUSED``: the node did not pass it to the target; it has not run. ``REJECTED``: the target
-    declined to run it. ``ANSWERED``: the target's response is attached. ``BROKEN``: there is no
+    refused to run it. ``ANSWERED``: the target's response is attached. ``BROKEN``: there is no
     response, though the request may have run.
     """
 
--- a/almondshore/mesh/inbound.py
+++ b/almondshore/mesh/inbound.py
@@ -1,4 +1,4 @@
-"""Requests for the local target."""
+"""Admission and forwarding of requests for the local target."""
 
 from collections.abc import Callable
 from datetime import timedelta
@@ -27,7 +27,7 @@
 from almondshore.mesh.local import LocalTarget
 from almondshore.mesh.model import Address, Death
 
-# Targets answer by the deadline they are given. The connection is closed this much later.
+# Targets respond by the deadline they are given; the connection is closed this much later.
 DEADLINE_SLACK = timedelta(milliseconds=100)
 # A target may close an idle connection just as a request is sent on it. Requests that are not
 # idempotent therefore use only connections that were in use within this time, or new ones.
@@ -94,7 +94,7 @@
     :param app: address of the local target
     :param config_version: returns the version of the configuration in force
     :param internal: handles requests of other nodes that are not meant for the target
-    :ivar is_retired: tells whether a version of a service must get no more requests
+    :ivar is_retired: returns whether a version of a service must get no more requests
     :ivar on_death: called when the target died while it ran requests
     :ivar leaving: whether other nodes are told to prefer other targets
     :ivar closed: whether new requests are refused because the process is about to exit
@@ -124,7 +124,7 @@
         self.closed = False
         self.is_retired: Callable[[str, str], bool] = lambda _service, _version: False
         self.on_death: Callable[[Death], None] = lambda _death: None
-        self.deaths = DeathDetector(clock=clock)
+        self.death_detector = DeathDetector(clock=clock)
         self.active: set[Submission] = set()
         self.target_down_until = timedelta()
 
@@ -213,7 +213,7 @@
         submission.done = True
         self.active.discard(submission)
         self._log(submission, outcome, reason, response.status if response else 0)
-        report = self._report(submission.hop_terms, outcome, reason, retry_after)
+        report = self._make_report(submission.hop_terms, outcome, reason, retry_after)
         submission.on_result(HopResult(outcome, reason, response, report))
 
     def _unavailable_reason(self, terms: HopTerms) -> str | None:
@@ -248,9 +248,9 @@
         if result.failure is CallFailure.TIMED_OUT:
             self._record_abandoned(submission)
         elif ran:
-            self._record(submission, ok, took)
+            self._record_run(submission, ok, took)
         if result.failure is CallFailure.CLOSED:
-            self.deaths.record_broken_run(self._crash_record(submission, took))
+            self.death_detector.record_broken_run(self._crash_record(submission, took))
         if reason == UnavailableReason.TARGET_DOWN:
             self.target_down_until = self.clock.monotonic() + TARGET_DOWN_PAUSE
             self.report_death()
@@ -259,7 +259,7 @@
 
     def report_death(self) -> None:
         """Report that the target died, if requests were running at it just before."""
-        death = self.deaths.detect_death()
+        death = self.death_detector.detect_death()
         if death is not None:
             self.on_death(death)
 
@@ -277,7 +277,7 @@
     def _is_stale_connection(
         self, submission: Submission, result: CallResult, took: timedelta
     ) -> bool:
-        """Tell whether the target closed an idle connection before the request arrived."""
+        """Return whether the target closed an idle connection before the request arrived."""
         return (
             result.failure is CallFailure.CLOSED
             and result.reused
@@ -297,7 +297,7 @@
             return Outcome.REJECTED, response_class.value, False
         return Outcome.ANSWERED, response_class.value, response_class is ResponseClass.SUCCEEDED
 
-    def _record(self, submission: Submission, ok: bool, took: timedelta) -> None:
+    def _record_run(self, submission: Submission, ok: bool, took: timedelta) -> None:
         self.recorder.record(
             submission.hop_terms.route, ok=ok, took=took, warm=self.local.is_warm()
         )
@@ -308,7 +308,7 @@
             expected=submission.queue.times.observed(submission.hop_terms.route),
         )
 
-    def _report(
+    def _make_report(
         self, terms: HopTerms, outcome: Outcome, reason: str, retry_after: timedelta
     ) -> HopReport:
         queue = self.local.queue
--- a/almondshore/mesh/liveness.py
+++ b/almondshore/mesh/liveness.py
@@ -13,11 +13,11 @@
 from almondshore.mesh.model import Address
 from almondshore.mesh.peers import ALIVE_PATH, PeerClient
 
-# Nodes answer within a few milliseconds, busy ones within 100 ms.
+# Nodes respond within a few milliseconds, busy ones within 100 ms.
 PROBE_TIMEOUT = timedelta(milliseconds=250)
 # A single lost packet must not make a node count as unreachable.
 PROBE_ATTEMPTS = 2
-# A node that answered is not probed again for overdue responses within this time.
+# A node that responded is not probed again for overdue responses within this time.
 PROBE_INTERVAL = timedelta(seconds=1)
 
 
@@ -25,7 +25,7 @@
     """Probes nodes on new connections.
 
     :ivar probed_at: monotonic time of the last probe that an overdue response caused, by node
-    :ivar on_unresponsive: called with the address of a node that does not answer
+    :ivar on_unresponsive: called with the address of a node that does not respond
     """
 
     def __init__(
@@ -50,7 +50,7 @@
     def recheck(self, node: Address, pause: timedelta) -> None:
         """Probe an unreachable node after a pause.
 
-        If it does not answer, it is marked unreachable again and the directory schedules another
+        If it does not respond, it is marked unreachable again and the directory schedules another
         recheck.
         """
         hubs.get_hub().schedule_call_global(pause.total_seconds(), self._recheck, node)
@@ -67,7 +67,7 @@
     def probe(self, node: Address) -> bool:
         """Probe a node and update the directory.
 
-        :return: whether the node answered
+        :return: whether the node responded
         """
         for _ in range(PROBE_ATTEMPTS):
             if self.client.get(node, ALIVE_PATH, new_connection=True) is not None:
@@ -75,7 +75,7 @@
                 return True
         log_event("peer_silent", level="WARNING", peer=f"{node[0]}:{node[1]}")
         self.directory.mark_unreachable(node, "silent")
-        # Further requests on its idle connections would get no answer.
+        # Further requests on its idle connections would get no response.
         self.pool.close_idle(node)
         self.probed_at.pop(node, None)
         self.on_unresponsive(node)
--- a/almondshore/mesh/model.py
+++ b/almondshore/mesh/model.py
@@ -25,9 +25,9 @@
 
     :ivar idempotent: whether a request may run more than once
     :ivar timeout: longest time until a request is answered
-    :ivar objective: latency objective, the time within which a response is on time
+    :ivar objective: latency objective, the time within which a response counts as on time
     :ivar priority: 0 is the most urgent
-    :ivar max_attempts: number of times that one request may run at most
+    :ivar max_attempts: how many times one request may run at most
     """
 
     name: str
@@ -48,8 +48,8 @@
         self.hosts: dict[str, list[Route]] = {}
         for route in routes:
             self.hosts.setdefault(route.host.lower(), []).append(route)
-        for found in self.hosts.values():
-            found.sort(key=lambda route: -len(route.prefix))
+        for host_routes in self.hosts.values():
+            host_routes.sort(key=lambda route: -len(route.prefix))
 
     def match(self, host: str, path: str) -> Route | None:
         """Return the route whose prefix is the longest match for the path, or None."""
--- a/almondshore/mesh/outbound.py
+++ b/almondshore/mesh/outbound.py
@@ -117,8 +117,8 @@
             self._reject(exchange, 400, "no-host")
             return
         path = request.target.partition(b"?")[0].decode("latin-1")
-        name = host.decode("latin-1").partition(":")[0]
-        route = self.config.routes.match(name, path)
+        hostname = host.decode("latin-1").partition(":")[0]
+        route = self.config.routes.match(hostname, path)
         if route is None:
             self._reject(exchange, 404, "no-route")
             return
@@ -226,19 +226,19 @@
         if report is not None:
             pause = REFUSAL_PAUSES.get(report.reason)
             if report.reason == Refusal.OVERLOADED:
-                after = report.retry_after_ms * MILLISECOND
-                self.overload_refusals.record(target.target, forwarded.route.name, after)
+                retry_after = report.retry_after_ms * MILLISECOND
+                self.overload_refusals.record(target.target, forwarded.route.name, retry_after)
             if report.outcome is Outcome.REFUSED and pause is not None:
                 self.directory.pause_target(target.target, pause)
             self.on_version(target.node, report.config_version)
 
     def record_completion(self, request: Request) -> None:
-        """Tell the crash guard that a target ran the request to completion."""
+        """Record in the crash guard that a target ran the request to completion."""
         if self.guard.suspects:
             self.guard.record_completion(request_fingerprint(request, self.caller()))
 
     def _is_quarantined(self, request: Request) -> bool:
-        """Tell whether a request is quarantined for crashing targets."""
+        """Return whether a request is quarantined for crashing targets."""
         if not self.guard.suspects:
             return False
         return self.guard.check(request_fingerprint(request, self.caller())) is not None
@@ -265,5 +265,7 @@
     report = decode_report(result.response.headers)
     if report is None:
         return HopResult(Outcome.BROKEN, "no-report", None, None)
-    answered = report.outcome in (Outcome.ANSWERED, Outcome.REJECTED)
-    return HopResult(report.outcome, report.reason, result.response if answered else None, report)
+    has_response = report.outcome in (Outcome.ANSWERED, Outcome.REJECTED)
+    return HopResult(
+        report.outcome, report.reason, result.response if has_response else None, report
+    )
--- a/almondshore/mesh/overload.py
+++ b/almondshore/mesh/overload.py
@@ -31,24 +31,24 @@
     def without_recent_refusal(
         self, targets: Iterable[Target], route: str, pause: timedelta
     ) -> list[Target]:
-        """Return the targets that have not refused the route within the pause."""
+        """Return the targets that have not refused the route within the last ``pause``."""
         if not self.refusals:
             return list(targets)
         since = self.clock.monotonic() - pause
         return [
             target
             for target in targets
-            if (found := self.refusals.get((target.target, route))) is None or found.at <= since
+            if (refusal := self.refusals.get((target.target, route))) is None or refusal.at <= since
         ]
 
     def retry_after(self, targets: Iterable[Target], route: str) -> timedelta:
         """Return the shortest retry time that the targets stated, zero if none is known."""
-        known = [
-            found.retry_after
+        retry_times = [
+            refusal.retry_after
             for target in targets
-            if (found := self.refusals.get((target.target, route))) is not None
+            if (refusal := self.refusals.get((target.target, route))) is not None
         ]
-        return min(known, default=timedelta())
+        return min(retry_times, default=timedelta())
 
     def retain(self, targets: set[str]) -> None:
         """Drop the refusals of all other targets."""
--- a/almondshore/mesh/publishing.py
+++ b/almondshore/mesh/publishing.py
@@ -29,7 +29,7 @@
 
     Writes are conditional, so that a delayed one cannot undo a later one.
 
-    :ivar desired: entry to store
+    :ivar desired: entry to store, None before the first announcement
     :ivar stored: entry that was last written, None if it has to be written again
     :ivar revisions: last known revision of each entry
     """
@@ -94,20 +94,20 @@
         return self._handle_error(desired, result.failure())
 
     def withdraw(self) -> None:
-        """Remove the entry of the local target if its state is GONE."""
-        gone = self.desired
-        if gone is None or gone.state is not TargetState.GONE:
+        """Remove the entry of the local target if its state is ``GONE``."""
+        entry = self.desired
+        if entry is None or entry.state is not TargetState.GONE:
             return
-        revision = self.revisions.get(gone.target, 0)
+        revision = self.revisions.get(entry.target, 0)
         if revision:
-            result = self.store.delete_target(gone.target, revision)
-            log_event("target_withdrawn", target=gone.target, done=is_successful(result))
+            result = self.store.delete_target(entry.target, revision)
+            log_event("target_withdrawn", target=entry.target, done=is_successful(result))
 
     def _remove_predecessor_entries(self, target: Target) -> None:
         """Remove entries of earlier targets of this node, which ended without notice."""
-        for other in self.directory.predecessors(target):
-            removed = remove_entry(self.store, self.directory, other.target)
-            log_event("target_withdrawn", target=other.target, done=removed)
+        for predecessor in self.directory.predecessors(target):
+            removed = remove_entry(self.store, self.directory, predecessor.target)
+            log_event("target_withdrawn", target=predecessor.target, done=removed)
 
     def _handle_error(self, desired: Target, error: StoreError) -> bool:
         if isinstance(error, Changed):
--- a/almondshore/mesh/replication.py
+++ b/almondshore/mesh/replication.py
@@ -1,4 +1,4 @@
-"""Replicates a feed of the store."""
+"""Copies the items of a store's feed to a sink and keeps them up to date."""
 
 import random
 from abc import ABC, abstractmethod
@@ -16,14 +16,14 @@
 
 T = TypeVar("T")
 
-# Pause between attempts while the store does not answer, doubled up to the longest. A change must
-# take effect within 3 s after the store is available again.
+# Pause between attempts while the store does not respond, doubled after each attempt up to
+# MAX_BACKOFF. A change must take effect within 3 s after the store is available again.
 MIN_BACKOFF = timedelta(milliseconds=150)
 MAX_BACKOFF = timedelta(milliseconds=400)
 # Random extension of a pause, as a share of it, so that nodes do not call the store all at once.
 BACKOFF_JITTER = 0.5
-# While the store does not answer the probe replica either, other replicas call it no more often
-# than this.
+# While the probe replica gets no response from the store either, other replicas call the store no
+# more often than this.
 OUTAGE_CALL_INTERVAL = timedelta(seconds=4)
 # Changes less than this apart are a burst: a large feed is then read in full after each batch
 # delay, until it no longer changes.
@@ -45,16 +45,17 @@
 class Replica(Generic[T]):
     """Copies a feed to a sink until it is killed or suspended.
 
-    :param wait: longest wait of one call; a response that is lost in transit leaves the replica
-        outdated for as long
-    :param batch_delay: pause after a change, so that changes in quick succession need one call
+    :param wait: longest wait of one call; if the response is lost in transit, the replica is
+        outdated for this long
+    :param batch_delay: pause after a change, so that one call reads several changes
     :param large: whether changes are so large that only the newest is wanted: after a failure, and
         while changes come in quick succession, the feed is read in full, not change by change
-    :param probe_replica: replica of the feed that is cheapest to call; while the store does not
-        answer it, this one makes few calls, since calls that fail are charged too
-    :ivar on_recovered: called when the store answers again
-    :ivar failing_since: when the store stopped answering, None while it answers
-    :ivar answered_at: when the store last answered, None before its first answer
+    :param probe_replica: replica of the feed that is cheapest to call; while its calls fail too,
+        this replica makes few calls, since failed calls are also charged
+    :ivar on_recovered: called when the store responds again
+    :ivar failing_since: monotonic time since which the store has not responded, initially the
+        time of creation; None while it responds or the replica is suspended
+    :ivar answered_at: monotonic time of the store's last response, None before the first
     :ivar position: position in the feed to wait from, None if it has to be read in full
     :ivar former_position: position before a suspension, used to probe the store
     """
@@ -102,12 +103,12 @@
         self.greenlet = spawn_worker(f"copy of {self.feed.name}", self.run)
 
     def kill(self) -> None:
-        """Kill the greenlet, and with it the call that it waits for."""
+        """Kill the greenlet, and with it the pending call."""
         if self.greenlet is not None:
             self.greenlet.kill()
 
     def restart(self) -> None:
-        """Call again at once, unless suspended: the current call may be lost in an outage."""
+        """Call again at once, unless suspended: an outage may have lost the pending call."""
         if self.greenlet is not None:
             self.kill()
             self.start()
@@ -142,28 +143,28 @@
         if self.position is None:
             result = self.feed.read()
         else:
-            # In an outage, do not wait for changes: a response must show at once that it is over.
+            # In an outage, do not wait for changes: an immediate response shows that it is over.
             wait = self.wait - self.last_batch_delay if self.failing_since is None else timedelta()
             self.last_batch_delay = timedelta()
             result = self.feed.wait(self.position, wait)
         if not is_successful(result):
             self._on_error(result.failure())
             return
-        self._record_answer()
-        found = result.unwrap()
+        self._record_response()
+        received = result.unwrap()
         if self.position is None:
-            changed = self.sink.replace(found.items)
+            changed = self.sink.replace(received.items)
         else:
             self.lost_history = False
-            changed = bool(found.items)
+            changed = bool(received.items)
             if changed:
-                self.sink.update(found.items)
-        full_read, self.position = self.position is None, found.position
+                self.sink.update(received.items)
+        full_read, self.position = self.position is None, received.position
         if changed:
             self._after_change(full_read)
 
     def _probe_store(self, position: int) -> None:
-        """Check whether the store answers again, before a full read, which costs more."""
+        """Check whether the store responds again, before a full read, which costs more."""
         result = self.feed.wait(position, timedelta())
         if is_successful(result) or isinstance(result.failure(), HistoryGone):
             self.former_position = None
@@ -178,12 +179,12 @@
         if self.large and in_burst:
             self.position = None
         if in_burst if self.large else not full_read:
-            # The next wait is shorter by the pause, so that the store still answers as often.
+            # Shorten the next wait by the pause, so that the store still responds as often.
             self.last_batch_delay = min(self.batch_delay, self.wait)
             eventlet.sleep(self.last_batch_delay.total_seconds())
 
     def _defers_to_probe_replica(self, now: timedelta) -> bool:
-        """Return whether to wait until the probe replica finds that the store answers again."""
+        """Return whether to wait until the probe replica gets a response from the store."""
         if (
             self.probe_replica is None
             or self.probe_replica.failing_since is None
@@ -213,7 +214,7 @@
         self.backoff = min(MAX_BACKOFF, self.backoff * 2)
         eventlet.sleep(backoff.total_seconds() * (1.0 + BACKOFF_JITTER * self.rng.random()))
 
-    def _record_answer(self) -> None:
+    def _record_response(self) -> None:
         self.backoff = MIN_BACKOFF
         self.answered_at = self.clock.monotonic()
         if self.failing_since is not None:
--- a/almondshore/mesh/rollout.py
+++ b/almondshore/mesh/rollout.py
@@ -22,27 +22,27 @@
     results: int
 
 
-# Whenever a version turns out bad, it may have received at most a tenth of the requests of the
-# whole rollout. The steps before the last one add up to 6% of them, so that a fault that appears
-# at the last step may take 0.8 s of a rollout of 16 s to be found. The last step leaves a margin to
-# the deadline.
+# A faulty version may receive at most a tenth of the requests of the whole rollout, whenever its
+# fault is detected. The steps before the last one add up to 6% of them, so that a fault that
+# appears at the last step may take 0.8 s of a rollout of 16 s to be detected. The last step leaves
+# a margin to the deadline.
 STEPS = (Step(0.0, 0.05, 0), Step(0.42, 0.09, 12), Step(0.56, 0.18, 25), Step(0.7, 1.0, 40))
 # A step that lacks results is taken anyway after this further fraction of the rollout's time.
 MAX_STEP_DELAY_FRACTION = 0.06
-# Time in which requests on the old version end; its targets are stopped at once on completion.
+# Time for requests on the old version to end; its targets are stopped when the rollout completes.
 MIN_SETTLE_TIME = timedelta(seconds=1)
 MAX_SETTLE_TIME = timedelta(seconds=2.5)
 
 MIN_ROUTE_FAILURES = 4
-ROUTE_FAILURE_RATE = 0.15
+MAX_ROUTE_FAILURE_RATE = 0.15
 MIN_FAILURES = 5
-FAILURE_RATE = 0.1
+MAX_FAILURE_RATE = 0.1
 # The new version must fail this many times as often as the old one to count as faulty.
-FAILURE_RATIO = 3.0
+MIN_FAILURE_RATIO = 3.0
 # Targets of one version differ in speed by up to a factor of three.
-SLOW_RATIO = 3.0
-MIN_TIMED = 6
-MIN_OLD_TIMED = 10
+MIN_SLOW_RATIO = 3.0
+MIN_TIMED_RESULTS = 6
+MIN_OLD_TIMED_RESULTS = 10
 
 
 class VersionCounts(NamedTuple):
@@ -55,17 +55,17 @@
 def add_counts(total: dict[str, RouteCounts], routes: dict[str, RouteCounts]) -> None:
     """Add the counts of one target to a total."""
     for route, counts in routes.items():
-        known = total.get(route, RouteCounts())
+        previous = total.get(route, RouteCounts())
         total[route] = RouteCounts(
-            *(left + right for left, right in zip(known, counts, strict=True))
+            *(left + right for left, right in zip(previous, counts, strict=True))
         )
 
 
 def find_fault(counts: VersionCounts) -> str:
-    """Return a description of what is wrong with the new version, or an empty string."""
+    """Return a description of the new version's fault, or an empty string."""
     for route, new in counts.new.items():
         old = counts.old.get(route, RouteCounts())
-        if _fails_more(new, old, MIN_ROUTE_FAILURES, ROUTE_FAILURE_RATE):
+        if _fails_more_often(new, old, MIN_ROUTE_FAILURES, MAX_ROUTE_FAILURE_RATE):
             return f"{new.failures} of {new.requests} requests failed on route {route}"
         if _is_slower(new, old):
             return (
@@ -73,7 +73,7 @@
                 f"{old.total_ms / old.timed:.0f} ms on the old version"
             )
     new, old = _sum_counts(counts.new.values()), _sum_counts(counts.old.values())
-    if _fails_more(new, old, MIN_FAILURES, FAILURE_RATE):
+    if _fails_more_often(new, old, MIN_FAILURES, MAX_FAILURE_RATE):
         return f"{new.failures} of {new.requests} requests failed"
     return ""
 
@@ -89,7 +89,7 @@
     """Return the rollout with the state and share that are due.
 
     :param elapsed: time since the order
-    :param time_at_full_share: time since the new version got all requests
+    :param time_at_full_share: time since the new version began to get all requests
     :param results: results on the new version so far
     :param old_running: requests that still run at targets of the old version
     """
@@ -113,17 +113,17 @@
     return rollout._replace(state=RolloutState.RUNNING, share=share)
 
 
-def _fails_more(new: RouteCounts, old: RouteCounts, at_least: int, rate: float) -> bool:
+def _fails_more_often(new: RouteCounts, old: RouteCounts, at_least: int, rate: float) -> bool:
     if new.failures < at_least:
         return False
     old_rate = old.failures / old.requests if old.requests else 0.0
-    return new.failures / new.requests > max(rate, FAILURE_RATIO * old_rate)
+    return new.failures / new.requests > max(rate, MIN_FAILURE_RATIO * old_rate)
 
 
 def _is_slower(new: RouteCounts, old: RouteCounts) -> bool:
-    if new.timed < MIN_TIMED or old.timed < MIN_OLD_TIMED:
+    if new.timed < MIN_TIMED_RESULTS or old.timed < MIN_OLD_TIMED_RESULTS:
         return False
-    return new.total_ms / new.timed > SLOW_RATIO * old.total_ms / old.timed
+    return new.total_ms / new.timed > MIN_SLOW_RATIO * old.total_ms / old.timed
 
 
 def _sum_counts(counts: Iterable[RouteCounts]) -> RouteCounts:
--- a/almondshore/mesh/status.py
+++ b/almondshore/mesh/status.py
@@ -45,8 +45,8 @@
 
 def targets_view(node: "MeshNode") -> TargetsView:
     """Return the targets that a node knows, sorted by zone and node."""
-    found = sorted(node.directory.targets.values(), key=lambda item: (item.zone, item.node))
-    return TargetsView(targets=[_target_view(node, item) for item in found])
+    targets = sorted(node.directory.targets.values(), key=lambda item: (item.zone, item.node))
+    return TargetsView(targets=[_target_view(node, item) for item in targets])
 
 
 def _target_view(node: "MeshNode", target: Target) -> TargetView:
@@ -62,13 +62,13 @@
 
 
 def _service_view(node: "MeshNode", service: str) -> ServiceView:
-    found = [item for item in node.directory.targets.values() if item.service == service]
+    targets = [item for item in node.directory.targets.values() if item.service == service]
     rollout = node.shares.rollouts.get(service)
     ready = node.directory.versions(service)
     return ServiceView(
         service=service,
         ready={version: len(targets) for version, targets in sorted(ready.items())},
-        known=sum(item.state is not TargetState.GONE for item in found),
+        known=sum(item.state is not TargetState.GONE for item in targets),
         rollout=rollout.state.value if rollout else "",
         rollout_version=rollout.version if rollout else "",
         rollout_share=rollout.share if rollout else 0.0,
--- a/almondshore/mesh/vanished.py
+++ b/almondshore/mesh/vanished.py
@@ -18,24 +18,24 @@
 # A host that has been unreachable for this long counts as gone. Repairs and restarts take minutes,
 # and an entry that stays for a while longer only causes probes.
 VANISHED_AFTER = timedelta(minutes=10)
-# Random extension of this time, up to this share of it, so that one node removes the entry and the
-# others see the removal.
+# VANISHED_AFTER is extended by a random share of it, up to this one, so that one node removes the
+# entry first and the others see the removal.
 REMOVAL_JITTER = 1.0
-# Failures to reach the host that are needed in that time, since a process that was suspended made
-# no attempts. Probes of an unreachable node are 4 s apart.
+# Minimum number of failures to reach the host in that time: a process that was suspended made no
+# attempts. Probes of an unreachable node are 4 s apart.
 MIN_FAILURES = 60
 # If more than this share of the targets is unreachable, the fault is more likely on this host.
 MAX_UNREACHABLE_SHARE = 0.5
 
 
 class VanishedEntries:
-    """Removes the entries of targets whose node has been unreachable for long.
+    """Removes the entries of targets whose node has been unreachable for a long time.
 
     A node that finds the entry of its local target removed writes it again. Each node therefore
     removes the entry of one incarnation at most once: the target may be reachable for others.
 
     :param is_up_to_date: returns whether the directory was recently confirmed to be up to date
-    :ivar due: when each entry is to be removed
+    :ivar due: monotonic time at which each entry is to be removed
     :ivar removed: targets and incarnations that this node has removed
     """
 
--- a/almondshore/mesh/versions.py
+++ b/almondshore/mesh/versions.py
@@ -11,7 +11,7 @@
 
     A version gets requests if it is the stable one of its service, or by the share of a running
     rollout. The stable version is that of the last completed rollout, else that of the oldest
-    target: targets of a new version start before the order is known.
+    target, since targets of a new version start before the order is known.
     """
 
     def __init__(self, *, rng: random.Random):
@@ -42,7 +42,9 @@
                 self.stable[service] = target.version
 
     def new_share(self, service: str) -> tuple[str, float]:
-        """Return the version of an uncompleted rollout and its share; empty and 0 if none."""
+        """Return the version of an uncompleted rollout and its share; empty and 0 if none.
+
+        The share is 0 unless the rollout is running."""
         rollout = self.rollouts.get(service)
         if rollout is None or rollout.state is RolloutState.COMPLETED:
             return "", 0.0
@@ -56,8 +58,8 @@
             return False
         if rollout.state is RolloutState.ROLLED_BACK:
             return version == rollout.version
-        moved = rollout.state is RolloutState.COMPLETED or rollout.share >= 1.0
-        return moved and version != rollout.version
+        is_replaced = rollout.state is RolloutState.COMPLETED or rollout.share >= 1.0
+        return is_replaced and version != rollout.version
 
     def pick(self, service: str, versions: Mapping[str, list[Target]]) -> str | None:
         """Return the version for a request, or None if no target may get it.
--- a/almondshore/mesh/view.py
+++ b/almondshore/mesh/view.py
@@ -10,7 +10,7 @@
     """A target that a node knows.
 
     :ivar node: address at which the target's node accepts requests
-    :ivar answers: whether that node answered when it was last tried
+    :ivar answers: whether that node responded to the last attempt to reach it
     """
 
     target: str
@@ -49,9 +49,9 @@
 
     :ivar source: ``store``, or the address of the watcher from which the node gets changes
     :ivar state_age_ms: time since the state was last known to be up to date; -1 if it never was
-    :ivar store_away_ms: time since the store stopped answering this node; 0 while it answers
+    :ivar store_away_ms: time since the store stopped responding to this node; 0 while it responds
     :ivar target: identity of the local target, empty before its first announcement
-    :ivar unreachable: addresses of nodes that get no requests because they do not answer
+    :ivar unreachable: addresses of nodes that get no requests because they do not respond
     """
 
     node: str
