Reword the platform adapter

A target stood beside its node; it is the local target, or the node of a target. The comment on stale reads names the read that is never stale.

--- a/almondshore/platform/announcements.py
+++ b/almondshore/platform/announcements.py
@@ -1,4 +1,4 @@
-"""Heartbeats and deregistrations that the target beside a node sends to it."""
+"""Heartbeats and deregistrations that the local target sends to its node."""
 
 from collections.abc import Callable
 from datetime import timedelta
--- a/almondshore/platform/main.py
+++ b/almondshore/platform/main.py
@@ -112,12 +112,12 @@
 
 def watch_settings(node: MeshNode, path: str) -> None:
     """Poll the settings file and reload it when it has changed, even without a signal."""
-    known = _file_version(path)
+    last_seen = _file_version(path)
     while True:
         eventlet.sleep(SETTINGS_POLL_INTERVAL.total_seconds())
         current = _file_version(path)
-        if current != known:
-            known = current
+        if current != last_seen:
+            last_seen = current
             reload_settings(node, path)
 
 
--- a/almondshore/platform/objects.py
+++ b/almondshore/platform/objects.py
@@ -28,7 +28,7 @@
 
 T = TypeVar("T")
 
-# The store answers in 4 ms, but may take 60 times as long when it is slow, and may lose responses.
+# The store responds in 4 ms, but may take 60 times as long when it is slow, and may lose responses.
 CALL_TIMEOUT = timedelta(seconds=1)
 # Added to the wait of a watch, whose response comes at the end of that wait, for the network and a
 # slow store.
@@ -173,7 +173,7 @@
         return Changes(response.current_rev, items)
 
     def _add(self, items: dict[str, Any], raw: msgspec.Raw) -> None:
-        """Add a decoded object; skip and log one that is malformed, as by another writer."""
+        """Add a decoded object; skip and log a malformed one, as other writers may store."""
         try:
             name, item = self.decode(raw)
         except (msgspec.MsgspecError, ValueError, TypeError) as error:
@@ -188,8 +188,9 @@
     def __init__(self, *, client: ObjectClient):
         self.client = client
         self.config = ObjectFeed(client=client, kind=names.CONFIG_KIND, decode=self._config_item)
-        # Entries of targets may be seconds old, since the node beside a leaving target refuses
-        # requests itself; but a process that starts must see what its predecessor stored.
+        # Entries of targets may be seconds old, since the node of a leaving target refuses requests
+        # itself. A full read is never stale: a process that starts must see what its predecessor
+        # stored.
         self.targets = ObjectFeed(
             client=client, kind=names.TARGET_KIND, decode=_target_item, allow_stale=True
         )
