Rename and reword the tests of mesh and platform

Names such as question, told, rested, usual, beside and on trial were figurative, and found, other and bed stood for many things. The tests use the terms of the code: polls, suspended replicas, the stable version, the local target, the harness. Docstrings name the failure and how it comes about. No check, bound, seed or literal changed.

--- a/test/mesh/fakes.py
+++ b/test/mesh/fakes.py
@@ -1,4 +1,4 @@
-"""Fakes for tests of the request path."""
+"""Fakes and a harness for tests of the request path."""
 
 import random
 from datetime import timedelta
@@ -74,15 +74,15 @@
 
     def __init__(self):
         self.calls = []
-        self.dropped = []
+        self.closed_idle = []
 
     def call(self, address, data, *, timeout, on_done, **options):
-        found = FakeCall(address, data, timeout, on_done, options)
-        self.calls.append(found)
-        return found
+        call = FakeCall(address, data, timeout, on_done, options)
+        self.calls.append(call)
+        return call
 
     def close_idle(self, address):
-        self.dropped.append(address)
+        self.closed_idle.append(address)
 
 
 class FakeConnection:
@@ -145,7 +145,7 @@
             node=OWN_NODE,
             caller=lambda: "own-service",
             on_version=lambda node, version: self.versions_seen.append(version),
-            observe=lambda found, status, took: self.finished.append(status),
+            observe=lambda observed_route, status, took: self.finished.append(status),
         )
         self.outbound.config = config(routes=routes if routes is not None else [route()])
 
--- a/test/mesh/test_crashes.py
+++ b/test/mesh/test_crashes.py
@@ -20,18 +20,21 @@
 
 class CrashTest(TestCase):
     def crash(self, name="t1", born_ms=1000, refuses=True):
-        """Crash a target while it runs the request; returns the reported death."""
-        bed = RequestPathHarness()
+        """Crash a target while it runs the request; returns the reported death, or None.
+
+        :param refuses: whether the target refuses connections afterwards
+        """
+        harness = RequestPathHarness()
         deaths = []
-        bed.inbound.on_death = deaths.append
-        bed.clock.advance(timedelta(milliseconds=born_ms))
-        bed.local.announce(announcement(name, address=APP, born_ms=born_ms))
+        harness.inbound.on_death = deaths.append
+        harness.clock.advance(timedelta(milliseconds=born_ms))
+        harness.local.announce(announcement(name, address=APP, born_ms=born_ms))
         terms = HopTerms("r", name, "s", "v1", "own-service", True, 1, 600, 1200)
         for _ in range(2):
-            bed.inbound.submit(REQUEST, terms, lambda result: None)
-        bed.pool.calls[0].fail(CallFailure.CLOSED)
+            harness.inbound.submit(REQUEST, terms, lambda result: None)
+        harness.pool.calls[0].fail(CallFailure.CLOSED)
         if refuses:
-            bed.pool.calls[1].fail(CallFailure.NOT_CONNECTED, sent=False)
+            harness.pool.calls[1].fail(CallFailure.NOT_CONNECTED, sent=False)
         return deaths[0] if deaths else None
 
     def test_closed_connection_alone_is_no_death(self):
@@ -40,33 +43,33 @@
 
     def test_request_is_refused_everywhere_after_two_deaths(self):
         """Guards against a request that crashes one target after another."""
-        bed = RequestPathHarness()
-        bed.directory.put(target())
-        sink = CrashSink(guard=bed.guard)
+        harness = RequestPathHarness()
+        harness.directory.put(target())
+        sink = CrashSink(guard=harness.guard)
         first, second = self.crash("t1"), self.crash("t2", born_ms=9000)
         self.assertIsNot(None, first)
         for _ in range(3):
             sink.update({first.name: first})
-        bed.request(b"/a/x")
-        self.assertEqual(1, len(bed.pool.calls))
+        harness.request(b"/a/x")
+        self.assertEqual(1, len(harness.pool.calls))
         sink.update({second.name: second, "gone": None})
-        self.assertEqual(503, bed.request(b"/a/x").response.status)
-        self.assertEqual(1, len(bed.pool.calls))
-        bed.request(b"/a/other")
-        self.assertEqual(2, len(bed.pool.calls))
+        self.assertEqual(503, harness.request(b"/a/x").response.status)
+        self.assertEqual(1, len(harness.pool.calls))
+        harness.request(b"/a/other")
+        self.assertEqual(2, len(harness.pool.calls))
 
     def test_request_that_completes_between_deaths_is_cleared(self):
-        """Guards against refusing a common request that ran beside the one that crashes targets."""
-        bed = RequestPathHarness()
-        bed.directory.put(target())
-        sink = CrashSink(guard=bed.guard)
+        """Guards against refusing a request that ran together with one that crashes targets."""
+        harness = RequestPathHarness()
+        harness.directory.put(target())
+        sink = CrashSink(guard=harness.guard)
         first, second = self.crash("t1"), self.crash("t2", born_ms=9000)
         sink.update({first.name: first})
-        bed.request(b"/a/x")
-        bed.pool.calls[0].report()
+        harness.request(b"/a/x")
+        harness.pool.calls[0].report()
         sink.update({second.name: second})
-        self.assertIs(None, bed.request(b"/a/x").response)
-        self.assertEqual(2, len(bed.pool.calls))
+        self.assertIs(None, harness.request(b"/a/x").response)
+        self.assertEqual(2, len(harness.pool.calls))
 
     def test_identity_covers_body_and_caller(self):
         """Guards against a quarantine of requests that differ from the one that crashes targets."""
@@ -79,7 +82,7 @@
         self.assertEqual(4, len(fingerprints))
 
     def test_report_is_written_when_the_store_returns_and_removed_later(self):
-        """Guards against reports that an outage of the store loses, and ones that accumulate."""
+        """Guards against reports that are lost in an outage of the store or never removed."""
 
         class Store:
             results = [Failure(Unavailable("away")), Success(4)]
--- a/test/mesh/test_directory.py
+++ b/test/mesh/test_directory.py
@@ -31,8 +31,8 @@
     def test_unreachable_node_gets_no_requests_until_it_answers(self):
         """Guards against requests that time out at a host that is gone.
 
-        A host that was taken away during an outage of the store kept its entry, which drew
-        requests every few seconds.
+        A host that was removed during an outage of the store kept its entry, so that requests were
+        sent to it every few seconds.
         """
         near, far = target("t1"), target("t2", node=("10.0.0.2", 1))
         self.directory.replace([near, far])
@@ -42,7 +42,7 @@
         self.directory.mark_reachable(near.node)
         self.assertEqual(["t1", "t2"], self.ready())
 
-    def test_unreachable_node_is_asked_less_often_each_time(self):
+    def test_unreachable_node_is_probed_less_often_each_time(self):
         """Guards against constant probes of a host that is gone, by all nodes."""
         pauses = []
         self.directory.on_unreachable = lambda _node, pause: pauses.append(pause)
@@ -56,13 +56,13 @@
         self.assertEqual(MAX_UNREACHABLE_PAUSE, pauses[-1])
         self.assertTrue(pauses[0] * 2 == pauses[1])
 
-    def test_last_target_is_tried_though_it_could_not_be_reached(self):
+    def test_only_target_is_tried_although_its_node_is_unreachable(self):
         """Guards against a service that is unavailable after one lost packet."""
         self.directory.put(target())
         self.directory.mark_unreachable(target().node, "test")
         self.assertEqual(["t1"], self.ready())
 
-    def test_target_that_refused_for_its_own_reasons_is_not_tried(self):
+    def test_paused_target_gets_no_requests(self):
         """Guards against a request that is sent to a target known to be leaving."""
         self.directory.put(target())
         self.directory.pause_target("t1", timedelta(seconds=1))
@@ -70,7 +70,7 @@
         self.clock.advance(timedelta(seconds=1.1))
         self.assertEqual(["t1"], self.ready())
 
-    def test_newest_target_beside_a_node_counts(self):
+    def test_only_the_newest_target_of_a_node_gets_requests(self):
         """Guards against requests to a target whose host already runs a newer one."""
         self.directory.replace([target("old"), target("new", born_ms=5000)])
         self.assertEqual(["new"], self.ready())
--- a/test/mesh/test_driver.py
+++ b/test/mesh/test_driver.py
@@ -1,4 +1,4 @@
-"""Tests of a node that drives the rollout of its local target's service."""
+"""Tests of a node that advances the rollout of its local target's service."""
 
 import random
 from datetime import timedelta
@@ -32,7 +32,7 @@
 
 
 class NoPeers:
-    """A client for which no other node answers."""
+    """A client for which no other node responds."""
 
     def get(self, node, path):
         return None
@@ -64,10 +64,10 @@
         self.addCleanup(greenlet.kill)
         eventlet.sleep(STEP_INTERVAL.total_seconds() / 2)
 
-    def test_version_that_turns_bad_is_refused_by_its_node_at_once(self):
+    def test_version_that_becomes_faulty_is_refused_by_its_node_at_once(self):
         """Guards against a version at full share that keeps failing until the next step.
 
-        The fault was found after 0.8 s, in which the version received 190 requests.
+        The fault was detected after 0.8 s, in which the version received 190 requests.
         """
         self.assertFalse(self.driver.is_faulty("s", "v2"))
         self.counts = RouteCounts(40, 10, 30, 3000.0)
@@ -75,8 +75,8 @@
         self.assertTrue(self.driver.is_faulty("s", "v2"))
         self.assertEqual([RolloutState.ROLLED_BACK], self.store.saved)
 
-    def test_node_beside_the_old_version_does_not_judge_by_its_own_target(self):
-        """Guards against a new version that is rolled back for failures of the old one."""
+    def test_node_of_the_old_version_does_not_judge_by_its_local_target(self):
+        """Guards against rolling a new version back because of failures of the old one."""
         self.version = "v1"
         self.counts = RouteCounts(40, 10, 30, 3000.0)
         eventlet.sleep(2.5 * STEP_INTERVAL.total_seconds())
--- a/test/mesh/test_inbound.py
+++ b/test/mesh/test_inbound.py
@@ -31,9 +31,9 @@
     def announce(self, **fields):
         self.harness.local.announce(announcement(address=APP, slots=2, **fields))
 
-    def submit(self, wanted=None):
+    def submit(self, hop_terms=None):
         request = Request(b"GET", b"/a/x", ((b"Attempt-Id", b"a1"),), b"")
-        return self.harness.inbound.submit(request, wanted or terms(), self.results.append)
+        return self.harness.inbound.submit(request, hop_terms or terms(), self.results.append)
 
     def outcomes(self):
         return [(result.outcome, result.reason) for result in self.results]
@@ -53,15 +53,15 @@
     def test_restarted_target_accepts_requests_for_its_predecessor(self):
         """Guards against refusals in the second after a restart of the target.
 
-        Other nodes then know only its predecessor. On valpadana-mesh-grown, trouble-1, 129 of the
+        Other nodes know only its predecessor then. On valpadana-mesh-grown, trouble-1, 129 of the
         first 720 requests after a power loss of all hosts were refused as meant for another target.
         """
         self.announce()
         self.submit(terms(target="t0"))
         call = self.harness.pool.calls[0]
         self.assertEqual(b"t1", call.header(b"expected-instance"))
-        for other in ({"service": "other"}, {"version": "v2"}):
-            self.submit(terms(target="t0", **other))
+        for difference in ({"service": "other"}, {"version": "v2"}):
+            self.submit(terms(target="t0", **difference))
             self.assertEqual((Outcome.REFUSED, "wrong-target"), self.outcomes()[-1])
 
     def test_queued_requests_are_refused_when_the_target_is_replaced(self):
@@ -119,7 +119,7 @@
         self.assertEqual([], self.results)
 
     def test_unanswered_requests_raise_the_failure_rate(self):
-        """Guards against a target that keeps being chosen though it does not answer requests."""
+        """Guards against a target that is still chosen although it does not respond to requests."""
         self.announce()
         self.submit()
         self.harness.clock.advance(timedelta(milliseconds=100))
@@ -136,7 +136,7 @@
         self.assertEqual(0, self.harness.recorder.routes["r"].failures)
 
     def test_early_cancellation_does_not_raise_the_failure_rate(self):
-        """Guards against callers with short timeouts that make good targets look bad."""
+        """Guards against a failure rate that callers with short timeouts raise for good targets."""
         self.announce()
         first = self.submit()
         self.harness.clock.advance(timedelta(seconds=1))
@@ -156,12 +156,12 @@
             ((CallFailure.CLOSED, True), (Outcome.BROKEN, "closed")),
             ((CallFailure.MALFORMED, True), (Outcome.BROKEN, "malformed")),
         )
-        for (failure, sent), end in cases:
+        for (failure, sent), expected in cases:
             self.announce(born_ms=1000 + len(self.results))
             self.harness.inbound.target_down_until = timedelta()
             self.submit()
             self.harness.pool.calls[-1].fail(failure, sent=sent)
-            self.assertEqual(end, self.outcomes()[-1])
+            self.assertEqual(expected, self.outcomes()[-1])
         self.harness.inbound.target_down_until = timedelta()
         self.submit()
         self.harness.pool.calls[-1].answer(Response(503, ((b"Not-Executed", b"1"),)))
--- a/test/mesh/test_node.py
+++ b/test/mesh/test_node.py
@@ -74,21 +74,21 @@
         self.mesh.store.put("config", "main", stored_config(4, ("s",)))
         wait_until(lambda: self.mesh.nodes["n1"].outbound.config_version() == 4)
 
-    def test_node_recovers_from_a_lost_answer_of_the_store(self):
-        """Guards against a node that misses new targets after an answer of the store was lost.
+    def test_node_recovers_from_a_lost_response_of_the_store(self):
+        """Guards against a node that misses new targets after a response of the store was lost.
 
         In the soak with seed 4, one node had outdated targets 10 s later.
         """
         first = self.mesh.nodes["n1"]
         for connection in list(self.mesh.store_server.connections):
-            # The store considers its answers sent, while the node still waits for them.
+            # The store considers its responses sent, while the node still waits for them.
             connection.stream.write = lambda data: None
         self.mesh.add_node("n3")
         self.assertNotIn("i-n3", first.directory.targets)
         wait_until(lambda: "i-n3" in first.directory.targets, seconds=8)
 
     def test_changes_take_effect_soon_after_the_store_was_unresponsive(self):
-        """Guards against a feed that keeps waiting for the answer to a call that was lost.
+        """Guards against a replica that keeps waiting for the response to a call that was lost.
 
         On valpadana-mesh, trouble-3 --seed 565540342273, no node had a version in force 2.2 s after
         it was stored.
@@ -169,10 +169,9 @@
         self.assertTrue(statuses.count(200) >= 6, statuses)
 
     def test_deaths_of_the_local_target_are_counted_and_reported(self):
-        """Guards against an unreported request that crashes targets.
+        """Guards against unreported deaths, and requests that get no response after a death.
 
-        The node called a component that had been removed, so that the death was not reported and
-        the request at the dead target got no response.
+        This happened when the node called a component that had been removed.
         """
         node, other = self.mesh.nodes["n2"], self.mesh.nodes["n1"]
         for number in (1, 2):
@@ -241,8 +240,8 @@
         self.assertEqual(
             {("i-n1", True), ("i-n2", True)}, {(t["target"], t["answers"]) for t in targets}
         )
-        found = {item["service"]: item["ready"] for item in view["services"]}
-        self.assertEqual({"s": {"v1": 1}, "other": {"v1": 1}}, found)
+        ready_targets = {item["service"]: item["ready"] for item in view["services"]}
+        self.assertEqual({"s": {"v1": 1}, "other": {"v1": 1}}, ready_targets)
 
     def _cut_first(self, upstream):
         usual = upstream._default_response
@@ -260,21 +259,21 @@
 
 
 class _UnresponsiveHandler(ExchangeHandler):
-    """Accepts requests and answers none of them."""
+    """Accepts requests and responds to none of them."""
 
     def handle(self, exchange):
         return
 
 
 class RolloutTest(TestCase):
-    def run_rollout(self, bad):
+    def run_rollout(self, faulty):
         mesh = new_mesh(self)
         mesh.store.put("config", "main", stored_config(3, ("s", "other")))
         mesh.add_node("n1", service="other")
         mesh.add_node("n2")
         mesh.add_node("n3", version="v2")
         mesh.announce("n3", version="v2", born=9000)
-        if bad:
+        if faulty:
             mesh.upstreams["n3"].make_response = lambda exchange: Response(
                 500,
                 (
@@ -297,15 +296,15 @@
 
     def test_rollout_of_a_good_version_completes_in_time(self):
         """Guards against the rollout of a good version that misses its deadline."""
-        mesh, _, state = self.run_rollout(bad=False)
+        mesh, _, state = self.run_rollout(faulty=False)
         self.assertEqual("completed", state)
         before = len(mesh.upstreams["n2"].executed)
         self.assertEqual(200, mesh.request_status("n1"))
         self.assertEqual(before, len(mesh.upstreams["n2"].executed))
 
-    def test_bad_version_is_rolled_back_with_little_exposure(self):
-        """Guards against a bad version that gets more than a small share of the requests."""
-        mesh, requests, state = self.run_rollout(bad=True)
+    def test_faulty_version_is_rolled_back_with_little_exposure(self):
+        """Guards against a faulty version that gets more than a small share of the requests."""
+        mesh, requests, state = self.run_rollout(faulty=True)
         self.assertEqual("rolled_back", state)
         exposed = len(mesh.upstreams["n3"].executed)
         self.assertTrue(exposed <= 0.1 * requests + 50, (exposed, requests))
--- a/test/mesh/test_outbound.py
+++ b/test/mesh/test_outbound.py
@@ -165,14 +165,14 @@
         forwarded.on_overdue(forwarded.attempts[0])
 
     def report_all_loads(self, harness):
-        """Make the chooser know the loads of all targets."""
+        """Report the loads of all targets to the chooser."""
         for _ in range(3 * len(NODES)):
             harness.request()
             harness.pool.calls[-1].report(running=1)
         harness.pool.calls.clear()
 
     def test_overdue_request_is_hedged_at_a_second_target(self):
-        """Guards against callers that wait for a target which does not answer."""
+        """Guards against callers that wait for a target which does not respond."""
         harness = self.new_harness()
         self.report_all_loads(harness)
         exchange = harness.request()
@@ -208,9 +208,9 @@
         }
         log.assert_called_once_with("request_repeated", **fields)
 
-    def test_first_target_may_still_answer(self):
+    def test_first_target_may_still_respond(self):
         """Guards against discarding a good first response because the second attempt failed."""
-        for ending in (
+        for end_second_attempt in (
             lambda call: call.report(status=500),
             lambda call: call.report(Outcome.REFUSED, "overloaded", 503),
             lambda call: call.fail(CallFailure.CLOSED),
@@ -219,7 +219,7 @@
             self.report_all_loads(harness)
             exchange = harness.request()
             self.make_overdue(harness)
-            ending(harness.pool.calls[1])
+            end_second_attempt(harness.pool.calls[1])
             self.assertEqual(None, self.status(exchange))
             self.assertEqual(2, len(harness.pool.calls))
             harness.pool.calls[0].report(body=b"first")
@@ -263,8 +263,8 @@
         harness.directory.put(target("o1", service="other", node=("10.0.0.8", 1)))
         for _ in range(800):
             harness.request()
-        other = sum(call.terms.target == "o1" for call in harness.pool.calls)
-        self.assertTrue(140 < other < 260, other)
+        other_count = sum(call.terms.target == "o1" for call in harness.pool.calls)
+        self.assertTrue(140 < other_count < 260, other_count)
 
     def test_configuration_versions_of_other_nodes_are_reported(self):
         """Guards against a node that keeps an old configuration while the store is unreachable."""
--- a/test/mesh/test_peers.py
+++ b/test/mesh/test_peers.py
@@ -21,10 +21,10 @@
 
     def __init__(self, state):
         self.state = state
-        self.asked = []
+        self.calls = []
 
     def get(self, node, path, *, timeout=None):
-        self.asked.append((node, path))
+        self.calls.append((node, path))
         return encode_response(self.state) if self.state is not None else None
 
 
@@ -32,7 +32,7 @@
     def setUp(self):
         super().setUp()
         self.harness = RequestPathHarness()
-        self.away = None
+        self.unavailable_since = None
         self.rollout = Rollout("s", "v2", timedelta(seconds=9), RolloutState.RUNNING, 0.25, 8)
         config_of_peer = compress_config(b'{"x": 1}')
         self.client = FakeClient(
@@ -53,17 +53,17 @@
             ),
             node=OWN_NODE,
             zone="a",
-            store_unavailable_since=lambda: self.away,
+            store_unavailable_since=lambda: self.unavailable_since,
         )
 
     def test_state_of_a_peer_is_applied(self):
         """Guards against a node that keeps outdated state while the store is unreachable."""
-        self.away = self.harness.clock.monotonic() - timedelta(seconds=1)
+        self.unavailable_since = self.harness.clock.monotonic() - timedelta(seconds=1)
         self.assertTrue(self.sync.fetch(NEAR))
         self.assertEqual(7, self.harness.outbound.config_version())
         self.assertEqual({"t9": target("t9")}, self.harness.directory.targets)
         self.assertEqual({"s": self.rollout}, self.harness.shares.rollouts)
-        self.assertEqual([(NEAR, b"/changes?config=1")], self.client.asked)
+        self.assertEqual([(NEAR, b"/changes?config=1")], self.client.calls)
 
     def test_only_the_configuration_is_fetched_while_the_store_answers(self):
         """Guards against removed entries that reappear from the outdated state of a peer."""
@@ -72,7 +72,7 @@
         self.assertEqual({}, self.harness.directory.targets)
         self.assertEqual({}, self.harness.shares.rollouts)
 
-    def test_peer_is_asked_only_if_the_store_is_late(self):
+    def test_state_is_fetched_from_a_peer_only_if_the_store_is_late(self):
         """Guards against each node copying each new configuration across zones."""
         self.sync.on_peer_version(NEAR, 7)
         self.assertFalse(self.sync.fetching)
@@ -80,9 +80,9 @@
         self.sync.on_peer_version(NEAR, 7)
         self.assertTrue(self.sync.fetching)
 
-    def test_peer_is_asked_immediately_while_the_store_is_unreachable(self):
+    def test_state_is_fetched_from_a_peer_immediately_in_an_outage(self):
         """Guards against a change that takes effect late during an outage of the store."""
-        self.away = timedelta()
+        self.unavailable_since = timedelta()
         self.harness.clock.advance(timedelta(seconds=1))
         self.sync.on_peer_version(NEAR, 7)
         self.assertTrue(self.sync.fetching)
--- a/test/mesh/test_rollout.py
+++ b/test/mesh/test_rollout.py
@@ -22,9 +22,9 @@
     return find_fault(VersionCounts({"r": new}, {"r": old}))
 
 
-class VerdictTest(TestCase):
-    def test_bad_versions_are_found_from_few_requests(self):
-        """Guards against a bad version that gets more than a small share before detection."""
+class FaultDetectionTest(TestCase):
+    def test_faulty_versions_are_detected_from_few_requests(self):
+        """Guards against a faulty version that gets many requests before its fault is detected."""
         self.assertIn("failed on route r", fault_of(counts(10, 5)))
         self.assertIn("takes 1600 ms", fault_of(counts(8, mean_ms=1600.0)))
         spread = {f"r{number}": counts(8, 1) for number in range(5)}
@@ -36,7 +36,7 @@
         self.assertEqual("", fault_of(counts(40, mean_ms=420.0)))
         self.assertEqual("", fault_of(counts(3, 3)))
 
-    def test_failures_that_both_versions_share_are_not_held_against_the_new(self):
+    def test_failures_of_both_versions_are_not_a_fault(self):
         """Guards against a rollback for a fault outside the new version."""
         self.assertEqual("", fault_of(counts(20, 8), counts(200, 80)))
 
@@ -75,15 +75,15 @@
     def test_shares_stay_small_for_the_exposure_bound(self):
         """Guards against a late fault that affects more than a tenth of all requests.
 
-        A bad version was seen to get 575 of 3738 requests, where 424 were allowed.
+        A faulty version got 575 of 3738 requests, where 424 were allowed.
         """
-        exposed, share, last = 0.0, 0.0, timedelta()
+        exposed, share, last_change_at = 0.0, 0.0, timedelta()
         for at, _, new_share in self.simulate(10):
             if share < 1.0:
-                exposed += share * ((at - last) / DURATION)
-            share, last = new_share, at
-        # A fault that appears at the last step is found within a second, in which the new version
-        # gets all requests. A bad version was seen to get 457 of 3890, where 439 were allowed.
-        found_after = timedelta(seconds=0.8) / DURATION
+                exposed += share * ((at - last_change_at) / DURATION)
+            share, last_change_at = new_share, at
+        # A fault that appears at the last step is detected within a second, in which the new
+        # version gets all requests. A faulty version got 457 of 3890, where 439 were allowed.
+        detection_share = timedelta(seconds=0.8) / DURATION
         slack = 50 / 3890
-        self.assertTrue(exposed + found_after < 0.1 + slack, exposed)
+        self.assertTrue(exposed + detection_share < 0.1 + slack, exposed)
--- a/test/mesh/test_state.py
+++ b/test/mesh/test_state.py
@@ -56,7 +56,7 @@
 
 
 class ReplicaTest(TestCase):
-    def replica(self, *results, **fields):
+    def make_replica(self, *results, **fields):
         feed, sink = ScriptedFeed(*results), ListSink()
         replica = Replica(
             clock=fields.pop("clock", None) or ManualClock(),
@@ -71,7 +71,7 @@
 
     def test_changes_follow_the_first_read(self):
         """Guards against changes missed between the first read and the first wait."""
-        replica, feed, sink = self.replica(
+        replica, feed, sink = self.make_replica(
             Success(Snapshot(7, {"a": 1})),
             Success(Changes(9, {"a": None})),
             Success(Changes(9, {})),
@@ -83,14 +83,14 @@
 
     def test_lost_history_is_followed_by_a_full_read(self):
         """Guards against a node that misses changes when the store discards its history."""
-        replica, feed, _ = self.replica(
+        replica, feed, _ = self.make_replica(
             Success(Snapshot(7, {})), Failure(HistoryGone(7)), Success(Snapshot(20, {}))
         )
         for _ in range(3):
             replica.step()
         self.assertEqual(["read", 7, "read"], feed.calls)
 
-    def test_history_that_is_lost_again_is_not_asked_for_without_a_pause(self):
+    def test_history_that_is_lost_again_is_requested_after_a_pause(self):
         """Guards against reads in a tight loop while the store discards its history.
 
         A stale read returned a position whose history was gone, and each node repeated it 50 times
@@ -99,15 +99,15 @@
         pauses = []
         self.patch(replication.eventlet, "sleep", pauses.append)
         lost = [Success(Snapshot(7, {})), Failure(HistoryGone(7))]
-        replica, feed, _ = self.replica(*lost * 4)
+        replica, feed, _ = self.make_replica(*lost * 4)
         for _ in range(8):
             replica.step()
         self.assertEqual(3, len(pauses))
         self.assertTrue(min(pauses) >= MIN_BACKOFF.total_seconds(), pauses)
 
-    def test_absence_of_the_store_is_noted_until_it_answers(self):
-        """Guards against a node that does not ask its peers while the store is unavailable."""
-        replica, feed, _ = self.replica(
+    def test_outage_is_recorded_until_the_store_responds(self):
+        """Guards against a node that does not poll its peers while the store is unavailable."""
+        replica, feed, _ = self.make_replica(
             Success(Snapshot(7, {})), Failure(Unavailable("x")), Success(Changes(7, {}))
         )
         recovered = []
@@ -122,13 +122,13 @@
         self.assertEqual([timedelta(seconds=4), timedelta()], feed.waits)
         self.assertEqual([1, 3], recovered)
 
-    def test_large_items_are_read_whole_after_a_failure(self):
-        """Guards against a response with all versions missed in an outage, too large to arrive.
+    def test_large_items_are_read_in_full_after_a_failure(self):
+        """Guards against a response that is too large to arrive, with all versions of an outage.
 
         On a link of 10 Mbit/s a node requested them for 18 s, each time until the call timed out,
         and nothing else passed the link.
         """
-        replica, feed, _ = self.replica(
+        replica, feed, _ = self.make_replica(
             Success(Snapshot(7, {"a": 1})),
             Failure(Unavailable("x")),
             Success(Snapshot(30, {"a": 9})),
@@ -138,9 +138,9 @@
             replica.step()
         self.assertEqual(["read", 7, "read"], feed.calls)
 
-    def test_large_items_that_change_quickly_are_read_whole_until_they_rest(self):
-        """Guards against sending each version of a burst in full over a narrow link."""
-        replica, feed, _ = self.replica(
+    def test_large_items_are_read_in_full_during_a_burst(self):
+        """Guards against sending each version of a burst over a slow link."""
+        replica, feed, _ = self.make_replica(
             Success(Snapshot(7, {"a": 1})),
             Success(Changes(8, {"a": 2})),
             Success(Snapshot(12, {"a": 6})),
@@ -155,7 +155,7 @@
     def test_a_pause_after_a_change_shortens_the_next_wait(self):
         """Guards against followers that consider a watcher outdated after each change."""
         pause = timedelta(milliseconds=10)
-        replica, feed, _ = self.replica(
+        replica, feed, _ = self.make_replica(
             Success(Snapshot(7, {})),
             Success(Changes(8, {"a": 2})),
             Success(Changes(8, {})),
@@ -167,12 +167,12 @@
         wait = timedelta(seconds=4)
         self.assertEqual([wait, wait - pause, wait], feed.waits)
 
-    def test_a_copy_that_rested_is_read_whole(self):
-        """Guards against entries that stay missing after an outdated watcher removed them here.
+    def test_replica_is_read_in_full_after_a_suspension(self):
+        """Guards against entries that stay missing after an outdated watcher's state removed them.
 
         In a mesh of seven nodes, some permanently knew only four of seven targets.
         """
-        replica, feed, _ = self.replica(
+        replica, feed, _ = self.make_replica(
             Success(Snapshot(7, {})), Success(Changes(9, {"a": 1})), Success(Snapshot(9, {"a": 1}))
         )
         for _ in range(2):
@@ -186,7 +186,7 @@
 
         One outage caused 1,019 of them, a fifth of the cost of all calls.
         """
-        replica, feed, _ = self.replica(
+        replica, feed, _ = self.make_replica(
             Success(Snapshot(7, {})),
             *[Failure(Unavailable("x"))] * 3,
             Success(Changes(9, {})),
@@ -194,20 +194,20 @@
         )
         replica.step()
         replica.suspend()
-        # A replica may be suspended again before it was read.
+        # A replica may be suspended again before its feed was read.
         replica.suspend()
         for _ in range(5):
             replica.step()
         self.assertEqual(["read", "read", 7, 7, 7, "read"], feed.calls)
         self.assertIs(None, replica.failing_since)
 
-    def test_feeds_wait_for_the_cheapest_one_in_an_outage(self):
+    def test_replicas_wait_for_the_probe_replica_in_an_outage(self):
         """Guards against failing calls, which are charged too, on all feeds of all nodes."""
         clock = ManualClock()
-        probe_replica, *_ = self.replica(
+        probe_replica, *_ = self.make_replica(
             Success(Snapshot(7, {})), Failure(Unavailable("x")), clock=clock
         )
-        replica, feed, _ = self.replica(
+        replica, feed, _ = self.make_replica(
             *[Success(Snapshot(7, {}))],
             *[Failure(Unavailable("x"))] * 2,
             clock=clock,
@@ -223,39 +223,39 @@
 
 
 class SinkTest(TestCase):
-    def test_configuration_never_goes_back(self):
+    def test_configuration_is_never_replaced_by_an_older_one(self):
         """Guards against a stale read or peer that restores an older version."""
-        bed = RequestPathHarness()
-        sink = ConfigSink(outbound=bed.outbound, name="main")
-        bed.outbound.config = None
+        harness = RequestPathHarness()
+        sink = ConfigSink(outbound=harness.outbound, name="main")
+        harness.outbound.config = None
         sink.update({"main": config(version=5)})
         sink.update({"main": config(version=4)})
         sink.update({"main": None})
         sink.update({"other": config(version=9)})
         self.assertFalse(sink.apply(config(version=5), source="peer"))
-        self.assertEqual(5, bed.outbound.config_version())
+        self.assertEqual(5, harness.outbound.config_version())
 
-    def test_rollouts_follow_their_revision(self):
+    def test_older_revision_of_a_rollout_is_ignored(self):
         """Guards against a peer's state that restores an older share."""
         shares = VersionShares(rng=random.Random(1))
         sink = RolloutSink(shares=shares)
-        found = Rollout("s", "v2", timedelta(seconds=9), RolloutState.ROLLED_BACK, 0.0, 8)
-        sink.put(found, source="store")
-        older = found._replace(state=RolloutState.RUNNING, share=0.5, revision=6)
+        newer = Rollout("s", "v2", timedelta(seconds=9), RolloutState.ROLLED_BACK, 0.0, 8)
+        sink.put(newer, source="store")
+        older = newer._replace(state=RolloutState.RUNNING, share=0.5, revision=6)
         sink.put(older, source="peer")
-        self.assertEqual(found, shares.rollouts["s"])
+        self.assertEqual(newer, shares.rollouts["s"])
         sink.replace({})
         self.assertEqual({}, shares.rollouts)
 
     def test_targets_are_replaced_by_a_full_read(self):
         """Guards against entries that stay though they were removed between two reads."""
-        bed = RequestPathHarness()
-        sink = TargetSink(directory=bed.directory)
+        harness = RequestPathHarness()
+        sink = TargetSink(directory=harness.directory)
         sink.replace({"t1": target("t1"), "t2": target("t2")})
         sink.update({"t2": None, "t3": target("t3")})
-        self.assertEqual({"t1", "t3"}, set(bed.directory.targets))
+        self.assertEqual({"t1", "t3"}, set(harness.directory.targets))
         sink.replace({"t3": target("t3")})
-        self.assertEqual({"t3"}, set(bed.directory.targets))
+        self.assertEqual({"t3"}, set(harness.directory.targets))
 
 
 class FakeStore:
@@ -270,13 +270,13 @@
         self.deleted.append(name)
         return Failure(NotFound(name))
 
-    def save_target(self, found, revision):
-        self.writes.append((found.sequence, revision))
+    def save_target(self, entry, revision):
+        self.writes.append((entry.sequence, revision))
         return self.results.pop(0)
 
 
 class TargetPublisherTest(TestCase):
-    def test_each_write_names_the_revision_it_replaces(self):
+    def test_each_write_states_the_revision_it_replaces(self):
         """Guards against a delayed write that undoes a later one."""
         store = FakeStore(Success(4), Success(6))
         publisher = TargetPublisher(store=store, directory=Directory(clock=ManualClock()))
@@ -285,8 +285,8 @@
             self.assertTrue(publisher.write())
         self.assertEqual([(1, 0), (2, 4)], store.writes)
 
-    def test_lost_answers_and_missing_entries_are_made_up_for(self):
-        """Guards against an entry that is never written after a lost response."""
+    def test_write_is_repeated_after_a_lost_response_or_a_missing_entry(self):
+        """Guards against an entry that is never written after a lost response or its removal."""
         store = FakeStore(
             Failure(Unavailable("lost")), Failure(Changed(5)), Failure(NotFound("x")), Success(9)
         )
--- a/test/mesh/test_versions.py
+++ b/test/mesh/test_versions.py
@@ -27,13 +27,13 @@
     def count(self, versions, times=1000):
         return Counter(self.shares.pick("s", versions) for _ in range(times))
 
-    def test_version_without_an_order_gets_nothing(self):
+    def test_version_without_an_order_gets_no_requests(self):
         """Guards against a new version that gets traffic before its rollout is ordered."""
         self.assertEqual({"v1": 1000}, self.count(BOTH))
         self.shares.set_rollout(rollout(RolloutState.ORDERED))
         self.assertEqual({"v1": 1000}, self.count(BOTH))
 
-    def test_running_rollout_gives_the_share(self):
+    def test_running_rollout_sets_the_share(self):
         """Guards against a share that depends on the number of targets."""
         self.shares.set_rollout(rollout(RolloutState.RUNNING, 0.08))
         self.assertTrue(40 < self.count(BOTH)["v2"] < 120)
@@ -41,21 +41,21 @@
         self.assertEqual({"v2": 1000}, self.count(BOTH))
         self.assertTrue(self.shares.is_retired("s", "v1"))
 
-    def test_version_on_trial_does_not_replace_a_lost_one(self):
-        """Guards against a bad version that gets all traffic when the old one fails."""
+    def test_version_with_a_small_share_does_not_replace_an_unreachable_one(self):
+        """Guards against a faulty version that gets all traffic when the old one is unreachable."""
         self.shares.set_rollout(rollout(RolloutState.RUNNING, 0.08))
         only_new = {"v2": BOTH["v2"]}
         self.assertEqual({None, "v2"}, set(self.count(only_new)))
         self.assertTrue(self.count(only_new)["v2"] < 120)
 
-    def test_rolled_back_version_gets_nothing_even_alone(self):
+    def test_rolled_back_version_gets_no_requests_even_as_the_only_one(self):
         """Guards against a version that gets requests again after its rollback."""
         self.shares.set_rollout(rollout(RolloutState.ROLLED_BACK))
         self.assertEqual({"v1": 1000}, self.count(BOTH))
         self.assertEqual({None: 1000}, self.count({"v2": BOTH["v2"]}))
         self.assertTrue(self.shares.is_retired("s", "v2"))
 
-    def test_completed_rollout_makes_the_version_usual(self):
+    def test_completed_rollout_makes_the_version_stable(self):
         """Guards against requests to old targets, which are stopped without a drain."""
         self.shares.set_rollout(rollout(RolloutState.COMPLETED, 1.0))
         self.assertEqual({"v2": 1000}, self.count(BOTH))
--- a/test/mesh/test_watching.py
+++ b/test/mesh/test_watching.py
@@ -55,23 +55,23 @@
     """State of a node that watches the store, and its change server."""
 
     def __init__(self, epoch="e1"):
-        self.bed = RequestPathHarness()
+        self.harness = RequestPathHarness()
         self.changes = ChangeLog(epoch=epoch)
-        self.directory = Directory(clock=self.bed.clock, changes=self.changes)
-        self.config = ConfigSink(outbound=self.bed.outbound, name="main", changes=self.changes)
-        self.rollouts = RolloutSink(shares=self.bed.shares, changes=self.changes)
-        self.crashes = CrashSink(guard=self.bed.guard, changes=self.changes)
+        self.directory = Directory(clock=self.harness.clock, changes=self.changes)
+        self.config = ConfigSink(outbound=self.harness.outbound, name="main", changes=self.changes)
+        self.rollouts = RolloutSink(shares=self.harness.shares, changes=self.changes)
+        self.crashes = CrashSink(guard=self.harness.guard, changes=self.changes)
         self.age = timedelta()
         self.server = ChangeServer(
             changes=self.changes,
-            config=lambda: self.bed.outbound.config,
+            config=lambda: self.harness.outbound.config,
             directory=self.directory,
             rollouts=self.rollouts,
             crashes=self.crashes,
             age=lambda: self.age,
         )
 
-    def ask(self, query):
+    def poll(self, query):
         request = Request(b"GET", b"/changes?" + query, (), b"", True)
         exchange = Exchange(request=request, received_at=timedelta(), connection=FakeConnection())
         self.server.handle(exchange)
@@ -79,18 +79,18 @@
 
 
 class FakeClient:
-    """A client for watchers in this process; any other node does not answer."""
+    """A client for watchers in this process; any other node does not respond."""
 
     def __init__(self, watchers):
         self.watchers = watchers
-        self.asked = []
+        self.polled = []
 
     def get(self, node, path, *, timeout=None):
-        self.asked.append(node)
+        self.polled.append(node)
         watcher = self.watchers.get(node)
         if watcher is None:
             return None
-        exchange = watcher.ask(path.partition(b"?")[2])
+        exchange = watcher.poll(path.partition(b"?")[2])
         watcher.server._respond_to_all()
         return exchange.response.body
 
@@ -98,21 +98,21 @@
 class FollowerTest(TestCase):
     def setUp(self):
         super().setUp()
-        self.bed = RequestPathHarness()
+        self.harness = RequestPathHarness()
         self.replicas = [FakeReplica(), FakeReplica()]
         self.client = FakeClient({})
         self.sink = PeerSink(
-            config=ConfigSink(outbound=self.bed.outbound, name="main"),
-            directory=self.bed.directory,
-            rollouts=RolloutSink(shares=self.bed.shares),
-            crashes=CrashSink(guard=self.bed.guard),
+            config=ConfigSink(outbound=self.harness.outbound, name="main"),
+            directory=self.harness.directory,
+            rollouts=RolloutSink(shares=self.harness.shares),
+            crashes=CrashSink(guard=self.harness.guard),
             decode=lambda raw: config(version=int(raw), raw=raw),
         )
         self.follower = self.make(OWN)
 
     def make(self, node):
         return Follower(
-            clock=self.bed.clock,
+            clock=self.harness.clock,
             client=self.client,
             sink=self.sink,
             node=node,
@@ -126,7 +126,7 @@
         nodes = [(f"10.0.0.{number}", 1) for number in range(1, count + 1)]
         for number, node in enumerate(nodes):
             link = links.get(f"n{number + 1}", 10.0)
-            self.bed.directory.put(target(f"t{number}", node=node, link_mbps=link))
+            self.harness.directory.put(target(f"t{number}", node=node, link_mbps=link))
         return nodes
 
     def follow(self):
@@ -136,7 +136,7 @@
         self.follower = self.make(own)
         for node in self.follower.watchers():
             watcher = self.client.watchers[node] = Watcher(epoch=node[0].replace(".", ""))
-            watcher.directory.replace(self.bed.directory.targets.values())
+            watcher.directory.replace(self.harness.directory.targets.values())
         self.follower.step()
         return [self.client.watchers[node] for node in self.follower.watchers()]
 
@@ -148,15 +148,15 @@
         self.assertEqual(WATCHERS_PER_ZONE, len(chosen.pop()))
         self.assertTrue(len({self.make(node).watchers()[0] for node in nodes}) > 1)
 
-    def test_nodes_with_wide_links_watch(self):
-        """Guards against a watcher whose narrow link is saturated by its followers."""
+    def test_nodes_with_fast_links_watch(self):
+        """Guards against a watcher whose slow link is saturated by its followers."""
         self.add_nodes(20, n7=200.0, n9=200.0)
         self.assertEqual({("10.0.0.7", 1), ("10.0.0.9", 1)}, set(self.follower.watchers()))
-        self.bed.directory.mark_unreachable(("10.0.0.7", 1), "test")
+        self.harness.directory.mark_unreachable(("10.0.0.7", 1), "test")
         self.assertEqual(MIN_WATCHERS, len(self.follower.watchers()))
         self.assertIn(("10.0.0.9", 1), self.follower.watchers())
 
-    def test_a_follower_rests_its_copies_and_takes_changes(self):
+    def test_follower_suspends_its_replicas_and_applies_changes(self):
         """Guards against a follower that calls the store, or misses a change."""
         first = self.follow()[0]
         self.assertEqual([True, True], [replica.suspended for replica in self.replicas])
@@ -164,18 +164,18 @@
         first.directory.put(target("new"))
         first.directory.remove("t3")
         self.follower.step()
-        self.assertEqual(5, self.bed.outbound.config_version())
-        self.assertIn("new", self.bed.directory.targets)
-        self.assertNotIn("t3", self.bed.directory.targets)
+        self.assertEqual(5, self.harness.outbound.config_version())
+        self.assertIn("new", self.harness.directory.targets)
+        self.assertNotIn("t3", self.harness.directory.targets)
 
-    def test_a_follower_learns_of_requests_that_crash_targets(self):
+    def test_follower_learns_of_requests_that_crash_targets(self):
         """Guards against a follower that forwards such a request to further targets."""
         first = self.follow()[0]
         deaths = [death("t1", 1_000), death("t2", 2_000)]
-        for found in deaths:
-            first.crashes.update({found.name: found})
+        for reported in deaths:
+            first.crashes.update({reported.name: reported})
         self.follower.step()
-        self.assertIsNot(None, self.bed.guard.check(FINGERPRINT))
+        self.assertIsNot(None, self.harness.guard.check(FINGERPRINT))
         first.crashes.update({deaths[0].name: None})
         self.follower.step()
         self.assertEqual({deaths[1].name}, set(self.sink.crashes.reports))
@@ -183,18 +183,18 @@
         first.crashes.update({deaths[1].name: None})
         self.follower.step()
         self.assertEqual({}, self.sink.crashes.reports)
-        self.assertIsNot(None, self.bed.guard.check(FINGERPRINT))
+        self.assertIsNot(None, self.harness.guard.check(FINGERPRINT))
 
-    def test_an_outdated_watcher_is_left_for_another(self):
+    def test_outdated_watcher_is_replaced_by_another(self):
         """Guards against an outdated configuration while one watcher has lost the store."""
         first, second, *_ = self.follow()
         first.age = MAX_STATE_AGE * 2
         second.config.apply(config(version=9, raw=b"9"), source="store")
         self.follower.step()
-        self.assertEqual(9, self.bed.outbound.config_version())
+        self.assertEqual(9, self.harness.outbound.config_version())
         self.assertEqual([True, True], [replica.suspended for replica in self.replicas])
 
-    def test_a_node_without_recent_watchers_watches_itself(self):
+    def test_node_without_recent_watchers_watches_the_store(self):
         """Guards against outdated state when all watchers of a zone have lost the store."""
         for watcher in self.follow():
             watcher.age = MAX_STATE_AGE * 2
@@ -204,12 +204,12 @@
         self.follower.step()
         self.assertIs(None, self.follower.followed)
 
-    def test_age_counts_since_the_watcher_heard_from_the_store(self):
-        """Guards against outdated state that looks recent after it was relayed twice."""
+    def test_age_includes_the_age_of_the_watchers_state(self):
+        """Guards against outdated state that counts as recent because a watcher passed it on."""
         first = self.follow()[0]
         first.age = SECOND
         self.follower.step()
-        self.bed.clock.advance(SECOND)
+        self.harness.clock.advance(SECOND)
         self.assertEqual(2 * SECOND, self.follower.age())
 
 
@@ -220,13 +220,13 @@
         self.watcher.directory.replace([target("t1"), target("t2")])
 
     def response(self, query):
-        exchange = self.watcher.ask(query)
+        exchange = self.watcher.poll(query)
         return decode_response(exchange.response.body) if exchange.response is not None else None
 
-    def test_a_question_waits_until_something_changes(self):
+    def test_poll_waits_until_something_changes(self):
         """Guards against followers that poll without a pause, or learn of a change late."""
         number = self.watcher.changes.number
-        exchange = self.watcher.ask(b"epoch=e1&after=%d&config=9&hold_ms=700" % number)
+        exchange = self.watcher.poll(b"epoch=e1&after=%d&config=9&hold_ms=700" % number)
         self.assertIs(None, exchange.response)
         self.watcher.directory.put(target("t3"))
         self.watcher.server._respond_to_all()
@@ -234,20 +234,20 @@
         self.assertEqual(["t3"], [item.target for item in response.targets])
         self.assertFalse(response.whole)
 
-    def test_another_epoch_is_sent_everything(self):
+    def test_poll_with_another_epoch_gets_the_full_state(self):
         """Guards against changes that are missed when a watcher restarts."""
         response = self.response(b"epoch=e0&after=2&config=9&hold_ms=700")
         self.assertTrue(response.whole)
         self.assertEqual({"t1", "t2"}, {item.target for item in response.targets})
 
-    def test_outdated_state_is_told_at_once(self):
+    def test_outdated_state_is_reported_at_once(self):
         """Guards against a follower that waits for a watcher that has lost the store."""
         self.watcher.age = MAX_STATE_AGE
         number = self.watcher.changes.number
         response = self.response(b"epoch=e1&after=%d&config=9&hold_ms=700" % number)
         self.assertEqual(MAX_STATE_AGE / timedelta(milliseconds=1), response.age_ms)
 
-    def test_a_malformed_question_is_refused(self):
+    def test_malformed_poll_is_refused(self):
         """Guards against a malformed poll that ends the server's loop."""
-        exchange = self.watcher.ask(b"after=x")
+        exchange = self.watcher.poll(b"after=x")
         self.assertEqual(Response(400).status, exchange.response.status)
--- a/test/platform/test_dialect.py
+++ b/test/platform/test_dialect.py
@@ -46,7 +46,7 @@
             (b"Expected-Instance", b"forged"),
             (b"X-Own", b"kept"),
         )
-        found = DIALECT.to_target(
+        headers = DIALECT.to_target(
             sent, time_left=timedelta(milliseconds=12.7), target="i-1", caller="svc"
         )
         expected = (
@@ -56,7 +56,7 @@
             (b"Expected-Instance", b"i-1"),
             (b"Caller-Service", b"svc"),
         )
-        self.assertEqual(expected, found)
+        self.assertEqual(expected, headers)
 
     def test_malformed_deadline_counts_as_none(self):
         """Guards against a request that fails because of a malformed header."""
--- a/test/platform/test_documents.py
+++ b/test/platform/test_documents.py
@@ -51,18 +51,18 @@
 class ConfigTest(TestCase):
     def test_routes_and_limits_are_decoded(self):
         """Guards against units and route types that are decoded wrongly."""
-        found = documents.decode_config(msgspec.json.encode(CONFIG))
-        self.assertEqual(12, found.version)
-        longest = found.routes.match("h.EXAMPLE", "/a/b/c")
+        decoded = documents.decode_config(msgspec.json.encode(CONFIG))
+        self.assertEqual(12, decoded.version)
+        longest = decoded.routes.match("h.EXAMPLE", "/a/b/c")
         self.assertEqual(("r2", True), (longest.name, longest.idempotent))
         self.assertEqual((Share("s1", 90.0), Share("s2", 10.0)), longest.shares)
-        plain = found.routes.match("h.example", "/a/x")
+        plain = decoded.routes.match("h.example", "/a/x")
         self.assertEqual(("r1", False), (plain.name, plain.idempotent))
         self.assertEqual(timedelta(seconds=1.2), plain.timeout)
-        self.assertIs(None, found.routes.match("h.example", "/b/"))
-        self.assertEqual(timedelta(seconds=15), found.limits.idle_timeout)
+        self.assertIs(None, decoded.routes.match("h.example", "/b/"))
+        self.assertEqual(timedelta(seconds=15), decoded.limits.idle_timeout)
 
-    def test_malformed_configuration_is_refused_whole(self):
+    def test_malformed_configuration_is_refused_entirely(self):
         """Guards against a configuration that is applied in part."""
         for change in ({"version": "xyz"}, {"routes": {"r1": {"hostname": "h"}}}, {"limits": 5}):
             raw = msgspec.json.encode({**CONFIG, **change})
@@ -75,8 +75,8 @@
     def test_status_of_an_earlier_order_is_ignored(self):
         """Guards against a new order that is treated as completed."""
         old = {"state": "completed", "target_version": "v1"}
-        found = documents.decode_rollout(self.order, old, 5)
-        self.assertEqual((RolloutState.ORDERED, 0.0), (found.state, found.share))
+        rollout = documents.decode_rollout(self.order, old, 5)
+        self.assertEqual((RolloutState.ORDERED, 0.0), (rollout.state, rollout.share))
 
     def test_encoded_progress_decodes_to_the_same_rollout(self):
         """Guards against a restarted node that starts a rollout again from the beginning."""
@@ -111,10 +111,10 @@
 class HeartbeatTest(TestCase):
     def test_heartbeat_is_decoded(self):
         """Guards against a target that is recorded with a wrong address or start time."""
-        found = decode_heartbeat("i-1", msgspec.json.encode(HEARTBEAT))
-        self.assertEqual(("i-1", ("10.0.0.1", 9)), (found.target, found.address))
-        self.assertEqual((7000, 4), (found.born_ms, found.sequence))
-        self.assertEqual(timedelta(seconds=1.5), found.warmup)
+        announcement = decode_heartbeat("i-1", msgspec.json.encode(HEARTBEAT))
+        self.assertEqual(("i-1", ("10.0.0.1", 9)), (announcement.target, announcement.address))
+        self.assertEqual((7000, 4), (announcement.born_ms, announcement.sequence))
+        self.assertEqual(timedelta(seconds=1.5), announcement.warmup)
 
     def test_malformed_heartbeats_are_refused(self):
         """Guards against a target that is recorded because of a malformed heartbeat."""
--- a/test/platform/test_main.py
+++ b/test/platform/test_main.py
@@ -44,11 +44,13 @@
         root = Path(__file__).parents[2]
         keys = [line.split(":")[0].strip() for line in settings_text().splitlines()]
         template = (root / "deploy" / "settings.yaml").read_text().splitlines()
-        found = [line.split(":")[0].strip() for line in template if not line.startswith("#")]
-        self.assertEqual(keys, found)
+        template_keys = [
+            line.split(":")[0].strip() for line in template if not line.startswith("#")
+        ]
+        self.assertEqual(keys, template_keys)
         self.assertEqual("n1", self.load(settings_text()).node)
 
-    def test_all_findings_are_reported_with_their_place(self):
+    def test_all_findings_are_reported_with_their_position(self):
         """Guards against settings errors that are reported only one at a time."""
         text = settings_text(a=("zone: a", "zone: [a]"), b=("drain_s=1", "drain_s=x"))
         error = self.assertRaises(InvalidInputError, self.load, text + "surplus: 1\n")
