--- a/almondshore/mesh/change_server.py
+++ b/almondshore/mesh/change_server.py
@@ -95,7 +95,7 @@
         if query is None:
             exchange.respond(Response(400))
             return
-        # Respond when this node's state becomes outdated, so the follower can poll another one.
+        # Respond when this node's state becomes outdated, so that the follower can leave it.
         poll_wait = min(query.hold_ms * MILLISECOND, MAX_POLL_WAIT, MAX_STATE_AGE - self.age())
         if poll_wait <= ZERO or self._has_changes(query) or len(self.pending) >= MAX_PENDING_POLLS:
             exchange.respond(self._make_response(query))
--- a/almondshore/mesh/directory.py
+++ b/almondshore/mesh/directory.py
@@ -92,7 +92,7 @@
         usable = [target for target in candidates if self._is_usable(target, now)]
         if usable:
             return usable
-        # If there are none, targets of unreachable nodes are returned: the failure may have passed.
+        # Otherwise targets of unreachable nodes are worth a try: the failure may have passed.
         return [
             target for target in candidates if self.refused_until.get(target.target, now) <= now
         ]
--- a/almondshore/mesh/driver.py
+++ b/almondshore/mesh/driver.py
@@ -114,7 +114,7 @@
         evidence = (self._collect_evidence(ranked) if collects else []) or [self.local_evidence()]
         counts = VersionCounts({}, {})
         old_running = 0
-        # Nodes of the new version may start after the order, so others have known of it for longer.
+        # Nodes of the new version start after the order; others have known of it for longer.
         age = max(item.order_age_ms for item in evidence) * timedelta(milliseconds=1)
         for item in evidence:
             if item.version == rollout.version:
--- a/almondshore/mesh/feeds.py
+++ b/almondshore/mesh/feeds.py
@@ -127,7 +127,7 @@
             worker.kill()
 
     def store_unavailable_since(self) -> timedelta | None:
-        """Return the earliest time since which a feed of the store has not responded, or None."""
+        """Return the earliest time since which a feed has not responded, None if all respond."""
         failing = [item.failing_since for item in self.replicas if item.failing_since is not None]
         return min(failing, default=None)
 
--- a/almondshore/mesh/node.py
+++ b/almondshore/mesh/node.py
@@ -54,9 +54,9 @@
 HOUSEKEEPING_INTERVAL_S = 0.25
 EXPIRE_EVERY_TICKS = 8
 # Share of the common retry budget that is divided among the nodes. The rest covers uneven load
-# between nodes, and the calls to other services that a retried request repeats, which count as
-# retries at those services. At 0.75, a service whose targets rejected half of the requests got
-# 1,693 retries where 1,589 were allowed.
+# between nodes, and the calls that a retried request repeats, which count at the called service.
+# At 0.75, a service whose targets rejected half of the requests got 1,693 retries where 1,589 were
+# allowed.
 RETRY_BUDGET_SHARE = 0.6
 # Retries that a node may save up, as a share of those that are always allowed in a window.
 MAX_SAVED_RETRY_SHARE = 0.4
--- a/almondshore/mesh/versions.py
+++ b/almondshore/mesh/versions.py
@@ -44,7 +44,8 @@
     def new_share(self, service: str) -> tuple[str, float]:
         """Return the version of an uncompleted rollout and its share; empty and 0 if none.
 
-        The share is 0 unless the rollout is running."""
+        The share is 0 unless the rollout is running.
+        """
         rollout = self.rollouts.get(service)
         if rollout is None or rollout.state is RolloutState.COMPLETED:
             return "", 0.0
--- a/almondshore/mesh/watching.py
+++ b/almondshore/mesh/watching.py
@@ -47,7 +47,8 @@
     :param probe_replica: the replica that gets responses from the store most often
     :ivar epoch: identifies the process of the watcher whose changes were last applied
     :ivar number: number of the last of these changes
-    :ivar confirmed_at: monotonic time at which a watcher's state was last up to date with the store
+    :ivar confirmed_at: monotonic time at which the state from a watcher was last known to be up to
+        date with the store
     :ivar followed: the watcher that this node follows, None while it watches the store itself
     """
 
--- a/test/mesh/test_inbound.py
+++ b/test/mesh/test_inbound.py
@@ -11,7 +11,7 @@
 from test.mesh.fakes import APP, SIGNED, RequestPathHarness
 from test.mesh.samples import announcement
 
-OWN = ((b"Attempt-Id", b"a1"), SIGNED)
+TARGET_HEADERS = ((b"Attempt-Id", b"a1"), SIGNED)
 
 
 def terms(target="t1", idempotent=True, **fields):
@@ -47,7 +47,7 @@
         self.assertEqual(b"t1", call.header(b"expected-instance"))
         self.assertEqual(b"caller", call.header(b"caller-service"))
         self.assertEqual(b"1200", call.header(b"deadline-ms"))
-        call.answer(Response(200, OWN, b"x"))
+        call.answer(Response(200, TARGET_HEADERS, b"x"))
         self.assertEqual([(Outcome.ANSWERED, "succeeded")], self.outcomes())
 
     def test_restarted_target_accepts_requests_for_its_predecessor(self):
@@ -101,10 +101,10 @@
         for _ in range(3):
             self.submit()
         self.assertEqual(2, len(self.harness.pool.calls))
-        self.harness.pool.calls[0].answer(Response(200, OWN))
+        self.harness.pool.calls[0].answer(Response(200, TARGET_HEADERS))
         self.assertEqual(3, len(self.harness.pool.calls))
         self.harness.pool.calls[1].fail(CallFailure.TRUNCATED)
-        self.harness.pool.calls[2].answer(Response(200, OWN))
+        self.harness.pool.calls[2].answer(Response(200, TARGET_HEADERS))
         self.assertEqual({}, self.harness.local.queue.running)
 
     def test_cancelled_requests_leave_slots_and_queue(self):
@@ -123,7 +123,7 @@
         self.announce()
         self.submit()
         self.harness.clock.advance(timedelta(milliseconds=100))
-        self.harness.pool.calls[-1].answer(Response(200, OWN))
+        self.harness.pool.calls[-1].answer(Response(200, TARGET_HEADERS))
         for abandon in (
             lambda submission: submission.cancel(),
             lambda submission: submission.call.fail(CallFailure.TIMED_OUT),
@@ -136,14 +136,14 @@
         self.assertEqual(0, self.harness.recorder.routes["r"].failures)
 
     def test_early_cancellation_does_not_raise_the_failure_rate(self):
-        """Guards against a failure rate that callers with short timeouts raise for good targets."""
+        """Guards against callers with short timeouts that make a good target seem to fail."""
         self.announce()
         first = self.submit()
         self.harness.clock.advance(timedelta(seconds=1))
         first.cancel()
         self.submit()
         self.harness.clock.advance(timedelta(milliseconds=100))
-        self.harness.pool.calls[-1].answer(Response(200, OWN))
+        self.harness.pool.calls[-1].answer(Response(200, TARGET_HEADERS))
         submission = self.submit()
         self.harness.clock.advance(timedelta(milliseconds=150))
         submission.cancel()
--- a/test/mesh/test_vanished.py
+++ b/test/mesh/test_vanished.py
@@ -46,7 +46,7 @@
         )
 
     def fail_attempts(self, *nodes, failures=MIN_FAILURES, duration=MAX_REMOVAL_DELAY):
-        """Let attempts to reach nodes fail during a time, with a review after each."""
+        """Let attempts to reach nodes fail over a duration, with a review after each."""
         for _ in range(failures):
             for node in nodes:
                 self.directory.mark_unreachable(node, "test")
--- a/test/mesh/test_watching.py
+++ b/test/mesh/test_watching.py
@@ -19,7 +19,7 @@
 
 SECOND = timedelta(seconds=1)
 FINGERPRINT = 77
-OWN = ("10.0.0.1", 1)
+LOCAL_NODE = ("10.0.0.1", 1)
 
 
 def death(name, started_ms):
@@ -108,7 +108,7 @@
             crashes=CrashSink(guard=self.harness.guard),
             decode=lambda raw: config(version=int(raw), raw=raw),
         )
-        self.follower = self.make(OWN)
+        self.follower = self.make(LOCAL_NODE)
 
     def make(self, node):
         return Follower(
@@ -132,8 +132,8 @@
     def follow(self):
         """Make this node follow one of its watchers; returns the watchers."""
         nodes = self.add_nodes(10)
-        own = next(node for node in nodes if node not in self.follower.watchers())
-        self.follower = self.make(own)
+        local_node = next(node for node in nodes if node not in self.follower.watchers())
+        self.follower = self.make(local_node)
         for node in self.follower.watchers():
             watcher = self.client.watchers[node] = Watcher(epoch=node[0].replace(".", ""))
             watcher.directory.replace(self.harness.directory.targets.values())
