Follow the rename of the tenant limit in the request benchmark

bench.requests still imported CAPACITY from almondshore.limits.tenants, which is MAX_UNCONFIGURED_TENANTS now; no test imports that benchmark. A search over the syntax trees for imports, attributes and keywords that are defined nowhere found this one place. All modules import now.

--- a/bench/requests.py
+++ b/bench/requests.py
@@ -2,7 +2,7 @@
 
 from datetime import timedelta
 
-from almondshore.limits.tenants import CAPACITY
+from almondshore.limits.tenants import MAX_UNCONFIGURED_TENANTS
 from almondshore.rules.model import RequestClass
 from bench.request_chain import DEPTH, REQUEST_INTERVAL, REQUESTS, Chain, runs_without_budget
 from bench.request_costs import decision_costs, measure_tenant_flood
@@ -150,8 +150,8 @@
             result = measure_tenant_flood(bounded, interval)
             kind = "bounded" if bounded else "plain"
             name = f"tenant flood, 1 name in {interval / timedelta(microseconds=1):.0f} us, {kind}"
-            verdict = _verdict(result.identities <= CAPACITY) if bounded else "info"
-            target = f"<= {CAPACITY}" if bounded else "-"
+            verdict = _verdict(result.identities <= MAX_UNCONFIGURED_TENANTS) if bounded else "info"
+            target = f"<= {MAX_UNCONFIGURED_TENANTS}" if bounded else "-"
             rows.append(
                 BenchRow(f"{name}: identities", target, f"{result.identities}", "count", verdict)
             )
