Say "in effect" of configurations and versions

"In force" and "in effect" were both used for the version that a node applies. Comments and docstrings now say "in effect", like the settings of the command-line tool. The error text in versions/state.py keeps its wording.

Checks: make lint passes; the syntax trees of the 13 files are equal without docstrings.

--- a/almondshore/core/messages.py
+++ b/almondshore/core/messages.py
@@ -59,8 +59,8 @@
 class Heartbeat(NamedTuple):
     """Sent by a node to its relay, and by relays to each other.
 
-    :ivar config_version: version in force, 0 if none
-    :ivar config_digest: digest of the version in force
+    :ivar config_version: version in effect, 0 if none
+    :ivar config_digest: digest of the version in effect
     :ivar directory_digests: digest of the sender's whole directory under ``ALL_ZONES``; digests
         by zone are sent only in ``DirectoryRequest``, since 41 of them would fill the heartbeat
     :ivar moves_digest: digest of the vetoes and move steps the sender knows
@@ -302,7 +302,7 @@
 class Veto(NamedTuple):
     """Bars a version of a service from use; no message revokes a veto.
 
-    :ivar config_version: configuration version in force at the origin; an ``allow`` rule that
+    :ivar config_version: configuration version in effect at the origin; an ``allow`` rule that
         came with a later configuration version overrides the veto
     """
 
--- a/almondshore/mesh/change_server.py
+++ b/almondshore/mesh/change_server.py
@@ -60,7 +60,7 @@
 class ChangeServer(ExchangeHandler):
     """Serves state changes by long polling.
 
-    :param config: returns the configuration in force
+    :param config: returns the configuration in effect
     :param age: returns how long ago this node's state was last known to be up to date
     :ivar pending: polls that wait for a change
     """
--- a/almondshore/mesh/hop.py
+++ b/almondshore/mesh/hop.py
@@ -72,7 +72,7 @@
     :ivar failure_rate: recent share of failed requests, 0 to 1
     :ivar leaving: whether the target is draining or its node shutting down
     :ivar retry_after_ms: time until a refused request may be accepted, 0 if not known
-    :ivar config_version: configuration version in force at the reporting node
+    :ivar config_version: configuration version in effect at the reporting node
     """
 
     outcome: Outcome
--- a/almondshore/mesh/inbound.py
+++ b/almondshore/mesh/inbound.py
@@ -92,7 +92,7 @@
     """Admits requests to the target's slots and forwards them to the target.
 
     :param app: address of the local target
-    :param config_version: returns the version of the configuration in force
+    :param config_version: returns the version of the configuration in effect
     :param internal: handles requests of other nodes that are not meant for the target
     :ivar is_retired: returns whether a version of a service must get no more requests
     :ivar on_death: called when the target died while it ran requests
--- a/almondshore/mesh/node.py
+++ b/almondshore/mesh/node.py
@@ -225,7 +225,7 @@
         self.housekeeping_timer.cancel()
 
     def config(self) -> MeshConfig | None:
-        """Return the configuration in force."""
+        """Return the configuration in effect."""
         return self.outbound.config
 
     def is_ready(self) -> bool:
--- a/almondshore/mesh/outbound.py
+++ b/almondshore/mesh/outbound.py
@@ -100,7 +100,7 @@
         self.active: set[ForwardedRequest] = set()
 
     def config_version(self) -> int:
-        """Return the configuration version in force, 0 if none is known."""
+        """Return the configuration version in effect, 0 if none is known."""
         return self.config.version if self.config is not None else 0
 
     def handle(self, exchange: Exchange) -> None:
--- a/almondshore/mesh/peers.py
+++ b/almondshore/mesh/peers.py
@@ -24,14 +24,14 @@
 EVIDENCE_PATH = b"/evidence"
 ALIVE_PATH = b"/alive"
 PEER_TIMEOUT = timedelta(milliseconds=500)
-# While the store is unreachable, a peer is polled at this interval; changes must be in force
+# While the store is unreachable, a peer is polled at this interval; changes must be in effect
 # within seconds.
 POLL_INTERVAL = timedelta(milliseconds=500)
 # A store that has not responded for this long counts as unreachable.
 STORE_DOWN_AFTER = timedelta(milliseconds=300)
 # A node that learns of a newer version waits this long for the store to deliver it before it
 # fetches it from a peer: configurations are large, and traffic between zones is charged. Changes
-# must be in force within 2 s.
+# must be in effect within 2 s.
 STORE_UPDATE_WAIT = timedelta(milliseconds=1200)
 
 
--- a/almondshore/mesh/state.py
+++ b/almondshore/mesh/state.py
@@ -13,7 +13,7 @@
 
 
 class ConfigSink(Sink[MeshConfig]):
-    """Applies a configuration unless a newer one is in force.
+    """Applies a configuration unless a newer one is in effect.
 
     :param name: name of the stored item that holds the configuration
     """
@@ -141,7 +141,7 @@
         self.decode = decode
 
     def config_version(self) -> int:
-        """Return the version of the configuration in force."""
+        """Return the version of the configuration in effect."""
         return self.config.outbound.config_version()
 
     def apply(self, response: ChangeResponse, *, source: str, remove: bool) -> None:
--- a/almondshore/versions/history.py
+++ b/almondshore/versions/history.py
@@ -18,7 +18,7 @@
 
 
 class DeltaHistory:
-    """The latest changes, as a chain that ends at the configuration in force.
+    """The latest changes, as a chain that ends at the configuration in effect.
 
     A subscriber needs the part of the chain after the version it holds. Beyond ``max_deltas`` or
     ``max_bytes`` the oldest changes are dropped, and a subscriber that is further behind needs a
--- a/almondshore/versions/state.py
+++ b/almondshore/versions/state.py
@@ -14,13 +14,13 @@
 
 
 class Accepted(NamedTuple):
-    """The version is now in force."""
+    """The version is now in effect."""
 
     configuration: Configuration
 
 
 class Refused(NamedTuple):
-    """The version was refused as a whole; the previous one remains in force.
+    """The version was refused as a whole; the previous one remains in effect.
 
     :ivar final: whether the version itself is invalid, so that every copy of it is refused; False
         if only this message may be damaged
@@ -32,13 +32,13 @@
 
 
 class AlreadyHeld(NamedTuple):
-    """The version, or a newer one, is already in force."""
+    """The version, or a newer one, is already in effect."""
 
     version: int
 
 
 class SnapshotNeeded(NamedTuple):
-    """The base of the delta is not the version in force; a snapshot is needed."""
+    """The base of the delta is not the version in effect; a snapshot is needed."""
 
     version: int
 
@@ -47,7 +47,7 @@
 
 
 class ConfigState:
-    """The configuration in force, which only a newer valid version replaces.
+    """The configuration in effect, which only a newer valid version replaces.
 
     Versions only increase. A version is validated as a whole and then activated by a single
     assignment.
@@ -57,7 +57,7 @@
         self.current = EMPTY
 
     def offer_delta(self, delta: ConfigDelta) -> OfferResult:
-        """Apply a delta if its base is the version in force and its result is valid."""
+        """Apply a delta if its base is the version in effect and its result is valid."""
         result = self._check_version(delta.version, delta.digest)
         if result is not None:
             return result
@@ -69,7 +69,7 @@
         return self._apply(delta.version, delta.digest, parts, changed)
 
     def offer_snapshot(self, snapshot: ConfigSnapshot) -> OfferResult:
-        """Apply a full version if it is newer than the one in force and valid."""
+        """Apply a full version if it is newer than the one in effect and valid."""
         result = self._check_version(snapshot.version, snapshot.digest)
         if result is not None:
             return result
@@ -78,7 +78,7 @@
         )
 
     def snapshot(self) -> ConfigSnapshot:
-        """Return the version in force as a ``ConfigSnapshot``."""
+        """Return the version in effect as a ``ConfigSnapshot``."""
         current = self.current
         return ConfigSnapshot(current.version, current.digest, dict(current.parts))
 
--- a/almondshore/versions/sync.py
+++ b/almondshore/versions/sync.py
@@ -106,7 +106,7 @@
 
     @property
     def ready(self) -> bool:
-        """Whether the newest version that peers or the platform report is in force.
+        """Whether the newest version that peers or the platform report is in effect.
 
         Once true it remains true.
         """
--- a/test/load/test_configuration_storm_on_a_narrow_link.py
+++ b/test/load/test_configuration_storm_on_a_narrow_link.py
@@ -72,7 +72,7 @@
 
 
 class VersionSink(Sink):
-    """Records when each version came into force."""
+    """Records when each version took effect."""
 
     def __init__(self, feed):
         self.feed, self.version, self.in_force = feed, 0, {}
@@ -90,7 +90,7 @@
 
 class ConfigurationStormTest(TestCase):
     def replicate(self, **fields):
-        """Replicate 20 changes within 5 s until all are in force; return the feed and the sink."""
+        """Replicate 20 changes within 5 s until all are in effect; return the feed and the sink."""
         clock = ManualClock()
         sleep = lambda seconds: clock.advance(timedelta(seconds=seconds))  # noqa: E731
         self.patch(replication.eventlet, "sleep", sleep)
--- a/test/mesh/test_node.py
+++ b/test/mesh/test_node.py
@@ -90,8 +90,8 @@
     def test_changes_take_effect_soon_after_the_store_was_unresponsive(self):
         """Guards against a replica that keeps waiting for the response to a call that was lost.
 
-        On valpadana-mesh, trouble-3 --seed 565540342273, no node had a version in force 2.2 s after
-        it was stored.
+        On valpadana-mesh, trouble-3 --seed 565540342273, no node had a version in effect 2.2 s
+        after it was stored.
         """
         server = self.mesh.store_server
         handler, server.handler = server.handler, _UnresponsiveHandler()
