Document the invariants at the class that checks them

The module docstring of test/relay/invariants.py is one line; what I1, I2 and I3 require is in the docstring of Invariants, where the checks are.

Checks: only docstrings differ.

--- a/test/relay/invariants.py
+++ b/test/relay/invariants.py
@@ -1,9 +1,4 @@
-"""Checks of the invariants I1, I2 and I3 on all nodes of a fleet.
-
-I1: the version in force at a ready node never decreases. I2: the routing view of a node refers only
-to services, versions and targets that the node knows. I3: a node holds only complete versions that
-were published.
-"""
+"""Checks of the invariants I1, I2 and I3 on all nodes of a fleet."""
 
 from datetime import timedelta
 
@@ -12,7 +7,12 @@
 
 
 class Invariants:
-    """Records the published versions and what each node has in effect, to check invariants."""
+    """Records the published versions and what each node has in effect, to check invariants.
+
+    I1: the version in effect at a ready node never decreases. I2: the routing view of a node
+    refers only to services, versions and targets that the node knows. I3: a node holds only
+    complete versions that were published.
+    """
 
     def __init__(self, test, fleet):
         self.test = test
