Give the test of probes after a suspension a plain name

test_a_copy_that_rested_probes_an_outage_at_the_lower_price becomes test_replica_probes_the_store_in_an_outage_after_a_suspension. Its checks are the same.

--- a/test/mesh/test_state.py
+++ b/test/mesh/test_state.py
@@ -181,7 +181,7 @@
         replica.step()
         self.assertEqual(["read", 7, "read"], feed.calls)
 
-    def test_a_copy_that_rested_probes_an_outage_at_the_lower_price(self):
+    def test_replica_probes_the_store_in_an_outage_after_a_suspension(self):
         """Guards against full reads that fail throughout an outage.
 
         One outage caused 1,019 of them, a fifth of the cost of all calls.
