Reword "meanwhile", "anew", "for ever" and ambiguous "at once"

"At once" stood for both "immediately" and "at the same time"; the places where a reader could take it either way now say which. "Meanwhile" and "anew" name the period or are dropped. The test of the follower names the request it is about instead of "such a request". The comment on the settle time of a rollout says whose targets are stopped.

Only comments and docstrings differ.

--- a/almondshore/core/workers.py
+++ b/almondshore/core/workers.py
@@ -7,7 +7,7 @@
 
 from almondshore.core.logs import log_event
 
-# Keeps a function that fails at once from filling the log and using up the processor.
+# Keeps a function that fails immediately from filling the log and using up the processor.
 RESTART_DELAY = timedelta(seconds=1)
 
 
--- a/almondshore/daemon/process.py
+++ b/almondshore/daemon/process.py
@@ -196,7 +196,7 @@
         return not self._has_work() and self.in_flight.count == 0
 
     def _close_listeners(self) -> None:
-        """Accept no more connections, so that steady load cannot delay the shutdown."""
+        """Stop accepting connections, so that steady load cannot delay the shutdown."""
         while self.listeners:
             self.listeners.pop().shutdown(socket.SHUT_RDWR)
 
--- a/almondshore/mesh/change_server.py
+++ b/almondshore/mesh/change_server.py
@@ -30,8 +30,8 @@
 # State that was last confirmed longer ago counts as outdated. A watcher gets a response from the
 # store every 0.8 s, and a change must take effect everywhere within 2 s.
 MAX_STATE_AGE = timedelta(milliseconds=1300)
-# Limit of the number of pending polls; further ones get a response at once. With 19,000 nodes in
-# 41 zones, each watcher has 116 followers.
+# Limit of the number of pending polls; further ones get an immediate response. With 19,000
+# nodes in 41 zones, each watcher has 116 followers.
 MAX_PENDING_POLLS = 512
 ZERO = timedelta()
 
@@ -86,7 +86,7 @@
         changes.on_change = self._on_change
 
     def handle(self, exchange: Exchange) -> None:
-        """Respond to a poll, at once or when something changes or its wait ends.
+        """Respond to a poll, immediately or when something changes or its wait ends.
 
         The response is immediate if there are changes, if this node's state is outdated, or if too
         many polls are pending.
--- a/almondshore/mesh/driver.py
+++ b/almondshore/mesh/driver.py
@@ -32,7 +32,7 @@
     """Advances the rollout of the local target's service.
 
     The nodes of the service's targets share the work: each has a rank, and acts if those before
-    it have not. Writes are conditional, so that two nodes may act at once without harm. The node
+    it have not. Writes are conditional, so that two nodes may safely act at the same time. The node
     of a target with a faulty version refuses requests for it on its own, even while the store is
     unavailable.
 
--- a/almondshore/mesh/feeds.py
+++ b/almondshore/mesh/feeds.py
@@ -28,7 +28,7 @@
 ROLLOUTS_MAX_WAIT = timedelta(seconds=4)
 DEATHS_MAX_WAIT = timedelta(seconds=4)
 # The cheapest feed detects outages of the store; when the store responds again, the others call
-# it at once. Even after a failed call and its retry, its state is recent enough for followers.
+# it immediately. Even after a failed call and its retry, its state is recent enough for followers.
 TARGETS_MAX_WAIT = timedelta(milliseconds=800)
 # Changes that arrive within this delay are read by one call; they must take effect within 2 s. Each
 # version of a large configuration takes a third of a second on a link of 10 Mbit/s.
--- a/almondshore/mesh/replication.py
+++ b/almondshore/mesh/replication.py
@@ -108,7 +108,7 @@
             self.greenlet.kill()
 
     def restart(self) -> None:
-        """Call again at once, unless suspended: an outage may have lost the pending call."""
+        """Call again immediately, unless suspended: an outage may have lost the pending call."""
         if self.greenlet is not None:
             self.kill()
             self.start()
@@ -116,8 +116,8 @@
     def suspend(self) -> None:
         """Stop replicating.
 
-        State that other nodes send meanwhile may be older than what was replicated, so the feed
-        is read in full afterwards.
+        State that other nodes send during the suspension may be older than what was replicated,
+        so the feed is read in full afterwards.
         """
         self.kill()
         self.greenlet = None
--- a/almondshore/mesh/rollout.py
+++ b/almondshore/mesh/rollout.py
@@ -29,7 +29,8 @@
 STEPS = (Step(0.0, 0.05, 0), Step(0.42, 0.09, 12), Step(0.56, 0.18, 25), Step(0.7, 1.0, 40))
 # A step that lacks results is taken anyway after this further fraction of the rollout's time.
 MAX_STEP_DELAY_FRACTION = 0.06
-# Time for requests on the old version to end; its targets are stopped at once on completion.
+# Time for requests on the old version to end: when the rollout is completed, the targets of that
+# version are stopped immediately.
 MIN_SETTLE_TIME = timedelta(seconds=1)
 MAX_SETTLE_TIME = timedelta(seconds=2.5)
 
--- a/almondshore/moves/coordinator.py
+++ b/almondshore/moves/coordinator.py
@@ -84,8 +84,8 @@
 
     The caller holds the lease of the move and passes its epoch. The record is written before a
     step is announced, so that a coordinator that was paused until its lease expired finds the
-    record of its successor and announces nothing. While the platform does not answer, steps are
-    announced at once and recorded later; receivers reject those of an old epoch.
+    record of its successor and announces nothing. While the platform does not respond, steps are
+    announced immediately and recorded later; receivers reject those of an old epoch.
 
     :ivar fenced: whether a coordinator with a higher epoch has taken over; this one then takes no
         further action
--- a/almondshore/proxy/headers.py
+++ b/almondshore/proxy/headers.py
@@ -36,7 +36,7 @@
         "upgrade",
     }
 )
-# Set anew by each hop for the request or response that it sends.
+# Set by each hop for the request or response that it sends.
 RECOMPUTED = frozenset({"content-length", "host"})
 
 # RFC 9110, section 5.6.2. Servers disagree on how to read a name with a trailing space.
--- a/almondshore/proxy/serving.py
+++ b/almondshore/proxy/serving.py
@@ -39,7 +39,7 @@
     """Counts requests in flight and closes the connection after a refused request."""
 
     def handle_one_response(self) -> None:
-        """Handle one request and count it as in flight meanwhile."""
+        """Handle one request and count it as in flight while it is handled."""
         in_flight: InFlightRequests = self.environ[IN_FLIGHT]
         self.environ[CLOSE_CONNECTION] = self._close_after_response
         self.environ[MALFORMED_HEADERS] = bool(self.headers.defects)
--- a/almondshore/relay/fanout.py
+++ b/almondshore/relay/fanout.py
@@ -45,7 +45,7 @@
 
     :ivar push_fanout: number of random relays that a new configuration version is sent to
     :ivar tracking_interval: interval at which the relay starts to track the nodes assigned to it,
-        to detect those that no longer heartbeat to any relay
+        to detect those that no longer send heartbeats to any relay
     :ivar max_changes: maximum number of queued directory changes; beyond it all are dropped, and
         receivers request them after comparing digests
     :ivar records_per_message: maximum number of records in one directory delta
--- a/test/limits/test_admission.py
+++ b/test/limits/test_admission.py
@@ -155,7 +155,7 @@
         self.assertIsInstance(harness.offer(URGENT, timeout=0.5), Queued)
 
     def test_queued_requests_expire_without_a_release(self):
-        """Guards against requests that wait for ever for a target that releases no slot."""
+        """Guards against requests that wait forever for a target that releases no slot."""
         harness = QueueHarness(slots=1)
         harness.offer(URGENT)
         harness.offer(URGENT, timeout=0.1)
--- a/test/limits/test_concurrency.py
+++ b/test/limits/test_concurrency.py
@@ -44,7 +44,7 @@
         self.assertEqual(10, self.concurrency.limit())
 
     def test_lasting_change_becomes_the_new_baseline(self):
-        """Guards against a slower version that is limited to a few slots for ever."""
+        """Guards against a slower version that is limited to a few slots permanently."""
         self.observe(FAST, 500)
         self.observe(FAST * 4, 50 * 80)
         self.assertEqual(10, self.concurrency.limit())
--- a/test/mesh/test_watching.py
+++ b/test/mesh/test_watching.py
@@ -169,7 +169,7 @@
         self.assertNotIn("t3", self.harness.directory.targets)
 
     def test_follower_learns_of_requests_that_crash_targets(self):
-        """Guards against a follower that forwards such a request to further targets."""
+        """Guards against a follower that forwards a request known to crash targets."""
         first = self.follow()[0]
         deaths = [death("t1", 1_000), death("t2", 2_000)]
         for reported in deaths:
--- a/test/retries/helpers.py
+++ b/test/retries/helpers.py
@@ -33,8 +33,8 @@
 class Fleet:
     """Nodes of one service with a shared clock and platform, and the number of runs of each key.
 
-    Changes of the membership reach all nodes at once. ``kill`` advances the clock by the 8 s that
-    it takes to declare a node dead.
+    Changes of the membership reach all nodes immediately. ``kill`` advances the clock by the 8 s
+    that it takes to declare a node dead.
     """
 
     def __init__(self, names=("a", "b", "c"), claim_rate=1000.0):
--- a/test/routing/test_choice.py
+++ b/test/routing/test_choice.py
@@ -98,7 +98,7 @@
         self.assertTrue(sent_to_slow < 400, sent_to_slow)
 
     def test_target_that_fails_fast_does_not_look_idle(self):
-        """Guards against a failing target that attracts requests because it fails at once."""
+        """Guards against a failing target that attracts requests because it fails immediately."""
         harness = ChooserHarness(make_targets("t", 4), spillover=2.0)
         for n in range(4):
             harness.report(f"t{n}", 5)
--- a/test/ui/test_apply.py
+++ b/test/ui/test_apply.py
@@ -181,7 +181,7 @@
         self.assertIn("deadline-past", self.apply(RULES_WITH_MOVE)[2])
 
     def test_move_to_a_vetoed_version(self):
-        """Guards against publishing a move that the veto would revert at once."""
+        """Guards against publishing a move that the veto would revert immediately."""
         self.apply()
         veto = Veto("counter-app", "v2", 1, "errors", "n1", START)
         self.store.put(veto_key(*veto[:2]), encode_veto(veto), 0, "w")
@@ -217,7 +217,7 @@
         self.assertEqual("version 1 is in effect in 2 of 2 zones", out.splitlines()[-1])
 
     def test_wait_ends_at_the_timeout(self):
-        """Guards against waiting for ever, and against success although no zone is known."""
+        """Guards against waiting forever, and against success although no zone is known."""
         code, out, _ = self.apply(RULES, "Livia", "--wait", "7.5", "--json")
         result = {"version": 1, "created": True, "in_effect": False}
         self.assertEqual((1, result), (code, json.loads(out)))
--- a/test/versions/test_sync.py
+++ b/test/versions/test_sync.py
@@ -120,7 +120,7 @@
         self.assertEqual(1, len(self.after(2)))
 
     def test_an_invalid_version_is_requested_once_and_a_damaged_copy_again(self):
-        """Guards against requesting an invalid version forever, or a valid one never again."""
+        """Guards against endless requests for an invalid version, and giving up on a valid one."""
         damaged = snapshot_of(CHAIN[3])._replace(parts=service_part("other"))
         self.assertEqual(1, len(self.sync.handle(damaged, "relay")))
         self.assertEqual({}, dict(self.sync.refused))
