Say "respond" of the platform, relays and nodes

Docstrings used "answer" and "respond" for the same thing; those of the relay role, the messages, the move record and the command-line client now say "respond". Error texts and outer names keep "answer". Further small repairs: the docstring of _add in platform/objects.py names the decoding, "begin and end" reads "start and end", and the head of the retry storm test no longer uses an ambiguous "at once".

Only comments and docstrings differ.

--- a/almondshore/core/messages.py
+++ b/almondshore/core/messages.py
@@ -85,7 +85,7 @@
     :ivar relays: relays of the node's zone; empty if the node's ``relays_digest`` is current
     :ivar ready: whether the relay itself has received the newest configuration
     :ivar confirmed: whether the platform recently showed the relay no newer configuration
-    :ivar platform_up: whether the platform answered the relay's last lease renewal
+    :ivar platform_up: whether the platform responded to the relay's last lease renewal
     """
 
     relays: list[RelayEntry]
@@ -113,7 +113,7 @@
 
     :ivar known: True if the relay holds the same state as the node; False requests a full
         ``Heartbeat``
-    :ivar platform_up: whether the platform answered the relay's last lease renewal
+    :ivar platform_up: whether the platform responded to the relay's last lease renewal
     """
 
     known: bool
@@ -222,8 +222,8 @@
 class PeerProbeReply(NamedTuple):
     """Result of a probe.
 
-    :ivar reachable: whether the suspect answered the prober
-    :ivar incarnation: the suspect's incarnation if it answered, else 0
+    :ivar reachable: whether the suspect responded to the prober
+    :ivar incarnation: the suspect's incarnation if it responded, else 0
     """
 
     probe_id: int
--- a/almondshore/moves/record.py
+++ b/almondshore/moves/record.py
@@ -91,7 +91,7 @@
         return result
 
     def write(self, record: MoveRecord) -> Result[MoveRecord | None, PlatformError | Fenced]:
-        """Replace the record; if the platform does not answer, it stays pending."""
+        """Replace the record; if the platform does not respond, it stays pending."""
         self.writes += 1
         self.pending = (record, f"{self.node}-{self.epoch}-{self.writes}")
         return self.flush()
--- a/almondshore/platform/objects.py
+++ b/almondshore/platform/objects.py
@@ -173,7 +173,7 @@
         return Changes(response.current_rev, items)
 
     def _add(self, items: dict[str, Any], raw: msgspec.Raw) -> None:
-        """Add a decoded object; skip and log a malformed one, as other writers may store."""
+        """Decode and add an object; log and skip a malformed one, stored by another writer."""
         try:
             name, item = self.decode(raw)
         except (msgspec.MsgspecError, ValueError, TypeError) as error:
--- a/almondshore/relay/candidacy.py
+++ b/almondshore/relay/candidacy.py
@@ -39,7 +39,7 @@
     def should_attempt(self, connected: bool, *, has_usable_relay: bool = False) -> bool:
         """Return whether to attempt now; to be called on each tick.
 
-        :param connected: whether a relay in this node's zone answers it
+        :param connected: whether a relay in this node's zone responds to it
         :param has_usable_relay: whether a known relay in the zone is not being avoided; the
             attempt then waits until that relay has been tried
         """
--- a/almondshore/relay/control.py
+++ b/almondshore/relay/control.py
@@ -139,7 +139,7 @@
 
     @property
     def platform_up(self) -> bool | None:
-        """Whether the platform answers, as observed by a relay and reported to the other nodes.
+        """Whether the platform responds, as observed by a relay and reported to the other nodes.
 
         None until this node has received a report.
         """
@@ -151,7 +151,7 @@
         """Return whether others have confirmed since the last call that this node is alive.
 
         A relay confirms it by an acknowledgement. A relay itself is confirmed while the platform
-        answers its lease renewals.
+        responds to its lease renewals.
         """
         acknowledged, self.acknowledged = self.acknowledged, False
         return acknowledged or (self.relay is not None and bool(self.platform_up))
--- a/almondshore/relay/election.py
+++ b/almondshore/relay/election.py
@@ -51,7 +51,7 @@
     """Decides by leases in the platform whether this node is a relay.
 
     Only this class and ``ConfigSource`` call the platform on behalf of a relay. An ordinary node
-    calls it only if no relay in its zone answers, if a relay invites it, or if another node
+    calls it only if no relay in its zone responds, if a relay invites it, or if another node
     mistakes it for a relay.
     """
 
@@ -92,7 +92,7 @@
     def is_relay(self) -> bool:
         """Whether this node acts as a relay.
 
-        It continues past the expiry of its lease while the platform does not answer, and stops
+        It continues past the expiry of its lease while the platform does not respond, and stops
         once the platform reports another holder.
         """
         return self.lease is not None
@@ -118,7 +118,7 @@
     def step(self, *, in_zone: bool, has_usable_relay: bool = False) -> list[Send]:
         """Run the lease operations that are due; blocks on platform calls.
 
-        :param in_zone: whether a relay in this node's zone answers it
+        :param in_zone: whether a relay in this node's zone responds to it
         :param has_usable_relay: whether a known relay in the zone is not being avoided
         """
         now = self.clock.monotonic()
--- a/almondshore/relay/lease_monitor.py
+++ b/almondshore/relay/lease_monitor.py
@@ -22,7 +22,7 @@
     """Distinguishes live leases from expired ones and updates the relay table.
 
     A lease counts as expired if its object has not changed for a full ``ttl`` by this process's
-    monotonic clock while the platform answered. No lease can be renewed during an outage, so the
+    monotonic clock while the platform responded. No lease can be renewed during an outage, so the
     observations restart after it to give the holders time to renew.
     """
 
--- a/almondshore/relay/selection.py
+++ b/almondshore/relay/selection.py
@@ -27,7 +27,7 @@
     """Limits of the relay selection.
 
     :ivar max_missed: number of unanswered heartbeats after which the node fails over
-    :ivar avoid_duration: time for which a relay that did not answer is avoided; with 30 s, 10%
+    :ivar avoid_duration: time for which a relay that did not respond is avoided; with 30 s, 10%
         message loss kept half of the nodes on relays in other zones
     :ivar failback_interval: interval at which a node tries to return to its preferred relay; a
         node that uses a relay in another zone tries one in its own zone at each heartbeat
@@ -48,7 +48,7 @@
 
     Relays in the node's own zone come first, in the order of rendezvous hashing, then relays in
     other zones. If no usable relay is known, the node queries peers for relays. A node fails back
-    to a preferred relay only once that relay has answered.
+    to a preferred relay only once that relay has responded.
 
     :ivar relay: address of the relay in use
     :ivar trial: address of a preferred relay that the node also sends heartbeats to, to test it
@@ -90,12 +90,12 @@
 
     @property
     def connected(self) -> bool:
-        """Whether a relay answers this node."""
+        """Whether a relay responds to this node."""
         return self.without_relay_since is None
 
     @property
     def in_zone(self) -> bool:
-        """Whether a relay in this node's zone answers it."""
+        """Whether a relay in this node's zone responds to it."""
         return self.connected and self.relay in self.table.addresses(self.zone)
 
     @property
@@ -171,7 +171,7 @@
         return None
 
     def _choose_trial(self, now: timedelta) -> None:
-        """Choose a preferred relay to test; it replaces the current relay only once it answers."""
+        """Choose a preferred relay to test; it replaces the current relay only once it responds."""
         if self.trial is not None:
             self.avoided[self.trial] = now + self.limits.avoid_duration
             self.trial = None
@@ -198,7 +198,7 @@
         """Avoid the current relay and wait with full jitter before choosing another one.
 
         :param avoid_duration: time for which the current relay is not chosen again
-        :param silent: whether the relay did not answer; False after a refusal, which is no sign
+        :param silent: whether the relay did not respond; False after a refusal, which is no sign
             of a fault and does not increase the backoff
         """
         now = self.clock.monotonic()
--- a/almondshore/ui/node_http.py
+++ b/almondshore/ui/node_http.py
@@ -21,7 +21,7 @@
 
     :param node: URL of the metrics address
     :param document_type: type that the document is decoded to
-    :raises UserError: if the node does not answer, refuses the request, or sends a malformed
+    :raises UserError: if the node does not respond, refuses the request, or sends a malformed
         response
     """
     body = call_node("GET", node, path.decode())
@@ -35,7 +35,7 @@
     """Send a request without a body to a node and return the body of the response.
 
     :param node: URL of an address of the node
-    :raises UserError: if the node does not answer within ``CALL_TIMEOUT``, or refuses the request
+    :raises UserError: if the node does not respond within ``CALL_TIMEOUT``, or refuses the request
     """
     url = require_url(node)
     timeout = urllib3.Timeout(CALL_TIMEOUT.total_seconds())
--- a/test/load/test_configuration_storm_on_a_narrow_link.py
+++ b/test/load/test_configuration_storm_on_a_narrow_link.py
@@ -26,7 +26,7 @@
     """A feed over a narrow link, in which each change contains the whole configuration.
 
     :ivar written: time at which each version was written, in seconds
-    :ivar outage: begin and end of the time in which the store is unavailable, in seconds
+    :ivar outage: start and end of the time in which the store is unavailable, in seconds
     """
 
     name = "config"
--- a/test/load/test_retry_storm.py
+++ b/test/load/test_retry_storm.py
@@ -1,4 +1,4 @@
-"""Load: targets are overloaded, and refused clients repeat their requests at once, three times."""
+"""Load: targets are overloaded, and refused clients immediately repeat requests three times."""
 
 from testtools import TestCase
 
