Name the test of replies to configuration requests

AnswerTest did not say what is answered. The class tests what ConfigSync replies to a ConfigRequest and is now called ConfigReplyTest.

Checks: make lint passes; test/versions passes. Only the class name differs.

--- a/test/versions/test_sync.py
+++ b/test/versions/test_sync.py
@@ -139,7 +139,7 @@
         self.assertEqual(64, len(self.sync.refused))
 
 
-class AnswerTest(TestCase):
+class ConfigReplyTest(TestCase):
     def setUp(self):
         super().setUp()
         self.clock = ManualClock()
