Call a target a target in standins, soak, bench and test

These folders used "upstream" for the process that serves a version of a service, which the rest of the code calls a target. UpstreamStandIn is now TargetStandIn, the attributes and variables that hold one are target_standin and target_standins, and Host.replace_upstream is Host.replace_target. `target` still means the identity of a target. Docstrings say "target" as well.

Checks: make format and make lint pass; all modules of standins, soak and bench import; the 195 tests of test/mesh, test/soak, test/standins, test/versions and test/http pass. The syntax trees are equal but for the renamed identifiers and docstrings.

--- a/bench/mesh_path.py
+++ b/bench/mesh_path.py
@@ -54,7 +54,7 @@
         mesh.store.put(names.CONFIG_KIND, names.CONFIG_NAME, stored_config(3, ("s", "other")))
         caller_node = mesh.add_node("n1", service="other")
         target_node = mesh.add_node("n2")
-        mesh.upstreams["n2"].processing_time = timedelta()
+        mesh.target_standins["n2"].processing_time = timedelta()
         mesh.wait_for_targets("n1", 2)
         direct = CallCosts(mesh, target_node.settings.app)
         logged = CallCosts(mesh, caller_node.settings.outbound)
--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -1,4 +1,4 @@
-"""Node processes on loopback, with a stand-in store, upstreams, fault proxies and callers."""
+"""Node processes on loopback, with a stand-in store and targets, fault proxies and callers."""
 
 import os
 import random
@@ -21,7 +21,7 @@
 from soak.proxy import FaultProxy
 from standins.addresses import format_address
 from standins.mesh_deployment import listen_addresses, stored_config
-from standins.mesh_platform import StoreStandIn, UpstreamStandIn, serve
+from standins.mesh_platform import StoreStandIn, TargetStandIn, serve
 
 DRAIN = timedelta(seconds=2)
 BOUNDS = "drain_s=2,grace_s=4,retry_budget_ratio=0.2,budget_window_s=10,budget_min_retries=56"
@@ -33,11 +33,11 @@
 
 
 class Host:
-    """A node process and its local upstream, each reached through a fault proxy.
+    """A node process and its local target, each reached through a fault proxy.
 
-    :ivar generation: number of upstreams that this host had before the present one
-    :ivar sequence: number of the last heartbeat of the present upstream
-    :ivar born: start time of the upstream in milliseconds, as sent in its heartbeats
+    :ivar generation: number of targets that this host had before the present one
+    :ivar sequence: number of the last heartbeat of the present target
+    :ivar born: start time of the present target in milliseconds, as sent in its heartbeats
     :ivar state: state in the heartbeats; no heartbeats are sent while it is empty
     :ivar restarting: whether the soak itself is restarting the process
     :ivar unexpected_exits: how often the node process ended without a signal from the soak
@@ -51,9 +51,9 @@
         self.sequence = 0
         self.born = 1000
         self.state = "ready"
-        self.upstream = UpstreamStandIn(target=self.target_id())
-        self.upstream.make_response = self._make_response
-        self.server = serve(cluster.clock, self.upstream)
+        self.target_standin = TargetStandIn(target=self.target_id())
+        self.target_standin.make_response = self._make_response
+        self.server = serve(cluster.clock, self.target_standin)
         self.target_proxy = FaultProxy(destination=self.server.address())
         self.store_proxy = FaultProxy(destination=cluster.store_server.address())
         self.addresses = listen_addresses()
@@ -63,7 +63,7 @@
         self.heartbeat_task = eventlet.spawn(self._heartbeat_loop)
 
     def target_id(self) -> str:
-        """Return the identity of the present upstream; each replacement has a new one."""
+        """Return the identity of the present target; each replacement has a new one."""
         return f"i-{self.name}-{self.generation}"
 
     def start(self) -> None:
@@ -108,8 +108,8 @@
             self.unexpected_exits += 1
             self.start()
 
-    def replace_upstream(self, *, drain_first: bool) -> None:
-        """Drain or deregister the upstream, and start its replacement after two drain periods.
+    def replace_target(self, *, drain_first: bool) -> None:
+        """Drain or deregister the target, and start its replacement after two drain periods.
 
         :param drain_first: announce a drain; otherwise deregister without one
         """
@@ -126,12 +126,12 @@
         eventlet.sleep(DRAIN.total_seconds() * 2)
         self.generation += 1
         self.born += 1_000_000
-        self.upstream.target = self.target_id()
+        self.target_standin.target = self.target_id()
         self.sequence = 0
         self.state = "ready"
 
     def stop(self) -> None:
-        """Kill the node process and close the upstream and the proxies."""
+        """Kill the node process and close the target and the proxies."""
         self.heartbeat_task.kill()
         self.signal(signal.SIGCONT)
         self.signal(signal.SIGKILL)
@@ -194,7 +194,7 @@
         self.request_count = 0
         self.callers: list = []
         for host in self.hosts:
-            host.upstream.on_run = self._make_run_observer(host)
+            host.target_standin.on_run = self._make_run_observer(host)
             host.start()
 
     def add_route(self) -> str:
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -1,4 +1,4 @@
-"""Checks of the mesh's guarantees against the observations of callers and upstreams."""
+"""Checks of the mesh's guarantees against the observations of callers and targets."""
 
 from collections import Counter
 from datetime import timedelta
@@ -50,10 +50,10 @@
         self.departures: dict[str, timedelta] = {}
 
     def on_run(self, target: str, service: str, request_id: str, caller: str) -> None:
-        """Record and check that an upstream runs a request.
+        """Record and check that a target runs a request.
 
-        :param target: identity of the upstream
-        :param service: service of the upstream
+        :param target: identity of the target
+        :param service: service of the target
         :param caller: calling service according to the request header
         """
         self.run_counts[request_id] += 1
--- a/soak/main.py
+++ b/soak/main.py
@@ -103,7 +103,7 @@
 
 def _replace_target(cluster: Cluster, host: Host, *, drain_first: bool) -> None:
     if sum(other.state != "ready" for other in cluster.hosts) < MAX_DEPARTING_TARGETS:
-        host.replace_upstream(drain_first=drain_first)
+        host.replace_target(drain_first=drain_first)
 
 
 FAULTS: tuple[Fault, ...] = (
--- a/standins/failures.py
+++ b/standins/failures.py
@@ -33,7 +33,7 @@
     """
     mesh.add_node("n3")
     mesh.add_node("n4", version="v2")
-    mesh.upstreams["n4"].make_response = _respond_with_500
+    mesh.target_standins["n4"].make_response = _respond_with_500
     mesh.wait_for_targets("n1", 4)
     rollout = {"service": "s", "target_version": "v2", "duration_s": 4}
     mesh.store.put(names.ROLLOUT_KIND, "s", rollout)
@@ -51,7 +51,7 @@
 
     :return: status of the response, None if there was none
     """
-    mesh.upstreams["n3"].processing_time = timedelta(seconds=2)
+    mesh.target_standins["n3"].processing_time = timedelta(seconds=2)
     server = mesh.nodes["n3"].inbound_server
     eventlet.spawn_after(0.1, _stop_reading, server)
     return mesh.request_status("n1", request_id="silent-1")
--- a/standins/mesh_deployment.py
+++ b/standins/mesh_deployment.py
@@ -1,4 +1,4 @@
-"""Small mesh in one process on loopback: nodes, a stand-in store and upstreams."""
+"""Small mesh in one process on loopback: nodes, a stand-in store and stand-in targets."""
 
 import random
 from datetime import timedelta
@@ -19,7 +19,7 @@
 from almondshore.platform.dialect import PlatformDialect
 from almondshore.platform.objects import ObjectClient, PlatformStore
 from standins.addresses import allocate_addresses
-from standins.mesh_platform import StoreStandIn, UpstreamStandIn, serve
+from standins.mesh_platform import StoreStandIn, TargetStandIn, serve
 
 LIMITS = {
     "max_header_bytes": 16384,
@@ -59,10 +59,10 @@
 
 
 class MeshDeployment:
-    """Starts nodes, each with an upstream of its own, and the store that they share.
+    """Starts nodes, each with a target of its own, and the store that they share.
 
     :ivar nodes: running nodes by name
-    :ivar upstreams: upstreams by the name of their node
+    :ivar target_standins: targets by the name of their node
     :ivar sequence: number of the last heartbeat
     """
 
@@ -72,13 +72,13 @@
         self.store = StoreStandIn()
         self.store_server = serve(self.clock, self.store)
         self.nodes: dict[str, MeshNode] = {}
-        self.upstreams: dict[str, UpstreamStandIn] = {}
+        self.target_standins: dict[str, TargetStandIn] = {}
         self.servers = [self.store_server]
         self.pool = ConnectionPool(clock=self.clock)
         self.sequence = 0
 
     def close(self) -> None:
-        """Close the nodes, the upstreams and the store."""
+        """Close the nodes, the targets and the store."""
         for node in self.nodes.values():
             node.close()
         for server in self.servers:
@@ -87,14 +87,14 @@
     def add_node(
         self, name: str, service: str = "s", version: str = "v1", announce: bool = True
     ) -> MeshNode:
-        """Start a node and its upstream.
+        """Start a node and its target.
 
-        :param announce: whether to send a heartbeat of the upstream to the node
+        :param announce: whether to send a heartbeat of the target to the node
         """
-        upstream = UpstreamStandIn(target=f"i-{name}")
-        server = serve(self.clock, upstream)
+        target_standin = TargetStandIn(target=f"i-{name}")
+        server = serve(self.clock, target_standin)
         self.servers.append(server)
-        self.upstreams[name] = upstream
+        self.target_standins[name] = target_standin
         node = self.start_node(
             MeshSettings(
                 **listen_addresses(),
@@ -134,7 +134,7 @@
     def announce(
         self, name: str, state: str = "ready", version: str = "v1", born: int = 1000
     ) -> int | None:
-        """Send a heartbeat of a node's upstream to the node.
+        """Send a heartbeat of a node's target to the node.
 
         :return: status of the response, None if there was none
         """
@@ -147,7 +147,7 @@
         return self._post(settings.control, f"{names.HEARTBEAT_PATH}i-{name}", body)
 
     def deregister(self, name: str, born: int = 1000) -> int | None:
-        """Deregister a node's upstream at the node.
+        """Deregister a node's target at the node.
 
         :return: status of the response, None if there was none
         """
--- a/standins/mesh_platform.py
+++ b/standins/mesh_platform.py
@@ -1,4 +1,4 @@
-"""Stand-ins for the users' platform, its store and an upstream, on almondshore's HTTP server."""
+"""Stand-ins for the users' platform, its store and a target, on almondshore's HTTP server."""
 
 from collections.abc import Callable
 from datetime import timedelta
@@ -169,10 +169,10 @@
             self._answer_watch(*entry, empty=True)
 
 
-class UpstreamStandIn(ExchangeHandler):
-    """An upstream that answers each request after a fixed time.
+class TargetStandIn(ExchangeHandler):
+    """A target that answers each request after a fixed time.
 
-    :ivar target: identity of the upstream; requests that expect another one are answered with 421
+    :ivar target: identity of the target; requests that expect another one are answered with 421
     :ivar processing_time: time from the arrival of a request to its response
     :ivar executed: attempt id and caller service of each request, in the order of execution
     :ivar cancelled: number of requests that were cancelled
--- a/test/mesh/test_node.py
+++ b/test/mesh/test_node.py
@@ -48,7 +48,7 @@
         """Guards against a request path that is broken between any two components."""
         result = self.mesh.request("n1")
         self.assertEqual((200, b"from i-n2"), (result.response.status, result.response.body))
-        self.assertEqual([(b"a1", b"other")], self.mesh.upstreams["n2"].executed)
+        self.assertEqual([(b"a1", b"other")], self.mesh.target_standins["n2"].executed)
         self.assertEqual(404, self.mesh.request_status("n1", path="/unknown/"))
 
     def test_node_without_configuration_is_not_ready(self):
@@ -106,9 +106,9 @@
         """Guards against requests that reach a target after its drain was acknowledged."""
         self.assertEqual(200, self.mesh.announce("n2", state="draining"))
         eventlet.sleep(0.5)
-        ran = len(self.mesh.upstreams["n2"].executed)
+        ran = len(self.mesh.target_standins["n2"].executed)
         self.assertEqual(503, self.mesh.request_status("n1"))
-        self.assertEqual(ran, len(self.mesh.upstreams["n2"].executed))
+        self.assertEqual(ran, len(self.mesh.target_standins["n2"].executed))
 
     def test_deregistration_outlives_the_process(self):
         """Guards against a restarted node that sends requests to a deregistered target."""
@@ -122,17 +122,17 @@
         self.mesh.announce("n2")
         eventlet.sleep(0.5)
         self.assertEqual(503, self.mesh.request_status("n1"))
-        self.assertEqual([], self.mesh.upstreams["n2"].executed)
+        self.assertEqual([], self.mesh.target_standins["n2"].executed)
 
     def test_disconnected_caller_cancels_the_work_of_the_target(self):
         """Guards against a target that works for a caller that has disconnected."""
-        upstream = self.mesh.upstreams["n2"]
-        upstream.processing_time = timedelta(seconds=2)
+        target_standin = self.mesh.target_standins["n2"]
+        target_standin.processing_time = timedelta(seconds=2)
         with eventlet.Timeout(0.2, False):
             self.mesh.request("n1")
         for connection in list(self.mesh.nodes["n1"].outbound_server.connections):
             connection.stream._finish(clean=True)
-        wait_until(lambda: upstream.cancelled == 1, seconds=0.5)
+        wait_until(lambda: target_standin.cancelled == 1, seconds=0.5)
 
     def test_unresponsive_host_gets_no_requests(self):
         """Guards against requests on open connections to a host that no longer responds."""
@@ -163,8 +163,8 @@
         self.mesh.add_node("n3")
         wait_until(lambda: len(self.mesh.nodes["n1"].directory.targets) == 3)
         for name in ("n2", "n3"):
-            upstream = self.mesh.upstreams[name]
-            upstream.make_response = self._cut_first(upstream)
+            target_standin = self.mesh.target_standins[name]
+            target_standin.make_response = self._cut_first(target_standin)
         statuses = [self.mesh.request_status("n1", request_id=f"a{number}") for number in range(8)]
         self.assertTrue(statuses.count(200) >= 6, statuses)
 
@@ -182,7 +182,7 @@
 
     def test_stop_completes_running_requests(self):
         """Guards against requests that are interrupted by a graceful stop."""
-        self.mesh.upstreams["n2"].processing_time = timedelta(seconds=1)
+        self.mesh.target_standins["n2"].processing_time = timedelta(seconds=1)
         pool = eventlet.GreenPool()
         replies = [
             pool.spawn(self.mesh.request_status, "n1", request_id=f"a{number}") for number in (1, 2)
@@ -243,8 +243,8 @@
         ready_targets = {item["service"]: item["ready"] for item in view["services"]}
         self.assertEqual({"s": {"v1": 1}, "other": {"v1": 1}}, ready_targets)
 
-    def _cut_first(self, upstream):
-        usual = upstream._default_response
+    def _cut_first(self, target_standin):
+        usual = target_standin._default_response
         left = [1]
 
         def answer(exchange):
@@ -274,7 +274,7 @@
         mesh.add_node("n3", version="v2")
         mesh.announce("n3", version="v2", born=9000)
         if faulty:
-            mesh.upstreams["n3"].make_response = lambda exchange: Response(
+            mesh.target_standins["n3"].make_response = lambda exchange: Response(
                 500,
                 (
                     (b"Attempt-Id", exchange.request.header(b"attempt-id")),
@@ -298,19 +298,19 @@
         """Guards against the rollout of a good version that misses its deadline."""
         mesh, _, state = self.run_rollout(faulty=False)
         self.assertEqual("completed", state)
-        before = len(mesh.upstreams["n2"].executed)
+        before = len(mesh.target_standins["n2"].executed)
         self.assertEqual(200, mesh.request_status("n1"))
-        self.assertEqual(before, len(mesh.upstreams["n2"].executed))
+        self.assertEqual(before, len(mesh.target_standins["n2"].executed))
 
     def test_faulty_version_is_rolled_back_with_little_exposure(self):
         """Guards against a faulty version that gets more than a small share of the requests."""
         mesh, requests, state = self.run_rollout(faulty=True)
         self.assertEqual("rolled_back", state)
-        exposed = len(mesh.upstreams["n3"].executed)
+        exposed = len(mesh.target_standins["n3"].executed)
         self.assertTrue(exposed <= 0.1 * requests + 50, (exposed, requests))
         for number in range(20):
             self.assertEqual(200, mesh.request_status("n1", request_id=f"b{number}"))
-        self.assertEqual(exposed, len(mesh.upstreams["n3"].executed))
+        self.assertEqual(exposed, len(mesh.target_standins["n3"].executed))
 
 
 class WatchingTest(TestCase):
