--- a/review/3/case.py
+++ b/review/3/case.py
@@ -151,8 +151,8 @@
     reached = [sent for sent in after if sent.request_id in by_request]
     if reached:
         findings.append(
-            f"DRAIN (news page): {len(reached)} requests sent later than {BOUNDS['drain_s']} s after"
-            " their machine had passed on an answer with Server-Leaving reached that upstream"
+            f"DRAIN (news page): {len(reached)} requests sent later than {BOUNDS['drain_s']} s"
+            " after their machine had passed on an answer with Server-Leaving reached that upstream"
         )
     return findings
 
