--- a/review/2/case.py
+++ b/review/2/case.py
@@ -93,6 +93,7 @@
         await asyncio.sleep(CRASH_INTERVAL_S)
     for task in tasks:
         task.cancel()
+    clients.close()
     return judge(clients, upstreams, record)
 
 
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -99,6 +99,7 @@
         sender.cancel()
     if not acknowledged:
         return []
+    clients.close()
     return judge(clients, leaving.runs, record, acked_at, started_at)
 
 
--- a/review/common/client.py
+++ b/review/common/client.py
@@ -17,6 +17,7 @@
     """A request of a client.
 
     :ivar outcome: status of the answer, or how the request ended without one
+    :ivar reused: whether its connection had carried an earlier request
     """
 
     def __init__(self, *, request_id: str, machine: str, path: str, at: float):
@@ -28,6 +29,7 @@
         self.headers: dict[str, str] = {}
         self.body = b""
         self.ended = 0.0
+        self.reused = False
 
 
 class Clients:
@@ -69,6 +71,7 @@
         connection = None
         try:
             idle = self.idle.setdefault(machine.name, [])
+            sent.reused = bool(idle)
             connection = idle.pop() if idle else await Connection.open(machine.address("outbound"))
             response = await asyncio.wait_for(connection.exchange(data), deadline_ms / 1000)
             self._note(sent, response)
@@ -89,6 +92,13 @@
     def _note(sent: Sent, response: Message) -> None:
         sent.outcome, sent.headers, sent.body = response.status, response.headers, response.body
 
+    def close(self) -> None:
+        """Close the idle connections."""
+        for connections in self.idle.values():
+            for connection in connections:
+                connection.close()
+        self.idle.clear()
+
     def count(self, prefix: str) -> dict[int | str, int]:
         """Return how many requests ended in each way, for ids that begin with a prefix."""
         counts: dict[int | str, int] = {}
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -44,6 +44,9 @@
 }
 PORTS = ("inbound", "outbound", "ready", "control", "app", "metrics")
 FIRST_PORT = 7301
+# How often the memory of the node processes is looked at.
+MEMORY_POLL_S = 0.01
+RESTART_DELAY_S = 0.3
 LIMITS = {
     "max_header_bytes": 16384,
     "max_body_bytes": 67108864,
@@ -144,6 +147,24 @@
             machine.process.wait()
         self.record.add("node_ended", node=machine.name, status=machine.process.returncode)
 
+    async def enforce_memory(self, machine: Machine, limit_mb: int) -> None:
+        """Kill the node process when it exceeds its memory, and start it again, until cancelled."""
+        while True:
+            peak_mb = _peak_memory_mb(machine.process.pid)
+            if peak_mb > limit_mb:
+                machine.process.kill()
+                machine.process.wait()
+                self.record.add(
+                    "node_killed",
+                    node=machine.name,
+                    reason="memory",
+                    peak_mb=round(peak_mb),
+                    limit_mb=limit_mb,
+                )
+                await asyncio.sleep(RESTART_DELAY_S)
+                self.start_node(machine, first=False)
+            await asyncio.sleep(MEMORY_POLL_S)
+
     async def wait_ready(self, machines: list[Machine], timeout_s: float = 15) -> None:
         """Wait until the nodes count as ready.
 
@@ -184,6 +205,14 @@
         return fields
 
 
+def _peak_memory_mb(pid: int) -> float:
+    """Return the largest resident memory that a process has had."""
+    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("VmHWM:"):
+            return int(line.split()[1]) / 1024
+    return 0.0
+
+
 def _render(template: str, fields: dict[str, str]) -> str:
     """Fill in the placeholders that the project's template uses."""
     bounds = ",".join(f"{name}={value}" for name, value in BOUNDS.items())
