--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,6 +1,7 @@
 """A request that crashes its upstream as soon as it runs is not kept from the upstreams."""
 
 import asyncio
+import itertools
 import sys
 from pathlib import Path
 
@@ -18,7 +19,8 @@
 ZONES = ("kosice-a", "kosice-b", "presov")
 READ_PREFIX, ACK_PREFIX = "/history/read/", "/acks/note/"
 CRASH_PATH = "/history/crash"
-READ_INTERVAL_S, ACK_INTERVAL_S = 0.05, 0.1
+# Reads come in groups, as clients send them.
+READ_GROUP, READ_INTERVAL_S, ACK_INTERVAL_S = 6, 0.3, 0.1
 READ_WORK_S, ACK_WORK_S = 0.05, 0.2
 CRASH_INTERVAL_S = 2.0
 # How long a crashed upstream is away.
@@ -82,7 +84,8 @@
     await deployment.wait_ready(machines)
     await asyncio.sleep(6)
     clients = Clients(record=record)
-    tasks = [asyncio.create_task(_send_work(clients, machine)) for machine in machines]
+    tasks = [asyncio.create_task(_send_reads(clients, machine)) for machine in machines]
+    tasks += [asyncio.create_task(_send_acks(clients, machine)) for machine in machines]
     await asyncio.sleep(3)
     ends_at = record.now() + PLAY_S
     turn = 0
@@ -97,22 +100,27 @@
     return judge(clients, upstreams, record)
 
 
-async def _send_work(clients: Clients, machine: Machine) -> None:
+async def _send_reads(clients: Clients, machine: Machine) -> None:
     pending: set[asyncio.Task] = set()
-    count = 0
-    while True:
-        count += 1
-        path = f"{READ_PREFIX}{machine.name}/{count}"
-        send = clients.send(machine, "GET", path, deadline_ms=DEADLINE_MS, kind="read")
-        pending.add(asyncio.create_task(send))
-        if count % round(ACK_INTERVAL_S / READ_INTERVAL_S) == 0:
-            path = f"{ACK_PREFIX}{machine.name}/{count}"
-            send = clients.send(machine, "POST", path, deadline_ms=ACK_DEADLINE_MS, kind="ack")
+    for count in itertools.count():
+        for number in range(READ_GROUP):
+            path = f"{READ_PREFIX}{machine.name}/{count}/{number}"
+            send = clients.send(machine, "GET", path, deadline_ms=DEADLINE_MS, kind="read")
             pending.add(asyncio.create_task(send))
         pending = {task for task in pending if not task.done()}
         await asyncio.sleep(READ_INTERVAL_S)
 
 
+async def _send_acks(clients: Clients, machine: Machine) -> None:
+    pending: set[asyncio.Task] = set()
+    for count in itertools.count():
+        path = f"{ACK_PREFIX}{machine.name}/{count}"
+        send = clients.send(machine, "POST", path, deadline_ms=ACK_DEADLINE_MS, kind="ack")
+        pending.add(asyncio.create_task(send))
+        pending = {task for task in pending if not task.done()}
+        await asyncio.sleep(ACK_INTERVAL_S)
+
+
 def judge(clients: Clients, upstreams: list[Upstream], record: Record) -> list[str]:
     """Check the rule BUDGET for requests that crash upstreams."""
     runs = [run for upstream in upstreams for run in upstream.runs]
