--- a/review/common/client.py
+++ b/review/common/client.py
@@ -78,10 +78,10 @@
             if response.headers.get("connection", "").lower() != "close":
                 idle.append(connection)
                 connection = None
-        except (OSError, ClosedError):
-            sent.outcome = CLOSED
         except TimeoutError:
             sent.outcome = TIMED_OUT
+        except (OSError, ClosedError):
+            sent.outcome = CLOSED
         finally:
             if connection is not None:
                 connection.close()
