--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -96,7 +96,7 @@
 class Deployment:
     """The store, the machines and the configuration of a case.
 
-    :param folder: receives settings and logs; removed by :meth:`close`
+    :ivar folder: receives settings and logs; removed by :meth:`close`
     """
 
     def __init__(self, *, record: Record):
--- a/review/common/upstream.py
+++ b/review/common/upstream.py
@@ -19,6 +19,8 @@
 HEARTBEAT_S = 1.5
 ACK_TIMEOUT_S = 1.0
 HEALTH_PATH = "/health"
+# The example of a refusal on the users' pages has no other header.
+REFUSAL_HEADERS = {"Not-Executed": "1"}
 
 
 class Run:
@@ -163,7 +165,7 @@
         if expected not in (None, self.id):
             writer.write(encode_response(421, {"Instance-Id": self.id}))
         elif self.waiting >= self.queue:
-            writer.write(encode_response(503, self.refusal_headers(request_id)))
+            writer.write(encode_response(503, REFUSAL_HEADERS))
         elif path == HEALTH_PATH:
             status = 503 if self.leaving else 200
             writer.write(encode_response(status, {"Instance-Id": self.id}))
@@ -172,10 +174,6 @@
             writer.write(encode_response(200, self.answer_headers(request_id), body))
         await writer.drain()
 
-    def refusal_headers(self, request_id: str) -> dict[str, str]:
-        """Return the headers of a refusal, which carries no id."""
-        return {"Not-Executed": "1"}
-
     def answer_headers(self, request_id: str) -> dict[str, str]:
         """Return the headers of an answer."""
         return {"Attempt-Id": request_id, "Response-Signature": f"sig-{request_id}"}
