Count bytes held for peers in one budget, by what they cost

Cause: the parsers kept each piece of a body as an object and counted its payload. Ruled out: the framing bound (passed by 2.5 bytes a byte, as meant) and a leak after the response (memory is free after the call). Of the same class: each listener and the pool had a bound of their own, complete requests and unread responses were not counted, a body existed up to four times, and header fields were counted without the 150 bytes that each takes beside its text.

Change: a MemoryBudget shared by the pool and all listeners of a process; bodies in one buffer that is passed on without a copy from socket to socket; requests that cannot be held are refused with 503 by their stated length; state of the store and of other nodes is received in any case. Two metrics and a log line tell of it.

--- a/almondshore/http/buffering.py
+++ b/almondshore/http/buffering.py
@@ -1,27 +1,45 @@
-"""Bound on the bodies of incomplete messages that are held in memory together."""
+"""Bound on the memory of a process that holds bytes for its peers."""
 
-# Bodies of all incomplete messages together. The smallest hosts have 128 MB of memory, of which a
-# process with its libraries takes 30 MB.
-MAX_BUFFERED_BYTES = 32 * 1024 * 1024
-# Body of one message that may be held even beyond MAX_BUFFERED_BYTES.
-GUARANTEED_BYTES = 1024 * 1024
+# Messages of all connections together. The smallest hosts have 128 MB of memory, of which a process
+# with its libraries takes 30 MB.
+MAX_HELD_BYTES = 32 * 1024 * 1024
+# Message of one connection that may be held even beyond MAX_HELD_BYTES.
+GUARANTEED_BYTES = 256 * 1024
+# The same for the state that a node reads from the store and from other nodes.
+GUARANTEED_STATE_BYTES = 4 * 1024 * 1024
+# Memory of a header field beside its bytes: a tuple and two bytes objects.
+HEADER_OVERHEAD_BYTES = 150
+# Larger bodies are passed on as they were received, since a copy would double their memory.
+MAX_COPIED_BYTES = 64 * 1024
 
 
-class BodyBuffers:
-    """Counts the bodies of the incomplete messages of several connections.
+class MemoryBudget:
+    """Counts the memory held for the messages of all connections.
 
-    :ivar total_bytes: bytes held now
+    :ivar held_bytes: memory held now
+    :ivar refusals: messages that were refused because of the bound
     """
 
     def __init__(self) -> None:
-        self.total_bytes = 0
+        self.held_bytes = 0
+        self.refusals = 0
 
-    def resize(self, before: int, after: int) -> bool:
-        """Record that a body has grown or was released.
+    def resize(self, before: int, after: int) -> None:
+        """Record that the memory held for a connection has changed.
 
         :param before: its size in bytes at the last call, 0 at first
         :param after: its size in bytes now
-        :return: whether it may be held
         """
-        self.total_bytes += after - before
-        return after <= GUARANTEED_BYTES or self.total_bytes <= MAX_BUFFERED_BYTES
+        self.held_bytes += after - before
+
+    def allows(self, held: int, *, missing: int = 0, guaranteed: int = GUARANTEED_BYTES) -> bool:
+        """Return whether a connection may go on receiving its message; counts a refusal.
+
+        :param held: bytes held for the connection
+        :param missing: bytes that the message states and that have not been received
+        :param guaranteed: bytes that it may hold in any case
+        """
+        if held + missing <= guaranteed or self.held_bytes + missing <= MAX_HELD_BYTES:
+            return True
+        self.refusals += 1
+        return False
--- a/almondshore/http/client.py
+++ b/almondshore/http/client.py
@@ -9,8 +9,9 @@
 from eventlet import hubs
 
 from almondshore.core.clock import Clock
-from almondshore.http.buffering import BodyBuffers
-from almondshore.http.messages import Response
+from almondshore.core.logs import log_event
+from almondshore.http.buffering import GUARANTEED_BYTES, MemoryBudget
+from almondshore.http.messages import Body, Response
 from almondshore.http.parsing import STATUS_TOO_LARGE, ParseError, ResponseParser
 from almondshore.http.stream import Stream, StreamHandler, connect_stream
 
@@ -77,6 +78,8 @@
 
     __slots__ = (
         "data",
+        "body",
+        "guaranteed_bytes",
         "match",
         "on_done",
         "head",
@@ -91,13 +94,17 @@
         self,
         *,
         data: bytes,
+        body: Body,
         match: Callable[[Response], ResponseMatch],
         on_done: Callable[[CallResult], None],
         head: bool,
+        guaranteed_bytes: int,
         stall_timeout: timedelta | None,
         ends_at: timedelta | None,
     ):
         self.data = data
+        self.body = body
+        self.guaranteed_bytes = guaranteed_bytes
         self.match = match
         self.on_done = on_done
         self.head = head
@@ -145,7 +152,7 @@
     :ivar used: whether a response was received on the connection before
     :ivar other_responses: number of received responses to earlier requests, after which the
         connection is not reused
-    :ivar buffered_bytes: body of the incomplete response, as counted by the pool
+    :ivar held_bytes: memory of the incomplete response, as counted by the pool
     :ivar idle_since: monotonic time at which the connection was returned to the pool
     """
 
@@ -157,7 +164,7 @@
         self.used = False
         self.sent = False
         self.other_responses = 0
-        self.buffered_bytes = 0
+        self.held_bytes = 0
         self.idle_since = timedelta()
         self.idle_limit = IDLE_LIMIT
         self.connect_timer = None
@@ -202,13 +209,23 @@
             return
         if self.other_responses > MAX_OTHER_RESPONSES:
             self._fail(CallFailure.MALFORMED)
-        elif not self._count_buffered(self.parser.body_bytes):
+            return
+        self._count_held(self.parser.held_bytes())
+        if not self.pool.memory.allows(self.held_bytes, guaranteed=self.call.guaranteed_bytes):
+            log_event(
+                "response_refused",
+                level="WARNING",
+                reason="memory",
+                peer=f"{self.address[0]}:{self.address[1]}",
+                received=self.held_bytes,
+                held=self.pool.memory.held_bytes,
+            )
             self._fail(CallFailure.TOO_LARGE)
 
     def on_end(self, *, clean: bool) -> None:
         """Complete a response that ends with the connection, or fail the call."""
         self._stop_connect_timer()
-        self._count_buffered(0)
+        self._count_held(0)
         self.pool.remove_idle(self)
         if self.call is None:
             return
@@ -224,7 +241,7 @@
     def abandon(self) -> None:
         """Close the connection without delivering a result."""
         self._stop_connect_timer()
-        self._count_buffered(0)
+        self._count_held(0)
         self.call = None
         self.pool.remove_idle(self)
         if self.stream is not None:
@@ -237,17 +254,17 @@
 
     def _send(self) -> None:
         self.sent = True
-        self.stream.write(self.call.data)
+        self.stream.write(self.call.data, self.call.body)
 
     def _extend_timeout(self, call: Call) -> None:
         """Restart the timeout of a call whose response is arriving, up to the call's end."""
         if call.stall_timeout is not None:
             call.set_timeout(min(call.stall_timeout, call.ends_at - self.pool.clock.monotonic()))
 
-    def _count_buffered(self, body_bytes: int) -> bool:
-        """Record the size of the incomplete body; return whether the pool may buffer it."""
-        before, self.buffered_bytes = self.buffered_bytes, body_bytes
-        return self.pool.buffers.resize(before, body_bytes)
+    def _count_held(self, held_bytes: int) -> None:
+        """Record the memory of the incomplete response."""
+        self.pool.memory.resize(self.held_bytes, held_bytes)
+        self.held_bytes = held_bytes
 
     def _take_response(self) -> bool:
         """Deliver the first received response that belongs to the call.
@@ -274,7 +291,7 @@
                 and not self.stream.closed
             )
             self.call = None
-            self._count_buffered(0)
+            self._count_held(0)
             result = CallResult(response, None, True, self.used)
             self.used = True
             if reusable:
@@ -316,12 +333,12 @@
     """Keeps idle connections to all peers and reuses the most recently used one first.
 
     :ivar opened: number of connections opened so far
-    :ivar buffers: bodies of the incomplete responses
+    :param memory: counts the incomplete responses; by default a budget of the pool's own
     """
 
-    def __init__(self, *, clock: Clock):
+    def __init__(self, *, clock: Clock, memory: MemoryBudget | None = None):
         self.clock = clock
-        self.buffers = BodyBuffers()
+        self.memory = memory if memory is not None else MemoryBudget()
         self.idle: dict[Address, deque[ClientConnection]] = {}
         self.opened = 0
 
@@ -336,25 +353,31 @@
         max_idle_time: timedelta | None = None,
         head: bool = False,
         stall_timeout: timedelta | None = None,
+        body: Body = b"",
+        guaranteed_bytes: int = GUARANTEED_BYTES,
     ) -> Call:
         """Send a request and pass its result to ``on_done``, never before this method returns.
 
-        :param data: encoded request
+        :param data: encoded request, or its head
         :param timeout: time from now after which the call fails
         :param match: returns whether a response belongs to the request
         :param max_idle_time: longest idle time of a connection to reuse; zero opens a new one
         :param head: whether the request is a HEAD request
         :param stall_timeout: longest time between two reads of a response, replacing ``timeout``
             once the response has begun; for long responses over a slow link
+        :param body: body to send after ``data``
+        :param guaranteed_bytes: memory that the response may take in any case
         """
         ends_at = None
         if stall_timeout is not None:
             ends_at = self.clock.monotonic() + timeout + stall_timeout * MAX_STALL_FACTOR
         call = Call(
             data=data,
+            body=body,
             match=match,
             on_done=on_done,
             head=head,
+            guaranteed_bytes=guaranteed_bytes,
             stall_timeout=stall_timeout,
             ends_at=ends_at,
         )
--- a/almondshore/http/messages.py
+++ b/almondshore/http/messages.py
@@ -4,6 +4,8 @@
 from typing import NamedTuple
 
 Headers = tuple[tuple[bytes, bytes], ...]
+# Bodies are never changed once their message is complete.
+Body = bytes | bytearray
 
 # Headers that apply to a single connection and are not forwarded (RFC 9110, section 7.6.1).
 CONNECTION_HEADERS = frozenset(
@@ -34,7 +36,7 @@
     method: bytes
     target: bytes
     headers: Headers
-    body: bytes
+    body: Body
     keep_alive: bool = True
 
     def header(self, name: bytes) -> bytes | None:
@@ -51,7 +53,7 @@
 
     status: int
     headers: Headers = ()
-    body: bytes = b""
+    body: Body = b""
     reason: bytes = b""
     keep_alive: bool = True
 
@@ -82,18 +84,36 @@
 
 def encode_request(method: bytes, target: bytes, headers: Headers, body: bytes) -> bytes:
     """Encode a request, with a Content-Length header if it has or may have a body."""
+    return encode_request_head(method, target, headers, body_bytes=len(body)) + body
+
+
+def encode_request_head(
+    method: bytes, target: bytes, headers: Headers, *, body_bytes: int
+) -> bytes:
+    """Encode a request without its body, with a Content-Length header if it has or may have one.
+
+    :param body_bytes: size of the body that follows
+    """
     lines = [method + b" " + target + b" HTTP/1.1"]
     lines.extend(key + b": " + value for key, value in headers)
-    if body or method in (b"POST", b"PUT", b"PATCH"):
-        lines.append(b"Content-Length: %d" % len(body))
+    if body_bytes or method in (b"POST", b"PUT", b"PATCH"):
+        lines.append(b"Content-Length: %d" % body_bytes)
     lines.append(b"\r\n")
-    return b"\r\n".join(lines) + body
+    return b"\r\n".join(lines)
 
 
 def encode_response(response: Response, *, head: bool = False, close: bool = False) -> bytes:
     """Encode a response, with a Content-Length header unless its status excludes a body.
 
     :param head: whether the request was a HEAD request, so that the body is omitted
+    :param close: whether to announce that the connection closes after the response
+    """
+    return encode_response_head(response, close=close) + response_body(response, head=head)
+
+
+def encode_response_head(response: Response, *, close: bool = False) -> bytes:
+    """Encode a response without its body.
+
     :param close: whether to announce that the connection closes after the response
     """
     reason = response.reason or REASON_PHRASES.get(response.status, b"Unknown")
@@ -104,5 +124,12 @@
     if close:
         lines.append(b"Connection: close")
     lines.append(b"\r\n")
-    bodiless = head or response.status in BODILESS_STATUSES
-    return b"\r\n".join(lines) + (b"" if bodiless else response.body)
+    return b"\r\n".join(lines)
+
+
+def response_body(response: Response, *, head: bool) -> Body:
+    """Return the body to send with a response, empty if there must be none.
+
+    :param head: whether the request was a HEAD request
+    """
+    return b"" if head or response.status in BODILESS_STATUSES else response.body
--- a/almondshore/http/parsing.py
+++ b/almondshore/http/parsing.py
@@ -5,7 +5,8 @@
 
 import httptools
 
-from almondshore.http.messages import BODILESS_STATUSES, Request, Response
+from almondshore.http.buffering import HEADER_OVERHEAD_BYTES, MAX_COPIED_BYTES
+from almondshore.http.messages import BODILESS_STATUSES, Body, Request, Response
 
 # Limits the memory per response. Objects of the store have at most 1 MB, and its lists about as
 # much; the smallest hosts have 128 MB of memory.
@@ -54,8 +55,9 @@
         self.framing = _FramingCounter()
         self.target = bytearray()
         self.headers: list[tuple[bytes, bytes]] = []
-        self.chunks: list[bytes] = []
-        self.body_bytes = 0
+        self.header_bytes = 0
+        self.stated_bytes = 0
+        self.body = bytearray()
 
     def feed(self, data: bytes) -> None:
         """Parse received bytes.
@@ -68,13 +70,21 @@
         limit = self.limits.max_header_bytes
         if self.in_headers and framing_bytes > limit:
             raise ParseError(f"the request headers exceed {limit} bytes", status=431)
-        if framing_bytes > limit + self.body_bytes * MAX_FRAMING_PER_BODY_BYTE:
+        if framing_bytes > limit + len(self.body) * MAX_FRAMING_PER_BODY_BYTE:
             raise ParseError(f"chunk framing and trailers of the request exceed {limit} bytes")
 
     def is_partial(self) -> bool:
         """Return whether a request has been received in part."""
         return self.started
 
+    def held_bytes(self) -> int:
+        """Return the memory that the incomplete request takes."""
+        return len(self.target) + self.header_bytes + len(self.body)
+
+    def missing_bytes(self) -> int:
+        """Return how many bytes of the body are missing, 0 if its length is not stated."""
+        return max(0, self.stated_bytes - len(self.body))
+
     def on_message_begin(self) -> None:
         """Note that a request has begun."""
         self.started = True
@@ -87,9 +97,10 @@
         """Append a header field; trailers are dropped, since headers are set by their sender."""
         if self.in_headers:
             self.headers.append((name, value))
+            self.header_bytes += len(name) + len(value) + HEADER_OVERHEAD_BYTES
 
     def on_headers_complete(self) -> None:
-        """Check the size of the headers and look for ``Expect: 100-continue``."""
+        """Check the stated sizes and look for ``Expect: 100-continue``."""
         self.in_headers = False
         size = len(self.target) + sum(len(key) + len(value) + 4 for key, value in self.headers)
         if size > self.limits.max_header_bytes:
@@ -99,17 +110,15 @@
         for name, value in self.headers:
             if name.lower() == b"expect":
                 self.expects_continue = value.lower() == b"100-continue"
+            elif name.lower() == b"content-length":
+                self.stated_bytes = int(value)
+                self._check_body_size(self.stated_bytes)
 
     def on_body(self, data: bytes) -> None:
         """Append a part of the body."""
-        self.body_bytes += len(data)
-        if self.body_bytes > self.limits.max_body_bytes:
-            raise ParseError(
-                f"the request body exceeds {self.limits.max_body_bytes} bytes",
-                status=STATUS_TOO_LARGE,
-            )
+        self._check_body_size(len(self.body) + len(data))
         self.framing.body_bytes += len(data)
-        self.chunks.append(data)
+        self.body += data
 
     def on_message_complete(self) -> None:
         """Append the request to ``complete`` and reset the state for the next one."""
@@ -118,18 +127,25 @@
                 self.parser.get_method(),
                 bytes(self.target),
                 tuple(self.headers),
-                b"".join(self.chunks),
+                _take_body(self.body),
                 self.parser.should_keep_alive(),
             )
         )
-        self.target = bytearray()
-        self.headers, self.chunks = [], []
-        self.body_bytes = 0
+        self.target, self.body = bytearray(), bytearray()
+        self.headers = []
+        self.header_bytes = self.stated_bytes = 0
         self.framing.end_message()
         self.in_headers = True
         self.started = False
         self.expects_continue = False
 
+    def _check_body_size(self, size: int) -> None:
+        if size > self.limits.max_body_bytes:
+            raise ParseError(
+                f"the request body exceeds {self.limits.max_body_bytes} bytes",
+                status=STATUS_TOO_LARGE,
+            )
+
 
 class ResponseParser:
     """Parses the bytes received on a client connection into final responses.
@@ -155,8 +171,8 @@
         """Reset the state for the next response."""
         self.reason = bytearray()
         self.headers: list[tuple[bytes, bytes]] = []
-        self.chunks: list[bytes] = []
-        self.body_bytes = 0
+        self.header_bytes = 0
+        self.body = bytearray()
         self.started = False
         self.framed = True
         self.in_body = False
@@ -168,10 +184,14 @@
         """
         self.started = True
         _feed_parser(self.parser, data, "response")
-        limit = MAX_RESPONSE_HEAD_BYTES + self.body_bytes * MAX_FRAMING_PER_BODY_BYTE
+        limit = MAX_RESPONSE_HEAD_BYTES + len(self.body) * MAX_FRAMING_PER_BODY_BYTE
         if self.framing.count(data) > limit:
             raise ParseError(f"the response has more than {limit} bytes outside its body")
 
+    def held_bytes(self) -> int:
+        """Return the memory that the incomplete response takes."""
+        return len(self.reason) + self.header_bytes + len(self.body)
+
     def end(self, *, clean: bool) -> bool:
         """Handle the end of the connection.
 
@@ -195,6 +215,7 @@
         """Append a header field; trailers are dropped, since a signature precedes its body."""
         if not self.in_body:
             self.headers.append((name, value))
+            self.header_bytes += len(name) + len(value) + HEADER_OVERHEAD_BYTES
 
     def on_headers_complete(self) -> None:
         """Determine how the body is framed."""
@@ -208,13 +229,12 @@
 
     def on_body(self, data: bytes) -> None:
         """Append a part of the body."""
-        self.body_bytes += len(data)
-        if self.body_bytes > MAX_RESPONSE_BYTES:
+        if len(self.body) + len(data) > MAX_RESPONSE_BYTES:
             raise ParseError(
                 f"the response body exceeds {MAX_RESPONSE_BYTES} bytes", status=STATUS_TOO_LARGE
             )
         self.framing.body_bytes += len(data)
-        self.chunks.append(data)
+        self.body += data
 
     def on_message_complete(self) -> None:
         """Append a final response to ``complete``, or discard an interim (1xx) one."""
@@ -228,7 +248,7 @@
             Response(
                 self.parser.get_status_code(),
                 tuple(self.headers),
-                b"".join(self.chunks),
+                _take_body(self.body),
                 bytes(self.reason),
                 keep_alive,
             )
@@ -267,6 +287,11 @@
         self.ended = True
 
 
+def _take_body(received: bytearray) -> Body:
+    """Return a completely received body; ``received`` must not be changed afterwards."""
+    return bytes(received) if len(received) <= MAX_COPIED_BYTES else received
+
+
 def _feed_parser(
     parser: httptools.HttpRequestParser | httptools.HttpResponseParser, data: bytes, subject: str
 ) -> None:
--- a/almondshore/http/server.py
+++ b/almondshore/http/server.py
@@ -10,8 +10,13 @@
 
 from almondshore.core.clock import Clock
 from almondshore.core.logs import log_event
-from almondshore.http.buffering import BodyBuffers
-from almondshore.http.messages import Request, Response, encode_response
+from almondshore.http.buffering import MemoryBudget
+from almondshore.http.messages import (
+    Request,
+    Response,
+    encode_response_head,
+    response_body,
+)
 from almondshore.http.parsing import ParseError, RequestLimits, RequestParser
 from almondshore.http.stream import READ, Stream, StreamHandler, configure_socket, socket, watch
 
@@ -60,6 +65,10 @@
         self.response: Response | None = None
         self.cancelled = False
 
+    def held_bytes(self) -> int:
+        """Return the memory that the bodies of the request and the response take."""
+        return len(self.request.body) + (len(self.response.body) if self.response else 0)
+
     def respond(self, response: Response) -> None:
         """Send the response; has no effect after an earlier response or a cancellation."""
         if self.response is not None or self.cancelled:
@@ -83,7 +92,7 @@
     :ivar last_active_at: monotonic time of the last response or of the first byte of a request
     :ivar last_read_at: monotonic time of the last read
     :ivar parse_error: error to respond with after the requests before it
-    :ivar buffered_bytes: body of the incomplete request, as counted by the server
+    :ivar held_bytes: memory of the requests and unsent responses, as counted by the server
     """
 
     def __init__(self, *, server: "HttpServer", sock: socket.socket, peer: str):
@@ -94,7 +103,7 @@
         self.last_active_at = self.last_read_at = server.clock.monotonic()
         self.closing = False
         self.parse_error: ParseError | None = None
-        self.buffered_bytes = 0
+        self.held_bytes = 0
         self.stream = Stream(sock=sock, handler=self)
 
     def on_data(self, data: bytes) -> None:
@@ -108,10 +117,9 @@
             self.parser.feed(data)
         except ParseError as error:
             self.parse_error = error
-        if not self._count_buffered(self.parser.body_bytes) and self.parse_error is None:
-            self.parse_error = ParseError(
-                "the bodies of incomplete requests exceed the memory set aside for them", status=503
-            )
+        self._count_held()
+        if self.parser.is_partial() and self.parse_error is None:
+            self._check_memory()
         idle = not self.pending and not self.parser.complete and self.parse_error is None
         if self.parser.expects_continue and idle:
             self.parser.expects_continue = False
@@ -120,7 +128,7 @@
 
     def on_end(self, *, clean: bool) -> None:
         """Cancel the pending requests of a client that disconnected."""
-        self._count_buffered(0)
+        self._release_held()
         self.server.connections.discard(self)
         pending, self.pending = self.pending, deque()
         for exchange in pending:
@@ -130,6 +138,7 @@
 
     def on_drained(self) -> None:
         """Handle requests that were held back, or shut down sending after the last response."""
+        self._count_held()
         if self.closing and not self.pending:
             self.stream.finish_writing()
         elif not self.closing:
@@ -137,23 +146,24 @@
 
     def flush(self) -> None:
         """Send the responses that are ready, in the order of their requests."""
-        encoded_responses = []
+        responded = False
         while self.pending and self.pending[0].response is not None:
             exchange = self.pending.popleft()
             last = not exchange.request.keep_alive or not exchange.response.keep_alive
             last = last or (self.server.draining and not self.pending)
-            encoded_responses.append(
-                encode_response(
-                    exchange.response, head=exchange.request.method == b"HEAD", close=last
-                )
+            is_head = exchange.request.method == b"HEAD"
+            self.stream.write(
+                encode_response_head(exchange.response, close=last),
+                response_body(exchange.response, head=is_head),
             )
+            responded = True
             if last:
                 self._cancel_pending()
                 break
-        if not encoded_responses:
+        self._count_held()
+        if not responded:
             return
         self.last_active_at = self.server.clock.monotonic()
-        self.stream.write(b"".join(encoded_responses))
         if self.closing:
             if not self.stream.unsent:
                 self.stream.finish_writing()
@@ -228,13 +238,34 @@
             if exchange.response is None and exchange.on_cancel is not None:
                 exchange.on_cancel()
 
-    def _count_buffered(self, body_bytes: int) -> bool:
-        """Record the size of the incomplete body; return whether the server may buffer it."""
-        before, self.buffered_bytes = self.buffered_bytes, body_bytes
-        return self.server.buffers.resize(before, body_bytes)
+    def _count_held(self) -> None:
+        """Record the memory that the messages of this connection take."""
+        if self.stream.closed:
+            return
+        held = self.parser.held_bytes() + len(self.stream.unsent)
+        for exchange in self.pending:
+            held += exchange.held_bytes()
+        for request in self.parser.complete:
+            held += len(request.body)
+        self.server.memory.resize(self.held_bytes, held)
+        self.held_bytes = held
+
+    def _release_held(self) -> None:
+        self.server.memory.resize(self.held_bytes, 0)
+        self.held_bytes = 0
+
+    def _check_memory(self) -> None:
+        """Refuse a request that is being received if too much memory is held."""
+        memory = self.server.memory
+        if memory.allows(self.held_bytes, missing=self.parser.missing_bytes()):
+            return
+        self.parse_error = ParseError(
+            f"{memory.held_bytes} bytes are held for all requests, {self.held_bytes} for this one",
+            status=503,
+        )
 
     def _close(self) -> None:
-        self._count_buffered(0)
+        self._release_held()
         self.server.connections.discard(self)
         self.stream.close()
 
@@ -243,7 +274,7 @@
     """Accepts connections on one address.
 
     :ivar draining: whether each connection closes after the responses to its pending requests
-    :ivar buffers: bodies of the incomplete requests
+    :param memory: counts the memory of the connections; by default a budget of the server's own
     """
 
     def __init__(
@@ -253,13 +284,14 @@
         address: tuple[str, int],
         handler: ExchangeHandler,
         limits: Callable[[], ServerLimits],
+        memory: MemoryBudget | None = None,
     ):
         self.clock = clock
+        self.memory = memory if memory is not None else MemoryBudget()
         self.handler = handler
         self.limits = limits
         self.connections: set[ServerConnection] = set()
         self.draining = False
-        self.buffers = BodyBuffers()
         self.hub = hubs.get_hub()
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
--- a/almondshore/http/stream.py
+++ b/almondshore/http/stream.py
@@ -2,12 +2,14 @@
 
 import errno
 from abc import ABC, abstractmethod
+from collections import deque
 from collections.abc import Callable
 
 from eventlet import hubs, patcher
 from eventlet.hubs.hub import READ, WRITE
 
 from almondshore.core.logs import log_event
+from almondshore.http.buffering import MAX_COPIED_BYTES
 
 socket = patcher.original("socket")
 
@@ -58,6 +60,46 @@
         return
 
 
+class SendBuffer:
+    """Bytes that wait to be sent, held without a copy.
+
+    :ivar size: number of bytes
+    """
+
+    def __init__(self) -> None:
+        self.parts: deque[memoryview] = deque()
+        self.size = 0
+
+    def __len__(self) -> int:
+        return self.size
+
+    def append(self, data: bytes | bytearray | memoryview) -> None:
+        """Add bytes, which must not be changed afterwards."""
+        if data:
+            self.parts.append(memoryview(data))
+            self.size += len(data)
+
+    def send(self, sock: socket.socket) -> None:
+        """Pass as many bytes to the kernel as it accepts.
+
+        :raises OSError: from the socket, also if it accepts no more
+        """
+        while self.parts:
+            part = self.parts.popleft()
+            sent = 0
+            try:
+                sent = sock.send(part)
+            finally:
+                self.size -= sent
+                if sent < len(part):
+                    self.parts.appendleft(part[sent:])
+
+    def clear(self) -> None:
+        """Drop all bytes."""
+        self.parts.clear()
+        self.size = 0
+
+
 class Stream:
     """A TCP socket that is connected or connecting.
 
@@ -70,7 +112,7 @@
         self.handler = handler
         self.hub = hubs.get_hub()
         self.fileno = sock.fileno()
-        self.unsent = bytearray()
+        self.unsent = SendBuffer()
         self.closed = False
         self.connecting = connecting
         self.paused = False
@@ -81,31 +123,37 @@
         else:
             self._watch_read()
 
-    def write(self, data: bytes) -> None:
-        """Send bytes; those that the kernel does not accept at once are buffered."""
+    def write(self, data: bytes, body: bytes | bytearray = b"") -> None:
+        """Send bytes; those that the kernel does not accept at once are buffered.
+
+        :param body: bytes to send after ``data``; not copied if there are many of them
+        """
         if self.closed:
             return
-        if self.unsent or self.connecting:
-            self.unsent += data
-            if len(self.unsent) > MAX_WRITE_BUFFER_BYTES:
-                log_event(
-                    "write_buffer_exceeded",
-                    level="WARNING",
-                    handler=type(self.handler).__name__,
-                    unsent=len(self.unsent),
-                )
-                self._fail("write buffer exceeded")
-            return
-        try:
-            sent = self.sock.send(data)
-        except OSError as error:
-            if error.errno not in _RETRYABLE_ERRNOS:
-                # on_end is called from the hub, so that it never runs within the caller's write().
-                self.hub.schedule_call_global(0, self._fail, error)
-                return
-            sent = 0
-        if sent < len(data):
-            self.unsent += data[sent:]
+        if len(body) <= MAX_COPIED_BYTES:
+            data, body = data + body, b""
+        if not self.unsent and not self.connecting:
+            try:
+                sent = self.sock.send(data)
+            except OSError as error:
+                if error.errno not in _RETRYABLE_ERRNOS:
+                    # on_end is called from the hub, so that it never runs within the caller's
+                    # write().
+                    self.hub.schedule_call_global(0, self._fail, error)
+                    return
+                sent = 0
+            data = memoryview(data)[sent:]
+        self.unsent.append(data)
+        self.unsent.append(body)
+        if len(self.unsent) > MAX_WRITE_BUFFER_BYTES:
+            log_event(
+                "write_buffer_exceeded",
+                level="WARNING",
+                handler=type(self.handler).__name__,
+                unsent=len(self.unsent),
+            )
+            self.hub.schedule_call_global(0, self._fail, "write buffer exceeded")
+        elif self.unsent and not self.connecting:
             self._watch_write()
 
     def pause_reading(self) -> None:
@@ -145,6 +193,7 @@
             if listener is not None:
                 self.hub.remove(listener)
         self.reader = self.writer = None
+        self.unsent.clear()
         self.sock.close()
 
     def _watch_read(self) -> None:
@@ -191,9 +240,7 @@
 
     def _send_buffered(self) -> None:
         try:
-            while self.unsent:
-                sent = self.sock.send(self.unsent)
-                del self.unsent[:sent]
+            self.unsent.send(self.sock)
         except OSError as error:
             if error.errno not in _RETRYABLE_ERRNOS:
                 self._fail(error)
--- a/almondshore/mesh/inbound.py
+++ b/almondshore/mesh/inbound.py
@@ -7,7 +7,7 @@
 from almondshore.core.logs import log_event
 from almondshore.core.messages import CrashDeath
 from almondshore.http.client import Call, CallFailure, CallResult, ConnectionPool
-from almondshore.http.messages import Request, Response, encode_request, end_to_end
+from almondshore.http.messages import Request, Response, encode_request_head, end_to_end
 from almondshore.http.server import Exchange, ExchangeHandler
 from almondshore.limits.objective import Job, ObjectiveQueue, Refusal, Terms
 from almondshore.mesh.crashes import DeathDetector, request_fingerprint
@@ -179,7 +179,10 @@
         needs_fresh_connection = not hop_terms.idempotent or submission.resent
         submission.call = self.pool.call(
             self.app,
-            encode_request(request.method, request.target, headers, request.body),
+            encode_request_head(
+                request.method, request.target, headers, body_bytes=len(request.body)
+            ),
+            body=request.body,
             timeout=time_left + DEADLINE_SLACK,
             on_done=lambda result: self._on_done(submission, result),
             match=lambda response: self.dialect.match_response(response, request_id),
--- a/almondshore/mesh/metrics.py
+++ b/almondshore/mesh/metrics.py
@@ -54,6 +54,8 @@
                 else 0.0
             ),
             "almondshore_connections_opened": node.pool.opened,
+            "almondshore_messages_held_bytes": node.pool.memory.held_bytes,
+            "almondshore_messages_refused_by_memory": node.pool.memory.refusals,
             "almondshore_nodes_unreachable": len(node.directory.nodes),
             "almondshore_follows_watcher": int(node.feeds.follower.followed is not None),
             "almondshore_state_age_seconds": node.feeds.follower.age().total_seconds(),
--- a/almondshore/mesh/node.py
+++ b/almondshore/mesh/node.py
@@ -455,6 +455,12 @@
         return config.limits if config is not None else DEFAULT_LIMITS
 
     def _listen(self, address, handler: ExchangeHandler, limits=lambda: DEFAULT_LIMITS):
-        server = HttpServer(clock=self.clock, address=address, handler=handler, limits=limits)
+        server = HttpServer(
+            clock=self.clock,
+            address=address,
+            handler=handler,
+            limits=limits,
+            memory=self.pool.memory,
+        )
         self.servers.append(server)
         return server
--- a/almondshore/mesh/outbound.py
+++ b/almondshore/mesh/outbound.py
@@ -7,7 +7,7 @@
 from almondshore.core.clock import Clock
 from almondshore.core.logs import log_event
 from almondshore.http.client import Call, CallResult, ConnectionPool
-from almondshore.http.messages import Request, encode_request, end_to_end
+from almondshore.http.messages import Request, encode_request_head, end_to_end
 from almondshore.http.server import Exchange, ExchangeHandler
 from almondshore.limits.elapsed import ElapsedEstimator
 from almondshore.limits.objective import Refusal
@@ -220,7 +220,10 @@
         headers = (*end_to_end(request.headers, without=HOP_HEADERS), encode_terms(terms))
         return self.pool.call(
             target.node,
-            encode_request(request.method, request.target, headers, request.body),
+            encode_request_head(
+                request.method, request.target, headers, body_bytes=len(request.body)
+            ),
+            body=request.body,
             timeout=forwarded.deadline_at - now + timedelta(seconds=1),
             on_done=lambda result: on_result(_to_hop_result(result)),
             head=request.method == b"HEAD",
--- a/almondshore/mesh/peers.py
+++ b/almondshore/mesh/peers.py
@@ -10,6 +10,7 @@
 
 from almondshore.core.clock import Clock
 from almondshore.core.logs import log_event
+from almondshore.http.buffering import GUARANTEED_STATE_BYTES
 from almondshore.http.client import CallResult, ConnectionPool
 from almondshore.http.messages import Response, encode_request
 from almondshore.http.server import Exchange, ExchangeHandler
@@ -118,6 +119,7 @@
         on_done=done.send,
         max_idle_time=timedelta() if new_connection else None,
         stall_timeout=stall_timeout,
+        guaranteed_bytes=GUARANTEED_STATE_BYTES,
     )
     result: CallResult = done.wait()
     return result.response
--- a/almondshore/platform/objects.py
+++ b/almondshore/platform/objects.py
@@ -12,6 +12,7 @@
 
 from almondshore.core.decoding import decode_json
 from almondshore.core.logs import log_event
+from almondshore.http.buffering import GUARANTEED_STATE_BYTES
 from almondshore.http.client import Address, CallResult, ConnectionPool
 from almondshore.http.messages import Response, encode_request
 from almondshore.mesh.changes import compress_config
@@ -108,7 +109,12 @@
             headers.append((b"Content-Type", b"application/json"))
         data = encode_request(method, path.encode(), tuple(headers), body)
         self.pool.call(
-            self.address, data, timeout=timeout, on_done=done.send, stall_timeout=STALL_TIMEOUT
+            self.address,
+            data,
+            timeout=timeout,
+            on_done=done.send,
+            stall_timeout=STALL_TIMEOUT,
+            guaranteed_bytes=GUARANTEED_STATE_BYTES,
         )
         result: CallResult = done.wait()
         if result.response is None:
--- a/test/http/loopback.py
+++ b/test/http/loopback.py
@@ -30,10 +30,14 @@
             exchange.respond(response)
 
 
-def serve(handler, limits=LIMITS):
+def serve(handler, limits=LIMITS, **options):
     """Start a server on a free loopback port."""
     return HttpServer(
-        clock=SystemClock(), address=("127.0.0.1", 0), handler=handler, limits=lambda: limits
+        clock=SystemClock(),
+        address=("127.0.0.1", 0),
+        handler=handler,
+        limits=lambda: limits,
+        **options,
     )
 
 
@@ -77,3 +81,9 @@
 def open_socket(address):
     """Return a client socket that cooperates with eventlet."""
     return eventlet.connect(address)
+
+
+def wait_until(condition, seconds=3.0):
+    with eventlet.Timeout(seconds):
+        while not condition():
+            eventlet.sleep(0.02)
--- a/test/http/test_endless_bytes.py
+++ b/test/http/test_endless_bytes.py
@@ -166,7 +166,7 @@
         results = []
         address = self.endless(b"HTTP/1.1 200 OK\r\n\r\n", b"a" * PIECE_BYTES)
         with (
-            mock.patch.object(buffering, "MAX_BUFFERED_BYTES", 1024 * 1024),
+            mock.patch.object(buffering, "MAX_HELD_BYTES", 1024 * 1024),
             mock.patch.object(buffering, "GUARANTEED_BYTES", 64 * 1024),
         ):
             for _ in range(8):
@@ -176,11 +176,11 @@
             most = 0
             with eventlet.Timeout(8):
                 while len(results) < 8:
-                    most = max(most, self.pool.buffers.total_bytes)
+                    most = max(most, self.pool.memory.held_bytes)
                     eventlet.sleep(0.001)
         self.assertEqual({CallFailure.TOO_LARGE}, {result.failure for result in results})
         self.assertTrue(most <= 1024 * 1024 + 8 * 128 * 1024, most)
-        self.assertEqual(0, self.pool.buffers.total_bytes)
+        self.assertEqual(0, self.pool.memory.held_bytes)
 
     def test_slow_bytes_end_with_the_total_time(self):
         """Guards against a watch that waits for ever for a response sent byte by byte."""
@@ -230,7 +230,7 @@
             statuses.append(sock.recv(12))
 
         with (
-            mock.patch.object(buffering, "MAX_BUFFERED_BYTES", 1024 * 1024),
+            mock.patch.object(buffering, "MAX_HELD_BYTES", 1024 * 1024),
             mock.patch.object(buffering, "GUARANTEED_BYTES", 64 * 1024),
             eventlet.Timeout(8),
         ):
@@ -239,7 +239,7 @@
             while len(statuses) < 5:
                 eventlet.sleep(0.01)
         self.assertEqual({b"HTTP/1.1 503"}, set(statuses))
-        self.assertTrue(server.buffers.total_bytes <= 2 * 1024 * 1024, server.buffers.total_bytes)
+        self.assertTrue(server.memory.held_bytes <= 2 * 1024 * 1024, server.memory.held_bytes)
 
     def test_slow_request_body_is_rejected(self):
         """Guards against connections that callers hold open with a body sent byte by byte."""
--- a/test/mesh/fakes.py
+++ b/test/mesh/fakes.py
@@ -32,7 +32,7 @@
     def __init__(self, address, data, timeout, on_done, options):
         self.address, self.timeout, self.on_done, self.options = address, timeout, on_done, options
         parser = RequestParser(limits=RequestLimits(65536, 1 << 20))
-        parser.feed(data)
+        parser.feed(data + options.pop("body", b""))
         self.request = parser.complete.popleft()
         self.cancelled = False
         self.receiving = False
--- a/test/mesh/test_downloads.py
+++ b/test/mesh/test_downloads.py
@@ -8,7 +8,8 @@
 from almondshore.http.parsing import ResponseParser
 from almondshore.http.server import MAX_UNREAD_BYTES
 from standins.mesh_deployment import stored_config
-from test.mesh.test_node import new_mesh, wait_until
+from test.http.loopback import wait_until
+from test.mesh.test_node import new_mesh
 
 # The largest responses of the sites that have downloads.
 LARGE_BODY = b"d" * 540_000
--- a/test/mesh/test_node.py
+++ b/test/mesh/test_node.py
@@ -18,6 +18,7 @@
 from almondshore.mesh.view import NodeView, TargetsView
 from almondshore.mesh.watching import WATCHERS_PER_ZONE
 from standins.mesh_deployment import MeshDeployment, stored_config
+from test.http.loopback import wait_until
 
 
 def new_mesh(test):
@@ -29,12 +30,6 @@
     return mesh
 
 
-def wait_until(condition, seconds=3.0):
-    with eventlet.Timeout(seconds):
-        while not condition():
-            eventlet.sleep(0.02)
-
-
 class NodeTest(TestCase):
     def setUp(self):
         super().setUp()
--- a/test/mesh/test_odd_entries.py
+++ b/test/mesh/test_odd_entries.py
@@ -5,7 +5,8 @@
 from testtools import TestCase
 
 from standins.mesh_deployment import stored_config
-from test.mesh.test_node import new_mesh, wait_until
+from test.http.loopback import wait_until
+from test.mesh.test_node import new_mesh
 
 ENTRY = {
     "service": "s",
