Count a request that crashes its target on a used connection as run

Cause: the node took a used connection that closed within 30 ms for an idle one that the target had closed, and sent the request again. As the target was down, that send was refused, so that the first run was neither recorded as a suspect of the death nor counted as a run: the request went on to the next target outside max_attempts and the retry budget. Evidence: the tests of this commit on the code before it; in the log of the case target_request ends as refused, target-down, and no target_died follows. Ruled out: reports that are lost on the way to other nodes (none is made). Of the same class, found by reading: a crash in the middle of a response was not recorded, and at a service without other requests nothing found that the target refuses connections before it was back.

Change: each run that ends with its connection is recorded, and 50 ms later the node checks whether the target refuses connections. A request that was sent again counts as run if the second send is refused; an answer clears it.

--- a/almondshore/http/client.py
+++ b/almondshore/http/client.py
@@ -329,6 +329,42 @@
             call.finish(CallResult(None, failure, sent, reused))
 
 
+class ConnectionCheck(StreamHandler):
+    """Opens a connection and closes it, to find out whether the peer refuses connections.
+
+    :param on_result: called once with whether the connection was refused; a peer that does not
+        respond in time has not refused it
+    """
+
+    def __init__(self, *, address: Address, on_result: Callable[[bool], None]):
+        self.on_result = on_result
+        hub = hubs.get_hub()
+        self.timer = hub.schedule_call_global(
+            CONNECT_TIMEOUT.total_seconds(), self._end, refused=False
+        )
+        stream = connect_stream(address, self)
+        self.stream: Stream | None = stream if isinstance(stream, Stream) else None
+        if self.stream is None:
+            hub.schedule_call_global(0, self._end, refused=True)
+
+    def on_connected(self) -> None:
+        """Close the connection, which was not refused."""
+        self._end(refused=False)
+
+    def on_data(self, data: bytes) -> None:
+        """Do nothing: the connection is closed as soon as it is established."""
+
+    def on_end(self, *, clean: bool) -> None:
+        """Handle the failure of the connection."""
+        self._end(refused=True)
+
+    def _end(self, *, refused: bool) -> None:
+        self.timer.cancel()
+        if self.stream is not None:
+            self.stream.close()
+        self.on_result(refused)
+
+
 class ConnectionPool:
     """Keeps idle connections to all peers and reuses the most recently used one first.
 
@@ -390,6 +426,14 @@
         call.set_timeout(timeout)
         return call
 
+    def check(self, address: Address, on_result: Callable[[bool], None]) -> None:
+        """Check whether a peer refuses connections.
+
+        :param on_result: called once with the answer, never before this method returns
+        """
+        self.opened += 1
+        ConnectionCheck(address=address, on_result=on_result)
+
     def release(self, connection: ClientConnection) -> None:
         """Keep an idle connection for reuse; close the one idle longest if there are too many."""
         idle = self.idle.setdefault(connection.address, deque())
--- a/almondshore/mesh/crashes.py
+++ b/almondshore/mesh/crashes.py
@@ -47,6 +47,12 @@
         recent = [item for item in self.suspects if now - item.ended < DEATH_DETECTION_WINDOW]
         self.suspects = [*recent[-MAX_SUSPECTS + 1 :], _Suspect(run, now)]
 
+    def discard(self, request_fingerprint: int) -> None:
+        """Forget the broken runs of a request that the target has answered since."""
+        self.suspects = [
+            item for item in self.suspects if item.run.fingerprint != request_fingerprint
+        ]
+
     def detect_death(self) -> Death | None:
         """Handle the loss of the target; returns its death if requests broke off just before."""
         now = self.clock.monotonic()
--- a/almondshore/mesh/inbound.py
+++ b/almondshore/mesh/inbound.py
@@ -34,6 +34,10 @@
 FRESH_CONNECTION_MAX_IDLE = timedelta(milliseconds=300)
 # A request on a connection that the target had already closed fails within this time.
 STALE_CONNECTION_MAX_TIME = timedelta(milliseconds=30)
+# A target that crashes closes its connections a little before it refuses new ones.
+CRASH_CHECK_DELAY = timedelta(milliseconds=50)
+# Ways in which a run ends when its target crashes.
+CRASH_FAILURES = frozenset((CallFailure.CLOSED, CallFailure.TRUNCATED))
 # After a failed connection to the target, requests are refused for this long or until its next
 # announcement.
 TARGET_DOWN_PAUSE = timedelta(milliseconds=300)
@@ -131,6 +135,7 @@
         self.death_detector = DeathDetector(clock=clock)
         self.active: set[Submission] = set()
         self.target_down_until = timedelta()
+        self.check_scheduled = False
 
     def handle(self, exchange: Exchange) -> None:
         """Handle a request from another node."""
@@ -248,11 +253,14 @@
         if submission.done:
             return
         took = self.clock.monotonic() - submission.started_at
+        if result.failure in CRASH_FAILURES:
+            self.death_detector.record_broken_run(self._crash_record(submission, took))
+            self._schedule_crash_check()
         if self._is_stale_connection(submission, result, took):
             submission.resent = True
             self.send(submission)
             return
-        outcome, reason, ok = self._classify_result(result)
+        outcome, reason, ok = self._classify_result(submission, result)
         response = result.response
         if response is not None:
             statement = self.dialect.read_statement(response)
@@ -271,11 +279,10 @@
             )
         else:
             self.recorder.record_rejected(submission)
-        if result.failure is CallFailure.CLOSED:
-            self.death_detector.record_broken_run(self._crash_record(submission, took))
+        if submission.resent and response is not None:
+            self.death_detector.discard(self._fingerprint(submission))
         if reason == UnavailableReason.TARGET_DOWN:
-            self.target_down_until = self.clock.monotonic() + TARGET_DOWN_PAUSE
-            self.report_death()
+            self._on_target_down()
         self.finish(submission, outcome, reason, response=response)
         submission.queue.release(submission, observed=ran and ok)
 
@@ -285,11 +292,33 @@
         if death is not None:
             self.on_death(death)
 
+    def _on_target_down(self) -> None:
+        self.target_down_until = self.clock.monotonic() + TARGET_DOWN_PAUSE
+        self.report_death()
+
+    def _schedule_crash_check(self) -> None:
+        """Check soon whether the target refuses connections, even if no request follows."""
+        if not self.check_scheduled:
+            self.check_scheduled = True
+            self.local.schedule(CRASH_CHECK_DELAY, self._check_for_crash)
+
+    def _check_for_crash(self) -> None:
+        self.check_scheduled = False
+        if self.death_detector.suspects:
+            self.pool.check(self.app, self._on_crash_check)
+
+    def _on_crash_check(self, refused: bool) -> None:
+        if refused:
+            self._on_target_down()
+
+    def _fingerprint(self, submission: Submission) -> int:
+        return request_fingerprint(submission.request, submission.hop_terms.caller)
+
     def _crash_record(self, submission: Submission, took: timedelta) -> CrashDeath:
         ended_ms = int(self.clock.now().timestamp() * 1000)
         announced = self.local.announced
         return CrashDeath(
-            fingerprint=request_fingerprint(submission.request, submission.hop_terms.caller),
+            fingerprint=self._fingerprint(submission),
             target=submission.target,
             incarnation=announced.born_ms if announced is not None else 0,
             started_ms=ended_ms - int(took / MILLISECOND),
@@ -299,7 +328,10 @@
     def _is_stale_connection(
         self, submission: Submission, result: CallResult, took: timedelta
     ) -> bool:
-        """Return whether the target closed an idle connection before the request arrived."""
+        """Return whether the target may have closed an idle connection before the request arrived.
+
+        It may as well have crashed when it began to run the request.
+        """
         return (
             result.failure is CallFailure.CLOSED
             and result.reused
@@ -308,11 +340,15 @@
             and took < STALE_CONNECTION_MAX_TIME
         )
 
-    def _classify_result(self, result: CallResult) -> tuple[Outcome, str, bool]:
+    def _classify_result(
+        self, submission: Submission, result: CallResult
+    ) -> tuple[Outcome, str, bool]:
         """Return the outcome, the reason and whether the request succeeded."""
         if result.response is None:
             if not result.sent:
-                return Outcome.REFUSED, UnavailableReason.TARGET_DOWN, False
+                # A request that was sent before on another connection may have run.
+                outcome = Outcome.BROKEN if submission.resent else Outcome.REFUSED
+                return outcome, UnavailableReason.TARGET_DOWN, False
             return Outcome.BROKEN, str(result.failure.value), False
         response_class = self.dialect.classify_response(result.response)
         if response_class in (ResponseClass.NOT_RUN, ResponseClass.WRONG_TARGET):
--- a/almondshore/mesh/outbound.py
+++ b/almondshore/mesh/outbound.py
@@ -249,7 +249,8 @@
                 self.overload_refusals.record_rate_limit(target.target, retry_after)
             if report.target_leaving:
                 self.directory.mark_leaving(target)
-            if report.outcome is Outcome.REFUSED and pause is not None:
+            not_served = report.outcome in (Outcome.REFUSED, Outcome.BROKEN)
+            if not_served and pause is not None:
                 self.directory.pause_target(target.target, pause)
             self.on_version(target.node, report.config_version)
 
--- a/test/http/test_client.py
+++ b/test/http/test_client.py
@@ -8,7 +8,7 @@
 from almondshore.http.client import CallFailure, ResponseMatch
 from almondshore.http.messages import Response, encode_request
 from standins.addresses import allocate_address
-from test.http.loopback import RawServer, RecordingHandler, call, new_pool, serve
+from test.http.loopback import RawServer, RecordingHandler, call, new_pool, serve, wait_until
 
 REQUEST = encode_request(b"GET", b"/a", ((b"Host", b"h"),), b"")
 RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nId: %s\r\n\r\n%s"
@@ -179,3 +179,16 @@
         call(self.pool, server.address, REQUEST, match=match_id)
         response = call(self.pool, server.address, REQUEST, match=match_next).response
         return response.status, response.body
+
+
+class ConnectionCheckTest(TestCase):
+    def test_refused_connections_are_told_from_others(self):
+        """Guards against a crashed target that counts as running, and the other way round."""
+        pool, results = new_pool(), []
+        server = RawServer(lambda _sock: None)
+        pool.check(server.address, results.append)
+        wait_until(lambda: results)
+        server.close()
+        pool.check(server.address, results.append)
+        wait_until(lambda: len(results) == 2)
+        self.assertEqual([False, True], results)
--- a/test/mesh/fakes.py
+++ b/test/mesh/fakes.py
@@ -78,6 +78,7 @@
 
     def __init__(self):
         self.calls = []
+        self.checks = []
         self.closed_idle = []
 
     def call(self, address, data, *, timeout, on_done, **options):
@@ -85,6 +86,9 @@
         self.calls.append(call)
         return call
 
+    def check(self, address, on_result):
+        self.checks.append(on_result)
+
     def close_idle(self, address):
         self.closed_idle.append(address)
 
--- a/test/mesh/test_crashes.py
+++ b/test/mesh/test_crashes.py
@@ -7,12 +7,12 @@
 
 from almondshore.core.clock import ManualClock
 from almondshore.http.client import CallFailure
-from almondshore.http.messages import Request
+from almondshore.http.messages import Request, Response
 from almondshore.mesh.crashes import CrashSink, DeathReporter, request_fingerprint
-from almondshore.mesh.hop import HopTerms
+from almondshore.mesh.hop import HopTerms, Outcome
 from almondshore.mesh.model import Death
 from almondshore.storage.port import Unavailable
-from test.mesh.fakes import APP, RequestPathHarness
+from test.mesh.fakes import APP, SIGNED, RequestPathHarness
 from test.mesh.samples import announcement, target
 
 REQUEST = Request(b"GET", b"/a/x", ((b"Attempt-Id", b"a1"),), b"")
@@ -41,6 +41,61 @@
         """Guards against a quarantine of requests whose connection closed without a crash."""
         self.assertIs(None, self.crash(refuses=False))
 
+    def submit(self, harness):
+        """Pass the request to the inbound side; returns the outcomes of its result so far."""
+        terms = HopTerms("r", "t1", "s", "v1", "own-service", True, 1, 600, 1200)
+        outcomes = []
+        harness.inbound.submit(REQUEST, terms, lambda result: outcomes.append(result.outcome))
+        return outcomes
+
+    def new_harness(self):
+        harness, deaths = RequestPathHarness(), []
+        harness.inbound.on_death = deaths.append
+        harness.local.schedule = lambda _delay, function: function()
+        harness.local.announce(announcement("t1", address=APP))
+        return harness, deaths
+
+    def test_crash_on_a_used_connection_is_a_death(self):
+        """Guards against a request that crashes one target after another on used connections.
+
+        The close was taken for that of an idle connection, and the request for one that never ran.
+        """
+        harness, deaths = self.new_harness()
+        outcomes = self.submit(harness)
+        harness.pool.calls[0].fail(CallFailure.CLOSED, reused=True)
+        harness.pool.calls[1].fail(CallFailure.NOT_CONNECTED, sent=False)
+        self.assertEqual([Outcome.BROKEN], outcomes)
+        fingerprints = [run.fingerprint for death in deaths for run in death.runs]
+        self.assertEqual([request_fingerprint(REQUEST, "own-service")], fingerprints)
+
+    def test_crash_is_a_death_without_further_requests(self):
+        """Guards against a crash that no later request finds before the target is back."""
+        for failure in (CallFailure.CLOSED, CallFailure.TRUNCATED):
+            harness, deaths = self.new_harness()
+            self.submit(harness)
+            harness.pool.calls[0].fail(failure)
+            harness.pool.checks[0](True)
+            self.assertEqual(1, len(deaths), failure)
+            self.assertTrue(harness.inbound.target_down_until > harness.clock.monotonic())
+
+    def test_connection_that_closes_at_a_target_that_is_up_is_no_death(self):
+        """Guards against a quarantine of requests after a reset of connections."""
+        harness, deaths = self.new_harness()
+        self.submit(harness)
+        harness.pool.calls[0].fail(CallFailure.CLOSED)
+        harness.pool.checks[0](False)
+        self.assertEqual([], deaths)
+
+    def test_answered_request_is_not_blamed_for_its_stale_connection(self):
+        """Guards against a quarantine of a request that the target has answered."""
+        harness, deaths = self.new_harness()
+        self.submit(harness)
+        harness.pool.calls[0].fail(CallFailure.CLOSED, reused=True)
+        harness.pool.calls[1].answer(Response(200, (SIGNED,)))
+        self.submit(harness)
+        harness.pool.calls[2].fail(CallFailure.NOT_CONNECTED, sent=False)
+        self.assertEqual([], deaths)
+
     def test_request_is_refused_everywhere_after_two_deaths(self):
         """Guards against a request that crashes one target after another."""
         harness = RequestPathHarness()
