Let a node go on when its log cannot be written

Cause: BoundedStream.drain let the error of the write escape into the event loop, whose traceback went to standard error, the same pipe; that second error ended the loop. Ruled out: a reader that is slow or stops reading, which only fills the backlog (test_lines_are_kept_while_nobody_reads passes before).

Standard error is replaced by the same stream, so that a traceback cannot fail. Standard descriptors that are closed at the start are opened on the null device, since a socket could get their number, and a peer the log.

Evidence: test_process_outlives_the_reader_of_its_log and test_process_starts_without_standard_descriptors fail before and pass now.

--- a/almondshore/mesh/metrics.py
+++ b/almondshore/mesh/metrics.py
@@ -54,6 +54,8 @@
                 else 0.0
             ),
             "almondshore_connections_opened": node.pool.opened,
+            "almondshore_log_lines_dropped": node.log_stream.total_dropped,
+            "almondshore_log_output_lost": int(bool(node.log_stream.lost)),
             "almondshore_messages_held_bytes": node.pool.memory.held_bytes,
             "almondshore_messages_refused_by_memory": node.pool.memory.refusals,
             "almondshore_nodes_unreachable": len(node.directory.nodes),
--- a/almondshore/platform/main.py
+++ b/almondshore/platform/main.py
@@ -19,7 +19,11 @@
 
 import eventlet  # noqa: E402
 
-from almondshore.core.bounded_stream import BoundedStream  # noqa: E402
+from almondshore.core.bounded_stream import (  # noqa: E402
+    BoundedStream,
+    ErrorOutput,
+    open_standard_descriptors,
+)
 from almondshore.core.clock import BootClock  # noqa: E402
 from almondshore.core.errors import InvalidInputError  # noqa: E402
 from almondshore.core.logs import log_event, setup_logs  # noqa: E402
@@ -50,6 +54,7 @@
     With ``--check`` as its only argument it exits after the settings have been checked. It exits
     with status 2 if the settings are invalid, and with 1 if a listener cannot be opened.
     """
+    open_standard_descriptors()
     path = os.environ.get(SETTINGS_VARIABLE, DEFAULT_SETTINGS_PATH)
     try:
         settings = load_mesh_settings(path, decode_bounds)
@@ -61,6 +66,7 @@
         return
     stream = BoundedStream(descriptor=STDOUT_FD)
     setup_logs(stream=stream)
+    sys.stderr = ErrorOutput(stream=stream)
     node = build_node(settings, stream)
     handler = AnnouncementHandler(
         on_announcement=node.on_announcement, on_deregistration=node.on_deregistration
--- a/test/platform/test_main.py
+++ b/test/platform/test_main.py
@@ -61,7 +61,7 @@
 
 
 class ProcessTest(TestCase):
-    def start(self, text, *arguments):
+    def start(self, text, *arguments, **options):
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         self.path = Path(folder.name) / "node.yaml"
@@ -71,8 +71,7 @@
             process = subprocess.Popen(
                 [sys.executable, "-W", "ignore", "-m", "almondshore.platform.main", *arguments],
                 env={**os.environ, "ALMONDSHORE_SETTINGS": str(self.path)},
-                stdout=out,
-                stderr=subprocess.STDOUT,
+                **{"stdout": out, "stderr": subprocess.STDOUT} | options,
                 start_new_session=True,
             )
         self.addCleanup(self.end, process)
@@ -114,6 +113,43 @@
         self.wait_for("event=node_started")
         self.assertIs(None, process.poll())
 
+    def test_process_outlives_the_reader_of_its_log(self):
+        """Guards against a node that ends, with its requests, when its log reader does."""
+        read_end, write_end = os.pipe()
+        process = self.start(settings_text(), stdout=write_end, stderr=write_end)
+        os.close(write_end)
+        log = b""
+        while b"event=node_started" not in log:
+            log += os.read(read_end, 65536)
+        os.close(read_end)
+        for _ in range(20):
+            process.send_signal(signal.SIGHUP)
+            time.sleep(0.05)
+        self.assertIs(None, process.poll())
+        process.send_signal(signal.SIGTERM)
+        self.assertEqual(0, process.wait(timeout=5))
+
+    def test_process_starts_without_standard_descriptors(self):
+        """Guards against a log that is written to the connection of a peer."""
+        command = 'exec "$@" <&- >&- 2>&-'
+        program = (sys.executable, "-W", "ignore", "-m", "almondshore.platform.main")
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        path = Path(folder.name) / "node.yaml"
+        path.write_text(settings_text())
+        process = subprocess.Popen(
+            ["sh", "-c", command, "sh", *program],
+            env={**os.environ, "ALMONDSHORE_SETTINGS": str(path)},
+            start_new_session=True,
+        )
+        self.addCleanup(self.end, process)
+        time.sleep(2.0)
+        self.assertIs(None, process.poll())
+        opened = {os.readlink(f"/proc/{process.pid}/fd/{number}") for number in range(3)}
+        self.assertEqual({os.devnull}, opened)
+        process.send_signal(signal.SIGTERM)
+        self.assertEqual(0, process.wait(timeout=5))
+
     def test_settings_are_checked_without_a_start(self):
         """Guards against invalid settings that are noticed only when a host restarts."""
         process = self.start(settings_text(), "--check")
