Wait at the start for a port that is in use

Cause: any error of a listener ended the process. Ruled out: connections in TIME_WAIT, which SO_REUSEADDR allows.

Change: an address in use is tried again for 15 s, with one log line; the listeners that are open answer as not ready, and nothing is announced. The final error names the setting and the address. Housekeeping starts first, so that the log is written while the node waits.

Evidence: test_start_waits_for_a_port_that_is_in_use fails before and passes now.

--- a/almondshore/http/server.py
+++ b/almondshore/http/server.py
@@ -296,8 +296,12 @@
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.sock.setblocking(False)
-        self.sock.bind(address)
-        self.sock.listen(LISTEN_BACKLOG)
+        try:
+            self.sock.bind(address)
+            self.sock.listen(LISTEN_BACKLOG)
+        except OSError:
+            self.sock.close()
+            raise
         self.listener = watch(READ, self.sock.fileno(), self._accept)
         self.timer = self.hub.schedule_call_global(SWEEP_INTERVAL_S, self._sweep)
 
--- a/almondshore/mesh/node.py
+++ b/almondshore/mesh/node.py
@@ -1,5 +1,6 @@
 """A node of the mesh: its listeners, state and lifecycle."""
 
+import errno
 import os
 import random
 from collections.abc import Callable
@@ -31,7 +32,7 @@
 from almondshore.mesh.liveness import PROBE_TIMEOUT, LivenessProber
 from almondshore.mesh.local import AnnouncementResult, LocalTarget
 from almondshore.mesh.metrics import MeshMetrics, MetricsHandler
-from almondshore.mesh.model import Announcement, Death, MeshConfig, Target
+from almondshore.mesh.model import Address, Announcement, Death, MeshConfig, Target
 from almondshore.mesh.outbound import Outbound
 from almondshore.mesh.peers import InternalHandler, PeerClient
 from almondshore.mesh.publishing import TargetPublisher
@@ -59,12 +60,22 @@
 LAST_RESPONSES_TIMEOUT = timedelta(milliseconds=200)
 HOUSEKEEPING_INTERVAL_S = 0.25
 EXPIRE_EVERY_TICKS = 8
+# A port that another process holds at the start is tried again for this long.
+LISTEN_TIMEOUT = timedelta(seconds=15)
+LISTEN_RETRY_INTERVAL_S = 0.1
 
 
 def _call_later(delay: timedelta, function: Callable[[], None]) -> None:
     hubs.get_hub().schedule_call_global(delay.total_seconds(), function)
 
 
+class ListenError(Exception):
+    """A listener could not be opened."""
+
+    def __init__(self, listener: str, address: Address, error: OSError):
+        super().__init__(f"listen.{listener}: {address[0]}:{address[1]}: {error.strerror or error}")
+
+
 class ReadinessHandler(ExchangeHandler):
     """Answers readiness checks."""
 
@@ -219,18 +230,21 @@
     def start(self, announcements: ExchangeHandler) -> None:
         """Open the listeners and start the background workers.
 
+        Listeners that are open answer as not ready while others wait for their address.
+
         :param announcements: handles announcements and deregistrations of the local target
+        :raises ListenError: if an address stays in use
         """
         settings = self.settings
-        self.outbound_server = self._listen(settings.outbound, self.outbound, self._caller_limits)
-        self.inbound_server = self._listen(settings.inbound, self.inbound)
-        self._listen(settings.ready, ReadinessHandler(node=self))
-        self._listen(settings.control, announcements)
-        self._listen(settings.metrics, MetricsHandler(metrics=self.metrics, node=self))
+        self._housekeeping()
+        self.outbound_server = self._listen("outbound", self.outbound, self._caller_limits)
+        self.inbound_server = self._listen("inbound", self.inbound)
+        self._listen("ready", ReadinessHandler(node=self))
+        self._listen("control", announcements)
+        self._listen("metrics", MetricsHandler(metrics=self.metrics, node=self))
         workers = (self.adopter, self.death_reporter, self.publisher, self.driver, self.vanished)
         self.greenlets = [spawn_worker(type(item).__name__, item.run) for item in workers]
         self.feeds.start()
-        self._housekeeping()
         log_event(
             "node_started",
             node=settings.node,
@@ -454,13 +468,40 @@
         config = self.outbound.config
         return config.limits if config is not None else DEFAULT_LIMITS
 
-    def _listen(self, address, handler: ExchangeHandler, limits=lambda: DEFAULT_LIMITS):
-        server = HttpServer(
-            clock=self.clock,
-            address=address,
-            handler=handler,
-            limits=limits,
-            memory=self.pool.memory,
-        )
+    def _listen(
+        self, listener: str, handler: ExchangeHandler, limits=lambda: DEFAULT_LIMITS
+    ) -> HttpServer:
+        """Open a listener, and wait for a while if its address is in use.
+
+        :param listener: name of its address in the settings
+        :raises ListenError: if it cannot be opened
+        """
+        address = getattr(self.settings, listener)
+        ends_at = self.clock.monotonic() + LISTEN_TIMEOUT
+        waiting = False
+        while True:
+            try:
+                server = HttpServer(
+                    clock=self.clock,
+                    address=address,
+                    handler=handler,
+                    limits=limits,
+                    memory=self.pool.memory,
+                )
+                break
+            except OSError as error:
+                in_use = error.errno == errno.EADDRINUSE
+                if not in_use or self.clock.monotonic() >= ends_at:
+                    raise ListenError(listener, address, error) from error
+                if not waiting:
+                    log_event(
+                        "listener_waits",
+                        level="WARNING",
+                        listener=listener,
+                        address=f"{address[0]}:{address[1]}",
+                        error=error,
+                    )
+                waiting = True
+            eventlet.sleep(LISTEN_RETRY_INTERVAL_S)
         self.servers.append(server)
         return server
--- a/almondshore/platform/main.py
+++ b/almondshore/platform/main.py
@@ -30,7 +30,7 @@
 from almondshore.core.workers import spawn_worker  # noqa: E402
 from almondshore.http.client import ConnectionPool  # noqa: E402
 from almondshore.http.stream import READ, watch  # noqa: E402
-from almondshore.mesh.node import MeshNode  # noqa: E402
+from almondshore.mesh.node import ListenError, MeshNode  # noqa: E402
 from almondshore.mesh.settings import MeshSettings, load_mesh_settings  # noqa: E402
 from almondshore.platform import names  # noqa: E402
 from almondshore.platform.announcements import AnnouncementHandler  # noqa: E402
@@ -73,7 +73,7 @@
     )
     try:
         node.start(handler)
-    except OSError as error:
+    except ListenError as error:
         log_event("listen_failed", level="ERROR", error=error)
         stream.drain()
         sys.exit(EXIT_FAILED)
--- a/test/mesh/test_node.py
+++ b/test/mesh/test_node.py
@@ -4,6 +4,7 @@
 import os
 import time
 from datetime import timedelta
+from unittest import mock
 
 import eventlet
 import msgspec
@@ -14,6 +15,7 @@
 from almondshore.core.messages import CrashDeath
 from almondshore.http.messages import Response, encode_request
 from almondshore.http.server import MAX_UNREAD_BYTES, ExchangeHandler
+from almondshore.mesh import node as node_module
 from almondshore.mesh.model import Death
 from almondshore.mesh.view import NodeView, TargetsView
 from almondshore.mesh.watching import WATCHERS_PER_ZONE
@@ -420,3 +422,22 @@
             connection.stream.close()
         self.mesh.store.put("config", "main", stored_config(9, ("s",)))
         wait_until(lambda: follower.outbound.config_version() == 9, seconds=3)
+
+
+class ListenTest(TestCase):
+    def test_address_that_stays_in_use_is_named(self):
+        """Guards against a start that fails without telling which address is in use."""
+        mesh = new_mesh(self)
+        mesh.add_node("n1")
+        node = mesh.nodes["n1"]
+        with socket.socket() as sock:
+            sock.bind(("127.0.0.1", 0))
+            sock.listen()
+            address = sock.getsockname()
+            node.settings = node.settings._replace(metrics=address)
+            with mock.patch.object(node_module, "LISTEN_TIMEOUT", timedelta(seconds=0.2)):
+                error = self.assertRaises(
+                    node_module.ListenError, node._listen, "metrics", node.outbound
+                )
+        expected = f"listen.metrics: 127.0.0.1:{address[1]}: Address already in use"
+        self.assertEqual(expected, str(error))
--- a/test/platform/test_main.py
+++ b/test/platform/test_main.py
@@ -1,7 +1,9 @@
 """Tests of the node process on the platform: start, settings, signals and stop."""
 
+import http.client
 import os
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -33,6 +35,23 @@
     return text
 
 
+def address_of(text, listener):
+    """Return the address of a listener in the text of the settings."""
+    line = next(line for line in text.splitlines() if line.strip().startswith(f"{listener}:"))
+    host, _, port = line.split(": ")[1].rpartition(":")
+    return host, int(port)
+
+
+def readiness(address):
+    """Return the status of a readiness check."""
+    connection = http.client.HTTPConnection(*address, timeout=2)
+    try:
+        connection.request("GET", "/readiness")
+        return connection.getresponse().status
+    finally:
+        connection.close()
+
+
 class SettingsTest(TestCase):
     def load(self, text):
         with tempfile.TemporaryDirectory() as folder:
@@ -150,6 +169,19 @@
         process.send_signal(signal.SIGTERM)
         self.assertEqual(0, process.wait(timeout=5))
 
+    def test_start_waits_for_a_port_that_is_in_use(self):
+        """Guards against a node that ends because a port is still held by another process."""
+        text = settings_text()
+        ready, control = (address_of(text, name) for name in ("ready", "control"))
+        with socket.create_server(control):
+            process = self.start(text)
+            self.wait_for("event=listener_waits listener=control")
+            self.assertEqual(503, readiness(ready))
+            self.assertNotIn("event=node_started", self.log.read_text())
+            time.sleep(0.5)
+            self.assertIs(None, process.poll())
+        self.wait_for("event=node_started")
+
     def test_settings_are_checked_without_a_start(self):
         """Guards against invalid settings that are noticed only when a host restarts."""
         process = self.start(settings_text(), "--check")
