Go on serving when a process has no descriptors left

What callers saw: clients of one node opened 260 connections where the process has 160 descriptors.

Cause: accept fails while the listener stays readable, so that the event loop does nothing else; an outgoing socket raised an error in the handler of a request, which closes its client's connection. Ruled out: the backlog of the kernel (connections that wait in it are served once descriptors are free).

Change: the server closes the connections that have been idle longest and accepts again after 0.1 s; a call closes an idle connection of the pool, or fails as not sent with a reason of its own, which is neither a death of the target nor an unreachable node.

--- a/almondshore/http/client.py
+++ b/almondshore/http/client.py
@@ -13,7 +13,7 @@
 from almondshore.http.buffering import GUARANTEED_BYTES, MemoryBudget
 from almondshore.http.messages import Body, Response
 from almondshore.http.parsing import STATUS_TOO_LARGE, ParseError, ResponseParser
-from almondshore.http.stream import Stream, StreamHandler, connect_stream
+from almondshore.http.stream import EXHAUSTED_ERRNOS, Stream, StreamHandler, connect_stream
 
 Address = tuple[str, int]
 
@@ -34,6 +34,7 @@
     """Why no response was received for a call."""
 
     NOT_CONNECTED = "not-connected"
+    NO_DESCRIPTOR = "no-descriptor"
     CLOSED = "closed"
     MALFORMED = "malformed"
     TRUNCATED = "truncated"
@@ -170,10 +171,16 @@
         self.connect_timer = None
         call.connection = self
         stream = connect_stream(address, self)
+        if _is_exhausted(stream) and pool.close_longest_idle():
+            stream = connect_stream(address, self)
         self.stream: Stream | None = stream if isinstance(stream, Stream) else None
         hub = hubs.get_hub()
         if self.stream is None:
-            hub.schedule_call_global(0, self._fail, CallFailure.NOT_CONNECTED)
+            exhausted = _is_exhausted(stream)
+            if exhausted:
+                log_event("connect_failed", level="WARNING", error=stream)
+            failure = CallFailure.NO_DESCRIPTOR if exhausted else CallFailure.NOT_CONNECTED
+            hub.schedule_call_global(0, self._fail, failure)
         else:
             self.connect_timer = hub.schedule_call_global(
                 CONNECT_TIMEOUT.total_seconds(), self._connect_timed_out
@@ -345,7 +352,7 @@
         stream = connect_stream(address, self)
         self.stream: Stream | None = stream if isinstance(stream, Stream) else None
         if self.stream is None:
-            hub.schedule_call_global(0, self._end, refused=True)
+            hub.schedule_call_global(0, self._end, refused=not _is_exhausted(stream))
 
     def on_connected(self) -> None:
         """Close the connection, which was not refused."""
@@ -451,6 +458,16 @@
         if not idle:
             self.idle.pop(connection.address, None)
 
+    def close_longest_idle(self) -> bool:
+        """Close the connection that has been idle longest; returns whether there was one."""
+        longest = min(
+            (idle[0] for idle in self.idle.values()), key=lambda item: item.idle_since, default=None
+        )
+        if longest is None:
+            return False
+        longest.abandon()
+        return True
+
     def close_idle(self, address: Address) -> None:
         """Close all idle connections to an address."""
         for connection in list(self.idle.get(address, ())):
@@ -483,6 +500,11 @@
         return None
 
 
+def _is_exhausted(stream: Stream | OSError) -> bool:
+    """Return whether a connection failed because the process has no descriptor for it."""
+    return isinstance(stream, OSError) and stream.errno in EXHAUSTED_ERRNOS
+
+
 def _keep_alive_timeout(value: bytes) -> timedelta | None:
     """Return the timeout in a Keep-Alive header, or None if it is absent or malformed."""
     for item in value.split(b","):
--- a/almondshore/http/server.py
+++ b/almondshore/http/server.py
@@ -18,7 +18,15 @@
     response_body,
 )
 from almondshore.http.parsing import ParseError, RequestLimits, RequestParser
-from almondshore.http.stream import READ, Stream, StreamHandler, configure_socket, socket, watch
+from almondshore.http.stream import (
+    EXHAUSTED_ERRNOS,
+    READ,
+    Stream,
+    StreamHandler,
+    configure_socket,
+    socket,
+    watch,
+)
 
 LISTEN_BACKLOG = 1024
 # Requests handled concurrently per connection; further ones stay in the kernel's buffer.
@@ -33,6 +41,10 @@
 # A client may be sending a request on a connection that was opened or used within this time; it
 # would cross the end of the connection.
 REQUEST_UNDER_WAY = timedelta(milliseconds=100)
+# After a failure for want of descriptors, the server accepts no connection for this long.
+ACCEPT_PAUSE_S = 0.1
+# Idle connections that are closed then, to make room for those that wait.
+CLOSED_FOR_ROOM = 16
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -274,6 +286,7 @@
     """Accepts connections on one address.
 
     :ivar draining: whether each connection closes after the responses to its pending requests
+    :ivar listening: whether the listener has not been closed
     :param memory: counts the memory of the connections; by default a budget of the server's own
     """
 
@@ -302,6 +315,7 @@
         except OSError:
             self.sock.close()
             raise
+        self.listening = True
         self.listener = watch(READ, self.sock.fileno(), self._accept)
         self.timer = self.hub.schedule_call_global(SWEEP_INTERVAL_S, self._sweep)
 
@@ -325,16 +339,15 @@
 
     def stop_accepting(self) -> None:
         """Accept the connections that wait to be accepted, and no more."""
-        if self.listener is not None:
+        if self.listening:
             self._accept(self.sock.fileno())
         self.close_listener()
 
     def close_listener(self) -> None:
         """Stop accepting connections; those that wait to be accepted are reset."""
-        if self.listener is not None:
-            self.hub.remove(self.listener)
-            self.listener = None
-            self.sock.close()
+        self._unwatch()
+        self.listening = False
+        self.sock.close()
 
     def close(self) -> None:
         """Stop accepting connections and close all open ones."""
@@ -351,20 +364,44 @@
                 return
             except OSError as error:
                 log_event("accept_failed", level="ERROR", error=error)
+                if error.errno in EXHAUSTED_ERRNOS:
+                    self._make_room()
                 return
             try:
                 configure_socket(sock)
                 connection = ServerConnection(server=self, sock=sock, peer=f"{peer[0]}:{peer[1]}")
-            except OSError as error:
-                # The client reset the connection before it was accepted.
-                log_event("accept_failed", level="WARNING", error=error)
+            except Exception as error:
+                # Usually the client reset the connection before it was accepted. Any error that
+                # left this method would make the event loop drop the listener.
+                log_event("accept_failed", level="WARNING", error=repr(error))
                 sock.close()
                 continue
             self.connections.add(connection)
 
+    def _make_room(self) -> None:
+        """Close the connections that have been idle longest, and accept again after a pause.
+
+        The listener stays readable meanwhile, and watching it would use up the processor.
+        """
+        now = self.clock.monotonic()
+        by_idle_time = sorted(self.connections, key=lambda item: item.last_active_at)
+        for connection in by_idle_time[:CLOSED_FOR_ROOM]:
+            connection.close_idle(now)
+        self._unwatch()
+        self.hub.schedule_call_global(ACCEPT_PAUSE_S, self._watch)
+
+    def _watch(self) -> None:
+        if self.listening and self.listener is None:
+            self.listener = watch(READ, self.sock.fileno(), self._accept)
+
+    def _unwatch(self) -> None:
+        if self.listener is not None:
+            self.hub.remove(self.listener)
+            self.listener = None
+
     def _sweep(self) -> None:
+        self.timer = self.hub.schedule_call_global(SWEEP_INTERVAL_S, self._sweep)
         now = self.clock.monotonic()
         limits = self.limits()
         for connection in list(self.connections):
             connection.sweep(now, limits)
-        self.timer = self.hub.schedule_call_global(SWEEP_INTERVAL_S, self._sweep)
--- a/almondshore/http/stream.py
+++ b/almondshore/http/stream.py
@@ -24,9 +24,12 @@
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
 
+# The process or its host has no descriptors or no memory for another socket.
+EXHAUSTED_ERRNOS = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM))
 _RETRYABLE_ERRNOS = frozenset((errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR))
 
 __all__ = [
+    "EXHAUSTED_ERRNOS",
     "READ",
     "Stream",
     "StreamHandler",
@@ -288,9 +291,12 @@
 
     :return: the stream, or the error if connecting fails immediately
     """
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    configure_socket(sock)
     try:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    except OSError as error:
+        return error
+    try:
+        configure_socket(sock)
         code = sock.connect_ex(address)
     except (OSError, OverflowError, TypeError, ValueError) as error:
         # The address is none: another program has named it.
--- a/almondshore/mesh/hop.py
+++ b/almondshore/mesh/hop.py
@@ -49,6 +49,7 @@
     TARGET_DOWN = "target-down"
     VERSION_RETIRED = "version-retired"
     SHUTTING_DOWN = "shutting-down"
+    NO_DESCRIPTOR = "no-descriptor"
 
 
 class HopTerms(NamedTuple):
--- a/almondshore/mesh/inbound.py
+++ b/almondshore/mesh/inbound.py
@@ -348,6 +348,8 @@
             if not result.sent:
                 # A request that was sent before on another connection may have run.
                 outcome = Outcome.BROKEN if submission.resent else Outcome.REFUSED
+                if result.failure is CallFailure.NO_DESCRIPTOR:
+                    return outcome, UnavailableReason.NO_DESCRIPTOR, False
                 return outcome, UnavailableReason.TARGET_DOWN, False
             return Outcome.BROKEN, str(result.failure.value), False
         response_class = self.dialect.classify_response(result.response)
--- a/almondshore/mesh/outbound.py
+++ b/almondshore/mesh/outbound.py
@@ -6,7 +6,7 @@
 
 from almondshore.core.clock import Clock
 from almondshore.core.logs import log_event
-from almondshore.http.client import Call, CallResult, ConnectionPool
+from almondshore.http.client import Call, CallFailure, CallResult, ConnectionPool
 from almondshore.http.messages import Request, encode_request_head, end_to_end
 from almondshore.http.server import Exchange, ExchangeHandler
 from almondshore.limits.elapsed import ElapsedEstimator
@@ -282,7 +282,8 @@
     if result.response is None:
         reason = str(result.failure.value)
         if not result.sent:
-            return HopResult(Outcome.REFUSED, reason, None, None, unreachable=True)
+            unreachable = result.failure is not CallFailure.NO_DESCRIPTOR
+            return HopResult(Outcome.REFUSED, reason, None, None, unreachable=unreachable)
         return HopResult(Outcome.BROKEN, reason, None, None, unreachable=True)
     report = decode_report(result.response.headers)
     if report is None:
--- a/almondshore/platform/main.py
+++ b/almondshore/platform/main.py
@@ -113,7 +113,12 @@
         signal.signal(number, _ignore_signal)
 
     def on_readable(_descriptor: int) -> None:
-        for number in os.read(read_end, 64):
+        try:
+            numbers = os.read(read_end, 64)
+        except BlockingIOError:
+            # The event loop would drop the descriptor, and with it all later signals.
+            return
+        for number in numbers:
             if number == signal.SIGHUP:
                 eventlet.spawn(reload_settings, node, path)
             else:
