Keep the record of a deregistration while the target still serves

Cause: a node that stops removed the entry of a deregistered target, the only record that outlives the process, although the target may serve on. Ruled out: the order of announcements (the heartbeat is older than the deregistration, which a node that knows of it refuses).

Change: the entry is removed only if the target refuses connections.

--- a/almondshore/mesh/node.py
+++ b/almondshore/mesh/node.py
@@ -8,6 +8,7 @@
 
 import eventlet
 from eventlet import hubs
+from eventlet.event import Event
 
 from almondshore.core.bounded_stream import BoundedStream
 from almondshore.core.clock import Clock
@@ -354,7 +355,8 @@
         while not self._may_exit():
             eventlet.sleep(STOP_POLL_INTERVAL_S if self.stopping_since is not None else 1.0)
         with eventlet.Timeout(WITHDRAW_TIMEOUT.total_seconds(), False):
-            self.publisher.withdraw()
+            if self._has_target_ended():
+                self.publisher.withdraw()
         self._close_servers()
         log_event(
             "node_stopped",
@@ -364,6 +366,16 @@
         )
         self.log_stream.drain()
 
+    def _has_target_ended(self) -> bool:
+        """Return whether the local target refuses connections.
+
+        A target may serve for some time after its deregistration. Its entry in the store then keeps
+        requests from it after this process has ended.
+        """
+        refused: Event = Event()
+        self.pool.check(self.settings.app, refused.send)
+        return refused.wait()
+
     def _close_servers(self) -> None:
         """Stop accepting connections, and answer the requests that have arrived on open ones.
 
--- a/standins/mesh_deployment.py
+++ b/standins/mesh_deployment.py
@@ -12,6 +12,7 @@
 from almondshore.core.clock import BootClock
 from almondshore.http.client import Address, CallResult, ConnectionPool
 from almondshore.http.messages import encode_request
+from almondshore.http.server import HttpServer
 from almondshore.mesh.node import MeshNode
 from almondshore.mesh.settings import Bounds, MeshSettings
 from almondshore.platform import names
@@ -63,6 +64,7 @@
 
     :ivar nodes: running nodes by name
     :ivar target_standins: targets by the name of their node
+    :ivar target_servers: servers of the targets by the name of their node
     :ivar sequence: number of the last heartbeat
     """
 
@@ -73,6 +75,7 @@
         self.store_server = serve(self.clock, self.store)
         self.nodes: dict[str, MeshNode] = {}
         self.target_standins: dict[str, TargetStandIn] = {}
+        self.target_servers: dict[str, HttpServer] = {}
         self.servers = [self.store_server]
         self.pool = ConnectionPool(clock=self.clock)
         self.sequence = 0
@@ -95,6 +98,7 @@
         server = serve(self.clock, target_standin)
         self.servers.append(server)
         self.target_standins[name] = target_standin
+        self.target_servers[name] = server
         node = self.start_node(
             MeshSettings(
                 **listen_addresses(),
--- a/test/mesh/test_node.py
+++ b/test/mesh/test_node.py
@@ -121,6 +121,36 @@
         self.assertEqual(503, self.mesh.request_status("n1"))
         self.assertEqual([], self.mesh.target_standins["n2"].executed)
 
+    def test_deregistration_outlives_a_planned_stop(self):
+        """Guards against a late announcement after which a deregistered target is used again.
+
+        The node removed the entry of the target as it stopped, and its successor knew of nothing.
+        """
+        self.assertEqual(200, self.mesh.deregister("n2"))
+        entry = ("almondshore-targets", "i-n2")
+        wait_until(lambda: self.mesh.store.get(*entry)["spec"]["state"] == "gone")
+        former = self.mesh.nodes.pop("n2")
+        former.stop()
+        former.run_until_stopped()
+        former.close()
+        self.mesh.start_node(former.settings)
+        wait_until(lambda: self.mesh.nodes["n2"].local.store_read)
+        self.mesh.announce("n2")
+        eventlet.sleep(0.5)
+        self.assertEqual(503, self.mesh.request_status("n1"))
+        self.assertEqual([], self.mesh.target_standins["n2"].executed)
+
+    def test_entry_of_a_target_that_has_ended_is_removed_at_a_stop(self):
+        """Guards against entries of targets that have ended, which would fill the store."""
+        self.assertEqual(200, self.mesh.deregister("n2"))
+        entry = ("almondshore-targets", "i-n2")
+        wait_until(lambda: self.mesh.store.get(*entry)["spec"]["state"] == "gone")
+        self.mesh.target_servers["n2"].close()
+        node = self.mesh.nodes["n2"]
+        node.stop()
+        node.run_until_stopped()
+        self.assertIs(None, self.mesh.store.get(*entry))
+
     def restart_node(self, name):
         """Kill a node and start it again, without an announcement of its target."""
         former = self.mesh.nodes.pop(name)
