Let answers without an id prove nothing on used connections

Cause: an answer without an id counted as that of the request in progress on any connection. Ruled out: copies on the same connection, which is closed after such an answer (a test in test_client.py).

Change: on a connection that was used before, its outcome is unknown for a request that may not be repeated. On a new connection a refusal still counts.

--- a/almondshore/http/client.py
+++ b/almondshore/http/client.py
@@ -61,12 +61,14 @@
     :ivar failure: None if there is a response
     :ivar sent: whether any byte of the request may have reached the peer
     :ivar reused: whether the connection had already carried an earlier request
+    :ivar identified: whether the response carries the id of the request
     """
 
     response: Response | None
     failure: CallFailure | None
     sent: bool
     reused: bool
+    identified: bool = True
 
 
 class Call:
@@ -299,7 +301,7 @@
             )
             self.call = None
             self._count_held(0)
-            result = CallResult(response, None, True, self.used)
+            result = CallResult(response, None, True, self.used, match is ResponseMatch.OWN)
             self.used = True
             if reusable:
                 self._return_to_pool(response)
--- a/almondshore/mesh/inbound.py
+++ b/almondshore/mesh/inbound.py
@@ -34,6 +34,8 @@
 FRESH_CONNECTION_MAX_IDLE = timedelta(milliseconds=300)
 # A request on a connection that the target had already closed fails within this time.
 STALE_CONNECTION_MAX_TIME = timedelta(milliseconds=30)
+# Reason of a result whose response may belong to another request.
+UNIDENTIFIED = "unidentified"
 # A target that crashes closes its connections a little before it refuses new ones.
 CRASH_CHECK_DELAY = timedelta(milliseconds=50)
 # Ways in which a run ends when its target crashes.
@@ -352,6 +354,9 @@
                     return outcome, UnavailableReason.NO_DESCRIPTOR, False
                 return outcome, UnavailableReason.TARGET_DOWN, False
             return Outcome.BROKEN, str(result.failure.value), False
+        if result.reused and not result.identified and not submission.hop_terms.idempotent:
+            # It may be a copy of the response to an earlier request on the connection.
+            return Outcome.BROKEN, UNIDENTIFIED, False
         response_class = self.dialect.classify_response(result.response)
         if response_class in (ResponseClass.NOT_RUN, ResponseClass.WRONG_TARGET):
             return Outcome.REJECTED, response_class.value, False
--- a/test/mesh/fakes.py
+++ b/test/mesh/fakes.py
@@ -50,8 +50,8 @@
     def is_receiving(self):
         return self.receiving
 
-    def answer(self, response):
-        self.on_done(CallResult(response, None, True, False))
+    def answer(self, response, reused=False, identified=True):
+        self.on_done(CallResult(response, None, True, reused, identified))
 
     def fail(self, failure=CallFailure.CLOSED, sent=True, reused=False):
         self.on_done(CallResult(None, failure, sent, reused))
--- a/test/mesh/test_inbound.py
+++ b/test/mesh/test_inbound.py
@@ -167,6 +167,24 @@
         self.harness.pool.calls[-1].answer(Response(503, ((b"Not-Executed", b"1"),)))
         self.assertEqual((Outcome.REJECTED, "not-run"), self.outcomes()[-1])
 
+    def test_refusal_without_an_id_counts_on_a_new_connection_only(self):
+        """Guards against a request that runs twice because of a copy of an earlier refusal.
+
+        A target writes the refusal once more on another connection while the next request on it runs.
+        """
+        refusal = Response(503, ((b"Not-Executed", b"1"),))
+        cases = (
+            ((False, False, False), (Outcome.REJECTED, "not-run")),
+            ((False, True, False), (Outcome.BROKEN, "unidentified")),
+            ((False, True, True), (Outcome.REJECTED, "not-run")),
+            ((True, True, False), (Outcome.REJECTED, "not-run")),
+        )
+        self.announce()
+        for (idempotent, reused, identified), expected in cases:
+            self.submit(terms(idempotent=idempotent))
+            self.harness.pool.calls[-1].answer(refusal, reused=reused, identified=identified)
+            self.assertEqual(expected, self.outcomes()[-1])
+
     def test_request_on_closed_idle_connection_is_resent_once(self):
         """Guards against failing a request that the target never received."""
         self.announce()
