--- a/test/mesh/test_inbound.py
+++ b/test/mesh/test_inbound.py
@@ -170,7 +170,7 @@
     def test_refusal_without_an_id_counts_on_a_new_connection_only(self):
         """Guards against a request that runs twice because of a copy of an earlier refusal.
 
-        A target writes the refusal once more on another connection while the next request on it runs.
+        A target writes it once more on another connection, while the next request there runs.
         """
         refusal = Response(503, ((b"Not-Executed", b"1"),))
         cases = (
