--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -1,10 +1,12 @@
 """Node processes on loopback, with a stand-in store and targets, fault proxies and callers."""
 
+import contextlib
 import os
 import random
 import signal
 import subprocess
 import sys
+from collections.abc import Callable
 from datetime import timedelta
 from pathlib import Path
 
@@ -19,7 +21,8 @@
 from almondshore.platform import names
 from soak.faulty_target import FaultyTarget
 from soak.guarantees import GuaranteeChecker, SentRequest
-from soak.proxy import FaultProxy
+from soak.log_reader import LogReader
+from soak.proxy import FaultProxy, ProxyMode
 from standins.addresses import format_address
 from standins.mesh_deployment import listen_addresses, stored_config
 from standins.mesh_platform import StoreStandIn, serve
@@ -31,6 +34,10 @@
 SERVICES = ("alpha", "beta")
 REQUEST_INTERVAL_S = 0.04
 RESTART_DELAY_S = 0.3
+MAX_BODY_BYTES = 64 * 1024 * 1024
+# A request with this in its path crashes each target that runs it.
+CRASH_PATH_PART = "crash"
+CRASH_DOWN_S = 1.5
 
 
 class Host:
@@ -40,6 +47,8 @@
     :ivar sequence: number of the last heartbeat of the present target
     :ivar born: start time of the present target in milliseconds, as sent in its heartbeats
     :ivar state: state in the heartbeats; no heartbeats are sent while it is empty
+    :ivar log_reader: reads the output of the process
+    :ivar peak_mb: largest resident memory of its processes so far
     :ivar restarting: whether the soak itself is restarting the process
     :ivar unexpected_exits: status of each exit of the node process that no signal from the soak
         caused (SIGHUP ends a process that has not installed its handlers yet)
@@ -56,10 +65,12 @@
         self.target_standin = FaultyTarget(target=self.target_id(), rng=cluster.rng)
         self.target_standin.make_response = self._make_response
         self.server = serve(cluster.clock, self.target_standin)
-        self.target_proxy = FaultProxy(destination=self.server.address())
-        self.store_proxy = FaultProxy(destination=cluster.store_server.address())
+        self.target_proxy = FaultProxy(destination=self.server.address(), rng=cluster.rng)
+        self.store_proxy = FaultProxy(destination=cluster.store_server.address(), rng=cluster.rng)
         self.addresses = listen_addresses()
         self.process: subprocess.Popen | None = None
+        self.log_reader: LogReader | None = None
+        self.peak_mb = 0.0
         self.restarting = False
         self.unexpected_exits: list[int] = []
         self.heartbeat_task = eventlet.spawn(self._heartbeat_loop)
@@ -80,44 +91,79 @@
             f"store: {format_address(self.store_proxy.address)}\n"
             f'link_mbps: 100.0\nfirst_start: false\nbounds: "{BOUNDS}"\n'
         )
-        log = (self.cluster.folder / f"{self.name}.log").open("a")
+        self.log_reader = LogReader(path=self.cluster.folder / f"{self.name}.log")
         self.process = subprocess.Popen(
             [sys.executable, "-W", "ignore", "-m", "almondshore.platform.main"],
             env={**os.environ, "ALMONDSHORE_SETTINGS": str(path)},
-            stdout=log,
+            stdout=self.log_reader.write_end,
             stderr=subprocess.STDOUT,
             # A process that is paused ends by SIGHUP if the shell that started the soak ends.
             start_new_session=True,
         )
-        log.close()
+        self.log_reader.start()
 
     def signal(self, number: int) -> None:
         """Send a signal to the node process if it is still running."""
         if self.process is not None and self.process.poll() is None:
             os.kill(self.process.pid, number)
 
-    def restart(self, number: int) -> None:
-        """Send a signal that ends the node process, wait for its exit and start it again."""
+    def restart(self, number: int, *, held: Address | None = None, held_s: float = 0.0) -> None:
+        """Send a signal that ends the node process, wait for its exit and start it again.
+
+        :param held: address that another socket listens on while the process starts
+        :param held_s: for how long
+        """
         self.restarting = True
         self.signal(number)
         while self.process is not None and self.process.poll() is None:
             eventlet.sleep(0.05)
         eventlet.sleep(RESTART_DELAY_S)
-        self.start()
+        if held is None:
+            self.start()
+        else:
+            with contextlib.closing(eventlet.listen(held)):
+                self.start()
+                eventlet.sleep(held_s)
         self.restarting = False
 
     def supervise(self) -> None:
         """Restart the node process if it exited by itself, as the platform does."""
+        self.peak_memory_mb()
         if self.process is None or self.process.poll() is None or self.restarting:
             return
         if self.process.returncode != -signal.SIGHUP:
             self.unexpected_exits.append(self.process.returncode)
         self.start()
 
-    def replace_target(self, *, drain_first: bool) -> None:
+    def peak_memory_mb(self) -> float:
+        """Return the largest resident memory that a node process of this host has had."""
+        try:
+            status = Path(f"/proc/{self.process.pid}/status").read_text()
+        except OSError:
+            # The process has ended.
+            return self.peak_mb
+        for line in status.splitlines():
+            if line.startswith("VmHWM:"):
+                self.peak_mb = max(self.peak_mb, int(line.split()[1]) / 1024)
+        return self.peak_mb
+
+    def crash_target(self) -> None:
+        """End the target without notice, and start it again after a while."""
+        if self.target_proxy.mode is ProxyMode.CRASHED:
+            return
+        self.target_proxy.set_mode(ProxyMode.CRASHED)
+        eventlet.sleep(CRASH_DOWN_S)
+        self.target_proxy.set_mode(ProxyMode.PASS)
+        self.born += 1
+        self.sequence = 0
+
+    def replace_target(
+        self, *, drain_first: bool, during: Callable[[], None] | None = None
+    ) -> None:
         """Drain or deregister the target, and start its replacement after two drain periods.
 
         :param drain_first: announce a drain; otherwise deregister without one
+        :param during: called once the departure was announced; a late heartbeat follows it
         """
         target_id, born = self.target_id(), self.born
         if drain_first:
@@ -129,6 +175,11 @@
             path = f"{names.DEREGISTER_PATH}{target_id}"
             if self._post(path, {"born": born}) == 200:
                 self.cluster.checker.on_departure_acknowledged(target_id)
+        if during is not None:
+            during()
+            self.state = "ready"
+            self._send_heartbeat(sequence=self.sequence)
+            self.state = ""
         eventlet.sleep(DRAIN.total_seconds() * 2)
         self.generation += 1
         self.born += 1_000_000
@@ -143,6 +194,7 @@
         self.signal(signal.SIGKILL)
         if self.process is not None:
             self.process.wait()
+            self.log_reader.close()
         for component in (self.target_proxy, self.store_proxy, self.server):
             component.close()
 
@@ -153,8 +205,9 @@
             if self.state:
                 self._send_heartbeat()
 
-    def _send_heartbeat(self) -> int | None:
-        self.sequence += 1
+    def _send_heartbeat(self, sequence: int | None = None) -> int | None:
+        """Send a heartbeat, by default one with the next number."""
+        self.sequence += sequence is None
         info = {"service": self.service, "version": "v1", "zone": "a", "slots": 4}
         status = {"state": self.state, "sequence": self.sequence, "warmup_left_s": 0}
         body = {
@@ -221,6 +274,7 @@
         """
         self.version += self.rng.randrange(1, 4)
         config = stored_config(self.version, SERVICES)
+        config["limits"] = {**config["limits"], "max_body_bytes": MAX_BODY_BYTES}
         if route_prefix:
             config["routes"]["added"] = {
                 **config["routes"][f"r-{SERVICES[0]}"],
@@ -237,9 +291,10 @@
         self.pool.call(address, data, timeout=CALL_TIMEOUT, on_done=done.send)
         return done.wait()
 
-    def send_random_request(self, host: Host) -> int | None:
+    def send_random_request(self, host: Host, body: bytes = b"") -> int | None:
         """Send an idempotent or non-idempotent request to a random service and check its result.
 
+        :param body: body of the request
         :return: status of the response, None if there was none
         """
         self.request_count += 1
@@ -249,28 +304,30 @@
         self.checker.sent[sent.request_id] = sent
         path = f"/{service}/x" if idempotent else f"/once/{service}/x"
         method = b"GET" if idempotent else b"POST"
-        result = self._send_request(host, method, path, sent.request_id)
+        result = self._send_request(host, method, path, sent.request_id, body)
         self.checker.on_result(sent, result)
         return result.response.status if result.response is not None else None
 
-    def probe_route(self, host: Host, path: str) -> int | None:
-        """Send an idempotent request for a path of the first service, without checking its result.
+    def probe_route(self, host: Host, path: str, service: str = SERVICES[0]) -> int | None:
+        """Send an idempotent request for a path of a service, without checking its result.
 
         :return: status of the response, None if there was none
         """
         self.request_count += 1
-        sent = SentRequest(f"q{self.request_count}", host.name, host.service, SERVICES[0], True)
+        sent = SentRequest(f"q{self.request_count}", host.name, host.service, service, True)
         self.checker.sent[sent.request_id] = sent
         response = self._send_request(host, b"GET", path, sent.request_id).response
         return response.status if response is not None else None
 
-    def _send_request(self, host: Host, method: bytes, path: str, request_id: str) -> CallResult:
+    def _send_request(
+        self, host: Host, method: bytes, path: str, request_id: str, body: bytes = b""
+    ) -> CallResult:
         headers = (
             (b"Host", b"h.example"),
             (names.REQUEST_ID, request_id.encode()),
             (names.TIME_LEFT, b"1500"),
         )
-        data = encode_request(method, path.encode(), headers, b"")
+        data = encode_request(method, path.encode(), headers, body)
         return self.call(host.addresses["outbound"], data)
 
     def start_callers(self) -> None:
@@ -301,5 +358,7 @@
             request_id = (request.header(names.REQUEST_ID.lower()) or b"").decode()
             caller = (request.header(names.CALLER.lower()) or b"").decode()
             self.checker.on_run(host.target_id(), host.service, request_id, caller)
+            if CRASH_PATH_PART.encode() in request.target:
+                eventlet.spawn(host.crash_target)
 
         return on_run
--- a/soak/faulty_target.py
+++ b/soak/faulty_target.py
@@ -19,7 +19,14 @@
 MAX_ENDLESS_CHUNKS = 400
 HEAD_START = b"HTTP/1.1 200 OK\r\nX-Filler: "
 BODY_START = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-FRAMED_CHUNK = b"%x\r\n%b\r\n" % (len(ENDLESS_CHUNK), ENDLESS_CHUNK)
+PIECE_BYTES = (1, 2, 16, 200, 16_384)
+
+
+def endless_pieces(rng: random.Random) -> bytes:
+    """Return chunks of a drawn size, together about as long as ``ENDLESS_CHUNK``."""
+    size = rng.choice(PIECE_BYTES)
+    chunk = b"%x\r\n%b\r\n" % (size, b"x" * size)
+    return chunk * max(1, len(ENDLESS_CHUNK) // len(chunk))
 
 
 class Misbehaviour(StrEnum):
@@ -73,7 +80,8 @@
         eventlet.spawn_after(delay_s, self._write, exchange, copy)
 
     def _send_without_end(self, exchange: Exchange) -> None:
-        start, chunk = self.rng.choice(((HEAD_START, ENDLESS_CHUNK), (BODY_START, FRAMED_CHUNK)))
+        kinds = ((HEAD_START, ENDLESS_CHUNK), (BODY_START, endless_pieces(self.rng)))
+        start, chunk = self.rng.choice(kinds)
         self._write(exchange, start)
         for _ in range(MAX_ENDLESS_CHUNKS):
             if exchange.connection.stream.closed:
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -11,6 +11,8 @@
 # Statuses that guarantee that a request was not executed; after them, callers also retry
 # non-idempotent requests.
 NOT_EXECUTED_STATUSES = frozenset((408, 421, 429, 503))
+# Memory of the smaller of the users' machines.
+MAX_MEMORY_MB = 150
 MIN_SERVED_SHARE = 0.9
 
 
@@ -127,6 +129,14 @@
         if statuses:
             self.violations.append(f"the process of {node} ended by itself, statuses {statuses}")
 
+    def check_memory(self, node: str, peak_mb: float) -> None:
+        """Check that no node process has exceeded the memory of a small machine.
+
+        :param peak_mb: largest resident memory in megabytes
+        """
+        if peak_mb > MAX_MEMORY_MB:
+            self.violations.append(f"a process of {node} took {peak_mb:.0f} MB")
+
     def check_recovery(self, served: int, total: int) -> None:
         """Check that enough requests are served once all faults are over."""
         if served < MIN_SERVED_SHARE * total:
--- a/soak/main.py
+++ b/soak/main.py
@@ -2,10 +2,9 @@
 
 import argparse
 import shutil
-import signal
 import sys
 import tempfile
-from collections.abc import Callable
+from collections.abc import Sequence
 from datetime import timedelta
 from pathlib import Path
 
@@ -14,8 +13,7 @@
 from almondshore.core.bounded_stream import BoundedStream
 from almondshore.core.logs import setup_logs
 from soak.cluster import Cluster, Host
-from soak.faulty_target import Misbehaviour
-from soak.proxy import ProxyMode
+from soak.faults import FAULTS, FURTHER_FAULTS, Fault
 
 STDERR = 2
 # More nodes than watch the store in one zone, so that some nodes get changes from other nodes.
@@ -27,122 +25,20 @@
 MAX_CONFIG_DELAY_S = 2.0
 RECOVERY_REQUESTS = 60
 MIN_FAULT_INTERVAL_S, MAX_FAULT_INTERVAL_S = 0.1, 1.2
-MIN_FAULT_DURATION_S, MAX_FAULT_DURATION_S = 0.3, 4.0
-MAX_DEPARTING_TARGETS = 1
-
-Fault = Callable[[Cluster, Host], None]
-
-
-def _random_fault_duration(cluster: Cluster) -> float:
-    return cluster.rng.uniform(MIN_FAULT_DURATION_S, MAX_FAULT_DURATION_S)
-
-
-def kill_node(cluster: Cluster, host: Host) -> None:
-    """Kill a node process with SIGKILL and restart it."""
-    host.restart(signal.SIGKILL)
-
-
-def stop_node(cluster: Cluster, host: Host) -> None:
-    """Stop a node process with SIGTERM, as planned maintenance does, and restart it."""
-    host.restart(signal.SIGTERM)
-
-
-def pause_node(cluster: Cluster, host: Host) -> None:
-    """Suspend a node process with SIGSTOP for a while."""
-    host.signal(signal.SIGSTOP)
-    eventlet.sleep(_random_fault_duration(cluster))
-    host.signal(signal.SIGCONT)
-
-
-def reload_node(cluster: Cluster, host: Host) -> None:
-    """Make a node reload its settings with SIGHUP."""
-    host.signal(signal.SIGHUP)
-
-
-def disturb_store_connections(cluster: Cluster, host: Host) -> None:
-    """Apply a random proxy fault to the connections from a node to the store."""
-    host.store_proxy.set_mode(cluster.rng.choice(list(ProxyMode)[1:]))
-    eventlet.sleep(_random_fault_duration(cluster))
-    host.store_proxy.set_mode(ProxyMode.PASS)
-
-
-def disturb_target_connections(cluster: Cluster, host: Host) -> None:
-    """Apply a random proxy fault to the connections from a node to its target."""
-    host.target_proxy.set_mode(cluster.rng.choice(list(ProxyMode)[1:]))
-    eventlet.sleep(_random_fault_duration(cluster))
-    host.target_proxy.set_mode(ProxyMode.PASS)
-
-
-def disturb_target(cluster: Cluster, host: Host) -> None:
-    """Make a target repeat responses or refusals, or send bytes without an end."""
-    host.target_standin.misbehaviour = cluster.rng.choice(list(Misbehaviour)[1:])
-    eventlet.sleep(_random_fault_duration(cluster))
-    host.target_standin.misbehaviour = Misbehaviour.NONE
-
-
-def disturb_store(cluster: Cluster, _host: Host) -> None:
-    """Make the store refuse all calls, or leave writes that it has made unanswered.
-
-    Of faults that overlap, the last one to end restores the store.
-    """
-    cluster.store_faults += 1
-    if cluster.rng.random() < 0.5:
-        cluster.store.refusal_status = cluster.rng.choice((429, 503))
-    else:
-        cluster.store.drop_write_responses = True
-    eventlet.sleep(_random_fault_duration(cluster))
-    cluster.store_faults -= 1
-    if not cluster.store_faults:
-        cluster.store.refusal_status, cluster.store.drop_write_responses = 0, False
-
-
-def compact_store_history(cluster: Cluster, _host: Host) -> None:
-    """Drop the change history of the store, which ends all watches."""
-    cluster.store.compact_history()
-
-
-def change_config(cluster: Cluster, _host: Host) -> None:
-    """Write a new version of the configuration to the store."""
-    cluster.change_config()
-
-
-def drain_target(cluster: Cluster, host: Host) -> None:
-    """Replace a target that announces that it drains."""
-    _replace_target(cluster, host, drain_first=True)
-
-
-def deregister_target(cluster: Cluster, host: Host) -> None:
-    """Replace a target that deregisters without a drain."""
-    _replace_target(cluster, host, drain_first=False)
-
-
-def _replace_target(cluster: Cluster, host: Host, *, drain_first: bool) -> None:
-    if sum(other.state != "ready" for other in cluster.hosts) < MAX_DEPARTING_TARGETS:
-        host.replace_target(drain_first=drain_first)
-
-
-FAULTS: tuple[Fault, ...] = (
-    kill_node,
-    stop_node,
-    pause_node,
-    reload_node,
-    disturb_store_connections,
-    disturb_target_connections,
-    disturb_target,
-    disturb_store,
-    compact_store_history,
-    change_config,
-    drain_target,
-    deregister_target,
-)
 
 
 def run_soak(
-    *, seed: int, folder: Path, seconds: float = FAULT_PHASE_S, hosts: int = HOST_COUNT
+    *,
+    seed: int,
+    folder: Path,
+    seconds: float = FAULT_PHASE_S,
+    hosts: int = HOST_COUNT,
+    faults: Sequence[Fault] = FAULTS + FURTHER_FAULTS,
 ) -> Cluster:
     """Run the soak with one seed.
 
     :param folder: folder for the settings and logs of the nodes
+    :param faults: faults to choose from; a seed plays other ones if they change
     :param seconds: duration of the phase in which faults are injected
     :return: the closed cluster; its checker holds the violations
     """
@@ -150,7 +46,7 @@
     try:
         eventlet.sleep(START_PHASE_S)
         cluster.start_callers()
-        _inject_faults(cluster, seconds)
+        _inject_faults(cluster, seconds, faults)
         eventlet.sleep(RECOVERY_PHASE_S)
         served = 0
         for number in range(RECOVERY_REQUESTS):
@@ -160,13 +56,14 @@
         eventlet.sleep(MAX_CONFIG_DELAY_S)
         for host in cluster.hosts:
             cluster.checker.check_exits(host.name, host.unexpected_exits)
+            cluster.checker.check_memory(host.name, host.peak_memory_mb())
             cluster.checker.check_config_applied(host.name, path, cluster.probe_route(host, path))
     finally:
         cluster.close()
     return cluster
 
 
-def _inject_faults(cluster: Cluster, seconds: float) -> None:
+def _inject_faults(cluster: Cluster, seconds: float, faults: Sequence[Fault]) -> None:
     """Start faults at random intervals; they overlap, but each host has at most one at a time."""
     hosts_with_fault: set[Host] = set()
     end = cluster.clock.monotonic() + timedelta(seconds=seconds)
@@ -184,7 +81,7 @@
         if fault_free_hosts:
             host = cluster.rng.choice(fault_free_hosts)
             hosts_with_fault.add(host)
-            pool.spawn_n(run, cluster.rng.choice(FAULTS), host)
+            pool.spawn_n(run, cluster.rng.choice(faults), host)
     pool.waitall()
 
 
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -1,8 +1,10 @@
 """TCP proxy on loopback that delays, resets or discards the data of its connections."""
 
+import random
 from datetime import timedelta
 from enum import StrEnum
 
+import eventlet
 from eventlet import hubs
 
 from almondshore.http.client import Address
@@ -15,6 +17,12 @@
     socket,
     watch,
 )
+from soak.faulty_target import (
+    BODY_START,
+    ENDLESS_INTERVAL_S,
+    MAX_ENDLESS_CHUNKS,
+    endless_pieces,
+)
 
 DELAY = timedelta(milliseconds=150)
 
@@ -25,7 +33,8 @@
     ``PASS`` forwards data unchanged, and ``DELAY`` forwards it after a delay. ``RESET`` closes open
     connections, and new ones as soon as they are accepted. ``CUT_REQUESTS`` discards data from
     clients, ``CUT_ANSWERS`` data from the destination, and ``SILENT`` both; these three keep the
-    connections open.
+    connections open. ``ENDLESS`` answers clients with a body without an end. ``CRASHED`` closes all
+    connections and refuses new ones; :meth:`FaultProxy.set_mode` alone sets it.
     """
 
     PASS = "pass"
@@ -34,6 +43,8 @@
     CUT_REQUESTS = "cut-requests"
     CUT_ANSWERS = "cut-answers"
     SILENT = "silent"
+    ENDLESS = "endless"
+    CRASHED = "crashed"
 
 
 class _ProxyConnection(StreamHandler):
@@ -53,12 +64,25 @@
         mode = self.proxy.mode
         if mode in (self.discard_mode, ProxyMode.SILENT):
             return
+        if mode is ProxyMode.ENDLESS:
+            if self.discard_mode is ProxyMode.CUT_REQUESTS:
+                eventlet.spawn(self._send_without_end)
+            return
         if mode is ProxyMode.DELAY:
             hub = hubs.get_hub()
             hub.schedule_call_global(DELAY.total_seconds(), self.peer.stream.write, data)
         else:
             self.peer.stream.write(data)
 
+    def _send_without_end(self) -> None:
+        self.stream.write(BODY_START)
+        pieces = endless_pieces(self.proxy.rng)
+        for _ in range(MAX_ENDLESS_CHUNKS):
+            if self.stream.closed:
+                return
+            self.stream.write(pieces)
+            eventlet.sleep(ENDLESS_INTERVAL_S)
+
     def on_end(self, *, clean: bool) -> None:
         self.proxy.connections.discard(self)
         self.peer.close()
@@ -78,28 +102,42 @@
     :ivar address: address that the proxy listens on
     """
 
-    def __init__(self, *, destination: Address):
+    def __init__(self, *, destination: Address, rng: random.Random):
         self.destination = destination
+        self.rng = rng
         self.mode = ProxyMode.PASS
         self.connections: set[_ProxyConnection] = set()
-        self.sock = socket.socket()
-        self.sock.setblocking(False)
-        self.sock.bind(("127.0.0.1", 0))
-        self.sock.listen(256)
-        self.address: Address = self.sock.getsockname()
-        self.listener = watch(READ, self.sock.fileno(), self._accept)
+        self.address: Address = ("127.0.0.1", 0)
+        self._listen()
 
     def set_mode(self, mode: ProxyMode) -> None:
-        """Switch the mode; ``RESET`` also closes the open connections."""
+        """Switch the mode; ``RESET`` and ``CRASHED`` also close the open connections."""
+        if self.mode is ProxyMode.CRASHED:
+            self._listen()
         self.mode = mode
-        if mode is ProxyMode.RESET:
+        if mode is ProxyMode.CRASHED:
+            self._close_listener()
+        if mode in (ProxyMode.RESET, ProxyMode.CRASHED):
             self._close_all()
 
     def close(self) -> None:
         """Stop listening and close all connections."""
+        if self.mode is not ProxyMode.CRASHED:
+            self._close_listener()
+        self._close_all()
+
+    def _listen(self) -> None:
+        self.sock = socket.socket()
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.sock.setblocking(False)
+        self.sock.bind(self.address)
+        self.sock.listen(256)
+        self.address = self.sock.getsockname()
+        self.listener = watch(READ, self.sock.fileno(), self._accept)
+
+    def _close_listener(self) -> None:
         hubs.get_hub().remove(self.listener)
         self.sock.close()
-        self._close_all()
 
     def _accept(self, _fileno: int) -> None:
         accepted, _ = self.sock.accept()
--- a/standins/mesh_platform.py
+++ b/standins/mesh_platform.py
@@ -15,7 +15,7 @@
 from almondshore.http.server import Exchange, ExchangeHandler, HttpServer, ServerLimits
 
 LIMITS = ServerLimits(
-    RequestLimits(64 * 1024, 4 * 1024 * 1024), timedelta(seconds=10), timedelta(seconds=60)
+    RequestLimits(64 * 1024, 64 * 1024 * 1024), timedelta(seconds=10), timedelta(seconds=60)
 )
 JSON: Headers = ((b"Content-Type", b"application/json"),)
 OBJECTS = "/objects/"
--- a/test/http/test_server.py
+++ b/test/http/test_server.py
@@ -1,5 +1,7 @@
 """Tests of the HTTP server: order, cancellation, limits and shutdown."""
 
+from unittest import mock
+
 import eventlet
 from testtools import TestCase
 
@@ -105,3 +107,29 @@
         data = read_until_closed(sock)
         self.assertIn(b"Connection: close", data)
         self.assertEqual(100_000, len(data.partition(b"\r\n\r\n")[2]))
+
+    def test_error_in_a_handler_closes_only_its_connection(self):
+        """Guards against an error that stops a listener, or leaves its client waiting."""
+
+        def fail_for_a(exchange):
+            if exchange.request.target == b"/a":
+                raise ValueError("unexpected")
+            return Response(200)
+
+        server, failed = self.start(RecordingHandler(make_response=fail_for_a))
+        other = open_socket(server.address())
+        self.addCleanup(other.close)
+        failed.sendall(GET % b"a")
+        self.assertEqual(b"", read_until_closed(failed))
+        other.sendall(GET % b"b")
+        with eventlet.Timeout(2):
+            self.assertIn(b"200 OK", other.recv(4096))
+
+    def test_sweep_goes_on_after_an_error(self):
+        """Guards against idle connections that are never closed again after one error."""
+        server, sock = self.start(RecordingHandler())
+        eventlet.sleep(0.05)
+        connection = next(iter(server.connections))
+        with mock.patch.object(connection, "sweep", side_effect=ValueError("unexpected")):
+            eventlet.sleep(0.8)
+        self.assertEqual(b"", read_until_closed(sock))
--- a/test/mesh/test_node.py
+++ b/test/mesh/test_node.py
@@ -289,6 +289,14 @@
                 client.wait()
         self.assertEqual({b"HTTP/1.1 200", b"HTTP/1.1 503"}, set(ends))
 
+    def test_housekeeping_goes_on_after_an_error(self):
+        """Guards against a node that writes no log and ends no drain after one error."""
+        node = self.mesh.nodes["n1"]
+        with mock.patch.object(node.local, "enforce_drain", side_effect=ValueError("unexpected")):
+            eventlet.sleep(0.4)
+        ticks = node.ticks
+        wait_until(lambda: node.ticks > ticks)
+
     def test_metrics_are_served(self):
         """Guards against missing gauges and histograms in the metrics."""
         self.mesh.request("n1")
--- a/test/soak/test_guarantees.py
+++ b/test/soak/test_guarantees.py
@@ -45,6 +45,7 @@
             lambda: self.record_response(404),
             lambda: self.checker.check_recovery(30, 60),
             lambda: self.checker.check_exits("n1", [1]),
+            lambda: self.checker.check_memory("n1", 151.0),
             lambda: self.checker.check_config_applied("n1", "/added", 404),
         )
         for case in cases:
--- a/test/soak/test_soak.py
+++ b/test/soak/test_soak.py
@@ -5,6 +5,7 @@
 
 from testtools import TestCase
 
+from soak.faults import FAULTS
 from soak.main import run_soak
 
 # Seeds that found a violation, with the cause of each.
@@ -17,9 +18,9 @@
 
 
 class SoakTest(TestCase):
-    def run_soak(self, seed, seconds):
+    def run_soak(self, seed, seconds, **options):
         with tempfile.TemporaryDirectory() as folder:
-            cluster = run_soak(seed=seed, folder=Path(folder), seconds=seconds)
+            cluster = run_soak(seed=seed, folder=Path(folder), seconds=seconds, **options)
         self.assertEqual([], cluster.checker.violations)
         self.assertTrue(cluster.checker.statuses["200"] > 100, cluster.checker.statuses)
 
@@ -30,4 +31,4 @@
     def test_seeds_that_failed_before(self):
         """Guards against regressions: each seed has found a violation before."""
         for seed in REGRESSION_SEEDS:
-            self.run_soak(seed, FAULT_PHASE_S)
+            self.run_soak(seed, FAULT_PHASE_S, faults=FAULTS)
