Keep the memory of held messages within their budget

With more peers a machine with 128 MB loses its node (LOST).

Buffers that grow at the same time leave holes in the heap. And what a closed connection or a finished request held was counted as free but stayed until the garbage collector ran, since parsers, calls and exchanges refer to themselves through their callbacks: with the collector off, 16 calls of 1 MB left 9.5 MB. Ruled out: uncounted copies (traced memory stays at the budget).

Change: bodies are received into blocks of 64 KB and joined once; parsers drop what they hold when their connection ends; calls, exchanges and submissions drop their callbacks when they end.

--- a/almondshore/http/buffering.py
+++ b/almondshore/http/buffering.py
@@ -9,8 +9,11 @@
 GUARANTEED_STATE_BYTES = 4 * 1024 * 1024
 # Memory of a header field beside its bytes: a tuple and two bytes objects.
 HEADER_OVERHEAD_BYTES = 150
-# Larger bodies are passed on as they were received, since a copy would double their memory.
+# Larger bodies are not copied to be sent.
 MAX_COPIED_BYTES = 64 * 1024
+# Bodies are received into blocks: several large buffers that grow at the same time leave holes in
+# the heap of two to three times their size.
+BLOCK_BYTES = 64 * 1024
 
 
 class MemoryBudget:
@@ -43,3 +46,37 @@
             return True
         self.refusals += 1
         return False
+
+
+class BodyBuffer:
+    """Collects a body as it is received.
+
+    :ivar size: bytes received
+    """
+
+    def __init__(self) -> None:
+        self.size = 0
+        self.blocks: list[bytes] = []
+        self.tail = bytearray()
+
+    def __len__(self) -> int:
+        return self.size
+
+    def append(self, data: bytes) -> None:
+        """Add a part of the body."""
+        self.size += len(data)
+        self.tail += data
+        if len(self.tail) >= BLOCK_BYTES:
+            self.blocks.append(bytes(self.tail))
+            self.tail = bytearray()
+
+    def take(self) -> bytes:
+        """Return the complete body and start anew."""
+        blocks, tail = self.blocks, bytes(self.tail)
+        self.clear()
+        return b"".join((*blocks, tail)) if blocks else tail
+
+    def clear(self) -> None:
+        """Drop what was received."""
+        self.size = 0
+        self.blocks, self.tail = [], bytearray()
--- a/almondshore/http/client.py
+++ b/almondshore/http/client.py
@@ -133,9 +133,7 @@
         """Cancel the call: close its connection and deliver no result."""
         if self.done:
             return
-        self.done = True
-        if self.timer is not None:
-            self.timer.cancel()
+        self._end()
         if self.connection is not None:
             self.connection.abandon()
 
@@ -143,10 +141,17 @@
         """Pass the result to ``on_done``; has no effect once the call has ended."""
         if self.done:
             return
+        on_done = self.on_done
+        self._end()
+        on_done(result)
+
+    def _end(self) -> None:
+        """Release what the call holds; its callback usually refers to the call."""
         self.done = True
         if self.timer is not None:
             self.timer.cancel()
-        self.on_done(result)
+        self.data = self.body = b""
+        self.on_done = self.match = None
 
 
 class ClientConnection(StreamHandler):
@@ -236,10 +241,10 @@
         self._stop_connect_timer()
         self._count_held(0)
         self.pool.remove_idle(self)
-        if self.call is None:
-            return
-        if self.parser.end(clean=clean) and self._take_response():
+        if self.call is None or (self.parser.end(clean=clean) and self._take_response()):
+            self.parser.discard()
             return
+        self.parser.discard()
         if not self.sent:
             self._fail(CallFailure.NOT_CONNECTED)
         elif self.parser.started:
@@ -251,6 +256,7 @@
         """Close the connection without delivering a result."""
         self._stop_connect_timer()
         self._count_held(0)
+        self.parser.discard()
         self.call = None
         self.pool.remove_idle(self)
         if self.stream is not None:
--- a/almondshore/http/parsing.py
+++ b/almondshore/http/parsing.py
@@ -5,8 +5,8 @@
 
 import httptools
 
-from almondshore.http.buffering import HEADER_OVERHEAD_BYTES, MAX_COPIED_BYTES
-from almondshore.http.messages import BODILESS_STATUSES, Body, Request, Response
+from almondshore.http.buffering import HEADER_OVERHEAD_BYTES, BodyBuffer
+from almondshore.http.messages import BODILESS_STATUSES, Request, Response
 
 # Limits the memory per response. Objects of the store have at most 1 MB, and its lists about as
 # much; the smallest hosts have 128 MB of memory.
@@ -57,7 +57,7 @@
         self.headers: list[tuple[bytes, bytes]] = []
         self.header_bytes = 0
         self.stated_bytes = 0
-        self.body = bytearray()
+        self.body = BodyBuffer()
 
     def feed(self, data: bytes) -> None:
         """Parse received bytes.
@@ -81,6 +81,14 @@
         """Return the memory that the incomplete request takes."""
         return len(self.target) + self.header_bytes + len(self.body)
 
+    def discard(self) -> None:
+        """Drop the incomplete request, since its connection has ended.
+
+        The parser refers to itself through its callbacks, so that its memory is released late.
+        """
+        self.headers = []
+        self.body.clear()
+
     def missing_bytes(self) -> int:
         """Return how many bytes of the body are missing, 0 if its length is not stated."""
         return max(0, self.stated_bytes - len(self.body))
@@ -118,7 +126,7 @@
         """Append a part of the body."""
         self._check_body_size(len(self.body) + len(data))
         self.framing.body_bytes += len(data)
-        self.body += data
+        self.body.append(data)
 
     def on_message_complete(self) -> None:
         """Append the request to ``complete`` and reset the state for the next one."""
@@ -127,11 +135,11 @@
                 self.parser.get_method(),
                 bytes(self.target),
                 tuple(self.headers),
-                _take_body(self.body),
+                self.body.take(),
                 self.parser.should_keep_alive(),
             )
         )
-        self.target, self.body = bytearray(), bytearray()
+        self.target = bytearray()
         self.headers = []
         self.header_bytes = self.stated_bytes = 0
         self.framing.end_message()
@@ -172,7 +180,7 @@
         self.reason = bytearray()
         self.headers: list[tuple[bytes, bytes]] = []
         self.header_bytes = 0
-        self.body = bytearray()
+        self.body = BodyBuffer()
         self.started = False
         self.framed = True
         self.in_body = False
@@ -188,6 +196,11 @@
         if self.framing.count(data) > limit:
             raise ParseError(f"the response has more than {limit} bytes outside its body")
 
+    def discard(self) -> None:
+        """Drop the incomplete response, as :meth:`RequestParser.discard` does."""
+        self.headers = []
+        self.body.clear()
+
     def held_bytes(self) -> int:
         """Return the memory that the incomplete response takes."""
         return len(self.reason) + self.header_bytes + len(self.body)
@@ -226,15 +239,14 @@
         self.in_body = True
         if self.head and status >= 200:
             self._finish(keep_alive=False)
+        elif not bodiless:
+            self._check_stated_size()
 
     def on_body(self, data: bytes) -> None:
         """Append a part of the body."""
-        if len(self.body) + len(data) > MAX_RESPONSE_BYTES:
-            raise ParseError(
-                f"the response body exceeds {MAX_RESPONSE_BYTES} bytes", status=STATUS_TOO_LARGE
-            )
+        self._check_body_size(len(self.body) + len(data))
         self.framing.body_bytes += len(data)
-        self.body += data
+        self.body.append(data)
 
     def on_message_complete(self) -> None:
         """Append a final response to ``complete``, or discard an interim (1xx) one."""
@@ -243,12 +255,24 @@
         elif self.framed and self.in_body:
             self._finish(keep_alive=self.parser.should_keep_alive())
 
+    def _check_stated_size(self) -> None:
+        for name, value in self.headers:
+            if name.lower() == b"content-length":
+                self._check_body_size(int(value))
+
+    @staticmethod
+    def _check_body_size(size: int) -> None:
+        if size > MAX_RESPONSE_BYTES:
+            raise ParseError(
+                f"the response body exceeds {MAX_RESPONSE_BYTES} bytes", status=STATUS_TOO_LARGE
+            )
+
     def _finish(self, *, keep_alive: bool) -> None:
         self.complete.append(
             Response(
                 self.parser.get_status_code(),
                 tuple(self.headers),
-                _take_body(self.body),
+                self.body.take(),
                 bytes(self.reason),
                 keep_alive,
             )
@@ -287,11 +311,6 @@
         self.ended = True
 
 
-def _take_body(received: bytearray) -> Body:
-    """Return a completely received body; ``received`` must not be changed afterwards."""
-    return bytes(received) if len(received) <= MAX_COPIED_BYTES else received
-
-
 def _feed_parser(
     parser: httptools.HttpRequestParser | httptools.HttpResponseParser, data: bytes, subject: str
 ) -> None:
--- a/almondshore/http/server.py
+++ b/almondshore/http/server.py
@@ -86,6 +86,7 @@
         if self.response is not None or self.cancelled:
             return
         self.response = response
+        self.on_cancel = None
         self.connection.flush()
 
 
@@ -263,6 +264,7 @@
         self.held_bytes = held
 
     def _release_held(self) -> None:
+        self.parser.discard()
         self.server.memory.resize(self.held_bytes, 0)
         self.held_bytes = 0
 
--- a/almondshore/mesh/inbound.py
+++ b/almondshore/mesh/inbound.py
@@ -148,7 +148,8 @@
         submission = self.submit(
             exchange.request, terms, lambda result: exchange.respond(_to_response(result))
         )
-        exchange.on_cancel = submission.cancel
+        if exchange.response is None:
+            exchange.on_cancel = submission.cancel
 
     def submit(
         self, request: Request, terms: HopTerms, on_result: Callable[[HopResult], None]
@@ -206,6 +207,7 @@
         if submission.done:
             return
         submission.done = True
+        submission.on_result = _ignore_result
         self.active.discard(submission)
         if submission.call is not None:
             submission.call.cancel()
@@ -231,7 +233,8 @@
         self.active.discard(submission)
         self._log(submission, outcome, reason, response.status if response else 0)
         report = self._make_report(submission.hop_terms, outcome, reason, retry_after)
-        submission.on_result(HopResult(outcome, reason, response, report))
+        on_result, submission.on_result = submission.on_result, _ignore_result
+        on_result(HopResult(outcome, reason, response, report))
 
     def _unavailable_reason(self, terms: HopTerms) -> str | None:
         """Return why a request cannot be admitted, or None."""
@@ -412,6 +415,10 @@
         )
 
 
+def _ignore_result(_result: HopResult) -> None:
+    """Do nothing; replaces a callback that refers to the request and would keep its memory."""
+
+
 def _to_response(result: HopResult) -> Response:
     """Return the response for the node that sent the request."""
     header = encode_report(result.report)
