Clear deaths that are reported after a completed run

Cause: a completed run cleared the deaths that were known then. The reports of two deaths reached the nodes together, after an outage of the store; the runs that had completed between them did not count. Ruled out: the crashing request itself (its path differs; the refused ones are the common reads, which the log of target_died lists with 14 runs).

Change: the guard remembers when the requests that completed most recently did so; a death before that does not count. A request that crashes each target never completes.

Evidence: test_completed_runs_clear_deaths_that_are_reported_later fails before. test/retries passes.

--- a/almondshore/mesh/outbound.py
+++ b/almondshore/mesh/outbound.py
@@ -256,8 +256,7 @@
 
     def record_completion(self, request: Request) -> None:
         """Record in the crash guard that a target ran the request to completion."""
-        if self.guard.suspects:
-            self.guard.record_completion(request_fingerprint(request, self.caller()))
+        self.guard.record_completion(request_fingerprint(request, self.caller()))
 
     def _is_quarantined(self, request: Request) -> bool:
         """Return whether a request is quarantined for crashing targets."""
--- a/almondshore/retries/crash.py
+++ b/almondshore/retries/crash.py
@@ -20,6 +20,7 @@
 # they run the same requests.
 MAX_QUARANTINED = 64
 MAX_RECENT_DEATHS = 16
+MAX_COMPLETIONS = 1024
 
 
 class CrashSuspected(NamedTuple):
@@ -57,10 +58,14 @@
 class CrashGuard:
     """Counts deaths of targets by the fingerprint of the requests that they were running.
 
-    Two deaths within a minute quarantine a fingerprint. A completed run clears its deaths, because
-    requests that only ran at the same time as the crashing one complete on other targets. A death
-    counts only if the run started after the previous death, since the failure of a rack ends many
-    runs of a common request at the same time. A death counts once, however many nodes report it.
+    Two deaths within a minute quarantine a fingerprint. A completed run clears the deaths before
+    it, also those that are reported later, because requests that only ran at the same time as the
+    crashing one complete on other targets. A death counts only if the run started after the
+    previous death, since the failure of a rack ends many runs of a common request at the same
+    time. A death counts once, however many nodes report it.
+
+    :ivar completions: wall clock time in milliseconds of the last completed run of the fingerprints
+        completed most recently
     """
 
     def __init__(
@@ -82,6 +87,7 @@
         self.capacity = capacity
         self.max_quarantined = max_quarantined
         self.suspects: OrderedDict[int, _Suspect] = OrderedDict()
+        self.completions: OrderedDict[int, int] = OrderedDict()
 
     def check(self, request_fingerprint: int) -> CrashSuspected | None:
         """Return a refusal if the fingerprint is in quarantine."""
@@ -100,6 +106,10 @@
 
         A fingerprint in quarantine is not cleared.
         """
+        self.completions[request_fingerprint] = int(self.clock.now().timestamp() * 1000)
+        self.completions.move_to_end(request_fingerprint)
+        if len(self.completions) > MAX_COMPLETIONS:
+            self.completions.popitem(last=False)
         suspect = self.suspects.get(request_fingerprint)
         if suspect is not None and self._now_s() >= suspect.quarantined_until:
             del self.suspects[request_fingerprint]
@@ -122,6 +132,11 @@
         if identity in suspect.recent_deaths:
             return False
         suspect.recent_deaths.append(identity)
+        completed_ms = self.completions.get(death.fingerprint, 0)
+        if completed_ms > suspect.last_ended_ms and now_s >= suspect.quarantined_until:
+            suspect.death_count = 0
+        if completed_ms > death.ended_ms:
+            return True
         if death.started_ms >= suspect.last_ended_ms:
             suspect.death_count += 1
         suspect.last_ended_ms = max(suspect.last_ended_ms, death.ended_ms)
--- a/test/retries/test_crash.py
+++ b/test/retries/test_crash.py
@@ -72,6 +72,25 @@
         self.assertIsNone(self.guard.check(CRASH_REQUEST))
         self.assertEqual(0, len(self.guard.suspects))
 
+    def test_completed_runs_clear_deaths_that_are_reported_later(self):
+        """Guards against refusing a common request because two reports arrive together.
+
+        In the soak (seed 822) the reports of two deaths reached a node after an outage of the
+        store; the request had completed there between the deaths, but none were known then.
+        """
+        first = self.death("t1")
+        self.advance(1)
+        self.guard.record_completion(CRASH_REQUEST)
+        self.advance(1)
+        second = self.death("t2")
+        self.advance(1)
+        self.guard.record_death(first)
+        self.guard.record_death(second)
+        self.assertIsNone(self.guard.check(CRASH_REQUEST))
+        self.advance(1)
+        self.guard.record_death(self.death("t3"))
+        self.assertIsNotNone(self.guard.check(CRASH_REQUEST))
+
     def test_targets_that_die_together_are_one_event(self):
         """Guards against a quarantine of the requests that ran on all targets of a failed rack."""
         for n in range(20):
