State when to return with a request that could not be held

Callers got a 503 without Retry-After when the memory for held messages was used up, and returned at once or not at all. The refusal is known to pass within a second, as the requests that hold the memory are answered; Retry-After: 1 says so. test_a_body_that_cannot_be_held_is_refused_by_its_stated_length asserts it and fails before.

--- a/almondshore/http/server.py
+++ b/almondshore/http/server.py
@@ -45,6 +45,9 @@
 ACCEPT_PAUSE_S = 0.1
 # Idle connections that are closed then, to make room for those that wait.
 CLOSED_FOR_ROOM = 16
+STATUS_UNAVAILABLE = 503
+# When a client may send a message again that could not be held: most are answered within a second.
+RETRY_AFTER_S = b"1"
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -240,7 +243,8 @@
         request = Request(b"GET", b"", (), b"", keep_alive=False)
         exchange = Exchange(request=request, received_at=now, connection=self)
         self.pending.append(exchange)
-        exchange.respond(Response(error.status))
+        headers = ((b"Retry-After", RETRY_AFTER_S),) if error.status == STATUS_UNAVAILABLE else ()
+        exchange.respond(Response(error.status, headers))
 
     def _cancel_pending(self) -> None:
         """Cancel the requests after the last response; they are treated as never received."""
@@ -275,7 +279,7 @@
             return
         self.parse_error = ParseError(
             f"{memory.held_bytes} bytes are held for all requests, {self.held_bytes} for this one",
-            status=503,
+            status=STATUS_UNAVAILABLE,
         )
 
     def _close(self) -> None:
--- a/test/http/test_buffering.py
+++ b/test/http/test_buffering.py
@@ -170,7 +170,9 @@
         head = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n"
         sock.sendall(head % (MAX_HELD_BYTES + 1))
         with eventlet.Timeout(5):
-            self.assertIn(b"HTTP/1.1 503 ", sock.recv(4096))
+            response = sock.recv(4096)
+        self.assertIn(b"HTTP/1.1 503 ", response)
+        self.assertIn(b"Retry-After: 1\r\n", response)
         self.assertEqual(([], 1), (handler.exchanges, server.memory.refusals))
 
     def test_small_requests_are_served_while_the_memory_is_used_up(self):
