--- a/almondshore/http/client.py
+++ b/almondshore/http/client.py
@@ -11,7 +11,7 @@
 from almondshore.core.clock import Clock
 from almondshore.core.logs import log_event
 from almondshore.http.buffering import GUARANTEED_BYTES, MemoryBudget
-from almondshore.http.messages import Body, Response
+from almondshore.http.messages import Response
 from almondshore.http.parsing import STATUS_TOO_LARGE, ParseError, ResponseParser
 from almondshore.http.stream import EXHAUSTED_ERRNOS, Stream, StreamHandler, connect_stream
 
@@ -97,7 +97,7 @@
         self,
         *,
         data: bytes,
-        body: Body,
+        body: bytes,
         match: Callable[[Response], ResponseMatch],
         on_done: Callable[[CallResult], None],
         head: bool,
@@ -404,7 +404,7 @@
         max_idle_time: timedelta | None = None,
         head: bool = False,
         stall_timeout: timedelta | None = None,
-        body: Body = b"",
+        body: bytes = b"",
         guaranteed_bytes: int = GUARANTEED_BYTES,
     ) -> Call:
         """Send a request and pass its result to ``on_done``, never before this method returns.
--- a/almondshore/http/messages.py
+++ b/almondshore/http/messages.py
@@ -4,8 +4,6 @@
 from typing import NamedTuple
 
 Headers = tuple[tuple[bytes, bytes], ...]
-# Bodies are never changed once their message is complete.
-Body = bytes | bytearray
 
 # Headers that apply to a single connection and are not forwarded (RFC 9110, section 7.6.1).
 CONNECTION_HEADERS = frozenset(
@@ -36,7 +34,7 @@
     method: bytes
     target: bytes
     headers: Headers
-    body: Body
+    body: bytes
     keep_alive: bool = True
 
     def header(self, name: bytes) -> bytes | None:
@@ -53,7 +51,7 @@
 
     status: int
     headers: Headers = ()
-    body: Body = b""
+    body: bytes = b""
     reason: bytes = b""
     keep_alive: bool = True
 
@@ -127,7 +125,7 @@
     return b"\r\n".join(lines)
 
 
-def response_body(response: Response, *, head: bool) -> Body:
+def response_body(response: Response, *, head: bool) -> bytes:
     """Return the body to send with a response, empty if there must be none.
 
     :param head: whether the request was a HEAD request
--- a/almondshore/http/stream.py
+++ b/almondshore/http/stream.py
@@ -76,8 +76,8 @@
     def __len__(self) -> int:
         return self.size
 
-    def append(self, data: bytes | bytearray | memoryview) -> None:
-        """Add bytes, which must not be changed afterwards."""
+    def append(self, data: bytes | memoryview) -> None:
+        """Add bytes after those that wait already."""
         if data:
             self.parts.append(memoryview(data))
             self.size += len(data)
@@ -126,7 +126,7 @@
         else:
             self._watch_read()
 
-    def write(self, data: bytes, body: bytes | bytearray = b"") -> None:
+    def write(self, data: bytes, body: bytes = b"") -> None:
         """Send bytes; those that the kernel does not accept at once are buffered.
 
         :param body: bytes to send after ``data``; not copied if there are many of them
