--- a/test/mesh/test_node.py
+++ b/test/mesh/test_node.py
@@ -107,12 +107,16 @@
         self.assertEqual(503, self.mesh.request_status("n1"))
         self.assertEqual(ran, len(self.mesh.target_standins["n2"].executed))
 
-    def test_deregistration_outlives_the_process(self):
-        """Guards against a restarted node that sends requests to a deregistered target."""
+    def check_deregistration_outlives(self, end):
+        """Check that a node that starts again does not use a target that has deregistered.
+
+        :param end: ends the former node
+        """
         self.assertEqual(200, self.mesh.deregister("n2"))
         entry = ("almondshore-targets", "i-n2")
         wait_until(lambda: self.mesh.store.get(*entry)["spec"]["state"] == "gone")
         former = self.mesh.nodes.pop("n2")
+        end(former)
         former.close()
         self.mesh.start_node(former.settings)
         wait_until(lambda: self.mesh.nodes["n2"].local.store_read)
@@ -121,24 +125,21 @@
         self.assertEqual(503, self.mesh.request_status("n1"))
         self.assertEqual([], self.mesh.target_standins["n2"].executed)
 
+    def test_deregistration_outlives_the_process(self):
+        """Guards against a restarted node that sends requests to a deregistered target."""
+        self.check_deregistration_outlives(lambda former: None)
+
     def test_deregistration_outlives_a_planned_stop(self):
         """Guards against a late announcement after which a deregistered target is used again.
 
         The node removed the entry of the target as it stopped, and its successor knew of nothing.
         """
-        self.assertEqual(200, self.mesh.deregister("n2"))
-        entry = ("almondshore-targets", "i-n2")
-        wait_until(lambda: self.mesh.store.get(*entry)["spec"]["state"] == "gone")
-        former = self.mesh.nodes.pop("n2")
-        former.stop()
-        former.run_until_stopped()
-        former.close()
-        self.mesh.start_node(former.settings)
-        wait_until(lambda: self.mesh.nodes["n2"].local.store_read)
-        self.mesh.announce("n2")
-        eventlet.sleep(0.5)
-        self.assertEqual(503, self.mesh.request_status("n1"))
-        self.assertEqual([], self.mesh.target_standins["n2"].executed)
+
+        def stop(former):
+            former.stop()
+            former.run_until_stopped()
+
+        self.check_deregistration_outlives(stop)
 
     def test_entry_of_a_target_that_has_ended_is_removed_at_a_stop(self):
         """Guards against entries of targets that have ended, which would fill the store."""
