Send bodies without an end by one piece of code in the soak

The target and the proxy had the same loop; and the sequence that a late heartbeat was given only told that it is late. Soak only, no check changes.

--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -178,7 +178,7 @@
         if during is not None:
             during()
             self.state = "ready"
-            self._send_heartbeat(sequence=self.sequence)
+            self._send_heartbeat(late=True)
             self.state = ""
         eventlet.sleep(DRAIN.total_seconds() * 2)
         self.generation += 1
@@ -205,9 +205,10 @@
             if self.state:
                 self._send_heartbeat()
 
-    def _send_heartbeat(self, sequence: int | None = None) -> int | None:
-        """Send a heartbeat, by default one with the next number."""
-        self.sequence += sequence is None
+    def _send_heartbeat(self, *, late: bool = False) -> int | None:
+        """Send the next heartbeat, or the last one once more as if it were late."""
+        if not late:
+            self.sequence += 1
         info = {"service": self.service, "version": "v1", "zone": "a", "slots": 4}
         status = {"state": self.state, "sequence": self.sequence, "warmup_left_s": 0}
         body = {
--- a/soak/faulty_target.py
+++ b/soak/faulty_target.py
@@ -8,6 +8,7 @@
 
 from almondshore.http.messages import Response, encode_response
 from almondshore.http.server import Exchange
+from almondshore.http.stream import Stream
 from almondshore.platform import names
 from standins.mesh_platform import TargetStandIn
 
@@ -29,6 +30,16 @@
     return chunk * max(1, len(ENDLESS_CHUNK) // len(chunk))
 
 
+def send_without_end(stream: Stream, start: bytes, piece: bytes) -> None:
+    """Send a start and then the same piece again and again, until the peer closes."""
+    stream.write(start)
+    for _ in range(MAX_ENDLESS_CHUNKS):
+        if stream.closed:
+            return
+        stream.write(piece)
+        eventlet.sleep(ENDLESS_INTERVAL_S)
+
+
 class Misbehaviour(StrEnum):
     """What a faulty target does with a share of its requests.
 
@@ -82,12 +93,7 @@
     def _send_without_end(self, exchange: Exchange) -> None:
         kinds = ((HEAD_START, ENDLESS_CHUNK), (BODY_START, endless_pieces(self.rng)))
         start, chunk = self.rng.choice(kinds)
-        self._write(exchange, start)
-        for _ in range(MAX_ENDLESS_CHUNKS):
-            if exchange.connection.stream.closed:
-                return
-            self._write(exchange, chunk)
-            eventlet.sleep(ENDLESS_INTERVAL_S)
+        send_without_end(exchange.connection.stream, start, chunk)
 
     @staticmethod
     def _write(exchange: Exchange, data: bytes) -> None:
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -17,12 +17,7 @@
     socket,
     watch,
 )
-from soak.faulty_target import (
-    BODY_START,
-    ENDLESS_INTERVAL_S,
-    MAX_ENDLESS_CHUNKS,
-    endless_pieces,
-)
+from soak.faulty_target import BODY_START, endless_pieces, send_without_end
 
 DELAY = timedelta(milliseconds=150)
 
@@ -66,7 +61,8 @@
             return
         if mode is ProxyMode.ENDLESS:
             if self.discard_mode is ProxyMode.CUT_REQUESTS:
-                eventlet.spawn(self._send_without_end)
+                pieces = endless_pieces(self.proxy.rng)
+                eventlet.spawn(send_without_end, self.stream, BODY_START, pieces)
             return
         if mode is ProxyMode.DELAY:
             hub = hubs.get_hub()
@@ -74,15 +70,6 @@
         else:
             self.peer.stream.write(data)
 
-    def _send_without_end(self) -> None:
-        self.stream.write(BODY_START)
-        pieces = endless_pieces(self.proxy.rng)
-        for _ in range(MAX_ENDLESS_CHUNKS):
-            if self.stream.closed:
-                return
-            self.stream.write(pieces)
-            eventlet.sleep(ENDLESS_INTERVAL_S)
-
     def on_end(self, *, clean: bool) -> None:
         self.proxy.connections.discard(self)
         self.peer.close()
