Identify tenants by their keys, and prepare evacuations and quotas

Cause: targets of deployments with tenants got the caller's key and no tenant name. The node now decides by the digest of the key, removes the key, and passes the tenant's name with the hop's terms. Ports for quotas and the feed of evacuations are added; nothing limits or refuses by them yet.

Without tenants the headers pass unchanged.

--- a/almondshore/mesh/change_server.py
+++ b/almondshore/mesh/change_server.py
@@ -21,7 +21,7 @@
 from almondshore.mesh.directory import Directory
 from almondshore.mesh.hop import MILLISECOND, DurationMs
 from almondshore.mesh.model import MeshConfig
-from almondshore.mesh.state import RolloutSink
+from almondshore.mesh.state import EvacuationSink, RolloutSink
 
 CHANGES_PATH = b"/changes"
 # Longest time that a poll waits for a change.
@@ -74,6 +74,7 @@
         directory: Directory,
         rollouts: RolloutSink,
         crashes: CrashSink,
+        evacuations: EvacuationSink,
         age: Callable[[], timedelta],
     ):
         self.changes = changes
@@ -81,6 +82,7 @@
         self.directory = directory
         self.rollouts = rollouts
         self.crashes = crashes
+        self.evacuations = evacuations
         self.age = age
         self.pending: dict[int, _PendingPoll] = {}
         self.response_scheduled = False
@@ -150,6 +152,7 @@
             after = -1
         targets, rollouts = self.directory.targets, self.rollouts.shares.rollouts
         reports = self.crashes.reports
+        evacuations = self.evacuations.by_zone
         config = self._newer_config(query)
         response = ChangeResponse(
             epoch=changes.epoch,
@@ -163,6 +166,10 @@
             removed_rollouts=changes.removed_since(StateKind.ROLLOUT, after),
             deaths=[reports[name] for name in changes.changed_since(StateKind.DEATH, after)],
             removed_deaths=changes.removed_since(StateKind.DEATH, after),
+            evacuations=[
+                evacuations[name] for name in changes.changed_since(StateKind.EVACUATION, after)
+            ],
+            removed_evacuations=changes.removed_since(StateKind.EVACUATION, after),
         )
         return Response(200, (), encode_response(response))
 
--- a/almondshore/mesh/changes.py
+++ b/almondshore/mesh/changes.py
@@ -9,7 +9,7 @@
 
 from almondshore.core.decoding import decode_msgpack
 from almondshore.mesh.hop import DurationMs
-from almondshore.mesh.model import Death, Rollout, Target
+from almondshore.mesh.model import Death, Evacuation, Rollout, Target
 
 # Number of removals that are kept; a follower that lacks older ones is sent the full state.
 MAX_REMOVED = 1000
@@ -27,6 +27,7 @@
     TARGET = "target"
     ROLLOUT = "rollout"
     DEATH = "death"
+    EVACUATION = "evacuation"
 
 
 ItemKey = tuple[StateKind, str]
@@ -112,6 +113,8 @@
     removed_rollouts: list[str]
     deaths: list[Death]
     removed_deaths: list[str]
+    evacuations: list[Evacuation] = []
+    removed_evacuations: list[str] = []
 
 
 encode_response = msgspec.msgpack.Encoder().encode
--- a/almondshore/mesh/dialect.py
+++ b/almondshore/mesh/dialect.py
@@ -41,9 +41,23 @@
     def time_left(self, request: Request) -> timedelta | None:
         """Return the time until the caller's deadline, or None if it states none."""
 
+    @abstractmethod
+    def keys(self, headers: Headers) -> frozenset[bytes]:
+        """Return the distinct tenant keys that a request carries."""
+
+    @abstractmethod
+    def without_keys(self, headers: Headers) -> Headers:
+        """Return the headers without tenant keys, and without a tenant that the caller names."""
+
     @abstractmethod
     def to_target(
-        self, headers: Headers, *, time_left: timedelta, target: str, caller: str
+        self,
+        headers: Headers,
+        *,
+        time_left: timedelta,
+        target: str,
+        caller: str,
+        tenant: str | None = None,
     ) -> Headers:
         """Return the headers of a request to a target.
 
@@ -51,6 +65,8 @@
         :param time_left: time until the request's deadline
         :param target: identity of the target
         :param caller: service that sent the request
+        :param tenant: tenant of the caller's key, empty without one; None if the configuration
+            has no tenants
         """
 
     @abstractmethod
--- a/almondshore/mesh/feeds.py
+++ b/almondshore/mesh/feeds.py
@@ -15,7 +15,13 @@
 from almondshore.mesh.outbound import Outbound
 from almondshore.mesh.peers import PeerClient, PeerSync
 from almondshore.mesh.replication import Replica, Sink
-from almondshore.mesh.state import ConfigSink, PeerSink, RolloutSink, TargetSink
+from almondshore.mesh.state import (
+    ConfigSink,
+    EvacuationSink,
+    PeerSink,
+    RolloutSink,
+    TargetSink,
+)
 from almondshore.mesh.store import Feed, MeshStore
 from almondshore.mesh.versions import VersionShares
 from almondshore.mesh.watching import Follower
@@ -27,6 +33,7 @@
 CONFIG_MAX_WAIT = timedelta(seconds=3)
 ROLLOUTS_MAX_WAIT = timedelta(seconds=4)
 DEATHS_MAX_WAIT = timedelta(seconds=4)
+EVACUATIONS_MAX_WAIT = timedelta(seconds=3)
 # The cheapest feed detects outages of the store; when the store responds again, the others call
 # it immediately. Even after a failed call and its retry, its state is recent enough for followers.
 TARGETS_MAX_WAIT = timedelta(milliseconds=800)
@@ -42,6 +49,7 @@
     :param node: address at which other nodes reach this one
     :param config_name: name of the stored item that holds the configuration
     :param first_start: whether all nodes of the deployment start for the first time
+    :param evacuates: whether zones of the deployment may be evacuated
     :ivar probe_replica: replica of the feed that is cheapest to call; it detects store outages
     :ivar server: serves changes to the nodes that follow this one
     """
@@ -62,11 +70,13 @@
         zone: str,
         config_name: str,
         first_start: bool = False,
+        evacuates: bool = False,
     ):
         self.clock = clock
         self.rng = rng
         self.rollouts = RolloutSink(shares=shares, changes=changes)
         self.crashes = CrashSink(guard=guard, changes=changes)
+        self.evacuations = EvacuationSink(changes=changes)
         config = ConfigSink(outbound=outbound, name=config_name, changes=changes)
         targets = TargetSink(directory=directory)
         self.probe_replica: Replica | None = None
@@ -86,11 +96,17 @@
             self._make_replica(store.rollouts, self.rollouts, ROLLOUTS_MAX_WAIT, timedelta()),
             self._make_replica(store.deaths, self.crashes, DEATHS_MAX_WAIT, timedelta()),
         )
+        if evacuates:
+            replica = self._make_replica(
+                store.evacuations, self.evacuations, EVACUATIONS_MAX_WAIT, timedelta()
+            )
+            self.replicas = (*self.replicas, replica)
         sink = PeerSink(
             config=config,
             directory=directory,
             rollouts=self.rollouts,
             crashes=self.crashes,
+            evacuations=self.evacuations,
             decode=store.decode_config,
         )
         self.peers = PeerSync(
@@ -119,6 +135,7 @@
             directory=directory,
             rollouts=self.rollouts,
             crashes=self.crashes,
+            evacuations=self.evacuations,
             age=self.follower.age,
         )
         self.greenlets: list[eventlet.greenthread.GreenThread] = []
--- a/almondshore/mesh/forwarding.py
+++ b/almondshore/mesh/forwarding.py
@@ -16,6 +16,7 @@
 from almondshore.mesh.inbound import Submission
 from almondshore.mesh.model import Address, Route, Target
 from almondshore.retries.retry_after import MIN_RETRY_AFTER, retry_after
+from almondshore.tenants.table import Tenant
 
 if TYPE_CHECKING:
     from almondshore.mesh.outbound import Outbound
@@ -62,13 +63,23 @@
     :ivar refusals: number of attempts that were refused
     :ivar failed_response: last response with a failure, returned if no attempt succeeds
     :ivar load_age: age of the load report by which the last target was chosen
+    :ivar tenant: tenant of the caller's key, None without one
     """
 
-    def __init__(self, *, outbound: "Outbound", exchange: Exchange, route: Route, service: str):
+    def __init__(
+        self,
+        *,
+        outbound: "Outbound",
+        exchange: Exchange,
+        route: Route,
+        service: str,
+        tenant: Tenant | None = None,
+    ):
         self.outbound = outbound
         self.exchange = exchange
         self.route = route
         self.service = service
+        self.tenant = tenant
         time_left = outbound.dialect.time_left(exchange.request)
         now = exchange.received_at
         caller_time_left = DEFAULT_DEADLINE if time_left is None else time_left
@@ -94,6 +105,13 @@
         )
         exchange.on_cancel = self.cancel
 
+    @property
+    def urgency(self) -> int:
+        """Return the priority of the tenant, or of the route; 0 is the most urgent."""
+        if self.tenant is not None and self.tenant.priority is not None:
+            return self.tenant.priority
+        return self.route.priority
+
     def send(self) -> None:
         """Send the request to the best remaining target, or fail it if there is none."""
         target = self.outbound.choose(self)
@@ -267,6 +285,7 @@
         elif self.runs:
             self._respond(self.outbound.dialect.error_response(502), reason)
         else:
+            self._return_token()
             self._respond(
                 self.outbound.dialect.error_response(
                     503, retry_after=self._retry_after_delay(reason)
@@ -274,6 +293,11 @@
                 reason,
             )
 
+    def _return_token(self) -> None:
+        """Return the token of a request that has not run to its tenant's quota."""
+        if self.tenant is not None and self.tenant.rate_per_s:
+            self.outbound.quota.give_back(self.tenant)
+
     def _retry_after_delay(self, reason: str) -> timedelta:
         """Return the time, with jitter, after which the caller should retry."""
         now = self.outbound.clock.monotonic()
@@ -326,7 +350,8 @@
             "caller_request",
             request=self._request_id(),
             route=self.route.name,
-            priority=self.route.priority,
+            priority=self.urgency,
+            **({"tenant": self.tenant.name} if self.tenant is not None else {}),
             peer=self.exchange.connection.peer,
             service=self.service,
             config=self.outbound.config_version(),
--- a/almondshore/mesh/hop.py
+++ b/almondshore/mesh/hop.py
@@ -67,6 +67,8 @@
     :ivar deadline_ms: time left until the deadline, after which a response is useless
     :ivar rate_limit: last rate limit that the target's node reported, None for none: a node that
         has started again does not know it
+    :ivar tenant: tenant of the caller's key, empty without one; None if the configuration has no
+        tenants
     """
 
     route: Name
@@ -79,6 +81,7 @@
     objective_ms: DurationMs
     deadline_ms: DurationMs
     rate_limit: Rate | None = None
+    tenant: Name | None = None
 
 
 class HopReport(NamedTuple):
@@ -92,6 +95,7 @@
     :ivar rate_limit: requests per second that the target takes from all nodes, None for no limit
     :ivar rate_wait_ms: time after which that limit allows another request
     :ivar target_leaving: whether the target has said or announced that it leaves
+    :ivar work_ms: expected time until the target has ended all requests that it runs and that wait
     """
 
     outcome: Outcome
@@ -107,6 +111,7 @@
     rate_limit: Rate | None = None
     rate_wait_ms: DurationMs = 0
     target_leaving: bool = False
+    work_ms: DurationMs = 0
 
     def load(self) -> LoadReport:
         """Return the load of the target."""
--- a/almondshore/mesh/inbound.py
+++ b/almondshore/mesh/inbound.py
@@ -182,6 +182,7 @@
             time_left=time_left,
             target=submission.target,
             caller=hop_terms.caller,
+            tenant=hop_terms.tenant,
         )
         request_id = self.dialect.request_id(headers)
         needs_fresh_connection = not hop_terms.idempotent or submission.resent
--- a/almondshore/mesh/model.py
+++ b/almondshore/mesh/model.py
@@ -3,10 +3,12 @@
 from collections.abc import Iterable, Mapping
 from datetime import timedelta
 from enum import StrEnum
+from types import MappingProxyType
 from typing import NamedTuple
 
 from almondshore.core.messages import CrashDeath
 from almondshore.http.server import ServerLimits
+from almondshore.tenants.table import TenantTable
 
 Address = tuple[str, int]
 
@@ -24,12 +26,14 @@
 class RouteKind(StrEnum):
     """What a route's requests are, which decides how they are retried.
 
-    ``DOWNLOAD``: idempotent requests with large responses.
+    ``DOWNLOAD``: idempotent requests with large responses. ``UPLOAD``: requests with large bodies
+    that are not idempotent.
     """
 
     IDEMPOTENT = "idempotent"
     ONCE = "once"
     DOWNLOAD = "download"
+    UPLOAD = "upload"
 
 
 class Route(NamedTuple):
@@ -39,6 +43,7 @@
     :ivar objective: latency objective, the time within which a response counts as on time
     :ivar priority: 0 is the most urgent
     :ivar max_attempts: how many times one request may run at most
+    :ivar public: whether its requests need no key where the configuration has tenants
     """
 
     name: str
@@ -50,11 +55,12 @@
     priority: int
     shares: tuple[Share, ...]
     max_attempts: int
+    public: bool = False
 
     @property
     def idempotent(self) -> bool:
         """Return whether a request may run more than once."""
-        return self.kind is not RouteKind.ONCE
+        return self.kind not in (RouteKind.ONCE, RouteKind.UPLOAD)
 
 
 class RouteTable:
@@ -89,12 +95,29 @@
         return None
 
 
+class WarmupLimit(NamedTuple):
+    """What the targets of a service bear while they are cold.
+
+    :ivar time: how long a target is cold after its start
+    :ivar rate_per_s: requests per second that a cold target bears
+    """
+
+    time: timedelta
+    rate_per_s: float
+
+
+NO_WARMUPS: Mapping[str, WarmupLimit] = MappingProxyType({})
+
+
 class MeshConfig(NamedTuple):
     """A version of the configuration, applied atomically.
 
     :ivar version: increases with each change by the operator
     :ivar health_paths: paths of the targets' health checks by service, for those that have one
-    :ivar compressed: the stored configuration, compressed, for nodes that do not read the store
+    :ivar compressed: the stored configuration, compressed, for nodes that do not read the store; it
+        contains digests in place of keys
+    :ivar tenants: tenants and their keys, None if requests need no keys
+    :ivar warmups: limits of cold targets by service, for services that state one
     """
 
     version: int
@@ -102,6 +125,8 @@
     health_paths: Mapping[str, str]
     limits: ServerLimits
     compressed: bytes
+    tenants: TenantTable | None = None
+    warmups: Mapping[str, WarmupLimit] = NO_WARMUPS
 
 
 class TargetState(StrEnum):
@@ -200,6 +225,16 @@
     rate_wait: timedelta = timedelta()
 
 
+class Evacuation(NamedTuple):
+    """An order to send no more requests to the targets of a zone.
+
+    :ivar revision: revision of the stored order
+    """
+
+    zone: str
+    revision: int
+
+
 class Death(NamedTuple):
     """Death of a target, and the requests that it was running.
 
--- a/almondshore/mesh/node.py
+++ b/almondshore/mesh/node.py
@@ -199,7 +199,9 @@
             zone=settings.zone,
             config_name=config_name,
             first_start=settings.first_start,
+            evacuates=settings.bounds.evacuation is not None,
         )
+        self.outbound.config_age = self.feeds.follower.age
         handover = RolloutHandover(rng=rng, client=client, store=store)
         internal.handlers = {CHANGES_PATH: self.feeds.server, HANDOVER_PATH: handover}
         self.driver = RolloutDriver(
--- a/almondshore/mesh/outbound.py
+++ b/almondshore/mesh/outbound.py
@@ -29,11 +29,14 @@
 from almondshore.mesh.model import Address, MeshConfig, Route, Target
 from almondshore.mesh.overload import OverloadRefusals
 from almondshore.mesh.versions import VersionShares
+from almondshore.quotas.port import Granted, Limited, QuotaClient, UnlimitedQuota
 from almondshore.retries.budget import RetryBudget
 from almondshore.retries.crash import CrashGuard
 from almondshore.retries.retry_after import NO_TARGET_RETRY_AFTER
 from almondshore.routing.completion import CompletionChooser
 from almondshore.routing.weights import pick_weighted
+from almondshore.tenants.access import Denied, decide_access
+from almondshore.tenants.table import Tenant
 
 # A target that refused a route as overloaded gets no requests of that route for this long: the
 # first time applies to new requests, the second to requests that were already refused once. With
@@ -61,6 +64,9 @@
     :param observe: records the route, status and duration of a finished request
     :ivar suspect: called with the address of a node whose response is overdue
     :ivar closed: whether new requests are refused because the process is about to exit
+    :ivar config_age: returns how long ago the configuration was known to be the newest
+    :ivar quota: grants the requests of tenants
+    :ivar is_evacuated: returns whether a zone's targets must get no more requests
     """
 
     def __init__(
@@ -99,6 +105,9 @@
         self.closed = False
         self.elapsed = ElapsedEstimator(clock=clock)
         self.overload_refusals = OverloadRefusals(clock=clock)
+        self.config_age: Callable[[], timedelta] = timedelta
+        self.quota: QuotaClient = UnlimitedQuota()
+        self.is_evacuated: Callable[[str], bool] = lambda _zone: False
         self.suspect: Callable[[Address], None] = lambda _node: None
         self.active: set[ForwardedRequest] = set()
 
@@ -128,11 +137,44 @@
         if self._is_quarantined(request):
             self._reject(exchange, 503, "crashes-targets")
             return
+        if self.config.tenants is None:
+            self._forward(exchange, route, None)
+            return
+        access = decide_access(
+            self.config.tenants,
+            self.dialect.keys(request.headers),
+            public=route.public,
+            config_age=self.config_age(),
+        )
+        if isinstance(access, Denied):
+            self._reject(exchange, access.status, access.reason)
+            return
+        tenant = access.tenant
+        if tenant is None or not tenant.rate_per_s:
+            self._forward(exchange, route, tenant)
+            return
+        self.quota.take(tenant, lambda decision: self._on_quota(exchange, route, tenant, decision))
+
+    def _on_quota(
+        self, exchange: Exchange, route: Route, tenant: Tenant, decision: Granted | Limited
+    ) -> None:
+        if exchange.cancelled:
+            if isinstance(decision, Granted):
+                self.quota.give_back(tenant)
+        elif isinstance(decision, Limited):
+            self._reject(
+                exchange, 429, "over-quota", tenant=tenant.name, retry_after=decision.retry_after
+            )
+        else:
+            self._forward(exchange, route, tenant)
+
+    def _forward(self, exchange: Exchange, route: Route, tenant: Tenant | None) -> None:
         forwarded = ForwardedRequest(
             outbound=self,
             exchange=exchange,
             route=route,
             service=pick_weighted(self.rng, route.shares),
+            tenant=tenant,
         )
         self.active.add(forwarded)
         self.budget.deposit(forwarded.service)
@@ -209,15 +251,19 @@
             version=target.version,
             caller=self.caller(),
             idempotent=route.idempotent,
-            urgency=route.priority,
+            urgency=forwarded.urgency,
             objective_ms=int((forwarded.objective_at - now) / MILLISECOND),
             deadline_ms=int((forwarded.deadline_at - now) / MILLISECOND),
             rate_limit=self.chooser.rate_limit(target.target),
+            tenant=self._tenant_term(forwarded),
         )
         request = forwarded.exchange.request
         if target.node == self.node:
             return self.inbound.submit(request, terms, on_result)
-        headers = (*end_to_end(request.headers, without=HOP_HEADERS), encode_terms(terms))
+        headers = end_to_end(request.headers, without=HOP_HEADERS)
+        if terms.tenant is not None:
+            headers = self.dialect.without_keys(headers)
+        headers = (*headers, encode_terms(terms))
         return self.pool.call(
             target.node,
             encode_request_head(
@@ -229,6 +275,11 @@
             head=request.method == b"HEAD",
         )
 
+    def _tenant_term(self, forwarded: ForwardedRequest) -> str | None:
+        if forwarded.tenant is not None:
+            return forwarded.tenant.name
+        return None if self.config.tenants is None else ""
+
     def record_result(self, forwarded: ForwardedRequest, target: Target, result: HopResult) -> None:
         """Update the state of the target and its node from the result of an attempt."""
         report = result.report
@@ -264,8 +315,17 @@
             return False
         return self.guard.check(request_fingerprint(request, self.caller())) is not None
 
-    def _reject(self, exchange: Exchange, status: int, reason: str) -> None:
-        retry_after = NO_TARGET_RETRY_AFTER if status == 503 else None
+    def _reject(
+        self,
+        exchange: Exchange,
+        status: int,
+        reason: str,
+        *,
+        tenant: str = "",
+        retry_after: timedelta | None = None,
+    ) -> None:
+        if status == 503:
+            retry_after = NO_TARGET_RETRY_AFTER
         exchange.respond(self.dialect.error_response(status, retry_after=retry_after))
         log_event(
             "caller_request_rejected",
@@ -273,6 +333,7 @@
             status=status,
             reason=reason,
             config=self.config_version(),
+            **({"tenant": tenant} if tenant else {}),
         )
 
 
--- a/almondshore/mesh/settings.py
+++ b/almondshore/mesh/settings.py
@@ -21,6 +21,30 @@
 from almondshore.mesh.rollout import ExposureBound
 
 
+class QuotaBound(NamedTuple):
+    """Requests of a tenant that may run in a time window beyond its quota.
+
+    :ivar window: length of the window
+    :ivar overage: share of the quota
+    :ivar slack: number of requests
+    """
+
+    window: timedelta = timedelta(seconds=5)
+    overage: float = 0.1
+    slack: float = 20.0
+
+
+class WarmupBound(NamedTuple):
+    """Requests that a cold target may get in a second.
+
+    :ivar factor: multiple of the rate that it bears
+    :ivar slack: number of requests beyond that
+    """
+
+    factor: float = 1.5
+    slack: float = 8.0
+
+
 class Bounds(NamedTuple):
     """Bounds that the operator of the deployment sets.
 
@@ -30,6 +54,10 @@
     :ivar retry_window: time window in which retries are counted
     :ivar retry_floor: retries that are always allowed in a window, for all nodes together
     :ivar exposure: requests that a faulty version may get in its rollout
+    :ivar evacuation: longest time until an evacuated zone gets no more requests, None where zones
+        are not evacuated
+    :ivar quota: how far a tenant may exceed its quota
+    :ivar warmup: how far cold targets may be loaded beyond the rate that they bear
     """
 
     drain: timedelta
@@ -38,6 +66,9 @@
     retry_window: timedelta
     retry_floor: int
     exposure: ExposureBound = ExposureBound()
+    evacuation: timedelta | None = None
+    quota: QuotaBound = QuotaBound()
+    warmup: WarmupBound = WarmupBound()
 
 
 class MeshSettings(NamedTuple):
--- a/almondshore/mesh/state.py
+++ b/almondshore/mesh/state.py
@@ -6,7 +6,7 @@
 from almondshore.mesh.changes import ChangeLog, ChangeResponse, StateKind, decompress_config
 from almondshore.mesh.crashes import CrashSink
 from almondshore.mesh.directory import Directory
-from almondshore.mesh.model import Death, MeshConfig, Rollout, Target
+from almondshore.mesh.model import Death, Evacuation, MeshConfig, Rollout, Target
 from almondshore.mesh.outbound import Outbound
 from almondshore.mesh.replication import Sink
 from almondshore.mesh.versions import VersionShares
@@ -124,6 +124,44 @@
         self.on_change(rollout)
 
 
+class EvacuationSink(Sink[Evacuation]):
+    """Keeps the evacuated zones.
+
+    :ivar by_zone: order to evacuate each zone that is evacuated
+    :ivar on_change: called after the set of evacuated zones has changed
+    """
+
+    def __init__(self, *, changes: ChangeLog | None = None):
+        self.changes = changes or ChangeLog()
+        self.by_zone: dict[str, Evacuation] = {}
+        self.on_change: Callable[[], None] = lambda: None
+
+    def is_evacuated(self, zone: str) -> bool:
+        """Return whether the targets of a zone must get no more requests."""
+        return zone in self.by_zone
+
+    def replace(self, items: Mapping[str, Evacuation]) -> bool:
+        """Replace all evacuations; returns whether any changed."""
+        before = dict(self.by_zone)
+        missing: dict[str, Evacuation | None] = dict.fromkeys(before.keys() - items.keys())
+        self.update(missing | dict(items))
+        return self.by_zone != before
+
+    def update(self, items: Mapping[str, Evacuation | None]) -> None:
+        """Apply new evacuations, and remove those that are None."""
+        before = dict(self.by_zone)
+        for zone, evacuation in items.items():
+            if evacuation is None:
+                if self.by_zone.pop(zone, None) is not None:
+                    self.changes.record_removal(StateKind.EVACUATION, zone)
+            elif self.by_zone.get(zone) != evacuation:
+                self.by_zone[zone] = evacuation
+                self.changes.record_change(StateKind.EVACUATION, zone)
+        if self.by_zone.keys() != before.keys():
+            log_event("zones_evacuated", zones=",".join(sorted(self.by_zone)) or "none")
+            self.on_change()
+
+
 class PeerSink:
     """Applies the state that other nodes send.
 
@@ -137,12 +175,14 @@
         directory: Directory,
         rollouts: RolloutSink,
         crashes: CrashSink,
+        evacuations: EvacuationSink,
         decode: Callable[[bytes], MeshConfig | None],
     ):
         self.config = config
         self.directory = directory
         self.rollouts = rollouts
         self.crashes = crashes
+        self.evacuations = evacuations
         self.decode = decode
 
     def config_version(self) -> int:
@@ -177,3 +217,9 @@
             self.crashes.replace(deaths)
         else:
             self.crashes.update(deaths | dict.fromkeys(response.removed_deaths if remove else ()))
+        evacuations = {item.zone: item for item in response.evacuations}
+        if remove and response.whole:
+            self.evacuations.replace(evacuations)
+        else:
+            gone = dict.fromkeys(response.removed_evacuations if remove else ())
+            self.evacuations.update(evacuations | gone)
--- a/almondshore/mesh/store.py
+++ b/almondshore/mesh/store.py
@@ -7,7 +7,7 @@
 
 from returns.result import Result
 
-from almondshore.mesh.model import Address, Death, MeshConfig, Rollout, Target
+from almondshore.mesh.model import Address, Death, Evacuation, MeshConfig, Rollout, Target
 from almondshore.storage.port import NotFound, RateLimited, Unavailable
 
 T = TypeVar("T")
@@ -75,6 +75,7 @@
     targets: Feed[Target]
     rollouts: Feed[Rollout]
     deaths: Feed[Death]
+    evacuations: Feed[Evacuation]
 
     @abstractmethod
     def set_address(self, address: Address) -> None:
--- a/almondshore/platform/bounds.py
+++ b/almondshore/platform/bounds.py
@@ -1,11 +1,13 @@
 """Decoding of the bounds that the platform sets for its deployments."""
 
 from almondshore.mesh.rollout import ExposureBound
-from almondshore.mesh.settings import Bounds
+from almondshore.mesh.settings import Bounds, QuotaBound, WarmupBound
 from almondshore.platform.durations import from_seconds
 
 # Deployments without rollouts do not set the bound.
 DEFAULT_EXPOSURE = ExposureBound()
+DEFAULT_QUOTA = QuotaBound()
+DEFAULT_WARMUP = WarmupBound()
 
 
 def decode_bounds(text: str) -> Bounds:
@@ -36,4 +38,14 @@
             share=number("exposure_share", DEFAULT_EXPOSURE.share),
             slack=int(number("exposure_slack", DEFAULT_EXPOSURE.slack)),
         ),
+        evacuation=from_seconds(number("evacuate_s")) if "evacuate_s" in pairs else None,
+        quota=QuotaBound(
+            window=from_seconds(number("quota_window_s", DEFAULT_QUOTA.window.total_seconds())),
+            overage=number("quota_overage", DEFAULT_QUOTA.overage),
+            slack=number("quota_slack", DEFAULT_QUOTA.slack),
+        ),
+        warmup=WarmupBound(
+            factor=number("warmup_overage", DEFAULT_WARMUP.factor),
+            slack=number("warmup_slack", DEFAULT_WARMUP.slack),
+        ),
     )
--- a/almondshore/platform/dialect.py
+++ b/almondshore/platform/dialect.py
@@ -20,6 +20,10 @@
 _TIME_LEFT = names.TIME_LEFT.lower()
 _RATE_LIMIT = names.RATE_LIMIT.lower()
 _LEAVING = names.LEAVING.lower()
+_TENANT = names.TENANT.lower()
+_KEY = names.KEY.lower()
+# A scheme, followed by credentials.
+_AUTHORIZATION = re.compile(rb"([!#$%&'*+.^_`|~0-9A-Za-z-]+)[ \t]+(\S.*)", re.DOTALL)
 _DECIMAL = re.compile(rb"[0-9]{1,9}(\.[0-9]{0,9})?")
 # Statuses that tell the platform's callers that the request has not run, so they may repeat it.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
@@ -44,14 +48,44 @@
             return None
         return timedelta(milliseconds=int(whole))
 
+    def keys(self, headers: Headers) -> frozenset[bytes]:
+        """Return the distinct keys that the Authorization headers of a request carry."""
+        return frozenset(
+            key
+            for name, value in headers
+            if name.lower() == _KEY and (key := _read_key(value)) is not None
+        )
+
+    def without_keys(self, headers: Headers) -> Headers:
+        """Return the headers without keys, and without a tenant that the caller names.
+
+        Authorization headers of other schemes concern the target and are kept.
+        """
+        return tuple(
+            (name, value)
+            for name, value in headers
+            if name.lower() != _TENANT and (name.lower() != _KEY or _is_other_scheme(value))
+        )
+
     def to_target(
-        self, headers: Headers, *, time_left: timedelta, target: str, caller: str
+        self,
+        headers: Headers,
+        *,
+        time_left: timedelta,
+        target: str,
+        caller: str,
+        tenant: str | None = None,
     ) -> Headers:
         """Return the headers of a request to a target.
 
-        The deadline, expected target and caller that the caller's request states are replaced.
+        The deadline, expected target and caller that the caller's request states are replaced, and
+        the tenant if the configuration has tenants.
         """
+        if tenant is not None:
+            headers = self.without_keys(headers)
         kept = tuple(pair for pair in headers if pair[0].lower() not in _REPLACED_HEADERS)
+        if tenant:
+            kept = (*kept, (names.TENANT, tenant.encode()))
         left_ms = max(1, int(time_left / timedelta(milliseconds=1)))
         return (
             *kept,
@@ -117,6 +151,18 @@
         return Response(status, ((names.RETRY_AFTER, seconds),))
 
 
+def _read_key(value: bytes) -> bytes | None:
+    """Return the key of an Authorization header, None if it has another scheme or is malformed."""
+    match = _AUTHORIZATION.fullmatch(value.strip())
+    return match[2] if match is not None and match[1].lower() == names.KEY_SCHEME else None
+
+
+def _is_other_scheme(value: bytes) -> bool:
+    """Return whether an Authorization header has a scheme other than that of keys."""
+    match = _AUTHORIZATION.fullmatch(value.strip())
+    return match is not None and match[1].lower() != names.KEY_SCHEME
+
+
 def _decode_rate(value: bytes | None) -> float | None:
     """Return a rate in requests per second, None if it is missing or malformed."""
     if value is None:
--- a/almondshore/platform/documents.py
+++ b/almondshore/platform/documents.py
@@ -16,6 +16,7 @@
 from almondshore.mesh.model import (
     Address,
     Death,
+    Evacuation,
     MeshConfig,
     Rollout,
     RolloutState,
@@ -25,8 +26,10 @@
     Share,
     Target,
     TargetState,
+    WarmupLimit,
 )
 from almondshore.platform.durations import from_seconds
+from almondshore.tenants.table import Tenant, TenantTable, digest_key
 
 _ROLLOUT_STATES = {
     "running": RolloutState.RUNNING,
@@ -37,6 +40,7 @@
     "idempotent": RouteKind.IDEMPOTENT,
     "non_idempotent": RouteKind.ONCE,
     "download": RouteKind.DOWNLOAD,
+    "upload": RouteKind.UPLOAD,
 }
 NO_ROUTES: Mapping[str, Route] = MappingProxyType({})
 _ROLLOUT_STATE_NAMES = {state: name for name, state in _ROLLOUT_STATES.items()}
@@ -74,12 +78,27 @@
     service: str = ""
     # Despite its name it lists services, not clusters.
     weighted_clusters: list[SplitDocument] = []
+    public: bool = False
 
 
 class ServiceDocument(msgspec.Struct):
     """A service as the operator writes it."""
 
     health_path: str | None = None
+    warmup_s: float = 0.0
+    warmup_per_s: float = 0.0
+
+
+class TenantDocument(msgspec.Struct):
+    """A tenant as :func:`replace_keys` leaves it.
+
+    :ivar key_digests: hexadecimal digests of its keys
+    """
+
+    key_digests: list[str] = []
+    priority: int | None = None
+    rate_per_s: float | None = None
+    burst: float | None = None
 
 
 class LimitsDocument(msgspec.Struct):
@@ -100,6 +119,7 @@
     routes: dict[str, msgspec.Raw]
     services: dict[str, ServiceDocument]
     limits: LimitsDocument
+    tenants: dict[str, TenantDocument] | None = None
 
 
 class RolloutOrder(msgspec.Struct):
@@ -197,8 +217,26 @@
     )
 
 
+def replace_keys(raw: bytes | msgspec.Raw) -> bytes | msgspec.Raw:
+    """Return a configuration as the operator writes it, with digests in place of the tenants' keys.
+
+    A configuration without tenants is returned as it is.
+
+    :raises msgspec.MsgspecError: if it is malformed
+    """
+    members = decode_json(raw, dict[str, msgspec.Raw])
+    if "tenants" not in members:
+        return raw
+    tenants = decode_json(members["tenants"], dict[str, dict[str, Any]] | None) or {}
+    for tenant in tenants.values():
+        keys = msgspec.convert(tenant.pop("api_keys", []), list[str])
+        tenant["key_digests"] = [digest_key(key.encode()).hex() for key in keys]
+    members["tenants"] = msgspec.Raw(msgspec.json.encode(tenants))
+    return msgspec.json.encode(members)
+
+
 def decode_config(raw: bytes | msgspec.Raw, known: Mapping[str, Route] = NO_ROUTES) -> MeshConfig:
-    """Decode a configuration; its compressed form is left empty.
+    """Decode a configuration with digests in place of keys; its compressed form is left empty.
 
     :param known: routes of an earlier version by name; equal ones are used again
     :raises msgspec.MsgspecError: if it is malformed
@@ -229,6 +267,12 @@
             from_seconds(limits.idle_timeout_s),
         ),
         compressed=b"",
+        tenants=None if document.tenants is None else _to_tenants(document.tenants),
+        warmups={
+            name: WarmupLimit(from_seconds(service.warmup_s), service.warmup_per_s)
+            for name, service in document.services.items()
+            if service.warmup_per_s > 0
+        },
     )
 
 
@@ -323,4 +367,26 @@
         priority=route.priority,
         shares=values[shares or (Share(route.service, 1.0),)],
         max_attempts=max(1, route.max_attempts),
+        public=route.public,
+    )
+
+
+def _to_tenants(documents: Mapping[str, TenantDocument]) -> TenantTable:
+    """Convert the tenants of a configuration.
+
+    :raises ValueError: if a digest is malformed
+    """
+    return TenantTable(
+        holders=(
+            (
+                Tenant(name, document.priority, document.rate_per_s or 0.0, document.burst or 0.0),
+                [bytes.fromhex(digest) for digest in document.key_digests],
+            )
+            for name, document in documents.items()
+        )
     )
+
+
+def decode_evacuation(name: str, revision: int) -> Evacuation:
+    """Decode an order to evacuate a zone, whose name is that of the zone."""
+    return Evacuation(name, revision)
--- a/almondshore/platform/names.py
+++ b/almondshore/platform/names.py
@@ -13,6 +13,11 @@
 # Its value is 1 in the responses of a target that leaves.
 LEAVING = b"Server-Leaving"
 CALLER = b"Caller-Service"
+# The tenant that holds the caller's key, set by the node.
+TENANT = b"Tenant"
+KEY = b"Authorization"
+# Scheme of a key in that header.
+KEY_SCHEME = b"token"
 
 HEARTBEAT_PATH = "/Instances.Heartbeat/"
 DEREGISTER_PATH = "/Instances.Deregister/"
@@ -21,6 +26,7 @@
 CONFIG_KIND = "config"
 CONFIG_NAME = "main"
 ROLLOUT_KIND = "rollouts"
+EVACUATION_KIND = "evacuations"
 # Kinds that almondshore defines; the others belong to the operator.
 TARGET_KIND = "almondshore-targets"
 DEATH_KIND = "almondshore-deaths"
--- a/almondshore/platform/objects.py
+++ b/almondshore/platform/objects.py
@@ -16,7 +16,7 @@
 from almondshore.http.client import Address, CallResult, ConnectionPool
 from almondshore.http.messages import Response, encode_request
 from almondshore.mesh.changes import compress_config
-from almondshore.mesh.model import Death, MeshConfig, Rollout, Route, Target
+from almondshore.mesh.model import Death, Evacuation, MeshConfig, Rollout, Route, Target
 from almondshore.mesh.store import (
     Changed,
     Changes,
@@ -224,6 +224,9 @@
         self.deaths = ObjectFeed(
             client=client, kind=names.DEATH_KIND, decode=_death_item, allow_stale=True
         )
+        self.evacuations = ObjectFeed(
+            client=client, kind=names.EVACUATION_KIND, decode=_evacuation_item
+        )
 
     def set_address(self, address: Address) -> None:
         """Use the store at another address for all further calls."""
@@ -283,8 +286,9 @@
 
     def _config_item(self, raw: msgspec.Raw) -> tuple[str, MeshConfig]:
         stored = decode_json(raw, RawSpec)
-        config = self._decode_config(stored.spec)
-        return stored.metadata.name, config._replace(compressed=compress_config(stored.spec))
+        spec = documents.replace_keys(stored.spec)
+        config = self._decode_config(spec)
+        return stored.metadata.name, config._replace(compressed=compress_config(spec))
 
     def _decode_config(self, raw: bytes | msgspec.Raw) -> MeshConfig:
         config = documents.decode_config(raw, self.routes)
@@ -312,6 +316,11 @@
     return stored.metadata.name, documents.decode_death(stored.metadata.name, stored.spec)
 
 
+def _evacuation_item(raw: msgspec.Raw) -> tuple[str, Evacuation]:
+    metadata = decode_json(raw, Object).metadata
+    return metadata.name, documents.decode_evacuation(metadata.name, metadata.revision)
+
+
 def _object_path(kind: str, name: str) -> str:
     return f"{names.OBJECTS_PATH}{kind}/{quote(name, safe='')}"
 
--- /dev/null
+++ b/almondshore/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Quotas of tenants, enforced over all nodes."""
--- /dev/null
+++ b/almondshore/tenants/__init__.py
@@ -0,0 +1,1 @@
+"""Tenants: their keys, and which requests they may send."""
--- a/test/mesh/test_peers.py
+++ b/test/mesh/test_peers.py
@@ -9,7 +9,7 @@
 from almondshore.mesh.crashes import CrashSink
 from almondshore.mesh.model import Rollout, RolloutState
 from almondshore.mesh.peers import PeerSync
-from almondshore.mesh.state import ConfigSink, PeerSink, RolloutSink
+from almondshore.mesh.state import ConfigSink, EvacuationSink, PeerSink, RolloutSink
 from test.mesh.fakes import OWN_NODE, RequestPathHarness
 from test.mesh.samples import config, target
 
@@ -49,6 +49,7 @@
                 config=ConfigSink(outbound=self.harness.outbound, name="main"),
                 directory=self.harness.directory,
                 rollouts=RolloutSink(shares=self.harness.shares),
+                evacuations=EvacuationSink(),
                 decode=lambda raw: config(version=7, raw=raw),
             ),
             node=OWN_NODE,
--- a/test/mesh/test_watching.py
+++ b/test/mesh/test_watching.py
@@ -14,7 +14,7 @@
 from almondshore.mesh.crashes import CrashSink
 from almondshore.mesh.directory import Directory
 from almondshore.mesh.model import Death
-from almondshore.mesh.state import ConfigSink, PeerSink, RolloutSink
+from almondshore.mesh.state import ConfigSink, EvacuationSink, PeerSink, RolloutSink
 from almondshore.mesh.watching import (
     FIRST_START_SETTLE_TIME,
     MIN_WATCHERS,
@@ -81,6 +81,7 @@
         self.config = ConfigSink(outbound=self.harness.outbound, name="main", changes=self.changes)
         self.rollouts = RolloutSink(shares=self.harness.shares, changes=self.changes)
         self.crashes = CrashSink(guard=self.harness.guard, changes=self.changes)
+        self.evacuations = EvacuationSink(changes=self.changes)
         self.age = timedelta()
         self.server = ChangeServer(
             changes=self.changes,
@@ -88,6 +89,7 @@
             directory=self.directory,
             rollouts=self.rollouts,
             crashes=self.crashes,
+            evacuations=self.evacuations,
             age=lambda: self.age,
         )
 
@@ -126,6 +128,7 @@
             directory=self.harness.directory,
             rollouts=RolloutSink(shares=self.harness.shares),
             crashes=CrashSink(guard=self.harness.guard),
+            evacuations=EvacuationSink(),
             decode=lambda raw: config(version=int(raw), raw=raw),
         )
         self.follower = self.make(LOCAL_NODE)
--- a/test/platform/test_documents.py
+++ b/test/platform/test_documents.py
@@ -9,6 +9,7 @@
 from almondshore.platform import documents
 from almondshore.platform.announcements import decode_heartbeat
 from almondshore.platform.bounds import decode_bounds
+from almondshore.tenants.table import Tenant
 from test.mesh.samples import target
 
 ROUTE = {
@@ -68,6 +69,7 @@
             "idempotent": (RouteKind.IDEMPOTENT, True),
             "non_idempotent": (RouteKind.ONCE, False),
             "download": (RouteKind.DOWNLOAD, True),
+            "upload": (RouteKind.UPLOAD, False),
             "unheard-of": (RouteKind.ONCE, False),
         }
         for name, expected in kinds.items():
@@ -76,6 +78,23 @@
             route = documents.decode_config(raw).routes.match("h.example", "/a/")
             self.assertEqual(expected, (route.kind, route.idempotent))
 
+    def test_keys_of_tenants_are_replaced_by_digests(self):
+        """Guards against keys in the configuration that nodes keep and pass on."""
+        tenant = {"api_keys": ["key-1", "key-2"], "priority": 2, "rate_per_s": 3, "burst": 4}
+        raw = msgspec.json.encode({**CONFIG, "tenants": {"alice": tenant, "bob": {}}})
+        replaced = documents.replace_keys(raw)
+        self.assertNotIn(b"key-1", replaced)
+        decoded = documents.decode_config(replaced)
+        self.assertEqual(Tenant("alice", 2, 3.0, 4.0), decoded.tenants.find(b"key-2"))
+        self.assertEqual(Tenant("bob"), decoded.tenants.by_name["bob"])
+        self.assertIsNone(decoded.tenants.find(b"key-3"))
+
+    def test_configuration_without_tenants_is_unchanged(self):
+        """Guards against a cost for deployments that have no tenants."""
+        raw = msgspec.json.encode(CONFIG)
+        self.assertIs(raw, documents.replace_keys(raw))
+        self.assertIsNone(documents.decode_config(raw).tenants)
+
     def test_equal_values_and_unchanged_routes_are_shared(self):
         """Guards against memory that grows by a copy of all routes with each new version.
 
