--- a/almondshore/limits/objective.py
+++ b/almondshore/limits/objective.py
@@ -63,6 +63,16 @@
     deadline_at: timedelta
 
 
+class Refused(NamedTuple):
+    """A request would not be started.
+
+    :ivar retry_after: time after which a retry may succeed
+    """
+
+    reason: Refusal
+    retry_after: timedelta
+
+
 class Job(ABC):
     """A request that needs a slot."""
 
@@ -174,38 +184,45 @@
         ``Job.start`` or ``Job.refuse`` may be called before this returns.
         """
         now = self.clock.monotonic()
-        if self.closed:
-            job.refuse(Refusal.DRAINING, MIN_RETRY_AFTER)
+        verdict = self.judge(job.terms)
+        if isinstance(verdict, Refused):
+            job.refuse(verdict.reason, verdict.retry_after)
             return
-        if not self._can_meet_deadline(job, now):
-            job.refuse(Refusal.TOO_LATE, self._retry_after(now))
-            return
-        if len(self.running) < self.slots and not self.waiting and self.rate_limit.take():
+        if self._has_free_slot() and self.rate_limit.take():
             self._start(job, now)
             return
-        ahead = self._ahead_of(job, now)
-        rate_wait = self.rate_limit.wait(len(ahead))
-        service_time = self.times.expected(job.terms.route)
-        if now + rate_wait + service_time > job.terms.objective_at and rate_wait:
-            # Nothing frees room earlier: the limit holds whatever becomes of other requests.
-            job.refuse(Refusal.RATE_LIMITED, self.rate_limit.wait(len(self.waiting)))
-            return
-        expected_wait = max(rate_wait, self.expected_wait(ahead, now))
-        wait = expected_wait * self.waits.ratio
-        late = now + wait + service_time > job.terms.objective_at
-        too_late = now + wait + service_time > job.terms.deadline_at
-        if too_late or (late and self._exceeds_late_limit(len(ahead))):
-            job.refuse(Refusal.OVERLOADED, self._retry_after(now))
-            return
         self.waiting.append(job)
-        self.waits.begin(job, now, expected_wait)
+        self.waits.begin(job, now, verdict)
         if len(self.waiting) > MAX_QUEUED_PER_SLOT * self.slots:
-            last_in_order = max(self.waiting, key=lambda item: self._rank(item, now))
+            last_in_order = max(self.waiting, key=lambda item: self._rank(item.terms, now))
             self.waiting.remove(last_in_order)
             self.waits.drop(last_in_order)
             last_in_order.refuse(Refusal.OVERLOADED, self._retry_after(now))
         self._schedule_dispatch(now)
 
+    def judge(self, terms: Terms) -> "timedelta | Refused":
+        """Return the expected wait of a request that is offered now, or why it would be refused."""
+        now = self.clock.monotonic()
+        if self.closed:
+            return Refused(Refusal.DRAINING, MIN_RETRY_AFTER)
+        if not self._can_meet_deadline(terms, now):
+            return Refused(Refusal.TOO_LATE, self._retry_after(now))
+        if self._has_free_slot() and self.rate_limit.wait() <= ZERO:
+            return ZERO
+        ahead = self._ahead_of(terms, now)
+        rate_wait = self.rate_limit.wait(len(ahead))
+        service_time = self.times.expected(terms.route)
+        if now + rate_wait + service_time > terms.objective_at and rate_wait:
+            # Nothing frees room earlier: the limit holds whatever becomes of other requests.
+            return Refused(Refusal.RATE_LIMITED, self.rate_limit.wait(len(self.waiting)))
+        expected_wait = max(rate_wait, self.expected_wait(ahead, now))
+        wait = expected_wait * self.waits.ratio
+        late = now + wait + service_time > terms.objective_at
+        too_late = now + wait + service_time > terms.deadline_at
+        if too_late or (late and self._exceeds_late_limit(len(ahead))):
+            return Refused(Refusal.OVERLOADED, self._retry_after(now))
+        return expected_wait
+
     def release(self, job: Job, *, observed: bool) -> None:
         """Free the slot of a request that ended, and start the next waiting requests.
 
@@ -254,7 +271,9 @@
         for late, job in self._ordered(now):
             # A request that has become late must meet the same limit as a late one on arrival.
             over_limit = late and self._exceeds_late_limit(len(kept))
-            (refused if over_limit or not self._can_meet_deadline(job, now) else kept).append(job)
+            (refused if over_limit or not self._can_meet_deadline(job.terms, now) else kept).append(
+                job
+            )
         free_slots = max(0, self.slots - len(self.running))
         started = 0
         while started < min(free_slots, len(kept)) and self.rate_limit.take():
@@ -279,7 +298,7 @@
         ]
         free_after.extend([ZERO] * (self.slots - len(free_after)))
         heapify(free_after)
-        for other in sorted(ahead, key=lambda item: self._rank(item, now)):
+        for other in sorted(ahead, key=lambda item: self._rank(item.terms, now)):
             heapreplace(free_after, free_after[0] + self.times.expected(other.terms.route))
         return free_after[0]
 
@@ -307,25 +326,28 @@
 
     def _ordered(self, now: timedelta) -> list[tuple[bool, Job]]:
         """Return the waiting requests in the order of service, each with whether it is late."""
-        ranked = [(self._rank(job, now), job) for job in self.waiting]
+        ranked = [(self._rank(job.terms, now), job) for job in self.waiting]
         ranked.sort(key=lambda item: item[0])
         return [(rank[1], job) for rank, job in ranked]
 
-    def _ahead_of(self, job: Job, now: timedelta) -> list[Job]:
-        rank = self._rank(job, now)
-        return [other for other in self.waiting if self._rank(other, now) <= rank]
+    def _has_free_slot(self) -> bool:
+        return len(self.running) < self.slots and not self.waiting
+
+    def _ahead_of(self, terms: Terms, now: timedelta) -> list[Job]:
+        rank = self._rank(terms, now)
+        return [other for other in self.waiting if self._rank(other.terms, now) <= rank]
 
     def _exceeds_late_limit(self, ahead: int) -> bool:
         return ahead >= self.slots * LATE_QUEUE_PER_SLOT
 
-    def _can_meet_deadline(self, job: Job, now: timedelta) -> bool:
-        service_time = self.times.expected(job.terms.route)
-        return now + service_time * MIN_SERVICE_TIME_SHARE <= job.terms.deadline_at
+    def _can_meet_deadline(self, terms: Terms, now: timedelta) -> bool:
+        service_time = self.times.expected(terms.route)
+        return now + service_time * MIN_SERVICE_TIME_SHARE <= terms.deadline_at
 
-    def _rank(self, job: Job, now: timedelta) -> tuple[int, bool, timedelta]:
+    def _rank(self, terms: Terms, now: timedelta) -> tuple[int, bool, timedelta]:
         """Return the sort key for the order of service; the lowest is served first."""
-        late = now + self.times.expected(job.terms.route) > job.terms.objective_at
-        return (job.terms.urgency, late, job.terms.deadline_at if late else job.terms.objective_at)
+        late = now + self.times.expected(terms.route) > terms.objective_at
+        return (terms.urgency, late, terms.deadline_at if late else terms.objective_at)
 
     def _retry_after(self, now: timedelta) -> timedelta:
         """Estimate the time until the running and waiting requests have ended."""
--- a/almondshore/mesh/settings.py
+++ b/almondshore/mesh/settings.py
@@ -81,6 +81,7 @@
     :ivar ready: listen address for readiness checks
     :ivar control: listen address for announcements of the target
     :ivar metrics: listen address for metrics and status
+    :ivar quotas: listen address for datagrams about quotas, None without quotas over all nodes
     :ivar link_mbps: bandwidth of the host's link; nodes with high bandwidth watch the store on
         behalf of others
     :ivar first_start: whether all nodes start for the first time, with nothing in the store but
@@ -100,6 +101,7 @@
     bounds: Bounds
     link_mbps: float = 0.0
     first_start: bool = False
+    quotas: Address | None = None
 
 
 MAX_LINK_MBPS = 1_000_000
@@ -113,6 +115,7 @@
     "listen.ready": address(),
     "listen.control": address(),
     "listen.metrics": address(),
+    "listen.quotas": address(),
     "store": address(),
     "link_mbps": number(0, MAX_LINK_MBPS),
     "first_start": boolean(),
@@ -120,6 +123,9 @@
 }
 
 
+# Settings without which a node runs with fewer functions.
+OPTIONAL = frozenset(("listen.quotas",))
+
 DecodeBounds = Callable[[str], Bounds]
 
 
@@ -149,6 +155,8 @@
     nodes = read_nodes(data, FIELDS, findings)
     values = {}
     for key, field in FIELDS.items():
+        if key not in nodes and key in OPTIONAL:
+            continue
         if key not in nodes:
             message = f"{key} has no default and must be set"
             findings.add(line=0, column=0, code="missing", message=message)
@@ -184,4 +192,5 @@
         bounds=bounds,
         link_mbps=values["link_mbps"],
         first_start=values["first_start"],
+        quotas=parse_address("listen.quotas") if "listen.quotas" in values else None,
     )
--- /dev/null
+++ b/almondshore/transfers/__init__.py
@@ -0,0 +1,1 @@
+"""Admission of large request bodies to the link of a host."""
