Refuse requests for evacuated zones and pace cold targets

Cause: evacuations were distributed but not applied, and a target that was cold got as many requests as it had slots for, which crashes it.

The node beside a target refuses its requests with `zone-evacuated` while the zone is evacuated, including waiting ones. Senders leave such targets out and send a refused request to another zone at once. A cold target gets at most `warmup_per_s` requests per second and four fifths of the bound in any 1.1 s, together with the limit that it states. It also counts as cold while that is not known: after the start of the process, the end of an evacuation, a restart or a suspension.

--- a/almondshore/limits/rate.py
+++ b/almondshore/limits/rate.py
@@ -1,6 +1,9 @@
-"""Limit on the number of requests per second that one target gets."""
+"""Limits on the number of requests per second that one target gets."""
 
+from collections import deque
+from collections.abc import Callable
 from datetime import timedelta
+from typing import NamedTuple
 
 from almondshore.core.clock import Clock
 
@@ -9,13 +12,37 @@
 BURST_TIME = timedelta(milliseconds=250)
 # Lower bound of a rate: without any requests the end of a limit would not be noticed.
 MIN_RATE = 0.25
+# Window in which the requests of a cold target are counted. It exceeds the second of the bound, as
+# requests may reach the target closer together than they were sent.
+COLD_WINDOW = timedelta(milliseconds=1100)
+
+
+class ColdLimit(NamedTuple):
+    """What a cold target may get.
+
+    :ivar rate: requests per second
+    :ivar burst: requests that may start at once, at least 1
+    :ivar most: requests that may start within any ``COLD_WINDOW``
+    :ivar left: time until the limit ends, None if it is not known
+    """
+
+    rate: float
+    burst: float
+    most: int
+    left: timedelta | None = None
 
 
 class RateLimit:
-    """A token bucket without a limit until one is set.
+    """A token bucket without a limit until one is set, and a second one while the target is cold.
 
-    :ivar rate: requests per second, None without a limit
-    :ivar tokens: requests that may start now
+    A request may start when both allow it.
+
+    :ivar rate: stated requests per second, None without a limit
+    :ivar tokens: requests that may start now under the stated limit
+    :ivar cold_limit: returns the limit of a cold target, None while it is warm; None where targets
+        have no such limit
+    :ivar cold_tokens: requests that may start now under that limit
+    :ivar starts: times of the requests of the last ``COLD_WINDOW``, whatever the limit then was
     """
 
     def __init__(self, *, clock: Clock):
@@ -23,9 +50,13 @@
         self.rate: float | None = None
         self.tokens = 0.0
         self.updated_at = clock.monotonic()
+        self.cold_limit: Callable[[], ColdLimit | None] | None = None
+        self.cold_tokens = 0.0
+        self.cold_updated_at: timedelta | None = None
+        self.starts: deque[timedelta] = deque()
 
     def set_rate(self, rate: float | None) -> None:
-        """Set or remove the limit; what may start at once is kept."""
+        """Set or remove the stated limit; what may start at once is kept."""
         self._refill()
         if rate is None:
             self.rate = None
@@ -34,25 +65,75 @@
             self.tokens = 0.0
         self.rate = max(MIN_RATE, rate)
 
+    def effective_rate(self) -> float | None:
+        """Return the lower one of the stated limit and that of a cold target."""
+        cold = self._current_cold_limit()
+        rates = [self.rate, cold.rate if cold is not None else None]
+        return min((rate for rate in rates if rate is not None), default=None)
+
     def take(self) -> bool:
         """Count a request that starts, if it may; returns whether it may."""
-        if self.rate is None:
-            return True
-        self._refill()
-        if self.tokens < 1.0:
+        cold = self._current_cold_limit()
+        if cold is not None and (self.cold_tokens < 1.0 or len(self.starts) >= cold.most):
             return False
-        self.tokens -= 1.0
+        if self.rate is not None:
+            self._refill()
+            if self.tokens < 1.0:
+                return False
+            self.tokens -= 1.0
+        self.record_start()
         return True
 
+    def record_start(self) -> None:
+        """Count a request that the target gets in any case, as a health check."""
+        if self.cold_limit is not None:
+            self._forget_old_starts()
+            self.starts.append(self.clock.monotonic())
+            self.cold_tokens -= 1.0
+
     def wait(self, ahead: int = 0) -> timedelta:
         """Return the time until a request may start.
 
         :param ahead: requests that start before it
         """
-        if self.rate is None:
-            return ZERO
-        self._refill()
-        return max(ZERO, timedelta(seconds=(ahead + 1 - self.tokens) / self.rate))
+        wait = ZERO
+        if self.rate is not None:
+            self._refill()
+            wait = max(ZERO, timedelta(seconds=(ahead + 1 - self.tokens) / self.rate))
+        cold = self._current_cold_limit()
+        return wait if cold is None else max(wait, self._cold_wait(cold, ahead))
+
+    def _cold_wait(self, cold: ColdLimit, ahead: int) -> timedelta:
+        wait = max(ZERO, timedelta(seconds=(ahead + 1 - self.cold_tokens) / cold.rate))
+        excess = len(self.starts) + ahead + 1 - cold.most
+        if excess > 0 and self.starts:
+            last_to_pass = self.starts[min(excess, len(self.starts)) - 1]
+            wait = max(wait, last_to_pass + COLD_WINDOW - self.clock.monotonic())
+        return wait if cold.left is None else min(wait, cold.left)
+
+    def _current_cold_limit(self) -> ColdLimit | None:
+        """Return the limit of a cold target with its bucket refilled, None if there is none."""
+        if self.cold_limit is None:
+            return None
+        cold = self.cold_limit()
+        now = self.clock.monotonic()
+        if cold is None:
+            self.cold_updated_at = None
+            return None
+        self._forget_old_starts()
+        if self.cold_updated_at is None:
+            # The target has become cold: nothing is saved up from before.
+            self.cold_tokens = 0.0
+        else:
+            earned = (now - self.cold_updated_at).total_seconds() * cold.rate
+            self.cold_tokens = min(cold.burst, self.cold_tokens + earned)
+        self.cold_updated_at = now
+        return cold
+
+    def _forget_old_starts(self) -> None:
+        oldest = self.clock.monotonic() - COLD_WINDOW
+        while self.starts and self.starts[0] <= oldest:
+            self.starts.popleft()
 
     def _refill(self) -> None:
         now = self.clock.monotonic()
--- a/almondshore/mesh/adoption.py
+++ b/almondshore/mesh/adoption.py
@@ -37,6 +37,7 @@
     :param app: returns the address of the local target
     :param config: returns the configuration in effect
     :param adopt: called with the stored entry of a target that runs and has not announced itself
+    :param is_evacuated: returns whether the target's zone is evacuated and it gets no health checks
     """
 
     def __init__(
@@ -52,6 +53,7 @@
         app: Callable[[], Address],
         config: Callable[[], MeshConfig | None],
         adopt: Callable[[Target], None],
+        is_evacuated: Callable[[], bool] = lambda: False,
     ):
         self.clock = clock
         self.dialect = dialect
@@ -63,6 +65,7 @@
         self.app = app
         self.config = config
         self.adopt = adopt
+        self.is_evacuated = is_evacuated
 
     def run(self) -> None:
         """Check the stored target until it is known to run; ends with its first announcement."""
@@ -70,7 +73,7 @@
         checks = 0
         while self.local.announced is None and self.clock.monotonic() < ends_at:
             target, path = self.stored_target(), self._health_path()
-            if target is None or path is None:
+            if target is None or path is None or self.is_evacuated():
                 eventlet.sleep(LOOKUP_INTERVAL.total_seconds())
                 continue
             healthy = self.check(path)
@@ -95,12 +98,41 @@
             return None
         return newest if newest.service == self.service() else None
 
+    def ask_warmth(self) -> None:
+        """Start a health check if it is not known whether the target is cold."""
+        path = self._health_path()
+        if self.local.queue is None or path is None or self.is_evacuated():
+            return
+        if self.local.accepts_requests() and self.local.warmup.needs_check():
+            # The check is not sent by the greenlet that counts the next one.
+            self.local.warmup.on_check()
+            eventlet.spawn(self._ask_warmth, path)
+
+    def _ask_warmth(self, path: str) -> None:
+        healthy = self.check(path)
+        if self.local.announced is None or healthy != self.local.announced.target:
+            log_event("warmth_check_failed", target=healthy or "none")
+        else:
+            self.local.queue.dispatch()
+
     def check(self, path: str) -> str:
-        """Return the identity of the target that reports itself as healthy, empty if none does."""
+        """Return the identity of the target that reports itself as healthy, empty if none does.
+
+        What it says of its warm-up is noted.
+        """
+        asked_at = self.clock.monotonic()
+        if self.local.queue is not None:
+            self.local.queue.rate_limit.record_start()
         response = get_response(
             self.pool, self.app(), path.encode(), timeout=CHECK_TIMEOUT, new_connection=True
         )
-        return self.dialect.healthy_target(response) if response is not None else ""
+        if response is None:
+            return ""
+        healthy = self.dialect.healthy_target(response)
+        left = self.dialect.warmup_left(response)
+        if healthy and left is not None:
+            self.local.warmup.on_health(left, asked_at=asked_at)
+        return healthy
 
     def _health_path(self) -> str | None:
         config = self.config()
--- a/almondshore/mesh/dialect.py
+++ b/almondshore/mesh/dialect.py
@@ -88,6 +88,10 @@
         :param response: response to a request for the service's health path
         """
 
+    @abstractmethod
+    def warmup_left(self, response: Response) -> timedelta | None:
+        """Return for how much longer a target says that it is cold, None if it does not say."""
+
     @abstractmethod
     def to_caller(self, response: Response, *, idempotent: bool) -> Response:
         """Return a target's final response in the form that is sent to the caller.
--- a/almondshore/mesh/directory.py
+++ b/almondshore/mesh/directory.py
@@ -29,6 +29,7 @@
     """Entries of targets by name; those of one name are ordered by incarnation and sequence.
 
     :param changes: records each change of an entry
+    :ivar evacuated_zones: zones whose targets get no requests
     :ivar leaving: start of each incarnation of which another node has reported that it leaves
     :ivar on_change: called after the set of targets has changed
     :ivar on_unreachable: called with an unreachable node, and the pause after which it is to be
@@ -43,6 +44,7 @@
         self.nodes: dict[Address, _Reachability] = {}
         self.refused_until: dict[str, timedelta] = {}
         self.leaving: dict[str, int] = {}
+        self.evacuated_zones: frozenset[str] = frozenset()
         self.on_change: Callable[[], None] = lambda: None
         self.on_unreachable: Callable[[Address, timedelta], None] = lambda _node, _pause: None
 
@@ -91,6 +93,8 @@
         """Return the targets of a service that may get requests now."""
         now = self.clock.monotonic()
         candidates = self.services.get(service, [])
+        if self.evacuated_zones:
+            candidates = [item for item in candidates if item.zone not in self.evacuated_zones]
         usable = [target for target in candidates if self._is_usable(target, now)]
         if usable:
             return usable
@@ -151,6 +155,11 @@
         """Exclude a target that refused for a reason other than load from selection for a while."""
         self.refused_until[name] = self.clock.monotonic() + pause
 
+    def delay_target(self, name: str, pause: timedelta) -> None:
+        """Exclude a target from selection for a while, or for longer if it already is."""
+        until = self.clock.monotonic() + pause
+        self.refused_until[name] = max(until, self.refused_until.get(name, until))
+
     def mark_leaving(self, target: Target) -> None:
         """Leave out a target for good, but not a later incarnation of it.
 
--- a/almondshore/mesh/inbound.py
+++ b/almondshore/mesh/inbound.py
@@ -1,5 +1,6 @@
 """Admission and forwarding of requests for the local target."""
 
+from collections import Counter
 from collections.abc import Callable
 from datetime import timedelta
 
@@ -26,6 +27,7 @@
 )
 from almondshore.mesh.local import LocalTarget
 from almondshore.mesh.model import Address, Death
+from almondshore.placement.evacuation import ZONE_EVACUATED
 
 # Targets respond by the deadline they are given; the connection is closed this much later.
 DEADLINE_SLACK = timedelta(milliseconds=100)
@@ -108,6 +110,8 @@
     :ivar on_death: called when the target died while it ran requests
     :ivar leaving: whether other nodes are told to prefer other targets
     :ivar closed: whether new requests are refused because the process is about to exit
+    :ivar is_evacuated: returns whether the target's zone is evacuated
+    :ivar refusals: refused requests by reason
     """
 
     def __init__(
@@ -133,6 +137,8 @@
         self.leaving = False
         self.closed = False
         self.is_retired: Callable[[str, str], bool] = lambda _service, _version: False
+        self.is_evacuated: Callable[[], bool] = lambda: False
+        self.refusals: Counter[str] = Counter()
         self.on_death: Callable[[Death], None] = lambda _death: None
         self.death_detector = DeathDetector(clock=clock)
         self.active: set[Submission] = set()
@@ -232,15 +238,25 @@
             return
         submission.done = True
         self.active.discard(submission)
+        if outcome is Outcome.REFUSED:
+            self.refusals[str(reason)] += 1
         self._log(submission, outcome, reason, response.status if response else 0)
         report = self._make_report(submission.hop_terms, outcome, reason, retry_after)
         on_result, submission.on_result = submission.on_result, _ignore_result
         on_result(HopResult(outcome, reason, response, report))
 
+    def refuse_waiting(self, reason: str) -> None:
+        """Refuse the requests that wait for a slot; running ones are completed."""
+        for submission in list(self.active):
+            if submission.queue is not None and submission.queue.cancel(submission):
+                self.finish(submission, Outcome.REFUSED, reason)
+
     def _unavailable_reason(self, terms: HopTerms) -> str | None:
         """Return why a request cannot be admitted, or None."""
         if self.closed:
             return UnavailableReason.SHUTTING_DOWN
+        if self.is_evacuated():
+            return ZONE_EVACUATED
         if self.local.announced is None:
             return UnavailableReason.NO_TARGET
         announced = self.local.announced
@@ -262,8 +278,10 @@
         if result.failure in CRASH_FAILURES:
             self.death_detector.record_broken_run(self._crash_record(submission, took))
             self._schedule_crash_check()
+            self.local.warmup.on_broken_run(others=len(submission.queue.running) - 1)
         if self._is_stale_connection(submission, result, took):
             submission.resent = True
+            submission.queue.rate_limit.record_start()
             self.send(submission)
             return
         outcome, reason, ok = self._classify_result(submission, result)
@@ -299,6 +317,7 @@
             self.on_death(death)
 
     def _on_target_down(self) -> None:
+        self.local.warmup.on_refused_connection()
         self.target_down_until = self.clock.monotonic() + TARGET_DOWN_PAUSE
         self.report_death()
 
@@ -389,7 +408,7 @@
             leaving=self.leaving or self.local.draining_since is not None,
             retry_after_ms=int(retry_after / MILLISECOND),
             config_version=self.config_version(),
-            rate_limit=queue.rate_limit.rate if queue else None,
+            rate_limit=queue.rate_limit.effective_rate() if queue else None,
             rate_wait_ms=(
                 int(queue.rate_limit.wait(len(queue.waiting)) / MILLISECOND) if queue else 0
             ),
--- a/almondshore/mesh/local.py
+++ b/almondshore/mesh/local.py
@@ -10,6 +10,7 @@
 from almondshore.limits.objective import ObjectiveQueue
 from almondshore.mesh.dialect import TargetStatement
 from almondshore.mesh.model import Address, Announcement, Target, TargetState
+from almondshore.placement.warmup import WarmupTracker
 
 # Shares of the drain time, counted from the acknowledgement: new requests are accepted until the
 # first, waiting ones are started until the second. The rest is a margin for slow hosts.
@@ -60,6 +61,7 @@
     :ivar has_responded: whether the target has responded to this process
     :ivar statement: what the target last said of itself in a response
     :ivar stated_at: monotonic time of the last response that stated a limit or a departure
+    :ivar warmup: whether the target is cold, and what it may get while it is
     """
 
     def __init__(self, *, clock: Clock, node: Address, drain: timedelta, link_mbps: float = 0.0):
@@ -79,9 +81,15 @@
         self.statement = TargetStatement()
         self.stated_at = clock.monotonic()
         self.has_responded = False
+        self.warmup = WarmupTracker(clock=clock)
 
-    def announce(self, announcement: Announcement) -> AnnouncementResult:
-        """Apply an announcement of the target, unless it is outdated."""
+    def announce(
+        self, announcement: Announcement, *, is_heartbeat: bool = True
+    ) -> AnnouncementResult:
+        """Apply an announcement of the target, unless it is outdated.
+
+        :param is_heartbeat: whether the target has sent it; otherwise it was read from the store
+        """
         current = self.announced
         if current is not None and self._is_outdated(current, announcement):
             log_event(
@@ -104,6 +112,7 @@
             self.queue = ObjectiveQueue(
                 clock=self.clock, slots=announcement.slots, schedule=self.schedule
             )
+            self.queue.rate_limit.cold_limit = self.warmup.cold_limit
             self.draining_since = None
             self.statement = TargetStatement()
             self.has_responded = False
@@ -115,6 +124,8 @@
             announcement = announcement._replace(state=TargetState.DRAINING)
         self.announced = announcement
         self.warm_at = self.clock.monotonic() + announcement.warmup
+        if is_heartbeat:
+            self.warmup.on_heartbeat(announcement.warmup)
         if announcement.state is not TargetState.READY:
             self._begin_drain(announcement)
         changed = is_new or self._differs(current, announcement)
--- a/almondshore/mesh/metrics.py
+++ b/almondshore/mesh/metrics.py
@@ -47,6 +47,9 @@
             "almondshore_slots_running": len(queue.running) if queue else 0,
             "almondshore_slots_waiting": len(queue.waiting) if queue else 0,
             "almondshore_target_rate_limit": node.local.statement.rate_limit or 0.0,
+            "almondshore_target_cold": int(node.local.warmup.cold_limit() is not None),
+            "almondshore_zone_evacuated": int(node.own_zone.evacuated),
+            "almondshore_zones_evacuated": len(node.directory.evacuated_zones),
             "almondshore_target_leaving": int(node.local.draining_since is not None),
             "almondshore_store_away_seconds": (
                 (node.clock.monotonic() - down_since).total_seconds()
@@ -64,6 +67,13 @@
         }
         for name, value in values.items():
             self.metrics.gauge(name, name.replace("_", " "), value)
+        for reason, count in node.inbound.refusals.items():
+            self.metrics.gauge(
+                "almondshore_target_refusals",
+                "Requests for the local target that were refused, by reason",
+                count,
+                reason=reason,
+            )
         return self.metrics.render()
 
 
--- a/almondshore/mesh/node.py
+++ b/almondshore/mesh/node.py
@@ -33,7 +33,14 @@
 from almondshore.mesh.liveness import PROBE_TIMEOUT, LivenessProber
 from almondshore.mesh.local import AnnouncementResult, LocalTarget
 from almondshore.mesh.metrics import MeshMetrics, MetricsHandler
-from almondshore.mesh.model import Address, Announcement, Death, MeshConfig, Target
+from almondshore.mesh.model import (
+    Address,
+    Announcement,
+    Death,
+    MeshConfig,
+    Target,
+    WarmupLimit,
+)
 from almondshore.mesh.outbound import Outbound
 from almondshore.mesh.peers import InternalHandler, PeerClient
 from almondshore.mesh.publishing import TargetPublisher
@@ -41,6 +48,8 @@
 from almondshore.mesh.store import MeshStore
 from almondshore.mesh.vanished import VanishedEntries
 from almondshore.mesh.versions import VersionShares
+from almondshore.placement.evacuation import ZONE_EVACUATED, OwnZone, return_delay
+from almondshore.placement.warmup import RETURN_SETTLE_TIME, UNCONFIGURED_LIMIT
 from almondshore.retries.budget import RetryBudget
 from almondshore.retries.crash import QUARANTINE, CrashGuard
 from almondshore.routing.completion import CompletionChooser
@@ -126,6 +135,9 @@
         )
         self.local.schedule = _call_later
         self.local.on_departure = self._publish
+        self.local.warmup.bound = settings.bounds.warmup
+        self.local.warmup.limit = self._warmup_limit
+        self.own_zone = OwnZone(zones=self._own_zones)
         self.recorder = ResultRecorder(clock=clock)
         self.shares = VersionShares(rng=rng)
         self.budget = RetryBudget(clock=clock)
@@ -181,6 +193,7 @@
             app=lambda: self.settings.app,
             config=self.config,
             adopt=self._adopt,
+            is_evacuated=lambda: self.own_zone.evacuated,
         )
         self.death_reporter = DeathReporter(clock=clock, store=store, retention=QUARANTINE)
         self.inbound.on_death = self._on_death
@@ -202,6 +215,13 @@
             evacuates=settings.bounds.evacuation is not None,
         )
         self.outbound.config_age = self.feeds.follower.age
+        self.outbound.is_evacuated = self.feeds.evacuations.is_evacuated
+        self.feeds.evacuations.on_change = self._on_evacuations
+        self.inbound.is_evacuated = lambda: self.own_zone.evacuated
+        self.own_zone.on_begin = lambda: self.inbound.refuse_waiting(ZONE_EVACUATED)
+        self.own_zone.on_end = lambda: self.local.warmup.doubt(
+            "evacuation-ended", settle=RETURN_SETTLE_TIME
+        )
         handover = RolloutHandover(rng=rng, client=client, store=store)
         internal.handlers = {CHANGES_PATH: self.feeds.server, HANDOVER_PATH: handover}
         self.driver = RolloutDriver(
@@ -279,6 +299,9 @@
 
         Announcements of another service or address are logged and ignored.
         """
+        self._apply_announcement(announcement, is_heartbeat=True)
+
+    def _apply_announcement(self, announcement: Announcement, *, is_heartbeat: bool) -> None:
         if (
             announcement.service != self.settings.service
             or announcement.address != self.settings.app
@@ -292,10 +315,11 @@
             )
             return
         previous = self.local.announced
-        result = self.local.announce(announcement)
+        result = self.local.announce(announcement, is_heartbeat=is_heartbeat)
         self.inbound.target_down_until = timedelta()
         if result is not AnnouncementResult.ACCEPTED:
             return
+        self.own_zone.update(self.directory.evacuated_zones)
         if (
             previous is None
             or previous.target != announcement.target
@@ -334,6 +358,7 @@
         current_addresses = {name: getattr(self.settings, name) for name in listeners}
         self.settings = settings._replace(**current_addresses)
         self.local.drain = settings.bounds.drain
+        self.local.warmup.bound = settings.bounds.warmup
         self.inbound.app = settings.app
         self.store.set_address(settings.store)
         self._set_retry_budget()
@@ -413,6 +438,8 @@
         )
         self.ticks += 1
         self.local.enforce_drain()
+        self.local.warmup.tick()
+        self.adopter.ask_warmth()
         if self.local.queue is not None and self.local.queue.waiting:
             self.local.queue.dispatch()
         self.log_stream.drain()
@@ -426,7 +453,7 @@
     def _adopt(self, target: Target) -> None:
         """Use a target whose last announcement went to an earlier process of this node."""
         self.publisher.adopt(target)
-        self.on_announcement(
+        self._apply_announcement(
             Announcement(
                 target=target.target,
                 service=target.service,
@@ -438,9 +465,43 @@
                 born_ms=target.born_ms,
                 sequence=target.sequence,
                 warmup=timedelta(),
-            )
+            ),
+            is_heartbeat=False,
         )
 
+    def _warmup_limit(self) -> WarmupLimit | None:
+        """Return the limit of the local target while it is cold, None if it has none."""
+        config = self.outbound.config
+        if config is not None:
+            return config.warmups.get(self.settings.service)
+        # Where zones are evacuated, the configuration to come may state one.
+        return UNCONFIGURED_LIMIT if self.settings.bounds.evacuation is not None else None
+
+    def _own_zones(self) -> set[str]:
+        announced = self.local.announced
+        return {self.settings.zone} | ({announced.zone} if announced is not None else set())
+
+    def _on_evacuations(self) -> None:
+        zones = frozenset(self.feeds.evacuations.by_zone)
+        returned = self.directory.evacuated_zones - zones
+        self.directory.evacuated_zones = zones
+        self.own_zone.update(zones)
+        self._delay_returned_targets(returned)
+
+    def _delay_returned_targets(self, zones: frozenset[str]) -> None:
+        """Spread the first requests of all nodes to the targets of zones that have returned."""
+        config = self.outbound.config
+        if config is None:
+            return
+        targets = self.directory.targets.values()
+        nodes = len({target.node for target in targets})
+        for target in targets:
+            limit = config.warmups.get(target.service)
+            if limit is not None and target.zone in zones and target.node != self.settings.inbound:
+                self.directory.delay_target(
+                    target.target, return_delay(limit, nodes=nodes, rng=self.rng)
+                )
+
     def _publish(self) -> None:
         entry = self.local.entry()
         self.publisher.publish(entry)
--- a/almondshore/mesh/outbound.py
+++ b/almondshore/mesh/outbound.py
@@ -29,6 +29,7 @@
 from almondshore.mesh.model import Address, MeshConfig, Route, Target
 from almondshore.mesh.overload import OverloadRefusals
 from almondshore.mesh.versions import VersionShares
+from almondshore.placement.evacuation import ZONE_EVACUATED
 from almondshore.quotas.port import Granted, Limited, QuotaClient, UnlimitedQuota
 from almondshore.retries.budget import RetryBudget
 from almondshore.retries.crash import CrashGuard
@@ -51,6 +52,7 @@
     UnavailableReason.TARGET_DOWN: timedelta(milliseconds=300),
     UnavailableReason.VERSION_RETIRED: timedelta(seconds=2),
     UnavailableReason.SHUTTING_DOWN: timedelta(seconds=1),
+    ZONE_EVACUATED: timedelta(seconds=1),
 }
 
 
@@ -228,8 +230,12 @@
         }
         version = self.shares.pick(forwarded.service, usable)
         if version is None:
+            if self._has_only_evacuated(forwarded.service):
+                forwarded.reason = ZONE_EVACUATED
             return []
-        pause = OVERLOAD_RETRY_PAUSE if forwarded.refusals else OVERLOAD_PAUSE
+        # A refusal because of an evacuation says nothing about the load of the other zones.
+        is_overload_retry = forwarded.refusals and forwarded.reason != ZONE_EVACUATED
+        pause = OVERLOAD_RETRY_PAUSE if is_overload_retry else OVERLOAD_PAUSE
         candidates = self.overload_refusals.without_recent_refusal(
             usable[version], route.name, pause, forwarded.objective_at
         )
@@ -238,6 +244,22 @@
             forwarded.retry_after = self.overload_refusals.retry_after(usable[version], route.name)
         return candidates
 
+    def _has_only_evacuated(self, service: str) -> bool:
+        """Return whether a service has targets, but only in evacuated zones."""
+        targets = self.directory.services.get(service, [])
+        return bool(targets) and all(self.is_evacuated(target.zone) for target in targets)
+
+    def _leave_out_zone(self, forwarded: ForwardedRequest, zone: str) -> None:
+        """Send a request to other zones, if they have targets.
+
+        The refusal came before the order to evacuate the zone; each of its targets would refuse.
+        Only this request is concerned: a node that is cut off may keep to an order that has ended.
+        """
+        targets = self.directory.ready(forwarded.service)
+        in_zone = {target.target for target in targets if target.zone == zone}
+        if len(in_zone) < len(targets):
+            forwarded.excluded_targets |= in_zone
+
     def dispatch(
         self, forwarded: ForwardedRequest, target: Target, on_result: Callable[[HopResult], None]
     ) -> Call | Submission:
@@ -298,6 +320,8 @@
                 )
             elif report.reason == Refusal.RATE_LIMITED:
                 self.overload_refusals.record_rate_limit(target.target, retry_after)
+            elif report.reason == ZONE_EVACUATED:
+                self._leave_out_zone(forwarded, target.zone)
             if report.target_leaving:
                 self.directory.mark_leaving(target)
             not_served = report.outcome in (Outcome.REFUSED, Outcome.BROKEN)
--- /dev/null
+++ b/almondshore/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Evacuated zones, and targets that are cold."""
--- a/almondshore/platform/dialect.py
+++ b/almondshore/platform/dialect.py
@@ -20,6 +20,7 @@
 _TIME_LEFT = names.TIME_LEFT.lower()
 _RATE_LIMIT = names.RATE_LIMIT.lower()
 _LEAVING = names.LEAVING.lower()
+_WARMUP = names.WARMUP.lower()
 _TENANT = names.TENANT.lower()
 _KEY = names.KEY.lower()
 # A scheme, followed by credentials.
@@ -129,6 +130,16 @@
         name = response.header(_TARGET_ID)
         return name.decode("latin-1") if response.status == 200 and name is not None else ""
 
+    def warmup_left(self, response: Response) -> timedelta | None:
+        """Return how much longer a target is cold, None if it is missing or malformed."""
+        value = response.header(_WARMUP)
+        if value is None:
+            return None
+        if _DECIMAL.fullmatch(value.strip()) is None:
+            log_event("warmup_malformed", level="WARNING", value=value[:40].decode("latin-1"))
+            return None
+        return timedelta(milliseconds=float(value))
+
     def to_caller(self, response: Response, *, idempotent: bool) -> Response:
         """Return the response to pass to the caller for a target's final response.
 
--- a/almondshore/platform/names.py
+++ b/almondshore/platform/names.py
@@ -12,6 +12,8 @@
 RATE_LIMIT = b"Server-Limit"
 # Its value is 1 in the responses of a target that leaves.
 LEAVING = b"Server-Leaving"
+# Milliseconds for which a target stays cold, in the responses to health checks.
+WARMUP = b"Warmup-Ms"
 CALLER = b"Caller-Service"
 # The tenant that holds the caller's key, set by the node.
 TENANT = b"Tenant"
