--- a/almondshore/mesh/metrics.py
+++ b/almondshore/mesh/metrics.py
@@ -48,7 +48,7 @@
             "almondshore_slots_waiting": len(queue.waiting) if queue else 0,
             "almondshore_target_rate_limit": node.local.statement.rate_limit or 0.0,
             "almondshore_target_cold": int(node.local.warmup.cold_limit() is not None),
-            "almondshore_zone_evacuated": int(node.own_zone.evacuated),
+            "almondshore_zone_evacuated": int(node.evacuations.own_evacuated),
             "almondshore_zones_evacuated": len(node.directory.evacuated_zones),
             "almondshore_target_leaving": int(node.local.draining_since is not None),
             "almondshore_store_away_seconds": (
--- a/almondshore/mesh/node.py
+++ b/almondshore/mesh/node.py
@@ -48,8 +48,8 @@
 from almondshore.mesh.store import MeshStore
 from almondshore.mesh.vanished import VanishedEntries
 from almondshore.mesh.versions import VersionShares
-from almondshore.placement.evacuation import ZONE_EVACUATED, OwnZone, return_delay
-from almondshore.placement.warmup import RETURN_SETTLE_TIME, UNCONFIGURED_LIMIT
+from almondshore.placement.evacuation import ZONE_EVACUATED, ZoneEvacuations
+from almondshore.placement.warmup import UNCONFIGURED_LIMIT
 from almondshore.retries.budget import RetryBudget
 from almondshore.retries.crash import QUARANTINE, CrashGuard
 from almondshore.routing.completion import CompletionChooser
@@ -137,7 +137,13 @@
         self.local.on_departure = self._publish
         self.local.warmup.bound = settings.bounds.warmup
         self.local.warmup.limit = self._warmup_limit
-        self.own_zone = OwnZone(zones=self._own_zones)
+        self.evacuations = ZoneEvacuations(
+            rng=rng,
+            directory=self.directory,
+            node=settings.inbound,
+            own_zones=self._own_zones,
+            config=self.config,
+        )
         self.recorder = ResultRecorder(clock=clock)
         self.shares = VersionShares(rng=rng)
         self.budget = RetryBudget(clock=clock)
@@ -193,7 +199,7 @@
             app=lambda: self.settings.app,
             config=self.config,
             adopt=self._adopt,
-            is_evacuated=lambda: self.own_zone.evacuated,
+            is_evacuated=lambda: self.evacuations.own_evacuated,
         )
         self.death_reporter = DeathReporter(clock=clock, store=store, retention=QUARANTINE)
         self.inbound.on_death = self._on_death
@@ -216,12 +222,12 @@
         )
         self.outbound.config_age = self.feeds.follower.age
         self.outbound.is_evacuated = self.feeds.evacuations.is_evacuated
-        self.feeds.evacuations.on_change = self._on_evacuations
-        self.inbound.is_evacuated = lambda: self.own_zone.evacuated
-        self.own_zone.on_begin = lambda: self.inbound.refuse_waiting(ZONE_EVACUATED)
-        self.own_zone.on_end = lambda: self.local.warmup.doubt(
-            "evacuation-ended", settle=RETURN_SETTLE_TIME
+        self.feeds.evacuations.on_change = lambda: self.evacuations.apply(
+            frozenset(self.feeds.evacuations.by_zone)
         )
+        self.inbound.is_evacuated = lambda: self.evacuations.own_evacuated
+        self.evacuations.on_begin = lambda: self.inbound.refuse_waiting(ZONE_EVACUATED)
+        self.evacuations.on_end = self.local.warmup.on_evacuation_end
         handover = RolloutHandover(rng=rng, client=client, store=store)
         internal.handlers = {CHANGES_PATH: self.feeds.server, HANDOVER_PATH: handover}
         self.driver = RolloutDriver(
@@ -319,7 +325,7 @@
         self.inbound.target_down_until = timedelta()
         if result is not AnnouncementResult.ACCEPTED:
             return
-        self.own_zone.update(self.directory.evacuated_zones)
+        self.evacuations.update_own_zone()
         if (
             previous is None
             or previous.target != announcement.target
@@ -481,27 +487,6 @@
         announced = self.local.announced
         return {self.settings.zone} | ({announced.zone} if announced is not None else set())
 
-    def _on_evacuations(self) -> None:
-        zones = frozenset(self.feeds.evacuations.by_zone)
-        returned = self.directory.evacuated_zones - zones
-        self.directory.evacuated_zones = zones
-        self.own_zone.update(zones)
-        self._delay_returned_targets(returned)
-
-    def _delay_returned_targets(self, zones: frozenset[str]) -> None:
-        """Spread the first requests of all nodes to the targets of zones that have returned."""
-        config = self.outbound.config
-        if config is None:
-            return
-        targets = self.directory.targets.values()
-        nodes = len({target.node for target in targets})
-        for target in targets:
-            limit = config.warmups.get(target.service)
-            if limit is not None and target.zone in zones and target.node != self.settings.inbound:
-                self.directory.delay_target(
-                    target.target, return_delay(limit, nodes=nodes, rng=self.rng)
-                )
-
     def _publish(self) -> None:
         entry = self.local.entry()
         self.publisher.publish(entry)
--- a/almondshore/placement/warmup.py
+++ b/almondshore/placement/warmup.py
@@ -127,6 +127,10 @@
         """Note that the target does not accept connections, as while it restarts."""
         self.doubt("connection-refused")
 
+    def on_evacuation_end(self) -> None:
+        """Note that the target's zone returns to service; it may be about to start anew."""
+        self.doubt("evacuation-ended", settle=RETURN_SETTLE_TIME)
+
     def on_heartbeat(self, left: timedelta) -> None:
         """Note a heartbeat.
 
