Ask a host before a large body is sent to it

Cause: bodies of uploads filled the links of the hosts that receive them, whether or not the request was admitted there, and refused ones were sent up to four times. A sender now asks first; the receiver answers in the order of urgency and objective at the pace that its link carries, and refuses what would be late. While targets refuse most requests of a route, senders refuse them without an attempt. Both apply where the configuration has routes of the type upload.

--- a/almondshore/mesh/forwarding.py
+++ b/almondshore/mesh/forwarding.py
@@ -17,6 +17,7 @@
 from almondshore.mesh.model import Address, Route, Target
 from almondshore.retries.retry_after import MIN_RETRY_AFTER, retry_after
 from almondshore.tenants.table import Tenant
+from almondshore.transfers.sending import TransferSend
 
 if TYPE_CHECKING:
     from almondshore.mesh.outbound import Outbound
@@ -49,7 +50,7 @@
 
     def __init__(self, target: Target):
         self.target = target
-        self.pending: Call | Submission | None = None
+        self.pending: Call | Submission | TransferSend | None = None
         self.overdue_timer: Timer | None = None
         self.suspected = False
 
@@ -113,7 +114,13 @@
         return self.route.priority
 
     def send(self) -> None:
-        """Send the request to the best remaining target, or fail it if there is none."""
+        """Send the request to the best remaining target, or fail it if there is none.
+
+        It fails as well while the targets refuse most of these requests.
+        """
+        if not self.refusals and not self.outbound.allows_attempt(self):
+            self._fail(Refusal.OVERLOADED)
+            return
         target = self.outbound.choose(self)
         if target is None:
             self._fail(self.reason or UnavailableReason.NO_TARGET)
@@ -192,7 +199,8 @@
         self._cancel_overdue_timer(attempt)
         self.attempts.remove(attempt)
         target = attempt.target
-        self.outbound.record_result(self, target, result)
+        is_first = not self.refusals and not self.runs
+        self.outbound.record_result(self, target, result, is_first=is_first)
         if result.outcome is Outcome.ANSWERED:
             self._on_response(target, result.response, result.reason)
         elif result.outcome is Outcome.BROKEN:
@@ -237,7 +245,8 @@
         if self.attempts:
             return
         reached_target = result.outcome is Outcome.REJECTED
-        if self.refusals > MAX_REFUSALS or not self._has_time_to_retry():
+        hopeless = result.reason in LOAD_REASONS and not self.outbound.allows_attempt(self)
+        if self.refusals > MAX_REFUSALS or hopeless or not self._has_time_to_retry():
             self._fail(result.reason)
         elif reached_target and not self.outbound.budget.withdraw(self.service):
             # The target turned away a part of its requests; the next attempt may well succeed.
--- a/almondshore/mesh/hop.py
+++ b/almondshore/mesh/hop.py
@@ -12,7 +12,13 @@
 
 TERMS_HEADER = b"x-almondshore-terms"
 REPORT_HEADER = b"x-almondshore-report"
-HOP_HEADERS = frozenset((TERMS_HEADER, REPORT_HEADER))
+# Size in bytes of a body that the sender asks to send.
+BODY_SIZE_HEADER = b"x-almondshore-body-size"
+# Identity of a transfer that the receiver has granted.
+TRANSFER_HEADER = b"x-almondshore-transfer"
+HOP_HEADERS = frozenset((TERMS_HEADER, REPORT_HEADER, BODY_SIZE_HEADER, TRANSFER_HEADER))
+# Paths of requests between nodes that carry terms but are not passed on.
+TRANSFERS_PATH = b"/transfers"
 MILLISECOND = timedelta(milliseconds=1)
 # Limits of the values that nodes send each other. The products and sums that are formed of them fit
 # into a timedelta; a larger value is malformed.
@@ -32,13 +38,14 @@
 
     ``REFUSED``: the node did not pass it to the target; it has not run. ``REJECTED``: the target
     refused to run it. ``ANSWERED``: the target's response is attached. ``BROKEN``: there is no
-    response, though the request may have run.
+    response, though the request may have run. ``GRANTED``: the request may be sent with its body.
     """
 
     REFUSED = "refused"
     REJECTED = "rejected"
     ANSWERED = "answered"
     BROKEN = "broken"
+    GRANTED = "granted"
 
 
 class UnavailableReason(StrEnum):
--- a/almondshore/mesh/model.py
+++ b/almondshore/mesh/model.py
@@ -71,11 +71,14 @@
 
     :ivar hosts: routes by prefix, for each host
     :ivar lengths: distinct lengths of the prefixes of each host, the longest first
+    :ivar has_uploads: whether a route is for large bodies
     """
 
     def __init__(self, *, routes: Iterable[Route] = ()):
         self.hosts: dict[str, dict[str, Route]] = {}
+        self.has_uploads = False
         for route in routes:
+            self.has_uploads |= route.kind is RouteKind.UPLOAD
             self.hosts.setdefault(route.host.lower(), {}).setdefault(route.prefix, route)
         self.lengths = {
             host: sorted({len(prefix) for prefix in prefixes}, reverse=True)
@@ -128,6 +131,11 @@
     tenants: TenantTable | None = None
     warmups: Mapping[str, WarmupLimit] = NO_WARMUPS
 
+    @property
+    def has_uploads(self) -> bool:
+        """Return whether large bodies are sent, so that refused attempts are expensive."""
+        return self.routes.has_uploads
+
 
 class TargetState(StrEnum):
     """State that a target announces."""
--- a/almondshore/mesh/node.py
+++ b/almondshore/mesh/node.py
@@ -53,6 +53,7 @@
 from almondshore.retries.budget import RetryBudget
 from almondshore.retries.crash import QUARANTINE, CrashGuard
 from almondshore.routing.completion import CompletionChooser
+from almondshore.transfers.queue import TransferQueue
 
 # Limits before a configuration is known, and of listeners that do not serve callers.
 DEFAULT_LIMITS = ServerLimits(
@@ -203,6 +204,9 @@
         )
         self.death_reporter = DeathReporter(clock=clock, store=store, retention=QUARANTINE)
         self.inbound.on_death = self._on_death
+        self.inbound.transfers = TransferQueue(
+            clock=clock, link_mbps=settings.link_mbps, schedule=_call_later
+        )
         client = PeerClient(pool=pool)
         self.feeds = StateFeeds(
             clock=clock,
--- a/almondshore/mesh/outbound.py
+++ b/almondshore/mesh/outbound.py
@@ -7,17 +7,21 @@
 from almondshore.core.clock import Clock
 from almondshore.core.logs import log_event
 from almondshore.http.client import Call, CallFailure, CallResult, ConnectionPool
-from almondshore.http.messages import Request, encode_request_head, end_to_end
+from almondshore.http.messages import Headers, Request, encode_request_head, end_to_end
 from almondshore.http.server import Exchange, ExchangeHandler
 from almondshore.limits.elapsed import ElapsedEstimator
 from almondshore.limits.objective import Refusal
+from almondshore.limits.throttle import SendThrottle, ThrottleKey
 from almondshore.mesh.crashes import request_fingerprint
 from almondshore.mesh.dialect import Dialect
 from almondshore.mesh.directory import Directory
 from almondshore.mesh.forwarding import ForwardedRequest
 from almondshore.mesh.hop import (
+    BODY_SIZE_HEADER,
     HOP_HEADERS,
     MILLISECOND,
+    TRANSFER_HEADER,
+    TRANSFERS_PATH,
     HopResult,
     HopTerms,
     Outcome,
@@ -26,7 +30,7 @@
     encode_terms,
 )
 from almondshore.mesh.inbound import Inbound, Submission
-from almondshore.mesh.model import Address, MeshConfig, Route, Target
+from almondshore.mesh.model import Address, MeshConfig, Route, RouteKind, Target
 from almondshore.mesh.overload import OverloadRefusals
 from almondshore.mesh.versions import VersionShares
 from almondshore.placement.evacuation import ZONE_EVACUATED
@@ -38,6 +42,7 @@
 from almondshore.routing.weights import pick_weighted
 from almondshore.tenants.access import Denied, decide_access
 from almondshore.tenants.table import Tenant
+from almondshore.transfers.sending import TransferSend
 
 # A target that refused a route as overloaded gets no requests of that route for this long: the
 # first time applies to new requests, the second to requests that were already refused once. With
@@ -56,6 +61,13 @@
 }
 
 
+# Refusals that show that targets have no room for more of the same requests.
+THROTTLING_REASONS = frozenset((Refusal.OVERLOADED, Refusal.TOO_LATE))
+# Larger bodies are sent only with the consent of the receiving host: on a link of 5.5 Mbit/s, this
+# size takes 24 ms.
+LARGE_BODY_BYTES = 16 * 1024
+
+
 class Outbound(ExchangeHandler):
     """Routes the requests of callers on this host.
 
@@ -107,6 +119,7 @@
         self.closed = False
         self.elapsed = ElapsedEstimator(clock=clock)
         self.overload_refusals = OverloadRefusals(clock=clock)
+        self.throttle = SendThrottle(clock=clock, rng=rng)
         self.config_age: Callable[[], timedelta] = timedelta
         self.quota: QuotaClient = UnlimitedQuota()
         self.is_evacuated: Callable[[str], bool] = lambda _zone: False
@@ -262,8 +275,11 @@
 
     def dispatch(
         self, forwarded: ForwardedRequest, target: Target, on_result: Callable[[HopResult], None]
-    ) -> Call | Submission:
-        """Send a request to the target's node, or queue it if that is this node."""
+    ) -> Call | Submission | TransferSend:
+        """Send a request to the target's node, or queue it if that is this node.
+
+        A large body is sent once that node has agreed to it.
+        """
         now = self.clock.monotonic()
         route = forwarded.route
         terms = HopTerms(
@@ -285,26 +301,99 @@
         headers = end_to_end(request.headers, without=HOP_HEADERS)
         if terms.tenant is not None:
             headers = self.dialect.without_keys(headers)
-        headers = (*headers, encode_terms(terms))
-        return self.pool.call(
+        terms_header = encode_terms(terms)
+
+        def send(*transfer: tuple[bytes, bytes]) -> Call:
+            return self.pool.call(
+                target.node,
+                encode_request_head(
+                    request.method,
+                    request.target,
+                    (*headers, terms_header, *transfer),
+                    body_bytes=len(request.body),
+                ),
+                body=request.body,
+                timeout=forwarded.deadline_at - self.clock.monotonic() + timedelta(seconds=1),
+                on_done=lambda result: on_result(_to_hop_result(result)),
+                head=request.method == b"HEAD",
+            )
+
+        if route.kind is not RouteKind.UPLOAD or len(request.body) < LARGE_BODY_BYTES:
+            return send()
+        return self._ask_to_send(
+            target,
+            forwarded,
+            (*headers, terms_header),
+            lambda name: send((TRANSFER_HEADER, name)),
+            on_result,
+        )
+
+    def _ask_to_send(
+        self,
+        target: Target,
+        forwarded: ForwardedRequest,
+        headers: Headers,
+        send: Callable[[bytes], Call],
+        on_result: Callable[[HopResult], None],
+    ) -> TransferSend:
+        """Ask a node whether a request may be sent to it with its body, and send it then."""
+        pending = TransferSend(send=send, on_result=on_result)
+        size = b"%d" % len(forwarded.exchange.request.body)
+
+        def on_done(result: CallResult) -> None:
+            response = result.response
+            if response is not None and response.status == 200:
+                pending.on_answer(response.header(TRANSFER_HEADER), _not_sent(result))
+            else:
+                pending.on_answer(None, _not_sent(result))
+
+        pending.pending = self.pool.call(
             target.node,
             encode_request_head(
-                request.method, request.target, headers, body_bytes=len(request.body)
+                b"GET", TRANSFERS_PATH, (*headers, (BODY_SIZE_HEADER, size)), body_bytes=0
             ),
-            body=request.body,
-            timeout=forwarded.deadline_at - now + timedelta(seconds=1),
-            on_done=lambda result: on_result(_to_hop_result(result)),
-            head=request.method == b"HEAD",
+            timeout=forwarded.deadline_at - self.clock.monotonic(),
+            on_done=on_done,
         )
+        return pending
 
     def _tenant_term(self, forwarded: ForwardedRequest) -> str | None:
         if forwarded.tenant is not None:
             return forwarded.tenant.name
         return None if self.config.tenants is None else ""
 
-    def record_result(self, forwarded: ForwardedRequest, target: Target, result: HopResult) -> None:
-        """Update the state of the target and its node from the result of an attempt."""
+    def allows_attempt(self, forwarded: ForwardedRequest) -> bool:
+        """Return whether a request may be sent to a target, or to a further one after a refusal.
+
+        Only where large bodies are sent: their links and hosts suffer from attempts in vain.
+        """
+        if not self.config.has_uploads:
+            return True
+        key = self._throttle_key(forwarded)
+        if forwarded.refusals:
+            return self.throttle.allows_further_attempt(key)
+        return self.throttle.allows(key)
+
+    @staticmethod
+    def _throttle_key(forwarded: ForwardedRequest) -> ThrottleKey:
+        return ThrottleKey(forwarded.service, forwarded.route.name, forwarded.urgency)
+
+    def record_result(
+        self,
+        forwarded: ForwardedRequest,
+        target: Target,
+        result: HopResult,
+        *,
+        is_first: bool = False,
+    ) -> None:
+        """Update the state of the target and its node from the result of an attempt.
+
+        :param is_first: whether it is the first attempt of the request
+        """
         report = result.report
+        if is_first and self.config.has_uploads:
+            refused = result.outcome is Outcome.REFUSED and result.reason in THROTTLING_REASONS
+            self.throttle.record(self._throttle_key(forwarded), accepted=not refused)
         load = report.load() if report is not None else None
         self.chooser.finished(target.target, forwarded.route.name, load)
         if result.unreachable:
@@ -361,6 +450,12 @@
         )
 
 
+def _not_sent(result: CallResult) -> HopResult:
+    """Convert the result of a question whether a request may be sent; the request has not run."""
+    asked = _to_hop_result(result)
+    return asked._replace(outcome=Outcome.REFUSED, response=None)
+
+
 def _to_hop_result(result: CallResult) -> HopResult:
     """Convert the result of a call to another node."""
     if result.response is None:
--- a/test/mesh/fakes.py
+++ b/test/mesh/fakes.py
@@ -56,7 +56,9 @@
     def fail(self, failure=CallFailure.CLOSED, sent=True, reused=False):
         self.on_done(CallResult(None, failure, sent, reused))
 
-    def report(self, outcome=Outcome.ANSWERED, reason="", status=200, body=b"", **fields):
+    def report(
+        self, outcome=Outcome.ANSWERED, reason="", status=200, body=b"", headers=(), **fields
+    ):
         """Respond as the node of a target does."""
         values = {
             "running": 1,
@@ -70,7 +72,7 @@
         }
         report = HopReport(outcome=outcome, reason=reason, **(values | fields))
         signed = (SIGNED,) if outcome is Outcome.ANSWERED else ()
-        self.answer(Response(status, (*signed, encode_report(report)), body))
+        self.answer(Response(status, (*signed, *headers, encode_report(report)), body))
 
 
 class FakePool:
