--- a/almondshore/limits/tenants.py
+++ b/almondshore/limits/tenants.py
@@ -39,26 +39,45 @@
     reason: LimitReason
 
 
-class _Bucket:
-    """A token bucket; times in seconds."""
+class TokenBucket:
+    """A token bucket; times in seconds.
+
+    :param tokens: tokens at the start, by default a full bucket
+    """
 
     __slots__ = ("rate", "burst", "tokens", "updated")
 
-    def __init__(self, rate: float, burst: float, now_s: float):
+    def __init__(self, rate: float, burst: float, now_s: float, tokens: float | None = None):
         self.rate = rate
         self.burst = burst
-        self.tokens = burst
+        self.tokens = burst if tokens is None else min(burst, tokens)
         self.updated = now_s
 
+    def refill(self, now_s: float) -> None:
+        """Add the tokens earned since the last call."""
+        if now_s > self.updated:
+            self.tokens = min(self.burst, self.tokens + (now_s - self.updated) * self.rate)
+            self.updated = now_s
+
     def take(self, now_s: float) -> float:
         """Take a token and return 0, or return the seconds until a token is available."""
-        self.tokens = min(self.burst, self.tokens + (now_s - self.updated) * self.rate)
-        self.updated = now_s
+        self.refill(now_s)
         if self.tokens >= 1.0:
             self.tokens -= 1.0
             return 0.0
         return (1.0 - self.tokens) / self.rate
 
+    def set_limits(self, rate: float, burst: float, now_s: float) -> None:
+        """Change the rate and the burst; tokens beyond the new burst are lost."""
+        self.refill(now_s)
+        self.rate = rate
+        self.burst = burst
+        self.tokens = min(burst, self.tokens)
+
+    def put_back(self, count: float) -> None:
+        """Return tokens that were not used."""
+        self.tokens = min(self.burst, self.tokens + count)
+
     def full_at(self) -> float:
         """Return the time at which the bucket is full again if no more tokens are taken."""
         return self.updated + (self.burst - self.tokens) / self.rate
@@ -90,8 +109,8 @@
         self.capacity = capacity
         self.default_rate = default_rate
         self.default_burst = default_burst
-        self.configured: dict[str, _Bucket] = {}
-        self.unconfigured: dict[str, _Bucket] = {}
+        self.configured: dict[str, TokenBucket] = {}
+        self.unconfigured: dict[str, TokenBucket] = {}
         # Heap with one entry for each key of ``unconfigured``: a lower bound of the time at which
         # its bucket is full.
         self.by_full_at: list[tuple[float, str]] = []
@@ -103,7 +122,7 @@
         for part in parts:
             bucket = self.configured.get(part["name"])
             if bucket is None or (bucket.rate, bucket.burst) != (part["rate"], part["burst"]):
-                bucket = _Bucket(part["rate"], float(part["burst"]), now_s)
+                bucket = TokenBucket(part["rate"], float(part["burst"]), now_s)
             configured[part["name"]] = bucket
         self.configured = configured
 
@@ -122,7 +141,7 @@
             return Limited(timedelta(seconds=wait_s), LimitReason.TENANT_LIMITED)
         return Allowed()
 
-    def _unconfigured_bucket(self, tenant: str, now_s: float) -> _Bucket | None:
+    def _unconfigured_bucket(self, tenant: str, now_s: float) -> TokenBucket | None:
         key = tenant
         if len(tenant) > MAX_NAME_CHARS:
             key = f"#{xxhash.xxh3_128_hexdigest(tenant.encode(errors='replace'))}"
@@ -131,7 +150,7 @@
             return bucket
         if len(self.unconfigured) >= self.capacity and not self._evict(now_s):
             return None
-        bucket = self.unconfigured[key] = _Bucket(
+        bucket = self.unconfigured[key] = TokenBucket(
             self.default_rate, float(self.default_burst), now_s
         )
         heapq.heappush(self.by_full_at, (now_s, key))
