Enforce the quotas of tenants over all nodes

Cause: a tenant at several times its usual rate took the room of the others, and no node knew what the others admitted. The node takes tokens from the owners of the tenant's shards before it forwards a request; the quotas follow the configuration and the directory.

--- a/almondshore/mesh/feeds.py
+++ b/almondshore/mesh/feeds.py
@@ -1,6 +1,7 @@
 """Keeps a node's copy of the mesh state up to date from the store, a watcher or another node."""
 
 import random
+from collections.abc import Callable
 from datetime import timedelta
 
 import eventlet
@@ -11,7 +12,7 @@
 from almondshore.mesh.changes import ChangeLog
 from almondshore.mesh.crashes import CrashSink
 from almondshore.mesh.directory import Directory
-from almondshore.mesh.model import Address
+from almondshore.mesh.model import Address, MeshConfig
 from almondshore.mesh.outbound import Outbound
 from almondshore.mesh.peers import PeerClient, PeerSync
 from almondshore.mesh.replication import Replica, Sink
@@ -51,6 +52,7 @@
     :param first_start: whether all nodes of the deployment start for the first time
     :param evacuates: whether zones of the deployment may be evacuated
     :ivar probe_replica: replica of the feed that is cheapest to call; it detects store outages
+    :ivar on_config: called with each configuration that comes into effect
     :ivar server: serves changes to the nodes that follow this one
     """
 
@@ -78,6 +80,8 @@
         self.crashes = CrashSink(guard=guard, changes=changes)
         self.evacuations = EvacuationSink(changes=changes)
         config = ConfigSink(outbound=outbound, name=config_name, changes=changes)
+        config.on_apply = lambda applied: self.on_config(applied)
+        self.on_config: Callable[[MeshConfig], None] = lambda _config: None
         targets = TargetSink(directory=directory)
         self.probe_replica: Replica | None = None
         self.probe_replica = self._make_replica(
--- a/almondshore/mesh/metrics.py
+++ b/almondshore/mesh/metrics.py
@@ -67,6 +67,14 @@
         }
         for name, value in values.items():
             self.metrics.gauge(name, name.replace("_", " "), value)
+        for tenant, quota in node.quota.tenant_quotas().items() if node.quota else ():
+            for name, value in quota._asdict().items():
+                self.metrics.gauge(
+                    f"almondshore_quota_{name}",
+                    f"Quota {name} at this node, by tenant",
+                    value,
+                    tenant=tenant,
+                )
         for reason, count in node.inbound.refusals.items():
             self.metrics.gauge(
                 "almondshore_target_refusals",
--- a/almondshore/mesh/node.py
+++ b/almondshore/mesh/node.py
@@ -39,6 +39,7 @@
     Death,
     MeshConfig,
     Target,
+    TargetState,
     WarmupLimit,
 )
 from almondshore.mesh.outbound import Outbound
@@ -50,6 +51,8 @@
 from almondshore.mesh.versions import VersionShares
 from almondshore.placement.evacuation import ZONE_EVACUATED, ZoneEvacuations
 from almondshore.placement.warmup import UNCONFIGURED_LIMIT
+from almondshore.quotas.client import DistributedQuota
+from almondshore.quotas.transport import UdpNetwork
 from almondshore.retries.budget import RetryBudget
 from almondshore.retries.crash import QUARANTINE, CrashGuard
 from almondshore.routing.completion import CompletionChooser
@@ -232,6 +235,10 @@
         self.inbound.is_evacuated = lambda: self.evacuations.own_evacuated
         self.evacuations.on_begin = lambda: self.inbound.refuse_waiting(ZONE_EVACUATED)
         self.evacuations.on_end = self.local.warmup.on_evacuation_end
+        self.quota = self._make_quota()
+        if self.quota is not None:
+            self.outbound.quota = self.quota
+        self.feeds.on_config = self._on_config
         handover = RolloutHandover(rng=rng, client=client, store=store)
         internal.handlers = {CHANGES_PATH: self.feeds.server, HANDOVER_PATH: handover}
         self.driver = RolloutDriver(
@@ -290,6 +297,8 @@
     def close(self) -> None:
         """Stop the workers and listeners immediately, for a node embedded in another program."""
         self.feeds.kill()
+        if self.quota is not None:
+            self.quota.network.close()
         for greenlet in self.greenlets:
             greenlet.kill()
         for server in self.servers:
@@ -370,6 +379,8 @@
         self.local.drain = settings.bounds.drain
         self.local.warmup.bound = settings.bounds.warmup
         self.inbound.app = settings.app
+        if self.quota is not None:
+            self.quota.apply_bound(settings.bounds.quota)
         self.store.set_address(settings.store)
         self._set_retry_budget()
 
@@ -379,6 +390,8 @@
             return
         self.stopping_since = self.clock.monotonic()
         self.inbound.leaving = True
+        if self.quota is not None:
+            self.quota.leave()
         self.outbound_server.drain()
         log_event(
             "node_stopping",
@@ -514,6 +527,7 @@
         self.prober.retain({target.node for target in targets.values()})
         self.shares.infer_stable_versions(targets.values())
         self._set_retry_budget()
+        self._set_quota_nodes()
 
     def _set_retry_budget(self) -> None:
         bounds = self.settings.bounds
@@ -525,6 +539,38 @@
             nodes=nodes,
         )
 
+    def _make_quota(self) -> DistributedQuota | None:
+        """Return the quotas over all nodes, None if the settings have no address for them."""
+        settings = self.settings
+        if settings.quotas is None:
+            return None
+        return DistributedQuota(
+            clock=self.clock,
+            rng=self.rng,
+            network=UdpNetwork(address=settings.quotas),
+            node=settings.quotas,
+            zone=settings.zone,
+            bound=settings.bounds.quota,
+        )
+
+    def _on_config(self, config: MeshConfig) -> None:
+        """Apply the quotas of a configuration that has come into effect."""
+        tenants = config.tenants.by_name.values() if config.tenants is not None else ()
+        if self.quota is not None:
+            self.quota.apply_tenants(tenants)
+        elif any(tenant.rate_per_s for tenant in tenants):
+            log_event("quotas_not_enforced", level="WARNING", reason="listen.quotas is not set")
+
+    def _set_quota_nodes(self) -> None:
+        if self.quota is not None:
+            # All hosts use the same port for quotas.
+            port = self.settings.quotas[1]
+            self.quota.apply_nodes(
+                ((target.node[0], port), target.zone)
+                for target in self.directory.targets.values()
+                if target.state is not TargetState.GONE
+            )
+
     def _is_retired(self, service: str, version: str) -> bool:
         return self.shares.is_retired(service, version) or self.driver.is_faulty(service, version)
 
--- a/almondshore/mesh/state.py
+++ b/almondshore/mesh/state.py
@@ -16,12 +16,14 @@
     """Applies a configuration unless a newer one is in effect.
 
     :param name: name of the stored item that holds the configuration
+    :ivar on_apply: called with each configuration that comes into effect
     """
 
     def __init__(self, *, outbound: Outbound, name: str, changes: ChangeLog | None = None):
         self.outbound = outbound
         self.name = name
         self.changes = changes or ChangeLog()
+        self.on_apply: Callable[[MeshConfig], None] = lambda _config: None
 
     def replace(self, items: Mapping[str, MeshConfig]) -> bool:
         """Apply the stored configuration if it is newer; returns whether it was."""
@@ -38,6 +40,7 @@
         if config.version <= previous:
             return False
         self.outbound.config = config
+        self.on_apply(config)
         log_event("config_applied", version=config.version, previous=previous, source=source)
         self.changes.increment()
         return True
