--- a/almondshore/mesh/forwarding.py
+++ b/almondshore/mesh/forwarding.py
@@ -37,6 +37,8 @@
 # Service times vary by a factor of two around the expected one.
 OVERDUE_FACTOR = 2.5
 MIN_OVERDUE = timedelta(milliseconds=150)
+# Priorities of routes that are told apart within one priority of tenants.
+ROUTE_PRIORITIES = 16
 DEFAULT_DEADLINE = timedelta(seconds=30)
 
 
@@ -108,10 +110,18 @@
 
     @property
     def urgency(self) -> int:
-        """Return the priority of the tenant, or of the route; 0 is the most urgent."""
+        """Return the rank among requests for the same target; 0 is the most urgent.
+
+        It is the route's priority. Where requests have tenants, the tenant's priority goes before
+        it, and requests of equally urgent tenants are ranked by their routes.
+        """
+        priority = self.route.priority
+        if self.outbound.config.tenants is None:
+            return priority
+        first = priority
         if self.tenant is not None and self.tenant.priority is not None:
-            return self.tenant.priority
-        return self.route.priority
+            first = self.tenant.priority
+        return first * ROUTE_PRIORITIES + min(priority, ROUTE_PRIORITIES - 1)
 
     def send(self) -> None:
         """Send the request to the best remaining target, or fail it if there is none.
--- a/test/mesh/test_tenants.py
+++ b/test/mesh/test_tenants.py
@@ -107,9 +107,26 @@
 
     def test_priority_of_the_tenant_goes_before_that_of_the_route(self):
         """Guards against a tenant that is served by the priority of its route."""
+        routes = [route(), route("low", prefix="/low/", priority=3, public=True)]
+        self.harness = RequestPathHarness(routes=routes)
         self.put_remote_target()
-        self.harness.request(headers=FORMS["plain"])
-        self.assertEqual(0, self.harness.pool.calls[-1].terms.urgency)
+
+        def urgency(tenant, path):
+            self.set_tenant(tenant)
+            self.harness.request(path=path, headers=FORMS["plain"])
+            return self.harness.pool.calls[-1].terms.urgency
+
+        urgent, routine = Tenant("u", priority=0), Tenant("r", priority=2)
+        ranks = [
+            urgency(urgent, b"/a/x"),
+            urgency(urgent, b"/low/x"),
+            urgency(Tenant("n"), b"/a/x"),
+            urgency(routine, b"/a/x"),
+            urgency(routine, b"/low/x"),
+            urgency(Tenant("n"), b"/low/x"),
+        ]
+        self.assertEqual(sorted(ranks), ranks)
+        self.assertEqual(len(ranks), len(set(ranks)))
 
     def test_request_over_the_quota_is_answered_with_429(self):
         """Guards against requests beyond the quota that reach a target."""
