--- a/almondshore/placement/evacuation.py
+++ b/almondshore/placement/evacuation.py
@@ -8,7 +8,7 @@
 from almondshore.mesh.directory import Directory
 from almondshore.mesh.model import Address, MeshConfig, WarmupLimit
 
-# Longest time until a node may send to a target of a zone that has returned, where the length of the
+# Longest time until a node may send to a target of a zone that has returned, if the length of the
 # warm-up is not known. In a model of 64 targets, a longest time of 5 s led to 1.6 times as many
 # refused requests as one of 8 s.
 MAX_RETURN_DELAY = timedelta(seconds=10)
