Handle a store that is restored from a copy

Cause: revisions of a restored store go back and are given out again, so that nodes kept newer-looking revisions, conditional writes failed or overwrote, and lost entries were never written again.

Change: Store-Era begins an era. Positions and revisions are dropped, all feeds are read in full, own entries are written again with jitter, and what the copy lacks stays in effect for 10 s. /changes states the era; state of an earlier era is ignored except a newer configuration. The store's stand-in can restore.

--- a/almondshore/mesh/change_server.py
+++ b/almondshore/mesh/change_server.py
@@ -22,6 +22,7 @@
 from almondshore.mesh.hop import MILLISECOND, DurationMs
 from almondshore.mesh.model import MeshConfig
 from almondshore.mesh.state import EvacuationSink, RolloutSink
+from almondshore.mesh.store import StoreEra
 
 CHANGES_PATH = b"/changes"
 # Longest time that a poll waits for a change.
@@ -63,6 +64,8 @@
 
     :param config: returns the configuration in effect
     :param age: returns how long ago this node's state was last known to be up to date
+    :param era: era of the store
+    :param is_reading: returns whether this node has not yet read the state of that era
     :ivar pending: polls that wait for a change
     """
 
@@ -76,6 +79,8 @@
         crashes: CrashSink,
         evacuations: EvacuationSink,
         age: Callable[[], timedelta],
+        era: StoreEra | None = None,
+        is_reading: Callable[[], bool] = lambda: False,
     ):
         self.changes = changes
         self.config = config
@@ -84,6 +89,8 @@
         self.crashes = crashes
         self.evacuations = evacuations
         self.age = age
+        self.era = era or StoreEra()
+        self.is_reading = is_reading
         self.pending: dict[int, _PendingPoll] = {}
         self.response_scheduled = False
         changes.on_change = self._on_change
@@ -142,9 +149,23 @@
     def _make_response(self, query: ChangeQuery) -> Response:
         changes, after = self.changes, query.after
         age_ms = int(self.age() / MILLISECOND)
-        if query.max_age_ms and age_ms > query.max_age_ms:
+        is_outdated = query.max_age_ms > 0 and age_ms > query.max_age_ms
+        if is_outdated or self.is_reading():
+            # Of an earlier era, only the configuration is of use to others.
+            config = None if is_outdated else self._newer_config(query)
             nothing = ChangeResponse(
-                changes.epoch, changes.number, age_ms, False, b"", [], [], [], [], [], []
+                epoch=changes.epoch,
+                number=changes.number,
+                age_ms=age_ms,
+                whole=False,
+                config=config.compressed if config is not None else b"",
+                targets=[],
+                removed_targets=[],
+                rollouts=[],
+                removed_rollouts=[],
+                deaths=[],
+                removed_deaths=[],
+                era=self.era.number,
             )
             return Response(200, (), encode_response(nothing))
         whole = not changes.covers(query.epoch, after)
@@ -170,6 +191,8 @@
                 evacuations[name] for name in changes.changed_since(StateKind.EVACUATION, after)
             ],
             removed_evacuations=changes.removed_since(StateKind.EVACUATION, after),
+            era=self.era.number,
+            unsaved_rollouts=sorted(self.rollouts.unsaved),
         )
         return Response(200, (), encode_response(response))
 
--- a/almondshore/mesh/changes.py
+++ b/almondshore/mesh/changes.py
@@ -100,6 +100,8 @@
     :ivar age_ms: time since the sender's state was last known to be up to date with the store
     :ivar whole: whether all targets, rollouts and deaths are listed, not only those that changed
     :ivar config: compressed configuration, empty unless it is newer than the receiver's
+    :ivar era: era of the store of which the state is, None if it is not known
+    :ivar unsaved_rollouts: services whose progress the store lacks since it was restored
     """
 
     epoch: str
@@ -115,6 +117,8 @@
     removed_deaths: list[str]
     evacuations: list[Evacuation] = []
     removed_evacuations: list[str] = []
+    era: int | None = None
+    unsaved_rollouts: list[str] = []
 
 
 encode_response = msgspec.msgpack.Encoder().encode
--- a/almondshore/mesh/crashes.py
+++ b/almondshore/mesh/crashes.py
@@ -14,7 +14,7 @@
 from almondshore.http.messages import Request
 from almondshore.mesh.changes import ChangeLog, StateKind
 from almondshore.mesh.model import Death
-from almondshore.mesh.replication import Sink
+from almondshore.mesh.replication import KeptItems, Sink
 from almondshore.mesh.store import MeshStore
 from almondshore.retries.crash import CrashGuard, fingerprint
 from almondshore.storage.port import RateLimited, Unavailable
@@ -27,6 +27,9 @@
 MAX_SUSPECTS = 32
 WRITE_INTERVAL = timedelta(seconds=1)
 MAX_PENDING_REPORTS = 64
+# A report that was removed this recently may come back with a copy from which the store is
+# restored. Copies are some seconds old.
+MAX_COPY_AGE = timedelta(seconds=60)
 
 
 class _Suspect(NamedTuple):
@@ -75,15 +78,25 @@
         self.guard = guard
         self.changes = changes or ChangeLog()
         self.reports: dict[str, Death] = {}
+        self.kept = KeptItems()
 
     def replace(self, items: Mapping[str, Death]) -> bool:
         """Replace all reports; deaths that are already known are not counted again."""
-        removed = dict.fromkeys(self.reports.keys() - items.keys())
+        removed = dict.fromkeys(self.kept.missing(self.reports, items))
         self.update({**items, **removed})
         return bool(items)
 
+    def begin_era(self) -> None:
+        """Keep the known reports until the nodes that made them have written them again."""
+        self.kept.begin(self.reports)
+
+    def end_grace(self) -> None:
+        """Keep only reports that the store has."""
+        self.kept.release()
+
     def update(self, items: Mapping[str, Death | None]) -> None:
         """Apply added and removed reports; a death whose report was removed stays counted."""
+        self.kept.confirm(items)
         for name, death in items.items():
             if death is not None:
                 self.put(death)
@@ -111,10 +124,20 @@
                 )
 
 
+class _Report(NamedTuple):
+    """A report in the store, and the monotonic time at which it was written."""
+
+    at: timedelta
+    death: Death
+    revision: int
+
+
 class DeathReporter:
     """Writes reports of deaths to the store, and removes them when they have expired.
 
     :param retention: how long a report stays in the store, for nodes that start later
+    :ivar written: reports in the store
+    :ivar withdrawn: reports that were removed a short time ago, at the time of their removal
     """
 
     def __init__(self, *, clock: Clock, store: MeshStore, retention: timedelta):
@@ -122,7 +145,9 @@
         self.store = store
         self.retention = retention
         self.pending: list[Death] = []
-        self.written: list[tuple[timedelta, str, int]] = []
+        self.written: list[_Report] = []
+        self.withdrawn: list[_Report] = []
+        store.era.subscribe(self._on_new_era)
 
     def report(self, death: Death) -> None:
         """Queue a report for writing; if a long outage fills the queue, the oldest are dropped."""
@@ -138,20 +163,37 @@
     def step(self) -> None:
         """Write queued reports, then remove expired ones; a failed call ends the step."""
         while self.pending:
-            result = self.store.save_death(self.pending[0])
+            death = self.pending[0]
+            result = self.store.save_death(death)
             if not is_successful(result):
                 log_event("death_not_reported", level="WARNING", error=result.failure())
                 return
-            death = self.pending.pop(0)
-            self.written.append((self.clock.monotonic(), death.name, result.unwrap()))
-        while self.written and self.clock.monotonic() - self.written[0][0] > self.retention:
-            _, name, revision = self.written[0]
-            result = self.store.delete_death(name, revision)
+            # An era that began during the call has added reports.
+            self.pending = [item for item in self.pending if item is not death]
+            self.written.append(_Report(self.clock.monotonic(), death, result.unwrap()))
+        self.withdrawn = [
+            item for item in self.withdrawn if self.clock.monotonic() - item.at < MAX_COPY_AGE
+        ]
+        while self.written and self.clock.monotonic() - self.written[0].at > self.retention:
+            report = self.written[0]
+            result = self.store.delete_death(report.death.name, report.revision)
             done = is_successful(result)
-            log_event("death_withdrawn", death=name, done=done)
+            log_event("death_withdrawn", death=report.death.name, done=done)
             if not done and isinstance(result.failure(), Unavailable | RateLimited):
                 return
-            self.written.pop(0)
+            self.written = [item for item in self.written if item is not report]
+            self.withdrawn.append(report._replace(at=self.clock.monotonic()))
+
+    def _on_new_era(self) -> None:
+        """Write all reports again, and remove those again that were removed a short time ago.
+
+        The copy from which the store was restored may lack the former and contain the latter.
+        """
+        again = [report.death for report in self.written]
+        self.pending = [*again, *self.pending][-MAX_PENDING_REPORTS:]
+        expired = self.clock.monotonic() - 2 * self.retention
+        self.written = [_Report(expired, report.death, 0) for report in self.withdrawn]
+        self.withdrawn = []
 
 
 def request_fingerprint(request: Request, caller: str) -> int:
--- a/almondshore/mesh/driver.py
+++ b/almondshore/mesh/driver.py
@@ -16,7 +16,7 @@
 from almondshore.mesh.model import Address, Rollout, RolloutState
 from almondshore.mesh.peers import Evidence
 from almondshore.mesh.rollout import MIN_FINISH_TIME, ExposureBound, next_progress
-from almondshore.mesh.state import RolloutSink
+from almondshore.mesh.state import OWN, RolloutSink
 
 STEP_INTERVAL = timedelta(milliseconds=400)
 # A node looks at the results of its local target more often, and takes a step early after this many
@@ -86,6 +86,8 @@
     :ivar order: the unfinished order of the service, None if there is none
     :ivar faults: detected faults, by service and version
     :ivar failures_at_step: failures of the local target at the last step
+    :ivar unsaved_since: monotonic time since which the store lacks known progress, None if it has
+        it; after a failure to write it, that time
     """
 
     def __init__(
@@ -110,13 +112,15 @@
         self.faults: dict[tuple[str, str], str] = {}
         self.stepped_at: timedelta | None = None
         self.failures_at_step = 0
+        self.unsaved_since: timedelta | None = None
         rollouts.on_change = self.on_rollout
         handover.on_notice = self.on_notice
 
     def run(self) -> None:
         """Drive rollouts until the process ends; runs in its own greenlet."""
         while True:
-            pause = IDLE_INTERVAL if self.current() is None else LOCAL_CHECK_INTERVAL
+            idle = self.current() is None and self.unsaved_since is None
+            pause = IDLE_INTERVAL if idle else LOCAL_CHECK_INTERVAL
             eventlet.sleep(pause.total_seconds())
             self.check()
 
@@ -138,6 +142,7 @@
 
     def check(self) -> None:
         """Take a step if one is due or the local target fails requests."""
+        self._save_again()
         rollout = self.current()
         if rollout is not None and (self._is_step_due(rollout) or self._has_new_failures(rollout)):
             self.stepped_at = self.clock.monotonic()
@@ -239,6 +244,42 @@
                 source=source,
             )
 
+    def _save_again(self) -> None:
+        """Write progress again that the store lost when it was restored from a copy.
+
+        The nodes of the service do so in the order of their ranks.
+        """
+        service = self.service()
+        rollout = self.rollouts.shares.rollouts.get(service)
+        if rollout is None or not rollout.revision or service not in self.rollouts.unsaved:
+            self.unsaved_since = None
+            return
+        now = self.clock.monotonic()
+        if self.unsaved_since is None:
+            self.unsaved_since = now
+        own_node = self.collector.node
+        ranked = self.collector.rank_nodes(rollout)
+        rank = ranked.index(own_node) if own_node in ranked else len(ranked)
+        if now - self.unsaved_since < RANK_DELAY * rank:
+            return
+        fault = self.faults.get((service, rollout.version), "")
+        result = self.handover.save(rollout, fault, [node for node in ranked if node != own_node])
+        done = is_successful(result)
+        log_event(
+            "rollout_saved_again",
+            level="INFO" if done else "WARNING",
+            service=service,
+            version=rollout.version,
+            state=rollout.state,
+            done=done,
+        )
+        if done:
+            self.unsaved_since = None
+            self.rollouts.restored.confirm(service)
+            self.rollouts.put(rollout._replace(revision=result.unwrap()), source=OWN)
+        else:
+            self.unsaved_since = now + STEP_INTERVAL
+
     def _save_progress(
         self, order: Order, rollout: Rollout, desired: Rollout, ranked: list[Address]
     ) -> None:
@@ -248,7 +289,8 @@
         """
         own_node = self.collector.node
         now = self.clock.monotonic()
-        if desired == rollout:
+        if desired == rollout or not rollout.revision:
+            # Without a revision, the store was restored and its rollout has not been read again.
             order.desired = None
             return
         if order.desired is None or order.desired.revision != desired.revision:
@@ -269,7 +311,7 @@
             )
             return
         order.desired = None
-        self.rollouts.put(desired._replace(revision=result.unwrap()), source="own")
+        self.rollouts.put(desired._replace(revision=result.unwrap()), source=OWN)
 
     def _is_overdue(self, order: Order, rollout: Rollout, rank: int) -> bool:
         """Return whether the nodes that collect evidence have missed a step, and this one is next.
--- a/almondshore/mesh/feeds.py
+++ b/almondshore/mesh/feeds.py
@@ -2,10 +2,13 @@
 
 import random
 from datetime import timedelta
+from typing import Any
 
 import eventlet
+from eventlet import hubs
 
 from almondshore.core.clock import Clock
+from almondshore.core.logs import log_event
 from almondshore.core.workers import spawn_worker
 from almondshore.mesh.change_server import ChangeServer
 from almondshore.mesh.changes import ChangeLog
@@ -41,6 +44,9 @@
 # version of a large configuration takes a third of a second on a link of 10 Mbit/s.
 CONFIG_BATCH_DELAY = timedelta(milliseconds=700)
 TARGETS_BATCH_DELAY = timedelta(milliseconds=500)
+# After the store was restored from a copy and read, entries that it lacks stay in effect for this
+# long. Nodes write theirs again within 2 s, operators and targets within seconds.
+ERA_GRACE = timedelta(seconds=10)
 
 
 class StateFeeds:
@@ -52,6 +58,8 @@
     :param evacuates: whether zones of the deployment may be evacuated
     :ivar probe_replica: replica of the feed that is cheapest to call; it detects store outages
     :ivar server: serves changes to the nodes that follow this one
+    :ivar awaits_read: whether an era of the store began whose state has not been read
+    :ivar grace_timer: ends the time in which entries that a restored store lacks stay in effect
     """
 
     def __init__(
@@ -79,6 +87,9 @@
         self.evacuations = EvacuationSink(changes=changes)
         config = ConfigSink(outbound=outbound, name=config_name, changes=changes)
         targets = TargetSink(directory=directory)
+        self.era = store.era
+        self.grace_timer: Any = None
+        self.awaits_read = False
         self.probe_replica: Replica | None = None
         self.probe_replica = self._make_replica(
             store.targets,
@@ -108,7 +119,10 @@
             crashes=self.crashes,
             evacuations=self.evacuations,
             decode=store.decode_config,
+            targets=targets,
+            era=store.era,
         )
+        self.sink = sink
         self.peers = PeerSync(
             clock=clock,
             rng=rng,
@@ -137,7 +151,14 @@
             crashes=self.crashes,
             evacuations=self.evacuations,
             age=self.follower.age,
+            era=store.era,
+            is_reading=self.follower.is_reading,
         )
+        self.changes = changes
+        store.era.subscribe(self._on_new_era)
+        self.follower.on_confirmed = self._on_read
+        for replica in self.replicas:
+            replica.on_read = self._on_read
         self.greenlets: list[eventlet.greenthread.GreenThread] = []
 
     def start(self) -> None:
@@ -150,6 +171,8 @@
         """Kill all workers and replicas."""
         for worker in (*self.greenlets, *self.replicas):
             worker.kill()
+        if self.grace_timer is not None:
+            self.grace_timer.cancel()
 
     def store_unavailable_since(self) -> timedelta | None:
         """Return the earliest time since which a feed has not responded, None if all respond.
@@ -165,6 +188,45 @@
             if replica is not self.probe_replica:
                 replica.restart()
 
+    def _on_new_era(self) -> None:
+        """Read all state again, and tell the nodes that follow this one."""
+        if self.grace_timer is not None:
+            self.grace_timer.cancel()
+            self.grace_timer = None
+        self.awaits_read = True
+        for replica in self.replicas:
+            replica.begin_era()
+        self.follower.begin_era()
+        self.changes.increment()
+        eventlet.spawn(self._restart_replicas, eventlet.getcurrent())
+
+    def _restart_replicas(self, current: eventlet.greenthread.GreenThread) -> None:
+        """End the pending calls, which continue from positions of the earlier era.
+
+        :param current: the greenlet whose call showed the new era
+        """
+        for replica in self.replicas:
+            if replica.greenlet is not current and replica.reads_again:
+                replica.restart()
+
+    def _on_read(self) -> None:
+        """Begin the grace time once the state of a new era has been read completely."""
+        if self.awaits_read and not self.follower.is_reading():
+            self.awaits_read = False
+            log_event("store_era_read", era=self.era.number)
+            self.grace_timer = hubs.get_hub().schedule_call_global(
+                ERA_GRACE.total_seconds(), self._end_grace
+            )
+
+    def _end_grace(self) -> None:
+        """Keep nothing any longer that the restored store lacks; read it once more in full."""
+        self.grace_timer = None
+        for replica in self.replicas:
+            replica.end_grace()
+        if self.sink.has_kept:
+            self.sink.has_kept = False
+            self.follower.request_full_state()
+
     def _make_replica(
         self,
         feed: Feed,
--- a/almondshore/mesh/handover.py
+++ b/almondshore/mesh/handover.py
@@ -27,11 +27,13 @@
 
     :ivar fault: fault of the rollout's version, empty if none is known
     :ivar store: whether the node is asked to store the rollout
+    :ivar era: era of the store of which the rollout's revision is, None if it is not known
     """
 
     rollout: Rollout
     fault: Annotated[str, msgspec.Meta(max_length=500)] = ""
     store: bool = False
+    era: int | None = None
 
 
 class StoredRevision(msgspec.Struct):
@@ -76,7 +78,7 @@
         result = self.store.save_progress(rollout)
         if is_successful(result) or isinstance(result.failure(), Changed) or not helpers:
             return result
-        body = msgspec.json.encode(RolloutNotice(rollout, fault, store=True))
+        body = msgspec.json.encode(RolloutNotice(rollout, fault, True, self.store.era.number))
         asked = self.rng.sample(helpers, min(HELPERS, len(helpers)))
         pool = eventlet.GreenPool(len(asked))
         for response in pool.imap(lambda node: self.client.post(node, HANDOVER_PATH, body), asked):
@@ -95,14 +97,20 @@
             return
         self.on_notice(notice)
         if notice.store:
-            eventlet.spawn(self._store, exchange, notice.rollout)
+            eventlet.spawn(self._store, exchange, notice)
         else:
             exchange.respond(Response(200))
 
-    def _store(self, exchange: Exchange, rollout: Rollout) -> None:
-        result = self.store.save_progress(rollout)
+    def _store(self, exchange: Exchange, notice: RolloutNotice) -> None:
+        """Store progress, unless its revision is of another era of the store."""
+        era = self.store.era
+        if notice.era is not None and notice.era != era.number:
+            exchange.respond(Response(200, (), msgspec.json.encode(StoredRevision(0))))
+            return
+        result = self.store.save_progress(notice.rollout)
         if is_successful(result):
-            revision = result.unwrap()
+            of_same_era = notice.era is None or notice.era == era.number
+            revision = result.unwrap() if of_same_era else 0
         elif isinstance(result.failure(), Changed):
             revision = 0
         else:
--- a/almondshore/mesh/peers.py
+++ b/almondshore/mesh/peers.py
@@ -285,6 +285,7 @@
     :param remove: whether entries that the node has removed, or does not have, are removed here
     :return: whether the state was well-formed
     """
+    sink.observe_era(response)
     try:
         sink.apply(response, source=f"{node[0]}:{node[1]}", remove=remove)
     except ValueError as error:
--- a/almondshore/mesh/publishing.py
+++ b/almondshore/mesh/publishing.py
@@ -1,5 +1,6 @@
 """Publishes the entry of the local target in the store."""
 
+import random
 from datetime import timedelta
 
 import eventlet
@@ -13,6 +14,14 @@
 
 MIN_BACKOFF = timedelta(milliseconds=200)
 MAX_BACKOFF = timedelta(seconds=1)
+# When an era of the store begins, all nodes write their entries again, spread over this time. The
+# entries must be back within 2 s; the store takes 1,200 writes per second, of which a node may need
+# two, and those of other kinds come at the same time.
+ERA_WRITE_SPREAD = timedelta(milliseconds=600)
+ERA_WRITES_PER_S = 400
+# Entries of earlier targets may come back with the copy. They are looked for again after the nodes
+# have read the store.
+ERA_CLEAN_UP_DELAY = timedelta(seconds=3)
 
 
 def remove_entry(store: MeshStore, directory: Directory, name: str) -> bool:
@@ -32,9 +41,13 @@
     :ivar desired: entry to store, None before the first announcement
     :ivar stored: entry that was last written, None if it has to be written again
     :ivar revisions: last known revision of each entry
+    :ivar restored: whether the store was restored since the entry was last written
     """
 
-    def __init__(self, *, store: MeshStore, directory: Directory):
+    def __init__(self, *, store: MeshStore, directory: Directory, rng: random.Random | None = None):
+        self.rng = rng or random.Random()
+        self.restored = False
+        store.era.subscribe(self._on_new_era)
         self.store = store
         self.directory = directory
         self.desired: Target | None = None
@@ -86,6 +99,7 @@
         if is_successful(result):
             self.revisions[desired.target] = result.unwrap()
             self.stored = desired
+            self.restored = False
             log_event(
                 "target_published",
                 target=desired.target,
@@ -103,10 +117,27 @@
         if entry is None or entry.state is not TargetState.GONE:
             return
         revision = self.revisions.get(entry.target, 0)
-        if revision:
+        # After a restore no revision is known, but the copy may contain the entry.
+        if revision or self.restored:
             result = self.store.delete_target(entry.target, revision)
             log_event("target_withdrawn", target=entry.target, done=is_successful(result))
 
+    def _on_new_era(self) -> None:
+        """Write the entry again: the store may have lost it, or have an earlier one."""
+        self.revisions.clear()
+        self.restored = True
+        spread = max(
+            ERA_WRITE_SPREAD, timedelta(seconds=len(self.directory.targets) / ERA_WRITES_PER_S)
+        )
+        eventlet.spawn_after((spread * self.rng.random()).total_seconds(), self._write_again)
+
+    def _write_again(self) -> None:
+        if self.restored and self.desired is not None:
+            self.stored = None
+            self.publish(self.desired)
+            eventlet.sleep(ERA_CLEAN_UP_DELAY.total_seconds())
+            self._remove_predecessor_entries(self.desired)
+
     def _remove_predecessor_entries(self, target: Target) -> None:
         """Remove entries of earlier targets of this node, which ended without notice."""
         for predecessor in self.directory.predecessors(target):
--- a/almondshore/mesh/replication.py
+++ b/almondshore/mesh/replication.py
@@ -2,7 +2,7 @@
 
 import random
 from abc import ABC, abstractmethod
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from datetime import timedelta
 from typing import Generic, TypeVar
 
@@ -41,6 +41,44 @@
     def update(self, items: Mapping[str, T | None]) -> None:
         """Apply changed items; a removed one is None."""
 
+    def begin_era(self) -> None:
+        """Prepare for the state of a new era of the store, which may lack what is known."""
+
+    def end_grace(self) -> None:
+        """Keep nothing of an earlier era any longer that the present one lacks."""
+
+
+class KeptItems:
+    """Items of an earlier era that no state of the present era has contained.
+
+    Their owners write them again within seconds of a restore; until then they stay in effect.
+
+    :ivar active: whether an era began a short time ago
+    :ivar names: names of the items
+    """
+
+    def __init__(self) -> None:
+        self.active = False
+        self.names: set[str] = set()
+
+    def begin(self, names: Iterable[str]) -> None:
+        """Keep the items that are known as an era begins."""
+        self.active = True
+        self.names = set(names)
+
+    def confirm(self, items: Iterable[str]) -> None:
+        """Note items that the state of the present era contains, or that were removed in it."""
+        self.names.difference_update(items)
+
+    def missing(self, known: Iterable[str], items: Collection[str]) -> list[str]:
+        """Return the known items that a full state lacks and that are not kept."""
+        return [name for name in known if name not in items and name not in self.names]
+
+    def release(self) -> None:
+        """Keep the items no longer."""
+        self.active = False
+        self.names = set()
+
 
 class Replica(Generic[T]):
     """Copies a feed to a sink until it is killed or suspended.
@@ -55,6 +93,8 @@
     :param probe_replica: replica of the feed that is cheapest to call; while its calls fail too,
         this replica makes few calls, since failed calls are also charged
     :ivar on_recovered: called when the store responds again
+    :ivar on_read: called after a full read has been applied
+    :ivar reads_again: whether an era of the store began whose state has not been read
     :ivar failing_since: monotonic time since which the store has not responded, initially the
         time of creation; None while it responds or the replica is suspended
     :ivar answered_at: monotonic time of the store's last response, None before the first
@@ -95,6 +135,8 @@
         self.backoff = MIN_BACKOFF
         self.greenlet: eventlet.greenthread.GreenThread | None = None
         self.on_recovered: Callable[[], None] = lambda: None
+        self.on_read: Callable[[], None] = lambda: None
+        self.reads_again = False
 
     def run(self) -> None:
         """Replicate until killed; runs in its own greenlet."""
@@ -121,6 +163,23 @@
             self.kill()
             self.start()
 
+    def begin_era(self) -> None:
+        """Discard the position, so that the feed is read in full: an era of the store began.
+
+        A pending call for changes is to be ended with :meth:`restart`.
+        """
+        if self.position is not None:
+            self.former_position, self.position = self.position, None
+        self.stale_read = False
+        self.reads_again = True
+        self.sink.begin_era()
+
+    def end_grace(self) -> None:
+        """Read the feed in full once more, some time after an era of the store began."""
+        self.sink.end_grace()
+        self.position = None
+        self.restart()
+
     def suspend(self) -> None:
         """Stop replicating.
 
@@ -155,6 +214,7 @@
             eventlet.sleep(MIN_BACKOFF.total_seconds())
             return
         self.called_at = now
+        position = self.position
         if self.failing_since is not None and self.former_position is not None:
             self._probe_store(self.former_position)
             return
@@ -170,8 +230,12 @@
             self._on_error(result.failure())
             return
         self._record_response()
+        if position is not None and self.position is None:
+            # An era of the store began meanwhile; the changes are those since another position.
+            return
         received = result.unwrap()
         if self.position is None:
+            self.reads_again = False
             changed = self.sink.replace(received.items)
         else:
             self.lost_history = False
@@ -179,6 +243,8 @@
             if changed:
                 self.sink.update(received.items)
         full_read, self.position = self.position is None, received.position
+        if full_read:
+            self.on_read()
         if changed:
             self._after_change(full_read)
 
--- a/almondshore/mesh/store.py
+++ b/almondshore/mesh/store.py
@@ -1,12 +1,13 @@
 """Interface to the store that holds the configuration, targets, rollouts and deaths."""
 
 from abc import ABC, abstractmethod
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from datetime import timedelta
 from typing import Generic, NamedTuple, TypeVar
 
 from returns.result import Result
 
+from almondshore.core.logs import log_event
 from almondshore.mesh.model import Address, Death, Evacuation, MeshConfig, Rollout, Target
 from almondshore.storage.port import NotFound, RateLimited, Unavailable
 
@@ -28,6 +29,49 @@
     revision: int
 
 
+class StoreEra:
+    """Era of the store, which increases by one each time the store is restored from a copy.
+
+    Revisions of different eras are not comparable. A store that states no era is in era 0; if it
+    states one later, the state that was read until then counts as that of an earlier era.
+
+    :ivar number: highest era that is known, None before the first response
+    """
+
+    def __init__(self) -> None:
+        self.number: int | None = None
+        self.listeners: list[Callable[[], None]] = []
+
+    def subscribe(self, listener: Callable[[], None]) -> None:
+        """Call a function, which must not block, each time a new era begins."""
+        self.listeners.append(listener)
+
+    def observe(self, number: int | None, *, source: str) -> bool:
+        """Note the era of a response; returns whether the response is of the present era.
+
+        :param number: era that the response states, None if it states none
+        """
+        if number is None:
+            # A response without an era comes from a store that states none, or was made on its
+            # way; it cannot be told from one of the present era.
+            self.number = self.number or 0
+            return True
+        previous = self.number
+        if previous is not None and number < previous:
+            log_event("store_era_outdated", era=number, known=previous, source=source)
+            return False
+        self.number = number
+        if previous is not None and number > previous:
+            log_event("store_era_began", level="WARNING", era=number, known=previous, source=source)
+            for listener in self.listeners:
+                listener()
+        return True
+
+    def is_outdated(self, number: int | None) -> bool:
+        """Return whether an era that another node stated is earlier than the known one."""
+        return number is not None and self.number is not None and number < self.number
+
+
 StoreError = Unavailable | RateLimited | NotFound | HistoryGone | Changed
 
 
@@ -69,8 +113,12 @@
 
 
 class MeshStore(ABC):
-    """Operations of a node on the store."""
+    """Operations of a node on the store.
+
+    :ivar era: era of the store, as known from its responses and from other nodes
+    """
 
+    era: StoreEra
     config: Feed[MeshConfig]
     targets: Feed[Target]
     rollouts: Feed[Rollout]
--- a/almondshore/mesh/watching.py
+++ b/almondshore/mesh/watching.py
@@ -1,7 +1,7 @@
 """Lets a few nodes of a zone watch the store, and the others follow them."""
 
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from datetime import timedelta
 
 import eventlet
@@ -49,6 +49,10 @@
 ZONE_PROBE_INTERVAL = timedelta(milliseconds=500)
 # A node that watches without being chosen stops when the store has not responded for this long.
 MAX_FAILED_WATCH = timedelta(seconds=1)
+# When an era of the store begins, the watchers read all state again. For this long a follower waits
+# for them, and does not call the store in their place.
+ERA_READ_TIME = timedelta(seconds=1)
+ERA_POLL_INTERVAL = timedelta(milliseconds=100)
 UNKNOWN_AGE = timedelta(days=1)
 
 
@@ -73,6 +77,8 @@
         store itself since
     :ivar outdated_since: monotonic time at which no watcher had recent state and this node did not
         watch the store either; None while its state is kept up to date
+    :ivar era_began_at: monotonic time at which an era of the store began, None for the first one
+    :ivar on_confirmed: called when recent state of a watcher has been applied
     :ivar next_probe_at: monotonic time of the next call to the store while the state is outdated
     """
 
@@ -109,6 +115,8 @@
         self.outdated_since: timedelta | None = None
         self.next_probe_at = timedelta()
         self.probing = False
+        self.era_began_at: timedelta | None = None
+        self.on_confirmed: Callable[[], None] = lambda: None
 
     def run(self) -> None:
         """Watch or follow until the process ends; runs in its own greenlet."""
@@ -119,9 +127,28 @@
 
     def age(self) -> timedelta:
         """Return how long ago this node's state was last known to be up to date with the store."""
+        if self.is_reading():
+            return UNKNOWN_AGE
         at = self.confirmed_at if self.followed is not None else self.probe_replica.answered_at
         return UNKNOWN_AGE if at is None else self.clock.monotonic() - at
 
+    def begin_era(self) -> None:
+        """Consider the state outdated until the store or a watcher has sent that of the new era."""
+        self.era_began_at = self.clock.monotonic()
+        self.confirmed_at = None
+
+    def is_reading(self) -> bool:
+        """Return whether this node does not have the state of the present era of the store."""
+        if self.era_began_at is None:
+            return False
+        if self.followed is not None:
+            return self.confirmed_at is None
+        return any(replica.reads_again for replica in self.replicas)
+
+    def request_full_state(self) -> None:
+        """Request the full state of the watcher with the next poll, not only its changes."""
+        self.epoch = ""
+
     def step(self) -> timedelta:
         """Poll the followed watcher, or the others if it is outdated; returns the next pause."""
         now = self.clock.monotonic()
@@ -145,6 +172,8 @@
                 return POLL_INTERVAL
         if self._is_starting():
             return self.poll_interval
+        if self._awaits_watchers():
+            return ERA_POLL_INTERVAL
         self._on_no_recent_watcher(self.node in standbys)
         return RETRY_INTERVAL
 
@@ -185,6 +214,12 @@
         """Return whether this node looks for its first watcher, which may be starting as well."""
         return self.confirmed_at is None and self.clock.monotonic() < self.starts_until
 
+    def _awaits_watchers(self) -> bool:
+        """Return whether the watchers may still read the state of a new era of the store."""
+        if self.followed is None or self.era_began_at is None or self.confirmed_at is not None:
+            return False
+        return self.clock.monotonic() - self.era_began_at < ERA_READ_TIME
+
     def _on_start_timeout(self) -> None:
         if self.followed is None:
             self._resume_replicas()
@@ -274,11 +309,16 @@
         if response is None:
             return False
         age = response.age_ms * MILLISECOND
+        if self.sink.era.is_outdated(response.era):
+            apply_changes(self.sink, watcher, response, remove=False)
+            return False
+        self.sink.observe_era(response)
         if age > MAX_STATE_AGE or not apply_changes(self.sink, watcher, response, remove=True):
             return False
         self.confirmed_at = self.clock.monotonic() - age
         self.outdated_since = None
         self.epoch, self.number = response.epoch, response.number
+        self.on_confirmed()
         return True
 
 
--- a/almondshore/platform/objects.py
+++ b/almondshore/platform/objects.py
@@ -6,15 +6,13 @@
 from urllib.parse import quote, urlencode
 
 import msgspec
-from eventlet.event import Event
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
 from almondshore.core.decoding import decode_json
 from almondshore.core.logs import log_event
-from almondshore.http.buffering import GUARANTEED_STATE_BYTES
-from almondshore.http.client import Address, CallResult, ConnectionPool
-from almondshore.http.messages import Response, encode_request
+from almondshore.http.client import Address
+from almondshore.http.messages import Response
 from almondshore.mesh.changes import compress_config
 from almondshore.mesh.model import Death, Evacuation, MeshConfig, Rollout, Route, Target
 from almondshore.mesh.store import (
@@ -28,35 +26,17 @@
 )
 from almondshore.platform import documents, names
 from almondshore.platform.json_parts import split_elements, split_members
-from almondshore.storage.port import NotFound, RateLimited, Unavailable
+from almondshore.platform.object_client import Metadata, Object, ObjectClient
+from almondshore.storage.port import Unavailable
 
 T = TypeVar("T")
 
-# The store responds in 4 ms, but may take 60 times as long when it is slow, and may lose responses.
-CALL_TIMEOUT = timedelta(seconds=1)
 # Added to the wait of a watch, whose response comes at the end of that wait, for the network and a
 # slow store.
 WATCH_TIMEOUT_MARGIN = timedelta(milliseconds=700)
-# A configuration of 1 MB takes 1.6 s on an otherwise idle link of 5 Mbit/s, so a response that has
-# begun is abandoned only if no more of it arrives for this time.
-STALL_TIMEOUT = timedelta(seconds=1)
-RATE_LIMIT_DELAY = timedelta(milliseconds=500)
-
-
-class Metadata(msgspec.Struct):
-    """Name and revision of an object."""
-
-    name: str
-    # Revision of the last change of this object.
-    revision: int = 0
-
-
-class Object(msgspec.Struct):
-    """An object of the store."""
-
-    metadata: Metadata
-    spec: Any = None
-    status: Any = None
+# After a restore, this many calls for changes of a feed are not answered with stale state, which
+# may be older than the restore. At 0.8 s each they cover the seconds by which it may be stale.
+FRESH_WAITS = 6
 
 
 class RawSpec(msgspec.Struct):
@@ -92,36 +72,6 @@
 ObjectDecoder = Callable[[msgspec.Raw], tuple[str, T]]
 
 
-class ObjectClient:
-    """Client of the store's HTTP API; a call blocks its greenlet only."""
-
-    def __init__(self, *, pool: ConnectionPool, address: Address):
-        self.pool = pool
-        self.address = address
-
-    def call(
-        self, method: bytes, path: str, body: bytes = b"", timeout: timedelta = CALL_TIMEOUT
-    ) -> Result[Response, StoreError]:
-        """Make a call; a status other than 200 and 201 is a failure."""
-        done: Event = Event()
-        headers = [(b"Host", f"{self.address[0]}:{self.address[1]}".encode())]
-        if body:
-            headers.append((b"Content-Type", b"application/json"))
-        data = encode_request(method, path.encode(), tuple(headers), body)
-        self.pool.call(
-            self.address,
-            data,
-            timeout=timeout,
-            on_done=done.send,
-            stall_timeout=STALL_TIMEOUT,
-            guaranteed_bytes=GUARANTEED_STATE_BYTES,
-        )
-        result: CallResult = done.wait()
-        if result.response is None:
-            return Failure(Unavailable(str(result.failure.value)))
-        return _check_status(path, result.response)
-
-
 class ObjectFeed(Feed[T]):
     """Feed of the objects of one kind.
 
@@ -137,14 +87,20 @@
         self.name = kind
         self.decode = decode
         self.allow_stale = allow_stale
+        self.fresh_waits = 0
+        client.era.subscribe(self._on_new_era)
 
     def read(self, *, stale: bool = False) -> Result[Snapshot[T], StoreError]:
-        """Read all objects, page by page."""
+        """Read all objects, page by page; a read during which an era began fails."""
         items: dict[str, T] = {}
+        era: int | None = None
         query: dict[str, str | int] = {"serializable": 1} if stale else {}
         while True:
             path = f"{names.OBJECTS_PATH}{self.name}" + (f"?{urlencode(query)}" if query else "")
             result = self.client.call(b"GET", path)
+            if "after" in query and self.client.era.number != era:
+                return Failure(HistoryGone(0))
+            era = self.client.era.number
             page = result.bind(lambda response: _decode_body(response, ListResponse, _split_list))
             if not is_successful(page):
                 return page
@@ -160,16 +116,25 @@
                 return Success(Snapshot(content.current_rev, items))
 
     def wait(self, position: int, timeout: timedelta) -> Result[Changes[T], StoreError]:
-        """Wait for changes after a revision."""
+        """Wait for changes after a revision; the history is gone if an era begins."""
         query = {"watch": position, "wait_ms": int(timeout / timedelta(milliseconds=1))}
-        if self.allow_stale:
+        if self.fresh_waits:
+            self.fresh_waits -= 1
+        elif self.allow_stale:
             query["serializable"] = 1
+        era = self.client.era.number
         path = f"{names.OBJECTS_PATH}{self.name}?{urlencode(query)}"
         result = self.client.call(b"GET", path, timeout=timeout + WATCH_TIMEOUT_MARGIN)
+        if self.client.era.number != era and era is not None:
+            # The position is a revision of the earlier era.
+            return Failure(HistoryGone(position))
         return result.bind(
             lambda response: _decode_body(response, WatchResponse, _split_watch)
         ).map(self._to_changes)
 
+    def _on_new_era(self) -> None:
+        self.fresh_waits = FRESH_WAITS
+
     def _to_changes(self, response: WatchResponse) -> Changes[T]:
         items: dict[str, T | None] = {}
         for event in response.events:
@@ -212,6 +177,7 @@
 
     def __init__(self, *, client: ObjectClient):
         self.client = client
+        self.era = client.era
         self.routes: Mapping[str, Route] = {}
         self.config = ObjectFeed(client=client, kind=names.CONFIG_KIND, decode=self._config_item)
         # Entries of targets may be seconds old, since the node of a leaving target refuses requests
@@ -325,31 +291,6 @@
     return f"{names.OBJECTS_PATH}{kind}/{quote(name, safe='')}"
 
 
-def _check_status(path: str, response: Response) -> Result[Response, StoreError]:
-    """Return the response if its status is 200 or 201, else the error for its status."""
-    status = response.status
-    if status in (200, 201):
-        return Success(response)
-    if status == 404:
-        return Failure(NotFound(path))
-    if status == 409:
-        return Failure(Changed(_conflicting_revision(response)))
-    if status == 410:
-        return Failure(HistoryGone(0))
-    if status == 429:
-        return Failure(RateLimited(RATE_LIMIT_DELAY))
-    return Failure(Unavailable(f"unexpected HTTP status {status}"))
-
-
-def _conflicting_revision(response: Response) -> int:
-    """Return the revision of the conflicting object, 0 if the response does not contain it."""
-    try:
-        return decode_json(response.body, Object).metadata.revision
-    except msgspec.MsgspecError as error:
-        log_event("conflict_malformed", level="WARNING", error=error)
-        return 0
-
-
 def _decode_revision(response: Response) -> Result[int, StoreError]:
     return _decode_body(response, Object).map(lambda stored: stored.metadata.revision)
 
--- a/standins/mesh_platform.py
+++ b/standins/mesh_platform.py
@@ -1,8 +1,10 @@
 """Stand-ins for the users' platform, its store and a target, on almondshore's HTTP server."""
 
+import time
+from collections import deque
 from collections.abc import Callable
 from datetime import timedelta
-from typing import Any
+from typing import Any, NamedTuple
 from urllib.parse import parse_qs, unquote
 
 import eventlet
@@ -20,6 +22,18 @@
 JSON: Headers = ((b"Content-Type", b"application/json"),)
 OBJECTS = "/objects/"
 HEALTH_PATH = b"/health"
+# Number of changes that a restore can undo.
+MAX_UNDOABLE = 100_000
+
+
+class _Undo(NamedTuple):
+    """How to undo a change: what an object was before, None if there was none."""
+
+    at: float
+    revision: int
+    kind: str
+    name: str
+    before: dict[str, Any] | None
 
 
 class StoreStandIn(ExchangeHandler):
@@ -32,9 +46,17 @@
     :ivar refusal_status: status that all calls are answered with, 0 to serve them
     :ivar drop_write_responses: whether writes are executed but left unanswered
     :ivar calls: number of calls so far
+    :ivar era: number of restores, stated in all responses; None to state none
+    :ivar away_until: monotonic time in seconds until which all calls are answered with 503
+    :ivar held: responses that are kept back, with the era in which they were made; None to send
+        responses at once
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, era: int | None = None) -> None:
+        self.era = era
+        self.away_until = 0.0
+        self.held: list[tuple[Exchange, Response]] | None = None
+        self.undo_log: deque[_Undo] = deque(maxlen=MAX_UNDOABLE)
         self.revision = 1
         self.compacted_revision = 0
         self.objects: dict[str, dict[str, dict[str, Any]]] = {}
@@ -47,8 +69,8 @@
     def handle(self, exchange: Exchange) -> None:
         """Handle a read, a watch or a write."""
         self.calls += 1
-        if self.refusal_status:
-            exchange.respond(Response(self.refusal_status))
+        if self.refusal_status or time.monotonic() < self.away_until:
+            self._respond(exchange, self.refusal_status or 503)
             return
         path, _, query = exchange.request.target.decode().partition("?")
         parts = [unquote(part) for part in path.removeprefix(OBJECTS).split("/")]
@@ -59,8 +81,7 @@
             return
         status, document = self._write(method, parts, options, exchange.request.body)
         if not self.drop_write_responses:
-            body = msgspec.json.encode(document) if document is not None else b""
-            exchange.respond(Response(status, JSON, body))
+            self._respond(exchange, status, document)
 
     def put(self, kind: str, name: str, spec: object) -> None:
         """Write the specification of an object, as an operator does; its status stays."""
@@ -77,7 +98,68 @@
         self.history.clear()
         pending, self.pending_watches = self.pending_watches, []
         for exchange, _, _ in pending:
-            exchange.respond(Response(410))
+            self._respond(exchange, 410)
+
+    def restore(
+        self,
+        *,
+        seconds: float | None = None,
+        revision: int | None = None,
+        away: timedelta = timedelta(),
+    ) -> None:
+        """Restore the store from an earlier copy, and begin a new era.
+
+        Revisions after that of the copy are given out again. Watches from such a revision are
+        answered with 410.
+
+        :param seconds: age of the copy; None to use the revision
+        :param revision: revision of the copy
+        :param away: for how long the store is unavailable before
+        """
+        cutoff = time.monotonic() - (seconds or 0.0)
+        while self.undo_log:
+            last = self.undo_log[-1]
+            if last.revision <= revision if revision is not None else last.at <= cutoff:
+                break
+            self._undo(self.undo_log.pop())
+        self.compacted_revision = min(self.compacted_revision, self.revision)
+        self.history = [entry for entry in self.history if entry[0] <= self.revision]
+        self.era = (self.era or 0) + 1
+        self.away_until = time.monotonic() + away.total_seconds()
+        pending, self.pending_watches = self.pending_watches, []
+        for entry in pending:
+            if away:
+                self._respond(entry[0], 503)
+            elif entry[2] > self.revision:
+                self._respond(entry[0], 410)
+            else:
+                self.pending_watches.append(entry)
+
+    def hold_responses(self) -> None:
+        """Keep back the responses to all calls from now on."""
+        self.held = []
+
+    def release_responses(self) -> None:
+        """Send the responses that were kept back, as they were made, and all further ones."""
+        held, self.held = self.held or [], None
+        for exchange, response in held:
+            exchange.respond(response)
+
+    def _respond(self, exchange: Exchange, status: int, document: object = None) -> None:
+        era = ((b"Store-Era", b"%d" % self.era),) if self.era is not None else ()
+        body = msgspec.json.encode(document) if document is not None else b""
+        response = Response(status, (*JSON, *era), body)
+        if self.held is None:
+            exchange.respond(response)
+        else:
+            self.held.append((exchange, response))
+
+    def _undo(self, change: _Undo) -> None:
+        if change.before is None:
+            del self.objects[change.kind][change.name]
+        else:
+            self.objects.setdefault(change.kind, {})[change.name] = change.before
+        self.revision = change.revision - 1
 
     def _read(self, exchange: Exchange, parts: list[str], options: dict[str, str]) -> None:
         kind = parts[0]
@@ -86,17 +168,16 @@
             return
         if len(parts) > 1:
             item = self.get(kind, parts[1])
-            body = msgspec.json.encode(item)
-            exchange.respond(Response(200 if item else 404, JSON, body if item else b""))
+            self._respond(exchange, 200 if item else 404, item)
             return
         items = [item for _, item in sorted(self.objects.get(kind, {}).items())]
         document = {"items": items, "has_more": False, "current_rev": self.revision}
-        exchange.respond(Response(200, JSON, msgspec.json.encode(document)))
+        self._respond(exchange, 200, document)
 
     def _watch(self, exchange: Exchange, kind: str, options: dict[str, str]) -> None:
         since = int(options["watch"])
-        if since < self.compacted_revision:
-            exchange.respond(Response(410))
+        if since < self.compacted_revision or since > self.revision:
+            self._respond(exchange, 410)
             return
         if self._answer_watch(exchange, kind, since, empty=False):
             return
@@ -119,7 +200,7 @@
         if not events and not empty:
             return False
         document = {"events": events, "current_rev": self.revision}
-        exchange.respond(Response(200, JSON, msgspec.json.encode(document)))
+        self._respond(exchange, 200, document)
         return True
 
     def _write(
@@ -150,6 +231,7 @@
         if current is not None and (current["spec"], current["status"]) == (spec, status):
             return current
         self.revision += 1
+        self.undo_log.append(_Undo(time.monotonic(), self.revision, kind, name, current))
         created = current["metadata"]["create_rev"] if current else self.revision
         metadata = {"name": name, "revision": self.revision, "create_rev": created}
         item = {"metadata": metadata, "spec": spec, "status": status}
@@ -160,6 +242,7 @@
     def _remove(self, kind: str, name: str) -> dict[str, Any]:
         item = self.objects[kind].pop(name)
         self.revision += 1
+        self.undo_log.append(_Undo(time.monotonic(), self.revision, kind, name, item))
         self._append_event(kind, item, removed=True)
         return item
 
--- a/test/mesh/rollout_world.py
+++ b/test/mesh/rollout_world.py
@@ -23,7 +23,7 @@
 from almondshore.mesh.peers import Evidence
 from almondshore.mesh.rollout import ExposureBound
 from almondshore.mesh.state import RolloutSink
-from almondshore.mesh.store import Changed
+from almondshore.mesh.store import Changed, StoreEra
 from almondshore.mesh.versions import VersionShares
 from almondshore.storage.port import Unavailable
 from test.mesh.fakes import FakeConnection
@@ -83,6 +83,7 @@
     def __init__(self, world, host):
         self.world = world
         self.host = host
+        self.era = StoreEra()
 
     def save_progress(self, rollout):
         if self.host.is_cut():
--- a/test/mesh/test_crashes.py
+++ b/test/mesh/test_crashes.py
@@ -11,6 +11,7 @@
 from almondshore.mesh.crashes import CrashSink, DeathReporter, request_fingerprint
 from almondshore.mesh.hop import HopTerms, Outcome
 from almondshore.mesh.model import Death
+from almondshore.mesh.store import StoreEra
 from almondshore.storage.port import Unavailable
 from test.mesh.fakes import APP, SIGNED, RequestPathHarness
 from test.mesh.samples import announcement, target
@@ -143,6 +144,7 @@
             results = [Failure(Unavailable("away")), Success(4)]
             away = False
             deleted = []
+            era = StoreEra()
 
             def save_death(self, death):
                 return self.results.pop(0)
--- a/test/mesh/test_driver.py
+++ b/test/mesh/test_driver.py
@@ -17,6 +17,7 @@
 from almondshore.mesh.peers import Evidence
 from almondshore.mesh.rollout import ExposureBound
 from almondshore.mesh.state import RolloutSink
+from almondshore.mesh.store import StoreEra
 from almondshore.mesh.versions import VersionShares
 from test.mesh.samples import target
 
@@ -28,6 +29,7 @@
 
     def __init__(self):
         self.saved = []
+        self.era = StoreEra()
 
     def save_progress(self, rollout):
         self.saved.append(rollout.state)
--- a/test/mesh/test_handover.py
+++ b/test/mesh/test_handover.py
@@ -12,7 +12,7 @@
 from almondshore.http.server import Exchange
 from almondshore.mesh.handover import HANDOVER_PATH, RolloutHandover, RolloutNotice
 from almondshore.mesh.model import Rollout, RolloutState
-from almondshore.mesh.store import Changed, Unavailable
+from almondshore.mesh.store import Changed, StoreEra, Unavailable
 from test.mesh.fakes import FakeConnection
 
 ROLLOUT = Rollout("s", "v2", timedelta(seconds=16), RolloutState.ROLLED_BACK, 0.0, 7)
@@ -25,6 +25,7 @@
     def __init__(self, result):
         self.result = result
         self.saved = []
+        self.era = StoreEra()
 
     def save_progress(self, rollout):
         self.saved.append(rollout)
--- a/test/mesh/test_state.py
+++ b/test/mesh/test_state.py
@@ -13,7 +13,7 @@
 from almondshore.mesh.publishing import TargetPublisher
 from almondshore.mesh.replication import MIN_BACKOFF, OUTAGE_CALL_INTERVAL, Replica, Sink
 from almondshore.mesh.state import ConfigSink, RolloutSink, TargetSink
-from almondshore.mesh.store import Changed, Changes, Feed, HistoryGone, NotFound, Snapshot
+from almondshore.mesh.store import Changed, Changes, Feed, HistoryGone, NotFound, Snapshot, StoreEra
 from almondshore.mesh.versions import VersionShares
 from almondshore.storage.port import Unavailable
 from test.mesh.fakes import RequestPathHarness
@@ -265,6 +265,7 @@
         self.results = list(results)
         self.writes = []
         self.deleted = []
+        self.era = StoreEra()
 
     def delete_target(self, name, revision):
         self.deleted.append(name)
--- a/test/mesh/test_watching.py
+++ b/test/mesh/test_watching.py
@@ -43,6 +43,7 @@
 
     def __init__(self):
         self.answered_at = timedelta()
+        self.reads_again = False
         self.failing_since = None
         self.suspended = False
         self.responds = True
