--- a/test/mesh/test_driver.py
+++ b/test/mesh/test_driver.py
@@ -93,3 +93,18 @@
         self.counts = RouteCounts(40, 10)
         eventlet.sleep(2.5 * STEP_INTERVAL.total_seconds())
         self.assertFalse(self.driver.is_faulty("s", "v2"))
+
+    def test_fault_outlives_a_restore_of_the_store(self):
+        """Guards against a faulty version that returns with the order of the copy."""
+        order = self.driver.order
+        self.driver.faults["s", "v2"] = "failures"
+        self.rollouts.begin_era()
+        eventlet.sleep(2 * STEP_INTERVAL.total_seconds())
+        self.assertNotIn(RolloutState.ROLLED_BACK, self.store.saved)
+        ordered = Rollout("s", "v2", timedelta(seconds=16), RolloutState.ORDERED, 0.0, 2)
+        self.rollouts.put(ordered, source="store")
+        self.assertTrue(self.driver.is_faulty("s", "v2"))
+        self.assertIs(order, self.driver.order)
+        eventlet.sleep(2 * STEP_INTERVAL.total_seconds())
+        self.assertEqual(RolloutState.ROLLED_BACK, self.store.saved[-1])
+        self.assertEqual(RolloutState.ROLLED_BACK, self.rollouts.shares.rollouts["s"].state)
