--- /dev/null
+++ b/almondshore/preflight/__init__.py
@@ -0,0 +1,1 @@
+"""Checks of a configuration before it is put into force."""
