Merge the evacuations and the store's era; keep ended evacuations ended

Cause: a peer that is outdated could bring back an evacuation that had ended, and a node that continues its watch never saw the removal again. Orders that ended are remembered by revision until the next era of the store, and peers are not asked for evacuations while the store responds.

--- a/almondshore/mesh/forwarding.py
+++ b/almondshore/mesh/forwarding.py
@@ -101,6 +101,7 @@
         self.retry_after = ZERO
         self.reason = ""
         self.last_target = ""
+        self.last_zone = ""
         self.load_age: timedelta | None = None
         self.done = False
         self.timer = hubs.get_hub().schedule_call_global(
@@ -224,6 +225,7 @@
         attempt = Attempt(target)
         self.attempts.append(attempt)
         self.last_target = target.target
+        self.last_zone = target.zone
         self.load_age = self.outbound.chooser.report_age(target.target)
         self.outbound.chooser.started(target.target)
         pending = self.outbound.dispatch(
@@ -382,5 +384,6 @@
             runs=self.runs,
             refusals=self.refusals,
             target=self.last_target,
+            target_zone=self.last_zone,
             load_age_ms=-1 if self.load_age is None else int(self.load_age / MILLISECOND),
         )
--- a/almondshore/mesh/peers.py
+++ b/almondshore/mesh/peers.py
@@ -239,7 +239,7 @@
             return False
         if not self._is_store_down(self.clock.monotonic()):
             # Only the configuration is outdated here; other entries of the peer may be older.
-            response = response._replace(targets=[], rollouts=[])
+            response = response._replace(targets=[], rollouts=[], evacuations=[])
         return apply_changes(self.sink, node, response, remove=False)
 
     def _fetch_once(self, node: Address) -> None:
@@ -285,6 +285,7 @@
     :param remove: whether entries that the node has removed, or does not have, are removed here
     :return: whether the state was well-formed
     """
+    sink.observe_era(response)
     try:
         sink.apply(response, source=f"{node[0]}:{node[1]}", remove=remove)
     except ValueError as error:
--- a/test/mesh/test_peers.py
+++ b/test/mesh/test_peers.py
@@ -7,7 +7,7 @@
 
 from almondshore.mesh.changes import ChangeResponse, compress_config, encode_response
 from almondshore.mesh.crashes import CrashSink
-from almondshore.mesh.model import Rollout, RolloutState
+from almondshore.mesh.model import Evacuation, Rollout, RolloutState
 from almondshore.mesh.peers import PeerSync
 from almondshore.mesh.state import ConfigSink, EvacuationSink, PeerSink, RolloutSink
 from test.mesh.fakes import OWN_NODE, RequestPathHarness
@@ -73,6 +73,20 @@
         self.assertEqual({}, self.harness.directory.targets)
         self.assertEqual({}, self.harness.shares.rollouts)
 
+    def test_ended_evacuation_does_not_return_from_an_outdated_peer(self):
+        """Guards against a zone that stays evacuated because a peer still has the ended order."""
+        order = Evacuation("a", 5)
+        sink = self.sync.sink
+        sink.evacuations.update({"a": order})
+        sink.evacuations.update({"a": None})
+        response = self.client.state._replace(evacuations=[order], whole=False)
+        sink.apply(response, source="peer", remove=False)
+        self.assertFalse(sink.evacuations.is_evacuated("a"))
+        sink.apply(
+            response._replace(evacuations=[order._replace(revision=6)]), source="p", remove=False
+        )
+        self.assertTrue(sink.evacuations.is_evacuated("a"))
+
     def test_state_is_fetched_from_a_peer_only_if_the_store_is_late(self):
         """Guards against each node copying each new configuration across zones."""
         self.sync.on_peer_version(NEAR, 7)
