Choose targets by the mean load where load reports are old

With 201 nodes most load reports are older than 2 s; they counted as an idle target, and nodes then chose by the service times that they happened to see. The mean load of the targets now replaces an aging report, reported service times count only as far as they differ by more than their noise, and the reported work left and the learned cost of a request enter the score.

--- a/almondshore/mesh/hop.py
+++ b/almondshore/mesh/hop.py
@@ -95,7 +95,9 @@
     :ivar rate_limit: requests per second that the target takes from all nodes, None for no limit
     :ivar rate_wait_ms: time after which that limit allows another request
     :ivar target_leaving: whether the target has said or announced that it leaves
-    :ivar work_ms: expected time until the target has ended all requests that it runs and that wait
+    :ivar work_ms: sum of the expected service times left of all requests that the target runs and
+        that wait
+    :ivar ran_ms: service time of the request, 0 if it did not run or failed
     """
 
     outcome: Outcome
@@ -112,6 +114,7 @@
     rate_wait_ms: DurationMs = 0
     target_leaving: bool = False
     work_ms: DurationMs = 0
+    ran_ms: DurationMs = 0
 
     def load(self) -> LoadReport:
         """Return the load of the target."""
@@ -124,6 +127,8 @@
             self.leaving,
             self.rate_limit,
             self.rate_wait_ms * MILLISECOND,
+            self.work_ms * MILLISECOND,
+            self.ran_ms * MILLISECOND,
         )
 
 
--- a/almondshore/mesh/model.py
+++ b/almondshore/mesh/model.py
@@ -213,6 +213,8 @@
     :ivar leaving: whether the target is draining or its node shutting down
     :ivar rate_limit: requests per second that the target takes from all nodes, None for no limit
     :ivar rate_wait: time after which that limit allows another request
+    :ivar work: expected service time left of all running and waiting requests, 0 if not known
+    :ivar ran: service time of the request, 0 if it did not run or failed
     """
 
     running: int
@@ -223,6 +225,8 @@
     leaving: bool
     rate_limit: float | None = None
     rate_wait: timedelta = timedelta()
+    work: timedelta = timedelta()
+    ran: timedelta = timedelta()
 
 
 class Evacuation(NamedTuple):
--- /dev/null
+++ b/almondshore/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Where requests go: costs, evacuations and cold targets."""
--- a/almondshore/routing/completion.py
+++ b/almondshore/routing/completion.py
@@ -3,20 +3,23 @@
 import random
 from collections.abc import Collection, Iterable
 from datetime import timedelta
+from typing import NamedTuple
 
 from almondshore.core.clock import Clock
 from almondshore.mesh.model import Address, LoadReport, Target
+from almondshore.placement.cost import DEFAULT_SERVICE_TIME, CostModel, Features
+from almondshore.routing.reported import UNKNOWN_LOAD, MeanLoad, ReportedLoad, mean_load
 
-ZERO = timedelta()
-# A report loses weight linearly up to this age; an older one says nothing about the current load.
-REPORT_MAX_AGE = timedelta(seconds=2)
+# The failure rate in a report loses weight linearly up to this age.
+REPORT_MAX_AGE_S = 2.0
+REPORT_MAX_AGE = timedelta(seconds=REPORT_MAX_AGE_S)
 # Penalty for a target in another zone, as a share of the objective: traffic between zones is
 # charged, so a target there must be clearly faster.
 ZONE_PENALTY_SHARE = 0.2
-# The same penalty for routes with large responses, each of which costs as much as hundreds of small
-# ones: they leave the zone only when its targets would hardly meet the objective.
+# The same penalty for large bodies of requests and responses, each of which costs as much as
+# hundreds of small ones: they leave the zone only when its targets would hardly meet the objective.
 LARGE_ZONE_PENALTY_SHARE = 0.6
-LARGE_RESPONSE_BYTES = 16 * 1024
+LARGE_BODY_BYTES = 16 * 1024
 # Penalty for a failure rate of 1, as a share of the objective: a failed request costs the time it
 # took and that of the retry.
 FAILURE_PENALTY_SHARE = 3.0
@@ -29,42 +32,44 @@
 SIZE_GAIN = 0.1
 BITS_PER_BYTE = 8
 BITS_PER_MEGABIT = 1_000_000
-DEFAULT_SERVICE_TIME = timedelta(milliseconds=100)
-
-
-class _Load:
-    """Load of one target as known to this node.
-
-    :ivar own_requests: requests of this node that have not ended
-    :ivar since_report: requests of this node that were sent after the last report
-    :ivar service_times: last reported service time by route
-    """
-
-    __slots__ = ("own_requests", "since_report", "report", "reported_at", "service_times")
-
-    def __init__(self) -> None:
-        self.own_requests = 0
-        self.since_report = 0
-        self.report: LoadReport | None = None
-        self.reported_at = ZERO
-        self.service_times: dict[str, timedelta] = {}
+# Penalty for a target with all slots taken, as a share of the service time there.
+NEAR_FULL_SHARE = 0.15
+# The unit in which the cost model keeps ratios of service times.
+UNIT_COST = timedelta(seconds=1)
 
 
 class CompletionChooser:
     """Chooses the target with the shortest expected time to completion, plus penalties.
 
+    The expected time is the wait for a slot, the service time of this request at the target's
+    speed, and the time of its body and its response on the links. As a report ages, the mean load
+    of the targets replaces the load in it, so that a target without a recent report looks neither
+    idle nor full.
+
     :param zone: availability zone of this node
     :param node: address of this node, whose own target responds without using a link
+    :param link_mbps: bandwidth of this node's link, 0 if unknown
     :ivar response_bytes: mean size of the responses by route
+    :ivar costs: service times that targets reported, as they would be at a target of mean speed
     """
 
-    def __init__(self, *, clock: Clock, rng: random.Random, zone: str, node: Address | None = None):
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        rng: random.Random,
+        zone: str,
+        node: Address | None = None,
+        link_mbps: float = 0.0,
+    ):
         self.clock = clock
         self.rng = rng
         self.zone = zone
         self.node = node
+        self.link_mbps = link_mbps
         self.response_bytes: dict[str, float] = {}
-        self.loads: dict[str, _Load] = {}
+        self.loads: dict[str, ReportedLoad] = {}
+        self.costs = CostModel()
 
     def choose(
         self,
@@ -73,36 +78,57 @@
         route: str,
         objective: timedelta,
         exclude: Collection[str] = (),
+        features: Features | None = None,
     ) -> Target | None:
-        """Return the target with the lowest score, or None if all are excluded."""
-        now = self.clock.monotonic()
-        best, best_score = None, 0.0
+        """Return the target with the lowest score, or None if all are excluded.
+
+        :param features: what is known of the request, None if only its route is
+        """
         candidates = [target for target in targets if target.target not in exclude]
-        mean_time = self._mean_service_time(candidates, route)
-        for target in candidates:
-            score = self._score(target, route, objective, mean_time, now)
-            score *= 1.0 + JITTER_SHARE * self.rng.random()
+        if not candidates:
+            return None
+        now_s = self.clock.monotonic().total_seconds()
+        loads = [self.loads.get(target.target, UNKNOWN_LOAD) for target in candidates]
+        means = mean_load(loads, route, now_s)
+        terms = _Request(
+            route,
+            objective.total_seconds(),
+            self._zone_penalty_share(route, features) * objective.total_seconds(),
+            1.0 if features is None else self.costs.relative(features),
+            (features.body_bytes if features is not None else 0) * BITS_PER_BYTE / BITS_PER_MEGABIT,
+            self.response_bytes.get(route, 0.0) * BITS_PER_BYTE / BITS_PER_MEGABIT,
+        )
+        random_share = self.rng.random
+        best, best_score = None, 0.0
+        for target, load in zip(candidates, loads, strict=True):
+            score = self._score(target, load, terms, means, now_s)
+            score *= 1.0 + JITTER_SHARE * random_share()
             if best is None or score < best_score:
                 best, best_score = target, score
         return best
 
-    def started(self, target: str) -> None:
+    def started(self, target: str, features: Features | None = None) -> None:
         """Count a request that is being sent."""
-        load = self.loads.setdefault(target, _Load())
-        load.own_requests += 1
-        load.since_report += 1
+        cost = 1.0 if features is None else self.costs.relative(features)
+        self.loads.setdefault(target, ReportedLoad()).start(cost)
 
-    def finished(self, target: str, route: str, report: LoadReport | None) -> None:
+    def finished(
+        self,
+        target: str,
+        route: str,
+        report: LoadReport | None,
+        features: Features | None = None,
+    ) -> None:
         """Count the end of a request and store the load reported with its response, if any."""
         load = self.loads.get(target)
         if load is None:
             return
-        load.own_requests = max(0, load.own_requests - 1)
-        if report is not None:
-            load.report = report
-            load.reported_at = self.clock.monotonic()
-            load.since_report = 0
-            load.service_times[route] = report.service_time
+        load.end()
+        if report is None:
+            return
+        load.store(report, route, self.clock.monotonic().total_seconds())
+        if features is not None and report.ran and report.service_time:
+            self._observe_cost(features, report)
 
     def record_size(self, route: str, size: int) -> None:
         """Record the size in bytes of a response of a route."""
@@ -114,51 +140,30 @@
         load = self.loads.get(target)
         if load is None or load.report is None:
             return None
-        return self.clock.monotonic() - load.reported_at
+        return self.clock.monotonic() - timedelta(seconds=load.reported_s)
 
-    def expected_time(self, target: str, route: str) -> timedelta:
+    def expected_time(self, target: str, route: str, features: Features | None = None) -> timedelta:
         """Return the expected time of a request at a target, according to its last load report."""
         load = self.loads.get(target)
         if load is None or load.report is None:
             return DEFAULT_SERVICE_TIME
-        service_time = load.service_times.get(route, DEFAULT_SERVICE_TIME)
+        service_time = load.service_time(route)
         queued = load.report.waiting / max(1, load.report.slots)
-        return service_time * (1.0 + queued)
+        cost = 1.0 if features is None else self.costs.relative(features)
+        return service_time * (cost + queued)
 
     def rate_limit(self, target: str) -> float | None:
         """Return the rate limit in the last report of a target, None for none."""
         load = self.loads.get(target)
         return load.report.rate_limit if load is not None and load.report is not None else None
 
-    def _rate_wait_s(self, load: _Load, now: timedelta) -> float:
-        """Return the seconds until the rate limit of a target is expected to allow a request."""
-        report = load.report
-        if report is None or not report.rate_limit:
-            return 0.0
-        wait = (report.rate_wait - (now - load.reported_at)).total_seconds()
-        return max(0.0, wait) + load.since_report / report.rate_limit
-
-    def _zone_penalty_share(self, route: str) -> float:
-        is_large = self.response_bytes.get(route, 0.0) >= LARGE_RESPONSE_BYTES
-        return LARGE_ZONE_PENALTY_SHARE if is_large else ZONE_PENALTY_SHARE
-
-    def _transfer_time_s(self, target: Target, route: str) -> float:
-        """Return the seconds that a response of the route takes on the link of the target's host.
-
-        A link carries the responses to all nodes, so this is the least that it takes.
-        """
-        if not target.link_mbps or target.node == self.node:
-            return 0.0
-        bits = self.response_bytes.get(route, 0.0) * BITS_PER_BYTE
-        return bits / (target.link_mbps * BITS_PER_MEGABIT)
-
     def has_free_slot(self, target: Target) -> bool:
         """Return whether a recent report shows that a target has a free slot."""
         age = self.report_age(target.target)
         if age is None or age > REPORT_MAX_AGE:
             return False
         load = self.loads[target.target]
-        if self._rate_wait_s(load, self.clock.monotonic()) > 0.0:
+        if load.rate_wait_s(self.clock.monotonic().total_seconds()) > 0.0:
             return False
         outstanding = load.report.running + load.report.waiting + load.since_report
         return max(outstanding, load.own_requests) < target.slots
@@ -168,49 +173,76 @@
         for name in self.loads.keys() - targets:
             del self.loads[name]
 
-    def _mean_service_time(self, targets: list[Target], route: str) -> timedelta:
-        """Return the mean service time of a route, used for targets that have not reported one."""
-        reported_times = [
-            load.service_times[route]
-            for target in targets
-            if (load := self.loads.get(target.target)) is not None and route in load.service_times
-        ]
-        return (
-            sum(reported_times, ZERO) / len(reported_times)
-            if reported_times
-            else DEFAULT_SERVICE_TIME
-        )
+    def _observe_cost(self, features: Features, report: LoadReport) -> None:
+        """Learn from the service time of a request, relative to the speed of its target.
+
+        The report's service time is the mean of the route there; of all targets it is the same, but
+        for their speeds.
+        """
+        self.costs.observe(features, report.ran / report.service_time * UNIT_COST)
+
+    def _zone_penalty_share(self, route: str, features: Features | None) -> float:
+        body_bytes = features.body_bytes if features is not None else 0
+        size = max(self.response_bytes.get(route, 0.0), body_bytes)
+        return LARGE_ZONE_PENALTY_SHARE if size >= LARGE_BODY_BYTES else ZONE_PENALTY_SHARE
+
+    def _transfer_time_s(self, target: Target, request: "_Request", outstanding: float) -> float:
+        """Return the seconds that the bodies take on the links of this host and the target's.
+
+        A link carries the bodies of all nodes' requests. The responses to requests that were sent
+        to the target before share its link.
+        """
+        if target.node == self.node:
+            return 0.0
+        body = request.body_megabits
+        own = body / self.link_mbps if body and self.link_mbps else 0.0
+        if not target.link_mbps:
+            return own
+        response = request.response_megabits * (1.0 + outstanding)
+        return own + (body + response) / target.link_mbps
 
     def _score(
-        self, target: Target, route: str, objective: timedelta, mean_time: timedelta, now: timedelta
+        self,
+        target: Target,
+        load: ReportedLoad,
+        request: "_Request",
+        means: MeanLoad,
+        now_s: float,
     ) -> float:
         """Return the expected seconds to completion plus penalties; lower is better."""
-        load = self.loads.get(target.target)
-        objective_s = objective.total_seconds()
-        service_time_s = mean_time.total_seconds()
-        score = 0.0
+        slots = max(1, target.slots)
+        estimate = load.estimate(request.route, slots, means, now_s)
+        outstanding, mix_s = estimate.outstanding, estimate.mix_s
+        score = estimate.service_s * request.cost
         if target.zone != self.zone:
-            score += objective_s * self._zone_penalty_share(route)
-        transfer_time_s = self._transfer_time_s(target, route)
-        if load is None:
-            return score + service_time_s + transfer_time_s
-        service_time_s = load.service_times.get(route, mean_time).total_seconds()
-        outstanding = float(load.own_requests)
+            score += request.zone_penalty_s
         report = load.report
         if report is not None:
-            relative_age = (now - load.reported_at) / REPORT_MAX_AGE
-            freshness = max(0.0, 1.0 - relative_age)
-            outstanding = max(
-                outstanding, freshness * (report.running + report.waiting) + load.since_report
-            )
-            score += objective_s * FAILURE_PENALTY_SHARE * report.failure_rate * freshness
-            if report.leaving:
-                score += objective_s * LEAVING_PENALTY_SHARE * freshness
-        slots = max(1, target.slots)
-        wait_s = max(0.0, (outstanding + 1 - slots) / slots) * service_time_s
-        wait_s = max(wait_s, self._rate_wait_s(load, now))
+            age_s = now_s - load.reported_s
+            if age_s < REPORT_MAX_AGE_S and (report.failure_rate or report.leaving):
+                penalty = FAILURE_PENALTY_SHARE * report.failure_rate
+                penalty += LEAVING_PENALTY_SHARE * report.leaving
+                score += request.objective_s * penalty * (1.0 - age_s / REPORT_MAX_AGE_S)
+        wait_s = max(0.0, (outstanding + 1.0 - slots) / slots) * mix_s
+        if report is not None and report.rate_limit:
+            wait_s = max(wait_s, load.rate_wait_s(now_s))
         # A target that is nearly full is more likely to be full when the request arrives.
-        near_full_penalty_s = 0.15 * service_time_s * min(1.0, outstanding / slots)
-        # The responses to requests that were sent before share the link.
-        transfer_time_s *= 1.0 + outstanding
-        return score + service_time_s + wait_s + near_full_penalty_s + transfer_time_s
+        score += wait_s + NEAR_FULL_SHARE * mix_s * min(1.0, outstanding / slots)
+        if request.body_megabits or request.response_megabits:
+            score += self._transfer_time_s(target, request, outstanding)
+        return score
+
+
+class _Request(NamedTuple):
+    """What the score of a target depends on besides the target.
+
+    :ivar zone_penalty_s: penalty of a target in another zone
+    :ivar cost: expected service time relative to the route's mean
+    """
+
+    route: str
+    objective_s: float
+    zone_penalty_s: float
+    cost: float
+    body_megabits: float
+    response_megabits: float
--- /dev/null
+++ b/almondshore/routing/reported.py
@@ -0,0 +1,173 @@
+"""Load of targets as estimated from their reports, which may be old."""
+
+from collections.abc import Iterable
+from datetime import timedelta
+from math import exp
+from typing import NamedTuple
+
+from almondshore.mesh.model import LoadReport
+from almondshore.placement.cost import DEFAULT_SERVICE_TIME
+
+DEFAULT_SERVICE_S = DEFAULT_SERVICE_TIME.total_seconds()
+# Time constant with which the mean load of the targets replaces the load in a report. Queues at
+# four fifths of their capacity differ after it about as much as at random.
+LOAD_MEMORY_S = 1.0
+# Time constant with which a report loses its weight in the mean load.
+MEAN_MEMORY_S = 5.0
+# Difference of a reported service time from the mean of the targets, as a share of that mean, of
+# which half counts: a target reports a moving average over about 12 requests.
+SERVICE_TIME_NOISE = 0.2
+# Time constant with which the mean replaces a reported service time, so that a target which was
+# slow is tried again.
+SPEED_MEMORY_S = 30.0
+
+
+class MeanLoad(NamedTuple):
+    """Mean load of the targets of a choice.
+
+    :ivar others_per_slot: requests of other nodes for each slot
+    :ivar service_s: median of the service times of the route
+    :ivar mix_s: mean service time of the requests that targets run, None if not reported
+    """
+
+    others_per_slot: float
+    service_s: float
+    mix_s: float | None
+
+
+class LoadEstimate(NamedTuple):
+    """Estimated load of one target.
+
+    :ivar outstanding: requests that it runs and that wait
+    :ivar service_s: service time of the route there
+    :ivar mix_s: mean service time of those requests
+    """
+
+    outstanding: float
+    service_s: float
+    mix_s: float
+
+
+class ReportedLoad:
+    """Load of one target as known to this node.
+
+    :ivar own_requests: requests of this node that have not ended
+    :ivar since_report: requests of this node that were sent after the last report
+    :ivar since_cost: their expected service times, relative to the means of their routes
+    :ivar others: requests of other nodes in the last report
+    :ivar reported_s: monotonic time of that report in seconds
+    :ivar service_times: last reported service time in seconds by route, with the time of the report
+    """
+
+    __slots__ = (
+        "own_requests",
+        "since_report",
+        "since_cost",
+        "report",
+        "others",
+        "reported_s",
+        "service_times",
+    )
+
+    def __init__(self) -> None:
+        self.own_requests = 0
+        self.since_report = 0
+        self.since_cost = 0.0
+        self.report: LoadReport | None = None
+        self.others = 0.0
+        self.reported_s = 0.0
+        self.service_times: dict[str, tuple[float, float]] = {}
+
+    def start(self, cost: float) -> None:
+        """Count a request that is being sent.
+
+        :param cost: its expected service time, relative to the mean of its route
+        """
+        self.own_requests += 1
+        self.since_report += 1
+        self.since_cost += cost
+
+    def end(self) -> None:
+        """Count the end of a request."""
+        self.own_requests = max(0, self.own_requests - 1)
+
+    def store(self, report: LoadReport, route: str, now_s: float) -> None:
+        """Store a report that came with the response to a request of a route."""
+        self.report = report
+        self.reported_s = now_s
+        self.others = max(0.0, float(report.running + report.waiting - self.own_requests))
+        self.since_report = 0
+        self.since_cost = 0.0
+        self.service_times[route] = (report.service_time.total_seconds(), now_s)
+
+    def service_time(self, route: str) -> timedelta:
+        """Return the last reported service time of a route."""
+        known = self.service_times.get(route)
+        return DEFAULT_SERVICE_TIME if known is None else timedelta(seconds=known[0])
+
+    def rate_wait_s(self, now_s: float) -> float:
+        """Return the seconds until the target's rate limit is expected to allow a request."""
+        report = self.report
+        if report is None or not report.rate_limit:
+            return 0.0
+        wait_s = report.rate_wait.total_seconds() - (now_s - self.reported_s)
+        return max(0.0, wait_s) + self.since_report / report.rate_limit
+
+    def estimate(self, route: str, slots: int, means: MeanLoad, now_s: float) -> LoadEstimate:
+        """Return the estimated load at a time."""
+        service_s = self._service_s(route, means.service_s, now_s)
+        usual_mix_s = service_s
+        if means.mix_s is not None:
+            usual_mix_s = means.mix_s * service_s / means.service_s
+        others = means.others_per_slot * slots
+        own = self.own_requests + max(0.0, self.since_cost - self.since_report)
+        report = self.report
+        if report is None:
+            return LoadEstimate(others + own, service_s, usual_mix_s)
+        weight = exp((self.reported_s - now_s) / LOAD_MEMORY_S)
+        others += (self.others - others) * weight
+        mix_s = usual_mix_s
+        if report.work:
+            requests = report.running / 2.0 + report.waiting
+            mix_s += (report.work.total_seconds() / requests - mix_s) * weight if requests else 0.0
+        return LoadEstimate(others + own, service_s, mix_s)
+
+    def _service_s(self, route: str, mean_s: float, now_s: float) -> float:
+        """Return the service time of a route, closer to the mean the less is known of it."""
+        known = self.service_times.get(route)
+        if known is None or mean_s <= 0.0 or known[0] <= 0.0:
+            return mean_s
+        ratio = known[0] / mean_s
+        difference = ratio - 1.0 if ratio > 1.0 else 1.0 / ratio - 1.0
+        square = difference * difference
+        share = square / (square + SERVICE_TIME_NOISE * SERVICE_TIME_NOISE)
+        return mean_s * ratio ** (share * exp((known[1] - now_s) / SPEED_MEMORY_S))
+
+
+UNKNOWN_LOAD = ReportedLoad()
+
+
+def mean_load(loads: Iterable[ReportedLoad], route: str, now_s: float) -> MeanLoad:
+    """Return the mean load of targets, in which recent reports count most."""
+    others = slots = work_s = requests = 0.0
+    service_times = []
+    for load in loads:
+        known = load.service_times.get(route)
+        if known is not None:
+            service_times.append(known[0])
+        report = load.report
+        if report is None:
+            continue
+        weight = exp((load.reported_s - now_s) / MEAN_MEMORY_S)
+        others += weight * load.others
+        slots += weight * report.slots
+        if report.work:
+            work_s += weight * report.work.total_seconds()
+            requests += weight * (report.running / 2.0 + report.waiting)
+    service_times.sort()
+    service_s = service_times[len(service_times) // 2] if service_times else DEFAULT_SERVICE_S
+    return MeanLoad(
+        others / slots if slots else 0.0,
+        service_s,
+        work_s / requests if requests else None,
+    )
