--- a/almondshore/placement/cost.py
+++ b/almondshore/placement/cost.py
@@ -17,7 +17,7 @@
 MIN_STANDARD_ERRORS = 2.0
 # Weight of the newest observation in the variance of a route and in its mean factor.
 VARIANCE_GAIN = 0.05
-MEAN_FACTOR_GAIN = 0.02
+MEAN_FACTOR_GAIN = 0.01
 # Relative variance of a route before its first observations: a lognormal spread of 0.5.
 INITIAL_VARIANCE = 0.28
 # Limits of the ratio of one observation to the expected time: a single stall says little.
@@ -47,15 +47,18 @@
     """Service time of a route; times are seconds.
 
     :ivar base_s: mean service time divided by the factors of the requests
-    :ivar mean_factor: mean of the factors
+    :ivar mean_factor: mean of the products of the factors
+    :ivar mean_factors: mean factor of each table; factors are used in proportion to it, so that a
+        value which was not seen before stands for the mean
     :ivar variance: mean square of the relative error of the expected time
     """
 
-    __slots__ = ("base_s", "mean_factor", "variance")
+    __slots__ = ("base_s", "mean_factor", "mean_factors", "variance")
 
     def __init__(self, base_s: float):
         self.base_s = base_s
         self.mean_factor = 1.0
+        self.mean_factors = dict.fromkeys(MAX_VALUES, 1.0)
         self.variance = INITIAL_VARIANCE
 
 
@@ -127,17 +130,21 @@
         if base_s <= 0.0:
             route.base_s = duration_s
             return
-        values = [self._entry(name, key) for name, key in _keys(features)]
+        mean_factors = route.mean_factors
+        values = [(name, self._entry(name, key)) for name, key in _keys(features)]
         factor = 1.0
-        for value in values:
-            factor *= value.factor
+        for name, value in values:
+            factor *= value.factor / mean_factors[name]
         ratio = min(MAX_RATIO, max(MIN_RATIO, duration_s / base_s))
         error = ratio / factor - 1.0
         route.variance += (min(error * error, MAX_RATIO) - route.variance) * VARIANCE_GAIN
-        for value in values:
-            others = factor / value.factor
+        for name, value in values:
+            mean_factor = mean_factors[name]
+            others = factor * mean_factor / value.factor
             value.observe(ratio / others, route.variance)
-            factor = others * value.factor
+            mean_factor += (value.factor - mean_factor) * MEAN_FACTOR_GAIN
+            mean_factors[name] = mean_factor
+            factor = others * value.factor / mean_factor
         route.base_s = base_s + (duration_s / factor - base_s) * SERVICE_TIME_GAIN
         route.mean_factor += (factor - route.mean_factor) * MEAN_FACTOR_GAIN
 
@@ -175,7 +182,7 @@
         for name, key in keys:
             value = self.values[name].get(key)
             if value is not None:
-                factor *= value.factor
+                factor *= value.factor / route.mean_factors[name]
         return factor
 
     def _entry(self, name: str, key: int) -> _Value:
