--- a/almondshore/placement/cost.py
+++ b/almondshore/placement/cost.py
@@ -30,7 +30,7 @@
 
 
 class Features(NamedTuple):
-    """What is known of a request before it runs.
+    """What is known of a request before it runs; with the defaults, only its route.
 
     :ivar path: path without the query, empty if not known
     :ivar tenant: name of the tenant, empty if there is none
@@ -209,20 +209,18 @@
     del table[next(iter(table))]
 
 
-def _keys(features: Features) -> list[tuple[str, int]]:
-    """Return the tables and keys of a request's values, from the coarsest to the finest.
+def _keys(features: Features) -> tuple[tuple[str, int], ...]:
+    """Return the tables and keys of a request's values, none if only the route is known.
 
-    The parent of a path predicts the cost where the last segment is an identifier.
+    The parent of a path predicts the cost where the last segment is an identifier. Requests without
+    a tenant, a body or a parent have entries too, as the factors are relative to the mean of all.
     """
     route, path, tenant, body_bytes = features
-    keys = []
-    if body_bytes:
-        keys.append(("size", hash((route, body_bytes.bit_length()))))
-    if tenant:
-        keys.append(("tenant", hash((route, tenant))))
-    if path:
-        parent = path.rpartition(b"/")[0]
-        if parent:
-            keys.append(("parent", hash((route, parent))))
-        keys.append(("path", hash((route, path))))
-    return keys
+    if not (path or tenant or body_bytes):
+        return ()
+    return (
+        ("size", hash((route, body_bytes.bit_length()))),
+        ("tenant", hash((route, tenant))),
+        ("parent", hash((route, path.rpartition(b"/")[0]))),
+        ("path", hash((route, path))),
+    )
--- a/almondshore/routing/reported.py
+++ b/almondshore/routing/reported.py
@@ -35,7 +35,7 @@
     """Mean load of the targets of a choice.
 
     :ivar others_per_slot: requests of other nodes for each slot, by zone
-    :ivar service_s: median of the service times of the route
+    :ivar service_s: median of the service times of the route, the lower one of two
     :ivar variance: mean square of the relative error of an expected service time
     :ivar mix_s: mean service time of the requests that targets run, None if not reported
     """
@@ -204,7 +204,7 @@
             zone: (others + usual * USUAL_SLOTS) / (slots + USUAL_SLOTS)
             for zone, (others, slots) in zones.items()
         },
-        service_times[len(service_times) // 2] if service_times else DEFAULT_SERVICE_S,
+        service_times[(len(service_times) - 1) // 2] if service_times else DEFAULT_SERVICE_S,
         variance,
         work_s / requests if requests else None,
     )
--- /dev/null
+++ b/test/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of almondshore.placement."""
--- a/test/routing/test_completion.py
+++ b/test/routing/test_completion.py
@@ -8,6 +8,7 @@
 
 from almondshore.core.clock import ManualClock
 from almondshore.mesh.model import LoadReport, Target, TargetState
+from almondshore.placement.cost import Features
 from almondshore.routing.completion import CompletionChooser
 
 OBJECTIVE = timedelta(milliseconds=600)
@@ -17,8 +18,16 @@
     return Target(name, "s", "v1", zone, slots, TargetState.READY, (name, 1), 1, 1)
 
 
-def make_report(running=0, waiting=0, ms=100, failures=0.0, leaving=False):
-    return LoadReport(running, waiting, 9, timedelta(milliseconds=ms), failures, leaving)
+def make_report(running=0, waiting=0, ms=100, failures=0.0, leaving=False, **times):
+    return LoadReport(
+        running,
+        waiting,
+        9,
+        timedelta(milliseconds=ms),
+        failures,
+        leaving,
+        **{name: timedelta(milliseconds=value) for name, value in times.items()},
+    )
 
 
 class CompletionChooserTest(TestCase):
@@ -100,3 +109,74 @@
             self.chooser.started(choice.target)
             chosen[choice.target] += 1
         self.assertTrue(max(chosen.values()) <= 12, chosen)
+
+    def test_an_old_report_counts_as_the_mean_load(self):
+        """Guards against nodes that all send to the target whose report is the oldest.
+
+        With 201 nodes most reports are older than 2 s, and a full target then looked idle.
+        """
+        targets = [target(name) for name in ("old", "idle", "busy")]
+        self.receive_report("old", running=9, waiting=20)
+        self.clock.advance(timedelta(seconds=4))
+        self.receive_report("idle", running=2)
+        self.receive_report("busy", running=9, waiting=9)
+        self.assertEqual({"idle": 200}, self.count(targets))
+        self.assertEqual({"old": 200}, self.count(targets, exclude=("idle",)))
+
+    def test_a_full_zone_is_left_for_one_without_reports(self):
+        """Guards against zones that look as full as the own one because no request went there."""
+        near = [target(f"near{number}") for number in range(4)]
+        for item in near:
+            self.receive_report(item.target, running=9, waiting=27)
+        self.assertEqual({"far": 200}, self.count([*near, target("far", zone="b")]))
+
+    def test_work_left_tells_long_queues_from_short_ones(self):
+        """Guards against queues that are compared by the number of their requests."""
+        targets = [target("short"), target("long")]
+        self.receive_report("short", running=9, waiting=9, work=1400)
+        self.receive_report("long", running=9, waiting=6, work=8000)
+        self.assertEqual({"short": 200}, self.count(targets))
+
+    def test_expensive_requests_wait_for_a_fast_target(self):
+        """Guards against a choice that weighs waits and speeds alike for all requests of a route.
+
+        A cheap request is sooner done at the idle slow target.
+        """
+        cheap, expensive = (Features("r", path) for path in (b"/items/1", b"/reports/1"))
+        for features, ran in (*((cheap, 50),) * 45, *((expensive, 500),) * 5) * 10:
+            self.chooser.started("fast", features)
+            report = make_report(ran=ran)
+            self.chooser.finished("fast", "r", report, features)
+        self.receive_report("fast", running=9, waiting=27, ms=40)
+        self.receive_report("slow", ms=170)
+        targets = [target("fast"), target("slow")]
+        self.assertEqual({"slow"}, set(self.count(targets, features=cheap)))
+        self.assertEqual({"fast"}, set(self.count(targets, features=expensive)))
+
+    def test_large_request_bodies_use_wide_links_and_stay_on_the_host(self):
+        """Guards against uploads that cross narrow links though there is a target on the host."""
+        self.chooser.node, self.chooser.link_mbps = ("own", 1), 5.0
+        upload = Features("r", body_bytes=60_000)
+        own, narrow = target("own")._replace(link_mbps=5), target("narrow")._replace(link_mbps=5)
+        wide, far = target("wide")._replace(link_mbps=100), target("far", zone="b")
+        for name in ("narrow", "wide", "far"):
+            self.receive_report(name)
+        self.receive_report("own", running=9, waiting=1)
+        self.assertEqual({"wide": 200}, self.count([narrow, wide], features=upload))
+        self.assertEqual({"own": 200}, self.count([own, wide, far], features=upload))
+        self.receive_report("narrow", running=9, waiting=18)
+        self.assertEqual({"far": 200}, self.count([narrow, far]))
+        self.assertEqual({"narrow": 200}, self.count([narrow, far], features=upload))
+
+    def test_a_slow_target_is_tried_again(self):
+        """Guards against a target that is avoided long after it was slow."""
+        targets = [target("slow"), target("other")]
+        self.receive_report("slow", ms=1200)
+        self.receive_report("other")
+        self.assertEqual({"other": 200}, self.count(targets))
+        self.clock.advance(timedelta(seconds=20))
+        self.receive_report("other", running=9, waiting=9)
+        self.assertEqual({"other": 200}, self.count(targets))
+        self.clock.advance(timedelta(seconds=100))
+        self.receive_report("other", running=9, waiting=9)
+        self.assertEqual({"slow": 200}, self.count(targets))
