--- a/almondshore/routing/completion.py
+++ b/almondshore/routing/completion.py
@@ -11,7 +11,7 @@
 from almondshore.placement.cost import DEFAULT_SERVICE_TIME, CostModel, Features
 from almondshore.routing.reported import UNKNOWN_LOAD, MeanLoad, ReportedLoad, mean_load
 
-# The failure rate in a report loses weight linearly up to this age.
+# The failure rate in a report loses most of its weight linearly up to this age.
 REPORT_MAX_AGE_S = 2.0
 REPORT_MAX_AGE = timedelta(seconds=REPORT_MAX_AGE_S)
 # Penalty for a target in another zone, as a share of the objective: traffic between zones is
@@ -26,6 +26,10 @@
 FAILURE_PENALTY_SHARE = 3.0
 # Penalty for a target that is about to leave, as a share of the objective.
 LEAVING_PENALTY_SHARE = 4.0
+# Share of both penalties that fades slowly, with its time constant: a node that sees a target every
+# few seconds only still prefers the ones that do not fail.
+OLD_PENALTY_SHARE = 0.1
+OLD_PENALTY_MEMORY_S = 10.0
 # Random addition to a score, as a share of it. It spreads the choices of nodes that have received
 # the same reports.
 JITTER_SHARE = 0.1
@@ -220,10 +224,12 @@
         report = load.report
         if report is not None:
             age_s = now_s - load.reported_s
-            if age_s < REPORT_MAX_AGE_S and (report.failure_rate or report.leaving):
+            if report.failure_rate or report.leaving:
                 penalty = FAILURE_PENALTY_SHARE * report.failure_rate
                 penalty += LEAVING_PENALTY_SHARE * report.leaving
-                score += request.objective_s * penalty * (1.0 - age_s / REPORT_MAX_AGE_S)
+                fresh = max(0.0, 1.0 - age_s / REPORT_MAX_AGE_S)
+                old = OLD_PENALTY_SHARE * exp(-age_s / OLD_PENALTY_MEMORY_S)
+                score += request.objective_s * penalty * max(fresh, old)
         slots = max(1, target.slots)
         excess = (outstanding + 1.0 - slots) / spread
         # The mean excess if the number of requests is not known exactly; linear where it is large.
