--- a/almondshore/routing/reported.py
+++ b/almondshore/routing/reported.py
@@ -26,6 +26,9 @@
 # requests, and all senders that see the same fast target would fill its slots. On the model of
 # ``bench.load_comparison`` 2.0 is slower for equal targets and hidden costs.
 HALF_COUNTED_BY_VARIANCE = 3.5
+# Number of targets below which that difference is smaller in proportion: the smallest of a few
+# reported times is less a matter of chance, and few targets serve the requests of few nodes.
+MANY_TARGETS = 12
 # Time constant with which the mean replaces a reported service time, so that a target which was
 # slow is tried again.
 SPEED_MEMORY_S = 30.0
@@ -36,13 +39,13 @@
 
     :ivar others_per_slot: requests of other nodes for each slot, by zone
     :ivar service_s: median of the service times of the route, the lower one of two
-    :ivar variance: mean square of the relative error of an expected service time
+    :ivar noise: difference of a service time from that median of which half counts, as a share
     :ivar mix_s: mean service time of the requests that targets run, None if not reported
     """
 
     others_per_slot: dict[str, float]
     service_s: float
-    variance: float
+    noise: float
     mix_s: float | None
 
 
@@ -155,8 +158,7 @@
         ratio = known[0] / mean_s
         difference = ratio - 1.0 if ratio > 1.0 else 1.0 / ratio - 1.0
         square = difference * difference
-        noise = (HALF_COUNTED_BY_VARIANCE * means.variance) ** 2
-        share = square / (square + noise)
+        share = square / (square + means.noise * means.noise)
         return mean_s * ratio ** (share * exp((known[1] - now_s) / SPEED_MEMORY_S))
 
 
@@ -175,10 +177,12 @@
 
     :param variance: mean square of the relative error of an expected service time
     """
+    count = 0
     work_s = requests = all_others = all_slots = 0.0
     zones: dict[str, list[float]] = {}
     service_times = []
     for target, load in zip(targets, loads, strict=True):
+        count += 1
         zone = zones.get(target.zone)
         if zone is None:
             zone = zones[target.zone] = [0.0, 0.0]
@@ -205,6 +209,6 @@
             for zone, (others, slots) in zones.items()
         },
         service_times[(len(service_times) - 1) // 2] if service_times else DEFAULT_SERVICE_S,
-        variance,
+        HALF_COUNTED_BY_VARIANCE * variance * min(1.0, count / MANY_TARGETS),
         work_s / requests if requests else None,
     )
