--- a/almondshore/placement/__init__.py
+++ b/almondshore/placement/__init__.py
@@ -1,1 +1,1 @@
-"""Evacuated zones, and targets that are cold."""
+"""Where requests go: costs, evacuations and cold targets."""
