--- a/test/quotas/test_bound.py
+++ b/test/quotas/test_bound.py
@@ -259,6 +259,30 @@
         )
         self.assertLessEqual(worst[-1], 1.0)
 
+    def test_bound_holds_where_single_protections_matter(self):
+        # Each case exceeds the bound if one protection is removed: the handover between owners, the
+        # empty buckets after a restart, the cap of tokens earned under an earlier limit.
+        cases = {
+            "hide": (0.5, (4.0,)),
+            "restart_zone": (2.0, (3.7, 4.5, 5.5)),
+            "lower": (2.0, (7.0,)),
+            "isolate": (0.5, (4.0,)),
+            "join": (0.0, (3.0, 3.1, 3.2, 3.3)),
+        }
+        for kind, (burst_s, times) in cases.items():
+            for node in range(6):
+                run = Run(
+                    seed=3,
+                    zones=2,
+                    nodes=6,
+                    rate=60.0,
+                    burst_s=burst_s,
+                    skew=0.0,
+                    bound=BOUNDS[1],
+                    disturbances=[Disturbance(kind, at_s, 5.0, node, 1) for at_s in times],
+                )
+                self.assertLessEqual(run.worst_share(), 1.0, f"{kind} of node {node}")
+
     def test_all_of_the_allowance_is_used_without_disturbances(self):
         run = Run(
             seed=1,
