--- a/almondshore/quotas/membership.py
+++ b/almondshore/quotas/membership.py
@@ -172,7 +172,10 @@
         if not hello.is_answer:
             answer = Hello(hello.number, self.zone, True, self.leaving, self._sample_members())
             self.send(sender, answer)
-        elif hello.number == self.number and now_s - self.ticked_at <= MAX_PAUSE_S:
+        elif hello.number != self.number:
+            # An earlier process of this node, or this one before a pause, has greeted its sender.
+            self._greet(sender, member, now_s)
+        elif now_s - self.ticked_at <= MAX_PAUSE_S:
             member.confirmed = True
         for address in hello.members:
             if address != self.node and address not in self.members:
@@ -285,4 +288,4 @@
         member.greeted_at = now_s
         if member.first_greeted_at is None:
             member.first_greeted_at = now_s
-        self.send(address, Hello(self.number, self.zone))
+        self.send(address, Hello(self.number, self.zone, False, self.leaving))
--- a/almondshore/quotas/stock.py
+++ b/almondshore/quotas/stock.py
@@ -12,9 +12,6 @@
 
 # Time constant of the estimate of the requests per second.
 DEMAND_TIME_S = 1.0
-# Share of the requests expected within the lifetime of a grant that a node asks for: tokens that
-# expire unused are lost to the tenant.
-EXPECTED_USE = 0.7
 MIN_RETRY_AFTER_S = 0.05
 MAX_RETRY_AFTER_S = 2.0
 
@@ -132,7 +129,7 @@
         self.drop_expired(now_s)
         need = min(MAX_TOKENS, len(self.waiting))
         demand = self.demand * math.exp(-max(0.0, now_s - self.demand_at) / DEMAND_TIME_S)
-        expected = int(demand / DEMAND_TIME_S * lifetime_s * EXPECTED_USE)
+        expected = round(demand / DEMAND_TIME_S * lifetime_s)
         returned, self.returned = self.returned, 0
         return Question(self.key, shard.index, need, min(MAX_TOKENS, need + expected), returned)
 
--- a/test/quotas/test_client.py
+++ b/test/quotas/test_client.py
@@ -274,6 +274,17 @@
         ]
         self.assertEqual(1, len(able))
 
+    def test_late_departure_of_an_earlier_process_is_corrected(self):
+        # Guards against a second owner after a restart whose earlier farewell arrives late.
+        owner = self.owner_of(address(0))
+        farewell = encode(Hello(99, "z0", leaving=True))
+        zones = self.world.zones
+        others = [node for node in zones if node != owner and zones[node] == "z0"]
+        for node in others:
+            self.world.quotas[node].on_datagram(owner, farewell)
+        self.world.run(0.01)
+        self.assertEqual({owner}, {self.owner_of(node) for node in others})
+
     def test_resumed_owner_asks_the_others_first(self):
         # Guards against an owner whose shards others took over while it was suspended.
         owner = self.owner_of(address(0))
