--- a/almondshore/quotas/membership.py
+++ b/almondshore/quotas/membership.py
@@ -22,9 +22,11 @@
 # in rank. One of these is likely to be the owner so far; the second, if the first is new as well.
 SILENCE_S = 1.0
 NEXT_IN_RANK = 2
-# A node that has not answered for this time is taken to be gone. The entry of a lost host remains
-# for 10 minutes, in which its zone would not have the shards.
-GONE_SILENCE_S = 10.0
+# The next in rank are taken to be gone after this time. The entry of a lost host remains for 10
+# minutes, in which restarted owners would not have the shards for which it is next.
+NEXT_SILENCE_S = 5.0
+# A node that has no entry any more, or none yet, counts until it has been silent for this time.
+UNLISTED_SILENCE_S = 10.0
 # A process that has not run for this time may have missed that others took over its shards.
 MAX_PAUSE_S = 1.0
 MAX_CACHED_RANKS = 2_000
@@ -71,6 +73,7 @@
 
     :param node: address of this node
     :param send: sends a message to a node
+    :ivar joined: whether this node has had an entry; before, nodes of other zones would not find it
     :ivar changed_at: time since which the shards of this node are unchanged
     """
 
@@ -97,6 +100,7 @@
         self.changed_at = now_s
         self.ready_at: float | None = None
         self.ticked_at = now_s
+        self.joined = False
         self.leaving = False
         self.ranks: dict[tuple[int, Shard], list[str]] = {}
         self.names: dict[str, Address] = {}
@@ -113,7 +117,9 @@
             by_zone.setdefault(zone, []).append(address)
         if self.ready_at is None:
             self.ready_at = now_s + START_HOLD_S
-        listed = set(by_zone.pop(self.zone)) - {self.node}
+        listed = set(by_zone.pop(self.zone))
+        self.joined = self.joined or self.node in listed
+        listed.discard(self.node)
         for address in listed:
             member = self.members.get(address)
             if member is None:
@@ -150,10 +156,10 @@
             self.shares = self._shard_count()
             self.on_change()
         for address, member in list(self.members.items()):
-            if not member.listed and now_s - member.heard_at >= GONE_SILENCE_S:
+            if not member.listed and now_s - member.heard_at >= UNLISTED_SILENCE_S:
                 del self.members[address]
                 self._update(now_s)
-            elif not self.leaving and self._is_greeting_due(member, now_s):
+            elif self._is_greeting_due(member, now_s):
                 self._greet(address, member, now_s)
 
     def on_hello(self, sender: Address, hello: Hello, now_s: float) -> None:
@@ -221,7 +227,7 @@
             if member.confirmed or member.left:
                 continue
             since = member.first_greeted_at
-            limit_s = GONE_SILENCE_S if address in next_nodes else SILENCE_S
+            limit_s = NEXT_SILENCE_S if address in next_nodes else SILENCE_S
             if since is None or now_s - since < limit_s:
                 return False
         return True
@@ -235,7 +241,7 @@
                 self.ranks.clear()
             if shard.zone == self.zone:
                 nodes = [address for address, member in self.members.items() if not member.left]
-                if not self.leaving:
+                if self.joined and not self.leaving:
                     nodes.append(self.node)
             else:
                 nodes = list(self.by_zone.get(shard.zone, ()))
@@ -276,10 +282,10 @@
         return max(MIN_SHARDS, min(MAX_SHARDS, len(self.zones)))
 
     def _is_greeting_due(self, member: _Member, now_s: float) -> bool:
-        if member.left or (member.listed and member.confirmed):
+        if self.leaving or not self.joined or member.left or (member.listed and member.confirmed):
             return False
         since = member.first_greeted_at
-        is_slow = member.confirmed or (since is not None and now_s - since >= 2 * SILENCE_S)
+        is_slow = member.confirmed or (since is not None and now_s - since >= NEXT_SILENCE_S)
         interval = SLOW_HELLO_INTERVAL_S if is_slow else HELLO_INTERVAL_S
         # Half of an interval of tolerance, so that a tick that is early does not skip a greeting.
         return now_s - member.greeted_at >= interval - HELLO_INTERVAL_S / 2
--- a/test/quotas/test_bound.py
+++ b/test/quotas/test_bound.py
@@ -97,7 +97,12 @@
         return zones[0] != zones[1] and any(self.cut.get(zone, 0) > now_s for zone in zones)
 
     def show(self, node, others, *, visible):
-        """Change whether a node sees the entries of others."""
+        """Change whether a node sees the entries of others; an isolated one sees no change."""
+        isolated_until_s = self.isolated.get(node, 0.0)
+        if isolated_until_s > self.world.now_s:
+            later = isolated_until_s + 0.5
+            self.world.at(later, lambda: self.show(node, others, visible=visible))
+            return
         for other in others:
             if visible and other in self.world.zones:
                 self.views[node][other] = self.world.zones[other]
--- a/test/quotas/test_client.py
+++ b/test/quotas/test_client.py
@@ -285,6 +285,21 @@
         self.world.run(0.01)
         self.assertEqual({owner}, {self.owner_of(node) for node in others})
 
+    def test_node_without_entry_owns_nothing(self):
+        # Guards against shards whose owner the nodes of other zones do not know.
+        node = address(50)
+        listed = list(self.world.zones.items())
+        self.world.zones[node] = "z0"
+        quota = self.world.start(node, [TENANT], listed)
+        self.world.run(3.0)
+        self.assertNotIn(node, self.world.quotas[address(0)].membership.members)
+        keys = range(200)
+        owners = {quota.membership.owner(key, quota.membership.shards(key)[0]) for key in keys}
+        self.assertNotIn(node, owners)
+        quota.apply_nodes(self.world.zones.items())
+        owners = {quota.membership.owner(key, quota.membership.shards(key)[0]) for key in keys}
+        self.assertIn(node, owners)
+
     def test_resumed_owner_asks_the_others_first(self):
         # Guards against an owner whose shards others took over while it was suspended.
         owner = self.owner_of(address(0))
