--- a/almondshore/quotas/membership.py
+++ b/almondshore/quotas/membership.py
@@ -7,12 +7,14 @@
 from almondshore.core.logs import log_event
 from almondshore.core.rendezvous import rank
 from almondshore.mesh.model import Address
-from almondshore.quotas.messages import MAX_MEMBERS, Hello
+from almondshore.quotas.messages import MAX_MEMBERS, MAX_ZONES, Hello
 
 MIN_SHARDS = 2
 MAX_SHARDS = 4
-# A larger share of the quota is used only after all nodes have noticed that there are fewer zones.
-LARGER_SHARE_DELAY_S = 3.0
+# A zone without nodes counts for this time, so that a larger share of the quota is used only after
+# all nodes have noticed that there are fewer zones. Entries that are lost with a restored store are
+# written again within this time.
+ZONE_RETENTION_S = 6.0
 # Nodes that start together learn of each other within this time.
 START_HOLD_S = 0.5
 HELLO_INTERVAL_S = 0.25
@@ -95,7 +97,10 @@
         self.by_zone: dict[str, tuple[Address, ...]] = {}
         self.zones: tuple[str, ...] = ()
         self.shares = MIN_SHARDS
-        self.larger_share_at: float | None = None
+        # Times at which the zones without nodes stop to count.
+        self.retained_zones: dict[str, float] = {}
+        self.earlier_zones: tuple[str, ...] = ()
+        self.zones_changed_at = now_s
         self.number = rng.getrandbits(32)
         self.changed_at = now_s
         self.ready_at: float | None = None
@@ -135,6 +140,8 @@
                 member.listed = False
                 member.heard_at = now_s
                 member.greeted_at = float("-inf")
+        for zone in self.by_zone.keys() - by_zone.keys():
+            self.retained_zones[zone] = now_s + ZONE_RETENTION_S
         self.by_zone = {zone: tuple(addresses) for zone, addresses in by_zone.items()}
         self._update(now_s)
 
@@ -151,10 +158,8 @@
             log_event("quota_owner_resumed", paused_s=round(now_s - self.ticked_at, 1))
             self._update(now_s)
         self.ticked_at = now_s
-        if self.larger_share_at is not None and now_s >= self.larger_share_at:
-            self.larger_share_at = None
-            self.shares = self._shard_count()
-            self.on_change()
+        if any(until <= now_s for until in self.retained_zones.values()):
+            self._update(now_s)
         for address, member in list(self.members.items()):
             if not member.listed and now_s - member.heard_at >= UNLISTED_SILENCE_S:
                 del self.members[address]
@@ -176,13 +181,17 @@
             member.left = hello.leaving
             self._update(now_s)
         if not hello.is_answer:
-            answer = Hello(hello.number, self.zone, True, self.leaving, self._sample_members())
-            self.send(sender, answer)
+            self._answer(sender, hello.number)
         elif hello.number != self.number:
             # An earlier process of this node, or this one before a pause, has greeted its sender.
             self._greet(sender, member, now_s)
         elif now_s - self.ticked_at <= MAX_PAUSE_S:
             member.confirmed = True
+        unknown_zones = set(hello.zones) - set(self.zones)
+        if unknown_zones:
+            for zone in unknown_zones:
+                self.retained_zones[zone] = now_s + ZONE_RETENTION_S
+            self._update(now_s)
         for address in hello.members:
             if address != self.node and address not in self.members:
                 self._add_unlisted(address, now_s)
@@ -198,9 +207,7 @@
 
     def shards(self, tenant: int) -> list[Shard]:
         """Return the shards of a tenant, those of this zone first."""
-        zones = self.zones
-        if len(zones) > MAX_SHARDS:
-            zones = rank(str(tenant), zones)[:MAX_SHARDS]
+        zones = _shard_zones(tenant, self.zones)
         if len(zones) <= 1:
             return [Shard(zone, index) for zone in zones for index in range(MIN_SHARDS)]
         # Tenants differ in the order of the other zones, which spreads the requests over them.
@@ -222,6 +229,13 @@
         ranked = self._ranked(tenant, shard)
         if not ranked or self.names[ranked[0]] != self.node:
             return False
+        if (
+            len(self.zones) > MAX_SHARDS
+            and now_s - self.zones_changed_at < ZONE_RETENTION_S
+            and self.zone not in _shard_zones(tenant, self.earlier_zones)
+        ):
+            # The zone whose shard this one replaces may not know of it yet.
+            return False
         next_nodes = [self.names[name] for name in ranked[1:]]
         for address, member in self.members.items():
             if member.confirmed or member.left:
@@ -254,13 +268,14 @@
     def _update(self, now_s: float) -> None:
         self.ranks.clear()
         self.names.clear()
-        self.zones = tuple(sorted({self.zone, *self.by_zone}))
-        count = self._shard_count()
-        if count >= self.shares:
-            self.shares = count
-            self.larger_share_at = None
-        elif self.larger_share_at is None:
-            self.larger_share_at = now_s + LARGER_SHARE_DELAY_S
+        for zone, until in list(self.retained_zones.items()):
+            if until <= now_s or zone in self.by_zone:
+                del self.retained_zones[zone]
+        zones = tuple(sorted({self.zone, *self.by_zone, *self.retained_zones}))
+        if zones != self.zones:
+            self.earlier_zones, self.zones = self.zones, zones
+            self.zones_changed_at = now_s
+        self.shares = max(MIN_SHARDS, min(MAX_SHARDS, len(zones)))
         self.changed_at = now_s
         self.on_change()
 
@@ -278,8 +293,10 @@
         addresses.sort(key=lambda address: self.members[address].listed)
         return tuple(addresses[:MAX_MEMBERS])
 
-    def _shard_count(self) -> int:
-        return max(MIN_SHARDS, min(MAX_SHARDS, len(self.zones)))
+    def _answer(self, node: Address, number: int) -> None:
+        zones = tuple(self.by_zone)[:MAX_ZONES]
+        members = self._sample_members()
+        self.send(node, Hello(number, self.zone, True, self.leaving, members, zones))
 
     def _is_greeting_due(self, member: _Member, now_s: float) -> bool:
         if self.leaving or not self.joined or member.left or (member.listed and member.confirmed):
@@ -295,3 +312,8 @@
         if member.first_greeted_at is None:
             member.first_greeted_at = now_s
         self.send(address, Hello(self.number, self.zone, False, self.leaving))
+
+
+def _shard_zones(tenant: int, zones: tuple[str, ...]) -> list[str]:
+    """Return the zones that have a shard of a tenant."""
+    return list(zones) if len(zones) <= MAX_SHARDS else rank(str(tenant), zones)[:MAX_SHARDS]
--- a/almondshore/quotas/messages.py
+++ b/almondshore/quotas/messages.py
@@ -12,12 +12,14 @@
 KEY_BITS = 48
 MAX_TOKENS = 100_000
 MAX_WAIT_MS = 60_000
-MAX_MEMBERS = 40
+MAX_MEMBERS = 30
 MAX_ZONE_CHARS = 64
+MAX_ZONES = 8
 MAX_HOST_CHARS = 24
 
 Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_TOKENS)]
 Word = Annotated[int, msgspec.Meta(ge=0, lt=2**32)]
+Zone = Annotated[str, msgspec.Meta(max_length=MAX_ZONE_CHARS)]
 Port = Annotated[int, msgspec.Meta(ge=1, le=65_535)]
 Node = tuple[Annotated[str, msgspec.Meta(max_length=MAX_HOST_CHARS)], Port]
 
@@ -71,13 +73,15 @@
     :ivar is_answer: whether it answers another one, and thereby confirms that its sender is known
     :ivar leaving: whether the sender has given up its shards
     :ivar members: other nodes of the zone that the sender knows
+    :ivar zones: zones that the sender knows
     """
 
     number: Word
-    zone: Annotated[str, msgspec.Meta(max_length=MAX_ZONE_CHARS)]
+    zone: Zone
     is_answer: bool = False
     leaving: bool = False
     members: Annotated[tuple[Node, ...], msgspec.Meta(max_length=MAX_MEMBERS)] = ()
+    zones: Annotated[tuple[Zone, ...], msgspec.Meta(max_length=MAX_ZONES)] = ()
 
 
 QuotaMessage = Ask | Reply | Hello
