--- a/almondshore/quotas/membership.py
+++ b/almondshore/quotas/membership.py
@@ -7,24 +7,33 @@
 from almondshore.core.logs import log_event
 from almondshore.core.rendezvous import rank
 from almondshore.mesh.model import Address
-from almondshore.quotas.messages import MAX_MEMBERS, Hello
+from almondshore.quotas.messages import MAX_MEMBERS, MAX_ZONES, Hello
 
 MIN_SHARDS = 2
 MAX_SHARDS = 4
-# A larger share of the quota is used only after all nodes have noticed that there are fewer zones.
-LARGER_SHARE_DELAY_S = 3.0
+# A zone without nodes counts for this time, so that a larger share of the quota is used only after
+# all nodes have noticed that there are fewer zones. Entries that are lost with a restored store are
+# written again within this time.
+ZONE_RETENTION_S = 6.0
 # Nodes that start together learn of each other within this time.
 START_HOLD_S = 0.5
 HELLO_INTERVAL_S = 0.25
+# One of the known nodes is greeted at this multiple of the interval, in turn: one that has started
+# again may not see the entry of this node. In a zone of few nodes there may be no third one from
+# which it could learn of it, so that the interval is shorter.
+RECHECK_TICKS = 4
+FEW_MEMBERS = 4
 # Interval at which silent nodes are greeted, and nodes that have no entry in the directory.
 SLOW_HELLO_INTERVAL_S = 2.0
 # A node that has not answered for this time delays only the shards for which it is one of the next
 # in rank. One of these is likely to be the owner so far; the second, if the first is new as well.
 SILENCE_S = 1.0
 NEXT_IN_RANK = 2
-# A node that has not answered for this time is taken to be gone. The entry of a lost host remains
-# for 10 minutes, in which its zone would not have the shards.
-GONE_SILENCE_S = 10.0
+# The next in rank are taken to be gone after this time. The entry of a lost host remains for 10
+# minutes, in which restarted owners would not have the shards for which it is next.
+NEXT_SILENCE_S = 5.0
+# A node that has no entry any more, or none yet, counts until it has been silent for this time.
+UNLISTED_SILENCE_S = 10.0
 # A process that has not run for this time may have missed that others took over its shards.
 MAX_PAUSE_S = 1.0
 MAX_CACHED_RANKS = 2_000
@@ -71,6 +80,7 @@
 
     :param node: address of this node
     :param send: sends a message to a node
+    :ivar joined: whether this node has had an entry; before, nodes of other zones would not find it
     :ivar changed_at: time since which the shards of this node are unchanged
     """
 
@@ -92,11 +102,16 @@
         self.by_zone: dict[str, tuple[Address, ...]] = {}
         self.zones: tuple[str, ...] = ()
         self.shares = MIN_SHARDS
-        self.larger_share_at: float | None = None
+        # Times at which the zones without nodes stop to count.
+        self.retained_zones: dict[str, float] = {}
+        self.earlier_zones: tuple[str, ...] = ()
+        self.zones_changed_at = now_s
         self.number = rng.getrandbits(32)
         self.changed_at = now_s
         self.ready_at: float | None = None
         self.ticked_at = now_s
+        self.ticks = 0
+        self.joined = False
         self.leaving = False
         self.ranks: dict[tuple[int, Shard], list[str]] = {}
         self.names: dict[str, Address] = {}
@@ -113,7 +128,9 @@
             by_zone.setdefault(zone, []).append(address)
         if self.ready_at is None:
             self.ready_at = now_s + START_HOLD_S
-        listed = set(by_zone.pop(self.zone)) - {self.node}
+        listed = set(by_zone.pop(self.zone))
+        self.joined = self.joined or self.node in listed
+        listed.discard(self.node)
         for address in listed:
             member = self.members.get(address)
             if member is None:
@@ -129,6 +146,8 @@
                 member.listed = False
                 member.heard_at = now_s
                 member.greeted_at = float("-inf")
+        for zone in self.by_zone.keys() - by_zone.keys():
+            self.retained_zones[zone] = now_s + ZONE_RETENTION_S
         self.by_zone = {zone: tuple(addresses) for zone, addresses in by_zone.items()}
         self._update(now_s)
 
@@ -145,16 +164,15 @@
             log_event("quota_owner_resumed", paused_s=round(now_s - self.ticked_at, 1))
             self._update(now_s)
         self.ticked_at = now_s
-        if self.larger_share_at is not None and now_s >= self.larger_share_at:
-            self.larger_share_at = None
-            self.shares = self._shard_count()
-            self.on_change()
+        if any(until <= now_s for until in self.retained_zones.values()):
+            self._update(now_s)
         for address, member in list(self.members.items()):
-            if not member.listed and now_s - member.heard_at >= GONE_SILENCE_S:
+            if not member.listed and now_s - member.heard_at >= UNLISTED_SILENCE_S:
                 del self.members[address]
                 self._update(now_s)
-            elif not self.leaving and self._is_greeting_due(member, now_s):
+            elif self._is_greeting_due(member, now_s):
                 self._greet(address, member, now_s)
+        self._recheck()
 
     def on_hello(self, sender: Address, hello: Hello, now_s: float) -> None:
         """Handle the greeting of another node, or the answer to an earlier one."""
@@ -170,10 +188,17 @@
             member.left = hello.leaving
             self._update(now_s)
         if not hello.is_answer:
-            answer = Hello(hello.number, self.zone, True, self.leaving, self._sample_members())
-            self.send(sender, answer)
-        elif hello.number == self.number and now_s - self.ticked_at <= MAX_PAUSE_S:
+            self._answer(sender, hello)
+        elif hello.number != self.number:
+            # An earlier process of this node, or this one before a pause, has greeted its sender.
+            self._greet(sender, member, now_s)
+        elif now_s - self.ticked_at <= MAX_PAUSE_S:
             member.confirmed = True
+        unknown_zones = set(hello.zones) - set(self.zones)
+        if unknown_zones:
+            for zone in unknown_zones:
+                self.retained_zones[zone] = now_s + ZONE_RETENTION_S
+            self._update(now_s)
         for address in hello.members:
             if address != self.node and address not in self.members:
                 self._add_unlisted(address, now_s)
@@ -189,9 +214,7 @@
 
     def shards(self, tenant: int) -> list[Shard]:
         """Return the shards of a tenant, those of this zone first."""
-        zones = self.zones
-        if len(zones) > MAX_SHARDS:
-            zones = rank(str(tenant), zones)[:MAX_SHARDS]
+        zones = _shard_zones(tenant, self.zones)
         if len(zones) <= 1:
             return [Shard(zone, index) for zone in zones for index in range(MIN_SHARDS)]
         # Tenants differ in the order of the other zones, which spreads the requests over them.
@@ -213,12 +236,19 @@
         ranked = self._ranked(tenant, shard)
         if not ranked or self.names[ranked[0]] != self.node:
             return False
+        if (
+            len(self.zones) > MAX_SHARDS
+            and now_s - self.zones_changed_at < ZONE_RETENTION_S
+            and self.zone not in _shard_zones(tenant, self.earlier_zones)
+        ):
+            # The zone whose shard this one replaces may not know of it yet.
+            return False
         next_nodes = [self.names[name] for name in ranked[1:]]
         for address, member in self.members.items():
             if member.confirmed or member.left:
                 continue
             since = member.first_greeted_at
-            limit_s = GONE_SILENCE_S if address in next_nodes else SILENCE_S
+            limit_s = NEXT_SILENCE_S if address in next_nodes else SILENCE_S
             if since is None or now_s - since < limit_s:
                 return False
         return True
@@ -232,7 +262,7 @@
                 self.ranks.clear()
             if shard.zone == self.zone:
                 nodes = [address for address, member in self.members.items() if not member.left]
-                if not self.leaving:
+                if self.joined and not self.leaving:
                     nodes.append(self.node)
             else:
                 nodes = list(self.by_zone.get(shard.zone, ()))
@@ -245,13 +275,14 @@
     def _update(self, now_s: float) -> None:
         self.ranks.clear()
         self.names.clear()
-        self.zones = tuple(sorted({self.zone, *self.by_zone}))
-        count = self._shard_count()
-        if count >= self.shares:
-            self.shares = count
-            self.larger_share_at = None
-        elif self.larger_share_at is None:
-            self.larger_share_at = now_s + LARGER_SHARE_DELAY_S
+        for zone, until in list(self.retained_zones.items()):
+            if until <= now_s or zone in self.by_zone:
+                del self.retained_zones[zone]
+        zones = tuple(sorted({self.zone, *self.by_zone, *self.retained_zones}))
+        if zones != self.zones:
+            self.earlier_zones, self.zones = self.zones, zones
+            self.zones_changed_at = now_s
+        self.shares = max(MIN_SHARDS, min(MAX_SHARDS, len(zones)))
         self.changed_at = now_s
         self.on_change()
 
@@ -269,14 +300,28 @@
         addresses.sort(key=lambda address: self.members[address].listed)
         return tuple(addresses[:MAX_MEMBERS])
 
-    def _shard_count(self) -> int:
-        return max(MIN_SHARDS, min(MAX_SHARDS, len(self.zones)))
+    def _answer(self, node: Address, hello: Hello) -> None:
+        members, zones = (), ()
+        if not hello.brief:
+            members, zones = self._sample_members(), tuple(self.by_zone)[:MAX_ZONES]
+        self.send(node, Hello(hello.number, self.zone, True, self.leaving, members, zones))
+
+    def _recheck(self) -> None:
+        """Greet one of the nodes that have confirmed this one."""
+        self.ticks += 1
+        if self.leaving or not self.joined:
+            return
+        confirmed = [address for address, member in self.members.items() if member.confirmed]
+        interval = 1 if len(confirmed) <= FEW_MEMBERS else RECHECK_TICKS
+        if confirmed and self.ticks % interval == 0:
+            node = confirmed[self.ticks // interval % len(confirmed)]
+            self.send(node, Hello(self.number, self.zone, brief=True))
 
     def _is_greeting_due(self, member: _Member, now_s: float) -> bool:
-        if member.left or (member.listed and member.confirmed):
+        if self.leaving or not self.joined or member.left or (member.listed and member.confirmed):
             return False
         since = member.first_greeted_at
-        is_slow = member.confirmed or (since is not None and now_s - since >= 2 * SILENCE_S)
+        is_slow = member.confirmed or (since is not None and now_s - since >= NEXT_SILENCE_S)
         interval = SLOW_HELLO_INTERVAL_S if is_slow else HELLO_INTERVAL_S
         # Half of an interval of tolerance, so that a tick that is early does not skip a greeting.
         return now_s - member.greeted_at >= interval - HELLO_INTERVAL_S / 2
@@ -285,4 +330,9 @@
         member.greeted_at = now_s
         if member.first_greeted_at is None:
             member.first_greeted_at = now_s
-        self.send(address, Hello(self.number, self.zone))
+        self.send(address, Hello(self.number, self.zone, False, self.leaving))
+
+
+def _shard_zones(tenant: int, zones: tuple[str, ...]) -> list[str]:
+    """Return the zones that have a shard of a tenant."""
+    return list(zones) if len(zones) <= MAX_SHARDS else rank(str(tenant), zones)[:MAX_SHARDS]
