Learn the cost of requests beside each target, and choose targets by it

The queue of a target learns service times by route, path, tenant and size of the body and reports the work that it has left; senders choose by both. Quotas return tokens with the time at which they were taken, and follow a configuration before requests do.

--- a/almondshore/limits/objective.py
+++ b/almondshore/limits/objective.py
@@ -9,12 +9,9 @@
 
 from almondshore.core.clock import Clock
 from almondshore.limits.rate import RateLimit
+from almondshore.placement.cost import CostModel, Features
 
 ZERO = timedelta()
-# Weight of the newest observation in the expected service time of a route.
-SERVICE_TIME_GAIN = 0.15
-# Expected service time before the first observation; targets take between 15 ms and 550 ms.
-DEFAULT_SERVICE_TIME = timedelta(milliseconds=100)
 # The expected wait is multiplied by the mean ratio of actual to expected waits, within these
 # limits: requests that arrive later and go first, because they are more urgent or come from callers
 # that were refused before, make a wait longer than the queue ahead suggests.
@@ -55,12 +52,18 @@
     :ivar urgency: requests with a lower value are served first
     :ivar objective_at: monotonic time up to which the response counts as on time
     :ivar deadline_at: monotonic time after which the response is of no use
+    :ivar features: what predicts the service time, None if only the route is known
     """
 
     route: str
     urgency: int
     objective_at: timedelta
     deadline_at: timedelta
+    features: Features | None = None
+
+    def cost_features(self) -> Features:
+        """Return what predicts the service time."""
+        return self.features if self.features is not None else Features(self.route)
 
 
 class Refused(NamedTuple):
@@ -90,36 +93,6 @@
         """
 
 
-class ServiceTimes:
-    """Moving average of the service time, by route and over all routes."""
-
-    def __init__(self) -> None:
-        self.by_route: dict[str, timedelta] = {}
-        self.overall = ZERO
-
-    def observe(self, route: str, duration: timedelta) -> None:
-        """Record the service time of a request that ended."""
-        average = self.by_route.get(route)
-        self.by_route[route] = (
-            duration if average is None else average + (duration - average) * SERVICE_TIME_GAIN
-        )
-        if self.overall:
-            self.overall += (duration - self.overall) * SERVICE_TIME_GAIN
-        else:
-            self.overall = duration
-
-    def expected(self, route: str) -> timedelta:
-        """Return the expected service time of a route.
-
-        A route without observations has the average of all routes.
-        """
-        return self.by_route.get(route) or self.overall or DEFAULT_SERVICE_TIME
-
-    def observed(self, route: str) -> timedelta | None:
-        """Return the average service time of a route, or None before its first observation."""
-        return self.by_route.get(route)
-
-
 class WaitPredictions:
     """Compares the expected waits of queued requests with their actual ones.
 
@@ -174,7 +147,7 @@
         self.rate_limit = RateLimit(clock=clock)
         self.running: dict[Job, timedelta] = {}
         self.waiting: list[Job] = []
-        self.times = ServiceTimes()
+        self.times = CostModel()
         self.waits = WaitPredictions()
         self.closed = False
 
@@ -211,7 +184,7 @@
             return ZERO
         ahead = self._ahead_of(terms, now)
         rate_wait = self.rate_limit.wait(len(ahead))
-        service_time = self.times.expected(terms.route)
+        service_time = self.times.expected(terms.cost_features())
         if now + rate_wait + service_time > terms.objective_at and rate_wait:
             # Nothing frees room earlier: the limit holds whatever becomes of other requests.
             return Refused(Refusal.RATE_LIMITED, self.rate_limit.wait(len(self.waiting)))
@@ -231,7 +204,7 @@
         started = self.running.pop(job, None)
         now = self.clock.monotonic()
         if started is not None and observed:
-            self.times.observe(job.terms.route, now - started)
+            self.times.observe(job.terms.cost_features(), now - started)
         self.dispatch()
 
     def cancel(self, job: Job) -> bool:
@@ -299,9 +272,18 @@
         free_after.extend([ZERO] * (self.slots - len(free_after)))
         heapify(free_after)
         for other in sorted(ahead, key=lambda item: self._rank(item.terms, now)):
-            heapreplace(free_after, free_after[0] + self.times.expected(other.terms.route))
+            expected = self.times.expected(other.terms.cost_features())
+            heapreplace(free_after, free_after[0] + expected)
         return free_after[0]
 
+    def work_left(self) -> timedelta:
+        """Return the sum of the expected service times left of running and waiting requests."""
+        now = self.clock.monotonic()
+        work = sum((self.times.expected(job.terms.cost_features()) for job in self.waiting), ZERO)
+        for job, started in self.running.items():
+            work += self._remaining(job, started, now)
+        return work
+
     def _schedule_dispatch(self, now: timedelta) -> None:
         """Have requests that only wait for the rate limit started when it allows the next one."""
         if not self.waiting or len(self.running) >= self.slots or self.closed:
@@ -317,7 +299,7 @@
 
         A request that has exceeded its expected service time still has a share of it left.
         """
-        expected = self.times.expected(job.terms.route)
+        expected = self.times.expected(job.terms.cost_features())
         return max(expected - (now - started), expected * OVERDUE_REMAINING_SHARE)
 
     def _start(self, job: Job, now: timedelta) -> None:
@@ -341,17 +323,17 @@
         return ahead >= self.slots * LATE_QUEUE_PER_SLOT
 
     def _can_meet_deadline(self, terms: Terms, now: timedelta) -> bool:
-        service_time = self.times.expected(terms.route)
+        service_time = self.times.expected(terms.cost_features())
         return now + service_time * MIN_SERVICE_TIME_SHARE <= terms.deadline_at
 
     def _rank(self, terms: Terms, now: timedelta) -> tuple[int, bool, timedelta]:
         """Return the sort key for the order of service; the lowest is served first."""
-        late = now + self.times.expected(terms.route) > terms.objective_at
+        late = now + self.times.expected(terms.cost_features()) > terms.objective_at
         return (terms.urgency, late, terms.deadline_at if late else terms.objective_at)
 
     def _retry_after(self, now: timedelta) -> timedelta:
         """Estimate the time until the running and waiting requests have ended."""
-        work = sum((self.times.expected(job.terms.route) for job in self.waiting), ZERO)
+        work = sum((self.times.expected(job.terms.cost_features()) for job in self.waiting), ZERO)
         for job, started in self.running.items():
-            work += max(self.times.expected(job.terms.route) - (now - started), ZERO)
+            work += max(self.times.expected(job.terms.cost_features()) - (now - started), ZERO)
         return min(MAX_RETRY_AFTER, max(MIN_RETRY_AFTER, work / self.slots))
--- a/almondshore/mesh/forwarding.py
+++ b/almondshore/mesh/forwarding.py
@@ -15,6 +15,7 @@
 from almondshore.mesh.hop import HOP_HEADERS, MILLISECOND, HopResult, Outcome, UnavailableReason
 from almondshore.mesh.inbound import Submission
 from almondshore.mesh.model import Address, Route, Target
+from almondshore.placement.cost import Features
 from almondshore.retries.retry_after import MIN_RETRY_AFTER, retry_after
 from almondshore.tenants.table import Tenant
 from almondshore.transfers.sending import TransferSend
@@ -67,6 +68,8 @@
     :ivar failed_response: last response with a failure, returned if no attempt succeeds
     :ivar load_age: age of the load report by which the last target was chosen
     :ivar tenant: tenant of the caller's key, None without one
+    :ivar taken_at: monotonic time at which a token of its quota was taken
+    :ivar features: what predicts the cost of the request
     """
 
     def __init__(
@@ -77,12 +80,20 @@
         route: Route,
         service: str,
         tenant: Tenant | None = None,
+        taken_at: timedelta = ZERO,
     ):
         self.outbound = outbound
         self.exchange = exchange
         self.route = route
+        self.features = Features(
+            route.name,
+            exchange.request.target.partition(b"?")[0],
+            tenant.name if tenant is not None else "",
+            len(exchange.request.body),
+        )
         self.service = service
         self.tenant = tenant
+        self.taken_at = taken_at
         time_left = outbound.dialect.time_left(exchange.request)
         now = exchange.received_at
         caller_time_left = DEFAULT_DEADLINE if time_left is None else time_left
@@ -227,7 +238,7 @@
         self.last_target = target.target
         self.last_zone = target.zone
         self.load_age = self.outbound.chooser.report_age(target.target)
-        self.outbound.chooser.started(target.target)
+        self.outbound.chooser.started(target.target, self.features)
         pending = self.outbound.dispatch(
             self, target, lambda result: self.on_result(attempt, result)
         )
@@ -285,7 +296,9 @@
         )
 
     def _start_overdue_timer(self, attempt: Attempt) -> None:
-        expected = self.outbound.chooser.expected_time(attempt.target.target, self.route.name)
+        expected = self.outbound.chooser.expected_time(
+            attempt.target.target, self.route.name, self.features
+        )
         overdue = max(MIN_OVERDUE, expected * OVERDUE_FACTOR)
         attempt.overdue_timer = hubs.get_hub().schedule_call_global(
             overdue.total_seconds(), self.on_overdue, attempt
@@ -317,12 +330,14 @@
     def _return_token(self) -> None:
         """Return the token of a request that has not run to its tenant's quota."""
         if self.tenant is not None and self.tenant.rate_per_s:
-            self.outbound.quota.give_back(self.tenant)
+            self.outbound.quota.give_back(self.tenant, self.taken_at)
 
     def _retry_after_delay(self, reason: str) -> timedelta:
         """Return the time, with jitter, after which the caller should retry."""
         now = self.outbound.clock.monotonic()
-        expected = self.outbound.chooser.expected_time(self.last_target, self.route.name)
+        expected = self.outbound.chooser.expected_time(
+            self.last_target, self.route.name, self.features
+        )
         return retry_after(
             rng=self.outbound.rng,
             stated=self.retry_after,
--- a/almondshore/mesh/inbound.py
+++ b/almondshore/mesh/inbound.py
@@ -30,6 +30,7 @@
 )
 from almondshore.mesh.local import LocalTarget
 from almondshore.mesh.model import Address, Death
+from almondshore.placement.cost import Features
 from almondshore.placement.evacuation import ZONE_EVACUATED
 from almondshore.transfers.queue import Transfer, TransferQueue, TransferTerms
 
@@ -78,7 +79,10 @@
         self.request = request
         self.hop_terms = terms
         self.on_result = on_result
-        self.terms = _queue_terms(terms, now)
+        features = Features(
+            terms.route, request.target.partition(b"?")[0], terms.tenant or "", len(request.body)
+        )
+        self.terms = _queue_terms(terms, now, features)
         self.target = terms.target
         self.queue: ObjectiveQueue | None = None
         self.arrived_at = now
@@ -235,7 +239,7 @@
             exchange=exchange,
             hop_terms=terms,
             size=int(size),
-            run_time=verdict + queue.times.expected(terms.route),
+            run_time=verdict + queue.times.expected(Features(terms.route)),
         )
         if self.transfers is None:
             transfer.grant()
@@ -344,8 +348,12 @@
         *,
         response: Response | None = None,
         retry_after: timedelta = timedelta(),
+        ran: timedelta = timedelta(),
     ) -> None:
-        """Log a request that has ended and deliver its result."""
+        """Log a request that has ended and deliver its result.
+
+        :param ran: service time of a request that succeeded
+        """
         if submission.done:
             return
         submission.done = True
@@ -353,7 +361,7 @@
         if outcome is Outcome.REFUSED:
             self.refusals[str(reason)] += 1
         self._log(submission, outcome, reason, response.status if response else 0)
-        report = self._make_report(submission.hop_terms, outcome, reason, retry_after)
+        report = self._make_report(submission.hop_terms, outcome, reason, retry_after, ran)
         on_result, submission.on_result = submission.on_result, _ignore_result
         on_result(HopResult(outcome, reason, response, report))
 
@@ -419,8 +427,16 @@
             self.death_detector.discard(self._fingerprint(submission))
         if reason == UnavailableReason.TARGET_DOWN:
             self._on_target_down()
-        self.finish(submission, outcome, reason, response=response)
-        submission.queue.release(submission, observed=ran and ok)
+        succeeded = ran and ok
+        # The slot is free before the report is made, which would count the request otherwise.
+        submission.queue.release(submission, observed=succeeded)
+        self.finish(
+            submission,
+            outcome,
+            reason,
+            response=response,
+            ran=took if succeeded else timedelta(),
+        )
 
     def report_death(self) -> None:
         """Report that the target died, if requests were running at it just before."""
@@ -505,10 +521,15 @@
         )
 
     def _make_report(
-        self, terms: HopTerms, outcome: Outcome, reason: str, retry_after: timedelta
+        self,
+        terms: HopTerms,
+        outcome: Outcome,
+        reason: str,
+        retry_after: timedelta,
+        ran: timedelta = timedelta(),
     ) -> HopReport:
         queue = self.local.queue
-        service_time = queue.times.expected(terms.route) if queue else timedelta()
+        service_time = queue.times.expected(Features(terms.route)) if queue else timedelta()
         return HopReport(
             outcome=outcome,
             reason=reason,
@@ -525,6 +546,8 @@
                 int(queue.rate_limit.wait(len(queue.waiting)) / MILLISECOND) if queue else 0
             ),
             target_leaving=self.local.is_leaving(terms.target),
+            work_ms=int(queue.work_left() / MILLISECOND) if queue else 0,
+            ran_ms=int(ran / MILLISECOND),
         )
 
     def _log(self, submission: Submission, outcome: str, reason: str, status: int) -> None:
@@ -541,13 +564,19 @@
             status=status,
             waited_ms=int(((started or now) - submission.arrived_at) / MILLISECOND),
             ran_ms=int((now - started) / MILLISECOND) if started is not None else 0,
+            cost_ms=(
+                int(queue.times.expected(submission.terms.cost_features()) / MILLISECOND)
+                if queue
+                else 0
+            ),
+            work_ms=int(queue.work_left() / MILLISECOND) if queue else 0,
             left_ms=int((submission.terms.deadline_at - now) / MILLISECOND),
             running=len(queue.running) if queue else 0,
             waiting=len(queue.waiting) if queue else 0,
         )
 
 
-def _queue_terms(terms: HopTerms, now: timedelta) -> Terms:
+def _queue_terms(terms: HopTerms, now: timedelta, features: Features | None = None) -> Terms:
     """Return the terms of a request for the queue of the target.
 
     :param now: monotonic time at which the request arrived
@@ -557,6 +586,7 @@
         terms.urgency,
         now + terms.objective_ms * MILLISECOND,
         now + terms.deadline_ms * MILLISECOND,
+        features,
     )
 
 
--- a/almondshore/mesh/node.py
+++ b/almondshore/mesh/node.py
@@ -39,7 +39,6 @@
     Death,
     MeshConfig,
     Target,
-    TargetState,
     WarmupLimit,
 )
 from almondshore.mesh.outbound import Outbound
@@ -153,7 +152,11 @@
         self.budget = RetryBudget(clock=clock)
         self.guard = CrashGuard(clock=clock)
         self.chooser = CompletionChooser(
-            clock=clock, rng=rng, zone=settings.zone, node=settings.inbound
+            clock=clock,
+            rng=rng,
+            zone=settings.zone,
+            node=settings.inbound,
+            link_mbps=settings.link_mbps,
         )
         internal = InternalHandler(local=self.local, recorder=self.recorder)
         self.inbound = Inbound(
@@ -566,9 +569,7 @@
             # All hosts use the same port for quotas.
             port = self.settings.quotas[1]
             self.quota.apply_nodes(
-                ((target.node[0], port), target.zone)
-                for target in self.directory.targets.values()
-                if target.state is not TargetState.GONE
+                ((target.node[0], port), target.zone) for target in self.directory.targets.values()
             )
 
     def _is_retired(self, service: str, version: str) -> bool:
--- a/almondshore/mesh/outbound.py
+++ b/almondshore/mesh/outbound.py
@@ -175,7 +175,7 @@
     ) -> None:
         if exchange.cancelled:
             if isinstance(decision, Granted):
-                self.quota.give_back(tenant)
+                self.quota.give_back(tenant, self.clock.monotonic())
         elif isinstance(decision, Limited):
             self._reject(
                 exchange, 429, "over-quota", tenant=tenant.name, retry_after=decision.retry_after
@@ -190,6 +190,7 @@
             route=route,
             service=pick_weighted(self.rng, route.shares),
             tenant=tenant,
+            taken_at=self.clock.monotonic(),
         )
         self.active.add(forwarded)
         self.budget.deposit(forwarded.service)
@@ -211,14 +212,18 @@
         others = [item for item in candidates if item.target not in forwarded.failed_targets]
         candidates = others or candidates
         route = forwarded.route
-        return self.chooser.choose(candidates, route=route.name, objective=route.objective)
+        return self.chooser.choose(
+            candidates, route=route.name, objective=route.objective, features=forwarded.features
+        )
 
     def choose_idle(self, forwarded: ForwardedRequest) -> Target | None:
         """Return the best target with a free slot to which no attempt is pending, or None."""
         candidates = self._without_pending(forwarded, self._candidates(forwarded))
         idle = [target for target in candidates if self.chooser.has_free_slot(target)]
         route = forwarded.route
-        return self.chooser.choose(idle, route=route.name, objective=route.objective)
+        return self.chooser.choose(
+            idle, route=route.name, objective=route.objective, features=forwarded.features
+        )
 
     @staticmethod
     def _without_pending(forwarded: ForwardedRequest, targets: list[Target]) -> list[Target]:
@@ -395,7 +400,7 @@
             refused = result.outcome is Outcome.REFUSED and result.reason in THROTTLING_REASONS
             self.throttle.record(self._throttle_key(forwarded), accepted=not refused)
         load = report.load() if report is not None else None
-        self.chooser.finished(target.target, forwarded.route.name, load)
+        self.chooser.finished(target.target, forwarded.route.name, load, forwarded.features)
         if result.unreachable:
             self.directory.mark_unreachable(target.node, result.reason)
         elif target.node != self.node:
--- a/almondshore/mesh/state.py
+++ b/almondshore/mesh/state.py
@@ -22,7 +22,7 @@
     """Applies a configuration unless a newer one is in effect.
 
     :param name: name of the stored item that holds the configuration
-    :ivar on_apply: called with each configuration that comes into effect
+    :ivar on_apply: called with each configuration just before it comes into effect
     """
 
     def __init__(self, *, outbound: Outbound, name: str, changes: ChangeLog | None = None):
@@ -51,8 +51,8 @@
             )
         if config.version <= previous:
             return False
-        self.outbound.config = config
         self.on_apply(config)
+        self.outbound.config = config
         log_event("config_applied", version=config.version, previous=previous, source=source)
         self.changes.increment()
         return True
--- a/almondshore/quotas/port.py
+++ b/almondshore/quotas/port.py
@@ -32,8 +32,11 @@
         """
 
     @abstractmethod
-    def give_back(self, tenant: Tenant) -> None:
-        """Return the token of a request that was not served and will not run."""
+    def give_back(self, tenant: Tenant, taken_at: timedelta | None = None) -> None:
+        """Return the token of a request that was not served and will not run.
+
+        :param taken_at: monotonic time at which it was taken, None if not known
+        """
 
 
 class UnlimitedQuota(QuotaClient):
@@ -43,5 +46,5 @@
         """Grant the request."""
         on_decision(Granted())
 
-    def give_back(self, tenant: Tenant) -> None:
+    def give_back(self, tenant: Tenant, taken_at: timedelta | None = None) -> None:
         """Do nothing: no tokens are counted."""
--- a/bench/load_model.py
+++ b/bench/load_model.py
@@ -320,6 +320,7 @@
                 1,
                 start + timedelta(seconds=load.objective),
                 start + timedelta(seconds=load.deadline),
+                Features(load.route, draw.path, draw.tenant, draw.body_bytes),
             )
             work = timedelta(seconds=load.work * draw.cost * factor)
             call = Call(
--- a/test/limits/test_objective.py
+++ b/test/limits/test_objective.py
@@ -8,6 +8,7 @@
 
 from almondshore.core.clock import ManualClock
 from almondshore.limits.objective import Job, ObjectiveQueue, Refusal, Terms
+from almondshore.placement.cost import Features
 
 
 def ms(number):
@@ -39,7 +40,7 @@
     def queue(self, slots=1, service_ms=100):
         queue = ObjectiveQueue(clock=self.clock, slots=slots)
         for _ in range(50):
-            queue.times.observe("r", ms(service_ms))
+            queue.times.observe(Features("r"), ms(service_ms))
         return queue
 
     def job(self, name="j", urgency=1, objective=1000, deadline=3000):
--- a/test/mesh/test_tenants.py
+++ b/test/mesh/test_tenants.py
@@ -41,7 +41,7 @@
         else:
             on_decision(self.decision)
 
-    def give_back(self, tenant):
+    def give_back(self, tenant, taken_at=None):
         self.returned += 1
 
 
