Draw restores of the store in the soak, and keep departures

Cause: soak seed 21 with all faults: a target that had deregistered got requests again 3.3 s later. Its node was stopped, the restore lost the entry that records the departure, and a late heartbeat reached the next process.

Change: watchers write lost entries of leaving targets again. The soak restores the store and checks that nodes without another fault write their entries again.

--- a/almondshore/mesh/feeds.py
+++ b/almondshore/mesh/feeds.py
@@ -6,6 +6,7 @@
 
 import eventlet
 from eventlet import hubs
+from returns.pipeline import is_successful
 
 from almondshore.core.clock import Clock
 from almondshore.core.logs import log_event
@@ -25,7 +26,7 @@
     RolloutSink,
     TargetSink,
 )
-from almondshore.mesh.store import Feed, MeshStore
+from almondshore.mesh.store import Changed, Feed, MeshStore
 from almondshore.mesh.versions import VersionShares
 from almondshore.mesh.watching import Follower
 from almondshore.retries.crash import CrashGuard
@@ -47,6 +48,11 @@
 # After the store was restored from a copy and read, entries that it lacks stay in effect for this
 # long. Nodes write theirs again within 2 s, operators and targets within seconds.
 ERA_GRACE = timedelta(seconds=10)
+# After the store was read in a new era, a watcher writes the lost entries of leaving targets,
+# spread over the first time; it replaces older entries of the copy after the second time only, when
+# nodes that run have done so themselves.
+DEPARTURES_SPREAD = timedelta(milliseconds=300)
+DEPARTURES_DELAY = timedelta(seconds=1.5)
 
 
 class StateFeeds:
@@ -123,6 +129,7 @@
             era=store.era,
         )
         self.sink = sink
+        self.store = store
         self.peers = PeerSync(
             clock=clock,
             rng=rng,
@@ -214,10 +221,35 @@
         if self.awaits_read and not self.follower.is_reading():
             self.awaits_read = False
             log_event("store_era_read", era=self.era.number)
+            if self.follower.followed is None:
+                spread = DEPARTURES_SPREAD * self.rng.random()
+                eventlet.spawn_after(spread.total_seconds(), self._save_departures, missing=True)
+                delay = DEPARTURES_DELAY + spread
+                eventlet.spawn_after(delay.total_seconds(), self._save_departures, missing=False)
             self.grace_timer = hubs.get_hub().schedule_call_global(
                 ERA_GRACE.total_seconds(), self._end_grace
             )
 
+    def _save_departures(self, *, missing: bool) -> None:
+        """Write the entries of leaving targets that the store has lost, for nodes that are down.
+
+        A node that starts again would not know otherwise that its target has left.
+
+        :param missing: whether to write those that are missing; otherwise those that are older
+        """
+        for target, has_older in self.sink.targets.lost_departures():
+            if missing is has_older:
+                continue
+            result = self.store.save_target(target, 0)
+            if has_older and not is_successful(result) and isinstance(result.failure(), Changed):
+                result = self.store.save_target(target, result.failure().revision)
+            log_event(
+                "departure_saved_again",
+                target=target.target,
+                state=target.state,
+                done=is_successful(result),
+            )
+
     def _end_grace(self) -> None:
         """Keep nothing any longer that the restored store lacks; read it once more in full."""
         self.grace_timer = None
--- a/almondshore/mesh/publishing.py
+++ b/almondshore/mesh/publishing.py
@@ -62,8 +62,12 @@
             self.desired_changed.send(None)
 
     def adopt(self, target: Target) -> None:
-        """Take the entry of a target as stored already, by an earlier process of this node."""
-        self.stored = target
+        """Take the entry of a target as stored already, by an earlier process of this node.
+
+        If the store was restored meanwhile, the entry is written in any case.
+        """
+        if not self.restored:
+            self.stored = target
 
     def restore(self) -> None:
         """Write the entry again: it was removed, or a read was older than the last write.
--- a/almondshore/mesh/state.py
+++ b/almondshore/mesh/state.py
@@ -6,7 +6,7 @@
 from almondshore.mesh.changes import ChangeLog, ChangeResponse, StateKind, decompress_config
 from almondshore.mesh.crashes import CrashSink
 from almondshore.mesh.directory import Directory
-from almondshore.mesh.model import Death, Evacuation, MeshConfig, Rollout, Target
+from almondshore.mesh.model import Death, Evacuation, MeshConfig, Rollout, Target, TargetState
 from almondshore.mesh.outbound import Outbound
 from almondshore.mesh.replication import KeptItems, Sink
 from almondshore.mesh.restored import RestoredRollouts
@@ -59,11 +59,13 @@
     """Applies the stored targets to the directory.
 
     :ivar kept: targets that a restored store may have lost; their nodes write them again
+    :ivar newer: targets of which a restored store has an older entry
     """
 
     def __init__(self, *, directory: Directory):
         self.directory = directory
         self.kept = KeptItems()
+        self.newer: set[str] = set()
 
     def replace(self, items: Mapping[str, Target]) -> bool:
         """Replace all targets; returns whether any changed."""
@@ -74,6 +76,7 @@
         self.kept.confirm(items)
         before = dict(self.directory.targets)
         self.directory.merge(items.values(), self.kept.missing(before, items))
+        self.newer = {name for name, item in items.items() if self.directory.targets[name] != item}
         return self.directory.targets != before
 
     def begin_era(self) -> None:
@@ -83,10 +86,24 @@
     def end_grace(self) -> None:
         """Keep only targets that the store has."""
         self.kept.release()
+        self.newer = set()
+
+    def lost_departures(self) -> list[tuple[Target, bool]]:
+        """Return entries of leaving targets that a restored store lacks or has in an older form.
+
+        :return: each with whether the store has an older form of it
+        """
+        targets = self.directory.targets
+        return [
+            (targets[name], name in self.newer)
+            for name in self.kept.names | self.newer
+            if name in targets and targets[name].state is not TargetState.READY
+        ]
 
     def update(self, items: Mapping[str, Target | None]) -> None:
         """Apply changed and removed targets."""
         self.kept.confirm(items)
+        self.newer.difference_update(items)
         for name, target in items.items():
             if target is None:
                 self.directory.remove(name)
--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -50,6 +50,7 @@
     :ivar log_reader: reads the output of the process
     :ivar peak_mb: largest resident memory of its processes so far
     :ivar restarting: whether the soak itself is restarting the process
+    :ivar paused: whether the process is suspended
     :ivar unexpected_exits: status of each exit of the node process that no signal from the soak
         caused (SIGHUP ends a process that has not installed its handlers yet)
     """
@@ -72,6 +73,7 @@
         self.log_reader: LogReader | None = None
         self.peak_mb = 0.0
         self.restarting = False
+        self.paused = False
         self.unexpected_exits: list[int] = []
         self.heartbeat_task = eventlet.spawn(self._heartbeat_loop)
 
@@ -104,6 +106,8 @@
 
     def signal(self, number: int) -> None:
         """Send a signal to the node process if it is still running."""
+        if number in (signal.SIGSTOP, signal.SIGCONT):
+            self.paused = number == signal.SIGSTOP
         if self.process is not None and self.process.poll() is None:
             os.kill(self.process.pid, number)
 
@@ -126,6 +130,18 @@
                 eventlet.sleep(held_s)
         self.restarting = False
 
+    def is_undisturbed(self) -> bool:
+        """Return whether the node process runs, reaches the store and has a target that stays."""
+        return (
+            self.process is not None
+            and self.process.poll() is None
+            and not self.restarting
+            and not self.paused
+            and self.store_proxy.mode is ProxyMode.PASS
+            and self.target_proxy.mode is not ProxyMode.CRASHED
+            and self.state == "ready"
+        )
+
     def supervise(self) -> None:
         """Restart the node process if it exited by itself, as the platform does."""
         self.peak_memory_mb()
@@ -235,6 +251,8 @@
 
     :param folder: folder for the settings and logs of the nodes
     :ivar store_faults: number of faults of the store in progress
+    :ivar first_revision: revision of the store before any node wrote to it
+    :ivar restored_entries: number of entries that were checked after a restore of the store
     :ivar version: version of the last configuration that was written
     """
 
@@ -247,8 +265,10 @@
         self.store = StoreStandIn()
         self.store_server = serve(self.clock, self.store)
         self.store_faults = 0
+        self.restored_entries = 0
         self.version = 1
         self.change_config()
+        self.first_revision = self.store.revision
         self.hosts = [
             Host(cluster=self, name=f"n{number}", service=SERVICES[number % len(SERVICES)])
             for number in range(hosts)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -6,6 +6,7 @@
 
 import eventlet
 
+from soak import restores
 from soak.cluster import CRASH_PATH_PART, Cluster, Host
 from soak.faulty_target import Misbehaviour, endless_pieces
 from soak.proxy import ProxyMode
@@ -20,6 +21,8 @@
     ProxyMode.SILENT,
 )
 CRASH_REQUESTS = 4
+MAX_COPY_AGE_S = 6.0
+MAX_AWAY_S = 2.0
 MAX_LARGE_BODY_BYTES = 12 * 1024 * 1024
 
 Fault = Callable[[Cluster, Host], None]
@@ -93,6 +96,14 @@
     cluster.store.compact_history()
 
 
+def restore_store(cluster: Cluster, _host: Host) -> None:
+    """Restore the store from a recent copy, or one without entries; check that they come back."""
+    # The entries are written once, so that few are lost with a copy of the last seconds.
+    age_s = cluster.rng.choice((None, cluster.rng.uniform(0.2, MAX_COPY_AGE_S)))
+    away_s = cluster.rng.choice((0.0, cluster.rng.uniform(0.2, MAX_AWAY_S)))
+    restores.restore_store(cluster, age_s=age_s, away_s=away_s)
+
+
 def change_config(cluster: Cluster, _host: Host) -> None:
     """Write a new version of the configuration to the store."""
     cluster.change_config()
@@ -205,4 +216,5 @@
     take_port,
     send_large_bodies,
     send_endless_body,
+    restore_store,
 )
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -3,7 +3,7 @@
 from collections import Counter
 from collections.abc import Sequence
 from datetime import timedelta
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from almondshore.core.clock import Clock
 from almondshore.http.client import CallResult
@@ -121,6 +121,16 @@
         if status == 404:
             self.violations.append(f"{node} answers 404 for {path}, whose route was added before")
 
+    def check_restored(self, node: str, target: str, entry: dict[str, Any] | None) -> None:
+        """Check that a node has written its entry again after the store was restored.
+
+        :param entry: the stored entry, None if there is none
+        """
+        if entry is None:
+            self.violations.append(
+                f"{node} has not written the entry of {target} again after a restore of the store"
+            )
+
     def check_exits(self, node: str, statuses: Sequence[int]) -> None:
         """Check that a node process has not ended by itself.
 
--- a/test/mesh/test_store_era.py
+++ b/test/mesh/test_store_era.py
@@ -74,6 +74,38 @@
             self.assertEqual("draining", first.directory.targets["i-n2"].state)
             eventlet.sleep(0.02)
 
+    def check_departure_outlives(self, *, copy_has_entry):
+        """Check that the record of a departure comes back while the target's node is down."""
+        first = self.mesh.nodes["n1"]
+        self.mesh.add_node("n3")
+        wait_until(lambda: "i-n3" in self.store.objects[TARGETS])
+        wait_until(lambda: "i-n3" in first.directory.targets)
+        copy = self.store.revision if copy_has_entry else self.copy
+        self.mesh.deregister("n3")
+        wait_until(lambda: first.directory.targets["i-n3"].state == "gone")
+        former = self.mesh.nodes.pop("n3")
+        former.close()
+        former.store.era.listeners.clear()
+        self.store.restore(revision=copy)
+
+        def is_gone():
+            entry = self.store.get(TARGETS, "i-n3")
+            return entry is not None and entry["spec"]["state"] == "gone"
+
+        self.assertFalse(is_gone())
+        wait_until(is_gone, seconds=4)
+
+    def test_departure_outlives_a_restore_while_its_node_is_down(self):
+        """Guards against a late heartbeat that brings a target back which has left.
+
+        Found by the soak with seed 21 and all faults.
+        """
+        self.check_departure_outlives(copy_has_entry=False)
+
+    def test_departure_replaces_the_older_entry_of_the_copy(self):
+        """Guards against a target that has left and returns with the copy."""
+        self.check_departure_outlives(copy_has_entry=True)
+
     def test_older_configuration_of_the_copy_is_ignored(self):
         """Guards against a node that returns to the configuration of the copy."""
         self.store.put("config", "main", stored_config(9))
--- a/test/soak/test_guarantees.py
+++ b/test/soak/test_guarantees.py
@@ -33,6 +33,7 @@
         self.record_response(200, b"q1" * 50)
         self.record_response(502)
         self.checker.check_recovery(60, 60)
+        self.checker.check_restored("n1", "t1", {"spec": {}})
         self.assertEqual([], self.checker.violations)
 
     def test_each_violation_is_reported(self):
@@ -47,6 +48,7 @@
             lambda: self.checker.check_exits("n1", [1]),
             lambda: self.checker.check_memory("n1", 151.0),
             lambda: self.checker.check_config_applied("n1", "/added", 404),
+            lambda: self.checker.check_restored("n1", "t1", None),
         )
         for case in cases:
             self.reset_checker()
--- a/test/soak/test_soak.py
+++ b/test/soak/test_soak.py
@@ -5,7 +5,7 @@
 
 from testtools import TestCase
 
-from soak.faults import FAULTS
+from soak.faults import FAULTS, change_config, kill_node, restore_store
 from soak.main import run_soak
 
 # Seeds that found a violation, with the cause of each.
@@ -23,6 +23,7 @@
             cluster = run_soak(seed=seed, folder=Path(folder), seconds=seconds, **options)
         self.assertEqual([], cluster.checker.violations)
         self.assertTrue(cluster.checker.statuses["200"] > 100, cluster.checker.statuses)
+        return cluster
 
     def test_short_run_finds_no_violation(self):
         """Guards against guarantees that hold only in the absence of faults."""
@@ -32,3 +33,9 @@
         """Guards against regressions: each seed has found a violation before."""
         for seed in REGRESSION_SEEDS:
             self.run_soak(seed, FAULT_PHASE_S, faults=FAULTS)
+
+    def test_restores_of_the_store(self):
+        """Guards against entries that stay lost after the store was restored from a copy."""
+        faults = (restore_store, kill_node, change_config)
+        cluster = self.run_soak(1, FAULT_PHASE_S, faults=faults)
+        self.assertTrue(cluster.restored_entries > 0)
