--- a/test/mesh/test_store_era.py
+++ b/test/mesh/test_store_era.py
@@ -221,8 +221,7 @@
         nodes = self.mesh.nodes.values()
         wait_until(lambda: self.all_nodes(lambda node: len(node.directory.targets) == count))
         wait_until(lambda: len(self.store.objects[TARGETS]) == count)
-        followers = [node for node in nodes if node.feeds.follower.followed is not None]
-        self.assertNotEqual([], followers)
+        wait_until(lambda: any(node.feeds.follower.followed is not None for node in nodes))
         # The process of this one has ended, so that nothing writes its entry again.
         gone = self.mesh.nodes.pop(names[0])
         gone.close()
