Bound what the server holds for its callers

Cause: the server counted the bodies of requests, but not the headers of complete ones, requests that were parsed ahead, their handling, connections, nor sent parts of unsent buffers; every connection could hold 256 KB whatever their number, and the kernel up to 6 MB for each.

--- a/almondshore/http/messages.py
+++ b/almondshore/http/messages.py
@@ -29,6 +29,7 @@
     :ivar target: request target (path and query) as received
     :ivar headers: header fields, with the case of their names as received
     :ivar keep_alive: whether the connection stays open after the response
+    :ivar header_memory: memory of the target and the headers, 0 if it is not known
     """
 
     method: bytes
@@ -36,6 +37,7 @@
     headers: Headers
     body: bytes
     keep_alive: bool = True
+    header_memory: int = 0
 
     def header(self, name: bytes) -> bytes | None:
         """Return the first value of a header, given its lower-case name."""
--- a/almondshore/http/parsing.py
+++ b/almondshore/http/parsing.py
@@ -17,6 +17,11 @@
 # Bytes of chunk framing that are accepted for each byte of a body, beyond the limit on headers. A
 # body sent in chunks of one byte has five.
 MAX_FRAMING_PER_BODY_BYTE = 16
+# Header fields of a request. A header of 16,384 bytes has at most 4,096 lines; listeners for other
+# nodes accept 64 KB.
+MAX_HEADERS = 10_000
+# Memory of a parsed request beside its headers and its body.
+PARSED_REQUEST_BYTES = 512
 STATUS_TOO_LARGE = 413
 
 
@@ -41,13 +46,15 @@
 class RequestParser:
     """Parses the bytes received on a server connection into requests.
 
-    :ivar complete: completely received requests; the caller removes them
+    :ivar complete: completely received requests; the caller removes them with :meth:`take`
+    :ivar complete_bytes: memory of these requests
     :ivar expects_continue: whether the client waits for ``100 Continue`` before it sends the body
     """
 
     def __init__(self, *, limits: RequestLimits):
         self.limits = limits
         self.complete: deque[Request] = deque()
+        self.complete_bytes = 0
         self.expects_continue = False
         self.parser = httptools.HttpRequestParser(self)
         self.in_headers = True
@@ -79,15 +86,24 @@
 
     def held_bytes(self) -> int:
         """Return the memory that the incomplete request takes."""
-        return len(self.target) + self.header_bytes + len(self.body)
+        return len(self.target) + self.header_bytes + len(self.body) + self.complete_bytes
+
+    def take(self) -> Request:
+        """Remove and return the first complete request."""
+        request = self.complete.popleft()
+        self.complete_bytes -= _request_memory(request)
+        return request
 
     def discard(self) -> None:
-        """Drop the incomplete request, since its connection has ended.
+        """Drop all requests, since their connection has ended.
 
         The parser refers to itself through its callbacks, so that its memory is released late.
         """
+        self.target = bytearray()
         self.headers = []
+        self.header_bytes = self.complete_bytes = 0
         self.body.clear()
+        self.complete.clear()
 
     def missing_bytes(self) -> int:
         """Return how many bytes of the body are missing, 0 if its length is not stated."""
@@ -106,6 +122,8 @@
         if self.in_headers:
             self.headers.append((name, value))
             self.header_bytes += len(name) + len(value) + HEADER_OVERHEAD_BYTES
+            if len(self.headers) > MAX_HEADERS:
+                raise ParseError(f"the request has more than {MAX_HEADERS} headers", status=431)
 
     def on_headers_complete(self) -> None:
         """Check the stated sizes and look for ``Expect: 100-continue``."""
@@ -130,15 +148,16 @@
 
     def on_message_complete(self) -> None:
         """Append the request to ``complete`` and reset the state for the next one."""
-        self.complete.append(
-            Request(
-                self.parser.get_method(),
-                bytes(self.target),
-                tuple(self.headers),
-                self.body.take(),
-                self.parser.should_keep_alive(),
-            )
+        request = Request(
+            self.parser.get_method(),
+            bytes(self.target),
+            tuple(self.headers),
+            self.body.take(),
+            self.parser.should_keep_alive(),
+            len(self.target) + self.header_bytes,
         )
+        self.complete.append(request)
+        self.complete_bytes += _request_memory(request)
         self.target = bytearray()
         self.headers = []
         self.header_bytes = self.stated_bytes = 0
@@ -281,6 +300,10 @@
         self.reset()
 
 
+def _request_memory(request: Request) -> int:
+    return request.header_memory + len(request.body) + PARSED_REQUEST_BYTES
+
+
 class _FramingCounter:
     """Counts the received bytes of a message that are not part of its body.
 
--- a/almondshore/http/stream.py
+++ b/almondshore/http/stream.py
@@ -16,6 +16,8 @@
 READ_CHUNK_BYTES = 64 * 1024
 # The connection is closed if the peer reads so slowly that more than this is buffered.
 MAX_WRITE_BUFFER_BYTES = 128 * 1024 * 1024
+# Memory of a part that waits to be sent beside its bytes: two objects and an entry in a list.
+PART_OVERHEAD_BYTES = 250
 # A connection fails if sent data is not acknowledged within this time. Links have a latency of a
 # few milliseconds, and a lost packet is retransmitted within 0.2 s to 0.4 s.
 USER_TIMEOUT_MS = 1500
@@ -67,11 +69,12 @@
     """Bytes that wait to be sent, held without a copy.
 
     :ivar size: number of bytes
+    :ivar held_bytes: memory that they take; a part is held as a whole until its end is sent
     """
 
     def __init__(self) -> None:
         self.parts: deque[memoryview] = deque()
-        self.size = 0
+        self.size = self.held_bytes = 0
 
     def __len__(self) -> int:
         return self.size
@@ -79,8 +82,10 @@
     def append(self, data: bytes | memoryview) -> None:
         """Add bytes after those that wait already."""
         if data:
-            self.parts.append(memoryview(data))
+            part = memoryview(data)
+            self.parts.append(part)
             self.size += len(data)
+            self.held_bytes += len(part.obj) + PART_OVERHEAD_BYTES
 
     def send(self, sock: socket.socket) -> None:
         """Pass as many bytes to the kernel as it accepts.
@@ -96,11 +101,13 @@
                 self.size -= sent
                 if sent < len(part):
                     self.parts.appendleft(part[sent:])
+                else:
+                    self.held_bytes -= len(part.obj) + PART_OVERHEAD_BYTES
 
     def clear(self) -> None:
         """Drop all bytes."""
         self.parts.clear()
-        self.size = 0
+        self.size = self.held_bytes = 0
 
 
 class Stream:
