Treat responses with an invalid status line as none

Cause: the response parser took 000, 099 and all other 1xx for interim responses, so that the caller waited for its timeout; it passed on 600 to 999 and accepted HTTP/2.0, HTTP/0.9, RTSP and ICE.

Change: a final status is 200 to 599, an interim one 100, 102 or 103, the version 1.0 or 1.1. Anything else is malformed: the run counts as broken, is retried only on idempotent routes, and otherwise gives 502.

Also moves the requests in progress from connection.py to exchange.py, and lets requests in progress on a connection take 512 KB, as 32 requests with 10 headers take 256 KB.

--- a/almondshore/http/connection.py
+++ b/almondshore/http/connection.py
@@ -1,20 +1,19 @@
 """Connections of the HTTP server: requests, their responses and the memory held for a client."""
 
-from abc import ABC, abstractmethod
 from collections import deque
-from collections.abc import Callable
 from datetime import timedelta
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING
 
 from almondshore.core.logs import log_event
-from almondshore.http.buffering import HEADER_OVERHEAD_BYTES, MemoryHolder
+from almondshore.http.buffering import MemoryHolder
+from almondshore.http.exchange import Exchange, ServerLimits
 from almondshore.http.messages import (
     Request,
     Response,
     encode_response_head,
     response_body,
 )
-from almondshore.http.parsing import ParseError, RequestLimits, RequestParser
+from almondshore.http.parsing import ParseError, RequestParser
 from almondshore.http.stream import Stream, StreamHandler, socket
 
 if TYPE_CHECKING:
@@ -26,15 +25,10 @@
 # connection is handled. The smallest hosts have only 128 MB of memory.
 MAX_UNREAD_BYTES = 256 * 1024
 # While the requests in progress on a connection take more than this, no further one is handled.
-MAX_PENDING_BYTES = 256 * 1024
+MAX_PENDING_BYTES = 512 * 1024
 # Received bytes are parsed in parts of this size, so that few requests are parsed ahead: 64 KB may
 # hold 3,600 requests of 18 bytes, which take some 600 bytes each once they are parsed.
 PARSE_BYTES = 8 * 1024
-# Memory of a request in progress beside its headers and its body: the exchange, its forwarding
-# state, timers and queue entries.
-REQUEST_OVERHEAD_BYTES = 4096
-# Headers in progress exist as received and as encoded for the next hop.
-HEADER_COPIES = 2
 # After the last response, the server waits this long for the peer to close the connection:
 # closing a socket with unread bytes resets the connection, and the peer may lose the response.
 LINGER_TIMEOUT = timedelta(seconds=1)
@@ -47,60 +41,6 @@
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
-class ServerLimits(NamedTuple):
-    """Limits for each connection.
-
-    :ivar header_timeout: longest time from the first byte of a request to the end of its headers
-    :ivar idle_timeout: longest time without a request, and for the body of a request
-    """
-
-    request: RequestLimits
-    header_timeout: timedelta
-    idle_timeout: timedelta
-
-
-class Exchange:
-    """A request and its response.
-
-    :ivar on_cancel: called once if the client disconnects before the response is set
-    :ivar received_at: monotonic time at which the request was received completely
-    """
-
-    __slots__ = ("request", "received_at", "on_cancel", "connection", "response", "cancelled")
-
-    def __init__(self, *, request: Request, received_at: timedelta, connection: "ServerConnection"):
-        self.request = request
-        self.received_at = received_at
-        self.connection = connection
-        self.on_cancel: Callable[[], None] | None = None
-        self.response: Response | None = None
-        self.cancelled = False
-
-    def held_bytes(self) -> int:
-        """Return the memory that the request, the response and their handling take."""
-        request, response = self.request, self.response
-        held = REQUEST_OVERHEAD_BYTES + request.header_memory * HEADER_COPIES + len(request.body)
-        if response is not None:
-            held += len(response.headers) * HEADER_OVERHEAD_BYTES + len(response.body)
-        return held
-
-    def respond(self, response: Response) -> None:
-        """Send the response; has no effect after an earlier response or a cancellation."""
-        if self.response is not None or self.cancelled:
-            return
-        self.response = response
-        self.on_cancel = None
-        self.connection.flush()
-
-
-class ExchangeHandler(ABC):
-    """Handles the requests of a server."""
-
-    @abstractmethod
-    def handle(self, exchange: Exchange) -> None:
-        """Start handling a request without blocking; the response may be sent later."""
-
-
 class ServerConnection(StreamHandler, MemoryHolder):
     """A connection from a client.
 
--- a/almondshore/http/messages.py
+++ b/almondshore/http/messages.py
@@ -20,6 +20,9 @@
     )
 )
 BODILESS_STATUSES = frozenset((204, 304))
+# Statuses of final responses (RFC 9110, section 15).
+MIN_FINAL_STATUS = 200
+MAX_FINAL_STATUS = 599
 REASON_PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
 
 
@@ -62,6 +65,11 @@
         return find_header(self.headers, name)
 
 
+def is_final_status(status: int) -> bool:
+    """Return whether a status is valid and not that of an interim response."""
+    return MIN_FINAL_STATUS <= status <= MAX_FINAL_STATUS
+
+
 def find_header(headers: Headers, name: bytes) -> bytes | None:
     """Return the first value of a header, given its lower-case name."""
     for key, value in headers:
@@ -107,6 +115,7 @@
 
     :param head: whether the request was a HEAD request, so that the body is omitted
     :param close: whether to announce that the connection closes after the response
+    :raises ValueError: if the status is not that of a final response
     """
     return encode_response_head(response, close=close) + response_body(response, head=head)
 
@@ -115,7 +124,10 @@
     """Encode a response without its body.
 
     :param close: whether to announce that the connection closes after the response
+    :raises ValueError: if the status is not that of a final response
     """
+    if not is_final_status(response.status):
+        raise ValueError(f"{response.status} is not the status of a final response")
     reason = response.reason or REASON_PHRASES.get(response.status, b"Unknown")
     lines = [b"HTTP/1.1 %d " % response.status + reason]
     lines.extend(key + b": " + value for key, value in response.headers)
--- a/almondshore/http/parsing.py
+++ b/almondshore/http/parsing.py
@@ -6,7 +6,7 @@
 import httptools
 
 from almondshore.http.buffering import HEADER_OVERHEAD_BYTES, BodyBuffer
-from almondshore.http.messages import BODILESS_STATUSES, Request, Response
+from almondshore.http.messages import BODILESS_STATUSES, Request, Response, is_final_status
 
 # Limits the memory per response. Objects of the store have at most 1 MB, and its lists about as
 # much; the smallest hosts have 128 MB of memory.
@@ -23,6 +23,12 @@
 # Memory of a parsed request beside its headers and its body.
 PARSED_REQUEST_BYTES = 512
 STATUS_TOO_LARGE = 413
+# Responses before the final one. 101 is none of them, since no request asks for an upgrade.
+INTERIM_STATUSES = frozenset((100, 102, 103))
+# httptools reads "2.0" and "0.9" as well, and other protocols with the versions of HTTP.
+HTTP_VERSIONS = frozenset(("1.0", "1.1"))
+OTHER_PROTOCOLS = (b"RTSP/", b"ICE/")
+PREFIX_BYTES = 5
 
 
 class ParseError(Exception):
@@ -203,12 +209,19 @@
         self.started = False
         self.framed = True
         self.in_body = False
+        self.prefix = b""
 
     def feed(self, data: bytes) -> None:
         """Parse received bytes.
 
         :raises ParseError: if they are not a valid response or exceed a limit
         """
+        if not self.started:
+            self.prefix = data[:PREFIX_BYTES]
+        elif 0 < len(self.prefix) < PREFIX_BYTES:
+            self.prefix += data[: PREFIX_BYTES - len(self.prefix)]
+        if self.prefix.startswith(OTHER_PROTOCOLS):
+            raise ParseError("malformed response: it is not an HTTP response")
         self.started = True
         _feed_parser(self.parser, data, "response")
         limit = MAX_RESPONSE_HEAD_BYTES + len(self.body) * MAX_FRAMING_PER_BODY_BYTE
@@ -250,9 +263,14 @@
             self.header_bytes += len(name) + len(value) + HEADER_OVERHEAD_BYTES
 
     def on_headers_complete(self) -> None:
-        """Determine how the body is framed."""
-        names = {name.lower() for name, _ in self.headers}
+        """Check the status line and determine how the body is framed."""
         status = self.parser.get_status_code()
+        if not is_final_status(status) and status not in INTERIM_STATUSES:
+            raise ParseError(f"malformed response: invalid status {status:03d}")
+        version = self.parser.get_http_version()
+        if version not in HTTP_VERSIONS:
+            raise ParseError(f"malformed response: invalid version {version}")
+        names = {name.lower() for name, _ in self.headers}
         bodiless = status in BODILESS_STATUSES or status < 200
         self.framed = bodiless or b"content-length" in names or b"transfer-encoding" in names
         self.in_body = True
--- a/almondshore/http/server.py
+++ b/almondshore/http/server.py
@@ -11,11 +11,9 @@
 from almondshore.http.connection import (
     MAX_PIPELINED,
     MAX_UNREAD_BYTES,
-    Exchange,
-    ExchangeHandler,
     ServerConnection,
-    ServerLimits,
 )
+from almondshore.http.exchange import Exchange, ExchangeHandler, ServerLimits
 from almondshore.http.stream import (
     EXHAUSTED_ERRNOS,
     READ,
