Bound requests parsed ahead by memory, and let a host state its memory

The setting memory_mb is optional; without it, 32 MB are held as before. Parts of a body with a stated length are not cut into small pieces.

--- a/almondshore/http/buffering.py
+++ b/almondshore/http/buffering.py
@@ -28,6 +28,21 @@
 RELEASED_BYTES = 8 * 1024 * 1024
 
 
+# Memory of a process beside what it holds for its peers.
+PROCESS_BYTES = 60 * 1024 * 1024
+# What is held may take up to this multiple, with the buffers of the kernel.
+MEMORY_FACTOR = 2
+
+
+def max_held_bytes(memory_mb: float) -> int:
+    """Return how much memory may be held on a host, ``MAX_HELD_BYTES`` if its size is 0.
+
+    :param memory_mb: memory of the host in megabytes
+    """
+    held = (int(memory_mb * 1024 * 1024) - PROCESS_BYTES) // MEMORY_FACTOR
+    return max(MAX_HELD_BYTES, held)
+
+
 class MemoryHolder(ABC):
     """A connection for whose messages memory is held.
 
@@ -101,7 +116,8 @@
 
         A connection that holds no more than an equal part of the memory is never closed.
         """
-        self.peak_bytes = max(self.peak_bytes, self.held_bytes)
+        if self.held_bytes > self.peak_bytes:
+            self.peak_bytes = self.held_bytes
         total = self.held_bytes + len(self.holders) * CONNECTION_BYTES
         if total > self.limit() * PRESSURE_FACTOR:
             self._evict(now, list(self.holders), max_held=self._max_held())
--- a/almondshore/http/connection.py
+++ b/almondshore/http/connection.py
@@ -29,6 +29,8 @@
 # Received bytes are parsed in parts of this size, so that few requests are parsed ahead: 64 KB may
 # hold 3,600 requests of 18 bytes, which take some 600 bytes each once they are parsed.
 PARSE_BYTES = 8 * 1024
+# No further part is parsed while complete requests that are not handled yet take more than this.
+MAX_PARSED_BYTES = 128 * 1024
 # After the last response, the server waits this long for the peer to close the connection:
 # closing a socket with unread bytes resets the connection, and the peer may lose the response.
 LINGER_TIMEOUT = timedelta(seconds=1)
@@ -76,7 +78,9 @@
         now = self.last_read_at = self.progress_at = self.server.clock.monotonic()
         if not self.parser.is_partial():
             self.last_active_at = now
-        if len(data) <= PARSE_BYTES and not self.unparsed:
+        if not self.unparsed and (
+            len(data) <= PARSE_BYTES or len(data) <= self.parser.missing_bytes()
+        ):
             self._parse(data)
         else:
             self.unparsed += data
@@ -222,11 +226,13 @@
         data, position = self.unparsed, 0
         self.unparsed = b""
         while position < len(data) and self.parse_error is None:
-            if len(self.parser.complete) >= MAX_PIPELINED:
+            parser = self.parser
+            if len(parser.complete) >= MAX_PIPELINED or parser.complete_bytes > MAX_PARSED_BYTES:
                 self.unparsed = data[position:]
                 return
-            self._parse(data[position : position + PARSE_BYTES])
-            position += PARSE_BYTES
+            end = position + max(PARSE_BYTES, self.parser.missing_bytes())
+            self._parse(data[position:end])
+            position = end
 
     def _schedule_resume(self) -> None:
         """Go on in another turn of the event loop, so that other clients are served meanwhile."""
@@ -314,15 +320,14 @@
         """Record the memory that the messages of this connection take."""
         if self.stream.closed:
             return
-        self.pending_bytes = sum(exchange.held_bytes() for exchange in self.pending)
-        held = (
-            self.parser.held_bytes()
-            + self.pending_bytes
-            + self.stream.unsent.held_bytes
-            + len(self.unparsed)
-        )
-        self.server.memory.resize(self.held_bytes, held)
-        self.held_bytes = held
+        held = 0
+        for exchange in self.pending:
+            held += exchange.held_bytes()
+        self.pending_bytes = held
+        held += self.parser.held_bytes() + self.stream.unsent.held_bytes + len(self.unparsed)
+        if held != self.held_bytes:
+            self.server.memory.resize(self.held_bytes, held)
+            self.held_bytes = held
 
     def _release_held(self) -> None:
         self.parser.discard()
--- a/almondshore/mesh/settings.py
+++ b/almondshore/mesh/settings.py
@@ -85,6 +85,7 @@
         behalf of others
     :ivar first_start: whether all nodes start for the first time, with nothing in the store but
         what the operator has written
+    :ivar memory_mb: memory of the host in megabytes, 0 if it is not known; read at the start only
     """
 
     node: str
@@ -100,9 +101,11 @@
     bounds: Bounds
     link_mbps: float = 0.0
     first_start: bool = False
+    memory_mb: float = 0.0
 
 
 MAX_LINK_MBPS = 1_000_000
+MAX_MEMORY_MB = 1_000_000
 FIELDS: dict[str, Field] = {
     "node": identifier(),
     "zone": identifier(),
@@ -117,7 +120,10 @@
     "link_mbps": number(0, MAX_LINK_MBPS),
     "first_start": boolean(),
     "bounds": string(),
+    "memory_mb": number(0, MAX_MEMORY_MB),
 }
+# Settings that may be left out; their values are then those of ``MeshSettings``.
+OPTIONAL_FIELDS = frozenset(("memory_mb",))
 
 
 DecodeBounds = Callable[[str], Bounds]
@@ -149,6 +155,8 @@
     nodes = read_nodes(data, FIELDS, findings)
     values = {}
     for key, field in FIELDS.items():
+        if key not in nodes and key in OPTIONAL_FIELDS:
+            continue
         if key not in nodes:
             message = f"{key} has no default and must be set"
             findings.add(line=0, column=0, code="missing", message=message)
@@ -184,4 +192,5 @@
         bounds=bounds,
         link_mbps=values["link_mbps"],
         first_start=values["first_start"],
+        memory_mb=values.get("memory_mb", 0.0),
     )
