--- a/almondshore/http/connection.py
+++ b/almondshore/http/connection.py
@@ -169,7 +169,8 @@
                 self._close()
 
     def _is_idle(self) -> bool:
-        return not self.pending and not self.parser.is_partial() and not self.stream.unsent
+        waiting = self.pending or self.parser.complete or self.unparsed
+        return not waiting and not self.parser.is_partial() and not self.stream.unsent
 
     def stalled_for(self, now: timedelta) -> timedelta:
         """Return how long the client has neither sent nor read what the connection waits for."""
