--- a/almondshore/http/connection.py
+++ b/almondshore/http/connection.py
@@ -215,7 +215,7 @@
         self.close_idle(now)
         return self.stream.closed
 
-    def _parse(self, data: bytes) -> None:
+    def _parse(self, data: bytes | memoryview) -> None:
         try:
             self.parser.feed(data)
         except ParseError as error:
@@ -224,12 +224,12 @@
 
     def _parse_ahead(self) -> None:
         """Parse received bytes until enough requests are complete."""
-        data, position = self.unparsed, 0
+        data, position = memoryview(self.unparsed), 0
         self.unparsed = b""
         while position < len(data) and self.parse_error is None:
             parser = self.parser
             if len(parser.complete) >= MAX_PIPELINED or parser.complete_bytes > MAX_PARSED_BYTES:
-                self.unparsed = data[position:]
+                self.unparsed = bytes(data[position:])
                 return
             end = position + max(PARSE_BYTES, self.parser.missing_bytes())
             self._parse(data[position:end])
--- a/almondshore/http/parsing.py
+++ b/almondshore/http/parsing.py
@@ -72,7 +72,7 @@
         self.stated_bytes = 0
         self.body = BodyBuffer()
 
-    def feed(self, data: bytes) -> None:
+    def feed(self, data: bytes | memoryview) -> None:
         """Parse received bytes.
 
         :raises ParseError: if they are malformed or exceed a limit
