--- a/almondshore/http/messages.py
+++ b/almondshore/http/messages.py
@@ -20,6 +20,9 @@
     )
 )
 BODILESS_STATUSES = frozenset((204, 304))
+# Statuses of final responses (RFC 9110, section 15).
+MIN_FINAL_STATUS = 200
+MAX_FINAL_STATUS = 599
 REASON_PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
 
 
@@ -29,6 +32,7 @@
     :ivar target: request target (path and query) as received
     :ivar headers: header fields, with the case of their names as received
     :ivar keep_alive: whether the connection stays open after the response
+    :ivar header_memory: memory of the target and the headers, 0 if it is not known
     """
 
     method: bytes
@@ -36,6 +40,7 @@
     headers: Headers
     body: bytes
     keep_alive: bool = True
+    header_memory: int = 0
 
     def header(self, name: bytes) -> bytes | None:
         """Return the first value of a header, given its lower-case name."""
@@ -60,6 +65,11 @@
         return find_header(self.headers, name)
 
 
+def is_final_status(status: int) -> bool:
+    """Return whether a status is valid and not that of an interim response."""
+    return MIN_FINAL_STATUS <= status <= MAX_FINAL_STATUS
+
+
 def find_header(headers: Headers, name: bytes) -> bytes | None:
     """Return the first value of a header, given its lower-case name."""
     for key, value in headers:
@@ -105,6 +115,7 @@
 
     :param head: whether the request was a HEAD request, so that the body is omitted
     :param close: whether to announce that the connection closes after the response
+    :raises ValueError: if the status is not that of a final response
     """
     return encode_response_head(response, close=close) + response_body(response, head=head)
 
@@ -113,7 +124,10 @@
     """Encode a response without its body.
 
     :param close: whether to announce that the connection closes after the response
+    :raises ValueError: if the status is not that of a final response
     """
+    if not is_final_status(response.status):
+        raise ValueError(f"{response.status} is not the status of a final response")
     reason = response.reason or REASON_PHRASES.get(response.status, b"Unknown")
     lines = [b"HTTP/1.1 %d " % response.status + reason]
     lines.extend(key + b": " + value for key, value in response.headers)
--- a/almondshore/mesh/metrics.py
+++ b/almondshore/mesh/metrics.py
@@ -61,6 +61,8 @@
             "almondshore_log_output_lost": int(bool(node.log_stream.lost)),
             "almondshore_messages_held_bytes": node.pool.memory.held_bytes,
             "almondshore_messages_refused_by_memory": node.pool.memory.refusals,
+            "almondshore_connections_evicted": node.pool.memory.evictions,
+            "almondshore_client_connections": len(node.pool.memory.holders),
             "almondshore_nodes_unreachable": len(node.directory.nodes),
             "almondshore_follows_watcher": int(node.feeds.follower.followed is not None),
             "almondshore_state_age_seconds": node.feeds.follower.age().total_seconds(),
--- a/almondshore/mesh/node.py
+++ b/almondshore/mesh/node.py
@@ -307,6 +307,8 @@
         for server in self.servers:
             server.close()
         self.housekeeping_timer.cancel()
+        # A late response of the store would start the replicas again.
+        self.store.era.listeners.clear()
 
     def config(self) -> MeshConfig | None:
         """Return the configuration in effect."""
--- a/almondshore/mesh/settings.py
+++ b/almondshore/mesh/settings.py
@@ -86,6 +86,7 @@
         behalf of others
     :ivar first_start: whether all nodes start for the first time, with nothing in the store but
         what the operator has written
+    :ivar memory_mb: memory of the host in megabytes, 0 if it is not known; read at the start only
     """
 
     node: str
@@ -102,9 +103,11 @@
     link_mbps: float = 0.0
     first_start: bool = False
     quotas: Address | None = None
+    memory_mb: float = 0.0
 
 
 MAX_LINK_MBPS = 1_000_000
+MAX_MEMORY_MB = 1_000_000
 FIELDS: dict[str, Field] = {
     "node": identifier(),
     "zone": identifier(),
@@ -120,12 +123,12 @@
     "link_mbps": number(0, MAX_LINK_MBPS),
     "first_start": boolean(),
     "bounds": string(),
+    "memory_mb": number(0, MAX_MEMORY_MB),
 }
+# Settings that may be left out; their values are then those of ``MeshSettings``.
+OPTIONAL_FIELDS = frozenset(("listen.quotas", "memory_mb"))
 
 
-# Settings without which a node runs with fewer functions.
-OPTIONAL = frozenset(("listen.quotas",))
-
 DecodeBounds = Callable[[str], Bounds]
 
 
@@ -155,7 +158,7 @@
     nodes = read_nodes(data, FIELDS, findings)
     values = {}
     for key, field in FIELDS.items():
-        if key not in nodes and key in OPTIONAL:
+        if key not in nodes and key in OPTIONAL_FIELDS:
             continue
         if key not in nodes:
             message = f"{key} has no default and must be set"
@@ -193,4 +196,5 @@
         link_mbps=values["link_mbps"],
         first_start=values["first_start"],
         quotas=parse_address("listen.quotas") if "listen.quotas" in values else None,
+        memory_mb=values.get("memory_mb", 0.0),
     )
--- a/almondshore/mesh/vanished.py
+++ b/almondshore/mesh/vanished.py
@@ -55,6 +55,8 @@
         self.is_up_to_date = is_up_to_date
         self.due: dict[str, timedelta] = {}
         self.removed: set[tuple[str, int]] = set()
+        # The copy from which the store is restored may bring the entries back.
+        store.era.subscribe(self.removed.clear)
 
     def run(self) -> None:
         """Review the entries until the process ends; runs in its own greenlet."""
--- a/almondshore/platform/main.py
+++ b/almondshore/platform/main.py
@@ -28,6 +28,7 @@
 from almondshore.core.errors import InvalidInputError  # noqa: E402
 from almondshore.core.logs import log_event, setup_logs  # noqa: E402
 from almondshore.core.workers import spawn_worker  # noqa: E402
+from almondshore.http.buffering import MemoryBudget, max_held_bytes  # noqa: E402
 from almondshore.http.client import ConnectionPool  # noqa: E402
 from almondshore.http.stream import READ, watch  # noqa: E402
 from almondshore.mesh.node import ListenError, MeshNode  # noqa: E402
@@ -87,7 +88,8 @@
 def build_node(settings: MeshSettings, stream: BoundedStream) -> MeshNode:
     """Return a node that uses the platform's store and headers."""
     clock = BootClock()
-    pool = ConnectionPool(clock=clock)
+    memory = MemoryBudget(max_bytes=max_held_bytes(settings.memory_mb))
+    pool = ConnectionPool(clock=clock, memory=memory)
     return MeshNode(
         settings=settings,
         clock=clock,
--- a/test/mesh/test_vanished.py
+++ b/test/mesh/test_vanished.py
@@ -9,6 +9,7 @@
 
 from almondshore.core.clock import ManualClock
 from almondshore.mesh.directory import Directory
+from almondshore.mesh.store import StoreEra
 from almondshore.mesh.vanished import MIN_FAILURES, REMOVAL_JITTER, VANISHED_AFTER, VanishedEntries
 from almondshore.storage.port import Unavailable
 from test.mesh.samples import target
@@ -22,6 +23,7 @@
 
     def __init__(self):
         self.deleted = []
+        self.era = StoreEra()
         self.result = Success(1)
 
     def delete_target(self, name, revision):
