--- a/almondshore/limits/objective.py
+++ b/almondshore/limits/objective.py
@@ -69,10 +69,11 @@
 class Refused(NamedTuple):
     """A request would not be started.
 
+    :ivar reason: a ``Refusal``, or another reason of the node
     :ivar retry_after: time after which a retry may succeed
     """
 
-    reason: Refusal
+    reason: str
     retry_after: timedelta
 
 
--- a/almondshore/mesh/inbound.py
+++ b/almondshore/mesh/inbound.py
@@ -1,6 +1,5 @@
 """Admission and forwarding of requests for the local target."""
 
-import itertools
 from collections import Counter
 from collections.abc import Callable
 from datetime import timedelta
@@ -16,10 +15,8 @@
 from almondshore.mesh.dialect import Dialect, ResponseClass
 from almondshore.mesh.evidence import ResultRecorder
 from almondshore.mesh.hop import (
-    BODY_SIZE_HEADER,
     HOP_HEADERS,
     MILLISECOND,
-    TRANSFER_HEADER,
     HopReport,
     HopResult,
     HopTerms,
@@ -32,7 +29,7 @@
 from almondshore.mesh.model import Address, Death
 from almondshore.placement.cost import Features
 from almondshore.placement.evacuation import ZONE_EVACUATED
-from almondshore.transfers.queue import Transfer, TransferQueue, TransferTerms
+from almondshore.transfers.receiver import TransferReceiver
 
 # Targets respond by the deadline they are given; the connection is closed this much later.
 DEADLINE_SLACK = timedelta(milliseconds=100)
@@ -52,12 +49,6 @@
 TARGET_DOWN_PAUSE = timedelta(milliseconds=300)
 
 
-# Transfers that were granted and have not arrived; older ones are forgotten.
-MAX_GRANTED = 64
-MAX_SIZE_DIGITS = 9
-_TRANSFER_NUMBERS = itertools.count(1)
-
-
 class Submission(Job):
     """A request for the local target, from its arrival to its result.
 
@@ -109,47 +100,6 @@
         self.inbound.cancel(self)
 
 
-class BodyTransfer(Transfer):
-    """A body that another node asks to send to this host.
-
-    :ivar identity: names the transfer to the node that was granted it
-    """
-
-    def __init__(
-        self,
-        *,
-        inbound: "Inbound",
-        exchange: Exchange,
-        hop_terms: HopTerms,
-        size: int,
-        run_time: timedelta,
-    ):
-        self.inbound = inbound
-        self.exchange = exchange
-        self.hop_terms = hop_terms
-        self.identity = b"%016x" % next(_TRANSFER_NUMBERS)
-        now = inbound.clock.monotonic()
-        self.terms = TransferTerms(
-            size, hop_terms.urgency, now + hop_terms.objective_ms * MILLISECOND, run_time
-        )
-
-    def grant(self) -> None:
-        """Let the other node send the request with its body."""
-        granted = self.inbound.granted
-        while len(granted) >= MAX_GRANTED:
-            del granted[next(iter(granted))]
-        granted[self.identity] = self
-        self.inbound._answer_transfer(
-            self.exchange, self.hop_terms, Outcome.GRANTED, "", transfer=self.identity
-        )
-
-    def refuse(self, retry_after: timedelta) -> None:
-        """Refuse the request: the link has no room for its body in time."""
-        self.inbound._answer_transfer(
-            self.exchange, self.hop_terms, Outcome.REFUSED, Refusal.OVERLOADED, retry_after
-        )
-
-
 class Inbound(ExchangeHandler):
     """Admits requests to the target's slots and forwards them to the target.
 
@@ -162,8 +112,7 @@
     :ivar closed: whether new requests are refused because the process is about to exit
     :ivar is_evacuated: returns whether the target's zone is evacuated
     :ivar refusals: refused requests by reason
-    :ivar transfers: order in which large bodies may be sent to this host, None without a limit
-    :ivar granted: transfers that were granted and have not arrived, by identity
+    :ivar transfers: answers nodes that ask to send a large body
     """
 
     def __init__(
@@ -194,8 +143,13 @@
         self.on_death: Callable[[Death], None] = lambda _death: None
         self.death_detector = DeathDetector(clock=clock)
         self.active: set[Submission] = set()
-        self.transfers: TransferQueue | None = None
-        self.granted: dict[bytes, BodyTransfer] = {}
+        self.transfers = TransferReceiver(
+            clock=clock,
+            judge=self._judge_transfer,
+            report=self._make_report,
+            request_id=dialect.request_id,
+        )
+        self.transfers.on_refusal = self._count_refusal
         self.target_down_until = timedelta()
         self.check_scheduled = False
 
@@ -205,73 +159,28 @@
         if terms is None:
             self.internal.handle(exchange)
             return
-        size = exchange.request.header(BODY_SIZE_HEADER)
-        if size is not None:
-            self._offer_transfer(exchange, terms, size)
+        if self.transfers.handle(exchange, terms):
             return
-        transfer = self.granted.pop(exchange.request.header(TRANSFER_HEADER) or b"", None)
-        if transfer is not None:
-            self.transfers.finish(transfer)
+        self.transfers.arrived(exchange.request)
         submission = self.submit(
             exchange.request, terms, lambda result: exchange.respond(_to_response(result))
         )
         if exchange.response is None:
             exchange.on_cancel = submission.cancel
 
-    def _offer_transfer(self, exchange: Exchange, terms: HopTerms, size: bytes) -> None:
-        """Answer whether a request may be sent with its body, now or when the link has room."""
-        if not size.isdigit() or len(size) > MAX_SIZE_DIGITS:
-            exchange.respond(Response(400))
-            return
+    def _judge_transfer(self, terms: HopTerms) -> timedelta | Refused:
+        """Return the expected time of a request after its arrival, or why it would be refused."""
         reason = self._unavailable_reason(terms)
         if reason is not None:
-            self._answer_transfer(exchange, terms, Outcome.REFUSED, reason)
-            return
+            return Refused(reason, timedelta())
         queue = self.local.queue
-        verdict = queue.judge(_queue_terms(terms, self.clock.monotonic()))
-        if isinstance(verdict, Refused):
-            self._answer_transfer(
-                exchange, terms, Outcome.REFUSED, str(verdict.reason), verdict.retry_after
-            )
-            return
-        transfer = BodyTransfer(
-            inbound=self,
-            exchange=exchange,
-            hop_terms=terms,
-            size=int(size),
-            run_time=verdict + queue.times.expected(Features(terms.route)),
-        )
-        if self.transfers is None:
-            transfer.grant()
-            return
-        exchange.on_cancel = lambda: self.transfers.cancel(transfer)
-        self.transfers.offer(transfer)
+        wait = queue.judge(_queue_terms(terms, self.clock.monotonic()))
+        if isinstance(wait, Refused):
+            return wait
+        return wait + queue.times.expected(Features(terms.route))
 
-    def _answer_transfer(
-        self,
-        exchange: Exchange,
-        terms: HopTerms,
-        outcome: Outcome,
-        reason: str,
-        retry_after: timedelta = timedelta(),
-        *,
-        transfer: bytes = b"",
-    ) -> None:
-        report = self._make_report(terms, outcome, reason, retry_after)
-        headers = (encode_report(report),)
-        if transfer:
-            headers = (*headers, (TRANSFER_HEADER, transfer))
-        else:
-            self.refusals[reason] += 1
-            log_event(
-                "transfer_refused",
-                request=self.dialect.request_id(exchange.request.headers).decode("latin-1"),
-                route=terms.route,
-                reason=reason,
-                retry_after_ms=int(retry_after / MILLISECOND),
-                waiting=len(self.transfers.waiting) if self.transfers is not None else 0,
-            )
-        exchange.respond(Response(200 if transfer else 503, headers))
+    def _count_refusal(self, reason: str) -> None:
+        self.refusals[reason] += 1
 
     def submit(
         self, request: Request, terms: HopTerms, on_result: Callable[[HopResult], None]
--- a/almondshore/mesh/node.py
+++ b/almondshore/mesh/node.py
@@ -210,7 +210,7 @@
         )
         self.death_reporter = DeathReporter(clock=clock, store=store, retention=QUARANTINE)
         self.inbound.on_death = self._on_death
-        self.inbound.transfers = TransferQueue(
+        self.inbound.transfers.queue = TransferQueue(
             clock=clock, link_mbps=settings.link_mbps, schedule=_call_later
         )
         client = PeerClient(pool=pool)
--- a/test/mesh/test_uploads.py
+++ b/test/mesh/test_uploads.py
@@ -91,13 +91,13 @@
 
     def test_uploads_of_one_host_follow_one_another(self):
         """Guards against transfers that are granted and never given free."""
-        self.receiver.inbound.transfers = TransferQueue(
+        self.receiver.inbound.transfers.queue = TransferQueue(
             clock=self.receiver.clock, link_mbps=100.0, schedule=self.receiver.local.schedule
         )
         for number in range(4):
             self.assertEqual(200, self.upload(number).status)
-        self.assertEqual({}, self.receiver.inbound.transfers.under_way)
-        self.assertEqual({}, self.receiver.inbound.granted)
+        self.assertEqual({}, self.receiver.inbound.transfers.queue.under_way)
+        self.assertEqual({}, self.receiver.inbound.transfers.granted)
         self.assertEqual(4, len(self.mesh.target_standins["n2"].executed))
 
     def test_size_that_is_no_number_is_rejected(self):
