--- a/test/mesh/test_downloads.py
+++ b/test/mesh/test_downloads.py
@@ -1,6 +1,7 @@
 """Tests of downloads through complete nodes: idempotent requests with large responses."""
 
 import eventlet
+from eventlet.event import Event
 from eventlet.green import socket
 from testtools import TestCase
 
@@ -69,8 +70,14 @@
             response = self.mesh.request("n1", path=path, request_id=name, deadline_ms=4000)
             ended.append((name, response.response.status))
 
+        # Polling for the first download would often see it only when all have ended.
+        began = Event()
+        for name in ("n2", "n3"):
+            self.mesh.target_standins[name].on_run = lambda _exchange: (
+                None if began.ready() else began.send()
+            )
         downloads = [eventlet.spawn(run, "/s/x", f"d{number}") for number in range(DOWNLOADS)]
-        wait_until(lambda: any(self.mesh.target_standins[name].executed for name in ("n2", "n3")))
+        began.wait()
         run("/small/x", "small")
         for download in downloads:
             download.wait()
