--- a/almondshore/http/buffering.py
+++ b/almondshore/http/buffering.py
@@ -8,7 +8,7 @@
 
 # Messages of all connections together. The smallest hosts have 128 MB of memory, of which a process
 # with its libraries takes 30 MB.
-MAX_HELD_BYTES = 32 * 1024 * 1024
+MAX_HELD_BYTES = 24 * 1024 * 1024
 # Message of one connection that may be held even beyond MAX_HELD_BYTES.
 GUARANTEED_BYTES = 256 * 1024
 # The same for the state that a node reads from the store and from other nodes.
--- a/almondshore/mesh/state.py
+++ b/almondshore/mesh/state.py
@@ -333,7 +333,8 @@
                     )
                 )
             removed += response.removed_targets
-        self.targets.kept.confirm([*removed, *(item.target for item in response.targets)])
+        # What another node lists may itself be kept from an earlier era.
+        self.targets.kept.confirm(removed)
         self.directory.merge(response.targets, removed)
         for rollout in response.rollouts:
             self.rollouts.put(rollout, source=source)
@@ -341,6 +342,7 @@
             self.rollouts.restored.unsaved = set(response.unsaved_rollouts)
         for service in response.removed_rollouts if remove else ():
             self.rollouts.remove(service)
+        kept = [(sink.kept, set(sink.kept.names)) for sink in (self.crashes, self.evacuations)]
         deaths: dict[str, Death | None] = {death.name: death for death in response.deaths}
         if remove and response.whole:
             self.crashes.replace(deaths)
@@ -356,3 +358,6 @@
         else:
             gone = dict.fromkeys(response.removed_evacuations if remove else ())
             self.evacuations.update(evacuations | gone)
+        gone_names = {*response.removed_deaths, *response.removed_evacuations} if remove else set()
+        for items, names in kept:
+            items.names = names - gone_names
