State the time that is left when a large body is sent

Cause: the terms of an upload were made before the wait for the receiver's consent, so that its target was handed up to the whole wait too much. The new test fails before the change (300 != 0) and passes after it; tests of uploads, tenants and the outbound side: 40 passed.

--- a/almondshore/mesh/outbound.py
+++ b/almondshore/mesh/outbound.py
@@ -285,30 +285,18 @@
 
         A large body is sent once that node has agreed to it.
         """
-        now = self.clock.monotonic()
         route = forwarded.route
-        terms = HopTerms(
-            route=route.name,
-            target=target.target,
-            service=target.service,
-            version=target.version,
-            caller=self.caller(),
-            idempotent=route.idempotent,
-            urgency=forwarded.urgency,
-            objective_ms=int((forwarded.objective_at - now) / MILLISECOND),
-            deadline_ms=int((forwarded.deadline_at - now) / MILLISECOND),
-            rate_limit=self.chooser.rate_limit(target.target),
-            tenant=self._tenant_term(forwarded),
-        )
+        terms = self._terms(forwarded, target)
         request = forwarded.exchange.request
         if target.node == self.node:
             return self.inbound.submit(request, terms, on_result)
         headers = end_to_end(request.headers, without=HOP_HEADERS)
         if terms.tenant is not None:
             headers = self.dialect.without_keys(headers)
-        terms_header = encode_terms(terms)
 
         def send(*transfer: tuple[bytes, bytes]) -> Call:
+            # A transfer may have waited for its turn, so that less time is left.
+            terms_header = encode_terms(self._terms(forwarded, target))
             return self.pool.call(
                 target.node,
                 encode_request_head(
@@ -328,11 +316,29 @@
         return self._ask_to_send(
             target,
             forwarded,
-            (*headers, terms_header),
+            (*headers, encode_terms(terms)),
             lambda name: send((TRANSFER_HEADER, name)),
             on_result,
         )
 
+    def _terms(self, forwarded: ForwardedRequest, target: Target) -> HopTerms:
+        """Return the terms of a request that is sent now."""
+        now = self.clock.monotonic()
+        route = forwarded.route
+        return HopTerms(
+            route=route.name,
+            target=target.target,
+            service=target.service,
+            version=target.version,
+            caller=self.caller(),
+            idempotent=route.idempotent,
+            urgency=forwarded.urgency,
+            objective_ms=int((forwarded.objective_at - now) / MILLISECOND),
+            deadline_ms=int((forwarded.deadline_at - now) / MILLISECOND),
+            rate_limit=self.chooser.rate_limit(target.target),
+            tenant=self._tenant_term(forwarded),
+        )
+
     def _ask_to_send(
         self,
         target: Target,
--- a/test/mesh/test_uploads.py
+++ b/test/mesh/test_uploads.py
@@ -1,5 +1,7 @@
 """Tests of requests with large bodies, which a host must agree to receive."""
 
+from datetime import timedelta
+
 from testtools import TestCase
 
 from almondshore.http.messages import encode_request
@@ -36,6 +38,16 @@
         self.assertEqual((b"POST", BODY), (request.request.method, request.request.body))
         self.assertEqual(b"7", request.header(b"x-almondshore-transfer"))
 
+    def test_time_left_is_that_after_the_wait_for_the_grant(self):
+        """Guards against targets that work on an upload after its caller's deadline."""
+        self.upload()
+        (question,) = self.harness.pool.calls
+        self.harness.clock.advance(timedelta(milliseconds=300))
+        question.report(Outcome.GRANTED, headers=((b"x-almondshore-transfer", b"7"),), status=200)
+        before, after = question.terms, self.harness.pool.calls[-1].terms
+        self.assertEqual(300, before.deadline_ms - after.deadline_ms)
+        self.assertEqual(300, before.objective_ms - after.objective_ms)
+
     def test_refused_body_is_offered_to_another_host(self):
         """Guards against an upload that fails because one host has no room for it."""
         exchange = self.upload()
