Decide about the earlier process of an owner by its marker

Cause: a restarted owner of idempotency keys could receive a directory that still listed its target under the killed process. When its own record replaced that one, it counted the predecessor as an owner that had died in an outage, because it had itself seen the platform up for less than 10 s, and refused every new key for 24 hours.

Change: an earlier process of the own node is not a member. It is noted as departed once the state of the platform is known; it is doubtful only if the platform is down then, and otherwise its marker decides. Not covered, as before when the directory did not list the predecessor: an owner killed within seconds after an outage, before it wrote its marker, and restarted at once.

--- a/almondshore/proxy/once.py
+++ b/almondshore/proxy/once.py
@@ -101,6 +101,8 @@
         an update
     :ivar pending_marker_reads: services for which the markers of ended processes are still to be
         read from the platform
+    :ivar undecided: by service, earlier processes of this node that cannot be added as departures
+        before the state of the platform is known
     """
 
     def __init__(
@@ -131,6 +133,7 @@
         self.services: dict[str, OnceRecords] = {}
         self.revision = -1
         self.pending_marker_reads: set[str] = set()
+        self.undecided: dict[str, set[str]] = {}
 
     def claim(self, request: ClaimRequest) -> ClaimReply:
         """Grant, replay or deny a request; may block on the platform."""
@@ -189,7 +192,27 @@
             if in_contact:
                 records.ownership.note_contact()
             if changed:
-                records.ownership.update(member_identities(self.directory, service))
+                members = member_identities(self.directory, service)
+                earlier = self.earlier_processes(members)
+                records.ownership.update(members - earlier)
+                self.undecided[service] = earlier | self.undecided.get(service, set())
+            if platform_up is not None:
+                for name in self.undecided.pop(service, ()):
+                    # Its marker tells whether it ran keys without a claim while the platform was
+                    # up. This process started too late to know how long that has been the case.
+                    records.ownership.note_departure(Departure(name, 0.0, not platform_up))
+
+    def earlier_processes(self, members: set[str]) -> set[str]:
+        """Return those members that are earlier processes of this node, which have ended.
+
+        A relay may list a target under the process that was killed until the node announces the
+        target again.
+        """
+        return {
+            member_identity(record)
+            for record in self.directory.of_node(self.node)
+            if member_identity(record) in members - {self.identity}
+        }
 
     def note_rejoin(self) -> None:
         """Record that other nodes had declared this node dead."""
