Order the queue of a target by shares of tenants and kinds

Cause: admission gave the slots of an overloaded target to the tenant that sent most, and none to the least urgent kind of request.

Change: limits/shares.py counts what tenants, routes and urgencies are offered and get; a tenant over twice its share (by rate_per_s) ranks behind others of its urgency, and what gets less than a quarter of the mean share goes first. Only for requests that have a tenant.

--- a/almondshore/limits/objective.py
+++ b/almondshore/limits/objective.py
@@ -9,6 +9,7 @@
 
 from almondshore.core.clock import Clock
 from almondshore.limits.rate import RateLimit
+from almondshore.limits.shares import ServiceShares, Share
 from almondshore.placement.cost import CostModel, Features
 
 ZERO = timedelta()
@@ -65,6 +66,25 @@
         """Return what predicts the service time."""
         return self.features if self.features is not None else Features(self.route)
 
+    def share(self) -> Share:
+        """Return what the request counts towards."""
+        tenant = self.features.tenant if self.features is not None else ""
+        return Share(self.route, self.urgency, tenant)
+
+
+class Rank(NamedTuple):
+    """Sort key of the order of service; the lowest is served first.
+
+    :ivar late: whether the request cannot meet its objective any more
+    :ivar places_behind: how far its tenant is over its share
+    :ivar time: monotonic time of its objective, or of its deadline if it is late
+    """
+
+    urgency: int
+    late: bool
+    places_behind: int
+    time: timedelta
+
 
 class Refused(NamedTuple):
     """A request would not be started.
@@ -125,12 +145,14 @@
     """The slots of one target, with a priority queue of the requests that wait for them.
 
     The most urgent requests are started first. Among equally urgent ones, those that can still
-    meet their objective are ordered by it, and late ones follow in the order of their deadlines. A
-    request that cannot end before its deadline is refused as soon as that is known.
+    meet their objective are ordered by it, and late ones follow in the order of their deadlines;
+    tenants that are over their share come after the others. A request that cannot end before its
+    deadline is refused as soon as that is known.
 
     A limit on the rate of requests holds back or refuses what exceeds it.
 
     :param schedule: calls a function after a time
+    :param shares: counts what each tenant gets; by default new ones
     :ivar dispatch_at: monotonic time of the next scheduled dispatch, None if there is none
     """
 
@@ -140,9 +162,11 @@
         clock: Clock,
         slots: int,
         schedule: Callable[[timedelta, Callable[[], None]], None] = lambda _delay, _call: None,
+        shares: ServiceShares | None = None,
     ):
         self.clock = clock
         self.slots = slots
+        self.shares = shares if shares is not None else ServiceShares(clock=clock)
         self.schedule = schedule
         self.dispatch_at: timedelta | None = None
         self.rate_limit = RateLimit(clock=clock)
@@ -158,6 +182,7 @@
         ``Job.start`` or ``Job.refuse`` may be called before this returns.
         """
         now = self.clock.monotonic()
+        self.shares.record_offer(job.terms.share())
         verdict = self.judge(job.terms)
         if isinstance(verdict, Refused):
             job.refuse(verdict.reason, verdict.retry_after)
@@ -305,13 +330,15 @@
 
     def _start(self, job: Job, now: timedelta) -> None:
         self.running[job] = now
+        terms = job.terms
+        self.shares.record_start(terms.share(), self.times.expected(terms.cost_features()))
         job.start()
 
     def _ordered(self, now: timedelta) -> list[tuple[bool, Job]]:
         """Return the waiting requests in the order of service, each with whether it is late."""
         ranked = [(self._rank(job.terms, now), job) for job in self.waiting]
         ranked.sort(key=lambda item: item[0])
-        return [(rank[1], job) for rank, job in ranked]
+        return [(rank.late, job) for rank, job in ranked]
 
     def _has_free_slot(self) -> bool:
         return len(self.running) < self.slots and not self.waiting
@@ -327,10 +354,13 @@
         service_time = self.times.expected(terms.cost_features())
         return now + service_time * MIN_SERVICE_TIME_SHARE <= terms.deadline_at
 
-    def _rank(self, terms: Terms, now: timedelta) -> tuple[int, bool, timedelta]:
+    def _rank(self, terms: Terms, now: timedelta) -> Rank:
         """Return the sort key for the order of service; the lowest is served first."""
         late = now + self.times.expected(terms.cost_features()) > terms.objective_at
-        return (terms.urgency, late, terms.deadline_at if late else terms.objective_at)
+        urgency, places_behind = terms.urgency, 0
+        if terms.features is not None and terms.features.tenant:
+            urgency, places_behind = self.shares.rank(terms.share())
+        return Rank(urgency, late, places_behind, terms.deadline_at if late else terms.objective_at)
 
     def _retry_after(self, now: timedelta) -> timedelta:
         """Estimate the time until the running and waiting requests have ended."""
--- a/almondshore/mesh/local.py
+++ b/almondshore/mesh/local.py
@@ -8,6 +8,7 @@
 from almondshore.core.clock import Clock
 from almondshore.core.logs import log_event
 from almondshore.limits.objective import ObjectiveQueue
+from almondshore.limits.shares import ServiceShares
 from almondshore.mesh.dialect import TargetStatement
 from almondshore.mesh.model import Address, Announcement, Target, TargetState
 from almondshore.placement.warmup import WarmupTracker
@@ -62,6 +63,8 @@
     :ivar statement: what the target last said of itself in a response
     :ivar stated_at: monotonic time of the last response that stated a limit or a departure
     :ivar warmup: whether the target is cold, and what it may get while it is
+    :ivar service_shares: what tenants and kinds of requests get of the target, kept when it is
+        replaced
     """
 
     def __init__(self, *, clock: Clock, node: Address, drain: timedelta, link_mbps: float = 0.0):
@@ -82,6 +85,7 @@
         self.stated_at = clock.monotonic()
         self.has_responded = False
         self.warmup = WarmupTracker(clock=clock)
+        self.service_shares = ServiceShares(clock=clock)
 
     def announce(
         self, announcement: Announcement, *, is_heartbeat: bool = True
@@ -110,7 +114,10 @@
             if self.queue is not None:
                 self.queue.close()
             self.queue = ObjectiveQueue(
-                clock=self.clock, slots=announcement.slots, schedule=self.schedule
+                clock=self.clock,
+                slots=announcement.slots,
+                schedule=self.schedule,
+                shares=self.service_shares,
             )
             self.queue.rate_limit.cold_limit = self.warmup.cold_limit
             self.draining_since = None
--- a/almondshore/mesh/metrics.py
+++ b/almondshore/mesh/metrics.py
@@ -64,6 +64,8 @@
             "almondshore_connections_evicted": node.pool.memory.evictions,
             "almondshore_client_connections": len(node.pool.memory.holders),
             "almondshore_nodes_unreachable": len(node.directory.nodes),
+            "almondshore_tenants_over_share": len(node.local.service_shares.behind),
+            "almondshore_kinds_starved": len(node.local.service_shares.starved),
             "almondshore_follows_watcher": int(node.feeds.follower.followed is not None),
             "almondshore_state_age_seconds": node.feeds.follower.age().total_seconds(),
         }
--- a/almondshore/mesh/node.py
+++ b/almondshore/mesh/node.py
@@ -559,8 +559,11 @@
         )
 
     def _on_config(self, config: MeshConfig) -> None:
-        """Apply the quotas of a configuration that has come into effect."""
+        """Apply the quotas and shares of a configuration that has come into effect."""
         tenants = config.tenants.by_name.values() if config.tenants is not None else ()
+        self.local.service_shares.set_weights(
+            {tenant.name: tenant.rate_per_s for tenant in tenants}
+        )
         if self.quota is not None:
             self.quota.apply_tenants(tenants)
         elif any(tenant.rate_per_s for tenant in tenants):
--- a/test/load/slots.py
+++ b/test/load/slots.py
@@ -7,6 +7,7 @@
 
 from almondshore.core.clock import ManualClock
 from almondshore.limits.objective import Job, ObjectiveQueue, Terms
+from almondshore.placement.cost import Features
 
 
 def ms(number):
@@ -61,20 +62,23 @@
         heappush(self.events, (at, self.count, action))
 
     def schedule_arrivals(
-        self, kind, per_s, seconds, *, work, objective, deadline, urgency, spread=0.3
+        self, kind, per_s, seconds, *, work, objective, deadline, urgency, spread=0.3, tenant=""
     ):
         """Schedule requests of a kind at random times; the times of a request are milliseconds.
 
         :param spread: standard deviation of the logarithm of the service time
+        :param tenant: name of the tenant; its requests are counted by kind and tenant
         """
-        self.refusal_delays.setdefault(kind, [])
+        name = f"{kind} {tenant}" if tenant else kind
+        self.refusal_delays.setdefault(name, [])
+        features = Features(kind, tenant=tenant) if tenant else None
         for number in range(int(per_s * seconds)):
             at = timedelta(seconds=(number + self.rng.random()) / per_s)
             service_time = ms(work) * self.rng.lognormvariate(-spread * spread / 2, spread)
 
             def offer(at=at, service_time=service_time):
-                terms = Terms(kind, urgency, at + ms(objective), at + ms(deadline))
-                arrival = Arrival(self, kind, terms, service_time)
+                terms = Terms(kind, urgency, at + ms(objective), at + ms(deadline), features)
+                arrival = Arrival(self, name, terms, service_time)
                 arrival.arrived = at
                 self.queue.offer(arrival)
 
