--- a/test/limits/test_shares.py
+++ b/test/limits/test_shares.py
@@ -68,7 +68,7 @@
         self.assertEqual((2, 0), self.rank(Share("routine", 2, "b")))
 
     def test_counts_are_forgotten(self):
-        """Guards against a tenant that ranks behind for what it got long ago, and lost precision."""
+        """Guards against a tenant that stays behind for what it got long ago."""
         for number in range(10):
             self.record(Share("r", 1, f"t{number}"), offered=4, started=4)
         self.record(Share("r", 1, "busy"), offered=60, started=60)
