Send an upload elsewhere if its host goes silent while it is asked

Cause: an upload, which is not idempotent, kept waiting for a host that no longer responded to probes although the host had only been asked for its consent to the body; it ended with 504 at its deadline.

Change: such a question is cancelled and counts as a refusal, so that the request goes to another host, or gets 503. Once the body is sent, the request waits as before.

Result: test_uploads.py, test_host_that_goes_silent_while_it_is_asked fails before and passes now.

--- a/almondshore/mesh/forwarding.py
+++ b/almondshore/mesh/forwarding.py
@@ -57,6 +57,10 @@
         self.overdue_timer: Timer | None = None
         self.suspected = False
 
+    def is_asking(self) -> bool:
+        """Return whether the node was only asked for its consent to a body."""
+        return isinstance(self.pending, TransferSend) and self.pending.asking
+
 
 class ForwardedRequest:
     """A caller's request, from its arrival to its response.
@@ -161,12 +165,18 @@
 
         The attempt at that node ends only when the node is reported again: on a busy link, probes
         are late as well. A request that is not idempotent keeps waiting, since the node may have
-        forwarded it.
+        forwarded it, unless the node has only been asked for its consent.
         """
-        if self.done or not self.route.idempotent:
+        if self.done:
             return
         for attempt in [item for item in self.attempts if item.target.node == node]:
-            if attempt.pending.is_receiving():
+            if attempt.is_asking():
+                attempt.pending.cancel()
+                self.on_result(
+                    attempt, HopResult(Outcome.REFUSED, "silent", None, None, unreachable=True)
+                )
+                return
+            if not self.route.idempotent or attempt.pending.is_receiving():
                 continue
             if not attempt.suspected:
                 attempt.suspected = True
--- a/almondshore/transfers/sending.py
+++ b/almondshore/transfers/sending.py
@@ -22,6 +22,7 @@
     :param send: sends the request with the identity of the transfer
     :param on_result: called once with the result of the question if there is no consent; otherwise
         ``send`` sees to the result
+    :ivar asking: whether the request has not been sent yet
     """
 
     def __init__(self, *, send: Callable[[bytes], Pending], on_result: Callable[[R], None]):
@@ -29,6 +30,7 @@
         self.on_result = on_result
         self.pending: Pending | None = None
         self.cancelled = False
+        self.asking = True
 
     def on_answer(self, transfer: bytes | None, result: R) -> None:
         """Handle the answer to the question.
@@ -41,6 +43,7 @@
         if transfer is None:
             self.on_result(result)
         else:
+            self.asking = False
             self.pending = self.send(transfer)
 
     def cancel(self) -> None:
--- a/test/mesh/test_uploads.py
+++ b/test/mesh/test_uploads.py
@@ -65,6 +65,27 @@
         self.harness.pool.calls[-1].fail()
         self.assertEqual(503, exchange.response.status)
 
+    def test_host_that_goes_silent_while_it_is_asked(self):
+        """Guards against an upload that waits until its deadline although it has not run."""
+        exchange = self.upload()
+        (question,) = self.harness.pool.calls
+        self.harness.outbound.on_unresponsive(question.address)
+        self.assertTrue(question.cancelled)
+        first, second = self.harness.pool.calls
+        self.assertNotEqual(first.address, second.address)
+        self.harness.outbound.on_unresponsive(second.address)
+        self.assertEqual(503, exchange.response.status)
+
+    def test_host_that_goes_silent_after_it_has_agreed(self):
+        """Guards against an upload that runs twice because its host is slow to respond."""
+        exchange = self.upload()
+        (question,) = self.harness.pool.calls
+        question.report(Outcome.GRANTED, headers=((b"x-almondshore-transfer", b"7"),), status=200)
+        self.harness.outbound.on_unresponsive(question.address)
+        self.harness.outbound.on_unresponsive(question.address)
+        self.assertEqual(2, len(self.harness.pool.calls))
+        self.assertIsNone(exchange.response)
+
     def test_small_body_is_sent_at_once(self):
         """Guards against a round trip that small uploads do not need."""
         self.upload(b"small")
