--- a/almondshore/mesh/inbound.py
+++ b/almondshore/mesh/inbound.py
@@ -247,7 +247,7 @@
         queue = submission.queue
         if queue is not None and not queue.cancel(submission):
             queue.release(submission, observed=False)
-        self._log(submission, "cancelled", "caller-left", 0)
+        self._log(submission, "cancelled", "caller-left", 0, self._work_ms())
 
     def finish(
         self,
@@ -269,8 +269,9 @@
         self.active.discard(submission)
         if outcome is Outcome.REFUSED:
             self.refusals[str(reason)] += 1
-        self._log(submission, outcome, reason, response.status if response else 0)
         report = self._make_report(submission.hop_terms, outcome, reason, retry_after, ran)
+        status = response.status if response else 0
+        self._log(submission, outcome, reason, status, report.work_ms)
         on_result, submission.on_result = submission.on_result, _ignore_result
         on_result(HopResult(outcome, reason, response, report))
 
@@ -455,11 +456,17 @@
                 int(queue.rate_limit.wait(len(queue.waiting)) / MILLISECOND) if queue else 0
             ),
             target_leaving=self.local.is_leaving(terms.target),
-            work_ms=int(queue.work_left() / MILLISECOND) if queue else 0,
+            work_ms=self._work_ms(),
             ran_ms=int(ran / MILLISECOND),
         )
 
-    def _log(self, submission: Submission, outcome: str, reason: str, status: int) -> None:
+    def _work_ms(self) -> int:
+        queue = self.local.queue
+        return int(queue.work_left() / MILLISECOND) if queue is not None else 0
+
+    def _log(
+        self, submission: Submission, outcome: str, reason: str, status: int, work_ms: int
+    ) -> None:
         now = self.clock.monotonic()
         started = submission.started_at
         queue = self.local.queue
@@ -478,7 +485,7 @@
                 if queue
                 else 0
             ),
-            work_ms=int(queue.work_left() / MILLISECOND) if queue else 0,
+            work_ms=work_ms,
             left_ms=int((submission.terms.deadline_at - now) / MILLISECOND),
             running=len(queue.running) if queue else 0,
             waiting=len(queue.waiting) if queue else 0,
