Take fewer instructions for a request

The largest parts were the learned cost of values that are the same for all requests of a route, 12 more readings of the clock, and the terms of a hop that were encoded twice.

Change: values that all requests of a route share have no entries in the cost model; the clock makes its timedelta from an integer; terms are encoded once unless the body waited for consent; headers are compared by length first; integers in log lines are not formatted by a call each.

--- a/almondshore/core/clock.py
+++ b/almondshore/core/clock.py
@@ -4,6 +4,11 @@
 from abc import ABC, abstractmethod
 from datetime import UTC, datetime, timedelta
 
+NANOSECONDS_PER_MICROSECOND = 1000
+# A multiple of it takes a third fewer instructions than a timedelta of float seconds; a request
+# reads the clock about 40 times on its way.
+MICROSECOND = timedelta(microseconds=1)
+
 
 class Clock(ABC):
     """Source of the current time, passed to every component that needs it."""
@@ -26,7 +31,7 @@
 
     def monotonic(self) -> timedelta:
         """Return the time since an arbitrary origin; it never decreases."""
-        return timedelta(seconds=time.monotonic())
+        return MICROSECOND * (time.monotonic_ns() // NANOSECONDS_PER_MICROSECOND)
 
 
 class BootClock(SystemClock):
@@ -37,7 +42,8 @@
 
     def monotonic(self) -> timedelta:
         """Return the time since the host booted."""
-        return timedelta(seconds=time.clock_gettime(time.CLOCK_BOOTTIME))
+        nanoseconds = time.clock_gettime_ns(time.CLOCK_BOOTTIME)
+        return MICROSECOND * (nanoseconds // NANOSECONDS_PER_MICROSECOND)
 
 
 class ManualClock(Clock):
--- a/almondshore/core/logs.py
+++ b/almondshore/core/logs.py
@@ -58,8 +58,11 @@
 
 def format_event(event: str, fields: dict[str, object]) -> str:
     """Return ``event=... key=value ...`` on one line."""
-    pairs = [("event", event), *fields.items()]
-    return " ".join(f"{_format_key(key)}={format_value(value)}" for key, value in pairs)
+    parts = [f"event={format_value(event)}"]
+    for key, value in fields.items():
+        text = value if type(value) is int else format_value(value)
+        parts.append(f"{_format_key(key)}={text}")
+    return " ".join(parts)
 
 
 def format_value(value: object) -> str:
--- a/almondshore/http/messages.py
+++ b/almondshore/http/messages.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 messages with complete bodies, and their encoding."""
 
+from functools import lru_cache
 from http import HTTPStatus
 from typing import NamedTuple
 
@@ -72,8 +73,9 @@
 
 def find_header(headers: Headers, name: bytes) -> bytes | None:
     """Return the first value of a header, given its lower-case name."""
+    size = len(name)
     for key, value in headers:
-        if key.lower() == name:
+        if len(key) == size and key.lower() == name:
             return value
     return None
 
@@ -83,11 +85,18 @@
 
     :param without: lower-case names of further headers to remove
     """
-    dropped = CONNECTION_HEADERS | without
-    for key, value in headers:
-        if key.lower() == b"connection":
-            dropped = dropped | {token.strip().lower() for token in value.split(b",")}
-    return tuple(pair for pair in headers if pair[0].lower() not in dropped)
+    dropped = _dropped_headers(without)
+    names = [key.lower() for key, _ in headers]
+    if b"connection" in names:
+        for name, (_, value) in zip(names, headers, strict=True):
+            if name == b"connection":
+                dropped = dropped | {token.strip().lower() for token in value.split(b",")}
+    return tuple(pair for name, pair in zip(names, headers, strict=True) if name not in dropped)
+
+
+@lru_cache(maxsize=8)
+def _dropped_headers(without: frozenset[bytes]) -> frozenset[bytes]:
+    return CONNECTION_HEADERS | without
 
 
 def encode_request(method: bytes, target: bytes, headers: Headers, body: bytes) -> bytes:
--- a/almondshore/limits/rate.py
+++ b/almondshore/limits/rate.py
@@ -116,10 +116,10 @@
         if self.cold_limit is None:
             return None
         cold = self.cold_limit()
-        now = self.clock.monotonic()
         if cold is None:
             self.cold_updated_at = None
             return None
+        now = self.clock.monotonic()
         self._forget_old_starts()
         if self.cold_updated_at is None:
             # The target has become cold: nothing is saved up from before.
--- a/almondshore/mesh/outbound.py
+++ b/almondshore/mesh/outbound.py
@@ -294,15 +294,13 @@
         if terms.tenant is not None:
             headers = self.dialect.without_keys(headers)
 
-        def send(*transfer: tuple[bytes, bytes]) -> Call:
-            # A transfer may have waited for its turn, so that less time is left.
-            terms_header = encode_terms(self._terms(forwarded, target))
+        def send(terms: HopTerms, *transfer: tuple[bytes, bytes]) -> Call:
             return self.pool.call(
                 target.node,
                 encode_request_head(
                     request.method,
                     request.target,
-                    (*headers, terms_header, *transfer),
+                    (*headers, encode_terms(terms), *transfer),
                     body_bytes=len(request.body),
                 ),
                 body=request.body,
@@ -312,12 +310,13 @@
             )
 
         if route.kind is not RouteKind.UPLOAD or len(request.body) < LARGE_BODY_BYTES:
-            return send()
+            return send(terms)
         return self._ask_to_send(
             target,
             forwarded,
             (*headers, encode_terms(terms)),
-            lambda name: send((TRANSFER_HEADER, name)),
+            # The transfer may have waited for its turn, so that less time is left.
+            lambda name: send(self._terms(forwarded, target), (TRANSFER_HEADER, name)),
             on_result,
         )
 
--- a/almondshore/placement/cost.py
+++ b/almondshore/placement/cost.py
@@ -50,17 +50,28 @@
     :ivar mean_factor: mean of the products of the factors
     :ivar mean_factors: mean factor of each table; factors are used in proportion to it, so that a
         value which was not seen before stands for the mean
+    :ivar only_keys: the key that all requests have had in a table, 0 if there were several; such a
+        key predicts nothing and has no entry
     :ivar variance: mean square of the relative error of the expected time
     """
 
-    __slots__ = ("base_s", "mean_factor", "mean_factors", "variance")
+    __slots__ = ("base_s", "mean_factor", "mean_factors", "only_keys", "variance")
 
     def __init__(self, base_s: float):
         self.base_s = base_s
         self.mean_factor = 1.0
         self.mean_factors = dict.fromkeys(MAX_VALUES, 1.0)
+        self.only_keys: dict[str, int] = {}
         self.variance = INITIAL_VARIANCE
 
+    def is_only_key(self, name: str, key: int) -> bool:
+        """Return whether all requests have had this key in a table so far."""
+        only = self.only_keys.setdefault(name, key)
+        if only == key:
+            return True
+        self.only_keys[name] = 0
+        return False
+
 
 class _Value:
     """What one value of a feature does to the service time.
@@ -131,7 +142,11 @@
             route.base_s = duration_s
             return
         mean_factors = route.mean_factors
-        values = [(name, self._entry(name, key)) for name, key in _keys(features)]
+        values = [
+            (name, self._entry(name, key))
+            for name, key in _keys(features)
+            if not route.is_only_key(name, key)
+        ]
         factor = 1.0
         for name, value in values:
             factor *= value.factor / mean_factors[name]
