Treat a refusal by a node's HTTP server as not run

Cause: a node short of memory or connections answers 503, 408, 413 or 431 before it parses the request; without a report of the target's node such an answer counted as a broken run, and the caller of a request that is not idempotent got 502.

Change: these statuses without a report are refusals, so that the request goes to another host.

--- a/almondshore/mesh/outbound.py
+++ b/almondshore/mesh/outbound.py
@@ -66,6 +66,9 @@
 # Larger bodies are sent only with the consent of the receiving host: on a link of 5.5 Mbit/s, this
 # size takes 24 ms.
 LARGE_BODY_BYTES = 16 * 1024
+# Statuses with which a node's HTTP server refuses a request that it has not handed on, for want of
+# memory or connections or because the request is too large or arrives too slowly.
+SERVER_REFUSALS = frozenset((408, 413, 431, 503))
 
 
 class Outbound(ExchangeHandler):
@@ -476,7 +479,8 @@
         return HopResult(Outcome.BROKEN, reason, None, None, unreachable=True)
     report = decode_report(result.response.headers)
     if report is None:
-        return HopResult(Outcome.BROKEN, "no-report", None, None)
+        refused = result.response.status in SERVER_REFUSALS
+        return HopResult(Outcome.REFUSED if refused else Outcome.BROKEN, "no-report", None, None)
     has_response = report.outcome in (Outcome.ANSWERED, Outcome.REJECTED)
     return HopResult(
         report.outcome, report.reason, result.response if has_response else None, report
--- a/test/mesh/test_outbound.py
+++ b/test/mesh/test_outbound.py
@@ -197,6 +197,14 @@
             self.assertEqual(calls, len(harness.pool.calls))
             self.assertEqual(calls == 2, harness.pool.calls[0].cancelled)
 
+    def test_request_that_a_nodes_server_refuses_goes_to_another_host(self):
+        """Guards against 502 for a request that a node short of memory did not even parse."""
+        for status, calls in ((503, 2), (408, 2), (502, 1)):
+            harness = self.new_harness(routes=[route(kind=RouteKind.ONCE)])
+            harness.request()
+            harness.pool.calls[0].answer(Response(status, ()))
+            self.assertEqual(calls, len(harness.pool.calls), status)
+
     def test_node_that_misses_probes_may_still_respond(self):
         """Guards against failing requests because the link of a node is busy with large responses.
 
