--- a/almondshore/limits/shares.py
+++ b/almondshore/limits/shares.py
@@ -128,9 +128,14 @@
             tenant = self.tenants[share.tenant] = _Use()
         else:
             self.tenants.move_to_end(share.tenant)
-        route = self.kinds.setdefault(("route", share.route), _Use())
-        urgency = self.kinds.setdefault(("urgency", share.urgency), _Use())
-        return self.total, tenant, route, urgency
+        route = self._kind(("route", share.route))
+        return self.total, tenant, route, self._kind(("urgency", share.urgency))
+
+    def _kind(self, key: Hashable) -> _Use:
+        use = self.kinds.get(key)
+        if use is None:
+            use = self.kinds[key] = _Use()
+        return use
 
     def _scale(self) -> float:
         """Return the factor of a count that is added now."""
