Keep the shares of tenants usable after hours without requests

Cause: counts are kept multiplied by exp(t / 5 s) and scaled down by the next request with a tenant. If that came more than 59 minutes after the last scaling, exp() raised OverflowError, and so did each later request with a tenant. Counts that had decayed to almost 0 could also be divisors.

Change: the factor is computed only below the limit at which counts are scaled; the scaling uses exp() of a negative number, which becomes 0. No tenant ranks behind while the mean use is 0.

Result: test_shares.py, test_hours_without_a_request fails before with OverflowError and passes now; test/limits: 53 passed.

--- a/almondshore/limits/shares.py
+++ b/almondshore/limits/shares.py
@@ -3,7 +3,7 @@
 from collections import OrderedDict
 from collections.abc import Hashable, Mapping
 from datetime import timedelta
-from math import exp, log2
+from math import exp, log, log2
 from typing import NamedTuple
 
 from almondshore.core.clock import Clock
@@ -26,6 +26,8 @@
 MAX_PLACES_BEHIND = 4
 # Counts grow by this factor at most before all are scaled down, so that they stay exact.
 MAX_SCALE = 1e9
+# Time in which they grow by that factor, in time constants.
+MAX_ELAPSED = log(MAX_SCALE)
 # A tenant whose decayed number of requests is lower than this is forgotten at the next scaling.
 MIN_KEPT = 1e-6
 
@@ -135,14 +137,17 @@
     def _scale(self) -> float:
         """Return the factor of a count that is added now."""
         now = self.clock.monotonic()
-        scale = exp((now - self.epoch) / MEMORY)
-        if scale < MAX_SCALE:
-            return scale
+        elapsed = (now - self.epoch) / MEMORY
+        if elapsed < MAX_ELAPSED:
+            return exp(elapsed)
         self.epoch = now
-        self.total.scale(1.0 / scale)
+        # exp() overflows for positive arguments above 709, which is an hour without requests; for
+        # negative ones it becomes 0.
+        decay = exp(-elapsed)
+        self.total.scale(decay)
         for table in (self.tenants, self.kinds):
             for key, use in list(table.items()):
-                use.scale(1.0 / scale)
+                use.scale(decay)
                 if use.offered < MIN_KEPT:
                     del table[key]
         return 1.0
@@ -170,12 +175,15 @@
 
     def _places_behind(self, scale: float) -> dict[str, int]:
         """Return by how many factors of two tenants are over their share of the starts."""
-        if self.total.started <= 0.0:
-            return {}
-        free_s = FREE_STARTS * scale * self.total.started_s / self.total.started
         present = [name for name, use in self.tenants.items() if use.offered >= MIN_KEPT * scale]
         weight = sum(self._weight(name) for name in present)
+        if not present or self.total.started <= 0.0:
+            return {}
         mean_use = self.total.started_s / weight
+        if mean_use <= 0.0:
+            # Counts that have decayed for an hour are too small to be divided.
+            return {}
+        free_s = FREE_STARTS * scale * self.total.started_s / self.total.started
         behind = {}
         for name in present:
             use = (self.tenants[name].started_s - free_s) / self._weight(name)
--- a/test/limits/test_shares.py
+++ b/test/limits/test_shares.py
@@ -89,3 +89,18 @@
         self.record(Share("urgent", 0, ""), offered=50, started=50)
         self.record(Share("routine", 2, ""), offered=50, started=0)
         self.assertEqual((2, 0), self.rank(Share("routine", 2, "")))
+
+    def test_hours_without_a_request(self):
+        """Guards against a target that refuses tenants for good after an hour without requests.
+
+        The factor of a new count overflowed once the last scaling was 59 minutes ago, and counts
+        that had almost decayed to 0 were used as divisors.
+        """
+        for idle_s in (3000, 3500, *range(3600, 3800, 5), 86_400):
+            self.shares = ServiceShares(clock=self.clock)
+            self.shares.set_weights({"a": 100.0, "b": 100.0})
+            self.record(Share("r", 1, "a"), offered=50, started=50)
+            self.clock.advance(timedelta(seconds=idle_s))
+            self.assertEqual((1, 0), self.rank(Share("r", 1, "a")), idle_s)
+            self.record(Share("r", 1, "b"), offered=1, started=1)
+            self.assertEqual((1, 0), self.rank(Share("r", 1, "b")), idle_s)
