Treat a malformed report of a hop as a run that may have happened

Cause: a response with status 408, 413, 431 or 503 and no decodable report counted as a refusal by the node's HTTP server. A node answers 503 for a broken run too, and a target's own status is passed on; if the report with it was malformed, for example because of a rate limit above its bound, a request that had run was sent to another host.

Change: only a response without a report header is such a refusal.

Result: test_outbound.py, test_malformed_report_is_no_refusal fails before (two calls instead of one) and passes now.

--- a/almondshore/mesh/outbound.py
+++ b/almondshore/mesh/outbound.py
@@ -20,6 +20,7 @@
     BODY_SIZE_HEADER,
     HOP_HEADERS,
     MILLISECOND,
+    REPORT_HEADER,
     TRANSFER_HEADER,
     TRANSFERS_PATH,
     HopResult,
@@ -479,7 +480,10 @@
         return HopResult(Outcome.BROKEN, reason, None, None, unreachable=True)
     report = decode_report(result.response.headers)
     if report is None:
-        refused = result.response.status in SERVER_REFUSALS
+        # A malformed report shows that the request was handled; it may be that of a broken run,
+        # which has status 503.
+        handled = result.response.header(REPORT_HEADER) is not None
+        refused = result.response.status in SERVER_REFUSALS and not handled
         return HopResult(Outcome.REFUSED if refused else Outcome.BROKEN, "no-report", None, None)
     has_response = report.outcome in (Outcome.ANSWERED, Outcome.REJECTED)
     return HopResult(
--- a/test/mesh/test_outbound.py
+++ b/test/mesh/test_outbound.py
@@ -7,7 +7,7 @@
 
 from almondshore.http.client import CallFailure
 from almondshore.http.messages import Response
-from almondshore.mesh.hop import Outcome
+from almondshore.mesh.hop import REPORT_HEADER, Outcome
 from almondshore.mesh.model import RouteKind, Share
 from test.mesh.fakes import SIGNED, RequestPathHarness
 from test.mesh.samples import route, target
@@ -205,6 +205,18 @@
             harness.pool.calls[0].answer(Response(status, ()))
             self.assertEqual(calls, len(harness.pool.calls), status)
 
+    def test_malformed_report_is_no_refusal(self):
+        """Guards against a request that runs twice because the report of its run is malformed.
+
+        The response to a broken run has status 503, that of a target any status.
+        """
+        for status in (408, 413, 431, 503):
+            harness = self.new_harness(routes=[route(kind=RouteKind.ONCE)])
+            exchange = harness.request()
+            harness.pool.calls[0].answer(Response(status, ((REPORT_HEADER, b"{}"),)))
+            self.assertEqual(1, len(harness.pool.calls), status)
+            self.assertEqual(502, exchange.response.status)
+
     def test_node_that_misses_probes_may_still_respond(self):
         """Guards against failing requests because the link of a node is busy with large responses.
 
