Let entries of the cost model outlive the eviction of their route

Cause: a value that all requests of a route share is not observed. If the route had been evicted (more than 512 routes) and returned with requests of one path and tenant, the entries from before stayed in use by expected() but were not updated, so that the expected time stayed wrong.

Change: such a value is observed if it has an entry.

Result: test_cost.py, test_values_outlive_their_evicted_route fails before (8.6 times the mean instead of 4) and passes now.

--- a/almondshore/placement/cost.py
+++ b/almondshore/placement/cost.py
@@ -145,7 +145,9 @@
         values = [
             (name, self._entry(name, key))
             for name, key in _keys(features)
-            if not route.is_only_key(name, key)
+            # An entry from before the route was evicted is used by expected(), so it must go on
+            # learning.
+            if not route.is_only_key(name, key) or key in self.values[name]
         ]
         factor = 1.0
         for name, value in values:
--- a/test/placement/test_cost.py
+++ b/test/placement/test_cost.py
@@ -7,6 +7,7 @@
 
 from almondshore.placement.cost import (
     DEFAULT_SERVICE_TIME,
+    MAX_ROUTES,
     MAX_VALUES,
     SERVICE_TIME_GAIN,
     CostModel,
@@ -106,3 +107,20 @@
             self.assertTrue(len(self.model.values[name]) <= bound)
         expected = self.expected_cost(Features("r", b"/r/report"))
         self.assertTrue(expected > 5.0, expected)
+
+    def test_values_outlive_their_evicted_route(self):
+        """Guards against an expected time that stays wrong after its route was evicted.
+
+        The entries of its values are kept; they must go on learning although the route, when it
+        returns, has only requests of one path and tenant.
+        """
+        cheap, expensive = Features("r", b"/a", "t1", 10), Features("r", b"/b", "t2", 9000)
+        for _ in range(200):
+            self.observe(cheap, cost=0.5, spread=0.1)
+            self.observe(expensive, cost=4.0, spread=0.1)
+        for number in range(MAX_ROUTES):
+            self.model.observe(Features(f"other{number}"), timedelta(milliseconds=100))
+        self.assertNotIn("r", self.model.routes)
+        for _ in range(500):
+            self.observe(expensive, cost=4.0, spread=0.1)
+        self.assertTrue(3.0 < self.expected_cost(expensive) < 5.0, self.expected_cost(expensive))
