Count refused questions about uploads in the shares of a target

Cause: an upload that is refused when its sender asks for consent is never offered to the queue, so that a starved tenant's uploads did not count as starved; and the question was judged without the tenant, by another order than the request itself.

Change: the question is judged with the tenant, and counts as an offer if it is refused.

Result: test_inbound.py, test_refused_bodies_count_as_offered and test_body_of_a_starved_tenant fail before and pass now.

--- a/almondshore/mesh/inbound.py
+++ b/almondshore/mesh/inbound.py
@@ -174,8 +174,12 @@
         if reason is not None:
             return Refused(reason, timedelta())
         queue = self.local.queue
-        wait = queue.judge(_queue_terms(terms, self.clock.monotonic()))
+        features = Features(terms.route, tenant=terms.tenant or "")
+        queue_terms = _queue_terms(terms, self.clock.monotonic(), features)
+        wait = queue.judge(queue_terms)
         if isinstance(wait, Refused):
+            # The request is not offered to the queue afterwards, which would count it.
+            queue.shares.record_offer(queue_terms.share())
             return wait
         return wait + queue.times.expected(Features(terms.route))
 
--- a/test/mesh/test_inbound.py
+++ b/test/mesh/test_inbound.py
@@ -6,9 +6,17 @@
 
 from almondshore.http.client import CallFailure
 from almondshore.http.messages import Request, Response
-from almondshore.mesh.hop import HopTerms, Outcome
+from almondshore.http.server import Exchange
+from almondshore.limits.shares import UPDATE_INTERVAL
+from almondshore.mesh.hop import (
+    BODY_SIZE_HEADER,
+    TRANSFERS_PATH,
+    HopTerms,
+    Outcome,
+    encode_terms,
+)
 from almondshore.mesh.model import TargetState
-from test.mesh.fakes import APP, SIGNED, RequestPathHarness
+from test.mesh.fakes import APP, SIGNED, FakeConnection, RequestPathHarness
 from test.mesh.samples import announcement
 
 TARGET_HEADERS = ((b"Attempt-Id", b"a1"), SIGNED)
@@ -64,6 +72,45 @@
             self.submit(terms(target="t0", **difference))
             self.assertEqual((Outcome.REFUSED, "wrong-target"), self.outcomes()[-1])
 
+    def ask_to_send(self, **fields):
+        """Ask for the consent to a large body; return the status of the answer."""
+        headers = (encode_terms(terms(**fields)), (BODY_SIZE_HEADER, b"60000"))
+        request = Request(b"GET", TRANSFERS_PATH, headers, b"")
+        exchange = Exchange(
+            request=request,
+            received_at=self.harness.clock.monotonic(),
+            connection=FakeConnection(),
+        )
+        self.harness.inbound.handle(exchange)
+        return exchange.response.status
+
+    def test_refused_bodies_count_as_offered(self):
+        """Guards against uploads of a tenant that are starved and never served first.
+
+        An upload that is refused when it is asked for is never offered to the queue.
+        """
+        self.announce()
+        shares = self.harness.local.service_shares
+        for _ in range(20):
+            self.submit(terms(tenant="other"))
+            self.harness.clock.advance(timedelta(milliseconds=50))
+            self.harness.pool.calls[-1].answer(Response(200, TARGET_HEADERS, b"x"))
+            self.assertEqual(503, self.ask_to_send(tenant="starved", deadline_ms=1))
+        self.harness.clock.advance(UPDATE_INTERVAL)
+        self.submit(terms(tenant="other"))
+        self.assertIn(("tenant", "starved"), shares.starved)
+
+    def test_body_of_a_starved_tenant(self):
+        """Guards against a question that is judged by another order than the request itself."""
+        self.announce()
+        shares = self.harness.local.service_shares
+        for _ in range(12):
+            self.submit(terms(tenant="other", objective_ms=400, deadline_ms=30_000))
+        question = {"urgency": 5, "objective_ms": 300, "deadline_ms": 350}
+        self.assertEqual(503, self.ask_to_send(tenant="small", **question))
+        shares.starved = frozenset((("tenant", "small"),))
+        self.assertEqual(200, self.ask_to_send(tenant="small", **question))
+
     def test_queued_requests_are_refused_when_the_target_is_replaced(self):
         """Guards against requests that stay queued for a former target until their deadline."""
         self.announce()
