Exclude only earlier processes from the owners of keys, until decided

Cause: an owner of idempotency keys excluded every other process of its node from the members, also a later one, whose keys it then granted. Until the first report on the platform, an earlier process was neither a member nor departed, so that keys without a record counted as not run.

Change: only processes with a lower incarnation are excluded; claims are denied as unproven until they are decided; each is decided once.

--- a/almondshore/proxy/once.py
+++ b/almondshore/proxy/once.py
@@ -121,6 +121,7 @@
         """
         self.clock = clock
         self.node = node
+        self.process = process
         self.identity = process_identity(node, process)
         self.claims = ClaimStore(
             platform=platform,
@@ -147,6 +148,9 @@
         ):
             detail = "the records of earlier owners are not known yet"
             return ClaimReply(denied=make_failure(Reason.KEY_UNPROVEN, detail))
+        if self.undecided.get(request.service):
+            detail = "it is not known yet whether an earlier process died in an outage"
+            return ClaimReply(denied=make_failure(Reason.KEY_UNPROVEN, detail))
         deadline = self.clock.monotonic() + timedelta(milliseconds=request.left_ms)
         result = records.claim(request.key, request.fingerprint, deadline)
         match result:
@@ -195,7 +199,10 @@
                 members = member_identities(self.directory, service)
                 earlier = self.earlier_processes(members)
                 records.ownership.update(members - earlier)
-                self.undecided[service] = earlier | self.undecided.get(service, set())
+                # Those already known as departed stay as they are: an outage that begins while a
+                # relay still lists one says nothing about its end.
+                undecided = earlier - records.ownership.departed.keys()
+                self.undecided[service] = undecided | self.undecided.get(service, set())
             if platform_up is not None:
                 for name in self.undecided.pop(service, ()):
                     # Its marker tells whether it ran keys without a claim while the platform was
@@ -206,12 +213,12 @@
         """Return those members that are earlier processes of this node, which have ended.
 
         A relay may list a target under the process that was killed until the node announces the
-        target again.
+        target again. A later process is a member: it may run keys while this one is still there.
         """
         return {
             member_identity(record)
             for record in self.directory.of_node(self.node)
-            if member_identity(record) in members - {self.identity}
+            if record.process < self.process and member_identity(record) in members
         }
 
     def note_rejoin(self) -> None:
--- a/test/proxy/test_once.py
+++ b/test/proxy/test_once.py
@@ -97,3 +97,53 @@
         directory.merge([record_of(process=2)])
         self.advance(owner, WARM_UP + STEP)
         self.assertIsNotNone(self.claim(owner, "old").denied)
+
+    def test_unknown_state_of_the_platform(self):
+        """Guards against a key that runs again before it is known how the previous process ended.
+
+        The record of the previous process left the members at once, and counted as departed only
+        after the first report on the platform.
+        """
+        directory = Directory(clock=self.clock)
+        directory.merge([record_of(process=1)])
+        owner = self.make_owner(2, directory)
+        self.advance(owner, WARM_UP + STEP, platform_up=None)
+        directory.merge([record_of(process=2)])
+        self.advance(owner, WARM_UP + STEP, platform_up=None)
+        self.assertEqual(Reason.KEY_UNPROVEN, self.claim(owner, "any").denied.reason)
+        self.advance(owner, STEP)
+        self.assertIsNotNone(self.claim(owner, "any").token)
+
+    def test_later_process_is_a_member(self):
+        """Guards against a key that two processes of a node run, one of them without a claim.
+
+        A process that has been replaced, but still runs, must not count its successor as ended.
+        """
+        directory = Directory(clock=self.clock)
+        directory.merge([record_of(process=1)])
+        first = self.make_owner(1, directory)
+        self.advance(first, WARM_UP + STEP)
+        directory.merge([record_of(process=2)])
+        self.advance(first, STEP)
+        ownership = first.services[SERVICE].ownership
+        self.assertIn("node-a1/2", ownership.members)
+        keys = [f"key{number}" for number in range(10)]
+        of_second = [
+            key for key in keys if ownership.owner(key_hash(SERVICE, "", key)) == "node-a1/2"
+        ]
+        self.assertNotEqual([], of_second)
+        for key in of_second:
+            self.assertIsNotNone(self.claim(first, key).denied, key)
+
+    def test_outage_while_the_previous_process_is_listed(self):
+        """Guards against a day of refused keys because of an outage after a restart."""
+        directory = Directory(clock=self.clock)
+        directory.merge([record_of(process=1)])
+        owner = self.make_owner(2, directory)
+        self.advance(owner, STEP)
+        other = record_of(process=1)._replace(target="other-1", node="node-b1", service="other")
+        directory.merge([other])
+        self.advance(owner, STEP, platform_up=False)
+        directory.merge([record_of(process=2)])
+        self.advance(owner, WARM_UP + STEP)
+        self.assertIsNotNone(self.claim(owner, "new").token)
