List the key that runs again after an outage as a known failure

A process that was killed in an outage has run keys without a claim and could write no marker.

The remedy needs the time for which a relay has seen the platform up in its acknowledgements, whose decoder does not accept further fields in a mixed deployment.

--- a/test/proxy/test_once.py
+++ b/test/proxy/test_once.py
@@ -12,7 +12,7 @@
 from almondshore.retries.outcome import Reason
 from almondshore.retries.ownership import WARM_UP
 from standins.memory_platform import MemoryPlatform
-from standins.object_store import ObjectStore
+from standins.object_store import Fault, ObjectStore
 
 SERVICE = "fault-desk"
 STEP = timedelta(milliseconds=500)
@@ -147,3 +147,23 @@
         directory.merge([record_of(process=2)])
         self.advance(owner, WARM_UP + STEP)
         self.assertIsNotNone(self.claim(owner, "new").token)
+
+    def test_previous_process_that_died_in_an_outage_that_has_ended(self):
+        """Guards against a key that runs again because its owner died in an outage.
+
+        The owner ran the key without a claim or a marker. The platform is back before the first
+        report that the restarted process receives.
+        """
+        directory = Directory(clock=self.clock)
+        directory.merge([record_of(process=1)])
+        first = self.make_owner(1, directory)
+        self.advance(first, WARM_UP + STEP)
+        self.store.fault = Fault.DOWN
+        self.advance(first, STEP, platform_up=False)
+        self.assertIsNotNone(self.claim(first, "old").token)
+        self.store.fault = Fault.NONE
+        owner = self.make_owner(2, directory)
+        self.advance(owner, STEP)
+        directory.merge([record_of(process=2)])
+        self.advance(owner, WARM_UP + STEP)
+        self.assertIsNotNone(self.claim(owner, "old").denied)
