Use one token bucket for all limits on rates

Cause: five buckets had been written out: TokenBucket in limits/tenants (used by quotas too), another one in storage/budget, one in ClaimBudget and two in RateLimit.

Change: almondshore.core.token_bucket.TokenBucket takes the time as seconds and has no clock. A suspension of calls stays with its user, now CallBucket in storage/budget; its tests are unchanged but for that name. RateLimit creates a bucket when a limit begins, so that nothing is saved up from before, and reads the clock once in place of twice for a cold target.

--- a/almondshore/limits/rate.py
+++ b/almondshore/limits/rate.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from almondshore.core.clock import Clock
+from almondshore.core.token_bucket import TokenBucket
 
 ZERO = timedelta()
 # Requests that may start at once are those of this time, and at least one.
@@ -37,59 +38,59 @@
 
     A request may start when both allow it.
 
-    :ivar rate: stated requests per second, None without a limit
-    :ivar tokens: requests that may start now under the stated limit
+    :ivar stated: bucket of the stated limit, None without a limit
     :ivar cold_limit: returns the limit of a cold target, None while it is warm; None where targets
         have no such limit
-    :ivar cold_tokens: requests that may start now under that limit
+    :ivar cold: bucket of that limit, None while the target is warm
     :ivar starts: times of the requests of the last ``COLD_WINDOW``, whatever the limit then was
     """
 
     def __init__(self, *, clock: Clock):
         self.clock = clock
-        self.rate: float | None = None
-        self.tokens = 0.0
-        self.updated_at = clock.monotonic()
+        self.stated: TokenBucket | None = None
         self.cold_limit: Callable[[], ColdLimit | None] | None = None
-        self.cold_tokens = 0.0
-        self.cold_updated_at: timedelta | None = None
+        self.cold: TokenBucket | None = None
         self.starts: deque[timedelta] = deque()
 
     def set_rate(self, rate: float | None) -> None:
         """Set or remove the stated limit; what may start at once is kept."""
-        self._refill()
         if rate is None:
-            self.rate = None
+            self.stated = None
             return
-        if self.rate is None:
-            self.tokens = 0.0
-        self.rate = max(MIN_RATE, rate)
+        rate = max(MIN_RATE, rate)
+        burst = max(1.0, rate * BURST_TIME.total_seconds())
+        now_s = self.clock.monotonic().total_seconds()
+        if self.stated is None:
+            self.stated = TokenBucket(rate=rate, burst=burst, now_s=now_s, tokens=0.0)
+            return
+        self.stated.refill(now_s)
+        self.stated.change_limits(rate, burst)
 
     def effective_rate(self) -> float | None:
         """Return the lower one of the stated limit and that of a cold target."""
-        cold = self._current_cold_limit()
-        rates = [self.rate, cold.rate if cold is not None else None]
-        return min((rate for rate in rates if rate is not None), default=None)
+        self._current_cold_limit()
+        return min(
+            (bucket.rate for bucket in (self.stated, self.cold) if bucket is not None), default=None
+        )
 
     def take(self) -> bool:
         """Count a request that starts, if it may; returns whether it may."""
         cold = self._current_cold_limit()
-        if cold is not None and (self.cold_tokens < 1.0 or len(self.starts) >= cold.most):
+        if cold is not None and (self.cold.tokens < 1.0 or len(self.starts) >= cold.most):
+            return False
+        if self.stated is not None and self.stated.take(self.clock.monotonic().total_seconds()):
             return False
-        if self.rate is not None:
-            self._refill()
-            if self.tokens < 1.0:
-                return False
-            self.tokens -= 1.0
         self.record_start()
         return True
 
     def record_start(self) -> None:
         """Count a request that the target gets in any case, as a health check."""
         if self.cold_limit is not None:
-            self._forget_old_starts()
-            self.starts.append(self.clock.monotonic())
-            self.cold_tokens -= 1.0
+            now = self.clock.monotonic()
+            self._forget_old_starts(now)
+            self.starts.append(now)
+            if self.cold is not None:
+                self.cold.tokens -= 1.0
 
     def wait(self, ahead: int = 0) -> timedelta:
         """Return the time until a request may start.
@@ -97,14 +98,14 @@
         :param ahead: requests that start before it
         """
         wait = ZERO
-        if self.rate is not None:
-            self._refill()
-            wait = max(ZERO, timedelta(seconds=(ahead + 1 - self.tokens) / self.rate))
+        if self.stated is not None:
+            self.stated.refill(self.clock.monotonic().total_seconds())
+            wait = timedelta(seconds=self.stated.wait_s(ahead + 1))
         cold = self._current_cold_limit()
         return wait if cold is None else max(wait, self._cold_wait(cold, ahead))
 
     def _cold_wait(self, cold: ColdLimit, ahead: int) -> timedelta:
-        wait = max(ZERO, timedelta(seconds=(ahead + 1 - self.cold_tokens) / cold.rate))
+        wait = timedelta(seconds=self.cold.wait_s(ahead + 1))
         excess = len(self.starts) + ahead + 1 - cold.most
         if excess > 0 and self.starts:
             last_to_pass = self.starts[min(excess, len(self.starts)) - 1]
@@ -117,28 +118,22 @@
             return None
         cold = self.cold_limit()
         if cold is None:
-            self.cold_updated_at = None
+            self.cold = None
             return None
         now = self.clock.monotonic()
-        self._forget_old_starts()
-        if self.cold_updated_at is None:
+        now_s = now.total_seconds()
+        self._forget_old_starts(now)
+        bucket = self.cold
+        if bucket is None:
             # The target has become cold: nothing is saved up from before.
-            self.cold_tokens = 0.0
-        else:
-            earned = (now - self.cold_updated_at).total_seconds() * cold.rate
-            self.cold_tokens = min(cold.burst, self.cold_tokens + earned)
-        self.cold_updated_at = now
+            self.cold = TokenBucket(rate=cold.rate, burst=cold.burst, now_s=now_s, tokens=0.0)
+            return cold
+        if bucket.rate != cold.rate or bucket.burst != cold.burst:
+            bucket.change_limits(cold.rate, cold.burst)
+        bucket.refill(now_s)
         return cold
 
-    def _forget_old_starts(self) -> None:
-        oldest = self.clock.monotonic() - COLD_WINDOW
+    def _forget_old_starts(self, now: timedelta) -> None:
+        oldest = now - COLD_WINDOW
         while self.starts and self.starts[0] <= oldest:
             self.starts.popleft()
-
-    def _refill(self) -> None:
-        now = self.clock.monotonic()
-        if self.rate is not None:
-            earned = (now - self.updated_at).total_seconds() * self.rate
-            burst = max(1.0, self.rate * BURST_TIME.total_seconds())
-            self.tokens = min(burst, self.tokens + earned)
-        self.updated_at = now
--- a/almondshore/limits/tenants.py
+++ b/almondshore/limits/tenants.py
@@ -9,6 +9,7 @@
 import xxhash
 
 from almondshore.core.clock import Clock
+from almondshore.core.token_bucket import TokenBucket
 from almondshore.rules.model import TenantPart
 
 MAX_UNCONFIGURED_TENANTS = 10_000
@@ -39,50 +40,6 @@
     reason: LimitReason
 
 
-class TokenBucket:
-    """A token bucket; times in seconds.
-
-    :param tokens: tokens at the start, by default a full bucket
-    """
-
-    __slots__ = ("rate", "burst", "tokens", "updated")
-
-    def __init__(self, rate: float, burst: float, now_s: float, tokens: float | None = None):
-        self.rate = rate
-        self.burst = burst
-        self.tokens = burst if tokens is None else min(burst, tokens)
-        self.updated = now_s
-
-    def refill(self, now_s: float) -> None:
-        """Add the tokens earned since the last call."""
-        if now_s > self.updated:
-            self.tokens = min(self.burst, self.tokens + (now_s - self.updated) * self.rate)
-            self.updated = now_s
-
-    def take(self, now_s: float) -> float:
-        """Take a token and return 0, or return the seconds until a token is available."""
-        self.refill(now_s)
-        if self.tokens >= 1.0:
-            self.tokens -= 1.0
-            return 0.0
-        return (1.0 - self.tokens) / self.rate
-
-    def set_limits(self, rate: float, burst: float, now_s: float) -> None:
-        """Change the rate and the burst; tokens beyond the new burst are lost."""
-        self.refill(now_s)
-        self.rate = rate
-        self.burst = burst
-        self.tokens = min(burst, self.tokens)
-
-    def put_back(self, count: float) -> None:
-        """Return tokens that were not used."""
-        self.tokens = min(self.burst, self.tokens + count)
-
-    def full_at(self) -> float:
-        """Return the time at which the bucket is full again if no more tokens are taken."""
-        return self.updated + (self.burst - self.tokens) / self.rate
-
-
 class TenantLimits:
     """Token buckets by tenant.
 
--- a/almondshore/quotas/owner.py
+++ b/almondshore/quotas/owner.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 from datetime import timedelta
 
-from almondshore.limits.tenants import TokenBucket
+from almondshore.core.token_bucket import TokenBucket
 from almondshore.mesh.model import Address
 from almondshore.mesh.settings import QuotaBound
 from almondshore.quotas.membership import Membership, Shard
@@ -44,7 +44,7 @@
     def __init__(self, bucket: TokenBucket, returns: TokenBucket):
         self.bucket = bucket
         self.returns = returns
-        self.used_at = bucket.updated
+        self.used_at = bucket.updated_s
 
 
 class ShardOwner:
@@ -84,7 +84,8 @@
                 continue
             held = self.buckets[key]
             rate, burst = self._share(tenant)
-            held.bucket.set_limits(rate, burst, now_s)
+            held.bucket.refill(now_s)
+            held.bucket.change_limits(rate, burst)
 
     def answer(self, question: Question, now_s: float) -> Answer:
         """Answer a question for tokens."""
@@ -131,12 +132,13 @@
         if held is None:
             rate, burst = self._share(tenant)
             since = max(self.membership.changed_at, self.configured_at, now_s - IDLE_TIME_S)
-            bucket = TokenBucket(rate, burst, now_s, rate * (now_s - since))
+            bucket = TokenBucket(rate=rate, burst=burst, now_s=now_s, tokens=rate * (now_s - since))
             window_s = self.bound.window.total_seconds()
             # Half at once, and half in the course of a window.
             half = self.bound.slack * RETURN_SLACK_SHARE / self.membership.shares / 2
             held = self.buckets[key] = _ShardBucket(
-                bucket, TokenBucket(half / window_s, half, now_s, 0.0)
+                bucket,
+                TokenBucket(rate=half / window_s, burst=half, now_s=now_s, tokens=0.0),
             )
         return held
 
@@ -181,9 +183,8 @@
 
 def _wait_s(bucket: TokenBucket) -> float:
     """Return the time after which a refused node asks again."""
-    missing = max(0.0, 1.0 - bucket.tokens) / bucket.rate
     pause = min(MIN_WAIT_S, MIN_WAIT_OF_FULL_BUCKET * bucket.burst / bucket.rate)
-    return min(MAX_WAIT_S, max(missing, pause))
+    return min(MAX_WAIT_S, max(bucket.wait_s(), pause))
 
 
 def _to_ms(wait_s: float) -> int:
--- a/almondshore/retries/claims.py
+++ b/almondshore/retries/claims.py
@@ -8,6 +8,7 @@
 from returns.result import Failure, Result, Success
 
 from almondshore.core.clock import Clock
+from almondshore.core.token_bucket import TokenBucket
 from almondshore.retries.ownership import RETENTION
 from almondshore.storage.port import (
     BudgetExceeded,
@@ -76,29 +77,20 @@
         """
         self.clock = clock
         self.max_rate = rate
-        self.rate = rate
-        self.burst = burst
-        self.tokens = burst
-        self.updated_s = clock.monotonic().total_seconds()
+        self.bucket = TokenBucket(rate=rate, burst=burst, now_s=clock.monotonic().total_seconds())
         self.accepted = 0
 
     def take(self) -> bool:
         """Take a token; return whether one was available."""
-        now_s = self.clock.monotonic().total_seconds()
-        self.tokens = min(self.burst, self.tokens + (now_s - self.updated_s) * self.rate)
-        self.updated_s = now_s
-        if self.tokens < 1.0:
-            return False
-        self.tokens -= 1.0
-        return True
+        return not self.bucket.take(self.clock.monotonic().total_seconds())
 
     def on_refused(self) -> None:
         """Halve the rate after the platform refused a call because of its rate limit.
 
         At most one saved token is kept.
         """
-        self.rate = max(MIN_CALLS_PER_SECOND, self.rate / 2)
-        self.tokens = min(self.tokens, 1.0)
+        self.bucket.rate = max(MIN_CALLS_PER_SECOND, self.bucket.rate / 2)
+        self.bucket.tokens = min(self.bucket.tokens, 1.0)
         self.accepted = 0
 
     def on_accepted(self) -> None:
@@ -106,7 +98,7 @@
         self.accepted += 1
         if self.accepted >= ACCEPTED_BEFORE_RAISE:
             self.accepted = 0
-            self.rate = min(self.max_rate, self.rate + self.max_rate / 10)
+            self.bucket.rate = min(self.max_rate, self.bucket.rate + self.max_rate / 10)
 
 
 class ClaimStore:
--- a/almondshore/storage/budget.py
+++ b/almondshore/storage/budget.py
@@ -9,6 +9,7 @@
 from returns.result import Failure, Result
 
 from almondshore.core.clock import Clock
+from almondshore.core.token_bucket import TokenBucket
 from almondshore.storage.port import (
     BudgetExceeded,
     Platform,
@@ -55,62 +56,53 @@
 NODE_RATES = Rates(reads=Rate(1 / 20, 6), writes=None)
 
 
-class TokenBucket:
-    """A token bucket on the given clock.
+class CallBucket:
+    """A token bucket for calls on the given clock, which can be suspended.
 
-    :ivar refilled_at: time up to which tokens were added; in the future during a suspension
+    :ivar bucket: during a suspension it is refilled up to the end of the suspension
     """
 
     def __init__(self, *, clock: Clock, rate: Rate):
         self.clock = clock
-        self.rate = rate
-        self.tokens = rate.burst
-        self.refilled_at = clock.monotonic()
+        self.bucket = TokenBucket(rate=rate.per_second, burst=rate.burst, now_s=self._now_s())
 
     def take(self) -> timedelta | None:
         """Take one token.
 
         :return: None if a token was taken, else the time until one may be available
         """
-        now = self.clock.monotonic()
-        if now < self.refilled_at:
-            return self.refilled_at - now
-        self._refill(now)
-        if self.tokens >= 1:
-            self.tokens -= 1
-            return None
-        return timedelta(seconds=(1 - self.tokens) / self.rate.per_second)
+        now_s = self._now_s()
+        suspended_s = self.bucket.updated_s - now_s
+        wait_s = suspended_s if suspended_s > 0 else self.bucket.take(now_s)
+        return timedelta(seconds=wait_s) if wait_s else None
 
     def suspend(self, duration: timedelta) -> None:
         """Grant no tokens for a duration, and keep at most one of the accumulated tokens.
 
         Otherwise every client would send a full burst at the end of the suspension.
         """
-        self.refilled_at = max(self.refilled_at, self.clock.monotonic() + duration)
-        self.tokens = min(self.tokens, 1.0)
+        ends_s = (self.clock.monotonic() + duration).total_seconds()
+        self.bucket.updated_s = max(self.bucket.updated_s, ends_s)
+        self.bucket.tokens = min(self.bucket.tokens, 1.0)
 
-    def with_rate(self, rate: Rate) -> "TokenBucket":
+    def with_rate(self, rate: Rate) -> "CallBucket":
         """Return a bucket of another rate with the tokens and the suspension of this one."""
-        now = self.clock.monotonic()
-        if now > self.refilled_at:
-            self._refill(now)
-        bucket = TokenBucket(clock=self.clock, rate=rate)
-        bucket.tokens = min(rate.burst, self.tokens)
-        bucket.refilled_at = self.refilled_at
-        return bucket
+        self.bucket.refill(self._now_s())
+        changed = CallBucket(clock=self.clock, rate=rate)
+        changed.bucket.tokens = min(rate.burst, self.bucket.tokens)
+        changed.bucket.updated_s = self.bucket.updated_s
+        return changed
 
-    def _refill(self, now: timedelta) -> None:
-        added = (now - self.refilled_at).total_seconds() * self.rate.per_second
-        self.tokens = min(self.rate.burst, self.tokens + added)
-        self.refilled_at = now
+    def _now_s(self) -> float:
+        return self.clock.monotonic().total_seconds()
 
 
 class CallBudget:
     """Token buckets for the reads and the writes of one process."""
 
     def __init__(self, *, clock: Clock, reads: Rate, writes: Rate | None):
-        read_bucket = TokenBucket(clock=clock, rate=reads)
-        write_bucket = TokenBucket(clock=clock, rate=writes) if writes else read_bucket
+        read_bucket = CallBucket(clock=clock, rate=reads)
+        write_bucket = CallBucket(clock=clock, rate=writes) if writes else read_bucket
         self.buckets = {CallKind.READ: read_bucket, CallKind.WRITE: write_bucket}
 
     def set_rates(self, rates: Rates) -> None:
--- a/test/limits/test_rate.py
+++ b/test/limits/test_rate.py
@@ -6,7 +6,7 @@
 
 from almondshore.core.clock import ManualClock
 from almondshore.limits.objective import Job, ObjectiveQueue, Refusal, Terms
-from almondshore.limits.rate import MIN_RATE, RateLimit
+from almondshore.limits.rate import MIN_RATE, ColdLimit, RateLimit
 
 SECOND = timedelta(seconds=1)
 
@@ -61,6 +61,61 @@
         self.assertEqual(SECOND / MIN_RATE, self.limit.wait())
         self.assertTrue(1 <= self.taken(8.0) <= 2)
 
+    def test_rate_lowered_and_raised_at_once_keeps_the_lower_burst(self):
+        """Guards against saved starts that survive a lower limit, as a burst of the next one."""
+        self.limit.set_rate(40.0)
+        self.clock.advance(60 * SECOND)
+        self.limit.set_rate(8.0)
+        self.limit.set_rate(40.0)
+        self.assertEqual([True, True, False], [self.limit.take() for _ in range(3)])
+
+    def test_limit_that_was_removed_starts_empty(self):
+        """Guards against starts that are saved up while there is no limit."""
+        self.limit.set_rate(40.0)
+        self.clock.advance(60 * SECOND)
+        self.limit.set_rate(None)
+        self.clock.advance(60 * SECOND)
+        self.limit.set_rate(40.0)
+        self.assertFalse(self.limit.take())
+
+    def test_start_that_cannot_be_held_back_delays_the_next(self):
+        """Guards against health checks of a cold target that come on top of its requests."""
+        cold = ColdLimit(rate=4.0, burst=2.0, most=100)
+        self.limit.cold_limit = lambda: cold
+        self.assertFalse(self.limit.take())
+        for _ in range(3):
+            self.limit.record_start()
+        self.assertEqual(SECOND, self.limit.wait())
+        self.clock.advance(SECOND)
+        self.assertEqual([True, False], [self.limit.take() for _ in range(2)])
+
+    def test_changed_limit_of_a_cold_target_holds_at_once(self):
+        """Guards against the burst of an earlier configuration at a cold target."""
+        limits = [ColdLimit(rate=4.0, burst=8.0, most=100)]
+        self.limit.cold_limit = lambda: limits[-1]
+        self.assertFalse(self.limit.take())
+        self.clock.advance(60 * SECOND)
+        self.assertTrue(self.limit.take())
+        limits.append(ColdLimit(rate=4.0, burst=2.0, most=100))
+        self.assertEqual([True, True, False], [self.limit.take() for _ in range(3)])
+        # The time since the last refill counts at the new rate.
+        limits.append(ColdLimit(rate=1.0, burst=2.0, most=100))
+        self.clock.advance(SECOND)
+        self.assertEqual([True, False], [self.limit.take() for _ in range(2)])
+
+    def test_target_that_becomes_cold_again_starts_empty(self):
+        """Guards against starts saved up while the target was warm, or a debt from before."""
+        limits = [ColdLimit(rate=4.0, burst=8.0, most=100)]
+        self.limit.cold_limit = lambda: limits[-1]
+        self.limit.wait()
+        for _ in range(5):
+            self.limit.record_start()
+        limits.append(None)
+        self.assertTrue(self.limit.take())
+        self.clock.advance(60 * SECOND)
+        limits.append(limits[0])
+        self.assertEqual(SECOND / 4, self.limit.wait())
+
 
 class LimitedQueueTest(TestCase):
     def setUp(self):
--- a/test/storage/test_budget.py
+++ b/test/storage/test_budget.py
@@ -12,10 +12,10 @@
     NODE_RATES,
     RELAY_RATES,
     BudgetedPlatform,
+    CallBucket,
     CallBudget,
     Rate,
     Rates,
-    TokenBucket,
 )
 from almondshore.storage.port import BudgetExceeded
 from standins.memory_platform import MemoryPlatform
@@ -34,7 +34,7 @@
     def test_no_window_has_more_calls_than_its_budget(self, steps, per_second, burst):
         """Guards against many callers in one process that together exceed its call budget."""
         clock = ManualClock()
-        bucket = TokenBucket(clock=clock, rate=Rate(per_second, burst))
+        bucket = CallBucket(clock=clock, rate=Rate(per_second, burst))
         taken_at = []
         for step in steps:
             clock.advance(timedelta(milliseconds=step))
@@ -51,7 +51,7 @@
     def test_the_stated_wait_is_enough(self, steps):
         """Guards against callers that wait for the returned time and are refused again."""
         clock = ManualClock()
-        bucket = TokenBucket(clock=clock, rate=Rate(0.7, 3))
+        bucket = CallBucket(clock=clock, rate=Rate(0.7, 3))
         for step in steps:
             clock.advance(timedelta(milliseconds=step))
             wait = bucket.take()
