Move the name of the store's era header to the platform's names

Cause: the header was a constant of the object client; all other names of the platform are in platform/names.py.

Change: names.STORE_ERA, as it is written on the wire; the client looks it up in lower case, as the dialect does with its names.

--- a/almondshore/platform/names.py
+++ b/almondshore/platform/names.py
@@ -20,6 +20,8 @@
 KEY = b"Authorization"
 # Scheme of a key in that header.
 KEY_SCHEME = b"token"
+# Era of the store in its responses, which increases each time it is restored from a copy.
+STORE_ERA = b"Store-Era"
 
 HEARTBEAT_PATH = "/Instances.Heartbeat/"
 DEREGISTER_PATH = "/Instances.Deregister/"
--- a/almondshore/platform/object_client.py
+++ b/almondshore/platform/object_client.py
@@ -13,6 +13,7 @@
 from almondshore.http.client import Address, CallResult, ConnectionPool
 from almondshore.http.messages import Response, encode_request
 from almondshore.mesh.store import Changed, HistoryGone, StoreEra, StoreError
+from almondshore.platform import names
 from almondshore.storage.port import NotFound, RateLimited, Unavailable
 
 # The store responds in 4 ms, but may take 60 times as long when it is slow, and may lose responses.
@@ -21,7 +22,7 @@
 # begun is abandoned only if no more of it arrives for this time.
 STALL_TIMEOUT = timedelta(seconds=1)
 RATE_LIMIT_DELAY = timedelta(milliseconds=500)
-STORE_ERA = b"store-era"
+_STORE_ERA = names.STORE_ERA.lower()
 MAX_ERA_DIGITS = 15
 
 
@@ -79,7 +80,7 @@
 
 def _stated_era(response: Response) -> int | None:
     """Return the era that a response states, None if it states none or it cannot be read."""
-    value = response.header(STORE_ERA)
+    value = response.header(_STORE_ERA)
     if value is None:
         return None
     text = value.strip()
