--- a/almondshore/routing/reported.py
+++ b/almondshore/routing/reported.py
@@ -23,8 +23,7 @@
 MIN_VARIANCE = 0.5
 # Difference of a reported service time from the mean of which half counts, by the variance of the
 # route's requests: 1 for a lognormal spread of 0.5. The report is a moving average over about 12
-# requests, and all senders that see the same fast target would fill its slots. On the model of
-# ``bench.load_comparison`` 2.0 is slower for equal targets and hidden costs.
+# requests, and all senders that see the same fast target would fill its slots.
 HALF_COUNTED_BY_VARIANCE = 3.5
 # Number of targets below which that difference is smaller in proportion: the smallest of a few
 # reported times is less a matter of chance, and few targets serve the requests of few nodes.
