Share the bookkeeping of the load simulation

Cause: FormerChooser kept reports and the requests after them as ReportedLoadChooser does. The simulated target learned service times and summed up the work left a second time beside its queue.

Change: FormerChooser is a ReportedLoadChooser; both policies that learn from a report do so in `_learn`, and policies select in `_pick`, from the targets that are not excluded. Server reports the service times and the work left of its ObjectiveQueue, as a node does.

--- a/bench/load_choosers.py
+++ b/bench/load_choosers.py
@@ -39,7 +39,7 @@
     ) -> Target | None:
         """Return a target, or None if all are excluded."""
         left = [target for target in targets if target.target not in exclude]
-        return self._pick(left) if left else None
+        return self._pick(left, route, objective) if left else None
 
     def started(self, target: str, features: Features | None = None) -> None:
         """Do nothing; the choice does not depend on load."""
@@ -53,7 +53,8 @@
     ) -> None:
         """Do nothing; the choice does not depend on load."""
 
-    def _pick(self, targets: list[Target]) -> Target:
+    def _pick(self, targets: list[Target], route: str, objective: timedelta) -> Target:
+        """Return one of the targets that are not excluded, at least one."""
         return self.rng.choice(targets)
 
 
@@ -81,7 +82,7 @@
         """Count the end of a request."""
         self.active[target] -= 1
 
-    def _pick(self, targets: list[Target]) -> Target:
+    def _pick(self, targets: list[Target], route: str, objective: timedelta) -> Target:
         return min(targets, key=self._rank)
 
     def _rank(self, target: Target) -> tuple[int, bool, float]:
@@ -89,7 +90,7 @@
 
 
 class ReportedLoadChooser(LeastActiveChooser):
-    """Base of the policies that compare the loads in the last reports.
+    """Base of the policies that use the last report of each target.
 
     :ivar reports: last report of each target and its monotonic time
     :ivar since_report: requests of this node that were sent to a target after its last report
@@ -113,16 +114,22 @@
         features: Features | None = None,
     ) -> None:
         """Count the end of a request and store the report."""
-        super().finished(target, route, report)
+        super().finished(target, route, report, features)
         if report is not None:
             self.reports[target] = report, self.clock.monotonic()
             self.since_report[target] = 0
+            self._learn(target, route, report, features)
+
+    def _learn(
+        self, target: str, route: str, report: LoadReport, features: Features | None
+    ) -> None:
+        """Learn from a report; does nothing unless a policy overrides it."""
 
 
 class TwoChoicesChooser(ReportedLoadChooser):
     """Chooses the one of two random targets with the fewer outstanding requests for each slot."""
 
-    def _pick(self, targets: list[Target]) -> Target:
+    def _pick(self, targets: list[Target], route: str, objective: timedelta) -> Target:
         return min(self.rng.sample(targets, min(2, len(targets))), key=self._outstanding)
 
     def _outstanding(self, target: Target) -> float:
@@ -154,19 +161,13 @@
         expected = self.costs.expected(features) if features is not None else DEFAULT_SERVICE_TIME
         self.sent_s[target] = self.sent_s.get(target, 0.0) + expected.total_seconds()
 
-    def finished(
-        self,
-        target: str,
-        route: str,
-        report: LoadReport | None,
-        features: Features | None = None,
+    def _learn(
+        self, target: str, route: str, report: LoadReport, features: Features | None
     ) -> None:
-        """Store the report and learn from the service time in it."""
-        super().finished(target, route, report)
-        if report is not None:
-            self.sent_s[target] = 0.0
-            if features is not None and report.ran:
-                self.costs.observe(features, report.ran)
+        """Learn from the service time of the request that the report came with."""
+        self.sent_s[target] = 0.0
+        if features is not None and report.ran:
+            self.costs.observe(features, report.ran)
 
     def _rank(self, target: Target) -> tuple[float, bool, float]:
         name = target.target
--- a/bench/load_former.py
+++ b/bench/load_former.py
@@ -11,39 +11,28 @@
     REPORT_MAX_AGE_S,
     ZONE_PENALTY_SHARE,
 )
-from bench.load_choosers import LeastActiveChooser
+from bench.load_choosers import ReportedLoadChooser
 
 # Penalty for a target with all slots taken, as a share of the service time there.
 NEAR_FULL_SHARE = 0.15
 DEFAULT_SERVICE_S = DEFAULT_SERVICE_TIME.total_seconds()
 
 
-class FormerChooser(LeastActiveChooser):
+class FormerChooser(ReportedLoadChooser):
     """Chooses the shortest expected time by counts of requests; reports fade to an idle target.
 
-    :ivar reports: last report of each target, its time in seconds, and requests sent since
+    :ivar service_times: last reported service time in seconds, by target and route
     """
 
     def __init__(self, **fields):
         super().__init__(**fields)
-        self.reports: dict[str, tuple[LoadReport, float]] = {}
-        self.since_report: dict[str, int] = {}
         self.service_times: dict[tuple[str, str], float] = {}
 
-    def choose(
-        self,
-        targets: list[Target],
-        *,
-        route: str,
-        objective: timedelta,
-        exclude: tuple[str, ...] = (),
-        features: Features | None = None,
-    ) -> Target | None:
-        """Return the target with the lowest score, or None if all are excluded."""
-        left = [target for target in targets if target.target not in exclude]
+    def _pick(self, targets: list[Target], route: str, objective: timedelta) -> Target:
+        """Return the target with the lowest score."""
         known = [
             self.service_times[target.target, route]
-            for target in left
+            for target in targets
             if (target.target, route) in self.service_times
         ]
         mean_s = sum(known) / len(known) if known else DEFAULT_SERVICE_S
@@ -54,26 +43,13 @@
             total = self._score(target, route, objective_s, mean_s, now_s)
             return total * (1.0 + JITTER_SHARE * self.rng.random())
 
-        return min(left, key=score) if left else None
+        return min(targets, key=score)
 
-    def started(self, target: str, features: Features | None = None) -> None:
-        """Count a request that is sent to the target."""
-        super().started(target)
-        self.since_report[target] = self.since_report.get(target, 0) + 1
-
-    def finished(
-        self,
-        target: str,
-        route: str,
-        report: LoadReport | None,
-        features: Features | None = None,
+    def _learn(
+        self, target: str, route: str, report: LoadReport, features: Features | None
     ) -> None:
-        """Count the end of a request and store the report."""
-        super().finished(target, route, report)
-        if report is not None:
-            self.reports[target] = report, self.clock.monotonic().total_seconds()
-            self.since_report[target] = 0
-            self.service_times[target, route] = report.service_time.total_seconds()
+        """Store the service time of the route at the target."""
+        self.service_times[target, route] = report.service_time.total_seconds()
 
     def _score(
         self, target: Target, route: str, objective_s: float, mean_s: float, now_s: float
@@ -83,8 +59,8 @@
         service_s = self.service_times.get((name, route), mean_s)
         outstanding = float(self.active[name])
         if name in self.reports:
-            report, reported_s = self.reports[name]
-            freshness = max(0.0, 1.0 - (now_s - reported_s) / REPORT_MAX_AGE_S)
+            report, reported_at = self.reports[name]
+            freshness = max(0.0, 1.0 - (now_s - reported_at.total_seconds()) / REPORT_MAX_AGE_S)
             load = freshness * (report.running + report.waiting) + self.since_report[name]
             outstanding = max(outstanding, load)
             score += objective_s * FAILURE_PENALTY_SHARE * report.failure_rate * freshness
--- a/bench/load_model.py
+++ b/bench/load_model.py
@@ -110,9 +110,6 @@
             return
         ok = self.system.rng.random() >= self.server.failure_rate
         self.server.recorder.record(self, ok=ok, warm=True)
-        if ok:
-            ran = self.system.clock.monotonic() - self.started_at
-            self.server.costs.observe(self.features, ran)
         self.server.queue.release(self, observed=ok)
         self.system.schedule(self.one_way_delay(), lambda: self.receive_response(ok))
 
--- a/bench/load_parts.py
+++ b/bench/load_parts.py
@@ -10,14 +10,12 @@
 from almondshore.limits.objective import Job, ObjectiveQueue
 from almondshore.mesh.evidence import ResultRecorder
 from almondshore.mesh.model import LoadReport, Target, TargetState
-from almondshore.placement.cost import CostModel, Features
+from almondshore.placement.cost import Features
 from almondshore.routing.completion import CompletionChooser
 
 ZERO = timedelta()
 ROUTE = "r"
 ZONES = ("a", "b", "c")
-# Expected time left of a request that has exceeded its expected service time, as a share of it.
-OVERDUE_REMAINING_SHARE = 0.2
 
 
 class Chooser(ABC):
@@ -118,7 +116,7 @@
     """A target with its request queue and its recorded results.
 
     :ivar entry: the target as it is listed in the directory
-    :ivar costs: service times that the target's local node has learned
+    :ivar queue: the queue of the target's local node, with the service times that it has learned
     :ivar failure_rate: share of the requests that fail
     :ivar unanswered_rate: share of the requests that it starts and never answers
     """
@@ -138,7 +136,6 @@
         self.entry = Target(
             name, "s", "v1", zone, slots, TargetState.READY, (name, 1), 1, 1, link_mbps
         )
-        self.costs = CostModel()
         self.queue = ObjectiveQueue(clock=clock, slots=slots)
         self.recorder = ResultRecorder(clock=clock)
         self.speed = speed
@@ -154,23 +151,14 @@
             len(self.queue.running),
             len(self.queue.waiting),
             self.queue.slots,
-            self.costs.expected(Features(features.route)),
+            self.queue.times.expected(Features(features.route)),
             self.recorder.failure_rate(),
             False,
-            work=self.work_left(),
+            work=self.queue.work_left(),
             ran=ran,
         )
 
-    def work_left(self) -> timedelta:
-        """Return the expected service time left of all running and waiting requests."""
-        now = self.queue.clock.monotonic()
-        work = sum((self.costs.expected(job.features) for job in self.queue.waiting), ZERO)
-        for job, started in self.queue.running.items():
-            expected = self.costs.expected(job.features)
-            work += max(expected - (now - started), expected * OVERDUE_REMAINING_SHARE)
-        return work
-
     def record_unanswered(self, request: Job) -> None:
         """Record a request that was abandoned, as the target's local node does."""
-        expected = self.costs.observed(request.terms.route)
+        expected = self.queue.times.observed(request.terms.route)
         self.recorder.record_abandoned(request, expected=expected, warm=True)
