Split the admission of requests from their execution by the target

Change: Submission moves to mesh/submission.py; sending to the target, classifying results and detecting crashes move to mesh/execution.py, class TargetExecutor. No change of behaviour, and none of the tests.

--- a/almondshore/mesh/forwarding.py
+++ b/almondshore/mesh/forwarding.py
@@ -13,8 +13,8 @@
 from almondshore.limits.objective import Refusal
 from almondshore.mesh.dialect import ResponseClass
 from almondshore.mesh.hop import HOP_HEADERS, MILLISECOND, HopResult, Outcome, UnavailableReason
-from almondshore.mesh.inbound import Submission
 from almondshore.mesh.model import Address, Route, Target
+from almondshore.mesh.submission import Submission
 from almondshore.placement.cost import Features
 from almondshore.retries.retry_after import MIN_RETRY_AFTER, retry_after
 from almondshore.tenants.table import Tenant
--- a/almondshore/mesh/inbound.py
+++ b/almondshore/mesh/inbound.py
@@ -1,4 +1,4 @@
-"""Admission and forwarding of requests for the local target."""
+"""Admission of requests for the local target."""
 
 from collections import Counter
 from collections.abc import Callable
@@ -6,14 +6,13 @@
 
 from almondshore.core.clock import Clock
 from almondshore.core.logs import log_event
-from almondshore.core.messages import CrashDeath
-from almondshore.http.client import Call, CallFailure, CallResult, ConnectionPool
-from almondshore.http.messages import Request, Response, encode_request_head, end_to_end
+from almondshore.http.client import ConnectionPool
+from almondshore.http.messages import Request, Response, end_to_end
 from almondshore.http.server import Exchange, ExchangeHandler
-from almondshore.limits.objective import Job, ObjectiveQueue, Refusal, Refused, Terms
-from almondshore.mesh.crashes import DeathDetector, request_fingerprint
-from almondshore.mesh.dialect import Dialect, ResponseClass
+from almondshore.limits.objective import Refusal, Refused
+from almondshore.mesh.dialect import Dialect
 from almondshore.mesh.evidence import ResultRecorder
+from almondshore.mesh.execution import TargetExecutor
 from almondshore.mesh.hop import (
     HOP_HEADERS,
     MILLISECOND,
@@ -27,81 +26,18 @@
 )
 from almondshore.mesh.local import LocalTarget
 from almondshore.mesh.model import Address, Death
+from almondshore.mesh.submission import Submission, queue_terms
 from almondshore.placement.cost import Features
 from almondshore.placement.evacuation import ZONE_EVACUATED
 from almondshore.transfers.receiver import TransferReceiver
 
-# Targets respond by the deadline they are given; the connection is closed this much later.
-DEADLINE_SLACK = timedelta(milliseconds=100)
-# A target may close an idle connection just as a request is sent on it. Requests that are not
-# idempotent therefore use only connections that were in use within this time, or new ones.
-FRESH_CONNECTION_MAX_IDLE = timedelta(milliseconds=300)
-# A request on a connection that the target had already closed fails within this time.
-STALE_CONNECTION_MAX_TIME = timedelta(milliseconds=30)
-# Reason of a result whose response may belong to another request.
-UNIDENTIFIED = "unidentified"
-# A target that crashes closes its connections a little before it refuses new ones.
-CRASH_CHECK_DELAY = timedelta(milliseconds=50)
-# Ways in which a run ends when its target crashes.
-CRASH_FAILURES = frozenset((CallFailure.CLOSED, CallFailure.TRUNCATED))
 # After a failed connection to the target, requests are refused for this long or until its next
 # announcement.
 TARGET_DOWN_PAUSE = timedelta(milliseconds=300)
 
 
-class Submission(Job):
-    """A request for the local target, from its arrival to its result.
-
-    :ivar target: identity of the target that runs it
-    :ivar queue: queue of that target, None if the request was refused before it was queued
-    :ivar resent: whether it was sent again after the target had closed an idle connection
-    """
-
-    def __init__(
-        self,
-        *,
-        inbound: "Inbound",
-        request: Request,
-        terms: HopTerms,
-        on_result: Callable[[HopResult], None],
-    ):
-        now = inbound.clock.monotonic()
-        self.inbound = inbound
-        self.request = request
-        self.hop_terms = terms
-        self.on_result = on_result
-        features = Features(
-            terms.route, request.target.partition(b"?")[0], terms.tenant or "", len(request.body)
-        )
-        self.terms = _queue_terms(terms, now, features)
-        self.target = terms.target
-        self.queue: ObjectiveQueue | None = None
-        self.arrived_at = now
-        self.started_at: timedelta | None = None
-        self.call: Call | None = None
-        self.done = False
-        self.resent = False
-
-    def start(self) -> None:
-        """Send the request to the target."""
-        self.started_at = self.inbound.clock.monotonic()
-        self.inbound.send(self)
-
-    def refuse(self, reason: Refusal, retry_after: timedelta) -> None:
-        """Deliver a refusal: the queue will not start the request."""
-        self.inbound.finish(self, Outcome.REFUSED, str(reason), retry_after=retry_after)
-
-    def is_receiving(self) -> bool:
-        """Return whether the target's response has been received in part."""
-        return self.call is not None and self.call.is_receiving()
-
-    def cancel(self) -> None:
-        """Cancel the request after its caller has disconnected."""
-        self.inbound.cancel(self)
-
-
 class Inbound(ExchangeHandler):
-    """Admits requests to the target's slots and forwards them to the target.
+    """Admits requests to the target's slots and returns their results.
 
     :param app: address of the local target
     :param config_version: returns the version of the configuration in effect
@@ -112,6 +48,7 @@
     :ivar closed: whether new requests are refused because the process is about to exit
     :ivar is_evacuated: returns whether the target's zone is evacuated
     :ivar refusals: refused requests by reason
+    :ivar executor: sends admitted requests to the target
     :ivar transfers: answers nodes that ask to send a large body
     """
 
@@ -129,8 +66,6 @@
     ):
         self.clock = clock
         self.dialect = dialect
-        self.pool = pool
-        self.app = app
         self.local = local
         self.recorder = recorder
         self.config_version = config_version
@@ -141,7 +76,16 @@
         self.is_evacuated: Callable[[], bool] = lambda: False
         self.refusals: Counter[str] = Counter()
         self.on_death: Callable[[Death], None] = lambda _death: None
-        self.death_detector = DeathDetector(clock=clock)
+        self.executor = TargetExecutor(
+            clock=clock,
+            dialect=dialect,
+            pool=pool,
+            app=app,
+            local=local,
+            recorder=recorder,
+            on_end=self.finish,
+            on_target_down=self._on_target_down,
+        )
         self.active: set[Submission] = set()
         self.transfers = TransferReceiver(
             clock=clock,
@@ -151,7 +95,6 @@
         )
         self.transfers.on_refusal = self._count_refusal
         self.target_down_until = timedelta()
-        self.check_scheduled = False
 
     def handle(self, exchange: Exchange) -> None:
         """Handle a request from another node."""
@@ -175,11 +118,11 @@
             return Refused(reason, timedelta())
         queue = self.local.queue
         features = Features(terms.route, tenant=terms.tenant or "")
-        queue_terms = _queue_terms(terms, self.clock.monotonic(), features)
-        wait = queue.judge(queue_terms)
+        offered = queue_terms(terms, self.clock.monotonic(), features)
+        wait = queue.judge(offered)
         if isinstance(wait, Refused):
             # The request is not offered to the queue afterwards, which would count it.
-            queue.shares.record_offer(queue_terms.share())
+            queue.shares.record_offer(offered.share())
             return wait
         return wait + queue.times.expected(Features(terms.route))
 
@@ -206,38 +149,6 @@
             submission.queue.offer(submission)
         return submission
 
-    def send(self, submission: Submission) -> None:
-        """Send an admitted request to the target."""
-        self.recorder.record_sent(submission, submission.hop_terms.route)
-        hop_terms = submission.hop_terms
-        time_left = submission.terms.deadline_at - self.clock.monotonic()
-        request = submission.request
-        headers = self.dialect.to_target(
-            end_to_end(request.headers, without=HOP_HEADERS),
-            time_left=time_left,
-            target=submission.target,
-            caller=hop_terms.caller,
-            tenant=hop_terms.tenant,
-        )
-        request_id = self.dialect.request_id(headers)
-        needs_fresh_connection = not hop_terms.idempotent or submission.resent
-        submission.call = self.pool.call(
-            self.app,
-            encode_request_head(
-                request.method, request.target, headers, body_bytes=len(request.body)
-            ),
-            body=request.body,
-            timeout=time_left + DEADLINE_SLACK,
-            on_done=lambda result: self._on_done(submission, result),
-            match=lambda response: self.dialect.match_response(response, request_id),
-            max_idle_time=(
-                (timedelta() if submission.resent else FRESH_CONNECTION_MAX_IDLE)
-                if needs_fresh_connection
-                else None
-            ),
-            head=request.method == b"HEAD",
-        )
-
     def cancel(self, submission: Submission) -> None:
         """Cancel a request whose caller has disconnected."""
         if submission.done:
@@ -247,7 +158,7 @@
         self.active.discard(submission)
         if submission.call is not None:
             submission.call.cancel()
-            self._record_abandoned(submission)
+            self.executor.record_abandoned(submission)
         queue = submission.queue
         if queue is not None and not queue.cancel(submission):
             queue.release(submission, observed=False)
@@ -305,56 +216,9 @@
             return UnavailableReason.TARGET_DOWN
         return None
 
-    def _on_done(self, submission: Submission, result: CallResult) -> None:
-        if submission.done:
-            return
-        took = self.clock.monotonic() - submission.started_at
-        if result.failure in CRASH_FAILURES:
-            self.death_detector.record_broken_run(self._crash_record(submission, took))
-            self._schedule_crash_check()
-            self.local.warmup.on_broken_run(others=len(submission.queue.running) - 1)
-        if self._is_stale_connection(submission, result, took):
-            submission.resent = True
-            submission.queue.rate_limit.record_start()
-            self.send(submission)
-            return
-        outcome, reason, ok = self._classify_result(submission, result)
-        response = result.response
-        if response is not None:
-            statement = self.dialect.read_statement(response)
-            self.local.observe_statement(
-                submission.target, statement, sent_at=submission.started_at
-            )
-        ran = outcome in (Outcome.ANSWERED, Outcome.BROKEN)
-        if result.failure is CallFailure.TIMED_OUT:
-            self._record_abandoned(submission)
-        elif ran:
-            self.recorder.record(
-                submission,
-                ok=ok,
-                warm=self.local.is_warm(),
-                broken=outcome is Outcome.BROKEN,
-            )
-        else:
-            self.recorder.record_rejected(submission)
-        if submission.resent and response is not None:
-            self.death_detector.discard(self._fingerprint(submission))
-        if reason == UnavailableReason.TARGET_DOWN:
-            self._on_target_down()
-        succeeded = ran and ok
-        # The slot is free before the report is made, which would count the request otherwise.
-        submission.queue.release(submission, observed=succeeded)
-        self.finish(
-            submission,
-            outcome,
-            reason,
-            response=response,
-            ran=took if succeeded else timedelta(),
-        )
-
     def report_death(self) -> None:
         """Report that the target died, if requests were running at it just before."""
-        death = self.death_detector.detect_death()
+        death = self.executor.death_detector.detect_death()
         if death is not None:
             self.on_death(death)
 
@@ -363,77 +227,6 @@
         self.target_down_until = self.clock.monotonic() + TARGET_DOWN_PAUSE
         self.report_death()
 
-    def _schedule_crash_check(self) -> None:
-        """Check soon whether the target refuses connections, even if no request follows."""
-        if not self.check_scheduled:
-            self.check_scheduled = True
-            self.local.schedule(CRASH_CHECK_DELAY, self._check_for_crash)
-
-    def _check_for_crash(self) -> None:
-        self.check_scheduled = False
-        if self.death_detector.suspects:
-            self.pool.check(self.app, self._on_crash_check)
-
-    def _on_crash_check(self, refused: bool) -> None:
-        if refused:
-            self._on_target_down()
-
-    def _fingerprint(self, submission: Submission) -> int:
-        return request_fingerprint(submission.request, submission.hop_terms.caller)
-
-    def _crash_record(self, submission: Submission, took: timedelta) -> CrashDeath:
-        ended_ms = int(self.clock.now().timestamp() * 1000)
-        announced = self.local.announced
-        return CrashDeath(
-            fingerprint=self._fingerprint(submission),
-            target=submission.target,
-            incarnation=announced.born_ms if announced is not None else 0,
-            started_ms=ended_ms - int(took / MILLISECOND),
-            ended_ms=ended_ms,
-        )
-
-    def _is_stale_connection(
-        self, submission: Submission, result: CallResult, took: timedelta
-    ) -> bool:
-        """Return whether the target may have closed an idle connection before the request arrived.
-
-        It may as well have crashed when it began to run the request.
-        """
-        return (
-            result.failure is CallFailure.CLOSED
-            and result.reused
-            and submission.hop_terms.idempotent
-            and not submission.resent
-            and took < STALE_CONNECTION_MAX_TIME
-        )
-
-    def _classify_result(
-        self, submission: Submission, result: CallResult
-    ) -> tuple[Outcome, str, bool]:
-        """Return the outcome, the reason and whether the request succeeded."""
-        if result.response is None:
-            if not result.sent:
-                # A request that was sent before on another connection may have run.
-                outcome = Outcome.BROKEN if submission.resent else Outcome.REFUSED
-                if result.failure is CallFailure.NO_DESCRIPTOR:
-                    return outcome, UnavailableReason.NO_DESCRIPTOR, False
-                return outcome, UnavailableReason.TARGET_DOWN, False
-            return Outcome.BROKEN, str(result.failure.value), False
-        if result.reused and not result.identified and not submission.hop_terms.idempotent:
-            # It may be a copy of the response to an earlier request on the connection.
-            return Outcome.BROKEN, UNIDENTIFIED, False
-        response_class = self.dialect.classify_response(result.response)
-        if response_class in (ResponseClass.NOT_RUN, ResponseClass.WRONG_TARGET):
-            return Outcome.REJECTED, response_class.value, False
-        return Outcome.ANSWERED, response_class.value, response_class is ResponseClass.SUCCEEDED
-
-    def _record_abandoned(self, submission: Submission) -> None:
-        self.recorder.record_abandoned(
-            submission,
-            expected=submission.queue.times.observed(submission.hop_terms.route),
-            warm=self.local.is_warm(),
-        )
-
     def _make_report(
         self,
         terms: HopTerms,
@@ -496,20 +289,6 @@
         )
 
 
-def _queue_terms(terms: HopTerms, now: timedelta, features: Features | None = None) -> Terms:
-    """Return the terms of a request for the queue of the target.
-
-    :param now: monotonic time at which the request arrived
-    """
-    return Terms(
-        terms.route,
-        terms.urgency,
-        now + terms.objective_ms * MILLISECOND,
-        now + terms.deadline_ms * MILLISECOND,
-        features,
-    )
-
-
 def _ignore_result(_result: HopResult) -> None:
     """Do nothing; replaces a callback that refers to the request and would keep its memory."""
 
--- a/almondshore/mesh/node.py
+++ b/almondshore/mesh/node.py
@@ -383,7 +383,7 @@
         self.settings = settings._replace(**current_addresses)
         self.local.drain = settings.bounds.drain
         self.local.warmup.bound = settings.bounds.warmup
-        self.inbound.app = settings.app
+        self.inbound.executor.app = settings.app
         if self.quota is not None:
             self.quota.apply_bound(settings.bounds.quota)
         self.store.set_address(settings.store)
--- a/almondshore/mesh/outbound.py
+++ b/almondshore/mesh/outbound.py
@@ -30,9 +30,10 @@
     decode_report,
     encode_terms,
 )
-from almondshore.mesh.inbound import Inbound, Submission
+from almondshore.mesh.inbound import Inbound
 from almondshore.mesh.model import Address, MeshConfig, Route, RouteKind, Target
 from almondshore.mesh.overload import OverloadRefusals
+from almondshore.mesh.submission import Submission
 from almondshore.mesh.versions import VersionShares
 from almondshore.placement.evacuation import ZONE_EVACUATED
 from almondshore.quotas.port import Granted, Limited, QuotaClient, UnlimitedQuota
