--- a/soak/faults.py
+++ b/soak/faults.py
@@ -7,8 +7,9 @@
 import eventlet
 
 from soak import restores
-from soak.cluster import CRASH_PATH_PART, Cluster, Host
+from soak.cluster import CRASH_PATH_PART, Cluster
 from soak.faulty_target import Misbehaviour, endless_pieces
+from soak.host import Host
 from soak.proxy import ProxyMode
 
 MIN_FAULT_DURATION_S, MAX_FAULT_DURATION_S = 0.3, 4.0
--- a/soak/main.py
+++ b/soak/main.py
@@ -12,8 +12,9 @@
 
 from almondshore.core.bounded_stream import BoundedStream
 from almondshore.core.logs import setup_logs
-from soak.cluster import Cluster, Host
+from soak.cluster import Cluster
 from soak.faults import FAULTS, FURTHER_FAULTS, Fault
+from soak.host import Host
 
 STDERR = 2
 # More nodes than watch the store in one zone, so that some nodes get changes from other nodes.
