Draw tenants, quotas and evacuations in the soak

Each version of the configuration now has tenants with drawn keys, a quota that callers exceed, public routes and routes that only some versions have. Callers send known, unknown and removed keys, none, and Tenant headers of their own. Two of three runs have a second zone, and evacuate zones. Checked are UNASKED, ROUTE, CONFIG and DENIED, QUOTA in each window, EVAC, 429 below the quota in the quiet phase, and that a zone serves requests after its return. Bounds that hold for nodes in contact are checked with a margin of 0.5 s, as for entries after a restore. take_port holds a UDP port for the listener of quotas.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -11,6 +11,7 @@
 from soak.faulty_target import Misbehaviour, endless_pieces
 from soak.host import Host
 from soak.proxy import ProxyMode
+from soak.tenants import STEADY_KEY
 
 MIN_FAULT_DURATION_S, MAX_FAULT_DURATION_S = 0.3, 4.0
 MAX_DEPARTING_TARGETS = 1
@@ -25,6 +26,8 @@
 MAX_COPY_AGE_S = 6.0
 MAX_AWAY_S = 2.0
 MAX_LARGE_BODY_BYTES = 12 * 1024 * 1024
+# An evacuation must hold 5 s after its acknowledgement; only what is longer can be checked.
+MIN_EVACUATION_S, MAX_EVACUATION_S = 6.5, 9.0
 
 Fault = Callable[[Cluster, Host], None]
 
@@ -106,10 +109,19 @@
 
 
 def change_config(cluster: Cluster, _host: Host) -> None:
-    """Write a new version of the configuration to the store."""
+    """Write a new version of the configuration, with other keys, quotas and routes."""
     cluster.change_config()
 
 
+def evacuate_zone(cluster: Cluster, host: Host) -> None:
+    """Evacuate the zone of a host for a while, unless it is the only zone or one is evacuated."""
+    if len({other.zone for other in cluster.hosts}) < 2 or cluster.evacuations.ordered:
+        return
+    cluster.evacuations.begin(host.zone)
+    eventlet.sleep(cluster.rng.uniform(MIN_EVACUATION_S, MAX_EVACUATION_S))
+    cluster.evacuations.end(host.zone)
+
+
 def drain_target(cluster: Cluster, host: Host) -> None:
     """Replace a target that announces that it drains."""
     _replace_target(cluster, host, drain_first=True)
@@ -160,8 +172,8 @@
 
 def take_port(cluster: Cluster, host: Host) -> None:
     """Kill a node, and hold one of its ports while it starts."""
-    address = host.addresses[cluster.rng.choice(sorted(host.addresses))]
-    host.restart(signal.SIGKILL, held=address, held_s=cluster.rng.uniform(0.5, 2.5))
+    listener = cluster.rng.choice(sorted(host.addresses))
+    host.restart(signal.SIGKILL, held_port=listener, held_s=cluster.rng.uniform(0.5, 2.5))
 
 
 def send_large_bodies(cluster: Cluster, host: Host) -> None:
@@ -182,7 +194,7 @@
         return
     head = (
         f"POST /once/{host.service}/x HTTP/1.1\r\nHost: h.example\r\n"
-        "Transfer-Encoding: chunked\r\n\r\n"
+        f"Authorization: Token {STEADY_KEY}\r\nTransfer-Encoding: chunked\r\n\r\n"
     )
     pieces = endless_pieces(cluster.rng)
     with contextlib.closing(sock), eventlet.Timeout(MAX_FAULT_DURATION_S, False):
@@ -219,3 +231,5 @@
     send_endless_body,
     restore_store,
 )
+# Listed twice, so that most runs draw them.
+TENANT_FAULTS: tuple[Fault, ...] = (change_config, evacuate_zone) * 2
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -22,6 +22,7 @@
     :ivar node: name of the node that the request was sent to
     :ivar caller_service: service that the caller belongs to
     :ivar target_service: service that the request is routed to
+    :ivar is_denial_checked: whether a check of tenants decides if it may get 404
     """
 
     request_id: str
@@ -29,6 +30,7 @@
     caller_service: str
     target_service: str
     idempotent: bool
+    is_denial_checked: bool = False
 
 
 class GuaranteeChecker:
@@ -103,7 +105,7 @@
                 self.violations.append(
                     f"non-idempotent {sent.request_id} was refused with {response.status} but ran"
                 )
-        elif response.status == 404:
+        elif response.status == 404 and not sent.is_denial_checked:
             self.violations.append(
                 f"{sent.request_id} got 404 on a route that is in all configurations"
             )
--- a/soak/host.py
+++ b/soak/host.py
@@ -3,6 +3,7 @@
 import contextlib
 import os
 import signal
+import socket
 import subprocess
 import sys
 from collections.abc import Callable
@@ -28,7 +29,10 @@
     from soak.cluster import Cluster
 
 DRAIN = timedelta(seconds=2)
-BOUNDS = "drain_s=2,grace_s=4,retry_budget_ratio=0.2,budget_window_s=10,budget_min_retries=56"
+BOUNDS = (
+    "drain_s=2,grace_s=4,retry_budget_ratio=0.2,budget_window_s=10,budget_min_retries=56,"
+    "config_apply_s=2.5,contact_s=3,evacuate_s=5,quota_window_s=5,quota_overage=0.1,quota_slack=20"
+)
 HEARTBEAT_INTERVAL_S = 0.5
 RESTART_DELAY_S = 0.3
 CRASH_DOWN_S = 1.5
@@ -37,6 +41,7 @@
 class Host:
     """A node process and its local target, each reached through a fault proxy.
 
+    :param zone: availability zone of the node and the target
     :ivar generation: number of targets that this host had before the present one
     :ivar sequence: number of the last heartbeat of the present target
     :ivar born: start time of the present target in milliseconds, as sent in its heartbeats
@@ -49,10 +54,11 @@
         caused (SIGHUP ends a process that has not installed its handlers yet)
     """
 
-    def __init__(self, *, cluster: "Cluster", name: str, service: str):
+    def __init__(self, *, cluster: "Cluster", name: str, service: str, zone: str):
         self.cluster = cluster
         self.name = name
         self.service = service
+        self.zone = zone
         self.generation = 0
         self.sequence = 0
         self.born = 1000
@@ -77,12 +83,13 @@
 
     def start(self) -> None:
         """Write the settings and start the node process; its output is appended to a log file."""
+        self.cluster.contact.disturb(self.name)
         path = self.cluster.folder / f"{self.name}.yaml"
         listen = "".join(
             f"  {key}: {format_address(value)}\n" for key, value in self.addresses.items()
         )
         path.write_text(
-            f"node: {self.name}\nzone: a\nservice: {self.service}\n"
+            f"node: {self.name}\nzone: {self.zone}\nservice: {self.service}\n"
             f"app: {format_address(self.target_proxy.address)}\nlisten:\n{listen}"
             f"store: {format_address(self.store_proxy.address)}\n"
             f'link_mbps: 100.0\nfirst_start: false\nbounds: "{BOUNDS}"\n'
@@ -105,10 +112,11 @@
         if self.process is not None and self.process.poll() is None:
             os.kill(self.process.pid, number)
 
-    def restart(self, number: int, *, held: Address | None = None, held_s: float = 0.0) -> None:
+    def restart(self, number: int, *, held_port: str = "", held_s: float = 0.0) -> None:
         """Send a signal that ends the node process, wait for its exit and start it again.
 
-        :param held: address that another socket listens on while the process starts
+        :param held_port: listener whose address another socket holds while the process starts,
+            empty for none
         :param held_s: for how long
         """
         self.restarting = True
@@ -116,14 +124,25 @@
         while self.process is not None and self.process.poll() is None:
             eventlet.sleep(0.05)
         eventlet.sleep(RESTART_DELAY_S)
-        if held is None:
+        if not held_port:
             self.start()
         else:
-            with contextlib.closing(eventlet.listen(held)):
+            with contextlib.closing(_bind(held_port, self.addresses[held_port])):
                 self.start()
                 eventlet.sleep(held_s)
         self.restarting = False
 
+    def has_contact(self) -> bool:
+        """Return whether the node process runs with undisturbed links to the store and target."""
+        return (
+            self.process is not None
+            and self.process.poll() is None
+            and not self.restarting
+            and not self.paused
+            and self.store_proxy.mode is ProxyMode.PASS
+            and self.target_proxy.mode is ProxyMode.PASS
+        )
+
     def is_undisturbed(self) -> bool:
         """Return whether the node process runs, reaches the store and has a target that stays."""
         return (
@@ -219,7 +238,7 @@
         """Send the next heartbeat, or the last one once more as if it were late."""
         if not late:
             self.sequence += 1
-        info = {"service": self.service, "version": "v1", "zone": "a", "slots": 4}
+        info = {"service": self.service, "version": "v1", "zone": self.zone, "slots": 4}
         status = {"state": self.state, "sequence": self.sequence, "warmup_left_s": 0}
         body = {
             "address": format_address(self.target_proxy.address),
@@ -238,3 +257,12 @@
         request_id = exchange.request.header(names.REQUEST_ID.lower()) or b""
         headers = ((names.REQUEST_ID, request_id), (names.SIGNATURE, b"s"))
         return Response(200, headers, request_id * 50)
+
+
+def _bind(listener: str, address: Address) -> socket.socket:
+    """Return a socket that holds the address of a listener of a node."""
+    if listener != "quotas":
+        return eventlet.listen(address)
+    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    sock.bind(address)
+    return sock
--- a/soak/main.py
+++ b/soak/main.py
@@ -13,8 +13,9 @@
 from almondshore.core.bounded_stream import BoundedStream
 from almondshore.core.logs import setup_logs
 from soak.cluster import Cluster
-from soak.faults import FAULTS, FURTHER_FAULTS, Fault
+from soak.faults import FAULTS, FURTHER_FAULTS, TENANT_FAULTS, Fault
 from soak.host import Host
+from soak.tenants import ROOMY_KEY, DrawnAccess, RouteAccess
 
 STDERR = 2
 # More nodes than watch the store in one zone, so that some nodes get changes from other nodes.
@@ -25,6 +26,7 @@
 # Time within which every node applies a configuration that the store has accepted.
 MAX_CONFIG_DELAY_S = 2.0
 RECOVERY_REQUESTS = 60
+QUOTA_REQUEST_INTERVAL_S = 0.05
 MIN_FAULT_INTERVAL_S, MAX_FAULT_INTERVAL_S = 0.1, 1.2
 
 
@@ -34,7 +36,7 @@
     folder: Path,
     seconds: float = FAULT_PHASE_S,
     hosts: int = HOST_COUNT,
-    faults: Sequence[Fault] = FAULTS + FURTHER_FAULTS,
+    faults: Sequence[Fault] = FAULTS + FURTHER_FAULTS + TENANT_FAULTS,
 ) -> Cluster:
     """Run the soak with one seed.
 
@@ -49,10 +51,13 @@
         cluster.start_callers()
         _inject_faults(cluster, seconds, faults)
         eventlet.sleep(RECOVERY_PHASE_S)
+        cluster.evacuations.reset_runs()
         served = 0
         for number in range(RECOVERY_REQUESTS):
             served += cluster.send_random_request(cluster.hosts[number % hosts]) == 200
         cluster.checker.check_recovery(served, RECOVERY_REQUESTS)
+        _check_below_quota(cluster)
+        cluster.evacuations.check_returned()
         path = cluster.add_route()
         eventlet.sleep(MAX_CONFIG_DELAY_S)
         for host in cluster.hosts:
@@ -64,6 +69,15 @@
     return cluster
 
 
+def _check_below_quota(cluster: Cluster) -> None:
+    """Send requests of a tenant at a rate far below its quota, and check that none gets 429."""
+    access = DrawnAccess(ROOMY_KEY, RouteAccess.KEYED, "")
+    for number in range(RECOVERY_REQUESTS):
+        host = cluster.hosts[number % len(cluster.hosts)]
+        cluster.quota.check_below_quota(host.name, cluster.send_request(host, access))
+        eventlet.sleep(QUOTA_REQUEST_INTERVAL_S)
+
+
 def _inject_faults(cluster: Cluster, seconds: float, faults: Sequence[Fault]) -> None:
     """Start faults at random intervals; they overlap, but each host has at most one at a time."""
     hosts_with_fault: set[Host] = set()
@@ -86,6 +100,17 @@
     pool.waitall()
 
 
+def _describe_coverage(cluster: Cluster) -> str:
+    """Describe how much the checks of tenants, quotas and evacuations had to decide."""
+    counts = cluster.tenants.counts
+    return (
+        f"zones={len({host.zone for host in cluster.hosts})} "
+        f"versions={len(cluster.history.versions)} changed-allowed={counts['run']} "
+        f"changed-denied={counts['denial']} quota-used={cluster.quota.used_share:.2f} "
+        f"evacuated={cluster.evacuations.held_back_s:.1f}s"
+    )
+
+
 def main() -> int:
     """Run all seeds and print the result counts and the violations of each.
 
@@ -110,7 +135,9 @@
                 f"{key}={count}" for key, count in sorted(cluster.checker.statuses.items())
             )
             print(
-                f"seed {seed}: {len(cluster.checker.violations)} violations; {statuses}", flush=True
+                f"seed {seed}: {len(cluster.checker.violations)} violations; {statuses}; "
+                f"{_describe_coverage(cluster)}",
+                flush=True,
             )
             for line in cluster.checker.violations:
                 print(f"  {line}")
--- a/soak/restores.py
+++ b/soak/restores.py
@@ -28,9 +28,10 @@
     }
     revision = cluster.first_revision if age_s is None else None
     store.restore(seconds=age_s, revision=revision, away=timedelta(seconds=away_s))
+    cluster.on_store_restored()
     era = store.era
     eventlet.spawn_after(
-        away_s + cluster.rng.uniform(0.0, MAX_OPERATOR_DELAY_S), cluster.change_config
+        away_s + cluster.rng.uniform(0.0, MAX_OPERATOR_DELAY_S), cluster.write_again
     )
     ends_at = cluster.clock.monotonic() + timedelta(seconds=away_s + RESTORED_WITHIN_S)
     while cluster.clock.monotonic() < ends_at:
--- a/standins/mesh_platform.py
+++ b/standins/mesh_platform.py
@@ -92,6 +92,17 @@
         """Return an object, None if there is none of this name."""
         return self.objects.get(kind, {}).get(name)
 
+    def remove(self, kind: str, name: str) -> dict[str, Any]:
+        """Remove an object that exists.
+
+        :return: the object as it was
+        """
+        item = self.objects[kind].pop(name)
+        self.revision += 1
+        self.undo_log.append(_Undo(time.monotonic(), self.revision, kind, name, item))
+        self._append_event(kind, item, removed=True)
+        return item
+
     def compact_history(self) -> None:
         """Drop the history and answer all pending watches with 410."""
         self.compacted_revision = self.revision
@@ -135,6 +146,11 @@
             else:
                 self.pending_watches.append(entry)
 
+    def is_reachable(self) -> bool:
+        """Return whether calls are served, and not refused or left unanswered."""
+        away = time.monotonic() < self.away_until
+        return not (away or self.refusal_status or self.drop_write_responses)
+
     def hold_responses(self) -> None:
         """Keep back the responses to all calls from now on."""
         self.held = []
@@ -221,7 +237,7 @@
         if expected and expected != current["metadata"]["revision"]:
             return 409, current
         if method == b"DELETE":
-            return 200, self._remove(kind, name)
+            return 200, self.remove(kind, name)
         if parts[-1] == "status" and len(parts) > 2:
             return 200, self._store(kind, name, current["spec"], request_body.get("status"))
         return 200, self._store(kind, name, request_body.get("spec"), current["status"])
@@ -239,13 +255,6 @@
         self._append_event(kind, item, removed=False)
         return item
 
-    def _remove(self, kind: str, name: str) -> dict[str, Any]:
-        item = self.objects[kind].pop(name)
-        self.revision += 1
-        self.undo_log.append(_Undo(time.monotonic(), self.revision, kind, name, item))
-        self._append_event(kind, item, removed=True)
-        return item
-
     def _append_event(self, kind: str, item: dict[str, Any], *, removed: bool) -> None:
         self.history.append((self.revision, kind, item, removed))
         for entry in [entry for entry in self.pending_watches if entry[1] == kind]:
