Count a link of the soak as disturbed until its endless response ends

The stand-in was at fault: the disturbance outlived the state that the check reads. The fault itself stays as it was. The proxy now reports a link as disturbed until the caller has closed such a connection, and the checks use that in place of the mode.

--- a/soak/host.py
+++ b/soak/host.py
@@ -139,8 +139,8 @@
             and self.process.poll() is None
             and not self.restarting
             and not self.paused
-            and self.store_proxy.mode is ProxyMode.PASS
-            and self.target_proxy.mode is ProxyMode.PASS
+            and self.store_proxy.is_undisturbed()
+            and self.target_proxy.is_undisturbed()
         )
 
     def is_undisturbed(self) -> bool:
@@ -150,7 +150,7 @@
             and self.process.poll() is None
             and not self.restarting
             and not self.paused
-            and self.store_proxy.mode is ProxyMode.PASS
+            and self.store_proxy.is_undisturbed()
             and self.target_proxy.mode is not ProxyMode.CRASHED
             and self.state == "ready"
         )
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -47,6 +47,7 @@
 
     :ivar discard_mode: mode in which data received on this connection is discarded
     :ivar peer: the connection that received data is forwarded to
+    :ivar endless: whether a body without an end was begun on this connection
     """
 
     def __init__(self, *, proxy: "FaultProxy", discard_mode: ProxyMode):
@@ -54,6 +55,7 @@
         self.discard_mode = discard_mode
         self.stream: Stream | None = None
         self.peer: _ProxyConnection | None = None
+        self.endless = False
 
     def on_data(self, data: bytes) -> None:
         mode = self.proxy.mode
@@ -61,6 +63,7 @@
             return
         if mode is ProxyMode.ENDLESS:
             if self.discard_mode is ProxyMode.CUT_REQUESTS:
+                self.endless = True
                 pieces = endless_pieces(self.proxy.rng)
                 eventlet.spawn(send_without_end, self.stream, BODY_START, pieces)
             return
@@ -107,6 +110,16 @@
         if mode in (ProxyMode.RESET, ProxyMode.CRASHED):
             self._close_all()
 
+    def is_undisturbed(self) -> bool:
+        """Return whether data is forwarded, and no response of an earlier mode is in progress.
+
+        A body without an end is sent for seconds after the mode has changed, and holds up its
+        caller until it closes the connection.
+        """
+        return self.mode is ProxyMode.PASS and not any(
+            connection.endless for connection in self.connections
+        )
+
     def close(self) -> None:
         """Stop listening and close all connections."""
         if self.mode is not ProxyMode.CRASHED:
