Tell removed keys from unknown ones in the soak, and measure evacuations checked

A run with a key and a route that no single version allows together was reported as ROUTE, also for nodes out of contact. ROUTE is about keys that were never in any configuration; such a run is now reported as CONFIG, for nodes in contact. The output of a seed states the time, over nodes in contact, in which evacuations had to hold.

--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -251,6 +251,7 @@
         while True:
             self.contact.sample(self.hosts, store_reachable=self.store.is_reachable())
             self.quota.sample()
+            self.evacuations.sample(self.hosts)
             eventlet.sleep(SAMPLE_INTERVAL.total_seconds())
 
     def _make_run_observer(self, host: Host):
--- a/soak/evacuations.py
+++ b/soak/evacuations.py
@@ -1,11 +1,13 @@
 """Evacuations of zones as the operator writes them, and the check that they hold."""
 
 from collections import Counter
+from collections.abc import Iterable
 from datetime import timedelta
 
 from almondshore.core.clock import Clock
 from almondshore.platform import names
 from soak.contact import OBSERVATION_MARGIN, ContactTracker
+from soak.host import Host
 from standins.mesh_platform import StoreStandIn
 
 # The bound `evacuate_s`.
@@ -19,7 +21,7 @@
     :ivar since: time from which the store holds each present evacuation
     :ivar ended: zones whose evacuation the operator has ended
     :ivar runs: number of requests that ran in each zone since the last :meth:`reset_runs`
-    :ivar held_back_s: time in seconds, summed over zones, in which evacuations had to hold
+    :ivar checked_s: seconds, summed over the nodes in contact, in which evacuations had to hold
     """
 
     def __init__(
@@ -38,7 +40,8 @@
         self.since: dict[str, timedelta] = {}
         self.ended: set[str] = set()
         self.runs: Counter[str] = Counter()
-        self.held_back_s = 0.0
+        self.checked_s = 0.0
+        self.sampled_at = clock.monotonic()
 
     def begin(self, zone: str) -> None:
         """Evacuate a zone."""
@@ -66,15 +69,19 @@
         :param node: node beside the target, from which the target gets all requests
         """
         self.runs[zone] += 1
-        since = self.since.get(zone)
-        if since is None or not self.contact.in_contact(node):
-            return
-        delay = self.clock.monotonic() - since
-        if delay > EVACUATE_TIME + OBSERVATION_MARGIN:
+        if self._must_hold(node, zone):
+            delay = self.clock.monotonic() - self.since[zone]
             self.violations.append(
                 f"EVAC: {request_id} reached {target} in zone {zone} {delay} after its evacuation"
             )
 
+    def sample(self, hosts: Iterable[Host]) -> None:
+        """Measure for how long evacuations had to hold; to be called regularly."""
+        now = self.clock.monotonic()
+        count = sum(self._must_hold(host.name, host.zone) for host in hosts)
+        self.checked_s += count * (now - self.sampled_at).total_seconds()
+        self.sampled_at = now
+
     def reset_runs(self) -> None:
         """Count runs from now on."""
         self.runs.clear()
@@ -85,6 +92,12 @@
             if not self.runs[zone]:
                 self.violations.append(f"zone {zone} serves no requests after its evacuation")
 
+    def _must_hold(self, node: str, zone: str) -> bool:
+        since = self.since.get(zone)
+        if since is None or not self.contact.in_contact(node):
+            return False
+        return self.clock.monotonic() - since > EVACUATE_TIME + OBSERVATION_MARGIN
+
     def _write(self) -> None:
         stored = set(self.store.objects.get(names.EVACUATION_KIND, {}))
         for zone in sorted(self.ordered - stored):
@@ -96,8 +109,4 @@
     def _note_stored(self) -> None:
         now = self.clock.monotonic()
         stored = self.store.objects.get(names.EVACUATION_KIND, {})
-        for zone, since in self.since.items():
-            if zone not in stored:
-                held_back = now - since - EVACUATE_TIME
-                self.held_back_s += max(0.0, held_back.total_seconds())
         self.since = {zone: self.since.get(zone, now) for zone in stored}
--- a/soak/main.py
+++ b/soak/main.py
@@ -107,7 +107,7 @@
         f"zones={len({host.zone for host in cluster.hosts})} "
         f"versions={len(cluster.history.versions)} changed-allowed={counts['run']} "
         f"changed-denied={counts['denial']} quota-used={cluster.quota.used_share:.2f} "
-        f"evacuated={cluster.evacuations.held_back_s:.1f}s"
+        f"evacuated={cluster.evacuations.checked_s:.1f}"
     )
 
 
--- a/soak/tenants.py
+++ b/soak/tenants.py
@@ -125,11 +125,11 @@
         self._count("run", request, permitted)
         allowing = [version for version in permitted if _allows(version, request)]
         if not allowing:
-            known = any(_allows(version, request) for version in self.history.all_versions())
-            rule = "CONFIG" if known else "ROUTE"
-            self.violations.append(
-                f"{rule}: {where} ran with key {request.key!r} on a {request.access} route"
-            )
+            what = f"{where} ran with key {request.key!r} on a {request.access} route"
+            if not any(request.key in version.holders for version in self.history.all_versions()):
+                self.violations.append(f"ROUTE: {what}")
+            elif self.contact.in_contact_since(request.node, request.sent_at):
+                self.violations.append(f"CONFIG: {what}")
             return
         expected = {version.holders.get(request.key, "") for version in allowing}
         if len(tenants) > 1 or "".join(tenants) not in expected:
