--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -1,249 +1,39 @@
-"""Node processes on loopback, with a stand-in store and targets, fault proxies and callers."""
+"""Hosts with node processes, the stand-in store that they share, and callers."""
 
-import contextlib
-import os
 import random
-import signal
-import subprocess
-import sys
-from collections.abc import Callable
 from datetime import timedelta
 from pathlib import Path
 
 import eventlet
-import msgspec
 from eventlet.event import Event
 
 from almondshore.core.clock import BootClock
 from almondshore.http.client import Address, CallResult, ConnectionPool
-from almondshore.http.messages import Response, encode_request
+from almondshore.http.messages import Request, encode_request
 from almondshore.http.server import Exchange
 from almondshore.platform import names
-from soak.faulty_target import FaultyTarget
+from soak import tenants
+from soak.config_history import NO_CONFIG, ConfigHistory
+from soak.contact import SAMPLE_INTERVAL, ContactTracker
+from soak.evacuations import Evacuations
 from soak.guarantees import GuaranteeChecker, SentRequest
-from soak.log_reader import LogReader
-from soak.proxy import FaultProxy, ProxyMode
-from standins.addresses import format_address
-from standins.mesh_deployment import listen_addresses, stored_config
+from soak.host import DRAIN, Host
+from soak.quotas import QuotaChecker
+from soak.tenants import DrawnAccess, RouteAccess, TenantChecker, TenantRequest
+from standins.mesh_deployment import stored_config
 from standins.mesh_platform import StoreStandIn, serve
 
-DRAIN = timedelta(seconds=2)
-BOUNDS = "drain_s=2,grace_s=4,retry_budget_ratio=0.2,budget_window_s=10,budget_min_retries=56"
-HEARTBEAT_INTERVAL_S = 0.5
 CALL_TIMEOUT = timedelta(seconds=3)
 SERVICES = ("alpha", "beta")
 REQUEST_INTERVAL_S = 0.04
-RESTART_DELAY_S = 0.3
+# Share of the requests whose key, route and `Tenant` header are drawn.
+TENANT_REQUEST_SHARE = 0.4
+# Hosts in the second zone, if any. In the first zone, some nodes get changes from other nodes where
+# it has more than four.
+SECOND_ZONE_SIZES = (0, 2, 3)
 MAX_BODY_BYTES = 64 * 1024 * 1024
 # A request with this in its path crashes each target that runs it.
 CRASH_PATH_PART = "crash"
-CRASH_DOWN_S = 1.5
-
-
-class Host:
-    """A node process and its local target, each reached through a fault proxy.
-
-    :ivar generation: number of targets that this host had before the present one
-    :ivar sequence: number of the last heartbeat of the present target
-    :ivar born: start time of the present target in milliseconds, as sent in its heartbeats
-    :ivar state: state in the heartbeats; no heartbeats are sent while it is empty
-    :ivar log_reader: reads the output of the process
-    :ivar peak_mb: largest resident memory of its processes so far
-    :ivar restarting: whether the soak itself is restarting the process
-    :ivar paused: whether the process is suspended
-    :ivar unexpected_exits: status of each exit of the node process that no signal from the soak
-        caused (SIGHUP ends a process that has not installed its handlers yet)
-    """
-
-    def __init__(self, *, cluster: "Cluster", name: str, service: str):
-        self.cluster = cluster
-        self.name = name
-        self.service = service
-        self.generation = 0
-        self.sequence = 0
-        self.born = 1000
-        self.state = "ready"
-        self.target_standin = FaultyTarget(target=self.target_id(), rng=cluster.rng)
-        self.target_standin.make_response = self._make_response
-        self.server = serve(cluster.clock, self.target_standin)
-        self.target_proxy = FaultProxy(destination=self.server.address(), rng=cluster.rng)
-        self.store_proxy = FaultProxy(destination=cluster.store_server.address(), rng=cluster.rng)
-        self.addresses = listen_addresses()
-        self.process: subprocess.Popen | None = None
-        self.log_reader: LogReader | None = None
-        self.peak_mb = 0.0
-        self.restarting = False
-        self.paused = False
-        self.unexpected_exits: list[int] = []
-        self.heartbeat_task = eventlet.spawn(self._heartbeat_loop)
-
-    def target_id(self) -> str:
-        """Return the identity of the present target; each replacement has a new one."""
-        return f"i-{self.name}-{self.generation}"
-
-    def start(self) -> None:
-        """Write the settings and start the node process; its output is appended to a log file."""
-        path = self.cluster.folder / f"{self.name}.yaml"
-        listen = "".join(
-            f"  {key}: {format_address(value)}\n" for key, value in self.addresses.items()
-        )
-        path.write_text(
-            f"node: {self.name}\nzone: a\nservice: {self.service}\n"
-            f"app: {format_address(self.target_proxy.address)}\nlisten:\n{listen}"
-            f"store: {format_address(self.store_proxy.address)}\n"
-            f'link_mbps: 100.0\nfirst_start: false\nbounds: "{BOUNDS}"\n'
-        )
-        self.log_reader = LogReader(path=self.cluster.folder / f"{self.name}.log")
-        self.process = subprocess.Popen(
-            [sys.executable, "-W", "ignore", "-m", "almondshore.platform.main"],
-            env={**os.environ, "ALMONDSHORE_SETTINGS": str(path)},
-            stdout=self.log_reader.write_end,
-            stderr=subprocess.STDOUT,
-            # A process that is paused ends by SIGHUP if the shell that started the soak ends.
-            start_new_session=True,
-        )
-        self.log_reader.start()
-
-    def signal(self, number: int) -> None:
-        """Send a signal to the node process if it is still running."""
-        if number in (signal.SIGSTOP, signal.SIGCONT):
-            self.paused = number == signal.SIGSTOP
-        if self.process is not None and self.process.poll() is None:
-            os.kill(self.process.pid, number)
-
-    def restart(self, number: int, *, held: Address | None = None, held_s: float = 0.0) -> None:
-        """Send a signal that ends the node process, wait for its exit and start it again.
-
-        :param held: address that another socket listens on while the process starts
-        :param held_s: for how long
-        """
-        self.restarting = True
-        self.signal(number)
-        while self.process is not None and self.process.poll() is None:
-            eventlet.sleep(0.05)
-        eventlet.sleep(RESTART_DELAY_S)
-        if held is None:
-            self.start()
-        else:
-            with contextlib.closing(eventlet.listen(held)):
-                self.start()
-                eventlet.sleep(held_s)
-        self.restarting = False
-
-    def is_undisturbed(self) -> bool:
-        """Return whether the node process runs, reaches the store and has a target that stays."""
-        return (
-            self.process is not None
-            and self.process.poll() is None
-            and not self.restarting
-            and not self.paused
-            and self.store_proxy.mode is ProxyMode.PASS
-            and self.target_proxy.mode is not ProxyMode.CRASHED
-            and self.state == "ready"
-        )
-
-    def supervise(self) -> None:
-        """Restart the node process if it exited by itself, as the platform does."""
-        self.peak_memory_mb()
-        if self.process is None or self.process.poll() is None or self.restarting:
-            return
-        if self.process.returncode != -signal.SIGHUP:
-            self.unexpected_exits.append(self.process.returncode)
-        self.start()
-
-    def peak_memory_mb(self) -> float:
-        """Return the largest resident memory that a node process of this host has had."""
-        try:
-            status = Path(f"/proc/{self.process.pid}/status").read_text()
-        except OSError:
-            # The process has ended.
-            return self.peak_mb
-        for line in status.splitlines():
-            if line.startswith("VmHWM:"):
-                self.peak_mb = max(self.peak_mb, int(line.split()[1]) / 1024)
-        return self.peak_mb
-
-    def crash_target(self) -> None:
-        """End the target without notice, and start it again after a while."""
-        if self.target_proxy.mode is ProxyMode.CRASHED:
-            return
-        self.target_proxy.set_mode(ProxyMode.CRASHED)
-        eventlet.sleep(CRASH_DOWN_S)
-        self.target_proxy.set_mode(ProxyMode.PASS)
-        self.born += 1
-        self.sequence = 0
-
-    def replace_target(
-        self, *, drain_first: bool, during: Callable[[], None] | None = None
-    ) -> None:
-        """Drain or deregister the target, and start its replacement after two drain periods.
-
-        :param drain_first: announce a drain; otherwise deregister without one
-        :param during: called once the departure was announced; a late heartbeat follows it
-        """
-        target_id, born = self.target_id(), self.born
-        if drain_first:
-            self.state = "draining"
-            if self._send_heartbeat() == 200:
-                self.cluster.checker.on_departure_acknowledged(target_id)
-        else:
-            self.state = ""
-            path = f"{names.DEREGISTER_PATH}{target_id}"
-            if self._post(path, {"born": born}) == 200:
-                self.cluster.checker.on_departure_acknowledged(target_id)
-        if during is not None:
-            during()
-            self.state = "ready"
-            self._send_heartbeat(late=True)
-            self.state = ""
-        eventlet.sleep(DRAIN.total_seconds() * 2)
-        self.generation += 1
-        self.born += 1_000_000
-        self.target_standin.target = self.target_id()
-        self.sequence = 0
-        self.state = "ready"
-
-    def stop(self) -> None:
-        """Kill the node process and close the target and the proxies."""
-        self.heartbeat_task.kill()
-        self.signal(signal.SIGCONT)
-        self.signal(signal.SIGKILL)
-        if self.process is not None:
-            self.process.wait()
-            self.log_reader.close()
-        for component in (self.target_proxy, self.store_proxy, self.server):
-            component.close()
-
-    def _heartbeat_loop(self) -> None:
-        while True:
-            eventlet.sleep(HEARTBEAT_INTERVAL_S)
-            self.supervise()
-            if self.state:
-                self._send_heartbeat()
-
-    def _send_heartbeat(self, *, late: bool = False) -> int | None:
-        """Send the next heartbeat, or the last one once more as if it were late."""
-        if not late:
-            self.sequence += 1
-        info = {"service": self.service, "version": "v1", "zone": "a", "slots": 4}
-        status = {"state": self.state, "sequence": self.sequence, "warmup_left_s": 0}
-        body = {
-            "address": format_address(self.target_proxy.address),
-            "info": info,
-            "status": status,
-        }
-        return self._post(f"{names.HEARTBEAT_PATH}{self.target_id()}", {**body, "born": self.born})
-
-    def _post(self, path: str, body: dict) -> int | None:
-        headers = ((b"Host", b"h"),)
-        data = encode_request(b"POST", path.encode(), headers, msgspec.json.encode(body))
-        response = self.cluster.call(self.addresses["control"], data).response
-        return response.status if response is not None else None
-
-    def _make_response(self, exchange: Exchange) -> Response:
-        request_id = exchange.request.header(names.REQUEST_ID.lower()) or b""
-        headers = ((names.REQUEST_ID, request_id), (names.SIGNATURE, b"s"))
-        return Response(200, headers, request_id * 50)
 
 
 class Cluster:
@@ -254,6 +44,11 @@
     :ivar first_revision: revision of the store before any node wrote to it
     :ivar restored_entries: number of entries that were checked after a restore of the store
     :ivar version: version of the last configuration that was written
+    :ivar contact: tells which nodes the rules for nodes in contact apply to
+    :ivar history: versions of the configuration that the store has held
+    :ivar tenants: checks of keys and tenants
+    :ivar quota: check of the tenant that exceeds its quota
+    :ivar evacuations: evacuations of zones and their check
     """
 
     def __init__(self, *, folder: Path, hosts: int, seed: int):
@@ -267,10 +62,17 @@
         self.store_faults = 0
         self.restored_entries = 0
         self.version = 1
+        self._make_checkers([f"n{number}" for number in range(hosts)])
         self.change_config()
         self.first_revision = self.store.revision
+        second_zone = self.rng.choice(SECOND_ZONE_SIZES)
         self.hosts = [
-            Host(cluster=self, name=f"n{number}", service=SERVICES[number % len(SERVICES)])
+            Host(
+                cluster=self,
+                name=f"n{number}",
+                service=SERVICES[number % len(SERVICES)],
+                zone="a" if number < hosts - second_zone else "b",
+            )
             for number in range(hosts)
         ]
         self.request_count = 0
@@ -278,6 +80,21 @@
         for host in self.hosts:
             host.target_standin.on_run = self._make_run_observer(host)
             host.start()
+        self.sampler = eventlet.spawn(self._run_sampler)
+
+    def _make_checkers(self, nodes: list[str]) -> None:
+        violations = self.checker.violations
+        self.contact = ContactTracker(clock=self.clock)
+        self.history = ConfigHistory(clock=self.clock)
+        self.tenants = TenantChecker(
+            clock=self.clock, history=self.history, contact=self.contact, violations=violations
+        )
+        self.quota = QuotaChecker(
+            clock=self.clock, contact=self.contact, nodes=nodes, violations=violations
+        )
+        self.evacuations = Evacuations(
+            clock=self.clock, store=self.store, contact=self.contact, violations=violations
+        )
 
     def add_route(self) -> str:
         """Write a configuration with an additional route.
@@ -294,7 +111,9 @@
         :param route_prefix: path prefix of an additional route, empty for none
         """
         self.version += self.rng.randrange(1, 4)
+        version = tenants.draw_version(self.rng, self.version)
         config = stored_config(self.version, SERVICES)
+        config["tenants"] = tenants.tenant_documents(version)
         config["limits"] = {**config["limits"], "max_body_bytes": MAX_BODY_BYTES}
         if route_prefix:
             config["routes"]["added"] = {
@@ -302,9 +121,30 @@
                 "path_prefix": route_prefix,
             }
         for name in SERVICES:
-            once = {**config["routes"][f"r-{name}"], "route_type": "non_idempotent"}
-            config["routes"][f"once-{name}"] = {**once, "path_prefix": f"/once/{name}/"}
+            route = config["routes"][f"r-{name}"]
+            once = {"route_type": "non_idempotent", "path_prefix": f"/once/{name}/"}
+            config["routes"][f"once-{name}"] = {**route, **once}
+            public = {"public": True, "path_prefix": f"/public/{name}/"}
+            config["routes"][f"public-{name}"] = {**route, **public}
+            if version.has_extra_route:
+                config["routes"][f"extra-{name}"] = {**route, "path_prefix": f"/extra/{name}/"}
         self.store.put(names.CONFIG_KIND, names.CONFIG_NAME, config)
+        self.history.on_written(version)
+        self.quota.on_written(version.quota)
+
+    def write_again(self) -> None:
+        """Write what the operator wrote once more, after the store was restored."""
+        self.change_config()
+        self.evacuations.write_again()
+
+    def on_store_restored(self) -> None:
+        """Tell the checks what the store holds after a restore."""
+        config = self.store.get(names.CONFIG_KIND, names.CONFIG_NAME)
+        number = int(config["spec"]["version"], 16) if config is not None else NO_CONFIG
+        version = self.history.versions.get(number)
+        self.history.on_restored(number)
+        self.quota.on_restored(version.quota if version is not None else None)
+        self.evacuations.on_restored()
 
     def call(self, address: Address, data: bytes) -> CallResult:
         """Send an encoded request and wait for its result, at most ``CALL_TIMEOUT``."""
@@ -315,19 +155,40 @@
     def send_random_request(self, host: Host, body: bytes = b"") -> int | None:
         """Send an idempotent or non-idempotent request to a random service and check its result.
 
+        :param body: body of the request
+        :return: status of the response, None if there was none
+        """
+        access = DrawnAccess(tenants.STEADY_KEY, RouteAccess.KEYED, "")
+        return self.send_request(host, access, body)
+
+    def send_request(self, host: Host, access: DrawnAccess, body: bytes = b"") -> int | None:
+        """Send a request to a random service, non-idempotent only on a keyed route, and check it.
+
+        :param access: key, kind of route and `Tenant` header
         :param body: body of the request
         :return: status of the response, None if there was none
         """
         self.request_count += 1
         service = self.rng.choice(SERVICES)
-        idempotent = self.rng.random() < 0.5
-        sent = SentRequest(f"q{self.request_count}", host.name, host.service, service, idempotent)
+        idempotent = access.access is not RouteAccess.KEYED or self.rng.random() < 0.5
+        sent = SentRequest(
+            f"q{self.request_count}",
+            host.name,
+            host.service,
+            service,
+            idempotent,
+            is_denial_checked=access.access is RouteAccess.EXTRA,
+        )
         self.checker.sent[sent.request_id] = sent
-        path = f"/{service}/x" if idempotent else f"/once/{service}/x"
+        prefix = "" if access.access is RouteAccess.KEYED else f"/{access.access}"
+        path = f"{prefix}/{service}/x" if idempotent else f"/once/{service}/x"
         method = b"GET" if idempotent else b"POST"
-        result = self._send_request(host, method, path, sent.request_id, body)
+        result = self._send(host, method, path, sent.request_id, access, body)
         self.checker.on_result(sent, result)
-        return result.response.status if result.response is not None else None
+        if result.response is None:
+            return None
+        self.tenants.on_result(sent.request_id, result.response.status)
+        return result.response.status
 
     def probe_route(self, host: Host, path: str, service: str = SERVICES[0]) -> int | None:
         """Send an idempotent request for a path of a service, without checking its result.
@@ -337,16 +198,30 @@
         self.request_count += 1
         sent = SentRequest(f"q{self.request_count}", host.name, host.service, service, True)
         self.checker.sent[sent.request_id] = sent
-        response = self._send_request(host, b"GET", path, sent.request_id).response
+        access = DrawnAccess(tenants.STEADY_KEY, RouteAccess.KEYED, "")
+        response = self._send(host, b"GET", path, sent.request_id, access).response
         return response.status if response is not None else None
 
-    def _send_request(
-        self, host: Host, method: bytes, path: str, request_id: str, body: bytes = b""
+    def _send(
+        self,
+        host: Host,
+        method: bytes,
+        path: str,
+        request_id: str,
+        access: DrawnAccess,
+        body: bytes = b"",
     ) -> CallResult:
-        headers = (
+        headers = [
             (b"Host", b"h.example"),
             (names.REQUEST_ID, request_id.encode()),
             (names.TIME_LEFT, b"1500"),
+        ]
+        if access.key:
+            headers.append((names.KEY, b"Token " + access.key.encode()))
+        if access.tenant_header:
+            headers.append((names.TENANT, access.tenant_header.encode()))
+        self.tenants.requests[request_id] = TenantRequest(
+            host.name, access.key, access.access, self.clock.monotonic()
         )
         data = encode_request(method, path.encode(), headers, body)
         return self.call(host.addresses["outbound"], data)
@@ -362,6 +237,7 @@
 
     def close(self) -> None:
         """Stop the callers and hosts, and close the store."""
+        self.sampler.kill()
         self.stop_callers()
         for host in self.hosts:
             host.stop()
@@ -371,15 +247,37 @@
         pool = eventlet.GreenPool(50)
         while True:
             eventlet.sleep(REQUEST_INTERVAL_S)
-            pool.spawn_n(self.send_random_request, host)
+            if self.rng.random() < TENANT_REQUEST_SHARE:
+                pool.spawn_n(self.send_request, host, tenants.draw_access(self.rng))
+            else:
+                pool.spawn_n(self.send_random_request, host)
+
+    def _run_sampler(self) -> None:
+        while True:
+            self.contact.sample(self.hosts, store_reachable=self.store.is_reachable())
+            self.quota.sample()
+            self.evacuations.sample(self.hosts)
+            eventlet.sleep(SAMPLE_INTERVAL.total_seconds())
 
     def _make_run_observer(self, host: Host):
         def on_run(exchange: Exchange) -> None:
             request = exchange.request
             request_id = (request.header(names.REQUEST_ID.lower()) or b"").decode()
             caller = (request.header(names.CALLER.lower()) or b"").decode()
-            self.checker.on_run(host.target_id(), host.service, request_id, caller)
+            target = host.target_id()
+            self.checker.on_run(target, host.service, request_id, caller)
+            self._check_run(host, target, request_id, request)
             if CRASH_PATH_PART.encode() in request.target:
                 eventlet.spawn(host.crash_target)
 
         return on_run
+
+    def _check_run(self, host: Host, target: str, request_id: str, request: Request) -> None:
+        def values(name: bytes) -> list[str]:
+            return [value.decode() for key, value in request.headers if key.lower() == name.lower()]
+
+        self.tenants.on_run(target, request_id, values(names.TENANT), values(names.KEY))
+        self.evacuations.on_run(host.name, host.zone, target, request_id)
+        sent = self.tenants.requests.get(request_id)
+        if sent is not None and sent.key == tenants.TIGHT_KEY:
+            self.quota.on_run(request_id, sent.sent_at)
