Wait longer for the first request of a connection at a planned stop

Cause: at the end of a stop, connections without a request for 100 ms are closed.

Change: a connection without a response so far may wait 500 ms, as far as the grace period allows.

Result: test_first_request_at_the_end_of_a_stop_may_take_its_time fails before (closed without a response) and passes now.

--- a/almondshore/http/connection.py
+++ b/almondshore/http/connection.py
@@ -37,6 +37,9 @@
 # A client may be sending a request on a connection that was opened or used within this time; it
 # would cross the end of the connection.
 REQUEST_UNDER_WAY = timedelta(milliseconds=100)
+# The same for the first request of a connection, which its client has opened to send one: on a busy
+# machine 100 ms have passed between the two.
+FIRST_REQUEST_UNDER_WAY = timedelta(milliseconds=500)
 STATUS_UNAVAILABLE = 503
 # When a client may send a message again that could not be held: most are answered within a second.
 RETRY_AFTER_S = b"1"
@@ -49,6 +52,7 @@
     :ivar pending: exchanges whose response is not sent yet, in the order of their requests
     :ivar pending_bytes: memory of these exchanges, as of the last count
     :ivar unparsed: received bytes that are parsed once earlier requests have been handled
+    :ivar responded: whether a response was sent
     :ivar last_active_at: monotonic time of the last response or of the first byte of a request
     :ivar last_read_at: monotonic time of the last read
     :ivar progress_at: monotonic time at which the client last sent or read, to within a sweep
@@ -63,7 +67,7 @@
         self.pending: deque[Exchange] = deque()
         self.pending_bytes = 0
         self.unparsed = b""
-        self.scheduled = self.dispatching = False
+        self.scheduled = self.dispatching = self.responded = False
         self.last_active_at = self.last_read_at = self.progress_at = server.clock.monotonic()
         self.swept_unsent = 0
         self.closing = False
@@ -133,6 +137,7 @@
         self._count_held()
         if not responded:
             return
+        self.responded = True
         self.last_active_at = self.server.clock.monotonic()
         if self.closing:
             if not self.stream.unsent:
@@ -161,9 +166,15 @@
         elif idle > limits.idle_timeout:
             self._close()
 
-    def close_idle(self, now: timedelta) -> None:
-        """Close the connection if no request is in progress on it, nor likely to be under way."""
-        if now - self.last_active_at >= REQUEST_UNDER_WAY and self._is_idle():
+    def close_idle(
+        self, now: timedelta, *, first_request: timedelta = FIRST_REQUEST_UNDER_WAY
+    ) -> None:
+        """Close the connection if no request is in progress on it, nor likely to be under way.
+
+        :param first_request: how long the first request may be under way
+        """
+        under_way = REQUEST_UNDER_WAY if self.responded else first_request
+        if now - self.last_active_at >= under_way and self._is_idle():
             self.stream.read_pending()
             if self._is_idle():
                 self._close()
@@ -212,7 +223,7 @@
             self._reject(ParseError("too many connections", status=STATUS_UNAVAILABLE), now)
             self._close()
             return True
-        self.close_idle(now)
+        self.close_idle(now, first_request=REQUEST_UNDER_WAY)
         return self.stream.closed
 
     def _parse(self, data: bytes | memoryview) -> None:
--- a/almondshore/mesh/listeners.py
+++ b/almondshore/mesh/listeners.py
@@ -18,8 +18,10 @@
 DEFAULT_LIMITS = ServerLimits(
     RequestLimits(64 * 1024, 64 * 1024 * 1024), timedelta(seconds=10), timedelta(seconds=60)
 )
-# Time limit for refusing the requests that arrive while the process is about to exit.
-LAST_RESPONSES_TIMEOUT = timedelta(milliseconds=200)
+# Time limits for refusing the requests that arrive while the process is about to exit: in any case,
+# and as far as the grace period allows. A connection waits up to 500 ms for its first request.
+MIN_LAST_RESPONSES_TIMEOUT = timedelta(milliseconds=200)
+MAX_LAST_RESPONSES_TIMEOUT = timedelta(milliseconds=600)
 CLOSE_POLL_INTERVAL_S = 0.05
 LISTEN_RETRY_INTERVAL_S = 0.1
 
@@ -107,13 +109,16 @@
         """Return whether a response has not been sent completely."""
         return any(server.has_unsent() for server in self.servers)
 
-    def finish(self) -> None:
+    def finish(self, time_left: timedelta) -> None:
         """Stop accepting connections, and answer the requests that have arrived on open ones.
 
         The kernel keeps accepting connections and requests while the process exits, and resets
         them when it ends.
+
+        :param time_left: time until the process is killed
         """
-        ends_at = self.clock.monotonic() + LAST_RESPONSES_TIMEOUT
+        timeout = min(MAX_LAST_RESPONSES_TIMEOUT, max(MIN_LAST_RESPONSES_TIMEOUT, time_left / 2))
+        ends_at = self.clock.monotonic() + timeout
         for server in self.servers:
             server.stop_accepting()
         while self.clock.monotonic() < ends_at:
--- a/almondshore/mesh/node.py
+++ b/almondshore/mesh/node.py
@@ -163,7 +163,8 @@
         with eventlet.Timeout(WITHDRAW_TIMEOUT.total_seconds(), False):
             if self._has_target_ended():
                 self.publisher.withdraw()
-        self.listeners.finish()
+        stopped_for = self.clock.monotonic() - (self.stopping_since or self.clock.monotonic())
+        self.listeners.finish(self.settings.bounds.grace - stopped_for)
         log_event(
             "node_stopped",
             node=self.settings.node,
--- a/test/mesh/test_node.py
+++ b/test/mesh/test_node.py
@@ -290,6 +290,31 @@
                 client.wait()
         self.assertEqual({b"HTTP/1.1 200", b"HTTP/1.1 503"}, set(ends))
 
+    def test_first_request_at_the_end_of_a_stop_may_take_its_time(self):
+        """Guards against new connections that are closed although a request is about to arrive.
+
+        On a busy machine a client took more than 100 ms from its connection to its request.
+        """
+        node = self.mesh.nodes["n1"]
+        ends = []
+
+        def send_late(sock):
+            eventlet.sleep(0.25)
+            sock.sendall(encode_request(b"GET", b"/s/x", ((b"Host", b"h.example"),), b""))
+            ends.append(sock.recv(12))
+            sock.close()
+
+        node.stop()
+        with mock.patch.object(node, "_may_exit", return_value=True):
+            sock = eventlet.connect(node.settings.outbound)
+            client = eventlet.spawn(send_late, sock)
+            with eventlet.Timeout(8):
+                node.run_until_stopped()
+                client.wait()
+                for server in node.servers:
+                    self.assertEqual(set(), server.connections)
+        self.assertIn(ends, ([b"HTTP/1.1 200"], [b"HTTP/1.1 503"]))
+
     def test_housekeeping_goes_on_after_an_error(self):
         """Guards against a node that writes no log and ends no drain after one error."""
         node = self.mesh.nodes["n1"]
