Choose among targets whose service times round to zero

For a route that takes less than a millisecond, ZeroDivisionError closed the caller's connection with all requests on it.

Change: without a mean service time all targets count as equally fast.

Result: test_service_times_below_a_millisecond fails before and passes now.

--- a/almondshore/routing/reported.py
+++ b/almondshore/routing/reported.py
@@ -133,7 +133,9 @@
         service_s = self._service_s(route, means, now_s)
         usual_mix_s = service_s
         if means.mix_s is not None:
-            usual_mix_s = means.mix_s * service_s / means.service_s
+            # Reports are in whole milliseconds, so that the mean of a fast route is 0.
+            speed = service_s / means.service_s if means.service_s > 0.0 else 1.0
+            usual_mix_s = means.mix_s * speed
         others = means.others_per_slot[target.zone] * max(1, target.slots)
         own = self.own_requests + max(0.0, self.since_cost - self.since_report)
         report = self.report
--- a/test/routing/test_completion.py
+++ b/test/routing/test_completion.py
@@ -153,6 +153,16 @@
         self.assertEqual({"slow"}, set(self.count(targets, features=cheap)))
         self.assertEqual({"fast"}, set(self.count(targets, features=expensive)))
 
+    def test_service_times_below_a_millisecond(self):
+        """Guards against an exception, which cuts the caller's connection, for a fast route.
+
+        Nodes report service times in whole milliseconds, and those of fast routes as 0.
+        """
+        for name in ("fast", "slow"):
+            self.receive_report(name, ms=0, running=2, waiting=1, work=300)
+        self.receive_report("slow", ms=5, running=2, waiting=1, work=300)
+        self.assertEqual({"fast", "slow"}, set(self.count([target("fast"), target("slow")])))
+
     def test_large_request_bodies_use_wide_links_and_stay_on_the_host(self):
         """Guards against uploads that cross narrow links though there is a target on the host."""
         self.chooser.node, self.chooser.link_mbps = ("own", 1), 5.0
