Report exceptions in the handlers of connections in the soak

The soak found nothing when an exception in a handler closed the connection of a caller: such an end is allowed for a single request.

--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -13,6 +13,8 @@
 NOT_EXECUTED_STATUSES = frozenset((408, 421, 429, 503))
 # Memory of the smaller of the users' machines.
 MAX_MEMORY_MB = 150
+# Written when the handler of a stream raises an exception.
+INTERNAL_ERROR_EVENT = "event=stream_handler_failed"
 MIN_SERVED_SHARE = 0.9
 
 
@@ -141,6 +143,15 @@
         if statuses:
             self.violations.append(f"the process of {node} ended by itself, statuses {statuses}")
 
+    def check_log(self, node: str, output: str) -> None:
+        """Check that no exception was left to end a connection, which cuts its requests off.
+
+        :param output: what the processes of the node wrote
+        """
+        lines = [line for line in output.splitlines() if INTERNAL_ERROR_EVENT in line]
+        if lines:
+            self.violations.append(f"{len(lines)} internal errors of {node}, the first: {lines[0]}")
+
     def check_memory(self, node: str, peak_mb: float) -> None:
         """Check that no node process has exceeded the memory of a small machine.
 
--- a/soak/host.py
+++ b/soak/host.py
@@ -105,6 +105,11 @@
         )
         self.log_reader.start()
 
+    def output(self) -> str:
+        """Return what the processes of this host wrote so far."""
+        path = self.log_reader.path
+        return path.read_text(errors="replace") if path.exists() else ""
+
     def signal(self, number: int) -> None:
         """Send a signal to the node process if it is still running."""
         if number in (signal.SIGSTOP, signal.SIGCONT):
--- a/soak/main.py
+++ b/soak/main.py
@@ -62,6 +62,7 @@
         eventlet.sleep(MAX_CONFIG_DELAY_S)
         for host in cluster.hosts:
             cluster.checker.check_exits(host.name, host.unexpected_exits)
+            cluster.checker.check_log(host.name, host.output())
             cluster.checker.check_memory(host.name, host.peak_memory_mb())
             cluster.checker.check_config_applied(host.name, path, cluster.probe_route(host, path))
     finally:
--- a/test/soak/test_guarantees.py
+++ b/test/soak/test_guarantees.py
@@ -34,6 +34,7 @@
         self.record_response(502)
         self.checker.check_recovery(60, 60)
         self.checker.check_restored("n1", "t1", {"spec": {}})
+        self.checker.check_log("n1", "time=0 event=node_started node=n1")
         self.assertEqual([], self.checker.violations)
 
     def test_each_violation_is_reported(self):
@@ -46,6 +47,7 @@
             lambda: self.record_response(404),
             lambda: self.checker.check_recovery(30, 60),
             lambda: self.checker.check_exits("n1", [1]),
+            lambda: self.checker.check_log("n1", "time=0 event=stream_handler_failed error=x"),
             lambda: self.checker.check_memory("n1", 151.0),
             lambda: self.checker.check_config_applied("n1", "/added", 404),
             lambda: self.checker.check_restored("n1", "t1", None),
