Give tests a public way to send through the cluster of the soak

Change: Cluster.send takes the key of a tenant that every version allows by default; the test uses it. Its checks are unchanged.

--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -32,6 +32,8 @@
 # it has more than four.
 SECOND_ZONE_SIZES = (0, 2, 3)
 MAX_BODY_BYTES = 64 * 1024 * 1024
+# What a request carries that every version of the configuration allows.
+STEADY_ACCESS = DrawnAccess(tenants.STEADY_KEY, RouteAccess.KEYED, "")
 # A request with this in its path crashes each target that runs it.
 CRASH_PATH_PART = "crash"
 
@@ -158,7 +160,7 @@
         :param body: body of the request
         :return: status of the response, None if there was none
         """
-        access = DrawnAccess(tenants.STEADY_KEY, RouteAccess.KEYED, "")
+        access = STEADY_ACCESS
         return self.send_request(host, access, body)
 
     def send_request(self, host: Host, access: DrawnAccess, body: bytes = b"") -> int | None:
@@ -183,7 +185,7 @@
         prefix = "" if access.access is RouteAccess.KEYED else f"/{access.access}"
         path = f"{prefix}/{service}/x" if idempotent else f"/once/{service}/x"
         method = b"GET" if idempotent else b"POST"
-        result = self._send(host, method, path, sent.request_id, access, body)
+        result = self.send(host, method, path, sent.request_id, access, body)
         self.checker.on_result(sent, result)
         if result.response is None:
             return None
@@ -198,19 +200,19 @@
         self.request_count += 1
         sent = SentRequest(f"q{self.request_count}", host.name, host.service, service, True)
         self.checker.sent[sent.request_id] = sent
-        access = DrawnAccess(tenants.STEADY_KEY, RouteAccess.KEYED, "")
-        response = self._send(host, b"GET", path, sent.request_id, access).response
+        response = self.send(host, b"GET", path, sent.request_id).response
         return response.status if response is not None else None
 
-    def _send(
+    def send(
         self,
         host: Host,
         method: bytes,
         path: str,
         request_id: str,
-        access: DrawnAccess,
+        access: DrawnAccess = STEADY_ACCESS,
         body: bytes = b"",
     ) -> CallResult:
+        """Send a request through a host's node, without checking its result."""
         headers = [
             (b"Host", b"h.example"),
             (names.REQUEST_ID, request_id.encode()),
--- a/test/process/test_invalid_statuses.py
+++ b/test/process/test_invalid_statuses.py
@@ -38,7 +38,7 @@
         self.cluster.checker.sent[sent.request_id] = sent
         path = f"/{self.service}/x" if idempotent else f"/once/{self.service}/x"
         method = b"GET" if idempotent else b"POST"
-        result = self.cluster._send_request(host, method, path, sent.request_id)
+        result = self.cluster.send(host, method, path, sent.request_id)
         return result.response.status if result.response is not None else result.failure
 
     def test_no_invalid_status_reaches_the_caller(self):
