Compute the expected time of a started request only for its tenant

Cause: found in a read of the whole change. Every start computed the expected service time and a share that are dropped at once without a tenant; the same expression stood in four places of the queue; the earlier processes of an owner were identified twice.

No change of behaviour.

--- a/almondshore/limits/objective.py
+++ b/almondshore/limits/objective.py
@@ -298,14 +298,13 @@
         free_after.extend([ZERO] * (self.slots - len(free_after)))
         heapify(free_after)
         for other in sorted(ahead, key=lambda item: self._rank(item.terms, now)):
-            expected = self.times.expected(other.terms.cost_features())
-            heapreplace(free_after, free_after[0] + expected)
+            heapreplace(free_after, free_after[0] + self._expected(other))
         return free_after[0]
 
     def work_left(self) -> timedelta:
         """Return the sum of the expected service times left of running and waiting requests."""
         now = self.clock.monotonic()
-        work = sum((self.times.expected(job.terms.cost_features()) for job in self.waiting), ZERO)
+        work = sum(map(self._expected, self.waiting), ZERO)
         for job, started in self.running.items():
             work += self._remaining(job, started, now)
         return work
@@ -320,18 +319,22 @@
         self.dispatch_at = now + wait
         self.schedule(wait, self.dispatch)
 
+    def _expected(self, job: Job) -> timedelta:
+        return self.times.expected(job.terms.cost_features())
+
     def _remaining(self, job: Job, started: timedelta, now: timedelta) -> timedelta:
         """Return the expected remaining time of a running request.
 
         A request that has exceeded its expected service time still has a share of it left.
         """
-        expected = self.times.expected(job.terms.cost_features())
+        expected = self._expected(job)
         return max(expected - (now - started), expected * OVERDUE_REMAINING_SHARE)
 
     def _start(self, job: Job, now: timedelta) -> None:
         self.running[job] = now
-        terms = job.terms
-        self.shares.record_start(terms.share(), self.times.expected(terms.cost_features()))
+        share = job.terms.share()
+        if share.tenant:
+            self.shares.record_start(share, self._expected(job))
         job.start()
 
     def _ordered(self, now: timedelta) -> list[tuple[bool, Job]]:
@@ -364,7 +367,7 @@
 
     def _retry_after(self, now: timedelta) -> timedelta:
         """Estimate the time until the running and waiting requests have ended."""
-        work = sum((self.times.expected(job.terms.cost_features()) for job in self.waiting), ZERO)
+        work = sum(map(self._expected, self.waiting), ZERO)
         for job, started in self.running.items():
-            work += max(self.times.expected(job.terms.cost_features()) - (now - started), ZERO)
+            work += max(self._expected(job) - (now - started), ZERO)
         return min(MAX_RETRY_AFTER, max(MIN_RETRY_AFTER, work / self.slots))
--- a/almondshore/limits/shares.py
+++ b/almondshore/limits/shares.py
@@ -161,14 +161,13 @@
         self.updated_at = self.clock.monotonic()
         scale = self._scale()
         uses = {("tenant", name): use for name, use in self.tenants.items()} | self.kinds
-        starved = frozenset(key for key, use in uses.items() if self._is_starved(use, scale))
+        self.starved = frozenset(key for key, use in uses.items() if self._is_starved(use, scale))
         self.behind = self._places_behind(scale)
-        self.starved = starved
-        if starved and self.updated_at >= self.next_log_at:
+        if self.starved and self.updated_at >= self.next_log_at:
             self.next_log_at = self.updated_at + LOG_INTERVAL
             log_event(
                 "starved_requests",
-                kinds=" ".join(f"{name}:{value}" for name, value in sorted(starved, key=str)),
+                kinds=" ".join(f"{name}:{value}" for name, value in sorted(self.starved, key=str)),
                 behind=" ".join(sorted(self.behind)),
             )
 
--- a/almondshore/proxy/once.py
+++ b/almondshore/proxy/once.py
@@ -215,11 +215,8 @@
         A relay may list a target under the process that was killed until the node announces the
         target again. A later process is a member: it may run keys while this one is still there.
         """
-        return {
-            member_identity(record)
-            for record in self.directory.of_node(self.node)
-            if record.process < self.process and member_identity(record) in members
-        }
+        records = self.directory.of_node(self.node)
+        return members & {member_identity(item) for item in records if item.process < self.process}
 
     def note_rejoin(self) -> None:
         """Record that other nodes had declared this node dead."""
