--- a/review/common-2/mesh.py
+++ b/review/common-2/mesh.py
@@ -235,6 +235,7 @@
     :ivar work_s: time that a request takes
     :ivar make_body: returns the body of the answer to a request
     :ivar state: state in the heartbeats; none are sent while it is empty
+    :ivar leaving: whether health checks fail and all answers say ``Server-Leaving``
     """
 
     def __init__(self, *, record: Record, name: str, service: str, host: str, zone: str = "a"):
@@ -251,7 +252,7 @@
         self.state = "ready"
         self.sequence = 0
         self.born = int(time.time() * 1000)
-        self.healthy = True
+        self.leaving = False
         self.runs: list[tuple[float, str, str, bytes, str]] = []
         self.server: asyncio.Server | None = None
         self.writers: set[asyncio.StreamWriter] = set()
@@ -308,7 +309,7 @@
     async def _answer(self, request: Message) -> bytes:
         method, target, _ = request.start.split(" ")
         if target == "/health":
-            return encode_answer(200 if self.healthy else 503, {"Instance-Id": self.name})
+            return encode_answer(503 if self.leaving else 200, {"Instance-Id": self.name})
         expected = request.get("expected-instance", self.name)
         if expected != self.name:
             return encode_answer(421, {"Instance-Id": self.name})
@@ -324,6 +325,8 @@
         await asyncio.sleep(self.work_s)
         body = self.make_body(request)
         headers = {"Attempt-Id": attempt, "Response-Signature": f"{self.name}.{len(body)}"}
+        if self.leaving:
+            headers["Server-Leaving"] = "1"
         return encode_answer(200, headers, body)
 
 
