--- a/review/common-2/mesh.py
+++ b/review/common-2/mesh.py
@@ -6,11 +6,14 @@
 
 import asyncio
 import contextlib
+import functools
+import itertools
 import json
 import os
 import random
 import shutil
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -34,8 +37,10 @@
 STORE_DELAY_S = 0.004
 MAX_RUN_S = 110
 LISTENERS = ("inbound", "outbound", "ready", "control", "internal")
-FIRST_PORT = 7100
-_hosts = iter(range(1, 250))
+# Below the range from which the kernel takes the ports of outgoing connections.
+FIRST_PORTS = range(7100, 30000, 100)
+MAX_NODES = 8
+_hosts = iter(range(1, MAX_NODES + 1))
 
 
 def trouble() -> bool:
@@ -43,10 +48,26 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
-def loopback_host() -> str:
-    """Return a loopback host of this run, which differs between processes."""
+def loopback_host(number: int) -> str:
+    """Return a loopback host of this run; those of other processes differ."""
     pid = os.getpid()
-    return f"127.{10 + pid // 250 % 200}.{pid % 250}.{next(_hosts)}"
+    return f"127.{10 + pid // 250 % 200}.{pid % 250}.{number}"
+
+
+@functools.cache
+def first_port() -> int:
+    """Return the first of the nodes' ports, which are the same on all hosts and free.
+
+    :raises OSError: if there is none
+    """
+    for first in FIRST_PORTS:
+        with contextlib.ExitStack() as sockets, contextlib.suppress(OSError):
+            for number, offset in itertools.product(range(1, MAX_NODES + 1), range(len(LISTENERS))):
+                for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                    sock = sockets.enter_context(socket.socket(socket.AF_INET, kind))
+                    sock.bind((loopback_host(number), first + offset))
+            return first
+    raise OSError("no free ports for the nodes")
 
 
 class Record:
@@ -339,9 +360,9 @@
         self.name = name
         self.service = service
         self.zone = zone
-        self.host = loopback_host()
+        self.host = loopback_host(next(_hosts))
         self.listen = {
-            key: f"{self.host}:{FIRST_PORT + index}" for index, key in enumerate(LISTENERS)
+            key: f"{self.host}:{first_port() + index}" for index, key in enumerate(LISTENERS)
         }
         self.process: subprocess.Popen | None = None
         self.settings = folder / f"{name}.yaml"
@@ -354,7 +375,7 @@
         text = text[:begin] + BOUNDS + text[end:]
         values = {
             "node_id": self.name, "zone": self.zone, "service": self.service, "app_address": app,
-            "ip": self.host, "internal_ports.0": str(FIRST_PORT + LISTENERS.index("internal")),
+            "ip": self.host, "internal_ports.0": str(first_port() + LISTENERS.index("internal")),
             "platform.address": store, "limits.link_mbps": "1000.0", "limits.memory_mb": "150",
             "first_start|json": json.dumps(first_start),
             **{f"listen.{key}": value for key, value in self.listen.items()},
@@ -456,7 +477,9 @@
     :ivar services: service of each node, by the node's name
     """
 
-    def __init__(self, record: Record, services: dict[str, str], zones: dict[str, str] | None = None):
+    def __init__(
+        self, record: Record, services: dict[str, str], zones: dict[str, str] | None = None
+    ):
         self.record = record
         self.folder = Path(tempfile.mkdtemp(prefix="mesh-"))
         self.store = Store(record)
